--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,65 @@
+// Package gateway owns the requests a node accepted: admission, queue,
+// deadline, claims, dispatch, retries and the one final answer to each.
+package gateway
+
+import (
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/result"
+)
+
+// Request is a checked request of an authenticated caller.
+type Request struct {
+	// ID appears in all log lines and in the answer.
+	ID     string
+	Tenant string
+	// Model is the row's name; empty for a pool request.
+	Model string
+	// Pool names the back-end pool; empty for a generation.
+	Pool string
+	// Method and Path are passed on. Path is without the pool's prefix.
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	// Prefix is the start of the prompt, for prefix affinity.
+	Prefix []byte
+	// Priority from 0 to 9, higher first.
+	Priority int
+	// Accepted and Deadline are absolute.
+	Accepted time.Time
+	Deadline time.Time
+	// Key is the idempotency key; required if not Repeatable.
+	Key        string
+	Repeatable bool
+}
+
+// Answer ends a served request.
+type Answer struct {
+	// End is set for a generation.
+	End platform.GenerateEnd
+	// Response is set for a pool request.
+	Response platform.BackEndResponse
+	// Replayed: the outcome was recorded by an earlier run of the same key.
+	Replayed bool
+	Server   platform.ServerID
+	// Cold: the request waited for a replica to be loaded.
+	Cold bool
+}
+
+// Responder receives the answer to one request: any number of Chunk calls in
+// order of index, then exactly one of Finish or Refuse. Calls never overlap and
+// are made without any lock of the gateway held.
+type Responder interface {
+	Chunk(chunk platform.Chunk)
+	Finish(answer Answer)
+	Refuse(refusal result.Refusal)
+}
+
+// Service is what the callers' interface uses.
+type Service interface {
+	// Submit takes responsibility for a request. Cancel tells that the caller
+	// is gone; the responder still gets its final call.
+	Submit(request Request, responder Responder) (cancel func())
+}
