Claim keys of non-repeatable requests at a majority of a shard's acceptors

Cause: a request that must not be repeated may reach two gateways, and a gateway may die; the claim must outlive any node and a key-value outage. Change: leaderless write-once claims: one round trip to a majority of three acceptors in three zones; configurations change by seal, merge, install and compare-and-swap, so votes of two epochs never add up.

--- /dev/null
+++ b/internal/claims/acceptor.go
@@ -0,0 +1,253 @@
+package claims
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// pageEntries bounds the entries of one transfer message.
+const pageEntries = 500
+
+// acceptor holds this node's votes of one shard.
+type acceptor struct {
+	retention  time.Duration
+	maxEntries int
+
+	mutex sync.Mutex
+	// active is the configuration in which this node votes.
+	active ConfigurationID
+	// sealedFor holds the tokens of proposals that ended the voting here.
+	sealedFor map[string]bool
+	// quarantineUntil refuses votes until then.
+	quarantineUntil time.Time
+	entries         map[Key]*Entry
+	// expiry lists keys in order of their first vote.
+	expiry []expiringKey
+	// proposed configurations that are not committed yet, by token.
+	proposed map[string]*proposal
+}
+
+type expiringKey struct {
+	key       Key
+	claimedAt time.Time
+}
+
+// proposal is a configuration handed over but not known to be committed.
+type proposal struct {
+	configuration   ConfigurationID
+	nextPage        int
+	complete        bool
+	entries         []Entry
+	quarantineUntil time.Time
+}
+
+func newAcceptor(retention time.Duration, maxEntries int) *acceptor {
+	return &acceptor{
+		retention:  retention,
+		maxEntries: maxEntries,
+		sealedFor:  map[string]bool{},
+		entries:    map[Key]*Entry{},
+		proposed:   map[string]*proposal{},
+	}
+}
+
+// vote records the key for the attempt unless another came first. A request of
+// a configuration proves that it is committed, since its sender read it there.
+func (a *acceptor) vote(request VoteRequest, now time.Time) VoteReply {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.activate(request.Configuration)
+	if a.active != request.Configuration || len(a.sealedFor) > 0 {
+		return VoteReply{Status: VoteWrongEpoch}
+	}
+	a.expire(now)
+	entry, known := a.entries[request.Key]
+	if known {
+		return replyFromEntry(entry, request)
+	}
+	if now.Before(a.quarantineUntil) {
+		return VoteReply{Status: VoteQuarantined}
+	}
+	if len(a.entries) >= a.maxEntries {
+		return VoteReply{Status: VoteFull}
+	}
+	a.insert(Entry{
+		Key:       request.Key,
+		Digest:    request.Digest,
+		Holders:   []platform.AttemptID{request.Attempt},
+		ClaimedAt: now,
+	})
+	return VoteReply{Status: VoteGiven, Holder: request.Attempt}
+}
+
+func replyFromEntry(entry *Entry, request VoteRequest) VoteReply {
+	reply := VoteReply{Status: VoteHeld, Outcome: entry.Outcome}
+	if len(entry.Holders) == 1 {
+		reply.Holder = entry.Holders[0]
+	}
+	switch {
+	case entry.Digest != request.Digest:
+		return VoteReply{Status: VoteConflict}
+	case reply.Holder == request.Attempt:
+		reply.Status = VoteGiven
+	}
+	return reply
+}
+
+// record stores an outcome. Only the attempt that won the key sends one, so it
+// also settles a contested key and one whose vote was missed here.
+func (a *acceptor) record(request RecordRequest, now time.Time) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.activate(request.Configuration)
+	if a.active != request.Configuration || len(a.sealedFor) > 0 {
+		return false
+	}
+	entry, known := a.entries[request.Key]
+	if !known {
+		a.insert(Entry{Key: request.Key, Digest: request.Digest, ClaimedAt: now})
+		entry = a.entries[request.Key]
+	}
+	outcome := request.Outcome
+	entry.Outcome = &outcome
+	entry.Holders = []platform.AttemptID{request.Attempt}
+	return true
+}
+
+// release removes the vote for an attempt that never ran.
+func (a *acceptor) release(request ReleaseRequest) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.activate(request.Configuration)
+	entry, known := a.entries[request.Key]
+	if a.active != request.Configuration || len(a.sealedFor) > 0 || !known {
+		return false
+	}
+	if len(entry.Holders) != 1 || entry.Holders[0] != request.Attempt || entry.Outcome != nil {
+		return false
+	}
+	delete(a.entries, request.Key)
+	return true
+}
+
+// seal ends voting and returns one page of entries in order of key.
+func (a *acceptor) seal(request SealRequest, now time.Time) SealReply {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.activate(request.Configuration)
+	if a.active != request.Configuration {
+		return SealReply{}
+	}
+	a.sealedFor[request.Token] = true
+	a.expire(now)
+	all := a.sortedEntries()
+	first := min(request.Page*pageEntries, len(all))
+	last := min(first+pageEntries, len(all))
+	return SealReply{OK: true, Entries: all[first:last], More: last < len(all)}
+}
+
+// unseal lets voting go on unless another proposal sealed the shard too.
+func (a *acceptor) unseal(request UnsealRequest) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.active == request.Configuration {
+		delete(a.sealedFor, request.Token)
+	}
+}
+
+func (a *acceptor) sortedEntries() []Entry {
+	all := make([]Entry, 0, len(a.entries))
+	for _, entry := range a.entries {
+		all = append(all, *entry)
+	}
+	sort.Slice(all, func(i, j int) bool { return lessKey(all[i].Key, all[j].Key) })
+	return all
+}
+
+func lessKey(a, b Key) bool {
+	if a.Tenant != b.Tenant {
+		return a.Tenant < b.Tenant
+	}
+	return a.Value < b.Value
+}
+
+// install takes a page of a proposed configuration.
+func (a *acceptor) install(request InstallRequest) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if request.Configuration.Epoch <= a.active.Epoch {
+		return request.Configuration == a.active
+	}
+	pending, known := a.proposed[request.Configuration.Token]
+	if !known || request.Page == 0 {
+		pending = &proposal{configuration: request.Configuration, quarantineUntil: request.QuarantineUntil}
+		a.proposed[request.Configuration.Token] = pending
+	}
+	if request.Page != pending.nextPage {
+		return request.Page < pending.nextPage
+	}
+	pending.entries = append(pending.entries, request.Entries...)
+	pending.nextPage++
+	pending.complete = request.Last
+	return true
+}
+
+// activate switches to a committed configuration whose entries are here.
+func (a *acceptor) activate(committed ConfigurationID) {
+	if committed.Epoch <= a.active.Epoch {
+		return
+	}
+	pending, known := a.proposed[committed.Token]
+	if !known || !pending.complete || pending.configuration != committed {
+		return
+	}
+	a.active = committed
+	a.sealedFor = map[string]bool{}
+	a.quarantineUntil = pending.quarantineUntil
+	a.entries = make(map[Key]*Entry, len(pending.entries))
+	a.expiry = a.expiry[:0]
+	a.proposed = map[string]*proposal{}
+	sort.Slice(pending.entries, func(i, j int) bool {
+		return pending.entries[i].ClaimedAt.Before(pending.entries[j].ClaimedAt)
+	})
+	for _, entry := range pending.entries {
+		a.insert(entry)
+	}
+}
+
+// committed tells the acceptor which configuration the key-value service holds.
+func (a *acceptor) committed(configuration ConfigurationID) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.activate(configuration)
+}
+
+func (a *acceptor) insert(entry Entry) {
+	stored := entry
+	a.entries[entry.Key] = &stored
+	a.expiry = append(a.expiry, expiringKey{key: entry.Key, claimedAt: entry.ClaimedAt})
+}
+
+// expire forgets keys older than the retention.
+func (a *acceptor) expire(now time.Time) {
+	expired := 0
+	for expired < len(a.expiry) && now.Sub(a.expiry[expired].claimedAt) > a.retention {
+		oldest := a.expiry[expired]
+		entry, known := a.entries[oldest.key]
+		if known && entry.ClaimedAt.Equal(oldest.claimedAt) {
+			delete(a.entries, oldest.key)
+		}
+		expired++
+	}
+	a.expiry = a.expiry[expired:]
+}
+
+// size returns the number of keys held.
+func (a *acceptor) size() int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return len(a.entries)
+}
--- /dev/null
+++ b/internal/claims/claimset.go
@@ -0,0 +1,189 @@
+package claims
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/peer"
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// Config is what a ClaimSet needs.
+type Config struct {
+	Clock     clock.Clock
+	Random    *rand.Rand
+	KeyValues platform.KeyValueService
+	Transport peer.Transport
+	Members   membership.View
+	Logger    zerolog.Logger
+	// Shards is the number of shards; the same on all nodes, for ever.
+	Shards int
+	// Retention is how long a key is remembered after its claim.
+	Retention time.Duration
+	// Quarantine is how long a shard that lost its votes refuses new keys.
+	Quarantine time.Duration
+	// MaxKeysPerShard bounds an acceptor's memory.
+	MaxKeysPerShard int
+	// CallTimeout of one message to an acceptor.
+	CallTimeout time.Duration
+	// TickPeriod of the check of all configurations.
+	TickPeriod time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultShards          = 16
+	DefaultRetention       = 24 * time.Hour
+	DefaultQuarantine      = time.Hour
+	DefaultMaxKeysPerShard = 200_000
+	DefaultCallTimeout     = 500 * time.Millisecond
+	DefaultTickPeriod      = time.Second
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Shards, DefaultShards)
+	setDefault(&c.Retention, DefaultRetention)
+	setDefault(&c.Quarantine, DefaultQuarantine)
+	setDefault(&c.MaxKeysPerShard, DefaultMaxKeysPerShard)
+	setDefault(&c.CallTimeout, DefaultCallTimeout)
+	setDefault(&c.TickPeriod, DefaultTickPeriod)
+	return c
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// ClaimSet is a node's part in all shards: acceptor of some, proposer to all,
+// and keeper of their configurations.
+type ClaimSet struct {
+	config    Config
+	acceptors []*acceptor
+
+	// randomMutex guards config.Random.
+	randomMutex sync.Mutex
+
+	configurations *configurationCache
+	granted        *grantedHolders
+
+	reconfigurationMutex sync.Mutex
+	reconfigurations     []reconfigurationState
+
+	stopTick func()
+}
+
+// New returns a claim set; Start makes it work.
+func New(config Config) *ClaimSet {
+	config = config.withDefaults()
+	set := &ClaimSet{
+		config:           config,
+		granted:          newGrantedHolders(),
+		reconfigurations: make([]reconfigurationState, config.Shards),
+	}
+	for range config.Shards {
+		set.acceptors = append(set.acceptors, newAcceptor(config.Retention, config.MaxKeysPerShard))
+	}
+	set.configurations = newConfigurationCache(set, config.Shards)
+	set.register()
+	return set
+}
+
+// Start begins to follow the configurations and to repair them.
+func (s *ClaimSet) Start() {
+	s.configurations.start()
+	s.stopTick = clock.Repeat(s.config.Clock, s.config.TickPeriod, s.tick)
+}
+
+// Stop ends all activity at once. To hand the shards over first, drain the
+// member and wait until IsAcceptor reports false.
+func (s *ClaimSet) Stop() {
+	if s.stopTick != nil {
+		s.stopTick()
+	}
+	s.configurations.stop()
+}
+
+// IsAcceptor reports whether this node still holds votes of any shard.
+func (s *ClaimSet) IsAcceptor() bool {
+	self := s.config.Members.Self().ID()
+	for shard := range s.config.Shards {
+		if current, known := s.configurations.get(shard); known && current.has(self) {
+			return true
+		}
+	}
+	return false
+}
+
+// Keys returns the number of keys this node holds votes for.
+func (s *ClaimSet) Keys() int {
+	total := 0
+	for _, acceptor := range s.acceptors {
+		total += acceptor.size()
+	}
+	return total
+}
+
+// register connects the acceptors to the transport.
+func (s *ClaimSet) register() {
+	transport := s.config.Transport
+	transport.Handle(VoteRequest{}, func(_ string, message peer.Message, reply func(peer.Message, error)) {
+		request := message.(VoteRequest)
+		s.answer(request.Configuration, reply, func(a *acceptor) peer.Message {
+			return a.vote(request, s.config.Clock.Now())
+		})
+	})
+	transport.Handle(RecordRequest{}, func(_ string, message peer.Message, reply func(peer.Message, error)) {
+		request := message.(RecordRequest)
+		s.answer(request.Configuration, reply, func(a *acceptor) peer.Message {
+			return Acknowledgement{OK: a.record(request, s.config.Clock.Now())}
+		})
+	})
+	transport.Handle(ReleaseRequest{}, func(_ string, message peer.Message, reply func(peer.Message, error)) {
+		request := message.(ReleaseRequest)
+		s.answer(request.Configuration, reply, func(a *acceptor) peer.Message {
+			return Acknowledgement{OK: a.release(request)}
+		})
+	})
+	transport.Handle(SealRequest{}, func(_ string, message peer.Message, reply func(peer.Message, error)) {
+		request := message.(SealRequest)
+		s.answer(request.Configuration, reply, func(a *acceptor) peer.Message {
+			return a.seal(request, s.config.Clock.Now())
+		})
+	})
+	transport.Handle(UnsealRequest{}, func(_ string, message peer.Message, reply func(peer.Message, error)) {
+		request := message.(UnsealRequest)
+		s.answer(request.Configuration, reply, func(a *acceptor) peer.Message {
+			a.unseal(request)
+			return Acknowledgement{OK: true}
+		})
+	})
+	transport.Handle(InstallRequest{}, func(_ string, message peer.Message, reply func(peer.Message, error)) {
+		request := message.(InstallRequest)
+		s.answer(request.Configuration, reply, func(a *acceptor) peer.Message {
+			return Acknowledgement{OK: a.install(request)}
+		})
+	})
+}
+
+// answer runs a handler on the acceptor of the shard, if there is such a shard.
+func (s *ClaimSet) answer(id ConfigurationID, reply func(peer.Message, error), handle func(*acceptor) peer.Message) {
+	if id.Shard < 0 || id.Shard >= len(s.acceptors) {
+		reply(nil, errNoSuchShard)
+		return
+	}
+	reply(handle(s.acceptors[id.Shard]), nil)
+}
+
+// jitter returns a random duration from half to one and a half of the mean.
+func (s *ClaimSet) jitter(mean time.Duration) time.Duration {
+	s.randomMutex.Lock()
+	defer s.randomMutex.Unlock()
+	return mean/2 + time.Duration(s.config.Random.Int64N(int64(mean)))
+}
--- /dev/null
+++ b/internal/claims/merge.go
@@ -0,0 +1,75 @@
+package claims
+
+import (
+	"slices"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// keyTally gathers what the sealed acceptors hold of one key.
+type keyTally struct {
+	entry     Entry
+	votes     map[platform.AttemptID]int
+	contested bool
+	// recorded is the holder whose outcome is known.
+	recorded platform.AttemptID
+}
+
+// mergeEntries unites the entries of sealed acceptors, in order of key. A key
+// whose winner can't be told stays contested: it keeps all its holders, and no
+// new attempt wins it.
+func mergeEntries(complete [][]Entry, configuration Configuration) []Entry {
+	tallies := map[Key]*keyTally{}
+	for _, entries := range complete {
+		for _, entry := range entries {
+			tally, seen := tallies[entry.Key]
+			if !seen {
+				tally = &keyTally{entry: entry, votes: map[platform.AttemptID]int{}}
+				tallies[entry.Key] = tally
+			}
+			tally.add(entry)
+		}
+	}
+	united := make([]Entry, 0, len(tallies))
+	for _, tally := range tallies {
+		tally.entry.Holders = tally.settle(configuration.writeQuorum())
+		united = append(united, tally.entry)
+	}
+	slices.SortFunc(united, func(a, b Entry) int {
+		if lessKey(a.Key, b.Key) {
+			return -1
+		}
+		return 1
+	})
+	return united
+}
+
+func (t *keyTally) add(entry Entry) {
+	if entry.ClaimedAt.Before(t.entry.ClaimedAt) {
+		t.entry.ClaimedAt = entry.ClaimedAt
+	}
+	if entry.Outcome != nil && len(entry.Holders) == 1 {
+		t.entry.Outcome = entry.Outcome
+		t.recorded = entry.Holders[0]
+	}
+	t.contested = t.contested || len(entry.Holders) > 1
+	for _, holder := range entry.Holders {
+		t.votes[holder]++
+	}
+}
+
+// settle returns the winner if it is certain, else all that may have won.
+func (t *keyTally) settle(writeQuorum int) []platform.AttemptID {
+	if t.recorded != "" {
+		return []platform.AttemptID{t.recorded}
+	}
+	holders := make([]platform.AttemptID, 0, len(t.votes))
+	for holder, votes := range t.votes {
+		if !t.contested && votes >= writeQuorum {
+			return []platform.AttemptID{holder}
+		}
+		holders = append(holders, holder)
+	}
+	slices.Sort(holders)
+	return holders
+}
--- /dev/null
+++ b/internal/claims/messages.go
@@ -0,0 +1,131 @@
+package claims
+
+import (
+	"encoding/gob"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// VoteStatus is an acceptor's answer to a VoteRequest.
+type VoteStatus uint8
+
+// The answers of an acceptor.
+const (
+	// VoteGiven: the acceptor records the key for the attempt.
+	VoteGiven VoteStatus = iota
+	// VoteHeld: another attempt came first, or the key is contested.
+	VoteHeld
+	// VoteConflict: the key is held for a request with another digest.
+	VoteConflict
+	// VoteWrongEpoch: the acceptor is not active in that configuration.
+	VoteWrongEpoch
+	// VoteQuarantined: the shard lost its records and waits for old keys to
+	// expire.
+	VoteQuarantined
+	// VoteFull: the acceptor holds as many keys as it may.
+	VoteFull
+)
+
+// ConfigurationID names one configuration of a shard.
+type ConfigurationID struct {
+	Shard int
+	Epoch uint64
+	// Token tells apart two proposals of the same epoch.
+	Token string
+}
+
+// VoteRequest asks an acceptor to record a key for an attempt.
+type VoteRequest struct {
+	Configuration ConfigurationID
+	Key           Key
+	Attempt       platform.AttemptID
+	Digest        uint64
+}
+
+// VoteReply answers a VoteRequest or an OutcomeQuery.
+type VoteReply struct {
+	Status  VoteStatus
+	Holder  platform.AttemptID
+	Outcome *Outcome
+}
+
+// RecordRequest stores the outcome of the attempt that holds a key.
+type RecordRequest struct {
+	Configuration ConfigurationID
+	Key           Key
+	Attempt       platform.AttemptID
+	Digest        uint64
+	Outcome       Outcome
+}
+
+// ReleaseRequest removes the vote for an attempt that never ran.
+type ReleaseRequest struct {
+	Configuration ConfigurationID
+	Key           Key
+	Attempt       platform.AttemptID
+}
+
+// Acknowledgement answers RecordRequest, ReleaseRequest and InstallRequest.
+type Acknowledgement struct {
+	OK bool
+}
+
+// SealRequest ends voting in a configuration at one acceptor and reads its
+// entries, page by page.
+type SealRequest struct {
+	Configuration ConfigurationID
+	// Token of the proposal for which the acceptor is sealed.
+	Token string
+	// Page counts from 0.
+	Page int
+}
+
+// UnsealRequest takes back a seal whose proposal was certainly not committed.
+type UnsealRequest struct {
+	Configuration ConfigurationID
+	Token         string
+}
+
+// SealReply carries one page of a sealed acceptor's entries.
+type SealReply struct {
+	// OK is false when the acceptor does not hold that configuration.
+	OK      bool
+	Entries []Entry
+	// More pages follow.
+	More bool
+}
+
+// InstallRequest hands entries of a proposed configuration to an acceptor. It
+// takes part in votes only once the configuration is committed.
+type InstallRequest struct {
+	Configuration ConfigurationID
+	// Page counts from 0; Last marks the final page.
+	Page            int
+	Last            bool
+	Entries         []Entry
+	QuarantineUntil time.Time
+}
+
+// Entry is one key's record, as transferred between configurations.
+type Entry struct {
+	Key    Key
+	Digest uint64
+	// Holders that may have won the key; more than one: contested.
+	Holders []platform.AttemptID
+	Outcome *Outcome
+	// ClaimedAt is the acceptor's time of the first vote.
+	ClaimedAt time.Time
+}
+
+func init() {
+	gob.Register(VoteRequest{})
+	gob.Register(VoteReply{})
+	gob.Register(RecordRequest{})
+	gob.Register(ReleaseRequest{})
+	gob.Register(Acknowledgement{})
+	gob.Register(SealRequest{})
+	gob.Register(UnsealRequest{})
+	gob.Register(SealReply{})
+	gob.Register(InstallRequest{})
+}
--- /dev/null
+++ b/internal/claims/proposer.go
@@ -0,0 +1,379 @@
+package claims
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/peer"
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// Pauses between the rounds of a claim.
+const (
+	// retryDelay after a round that failed for want of answers.
+	retryDelay = 100 * time.Millisecond
+	// outcomeDelay before the holder's outcome is asked for again.
+	outcomeDelay = 250 * time.Millisecond
+)
+
+// grantedHolders maps a granted attempt to the round that won, under which the
+// acceptors know it.
+type grantedHolders struct {
+	mutex  sync.Mutex
+	rounds map[platform.AttemptID]grantedRound
+}
+
+type grantedRound struct {
+	holder platform.AttemptID
+	digest uint64
+}
+
+func newGrantedHolders() *grantedHolders {
+	return &grantedHolders{rounds: map[platform.AttemptID]grantedRound{}}
+}
+
+func (g *grantedHolders) put(attempt platform.AttemptID, round grantedRound) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.rounds[attempt] = round
+}
+
+// take removes and returns the winning round of an attempt.
+func (g *grantedHolders) take(attempt platform.AttemptID) (grantedRound, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	round, known := g.rounds[attempt]
+	delete(g.rounds, attempt)
+	return round, known
+}
+
+// claimOperation is one Claim call in progress. It goes through rounds; each
+// round has a holder id of its own, so that a late release of one round never
+// takes away a vote of the next.
+type claimOperation struct {
+	set      *ClaimSet
+	key      Key
+	shard    int
+	attempt  platform.AttemptID
+	digest   uint64
+	deadline time.Time
+	done     func(Result)
+
+	mutex    sync.Mutex
+	finished bool
+	round    *claimRound
+	rounds   int
+	// denied remembers the last answer of a holder.
+	denied Result
+}
+
+// claimRound counts the votes of one configuration.
+type claimRound struct {
+	configuration Configuration
+	holder        platform.AttemptID
+	replies       int
+	given         int
+	conflicts     int
+	held          map[platform.AttemptID]int
+	outcome       *Outcome
+	outcomeHolder platform.AttemptID
+	ended         bool
+}
+
+// Claim implements Claimer.
+func (s *ClaimSet) Claim(key Key, attempt platform.AttemptID, digest uint64, deadline time.Time, done func(Result)) {
+	operation := &claimOperation{
+		set: s, key: key, shard: shardOf(key, s.config.Shards), attempt: attempt,
+		digest: digest, deadline: deadline, done: done,
+		denied: Result{Verdict: Unavailable},
+	}
+	remaining := deadline.Sub(s.config.Clock.Now())
+	s.config.Clock.AfterFunc(remaining, operation.expire)
+	operation.startRound()
+}
+
+// expire ends the operation at its deadline.
+func (o *claimOperation) expire() {
+	o.mutex.Lock()
+	round := o.round
+	denied := o.denied
+	if o.finished {
+		o.mutex.Unlock()
+		return
+	}
+	o.finished = true
+	o.mutex.Unlock()
+	o.abandon(round)
+	o.done(denied)
+}
+
+// startRound asks all acceptors for their votes.
+func (o *claimOperation) startRound() {
+	configuration, known := o.set.configurations.get(o.shard)
+	if !known || len(configuration.Acceptors) == 0 {
+		o.nextRound(retryDelay)
+		return
+	}
+	o.mutex.Lock()
+	if o.finished {
+		o.mutex.Unlock()
+		return
+	}
+	o.rounds++
+	round := &claimRound{
+		configuration: configuration,
+		holder:        o.attempt + "/" + platform.AttemptID(strconv.Itoa(o.rounds)),
+		held:          map[platform.AttemptID]int{},
+	}
+	o.round = round
+	o.mutex.Unlock()
+	request := VoteRequest{Configuration: configuration.id(o.shard), Key: o.key, Attempt: round.holder, Digest: o.digest}
+	for _, acceptor := range configuration.Acceptors {
+		o.set.config.Transport.Call(acceptor.PeerAddress, request, o.set.config.CallTimeout,
+			func(message peer.Message, err error) { o.voted(round, message, err) })
+	}
+}
+
+func (o *claimOperation) nextRound(delay time.Duration) {
+	o.set.config.Clock.AfterFunc(o.set.jitter(delay), o.startRound)
+}
+
+// voted counts one answer and ends the round when it is decided.
+func (o *claimOperation) voted(round *claimRound, message peer.Message, err error) {
+	o.mutex.Lock()
+	if o.finished || round.ended || o.round != round {
+		o.mutex.Unlock()
+		return
+	}
+	round.count(message, err)
+	decision := round.decide()
+	if decision == undecided {
+		o.mutex.Unlock()
+		return
+	}
+	round.ended = true
+	result, final := o.conclude(round, decision)
+	o.finished = final
+	o.mutex.Unlock()
+	o.act(round, decision, result, final)
+}
+
+func (r *claimRound) count(message peer.Message, err error) {
+	r.replies++
+	reply, ok := message.(VoteReply)
+	if err != nil || !ok {
+		return
+	}
+	if reply.Outcome != nil {
+		r.outcome = reply.Outcome
+		r.outcomeHolder = reply.Holder
+	}
+	switch reply.Status {
+	case VoteGiven:
+		r.given++
+	case VoteHeld:
+		r.held[reply.Holder]++
+	case VoteConflict:
+		r.conflicts++
+	}
+}
+
+type roundDecision uint8
+
+const (
+	undecided roundDecision = iota
+	won
+	heldByOther
+	usedForOther
+	noMajority
+)
+
+// decide looks at the votes so far.
+func (r *claimRound) decide() roundDecision {
+	quorum := r.configuration.writeQuorum()
+	if r.given >= quorum {
+		return won
+	}
+	if r.outcome != nil {
+		return heldByOther
+	}
+	if r.conflicts >= quorum {
+		return usedForOther
+	}
+	for _, votes := range r.held {
+		if votes >= quorum {
+			return heldByOther
+		}
+	}
+	if r.replies == len(r.configuration.Acceptors) {
+		return noMajority
+	}
+	return undecided
+}
+
+// conclude turns a decision into the operation's result, if it is final.
+func (o *claimOperation) conclude(round *claimRound, decision roundDecision) (Result, bool) {
+	switch decision {
+	case won:
+		return Result{Verdict: Granted, Holder: o.attempt}, true
+	case usedForOther:
+		return Result{Verdict: Conflict}, true
+	case heldByOther:
+		holder := round.majorityHolder()
+		o.denied = Result{Verdict: Denied, Holder: holder, Outcome: round.outcome}
+		return o.denied, round.outcome != nil
+	default:
+		return Result{}, false
+	}
+}
+
+func (r *claimRound) majorityHolder() platform.AttemptID {
+	if r.outcome != nil {
+		return r.outcomeHolder
+	}
+	for holder, votes := range r.held {
+		if votes >= r.configuration.writeQuorum() {
+			return holder
+		}
+	}
+	return ""
+}
+
+// act carries out what the end of a round asks for.
+func (o *claimOperation) act(round *claimRound, decision roundDecision, result Result, final bool) {
+	if decision == won {
+		o.set.granted.put(o.attempt, grantedRound{holder: round.holder, digest: o.digest})
+		o.done(result)
+		return
+	}
+	o.abandon(round)
+	if final {
+		o.done(result)
+		return
+	}
+	delay := retryDelay
+	if decision == heldByOther {
+		delay = outcomeDelay
+	}
+	o.nextRound(delay)
+}
+
+// abandon releases the votes of a round that was not won and never will be.
+func (o *claimOperation) abandon(round *claimRound) {
+	if round == nil {
+		return
+	}
+	o.mutex.Lock()
+	round.ended = true
+	o.mutex.Unlock()
+	o.set.sendRelease(o.shard, round.configuration, o.key, round.holder)
+}
+
+func (s *ClaimSet) sendRelease(shard int, configuration Configuration, key Key, holder platform.AttemptID) {
+	request := ReleaseRequest{Configuration: configuration.id(shard), Key: key, Attempt: holder}
+	for _, acceptor := range configuration.Acceptors {
+		s.config.Transport.Send(acceptor.PeerAddress, request)
+	}
+}
+
+// Release implements Claimer.
+func (s *ClaimSet) Release(key Key, attempt platform.AttemptID) {
+	round, known := s.granted.take(attempt)
+	if !known {
+		return
+	}
+	shard := shardOf(key, s.config.Shards)
+	if configuration, exists := s.configurations.get(shard); exists {
+		s.sendRelease(shard, configuration, key, round.holder)
+	}
+}
+
+// Record implements Claimer.
+func (s *ClaimSet) Record(key Key, attempt platform.AttemptID, outcome Outcome) {
+	round, known := s.granted.take(attempt)
+	if !known {
+		return
+	}
+	if len(outcome.Body) > MaxOutcomeBytes {
+		outcome.Body = nil
+		outcome.Truncated = true
+	}
+	record := &recordOperation{
+		set: s, shard: shardOf(key, s.config.Shards),
+		request: RecordRequest{Key: key, Attempt: round.holder, Digest: round.digest, Outcome: outcome},
+	}
+	record.start()
+}
+
+// MaxOutcomeBytes bounds the body kept of an outcome.
+const MaxOutcomeBytes = 16 << 10
+
+// maxRecordTries bounds the tries to store an outcome.
+const maxRecordTries = 20
+
+// recordOperation stores an outcome at a majority, over changes of
+// configuration.
+type recordOperation struct {
+	set     *ClaimSet
+	shard   int
+	request RecordRequest
+	tries   int
+}
+
+func (r *recordOperation) start() {
+	r.tries++
+	configuration, known := r.set.configurations.get(r.shard)
+	if !known || len(configuration.Acceptors) == 0 {
+		r.again()
+		return
+	}
+	request := r.request
+	request.Configuration = configuration.id(r.shard)
+	tally := &recordTally{operation: r, needed: configuration.writeQuorum(), expected: len(configuration.Acceptors)}
+	for _, acceptor := range configuration.Acceptors {
+		r.send(acceptor, request, tally)
+	}
+}
+
+func (r *recordOperation) send(acceptor membership.Member, request RecordRequest, tally *recordTally) {
+	r.set.config.Transport.Call(acceptor.PeerAddress, request, r.set.config.CallTimeout,
+		func(message peer.Message, err error) {
+			acknowledgement, ok := message.(Acknowledgement)
+			tally.count(err == nil && ok && acknowledgement.OK)
+		})
+}
+
+func (r *recordOperation) again() {
+	if r.tries >= maxRecordTries {
+		r.set.config.Logger.Warn().Int("shard", r.shard).Str("attempt", string(r.request.Attempt)).
+			Str("reason", "no majority").Msg("outcome not recorded")
+		return
+	}
+	r.set.config.Clock.AfterFunc(r.set.jitter(outcomeDelay), r.start)
+}
+
+// recordTally counts the acknowledgements of one try.
+type recordTally struct {
+	operation *recordOperation
+	needed    int
+	expected  int
+
+	mutex    sync.Mutex
+	replies  int
+	accepted int
+}
+
+func (t *recordTally) count(accepted bool) {
+	t.mutex.Lock()
+	t.replies++
+	if accepted {
+		t.accepted++
+	}
+	failed := t.replies == t.expected && t.accepted < t.needed
+	t.mutex.Unlock()
+	if failed {
+		t.operation.again()
+	}
+}
--- /dev/null
+++ b/internal/claims/reconfiguration.go
@@ -0,0 +1,215 @@
+package claims
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// Times of reconfiguration.
+const (
+	// rankDelay is how much later each next member in rank acts, so that a
+	// shard is repaired by one member unless that one fails.
+	rankDelay = 3 * time.Second
+	// lossGrace is how long a shard's votes must be out of reach before they
+	// count as lost.
+	lossGrace = 60 * time.Second
+	// reconfigurationTimeout lets a stuck try be begun anew.
+	reconfigurationTimeout = 15 * time.Second
+)
+
+// reconfigurationState is this node's view of a shard's need of repair.
+type reconfigurationState struct {
+	// degradedSince is when the need was first seen; zero: none.
+	degradedSince time.Time
+	// unreachableSince is when sealing first failed for want of acceptors.
+	unreachableSince time.Time
+	running          *reconfiguration
+	startedAt        time.Time
+}
+
+// tick checks each shard and repairs it if that is this node's turn.
+func (s *ClaimSet) tick() {
+	if !s.configurations.isLoaded() {
+		return
+	}
+	now := s.config.Clock.Now()
+	members := s.config.Members.Members()
+	for shard := range s.config.Shards {
+		s.checkShard(shard, members, now)
+	}
+}
+
+func (s *ClaimSet) checkShard(shard int, members []membership.Member, now time.Time) {
+	current, _ := s.configurations.get(shard)
+	desired := chooseAcceptors(shard, current.Acceptors, members)
+	s.reconfigurationMutex.Lock()
+	defer s.reconfigurationMutex.Unlock()
+	state := &s.reconfigurations[shard]
+	if !needsChange(current, desired) {
+		*state = reconfigurationState{}
+		return
+	}
+	if state.degradedSince.IsZero() {
+		state.degradedSince = now
+	}
+	position := s.position(shard, members)
+	if position < 0 || now.Sub(state.degradedSince) < time.Duration(position)*rankDelay {
+		return
+	}
+	if state.running != nil && now.Sub(state.startedAt) < reconfigurationTimeout {
+		return
+	}
+	state.running = s.newReconfiguration(shard, desired)
+	state.startedAt = now
+	state.running.start()
+}
+
+// needsChange reports whether the acceptors should be replaced.
+func needsChange(current Configuration, desired []membership.Member) bool {
+	if len(current.Acceptors) != len(desired) {
+		return true
+	}
+	for _, member := range desired {
+		if !current.has(member.ID()) {
+			return true
+		}
+	}
+	return false
+}
+
+// position is this node's place in the order in which members repair a shard;
+// draining members come in only when there are no others.
+func (s *ClaimSet) position(shard int, members []membership.Member) int {
+	candidates := withoutDraining(members)
+	if len(candidates) == 0 {
+		candidates = members
+	}
+	self := s.config.Members.Self().ID()
+	return slices.IndexFunc(rank(shard, candidates), func(m membership.Member) bool { return m.ID() == self })
+}
+
+// reconfiguration replaces a shard's acceptors: read the record, seal the old
+// acceptors, merge their entries, install them at the new ones, commit by
+// compare-and-swap. Each step begins when the one before has ended.
+type reconfiguration struct {
+	set     *ClaimSet
+	shard   int
+	desired []membership.Member
+	token   string
+
+	current     Configuration
+	modRevision int64
+	next        Configuration
+	entries     []Entry
+}
+
+func (s *ClaimSet) newReconfiguration(shard int, desired []membership.Member) *reconfiguration {
+	s.randomMutex.Lock()
+	token := fmt.Sprintf("%016x", s.config.Random.Uint64())
+	s.randomMutex.Unlock()
+	return &reconfiguration{set: s, shard: shard, desired: desired, token: token}
+}
+
+// start reads the record, which also proves that the key-value service answers
+// before any acceptor is sealed.
+func (r *reconfiguration) start() {
+	r.set.config.KeyValues.Range(configurationKey(r.shard), keyValueTimeout, func(result platform.RangeResult, err error) {
+		if err != nil {
+			r.end("key-value service unavailable")
+			return
+		}
+		if len(result.KeyValues) > 0 {
+			configuration, err := decodeConfiguration(result.KeyValues[0].Value)
+			if err != nil {
+				r.end("record can't be read")
+				return
+			}
+			r.current = configuration
+			r.modRevision = result.KeyValues[0].ModRevision
+			r.set.configurations.learn(r.shard, configuration)
+		}
+		r.prepare()
+	})
+}
+
+func (r *reconfiguration) prepare() {
+	r.desired = chooseAcceptors(r.shard, r.current.Acceptors, r.set.config.Members.Members())
+	if r.modRevision != 0 && !needsChange(r.current, r.desired) {
+		r.end("no change needed")
+		return
+	}
+	r.next = Configuration{Epoch: r.current.Epoch + 1, Token: r.token, Acceptors: r.desired}
+	switch {
+	case r.modRevision == 0:
+		r.installAll()
+	case len(r.current.Acceptors) == 0:
+		r.readSnapshot()
+	default:
+		r.sealAll()
+	}
+}
+
+// end lets the next tick try again if there is still need.
+func (r *reconfiguration) end(reason string) {
+	r.set.reconfigurationMutex.Lock()
+	state := &r.set.reconfigurations[r.shard]
+	if state.running == r {
+		state.running = nil
+	}
+	r.set.reconfigurationMutex.Unlock()
+	r.set.config.Logger.Debug().Int("shard", r.shard).Uint64("epoch", r.next.Epoch).
+		Str("reason", reason).Msg("claim shard reconfiguration ended")
+}
+
+// commit writes the new configuration by compare-and-swap.
+func (r *reconfiguration) commit() {
+	key := configurationKey(r.shard)
+	transaction := platform.Transaction{
+		Compares:   []platform.Compare{{Key: key, ModRevision: r.modRevision}},
+		Operations: []platform.Operation{{Kind: platform.OperationPut, Key: key, Value: encodeConfiguration(r.next)}},
+	}
+	r.set.config.KeyValues.Transact(transaction, keyValueTimeout, func(result platform.TransactionResult, err error) {
+		switch {
+		case err == nil && result.Succeeded:
+			r.committed()
+		case err == nil, isNotApplied(err):
+			r.unsealAll()
+			r.end("not committed")
+		default:
+			r.readBack()
+		}
+	})
+}
+
+// readBack settles a write whose reply was lost, by its token.
+func (r *reconfiguration) readBack() {
+	key := configurationKey(r.shard)
+	r.set.config.KeyValues.Range(key, keyValueTimeout, func(result platform.RangeResult, err error) {
+		if err != nil {
+			r.set.config.Clock.AfterFunc(r.set.jitter(rereadDelay), r.readBack)
+			return
+		}
+		if len(result.KeyValues) == 0 {
+			r.end("not committed")
+			return
+		}
+		configuration, err := decodeConfiguration(result.KeyValues[0].Value)
+		if err != nil {
+			r.end("record can't be read")
+			return
+		}
+		r.set.configurations.learn(r.shard, configuration)
+		r.end("read back")
+	})
+}
+
+func (r *reconfiguration) committed() {
+	r.set.config.Logger.Info().Int("shard", r.shard).Uint64("epoch", r.next.Epoch).
+		Int("acceptors", len(r.next.Acceptors)).Int("keys", len(r.entries)).Msg("claim shard reconfigured")
+	r.set.configurations.learn(r.shard, r.next)
+	r.end("committed")
+}
--- /dev/null
+++ b/internal/claims/transfer.go
@@ -0,0 +1,236 @@
+package claims
+
+import (
+	"bytes"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/peer"
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+func isNotApplied(err error) bool { return errors.Is(err, platform.ErrNotApplied) }
+
+// sealing collects the entries of the old acceptors.
+type sealing struct {
+	reconfiguration *reconfiguration
+
+	mutex    sync.Mutex
+	failed   int
+	complete [][]Entry
+}
+
+// sealAll seals every old acceptor; a seal quorum is enough to go on.
+func (r *reconfiguration) sealAll() {
+	collect := &sealing{reconfiguration: r}
+	for _, acceptor := range r.current.Acceptors {
+		collect.page(acceptor, 0, nil)
+	}
+}
+
+func (c *sealing) page(acceptor membership.Member, page int, before []Entry) {
+	r := c.reconfiguration
+	request := SealRequest{Configuration: r.current.id(r.shard), Token: r.token, Page: page}
+	r.set.config.Transport.Call(acceptor.PeerAddress, request, r.set.config.CallTimeout,
+		func(message peer.Message, err error) {
+			reply, ok := message.(SealReply)
+			if err != nil || !ok || !reply.OK {
+				c.ended(nil, false)
+				return
+			}
+			entries := append(before, reply.Entries...)
+			if reply.More {
+				c.page(acceptor, page+1, entries)
+				return
+			}
+			c.ended(entries, true)
+		})
+}
+
+// ended counts an acceptor's result. All answers are awaited, since each one
+// makes fewer keys contested.
+func (c *sealing) ended(entries []Entry, ok bool) {
+	c.mutex.Lock()
+	if ok {
+		c.complete = append(c.complete, entries)
+	} else {
+		c.failed++
+	}
+	all := len(c.complete)+c.failed == len(c.reconfiguration.current.Acceptors)
+	complete := c.complete
+	c.mutex.Unlock()
+	if all {
+		c.reconfiguration.sealed(complete)
+	}
+}
+
+func (r *reconfiguration) sealed(complete [][]Entry) {
+	if len(complete) >= r.current.sealQuorum() {
+		r.entries = mergeEntries(complete, r.current)
+		r.next.QuarantineUntil = r.current.QuarantineUntil
+		r.installAll()
+		return
+	}
+	if r.votesAreLost() {
+		r.entries = mergeEntries(complete, r.current)
+		r.next.QuarantineUntil = r.set.config.Clock.Now().Add(r.set.config.Quarantine)
+		r.set.config.Logger.Error().Int("shard", r.shard).Uint64("epoch", r.next.Epoch).
+			Time("quarantine_until", r.next.QuarantineUntil).Msg("claim shard lost its votes")
+		r.installAll()
+		return
+	}
+	r.unsealAll()
+	r.end("too few acceptors answer")
+}
+
+// votesAreLost reports whether so many acceptors are no members any more, for
+// so long, that a seal quorum can never be had again.
+func (r *reconfiguration) votesAreLost() bool {
+	members := r.set.config.Members.Members()
+	living := 0
+	for _, acceptor := range r.current.Acceptors {
+		if slices.ContainsFunc(members, func(m membership.Member) bool { return m.ID() == acceptor.ID() }) {
+			living++
+		}
+	}
+	now := r.set.config.Clock.Now()
+	r.set.reconfigurationMutex.Lock()
+	defer r.set.reconfigurationMutex.Unlock()
+	state := &r.set.reconfigurations[r.shard]
+	if living >= r.current.sealQuorum() {
+		state.unreachableSince = time.Time{}
+		return false
+	}
+	if state.unreachableSince.IsZero() {
+		state.unreachableSince = now
+	}
+	return now.Sub(state.unreachableSince) >= lossGrace
+}
+
+// unsealAll lets the old acceptors go on after a proposal that was certainly
+// not committed.
+func (r *reconfiguration) unsealAll() {
+	request := UnsealRequest{Configuration: r.current.id(r.shard), Token: r.token}
+	for _, acceptor := range r.current.Acceptors {
+		r.set.config.Transport.Send(acceptor.PeerAddress, request)
+	}
+}
+
+// installAll hands the entries to the new acceptors, all of which must take
+// them, or to the key-value service if there are none.
+func (r *reconfiguration) installAll() {
+	if len(r.next.Acceptors) == 0 {
+		r.writeSnapshot(0)
+		return
+	}
+	remaining := &countdown{left: len(r.next.Acceptors), done: func(ok bool) {
+		if ok {
+			r.commit()
+			return
+		}
+		r.unsealAll()
+		r.end("an acceptor did not take the entries")
+	}}
+	for _, acceptor := range r.next.Acceptors {
+		r.installPage(acceptor, 0, remaining)
+	}
+}
+
+func (r *reconfiguration) installPage(acceptor membership.Member, page int, remaining *countdown) {
+	entries, last := pageOf(r.entries, page)
+	request := InstallRequest{
+		Configuration: r.next.id(r.shard), Page: page, Last: last,
+		Entries: entries, QuarantineUntil: r.next.QuarantineUntil,
+	}
+	r.set.config.Transport.Call(acceptor.PeerAddress, request, r.set.config.CallTimeout,
+		func(message peer.Message, err error) {
+			acknowledgement, ok := message.(Acknowledgement)
+			switch {
+			case err != nil || !ok || !acknowledgement.OK:
+				remaining.one(false)
+			case last:
+				remaining.one(true)
+			default:
+				r.installPage(acceptor, page+1, remaining)
+			}
+		})
+}
+
+func pageOf(entries []Entry, page int) (part []Entry, last bool) {
+	first := min(page*pageEntries, len(entries))
+	end := min(first+pageEntries, len(entries))
+	return entries[first:end], end == len(entries)
+}
+
+// countdown waits for a number of results.
+type countdown struct {
+	mutex  sync.Mutex
+	left   int
+	failed bool
+	done   func(ok bool)
+}
+
+func (c *countdown) one(ok bool) {
+	c.mutex.Lock()
+	c.left--
+	c.failed = c.failed || !ok
+	finished := c.left == 0
+	failed := c.failed
+	c.mutex.Unlock()
+	if finished {
+		c.done(!failed)
+	}
+}
+
+// writeSnapshot rests a shard in the key-value service, when the last node is
+// being stopped. Pages carry the proposal's token, so a repeated write of a
+// page is harmless.
+func (r *reconfiguration) writeSnapshot(page int) {
+	entries, last := pageOf(r.entries, page)
+	var buffer bytes.Buffer
+	if err := gob.NewEncoder(&buffer).Encode(entries); err != nil {
+		r.unsealAll()
+		r.end("entries can't be encoded")
+		return
+	}
+	put := platform.Operation{Kind: platform.OperationPut, Key: snapshotKey(r.shard, r.token, page), Value: buffer.Bytes()}
+	r.set.config.KeyValues.Transact(platform.Transaction{Operations: []platform.Operation{put}}, keyValueTimeout,
+		func(_ platform.TransactionResult, err error) {
+			switch {
+			case err != nil:
+				r.unsealAll()
+				r.end(fmt.Sprintf("page %d not written", page))
+			case last:
+				r.next.SnapshotPages = page + 1
+				r.commit()
+			default:
+				r.writeSnapshot(page + 1)
+			}
+		})
+}
+
+// readSnapshot brings a resting shard back.
+func (r *reconfiguration) readSnapshot() {
+	prefix := snapshotPrefix(r.shard, r.current.Token)
+	r.set.config.KeyValues.Range(prefix, keyValueTimeout, func(result platform.RangeResult, err error) {
+		if err != nil || len(result.KeyValues) != r.current.SnapshotPages {
+			r.end("snapshot can't be read")
+			return
+		}
+		for _, pair := range result.KeyValues {
+			var entries []Entry
+			if err := gob.NewDecoder(bytes.NewReader(pair.Value)).Decode(&entries); err != nil {
+				r.end("snapshot can't be decoded")
+				return
+			}
+			r.entries = append(r.entries, entries...)
+		}
+		r.next.QuarantineUntil = r.current.QuarantineUntil
+		r.installAll()
+	})
+}
