--- /dev/null
+++ b/internal/standin/keyvalue/errors.go
@@ -0,0 +1,37 @@
+package keyvalue
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// Refusals. Each matches platform.ErrNotApplied.
+var (
+	// ErrOutage: the service is switched to refuse everything.
+	ErrOutage = refusal("no leader")
+	// ErrRateLimited: the operation exceeds the rate limit.
+	ErrRateLimited = refusal("too many requests")
+
+	errClosed            = refusal("server stopped")
+	errTooManyOperations = refusal("too many operations in txn request")
+	errRequestTooLarge   = refusal("request is too large")
+	errDuplicateKey      = refusal("duplicate key given in txn request")
+	errEmptyKey          = refusal("key is not provided")
+	errBadTimeToLive     = refusal("lease time to live must be positive")
+)
+
+// errLeaseNotFound matches platform.ErrLeaseGone and platform.ErrNotApplied.
+var errLeaseNotFound = fmt.Errorf("%w: %w: requested lease not found", platform.ErrNotApplied, platform.ErrLeaseGone)
+
+// errReplyLost tells a front end to give no reply to an operation that took
+// effect. It never reaches a client.
+var errReplyLost = errors.New("reply lost")
+
+// errWatchGap ends a watch that has missed events.
+var errWatchGap = errors.New("watch has missed events")
+
+func refusal(reason string) error {
+	return fmt.Errorf("%w: %s", platform.ErrNotApplied, reason)
+}
