--- /dev/null
+++ b/internal/planner/plan.go
@@ -0,0 +1,99 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// Action is what a decision does.
+type Action uint8
+
+// The actions.
+const (
+	ActionLoad Action = iota
+	ActionUnload
+	ActionLoadAdapter
+	ActionUnloadAdapter
+	// ActionResume ends the draining of a replica whose unload was not ordered.
+	ActionResume
+)
+
+// String returns the action's word.
+func (a Action) String() string {
+	return [...]string{"load", "unload", "load_adapter", "unload_adapter", "resume"}[a]
+}
+
+// Reason says why a decision was made.
+type Reason uint8
+
+// The reasons.
+const (
+	ReasonWaiting Reason = iota
+	ReasonScaleUp
+	ReasonMinimum
+	ReasonPinned
+	ReasonForeseen
+	ReasonVersionChange
+	ReasonServerLeaving
+	ReasonReplaceLeaving
+	ReasonRowRemoved
+	ReasonOverMaximum
+	ReasonIdle
+	ReasonMakeRoom
+	ReasonNeededAgain
+)
+
+// String returns the reason's word, as in logs and on the status page.
+func (r Reason) String() string {
+	return [...]string{
+		"waiting", "scale_up", "minimum", "pinned", "foreseen", "version_change", "server_leaving",
+		"replace_leaving", "row_removed", "over_maximum", "idle", "make_room", "needed_again",
+	}[r]
+}
+
+// Decision is one change of what a server holds.
+type Decision struct {
+	Action Action
+	Reason Reason
+	Server platform.ServerID
+	// Model is the base model.
+	Model string
+	// Adapter is set for the adapter actions.
+	Adapter string
+	Version string
+	// Slot to load into, or the slot of the replica concerned.
+	Slot platform.SlotID
+	// Attempt of the replica or adapter to unload or resume; of the replica
+	// when loading an adapter. Empty if the replica is loaded by this plan.
+	Attempt platform.AttemptID
+	// MemoryBytes to reserve and WeightBytes to fetch, for loads.
+	MemoryBytes, WeightBytes int64
+	Source                   platform.CheckpointSource
+	ExpectedReady            time.Time
+	// For is the row that needs the room when the reason is ReasonMakeRoom.
+	For string
+}
+
+// RowPlan is what the plan means for one base model.
+type RowPlan struct {
+	Model   string
+	Desired int
+	// ReadyAt estimates when the next replica is ready; zero: none planned.
+	ReadyAt time.Time
+	// Refused says why no replica can ever be loaded here; else empty.
+	Refused string
+}
+
+// Plan is an ordered list of decisions, with the outlook of each base model.
+type Plan struct {
+	Decisions []Decision
+	// Rows in order of model.
+	Rows []RowPlan
+}
+
+// Reasons why a model can't be loaded in a cell at all.
+const (
+	RefusedNoReplicas = "no_replicas_allotted"
+	RefusedTooLarge   = "larger_than_any_server"
+)
--- /dev/null
+++ b/internal/planner/statistics.go
@@ -0,0 +1,255 @@
+package planner
+
+import (
+	"bytes"
+	"encoding/gob"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+const (
+	// gapBuckets hold idle gaps by powers of two of a second, up to a year.
+	gapBuckets = 26
+	// shortestGap between two uses that counts as idle time.
+	shortestGap = time.Second
+	// sessionGap of silence of a tenant ends its session.
+	sessionGap = 6 * time.Hour
+	// keptStarts is how many session starts are remembered for a tenant.
+	keptStarts = 8
+	// sessionMemory weighs older sessions against the newest.
+	sessionMemory = 0.8
+	// loadMemory weighs older load times against the newest.
+	loadMemory = 0.8
+)
+
+// RowStatistics is the learned use of one row.
+type RowStatistics struct {
+	LastUsed time.Time
+	// Needed[k] is when k+1 replicas were last needed.
+	Needed []time.Time
+	// Gaps counts the idle gaps between uses, by powers of two of a second.
+	Gaps []float32
+	// Sessions is the decayed count of the tenant's sessions that used the row;
+	// LastSession is the number of the newest of them.
+	Sessions    float32
+	LastSession uint32
+}
+
+// TenantStatistics is the learned use by one tenant. A session is a period
+// with use between two long silences, such as an admissions round.
+type TenantStatistics struct {
+	Session  uint32
+	Sessions float32
+	LastUsed time.Time
+	// Starts of the newest sessions, oldest first.
+	Starts []time.Time
+}
+
+// Statistics is what policies learn from past traffic. It is not safe for
+// concurrent use.
+type Statistics struct {
+	rows    map[string]*RowStatistics
+	tenants map[string]*TenantStatistics
+	// secondsPerGigabyte measured by source; 0: not measured.
+	secondsPerGigabyte [3]float64
+}
+
+// NewStatistics returns empty statistics.
+func NewStatistics() *Statistics {
+	return &Statistics{rows: map[string]*RowStatistics{}, tenants: map[string]*TenantStatistics{}}
+}
+
+// Row returns what is known of a row, nil if nothing.
+func (s *Statistics) Row(name string) *RowStatistics {
+	if s == nil {
+		return nil
+	}
+	return s.rows[name]
+}
+
+// Tenant returns what is known of a tenant, nil if nothing.
+func (s *Statistics) Tenant(name string) *TenantStatistics {
+	if s == nil {
+		return nil
+	}
+	return s.tenants[name]
+}
+
+// Observe records that a row is in use now and needs that many replicas.
+func (s *Statistics) Observe(now time.Time, row, tenant string, needed int) {
+	statistics := s.rows[row]
+	if statistics == nil {
+		statistics = &RowStatistics{}
+		s.rows[row] = statistics
+	}
+	s.observeTenant(now, tenant, statistics)
+	if gap := now.Sub(statistics.LastUsed); !statistics.LastUsed.IsZero() && gap > shortestGap {
+		statistics.recordGap(gap)
+	}
+	statistics.LastUsed = now
+	for k := range needed {
+		if k == len(statistics.Needed) {
+			statistics.Needed = append(statistics.Needed, now)
+		}
+		statistics.Needed[k] = now
+	}
+}
+
+func (s *Statistics) observeTenant(now time.Time, name string, row *RowStatistics) {
+	tenant := s.tenants[name]
+	if tenant == nil {
+		tenant = &TenantStatistics{}
+		s.tenants[name] = tenant
+	}
+	if tenant.LastUsed.IsZero() || now.Sub(tenant.LastUsed) > sessionGap {
+		tenant.startSession(now)
+	}
+	tenant.LastUsed = now
+	if row.LastSession == tenant.Session {
+		return
+	}
+	missed := float64(tenant.Session - row.LastSession)
+	row.Sessions = row.Sessions*float32(math.Pow(sessionMemory, missed)) + 1
+	row.LastSession = tenant.Session
+}
+
+func (t *TenantStatistics) startSession(now time.Time) {
+	t.Session++
+	t.Sessions = t.Sessions*sessionMemory + 1
+	t.Starts = append(t.Starts, now)
+	if len(t.Starts) > keptStarts {
+		t.Starts = t.Starts[len(t.Starts)-keptStarts:]
+	}
+}
+
+func (r *RowStatistics) recordGap(gap time.Duration) {
+	if r.Gaps == nil {
+		r.Gaps = make([]float32, gapBuckets)
+	}
+	r.Gaps[gapBucket(gap)]++
+}
+
+func gapBucket(gap time.Duration) int {
+	bucket := int(math.Log2(gap.Seconds()))
+	return max(0, min(bucket, gapBuckets-1))
+}
+
+// SessionShare estimates the probability that a session of the tenant uses the
+// row, from the sessions before the present one. 0 when there were none.
+func (s *Statistics) SessionShare(row, tenant string) float64 {
+	rowStatistics, tenantStatistics := s.Row(row), s.Tenant(tenant)
+	if rowStatistics == nil || tenantStatistics == nil {
+		return 0
+	}
+	before := float64(tenantStatistics.Sessions) - 1
+	if before <= 0 {
+		return 0
+	}
+	used := float64(rowStatistics.Sessions)
+	if rowStatistics.LastSession == tenantStatistics.Session {
+		used--
+	} else {
+		missed := float64(tenantStatistics.Session - rowStatistics.LastSession)
+		used *= math.Pow(sessionMemory, missed)
+	}
+	return max(0, min(1, used/before))
+}
+
+// ObserveLoad records how long a load took.
+func (s *Statistics) ObserveLoad(source platform.CheckpointSource, bytes int64, took time.Duration) {
+	if bytes <= 0 || took <= 0 || int(source) >= len(s.secondsPerGigabyte) {
+		return
+	}
+	measured := took.Seconds() / (float64(bytes) / gigabyte)
+	known := s.secondsPerGigabyte[source]
+	if known > 0 {
+		measured = loadMemory*known + (1-loadMemory)*measured
+	}
+	s.secondsPerGigabyte[source] = measured
+}
+
+// loadRate returns the measured seconds per gigabyte, 0 if never measured.
+func (s *Statistics) loadRate(source platform.CheckpointSource) float64 {
+	if s == nil {
+		return 0
+	}
+	return s.secondsPerGigabyte[source]
+}
+
+// namedRow and the types after it are the encoded form, sorted by name.
+type namedRow struct {
+	Name string
+	RowStatistics
+}
+
+type namedTenant struct {
+	Name string
+	TenantStatistics
+}
+
+type encodedStatistics struct {
+	Rows               []namedRow
+	Tenants            []namedTenant
+	SecondsPerGigabyte [3]float64
+}
+
+// Encode returns the statistics in a compact form for DecodeStatistics.
+func (s *Statistics) Encode() ([]byte, error) {
+	encoded := encodedStatistics{SecondsPerGigabyte: s.secondsPerGigabyte}
+	for name, row := range s.rows {
+		encoded.Rows = append(encoded.Rows, namedRow{name, *row})
+	}
+	for name, tenant := range s.tenants {
+		encoded.Tenants = append(encoded.Tenants, namedTenant{name, *tenant})
+	}
+	sort.Slice(encoded.Rows, func(i, j int) bool { return encoded.Rows[i].Name < encoded.Rows[j].Name })
+	sort.Slice(encoded.Tenants, func(i, j int) bool { return encoded.Tenants[i].Name < encoded.Tenants[j].Name })
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(encoded)
+	return buffer.Bytes(), eris.Wrap(err, "encode statistics")
+}
+
+// DecodeStatistics reads what Encode wrote.
+func DecodeStatistics(data []byte) (*Statistics, error) {
+	var encoded encodedStatistics
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&encoded); err != nil {
+		return nil, eris.Wrap(err, "decode statistics")
+	}
+	statistics := NewStatistics()
+	statistics.secondsPerGigabyte = encoded.SecondsPerGigabyte
+	for _, row := range encoded.Rows {
+		if len(row.Gaps) != 0 && len(row.Gaps) != gapBuckets {
+			return nil, eris.Errorf("row %q has %d gap buckets", row.Name, len(row.Gaps))
+		}
+		statistics.rows[row.Name] = &row.RowStatistics
+	}
+	for _, tenant := range encoded.Tenants {
+		statistics.tenants[tenant.Name] = &tenant.TenantStatistics
+	}
+	return statistics, nil
+}
+
+// Restore takes over what an earlier owner learned, for rows and tenants that
+// were not observed here yet.
+func (s *Statistics) Restore(earlier *Statistics) {
+	for name, row := range earlier.rows {
+		if s.rows[name] == nil {
+			s.rows[name] = row
+		}
+	}
+	for name, tenant := range earlier.tenants {
+		if s.tenants[name] == nil {
+			s.tenants[name] = tenant
+		}
+	}
+	for source, rate := range earlier.secondsPerGigabyte {
+		if s.secondsPerGigabyte[source] == 0 {
+			s.secondsPerGigabyte[source] = rate
+		}
+	}
+}
