--- /dev/null
+++ b/internal/api/call.go
@@ -0,0 +1,125 @@
+package api
+
+import (
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/hatchplank/hatchplank/internal/auth"
+	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/telemetry"
+)
+
+// call is one HTTP request on its way through the interface.
+type call struct {
+	writer    http.ResponseWriter
+	request   *http.Request
+	id        string
+	principal auth.Principal
+	// arrived is when the headers had been read; deadlines count from it.
+	arrived time.Time
+	// path is the interface's path, without what callers put into it.
+	path string
+	// committed: the status line has been sent.
+	committed bool
+	// heldBytes were taken from the budget of bodies.
+	heldBytes int64
+	outcome   result.Code
+}
+
+// refuse ends the call with a whole response.
+func (c *call) refuse(refusal result.Refusal) {
+	c.outcome = refusal.Code
+	c.committed = true
+	writeRefusal(c.writer, refusal, c.id)
+}
+
+// answer ends the call with a JSON document.
+func (c *call) answer(status int, document any) {
+	c.committed = true
+	writeJSON(c.writer, status, document)
+}
+
+// handle turns a function over calls into a handler that needs the role. A
+// role of zero lets everyone in.
+func (a *API) handle(path string, role auth.Role, serve func(*call)) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		current := &call{
+			writer:  writer,
+			request: request,
+			id:      newRequestID(request.Header),
+			arrived: a.config.Clock.Now(),
+			path:    path,
+		}
+		writer.Header().Set(headerRequestID, current.id)
+		a.metrics.InFlight.Inc()
+		defer a.end(current)
+		defer a.recover(current)
+		if refusal := a.admit(current, role); refusal != nil {
+			current.refuse(*refusal)
+			return
+		}
+		serve(current)
+	}
+}
+
+// admit checks the size of the headers and who calls.
+func (a *API) admit(c *call, role auth.Role) *result.Refusal {
+	if size := headerSize(c.request.Header); size > a.config.Limits.HeaderBytes {
+		return refuse(result.HeadersTooLarge, "the headers have %d bytes; the limit is %d", size, a.config.Limits.HeaderBytes)
+	}
+	if role == 0 {
+		return nil
+	}
+	principal, known := a.config.Keyring.Authenticate(c.request.Header.Get("Authorization"))
+	if !known {
+		return refuse(result.Unauthenticated, "the bearer token is missing or unknown")
+	}
+	if !principal.Allows(role) {
+		return refuse(result.Forbidden, "this call needs the role %s", role)
+	}
+	c.principal = principal
+	return nil
+}
+
+// recover answers a panic; the node goes on.
+func (a *API) recover(c *call) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	a.metrics.Panics.Inc()
+	a.config.Logger.Error().Str("request", c.id).Interface("fault", fault).Bytes("stack", debug.Stack()).Msg("handler failed")
+	c.outcome = result.Internal
+	if !c.committed {
+		refusal := result.Refuse(result.Internal, "a fault inside the node")
+		refusal.Ran = result.RanUnknown
+		c.refuse(refusal)
+	}
+}
+
+// end returns what the call held, counts and logs it.
+func (a *API) end(c *call) {
+	a.releaseBody(c)
+	elapsed := a.config.Clock.Now().Sub(c.arrived)
+	a.metrics.InFlight.Dec()
+	a.metrics.Requests.WithLabelValues(c.path, c.outcome.Name()).Inc()
+	a.metrics.Duration.WithLabelValues(c.path).Observe(elapsed.Seconds())
+	if event := a.config.Logger.Debug(); event.Enabled() {
+		event.EmbedObject(telemetry.Decision{Request: c.id, Reason: c.outcome.Name()}).
+			Str("path", c.path).Str("tenant", c.principal.Tenant).Dur("elapsed", elapsed).Msg("request ended")
+	}
+}
+
+// newRequestID makes an id that no other request has. A caller's own id
+// becomes its start, so that callers find their requests in the logs, but
+// can't make two requests be taken for one.
+func newRequestID(header http.Header) string {
+	unique := uuid.NewString()
+	if given := header.Get(headerRequestID); isRequestID(given) {
+		return given + "." + unique
+	}
+	return unique
+}
--- /dev/null
+++ b/internal/api/status.go
@@ -0,0 +1,154 @@
+package api
+
+import (
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/table"
+)
+
+// Status is what a node knows of the deployment: all of what it owns, and of
+// the rest what it was told.
+type Status struct {
+	// Node that answers.
+	Node     string         `json:"node"`
+	Revision table.Revision `json:"revision"`
+	Draining bool           `json:"draining"`
+	Rows     []RowStatus    `json:"rows"`
+	Servers  []ServerStatus `json:"servers"`
+	Members  []MemberStatus `json:"members"`
+	Owners   []OwnerStatus  `json:"owners"`
+	Platform PlatformHealth `json:"platform"`
+}
+
+// RowStatus is the state of one row.
+type RowStatus struct {
+	Row     string `json:"row"`
+	Tenant  string `json:"tenant"`
+	Desired int    `json:"desired"`
+	// Waiting and Running requests at this node's gateway.
+	Waiting  int             `json:"waiting"`
+	Running  int             `json:"running"`
+	Replicas []ReplicaStatus `json:"replicas"`
+	// Reason of the last decision about the row.
+	Reason string `json:"reason"`
+}
+
+// ReplicaStatus is one replica: where it is and why.
+type ReplicaStatus struct {
+	Slot    int    `json:"slot"`
+	Server  string `json:"server"`
+	Zone    string `json:"zone"`
+	Phase   string `json:"phase"`
+	Source  string `json:"source"`
+	Version string `json:"version"`
+	Running int    `json:"running"`
+	Queued  int    `json:"queued"`
+	Reason  string `json:"reason"`
+}
+
+// ServerStatus is the memory ledger of one server.
+type ServerStatus struct {
+	Server        string `json:"server"`
+	Pool          string `json:"pool"`
+	Zone          string `json:"zone"`
+	Phase         string `json:"phase"`
+	MemoryBytes   int64  `json:"memory_bytes"`
+	ReservedBytes int64  `json:"reserved_bytes"`
+	Fence         string `json:"fence"`
+}
+
+// MemberStatus is one live node.
+type MemberStatus struct {
+	Name     string         `json:"name"`
+	Zone     string         `json:"zone"`
+	Address  string         `json:"address"`
+	Draining bool           `json:"draining"`
+	Revision table.Revision `json:"revision"`
+}
+
+// OwnerStatus is the owner of a cell.
+type OwnerStatus struct {
+	Cell   string `json:"cell"`
+	Member string `json:"member"`
+	Epoch  uint64 `json:"epoch"`
+	Vacant bool   `json:"vacant"`
+}
+
+// PlatformHealth tells how long ago each service last answered.
+type PlatformHealth struct {
+	Services []ServiceHealth `json:"services"`
+}
+
+// ServiceHealth is the state of one platform service as seen by the node.
+type ServiceHealth struct {
+	Service     string    `json:"service"`
+	Healthy     bool      `json:"healthy"`
+	LastSuccess time.Time `json:"last_success"`
+	Detail      string    `json:"detail,omitempty"`
+}
+
+// Force tells which nodes act on a revision.
+type Force struct {
+	Revision table.Revision `json:"revision"`
+	// InForce: every live node acts on the revision or a newer one.
+	InForce bool           `json:"in_force"`
+	Members []MemberStatus `json:"members"`
+}
+
+// StatusSource collects what the administration shows. Done callbacks follow
+// the contract of package platform.
+type StatusSource interface {
+	Status(timeout time.Duration, done func(Status, error))
+	// Force asks the live nodes which revision they act on.
+	Force(revision table.Revision, timeout time.Duration, done func(Force, error))
+}
+
+func (a *API) getStatus(c *call) {
+	timeout := a.config.Limits.AdminTimeout
+	status, err := await(c.request.Context(), timeout, func(done func(Status, error)) {
+		a.config.Status.Status(timeout, done)
+	})
+	if err != nil {
+		c.refuse(refusalOfRead(err))
+		return
+	}
+	c.answer(http.StatusOK, limitStatus(status, scope(c.principal)))
+}
+
+// limitStatus leaves out the rows of other tenants.
+func limitStatus(status Status, tenant string) Status {
+	if tenant == "" {
+		return status
+	}
+	rows := []RowStatus{}
+	for _, row := range status.Rows {
+		if row.Tenant == tenant {
+			rows = append(rows, row)
+		}
+	}
+	status.Rows = rows
+	return status
+}
+
+func (a *API) getForce(c *call) {
+	revision, refusal := parseWholeNumber(c.request, "revision", 0, math.MaxInt64)
+	if refusal == nil && revision == 0 {
+		refusal = refuse(result.MalformedRequest, "the query parameter revision is missing")
+	}
+	if refusal != nil {
+		c.refuse(*refusal)
+		return
+	}
+	timeout := a.config.Limits.AdminTimeout
+	force, err := await(c.request.Context(), timeout, func(done func(Force, error)) {
+		a.config.Status.Force(table.Revision(revision), timeout, done)
+	})
+	if err != nil {
+		c.refuse(refusalOfRead(err))
+		return
+	}
+	c.answer(http.StatusOK, force)
+}
