Test claims under deaths, outages and lost replies

Cause: the claims had no proof. Change: fault cases in a table and a property over random faults in virtual time; the entry type is renamed so that it does not clash with ginkgo's.

--- a/internal/claims/acceptor.go
+++ b/internal/claims/acceptor.go
@@ -23,7 +23,7 @@
 	sealedFor map[string]bool
 	// quarantineUntil refuses votes until then.
 	quarantineUntil time.Time
-	entries         map[Key]*Entry
+	entries         map[Key]*KeyRecord
 	// expiry lists keys in order of their first vote.
 	expiry []expiringKey
 	// proposed configurations that are not committed yet, by token.
@@ -40,7 +40,7 @@
 	configuration   ConfigurationID
 	nextPage        int
 	complete        bool
-	entries         []Entry
+	entries         []KeyRecord
 	quarantineUntil time.Time
 }
 
@@ -49,7 +49,7 @@
 		retention:  retention,
 		maxEntries: maxEntries,
 		sealedFor:  map[string]bool{},
-		entries:    map[Key]*Entry{},
+		entries:    map[Key]*KeyRecord{},
 		proposed:   map[string]*proposal{},
 	}
 }
@@ -74,7 +74,7 @@
 	if len(a.entries) >= a.maxEntries {
 		return VoteReply{Status: VoteFull}
 	}
-	a.insert(Entry{
+	a.insert(KeyRecord{
 		Key:       request.Key,
 		Digest:    request.Digest,
 		Holders:   []platform.AttemptID{request.Attempt},
@@ -83,7 +83,7 @@
 	return VoteReply{Status: VoteGiven, Holder: request.Attempt}
 }
 
-func replyFromEntry(entry *Entry, request VoteRequest) VoteReply {
+func replyFromEntry(entry *KeyRecord, request VoteRequest) VoteReply {
 	reply := VoteReply{Status: VoteHeld, Outcome: entry.Outcome}
 	if len(entry.Holders) == 1 {
 		reply.Holder = entry.Holders[0]
@@ -108,7 +108,7 @@
 	}
 	entry, known := a.entries[request.Key]
 	if !known {
-		a.insert(Entry{Key: request.Key, Digest: request.Digest, ClaimedAt: now})
+		a.insert(KeyRecord{Key: request.Key, Digest: request.Digest, ClaimedAt: now})
 		entry = a.entries[request.Key]
 	}
 	outcome := request.Outcome
@@ -158,8 +158,8 @@
 	}
 }
 
-func (a *acceptor) sortedEntries() []Entry {
-	all := make([]Entry, 0, len(a.entries))
+func (a *acceptor) sortedEntries() []KeyRecord {
+	all := make([]KeyRecord, 0, len(a.entries))
 	for _, entry := range a.entries {
 		all = append(all, *entry)
 	}
@@ -207,7 +207,7 @@
 	a.active = committed
 	a.sealedFor = map[string]bool{}
 	a.quarantineUntil = pending.quarantineUntil
-	a.entries = make(map[Key]*Entry, len(pending.entries))
+	a.entries = make(map[Key]*KeyRecord, len(pending.entries))
 	a.expiry = a.expiry[:0]
 	a.proposed = map[string]*proposal{}
 	sort.Slice(pending.entries, func(i, j int) bool {
@@ -225,7 +225,7 @@
 	a.activate(configuration)
 }
 
-func (a *acceptor) insert(entry Entry) {
+func (a *acceptor) insert(entry KeyRecord) {
 	stored := entry
 	a.entries[entry.Key] = &stored
 	a.expiry = append(a.expiry, expiringKey{key: entry.Key, claimedAt: entry.ClaimedAt})
--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,181 @@
+package claims
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
+)
+
+var _ = Describe("claims", func() {
+	key := Key{Tenant: "alpha", Value: "seat-1"}
+
+	It("grants a key once and returns the recorded outcome afterwards", func() {
+		cluster := newTestCluster(1, 3)
+		Expect(cluster.await("node-0", key, "a").Verdict).To(Equal(Granted))
+		cluster.nodes["node-0"].set.Record(key, "a", Outcome{Status: 200, Body: []byte("seat")})
+		cluster.loop.RunFor(time.Second)
+		again := cluster.await("node-1", key, "b")
+		Expect(again.Verdict).To(Equal(Denied))
+		Expect(again.Outcome).NotTo(BeNil())
+		Expect(string(again.Outcome.Body)).To(Equal("seat"))
+	})
+
+	It("tells a key that was used for another request", func() {
+		cluster := newTestCluster(2, 3)
+		cluster.await("node-0", key, "a")
+		var verdict Verdict
+		deadline := cluster.loop.Now().Add(time.Second)
+		cluster.nodes["node-1"].set.Claim(key, "b", 8, deadline, func(result Result) { verdict = result.Verdict })
+		cluster.loop.RunFor(2 * time.Second)
+		Expect(verdict).To(Equal(Conflict))
+	})
+
+	It("gives a released key to the next attempt", func() {
+		cluster := newTestCluster(3, 3)
+		cluster.await("node-0", key, "a")
+		cluster.nodes["node-0"].set.Release(key, "a")
+		cluster.loop.RunFor(time.Second)
+		Expect(cluster.await("node-1", key, "b").Verdict).To(Equal(Granted))
+	})
+
+	DescribeTable("keeps a claim through", func(fault func(*testCluster)) {
+		cluster := newTestCluster(4, 5)
+		Expect(cluster.await("node-0", key, "a").Verdict).To(Equal(Granted))
+		fault(cluster)
+		for name := range cluster.nodes {
+			result := cluster.await(name, key, "later-"+name)
+			Expect(result.Verdict).NotTo(Equal(Granted))
+		}
+		Expect(cluster.runs[key]).To(Equal(1))
+	},
+		Entry("the death of the node that claimed", func(c *testCluster) {
+			c.kill("node-0")
+		}),
+		Entry("the death of each node in turn with repair between", func(c *testCluster) {
+			for i := range 3 {
+				c.kill(fmt.Sprintf("node-%d", i))
+				c.loop.RunFor(30 * time.Second)
+			}
+		}),
+		Entry("a replacement of all nodes", func(c *testCluster) {
+			for i := range 5 {
+				c.start(fmt.Sprintf("new-%d", i), fmt.Sprintf("zone-%d", i%3), 1)
+			}
+			for i := range 5 {
+				c.kill(fmt.Sprintf("node-%d", i))
+				c.loop.RunFor(40 * time.Second)
+			}
+		}),
+		Entry("a key-value outage with a death in it", func(c *testCluster) {
+			c.store.SetFaults(keyvalue.Faults{Outage: true})
+			c.kill("node-1")
+			c.loop.RunFor(5 * time.Minute)
+			c.store.SetFaults(keyvalue.Faults{})
+			c.loop.RunFor(time.Minute)
+		}),
+		Entry("lost replies of the key-value service during repair", func(c *testCluster) {
+			c.store.SetFaults(keyvalue.Faults{LostReplies: 0.7})
+			c.kill("node-2")
+			c.loop.RunFor(2 * time.Minute)
+			c.store.SetFaults(keyvalue.Faults{})
+			c.loop.RunFor(time.Minute)
+		}),
+	)
+
+	It("grants new claims during a key-value outage with one node dead", func() {
+		cluster := newTestCluster(5, 5)
+		cluster.store.SetFaults(keyvalue.Faults{Outage: true})
+		cluster.kill("node-3")
+		cluster.loop.RunFor(20 * time.Second)
+		for i := range 20 {
+			fresh := Key{Tenant: "beta", Value: fmt.Sprint(i)}
+			Expect(cluster.await("node-0", fresh, fmt.Sprint("x", i)).Verdict).To(Equal(Granted))
+		}
+	})
+
+	It("refuses old and new keys in quarantine after a majority was lost", func() {
+		cluster := newTestCluster(6, 3)
+		Expect(cluster.await("node-0", key, "a").Verdict).To(Equal(Granted))
+		cluster.kill("node-1")
+		cluster.kill("node-2")
+		cluster.loop.RunFor(3 * time.Minute)
+		Expect(cluster.await("node-0", Key{Tenant: "alpha", Value: "fresh"}, "b").Verdict).To(Equal(Unavailable))
+		cluster.loop.RunFor(DefaultQuarantine)
+		Expect(cluster.await("node-0", Key{Tenant: "alpha", Value: "fresh"}, "c").Verdict).To(Equal(Granted))
+	})
+
+	It("rests in the key-value service when the last node stops", func() {
+		cluster := newTestCluster(7, 1)
+		Expect(cluster.await("node-0", key, "a").Verdict).To(Equal(Granted))
+		node := cluster.nodes["node-0"]
+		node.member.Draining = true
+		cluster.members[0].Draining = true
+		cluster.loop.RunFor(30 * time.Second)
+		Expect(node.set.IsAcceptor()).To(BeFalse())
+		cluster.kill("node-0")
+		cluster.loop.RunFor(10 * time.Second)
+		cluster.start("node-9", "zone-0", 2)
+		cluster.loop.RunFor(30 * time.Second)
+		Expect(cluster.await("node-9", key, "b").Verdict).To(Equal(Denied))
+	})
+
+	It("never grants a key twice, whatever happens", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			cluster := newTestCluster(rapid.Uint64().Draw(t, "seed"), 4)
+			runRandomFaults(t, cluster)
+			for claimed, runs := range cluster.runs {
+				if runs > 1 {
+					t.Fatalf("key %v was granted %d times", claimed, runs)
+				}
+			}
+		})
+	})
+})
+
+// runRandomFaults claims a few keys over and over from random nodes, while
+// nodes die, pause and start, and the key-value service fails.
+func runRandomFaults(t *rapid.T, cluster *testCluster) {
+	random := cluster.loop.Random()
+	started := 0
+	for step := range rapid.IntRange(10, 40).Draw(t, "steps") {
+		names := cluster.names()
+		node := names[random.IntN(len(names))]
+		switch random.IntN(8) {
+		case 0:
+			if len(cluster.nodes) > 2 {
+				cluster.kill(node)
+			}
+		case 1:
+			started++
+			cluster.start(fmt.Sprintf("extra-%d", started), fmt.Sprintf("zone-%d", started%3), started)
+		case 2:
+			process := cluster.nodes[node].process
+			process.Pause()
+			cluster.loop.AfterFunc(20*time.Second, process.Resume)
+		case 3:
+			cluster.store.SetFaults(keyvalue.Faults{LostReplies: random.Float64(), Outage: random.IntN(3) == 0})
+		case 4:
+			cluster.store.SetFaults(keyvalue.Faults{})
+		default:
+			key := Key{Tenant: "alpha", Value: fmt.Sprint(random.IntN(4))}
+			cluster.claim(node, key, fmt.Sprintf("%s-%d", node, step), 4*time.Second, func(Result) {})
+		}
+		cluster.loop.RunFor(time.Duration(random.IntN(6000)) * time.Millisecond)
+	}
+	cluster.loop.RunFor(time.Minute)
+}
+
+func (c *testCluster) names() []string {
+	var names []string
+	for _, member := range c.members {
+		if _, alive := c.nodes[member.Name]; alive {
+			names = append(names, member.Name)
+		}
+	}
+	return names
+}
--- a/internal/claims/merge.go
+++ b/internal/claims/merge.go
@@ -8,7 +8,7 @@
 
 // keyTally gathers what the sealed acceptors hold of one key.
 type keyTally struct {
-	entry     Entry
+	entry     KeyRecord
 	votes     map[platform.AttemptID]int
 	contested bool
 	// recorded is the holder whose outcome is known.
@@ -18,7 +18,7 @@
 // mergeEntries unites the entries of sealed acceptors, in order of key. A key
 // whose winner can't be told stays contested: it keeps all its holders, and no
 // new attempt wins it.
-func mergeEntries(complete [][]Entry, configuration Configuration) []Entry {
+func mergeEntries(complete [][]KeyRecord, configuration Configuration) []KeyRecord {
 	tallies := map[Key]*keyTally{}
 	for _, entries := range complete {
 		for _, entry := range entries {
@@ -30,12 +30,12 @@
 			tally.add(entry)
 		}
 	}
-	united := make([]Entry, 0, len(tallies))
+	united := make([]KeyRecord, 0, len(tallies))
 	for _, tally := range tallies {
 		tally.entry.Holders = tally.settle(configuration.writeQuorum())
 		united = append(united, tally.entry)
 	}
-	slices.SortFunc(united, func(a, b Entry) int {
+	slices.SortFunc(united, func(a, b KeyRecord) int {
 		if lessKey(a.Key, b.Key) {
 			return -1
 		}
@@ -44,7 +44,7 @@
 	return united
 }
 
-func (t *keyTally) add(entry Entry) {
+func (t *keyTally) add(entry KeyRecord) {
 	if entry.ClaimedAt.Before(t.entry.ClaimedAt) {
 		t.entry.ClaimedAt = entry.ClaimedAt
 	}
--- a/internal/claims/messages.go
+++ b/internal/claims/messages.go
@@ -91,7 +91,7 @@
 type SealReply struct {
 	// OK is false when the acceptor does not hold that configuration.
 	OK      bool
-	Entries []Entry
+	Entries []KeyRecord
 	// More pages follow.
 	More bool
 }
@@ -103,12 +103,12 @@
 	// Page counts from 0; Last marks the final page.
 	Page            int
 	Last            bool
-	Entries         []Entry
+	Entries         []KeyRecord
 	QuarantineUntil time.Time
 }
 
-// Entry is one key's record, as transferred between configurations.
-type Entry struct {
+// KeyRecord is one key's record, as transferred between configurations.
+type KeyRecord struct {
 	Key    Key
 	Digest uint64
 	// Holders that may have won the key; more than one: contested.
--- a/internal/claims/reconfiguration.go
+++ b/internal/claims/reconfiguration.go
@@ -104,7 +104,7 @@
 	current     Configuration
 	modRevision int64
 	next        Configuration
-	entries     []Entry
+	entries     []KeyRecord
 }
 
 func (s *ClaimSet) newReconfiguration(shard int, desired []membership.Member) *reconfiguration {
--- a/internal/claims/transfer.go
+++ b/internal/claims/transfer.go
@@ -22,7 +22,7 @@
 
 	mutex    sync.Mutex
 	failed   int
-	complete [][]Entry
+	complete [][]KeyRecord
 }
 
 // sealAll seals every old acceptor; a seal quorum is enough to go on.
@@ -33,7 +33,7 @@
 	}
 }
 
-func (c *sealing) page(acceptor membership.Member, page int, before []Entry) {
+func (c *sealing) page(acceptor membership.Member, page int, before []KeyRecord) {
 	r := c.reconfiguration
 	request := SealRequest{Configuration: r.current.id(r.shard), Token: r.token, Page: page}
 	r.set.config.Transport.Call(acceptor.PeerAddress, request, r.set.config.CallTimeout,
@@ -54,7 +54,7 @@
 
 // ended counts an acceptor's result. All answers are awaited, since each one
 // makes fewer keys contested.
-func (c *sealing) ended(entries []Entry, ok bool) {
+func (c *sealing) ended(entries []KeyRecord, ok bool) {
 	c.mutex.Lock()
 	if ok {
 		c.complete = append(c.complete, entries)
@@ -69,7 +69,7 @@
 	}
 }
 
-func (r *reconfiguration) sealed(complete [][]Entry) {
+func (r *reconfiguration) sealed(complete [][]KeyRecord) {
 	if len(complete) >= r.current.sealQuorum() {
 		r.entries = mergeEntries(complete, r.current)
 		r.next.QuarantineUntil = r.current.QuarantineUntil
@@ -161,7 +161,7 @@
 		})
 }
 
-func pageOf(entries []Entry, page int) (part []Entry, last bool) {
+func pageOf(entries []KeyRecord, page int) (part []KeyRecord, last bool) {
 	first := min(page*pageEntries, len(entries))
 	end := min(first+pageEntries, len(entries))
 	return entries[first:end], end == len(entries)
@@ -223,7 +223,7 @@
 			return
 		}
 		for _, pair := range result.KeyValues {
-			var entries []Entry
+			var entries []KeyRecord
 			if err := gob.NewDecoder(bytes.NewReader(pair.Value)).Decode(&entries); err != nil {
 				r.end("snapshot can't be decoded")
 				return
