Keep the simulation loop from running past its end

RunUntil looked at the time of a stopped event at the head of the queue, then ran the next live event whatever its time, so virtual time jumped ahead. Stopped events are now dropped before the head is compared.

--- a/internal/simulation/loop.go
+++ b/internal/simulation/loop.go
@@ -55,15 +55,20 @@
 
 // Step runs the next event and reports whether there was one.
 func (l *Loop) Step() bool {
-	for l.events.Len() > 0 {
-		next := heap.Pop(&l.events).(*event)
-		if next.function == nil {
-			continue
-		}
-		l.run(next)
-		return true
+	l.dropStopped()
+	if l.events.Len() == 0 {
+		return false
+	}
+	l.run(heap.Pop(&l.events).(*event))
+	return true
+}
+
+// dropStopped removes stopped events from the head, so that the head is the
+// next event that will run.
+func (l *Loop) dropStopped() {
+	for l.events.Len() > 0 && l.events[0].function == nil {
+		heap.Pop(&l.events)
 	}
-	return false
 }
 
 func (l *Loop) run(next *event) {
@@ -79,8 +84,10 @@
 // RunUntil runs all events up to and including the given time and leaves the
 // clock there.
 func (l *Loop) RunUntil(end time.Time) {
+	l.dropStopped()
 	for l.events.Len() > 0 && !l.events[0].at.After(end) {
 		l.Step()
+		l.dropStopped()
 	}
 	if end.After(l.now) {
 		l.now = end
