Add membership by leases and cell ownership by epochs

Nodes need to know who is alive and who may write a cell's orders.

Registry with a replaceable Detector (LeaseDetector: one record a node under a lease), Owners (compare-and-swap records with growing epochs, handover, lost replies read back by token), keywatch (read, watch, start over) and a Meter of key-value operations.

--- /dev/null
+++ b/internal/membership/cluster_test.go
@@ -0,0 +1,153 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/simulation"
+	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
+)
+
+func TestMembership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Membership")
+}
+
+// cluster is a set of simulated nodes with one key-value service.
+type cluster struct {
+	loop    *simulation.Loop
+	network *simulation.Network
+	server  *simulation.Process
+	store   *keyvalue.Store
+	cells   []string
+	nodes   map[string]*node
+}
+
+// node is one start of a node; it records what its runner was told.
+type node struct {
+	process  *simulation.Process
+	registry *membership.Registry
+	owners   *membership.Owners
+	meter    *membership.Meter
+	owned    map[string]uint64
+	// releaseDelay is how long the runner takes to release a cell.
+	releaseDelay time.Duration
+	faults       []string
+}
+
+func newCluster(seed uint64, cells int) *cluster {
+	loop := simulation.NewLoop(seed)
+	c := &cluster{loop: loop, network: simulation.NewNetwork(loop), nodes: map[string]*node{}}
+	c.server = simulation.NewProcess(loop, "kv")
+	c.store = keyvalue.NewStore(keyvalue.Options{
+		Clock: c.server, Random: loop.Fork(), RecordPrefixes: []string{membership.CellPrefix},
+	})
+	for i := range cells {
+		c.cells = append(c.cells, fmt.Sprintf("cell-%d", i))
+	}
+	return c
+}
+
+// start starts the named node, in place of an earlier start of it.
+func (c *cluster) start(name string) *node {
+	if earlier := c.nodes[name]; earlier != nil {
+		earlier.process.Kill()
+	}
+	n := &node{process: simulation.NewProcess(c.loop, name), owned: map[string]uint64{}, releaseDelay: 200 * time.Millisecond}
+	c.nodes[name] = n
+	n.meter = membership.NewMeter(keyvalue.NewSimulated(c.network, c.server, n.process, c.store))
+	self := membership.Member{
+		Name: name, Incarnation: fmt.Sprintf("%d", c.loop.Executed()), Zone: "zone", PeerAddress: name,
+	}
+	detector := membership.NewLeaseDetector(n.meter, n.process, c.loop.Fork(), membership.DefaultLeaseOptions(), zerolog.Nop())
+	n.registry = membership.NewRegistry(self, detector)
+	n.owners = membership.NewOwners(self, c.cells, n.meter, n.process, c.loop.Fork(), n, membership.DefaultOwnerOptions(), zerolog.Nop())
+	n.registry.Subscribe(n.owners.SetMembers)
+	n.registry.Start()
+	n.owners.Start()
+	return n
+}
+
+func (n *node) Acquired(cell string, epoch uint64) {
+	if held, owned := n.owned[cell]; owned {
+		n.faults = append(n.faults, fmt.Sprintf("acquired %s at %d while held at %d", cell, epoch, held))
+	}
+	n.owned[cell] = epoch
+}
+
+func (n *node) Lost(cell string) {
+	if _, owned := n.owned[cell]; !owned {
+		n.faults = append(n.faults, "lost unowned "+cell)
+	}
+	delete(n.owned, cell)
+}
+
+func (n *node) Release(cell string, released func()) {
+	if _, owned := n.owned[cell]; !owned {
+		n.faults = append(n.faults, "asked to release unowned "+cell)
+	}
+	n.process.AfterFunc(n.releaseDelay, released)
+}
+
+// ownersOf lists the live nodes that run the cell.
+func (c *cluster) ownersOf(cell string) []string {
+	var names []string
+	for name, n := range c.nodes {
+		if _, owned := n.owned[cell]; owned && !n.process.Killed() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// expectOneOwnerEach checks that each cell has one owner, known to all nodes.
+func (c *cluster) expectOneOwnerEach() {
+	GinkgoHelper()
+	for _, cell := range c.cells {
+		names := c.ownersOf(cell)
+		Expect(names).To(HaveLen(1), cell)
+		owner := c.nodes[names[0]]
+		for name, n := range c.nodes {
+			if n.process.Killed() {
+				continue
+			}
+			known, found := n.owners.OwnerOf(cell)
+			Expect(found).To(BeTrue())
+			Expect(known.Member.Name).To(Equal(names[0]), "%s as known at %s", cell, name)
+			Expect(known.Epoch).To(Equal(owner.owned[cell]))
+			Expect(known.Vacant).To(BeFalse())
+		}
+	}
+	c.expectNoFaults()
+}
+
+func (c *cluster) expectNoFaults() {
+	GinkgoHelper()
+	for name, n := range c.nodes {
+		Expect(n.faults).To(BeEmpty(), name)
+	}
+}
+
+// expectMembers checks the names known at every live node.
+func (c *cluster) expectMembers(names ...string) {
+	GinkgoHelper()
+	for _, n := range c.nodes {
+		if !n.process.Killed() {
+			Expect(n.memberNames()).To(Equal(names), n.process.Name)
+		}
+	}
+}
+
+func (n *node) memberNames() []string {
+	var names []string
+	for _, member := range n.registry.Members() {
+		names = append(names, member.Name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/membership/lease_detector.go
@@ -0,0 +1,264 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/membership/keywatch"
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// LeaseDetector takes for alive whose lease in the key-value service lives.
+//
+// Each member keeps one key under a lease. A key that goes missing removes its
+// member after a grace period. While the key-value service is out nobody is
+// removed, because nobody's absence is proved.
+type LeaseDetector struct {
+	clock   clock.Clock
+	options LeaseOptions
+	log     zerolog.Logger
+	watcher *keywatch.Watcher
+	lease   *leaseHolder
+
+	mutex    sync.Mutex
+	self     Member
+	stopped  bool
+	known    map[string]*knownMember
+	onChange func([]Member)
+	// lastActivity is when this detector last ran; a gap means a pause.
+	lastActivity time.Time
+	// lastTrouble is when contact to the service was last doubtful.
+	lastTrouble time.Time
+	troubled    bool
+	// synchronised: the members were read at least once.
+	synchronised bool
+
+	// publishing serialises calls of onChange and guards published.
+	publishing sync.Mutex
+	published  []Member
+}
+
+// knownMember is a member as registered.
+type knownMember struct {
+	member      Member
+	modRevision int64
+	// missing since a time: the key is not there.
+	missing      bool
+	missingSince time.Time
+}
+
+// NewLeaseDetector returns a detector that is not started. The source of
+// randomness is used by the detector alone.
+func NewLeaseDetector(service platform.KeyValueService, c clock.Clock, random *rand.Rand, options LeaseOptions, log zerolog.Logger) *LeaseDetector {
+	detector := &LeaseDetector{clock: c, options: options, log: log, known: map[string]*knownMember{}}
+	watchRandom := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+	detector.watcher = keywatch.New(service, c, watchRandom, options.Watch, detector)
+	detector.lease = newLeaseHolder(service, c, random, options, log, detector.noteActivity)
+	return detector
+}
+
+// Start implements Detector.
+func (d *LeaseDetector) Start(self Member, onChange func([]Member)) {
+	d.mutex.Lock()
+	d.self = self
+	d.onChange = onChange
+	d.lastActivity = d.clock.Now()
+	d.mutex.Unlock()
+	d.lease.start(self)
+	d.watcher.Start()
+}
+
+// Update implements Detector.
+func (d *LeaseDetector) Update(self Member) {
+	d.mutex.Lock()
+	d.self = self
+	d.mutex.Unlock()
+	d.lease.update(self)
+	d.clock.AfterFunc(0, d.publish)
+}
+
+// Stop implements Detector.
+func (d *LeaseDetector) Stop(done func()) {
+	d.mutex.Lock()
+	d.stopped = true
+	d.mutex.Unlock()
+	d.watcher.Stop()
+	d.lease.stop(done)
+}
+
+// Reading implements keywatch.Handler.
+func (d *LeaseDetector) Reading(reading platform.RangeResult) {
+	d.mutex.Lock()
+	d.noteActivityLocked(true)
+	present := make(map[string]bool, len(reading.KeyValues))
+	for _, keyValue := range reading.KeyValues {
+		present[keyValue.Key] = true
+		d.presentLocked(keyValue)
+	}
+	for _, name := range d.namesLocked() {
+		known := d.known[name]
+		if !present[MemberPrefix+name] && known.modRevision <= reading.Revision {
+			d.missingLocked(name, reading.Revision)
+		}
+	}
+	d.synchronised = true
+	d.mutex.Unlock()
+	d.publish()
+}
+
+// Changes implements keywatch.Handler.
+func (d *LeaseDetector) Changes(events []platform.WatchEvent) {
+	d.mutex.Lock()
+	d.noteActivityLocked(true)
+	for _, event := range events {
+		if event.Deleted {
+			d.missingLocked(event.KeyValue.Key[len(MemberPrefix):], event.KeyValue.ModRevision)
+		} else {
+			d.presentLocked(event.KeyValue)
+		}
+	}
+	d.mutex.Unlock()
+	d.publish()
+}
+
+// Interrupted implements keywatch.Handler.
+func (d *LeaseDetector) Interrupted(error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.noteActivityLocked(false)
+}
+
+// noteActivity is told by the lease whether the service answers.
+func (d *LeaseDetector) noteActivity(contact bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.noteActivityLocked(contact)
+}
+
+func (d *LeaseDetector) noteActivityLocked(contact bool) {
+	now := d.clock.Now()
+	paused := now.Sub(d.lastActivity) > d.options.TimeToLive
+	d.lastActivity = now
+	if paused || !contact {
+		d.troubled = true
+		d.lastTrouble = now
+	}
+}
+
+func (d *LeaseDetector) presentLocked(keyValue platform.KeyValue) {
+	member, err := decodeMember(keyValue.Value)
+	if err != nil || MemberPrefix+member.Name != keyValue.Key {
+		d.log.Warn().Str("key", keyValue.Key).AnErr("cause", err).Msg("unreadable member record")
+		return
+	}
+	known := d.known[member.Name]
+	if known != nil && known.modRevision > keyValue.ModRevision {
+		return
+	}
+	d.known[member.Name] = &knownMember{member: member, modRevision: keyValue.ModRevision}
+	if member.Name == d.self.Name {
+		d.lease.ownKeySeen(keyValue, member)
+	}
+}
+
+func (d *LeaseDetector) missingLocked(name string, revision int64) {
+	if name == d.self.Name {
+		d.lease.ownKeyMissing(revision)
+	}
+	known := d.known[name]
+	if known == nil || known.missing {
+		return
+	}
+	known.modRevision = max(known.modRevision, revision)
+	if known.member.Draining {
+		delete(d.known, name)
+		return
+	}
+	known.missing = true
+	known.missingSince = d.clock.Now()
+	d.clock.AfterFunc(d.graceLocked(), func() { d.removeMissing(name) })
+}
+
+// graceLocked returns how long a member must have been missing.
+func (d *LeaseDetector) graceLocked() time.Duration {
+	if d.troubled && d.clock.Now().Sub(d.lastTrouble) < d.options.OutageGrace {
+		return d.options.OutageGrace
+	}
+	return d.options.RemovalGrace
+}
+
+// removeMissing removes a member whose key has been missing for the grace
+// period that applies now; else it looks again later.
+func (d *LeaseDetector) removeMissing(name string) {
+	d.mutex.Lock()
+	d.noteActivityLocked(true)
+	known := d.known[name]
+	if d.stopped || known == nil || !known.missing {
+		d.mutex.Unlock()
+		return
+	}
+	remaining := d.graceLocked() - d.clock.Now().Sub(known.missingSince)
+	if remaining > 0 {
+		d.clock.AfterFunc(remaining, func() { d.removeMissing(name) })
+		d.mutex.Unlock()
+		return
+	}
+	delete(d.known, name)
+	d.mutex.Unlock()
+	d.log.Info().Str("member", known.member.ID()).Str("reason", "lease lapsed").Msg("member removed")
+	d.publish()
+}
+
+func (d *LeaseDetector) namesLocked() []string {
+	names := make([]string, 0, len(d.known))
+	for name := range d.known {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// publish tells the live members once this node has read them and is itself
+// registered. It is then always one of them, unless a later incarnation of it
+// has registered.
+func (d *LeaseDetector) publish() {
+	d.publishing.Lock()
+	defer d.publishing.Unlock()
+	d.mutex.Lock()
+	if d.stopped || !d.synchronised || !d.lease.wasRegistered() {
+		d.mutex.Unlock()
+		return
+	}
+	members := make([]Member, 0, len(d.known)+1)
+	for _, known := range d.known {
+		members = append(members, known.member)
+	}
+	members = d.withSelfLocked(members)
+	onChange := d.onChange
+	d.mutex.Unlock()
+	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+	if slices.Equal(members, d.published) {
+		return
+	}
+	d.published = members
+	onChange(members)
+}
+
+func (d *LeaseDetector) withSelfLocked(members []Member) []Member {
+	if d.lease.isSuperseded() {
+		return members
+	}
+	for i := range members {
+		if members[i].Name == d.self.Name {
+			members[i] = d.self
+			return members
+		}
+	}
+	return append(members, d.self)
+}
--- /dev/null
+++ b/internal/membership/meter.go
@@ -0,0 +1,76 @@
+package membership
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// OperationCounts counts the calls made to a key-value service.
+type OperationCounts struct {
+	Transactions, Ranges, LeaseGrants, KeepAlives, LeaseRevokes, Watches uint64
+}
+
+// Total returns the sum of all calls.
+func (c OperationCounts) Total() uint64 {
+	return c.Transactions + c.Ranges + c.LeaseGrants + c.KeepAlives + c.LeaseRevokes + c.Watches
+}
+
+// Meter passes calls on to a key-value service and counts them.
+type Meter struct {
+	service platform.KeyValueService
+
+	transactions, ranges, leaseGrants, keepAlives, leaseRevokes, watches atomic.Uint64
+}
+
+// NewMeter returns a meter in front of the service.
+func NewMeter(service platform.KeyValueService) *Meter { return &Meter{service: service} }
+
+// Counts returns the calls so far.
+func (m *Meter) Counts() OperationCounts {
+	return OperationCounts{
+		Transactions: m.transactions.Load(),
+		Ranges:       m.ranges.Load(),
+		LeaseGrants:  m.leaseGrants.Load(),
+		KeepAlives:   m.keepAlives.Load(),
+		LeaseRevokes: m.leaseRevokes.Load(),
+		Watches:      m.watches.Load(),
+	}
+}
+
+// Transact implements platform.KeyValueService.
+func (m *Meter) Transact(transaction platform.Transaction, timeout time.Duration, done func(platform.TransactionResult, error)) {
+	m.transactions.Add(1)
+	m.service.Transact(transaction, timeout, done)
+}
+
+// Range implements platform.KeyValueService.
+func (m *Meter) Range(prefix string, timeout time.Duration, done func(platform.RangeResult, error)) {
+	m.ranges.Add(1)
+	m.service.Range(prefix, timeout, done)
+}
+
+// GrantLease implements platform.KeyValueService.
+func (m *Meter) GrantLease(timeToLive, timeout time.Duration, done func(platform.LeaseID, error)) {
+	m.leaseGrants.Add(1)
+	m.service.GrantLease(timeToLive, timeout, done)
+}
+
+// KeepAlive implements platform.KeyValueService.
+func (m *Meter) KeepAlive(lease platform.LeaseID, timeout time.Duration, done func(error)) {
+	m.keepAlives.Add(1)
+	m.service.KeepAlive(lease, timeout, done)
+}
+
+// RevokeLease implements platform.KeyValueService.
+func (m *Meter) RevokeLease(lease platform.LeaseID, timeout time.Duration, done func(error)) {
+	m.leaseRevokes.Add(1)
+	m.service.RevokeLease(lease, timeout, done)
+}
+
+// Watch implements platform.KeyValueService.
+func (m *Meter) Watch(prefix string, fromRevision int64, handler platform.WatchHandler) (stop func()) {
+	m.watches.Add(1)
+	return m.service.Watch(prefix, fromRevision, handler)
+}
