Add back-end and machine-list stand-ins with HTTP clients

Cause: the nodes need the platform's other servers in tests, and bindings to them. Change: stand-ins for back ends and the machine list, each with a simulated and an HTTP form; HTTP clients that send each attempt once and prove "not run" by counting bytes written; one contract suite per interface, run against both forms.

--- /dev/null
+++ b/internal/platform/httpapi/attempt.go
@@ -0,0 +1,178 @@
+package httpapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/result"
+)
+
+// The reasons of an AttemptError that this package finds itself.
+const (
+	reasonConnection = "connection"
+	reasonTimeout    = "timeout"
+	reasonTruncated  = "truncated"
+	reasonFailed     = "failed"
+	reasonCancelled  = "cancelled"
+)
+
+// maxProblemBytes limits a problem document.
+const maxProblemBytes = 16 << 10
+
+var errTooLarge = errors.New("body too large")
+
+// oneShotBody is a body that net/http cannot rewind. Without it, the transport
+// would by itself repeat a request with an Idempotency-Key, or a GET, when a
+// pooled connection breaks.
+type oneShotBody struct{ reader bytes.Reader }
+
+func newOneShotBody(body []byte) *oneShotBody {
+	oneShot := &oneShotBody{}
+	oneShot.reader.Reset(body)
+	return oneShot
+}
+
+func (b *oneShotBody) Read(buffer []byte) (int, error) { return b.reader.Read(buffer) }
+
+func (b *oneShotBody) Close() error { return nil }
+
+// attempt is one HTTP request that must not be repeated.
+type attempt struct {
+	id    platform.AttemptID
+	proof writeProof
+}
+
+// newRequest builds the attempt's request.
+func (a *attempt) newRequest(ctx context.Context, method, url string, body []byte) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(a.proof.trace(ctx), method, url, newOneShotBody(body))
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(body))
+	request.GetBody = nil
+	setHeader(request.Header, HeaderAttempt, string(a.id))
+	return request, nil
+}
+
+// unsent is the failure of an attempt for which no request was made.
+func (a *attempt) unsent(reason string) *platform.AttemptError {
+	return &platform.AttemptError{Attempt: a.id, Ran: result.RanNo, Reason: reason}
+}
+
+// failed is the failure of an attempt after its request was sent.
+func (a *attempt) failed(reason string) *platform.AttemptError {
+	return &platform.AttemptError{Attempt: a.id, Ran: result.RanUnknown, Reason: reason}
+}
+
+// noResponse is the failure of an attempt that got no response.
+func (a *attempt) noResponse(ctx context.Context) *platform.AttemptError {
+	failure := a.failed(reasonOf(ctx, reasonConnection))
+	if a.proof.nothingWritten() {
+		failure.Ran = result.RanNo
+	}
+	return failure
+}
+
+// unsuccessful is the failure of an attempt whose response has an error status.
+func (a *attempt) unsuccessful(response *http.Response) *platform.AttemptError {
+	problem, isProblem := readProblem(response)
+	if !isProblem {
+		return a.failed(reasonFailed)
+	}
+	return a.ofProblem(problem)
+}
+
+func (a *attempt) ofProblem(problem Problem) *platform.AttemptError {
+	return &platform.AttemptError{
+		Attempt: a.id, Ran: ranOf(problem.Ran), Reason: problem.Reason, Load: problem.Load,
+	}
+}
+
+// matches reports whether the response may belong to the attempt: it names no
+// attempt or this one.
+func (a *attempt) matches(response *http.Response) bool {
+	named := response.Header.Get(HeaderAttempt)
+	return named == "" || named == string(a.id)
+}
+
+// ranOf reads a word; anything but "no" and "yes" is unknown.
+func ranOf(word string) result.Ran {
+	switch word {
+	case result.RanNo.String():
+		return result.RanNo
+	case result.RanYes.String():
+		return result.RanYes
+	default:
+		return result.RanUnknown
+	}
+}
+
+// reasonOf explains a failure by the context if that has ended.
+func reasonOf(ctx context.Context, otherwise string) string {
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil:
+		return otherwise
+	case errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, errIdleStream):
+		return reasonTimeout
+	default:
+		return reasonCancelled
+	}
+}
+
+// readProblem reads a complete problem document.
+func readProblem(response *http.Response) (Problem, bool) {
+	media, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err != nil || media != MediaProblem {
+		return Problem{}, false
+	}
+	body, err := readLimited(response.Body, maxProblemBytes)
+	if err != nil {
+		return Problem{}, false
+	}
+	problem := Problem{}
+	if json.Unmarshal(body, &problem) != nil {
+		return Problem{}, false
+	}
+	return problem, true
+}
+
+// readLimited reads all of a body that is not larger than the limit.
+func readLimited(body io.Reader, limit int64) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(content)) > limit {
+		return nil, errTooLarge
+	}
+	return content, nil
+}
+
+func setHeader(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
+// loadOf reads the load headers; what is missing or unreadable is zero.
+func loadOf(header http.Header) platform.LoadHint {
+	running, _ := strconv.Atoi(header.Get(HeaderLoadRunning))
+	queued, _ := strconv.Atoi(header.Get(HeaderLoadQueued))
+	leaving, _ := strconv.ParseBool(header.Get(HeaderLoadLeaving))
+	return platform.LoadHint{Running: running, Queued: queued, Leaving: leaving}
+}
+
+// SetLoad writes the load headers.
+func SetLoad(header http.Header, load platform.LoadHint) {
+	header.Set(HeaderLoadRunning, strconv.Itoa(load.Running))
+	header.Set(HeaderLoadQueued, strconv.Itoa(load.Queued))
+	header.Set(HeaderLoadLeaving, strconv.FormatBool(load.Leaving))
+}
--- /dev/null
+++ b/internal/platform/httpapi/backend.go
@@ -0,0 +1,103 @@
+package httpapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// BackEnds implements platform.BackEndService.
+type BackEnds struct {
+	client  *http.Client
+	lookup  Lookup
+	options Options
+}
+
+// NewBackEnds returns a client with a connection pool of its own.
+func NewBackEnds(lookup Lookup, options Options) *BackEnds {
+	options = options.withDefaults()
+	return &BackEnds{client: newClient(options), lookup: lookup, options: options}
+}
+
+// newClient returns a client that follows no redirection.
+func newClient(options Options) *http.Client {
+	return &http.Client{
+		Transport: newTransport(options),
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// Close closes the idle connections.
+func (b *BackEnds) Close() { b.client.CloseIdleConnections() }
+
+// Call implements platform.BackEndService.
+func (b *BackEnds) Call(request platform.BackEndRequest, done func(platform.BackEndResponse, error)) {
+	go func() {
+		response, failure := b.call(request)
+		if failure != nil {
+			done(platform.BackEndResponse{}, failure)
+			return
+		}
+		done(response, nil)
+	}()
+}
+
+func (b *BackEnds) call(request platform.BackEndRequest) (platform.BackEndResponse, *platform.AttemptError) {
+	none := platform.BackEndResponse{}
+	current := &attempt{id: request.Attempt}
+	address, known := b.lookup(request.Server)
+	if !known {
+		return none, current.unsent(reasonConnection)
+	}
+	if !time.Now().Before(request.Deadline) {
+		return none, current.unsent(reasonTimeout)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
+	defer cancel()
+	httpRequest, err := current.newRequest(ctx, request.Method, "http://"+address+request.Path, request.Body)
+	if err != nil {
+		return none, current.unsent(reasonFailed)
+	}
+	setBackEndHeaders(httpRequest.Header, request)
+	response, err := b.client.Do(httpRequest)
+	if err != nil {
+		return none, current.noResponse(ctx)
+	}
+	defer response.Body.Close()
+	return b.read(ctx, current, response)
+}
+
+func setBackEndHeaders(header http.Header, request platform.BackEndRequest) {
+	setHeader(header, HeaderRequest, request.RequestID)
+	setHeader(header, HeaderKey, request.Key)
+	setHeader(header, "Content-Type", request.ContentType)
+	setHeader(header, HeaderDeadline, request.Deadline.UTC().Format(DeadlineFormat))
+}
+
+// read turns a complete response into the answer. A status that is not a
+// success is an answer too, unless its body is a problem document that speaks
+// about the run.
+func (b *BackEnds) read(ctx context.Context, current *attempt, response *http.Response) (platform.BackEndResponse, *platform.AttemptError) {
+	none := platform.BackEndResponse{}
+	if !current.matches(response) {
+		return none, current.failed(reasonFailed)
+	}
+	if response.Header.Get("Content-Type") == MediaProblem {
+		return none, current.unsuccessful(response)
+	}
+	body, err := readLimited(response.Body, b.options.MaxResponseBytes)
+	if err != nil {
+		return none, current.failed(reasonOf(ctx, reasonTruncated))
+	}
+	return platform.BackEndResponse{
+		Attempt:     current.id,
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        body,
+		Load:        loadOf(response.Header),
+	}, nil
+}
--- /dev/null
+++ b/internal/platform/httpapi/frame.go
@@ -0,0 +1,96 @@
+package httpapi
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+)
+
+// The ways in which a stream can be broken.
+var (
+	errTruncated     = errors.New("stream ended before it was complete")
+	errFrameTooLarge = errors.New("frame too large")
+	errBadFrame      = errors.New("frame is not a chunk")
+	errMissingChunk  = errors.New("chunk missing or repeated")
+	errIdleStream    = errors.New("stream idle for too long")
+)
+
+var (
+	dataField  = []byte("data:")
+	doneMarker = []byte(DoneMarker)
+)
+
+// frameReader reads the frames of a stream of server-sent events, one line of
+// data each. It reuses its buffers; readers come from a pool.
+type frameReader struct {
+	buffer *bufio.Reader
+	frame  StreamFrame
+}
+
+// framePools holds the idle readers by their buffer size.
+var framePools sync.Map
+
+func newFrameReader(body io.Reader, size int) *frameReader {
+	pool, _ := framePools.LoadOrStore(size, &sync.Pool{})
+	if reader, found := pool.(*sync.Pool).Get().(*frameReader); found {
+		reader.buffer.Reset(body)
+		return reader
+	}
+	return &frameReader{buffer: bufio.NewReaderSize(body, size)}
+}
+
+// release returns the reader to its pool.
+func (r *frameReader) release() {
+	size := r.buffer.Size()
+	r.buffer.Reset(nil)
+	r.clear()
+	if pool, found := framePools.Load(size); found {
+		pool.(*sync.Pool).Put(r)
+	}
+}
+
+// next returns the next frame, or nil when the done marker was read. The frame
+// is valid until the next call.
+func (r *frameReader) next() (*StreamFrame, error) {
+	data, err := r.nextData()
+	if err != nil {
+		return nil, err
+	}
+	if bytes.Equal(data, doneMarker) {
+		return nil, nil
+	}
+	r.clear()
+	if json.Unmarshal(data, &r.frame) != nil {
+		return nil, errBadFrame
+	}
+	return &r.frame, nil
+}
+
+// nextData returns the data of the next frame; comments and other fields are
+// passed over.
+func (r *frameReader) nextData() ([]byte, error) {
+	for {
+		line, err := r.buffer.ReadSlice('\n')
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			return nil, errFrameTooLarge
+		case errors.Is(err, io.EOF):
+			return nil, errTruncated
+		case err != nil:
+			return nil, err
+		}
+		if data, found := bytes.CutPrefix(line, dataField); found {
+			return bytes.TrimSpace(data), nil
+		}
+	}
+}
+
+// clear forgets the frame before, but keeps its room for choices.
+func (r *frameReader) clear() {
+	choices := r.frame.Choices[:cap(r.frame.Choices)]
+	clear(choices)
+	r.frame = StreamFrame{Choices: choices[:0]}
+}
--- /dev/null
+++ b/internal/platform/httpapi/wire.go
@@ -0,0 +1,123 @@
+// Package httpapi reaches model engines, other back-end servers, the weight
+// store and the machine list over HTTP.
+//
+// One attempt is one HTTP request and is never repeated by this package. An
+// attempt is reported as not run only when no byte of it was written to a
+// connection, or when the server refused it with a problem document that says
+// "ran":"no".
+package httpapi
+
+import (
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// Paths of the platform's HTTP interfaces.
+const (
+	PathCompletions     = "/v1/completions"
+	PathChatCompletions = "/v1/chat/completions"
+	PathOrders          = "/engine/v1/orders"
+	PathState           = "/engine/v1/state"
+	PathCacheEvents     = "/engine/v1/cache-events"
+	PathCacheExport     = "/engine/v1/kv/export"
+	PathCacheImport     = "/engine/v1/kv/import"
+	PathCancel          = "/engine/v1/cancel"
+	PathMachines        = "/v1/machines"
+	PathWeightStatus    = "/v1/status"
+)
+
+// QuerySince is the query parameter for the version known to the reader.
+const QuerySince = "since"
+
+// Headers of an attempt. The answer repeats HeaderAttempt.
+const (
+	HeaderAttempt    = "X-Attempt-Id"
+	HeaderRequest    = "X-Request-Id"
+	HeaderDeadline   = "X-Deadline"
+	HeaderPriority   = "X-Priority"
+	HeaderResumeFrom = "X-Resume-From"
+	HeaderModel      = "X-Model"
+	HeaderAdapter    = "X-Adapter"
+	HeaderVersion    = "X-Model-Version"
+	HeaderKey        = "Idempotency-Key"
+)
+
+// Headers of an answer that carry the server's load.
+const (
+	HeaderLoadRunning = "X-Load-Running"
+	HeaderLoadQueued  = "X-Load-Queued"
+	HeaderLoadLeaving = "X-Load-Leaving"
+)
+
+// Media types.
+const (
+	MediaJSON    = "application/json"
+	MediaStream  = "text/event-stream"
+	MediaProblem = "application/problem+json"
+)
+
+// DeadlineFormat is the format of HeaderDeadline.
+const DeadlineFormat = time.RFC3339Nano
+
+// DoneMarker is the data of a stream's last frame.
+const DoneMarker = "[DONE]"
+
+// Problem is the body of a failed attempt, as a problem document of RFC 9457.
+type Problem struct {
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	// Ran is "no", "unknown" or "yes".
+	Ran string `json:"ran"`
+	// Reason is a word as in platform.AttemptError.
+	Reason string            `json:"reason"`
+	Load   platform.LoadHint `json:"load"`
+}
+
+// StreamFrame is the data of one frame of a generated stream: a chunk object of
+// the OpenAI interface with a few additional fields. Exactly one of Text and
+// Delta is used in a choice, depending on the path.
+type StreamFrame struct {
+	ID      string         `json:"id,omitempty"`
+	Object  string         `json:"object,omitempty"`
+	Model   string         `json:"model,omitempty"`
+	Choices []StreamChoice `json:"choices"`
+	Usage   *StreamUsage   `json:"usage,omitempty"`
+	// Index of the chunk in the request's stream, from 0, over resumptions.
+	Index int `json:"chunk_index"`
+	// Tokens in the chunk.
+	Tokens int `json:"chunk_tokens,omitempty"`
+	// Chunks is set in the last frame: the number of chunks in the stream.
+	Chunks *int               `json:"chunk_count,omitempty"`
+	Load   *platform.LoadHint `json:"load,omitempty"`
+	// Problem is set in a frame that ends the stream with a failure.
+	Problem *Problem `json:"problem,omitempty"`
+}
+
+// StreamChoice is the only choice of a frame.
+type StreamChoice struct {
+	Index int         `json:"index"`
+	Text  string      `json:"text,omitempty"`
+	Delta StreamDelta `json:"delta,omitzero"`
+	// FinishReason is null until the last frame.
+	FinishReason *string `json:"finish_reason"`
+}
+
+// StreamDelta is the addition to a chat message.
+type StreamDelta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// StreamUsage counts the tokens of a generation.
+type StreamUsage struct {
+	PromptTokens     int                 `json:"prompt_tokens"`
+	CompletionTokens int                 `json:"completion_tokens"`
+	TotalTokens      int                 `json:"total_tokens"`
+	PromptDetails    *StreamUsageDetails `json:"prompt_tokens_details,omitempty"`
+}
+
+// StreamUsageDetails divides the prompt's tokens.
+type StreamUsageDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
--- /dev/null
+++ b/internal/standin/machines/list.go
@@ -0,0 +1,204 @@
+// Package machines is a stand-in for the platform's machine list. Readers see
+// the list as it was some time ago, with one exception: a machine that lives is
+// never missing.
+package machines
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/standin/record"
+)
+
+// ErrOutage means that the list does not answer.
+var ErrOutage = errors.New("machine list outage")
+
+// phaseGone is the phase recorded for a machine that is gone.
+const phaseGone = "gone"
+
+// Faults that the list shows.
+type Faults struct {
+	// Lag is how old the list is that readers see.
+	Lag time.Duration `json:"lag_nanoseconds"`
+	// Outage: readers get no answer.
+	Outage bool `json:"outage"`
+}
+
+// List holds the machines. It is safe for concurrent use.
+type List struct {
+	clock clock.Clock
+	log   *record.Log
+	// reclaimed is called when a machine is gone.
+	reclaimed func(platform.ServerID)
+
+	mutex  sync.Mutex
+	faults Faults
+	// entries are the machines that readers may still see, in order of server.
+	entries []*entry
+	version uint64
+	// visibleVersion and visible are the reading given last.
+	visibleVersion uint64
+	visible        []platform.Machine
+}
+
+// entry is one machine with the changes that readers do not see yet.
+type entry struct {
+	machine platform.Machine
+	gone    bool
+	// pending changes, oldest first.
+	pending []change
+	shown   platform.Machine
+}
+
+// change is a state of a machine and the time from which it was true.
+type change struct {
+	at      time.Time
+	machine platform.Machine
+	gone    bool
+}
+
+// NewList returns an empty list. What happens to the machines is appended to
+// the log, which may be nil. Reclaimed, which may be nil, is called without a
+// lock when a machine is gone, so that its server can be ended.
+func NewList(listClock clock.Clock, log *record.Log, reclaimed func(platform.ServerID)) *List {
+	if reclaimed == nil {
+		reclaimed = func(platform.ServerID) {}
+	}
+	return &List{clock: listClock, log: log, reclaimed: reclaimed}
+}
+
+// Add lists a live machine at once, whatever the lag. A machine of the same
+// server is replaced.
+func (l *List) Add(machine platform.Machine) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	machine.Phase = platform.MachineLive
+	machine.LeavesAt = time.Time{}
+	added := &entry{machine: machine, shown: machine}
+	index, found := l.find(machine.Server)
+	if found {
+		l.entries[index] = added
+	} else {
+		l.entries = slices.Insert(l.entries, index, added)
+	}
+	l.version++
+	l.note(machine, string(machine.Phase))
+}
+
+// Reclaim takes a machine away after a warning: it is leaving now and gone
+// then. It reports whether the machine was there.
+func (l *List) Reclaim(server platform.ServerID, warning time.Duration) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	machine, present := l.livingEntry(server)
+	if !present {
+		return false
+	}
+	leaving := machine.machine
+	leaving.Phase = platform.MachineLeaving
+	leaving.LeavesAt = l.clock.Now().Add(warning)
+	l.change(machine, leaving, false)
+	l.clock.AfterFunc(warning, func() { l.remove(server, machine) })
+	return true
+}
+
+// SetPhase makes a machine live or leaving without an end.
+func (l *List) SetPhase(server platform.ServerID, phase platform.MachinePhase) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	machine, present := l.livingEntry(server)
+	if !present {
+		return false
+	}
+	changed := machine.machine
+	changed.Phase = phase
+	changed.LeavesAt = time.Time{}
+	l.change(machine, changed, false)
+	return true
+}
+
+// Remove takes a machine away without warning.
+func (l *List) Remove(server platform.ServerID) bool {
+	l.mutex.Lock()
+	machine, present := l.livingEntry(server)
+	l.mutex.Unlock()
+	if !present {
+		return false
+	}
+	return l.remove(server, machine)
+}
+
+// remove ends the machine unless it is gone or replaced already.
+func (l *List) remove(server platform.ServerID, expected *entry) bool {
+	l.mutex.Lock()
+	machine, present := l.livingEntry(server)
+	if !present || machine != expected {
+		l.mutex.Unlock()
+		return false
+	}
+	l.change(machine, machine.machine, true)
+	l.mutex.Unlock()
+	l.reclaimed(server)
+	return true
+}
+
+// SetFaults replaces the faults.
+func (l *List) SetFaults(faults Faults) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.faults = faults
+}
+
+// Faults returns the faults in force.
+func (l *List) Faults() Faults {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.faults
+}
+
+func (l *List) find(server platform.ServerID) (index int, found bool) {
+	return slices.BinarySearchFunc(l.entries, server, func(e *entry, target platform.ServerID) int {
+		switch {
+		case e.machine.Server < target:
+			return -1
+		case e.machine.Server > target:
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
+// livingEntry returns the entry of a machine that is not gone.
+func (l *List) livingEntry(server platform.ServerID) (*entry, bool) {
+	index, found := l.find(server)
+	if !found || l.entries[index].gone {
+		return nil, false
+	}
+	return l.entries[index], true
+}
+
+func (l *List) change(changed *entry, machine platform.Machine, gone bool) {
+	changed.machine = machine
+	changed.gone = gone
+	changed.pending = append(changed.pending, change{at: l.clock.Now(), machine: machine, gone: gone})
+	phase := string(machine.Phase)
+	if gone {
+		phase = phaseGone
+	}
+	l.note(machine, phase)
+}
+
+func (l *List) note(machine platform.Machine, phase string) {
+	l.log.Append(record.Event{
+		At:       l.clock.Now(),
+		Kind:     record.KindMachinePhase,
+		Server:   machine.Server,
+		Phase:    phase,
+		Deadline: machine.LeavesAt,
+	})
+}
