--- /dev/null
+++ b/internal/standin/engine/simulated.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/simulation"
+)
+
+// DefaultStallTimeout is how long a stream waits for a lost or late piece when
+// later ones are there, before it counts as broken.
+const DefaultStallTimeout = 2 * time.Second
+
+// DefaultCancelTimeout is how long a cancelled attempt waits for the engine's
+// word on it.
+const DefaultCancelTimeout = time.Second
+
+// Simulated is platform.EngineService for one simulated client process.
+type Simulated struct {
+	fleet  *Fleet
+	client *simulation.Process
+	// StallTimeout and CancelTimeout may be changed before use.
+	StallTimeout, CancelTimeout time.Duration
+}
+
+var _ platform.EngineService = (*Simulated)(nil)
+
+// Client returns the service as seen from a client process.
+func (f *Fleet) Client(client *simulation.Process) *Simulated {
+	return &Simulated{fleet: f, client: client, StallTimeout: DefaultStallTimeout, CancelTimeout: DefaultCancelTimeout}
+}
+
+// Order implements platform.EngineService. Like a request on a TCP connection
+// an order arrives once at most; its reply may be lost.
+func (s *Simulated) Order(order platform.Order, timeout time.Duration, done func(platform.OrderResult, error)) {
+	host := s.fleet.hosts[order.Server]
+	if host == nil {
+		s.client.AfterFunc(timeout, func() { done(platform.OrderResult{}, platform.ErrServerUnreachable) })
+		return
+	}
+	arrived := false
+	simulation.Call[platform.OrderResult]{
+		Network: s.fleet.network, Client: s.client, Server: host.stack, Timeout: timeout,
+		Serve: func(answer func(platform.OrderResult)) {
+			if arrived {
+				return
+			}
+			arrived = true
+			host.Process.Run(func() {
+				if !host.Engine.Responding() {
+					return
+				}
+				result := host.Engine.Order(order)
+				if !host.Engine.LosesOrderReply() {
+					answer(result)
+				}
+			})
+		},
+		OnReply:   func(result platform.OrderResult) { done(result, nil) },
+		OnTimeout: func() { done(platform.OrderResult{}, platform.ErrServerUnreachable) },
+	}.Start()
+}
+
+// State implements platform.EngineService.
+func (s *Simulated) State(server platform.ServerID, sinceVersion uint64, timeout time.Duration, done func(*platform.EngineState, error)) {
+	host := s.fleet.hosts[server]
+	if host == nil {
+		s.client.AfterFunc(timeout, func() { done(nil, platform.ErrServerUnreachable) })
+		return
+	}
+	simulation.Call[*platform.EngineState]{
+		Network: s.fleet.network, Client: s.client, Server: host.stack, Timeout: timeout,
+		Serve: func(answer func(*platform.EngineState)) {
+			host.Process.Run(func() {
+				if host.Engine.Responding() {
+					answer(host.Engine.State(sinceVersion))
+				}
+			})
+		},
+		OnReply:   func(state *platform.EngineState) { done(state, nil) },
+		OnTimeout: func() { done(nil, platform.ErrServerUnreachable) },
+	}.Start()
+}
+
+// Generate implements platform.EngineService. The attempt is a connection: the
+// request arrives once at most, and the stream arrives in order.
+func (s *Simulated) Generate(request platform.GenerateRequest, sink platform.GenerateSink) (cancel func()) {
+	stream := &clientStream{service: s, request: request, sink: sink, nextIndex: request.ResumeFrom}
+	host := s.fleet.hosts[request.Server]
+	if host == nil {
+		s.client.AfterFunc(simulation.DefaultDelay, func() { stream.fail(result.RanNo, ReasonConnection) })
+		return func() {}
+	}
+	stream.connection = &connection{network: s.fleet.network, client: s.client, host: host, stream: stream}
+	stream.armDeadline()
+	s.fleet.network.Deliver(s.client, host.stack, func() { stream.connection.arrive(request) })
+	return stream.cancel
+}
