--- /dev/null
+++ b/internal/platform/etcd/service.go
@@ -0,0 +1,105 @@
+package etcd
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/platform/etcd/wire"
+)
+
+// Transact implements platform.KeyValueService.
+func (c *Client) Transact(transaction platform.Transaction, timeout time.Duration, done func(platform.TransactionResult, error)) {
+	request := encodeTransaction(transaction)
+	run(c, timeout, done, func(ctx context.Context) (platform.TransactionResult, error) {
+		var response wire.TransactResponse
+		if err := c.post(ctx, wire.PathTransact, request, &response); err != nil {
+			return platform.TransactionResult{}, err
+		}
+		return decodeTransaction(response), nil
+	})
+}
+
+// Range implements platform.KeyValueService.
+func (c *Client) Range(prefix string, timeout time.Duration, done func(platform.RangeResult, error)) {
+	key, end := prefixRange(prefix)
+	request := wire.RangeRequest{Key: key, RangeEnd: end}
+	run(c, timeout, done, func(ctx context.Context) (platform.RangeResult, error) {
+		var response wire.RangeResponse
+		if err := c.post(ctx, wire.PathRange, request, &response); err != nil {
+			return platform.RangeResult{}, err
+		}
+		keyValues := decodeKeyValues(response.KeyValues)
+		return platform.RangeResult{Revision: int64(response.Header.Revision), KeyValues: keyValues}, nil
+	})
+}
+
+// GrantLease implements platform.KeyValueService. The time to live is rounded
+// up to whole seconds, which is all the protocol can carry.
+func (c *Client) GrantLease(timeToLive, timeout time.Duration, done func(platform.LeaseID, error)) {
+	seconds := (timeToLive + time.Second - 1) / time.Second
+	request := wire.LeaseGrantRequest{TimeToLive: wire.Int64(seconds)}
+	run(c, timeout, done, func(ctx context.Context) (platform.LeaseID, error) {
+		var response wire.LeaseResponse
+		if err := c.post(ctx, wire.PathLeaseGrant, request, &response); err != nil {
+			return 0, err
+		}
+		if response.ID == 0 {
+			return 0, fmt.Errorf("%w: lease granted without an id", platform.ErrAmbiguous)
+		}
+		return platform.LeaseID(response.ID), nil
+	})
+}
+
+// KeepAlive implements platform.KeyValueService.
+func (c *Client) KeepAlive(lease platform.LeaseID, timeout time.Duration, done func(error)) {
+	request := wire.LeaseRequest{ID: wire.Int64(lease)}
+	runPlain(c, timeout, done, func(ctx context.Context) error {
+		var response wire.StreamMessage[wire.LeaseResponse]
+		if err := c.post(ctx, wire.PathKeepAlive, request, &response); err != nil {
+			return err
+		}
+		return checkKeepAlive(response)
+	})
+}
+
+func checkKeepAlive(response wire.StreamMessage[wire.LeaseResponse]) error {
+	switch {
+	case response.Error != nil && isLeaseNotFound(*response.Error):
+		return fmt.Errorf("%w: %w", platform.ErrNotApplied, platform.ErrLeaseGone)
+	case response.Error != nil:
+		return fmt.Errorf("%w: %s", platform.ErrAmbiguous, response.Error.Message)
+	case response.Result == nil:
+		return fmt.Errorf("%w: empty response", platform.ErrAmbiguous)
+	case response.Result.TimeToLive <= 0:
+		return fmt.Errorf("%w: %w", platform.ErrNotApplied, platform.ErrLeaseGone)
+	default:
+		return nil
+	}
+}
+
+// RevokeLease implements platform.KeyValueService.
+func (c *Client) RevokeLease(lease platform.LeaseID, timeout time.Duration, done func(error)) {
+	request := wire.LeaseRequest{ID: wire.Int64(lease)}
+	runPlain(c, timeout, done, func(ctx context.Context) error {
+		var response wire.LeaseResponse
+		return c.post(ctx, wire.PathLeaseRevoke, request, &response)
+	})
+}
+
+// run makes one call on a goroutine of its own.
+func run[Result any](c *Client, timeout time.Duration, done func(Result, error), call func(context.Context) (Result, error)) {
+	c.start(func() {
+		ctx, cancel := context.WithTimeout(c.context, timeout)
+		defer cancel()
+		result, err := call(ctx)
+		done(result, err)
+	})
+}
+
+func runPlain(c *Client, timeout time.Duration, done func(error), call func(context.Context) error) {
+	run(c, timeout, func(_ struct{}, err error) { done(err) }, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, call(ctx)
+	})
+}
--- /dev/null
+++ b/internal/platform/etcd/status.go
@@ -0,0 +1,69 @@
+package etcd
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/platform/etcd/wire"
+)
+
+// errServiceFailed is a failure reported by the service.
+var errServiceFailed = errors.New("key-value service failed")
+
+// statusError is a response with an HTTP status other than OK. It matches the
+// errors of package platform that it proves.
+type statusError struct {
+	status int
+	body   wire.Error
+}
+
+// Error implements error.
+func (e *statusError) Error() string {
+	return fmt.Sprintf("%s: HTTP status %d: %s", e.outcome(), e.status, e.body.Message)
+}
+
+// Is implements the match of errors.Is.
+func (e *statusError) Is(target error) bool {
+	switch target {
+	case platform.ErrLeaseGone:
+		return isLeaseNotFound(e.body)
+	case errServiceFailed:
+		return true
+	default:
+		return target == e.outcome()
+	}
+}
+
+func (e *statusError) outcome() error {
+	if e.refused() {
+		return platform.ErrNotApplied
+	}
+	return platform.ErrAmbiguous
+}
+
+// refused reports whether the service has certainly not run the operation.
+func (e *statusError) refused() bool {
+	if e.status == http.StatusRequestTimeout {
+		return false
+	}
+	if e.status >= http.StatusMultipleChoices && e.status < http.StatusInternalServerError {
+		return true
+	}
+	return e.status == http.StatusNotImplemented || isNoLeader(e.body)
+}
+
+// blamesRequest reports whether another endpoint would answer the same.
+func (e *statusError) blamesRequest() bool {
+	return e.status >= http.StatusBadRequest && e.status < http.StatusInternalServerError
+}
+
+func isNoLeader(body wire.Error) bool {
+	return body.Code == wire.CodeUnavailable && body.Message == wire.MessageNoLeader
+}
+
+func isLeaseNotFound(body wire.Error) bool {
+	return body.Code == wire.CodeNotFound && strings.Contains(body.Message, "lease not found")
+}
--- /dev/null
+++ b/internal/platform/etcd/watch.go
@@ -0,0 +1,183 @@
+package etcd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/platform/etcd/wire"
+)
+
+var (
+	errWatchSilent   = errors.New("watch went silent")
+	errWatchCanceled = errors.New("watch canceled by the service")
+	errWatchTooLarge = errors.New("watch message too large")
+	errWatchOrder    = errors.New("watch events out of order")
+)
+
+// watch is one open watch.
+type watch struct {
+	client  *Client
+	handler platform.WatchHandler
+	// revision of the newest events given to the handler.
+	revision int64
+
+	mutex   sync.Mutex
+	stopped bool
+}
+
+// Watch implements platform.KeyValueService. A call of the handler that began
+// before stop may end after it.
+func (c *Client) Watch(prefix string, fromRevision int64, handler platform.WatchHandler) (stop func()) {
+	ctx, cancel := context.WithCancel(c.context)
+	watch := &watch{client: c, handler: handler, revision: fromRevision}
+	c.start(func() {
+		defer cancel()
+		watch.run(ctx, cancel, prefix)
+	})
+	return func() {
+		watch.stop()
+		cancel()
+	}
+}
+
+func (w *watch) stop() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.stopped = true
+}
+
+func (w *watch) isStopped() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.stopped
+}
+
+// run reads the watch to its end and tells the handler, unless stopped.
+func (w *watch) run(ctx context.Context, cancel context.CancelFunc, prefix string) {
+	silence := w.client.config.WatchSilence
+	silent := time.AfterFunc(silence, cancel)
+	defer silent.Stop()
+	heard := func() { silent.Reset(silence) }
+
+	base, index := w.client.endpoint()
+	err := w.read(ctx, base, prefix, heard)
+	if w.isStopped() {
+		return
+	}
+	if ctx.Err() != nil && w.client.context.Err() == nil {
+		err = fmt.Errorf("%w: %w", errWatchSilent, err)
+	}
+	if !errors.Is(err, platform.ErrCompacted) {
+		w.client.avoidAfter(err, index)
+	}
+	w.client.config.Logger.Info().Str("prefix", prefix).Int64("revision", w.revision).
+		Str("reason", err.Error()).Msg("watch lost")
+	w.handler.Lost(err)
+}
+
+// read opens the stream and delivers its messages; it returns why it ended.
+func (w *watch) read(ctx context.Context, base, prefix string, heard func()) error {
+	key, end := prefixRange(prefix)
+	create := wire.WatchCreateRequest{
+		Key:            key,
+		RangeEnd:       end,
+		StartRevision:  wire.Int64(w.revision + 1),
+		ProgressNotify: true,
+	}
+	body, err := json.Marshal(wire.WatchRequest{Create: &create})
+	if err != nil {
+		return err
+	}
+	response, _, err := w.client.open(ctx, base+wire.PathWatch, body)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	bounded := &boundedReader{reader: response.Body, limit: w.client.config.MaxResponseBytes}
+	decoder := json.NewDecoder(bounded)
+	for {
+		bounded.read = 0
+		var message wire.StreamMessage[wire.WatchResponse]
+		if err := decoder.Decode(&message); err != nil {
+			return err
+		}
+		heard()
+		if err := w.deliver(message); err != nil {
+			return err
+		}
+	}
+}
+
+// deliver hands one message's events to the handler, revision by revision.
+func (w *watch) deliver(message wire.StreamMessage[wire.WatchResponse]) error {
+	if message.Error != nil {
+		return fmt.Errorf("%w: %s", errWatchCanceled, message.Error.Message)
+	}
+	if message.Result == nil {
+		return fmt.Errorf("%w: message without result", errWatchCanceled)
+	}
+	response := message.Result
+	if response.CompactRevision != 0 {
+		return fmt.Errorf("%w: at %d", platform.ErrCompacted, response.CompactRevision)
+	}
+	if response.Canceled {
+		return fmt.Errorf("%w: %s", errWatchCanceled, response.CancelReason)
+	}
+	for start := 0; start < len(response.Events); {
+		end := endOfRevision(response.Events, start)
+		if err := w.deliverRevision(response.Events[start:end]); err != nil {
+			return err
+		}
+		start = end
+	}
+	return nil
+}
+
+func endOfRevision(events []wire.Event, start int) int {
+	end := start + 1
+	for end < len(events) && events[end].KeyValue.ModRevision == events[start].KeyValue.ModRevision {
+		end++
+	}
+	return end
+}
+
+func (w *watch) deliverRevision(encoded []wire.Event) error {
+	revision := int64(encoded[0].KeyValue.ModRevision)
+	if revision <= w.revision {
+		return fmt.Errorf("%w: %d after %d", errWatchOrder, revision, w.revision)
+	}
+	w.revision = revision
+	events := make([]platform.WatchEvent, 0, len(encoded))
+	for _, event := range encoded {
+		events = append(events, decodeEvent(event))
+	}
+	if w.isStopped() {
+		return context.Canceled
+	}
+	w.handler.Events(revision, events)
+	return nil
+}
+
+// boundedReader fails once it has read more than its limit since read was last
+// set to zero.
+type boundedReader struct {
+	reader io.Reader
+	limit  int64
+	read   int64
+}
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(buffer []byte) (int, error) {
+	if b.read >= b.limit {
+		return 0, errWatchTooLarge
+	}
+	n, err := b.reader.Read(buffer)
+	b.read += int64(n)
+	return n, err
+}
--- a/internal/standin/keyvalue/history.go
+++ b/internal/standin/keyvalue/history.go
@@ -54,3 +54,10 @@
 	defer s.mutex.Unlock()
 	s.history.compactTo(min(revision, s.revision))
 }
+
+// Compacted returns the newest revision whose changes are no longer kept.
+func (s *Store) Compacted() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.history.compacted
+}
--- a/internal/standin/keyvalue/store.go
+++ b/internal/standin/keyvalue/store.go
@@ -134,11 +134,15 @@
 	return platform.RangeResult{Revision: s.revision, KeyValues: s.keys.withPrefix(prefix)}
 }
 
-// Get reads one key.
-func (s *Store) Get(key string) (platform.KeyValue, bool) {
+// readKey reads one key.
+func (s *Store) readKey(key string) platform.RangeResult {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.keys.get(key)
+	result := platform.RangeResult{Revision: s.revision}
+	if keyValue, exists := s.keys.get(key); exists {
+		result.KeyValues = []platform.KeyValue{keyValue}
+	}
+	return result
 }
 
 // Close ends all watches and stops all timers. Leases expire no more.
