--- a/internal/claims/claims_suite_test.go
+++ b/internal/claims/claims_suite_test.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -17,6 +18,9 @@
 )
 
 func TestClaims(t *testing.T) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "claims")
 }
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -124,6 +124,28 @@
 		Expect(cluster.await("node-9", key, "b").Verdict).To(Equal(Denied))
 	})
 
+	It("grants a key once when all nodes race for it", func() {
+		for seed := range uint64(30) {
+			cluster := newTestCluster(seed, 5)
+			cluster.claimEverywhere(key, 0)
+			cluster.loop.RunFor(10 * time.Second)
+			Expect(cluster.runs[key]).To(Equal(1), "seed %d", seed)
+		}
+	})
+
+	It("does not repair a shard from less than a seal quorum", func() {
+		for seed := range uint64(20) {
+			cluster := newTestCluster(seed, 5)
+			Expect(cluster.await("node-0", key, "a").Verdict).To(Equal(Granted))
+			cluster.cutOffHolders(key)
+			cluster.loop.RunFor(20 * time.Second)
+			cluster.network.Cut = func(string, string) bool { return false }
+			for _, name := range cluster.names() {
+				Expect(cluster.await(name, key, "later-"+name).Verdict).NotTo(Equal(Granted), "seed %d", seed)
+			}
+		}
+	})
+
 	It("never grants a key twice, whatever happens", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			cluster := newTestCluster(rapid.Uint64().Draw(t, "seed"), 4)
@@ -145,7 +167,7 @@
 	for step := range rapid.IntRange(10, 40).Draw(t, "steps") {
 		names := cluster.names()
 		node := names[random.IntN(len(names))]
-		switch random.IntN(8) {
+		switch random.IntN(10) {
 		case 0:
 			if len(cluster.nodes) > 2 {
 				cluster.kill(node)
@@ -157,19 +179,46 @@
 			process := cluster.nodes[node].process
 			process.Pause()
 			cluster.loop.AfterFunc(20*time.Second, process.Resume)
+		case 4:
+			cut := names[random.IntN(len(names))]
+			cluster.network.Cut = func(from, to string) bool { return from == cut || to == cut }
+			cluster.loop.AfterFunc(15*time.Second, func() { cluster.network.Cut = func(string, string) bool { return false } })
 		case 3:
 			cluster.store.SetFaults(keyvalue.Faults{LostReplies: random.Float64(), Outage: random.IntN(3) == 0})
-		case 4:
+		case 5:
 			cluster.store.SetFaults(keyvalue.Faults{})
 		default:
 			key := Key{Tenant: "alpha", Value: fmt.Sprint(random.IntN(4))}
-			cluster.claim(node, key, fmt.Sprintf("%s-%d", node, step), 4*time.Second, func(Result) {})
+			cluster.claimEverywhere(key, step)
 		}
 		cluster.loop.RunFor(time.Duration(random.IntN(6000)) * time.Millisecond)
 	}
 	cluster.loop.RunFor(time.Minute)
 }
 
+// cutOffHolders leaves one acceptor of the key's shard reachable and makes it
+// seem that another has left, so that the others try a repair.
+func (c *testCluster) cutOffHolders(key Key) {
+	shard := shardOf(key, 4)
+	configuration, _ := c.nodes["node-0"].set.configurations.get(shard)
+	hidden := map[string]bool{configuration.Acceptors[0].Name: true, configuration.Acceptors[1].Name: true}
+	c.network.Cut = func(from, to string) bool { return hidden[from] || hidden[to] }
+	all := c.members
+	c.forget(configuration.Acceptors[0].Name)
+	c.loop.AfterFunc(19*time.Second, func() { c.members = all })
+}
+
+// claimEverywhere lets all nodes race for a key within a few milliseconds.
+func (c *testCluster) claimEverywhere(key Key, step int) {
+	for _, name := range c.names() {
+		process := c.nodes[name].process
+		delay := time.Duration(c.loop.Random().IntN(3000)) * time.Microsecond
+		process.AfterFunc(delay, func() {
+			c.claim(name, key, fmt.Sprintf("%s-%d", name, step), 4*time.Second, func(Result) {})
+		})
+	}
+}
+
 func (c *testCluster) names() []string {
 	var names []string
 	for _, member := range c.members {
