--- a/internal/claims/claims_suite_test.go
+++ b/internal/claims/claims_suite_test.go
@@ -18,8 +18,10 @@
 )
 
 func TestClaims(t *testing.T) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		t.Fatal(err)
+	for _, setting := range [][2]string{{"rapid.seed", "1"}, {"rapid.nofailfile", "true"}} {
+		if err := flag.Set(setting[0], setting[1]); err != nil {
+			t.Fatal(err)
+		}
 	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "claims")
