--- /dev/null
+++ b/internal/applier/demand.go
@@ -0,0 +1,161 @@
+package applier
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/directory"
+	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/planner"
+	"github.com/hatchplank/hatchplank/internal/table"
+)
+
+// gatewayEntry is what one gateway reported.
+type gatewayEntry struct {
+	id, address string
+	sequence    uint64
+	seenAt      time.Time
+	// demands in order of row.
+	demands []rowDemand
+	// told is when the gateway was last told the endpoints of a model.
+	told map[string]time.Time
+	// interest is when the gateway last had demand for a model.
+	interest map[string]time.Time
+}
+
+type rowDemand struct {
+	directory.Demand
+	receivedAt time.Time
+}
+
+// receiveDemand takes a report in and answers it with the endpoints of the
+// models asked for.
+func (o *Owner) receiveDemand(report directory.DemandReport) (directory.EndpointUpdate, error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.ended {
+		return directory.EndpointUpdate{}, errNotOwner
+	}
+	now := o.config.Clock.Now()
+	gateway := o.gateway(report.Gateway)
+	current := report.Sequence > gateway.sequence
+	if current {
+		gateway.sequence = report.Sequence
+		gateway.address = report.PeerAddress
+		gateway.seenAt = now
+	}
+	models := make([]string, 0, len(report.Demands))
+	for _, demand := range report.Demands {
+		model := o.baseOf(demand.Row)
+		models = append(models, model)
+		gateway.interest[model] = now
+		if !current {
+			continue
+		}
+		gateway.take(demand, now)
+		o.noteArrivals(demand, model, now)
+		if demand.Waiting > 0 && !o.serves(model) {
+			o.wakeLocked()
+		}
+		o.dirty = o.dirty || demand.Waiting > 0
+	}
+	slices.Sort(models)
+	return o.updateFor(gateway, slices.Compact(models), now), nil
+}
+
+func (o *Owner) gateway(id string) *gatewayEntry {
+	at, found := slices.BinarySearchFunc(o.gateways, id, func(entry *gatewayEntry, id string) int {
+		return cmp.Compare(entry.id, id)
+	})
+	if !found {
+		entry := &gatewayEntry{id: id, told: map[string]time.Time{}, interest: map[string]time.Time{}}
+		o.gateways = slices.Insert(o.gateways, at, entry)
+	}
+	return o.gateways[at]
+}
+
+func (g *gatewayEntry) take(demand directory.Demand, now time.Time) {
+	at, found := slices.BinarySearchFunc(g.demands, demand.Row, func(entry rowDemand, row string) int {
+		return cmp.Compare(entry.Row, row)
+	})
+	if !found {
+		g.demands = slices.Insert(g.demands, at, rowDemand{})
+	}
+	g.demands[at] = rowDemand{Demand: demand, receivedAt: now}
+}
+
+func (o *Owner) noteArrivals(demand directory.Demand, model string, now time.Time) {
+	if demand.Arrivals == 0 && demand.Waiting == 0 {
+		return
+	}
+	o.lastArrivals[demand.Row] = now
+	o.lastArrivals[model] = now
+}
+
+// baseOf returns the base model of a row.
+func (o *Owner) baseOf(name string) string {
+	row, known := o.config.Table.Row(name)
+	if known && row.Kind == table.KindAdapter {
+		return row.Base
+	}
+	return name
+}
+
+// serves reports whether a replica of the model is ready to be called.
+func (o *Owner) serves(model string) bool {
+	for _, server := range o.servers {
+		if entry := server.replica(model); entry != nil && o.callable(server, entry) && entry.drain == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// expireDemand drops demand that was not reported again.
+func (o *Owner) expireDemand(now time.Time) {
+	for _, gateway := range o.gateways {
+		gateway.demands = slices.DeleteFunc(gateway.demands, func(demand rowDemand) bool {
+			return now.Sub(demand.receivedAt) > o.config.Intervals.DemandExpiry
+		})
+	}
+}
+
+// forgetGateways drops gateways that are silent and no members any more.
+func (o *Owner) forgetGateways(now time.Time, members []membership.Member) {
+	o.gateways = slices.DeleteFunc(o.gateways, func(gateway *gatewayEntry) bool {
+		if now.Sub(gateway.seenAt) < o.config.Intervals.ForgetGateway {
+			return false
+		}
+		return !slices.ContainsFunc(members, func(member membership.Member) bool { return member.ID() == gateway.id })
+	})
+}
+
+// demandByRow sums the gateways' demand up.
+func (o *Owner) demandByRow() map[string]planner.Demand {
+	demands := make(map[string]planner.Demand, len(o.lastArrivals))
+	for _, gateway := range o.gateways {
+		for i := range gateway.demands {
+			reported := &gateway.demands[i]
+			demands[reported.Row] = addDemand(demands[reported.Row], &reported.Demand)
+		}
+	}
+	return demands
+}
+
+func addDemand(sum planner.Demand, reported *directory.Demand) planner.Demand {
+	sum.Running += reported.Running
+	sum.ArrivalsPerSecond += reported.ArrivalsPerSecond
+	if reported.Waiting == 0 {
+		return sum
+	}
+	sum.Waiting += reported.Waiting
+	sum.HighestPriority = max(sum.HighestPriority, reported.HighestPriority)
+	if sum.OldestWait.IsZero() || reported.OldestWait.Before(sum.OldestWait) {
+		sum.OldestWait = reported.OldestWait
+	}
+	if sum.EarliestDeadline.IsZero() || reported.EarliestDeadline.Before(sum.EarliestDeadline) {
+		sum.EarliestDeadline = reported.EarliestDeadline
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/applier/drain.go
@@ -0,0 +1,152 @@
+package applier
+
+import (
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// drain takes a replica or adapter out of service before its unload.
+type drain struct {
+	reason string
+	// forRow needs the room.
+	forRow string
+	since  time.Time
+	// sequence: updates above it tell of the drain.
+	sequence uint64
+	// waiting gateways have not acknowledged yet.
+	waiting map[string]bool
+	// quietSince is when the last gateway acknowledged, or the drain delay
+	// passed; zero before.
+	quietSince time.Time
+	// ordered: the unload was sent.
+	ordered bool
+}
+
+// newDrain begins a drain that all gateways which know the model acknowledge.
+func (o *Owner) newDrain(model, reason, forRow string, now time.Time) *drain {
+	started := &drain{reason: reason, forRow: forRow, since: now, sequence: o.updateSequence, waiting: map[string]bool{}}
+	for _, gateway := range o.gateways {
+		if _, told := gateway.told[model]; told {
+			started.waiting[gateway.id] = true
+		}
+	}
+	// Soon after a takeover, gateways that the owner before told of the model
+	// may not have reported here yet; then the whole delay passes.
+	known := now.Sub(o.acquiredAt) >= o.config.Intervals.Interest
+	if len(started.waiting) == 0 && known {
+		started.quietSince = now
+	}
+	o.changed[model] = true
+	return started
+}
+
+// acknowledge notes that a gateway has an update of the model.
+func (o *Owner) acknowledge(gateway, model string, sequence uint64) {
+	now := o.config.Clock.Now()
+	for _, server := range o.servers {
+		entry := server.replica(model)
+		if entry == nil {
+			continue
+		}
+		entry.drain.acknowledge(gateway, sequence, now)
+		for _, adapter := range entry.adapters {
+			adapter.drain.acknowledge(gateway, sequence, now)
+		}
+	}
+}
+
+func (d *drain) acknowledge(gateway string, sequence uint64, now time.Time) {
+	if d == nil || sequence <= d.sequence || !d.waiting[gateway] {
+		return
+	}
+	delete(d.waiting, gateway)
+	if len(d.waiting) == 0 && d.quietSince.IsZero() {
+		d.quietSince = now
+	}
+}
+
+// reorder notes an engine's phase after all orders were settled: an unload that
+// was sent and did not take effect is to be sent again.
+func (d *drain) reorder(phase platform.ReplicaPhase) {
+	if d != nil && phase != platform.ReplicaUnloading {
+		d.ordered = false
+	}
+}
+
+// finished reports whether no gateway sends new work any more and the engine,
+// asked late enough, has none left.
+func (d *drain) finished(now time.Time, intervals *Intervals, requestedAt time.Time, running int) bool {
+	if d.quietSince.IsZero() && now.Sub(d.since) >= intervals.DrainDelay {
+		d.quietSince = now
+	}
+	if d.quietSince.IsZero() || running > 0 {
+		return false
+	}
+	return !requestedAt.Before(d.quietSince.Add(intervals.DrainSettle))
+}
+
+// advanceDrains orders the unloads whose drains have finished.
+func (o *Owner) advanceDrains(now time.Time) {
+	for _, server := range o.servers {
+		if server.outstanding || !server.usable() {
+			continue
+		}
+		for _, entry := range server.replicas {
+			o.advanceReplica(now, server, entry)
+		}
+		o.releaseEarly(server)
+	}
+}
+
+func (o *Owner) advanceReplica(now time.Time, server *serverEntry, entry *replicaEntry) {
+	running := entry.Running + entry.Queued
+	if entry.drain != nil {
+		if !entry.drain.ordered && o.mayUnload(now, server, entry.drain, entry.Phase, running) {
+			o.orderUnload(server, entry)
+		}
+		return
+	}
+	for _, adapter := range entry.adapters {
+		if adapter.drain == nil || adapter.drain.ordered || !o.mayUnload(now, server, adapter.drain, adapter.Phase, running) {
+			continue
+		}
+		adapter.drain.ordered = true
+		server.commands = append(server.commands, platform.Command{
+			Kind: platform.CommandUnloadAdapter, Model: entry.Model, Version: adapter.Version,
+			Adapter: adapter.Adapter, Slot: entry.Slot, Attempt: adapter.Attempt,
+		})
+	}
+}
+
+func (o *Owner) mayUnload(now time.Time, server *serverEntry, drain *drain, phase platform.ReplicaPhase, running int) bool {
+	switch {
+	case phase == platform.ReplicaUnloading:
+		return false
+	case phase == platform.ReplicaLoading, !o.config.Mechanisms.DrainBeforeUnload:
+		return true
+	}
+	return drain.finished(now, &o.config.Intervals, server.requestedAt, running)
+}
+
+func (o *Owner) orderUnload(server *serverEntry, entry *replicaEntry) {
+	entry.drain.ordered = true
+	server.commands = append(server.commands, platform.Command{
+		Kind: platform.CommandUnloadModel, Model: entry.Model, Version: entry.Version,
+		Slot: entry.Slot, Attempt: entry.Attempt,
+	})
+}
+
+// releaseEarly is what happens without the ReleaseSlotOnConfirmation mechanism.
+func (o *Owner) releaseEarly(server *serverEntry) {
+	if o.config.Mechanisms.ReleaseSlotOnConfirmation {
+		return
+	}
+	kept := server.replicas[:0]
+	for _, entry := range server.replicas {
+		if entry.drain == nil || !entry.drain.ordered {
+			kept = append(kept, entry)
+		}
+	}
+	server.replicas = kept
+}
--- a/internal/planner/desired.go
+++ b/internal/planner/desired.go
@@ -67,8 +67,9 @@
 	statistics := w.snapshot.Statistics.Row(w.snapshot.Rows[i].Name)
 	kept := 0
 	for k := range held {
-		lastNeeded := time.Time{}
-		if statistics != nil && k < len(statistics.Needed) {
+		// Without earlier use a replica's own age counts.
+		lastNeeded := w.rows[i].newestSince
+		if statistics != nil && k < len(statistics.Needed) && statistics.Needed[k].After(lastNeeded) {
 			lastNeeded = statistics.Needed[k]
 		}
 		idle := w.snapshot.Now.Sub(lastNeeded)
--- a/internal/planner/snapshot.go
+++ b/internal/planner/snapshot.go
@@ -61,8 +61,11 @@
 	// MaxBatch is how many requests run at once on one replica.
 	MaxBatch int
 	// Usable servers were adopted by this owner and answer.
-	Usable  bool
-	Leaving bool
+	Usable bool
+	// Unreachable servers have not answered for a while: what they hold counts
+	// as held, but not as serving.
+	Unreachable bool
+	Leaving     bool
 	// Replicas in order of model.
 	Replicas []Replica
 	// Cached checkpoints in order of name.
--- a/internal/planner/workspace.go
+++ b/internal/planner/workspace.go
@@ -44,15 +44,17 @@
 	outdated, outdatedReady int
 	// draining or unloading replicas.
 	ending int
-	// leaving replicas are on servers that go.
+	// leaving replicas are on servers that go or do not answer.
 	leaving int
 	// adapterMin is the largest minimum of the base model's adapters.
 	adapterMin int
 	desired    int
-	reason     Reason
-	readyAt    time.Time
-	refused    string
-	slots      map[platform.SlotID]bool
+	// newestSince is when a current replica last changed its phase.
+	newestSince time.Time
+	reason      Reason
+	readyAt     time.Time
+	refused     string
+	slots       map[platform.SlotID]bool
 }
 
 // serverWork is the memory of one server.
@@ -149,7 +151,7 @@
 	case replica.Draining || replica.Phase == platform.ReplicaUnloading:
 		row.ending++
 		return
-	case server.Leaving:
+	case server.Leaving || server.Unreachable:
 		row.leaving++
 		return
 	case replica.Version != w.snapshot.Rows[at].Version:
@@ -160,6 +162,9 @@
 		return
 	}
 	row.current++
+	if replica.Since.After(row.newestSince) {
+		row.newestSince = replica.Since
+	}
 	if ready {
 		row.ready++
 	} else {
