Add gateway, router and directory in their simple form

Cause: requests need one owner from admission to the final answer, a choice of endpoint, and a cache of endpoints that outlives its source.

Change: internal/directory caches endpoints per cell and reports demand; internal/router filters, scores and picks; internal/gateway admits, queues, claims, dispatches, retries and answers exactly once.

--- /dev/null
+++ b/internal/gateway/fakes_test.go
@@ -0,0 +1,284 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/claims"
+	"github.com/hatchplank/hatchplank/internal/directory"
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/router"
+	"github.com/hatchplank/hatchplank/internal/simulation"
+	"github.com/hatchplank/hatchplank/internal/table"
+)
+
+// fakeTable is a table that tests edit in place.
+type fakeTable struct {
+	rows     map[string]table.Row
+	revision table.Revision
+}
+
+func (t *fakeTable) Row(name string) (table.Row, bool) {
+	row, known := t.rows[name]
+	return row, known
+}
+func (t *fakeTable) Rows() []table.Row        { return nil }
+func (t *fakeTable) Revision() table.Revision { return t.revision }
+
+// fakeDirectory holds snapshots that tests set, and records calls.
+type fakeDirectory struct {
+	snapshots map[string]*directory.Snapshot
+	wanted    []string
+	rejected  []platform.ServerID
+	leaving   []platform.ServerID
+	onReject  func(model string)
+}
+
+func (d *fakeDirectory) Snapshot(name string) *directory.Snapshot { return d.snapshots[name] }
+func (d *fakeDirectory) Want(row string)                          { d.wanted = append(d.wanted, row) }
+
+func (d *fakeDirectory) MarkLeaving(server platform.ServerID) { d.leaving = append(d.leaving, server) }
+
+func (d *fakeDirectory) Reject(model string, server platform.ServerID, _ platform.SlotID) {
+	d.rejected = append(d.rejected, server)
+	old := d.snapshots[model]
+	kept := &directory.Snapshot{Group: model}
+	for _, endpoint := range old.Endpoints {
+		if endpoint.Server != server {
+			kept.Endpoints = append(kept.Endpoints, endpoint)
+		}
+	}
+	d.snapshots[model] = kept
+	d.onReject(model)
+}
+
+// set replaces a group's endpoints by servers with the batch.
+func (d *fakeDirectory) set(group string, batch int, servers ...string) {
+	snapshot := &directory.Snapshot{Group: group}
+	for _, server := range servers {
+		snapshot.Endpoints = append(snapshot.Endpoints, directory.Endpoint{
+			Server: platform.ServerID(server), Model: group, Version: "1", MaxBatch: batch,
+		})
+	}
+	d.snapshots[group] = snapshot
+}
+
+// engineCall is one attempt that reached the fake engine.
+type engineCall struct {
+	request   platform.GenerateRequest
+	sink      platform.GenerateSink
+	cancelled bool
+}
+
+// chunks sends chunks of the request's stream.
+func (c *engineCall) chunks(from, to int) {
+	for index := from; index < to; index++ {
+		c.sink.Chunk(platform.Chunk{Attempt: c.request.Attempt, Index: index, Text: strconv.Itoa(index), Tokens: 1})
+	}
+}
+
+func (c *engineCall) end(chunks int) {
+	c.sink.End(platform.GenerateEnd{Attempt: c.request.Attempt, Chunks: chunks, FinishReason: "stop"})
+}
+
+func (c *engineCall) fail(ran result.Ran, reason string) {
+	c.sink.Failed(&platform.AttemptError{Attempt: c.request.Attempt, Ran: ran, Reason: reason})
+}
+
+// fakeEngines hands each attempt to serve, a virtual millisecond later.
+type fakeEngines struct {
+	platform.EngineService
+	loop  *simulation.Loop
+	calls []*engineCall
+	serve func(call *engineCall)
+}
+
+func (f *fakeEngines) Generate(request platform.GenerateRequest, sink platform.GenerateSink) func() {
+	call := &engineCall{request: request, sink: sink}
+	f.calls = append(f.calls, call)
+	f.loop.AfterFunc(time.Millisecond, func() { f.serve(call) })
+	return func() { call.cancelled = true }
+}
+
+// fakeBackEnds answers calls by serve, a virtual millisecond later.
+type fakeBackEnds struct {
+	loop  *simulation.Loop
+	calls []platform.BackEndRequest
+	serve func(request platform.BackEndRequest, done func(platform.BackEndResponse, error))
+}
+
+func (f *fakeBackEnds) Call(request platform.BackEndRequest, done func(platform.BackEndResponse, error)) {
+	f.calls = append(f.calls, request)
+	f.loop.AfterFunc(time.Millisecond, func() { f.serve(request, done) })
+}
+
+func respond(request platform.BackEndRequest, done func(platform.BackEndResponse, error)) {
+	done(platform.BackEndResponse{Attempt: request.Attempt, Status: 200, Body: []byte("seat 7")}, nil)
+}
+
+// fakeClaims keeps claims in one map.
+type fakeClaims struct {
+	loop     *simulation.Loop
+	delay    time.Duration
+	down     bool
+	held     map[claims.Key]*fakeClaim
+	released int
+}
+
+type fakeClaim struct {
+	attempt platform.AttemptID
+	digest  uint64
+	outcome *claims.Outcome
+}
+
+func (f *fakeClaims) Claim(key claims.Key, attempt platform.AttemptID, digest uint64, _ time.Time, done func(claims.Result)) {
+	f.loop.AfterFunc(f.delay, func() { done(f.decide(key, attempt, digest)) })
+}
+
+func (f *fakeClaims) decide(key claims.Key, attempt platform.AttemptID, digest uint64) claims.Result {
+	held := f.held[key]
+	switch {
+	case f.down:
+		return claims.Result{Verdict: claims.Unavailable}
+	case held == nil:
+		f.held[key] = &fakeClaim{attempt: attempt, digest: digest}
+		return claims.Result{Verdict: claims.Granted}
+	case held.digest != digest:
+		return claims.Result{Verdict: claims.Conflict}
+	default:
+		return claims.Result{Verdict: claims.Denied, Holder: held.attempt, Outcome: held.outcome}
+	}
+}
+
+func (f *fakeClaims) Record(key claims.Key, attempt platform.AttemptID, outcome claims.Outcome) {
+	if held := f.held[key]; held != nil && held.attempt == attempt {
+		held.outcome = &outcome
+	}
+}
+
+func (f *fakeClaims) Release(key claims.Key, attempt platform.AttemptID) {
+	if held := f.held[key]; held != nil && held.attempt == attempt {
+		delete(f.held, key)
+		f.released++
+	}
+}
+
+// caller records what its responder was told.
+type caller struct {
+	chunks   []platform.Chunk
+	answer   *Answer
+	refusal  *result.Refusal
+	finals   int
+	finalAt  time.Time
+	clock    *simulation.Loop
+	finalled func()
+}
+
+func (c *caller) Chunk(chunk platform.Chunk) {
+	if c.finals > 0 {
+		c.finals += 100
+	}
+	c.chunks = append(c.chunks, chunk)
+}
+
+func (c *caller) Finish(answer Answer) {
+	c.answer = &answer
+	c.final()
+}
+
+func (c *caller) Refuse(refusal result.Refusal) {
+	c.refusal = &refusal
+	c.final()
+}
+
+func (c *caller) final() {
+	c.finals++
+	c.finalAt = c.clock.Now()
+	if c.finalled != nil {
+		c.finalled()
+	}
+}
+
+func (c *caller) code() result.Code {
+	if c.refusal == nil {
+		return result.OK
+	}
+	return c.refusal.Code
+}
+
+// bench is a gateway among fakes.
+type bench struct {
+	loop      *simulation.Loop
+	table     *fakeTable
+	directory *fakeDirectory
+	pools     *fakeDirectory
+	engines   *fakeEngines
+	backEnds  *fakeBackEnds
+	claims    *fakeClaims
+	gateway   *Gateway
+	requests  int
+}
+
+const (
+	testModel = "glossa-small"
+	testPool  = "eggrafi"
+)
+
+func newBench(seed uint64, limits Limits) *bench {
+	loop := simulation.NewLoop(seed)
+	b := &bench{
+		loop: loop,
+		table: &fakeTable{revision: 1, rows: map[string]table.Row{
+			testModel: {Name: testModel, Kind: table.KindModel, Version: "1", Weight: 1, MaxReplicas: 2, TimeLimit: time.Minute, Repeatable: true},
+			"tone":    {Name: "tone", Kind: table.KindAdapter, Base: testModel, Weight: 1, MaxReplicas: 2, TimeLimit: time.Minute, Repeatable: true},
+		}},
+		directory: &fakeDirectory{snapshots: map[string]*directory.Snapshot{}},
+		pools:     &fakeDirectory{snapshots: map[string]*directory.Snapshot{}},
+		engines:   &fakeEngines{loop: loop},
+		backEnds:  &fakeBackEnds{loop: loop, serve: respond},
+		claims:    &fakeClaims{loop: loop, delay: 2 * time.Millisecond, held: map[claims.Key]*fakeClaim{}},
+	}
+	b.engines.serve = func(call *engineCall) {
+		call.chunks(call.request.ResumeFrom, 3)
+		call.end(3)
+	}
+	random := func() *rand.Rand { return loop.Fork() }
+	b.gateway = New(Config{
+		Clock: loop, Random: random(), Node: "node-1#a", Table: b.table, Logger: zerolog.Nop(), Limits: limits,
+		Directory: b.directory, Engines: b.engines, Claims: b.claims, Pools: b.pools, BackEnds: b.backEnds,
+		Router:     router.New(router.Config{Clock: loop, Random: random(), Source: b.directory, Slack: 1}),
+		PoolRouter: router.New(router.Config{Clock: loop, Random: random(), Source: b.pools, Slack: 1}),
+	})
+	b.directory.onReject = b.gateway.EndpointsChanged
+	return b
+}
+
+func (b *bench) warm(batch int, servers ...string) {
+	b.directory.set(testModel, batch, servers...)
+	b.gateway.EndpointsChanged(testModel)
+}
+
+func (b *bench) generation(limit time.Duration) Request {
+	b.requests++
+	now := b.loop.Now()
+	return Request{
+		ID: fmt.Sprintf("r%d", b.requests), Tenant: "alpha", Model: testModel, Path: "/v1/completions", Body: []byte("{}"),
+		Priority: 5, Accepted: now, Deadline: now.Add(limit), Repeatable: true,
+	}
+}
+
+func (b *bench) poolRequest(limit time.Duration, key string) Request {
+	request := b.generation(limit)
+	request.Model, request.Pool, request.Key, request.Repeatable = "", testPool, key, false
+	return request
+}
+
+func (b *bench) submit(request Request) (*caller, func()) {
+	c := &caller{clock: b.loop}
+	return c, b.gateway.Submit(request, c)
+}
--- /dev/null
+++ b/internal/gateway/recording.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/gob"
+	"net/http"
+
+	"github.com/hatchplank/hatchplank/internal/claims"
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// generationContentType marks a recorded generation.
+const generationContentType = "application/x-hatchplank-generation"
+
+// recording keeps the text of an answer for replay, up to a limit.
+type recording struct {
+	text      []byte
+	tokens    int
+	truncated bool
+}
+
+func (r *recording) add(chunk platform.Chunk, limit int) {
+	if r.truncated || len(r.text)+len(chunk.Text) > limit {
+		r.truncated = true
+		r.text = nil
+		return
+	}
+	r.text = append(r.text, chunk.Text...)
+	r.tokens += chunk.Tokens
+}
+
+// recordedGeneration is the recorded form of a generation's answer.
+type recordedGeneration struct {
+	Text   string
+	Tokens int
+	End    platform.GenerateEnd
+}
+
+// recordStream records the complete answer of a generation.
+func (s *shard) recordStream(e *entry, end platform.GenerateEnd) {
+	recorded := &e.stream.recorded
+	outcome := claims.Outcome{Status: http.StatusOK, ContentType: generationContentType, Truncated: recorded.truncated}
+	if !recorded.truncated {
+		var body bytes.Buffer
+		generation := recordedGeneration{Text: string(recorded.text), Tokens: recorded.tokens, End: end}
+		outcome.Truncated = gob.NewEncoder(&body).Encode(generation) != nil
+		outcome.Body = body.Bytes()
+	}
+	s.gateway.config.Claims.Record(e.claimKey(), e.claim.attempt, outcome)
+}
+
+// recordResponse records the answer of a back end.
+func (s *shard) recordResponse(e *entry, response platform.BackEndResponse) {
+	outcome := claims.Outcome{
+		Status:      response.Status,
+		ContentType: response.ContentType,
+		Body:        response.Body,
+		Truncated:   len(response.Body) > s.gateway.config.Limits.RecordedBytes,
+	}
+	if outcome.Truncated {
+		outcome.Body = nil
+	}
+	s.gateway.config.Claims.Record(e.claimKey(), e.claim.attempt, outcome)
+}
+
+// replay gives a recorded answer, a generation's text as one chunk.
+func (s *shard) replay(e *entry, outcome claims.Outcome, turn *turn) {
+	if outcome.ContentType != generationContentType {
+		response := platform.BackEndResponse{Status: outcome.Status, ContentType: outcome.ContentType, Body: outcome.Body}
+		s.finish(e, Answer{Response: response, Replayed: true}, turn)
+		return
+	}
+	var generation recordedGeneration
+	if gob.NewDecoder(bytes.NewReader(outcome.Body)).Decode(&generation) != nil {
+		s.refuseTruncated(e, turn)
+		return
+	}
+	e.post(turn, delivery{chunk: platform.Chunk{
+		Attempt: generation.End.Attempt,
+		Text:    generation.Text,
+		Tokens:  generation.Tokens,
+	}})
+	generation.End.Chunks = 1
+	s.finish(e, Answer{End: generation.End, Replayed: true}, turn)
+}
--- /dev/null
+++ b/internal/router/done.go
@@ -0,0 +1,65 @@
+package router
+
+import (
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// Outcome of an attempt, as far as the endpoint's health is concerned.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Succeeded: the endpoint answered.
+	Succeeded Outcome = iota
+	// Busy: the endpoint refused for want of room; it rests for a moment.
+	Busy
+	// Failed: the endpoint failed or could not be reached.
+	Failed
+	// Neutral says nothing about the endpoint (cancelled, never sent).
+	Neutral
+)
+
+// Done gives a place back, exactly once, and learns from the outcome. A nil
+// hint teaches nothing about load.
+func (r *Router) Done(place Place, outcome Outcome, hint *platform.LoadHint) {
+	if place.target == nil {
+		return
+	}
+	now := r.config.Clock.Now()
+	shard := r.shardOf(place.Group)
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	target := place.target
+	target.inFlight--
+	if hint != nil {
+		target.learn(hint.Running+hint.Queued, target.inFlight, now)
+	}
+	target.settle(outcome, now, shard)
+}
+
+func (t *target) settle(outcome Outcome, now time.Time, shard *shard) {
+	switch outcome {
+	case Succeeded:
+		t.breaker.succeed()
+	case Busy:
+		t.breaker.rest(now, jitter(shard.random, busyRest))
+	case Failed:
+		t.breaker.fail(now, shard.random)
+	case Neutral:
+		t.breaker.probing = false
+	}
+}
+
+// Alive tells that the endpoint has begun to answer, so that a probe of the
+// circuit breaker need not wait for a long answer's end.
+func (r *Router) Alive(place Place) {
+	if place.target == nil {
+		return
+	}
+	shard := r.shardOf(place.Group)
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	place.target.breaker.succeed()
+}
--- /dev/null
+++ b/internal/router/filter_adapter.go
@@ -0,0 +1,15 @@
+package router
+
+import "slices"
+
+// AdapterFilter keeps endpoints on which the request's adapter is ready.
+type AdapterFilter struct{}
+
+// Keep implements Filter.
+func (AdapterFilter) Keep(candidate *Candidate, request *Request) bool {
+	if request.Adapter == "" {
+		return true
+	}
+	_, ready := slices.BinarySearch(candidate.Endpoint.Adapters, request.Adapter)
+	return ready
+}
