Add the peer transport over TCP

Nodes need typed calls between each other. One connection to each peer carries length-prefixed gob messages; frames, queues, pending calls and handshakes are bounded; both sides prove the cluster's secret. Tests cover garbage, oversized frames, lost connections and replies out of order.

--- /dev/null
+++ b/internal/peer/tcp/bad_peer_test.go
@@ -0,0 +1,102 @@
+package tcp
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/onsi/gomega/gbytes"
+	"github.com/rs/zerolog"
+)
+
+// frameOf puts a length before the bytes.
+func frameOf(content []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(content))), content...)
+}
+
+// wellFormed returns the frame of an envelope on a new gob stream.
+func wellFormed(message envelope) []byte {
+	frame, err := newEncoder(DefaultMaxFrameBytes).encode(&message)
+	Expect(err).NotTo(HaveOccurred())
+	return bytes.Clone(frame)
+}
+
+var _ = Describe("A bad peer", func() {
+	DescribeTable("has its connection closed and logged, and others are served on",
+		func(secret string, send func() []byte) {
+			config := testConfig()
+			log := gbytes.NewBuffer()
+			config.Logger = zerolog.New(log)
+			server := startTransport(config, echo)
+			conn, err := net.Dial("tcp", server.Address())
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			if secret != "" {
+				// The proof of a wrong secret fails at the other side.
+				_ = dialHandshake(conn, []byte(secret), "peer")
+			}
+			if send != nil {
+				_, _ = conn.Write(send())
+			}
+			_, _ = io.Copy(io.Discard, conn)
+			Eventually(log, longTimeout).Should(gbytes.Say(`"code":5004,"reason":"bad_peer_message"`))
+			Expect(server.Statistics().BadPeers).To(BeEquivalentTo(1))
+
+			client := startTransport(testConfig(), nil)
+			Eventually(ask(client, server.Address(), question{Number: 3}, longTimeout), longTimeout).
+				Should(Receive(Equal(ended{message: answer{Number: 3}})))
+		},
+		Entry("that speaks HTTP", "", func() []byte { return []byte("GET / HTTP/1.1\r\nHost: peer\r\n\r\n") }),
+		Entry("with a wrong proof", "", func() []byte { return append([]byte(magic), make([]byte, 100)...) }),
+		Entry("with another secret", "other", nil),
+		Entry("with a frame over the limit", testSecret, func() []byte { return []byte{0xff, 0xff, 0xff, 0xff} }),
+		Entry("with an empty frame", testSecret, func() []byte { return make([]byte, lengthBytes) }),
+		Entry("with garbage in a frame", testSecret, func() []byte { return frameOf([]byte(strings.Repeat("garbage ", 100))) }),
+		Entry("with a gob length beyond the frame", testSecret, func() []byte { return frameOf([]byte{0xfc, 0x3f, 0xff, 0xff, 0xff, 1}) }),
+		Entry("with bytes after the message", testSecret, func() []byte {
+			frame := wellFormed(envelope{Kind: envelopeCall, ID: 1, Message: question{}})
+			return frameOf(append(frame[lengthBytes:], 0))
+		}),
+		Entry("with a reply nobody asked for", testSecret, func() []byte {
+			return wellFormed(envelope{Kind: envelopeReply, ID: 1, Message: answer{}})
+		}),
+		Entry("with a call without message", testSecret, func() []byte { return wellFormed(envelope{Kind: envelopeCall, ID: 1}) }),
+		Entry("with an unknown kind", testSecret, func() []byte { return wellFormed(envelope{Kind: 9, Message: question{}}) }),
+	)
+
+	It("is not sent anything when it does not know the secret", func() {
+		config := testConfig()
+		config.Secret = []byte("other")
+		impostor := startTransport(config, echo)
+		client := startTransport(testConfig(), nil)
+		var end ended
+		Eventually(ask(client, impostor.Address(), question{}, longTimeout), longTimeout).Should(Receive(&end))
+		Expect(end.err).To(HaveOccurred())
+		Expect(impostor.Statistics().MessagesReceived).To(BeZero())
+	})
+
+	It("can't hold more than the allowed handshakes", func() {
+		config := testConfig()
+		config.MaxHandshakes = 2
+		server := startTransport(config, echo)
+		for range 5 {
+			conn, err := net.Dial("tcp", server.Address())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+		}
+		Eventually(func() uint64 { return server.Statistics().RefusedConnections }, longTimeout).Should(BeEquivalentTo(3))
+	})
+
+	It("costs no more memory than it sends", func() {
+		var buffer bytes.Buffer
+		claim := binary.BigEndian.AppendUint32(nil, DefaultMaxFrameBytes)
+		err := readFrame(bytes.NewReader(append(claim, "short"...)), &buffer, DefaultMaxFrameBytes)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(buffer.Cap()).To(BeNumerically("<=", 4096))
+	})
+})
--- /dev/null
+++ b/internal/peer/tcp/session.go
@@ -0,0 +1,92 @@
+package tcp
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/result"
+)
+
+// connectionBufferBytes is the size of each connection's two buffers.
+const connectionBufferBytes = 4 << 10
+
+// session is one connection after its handshake. One goroutine writes, another
+// reads.
+type session struct {
+	transport *Transport
+	conn      net.Conn
+	writer    *bufio.Writer
+	encoder   *encoder
+	decoder   *decoder
+}
+
+func newSession(transport *Transport, conn net.Conn) *session {
+	limit := transport.config.MaxFrameBytes
+	return &session{
+		transport: transport,
+		conn:      conn,
+		writer:    bufio.NewWriterSize(conn, connectionBufferBytes),
+		encoder:   newEncoder(limit),
+		decoder:   newDecoder(bufio.NewReaderSize(conn, connectionBufferBytes), limit),
+	}
+}
+
+func (s *session) close() { _ = s.conn.Close() }
+
+// write buffers one message. After an error the session must be closed.
+func (s *session) write(message *envelope) error {
+	frame, err := s.encoder.encode(message)
+	if err != nil {
+		s.transport.config.Logger.Error().Err(err).Type("message", message.Message).
+			Str("peer", s.conn.RemoteAddr().String()).Msg("message not sent, connection closed")
+		return err
+	}
+	s.transport.statistics.messagesSent.Add(1)
+	s.transport.statistics.bytesSent.Add(uint64(len(frame)))
+	s.setWriteDeadline()
+	_, err = s.writer.Write(frame)
+	return err
+}
+
+func (s *session) flush() bool {
+	s.setWriteDeadline()
+	return s.writer.Flush() == nil
+}
+
+func (s *session) setWriteDeadline() {
+	// An error shows at the write that follows.
+	_ = s.conn.SetWriteDeadline(time.Now().Add(s.transport.config.WriteTimeout))
+}
+
+// readLoop gives each message to receive until the connection ends. A bad
+// message ends it.
+func (s *session) readLoop(receive func(envelope) error) {
+	defer s.close()
+	for {
+		message, size, err := s.decoder.decode()
+		if err == nil {
+			s.transport.statistics.messagesReceived.Add(1)
+			s.transport.statistics.bytesReceived.Add(uint64(size))
+			err = receive(message)
+		}
+		if errors.Is(err, errBadFrame) {
+			s.transport.complain(s.conn, err)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// complain counts and logs a peer that does not keep to the protocol.
+func (t *Transport) complain(conn net.Conn, err error) {
+	t.statistics.badPeers.Add(1)
+	if !t.complaints.Allow() {
+		return
+	}
+	t.config.Logger.Warn().Err(err).Int("code", int(result.BadPeerMessage)).
+		Str("reason", result.BadPeerMessage.Name()).
+		Str("peer", conn.RemoteAddr().String()).Msg("peer connection closed")
+}
