Serve and reach model engines over HTTP

Cause: nodes reach engines by the OpenAI interface, orders and reports as JSON. Measured: go test -race ./internal/platform/contract passes. Conclusion: HTTP and simulated bindings keep the same contract.

--- a/internal/platform/contract/backend.go
+++ b/internal/platform/contract/backend.go
@@ -150,6 +150,16 @@
 			ginkgo.Entry(nil, BackEndDead, result.RanNo, "connection", 0),
 		)
 
+		ginkgo.It("does not repeat a request without a body when the connection breaks", func() {
+			gomega.Expect(fixture.call(fixture.request(0)).err).NotTo(gomega.HaveOccurred())
+			fixture.SetFault(BackEndLosesAnswer)
+			request := fixture.request(1)
+			request.Method = http.MethodGet
+			request.Body = nil
+			expectFailure(fixture.call(request).err, request.Attempt, result.RanUnknown, "connection")
+			gomega.Expect(fixture.Runs(request.Key)).To(gomega.Equal(1))
+		})
+
 		ginkgo.It("never runs an attempt twice, nor one that it reports as not run", func() {
 			fixture.SetFault(BackEndUnreliable)
 			for number := range 100 {
--- a/internal/platform/httpapi/body.go
+++ b/internal/platform/httpapi/body.go
@@ -10,9 +10,9 @@
 // streamField is the OpenAI field that asks for a stream.
 const streamField = "stream"
 
-// streamingBody returns the body with "stream" set to true. A body that asks
+// StreamingBody returns a caller's JSON body with "stream" set to true. A body that asks
 // for a stream already is returned unchanged.
-func streamingBody(body []byte) ([]byte, error) {
+func StreamingBody(body []byte) ([]byte, error) {
 	wish := struct {
 		Stream bool `json:"stream"`
 	}{}
--- a/internal/platform/httpapi/engines.go
+++ b/internal/platform/httpapi/engines.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -51,6 +52,26 @@
 	}()
 }
 
+// postCancel reports whether the engine knew the attempt and cancels it.
+func (e *Engines) postCancel(server platform.ServerID, attempt platform.AttemptID) bool {
+	address, known := e.lookup(server)
+	if !known {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), e.options.CancelTimeout)
+	defer cancel()
+	request, err := newJSONRequest(ctx, http.MethodPost, "http://"+address+PathCancel, AttemptReference{Attempt: attempt})
+	if err != nil {
+		return false
+	}
+	response, err := e.control.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusNoContent
+}
+
 func (e *Engines) exchange(server platform.ServerID, timeout time.Duration, method, path string, content, result any) (bool, error) {
 	address, known := e.lookup(server)
 	if !known {
--- a/internal/platform/httpapi/frame.go
+++ b/internal/platform/httpapi/frame.go
@@ -14,7 +14,7 @@
 	errTruncated     = errors.New("stream ended before it was complete")
 	errFrameTooLarge = errors.New("frame too large")
 	errBadFrame      = errors.New("frame is not a chunk")
-	errMissingChunk  = errors.New("chunk missing or repeated")
+	errMissingChunk  = errors.New("chunk missing")
 	errIdleStream    = errors.New("stream idle for too long")
 )
 
--- a/internal/platform/httpapi/generate.go
+++ b/internal/platform/httpapi/generate.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/platform"
@@ -28,8 +29,8 @@
 	cancel  context.CancelCauseFunc
 }
 
-// Generate implements platform.EngineService. Cancel closes the connection,
-// which makes the engine stop.
+// Generate implements platform.EngineService. Cancel asks the engine to cancel
+// and waits for its word on the attempt; without one, it closes the connection.
 func (e *Engines) Generate(request platform.GenerateRequest, sink platform.GenerateSink) (cancel func()) {
 	ctx, cancelCause := context.WithCancelCause(context.Background())
 	current := &generation{
@@ -38,7 +39,23 @@
 		ctx:     ctx, cancel: cancelCause,
 	}
 	go current.run()
-	return func() { cancelCause(errCancelled) }
+	var once sync.Once
+	return func() { once.Do(func() { go current.cancelAtEngine() }) }
+}
+
+// cancelAtEngine asks the engine to cancel the attempt. The stream then ends
+// with the engine's word; if the engine does not know the attempt, or the word
+// does not come, the connection is closed.
+func (g *generation) cancelAtEngine() {
+	if g.ctx.Err() != nil {
+		return
+	}
+	if !g.engines.postCancel(g.request.Server, g.attempt.id) {
+		g.cancel(errCancelled)
+		return
+	}
+	timer := time.AfterFunc(g.engines.options.CancelTimeout, func() { g.cancel(errCancelled) })
+	context.AfterFunc(g.ctx, func() { timer.Stop() })
 }
 
 func (g *generation) run() {
@@ -98,7 +115,7 @@
 	if !g.engines.options.StreamInBody {
 		return g.request.Body, nil
 	}
-	return streamingBody(g.request.Body)
+	return StreamingBody(g.request.Body)
 }
 
 // judge returns the failure that a response stands for, or nil.
@@ -195,7 +212,10 @@
 	if len(frame.Choices) != 1 {
 		return errBadFrame
 	}
-	if s.end != nil || frame.Index != s.next {
+	if frame.Index < s.next {
+		return nil
+	}
+	if s.end != nil || frame.Index > s.next {
 		return errMissingChunk
 	}
 	s.next++
--- a/internal/platform/httpapi/options.go
+++ b/internal/platform/httpapi/options.go
@@ -16,6 +16,9 @@
 	// IdleStreamTimeout ends a stream that sends nothing for so long after its
 	// first frame. Before that, the deadline alone counts.
 	IdleStreamTimeout time.Duration
+	// CancelTimeout is how long a cancelled generation waits for the engine's
+	// word on it before its connection is closed.
+	CancelTimeout time.Duration
 	// IdleConnectionTimeout closes pooled connections. It must be shorter than
 	// the servers' own.
 	IdleConnectionTimeout time.Duration
@@ -34,6 +37,7 @@
 const (
 	DefaultDialTimeout              = time.Second
 	DefaultIdleStreamTimeout        = 10 * time.Second
+	DefaultCancelTimeout            = time.Second
 	DefaultIdleConnectionTimeout    = 60 * time.Second
 	DefaultIdleConnectionsPerServer = 256
 	DefaultMaxFrameBytes            = 64 << 10
@@ -43,6 +47,7 @@
 func (o Options) withDefaults() Options {
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
 	setDefault(&o.IdleStreamTimeout, DefaultIdleStreamTimeout)
+	setDefault(&o.CancelTimeout, DefaultCancelTimeout)
 	setDefault(&o.IdleConnectionTimeout, DefaultIdleConnectionTimeout)
 	setDefault(&o.IdleConnectionsPerServer, DefaultIdleConnectionsPerServer)
 	setDefault(&o.MaxFrameBytes, DefaultMaxFrameBytes)
--- a/internal/platform/httpapi/wire.go
+++ b/internal/platform/httpapi/wire.go
@@ -74,6 +74,12 @@
 	Load   platform.LoadHint `json:"load"`
 }
 
+// AttemptReference names an attempt, as the body of a POST to PathCancel or
+// PathCacheExport.
+type AttemptReference struct {
+	Attempt platform.AttemptID `json:"attempt"`
+}
+
 // StreamFrame is the data of one frame of a generated stream: a chunk object of
 // the OpenAI interface with a few additional fields. Exactly one of Text and
 // Delta is used in a choice, depending on the path.
