--- a/internal/api/collect.go
+++ b/internal/api/collect.go
@@ -39,7 +39,7 @@
 	c.text = append(c.text, chunk.Text...)
 	if len(c.text) > c.limit {
 		refusal := result.Refuse(result.BackEndFailed, "the answer exceeds %d bytes; ask for a stream", c.limit)
-		refusal.Ran = result.RanYes
+		refusal.Ran = result.RanUnknown
 		c.end(ending{refusal: &refusal})
 	}
 }
--- a/internal/api/config.go
+++ b/internal/api/config.go
@@ -66,7 +66,9 @@
 	TotalBodyBytes int64
 	// AnswerBytes of one answer that is collected before it is sent.
 	AnswerBytes int
-	// StreamBufferBytes waiting for one caller to read its stream.
+	// StreamBufferBytes waiting for one caller to read its stream. Pieces come
+	// in bursts, so it should hold thousands of them; an event has about 200
+	// bytes.
 	StreamBufferBytes int
 	// WriteTimeout is how long one write to a caller may take.
 	WriteTimeout time.Duration
@@ -85,7 +87,7 @@
 		BodyBytes:         4 << 20,
 		TotalBodyBytes:    512 << 20,
 		AnswerBytes:       8 << 20,
-		StreamBufferBytes: 256 << 10,
+		StreamBufferBytes: 1 << 20,
 		WriteTimeout:      10 * time.Second,
 		BodyTimeout:       30 * time.Second,
 		DefaultTimeLimit:  2 * time.Minute,
--- a/internal/api/generate.go
+++ b/internal/api/generate.go
@@ -149,7 +149,7 @@
 		}
 		next := r.responder.take(empty, r.arm)
 		if next.overflow {
-			r.call.outcome = result.CallerTooSlow
+			r.giveUp()
 			return false
 		}
 		r.countChunks(next.chunks)
@@ -164,6 +164,18 @@
 	}
 }
 
+// giveUp ends a stream whose buffer is full. Once the headers are out, the
+// missing end of the body tells the caller that the answer is not complete.
+func (r *streamRelay) giveUp() {
+	refusal := result.Refuse(result.CallerTooSlow, "more of the answer waited to be read than the node keeps")
+	refusal.Ran = result.RanUnknown
+	r.call.outcome = refusal.Code
+	if !r.call.committed {
+		r.api.extendWrite(r.call)
+		r.call.refuse(refusal)
+	}
+}
+
 // arm sets the write deadline, not more often than needed.
 func (r *streamRelay) arm() {
 	now := time.Now()
--- a/internal/api/pass_through.go
+++ b/internal/api/pass_through.go
@@ -110,7 +110,7 @@
 	response := answer.Response
 	if !isFinalStatus(response.Status) {
 		refusal := result.Refuse(result.BackEndFailed, "the back end answered with status %d", response.Status)
-		refusal.Ran = result.RanYes
+		refusal.Ran = result.RanUnknown
 		c.refuse(refusal)
 		return
 	}
