--- /dev/null
+++ b/internal/settings/derived.go
@@ -0,0 +1,58 @@
+package settings
+
+import (
+	"github.com/hatchplank/hatchplank/internal/auth"
+	"github.com/hatchplank/hatchplank/internal/cells"
+)
+
+// defaultCell is the cell of a deployment that names none.
+const defaultCell = "all"
+
+// Layout returns the division into cells; without cells in the file, one cell
+// holds all engine pools.
+func (s Settings) Layout() cells.Layout {
+	if len(s.Cells) == 0 {
+		return cells.Layout{Cells: []cells.Cell{{Name: defaultCell, Pools: s.Pools.Engines}}}
+	}
+	layout := cells.Layout{Cells: make([]cells.Cell, len(s.Cells))}
+	for index, cell := range s.Cells {
+		layout.Cells[index] = cells.Cell{Name: cell.Name, Region: cell.Region, Pools: cell.Pools, Zones: cell.Zones}
+	}
+	return layout
+}
+
+// TenantNames returns the tenants' names in the order of the file.
+func (s Settings) TenantNames() []string {
+	names := make([]string, len(s.Tenants))
+	for index, tenant := range s.Tenants {
+		names[index] = tenant.Name
+	}
+	return names
+}
+
+// TenantWeights returns the tenants' weights by name.
+func (s Settings) TenantWeights() map[string]int {
+	weights := make(map[string]int, len(s.Tenants))
+	for _, tenant := range s.Tenants {
+		weights[tenant.Name] = tenant.Weight
+	}
+	return weights
+}
+
+// Credentials returns all tokens as the keyring takes them.
+func (s Settings) Credentials() ([]auth.Credential, error) {
+	var credentials []auth.Credential
+	for _, tenant := range s.Tenants {
+		for _, token := range tenant.Tokens {
+			role, err := auth.ParseRole(token.Role)
+			if err != nil {
+				return nil, err
+			}
+			credentials = append(credentials, auth.Credential{SHA256: token.SHA256, Tenant: tenant.Name, Role: role})
+		}
+	}
+	for _, token := range s.Administrators {
+		credentials = append(credentials, auth.Credential{SHA256: token.SHA256, Role: auth.RoleAdmin})
+	}
+	return credentials, nil
+}
