Keep the table in the key-value service and bring it to all nodes

Operators edit the table concurrently, replies get lost, and every node must act on an accepted revision within seconds, also while the service is out.

--- /dev/null
+++ b/internal/tablestore/watch.go
@@ -0,0 +1,98 @@
+package tablestore
+
+import (
+	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// watchRankKey is the rendezvous key by which a zone's watchers are chosen.
+const watchRankKey = "table/watchers"
+
+// SetMembers takes the live members; subscribe it to the Registry. The first
+// members of the zone in rendezvous order watch the key-value service.
+func (s *Store) SetMembers(members []membership.Member) {
+	self := s.Members.Self()
+	var zone, zonePeers, remotePeers []membership.Member
+	for _, member := range members {
+		switch {
+		case member.Zone != self.Zone:
+			remotePeers = append(remotePeers, member)
+		case member.Name == self.Name:
+			zone = append(zone, member)
+		default:
+			zone = append(zone, member)
+			zonePeers = append(zonePeers, member)
+		}
+	}
+	watching := isAmongFirst(membership.Rank(watchRankKey, zone), self, s.options.WatchersPerZone)
+	s.mutex.Lock()
+	s.zonePeers, s.remotePeers = zonePeers, remotePeers
+	changed := watching != s.watching && !s.stopped
+	s.watching = watching
+	s.mutex.Unlock()
+	switch {
+	case changed && watching:
+		s.watcher.Start()
+	case changed:
+		s.watcher.Stop()
+	}
+}
+
+func isAmongFirst(ranked []membership.Member, self membership.Member, count int) bool {
+	for _, member := range ranked[:min(count, len(ranked))] {
+		if member.Name == self.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// headWatch follows the head in the key-value service.
+type headWatch struct{ store *Store }
+
+// Reading implements keywatch.Handler.
+func (w headWatch) Reading(reading platform.RangeResult) {
+	head, exists := findKey(reading.KeyValues, headKey)
+	if !exists {
+		w.store.replica.setLoaded()
+		return
+	}
+	w.follow(head)
+}
+
+// Changes implements keywatch.Handler.
+func (w headWatch) Changes(events []platform.WatchEvent) {
+	for _, event := range events {
+		if !event.Deleted && event.KeyValue.Key == headKey {
+			w.follow(event.KeyValue)
+		}
+	}
+}
+
+// Interrupted implements keywatch.Handler.
+func (headWatch) Interrupted(error) {}
+
+func (w headWatch) follow(keyValue platform.KeyValue) {
+	head, err := decodeRecord[headRecord](keyValue.Value)
+	if err != nil {
+		w.store.Log.Error().Err(err).Msg("unreadable table head")
+		return
+	}
+	if !head.DeltaOmitted {
+		w.store.take([]LogEntry{head.Entry})
+	}
+	if w.store.Revision() < head.Entry.Revision {
+		w.store.catchUp.to(head.Entry.Revision, func(error) {})
+		return
+	}
+	w.store.replica.setLoaded()
+}
+
+func findKey(keyValues []platform.KeyValue, key string) (platform.KeyValue, bool) {
+	for _, keyValue := range keyValues {
+		if keyValue.Key == key {
+			return keyValue, true
+		}
+	}
+	return platform.KeyValue{}, false
+}
