Test the cell owner against simulated engines

Fault cases: lost replies, orders delayed past a takeover, a paused owner, restarts, unreachable and vanished servers, a key-value outage. Limits are checked from the engines' record.

--- /dev/null
+++ b/internal/applier/applier_test.go
@@ -0,0 +1,254 @@
+package applier_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/applier"
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/standin/engine"
+	"github.com/hatchplank/hatchplank/internal/table"
+)
+
+func TestApplier(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "applier")
+}
+
+var _ = Describe("Owner", func() {
+	It("loads what requests wait for and tells the gateway", func() {
+		c := newCluster(1, 2, []table.Row{row("a", 1, 20*gigabyte), row("b", 2, 20*gigabyte)}, nil)
+		c.acquire(0)
+		c.loop.RunFor(time.Second)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(30 * time.Second)
+		Expect(c.ready("a")).To(HaveLen(1))
+		Expect(c.ready("b")).To(BeEmpty())
+		Expect(c.gateway.known["a"].Endpoints).To(HaveLen(1))
+		Expect(c.gateway.known["a"].Endpoints[0].Draining).To(BeFalse())
+		Expect(c.audit.violations).To(BeEmpty())
+	})
+
+	It("loads a base model together with its adapter", func() {
+		style := row("style", 1, gigabyte)
+		style.Kind, style.Base = table.KindAdapter, "a"
+		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte), style}, nil)
+		c.acquire(0)
+		c.loop.RunFor(time.Second)
+		c.gateway.want("style", 1)
+		c.loop.RunFor(30 * time.Second)
+		Expect(c.gateway.known["a"].Endpoints).To(HaveLen(1))
+		Expect(c.gateway.known["a"].Endpoints[0].Adapters).To(Equal([]string{"style"}))
+	})
+
+	It("makes room for a waiting row by unloading an idle one", func() {
+		c := newCluster(1, 1, []table.Row{row("a", 1, 30*gigabyte), row("b", 1, 30*gigabyte)}, nil)
+		c.acquire(0)
+		c.loop.RunFor(time.Second)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(60 * time.Second)
+		Expect(c.ready("a")).To(HaveLen(1))
+		c.gateway.want("a", 0)
+		c.loop.RunFor(6 * time.Second)
+		c.gateway.want("b", 1)
+		c.loop.RunFor(60 * time.Second)
+		Expect(c.ready("a")).To(BeEmpty())
+		Expect(c.ready("b")).To(HaveLen(1))
+		Expect(c.audit.violations).To(BeEmpty())
+	})
+
+	It("replaces a replica on a leaving server and drains the old one at once", func() {
+		c := newCluster(1, 2, []table.Row{row("a", 2, 20*gigabyte)}, nil)
+		c.acquire(0)
+		c.loop.RunFor(time.Second)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(30 * time.Second)
+		old := c.ready("a")[0]
+		c.leave(old)
+		c.loop.RunFor(300 * time.Millisecond)
+		Expect(c.gateway.known["a"].Endpoints[0].Draining).To(BeTrue())
+		c.loop.RunFor(30 * time.Second)
+		Expect(c.ready("a")).To(HaveLen(1))
+		Expect(c.ready("a")[0]).NotTo(Equal(old))
+		Expect(c.audit.violations).To(BeEmpty())
+	})
+
+	It("keeps a replica whose requests run until these have ended", func() {
+		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte)}, nil)
+		c.acquire(0)
+		c.loop.RunFor(time.Second)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(30 * time.Second)
+		sink := &countingSink{}
+		body := []byte(`{"model":"a","max_tokens":3000,"messages":[{"role":"user","content":"write"}]}`)
+		c.fleet.Client(c.gateway.process).Generate(platform.GenerateRequest{
+			Server: "lm-0", Attempt: "one", RequestID: "one", Model: "a", Path: "/v1/chat/completions", Body: body,
+			Deadline: c.loop.Now().Add(5 * time.Minute),
+		}, sink)
+		c.gateway.want("a", 0)
+		c.leave("lm-0")
+		c.loop.RunFor(7 * time.Second)
+		Expect(sink.ended+sink.failed).To(BeZero(), "the request has to outlast the drain delay")
+		Expect(c.ready("a")).To(HaveLen(1))
+		c.loop.RunFor(3 * time.Minute)
+		Expect(sink.ended).To(Equal(1))
+		Expect(c.ready("a")).To(BeEmpty())
+		Expect(c.audit.violations).To(BeEmpty())
+	})
+
+	It("takes over what the owner before had loaded", func() {
+		c := newCluster(1, 2, []table.Row{row("a", 1, 20*gigabyte)}, nil)
+		c.acquire(0)
+		c.loop.RunFor(time.Second)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(30 * time.Second)
+		before := c.ready("a")
+		released := false
+		c.nodes[0].manager.Release(cellName, func() { released = true })
+		c.loop.RunFor(time.Second)
+		Expect(released).To(BeTrue())
+		c.nodes[0].manager.Lost(cellName)
+		c.acquire(1)
+		c.loop.RunFor(5 * time.Second)
+		Expect(c.ready("a")).To(Equal(before))
+		Expect(c.nodes[0].manager.Status()).To(BeEmpty())
+		status := c.nodes[1].manager.Status()[0]
+		Expect(status.Unheard).To(BeZero())
+		Expect(c.gateway.known["a"].Endpoints).To(HaveLen(1))
+	})
+
+	It("backs off after a failed load and tries again", func() {
+		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte)}, nil)
+		c.fleet.Host("lm-0").Engine.SetFaults(engine.Faults{LoadFailure: 1})
+		c.acquire(0)
+		c.loop.RunFor(time.Second)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(30 * time.Second)
+		attempts := c.loadsStarted()
+		Expect(attempts).To(BeNumerically(">", 1))
+		Expect(attempts).To(BeNumerically("<", 10))
+		c.fleet.Host("lm-0").Engine.SetFaults(engine.Faults{})
+		c.loop.RunFor(60 * time.Second)
+		Expect(c.ready("a")).To(HaveLen(1))
+	})
+
+	It("plans nothing before a table was read", func() {
+		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte)}, nil)
+		c.acquire(0)
+		c.loop.RunFor(time.Second)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(30 * time.Second)
+		c.nodes[0].manager.Lost(cellName)
+		rows := c.rows
+		c.rows, c.revision = nil, 0
+		c.acquire(1)
+		c.loop.RunFor(30 * time.Second)
+		Expect(c.ready("a")).To(HaveLen(1))
+		c.rows, c.revision = rows, 2
+		c.loop.RunFor(time.Second)
+		Expect(c.ready("a")).To(HaveLen(1))
+	})
+})
+
+var _ = DescribeTable("Faults", func(run func(c *cluster), change func(*applier.Config)) {
+	c := newCluster(7, 3, []table.Row{row("a", 1, 30*gigabyte), row("b", 2, 30*gigabyte)}, change)
+	c.acquire(0)
+	c.loop.RunFor(time.Second)
+	run(c)
+	Expect(c.audit.violations).To(BeEmpty())
+	c.loop.RunFor(2 * time.Minute)
+	Expect(c.audit.violations).To(BeEmpty())
+	Expect(c.ready("a")).To(HaveLen(1), "a is served in the end")
+},
+	Entry("the reply to a load is lost", func(c *cluster) {
+		for _, machine := range c.machines {
+			c.fleet.Host(machine.Server).Engine.SetFaults(engine.Faults{LoseOrderReply: 1})
+		}
+		c.gateway.want("a", 1)
+		c.loop.RunFor(10 * time.Second)
+		for _, machine := range c.machines {
+			c.fleet.Host(machine.Server).Engine.SetFaults(engine.Faults{})
+		}
+	}, nil),
+	Entry("an order is delayed past the takeover", func(c *cluster) {
+		for _, machine := range c.machines {
+			c.late["node-0>"+string(machine.Server)] = 20 * time.Second
+		}
+		c.gateway.want("a", 1)
+		c.loop.RunFor(time.Second)
+		c.acquire(1)
+		c.loop.RunFor(40 * time.Second)
+	}, nil),
+	Entry("a paused owner resumes after the takeover", func(c *cluster) {
+		c.gateway.want("b", 1)
+		c.loop.RunFor(50 * time.Millisecond)
+		c.nodes[0].process.Pause()
+		c.acquire(1)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(5 * time.Second)
+		c.nodes[0].process.Resume()
+		c.gateway.owner = "node-0"
+		c.gateway.report()
+		c.loop.RunFor(5 * time.Second)
+		c.gateway.owner = "node-1"
+	}, nil),
+	Entry("an engine restarts in the middle of a load", func(c *cluster) {
+		c.gateway.want("a", 1)
+		c.loop.RunFor(2 * time.Second)
+		for _, machine := range c.machines {
+			c.fleet.Host(machine.Server).Restart(true)
+		}
+	}, nil),
+	Entry("an engine restarts under a paused owner and its successor", func(c *cluster) {
+		c.nodes[0].process.Pause()
+		c.acquire(1)
+		c.loop.RunFor(time.Second)
+		for _, machine := range c.machines {
+			c.fleet.Host(machine.Server).Restart(true)
+		}
+		c.nodes[0].process.Resume()
+		c.gateway.want("a", 1)
+		c.gateway.owner = "node-0"
+		c.gateway.want("a", 1)
+		c.loop.RunFor(5 * time.Second)
+		c.gateway.owner = "node-1"
+	}, nil),
+	Entry("an adopted server can't be reached", func(c *cluster) {
+		c.gateway.want("a", 1)
+		c.loop.RunFor(20 * time.Second)
+		holder := string(c.ready("a")[0])
+		c.cut["node-1>"+holder] = true
+		c.acquire(1)
+		c.loop.RunFor(30 * time.Second)
+		Expect(c.nodes[1].manager.Status()[0].Unheard).To(Equal(1))
+		c.cut = map[string]bool{}
+	}, nil),
+	Entry("a machine vanishes and the list lags", func(c *cluster) {
+		c.gateway.want("a", 1)
+		c.loop.RunFor(20 * time.Second)
+		holder := c.ready("a")[0]
+		c.reclaim(holder)
+		c.loop.RunFor(20 * time.Second)
+		c.delist(holder)
+	}, nil),
+	Entry("epochs can't be confirmed during a key-value outage", func(c *cluster) {
+		c.keyValueDown = true
+		c.fleet.Host("lm-0").Restart(true)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(time.Minute)
+		Expect(c.ready("a")).To(HaveLen(1), "servers adopted before are used")
+		c.keyValueDown = false
+	}, nil),
+)
+
+// countingSink counts how attempts end.
+type countingSink struct{ ended, failed int }
+
+func (s *countingSink) Chunk(platform.Chunk) {}
+
+func (s *countingSink) End(platform.GenerateEnd) { s.ended++ }
+
+func (s *countingSink) Failed(*platform.AttemptError) { s.failed++ }
--- /dev/null
+++ b/internal/applier/cluster_test.go
@@ -0,0 +1,327 @@
+package applier_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/applier"
+	"github.com/hatchplank/hatchplank/internal/cells"
+	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/directory"
+	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/peer"
+	"github.com/hatchplank/hatchplank/internal/planner"
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/simulation"
+	"github.com/hatchplank/hatchplank/internal/standin/engine"
+	"github.com/hatchplank/hatchplank/internal/standin/record"
+	"github.com/hatchplank/hatchplank/internal/table"
+)
+
+const (
+	gigabyte = 1_000_000_000
+	cellName = "glossa"
+)
+
+// cluster is one cell of simulated engines with nodes that may own it.
+type cluster struct {
+	loop    *simulation.Loop
+	network *simulation.Network
+	peers   *simulation.PeerNetwork
+	fleet   *engine.Fleet
+	log     *record.Log
+	audit   *audit
+	nodes   []*node
+	gateway *gateway
+
+	machines []platform.Machine
+	listing  platform.MachineListing
+	rows     []table.Row
+	revision table.Revision
+	epoch    uint64
+	// keyValueDown keeps epochs from being confirmed.
+	keyValueDown bool
+	// cut ways of the network, by "from>to".
+	cut map[string]bool
+	// late is a delay added to one way, by "from>to".
+	late map[string]time.Duration
+}
+
+// node is one hatchplank node with its manager.
+type node struct {
+	cluster *cluster
+	process *simulation.Process
+	manager *applier.Manager
+}
+
+func newCluster(seed uint64, servers int, rows []table.Row, change func(*applier.Config)) *cluster {
+	c := &cluster{
+		loop: simulation.NewLoop(seed), log: record.NewLog(), rows: rows, revision: 1,
+		cut: map[string]bool{}, late: map[string]time.Duration{},
+	}
+	c.network = simulation.NewNetwork(c.loop)
+	c.network.Cut = func(from, to string) bool { return c.cut[from+">"+to] }
+	c.network.ConditionsOf = func(from, to string) simulation.Conditions {
+		return simulation.Conditions{Delay: simulation.DefaultDelay + c.late[from+">"+to]}
+	}
+	c.peers = simulation.NewPeerNetwork(c.network)
+	c.fleet = engine.NewFleet(c.loop, c.network)
+	c.audit = newAudit(c)
+	c.log.Subscribe(c.audit.observe)
+	for i := range servers {
+		c.startServer(platform.ServerID(fmt.Sprintf("lm-%d", i)))
+	}
+	c.gateway = newGateway(c)
+	for i := range 2 {
+		c.nodes = append(c.nodes, c.newNode(fmt.Sprintf("node-%d", i), change))
+	}
+	return c
+}
+
+func (c *cluster) startServer(id platform.ServerID) {
+	c.fleet.Start(engine.Config{Server: id, MemoryBytes: 40 * gigabyte, Accelerators: 1, MaxBatch: 4, Record: c.log})
+	c.machines = append(c.machines, platform.Machine{
+		Server: id, Pool: cellName, Zone: "marousi", Phase: platform.MachineLive, Engine: true,
+	})
+	c.relist()
+}
+
+// relist makes the machine list show the machines as they are.
+func (c *cluster) relist() {
+	c.listing = platform.MachineListing{
+		Version: c.listing.Version + 1, Machines: append([]platform.Machine(nil), c.machines...),
+	}
+}
+
+// reclaim ends a machine; the list shows it until delist.
+func (c *cluster) reclaim(id platform.ServerID) { c.fleet.Host(id).Vanish() }
+
+func (c *cluster) delist(id platform.ServerID) {
+	for i := range c.machines {
+		if c.machines[i].Server == id {
+			c.machines = append(c.machines[:i:i], c.machines[i+1:]...)
+			break
+		}
+	}
+	c.relist()
+}
+
+func (c *cluster) leave(id platform.ServerID) {
+	for i := range c.machines {
+		if c.machines[i].Server == id {
+			c.machines[i].Phase = platform.MachineLeaving
+		}
+	}
+	c.relist()
+}
+
+func (c *cluster) edit(change func(rows []table.Row) []table.Row) {
+	c.rows = change(append([]table.Row(nil), c.rows...))
+	c.revision++
+}
+
+func (c *cluster) newNode(name string, change func(*applier.Config)) *node {
+	process := simulation.NewProcess(c.loop, name)
+	made := &node{cluster: c, process: process}
+	policy, err := planner.New(planner.PolicyHatchplank, planner.Parameters{ColdStartWeight: 0.5})
+	if err != nil {
+		panic(err)
+	}
+	config := applier.Config{
+		Clock: process, Random: c.loop.Fork(), Table: c, Engines: c.fleet.Client(process),
+		Layout:   cells.Layout{Cells: []cells.Cell{{Name: cellName, Pools: []string{cellName}}}},
+		Allot:    allotAll,
+		Machines: machines{c, process}, Transport: c.peers.Transport(process), Self: made,
+		Policy: policy, Confirmer: made, Logger: zerolog.Nop(), Mechanisms: applier.AllMechanisms(),
+	}
+	if change != nil {
+		change(&config)
+	}
+	made.manager = applier.NewManager(config)
+	clock.Repeat(process, 100*time.Millisecond, func() { made.manager.Tick(process.Now()) })
+	return made
+}
+
+func allotAll(cell string, row table.Row) cells.Allotment {
+	return cells.Allotment{Cell: cell, MinReplicas: row.MinReplicas, MaxReplicas: row.MaxReplicas}
+}
+
+// acquire gives the cell to a node at a new epoch, whatever others believe.
+func (c *cluster) acquire(i int) {
+	c.epoch++
+	epoch := c.epoch
+	c.nodes[i].process.Run(func() { c.nodes[i].manager.Acquired(cellName, epoch) })
+	c.gateway.owner = c.nodes[i].process.Name
+}
+
+// Row, Rows and Revision implement table.View.
+func (c *cluster) Row(name string) (table.Row, bool) {
+	for _, row := range c.rows {
+		if row.Name == name {
+			return row, true
+		}
+	}
+	return table.Row{}, false
+}
+
+func (c *cluster) Rows() []table.Row { return c.rows }
+
+func (c *cluster) Revision() table.Revision { return c.revision }
+
+// Self and Members implement membership.View.
+func (n *node) Self() membership.Member { return membership.Member{Name: n.process.Name} }
+
+func (n *node) Members() []membership.Member { return []membership.Member{n.Self()} }
+
+// Confirm implements applier.Confirmer: a linearizable read takes 2 ms.
+func (n *node) Confirm(_ string, epoch uint64, done func(bool, error)) {
+	n.cluster.loop.AfterFunc(time.Millisecond, func() {
+		current, down := epoch == n.cluster.epoch, n.cluster.keyValueDown
+		n.process.AfterFunc(time.Millisecond, func() {
+			if down {
+				done(false, platform.ErrNotApplied)
+				return
+			}
+			done(current, nil)
+		})
+	})
+}
+
+// machines reads the cluster's list without delay.
+type machines struct {
+	cluster *cluster
+	process *simulation.Process
+}
+
+func (m machines) Listing() (platform.MachineListing, time.Time) {
+	return m.cluster.listing, m.process.Now()
+}
+
+func (m machines) Subscribe(func(platform.MachineListing)) {}
+
+// gateway reports demand every half second and keeps what it is told.
+type gateway struct {
+	cluster   *cluster
+	process   *simulation.Process
+	transport *simulation.PeerTransport
+	owner     string
+	sequence  uint64
+	waiting   map[string]int
+	known     map[string]directory.RowEndpoints
+}
+
+func newGateway(c *cluster) *gateway {
+	g := &gateway{
+		cluster: c, process: simulation.NewProcess(c.loop, "gateway"),
+		waiting: map[string]int{}, known: map[string]directory.RowEndpoints{},
+	}
+	g.transport = c.peers.Transport(g.process)
+	g.transport.Handle(directory.EndpointUpdate{}, func(_ string, message peer.Message, reply func(peer.Message, error)) {
+		g.take(message)
+		reply(nil, nil)
+	})
+	clock.Repeat(g.process, 500*time.Millisecond, g.report)
+	return g
+}
+
+func (g *gateway) take(message peer.Message) {
+	if update, ok := message.(directory.EndpointUpdate); ok {
+		for _, row := range update.Rows {
+			g.known[row.Model] = row
+		}
+	}
+}
+
+func (g *gateway) want(row string, requests int) {
+	g.waiting[row] = requests
+	g.report()
+}
+
+func (g *gateway) report() {
+	now := g.process.Now()
+	g.sequence++
+	report := directory.DemandReport{Cell: cellName, Gateway: "gateway", PeerAddress: "gateway", Sequence: g.sequence}
+	for _, row := range g.cluster.rows {
+		if requests := g.waiting[row.Name]; requests > 0 {
+			report.Demands = append(report.Demands, directory.Demand{
+				Row: row.Name, Waiting: requests, OldestWait: now, EarliestDeadline: now.Add(time.Minute),
+			})
+		}
+	}
+	if g.owner == "" || len(report.Demands) == 0 {
+		return
+	}
+	g.transport.Call(g.owner, report, time.Second, func(message peer.Message, _ error) { g.take(message) })
+}
+
+// audit checks the limits from the engines' record.
+type audit struct {
+	cluster    *cluster
+	holders    map[string]map[platform.ServerID]bool
+	violations []string
+}
+
+func newAudit(c *cluster) *audit {
+	return &audit{cluster: c, holders: map[string]map[platform.ServerID]bool{}}
+}
+
+func (a *audit) observe(event record.Event) {
+	switch event.Kind {
+	case record.KindLoadStarted:
+		a.loadStarted(event)
+	case record.KindLoadFailed, record.KindUnloadFinished:
+		delete(a.holders[event.Model], event.Server)
+	case record.KindProcessDied:
+		for _, holders := range a.holders {
+			delete(holders, event.Server)
+		}
+	case record.KindMemory:
+		if event.Overcommitted {
+			a.violations = append(a.violations, fmt.Sprintf("memory of %s: %d bytes", event.Server, event.UsedBytes))
+		}
+	case record.KindGenerationTruncated:
+		if event.Reason == "unloaded" {
+			a.violations = append(a.violations, "a request was cut off by an unload")
+		}
+	}
+}
+
+func (a *audit) loadStarted(event record.Event) {
+	if a.holders[event.Model] == nil {
+		a.holders[event.Model] = map[platform.ServerID]bool{}
+	}
+	a.holders[event.Model][event.Server] = true
+	row, _ := a.cluster.Row(event.Model)
+	if held := len(a.holders[event.Model]); held > row.MaxReplicas {
+		a.violations = append(a.violations, fmt.Sprintf("%d replicas of %s, allowed %d", held, event.Model, row.MaxReplicas))
+	}
+}
+
+// ready lists the servers on which a model can be called, by the engines.
+func (c *cluster) ready(model string) []platform.ServerID {
+	var servers []platform.ServerID
+	for _, machine := range c.machines {
+		state := c.fleet.Host(machine.Server).Engine.State(0)
+		if state == nil {
+			continue
+		}
+		for _, replica := range state.Replicas {
+			if replica.Model == model && replica.Phase == platform.ReplicaReady {
+				servers = append(servers, machine.Server)
+			}
+		}
+	}
+	return servers
+}
+
+func row(name string, maximum int, memory int64) table.Row {
+	return table.Row{
+		Name: name, Kind: table.KindModel, Version: "1", Tenant: "group-a", Weight: 1,
+		WeightBytes: memory / 2, MemoryBytes: memory, MaxReplicas: maximum,
+	}
+}
+
+// loadsStarted counts the loads that engines began.
+func (c *cluster) loadsStarted() int { return int(c.log.Count(record.KindLoadStarted)) }
