--- /dev/null
+++ b/internal/cells/digest.go
@@ -0,0 +1,26 @@
+package cells
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Digest returns a word that is equal for equal layouts, whatever order their
+// cells, pools and zones are written in.
+func (l Layout) Digest() string {
+	ordered := slices.Clone(l.Cells)
+	slices.SortFunc(ordered, func(a, b Cell) int { return strings.Compare(a.Name, b.Name) })
+	for index := range ordered {
+		ordered[index].Pools = slices.Sorted(slices.Values(ordered[index].Pools))
+		ordered[index].Zones = slices.Sorted(slices.Values(ordered[index].Zones))
+	}
+	text, err := json.Marshal(ordered)
+	if err != nil {
+		panic(err) // a struct of plain fields always encodes
+	}
+	return strconv.FormatUint(xxhash.Sum64(text), 16)
+}
