--- a/internal/standin/engine/fleet.go
+++ b/internal/standin/engine/fleet.go
@@ -5,6 +5,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/simulation"
+	"github.com/hatchplank/hatchplank/internal/standin/weights"
 )
 
 // DefaultResetDelay is how long after a process died its connections are reset
@@ -49,6 +50,9 @@
 		Process: simulation.NewProcess(f.loop, name),
 		stack:   simulation.NewProcess(f.loop, name),
 	}
+	if config.Remote != nil {
+		config.Remote = processFetcher{host: host, fetcher: config.Remote}
+	}
 	host.Engine = New(host.Process, f.loop.Fork(), config)
 	f.hosts[config.Server] = host
 	return host
@@ -93,3 +97,18 @@
 	h.Process = simulation.NewProcess(h.fleet.loop, h.stack.Name)
 	h.Engine.Restart(RestartOptions{Clock: h.Process, KeepDisk: keepDisk})
 }
+
+// processFetcher tells of the end of a fetch inside the engine's process, so
+// that a paused one learns of it later.
+type processFetcher struct {
+	host    *Host
+	fetcher weights.Fetcher
+}
+
+// Fetch implements weights.Fetcher.
+func (p processFetcher) Fetch(bytes int64, done func(error)) weights.Transfer {
+	process := p.host.Process
+	return p.fetcher.Fetch(bytes, func(err error) {
+		process.Run(func() { done(err) })
+	})
+}
