--- /dev/null
+++ b/internal/platform/etcd/etcd_suite_test.go
@@ -0,0 +1,66 @@
+package etcd_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/platform/etcd"
+	"github.com/rs/zerolog"
+)
+
+func TestETCD(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "etcd binding")
+}
+
+const (
+	longTimeout      = 30 * time.Second
+	maxResponseBytes = 4096
+)
+
+// serve starts a server and returns its URL.
+func serve(handler http.HandlerFunc) string {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.Close)
+	return server.URL
+}
+
+func newClient(endpoints ...string) *etcd.Client {
+	client, err := etcd.New(etcd.Config{
+		Endpoints:        endpoints,
+		Logger:           zerolog.Nop(),
+		MaxResponseBytes: maxResponseBytes,
+		WatchSilence:     50 * time.Millisecond,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(client.Close)
+	return client
+}
+
+// outcome is the end of a call.
+type outcome struct {
+	result platform.TransactionResult
+	err    error
+}
+
+func transact(client *etcd.Client, timeout time.Duration, transaction platform.Transaction) outcome {
+	ended := make(chan outcome, 2)
+	client.Transact(transaction, timeout, func(result platform.TransactionResult, err error) { ended <- outcome{result, err} })
+	var end outcome
+	Eventually(ended, longTimeout).Should(Receive(&end))
+	return end
+}
+
+func awaitError(call func(done func(error))) error {
+	ended := make(chan error, 2)
+	call(func(err error) { ended <- err })
+	var err error
+	Eventually(ended, longTimeout).Should(Receive(&err))
+	return err
+}
--- a/internal/platform/etcd/wire/wire.go
+++ b/internal/platform/etcd/wire/wire.go
@@ -65,7 +65,7 @@
 	Result      string `json:"result,omitempty"`
 	Target      string `json:"target,omitempty"`
 	Key         []byte `json:"key,omitempty"`
-	ModRevision Int64  `json:"mod_revision,omitempty"`
+	ModRevision Int64  `json:"mod_revision"`
 }
 
 // RequestOperation is one step of a transaction; exactly one field is set.
