--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -9,14 +9,18 @@
 const defaultCell = "all"
 
 // Layout returns the division into cells; without cells in the file, one cell
-// holds all engine pools.
+// holds all engine pools. A cell without pools takes engines of all pools.
 func (s Settings) Layout() cells.Layout {
 	if len(s.Cells) == 0 {
 		return cells.Layout{Cells: []cells.Cell{{Name: defaultCell, Pools: s.Pools.Engines}}}
 	}
 	layout := cells.Layout{Cells: make([]cells.Cell, len(s.Cells))}
 	for index, cell := range s.Cells {
-		layout.Cells[index] = cells.Cell{Name: cell.Name, Region: cell.Region, Pools: cell.Pools, Zones: cell.Zones}
+		pools := cell.Pools
+		if len(pools) == 0 {
+			pools = s.Pools.Engines
+		}
+		layout.Cells[index] = cells.Cell{Name: cell.Name, Region: cell.Region, Pools: pools, Zones: cell.Zones}
 	}
 	return layout
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -60,4 +60,4 @@
 	return true
 }
 
-func sortedKeys(values map[string]any) []string { return slices.Sorted(maps.Keys(values)) }
+func sortedKeys[T any](values map[string]T) []string { return slices.Sorted(maps.Keys(values)) }
