--- a/internal/api/fakes_test.go
+++ b/internal/api/fakes_test.go
@@ -119,7 +119,7 @@
 
 func startServer(config api.Config) *httptest.Server {
 	server := httptest.NewUnstartedServer(nil)
-	server.Config = api.NewServer(api.New(config))
+	server.Config = api.NewServer(api.New(config), config.Limits)
 	server.Start()
 	DeferCleanup(server.Close)
 	return server
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -12,30 +12,39 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
-	// hardHeaderBytes end a connection while its headers are being read; up to
-	// there, headers above Limits.HeaderBytes get a numbered error.
-	hardHeaderBytes = 64 << 10
+	// hardHeaderFactor times Limits.HeaderBytes end a connection while its
+	// headers are being read; up to there, larger headers get a numbered error.
+	hardHeaderFactor = 4
 )
 
 // NewServer returns a server with the limits that the interface needs. Bodies
 // and answers have deadlines of their own, set by the handlers.
-func NewServer(handler http.Handler) *http.Server {
+func NewServer(handler http.Handler, limits Limits) *http.Server {
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    hardHeaderBytes,
+		MaxHeaderBytes:    hardHeaderFactor * limits.withDefaults().HeaderBytes,
 	}
 }
 
-// Serve serves the handler on the listener until the context ends; requests in
-// progress then have the grace period to finish. With a TLS configuration the
-// listener speaks TLS.
-func Serve(ctx context.Context, listener net.Listener, handler http.Handler, tlsConfig *tls.Config, grace time.Duration) error {
-	server := NewServer(handler)
-	server.TLSConfig = tlsConfig
+// ServeOptions tell how to serve.
+type ServeOptions struct {
+	// TLS configuration; nil: plain HTTP.
+	TLS *tls.Config
+	// Grace that requests in progress have once the context has ended.
+	Grace  time.Duration
+	Limits Limits
+}
+
+// Serve serves the handler on the listener until the context ends and requests
+// in progress have finished. An error means that serving failed or that the
+// grace period cut off a request.
+func Serve(ctx context.Context, listener net.Listener, handler http.Handler, options ServeOptions) error {
+	server := NewServer(handler, options.Limits)
+	server.TLSConfig = options.TLS
 	stopped := make(chan error, 1)
-	release := context.AfterFunc(ctx, func() { stopped <- shutDown(server, grace) })
+	release := context.AfterFunc(ctx, func() { stopped <- shutDown(server, options.Grace) })
 	err := serveListener(server, listener)
 	if !errors.Is(err, http.ErrServerClosed) {
 		release()
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -21,3 +21,8 @@
 	zerolog.TimeFieldFormat = timeFormat
 	return zerolog.New(writer).Level(parsed).With().Timestamp().Str("node", node).Logger(), nil
 }
+
+// ConsoleWriter turns JSON lines into text for a person at a terminal.
+func ConsoleWriter(writer io.Writer) io.Writer {
+	return zerolog.ConsoleWriter{Out: writer, TimeFormat: timeFormat}
+}
