--- a/internal/platform/contract/machines_test.go
+++ b/internal/platform/contract/machines_test.go
@@ -29,7 +29,7 @@
 }
 
 func newHTTPMachineList() *contract.MachineListFixture {
-	list := machines.NewList(clock.System{}, nil, nil)
+	list := machines.NewList(clock.System{}, nil, machines.Hooks{})
 	listener := httptest.NewServer(machines.NewHandler(list))
 	service := httpapi.NewMachineList(listener.Listener.Addr().String(), httpapi.Options{})
 	ginkgo.DeferCleanup(func() {
@@ -44,7 +44,7 @@
 
 func newSimulatedMachineList() *contract.MachineListFixture {
 	loop := simulation.NewLoop(1)
-	list := machines.NewList(loop, nil, nil)
+	list := machines.NewList(loop, nil, machines.Hooks{})
 	client := simulation.NewProcess(loop, "client")
 	server := simulation.NewProcess(loop, "machine-list")
 	fixture := machineListFixture(list)
--- a/internal/platform/httpapi/frame.go
+++ b/internal/platform/httpapi/frame.go
@@ -7,6 +7,8 @@
 	"errors"
 	"io"
 	"sync"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 // The ways in which a stream can be broken.
@@ -27,7 +29,27 @@
 // data each. It reuses its buffers; readers come from a pool.
 type frameReader struct {
 	buffer *bufio.Reader
-	frame  StreamFrame
+	frame  receivedFrame
+}
+
+// receivedFrame is the part of a StreamFrame that a client uses. Leaving the
+// rest out saves allocations on the way of every token.
+type receivedFrame struct {
+	Choices []receivedChoice   `json:"choices"`
+	Usage   *StreamUsage       `json:"usage"`
+	Index   int                `json:"chunk_index"`
+	Tokens  int                `json:"chunk_tokens"`
+	Chunks  *int               `json:"chunk_count"`
+	Load    *platform.LoadHint `json:"load"`
+	Problem *Problem           `json:"problem"`
+}
+
+type receivedChoice struct {
+	Text  string `json:"text"`
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
 }
 
 // framePools holds the idle readers by their buffer size.
@@ -54,7 +76,7 @@
 
 // next returns the next frame, or nil when the done marker was read. The frame
 // is valid until the next call.
-func (r *frameReader) next() (*StreamFrame, error) {
+func (r *frameReader) next() (*receivedFrame, error) {
 	data, err := r.nextData()
 	if err != nil {
 		return nil, err
@@ -92,5 +114,5 @@
 func (r *frameReader) clear() {
 	choices := r.frame.Choices[:cap(r.frame.Choices)]
 	clear(choices)
-	r.frame = StreamFrame{Choices: choices[:0]}
+	r.frame = receivedFrame{Choices: choices[:0]}
 }
--- a/internal/platform/httpapi/generate.go
+++ b/internal/platform/httpapi/generate.go
@@ -194,7 +194,7 @@
 }
 
 // accept takes the next frame; nil is the done marker.
-func (s *streamState) accept(frame *StreamFrame) error {
+func (s *streamState) accept(frame *receivedFrame) error {
 	switch {
 	case frame == nil:
 		return s.acceptDone()
@@ -208,7 +208,7 @@
 	}
 }
 
-func (s *streamState) acceptChunk(frame *StreamFrame) error {
+func (s *streamState) acceptChunk(frame *receivedFrame) error {
 	if len(frame.Choices) != 1 {
 		return errBadFrame
 	}
@@ -230,7 +230,7 @@
 	return nil
 }
 
-func (s *streamState) acceptEnd(frame *StreamFrame) error {
+func (s *streamState) acceptEnd(frame *receivedFrame) error {
 	if s.end != nil || *frame.Chunks != s.next {
 		return errMissingChunk
 	}
--- /dev/null
+++ b/internal/platform/httpapi/httpapi_test.go
@@ -0,0 +1,171 @@
+package httpapi_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/result"
+)
+
+func TestHTTPAPI(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "HTTP clients")
+}
+
+// collector is a sink that keeps what it is given.
+type collector struct {
+	texts []string
+	end   *platform.GenerateEnd
+	err   *platform.AttemptError
+	ended sync.WaitGroup
+}
+
+func (c *collector) Chunk(chunk platform.Chunk) { c.texts = append(c.texts, chunk.Text) }
+
+func (c *collector) End(end platform.GenerateEnd) {
+	c.end = &end
+	c.ended.Done()
+}
+
+func (c *collector) Failed(err *platform.AttemptError) {
+	c.err = err
+	c.ended.Done()
+}
+
+// generate runs an attempt against a handler.
+func generate(handler http.HandlerFunc, options httpapi.Options) *collector {
+	listener := httptest.NewServer(handler)
+	defer listener.Close()
+	client := httpapi.NewEngines(func(platform.ServerID) (string, bool) {
+		return listener.Listener.Addr().String(), true
+	}, options)
+	defer client.Close()
+	sink := &collector{}
+	sink.ended.Add(1)
+	client.Generate(platform.GenerateRequest{
+		Attempt: "a1", Path: httpapi.PathCompletions, Body: []byte(`{}`), Deadline: time.Now().Add(time.Minute),
+	}, sink)
+	sink.ended.Wait()
+	return sink
+}
+
+// chunkFrame is a frame of the chunk with this index.
+func chunkFrame(index int) string {
+	return fmt.Sprintf(`data: {"choices":[{"text":"t%d"}],"chunk_index":%d}`+"\n\n", index, index)
+}
+
+const (
+	endOfTwo  = `data: {"choices":[{"text":"","finish_reason":"stop"}],"chunk_count":2}` + "\n\n"
+	doneFrame = "data: [DONE]\n\n"
+)
+
+func answerWith(status int, header map[string]string, body string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		for name, value := range header {
+			writer.Header().Set(name, value)
+		}
+		writer.WriteHeader(status)
+		fmt.Fprint(writer, body)
+	}
+}
+
+var problemHeader = map[string]string{"Content-Type": httpapi.MediaProblem}
+
+var _ = ginkgo.DescribeTable("a stream",
+	func(body string, texts []string, reason string) {
+		sink := generate(answerWith(http.StatusOK, nil, body), httpapi.Options{MaxFrameBytes: 1024})
+		gomega.Expect(sink.texts).To(gomega.Equal(texts))
+		if reason == "" {
+			gomega.Expect(sink.err).To(gomega.BeNil())
+			gomega.Expect(sink.end.FinishReason).To(gomega.Equal("stop"))
+			return
+		}
+		gomega.Expect(sink.end).To(gomega.BeNil())
+		gomega.Expect(sink.err.Reason).To(gomega.Equal(reason))
+		gomega.Expect(sink.err.Ran).To(gomega.Equal(result.RanUnknown))
+	},
+	ginkgo.Entry("that is complete", chunkFrame(0)+chunkFrame(1)+endOfTwo+doneFrame, []string{"t0", "t1"}, ""),
+	ginkgo.Entry("with comments", ": ping\n\n"+chunkFrame(0)+": ping\n\n"+chunkFrame(1)+endOfTwo+doneFrame, []string{"t0", "t1"}, ""),
+	ginkgo.Entry("with a repeated chunk", chunkFrame(0)+chunkFrame(0)+chunkFrame(1)+endOfTwo+doneFrame, []string{"t0", "t1"}, ""),
+	ginkgo.Entry("without its first chunk", chunkFrame(1)+endOfTwo+doneFrame, nil, "truncated"),
+	ginkgo.Entry("without a chunk between", chunkFrame(0)+chunkFrame(2), []string{"t0"}, "truncated"),
+	ginkgo.Entry("without its last chunk", chunkFrame(0)+endOfTwo+doneFrame, []string{"t0"}, "truncated"),
+	ginkgo.Entry("without its end", chunkFrame(0)+chunkFrame(1), []string{"t0", "t1"}, "truncated"),
+	ginkgo.Entry("without its end but done", chunkFrame(0)+chunkFrame(1)+doneFrame, []string{"t0", "t1"}, "truncated"),
+	ginkgo.Entry("without the done marker", chunkFrame(0)+chunkFrame(1)+endOfTwo, []string{"t0", "t1"}, "truncated"),
+	ginkgo.Entry("that is empty", "", nil, "truncated"),
+	ginkgo.Entry("cut inside a frame", chunkFrame(0)+`data: {"choi`, []string{"t0"}, "truncated"),
+	ginkgo.Entry("with a frame that is not JSON", chunkFrame(0)+"data: {\n\n", []string{"t0"}, "failed"),
+	ginkgo.Entry("with a frame over the limit", "data: "+strings.Repeat("x", 2000)+"\n\n", nil, "failed"),
+	ginkgo.Entry("that ends with a problem", chunkFrame(0)+`data: {"choices":[],"problem":{"ran":"unknown","reason":"failed"}}`+"\n\n", []string{"t0"}, "failed"),
+)
+
+var _ = ginkgo.DescribeTable("an answer that is no stream",
+	func(status int, header map[string]string, body string, ran result.Ran, reason string) {
+		sink := generate(answerWith(status, header, body), httpapi.Options{})
+		gomega.Expect(sink.err.Ran).To(gomega.Equal(ran))
+		gomega.Expect(sink.err.Reason).To(gomega.Equal(reason))
+	},
+	ginkgo.Entry("a refusal", 503, problemHeader, `{"ran":"no","reason":"busy"}`, result.RanNo, "busy"),
+	ginkgo.Entry("a failure after a run", 500, problemHeader, `{"ran":"yes","reason":"failed"}`, result.RanYes, "failed"),
+	ginkgo.Entry("a problem that says nothing of the run", 503, problemHeader, `{}`, result.RanUnknown, ""),
+	ginkgo.Entry("a problem cut short", 503, problemHeader, `{"ran":"no","reason":"bu`, result.RanUnknown, "failed"),
+	ginkgo.Entry("a body that only looks like a refusal", 503, nil, `{"ran":"no"}`, result.RanUnknown, "failed"),
+	ginkgo.Entry("a redirection", 302, map[string]string{"Location": "/"}, "", result.RanUnknown, "failed"),
+	ginkgo.Entry("the answer to another attempt", 200, map[string]string{httpapi.HeaderAttempt: "a2"},
+		chunkFrame(0)+chunkFrame(1)+endOfTwo+doneFrame, result.RanUnknown, "failed"),
+)
+
+var _ = ginkgo.It("ends a stream that stands still", func() {
+	sink := generate(func(writer http.ResponseWriter, request *http.Request) {
+		fmt.Fprint(writer, chunkFrame(0))
+		_ = http.NewResponseController(writer).Flush()
+		<-request.Context().Done()
+	}, httpapi.Options{IdleStreamTimeout: 20 * time.Millisecond})
+	gomega.Expect(sink.err.Reason).To(gomega.Equal("timeout"))
+	gomega.Expect(sink.err.Ran).To(gomega.Equal(result.RanUnknown))
+})
+
+var _ = ginkgo.DescribeTable("StreamingBody",
+	func(body, streaming string) {
+		changed, err := httpapi.StreamingBody([]byte(body))
+		if streaming == "" {
+			gomega.Expect(err).To(gomega.HaveOccurred())
+			return
+		}
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(string(changed)).To(gomega.Equal(streaming))
+	},
+	ginkgo.Entry("leaves a streaming body as it is", `{ "stream":true }`, `{ "stream":true }`),
+	ginkgo.Entry("sets a missing field", `{"n":1e400}`, `{"n":1e400,"stream":true}`),
+	ginkgo.Entry("replaces false", `{"stream":false}`, `{"stream":true}`),
+	ginkgo.Entry("refuses a list", `[]`, ""),
+	ginkgo.Entry("refuses null", `null`, ""),
+)
+
+// BenchmarkRelay measures one chunk's way from a server to the sink.
+func BenchmarkRelay(b *testing.B) {
+	var body strings.Builder
+	for index := range b.N {
+		fmt.Fprintf(&body, "id: %d\ndata: "+`{"id":"0197f6a2-5f0f-7d3c-a6f1-3c1c4f0e9d11","object":"chat.completion.chunk","model":"dossier-reader",`+
+			`"choices":[{"index":0,"delta":{"content":" token"},"finish_reason":null}],"chunk_index":%d,"chunk_tokens":1}`+"\n\n", index, index)
+	}
+	fmt.Fprintf(&body, `data: {"choices":[{"finish_reason":"stop"}],"chunk_count":%d}`+"\n\n%s", b.N, doneFrame)
+	content := body.String()
+	b.ReportAllocs()
+	b.ResetTimer()
+	sink := generate(answerWith(http.StatusOK, nil, content), httpapi.Options{})
+	if sink.err != nil || len(sink.texts) != b.N {
+		b.Fatal(sink.err, len(sink.texts))
+	}
+}
--- a/internal/standin/machines/list.go
+++ b/internal/standin/machines/list.go
@@ -32,8 +32,7 @@
 type List struct {
 	clock clock.Clock
 	log   *record.Log
-	// reclaimed is called when a machine is gone.
-	reclaimed func(platform.ServerID)
+	hooks Hooks
 
 	mutex  sync.Mutex
 	faults Faults
@@ -61,14 +60,27 @@
 	gone    bool
 }
 
+// Hooks are called without a lock when a machine's phase changes, whatever the
+// lag, so that its server can be told or ended. Each may be nil.
+type Hooks struct {
+	// Leaving: the machine will be gone at a time.
+	Leaving func(server platform.ServerID, leavesAt time.Time)
+	// Gone: the machine was taken away.
+	Gone func(server platform.ServerID)
+}
+
 // NewList returns an empty list. What happens to the machines is appended to
-// the log, which may be nil. Reclaimed, which may be nil, is called without a
-// lock when a machine is gone, so that its server can be ended.
-func NewList(listClock clock.Clock, log *record.Log, reclaimed func(platform.ServerID)) *List {
-	if reclaimed == nil {
-		reclaimed = func(platform.ServerID) {}
+// the log, which may be nil.
+func NewList(listClock clock.Clock, log *record.Log, hooks Hooks) *List {
+	if hooks.Leaving == nil {
+		hooks.Leaving = func(platform.ServerID, time.Time) {}
 	}
-	return &List{clock: listClock, log: log, reclaimed: reclaimed}
+	if hooks.Gone == nil {
+		hooks.Gone = func(platform.ServerID) {}
+	}
+	// Later than any version of an earlier process.
+	version := uint64(listClock.Now().UnixNano())
+	return &List{clock: listClock, log: log, hooks: hooks, version: version}
 }
 
 // Add lists a live machine at once, whatever the lag. A machine of the same
@@ -92,6 +104,15 @@
 // Reclaim takes a machine away after a warning: it is leaving now and gone
 // then. It reports whether the machine was there.
 func (l *List) Reclaim(server platform.ServerID, warning time.Duration) bool {
+	leavesAt := l.clock.Now().Add(warning)
+	if !l.announce(server, leavesAt, warning) {
+		return false
+	}
+	l.hooks.Leaving(server, leavesAt)
+	return true
+}
+
+func (l *List) announce(server platform.ServerID, leavesAt time.Time, warning time.Duration) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	machine, present := l.livingEntry(server)
@@ -100,7 +121,7 @@
 	}
 	leaving := machine.machine
 	leaving.Phase = platform.MachineLeaving
-	leaving.LeavesAt = l.clock.Now().Add(warning)
+	leaving.LeavesAt = leavesAt
 	l.change(machine, leaving, false)
 	l.clock.AfterFunc(warning, func() { l.remove(server, machine) })
 	return true
@@ -142,7 +163,7 @@
 	}
 	l.change(machine, machine.machine, true)
 	l.mutex.Unlock()
-	l.reclaimed(server)
+	l.hooks.Gone(server)
 	return true
 }
 
