--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -22,7 +22,7 @@
 	root.SetArgs(arguments)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "hatchplank:", err)
-		return ExitFailed
+		return exitCode(err)
 	}
 	return ExitOK
 }
