--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -60,7 +60,9 @@
 			HaveField("Name", call.Pool), HaveField("TimeLimit", BeNumerically(">=", call.TimeLimit)))))
 	}
 	Expect(deployment.Settings.Pools.Engines).To(ConsistOf(deployment.Workload.Engines[0].Pool))
+	Expect(deployment.Settings.Node.Region).To(Equal(deployment.Workload.Region))
 	for _, cell := range deployment.Settings.Cells {
+		Expect(cell.Region).To(Equal(deployment.Workload.Region))
 		for _, zone := range cell.Zones {
 			Expect(deployment.Workload.Zones).To(ContainElement(zone))
 		}
--- a/internal/command/table_test.go
+++ b/internal/command/table_test.go
@@ -22,9 +22,9 @@
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
-func TestTableCommand(t *testing.T) {
+func TestCommand(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "table command")
+	RunSpecs(t, "command")
 }
 
 // memoryTable is a table store that takes an edit only on its revision.
