Try the proof of "not run" against early deadlines

Cause: a wrong "not run" lets a seat or booking be confirmed twice. Change: a test gives up 2000 attempts before and during their write and compares with what the server received; states with unknown numbers are refused; a generation without a deadline has none.

--- a/internal/platform/httpapi/engines.go
+++ b/internal/platform/httpapi/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -35,7 +36,14 @@
 	go func() {
 		result := platform.OrderResult{}
 		_, err := e.exchange(order.Server, timeout, http.MethodPost, PathOrders, order, &result)
-		done(result, err)
+		if err == nil {
+			err = checkState(&result.State)
+		}
+		if err != nil {
+			done(platform.OrderResult{}, err)
+			return
+		}
+		done(result, nil)
 	}()
 }
 
@@ -44,6 +52,9 @@
 	go func() {
 		state := &platform.EngineState{}
 		changed, err := e.exchange(server, timeout, http.MethodGet, PathState+sinceQuery(sinceVersion), nil, state)
+		if err == nil {
+			err = checkState(state)
+		}
 		if err != nil || !changed {
 			done(nil, err)
 			return
@@ -52,6 +63,28 @@
 	}()
 }
 
+var errBadState = errors.New("state with an unknown phase or source")
+
+// checkState refuses a state with numbers that this program has no words for.
+func checkState(state *platform.EngineState) error {
+	for _, replica := range state.Replicas {
+		if replica.Phase > platform.ReplicaFailed || replica.Source > platform.SourceRemote {
+			return unreachable(errBadState)
+		}
+		for _, adapter := range replica.Adapters {
+			if adapter.Phase > platform.ReplicaFailed {
+				return unreachable(errBadState)
+			}
+		}
+	}
+	for _, checkpoint := range state.Cached {
+		if checkpoint.Source > platform.SourceRemote {
+			return unreachable(errBadState)
+		}
+	}
+	return nil
+}
+
 // postCancel reports whether the engine knew the attempt and cancels it.
 func (e *Engines) postCancel(server platform.ServerID, attempt platform.AttemptID) bool {
 	address, known := e.lookup(server)
--- a/internal/platform/httpapi/generate.go
+++ b/internal/platform/httpapi/generate.go
@@ -71,8 +71,11 @@
 	g.receive(response)
 }
 
-// armDeadline cancels the attempt at its deadline.
+// armDeadline cancels the attempt at its deadline, if it has one.
 func (g *generation) armDeadline() (stop func()) {
+	if g.request.Deadline.IsZero() {
+		return func() {}
+	}
 	remaining := time.Until(g.request.Deadline)
 	if remaining <= 0 {
 		g.cancel(context.DeadlineExceeded)
@@ -132,7 +135,9 @@
 func setGenerateHeaders(header http.Header, request platform.GenerateRequest) {
 	header.Set("Content-Type", MediaJSON)
 	header.Set("Accept", MediaStream)
-	header.Set(HeaderDeadline, request.Deadline.UTC().Format(DeadlineFormat))
+	if !request.Deadline.IsZero() {
+		header.Set(HeaderDeadline, request.Deadline.UTC().Format(DeadlineFormat))
+	}
 	header.Set(HeaderPriority, strconv.Itoa(request.Priority))
 	setHeader(header, HeaderRequest, request.RequestID)
 	setHeader(header, HeaderModel, request.Model)
--- a/internal/platform/httpapi/httpapi_test.go
+++ b/internal/platform/httpapi/httpapi_test.go
@@ -1,6 +1,7 @@
 package httpapi_test
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -153,6 +154,65 @@
 	ginkgo.Entry("refuses null", `null`, ""),
 )
 
+var _ = ginkgo.It("reports no attempt as not run that reached the server, however early it was given up", func() {
+	var received sync.Map
+	listener := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		received.Store(request.Header.Get(httpapi.HeaderAttempt), true)
+	}))
+	client := httpapi.NewBackEnds(func(platform.ServerID) (string, bool) {
+		return listener.Listener.Addr().String(), true
+	}, httpapi.Options{IdleConnectionsPerServer: 4})
+	const attempts = 2000
+	var ended sync.WaitGroup
+	var notRun sync.Map
+	for number := range attempts {
+		ended.Add(1)
+		// Some deadlines pass before the connection, some during the write.
+		limit := time.Duration(number%200) * 20 * time.Microsecond
+		client.Call(platform.BackEndRequest{
+			Attempt: platform.AttemptID(fmt.Sprint(number)), Key: "key", Method: http.MethodPost, Path: "/",
+			Body: []byte("body"), Deadline: time.Now().Add(limit),
+		}, func(_ platform.BackEndResponse, err error) {
+			defer ended.Done()
+			var failure *platform.AttemptError
+			if errors.As(err, &failure) && failure.Ran == result.RanNo {
+				notRun.Store(string(failure.Attempt), true)
+			}
+		})
+	}
+	ended.Wait()
+	listener.Close()
+	client.Close()
+	proved := 0
+	notRun.Range(func(attempt, _ any) bool {
+		proved++
+		_, reached := received.Load(attempt)
+		gomega.Expect(reached).To(gomega.BeFalse(), "attempt %v", attempt)
+		return true
+	})
+	gomega.Expect(proved).To(gomega.BeNumerically(">", 0))
+})
+
+var _ = ginkgo.DescribeTable("a state is refused with",
+	func(state string, refused bool) {
+		listener := httptest.NewServer(answerWith(http.StatusOK, nil, state))
+		defer listener.Close()
+		client := httpapi.NewEngines(func(platform.ServerID) (string, bool) {
+			return listener.Listener.Addr().String(), true
+		}, httpapi.Options{})
+		defer client.Close()
+		failures := make(chan error, 1)
+		client.State("server", 0, time.Minute, func(_ *platform.EngineState, err error) { failures <- err })
+		err := <-failures
+		gomega.Expect(errors.Is(err, platform.ErrServerUnreachable)).To(gomega.Equal(refused))
+	},
+	ginkgo.Entry("nothing wrong", `{"Replicas":[{"Phase":3,"Source":2}],"Cached":[{"Source":0}]}`, false),
+	ginkgo.Entry("an unknown phase", `{"Replicas":[{"Phase":4}]}`, true),
+	ginkgo.Entry("an unknown adapter phase", `{"Replicas":[{"Adapters":[{"Phase":9}]}]}`, true),
+	ginkgo.Entry("an unknown source", `{"Cached":[{"Source":3}]}`, true),
+	ginkgo.Entry("half a document", `{"Replicas":[`, true),
+)
+
 // BenchmarkRelay measures one chunk's way from a server to the sink.
 func BenchmarkRelay(b *testing.B) {
 	var body strings.Builder
