Document the table, the settings and the exit codes

Tests hold the documents to the code: each key of the settings, each column and each exit code has its line. Problems of a workload are tested by key.

--- a/internal/command/table_test.go
+++ b/internal/command/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -235,6 +236,14 @@
 		Expect(code).To(Equal(ExitFailed))
 	})
 
+	It("have their exit codes documented", func() {
+		document, err := os.ReadFile(filepath.Join("..", "..", "docs", "operators", "exit-codes.md"))
+		Expect(err).NotTo(HaveOccurred())
+		for _, code := range []int{ExitOK, ExitFailed, ExitUsage, ExitConflict} {
+			Expect(string(document)).To(ContainSubstring(fmt.Sprintf("\n| %d |", code)))
+		}
+	})
+
 	DescribeTable("end with the code of usage", func(arguments ...string) {
 		_, code := run(arguments...)
 		Expect(code).To(Equal(ExitUsage))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
+	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -140,6 +143,34 @@
 	})
 })
 
+var _ = Describe("The documentation", func() {
+	It("has a line for each key and for no other", func() {
+		document, err := os.ReadFile("../../docs/operators/settings.md")
+		Expect(err).NotTo(HaveOccurred())
+		var documented []string
+		for _, line := range regexp.MustCompile("(?m)^\\| `([^`]+)`").FindAllStringSubmatch(string(document), -1) {
+			documented = append(documented, line[1])
+		}
+		Expect(documented).To(Equal(keysOf("", reflect.TypeFor[settings.Settings]())))
+	})
+})
+
+// keysOf lists the keys of a type in order; lists are marked by [].
+func keysOf(prefix string, form reflect.Type) []string {
+	switch {
+	case form.Kind() == reflect.Struct:
+		var keys []string
+		for index := range form.NumField() {
+			field := form.Field(index)
+			keys = append(keys, keysOf(prefix+"."+field.Tag.Get("koanf"), field.Type)...)
+		}
+		return keys
+	case form.Kind() == reflect.Slice && form.Elem().Kind() == reflect.Struct:
+		return keysOf(prefix+"[]", form.Elem())
+	}
+	return []string{strings.TrimPrefix(prefix, ".")}
+}
+
 func FuzzLoad(f *testing.F) {
 	f.Add([]byte(sound))
 	f.Add([]byte("tenants: [{name: a, tokens: [3]}, 5, null]\n1: {2: 3}"))
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -78,6 +78,8 @@
 		return "a value when " + strings.ToLower(parameter) + " has one"
 	case "min", "max":
 		return boundText(fault)
+	case "gt":
+		return "more than " + parameter
 	case "oneof":
 		return "one of " + strings.Join(strings.Fields(parameter), ", ")
 	case "unique":
@@ -126,9 +128,11 @@
 // fieldKeys are the keys of fields that rules of other fields name.
 var fieldKeys = map[string]string{
 	"BodyBytes":     "body",
+	"Duration":      "duration",
+	"KeepAliveMax":  "keep_alive_max",
+	"Median":        "median",
 	"QueuePerModel": "queue_per_model",
 	"Default":       "default",
-	"KeepAliveMax":  "keep_alive_max",
 }
 
 func keyOfField(field string) string {
--- a/internal/table/codec_test.go
+++ b/internal/table/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 
@@ -112,6 +113,14 @@
 	})
 })
 
+var _ = It("documents each column", func() {
+	document, err := os.ReadFile("../../docs/operators/table.md")
+	Expect(err).NotTo(HaveOccurred())
+	for _, column := range table.ColumnNames() {
+		Expect(string(document)).To(ContainSubstring("\n| `" + column + "` |"))
+	}
+})
+
 var _ = DescribeTable("ParseSize", func(text string, bytes int64, sound bool) {
 	size, err := table.ParseSize(text)
 	Expect(err == nil).To(Equal(sound))
