Keep tenants apart in table edits and name both sides of a conflict

Cause: the administration replaces whole tables, the store takes changes; a conflict was to name both edits. Change: api.StoredTable turns an edit into changes of the operator's own rows and refuses names of other tenants; a conflict lists clashing values and all changes of either side. Usage faults of status, drain, load and version end with exit code 2.

--- a/internal/api/admin_table.go
+++ b/internal/api/admin_table.go
@@ -21,12 +21,17 @@
 	Revision table.Revision `json:"revision"`
 }
 
-// ConflictDocument refuses an edit that clashes with another.
+// ConflictDocument refuses an edit whose base is no longer the newest table.
 type ConflictDocument struct {
 	Error ErrorBody `json:"error"`
 	// Revision is the newest one.
-	Revision  table.Revision   `json:"revision"`
+	Revision table.Revision `json:"revision"`
+	// Conflicts are the values that both edits changed, differently; none when
+	// the edits can be merged.
 	Conflicts []table.Conflict `json:"conflicts"`
+	// Mine and Theirs are all changes of either side since the base.
+	Mine   []table.RowChange `json:"mine"`
+	Theirs []table.RowChange `json:"theirs"`
 }
 
 // ProblemsDocument refuses a table that breaks rules.
@@ -146,7 +151,7 @@
 }
 
 func (c *call) refuseConflict(conflict *TableConflictError) {
-	refusal := result.Refuse(result.RevisionConflict, "the table is at revision %d and the changes clash", conflict.Current)
+	refusal := result.Refuse(result.RevisionConflict, "the table is at revision %d: read, merge and apply again", conflict.Current)
 	c.outcome = refusal.Code
 	setRefusalHeaders(c.writer.Header(), refusal)
 	c.writer.Header().Set("ETag", formatETag(conflict.Current))
@@ -154,6 +159,8 @@
 		Error:     newErrorDocument(refusal, c.id).Error,
 		Revision:  conflict.Current,
 		Conflicts: append([]table.Conflict{}, conflict.Conflicts...),
+		Mine:      append([]table.RowChange{}, conflict.Mine...),
+		Theirs:    append([]table.RowChange{}, conflict.Theirs...),
 	})
 }
 
--- a/internal/api/administration.go
+++ b/internal/api/administration.go
@@ -36,11 +36,15 @@
 	Changes  []table.RowChange `json:"changes"`
 }
 
-// TableConflictError says that an edit and another one changed the same value.
+// TableConflictError says that the table was changed after an edit's base.
 type TableConflictError struct {
 	// Current is the newest revision.
-	Current   table.Revision
+	Current table.Revision
+	// Conflicts are the values that both changed, differently.
 	Conflicts []table.Conflict
+	// Mine and Theirs are all changes of either side since the base; empty if
+	// the base is no longer known.
+	Mine, Theirs []table.RowChange
 }
 
 // Error implements error.
--- /dev/null
+++ b/internal/api/stored_table.go
@@ -0,0 +1,246 @@
+package api
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/table"
+	"github.com/hatchplank/hatchplank/internal/tablestore"
+)
+
+// snapshotsKept is the number of recent tables kept, to tell what an edit that
+// came second clashed with.
+const snapshotsKept = 8
+
+// StoredTable is the TableStore over a node's tablestore.Store: it turns whole
+// tables into changes, keeps tenants apart, and names both sides of a conflict.
+type StoredTable struct {
+	store *tablestore.Store
+
+	mutex sync.Mutex
+	// recent tables in order of revision.
+	recent []*table.Snapshot
+}
+
+// NewStoredTable must be called before the store is started.
+func NewStoredTable(store *tablestore.Store) *StoredTable {
+	stored := &StoredTable{store: store}
+	store.Subscribe(stored.keep)
+	return stored
+}
+
+// Snapshot implements TableStore.
+func (s *StoredTable) Snapshot() *table.Snapshot { return s.store.Snapshot() }
+
+// keep remembers a table; they may come in any order.
+func (s *StoredTable) keep(snapshot *table.Snapshot) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	position, known := slices.BinarySearchFunc(s.recent, snapshot.Revision(), compareRevision)
+	if known {
+		return
+	}
+	s.recent = slices.Insert(s.recent, position, snapshot)
+	if len(s.recent) > snapshotsKept {
+		s.recent = slices.Delete(s.recent, 0, 1)
+	}
+}
+
+func compareRevision(snapshot *table.Snapshot, revision table.Revision) int {
+	return int(snapshot.Revision() - revision)
+}
+
+// at returns the table at a revision, if it is still known.
+func (s *StoredTable) at(revision table.Revision) (*table.Snapshot, bool) {
+	if current := s.store.Snapshot(); current.Revision() == revision {
+		return current, true
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	position, known := slices.BinarySearchFunc(s.recent, revision, compareRevision)
+	if !known {
+		return nil, false
+	}
+	return s.recent[position], true
+}
+
+// Propose implements TableStore. The timeout is the store's own.
+func (s *StoredTable) Propose(edit TableEdit, _ time.Duration, done func(table.Revision, error)) {
+	if base, known := s.at(edit.Base); known {
+		s.proposeOn(base, edit, done)
+		return
+	}
+	// An edit without changes makes the store read the newest table, which the
+	// operator may have seen at another node.
+	s.store.Propose(tablestore.Edit{Base: edit.Base}, func(outcome tablestore.Outcome) {
+		base, known := s.at(edit.Base)
+		switch {
+		case outcome.Code != result.OK:
+			done(0, s.errorOf(outcome, edit, nil))
+		case !known:
+			done(0, &TableConflictError{Current: s.store.Revision()})
+		default:
+			s.proposeOn(base, edit, done)
+		}
+	})
+}
+
+func (s *StoredTable) proposeOn(base *table.Snapshot, edit TableEdit, done func(table.Revision, error)) {
+	foreign, found := foreignRow(base, edit)
+	if found {
+		refusal := result.Refuse(result.Forbidden, "the row name %q is in use by another tenant; nothing was changed", foreign)
+		s.store.Clock.AfterFunc(0, func() { done(0, refusal) })
+		return
+	}
+	if problem, found := repeatedName(edit.Rows); found {
+		s.store.Clock.AfterFunc(0, func() { done(0, &table.InvalidError{Problems: []table.Problem{problem}}) })
+		return
+	}
+	before := table.NewSnapshot(edit.Base, rowsOf(base.Rows(), edit.Tenant))
+	delta := table.Diff(before, table.NewSnapshot(edit.Base+1, edit.Rows))
+	proposal := tablestore.Edit{Base: edit.Base, Changed: delta.Changed, Removed: delta.Removed, Author: edit.Author}
+	s.store.Propose(proposal, func(outcome tablestore.Outcome) {
+		if outcome.Code == result.OK {
+			done(outcome.Revision, nil)
+			return
+		}
+		done(0, s.errorOf(outcome, edit, before.Rows()))
+	})
+}
+
+// foreignRow returns a name of the edit that belongs to another tenant.
+func foreignRow(base *table.Snapshot, edit TableEdit) (string, bool) {
+	if edit.Tenant == "" {
+		return "", false
+	}
+	for _, row := range edit.Rows {
+		if present, known := base.Row(row.Name); known && present.Tenant != edit.Tenant {
+			return row.Name, true
+		}
+	}
+	return "", false
+}
+
+// repeatedName finds a name that stands twice, which a change can't express.
+func repeatedName(rows []table.Row) (table.Problem, bool) {
+	seen := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		if seen[row.Name] {
+			return table.Problem{Row: row.Name, Column: table.ColumnName, Value: row.Name, Allowed: "each name once"}, true
+		}
+		seen[row.Name] = true
+	}
+	return table.Problem{}, false
+}
+
+// rowsOf returns a tenant's rows; all for an empty tenant.
+func rowsOf(rows []table.Row, tenant string) []table.Row {
+	if tenant == "" {
+		return rows
+	}
+	var own []table.Row
+	for _, row := range rows {
+		if row.Tenant == tenant {
+			own = append(own, row)
+		}
+	}
+	return own
+}
+
+// errorOf gives an outcome the error that TableStore promises.
+func (s *StoredTable) errorOf(outcome tablestore.Outcome, edit TableEdit, base []table.Row) error {
+	switch outcome.Code {
+	case result.RevisionConflict:
+		return s.conflict(outcome.Revision, edit, base)
+	case result.InvalidTable:
+		return &table.InvalidError{Problems: outcome.Problems}
+	case result.StoreUnavailable:
+		return platform.ErrNotApplied
+	case result.WriteAmbiguous:
+		return platform.ErrAmbiguous
+	default:
+		return result.Refuse(outcome.Code, "the table store failed")
+	}
+}
+
+// conflict names what both edits changed, as far as the tables are known.
+func (s *StoredTable) conflict(current table.Revision, edit TableEdit, base []table.Row) error {
+	conflict := &TableConflictError{Current: current}
+	theirs, known := s.at(current)
+	if base == nil || !known {
+		return conflict
+	}
+	rows := rowsOf(theirs.Rows(), edit.Tenant)
+	_, conflict.Conflicts = table.Merge(base, edit.Rows, rows)
+	conflict.Mine = table.Changes(base, edit.Rows)
+	conflict.Theirs = table.Changes(base, rows)
+	return conflict
+}
+
+// History implements TableStore. The columns of a change are told while the
+// tables before and after it are known here; its row's name always.
+func (s *StoredTable) History(tenant string, limit int, _ time.Duration, done func([]HistoryEntry, error)) {
+	s.store.History(0, func(records []tablestore.HistoryRecord, err error) {
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		entries := []HistoryEntry{}
+		for _, record := range records {
+			entry := s.entryOf(record, tenant)
+			if len(entry.Changes) > 0 && len(entries) < limit {
+				entries = append(entries, entry)
+			}
+		}
+		done(entries, nil)
+	})
+}
+
+func (s *StoredTable) entryOf(record tablestore.HistoryRecord, tenant string) HistoryEntry {
+	entry := HistoryEntry{Revision: record.Revision, Author: record.Author, Time: record.Time}
+	before, knowsBefore := s.at(record.Revision - 1)
+	after, knowsAfter := s.at(record.Revision)
+	if knowsBefore && knowsAfter {
+		entry.Changes = table.Changes(rowsOf(before.Rows(), tenant), rowsOf(after.Rows(), tenant))
+		return entry
+	}
+	for _, name := range record.Changed {
+		if s.belongs(name, tenant) {
+			entry.Changes = append(entry.Changes, table.RowChange{Row: name})
+		}
+	}
+	for _, name := range record.Removed {
+		if s.belongs(name, tenant) {
+			entry.Changes = append(entry.Changes, table.RowChange{Row: name, Removed: true})
+		}
+	}
+	return entry
+}
+
+// belongs reports whether a row is the tenant's in the newest table. A removed
+// row's tenant is not known any more: only administrators see it.
+func (s *StoredTable) belongs(name, tenant string) bool {
+	row, known := s.store.Row(name)
+	return tenant == "" || (known && row.Tenant == tenant)
+}
+
+// NewForce says whether a revision is in force, from what all nodes answered. A
+// node that did not answer counts as one that acts on no table.
+func NewForce(revision table.Revision, nodes []tablestore.NodeRevision) Force {
+	force := Force{Revision: revision, InForce: len(nodes) > 0, Members: []MemberStatus{}}
+	for _, node := range nodes {
+		acts := node.Revision
+		if !node.Known {
+			acts = 0
+		}
+		force.InForce = force.InForce && node.Known && acts >= revision
+		force.Members = append(force.Members, MemberStatus{
+			Name: node.Member.Name, Zone: node.Member.Zone, Address: node.Member.CallerAddress,
+			Draining: node.Member.Draining, Revision: acts,
+		})
+	}
+	return force
+}
--- a/internal/command/drain.go
+++ b/internal/command/drain.go
@@ -35,7 +35,7 @@
 			"and to end. It is the same as SIGTERM to its process. Needs the role admin.",
 		Example: "  hatchplank drain --node http://127.0.0.1:8081 --token-file admin.token\n" +
 			"  hatchplank drain --node http://127.0.0.1:8081 --wait 5m",
-		Args: cobra.NoArgs,
+		Args: usageArguments(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			return runDrain(command, node, output, wait)
 		},
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -55,7 +55,7 @@
 		Example: "  hatchplank load --nodes http://127.0.0.1:8080,http://127.0.0.1:8081 --token-file caller.token \\\n" +
 			"      --model glossa-01 --model glossa-02 --pool eggrafi --non-repeatable 0.1 --rate 200 --duration 30s\n" +
 			"  hatchplank load --nodes http://127.0.0.1:8080 --workload workload.yaml --seed 7",
-		Args: cobra.NoArgs,
+		Args: usageArguments(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error { return flags.run(command) },
 	}
 	flags.register(command)
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -25,7 +25,7 @@
 			"An operator sees the rows of the own tenant.",
 		Example: "  hatchplank status --node http://127.0.0.1:8080 --token-file operator.token\n" +
 			"  hatchplank status --output json | jq '.rows[] | select(.waiting > 0)'",
-		Args: cobra.NoArgs,
+		Args: usageArguments(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			return runStatus(command, node, output)
 		},
--- a/internal/command/status_client.go
+++ b/internal/command/status_client.go
@@ -101,7 +101,7 @@
 
 func checkOutput(output string) error {
 	if output != outputTable && output != outputJSON {
-		return eris.Errorf("output %q is not one of table, json", output)
+		return usageError("--output %q is not one of table, json", output)
 	}
 	return nil
 }
--- a/internal/command/version.go
+++ b/internal/command/version.go
@@ -24,7 +24,7 @@
 		Use:     "version",
 		Short:   "Show the version",
 		Example: "  hatchplank version\n  hatchplank version --output json",
-		Args:    cobra.NoArgs,
+		Args:    usageArguments(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			if err := checkOutput(output); err != nil {
 				return err
