Prove that each of the owner's mechanisms is needed

Random schedules of faults and takeovers keep replicas, adapters and memory within limits by the engines' record; with one mechanism switched off the record shows a violation, by random schedules or by one written for it.

--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -33,9 +33,7 @@
 	})
 
 	It("loads a base model together with its adapter", func() {
-		style := row("style", 1, gigabyte)
-		style.Kind, style.Base = table.KindAdapter, "a"
-		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte), style}, nil)
+		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte), adapterOn("style", "a", 1)}, nil)
 		c.acquire(0)
 		c.loop.RunFor(time.Second)
 		c.gateway.want("style", 1)
@@ -77,20 +75,7 @@
 	})
 
 	It("keeps a replica whose requests run until these have ended", func() {
-		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte)}, nil)
-		c.acquire(0)
-		c.loop.RunFor(time.Second)
-		c.gateway.want("a", 1)
-		c.loop.RunFor(30 * time.Second)
-		sink := &countingSink{}
-		body := []byte(`{"model":"a","max_tokens":3000,"messages":[{"role":"user","content":"write"}]}`)
-		c.fleet.Client(c.gateway.process).Generate(platform.GenerateRequest{
-			Server: "lm-0", Attempt: "one", RequestID: "one", Model: "a", Path: "/v1/chat/completions", Body: body,
-			Deadline: c.loop.Now().Add(5 * time.Minute),
-		}, sink)
-		c.gateway.want("a", 0)
-		c.leave("lm-0")
-		c.loop.RunFor(7 * time.Second)
+		c, sink := unloadUnderRequest(nil)
 		Expect(sink.ended+sink.failed).To(BeZero(), "the request has to outlast the drain delay")
 		Expect(c.ready("a")).To(HaveLen(1))
 		c.loop.RunFor(3 * time.Minute)
@@ -99,6 +84,38 @@
 		Expect(c.audit.violations).To(BeEmpty())
 	})
 
+	It("cuts off requests without draining", func() {
+		c, _ := unloadUnderRequest(func(c *applier.Config) { c.Mechanisms.DrainBeforeUnload = false })
+		Expect(c.audit.violations).NotTo(BeEmpty())
+	})
+
+	It("replaces a version one by one and then goes down to a lowered maximum", func() {
+		c := newCluster(1, 3, []table.Row{row("a", 3, 20*gigabyte)}, nil)
+		c.acquire(0)
+		c.loop.RunFor(time.Second)
+		c.gateway.want("a", 8)
+		c.loop.RunFor(30 * time.Second)
+		Expect(c.ready("a")).To(HaveLen(2))
+		c.edit(func(rows []table.Row) []table.Row {
+			rows[0].Version = "2"
+			return rows
+		})
+		for range 60 {
+			c.loop.RunFor(time.Second)
+			Expect(c.ready("a")).NotTo(BeEmpty())
+		}
+		for _, endpoint := range c.gateway.known["a"].Endpoints {
+			Expect(endpoint.Version).To(Equal("2"))
+		}
+		c.edit(func(rows []table.Row) []table.Row {
+			rows[0].MaxReplicas = 1
+			return rows
+		})
+		c.loop.RunFor(30 * time.Second)
+		Expect(c.ready("a")).To(HaveLen(1))
+		Expect(c.audit.violations).To(BeEmpty())
+	})
+
 	It("takes over what the owner before had loaded", func() {
 		c := newCluster(1, 2, []table.Row{row("a", 1, 20*gigabyte)}, nil)
 		c.acquire(0)
@@ -153,6 +170,25 @@
 	})
 })
 
+// unloadUnderRequest lets a server leave on which a long request runs.
+func unloadUnderRequest(change func(*applier.Config)) (*cluster, *countingSink) {
+	c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte)}, change)
+	c.acquire(0)
+	c.loop.RunFor(time.Second)
+	c.gateway.want("a", 1)
+	c.loop.RunFor(30 * time.Second)
+	sink := &countingSink{}
+	body := []byte(`{"model":"a","max_tokens":3000,"messages":[{"role":"user","content":"write"}]}`)
+	c.fleet.Client(c.gateway.process).Generate(platform.GenerateRequest{
+		Server: "lm-0", Attempt: "one", RequestID: "one", Model: "a", Path: "/v1/chat/completions", Body: body,
+		Deadline: c.loop.Now().Add(5 * time.Minute),
+	}, sink)
+	c.gateway.want("a", 0)
+	c.leave("lm-0")
+	c.loop.RunFor(7 * time.Second)
+	return c, sink
+}
+
 var _ = DescribeTable("Faults", func(run func(c *cluster), change func(*applier.Config)) {
 	c := newCluster(7, 3, []table.Row{row("a", 1, 30*gigabyte), row("b", 2, 30*gigabyte)}, change)
 	c.acquire(0)
--- a/internal/applier/cluster_test.go
+++ b/internal/applier/cluster_test.go
@@ -9,9 +9,7 @@
 	"github.com/hatchplank/hatchplank/internal/applier"
 	"github.com/hatchplank/hatchplank/internal/cells"
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/directory"
 	"github.com/hatchplank/hatchplank/internal/membership"
-	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/planner"
 	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/simulation"
@@ -201,104 +199,6 @@
 
 func (m machines) Subscribe(func(platform.MachineListing)) {}
 
-// gateway reports demand every half second and keeps what it is told.
-type gateway struct {
-	cluster   *cluster
-	process   *simulation.Process
-	transport *simulation.PeerTransport
-	owner     string
-	sequence  uint64
-	waiting   map[string]int
-	known     map[string]directory.RowEndpoints
-}
-
-func newGateway(c *cluster) *gateway {
-	g := &gateway{
-		cluster: c, process: simulation.NewProcess(c.loop, "gateway"),
-		waiting: map[string]int{}, known: map[string]directory.RowEndpoints{},
-	}
-	g.transport = c.peers.Transport(g.process)
-	g.transport.Handle(directory.EndpointUpdate{}, func(_ string, message peer.Message, reply func(peer.Message, error)) {
-		g.take(message)
-		reply(nil, nil)
-	})
-	clock.Repeat(g.process, 500*time.Millisecond, g.report)
-	return g
-}
-
-func (g *gateway) take(message peer.Message) {
-	if update, ok := message.(directory.EndpointUpdate); ok {
-		for _, row := range update.Rows {
-			g.known[row.Model] = row
-		}
-	}
-}
-
-func (g *gateway) want(row string, requests int) {
-	g.waiting[row] = requests
-	g.report()
-}
-
-func (g *gateway) report() {
-	now := g.process.Now()
-	g.sequence++
-	report := directory.DemandReport{Cell: cellName, Gateway: "gateway", PeerAddress: "gateway", Sequence: g.sequence}
-	for _, row := range g.cluster.rows {
-		if requests := g.waiting[row.Name]; requests > 0 {
-			report.Demands = append(report.Demands, directory.Demand{
-				Row: row.Name, Waiting: requests, OldestWait: now, EarliestDeadline: now.Add(time.Minute),
-			})
-		}
-	}
-	if g.owner == "" || len(report.Demands) == 0 {
-		return
-	}
-	g.transport.Call(g.owner, report, time.Second, func(message peer.Message, _ error) { g.take(message) })
-}
-
-// audit checks the limits from the engines' record.
-type audit struct {
-	cluster    *cluster
-	holders    map[string]map[platform.ServerID]bool
-	violations []string
-}
-
-func newAudit(c *cluster) *audit {
-	return &audit{cluster: c, holders: map[string]map[platform.ServerID]bool{}}
-}
-
-func (a *audit) observe(event record.Event) {
-	switch event.Kind {
-	case record.KindLoadStarted:
-		a.loadStarted(event)
-	case record.KindLoadFailed, record.KindUnloadFinished:
-		delete(a.holders[event.Model], event.Server)
-	case record.KindProcessDied:
-		for _, holders := range a.holders {
-			delete(holders, event.Server)
-		}
-	case record.KindMemory:
-		if event.Overcommitted {
-			a.violations = append(a.violations, fmt.Sprintf("memory of %s: %d bytes", event.Server, event.UsedBytes))
-		}
-	case record.KindGenerationTruncated:
-		if event.Reason == "unloaded" {
-			a.violations = append(a.violations, "a request was cut off by an unload")
-		}
-	}
-}
-
-func (a *audit) loadStarted(event record.Event) {
-	if a.holders[event.Model] == nil {
-		a.holders[event.Model] = map[platform.ServerID]bool{}
-	}
-	a.holders[event.Model][event.Server] = true
-	row, _ := a.cluster.Row(event.Model)
-	if held := len(a.holders[event.Model]); held > row.MaxReplicas {
-		a.violations = append(a.violations, fmt.Sprintf("%d replicas of %s, allowed %d", held, event.Model, row.MaxReplicas))
-	}
-}
-
 // ready lists the servers on which a model can be called, by the engines.
 func (c *cluster) ready(model string) []platform.ServerID {
 	var servers []platform.ServerID
@@ -316,6 +216,13 @@
 	return servers
 }
 
+// adapterOn makes an adapter row on a base.
+func adapterOn(name, base string, maximum int) table.Row {
+	made := row(name, maximum, gigabyte)
+	made.Kind, made.Base = table.KindAdapter, base
+	return made
+}
+
 func row(name string, maximum int, memory int64) table.Row {
 	return table.Row{
 		Name: name, Kind: table.KindModel, Version: "1", Tenant: "group-a", Weight: 1,
--- /dev/null
+++ b/internal/applier/gateway_test.go
@@ -0,0 +1,70 @@
+package applier_test
+
+import (
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/directory"
+	"github.com/hatchplank/hatchplank/internal/peer"
+	"github.com/hatchplank/hatchplank/internal/simulation"
+)
+
+// gateway reports demand every half second and keeps what it is told.
+type gateway struct {
+	cluster   *cluster
+	process   *simulation.Process
+	transport *simulation.PeerTransport
+	owner     string
+	// alsoTo gets the same reports, as from gateways that know another owner.
+	alsoTo   string
+	sequence uint64
+	waiting  map[string]int
+	known    map[string]directory.RowEndpoints
+}
+
+func newGateway(c *cluster) *gateway {
+	g := &gateway{
+		cluster: c, process: simulation.NewProcess(c.loop, "gateway"),
+		waiting: map[string]int{}, known: map[string]directory.RowEndpoints{},
+	}
+	g.transport = c.peers.Transport(g.process)
+	g.transport.Handle(directory.EndpointUpdate{}, func(_ string, message peer.Message, reply func(peer.Message, error)) {
+		g.take(message)
+		reply(nil, nil)
+	})
+	clock.Repeat(g.process, 500*time.Millisecond, g.report)
+	return g
+}
+
+func (g *gateway) take(message peer.Message) {
+	if update, ok := message.(directory.EndpointUpdate); ok {
+		for _, row := range update.Rows {
+			g.known[row.Model] = row
+		}
+	}
+}
+
+func (g *gateway) want(row string, requests int) {
+	g.waiting[row] = requests
+	g.report()
+}
+
+func (g *gateway) report() {
+	now := g.process.Now()
+	g.sequence++
+	report := directory.DemandReport{Cell: cellName, Gateway: "gateway", PeerAddress: "gateway", Sequence: g.sequence}
+	for _, row := range g.cluster.rows {
+		if requests := g.waiting[row.Name]; requests > 0 {
+			report.Demands = append(report.Demands, directory.Demand{
+				Row: row.Name, Waiting: requests, OldestWait: now, EarliestDeadline: now.Add(time.Minute),
+			})
+		}
+	}
+	if g.owner == "" || len(report.Demands) == 0 {
+		return
+	}
+	g.transport.Call(g.owner, report, time.Second, func(message peer.Message, _ error) { g.take(message) })
+	if g.alsoTo != "" && g.alsoTo != g.owner {
+		g.transport.Call(g.alsoTo, report, time.Second, func(peer.Message, error) {})
+	}
+}
--- a/internal/applier/orders.go
+++ b/internal/applier/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/platform"
@@ -31,7 +30,7 @@
 func (o *Owner) sendOrder(now time.Time, server *serverEntry) {
 	server.sequence++
 	order := platform.Order{
-		Server: server.id, Fence: o.fence(now, server), Incarnation: server.incarnation, Commands: server.commands,
+		Server: server.id, Fence: o.fence(server), Incarnation: server.incarnation, Commands: server.commands,
 	}
 	server.commands = nil
 	server.outstanding = true
@@ -42,19 +41,35 @@
 			Str("model", command.Model).Str("adapter", command.Adapter).Int("slot", int(command.Slot)).
 			Str("attempt", string(command.Attempt)).Str("fence", order.Fence.String()).Msg("order sent")
 	}
-	o.config.Engines.Order(order, o.config.Intervals.OrderTimeout, func(result platform.OrderResult, err error) {
+	o.deliver(order, func(result platform.OrderResult, err error) {
 		o.orderDone(server, sequence, now, order, result, err)
 	})
 }
 
-func (o *Owner) fence(now time.Time, server *serverEntry) platform.Fence {
+func (o *Owner) fence(server *serverEntry) platform.Fence {
 	if !o.config.Mechanisms.Fence {
-		// Without the mechanism any owner's order passes any other's.
-		return platform.Fence{Epoch: math.MaxUint32, Sequence: uint64(now.UnixNano()) + server.sequence}
+		// Any owner's order passes that saw the newest state.
+		return platform.Fence{Epoch: 1, Sequence: server.state.Fence.Sequence + 1}
 	}
 	return platform.Fence{Epoch: o.epoch, Sequence: server.sequence}
 }
 
+// deliver hands an order to the engine. Without the Fence mechanism an order
+// without commands only reads the state.
+func (o *Owner) deliver(order platform.Order, done func(platform.OrderResult, error)) {
+	if o.config.Mechanisms.Fence || len(order.Commands) > 0 {
+		o.config.Engines.Order(order, o.config.Intervals.OrderTimeout, done)
+		return
+	}
+	o.config.Engines.State(order.Server, 0, o.config.Intervals.OrderTimeout, func(state *platform.EngineState, err error) {
+		if err != nil || state == nil {
+			done(platform.OrderResult{}, err)
+			return
+		}
+		done(platform.OrderResult{Accepted: true, State: *state}, nil)
+	})
+}
+
 var errNoState = errors.New("reply without state")
 
 func (o *Owner) orderDone(server *serverEntry, sequence uint64, sentAt time.Time, order platform.Order, result platform.OrderResult, err error) {
