Keep HTTP/2 streams alive over pauses and measure the relay

Cause: on HTTP/2 a write deadline ends the stream at its time even when nothing is written, so a model that paused for longer than the write timeout lost its stream. Change: the deadline is set for each write and taken back after it on HTTP/2, tested by the deadlines a writer receives; benchmarks of 480 paced streams and of waiting requests.

--- a/internal/api/generate.go
+++ b/internal/api/generate.go
@@ -14,6 +14,13 @@
 // keptBufferBytes is the largest buffer kept between two writes of a stream.
 const keptBufferBytes = 64 << 10
 
+// armedShare of the write timeout may have passed before the deadline of an
+// HTTP/1 connection is set anew.
+const armedShare = 4
+
+// longPast is a deadline that ends a write in progress.
+var longPast = time.Unix(1, 0)
+
 // serveGeneration returns the handler of one of the generating paths.
 func (a *API) serveGeneration(kind generationKind) func(*call) {
 	return func(c *call) {
@@ -115,7 +122,7 @@
 func (a *API) stream(c *call, kind generationKind, request gateway.Request, withUsage bool) {
 	connection := http.NewResponseController(c.writer)
 	encoder := newEventEncoder(kind, c.id, request.Model, request.Accepted)
-	interrupt := func() { _ = connection.SetWriteDeadline(time.Now()) }
+	interrupt := func() { _ = connection.SetWriteDeadline(longPast) }
 	responder := newStreamResponder(encoder, a.config.Limits.StreamBufferBytes, interrupt)
 	defer responder.close()
 	cancel := a.config.Gateway.Submit(request, responder)
@@ -176,11 +183,13 @@
 	}
 }
 
-// arm sets the write deadline, not more often than needed.
+// arm sets the deadline of the next write. On HTTP/1 it concerns only writes
+// and is not set more often than needed; on HTTP/2 it ends the stream at its
+// time, write or not, so it is set for each write and taken back by disarm.
 func (r *streamRelay) arm() {
 	now := time.Now()
 	timeout := r.api.config.Limits.WriteTimeout
-	if now.Sub(r.armed) < timeout/4 {
+	if !r.deadlineEndsStream() && now.Sub(r.armed) < timeout/armedShare {
 		return
 	}
 	r.armed = now
@@ -188,6 +197,16 @@
 	_ = r.connection.SetWriteDeadline(now.Add(timeout))
 }
 
+// disarm takes the deadline back after a write. The responder's mutex keeps an
+// interrupt from being undone.
+func (r *streamRelay) disarm() {
+	if r.deadlineEndsStream() {
+		r.responder.unlessOverflow(func() { _ = r.connection.SetWriteDeadline(time.Time{}) })
+	}
+}
+
+func (r *streamRelay) deadlineEndsStream() bool { return r.call.request.ProtoMajor >= 2 }
+
 func (r *streamRelay) countChunks(chunks int) {
 	if r.written == 0 && chunks > 0 {
 		r.api.metrics.FirstChunk.Observe(r.api.config.Clock.Now().Sub(r.call.arrived).Seconds())
@@ -228,7 +247,9 @@
 	if _, err := r.call.writer.Write(events); err != nil {
 		return err
 	}
-	return r.connection.Flush()
+	err := r.connection.Flush()
+	r.disarm()
+	return err
 }
 
 func (r *streamRelay) commit() {
--- /dev/null
+++ b/internal/api/loopback_benchmark_test.go
@@ -0,0 +1,133 @@
+package api
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/auth"
+	"github.com/hatchplank/hatchplank/internal/gateway"
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/table"
+)
+
+const (
+	pacedStreams = 480
+	// pacedPeriod gives 50 chunks a second and stream, 24,000 in all.
+	pacedPeriod     = 20 * time.Millisecond
+	waitingRequests = 2000
+	collections     = 5
+	benchmarkBody   = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hello"}]}`
+)
+
+// heldGateway keeps the responders of all requests.
+type heldGateway struct {
+	mutex      sync.Mutex
+	responders []gateway.Responder
+	arrived    chan struct{}
+}
+
+func (g *heldGateway) Submit(_ gateway.Request, responder gateway.Responder) func() {
+	g.mutex.Lock()
+	g.responders = append(g.responders, responder)
+	g.mutex.Unlock()
+	g.arrived <- struct{}{}
+	return func() {}
+}
+
+// openRequests starts a server and sends it requests that are not answered.
+func openRequests(b *testing.B, count int) (*heldGateway, []net.Conn) {
+	b.Helper()
+	held := &heldGateway{arrived: make(chan struct{}, count)}
+	keyring, err := auth.NewKeyring([]auth.Credential{{SHA256: auth.HashToken("secret"), Tenant: "t", Role: auth.RoleCaller}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	rows := []table.Row{{Name: "m", Tenant: "t", Repeatable: true, TimeLimit: time.Hour}}
+	handler := New(Config{Gateway: held, Table: table.NewSnapshot(1, rows), Keyring: keyring})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := NewServer(handler, Limits{})
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() { _ = server.Close() })
+	message := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer secret\r\nContent-Length: %d\r\n\r\n%s",
+		kindChat.path(), len(benchmarkBody), benchmarkBody)
+	connections := make([]net.Conn, count)
+	for index := range connections {
+		if connections[index], err = net.Dial("tcp", listener.Addr().String()); err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { _ = connections[index].Close() })
+		if _, err := io.WriteString(connections[index], message); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for range count {
+		<-held.arrived
+	}
+	return held, connections
+}
+
+// BenchmarkPacedRelay measures the processor time of 480 streams of 50 chunks a
+// second each, over loopback TCP, callers' reading included.
+func BenchmarkPacedRelay(b *testing.B) {
+	held, connections := openRequests(b, pacedStreams)
+	for _, connection := range connections {
+		go func() { _, _ = io.Copy(io.Discard, connection) }()
+	}
+	ticker := time.NewTicker(pacedPeriod)
+	defer ticker.Stop()
+	processorBefore, started, index := processorTime(), time.Now(), 0
+	for b.Loop() {
+		<-ticker.C
+		for _, responder := range held.responders {
+			responder.Chunk(platform.Chunk{Index: index, Text: "token ", Tokens: 1})
+		}
+		index++
+	}
+	used := (processorTime() - processorBefore).Seconds()
+	chunks := float64(index * pacedStreams)
+	b.ReportMetric(chunks/time.Since(started).Seconds(), "chunks/s")
+	b.ReportMetric(chunks/used, "chunks/cpu-s")
+}
+
+// BenchmarkWaitingRequest measures the memory that a request without an answer
+// holds in the interface: its connection, goroutine and buffers.
+func BenchmarkWaitingRequest(b *testing.B) {
+	for b.Loop() {
+		heapBefore, stackBefore := memoryInUse()
+		held, connections := openRequests(b, waitingRequests)
+		heap, stack := memoryInUse()
+		b.ReportMetric(float64(heap-heapBefore)/waitingRequests, "heap-B/request")
+		b.ReportMetric(float64(stack-stackBefore)/waitingRequests, "stack-B/request")
+		for _, connection := range connections {
+			_ = connection.Close()
+		}
+		runtime.KeepAlive(held)
+	}
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func memoryInUse() (heap, stack uint64) {
+	// Stacks are halved once a collection.
+	for range collections {
+		runtime.GC()
+	}
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc, stats.StackInuse
+}
--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -112,6 +112,16 @@
 	return next
 }
 
+// unlessOverflow calls a function with the mutex held, unless the stream has
+// overflowed.
+func (s *streamResponder) unlessOverflow(function func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.overflow {
+		function()
+	}
+}
+
 // close makes every later call a no-op: the handler has returned.
 func (s *streamResponder) close() {
 	s.mutex.Lock()
--- a/internal/api/stream_test.go
+++ b/internal/api/stream_test.go
@@ -1,6 +1,8 @@
 package api
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -38,3 +40,42 @@
 		t.Fatal("events are kept")
 	}
 }
+
+// deadlineRecorder is a ResponseWriter that records its write deadlines.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadlines []time.Time
+}
+
+func (d *deadlineRecorder) SetWriteDeadline(deadline time.Time) error {
+	d.deadlines = append(d.deadlines, deadline)
+	return nil
+}
+
+// TestDeadlineBetweenWrites checks that between two writes no deadline can end
+// an HTTP/2 stream, and that every write has one.
+func TestDeadlineBetweenWrites(t *testing.T) {
+	for _, protocol := range []int{1, 2} {
+		writer := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+		request := httptest.NewRequest(http.MethodPost, kindChat.path(), nil)
+		request.ProtoMajor = protocol
+		api := &API{config: Config{Limits: DefaultLimits()}}
+		relay := streamRelay{
+			api: api, call: &call{writer: writer, request: request}, connection: http.NewResponseController(writer),
+			responder: newStreamResponder(newEventEncoder(kindChat, "r", "m", time.Unix(0, 0)), 1000, func() {}),
+		}
+		for index := range 3 {
+			relay.responder.Chunk(platform.Chunk{Index: index, Text: "token"})
+			next := relay.responder.take(nil, relay.arm)
+			if len(writer.deadlines) == 0 || (protocol == 2 && writer.deadlines[len(writer.deadlines)-1].IsZero()) {
+				t.Fatalf("HTTP/%d: write %d has no deadline: %v", protocol, index, writer.deadlines)
+			}
+			if err := relay.write(next.events); err != nil {
+				t.Fatal(err)
+			}
+			if last := writer.deadlines[len(writer.deadlines)-1]; last.IsZero() != (protocol == 2) {
+				t.Fatalf("HTTP/%d: after write %d the deadline is %s", protocol, index, last)
+			}
+		}
+	}
+}
