Close gaps in the gateway's specs; ignore refusals of owners with an older table

Cause: mutations of single lines showed which promises no spec held: chunks of a replaced attempt, pinned versions, priorities across rows, reordered chunks, partly granted claims, places kept over slow claims. An owner whose table lags refused new rows as unknown, which would have refused their requests.

Change: a spec for each; a refusal counts only from a table at least as new as the node's own; adapters prefer the base's version and need not be in order.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -30,6 +30,8 @@
 	return table.Row{Name: name, Kind: table.KindModel}, true
 }
 
+func (fakeTable) Revision() table.Revision { return 3 }
+
 // fakeDemand has one waiting row as long as waiting is set.
 type fakeDemand struct{ waiting bool }
 
@@ -206,6 +208,10 @@
 		f := newFixture()
 		refused := update("c1", 1, 1, "m")
 		refused.Rows[0].Refused = "no_memory"
+		refused.Revision = 2
+		f.directory.Apply(refused)
+		Expect(f.directory.Snapshot("m").Refused).To(BeEmpty(), "the owner's table is older")
+		refused.Revision, refused.Sequence = 3, 2
 		f.directory.Apply(refused)
 		Expect(f.directory.Snapshot("m").Refused).To(Equal("no_memory"))
 		f.directory.Apply(update("c2", 1, 1, "m"))
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -57,6 +57,10 @@
 	part.sequence = update.Sequence
 	part.receivedAt = d.config.Clock.Now()
 	part.row = row
+	if update.Revision < d.config.Table.Revision() {
+		// The owner may refuse a row only because it does not know it yet.
+		part.row.Refused = ""
+	}
 	d.rebuild(row.Model, known)
 	return true
 }
--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hatchplank/hatchplank/internal/claims"
 	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
@@ -95,6 +96,19 @@
 		Expect(b.claims.released).To(Equal(released))
 	},
 	Entry("claims are not available", func(b *bench) { b.claims.down = true }, result.ClaimUnavailable, result.RanNo, 0, 0),
+	Entry("a minority grants the claim", func(b *bench) {
+		b.claims.down = true
+		b.claims.held[claims.Key{Tenant: "alpha", Value: "family-1"}] = &fakeClaim{attempt: "node-1#a/1"}
+	}, result.ClaimUnavailable, result.RanNo, 0, 1),
+	Entry("the server leaves during a slow claim", func(b *bench) {
+		b.pools.set(testPool, 4, "p1")
+		b.claims.delay = longestClaim + time.Millisecond
+		b.loop.AfterFunc(longestClaim/2, func() {
+			b.pools.set(testPool, 4, "p1")
+			b.pools.snapshots[testPool].Endpoints[0].Draining = true
+			b.gateway.PoolChanged(testPool)
+		})
+	}, result.NoBackEnd, result.RanNo, 0, 1),
 	Entry("the outcome is unknown", failing(result.RanUnknown, "connection"), result.OutcomeUnknown, result.RanUnknown, 1, 0),
 	Entry("the back end failed after the run", failing(result.RanYes, "failed"), result.BackEndFailed, result.RanYes, 1, 0),
 	Entry("all attempts are refused", failing(result.RanNo, "refused"), result.BackEndRefused, result.RanNo, 4, 1),
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -174,9 +174,11 @@
 	answer   *Answer
 	refusal  *result.Refusal
 	finals   int
+	stale    int // chunks of an attempt that was replaced by another
 	finalAt  time.Time
 	clock    *simulation.Loop
 	finalled func()
+	chunked  func(chunk platform.Chunk)
 }
 
 func (c *caller) Chunk(chunk platform.Chunk) {
@@ -184,6 +186,9 @@
 		c.finals += 100
 	}
 	c.chunks = append(c.chunks, chunk)
+	if c.chunked != nil {
+		c.chunked(chunk)
+	}
 }
 
 func (c *caller) Finish(answer Answer) {
@@ -278,7 +283,22 @@
 	return request
 }
 
+// latest returns the newest attempt of a request.
+func (b *bench) latest(request string) platform.AttemptID {
+	for index := len(b.engines.calls) - 1; index >= 0; index-- {
+		if b.engines.calls[index].request.RequestID == request {
+			return b.engines.calls[index].request.Attempt
+		}
+	}
+	return ""
+}
+
 func (b *bench) submit(request Request) (*caller, func()) {
 	c := &caller{clock: b.loop}
+	c.chunked = func(chunk platform.Chunk) {
+		if chunk.Attempt != b.latest(request.ID) {
+			c.stale++
+		}
+	}
 	return c, b.gateway.Submit(request, c)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,7 +106,7 @@
 	}
 	entry.row = row
 	entry.claim.needed = !entry.request.Repeatable || !row.Repeatable
-	entry.stream.routing = routingOf(row, entry.request.Prefix)
+	entry.stream.routing = g.routingOf(row, entry.request.Prefix)
 	return baseOf(row), entry.checkKey()
 }
 
@@ -117,11 +117,14 @@
 	return row.Name
 }
 
-func routingOf(row table.Row, prefix []byte) router.Request {
+// routingOf is what the router must know of a request for the row. The version
+// is that of the base model's weights.
+func (g *Gateway) routingOf(row table.Row, prefix []byte) router.Request {
 	routing := router.Request{Version: row.Version, PrefixHash: router.HashPrefix(prefix)}
 	if row.Kind == table.KindAdapter {
+		base, _ := g.config.Table.Row(row.Base)
 		routing.Adapter = row.Name
-		routing.Version = ""
+		routing.Version = base.Version
 	}
 	return routing
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -73,6 +73,41 @@
 		Expect(order).To(Equal([]int{5, 9, 3, 1}))
 	})
 
+	It("serves higher priority first across rows", func() {
+		b.directory.set(testModel, 1, "s1")
+		b.directory.snapshots[testModel].Endpoints[0].Adapters = []string{"tone"}
+		var order []string
+		b.engines.serve = func(call *engineCall) {
+			order = append(order, call.request.Adapter)
+			call.end(0)
+		}
+		for _, model := range []string{testModel, testModel, testModel, "tone", "tone", "tone"} {
+			request := b.generation(time.Second)
+			request.Model = model
+			if model == "tone" {
+				request.Priority = 6
+			}
+			b.submit(request)
+		}
+		b.loop.RunFor(time.Second)
+		Expect(order).To(Equal([]string{"", "tone", "tone", "tone", "", ""}))
+	})
+
+	It("puts reordered chunks of an attempt in order", func() {
+		b.warm(1, "s1")
+		b.engines.serve = func(call *engineCall) {
+			for _, index := range []int{2, 0, 3, 1} {
+				call.chunks(index, index+1)
+			}
+			call.end(4)
+		}
+		c, _ := b.submit(b.generation(time.Second))
+		b.loop.RunFor(time.Second)
+		Expect(c.answer).NotTo(BeNil())
+		Expect(c.chunks).To(HaveLen(4))
+		Expect(b.engines.calls).To(HaveLen(1))
+	})
+
 	It("resumes a broken stream at another replica from the last chunk", func() {
 		b.warm(4, "s1", "s2")
 		b.engines.serve = func(call *engineCall) {
@@ -103,6 +138,7 @@
 		b.loop.RunFor(500 * time.Millisecond)
 		Expect(c.code()).To(Equal(result.StreamBroken))
 		Expect(c.refusal.Ran).To(Equal(result.RanYes))
+		Expect(b.engines.calls).To(HaveLen(1))
 	})
 
 	It("takes no stream that ends short for complete", func() {
@@ -137,6 +173,9 @@
 		b.loop.RunFor(time.Second)
 		Expect(c.answer.End.Attempt).To(Equal(b.engines.calls[1].request.Attempt))
 		Expect(c.chunks).To(HaveLen(3))
+		for _, chunk := range c.chunks {
+			Expect(chunk.Attempt).To(Equal(c.answer.End.Attempt))
+		}
 	})
 
 	It("waits again when the endpoint turns out not to be loaded", func() {
--- a/internal/router/filter_adapter.go
+++ b/internal/router/filter_adapter.go
@@ -10,6 +10,5 @@
 	if request.Adapter == "" {
 		return true
 	}
-	_, ready := slices.BinarySearch(candidate.Endpoint.Adapters, request.Adapter)
-	return ready
+	return slices.Contains(candidate.Endpoint.Adapters, request.Adapter)
 }
