Collect the status of a deployment from all nodes

Cause: a node knows in full only what it owns, so its own view does not tell an operator what is loaded and what waits. Change: package nodestatus asks every member for its part and puts the parts together, naming nodes that do not answer; observers tell the health of platform services. Status loses fields that nothing could fill (desired replicas, source, fence). Path prefixes of a pool match whole segments only.

--- a/internal/api/caller_test.go
+++ b/internal/api/caller_test.go
@@ -118,6 +118,7 @@
 		Entry("a pool without key", badInput{path: "/v1/backends/eggrafi/enrol", code: result.KeyRequired}),
 		Entry("a foreign tenant's pool", badInput{path: "/v1/backends/eggrafi/enrol", token: foreignToken, code: result.Forbidden}),
 		Entry("a closed path of a pool", badInput{path: "/v1/backends/eggrafi/control/faults", code: result.Forbidden}),
+		Entry("a path that only begins like an open one", badInput{path: "/v1/backends/eggrafi/enrolment", code: result.Forbidden}),
 		Entry("a path that climbs", badInput{path: "/v1/backends/eggrafi/enrol/../control", code: result.MalformedRequest}),
 		Entry("a path that climbs encoded", badInput{path: "/v1/backends/eggrafi/enrol/%2e%2e/control", code: result.MalformedRequest}),
 		Entry("a path that climbs by an encoded slash", badInput{path: "/v1/backends/eggrafi/enrol%2f..%2fcontrol", code: result.MalformedRequest}),
--- a/internal/api/config.go
+++ b/internal/api/config.go
@@ -45,7 +45,8 @@
 type Pool struct {
 	// Tenants that may call; empty: every tenant.
 	Tenants []string
-	// PathPrefixes that may be called, e.g. "/v1/"; empty: every path.
+	// PathPrefixes that may be called, by whole segments: "/enrol" opens /enrol
+	// and /enrol/4, but not /enrolment; empty: every path.
 	PathPrefixes []string
 	// TimeLimit is the longest time limit a caller may ask for, and the default.
 	TimeLimit time.Duration
--- /dev/null
+++ b/internal/api/nodestatus/health.go
@@ -0,0 +1,135 @@
+package nodestatus
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/api"
+	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// ServiceObserver remembers how the calls to one platform service ended.
+type ServiceObserver struct {
+	name  string
+	clock clock.Clock
+
+	mutex       sync.Mutex
+	lastSuccess time.Time
+	lastError   error
+}
+
+// NewServiceObserver returns an observer of a service that was not called yet.
+func NewServiceObserver(name string, c clock.Clock) *ServiceObserver {
+	return &ServiceObserver{name: name, clock: c}
+}
+
+// Observe takes the outcome of a call. An answer that is an error of the
+// request, not of the service, counts as a success: hand in nil.
+func (o *ServiceObserver) Observe(err error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.lastError = err
+	if err == nil {
+		o.lastSuccess = o.clock.Now()
+	}
+}
+
+// Health tells how the newest call ended.
+func (o *ServiceObserver) Health() api.ServiceHealth {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	health := api.ServiceHealth{Service: o.name, LastSuccess: o.lastSuccess}
+	health.Healthy = o.lastError == nil && !o.lastSuccess.IsZero()
+	if o.lastError != nil {
+		health.Detail = o.lastError.Error()
+	}
+	return health
+}
+
+// HealthOf returns the health of all observed services.
+func HealthOf(observers ...*ServiceObserver) func() api.PlatformHealth {
+	return func() api.PlatformHealth {
+		health := api.PlatformHealth{Services: []api.ServiceHealth{}}
+		for _, observer := range observers {
+			health.Services = append(health.Services, observer.Health())
+		}
+		return health
+	}
+}
+
+// observedKeyValues passes calls on and observes those that every node makes
+// regularly: transactions, readings and renewals of leases.
+type observedKeyValues struct {
+	platform.KeyValueService
+	observer *ServiceObserver
+}
+
+// ObserveKeyValues returns the service with its calls observed.
+func ObserveKeyValues(service platform.KeyValueService, observer *ServiceObserver) platform.KeyValueService {
+	return observedKeyValues{service, observer}
+}
+
+// Transact implements platform.KeyValueService.
+func (o observedKeyValues) Transact(transaction platform.Transaction, timeout time.Duration, done func(platform.TransactionResult, error)) {
+	o.KeyValueService.Transact(transaction, timeout, observed(o.observer, done))
+}
+
+// Range implements platform.KeyValueService.
+func (o observedKeyValues) Range(prefix string, timeout time.Duration, done func(platform.RangeResult, error)) {
+	o.KeyValueService.Range(prefix, timeout, observed(o.observer, done))
+}
+
+// KeepAlive implements platform.KeyValueService.
+func (o observedKeyValues) KeepAlive(lease platform.LeaseID, timeout time.Duration, done func(error)) {
+	o.KeyValueService.KeepAlive(lease, timeout, func(err error) {
+		if errors.Is(err, platform.ErrLeaseGone) {
+			// The service has answered.
+			o.observer.Observe(nil)
+		} else {
+			o.observer.Observe(err)
+		}
+		done(err)
+	})
+}
+
+// observedMachines observes the readings of the machine list.
+type observedMachines struct {
+	service  platform.MachineListService
+	observer *ServiceObserver
+}
+
+// ObserveMachines returns the service with its calls observed.
+func ObserveMachines(service platform.MachineListService, observer *ServiceObserver) platform.MachineListService {
+	return observedMachines{service, observer}
+}
+
+// List implements platform.MachineListService.
+func (o observedMachines) List(sinceVersion uint64, timeout time.Duration, done func(*platform.MachineListing, error)) {
+	o.service.List(sinceVersion, timeout, observed(o.observer, done))
+}
+
+// observedWeights observes the readings of the weight store's state.
+type observedWeights struct {
+	service  platform.WeightStoreService
+	observer *ServiceObserver
+}
+
+// ObserveWeights returns the service with its calls observed.
+func ObserveWeights(service platform.WeightStoreService, observer *ServiceObserver) platform.WeightStoreService {
+	return observedWeights{service, observer}
+}
+
+// Status implements platform.WeightStoreService.
+func (o observedWeights) Status(timeout time.Duration, done func(platform.WeightStoreStatus, error)) {
+	o.service.Status(timeout, observed(o.observer, done))
+}
+
+// observed wraps a done callback.
+func observed[T any](observer *ServiceObserver, done func(T, error)) func(T, error) {
+	return func(value T, err error) {
+		observer.Observe(err)
+		done(value, err)
+	}
+}
--- a/internal/api/pass_through.go
+++ b/internal/api/pass_through.go
@@ -100,7 +100,14 @@
 	if len(p.PathPrefixes) == 0 {
 		return true
 	}
-	return slices.ContainsFunc(p.PathPrefixes, func(prefix string) bool { return strings.HasPrefix(path, prefix) })
+	return slices.ContainsFunc(p.PathPrefixes, func(prefix string) bool { return isBelow(path, prefix) })
+}
+
+// isBelow reports whether a path is the prefix or continues it by whole
+// segments.
+func isBelow(path, prefix string) bool {
+	rest, below := strings.CutPrefix(path, prefix)
+	return below && (rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/"))
 }
 
 func isSafeMethod(method string) bool { return method == http.MethodGet || method == http.MethodHead }
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -9,14 +9,16 @@
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
-// Status is what a node knows of the deployment: all of what it owns, and of
-// the rest what it was told.
+// Status is the state of the deployment as one node collected it.
 type Status struct {
 	// Node that answers.
 	Node     string         `json:"node"`
 	Revision table.Revision `json:"revision"`
 	Draining bool           `json:"draining"`
+	// Silent nodes did not answer: what they hold is missing.
+	Silent   []string       `json:"silent"`
 	Rows     []RowStatus    `json:"rows"`
+	Pools    []PoolStatus   `json:"pools"`
 	Servers  []ServerStatus `json:"servers"`
 	Members  []MemberStatus `json:"members"`
 	Owners   []OwnerStatus  `json:"owners"`
@@ -25,39 +27,50 @@
 
 // RowStatus is the state of one row.
 type RowStatus struct {
-	Row     string `json:"row"`
-	Tenant  string `json:"tenant"`
-	Desired int    `json:"desired"`
-	// Waiting and Running requests at this node's gateway.
+	Row    string `json:"row"`
+	Tenant string `json:"tenant"`
+	// MinReplicas and MaxReplicas are the row's limits.
+	MinReplicas int `json:"min_replicas"`
+	MaxReplicas int `json:"max_replicas"`
+	// Waiting and Running requests at all gateways. Those for adapters are
+	// counted at their base.
 	Waiting  int             `json:"waiting"`
 	Running  int             `json:"running"`
 	Replicas []ReplicaStatus `json:"replicas"`
-	// Reason of the last decision about the row.
-	Reason string `json:"reason"`
 }
 
-// ReplicaStatus is one replica: where it is and why.
+// ReplicaStatus is one replica: where it is and why. For an adapter it is the
+// replica of the base that holds the adapter.
 type ReplicaStatus struct {
 	Slot    int    `json:"slot"`
 	Server  string `json:"server"`
 	Zone    string `json:"zone"`
 	Phase   string `json:"phase"`
-	Source  string `json:"source"`
 	Version string `json:"version"`
 	Running int    `json:"running"`
 	Queued  int    `json:"queued"`
+	// Reason why it was loaded; Leaving why it goes, empty if it stays.
 	Reason  string `json:"reason"`
+	Leaving string `json:"leaving"`
+}
+
+// PoolStatus is the state of one pass-through pool.
+type PoolStatus struct {
+	Pool    string `json:"pool"`
+	Waiting int    `json:"waiting"`
+	Running int    `json:"running"`
 }
 
 // ServerStatus is the memory ledger of one server.
 type ServerStatus struct {
-	Server        string `json:"server"`
-	Pool          string `json:"pool"`
-	Zone          string `json:"zone"`
-	Phase         string `json:"phase"`
+	Server string `json:"server"`
+	Pool   string `json:"pool"`
+	Zone   string `json:"zone"`
+	Cell   string `json:"cell"`
+	// State is "adopted", "leaving", "not_adopted" or "not_listed".
+	State         string `json:"state"`
 	MemoryBytes   int64  `json:"memory_bytes"`
 	ReservedBytes int64  `json:"reserved_bytes"`
-	Fence         string `json:"fence"`
 }
 
 // MemberStatus is one live node.
@@ -77,7 +90,7 @@
 	Vacant bool   `json:"vacant"`
 }
 
-// PlatformHealth tells how long ago each service last answered.
+// PlatformHealth tells how long ago each service last answered the node.
 type PlatformHealth struct {
 	Services []ServiceHealth `json:"services"`
 }
@@ -118,7 +131,7 @@
 	c.answer(http.StatusOK, limitStatus(status, scope(c.principal)))
 }
 
-// limitStatus leaves out the rows of other tenants.
+// limitStatus leaves out what other tenants have.
 func limitStatus(status Status, tenant string) Status {
 	if tenant == "" {
 		return status
@@ -130,6 +143,7 @@
 		}
 	}
 	status.Rows = rows
+	status.Pools = []PoolStatus{}
 	return status
 }
 
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -56,14 +57,18 @@
 // printStatus prints one table a kind of thing.
 func printStatus(output io.Writer, status api.Status, now time.Time) error {
 	fmt.Fprintf(output, "node %s, table revision %d%s\n", status.Node, status.Revision, suffixIf(status.Draining, ", draining"))
+	if len(status.Silent) > 0 {
+		fmt.Fprintf(output, "no answer, so what they hold is missing: %s\n", strings.Join(status.Silent, ", "))
+	}
 	sections := []struct {
 		title  string
 		header string
 		write  func(io.Writer, api.Status)
 	}{
-		{"ROWS", "ROW\tTENANT\tREADY\tDESIRED\tWAITING\tRUNNING\tREASON", writeRows},
-		{"REPLICAS", "ROW\tSLOT\tSERVER\tZONE\tPHASE\tSOURCE\tVERSION\tRUNNING\tQUEUED\tREASON", writeReplicas},
-		{"SERVERS", "SERVER\tPOOL\tZONE\tPHASE\tRESERVED\tMEMORY\tFENCE", writeServers},
+		{"ROWS", "ROW\tTENANT\tREADY\tHELD\tMIN\tMAX\tWAITING\tRUNNING", writeRows},
+		{"REPLICAS", "ROW\tSLOT\tSERVER\tZONE\tPHASE\tVERSION\tRUNNING\tQUEUED\tREASON\tLEAVING", writeReplicas},
+		{"POOLS", "POOL\tWAITING\tRUNNING", writePools},
+		{"SERVERS", "SERVER\tPOOL\tZONE\tCELL\tSTATE\tRESERVED\tMEMORY", writeServers},
 		{"NODES", "NAME\tZONE\tADDRESS\tREVISION\tSTATE", writeMembers},
 		{"OWNERS", "CELL\tOWNER\tEPOCH", writeOwners},
 		{"PLATFORM", "SERVICE\tSTATE\tLAST SUCCESS\tDETAIL", func(output io.Writer, status api.Status) { writePlatform(output, status, now) }},
@@ -82,8 +87,8 @@
 
 func writeRows(output io.Writer, status api.Status) {
 	for _, row := range status.Rows {
-		fmt.Fprintf(output, "%s\t%s\t%d\t%d\t%d\t%d\t%s\n",
-			row.Row, row.Tenant, readyReplicas(row), row.Desired, row.Waiting, row.Running, row.Reason)
+		fmt.Fprintf(output, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", row.Row, row.Tenant, readyReplicas(row),
+			len(row.Replicas), row.MinReplicas, row.MaxReplicas, row.Waiting, row.Running)
 	}
 }
 
@@ -100,18 +105,24 @@
 func writeReplicas(output io.Writer, status api.Status) {
 	for _, row := range status.Rows {
 		for _, replica := range row.Replicas {
-			fmt.Fprintf(output, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n",
-				row.Row, replica.Slot, replica.Server, replica.Zone, replica.Phase, replica.Source, replica.Version,
-				replica.Running, replica.Queued, replica.Reason)
+			fmt.Fprintf(output, "%s\t%d\t%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n",
+				row.Row, replica.Slot, replica.Server, replica.Zone, replica.Phase, replica.Version,
+				replica.Running, replica.Queued, replica.Reason, replica.Leaving)
 		}
 	}
 }
 
+func writePools(output io.Writer, status api.Status) {
+	for _, pool := range status.Pools {
+		fmt.Fprintf(output, "%s\t%d\t%d\n", pool.Pool, pool.Waiting, pool.Running)
+	}
+}
+
 func writeServers(output io.Writer, status api.Status) {
 	for _, server := range status.Servers {
 		fmt.Fprintf(output, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n",
-			server.Server, server.Pool, server.Zone, server.Phase,
-			table.FormatSize(server.ReservedBytes), table.FormatSize(server.MemoryBytes), server.Fence)
+			server.Server, server.Pool, server.Zone, server.Cell, server.State,
+			table.FormatSize(server.ReservedBytes), table.FormatSize(server.MemoryBytes))
 	}
 }
 
--- a/internal/command/status_test.go
+++ b/internal/command/status_test.go
@@ -46,8 +46,8 @@
 		}
 		drained = drained || request.URL.Path == "/admin/v1/drain"
 		_ = json.NewEncoder(writer).Encode(api.Status{
-			Node: "node-1", Revision: 7,
-			Rows: []api.RowStatus{{Row: "dossier", Tenant: "attica", Desired: 2, Waiting: 3, Replicas: []api.ReplicaStatus{
+			Node: "node-1", Revision: 7, Silent: []string{"node-3"},
+			Rows: []api.RowStatus{{Row: "dossier", Tenant: "attica", MinReplicas: 1, MaxReplicas: 4, Waiting: 3, Replicas: []api.ReplicaStatus{
 				{Server: "glossa-04", Phase: "ready", Reason: "waiting requests"}, {Slot: 1, Server: "glossa-05", Phase: "loading"},
 			}}},
 			Owners: []api.OwnerStatus{{Cell: "attica", Member: "node-2", Epoch: 5}, {Cell: "spare", Vacant: true}},
@@ -72,7 +72,7 @@
 		t.Fatal(err)
 	}
 	for _, line := range []string{
-		"node node-1, table revision 7", "dossier attica 1 2 3 0", "dossier 0 glossa-04 ready 0 0 waiting requests",
+		"node node-1, table revision 7", "missing: node-3", "dossier attica 1 2 1 4 3 0", "dossier 0 glossa-04 ready 0 0 waiting requests",
 		"attica node-2 5", "spare (vacant) 0", "weight store failing never",
 	} {
 		if !strings.Contains(strings.Join(strings.Fields(output), " "), line) {
