Keep statistics over outages and allot rows once a revision

A new owner saved its own statistics over those of the owner before when these could not be read; now it reads them again until it can, and saves only what is new. Allotments, which hash every cell, are kept for a revision. Loads from one disk share its speed in the planner's estimate, and measured load times no longer count the fixed part twice.

--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -8,7 +8,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hatchplank/hatchplank/internal/applier"
+	"github.com/hatchplank/hatchplank/internal/planner"
 	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -288,3 +290,49 @@
 func (s *countingSink) End(platform.GenerateEnd) { s.ended++ }
 
 func (s *countingSink) Failed(*platform.AttemptError) { s.failed++ }
+
+// statisticsShelf keeps one cell's statistics; its first load fails.
+type statisticsShelf struct {
+	loop  *simulation.Loop
+	loads int
+	saved [][]byte
+	kept  []byte
+}
+
+func (s *statisticsShelf) Load(_ string, done func([]byte, error)) {
+	s.loads++
+	err := platform.ErrNotApplied
+	if s.loads > 1 {
+		err = nil
+	}
+	s.loop.AfterFunc(time.Millisecond, func() { done(s.kept, err) })
+}
+
+func (s *statisticsShelf) Save(_ string, _ uint64, data []byte, done func(error)) {
+	Expect(s.loads).To(BeNumerically(">", 1), "saved before the earlier statistics were read")
+	s.saved = append(s.saved, data)
+	s.loop.AfterFunc(time.Millisecond, func() { done(nil) })
+}
+
+var _ = It("Statistics of the owner before are kept through an outage of their store", func() {
+	earlier := planner.NewStatistics()
+	earlier.Observe(simulation.Epoch.Add(-time.Hour), "b", "group-a", 1)
+	data, err := earlier.Encode()
+	Expect(err).NotTo(HaveOccurred())
+	shelf := &statisticsShelf{kept: data}
+	c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte)}, func(config *applier.Config) { config.Statistics = shelf })
+	shelf.loop = c.loop
+	c.acquire(0)
+	c.gateway.want("a", 1)
+	c.loop.RunFor(3 * time.Minute)
+	c.gateway.want("a", 0)
+	c.loop.RunFor(3 * time.Minute)
+	saves := len(shelf.saved)
+	Expect(saves).To(BeNumerically(">", 1))
+	after, err := planner.DecodeStatistics(shelf.saved[saves-1])
+	Expect(err).NotTo(HaveOccurred())
+	Expect(after.Row("a")).NotTo(BeNil())
+	Expect(after.Row("b")).To(Equal(earlier.Row("b")))
+	c.loop.RunFor(10 * time.Minute)
+	Expect(shelf.saved).To(HaveLen(saves), "nothing new was learned")
+})
--- a/internal/applier/config.go
+++ b/internal/applier/config.go
@@ -105,6 +105,8 @@
 	StoreStatus time.Duration
 	// SaveStatistics is the period of saving statistics.
 	SaveStatistics time.Duration
+	// RestoreStatistics is the pause before reading them is tried again.
+	RestoreStatistics time.Duration
 }
 
 // DefaultIntervals are used in a node.
@@ -119,7 +121,7 @@
 		DrainDelay: 5 * time.Second, DrainSettle: time.Second,
 		ForgetGateway: 10 * time.Minute,
 		Push:          time.Second, Release: 10 * time.Second,
-		StoreStatus: time.Second, SaveStatistics: time.Minute,
+		StoreStatus: time.Second, SaveStatistics: time.Minute, RestoreStatistics: 5 * time.Second,
 	}
 }
 
@@ -129,8 +131,8 @@
 	Random *rand.Rand
 	Table  table.View
 	Layout cells.Layout
-	// Allot returns the cell's part of a row's limits; an adapter's like a
-	// model's.
+	// Allot returns the cell's part of a row's limits; nil: by Layout. It is
+	// called once a row and revision.
 	Allot func(cell string, row table.Row) cells.Allotment
 	// CellOf returns the cell of an engine; nil: by Layout.
 	CellOf   func(machine platform.Machine) (cell string, known bool)
@@ -151,33 +153,14 @@
 	Intervals Intervals
 }
 
-// cellByLayout finds the first cell of the layout that a machine belongs to.
-func cellByLayout(layout cells.Layout) func(platform.Machine) (string, bool) {
-	return func(machine platform.Machine) (string, bool) {
-		for _, cell := range layout.Cells {
-			if belongs(&cell, &machine) {
-				return cell.Name, true
+// allotByLayout returns a cell's part of a row, none if the row is not for it.
+func allotByLayout(layout cells.Layout) func(string, table.Row) cells.Allotment {
+	return func(cell string, row table.Row) cells.Allotment {
+		for _, allotment := range layout.Allotments(row) {
+			if allotment.Cell == cell {
+				return allotment
 			}
 		}
-		return "", false
+		return cells.Allotment{Cell: cell}
 	}
 }
-
-func belongs(cell *cells.Cell, machine *platform.Machine) bool {
-	if cell.Region != "" && cell.Region != machine.Region {
-		return false
-	}
-	if !contains(cell.Pools, machine.Pool) {
-		return false
-	}
-	return len(cell.Zones) == 0 || contains(cell.Zones, machine.Zone)
-}
-
-func contains(words []string, word string) bool {
-	for _, candidate := range words {
-		if candidate == word {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/applier/manager.go
+++ b/internal/applier/manager.go
@@ -39,7 +39,10 @@
 		config.Intervals = DefaultIntervals()
 	}
 	if config.CellOf == nil {
-		config.CellOf = cellByLayout(config.Layout)
+		config.CellOf = config.Layout.ServerCell
+	}
+	if config.Allot == nil {
+		config.Allot = allotByLayout(config.Layout)
 	}
 	m := &Manager{config: config, owners: map[string]*Owner{}}
 	config.Transport.Handle(directory.DemandReport{}, m.handleDemand)
--- a/internal/applier/owner.go
+++ b/internal/applier/owner.go
@@ -44,7 +44,9 @@
 	statistics   *planner.Statistics
 	plan         planner.Plan
 	rowPlans     map[string]planner.RowPlan
-	revision     table.Revision
+	// rows with their allotments, of the revision acted on.
+	rows     []planner.Row
+	revision table.Revision
 
 	attempts       uint64
 	updateSequence uint64
@@ -57,6 +59,9 @@
 	tokensAt     time.Time
 	nextSave     time.Time
 	saving       bool
+	// restored: the statistics of the owner before were read.
+	restored, restoring bool
+	savedObservations   uint64
 
 	lastTick, lastPlan time.Time
 	// dirty: something happened since the last plan.
@@ -70,7 +75,6 @@
 		config: config, cell: cell, epoch: epoch, store: store,
 		logger:     config.Logger.With().Str("cell", cell).Uint64("epoch", epoch).Logger(),
 		acquiredAt: now, tokensAt: now,
-		nextSave:     now.Add(config.Intervals.SaveStatistics),
 		random:       rand.New(rand.NewPCG(config.Random.Uint64(), epoch)),
 		byID:         map[platform.ServerID]*serverEntry{},
 		lastArrivals: map[string]time.Time{},
@@ -83,9 +87,6 @@
 // start begins adoption and reads the statistics of the owner before.
 func (o *Owner) start() {
 	o.logger.Info().Str("reason", "acquired").Msg("cell owner started")
-	if o.config.Statistics != nil {
-		o.config.Statistics.Load(o.cell, o.statisticsLoaded)
-	}
 	o.tick()
 }
 
@@ -162,7 +163,9 @@
 // tick takes in the machine list, plans, and sends what is due.
 func (o *Owner) tick() {
 	listing, readAt := o.config.Machines.Listing()
-	rows, revision := o.config.Table.Rows(), o.config.Table.Revision()
+	// The revision is read first: rows may then be newer, and are read again.
+	revision := o.config.Table.Revision()
+	rows := o.config.Table.Rows()
 	store, storeKnown := o.store()
 	members := o.config.Self.Members()
 	o.mutex.Lock()
@@ -184,17 +187,33 @@
 		return
 	}
 	if o.planDue(now, revision) {
-		o.planLocked(now, rows, revision, planner.Store{Known: storeKnown, WeightStoreStatus: store})
+		o.takeTable(rows, revision)
+		o.planLocked(now, planner.Store{Known: storeKnown, WeightStoreStatus: store})
 	}
 	o.advanceDrains(now)
 	o.sendOrders(now)
 	o.sendPolls(now)
 	o.confirmLocked(now)
 	o.pushLocked(now)
-	o.saveLocked(now)
+	o.keepStatistics(now)
 	o.mutex.Unlock()
 }
 
+// takeTable allots the rows of a new revision.
+func (o *Owner) takeTable(rows []table.Row, revision table.Revision) {
+	if revision == o.revision && o.rows != nil {
+		return
+	}
+	o.revision = revision
+	o.rows = make([]planner.Row, len(rows))
+	for i := range rows {
+		allotment := o.config.Allot(o.cell, rows[i])
+		o.rows[i] = planner.Row{
+			Row: rows[i], Min: allotment.MinReplicas, Max: allotment.MaxReplicas, FirstSlot: allotment.FirstSlot,
+		}
+	}
+}
+
 // planDue reports whether a plan is to be made. Before a table was read there
 // is nothing to plan by, and an older table is never gone back to.
 func (o *Owner) planDue(now time.Time, revision table.Revision) bool {
--- a/internal/applier/planning.go
+++ b/internal/applier/planning.go
@@ -11,10 +11,9 @@
 
 // planLocked runs the policy and takes over those of its decisions that keep
 // the rules.
-func (o *Owner) planLocked(now time.Time, rows []table.Row, revision table.Revision, store planner.Store) {
-	o.revision = revision
+func (o *Owner) planLocked(now time.Time, store planner.Store) {
 	o.dirty = false
-	snapshot := o.snapshot(now, rows, store)
+	snapshot := o.snapshot(now, store)
 	o.observe(snapshot)
 	o.lastPlan = now
 	o.plan = o.config.Policy.Plan(snapshot)
@@ -30,18 +29,14 @@
 	}
 }
 
-func (o *Owner) snapshot(now time.Time, rows []table.Row, store planner.Store) *planner.Snapshot {
+func (o *Owner) snapshot(now time.Time, store planner.Store) *planner.Snapshot {
 	snapshot := &planner.Snapshot{Now: now, Revision: o.revision, Statistics: o.statistics}
 	demands := o.demandByRow()
-	snapshot.Rows = make([]planner.Row, len(rows))
-	for i := range rows {
-		allotment := o.config.Allot(o.cell, rows[i])
-		demand := demands[rows[i].Name]
-		demand.LastArrival = o.lastArrivals[rows[i].Name]
-		snapshot.Rows[i] = planner.Row{
-			Row: rows[i], Min: allotment.MinReplicas, Max: allotment.MaxReplicas,
-			FirstSlot: allotment.FirstSlot, Demand: demand,
-		}
+	snapshot.Rows = o.rows
+	for i := range o.rows {
+		demand := demands[o.rows[i].Name]
+		demand.LastArrival = o.lastArrivals[o.rows[i].Name]
+		o.rows[i].Demand = demand
 	}
 	snapshot.Servers = make([]planner.Server, len(o.servers))
 	for i, server := range o.servers {
--- a/internal/planner/loads.go
+++ b/internal/planner/loads.go
@@ -170,6 +170,7 @@
 	work.held++
 	work.current++
 	work.readyAt = earlier(work.readyAt, readyAt)
+	w.servers[choice.server].loading[choice.source]++
 	w.loads = append(w.loads, decidedLoad{row: i, server: choice.server})
 }
 
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -84,6 +84,9 @@
 	row := &w.snapshot.Rows[c.row]
 	source := w.sourceAt(&w.snapshot.Servers[i], row)
 	option := placement{server: i, source: source, seconds: w.loadSeconds(row.WeightBytes, source)}
+	if source == platform.SourceDisk {
+		option.seconds *= float64(1 + w.servers[i].loading[source])
+	}
 	if w.policy.sourceAware {
 		option.cost = option.seconds
 	}
--- a/internal/planner/policy.go
+++ b/internal/planner/policy.go
@@ -162,13 +162,13 @@
 
 // loadSeconds estimates a load's duration from a source.
 func (w *workspace) loadSeconds(bytes int64, source platform.CheckpointSource) float64 {
-	rate := w.snapshot.Statistics.loadRate(source)
-	if rate > 0 {
-		return rate * float64(bytes) / gigabyte
+	overhead := w.policy.parameters.LoadOverhead.Seconds()
+	if rate := w.snapshot.Statistics.loadRate(source); rate > 0 {
+		return rate*float64(bytes)/gigabyte + overhead
 	}
 	seconds := float64(bytes) / w.policy.parameters.BytesPerSecond[source]
 	if source == platform.SourceRemote && w.snapshot.Store.SlowDown > 1 {
 		seconds *= w.snapshot.Store.SlowDown
 	}
-	return seconds + w.policy.parameters.LoadOverhead.Seconds()
+	return seconds + overhead
 }
--- a/internal/planner/statistics.go
+++ b/internal/planner/statistics.go
@@ -23,6 +23,8 @@
 	keptStarts = 8
 	// sessionMemory weighs older sessions against the newest.
 	sessionMemory = 0.8
+	// fastestLoad in seconds per gigabyte keeps a measurement from being none.
+	fastestLoad = 0.001
 	// loadMemory weighs older load times against the newest.
 	loadMemory = 0.8
 )
@@ -57,8 +59,12 @@
 	tenants map[string]*TenantStatistics
 	// secondsPerGigabyte measured by source; 0: not measured.
 	secondsPerGigabyte [3]float64
+	observations       uint64
 }
 
+// Observations counts what was observed since the statistics were made.
+func (s *Statistics) Observations() uint64 { return s.observations }
+
 // NewStatistics returns empty statistics.
 func NewStatistics() *Statistics {
 	return &Statistics{rows: map[string]*RowStatistics{}, tenants: map[string]*TenantStatistics{}}
@@ -82,6 +88,7 @@
 
 // Observe records that a row is in use now and needs that many replicas.
 func (s *Statistics) Observe(now time.Time, row, tenant string, needed int) {
+	s.observations++
 	statistics := s.rows[row]
 	if statistics == nil {
 		statistics = &RowStatistics{}
@@ -165,7 +172,9 @@
 	if bytes <= 0 || took <= 0 || int(source) >= len(s.secondsPerGigabyte) {
 		return
 	}
-	measured := took.Seconds() / (float64(bytes) / gigabyte)
+	s.observations++
+	transfer := max(0, took-DefaultParameters.LoadOverhead).Seconds()
+	measured := max(fastestLoad, transfer/(float64(bytes)/gigabyte))
 	known := s.secondsPerGigabyte[source]
 	if known > 0 {
 		measured = loadMemory*known + (1-loadMemory)*measured
--- a/internal/planner/workspace.go
+++ b/internal/planner/workspace.go
@@ -63,6 +63,9 @@
 	free int64
 	// freeing bytes will be given back by unloads under way.
 	freeing int64
+	// loading counts the loads under way by source; those from one disk share
+	// its speed.
+	loading [3]int
 	// placed models of this plan.
 	placed []string
 }
@@ -126,6 +129,9 @@
 		if replica.Draining || replica.Phase == platform.ReplicaUnloading {
 			w.servers[i].freeing += replica.memory()
 		}
+		if replica.Phase == platform.ReplicaLoading {
+			w.servers[i].loading[replica.Source]++
+		}
 		w.countReplica(server, replica)
 		for a := range replica.Adapters {
 			if at, known := w.index[replica.Adapters[a].Name]; known {
