Order the simulation's events in a four-ary heap by value

Cause: a profile of fault runs showed a sixth of the time in container/heap, whose comparisons follow two pointers each and compare time.Time. Change: the heap holds (nanoseconds, sequence, pointer) by value with four children a node.

--- a/internal/simulation/loop.go
+++ b/internal/simulation/loop.go
@@ -6,7 +6,6 @@
 package simulation
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
@@ -48,35 +47,37 @@
 		delay = 0
 	}
 	l.sequence++
-	scheduled := &event{at: l.now.Add(delay), sequence: l.sequence, function: function}
-	heap.Push(&l.events, scheduled)
+	scheduled := &event{function: function}
+	l.events.push(scheduledEvent{at: int64(l.sinceEpoch() + delay), sequence: l.sequence, event: scheduled})
 	return scheduled
 }
 
+func (l *Loop) sinceEpoch() time.Duration { return l.now.Sub(Epoch) }
+
 // Step runs the next event and reports whether there was one.
 func (l *Loop) Step() bool {
 	l.dropStopped()
-	if l.events.Len() == 0 {
+	if len(l.events) == 0 {
 		return false
 	}
-	l.run(heap.Pop(&l.events).(*event))
+	l.run(l.events.pop())
 	return true
 }
 
 // dropStopped removes stopped events from the head, so that the head is the
 // next event that will run.
 func (l *Loop) dropStopped() {
-	for l.events.Len() > 0 && l.events[0].function == nil {
-		heap.Pop(&l.events)
+	for len(l.events) > 0 && l.events[0].event.function == nil {
+		l.events.pop()
 	}
 }
 
-func (l *Loop) run(next *event) {
-	if next.at.After(l.now) {
-		l.now = next.at
+func (l *Loop) run(next scheduledEvent) {
+	if at := Epoch.Add(time.Duration(next.at)); at.After(l.now) {
+		l.now = at
 	}
-	function := next.function
-	next.function = nil
+	function := next.event.function
+	next.event.function = nil
 	l.executed++
 	function()
 }
@@ -84,9 +85,10 @@
 // RunUntil runs all events up to and including the given time and leaves the
 // clock there.
 func (l *Loop) RunUntil(end time.Time) {
+	last := int64(end.Sub(Epoch))
 	l.dropStopped()
-	for l.events.Len() > 0 && !l.events[0].at.After(end) {
-		l.Step()
+	for len(l.events) > 0 && l.events[0].at <= last {
+		l.run(l.events.pop())
 		l.dropStopped()
 	}
 	if end.After(l.now) {
@@ -99,8 +101,6 @@
 
 // event is one scheduled function; a nil function was stopped or has run.
 type event struct {
-	at       time.Time
-	sequence uint64
 	function func()
 }
 
@@ -110,26 +110,3 @@
 	e.function = nil
 	return pending
 }
-
-type eventHeap []*event
-
-func (h eventHeap) Len() int { return len(h) }
-
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].sequence < h[j].sequence
-}
-
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-func (h *eventHeap) Push(x any) { *h = append(*h, x.(*event)) }
-
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return last
-}
