Narrow the checker's excuses to what a caller can't expect

Change: pauses, partitions, list lag and lateness are told with their exact times and only move what is due; calls must end by their deadline without slack; requests that came before a planned stop may not be turned away by it; edits told as rejected must not be durable; replayed answers are compared. The schedule injects a quarter of the faults in pairs, reclaims back ends, misroutes pieces of answers, and makes most outages of the key-value service short so that nodes take over from each other.

--- a/internal/checker/promise.go
+++ b/internal/checker/promise.go
@@ -80,6 +80,8 @@
 	Requests, Served, Refused, LostWithNode, Unanswered uint64
 	// RefusedByCode counts refusals by result code.
 	RefusedByCode map[int]uint64
+	// MachinesLeaving counts machines that were announced to leave.
+	MachinesLeaving uint64
 	// MaxConfigDelay and MaxDrainDelay in seconds.
 	MaxConfigDelay, MaxDrainDelay float64
 	// Doubled, Mismatched, Overcommitted and OverReplicas single out the
@@ -106,6 +108,7 @@
 	r.Refused += other.Refused
 	r.LostWithNode += other.LostWithNode
 	r.Unanswered += other.Unanswered
+	r.MachinesLeaving += other.MachinesLeaving
 	r.Doubled += other.Doubled
 	r.Mismatched += other.Mismatched
 	r.Overcommitted += other.Overcommitted
--- a/internal/checker/table.go
+++ b/internal/checker/table.go
@@ -1,6 +1,7 @@
 package checker
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -40,11 +41,12 @@
 	if !known {
 		return
 	}
-	if !acts {
-		c.report.Tallies[PromiseTable].check(!state.inForce[node], "%s went back behind the change that added %s", node, row)
+	tally := &c.report.Tallies[PromiseTable]
+	if state.inForce[node] {
+		tally.check(acts, "%s went back behind the change that added %s", node, row)
 		return
 	}
-	if !state.missing[node] {
+	if !acts || !state.missing[node] {
 		return
 	}
 	delete(state.missing, node)
@@ -52,14 +54,21 @@
 	c.checkDelay(row, node, state, at)
 }
 
+// checkDelay checks that a node acts on a change in time: within the grace of
+// its acceptance, or of the end of what kept the node from hearing of it.
 func (c *Checker) checkDelay(row, node string, state *change, at time.Time) {
-	if c.excused(node, state.acceptedAt, at) || covers(c.cutOff, node, state.acceptedAt, at) {
+	due := state.acceptedAt.Add(c.limits.TableGrace)
+	due, paused := c.pauses[node].extend(state.acceptedAt, due, c.limits.TableGrace)
+	due, cutOff := c.cutOff[nameOf(node)].extend(state.acceptedAt, due, c.limits.TableGrace)
+	if paused || cutOff {
 		return
 	}
 	delay := at.Sub(state.acceptedAt)
-	c.report.MaxConfigDelay = max(c.report.MaxConfigDelay, delay.Seconds())
-	c.report.Tallies[PromiseTable].check(delay <= c.limits.TableGrace,
-		"the change that added %s was in force at %s only after %s", row, node, delay)
+	if due.Equal(state.acceptedAt.Add(c.limits.TableGrace)) {
+		c.report.MaxConfigDelay = max(c.report.MaxConfigDelay, delay.Seconds())
+	}
+	c.report.Tallies[PromiseTable].check(!at.After(due),
+		"the change that added %s was not in force at %s after %s", row, node, delay)
 }
 
 // NodeGone notes that a node ended; it need not act on changes any more.
@@ -72,20 +81,26 @@
 
 // finishTable checks that no change stayed without force.
 func (c *Checker) finishTable(now time.Time) {
-	for row, state := range c.changes {
-		nodes := make([]string, 0, len(state.missing))
-		for node := range state.missing {
-			nodes = append(nodes, node)
-		}
-		slices.Sort(nodes)
-		for _, node := range nodes {
-			c.checkDelay(row, node, state, now)
-		}
+	for _, row := range slices.Sorted(maps.Keys(c.changes)) {
+		c.Forget(row, now)
 	}
 }
 
 // Forget ends the checks of a change, before the row that it added is removed.
-func (c *Checker) Forget(row string) { delete(c.changes, row) }
+// Nodes that do not act on it yet are late if their grace is over.
+func (c *Checker) Forget(row string, at time.Time) {
+	state, known := c.changes[row]
+	if !known {
+		return
+	}
+	delete(c.changes, row)
+	if !at.After(state.acceptedAt.Add(c.limits.TableGrace)) {
+		return
+	}
+	for _, node := range slices.Sorted(maps.Keys(state.missing)) {
+		c.checkDelay(row, node, state, at)
+	}
+}
 
 // TableBroken notes a durable edit that does not follow from the one before.
 func (c *Checker) TableBroken(err error) {
@@ -101,9 +116,12 @@
 	c.acknowledged = append(c.acknowledged, acknowledgement{base: base, revision: revision, token: token})
 }
 
-// finishAcknowledged checks that each acknowledged edit is durable and that no
-// two of them had the same base.
-func (c *Checker) finishAcknowledged() {
+// Rejected notes that an operator was told that an edit was not accepted.
+func (c *Checker) Rejected(token string) { c.rejected = append(c.rejected, token) }
+
+// finishEdits checks that each acknowledged edit is durable, that no two of
+// them had the same base, and that no rejected one is durable.
+func (c *Checker) finishEdits() {
 	tally := &c.report.Tallies[PromiseTable]
 	bases := map[table.Revision]string{}
 	for _, edit := range c.acknowledged {
@@ -113,4 +131,12 @@
 		tally.check(!taken, "edits %s and %s were both accepted on revision %d", other, edit.token, edit.base)
 		bases[edit.base] = edit.token
 	}
+	revisions := make(map[string]table.Revision, len(c.durable))
+	for revision, token := range c.durable {
+		revisions[token] = revision
+	}
+	for _, token := range c.rejected {
+		revision, durable := revisions[token]
+		tally.check(!durable, "edit %s was rejected but is durable as revision %d", token, revision)
+	}
 }
--- a/internal/emulator/calls.go
+++ b/internal/emulator/calls.go
@@ -63,7 +63,7 @@
 // send brings a request to a node; onEnd may be nil.
 func (b *callBook) send(target *SimulatedNode, request gateway.Request, limit time.Duration, onEnd func(EndedCall)) {
 	b.next++
-	request.ID = fmt.Sprintf("request-%06d", b.next)
+	request.ID = b.lastID()
 	now := b.world.Loop.Now()
 	request.Deadline = now.Add(limit)
 	c := &call{book: b, node: target, identity: target.identity(), request: request, sentAt: now, onEnd: onEnd}
@@ -78,6 +78,9 @@
 	b.world.Network.Deliver(b.world.processes.callers, target.Process, c.arrive)
 }
 
+// lastID is the identity of the call that was sent last.
+func (b *callBook) lastID() string { return fmt.Sprintf("request-%06d", b.next) }
+
 // arrive submits the request in the node's process. Deadlines are absolute once
 // accepted, so the node's possibly drifting clock counts the limit from here.
 func (c *call) arrive() {
@@ -147,9 +150,6 @@
 	if c.request.Pool != "" {
 		return bytes.Equal(answer.Response.Body, backend.ExpectedBody(c.request.Body))
 	}
-	if answer.Replayed {
-		return true
-	}
 	return !c.broken && c.text.String() == engine.ExpectedText(c.request.Path, c.request.Body)
 }
 
--- a/internal/emulator/faultrun.go
+++ b/internal/emulator/faultrun.go
@@ -34,7 +34,7 @@
 // RunFaults runs one seed: a workload and table edits while faults of every
 // kind come at random moments.
 func RunFaults(options Options, span time.Duration) FaultRun {
-	options.Limits.MachineListLag = MaxMachineListLag
+	options.Limits.ClientDelay = options.Deployment.ClientDelay
 	w := NewWorld(options)
 	w.Loop.RunFor(2 * time.Second)
 	w.Import(nil)
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -8,7 +8,6 @@
 	"github.com/hatchplank/hatchplank/internal/standin/backend"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
-	"github.com/hatchplank/hatchplank/internal/standin/machines"
 )
 
 // Fault is one kind of failure that can be injected. Inject begins it and
@@ -32,6 +31,7 @@
 	{"weight_store_slow", (*injector).weightsSlow},
 	{"machine_reclaimed_warned", (*injector).reclaimWarned},
 	{"machine_reclaimed_unwarned", (*injector).reclaimUnwarned},
+	{"back_end_reclaimed", (*injector).reclaimBackEnd},
 	{"machine_list_lag", (*injector).machineListLag},
 	{"engine_killed", (*injector).killEngine},
 	{"engine_paused", (*injector).pauseEngine},
@@ -42,11 +42,15 @@
 	{"messages_lost", (*injector).loseMessages},
 	{"messages_duplicated", (*injector).duplicateMessages},
 	{"messages_late", (*injector).delayMessages},
+	{"answers_misrouted", (*injector).misrouteAnswers},
 	{"operators_race", (*injector).race},
 }
 
-// MaxMachineListLag is the largest lag that the schedule sets.
-const MaxMachineListLag = 8 * time.Second
+// maxMachineListLag is the largest lag that the schedule sets.
+const maxMachineListLag = 8 * time.Second
+
+// pairShare of the faults come together with another one at the same moment.
+const pairShare = 0.25
 
 // injector draws and injects faults into a world.
 type injector struct {
@@ -56,7 +60,10 @@
 	injected map[string]int
 	// keyValueFaults in force; several kinds may overlap.
 	keyValueFaults keyvalue.Faults
-	spare          int
+	// outages of the key-value service so far; a newer one outlasts the older.
+	outages int
+	// spare machines brought so far.
+	spare int
 }
 
 // StartFaults injects random faults until a time, with a mean pause between
@@ -73,14 +80,21 @@
 		if i.world.Loop.Now().After(until) {
 			return
 		}
-		fault := Faults[i.random.IntN(len(Faults))]
-		i.injected[fault.Name]++
-		i.world.trace.addText(fault.Name)
-		fault.Inject(i)
+		i.injectOne()
+		if i.random.Float64() < pairShare {
+			i.injectOne()
+		}
 		i.schedule(meanPause, until)
 	})
 }
 
+func (i *injector) injectOne() {
+	fault := Faults[i.random.IntN(len(Faults))]
+	i.injected[fault.Name]++
+	i.world.trace.addText(fault.Name)
+	fault.Inject(i)
+}
+
 // span draws a duration between two bounds.
 func (i *injector) span(shortest, longest time.Duration) time.Duration {
 	return shortest + time.Duration(i.random.Int64N(int64(longest-shortest)))
@@ -90,10 +104,6 @@
 	i.world.Loop.AfterFunc(delay, function)
 }
 
-// excuseMargin is how long a node may need after a pause to work through what
-// came meanwhile.
-const excuseMargin = 5 * time.Second
-
 func (i *injector) node() *SimulatedNode { return i.world.pickNode() }
 
 // living counts the nodes that serve.
@@ -131,12 +141,7 @@
 	if n == nil {
 		return
 	}
-	pause := i.span(time.Second, 40*time.Second)
-	process := n.Process
-	now := i.world.Loop.Now()
-	process.Pause()
-	i.world.Checker.Excuse(n.identity(), now, now.Add(pause+excuseMargin))
-	i.after(pause, process.Resume)
+	i.world.pause(n.identity(), n.Process, i.span(time.Second, 40*time.Second))
 }
 
 // driftNode lets the next incarnations' clock run apart by up to 0.02 percent
@@ -159,11 +164,23 @@
 
 func (i *injector) keyValueOutage() {
 	i.setKeyValue(func(f *keyvalue.Faults) { f.Outage = true })
-	i.after(i.span(5*time.Second, 3*time.Minute), func() {
-		i.setKeyValue(func(f *keyvalue.Faults) { f.Outage = false })
+	i.outages++
+	begun := i.outages
+	span := i.span(2*time.Second, 30*time.Second)
+	if i.random.Float64() < longOutageShare {
+		span = i.span(time.Minute, 5*time.Minute)
+	}
+	i.after(span, func() {
+		if begun == i.outages {
+			i.setKeyValue(func(f *keyvalue.Faults) { f.Outage = false })
+		}
 	})
 }
 
+// longOutageShare of the key-value service's outages last minutes. Most are
+// short, so that the nodes take over from each other between them.
+const longOutageShare = 0.15
+
 func (i *injector) keyValueSlow() {
 	delay := i.span(50*time.Millisecond, 1500*time.Millisecond)
 	i.setKeyValue(func(f *keyvalue.Faults) { f.Delay = delay })
@@ -223,15 +240,35 @@
 		return
 	}
 	i.spare++
-	i.after(i.span(5*time.Second, time.Minute), func() { i.world.replaceEngine(i.spare, zone) })
+	number := i.spare
+	i.after(i.span(5*time.Second, time.Minute), func() { i.world.replaceEngine(number, zone) })
 }
 
 func (i *injector) reclaimWarned()   { i.reclaim(i.span(10*time.Second, 2*time.Minute)) }
 func (i *injector) reclaimUnwarned() { i.reclaim(0) }
 
+// minimumBackEnds are left alone by reclaims.
+const minimumBackEnds = 2
+
+func (i *injector) reclaimBackEnd() {
+	servers := i.world.BackEndServers
+	if len(servers) <= minimumBackEnds {
+		return
+	}
+	server := servers[i.random.IntN(len(servers))]
+	zone := i.world.zoneOf(string(server))
+	i.world.removeBackEnd(server)
+	if !i.world.Machines.Reclaim(server, i.span(10*time.Second, time.Minute)) {
+		return
+	}
+	i.spare++
+	number := i.spare
+	i.after(i.span(5*time.Second, time.Minute), func() { i.world.replaceBackEnd(number, zone) })
+}
+
 func (i *injector) machineListLag() {
-	i.world.Machines.SetFaults(machines.Faults{Lag: i.span(time.Second, MaxMachineListLag)})
-	i.after(i.span(20*time.Second, 2*time.Minute), func() { i.world.Machines.SetFaults(machines.Faults{}) })
+	i.world.setMachineListLag(i.span(time.Second, maxMachineListLag))
+	i.after(i.span(20*time.Second, 2*time.Minute), func() { i.world.setMachineListLag(0) })
 }
 
 func (i *injector) killEngine() {
@@ -246,9 +283,9 @@
 
 func (i *injector) pauseEngine() {
 	_, host := i.engineServer()
-	process := host.Process
-	process.Pause()
-	i.after(i.span(time.Second, 30*time.Second), process.Resume)
+	if !host.Process.Paused() && !host.Process.Killed() {
+		i.world.pause(host.Process.Name, host.Process, i.span(time.Second, 30*time.Second))
+	}
 }
 
 func (i *injector) faultyEngine() {
@@ -291,8 +328,13 @@
 
 func (i *injector) partition() {
 	zones := i.world.Options.Deployment.Zones
-	i.world.Faults.CutZone = zones[i.random.IntN(len(zones))]
-	i.world.excuseZone(i.world.Faults.CutZone, i.span(5*time.Second, time.Minute), i)
+	zone := zones[i.random.IntN(len(zones))]
+	i.world.cutZone(zone)
+	i.after(i.span(5*time.Second, time.Minute), func() {
+		if i.world.Faults.CutZone == zone {
+			i.world.cutZone("")
+		}
+	})
 }
 
 func (i *injector) loseMessages() {
@@ -306,9 +348,15 @@
 }
 
 func (i *injector) delayMessages() {
-	i.world.Faults.Late = 0.02 + 0.1*i.random.Float64()
-	i.world.Faults.LateDelay = i.span(100*time.Millisecond, 5*time.Second)
-	i.after(i.span(5*time.Second, time.Minute), func() { i.world.Faults.Late = 0 })
+	i.world.setLateness(0.02+0.1*i.random.Float64(), i.span(100*time.Millisecond, 5*time.Second))
+	i.after(i.span(5*time.Second, time.Minute), func() { i.world.setLateness(0, 0) })
+}
+
+// misrouteAnswers lets pieces of answers reach other requests as well, as from
+// a connection that is used again too early.
+func (i *injector) misrouteAnswers() {
+	i.world.Faults.Misrouted = 0.02 + 0.2*i.random.Float64()
+	i.after(i.span(5*time.Second, time.Minute), func() { i.world.Faults.Misrouted = 0 })
 }
 
 func (i *injector) race() { i.world.EditRace() }
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -57,7 +57,7 @@
 	built, err := node.New(node.Config{
 		Self: self, Settings: w.Options.Deployment.Settings, Clock: n.Process, Seed: w.random.Uint64(),
 		KeyValues:  keyvalue.NewSimulated(w.Network, w.processes.keyValue, n.Process, w.KeyValue),
-		Engines:    w.Fleet.Client(n.Process),
+		Engines:    newMisrouter(w, w.Fleet.Client(n.Process)),
 		BackEnds:   backend.NewSimulated(w.Network, n.Process, w.lookupBackEnd),
 		Machines:   machines.NewSimulated(w.Network, n.Process, w.processes.machines, w.Machines),
 		Weights:    &weights.Simulated{Network: w.Network, Client: n.Process, Server: w.processes.weights, Store: w.Weights},
@@ -97,7 +97,7 @@
 		return
 	}
 	n.stopping = true
-	n.world.Checker.PlannedStop(n.identity())
+	n.world.Checker.PlannedStop(n.identity(), n.world.Loop.Now())
 	stopping := n.Node
 	n.Process.Run(func() {
 		stopping.Drain(func() {
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -66,15 +66,24 @@
 	w.Network.Deliver(w.processes.callers, target.Process, func() {
 		target.Node.Table.Propose(edit, func(outcome tablestore.Outcome) {
 			w.Network.Deliver(target.Process, w.processes.callers, func() {
-				if outcome.Code == result.OK && outcome.Revision > edit.Base {
-					w.Checker.Acknowledged(edit.Base, outcome.Revision, outcome.Token)
-				}
+				w.noteOutcome(edit, outcome)
 				done(outcome)
 			})
 		})
 	})
 }
 
+func (w *World) noteOutcome(edit tablestore.Edit, outcome tablestore.Outcome) {
+	switch outcome.Code {
+	case result.OK:
+		if outcome.Revision > edit.Base {
+			w.Checker.Acknowledged(edit.Base, outcome.Revision, outcome.Token)
+		}
+	case result.RevisionConflict, result.InvalidTable, result.StoreUnavailable:
+		w.Checker.Rejected(outcome.Token)
+	}
+}
+
 // pickNode returns a random serving node, or nil.
 func (w *World) pickNode() *SimulatedNode {
 	var serving []*SimulatedNode
@@ -104,7 +113,7 @@
 	for _, row := range w.rows.Rows() {
 		if strings.HasPrefix(row.Name, probePrefix) {
 			edit.Removed = append(edit.Removed, row.Name)
-			w.Checker.Forget(row.Name)
+			w.Checker.Forget(row.Name, w.Loop.Now())
 		}
 	}
 	o.probed = ""
--- a/internal/emulator/replace.go
+++ b/internal/emulator/replace.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"time"
 
 	"github.com/hatchplank/hatchplank/internal/platform"
 )
@@ -23,14 +22,14 @@
 	w.EngineServers = append(w.EngineServers, server)
 }
 
-// excuseZone ends a partition after a span. Nodes of the zone can't learn of
-// changes meanwhile.
-func (w *World) excuseZone(zone string, span time.Duration, i *injector) {
-	now := w.Loop.Now()
-	for _, n := range w.Nodes {
-		if n.Zone == zone {
-			w.Checker.ExcuseTable(n.identity(), now, now.Add(span+excuseMargin))
-		}
-	}
-	i.after(span, func() { w.Faults.CutZone = "" })
+// removeBackEnd takes a server from those that faults may pick.
+func (w *World) removeBackEnd(server platform.ServerID) {
+	w.BackEndServers = slices.DeleteFunc(w.BackEndServers, func(s platform.ServerID) bool { return s == server })
+}
+
+// replaceBackEnd brings a new machine in place of one that was reclaimed.
+func (w *World) replaceBackEnd(number int, zone string) {
+	server := platform.ServerID(fmt.Sprintf("%s-new-%02d", w.Options.Deployment.BackEndPool, number))
+	w.startBackEnd(server, zone)
+	w.BackEndServers = append(w.BackEndServers, server)
 }
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -66,6 +66,8 @@
 	rows         *table.Snapshot
 	recordedUpTo int64
 	trace        traceHash
+	// observer sees every event of the stand-ins' record, if set.
+	observer func(record.Event)
 }
 
 // platformProcesses are the processes of the platform's services.
@@ -83,6 +85,9 @@
 type NetworkFaults struct {
 	Loss, Duplication, Late float64
 	LateDelay               time.Duration
+	// Misrouted is the share of the pieces of answers that reach another
+	// request of the same node as well.
+	Misrouted float64
 	// CutZone is cut off from the other zones; empty: none.
 	CutZone string
 }
@@ -129,6 +134,9 @@
 func (w *World) observe(event record.Event) {
 	w.trace.addEvent(event)
 	w.Checker.Observe(event)
+	if w.observer != nil {
+		w.observer(event)
+	}
 }
 
 func (w *World) startPlatform() {
@@ -214,6 +222,9 @@
 	if host := w.Fleet.Host(server); host != nil {
 		host.Engine.SetLeaving(leavesAt)
 	}
+	if host, known := w.BackEnds[server]; known {
+		host.server.SetLeaving(true)
+	}
 }
 
 // reclaimed ends the server of a machine that is gone.
