Let the load tool use another node when one takes no request

Cause: requests to a node that was down or draining were counted as unanswered or refused, though callers would use another node; and one time limit for models and pools was refused by pools with a shorter one. Change: requests that were proved not taken go to the next node; pools have a time limit of their own.

--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -18,6 +18,7 @@
 	defaultLoadRate        = 20
 	defaultLoadDuration    = 10 * time.Second
 	defaultLoadTimeLimit   = 30 * time.Second
+	defaultLoadPoolLimit   = 10 * time.Second
 	defaultLoadMaxRequests = 1_000_000
 	defaultLoadMaxInFlight = 20_000
 	defaultLoadMaxTries    = 6
@@ -48,7 +49,8 @@
 		Short: "Send an open-loop load to nodes on this machine and check every answer",
 		Long: "Send requests at random times of a given rate, whatever becomes of those before,\n" +
 			"to several nodes, and check every answer against what the stand-ins must say.\n" +
-			"Non-repeatable requests are repeated at other nodes with the same key. Only\n" +
+			"Requests that a node did not take go to the next one; non-repeatable requests are\n" +
+			"also repeated there, with the same key, when their outcome is unknown. Only\n" +
 			"loopback addresses are accepted. Prints progress to the error output, then a\n" +
 			"table and a last line of JSON; fails if a request was unanswered, mismatched,\n" +
 			"late, or could not be sent.",
@@ -69,7 +71,8 @@
 	flags.StringVar(&f.tokenFile, "token-file", "", "file that holds the bearer token")
 	flags.Float64Var(&f.options.Rate, "rate", defaultLoadRate, "requests a second")
 	flags.DurationVar(&f.options.Duration, "duration", defaultLoadDuration, fmt.Sprintf("how long to send, at most %s", load.MaxDuration))
-	flags.DurationVar(&f.options.TimeLimit, "time-limit", defaultLoadTimeLimit, "time limit of each request")
+	flags.DurationVar(&f.options.TimeLimit, "time-limit", defaultLoadTimeLimit, "time limit of each generation")
+	flags.DurationVar(&f.options.PoolTimeLimit, "pool-time-limit", defaultLoadPoolLimit, "time limit of each request to a pool")
 	flags.Uint64Var(&f.options.Seed, "seed", 1, "seed of times, targets and texts")
 	flags.IntVar(&f.options.MaxRequests, "max-requests", defaultLoadMaxRequests, "largest number of requests")
 	flags.IntVar(&f.options.MaxInFlight, "max-in-flight", defaultLoadMaxInFlight, "largest number of requests at once")
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -54,17 +54,18 @@
 	result.OutcomeUnknown:   true,
 	result.AlreadyClaimed:   true,
 	result.ClaimUnavailable: true,
-	result.NodeDraining:     true,
 	result.StreamBroken:     true,
 	result.BackEndRefused:   true,
 	result.Internal:         true,
 }
 
-// wantsRetry reports whether a request should be repeated at another node with
-// the same key.
+// wantsRetry reports whether a request should be repeated at another node: any
+// request that this one certainly did not take, and a non-repeatable one, with
+// the same key, also when its outcome is not known.
 func (o outcome) wantsRetry(request plannedRequest) bool {
+	notTaken := o.reason == reasonDial || (o.kind == outcomeRefused && o.code == result.NodeDraining)
 	if request.key == "" {
-		return false
+		return notTaken
 	}
-	return o.kind == outcomeUnanswered || (o.kind == outcomeRefused && retryElsewhere[o.code])
+	return notTaken || o.kind == outcomeUnanswered || (o.kind == outcomeRefused && retryElsewhere[o.code])
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -7,9 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 )
 
 // progressPeriod is the time between two lines of progress.
@@ -26,8 +25,8 @@
 	Workload Workload
 	// Seed decides times, targets and texts.
 	Seed uint64
-	// TimeLimit of each request.
-	TimeLimit time.Duration
+	// TimeLimit of a generation, and PoolTimeLimit of a request to a pool.
+	TimeLimit, PoolTimeLimit time.Duration
 	// MaxRequests of the run, MaxInFlight at once, MaxTries of one request.
 	MaxRequests, MaxInFlight, MaxTries int
 	// RunID makes the keys of the run unique; empty: chosen at random.
@@ -44,8 +43,8 @@
 		return eris.Errorf("the rate must be above 0 and at most %d", MaxRate)
 	case o.Duration <= 0 || o.Duration > MaxDuration:
 		return eris.Errorf("the duration must be above 0 and at most %s", MaxDuration)
-	case o.TimeLimit <= 0 || o.TimeLimit > MaxDuration:
-		return eris.Errorf("the time limit must be above 0 and at most %s", MaxDuration)
+	case !isTimeLimit(o.TimeLimit) || !isTimeLimit(o.PoolTimeLimit):
+		return eris.Errorf("the time limits must be above 0 and at most %s", MaxDuration)
 	case o.MaxRequests < 1 || o.MaxInFlight < 1 || o.MaxTries < 1:
 		return eris.New("the largest numbers of requests, in flight and of tries must be at least 1")
 	}
@@ -57,6 +56,15 @@
 	return o.Workload.check()
 }
 
+func isTimeLimit(limit time.Duration) bool { return limit > 0 && limit <= MaxDuration }
+
+func (o Options) limitOf(request plannedRequest) time.Duration {
+	if request.isGeneration() {
+		return o.TimeLimit
+	}
+	return o.PoolTimeLimit
+}
+
 // Run sends the load and waits for every answer, at most the time limit and
 // some slack longer than the run. It ends early when the context ends.
 func Run(ctx context.Context, options Options) (Report, error) {
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,6 +28,7 @@
 	reasonTimeout   = "timeout"
 	reasonCutOff    = "cut_off"
 	reasonConnect   = "connection"
+	reasonDial      = "not_connected"
 	reasonNoRefusal = "unnumbered_status"
 )
 
@@ -53,7 +56,8 @@
 // makes sense and the time limit allows.
 func (s *sender) send(ctx context.Context, request plannedRequest) outcome {
 	started := time.Now()
-	deadline := started.Add(s.options.TimeLimit)
+	limit := s.options.limitOf(request)
+	deadline := started.Add(limit)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(answerSlack))
 	defer cancel()
 	var last outcome
@@ -66,7 +70,7 @@
 		}
 	}
 	last.total = time.Since(started)
-	last.late = last.total > s.options.TimeLimit+lateTolerance
+	last.late = last.total > limit+lateTolerance
 	return last
 }
 
@@ -96,12 +100,21 @@
 	}
 	response, err := s.client.Do(call)
 	if err != nil {
-		return unanswered(ctx, reasonConnect)
+		return unanswered(ctx, reasonOfError(err))
 	}
 	defer func() { _ = response.Body.Close() }()
 	return readAnswer(ctx, request, response, started)
 }
 
+// reasonOfError tells a request that was never sent from one that may have been.
+func reasonOfError(err error) string {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return reasonDial
+	}
+	return reasonConnect
+}
+
 func unanswered(ctx context.Context, reason string) outcome {
 	if ctx.Err() != nil {
 		reason = reasonTimeout
