Run a node as a process

Cause: the parts ran only in the emulator. Change: hatchplank serve binds a node to TCP, HTTP and real time and stops in order on SIGTERM; the command line is put together.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -28,10 +28,22 @@
 }
 
 func newRoot() *cobra.Command {
-	return &cobra.Command{
+	root := &cobra.Command{
 		Use:           "hatchplank",
 		Short:         "Serve rarely used language models on shared accelerators",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.SetFlagErrorFunc(usageFlags)
+	root.AddCommand(
+		NewServeCommand(),
+		NewTableCommand(),
+		NewStatusCommand(),
+		NewDrainCommand(),
+		NewStandinCommand(),
+		NewLoadCommand(),
+		NewExperimentCommand(),
+		NewVersionCommand(),
+	)
+	return root
 }
--- /dev/null
+++ b/internal/command/serve.go
@@ -0,0 +1,84 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/hatchplank/hatchplank/internal/serve"
+	"github.com/hatchplank/hatchplank/internal/settings"
+	"github.com/hatchplank/hatchplank/internal/telemetry"
+)
+
+// serveFlags are the settings that a flag can override, by flag name.
+var serveFlags = map[string]struct{ key, usage string }{
+	"name":      {"node.name", "name of this node, unique among live nodes"},
+	"zone":      {"node.zone", "zone of this node"},
+	"region":    {"node.region", "region of this node"},
+	"callers":   {"listen.callers", "address for callers and administration"},
+	"peers":     {"listen.peers", "address for other nodes"},
+	"log-level": {"log.level", "trace, debug, info, warn or error"},
+}
+
+// NewServeCommand returns the command that runs a node.
+func NewServeCommand() *cobra.Command {
+	var file string
+	command := &cobra.Command{
+		Use:   "serve",
+		Short: "Run a node",
+		Long: "Run a node: gateway for callers and a share of the control.\n" +
+			"SIGTERM and SIGINT stop it in order: new work is refused, what runs is finished, roles are handed over.",
+		Example: "  hatchplank serve --settings examples/schools/settings.yaml\n" +
+			"  hatchplank serve --settings examples/schools/settings.yaml --callers 127.0.0.1:8081 --peers 127.0.0.1:7081 --zone piraeus",
+		Args: usageArguments(cobra.NoArgs),
+	}
+	command.Flags().StringVar(&file, "settings", "", "settings file (YAML)")
+	_ = command.MarkFlagRequired("settings")
+	for name, flag := range serveFlags {
+		command.Flags().String(name, "", flag.usage+" (overrides "+flag.key+")")
+	}
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		return runServe(command, file)
+	}
+	return command
+}
+
+func runServe(command *cobra.Command, file string) error {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return eris.Wrap(err, "read settings")
+	}
+	chosen, problems := settings.Load(content, overridesOf(command))
+	if len(problems) > 0 {
+		return &settings.InvalidError{Problems: problems}
+	}
+	logger, err := telemetry.NewLogger(os.Stderr, chosen.Log.Level, chosen.Node.Name)
+	if err != nil {
+		return err
+	}
+	if chosen.Log.Format == "console" {
+		logger = logger.Output(telemetry.ConsoleWriter(os.Stderr))
+	}
+	process, err := serve.New(chosen, logger)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return process.Run(ctx)
+}
+
+// overridesOf collects the settings given by flags.
+func overridesOf(command *cobra.Command) map[string]any {
+	overrides := map[string]any{}
+	for name, flag := range serveFlags {
+		if command.Flags().Changed(name) {
+			overrides[flag.key], _ = command.Flags().GetString(name)
+		}
+	}
+	return overrides
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -81,7 +80,7 @@
 func New(config Config) (*Node, error) {
 	n := &Node{
 		config: config,
-		Layout: layoutOf(config.Settings),
+		Layout: config.Settings.Layout(),
 		random: rand.New(rand.NewPCG(config.Seed, config.Seed^0x5851f42d4c957f2d)),
 	}
 	n.buildMembership()
@@ -116,10 +115,7 @@
 }
 
 func (n *Node) buildTable() {
-	tenants := make([]string, 0, len(n.config.Settings.Tenants))
-	for _, tenant := range n.config.Settings.Tenants {
-		tenants = append(tenants, tenant.Name)
-	}
+	tenants := n.config.Settings.TenantNames()
 	n.Table = tablestore.New(tablestore.Dependencies{
 		Members: n.Registry, KeyValues: n.config.KeyValues, Transport: n.config.Transport,
 		Clock: n.config.Clock, Random: n.fork(), Log: n.part("table"),
@@ -273,20 +269,3 @@
 	}
 	return ""
 }
-
-func layoutOf(s settings.Settings) cells.Layout {
-	if len(s.Cells) == 0 {
-		return cells.Layout{Cells: []cells.Cell{{Name: "all", Pools: s.Pools.Engines}}}
-	}
-	layout := cells.Layout{}
-	for _, cell := range s.Cells {
-		pools := cell.Pools
-		if len(pools) == 0 {
-			pools = s.Pools.Engines
-		}
-		layout.Cells = append(layout.Cells, cells.Cell{
-			Name: cell.Name, Region: cell.Region, Pools: slices.Clone(pools), Zones: slices.Clone(cell.Zones),
-		})
-	}
-	return layout
-}
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,192 @@
+// Package serve runs one node as a process: it binds the node's parts to real
+// time, TCP and HTTP, and ends in order when it is told to stop.
+package serve
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/api"
+	"github.com/hatchplank/hatchplank/internal/api/nodestatus"
+	"github.com/hatchplank/hatchplank/internal/applier"
+	"github.com/hatchplank/hatchplank/internal/auth"
+	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/node"
+	"github.com/hatchplank/hatchplank/internal/peer/tcp"
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/platform/etcd"
+	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/settings"
+	"github.com/hatchplank/hatchplank/internal/telemetry"
+)
+
+// certificatePeriod is how often certificate files are looked at.
+const certificatePeriod = 10 * time.Second
+
+// lastAnswers is how long HTTP connections have to end after the node has
+// drained.
+const lastAnswers = 5 * time.Second
+
+// Process is one node with everything around it.
+type Process struct {
+	settings settings.Settings
+	logger   zerolog.Logger
+	clock    clock.Clock
+	metrics  *telemetry.Metrics
+
+	keyValues *etcd.Client
+	transport *tcp.Transport
+	node      *node.Node
+	status    *nodestatus.Collector
+	health    *health
+	listener  net.Listener
+	drainer   *drainer
+}
+
+// New opens the listeners and assembles the node. Run makes it work.
+func New(chosen settings.Settings, logger zerolog.Logger) (*Process, error) {
+	p := &Process{settings: chosen, logger: logger, clock: clock.System{}, metrics: telemetry.NewMetrics()}
+	if err := p.openListeners(); err != nil {
+		return nil, err
+	}
+	if err := p.assemble(); err != nil {
+		return nil, err
+	}
+	if err := registerMetrics(p.metrics, p.node, p.transport); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// CallerAddress is where callers and administration are served.
+func (p *Process) CallerAddress() string { return p.listener.Addr().String() }
+
+func (p *Process) openListeners() error {
+	listener, err := net.Listen("tcp", p.settings.Listen.Callers)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	p.listener = listener
+	transport, err := tcp.New(tcp.Config{
+		Address: p.settings.Listen.Peers, Secret: []byte(p.settings.Cluster.Secret), Logger: p.logger, Clock: p.clock,
+	})
+	if err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	p.transport = transport
+	return nil
+}
+
+// self describes this process to the other nodes.
+func (p *Process) self() membership.Member {
+	return membership.Member{
+		Name: p.settings.Node.Name, Incarnation: uuid.NewString(),
+		Zone: p.settings.Node.Zone, Region: p.settings.Node.Region,
+		PeerAddress: p.transport.Address(), CallerAddress: p.CallerAddress(),
+	}
+}
+
+func (p *Process) assemble() error {
+	keyValues, err := etcd.New(etcd.Config{Endpoints: p.settings.Platform.KeyValue, Logger: p.logger})
+	if err != nil {
+		return eris.Wrap(err, "key-value service")
+	}
+	p.keyValues = keyValues
+	machines := httpapi.NewMachineList(hostOf(p.settings.Platform.MachineList), httpapi.Options{})
+	weights := httpapi.NewWeightStore(hostOf(p.settings.Platform.WeightStore), httpapi.Options{})
+	p.node, err = node.New(node.Config{
+		Self: p.self(), Settings: p.settings, Clock: p.clock, Seed: rand.Uint64(),
+		KeyValues: keyValues, Engines: httpapi.NewEngines(p.lookup, httpapi.Options{}),
+		BackEnds: httpapi.NewBackEnds(p.lookup, httpapi.Options{}), Machines: machines, Weights: weights,
+		Transport: p.transport, Logger: p.logger, Mechanisms: applier.AllMechanisms(),
+	})
+	if err != nil {
+		return eris.Wrap(err, "assemble node")
+	}
+	p.health = newHealth(p.clock, services{keyValues: keyValues, machines: machines, weights: weights})
+	p.status = p.collector()
+	return nil
+}
+
+// hostOf returns the host and port of a service's URL, which the settings have
+// checked.
+func hostOf(address string) string {
+	parsed, err := url.Parse(address)
+	if err != nil || parsed.Host == "" {
+		return address
+	}
+	return parsed.Host
+}
+
+func (p *Process) collector() *nodestatus.Collector {
+	names := make([]string, 0, len(p.node.Layout.Cells))
+	for _, cell := range p.node.Layout.Cells {
+		names = append(names, cell.Name)
+	}
+	return nodestatus.New(nodestatus.Config{
+		Clock: p.clock, Members: p.node.Registry, Ownership: p.node.Owners, CellNames: names,
+		Table: p.node.Table, Cells: p.node.Manager, Requests: p.node.Gateway, Machines: p.node.Machines,
+		Transport: p.transport,
+		Health:    nodestatus.HealthOf(p.health.keyValues, p.health.machines, p.health.weights),
+	})
+}
+
+// lookup returns the address of a server on the machine list.
+func (p *Process) lookup(server platform.ServerID) (string, bool) {
+	machine, known := p.node.Machines.Machine(server)
+	return machine.Address, known
+}
+
+// Run serves until the context ends, then stops in order: it refuses new work,
+// finishes what runs, hands its roles over and returns.
+func (p *Process) Run(ctx context.Context) error {
+	handler, err := p.handler()
+	if err != nil {
+		return err
+	}
+	options := api.ServeOptions{Grace: lastAnswers, Limits: p.limits()}
+	if p.settings.TLS.Certificate != "" {
+		reloader, err := auth.NewCertificateReloader(auth.CertificateFiles{
+			Certificate: p.settings.TLS.Certificate, Key: p.settings.TLS.Key,
+		}, p.clock, certificatePeriod, p.logger)
+		if err != nil {
+			return eris.Wrap(err, "certificate")
+		}
+		defer reloader.Close()
+		options.TLS = reloader.TLSConfig()
+	}
+	p.transport.Start()
+	p.health.start()
+	p.node.Start()
+	p.logger.Info().Str("callers", p.CallerAddress()).Str("peers", p.transport.Address()).Msg("serving")
+	return p.serveUntilDrained(ctx, func(serving context.Context) error {
+		return api.Serve(serving, p.listener, handler, options)
+	})
+}
+
+// serveUntilDrained keeps the listener open while the node drains, so that
+// requests in progress get their answers and new ones a proper refusal.
+func (p *Process) serveUntilDrained(ctx context.Context, serve func(context.Context) error) error {
+	serving, stopServing := context.WithCancel(context.Background())
+	defer stopServing()
+	release := context.AfterFunc(ctx, p.drainer.Drain)
+	defer release()
+	go func() {
+		<-p.drainer.drained
+		stopServing()
+	}()
+	err := serve(serving)
+	p.health.stop()
+	p.keyValues.Close()
+	p.transport.Close()
+	p.logger.Info().Msg("stopped")
+	return err
+}
