Wait out the drain delay when gateways may be unknown after a takeover

Ruled out: a lost push (the gateway was never in the waiting set) and a stale load report. Change: within Interest of a takeover, acknowledgements alone do not end the wait; the whole drain delay passes. The added test fails without the change. Left: a gateway whose last word of a model is older still than the takeover may use it once in the moment between the last reading and the unload.

--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -86,6 +86,24 @@
 		Expect(c.audit.violations).To(BeEmpty())
 	})
 
+	It("waits soon after a takeover for gateways that only the owner before knew", func() {
+		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte)}, nil)
+		c.acquire(0)
+		c.loop.RunFor(time.Second)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(30 * time.Second)
+		c.nodes[0].manager.Lost(cellName)
+		c.acquire(1)
+		c.loop.RunFor(3 * time.Second)
+		c.leave("lm-0")
+		// The one gateway that reported acknowledges the drain at once.
+		c.loop.RunFor(4 * time.Second)
+		Expect(c.gateway.known["a"].Endpoints[0].Draining).To(BeTrue())
+		Expect(c.ready("a")).To(HaveLen(1))
+		c.loop.RunFor(4 * time.Second)
+		Expect(c.ready("a")).To(BeEmpty())
+	})
+
 	It("cuts off requests without draining", func() {
 		c, _ := unloadUnderRequest(func(c *applier.Config) { c.Mechanisms.DrainBeforeUnload = false })
 		Expect(c.audit.violations).NotTo(BeEmpty())
--- a/internal/applier/drain.go
+++ b/internal/applier/drain.go
@@ -16,6 +16,9 @@
 	sequence uint64
 	// waiting gateways have not acknowledged yet.
 	waiting map[string]bool
+	// wholeDelay: gateways that the owner before told of the model may not be
+	// known here yet, so that acknowledgements prove nothing.
+	wholeDelay bool
 	// quietSince is when the last gateway acknowledged, or the drain delay
 	// passed; zero before.
 	quietSince time.Time
@@ -31,12 +34,8 @@
 			started.waiting[gateway.id] = true
 		}
 	}
-	// Soon after a takeover, gateways that the owner before told of the model
-	// may not have reported here yet; then the whole delay passes.
-	known := now.Sub(o.acquiredAt) >= o.config.Intervals.Interest
-	if len(started.waiting) == 0 && known {
-		started.quietSince = now
-	}
+	started.wholeDelay = now.Sub(o.acquiredAt) < o.config.Intervals.Interest
+	started.settle(now)
 	o.changed[model] = true
 	return started
 }
@@ -61,7 +60,12 @@
 		return
 	}
 	delete(d.waiting, gateway)
-	if len(d.waiting) == 0 && d.quietSince.IsZero() {
+	d.settle(now)
+}
+
+// settle notes when no gateway is waited for any more.
+func (d *drain) settle(now time.Time) {
+	if len(d.waiting) == 0 && !d.wholeDelay && d.quietSince.IsZero() {
 		d.quietSince = now
 	}
 }
