--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -116,6 +116,22 @@
 // Serving reports whether callers would pick the node.
 func (n *SimulatedNode) Serving() bool { return !n.down && !n.stopping }
 
+// Ready reports whether the node serves and says that it is ready, as on its
+// readiness endpoint.
+func (n *SimulatedNode) Ready() bool { return n.Serving() && n.Node.Ready() == "" }
+
+// readyNodes returns the identities of the ready nodes. One that is not ready
+// gets no calls and acts on no table yet.
+func (w *World) readyNodes() []string {
+	var names []string
+	for _, n := range w.Nodes {
+		if n.Ready() {
+			names = append(names, n.identity())
+		}
+	}
+	return names
+}
+
 func (w *World) livingNodes() []string {
 	var names []string
 	for _, n := range w.Nodes {
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -84,11 +84,12 @@
 	}
 }
 
-// pickNode returns a random serving node, or nil.
+// pickNode returns a random node that a load balancer would send callers to:
+// one that serves and has told that it is ready; or nil.
 func (w *World) pickNode() *SimulatedNode {
 	var serving []*SimulatedNode
 	for _, n := range w.Nodes {
-		if n.Serving() && !n.Process.Paused() {
+		if n.Ready() && !n.Process.Paused() {
 			serving = append(serving, n)
 		}
 	}
