Plan less often while demand repeats, and index rows once a revision

Every repeated report of waiting requests made a plan at once, and each plan built two maps of all rows.

--- a/internal/applier/demand.go
+++ b/internal/applier/demand.go
@@ -53,9 +53,9 @@
 		if !current {
 			continue
 		}
-		gateway.take(demand, now)
+		begins := gateway.take(demand, now)
 		o.noteArrivals(demand, model, now)
-		if demand.Waiting > 0 && !o.serves(model) {
+		if begins && !o.serves(model) {
 			o.wakeLocked()
 		}
 		o.dirty = o.dirty || demand.Waiting > 0
@@ -75,14 +75,17 @@
 	return o.gateways[at]
 }
 
-func (g *gatewayEntry) take(demand directory.Demand, now time.Time) {
+// take notes a row's demand and reports whether requests begin to wait.
+func (g *gatewayEntry) take(demand directory.Demand, now time.Time) (begins bool) {
 	at, found := slices.BinarySearchFunc(g.demands, demand.Row, func(entry rowDemand, row string) int {
 		return cmp.Compare(entry.Row, row)
 	})
 	if !found {
 		g.demands = slices.Insert(g.demands, at, rowDemand{})
 	}
+	begins = demand.Waiting > 0 && g.demands[at].Waiting == 0
 	g.demands[at] = rowDemand{Demand: demand, receivedAt: now}
+	return begins
 }
 
 func (o *Owner) noteArrivals(demand directory.Demand, model string, now time.Time) {
--- a/internal/applier/owner.go
+++ b/internal/applier/owner.go
@@ -46,6 +46,7 @@
 	rowPlans     map[string]planner.RowPlan
 	// rows with their allotments, of the revision acted on.
 	rows     []planner.Row
+	index    *planner.RowIndex
 	revision table.Revision
 
 	attempts       uint64
@@ -212,6 +213,7 @@
 			Row: rows[i], Min: allotment.MinReplicas, Max: allotment.MaxReplicas, FirstSlot: allotment.FirstSlot,
 		}
 	}
+	o.index = planner.IndexRows(o.rows)
 }
 
 // planDue reports whether a plan is to be made. Before a table was read there
--- a/internal/applier/planning.go
+++ b/internal/applier/planning.go
@@ -33,6 +33,7 @@
 	snapshot := &planner.Snapshot{Now: now, Revision: o.revision, Statistics: o.statistics}
 	demands := o.demandByRow()
 	snapshot.Rows = o.rows
+	snapshot.Index = o.index
 	for i := range o.rows {
 		demand := demands[o.rows[i].Name]
 		demand.LastArrival = o.lastArrivals[o.rows[i].Name]
--- a/internal/planner/adapters.go
+++ b/internal/planner/adapters.go
@@ -29,8 +29,8 @@
 	w.adapterNeeds = make([]int64, len(w.rows))
 	for i := range w.rows {
 		row := &w.snapshot.Rows[i]
-		base, known := w.index[row.Base]
-		if known && row.Kind == table.KindAdapter && w.rows[i].demand.Waiting > 0 && row.Max > 0 {
+		base := w.bases[i]
+		if base >= 0 && w.rows[i].demand.Waiting > 0 && row.Max > 0 {
 			w.adapterNeeds[base] += row.MemoryBytes
 		}
 	}
@@ -109,8 +109,8 @@
 // loadAdapter puts the adapter on one more replica of its base model.
 func (w *workspace) loadAdapter(i int) bool {
 	row := &w.snapshot.Rows[i]
-	base, known := w.index[row.Base]
-	if !known {
+	base := w.bases[i]
+	if base < 0 {
 		return false
 	}
 	chosen, found := w.chooseHost(i, base)
--- a/internal/planner/snapshot.go
+++ b/internal/planner/snapshot.go
@@ -17,6 +17,8 @@
 	Revision table.Revision
 	// Rows in order of name.
 	Rows []Row
+	// Index of Rows, to be made once a table revision; nil: made for each plan.
+	Index *RowIndex
 	// Servers in order of id, adopted or not.
 	Servers []Server
 	// UnknownServers may each hold one replica of every model: they were not
@@ -121,11 +123,32 @@
 	Starts int
 }
 
-// rowIndex maps the names of rows to their indices.
-func (s *Snapshot) rowIndex() map[string]int {
-	index := make(map[string]int, len(s.Rows))
-	for i := range s.Rows {
-		index[s.Rows[i].Name] = i
+// RowIndex finds rows by name.
+type RowIndex struct {
+	byName map[string]int
+	// bases[i] is the index of the base of adapter row i, else -1.
+	bases []int
+}
+
+// IndexRows makes the index of rows in order of name.
+func IndexRows(rows []Row) *RowIndex {
+	index := &RowIndex{byName: make(map[string]int, len(rows)), bases: make([]int, len(rows))}
+	for i := range rows {
+		index.byName[rows[i].Name] = i
+	}
+	for i := range rows {
+		index.bases[i] = -1
+		if base, known := index.byName[rows[i].Base]; known && rows[i].Kind == table.KindAdapter {
+			index.bases[i] = base
+		}
 	}
 	return index
 }
+
+// rowIndex returns the snapshot's index, made now if it has none.
+func (s *Snapshot) rowIndex() *RowIndex {
+	if s.Index != nil {
+		return s.Index
+	}
+	return IndexRows(s.Rows)
+}
--- a/internal/planner/verifier.go
+++ b/internal/planner/verifier.go
@@ -55,7 +55,7 @@
 // NewVerifier returns a verifier for plans made from the snapshot.
 func NewVerifier(snapshot *Snapshot) *Verifier {
 	v := &Verifier{
-		snapshot: snapshot, rows: snapshot.rowIndex(),
+		snapshot: snapshot, rows: snapshot.rowIndex().byName,
 		servers: make(map[platform.ServerID]int, len(snapshot.Servers)),
 		held:    map[string]int{}, slots: map[slotKey]bool{},
 		committed: make([]int64, len(snapshot.Servers)),
--- a/internal/planner/workspace.go
+++ b/internal/planner/workspace.go
@@ -12,6 +12,7 @@
 	policy   *policy
 	snapshot *Snapshot
 	index    map[string]int
+	bases    []int
 	// rows and servers are parallel to the snapshot's.
 	rows    []rowWork
 	servers []serverWork
@@ -71,8 +72,9 @@
 }
 
 func newWorkspace(p *policy, snapshot *Snapshot) *workspace {
+	index := snapshot.rowIndex()
 	w := &workspace{
-		policy: p, snapshot: snapshot, index: snapshot.rowIndex(),
+		policy: p, snapshot: snapshot, index: index.byName, bases: index.bases,
 		rows:    make([]rowWork, len(snapshot.Rows)),
 		servers: make([]serverWork, len(snapshot.Servers)),
 	}
@@ -90,10 +92,7 @@
 	for i := range w.rows {
 		row := &w.snapshot.Rows[i]
 		w.rows[i].demand = mergeDemand(w.rows[i].demand, row.Demand)
-		if row.Kind != table.KindAdapter {
-			continue
-		}
-		if base, known := w.index[row.Base]; known {
+		if base := w.bases[i]; base >= 0 {
 			w.rows[base].adapterMin = max(w.rows[base].adapterMin, min(row.Min, row.Max))
 			w.rows[base].demand = mergeDemand(w.rows[base].demand, row.Demand)
 		}
