Count every live member as told of models adopted from another owner

Cause: a gateway told by the owner before, and silent since, was not among those that a drain is pushed to, so it could send a request in the instant of the unload. Change: on adoption every live member counts as told of the adopted models; nothing is sent until a drain begins. The added test fails without the change.

--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -104,6 +104,23 @@
 		Expect(c.ready("a")).To(BeEmpty())
 	})
 
+	It("tells gateways that were silent since before the takeover of a drain", func() {
+		c := newCluster(1, 1, []table.Row{withMin(row("a", 1, 20*gigabyte))}, nil)
+		c.acquire(0)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(30 * time.Second)
+		c.gateway.want("a", 0)
+		c.nodes[0].manager.Lost(cellName)
+		c.acquire(1)
+		c.loop.RunFor(2 * time.Minute)
+		c.leave("lm-0")
+		c.loop.RunFor(500 * time.Millisecond)
+		Expect(c.ready("a")).To(HaveLen(1))
+		Expect(c.gateway.known["a"].Endpoints[0].Draining).To(BeTrue())
+		c.loop.RunFor(2 * time.Second)
+		Expect(c.ready("a")).To(BeEmpty(), "its acknowledgement ends the wait")
+	})
+
 	It("cuts off requests without draining", func() {
 		c, _ := unloadUnderRequest(func(c *applier.Config) { c.Mechanisms.DrainBeforeUnload = false })
 		Expect(c.audit.violations).NotTo(BeEmpty())
--- a/internal/applier/cluster_test.go
+++ b/internal/applier/cluster_test.go
@@ -171,7 +171,9 @@
 // Self and Members implement membership.View.
 func (n *node) Self() membership.Member { return membership.Member{Name: n.process.Name} }
 
-func (n *node) Members() []membership.Member { return []membership.Member{n.Self()} }
+func (n *node) Members() []membership.Member {
+	return []membership.Member{n.cluster.gateway.member()}
+}
 
 // Confirm implements applier.Confirmer: a linearizable read takes 2 ms.
 func (n *node) Confirm(_ string, epoch uint64, done func(bool, error)) {
--- a/internal/applier/demand.go
+++ b/internal/applier/demand.go
@@ -125,15 +125,29 @@
 }
 
 // forgetGateways drops gateways that are silent and no members any more.
-func (o *Owner) forgetGateways(now time.Time, members []membership.Member) {
+func (o *Owner) forgetGateways(now time.Time) {
 	o.gateways = slices.DeleteFunc(o.gateways, func(gateway *gatewayEntry) bool {
 		if now.Sub(gateway.seenAt) < o.config.Intervals.ForgetGateway {
 			return false
 		}
-		return !slices.ContainsFunc(members, func(member membership.Member) bool { return member.ID() == gateway.id })
+		return !slices.ContainsFunc(o.members, func(member membership.Member) bool { return member.ID() == gateway.id })
 	})
 }
 
+// introduce counts every live member's gateway as told of a model that the
+// owner before had loaded, since that owner may have told it: drains of the
+// model are pushed to it and wait for it.
+func (o *Owner) introduce(model string, now time.Time) {
+	for _, member := range o.members {
+		gateway := o.gateway(member.ID())
+		if gateway.address == "" {
+			gateway.address = member.PeerAddress
+			gateway.seenAt = now
+		}
+		gateway.told[model] = now
+	}
+}
+
 // demandByRow sums the gateways' demand up.
 func (o *Owner) demandByRow() map[string]planner.Demand {
 	demands := make(map[string]planner.Demand, len(o.lastArrivals))
--- a/internal/applier/gateway_test.go
+++ b/internal/applier/gateway_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/directory"
+	"github.com/hatchplank/hatchplank/internal/membership"
 	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 )
@@ -36,6 +37,10 @@
 	return g
 }
 
+func (g *gateway) member() membership.Member {
+	return membership.Member{Name: "gateway", Incarnation: "1", PeerAddress: "gateway"}
+}
+
 func (g *gateway) take(message peer.Message) {
 	if update, ok := message.(directory.EndpointUpdate); ok {
 		for _, row := range update.Rows {
@@ -52,7 +57,7 @@
 func (g *gateway) report() {
 	now := g.process.Now()
 	g.sequence++
-	report := directory.DemandReport{Cell: cellName, Gateway: "gateway", PeerAddress: "gateway", Sequence: g.sequence}
+	report := directory.DemandReport{Cell: cellName, Gateway: g.member().ID(), PeerAddress: "gateway", Sequence: g.sequence}
 	for _, row := range g.cluster.rows {
 		if requests := g.waiting[row.Name]; requests > 0 {
 			report.Demands = append(report.Demands, directory.Demand{
--- a/internal/applier/owner.go
+++ b/internal/applier/owner.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/membership"
 	"github.com/hatchplank/hatchplank/internal/planner"
 	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/table"
@@ -39,6 +40,8 @@
 	listingVersion uint64
 
 	gateways []*gatewayEntry
+	// members are the live nodes as of the newest tick; each has a gateway.
+	members []membership.Member
 	// rowDemand by row name, kept between ticks.
 	lastArrivals map[string]time.Time
 	statistics   *planner.Statistics
@@ -178,7 +181,8 @@
 	o.lastTick = now
 	o.takeListing(listing, readAt)
 	o.expireDemand(now)
-	o.forgetGateways(now, members)
+	o.members = members
+	o.forgetGateways(now)
 	if o.releasing != nil {
 		released := o.releaseLocked(now)
 		o.mutex.Unlock()
--- a/internal/applier/states.go
+++ b/internal/applier/states.go
@@ -133,6 +133,7 @@
 func (o *Owner) discovered(state *platform.ReplicaState) *replicaEntry {
 	o.changed[state.Model] = true
 	now := o.config.Clock.Now()
+	o.introduce(state.Model, now)
 	return &replicaEntry{ReplicaState: platform.ReplicaState{Phase: state.Phase}, reason: "adopted", since: now}
 }
 
