--- a/internal/peer/tcp/bad_peer_test.go
+++ b/internal/peer/tcp/bad_peer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -36,6 +37,7 @@
 			conn, err := net.Dial("tcp", server.Address())
 			Expect(err).NotTo(HaveOccurred())
 			defer conn.Close()
+			Expect(conn.SetDeadline(time.Now().Add(longTimeout))).To(Succeed())
 			if secret != "" {
 				// The proof of a wrong secret fails at the other side.
 				_ = dialHandshake(conn, []byte(secret), "peer")
