Let the checker's tests switch off more safety mechanisms

Adds switches for the identity of attempts on answers (gateway), the read-back of ambiguous writes and the monotonicity of revisions (table store). All are off switches whose zero value keeps the mechanism.

--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -63,7 +63,7 @@
 		Weights:    &weights.Simulated{Network: w.Network, Client: n.Process, Server: w.processes.weights, Store: w.Weights},
 		Transport:  w.Peers.Transport(n.Process),
 		Logger:     w.Options.Logger.With().Str("node", self.ID()).Logger(),
-		Mechanisms: w.Options.Mechanisms, WrapClaims: w.Options.WrapClaims,
+		Mechanisms: w.Options.Mechanisms, WrapClaims: w.Options.WrapClaims, Disabled: w.Options.Disabled,
 	})
 	if err != nil {
 		panic(err) // the deployment's settings were checked before
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -11,6 +11,7 @@
 	"github.com/hatchplank/hatchplank/internal/applier"
 	"github.com/hatchplank/hatchplank/internal/checker"
 	"github.com/hatchplank/hatchplank/internal/claims"
+	"github.com/hatchplank/hatchplank/internal/node"
 	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/backend"
@@ -30,6 +31,7 @@
 	Nodes      int
 	Mechanisms applier.Mechanisms
 	WrapClaims func(claims.Claimer) claims.Claimer
+	Disabled   node.Disabled
 	Limits     checker.Limits
 	Logger     zerolog.Logger
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,19 @@
 	// WrapClaims, if set, replaces the claimer; only for the checker's own
 	// tests.
 	WrapClaims func(claims.Claimer) claims.Claimer
+	// Disabled safety mechanisms; only for the checker's own tests.
+	Disabled Disabled
+}
+
+// Disabled names safety mechanisms outside the cells' owners that are switched
+// off, to see that the checker notices.
+type Disabled struct {
+	// AttemptIdentity: answers count only for the attempt they name.
+	AttemptIdentity bool
+	// ReadBack: a table write whose reply was lost is read back.
+	ReadBack bool
+	// RevisionMonotonicity: a node never acts on an older table.
+	RevisionMonotonicity bool
 }
 
 // Node is a running node.
@@ -116,13 +129,16 @@
 
 func (n *Node) buildTable() {
 	tenants := n.config.Settings.TenantNames()
+	options := tablestore.DefaultOptions()
+	options.AssumeUnapplied = n.config.Disabled.ReadBack
+	options.AcceptOlder = n.config.Disabled.RevisionMonotonicity
 	n.Table = tablestore.New(tablestore.Dependencies{
 		Members: n.Registry, KeyValues: n.config.KeyValues, Transport: n.config.Transport,
 		Clock: n.config.Clock, Random: n.fork(), Log: n.part("table"),
 		Validate: func(rows []table.Row) []table.Problem {
 			return table.Validate(rows, table.Constraints{Tenants: tenants})
 		},
-	}, tablestore.DefaultOptions())
+	}, options)
 }
 
 func (n *Node) buildClaims() {
@@ -209,6 +225,7 @@
 		Directory: n.Directory, Router: n.Router, Engines: n.config.Engines,
 		Pools: n.Pools, PoolRouter: n.PoolRouter, BackEnds: n.config.BackEnds,
 		Claims: claimer, Logger: n.part("gateway"), Metrics: n.config.Metrics,
+		IgnoreAttemptIdentity: n.config.Disabled.AttemptIdentity,
 		Limits: gateway.Limits{
 			QueueLength: limits.QueuePerModel, Waiting: limits.Waiting,
 			Margin:     n.config.Settings.Deadlines.Margin,
--- a/internal/tablestore/distribute.go
+++ b/internal/tablestore/distribute.go
@@ -102,7 +102,7 @@
 
 func (s *Store) replyTo(request PullRequest) PullReply {
 	entries, complete := s.replica.since(request.Revision)
-	if complete {
+	if complete && !s.options.AcceptOlder {
 		answer := PullReply{Revision: s.Revision(), Loaded: s.Loaded(), Entries: entries}
 		return answer
 	}
--- a/internal/tablestore/options.go
+++ b/internal/tablestore/options.go
@@ -32,7 +32,11 @@
 	RecentEntries int
 	// AskConcurrency bounds how many nodes InForce asks at once.
 	AskConcurrency int
-	Watch          keywatch.Options
+	// AssumeUnapplied takes a write whose reply was lost for one without
+	// effect, and AcceptOlder lets a node act on whatever table it heard of
+	// last. They switch safety off, only for the checker's own tests.
+	AssumeUnapplied, AcceptOlder bool
+	Watch                        keywatch.Options
 }
 
 // DefaultOptions returns the options used in a node.
--- a/internal/tablestore/propose.go
+++ b/internal/tablestore/propose.go
@@ -174,6 +174,8 @@
 			p.judgeCurrent(reply.Current)
 		case errors.Is(err, platform.ErrNotApplied) && !p.ambiguous:
 			p.again(p.write)
+		case p.store.options.AssumeUnapplied:
+			p.finish(Outcome{Code: result.StoreUnavailable, Revision: p.store.Revision()})
 		default:
 			p.ambiguous = true
 			p.again(p.readBack)
--- a/internal/tablestore/replica.go
+++ b/internal/tablestore/replica.go
@@ -14,6 +14,8 @@
 	// recent entries, without gaps, the last one being the snapshot's.
 	recent []LogEntry
 	limit  int
+	// acceptOlder as in Options.
+	acceptOlder bool
 	// loaded: the table was read at least once, be it empty.
 	loaded bool
 }
@@ -74,7 +76,7 @@
 func (r *replica) install(revision table.Revision, rows []table.Row) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if revision <= r.snapshot.Revision() {
+	if revision <= r.snapshot.Revision() && !r.acceptOlder {
 		return false
 	}
 	r.snapshot = table.NewSnapshot(revision, rows)
--- a/internal/tablestore/store.go
+++ b/internal/tablestore/store.go
@@ -60,6 +60,7 @@
 // message handlers with the transport.
 func New(dependencies Dependencies, options Options) *Store {
 	store := &Store{Dependencies: dependencies, options: options, replica: newReplica(options.RecentEntries)}
+	store.replica.acceptOlder = options.AcceptOlder
 	store.catchUp = &catchUp{store: store}
 	watchRandom := rand.New(rand.NewPCG(store.Random.Uint64(), store.Random.Uint64()))
 	store.watcher = keywatch.New(store.KeyValues, store.Clock, watchRandom, options.Watch, headWatch{store})
