Judge real processes under faults by the stand-ins' records

Keyed requests may be repeated at the next node while the first try is still open. serve takes the platform's addresses by flags.

--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -25,7 +25,7 @@
 )
 
 // errLoadFaults makes the program exit with a failure after the report.
-var errLoadFaults = errors.New("requests were unanswered, mismatched, late or not sent")
+var errLoadFaults = errors.New("requests were unanswered, mismatched, late or not sent, or a promise was broken")
 
 // loadFlags describe the load on the command line.
 type loadFlags struct {
@@ -39,6 +39,10 @@
 	poolPath      string
 	tokenFile     string
 	quiet         bool
+	// records and keyValueRecords are base URLs of stand-ins, nodeEvents a file.
+	records         []string
+	keyValueRecords string
+	nodeEvents      string
 }
 
 // NewLoadCommand returns the command that sends load to nodes on this machine.
@@ -53,7 +57,8 @@
 			"also repeated there, with the same key, when their outcome is unknown. Only\n" +
 			"loopback addresses are accepted. Prints progress to the error output, then a\n" +
 			"table and a last line of JSON; fails if a request was unanswered, mismatched,\n" +
-			"late, or could not be sent.",
+			"late, or could not be sent. With --records it fails instead if the checker finds a\n" +
+			"broken promise in the stand-ins' records and the answers.",
 		Example: "  hatchplank load --nodes http://127.0.0.1:8080,http://127.0.0.1:8081 --token-file caller.token \\\n" +
 			"      --model glossa-01 --model glossa-02 --pool eggrafi --non-repeatable 0.1 --rate 200 --duration 30s\n" +
 			"  hatchplank load --nodes http://127.0.0.1:8080 --workload workload.yaml --seed 7",
@@ -77,6 +82,11 @@
 	flags.IntVar(&f.options.MaxRequests, "max-requests", defaultLoadMaxRequests, "largest number of requests")
 	flags.IntVar(&f.options.MaxInFlight, "max-in-flight", defaultLoadMaxInFlight, "largest number of requests at once")
 	flags.IntVar(&f.options.MaxTries, "max-tries", defaultLoadMaxTries, "largest number of tries of a non-repeatable request")
+	flags.DurationVar(&f.options.AnswerWait, "answer-wait", load.DefaultAnswerWait, "how long after its time limit a request without answer is given up; longer than pauses of nodes")
+	flags.DurationVar(&f.options.RepeatAfter, "repeat-after", 0, "send a non-repeatable request that has no answer by then to the next node too")
+	flags.StringSliceVar(&f.records, "records", nil, "base URLs of the stand-ins whose records are checked at the end: the machine list, for all servers of its process, or servers")
+	flags.StringVar(&f.keyValueRecords, "key-value-records", "", "base URL of the stand-in of the key-value service, for the table's accepted edits")
+	flags.StringVar(&f.nodeEvents, "node-events", "", "file with a line of JSON for each thing done to a node: at, kind (starting, ready, killed, stopping, paused, resumed), node (host and port)")
 	flags.StringVar(&f.workloadFile, "workload", "", "YAML file of the mix of requests, instead of the flags below")
 	flags.StringSliceVar(&f.models, "model", nil, "model to call; may be repeated")
 	flags.IntVar(&f.maxTokens, "max-tokens", load.DefaultMaxTokens, "tokens of each answer")
@@ -86,6 +96,7 @@
 	flags.StringVar(&f.poolPath, "pool-path", load.DefaultPoolPath, "path called at the pools")
 	flags.Float64Var(&f.nonRepeatable, "non-repeatable", 0, "share of requests that go to the pools and must run at most once")
 	flags.BoolVar(&f.quiet, "quiet", false, "print no progress")
+	command.MarkFlagsRequiredTogether("records", "key-value-records")
 	command.MarkFlagsMutuallyExclusive("workload", "model")
 	command.MarkFlagsMutuallyExclusive("workload", "pool")
 }
@@ -103,9 +114,8 @@
 	if !f.quiet {
 		options.Progress = command.ErrOrStderr()
 	}
-	for index, node := range options.Nodes {
-		options.Nodes[index] = strings.TrimRight(node, "/")
-	}
+	trimSlashes(options.Nodes)
+	f.setRecords(&options)
 	ctx, stop := signal.NotifyContext(command.Context(), os.Interrupt)
 	defer stop()
 	report, err := load.Run(ctx, options)
@@ -121,6 +131,25 @@
 	return nil
 }
 
+// setRecords makes the run be judged by the stand-ins' records.
+func (f *loadFlags) setRecords(options *load.Options) {
+	if len(f.records) == 0 {
+		return
+	}
+	trimSlashes(f.records)
+	options.Records = &load.RecordSources{Servers: f.records, KeyValue: strings.TrimRight(f.keyValueRecords, "/")}
+	if f.nodeEvents != "" {
+		options.NodeEvents = func() ([]load.NodeEvent, error) { return load.ReadNodeEvents(f.nodeEvents) }
+	}
+}
+
+// trimSlashes lets base URLs end in a slash.
+func trimSlashes(addresses []string) {
+	for index, address := range addresses {
+		addresses[index] = strings.TrimRight(address, "/")
+	}
+}
+
 func (f *loadFlags) workload() (load.Workload, error) {
 	if f.workloadFile != "" {
 		return load.ReadWorkload(f.workloadFile)
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -16,14 +17,20 @@
 
 // serveFlags are the settings that a flag can override, by flag name.
 var serveFlags = map[string]struct{ key, usage string }{
-	"name":      {"node.name", "name of this node, unique among live nodes"},
-	"zone":      {"node.zone", "zone of this node"},
-	"region":    {"node.region", "region of this node"},
-	"callers":   {"listen.callers", "address for callers and administration"},
-	"peers":     {"listen.peers", "address for other nodes"},
-	"log-level": {"log.level", "trace, debug, info, warn or error"},
+	"name":         {"node.name", "name of this node, unique among live nodes"},
+	"zone":         {"node.zone", "zone of this node"},
+	"region":       {"node.region", "region of this node"},
+	"callers":      {"listen.callers", "address for callers and administration"},
+	"peers":        {"listen.peers", "address for other nodes"},
+	"key-value":    {"platform.key_value", "URLs of the key-value service, separated by commas"},
+	"machine-list": {"platform.machine_list", "URL of the machine list"},
+	"weight-store": {"platform.weight_store", "URL of the weight store"},
+	"log-level":    {"log.level", "trace, debug, info, warn or error"},
 }
 
+// listFlags are those of serveFlags that hold several values.
+var listFlags = map[string]bool{"key-value": true}
+
 // NewServeCommand returns the command that runs a node.
 func NewServeCommand() *cobra.Command {
 	var file string
@@ -76,9 +83,15 @@
 func overridesOf(command *cobra.Command) map[string]any {
 	overrides := map[string]any{}
 	for name, flag := range serveFlags {
-		if command.Flags().Changed(name) {
-			overrides[flag.key], _ = command.Flags().GetString(name)
+		if !command.Flags().Changed(name) {
+			continue
+		}
+		value, _ := command.Flags().GetString(name)
+		if listFlags[name] {
+			overrides[flag.key] = strings.Split(value, ",")
+			continue
 		}
+		overrides[flag.key] = value
 	}
 	return overrides
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -50,6 +50,8 @@
 	// SendLag is how late the tool itself sent, against its plan.
 	SendLag        Quantiles `json:"send_lag_ms"`
 	ElapsedSeconds float64   `json:"elapsed_s"`
+	// Verification by the stand-ins' records; nil: not asked for.
+	Verification *Verification `json:"verification,omitempty"`
 }
 
 // Quantiles of a time, in milliseconds.
@@ -61,8 +63,12 @@
 }
 
 // Faultless reports whether every request sent was answered in time with its
-// own answer or a refusal.
+// own answer or a refusal. If records were verified, the checker's judgement
+// goes before the tool's own, since it knows what was done to the nodes.
 func (r Report) Faultless() bool {
+	if r.Verification != nil {
+		return r.Verification.Violations == 0 && r.NotSent == 0
+	}
 	return r.Unanswered == 0 && r.Mismatched == 0 && r.Late == 0 && r.NotSent == 0
 }
 
@@ -103,7 +109,7 @@
 	}
 	r.inFlight++
 	r.report.Sent++
-	record(r.sendLag, lag)
+	recordTime(r.sendLag, lag)
 	return true
 }
 
@@ -136,12 +142,12 @@
 	if o.replayed {
 		r.report.Replayed++
 	}
-	record(r.firstChunk, o.firstChunk)
-	record(r.total, o.total)
+	recordTime(r.firstChunk, o.firstChunk)
+	recordTime(r.total, o.total)
 }
 
-// record clamps a time into the histogram's range, so it can't fail.
-func record(histogram *hdrhistogram.Histogram, duration time.Duration) {
+// recordTime clamps a time into the histogram's range, so it can't fail.
+func recordTime(histogram *hdrhistogram.Histogram, duration time.Duration) {
 	microseconds := min(max(duration.Microseconds(), lowestMicroseconds), highestMicroseconds)
 	_ = histogram.RecordValue(microseconds)
 }
@@ -188,6 +194,9 @@
 	writeLine("first chunk, ms", r.FirstChunk)
 	writeLine("whole answer, ms", r.Total)
 	writeLine("send lag, ms", r.SendLag)
+	if r.Verification != nil {
+		r.Verification.write(writeLine)
+	}
 	if err := table.Flush(); err != nil {
 		return err
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -14,6 +14,10 @@
 // progressPeriod is the time between two lines of progress.
 const progressPeriod = time.Second
 
+// DefaultAnswerWait is how long after its time limit a request without answer
+// is given up.
+const DefaultAnswerWait = 3 * time.Second
+
 // Options of a run.
 type Options struct {
 	// Nodes are base URLs on loopback addresses.
@@ -29,6 +33,16 @@
 	TimeLimit, PoolTimeLimit time.Duration
 	// MaxRequests of the run, MaxInFlight at once, MaxTries of one request.
 	MaxRequests, MaxInFlight, MaxTries int
+	// AnswerWait is how long after its time limit a request without answer is
+	// given up; zero: DefaultAnswerWait. It must outlast pauses of nodes.
+	AnswerWait time.Duration
+	// RepeatAfter sends a non-repeatable request that has no answer by then to
+	// the next node too; zero: only after its outcome.
+	RepeatAfter time.Duration
+	// Records, if set, are checked at the end with all answers. NodeEvents then
+	// returns what was done to the nodes; it may be nil.
+	Records    *RecordSources
+	NodeEvents func() ([]NodeEvent, error)
 	// RunID makes the keys of the run unique; empty: chosen at random.
 	RunID string
 	// Progress receives a line a second; nil: none.
@@ -45,6 +59,8 @@
 		return eris.Errorf("the duration must be above 0 and at most %s", MaxDuration)
 	case !isTimeLimit(o.TimeLimit) || !isTimeLimit(o.PoolTimeLimit):
 		return eris.Errorf("the time limits must be above 0 and at most %s", MaxDuration)
+	case o.AnswerWait < 0 || o.AnswerWait > MaxDuration || o.RepeatAfter < 0:
+		return eris.Errorf("the times to wait for an answer and before a repetition must not be negative, nor above %s", MaxDuration)
 	case o.MaxRequests < 1 || o.MaxInFlight < 1 || o.MaxTries < 1:
 		return eris.New("the largest numbers of requests, in flight and of tries must be at least 1")
 	}
@@ -53,6 +69,11 @@
 			return err
 		}
 	}
+	if o.Records != nil {
+		if err := o.Records.check(); err != nil {
+			return err
+		}
+	}
 	return o.Workload.check()
 }
 
@@ -73,8 +94,15 @@
 		return Report{}, err
 	}
 	options.RunID = orDefault(options.RunID, uuid.NewString()[:8])
+	options.AnswerWait = orDefault(options.AnswerWait, DefaultAnswerWait)
 	run := &run{options: options, recorder: newRecorder(options.Seed), sender: newSender(options), started: time.Now()}
-	return run.run(ctx), nil
+	report := run.run(ctx)
+	if options.Records == nil {
+		return report, nil
+	}
+	verification, err := run.verify(ctx)
+	report.Verification = verification
+	return report, err
 }
 
 // run is one run in progress.
@@ -90,12 +118,31 @@
 	var requests sync.WaitGroup
 	r.generate(ctx, &requests)
 	requests.Wait()
+	r.sender.open.Wait()
 	stopProgress()
 	r.sender.client.CloseIdleConnections()
 	report, _ := r.recorder.snapshot(time.Since(r.started))
 	return report
 }
 
+// verify lets the checker judge the run by the stand-ins' records.
+func (r *run) verify(ctx context.Context) (*Verification, error) {
+	sleep(ctx, settleTime)
+	var events []NodeEvent
+	if r.options.NodeEvents != nil {
+		var err error
+		if events, err = r.options.NodeEvents(); err != nil {
+			return nil, err
+		}
+	}
+	found, err := gather(ctx, *r.options.Records, r.sender.journal.all(), events)
+	if err != nil {
+		return nil, err
+	}
+	verification := found.verify()
+	return &verification, nil
+}
+
 // generate sends each request at its time, whatever became of those before.
 func (r *run) generate(ctx context.Context, requests *sync.WaitGroup) {
 	plan := newPlan(r.options)
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -6,10 +6,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/api"
@@ -18,8 +21,6 @@
 
 const (
 	chatPath = "/v1/chat/completions"
-	// answerSlack after the time limit before a request counts as unanswered.
-	answerSlack = 3 * time.Second
 	// lateTolerance covers the way back to the caller.
 	lateTolerance   = 50 * time.Millisecond
 	retryPause      = 100 * time.Millisecond
@@ -41,6 +42,9 @@
 type sender struct {
 	options Options
 	client  *http.Client
+	journal *journal
+	// open counts tries whose request has ended already.
+	open sync.WaitGroup
 }
 
 func newSender(options Options) *sender {
@@ -49,7 +53,11 @@
 		DisableCompression:  true,
 		ForceAttemptHTTP2:   false,
 	}
-	return &sender{options: options, client: &http.Client{Transport: transport}}
+	s := &sender{options: options, client: &http.Client{Transport: transport}}
+	if options.Records != nil {
+		s.journal = &journal{}
+	}
+	return s
 }
 
 // send tries a request at one node after the other, as long as a repetition
@@ -58,19 +66,62 @@
 	started := time.Now()
 	limit := s.options.limitOf(request)
 	deadline := started.Add(limit)
-	ctx, cancel := context.WithDeadline(ctx, deadline.Add(answerSlack))
-	defer cancel()
+	last := s.sendTries(ctx, request, deadline)
+	last.total = time.Since(started)
+	last.late = last.total > limit+lateTolerance
+	return last
+}
+
+// sendTries ends with the first answer, or with the last refusal or failure. A
+// try that a keyed request does not wait for any longer goes on by itself: its
+// node has to answer it all the same.
+func (s *sender) sendTries(ctx context.Context, request plannedRequest, deadline time.Time) outcome {
+	answers := make(chan outcome, s.options.MaxTries)
 	var last outcome
-	for try := range s.options.MaxTries {
-		node := s.options.Nodes[(request.firstNode+try)%len(s.options.Nodes)]
-		last = s.try(ctx, node, request, started, deadline)
-		last.tries = try + 1
-		if !last.wantsRetry(request) || !sleep(ctx, retryPause) || time.Until(deadline) <= 0 {
+	open := 0
+	for number := range s.options.MaxTries {
+		open++
+		s.open.Go(func() { answers <- s.try(ctx, request, number, deadline) })
+		arrived, ended := s.awaitTry(request, answers)
+		if ended {
+			open--
+			last = arrived
+		}
+		last.tries = number + 1
+		wantsRetry := !ended || last.wantsRetry(request)
+		if !wantsRetry || time.Until(deadline) <= retryPause || !sleep(ctx, retryPause) {
 			break
 		}
 	}
-	last.total = time.Since(started)
-	last.late = last.total > limit+lateTolerance
+	return awaitOpen(last, open, answers)
+}
+
+// awaitTry waits for an answer, for a keyed request at most the time after
+// which it is repeated.
+func (s *sender) awaitTry(request plannedRequest, answers <-chan outcome) (outcome, bool) {
+	if request.isGeneration() || s.options.RepeatAfter <= 0 {
+		return <-answers, true
+	}
+	timer := time.NewTimer(s.options.RepeatAfter)
+	defer timer.Stop()
+	select {
+	case answer := <-answers:
+		return answer, true
+	case <-timer.C:
+		return outcome{}, false
+	}
+}
+
+// awaitOpen waits for open tries until one is served.
+func awaitOpen(last outcome, open int, answers <-chan outcome) outcome {
+	settled := last.tries > open
+	for ; open > 0 && !(settled && last.kind == outcomeServed); open-- {
+		answer := <-answers
+		if !settled || answer.kind == outcomeServed {
+			answer.tries = last.tries
+			last, settled = answer, true
+		}
+	}
 	return last
 }
 
@@ -86,15 +137,30 @@
 	}
 }
 
-func (s *sender) try(ctx context.Context, node string, request plannedRequest, started, deadline time.Time) outcome {
+// try sends a request to one node and notes what became of it.
+func (s *sender) try(ctx context.Context, request plannedRequest, number int, deadline time.Time) outcome {
+	node := s.options.Nodes[(request.firstNode+number)%len(s.options.Nodes)]
+	record := tryRecord{
+		requestID: fmt.Sprintf("load-%s-%d-%d", s.options.RunID, request.number, number),
+		node:      hostOf(node), key: request.key, sentAt: time.Now(), deadline: deadline,
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(s.options.AnswerWait))
+	defer cancel()
+	record.outcome = s.call(ctx, node, request, record)
+	record.endedAt = time.Now()
+	s.journal.add(record)
+	return record.outcome
+}
+
+func (s *sender) call(ctx context.Context, node string, request plannedRequest, record tryRecord) outcome {
 	call, err := http.NewRequestWithContext(ctx, http.MethodPost, node+request.path, bytes.NewReader(request.body))
 	if err != nil {
 		return outcome{kind: outcomeUnanswered, reason: reasonConnect}
 	}
 	call.Header.Set("Content-Type", "application/json")
 	call.Header.Set("Authorization", "Bearer "+s.options.Token)
-	call.Header.Set("X-Time-Limit", strconv.FormatFloat(time.Until(deadline).Seconds(), 'f', 3, 64))
-	call.Header.Set("X-Request-Id", "load-"+s.options.RunID+"-"+strconv.Itoa(request.number))
+	call.Header.Set("X-Time-Limit", strconv.FormatFloat(time.Until(record.deadline).Seconds(), 'f', 3, 64))
+	call.Header.Set("X-Request-Id", record.requestID)
 	if request.key != "" {
 		call.Header.Set("Idempotency-Key", request.key)
 	}
@@ -103,7 +169,16 @@
 		return unanswered(ctx, reasonOfError(err))
 	}
 	defer func() { _ = response.Body.Close() }()
-	return readAnswer(ctx, request, response, started)
+	return readAnswer(ctx, request, response, record.sentAt)
+}
+
+// hostOf returns the host and port of a checked URL.
+func hostOf(node string) string {
+	parsed, err := url.Parse(node)
+	if err != nil {
+		return node
+	}
+	return parsed.Host
 }
 
 // reasonOfError tells a request that was never sent from one that may have been.
--- a/internal/standin/suite/suite.go
+++ b/internal/standin/suite/suite.go
@@ -143,8 +143,16 @@
 	return err
 }
 
+// tableLog is the prefix of the keys whose writes are recorded: the table's
+// accepted edits.
+const tableLog = "table/log/"
+
 func (s *Suite) keyValueHandler() http.Handler {
-	store := keyvalue.NewStore(keyvalue.Options{Clock: clock.System{}})
+	options := keyvalue.Options{Clock: clock.System{}}
+	if s.config.KeepRecords {
+		options.RecordPrefixes = []string{tableLog}
+	}
+	store := keyvalue.NewStore(options)
 	store.SetFaults(keyvalue.Faults{OperationsPerSecond: s.config.KeyValueOperationsPerSecond})
 	return keyvalue.NewServer(store, s.logger)
 }
