Count absence only with an undisturbed watch; describe membership and table

After an outage, a node whose watch was refused by the rate limit removed live members, and every node retried its lapsed lease once a second.

A member is removed only while the watch is undisturbed; keep-alives back off once the lease has surely lapsed.

Three nodes at 1 operation a second after an outage: live members removed -> none. The specs of both packages pass, also with -race.

--- a/internal/membership/lease_detector.go
+++ b/internal/membership/lease_detector.go
@@ -36,6 +36,10 @@
 	// lastTrouble is when contact to the service was last doubtful.
 	lastTrouble time.Time
 	troubled    bool
+	// interrupted since the newest reading: absence is not proved.
+	interrupted bool
+	// readAt is when the members were last read.
+	readAt time.Time
 	// synchronised: the members were read at least once.
 	synchronised bool
 
@@ -108,6 +112,8 @@
 		}
 	}
 	d.synchronised = true
+	d.interrupted = false
+	d.readAt = d.clock.Now()
 	d.mutex.Unlock()
 	d.publish()
 }
@@ -131,6 +137,7 @@
 func (d *LeaseDetector) Interrupted(error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.interrupted = true
 	d.noteActivityLocked(false)
 }
 
@@ -193,17 +200,28 @@
 	return d.options.RemovalGrace
 }
 
+// remainingGraceLocked returns how much longer a member must be missing. While
+// the watch is interrupted, and shortly after a reading, which may be followed
+// by the next interruption, nobody's absence is proved.
+func (d *LeaseDetector) remainingGraceLocked(known *knownMember) time.Duration {
+	now := d.clock.Now()
+	remaining := d.graceLocked() - now.Sub(known.missingSince)
+	if d.interrupted {
+		return max(remaining, d.options.RemovalGrace)
+	}
+	return max(remaining, d.options.RemovalGrace-now.Sub(d.readAt))
+}
+
 // removeMissing removes a member whose key has been missing for the grace
 // period that applies now; else it looks again later.
 func (d *LeaseDetector) removeMissing(name string) {
 	d.mutex.Lock()
-	d.noteActivityLocked(true)
 	known := d.known[name]
 	if d.stopped || known == nil || !known.missing {
 		d.mutex.Unlock()
 		return
 	}
-	remaining := d.graceLocked() - d.clock.Now().Sub(known.missingSince)
+	remaining := d.remainingGraceLocked(known)
 	if remaining > 0 {
 		d.clock.AfterFunc(remaining, func() { d.removeMissing(name) })
 		d.mutex.Unlock()
--- a/internal/membership/lease_holder.go
+++ b/internal/membership/lease_holder.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -38,6 +39,9 @@
 	superseded     bool
 	stopped        bool
 	retry          backoff
+	keepAliveRetry backoff
+	// keptAliveAt is when the lease was last granted or extended.
+	keptAliveAt    time.Time
 	timer          clock.Timer
 	keepAliveTimer clock.Timer
 }
@@ -45,7 +49,8 @@
 func newLeaseHolder(service platform.KeyValueService, c clock.Clock, random *rand.Rand, options LeaseOptions, log zerolog.Logger, contact func(bool)) *leaseHolder {
 	return &leaseHolder{
 		service: service, clock: c, random: random, options: options, log: log, contact: contact,
-		retry: backoff{minimum: options.MinBackoff, maximum: options.MaxBackoff},
+		retry:          backoff{minimum: options.MinBackoff, maximum: options.MaxBackoff},
+		keepAliveRetry: backoff{minimum: options.KeepAliveEvery / 2, maximum: 2 * options.KeepAliveEvery},
 	}
 }
 
@@ -147,7 +152,10 @@
 func (h *leaseHolder) grantLocked() {
 	h.busy = true
 	h.service.GrantLease(h.options.TimeToLive, h.options.Timeout, func(lease platform.LeaseID, err error) {
-		h.finish(err, func() { h.lease = lease })
+		h.finish(err, func() {
+			h.lease = lease
+			h.keptAliveAt = h.clock.Now()
+		})
 	})
 }
 
@@ -234,6 +242,15 @@
 	h.service.KeepAlive(lease, h.options.Timeout, func(err error) { h.keptAlive(lease, err) })
 }
 
+// keepAliveRetryPauseLocked returns a short pause while the lease may still be
+// saved, and growing ones after that.
+func (h *leaseHolder) keepAliveRetryPauseLocked() time.Duration {
+	if h.clock.Now().Sub(h.keptAliveAt) < h.options.TimeToLive {
+		return jittered(h.random, h.options.KeepAliveEvery/3)
+	}
+	return h.keepAliveRetry.next(h.random)
+}
+
 func (h *leaseHolder) keptAlive(lease platform.LeaseID, err error) {
 	gone := errors.Is(err, platform.ErrLeaseGone)
 	h.contact(err == nil || gone)
@@ -249,8 +266,10 @@
 		}
 	}
 	if err != nil && !gone {
-		h.keepAliveTimer = h.clock.AfterFunc(jittered(h.random, h.options.KeepAliveEvery/3), h.keepAlive)
+		h.keepAliveTimer = h.clock.AfterFunc(h.keepAliveRetryPauseLocked(), h.keepAlive)
 		return
 	}
+	h.keptAliveAt = h.clock.Now()
+	h.keepAliveRetry.reset()
 	h.scheduleKeepAliveLocked()
 }
--- a/internal/membership/lease_options.go
+++ b/internal/membership/lease_options.go
@@ -41,7 +41,7 @@
 		MinBackoff:     300 * time.Millisecond,
 		MaxBackoff:     5 * time.Second,
 		RemovalGrace:   time.Second,
-		OutageGrace:    2 * timeToLive,
+		OutageGrace:    3 * timeToLive,
 		Watch:          keywatch.DefaultOptions(MemberPrefix),
 	}
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/hatchplank/hatchplank/internal/membership"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
 )
 
@@ -33,13 +34,33 @@
 		c.store.SetFaults(keyvalue.Faults{Outage: true})
 		c.loop.RunFor(5 * time.Minute)
 		c.expectMembers("a", "b", "c")
-		c.store.SetFaults(keyvalue.Faults{})
+		c.store.SetFaults(keyvalue.Faults{OperationsPerSecond: 1, Burst: 1})
 		for range 120 {
 			c.loop.RunFor(time.Second)
 			c.expectMembers("a", "b", "c")
 		}
 	})
 
+	It("waits after an outage for a member that is late to register again", func() {
+		c.store.SetFaults(keyvalue.Faults{Outage: true})
+		c.loop.RunFor(5 * time.Minute)
+		c.network.Cut = func(from, to string) bool { return from == "c" || to == "c" }
+		c.store.SetFaults(keyvalue.Faults{})
+		c.loop.RunFor(20 * time.Second)
+		Expect(c.nodes["a"].memberNames()).To(Equal([]string{"a", "b", "c"}))
+		c.network.Cut = func(string, string) bool { return false }
+		c.loop.RunFor(time.Minute)
+		c.expectMembers("a", "b", "c")
+	})
+
+	It("costs little more than the keep-alives", func() {
+		before := c.store.Counters().Total()
+		c.loop.RunFor(20 * time.Minute)
+		perNodeAndSecond := float64(c.store.Counters().Total()-before) / (20 * 60 * 3)
+		keepAlivesPerSecond := 1 / membership.DefaultLeaseOptions().KeepAliveEvery.Seconds()
+		Expect(perNodeAndSecond).To(BeNumerically("~", keepAlivesPerSecond, 0.05))
+	})
+
 	It("registers a member again that was paused longer than its lease", func() {
 		c.nodes["b"].process.Pause()
 		c.loop.RunFor(40 * time.Second)
--- a/internal/membership/owner_options.go
+++ b/internal/membership/owner_options.go
@@ -42,7 +42,7 @@
 	watch.RecoverySpread = 5 * time.Second
 	return OwnerOptions{
 		OwnerGrace:       time.Second,
-		UnseenOwnerGrace: 20 * time.Second,
+		UnseenOwnerGrace: 30 * time.Second,
 		HandoverDelay:    30 * time.Second,
 		TickEvery:        500 * time.Millisecond,
 		Timeout:          2 * time.Second,
--- a/internal/tablestore/cluster_test.go
+++ b/internal/tablestore/cluster_test.go
@@ -42,6 +42,7 @@
 	starts int
 	// conditions of the network between nodes.
 	conditions simulation.Conditions
+	options    Options
 	// reversals are breaches of the revisions' order.
 	reversals []string
 }
@@ -54,10 +55,12 @@
 
 const kvName = "kv"
 
-func newCluster(seed uint64, zones, perZone int) *cluster {
+func newCluster(seed uint64, zones, perZone, recentEntries int) *cluster {
 	loop := simulation.NewLoop(seed)
 	c := &cluster{loop: loop, network: simulation.NewNetwork(loop)}
 	c.conditions = simulation.Conditions{Delay: time.Millisecond}
+	c.options = DefaultOptions()
+	c.options.RecentEntries = recentEntries
 	c.network.ConditionsOf = func(from, to string) simulation.Conditions {
 		if from == kvName || to == kvName {
 			return simulation.Conditions{Delay: time.Millisecond}
@@ -97,7 +100,7 @@
 		Random:    c.loop.Fork(),
 		Validate:  validateForTest,
 		Log:       zerolog.Nop(),
-	}, DefaultOptions())
+	}, c.options)
 	newest := table.Revision(0)
 	store.Subscribe(func(snapshot *table.Snapshot) {
 		if snapshot.Revision() <= newest {
--- a/internal/tablestore/properties_test.go
+++ b/internal/tablestore/properties_test.go
@@ -103,7 +103,8 @@
 // checkEdits draws faults and edits and compares what callers and nodes saw
 // with the service's own records.
 func checkEdits(t *rapid.T) {
-	c := newCluster(rapid.Uint64().Draw(t, "seed"), 2, 3)
+	recentEntries := rapid.SampledFrom([]int{1, 2, DefaultOptions().RecentEntries}).Draw(t, "recent entries")
+	c := newCluster(rapid.Uint64().Draw(t, "seed"), 2, 3, recentEntries)
 	r := &recorder{cluster: c, outcomes: map[string]Outcome{}}
 	for step := range rapid.IntRange(5, 30).Draw(t, "steps") {
 		index := rapid.IntRange(0, len(c.nodes)-1).Draw(t, "node")
--- a/internal/tablestore/store_test.go
+++ b/internal/tablestore/store_test.go
@@ -16,7 +16,7 @@
 var _ = Describe("Store", func() {
 	var c *cluster
 	BeforeEach(func() {
-		c = newCluster(1, 3, 5)
+		c = newCluster(1, 3, 5, DefaultOptions().RecentEntries)
 		c.loop.RunFor(5 * time.Second)
 	})
 	AfterEach(func() { Expect(c.reversals).To(BeEmpty()) })
