Don't wait for a handover when nobody can take the roles

A draining node that is the last live member, or whose only peers drain too, waited 30 s for a handover that could not come. It now leaves at once, with the reason in the log. The specs of the serve package run nodes in one process against the stand-ins: a cold model, a stream that outlives the node's stop, a stop during an outage.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -52,24 +52,42 @@
 	n.Gateway.Drain(func() { n.config.Clock.AfterFunc(0, n.awaitHandover) })
 }
 
-// awaitHandover waits until the node owns no cell and holds no claims.
+// awaitHandover waits until the node owns no cell and holds no claims, or
+// nobody is there to take them.
 func (n *Node) awaitHandover() {
 	n.drain.mutex.Lock()
 	waited := n.config.Clock.Now().Sub(n.drain.startedAt)
 	n.drain.mutex.Unlock()
 	handedOver := len(n.Owners.Owned()) == 0 && !n.Claims.IsAcceptor()
-	if !handedOver && waited < handoverLimit {
+	if !handedOver && waited < handoverLimit && n.hasSuccessor() {
 		n.config.Clock.AfterFunc(handoverPeriod, n.awaitHandover)
 		return
 	}
 	if !handedOver {
 		n.config.Logger.Warn().Strs("cells", n.Owners.Owned()).Bool("claims", n.Claims.IsAcceptor()).
-			Str("reason", "handover took too long").Msg("leaving without handover")
+			Str("reason", n.whyNotHandedOver()).Msg("leaving without handover")
 	}
 	n.Stop()
 	n.Registry.Stop(n.finishDrain)
 }
 
+// hasSuccessor reports whether another live member can take roles over.
+func (n *Node) hasSuccessor() bool {
+	for _, member := range n.Registry.Members() {
+		if member.Name != n.config.Self.Name && !member.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) whyNotHandedOver() string {
+	if n.hasSuccessor() {
+		return "handover took too long"
+	}
+	return "no other member takes roles"
+}
+
 func (n *Node) finishDrain() {
 	n.drain.mutex.Lock()
 	n.drain.finished = true
--- /dev/null
+++ b/internal/serve/serve_test.go
@@ -0,0 +1,115 @@
+package serve_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	openai "github.com/sashabaranov/go-openai"
+
+	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/serve"
+	"github.com/hatchplank/hatchplank/internal/standin/engine"
+)
+
+const testModel = "saronikos-reply-english-8b"
+
+func question(tokens int) openai.ChatCompletionRequest {
+	return openai.ChatCompletionRequest{
+		Model: testModel, MaxTokens: tokens,
+		Messages: []openai.ChatCompletionMessage{{Role: "user", Content: "May we visit the school?"}},
+	}
+}
+
+// expectedText is what the stand-in engine says to a request's body.
+func expectedText(request openai.ChatCompletionRequest) string {
+	GinkgoHelper()
+	body, err := json.Marshal(request)
+	Expect(err).NotTo(HaveOccurred())
+	return engine.ExpectedText("/v1/chat/completions", body)
+}
+
+// readRest reads a stream to its end.
+func readRest(stream *openai.ChatCompletionStream) (string, error) {
+	var text strings.Builder
+	for {
+		event, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return text.String(), nil
+		}
+		if err != nil {
+			return text.String(), err
+		}
+		for _, choice := range event.Choices {
+			text.WriteString(choice.Delta.Content)
+		}
+	}
+}
+
+var _ = Describe("nodes as processes", func() {
+	It("load a cold model, and cut off nothing when one of them stops", func(ctx SpecContext) {
+		platform := startPlatform()
+		first := startNode(settingsFor(platform, "first", "marousi"))
+		second := startNode(settingsFor(platform, "second", "piraeus"))
+		first.applyTable(ctx)
+
+		By("answering at the node that did not take the table")
+		callable := func() error {
+			_, err := second.client().CreateChatCompletion(ctx, question(4))
+			return err
+		}
+		Eventually(callable, patience).Should(Succeed())
+
+		By("streaming while the node stops")
+		request := question(200)
+		request.Stream = true
+		stream, err := first.client().CreateChatCompletionStream(ctx, request)
+		Expect(err).NotTo(HaveOccurred())
+		opening, err := stream.Recv()
+		Expect(err).NotTo(HaveOccurred())
+		first.stop()
+		Eventually(first.readiness, patience).ShouldNot(Equal(http.StatusOK))
+		Expect(refusalCode(ctx, first)).To(Equal(result.NodeDraining.Name()))
+		rest, err := readRest(stream)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(opening.Choices[0].Delta.Content + rest).To(Equal(expectedText(request)))
+		Eventually(first.stopped, patience).Should(Receive(BeNil()))
+
+		By("serving on at the other node")
+		Expect(callable()).To(Succeed())
+		second.stop()
+		Eventually(second.stopped, patience).Should(Receive(BeNil()))
+	})
+
+	It("stop although the key-value service is out", func(ctx SpecContext) {
+		platform := startPlatform()
+		node := startNode(settingsFor(platform, "only", "marousi"))
+		setKeyValueFaults(ctx, platform, `{"outage":true}`)
+		node.stop()
+		Eventually(node.stopped, patience).Should(Receive(BeNil()))
+	})
+
+	It("report addresses that can't be listened at", func() {
+		platform := startPlatform()
+		node := startNode(settingsFor(platform, "only", "marousi"))
+		chosen := settingsFor(platform, "another", "marousi")
+		chosen.Listen.Callers = strings.TrimPrefix(node.url, "http://")
+		_, err := serve.New(chosen, quiet)
+		Expect(err).To(MatchError(ContainSubstring("listen for callers")))
+	})
+})
+
+// refusalCode asks the node and returns the code of its refusal.
+func refusalCode(ctx context.Context, node *runningNode) any {
+	_, err := node.client().CreateChatCompletion(ctx, question(4))
+	var refused *openai.APIError
+	if !errors.As(err, &refused) {
+		return err
+	}
+	return refused.Code
+}
