Wait longer for live gateways that a drain can't be told to

Cause: a gateway cut off from the owner, but not from the engine, went on sending after the drain delay and a request was cut off. Change: live members are waited for up to a minute unless the machine leaves, and requests seen meanwhile start the quiet time anew. The added test fails without the change.

--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -121,6 +121,24 @@
 		Expect(c.ready("a")).To(BeEmpty(), "its acknowledgement ends the wait")
 	})
 
+	It("does not unload what a live gateway it can't reach may still call", func() {
+		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte)}, nil)
+		c.acquire(0)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(time.Minute)
+		c.gateway.want("a", 0)
+		c.cut["node-0>gateway"] = true
+		c.edit(func(rows []table.Row) []table.Row {
+			rows[0].MaxReplicas = 0
+			return rows
+		})
+		c.loop.RunFor(30 * time.Second)
+		Expect(c.ready("a")).To(HaveLen(1))
+		c.cut["node-0>gateway"] = false
+		c.loop.RunFor(5 * time.Second)
+		Expect(c.ready("a")).To(BeEmpty())
+	})
+
 	It("cuts off requests without draining", func() {
 		c, _ := unloadUnderRequest(func(c *applier.Config) { c.Mechanisms.DrainBeforeUnload = false })
 		Expect(c.audit.violations).NotTo(BeEmpty())
--- a/internal/applier/config.go
+++ b/internal/applier/config.go
@@ -89,8 +89,10 @@
 	DemandExpiry time.Duration
 	// Interest is how long a gateway gets pushes for a model after its demand.
 	Interest time.Duration
-	// DrainDelay is the longest wait for gateways to acknowledge a drain.
-	DrainDelay time.Duration
+	// DrainDelay is the longest wait for gateways to acknowledge a drain;
+	// DrainUntold is the longest if one of them is a live member that can't be
+	// reached.
+	DrainDelay, DrainUntold time.Duration
 	// DrainSettle covers requests under way and the lag of load figures: an
 	// unload needs a state without requests, read that long after the last
 	// acknowledgement.
@@ -118,7 +120,7 @@
 		RetryMin: 200 * time.Millisecond, RetryMax: 2 * time.Second,
 		LoadBackoffMin: time.Second, LoadBackoffMax: time.Minute,
 		DemandExpiry: 4 * time.Second, Interest: 30 * time.Second,
-		DrainDelay: 5 * time.Second, DrainSettle: time.Second,
+		DrainDelay: 5 * time.Second, DrainUntold: time.Minute, DrainSettle: time.Second,
 		ForgetGateway: 10 * time.Minute,
 		Push:          time.Second, Release: 10 * time.Second,
 		StoreStatus: time.Second, SaveStatistics: time.Minute, RestoreStatistics: 5 * time.Second,
--- a/internal/applier/drain.go
+++ b/internal/applier/drain.go
@@ -1,8 +1,10 @@
 package applier
 
 import (
+	"slices"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/membership"
 	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
@@ -81,15 +83,36 @@
 // finished reports whether no gateway sends new work any more and the engine,
 // asked late enough, has none left.
 func (d *drain) finished(now time.Time, intervals *Intervals, requestedAt time.Time, running int) bool {
-	if d.quietSince.IsZero() && now.Sub(d.since) >= intervals.DrainDelay {
-		d.quietSince = now
+	if d.quietSince.IsZero() {
+		return false
 	}
-	if d.quietSince.IsZero() || running > 0 {
+	if running > 0 {
+		if len(d.waiting) > 0 {
+			// A gateway that did not acknowledge still sends: wait for quiet.
+			d.quietSince = now
+		}
 		return false
 	}
 	return !requestedAt.Before(d.quietSince.Add(intervals.DrainSettle))
 }
 
+// stopWaiting ends the wait for gateways that can't be told. Members that live
+// may be cut off from here and not from the engine, so they are waited for
+// longer, unless the machine leaves, which the machine list tells them as well.
+func (o *Owner) stopWaiting(now time.Time, server *serverEntry, d *drain) {
+	waited := now.Sub(d.since)
+	if !d.quietSince.IsZero() || waited < o.config.Intervals.DrainDelay {
+		return
+	}
+	if server.leaving() || waited >= o.config.Intervals.DrainUntold || !o.waitsForMember(d) {
+		d.quietSince = now
+	}
+}
+
+func (o *Owner) waitsForMember(d *drain) bool {
+	return slices.ContainsFunc(o.members, func(member membership.Member) bool { return d.waiting[member.ID()] })
+}
+
 // advanceDrains orders the unloads whose drains have finished.
 func (o *Owner) advanceDrains(now time.Time) {
 	for _, server := range o.servers {
@@ -130,6 +153,7 @@
 	case phase == platform.ReplicaLoading, !o.config.Mechanisms.DrainBeforeUnload:
 		return true
 	}
+	o.stopWaiting(now, server, drain)
 	return drain.finished(now, &o.config.Intervals, server.requestedAt, running)
 }
 
