Drain slowly after a takeover unless room or leaving presses

Change: drains begun within 30 s of a takeover that nothing presses wait a minute, and any request seen starts the quiet time anew. The added test fails without the change.

--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -104,6 +104,24 @@
 		Expect(c.ready("a")).To(BeEmpty())
 	})
 
+	It("is in no hurry to unload an idle replica soon after a takeover", func() {
+		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte)}, nil)
+		c.acquire(0)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(30 * time.Second)
+		c.gateway.want("a", 0)
+		c.acquire(1)
+		c.loop.RunFor(time.Second)
+		c.edit(func(rows []table.Row) []table.Row {
+			rows[0].MaxReplicas = 0
+			return rows
+		})
+		c.loop.RunFor(30 * time.Second)
+		Expect(c.ready("a")).To(HaveLen(1))
+		c.loop.RunFor(40 * time.Second)
+		Expect(c.ready("a")).To(BeEmpty())
+	})
+
 	It("tells gateways that were silent since before the takeover of a drain", func() {
 		c := newCluster(1, 1, []table.Row{withMin(row("a", 1, 20*gigabyte))}, nil)
 		c.acquire(0)
--- a/internal/applier/drain.go
+++ b/internal/applier/drain.go
@@ -87,7 +87,7 @@
 		return false
 	}
 	if running > 0 {
-		if len(d.waiting) > 0 {
+		if len(d.waiting) > 0 || d.wholeDelay {
 			// A gateway that did not acknowledge still sends: wait for quiet.
 			d.quietSince = now
 		}
@@ -104,7 +104,9 @@
 	if !d.quietSince.IsZero() || waited < o.config.Intervals.DrainDelay {
 		return
 	}
-	if server.leaving() || waited >= o.config.Intervals.DrainUntold || !o.waitsForMember(d) {
+	// An owner before that was cut off may go on as a gateway for a while.
+	patient := o.waitsForMember(d) || (d.wholeDelay && d.forRow == "")
+	if server.leaving() || waited >= o.config.Intervals.DrainUntold || !patient {
 		d.quietSince = now
 	}
 }
