Keep claims available through more losses

A freshly started node that knew only itself replaced a shard's acceptors by itself; two deaths out of three acceptors within a lease lost a shard's votes; an acceptor sealed for a proposal that was given up stayed sealed for ever if no other need arose; a draining node left after 30 s without handing its votes over. Ruled out: too short claim deadlines (refusals came at all limits). Change: no repair before the members were read; five acceptors where five nodes live; a stuck seal asks for a new configuration; failed repairs back off; a planned stop waits two minutes for the handover; the quarantine is as long as keys are kept. A test seals a shard for a proposal given up: it is granted again.

--- a/internal/claims/acceptor.go
+++ b/internal/claims/acceptor.go
@@ -21,6 +21,8 @@
 	active ConfigurationID
 	// sealedFor holds the tokens of proposals that ended the voting here.
 	sealedFor map[string]bool
+	// sealedSince is when the first of them did.
+	sealedSince time.Time
 	// quarantineUntil refuses votes until then.
 	quarantineUntil time.Time
 	entries         map[Key]*KeyRecord
@@ -141,6 +143,9 @@
 	if a.active != request.Configuration {
 		return SealReply{}
 	}
+	if len(a.sealedFor) == 0 {
+		a.sealedSince = now
+	}
 	a.sealedFor[request.Token] = true
 	a.expire(now)
 	all := a.sortedEntries()
@@ -245,6 +250,15 @@
 	a.expiry = a.expiry[expired:]
 }
 
+// stuck reports whether voting ended in a configuration for so long that the
+// proposal it was ended for has been given up.
+func (a *acceptor) stuck(configuration ConfigurationID, patience time.Duration, now time.Time) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	sealed := a.active == configuration && len(a.sealedFor) > 0
+	return sealed && now.Sub(a.sealedSince) > patience
+}
+
 // size returns the number of keys held.
 func (a *acceptor) size() int {
 	a.mutex.Lock()
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -124,6 +124,18 @@
 		Expect(cluster.await("node-9", key, "b").Verdict).To(Equal(Denied))
 	})
 
+	It("lets a shard go on that was sealed for a proposal given up", func() {
+		cluster := newTestCluster(8, 3)
+		shard := shardOf(key, 4)
+		configuration, _ := cluster.nodes["node-0"].set.configurations.get(shard)
+		for _, node := range cluster.nodes {
+			node.set.acceptors[shard].seal(SealRequest{Configuration: configuration.id(shard), Token: "given-up"}, node.process.Now())
+		}
+		Expect(cluster.await("node-0", key, "a").Verdict).To(Equal(Unavailable))
+		cluster.loop.RunFor(30 * time.Second)
+		Expect(cluster.await("node-0", key, "b").Verdict).To(Equal(Granted))
+	})
+
 	It("grants a key once when all nodes race for it", func() {
 		for seed := range uint64(30) {
 			cluster := newTestCluster(seed, 5)
--- a/internal/claims/claimset.go
+++ b/internal/claims/claimset.go
@@ -20,7 +20,10 @@
 	KeyValues platform.KeyValueService
 	Transport peer.Transport
 	Members   membership.View
-	Logger    zerolog.Logger
+	// Synchronised reports whether Members is more than this node's knowledge
+	// of itself; nil: always. Shards are not repaired before.
+	Synchronised func() bool
+	Logger       zerolog.Logger
 	// Shards is the number of shards; the same on all nodes, for ever.
 	Shards int
 	// Retention is how long a key is remembered after its claim.
--- a/internal/claims/configuration.go
+++ b/internal/claims/configuration.go
@@ -14,9 +14,19 @@
 )
 
 // AcceptorsPerShard is the number of nodes that hold a shard's votes when
-// enough nodes live. Three in three zones stand the loss of any one of them,
-// without the key-value service's help.
-const AcceptorsPerShard = 3
+// enough nodes live. Five, spread over the zones, stand the loss of any two of
+// them without the key-value service's help. With fewer nodes the largest odd
+// number is taken: an even one stands no more losses.
+const AcceptorsPerShard = 5
+
+// acceptorsAmong returns how many acceptors a shard has among so many nodes.
+func acceptorsAmong(nodes int) int {
+	count := min(nodes, AcceptorsPerShard)
+	if count > 0 && count%2 == 0 {
+		count--
+	}
+	return count
+}
 
 // configurationPrefix is where configurations are kept in the key-value
 // service, one key a shard.
@@ -118,22 +128,23 @@
 // rank, from zones that have none yet where possible.
 func chooseAcceptors(shard int, current []membership.Member, members []membership.Member) []membership.Member {
 	candidates := rank(shard, withoutDraining(members))
+	wanted := acceptorsAmong(len(candidates))
 	var chosen []membership.Member
 	for _, candidate := range candidates {
 		kept := slices.ContainsFunc(current, func(m membership.Member) bool { return m.ID() == candidate.ID() })
-		if kept && len(chosen) < AcceptorsPerShard {
+		if kept && len(chosen) < wanted {
 			chosen = append(chosen, candidate)
 		}
 	}
-	chosen = fill(chosen, candidates, true)
-	chosen = fill(chosen, candidates, false)
+	chosen = fill(chosen, candidates, wanted, true)
+	chosen = fill(chosen, candidates, wanted, false)
 	slices.SortFunc(chosen, func(a, b membership.Member) int { return strings.Compare(a.ID(), b.ID()) })
 	return chosen
 }
 
-func fill(chosen, candidates []membership.Member, newZoneOnly bool) []membership.Member {
+func fill(chosen, candidates []membership.Member, wanted int, newZoneOnly bool) []membership.Member {
 	for _, candidate := range candidates {
-		if len(chosen) >= AcceptorsPerShard {
+		if len(chosen) >= wanted {
 			break
 		}
 		taken := slices.ContainsFunc(chosen, func(m membership.Member) bool {
--- a/internal/claims/reconfiguration.go
+++ b/internal/claims/reconfiguration.go
@@ -17,6 +17,12 @@
 	// lossGrace is how long a shard's votes must be out of reach before they
 	// count as lost.
 	lossGrace = 60 * time.Second
+	// sealPatience is how long an acceptor stays sealed before it asks for a
+	// new configuration, since the one it was sealed for was given up.
+	sealPatience = 5 * time.Second
+	// minRetry and maxRetry bound the pause after a failed try, which doubles.
+	minRetry = time.Second
+	maxRetry = 8 * time.Second
 	// reconfigurationTimeout lets a stuck try be begun anew.
 	reconfigurationTimeout = 15 * time.Second
 )
@@ -29,11 +35,14 @@
 	unreachableSince time.Time
 	running          *reconfiguration
 	startedAt        time.Time
+	// failures since the need was first seen, and when to try again.
+	failures int
+	retryAt  time.Time
 }
 
 // tick checks each shard and repairs it if that is this node's turn.
 func (s *ClaimSet) tick() {
-	if !s.configurations.isLoaded() {
+	if !s.configurations.isLoaded() || !s.membersKnown() {
 		return
 	}
 	now := s.config.Clock.Now()
@@ -43,13 +52,18 @@
 	}
 }
 
+func (s *ClaimSet) membersKnown() bool {
+	return s.config.Synchronised == nil || s.config.Synchronised()
+}
+
 func (s *ClaimSet) checkShard(shard int, members []membership.Member, now time.Time) {
 	current, _ := s.configurations.get(shard)
 	desired := chooseAcceptors(shard, current.Acceptors, members)
 	s.reconfigurationMutex.Lock()
 	defer s.reconfigurationMutex.Unlock()
 	state := &s.reconfigurations[shard]
-	if !needsChange(current, desired) {
+	stuck := s.acceptors[shard].stuck(current.id(shard), sealPatience, now)
+	if !stuck && !needsChange(current, desired) {
 		*state = reconfigurationState{}
 		return
 	}
@@ -57,13 +71,17 @@
 		state.degradedSince = now
 	}
 	position := s.position(shard, members)
-	if position < 0 || now.Sub(state.degradedSince) < time.Duration(position)*rankDelay {
+	if !stuck && (position < 0 || now.Sub(state.degradedSince) < time.Duration(position)*rankDelay) {
+		return
+	}
+	if now.Before(state.retryAt) {
 		return
 	}
 	if state.running != nil && now.Sub(state.startedAt) < reconfigurationTimeout {
 		return
 	}
 	state.running = s.newReconfiguration(shard, desired)
+	state.running.renew = stuck
 	state.startedAt = now
 	state.running.start()
 }
@@ -100,6 +118,8 @@
 	shard   int
 	desired []membership.Member
 	token   string
+	// renew the configuration even if its acceptors stay the same.
+	renew bool
 
 	current     Configuration
 	modRevision int64
@@ -138,7 +158,7 @@
 
 func (r *reconfiguration) prepare() {
 	r.desired = chooseAcceptors(r.shard, r.current.Acceptors, r.set.config.Members.Members())
-	if r.modRevision != 0 && !needsChange(r.current, r.desired) {
+	if r.modRevision != 0 && !r.renew && !needsChange(r.current, r.desired) {
 		r.end("no change needed")
 		return
 	}
@@ -159,12 +179,19 @@
 	state := &r.set.reconfigurations[r.shard]
 	if state.running == r {
 		state.running = nil
+		state.retryAt = r.set.config.Clock.Now().Add(r.set.jitter(retryPause(state.failures)))
+		state.failures++
 	}
 	r.set.reconfigurationMutex.Unlock()
 	r.set.config.Logger.Debug().Int("shard", r.shard).Uint64("epoch", r.next.Epoch).
 		Str("reason", reason).Msg("claim shard reconfiguration ended")
 }
 
+// retryPause is the mean pause after a number of failed tries.
+func retryPause(failures int) time.Duration {
+	return min(minRetry<<min(failures, 10), maxRetry)
+}
+
 // commit writes the new configuration by compare-and-swap.
 func (r *reconfiguration) commit() {
 	key := configurationKey(r.shard)
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -22,10 +22,12 @@
 type Registry struct {
 	detector Detector
 
-	mutex       sync.Mutex
-	self        Member
-	members     []Member
-	subscribers []func([]Member)
+	mutex   sync.Mutex
+	self    Member
+	members []Member
+	// synchronised: the members were read at least once.
+	synchronised bool
+	subscribers  []func([]Member)
 }
 
 // NewRegistry returns a registry that knows only this node.
@@ -71,8 +73,17 @@
 func (r *Registry) replace(members []Member) {
 	r.mutex.Lock()
 	r.members = members
+	r.synchronised = true
 	r.mutex.Unlock()
 	for _, subscriber := range r.subscribers {
 		subscriber(members)
 	}
 }
+
+// Synchronised reports whether the members were read at least once. Before
+// that this node is the only member it knows, which says nothing of the others.
+func (r *Registry) Synchronised() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.synchronised
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -9,9 +9,11 @@
 // handed over.
 const handoverPeriod = 200 * time.Millisecond
 
-// handoverLimit bounds the wait for the handover of roles; requests are waited
-// for without it, since each has its own deadline.
-const handoverLimit = 30 * time.Second
+// handoverLimit bounds the wait for the handover of roles, which an outage of
+// the key-value service can hold up: a node that leaves without it takes its
+// claims' votes along. Requests are waited for without it, since each has its
+// own deadline.
+const handoverLimit = 2 * time.Minute
 
 // drainState is the progress of a planned stop.
 type drainState struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,9 +84,11 @@
 	Manager    *applier.Manager
 	Layout     cells.Layout
 
-	random *rand.Rand
-	stops  []func()
-	drain  drainState
+	// allotter answers for Layout.
+	allotter *cells.Allotter
+	random   *rand.Rand
+	stops    []func()
+	drain    drainState
 }
 
 // New assembles a node; Start makes it work.
@@ -96,6 +98,7 @@
 		Layout: config.Settings.Layout(),
 		random: rand.New(rand.NewPCG(config.Seed, config.Seed^0x5851f42d4c957f2d)),
 	}
+	n.allotter = cells.NewAllotter(n.Layout)
 	n.buildMembership()
 	n.buildTable()
 	n.buildClaims()
@@ -144,8 +147,10 @@
 func (n *Node) buildClaims() {
 	n.Claims = claims.New(claims.Config{
 		Clock: n.config.Clock, Random: n.fork(), KeyValues: n.config.KeyValues,
-		Transport: n.config.Transport, Members: n.Registry, Logger: n.part("claims"),
+		Transport: n.config.Transport, Members: n.Registry, Synchronised: n.Registry.Synchronised,
+		Logger: n.part("claims"),
 		Shards: n.config.Settings.Claims.Shards, Retention: n.config.Settings.Claims.Retention,
+		Quarantine: n.config.Settings.Claims.Retention,
 	})
 }
 
@@ -163,7 +168,7 @@
 	}
 	n.Manager = applier.NewManager(applier.Config{
 		Clock: n.config.Clock, Random: n.fork(), Table: n.Table, Layout: n.Layout,
-		Allot: n.allot, CellOf: n.Layout.ServerCell,
+		Allot: n.allotter.Allotment, CellOf: n.allotter.ServerCell,
 		Engines: n.config.Engines, Machines: n.Machines, Store: n.config.Weights,
 		Transport: n.config.Transport, Self: n.Registry, Policy: policy,
 		Confirmer:  applier.NewKeyValueConfirmer(n.config.KeyValues, n.config.Settings.Platform.Timeout),
@@ -173,14 +178,14 @@
 	return nil
 }
 
-// allot returns a cell's part of a row; none when the row is not for the cell.
-func (n *Node) allot(cell string, row table.Row) cells.Allotment {
-	for _, allotment := range n.Layout.Allotments(row) {
-		if allotment.Cell == cell {
-			return allotment
-		}
+// cellsOf returns the cells that may hold replicas of a base model: demand for
+// it goes to no other. An unknown model has none.
+func (n *Node) cellsOf(model string) []string {
+	row, known := n.Table.Row(model)
+	if !known {
+		return nil
 	}
-	return cells.Allotment{Cell: cell}
+	return n.allotter.CellsOf(row)
 }
 
 func (n *Node) buildOwners() {
@@ -195,7 +200,7 @@
 func (n *Node) buildDirectory() {
 	n.Directory = directory.New(directory.Config{
 		Clock: n.config.Clock, Transport: n.config.Transport, Ownership: n.Owners,
-		Cells: n.Layout.CellsOf, Table: n.Table,
+		Cells: n.cellsOf, Table: n.Table,
 		Gateway: n.config.Self.ID(), PeerAddress: n.config.Self.PeerAddress,
 		Logger: n.part("directory"), ReportPeriod: n.config.Settings.Intervals.Report,
 	})
