--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -121,9 +121,13 @@
 	i.after(i.span(2*time.Second, 30*time.Second), func() { i.restart(n) })
 }
 
+// restart starts a node's next process, once the one before has ended.
 func (i *injector) restart(n *SimulatedNode) {
-	if n.down {
+	switch {
+	case n.down:
 		n.Start()
+	case n.stopping:
+		i.after(i.span(time.Second, 10*time.Second), func() { i.restart(n) })
 	}
 }
 
