Send short type names between nodes

Cause: gob names a message's type by its whole import path, about 50 bytes in every message, which is most of a small one. Change: message types are registered under package and type name.

--- a/internal/api/nodestatus/messages.go
+++ b/internal/api/nodestatus/messages.go
@@ -3,8 +3,6 @@
 package nodestatus
 
 import (
-	"encoding/gob"
-
 	"github.com/hatchplank/hatchplank/internal/api"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -24,6 +22,6 @@
 }
 
 func init() {
-	gob.Register(PartRequest{})
-	gob.Register(PartReply{})
+	peer.Register(PartRequest{})
+	peer.Register(PartReply{})
 }
--- a/internal/claims/messages.go
+++ b/internal/claims/messages.go
@@ -1,9 +1,9 @@
 package claims
 
 import (
-	"encoding/gob"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
@@ -119,13 +119,13 @@
 }
 
 func init() {
-	gob.Register(VoteRequest{})
-	gob.Register(VoteReply{})
-	gob.Register(RecordRequest{})
-	gob.Register(ReleaseRequest{})
-	gob.Register(Acknowledgement{})
-	gob.Register(SealRequest{})
-	gob.Register(UnsealRequest{})
-	gob.Register(SealReply{})
-	gob.Register(InstallRequest{})
+	peer.Register(VoteRequest{})
+	peer.Register(VoteReply{})
+	peer.Register(RecordRequest{})
+	peer.Register(ReleaseRequest{})
+	peer.Register(Acknowledgement{})
+	peer.Register(SealRequest{})
+	peer.Register(UnsealRequest{})
+	peer.Register(SealReply{})
+	peer.Register(InstallRequest{})
 }
--- a/internal/directory/messages.go
+++ b/internal/directory/messages.go
@@ -4,9 +4,9 @@
 package directory
 
 import (
-	"encoding/gob"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -81,8 +81,8 @@
 }
 
 func init() {
-	gob.Register(DemandReport{})
-	gob.Register(EndpointUpdate{})
+	peer.Register(DemandReport{})
+	peer.Register(EndpointUpdate{})
 }
 
 // Reader is the gateway's read access to endpoints; safe for concurrent use.
--- a/internal/tablestore/messages.go
+++ b/internal/tablestore/messages.go
@@ -1,8 +1,7 @@
 package tablestore
 
 import (
-	"encoding/gob"
-
+	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -44,9 +43,9 @@
 }
 
 func init() {
-	gob.Register(PushMessage{})
-	gob.Register(PullRequest{})
-	gob.Register(PullReply{})
-	gob.Register(RevisionRequest{})
-	gob.Register(RevisionReply{})
+	peer.Register(PushMessage{})
+	peer.Register(PullRequest{})
+	peer.Register(PullReply{})
+	peer.Register(RevisionRequest{})
+	peer.Register(RevisionReply{})
 }
