--- a/internal/api/nodestatus/messages.go
+++ b/internal/api/nodestatus/messages.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/hatchplank/hatchplank/internal/api"
+	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
