Share a replica's places among the gateways that have requests

Six gateways that waited for one cold model each sent a full batch when it became ready, since load hints come only with answers: 97 attempts at an engine of 40 places, 268 refused as busy, and 223 of 360 requests refused after the retry budget was spent.

The model's owner now tells how many gateways have requests (RowEndpoints.Gateways). A gateway starts with its fair part, and each load figure grants it its part of what is free; lagging figures grant nothing while they may be older than its own requests.

--- a/internal/applier/demand.go
+++ b/internal/applier/demand.go
@@ -124,6 +124,27 @@
 	}
 }
 
+// countCompeting counts for each base model the gateways whose requests wait or
+// run, so that each gateway can tell its part of the endpoints.
+func (o *Owner) countCompeting() {
+	counts := make(map[string]int, len(o.competing))
+	counted := map[string]int{}
+	for position, gateway := range o.gateways {
+		for i := range gateway.demands {
+			demand := &gateway.demands[i]
+			if demand.Waiting+demand.Running == 0 {
+				continue
+			}
+			model := o.baseOf(demand.Row)
+			if counted[model] != position+1 {
+				counted[model] = position + 1
+				counts[model]++
+			}
+		}
+	}
+	o.competing = counts
+}
+
 // forgetGateways drops gateways that are silent and no members any more.
 func (o *Owner) forgetGateways(now time.Time) {
 	o.gateways = slices.DeleteFunc(o.gateways, func(gateway *gatewayEntry) bool {
--- a/internal/applier/endpoints.go
+++ b/internal/applier/endpoints.go
@@ -17,7 +17,7 @@
 
 // endpointsOf lists a model's endpoints in order of server.
 func (o *Owner) endpointsOf(model string) directory.RowEndpoints {
-	endpoints := directory.RowEndpoints{Model: model}
+	endpoints := directory.RowEndpoints{Model: model, Gateways: o.competing[model]}
 	for _, server := range o.servers {
 		entry := server.replica(model)
 		if entry == nil || !o.callable(server, entry) {
--- a/internal/applier/owner.go
+++ b/internal/applier/owner.go
@@ -40,6 +40,9 @@
 	listingVersion uint64
 
 	gateways []*gatewayEntry
+	// competing counts the gateways with requests for a base model, as of the
+	// newest tick.
+	competing map[string]int
 	// members are the live nodes as of the newest tick; each has a gateway.
 	members []membership.Member
 	// rowDemand by row name, kept between ticks.
@@ -181,6 +184,7 @@
 	o.lastTick = now
 	o.takeListing(listing, readAt)
 	o.expireDemand(now)
+	o.countCompeting()
 	o.members = members
 	o.forgetGateways(now)
 	if o.releasing != nil {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -152,7 +152,9 @@
 			ready = append(ready, endpoint)
 		}
 	}
-	return RowEndpoints{Model: name, Endpoints: ready, ReadyAt: snapshot.ReadyAt, Refused: snapshot.Refused}
+	return RowEndpoints{
+		Model: name, Endpoints: ready, ReadyAt: snapshot.ReadyAt, Refused: snapshot.Refused, Gateways: snapshot.Gateways,
+	}
 }
 
 // notify calls the subscribers for each model. The lock is not held.
--- a/internal/directory/messages.go
+++ b/internal/directory/messages.go
@@ -66,6 +66,9 @@
 	ReadyAt time.Time
 	// Refused is set when the owner can't load the model at all, with a reason.
 	Refused string
+	// Gateways with requests for the model, as far as the owner was told; 0:
+	// not known.
+	Gateways int
 }
 
 // EndpointUpdate answers a DemandReport and is also sent when endpoints change.
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -20,6 +20,8 @@
 	Refused string
 	// MeasuredAt is when the load figures of the endpoints were received.
 	MeasuredAt time.Time
+	// Gateways that share the endpoints now; 0: not known.
+	Gateways int
 }
 
 // Usable reports whether any endpoint takes new work.
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -80,6 +80,7 @@
 		part := known.cells[cell]
 		snapshot.Endpoints = d.appendEndpoints(snapshot.Endpoints, part.row.Endpoints)
 		snapshot.ReadyAt = earliest(snapshot.ReadyAt, part.row.ReadyAt)
+		snapshot.Gateways = max(snapshot.Gateways, part.row.Gateways)
 		if part.receivedAt.After(snapshot.MeasuredAt) {
 			snapshot.MeasuredAt = part.receivedAt
 		}
--- /dev/null
+++ b/internal/emulator/gateways_test.go
@@ -0,0 +1,110 @@
+package emulator
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/gateway"
+	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/standin/record"
+	"github.com/hatchplank/hatchplank/internal/table"
+)
+
+// crowd measures the calls that several gateways make to the engines.
+type crowd struct {
+	world *World
+	// outstanding attempts at the engines, and their highest number.
+	outstanding, peak int
+	// attempts that arrived, and those refused for want of room.
+	attempts, busy int
+	served         int
+	refused        map[result.Code]int
+	// firstAnswers are the times from sending to the first piece of an answer.
+	firstAnswers []float64
+	lastEnd      time.Time
+	sent         int
+}
+
+// newCrowd starts a deployment whose table has been imported.
+func newCrowd(seed uint64, nodes int, change func(*Deployment)) *crowd {
+	options := miniatureOptions(seed)
+	options.Nodes = nodes
+	change(&options.Deployment)
+	c := &crowd{world: NewWorld(options), refused: map[result.Code]int{}}
+	c.world.Loop.RunFor(2 * time.Second)
+	c.world.Import(nil)
+	c.world.Loop.RunFor(warmUp - 2*time.Second)
+	c.world.observer = c.observe
+	return c
+}
+
+func (c *crowd) observe(event record.Event) {
+	switch event.Kind {
+	case record.KindGenerationReceived:
+		c.attempts++
+		c.outstanding++
+	case record.KindGenerationRefused:
+		c.outstanding--
+		if event.Reason == "busy" {
+			c.busy++
+		}
+	case record.KindGenerationCompleted, record.KindGenerationCancelled, record.KindGenerationTruncated:
+		c.outstanding--
+	}
+	c.peak = max(c.peak, c.outstanding)
+}
+
+// generation builds a request of some tokens for a row.
+func (c *crowd) generation(row table.Row, prompt string, tokens int) gateway.Request {
+	c.sent++
+	return gateway.Request{
+		Tenant: row.Tenant, Model: row.Name, Method: "POST", Path: "/v1/completions", ContentType: "application/json",
+		Body:   fmt.Appendf(nil, `{"model":%q,"prompt":"%s %d","max_tokens":%d,"stream":true}`, row.Name, prompt, c.sent, tokens),
+		Prefix: []byte(prompt), Priority: 5, Repeatable: true,
+	}
+}
+
+// send sends a request to a node and counts its end.
+func (c *crowd) send(node int, request gateway.Request, limit time.Duration) {
+	c.world.calls.send(c.world.Nodes[node], request, limit, func(ended EndedCall) {
+		c.lastEnd = ended.EndedAt
+		if !ended.Served {
+			c.refused[ended.Refusal.Code]++
+			return
+		}
+		c.served++
+		c.firstAnswers = append(c.firstAnswers, ended.FirstAt.Sub(ended.SentAt).Seconds())
+	})
+}
+
+var _ = Describe("several gateways", func() {
+	DescribeTable("that find a replica ready at the same moment don't overrun it",
+		func(waiting []int, most int) {
+			c := newCrowd(1, len(waiting), func(d *Deployment) { d.Rows[1].MaxReplicas = 1 })
+			begin := c.world.Loop.Now()
+			row := c.world.Options.Deployment.Rows[1]
+			total := 0
+			for node, count := range waiting {
+				total += count
+				for range count {
+					c.send(node, c.generation(row, strings.Repeat("dossier ", 20), 64), time.Minute)
+				}
+			}
+			c.world.Loop.RunFor(time.Minute)
+			fmt.Fprintf(GinkgoWriter, "waiting %v: %d served of %d, at most %d at the engine, %d attempts, %d busy, refused %v, last after %.2f s\n",
+				waiting, c.served, total, c.peak, c.attempts, c.busy, c.refused, c.lastEnd.Sub(begin).Seconds())
+			Expect(c.served).To(Equal(total))
+			Expect(c.peak).To(BeNumerically("<=", most))
+			Expect(c.busy).To(BeZero())
+		},
+		// A batch of 32 with a slack of a quarter is 40 places.
+		// Shared by six that is 7 each.
+		Entry("with the same demand", []int{60, 60, 60, 60, 60, 60}, 42),
+		Entry("with most demand at one", []int{200, 4, 4, 4, 4, 4}, 42),
+		Entry("with demand at one only", []int{200, 0, 0, 0, 0, 0}, 40),
+	)
+})
--- a/internal/router/done.go
+++ b/internal/router/done.go
@@ -34,11 +34,21 @@
 	target := place.target
 	target.inFlight--
 	if hint != nil {
-		target.learn(hint.Running+hint.Queued, target.inFlight, now)
+		r.learnHint(shard, place.Group, target, hint, now)
 	}
 	target.settle(outcome, now, shard)
 }
 
+// learnHint takes the load told with an answer, which does not lag.
+func (r *Router) learnHint(shard *shard, name string, target *target, hint *platform.LoadHint, now time.Time) {
+	load := hint.Running + hint.Queued
+	target.learn(load, target.inFlight, now)
+	group := shard.groups[name]
+	if group != nil && group.snapshot != nil {
+		target.share(load, r.places(target), group.snapshot.Gateways, now)
+	}
+}
+
 func (t *target) settle(outcome Outcome, now time.Time, shard *shard) {
 	switch outcome {
 	case Succeeded:
--- a/internal/router/group.go
+++ b/internal/router/group.go
@@ -12,6 +12,10 @@
 // weight falls to nothing over this time.
 const hintLifetime = 5 * time.Second
 
+// reportLag is how old the load figures in an owner's update may be: the lag of
+// the engine's figures, the period of reading them, and the way.
+const reportLag = 2 * time.Second
+
 // group is the router's state of one base model or pool.
 type group struct {
 	snapshot *directory.Snapshot
@@ -34,6 +38,11 @@
 	// others estimates the requests of other nodes, measured at measuredAt.
 	others     float64
 	measuredAt time.Time
+	// grant is this node's part of the places, as of grantedAt.
+	grant     int
+	grantedAt time.Time
+	// startedAt is when this node sent the newest request.
+	startedAt  time.Time
 	breaker    breaker
 	prefixSalt uint64
 }
@@ -50,13 +59,13 @@
 		shard.groups[name] = known
 	}
 	if known.snapshot != snapshot {
-		known.adopt(snapshot, now)
+		r.adopt(known, snapshot, now)
 	}
 	return known
 }
 
 // adopt takes a snapshot over and keeps the counts of endpoints known before.
-func (g *group) adopt(snapshot *directory.Snapshot, now time.Time) {
+func (r *Router) adopt(g *group, snapshot *directory.Snapshot, now time.Time) {
 	g.snapshot = snapshot
 	g.targets = make([]*target, 0, len(snapshot.Endpoints))
 	for index := range snapshot.Endpoints {
@@ -69,13 +78,23 @@
 		}
 		known.endpoint = endpoint
 		if snapshot.MeasuredAt.After(known.measuredAt) {
-			known.learn(endpoint.Running+endpoint.Queued, known.inFlight, snapshot.MeasuredAt)
+			r.learnReported(known, snapshot)
 		}
 		g.targets = append(g.targets, known)
 	}
 	g.forget(now)
 }
 
+// learnReported takes the lagging load figures of a snapshot. They grant places
+// only if they can include all of this node's requests.
+func (r *Router) learnReported(target *target, snapshot *directory.Snapshot) {
+	load := target.endpoint.Running + target.endpoint.Queued
+	target.learn(load, target.inFlight, snapshot.MeasuredAt)
+	if snapshot.MeasuredAt.Sub(target.startedAt) >= reportLag {
+		target.share(load, r.places(target), snapshot.Gateways, snapshot.MeasuredAt)
+	}
+}
+
 // forget drops idle targets that are not in the snapshot.
 func (g *group) forget(now time.Time) {
 	if len(g.byKey) == len(g.targets) {
@@ -98,6 +117,13 @@
 	t.measuredAt = at
 }
 
+// share grants this node its part of the places that a load figure, which
+// includes its own requests, leaves free: the other gateways see the same.
+func (t *target) share(load, places, gateways int, now time.Time) {
+	t.grant = t.inFlight + divideUp(max(places-load, 0), gateways)
+	t.grantedAt = now
+}
+
 // othersAt is the estimate of other nodes' requests, fading with age.
 func (t *target) othersAt(now time.Time) float64 {
 	age := now.Sub(t.measuredAt)
@@ -111,13 +137,31 @@
 }
 
 // limit is how many requests this node may have at the endpoint: what the
-// others leave of the batch with its slack, but at least this node's fair part
-// and never less than one.
-func (r *Router) limit(target *target, now time.Time) int {
-	total := math.Ceil(float64(max(target.endpoint.MaxBatch, 1)) * r.config.Slack)
-	fair := math.Ceil(total / float64(max(r.config.Gateways(), 1)))
-	left := total - math.Ceil(target.othersAt(now))
-	return int(max(left, fair, 1))
+// others leave of its places, but at least this node's fair part and never less
+// than one. If it is known how many gateways send requests, it is also no more
+// than was granted by the newest load figure, so that the gateways together
+// don't take the same free places several times over.
+func (r *Router) limit(group *group, target *target, now time.Time) int {
+	places := r.places(target)
+	left := places - int(math.Ceil(target.othersAt(now)))
+	gateways := group.snapshot.Gateways
+	if gateways <= 0 {
+		return max(left, divideUp(places, r.config.Gateways()), 1)
+	}
+	if now.Sub(target.grantedAt) >= hintLifetime {
+		left = 0
+	}
+	return max(min(left, target.grant), divideUp(places, gateways), 1)
+}
+
+// places of an endpoint for all gateways together.
+func (r *Router) places(target *target) int {
+	return int(math.Ceil(float64(max(target.endpoint.MaxBatch, 1)) * r.config.Slack))
+}
+
+func divideUp(dividend, divisor int) int {
+	divisor = max(divisor, 1)
+	return (dividend + divisor - 1) / divisor
 }
 
 func (t *target) candidate(limit int, now time.Time) Candidate {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -150,6 +150,7 @@
 	r.score(candidates, request)
 	target := candidates[r.config.Picker.Pick(shard.random, candidates)].target
 	target.inFlight++
+	target.startedAt = now
 	target.breaker.begin()
 	return Choice{Place: Place{Group: name, Endpoint: *target.endpoint, target: target}}
 }
@@ -160,7 +161,7 @@
 	candidates := shard.scratch[:0]
 	choice := Choice{Verdict: None}
 	for _, target := range group.targets {
-		candidates = append(candidates, target.candidate(r.limit(target, now), now))
+		candidates = append(candidates, target.candidate(r.limit(group, target, now), now))
 		if !r.takes(&candidates[len(candidates)-1], request, now, &choice) {
 			candidates = candidates[:len(candidates)-1]
 		}
@@ -265,7 +266,7 @@
 		}
 		capacity.Usable++
 		capacity.InFlight += target.inFlight
-		capacity.Places += r.limit(target, now)
+		capacity.Places += r.limit(group, target, now)
 	}
 	return capacity
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -119,6 +119,40 @@
 		Expect(router.Capacity(model).Places).To(Equal(4))
 	})
 
+	It("takes only its part of the free places if others send too", func() {
+		router, source, loop := newRouter(9)
+		source.set(endpoint("a", func(e *directory.Endpoint) { e.MaxBatch = 12 })).Gateways = 3
+		Expect(router.Capacity(model).Places).To(Equal(4))
+		place := router.Pick(model, &Request{}).Place
+		router.Done(place, Succeeded, &platform.LoadHint{Running: 1})
+		// Of the 11 free places, 4 are granted, whoever asks how often.
+		for range 4 {
+			place = router.Pick(model, &Request{}).Place
+		}
+		Expect(router.Pick(model, &Request{}).Verdict).To(Equal(Full))
+		router.Done(place, Succeeded, &platform.LoadHint{Running: 3})
+		Expect(router.Capacity(model).Places).To(Equal(3 + 3))
+		loop.RunFor(2 * hintLifetime)
+		Expect(router.Capacity(model).Places).To(Equal(4))
+	})
+
+	It("grants no places by a report that may be older than its own requests", func() {
+		router, source, loop := newRouter(9)
+		tell := func() {
+			idle := endpoint("a", func(e *directory.Endpoint) { e.MaxBatch = 12 })
+			snapshot := source.set(idle)
+			snapshot.Gateways, snapshot.MeasuredAt = 3, loop.Now()
+		}
+		tell()
+		router.Pick(model, &Request{})
+		loop.RunFor(reportLag / 2)
+		tell()
+		Expect(router.Capacity(model).Places).To(Equal(4))
+		loop.RunFor(reportLag)
+		tell()
+		Expect(router.Capacity(model).Places).To(Equal(1 + 4))
+	})
+
 	It("lets a failing endpoint rest, longer each time, and probes it once", func() {
 		router, source, loop := newRouter(1)
 		source.set(endpoint("a"))
