Detect failures by probes between members

HeartbeatDetector keeps one record a member under no lease; members probe each other as SWIM does, and a member that leaves probes unanswered is accused in its record and removed by compare-and-swap unless it refutes. Not wired yet. The ownership tests run with either detector.

--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -25,8 +25,13 @@
 	network *simulation.Network
 	server  *simulation.Process
 	store   *keyvalue.Store
+	peers   *simulation.PeerNetwork
 	cells   []string
 	nodes   map[string]*node
+	// heartbeat: nodes use the HeartbeatDetector, else the LeaseDetector.
+	heartbeat bool
+	// zoneOf returns a node's zone by its name.
+	zoneOf func(name string) string
 }
 
 // node is one start of a node; it records what its runner was told.
@@ -43,10 +48,14 @@
 
 func newCluster(seed uint64, cells int) *cluster {
 	loop := simulation.NewLoop(seed)
-	c := &cluster{loop: loop, network: simulation.NewNetwork(loop), nodes: map[string]*node{}}
+	network := simulation.NewNetwork(loop)
+	c := &cluster{
+		loop: loop, network: network, peers: simulation.NewPeerNetwork(network), nodes: map[string]*node{},
+		zoneOf: func(string) string { return "zone" },
+	}
 	c.server = simulation.NewProcess(loop, "kv")
 	c.store = keyvalue.NewStore(keyvalue.Options{
-		Clock: c.server, Random: loop.Fork(), RecordPrefixes: []string{membership.CellPrefix},
+		Clock: c.server, Random: loop.Fork(), RecordPrefixes: []string{membership.CellPrefix, membership.HeartbeatPrefix},
 	})
 	for i := range cells {
 		c.cells = append(c.cells, fmt.Sprintf("cell-%d", i))
@@ -63,10 +72,9 @@
 	c.nodes[name] = n
 	n.meter = membership.NewMeter(keyvalue.NewSimulated(c.network, c.server, n.process, c.store))
 	self := membership.Member{
-		Name: name, Incarnation: fmt.Sprintf("%d", c.loop.Executed()), Zone: "zone", PeerAddress: name,
+		Name: name, Incarnation: fmt.Sprintf("%d", c.loop.Executed()), Zone: c.zoneOf(name), PeerAddress: name,
 	}
-	detector := membership.NewLeaseDetector(n.meter, n.process, c.loop.Fork(), membership.DefaultLeaseOptions(), zerolog.Nop())
-	n.registry = membership.NewRegistry(self, detector)
+	n.registry = membership.NewRegistry(self, c.detector(n))
 	n.owners = membership.NewOwners(self, c.cells, n.meter, n.process, c.loop.Fork(), n, membership.DefaultOwnerOptions(), zerolog.Nop())
 	n.registry.Subscribe(n.owners.SetMembers)
 	n.registry.Start()
@@ -74,6 +82,14 @@
 	return n
 }
 
+func (c *cluster) detector(n *node) membership.Detector {
+	if c.heartbeat {
+		options := membership.DefaultHeartbeatOptions(time.Second)
+		return membership.NewHeartbeatDetector(n.meter, c.peers.Transport(n.process), n.process, c.loop.Fork(), options, zerolog.Nop())
+	}
+	return membership.NewLeaseDetector(n.meter, n.process, c.loop.Fork(), membership.DefaultLeaseOptions(), zerolog.Nop())
+}
+
 func (n *node) Acquired(cell string, epoch uint64) {
 	if held, owned := n.owned[cell]; owned {
 		n.faults = append(n.faults, fmt.Sprintf("acquired %s at %d while held at %d", cell, epoch, held))
--- a/internal/membership/lease_detector.go
+++ b/internal/membership/lease_detector.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -43,9 +42,7 @@
 	// synchronised: the members were read at least once.
 	synchronised bool
 
-	// publishing serialises calls of onChange and guards published.
-	publishing sync.Mutex
-	published  []Member
+	publisher publisher
 }
 
 // knownMember is a member as registered.
@@ -246,26 +243,23 @@
 // registered. It is then always one of them, unless a later incarnation of it
 // has registered.
 func (d *LeaseDetector) publish() {
-	d.publishing.Lock()
-	defer d.publishing.Unlock()
 	d.mutex.Lock()
+	onChange := d.onChange
+	d.mutex.Unlock()
+	d.publisher.publish(d.publishedMembers, onChange)
+}
+
+func (d *LeaseDetector) publishedMembers() ([]Member, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	if d.stopped || !d.synchronised || !d.lease.wasRegistered() {
-		d.mutex.Unlock()
-		return
+		return nil, false
 	}
 	members := make([]Member, 0, len(d.known)+1)
 	for _, known := range d.known {
 		members = append(members, known.member)
 	}
-	members = d.withSelfLocked(members)
-	onChange := d.onChange
-	d.mutex.Unlock()
-	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
-	if slices.Equal(members, d.published) {
-		return
-	}
-	d.published = members
-	onChange(members)
+	return d.withSelfLocked(members), true
 }
 
 func (d *LeaseDetector) withSelfLocked(members []Member) []Member {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -96,10 +97,16 @@
 	})
 })
 
-var _ = Describe("Owners", func() {
+var _ = Describe("Owners with leases", func() { describeOwners(false) })
+
+var _ = Describe("Owners with heartbeats", func() { describeOwners(true) })
+
+// describeOwners holds for either detector.
+func describeOwners(heartbeat bool) {
 	var c *cluster
 	BeforeEach(func() {
 		c = newCluster(1, 12)
+		c.heartbeat = heartbeat
 		for _, name := range []string{"a", "b", "c", "d"} {
 			c.start(name)
 		}
@@ -160,14 +167,15 @@
 	})
 
 	It("raise the epoch with every owner, and settle, whatever fails", func() {
-		rapid.Check(GinkgoT(), func(t *rapid.T) { checkOwnersUnderFaults(t) })
+		rapid.Check(GinkgoT(), func(t *rapid.T) { checkOwnersUnderFaults(t, heartbeat) })
 	})
-})
+}
 
 // checkOwnersUnderFaults draws faults, judges ownership by the service's own
 // records, and expects the cluster to settle afterwards.
-func checkOwnersUnderFaults(t *rapid.T) {
+func checkOwnersUnderFaults(t *rapid.T, heartbeat bool) {
 	c := newCluster(rapid.Uint64().Draw(t, "seed"), 6)
+	c.heartbeat = heartbeat
 	names := []string{"a", "b", "c", "d"}
 	for _, name := range names {
 		c.start(name)
@@ -219,6 +227,9 @@
 	last := map[string]record{}
 	for _, written := range c.store.Records(0) {
 		for _, event := range written.Events {
+			if !strings.HasPrefix(event.KeyValue.Key, membership.CellPrefix) {
+				continue
+			}
 			var current record
 			if err := json.Unmarshal(event.KeyValue.Value, &current); err != nil {
 				t.Fatal(err)
--- /dev/null
+++ b/internal/membership/probe_targets.go
@@ -0,0 +1,129 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+)
+
+// probeTargets are the members that this node probes: those of its zone, and
+// those of the next zone in order of name, so that the loss of a whole zone is
+// found out too.
+type probeTargets struct {
+	zone, neighbour probeCycle
+}
+
+// probeCycle goes through members in a random order, drawn anew after each
+// pass. So the time between two probes of a member is bounded.
+type probeCycle struct {
+	members []Member
+	next    int
+}
+
+// replace takes the members now registered.
+func (t *probeTargets) replace(self Member, members []Member, random *rand.Rand) {
+	neighbour := neighbourZone(self.Zone, members)
+	var inZone, inNeighbour []Member
+	for _, member := range members {
+		switch {
+		case member.Name == self.Name:
+		case member.Zone == self.Zone:
+			inZone = append(inZone, member)
+		case member.Zone == neighbour:
+			inNeighbour = append(inNeighbour, member)
+		}
+	}
+	t.zone.replace(inZone, random)
+	t.neighbour.replace(inNeighbour, random)
+}
+
+// neighbourZone returns the zone after the given one in the ring of all zones
+// in order of name, or "" if there is no other.
+func neighbourZone(zone string, members []Member) string {
+	first, next := "", ""
+	for _, member := range members {
+		other := member.Zone
+		if other == zone {
+			continue
+		}
+		if first == "" || other < first {
+			first = other
+		}
+		if other > zone && (next == "" || other < next) {
+			next = other
+		}
+	}
+	if next != "" {
+		return next
+	}
+	return first
+}
+
+// replace keeps the order of the present pass where it can: members that stay
+// are neither skipped nor probed twice, and new ones come in at random.
+func (c *probeCycle) replace(members []Member, random *rand.Rand) {
+	byName := make(map[string]Member, len(members))
+	for _, member := range members {
+		byName[member.Name] = member
+	}
+	kept := make([]Member, 0, len(members))
+	next := 0
+	for i, member := range c.members {
+		current, present := byName[member.Name]
+		if !present {
+			continue
+		}
+		if i < c.next {
+			next++
+		}
+		kept = append(kept, current)
+		delete(byName, member.Name)
+	}
+	c.members, c.next = kept, next
+	for _, member := range sortedMembers(byName) {
+		at := c.next + random.IntN(len(c.members)-c.next+1)
+		c.members = slices.Insert(c.members, at, member)
+	}
+}
+
+func sortedMembers(byName map[string]Member) []Member {
+	members := make([]Member, 0, len(byName))
+	for _, member := range byName {
+		members = append(members, member)
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+	return members
+}
+
+// take returns the next member to probe.
+func (c *probeCycle) take(random *rand.Rand) (Member, bool) {
+	if len(c.members) == 0 {
+		return Member{}, false
+	}
+	if c.next >= len(c.members) {
+		random.Shuffle(len(c.members), func(i, j int) {
+			c.members[i], c.members[j] = c.members[j], c.members[i]
+		})
+		c.next = 0
+	}
+	member := c.members[c.next]
+	c.next++
+	return member, true
+}
+
+// helpers draws members other than the target that may probe it, from the own
+// zone first.
+func (t *probeTargets) helpers(target Member, count int, usable func(Member) bool, random *rand.Rand) []Member {
+	var chosen []Member
+	for _, group := range [][]Member{t.zone.members, t.neighbour.members} {
+		for _, index := range random.Perm(len(group)) {
+			if len(chosen) == count {
+				return chosen
+			}
+			if candidate := group[index]; candidate.Name != target.Name && usable(candidate) {
+				chosen = append(chosen, candidate)
+			}
+		}
+	}
+	return chosen
+}
