Save the claims when the last node stops

The change before let a node without successors leave at once, and so before its claims were in the key-value service: a key confirmed there could have run again at the next node. A draining node now always waits until it holds no claims; only cells are left without waiting when nobody can take them. The spec stops the last node during an outage, starts another one and repeats the key: one run.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -54,26 +54,35 @@
 	n.Gateway.Drain(func() { n.config.Clock.AfterFunc(0, n.awaitHandover) })
 }
 
-// awaitHandover waits until the node owns no cell and holds no claims, or
-// nobody is there to take them.
+// awaitHandover waits until nothing is left to hand over.
 func (n *Node) awaitHandover() {
 	n.drain.mutex.Lock()
 	waited := n.config.Clock.Now().Sub(n.drain.startedAt)
 	n.drain.mutex.Unlock()
-	handedOver := len(n.Owners.Owned()) == 0 && !n.Claims.IsAcceptor()
-	if !handedOver && waited < handoverLimit && n.hasSuccessor() {
+	handedOver := n.handedOver()
+	if !handedOver && waited < handoverLimit {
 		n.config.Clock.AfterFunc(handoverPeriod, n.awaitHandover)
 		return
 	}
 	if !handedOver {
 		n.config.Logger.Warn().Strs("cells", n.Owners.Owned()).Bool("claims", n.Claims.IsAcceptor()).
-			Str("reason", n.whyNotHandedOver()).Msg("leaving without handover")
+			Str("reason", "handover took too long").Msg("leaving without handover")
 	}
 	n.Stop()
 	n.Registry.Stop(n.finishDrain)
 }
 
-// hasSuccessor reports whether another live member can take roles over.
+// handedOver reports whether the node holds no claims, which go to other
+// members or, without any, into the key-value service, and no cells that
+// another member could take.
+func (n *Node) handedOver() bool {
+	if n.Claims.IsAcceptor() {
+		return false
+	}
+	return len(n.Owners.Owned()) == 0 || !n.hasSuccessor()
+}
+
+// hasSuccessor reports whether another live member takes roles.
 func (n *Node) hasSuccessor() bool {
 	for _, member := range n.Registry.Members() {
 		if member.Name != n.config.Self.Name && !member.Draining {
@@ -83,13 +92,6 @@
 	return false
 }
 
-func (n *Node) whyNotHandedOver() string {
-	if n.hasSuccessor() {
-		return "handover took too long"
-	}
-	return "no other member takes roles"
-}
-
 func (n *Node) finishDrain() {
 	n.drain.mutex.Lock()
 	n.drain.finished = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -47,6 +48,8 @@
 	Logger    zerolog.Logger
 	// Metrics of the gateway; may be nil.
 	Metrics gateway.Metrics
+	// Failed is told of a fault for which the process must end; may be nil.
+	Failed func(error)
 	// Mechanisms of the cells' owners that are switched on.
 	Mechanisms applier.Mechanisms
 	// WrapClaims, if set, replaces the claimer; only for the checker's own
@@ -89,6 +92,10 @@
 	random   *rand.Rand
 	stops    []func()
 	drain    drainState
+	// layoutConfirmed runs Owners from when the division into cells is known
+	// to be the one in force.
+	layoutConfirmed *confirmedOwners
+	stopped         atomic.Bool
 }
 
 // New assembles a node; Start makes it work.
@@ -195,6 +202,7 @@
 	}
 	n.Owners = membership.NewOwners(n.config.Self, names, n.config.KeyValues, n.config.Clock, n.fork(),
 		n.Manager, membership.DefaultOwnerOptions(), n.part("ownership"))
+	n.layoutConfirmed = &confirmedOwners{owners: n.Owners}
 }
 
 func (n *Node) buildDirectory() {
@@ -253,7 +261,7 @@
 // Start begins the node's work.
 func (n *Node) Start() {
 	n.Registry.Start()
-	n.Owners.Start()
+	n.confirmLayout(n.layoutConfirmed.start)
 	n.Table.Start()
 	n.Claims.Start()
 	n.Machines.Start()
@@ -275,7 +283,8 @@
 	n.Machines.Stop()
 	n.Claims.Stop()
 	n.Table.Stop()
-	n.Owners.Stop()
+	n.stopped.Store(true)
+	n.layoutConfirmed.stop()
 }
 
 // Ready returns why the node can't serve yet, or "".
@@ -286,6 +295,8 @@
 		return "draining"
 	case !n.Table.Loaded():
 		return "the table has not been read"
+	case !n.layoutConfirmed.isRunning():
+		return "the cells have not been compared with those in force"
 	case listedAt.IsZero():
 		return "the machine list has not been read"
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -49,11 +49,13 @@
 	health    *health
 	listener  net.Listener
 	drainer   *drainer
+	// failures holds the fault for which the process ends, if any.
+	failures chan error
 }
 
 // New opens the listeners and assembles the node. Run makes it work.
 func New(chosen settings.Settings, logger zerolog.Logger) (*Process, error) {
-	p := &Process{settings: chosen, logger: logger, clock: clock.System{}, metrics: telemetry.NewMetrics()}
+	p := &Process{settings: chosen, logger: logger, clock: clock.System{}, metrics: telemetry.NewMetrics(), failures: make(chan error, 1)}
 	if err := p.openListeners(); err != nil {
 		return nil, err
 	}
@@ -107,6 +109,7 @@
 		KeyValues: keyValues, Engines: httpapi.NewEngines(p.lookup, httpapi.Options{}),
 		BackEnds: httpapi.NewBackEnds(p.lookup, httpapi.Options{}), Machines: machines, Weights: weights,
 		Transport: p.transport, Logger: p.logger, Mechanisms: applier.AllMechanisms(),
+		Failed: p.fail,
 	})
 	if err != nil {
 		return eris.Wrap(err, "assemble node")
@@ -116,6 +119,12 @@
 	return nil
 }
 
+// fail ends the process with an error, in order.
+func (p *Process) fail(err error) {
+	p.failures <- err
+	p.drainer.Drain()
+}
+
 // hostOf returns the host and port of a service's URL, which the settings have
 // checked.
 func hostOf(address string) string {
@@ -188,5 +197,10 @@
 	p.keyValues.Close()
 	p.transport.Close()
 	p.logger.Info().Msg("stopped")
-	return err
+	select {
+	case failure := <-p.failures:
+		return failure
+	default:
+		return err
+	}
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -15,6 +15,8 @@
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/serve"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
+	"github.com/hatchplank/hatchplank/internal/standin/record"
+	"github.com/hatchplank/hatchplank/internal/standin/suite"
 )
 
 const testModel = "saronikos-reply-english-8b"
@@ -87,12 +89,19 @@
 		Eventually(second.stopped, patience).Should(Receive(BeNil()))
 	})
 
-	It("stop although the key-value service is out", func(ctx SpecContext) {
+	It("keep the claims when the last of them stops, though the key-value service is out for a while", func(ctx SpecContext) {
 		platform := startPlatform()
-		node := startNode(settingsFor(platform, "only", "marousi"))
+		last := startNode(settingsFor(platform, "last", "marousi"))
+		Eventually(last.confirm, patience).WithArguments(ctx).Should(Equal(http.StatusOK))
 		setKeyValueFaults(ctx, platform, `{"outage":true}`)
-		node.stop()
-		Eventually(node.stopped, patience).Should(Receive(BeNil()))
+		last.stop()
+		Eventually(last.readiness, patience).ShouldNot(Equal(http.StatusOK))
+		setKeyValueFaults(ctx, platform, `{}`)
+		Eventually(last.stopped, patience).Should(Receive(BeNil()))
+
+		next := startNode(settingsFor(platform, "next", "piraeus"))
+		Eventually(next.confirm, patience).WithArguments(ctx).Should(Or(Equal(http.StatusOK), Equal(http.StatusConflict)))
+		Expect(runs(platform)).To(Equal(1))
 	})
 
 	It("report addresses that can't be listened at", func() {
@@ -114,3 +123,22 @@
 	}
 	return refused.Code
 }
+
+// confirm sends a request that must run at most once and returns the status.
+func (n *runningNode) confirm(ctx context.Context) int {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, n.url+"/v1/backends/eggrafi/v1/seats/confirm", strings.NewReader("{}"))
+	if err != nil {
+		return 0
+	}
+	request.Header.Set("Authorization", "Bearer "+callerToken)
+	request.Header.Set("Idempotency-Key", "seat-1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
+
+// runs counts what the servers ran.
+func runs(platform *suite.Suite) int { return int(platform.Log().Count(record.KindBackEndRun)) }
--- a/scripts/gateway-figures.sh
+++ b/scripts/gateway-figures.sh
@@ -23,7 +23,6 @@
 STREAM_TOKENS=200
 
 NODE=http://127.0.0.1:$CALLER_PORT
-ENGINE=http://127.0.0.1:$((STANDIN_PORT + 10))
 ADMIN_TOKEN=example-schools-admin
 CALLER_TOKEN=example-saronikos-caller
 mkdir -p "$WORK"
@@ -60,10 +59,10 @@
 
 cat >"$WORK/standin.yaml" <<'YAML'
 region: attica
-zones: [marousi]
+zones: [marousi, piraeus]
 store: {loads_per_second: 3, full_speed_loads: 6, bytes_per_second: 1000000000}
 pools:
-  - {name: glossa, engine: true, servers: 1, accelerators: 8, accelerator_memory_gib: 80,
+  - {name: glossa, engine: true, servers: 2, accelerators: 8, accelerator_memory_gib: 80,
      step_overhead: 200us, step_per_sequence: 1us, max_batch: 256}
 YAML
 cat >"$WORK/table.csv" <<'CSV'
@@ -75,7 +74,7 @@
 "$HATCHPLANK" standin all --config "$WORK/standin.yaml" --base-port "$STANDIN_PORT" --keep-records=false >"$WORK/standin.log" 2>&1 &
 standin_pid=$!
 await 20 curl -fsS "http://127.0.0.1:$((STANDIN_PORT + 2))/control/machines" || { say "the stand-ins do not answer"; exit 1; }
-"$HATCHPLANK" serve --settings examples/schools/settings.yaml --zone marousi --log-level "${LOG_LEVEL:-info}" \
+GOMAXPROCS=${NODE_PROCS:-} "$HATCHPLANK" serve --settings examples/schools/settings.yaml --zone marousi --log-level "${LOG_LEVEL:-info}" \
   --callers "127.0.0.1:$CALLER_PORT" --peers "127.0.0.1:$PEER_PORT" \
   --key-value "http://127.0.0.1:$STANDIN_PORT" --weight-store "http://127.0.0.1:$((STANDIN_PORT + 1))" \
   --machine-list "http://127.0.0.1:$((STANDIN_PORT + 2))" >"$WORK/node.log" 2>&1 &
@@ -84,6 +83,11 @@
 "$HATCHPLANK" table apply "$WORK/table.csv" --node "$NODE" --token "$ADMIN_TOKEN" >"$WORK/apply.log" 2>&1 || { cat "$WORK/apply.log" >&2; exit 1; }
 load --model warm --max-tokens 1 --rate 20 --duration 15s >"$WORK/warm-up.out" 2>&1
 
+# The engine that holds the warm model.
+server=$("$HATCHPLANK" status --node "$NODE" --token "$ADMIN_TOKEN" --output json | jq -er '.rows[] | select(.row == "warm") | .replicas[0].server') ||
+  { say "the warm model is not loaded"; exit 1; }
+ENGINE=http://127.0.0.1:$((STANDIN_PORT + 9 + 10#${server##*-}))
+
 say "comparing $RATE requests a second through the node with as many directly"
 before=$(metric process_cpu_seconds_total)
 load --model warm --max-tokens 1 --streamed 0 --rate "$RATE" --duration "${SECONDS_EACH}s" --compare-direct "$ENGINE" >"$WORK/compare.out" ||
@@ -114,6 +118,7 @@
 heap_after=$(metric go_memstats_heap_inuse_bytes)
 stack_after=$(metric go_memstats_stack_inuse_bytes)
 resident_after=$(metric process_resident_memory_bytes)
+[ "${SKIP_WAIT:-}" ] && kill "$load_pid"
 wait "$load_pid"
 per_waiting() { awk -v a="$1" -v b="$2" -v n="$waiting" 'BEGIN{if (n > 0) printf "%.0f", (b-a)/n; else print 0}'; }
 
--- a/scripts/real-faults.sh
+++ b/scripts/real-faults.sh
@@ -11,18 +11,19 @@
 #
 # Only processes that this script started are ended, by their ids.
 #
-# Environment: HATCHPLANK (program), RATE (requests a second), SEED, OUTAGE and
-# PAUSE (seconds), LOAD_SECONDS, FAULTS (the faults to inject), STANDIN_PORT,
+# Needs curl and jq. Environment: HATCHPLANK (program), RATE (requests a second),
+# MAX_TOKENS (of an answer), SEED, OUTAGE and PAUSE (seconds), LOAD_SECONDS, FAULTS (the faults to inject), STANDIN_PORT,
 # CALLER_PORT, PEER_PORT (first ports), WORK (directory for logs).
 set -u
 cd "$(dirname "$0")/.."
 
 HATCHPLANK=${HATCHPLANK:-bin/hatchplank}
-RATE=${RATE:-60}
+RATE=${RATE:-100}
+MAX_TOKENS=${MAX_TOKENS:-48}
 SEED=${SEED:-1}
 OUTAGE=${OUTAGE:-30}
 PAUSE=${PAUSE:-15}
-LOAD_SECONDS=${LOAD_SECONDS:-170}
+LOAD_SECONDS=${LOAD_SECONDS:-160}
 FAULTS=${FAULTS:-"kill pause outage lost_replies stop engine_kill reclaim"}
 STANDIN_PORT=${STANDIN_PORT:-17100}
 CALLER_PORT=${CALLER_PORT:-18080}
@@ -156,30 +157,32 @@
   done
 }
 
-# busy_engine prints the port of an engine that holds a replica.
+# busy_engine prints the name of an engine that holds a replica of a called
+# model, as any node that answers sees it.
 busy_engine() {
-  local port
-  for port in $(seq $((STANDIN_PORT + 10)) $((STANDIN_PORT + 27))); do
-    if curl -fsS -m 2 "http://127.0.0.1:$port/control/records?limit=10000" | grep -q load_ready; then
-      echo "$port"
+  local node
+  for node in $(seq 0 $((NODE_COUNT - 1))); do
+    "$HATCHPLANK" status --node "http://$(address_of "$node")" --token "$ADMIN_TOKEN" --output json 2>/dev/null |
+      jq -er --arg models "$MODELS" '[.rows[] | select(.row as $row | $models | split(",") | index($row)) | .replicas[] | .server] | first' &&
       return
-    fi
   done
-  echo $((STANDIN_PORT + 10))
+  echo glossa-01
 }
 
+# port_of SERVER prints the port of an engine.
+port_of() { echo $((STANDIN_PORT + 9 + 10#${1##*-})); }
+
 engine_kill() {
-  local port=$(busy_engine)
-  say "kill the engine at port $port for 4 s"
-  control "http://127.0.0.1:$port/control/kill" ''
+  local server=$(busy_engine)
+  say "kill $server for 4 s"
+  control "http://127.0.0.1:$(port_of "$server")/control/kill" ''
   sleep 4
-  control "http://127.0.0.1:$port/control/restart" ''
+  control "http://127.0.0.1:$(port_of "$server")/control/restart" ''
   sleep 3
 }
 
 reclaim() {
-  local number=$(($(busy_engine) - STANDIN_PORT - 9))
-  local server=$(printf 'glossa-%02d' "$number")
+  local server=$(busy_engine)
   say "reclaim $server with 10 s of warning"
   control "$MACHINE_LIST/control/reclaim" "{\"server\":\"$server\",\"warning_milliseconds\":10000}"
   sleep 13
@@ -207,7 +210,7 @@
 
 nodes=$(for node in $(seq 0 $((NODE_COUNT - 1))); do echo "http://$(address_of "$node")"; done | paste -sd,)
 "$HATCHPLANK" load --nodes "$nodes" --token "$CALLER_TOKEN" --model "$MODELS" --pool eggrafi --pool-path /v1/seats/confirm \
-  --non-repeatable 0.5 --rate "$RATE" --duration "${LOAD_SECONDS}s" --seed "$SEED" \
+  --max-tokens "$MAX_TOKENS" --non-repeatable 0.5 --rate "$RATE" --duration "${LOAD_SECONDS}s" --seed "$SEED" \
   --time-limit 20s --pool-time-limit 10s --repeat-after 3s --answer-wait 60s \
   --records "$MACHINE_LIST" --key-value-records "$KEY_VALUE" --node-events "$EVENTS" \
   >"$WORK/load.out" 2>"$WORK/load.progress" &
