Share a server's circuit breaker among all its models

The breaker was per endpoint, so each model found a dead server by itself. Refused connections, time-outs and cancelled generations that never end now count against the server, for all groups of the router; one probe decides for all. Other failures still count against the endpoint alone.

--- a/internal/emulator/gateways_test.go
+++ b/internal/emulator/gateways_test.go
@@ -108,3 +108,54 @@
 		Entry("with demand at one only", []int{200, 0, 0, 0, 0, 0}, 40),
 	)
 })
+
+// retried is the number of attempts that failed and were repeated.
+func (c *crowd) retried() (retried uint64) {
+	for _, n := range c.world.Nodes {
+		retried += n.Node.Gateway.Stats().Retried
+	}
+	return retried
+}
+
+// trickle sends requests for all rows from all nodes, each row and node at a
+// mean rate per second, until a time.
+func (c *crowd) trickle(rate float64, until time.Time, limit time.Duration) {
+	random := c.world.Loop.Fork()
+	for node := range c.world.Nodes {
+		for _, row := range c.world.Options.Deployment.Rows {
+			var next func()
+			next = func() {
+				if c.world.Loop.Now().After(until) {
+					return
+				}
+				c.send(node, c.generation(row, "dossier", 16), limit)
+				c.world.Loop.AfterFunc(time.Duration(random.ExpFloat64()/rate*float64(time.Second)), next)
+			}
+			next()
+		}
+	}
+}
+
+var _ = Describe("a dead engine", func() {
+	It("is found once for all its models", func() {
+		c := newCrowd(2, 4, func(d *Deployment) {
+			d.Engines = 2
+			d.Engine.Accelerators, d.Engine.MemoryBytes = 16, 400*gibibyte
+			for i := range d.Rows {
+				d.Rows[i].MinReplicas, d.Rows[i].Repeatable = 2, true
+			}
+		})
+		c.world.Loop.RunFor(time.Minute)
+		c.trickle(5, c.world.Loop.Now().Add(40*time.Second), 10*time.Second)
+		c.world.Loop.RunFor(20 * time.Second)
+		retriedBefore, sentBefore := c.retried(), c.sent
+		c.world.Fleet.Host(c.world.EngineServers[0]).Kill()
+		c.world.Loop.RunFor(time.Minute)
+		wasted := c.retried() - retriedBefore
+		fmt.Fprintf(GinkgoWriter, "kill: %d sent before and %d after, %d attempts wasted, refused %v\n",
+			sentBefore, c.sent-sentBefore, wasted, c.refused)
+		Expect(c.served).To(Equal(c.sent))
+		// Each of 12 models' discovery at each of 4 nodes would cost 96.
+		Expect(wasted).To(BeNumerically("<", 60))
+	})
+})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -180,6 +180,10 @@
 	if a.ended {
 		return
 	}
-	s.settle(a, router.Failed, nil, turn)
+	outcome := router.Failed
+	if !a.answered && !a.entry.isPool() {
+		outcome = router.Unreachable
+	}
+	s.settle(a, outcome, nil, turn)
 	s.dispatch(a.entry.group, turn)
 }
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -10,13 +10,15 @@
 
 // Reasons of failed attempts, as in platform.AttemptError.
 const (
-	reasonBusy      = "busy"
-	reasonNotLoaded = "not_loaded"
-	reasonLeaving   = "leaving"
-	reasonRefused   = "refused"
-	reasonTruncated = "truncated"
-	reasonFailed    = "failed"
-	reasonCancelled = "cancelled"
+	reasonBusy       = "busy"
+	reasonNotLoaded  = "not_loaded"
+	reasonLeaving    = "leaving"
+	reasonRefused    = "refused"
+	reasonConnection = "connection"
+	reasonTimeout    = "timeout"
+	reasonTruncated  = "truncated"
+	reasonFailed     = "failed"
+	reasonCancelled  = "cancelled"
 )
 
 // Backoff between the attempts of one request.
@@ -35,6 +37,8 @@
 		return router.Busy
 	case reasonNotLoaded, reasonLeaving, reasonCancelled:
 		return router.Neutral
+	case reasonConnection, reasonTimeout:
+		return router.Unreachable
 	default:
 		return router.Failed
 	}
--- a/internal/router/done.go
+++ b/internal/router/done.go
@@ -15,8 +15,11 @@
 	Succeeded Outcome = iota
 	// Busy: the endpoint refused for want of room; it rests for a moment.
 	Busy
-	// Failed: the endpoint failed or could not be reached.
+	// Failed: the endpoint failed; other endpoints of its server may not.
 	Failed
+	// Unreachable: the server refused the connection or did not answer, which
+	// counts against all its endpoints.
+	Unreachable
 	// Neutral says nothing about the endpoint (cancelled, never sent).
 	Neutral
 )
@@ -37,6 +40,7 @@
 		r.learnHint(shard, place.Group, target, hint, now)
 	}
 	target.settle(outcome, now, shard)
+	target.server.settle(outcome, now, shard.random)
 }
 
 // learnHint takes the load told with an answer, which does not lag.
@@ -57,7 +61,7 @@
 		t.breaker.rest(now, jitter(shard.random, busyRest))
 	case Failed:
 		t.breaker.fail(now, shard.random)
-	case Neutral:
+	case Unreachable, Neutral:
 		t.breaker.probing = false
 	}
 }
@@ -72,4 +76,5 @@
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
 	place.target.breaker.succeed()
+	place.target.server.answered()
 }
--- a/internal/router/group.go
+++ b/internal/router/group.go
@@ -44,6 +44,7 @@
 	// startedAt is when this node sent the newest request.
 	startedAt  time.Time
 	breaker    breaker
+	server     *server
 	prefixSalt uint64
 }
 
@@ -73,7 +74,7 @@
 		key := targetKey{server: endpoint.Server, model: endpoint.Model, slot: endpoint.Slot}
 		known := g.byKey[key]
 		if known == nil {
-			known = &target{key: key, prefixSalt: saltOf(key)}
+			known = &target{key: key, prefixSalt: saltOf(key), server: r.servers.use(key.server)}
 			g.byKey[key] = known
 		}
 		known.endpoint = endpoint
@@ -82,7 +83,7 @@
 		}
 		g.targets = append(g.targets, known)
 	}
-	g.forget(now)
+	r.forget(g, now)
 }
 
 // learnReported takes the lagging load figures of a snapshot. They grant places
@@ -96,7 +97,7 @@
 }
 
 // forget drops idle targets that are not in the snapshot.
-func (g *group) forget(now time.Time) {
+func (r *Router) forget(g *group, now time.Time) {
 	if len(g.byKey) == len(g.targets) {
 		return
 	}
@@ -106,6 +107,7 @@
 	}
 	for key, target := range g.byKey {
 		if !listed[key] && target.inFlight == 0 && target.breaker.allows(now) {
+			r.servers.leave(target.server)
 			delete(g.byKey, key)
 		}
 	}
@@ -124,6 +126,15 @@
 	t.grantedAt = now
 }
 
+// allows reports whether neither the endpoint nor its server rests, and if one
+// does, when to look again; zero: when a probe of the endpoint ends.
+func (t *target) allows(now time.Time) (allowed bool, retryAt time.Time) {
+	if !t.breaker.allows(now) {
+		return false, t.breaker.openUntil
+	}
+	return t.server.allows(now)
+}
+
 // othersAt is the estimate of other nodes' requests, fading with age.
 func (t *target) othersAt(now time.Time) float64 {
 	age := now.Sub(t.measuredAt)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -92,8 +92,9 @@
 // Router counts the requests in flight at each endpoint and chooses by them.
 // It is safe for concurrent use.
 type Router struct {
-	config Config
-	shards [shardCount]shard
+	config  Config
+	shards  [shardCount]shard
+	servers servers
 }
 
 type shard struct {
@@ -120,7 +121,7 @@
 	if config.Picker == nil {
 		config.Picker = TwoChoices{}
 	}
-	router := &Router{config: config}
+	router := &Router{config: config, servers: servers{byID: map[platform.ServerID]*server{}}}
 	for index := range router.shards {
 		shard := &router.shards[index]
 		shard.groups = map[string]*group{}
@@ -152,6 +153,7 @@
 	target.inFlight++
 	target.startedAt = now
 	target.breaker.begin()
+	target.server.begin()
 	return Choice{Place: Place{Group: name, Endpoint: *target.endpoint, target: target}}
 }
 
@@ -176,9 +178,8 @@
 	if !r.keep(candidate, request) {
 		return false
 	}
-	breaker := &candidate.target.breaker
-	if !breaker.allows(now) {
-		choice.rest(breaker.openUntil, now)
+	if allowed, retryAt := candidate.target.allows(now); !allowed {
+		choice.rest(retryAt, now)
 		return false
 	}
 	if candidate.InFlight >= candidate.Limit {
@@ -261,7 +262,7 @@
 	}
 	capacity := Capacity{ReadyAt: group.snapshot.ReadyAt, Refused: group.snapshot.Refused}
 	for _, target := range group.targets {
-		if target.endpoint.Draining || !target.breaker.allows(now) {
+		if allowed, _ := target.allows(now); !allowed || target.endpoint.Draining {
 			continue
 		}
 		capacity.Usable++
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -174,6 +174,45 @@
 		Expect(router.Pick(model, &Request{}).Verdict).To(Equal(Placed))
 	})
 
+	It("lets all endpoints of an unreachable server rest, and probes it once for all", func() {
+		router, source, loop := newRouter(1)
+		groups := []string{model, "n", "o"}
+		for _, group := range groups {
+			source[group] = &directory.Snapshot{Group: group, Endpoints: []directory.Endpoint{endpoint("a")}}
+		}
+		for range failuresToOpen {
+			router.Done(router.Pick(model, &Request{}).Place, Unreachable, nil)
+		}
+		var retryAt time.Time
+		for _, group := range groups {
+			choice := router.Pick(group, &Request{})
+			Expect(choice.Verdict).To(Equal(Resting), group)
+			Expect(router.Capacity(group).Usable).To(BeZero())
+			retryAt = choice.RetryAt
+		}
+		loop.RunUntil(retryAt)
+		probe := router.Pick("n", &Request{})
+		Expect(probe.Verdict).To(Equal(Placed))
+		waiting := router.Pick("o", &Request{})
+		Expect(waiting.Verdict).To(Equal(Resting))
+		Expect(waiting.RetryAt).To(Equal(loop.Now().Add(probeWait)))
+		router.Alive(probe.Place)
+		for _, group := range groups {
+			Expect(router.Pick(group, &Request{}).Verdict).To(Equal(Placed), group)
+		}
+	})
+
+	It("lets other endpoints of a server with a failing one go on", func() {
+		router, source, _ := newRouter(1)
+		source.set(endpoint("a"))
+		source["n"] = &directory.Snapshot{Group: "n", Endpoints: []directory.Endpoint{endpoint("a")}}
+		for range failuresToOpen {
+			router.Done(router.Pick(model, &Request{}).Place, Failed, nil)
+		}
+		Expect(router.Pick(model, &Request{}).Verdict).To(Equal(Resting))
+		Expect(router.Pick("n", &Request{}).Verdict).To(Equal(Placed))
+	})
+
 	It("counts the failures of requests in flight together as one", func() {
 		router, source, loop := newRouter(1)
 		source.set(endpoint("a"))
