Predict waits by the flows' virtual times and arrivals

The wait of a small flow was promised too short, since only the requests of other flows that wait now counted as ahead of it, not those that refill a larger flow meanwhile. So its requests missed their deadlines more often than others, and it was served less than its share. Now the number ahead follows from the virtual times, capped by what waits and what arrives during the wait at the flow's measured rate.

The spec's tolerance is narrowed from 15 % to 5 % and covers three weights.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -15,6 +15,7 @@
 	e.group = s.groupFor(e, key)
 	e.group.lastUsed = turn.now
 	e.flow = s.flowFor(e, "")
+	e.flow.arrivals.note(turn.now)
 	s.noteArrival(e.flow.demand, turn.now)
 	e.refuseAt = s.gateway.refusalTime(e, turn.now)
 	if refusal := s.admissible(e, turn); refusal != nil {
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -21,14 +21,32 @@
 // rowDemand counts the traffic for one row as it changes.
 type rowDemand struct {
 	// demand holds the row's name and the arrivals since the last report.
-	demand      directory.Demand
-	pool        bool
-	flows       []*flow
-	waiting     int
-	running     int
-	rate        float64
-	lastArrival time.Time
-	wantedAt    time.Time
+	demand   directory.Demand
+	pool     bool
+	flows    []*flow
+	waiting  int
+	running  int
+	arrivals arrivals
+	wantedAt time.Time
+}
+
+// arrivals is a rate of arrivals per second, as of the last one.
+type arrivals struct {
+	rate float64
+	last time.Time
+}
+
+func (a *arrivals) note(now time.Time) {
+	a.rate = a.rateAt(now) + 1/rateWindow.Seconds()
+	a.last = now
+}
+
+// rateAt is the rate now, fading since the last arrival.
+func (a *arrivals) rateAt(now time.Time) float64 {
+	if a.rate == 0 {
+		return 0
+	}
+	return a.rate * math.Exp(-now.Sub(a.last).Seconds()/rateWindow.Seconds())
 }
 
 // noteArrival counts a request. A row whose traffic begins is reported at once,
@@ -37,8 +55,7 @@
 	if d.pool {
 		return
 	}
-	d.rate = d.rateAt(now) + 1/rateWindow.Seconds()
-	d.lastArrival = now
+	d.arrivals.note(now)
 	d.demand.Arrivals++
 	if !s.active[d] {
 		s.active[d] = true
@@ -46,14 +63,6 @@
 	}
 }
 
-// rateAt is the arrival rate per second, fading since the last arrival.
-func (d *rowDemand) rateAt(now time.Time) float64 {
-	if d.rate == 0 {
-		return 0
-	}
-	return d.rate * math.Exp(-now.Sub(d.lastArrival).Seconds()/rateWindow.Seconds())
-}
-
 // want reports a row's demand at once, but not too often.
 func (s *shard) want(d *rowDemand, now time.Time) {
 	if d.pool || now.Sub(d.wantedAt) < wantInterval {
@@ -76,7 +85,7 @@
 	d.demand.Arrivals = 0
 	collected.Waiting = d.waiting
 	collected.Running = d.running
-	collected.ArrivalsPerSecond = d.rateAt(now)
+	collected.ArrivalsPerSecond = d.arrivals.rateAt(now)
 	for _, flow := range d.flows {
 		if flow.waiting > 0 {
 			flow.addTo(&collected)
@@ -128,7 +137,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for row := range s.active {
-		idle := row.waiting == 0 && row.running == 0 && now.Sub(row.lastArrival) > activeWindow
+		idle := row.waiting == 0 && row.running == 0 && now.Sub(row.arrivals.last) > activeWindow
 		if idle {
 			delete(s.active, row)
 			continue
--- a/internal/gateway/estimate.go
+++ b/internal/gateway/estimate.go
@@ -73,10 +73,11 @@
 			expected.known = true
 		}
 	}
-	ahead := g.ahead(e)
-	if places > 0 && ahead >= float64(free) && g.service.mean > 0 {
+	each := time.Duration(g.service.mean / float64(max(places, 1)))
+	ahead := g.ahead(e, each, now)
+	if places > 0 && ahead >= float64(free) && each > 0 {
 		queue := ahead - float64(free) + 1
-		expected.wait += time.Duration(queue * g.service.mean / float64(places))
+		expected.wait += time.Duration(queue * float64(each))
 		expected.known = true
 	}
 	return expected
@@ -101,27 +102,43 @@
 	return min(max(e.wait, shortestRetryAfter), longestRetryAfter)
 }
 
-// ahead is the number of waiting requests to be served before the entry: all
-// of higher priority, those of its flow with earlier deadlines, and of the
-// other flows as many as their weights allow.
-func (g *group) ahead(e *entry) float64 {
+// ahead is the number of requests to be served before the entry, with the time
+// that each takes off a place: all waiting of higher priority, those of its flow
+// with earlier deadlines, and of the other flows as many as their weights allow,
+// whether they wait already or will come meanwhile.
+func (g *group) ahead(e *entry, each time.Duration, now time.Time) float64 {
 	priority := e.request.Priority
-	ahead := 0.0
+	ahead := e.flow.earlier(e)
+	target := max(e.flow.virtualTime, g.virtualTime) + ahead/e.flow.weight
 	for higher := priority + 1; higher < priorities; higher++ {
 		ahead += float64(g.byPriority[higher])
 	}
-	own := e.flow.earlier(e)
-	ahead += own
+	longest := ahead
 	for _, other := range g.flows {
-		if other == e.flow || len(other.heaps[priority]) == 0 {
-			continue
+		longest += other.due(e.flow, priority, target)
+	}
+	wait := time.Duration(longest * float64(each))
+	for _, other := range g.flows {
+		due := other.due(e.flow, priority, target)
+		waiting := float64(len(other.heaps[priority]))
+		if due > waiting {
+			due = min(due, waiting+other.arrivals.rateAt(now)*wait.Seconds())
 		}
-		share := (own + 1) * other.weight / e.flow.weight
-		ahead += min(float64(len(other.heaps[priority])), share)
+		ahead += due
 	}
 	return ahead
 }
 
+// due is how many requests the flow may have served before one of another flow
+// that starts at a virtual time; on average half a request of the flow is under
+// way. A flow in which nothing waits at the priority has no claim yet.
+func (f *flow) due(other *flow, priority int, target float64) float64 {
+	if f == other || len(f.heaps[priority]) == 0 {
+		return 0
+	}
+	return max((target-f.virtualTime)*f.weight+0.5, 0)
+}
+
 // earlier estimates how many of the flow's entries of the same priority have an
 // earlier deadline, as if the deadlines were spread evenly.
 func (f *flow) earlier(e *entry) float64 {
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -82,28 +82,35 @@
 		Expect(goodput[4]).To(BeNumerically(">", 0.9*goodput[1]))
 	})
 
-	It("gives each tenant its share by weight at three times the capacity", func() {
-		o := newOverload(8)
-		for name, weight := range map[string]int{"light": 1, "heavy": 3} {
-			o.table.rows[name] = table.Row{
-				Name: name, Kind: table.KindAdapter, Base: testModel, Tenant: name,
-				Weight: weight, MaxReplicas: 1, TimeLimit: time.Minute, Repeatable: true,
+	DescribeTable("gives each tenant its share by weight at three times the capacity",
+		func(seed uint64, heavy int) {
+			o := newOverload(seed)
+			for name, weight := range map[string]int{"light": 1, "heavy": heavy} {
+				o.table.rows[name] = table.Row{
+					Name: name, Kind: table.KindAdapter, Base: testModel, Tenant: name,
+					Weight: weight, MaxReplicas: 1, TimeLimit: time.Minute, Repeatable: true,
+				}
 			}
-		}
-		o.directory.snapshots[testModel].Endpoints[0].Adapters = []string{"heavy", "light"}
-		end := o.loop.Now().Add(overloadSpan)
-		for _, name := range []string{"light", "heavy"} {
-			o.arrive(15, end, func() Request {
-				request := o.generation(5 * time.Second)
-				request.Model, request.Tenant = name, name
-				return request
-			})
-		}
-		o.loop.RunFor(overloadSpan + time.Minute)
-		ratio := float64(o.served["heavy"]) / float64(o.served["light"])
-		fmt.Fprintf(GinkgoWriter, "served %v, ratio %.2f, %v\n", o.served, ratio, o.codes)
-		Expect(ratio).To(BeNumerically("~", 3, 0.45))
-	})
+			o.directory.snapshots[testModel].Endpoints[0].Adapters = []string{"heavy", "light"}
+			end := o.loop.Now().Add(overloadSpan)
+			for _, name := range []string{"light", "heavy"} {
+				o.arrive(15, end, func() Request {
+					request := o.generation(5 * time.Second)
+					request.Model, request.Tenant = name, name
+					return request
+				})
+			}
+			o.loop.RunFor(overloadSpan + time.Minute)
+			ratio := float64(o.served["heavy"]) / float64(o.served["light"])
+			fmt.Fprintf(GinkgoWriter, "weights 1 and %d: served %v, ratio %.2f, %v\n", heavy, o.served, ratio, o.codes)
+			Expect(ratio).To(BeNumerically("~", heavy, 0.05*float64(heavy)))
+		},
+		Entry("1 to 3", uint64(8), 3),
+		Entry("1 to 3, another seed", uint64(9), 3),
+		Entry("1 to 1", uint64(8), 1),
+		Entry("1 to 10", uint64(8), 10),
+		Entry("1 to 10, another seed", uint64(9), 10),
+	)
 
 	It("serves the high priority in full at three times the capacity", func() {
 		o := newOverload(9)
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -45,7 +45,9 @@
 	key    flowKey
 	weight float64
 	demand *rowDemand
-	heaps  [priorities]entryHeap
+	// arrivals of the flow, those refused included.
+	arrivals arrivals
+	heaps    [priorities]entryHeap
 	// occupied has a bit for each priority with waiting requests.
 	occupied uint16
 	latest   [priorities]time.Time
