--- a/internal/emulator/policies_figures.go
+++ b/internal/emulator/policies_figures.go
@@ -41,9 +41,13 @@
 	// SameWaitsBound those at which no request waits longer than it did.
 	IdleBound, SameWaitsBound float64
 	Requests, Refused         int
-	Loads                     map[string]int
-	StoreUse                  float64
-	Violations                uint64
+	// LateCalls found their row not loaded, first requests or not, and waited
+	// for it; LateP99 is over the waits for a row of all calls.
+	LateCalls  int
+	LateP99    float64
+	Loads      map[string]int
+	StoreUse   float64
+	Violations uint64
 	// Waits of all first requests in seconds, for the distribution.
 	Waits []float64 `json:"-"`
 }
@@ -78,8 +82,12 @@
 		BusyHours: r.Use.Busy / secondsPerHour,
 		Requests:  len(r.Calls), Loads: r.Loads, StoreUse: r.StoreUse, Violations: r.Report.Violations(),
 	}
-	var waits, opening, firstTokens []float64
+	var waits, opening, firstTokens, late []float64
 	for _, call := range r.Calls {
+		late = append(late, call.lateness(r.End))
+		if call.UpAt != call.SentAt {
+			figures.LateCalls++
+		}
 		if call.First {
 			waits = append(waits, call.Wait(r.End))
 			if call.SentAt >= r.Opening && call.SentAt < r.OpeningEnd {
@@ -94,6 +102,7 @@
 	}
 	figures.FirstRequests, figures.Waits = len(waits), waits
 	figures.Cold, figures.OpeningCold = tailOf(waits), tailOf(opening)
+	figures.LateP99 = bounds.Quantile(late, bounds.TailQuantile)
 	figures.FirstTokenP95 = bounds.Quantile(firstTokens, 0.95)
 	instance := newBoundInstance(r)
 	figures.ColdBound = instance.reactive()
--- a/internal/emulator/policies_observer.go
+++ b/internal/emulator/policies_observer.go
@@ -39,6 +39,14 @@
 	return end - c.SentAt
 }
 
+// lateness is how long the call's row was not loaded after it was sent.
+func (c *Call) lateness(end float64) float64 {
+	if c.UpAt < 0 {
+		return end - c.SentAt
+	}
+	return c.UpAt - c.SentAt
+}
+
 // policyObserver measures a policy run from what callers and stand-ins saw.
 type policyObserver struct {
 	world    *World
--- a/internal/emulator/policies_run.go
+++ b/internal/emulator/policies_run.go
@@ -63,20 +63,18 @@
 	return AcceleratorUse{Idle: u.Idle - other.Idle, Loading: u.Loading - other.Loading, Busy: u.Busy - other.Busy}
 }
 
-// TimelinePoint is the state of the deployment at a time around the opening.
+// TimelinePoint is the state of the deployment at a time of the span.
 type TimelinePoint struct {
 	// At is seconds after the opening.
 	At float64
 	// Waiting requests that do not run yet, and replicas Loading and Loaded.
 	Waiting, Loading, Loaded int
+	// Wasted accelerator seconds since the start of the span.
+	Wasted float64
 }
 
-// Sampling around the opening.
-const (
-	timelineStep   = 2 * time.Second
-	timelineBefore = 2 * time.Minute
-	timelineAfter  = 15 * time.Minute
-)
+// timelineStep between two points.
+const timelineStep = 5 * time.Second
 
 // policyClaimShards is enough for runs without non-repeatable requests.
 const policyClaimShards = 1
@@ -143,8 +141,8 @@
 	loop.AfterFunc(scenario.spanStart(), func() {
 		r.before = r.use()
 		r.observer.inRun = true
+		r.sample()
 	})
-	loop.AfterFunc(opening-timelineBefore, r.sample)
 }
 
 // schedule arranges the next call.
@@ -207,15 +205,14 @@
 	r.run.Timeline = append(r.run.Timeline, TimelinePoint{
 		At: now - r.run.Opening, Waiting: len(r.observer.byRequest),
 		Loading: r.observer.presence.loading, Loaded: r.observer.presence.loaded,
+		Wasted: r.use().minus(r.before).Waste(),
 	})
 	if now >= r.run.Opening && now < r.run.OpeningEnd {
 		status := r.world.Weights.Status()
 		r.storeSum += min(1, float64(status.Active)/float64(status.FullSpeedLoads))
 		r.storeCount++
 	}
-	if now < r.run.Opening+timelineAfter.Seconds() {
-		r.world.Loop.AfterFunc(timelineStep, r.sample)
-	}
+	r.world.Loop.AfterFunc(timelineStep, r.sample)
 }
 
 func (r *policyRunner) finish() *PolicyRun {
--- a/internal/emulator/policies_scenario.go
+++ b/internal/emulator/policies_scenario.go
@@ -71,7 +71,8 @@
 	QuietBefore time.Duration
 	// ReplacementPause between two machines.
 	ReplacementPause time.Duration
-	// QuietAfter the measured opening.
+	// QuietAfter the measured opening. It ends well before the next round would
+	// open, so that what it costs to foresee a round is counted once.
 	QuietAfter time.Duration
 	// PromptScale shortens prompts; the time of prefill is not what is measured.
 	PromptScale float64
@@ -96,7 +97,7 @@
 		Earlier:     RoundShape{Opening: 3 * time.Minute, Tail: 3 * time.Minute, TailRamp: time.Minute, TailScale: 0.4},
 		Measured:    RoundShape{Opening: 7 * time.Minute, Tail: 15 * time.Minute, TailRamp: 5 * time.Minute, TailScale: 0.4},
 		QuietBefore: 30 * time.Minute, ReplacementPause: 5 * time.Second,
-		QuietAfter: 50 * time.Minute, PromptScale: 0.125, TokensPerChunk: 64,
+		QuietAfter: 38 * time.Minute, PromptScale: 0.125, TokensPerChunk: 64,
 	}
 }
 
--- a/internal/report/policies_table.go
+++ b/internal/report/policies_table.go
@@ -25,6 +25,8 @@
 	{"max s", func(f *emulator.PolicyFigures) float64 { return f.Cold.Max }},
 	{"p99/bound", (*emulator.PolicyFigures).ColdRatio},
 	{"first token p95 s", func(f *emulator.PolicyFigures) float64 { return f.FirstTokenP95 }},
+	{"late calls", func(f *emulator.PolicyFigures) float64 { return float64(f.LateCalls) }},
+	{"late p99 s", func(f *emulator.PolicyFigures) float64 { return f.LateP99 }},
 	{"idle h", func(f *emulator.PolicyFigures) float64 { return f.IdleHours }},
 	{"of it loaded h", func(f *emulator.PolicyFigures) float64 { return f.LoadedIdleHours }},
 	{"idle/bound", (*emulator.PolicyFigures).IdleRatio},
