Let lower priority give way over all models when a node is full

The node-wide bounds refused with queue_full whatever the priority, also requests that need not wait.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -10,24 +10,51 @@
 // marginShare is the largest part of a time limit that the margin takes.
 const marginShare = 10
 
-// admit queues a new request or refuses it at once.
-func (s *shard) admit(e *entry, key string, turn *turn) {
+// decision says what became of a new request.
+type decision uint8
+
+const (
+	// decided: the request waits, runs or was refused.
+	decided decision = iota
+	// roomNeeded: it is to be decided on again when room was made, which can't
+	// be done under the shard's lock.
+	roomNeeded
+)
+
+// admit counts a new request and decides on it.
+func (s *shard) admit(e *entry, key string, turn *turn) decision {
 	e.group = s.groupFor(e, key)
 	e.group.lastUsed = turn.now
 	e.flow = s.flowFor(e, "")
 	e.flow.arrivals.note(turn.now)
 	s.noteArrival(e.flow.demand, turn.now)
 	e.refuseAt = s.gateway.refusalTime(e, turn.now)
-	if refusal := s.admissible(e, turn); refusal != nil {
+	return s.decide(e, turn, true)
+}
+
+// decide queues a new request or refuses it, unless room may be made for it.
+func (s *shard) decide(e *entry, turn *turn, mayMakeRoom bool) decision {
+	estimate, refusal := s.admissible(e, turn)
+	if refusal == nil && !estimate.immediate && s.gateway.full(&e.request) {
+		if mayMakeRoom && s.gateway.canMakeRoom(&e.request) {
+			return roomNeeded
+		}
+		refusal = queueRefusal(result.QueueFull, "this node's queues are full", estimate)
+	}
+	if refusal == nil {
+		refusal = s.makeRoom(e, estimate, turn)
+	}
+	if refusal != nil {
 		s.wantIfCold(e, turn)
 		s.refuse(e, *refusal, turn)
-		return
+		return decided
 	}
 	e.event(turn, EventAccepted)
 	e.expiry = timerItem{kind: timerExpiry, entry: e}
 	s.schedule(&e.expiry, e.refuseAt)
 	s.enqueue(e)
 	s.dispatch(e.group, turn)
+	return decided
 }
 
 // refusalTime is the request's deadline less the margin. A request without a
@@ -44,26 +71,28 @@
 	return e.request.Deadline.Add(-margin)
 }
 
-// admissible returns why a request is refused at once; nil if it may wait.
-func (s *shard) admissible(e *entry, turn *turn) *result.Refusal {
+// admissible returns why a request is refused at once, whatever else waits; nil
+// if it may wait, with what it has to expect.
+func (s *shard) admissible(e *entry, turn *turn) (estimate, *result.Refusal) {
+	var expected estimate
 	if s.gateway.drain.draining.Load() {
-		return refusalf(result.NodeDraining, "this node is being stopped")
+		return expected, refusalf(result.NodeDraining, "this node is being stopped")
 	}
 	if !e.refuseAt.After(turn.now) {
-		return refusalf(result.DeadlinePassed, "the time limit was over when the request arrived")
+		return expected, refusalf(result.DeadlinePassed, "the time limit was over when the request arrived")
 	}
 	capacity := e.group.router.Capacity(e.group.name)
 	if refusal := unservable(e, capacity); refusal != nil {
-		return refusal
+		return expected, refusal
 	}
-	estimate := e.group.estimate(e, capacity, turn.now)
-	if estimate.unreachable(e.refuseAt.Sub(turn.now)) {
+	expected = e.group.estimate(e, capacity, turn.now)
+	if expected.unreachable(e.refuseAt.Sub(turn.now)) {
 		refusal := refusalf(result.DeadlineUnreachable, "the expected wait is %s, the time left %s",
-			estimate.wait.Round(time.Millisecond), e.refuseAt.Sub(turn.now).Round(time.Millisecond))
-		refusal.RetryAfter = estimate.retryAfter()
-		return refusal
+			expected.wait.Round(time.Millisecond), e.refuseAt.Sub(turn.now).Round(time.Millisecond))
+		refusal.RetryAfter = expected.retryAfter()
+		return expected, refusal
 	}
-	return s.makeRoom(e, estimate, turn)
+	return expected, nil
 }
 
 // unservable refuses a request that no cell and no server can take.
@@ -76,16 +105,10 @@
 	return refusal
 }
 
-// makeRoom keeps the queues bounded: a full queue takes a request only at the
+// makeRoom keeps a group's queue bounded: a full one takes a request only at the
 // cost of one of lower priority, or of a tenant above its share.
 func (s *shard) makeRoom(e *entry, estimate estimate, turn *turn) *result.Refusal {
-	limits := s.gateway.config.Limits
-	full := s.gateway.waiting.Load() >= int64(limits.Waiting) ||
-		s.gateway.waitingBytes.Load()+int64(len(e.request.Body)) > limits.WaitingBytes
-	if full {
-		return queueRefusal(result.QueueFull, "this node's queues are full", estimate)
-	}
-	if e.group.waiting < limits.QueueLength {
+	if e.group.waiting < s.gateway.config.Limits.QueueLength {
 		return nil
 	}
 	if victim := e.group.lowerThan(e.request.Priority); victim != nil {
@@ -123,15 +146,15 @@
 func (s *shard) enqueue(e *entry) {
 	e.phase = phaseWaiting
 	e.group.push(e)
-	s.gateway.waiting.Add(1)
-	s.gateway.waitingBytes.Add(int64(len(e.request.Body)))
+	s.byPriority[e.request.Priority]++
+	s.gateway.room.add(&e.request, 1)
 	e.flow.demand.waiting++
 }
 
 // dequeue takes an entry out of its flow.
 func (s *shard) dequeue(e *entry) {
 	e.group.remove(e)
-	s.gateway.waiting.Add(-1)
-	s.gateway.waitingBytes.Add(-int64(len(e.request.Body)))
+	s.byPriority[e.request.Priority]--
+	s.gateway.room.add(&e.request, -1)
 	e.flow.demand.waiting--
 }
--- a/internal/gateway/estimate.go
+++ b/internal/gateway/estimate.go
@@ -57,6 +57,8 @@
 	wait time.Duration
 	// service is how long its attempt may take.
 	service time.Duration
+	// immediate: a place is free for it now.
+	immediate bool
 	// known: the wait follows from something measured or told.
 	known bool
 }
@@ -75,6 +77,7 @@
 	}
 	each := time.Duration(g.service.mean / float64(max(places, 1)))
 	ahead := g.ahead(e, each, now)
+	expected.immediate = ahead < float64(free)
 	if places > 0 && ahead >= float64(free) && each > 0 {
 		queue := ahead - float64(free) + 1
 		expected.wait += time.Duration(queue * float64(each))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,9 +27,9 @@
 	budget  retryBudget
 	counter atomic.Uint64
 
-	// waiting and waitingBytes of all shards.
-	waiting      atomic.Int64
-	waitingBytes atomic.Int64
+	room room
+	// nextDisplaced is the shard that gives way next.
+	nextDisplaced atomic.Uint64
 
 	drain drainState
 	// revision of the table last checked against the queues.
@@ -43,6 +43,8 @@
 	mutex  sync.Mutex
 	random *rand.Rand
 	groups map[string]*group
+	// byPriority counts the waiting requests.
+	byPriority [priorities]int
 	// active rows have traffic of the last seconds.
 	active   map[*rowDemand]bool
 	counts   counts
@@ -87,8 +89,11 @@
 	entry.shard.counts.submitted++
 	if refusal != nil {
 		entry.shard.refuse(entry, *refusal, turn)
-	} else {
-		entry.shard.admit(entry, key, turn)
+	} else if entry.shard.admit(entry, key, turn) == roomNeeded {
+		entry.shard.end(turn)
+		g.makeRoom(&entry.request)
+		turn = entry.shard.begin()
+		entry.shard.decide(entry, turn, false)
 	}
 	entry.shard.end(turn)
 	return entry.cancel
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -140,6 +140,28 @@
 		Expect(float64(highServed)).To(BeNumerically(">", 0.97*float64(high)))
 	})
 
+	It("serves the high priority of one model while another fills the node", func() {
+		o := newOverload(9)
+		o.gateway.config.Limits.Waiting = 50
+		o.table.rows["second"] = table.Row{
+			Name: "second", Kind: table.KindModel, Version: "1", Weight: 1, MaxReplicas: 1, TimeLimit: time.Minute, Repeatable: true,
+		}
+		o.directory.set("second", 10, "s2")
+		end := o.loop.Now().Add(overloadSpan)
+		o.arrive(30, end, func() Request { return o.generation(time.Minute) })
+		high := 0
+		// Arrivals near the capacity must wait now and then.
+		o.arrive(9, end, func() Request {
+			high++
+			request := o.generation(time.Minute)
+			request.Model, request.Priority = "second", 9
+			return request
+		})
+		o.loop.RunFor(overloadSpan + time.Minute)
+		fmt.Fprintf(GinkgoWriter, "full node: %d of %d of high priority served, %v\n", o.served["second"], high, o.codes)
+		Expect(o.served["second"]).To(Equal(high))
+	})
+
 	It("does not multiply a failure by retries", func() {
 		b := newBench(10, Limits{})
 		random := b.loop.Fork()
@@ -182,3 +204,51 @@
 	Entry("refuses lower priority", func(r *Request) { r.Priority = 4 }, result.QueueFull, result.OK),
 	Entry("lets a tenant above its share give way", func(r *Request) { r.Model = "other" }, result.OK, result.OverShare),
 )
+
+// floodedNode has one model's queue filled up to the node's bound, and a second
+// model on a server of its own.
+func floodedNode(limits Limits) *bench {
+	b := newBench(12, limits)
+	b.engines.serve = func(*engineCall) {}
+	row := b.table.rows[testModel]
+	row.Name = "second"
+	b.table.rows["second"] = row
+	for range 3 {
+		b.submit(b.generation(time.Minute))
+	}
+	return b
+}
+
+var _ = DescribeTable("a full node",
+	func(limits Limits, change func(r *Request), code result.Code, displaced int) {
+		b := floodedNode(limits)
+		request := b.generation(time.Minute)
+		request.Model = "second"
+		change(&request)
+		newcomer, _ := b.submit(request)
+		Expect(newcomer.code()).To(Equal(code))
+		Expect(b.gateway.Stats().Refused[result.Displaced]).To(BeEquivalentTo(displaced))
+		Expect(b.gateway.Stats().Waiting).To(BeEquivalentTo(3 - displaced + map[result.Code]int{result.OK: 1}[code]))
+	},
+	Entry("lets lower priority of another model give way", Limits{Waiting: 3}, func(r *Request) { r.Priority = 6 }, result.OK, 1),
+	Entry("refuses the same priority", Limits{Waiting: 3}, keep, result.QueueFull, 0),
+	Entry("refuses lower priority", Limits{Waiting: 3}, func(r *Request) { r.Priority = 4 }, result.QueueFull, 0),
+	Entry("displaces nothing for a request that is refused anyhow", Limits{Waiting: 3},
+		func(r *Request) { r.Priority, r.Deadline = 9, r.Accepted }, result.DeadlinePassed, 0),
+	Entry("makes room for its bytes", Limits{WaitingBytes: 6},
+		func(r *Request) { r.Priority, r.Body = 9, []byte("1234") }, result.OK, 2),
+	Entry("displaces nothing for a body that would not fit all the same", Limits{WaitingBytes: 6},
+		func(r *Request) { r.Priority, r.Body = 9, []byte("1234567") }, result.QueueFull, 0),
+)
+
+var _ = It("a full node serves what need not wait", func() {
+	b := floodedNode(Limits{Waiting: 3})
+	b.directory.set("second", 1, "s2")
+	request := b.generation(time.Minute)
+	request.Model = "second"
+	b.submit(request)
+	Expect(b.gateway.Stats().Groups).To(ContainElement(HaveField("Running", 1)))
+	request.ID = "one too many"
+	late, _ := b.submit(request)
+	Expect(late.code()).To(Equal(result.QueueFull))
+})
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -41,12 +41,11 @@
 // Stats returns the state now.
 func (g *Gateway) Stats() Stats {
 	stats := Stats{
-		Draining:     g.drain.draining.Load(),
-		Open:         g.drain.open.Load(),
-		Waiting:      g.waiting.Load(),
-		WaitingBytes: g.waitingBytes.Load(),
-		Refused:      map[result.Code]uint64{},
+		Draining: g.drain.draining.Load(),
+		Open:     g.drain.open.Load(),
+		Refused:  map[result.Code]uint64{},
 	}
+	stats.Waiting, stats.WaitingBytes = g.room.all()
 	for _, shard := range g.shards {
 		shard.addTo(&stats)
 	}
