--- a/internal/emulator/faultrun.go
+++ b/internal/emulator/faultrun.go
@@ -33,12 +33,18 @@
 
 // RunFaults runs one seed: a workload and table edits while faults of every
 // kind come at random moments.
-func RunFaults(options Options, span time.Duration) FaultRun {
+func RunFaults(options Options, span time.Duration) FaultRun { return runPrepared(options, span, nil) }
+
+// runPrepared calls prepare, if set, when the faults begin.
+func runPrepared(options Options, span time.Duration, prepare func(*World)) FaultRun {
 	options.Limits.ClientDelay = options.Deployment.ClientDelay
 	w := NewWorld(options)
 	w.Loop.RunFor(2 * time.Second)
 	w.Import(nil)
 	w.Loop.RunFor(warmUp - 2*time.Second)
+	if prepare != nil {
+		prepare(w)
+	}
 	end := w.Loop.Now().Add(span)
 	w.StartWorkload(DefaultWorkload(), end)
 	w.startEdits(end)
