--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -63,10 +63,15 @@
 
 // propose lets an operator at a node make an edit, and notes what was told.
 func (w *World) propose(target *SimulatedNode, edit tablestore.Edit, done func(tablestore.Outcome)) {
+	ended := func(tablestore.Outcome) {}
+	if w.watchEdit != nil {
+		ended = w.watchEdit(edit)
+	}
 	w.Network.Deliver(w.processes.callers, target.Process, func() {
 		target.Node.Table.Propose(edit, func(outcome tablestore.Outcome) {
 			w.Network.Deliver(target.Process, w.processes.callers, func() {
 				w.noteOutcome(edit, outcome)
+				ended(outcome)
 				done(outcome)
 			})
 		})
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -68,6 +68,9 @@
 	rows         *table.Snapshot
 	recordedUpTo int64
 	trace        traceHash
+	// watchEdit, if set, is called with each edit of an operator and returns
+	// what is called with its outcome.
+	watchEdit func(tablestore.Edit) func(tablestore.Outcome)
 	// observer sees every event of the stand-ins' record, if set.
 	observer func(record.Event)
 }
