--- a/internal/api/loopback_benchmark_test.go
+++ b/internal/api/loopback_benchmark_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"sync"
 	"syscall"
@@ -44,12 +45,26 @@
 func openRequests(b *testing.B, count int) (*heldGateway, []net.Conn) {
 	b.Helper()
 	held := &heldGateway{arrived: make(chan struct{}, count)}
+	connections := openConnections(b, held.handler(b), count)
+	for range count {
+		<-held.arrived
+	}
+	return held, connections
+}
+
+func (g *heldGateway) handler(b *testing.B) http.Handler {
+	b.Helper()
 	keyring, err := auth.NewKeyring([]auth.Credential{{SHA256: auth.HashToken("secret"), Tenant: "t", Role: auth.RoleCaller}})
 	if err != nil {
 		b.Fatal(err)
 	}
 	rows := []table.Row{{Name: "m", Tenant: "t", Repeatable: true, TimeLimit: time.Hour}}
-	handler := New(Config{Gateway: held, Table: table.NewSnapshot(1, rows), Keyring: keyring})
+	return New(Config{Gateway: g, Table: table.NewSnapshot(1, rows), Keyring: keyring})
+}
+
+// openConnections starts a server and sends it one request a connection.
+func openConnections(b *testing.B, handler http.Handler, count int) []net.Conn {
+	b.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -69,10 +84,7 @@
 			b.Fatal(err)
 		}
 	}
-	for range count {
-		<-held.arrived
-	}
-	return held, connections
+	return connections
 }
 
 // BenchmarkPacedRelay measures the processor time of 480 streams of 50 chunks a
@@ -114,6 +126,30 @@
 	}
 }
 
+// BenchmarkWaitingBare measures the same requests at a handler that only reads
+// the body and waits: what net/http itself holds, and the callers' ends of the
+// connections, which are in this process too.
+func BenchmarkWaitingBare(b *testing.B) {
+	for b.Loop() {
+		arrived := make(chan struct{}, waitingRequests)
+		heapBefore, stackBefore := memoryInUse()
+		connections := openConnections(b, http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+			_, _ = io.Copy(io.Discard, request.Body)
+			arrived <- struct{}{}
+			<-request.Context().Done()
+		}), waitingRequests)
+		for range waitingRequests {
+			<-arrived
+		}
+		heap, stack := memoryInUse()
+		b.ReportMetric(float64(heap-heapBefore)/waitingRequests, "heap-B/request")
+		b.ReportMetric(float64(stack-stackBefore)/waitingRequests, "stack-B/request")
+		for _, connection := range connections {
+			_ = connection.Close()
+		}
+	}
+}
+
 func processorTime() time.Duration {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
