--- a/internal/membership/heartbeat_test.go
+++ b/internal/membership/heartbeat_test.go
@@ -141,8 +141,10 @@
 		delete(c.nodes, "b1")
 		restarted := c.start("b1")
 		c.loop.RunFor(30 * time.Second)
+		writes := len(c.store.Records(0))
 		paused.Resume()
 		c.loop.RunFor(5 * time.Minute)
+		Expect(c.store.Records(0)).To(HaveLen(writes), "the former incarnation writes nothing")
 		c.expectMembers(c.liveNames()...)
 		for _, member := range c.nodes["a1"].registry.Members() {
 			if member.Name == "b1" {
