Let a broken stream wait for a replica of its version

A stream that had begun was refused as broken as soon as no endpoint had its version, also when the table still named it and its replica was only being loaded again. It now waits within its deadline. The spec of another version names that version in the table too, as an update does; before, the table still named the old one, for which waiting is right. It is as strict: refused at once, one attempt.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -82,7 +82,7 @@
 
 // noEndpoint handles a request that no known endpoint can take: a model is
 // asked for, a pool has nothing to wait for, and a stream that has begun is
-// broken if no endpoint has its version.
+// broken if no endpoint has its version and none will be loaded with it.
 func (s *shard) noEndpoint(e *entry, turn *turn) {
 	switch {
 	case e.isPool():
@@ -90,7 +90,7 @@
 		refusal.RetryAfter = unknownRetryAfter
 		s.giveUp(e, *refusal, turn)
 		e.flow.blockedPass = 0
-	case e.flow.key.version != "":
+	case e.flow.key.version != "" && e.flow.key.version != s.gateway.currentVersion(e):
 		s.giveUp(e, *refusalf(result.StreamBroken, "no replica of version %s can continue the stream", e.flow.key.version), turn)
 		e.flow.blockedPass = 0
 	default:
@@ -99,6 +99,16 @@
 	}
 }
 
+// currentVersion is the version that replicas of the entry's base model are
+// loaded with now; empty: none is.
+func (g *Gateway) currentVersion(e *entry) string {
+	base, known := g.config.Table.Row(e.group.name)
+	if !known || base.MaxReplicas == 0 {
+		return ""
+	}
+	return base.Version
+}
+
 // wakeAt makes the group try again at a time, or earlier.
 func (s *shard) wakeAt(g *group, at, now time.Time) {
 	if g.wake.position > 0 && g.wake.at.After(now) && !at.Before(g.wake.at) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -132,6 +132,9 @@
 			call.chunks(0, 2)
 			b.directory.set(testModel, 4, "s2")
 			b.directory.snapshots[testModel].Endpoints[0].Version = "2"
+			row := b.table.rows[testModel]
+			row.Version = "2"
+			b.table.rows[testModel] = row
 			call.fail(result.RanYes, "connection")
 		}
 		c, _ := b.submit(b.generation(time.Second))
@@ -141,6 +144,28 @@
 		Expect(b.engines.calls).To(HaveLen(1))
 	})
 
+	It("resumes a broken stream when a replica of its version is loaded in time", func() {
+		b.warm(4, "s1")
+		b.engines.serve = func(call *engineCall) {
+			call.chunks(call.request.ResumeFrom, 2)
+			if call.request.Server == "s2" {
+				call.chunks(2, 3)
+				call.end(3)
+				return
+			}
+			b.directory.set(testModel, 4)
+			call.fail(result.RanUnknown, "connection")
+		}
+		c, _ := b.submit(b.generation(5 * time.Second))
+		b.loop.RunFor(time.Second)
+		Expect(c.finals).To(BeZero())
+		Expect(b.directory.wanted).NotTo(BeEmpty())
+		b.warm(4, "s2")
+		b.loop.RunFor(time.Second)
+		Expect(c.answer).NotTo(BeNil())
+		Expect(c.chunks).To(HaveLen(3))
+	})
+
 	It("takes no stream that ends short for complete", func() {
 		b.warm(4, "s1")
 		b.engines.serve = func(call *engineCall) {
