Keep room for adapters beside their base models

Cause: the tightest fit packed base models until no adapter fitted beside them; an adapter then waited, up to ten minutes, although other servers were empty. Change: room for the adapters of each replica is reserved softly, and an adapter in demand that fits beside no replica asks for one more replica of its base.

--- a/internal/planner/adapters.go
+++ b/internal/planner/adapters.go
@@ -25,6 +25,58 @@
 	return w.adapterNeeds[base]
 }
 
+// sumAdapterTotals adds up the memory of each base model's adapters.
+func (w *workspace) sumAdapterTotals() {
+	w.adapterTotals = make([]int64, len(w.rows))
+	for i := range w.rows {
+		row := &w.snapshot.Rows[i]
+		base, known := w.index[row.Base]
+		if known && row.Kind == table.KindAdapter && row.Max > 0 {
+			w.adapterTotals[base] += row.MemoryBytes
+		}
+	}
+}
+
+// reserveForAdapters keeps room beside a replica for the adapters of its model
+// that it does not hold yet.
+func (w *workspace) reserveForAdapters(server int, replica *Replica) {
+	base, known := w.index[replica.Model]
+	if !known || replica.Draining || replica.Phase == platform.ReplicaUnloading {
+		return
+	}
+	held := replica.memory() - replica.MemoryBytes
+	w.servers[server].reserved += max(0, w.adapterTotals[base]-held)
+}
+
+// wantRoomForAdapters asks for one more replica of a base model when an adapter
+// in demand fits beside none of those there are.
+func (w *workspace) wantRoomForAdapters() {
+	for i := range w.rows {
+		row := &w.snapshot.Rows[i]
+		base, known := w.index[row.Base]
+		if !known || row.Kind != table.KindAdapter || row.Max <= 0 {
+			continue
+		}
+		work := &w.rows[base]
+		if w.rows[i].demand.Waiting == 0 || w.rows[i].held > 0 || work.current == 0 || w.fitsBesideReplica(row) {
+			continue
+		}
+		work.want(min(work.current+work.outdated+1, w.snapshot.Rows[base].Max), ReasonScaleUp)
+	}
+}
+
+// fitsBesideReplica reports whether a replica of the adapter's base model has
+// room for it on its server.
+func (w *workspace) fitsBesideReplica(row *Row) bool {
+	for s := range w.snapshot.Servers {
+		replica := w.snapshot.Servers[s].replica(row.Base)
+		if replica != nil && w.canHost(s, replica, row) {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *workspace) sumAdapterNeeds() {
 	w.adapterNeeds = make([]int64, len(w.rows))
 	for i := range w.rows {
--- a/internal/planner/desired.go
+++ b/internal/planner/desired.go
@@ -23,6 +23,7 @@
 			w.decideRow(i, batch)
 		}
 	}
+	w.wantRoomForAdapters()
 	if w.policy.foresee {
 		w.foreseeOpenings()
 	}
--- a/internal/planner/loads.go
+++ b/internal/planner/loads.go
@@ -136,6 +136,7 @@
 		w.remoteStarts--
 	}
 	target.free += need - row.MemoryBytes
+	target.reserved += w.adapterTotals[c.row]
 	w.load(c.row, choice, readyAt)
 	return true
 }
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -9,6 +9,9 @@
 const (
 	// roomDelaySeconds is added to a load that has to wait for an unload.
 	roomDelaySeconds = 2
+	// crowdedSeconds is added to a load that leaves too little room for the
+	// adapters on its server.
+	crowdedSeconds = 10
 	// busyVictimSeconds is added when a busy replica would have to give way.
 	busyVictimSeconds = 600
 )
@@ -93,6 +96,9 @@
 	work := &w.servers[i]
 	option.left = work.free - need
 	if option.left >= 0 {
+		if option.left < work.reserved+w.adapterTotals[c.row]-(need-row.MemoryBytes) {
+			option.cost += crowdedSeconds
+		}
 		return option, true
 	}
 	option.cost += roomDelaySeconds
--- a/internal/planner/workspace.go
+++ b/internal/planner/workspace.go
@@ -26,6 +26,8 @@
 	expected []bool
 	// evicted replicas make room by this plan.
 	evicted map[*Replica]bool
+	// adapterTotals is the memory of all of each base model's adapters.
+	adapterTotals []int64
 	// adapterNeeds is the memory of each base model's waiting adapters.
 	adapterNeeds []int64
 	loads        []decidedLoad
@@ -67,6 +69,9 @@
 	// loading counts the loads under way by source; those from one disk share
 	// its speed.
 	loading [3]int
+	// reserved bytes of the free ones are wanted for adapters of the replicas
+	// here; only when nothing else is left are models loaded into them.
+	reserved int64
 	// placed models of this plan.
 	placed []string
 }
@@ -79,6 +84,7 @@
 		servers: make([]serverWork, len(snapshot.Servers)),
 	}
 	w.sumDemand()
+	w.sumAdapterTotals()
 	for i := range snapshot.Servers {
 		w.countServer(i)
 	}
@@ -132,6 +138,7 @@
 			w.servers[i].loading[replica.Source]++
 		}
 		w.countReplica(server, replica)
+		w.reserveForAdapters(i, replica)
 		for a := range replica.Adapters {
 			if at, known := w.index[replica.Adapters[a].Name]; known {
 				w.rows[at].held++
