--- a/internal/membership/probe_targets.go
+++ b/internal/membership/probe_targets.go
@@ -6,11 +6,17 @@
 	"sort"
 )
 
+// helperDraws is how often a helper is drawn from all members for each that is
+// wanted, since some are no use.
+const helperDraws = 4
+
 // probeTargets are the members that this node probes: those of its zone, and
 // those of the next zone in order of name, so that the loss of a whole zone is
 // found out too.
 type probeTargets struct {
 	zone, neighbour probeCycle
+	// all members but this node, in order of name.
+	all []Member
 }
 
 // probeCycle goes through members in a random order, drawn anew after each
@@ -24,15 +30,20 @@
 func (t *probeTargets) replace(self Member, members []Member, random *rand.Rand) {
 	neighbour := neighbourZone(self.Zone, members)
 	var inZone, inNeighbour []Member
+	t.all = make([]Member, 0, len(members))
 	for _, member := range members {
-		switch {
-		case member.Name == self.Name:
-		case member.Zone == self.Zone:
+		if member.Name == self.Name {
+			continue
+		}
+		t.all = append(t.all, member)
+		switch member.Zone {
+		case self.Zone:
 			inZone = append(inZone, member)
-		case member.Zone == neighbour:
+		case neighbour:
 			inNeighbour = append(inNeighbour, member)
 		}
 	}
+	sort.Slice(t.all, func(i, j int) bool { return t.all[i].Name < t.all[j].Name })
 	t.zone.replace(inZone, random)
 	t.neighbour.replace(inNeighbour, random)
 }
@@ -114,16 +125,17 @@
 // helpers draws members other than the target that may probe it, from the own
 // zone first.
 func (t *probeTargets) helpers(target Member, count int, usable func(Member) bool, random *rand.Rand) []Member {
-	var chosen []Member
-	for _, group := range [][]Member{t.zone.members, t.neighbour.members} {
-		for _, index := range random.Perm(len(group)) {
-			if len(chosen) == count {
-				return chosen
-			}
-			if candidate := group[index]; candidate.Name != target.Name && usable(candidate) {
-				chosen = append(chosen, candidate)
-			}
+	chosen := make([]Member, 0, count)
+	consider := func(candidate Member) {
+		if len(chosen) < count && candidate.Name != target.Name && usable(candidate) && !slices.Contains(chosen, candidate) {
+			chosen = append(chosen, candidate)
 		}
 	}
+	for _, index := range random.Perm(len(t.zone.members)) {
+		consider(t.zone.members[index])
+	}
+	for range min(count*helperDraws, len(t.all)*helperDraws) {
+		consider(t.all[random.IntN(len(t.all))])
+	}
 	return chosen
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,12 +125,24 @@
 func (n *Node) fork() *rand.Rand { return rand.New(rand.NewPCG(n.random.Uint64(), n.random.Uint64())) }
 
 func (n *Node) buildMembership() {
+	detector := n.leaseDetector
+	if n.config.Settings.Cluster.Membership == settings.MembershipHeartbeat {
+		detector = n.heartbeatDetector
+	}
+	n.Registry = membership.NewRegistry(n.config.Self, detector())
+}
+
+func (n *Node) leaseDetector() membership.Detector {
 	options := membership.DefaultLeaseOptions()
 	options.TimeToLive = n.config.Settings.Intervals.LeaseTTL
 	options.KeepAliveEvery = options.TimeToLive / 3
 	options.OutageGrace = 2 * options.TimeToLive
-	detector := membership.NewLeaseDetector(n.config.KeyValues, n.config.Clock, n.fork(), options, n.part("membership"))
-	n.Registry = membership.NewRegistry(n.config.Self, detector)
+	return membership.NewLeaseDetector(n.config.KeyValues, n.config.Clock, n.fork(), options, n.part("membership"))
+}
+
+func (n *Node) heartbeatDetector() membership.Detector {
+	options := membership.DefaultHeartbeatOptions(n.config.Settings.Intervals.Heartbeat)
+	return membership.NewHeartbeatDetector(n.config.KeyValues, n.config.Transport, n.config.Clock, n.fork(), options, n.part("membership"))
 }
 
 func (n *Node) part(name string) zerolog.Logger {
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -10,6 +10,7 @@
 func Default() Settings {
 	return Settings{
 		Listen:    Listen{Callers: "127.0.0.1:8080", Peers: "127.0.0.1:7080"},
+		Cluster:   Cluster{Membership: MembershipLease},
 		Platform:  Platform{Timeout: 2 * time.Second},
 		Limits:    defaultLimits(),
 		Deadlines: Deadlines{Default: 2 * time.Minute, Margin: 50 * time.Millisecond},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,8 +60,18 @@
 type Cluster struct {
 	// Secret authenticates nodes to each other.
 	Secret string `koanf:"secret" validate:"required,min=16,max=256"`
+	// Membership is how dead nodes are found out; the same on all nodes.
+	Membership string `koanf:"membership" validate:"oneof=lease heartbeat"`
 }
 
+// The ways to find out dead nodes.
+const (
+	// MembershipLease: each node keeps a lease in the key-value service.
+	MembershipLease = "lease"
+	// MembershipHeartbeat: nodes probe each other.
+	MembershipHeartbeat = "heartbeat"
+)
+
 // Platform holds the addresses of the platform's services.
 type Platform struct {
 	KeyValue    []string `koanf:"key_value" validate:"min=1,max=16,unique,dive,http_url"`
