Close connections with the last answer while a node drains

At the end of a planned stop the server closes idle connections; a request that was on its way in one of them was cut off. While it drains, a node now ends every answer's connection, so that hardly any is left to be idle at the end.

--- a/internal/api/admin_table.go
+++ b/internal/api/admin_table.go
@@ -65,7 +65,7 @@
 	header := c.writer.Header()
 	header.Set("Content-Type", format.ContentType())
 	header.Set("ETag", formatETag(snapshot.Revision()))
-	c.committed = true
+	c.commit()
 	// A failed write means that the operator is gone.
 	_, _ = c.writer.Write(body)
 }
--- a/internal/api/administration.go
+++ b/internal/api/administration.go
@@ -100,7 +100,7 @@
 	}
 	metrics := promhttp.HandlerFor(a.config.Gatherer, promhttp.HandlerOpts{})
 	a.route(router, http.MethodGet, "/metrics", role, func(c *call) {
-		c.committed = true
+		c.commit()
 		metrics.ServeHTTP(c.writer, c.request)
 	})
 }
@@ -120,7 +120,7 @@
 
 // getReadiness tells whether new work should be sent here.
 func (a *API) getReadiness(c *call) {
-	if a.config.Drainer != nil && a.config.Drainer.Draining() {
+	if a.draining() {
 		c.answer(http.StatusServiceUnavailable, stateDocument{State: "draining"})
 		return
 	}
--- a/internal/api/administration_test.go
+++ b/internal/api/administration_test.go
@@ -219,6 +219,13 @@
 		Expect(string(body)).To(ContainSubstring("no table yet"))
 	})
 
+	It("lets no connection be used again while it drains", func(ctx SpecContext) {
+		Expect(call(ctx, http.MethodGet, "/v1/models", callerToken, "").Close).To(BeFalse())
+		node.draining = true
+		Expect(call(ctx, http.MethodGet, "/v1/models", callerToken, "").Close).To(BeTrue())
+		Expect(call(ctx, http.MethodPost, "/v1/chat/completions", callerToken, "{").Close).To(BeTrue())
+	})
+
 	It("turns callers away until it was ready once", func(ctx SpecContext) {
 		unready := errors.New("no table yet")
 		config.Ready = func() error { return unready }
--- a/internal/api/call.go
+++ b/internal/api/call.go
@@ -27,6 +27,8 @@
 	path string
 	// committed: the status line has been sent.
 	committed bool
+	// draining tells whether the node is being stopped; nil: never.
+	draining func() bool
 	// heldBytes were taken from the budget of bodies.
 	heldBytes int64
 	outcome   result.Code
@@ -35,16 +37,26 @@
 // refuse ends the call with a whole response.
 func (c *call) refuse(refusal result.Refusal) {
 	c.outcome = refusal.Code
-	c.committed = true
+	c.commit()
 	writeRefusal(c.writer, refusal, c.id)
 }
 
 // answer ends the call with a JSON document.
 func (c *call) answer(status int, document any) {
-	c.committed = true
+	c.commit()
 	writeJSON(c.writer, status, document)
 }
 
+// commit is called before the headers are sent. The connections of a node that
+// is being stopped are not used again: one that is idle at the end would be
+// closed while its next request is on the way.
+func (c *call) commit() {
+	c.committed = true
+	if c.draining != nil && c.draining() {
+		c.writer.Header().Set("Connection", "close")
+	}
+}
+
 // handle turns a function over calls into a handler that needs the role. A
 // role of zero lets everyone in.
 func (a *API) handle(path string, role auth.Role, serve func(*call)) http.HandlerFunc {
@@ -54,7 +66,7 @@
 			request: request,
 			id:      newRequestID(request.Header),
 			arrived: a.config.Clock.Now(),
-			path:    path,
+			path:    path, draining: a.draining,
 		}
 		writer.Header().Set(headerRequestID, current.id)
 		a.metrics.InFlight.Inc()
@@ -90,11 +102,14 @@
 	return nil
 }
 
+// draining reports whether the node is being stopped.
+func (a *API) draining() bool { return a.config.Drainer != nil && a.config.Drainer.Draining() }
+
 // refuseUntilReady turns callers away from a node that has just started: it
 // would take their models and pools for unknown. A node that is draining or has
 // lost the platform's services later decides by itself.
 func (a *API) refuseUntilReady() *result.Refusal {
-	if a.known.Load() || a.config.Ready == nil || (a.config.Drainer != nil && a.config.Drainer.Draining()) {
+	if a.known.Load() || a.config.Ready == nil || a.draining() {
 		return nil
 	}
 	if err := a.config.Ready(); err != nil {
--- a/internal/api/generate.go
+++ b/internal/api/generate.go
@@ -257,7 +257,7 @@
 	header.Set("Content-Type", "text/event-stream; charset=utf-8")
 	header.Set("Cache-Control", "no-cache")
 	header.Set("X-Accel-Buffering", "no")
-	r.call.committed = true
+	r.call.commit()
 	r.call.writer.WriteHeader(http.StatusOK)
 }
 
--- a/internal/api/pass_through.go
+++ b/internal/api/pass_through.go
@@ -123,7 +123,7 @@
 	}
 	setReplayed(c, answer)
 	a.extendWrite(c)
-	c.committed = true
+	c.commit()
 	writeBackEndResponse(c.writer, response)
 }
 
