--- a/internal/cells/allotment.go
+++ b/internal/cells/allotment.go
@@ -35,14 +35,10 @@
 	if len(l.Cells) == 0 {
 		return nil
 	}
-	model := row.Name
-	if row.Kind == table.KindAdapter {
-		model = row.Base
-	}
 	parts := divide(max(row.MaxReplicas, 0), len(l.Cells))
 	allotments := make([]Allotment, len(parts))
 	firstSlot, minimum := 0, max(row.MinReplicas, 0)
-	for index, cell := range l.rank(model, len(parts)) {
+	for index, cell := range l.rank(baseOf(row), len(parts)) {
 		allotments[index] = Allotment{
 			Cell:        cell.name,
 			MinReplicas: min(minimum, parts[index]),
@@ -55,6 +51,14 @@
 	return allotments
 }
 
+// baseOf returns the name of the model that decides a row's cells.
+func baseOf(row table.Row) string {
+	if row.Kind == table.KindAdapter {
+		return row.Base
+	}
+	return row.Name
+}
+
 // divide splits a number of replicas over at most as many cells. No part
 // shrinks when the number grows, which keeps adapters within their bases.
 func divide(replicas, cells int) []int {
