Give prefix affinity room where little is under way

A preferred endpoint gave way as soon as its load was above 1.25 times the mean, which a single request more was at endpoints with little to do. A tenth of the batch is now added to the bound.

--- a/internal/emulator/gateways_test.go
+++ b/internal/emulator/gateways_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hatchplank/hatchplank/internal/gateway"
+	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 	"github.com/hatchplank/hatchplank/internal/table"
@@ -159,3 +160,58 @@
 		Expect(wasted).To(BeNumerically("<", 60))
 	})
 })
+
+// prefixUse counts what the engines' prefix caches spared; it is the responder
+// of all requests of a measurement.
+type prefixUse struct {
+	cached, prompt, refused int
+}
+
+// Chunk implements gateway.Responder.
+func (*prefixUse) Chunk(platform.Chunk) {}
+
+// Finish implements gateway.Responder.
+func (u *prefixUse) Finish(answer gateway.Answer) {
+	u.cached += answer.End.Usage.CachedTokens
+	u.prompt += answer.End.Usage.PromptTokens
+}
+
+// Refuse implements gateway.Responder.
+func (u *prefixUse) Refuse(result.Refusal) { u.refused++ }
+
+// measurePrefixes sends requests whose prompts begin with one of more prefixes
+// than one replica's cache can hold, to a model with two replicas.
+func measurePrefixes(affinity bool) *prefixUse {
+	const prefixes, prefixBytes, period = 240, 3000, 50 * time.Millisecond
+	c := newCrowd(1, 4, func(d *Deployment) { d.Rows[1].MinReplicas = 2 })
+	c.world.Loop.RunFor(time.Minute)
+	row := c.world.Options.Deployment.Rows[1]
+	random := c.world.Loop.Fork()
+	use := &prefixUse{}
+	for range int(2 * time.Minute / period) {
+		prefix := strings.Repeat(fmt.Sprintf("%08x", random.IntN(prefixes)), prefixBytes/8)
+		request := c.generation(row, prefix, 32)
+		request.ID = fmt.Sprintf("prefix-%d", c.sent)
+		request.Accepted = c.world.Loop.Now()
+		request.Deadline = request.Accepted.Add(time.Minute)
+		request.Prefix = nil
+		if affinity {
+			request.Prefix = []byte(prefix)
+		}
+		target := c.world.Nodes[random.IntN(len(c.world.Nodes))]
+		target.Process.Run(func() { target.Node.Gateway.Submit(request, use) })
+		c.world.Loop.RunFor(period)
+	}
+	c.world.Loop.RunFor(time.Minute)
+	return use
+}
+
+var _ = Describe("prefix affinity", func() {
+	It("finds many more prompts in the engines' caches", func() {
+		without, with := measurePrefixes(false), measurePrefixes(true)
+		fmt.Fprintf(GinkgoWriter, "prefixes: without affinity %d of %d tokens cached, with it %d of %d\n",
+			without.cached, without.prompt, with.cached, with.prompt)
+		Expect(without.refused + with.refused).To(BeZero())
+		Expect(with.cached).To(BeNumerically(">", without.cached*9/5))
+	})
+})
--- a/internal/router/scorer_prefix.go
+++ b/internal/router/scorer_prefix.go
@@ -2,9 +2,13 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// boundedLoad is the factor by which a preferred endpoint's load may exceed
-// the mean before affinity gives way.
-const boundedLoad = 1.25
+// A preferred endpoint's load, relative to its batch, may exceed the mean by a
+// factor and a tenth of the batch before affinity gives way. With the factor
+// alone a few requests more were too many at endpoints with little to do.
+const (
+	boundedLoad = 1.25
+	loadSlack   = 0.1
+)
 
 // PrefixScorer prefers one endpoint per prompt prefix, by rendezvous hashing
 // with bounded load, so that the prefix cache is hit and yet no endpoint is
@@ -16,7 +20,7 @@
 	if request.PrefixHash == 0 || len(candidates) == 0 {
 		return
 	}
-	bound := boundedLoad * meanLoad(candidates)
+	bound := boundedLoad*meanLoad(candidates) + loadSlack
 	best := -1
 	var highest uint64
 	for index := range candidates {
