Let the table come up to date before planning after a pause; settle idle unloads longer

Change: a gap of more than 3 s between ticks holds plans back for 2 s, in which pulls bring the table. Change: an unload that neither a row nor a leaving machine waits for settles for 6 s; pressed ones keep 1 s, so that cold starts wait no longer. The spec of unreachable gateways now checks both sides of the longer time.

--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -154,9 +154,25 @@
 		Expect(c.ready("a")).To(HaveLen(1))
 		c.cut["node-0>gateway"] = false
 		c.loop.RunFor(5 * time.Second)
+		Expect(c.ready("a")).To(HaveLen(1), "a late request may still be under way")
+		c.loop.RunFor(5 * time.Second)
 		Expect(c.ready("a")).To(BeEmpty())
 	})
 
+	It("plans after a pause only when the table could come up to date", func() {
+		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte)}, nil)
+		c.acquire(0)
+		c.loop.RunFor(time.Second)
+		c.nodes[0].process.Pause()
+		c.gateway.want("a", 1)
+		c.loop.RunFor(10 * time.Second)
+		c.nodes[0].process.Resume()
+		c.loop.RunFor(1500 * time.Millisecond)
+		Expect(c.fleet.Host("lm-0").Engine.State(0).Replicas).To(BeEmpty())
+		c.loop.RunFor(30 * time.Second)
+		Expect(c.ready("a")).To(HaveLen(1))
+	})
+
 	It("cuts off requests without draining", func() {
 		c, _ := unloadUnderRequest(func(c *applier.Config) { c.Mechanisms.DrainBeforeUnload = false })
 		Expect(c.audit.violations).NotTo(BeEmpty())
--- a/internal/applier/config.go
+++ b/internal/applier/config.go
@@ -97,6 +97,9 @@
 	// unload needs a state without requests, read that long after the last
 	// acknowledgement.
 	DrainSettle time.Duration
+	// DrainSettleIdle is the same for unloads that no row and no leaving
+	// machine waits for; it also covers requests that the network delays.
+	DrainSettleIdle time.Duration
 	// ForgetGateway is when a silent gateway that is no member is forgotten.
 	ForgetGateway time.Duration
 	// Push is the timeout of one endpoint update.
@@ -120,7 +123,7 @@
 		RetryMin: 200 * time.Millisecond, RetryMax: 2 * time.Second,
 		LoadBackoffMin: time.Second, LoadBackoffMax: time.Minute,
 		DemandExpiry: 4 * time.Second, Interest: 30 * time.Second,
-		DrainDelay: 5 * time.Second, DrainUntold: time.Minute, DrainSettle: time.Second,
+		DrainDelay: 5 * time.Second, DrainUntold: time.Minute, DrainSettle: time.Second, DrainSettleIdle: 6 * time.Second,
 		ForgetGateway: 10 * time.Minute,
 		Push:          time.Second, Release: 10 * time.Second,
 		StoreStatus: time.Second, SaveStatistics: time.Minute, RestoreStatistics: 5 * time.Second,
--- a/internal/applier/drain.go
+++ b/internal/applier/drain.go
@@ -82,7 +82,7 @@
 
 // finished reports whether no gateway sends new work any more and the engine,
 // asked late enough, has none left.
-func (d *drain) finished(now time.Time, intervals *Intervals, requestedAt time.Time, running int) bool {
+func (d *drain) finished(now time.Time, settle time.Duration, requestedAt time.Time, running int) bool {
 	if d.quietSince.IsZero() {
 		return false
 	}
@@ -93,7 +93,16 @@
 		}
 		return false
 	}
-	return !requestedAt.Before(d.quietSince.Add(intervals.DrainSettle))
+	return !requestedAt.Before(d.quietSince.Add(settle))
+}
+
+// settleTime is how long after the last acknowledgement requests may be under
+// way. An unload for which nothing waits takes the time that late messages need.
+func (o *Owner) settleTime(server *serverEntry, d *drain) time.Duration {
+	if d.forRow == "" && !server.leaving() {
+		return o.config.Intervals.DrainSettleIdle
+	}
+	return o.config.Intervals.DrainSettle
 }
 
 // stopWaiting ends the wait for gateways that can't be told. Members that live
@@ -156,7 +165,7 @@
 		return true
 	}
 	o.stopWaiting(now, server, drain)
-	return drain.finished(now, &o.config.Intervals, server.requestedAt, running)
+	return drain.finished(now, o.settleTime(server, drain), server.requestedAt, running)
 }
 
 func (o *Owner) orderUnload(server *serverEntry, entry *replicaEntry) {
--- a/internal/applier/owner.go
+++ b/internal/applier/owner.go
@@ -71,6 +71,8 @@
 	savedObservations   uint64
 
 	lastTick, lastPlan time.Time
+	// planAfter holds plans back for a while after a pause.
+	planAfter time.Time
 	// dirty: something happened since the last plan.
 	dirty  bool
 	wakeup clock.Timer
@@ -181,6 +183,7 @@
 		return
 	}
 	now := o.config.Clock.Now()
+	o.notePause(now)
 	o.lastTick = now
 	o.takeListing(listing, readAt)
 	o.expireDemand(now)
@@ -195,7 +198,7 @@
 		}
 		return
 	}
-	if o.planDue(now, revision) {
+	if o.planDue(now, revision) && !now.Before(o.planAfter) {
 		o.takeTable(rows, revision)
 		o.planLocked(now, planner.Store{Known: storeKnown, WeightStoreStatus: store})
 	}
@@ -208,6 +211,21 @@
 	o.mutex.Unlock()
 }
 
+// pauseGap between two ticks means that the process was paused; catchUpTime is
+// how long it then lets the table come up to date before it plans.
+const (
+	pauseGap    = 3 * time.Second
+	catchUpTime = 2 * time.Second
+)
+
+// notePause holds plans back after a pause: what this node knows of the table
+// is as old as the pause is long.
+func (o *Owner) notePause(now time.Time) {
+	if !o.lastTick.IsZero() && now.Sub(o.lastTick) > pauseGap {
+		o.planAfter = now.Add(catchUpTime)
+	}
+}
+
 // takeTable allots the rows of a new revision.
 func (o *Owner) takeTable(rows []table.Row, revision table.Revision) {
 	if revision == o.revision && o.rows != nil {
