--- a/internal/tablestore/distribute.go
+++ b/internal/tablestore/distribute.go
@@ -60,21 +60,23 @@
 	if busy {
 		return
 	}
-	s.pull(address, func() {
+	s.pull(address, func(bool) {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		s.repairing = false
 	})
 }
 
-// pull asks one peer for what is newer than the present revision.
-func (s *Store) pull(address string, done func()) {
+// pull asks one peer for what is newer than the present revision; done is told
+// whether the peer answered.
+func (s *Store) pull(address string, done func(answered bool)) {
 	request := PullRequest{Sender: s.Members.Self().PeerAddress, Revision: s.Revision()}
 	s.Transport.Call(address, request, s.options.PeerTimeout, func(message peer.Message, err error) {
-		if reply, ok := message.(PullReply); err == nil && ok {
+		reply, answered := message.(PullReply)
+		if err == nil && answered {
 			s.takeReply(reply)
 		}
-		done()
+		done(err == nil && answered)
 	})
 }
 
@@ -122,14 +124,44 @@
 
 func (s *Store) pullFromAnyone() {
 	s.mutex.Lock()
+	target, found := s.drawPeerLocked()
+	s.schedulePullLocked()
+	s.mutex.Unlock()
+	if found {
+		s.pull(target.PeerAddress, func(answered bool) { s.pullElsewhere(target, answered) })
+	}
+}
+
+// drawPeerLocked draws a peer, mostly of the own zone.
+func (s *Store) drawPeerLocked() (peer membership.Member, found bool) {
 	peers := s.zonePeers
 	if len(peers) == 0 || (len(s.remotePeers) > 0 && s.Random.Float64() < s.options.RemotePulls) {
 		peers = s.remotePeers
 	}
-	targets := s.drawLocked(peers, min(1, len(peers)))
-	s.schedulePullLocked()
+	if len(peers) == 0 {
+		return membership.Member{}, false
+	}
+	return peers[s.Random.IntN(len(peers))], true
+}
+
+// pullElsewhere asks some other peers at once when one did not answer, since
+// that one's zone may be cut off.
+func (s *Store) pullElsewhere(silent membership.Member, answered bool) {
+	if answered {
+		return
+	}
+	s.mutex.Lock()
+	targets := s.drawLocked(s.zonePeers, pullsAfterSilence)
+	targets = append(targets, s.drawLocked(s.remotePeers, pullsAfterSilence)...)
+	stopped := s.stopped
 	s.mutex.Unlock()
 	for _, target := range targets {
-		s.pull(target.PeerAddress, func() {})
+		if target.Zone != silent.Zone && !stopped {
+			s.pull(target.PeerAddress, func(bool) {})
+		}
 	}
 }
+
+// pullsAfterSilence is how many peers of the zone and of others are asked when
+// one did not answer.
+const pullsAfterSilence = 2
