--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -98,6 +98,8 @@
 	}
 	n.stopping = true
 	n.world.Checker.PlannedStop(n.identity(), n.world.Loop.Now())
+	// It turns probes away from now on, so that they show nothing any more.
+	n.world.Checker.NodeGone(n.identity())
 	stopping := n.Node
 	n.Process.Run(func() {
 		stopping.Drain(func() {
