Test the fit and the counts of hollow nodes; measure an HTTP call

The test compares what the meter counted with what the key-value service and the simulated network saw. It showed that the hollow engines ran 512 tokens for each request of 16, so that requests piled up and demand was reported as waiting: figures with requests before this commit are too high.

--- a/internal/slopes/deployment.go
+++ b/internal/slopes/deployment.go
@@ -12,8 +12,8 @@
 const (
 	acceleratorsPerServer = 8
 	memoryPerServer       = 8 * 80_000_000_000
-	// tokensPerChunk lets a generation be one event of the simulation.
-	tokensPerChunk = 512
+	// tokensPerChunk lets a hollow generation be one event of the simulation.
+	tokensPerChunk = hollowTokens
 )
 
 // Rows of the hollow table.
--- a/internal/slopes/distribution.go
+++ b/internal/slopes/distribution.go
@@ -23,7 +23,8 @@
 	excused    []bool
 }
 
-func newDistribution(nodes int) *Distribution {
+// NewDistribution returns an empty note for that many nodes.
+func NewDistribution(nodes int) *Distribution {
 	return &Distribution{nodes: nodes, revisions: map[table.Revision]*revisionTimes{}, newest: make([]table.Revision, nodes)}
 }
 
@@ -36,22 +37,22 @@
 	return times
 }
 
-// accepted notes that the operator was told of the acceptance.
-func (d *Distribution) accepted(revision table.Revision, at time.Time) {
+// Accepted notes that the operator was told of the acceptance.
+func (d *Distribution) Accepted(revision table.Revision, at time.Time) {
 	d.revision(revision).acceptedAt = at
 }
 
-// inForce notes that a node acts on a revision and on all before it.
-func (d *Distribution) inForce(node int, newest table.Revision, at time.Time) {
+// InForce notes that a node acts on a revision and on all before it.
+func (d *Distribution) InForce(node int, newest table.Revision, at time.Time) {
 	for revision := d.newest[node] + 1; revision <= newest; revision++ {
 		d.revision(revision).inForceAt[node] = at
 	}
 	d.newest[node] = max(d.newest[node], newest)
 }
 
-// gone excuses a node from the revisions that it did not have when it ended:
+// Gone excuses a node from the revisions that it did not have when it ended:
 // its successor reads the table when it starts.
-func (d *Distribution) gone(node int, at time.Time) {
+func (d *Distribution) Gone(node int, at time.Time) {
 	for revision, times := range d.revisions {
 		if revision > d.newest[node] && !times.acceptedAt.IsZero() && !times.acceptedAt.After(at) {
 			times.excused[node] = true
--- a/internal/slopes/experiment.go
+++ b/internal/slopes/experiment.go
@@ -23,10 +23,11 @@
 	PartTraffic   = "traffic"
 	PartDimension = "dimensions"
 	PartFaults    = "faults"
+	PartCalls     = "calls"
 )
 
 // Parts lists the parts in the order in which they run.
-var Parts = []string{PartToday, PartControl, PartTraffic, PartDimension, PartFaults}
+var Parts = []string{PartToday, PartControl, PartTraffic, PartDimension, PartFaults, PartCalls}
 
 // Run runs the parts and prints their reports.
 func Run(options Options) error {
@@ -36,7 +37,7 @@
 	}
 	run := map[string]func(Options) error{
 		PartToday: runToday, PartControl: runControl, PartTraffic: runTraffic,
-		PartDimension: runDimensions, PartFaults: runFaults,
+		PartDimension: runDimensions, PartFaults: runFaults, PartCalls: runCalls,
 	}
 	for _, part := range Parts {
 		if len(wanted) > 0 && !wanted[part] {
@@ -62,6 +63,20 @@
 	return defaultPlan
 }
 
+// measuredCalls are made by runCalls.
+const measuredCalls = 5000
+
+// runCalls measures what one HTTP call costs.
+func runCalls(options Options) error {
+	cost, err := MeasureHTTPCall(measuredCalls)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(options.Out, "\none HTTP call without a body: %.0f bytes, %s of processor time at client and server together\n",
+		cost.Bytes, cost.Processor)
+	return nil
+}
+
 // runToday measures today's size.
 func runToday(options Options) error {
 	sweep := Sweep{
--- a/internal/slopes/faults.go
+++ b/internal/slopes/faults.go
@@ -52,7 +52,7 @@
 		if node.zone.name == name && !node.restarting {
 			node.restarting = true
 			node.Process.Kill()
-			w.Distribution.gone(node.index, w.Loop.Now())
+			w.Distribution.Gone(node.index, w.Loop.Now())
 		}
 	}
 	for _, machine := range w.Machines.Living() {
--- a/internal/slopes/measure.go
+++ b/internal/slopes/measure.go
@@ -3,6 +3,8 @@
 import (
 	"runtime"
 	"time"
+
+	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
 // Cost is what one role, or all together, costs one node.
@@ -43,9 +45,14 @@
 	Elapsed       time.Duration
 	// DataCorePercent and DataMegaBytes of the data path.
 	DataCorePercent, DataMegaBytes float64
-	// MessagesCounted and MessagesDelivered in the window: those that the
-	// meter saw between nodes, and those that the simulated network took.
+	// KeyValueCounted operations were seen by the meter in the window and
+	// KeyValueServed by the service.
 	KeyValueCounted, KeyValueServed float64
+	// PeerCounted messages between nodes were seen by the meter, with
+	// PeerBytes, and PeerObserved with PeerBytesObserved by the simulated peer
+	// network if it was asked to count.
+	PeerCounted, PeerObserved    uint64
+	PeerBytes, PeerBytesObserved float64
 }
 
 // Total sums the roles.
@@ -61,6 +68,9 @@
 type Plan struct {
 	// Settle before the requests begin, Warm before the window, Window counted.
 	Settle, Warm, Window time.Duration
+	// Verify also counts in the simulated network, where each message is
+	// encoded, which is slow.
+	Verify bool
 }
 
 // Measure runs a World of a size.
@@ -75,6 +85,12 @@
 	world.StartChanges()
 	world.Loop.RunFor(plan.Warm)
 	m := &Measurement{Size: size, Seed: seed, Window: plan.Window}
+	if plan.Verify {
+		world.peers.OnMessage = func(_, _ string, _ peer.Message, size int) {
+			m.PeerObserved++
+			m.PeerBytesObserved += float64(size)
+		}
+	}
 	if err := m.measure(world); err != nil {
 		return nil, err
 	}
@@ -91,6 +107,7 @@
 		return err
 	}
 	world.Meter.Stop()
+	m.PeerCounted, m.PeerBytes = world.Meter.peerMessages, world.Meter.peerBytes
 	m.KeyValueServed = float64(world.KeyValue.Counters().Total() - servedBefore)
 	heap, total, err := heapByRole()
 	if err != nil {
--- a/internal/slopes/meter.go
+++ b/internal/slopes/meter.go
@@ -42,6 +42,9 @@
 	samples map[string]*sampler
 	// running: counting has begun.
 	running bool
+	// peerMessages counted between nodes, and their bytes.
+	peerMessages uint64
+	peerBytes    float64
 }
 
 // NewMeter returns a meter that does not count yet.
--- a/internal/slopes/node.go
+++ b/internal/slopes/node.go
@@ -71,7 +71,7 @@
 	}
 	n.Node = built
 	built.Table.Subscribe(func(snapshot *table.Snapshot) {
-		w.Distribution.inForce(n.index, snapshot.Revision(), w.Loop.Now())
+		w.Distribution.InForce(n.index, snapshot.Revision(), w.Loop.Now())
 	})
 	built.Start()
 }
@@ -80,7 +80,7 @@
 func (n *HollowNode) Kill() {
 	n.restarting = true
 	n.Process.Kill()
-	n.world.Distribution.gone(n.index, n.world.Loop.Now())
+	n.world.Distribution.Gone(n.index, n.world.Loop.Now())
 	n.world.Loop.AfterFunc(restartPause, n.start)
 }
 
--- a/internal/slopes/sampler.go
+++ b/internal/slopes/sampler.go
@@ -11,8 +11,8 @@
 // sampleAll is how many messages of a kind are all encoded; after them one in
 // sampleStride is, and counts for that many.
 const (
-	sampleAll    = 32
-	sampleStride = 64
+	sampleAll    = 256
+	sampleStride = 32
 )
 
 // frameBytes is the length before each frame of the peer transport.
--- a/internal/slopes/traffic.go
+++ b/internal/slopes/traffic.go
@@ -36,8 +36,12 @@
 	r.counts.refusals[refusal.Code]++
 }
 
-// hollowBody asks for few tokens: the control work does not depend on them.
-var hollowBody = []byte(`{"model":"m","messages":[{"role":"user","content":"Draft a short reply."}],"max_tokens":16}`)
+// hollowTokens are generated for each request: few, because the control work
+// does not depend on them.
+const hollowTokens = 16
+
+var hollowBody = fmt.Appendf(nil,
+	`{"model":"m","messages":[{"role":"user","content":"Draft a short reply."}],"max_tokens":%d}`, hollowTokens)
 
 // ImportTable writes the table through the first node until it is accepted.
 func (w *World) ImportTable() {
@@ -48,7 +52,7 @@
 				w.Loop.AfterFunc(time.Second, w.ImportTable)
 				return
 			}
-			w.Distribution.accepted(outcome.Revision, w.Loop.Now())
+			w.Distribution.Accepted(outcome.Revision, w.Loop.Now())
 		})
 	})
 }
@@ -136,7 +140,7 @@
 				w.Distribution.failed++
 				return
 			}
-			w.Distribution.accepted(outcome.Revision, w.Loop.Now())
+			w.Distribution.Accepted(outcome.Revision, w.Loop.Now())
 		})
 	})
 }
--- a/internal/slopes/transport.go
+++ b/internal/slopes/transport.go
@@ -42,6 +42,7 @@
 	if !m.running {
 		return
 	}
+	m.peerMessages++
 	kind := reflect.TypeOf(message).String()
 	samples := m.samples[kind]
 	if samples == nil {
@@ -52,6 +53,7 @@
 	if err != nil {
 		panic(err) // every message type is registered with gob
 	}
+	m.peerBytes += size
 	m.kind(roleOfMessage(message), kind).add(Counts{Messages: 2, Bytes: 2 * size, Codec: codec})
 }
 
--- a/internal/slopes/world.go
+++ b/internal/slopes/world.go
@@ -82,7 +82,7 @@
 	w := &World{
 		Size: size, Loop: loop, Network: simulation.NewNetwork(loop), Meter: NewMeter(),
 		zoneOf: map[string]zone{}, random: loop.Fork(),
-		Distribution: newDistribution(size.Nodes),
+		Distribution: NewDistribution(size.Nodes),
 	}
 	w.Network.ConditionsOf = w.conditions
 	w.Network.Cut = w.isCut
