Weigh a lease on endpoints, and check planned unloads under traffic

A lease renewed by the owner alone would stop traffic when an owner dies during an outage of the key-value service, which must not be; docs/design/routing.md says what was weighed and which way is open.

--- a/internal/emulator/gateways_test.go
+++ b/internal/emulator/gateways_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 	"github.com/hatchplank/hatchplank/internal/table"
+	"github.com/hatchplank/hatchplank/internal/tablestore"
 )
 
 // crowd measures the calls that several gateways make to the engines.
@@ -161,6 +163,79 @@
 	})
 })
 
+// isolate cuts a node off from the other nodes, the key-value service and the
+// machine list, but not from engines and callers.
+func (c *crowd) isolate(node string) {
+	before := c.world.Network.Cut
+	lost := map[string]bool{keyValueName: true, machinesName: true}
+	for _, n := range c.world.Nodes {
+		lost[n.Name] = true
+	}
+	c.world.Network.Cut = func(from, to string) bool {
+		if from == node && lost[to] || to == node && lost[from] {
+			return true
+		}
+		return before(from, to)
+	}
+}
+
+// disableAll lets an operator forbid replicas of all models.
+func (c *crowd) disableAll() {
+	rows := slices.Clone(c.world.rows.Rows())
+	for i := range rows {
+		rows[i].MinReplicas, rows[i].MaxReplicas = 0, 0
+	}
+	edit := tablestore.Edit{Base: c.world.rows.Revision(), Changed: rows, Author: "operator"}
+	c.world.propose(c.world.Nodes[0], edit, func(tablestore.Outcome) {})
+}
+
+var _ = DescribeTable("planned unloads under traffic",
+	func(isolated bool) {
+		unloads, cut, attempts := 0, 0, 0
+		for seed := range uint64(4) {
+			c := newCrowd(seed, 4, func(d *Deployment) {
+				d.Engines = 2
+				d.Engine.Accelerators, d.Engine.MemoryBytes = 16, 400*gibibyte
+				for i := range d.Rows {
+					d.Rows[i].MinReplicas, d.Rows[i].Repeatable = 1, true
+				}
+			})
+			c.world.observer = func(event record.Event) {
+				c.observe(event)
+				switch {
+				case event.Kind == record.KindUnloadStarted:
+					unloads++
+				case event.Kind == record.KindGenerationTruncated && event.Reason == "unloaded":
+					cut++
+				}
+			}
+			c.world.Loop.RunFor(time.Minute)
+			c.trickle(0.25, c.world.Loop.Now().Add(3*time.Minute), 20*time.Second)
+			c.world.Loop.RunFor(10 * time.Second)
+			if isolated {
+				c.isolate(c.world.Nodes[3].Name)
+			}
+			c.world.Loop.RunFor(20 * time.Second)
+			c.disableAll()
+			c.world.Loop.RunFor(4 * time.Minute)
+			attempts += c.attempts
+			ended := c.served
+			for _, count := range c.refused {
+				ended += count
+			}
+			Expect(ended).To(Equal(c.sent))
+		}
+		fmt.Fprintf(GinkgoWriter, "unloads: isolated %v: %d, %d streams cut off, %d attempts\n", isolated, unloads, cut, attempts)
+		Expect(unloads).To(BeNumerically(">=", 40))
+		if !isolated {
+			Expect(cut).To(BeZero())
+		}
+	},
+	Entry("cut nothing off while the gateways can be told", false),
+	// See docs/design/routing.md for why this is not zero.
+	Entry("are made although a gateway can't be told", true),
+)
+
 // prefixUse counts what the engines' prefix caches spared; it is the responder
 // of all requests of a measurement.
 type prefixUse struct {
