Ask all members through one piece of code

Cause: duplicates showed the bounded question to all members written twice (the status page and the table's revisions), and the filling in of defaults three times. Change: membership/survey holds the question, defaults.Set the filling in. Behaviour is as before; httpapi keeps its own filling, which also replaces negative values.

--- a/internal/api/nodestatus/collector.go
+++ b/internal/api/nodestatus/collector.go
@@ -82,7 +82,7 @@
 
 // Status implements api.StatusSource.
 func (c *Collector) Status(_ time.Duration, done func(api.Status, error)) {
-	newSurvey(c, func(parts []part) { done(c.assemble(parts), nil) }).start()
+	c.ask(func(parts []part) { done(c.assemble(parts), nil) })
 }
 
 // assemble puts the nodes' parts together.
--- a/internal/claims/claimset.go
+++ b/internal/claims/claimset.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/defaults"
 	"github.com/hatchplank/hatchplank/internal/membership"
 	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/platform"
@@ -49,21 +50,15 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Shards, DefaultShards)
-	setDefault(&c.Retention, DefaultRetention)
-	setDefault(&c.Quarantine, DefaultQuarantine)
-	setDefault(&c.MaxKeysPerShard, DefaultMaxKeysPerShard)
-	setDefault(&c.CallTimeout, DefaultCallTimeout)
-	setDefault(&c.TickPeriod, DefaultTickPeriod)
+	defaults.Set(&c.Shards, DefaultShards)
+	defaults.Set(&c.Retention, DefaultRetention)
+	defaults.Set(&c.Quarantine, DefaultQuarantine)
+	defaults.Set(&c.MaxKeysPerShard, DefaultMaxKeysPerShard)
+	defaults.Set(&c.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&c.TickPeriod, DefaultTickPeriod)
 	return c
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // ClaimSet is a node's part in all shards: acceptor of some, proposer to all,
 // and keeper of their configurations.
 type ClaimSet struct {
--- a/internal/peer/tcp/config.go
+++ b/internal/peer/tcp/config.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/defaults"
 )
 
 // The defaults of Config.
@@ -85,26 +86,19 @@
 	if c.Clock == nil {
 		c.Clock = clock.System{}
 	}
-	setDefault(&c.MaxFrameBytes, DefaultMaxFrameBytes)
-	setDefault(&c.QueueLength, DefaultQueueLength)
-	setDefault(&c.MaxPendingCalls, DefaultMaxPendingCalls)
-	setDefault(&c.MaxConnections, DefaultMaxConnections)
-	setDefault(&c.MaxHandshakes, DefaultMaxHandshakes)
-	setDefault(&c.HandshakeTimeout, DefaultHandshakeTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&c.MinBackoff, DefaultMinBackoff)
-	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
+	defaults.Set(&c.MaxFrameBytes, DefaultMaxFrameBytes)
+	defaults.Set(&c.QueueLength, DefaultQueueLength)
+	defaults.Set(&c.MaxPendingCalls, DefaultMaxPendingCalls)
+	defaults.Set(&c.MaxConnections, DefaultMaxConnections)
+	defaults.Set(&c.MaxHandshakes, DefaultMaxHandshakes)
+	defaults.Set(&c.HandshakeTimeout, DefaultHandshakeTimeout)
+	defaults.Set(&c.WriteTimeout, DefaultWriteTimeout)
+	defaults.Set(&c.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&c.MinBackoff, DefaultMinBackoff)
+	defaults.Set(&c.MaxBackoff, DefaultMaxBackoff)
 	return c
 }
 
-func setDefault[Value comparable](field *Value, value Value) {
-	var zero Value
-	if *field == zero {
-		*field = value
-	}
-}
-
 // backoff returns the wait after a number of failures in a row: from a half up
 // to the whole of the doubled minimum.
 func (c Config) backoff(failures int) time.Duration {
