Take a chat's first message for its prefix

The first 1,024 bytes of all messages decided on the affinity, so requests that share instructions shorter than that, and the turns of a short conversation, had nothing in common. Now the first message alone decides if it has 256 bytes or more.

FuzzDecodeGeneration for 10 s found nothing.

--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -8,8 +8,14 @@
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
-// affinityPrefixBytes of the prompt decide which replica may hold its prefix.
-const affinityPrefixBytes = 1024
+const (
+	// affinityPrefixBytes of the prompt decide which replica may hold its prefix.
+	affinityPrefixBytes = 1024
+	// affinityMessageBytes is the length from which the first message alone
+	// decides: what follows is seldom shared between requests. A shorter one is
+	// not worth an affinity of its own.
+	affinityMessageBytes = 256
+)
 
 // generationKind tells the two generating paths apart.
 type generationKind uint8
@@ -150,14 +156,41 @@
 	return raw[0] == '[' && len(bytes.TrimSpace(raw[1:len(raw)-1])) == 0
 }
 
-// affinityPrefix returns the start of the prompt.
+// affinityPrefix returns the start of the prompt that requests with the same
+// cached prefix are likely to share.
 func (b *generationBody) affinityPrefix(kind generationKind) []byte {
-	prompt := b.Prompt
+	prompt := []byte(b.Prompt)
 	if kind == kindChat {
 		prompt = b.Messages
+		if first := firstMessage(b.Messages); len(first) >= affinityMessageBytes {
+			prompt = first
+		}
 	}
-	if len(prompt) > affinityPrefixBytes {
-		prompt = prompt[:affinityPrefixBytes]
+	return prompt[:min(len(prompt), affinityPrefixBytes)]
+}
+
+// firstMessage returns the part of a valid JSON list up to the end of its first
+// element, or of its start if that is longer than affinityPrefixBytes.
+func firstMessage(messages json.RawMessage) []byte {
+	messages = messages[:min(len(messages), affinityPrefixBytes)]
+	depth, quoted, escaped := 0, false, false
+	for index, character := range messages {
+		switch {
+		case escaped:
+			escaped = false
+		case quoted:
+			escaped = character == '\\'
+			quoted = character != '"'
+		case character == '"':
+			quoted = true
+		case character == '{' || character == '[':
+			depth++
+		case character == '}' || character == ']':
+			depth--
+			if depth == 1 {
+				return messages[:index+1]
+			}
+		}
 	}
-	return prompt
+	return messages
 }
--- a/internal/api/decode_test.go
+++ b/internal/api/decode_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 	"unicode/utf8"
@@ -39,6 +40,33 @@
 	})
 }
 
+// TestAffinityPrefix checks which requests share their prefix.
+func TestAffinityPrefix(t *testing.T) {
+	long := strings.Repeat("Read the dossier. ", 20)
+	prefixOf := func(messages ...string) string {
+		body := `{"model":"m","messages":[{"role":"system","content":"` + strings.Join(messages, `"},{"role":"user","content":"`) + `"}]}`
+		decoded, refusal := decodeGeneration(kindChat, []byte(body))
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		return string(decoded.affinityPrefix(kindChat))
+	}
+	for name, pair := range map[string]struct {
+		a, b []string
+		same bool
+	}{
+		"a long first message":              {[]string{long, "one"}, []string{long, "another"}, true},
+		"a conversation that goes on":       {[]string{long, "one"}, []string{long, "one", "answer", "more"}, true},
+		"another long first message":        {[]string{long, "one"}, []string{long + "!", "one"}, false},
+		"a short first message":             {[]string{"Be kind.", "one"}, []string{"Be kind.", "another"}, false},
+		"a first message beyond the length": {[]string{strings.Repeat(long, 4) + "a"}, []string{strings.Repeat(long, 4) + "b"}, true},
+	} {
+		if same := prefixOf(pair.a...) == prefixOf(pair.b...); same != pair.same {
+			t.Errorf("%s: same prefix %v", name, same)
+		}
+	}
+}
+
 // FuzzCallOptions checks that any header value is refused or within its bounds.
 func FuzzCallOptions(f *testing.F) {
 	f.Add("30s", "9", "key")
