Grant accused members less time after a blip of the watch

Each interruption of a member's watch made accusations wait 30 s, though most are gaps of one watch. One that the first reading ends now counts as a blip: 10 s. Readings after an interruption spread over 5 s instead of 15 s.

--- a/internal/membership/heartbeat_detector.go
+++ b/internal/membership/heartbeat_detector.go
@@ -47,8 +47,9 @@
 	synchronised bool
 	// interrupted since the newest reading: accusations may go unnoticed.
 	interrupted bool
-	// lastTrouble is when this node was last paused or its watch interrupted.
-	lastTrouble time.Time
+	// interruptedAt is when the present interruption began.
+	interruptedAt time.Time
+	trouble       trouble
 }
 
 // NewHeartbeatDetector returns a detector that is not started. The source of
@@ -102,10 +103,7 @@
 func (d *HeartbeatDetector) Reading(reading platform.RangeResult) {
 	d.change(func(now time.Time) error {
 		d.synchronised = true
-		if d.interrupted {
-			d.interrupted = false
-			d.lastTrouble = now
-		}
+		d.interruptionEndedLocked(now)
 		return d.registered.replace(reading, now)
 	})
 }
@@ -130,8 +128,10 @@
 func (d *HeartbeatDetector) Interrupted(error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.interrupted = true
-	d.lastTrouble = d.clock.Now()
+	if !d.interrupted {
+		d.interrupted = true
+		d.interruptedAt = d.clock.Now()
+	}
 }
 
 // change takes in what was read of the records, draws the consequences and
--- a/internal/membership/heartbeat_options.go
+++ b/internal/membership/heartbeat_options.go
@@ -24,10 +24,11 @@
 	// RefutationGrace is how long an accused member has to write its record
 	// anew.
 	RefutationGrace time.Duration
-	// OutageGrace replaces RefutationGrace for that long after this node was
-	// paused or its watch was interrupted: the accused may not have seen the
-	// accusation.
-	OutageGrace time.Duration
+	// BlipGrace and OutageGrace replace RefutationGrace for that long after
+	// this node's watch was interrupted, for a moment or for longer: the
+	// accused may not have seen the accusation. A pause of this node counts as
+	// an outage.
+	BlipGrace, OutageGrace time.Duration
 	// RefutationHold is how long a member that refuted an accusation is not
 	// accused again. It doubles with each refutation.
 	RefutationHold time.Duration
@@ -41,8 +42,9 @@
 
 // DefaultHeartbeatOptions returns the options used in a node.
 func DefaultHeartbeatOptions(period time.Duration) HeartbeatOptions {
+	const recoverySpread = 5 * time.Second
 	watch := keywatch.DefaultOptions(HeartbeatPrefix)
-	watch.RecoverySpread = 15 * time.Second
+	watch.RecoverySpread = recoverySpread
 	watch.RereadEvery = 30 * time.Minute
 	return HeartbeatOptions{
 		Period:           period,
@@ -52,6 +54,7 @@
 		NeighbourPeriods: 3,
 		SuspicionRounds:  3,
 		RefutationGrace:  3 * time.Second,
+		BlipGrace:        recoverySpread + 5*time.Second,
 		OutageGrace:      30 * time.Second,
 		RefutationHold:   30 * time.Second,
 		Timeout:          2 * time.Second,
--- a/internal/membership/heartbeat_probing.go
+++ b/internal/membership/heartbeat_probing.go
@@ -55,7 +55,7 @@
 	}
 	now := d.clock.Now()
 	if now.Sub(d.probing.tickedAt) > pausedPeriods*d.options.Period {
-		d.lastTrouble = now
+		d.trouble.note(now, d.options.OutageGrace)
 	}
 	d.probing.tickedAt = now
 	d.scheduleTickLocked()
--- a/internal/membership/heartbeat_removal.go
+++ b/internal/membership/heartbeat_removal.go
@@ -57,12 +57,44 @@
 	d.accuseLocked(suspect, known)
 }
 
+// trouble is why accusations may go unnoticed by the accused for a while.
+type trouble struct {
+	at    time.Time
+	grace time.Duration
+}
+
+// note keeps the longer grace while an earlier one lasts.
+func (t *trouble) note(now time.Time, grace time.Duration) {
+	t.grace = max(grace, t.graceAt(now))
+	t.at = now
+}
+
+// graceAt returns the grace that still applies, or zero.
+func (t *trouble) graceAt(now time.Time) time.Duration {
+	if t.at.IsZero() || now.Sub(t.at) >= t.grace {
+		return 0
+	}
+	return t.grace
+}
+
+// interruptionEndedLocked notes what an interruption of the watch tells of the
+// others' watches: one that ended with the first reading may have been a blip
+// that they too recover from at once; a longer one was an outage.
+func (d *HeartbeatDetector) interruptionEndedLocked(now time.Time) {
+	if !d.interrupted {
+		return
+	}
+	d.interrupted = false
+	if now.Sub(d.interruptedAt) <= d.options.Watch.RecoverySpread+d.options.Timeout {
+		d.trouble.note(now, d.options.BlipGrace)
+		return
+	}
+	d.trouble.note(now, d.options.OutageGrace)
+}
+
 // refutationGraceLocked returns how long an accusation must have stood.
 func (d *HeartbeatDetector) refutationGraceLocked(now time.Time) time.Duration {
-	if !d.lastTrouble.IsZero() && now.Sub(d.lastTrouble) < d.options.OutageGrace {
-		return d.options.OutageGrace
-	}
-	return d.options.RefutationGrace
+	return max(d.options.RefutationGrace, d.trouble.graceAt(now))
 }
 
 // refutationHold returns how long a record must have stood before its member
