--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -176,6 +176,22 @@
 		c.Reconnected("node-0", at(40))
 		c.Probed("probe", node, true, at(44))
 	}),
+	Entry("no change missed over a partition that ends in a pause", checker.PromiseTable, 0, func(c *checker.Checker) {
+		c.CutOff("node-0", at(5))
+		probe(c)
+		c.Reconnected("node-0", at(20))
+		c.Paused(node, at(24))
+		c.Resumed(node, at(40))
+		c.Probed("probe", node, true, at(44))
+	}),
+	Entry("a change missed after both", checker.PromiseTable, 1, func(c *checker.Checker) {
+		c.CutOff("node-0", at(5))
+		probe(c)
+		c.Reconnected("node-0", at(20))
+		c.Paused(node, at(24))
+		c.Resumed(node, at(40))
+		c.Probed("probe", node, true, at(45.1))
+	}),
 	Entry("a change that reverts", checker.PromiseTable, 1, func(c *checker.Checker) {
 		probe(c)
 		c.Probed("probe", node, true, at(11))
--- a/internal/checker/spans.go
+++ b/internal/checker/spans.go
@@ -42,6 +42,22 @@
 	return due, false
 }
 
+// extendAll is extend over several lists. A due time that one list moves may
+// fall into a span of another, so it goes on until none moves it.
+func extendAll(from, due time.Time, allowance time.Duration, lists ...spans) (extended time.Time, open bool) {
+	for {
+		before := due
+		for _, list := range lists {
+			if due, open = list.extend(from, due, allowance); open {
+				return due, true
+			}
+		}
+		if due.Equal(before) {
+			return due, false
+		}
+	}
+}
+
 // Paused notes that a process, a node or a server, stopped to act: what is due
 // of it is due after Resumed.
 func (c *Checker) Paused(process string, at time.Time) {
