Recognise claim shards that need no change without ranking all members

Each node ranked all members for each shard every second. An index of the live members, built once a tick, tells whether a shard's acceptors stay. A property compares the index with the choice.

--- a/internal/claims/claimset.go
+++ b/internal/claims/claimset.go
@@ -74,6 +74,9 @@
 	reconfigurationMutex sync.Mutex
 	reconfigurations     []reconfigurationState
 
+	// live members as of the newest tick; ticks never overlap.
+	live liveMembers
+
 	stopTick func()
 }
 
--- /dev/null
+++ b/internal/claims/live.go
@@ -0,0 +1,40 @@
+package claims
+
+import "github.com/hatchplank/hatchplank/internal/membership"
+
+// liveMembers is an index of the members that may be acceptors, so that a
+// shard that needs no change is recognised without ranking all members.
+type liveMembers struct {
+	members []membership.Member
+	// incarnations by name; draining members are not in it.
+	incarnations map[string]string
+}
+
+// update makes the index that of the members.
+func (l *liveMembers) update(members []membership.Member) {
+	l.members = members
+	if l.incarnations == nil {
+		l.incarnations = make(map[string]string, len(members))
+	}
+	clear(l.incarnations)
+	for _, member := range members {
+		if !member.Draining {
+			l.incarnations[member.Name] = member.Incarnation
+		}
+	}
+}
+
+// keeps reports whether chooseAcceptors would choose the current acceptors
+// again: they are as many as wanted, live, and not draining.
+func (l *liveMembers) keeps(current Configuration) bool {
+	if len(current.Acceptors) != acceptorsAmong(len(l.incarnations)) {
+		return false
+	}
+	for _, acceptor := range current.Acceptors {
+		incarnation, live := l.incarnations[acceptor.Name]
+		if !live || incarnation != acceptor.Incarnation {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/claims/live_test.go
@@ -0,0 +1,69 @@
+package claims
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/hatchplank/hatchplank/internal/membership"
+)
+
+func drawMembers(t *rapid.T) []membership.Member {
+	var members []membership.Member
+	for index := range rapid.IntRange(0, 9).Draw(t, "members") {
+		members = append(members, membership.Member{
+			Name: fmt.Sprintf("n%d", index), Incarnation: rapid.SampledFrom([]string{"1", "2"}).Draw(t, "incarnation"),
+			Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"), Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0,
+		})
+	}
+	return members
+}
+
+// TestKeeps compares the index with the choice over all members.
+func TestKeeps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := drawMembers(t), drawMembers(t)
+		if rapid.Bool().Draw(t, "unchanged") {
+			after = before
+		}
+		current := Configuration{Acceptors: chooseAcceptors(1, nil, before)}
+		var live liveMembers
+		live.update(before)
+		live.update(after)
+		kept := live.keeps(current)
+		if changes := needsChange(current, chooseAcceptors(1, current.Acceptors, after)); kept == changes {
+			t.Fatalf("kept %v, needs change %v: %v among %v", kept, changes, current.Acceptors, after)
+		}
+	})
+}
+
+// BenchmarkCheckShards is a tick over 256 shards of 840 members that need no
+// change, as it was and as it is.
+func BenchmarkCheckShards(b *testing.B) {
+	const shards, count = 256, 840
+	var members []membership.Member
+	for index := range count {
+		members = append(members, membership.Member{Name: fmt.Sprintf("node-%d", index), Incarnation: "1", Zone: fmt.Sprintf("z%d", index%19)})
+	}
+	configurations := make([]Configuration, shards)
+	for shard := range shards {
+		configurations[shard].Acceptors = chooseAcceptors(shard, nil, members)
+	}
+	b.Run("choice over all members", func(b *testing.B) {
+		for b.Loop() {
+			for shard := range shards {
+				needsChange(configurations[shard], chooseAcceptors(shard, configurations[shard].Acceptors, members))
+			}
+		}
+	})
+	b.Run("index", func(b *testing.B) {
+		var index liveMembers
+		for b.Loop() {
+			index.update(members)
+			for shard := range shards {
+				index.keeps(configurations[shard])
+			}
+		}
+	})
+}
--- a/internal/claims/reconfiguration.go
+++ b/internal/claims/reconfiguration.go
@@ -46,9 +46,9 @@
 		return
 	}
 	now := s.config.Clock.Now()
-	members := s.config.Members.Members()
+	s.live.update(s.config.Members.Members())
 	for shard := range s.config.Shards {
-		s.checkShard(shard, members, now)
+		s.checkShard(shard, &s.live, now)
 	}
 }
 
@@ -56,21 +56,20 @@
 	return s.config.Synchronised == nil || s.config.Synchronised()
 }
 
-func (s *ClaimSet) checkShard(shard int, members []membership.Member, now time.Time) {
+func (s *ClaimSet) checkShard(shard int, live *liveMembers, now time.Time) {
 	current, _ := s.configurations.get(shard)
-	desired := chooseAcceptors(shard, current.Acceptors, members)
 	s.reconfigurationMutex.Lock()
 	defer s.reconfigurationMutex.Unlock()
 	state := &s.reconfigurations[shard]
 	stuck := s.acceptors[shard].stuck(current.id(shard), sealPatience, now)
-	if !stuck && !needsChange(current, desired) {
+	if !stuck && live.keeps(current) {
 		*state = reconfigurationState{}
 		return
 	}
 	if state.degradedSince.IsZero() {
 		state.degradedSince = now
 	}
-	position := s.position(shard, members)
+	position := s.position(shard, live.members)
 	if !stuck && (position < 0 || now.Sub(state.degradedSince) < time.Duration(position)*rankDelay) {
 		return
 	}
@@ -80,7 +79,7 @@
 	if state.running != nil && now.Sub(state.startedAt) < reconfigurationTimeout {
 		return
 	}
-	state.running = s.newReconfiguration(shard, desired)
+	state.running = s.newReconfiguration(shard, chooseAcceptors(shard, current.Acceptors, live.members))
 	state.running.renew = stuck
 	state.startedAt = now
 	state.running.start()
