Poll idle servers every five seconds

Cause: an owner read a full state from each of its 12 servers every second: 7.7 to 8.4 KB/s, above the 5 KB/s that all control of a node may take. Change: servers without replicas are polled every 5 s, and the load figures of the others, which need a full state, are read as often; changes are still seen within a second, and servers on which something changes are polled every 100 ms as before.

--- a/internal/applier/config.go
+++ b/internal/applier/config.go
@@ -79,6 +79,10 @@
 	OrderTimeout, StateTimeout time.Duration
 	// FastPoll of servers on which something changes; SlowPoll of the others.
 	FastPoll, SlowPoll time.Duration
+	// IdlePoll of servers without replicas, and the period at which the load
+	// figures of the others are read: a full state has about 150 bytes a
+	// replica, and gateways learn the load from answers.
+	IdlePoll time.Duration
 	// RetryMin and RetryMax bound the pause before a server is tried again.
 	RetryMin, RetryMax time.Duration
 	// LoadBackoffMin and LoadBackoffMax bound the pause after a failed load.
@@ -120,6 +124,7 @@
 		Tick: 100 * time.Millisecond, Coalesce: 20 * time.Millisecond, Plan: time.Second,
 		OrderTimeout: 2 * time.Second, StateTimeout: time.Second,
 		FastPoll: 100 * time.Millisecond, SlowPoll: time.Second,
+		IdlePoll: 5 * time.Second,
 		RetryMin: 200 * time.Millisecond, RetryMax: 2 * time.Second,
 		LoadBackoffMin: time.Second, LoadBackoffMax: time.Minute,
 		DemandExpiry: 4 * time.Second, Interest: 30 * time.Second,
--- a/internal/applier/states.go
+++ b/internal/applier/states.go
@@ -21,15 +21,23 @@
 	}
 }
 
-func (o *Owner) poll(now time.Time, server *serverEntry) {
-	period := o.config.Intervals.SlowPoll
-	if server.changing() {
-		period = o.config.Intervals.FastPoll
+// pollPeriod is how long after this poll of a server the next one comes.
+func (o *Owner) pollPeriod(server *serverEntry) time.Duration {
+	switch {
+	case server.changing():
+		return o.config.Intervals.FastPoll
+	case len(server.replicas) == 0:
+		return o.config.Intervals.IdlePoll
+	default:
+		return o.config.Intervals.SlowPoll
 	}
-	server.nextPoll = now.Add(period)
+}
+
+func (o *Owner) poll(now time.Time, server *serverEntry) {
+	server.nextPoll = now.Add(o.pollPeriod(server))
 	server.polling = true
 	since := server.state.Version
-	if server.draining() || now.Sub(server.loadsReadAt) >= o.config.Intervals.SlowPoll && len(server.replicas) > 0 {
+	if server.draining() || now.Sub(server.loadsReadAt) >= o.config.Intervals.IdlePoll && len(server.replicas) > 0 {
 		// Load figures are only part of a full state.
 		since = 0
 		server.loadsReadAt = now
