Let a policy experiment's earlier rounds be irregular

Cause: with a regular calendar the product foresees the opening, so that its reactive part is not measured. The collector runs seldom in the command.

--- a/internal/command/experiment_policies.go
+++ b/internal/command/experiment_policies.go
@@ -24,6 +24,7 @@
 	reportDir  string
 	each       bool
 	curve      bool
+	irregular  bool
 }
 
 // Limits of the flags.
@@ -32,7 +33,7 @@
 	defaultPolicyWorkers = 4
 	// policyGarbagePercent lets the collector run seldom: many small
 	// simulations in one process leave much garbage and hold little.
-	policyGarbagePercent = 400
+	policyGarbagePercent = 1000
 )
 
 // allPolicies is the value of --policy that runs every policy.
@@ -65,6 +66,7 @@
 	flags.IntVar(&options.workers, "workers", defaultPolicyWorkers, "runs at once")
 	flags.StringVar(&options.reportDir, "report", "", "directory to write plots and a page to")
 	flags.BoolVar(&options.each, "each", false, "print a line of JSON for each run")
+	flags.BoolVar(&options.irregular, "irregular", false, "let earlier rounds open at irregular times, so that none can be foreseen")
 	flags.BoolVar(&options.curve, "curve", false, "run the product also with other cold-start weights")
 	return command
 }
@@ -83,8 +85,12 @@
 	}
 	product := example.Settings.Policy.Name
 	defer debug.SetGCPercent(debug.SetGCPercent(policyGarbagePercent))
+	scenario := emulator.DefaultPolicyScenario()
+	if o.irregular {
+		scenario = emulator.IrregularPolicyScenario()
+	}
 	batch := emulator.PolicyBatch{
-		Deployment: o.deployment, Scenario: emulator.DefaultPolicyScenario(), Choices: choices,
+		Deployment: o.deployment, Scenario: scenario, Choices: choices,
 		FirstSeed: o.seed, Seeds: o.runs, Workers: o.workers,
 	}
 	if o.each {
--- a/internal/emulator/policies_scenario.go
+++ b/internal/emulator/policies_scenario.go
@@ -62,6 +62,9 @@
 	FirstOpening time.Duration
 	// Jitter of each opening, to both sides.
 	Jitter time.Duration
+	// EarlierJitter of the earlier openings, if larger: a calendar that can't be
+	// learned.
+	EarlierJitter time.Duration
 	// EarlierScale multiplies the rates of earlier rounds.
 	EarlierScale float64
 	Earlier      RoundShape
@@ -101,11 +104,27 @@
 	}
 }
 
+// irregularJitter of earlier openings makes their gaps differ by minutes.
+const irregularJitter = 6 * time.Minute
+
+// IrregularPolicyScenario is the same with earlier rounds at irregular times,
+// so that the measured opening is a surprise.
+func IrregularPolicyScenario() PolicyScenario {
+	scenario := DefaultPolicyScenario()
+	scenario.FirstOpening += irregularJitter
+	scenario.EarlierJitter = irregularJitter
+	return scenario
+}
+
 // openings returns when the rounds open, the measured one last.
 func (s PolicyScenario) openings(random *rand.Rand) []time.Duration {
 	openings := make([]time.Duration, 0, s.EarlierRounds+1)
 	for number := range s.EarlierRounds + 1 {
-		jitter := time.Duration((2*random.Float64() - 1) * float64(s.Jitter))
+		width := s.Jitter
+		if number < s.EarlierRounds {
+			width = max(width, s.EarlierJitter)
+		}
+		jitter := time.Duration((2*random.Float64() - 1) * float64(width))
 		openings = append(openings, s.FirstOpening+time.Duration(number)*s.Period+jitter)
 	}
 	return openings
--- a/internal/emulator/policies_traffic.go
+++ b/internal/emulator/policies_traffic.go
@@ -71,7 +71,7 @@
 		highest = max(highest, rate)
 	}
 	popularity := zipf(len(rows), class.Skew)
-	at := p.scenario.FirstOpening - p.scenario.Jitter
+	at := p.scenario.FirstOpening - max(p.scenario.Jitter, p.scenario.EarlierJitter)
 	for {
 		at += time.Duration(random.ExpFloat64() / highest * float64(time.Second))
 		if at >= p.scenario.end()-class.TimeLimit {
