--- a/internal/slopes/fit.go
+++ b/internal/slopes/fit.go
@@ -21,8 +21,11 @@
 	residual, mean, width float64
 }
 
-// FitLine fits a line through the points.
+// FitLine fits a line through the points; through a single one it is level.
 func FitLine(x, y []float64) Line {
+	if len(x) == 1 {
+		return Line{Intercept: y[0], SlopeError: math.Inf(1), points: 1, mean: x[0]}
+	}
 	intercept, slope := stat.LinearRegression(x, y, nil, false)
 	line := Line{Intercept: intercept, Slope: slope, points: float64(len(x)), mean: stat.Mean(x, nil)}
 	squares := 0.0
--- a/internal/slopes/fit_test.go
+++ b/internal/slopes/fit_test.go
@@ -19,6 +19,10 @@
 		Expect(line.At(100)).To(BeNumerically("~", 203, 1e-6))
 	})
 
+	It("is level through a single point", func() {
+		Expect(slopes.FitLine([]float64{1}, []float64{7}).At(5)).To(Equal(7.0))
+	})
+
 	It("knows no interval of two points", func() {
 		line := slopes.FitLine([]float64{1, 2}, []float64{1, 2})
 		Expect(math.IsInf(line.SlopeError, 1)).To(BeTrue())
--- a/internal/slopes/report.go
+++ b/internal/slopes/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"text/tabwriter"
 )
 
@@ -30,19 +31,25 @@
 	fmt.Fprintln(table, "role\tmetric\tsmallest\tslope over the fraction\tat full size\t95% interval\tdirect\terror\tlimit\t")
 	for _, role := range append([]Role{""}, Roles...) {
 		for metric := range metrics {
-			r.writeLine(table, role, metric)
+			if !r.isZero(role, metric) {
+				r.writeLine(table, role, metric)
+			}
 		}
 	}
 	return table.Flush()
 }
 
+// isZero reports whether no point has any of a role's metric.
+func (r *Result) isZero(role Role, metric int) bool {
+	return !slices.ContainsFunc(r.Points, func(point Point) bool {
+		return metrics[metric].value(point.costOf(role)) != 0
+	})
+}
+
 func (r *Result) writeLine(table io.Writer, role Role, metric int) {
 	line := r.Fit(role, metric)
 	first := metrics[metric].value(r.Points[0].costOf(role))
 	full := line.At(1)
-	if first == 0 && math.Abs(full) < 1e-9 {
-		return
-	}
 	name, limit, judged := string(role), "", ""
 	if role == "" {
 		name = "all control"
