--- a/internal/api/stored_table.go
+++ b/internal/api/stored_table.go
@@ -55,6 +55,9 @@
 
 // at returns the table at a revision, if it is still known.
 func (s *StoredTable) at(revision table.Revision) (*table.Snapshot, bool) {
+	if revision == 0 {
+		return table.NewSnapshot(0, nil), true
+	}
 	if current := s.store.Snapshot(); current.Revision() == revision {
 		return current, true
 	}
@@ -199,6 +202,9 @@
 	})
 }
 
+// firstRevision can only add rows.
+const firstRevision = 1
+
 func (s *StoredTable) entryOf(record tablestore.HistoryRecord, tenant string) HistoryEntry {
 	entry := HistoryEntry{Revision: record.Revision, Author: record.Author, Time: record.Time}
 	before, knowsBefore := s.at(record.Revision - 1)
@@ -209,7 +215,7 @@
 	}
 	for _, name := range record.Changed {
 		if s.belongs(name, tenant) {
-			entry.Changes = append(entry.Changes, table.RowChange{Row: name})
+			entry.Changes = append(entry.Changes, table.RowChange{Row: name, Added: record.Revision == firstRevision})
 		}
 	}
 	for _, name := range record.Removed {
--- a/internal/api/stored_table_test.go
+++ b/internal/api/stored_table_test.go
@@ -146,6 +146,9 @@
 		Expect(history(attica)).To(HaveLen(1))
 		own := history(ionia)
 		Expect(own).To(HaveLen(2))
+		for _, change := range own[1].Changes {
+			Expect(change.Added).To(BeTrue(), "the first revision only adds")
+		}
 		Expect(own[0].Author).To(Equal("ionia/operator"))
 		Expect(own[0].Changes).To(ConsistOf(table.RowChange{Row: foreignModel, Columns: []table.ColumnChange{
 			{Column: table.ColumnWeight, Before: "1", After: "4"},
--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// group makes a command that only holds others show its help, and a word that
+// is none of them an error of usage.
+func group(command *cobra.Command) {
+	command.Args = usageArguments(cobra.NoArgs)
+	command.RunE = func(command *cobra.Command, _ []string) error { return command.Help() }
+}
+
 // usageFlags makes an unknown or malformed flag an error of usage.
 func usageFlags(command *cobra.Command, err error) error {
 	return usageError("%w; see '%s --help'", err, command.CommandPath())
--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -10,8 +10,8 @@
 		Long: "Run whole deployments in virtual time: the same node code as serve, between simulated\n" +
 			"callers and the platform's stand-ins. Each experiment ends with one line of JSON.",
 		Example: "  hatchplank experiment demo\n  hatchplank experiment faults --deployment schools --seed 1 --runs 20",
-		Args:    usageArguments(cobra.NoArgs),
 	}
-	command.AddCommand(newDemoCommand(), newFaultsCommand(), newOverloadCommand(), newPoliciesCommand())
+	group(command)
+	command.AddCommand(newDemoCommand(), newClaimsCommand(), newFaultsCommand(), newOverloadCommand(), newPoliciesCommand())
 	return command
 }
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -34,6 +34,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	group(root)
 	root.SetFlagErrorFunc(usageFlags)
 	root.AddCommand(
 		NewServeCommand(),
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -44,7 +44,6 @@
 		Args: usageArguments(cobra.NoArgs),
 	}
 	command.Flags().StringVar(&file, "settings", "", "settings file (YAML)")
-	_ = command.MarkFlagRequired("settings")
 	for name, flag := range serveFlags {
 		command.Flags().String(name, "", flag.usage+" (overrides "+flag.key+")")
 	}
@@ -55,6 +54,9 @@
 }
 
 func runServe(command *cobra.Command, file string) error {
+	if file == "" {
+		return usageError("--settings is missing; see '%s --help'", command.CommandPath())
+	}
 	content, err := os.ReadFile(file)
 	if err != nil {
 		return eris.Wrap(err, "read settings")
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -40,6 +40,7 @@
 			"  hatchplank standin all --deployment abay --listen 127.0.0.1 --time-scale 20\n" +
 			"  hatchplank standin kv --base-port 7100",
 	}
+	group(command)
 	addStandinFlags(command, options)
 	command.AddCommand(
 		newStandinPart(options, "all", "Run all stand-ins", suite.AllParts...),
@@ -67,7 +68,7 @@
 		Use:     name,
 		Short:   short,
 		Example: fmt.Sprintf("  hatchplank standin %s --deployment abay --base-port 7100", name),
-		Args:    cobra.NoArgs,
+		Args:    usageArguments(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			return runStandin(command, options, parts)
 		},
--- a/internal/command/table.go
+++ b/internal/command/table.go
@@ -23,8 +23,8 @@
 		Example: "  hatchplank table export --format csv > table.csv\n" +
 			"  hatchplank table diff table.csv\n" +
 			"  hatchplank table apply table.csv --wait",
-		Args: usageArguments(cobra.NoArgs),
 	}
+	group(command)
 	command.SetFlagErrorFunc(usageFlags)
 	command.AddCommand(
 		newTableGetCommand(),
