--- a/internal/slopes/experiment.go
+++ b/internal/slopes/experiment.go
@@ -18,16 +18,18 @@
 
 // The parts of the experiment.
 const (
-	PartToday     = "today"
-	PartControl   = "control"
-	PartTraffic   = "traffic"
-	PartDimension = "dimensions"
-	PartFaults    = "faults"
-	PartCalls     = "calls"
+	PartToday        = "today"
+	PartControl      = "control"
+	PartTraffic      = "traffic"
+	PartDimension    = "dimensions"
+	PartFaults       = "faults"
+	PartCalls        = "calls"
+	PartStates       = "states"
+	PartDistribution = "distribution"
 )
 
 // Parts lists the parts in the order in which they run.
-var Parts = []string{PartToday, PartControl, PartTraffic, PartDimension, PartFaults, PartCalls}
+var Parts = []string{PartToday, PartControl, PartTraffic, PartDimension, PartFaults, PartCalls, PartStates, PartDistribution}
 
 // Run runs the parts and prints their reports.
 func Run(options Options) error {
@@ -37,7 +39,8 @@
 	}
 	run := map[string]func(Options) error{
 		PartToday: runToday, PartControl: runControl, PartTraffic: runTraffic,
-		PartDimension: runDimensions, PartFaults: runFaults, PartCalls: runCalls,
+		PartDimension: runDimensions, PartFaults: runFaults, PartCalls: runCalls, PartStates: runStates,
+		PartDistribution: runDistribution,
 	}
 	for _, part := range Parts {
 		if len(wanted) > 0 && !wanted[part] {
--- a/internal/slopes/faults.go
+++ b/internal/slopes/faults.go
@@ -15,13 +15,16 @@
 	// begin and end switch the fault; span lies between them.
 	begin, end func(*World)
 	span       time.Duration
-	// after is how long is measured from the end on.
-	after time.Duration
+	// before the fault and after its end is measured too.
+	before, after time.Duration
 }
 
 // scenarioLoss is the share of messages between nodes that are lost.
 const scenarioLoss = 0.01
 
+// minimumBefore a fault is counted.
+const minimumBefore = 20 * time.Second
+
 // countPeriod is the period over which operations are averaged.
 const countPeriod = 5 * time.Second
 
@@ -63,12 +66,20 @@
 	}
 }
 
+// Sizes of the fault experiment. An outage of minutes is past every backoff's
+// maximum and every lease, so that an hour's would end alike.
+const (
+	faultsFraction = 1. / 4
+	faultsOutage   = 5 * time.Minute
+	quickFraction  = 1. / 64
+	quickOutage    = 20 * time.Second
+)
+
 // runFaults measures each scenario on a world of its own.
 func runFaults(options Options) error {
-	size := Target()
-	outage := time.Hour
+	size, outage := Target().Scaled(faultsFraction), faultsOutage
 	if options.Quick {
-		size, outage = size.Scaled(1./64), 20*time.Second
+		size, outage = Target().Scaled(quickFraction), quickOutage
 	}
 	size.RequestsPerSecond = 0
 	for _, scenario := range scenarios(outage) {
@@ -80,6 +91,34 @@
 	return nil
 }
 
+// changeFactor is by how much table changes and restarts of nodes are more
+// frequent than at the target, so that enough happens in minutes.
+const changeFactor = 4
+
+// distributionOutage of the key-value service in the midst of the changes.
+const distributionOutage = 30 * time.Second
+
+// runDistribution measures how the table reaches all nodes of the target. The
+// servers, which the table's way does not touch, are fewer.
+func runDistribution(options Options) error {
+	size := Target()
+	if options.Quick {
+		size = size.Scaled(quickFraction)
+	}
+	size.Servers = size.Nodes
+	size.ActiveRows, size.ReplicasPerActiveRow = 1, 1
+	size.RequestsPerSecond, size.MachineChangesPerDay = 0, 0
+	size.TableChangesPerDay = changeFactor * Target().TableChangesPerDay
+	size.NodeRestartsPerDay = changeFactor * Target().NodeRestartsPerDay
+	return scenario{
+		name: fmt.Sprintf("table changes and restarts %d times as frequent, 1%% of messages lost, key-value outage of %s",
+			changeFactor, distributionOutage),
+		span: distributionOutage, before: 90 * time.Second, after: 90 * time.Second,
+		begin: func(w *World) { w.KeyValue.SetFaults(keyvalue.Faults{Outage: true}) },
+		end:   func(w *World) { w.KeyValue.SetFaults(keyvalue.Faults{}) },
+	}.run(size, options.Out)
+}
+
 func (s scenario) run(size Size, out io.Writer) error {
 	startedAt := time.Now()
 	world := NewWorld(size, 1)
@@ -90,7 +129,8 @@
 	world.Loss = scenarioLoss
 	world.Loop.RunFor(time.Minute)
 	from := world.Loop.Now()
-	before := world.operationRates(s.span / 10)
+	before := world.operationRates(max(s.before, minimumBefore))
+	begunAt := world.Loop.Now()
 	s.begin(world)
 	during := world.operationRates(s.span)
 	s.end(world)
@@ -100,7 +140,8 @@
 	fmt.Fprintf(out, "  key-value operations/s, mean and peak over %s: before %s; during %s; after %s\n",
 		countPeriod, before, during, after)
 	now := world.Loop.Now().Add(-delaysMargin)
-	fmt.Fprintf(out, "  table in force, during: %s\n", world.Distribution.Delays(from, endedAt))
+	fmt.Fprintf(out, "  table in force, before: %s\n", world.Distribution.Delays(from, begunAt))
+	fmt.Fprintf(out, "  table in force, during: %s\n", world.Distribution.Delays(begunAt, endedAt))
 	fmt.Fprintf(out, "  table in force, after: %s\n", world.Distribution.Delays(endedAt, now))
 	return nil
 }
--- a/internal/slopes/measure_test.go
+++ b/internal/slopes/measure_test.go
@@ -70,3 +70,16 @@
 		Expect(delays.EverywhereP50).To(Equal(3 * time.Second))
 	})
 })
+
+var _ = Describe("MeasureStates", func() {
+	It("finds more memory and bytes for more rows, servers, members and keys", func() {
+		small, err := slopes.MeasureStates(slopes.Target().Scaled(0.1))
+		Expect(err).NotTo(HaveOccurred())
+		large, err := slopes.MeasureStates(slopes.Target())
+		Expect(err).NotTo(HaveOccurred())
+		for index := range large[:3] {
+			Expect(large[index].WireBytes).To(BeNumerically(">", 5*small[index].WireBytes), large[index].Name)
+			Expect(large[index].HeapBytes).To(BeNumerically(">", 2*small[index].HeapBytes), large[index].Name)
+		}
+	})
+})
