Send the time left in place of the time of day of a deadline

Engines compared a deadline in the gateway's clock with their own, so what a node whose clock was behind sent was refused as late. Requests now carry the time left (X-Time-Left in place of X-Deadline; the simulated binding does the same), and a refusal for want of time no longer counts against an endpoint.

--- a/internal/emulator/gateways_test.go
+++ b/internal/emulator/gateways_test.go
@@ -290,3 +290,26 @@
 		Expect(with.cached).To(BeNumerically(">", without.cached*9/5))
 	})
 })
+
+var _ = Describe("a gateway whose clock is behind", func() {
+	It("gets its requests served like any other", func() {
+		c := newCrowd(1, 4, func(d *Deployment) {
+			for i := range d.Rows {
+				d.Rows[i].MinReplicas, d.Rows[i].Repeatable = 1, true
+			}
+		})
+		behind := c.world.Nodes[3]
+		behind.driftOffset = -5 * time.Second
+		behind.Kill()
+		behind.Start()
+		c.world.Loop.RunFor(time.Minute)
+		row := c.world.Options.Deployment.Rows[1]
+		for range 20 {
+			c.send(3, c.generation(row, "dossier", 16), 3*time.Second)
+			c.world.Loop.RunFor(time.Second)
+		}
+		c.world.Loop.RunFor(5 * time.Second)
+		fmt.Fprintf(GinkgoWriter, "clock behind: %d of 20 served, refused %v, %d attempts\n", c.served, c.refused, c.attempts)
+		Expect(c.served).To(Equal(20))
+	})
+})
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -37,7 +37,13 @@
 		return router.Busy
 	case reasonNotLoaded, reasonLeaving, reasonCancelled:
 		return router.Neutral
-	case reasonConnection, reasonTimeout:
+	case reasonConnection:
+		return router.Unreachable
+	case reasonTimeout:
+		if err.Ran == result.RanNo {
+			// The server refused for want of time.
+			return router.Neutral
+		}
 		return router.Unreachable
 	default:
 		return router.Failed
--- a/internal/platform/httpapi/backend.go
+++ b/internal/platform/httpapi/backend.go
@@ -75,7 +75,7 @@
 	setHeader(header, HeaderRequest, request.RequestID)
 	setHeader(header, HeaderKey, request.Key)
 	setHeader(header, "Content-Type", request.ContentType)
-	setHeader(header, HeaderDeadline, request.Deadline.UTC().Format(DeadlineFormat))
+	setHeader(header, HeaderTimeLeft, FormatTimeLeft(time.Until(request.Deadline)))
 }
 
 // read turns a complete response into the answer. A status that is not a
--- a/internal/platform/httpapi/generate.go
+++ b/internal/platform/httpapi/generate.go
@@ -136,7 +136,7 @@
 	header.Set("Content-Type", MediaJSON)
 	header.Set("Accept", MediaStream)
 	if !request.Deadline.IsZero() {
-		header.Set(HeaderDeadline, request.Deadline.UTC().Format(DeadlineFormat))
+		header.Set(HeaderTimeLeft, FormatTimeLeft(time.Until(request.Deadline)))
 	}
 	header.Set(HeaderPriority, strconv.Itoa(request.Priority))
 	setHeader(header, HeaderRequest, request.RequestID)
--- a/internal/platform/httpapi/wire.go
+++ b/internal/platform/httpapi/wire.go
@@ -8,6 +8,7 @@
 package httpapi
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/platform"
@@ -32,9 +33,11 @@
 
 // Headers of an attempt. The answer repeats HeaderAttempt.
 const (
-	HeaderAttempt    = "X-Attempt-Id"
-	HeaderRequest    = "X-Request-Id"
-	HeaderDeadline   = "X-Deadline"
+	HeaderAttempt = "X-Attempt-Id"
+	HeaderRequest = "X-Request-Id"
+	// HeaderTimeLeft is the time until the request's deadline when it was sent.
+	// It is relative, because the clocks of machines differ.
+	HeaderTimeLeft   = "X-Time-Left"
 	HeaderPriority   = "X-Priority"
 	HeaderResumeFrom = "X-Resume-From"
 	HeaderModel      = "X-Model"
@@ -57,8 +60,22 @@
 	MediaProblem = "application/problem+json"
 )
 
-// DeadlineFormat is the format of HeaderDeadline.
-const DeadlineFormat = time.RFC3339Nano
+// FormatTimeLeft returns the value of HeaderTimeLeft, in milliseconds.
+func FormatTimeLeft(left time.Duration) string {
+	return strconv.FormatInt(max(left.Milliseconds(), 0), 10)
+}
+
+// longestTimeLeft bounds what a header may claim.
+const longestTimeLeft = 24 * time.Hour
+
+// ParseTimeLeft reads the value of HeaderTimeLeft.
+func ParseTimeLeft(value string) (time.Duration, error) {
+	milliseconds, err := strconv.ParseUint(value, 10, 63)
+	if err != nil {
+		return 0, err
+	}
+	return time.Duration(min(milliseconds, uint64(longestTimeLeft.Milliseconds()))) * time.Millisecond, nil
+}
 
 // DoneMarker is the data of a stream's last frame.
 const DoneMarker = "[DONE]"
--- a/internal/standin/engine/simulated.go
+++ b/internal/standin/engine/simulated.go
@@ -94,6 +94,14 @@
 	}
 	stream.connection = &connection{network: s.fleet.network, client: s.client, host: host, stream: stream}
 	stream.armDeadline()
-	s.fleet.network.Deliver(s.client, host.stack, func() { stream.connection.arrive(request) })
+	left := request.Deadline.Sub(s.client.Now())
+	s.fleet.network.Deliver(s.client, host.stack, func() {
+		arrived := request
+		if !request.Deadline.IsZero() {
+			// The time left travels, since the clocks of machines differ.
+			arrived.Deadline = host.stack.Now().Add(left)
+		}
+		stream.connection.arrive(arrived)
+	})
 	return stream.cancel
 }
--- a/internal/standin/httpserver/exchange.go
+++ b/internal/standin/httpserver/exchange.go
@@ -117,15 +117,16 @@
 	return strconv.Atoi(word)
 }
 
-// Deadline reads the deadline header; without one it is the zero time.
+// Deadline reads the header that tells the time left; without one it is the zero
+// time.
 func Deadline(request *http.Request) (time.Time, error) {
-	word := request.Header.Get(httpapi.HeaderDeadline)
+	word := request.Header.Get(httpapi.HeaderTimeLeft)
 	if word == "" {
 		return time.Time{}, nil
 	}
-	deadline, err := time.Parse(httpapi.DeadlineFormat, word)
+	left, err := httpapi.ParseTimeLeft(word)
 	if err != nil {
-		return time.Time{}, fmt.Errorf("deadline: %w", err)
+		return time.Time{}, fmt.Errorf("time left: %w", err)
 	}
-	return deadline, nil
+	return time.Now().Add(left), nil
 }
