--- a/internal/applier/drain.go
+++ b/internal/applier/drain.go
@@ -97,14 +97,20 @@
 }
 
 // settleTime is how long after the last acknowledgement requests may be under
-// way. An unload for which nothing waits takes the time that late messages need.
-func (o *Owner) settleTime(server *serverEntry, d *drain) time.Duration {
-	if d.forRow == "" && !server.leaving() {
+// way. An unload that no row waits for, on a machine that stays long enough,
+// takes the time that late messages need.
+func (o *Owner) settleTime(now time.Time, server *serverEntry, d *drain) time.Duration {
+	leavesSoon := server.leaving() && server.machine.LeavesAt.Sub(now) < leavesSoonLimit
+	if d.forRow == "" && !leavesSoon {
 		return o.config.Intervals.DrainSettleIdle
 	}
 	return o.config.Intervals.DrainSettle
 }
 
+// leavesSoonLimit is the time left to a leaving machine below which its drains
+// are pressed. A machine whose end is not told counts as leaving soon.
+const leavesSoonLimit = 30 * time.Second
+
 // stopWaiting ends the wait for gateways that can't be told. Members that live
 // may be cut off from here and not from the engine, so they are waited for
 // longer, unless the machine leaves, which the machine list tells them as well.
@@ -165,7 +171,7 @@
 		return true
 	}
 	o.stopWaiting(now, server, drain)
-	return drain.finished(now, o.settleTime(server, drain), server.requestedAt, running)
+	return drain.finished(now, o.settleTime(now, server, drain), server.requestedAt, running)
 }
 
 func (o *Owner) orderUnload(server *serverEntry, entry *replicaEntry) {
