--- a/internal/checker/promise.go
+++ b/internal/checker/promise.go
@@ -82,7 +82,8 @@
 	RefusedByCode map[int]uint64
 	// MachinesLeaving counts machines that were announced to leave.
 	MachinesLeaving uint64
-	// MaxConfigDelay and MaxDrainDelay in seconds.
+	// MaxConfigDelay and MaxDrainDelay in seconds, of those not moved by a pause
+	// or a partition.
 	MaxConfigDelay, MaxDrainDelay float64
 	// Doubled, Mismatched, Overcommitted and OverReplicas single out the
 	// violations that the demonstration prints.
