Detect rounds by many rows called at once and load ahead of them

Cause: a session began after six hours of silence of a tenant, which stray calls never allow, so no recurring round was ever learned. Change: a session begins when enough of a tenant's rows are called within two minutes and is over after a pause; regular gaps allow for minutes of difference, because openings are detected by their first calls; loads begin earlier by a margin; foreseen rows are ordered by the wait that they spare. A cold row that waits for room keeps the store's next place from rows that are served already. Tried before and not kept: ordering cold loads by time waited plus time to load, longest first, weighed by row importance to the power of 0.25, together with the place kept for cold rows.

--- a/internal/planner/foresee.go
+++ b/internal/planner/foresee.go
@@ -9,8 +9,13 @@
 const (
 	// regularGaps is how many equal gaps between sessions make them recurring.
 	regularGaps = 2
-	// regularTolerance is the relative difference between equal gaps.
+	// regularTolerance is the relative difference between equal gaps, and
+	// regularSlack the difference that is always allowed: openings are detected
+	// by the first calls, which come a little earlier or later each time.
 	regularTolerance = 0.02
+	regularSlack     = 3 * time.Minute
+	// openingMargin is how much earlier than predicted a session may open.
+	openingMargin = 90 * time.Second
 	// longestLead bounds how far ahead of a foreseen session loads begin.
 	longestLead = 10 * time.Minute
 )
@@ -64,7 +69,7 @@
 		return false
 	}
 	sinceStart := w.snapshot.Now.Sub(tenant.Starts[len(tenant.Starts)-1])
-	if sinceStart < w.policy.parameters.OpeningHold {
+	if tenant.Active && sinceStart < w.policy.parameters.OpeningHold {
 		return called >= w.policy.parameters.OpeningRows
 	}
 	next, regular := tenant.nextStart()
@@ -81,7 +86,8 @@
 	gap := t.Starts[last].Sub(t.Starts[last-1])
 	for k := 1; k < regularGaps; k++ {
 		other := t.Starts[last-k].Sub(t.Starts[last-k-1])
-		if difference := (gap - other).Abs(); float64(difference) > regularTolerance*float64(gap) {
+		allowed := max(regularSlack, time.Duration(regularTolerance*float64(gap)))
+		if (gap - other).Abs() > min(allowed, gap/4) {
 			return time.Time{}, false
 		}
 	}
@@ -100,7 +106,7 @@
 		longest = max(longest, w.coldSeconds(i))
 	}
 	parallel := float64(max(1, w.snapshot.Store.FullSpeedLoads))
-	return min(longestLead, seconds(2*longest+loading/parallel))
+	return min(longestLead, openingMargin+seconds(longest+loading/parallel))
 }
 
 // worthForeseeing weighs a cold start spared against idling in vain.
--- a/internal/planner/loads.go
+++ b/internal/planner/loads.go
@@ -68,11 +68,13 @@
 	return max(0, min(missing, allowed))
 }
 
-// urgency weighs the requests that wait against the seconds of the load.
+// urgency weighs the requests that wait against the seconds of the load, so
+// that short loads go before long ones. For a row that nobody waits for it is
+// the wait that an early load is expected to spare.
 func (w *workspace) urgency(i int, seconds float64) float64 {
 	row, demand := &w.snapshot.Rows[i], &w.rows[i].demand
 	if demand.Waiting == 0 {
-		return 0
+		return w.snapshot.Statistics.SessionShare(row.Name, row.Tenant) * seconds
 	}
 	age := w.snapshot.Now.Sub(demand.OldestWait).Seconds()
 	priority := float64(1 + max(row.Priority, demand.HighestPriority))
@@ -130,6 +132,10 @@
 	readyAt := w.snapshot.Now.Add(seconds(choice.seconds))
 	if !fits || (choice.source == platform.SourceRemote && w.remoteStarts <= 0) {
 		work.readyAt = earlier(work.readyAt, readyAt.Add(w.queueDelay(queued)))
+		if c.cold && choice.source == platform.SourceRemote && w.policy.limitRemote {
+			// Rows that are served already don't take the store's place for it.
+			w.remoteStarts--
+		}
 		return false
 	}
 	if choice.source == platform.SourceRemote {
--- a/internal/planner/statistics.go
+++ b/internal/planner/statistics.go
@@ -17,12 +17,6 @@
 	gapBuckets = 26
 	// shortestGap between two uses that counts as idle time.
 	shortestGap = time.Second
-	// sessionGap of silence of a tenant ends its session.
-	sessionGap = 6 * time.Hour
-	// keptStarts is how many session starts are remembered for a tenant.
-	keptStarts = 8
-	// sessionMemory weighs older sessions against the newest.
-	sessionMemory = 0.8
 	// fastestLoad in seconds per gigabyte keeps a measurement from being none.
 	fastestLoad = 0.001
 	// loadMemory weighs older load times against the newest.
@@ -40,16 +34,8 @@
 	// LastSession is the number of the newest of them.
 	Sessions    float32
 	LastSession uint32
-}
-
-// TenantStatistics is the learned use by one tenant. A session is a period
-// with use between two long silences, such as an admissions round.
-type TenantStatistics struct {
-	Session  uint32
-	Sessions float32
-	LastUsed time.Time
-	// Starts of the newest sessions, oldest first.
-	Starts []time.Time
+	// Tenant of the row when it was used last.
+	Tenant string
 }
 
 // Statistics is what policies learn from past traffic. It is not safe for
@@ -107,33 +93,6 @@
 	}
 }
 
-func (s *Statistics) observeTenant(now time.Time, name string, row *RowStatistics) {
-	tenant := s.tenants[name]
-	if tenant == nil {
-		tenant = &TenantStatistics{}
-		s.tenants[name] = tenant
-	}
-	if tenant.LastUsed.IsZero() || now.Sub(tenant.LastUsed) > sessionGap {
-		tenant.startSession(now)
-	}
-	tenant.LastUsed = now
-	if row.LastSession == tenant.Session {
-		return
-	}
-	missed := float64(tenant.Session - row.LastSession)
-	row.Sessions = row.Sessions*float32(math.Pow(sessionMemory, missed)) + 1
-	row.LastSession = tenant.Session
-}
-
-func (t *TenantStatistics) startSession(now time.Time) {
-	t.Session++
-	t.Sessions = t.Sessions*sessionMemory + 1
-	t.Starts = append(t.Starts, now)
-	if len(t.Starts) > keptStarts {
-		t.Starts = t.Starts[len(t.Starts)-keptStarts:]
-	}
-}
-
 func (r *RowStatistics) recordGap(gap time.Duration) {
 	if r.Gaps == nil {
 		r.Gaps = make([]float32, gapBuckets)
@@ -146,27 +105,6 @@
 	return max(0, min(bucket, gapBuckets-1))
 }
 
-// SessionShare estimates the probability that a session of the tenant uses the
-// row, from the sessions before the present one. 0 when there were none.
-func (s *Statistics) SessionShare(row, tenant string) float64 {
-	rowStatistics, tenantStatistics := s.Row(row), s.Tenant(tenant)
-	if rowStatistics == nil || tenantStatistics == nil {
-		return 0
-	}
-	before := float64(tenantStatistics.Sessions) - 1
-	if before <= 0 {
-		return 0
-	}
-	used := float64(rowStatistics.Sessions)
-	if rowStatistics.LastSession == tenantStatistics.Session {
-		used--
-	} else {
-		missed := float64(tenantStatistics.Session - rowStatistics.LastSession)
-		used *= math.Pow(sessionMemory, missed)
-	}
-	return max(0, min(1, used/before))
-}
-
 // ObserveLoad records how long a load took.
 func (s *Statistics) ObserveLoad(source platform.CheckpointSource, bytes int64, took time.Duration) {
 	if bytes <= 0 || took <= 0 || int(source) >= len(s.secondsPerGigabyte) {
@@ -240,9 +178,27 @@
 	for _, tenant := range encoded.Tenants {
 		statistics.tenants[tenant.Name] = &tenant.TenantStatistics
 	}
+	statistics.linkTenants()
 	return statistics, nil
 }
 
+// linkTenants lists each tenant's rows, in order of name.
+func (s *Statistics) linkTenants() {
+	names := make([]string, 0, len(s.rows))
+	for name := range s.rows {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, tenant := range s.tenants {
+		tenant.rows = nil
+	}
+	for _, name := range names {
+		if tenant := s.tenants[s.rows[name].Tenant]; tenant != nil {
+			tenant.rows = append(tenant.rows, s.rows[name])
+		}
+	}
+}
+
 // Restore takes over what an earlier owner learned, for rows and tenants that
 // were not observed here yet.
 func (s *Statistics) Restore(earlier *Statistics) {
@@ -261,4 +217,5 @@
 			s.secondsPerGigabyte[source] = rate
 		}
 	}
+	s.linkTenants()
 }
