Let several zones find out the death in a small one

Where zones are small a member was probed by one other node alone. Zones after the own one are now added until eight members are probed. A member writes its record at once, without waiting for its first reading.

--- a/internal/membership/heartbeat_detector.go
+++ b/internal/membership/heartbeat_detector.go
@@ -77,6 +77,7 @@
 	d.onChange = onChange
 	d.probing.tickedAt = d.clock.Now()
 	d.scheduleTickLocked()
+	d.convergeLocked()
 	d.mutex.Unlock()
 	d.watcher.Start()
 }
--- a/internal/membership/heartbeat_options.go
+++ b/internal/membership/heartbeat_options.go
@@ -16,7 +16,7 @@
 	// Helpers is how many members are asked to probe in this node's place.
 	Helpers int
 	// NeighbourPeriods is the mean number of periods between two probes that a
-	// member of the neighbour zone receives from this zone.
+	// member of a neighbour zone receives from this zone.
 	NeighbourPeriods int
 	// SuspicionRounds is how many more probes a suspect must leave unanswered
 	// before it is accused.
@@ -59,7 +59,7 @@
 		RefutationHold:   30 * time.Second,
 		Timeout:          2 * time.Second,
 		MinBackoff:       300 * time.Millisecond,
-		MaxBackoff:       15 * time.Second,
+		MaxBackoff:       5 * time.Second,
 		Watch:            watch,
 	}
 }
--- a/internal/membership/heartbeat_probing.go
+++ b/internal/membership/heartbeat_probing.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxNeighbourProbes of the neighbour zone in one period.
-	maxNeighbourProbes = 4
+	// maxNeighbourProbes of the neighbour zones in one period.
+	maxNeighbourProbes = 2
 	// pausedPeriods without a tick mean that this node was paused.
 	pausedPeriods = 3
 )
@@ -20,7 +20,7 @@
 // probingState is what this node knows from probes.
 type probingState struct {
 	targets probeTargets
-	// neighbourCredit grows by the share of the neighbour zone's probes that
+	// neighbourCredit grows by the share of the neighbour zones' probes that
 	// this node owes in each period.
 	neighbourCredit float64
 	// inFlight are the IDs of members being probed.
@@ -75,18 +75,18 @@
 		d.probeLocked(target)
 	}
 	for range d.neighbourProbesLocked() {
-		if target, found := state.targets.neighbour.take(d.random); found {
+		if target, found := state.targets.neighbours.take(d.random); found {
 			d.probeLocked(target)
 		}
 	}
 }
 
-// neighbourProbesLocked returns how many members of the neighbour zone to probe
+// neighbourProbesLocked returns how many members of the neighbour zones to probe
 // now, so that the whole zone probes each of them once in NeighbourPeriods.
 func (d *HeartbeatDetector) neighbourProbesLocked() int {
 	state := &d.probing
 	zoneSize := len(state.targets.zone.members) + 1
-	share := float64(len(state.targets.neighbour.members)) / float64(zoneSize*d.options.NeighbourPeriods)
+	share := float64(len(state.targets.neighbours.members)) / float64(zoneSize*d.options.NeighbourPeriods)
 	if zoneSize == 1 {
 		share = max(share, 1)
 	}
--- a/internal/membership/heartbeat_registration.go
+++ b/internal/membership/heartbeat_registration.go
@@ -60,10 +60,11 @@
 }
 
 // convergeLocked makes the own record equal to what it should be, one write at
-// a time.
+// a time. It does not wait for the first reading: a write that finds the record
+// of a former incarnation fails and shows that record.
 func (d *HeartbeatDetector) convergeLocked() {
 	state := &d.registration
-	if !d.synchronised || d.stopped || state.busy || state.superseded {
+	if d.stopped || state.busy || state.superseded {
 		return
 	}
 	known := d.registered[d.self.Name]
--- a/internal/membership/probe_targets.go
+++ b/internal/membership/probe_targets.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -10,11 +11,14 @@
 // wanted, since some are no use.
 const helperDraws = 4
 
+// minNeighbours is how many members of other zones a node probes, if there are.
+const minNeighbours = 8
+
 // probeTargets are the members that this node probes: those of its zone, and
-// those of the next zone in order of name, so that the loss of a whole zone is
-// found out too.
+// those of the next zone or zones in order of name, so that the loss of a whole
+// zone is found out too.
 type probeTargets struct {
-	zone, neighbour probeCycle
+	zone, neighbours probeCycle
 	// all members but this node, in order of name.
 	all []Member
 }
@@ -28,7 +32,7 @@
 
 // replace takes the members now registered.
 func (t *probeTargets) replace(self Member, members []Member, random *rand.Rand) {
-	neighbour := neighbourZone(self.Zone, members)
+	neighbours := neighbourZones(self.Zone, members)
 	var inZone, inNeighbour []Member
 	t.all = make([]Member, 0, len(members))
 	for _, member := range members {
@@ -36,38 +40,40 @@
 			continue
 		}
 		t.all = append(t.all, member)
-		switch member.Zone {
-		case self.Zone:
+		switch {
+		case member.Zone == self.Zone:
 			inZone = append(inZone, member)
-		case neighbour:
+		case neighbours[member.Zone]:
 			inNeighbour = append(inNeighbour, member)
 		}
 	}
 	sort.Slice(t.all, func(i, j int) bool { return t.all[i].Name < t.all[j].Name })
 	t.zone.replace(inZone, random)
-	t.neighbour.replace(inNeighbour, random)
+	t.neighbours.replace(inNeighbour, random)
 }
 
-// neighbourZone returns the zone after the given one in the ring of all zones
-// in order of name, or "" if there is no other.
-func neighbourZone(zone string, members []Member) string {
-	first, next := "", ""
+// neighbourZones returns the zones after the given one in the ring of all zones
+// in order of name: one, or more where they are small, so that a member has
+// several zones' members to find out its death.
+func neighbourZones(zone string, members []Member) map[string]bool {
+	sizes := map[string]int{}
 	for _, member := range members {
-		other := member.Zone
-		if other == zone {
-			continue
-		}
-		if first == "" || other < first {
-			first = other
-		}
-		if other > zone && (next == "" || other < next) {
-			next = other
-		}
+		sizes[member.Zone]++
 	}
-	if next != "" {
-		return next
+	delete(sizes, zone)
+	ring := slices.Sorted(maps.Keys(sizes))
+	start, _ := slices.BinarySearch(ring, zone)
+	neighbours := map[string]bool{}
+	count := 0
+	for i := range ring {
+		if count >= minNeighbours {
+			break
+		}
+		next := ring[(start+i)%len(ring)]
+		neighbours[next] = true
+		count += sizes[next]
 	}
-	return first
+	return neighbours
 }
 
 // replace keeps the order of the present pass where it can: members that stay
