Let callers use up kept connections before a node closes them

Cause: at the end of a planned stop net/http closes idle connections although the next request may lie unread in them, and the kernel resets connections that nobody had accepted. Change: a stop waits until no kept connection is left, or none was used again for a second, at most 5 s; the listener hands out what had been connected before it closed.

The script also edits the table under load.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -37,15 +37,20 @@
 	Limits Limits
 }
 
-// Serve serves the handler on the listener until the context ends and requests
-// in progress have finished. An error means that serving failed or that the
+// Serve serves the handler on the listener until the context ends, callers use
+// no kept connection any more, and requests in progress have finished. An error means that serving failed or that the
 // grace period cut off a request.
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler, options ServeOptions) error {
 	server := NewServer(handler, options.Limits)
 	server.TLSConfig = options.TLS
+	connections := &idleConnections{idle: map[net.Conn]struct{}{}}
+	server.ConnState = connections.observe
 	stopped := make(chan error, 1)
-	release := context.AfterFunc(ctx, func() { stopped <- shutDown(server, options.Grace) })
-	err := serveListener(server, listener)
+	release := context.AfterFunc(ctx, func() {
+		connections.awaitQuiet(context.Background())
+		stopped <- shutDown(server, options.Grace)
+	})
+	err := serveListener(server, acceptLast(listener))
 	if !errors.Is(err, http.ErrServerClosed) {
 		release()
 		return err
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -1,6 +1,7 @@
 package api_test
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -67,6 +68,34 @@
 		Eventually(ctx, served).Should(Receive(BeNil()))
 	}, Entry("by plain HTTP", false), Entry("by TLS and HTTP/2", true))
 
+	It("answers on a kept connection that is used again when it is told to stop", func(ctx SpecContext) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		serving, stop := context.WithCancel(ctx)
+		defer stop()
+		served := make(chan error, 1)
+		go func() {
+			served <- api.Serve(serving, listener, http.NotFoundHandler(), api.ServeOptions{Grace: time.Minute})
+		}()
+		connection, err := net.Dial("tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = connection.Close() }()
+		answers := bufio.NewReader(connection)
+		ask := func(header string) {
+			GinkgoHelper()
+			_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: node\r\n"+header+"\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(answers, nil)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, response.Body)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		ask("")
+		stop()
+		ask("Connection: close\r\n")
+		Eventually(ctx, served).Should(Receive(BeNil()))
+	})
+
 	It("tells when the listener fails", func(ctx SpecContext) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/scripts/real-faults.sh
+++ b/scripts/real-faults.sh
@@ -5,15 +5,16 @@
 #
 # Each node in turn is killed and started again, paused past its lease, and
 # stopped in order; the key-value service has an outage and loses replies; an
-# engine is killed; a machine is reclaimed with a warning. All of it happens
+# engine is killed; a machine is reclaimed with a warning; the table is edited. All of it happens
 # under load, in about three minutes. The last line is JSON. Exit code 1: a
-# promise was broken, a node crashed, or a planned stop failed.
+# promise was broken, a node crashed, or a planned stop or an edit failed.
 #
 # Only processes that this script started are ended, by their ids.
 #
 # Needs curl and jq. Environment: HATCHPLANK (program), RATE (requests a second),
-# MAX_TOKENS (of an answer), SEED, OUTAGE and PAUSE (seconds), LOAD_SECONDS, FAULTS (the faults to inject), STANDIN_PORT,
-# CALLER_PORT, PEER_PORT (first ports), WORK (directory for logs).
+# MAX_TOKENS (of an answer), SEED, OUTAGE and PAUSE (seconds), LOAD_SECONDS,
+# FAULTS (the faults to inject, in order), STANDIN_PORT, CALLER_PORT, PEER_PORT
+# (first ports), WORK (directory for logs).
 set -u
 cd "$(dirname "$0")/.."
 
@@ -24,7 +25,7 @@
 OUTAGE=${OUTAGE:-30}
 PAUSE=${PAUSE:-15}
 LOAD_SECONDS=${LOAD_SECONDS:-160}
-FAULTS=${FAULTS:-"kill pause outage lost_replies stop engine_kill reclaim"}
+FAULTS=${FAULTS:-"edit kill edit pause outage lost_replies edit stop engine_kill reclaim"}
 STANDIN_PORT=${STANDIN_PORT:-17100}
 CALLER_PORT=${CALLER_PORT:-18080}
 PEER_PORT=${PEER_PORT:-17080}
@@ -46,6 +47,9 @@
 crashes=0
 failed_stops=0
 stops=
+edit_count=0
+failed_edits=0
+edits=
 mkdir -p "$WORK"
 : >"$EVENTS"
 
@@ -188,6 +192,23 @@
   sleep 13
 }
 
+# edit changes a row at the second node and measures how long it takes until
+# every node says that it acts on it.
+edit() {
+  edit_count=$((edit_count + 1))
+  awk -F, -v OFS=, -v weight="$((20 + edit_count))" 'NR > 1 && $1 == "saronikos-reply-english-8b" {$8 = weight} {print}' \
+    examples/schools/table.csv >"$WORK/edited.csv"
+  local begun=$(date +%s.%N)
+  if ! "$HATCHPLANK" table apply "$WORK/edited.csv" --node "http://$(address_of 1)" --token "$ADMIN_TOKEN" --wait >>"$WORK/apply.log" 2>&1; then
+    say "the edit was not accepted or not in force"
+    failed_edits=$((failed_edits + 1))
+    return
+  fi
+  local took=$(awk -v a="$begun" -v b="$(date +%s.%N)" 'BEGIN{printf "%.2f", b-a}')
+  say "an edit is in force at every node after $took s"
+  edits="$edits${edits:+,}$took"
+}
+
 inject() {
   case $1 in
   kill) kill_each ;;
@@ -197,6 +218,7 @@
   stop) stop_each ;;
   engine_kill) engine_kill ;;
   reclaim) reclaim ;;
+  edit) edit ;;
   *) say "unknown fault $1" ;;
   esac
 }
@@ -225,6 +247,6 @@
 
 grep -v '^{' "$WORK/load.out" >&2
 say "logs are in $WORK"
-printf '{"load_exit_code":%d,"crashes":%d,"failed_stops":%d,"stops":[%s],"load":%s}\n' \
-  "$load_code" "$crashes" "$failed_stops" "$stops" "$(tail -n 1 "$WORK/load.out")"
-[ "$load_code" -eq 0 ] && [ "$crashes" -eq 0 ] && [ "$failed_stops" -eq 0 ]
+printf '{"load_exit_code":%d,"crashes":%d,"failed_stops":%d,"failed_edits":%d,"stops":[%s],"edits_in_force_s":[%s],"load":%s}\n' \
+  "$load_code" "$crashes" "$failed_stops" "$failed_edits" "$stops" "$edits" "$(tail -n 1 "$WORK/load.out")"
+[ "$load_code" -eq 0 ] && [ "$crashes" -eq 0 ] && [ "$failed_stops" -eq 0 ] && [ "$failed_edits" -eq 0 ]
