Send endpoints again only when they changed

Cause: every gateway got all endpoints of each row with traffic every second; at a sixteenth of the target that was most of a node's control traffic. Change: reports carry the digest of what the gateway has; owners leave out models whose digest is the same, and send load figures every 5 s. The number of competing gateways counts by powers of two, else it changed the digest every time.

--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -34,6 +34,26 @@
 		Expect(c.audit.violations).To(BeEmpty())
 	})
 
+	It("does not repeat endpoints that a gateway has, but tells their changes and, now and then, their load", func() {
+		c := newCluster(1, 2, []table.Row{row("a", 1, 20*gigabyte)}, nil)
+		c.gateway.digests = true
+		c.acquire(0)
+		c.loop.RunFor(time.Second)
+		c.gateway.want("a", 1)
+		c.loop.RunFor(30 * time.Second)
+		Expect(c.gateway.known["a"].Endpoints).To(HaveLen(1))
+		c.gateway.rows = 0
+		c.loop.RunFor(20 * time.Second)
+		// 40 reports, and load figures every five seconds.
+		Expect(c.gateway.rows).To(And(BeNumerically(">=", 3), BeNumerically("<=", 5)))
+		known := c.gateway.known["a"]
+		known.Digest++
+		c.gateway.known["a"] = known
+		c.gateway.rows = 0
+		c.loop.RunFor(600 * time.Millisecond)
+		Expect(c.gateway.rows).To(BeNumerically(">=", 1), "another digest means other endpoints")
+	})
+
 	It("loads a base model together with its adapter", func() {
 		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte), adapterOn("style", "a", 1)}, nil)
 		c.acquire(0)
--- a/internal/applier/config.go
+++ b/internal/applier/config.go
@@ -93,6 +93,9 @@
 	DemandExpiry time.Duration
 	// Interest is how long a gateway gets pushes for a model after its demand.
 	Interest time.Duration
+	// LoadRefresh is how often a gateway is sent the load of endpoints that it
+	// knows already.
+	LoadRefresh time.Duration
 	// DrainDelay is the longest wait for gateways to acknowledge a drain;
 	// DrainUntold is the longest if one of them is a live member that can't be
 	// reached.
@@ -127,7 +130,7 @@
 		IdlePoll: 5 * time.Second,
 		RetryMin: 200 * time.Millisecond, RetryMax: 2 * time.Second,
 		LoadBackoffMin: time.Second, LoadBackoffMax: time.Minute,
-		DemandExpiry: 4 * time.Second, Interest: 30 * time.Second,
+		DemandExpiry: 4 * time.Second, Interest: 30 * time.Second, LoadRefresh: 5 * time.Second,
 		DrainDelay: 5 * time.Second, DrainUntold: time.Minute, DrainSettle: time.Second, DrainSettleIdle: 6 * time.Second,
 		ForgetGateway: 10 * time.Minute,
 		Push:          time.Second, Release: 10 * time.Second,
--- a/internal/applier/demand.go
+++ b/internal/applier/demand.go
@@ -22,6 +22,8 @@
 	told map[string]time.Time
 	// interest is when the gateway last had demand for a model.
 	interest map[string]time.Time
+	// refreshed is when the gateway was last sent a model's load figures.
+	refreshed map[string]time.Time
 }
 
 type rowDemand struct {
@@ -61,7 +63,24 @@
 		o.dirty = o.dirty || demand.Waiting > 0
 	}
 	slices.Sort(models)
-	return o.updateFor(gateway, slices.Compact(models), now), nil
+	models = slices.Compact(models)
+	return o.updateFor(gateway, o.withoutKnown(gateway, models, report.Known, now), now), nil
+}
+
+// withoutKnown leaves out the models whose endpoints the gateway has, unless
+// their load figures are due.
+func (o *Owner) withoutKnown(gateway *gatewayEntry, models []string, known []directory.KnownRow, now time.Time) []string {
+	return slices.DeleteFunc(models, func(model string) bool {
+		at := slices.IndexFunc(known, func(row directory.KnownRow) bool { return row.Model == model })
+		if at < 0 || now.Sub(gateway.refreshed[model]) >= o.config.Intervals.LoadRefresh {
+			return false
+		}
+		if known[at].Digest != o.endpointsOf(model).Digest {
+			return false
+		}
+		gateway.told[model] = now
+		return true
+	})
 }
 
 func (o *Owner) gateway(id string) *gatewayEntry {
@@ -69,7 +88,7 @@
 		return cmp.Compare(entry.id, id)
 	})
 	if !found {
-		entry := &gatewayEntry{id: id, told: map[string]time.Time{}, interest: map[string]time.Time{}}
+		entry := &gatewayEntry{id: id, told: map[string]time.Time{}, interest: map[string]time.Time{}, refreshed: map[string]time.Time{}}
 		o.gateways = slices.Insert(o.gateways, at, entry)
 	}
 	return o.gateways[at]
--- a/internal/applier/endpoints.go
+++ b/internal/applier/endpoints.go
@@ -1,10 +1,14 @@
 package applier
 
 import (
+	"fmt"
 	"maps"
+	"math/bits"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hatchplank/hatchplank/internal/directory"
 	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/platform"
@@ -33,9 +37,22 @@
 	case o.listed && o.plannedOnce():
 		endpoints.Refused = refusedUnknownRow
 	}
+	endpoints.Digest = digestOf(&endpoints)
 	return endpoints
 }
 
+// digestOf is a hash of what gateways act on but the load; never 0. The number of
+// gateways counts by powers of two, since it changes with every request.
+func digestOf(row *directory.RowEndpoints) uint64 {
+	digest := xxhash.New()
+	for i := range row.Endpoints {
+		endpoint := &row.Endpoints[i]
+		fmt.Fprintln(digest, endpoint.Server, endpoint.Version, endpoint.Slot, endpoint.MaxBatch, endpoint.Draining, endpoint.Adapters)
+	}
+	fmt.Fprintln(digest, row.ReadyAt.UnixNano(), row.Refused, bits.Len(uint(row.Gateways)))
+	return max(1, digest.Sum64())
+}
+
 // refusedUnknownRow is told of models that the owner's table does not have.
 const refusedUnknownRow = "no_such_model"
 
@@ -66,6 +83,7 @@
 	for _, model := range models {
 		update.Rows = append(update.Rows, o.endpointsOf(model))
 		gateway.told[model] = now
+		gateway.refreshed[model] = now
 	}
 	return update
 }
--- a/internal/applier/gateway_test.go
+++ b/internal/applier/gateway_test.go
@@ -21,6 +21,10 @@
 	sequence uint64
 	waiting  map[string]int
 	known    map[string]directory.RowEndpoints
+	// digests: reports tell which endpoints are known.
+	digests bool
+	// rows counts the endpoints' lists received.
+	rows int
 }
 
 func newGateway(c *cluster) *gateway {
@@ -45,6 +49,7 @@
 	if update, ok := message.(directory.EndpointUpdate); ok {
 		for _, row := range update.Rows {
 			g.known[row.Model] = row
+			g.rows++
 		}
 	}
 }
@@ -65,6 +70,11 @@
 			})
 		}
 	}
+	for _, demand := range report.Demands {
+		if g.digests {
+			report.Known = append(report.Known, directory.KnownRow{Model: demand.Row, Digest: g.known[demand.Row].Digest})
+		}
+	}
 	if g.owner == "" || len(report.Demands) == 0 {
 		return
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -151,6 +151,22 @@
 		Expect(f.servers("m")).To(Equal([]string{"s1"}))
 	})
 
+	It("tells the owner which endpoints it has, until one of them refuses", func() {
+		f := newFixture()
+		known := update("c1", 0, 1, "m", "a")
+		known.Revision = 3
+		known.Rows[0].Digest = 9
+		f.directory.Apply(known)
+		f.directory.Want("m")
+		f.loop.RunFor(100 * time.Millisecond)
+		Expect(f.reports[0].Known).To(Equal([]KnownRow{{Model: "m", Digest: 9}}))
+		f.directory.Apply(known)
+		f.directory.Reject("m", "a", 0)
+		f.directory.Want("m")
+		f.loop.RunFor(100 * time.Millisecond)
+		Expect(f.reports[1].Known).To(BeEmpty())
+	})
+
 	It("reports rows with traffic each period only", func() {
 		f := newFixture()
 		f.tickFor(10 * time.Second)
--- a/internal/directory/messages.go
+++ b/internal/directory/messages.go
@@ -40,6 +40,15 @@
 	// Sequence orders one gateway's reports.
 	Sequence uint64
 	Demands  []Demand
+	// Known are the endpoints that the gateway has of the models asked for.
+	Known []KnownRow
+}
+
+// KnownRow tells which endpoints of a model a gateway has.
+type KnownRow struct {
+	Model string
+	// Digest as the owner sent it.
+	Digest uint64
 }
 
 // Endpoint is a replica that can be called.
@@ -69,10 +78,14 @@
 	// Gateways with requests for the model, as far as the owner was told; 0:
 	// not known.
 	Gateways int
+	// Digest of all that gateways act on but the load, which they learn from
+	// answers too; rows whose digest a gateway has need not be sent again.
+	Digest uint64
 }
 
 // EndpointUpdate answers a DemandReport and is also sent when endpoints change.
-// For each model named it replaces what was known.
+// For each model named it replaces what was known. The answer to a report leaves
+// out models of which the gateway knows all but the load.
 type EndpointUpdate struct {
 	Cell  string
 	Epoch uint64
--- a/internal/directory/report.go
+++ b/internal/directory/report.go
@@ -103,6 +103,7 @@
 		PeerAddress: d.config.PeerAddress,
 		Sequence:    d.sequence,
 		Demands:     demands,
+		Known:       d.knownLocked(cell, owner.Epoch, demands),
 	}
 	d.mutex.Unlock()
 	d.config.Transport.Call(owner.Member.PeerAddress, report, d.config.CallTimeout, func(message peer.Message, err error) {
@@ -110,6 +111,25 @@
 	})
 }
 
+// knownLocked lists the digests of what this cell's owner has told about the
+// models asked for.
+func (d *Directory) knownLocked(cell string, epoch uint64, demands []Demand) []KnownRow {
+	var rows []KnownRow
+	for _, demand := range demands {
+		name := d.baseOf(demand.Row)
+		known := d.models[name]
+		if known == nil {
+			continue
+		}
+		part := known.cells[cell]
+		if part == nil || part.epoch != epoch || part.row.Digest == 0 {
+			continue
+		}
+		rows = append(rows, KnownRow{Model: name, Digest: part.row.Digest})
+	}
+	return rows
+}
+
 // receive takes the reply to a report. A lost reply needs no action: demand is
 // reported again while requests wait.
 func (d *Directory) receive(cell string, message peer.Message, err error) {
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -60,6 +60,7 @@
 	if update.Revision < d.config.Table.Revision() {
 		// The owner may refuse a row only because it does not know it yet.
 		part.row.Refused = ""
+		part.row.Digest = 0
 	}
 	d.rebuild(row.Model, known)
 	return true
@@ -126,6 +127,7 @@
 	if known != nil {
 		for _, part := range known.cells {
 			part.row.Endpoints = without(part.row.Endpoints, server, slot)
+			part.row.Digest = 0
 		}
 		d.rebuild(name, known)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -193,6 +193,7 @@
 		Confirmer:  applier.NewKeyValueConfirmer(n.config.KeyValues, n.config.Settings.Platform.Timeout),
 		Statistics: newStatisticsStore(n.config.KeyValues, n.config.Settings.Platform.Timeout),
 		Logger:     n.part("cells"), Mechanisms: n.config.Mechanisms,
+		Intervals: applierIntervals(n.config.Settings.Intervals),
 	})
 	return nil
 }
@@ -207,6 +208,16 @@
 	return n.allotter.CellsOf(row)
 }
 
+// reportsUntilExpiry is how many demand reports may be lost before a gateway's
+// demand no longer counts.
+const reportsUntilExpiry = 3
+
+func applierIntervals(chosen settings.Intervals) applier.Intervals {
+	intervals := applier.DefaultIntervals()
+	intervals.DemandExpiry = max(intervals.DemandExpiry, reportsUntilExpiry*chosen.Report)
+	return intervals
+}
+
 func (n *Node) buildOwners() {
 	names := make([]string, 0, len(n.Layout.Cells))
 	for _, cell := range n.Layout.Cells {
