--- a/internal/tablestore/store_test.go
+++ b/internal/tablestore/store_test.go
@@ -33,6 +33,21 @@
 		Expect(c.disagreement()).To(BeEmpty())
 	})
 
+	It("brings an edit in seconds to a node that only peers can tell, one of which is cut off", func() {
+		for seed := range uint64(150) {
+			lonely := newCluster(seed, 4, 1, DefaultOptions().RecentEntries)
+			lonely.loop.RunFor(5 * time.Second)
+			lonely.network.Cut = func(from, to string) bool {
+				cutOff := from == "node-01" || to == "node-01"
+				return cutOff || (from == "node-00" && to == kvName) || (from == kvName && to == "node-00")
+			}
+			lonely.conditions.Loss = 0.2
+			lonely.nodes[2].store.Propose(edit(0, row("a", 1)), func(Outcome) {})
+			lonely.loop.RunFor(3 * time.Second)
+			Expect(lonely.nodes[0].store.Revision()).To(Equal(table.Revision(1)), "seed %d", seed)
+		}
+	})
+
 	It("tells a conflict with the edits accepted since the base", func() {
 		Expect(c.propose(0, edit(0, row("a", 1))).Code).To(Equal(result.OK))
 		outcome := c.propose(1, edit(0, row("b", 1)))
