--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -179,6 +179,24 @@
 		Expect(c.ready("a")).To(BeEmpty())
 	})
 
+	DescribeTable("leaves late requests time before an unload on a leaving machine",
+		func(left time.Duration, readyAfter int) {
+			c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte)}, nil)
+			c.acquire(0)
+			c.gateway.want("a", 1)
+			c.loop.RunFor(time.Minute)
+			c.gateway.want("a", 0)
+			c.machines[0].LeavesAt = c.loop.Now().Add(left)
+			c.leave("lm-0")
+			c.loop.RunFor(4 * time.Second)
+			Expect(c.ready("a")).To(HaveLen(readyAfter))
+			c.loop.RunFor(6 * time.Second)
+			Expect(c.ready("a")).To(BeEmpty())
+		},
+		Entry("that stays for two minutes", 2*time.Minute, 1),
+		Entry("unless it leaves soon", 20*time.Second, 0),
+	)
+
 	It("plans after a pause only when the table could come up to date", func() {
 		c := newCluster(1, 1, []table.Row{row("a", 1, 20*gigabyte)}, nil)
 		c.acquire(0)
