--- a/internal/platform/contract/keyvalue_calls_test.go
+++ b/internal/platform/contract/keyvalue_calls_test.go
@@ -83,11 +83,6 @@
 	return platform.Transaction{Operations: []platform.Operation{put}}
 }
 
-func deleting(key string) platform.Transaction {
-	deletion := platform.Operation{Kind: platform.OperationDelete, Key: key}
-	return platform.Transaction{Operations: []platform.Operation{deletion}}
-}
-
 func keysOf(keyValues []platform.KeyValue) []string {
 	var keys []string
 	for _, keyValue := range keyValues {
