--- a/internal/emulator/calls.go
+++ b/internal/emulator/calls.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hatchplank/hatchplank/internal/checker"
 	"github.com/hatchplank/hatchplank/internal/gateway"
 	"github.com/hatchplank/hatchplank/internal/platform"
@@ -170,6 +168,3 @@
 		})
 	}
 }
-
-// digestOf identifies a body in traces.
-func digestOf(body []byte) uint64 { return xxhash.Sum64(body) }
