Read the machine list again while an answer is missing

Change: up to three readings are under way at once; the newest version and start count. Tests for the follower, which had none.

--- a/internal/machinelist/follower.go
+++ b/internal/machinelist/follower.go
@@ -28,11 +28,12 @@
 type Follower struct {
 	config Config
 
-	mutex       sync.Mutex
-	listing     platform.MachineListing
-	byServer    map[platform.ServerID]platform.Machine
-	readAt      time.Time
-	reading     bool
+	mutex    sync.Mutex
+	listing  platform.MachineListing
+	byServer map[platform.ServerID]platform.Machine
+	readAt   time.Time
+	// readings under way.
+	readings    int
 	subscribers []func(platform.MachineListing)
 
 	stopRepeat func()
@@ -80,13 +81,17 @@
 	return machine, known
 }
 
+// maxReadings under way at once: a lost answer must not keep the next reading
+// back for its whole timeout.
+const maxReadings = 3
+
 func (f *Follower) read() {
 	f.mutex.Lock()
-	if f.reading {
+	if f.readings >= maxReadings {
 		f.mutex.Unlock()
 		return
 	}
-	f.reading = true
+	f.readings++
 	since := f.listing.Version
 	f.mutex.Unlock()
 	startedAt := f.config.Clock.Now()
@@ -97,13 +102,15 @@
 
 func (f *Follower) received(listing *platform.MachineListing, err error, startedAt time.Time) {
 	f.mutex.Lock()
-	f.reading = false
+	f.readings--
 	if err != nil {
 		f.mutex.Unlock()
 		f.config.Logger.Warn().Err(err).Str("reason", "machine list unavailable").Msg("machine list not read")
 		return
 	}
-	f.readAt = startedAt
+	if startedAt.After(f.readAt) {
+		f.readAt = startedAt
+	}
 	if listing == nil || listing.Version < f.listing.Version {
 		f.mutex.Unlock()
 		return
--- /dev/null
+++ b/internal/machinelist/follower_test.go
@@ -0,0 +1,74 @@
+package machinelist_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/machinelist"
+	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/simulation"
+)
+
+func TestMachineList(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Machine list")
+}
+
+// service answers the readings of a simulated machine list after delays; a
+// reading without a delay is lost.
+type service struct {
+	loop     *simulation.Loop
+	delays   []time.Duration
+	versions []uint64
+	asked    int
+}
+
+func (s *service) List(_ uint64, timeout time.Duration, done func(*platform.MachineListing, error)) {
+	reading := s.asked
+	s.asked++
+	if reading >= len(s.delays) || s.delays[reading] == 0 {
+		s.loop.AfterFunc(timeout, func() { done(nil, platform.ErrServerUnreachable) })
+		return
+	}
+	listing := &platform.MachineListing{Version: s.versions[reading]}
+	s.loop.AfterFunc(s.delays[reading], func() { done(listing, nil) })
+}
+
+func follow(delays []time.Duration, versions []uint64) (*simulation.Loop, *machinelist.Follower, *service) {
+	loop := simulation.NewLoop(1)
+	list := &service{loop: loop, delays: delays, versions: versions}
+	follower := machinelist.NewFollower(machinelist.Config{
+		Clock: loop, Service: list, Period: time.Second, Timeout: 4 * time.Second, Logger: zerolog.Nop(),
+	})
+	follower.Start()
+	return loop, follower, list
+}
+
+var _ = Describe("Follower", func() {
+	It("reads again while an answer is missing", func() {
+		loop, follower, _ := follow([]time.Duration{0, time.Millisecond}, []uint64{0, 7})
+		loop.RunFor(1500 * time.Millisecond)
+		listing, _ := follower.Listing()
+		Expect(listing.Version).To(BeEquivalentTo(7))
+	})
+
+	It("keeps a newer listing when an older answer comes late", func() {
+		loop, follower, _ := follow([]time.Duration{3 * time.Second, time.Millisecond}, []uint64{6, 7})
+		loop.RunFor(1500 * time.Millisecond)
+		_, readAt := follower.Listing()
+		loop.RunFor(2 * time.Second)
+		listing, still := follower.Listing()
+		Expect(listing.Version).To(BeEquivalentTo(7))
+		Expect(still).To(BeTemporally(">=", readAt))
+	})
+
+	It("has a bounded number of readings under way", func() {
+		loop, _, list := follow(nil, nil)
+		loop.RunFor(3900 * time.Millisecond)
+		Expect(list.asked).To(Equal(3))
+	})
+})
