Count a table change from when its operator was told

Change: a change counts from when its operator is told, when outages excuse nothing any more; one that nobody was told of counts from the durable write or the end of the outage it fell into.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -47,6 +47,7 @@
 	changes  map[string]*change
 	// pauses by node identity or server, cutOff by node name.
 	pauses, cutOff map[string]spans
+	keyValueOut    spans
 	// planned holds when nodes began a planned stop.
 	planned map[string]time.Time
 
--- a/internal/checker/spans.go
+++ b/internal/checker/spans.go
@@ -75,6 +75,12 @@
 // Reconnected notes that a node hears its peers again.
 func (c *Checker) Reconnected(name string, at time.Time) { c.cutOff[name].end(at) }
 
+// KeyValueOut notes that the key-value service answers nobody.
+func (c *Checker) KeyValueOut(at time.Time) { c.keyValueOut = c.keyValueOut.begin(at) }
+
+// KeyValueBack notes that the key-value service answers again.
+func (c *Checker) KeyValueBack(at time.Time) { c.keyValueOut.end(at) }
+
 // nameOf returns the name in an identity of name and incarnation.
 func nameOf(identity string) string {
 	name, _, _ := strings.Cut(identity, "#")
--- a/internal/emulator/faults_keyvalue.go
+++ b/internal/emulator/faults_keyvalue.go
@@ -11,8 +11,21 @@
 	i.world.KeyValue.SetFaults(i.keyValueFaults)
 }
 
+// setOutage begins or ends an outage; one that goes on already is left alone.
+func (i *injector) setOutage(out bool) {
+	if i.keyValueFaults.Outage == out {
+		return
+	}
+	i.setKeyValue(func(f *keyvalue.Faults) { f.Outage = out })
+	if out {
+		i.world.Checker.KeyValueOut(i.world.Loop.Now())
+		return
+	}
+	i.world.Checker.KeyValueBack(i.world.Loop.Now())
+}
+
 func (i *injector) keyValueOutage() {
-	i.setKeyValue(func(f *keyvalue.Faults) { f.Outage = true })
+	i.setOutage(true)
 	i.outages++
 	begun := i.outages
 	span := i.span(2*time.Second, 30*time.Second)
@@ -21,7 +34,7 @@
 	}
 	i.after(span, func() {
 		if begun == i.outages {
-			i.setKeyValue(func(f *keyvalue.Faults) { f.Outage = false })
+			i.setOutage(false)
 		}
 	})
 }
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -82,7 +82,7 @@
 	switch outcome.Code {
 	case result.OK:
 		if outcome.Revision > edit.Base {
-			w.Checker.Acknowledged(edit.Base, outcome.Revision, outcome.Token)
+			w.Checker.Acknowledged(edit.Base, outcome.Revision, outcome.Token, w.Loop.Now())
 		}
 	case result.RevisionConflict, result.InvalidTable, result.StoreUnavailable:
 		w.Checker.Rejected(outcome.Token)
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -304,7 +304,7 @@
 	w.Checker.TableAccepted(next.Rows(), at)
 	for _, row := range entry.Delta.Changed {
 		if strings.HasPrefix(row.Name, probePrefix) {
-			w.Checker.ChangeAccepted(row.Name, at, w.readyNodes())
+			w.Checker.ChangeDurable(row.Name, entry.Token, at, w.readyNodes())
 			w.probe(row.Name)
 		}
 	}
