Keep idle replicas for what a cold start is worth

Cause: a second of a cold start counted as much as twenty idle seconds of a whole server, so that replicas stayed for hours after a round; replicas beyond the first stayed as long as the first; keep_alive_max did not bind the product's policy although the settings promise it.

--- a/internal/planner/cost.go
+++ b/internal/planner/cost.go
@@ -12,6 +12,9 @@
 	// minimumKeep is the shortest time that an idle replica stays, so that the
 	// pause between two requests never unloads it.
 	minimumKeep = 5 * time.Second
+	// extraKeepAlive is how long a replica beyond a row's first stays. Requests
+	// don't wait for it to be loaded again as long as the first serves them.
+	extraKeepAlive = time.Minute
 	// enoughGaps is how many idle gaps make a learned distribution usable.
 	enoughGaps = 3
 	// victimHorizon is how far ahead the next use of a victim is looked for.
@@ -76,9 +79,15 @@
 }
 
 // keepByCost keeps a replica for as long as the expected cost of its next cold
-// start exceeds the expected cost of idling until then. Without a learned
-// distribution it stays until idling has cost as much as one cold start.
+// start exceeds the expected cost of idling until then, but not beyond the
+// longest keep-alive.
 func keepByCost(w *workspace, i int, lastNeeded time.Time) time.Duration {
+	return min(keepWhileWorth(w, i, lastNeeded), w.policy.parameters.KeepAlive)
+}
+
+// keepWhileWorth is the same without a longest keep-alive. Without a learned
+// distribution a replica stays until idling has cost as much as one cold start.
+func keepWhileWorth(w *workspace, i int, lastNeeded time.Time) time.Duration {
 	idleCost, coldCost := w.idleCostPerSecond(i), w.coldCost(i)
 	if idleCost == 0 {
 		return math.MaxInt64
--- a/internal/planner/desired.go
+++ b/internal/planner/desired.go
@@ -74,7 +74,11 @@
 			lastNeeded = statistics.Needed[k]
 		}
 		idle := w.snapshot.Now.Sub(lastNeeded)
-		if idle >= w.policy.keepAlive(w, i, lastNeeded) {
+		keep := w.policy.keepAlive(w, i, lastNeeded)
+		if k > 0 && w.policy.keepExtra > 0 {
+			keep = min(keep, w.policy.keepExtra)
+		}
+		if idle >= keep {
 			break
 		}
 		kept++
--- a/internal/planner/foresee.go
+++ b/internal/planner/foresee.go
@@ -28,7 +28,7 @@
 		return
 	}
 	called := w.calledByTenant()
-	openings := map[string]bool{}
+	openings := map[string]expectedOpening{}
 	w.expected = make([]bool, len(w.rows))
 	for i := range w.rows {
 		row := &w.snapshot.Rows[i]
@@ -40,7 +40,7 @@
 			open = w.opening(row.Tenant, called[row.Tenant])
 			openings[row.Tenant] = open
 		}
-		if open && w.worthForeseeing(i) {
+		if open.expected && w.worthForeseeing(i, open.ahead) {
 			w.expected[i] = true
 			w.rows[i].want(1, ReasonForeseen)
 		}
@@ -62,19 +62,28 @@
 	return called
 }
 
-// opening reports whether a tenant's session has just begun or is about to.
-func (w *workspace) opening(name string, called int) bool {
+// expectedOpening tells whether a tenant's session has just begun or is about
+// to, and how far ahead it is.
+type expectedOpening struct {
+	expected bool
+	ahead    time.Duration
+}
+
+func (w *workspace) opening(name string, called int) expectedOpening {
 	tenant := w.snapshot.Statistics.Tenant(name)
 	if tenant == nil || len(tenant.Starts) == 0 {
-		return false
+		return expectedOpening{}
 	}
 	sinceStart := w.snapshot.Now.Sub(tenant.Starts[len(tenant.Starts)-1])
 	if tenant.Active && sinceStart < w.policy.parameters.OpeningHold {
-		return called >= w.policy.parameters.OpeningRows
+		return expectedOpening{expected: called >= w.policy.parameters.OpeningRows}
 	}
 	next, regular := tenant.nextStart()
 	until := next.Sub(w.snapshot.Now)
-	return regular && until < w.lead(name) && -until < w.policy.parameters.OpeningHold
+	return expectedOpening{
+		expected: regular && until < w.lead(name) && -until < w.policy.parameters.OpeningHold,
+		ahead:    max(0, until),
+	}
 }
 
 // nextStart predicts the tenant's next session from equal gaps.
@@ -109,12 +118,13 @@
 	return min(longestLead, openingMargin+seconds(longest+loading/parallel))
 }
 
-// worthForeseeing weighs a cold start spared against idling in vain.
-func (w *workspace) worthForeseeing(i int) bool {
+// worthForeseeing weighs a cold start spared against idling until the opening
+// and, if the row is not called, in vain after it.
+func (w *workspace) worthForeseeing(i int, ahead time.Duration) bool {
 	row := &w.snapshot.Rows[i]
 	share := w.snapshot.Statistics.SessionShare(row.Name, row.Tenant)
-	idle := w.idleCostPerSecond(i) * w.policy.parameters.OpeningHold.Seconds()
-	return share*w.coldCost(i) > (1-share)*idle
+	idle := ahead.Seconds() + (1-share)*w.policy.parameters.OpeningHold.Seconds()
+	return share*w.coldCost(i) > w.idleCostPerSecond(i)*idle
 }
 
 // foreseen reports whether the row is expected to be called soon.
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -177,7 +177,7 @@
 func (w *workspace) mayGive(c *candidate, victim int, replica *Replica, busy bool) bool {
 	work := &w.rows[victim]
 	live := work.current + work.outdated
-	if live <= w.snapshot.Rows[victim].Min || w.policy.pinAll && !c.waiting {
+	if live <= w.snapshot.Rows[victim].Min || w.policy.pinAll && !c.cold {
 		return false
 	}
 	if !busy {
--- a/internal/planner/policy.go
+++ b/internal/planner/policy.go
@@ -36,7 +36,7 @@
 type Parameters struct {
 	// ColdStartWeight from 0 (only idle hours count) to 1 (only cold starts).
 	ColdStartWeight float64
-	// ColdSecondWorth is how many idle accelerator seconds one second of a
+	// ColdSecondWorth is how many idle seconds of a whole server one second of a
 	// cold start is worth at a ColdStartWeight of 0.5.
 	ColdSecondWorth float64
 	// KeepAlive of fixed-keep-alive, and the longest of hatchplank.
@@ -58,7 +58,7 @@
 // DefaultParameters are the values used where Parameters has a zero.
 var DefaultParameters = Parameters{
 	ColdStartWeight:  0.5,
-	ColdSecondWorth:  20,
+	ColdSecondWorth:  2,
 	KeepAlive:        10 * time.Minute,
 	LoadOverhead:     2 * time.Second,
 	BytesPerSecond:   [3]float64{20e9, 3e9, 1e9},
@@ -116,6 +116,7 @@
 		made.pinAll = true
 	case PolicyHatchplank:
 		made.keepAlive = keepByCost
+		made.keepExtra = extraKeepAlive
 		made.order = byUrgency
 		made.victimCost = coldStartCost
 		made.sourceAware = true
@@ -133,6 +134,9 @@
 	parameters Parameters
 	// keepAlive tells how long the replica that was last needed at a time stays.
 	keepAlive func(w *workspace, row int, lastNeeded time.Time) time.Duration
+	// keepExtra bounds how long a row's replicas beyond the first stay; 0: as
+	// long as the first.
+	keepExtra time.Duration
 	// order reports whether candidate a is loaded before b.
 	order func(w *workspace, a, b *candidate) bool
 	// victimCost is the cost of unloading an idle replica; lowest goes first.
