--- a/internal/slopes/distribution.go
+++ b/internal/slopes/distribution.go
@@ -13,8 +13,10 @@
 	nodes     int
 	revisions map[table.Revision]*revisionTimes
 	newest    []table.Revision
-	proposed  int
-	failed    int
+	// away nodes have ended and not started again.
+	away     []bool
+	proposed int
+	failed   int
 }
 
 type revisionTimes struct {
@@ -25,7 +27,7 @@
 
 // NewDistribution returns an empty note for that many nodes.
 func NewDistribution(nodes int) *Distribution {
-	return &Distribution{nodes: nodes, revisions: map[table.Revision]*revisionTimes{}, newest: make([]table.Revision, nodes)}
+	return &Distribution{nodes: nodes, revisions: map[table.Revision]*revisionTimes{}, newest: make([]table.Revision, nodes), away: make([]bool, nodes)}
 }
 
 func (d *Distribution) revision(revision table.Revision) *revisionTimes {
@@ -39,7 +41,11 @@
 
 // Accepted notes that the operator was told of the acceptance.
 func (d *Distribution) Accepted(revision table.Revision, at time.Time) {
-	d.revision(revision).acceptedAt = at
+	times := d.revision(revision)
+	times.acceptedAt = at
+	for node, away := range d.away {
+		times.excused[node] = times.excused[node] || away
+	}
 }
 
 // InForce notes that a node acts on a revision and on all before it.
@@ -50,9 +56,14 @@
 	d.newest[node] = max(d.newest[node], newest)
 }
 
-// Gone excuses a node from the revisions that it did not have when it ended:
-// its successor reads the table when it starts.
+// Back notes that a node has started again.
+func (d *Distribution) Back(node int) { d.away[node] = false }
+
+// Gone excuses a node from the revisions that it did not have when it ended,
+// and from those accepted until it is back: its successor reads the table when
+// it starts.
 func (d *Distribution) Gone(node int, at time.Time) {
+	d.away[node] = true
 	for revision, times := range d.revisions {
 		if revision > d.newest[node] && !times.acceptedAt.IsZero() && !times.acceptedAt.After(at) {
 			times.excused[node] = true
--- a/internal/slopes/node.go
+++ b/internal/slopes/node.go
@@ -44,6 +44,7 @@
 	w := n.world
 	n.incarnation++
 	n.restarting = false
+	w.Distribution.Back(n.index)
 	n.Process = simulation.NewProcess(w.Loop, n.name)
 	process := n.Process
 	built, err := node.New(node.Config{
