--- a/internal/command/experiment_faults.go
+++ b/internal/command/experiment_faults.go
@@ -103,10 +103,15 @@
 	if err := f.print(command.OutOrStdout(), runs); err != nil {
 		return err
 	}
-	if len(runs.Violating) > 0 {
-		return fmt.Errorf("%w; replay with: %s", errPromiseBroken, f.replay(runs))
+	return f.verdict(runs)
+}
+
+// verdict is an error that names the replay command if a promise was broken.
+func (f *faultFlags) verdict(runs emulator.FaultRuns) error {
+	if len(runs.Violating) == 0 {
+		return nil
 	}
-	return nil
+	return fmt.Errorf("%w; replay with: %s", errPromiseBroken, f.replay(runs))
 }
 
 // replay is the command that repeats the first run that broke a promise, or
