Back off when the claim configurations can't be read

Each node read them again every 500 ms through an outage of the key-value service. The pause now doubles to 16 s.

--- a/internal/claims/configurationcache.go
+++ b/internal/claims/configurationcache.go
@@ -10,8 +10,18 @@
 
 var errNoSuchShard = errors.New("no such claim shard")
 
-// rereadDelay is the mean pause before configurations are read again.
-const rereadDelay = 500 * time.Millisecond
+// rereadDelay is the mean pause before configurations are read again; it
+// doubles with each failure up to maxRereadDelay, so that an outage is not
+// answered by all nodes' reading.
+const (
+	rereadDelay    = 500 * time.Millisecond
+	maxRereadDelay = 16 * time.Second
+)
+
+// rereadPause is the mean pause after a number of failed readings.
+func rereadPause(failures int) time.Duration {
+	return min(rereadDelay<<min(failures, 10), maxRereadDelay)
+}
 
 // keyValueTimeout bounds one call to the key-value service.
 const keyValueTimeout = 2 * time.Second
@@ -25,7 +35,9 @@
 	known   []knownConfiguration
 	loaded  bool
 	stopped bool
-	unwatch func()
+	// failures to read since the newest reading.
+	failures int
+	unwatch  func()
 }
 
 type knownConfiguration struct {
@@ -91,6 +103,7 @@
 			c.readLater()
 			return
 		}
+		c.succeeded()
 		for _, pair := range result.KeyValues {
 			c.learnPair(pair)
 		}
@@ -99,7 +112,17 @@
 }
 
 func (c *configurationCache) readLater() {
-	c.set.config.Clock.AfterFunc(c.set.jitter(rereadDelay), c.read)
+	c.mutex.Lock()
+	pause := rereadPause(c.failures)
+	c.failures++
+	c.mutex.Unlock()
+	c.set.config.Clock.AfterFunc(c.set.jitter(pause), c.read)
+}
+
+func (c *configurationCache) succeeded() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.failures = 0
 }
 
 func (c *configurationCache) watch(revision int64) {
--- a/internal/claims/live_test.go
+++ b/internal/claims/live_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -67,3 +68,18 @@
 		}
 	})
 }
+
+// TestRereadPause checks that the pauses grow to a bound.
+func TestRereadPause(t *testing.T) {
+	total := time.Duration(0)
+	for failures := range 100 {
+		pause := rereadPause(failures)
+		if pause < rereadDelay || pause > maxRereadDelay {
+			t.Fatalf("pause %s after %d failures", pause, failures)
+		}
+		total += pause
+	}
+	if total < 90*maxRereadDelay {
+		t.Errorf("100 failed readings take only %s", total)
+	}
+}
