--- a/internal/claims/proposer.go
+++ b/internal/claims/proposer.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/membership"
 	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/platform"
 )
@@ -69,19 +68,6 @@
 	denied Result
 }
 
-// claimRound counts the votes of one configuration.
-type claimRound struct {
-	configuration Configuration
-	holder        platform.AttemptID
-	replies       int
-	given         int
-	conflicts     int
-	held          map[platform.AttemptID]int
-	outcome       *Outcome
-	outcomeHolder platform.AttemptID
-	ended         bool
-}
-
 // Claim implements Claimer.
 func (s *ClaimSet) Claim(key Key, attempt platform.AttemptID, digest uint64, deadline time.Time, done func(Result)) {
 	operation := &claimOperation{
@@ -160,59 +146,6 @@
 	o.act(round, decision, result, final)
 }
 
-func (r *claimRound) count(message peer.Message, err error) {
-	r.replies++
-	reply, ok := message.(VoteReply)
-	if err != nil || !ok {
-		return
-	}
-	if reply.Outcome != nil {
-		r.outcome = reply.Outcome
-		r.outcomeHolder = reply.Holder
-	}
-	switch reply.Status {
-	case VoteGiven:
-		r.given++
-	case VoteHeld:
-		r.held[reply.Holder]++
-	case VoteConflict:
-		r.conflicts++
-	}
-}
-
-type roundDecision uint8
-
-const (
-	undecided roundDecision = iota
-	won
-	heldByOther
-	usedForOther
-	noMajority
-)
-
-// decide looks at the votes so far.
-func (r *claimRound) decide() roundDecision {
-	quorum := r.configuration.writeQuorum()
-	if r.given >= quorum {
-		return won
-	}
-	if r.outcome != nil {
-		return heldByOther
-	}
-	if r.conflicts >= quorum {
-		return usedForOther
-	}
-	for _, votes := range r.held {
-		if votes >= quorum {
-			return heldByOther
-		}
-	}
-	if r.replies == len(r.configuration.Acceptors) {
-		return noMajority
-	}
-	return undecided
-}
-
 // conclude turns a decision into the operation's result, if it is final.
 func (o *claimOperation) conclude(round *claimRound, decision roundDecision) (Result, bool) {
 	switch decision {
@@ -229,18 +162,6 @@
 	}
 }
 
-func (r *claimRound) majorityHolder() platform.AttemptID {
-	if r.outcome != nil {
-		return r.outcomeHolder
-	}
-	for holder, votes := range r.held {
-		if votes >= r.configuration.writeQuorum() {
-			return holder
-		}
-	}
-	return ""
-}
-
 // act carries out what the end of a round asks for.
 func (o *claimOperation) act(round *claimRound, decision roundDecision, result Result, final bool) {
 	if decision == won {
@@ -289,91 +210,3 @@
 		s.sendRelease(shard, configuration, key, round.holder)
 	}
 }
-
-// Record implements Claimer.
-func (s *ClaimSet) Record(key Key, attempt platform.AttemptID, outcome Outcome) {
-	round, known := s.granted.take(attempt)
-	if !known {
-		return
-	}
-	if len(outcome.Body) > MaxOutcomeBytes {
-		outcome.Body = nil
-		outcome.Truncated = true
-	}
-	record := &recordOperation{
-		set: s, shard: shardOf(key, s.config.Shards),
-		request: RecordRequest{Key: key, Attempt: round.holder, Digest: round.digest, Outcome: outcome},
-	}
-	record.start()
-}
-
-// MaxOutcomeBytes bounds the body kept of an outcome.
-const MaxOutcomeBytes = 16 << 10
-
-// maxRecordTries bounds the tries to store an outcome.
-const maxRecordTries = 20
-
-// recordOperation stores an outcome at a majority, over changes of
-// configuration.
-type recordOperation struct {
-	set     *ClaimSet
-	shard   int
-	request RecordRequest
-	tries   int
-}
-
-func (r *recordOperation) start() {
-	r.tries++
-	configuration, known := r.set.configurations.get(r.shard)
-	if !known || len(configuration.Acceptors) == 0 {
-		r.again()
-		return
-	}
-	request := r.request
-	request.Configuration = configuration.id(r.shard)
-	tally := &recordTally{operation: r, needed: configuration.writeQuorum(), expected: len(configuration.Acceptors)}
-	for _, acceptor := range configuration.Acceptors {
-		r.send(acceptor, request, tally)
-	}
-}
-
-func (r *recordOperation) send(acceptor membership.Member, request RecordRequest, tally *recordTally) {
-	r.set.config.Transport.Call(acceptor.PeerAddress, request, r.set.config.CallTimeout,
-		func(message peer.Message, err error) {
-			acknowledgement, ok := message.(Acknowledgement)
-			tally.count(err == nil && ok && acknowledgement.OK)
-		})
-}
-
-func (r *recordOperation) again() {
-	if r.tries >= maxRecordTries {
-		r.set.config.Logger.Warn().Int("shard", r.shard).Str("attempt", string(r.request.Attempt)).
-			Str("reason", "no majority").Msg("outcome not recorded")
-		return
-	}
-	r.set.config.Clock.AfterFunc(r.set.jitter(outcomeDelay), r.start)
-}
-
-// recordTally counts the acknowledgements of one try.
-type recordTally struct {
-	operation *recordOperation
-	needed    int
-	expected  int
-
-	mutex    sync.Mutex
-	replies  int
-	accepted int
-}
-
-func (t *recordTally) count(accepted bool) {
-	t.mutex.Lock()
-	t.replies++
-	if accepted {
-		t.accepted++
-	}
-	failed := t.replies == t.expected && t.accepted < t.needed
-	t.mutex.Unlock()
-	if failed {
-		t.operation.again()
-	}
-}
--- /dev/null
+++ b/internal/claims/record.go
@@ -0,0 +1,97 @@
+package claims
+
+import (
+	"sync"
+
+	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/peer"
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// Record implements Claimer.
+func (s *ClaimSet) Record(key Key, attempt platform.AttemptID, outcome Outcome) {
+	round, known := s.granted.take(attempt)
+	if !known {
+		return
+	}
+	if len(outcome.Body) > MaxOutcomeBytes {
+		outcome.Body = nil
+		outcome.Truncated = true
+	}
+	record := &recordOperation{
+		set: s, shard: shardOf(key, s.config.Shards),
+		request: RecordRequest{Key: key, Attempt: round.holder, Digest: round.digest, Outcome: outcome},
+	}
+	record.start()
+}
+
+// MaxOutcomeBytes bounds the body kept of an outcome.
+const MaxOutcomeBytes = 16 << 10
+
+// maxRecordTries bounds the tries to store an outcome.
+const maxRecordTries = 20
+
+// recordOperation stores an outcome at a majority, over changes of
+// configuration.
+type recordOperation struct {
+	set     *ClaimSet
+	shard   int
+	request RecordRequest
+	tries   int
+}
+
+func (r *recordOperation) start() {
+	r.tries++
+	configuration, known := r.set.configurations.get(r.shard)
+	if !known || len(configuration.Acceptors) == 0 {
+		r.again()
+		return
+	}
+	request := r.request
+	request.Configuration = configuration.id(r.shard)
+	tally := &recordTally{operation: r, needed: configuration.writeQuorum(), expected: len(configuration.Acceptors)}
+	for _, acceptor := range configuration.Acceptors {
+		r.send(acceptor, request, tally)
+	}
+}
+
+func (r *recordOperation) send(acceptor membership.Member, request RecordRequest, tally *recordTally) {
+	r.set.config.Transport.Call(acceptor.PeerAddress, request, r.set.config.CallTimeout,
+		func(message peer.Message, err error) {
+			acknowledgement, ok := message.(Acknowledgement)
+			tally.count(err == nil && ok && acknowledgement.OK)
+		})
+}
+
+func (r *recordOperation) again() {
+	if r.tries >= maxRecordTries {
+		r.set.config.Logger.Warn().Int("shard", r.shard).Str("attempt", string(r.request.Attempt)).
+			Str("reason", "no majority").Msg("outcome not recorded")
+		return
+	}
+	r.set.config.Clock.AfterFunc(r.set.jitter(outcomeDelay), r.start)
+}
+
+// recordTally counts the acknowledgements of one try.
+type recordTally struct {
+	operation *recordOperation
+	needed    int
+	expected  int
+
+	mutex    sync.Mutex
+	replies  int
+	accepted int
+}
+
+func (t *recordTally) count(accepted bool) {
+	t.mutex.Lock()
+	t.replies++
+	if accepted {
+		t.accepted++
+	}
+	failed := t.replies == t.expected && t.accepted < t.needed
+	t.mutex.Unlock()
+	if failed {
+		t.operation.again()
+	}
+}
--- /dev/null
+++ b/internal/claims/round.go
@@ -0,0 +1,84 @@
+package claims
+
+import (
+	"github.com/hatchplank/hatchplank/internal/peer"
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+// claimRound counts the votes of one configuration.
+type claimRound struct {
+	configuration Configuration
+	holder        platform.AttemptID
+	replies       int
+	given         int
+	conflicts     int
+	held          map[platform.AttemptID]int
+	outcome       *Outcome
+	outcomeHolder platform.AttemptID
+	ended         bool
+}
+
+func (r *claimRound) count(message peer.Message, err error) {
+	r.replies++
+	reply, ok := message.(VoteReply)
+	if err != nil || !ok {
+		return
+	}
+	if reply.Outcome != nil {
+		r.outcome = reply.Outcome
+		r.outcomeHolder = reply.Holder
+	}
+	switch reply.Status {
+	case VoteGiven:
+		r.given++
+	case VoteHeld:
+		r.held[reply.Holder]++
+	case VoteConflict:
+		r.conflicts++
+	}
+}
+
+type roundDecision uint8
+
+const (
+	undecided roundDecision = iota
+	won
+	heldByOther
+	usedForOther
+	noMajority
+)
+
+// decide looks at the votes so far.
+func (r *claimRound) decide() roundDecision {
+	quorum := r.configuration.writeQuorum()
+	if r.given >= quorum {
+		return won
+	}
+	if r.outcome != nil {
+		return heldByOther
+	}
+	if r.conflicts >= quorum {
+		return usedForOther
+	}
+	for _, votes := range r.held {
+		if votes >= quorum {
+			return heldByOther
+		}
+	}
+	if r.replies == len(r.configuration.Acceptors) {
+		return noMajority
+	}
+	return undecided
+}
+
+func (r *claimRound) majorityHolder() platform.AttemptID {
+	if r.outcome != nil {
+		return r.outcomeHolder
+	}
+	for holder, votes := range r.held {
+		if votes >= r.configuration.writeQuorum() {
+			return holder
+		}
+	}
+	return ""
+}
