--- a/internal/report/policies_plots.go
+++ b/internal/report/policies_plots.go
@@ -187,15 +187,25 @@
 	return namedPlot{"idle-hours", "Accelerator hours loaded or loading without serving, beside the lower bounds.", made}, nil
 }
 
+// smallestPoint that the logarithmic axes show, and the factor by which they go
+// beyond the points.
+const (
+	smallestPoint  = 0.1
+	tradeOffMargin = 1.5
+)
+
 // tradeOff draws each choice as a point of cold-start tail against idle hours.
 func tradeOff(outcomes []emulator.PolicyOutcome) (namedPlot, error) {
-	made := newPlot("Cold-start tail against idle hours", "idle accelerator hours", "cold-start p99 in seconds")
+	made := newPlot("Cold-start tail against idle hours", "idle accelerator hours (logarithmic)", "cold-start p99 in seconds (logarithmic)")
+	made.X.Scale, made.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	made.X.Tick.Marker, made.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
 	for index := range outcomes {
 		outcome := &outcomes[index]
 		point := plotter.XY{
 			X: EstimateOf(values(outcome, func(f *emulator.PolicyFigures) float64 { return f.IdleHours })).Mean,
 			Y: EstimateOf(values(outcome, func(f *emulator.PolicyFigures) float64 { return f.Cold.P99 })).Mean,
 		}
+		point.X, point.Y = max(point.X, smallestPoint), max(point.Y, smallestPoint)
 		scatter, err := plotter.NewScatter(plotter.XYs{point})
 		if err != nil {
 			return namedPlot{}, err
@@ -206,6 +216,8 @@
 		made.Add(scatter)
 		made.Legend.Add(outcome.Choice.Label, scatter)
 	}
-	made.X.Min, made.Y.Min = 0, 0
+	// Room at the right and above for the legend.
+	made.X.Min, made.X.Max = made.X.Min/tradeOffMargin, made.X.Max*tradeOffMargin*tradeOffMargin
+	made.Y.Min, made.Y.Max = made.Y.Min/tradeOffMargin, made.Y.Max*tradeOffMargin
 	return namedPlot{"trade-off", "Each policy by its cold-start tail and its idle hours; down and left is better.", made}, nil
 }
