--- a/internal/command/experiment_slopes.go
+++ b/internal/command/experiment_slopes.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -15,6 +16,10 @@
 // slopesProcessors bounds the processors that the experiment uses.
 const slopesProcessors = 6
 
+// slopesMemoryLimit makes the collector work harder before the process takes
+// more bytes than this.
+const slopesMemoryLimit = 11 << 30
+
 // slopesProfileRate is the mean number of bytes between two samples of the
 // memory profile.
 const slopesProfileRate = 64 << 10
@@ -37,6 +42,7 @@
 		Args: usageArguments(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			runtime.MemProfileRate = slopesProfileRate
+			debug.SetMemoryLimit(slopesMemoryLimit)
 			if runtime.GOMAXPROCS(0) > slopesProcessors {
 				runtime.GOMAXPROCS(slopesProcessors)
 			}
