--- /dev/null
+++ b/internal/applier/digest_test.go
@@ -0,0 +1,64 @@
+package applier
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/directory"
+	"github.com/hatchplank/hatchplank/internal/platform"
+)
+
+func digestedRow() *directory.RowEndpoints {
+	row := &directory.RowEndpoints{Model: "m", Gateways: 840}
+	for i := range 8 {
+		row.Endpoints = append(row.Endpoints, directory.Endpoint{
+			Server: platform.ServerID(fmt.Sprintf("server-%05d", i)), Version: "1", Slot: platform.SlotID(i),
+			MaxBatch: 32, Adapters: []string{"a", "b"},
+		})
+	}
+	return row
+}
+
+// TestDigestOf changes one thing after the other that gateways act on, and the
+// load, on which the digest does not depend.
+func TestDigestOf(t *testing.T) {
+	changes := map[string]func(*directory.RowEndpoints){
+		"nothing":     func(*directory.RowEndpoints) {},
+		"server":      func(r *directory.RowEndpoints) { r.Endpoints[0].Server = "server-x" },
+		"version":     func(r *directory.RowEndpoints) { r.Endpoints[1].Version = "2" },
+		"slot":        func(r *directory.RowEndpoints) { r.Endpoints[2].Slot = 9 },
+		"batch":       func(r *directory.RowEndpoints) { r.Endpoints[3].MaxBatch = 16 },
+		"draining":    func(r *directory.RowEndpoints) { r.Endpoints[4].Draining = true },
+		"adapters":    func(r *directory.RowEndpoints) { r.Endpoints[5].Adapters = []string{"ab"} },
+		"removed":     func(r *directory.RowEndpoints) { r.Endpoints = r.Endpoints[:7] },
+		"ready":       func(r *directory.RowEndpoints) { r.ReadyAt = time.Unix(1, 0) },
+		"refused":     func(r *directory.RowEndpoints) { r.Refused = "reason" },
+		"half of all": func(r *directory.RowEndpoints) { r.Gateways = 400 },
+	}
+	seen := map[uint64]string{}
+	for name, change := range changes {
+		row := digestedRow()
+		change(row)
+		digest := digestOf(row)
+		if other, known := seen[digest]; known {
+			t.Errorf("%s and %s have the same digest", name, other)
+		}
+		seen[digest] = name
+	}
+	loaded := digestedRow()
+	loaded.Endpoints[0].Running, loaded.Endpoints[0].Queued = 5, 7
+	loaded.Gateways++
+	if digestOf(loaded) != digestOf(digestedRow()) {
+		t.Error("the digest depends on the load")
+	}
+}
+
+// BenchmarkDigestOf is the digest of a cell's part of an active row.
+func BenchmarkDigestOf(b *testing.B) {
+	row := digestedRow()
+	b.ReportAllocs()
+	for b.Loop() {
+		digestOf(row)
+	}
+}
--- a/internal/applier/endpoints.go
+++ b/internal/applier/endpoints.go
@@ -1,10 +1,11 @@
 package applier
 
 import (
-	"fmt"
+	"encoding/binary"
 	"maps"
 	"math/bits"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,13 +45,32 @@
 // digestOf is a hash of what gateways act on but the load; never 0. The number of
 // gateways counts by powers of two, since it changes with every request.
 func digestOf(row *directory.RowEndpoints) uint64 {
-	digest := xxhash.New()
+	text := make([]byte, 0, digestBytes*(1+len(row.Endpoints)))
 	for i := range row.Endpoints {
 		endpoint := &row.Endpoints[i]
-		fmt.Fprintln(digest, endpoint.Server, endpoint.Version, endpoint.Slot, endpoint.MaxBatch, endpoint.Draining, endpoint.Adapters)
+		text = appendWord(text, string(endpoint.Server))
+		text = appendWord(text, endpoint.Version)
+		text = binary.AppendVarint(text, int64(endpoint.Slot))
+		text = binary.AppendVarint(text, int64(endpoint.MaxBatch))
+		text = strconv.AppendBool(text, endpoint.Draining)
+		text = binary.AppendVarint(text, int64(len(endpoint.Adapters)))
+		for _, adapter := range endpoint.Adapters {
+			text = appendWord(text, adapter)
+		}
 	}
-	fmt.Fprintln(digest, row.ReadyAt.UnixNano(), row.Refused, bits.Len(uint(row.Gateways)))
-	return max(1, digest.Sum64())
+	text = binary.AppendVarint(text, row.ReadyAt.UnixNano())
+	text = appendWord(text, row.Refused)
+	text = binary.AppendVarint(text, int64(bits.Len(uint(row.Gateways))))
+	return max(1, xxhash.Sum64(text))
+}
+
+// digestBytes is about how long the text of one endpoint is.
+const digestBytes = 64
+
+// appendWord adds a word with its length, so that no two lists look alike.
+func appendWord(text []byte, word string) []byte {
+	text = binary.AppendVarint(text, int64(len(word)))
+	return append(text, word...)
 }
 
 // refusedUnknownRow is told of models that the owner's table does not have.
