--- a/internal/emulator/mutations_test.go
+++ b/internal/emulator/mutations_test.go
@@ -18,7 +18,7 @@
 
 // mutationSeeds bounds how many seeds are tried, in order, until one shows that
 // a mechanism is missing.
-const mutationSeeds = 16
+const mutationSeeds = 32
 
 // withoutMechanism is one safety mechanism switched off.
 type withoutMechanism struct {
@@ -76,7 +76,7 @@
 	Entry("monotonicity of revisions", withoutMechanism{
 		promise: checker.PromiseTable,
 		change:  func(o *Options) { o.Disabled.RevisionMonotonicity = true },
-		prepare: func(w *World) { w.Faults.Loss = 0.3 },
+		prepare: func(w *World) { w.Faults.Loss = 0.2 },
 	}),
 	Entry("margin before deadlines", withoutMechanism{
 		promise: checker.PromiseAnswered,
