--- a/internal/report/policies_plots.go
+++ b/internal/report/policies_plots.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"math"
 	"slices"
 
 	"gonum.org/v1/plot"
@@ -187,12 +188,14 @@
 	return namedPlot{"idle-hours", "Accelerator hours loaded or loading without serving, beside the lower bounds.", made}, nil
 }
 
-// smallestPoint that the logarithmic axes show, and the factor by which they go
-// beyond the points.
-const (
-	smallestPoint  = 0.1
-	tradeOffMargin = 1.5
-)
+// smallestPoint that the logarithmic axes show.
+const smallestPoint = 0.1
+
+// wholeDecades widens a logarithmic axis, so that it has labels.
+func wholeDecades(axis *plot.Axis) {
+	axis.Min = math.Pow(10, math.Floor(math.Log10(axis.Min)))
+	axis.Max = math.Pow(10, math.Floor(math.Log10(axis.Max))+1)
+}
 
 // tradeOff draws each choice as a point of cold-start tail against idle hours.
 func tradeOff(outcomes []emulator.PolicyOutcome) (namedPlot, error) {
@@ -216,8 +219,7 @@
 		made.Add(scatter)
 		made.Legend.Add(outcome.Choice.Label, scatter)
 	}
-	// Room at the right and above for the legend.
-	made.X.Min, made.X.Max = made.X.Min/tradeOffMargin, made.X.Max*tradeOffMargin*tradeOffMargin
-	made.Y.Min, made.Y.Max = made.Y.Min/tradeOffMargin, made.Y.Max*tradeOffMargin
+	wholeDecades(&made.X)
+	wholeDecades(&made.Y)
 	return namedPlot{"trade-off", "Each policy by its cold-start tail and its idle hours; down and left is better.", made}, nil
 }
