Let the checker know that a list is read once a second

Ruled out: lost messages, pauses and outages (none were in force). Change: only what the list showed for a reading period counts as seen before the lag grew; two cases in the checker's table stand on both sides of that edge.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -151,6 +151,16 @@
 		c.MachineListLag(0, at(12))
 		received(c, 17.1)
 	}),
+	Entry("no work for a machine shown as leaving too shortly to be read before the lag grew", checker.PromiseLeaving, 0, func(c *checker.Checker) {
+		leaves(c)
+		c.MachineListLag(8*time.Second, at(10.9))
+		received(c, 22)
+	}),
+	Entry("work for a machine shown as leaving long enough before the lag grew", checker.PromiseLeaving, 1, func(c *checker.Checker) {
+		leaves(c)
+		c.MachineListLag(8*time.Second, at(11.1))
+		received(c, 15.1)
+	}),
 	Entry("no work that was long on its way", checker.PromiseLeaving, 0, func(c *checker.Checker) {
 		leaves(c)
 		c.MessageDelay(3*time.Second, at(11))
--- a/internal/checker/leaving.go
+++ b/internal/checker/leaving.go
@@ -14,12 +14,16 @@
 	visible time.Time
 }
 
+// listReadPeriod is how often a node reads the machine list. What the list showed
+// for a shorter time before its lag grew, a node need not have seen.
+const listReadPeriod = time.Second
+
 // MachineListLag notes that readers see the list as it was a time ago from now
 // on.
 func (c *Checker) MachineListLag(lag time.Duration, at time.Time) {
 	c.listLag = lag
 	for _, leaving := range c.leaving {
-		if leaving.visible.Before(at) {
+		if leaving.visible.Add(listReadPeriod).Before(at) {
 			continue
 		}
 		leaving.visible = leaving.announced.Add(lag)
