Tell the platform's health from the calls a node makes anyway

Cause: internal/serve asked each platform service every 10 s for the status page, the whole machine list included (1.75 MB at the target by docs/CAPACITY.md, which counts the node's own readings only), although nodestatus already had observers that tell health from a node's own calls and that nothing used. Change: the node gets its services through those observers; the machine list is asked no more beside the reading of each second, the other two, which may go without a call for long, are asked as before, through their observers.

--- a/internal/serve/health.go
+++ b/internal/serve/health.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/api"
 	"github.com/hatchplank/hatchplank/internal/api/nodestatus"
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/platform"
@@ -16,27 +17,29 @@
 	healthKey = "health"
 )
 
-// services are the platform's services that a node depends on.
-type services struct {
+// health observes the node's calls to the platform's services, which tell how
+// these are. The machine list is read every second; the others may go without a
+// call for long, so they are asked every period.
+type health struct {
+	clock     clock.Clock
 	keyValues platform.KeyValueService
 	machines  platform.MachineListService
 	weights   platform.WeightStoreService
+	// report tells how the newest calls ended.
+	report func() api.PlatformHealth
+	stop   func()
 }
 
-// health asks the platform's services every period how they are.
-type health struct {
-	clock                        clock.Clock
-	services                     services
-	keyValues, machines, weights *nodestatus.ServiceObserver
-	stop                         func()
-}
-
-func newHealth(c clock.Clock, s services) *health {
+func newHealth(c clock.Clock, keyValues platform.KeyValueService, machines platform.MachineListService, weights platform.WeightStoreService) *health {
+	ofKeyValues := nodestatus.NewServiceObserver("key-value", c)
+	ofMachines := nodestatus.NewServiceObserver("machine list", c)
+	ofWeights := nodestatus.NewServiceObserver("weight store", c)
 	return &health{
-		clock: c, services: s,
-		keyValues: nodestatus.NewServiceObserver("key-value", c),
-		machines:  nodestatus.NewServiceObserver("machine list", c),
-		weights:   nodestatus.NewServiceObserver("weight store", c),
+		clock:     c,
+		keyValues: nodestatus.ObserveKeyValues(keyValues, ofKeyValues),
+		machines:  nodestatus.ObserveMachines(machines, ofMachines),
+		weights:   nodestatus.ObserveWeights(weights, ofWeights),
+		report:    nodestatus.HealthOf(ofKeyValues, ofMachines, ofWeights),
 	}
 }
 
@@ -47,7 +50,6 @@
 }
 
 func (h *health) ask() {
-	h.services.keyValues.Range(healthKey, healthTimeout, func(_ platform.RangeResult, err error) { h.keyValues.Observe(err) })
-	h.services.machines.List(0, healthTimeout, func(_ *platform.MachineListing, err error) { h.machines.Observe(err) })
-	h.services.weights.Status(healthTimeout, func(_ platform.WeightStoreStatus, err error) { h.weights.Observe(err) })
+	h.keyValues.Range(healthKey, healthTimeout, func(platform.RangeResult, error) {})
+	h.weights.Status(healthTimeout, func(platform.WeightStoreStatus, error) {})
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -104,17 +104,17 @@
 	p.keyValues = keyValues
 	machines := httpapi.NewMachineList(hostOf(p.settings.Platform.MachineList), httpapi.Options{})
 	weights := httpapi.NewWeightStore(hostOf(p.settings.Platform.WeightStore), httpapi.Options{})
+	p.health = newHealth(p.clock, keyValues, machines, weights)
 	p.node, err = node.New(node.Config{
 		Self: p.self(), Settings: p.settings, Clock: p.clock, Seed: rand.Uint64(),
-		KeyValues: keyValues, Engines: httpapi.NewEngines(p.lookup, httpapi.Options{}),
-		BackEnds: httpapi.NewBackEnds(p.lookup, httpapi.Options{}), Machines: machines, Weights: weights,
+		KeyValues: p.health.keyValues, Engines: httpapi.NewEngines(p.lookup, httpapi.Options{}),
+		BackEnds: httpapi.NewBackEnds(p.lookup, httpapi.Options{}), Machines: p.health.machines, Weights: p.health.weights,
 		Transport: p.transport, Logger: p.logger, Mechanisms: applier.AllMechanisms(),
 		Failed: p.fail,
 	})
 	if err != nil {
 		return eris.Wrap(err, "assemble node")
 	}
-	p.health = newHealth(p.clock, services{keyValues: keyValues, machines: machines, weights: weights})
 	p.status = p.collector()
 	return nil
 }
@@ -144,7 +144,7 @@
 		Clock: p.clock, Members: p.node.Registry, Ownership: p.node.Owners, CellNames: names,
 		Table: p.node.Table, Cells: p.node.Manager, Requests: p.node.Gateway, Machines: p.node.Machines,
 		Transport: p.transport,
-		Health:    nodestatus.HealthOf(p.health.keyValues, p.health.machines, p.health.weights),
+		Health:    p.health.report,
 	})
 }
 
