--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"runtime/debug"
+	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/edge"
 	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
-	services "github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/orders"
+	"github.com/hatchplank/hatchplank/internal/peer/tcp"
 	"github.com/hatchplank/hatchplank/platform"
 )
 
@@ -25,6 +30,12 @@
 	assumedNodes = 12
 	// tidyPeriod between removals of what is not needed any more.
 	tidyPeriod = time.Second
+	// leaseTime after which an order holder that is not heard is replaced.
+	leaseTime = 2 * time.Second
+	// probeTimeout of the look whether the holder's process is gone.
+	probeTimeout = 200 * time.Millisecond
+	// peerBackoff is the longest pause between connections to another node.
+	peerBackoff = 200 * time.Millisecond
 )
 
 // Connections to servers and to the store.
@@ -33,56 +44,114 @@
 	toStore   = exchange.DialSettings{Timeout: time.Second, Unacknowledged: 2 * time.Second}
 )
 
+// node is the product's parts, bound to the platform.
+type node struct {
+	settings  edge.Settings
+	logger    zerolog.Logger
+	view      *fleet.View
+	servers   *exchange.Client
+	store     *platform.Store
+	transport *tcp.Transport
+	election  *orders.Election
+	holder    *orders.Holder
+	link      *orders.Link
+	forwarder *forward.Forwarder
+	process   *edge.Process
+}
+
 // assemble binds the product's parts to the platform.
 func assemble(settings edge.Settings, logger zerolog.Logger) (*edge.Process, error) {
 	debug.SetGCPercent(garbageShare)
-	view := fleet.NewView()
-	servers := exchange.NewClient(toServers)
-	store := platform.NewStore(settings.Store.Address, exchange.NewClient(toStore))
-	forwarder := forward.New(forward.Config{
-		View: view, Backend: &platform.Backend{Client: servers}, Zone: settings.Node.Zone, Nodes: assumedNodes,
-		Budget: forward.BudgetLimits{
-			Ratio: settings.Retries.Ratio, Slack: settings.Retries.Slack, Window: settings.Retries.Window,
-		},
+	n := &node{
+		settings: settings, logger: logger, view: fleet.NewView(), servers: exchange.NewClient(toServers),
+		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(toStore)),
+		process: edge.NewProcess(settings, logger),
+	}
+	transport, err := tcp.New(tcp.Config{
+		Address: settings.Listen.Peers, Secret: []byte(settings.Cluster.Secret), Logger: logger, MaxBackoff: peerBackoff,
 	})
-	process := edge.NewProcess(settings, logger)
-	feed := platform.NewFeed(store, view, ownPrefix, ignoredKeys{}, logger)
-	process.Assemble(edge.Parts{
-		Callers:   &platform.Ingress{Forwarder: forwarder, View: view, Closing: process.Stopping},
-		Ready:     func() string { return notReady(view) },
-		IdleLimit: func() time.Duration { return idleLimit(view) },
-		Background: []func(context.Context){
-			feed.Run,
-			func(ctx context.Context) { tidy(ctx, forwarder, servers) },
-		},
-		HandOver: func() {},
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for other nodes")
+	}
+	n.transport = transport
+	n.assembleOrders()
+	n.assembleForwarder()
+	n.process.Assemble(n.parts())
+	return n.process, nil
+}
+
+func (n *node) assembleOrders() {
+	n.election = orders.NewElection(orders.ElectionConfig{
+		Store: n.store, Prefix: ownPrefix, Self: orders.Record{Name: n.settings.Node.Name, Address: n.settings.Listen.Peers},
+		Lease: max(leaseTime, n.settings.Store.MinimumLease), Turn: n.turn(), Refused: refused, Logger: n.logger,
 	})
-	return process, nil
+	n.holder = orders.NewHolder(orders.HolderConfig{
+		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers}, Name: n.settings.Node.Name,
+		Ceiling: orders.CeilingLimits{Window: n.settings.Orders.LoadWindow, Overage: n.settings.Orders.LoadOverage},
+		Push:    func(address string, update orders.Update) { n.link.Push(address, update) }, Logger: n.logger,
+	})
+	n.link = orders.NewLink(orders.LinkConfig{
+		Election: n.election, Holder: n.holder, View: n.view, Transport: n.transport,
+		Demand:   func() []forward.Demand { return n.forwarder.Demand() },
+		Wanted:   func() <-chan struct{} { return n.forwarder.Wanted() },
+		SetNodes: func(nodes int) { n.forwarder.SetNodes(nodes) },
+		Name:     n.settings.Node.Name, Address: n.settings.Listen.Peers, Logger: n.logger,
+	})
+}
+
+// turn is the time between the orders of two holders.
+func (n *node) turn() time.Duration {
+	if n.settings.Orders.Fenced {
+		return 0
+	}
+	return n.settings.Orders.Turn
 }
 
-type ignoredKeys struct{}
+func (n *node) assembleForwarder() {
+	n.forwarder = forward.New(forward.Config{
+		View: n.view, Backend: &platform.Backend{Client: n.servers}, Orders: n.link, Zone: n.settings.Node.Zone,
+		Nodes: assumedNodes,
+		Budget: forward.BudgetLimits{
+			Ratio: n.settings.Retries.Ratio, Slack: n.settings.Retries.Slack, Window: n.settings.Retries.Window,
+		},
+	})
+}
 
-func (ignoredKeys) Replace([]services.KeyValue) {}
+func (n *node) parts() edge.Parts {
+	feed := platform.NewFeed(n.store, n.view, ownPrefix, n.election, n.logger)
+	return edge.Parts{
+		Callers:    &platform.Ingress{Forwarder: n.forwarder, View: n.view, Closing: n.process.Stopping},
+		Ready:      n.notReady,
+		IdleLimit:  n.idleLimit,
+		Background: []func(context.Context){feed.Run, n.election.Run, n.holder.Run, n.link.Run, n.tidy, n.serveNodes},
+		HandOver:   n.election.Resign,
+	}
+}
 
-func (ignoredKeys) Change(services.WatchEvent) {}
+// serveNodes serves the other nodes.
+func (n *node) serveNodes(ctx context.Context) {
+	n.transport.Start()
+	<-ctx.Done()
+	n.transport.Close()
+}
 
 // notReady tells why the node can't serve yet.
-func notReady(view *fleet.View) string {
-	if view.Load().Configuration == nil {
+func (n *node) notReady() string {
+	if n.view.Load().Configuration == nil {
 		return "no configuration yet"
 	}
 	return ""
 }
 
-func idleLimit(view *fleet.View) time.Duration {
-	if configuration := view.Load().Configuration; configuration != nil {
+func (n *node) idleLimit() time.Duration {
+	if configuration := n.view.Load().Configuration; configuration != nil {
 		return configuration.Limits.IdleTimeout
 	}
 	return 0
 }
 
 // tidy forgets what is not needed any more.
-func tidy(ctx context.Context, forwarder *forward.Forwarder, servers *exchange.Client) {
+func (n *node) tidy(ctx context.Context) {
 	ticker := time.NewTicker(tidyPeriod)
 	defer ticker.Stop()
 	for {
@@ -90,8 +159,18 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			forwarder.Tidy()
-			servers.Tidy(now)
+			n.forwarder.Tidy()
+			n.servers.Tidy(now)
 		}
 	}
 }
+
+// refused reports whether nothing listens at an address of a machine that is up.
+func refused(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, probeTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -10,9 +10,9 @@
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
+	"github.com/hatchplank/hatchplank/internal/logging"
 	"github.com/hatchplank/hatchplank/internal/serve"
 	"github.com/hatchplank/hatchplank/internal/settings"
-	"github.com/hatchplank/hatchplank/internal/logging"
 )
 
 // serveFlags are the settings that a flag can override, by flag name.
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -95,8 +95,10 @@
 		name, value string
 		optional    bool
 	}{
-		{"listen.callers", s.Listen.Callers, false}, {"listen.health", s.Listen.Health, false},
-		{"listen.peers", s.Listen.Peers, false}, {"listen.metrics", s.Listen.Metrics, true},
+		{"listen.callers", s.Listen.Callers, false},
+		{"listen.health", s.Listen.Health, false},
+		{"listen.peers", s.Listen.Peers, false},
+		{"listen.metrics", s.Listen.Metrics, true},
 		{"store.address", s.Store.Address, false},
 	}
 	for _, address := range addresses {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -13,8 +13,6 @@
 	Slots int
 	// Draining servers get no new work.
 	Draining bool
-	// Sequence counts the orders that it took.
-	Sequence int64
 	// Models that are ready, with their adapters.
 	Models map[string]Held
 	// InMemory and OnDisk name the models with a copy of their weights there.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -138,14 +138,13 @@
 	v.changed = make(chan struct{})
 }
 
-// overlay returns the record with the models that the holder knows of, unless
-// the record was written after a later order.
+// overlay returns the record with the models that the holder knows of. Records
+// come later than the holder's word, so they don't change it.
 func overlay(record, placed *Server) *Server {
-	if placed == nil || record.Sequence > placed.Sequence {
+	if placed == nil {
 		return record
 	}
 	merged := *record
 	merged.Models = placed.Models
-	merged.Sequence = placed.Sequence
 	return &merged
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -18,7 +18,7 @@
 	longestEvent = 1 << 20
 	// gapFactor times the route's pause without an event ends an attempt that
 	// can be continued elsewhere.
-	gapFactor = 4
+	gapFactor   = 4
 	relayBuffer = 4 << 10
 )
 
--- /dev/null
+++ b/internal/orders/ceiling.go
@@ -0,0 +1,43 @@
+package orders
+
+import "time"
+
+// CeilingLimits bound how many loads from the weight store begin in any window.
+type CeilingLimits struct {
+	Window  time.Duration
+	Overage float64
+}
+
+const (
+	// fullSpeedSeconds: loads under way at once, for each load a second that
+	// the store allows, before they slow each other down.
+	fullSpeedSeconds = 1.75
+	// ceilingMargin is the part of the burst that is not used.
+	ceilingMargin = 0.75
+)
+
+// ceiling is a token bucket: the rate of the store, with a burst as large as
+// the overage of one window.
+type ceiling struct {
+	limits CeilingLimits
+	tokens float64
+	at     time.Time
+}
+
+func newCeiling(limits CeilingLimits) *ceiling { return &ceiling{limits: limits} }
+
+// available is how many loads may begin now, with the given number under way.
+func (c *ceiling) available(rate float64, underWay int, now time.Time) int {
+	burst := max(ceilingMargin*(rate*c.limits.Window.Seconds()*(c.limits.Overage-1)+2), 1)
+	if c.at.IsZero() {
+		c.tokens = 1
+	} else {
+		c.tokens = min(c.tokens+rate*now.Sub(c.at).Seconds(), burst)
+	}
+	c.at = now
+	atOnce := max(int(fullSpeedSeconds*rate), 1)
+	return max(min(int(c.tokens), atOnce-underWay), 0)
+}
+
+// take counts a load that begins.
+func (c *ceiling) take() { c.tokens-- }
--- /dev/null
+++ b/internal/orders/demand.go
@@ -0,0 +1,179 @@
+package orders
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/placement"
+)
+
+const (
+	// reportLifetime is how long a node's report counts.
+	reportLifetime = 2500 * time.Millisecond
+	// rateTime over which arrivals are averaged.
+	rateTime = 4 * time.Second
+)
+
+// demandBook sums the demand of all nodes.
+type demandBook struct {
+	mutex sync.Mutex
+	nodes map[string]*nodeReport
+	// usage by row, over all nodes.
+	usage map[DemandRowKey]*usage
+}
+
+// DemandRowKey names a row of demand.
+type DemandRowKey struct{ Pool, Model, Adapter string }
+
+type nodeReport struct {
+	report DemandReport
+	at     time.Time
+	// arrived counts by row, as last told.
+	arrived map[DemandRowKey]uint64
+}
+
+// usage is how often a row was asked for.
+type usage struct {
+	// rate of arrivals a second, as of rateAt.
+	rate   float64
+	rateAt time.Time
+	last   time.Time
+}
+
+func (u *usage) add(count uint64, now time.Time) {
+	u.rate = u.rateNow(now) + float64(count)/rateTime.Seconds()
+	u.rateAt = now
+	if count > 0 {
+		u.last = now
+	}
+}
+
+func (u *usage) rateNow(now time.Time) float64 {
+	if u.rateAt.IsZero() {
+		return 0
+	}
+	return u.rate * math.Exp(-now.Sub(u.rateAt).Seconds()/rateTime.Seconds())
+}
+
+func newDemandBook() *demandBook {
+	return &demandBook{nodes: map[string]*nodeReport{}, usage: map[DemandRowKey]*usage{}}
+}
+
+// take takes a report over, unless a newer one of the node was.
+func (b *demandBook) take(report DemandReport, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	node := b.nodes[report.Node]
+	if node == nil || node.report.Started != report.Started {
+		node = &nodeReport{arrived: map[DemandRowKey]uint64{}}
+		b.nodes[report.Node] = node
+	} else if node.report.Sequence >= report.Sequence {
+		return
+	}
+	for _, row := range report.Rows {
+		b.count(node, row, now)
+	}
+	node.report, node.at = report, now
+}
+
+func (b *demandBook) count(node *nodeReport, row DemandRow, now time.Time) {
+	key := DemandRowKey{row.Pool, row.Model, row.Adapter}
+	found := b.usage[key]
+	if found == nil {
+		found = &usage{}
+		b.usage[key] = found
+	}
+	before, known := node.arrived[key]
+	if !known && row.Arrived > 0 {
+		// What arrived before this holder's term says little of the rate.
+		before = row.Arrived - 1
+	}
+	if row.Arrived > before {
+		found.add(row.Arrived-before, now)
+	}
+	node.arrived[key] = row.Arrived
+}
+
+// live returns the nodes that reported lately, by address.
+func (b *demandBook) live(now time.Time) map[string]string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	found := map[string]string{}
+	for name, node := range b.nodes {
+		if now.Sub(node.at) < reportLifetime {
+			found[node.report.Address] = name
+		}
+	}
+	return found
+}
+
+// ofPool sums the demand for a pool's models.
+func (b *demandBook) ofPool(pool string, now time.Time) map[string]*placement.Demand {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	models := map[string]*placement.Demand{}
+	for key, found := range b.usage {
+		if key.Pool == pool {
+			addUsage(demandOf(models, key.Model), key.Adapter, found, now)
+		}
+	}
+	for _, node := range b.nodes {
+		if now.Sub(node.at) >= reportLifetime {
+			continue
+		}
+		for _, row := range node.report.Rows {
+			if row.Pool == pool {
+				addRow(demandOf(models, row.Model), row)
+			}
+		}
+	}
+	return models
+}
+
+func demandOf(models map[string]*placement.Demand, model string) *placement.Demand {
+	found := models[model]
+	if found == nil {
+		found = &placement.Demand{Adapters: map[string]*placement.AdapterDemand{}}
+		models[model] = found
+	}
+	return found
+}
+
+func adapterDemandOf(demand *placement.Demand, adapter string) *placement.AdapterDemand {
+	found := demand.Adapters[adapter]
+	if found == nil {
+		found = &placement.AdapterDemand{}
+		demand.Adapters[adapter] = found
+	}
+	return found
+}
+
+func addUsage(demand *placement.Demand, adapter string, used *usage, now time.Time) {
+	rate := used.rateNow(now)
+	demand.Rate += rate
+	if used.last.After(demand.LastUsed) {
+		demand.LastUsed = used.last
+	}
+	if adapter != "" {
+		ofAdapter := adapterDemandOf(demand, adapter)
+		ofAdapter.Rate, ofAdapter.LastUsed = rate, used.last
+	}
+}
+
+func addRow(demand *placement.Demand, row DemandRow) {
+	waiting := row.Waiting
+	if row.Expected {
+		waiting = max(waiting, 1)
+	}
+	if waiting > 0 && (demand.Waiting == 0 || row.Priority < demand.Priority) {
+		demand.Priority = row.Priority
+	}
+	demand.Waiting += waiting
+	demand.Running += row.Running
+	if row.Adapter != "" {
+		ofAdapter := adapterDemandOf(demand, row.Adapter)
+		ofAdapter.Waiting += waiting
+		ofAdapter.Running += row.Running
+	}
+}
--- /dev/null
+++ b/internal/orders/execute.go
@@ -0,0 +1,182 @@
+package orders
+
+import (
+	"context"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/placement"
+)
+
+const (
+	// orderTimeout is how long an answer to an order is waited for.
+	orderTimeout = 400 * time.Millisecond
+	// reportTimeout is how long a report is waited for.
+	reportTimeout = 400 * time.Millisecond
+	// spreadTime is left between telling the nodes that something goes and
+	// ordering it.
+	spreadTime = 8 * time.Millisecond
+	// adapterTime is how long an adapter takes until it is used.
+	adapterTime = 18 * time.Millisecond
+	// pollPeriod between reports while an order is under way.
+	pollPeriod = 50 * time.Millisecond
+	// reportLag is how old the state in a report may be.
+	reportLag = 120 * time.Millisecond
+	// loadPatience times the expected time is waited for a load; orderPatience is
+	// added.
+	loadPatience  = 4
+	orderPatience = 4 * time.Second
+	// suspectTime is how long nothing is planned on a server that did not answer.
+	suspectTime = 700 * time.Millisecond
+)
+
+// execute gives one order and follows it to its end. The entry is working
+// meanwhile.
+func (h *Holder) execute(ctx context.Context, term *Term, target *entry, action placement.Action) {
+	defer h.Wake()
+	if action.Kind == placement.Unload || action.Kind == placement.UnloadAdapter {
+		h.push(time.Now())
+		sleep(ctx, spreadTime)
+	}
+	h.mutex.Lock()
+	order := Order{
+		Server: target.server, Kind: action.Kind, Model: action.Model, Adapter: action.Adapter,
+		Holder: h.config.Name, Token: term.Token, ExpectSequence: target.sequence,
+	}
+	h.mutex.Unlock()
+	reply, sent, err := h.send(ctx, term, order)
+	h.logOrder(order, action, reply, sent, err)
+	switch {
+	case !sent:
+		h.finish(target, nil)
+	case err != nil || reply == ReplyConflict || reply == ReplyOtherInstance || reply == ReplyFenced || reply == ReplyInvalid:
+		// What holds now is read; an order that comes late finds another count.
+		sleep(ctx, reportLag)
+		h.refresh(ctx, target)
+	case action.Kind == placement.LoadAdapter || action.Kind == placement.UnloadAdapter:
+		h.adapterDone(ctx, target, action, reply)
+	default:
+		h.follow(ctx, target, action, order.ExpectSequence)
+	}
+}
+
+// send gives the order if the term still allows it.
+func (h *Holder) send(ctx context.Context, term *Term, order Order) (reply Reply, sent bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if !term.MayOrder(time.Now()) {
+		return 0, false, nil
+	}
+	reply, err = h.config.Engines.Order(ctx, order)
+	return reply, true, err
+}
+
+func (h *Holder) logOrder(order Order, action placement.Action, reply Reply, sent bool, err error) {
+	event := h.config.Logger.Info().Str("server", order.Server.ID).Str("order", action.Kind.String()).
+		Str("model", order.Model).Str("adapter", order.Adapter).Str("reason", action.Reason).
+		Int64("token", order.Token).Int64("sequence", order.ExpectSequence)
+	if action.Kind == placement.Load {
+		event = event.Str("source", action.Source.String()).Dur("expected_ms", action.Expected)
+	}
+	switch {
+	case !sent:
+		event.Msg("order not sent: the term is over")
+	case err != nil:
+		event.Err(err).Msg("order without an answer")
+	default:
+		event.Str("reply", reply.String()).Msg("order")
+	}
+}
+
+// adapterDone takes over an order about an adapter, which takes no time worth
+// asking for.
+func (h *Holder) adapterDone(ctx context.Context, target *entry, action placement.Action, reply Reply) {
+	if action.Kind == placement.LoadAdapter && reply == ReplyAccepted {
+		sleep(ctx, adapterTime)
+	}
+	h.mutex.Lock()
+	if reply == ReplyAccepted || action.Kind == placement.UnloadAdapter {
+		target.sequence++
+	}
+	if held := target.models[action.Model]; held != nil && action.Kind == placement.LoadAdapter {
+		held.adapters[action.Adapter] = true
+		h.ledger.changed(target)
+	}
+	target.working = false
+	h.mutex.Unlock()
+	h.push(time.Now())
+}
+
+// follow asks for reports until the order was carried out.
+func (h *Holder) follow(ctx context.Context, target *entry, action placement.Action, sequence int64) {
+	started := time.Now()
+	first := pollPeriod
+	if action.Kind == placement.Load {
+		first = action.Expected + reportLag/2
+	}
+	deadline := started.Add(loadPatience*action.Expected + orderPatience)
+	sleep(ctx, first)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		report, err := h.report(ctx, target)
+		if err == nil && report.Sequence > sequence && !report.Busy {
+			h.finish(target, &report)
+			h.push(time.Now())
+			return
+		}
+		if err != nil && h.gone(target) {
+			break
+		}
+		sleep(ctx, pollPeriod)
+	}
+	h.config.Logger.Warn().Str("server", target.server.ID).Str("order", action.Kind.String()).Str("model", action.Model).
+		Dur("after_ms", time.Since(started)).Msg("order not seen to end")
+	h.finish(target, nil)
+}
+
+// gone reports whether the server is not listed any more.
+func (h *Holder) gone(target *entry) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.config.View.Load().Servers[target.server.ID] == nil
+}
+
+func (h *Holder) report(ctx context.Context, target *entry) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	h.mutex.Lock()
+	server := target.server
+	h.mutex.Unlock()
+	return h.config.Engines.Report(ctx, server)
+}
+
+// refresh reads what a server holds.
+func (h *Holder) refresh(ctx context.Context, target *entry) {
+	defer h.Wake()
+	report, err := h.report(ctx, target)
+	if err != nil {
+		h.config.Logger.Warn().Str("server", target.server.ID).Err(err).Msg("no report")
+		h.finish(target, nil)
+		return
+	}
+	if report.Busy {
+		// An order of somebody is under way; it is looked at again soon.
+		h.config.Logger.Info().Str("server", target.server.ID).Int64("sequence", report.Sequence).Msg("server is busy")
+		h.finish(target, nil)
+		return
+	}
+	h.finish(target, &report)
+}
+
+// finish ends the work on an entry. Without a report the server is suspect for
+// a while and then asked again.
+func (h *Holder) finish(target *entry, report *Report) {
+	now := time.Now()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	target.working, target.loading, target.unloading = false, "", ""
+	if report == nil {
+		target.known = false
+		target.suspectUntil = now.Add(suspectTime)
+		return
+	}
+	h.ledger.reported(target, *report, now)
+}
--- /dev/null
+++ b/internal/orders/holder.go
@@ -0,0 +1,237 @@
+package orders
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/placement"
+)
+
+const (
+	// planPeriod is the longest time between two plans.
+	planPeriod = 150 * time.Millisecond
+	// planPause is the shortest.
+	planPause = 4 * time.Millisecond
+	// idlePeriod between looks for a term.
+	termPeriod = 50 * time.Millisecond
+)
+
+// HolderConfig configures a Holder.
+type HolderConfig struct {
+	Election *Election
+	View     *fleet.View
+	Engines  Engines
+	// Name of this node.
+	Name string
+	// Ceiling bounds the loads from the weight store.
+	Ceiling CeilingLimits
+	// Push sends an update to a node; it must not block.
+	Push   func(address string, update Update)
+	Logger zerolog.Logger
+}
+
+// Holder plans and orders while this node holds the term.
+type Holder struct {
+	config HolderConfig
+	demand *demandBook
+	wake   chan struct{}
+
+	mutex  sync.Mutex
+	term   *Term
+	ledger *ledger
+	// pushed is the version that was pushed last.
+	pushed  uint64
+	ceiling *ceiling
+}
+
+// NewHolder returns a holder; Run makes it work.
+func NewHolder(config HolderConfig) *Holder {
+	return &Holder{config: config, demand: newDemandBook(), wake: make(chan struct{}, 1), ledger: newLedger()}
+}
+
+// Run plans and orders during this node's terms until ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		term := h.config.Election.Term()
+		if term == nil {
+			sleep(ctx, termPeriod)
+			continue
+		}
+		h.lead(ctx, term)
+	}
+}
+
+// lead works during one term.
+func (h *Holder) lead(ctx context.Context, term *Term) {
+	h.mutex.Lock()
+	h.term, h.ledger, h.pushed = term, newLedger(), 0
+	h.ceiling = newCeiling(h.config.Ceiling)
+	h.mutex.Unlock()
+	defer func() {
+		h.mutex.Lock()
+		h.term = nil
+		h.mutex.Unlock()
+	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-term.Over():
+			return
+		case <-h.wake:
+			sleep(ctx, planPause)
+		case <-timer.C:
+		}
+		h.tick(ctx, term)
+		timer.Reset(planPeriod)
+	}
+}
+
+// Wake makes a plan soon.
+func (h *Holder) Wake() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// tick asks for reports, plans, and starts the orders.
+func (h *Holder) tick(ctx context.Context, term *Term) {
+	snapshot := h.config.View.Load()
+	if snapshot.Configuration == nil {
+		return
+	}
+	now := time.Now()
+	h.mutex.Lock()
+	for _, unknown := range h.ledger.sync(snapshot, now) {
+		unknown.working = true
+		go h.refresh(ctx, unknown)
+	}
+	if term.MayOrder(now) {
+		for name, pool := range snapshot.Configuration.Pools {
+			if pool.Engine != nil {
+				h.plan(ctx, term, name, pool.Engine, now)
+			}
+		}
+	}
+	h.mutex.Unlock()
+	h.push(now)
+}
+
+// plan must be called with the lock held.
+func (h *Holder) plan(ctx context.Context, term *Term, pool string, engine *fleet.Engine, now time.Time) {
+	input := placement.Input{
+		Now: now, Engine: engine, Servers: h.ledger.servers(pool, now),
+		Demand: h.demand.ofPool(pool, now), StoreLoads: h.ceiling.available(engine.LoadsPerSecond, h.ledger.loadCount(), now),
+	}
+	for _, action := range placement.Plan(&input) {
+		target := h.ledger.entries[action.Server]
+		if !h.allowed(target, engine, action) {
+			continue
+		}
+		if action.Kind == placement.Load && action.Source == placement.FromStore {
+			h.ceiling.take()
+		}
+		h.begin(target, action, now)
+		go h.execute(ctx, term, target, action)
+	}
+}
+
+// allowed checks an action against what a server can hold, whatever the plan
+// says. It must be called with the lock held.
+func (h *Holder) allowed(target *entry, engine *fleet.Engine, action placement.Action) bool {
+	if target == nil || target.working || !target.known {
+		return false
+	}
+	switch action.Kind {
+	case placement.Load:
+		_, holds := target.models[action.Model]
+		return !holds && target.usedMB(engine)+sizeOf(engine, action.Model, 0) <= engine.MemoryMB
+	case placement.LoadAdapter:
+		model := engine.Models[action.Model]
+		_, holds := target.models[action.Model]
+		return holds && model != nil && target.adapterCount() < engine.AdapterPlaces &&
+			target.usedMB(engine)+model.AdapterMB <= engine.MemoryMB
+	}
+	return true
+}
+
+// begin notes an order before it is sent. It must be called with the lock held.
+func (h *Holder) begin(target *entry, action placement.Action, now time.Time) {
+	target.working = true
+	switch action.Kind {
+	case placement.Load:
+		target.loading, target.loadingUntil, target.intent = action.Model, now.Add(action.Expected), ""
+	case placement.Unload:
+		target.unloading = action.Model
+		target.intent, target.intentAt = action.Intent, now
+		delete(target.models, action.Model)
+		h.ledger.changed(target)
+	case placement.UnloadAdapter:
+		delete(target.models[action.Model].adapters, action.Adapter)
+		h.ledger.changed(target)
+	}
+}
+
+// Report takes a node's demand and returns what it does not know yet; false if
+// this node holds no term.
+func (h *Holder) Report(report DemandReport) (Update, bool) {
+	now := time.Now()
+	h.mutex.Lock()
+	term := h.term
+	h.mutex.Unlock()
+	if term == nil {
+		return Update{}, false
+	}
+	h.demand.take(report, now)
+	h.Wake()
+	after := report.Version
+	if report.Token != term.Token {
+		after = 0
+	}
+	return h.update(term, after, now), true
+}
+
+func (h *Holder) update(term *Term, after uint64, now time.Time) Update {
+	nodes := len(h.demand.live(now))
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return Update{
+		Token: term.Token, Version: h.ledger.version, Base: after, Nodes: nodes,
+		Servers: h.ledger.states(after), Loading: h.ledger.loads(now),
+	}
+}
+
+// push tells all nodes what changed since the last push.
+func (h *Holder) push(now time.Time) {
+	h.mutex.Lock()
+	term, after := h.term, h.pushed
+	changed := term != nil && h.ledger.version != after
+	h.pushed = h.ledger.version
+	h.mutex.Unlock()
+	if !changed {
+		return
+	}
+	update := h.update(term, after, now)
+	for address := range h.demand.live(now) {
+		h.config.Push(address, update)
+	}
+}
+
+// sleep returns early when ctx ends.
+func sleep(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/orders/ledger.go
@@ -0,0 +1,236 @@
+package orders
+
+import (
+	"sort"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/placement"
+)
+
+// entry is what the holder knows of one server. The ledger's lock guards it.
+type entry struct {
+	server *fleet.Server
+	// known: the server has reported since this term began.
+	known bool
+	// sequence is the number of orders that the server has taken.
+	sequence   int64
+	reportedAt time.Time
+	models     map[string]*heldModel
+	inMemory   map[string]bool
+	onDisk     map[string]bool
+	// working: an order or a report is under way.
+	working bool
+	// loading and its expected end; unloading still takes memory.
+	loading      string
+	loadingUntil time.Time
+	unloading    string
+	intent       string
+	intentAt     time.Time
+	suspectUntil time.Time
+	// version of the placement at which models changed.
+	version uint64
+}
+
+// heldModel is a model that a server holds and may be sent requests for.
+type heldModel struct {
+	since    time.Time
+	adapters map[string]bool
+}
+
+// intentLifetime is how long room that was made is kept for its model.
+const intentLifetime = 3 * time.Second
+
+// ledger is what the holder knows of all model servers.
+type ledger struct {
+	entries map[string]*entry
+	version uint64
+}
+
+func newLedger() *ledger { return &ledger{entries: map[string]*entry{}} }
+
+// sync takes over which servers there are. It returns those to be asked for a
+// report.
+func (l *ledger) sync(snapshot *fleet.Snapshot, now time.Time) []*entry {
+	var ask []*entry
+	for id, server := range snapshot.Servers {
+		pool := snapshot.Configuration.Pools[server.Pool]
+		if pool == nil || pool.Engine == nil {
+			continue
+		}
+		found := l.entries[id]
+		if found == nil {
+			found = &entry{models: map[string]*heldModel{}}
+			l.entries[id] = found
+		}
+		found.server = server
+		if found.stale() && !found.working && !server.Draining && !now.Before(found.suspectUntil) {
+			ask = append(ask, found)
+		}
+	}
+	for id := range l.entries {
+		if snapshot.Servers[id] == nil && !l.entries[id].working {
+			delete(l.entries, id)
+		}
+	}
+	return ask
+}
+
+// recordLag is how late a server's record may show what it holds.
+const recordLag = 2500 * time.Millisecond
+
+// stale: the server has not reported in this term, or its record shows other
+// models than its last report, though it was written well after that; so an
+// order was carried out late.
+func (e *entry) stale() bool {
+	if !e.known {
+		return true
+	}
+	if !e.server.SeenAt.After(e.reportedAt.Add(recordLag)) {
+		return false
+	}
+	if len(e.server.Models) != len(e.models) {
+		return true
+	}
+	for name := range e.server.Models {
+		if e.models[name] == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// changed marks that nodes have to learn of an entry.
+func (l *ledger) changed(changed *entry) {
+	l.version++
+	changed.version = l.version
+}
+
+// reported takes a report over. It is not called while an order is under way,
+// but for the report that ends it.
+func (l *ledger) reported(to *entry, report Report, now time.Time) {
+	models := make(map[string]*heldModel, len(report.Models))
+	for name, held := range report.Models {
+		kept := to.models[name]
+		if kept == nil {
+			kept = &heldModel{since: now}
+		}
+		kept.adapters = make(map[string]bool, len(held.Adapters))
+		for adapter := range held.Adapters {
+			kept.adapters[adapter] = true
+		}
+		models[name] = kept
+	}
+	to.models, to.sequence, to.known = models, report.Sequence, true
+	to.reportedAt = now
+	to.inMemory, to.onDisk = report.InMemory, report.OnDisk
+	l.changed(to)
+}
+
+// states returns the entries that changed after the version.
+func (l *ledger) states(after uint64) []ServerState {
+	var states []ServerState
+	for id, found := range l.entries {
+		if found.version > after && found.known {
+			states = append(states, found.state(id))
+		}
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].ID < states[j].ID })
+	return states
+}
+
+func (e *entry) state(id string) ServerState {
+	models := make(map[string][]string, len(e.models))
+	for name, held := range e.models {
+		adapters := make([]string, 0, len(held.adapters))
+		for adapter := range held.adapters {
+			adapters = append(adapters, adapter)
+		}
+		sort.Strings(adapters)
+		models[name] = adapters
+	}
+	return ServerState{ID: id, Models: models, Version: e.version}
+}
+
+// loads returns the loads under way.
+func (l *ledger) loads(now time.Time) []LoadState {
+	var loads []LoadState
+	for _, found := range l.entries {
+		if found.loading != "" {
+			loads = append(loads, LoadState{
+				Pool: found.server.Pool, Model: found.loading, Remaining: max(found.loadingUntil.Sub(now), 0),
+			})
+		}
+	}
+	return loads
+}
+
+// loadsFromStore counts the loads under way.
+func (l *ledger) loadCount() int {
+	count := 0
+	for _, found := range l.entries {
+		if found.loading != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// servers is the planner's input for a pool, in order of ID.
+func (l *ledger) servers(pool string, now time.Time) []placement.Server {
+	var servers []placement.Server
+	for id, found := range l.entries {
+		if found.server.Pool == pool {
+			servers = append(servers, found.plannable(id, now))
+		}
+	}
+	sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
+	return servers
+}
+
+func (e *entry) plannable(id string, now time.Time) placement.Server {
+	server := placement.Server{
+		ID: id, Zone: e.server.Zone, Busy: e.working, Leaving: e.server.Draining,
+		Suspect: !e.known || now.Before(e.suspectUntil), Models: make(map[string]placement.Replica, len(e.models)),
+		Loading: e.loading, InMemory: e.inMemory, OnDisk: e.onDisk,
+	}
+	if e.intent != "" && now.Sub(e.intentAt) < intentLifetime {
+		server.Intent = e.intent
+	}
+	for name, held := range e.models {
+		server.Models[name] = placement.Replica{Since: held.since, Adapters: held.adapters}
+	}
+	return server
+}
+
+// usedMB is all memory that may be taken, also by what is on its way in or out.
+func (e *entry) usedMB(engine *fleet.Engine) float64 {
+	used := 0.0
+	for name, held := range e.models {
+		used += sizeOf(engine, name, len(held.adapters))
+	}
+	if e.loading != "" {
+		used += sizeOf(engine, e.loading, 0)
+	}
+	if e.unloading != "" {
+		used += sizeOf(engine, e.unloading, engine.AdapterPlaces)
+	}
+	return used
+}
+
+// sizeOf takes an unknown model as one that fills the server.
+func sizeOf(engine *fleet.Engine, name string, adapters int) float64 {
+	model := engine.Models[name]
+	if model == nil {
+		return engine.MemoryMB
+	}
+	return model.SizeMB + float64(adapters)*model.AdapterMB
+}
+
+func (e *entry) adapterCount() int {
+	count := 0
+	for _, held := range e.models {
+		count += len(held.adapters)
+	}
+	return count
+}
--- /dev/null
+++ b/internal/orders/link.go
@@ -0,0 +1,238 @@
+package orders
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/forward"
+	"github.com/hatchplank/hatchplank/internal/peer"
+)
+
+const (
+	// reportPeriod between a node's reports when nothing begins to wait.
+	reportPeriod = 400 * time.Millisecond
+	// wantedPause collects requests that begin to wait together.
+	wantedPause = 2 * time.Millisecond
+	// callTimeout of a report.
+	callTimeout = 400 * time.Millisecond
+	// forgetAfter the last word of the holder, its word counts no more.
+	forgetAfter = 3 * time.Second
+)
+
+// LinkConfig configures a Link.
+type LinkConfig struct {
+	Election *Election
+	Holder   *Holder
+	View     *fleet.View
+	// Demand of this node's callers, and a signal that some began to wait.
+	Demand func() []forward.Demand
+	Wanted func() <-chan struct{}
+	// SetNodes tells how many nodes share the retry budget.
+	SetNodes  func(nodes int)
+	Transport peer.Transport
+	// Name and Address of this node.
+	Name, Address string
+	Logger        zerolog.Logger
+}
+
+// Link tells the holder of this node's demand, and this node of the holder's
+// placement. It implements forward.Orders.
+type Link struct {
+	config  LinkConfig
+	started int64
+
+	mutex    sync.Mutex
+	sequence uint64
+	token    int64
+	version  uint64
+	heardAt  time.Time
+	loading  map[forward.DemandKey]time.Time
+	// arrived counts by row as told in the last report that was answered.
+	arrived map[forward.DemandKey]uint64
+}
+
+// NewLink returns a link and registers its messages with the transport.
+func NewLink(config LinkConfig) *Link {
+	link := &Link{
+		config: config, started: time.Now().UnixNano(),
+		loading: map[forward.DemandKey]time.Time{}, arrived: map[forward.DemandKey]uint64{},
+	}
+	config.Transport.Handle(DemandReport{}, link.serveReport)
+	config.Transport.Handle(Update{}, link.servePush)
+	return link
+}
+
+// serveReport answers a node's report.
+func (l *Link) serveReport(_ string, message peer.Message, reply func(peer.Message, error)) {
+	update, holds := l.config.Holder.Report(message.(DemandReport))
+	if !holds {
+		reply(NotHolder{}, nil)
+		return
+	}
+	reply(update, nil)
+}
+
+func (l *Link) servePush(_ string, message peer.Message, reply func(peer.Message, error)) {
+	l.apply(message.(Update))
+	reply(nil, nil)
+}
+
+// Push sends an update to a node, or takes it over if the node is this one.
+func (l *Link) Push(address string, update Update) {
+	if address == l.config.Address {
+		l.apply(update)
+		return
+	}
+	l.config.Transport.Send(address, update)
+}
+
+// Run reports demand until ctx ends.
+func (l *Link) Run(ctx context.Context) {
+	ticker := time.NewTicker(reportPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.config.Wanted():
+			sleep(ctx, wantedPause)
+		case <-ticker.C:
+		}
+		l.report()
+		l.forget()
+	}
+}
+
+// report sends this node's demand to the holder.
+func (l *Link) report() {
+	holder, known := l.config.Election.Holder()
+	if !known {
+		return
+	}
+	report, arrived := l.newReport()
+	if holder.Address == l.config.Address {
+		if update, holds := l.config.Holder.Report(report); holds {
+			l.answered(update, arrived)
+		}
+		return
+	}
+	l.config.Transport.Call(holder.Address, report, callTimeout, func(message peer.Message, err error) {
+		if err != nil {
+			l.config.Logger.Debug().Str("holder", holder.Name).Err(err).Msg("holder not reached")
+			l.config.Election.Suspect()
+			return
+		}
+		if update, isUpdate := message.(Update); isUpdate {
+			l.answered(update, arrived)
+		}
+	})
+}
+
+func (l *Link) newReport() (DemandReport, map[forward.DemandKey]uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.sequence++
+	report := DemandReport{
+		Node: l.config.Name, Address: l.config.Address, Sequence: l.sequence, Started: l.started,
+		Token: l.token, Version: l.version,
+	}
+	arrived := map[forward.DemandKey]uint64{}
+	now := time.Now()
+	for _, row := range l.config.Demand() {
+		expected := now.Before(row.ExpectedUntil)
+		arrived[row.DemandKey] = row.Arrived
+		if row.Waiting == 0 && row.Running == 0 && !expected && row.Arrived == l.arrived[row.DemandKey] {
+			continue
+		}
+		report.Rows = append(report.Rows, DemandRow{
+			Pool: row.Pool, Model: row.Model, Adapter: row.Adapter, Waiting: row.Waiting, Running: row.Running,
+			Expected: expected, Priority: row.Priority, Arrived: row.Arrived,
+		})
+	}
+	return report, arrived
+}
+
+func (l *Link) answered(update Update, arrived map[forward.DemandKey]uint64) {
+	l.mutex.Lock()
+	l.arrived = arrived
+	l.mutex.Unlock()
+	l.apply(update)
+}
+
+// apply takes over what the holder knows.
+func (l *Link) apply(update Update) {
+	l.mutex.Lock()
+	if update.Token < l.token {
+		l.mutex.Unlock()
+		return
+	}
+	if update.Token > l.token {
+		l.config.View.ForgetPlaced()
+		l.token, l.version = update.Token, 0
+	}
+	now := time.Now()
+	l.heardAt = now
+	if update.Base <= l.version {
+		l.version = max(l.version, update.Version)
+	}
+	l.loading = make(map[forward.DemandKey]time.Time, len(update.Loading))
+	for _, load := range update.Loading {
+		l.loading[forward.DemandKey{Pool: load.Pool, Model: load.Model}] = now.Add(load.Remaining)
+	}
+	l.mutex.Unlock()
+	if len(update.Servers) > 0 {
+		l.config.View.Place(placed(update.Servers, now))
+	}
+	if update.Nodes > 0 {
+		l.config.SetNodes(update.Nodes)
+	}
+}
+
+func placed(states []ServerState, now time.Time) []*fleet.Server {
+	servers := make([]*fleet.Server, len(states))
+	for i, state := range states {
+		server := &fleet.Server{ID: state.ID, Models: map[string]fleet.Held{}, SeenAt: now}
+		for name, adapters := range state.Models {
+			held := fleet.Held{Adapters: make(map[string]bool, len(adapters))}
+			for _, adapter := range adapters {
+				held.Adapters[adapter] = true
+			}
+			server.Models[name] = held
+		}
+		servers[i] = server
+	}
+	return servers
+}
+
+// forget drops what a holder said that was not heard for long.
+func (l *Link) forget() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.heardAt.IsZero() || time.Since(l.heardAt) < forgetAfter {
+		return
+	}
+	l.heardAt = time.Time{}
+	l.version = 0
+	clear(l.loading)
+	l.config.View.ForgetPlaced()
+	l.config.Logger.Warn().Int64("token", l.token).Msg("holder not heard; servers' records count again")
+}
+
+// ReadyAt implements forward.Orders.
+func (l *Link) ReadyAt(key forward.DemandKey) (time.Time, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	ready, loading := l.loading[forward.DemandKey{Pool: key.Pool, Model: key.Model}]
+	return ready, loading
+}
+
+// Active implements forward.Orders.
+func (l *Link) Active() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return !l.heardAt.IsZero() && time.Since(l.heardAt) < 2*reportPeriod
+}
--- /dev/null
+++ b/internal/orders/messages.go
@@ -0,0 +1,82 @@
+// Package orders gives the orders that make a placement real. One node at a
+// time, the holder, orders all model servers; every node tells it what its
+// callers ask for, and learns from it what the servers hold.
+//
+// The servers may not check fences, so that only one holder orders a server at
+// a time rests on a lease with margins: see Term.
+package orders
+
+import (
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/forward"
+	"github.com/hatchplank/hatchplank/internal/peer"
+)
+
+// DemandRow is what one node's callers ask for by one key.
+type DemandRow struct {
+	Pool, Model, Adapter string
+	Waiting, Running     int
+	// Expected: requests that were refused may come back.
+	Expected bool
+	Priority int
+	// Arrived requests since the node started.
+	Arrived uint64
+}
+
+func (r DemandRow) key() forward.DemandKey {
+	return forward.DemandKey{Pool: r.Pool, Model: r.Model, Adapter: r.Adapter}
+}
+
+// DemandReport tells the holder what a node's callers ask for.
+type DemandReport struct {
+	Node string
+	// Address of the node, for updates.
+	Address string
+	// Sequence grows with each report of a process; Started tells processes of
+	// one node apart, in nanoseconds of the node's clock.
+	Sequence uint64
+	Started  int64
+	Rows     []DemandRow
+	// Token and Version of the placement that the node knows.
+	Token   int64
+	Version uint64
+}
+
+// ServerState is what a server holds, as the holder knows.
+type ServerState struct {
+	ID string
+	// Models with their adapters.
+	Models map[string][]string
+	// Version of the placement at which this changed.
+	Version uint64
+}
+
+// LoadState is a load under way.
+type LoadState struct {
+	Pool, Model, Adapter string
+	// Remaining time until it is expected to end.
+	Remaining time.Duration
+}
+
+// Update tells a node what has changed.
+type Update struct {
+	// Token of the holder's term.
+	Token   int64
+	Version uint64
+	// Base is the version after which the servers changed that are told.
+	Base uint64
+	// Nodes that share the retry budget.
+	Nodes   int
+	Servers []ServerState
+	Loading []LoadState
+}
+
+// NotHolder is the reply of a node that holds no term.
+type NotHolder struct{}
+
+func init() {
+	peer.Register(DemandReport{})
+	peer.Register(Update{})
+	peer.Register(NotHolder{})
+}
--- /dev/null
+++ b/internal/orders/term.go
@@ -0,0 +1,55 @@
+package orders
+
+import (
+	"sync"
+	"time"
+)
+
+// Term is the time during which this node may order.
+//
+// Its lease counts from when a renewal was sent, on the steady clock, and ends
+// a margin early; MayOrder is asked right before each order. So a process that
+// was frozen, or is cut off from the store, has stopped before the store ends
+// its lease. A successor waits for the turn after that.
+type Term struct {
+	// Token is higher than that of each earlier term.
+	Token int64
+	// NotBefore is when the predecessor's turn is over.
+	NotBefore time.Time
+
+	mutex      sync.Mutex
+	validUntil time.Time
+	ended      bool
+	over       chan struct{}
+}
+
+func newTerm(token int64, notBefore, validUntil time.Time) *Term {
+	return &Term{Token: token, NotBefore: notBefore, validUntil: validUntil, over: make(chan struct{})}
+}
+
+// MayOrder reports whether an order may be sent now.
+func (t *Term) MayOrder(now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return !t.ended && !now.Before(t.NotBefore) && now.Before(t.validUntil)
+}
+
+// Over is closed when the term has ended for good.
+func (t *Term) Over() <-chan struct{} { return t.over }
+
+func (t *Term) renew(until time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if until.After(t.validUntil) {
+		t.validUntil = until
+	}
+}
+
+func (t *Term) end() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.ended {
+		t.ended = true
+		close(t.over)
+	}
+}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,250 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+)
+
+const (
+	// runningPerReplica is how many running requests of a model call for one
+	// more replica.
+	runningPerReplica = 8
+	// sharedRate of arrivals a second, from which on a model has two replicas,
+	// so that the loss of one does not leave it cold.
+	sharedRate = 1.0
+	// surplusFactor: replicas beyond this many times the need are surplus.
+	surplusFactor = 1.6
+	// residency protects a replica from giving way right after its load.
+	residency = 2 * time.Second
+	// adaptersPerReplica share of the places that adapters in use may take.
+	adapterPlaceShare = 0.6
+	// defaultLoadTime of a model that does not tell its own.
+	defaultLoadTime = 2 * time.Second
+)
+
+// Plan returns the orders to give now, at most one for each server but for
+// adapters, most urgent first.
+func Plan(input *Input) []Action {
+	p := newPlan(input)
+	p.loadModels()
+	p.loadAdapters()
+	return p.actions
+}
+
+// plan is the work on one input.
+type plan struct {
+	*Input
+	actions []Action
+	// taken servers got an action in this plan.
+	taken map[string]bool
+	// replicas by model that are ready on servers that stay.
+	ready map[string]int
+	// coming replicas by model: loading, or with room being made.
+	coming map[string]int
+	// storeLoads left.
+	storeLoads int
+}
+
+func newPlan(input *Input) *plan {
+	p := &plan{
+		Input: input, taken: map[string]bool{}, ready: map[string]int{}, coming: map[string]int{},
+		storeLoads: input.StoreLoads,
+	}
+	for i := range input.Servers {
+		server := &input.Servers[i]
+		if server.Leaving || server.Suspect {
+			continue
+		}
+		for model := range server.Models {
+			p.ready[model]++
+		}
+		if server.Loading != "" {
+			p.coming[server.Loading]++
+		}
+		if server.Intent != "" && server.Intent != server.Loading {
+			p.coming[server.Intent]++
+		}
+	}
+	return p
+}
+
+// desired is how many replicas the demand calls for.
+func (p *plan) desired(model string, demand *Demand) int {
+	need := (demand.Running + demand.Waiting + runningPerReplica - 1) / runningPerReplica
+	if demand.Rate >= sharedRate {
+		need = max(need, 2)
+	}
+	need = max(need, p.replicasForAdapters(demand))
+	if demand.Waiting > 0 {
+		need = max(need, 1)
+	}
+	return min(need, max(len(p.Servers)/3, 1))
+}
+
+// replicasForAdapters holds the adapters that are in use at once.
+func (p *plan) replicasForAdapters(demand *Demand) int {
+	inUse := 0
+	for _, adapter := range demand.Adapters {
+		if adapter.Running+adapter.Waiting > 0 {
+			inUse++
+		}
+	}
+	places := adapterPlaceShare * float64(p.Engine.AdapterPlaces)
+	if places < 1 || inUse == 0 {
+		return 0
+	}
+	return int(float64(inUse)/places) + 1
+}
+
+// wish is a replica that is missing.
+type wish struct {
+	model  *fleet.Model
+	demand *Demand
+	// cold: no replica is ready or coming.
+	cold bool
+}
+
+// loadModels loads what demand lacks: models without any replica first.
+func (p *plan) loadModels() {
+	for _, wish := range p.wishes() {
+		p.place(wish)
+	}
+	p.continueIntents()
+}
+
+func (p *plan) wishes() []wish {
+	var wishes []wish
+	for name, demand := range p.Demand {
+		model := p.Engine.Models[name]
+		if model == nil {
+			continue
+		}
+		have := p.ready[name] + p.coming[name]
+		if have < p.desired(name, demand) {
+			wishes = append(wishes, wish{model: model, demand: demand, cold: have == 0})
+		}
+	}
+	sort.Slice(wishes, func(i, j int) bool { return wishes[i].before(wishes[j]) })
+	return wishes
+}
+
+// before orders by what a load is worth.
+func (w wish) before(other wish) bool {
+	if w.cold != other.cold {
+		return w.cold
+	}
+	if w.demand.Waiting != other.demand.Waiting {
+		return w.demand.Waiting > other.demand.Waiting
+	}
+	if w.demand.Rate != other.demand.Rate {
+		return w.demand.Rate > other.demand.Rate
+	}
+	return w.model.Name < other.model.Name
+}
+
+// continueIntents loads the models for which room was made.
+func (p *plan) continueIntents() {
+	for i := range p.Servers {
+		server := &p.Servers[i]
+		model := p.Engine.Models[server.Intent]
+		if model == nil || server.Loading != "" || !p.usable(server) {
+			continue
+		}
+		p.loadOn(server, model, "room was made")
+	}
+}
+
+func (p *plan) usable(server *Server) bool {
+	return !server.Busy && !server.Leaving && !server.Suspect && !p.taken[server.ID]
+}
+
+// place finds the cheapest server for a replica.
+func (p *plan) place(w wish) {
+	var best *option
+	for i := range p.Servers {
+		server := &p.Servers[i]
+		if _, holds := server.Models[w.model.Name]; holds || !p.usable(server) || server.Intent != "" {
+			continue
+		}
+		candidate := p.option(server, w)
+		if candidate != nil && (best == nil || candidate.cost < best.cost) {
+			best = candidate
+		}
+	}
+	if best == nil {
+		return
+	}
+	if len(best.victims) == 0 {
+		p.loadOn(best.server, w.model, w.reason())
+		return
+	}
+	p.taken[best.server.ID] = true
+	p.actions = append(p.actions, Action{
+		Kind: Unload, Server: best.server.ID, Model: best.victims[0], Intent: w.model.Name, Reason: "makes room",
+	})
+}
+
+func (w wish) reason() string {
+	if w.cold {
+		return "cold"
+	}
+	return "more replicas"
+}
+
+// loadOn orders the load, or the unload of what is still in its way.
+func (p *plan) loadOn(server *Server, model *fleet.Model, reason string) {
+	if p.free(server) < model.SizeMB {
+		victims, _ := p.victims(server, wish{model: model, demand: &Demand{}, cold: true})
+		if len(victims) == 0 {
+			return
+		}
+		p.taken[server.ID] = true
+		p.actions = append(p.actions, Action{Kind: Unload, Server: server.ID, Model: victims[0], Intent: model.Name, Reason: "makes room"})
+		return
+	}
+	source, expected := SourceOf(server, model)
+	if source == FromStore {
+		if p.storeLoads <= 0 {
+			return
+		}
+		p.storeLoads--
+	}
+	p.taken[server.ID] = true
+	p.actions = append(p.actions, Action{
+		Kind: Load, Server: server.ID, Model: model.Name, Source: source, Expected: expected, Reason: reason,
+	})
+}
+
+// SourceOf is where a server takes a model's weights from, and how long that
+// takes when it is undisturbed.
+func SourceOf(server *Server, model *fleet.Model) (Source, time.Duration) {
+	load := model.LoadTime
+	if load <= 0 {
+		load = defaultLoadTime
+	}
+	if server.InMemory[model.Name] && model.WarmTime > 0 {
+		return FromMemory, model.WarmTime
+	}
+	if server.OnDisk[model.Name] && model.DiskTime > 0 {
+		return FromDisk, model.DiskTime
+	}
+	return FromStore, load
+}
+
+// free memory of a server in MB.
+func (p *plan) free(server *Server) float64 {
+	used := 0.0
+	for name, replica := range server.Models {
+		model := p.Engine.Models[name]
+		if model == nil {
+			return 0
+		}
+		used += model.SizeMB + float64(len(replica.Adapters))*model.AdapterMB
+	}
+	if loading := p.Engine.Models[server.Loading]; loading != nil {
+		used += loading.SizeMB
+	}
+	return p.Engine.MemoryMB - used
+}
--- /dev/null
+++ b/internal/placement/victims.go
@@ -0,0 +1,139 @@
+package placement
+
+import "sort"
+
+const (
+	// storeCost is added to a load's seconds for taking one of the store's
+	// scarce loads.
+	storeCost = 0.5
+	// unloadCost is the time that an unload takes, in seconds.
+	unloadCost = 0.15
+	// crowdCost for each busy model on a server, in seconds: models on one server
+	// share its batch.
+	crowdCost = 0.25
+	// zoneCost for a second replica in the same zone, in seconds.
+	zoneCost = 0.1
+)
+
+// option is a way to place a replica.
+type option struct {
+	server  *Server
+	victims []string
+	cost    float64
+}
+
+// option returns how a server would take the replica, or nil if it can't.
+func (p *plan) option(server *Server, w wish) *option {
+	source, expected := SourceOf(server, w.model)
+	if source == FromStore && p.storeLoads <= 0 {
+		return nil
+	}
+	found := &option{server: server, cost: expected.Seconds() + p.crowding(server)}
+	if source == FromStore {
+		found.cost += storeCost
+	}
+	if p.heldInZone(w.model.Name, server.Zone) {
+		found.cost += zoneCost
+	}
+	if p.free(server) >= w.model.SizeMB {
+		return found
+	}
+	victims, cost := p.victims(server, w)
+	if len(victims) == 0 {
+		return nil
+	}
+	found.victims = victims
+	found.cost += cost + unloadCost*float64(len(victims))
+	return found
+}
+
+// crowding is what the other models' requests on the server cost.
+func (p *plan) crowding(server *Server) float64 {
+	cost := 0.0
+	for name := range server.Models {
+		if demand := p.Demand[name]; demand != nil && demand.Running > 0 {
+			replicas := max(p.ready[name], 1)
+			cost += crowdCost * float64(demand.Running) / float64(replicas*runningPerReplica)
+		}
+	}
+	return cost
+}
+
+func (p *plan) heldInZone(model, zone string) bool {
+	for i := range p.Servers {
+		if _, held := p.Servers[i].Models[model]; held && p.Servers[i].Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// victim is a replica that may give way.
+type victim struct {
+	model string
+	size  float64
+	cost  float64
+}
+
+// victims are the replicas that have to go for the wish, and what that costs
+// in expected seconds of cold starts. None are returned if there is no way.
+func (p *plan) victims(server *Server, w wish) (models []string, cost float64) {
+	missing := w.model.SizeMB - p.free(server)
+	var candidates []victim
+	for name, replica := range server.Models {
+		if found, may := p.victim(name, replica, w); may {
+			candidates = append(candidates, found)
+		}
+	}
+	sort.Slice(candidates, func(i, j int) bool {
+		if candidates[i].cost != candidates[j].cost {
+			return candidates[i].cost < candidates[j].cost
+		}
+		return candidates[i].model < candidates[j].model
+	})
+	for _, candidate := range candidates {
+		if missing <= 0 {
+			break
+		}
+		models = append(models, candidate.model)
+		cost += candidate.cost
+		missing -= candidate.size
+	}
+	if missing > 0 {
+		return nil, 0
+	}
+	return models, cost
+}
+
+// victim tells whether a replica may give way to the wish, and what its loss
+// costs.
+func (p *plan) victim(name string, replica Replica, w wish) (victim, bool) {
+	model := p.Engine.Models[name]
+	if model == nil || p.Now.Sub(replica.Since) < residency {
+		return victim{}, false
+	}
+	found := victim{model: name, size: model.SizeMB + float64(len(replica.Adapters))*model.AdapterMB}
+	demand := p.Demand[name]
+	if demand == nil {
+		return found, true
+	}
+	needed := p.desired(name, demand)
+	surplus := float64(p.ready[name]) > surplusFactor*float64(max(needed, 1))
+	if demand.Running > 0 && !surplus {
+		return found, false
+	}
+	if p.ready[name] > 1 && surplus {
+		found.cost = 0.05 * demand.Rate
+		return found, true
+	}
+	if !w.cold || demand.Waiting > 0 {
+		// More replicas of one model are not worth another model's only one.
+		return found, p.ready[name] > max(needed, 1)
+	}
+	idle := p.Now.Sub(demand.LastUsed).Seconds()
+	// The chance of use within the next seconds, with what a cold start costs.
+	const horizon = 8.0
+	chance := min(demand.Rate*horizon, 1)/(1+idle/horizon) + 0.02
+	found.cost = chance * (model.LoadTime.Seconds() + storeCost) / float64(p.ready[name])
+	return found, true
+}
