Repeat a watch within the contact time

Ruled out: a slow decoder; the log shows the call itself took 6,500 ms. Change: wait and slack come from the contact time of the settings. The stand-in of the store, over internal/standin/keyvalue, can be silent; the test fails before and passes after.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -64,7 +64,7 @@
 	debug.SetGCPercent(garbageShare)
 	n := &node{
 		settings: settings, logger: logger, view: fleet.NewView(), servers: exchange.NewClient(toServers),
-		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(toStore)),
+		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(toStore), settings.Store.Contact),
 		process: edge.NewProcess(settings, logger),
 	}
 	transport, err := tcp.New(tcp.Config{
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -36,6 +36,9 @@
 	} `yaml:"cluster"`
 	Store struct {
 		Address string `yaml:"address"`
+		// Contact is the time without trouble after which the node must know what
+		// the store holds.
+		Contact time.Duration `yaml:"contact"`
 		// MinimumLease is the shortest lease that the store grants.
 		MinimumLease time.Duration `yaml:"minimum_lease"`
 	} `yaml:"store"`
@@ -109,6 +112,7 @@
 		require(err == nil, "%s: %q is no address with a port", address.name, address.value)
 	}
 	require(s.Cluster.Secret != "", "cluster.secret is missing")
+	require(s.Store.Contact > 0, "store.contact must be above 0")
 	require(s.Store.MinimumLease > 0, "store.minimum_lease must be above 0")
 	require(s.Retries.Ratio >= 0 && s.Retries.Slack >= 0, "retries.ratio and retries.slack must not be below 0")
 	require(s.Retries.Window > 0, "retries.window must be above 0")
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -45,11 +45,25 @@
 	// Unacknowledged is how long sent bytes may go without acknowledgement, and
 	// how long a silent peer may leave probes unanswered.
 	Unacknowledged time.Duration
+	// Dial connects; nil: by TCP with these settings.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 func (d DialSettings) dial(ctx context.Context, address string) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
 	defer cancel()
+	dial := d.Dial
+	if dial == nil {
+		dial = d.dialTCP
+	}
+	raw, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+func (d DialSettings) dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 		Control: func(_, _ string, raw syscall.RawConn) error {
@@ -59,11 +73,7 @@
 			})
 		},
 	}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // quiet reports whether the connection is open and nothing came on it since
--- a/internal/standin/keyvalue/errors.go
+++ b/internal/standin/keyvalue/errors.go
@@ -25,9 +25,9 @@
 // errLeaseNotFound matches platform.ErrLeaseGone and platform.ErrNotApplied.
 var errLeaseNotFound = fmt.Errorf("%w: %w: requested lease not found", platform.ErrNotApplied, platform.ErrLeaseGone)
 
-// errReplyLost tells a front end to give no reply to an operation that took
+// ErrReplyLost tells a front end to give no reply to an operation that took
 // effect. It never reaches a client.
-var errReplyLost = errors.New("reply lost")
+var ErrReplyLost = errors.New("reply lost")
 
 // errWatchGap ends a watch that has missed events.
 var errWatchGap = errors.New("watch has missed events")
--- a/internal/standin/keyvalue/faults.go
+++ b/internal/standin/keyvalue/faults.go
@@ -101,10 +101,10 @@
 	return probability > 0 && s.random.Float64() < probability
 }
 
-// submit runs one operation under the faults. Reply is called exactly once,
-// possibly before submit returns; with errReplyLost the front end must let the
+// Submit runs one operation under the faults. Reply is called exactly once,
+// possibly before submit returns; with ErrReplyLost the front end must let the
 // client wait in vain.
-func submit[Result any](s *Store, kind Kind, run func() (Result, error), reply func(Result, error)) {
+func Submit[Result any](s *Store, kind Kind, run func() (Result, error), reply func(Result, error)) {
 	var none Result
 	admitted := s.admit(kind)
 	if admitted.refused != nil {
@@ -114,7 +114,7 @@
 	s.after(admitted.delay/2, func() {
 		result, err := run()
 		if admitted.replyLost {
-			reply(none, errReplyLost)
+			reply(none, ErrReplyLost)
 			return
 		}
 		s.after(admitted.delay/2, func() { reply(result, err) })
--- a/internal/standin/keyvalue/server.go
+++ b/internal/standin/keyvalue/server.go
@@ -44,14 +44,14 @@
 		err    error
 	}
 	outcomes := make(chan outcome, 1)
-	submit(s.store, kind, run, func(result Result, err error) { outcomes <- outcome{result: result, err: err} })
+	Submit(s.store, kind, run, func(result Result, err error) { outcomes <- outcome{result: result, err: err} })
 	var ended outcome
 	select {
 	case ended = <-outcomes:
 	case <-r.Context().Done():
 		panic(http.ErrAbortHandler)
 	}
-	if errors.Is(ended.err, errReplyLost) {
+	if errors.Is(ended.err, ErrReplyLost) {
 		panic(http.ErrAbortHandler)
 	}
 	if ended.err != nil {
--- a/internal/standin/keyvalue/simulated.go
+++ b/internal/standin/keyvalue/simulated.go
@@ -72,8 +72,8 @@
 				return
 			}
 			served = true
-			submit(s.store, kind, run, func(result Result, err error) {
-				if errors.Is(err, errReplyLost) {
+			Submit(s.store, kind, run, func(result Result, err error) {
+				if errors.Is(err, ErrReplyLost) {
 					return
 				}
 				answer(reply[Result]{result: result, err: err})
--- a/internal/standin/keyvalue/simulated_watch.go
+++ b/internal/standin/keyvalue/simulated_watch.go
@@ -66,7 +66,7 @@
 func (w *simulatedWatch) create(prefix string, fromRevision int64) {
 	store := w.service.store
 	run := func() (WatchID, error) { return store.Watch(prefix, fromRevision, w.sendToClient) }
-	submit(store, KindWatch, run, func(_ WatchID, err error) {
+	Submit(store, KindWatch, run, func(_ WatchID, err error) {
 		if err != nil {
 			w.sendToClient(WatchMessage{Sequence: 1, Err: err})
 		}
