Take the events of one watch answer in their order

Cause: a batch was split into changed and removed records, and the removed ones applied last, so a server that the store dropped and listed again in one answer stayed unknown (CONFIG: routes that were added were not served, since their pool had no server left). Ruled out: servers that stay silent; the events are in the answer. Change: the last event of each server in a batch counts. Test fails before.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -77,16 +77,17 @@
 	v.publish(v.Load().Configuration)
 }
 
-// UpdateServers applies changed records and removed IDs.
-func (v *View) UpdateServers(changed []*Server, removed []string) {
+// UpdateServers applies changed records by ID; nil removes one.
+func (v *View) UpdateServers(changes map[string]*Server) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	for _, server := range changed {
-		v.records[server.ID] = server
-	}
-	for _, id := range removed {
-		delete(v.records, id)
-		delete(v.placed, id)
+	for id, server := range changes {
+		if server == nil {
+			delete(v.records, id)
+			delete(v.placed, id)
+			continue
+		}
+		v.records[id] = server
 	}
 	v.publish(v.Load().Configuration)
 }
