Never replace a holder before its lease has ended

Ruled out: clock steps; terms count on the steady clock. Change: only an ended lease, or the record of the same machine, makes room; a later record ends a term at once.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,8 +29,6 @@
 	tidyPeriod = time.Second
 	// leaseTime after which an order holder that is not heard is replaced.
 	leaseTime = 2 * time.Second
-	// probeTimeout of the look whether the holder's process is gone.
-	probeTimeout = 200 * time.Millisecond
 	// peerBackoff is the longest pause between connections to another node.
 	peerBackoff = 200 * time.Millisecond
 )
@@ -83,7 +78,7 @@
 func (n *node) assembleOrders() {
 	n.election = orders.NewElection(orders.ElectionConfig{
 		Store: n.store, Prefix: ownPrefix, Self: orders.Record{Name: n.settings.Node.Name, Address: n.settings.Listen.Peers},
-		Lease: max(leaseTime, n.settings.Store.MinimumLease), Turn: n.turn(), Refused: refused, Logger: n.logger,
+		Lease: max(leaseTime, n.settings.Store.MinimumLease), Turn: n.turn(), Logger: n.logger,
 	})
 	n.holder = orders.NewHolder(orders.HolderConfig{
 		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers}, Name: n.settings.Node.Name,
@@ -164,13 +159,3 @@
 		}
 	}
 }
-
-// refused reports whether nothing listens at an address of a machine that is up.
-func refused(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, probeTimeout)
-	if err == nil {
-		_ = conn.Close()
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
--- a/internal/orders/election.go
+++ b/internal/orders/election.go
@@ -46,11 +46,8 @@
 	// Lease is the time after which a holder that is not heard is replaced.
 	Lease time.Duration
 	// Turn is the time between the orders of two holders.
-	Turn time.Duration
-	// Refused reports whether a connection to the address is refused, which
-	// proves that no process listens there.
-	Refused func(address string) bool
-	Logger  zerolog.Logger
+	Turn   time.Duration
+	Logger zerolog.Logger
 }
 
 // Election finds the one holder by a record in the store.
@@ -139,6 +136,7 @@
 		if e.holder == nil || e.holder.Revision < record.Revision {
 			e.config.Logger.Info().Str("holder", record.Name).Int64("token", record.Revision).Msg("holder known")
 			e.holder = &record
+			e.endReplaced(record)
 		}
 	case e.lastKey():
 		if e.last == nil || e.last.Revision < record.Revision {
@@ -147,20 +145,23 @@
 	}
 }
 
+// endReplaced ends this node's term when a later holder's record shows. It must
+// be called with the lock held.
+func (e *Election) endReplaced(record Record) {
+	if e.term == nil || record.Revision <= e.term.Token {
+		return
+	}
+	e.config.Logger.Warn().Int64("token", e.term.Token).Str("holder", record.Name).Msg("term ended by a later holder")
+	e.term.end()
+	e.term = nil
+}
+
 // wake must be called with the lock held.
 func (e *Election) wake() {
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
 
-// Suspect is called when the holder can't be reached: if its process is gone,
-// it is replaced without waiting for its lease.
-func (e *Election) Suspect() {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.wake()
-}
-
 // Resign ends this node's term, and keeps it from taking part again.
 func (e *Election) Resign() {
 	e.mutex.Lock()
@@ -228,15 +229,13 @@
 		found.lastRevision = last.Revision
 	}
 	if holder != nil {
-		found.holderRevision = holder.Revision
-		// A record of this machine is that of a process before this one.
+		// A record of this machine is that of a process before this one. Another
+		// machine's stands as long as its lease: that its connections are refused
+		// does not prove that it orders no more.
 		if holder.Name != e.config.Self.Name {
-			if !e.config.Refused(holder.Address) {
-				return changed, nil
-			}
-			e.config.Logger.Info().Str("holder", holder.Name).Msg("holder's process is gone")
-			vacantAt = time.Now()
+			return changed, nil
 		}
+		found.holderRevision = holder.Revision
 	}
 	if last != nil && last.Name != e.config.Self.Name {
 		if vacantAt.IsZero() {
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -123,7 +123,6 @@
 	l.config.Transport.Call(holder.Address, report, callTimeout, func(message peer.Message, err error) {
 		if err != nil {
 			l.config.Logger.Debug().Str("holder", holder.Name).Err(err).Msg("holder not reached")
-			l.config.Election.Suspect()
 			return
 		}
 		if update, isUpdate := message.(Update); isUpdate {
