--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -113,7 +113,7 @@
 		held.adapters[action.Adapter] = true
 		h.ledger.changed(target)
 	}
-	target.working = false
+	target.working, target.loadingAdapter = false, ""
 	h.mutex.Unlock()
 	h.push(time.Now())
 }
@@ -184,7 +184,7 @@
 	now := time.Now()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	target.working, target.loading, target.unloading = false, "", ""
+	target.working, target.loading, target.unloading, target.loadingAdapter = false, "", "", ""
 	if report == nil {
 		target.known = false
 		target.suspectUntil = now.Add(suspectTime)
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -178,6 +178,8 @@
 		target.intent, target.intentAt = action.Intent, now
 		delete(target.models, action.Model)
 		h.ledger.changed(target)
+	case placement.LoadAdapter:
+		target.loadingAdapter = action.Model + "/" + action.Adapter
 	case placement.UnloadAdapter:
 		delete(target.models[action.Model].adapters, action.Adapter)
 		h.ledger.changed(target)
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -22,12 +22,14 @@
 	// working: an order or a report is under way.
 	working bool
 	// loading and its expected end; unloading still takes memory.
-	loading      string
-	loadingUntil time.Time
-	unloading    string
-	intent       string
-	intentAt     time.Time
-	suspectUntil time.Time
+	loading string
+	// loadingAdapter is on its way, as MODEL/NAME.
+	loadingAdapter string
+	loadingUntil   time.Time
+	unloading      string
+	intent         string
+	intentAt       time.Time
+	suspectUntil   time.Time
 	// version of the placement at which models changed.
 	version uint64
 }
@@ -192,7 +194,7 @@
 	server := placement.Server{
 		ID: id, Zone: e.server.Zone, Busy: e.working, Leaving: e.server.Draining,
 		Suspect: !e.known || now.Before(e.suspectUntil), Models: make(map[string]placement.Replica, len(e.models)),
-		Loading: e.loading, InMemory: e.inMemory, OnDisk: e.onDisk,
+		Loading: e.loading, LoadingAdapter: e.loadingAdapter, InMemory: e.inMemory, OnDisk: e.onDisk,
 	}
 	if e.intent != "" && now.Sub(e.intentAt) < intentLifetime {
 		server.Intent = e.intent
--- a/internal/placement/adapters.go
+++ b/internal/placement/adapters.go
@@ -32,12 +32,15 @@
 	}
 }
 
-// adapterHolders counts the servers that hold the adapter and stay.
+// adapterHolders counts the servers that hold the adapter, or soon will, and stay.
 func (p *plan) adapterHolders(model, adapter string) int {
 	count := 0
 	for i := range p.Servers {
 		server := &p.Servers[i]
-		if !server.Leaving && !server.Suspect && server.Models[model].Adapters[adapter] {
+		if server.Leaving || server.Suspect {
+			continue
+		}
+		if server.Models[model].Adapters[adapter] || server.LoadingAdapter == model+"/"+adapter {
 			count++
 		}
 	}
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -38,6 +38,8 @@
 	Models  map[string]Replica
 	// Loading is the model being loaded, if any.
 	Loading string
+	// LoadingAdapter is the adapter being loaded, as MODEL/NAME, if any.
+	LoadingAdapter string
 	// Intent is the model for which room is being made, if any.
 	Intent string
 	// InMemory and OnDisk have copies of weights.
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,256 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/placement"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Placement Suite")
+}
+
+var now = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+
+// testEngine has six models of 70 GB for servers of 200 GB.
+func testEngine() *fleet.Engine {
+	engine := &fleet.Engine{Slots: 64, MemoryMB: 200_000, AdapterPlaces: 2, LoadsPerSecond: 4, Models: map[string]*fleet.Model{}}
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		engine.Models[name] = &fleet.Model{
+			Name: name, SizeMB: 70_000, LoadTime: 2 * time.Second, WarmTime: 500 * time.Millisecond,
+			DiskTime: 800 * time.Millisecond, Adapters: 3, AdapterMB: 66,
+		}
+	}
+	return engine
+}
+
+func server(id string, models ...string) placement.Server {
+	made := placement.Server{ID: id, Zone: "z", Models: map[string]placement.Replica{}}
+	for _, model := range models {
+		made.Models[model] = placement.Replica{Since: now.Add(-time.Minute), Adapters: map[string]bool{}}
+	}
+	return made
+}
+
+func waiting(count int) *placement.Demand {
+	return &placement.Demand{Waiting: count, Rate: 0.1, LastUsed: now, Adapters: map[string]*placement.AdapterDemand{}}
+}
+
+func idle(rate float64, ago time.Duration) *placement.Demand {
+	return &placement.Demand{Rate: rate, LastUsed: now.Add(-ago), Adapters: map[string]*placement.AdapterDemand{}}
+}
+
+func input(demand map[string]*placement.Demand, servers ...placement.Server) *placement.Input {
+	return &placement.Input{Now: now, Engine: testEngine(), Servers: servers, Demand: demand, StoreLoads: 4}
+}
+
+var _ = Describe("loads", func() {
+	It("load what is waited for where there is room", func() {
+		actions := placement.Plan(input(map[string]*placement.Demand{"c": waiting(1)}, server("1", "a", "b"), server("2", "a")))
+		Expect(actions).To(HaveLen(1))
+		Expect(actions[0].Kind).To(Equal(placement.Load))
+		Expect(actions[0].Server).To(Equal("2"))
+		Expect(actions[0].Source).To(Equal(placement.FromStore))
+	})
+
+	It("take a copy in memory or on disk before the store", func() {
+		disk, memory := server("2"), server("3")
+		disk.OnDisk = map[string]bool{"c": true}
+		memory.InMemory, memory.OnDisk = map[string]bool{"c": true}, map[string]bool{"c": true}
+		actions := placement.Plan(input(map[string]*placement.Demand{"c": waiting(1)}, server("1"), disk, memory))
+		Expect(actions[0].Server).To(Equal("3"))
+		Expect(actions[0].Expected).To(Equal(500 * time.Millisecond))
+	})
+
+	DescribeTable("don't begin", func(change func(in *placement.Input)) {
+		in := input(map[string]*placement.Demand{"c": waiting(1)}, server("1"))
+		change(in)
+		Expect(placement.Plan(in)).To(BeEmpty())
+	},
+		Entry("twice", func(in *placement.Input) { in.Servers[0].Loading = "c" }),
+		Entry("on a busy server", func(in *placement.Input) { in.Servers[0].Busy = true }),
+		Entry("on a leaving server", func(in *placement.Input) { in.Servers[0].Leaving = true }),
+		Entry("on a server that does not answer", func(in *placement.Input) { in.Servers[0].Suspect = true }),
+		Entry("beyond the store's rate", func(in *placement.Input) { in.StoreLoads = 0 }),
+		Entry("of a model that is not known", func(in *placement.Input) {
+			in.Demand = map[string]*placement.Demand{"unknown": waiting(1)}
+		}),
+	)
+
+	It("load from a server's own copy when the store allows nothing", func() {
+		disk := server("1")
+		disk.OnDisk = map[string]bool{"c": true}
+		in := input(map[string]*placement.Demand{"c": waiting(1)}, disk)
+		in.StoreLoads = 0
+		Expect(placement.Plan(in)).To(HaveLen(1))
+	})
+
+	It("take models without any replica first, then who waits most", func() {
+		in := input(map[string]*placement.Demand{"b": waiting(1), "c": waiting(5), "a": waiting(30)}, server("1", "a"), server("2"), server("3"))
+		in.StoreLoads = 2
+		actions := placement.Plan(in)
+		Expect(actions).To(HaveLen(2))
+		Expect(actions[0].Model).To(Equal("c"))
+		Expect(actions[1].Model).To(Equal("b"))
+	})
+
+	It("give a model that is asked for often a second replica", func() {
+		often := idle(2, 0)
+		actions := placement.Plan(input(map[string]*placement.Demand{"a": often}, server("1", "a"), server("2"), server("3"), server("4"), server("5"), server("6")))
+		Expect(actions).To(HaveLen(1))
+		Expect(actions[0].Model).To(Equal("a"))
+	})
+})
+
+var _ = Describe("room", func() {
+	It("is made by the model that is least likely to be asked for", func() {
+		demand := map[string]*placement.Demand{"c": waiting(1), "a": idle(0.5, time.Second), "b": idle(0.05, 20*time.Second)}
+		actions := placement.Plan(input(demand, server("1", "a", "b")))
+		Expect(actions).To(HaveLen(1))
+		Expect(actions[0].Kind).To(Equal(placement.Unload))
+		Expect(actions[0].Model).To(Equal("b"))
+		Expect(actions[0].Intent).To(Equal("c"))
+	})
+
+	It("is kept for the model it was made for", func() {
+		made := server("1", "a")
+		made.Intent = "c"
+		demand := map[string]*placement.Demand{"c": waiting(1), "d": waiting(9)}
+		actions := placement.Plan(input(demand, made))
+		Expect(actions).To(HaveLen(1))
+		Expect(actions[0].Kind).To(Equal(placement.Load))
+		Expect(actions[0].Model).To(Equal("c"))
+	})
+
+	DescribeTable("is not made by", func(change func(in *placement.Input)) {
+		in := input(map[string]*placement.Demand{"c": waiting(1), "a": idle(0.1, 0), "b": idle(0.1, 0)}, server("1", "a", "b"))
+		change(in)
+		Expect(placement.Plan(in)).To(BeEmpty())
+	},
+		Entry("models with running requests", func(in *placement.Input) {
+			in.Demand["a"].Running, in.Demand["b"].Running = 1, 1
+		}),
+		Entry("models that were just loaded", func(in *placement.Input) {
+			for name := range in.Servers[0].Models {
+				in.Servers[0].Models[name] = placement.Replica{Since: now}
+			}
+		}),
+	)
+
+	It("is not made for more replicas at the cost of another model's only one", func() {
+		demand := map[string]*placement.Demand{"a": {Waiting: 40, Rate: 5, LastUsed: now}, "b": idle(0.2, 0), "c": idle(0.2, 0)}
+		Expect(placement.Plan(input(demand, server("1", "a"), server("2", "b", "c")))).To(HaveLen(0))
+	})
+})
+
+var _ = Describe("adapters", func() {
+	asks := func(adapter string) map[string]*placement.Demand {
+		demand := waiting(1)
+		demand.Adapters[adapter] = &placement.AdapterDemand{Waiting: 1, LastUsed: now}
+		return map[string]*placement.Demand{"a": demand}
+	}
+
+	It("go to the holder of their model with the most free places", func() {
+		full := server("1", "a")
+		full.Models["a"] = placement.Replica{Adapters: map[string]bool{"a1": true}}
+		actions := placement.Plan(input(asks("a2"), full, server("2", "a")))
+		Expect(actions).To(HaveLen(1))
+		Expect(actions[0].Kind).To(Equal(placement.LoadAdapter))
+		Expect(actions[0].Server).To(Equal("2"))
+	})
+
+	It("take the place of the one that was not used for longest", func() {
+		full := server("1", "a")
+		full.Models["a"] = placement.Replica{Adapters: map[string]bool{"a1": true, "a3": true}}
+		demand := asks("a2")
+		demand["a"].Adapters["a1"] = &placement.AdapterDemand{LastUsed: now.Add(-time.Second)}
+		demand["a"].Adapters["a3"] = &placement.AdapterDemand{LastUsed: now.Add(-time.Minute)}
+		actions := placement.Plan(input(demand, full))
+		Expect(actions).To(HaveLen(1))
+		Expect(actions[0].Kind).To(Equal(placement.UnloadAdapter))
+		Expect(actions[0].Adapter).To(Equal("a3"))
+	})
+
+	It("are not loaded twice while one is on its way", func() {
+		coming := server("1", "a")
+		coming.Busy = true
+		coming.LoadingAdapter = "a/a2"
+		Expect(placement.Plan(input(asks("a2"), coming, server("2", "a")))).To(BeEmpty())
+	})
+})
+
+// drawInput makes any state, also ones that should not come about.
+func drawInput(t *rapid.T) *placement.Input {
+	in := input(map[string]*placement.Demand{})
+	models := []string{"a", "b", "c", "d", "e", "f"}
+	for i := range rapid.IntRange(1, 5).Draw(t, "servers") {
+		held := rapid.SliceOfNDistinct(rapid.SampledFrom(models), 0, 2, rapid.ID).Draw(t, "models")
+		made := server(fmt.Sprint(i), held...)
+		made.Busy, made.Leaving, made.Suspect = rapid.Bool().Draw(t, "busy"), rapid.Bool().Draw(t, "leaving"), rapid.Bool().Draw(t, "suspect")
+		made.Intent = rapid.SampledFrom(append(models, "")).Draw(t, "intent")
+		made.OnDisk = map[string]bool{rapid.SampledFrom(models).Draw(t, "disk"): true}
+		in.Servers = append(in.Servers, made)
+	}
+	for _, model := range models {
+		demand := waiting(rapid.IntRange(0, 20).Draw(t, "waiting"))
+		demand.Running = rapid.IntRange(0, 20).Draw(t, "running")
+		demand.Rate = rapid.Float64Range(0, 5).Draw(t, "rate")
+		adapter := rapid.SampledFrom([]string{"a1", "a2", "a3"}).Draw(t, "adapter")
+		demand.Adapters[adapter] = &placement.AdapterDemand{Waiting: rapid.IntRange(0, 2).Draw(t, "adapter waiting")}
+		in.Demand[model] = demand
+	}
+	in.StoreLoads = rapid.IntRange(0, 4).Draw(t, "store")
+	return in
+}
+
+var _ = Describe("any plan", func() {
+	It("fits, gives a server one order, and repeats", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			in := drawInput(t)
+			actions := placement.Plan(in)
+			again := placement.Plan(in)
+			if fmt.Sprint(actions) != fmt.Sprint(again) {
+				t.Fatalf("not repeatable: %v and %v", actions, again)
+			}
+			checkPlan(t, in, actions)
+		})
+	})
+})
+
+func checkPlan(t *rapid.T, in *placement.Input, actions []placement.Action) {
+	given := map[string]bool{}
+	storeLoads := 0
+	for _, action := range actions {
+		var target *placement.Server
+		for i := range in.Servers {
+			if in.Servers[i].ID == action.Server {
+				target = &in.Servers[i]
+			}
+		}
+		if given[action.Server] || target.Busy || target.Leaving || target.Suspect {
+			t.Fatalf("%v: the server takes no order", action)
+		}
+		given[action.Server] = true
+		_, holds := target.Models[action.Model]
+		if holds != (action.Kind != placement.Load) {
+			t.Fatalf("%v: holds is %v", action, holds)
+		}
+		if action.Kind == placement.Load && len(target.Models) > 1 {
+			t.Fatalf("%v: no room beside %v", action, target.Models)
+		}
+		if action.Kind == placement.Load && action.Source == placement.FromStore {
+			storeLoads++
+		}
+	}
+	if storeLoads > in.StoreLoads {
+		t.Fatalf("%d loads from the store, %d allowed", storeLoads, in.StoreLoads)
+	}
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -144,7 +144,8 @@
 	return w.model.Name < other.model.Name
 }
 
-// continueIntents loads the models for which room was made.
+// continueIntents loads the models for which room was made, if they are still
+// needed.
 func (p *plan) continueIntents() {
 	for i := range p.Servers {
 		server := &p.Servers[i]
@@ -152,10 +153,19 @@
 		if model == nil || server.Loading != "" || !p.usable(server) {
 			continue
 		}
+		if _, holds := server.Models[model.Name]; holds || !p.stillNeeded(model.Name) {
+			continue
+		}
 		p.loadOn(server, model, "room was made")
 	}
 }
 
+// stillNeeded: the model's demand calls for all replicas that are coming.
+func (p *plan) stillNeeded(model string) bool {
+	demand := p.Demand[model]
+	return demand != nil && p.ready[model]+p.coming[model] <= p.desired(model, demand)
+}
+
 func (p *plan) usable(server *Server) bool {
 	return !server.Busy && !server.Leaving && !server.Suspect && !p.taken[server.ID]
 }
--- /dev/null
+++ b/internal/placement/seed_test.go
@@ -0,0 +1,3 @@
+package placement_test
+
+import _ "github.com/hatchplank/hatchplank/internal/fixedseed" // property tests repeat
