Let a restarted holder wait for its predecessor's turn

Ruled out: orders carried out late; they count as of their arrival. Change: the store names a node as the last one that could order only when its turn has come, before its first order. Reads of a server by the holder are under the lock (data race shown by -race).

--- a/internal/orders/election.go
+++ b/internal/orders/election.go
@@ -40,7 +40,7 @@
 type ElectionConfig struct {
 	Store platform.KeyValueService
 	// Prefix of the two keys: the holder, under its lease, and the one who was
-	// the last to become holder, which stays.
+	// the last that could order, which stays.
 	Prefix string
 	Self   Record
 	// Lease is the time after which a holder that is not heard is replaced.
@@ -213,6 +213,9 @@
 	holderRevision, lastRevision int64
 	// notBefore is when this node may order, if it becomes the holder.
 	notBefore time.Time
+	// enters: no other node's turn has to pass, so this node becomes the last
+	// that could order at once.
+	enters bool
 }
 
 // vacancy returns nil if there is a holder, as far as known.
@@ -224,7 +227,7 @@
 	if !known || resigned {
 		return changed, nil
 	}
-	found := &vacancy{notBefore: time.Now()}
+	found := &vacancy{notBefore: time.Now(), enters: true}
 	if last != nil {
 		found.lastRevision = last.Revision
 	}
@@ -242,6 +245,7 @@
 			vacantAt = time.Now()
 		}
 		found.notBefore = vacantAt.Add(e.config.Turn + leaseMargin)
+		found.enters = false
 	}
 	return changed, found
 }
@@ -257,20 +261,21 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode the record")
 	}
-	reply, err := e.transact(platform.Transaction{
+	transaction := platform.Transaction{
 		Compares: []platform.Compare{
 			{Key: e.holderKey(), ModRevision: at.holderRevision},
 			{Key: e.lastKey(), ModRevision: at.lastRevision},
 		},
-		Operations: []platform.Operation{
-			{Kind: platform.OperationPut, Key: e.holderKey(), Value: value, Lease: lease},
-			{Kind: platform.OperationPut, Key: e.lastKey(), Value: value},
-		},
-	})
+		Operations: []platform.Operation{{Kind: platform.OperationPut, Key: e.holderKey(), Value: value, Lease: lease}},
+	}
+	if at.enters {
+		transaction.Operations = append(transaction.Operations, platform.Operation{Kind: platform.OperationPut, Key: e.lastKey(), Value: value})
+	}
+	reply, err := e.transact(transaction)
 	if err != nil {
 		return nil, err
 	}
-	term := newTerm(reply.Revision, at.notBefore, sent.Add(e.config.Lease-leaseMargin))
+	term := newTerm(reply.Revision, at.notBefore, sent.Add(e.config.Lease-leaseMargin), at.enters)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.resign {
@@ -279,7 +284,10 @@
 	e.term, e.lease = term, lease
 	record := e.config.Self
 	record.Revision = reply.Revision
-	e.holder, e.last = &record, &record
+	e.holder = &record
+	if at.enters {
+		e.last = &record
+	}
 	e.config.Logger.Info().Int64("token", term.Token).Dur("first_order_in_ms", time.Until(term.NotBefore)).Msg("lease held")
 	return term, nil
 }
@@ -326,12 +334,15 @@
 func (e *Election) keep(ctx context.Context, term *Term) {
 	period := e.config.Lease / renewals
 	for ctx.Err() == nil {
+		if term.mustEnter(time.Now()) {
+			e.enter(term)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-term.Over():
 			return
-		case <-time.After(period):
+		case <-time.After(e.untilNext(term, period)):
 		}
 		sent := time.Now()
 		err := e.renewOnce()
@@ -346,6 +357,40 @@
 	}
 }
 
+// untilNext is the time to the next renewal, or to the turn if that is sooner.
+func (e *Election) untilNext(term *Term, period time.Duration) time.Duration {
+	if turn := time.Until(term.NotBefore); turn > 0 && turn < period {
+		return turn
+	}
+	return period
+}
+
+// enter names this node as the last one that could order, before it does so: a
+// process that restarts on this machine while the predecessor's turn lasts finds
+// the predecessor there, and waits as well.
+func (e *Election) enter(term *Term) {
+	value, err := json.Marshal(e.config.Self)
+	if err != nil {
+		e.config.Logger.Error().Err(err).Msg("record is not written")
+		return
+	}
+	reply, err := e.transact(platform.Transaction{
+		Compares:   []platform.Compare{{Key: e.holderKey(), ModRevision: term.Token}},
+		Operations: []platform.Operation{{Kind: platform.OperationPut, Key: e.lastKey(), Value: value}},
+	})
+	if err != nil {
+		e.config.Logger.Warn().Int64("token", term.Token).Err(err).Msg("turn not entered yet")
+		return
+	}
+	record := e.config.Self
+	record.Revision = reply.Revision
+	e.mutex.Lock()
+	e.last = &record
+	e.mutex.Unlock()
+	term.enter()
+	e.config.Logger.Info().Int64("token", term.Token).Msg("turn entered")
+}
+
 func (e *Election) renewOnce() error {
 	e.mutex.Lock()
 	lease := e.lease
--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/placement"
 )
 
@@ -134,30 +135,27 @@
 			h.push(time.Now())
 			return
 		}
-		if err != nil && h.gone(target) {
+		if err != nil && h.config.View.Load().Servers[action.Server] == nil {
 			break
 		}
 		sleep(ctx, pollPeriod)
 	}
-	h.config.Logger.Warn().Str("server", target.server.ID).Str("order", action.Kind.String()).Str("model", action.Model).
+	h.config.Logger.Warn().Str("server", action.Server).Str("order", action.Kind.String()).Str("model", action.Model).
 		Dur("after_ms", time.Since(started)).Msg("order not seen to end")
 	h.finish(target, nil)
 }
 
-// gone reports whether the server is not listed any more.
-func (h *Holder) gone(target *entry) bool {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.config.View.Load().Servers[target.server.ID] == nil
-}
-
 func (h *Holder) report(ctx context.Context, target *entry) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	return h.config.Engines.Report(ctx, h.serverOf(target))
+}
+
+// serverOf returns the server of an entry, which changes with its record.
+func (h *Holder) serverOf(target *entry) *fleet.Server {
 	h.mutex.Lock()
-	server := target.server
-	h.mutex.Unlock()
-	return h.config.Engines.Report(ctx, server)
+	defer h.mutex.Unlock()
+	return target.server
 }
 
 // refresh reads what a server holds.
@@ -165,13 +163,13 @@
 	defer h.Wake()
 	report, err := h.report(ctx, target)
 	if err != nil {
-		h.config.Logger.Warn().Str("server", target.server.ID).Err(err).Msg("no report")
+		h.config.Logger.Warn().Str("server", h.serverOf(target).ID).Err(err).Msg("no report")
 		h.finish(target, nil)
 		return
 	}
 	if report.Busy {
 		// An order of somebody is under way; it is looked at again soon.
-		h.config.Logger.Info().Str("server", target.server.ID).Int64("sequence", report.Sequence).Msg("server is busy")
+		h.config.Logger.Info().Str("server", h.serverOf(target).ID).Int64("sequence", report.Sequence).Msg("server is busy")
 		h.finish(target, nil)
 		return
 	}
--- a/internal/orders/term.go
+++ b/internal/orders/term.go
@@ -19,19 +19,34 @@
 
 	mutex      sync.Mutex
 	validUntil time.Time
+	// entered: the store names this node as the last one that ordered.
+	entered bool
 	ended      bool
 	over       chan struct{}
 }
 
-func newTerm(token int64, notBefore, validUntil time.Time) *Term {
-	return &Term{Token: token, NotBefore: notBefore, validUntil: validUntil, over: make(chan struct{})}
+func newTerm(token int64, notBefore, validUntil time.Time, entered bool) *Term {
+	return &Term{Token: token, NotBefore: notBefore, validUntil: validUntil, entered: entered, over: make(chan struct{})}
 }
 
 // MayOrder reports whether an order may be sent now.
 func (t *Term) MayOrder(now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return !t.ended && !now.Before(t.NotBefore) && now.Before(t.validUntil)
+	return !t.ended && t.entered && !now.Before(t.NotBefore) && now.Before(t.validUntil)
+}
+
+// mustEnter reports whether the turn has come and the store does not know yet.
+func (t *Term) mustEnter(now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return !t.ended && !t.entered && !now.Before(t.NotBefore)
+}
+
+func (t *Term) enter() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.entered = true
 }
 
 // Over is closed when the term has ended for good.
