--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -82,7 +82,7 @@
 
 func (n *node) assembleOrders() {
 	n.election = orders.NewElection(orders.ElectionConfig{
-		Store: n.store, Prefix: ownPrefix, Self: orders.Record{Name: n.settings.Node.Name, Address: n.settings.Listen.Peers},
+		Store: n.store, Prefix: ownPrefix, Self: orders.Record{Name: n.settings.Node.Name, Address: n.transport.Address()},
 		Lease: max(leaseTime, n.settings.Store.MinimumLease), Turn: n.turn(), Logger: n.logger,
 	})
 	n.holder = orders.NewHolder(orders.HolderConfig{
@@ -96,7 +96,7 @@
 		Demand:   func() []forward.Demand { return n.forwarder.Demand() },
 		Wanted:   func() <-chan struct{} { return n.forwarder.Wanted() },
 		SetNodes: func(nodes int) { n.forwarder.SetNodes(nodes) },
-		Name:     n.settings.Node.Name, Address: n.settings.Listen.Peers, Logger: n.logger,
+		Name:     n.settings.Node.Name, Address: n.transport.Address(), Logger: n.logger,
 	})
 }
 
--- /dev/null
+++ b/cmd/hatchplank-node/node_test.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/edge"
+	services "github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
+	"github.com/hatchplank/hatchplank/platform/standin"
+)
+
+// These tests run whole nodes over loopback TCP, with the stand-ins in the same
+// process.
+
+const nodeSettings = `
+node: {name: %s, zone: z}
+listen: {callers: "127.0.0.1:0", health: "127.0.0.1:0", peers: "127.0.0.1:0", metrics: "127.0.0.1:0"}
+cluster: {secret: s}
+store: {address: "%s", contact: 3000ms, minimum_lease: 1000ms}
+retries: {ratio: 0.2, slack: 54, window: 10s}
+orders: {turn: 100ms, fenced: false, load_window: 5s, load_overage: 1.1}
+stop: {grace: 2s}
+log: {level: info}
+`
+
+const nodeConfiguration = `{"version":1,"routes":[
+ {"name":"r","host":"h.example","path-prefix":"/s/","kind":"streaming","timeout-ms":20000,"target-latency-ms":15000,"priority":1,"service":"llm","max-attempts":2,"resumable":true},
+ {"name":"p","host":"h.example","path-prefix":"/p/","kind":"non_idempotent","timeout-ms":20000,"target-latency-ms":15000,"priority":1,"service":"plain","max-attempts":1}],
+ "services":[{"name":"plain","max-connections":10},{"name":"llm","max-connections":10,"engine":{"slots":8,"weights-mb":200,"adapter-slots":2,"loads-per-s":4,
+ "models":[{"name":"a","weights-mb":70,"load-time-s":0.05,"adapters":2,"adapter-mb":1},{"name":"b","weights-mb":70,"load-time-s":0.05,"adapters":0,"adapter-mb":1}]}}],
+ "limits":{"max-body-bytes":1000,"idle-timeout-ms":15000}}`
+
+// deployment is a store, two engines and a plain server.
+type deployment struct {
+	store   *keyvalue.Store
+	address string
+	engines []*standin.Engine
+}
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{store: keyvalue.NewStore(keyvalue.Options{Clock: clock.System{}})}
+	server := httptest.NewServer(standin.NewStoreServer(d.store))
+	t.Cleanup(server.Close)
+	d.address = strings.TrimPrefix(server.URL, "http://")
+	d.put("op/config", nodeConfiguration)
+	for i, models := range [][]string{{"a"}, nil} {
+		engine := standin.NewEngine(fmt.Sprintf("i-%d", i), models...)
+		engine.LoadTime = 50 * time.Millisecond
+		d.add(t, engine, "llm")
+	}
+	d.add(t, standin.NewEngine("i-9"), "plain")
+	return d
+}
+
+func (d *deployment) add(t *testing.T, engine *standin.Engine, pool string) {
+	server := httptest.NewServer(engine)
+	t.Cleanup(server.Close)
+	d.engines = append(d.engines, engine)
+	d.put("servers/"+engine.ID, engine.Record(pool, strings.TrimPrefix(server.URL, "http://"), "ready"))
+}
+
+func (d *deployment) put(key, value string) {
+	_, err := d.store.Transact(services.Transaction{Operations: []services.Operation{{Key: key, Value: []byte(value)}}})
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// start runs a node until the test ends or stop is called.
+func (d *deployment) start(t *testing.T, name string) (callers string, stop func()) {
+	settings, err := edge.LoadSettings([]byte(fmt.Sprintf(nodeSettings, name, d.address)))
+	Expect(err).NotTo(HaveOccurred())
+	process, err := assemble(settings, zerolog.Nop())
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- process.Run(ctx) }()
+	stopped := false
+	stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		Eventually(done, "30s").Should(Receive(BeNil()))
+	}
+	t.Cleanup(stop)
+	Eventually(func() int { return statusOf("http://" + process.Address(edge.Health) + "/ready") }, "30s").Should(Equal(http.StatusOK))
+	return "http://" + process.Address(edge.Callers), stop
+}
+
+func statusOf(url string) int {
+	answer, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode
+}
+
+func ask(callers, path, model string) (int, string) {
+	asked, err := http.NewRequest(http.MethodPost, callers+path, strings.NewReader("body"))
+	Expect(err).NotTo(HaveOccurred())
+	asked.Host = "h.example"
+	asked.Header.Set("Hatchplank-Request-Id", "r1")
+	if model != "" {
+		asked.Header.Set("Hatchplank-Model", model)
+	}
+	answer, err := http.DefaultClient.Do(asked)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return answer.StatusCode, string(body)
+}
+
+func TestNodesServeWhatIsLoadedAndWhatIsNot(t *testing.T) {
+	RegisterTestingT(t)
+	d := newDeployment(t)
+	first, _ := d.start(t, "x")
+	second, _ := d.start(t, "y")
+	for _, callers := range []string{first, second} {
+		for _, asked := range []struct{ path, model string }{{"/p/x", ""}, {"/s/x", "a"}, {"/s/x", "a/a1"}, {"/s/x", "b"}} {
+			Eventually(func() int {
+				status, _ := ask(callers, asked.path, asked.model)
+				return status
+			}, "30s").Should(Equal(http.StatusOK), asked.path+asked.model)
+		}
+	}
+	for _, engine := range d.engines {
+		Expect(engine.Overloads()).To(BeZero())
+	}
+}
+
+func TestOrdersGoOnAfterTheHolderHasStopped(t *testing.T) {
+	RegisterTestingT(t)
+	d := newDeployment(t)
+	first, stop := d.start(t, "x")
+	Eventually(func() int {
+		status, _ := ask(first, "/s/x", "a/a1")
+		return status
+	}, "30s").Should(Equal(http.StatusOK))
+	second, _ := d.start(t, "y")
+	stop()
+	Eventually(func() int {
+		status, _ := ask(second, "/s/x", "b")
+		return status
+	}, "30s").Should(Equal(http.StatusOK))
+}
