--- a/cmd/hatchplank-node/node_test.go
+++ b/cmd/hatchplank-node/node_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,7 +14,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/edge"
-	services "github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
 	"github.com/hatchplank/hatchplank/platform/standin"
 )
@@ -34,13 +33,6 @@
 log: {level: info}
 `
 
-const nodeConfiguration = `{"version":1,"routes":[
- {"name":"r","host":"h.example","path-prefix":"/s/","kind":"streaming","timeout-ms":20000,"target-latency-ms":15000,"priority":1,"service":"llm","max-attempts":2,"resumable":true},
- {"name":"p","host":"h.example","path-prefix":"/p/","kind":"non_idempotent","timeout-ms":20000,"target-latency-ms":15000,"priority":1,"service":"plain","max-attempts":1}],
- "services":[{"name":"plain","max-connections":10},{"name":"llm","max-connections":10,"engine":{"slots":8,"weights-mb":200,"adapter-slots":2,"loads-per-s":4,
- "models":[{"name":"a","weights-mb":70,"load-time-s":0.05,"adapters":2,"adapter-mb":1},{"name":"b","weights-mb":70,"load-time-s":0.05,"adapters":0,"adapter-mb":1}]}}],
- "limits":{"max-body-bytes":1000,"idle-timeout-ms":15000}}`
-
 // deployment is a store, two engines and a plain server.
 type deployment struct {
 	store   *keyvalue.Store
@@ -53,7 +45,7 @@
 	server := httptest.NewServer(standin.NewStoreServer(d.store))
 	t.Cleanup(server.Close)
 	d.address = strings.TrimPrefix(server.URL, "http://")
-	d.put("op/config", nodeConfiguration)
+	d.put(standin.ConfigurationKey, standin.SmallConfiguration)
 	for i, models := range [][]string{{"a"}, nil} {
 		engine := standin.NewEngine(fmt.Sprintf("i-%d", i), models...)
 		engine.LoadTime = 50 * time.Millisecond
@@ -67,11 +59,11 @@
 	server := httptest.NewServer(engine)
 	t.Cleanup(server.Close)
 	d.engines = append(d.engines, engine)
-	d.put("servers/"+engine.ID, engine.Record(pool, strings.TrimPrefix(server.URL, "http://"), "ready"))
+	d.put(standin.ServerKey(engine.ID), engine.Record(pool, strings.TrimPrefix(server.URL, "http://"), "ready"))
 }
 
 func (d *deployment) put(key, value string) {
-	_, err := d.store.Transact(services.Transaction{Operations: []services.Operation{{Key: key, Value: []byte(value)}}})
+	_, err := d.store.Transact(outside.Transaction{Operations: []outside.Operation{{Key: key, Value: []byte(value)}}})
 	Expect(err).NotTo(HaveOccurred())
 }
 
@@ -107,26 +99,6 @@
 	return answer.StatusCode
 }
 
-func ask(callers, path, model string) (int, string) {
-	asked, err := http.NewRequest(http.MethodPost, callers+path, strings.NewReader("body"))
-	Expect(err).NotTo(HaveOccurred())
-	asked.Host = "h.example"
-	asked.Header.Set("Hatchplank-Request-Id", "r1")
-	if model != "" {
-		asked.Header.Set("Hatchplank-Model", model)
-	}
-	answer, err := http.DefaultClient.Do(asked)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer answer.Body.Close()
-	body, err := io.ReadAll(answer.Body)
-	if err != nil {
-		return 0, err.Error()
-	}
-	return answer.StatusCode, string(body)
-}
-
 func TestNodesServeWhatIsLoadedAndWhatIsNot(t *testing.T) {
 	RegisterTestingT(t)
 	d := newDeployment(t)
@@ -135,8 +107,7 @@
 	for _, callers := range []string{first, second} {
 		for _, asked := range []struct{ path, model string }{{"/p/x", ""}, {"/s/x", "a"}, {"/s/x", "a/a1"}, {"/s/x", "b"}} {
 			Eventually(func() int {
-				status, _ := ask(callers, asked.path, asked.model)
-				return status
+				return standin.Ask(callers, asked.path, asked.model)
 			}, "30s").Should(Equal(http.StatusOK), asked.path+asked.model)
 		}
 	}
@@ -150,13 +121,11 @@
 	d := newDeployment(t)
 	first, stop := d.start(t, "x")
 	Eventually(func() int {
-		status, _ := ask(first, "/s/x", "a/a1")
-		return status
+		return standin.Ask(first, "/s/x", "a/a1")
 	}, "30s").Should(Equal(http.StatusOK))
 	second, _ := d.start(t, "y")
 	stop()
 	Eventually(func() int {
-		status, _ := ask(second, "/s/x", "b")
-		return status
+		return standin.Ask(second, "/s/x", "b")
 	}, "30s").Should(Equal(http.StatusOK))
 }
--- a/cmd/hatchplank-node/serve.go
+++ b/cmd/hatchplank-node/serve.go
@@ -10,11 +10,9 @@
 	"github.com/spf13/cobra"
 
 	"github.com/hatchplank/hatchplank/internal/edge"
+	"github.com/hatchplank/hatchplank/platform"
 )
 
-// settingsVariable names the settings file if no flag does.
-const settingsVariable = "HATCHPLANK_BOOT"
-
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use: "hatchplank-node", Short: "Run a hatchplank node on the platform",
@@ -30,11 +28,11 @@
 		Use:   "serve",
 		Short: "Run the node until SIGTERM",
 		Long: "Run the node until SIGTERM. SIGHUP, or a change of the settings file, reads the settings again.\n" +
-			"The settings file is named by --settings or by the variable " + settingsVariable + ".",
+			"The settings file is named by --settings or by the variable " + platform.SettingsVariable + ".",
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return serve(file) },
 	}
-	command.Flags().StringVar(&file, "settings", os.Getenv(settingsVariable), "settings file (YAML)")
+	command.Flags().StringVar(&file, "settings", os.Getenv(platform.SettingsVariable), "settings file (YAML)")
 	return command
 }
 
--- a/internal/api/administration.go
+++ b/internal/api/administration.go
@@ -10,7 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/hatchplank/hatchplank/internal/auth"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -51,13 +51,13 @@
 func (*TableConflictError) Error() string { return "the table was changed by another edit" }
 
 // TableStore reads and edits the durable table. Done callbacks follow the
-// contract of package platform.
+// contract of package outside.
 type TableStore interface {
 	// Snapshot returns the newest table known here.
 	Snapshot() *table.Snapshot
 	// Propose writes an edit and returns its revision once it is durable.
-	// Errors: *TableConflictError, *table.InvalidError, platform.ErrNotApplied,
-	// platform.ErrAmbiguous, result.Refusal.
+	// Errors: *TableConflictError, *table.InvalidError, outside.ErrNotApplied,
+	// outside.ErrAmbiguous, result.Refusal.
 	Propose(edit TableEdit, timeout time.Duration, done func(table.Revision, error))
 	// History returns the newest entries first; with a tenant, only changes of
 	// its rows.
@@ -170,11 +170,11 @@
 	switch {
 	case errors.As(err, &refusal):
 		return refusal
-	case errors.Is(err, platform.ErrAmbiguous), errors.Is(err, errNoReply):
+	case errors.Is(err, outside.ErrAmbiguous), errors.Is(err, errNoReply):
 		refusal = result.Refuse(result.WriteAmbiguous, "the write may have taken effect; read the history before repeating it")
 		refusal.Ran = result.RanUnknown
 		return refusal
-	case errors.Is(err, platform.ErrNotApplied):
+	case errors.Is(err, outside.ErrNotApplied):
 		return result.Refuse(result.StoreUnavailable, "the key-value service did not take the write; nothing was changed")
 	default:
 		refusal = result.Refuse(result.Internal, "%v", err)
--- a/internal/api/administration_test.go
+++ b/internal/api/administration_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hatchplank/hatchplank/internal/api"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/table"
 	"github.com/hatchplank/hatchplank/internal/telemetry"
@@ -171,8 +171,8 @@
 		Entry("conflict", &api.TableConflictError{Current: 9, Conflicts: []table.Conflict{{Row: "a", Column: "weight", Base: "1", Mine: "2", Theirs: "3"}}},
 			result.RevisionConflict, "no", `"conflicts":[{"row":"a","column":"weight","base":"1","mine":"2","theirs":"3"}]`),
 		Entry("invalid", &table.InvalidError{Problems: []table.Problem{{Row: "a", Column: "base"}}}, result.InvalidTable, "no", `"column":"base"`),
-		Entry("not applied", platform.ErrNotApplied, result.StoreUnavailable, "no", "nothing was changed"),
-		Entry("ambiguous", platform.ErrAmbiguous, result.WriteAmbiguous, "unknown", "history"),
+		Entry("not applied", outside.ErrNotApplied, result.StoreUnavailable, "no", "nothing was changed"),
+		Entry("ambiguous", outside.ErrAmbiguous, result.WriteAmbiguous, "unknown", "history"),
 		Entry("a refusal", result.Refuse(result.NodeDraining, "stopping"), result.NodeDraining, "no", "stopping"),
 		Entry("anything else", errors.New("a defect"), result.Internal, "unknown", "a defect"),
 	)
--- a/internal/api/caller_test.go
+++ b/internal/api/caller_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/api"
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/telemetry"
 )
@@ -162,7 +162,7 @@
 
 	It("passes a pool's request and answer through", func(ctx SpecContext) {
 		service.serve = func(_ gateway.Request, responder gateway.Responder, _ <-chan struct{}) {
-			responder.Finish(gateway.Answer{Replayed: true, Response: platform.BackEndResponse{
+			responder.Finish(gateway.Answer{Replayed: true, Response: outside.BackEndResponse{
 				Status: http.StatusCreated, ContentType: "text/plain", Body: []byte("seat 4"),
 			}})
 		}
@@ -220,7 +220,7 @@
 		service.serve = func(_ gateway.Request, responder gateway.Responder, cancelled <-chan struct{}) {
 			defer close(stopped)
 			text := strings.Repeat("x", 1<<10)
-			responder.Chunk(platform.Chunk{Index: 0, Text: text})
+			responder.Chunk(outside.Chunk{Index: 0, Text: text})
 			<-started
 			for index := 1; ; index++ {
 				select {
@@ -228,7 +228,7 @@
 					responder.Refuse(result.Refuse(result.CallerGone, "cancelled"))
 					return
 				default:
-					responder.Chunk(platform.Chunk{Index: index, Text: text})
+					responder.Chunk(outside.Chunk{Index: index, Text: text})
 				}
 			}
 		}
--- a/internal/api/collect.go
+++ b/internal/api/collect.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -25,7 +25,7 @@
 }
 
 // Chunk implements gateway.Responder.
-func (c *collectResponder) Chunk(chunk platform.Chunk) {
+func (c *collectResponder) Chunk(chunk outside.Chunk) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.done {
--- a/internal/api/documents.go
+++ b/internal/api/documents.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // usageDocument is the OpenAI usage object.
@@ -18,7 +18,7 @@
 	CachedTokens int `json:"cached_tokens"`
 }
 
-func newUsageDocument(usage platform.Usage) usageDocument {
+func newUsageDocument(usage outside.Usage) usageDocument {
 	return usageDocument{
 		PromptTokens:        usage.PromptTokens,
 		CompletionTokens:    usage.CompletionTokens,
@@ -50,7 +50,7 @@
 	Content string `json:"content"`
 }
 
-func newAnswerDocument(kind generationKind, requestID, model string, created time.Time, text string, end platform.GenerateEnd) answerDocument {
+func newAnswerDocument(kind generationKind, requestID, model string, created time.Time, text string, end outside.GenerateEnd) answerDocument {
 	document := answerDocument{
 		ID:      chatIDPrefix + requestID,
 		Object:  "chat.completion",
--- a/internal/api/event_encoder.go
+++ b/internal/api/event_encoder.go
@@ -6,7 +6,7 @@
 	"time"
 	"unicode/utf8"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 const (
@@ -59,7 +59,7 @@
 }
 
 // appendEnd appends the last events of a complete stream.
-func (e *eventEncoder) appendEnd(buffer []byte, end platform.GenerateEnd, withUsage bool) []byte {
+func (e *eventEncoder) appendEnd(buffer []byte, end outside.GenerateEnd, withUsage bool) []byte {
 	buffer = append(buffer, e.head...)
 	if e.kind == kindCompletion {
 		buffer = append(buffer, `{"index":0,"text":"","logprobs":null,"finish_reason":`...)
@@ -74,7 +74,7 @@
 	return append(buffer, streamDone...)
 }
 
-func (e *eventEncoder) appendUsage(buffer []byte, usage platform.Usage) []byte {
+func (e *eventEncoder) appendUsage(buffer []byte, usage outside.Usage) []byte {
 	buffer = append(buffer, e.head...)
 	buffer = append(buffer, `],"usage":`...)
 	// A struct of numbers can't fail to be encoded.
@@ -92,7 +92,7 @@
 	return append(buffer, "\n\n"...)
 }
 
-func finishReason(end platform.GenerateEnd) string { return orDefault(end.FinishReason, defaultFinish) }
+func finishReason(end outside.GenerateEnd) string { return orDefault(end.FinishReason, defaultFinish) }
 
 func quoted(text string) []byte { return appendQuoted(nil, text) }
 
--- a/internal/api/fakes_test.go
+++ b/internal/api/fakes_test.go
@@ -12,7 +12,7 @@
 	"github.com/hatchplank/hatchplank/internal/api"
 	"github.com/hatchplank/hatchplank/internal/auth"
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -69,12 +69,12 @@
 func answering(pieces ...string) func(gateway.Request, gateway.Responder, <-chan struct{}) {
 	return func(_ gateway.Request, responder gateway.Responder, _ <-chan struct{}) {
 		for index, piece := range pieces {
-			responder.Chunk(platform.Chunk{Index: index, Text: piece, Tokens: 1})
+			responder.Chunk(outside.Chunk{Index: index, Text: piece, Tokens: 1})
 		}
-		responder.Finish(gateway.Answer{End: platform.GenerateEnd{
+		responder.Finish(gateway.Answer{End: outside.GenerateEnd{
 			Chunks:       len(pieces),
 			FinishReason: "stop",
-			Usage:        platform.Usage{PromptTokens: 3, CompletionTokens: len(pieces)},
+			Usage:        outside.Usage{PromptTokens: 3, CompletionTokens: len(pieces)},
 		}})
 	}
 }
--- a/internal/api/loopback_benchmark_test.go
+++ b/internal/api/loopback_benchmark_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/auth"
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -100,7 +100,7 @@
 	for b.Loop() {
 		<-ticker.C
 		for _, responder := range held.responders {
-			responder.Chunk(platform.Chunk{Index: index, Text: "token ", Tokens: 1})
+			responder.Chunk(outside.Chunk{Index: index, Text: "token ", Tokens: 1})
 		}
 		index++
 	}
--- a/internal/api/nodestatus/collector.go
+++ b/internal/api/nodestatus/collector.go
@@ -8,8 +8,8 @@
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/gateway"
 	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/table"
 	"github.com/hatchplank/hatchplank/internal/tablestore"
 )
@@ -39,7 +39,7 @@
 
 // Machines finds a machine of the newest listing.
 type Machines interface {
-	Machine(server platform.ServerID) (platform.Machine, bool)
+	Machine(server outside.ServerID) (outside.Machine, bool)
 }
 
 // Config names a node's parts.
--- a/internal/api/nodestatus/health.go
+++ b/internal/api/nodestatus/health.go
@@ -7,7 +7,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/api"
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // ServiceObserver remembers how the calls to one platform service ended.
@@ -62,29 +62,29 @@
 // observedKeyValues passes calls on and observes those that every node makes
 // regularly: transactions, readings and renewals of leases.
 type observedKeyValues struct {
-	platform.KeyValueService
+	outside.KeyValueService
 	observer *ServiceObserver
 }
 
 // ObserveKeyValues returns the service with its calls observed.
-func ObserveKeyValues(service platform.KeyValueService, observer *ServiceObserver) platform.KeyValueService {
+func ObserveKeyValues(service outside.KeyValueService, observer *ServiceObserver) outside.KeyValueService {
 	return observedKeyValues{service, observer}
 }
 
-// Transact implements platform.KeyValueService.
-func (o observedKeyValues) Transact(transaction platform.Transaction, timeout time.Duration, done func(platform.TransactionResult, error)) {
+// Transact implements outside.KeyValueService.
+func (o observedKeyValues) Transact(transaction outside.Transaction, timeout time.Duration, done func(outside.TransactionResult, error)) {
 	o.KeyValueService.Transact(transaction, timeout, observed(o.observer, done))
 }
 
-// Range implements platform.KeyValueService.
-func (o observedKeyValues) Range(prefix string, timeout time.Duration, done func(platform.RangeResult, error)) {
+// Range implements outside.KeyValueService.
+func (o observedKeyValues) Range(prefix string, timeout time.Duration, done func(outside.RangeResult, error)) {
 	o.KeyValueService.Range(prefix, timeout, observed(o.observer, done))
 }
 
-// KeepAlive implements platform.KeyValueService.
-func (o observedKeyValues) KeepAlive(lease platform.LeaseID, timeout time.Duration, done func(error)) {
+// KeepAlive implements outside.KeyValueService.
+func (o observedKeyValues) KeepAlive(lease outside.LeaseID, timeout time.Duration, done func(error)) {
 	o.KeyValueService.KeepAlive(lease, timeout, func(err error) {
-		if errors.Is(err, platform.ErrLeaseGone) {
+		if errors.Is(err, outside.ErrLeaseGone) {
 			// The service has answered.
 			o.observer.Observe(nil)
 		} else {
@@ -96,33 +96,33 @@
 
 // observedMachines observes the readings of the machine list.
 type observedMachines struct {
-	service  platform.MachineListService
+	service  outside.MachineListService
 	observer *ServiceObserver
 }
 
 // ObserveMachines returns the service with its calls observed.
-func ObserveMachines(service platform.MachineListService, observer *ServiceObserver) platform.MachineListService {
+func ObserveMachines(service outside.MachineListService, observer *ServiceObserver) outside.MachineListService {
 	return observedMachines{service, observer}
 }
 
-// List implements platform.MachineListService.
-func (o observedMachines) List(sinceVersion uint64, timeout time.Duration, done func(*platform.MachineListing, error)) {
+// List implements outside.MachineListService.
+func (o observedMachines) List(sinceVersion uint64, timeout time.Duration, done func(*outside.MachineListing, error)) {
 	o.service.List(sinceVersion, timeout, observed(o.observer, done))
 }
 
 // observedWeights observes the readings of the weight store's state.
 type observedWeights struct {
-	service  platform.WeightStoreService
+	service  outside.WeightStoreService
 	observer *ServiceObserver
 }
 
 // ObserveWeights returns the service with its calls observed.
-func ObserveWeights(service platform.WeightStoreService, observer *ServiceObserver) platform.WeightStoreService {
+func ObserveWeights(service outside.WeightStoreService, observer *ServiceObserver) outside.WeightStoreService {
 	return observedWeights{service, observer}
 }
 
-// Status implements platform.WeightStoreService.
-func (o observedWeights) Status(timeout time.Duration, done func(platform.WeightStoreStatus, error)) {
+// Status implements outside.WeightStoreService.
+func (o observedWeights) Status(timeout time.Duration, done func(outside.WeightStoreStatus, error)) {
 	o.service.Status(timeout, observed(o.observer, done))
 }
 
--- a/internal/api/nodestatus/nodestatus_test.go
+++ b/internal/api/nodestatus/nodestatus_test.go
@@ -13,7 +13,7 @@
 	"github.com/hatchplank/hatchplank/internal/applier"
 	"github.com/hatchplank/hatchplank/internal/gateway"
 	"github.com/hatchplank/hatchplank/internal/membership"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/table"
 	"github.com/hatchplank/hatchplank/internal/tablestore"
@@ -44,8 +44,8 @@
 	done([]tablestore.NodeRevision{{Member: p.self, Revision: 7, Known: true}})
 }
 
-func (p *fakeParts) Machine(platform.ServerID) (platform.Machine, bool) {
-	return platform.Machine{Pool: "glossa"}, true
+func (p *fakeParts) Machine(outside.ServerID) (outside.Machine, bool) {
+	return outside.Machine{Pool: "glossa"}, true
 }
 
 // cellStatuses and stats give the two methods of the same name.
@@ -57,8 +57,8 @@
 
 func (s stats) Stats() gateway.Stats { return gateway.Stats{Groups: s.groups} }
 
-func replica(model string, slot platform.SlotID, adapters ...string) applier.ReplicaStatus {
-	return applier.ReplicaStatus{Model: model, Slot: slot, Phase: platform.ReplicaReady, Reason: "waiting requests", Adapters: adapters}
+func replica(model string, slot outside.SlotID, adapters ...string) applier.ReplicaStatus {
+	return applier.ReplicaStatus{Model: model, Slot: slot, Phase: outside.ReplicaReady, Reason: "waiting requests", Adapters: adapters}
 }
 
 var _ = Describe("Collector", func() {
@@ -78,8 +78,8 @@
 				Snapshot: table.NewSnapshot(table.Revision(7+index), rows), self: member, members: members,
 				groups: []gateway.GroupStats{{Name: "dossier", Waiting: 1 + index, Running: 2}, {Name: "pool/eggrafi", Waiting: 3}},
 				cells: []applier.CellStatus{{Cell: "c", Servers: []applier.ServerStatus{{
-					Server: platform.ServerID("s-" + member.Name), Listed: true, Adopted: index != 1, CommittedBytes: 5,
-					Replicas: []applier.ReplicaStatus{replica("dossier", platform.SlotID(2-index), "tone")},
+					Server: outside.ServerID("s-" + member.Name), Listed: true, Adopted: index != 1, CommittedBytes: 5,
+					Replicas: []applier.ReplicaStatus{replica("dossier", outside.SlotID(2-index), "tone")},
 				}}}},
 			}
 			processes = append(processes, process)
@@ -142,16 +142,16 @@
 
 // flakyKeyValues answers with what it is told.
 type flakyKeyValues struct {
-	platform.KeyValueService
+	outside.KeyValueService
 	err error
 }
 
-func (f *flakyKeyValues) KeepAlive(_ platform.LeaseID, _ time.Duration, done func(error)) {
+func (f *flakyKeyValues) KeepAlive(_ outside.LeaseID, _ time.Duration, done func(error)) {
 	done(f.err)
 }
 
-func (f *flakyKeyValues) Range(_ string, _ time.Duration, done func(platform.RangeResult, error)) {
-	done(platform.RangeResult{}, f.err)
+func (f *flakyKeyValues) Range(_ string, _ time.Duration, done func(outside.RangeResult, error)) {
+	done(outside.RangeResult{}, f.err)
 }
 
 var _ = Describe("the health of a platform service", func() {
@@ -162,16 +162,16 @@
 		observed := nodestatus.ObserveKeyValues(service, observer)
 		health := nodestatus.HealthOf(observer)
 		Expect(health().Services[0].Healthy).To(BeFalse())
-		observed.Range("", time.Second, func(platform.RangeResult, error) {})
+		observed.Range("", time.Second, func(outside.RangeResult, error) {})
 		Expect(health().Services[0].Healthy).To(BeTrue())
 		loop.RunFor(time.Minute)
-		service.err = platform.ErrAmbiguous
+		service.err = outside.ErrAmbiguous
 		var got error
 		observed.KeepAlive(1, time.Second, func(err error) { got = err })
-		Expect(errors.Is(got, platform.ErrAmbiguous)).To(BeTrue())
+		Expect(errors.Is(got, outside.ErrAmbiguous)).To(BeTrue())
 		Expect(health().Services[0].Healthy).To(BeFalse())
 		Expect(health().Services[0].LastSuccess).To(Equal(simulation.Epoch))
-		service.err = platform.ErrLeaseGone
+		service.err = outside.ErrLeaseGone
 		observed.KeepAlive(1, time.Second, func(error) {})
 		Expect(health().Services[0].Healthy).To(BeTrue())
 	})
--- a/internal/api/openai_client_test.go
+++ b/internal/api/openai_client_test.go
@@ -12,7 +12,7 @@
 	openai "github.com/sashabaranov/go-openai"
 
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -97,7 +97,7 @@
 
 	It("gets a refusal within the stream as an error, never as an end", func(ctx SpecContext) {
 		service.serve = func(_ gateway.Request, responder gateway.Responder, _ <-chan struct{}) {
-			responder.Chunk(platform.Chunk{Index: 0, Text: "Ka"})
+			responder.Chunk(outside.Chunk{Index: 0, Text: "Ka"})
 			responder.Refuse(result.Refusal{Code: result.StreamBroken, Ran: result.RanUnknown})
 		}
 		text, _, err := readStream(ctx, client, chat)
@@ -106,12 +106,12 @@
 		Expect(err).To(MatchError(ContainSubstring("stream ended before")))
 	})
 
-	DescribeTable("gets an incomplete answer as an error", func(ctx SpecContext, chunks []platform.Chunk, end int) {
+	DescribeTable("gets an incomplete answer as an error", func(ctx SpecContext, chunks []outside.Chunk, end int) {
 		service.serve = func(_ gateway.Request, responder gateway.Responder, _ <-chan struct{}) {
 			for _, chunk := range chunks {
 				responder.Chunk(chunk)
 			}
-			responder.Finish(gateway.Answer{End: platform.GenerateEnd{Chunks: end}})
+			responder.Finish(gateway.Answer{End: outside.GenerateEnd{Chunks: end}})
 		}
 		_, err := client.CreateChatCompletion(ctx, chat)
 		Expect(statusOf(err)).To(Equal(http.StatusBadGateway))
@@ -119,9 +119,9 @@
 		Expect(err).To(HaveOccurred())
 		Expect(err).NotTo(MatchError(io.EOF))
 	},
-		Entry("the last piece is missing", []platform.Chunk{{Index: 0, Text: "a"}}, 2),
-		Entry("a piece in the middle is missing", []platform.Chunk{{Index: 0, Text: "a"}, {Index: 2, Text: "c"}}, 3),
-		Entry("a piece comes twice", []platform.Chunk{{Index: 0, Text: "a"}, {Index: 0, Text: "a"}}, 2),
+		Entry("the last piece is missing", []outside.Chunk{{Index: 0, Text: "a"}}, 2),
+		Entry("a piece in the middle is missing", []outside.Chunk{{Index: 0, Text: "a"}, {Index: 2, Text: "c"}}, 3),
+		Entry("a piece comes twice", []outside.Chunk{{Index: 0, Text: "a"}, {Index: 0, Text: "a"}}, 2),
 	)
 })
 
--- a/internal/api/pass_through.go
+++ b/internal/api/pass_through.go
@@ -8,7 +8,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -130,7 +130,7 @@
 // isFinalStatus excludes 1xx, which net/http takes for interim responses.
 func isFinalStatus(status int) bool { return status >= http.StatusOK && status <= 999 }
 
-func writeBackEndResponse(writer http.ResponseWriter, response platform.BackEndResponse) {
+func writeBackEndResponse(writer http.ResponseWriter, response outside.BackEndResponse) {
 	if response.ContentType != "" {
 		writer.Header().Set("Content-Type", response.ContentType)
 	}
--- a/internal/api/relay_benchmark_test.go
+++ b/internal/api/relay_benchmark_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/auth"
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -22,9 +22,9 @@
 func (chunkSource) Submit(_ gateway.Request, responder gateway.Responder) func() {
 	go func() {
 		for index := range benchmarkChunks {
-			responder.Chunk(platform.Chunk{Index: index, Text: "token ", Tokens: 1})
+			responder.Chunk(outside.Chunk{Index: index, Text: "token ", Tokens: 1})
 		}
-		responder.Finish(gateway.Answer{End: platform.GenerateEnd{Chunks: benchmarkChunks}})
+		responder.Finish(gateway.Answer{End: outside.GenerateEnd{Chunks: benchmarkChunks}})
 	}()
 	return func() {}
 }
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/api"
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 var _ = Describe("Serve", func() {
@@ -25,11 +25,11 @@
 		service := newFakeGateway()
 		arrived, release := make(chan struct{}), make(chan struct{})
 		service.serve = func(_ gateway.Request, responder gateway.Responder, _ <-chan struct{}) {
-			responder.Chunk(platform.Chunk{Index: 0, Text: "begin "})
+			responder.Chunk(outside.Chunk{Index: 0, Text: "begin "})
 			close(arrived)
 			<-release
-			responder.Chunk(platform.Chunk{Index: 1, Text: "end"})
-			responder.Finish(gateway.Answer{End: platform.GenerateEnd{Chunks: 2}})
+			responder.Chunk(outside.Chunk{Index: 1, Text: "end"})
+			responder.Finish(gateway.Answer{End: outside.GenerateEnd{Chunks: 2}})
 		}
 		config := testConfig(service)
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -112,7 +112,7 @@
 }
 
 // StatusSource collects what the administration shows. Done callbacks follow
-// the contract of package platform.
+// the contract of package outside.
 type StatusSource interface {
 	Status(timeout time.Duration, done func(Status, error))
 	// Force asks the live nodes which revision they act on.
--- a/internal/api/stored_table.go
+++ b/internal/api/stored_table.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/table"
 	"github.com/hatchplank/hatchplank/internal/tablestore"
@@ -161,9 +161,9 @@
 	case result.InvalidTable:
 		return &table.InvalidError{Problems: outcome.Problems}
 	case result.StoreUnavailable:
-		return platform.ErrNotApplied
+		return outside.ErrNotApplied
 	case result.WriteAmbiguous:
-		return platform.ErrAmbiguous
+		return outside.ErrAmbiguous
 	default:
 		return result.Refuse(outcome.Code, "the table store failed")
 	}
--- a/internal/api/stored_table_test.go
+++ b/internal/api/stored_table_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/api"
 	"github.com/hatchplank/hatchplank/internal/membership"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
@@ -126,7 +126,7 @@
 	It("never calls an outage a success", func() {
 		kvProcess.Pause()
 		_, err := propose(api.TableEdit{Rows: testRows()})
-		Expect(err).To(Or(MatchError(platform.ErrNotApplied), MatchError(platform.ErrAmbiguous)))
+		Expect(err).To(Or(MatchError(outside.ErrNotApplied), MatchError(outside.ErrAmbiguous)))
 	})
 
 	It("shows the history of the tenant", func() {
--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -44,14 +44,14 @@
 }
 
 // Chunk implements gateway.Responder.
-func (s *streamResponder) Chunk(chunk platform.Chunk) {
+func (s *streamResponder) Chunk(chunk outside.Chunk) {
 	s.mutex.Lock()
 	s.add(chunk)
 	s.mutex.Unlock()
 	s.wake()
 }
 
-func (s *streamResponder) add(chunk platform.Chunk) {
+func (s *streamResponder) add(chunk outside.Chunk) {
 	if s.closed || s.overflow || s.ending != nil {
 		return
 	}
--- a/internal/api/stream_test.go
+++ b/internal/api/stream_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // TestStreamOverflow checks that a full buffer interrupts the writer once, is
@@ -17,12 +17,12 @@
 	encoder := newEventEncoder(kindChat, "request", "model", time.Unix(0, 0))
 	responder := newStreamResponder(encoder, 1000, func() { interrupts++ })
 	for index := range 100 {
-		responder.Chunk(platform.Chunk{Index: index, Text: "token"})
+		responder.Chunk(outside.Chunk{Index: index, Text: "token"})
 		if len(responder.pending) > 1000 {
 			t.Fatalf("%d bytes are held", len(responder.pending))
 		}
 	}
-	responder.Finish(gateway.Answer{End: platform.GenerateEnd{Chunks: 100}})
+	responder.Finish(gateway.Answer{End: outside.GenerateEnd{Chunks: 100}})
 	next := responder.take(nil, func() { armed++ })
 	if !next.overflow || len(next.events) != 0 || interrupts != 1 || armed != 0 {
 		t.Fatalf("got %+v after %d interrupts, armed %d times", next, interrupts, armed)
@@ -34,7 +34,7 @@
 	encoder := newEventEncoder(kindChat, "request", "model", time.Unix(0, 0))
 	responder := newStreamResponder(encoder, 10, func() { t.Fatal("interrupted") })
 	responder.close()
-	responder.Chunk(platform.Chunk{Text: "long enough to overflow"})
+	responder.Chunk(outside.Chunk{Text: "long enough to overflow"})
 	responder.Finish(gateway.Answer{})
 	if len(responder.pending) != 0 {
 		t.Fatal("events are kept")
@@ -65,7 +65,7 @@
 			responder: newStreamResponder(newEventEncoder(kindChat, "r", "m", time.Unix(0, 0)), 1000, func() {}),
 		}
 		for index := range 3 {
-			relay.responder.Chunk(platform.Chunk{Index: index, Text: "token"})
+			relay.responder.Chunk(outside.Chunk{Index: index, Text: "token"})
 			next := relay.responder.take(nil, relay.arm)
 			if len(writer.deadlines) == 0 || (protocol == 2 && writer.deadlines[len(writer.deadlines)-1].IsZero()) {
 				t.Fatalf("HTTP/%d: write %d has no deadline: %v", protocol, index, writer.deadlines)
--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -8,8 +8,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hatchplank/hatchplank/internal/applier"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/planner"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/table"
@@ -276,7 +276,7 @@
 	c.startServing("a", 1)
 	sink := &countingSink{}
 	body := []byte(`{"model":"a","max_tokens":3000,"messages":[{"role":"user","content":"write"}]}`)
-	c.fleet.Client(c.gateway.process).Generate(platform.GenerateRequest{
+	c.fleet.Client(c.gateway.process).Generate(outside.GenerateRequest{
 		Server: "lm-0", Attempt: "one", RequestID: "one", Model: "a", Path: "/v1/chat/completions", Body: body,
 		Deadline: c.loop.Now().Add(5 * time.Minute),
 	}, sink)
@@ -380,11 +380,11 @@
 // countingSink counts how attempts end.
 type countingSink struct{ ended, failed int }
 
-func (s *countingSink) Chunk(platform.Chunk) {}
+func (s *countingSink) Chunk(outside.Chunk) {}
 
-func (s *countingSink) End(platform.GenerateEnd) { s.ended++ }
+func (s *countingSink) End(outside.GenerateEnd) { s.ended++ }
 
-func (s *countingSink) Failed(*platform.AttemptError) { s.failed++ }
+func (s *countingSink) Failed(*outside.AttemptError) { s.failed++ }
 
 // statisticsShelf keeps one cell's statistics; its first load fails.
 type statisticsShelf struct {
@@ -396,7 +396,7 @@
 
 func (s *statisticsShelf) Load(_ string, done func([]byte, error)) {
 	s.loads++
-	err := platform.ErrNotApplied
+	err := outside.ErrNotApplied
 	if s.loads > 1 {
 		err = nil
 	}
--- a/internal/applier/audit_test.go
+++ b/internal/applier/audit_test.go
@@ -3,19 +3,19 @@
 import (
 	"fmt"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
 // audit checks the limits from the engines' record.
 type audit struct {
 	cluster    *cluster
-	holders    map[string]map[platform.ServerID]bool
+	holders    map[string]map[outside.ServerID]bool
 	violations []string
 }
 
 func newAudit(c *cluster) *audit {
-	return &audit{cluster: c, holders: map[string]map[platform.ServerID]bool{}}
+	return &audit{cluster: c, holders: map[string]map[outside.ServerID]bool{}}
 }
 
 func (a *audit) observe(event record.Event) {
@@ -43,9 +43,9 @@
 	}
 }
 
-func (a *audit) loadStarted(name string, server platform.ServerID) {
+func (a *audit) loadStarted(name string, server outside.ServerID) {
 	if a.holders[name] == nil {
-		a.holders[name] = map[platform.ServerID]bool{}
+		a.holders[name] = map[outside.ServerID]bool{}
 	}
 	a.holders[name][server] = true
 	row, _ := a.cluster.Row(name)
--- a/internal/applier/chaos_test.go
+++ b/internal/applier/chaos_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/applier"
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -98,13 +98,13 @@
 	node.process.Pause()
 }
 
-func (c *cluster) replaceMachine(random *rand.Rand, server platform.ServerID) {
+func (c *cluster) replaceMachine(random *rand.Rand, server outside.ServerID) {
 	c.reclaim(server)
 	if random.IntN(2) == 0 {
 		c.loop.RunFor(time.Duration(random.IntN(5000)) * time.Millisecond)
 	}
 	c.delist(server)
-	c.startServer(platform.ServerID(fmt.Sprintf("lm-new-%d", c.listing.Version)))
+	c.startServer(outside.ServerID(fmt.Sprintf("lm-new-%d", c.listing.Version)))
 }
 
 var _ = Describe("Under any schedule of faults", func() {
@@ -157,7 +157,7 @@
 		for _, machine := range c.machines {
 			// The next owner finds another server better, whichever was chosen.
 			if machine.Server != holder {
-				c.fleet.Host(machine.Server).Engine.SeedCheckpoint("a", "1", platform.SourceMemory, gigabyte)
+				c.fleet.Host(machine.Server).Engine.SeedCheckpoint("a", "1", outside.SourceMemory, gigabyte)
 			}
 		}
 		c.nodes[0].manager.Lost(cellName)
@@ -167,7 +167,7 @@
 	Entry("attempt identity, when a late state is from before a load whose reply was lost", func(c *cluster) {
 		holder := c.ready("b")[0]
 		host := c.fleet.Host(holder)
-		host.Engine.SeedCheckpoint("a", "1", platform.SourceMemory, gigabyte)
+		host.Engine.SeedCheckpoint("a", "1", outside.SourceMemory, gigabyte)
 		c.loop.RunFor(3 * time.Second)
 		host.Engine.SetFaults(engine.Faults{LoseOrderReply: 1})
 		c.late[string(holder)+">node-0"] = 900 * time.Millisecond
@@ -176,7 +176,7 @@
 		c.loop.RunFor(10 * time.Second)
 	}, func(c *applier.Config) { c.Mechanisms.AttemptIdentity = false }),
 	Entry("confirmation of the epoch, when a restarted engine has forgotten its fence", func(c *cluster) {
-		var restarted platform.ServerID
+		var restarted outside.ServerID
 		c.nodes[0].process.Pause()
 		c.acquire(1)
 		c.gateway.want("a", 1)
--- a/internal/applier/cluster_test.go
+++ b/internal/applier/cluster_test.go
@@ -10,8 +10,8 @@
 	"github.com/hatchplank/hatchplank/internal/cells"
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/planner"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
@@ -34,8 +34,8 @@
 	nodes   []*node
 	gateway *gateway
 
-	machines []platform.Machine
-	listing  platform.MachineListing
+	machines []outside.Machine
+	listing  outside.MachineListing
 	rows     []table.Row
 	revision table.Revision
 	epoch    uint64
@@ -69,7 +69,7 @@
 	c.audit = newAudit(c)
 	c.log.Subscribe(c.audit.observe)
 	for i := range servers {
-		c.startServer(platform.ServerID(fmt.Sprintf("lm-%d", i)))
+		c.startServer(outside.ServerID(fmt.Sprintf("lm-%d", i)))
 	}
 	c.gateway = newGateway(c)
 	for i := range 2 {
@@ -78,25 +78,25 @@
 	return c
 }
 
-func (c *cluster) startServer(id platform.ServerID) {
+func (c *cluster) startServer(id outside.ServerID) {
 	c.fleet.Start(engine.Config{Server: id, MemoryBytes: 40 * gigabyte, Accelerators: 1, MaxBatch: 4, Record: c.log})
-	c.machines = append(c.machines, platform.Machine{
-		Server: id, Pool: cellName, Zone: "marousi", Phase: platform.MachineLive, Engine: true,
+	c.machines = append(c.machines, outside.Machine{
+		Server: id, Pool: cellName, Zone: "marousi", Phase: outside.MachineLive, Engine: true,
 	})
 	c.relist()
 }
 
 // relist makes the machine list show the machines as they are.
 func (c *cluster) relist() {
-	c.listing = platform.MachineListing{
-		Version: c.listing.Version + 1, Machines: append([]platform.Machine(nil), c.machines...),
+	c.listing = outside.MachineListing{
+		Version: c.listing.Version + 1, Machines: append([]outside.Machine(nil), c.machines...),
 	}
 }
 
 // reclaim ends a machine; the list shows it until delist.
-func (c *cluster) reclaim(id platform.ServerID) { c.fleet.Host(id).Vanish() }
+func (c *cluster) reclaim(id outside.ServerID) { c.fleet.Host(id).Vanish() }
 
-func (c *cluster) delist(id platform.ServerID) {
+func (c *cluster) delist(id outside.ServerID) {
 	for i := range c.machines {
 		if c.machines[i].Server == id {
 			c.machines = append(c.machines[:i:i], c.machines[i+1:]...)
@@ -106,10 +106,10 @@
 	c.relist()
 }
 
-func (c *cluster) leave(id platform.ServerID) {
+func (c *cluster) leave(id outside.ServerID) {
 	for i := range c.machines {
 		if c.machines[i].Server == id {
-			c.machines[i].Phase = platform.MachineLeaving
+			c.machines[i].Phase = outside.MachineLeaving
 		}
 	}
 	c.relist()
@@ -190,7 +190,7 @@
 		current, down := epoch == n.cluster.epoch, n.cluster.keyValueDown
 		n.process.AfterFunc(time.Millisecond, func() {
 			if down {
-				done(false, platform.ErrNotApplied)
+				done(false, outside.ErrNotApplied)
 				return
 			}
 			done(current, nil)
@@ -204,22 +204,22 @@
 	process *simulation.Process
 }
 
-func (m machines) Listing() (platform.MachineListing, time.Time) {
+func (m machines) Listing() (outside.MachineListing, time.Time) {
 	return m.cluster.listing, m.process.Now()
 }
 
-func (m machines) Subscribe(func(platform.MachineListing)) {}
+func (m machines) Subscribe(func(outside.MachineListing)) {}
 
 // ready lists the servers on which a model can be called, by the engines.
-func (c *cluster) ready(model string) []platform.ServerID {
-	var servers []platform.ServerID
+func (c *cluster) ready(model string) []outside.ServerID {
+	var servers []outside.ServerID
 	for _, machine := range c.machines {
 		state := c.fleet.Host(machine.Server).Engine.State(0)
 		if state == nil {
 			continue
 		}
 		for _, replica := range state.Replicas {
-			if replica.Model == model && replica.Phase == platform.ReplicaReady {
+			if replica.Model == model && replica.Phase == outside.ReplicaReady {
 				servers = append(servers, machine.Server)
 			}
 		}
--- a/internal/applier/config.go
+++ b/internal/applier/config.go
@@ -11,9 +11,9 @@
 	"github.com/hatchplank/hatchplank/internal/cells"
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/planner"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -22,15 +22,15 @@
 type Machines interface {
 	// Listing returns the newest reading and when the reading began that last
 	// confirmed it; a zero time means that none was made yet.
-	Listing() (platform.MachineListing, time.Time)
+	Listing() (outside.MachineListing, time.Time)
 	// Subscribe calls function after each change of the list.
-	Subscribe(function func(platform.MachineListing))
+	Subscribe(function func(outside.MachineListing))
 }
 
 // Confirmer reads from the key-value service whether an epoch of a cell is
 // still the newest. See docs/design/applier.md for why adoption needs it.
 type Confirmer interface {
-	// Confirm is done as in package platform; err means not known.
+	// Confirm is done as in package outside; err means not known.
 	Confirm(cell string, epoch uint64, done func(current bool, err error))
 }
 
@@ -148,11 +148,11 @@
 	// called once a row and revision.
 	Allot func(cell string, row table.Row) cells.Allotment
 	// CellOf returns the cell of an engine; nil: by Layout.
-	CellOf   func(machine platform.Machine) (cell string, known bool)
-	Engines  platform.EngineService
+	CellOf   func(machine outside.Machine) (cell string, known bool)
+	Engines  outside.EngineService
 	Machines Machines
 	// Store may be nil: then its state counts as unknown.
-	Store     platform.WeightStoreService
+	Store     outside.WeightStoreService
 	Transport peer.Transport
 	Self      membership.View
 	Policy    planner.Policy
--- a/internal/applier/confirm.go
+++ b/internal/applier/confirm.go
@@ -7,13 +7,13 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hatchplank/hatchplank/internal/membership"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // adoption is a server in an incarnation.
 type adoption struct {
 	server      *serverEntry
-	incarnation platform.Incarnation
+	incarnation outside.Incarnation
 }
 
 // confirmLocked asks whether the epoch is still current for all servers that
@@ -68,19 +68,19 @@
 
 // keyValueConfirmer reads the cell's ownership record.
 type keyValueConfirmer struct {
-	service platform.KeyValueService
+	service outside.KeyValueService
 	timeout time.Duration
 }
 
 // NewKeyValueConfirmer returns a Confirmer that reads membership's records.
-func NewKeyValueConfirmer(service platform.KeyValueService, timeout time.Duration) Confirmer {
+func NewKeyValueConfirmer(service outside.KeyValueService, timeout time.Duration) Confirmer {
 	return &keyValueConfirmer{service: service, timeout: timeout}
 }
 
 // Confirm implements Confirmer by a linearizable read.
 func (c *keyValueConfirmer) Confirm(cell string, epoch uint64, done func(bool, error)) {
 	key := membership.CellPrefix + cell
-	c.service.Range(key, c.timeout, func(result platform.RangeResult, err error) {
+	c.service.Range(key, c.timeout, func(result outside.RangeResult, err error) {
 		if err != nil {
 			done(false, eris.Wrap(err, "read ownership"))
 			return
--- a/internal/applier/digest_test.go
+++ b/internal/applier/digest_test.go
@@ -6,14 +6,14 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/directory"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 func digestedRow() *directory.RowEndpoints {
 	row := &directory.RowEndpoints{Model: "m", Gateways: 840}
 	for i := range 8 {
 		row.Endpoints = append(row.Endpoints, directory.Endpoint{
-			Server: platform.ServerID(fmt.Sprintf("server-%05d", i)), Version: "1", Slot: platform.SlotID(i),
+			Server: outside.ServerID(fmt.Sprintf("server-%05d", i)), Version: "1", Slot: outside.SlotID(i),
 			MaxBatch: 32, Adapters: []string{"a", "b"},
 		})
 	}
--- a/internal/applier/drain.go
+++ b/internal/applier/drain.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/membership"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // drain takes a replica or adapter out of service before its unload.
@@ -74,8 +74,8 @@
 
 // reorder notes an engine's phase after all orders were settled: an unload that
 // was sent and did not take effect is to be sent again.
-func (d *drain) reorder(phase platform.ReplicaPhase) {
-	if d != nil && phase != platform.ReplicaUnloading {
+func (d *drain) reorder(phase outside.ReplicaPhase) {
+	if d != nil && phase != outside.ReplicaUnloading {
 		d.ordered = false
 	}
 }
@@ -156,18 +156,18 @@
 			continue
 		}
 		adapter.drain.ordered = true
-		server.commands = append(server.commands, platform.Command{
-			Kind: platform.CommandUnloadAdapter, Model: entry.Model, Version: adapter.Version,
+		server.commands = append(server.commands, outside.Command{
+			Kind: outside.CommandUnloadAdapter, Model: entry.Model, Version: adapter.Version,
 			Adapter: adapter.Adapter, Slot: entry.Slot, Attempt: adapter.Attempt,
 		})
 	}
 }
 
-func (o *Owner) mayUnload(now time.Time, server *serverEntry, drain *drain, phase platform.ReplicaPhase, running int) bool {
+func (o *Owner) mayUnload(now time.Time, server *serverEntry, drain *drain, phase outside.ReplicaPhase, running int) bool {
 	switch {
-	case phase == platform.ReplicaUnloading:
+	case phase == outside.ReplicaUnloading:
 		return false
-	case phase == platform.ReplicaLoading, !o.config.Mechanisms.DrainBeforeUnload:
+	case phase == outside.ReplicaLoading, !o.config.Mechanisms.DrainBeforeUnload:
 		return true
 	}
 	o.stopWaiting(now, server, drain)
@@ -176,8 +176,8 @@
 
 func (o *Owner) orderUnload(server *serverEntry, entry *replicaEntry) {
 	entry.drain.ordered = true
-	server.commands = append(server.commands, platform.Command{
-		Kind: platform.CommandUnloadModel, Model: entry.Model, Version: entry.Version,
+	server.commands = append(server.commands, outside.Command{
+		Kind: outside.CommandUnloadModel, Model: entry.Model, Version: entry.Version,
 		Slot: entry.Slot, Attempt: entry.Attempt,
 	})
 }
--- a/internal/applier/endpoints.go
+++ b/internal/applier/endpoints.go
@@ -11,13 +11,13 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hatchplank/hatchplank/internal/directory"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 // callable replicas are shown to gateways.
 func (o *Owner) callable(server *serverEntry, entry *replicaEntry) bool {
-	return entry.Phase == platform.ReplicaReady && server.adopted && !server.unreachable()
+	return entry.Phase == outside.ReplicaReady && server.adopted && !server.unreachable()
 }
 
 // endpointsOf lists a model's endpoints in order of server.
@@ -86,7 +86,7 @@
 		Draining: entry.drain != nil || server.leaving(),
 	}
 	for _, adapter := range entry.adapters {
-		if adapter.Phase == platform.ReplicaReady && adapter.drain == nil {
+		if adapter.Phase == outside.ReplicaReady && adapter.drain == nil {
 			endpoint.Adapters = append(endpoint.Adapters, adapter.Adapter)
 		}
 	}
--- a/internal/applier/ledger.go
+++ b/internal/applier/ledger.go
@@ -5,14 +5,14 @@
 	"slices"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/planner"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 // serverEntry is the ledger of one server.
 type serverEntry struct {
-	id      platform.ServerID
-	machine platform.Machine
+	id      outside.ServerID
+	machine outside.Machine
 	// listed is false once the machine list no longer shows the server.
 	listed bool
 	// mayHold is true until the server was heard: it counts as holding one
@@ -22,9 +22,9 @@
 	// adopted: the fence of this epoch was raised and the state read, in the
 	// present incarnation. Confirmed: the epoch was still current after that.
 	adopted, confirmed bool
-	incarnation        platform.Incarnation
+	incarnation        outside.Incarnation
 	// state as last accepted; requestedAt is when it was asked for.
-	state       platform.EngineState
+	state       outside.EngineState
 	requestedAt time.Time
 	// loadsReadAt is when load figures were last asked for.
 	loadsReadAt time.Time
@@ -47,7 +47,7 @@
 	// backoffs in order of model or adapter.
 	backoffs []loadBackoff
 	// commands to be sent by this tick.
-	commands []platform.Command
+	commands []outside.Command
 }
 
 // loadBackoff follows a failed load of a model or adapter.
@@ -59,7 +59,7 @@
 
 // replicaEntry is one held slot.
 type replicaEntry struct {
-	platform.ReplicaState
+	outside.ReplicaState
 	// seen: the engine has shown this attempt.
 	seen   bool
 	reason string
@@ -72,7 +72,7 @@
 
 // adapterEntry is an adapter on a replica.
 type adapterEntry struct {
-	platform.AdapterState
+	outside.AdapterState
 	seen      bool
 	reason    string
 	orderedAt time.Time
@@ -83,7 +83,7 @@
 const unreachableFailures = 3
 
 func (s *serverEntry) leaving() bool {
-	return s.machine.Phase == platform.MachineLeaving || s.state.Leaving
+	return s.machine.Phase == outside.MachineLeaving || s.state.Leaving
 }
 
 // usable servers can be given commands.
@@ -116,7 +116,7 @@
 func (s *serverEntry) committed(mechanisms *Mechanisms) int64 {
 	total := int64(0)
 	for _, entry := range s.replicas {
-		if !mechanisms.ReserveBeforeOrder && entry.Phase == platform.ReplicaLoading {
+		if !mechanisms.ReserveBeforeOrder && entry.Phase == outside.ReplicaLoading {
 			continue
 		}
 		total += entry.MemoryBytes
@@ -137,12 +137,12 @@
 	s.confirmed = false
 	s.unknown = false
 	s.incarnation = ""
-	s.state = platform.EngineState{}
+	s.state = outside.EngineState{}
 	s.generation++
 }
 
 // entryOf returns the entry that a reported replica belongs to, or nil.
-func (s *serverEntry) entryOf(state *platform.ReplicaState, mechanisms *Mechanisms) *replicaEntry {
+func (s *serverEntry) entryOf(state *outside.ReplicaState, mechanisms *Mechanisms) *replicaEntry {
 	entry := s.replica(state.Model)
 	if entry == nil || (mechanisms.AttemptIdentity && entry.Attempt != state.Attempt) {
 		return nil
@@ -162,11 +162,11 @@
 // changing reports whether the server has to be polled fast.
 func (s *serverEntry) changing() bool {
 	for _, entry := range s.replicas {
-		if entry.Phase != platform.ReplicaReady || entry.drain != nil {
+		if entry.Phase != outside.ReplicaReady || entry.drain != nil {
 			return true
 		}
 		for _, adapter := range entry.adapters {
-			if adapter.Phase != platform.ReplicaReady || adapter.drain != nil {
+			if adapter.Phase != outside.ReplicaReady || adapter.drain != nil {
 				return true
 			}
 		}
--- a/internal/applier/manager.go
+++ b/internal/applier/manager.go
@@ -9,8 +9,8 @@
 
 	"github.com/hatchplank/hatchplank/internal/directory"
 	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -23,7 +23,7 @@
 	owners map[string]*Owner
 	names  []string
 
-	store        platform.WeightStoreStatus
+	store        outside.WeightStoreStatus
 	storeKnown   bool
 	storeReading bool
 	nextStore    time.Time
@@ -46,7 +46,7 @@
 	}
 	m := &Manager{config: config, owners: map[string]*Owner{}}
 	config.Transport.Handle(directory.DemandReport{}, m.handleDemand)
-	config.Machines.Subscribe(func(platform.MachineListing) { m.listingChanged() })
+	config.Machines.Subscribe(func(outside.MachineListing) { m.listingChanged() })
 	return m
 }
 
@@ -155,7 +155,7 @@
 	}
 }
 
-func (m *Manager) storeRead(status platform.WeightStoreStatus, err error) {
+func (m *Manager) storeRead(status outside.WeightStoreStatus, err error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.storeReading = false
@@ -167,7 +167,7 @@
 	m.storeKnown = true
 }
 
-func (m *Manager) storeStatus() (platform.WeightStoreStatus, bool) {
+func (m *Manager) storeStatus() (outside.WeightStoreStatus, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	return m.store, m.storeKnown
--- a/internal/applier/orders.go
+++ b/internal/applier/orders.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Reasons of orders that were not accepted, as engines name them.
@@ -29,7 +29,7 @@
 // sendOrder sends the server's commands, or an empty order.
 func (o *Owner) sendOrder(now time.Time, server *serverEntry) {
 	server.sequence++
-	order := platform.Order{
+	order := outside.Order{
 		Server: server.id, Fence: o.fence(server), Incarnation: server.incarnation, Commands: server.commands,
 	}
 	server.commands = nil
@@ -41,38 +41,38 @@
 			Str("model", command.Model).Str("adapter", command.Adapter).Int("slot", int(command.Slot)).
 			Str("attempt", string(command.Attempt)).Str("fence", order.Fence.String()).Msg("order sent")
 	}
-	o.deliver(order, func(result platform.OrderResult, err error) {
+	o.deliver(order, func(result outside.OrderResult, err error) {
 		o.orderDone(server, sequence, now, order, result, err)
 	})
 }
 
-func (o *Owner) fence(server *serverEntry) platform.Fence {
+func (o *Owner) fence(server *serverEntry) outside.Fence {
 	if !o.config.Mechanisms.Fence {
 		// Any owner's order passes that saw the newest state.
-		return platform.Fence{Epoch: 1, Sequence: server.state.Fence.Sequence + 1}
+		return outside.Fence{Epoch: 1, Sequence: server.state.Fence.Sequence + 1}
 	}
-	return platform.Fence{Epoch: o.epoch, Sequence: server.sequence}
+	return outside.Fence{Epoch: o.epoch, Sequence: server.sequence}
 }
 
 // deliver hands an order to the engine. Without the Fence mechanism an order
 // without commands only reads the state.
-func (o *Owner) deliver(order platform.Order, done func(platform.OrderResult, error)) {
+func (o *Owner) deliver(order outside.Order, done func(outside.OrderResult, error)) {
 	if o.config.Mechanisms.Fence || len(order.Commands) > 0 {
 		o.config.Engines.Order(order, o.config.Intervals.OrderTimeout, done)
 		return
 	}
-	o.config.Engines.State(order.Server, 0, o.config.Intervals.OrderTimeout, func(state *platform.EngineState, err error) {
+	o.config.Engines.State(order.Server, 0, o.config.Intervals.OrderTimeout, func(state *outside.EngineState, err error) {
 		if err != nil || state == nil {
-			done(platform.OrderResult{}, err)
+			done(outside.OrderResult{}, err)
 			return
 		}
-		done(platform.OrderResult{Accepted: true, State: *state}, nil)
+		done(outside.OrderResult{Accepted: true, State: *state}, nil)
 	})
 }
 
 var errNoState = errors.New("reply without state")
 
-func (o *Owner) orderDone(server *serverEntry, sequence uint64, sentAt time.Time, order platform.Order, result platform.OrderResult, err error) {
+func (o *Owner) orderDone(server *serverEntry, sequence uint64, sentAt time.Time, order outside.Order, result outside.OrderResult, err error) {
 	o.mutex.Lock()
 	released := o.orderDoneLocked(server, sequence, sentAt, order, result, err)
 	o.mutex.Unlock()
@@ -81,7 +81,7 @@
 	}
 }
 
-func (o *Owner) orderDoneLocked(server *serverEntry, sequence uint64, sentAt time.Time, order platform.Order, result platform.OrderResult, err error) (released func()) {
+func (o *Owner) orderDoneLocked(server *serverEntry, sequence uint64, sentAt time.Time, order outside.Order, result outside.OrderResult, err error) (released func()) {
 	if o.ended || o.byID[server.id] != server || server.sequence != sequence || !server.outstanding {
 		return nil
 	}
@@ -128,7 +128,7 @@
 	return pause/2 + time.Duration(o.random.Int64N(int64(pause/2)+1))
 }
 
-func (o *Owner) refused(server *serverEntry, result platform.OrderResult) (released func()) {
+func (o *Owner) refused(server *serverEntry, result outside.OrderResult) (released func()) {
 	o.logger.Warn().Str("server", string(server.id)).Str("reason", result.Reason).
 		Str("fence", result.State.Fence.String()).Msg("order refused")
 	if result.Reason == reasonOtherIncarnation {
@@ -148,7 +148,7 @@
 }
 
 // superseded reports whether an engine has seen a higher epoch.
-func (o *Owner) superseded(state *platform.EngineState) bool {
+func (o *Owner) superseded(state *outside.EngineState) bool {
 	return o.config.Mechanisms.Fence && state.Fence.Epoch > o.epoch
 }
 
@@ -161,7 +161,7 @@
 	server.mayHold = server.mayHold && o.config.Confirmer == nil
 }
 
-func (o *Owner) accepted(server *serverEntry, sentAt time.Time, order platform.Order, result platform.OrderResult) {
+func (o *Owner) accepted(server *serverEntry, sentAt time.Time, order outside.Order, result outside.OrderResult) {
 	if server.incarnation != "" && server.incarnation != result.State.Incarnation {
 		o.restarted(server)
 	}
@@ -185,7 +185,7 @@
 }
 
 // noteOutcomes puts refused loads under a backoff.
-func (o *Owner) noteOutcomes(server *serverEntry, order platform.Order, result platform.OrderResult) {
+func (o *Owner) noteOutcomes(server *serverEntry, order outside.Order, result outside.OrderResult) {
 	for i, command := range order.Commands {
 		if i >= len(result.Outcomes) || result.Outcomes[i].Accepted {
 			continue
@@ -194,9 +194,9 @@
 			Str("model", command.Model).Str("adapter", command.Adapter).Str("attempt", string(command.Attempt)).
 			Str("reason", result.Outcomes[i].Reason).Msg("command refused")
 		switch command.Kind {
-		case platform.CommandLoadModel:
+		case outside.CommandLoadModel:
 			o.loadFailed(server, command.Model, command.Attempt)
-		case platform.CommandLoadAdapter:
+		case outside.CommandLoadAdapter:
 			o.loadFailed(server, command.Adapter, command.Attempt)
 		}
 	}
--- a/internal/applier/owner.go
+++ b/internal/applier/owner.go
@@ -10,8 +10,8 @@
 
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/planner"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -20,7 +20,7 @@
 	config *Config
 	cell   string
 	epoch  uint64
-	store  func() (platform.WeightStoreStatus, bool)
+	store  func() (outside.WeightStoreStatus, bool)
 	logger zerolog.Logger
 	// acquiredAt by this node's clock; listings read before prove nothing.
 	acquiredAt time.Time
@@ -34,7 +34,7 @@
 
 	// servers in order of id.
 	servers []*serverEntry
-	byID    map[platform.ServerID]*serverEntry
+	byID    map[outside.ServerID]*serverEntry
 	// listed is true once a listing read after acquiredAt was taken in.
 	listed         bool
 	listingVersion uint64
@@ -78,14 +78,14 @@
 	wakeup clock.Timer
 }
 
-func newOwner(config *Config, cell string, epoch uint64, store func() (platform.WeightStoreStatus, bool)) *Owner {
+func newOwner(config *Config, cell string, epoch uint64, store func() (outside.WeightStoreStatus, bool)) *Owner {
 	now := config.Clock.Now()
 	return &Owner{
 		config: config, cell: cell, epoch: epoch, store: store,
 		logger:     config.Logger.With().Str("cell", cell).Uint64("epoch", epoch).Logger(),
 		acquiredAt: now, tokensAt: now,
 		random:       rand.New(rand.NewPCG(config.Random.Uint64(), epoch)),
-		byID:         map[platform.ServerID]*serverEntry{},
+		byID:         map[outside.ServerID]*serverEntry{},
 		lastArrivals: map[string]time.Time{},
 		statistics:   planner.NewStatistics(),
 		rowPlans:     map[string]planner.RowPlan{},
@@ -266,7 +266,7 @@
 }
 
 // takeListing brings the servers in line with the machine list.
-func (o *Owner) takeListing(listing platform.MachineListing, readAt time.Time) {
+func (o *Owner) takeListing(listing outside.MachineListing, readAt time.Time) {
 	if readAt.IsZero() {
 		return
 	}
@@ -274,7 +274,7 @@
 	if o.listingVersion == listing.Version && o.listed == (o.listed || fresh) && len(o.byID) > 0 {
 		return
 	}
-	shown := make(map[platform.ServerID]bool, len(o.servers))
+	shown := make(map[outside.ServerID]bool, len(o.servers))
 	for _, machine := range listing.Machines {
 		cell, known := o.config.CellOf(machine)
 		if !machine.Engine || !known || cell != o.cell {
@@ -291,17 +291,17 @@
 	o.listed = o.listed || fresh
 }
 
-func (o *Owner) takeMachine(machine platform.Machine) {
+func (o *Owner) takeMachine(machine outside.Machine) {
 	server := o.byID[machine.Server]
 	if server == nil {
 		server = &serverEntry{id: machine.Server, mayHold: o.mayHold()}
 		o.byID[machine.Server] = server
-		at, _ := slices.BinarySearchFunc(o.servers, server.id, func(entry *serverEntry, id platform.ServerID) int {
+		at, _ := slices.BinarySearchFunc(o.servers, server.id, func(entry *serverEntry, id outside.ServerID) int {
 			return compareServers(entry.id, id)
 		})
 		o.servers = slices.Insert(o.servers, at, server)
 	}
-	if server.machine.Phase != machine.Phase && machine.Phase == platform.MachineLeaving {
+	if server.machine.Phase != machine.Phase && machine.Phase == outside.MachineLeaving {
 		o.logger.Info().Str("server", string(server.id)).Str("reason", "leaving").Msg("server leaves")
 		o.changedServer(server)
 		o.dirty = true
@@ -309,7 +309,7 @@
 	server.machine = machine
 }
 
-func compareServers(a, b platform.ServerID) int {
+func compareServers(a, b outside.ServerID) int {
 	switch {
 	case a < b:
 		return -1
--- a/internal/applier/planning.go
+++ b/internal/applier/planning.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/planner"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -76,7 +76,7 @@
 	store.Starts = int(o.remoteTokens)
 	for _, server := range o.servers {
 		for _, entry := range server.replicas {
-			if entry.Phase == platform.ReplicaLoading && entry.Source == platform.SourceRemote {
+			if entry.Phase == outside.ReplicaLoading && entry.Source == outside.SourceRemote {
 				store.InFlight++
 			}
 		}
@@ -157,9 +157,9 @@
 }
 
 // attempt returns an identity that is never used again.
-func (o *Owner) attempt() platform.AttemptID {
+func (o *Owner) attempt() outside.AttemptID {
 	o.attempts++
-	return platform.AttemptID(fmt.Sprintf("load-%s-%d-%d", o.cell, o.epoch, o.attempts))
+	return outside.AttemptID(fmt.Sprintf("load-%s-%d-%d", o.cell, o.epoch, o.attempts))
 }
 
 // applyLoad reserves memory and slot and prepares the command. While an order
@@ -169,21 +169,21 @@
 		return
 	}
 	attempt := o.attempt()
-	if decision.Source == platform.SourceRemote {
+	if decision.Source == outside.SourceRemote {
 		o.remoteTokens--
 	}
 	if o.config.Mechanisms.ReserveBeforeOrder {
 		server.add(&replicaEntry{
-			ReplicaState: platform.ReplicaState{
+			ReplicaState: outside.ReplicaState{
 				Model: decision.Model, Version: decision.Version, Slot: decision.Slot, Attempt: attempt,
-				Phase: platform.ReplicaLoading, MemoryBytes: decision.MemoryBytes, Source: decision.Source,
+				Phase: outside.ReplicaLoading, MemoryBytes: decision.MemoryBytes, Source: decision.Source,
 			},
 			reason: decision.Reason.String(), since: now, orderedAt: now,
 			readyAt: decision.ExpectedReady, weightBytes: decision.WeightBytes,
 		})
 	}
-	server.commands = append(server.commands, platform.Command{
-		Kind: platform.CommandLoadModel, Model: decision.Model, Version: decision.Version,
+	server.commands = append(server.commands, outside.Command{
+		Kind: outside.CommandLoadModel, Model: decision.Model, Version: decision.Version,
 		Slot: decision.Slot, Attempt: attempt,
 		MemoryBytes: decision.MemoryBytes, WeightBytes: decision.WeightBytes,
 	})
@@ -198,15 +198,15 @@
 	attempt := o.attempt()
 	if o.config.Mechanisms.ReserveBeforeOrder {
 		entry.adapters = append(entry.adapters, &adapterEntry{
-			AdapterState: platform.AdapterState{
+			AdapterState: outside.AdapterState{
 				Adapter: decision.Adapter, Version: decision.Version, Attempt: attempt,
-				Phase: platform.ReplicaLoading, MemoryBytes: decision.MemoryBytes,
+				Phase: outside.ReplicaLoading, MemoryBytes: decision.MemoryBytes,
 			},
 			reason: decision.Reason.String(), orderedAt: now,
 		})
 	}
-	server.commands = append(server.commands, platform.Command{
-		Kind: platform.CommandLoadAdapter, Model: decision.Model, Version: decision.Version,
+	server.commands = append(server.commands, outside.Command{
+		Kind: outside.CommandLoadAdapter, Model: decision.Model, Version: decision.Version,
 		Adapter: decision.Adapter, Slot: entry.Slot, Attempt: attempt,
 		MemoryBytes: decision.MemoryBytes, WeightBytes: decision.WeightBytes,
 	})
--- a/internal/applier/states.go
+++ b/internal/applier/states.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // sendPolls reads the state of servers on which no order is under way.
@@ -43,12 +43,12 @@
 		server.loadsReadAt = now
 	}
 	generation := server.generation
-	o.config.Engines.State(server.id, since, o.config.Intervals.StateTimeout, func(state *platform.EngineState, err error) {
+	o.config.Engines.State(server.id, since, o.config.Intervals.StateTimeout, func(state *outside.EngineState, err error) {
 		o.polled(server, generation, now, state, err)
 	})
 }
 
-func (o *Owner) polled(server *serverEntry, generation uint64, askedAt time.Time, state *platform.EngineState, err error) {
+func (o *Owner) polled(server *serverEntry, generation uint64, askedAt time.Time, state *outside.EngineState, err error) {
 	o.mutex.Lock()
 	released := o.polledLocked(server, generation, askedAt, state, err)
 	o.mutex.Unlock()
@@ -57,7 +57,7 @@
 	}
 }
 
-func (o *Owner) polledLocked(server *serverEntry, generation uint64, askedAt time.Time, state *platform.EngineState, err error) (released func()) {
+func (o *Owner) polledLocked(server *serverEntry, generation uint64, askedAt time.Time, state *outside.EngineState, err error) (released func()) {
 	if o.ended || o.byID[server.id] != server {
 		return nil
 	}
@@ -97,7 +97,7 @@
 
 // takeState makes the ledger equal to a state that was read while no order was
 // under way, or by an order itself. It reports whether anything changed.
-func (o *Owner) takeState(server *serverEntry, state *platform.EngineState, askedAt time.Time) bool {
+func (o *Owner) takeState(server *serverEntry, state *outside.EngineState, askedAt time.Time) bool {
 	if o.config.Mechanisms.AttemptIdentity && state.Version < server.state.Version {
 		return false
 	}
@@ -119,12 +119,12 @@
 	return changed
 }
 
-func (o *Owner) takeReplica(server *serverEntry, before []*replicaEntry, state *platform.ReplicaState) {
+func (o *Owner) takeReplica(server *serverEntry, before []*replicaEntry, state *outside.ReplicaState) {
 	mechanisms := &o.config.Mechanisms
-	if state.Phase == platform.ReplicaFailed {
+	if state.Phase == outside.ReplicaFailed {
 		return
 	}
-	if !mechanisms.ReleaseSlotOnConfirmation && state.Phase == platform.ReplicaUnloading {
+	if !mechanisms.ReleaseSlotOnConfirmation && state.Phase == outside.ReplicaUnloading {
 		return
 	}
 	known := serverEntry{replicas: before}
@@ -138,32 +138,32 @@
 }
 
 // discovered makes an entry of a replica that another owner loaded.
-func (o *Owner) discovered(state *platform.ReplicaState) *replicaEntry {
+func (o *Owner) discovered(state *outside.ReplicaState) *replicaEntry {
 	o.changed[state.Model] = true
 	now := o.config.Clock.Now()
 	o.introduce(state.Model, now)
-	return &replicaEntry{ReplicaState: platform.ReplicaState{Phase: state.Phase}, reason: "adopted", since: now}
+	return &replicaEntry{ReplicaState: outside.ReplicaState{Phase: state.Phase}, reason: "adopted", since: now}
 }
 
-func (o *Owner) updateReplica(server *serverEntry, entry *replicaEntry, state *platform.ReplicaState) {
+func (o *Owner) updateReplica(server *serverEntry, entry *replicaEntry, state *outside.ReplicaState) {
 	now := o.config.Clock.Now()
 	if entry.Phase != state.Phase {
 		o.changed[state.Model] = true
-		if entry.Phase == platform.ReplicaLoading && state.Phase == platform.ReplicaReady {
+		if entry.Phase == outside.ReplicaLoading && state.Phase == outside.ReplicaReady {
 			o.replicaReady(server, entry, state)
 		}
 		entry.since = now
 	}
 	entry.seen = true
 	entry.ReplicaState = *state
-	if state.Phase == platform.ReplicaLoading && state.Progress > 0.05 && !entry.orderedAt.IsZero() {
+	if state.Phase == outside.ReplicaLoading && state.Progress > 0.05 && !entry.orderedAt.IsZero() {
 		taken := now.Sub(entry.orderedAt)
 		entry.readyAt = entry.orderedAt.Add(time.Duration(float64(taken) / state.Progress))
 	}
 	o.updateAdapters(server, entry, state.Adapters)
 }
 
-func (o *Owner) replicaReady(server *serverEntry, entry *replicaEntry, state *platform.ReplicaState) {
+func (o *Owner) replicaReady(server *serverEntry, entry *replicaEntry, state *outside.ReplicaState) {
 	server.clearBackoff(entry.Model)
 	if entry.orderedAt.IsZero() {
 		return
@@ -175,12 +175,12 @@
 }
 
 // replicaGone notes that an entry is no longer held: its slot is free.
-func (o *Owner) replicaGone(server *serverEntry, entry *replicaEntry, state *platform.EngineState) {
+func (o *Owner) replicaGone(server *serverEntry, entry *replicaEntry, state *outside.EngineState) {
 	o.changed[entry.Model] = true
 	reason := "unloaded"
 	for i := range state.Replicas {
 		reported := &state.Replicas[i]
-		if reported.Attempt == entry.Attempt && reported.Phase == platform.ReplicaFailed {
+		if reported.Attempt == entry.Attempt && reported.Phase == outside.ReplicaFailed {
 			reason = "load_failed"
 			o.loadFailed(server, entry.Model, entry.Attempt)
 		}
@@ -189,13 +189,13 @@
 		Str("attempt", string(entry.Attempt)).Str("reason", reason).Msg("replica gone")
 }
 
-func (o *Owner) updateAdapters(server *serverEntry, entry *replicaEntry, states []platform.AdapterState) {
+func (o *Owner) updateAdapters(server *serverEntry, entry *replicaEntry, states []outside.AdapterState) {
 	before := entry.adapters
 	entry.adapters = make([]*adapterEntry, 0, len(states))
 	for i := range states {
 		state := &states[i]
 		known := (&replicaEntry{adapters: before}).adapter(state.Adapter)
-		if state.Phase == platform.ReplicaFailed {
+		if state.Phase == outside.ReplicaFailed {
 			if known != nil && known.Attempt == state.Attempt {
 				o.loadFailed(server, state.Adapter, state.Attempt)
 			}
@@ -219,7 +219,7 @@
 }
 
 // loadFailed keeps a model or adapter off the server for a while.
-func (o *Owner) loadFailed(server *serverEntry, name string, attempt platform.AttemptID) {
+func (o *Owner) loadFailed(server *serverEntry, name string, attempt outside.AttemptID) {
 	at, found := slices.BinarySearchFunc(server.backoffs, name, func(entry loadBackoff, name string) int {
 		return cmp.Compare(entry.name, name)
 	})
--- a/internal/applier/status.go
+++ b/internal/applier/status.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -22,9 +22,9 @@
 
 // ServerStatus is one server of a cell.
 type ServerStatus struct {
-	Server                      platform.ServerID
+	Server                      outside.ServerID
 	Zone                        string
-	Incarnation                 platform.Incarnation
+	Incarnation                 outside.Incarnation
 	Adopted, Confirmed, Leaving bool
 	// Listed is false when the machine list no longer shows the server.
 	Listed bool
@@ -39,9 +39,9 @@
 type ReplicaStatus struct {
 	Model   string
 	Version string
-	Slot    platform.SlotID
-	Attempt platform.AttemptID
-	Phase   platform.ReplicaPhase
+	Slot    outside.SlotID
+	Attempt outside.AttemptID
+	Phase   outside.ReplicaPhase
 	// Reason says why it was loaded; DrainReason why it goes, For whom.
 	Reason, DrainReason, For string
 	Running, Queued          int
--- a/internal/cells/allotment.go
+++ b/internal/cells/allotment.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -43,7 +43,7 @@
 			Cell:        cell.name,
 			MinReplicas: min(minimum, parts[index]),
 			MaxReplicas: parts[index],
-			FirstSlot:   platform.SlotID(firstSlot),
+			FirstSlot:   outside.SlotID(firstSlot),
 		}
 		firstSlot += parts[index]
 		minimum -= allotments[index].MinReplicas
--- a/internal/cells/allotter.go
+++ b/internal/cells/allotter.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -60,7 +60,7 @@
 		Cell:        cell,
 		MinReplicas: min(max(row.MinReplicas-before, 0), parts[index]),
 		MaxReplicas: parts[index],
-		FirstSlot:   platform.SlotID(before),
+		FirstSlot:   outside.SlotID(before),
 	}
 }
 
@@ -97,7 +97,7 @@
 
 // ServerCell returns the cell that an engine belongs to, as Layout.ServerCell
 // does.
-func (a *Allotter) ServerCell(machine platform.Machine) (string, bool) {
+func (a *Allotter) ServerCell(machine outside.Machine) (string, bool) {
 	if !machine.Engine {
 		return "", false
 	}
@@ -112,7 +112,7 @@
 	return best.name, found
 }
 
-func (a *Allotter) matchingCells(machine *platform.Machine) []int {
+func (a *Allotter) matchingCells(machine *outside.Machine) []int {
 	at := location{region: machine.Region, pool: machine.Pool, zone: machine.Zone}
 	a.mutex.RLock()
 	indices, known := a.matching[at]
--- a/internal/cells/allotter_test.go
+++ b/internal/cells/allotter_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hatchplank/hatchplank/internal/cells"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -55,8 +55,8 @@
 		}
 		allotter := cells.NewAllotter(layout)
 		for index := range 500 {
-			machine := platform.Machine{
-				Server: platform.ServerID(fmt.Sprintf("s%d", index)), Pool: "p",
+			machine := outside.Machine{
+				Server: outside.ServerID(fmt.Sprintf("s%d", index)), Pool: "p",
 				Zone: fmt.Sprintf("z%d", index%4), Engine: index%7 != 0,
 			}
 			expected, known := layout.ServerCell(machine)
--- a/internal/cells/cells_test.go
+++ b/internal/cells/cells_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hatchplank/hatchplank/internal/cells"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -99,7 +99,7 @@
 		for index := range keys {
 			name := fmt.Sprintf("key-%d", index)
 			movedModels += moved(before.CellsOf(name)[0], after.CellsOf(name)[0])
-			machine := platform.Machine{Server: platform.ServerID(name), Engine: true}
+			machine := outside.Machine{Server: outside.ServerID(name), Engine: true}
 			oldCell, _ := before.ServerCell(machine)
 			newCell, _ := after.ServerCell(machine)
 			movedServers += moved(oldCell, newCell)
@@ -119,23 +119,23 @@
 }
 
 var _ = DescribeTable("ServerCell matches region, pool, zone and kind",
-	func(change func(*platform.Machine), expected string, found bool) {
+	func(change func(*outside.Machine), expected string, found bool) {
 		layout := cells.Layout{Cells: []cells.Cell{
 			{Name: "north", Region: "attica", Pools: []string{"glossa"}, Zones: []string{"marousi", "acharnes"}},
 			{Name: "south", Region: "attica", Pools: []string{"glossa"}, Zones: []string{"piraeus", "koropi"}},
 		}}
-		machine := platform.Machine{Server: "s1", Region: "attica", Pool: "glossa", Zone: "marousi", Engine: true}
+		machine := outside.Machine{Server: "s1", Region: "attica", Pool: "glossa", Zone: "marousi", Engine: true}
 		change(&machine)
 		cell, known := layout.ServerCell(machine)
 		Expect(known).To(Equal(found))
 		Expect(cell).To(Equal(expected))
 	},
-	Entry("first", func(*platform.Machine) {}, "north", true),
-	Entry("second", func(m *platform.Machine) { m.Zone = "koropi" }, "south", true),
-	Entry("another region", func(m *platform.Machine) { m.Region = "crete" }, "", false),
-	Entry("another pool", func(m *platform.Machine) { m.Pool = "eggrafi" }, "", false),
-	Entry("another zone", func(m *platform.Machine) { m.Zone = "patra" }, "", false),
-	Entry("no engine", func(m *platform.Machine) { m.Engine = false }, "", false),
+	Entry("first", func(*outside.Machine) {}, "north", true),
+	Entry("second", func(m *outside.Machine) { m.Zone = "koropi" }, "south", true),
+	Entry("another region", func(m *outside.Machine) { m.Region = "crete" }, "", false),
+	Entry("another pool", func(m *outside.Machine) { m.Pool = "eggrafi" }, "", false),
+	Entry("another zone", func(m *outside.Machine) { m.Zone = "patra" }, "", false),
+	Entry("no engine", func(m *outside.Machine) { m.Engine = false }, "", false),
 )
 
 var _ = Describe("Digest", func() {
--- a/internal/cells/layout.go
+++ b/internal/cells/layout.go
@@ -3,7 +3,7 @@
 // memory ledger and replica slots.
 package cells
 
-import "github.com/hatchplank/hatchplank/internal/platform"
+import "github.com/hatchplank/hatchplank/internal/outside"
 
 // Cell is a group of servers.
 type Cell struct {
@@ -28,5 +28,5 @@
 	MinReplicas int
 	MaxReplicas int
 	// FirstSlot is the number of the cell's first replica slot of the model.
-	FirstSlot platform.SlotID
+	FirstSlot outside.SlotID
 }
--- a/internal/cells/server.go
+++ b/internal/cells/server.go
@@ -5,14 +5,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // ServerCell returns the cell that an engine belongs to: of the cells that
 // match its region, pool and zone the one with the highest hash. An empty
 // region, pool list or zone list of a cell matches all. It returns false for
 // a machine that is no engine or that no cell matches.
-func (l Layout) ServerCell(machine platform.Machine) (string, bool) {
+func (l Layout) ServerCell(machine outside.Machine) (string, bool) {
 	if !machine.Engine {
 		return "", false
 	}
@@ -31,7 +31,7 @@
 	return best.name, found
 }
 
-func (c *Cell) matches(machine platform.Machine) bool {
+func (c *Cell) matches(machine outside.Machine) bool {
 	return (c.Region == "" || c.Region == machine.Region) &&
 		(len(c.Pools) == 0 || slices.Contains(c.Pools, machine.Pool)) &&
 		(len(c.Zones) == 0 || slices.Contains(c.Zones, machine.Zone))
--- a/internal/checker/calls.go
+++ b/internal/checker/calls.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
@@ -35,7 +35,7 @@
 	call  Call
 	final *Final
 	ran   bool
-	ranOn platform.ServerID
+	ranOn outside.ServerID
 }
 
 // Sent notes a call.
--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -40,9 +40,9 @@
 	report Report
 
 	calls    map[string]*callState
-	replicas map[string]map[platform.ServerID]bool
+	replicas map[string]map[outside.ServerID]bool
 	allowed  map[string][]allowance
-	leaving  map[platform.ServerID]*departure
+	leaving  map[outside.ServerID]*departure
 	keyRuns  map[string]int
 	changes  map[string]*change
 	// pauses by node identity or server, cutOff by node name.
@@ -67,9 +67,9 @@
 		limits:   limits,
 		report:   Report{RefusedByCode: map[int]uint64{}},
 		calls:    map[string]*callState{},
-		replicas: map[string]map[platform.ServerID]bool{},
+		replicas: map[string]map[outside.ServerID]bool{},
 		allowed:  map[string][]allowance{},
-		leaving:  map[platform.ServerID]*departure{},
+		leaving:  map[outside.ServerID]*departure{},
 		keyRuns:  map[string]int{},
 		changes:  map[string]*change{},
 		pauses:   map[string]spans{},
--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hatchplank/hatchplank/internal/checker"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 	"github.com/hatchplank/hatchplank/internal/table"
@@ -50,7 +50,7 @@
 	c.KeyValueBack(at(30))
 }
 
-func load(c *checker.Checker, server platform.ServerID, seconds float64) {
+func load(c *checker.Checker, server outside.ServerID, seconds float64) {
 	c.Observe(record.Event{Kind: record.KindLoadStarted, At: at(seconds), Server: server, Model: "m"})
 }
 
@@ -59,7 +59,7 @@
 }
 
 func leaves(c *checker.Checker) {
-	c.Observe(record.Event{Kind: record.KindMachinePhase, At: at(10), Server: "s", Phase: string(platform.MachineLeaving)})
+	c.Observe(record.Event{Kind: record.KindMachinePhase, At: at(10), Server: "s", Phase: string(outside.MachineLeaving)})
 }
 
 func received(c *checker.Checker, seconds float64) {
--- a/internal/checker/leaving.go
+++ b/internal/checker/leaving.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
@@ -53,7 +53,7 @@
 }
 
 func (c *Checker) observeMachine(event record.Event) {
-	if platform.MachinePhase(event.Phase) != platform.MachineLeaving {
+	if outside.MachinePhase(event.Phase) != outside.MachineLeaving {
 		delete(c.leaving, event.Server)
 		return
 	}
@@ -82,7 +82,7 @@
 }
 
 // senderOf returns the node that an attempt's id begins with.
-func senderOf(attempt platform.AttemptID) string {
+func senderOf(attempt outside.AttemptID) string {
 	for position := range attempt {
 		if attempt[position] == '/' {
 			return string(attempt[:position])
--- a/internal/checker/replicas.go
+++ b/internal/checker/replicas.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -71,7 +71,7 @@
 func (c *Checker) loadStarted(event record.Event) {
 	holders, known := c.replicas[event.Model]
 	if !known {
-		holders = map[platform.ServerID]bool{}
+		holders = map[outside.ServerID]bool{}
 		c.replicas[event.Model] = holders
 	}
 	holders[event.Server] = true
@@ -84,7 +84,7 @@
 	}
 }
 
-func (c *Checker) forgetServer(server platform.ServerID) {
+func (c *Checker) forgetServer(server outside.ServerID) {
 	for _, holders := range c.replicas {
 		delete(holders, server)
 	}
--- a/internal/claims/acceptor.go
+++ b/internal/claims/acceptor.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // pageEntries bounds the entries of one transfer message.
@@ -79,7 +79,7 @@
 	a.insert(KeyRecord{
 		Key:       request.Key,
 		Digest:    request.Digest,
-		Holders:   []platform.AttemptID{request.Attempt},
+		Holders:   []outside.AttemptID{request.Attempt},
 		ClaimedAt: now,
 	})
 	return VoteReply{Status: VoteGiven, Holder: request.Attempt}
@@ -115,7 +115,7 @@
 	}
 	outcome := request.Outcome
 	entry.Outcome = &outcome
-	entry.Holders = []platform.AttemptID{request.Attempt}
+	entry.Holders = []outside.AttemptID{request.Attempt}
 	return true
 }
 
--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Verdict is the outcome of a claim.
@@ -43,7 +43,7 @@
 type Result struct {
 	Verdict Verdict
 	// Holder is the attempt that holds the key when Denied.
-	Holder platform.AttemptID
+	Holder outside.AttemptID
 	// Outcome of the holder, nil if not recorded yet.
 	Outcome *Outcome
 }
@@ -51,10 +51,10 @@
 // Claimer is what the gateway uses.
 type Claimer interface {
 	// Claim tries to take the key for the attempt. Digest is a hash of the
-	// request, to detect a key used twice. Done as in package platform.
-	Claim(key Key, attempt platform.AttemptID, digest uint64, deadline time.Time, done func(Result))
+	// request, to detect a key used twice. Done as in package outside.
+	Claim(key Key, attempt outside.AttemptID, digest uint64, deadline time.Time, done func(Result))
 	// Record stores the outcome of the attempt that holds the key. Best effort.
-	Record(key Key, attempt platform.AttemptID, outcome Outcome)
+	Record(key Key, attempt outside.AttemptID, outcome Outcome)
 	// Release gives up the claim of an attempt proved not to have run.
-	Release(key Key, attempt platform.AttemptID)
+	Release(key Key, attempt outside.AttemptID)
 }
--- a/internal/claims/claims_suite_test.go
+++ b/internal/claims/claims_suite_test.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/membership"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
 )
@@ -96,7 +96,7 @@
 func (c *testCluster) claim(node string, key Key, attempt string, limit time.Duration, done func(Result)) {
 	target := c.nodes[node]
 	deadline := target.process.Now().Add(limit)
-	target.set.Claim(key, platform.AttemptID(attempt), 7, deadline, func(result Result) {
+	target.set.Claim(key, outside.AttemptID(attempt), 7, deadline, func(result Result) {
 		if result.Verdict == Granted {
 			c.runs[key]++
 		}
--- a/internal/claims/claimset.go
+++ b/internal/claims/claimset.go
@@ -10,15 +10,15 @@
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/defaults"
 	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 // Config is what a ClaimSet needs.
 type Config struct {
 	Clock     clock.Clock
 	Random    *rand.Rand
-	KeyValues platform.KeyValueService
+	KeyValues outside.KeyValueService
 	Transport peer.Transport
 	Members   membership.View
 	// Synchronised reports whether Members is more than this node's knowledge
--- a/internal/claims/configurationcache.go
+++ b/internal/claims/configurationcache.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 var errNoSuchShard = errors.New("no such claim shard")
@@ -98,7 +98,7 @@
 	if c.isStopped() {
 		return
 	}
-	c.set.config.KeyValues.Range(configurationPrefix, keyValueTimeout, func(result platform.RangeResult, err error) {
+	c.set.config.KeyValues.Range(configurationPrefix, keyValueTimeout, func(result outside.RangeResult, err error) {
 		if err != nil {
 			c.readLater()
 			return
@@ -141,8 +141,8 @@
 	return c.stopped
 }
 
-// Events implements platform.WatchHandler.
-func (c *configurationCache) Events(_ int64, events []platform.WatchEvent) {
+// Events implements outside.WatchHandler.
+func (c *configurationCache) Events(_ int64, events []outside.WatchEvent) {
 	for _, event := range events {
 		if !event.Deleted {
 			c.learnPair(event.KeyValue)
@@ -150,10 +150,10 @@
 	}
 }
 
-// Lost implements platform.WatchHandler.
+// Lost implements outside.WatchHandler.
 func (c *configurationCache) Lost(error) { c.readLater() }
 
-func (c *configurationCache) learnPair(pair platform.KeyValue) {
+func (c *configurationCache) learnPair(pair outside.KeyValue) {
 	shard, ok := shardOfConfigurationKey(pair.Key)
 	if !ok || shard >= len(c.known) {
 		return
--- a/internal/claims/merge.go
+++ b/internal/claims/merge.go
@@ -3,16 +3,16 @@
 import (
 	"slices"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // keyTally gathers what the sealed acceptors hold of one key.
 type keyTally struct {
 	entry     KeyRecord
-	votes     map[platform.AttemptID]int
+	votes     map[outside.AttemptID]int
 	contested bool
 	// recorded is the holder whose outcome is known.
-	recorded platform.AttemptID
+	recorded outside.AttemptID
 }
 
 // mergeEntries unites the entries of sealed acceptors, in order of key. A key
@@ -24,7 +24,7 @@
 		for _, entry := range entries {
 			tally, seen := tallies[entry.Key]
 			if !seen {
-				tally = &keyTally{entry: entry, votes: map[platform.AttemptID]int{}}
+				tally = &keyTally{entry: entry, votes: map[outside.AttemptID]int{}}
 				tallies[entry.Key] = tally
 			}
 			tally.add(entry)
@@ -59,14 +59,14 @@
 }
 
 // settle returns the winner if it is certain, else all that may have won.
-func (t *keyTally) settle(writeQuorum int) []platform.AttemptID {
+func (t *keyTally) settle(writeQuorum int) []outside.AttemptID {
 	if t.recorded != "" {
-		return []platform.AttemptID{t.recorded}
+		return []outside.AttemptID{t.recorded}
 	}
-	holders := make([]platform.AttemptID, 0, len(t.votes))
+	holders := make([]outside.AttemptID, 0, len(t.votes))
 	for holder, votes := range t.votes {
 		if !t.contested && votes >= writeQuorum {
-			return []platform.AttemptID{holder}
+			return []outside.AttemptID{holder}
 		}
 		holders = append(holders, holder)
 	}
--- a/internal/claims/messages.go
+++ b/internal/claims/messages.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 // VoteStatus is an acceptor's answer to a VoteRequest.
@@ -39,14 +39,14 @@
 type VoteRequest struct {
 	Configuration ConfigurationID
 	Key           Key
-	Attempt       platform.AttemptID
+	Attempt       outside.AttemptID
 	Digest        uint64
 }
 
 // VoteReply answers a VoteRequest or an OutcomeQuery.
 type VoteReply struct {
 	Status  VoteStatus
-	Holder  platform.AttemptID
+	Holder  outside.AttemptID
 	Outcome *Outcome
 }
 
@@ -54,7 +54,7 @@
 type RecordRequest struct {
 	Configuration ConfigurationID
 	Key           Key
-	Attempt       platform.AttemptID
+	Attempt       outside.AttemptID
 	Digest        uint64
 	Outcome       Outcome
 }
@@ -63,7 +63,7 @@
 type ReleaseRequest struct {
 	Configuration ConfigurationID
 	Key           Key
-	Attempt       platform.AttemptID
+	Attempt       outside.AttemptID
 }
 
 // Acknowledgement answers RecordRequest, ReleaseRequest and InstallRequest.
@@ -112,7 +112,7 @@
 	Key    Key
 	Digest uint64
 	// Holders that may have won the key; more than one: contested.
-	Holders []platform.AttemptID
+	Holders []outside.AttemptID
 	Outcome *Outcome
 	// ClaimedAt is the acceptor's time of the first vote.
 	ClaimedAt time.Time
--- a/internal/claims/proposer.go
+++ b/internal/claims/proposer.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 // Pauses between the rounds of a claim.
@@ -21,26 +21,26 @@
 // acceptors know it.
 type grantedHolders struct {
 	mutex  sync.Mutex
-	rounds map[platform.AttemptID]grantedRound
+	rounds map[outside.AttemptID]grantedRound
 }
 
 type grantedRound struct {
-	holder platform.AttemptID
+	holder outside.AttemptID
 	digest uint64
 }
 
 func newGrantedHolders() *grantedHolders {
-	return &grantedHolders{rounds: map[platform.AttemptID]grantedRound{}}
+	return &grantedHolders{rounds: map[outside.AttemptID]grantedRound{}}
 }
 
-func (g *grantedHolders) put(attempt platform.AttemptID, round grantedRound) {
+func (g *grantedHolders) put(attempt outside.AttemptID, round grantedRound) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.rounds[attempt] = round
 }
 
 // take removes and returns the winning round of an attempt.
-func (g *grantedHolders) take(attempt platform.AttemptID) (grantedRound, bool) {
+func (g *grantedHolders) take(attempt outside.AttemptID) (grantedRound, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	round, known := g.rounds[attempt]
@@ -55,7 +55,7 @@
 	set      *ClaimSet
 	key      Key
 	shard    int
-	attempt  platform.AttemptID
+	attempt  outside.AttemptID
 	digest   uint64
 	deadline time.Time
 	done     func(Result)
@@ -69,7 +69,7 @@
 }
 
 // Claim implements Claimer.
-func (s *ClaimSet) Claim(key Key, attempt platform.AttemptID, digest uint64, deadline time.Time, done func(Result)) {
+func (s *ClaimSet) Claim(key Key, attempt outside.AttemptID, digest uint64, deadline time.Time, done func(Result)) {
 	operation := &claimOperation{
 		set: s, key: key, shard: shardOf(key, s.config.Shards), attempt: attempt,
 		digest: digest, deadline: deadline, done: done,
@@ -110,8 +110,8 @@
 	o.rounds++
 	round := &claimRound{
 		configuration: configuration,
-		holder:        o.attempt + "/" + platform.AttemptID(strconv.Itoa(o.rounds)),
-		held:          map[platform.AttemptID]int{},
+		holder:        o.attempt + "/" + outside.AttemptID(strconv.Itoa(o.rounds)),
+		held:          map[outside.AttemptID]int{},
 	}
 	o.round = round
 	o.mutex.Unlock()
@@ -192,7 +192,7 @@
 	o.set.sendRelease(o.shard, round.configuration, o.key, round.holder)
 }
 
-func (s *ClaimSet) sendRelease(shard int, configuration Configuration, key Key, holder platform.AttemptID) {
+func (s *ClaimSet) sendRelease(shard int, configuration Configuration, key Key, holder outside.AttemptID) {
 	request := ReleaseRequest{Configuration: configuration.id(shard), Key: key, Attempt: holder}
 	for _, acceptor := range configuration.Acceptors {
 		s.config.Transport.Send(acceptor.PeerAddress, request)
@@ -200,7 +200,7 @@
 }
 
 // Release implements Claimer.
-func (s *ClaimSet) Release(key Key, attempt platform.AttemptID) {
+func (s *ClaimSet) Release(key Key, attempt outside.AttemptID) {
 	round, known := s.granted.take(attempt)
 	if !known {
 		return
--- a/internal/claims/reconfiguration.go
+++ b/internal/claims/reconfiguration.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/membership"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Times of reconfiguration.
@@ -136,7 +136,7 @@
 // start reads the record, which also proves that the key-value service answers
 // before any acceptor is sealed.
 func (r *reconfiguration) start() {
-	r.set.config.KeyValues.Range(configurationKey(r.shard), keyValueTimeout, func(result platform.RangeResult, err error) {
+	r.set.config.KeyValues.Range(configurationKey(r.shard), keyValueTimeout, func(result outside.RangeResult, err error) {
 		if err != nil {
 			r.end("key-value service unavailable")
 			return
@@ -194,11 +194,11 @@
 // commit writes the new configuration by compare-and-swap.
 func (r *reconfiguration) commit() {
 	key := configurationKey(r.shard)
-	transaction := platform.Transaction{
-		Compares:   []platform.Compare{{Key: key, ModRevision: r.modRevision}},
-		Operations: []platform.Operation{{Kind: platform.OperationPut, Key: key, Value: encodeConfiguration(r.next)}},
+	transaction := outside.Transaction{
+		Compares:   []outside.Compare{{Key: key, ModRevision: r.modRevision}},
+		Operations: []outside.Operation{{Kind: outside.OperationPut, Key: key, Value: encodeConfiguration(r.next)}},
 	}
-	r.set.config.KeyValues.Transact(transaction, keyValueTimeout, func(result platform.TransactionResult, err error) {
+	r.set.config.KeyValues.Transact(transaction, keyValueTimeout, func(result outside.TransactionResult, err error) {
 		switch {
 		case err == nil && result.Succeeded:
 			r.committed()
@@ -214,7 +214,7 @@
 // readBack settles a write whose reply was lost, by its token.
 func (r *reconfiguration) readBack() {
 	key := configurationKey(r.shard)
-	r.set.config.KeyValues.Range(key, keyValueTimeout, func(result platform.RangeResult, err error) {
+	r.set.config.KeyValues.Range(key, keyValueTimeout, func(result outside.RangeResult, err error) {
 		if err != nil {
 			r.set.config.Clock.AfterFunc(r.set.jitter(rereadDelay), r.readBack)
 			return
--- a/internal/claims/record.go
+++ b/internal/claims/record.go
@@ -4,12 +4,12 @@
 	"sync"
 
 	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 // Record implements Claimer.
-func (s *ClaimSet) Record(key Key, attempt platform.AttemptID, outcome Outcome) {
+func (s *ClaimSet) Record(key Key, attempt outside.AttemptID, outcome Outcome) {
 	round, known := s.granted.take(attempt)
 	if !known {
 		return
--- a/internal/claims/round.go
+++ b/internal/claims/round.go
@@ -1,20 +1,20 @@
 package claims
 
 import (
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 // claimRound counts the votes of one configuration.
 type claimRound struct {
 	configuration Configuration
-	holder        platform.AttemptID
+	holder        outside.AttemptID
 	replies       int
 	given         int
 	conflicts     int
-	held          map[platform.AttemptID]int
+	held          map[outside.AttemptID]int
 	outcome       *Outcome
-	outcomeHolder platform.AttemptID
+	outcomeHolder outside.AttemptID
 	ended         bool
 }
 
@@ -71,7 +71,7 @@
 	return undecided
 }
 
-func (r *claimRound) majorityHolder() platform.AttemptID {
+func (r *claimRound) majorityHolder() outside.AttemptID {
 	if r.outcome != nil {
 		return r.outcomeHolder
 	}
--- a/internal/claims/transfer.go
+++ b/internal/claims/transfer.go
@@ -10,11 +10,11 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
-func isNotApplied(err error) bool { return errors.Is(err, platform.ErrNotApplied) }
+func isNotApplied(err error) bool { return errors.Is(err, outside.ErrNotApplied) }
 
 // sealing collects the entries of the old acceptors.
 type sealing struct {
@@ -198,9 +198,9 @@
 		r.end("entries can't be encoded")
 		return
 	}
-	put := platform.Operation{Kind: platform.OperationPut, Key: snapshotKey(r.shard, r.token, page), Value: buffer.Bytes()}
-	r.set.config.KeyValues.Transact(platform.Transaction{Operations: []platform.Operation{put}}, keyValueTimeout,
-		func(_ platform.TransactionResult, err error) {
+	put := outside.Operation{Kind: outside.OperationPut, Key: snapshotKey(r.shard, r.token, page), Value: buffer.Bytes()}
+	r.set.config.KeyValues.Transact(outside.Transaction{Operations: []outside.Operation{put}}, keyValueTimeout,
+		func(_ outside.TransactionResult, err error) {
 			switch {
 			case err != nil:
 				r.unsealAll()
@@ -217,7 +217,7 @@
 // readSnapshot brings a resting shard back.
 func (r *reconfiguration) readSnapshot() {
 	prefix := snapshotPrefix(r.shard, r.current.Token)
-	r.set.config.KeyValues.Range(prefix, keyValueTimeout, func(result platform.RangeResult, err error) {
+	r.set.config.KeyValues.Range(prefix, keyValueTimeout, func(result outside.RangeResult, err error) {
 		if err != nil || len(result.KeyValues) != r.current.SnapshotPages {
 			r.end("snapshot can't be read")
 			return
--- a/internal/directory/backends.go
+++ b/internal/directory/backends.go
@@ -5,7 +5,7 @@
 	"slices"
 	"sync"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // DefaultBackEndConcurrency is how many requests one node has in flight at one
@@ -21,7 +21,7 @@
 	mutex       sync.RWMutex
 	version     uint64
 	pools       map[string]*Snapshot
-	leaving     map[platform.ServerID]bool
+	leaving     map[outside.ServerID]bool
 	subscribers []func(pool string)
 }
 
@@ -34,7 +34,7 @@
 	return &BackEnds{
 		concurrency: concurrency,
 		pools:       map[string]*Snapshot{},
-		leaving:     map[platform.ServerID]bool{},
+		leaving:     map[outside.ServerID]bool{},
 	}
 }
 
@@ -55,7 +55,7 @@
 
 // ApplyListing replaces the servers by those of a newer machine listing. A
 // pool that was once listed stays known when its last server is gone.
-func (b *BackEnds) ApplyListing(listing platform.MachineListing) {
+func (b *BackEnds) ApplyListing(listing outside.MachineListing) {
 	b.mutex.Lock()
 	if listing.Version < b.version {
 		b.mutex.Unlock()
@@ -78,7 +78,7 @@
 }
 
 // MarkLeaving stops new work for a server before the machine list says so.
-func (b *BackEnds) MarkLeaving(server platform.ServerID) {
+func (b *BackEnds) MarkLeaving(server outside.ServerID) {
 	b.mutex.Lock()
 	b.leaving[server] = true
 	var changed []string
@@ -93,17 +93,17 @@
 }
 
 // keepLeaving forgets marks of servers that are gone and adds those listed.
-func (b *BackEnds) keepLeaving(listing platform.MachineListing) {
-	marks := map[platform.ServerID]bool{}
+func (b *BackEnds) keepLeaving(listing outside.MachineListing) {
+	marks := map[outside.ServerID]bool{}
 	for _, machine := range listing.Machines {
-		if machine.Phase == platform.MachineLeaving || b.leaving[machine.Server] {
+		if machine.Phase == outside.MachineLeaving || b.leaving[machine.Server] {
 			marks[machine.Server] = true
 		}
 	}
 	b.leaving = marks
 }
 
-func (b *BackEnds) snapshotsOf(listing platform.MachineListing) map[string]*Snapshot {
+func (b *BackEnds) snapshotsOf(listing outside.MachineListing) map[string]*Snapshot {
 	pools := map[string]*Snapshot{}
 	for _, machine := range listing.Machines {
 		if machine.Engine {
--- a/internal/directory/backends_change.go
+++ b/internal/directory/backends_change.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // changedPools returns the names of the pools whose servers differ, in order.
@@ -25,7 +25,7 @@
 
 // withDraining returns a copy of the snapshot with the server draining; nil if
 // that changes nothing.
-func withDraining(snapshot *Snapshot, server platform.ServerID) *Snapshot {
+func withDraining(snapshot *Snapshot, server outside.ServerID) *Snapshot {
 	index := slices.IndexFunc(snapshot.Endpoints, func(endpoint Endpoint) bool {
 		return endpoint.Server == server && !endpoint.Draining
 	})
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,8 +8,8 @@
 
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -65,8 +65,8 @@
 	mutex       sync.RWMutex
 	models      map[string]*model
 	epochs      map[string]uint64
-	leaving     map[platform.ServerID]time.Time
-	listed      map[platform.ServerID]bool
+	leaving     map[outside.ServerID]time.Time
+	listed      map[outside.ServerID]bool
 	subscribers []func(model string)
 
 	source     DemandSource
@@ -99,8 +99,8 @@
 		config:  config,
 		models:  map[string]*model{},
 		epochs:  map[string]uint64{},
-		leaving: map[platform.ServerID]time.Time{},
-		listed:  map[platform.ServerID]bool{},
+		leaving: map[outside.ServerID]time.Time{},
+		listed:  map[outside.ServerID]bool{},
 		wanted:  map[string]bool{},
 	}
 	config.Transport.Handle(EndpointUpdate{}, directory.handleUpdate)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -94,7 +94,7 @@
 func update(cell string, epoch, sequence uint64, model string, servers ...string) EndpointUpdate {
 	row := RowEndpoints{Model: model}
 	for _, server := range servers {
-		row.Endpoints = append(row.Endpoints, Endpoint{Server: platform.ServerID(server), Model: model})
+		row.Endpoints = append(row.Endpoints, Endpoint{Server: outside.ServerID(server), Model: model})
 	}
 	return EndpointUpdate{Cell: cell, Epoch: epoch, Sequence: sequence, Rows: []RowEndpoints{row}}
 }
@@ -203,10 +203,10 @@
 	It("takes an engine that is no longer listed for gone", func() {
 		f := newFixture()
 		f.directory.Apply(update("c1", 1, 1, "m", "s1", "s2"))
-		machines := []platform.Machine{{Server: "s1", Engine: true}, {Server: "s2", Engine: true}}
-		f.directory.ApplyListing(platform.MachineListing{Version: 1, Machines: machines})
+		machines := []outside.Machine{{Server: "s1", Engine: true}, {Server: "s2", Engine: true}}
+		f.directory.ApplyListing(outside.MachineListing{Version: 1, Machines: machines})
 		Expect(f.servers("m")).To(Equal([]string{"s1", "s2"}))
-		f.directory.ApplyListing(platform.MachineListing{Version: 2, Machines: machines[1:]})
+		f.directory.ApplyListing(outside.MachineListing{Version: 2, Machines: machines[1:]})
 		Expect(f.servers("m")).To(Equal([]string{"s2"}))
 	})
 
@@ -236,8 +236,8 @@
 })
 
 var _ = Describe("BackEnds", func() {
-	listing := func(version uint64, phase platform.MachinePhase) platform.MachineListing {
-		return platform.MachineListing{Version: version, Machines: []platform.Machine{
+	listing := func(version uint64, phase outside.MachinePhase) outside.MachineListing {
+		return outside.MachineListing{Version: version, Machines: []outside.Machine{
 			{Server: "e1", Pool: "eggrafi", Phase: phase}, {Server: "s1", Pool: "glossa", Engine: true},
 		}}
 	}
@@ -246,24 +246,24 @@
 		backEnds := NewBackEnds(0)
 		changed := []string{}
 		backEnds.Subscribe(func(pool string) { changed = append(changed, pool) })
-		backEnds.ApplyListing(listing(1, platform.MachineLive))
+		backEnds.ApplyListing(listing(1, outside.MachineLive))
 		Expect(backEnds.Snapshot("eggrafi").Usable()).To(BeTrue())
 		Expect(backEnds.Snapshot("glossa")).To(BeNil())
-		backEnds.ApplyListing(listing(2, platform.MachineLive))
+		backEnds.ApplyListing(listing(2, outside.MachineLive))
 		Expect(changed).To(Equal([]string{"eggrafi"}))
-		backEnds.ApplyListing(listing(3, platform.MachineLeaving))
+		backEnds.ApplyListing(listing(3, outside.MachineLeaving))
 		Expect(backEnds.Snapshot("eggrafi").Usable()).To(BeFalse())
-		backEnds.ApplyListing(listing(1, platform.MachineLive))
+		backEnds.ApplyListing(listing(1, outside.MachineLive))
 		Expect(backEnds.Snapshot("eggrafi").Usable()).To(BeFalse())
-		backEnds.ApplyListing(platform.MachineListing{Version: 4})
+		backEnds.ApplyListing(outside.MachineListing{Version: 4})
 		Expect(backEnds.Snapshot("eggrafi").Endpoints).To(BeEmpty())
 	})
 
 	It("keeps a mark of leaving over listings that lag", func() {
 		backEnds := NewBackEnds(0)
-		backEnds.ApplyListing(listing(1, platform.MachineLive))
+		backEnds.ApplyListing(listing(1, outside.MachineLive))
 		backEnds.MarkLeaving("e1")
-		backEnds.ApplyListing(listing(2, platform.MachineLive))
+		backEnds.ApplyListing(listing(2, outside.MachineLive))
 		Expect(backEnds.Snapshot("eggrafi").Usable()).To(BeFalse())
 	})
 })
--- a/internal/directory/messages.go
+++ b/internal/directory/messages.go
@@ -6,8 +6,8 @@
 import (
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -53,11 +53,11 @@
 
 // Endpoint is a replica that can be called.
 type Endpoint struct {
-	Server  platform.ServerID
+	Server  outside.ServerID
 	Zone    string
 	Model   string
 	Version string
-	Slot    platform.SlotID
+	Slot    outside.SlotID
 	// Adapters ready on the replica, in order.
 	Adapters []string
 	MaxBatch int
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Snapshot is the immutable set of endpoints of one base model or back-end
@@ -38,7 +38,7 @@
 }
 
 // without returns the endpoints that are not on the server and slot.
-func without(endpoints []Endpoint, server platform.ServerID, slot platform.SlotID) []Endpoint {
+func without(endpoints []Endpoint, server outside.ServerID, slot outside.SlotID) []Endpoint {
 	kept := make([]Endpoint, 0, len(endpoints))
 	for _, endpoint := range endpoints {
 		if endpoint.Server == server && endpoint.Slot == slot {
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 func (d *Directory) handleUpdate(_ string, message peer.Message, reply func(peer.Message, error)) {
@@ -121,7 +121,7 @@
 
 // Reject removes an endpoint that refused a request as not loaded, until the
 // cell's owner says something newer.
-func (d *Directory) Reject(name string, server platform.ServerID, slot platform.SlotID) {
+func (d *Directory) Reject(name string, server outside.ServerID, slot outside.SlotID) {
 	d.mutex.Lock()
 	known := d.models[name]
 	if known != nil {
--- a/internal/emulator/calls.go
+++ b/internal/emulator/calls.go
@@ -9,7 +9,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/checker"
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/standin/backend"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
@@ -93,7 +93,7 @@
 }
 
 // Chunk implements gateway.Responder.
-func (c *call) Chunk(chunk platform.Chunk) {
+func (c *call) Chunk(chunk outside.Chunk) {
 	if chunk.Index != c.chunks {
 		c.broken = true
 	}
--- a/internal/emulator/claims_batches.go
+++ b/internal/emulator/claims_batches.go
@@ -7,7 +7,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/claims"
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Parameters of the batched claims.
@@ -23,20 +23,20 @@
 // transaction, which holds if none of the keys exists.
 type batchedClaims struct {
 	clock     clock.Clock
-	keyValues platform.KeyValueService
+	keyValues outside.KeyValueService
 	waiting   []batchedClaim
 	armed     bool
 }
 
 type batchedClaim struct {
 	key      string
-	attempt  platform.AttemptID
+	attempt  outside.AttemptID
 	deadline time.Time
 	done     func(claims.Verdict)
 }
 
 // claim asks for a key.
-func (b *batchedClaims) claim(key claims.Key, attempt platform.AttemptID, deadline time.Time, done func(claims.Verdict)) {
+func (b *batchedClaims) claim(key claims.Key, attempt outside.AttemptID, deadline time.Time, done func(claims.Verdict)) {
 	b.waiting = append(b.waiting, batchedClaim{batchPrefix + key.Tenant + "/" + key.Value, attempt, deadline, done})
 	if !b.armed {
 		b.armed = true
@@ -55,19 +55,19 @@
 }
 
 func (b *batchedClaims) write(batch []batchedClaim) {
-	var transaction platform.Transaction
+	var transaction outside.Transaction
 	for _, claim := range batch {
-		transaction.Compares = append(transaction.Compares, platform.Compare{Key: claim.key})
-		transaction.Operations = append(transaction.Operations, platform.Operation{Key: claim.key, Value: []byte(claim.attempt)})
+		transaction.Compares = append(transaction.Compares, outside.Compare{Key: claim.key})
+		transaction.Operations = append(transaction.Operations, outside.Operation{Key: claim.key, Value: []byte(claim.attempt)})
 	}
-	b.keyValues.Transact(transaction, batchTimeout, func(result platform.TransactionResult, err error) {
+	b.keyValues.Transact(transaction, batchTimeout, func(result outside.TransactionResult, err error) {
 		b.written(batch, result, err)
 	})
 }
 
 // written ends a batch. A refused write is repeated while the claims' time
 // lasts; one of unknown outcome is found to be the own one when it is repeated.
-func (b *batchedClaims) written(batch []batchedClaim, result platform.TransactionResult, err error) {
+func (b *batchedClaims) written(batch []batchedClaim, result outside.TransactionResult, err error) {
 	switch {
 	case err == nil && result.Succeeded:
 		for _, claim := range batch {
@@ -76,12 +76,12 @@
 	case err == nil:
 		b.sort(batch, result.Current)
 	default:
-		b.again(batch, errors.Is(err, platform.ErrNotApplied))
+		b.again(batch, errors.Is(err, outside.ErrNotApplied))
 	}
 }
 
 // sort ends the claims whose keys exist and repeats the others.
-func (b *batchedClaims) sort(batch []batchedClaim, current []platform.KeyValue) {
+func (b *batchedClaims) sort(batch []batchedClaim, current []outside.KeyValue) {
 	holders := map[string]string{}
 	for _, pair := range current {
 		holders[pair.Key] = string(pair.Value)
--- a/internal/emulator/claims_run.go
+++ b/internal/emulator/claims_run.go
@@ -11,7 +11,7 @@
 	"github.com/hatchplank/hatchplank/internal/applier"
 	"github.com/hatchplank/hatchplank/internal/checker"
 	"github.com/hatchplank/hatchplank/internal/claims"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
 )
 
@@ -127,7 +127,7 @@
 	}
 	r.point.Claims++
 	key := claims.Key{Tenant: "measure", Value: fmt.Sprintf("key-%07d", r.point.Claims)}
-	attempt := platform.AttemptID(fmt.Sprintf("%s/measure-%d", target.identity(), r.point.Claims))
+	attempt := outside.AttemptID(fmt.Sprintf("%s/measure-%d", target.identity(), r.point.Claims))
 	begun := r.world.Loop.Now()
 	deadline := target.Process.Now().Add(claimLimit)
 	ended := func(verdict claims.Verdict) {
--- a/internal/emulator/demo.go
+++ b/internal/emulator/demo.go
@@ -13,7 +13,7 @@
 	"github.com/hatchplank/hatchplank/internal/applier"
 	"github.com/hatchplank/hatchplank/internal/checker"
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/settings"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
@@ -223,7 +223,7 @@
 	fmt.Fprintf(table, "cold starts\t%d\n", cold)
 	fmt.Fprintf(table, "cold start p50, p99\t%.1f s, %.1f s\n", summary.ColdStartP50, summary.ColdStartP99)
 	fmt.Fprintf(table, "idle accelerator hours\t%.1f\n", summary.IdleAcceleratorHours)
-	for _, source := range []platform.CheckpointSource{platform.SourceMemory, platform.SourceDisk, platform.SourceRemote} {
+	for _, source := range []outside.CheckpointSource{outside.SourceMemory, outside.SourceDisk, outside.SourceRemote} {
 		fmt.Fprintf(table, "loads from %s\t%d\n", source, d.observer.loads[source.String()])
 	}
 	for _, promise := range checker.Promises() {
--- a/internal/emulator/faults_machines.go
+++ b/internal/emulator/faults_machines.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/backend"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 )
@@ -14,7 +14,7 @@
 }
 
 // engineServer returns a random engine whose machine is still there.
-func (i *injector) engineServer() (platform.ServerID, *engine.Host) {
+func (i *injector) engineServer() (outside.ServerID, *engine.Host) {
 	servers := i.world.EngineServers
 	server := servers[i.random.IntN(len(servers))]
 	return server, i.world.Fleet.Host(server)
--- a/internal/emulator/gateways_test.go
+++ b/internal/emulator/gateways_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 	"github.com/hatchplank/hatchplank/internal/table"
@@ -243,7 +243,7 @@
 }
 
 // Chunk implements gateway.Responder.
-func (*prefixUse) Chunk(platform.Chunk) {}
+func (*prefixUse) Chunk(outside.Chunk) {}
 
 // Finish implements gateway.Responder.
 func (u *prefixUse) Finish(answer gateway.Answer) {
--- a/internal/emulator/linear_test.go
+++ b/internal/emulator/linear_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hatchplank/hatchplank/internal/claims"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/table"
 	"github.com/hatchplank/hatchplank/internal/tablestore"
@@ -54,7 +54,7 @@
 type claimInput struct {
 	key     claims.Key
 	action  claimAction
-	attempt platform.AttemptID
+	attempt outside.AttemptID
 	outcome string
 }
 
@@ -68,7 +68,7 @@
 
 // keyState is who holds a key, and what is recorded of its run.
 type keyState struct {
-	holder   platform.AttemptID
+	holder   outside.AttemptID
 	recorded bool
 	outcome  string
 }
@@ -136,7 +136,7 @@
 }
 
 // Claim implements claims.Claimer.
-func (r recordingClaimer) Claim(key claims.Key, attempt platform.AttemptID, digest uint64, deadline time.Time, done func(claims.Result)) {
+func (r recordingClaimer) Claim(key claims.Key, attempt outside.AttemptID, digest uint64, deadline time.Time, done func(claims.Result)) {
 	operation := r.history.begin(claimInput{key: key, action: actionClaim, attempt: attempt})
 	r.Claimer.Claim(key, attempt, digest, deadline, func(result claims.Result) {
 		output := claimOutput{verdict: result.Verdict}
@@ -153,13 +153,13 @@
 }
 
 // Record implements claims.Claimer.
-func (r recordingClaimer) Record(key claims.Key, attempt platform.AttemptID, outcome claims.Outcome) {
+func (r recordingClaimer) Record(key claims.Key, attempt outside.AttemptID, outcome claims.Outcome) {
 	r.history.begin(claimInput{key: key, action: actionRecord, attempt: attempt, outcome: string(outcome.Body)})
 	r.Claimer.Record(key, attempt, outcome)
 }
 
 // Release implements claims.Claimer.
-func (r recordingClaimer) Release(key claims.Key, attempt platform.AttemptID) {
+func (r recordingClaimer) Release(key claims.Key, attempt outside.AttemptID) {
 	r.history.begin(claimInput{key: key, action: actionRelease, attempt: attempt})
 	r.Claimer.Release(key, attempt)
 }
--- a/internal/emulator/misrouter.go
+++ b/internal/emulator/misrouter.go
@@ -3,25 +3,25 @@
 import (
 	"math/rand/v2"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // misrouter is a node's access to the engines that, as a fault, lets pieces of
 // one attempt's answer reach another attempt too.
 type misrouter struct {
-	platform.EngineService
+	outside.EngineService
 	world  *World
 	random *rand.Rand
 	// open attempts in no particular but a fixed order.
 	open []*misroutedSink
 }
 
-func newMisrouter(world *World, service platform.EngineService) *misrouter {
+func newMisrouter(world *World, service outside.EngineService) *misrouter {
 	return &misrouter{EngineService: service, world: world, random: world.Loop.Fork()}
 }
 
-// Generate implements platform.EngineService.
-func (m *misrouter) Generate(request platform.GenerateRequest, sink platform.GenerateSink) func() {
+// Generate implements outside.EngineService.
+func (m *misrouter) Generate(request outside.GenerateRequest, sink outside.GenerateSink) func() {
 	wrapped := &misroutedSink{GenerateSink: sink, misrouter: m, position: len(m.open)}
 	m.open = append(m.open, wrapped)
 	return m.EngineService.Generate(request, wrapped)
@@ -50,22 +50,22 @@
 
 // misroutedSink is one attempt's sink.
 type misroutedSink struct {
-	platform.GenerateSink
+	outside.GenerateSink
 	misrouter *misrouter
 	// position in the open attempts.
 	position int
 }
 
-// Chunk implements platform.GenerateSink.
-func (s *misroutedSink) Chunk(chunk platform.Chunk) {
+// Chunk implements outside.GenerateSink.
+func (s *misroutedSink) Chunk(chunk outside.Chunk) {
 	if victim := s.misrouter.other(s); victim != nil {
 		victim.GenerateSink.Chunk(chunk)
 	}
 	s.GenerateSink.Chunk(chunk)
 }
 
-// End implements platform.GenerateSink.
-func (s *misroutedSink) End(end platform.GenerateEnd) {
+// End implements outside.GenerateSink.
+func (s *misroutedSink) End(end outside.GenerateEnd) {
 	s.misrouter.close(s)
 	if victim := s.misrouter.other(nil); victim != nil {
 		victim.GenerateSink.End(end)
@@ -73,8 +73,8 @@
 	s.GenerateSink.End(end)
 }
 
-// Failed implements platform.GenerateSink.
-func (s *misroutedSink) Failed(err *platform.AttemptError) {
+// Failed implements outside.GenerateSink.
+func (s *misroutedSink) Failed(err *outside.AttemptError) {
 	s.misrouter.close(s)
 	s.GenerateSink.Failed(err)
 }
--- a/internal/emulator/mutations_test.go
+++ b/internal/emulator/mutations_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/checker"
 	"github.com/hatchplank/hatchplank/internal/claims"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
 )
@@ -88,7 +88,7 @@
 type grantAll struct{ claims.Claimer }
 
 // Claim implements claims.Claimer.
-func (g grantAll) Claim(key claims.Key, attempt platform.AttemptID, digest uint64, deadline time.Time, done func(claims.Result)) {
+func (g grantAll) Claim(key claims.Key, attempt outside.AttemptID, digest uint64, deadline time.Time, done func(claims.Result)) {
 	g.Claimer.Claim(key, attempt, digest, deadline, func(claims.Result) {
 		done(claims.Result{Verdict: claims.Granted, Holder: attempt})
 	})
@@ -170,7 +170,7 @@
 func (w *World) seedEverywhere() {
 	for _, row := range w.Options.Deployment.Rows {
 		for _, server := range w.EngineServers[1:] {
-			w.Fleet.Host(server).Engine.SeedCheckpoint(row.Name, row.Version, platform.SourceMemory, row.WeightBytes)
+			w.Fleet.Host(server).Engine.SeedCheckpoint(row.Name, row.Version, outside.SourceMemory, row.WeightBytes)
 		}
 	}
 }
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -6,7 +6,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/membership"
 	"github.com/hatchplank/hatchplank/internal/node"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/backend"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
@@ -72,7 +72,7 @@
 	built.Start()
 }
 
-func (w *World) lookupBackEnd(server platform.ServerID) (backend.Host, bool) {
+func (w *World) lookupBackEnd(server outside.ServerID) (backend.Host, bool) {
 	host, known := w.BackEnds[server]
 	if !known {
 		return backend.Host{}, false
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/table"
 	"github.com/hatchplank/hatchplank/internal/tablestore"
@@ -234,7 +234,7 @@
 }
 
 // Chunk implements gateway.Responder; a row without replicas sends none.
-func (*probeResponder) Chunk(platform.Chunk) {}
+func (*probeResponder) Chunk(outside.Chunk) {}
 
 // Finish implements gateway.Responder; a row without replicas never answers.
 func (*probeResponder) Finish(gateway.Answer) {}
--- a/internal/emulator/policies_figures.go
+++ b/internal/emulator/policies_figures.go
@@ -4,7 +4,7 @@
 	"math"
 
 	"github.com/hatchplank/hatchplank/internal/bounds"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -137,20 +137,20 @@
 }
 
 // source is where a row's weights can come from first.
-func (b *boundInstance) source(row string) platform.CheckpointSource {
+func (b *boundInstance) source(row string) outside.CheckpointSource {
 	if source, cached := b.run.Sources[row]; cached {
 		return source
 	}
-	return platform.SourceRemote
+	return outside.SourceRemote
 }
 
 // loadSeconds of bytes from a source at full speed, without what follows.
-func (b *boundInstance) loadSeconds(bytes int64, source platform.CheckpointSource) float64 {
+func (b *boundInstance) loadSeconds(bytes int64, source outside.CheckpointSource) float64 {
 	rate := b.run.Deployment.Store.BytesPerSecond
 	switch source {
-	case platform.SourceMemory:
+	case outside.SourceMemory:
 		rate = b.engine.HostBytesPerSecond
-	case platform.SourceDisk:
+	case outside.SourceDisk:
 		rate = b.engine.DiskBytesPerSecond
 	}
 	return float64(bytes) / rate
@@ -196,7 +196,7 @@
 		tail = b.engine.AdapterInitTime
 	}
 	return bounds.Load{
-		Release: release, Bytes: float64(row.WeightBytes), Remote: source == platform.SourceRemote,
+		Release: release, Bytes: float64(row.WeightBytes), Remote: source == outside.SourceRemote,
 		Seconds: b.loadSeconds(row.WeightBytes, source) + tail.Seconds(), Tail: tail.Seconds(),
 		Adapter: row.Kind == table.KindAdapter,
 	}
@@ -239,7 +239,7 @@
 	return &bounds.ModelUse{
 		Accelerators: max(1, math.Ceil(float64(row.MemoryBytes)/perAccelerator)),
 		FirstLoad:    b.loadSeconds(row.WeightBytes, b.source(row.Name)) + b.engine.InitTime.Seconds(),
-		NextLoad:     b.loadSeconds(row.WeightBytes, platform.SourceMemory) + b.engine.InitTime.Seconds(),
+		NextLoad:     b.loadSeconds(row.WeightBytes, outside.SourceMemory) + b.engine.InitTime.Seconds(),
 		AlwaysUp:     b.pinned[row.Name],
 	}
 }
--- a/internal/emulator/policies_presence.go
+++ b/internal/emulator/policies_presence.go
@@ -1,7 +1,7 @@
 package emulator
 
 import (
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
@@ -18,7 +18,7 @@
 }
 
 type replicaKey struct {
-	server platform.ServerID
+	server outside.ServerID
 	model  string
 }
 
--- a/internal/emulator/policies_run.go
+++ b/internal/emulator/policies_run.go
@@ -8,7 +8,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/applier"
 	"github.com/hatchplank/hatchplank/internal/checker"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/settings"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
@@ -38,7 +38,7 @@
 	Calls                               []*Call
 	// Sources from which models can be loaded best at the start of the span;
 	// models that are only in the weight store are not in it.
-	Sources map[string]platform.CheckpointSource
+	Sources map[string]outside.CheckpointSource
 	Use     AcceleratorUse
 	// Loads of models by source.
 	Loads map[string]int
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -12,7 +12,7 @@
 	"github.com/hatchplank/hatchplank/internal/checker"
 	"github.com/hatchplank/hatchplank/internal/claims"
 	"github.com/hatchplank/hatchplank/internal/node"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/backend"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
@@ -52,10 +52,10 @@
 	Weights  *weights.Store
 	Machines *machines.List
 	Fleet    *engine.Fleet
-	BackEnds map[platform.ServerID]*backEndHost
+	BackEnds map[outside.ServerID]*backEndHost
 
 	// Servers in order of name; Nodes in order of name.
-	EngineServers, BackEndServers []platform.ServerID
+	EngineServers, BackEndServers []outside.ServerID
 	Nodes                         []*SimulatedNode
 
 	// zones of processes by name.
@@ -116,7 +116,7 @@
 		Options: options, Loop: loop, Network: network,
 		Peers:    simulation.NewPeerNetwork(network),
 		Checker:  checker.New(options.Limits),
-		BackEnds: map[platform.ServerID]*backEndHost{},
+		BackEnds: map[outside.ServerID]*backEndHost{},
 		zones:    map[string]string{},
 		random:   loop.Fork(),
 		rows:     table.NewSnapshot(0, nil),
@@ -163,32 +163,32 @@
 func (w *World) startMachines() {
 	deployment := w.Options.Deployment
 	for i := range deployment.Engines {
-		server := platform.ServerID(fmt.Sprintf("%s-%02d", deployment.EnginePool, i))
+		server := outside.ServerID(fmt.Sprintf("%s-%02d", deployment.EnginePool, i))
 		w.startEngine(server, deployment.Zones[i%len(deployment.Zones)])
 		w.EngineServers = append(w.EngineServers, server)
 	}
 	for i := range deployment.BackEnds {
-		server := platform.ServerID(fmt.Sprintf("%s-%02d", deployment.BackEndPool, i))
+		server := outside.ServerID(fmt.Sprintf("%s-%02d", deployment.BackEndPool, i))
 		w.startBackEnd(server, deployment.Zones[i%len(deployment.Zones)])
 		w.BackEndServers = append(w.BackEndServers, server)
 	}
 	w.seedCheckpoints()
 }
 
-func (w *World) startEngine(server platform.ServerID, zone string) {
+func (w *World) startEngine(server outside.ServerID, zone string) {
 	w.zones[string(server)] = zone
 	config := w.Options.Deployment.Engine
 	config.Server = server
 	config.Remote = w.Weights
 	config.Record = w.Record
 	w.Fleet.Start(config)
-	w.Machines.Add(platform.Machine{
+	w.Machines.Add(outside.Machine{
 		Server: server, Address: string(server), Pool: w.Options.Deployment.EnginePool,
-		Zone: zone, Region: w.Options.Deployment.Region, Phase: platform.MachineLive, Engine: true,
+		Zone: zone, Region: w.Options.Deployment.Region, Phase: outside.MachineLive, Engine: true,
 	})
 }
 
-func (w *World) startBackEnd(server platform.ServerID, zone string) {
+func (w *World) startBackEnd(server outside.ServerID, zone string) {
 	w.zones[string(server)] = zone
 	process := simulation.NewProcess(w.Loop, string(server))
 	w.BackEnds[server] = &backEndHost{
@@ -198,9 +198,9 @@
 			ServiceTime: backend.DefaultServiceTime, Seed: w.random.Uint64(),
 		}, w.Record),
 	}
-	w.Machines.Add(platform.Machine{
+	w.Machines.Add(outside.Machine{
 		Server: server, Address: string(server), Pool: w.Options.Deployment.BackEndPool,
-		Zone: zone, Region: w.Options.Deployment.Region, Phase: platform.MachineLive,
+		Zone: zone, Region: w.Options.Deployment.Region, Phase: outside.MachineLive,
 	})
 }
 
@@ -215,15 +215,15 @@
 		host := w.Fleet.Host(server)
 		switch {
 		case draw < w.Options.Deployment.MemoryCheckpoints:
-			host.Engine.SeedCheckpoint(row.Name, row.Version, platform.SourceMemory, row.WeightBytes)
+			host.Engine.SeedCheckpoint(row.Name, row.Version, outside.SourceMemory, row.WeightBytes)
 		case draw < w.Options.Deployment.MemoryCheckpoints+w.Options.Deployment.DiskCheckpoints:
-			host.Engine.SeedCheckpoint(row.Name, row.Version, platform.SourceDisk, row.WeightBytes)
+			host.Engine.SeedCheckpoint(row.Name, row.Version, outside.SourceDisk, row.WeightBytes)
 		}
 	}
 }
 
 // leaving tells an engine that its machine will be reclaimed.
-func (w *World) leaving(server platform.ServerID, leavesAt time.Time) {
+func (w *World) leaving(server outside.ServerID, leavesAt time.Time) {
 	if host := w.Fleet.Host(server); host != nil {
 		host.Engine.SetLeaving(leavesAt)
 	}
@@ -233,7 +233,7 @@
 }
 
 // reclaimed ends the server of a machine that is gone.
-func (w *World) reclaimed(server platform.ServerID) {
+func (w *World) reclaimed(server outside.ServerID) {
 	if host := w.Fleet.Host(server); host != nil {
 		host.Vanish()
 		return
@@ -288,7 +288,7 @@
 	w.Loop.AfterFunc(recordPeriod, w.followRecords)
 }
 
-func (w *World) follow(pair platform.KeyValue, at time.Time) {
+func (w *World) follow(pair outside.KeyValue, at time.Time) {
 	entry, isLog := tablestore.ReadLogEntry(pair.Key, pair.Value)
 	if !isLog {
 		return
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/router"
 )
@@ -15,7 +15,7 @@
 // attempt is one dispatch of an entry to a back end. It is the sink of its own
 // stream, so that nothing of another attempt can reach it.
 type attempt struct {
-	id      platform.AttemptID
+	id      outside.AttemptID
 	entry   *entry
 	place   router.Place
 	started time.Time
@@ -57,9 +57,9 @@
 	event.Slot = a.place.Endpoint.Slot
 }
 
-func (a *attempt) generateRequest() platform.GenerateRequest {
+func (a *attempt) generateRequest() outside.GenerateRequest {
 	e := a.entry
-	return platform.GenerateRequest{
+	return outside.GenerateRequest{
 		Server:     a.place.Endpoint.Server,
 		Attempt:    a.id,
 		RequestID:  e.request.ID,
@@ -75,9 +75,9 @@
 	}
 }
 
-func (a *attempt) backEndRequest() platform.BackEndRequest {
+func (a *attempt) backEndRequest() outside.BackEndRequest {
 	e := a.entry
-	return platform.BackEndRequest{
+	return outside.BackEndRequest{
 		Server:      a.place.Endpoint.Server,
 		Attempt:     a.id,
 		RequestID:   e.request.ID,
@@ -96,12 +96,12 @@
 }
 
 // names reports whether a piece of an answer belongs to this attempt.
-func (a *attempt) names(id platform.AttemptID) bool {
+func (a *attempt) names(id outside.AttemptID) bool {
 	return id == a.id || a.entry.shard.gateway.config.IgnoreAttemptIdentity
 }
 
-// Chunk implements platform.GenerateSink.
-func (a *attempt) Chunk(chunk platform.Chunk) {
+// Chunk implements outside.GenerateSink.
+func (a *attempt) Chunk(chunk outside.Chunk) {
 	s := a.entry.shard
 	turn := s.begin()
 	if a.names(chunk.Attempt) && a.current() {
@@ -110,9 +110,9 @@
 	s.end(turn)
 }
 
-// End implements platform.GenerateSink. The end of a stream with chunks missing
+// End implements outside.GenerateSink. The end of a stream with chunks missing
 // is a failure.
-func (a *attempt) End(end platform.GenerateEnd) {
+func (a *attempt) End(end outside.GenerateEnd) {
 	s := a.entry.shard
 	turn := s.begin()
 	if a.names(end.Attempt) && !a.ended {
@@ -121,12 +121,12 @@
 	s.end(turn)
 }
 
-// Failed implements platform.GenerateSink.
-func (a *attempt) Failed(err *platform.AttemptError) {
+// Failed implements outside.GenerateSink.
+func (a *attempt) Failed(err *outside.AttemptError) {
 	s := a.entry.shard
 	turn := s.begin()
 	if err == nil {
-		err = &platform.AttemptError{Attempt: a.id, Ran: result.RanUnknown, Reason: reasonFailed}
+		err = &outside.AttemptError{Attempt: a.id, Ran: result.RanUnknown, Reason: reasonFailed}
 	}
 	if err.Attempt == a.id && !a.ended {
 		s.settle(a, outcomeOf(err), &err.Load, turn)
@@ -136,7 +136,7 @@
 }
 
 // settle ends an attempt and gives its place back, exactly once.
-func (s *shard) settle(a *attempt, outcome router.Outcome, load *platform.LoadHint, turn *turn) {
+func (s *shard) settle(a *attempt, outcome router.Outcome, load *outside.LoadHint, turn *turn) {
 	a.ended = true
 	s.unschedule(&a.abandon)
 	g := a.entry.group
--- a/internal/gateway/benchmark_test.go
+++ b/internal/gateway/benchmark_test.go
@@ -6,14 +6,14 @@
 	"testing"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
 // discard is a responder that keeps nothing.
 type discard struct{}
 
-func (discard) Chunk(platform.Chunk)  {}
+func (discard) Chunk(outside.Chunk)   {}
 func (discard) Finish(Answer)         {}
 func (discard) Refuse(result.Refusal) {}
 
@@ -45,7 +45,7 @@
 	b.engines.serve = func(started *engineCall) { call = started }
 	b.gateway.Submit(b.generation(time.Hour), discard{})
 	b.loop.RunFor(2 * time.Millisecond)
-	chunk := platform.Chunk{Attempt: call.request.Attempt, Text: " token", Tokens: 1}
+	chunk := outside.Chunk{Attempt: call.request.Attempt, Text: " token", Tokens: 1}
 	bm.ReportAllocs()
 	for bm.Loop() {
 		call.sink.Chunk(chunk)
--- a/internal/gateway/concurrency_test.go
+++ b/internal/gateway/concurrency_test.go
@@ -12,32 +12,32 @@
 	"github.com/hatchplank/hatchplank/internal/claims"
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/directory"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/router"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
 // goroutineEngines answers each attempt on a goroutine of its own.
-type goroutineEngines struct{ platform.EngineService }
+type goroutineEngines struct{ outside.EngineService }
 
-func (goroutineEngines) Generate(request platform.GenerateRequest, sink platform.GenerateSink) func() {
+func (goroutineEngines) Generate(request outside.GenerateRequest, sink outside.GenerateSink) func() {
 	go func() {
 		for index := range 10 {
-			sink.Chunk(platform.Chunk{Attempt: request.Attempt, Index: index})
+			sink.Chunk(outside.Chunk{Attempt: request.Attempt, Index: index})
 		}
-		sink.End(platform.GenerateEnd{Attempt: request.Attempt, Chunks: 10})
+		sink.End(outside.GenerateEnd{Attempt: request.Attempt, Chunks: 10})
 	}()
 	return func() {}
 }
 
 type goroutineClaims struct{ claims.Claimer }
 
-func (goroutineClaims) Claim(_ claims.Key, _ platform.AttemptID, _ uint64, _ time.Time, done func(claims.Result)) {
+func (goroutineClaims) Claim(_ claims.Key, _ outside.AttemptID, _ uint64, _ time.Time, done func(claims.Result)) {
 	go done(claims.Result{Verdict: claims.Granted})
 }
-func (goroutineClaims) Record(claims.Key, platform.AttemptID, claims.Outcome) {}
-func (goroutineClaims) Release(claims.Key, platform.AttemptID)                {}
+func (goroutineClaims) Record(claims.Key, outside.AttemptID, claims.Outcome) {}
+func (goroutineClaims) Release(claims.Key, outside.AttemptID)                {}
 
 // orderedCaller checks that its calls come in order and never overlap.
 type orderedCaller struct {
@@ -54,7 +54,7 @@
 	}
 }
 
-func (c *orderedCaller) Chunk(chunk platform.Chunk) {
+func (c *orderedCaller) Chunk(chunk outside.Chunk) {
 	c.enter(chunk.Index == c.next && c.finals == 0)
 	c.next++
 	c.inside.Store(false)
@@ -123,6 +123,6 @@
 // quietDirectory ignores what it is told.
 type quietDirectory struct{}
 
-func (quietDirectory) Want(string)                                       {}
-func (quietDirectory) Reject(string, platform.ServerID, platform.SlotID) {}
-func (quietDirectory) MarkLeaving(platform.ServerID)                     {}
+func (quietDirectory) Want(string)                                     {}
+func (quietDirectory) Reject(string, outside.ServerID, outside.SlotID) {}
+func (quietDirectory) MarkLeaving(outside.ServerID)                    {}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -9,7 +9,7 @@
 	"github.com/hatchplank/hatchplank/internal/claims"
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/directory"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/router"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -20,9 +20,9 @@
 	// Want asks for an endpoint of a row at once.
 	Want(row string)
 	// Reject removes an endpoint that refused a request as not loaded.
-	Reject(model string, server platform.ServerID, slot platform.SlotID)
+	Reject(model string, server outside.ServerID, slot outside.SlotID)
 	// MarkLeaving stops new work for a server.
-	MarkLeaving(server platform.ServerID)
+	MarkLeaving(server outside.ServerID)
 }
 
 // PoolDirectory knows the back-end pools.
@@ -30,7 +30,7 @@
 	// Snapshot returns a pool's servers; nil if the pool is unknown.
 	Snapshot(pool string) *directory.Snapshot
 	// MarkLeaving stops new work for a server.
-	MarkLeaving(server platform.ServerID)
+	MarkLeaving(server outside.ServerID)
 }
 
 // Config assembles a Gateway.
@@ -43,12 +43,12 @@
 	// Directory and Router are for engines.
 	Directory EndpointDirectory
 	Router    *router.Router
-	Engines   platform.EngineService
+	Engines   outside.EngineService
 	// Pools, PoolRouter and BackEnds are for back ends that are no engines;
 	// all nil if there are none.
 	Pools      PoolDirectory
 	PoolRouter *router.Router
-	BackEnds   platform.BackEndService
+	BackEnds   outside.BackEndService
 	Claims     claims.Claimer
 	Logger     zerolog.Logger
 	// Metrics may be nil.
--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hatchplank/hatchplank/internal/claims"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -44,7 +44,7 @@
 		b.warm(1, "s1")
 		b.engines.serve = func(call *engineCall) {
 			call.chunks(0, 3)
-			call.sink.End(platform.GenerateEnd{Attempt: "other", Chunks: 3})
+			call.sink.End(outside.GenerateEnd{Attempt: "other", Chunks: 3})
 		}
 	}, keep, result.DeadlinePassed, result.RanYes),
 	Entry("the engine refuses without end", func(b *bench) {
@@ -61,7 +61,7 @@
 	}, keep, result.StreamBroken, result.RanYes),
 	Entry("the back end never answers a keyed request", func(b *bench) {
 		b.pools.set(testPool, 4, "p1")
-		b.backEnds.serve = func(platform.BackEndRequest, func(platform.BackEndResponse, error)) {}
+		b.backEnds.serve = func(outside.BackEndRequest, func(outside.BackEndResponse, error)) {}
 	}, toPool, result.OutcomeUnknown, result.RanUnknown),
 	Entry("the claim never comes", func(b *bench) {
 		b.pools.set(testPool, 4, "p1")
@@ -70,7 +70,7 @@
 	Entry("the claim comes too late for its place, and then the pool is full", func(b *bench) {
 		b.pools.set(testPool, 1, "p1")
 		b.claims.delay = limit / 2
-		b.backEnds.serve = func(platform.BackEndRequest, func(platform.BackEndResponse, error)) {}
+		b.backEnds.serve = func(outside.BackEndRequest, func(outside.BackEndResponse, error)) {}
 		b.submit(b.poolRequest(limit/4, "first"))
 	}, toPool, result.DeadlinePassed, result.RanNo),
 	Entry("the pool has no server", func(b *bench) { b.pools.set(testPool, 4) }, toPool, result.NoBackEnd, result.RanNo),
@@ -113,8 +113,8 @@
 	Entry("the back end failed after the run", failing(result.RanYes, "failed"), result.BackEndFailed, result.RanYes, 1, 0),
 	Entry("all attempts are refused", failing(result.RanNo, "refused"), result.BackEndRefused, result.RanNo, 4, 1),
 	Entry("the response is another attempt's", func(b *bench) {
-		b.backEnds.serve = func(_ platform.BackEndRequest, done func(platform.BackEndResponse, error)) {
-			done(platform.BackEndResponse{Attempt: "other", Status: 200}, nil)
+		b.backEnds.serve = func(_ outside.BackEndRequest, done func(outside.BackEndResponse, error)) {
+			done(outside.BackEndResponse{Attempt: "other", Status: 200}, nil)
 		}
 	}, result.OutcomeUnknown, result.RanUnknown, 1, 0),
 	Entry("the key holds another body", func(b *bench) {
@@ -124,7 +124,7 @@
 		b.loop.RunFor(limit)
 	}, result.KeyConflict, result.RanNo, 1, 0),
 	Entry("the key is held by a run without outcome", func(b *bench) {
-		b.backEnds.serve = func(platform.BackEndRequest, func(platform.BackEndResponse, error)) {}
+		b.backEnds.serve = func(outside.BackEndRequest, func(outside.BackEndResponse, error)) {}
 		b.submit(b.poolRequest(limit, "family-1"))
 		b.loop.RunFor(limit)
 	}, result.AlreadyClaimed, result.RanUnknown, 1, 0),
@@ -132,8 +132,8 @@
 
 func failing(ran result.Ran, reason string) func(b *bench) {
 	return func(b *bench) {
-		b.backEnds.serve = func(request platform.BackEndRequest, done func(platform.BackEndResponse, error)) {
-			done(platform.BackEndResponse{}, &platform.AttemptError{Attempt: request.Attempt, Ran: ran, Reason: reason})
+		b.backEnds.serve = func(request outside.BackEndRequest, done func(outside.BackEndResponse, error)) {
+			done(outside.BackEndResponse{}, &outside.AttemptError{Attempt: request.Attempt, Ran: ran, Reason: reason})
 		}
 	}
 }
@@ -171,7 +171,7 @@
 	It("records an answer that comes after the deadline", func() {
 		b := newBench(5, Limits{})
 		b.pools.set(testPool, 4, "p1")
-		b.backEnds.serve = func(request platform.BackEndRequest, done func(platform.BackEndResponse, error)) {
+		b.backEnds.serve = func(request outside.BackEndRequest, done func(outside.BackEndResponse, error)) {
 			b.loop.AfterFunc(2*limit, func() { respond(request, done) })
 		}
 		late, _ := b.submit(b.poolRequest(limit, "family-1"))
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/claims"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -49,7 +49,7 @@
 	attempts     int
 	dispatchedAt time.Time
 	// avoid is the server of the last failed attempt.
-	avoid platform.ServerID
+	avoid outside.ServerID
 	// ran is the most that is known of all ended attempts.
 	ran  result.Ran
 	cold bool
@@ -69,7 +69,7 @@
 	// asked is when the claim was asked for.
 	asked time.Time
 	// attempt identifies the claim; it is the same over all dispatches.
-	attempt platform.AttemptID
+	attempt outside.AttemptID
 }
 
 func (e *entry) claimKey() claims.Key {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -5,7 +5,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -31,9 +31,9 @@
 	Name     string
 	Pool     bool
 	Priority int
-	Attempt  platform.AttemptID
-	Server   platform.ServerID
-	Slot     platform.SlotID
+	Attempt  outside.AttemptID
+	Server   outside.ServerID
+	Slot     outside.SlotID
 	Revision table.Revision
 	// Reason is why an attempt is repeated.
 	Reason string
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/router"
 )
 
-// Reasons of failed attempts, as in platform.AttemptError.
+// Reasons of failed attempts, as in outside.AttemptError.
 const (
 	reasonBusy       = "busy"
 	reasonNotLoaded  = "not_loaded"
@@ -31,7 +31,7 @@
 )
 
 // outcomeOf says what a failure means for the endpoint's health.
-func outcomeOf(err *platform.AttemptError) router.Outcome {
+func outcomeOf(err *outside.AttemptError) router.Outcome {
 	switch err.Reason {
 	case reasonBusy:
 		return router.Busy
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/claims"
 	"github.com/hatchplank/hatchplank/internal/directory"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/router"
 	"github.com/hatchplank/hatchplank/internal/simulation"
@@ -34,17 +34,17 @@
 type fakeDirectory struct {
 	snapshots map[string]*directory.Snapshot
 	wanted    []string
-	rejected  []platform.ServerID
-	leaving   []platform.ServerID
+	rejected  []outside.ServerID
+	leaving   []outside.ServerID
 	onReject  func(model string)
 }
 
 func (d *fakeDirectory) Snapshot(name string) *directory.Snapshot { return d.snapshots[name] }
 func (d *fakeDirectory) Want(row string)                          { d.wanted = append(d.wanted, row) }
 
-func (d *fakeDirectory) MarkLeaving(server platform.ServerID) { d.leaving = append(d.leaving, server) }
+func (d *fakeDirectory) MarkLeaving(server outside.ServerID) { d.leaving = append(d.leaving, server) }
 
-func (d *fakeDirectory) Reject(model string, server platform.ServerID, _ platform.SlotID) {
+func (d *fakeDirectory) Reject(model string, server outside.ServerID, _ outside.SlotID) {
 	d.rejected = append(d.rejected, server)
 	old := d.snapshots[model]
 	kept := &directory.Snapshot{Group: model}
@@ -62,7 +62,7 @@
 	snapshot := &directory.Snapshot{Group: group}
 	for _, server := range servers {
 		snapshot.Endpoints = append(snapshot.Endpoints, directory.Endpoint{
-			Server: platform.ServerID(server), Model: group, Version: "1", MaxBatch: batch,
+			Server: outside.ServerID(server), Model: group, Version: "1", MaxBatch: batch,
 		})
 	}
 	d.snapshots[group] = snapshot
@@ -70,35 +70,35 @@
 
 // engineCall is one attempt that reached the fake engine.
 type engineCall struct {
-	request   platform.GenerateRequest
-	sink      platform.GenerateSink
+	request   outside.GenerateRequest
+	sink      outside.GenerateSink
 	cancelled bool
 }
 
 // chunks sends chunks of the request's stream.
 func (c *engineCall) chunks(from, to int) {
 	for index := from; index < to; index++ {
-		c.sink.Chunk(platform.Chunk{Attempt: c.request.Attempt, Index: index, Text: strconv.Itoa(index), Tokens: 1})
+		c.sink.Chunk(outside.Chunk{Attempt: c.request.Attempt, Index: index, Text: strconv.Itoa(index), Tokens: 1})
 	}
 }
 
 func (c *engineCall) end(chunks int) {
-	c.sink.End(platform.GenerateEnd{Attempt: c.request.Attempt, Chunks: chunks, FinishReason: "stop"})
+	c.sink.End(outside.GenerateEnd{Attempt: c.request.Attempt, Chunks: chunks, FinishReason: "stop"})
 }
 
 func (c *engineCall) fail(ran result.Ran, reason string) {
-	c.sink.Failed(&platform.AttemptError{Attempt: c.request.Attempt, Ran: ran, Reason: reason})
+	c.sink.Failed(&outside.AttemptError{Attempt: c.request.Attempt, Ran: ran, Reason: reason})
 }
 
 // fakeEngines hands each attempt to serve, a virtual millisecond later.
 type fakeEngines struct {
-	platform.EngineService
+	outside.EngineService
 	loop  *simulation.Loop
 	calls []*engineCall
 	serve func(call *engineCall)
 }
 
-func (f *fakeEngines) Generate(request platform.GenerateRequest, sink platform.GenerateSink) func() {
+func (f *fakeEngines) Generate(request outside.GenerateRequest, sink outside.GenerateSink) func() {
 	call := &engineCall{request: request, sink: sink}
 	f.calls = append(f.calls, call)
 	f.loop.AfterFunc(time.Millisecond, func() { f.serve(call) })
@@ -108,17 +108,17 @@
 // fakeBackEnds answers calls by serve, a virtual millisecond later.
 type fakeBackEnds struct {
 	loop  *simulation.Loop
-	calls []platform.BackEndRequest
-	serve func(request platform.BackEndRequest, done func(platform.BackEndResponse, error))
+	calls []outside.BackEndRequest
+	serve func(request outside.BackEndRequest, done func(outside.BackEndResponse, error))
 }
 
-func (f *fakeBackEnds) Call(request platform.BackEndRequest, done func(platform.BackEndResponse, error)) {
+func (f *fakeBackEnds) Call(request outside.BackEndRequest, done func(outside.BackEndResponse, error)) {
 	f.calls = append(f.calls, request)
 	f.loop.AfterFunc(time.Millisecond, func() { f.serve(request, done) })
 }
 
-func respond(request platform.BackEndRequest, done func(platform.BackEndResponse, error)) {
-	done(platform.BackEndResponse{Attempt: request.Attempt, Status: 200, Body: []byte("seat 7")}, nil)
+func respond(request outside.BackEndRequest, done func(outside.BackEndResponse, error)) {
+	done(outside.BackEndResponse{Attempt: request.Attempt, Status: 200, Body: []byte("seat 7")}, nil)
 }
 
 // fakeClaims keeps claims in one map.
@@ -131,16 +131,16 @@
 }
 
 type fakeClaim struct {
-	attempt platform.AttemptID
+	attempt outside.AttemptID
 	digest  uint64
 	outcome *claims.Outcome
 }
 
-func (f *fakeClaims) Claim(key claims.Key, attempt platform.AttemptID, digest uint64, _ time.Time, done func(claims.Result)) {
+func (f *fakeClaims) Claim(key claims.Key, attempt outside.AttemptID, digest uint64, _ time.Time, done func(claims.Result)) {
 	f.loop.AfterFunc(f.delay, func() { done(f.decide(key, attempt, digest)) })
 }
 
-func (f *fakeClaims) decide(key claims.Key, attempt platform.AttemptID, digest uint64) claims.Result {
+func (f *fakeClaims) decide(key claims.Key, attempt outside.AttemptID, digest uint64) claims.Result {
 	held := f.held[key]
 	switch {
 	case f.down:
@@ -155,13 +155,13 @@
 	}
 }
 
-func (f *fakeClaims) Record(key claims.Key, attempt platform.AttemptID, outcome claims.Outcome) {
+func (f *fakeClaims) Record(key claims.Key, attempt outside.AttemptID, outcome claims.Outcome) {
 	if held := f.held[key]; held != nil && held.attempt == attempt {
 		held.outcome = &outcome
 	}
 }
 
-func (f *fakeClaims) Release(key claims.Key, attempt platform.AttemptID) {
+func (f *fakeClaims) Release(key claims.Key, attempt outside.AttemptID) {
 	if held := f.held[key]; held != nil && held.attempt == attempt {
 		delete(f.held, key)
 		f.released++
@@ -170,7 +170,7 @@
 
 // caller records what its responder was told.
 type caller struct {
-	chunks   []platform.Chunk
+	chunks   []outside.Chunk
 	answer   *Answer
 	refusal  *result.Refusal
 	finals   int
@@ -178,10 +178,10 @@
 	finalAt  time.Time
 	clock    *simulation.Loop
 	finalled func()
-	chunked  func(chunk platform.Chunk)
+	chunked  func(chunk outside.Chunk)
 }
 
-func (c *caller) Chunk(chunk platform.Chunk) {
+func (c *caller) Chunk(chunk outside.Chunk) {
 	if c.finals > 0 {
 		c.finals += 100
 	}
@@ -284,7 +284,7 @@
 }
 
 // latest returns the newest attempt of a request.
-func (b *bench) latest(request string) platform.AttemptID {
+func (b *bench) latest(request string) outside.AttemptID {
 	for index := len(b.engines.calls) - 1; index >= 0; index-- {
 		if b.engines.calls[index].request.RequestID == request {
 			return b.engines.calls[index].request.Attempt
@@ -295,7 +295,7 @@
 
 func (b *bench) submit(request Request) (*caller, func()) {
 	c := &caller{clock: b.loop}
-	c.chunked = func(chunk platform.Chunk) {
+	c.chunked = func(chunk outside.Chunk) {
 		if chunk.Attempt != b.latest(request.ID) {
 			c.stale++
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/router"
 	"github.com/hatchplank/hatchplank/internal/table"
@@ -177,8 +177,8 @@
 }
 
 // newAttempt returns an id that is never used again.
-func (g *Gateway) newAttempt() platform.AttemptID {
-	return platform.AttemptID(g.config.Node + "/" + strconv.FormatUint(g.counter.Add(1), 36))
+func (g *Gateway) newAttempt() outside.AttemptID {
+	return outside.AttemptID(g.config.Node + "/" + strconv.FormatUint(g.counter.Add(1), 36))
 }
 
 // EndpointsChanged is called after the endpoints of a base model changed.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -209,7 +209,7 @@
 		b.engines.serve = func(call *engineCall) { call.fail(result.RanNo, "not_loaded") }
 		c, _ := b.submit(b.generation(10 * time.Second))
 		b.loop.RunFor(3 * time.Second)
-		Expect(b.directory.rejected).To(Equal([]platform.ServerID{"s1"}))
+		Expect(b.directory.rejected).To(Equal([]outside.ServerID{"s1"}))
 		Expect(b.engines.calls).To(HaveLen(1))
 		b.engines.serve = serve
 		b.warm(4, "s2")
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -3,13 +3,13 @@
 import (
 	"errors"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/router"
 )
 
 // responded is the done callback of a call to a back end.
-func (a *attempt) responded(response platform.BackEndResponse, err error) {
+func (a *attempt) responded(response outside.BackEndResponse, err error) {
 	s := a.entry.shard
 	turn := s.begin()
 	if !a.ended {
@@ -18,7 +18,7 @@
 	s.end(turn)
 }
 
-func (s *shard) backEndEnded(a *attempt, response platform.BackEndResponse, err error, turn *turn) {
+func (s *shard) backEndEnded(a *attempt, response outside.BackEndResponse, err error, turn *turn) {
 	failure := a.failureOf(response, err)
 	if failure != nil {
 		s.settle(a, outcomeOf(failure), &failure.Load, turn)
@@ -39,14 +39,14 @@
 
 // failureOf returns the failure of a call; nil if it was answered. A response
 // to another attempt is no answer, and says nothing about this one.
-func (a *attempt) failureOf(response platform.BackEndResponse, err error) *platform.AttemptError {
-	var failure *platform.AttemptError
+func (a *attempt) failureOf(response outside.BackEndResponse, err error) *outside.AttemptError {
+	var failure *outside.AttemptError
 	switch {
 	case err == nil && response.Attempt == a.id:
 		return nil
 	case errors.As(err, &failure) && failure.Attempt == a.id:
 		return failure
 	default:
-		return &platform.AttemptError{Attempt: a.id, Ran: result.RanUnknown, Reason: reasonFailed}
+		return &outside.AttemptError{Attempt: a.id, Ran: result.RanUnknown, Reason: reasonFailed}
 	}
 }
--- a/internal/gateway/property_test.go
+++ b/internal/gateway/property_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -61,8 +61,8 @@
 			s.send(call)
 		}
 		if s.foreign {
-			call.sink.Chunk(platform.Chunk{Attempt: "foreign", Index: call.request.ResumeFrom, Text: "wrong"})
-			call.sink.End(platform.GenerateEnd{Attempt: "foreign"})
+			call.sink.Chunk(outside.Chunk{Attempt: "foreign", Index: call.request.ResumeFrom, Text: "wrong"})
+			call.sink.End(outside.GenerateEnd{Attempt: "foreign"})
 		}
 		s.finish(call)
 		if s.lateCopy {
--- a/internal/gateway/recording.go
+++ b/internal/gateway/recording.go
@@ -6,7 +6,7 @@
 	"net/http"
 
 	"github.com/hatchplank/hatchplank/internal/claims"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // generationContentType marks a recorded generation.
@@ -19,7 +19,7 @@
 	truncated bool
 }
 
-func (r *recording) add(chunk platform.Chunk, limit int) {
+func (r *recording) add(chunk outside.Chunk, limit int) {
 	if r.truncated || len(r.text)+len(chunk.Text) > limit {
 		r.truncated = true
 		r.text = nil
@@ -33,11 +33,11 @@
 type recordedGeneration struct {
 	Text   string
 	Tokens int
-	End    platform.GenerateEnd
+	End    outside.GenerateEnd
 }
 
 // recordStream records the complete answer of a generation.
-func (s *shard) recordStream(e *entry, end platform.GenerateEnd) {
+func (s *shard) recordStream(e *entry, end outside.GenerateEnd) {
 	recorded := &e.stream.recorded
 	outcome := claims.Outcome{Status: http.StatusOK, ContentType: generationContentType, Truncated: recorded.truncated}
 	if !recorded.truncated {
@@ -50,7 +50,7 @@
 }
 
 // recordResponse records the answer of a back end.
-func (s *shard) recordResponse(e *entry, response platform.BackEndResponse) {
+func (s *shard) recordResponse(e *entry, response outside.BackEndResponse) {
 	outcome := claims.Outcome{
 		Status:      response.Status,
 		ContentType: response.ContentType,
@@ -66,7 +66,7 @@
 // replay gives a recorded answer, a generation's text as one chunk.
 func (s *shard) replay(e *entry, outcome claims.Outcome, turn *turn) {
 	if outcome.ContentType != generationContentType {
-		response := platform.BackEndResponse{Status: outcome.Status, ContentType: outcome.ContentType, Body: outcome.Body}
+		response := outside.BackEndResponse{Status: outcome.Status, ContentType: outcome.ContentType, Body: outcome.Body}
 		s.finish(e, Answer{Response: response, Replayed: true}, turn)
 		return
 	}
@@ -75,7 +75,7 @@
 		s.refuseTruncated(e, turn)
 		return
 	}
-	e.post(turn, delivery{chunk: platform.Chunk{
+	e.post(turn, delivery{chunk: outside.Chunk{
 		Attempt: generation.End.Attempt,
 		Text:    generation.Text,
 		Tokens:  generation.Tokens,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -38,12 +38,12 @@
 // Answer ends a served request.
 type Answer struct {
 	// End is set for a generation.
-	End platform.GenerateEnd
+	End outside.GenerateEnd
 	// Response is set for a pool request.
-	Response platform.BackEndResponse
+	Response outside.BackEndResponse
 	// Replayed: the outcome was recorded by an earlier run of the same key.
 	Replayed bool
-	Server   platform.ServerID
+	Server   outside.ServerID
 	// Cold: the request waited for a replica to be loaded.
 	Cold bool
 }
@@ -52,7 +52,7 @@
 // order of index, then exactly one of Finish or Refuse. Calls never overlap and
 // are made without any lock of the gateway held.
 type Responder interface {
-	Chunk(chunk platform.Chunk)
+	Chunk(chunk outside.Chunk)
 	Finish(answer Answer)
 	Refuse(refusal result.Refusal)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/router"
 )
@@ -16,14 +16,14 @@
 	// version that produced the chunks so far; only it may go on.
 	version string
 	// early holds chunks that came before a missing one.
-	early map[int]platform.Chunk
+	early map[int]outside.Chunk
 	// recorded text of a non-repeatable request's answer.
 	recorded recording
 	routing  router.Request
 }
 
 // receive takes a chunk of the current attempt: in order of index, each once.
-func (s *shard) receive(a *attempt, chunk platform.Chunk, turn *turn) {
+func (s *shard) receive(a *attempt, chunk outside.Chunk, turn *turn) {
 	e := a.entry
 	if !a.answered {
 		a.answered = true
@@ -50,7 +50,7 @@
 }
 
 // accept passes the next chunk on to the caller.
-func (e *entry) accept(chunk platform.Chunk, turn *turn) {
+func (e *entry) accept(chunk outside.Chunk, turn *turn) {
 	e.stream.next++
 	if e.claim.needed {
 		e.stream.recorded.add(chunk, e.shard.gateway.config.Limits.RecordedBytes)
@@ -58,7 +58,7 @@
 	e.post(turn, delivery{chunk: chunk})
 }
 
-func (s *shard) receiveEarly(a *attempt, chunk platform.Chunk, turn *turn) {
+func (s *shard) receiveEarly(a *attempt, chunk outside.Chunk, turn *turn) {
 	e := a.entry
 	if len(e.stream.early) >= reorderWindow {
 		s.stop(a, turn)
@@ -66,13 +66,13 @@
 		return
 	}
 	if e.stream.early == nil {
-		e.stream.early = map[int]platform.Chunk{}
+		e.stream.early = map[int]outside.Chunk{}
 	}
 	e.stream.early[chunk.Index] = chunk
 }
 
 // streamEnded handles the end of an attempt's stream.
-func (s *shard) streamEnded(a *attempt, end platform.GenerateEnd, turn *turn) {
+func (s *shard) streamEnded(a *attempt, end outside.GenerateEnd, turn *turn) {
 	e := a.entry
 	current := a.current()
 	complete := current && end.Chunks == e.stream.next
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -4,13 +4,13 @@
 	"sync"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
 // delivery is one call of a responder; exactly one field group is set.
 type delivery struct {
-	chunk   platform.Chunk
+	chunk   outside.Chunk
 	answer  *Answer
 	refusal *result.Refusal
 }
@@ -31,8 +31,8 @@
 	pool    bool
 	leaving bool
 	model   string
-	server  platform.ServerID
-	slot    platform.SlotID
+	server  outside.ServerID
+	slot    outside.SlotID
 }
 
 var turns = sync.Pool{New: func() any { return new(turn) }}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -17,7 +17,7 @@
 	"github.com/hatchplank/hatchplank/internal/auth"
 	"github.com/hatchplank/hatchplank/internal/gateway"
 	"github.com/hatchplank/hatchplank/internal/load"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/standin/backend"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
@@ -58,14 +58,14 @@
 	}
 	if request.Pool != "" {
 		body := g.spoiled(string(backend.ExpectedBody(request.Body)))
-		responder.Finish(gateway.Answer{Response: platform.BackEndResponse{Status: http.StatusOK, Body: []byte(body)}})
+		responder.Finish(gateway.Answer{Response: outside.BackEndResponse{Status: http.StatusOK, Body: []byte(body)}})
 		return
 	}
 	chunks := engine.ExpectedChunks(request.Path, request.Body)
 	for index := range chunks {
-		responder.Chunk(platform.Chunk{Index: index, Text: g.spoiled(engine.ExpectedChunk(request.Body, index))})
+		responder.Chunk(outside.Chunk{Index: index, Text: g.spoiled(engine.ExpectedChunk(request.Body, index))})
 	}
-	responder.Finish(gateway.Answer{End: platform.GenerateEnd{Chunks: chunks}})
+	responder.Finish(gateway.Answer{End: outside.GenerateEnd{Chunks: chunks}})
 }
 
 func (g *scriptedGateway) spoiled(text string) string {
--- a/internal/load/verify.go
+++ b/internal/load/verify.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/checker"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
@@ -136,13 +136,13 @@
 
 // renameSender replaces the incarnation in an attempt's id by the number of the
 // node's process, as the events of the nodes count it.
-func (e evidence) renameSender(event record.Event) platform.AttemptID {
+func (e evidence) renameSender(event record.Event) outside.AttemptID {
 	sender, rest, found := strings.Cut(string(event.Attempt), "/")
 	if !found {
 		return event.Attempt
 	}
 	name, _, _ := strings.Cut(sender, "#")
-	return platform.AttemptID(e.identity(name, event.At) + "/" + rest)
+	return outside.AttemptID(e.identity(name, event.At) + "/" + rest)
 }
 
 // givenRequestID cuts off what the node added to the id that its caller gave.
--- a/internal/machinelist/follower.go
+++ b/internal/machinelist/follower.go
@@ -9,13 +9,13 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Config is what a Follower needs.
 type Config struct {
 	Clock   clock.Clock
-	Service platform.MachineListService
+	Service outside.MachineListService
 	// Period between readings.
 	Period time.Duration
 	// Timeout of one reading.
@@ -29,24 +29,24 @@
 	config Config
 
 	mutex    sync.Mutex
-	listing  platform.MachineListing
-	byServer map[platform.ServerID]platform.Machine
+	listing  outside.MachineListing
+	byServer map[outside.ServerID]outside.Machine
 	readAt   time.Time
 	// readings under way.
 	readings    int
-	subscribers []func(platform.MachineListing)
+	subscribers []func(outside.MachineListing)
 
 	stopRepeat func()
 }
 
 // NewFollower returns a follower; Start makes it read.
 func NewFollower(config Config) *Follower {
-	return &Follower{config: config, byServer: map[platform.ServerID]platform.Machine{}}
+	return &Follower{config: config, byServer: map[outside.ServerID]outside.Machine{}}
 }
 
 // Subscribe calls function after each change of the list. It is called before
 // Start.
-func (f *Follower) Subscribe(function func(platform.MachineListing)) {
+func (f *Follower) Subscribe(function func(outside.MachineListing)) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.subscribers = append(f.subscribers, function)
@@ -67,14 +67,14 @@
 
 // Listing returns the newest reading and when it was confirmed; a zero time
 // means that none was made yet. The listing must not be changed.
-func (f *Follower) Listing() (platform.MachineListing, time.Time) {
+func (f *Follower) Listing() (outside.MachineListing, time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.listing, f.readAt
 }
 
 // Machine returns a machine of the newest reading.
-func (f *Follower) Machine(server platform.ServerID) (platform.Machine, bool) {
+func (f *Follower) Machine(server outside.ServerID) (outside.Machine, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	machine, known := f.byServer[server]
@@ -95,12 +95,12 @@
 	since := f.listing.Version
 	f.mutex.Unlock()
 	startedAt := f.config.Clock.Now()
-	f.config.Service.List(since, f.config.Timeout, func(listing *platform.MachineListing, err error) {
+	f.config.Service.List(since, f.config.Timeout, func(listing *outside.MachineListing, err error) {
 		f.received(listing, err, startedAt)
 	})
 }
 
-func (f *Follower) received(listing *platform.MachineListing, err error, startedAt time.Time) {
+func (f *Follower) received(listing *outside.MachineListing, err error, startedAt time.Time) {
 	f.mutex.Lock()
 	f.readings--
 	if err != nil {
@@ -123,9 +123,9 @@
 	}
 }
 
-func (f *Follower) replace(listing platform.MachineListing) {
+func (f *Follower) replace(listing outside.MachineListing) {
 	f.listing = listing
-	f.byServer = make(map[platform.ServerID]platform.Machine, len(listing.Machines))
+	f.byServer = make(map[outside.ServerID]outside.Machine, len(listing.Machines))
 	for _, machine := range listing.Machines {
 		f.byServer[machine.Server] = machine
 	}
--- a/internal/machinelist/follower_test.go
+++ b/internal/machinelist/follower_test.go
@@ -9,7 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/machinelist"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 )
 
@@ -27,14 +27,14 @@
 	asked    int
 }
 
-func (s *service) List(_ uint64, timeout time.Duration, done func(*platform.MachineListing, error)) {
+func (s *service) List(_ uint64, timeout time.Duration, done func(*outside.MachineListing, error)) {
 	reading := s.asked
 	s.asked++
 	if reading >= len(s.delays) || s.delays[reading] == 0 {
-		s.loop.AfterFunc(timeout, func() { done(nil, platform.ErrServerUnreachable) })
+		s.loop.AfterFunc(timeout, func() { done(nil, outside.ErrServerUnreachable) })
 		return
 	}
-	listing := &platform.MachineListing{Version: s.versions[reading]}
+	listing := &outside.MachineListing{Version: s.versions[reading]}
 	s.loop.AfterFunc(s.delays[reading], func() { done(listing, nil) })
 }
 
--- a/internal/membership/heartbeat_detector.go
+++ b/internal/membership/heartbeat_detector.go
@@ -10,8 +10,8 @@
 
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/membership/keywatch"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 // HeartbeatDetector takes for alive who is registered in the key-value
@@ -26,7 +26,7 @@
 // removed while the service is out, and who reaches either its peers or the
 // service stays.
 type HeartbeatDetector struct {
-	service   platform.KeyValueService
+	service   outside.KeyValueService
 	transport peer.Transport
 	clock     clock.Clock
 	options   HeartbeatOptions
@@ -55,7 +55,7 @@
 // NewHeartbeatDetector returns a detector that is not started. The source of
 // randomness is used by the detector alone. It must be called before the
 // transport starts, since it sets handlers.
-func NewHeartbeatDetector(service platform.KeyValueService, transport peer.Transport, c clock.Clock, random *rand.Rand, options HeartbeatOptions, log zerolog.Logger) *HeartbeatDetector {
+func NewHeartbeatDetector(service outside.KeyValueService, transport peer.Transport, c clock.Clock, random *rand.Rand, options HeartbeatOptions, log zerolog.Logger) *HeartbeatDetector {
 	d := &HeartbeatDetector{
 		service: service, transport: transport, clock: c, random: random, options: options, log: log,
 		registered:   registeredMembers{},
@@ -101,7 +101,7 @@
 }
 
 // Reading implements keywatch.Handler.
-func (d *HeartbeatDetector) Reading(reading platform.RangeResult) {
+func (d *HeartbeatDetector) Reading(reading outside.RangeResult) {
 	d.change(func(now time.Time) error {
 		d.synchronised = true
 		d.interruptionEndedLocked(now)
@@ -110,7 +110,7 @@
 }
 
 // Changes implements keywatch.Handler.
-func (d *HeartbeatDetector) Changes(events []platform.WatchEvent) {
+func (d *HeartbeatDetector) Changes(events []outside.WatchEvent) {
 	d.change(func(now time.Time) error {
 		var failures []error
 		for _, event := range events {
@@ -162,12 +162,12 @@
 
 // transact runs a compare-and-swap of one record; settled is called with the
 // lock held after the outcome was taken in.
-func (d *HeartbeatDetector) transactLocked(key string, modRevision int64, operation platform.Operation, settled func(succeeded bool, err error)) {
-	transaction := platform.Transaction{
-		Compares:   []platform.Compare{{Key: key, ModRevision: modRevision}},
-		Operations: []platform.Operation{operation},
+func (d *HeartbeatDetector) transactLocked(key string, modRevision int64, operation outside.Operation, settled func(succeeded bool, err error)) {
+	transaction := outside.Transaction{
+		Compares:   []outside.Compare{{Key: key, ModRevision: modRevision}},
+		Operations: []outside.Operation{operation},
 	}
-	d.service.Transact(transaction, d.options.Timeout, func(result platform.TransactionResult, err error) {
+	d.service.Transact(transaction, d.options.Timeout, func(result outside.TransactionResult, err error) {
 		d.change(func(now time.Time) error {
 			var unreadable error
 			if err == nil {
@@ -180,17 +180,17 @@
 }
 
 // takeOutcomeLocked takes notice of what a reply tells of the record.
-func (d *HeartbeatDetector) takeOutcomeLocked(operation platform.Operation, result platform.TransactionResult, now time.Time) error {
+func (d *HeartbeatDetector) takeOutcomeLocked(operation outside.Operation, result outside.TransactionResult, now time.Time) error {
 	name := operation.Key[len(HeartbeatPrefix):]
 	switch {
 	case !result.Succeeded && len(result.Current) > 0:
 		_, err := d.registered.observe(result.Current[0], now)
 		return err
-	case !result.Succeeded, operation.Kind == platform.OperationDelete:
+	case !result.Succeeded, operation.Kind == outside.OperationDelete:
 		d.registered.remove(name, result.Revision)
 		return nil
 	default:
-		written := platform.KeyValue{Key: operation.Key, Value: operation.Value, ModRevision: result.Revision}
+		written := outside.KeyValue{Key: operation.Key, Value: operation.Value, ModRevision: result.Revision}
 		_, err := d.registered.observe(written, now)
 		return err
 	}
--- a/internal/membership/heartbeat_record.go
+++ b/internal/membership/heartbeat_record.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // HeartbeatPrefix is where a HeartbeatDetector registers members. It differs
@@ -42,7 +42,7 @@
 type registeredMembers map[string]*registeredMember
 
 // observe takes notice of a record; it reports whether that is news.
-func (m registeredMembers) observe(keyValue platform.KeyValue, now time.Time) (bool, error) {
+func (m registeredMembers) observe(keyValue outside.KeyValue, now time.Time) (bool, error) {
 	var record heartbeatRecord
 	if err := json.Unmarshal(keyValue.Value, &record); err != nil {
 		return false, err
@@ -65,7 +65,7 @@
 }
 
 // replace takes a reading of all records.
-func (m registeredMembers) replace(reading platform.RangeResult, now time.Time) error {
+func (m registeredMembers) replace(reading outside.RangeResult, now time.Time) error {
 	present := make(map[string]bool, len(reading.KeyValues))
 	var failure error
 	for _, keyValue := range reading.KeyValues {
--- a/internal/membership/heartbeat_registration.go
+++ b/internal/membership/heartbeat_registration.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 const (
@@ -121,7 +121,7 @@
 	state := &d.registration
 	state.busy = true
 	key := HeartbeatPrefix + d.self.Name
-	operation := platform.Operation{Kind: platform.OperationPut, Key: key, Value: desired.encode()}
+	operation := outside.Operation{Kind: outside.OperationPut, Key: key, Value: desired.encode()}
 	d.transactLocked(key, modRevision, operation, func(_ bool, err error) {
 		state.busy = false
 		if err != nil {
@@ -143,7 +143,7 @@
 		return
 	}
 	key := HeartbeatPrefix + d.self.Name
-	operation := platform.Operation{Kind: platform.OperationDelete, Key: key}
+	operation := outside.Operation{Kind: outside.OperationDelete, Key: key}
 	d.transactLocked(key, known.modRevision, operation, func(succeeded bool, err error) {
 		if succeeded || err != nil {
 			d.clock.AfterFunc(0, done)
--- a/internal/membership/heartbeat_removal.go
+++ b/internal/membership/heartbeat_removal.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 const (
@@ -110,7 +110,7 @@
 	accusation := known.record
 	accusation.Accused = true
 	key := HeartbeatPrefix + suspect.member.Name
-	operation := platform.Operation{Kind: platform.OperationPut, Key: key, Value: accusation.encode()}
+	operation := outside.Operation{Kind: outside.OperationPut, Key: key, Value: accusation.encode()}
 	d.writeVerdictLocked(suspect, known, operation, func() {
 		suspect.accusedHere = true
 		d.log.Info().Str("member", suspect.member.ID()).Str("reason", "probes unanswered").Msg("member accused")
@@ -120,7 +120,7 @@
 // removeLocked deletes the record if the accusation still stands there.
 func (d *HeartbeatDetector) removeLocked(suspect *suspect, known *registeredMember) {
 	key := HeartbeatPrefix + suspect.member.Name
-	operation := platform.Operation{Kind: platform.OperationDelete, Key: key}
+	operation := outside.Operation{Kind: outside.OperationDelete, Key: key}
 	d.writeVerdictLocked(suspect, known, operation, func() {
 		d.removal.pause.reset()
 		d.log.Info().Str("member", suspect.member.ID()).Str("reason", "accusation not refuted").Msg("member removed")
@@ -129,7 +129,7 @@
 
 // writeVerdictLocked makes one try. Whatever the reply, the next tick goes by
 // the record as it then stands, so a lost reply needs no special care.
-func (d *HeartbeatDetector) writeVerdictLocked(suspect *suspect, known *registeredMember, operation platform.Operation, succeeded func()) {
+func (d *HeartbeatDetector) writeVerdictLocked(suspect *suspect, known *registeredMember, operation outside.Operation, succeeded func()) {
 	suspect.writing = true
 	d.transactLocked(operation.Key, known.modRevision, operation, func(done bool, err error) {
 		suspect.writing = false
--- a/internal/membership/keywatch/watcher.go
+++ b/internal/membership/keywatch/watcher.go
@@ -9,16 +9,16 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Handler receives what the watcher learns. Calls never overlap. A handler may
 // call the key-value service, but not the watcher's Start and Stop.
 type Handler interface {
 	// Reading gives every key with the prefix at one revision.
-	Reading(reading platform.RangeResult)
+	Reading(reading outside.RangeResult)
 	// Changes gives what changed since the reading, in order of revision.
-	Changes(events []platform.WatchEvent)
+	Changes(events []outside.WatchEvent)
 	// Interrupted tells that changes may go unnoticed until the next Reading.
 	Interrupted(err error)
 }
@@ -53,7 +53,7 @@
 
 // Watcher reads and watches one prefix.
 type Watcher struct {
-	service platform.KeyValueService
+	service outside.KeyValueService
 	clock   clock.Clock
 	options Options
 	handler Handler
@@ -73,7 +73,7 @@
 
 // New returns a watcher that is not started. The source of randomness is used
 // by the watcher alone.
-func New(service platform.KeyValueService, c clock.Clock, random *rand.Rand, options Options, handler Handler) *Watcher {
+func New(service outside.KeyValueService, c clock.Clock, random *rand.Rand, options Options, handler Handler) *Watcher {
 	return &Watcher{service: service, clock: c, random: random, options: options, handler: handler}
 }
 
@@ -113,12 +113,12 @@
 func (w *Watcher) readLocked() {
 	w.endLocked()
 	generation := w.generation
-	w.service.Range(w.options.Prefix, w.options.Timeout, func(reading platform.RangeResult, err error) {
+	w.service.Range(w.options.Prefix, w.options.Timeout, func(reading outside.RangeResult, err error) {
 		w.readDone(generation, reading, err)
 	})
 }
 
-func (w *Watcher) readDone(generation uint64, reading platform.RangeResult, err error) {
+func (w *Watcher) readDone(generation uint64, reading outside.RangeResult, err error) {
 	if err != nil {
 		w.interrupted(generation, err, w.nextBackoff())
 		return
@@ -209,12 +209,12 @@
 	generation uint64
 }
 
-// Events implements platform.WatchHandler.
-func (s *subscription) Events(_ int64, events []platform.WatchEvent) {
+// Events implements outside.WatchHandler.
+func (s *subscription) Events(_ int64, events []outside.WatchEvent) {
 	s.watcher.deliver(s.generation, func() { s.watcher.handler.Changes(events) })
 }
 
-// Lost implements platform.WatchHandler.
+// Lost implements outside.WatchHandler.
 func (s *subscription) Lost(err error) {
 	s.watcher.interrupted(s.generation, err, s.watcher.recoveryPause())
 }
--- a/internal/membership/lease_detector.go
+++ b/internal/membership/lease_detector.go
@@ -10,7 +10,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/membership/keywatch"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // LeaseDetector takes for alive whose lease in the key-value service lives.
@@ -56,7 +56,7 @@
 
 // NewLeaseDetector returns a detector that is not started. The source of
 // randomness is used by the detector alone.
-func NewLeaseDetector(service platform.KeyValueService, c clock.Clock, random *rand.Rand, options LeaseOptions, log zerolog.Logger) *LeaseDetector {
+func NewLeaseDetector(service outside.KeyValueService, c clock.Clock, random *rand.Rand, options LeaseOptions, log zerolog.Logger) *LeaseDetector {
 	detector := &LeaseDetector{clock: c, options: options, log: log, known: map[string]*knownMember{}}
 	watchRandom := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 	detector.watcher = keywatch.New(service, c, watchRandom, options.Watch, detector)
@@ -94,7 +94,7 @@
 }
 
 // Reading implements keywatch.Handler.
-func (d *LeaseDetector) Reading(reading platform.RangeResult) {
+func (d *LeaseDetector) Reading(reading outside.RangeResult) {
 	d.mutex.Lock()
 	d.noteActivityLocked(true)
 	present := make(map[string]bool, len(reading.KeyValues))
@@ -116,7 +116,7 @@
 }
 
 // Changes implements keywatch.Handler.
-func (d *LeaseDetector) Changes(events []platform.WatchEvent) {
+func (d *LeaseDetector) Changes(events []outside.WatchEvent) {
 	d.mutex.Lock()
 	d.noteActivityLocked(true)
 	for _, event := range events {
@@ -155,7 +155,7 @@
 	}
 }
 
-func (d *LeaseDetector) presentLocked(keyValue platform.KeyValue) {
+func (d *LeaseDetector) presentLocked(keyValue outside.KeyValue) {
 	member, err := decodeMember(keyValue.Value)
 	if err != nil || MemberPrefix+member.Name != keyValue.Key {
 		d.log.Warn().Str("key", keyValue.Key).AnErr("cause", err).Msg("unreadable member record")
--- a/internal/membership/lease_holder.go
+++ b/internal/membership/lease_holder.go
@@ -9,7 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // leaseHolder keeps this node's own record registered under a lease.
@@ -18,7 +18,7 @@
 // that was registered before and finds another incarnation in its place was
 // superseded, and stays away.
 type leaseHolder struct {
-	service platform.KeyValueService
+	service outside.KeyValueService
 	clock   clock.Clock
 	options LeaseOptions
 	log     zerolog.Logger
@@ -28,9 +28,9 @@
 	mutex  sync.Mutex
 	random *rand.Rand
 	self   Member
-	lease  platform.LeaseID
+	lease  outside.LeaseID
 	// writtenLease and writtenSelf are what the record holds, as far as known.
-	writtenLease platform.LeaseID
+	writtenLease outside.LeaseID
 	writtenSelf  Member
 	modRevision  int64
 	busy         bool
@@ -46,7 +46,7 @@
 	keepAliveTimer clock.Timer
 }
 
-func newLeaseHolder(service platform.KeyValueService, c clock.Clock, random *rand.Rand, options LeaseOptions, log zerolog.Logger, contact func(bool)) *leaseHolder {
+func newLeaseHolder(service outside.KeyValueService, c clock.Clock, random *rand.Rand, options LeaseOptions, log zerolog.Logger, contact func(bool)) *leaseHolder {
 	return &leaseHolder{
 		service: service, clock: c, random: random, options: options, log: log, contact: contact,
 		retry:          backoff{minimum: options.MinBackoff, maximum: options.MaxBackoff},
@@ -99,7 +99,7 @@
 }
 
 // ownKeySeen is told of the own record as read from the service.
-func (h *leaseHolder) ownKeySeen(keyValue platform.KeyValue, member Member) {
+func (h *leaseHolder) ownKeySeen(keyValue outside.KeyValue, member Member) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if keyValue.ModRevision <= h.modRevision {
@@ -122,7 +122,7 @@
 }
 
 // foundLocked takes notice of the record that stands in the service.
-func (h *leaseHolder) foundLocked(keyValue platform.KeyValue, member Member) {
+func (h *leaseHolder) foundLocked(keyValue outside.KeyValue, member Member) {
 	h.modRevision = keyValue.ModRevision
 	if member.Incarnation == h.self.Incarnation {
 		h.everRegistered = true
@@ -151,7 +151,7 @@
 
 func (h *leaseHolder) grantLocked() {
 	h.busy = true
-	h.service.GrantLease(h.options.TimeToLive, h.options.Timeout, func(lease platform.LeaseID, err error) {
+	h.service.GrantLease(h.options.TimeToLive, h.options.Timeout, func(lease outside.LeaseID, err error) {
 		h.finish(err, func() {
 			h.lease = lease
 			h.keptAliveAt = h.clock.Now()
@@ -163,18 +163,18 @@
 	h.busy = true
 	key := MemberPrefix + h.self.Name
 	self, lease := h.self, h.lease
-	transaction := platform.Transaction{
-		Compares:   []platform.Compare{{Key: key, ModRevision: h.modRevision}},
-		Operations: []platform.Operation{{Key: key, Value: encodeMember(self), Lease: lease}},
+	transaction := outside.Transaction{
+		Compares:   []outside.Compare{{Key: key, ModRevision: h.modRevision}},
+		Operations: []outside.Operation{{Key: key, Value: encodeMember(self), Lease: lease}},
 	}
-	h.service.Transact(transaction, h.options.Timeout, func(result platform.TransactionResult, err error) {
+	h.service.Transact(transaction, h.options.Timeout, func(result outside.TransactionResult, err error) {
 		h.finish(err, func() { h.writtenLocked(self, lease, result) })
 	})
 }
 
 // writtenLocked handles the reply to a write. A write whose reply was lost is
 // repeated; the failed comparison then shows the record that stands.
-func (h *leaseHolder) writtenLocked(self Member, lease platform.LeaseID, result platform.TransactionResult) {
+func (h *leaseHolder) writtenLocked(self Member, lease outside.LeaseID, result outside.TransactionResult) {
 	if result.Succeeded {
 		h.modRevision = max(h.modRevision, result.Revision)
 		h.writtenSelf, h.writtenLease = self, lease
@@ -195,7 +195,7 @@
 
 // finish ends a call: on success it goes on at once, else after a pause.
 func (h *leaseHolder) finish(err error, onSuccess func()) {
-	h.contact(err == nil || errors.Is(err, platform.ErrLeaseGone))
+	h.contact(err == nil || errors.Is(err, outside.ErrLeaseGone))
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.busy = false
@@ -205,7 +205,7 @@
 		h.convergeLocked()
 		return
 	}
-	if errors.Is(err, platform.ErrLeaseGone) {
+	if errors.Is(err, outside.ErrLeaseGone) {
 		h.lease = 0
 	}
 	h.convergeLaterLocked()
@@ -251,8 +251,8 @@
 	return h.keepAliveRetry.next(h.random)
 }
 
-func (h *leaseHolder) keptAlive(lease platform.LeaseID, err error) {
-	gone := errors.Is(err, platform.ErrLeaseGone)
+func (h *leaseHolder) keptAlive(lease outside.LeaseID, err error) {
+	gone := errors.Is(err, outside.ErrLeaseGone)
 	h.contact(err == nil || gone)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/membership/meter.go
+++ b/internal/membership/meter.go
@@ -4,7 +4,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // OperationCounts counts the calls made to a key-value service.
@@ -19,13 +19,13 @@
 
 // Meter passes calls on to a key-value service and counts them.
 type Meter struct {
-	service platform.KeyValueService
+	service outside.KeyValueService
 
 	transactions, ranges, leaseGrants, keepAlives, leaseRevokes, watches atomic.Uint64
 }
 
 // NewMeter returns a meter in front of the service.
-func NewMeter(service platform.KeyValueService) *Meter { return &Meter{service: service} }
+func NewMeter(service outside.KeyValueService) *Meter { return &Meter{service: service} }
 
 // Counts returns the calls so far.
 func (m *Meter) Counts() OperationCounts {
@@ -39,38 +39,38 @@
 	}
 }
 
-// Transact implements platform.KeyValueService.
-func (m *Meter) Transact(transaction platform.Transaction, timeout time.Duration, done func(platform.TransactionResult, error)) {
+// Transact implements outside.KeyValueService.
+func (m *Meter) Transact(transaction outside.Transaction, timeout time.Duration, done func(outside.TransactionResult, error)) {
 	m.transactions.Add(1)
 	m.service.Transact(transaction, timeout, done)
 }
 
-// Range implements platform.KeyValueService.
-func (m *Meter) Range(prefix string, timeout time.Duration, done func(platform.RangeResult, error)) {
+// Range implements outside.KeyValueService.
+func (m *Meter) Range(prefix string, timeout time.Duration, done func(outside.RangeResult, error)) {
 	m.ranges.Add(1)
 	m.service.Range(prefix, timeout, done)
 }
 
-// GrantLease implements platform.KeyValueService.
-func (m *Meter) GrantLease(timeToLive, timeout time.Duration, done func(platform.LeaseID, error)) {
+// GrantLease implements outside.KeyValueService.
+func (m *Meter) GrantLease(timeToLive, timeout time.Duration, done func(outside.LeaseID, error)) {
 	m.leaseGrants.Add(1)
 	m.service.GrantLease(timeToLive, timeout, done)
 }
 
-// KeepAlive implements platform.KeyValueService.
-func (m *Meter) KeepAlive(lease platform.LeaseID, timeout time.Duration, done func(error)) {
+// KeepAlive implements outside.KeyValueService.
+func (m *Meter) KeepAlive(lease outside.LeaseID, timeout time.Duration, done func(error)) {
 	m.keepAlives.Add(1)
 	m.service.KeepAlive(lease, timeout, done)
 }
 
-// RevokeLease implements platform.KeyValueService.
-func (m *Meter) RevokeLease(lease platform.LeaseID, timeout time.Duration, done func(error)) {
+// RevokeLease implements outside.KeyValueService.
+func (m *Meter) RevokeLease(lease outside.LeaseID, timeout time.Duration, done func(error)) {
 	m.leaseRevokes.Add(1)
 	m.service.RevokeLease(lease, timeout, done)
 }
 
-// Watch implements platform.KeyValueService.
-func (m *Meter) Watch(prefix string, fromRevision int64, handler platform.WatchHandler) (stop func()) {
+// Watch implements outside.KeyValueService.
+func (m *Meter) Watch(prefix string, fromRevision int64, handler outside.WatchHandler) (stop func()) {
 	m.watches.Add(1)
 	return m.service.Watch(prefix, fromRevision, handler)
 }
