--- a/internal/membership/owner_writes.go
+++ b/internal/membership/owner_writes.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // acquireLocked writes this node into the record at the next epoch.
@@ -35,23 +35,23 @@
 	}
 	o.beginLocked(cell)
 	pending := cell.pending
-	transaction := platform.Transaction{
-		Compares:   []platform.Compare{{Key: cell.key, ModRevision: pending.baseRevision}},
-		Operations: []platform.Operation{{Key: cell.key, Value: pending.record.encode()}},
+	transaction := outside.Transaction{
+		Compares:   []outside.Compare{{Key: cell.key, ModRevision: pending.baseRevision}},
+		Operations: []outside.Operation{{Key: cell.key, Value: pending.record.encode()}},
 	}
-	o.service.Transact(transaction, o.options.Timeout, func(result platform.TransactionResult, err error) {
+	o.service.Transact(transaction, o.options.Timeout, func(result outside.TransactionResult, err error) {
 		o.written(cell, pending, result, err)
 	})
 }
 
-func (o *Owners) written(cell *cellState, pending *pendingWrite, result platform.TransactionResult, err error) {
+func (o *Owners) written(cell *cellState, pending *pendingWrite, result outside.TransactionResult, err error) {
 	o.mutex.Lock()
 	o.endLocked(cell, err)
 	switch {
 	case err != nil:
-		pending.readBack = pending.readBack || !errors.Is(err, platform.ErrNotApplied)
+		pending.readBack = pending.readBack || !errors.Is(err, outside.ErrNotApplied)
 	case result.Succeeded:
-		o.observeLocked(platform.KeyValue{Key: cell.key, Value: pending.record.encode(), ModRevision: result.Revision})
+		o.observeLocked(outside.KeyValue{Key: cell.key, Value: pending.record.encode(), ModRevision: result.Revision})
 	case len(result.Current) == 0:
 		o.absentLocked(cell, result.Revision)
 	default:
@@ -74,12 +74,12 @@
 // readLocked reads one record.
 func (o *Owners) readLocked(cell *cellState) {
 	o.beginLocked(cell)
-	o.service.Range(cell.key, o.options.Timeout, func(result platform.RangeResult, err error) {
+	o.service.Range(cell.key, o.options.Timeout, func(result outside.RangeResult, err error) {
 		o.readDone(cell, result, err)
 	})
 }
 
-func (o *Owners) readDone(cell *cellState, result platform.RangeResult, err error) {
+func (o *Owners) readDone(cell *cellState, result outside.RangeResult, err error) {
 	o.mutex.Lock()
 	o.endLocked(cell, err)
 	if err == nil {
@@ -95,7 +95,7 @@
 // recordReadLocked takes the record out of a reading, which may also hold the
 // cells whose names begin with this one's. If it is unchanged, the pending
 // write has not taken effect, but still may: it is repeated as it is.
-func (o *Owners) recordReadLocked(cell *cellState, result platform.RangeResult) {
+func (o *Owners) recordReadLocked(cell *cellState, result outside.RangeResult) {
 	found := false
 	for _, keyValue := range result.KeyValues {
 		if keyValue.Key == cell.key {
--- a/internal/membership/owners.go
+++ b/internal/membership/owners.go
@@ -11,7 +11,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/membership/keywatch"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Owners takes, keeps and hands over the ownership of cells, and knows the
@@ -22,7 +22,7 @@
 // replace it without that service either; an owner that sees a higher epoch
 // steps down at once.
 type Owners struct {
-	service platform.KeyValueService
+	service outside.KeyValueService
 	clock   clock.Clock
 	options OwnerOptions
 	log     zerolog.Logger
@@ -46,7 +46,7 @@
 
 // NewOwners returns the ownership of the named cells, not started. The
 // source of randomness is used by the ownership alone.
-func NewOwners(self Member, cells []string, service platform.KeyValueService, c clock.Clock, random *rand.Rand, runner CellRunner, options OwnerOptions, log zerolog.Logger) *Owners {
+func NewOwners(self Member, cells []string, service outside.KeyValueService, c clock.Clock, random *rand.Rand, runner CellRunner, options OwnerOptions, log zerolog.Logger) *Owners {
 	owners := &Owners{
 		service: service, clock: c, options: options, log: log, random: random,
 		calls:      &runnerCalls{runner: runner},
@@ -222,7 +222,7 @@
 }
 
 // Reading implements keywatch.Handler.
-func (o *Owners) Reading(reading platform.RangeResult) {
+func (o *Owners) Reading(reading outside.RangeResult) {
 	o.mutex.Lock()
 	present := make(map[string]bool, len(reading.KeyValues))
 	for _, keyValue := range reading.KeyValues {
@@ -240,7 +240,7 @@
 }
 
 // Changes implements keywatch.Handler.
-func (o *Owners) Changes(events []platform.WatchEvent) {
+func (o *Owners) Changes(events []outside.WatchEvent) {
 	o.mutex.Lock()
 	for _, event := range events {
 		if !event.Deleted {
@@ -255,7 +255,7 @@
 func (o *Owners) Interrupted(error) {}
 
 // observeLocked takes notice of a record read from the service.
-func (o *Owners) observeLocked(keyValue platform.KeyValue) {
+func (o *Owners) observeLocked(keyValue outside.KeyValue) {
 	cell := o.byName[strings.TrimPrefix(keyValue.Key, CellPrefix)]
 	if cell == nil || keyValue.ModRevision <= cell.modRevision {
 		return
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -12,7 +12,7 @@
 	Start(self Member, onChange func(members []Member))
 	// Update announces a changed self.
 	Update(self Member)
-	// Stop withdraws the announcement. Done as in package platform; it is
+	// Stop withdraws the announcement. Done as in package outside; it is
 	// called also when the withdrawal could not be made known.
 	Stop(done func())
 }
--- a/internal/membership/survey/survey.go
+++ b/internal/membership/survey/survey.go
@@ -35,7 +35,7 @@
 	Known bool
 }
 
-// Ask asks all members. Done as in package platform; it receives the answers in
+// Ask asks all members. Done as in package outside; it receives the answers in
 // order of the members' names.
 func (q Question[Reply]) Ask(done func([]Answer[Reply])) {
 	asked := &asking[Reply]{question: q, done: done}
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hatchplank/hatchplank/internal/membership"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // layoutKey holds the digest of the division into cells in the key-value
@@ -60,7 +60,7 @@
 // others do, and then calls confirmed. The first node of a new deployment sets
 // what is in force. Without the key-value service it waits.
 func (n *Node) confirmLayout(confirmed func()) {
-	n.config.KeyValues.Range(layoutKey, n.config.Settings.Platform.Timeout, func(result platform.RangeResult, err error) {
+	n.config.KeyValues.Range(layoutKey, n.config.Settings.Platform.Timeout, func(result outside.RangeResult, err error) {
 		if err != nil {
 			n.confirmLayoutLater(confirmed)
 			return
@@ -99,11 +99,11 @@
 // recordLayout sets the layout in force unless another node is quicker; either
 // way it is read again, which also settles a write whose reply was lost.
 func (n *Node) recordLayout(confirmed func()) {
-	transaction := platform.Transaction{
-		Compares:   []platform.Compare{{Key: layoutKey}},
-		Operations: []platform.Operation{{Kind: platform.OperationPut, Key: layoutKey, Value: []byte(n.Layout.Digest())}},
+	transaction := outside.Transaction{
+		Compares:   []outside.Compare{{Key: layoutKey}},
+		Operations: []outside.Operation{{Kind: outside.OperationPut, Key: layoutKey, Value: []byte(n.Layout.Digest())}},
 	}
-	n.config.KeyValues.Transact(transaction, n.config.Settings.Platform.Timeout, func(platform.TransactionResult, error) {
+	n.config.KeyValues.Transact(transaction, n.config.Settings.Platform.Timeout, func(outside.TransactionResult, error) {
 		n.confirmLayoutLater(confirmed)
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,8 +18,8 @@
 	"github.com/hatchplank/hatchplank/internal/gateway"
 	"github.com/hatchplank/hatchplank/internal/machinelist"
 	"github.com/hatchplank/hatchplank/internal/membership"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/router"
 	"github.com/hatchplank/hatchplank/internal/settings"
 	"github.com/hatchplank/hatchplank/internal/tablestore"
@@ -38,11 +38,11 @@
 	Clock    clock.Clock
 	// Seed of all the node's randomness.
 	Seed      uint64
-	KeyValues platform.KeyValueService
-	Engines   platform.EngineService
-	BackEnds  platform.BackEndService
-	Machines  platform.MachineListService
-	Weights   platform.WeightStoreService
+	KeyValues outside.KeyValueService
+	Engines   outside.EngineService
+	BackEnds  outside.BackEndService
+	Machines  outside.MachineListService
+	Weights   outside.WeightStoreService
 	Transport peer.Transport
 	Logger    zerolog.Logger
 	// Metrics of the gateway; may be nil.
--- a/internal/node/statistics.go
+++ b/internal/node/statistics.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // statisticsPrefix is where cells' statistics are kept in the key-value
@@ -19,17 +19,17 @@
 // statisticsStore keeps cells' statistics in the key-value service; it
 // implements applier.StatisticsStore.
 type statisticsStore struct {
-	service platform.KeyValueService
+	service outside.KeyValueService
 	timeout time.Duration
 }
 
-func newStatisticsStore(service platform.KeyValueService, timeout time.Duration) *statisticsStore {
+func newStatisticsStore(service outside.KeyValueService, timeout time.Duration) *statisticsStore {
 	return &statisticsStore{service: service, timeout: timeout}
 }
 
 // Load implements applier.StatisticsStore.
 func (s *statisticsStore) Load(cell string, done func([]byte, error)) {
-	s.read(cell, func(pair platform.KeyValue, err error) {
+	s.read(cell, func(pair outside.KeyValue, err error) {
 		if err != nil || len(pair.Value) < epochBytes {
 			done(nil, err)
 			return
@@ -38,11 +38,11 @@
 	})
 }
 
-func (s *statisticsStore) read(cell string, done func(platform.KeyValue, error)) {
+func (s *statisticsStore) read(cell string, done func(outside.KeyValue, error)) {
 	key := statisticsPrefix + cell
-	s.service.Range(key, s.timeout, func(result platform.RangeResult, err error) {
+	s.service.Range(key, s.timeout, func(result outside.RangeResult, err error) {
 		if err != nil {
-			done(platform.KeyValue{}, err)
+			done(outside.KeyValue{}, err)
 			return
 		}
 		for _, pair := range result.KeyValues {
@@ -51,13 +51,13 @@
 				return
 			}
 		}
-		done(platform.KeyValue{}, nil)
+		done(outside.KeyValue{}, nil)
 	})
 }
 
 // Save implements applier.StatisticsStore.
 func (s *statisticsStore) Save(cell string, epoch uint64, data []byte, done func(error)) {
-	s.read(cell, func(pair platform.KeyValue, err error) {
+	s.read(cell, func(pair outside.KeyValue, err error) {
 		if err != nil {
 			done(err)
 			return
@@ -74,11 +74,11 @@
 	key := statisticsPrefix + cell
 	value := binary.BigEndian.AppendUint64(nil, epoch)
 	value = append(value, data...)
-	transaction := platform.Transaction{
-		Compares:   []platform.Compare{{Key: key, ModRevision: modRevision}},
-		Operations: []platform.Operation{{Kind: platform.OperationPut, Key: key, Value: value}},
+	transaction := outside.Transaction{
+		Compares:   []outside.Compare{{Key: key, ModRevision: modRevision}},
+		Operations: []outside.Operation{{Kind: outside.OperationPut, Key: key, Value: value}},
 	}
-	s.service.Transact(transaction, s.timeout, func(result platform.TransactionResult, err error) {
+	s.service.Transact(transaction, s.timeout, func(result outside.TransactionResult, err error) {
 		if err == nil && !result.Succeeded {
 			err = eris.New("the statistics changed meanwhile")
 		}
--- a/internal/orders/election.go
+++ b/internal/orders/election.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 const (
@@ -38,7 +38,7 @@
 
 // ElectionConfig configures an Election.
 type ElectionConfig struct {
-	Store platform.KeyValueService
+	Store outside.KeyValueService
 	// Prefix of the two keys: the holder, under its lease, and the one who was
 	// the last that could order, which stays.
 	Prefix string
@@ -59,7 +59,7 @@
 	holder  *Record
 	last    *Record
 	term    *Term
-	lease   platform.LeaseID
+	lease   outside.LeaseID
 	changed chan struct{}
 	resign  bool
 	// vacantAt is when the holder was seen to be gone.
@@ -93,7 +93,7 @@
 }
 
 // Replace takes over all keys that exist.
-func (e *Election) Replace(keyValues []platform.KeyValue) {
+func (e *Election) Replace(keyValues []outside.KeyValue) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	holder := e.holder
@@ -108,7 +108,7 @@
 }
 
 // Change takes over one key.
-func (e *Election) Change(event platform.WatchEvent) {
+func (e *Election) Change(event outside.WatchEvent) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if event.Deleted {
@@ -124,7 +124,7 @@
 }
 
 // set must be called with the lock held.
-func (e *Election) set(keyValue platform.KeyValue) {
+func (e *Election) set(keyValue outside.KeyValue) {
 	var record Record
 	if err := json.Unmarshal(keyValue.Value, &record); err != nil {
 		e.config.Logger.Error().Err(err).Str("key", keyValue.Key).Msg("record is not understood")
@@ -261,15 +261,15 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode the record")
 	}
-	transaction := platform.Transaction{
-		Compares: []platform.Compare{
+	transaction := outside.Transaction{
+		Compares: []outside.Compare{
 			{Key: e.holderKey(), ModRevision: at.holderRevision},
 			{Key: e.lastKey(), ModRevision: at.lastRevision},
 		},
-		Operations: []platform.Operation{{Kind: platform.OperationPut, Key: e.holderKey(), Value: value, Lease: lease}},
+		Operations: []outside.Operation{{Kind: outside.OperationPut, Key: e.holderKey(), Value: value, Lease: lease}},
 	}
 	if at.enters {
-		transaction.Operations = append(transaction.Operations, platform.Operation{Kind: platform.OperationPut, Key: e.lastKey(), Value: value})
+		transaction.Operations = append(transaction.Operations, outside.Operation{Kind: outside.OperationPut, Key: e.lastKey(), Value: value})
 	}
 	reply, err := e.transact(transaction)
 	if err != nil {
@@ -292,13 +292,13 @@
 	return term, nil
 }
 
-func (e *Election) grant() (platform.LeaseID, error) {
+func (e *Election) grant() (outside.LeaseID, error) {
 	type reply struct {
-		lease platform.LeaseID
+		lease outside.LeaseID
 		err   error
 	}
 	replies := make(chan reply, 1)
-	e.config.Store.GrantLease(e.config.Lease, storeTimeout, func(lease platform.LeaseID, err error) { replies <- reply{lease, err} })
+	e.config.Store.GrantLease(e.config.Lease, storeTimeout, func(lease outside.LeaseID, err error) { replies <- reply{lease, err} })
 	got := <-replies
 	return got.lease, got.err
 }
@@ -306,13 +306,13 @@
 // transact reports a condition that did not hold as an error. A write whose
 // outcome is unknown shows in the watch: the record is this machine's own then,
 // and is taken over by the next campaign.
-func (e *Election) transact(transaction platform.Transaction) (platform.TransactionResult, error) {
+func (e *Election) transact(transaction outside.Transaction) (outside.TransactionResult, error) {
 	type reply struct {
-		result platform.TransactionResult
+		result outside.TransactionResult
 		err    error
 	}
 	replies := make(chan reply, 1)
-	e.config.Store.Transact(transaction, storeTimeout, func(result platform.TransactionResult, err error) { replies <- reply{result, err} })
+	e.config.Store.Transact(transaction, storeTimeout, func(result outside.TransactionResult, err error) { replies <- reply{result, err} })
 	got := <-replies
 	if got.err == nil && !got.result.Succeeded {
 		got.err = errors.New("another node was first")
@@ -322,7 +322,7 @@
 }
 
 // adopt takes over the records that a failed condition showed.
-func (e *Election) adopt(current []platform.KeyValue) {
+func (e *Election) adopt(current []outside.KeyValue) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	for _, keyValue := range current {
@@ -349,7 +349,7 @@
 		switch {
 		case err == nil:
 			term.renew(sent.Add(e.config.Lease - leaseMargin))
-		case errors.Is(err, platform.ErrLeaseGone):
+		case errors.Is(err, outside.ErrLeaseGone):
 			e.config.Logger.Warn().Int64("token", term.Token).Msg("lease lost")
 			e.drop(term)
 			return
@@ -374,9 +374,9 @@
 		e.config.Logger.Error().Err(err).Msg("record is not written")
 		return
 	}
-	reply, err := e.transact(platform.Transaction{
-		Compares:   []platform.Compare{{Key: e.holderKey(), ModRevision: term.Token}},
-		Operations: []platform.Operation{{Kind: platform.OperationPut, Key: e.lastKey(), Value: value}},
+	reply, err := e.transact(outside.Transaction{
+		Compares:   []outside.Compare{{Key: e.holderKey(), ModRevision: term.Token}},
+		Operations: []outside.Operation{{Kind: outside.OperationPut, Key: e.lastKey(), Value: value}},
 	})
 	if err != nil {
 		e.config.Logger.Warn().Int64("token", term.Token).Err(err).Msg("turn not entered yet")
--- a/internal/orders/messages.go
+++ b/internal/orders/messages.go
@@ -9,7 +9,6 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
@@ -24,10 +23,6 @@
 	Arrived uint64
 }
 
-func (r DemandRow) key() forward.DemandKey {
-	return forward.DemandKey{Pool: r.Pool, Model: r.Model, Adapter: r.Adapter}
-}
-
 // DemandReport tells the holder what a node's callers ask for.
 type DemandReport struct {
 	Node string
--- a/internal/platform/contract/backend.go
+++ b/internal/outside/contract/backend.go
@@ -9,7 +9,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -35,8 +35,8 @@
 // BackEndFixture is one binding with one server behind it.
 type BackEndFixture struct {
 	Drive
-	Service  platform.BackEndService
-	Server   platform.ServerID
+	Service  outside.BackEndService
+	Server   outside.ServerID
 	SetFault func(fault BackEndFault)
 	// Expected is the right answer to a body.
 	Expected func(body []byte) []byte
@@ -48,16 +48,16 @@
 
 // backEndOutcome is what a done callback received, and how often.
 type backEndOutcome struct {
-	response platform.BackEndResponse
+	response outside.BackEndResponse
 	err      error
 	calls    int
 }
 
-func (f *BackEndFixture) call(request platform.BackEndRequest) backEndOutcome {
+func (f *BackEndFixture) call(request outside.BackEndRequest) backEndOutcome {
 	outcome := backEndOutcome{}
 	ended := make(chan struct{})
 	onStack := true
-	f.Service.Call(request, func(response platform.BackEndResponse, err error) {
+	f.Service.Call(request, func(response outside.BackEndResponse, err error) {
 		outcome.response, outcome.err = response, err
 		outcome.calls++
 		close(ended)
@@ -68,10 +68,10 @@
 	return outcome
 }
 
-func (f *BackEndFixture) request(number int) platform.BackEndRequest {
-	return platform.BackEndRequest{
+func (f *BackEndFixture) request(number int) outside.BackEndRequest {
+	return outside.BackEndRequest{
 		Server:      f.Server,
-		Attempt:     platform.AttemptID(fmt.Sprintf("attempt-%d", number)),
+		Attempt:     outside.AttemptID(fmt.Sprintf("attempt-%d", number)),
 		RequestID:   fmt.Sprintf("request-%d", number),
 		Key:         fmt.Sprintf("key-%d", number),
 		Method:      http.MethodPost,
@@ -83,7 +83,7 @@
 }
 
 // DescribeBackEndService declares the specifications of
-// platform.BackEndService for a binding.
+// outside.BackEndService for a binding.
 func DescribeBackEndService(binding string, setUp func() *BackEndFixture) {
 	ginkgo.Describe("BackEndService over "+binding, func() {
 		var fixture *BackEndFixture
@@ -167,7 +167,7 @@
 				outcome := fixture.call(request)
 				runs := fixture.Runs(request.Key)
 				gomega.Expect(runs).To(gomega.BeNumerically("<=", 1))
-				failure := &platform.AttemptError{}
+				failure := &outside.AttemptError{}
 				if !errors.As(outcome.err, &failure) {
 					gomega.Expect(runs).To(gomega.Equal(1))
 				} else if failure.Ran == result.RanNo {
@@ -178,9 +178,9 @@
 	})
 }
 
-func expectFailure(err error, attempt platform.AttemptID, ran result.Ran, reason string) {
+func expectFailure(err error, attempt outside.AttemptID, ran result.Ran, reason string) {
 	ginkgo.GinkgoHelper()
-	failure := &platform.AttemptError{}
+	failure := &outside.AttemptError{}
 	gomega.Expect(errors.As(err, &failure)).To(gomega.BeTrue(), "error: %v", err)
 	gomega.Expect(failure.Attempt).To(gomega.Equal(attempt))
 	gomega.Expect(failure.Ran.String()).To(gomega.Equal(ran.String()), "reason: %s", failure.Reason)
--- a/internal/platform/contract/backend_test.go
+++ b/internal/outside/contract/backend_test.go
@@ -7,15 +7,15 @@
 	"github.com/onsi/ginkgo/v2"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/contract"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/contract"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/backend"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
-const backEndServer = platform.ServerID("eggrafi-1")
+const backEndServer = outside.ServerID("eggrafi-1")
 
 var backEndFaults = map[contract.BackEndFault]backend.Faults{
 	contract.BackEndHealthy:     {},
@@ -84,8 +84,8 @@
 }
 
 // lookupOne knows the address of one server.
-func lookupOne(server platform.ServerID, listener *httptest.Server) httpapi.Lookup {
-	return func(asked platform.ServerID) (string, bool) {
+func lookupOne(server outside.ServerID, listener *httptest.Server) httpapi.Lookup {
+	return func(asked outside.ServerID) (string, bool) {
 		return listener.Listener.Addr().String(), asked == server
 	}
 }
@@ -95,7 +95,7 @@
 	log := record.NewLog()
 	server := backend.NewServer(loop, backend.Config{Server: backEndServer}, log)
 	host := backend.Host{Server: server, Process: simulation.NewProcess(loop, string(backEndServer))}
-	lookup := func(asked platform.ServerID) (backend.Host, bool) { return host, asked == backEndServer }
+	lookup := func(asked outside.ServerID) (backend.Host, bool) { return host, asked == backEndServer }
 	client := simulation.NewProcess(loop, "client")
 	return &contract.BackEndFixture{
 		Drive:   contract.LoopDrive{Loop: loop},
--- a/internal/platform/contract/drive.go
+++ b/internal/outside/contract/drive.go
@@ -1,5 +1,5 @@
 // Package contract holds one suite of specifications for each interface of
-// package platform. Every binding must pass it; the suites run against the HTTP
+// package outside. Every binding must pass it; the suites run against the HTTP
 // and the simulated bindings.
 package contract
 
--- a/internal/platform/contract/engine.go
+++ b/internal/outside/contract/engine.go
@@ -8,7 +8,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // EngineFault is a fault that a fixture can make.
@@ -36,8 +36,8 @@
 // request at a time on a replica and sends one token a chunk.
 type EngineFixture struct {
 	Drive
-	Service  platform.EngineService
-	Server   platform.ServerID
+	Service  outside.EngineService
+	Server   outside.ServerID
 	SetFault func(fault EngineFault)
 	// ExpectedText is the right answer to a body.
 	ExpectedText func(path string, body []byte) string
@@ -47,7 +47,7 @@
 	// TimeLimit is short, but long enough for a healthy engine.
 	TimeLimit time.Duration
 
-	fence platform.Fence
+	fence outside.Fence
 }
 
 // contractModel is loaded by the suite.
@@ -55,9 +55,9 @@
 
 const chatPath = "/v1/chat/completions"
 
-func (f *EngineFixture) order(order platform.Order) (result platform.OrderResult, err error) {
+func (f *EngineFixture) order(order outside.Order) (result outside.OrderResult, err error) {
 	ended := make(chan struct{})
-	f.Service.Order(order, f.TimeLimit, func(answer platform.OrderResult, failure error) {
+	f.Service.Order(order, f.TimeLimit, func(answer outside.OrderResult, failure error) {
 		result, err = answer, failure
 		close(ended)
 	})
@@ -66,15 +66,15 @@
 }
 
 // nextOrder sends commands above every fence used so far.
-func (f *EngineFixture) nextOrder(commands ...platform.Command) (platform.OrderResult, error) {
+func (f *EngineFixture) nextOrder(commands ...outside.Command) (outside.OrderResult, error) {
 	f.fence.Epoch = 1
 	f.fence.Sequence++
-	return f.order(platform.Order{Server: f.Server, Fence: f.fence, Commands: commands})
+	return f.order(outside.Order{Server: f.Server, Fence: f.fence, Commands: commands})
 }
 
-func (f *EngineFixture) state(since uint64) (state *platform.EngineState, err error) {
+func (f *EngineFixture) state(since uint64) (state *outside.EngineState, err error) {
 	ended := make(chan struct{})
-	f.Service.State(f.Server, since, f.TimeLimit, func(read *platform.EngineState, failure error) {
+	f.Service.State(f.Server, since, f.TimeLimit, func(read *outside.EngineState, failure error) {
 		state, err = read, failure
 		close(ended)
 	})
@@ -86,7 +86,7 @@
 const maxPolls = 100_000
 
 // await reads the state until the condition holds.
-func (f *EngineFixture) await(condition func(state *platform.EngineState) bool) {
+func (f *EngineFixture) await(condition func(state *outside.EngineState) bool) {
 	ginkgo.GinkgoHelper()
 	for range maxPolls {
 		state, err := f.state(0)
@@ -102,23 +102,23 @@
 	ginkgo.GinkgoHelper()
 	result, err := f.nextOrder(loadCommand("load-1"))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	gomega.Expect(result.Outcomes).To(gomega.Equal([]platform.CommandOutcome{{Accepted: true}}))
-	f.await(func(state *platform.EngineState) bool {
-		return len(state.Replicas) == 1 && state.Replicas[0].Phase == platform.ReplicaReady
+	gomega.Expect(result.Outcomes).To(gomega.Equal([]outside.CommandOutcome{{Accepted: true}}))
+	f.await(func(state *outside.EngineState) bool {
+		return len(state.Replicas) == 1 && state.Replicas[0].Phase == outside.ReplicaReady
 	})
 }
 
-func loadCommand(attempt platform.AttemptID) platform.Command {
-	return platform.Command{
-		Kind: platform.CommandLoadModel, Model: contractModel, Version: "1", Slot: 2,
+func loadCommand(attempt outside.AttemptID) outside.Command {
+	return outside.Command{
+		Kind: outside.CommandLoadModel, Model: contractModel, Version: "1", Slot: 2,
 		Attempt: attempt, MemoryBytes: 2 << 30, WeightBytes: 1 << 20,
 	}
 }
 
-func (f *EngineFixture) request(number, tokens int) platform.GenerateRequest {
-	return platform.GenerateRequest{
+func (f *EngineFixture) request(number, tokens int) outside.GenerateRequest {
+	return outside.GenerateRequest{
 		Server:    f.Server,
-		Attempt:   platform.AttemptID(fmt.Sprintf("attempt-%d", number)),
+		Attempt:   outside.AttemptID(fmt.Sprintf("attempt-%d", number)),
 		RequestID: fmt.Sprintf("request-%d", number),
 		Model:     contractModel,
 		Version:   "1",
@@ -132,23 +132,23 @@
 // streamRecorder is a sink that fails the specification when it is called out
 // of order or after its end.
 type streamRecorder struct {
-	attempt platform.AttemptID
+	attempt outside.AttemptID
 	first   int
 	text    strings.Builder
 	chunks  int
-	end     *platform.GenerateEnd
-	err     *platform.AttemptError
+	end     *outside.GenerateEnd
+	err     *outside.AttemptError
 	ended   chan struct{}
 	// onChunk, if set, is called with each chunk.
 	onChunk func()
 	faults  []string
 }
 
-func newStreamRecorder(request platform.GenerateRequest) *streamRecorder {
+func newStreamRecorder(request outside.GenerateRequest) *streamRecorder {
 	return &streamRecorder{attempt: request.Attempt, first: request.ResumeFrom, ended: make(chan struct{})}
 }
 
-func (r *streamRecorder) Chunk(chunk platform.Chunk) {
+func (r *streamRecorder) Chunk(chunk outside.Chunk) {
 	r.check(chunk.Attempt == r.attempt, "chunk of another attempt")
 	r.check(chunk.Index == r.first+r.chunks, "chunk out of order")
 	r.check(chunk.Tokens == 1, "chunk of another number of tokens")
@@ -160,13 +160,13 @@
 	}
 }
 
-func (r *streamRecorder) End(end platform.GenerateEnd) {
+func (r *streamRecorder) End(end outside.GenerateEnd) {
 	r.check(end.Attempt == r.attempt, "end of another attempt")
 	r.end = &end
 	close(r.ended)
 }
 
-func (r *streamRecorder) Failed(err *platform.AttemptError) {
+func (r *streamRecorder) Failed(err *outside.AttemptError) {
 	r.check(err.Attempt == r.attempt, "failure of another attempt")
 	r.err = err
 	close(r.ended)
@@ -179,7 +179,7 @@
 }
 
 // generate runs an attempt to its end.
-func (f *EngineFixture) generate(request platform.GenerateRequest) *streamRecorder {
+func (f *EngineFixture) generate(request outside.GenerateRequest) *streamRecorder {
 	ginkgo.GinkgoHelper()
 	recorder := newStreamRecorder(request)
 	f.Service.Generate(request, recorder)
--- a/internal/platform/contract/engine_orders.go
+++ b/internal/outside/contract/engine_orders.go
@@ -6,11 +6,11 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // DescribeEngineOrders declares the specifications of the orders and reports of
-// platform.EngineService for a binding.
+// outside.EngineService for a binding.
 func DescribeEngineOrders(binding string, setUp func() *EngineFixture) {
 	ginkgo.Describe("EngineService's orders over "+binding, func() {
 		var fixture *EngineFixture
@@ -21,13 +21,13 @@
 			state, err := fixture.state(0)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			gomega.Expect(state.Server).To(gomega.Equal(fixture.Server))
-			gomega.Expect(state.Fence).To(gomega.Equal(platform.Fence{Epoch: 1, Sequence: 1}))
+			gomega.Expect(state.Fence).To(gomega.Equal(outside.Fence{Epoch: 1, Sequence: 1}))
 			gomega.Expect(state.UsedBytes).To(gomega.Equal(int64(2 << 30)))
 			replica := state.Replicas[0]
 			gomega.Expect(replica.Model).To(gomega.Equal(contractModel))
 			gomega.Expect(replica.Version).To(gomega.Equal("1"))
-			gomega.Expect(replica.Slot).To(gomega.Equal(platform.SlotID(2)))
-			gomega.Expect(replica.Attempt).To(gomega.Equal(platform.AttemptID("load-1")))
+			gomega.Expect(replica.Slot).To(gomega.Equal(outside.SlotID(2)))
+			gomega.Expect(replica.Attempt).To(gomega.Equal(outside.AttemptID("load-1")))
 			gomega.Expect(state.MeasuredAt).To(gomega.BeTemporally("<=", fixture.Now()))
 		})
 
@@ -44,13 +44,13 @@
 		})
 
 		ginkgo.DescribeTable("applies nothing of an order that is not accepted",
-			func(fence platform.Fence, incarnation platform.Incarnation, accepted bool, reason string) {
-				fixture.fence = platform.Fence{Epoch: 1, Sequence: 4}
+			func(fence outside.Fence, incarnation outside.Incarnation, accepted bool, reason string) {
+				fixture.fence = outside.Fence{Epoch: 1, Sequence: 4}
 				_, err := fixture.nextOrder()
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
-				result, err := fixture.order(platform.Order{
+				result, err := fixture.order(outside.Order{
 					Server: fixture.Server, Fence: fence, Incarnation: incarnation,
-					Commands: []platform.Command{loadCommand("load-1")},
+					Commands: []outside.Command{loadCommand("load-1")},
 				})
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
 				gomega.Expect(result.Accepted).To(gomega.Equal(accepted))
@@ -59,11 +59,11 @@
 					gomega.Expect(result.State.Replicas).To(gomega.BeEmpty())
 				}
 			},
-			ginkgo.Entry("a higher sequence", platform.Fence{Epoch: 1, Sequence: 6}, platform.Incarnation(""), true, ""),
-			ginkgo.Entry("a higher epoch", platform.Fence{Epoch: 2, Sequence: 1}, platform.Incarnation(""), true, ""),
-			ginkgo.Entry("the same fence", platform.Fence{Epoch: 1, Sequence: 5}, platform.Incarnation(""), false, "stale_fence"),
-			ginkgo.Entry("a lower epoch", platform.Fence{Epoch: 0, Sequence: 9}, platform.Incarnation(""), false, "stale_fence"),
-			ginkgo.Entry("another incarnation", platform.Fence{Epoch: 2, Sequence: 1}, platform.Incarnation("earlier"), false, "other_incarnation"),
+			ginkgo.Entry("a higher sequence", outside.Fence{Epoch: 1, Sequence: 6}, outside.Incarnation(""), true, ""),
+			ginkgo.Entry("a higher epoch", outside.Fence{Epoch: 2, Sequence: 1}, outside.Incarnation(""), true, ""),
+			ginkgo.Entry("the same fence", outside.Fence{Epoch: 1, Sequence: 5}, outside.Incarnation(""), false, "stale_fence"),
+			ginkgo.Entry("a lower epoch", outside.Fence{Epoch: 0, Sequence: 9}, outside.Incarnation(""), false, "stale_fence"),
+			ginkgo.Entry("another incarnation", outside.Fence{Epoch: 2, Sequence: 1}, outside.Incarnation("earlier"), false, "other_incarnation"),
 		)
 
 		ginkgo.It("ends with an error when the reply is lost, though the order was applied", func() {
@@ -88,7 +88,7 @@
 		)
 
 		ginkgo.It("ends with an error for a server it does not know", func() {
-			_, err := fixture.order(platform.Order{Server: "no-such-server", Fence: platform.Fence{Epoch: 1}})
+			_, err := fixture.order(outside.Order{Server: "no-such-server", Fence: outside.Fence{Epoch: 1}})
 			expectUnreachable(err)
 		})
 	})
@@ -96,5 +96,5 @@
 
 func expectUnreachable(err error) {
 	ginkgo.GinkgoHelper()
-	gomega.Expect(errors.Is(err, platform.ErrServerUnreachable)).To(gomega.BeTrue(), "error: %v", err)
+	gomega.Expect(errors.Is(err, outside.ErrServerUnreachable)).To(gomega.BeTrue(), "error: %v", err)
 }
--- a/internal/platform/contract/engine_streams.go
+++ b/internal/outside/contract/engine_streams.go
@@ -7,7 +7,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -18,7 +18,7 @@
 )
 
 // DescribeEngineStreams declares the specifications of the generations of
-// platform.EngineService for a binding.
+// outside.EngineService for a binding.
 func DescribeEngineStreams(binding string, setUp func() *EngineFixture) {
 	ginkgo.Describe("EngineService's streams over "+binding, func() {
 		var fixture *EngineFixture
@@ -73,7 +73,7 @@
 		})
 
 		ginkgo.DescribeTable("tells a fault as it is",
-			func(fault EngineFault, change func(*platform.GenerateRequest), ran result.Ran, reasons []string, started int) {
+			func(fault EngineFault, change func(*outside.GenerateRequest), ran result.Ran, reasons []string, started int) {
 				warmUp := fixture.request(0, shortAnswer)
 				gomega.Expect(fixture.generate(warmUp).err).To(gomega.BeNil())
 				fixture.SetFault(fault)
@@ -88,20 +88,20 @@
 				gomega.Expect(strings.HasPrefix(complete, stream.text.String())).To(gomega.BeTrue())
 			},
 			ginkgo.Entry("refused", EngineRefuses, asItIs, result.RanNo, []string{"refused"}, 0),
-			ginkgo.Entry("model not loaded", EngineHealthy, func(request *platform.GenerateRequest) {
+			ginkgo.Entry("model not loaded", EngineHealthy, func(request *outside.GenerateRequest) {
 				request.Model = "another"
 			}, result.RanNo, []string{"not_loaded"}, 0),
-			ginkgo.Entry("another version loaded", EngineHealthy, func(request *platform.GenerateRequest) {
+			ginkgo.Entry("another version loaded", EngineHealthy, func(request *outside.GenerateRequest) {
 				request.Version = "2"
 			}, result.RanNo, []string{"not_loaded"}, 0),
-			ginkgo.Entry("unknown server", EngineHealthy, func(request *platform.GenerateRequest) {
+			ginkgo.Entry("unknown server", EngineHealthy, func(request *outside.GenerateRequest) {
 				request.Server = "no-such-server"
 			}, result.RanNo, []string{"connection"}, 0),
 			ginkgo.Entry("nothing listens", EngineDead, asItIs, result.RanNo, []string{"connection"}, 0),
 			ginkgo.Entry("stream truncated", EngineTruncates, asItIs, result.RanUnknown, []string{"truncated", "connection"}, 1),
 			ginkgo.Entry("answer dropped", EngineDropsAnswer, asItIs, result.RanUnknown, []string{"truncated", "connection"}, 1),
 			ginkgo.Entry("no answer", EngineHangs, asItIs, result.RanUnknown, []string{"timeout"}, 0),
-			ginkgo.Entry("answer too long", EngineHealthy, func(request *platform.GenerateRequest) {
+			ginkgo.Entry("answer too long", EngineHealthy, func(request *outside.GenerateRequest) {
 				request.Body = []byte(`{"max_tokens":100000,"prompt":"long"}`)
 			}, result.RanUnknown, []string{"timeout"}, 1),
 		)
@@ -140,12 +140,12 @@
 			running.Deadline = fixture.Now().Add(time.Hour)
 			runningStream := newStreamRecorder(running)
 			cancelRunning := fixture.Service.Generate(running, runningStream)
-			fixture.await(func(*platform.EngineState) bool { return fixture.Started(running.RequestID) == 1 })
+			fixture.await(func(*outside.EngineState) bool { return fixture.Started(running.RequestID) == 1 })
 			waiting := fixture.request(2, shortAnswer)
 			waiting.Deadline = running.Deadline
 			waitingStream := newStreamRecorder(waiting)
 			cancelWaiting := fixture.Service.Generate(waiting, waitingStream)
-			fixture.await(func(*platform.EngineState) bool { return fixture.Received(waiting.RequestID) == 1 })
+			fixture.await(func(*outside.EngineState) bool { return fixture.Received(waiting.RequestID) == 1 })
 			cancelWaiting()
 			fixture.Await(waitingStream.ended)
 			gomega.Expect(waitingStream.err.Reason).To(gomega.Equal("cancelled"))
@@ -157,4 +157,4 @@
 	})
 }
 
-func asItIs(*platform.GenerateRequest) {}
+func asItIs(*outside.GenerateRequest) {}
--- a/internal/platform/contract/engine_test.go
+++ b/internal/outside/contract/engine_test.go
@@ -8,15 +8,15 @@
 	"github.com/onsi/ginkgo/v2"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/contract"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/contract"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
-const engineServer = platform.ServerID("glossa-1")
+const engineServer = outside.ServerID("glossa-1")
 
 var engineFaults = map[contract.EngineFault]engine.Faults{
 	contract.EngineHealthy:         {},
--- a/internal/platform/contract/keyvalue_bindings_test.go
+++ b/internal/outside/contract/keyvalue_bindings_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
 	. "github.com/onsi/ginkgo/v2"
@@ -19,7 +19,7 @@
 
 // keyValueHarness is one binding under test with the store behind it.
 type keyValueHarness struct {
-	service platform.KeyValueService
+	service outside.KeyValueService
 	store   *keyvalue.Store
 	// advance lets time pass for the store.
 	advance func(time.Duration)
--- a/internal/platform/contract/keyvalue_calls_test.go
+++ b/internal/outside/contract/keyvalue_calls_test.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	. "github.com/onsi/gomega"
 )
 
@@ -47,8 +47,8 @@
 	return err
 }
 
-func (h *keyValueHarness) transact(timeout time.Duration, transaction platform.Transaction) (platform.TransactionResult, error) {
-	return await(h, func(done func(platform.TransactionResult, error)) { h.service.Transact(transaction, timeout, done) })
+func (h *keyValueHarness) transact(timeout time.Duration, transaction outside.Transaction) (outside.TransactionResult, error) {
+	return await(h, func(done func(outside.TransactionResult, error)) { h.service.Transact(transaction, timeout, done) })
 }
 
 func (h *keyValueHarness) put(key, value string) int64 {
@@ -58,32 +58,32 @@
 	return result.Revision
 }
 
-func (h *keyValueHarness) read(prefix string) platform.RangeResult {
-	result, err := await(h, func(done func(platform.RangeResult, error)) { h.service.Range(prefix, longTimeout, done) })
+func (h *keyValueHarness) read(prefix string) outside.RangeResult {
+	result, err := await(h, func(done func(outside.RangeResult, error)) { h.service.Range(prefix, longTimeout, done) })
 	Expect(err).NotTo(HaveOccurred())
 	return result
 }
 
-func (h *keyValueHarness) grant(timeToLive time.Duration) platform.LeaseID {
-	lease, err := await(h, func(done func(platform.LeaseID, error)) { h.service.GrantLease(timeToLive, longTimeout, done) })
+func (h *keyValueHarness) grant(timeToLive time.Duration) outside.LeaseID {
+	lease, err := await(h, func(done func(outside.LeaseID, error)) { h.service.GrantLease(timeToLive, longTimeout, done) })
 	Expect(err).NotTo(HaveOccurred())
 	return lease
 }
 
-func (h *keyValueHarness) keepAlive(lease platform.LeaseID) error {
+func (h *keyValueHarness) keepAlive(lease outside.LeaseID) error {
 	return awaitError(h, func(done func(error)) { h.service.KeepAlive(lease, longTimeout, done) })
 }
 
-func (h *keyValueHarness) revoke(lease platform.LeaseID) error {
+func (h *keyValueHarness) revoke(lease outside.LeaseID) error {
 	return awaitError(h, func(done func(error)) { h.service.RevokeLease(lease, longTimeout, done) })
 }
 
-func putting(key, value string, lease platform.LeaseID) platform.Transaction {
-	put := platform.Operation{Kind: platform.OperationPut, Key: key, Value: []byte(value), Lease: lease}
-	return platform.Transaction{Operations: []platform.Operation{put}}
+func putting(key, value string, lease outside.LeaseID) outside.Transaction {
+	put := outside.Operation{Kind: outside.OperationPut, Key: key, Value: []byte(value), Lease: lease}
+	return outside.Transaction{Operations: []outside.Operation{put}}
 }
 
-func keysOf(keyValues []platform.KeyValue) []string {
+func keysOf(keyValues []outside.KeyValue) []string {
 	var keys []string
 	for _, keyValue := range keyValues {
 		keys = append(keys, keyValue.Key)
@@ -100,7 +100,7 @@
 	lost    []error
 }
 
-func (w *watcher) Events(revision int64, events []platform.WatchEvent) {
+func (w *watcher) Events(revision int64, events []outside.WatchEvent) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.revisions = append(w.revisions, revision)
--- a/internal/platform/contract/keyvalue_faults_test.go
+++ b/internal/outside/contract/keyvalue_faults_test.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -12,7 +12,7 @@
 // operationUnderFault is one kind of operation, and how to see that it was
 // applied.
 type operationUnderFault struct {
-	run     func(h *keyValueHarness, lease platform.LeaseID, done func(error))
+	run     func(h *keyValueHarness, lease outside.LeaseID, done func(error))
 	applied func(h *keyValueHarness) bool
 }
 
@@ -20,25 +20,25 @@
 
 var operationsUnderFault = map[string]operationUnderFault{
 	"transact": {
-		run: func(h *keyValueHarness, _ platform.LeaseID, done func(error)) {
-			h.service.Transact(putting("written", "", 0), h.shortTimeout, func(_ platform.TransactionResult, err error) { done(err) })
+		run: func(h *keyValueHarness, _ outside.LeaseID, done func(error)) {
+			h.service.Transact(putting("written", "", 0), h.shortTimeout, func(_ outside.TransactionResult, err error) { done(err) })
 		},
 		applied: func(h *keyValueHarness) bool { return len(h.store.Range("written").KeyValues) == 1 },
 	},
 	"grant": {
-		run: func(h *keyValueHarness, _ platform.LeaseID, done func(error)) {
-			h.service.GrantLease(faultLease, h.shortTimeout, func(_ platform.LeaseID, err error) { done(err) })
+		run: func(h *keyValueHarness, _ outside.LeaseID, done func(error)) {
+			h.service.GrantLease(faultLease, h.shortTimeout, func(_ outside.LeaseID, err error) { done(err) })
 		},
 		applied: func(h *keyValueHarness) bool { return h.store.Leases() == 2 },
 	},
 	"revoke": {
-		run: func(h *keyValueHarness, lease platform.LeaseID, done func(error)) {
+		run: func(h *keyValueHarness, lease outside.LeaseID, done func(error)) {
 			h.service.RevokeLease(lease, h.shortTimeout, done)
 		},
 		applied: func(h *keyValueHarness) bool { return h.store.Leases() == 0 },
 	},
 	"keep alive": {
-		run: func(h *keyValueHarness, lease platform.LeaseID, done func(error)) {
+		run: func(h *keyValueHarness, lease outside.LeaseID, done func(error)) {
 			h.service.KeepAlive(lease, h.shortTimeout, done)
 		},
 		applied: func(h *keyValueHarness) bool {
@@ -70,9 +70,9 @@
 			}
 		},
 		Entry("none", keyvalue.Faults{}, nil, true),
-		Entry("outage", keyvalue.Faults{Outage: true}, platform.ErrNotApplied, false),
-		Entry("reply lost", keyvalue.Faults{LostReplies: 1}, platform.ErrAmbiguous, true),
-		Entry("slower than the timeout", keyvalue.Faults{Delay: 10 * time.Second}, platform.ErrAmbiguous, true),
+		Entry("outage", keyvalue.Faults{Outage: true}, outside.ErrNotApplied, false),
+		Entry("reply lost", keyvalue.Faults{LostReplies: 1}, outside.ErrAmbiguous, true),
+		Entry("slower than the timeout", keyvalue.Faults{Delay: 10 * time.Second}, outside.ErrAmbiguous, true),
 	)
 
 	It("refuses what exceeds the rate", func() {
@@ -81,7 +81,7 @@
 		h.put("a", "1")
 		h.put("b", "1")
 		_, err := h.transact(longTimeout, putting("c", "1", 0))
-		Expect(err).To(MatchError(platform.ErrNotApplied))
+		Expect(err).To(MatchError(outside.ErrNotApplied))
 		h.advance(time.Second)
 		h.put("d", "1")
 		Expect(keysOf(h.store.Range("").KeyValues)).To(Equal([]string{"a", "b", "d"}))
@@ -99,7 +99,7 @@
 		h.eventually(first.isLost)
 		defer h.service.Watch("", h.store.Revision(), second)()
 		h.eventually(second.isLost)
-		Expect(second.losses()).To(HaveExactElements(MatchError(platform.ErrNotApplied)))
+		Expect(second.losses()).To(HaveExactElements(MatchError(outside.ErrNotApplied)))
 	})
 
 	It("loses a watch that has a gap, without later events", func() {
--- a/internal/platform/contract/keyvalue_test.go
+++ b/internal/outside/contract/keyvalue_test.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -25,7 +25,7 @@
 	It("creates a key once and tells the loser what stands there", func() {
 		h := harness()
 		create := putting("a/1", "first", 0)
-		create.Compares = []platform.Compare{{Key: "a/1"}}
+		create.Compares = []outside.Compare{{Key: "a/1"}}
 		created, err := h.transact(longTimeout, create)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(created.Succeeded).To(BeTrue())
@@ -35,7 +35,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(again.Succeeded).To(BeFalse())
 		Expect(again.Revision).To(Equal(created.Revision))
-		Expect(again.Current).To(Equal([]platform.KeyValue{{Key: "a/1", Value: []byte("first"), ModRevision: created.Revision}}))
+		Expect(again.Current).To(Equal([]outside.KeyValue{{Key: "a/1", Value: []byte("first"), ModRevision: created.Revision}}))
 	})
 
 	It("writes all or nothing, by the compared revisions", func() {
@@ -43,11 +43,11 @@
 		first := h.put("a", "1")
 		stale := h.put("b", "1")
 		h.put("b", "2")
-		both := platform.Transaction{
-			Compares: []platform.Compare{{Key: "a", ModRevision: first}, {Key: "b", ModRevision: stale}, {Key: "c"}},
-			Operations: []platform.Operation{
-				{Kind: platform.OperationDelete, Key: "a"},
-				{Kind: platform.OperationPut, Key: "c", Value: []byte("1")},
+		both := outside.Transaction{
+			Compares: []outside.Compare{{Key: "a", ModRevision: first}, {Key: "b", ModRevision: stale}, {Key: "c"}},
+			Operations: []outside.Operation{
+				{Kind: outside.OperationDelete, Key: "a"},
+				{Kind: outside.OperationPut, Key: "c", Value: []byte("1")},
 			},
 		}
 		refused, err := h.transact(longTimeout, both)
@@ -66,16 +66,16 @@
 	})
 
 	DescribeTable("refuses a transaction that is not allowed",
-		func(operations ...platform.Operation) {
+		func(operations ...outside.Operation) {
 			h := harness()
-			_, err := h.transact(longTimeout, platform.Transaction{Operations: operations})
-			Expect(err).To(MatchError(platform.ErrNotApplied))
+			_, err := h.transact(longTimeout, outside.Transaction{Operations: operations})
+			Expect(err).To(MatchError(outside.ErrNotApplied))
 			Expect(h.store.Records(0)).To(BeEmpty())
 		},
-		Entry("empty key", platform.Operation{}),
-		Entry("a key twice", platform.Operation{Key: "a"}, platform.Operation{Key: "a"}),
-		Entry("too large", platform.Operation{Key: "a", Value: make([]byte, 2<<20)}),
-		Entry("an unknown lease", platform.Operation{Key: "a", Lease: 77}),
+		Entry("empty key", outside.Operation{}),
+		Entry("a key twice", outside.Operation{Key: "a"}, outside.Operation{Key: "a"}),
+		Entry("too large", outside.Operation{Key: "a", Value: make([]byte, 2<<20)}),
+		Entry("an unknown lease", outside.Operation{Key: "a", Lease: 77}),
 	)
 
 	DescribeTable("reads the keys of a prefix in order",
@@ -106,7 +106,7 @@
 		Expect(h.read("").KeyValues).To(HaveLen(1))
 		h.advance(time.Second)
 		Expect(h.read("").KeyValues).To(BeEmpty())
-		Expect(h.keepAlive(lease)).To(MatchError(platform.ErrLeaseGone))
+		Expect(h.keepAlive(lease)).To(MatchError(outside.ErrLeaseGone))
 	})
 
 	It("keeps a lease that is kept alive", func() {
@@ -117,7 +117,7 @@
 		h.advance(timeToLive - time.Second)
 		Expect(h.keepAlive(lease)).To(Succeed())
 		h.advance(timeToLive)
-		Expect(h.keepAlive(lease)).To(MatchError(platform.ErrLeaseGone))
+		Expect(h.keepAlive(lease)).To(MatchError(outside.ErrLeaseGone))
 	})
 
 	It("keeps a key whose last write has another lease", func() {
@@ -137,9 +137,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(h.revoke(lease)).To(Succeed())
 		Expect(h.read("").KeyValues).To(BeEmpty())
-		Expect(h.revoke(lease)).To(MatchError(platform.ErrLeaseGone))
+		Expect(h.revoke(lease)).To(MatchError(outside.ErrLeaseGone))
 		_, err = h.transact(longTimeout, putting("late", "value", lease))
-		Expect(err).To(And(MatchError(platform.ErrLeaseGone), MatchError(platform.ErrNotApplied)))
+		Expect(err).To(And(MatchError(outside.ErrLeaseGone), MatchError(outside.ErrNotApplied)))
 		Expect(h.read("").KeyValues).To(BeEmpty())
 	})
 }
@@ -154,8 +154,8 @@
 		stop := h.service.Watch("a/", from, watcher)
 		defer stop()
 		h.eventually(func() bool { return len(watcher.seen()) == 1 })
-		_, err := h.transact(longTimeout, platform.Transaction{Operations: []platform.Operation{
-			{Key: "a/2", Value: []byte("new")}, {Key: "other"}, {Kind: platform.OperationDelete, Key: "a/1"},
+		_, err := h.transact(longTimeout, outside.Transaction{Operations: []outside.Operation{
+			{Key: "a/2", Value: []byte("new")}, {Key: "other"}, {Kind: outside.OperationDelete, Key: "a/1"},
 		}})
 		Expect(err).NotTo(HaveOccurred())
 		h.put("a/3", "last")
@@ -185,7 +185,7 @@
 		watcher := &watcher{}
 		defer h.service.Watch("", from, watcher)()
 		h.eventually(watcher.isLost)
-		Expect(watcher.losses()).To(HaveExactElements(MatchError(platform.ErrCompacted)))
+		Expect(watcher.losses()).To(HaveExactElements(MatchError(outside.ErrCompacted)))
 	})
 
 	It("delivers nothing after stop, and the service forgets the watch", func() {
--- a/internal/platform/contract/machines.go
+++ b/internal/outside/contract/machines.go
@@ -7,18 +7,18 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // MachineListFixture is one binding with one empty list behind it.
 type MachineListFixture struct {
 	Drive
-	Service platform.MachineListService
+	Service outside.MachineListService
 	// Add lists a live machine, Reclaim announces that it leaves, and Remove
 	// ends it.
-	Add     func(machine platform.Machine)
-	Reclaim func(server platform.ServerID, warning time.Duration) bool
-	Remove  func(server platform.ServerID) bool
+	Add     func(machine outside.Machine)
+	Reclaim func(server outside.ServerID, warning time.Duration) bool
+	Remove  func(server outside.ServerID) bool
 	// SetFaults sets by how much the list lags and whether it answers.
 	SetFaults func(lag time.Duration, outage bool)
 }
@@ -26,9 +26,9 @@
 // listTimeout is the timeout of the suite's calls.
 const listTimeout = 200 * time.Millisecond
 
-func (f *MachineListFixture) list(since uint64) (listing *platform.MachineListing, err error) {
+func (f *MachineListFixture) list(since uint64) (listing *outside.MachineListing, err error) {
 	ended := make(chan struct{})
-	f.Service.List(since, listTimeout, func(read *platform.MachineListing, failure error) {
+	f.Service.List(since, listTimeout, func(read *outside.MachineListing, failure error) {
 		listing, err = read, failure
 		close(ended)
 	})
@@ -36,11 +36,11 @@
 	return listing, err
 }
 
-func (f *MachineListFixture) servers() map[platform.ServerID]platform.MachinePhase {
+func (f *MachineListFixture) servers() map[outside.ServerID]outside.MachinePhase {
 	ginkgo.GinkgoHelper()
 	listing, err := f.list(0)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	phases := map[platform.ServerID]platform.MachinePhase{}
+	phases := map[outside.ServerID]outside.MachinePhase{}
 	for _, machine := range listing.Machines {
 		phases[machine.Server] = machine.Phase
 	}
@@ -48,15 +48,15 @@
 }
 
 // DescribeMachineListService declares the specifications of
-// platform.MachineListService for a binding.
+// outside.MachineListService for a binding.
 func DescribeMachineListService(binding string, setUp func() *MachineListFixture) {
 	ginkgo.Describe("MachineListService over "+binding, func() {
 		var fixture *MachineListFixture
-		first := platform.Machine{
+		first := outside.Machine{
 			Server: "glossa-1", Address: "127.0.0.1:7101", Pool: "glossa", Zone: "marousi",
-			Region: "attica", Phase: platform.MachineLive, Engine: true,
+			Region: "attica", Phase: outside.MachineLive, Engine: true,
 		}
-		second := platform.Machine{Server: "eggrafi-1", Pool: "eggrafi", Zone: "koropi", Phase: platform.MachineLive}
+		second := outside.Machine{Server: "eggrafi-1", Pool: "eggrafi", Zone: "koropi", Phase: outside.MachineLive}
 		ginkgo.BeforeEach(func() {
 			fixture = setUp()
 			fixture.Add(first)
@@ -66,7 +66,7 @@
 		ginkgo.It("lists every field of the machines in order of server", func() {
 			listing, err := fixture.list(0)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
-			gomega.Expect(listing.Machines).To(gomega.Equal([]platform.Machine{second, first}))
+			gomega.Expect(listing.Machines).To(gomega.Equal([]outside.Machine{second, first}))
 		})
 
 		ginkgo.It("gives no listing when nothing changed, and a higher version when it did", func() {
@@ -86,13 +86,13 @@
 			gomega.Expect(fixture.Reclaim(first.Server, time.Hour)).To(gomega.BeTrue())
 			listing, err := fixture.list(0)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
-			gomega.Expect(listing.Machines[1].Phase).To(gomega.Equal(platform.MachineLeaving))
+			gomega.Expect(listing.Machines[1].Phase).To(gomega.Equal(outside.MachineLeaving))
 			gomega.Expect(listing.Machines[1].LeavesAt).To(gomega.BeTemporally(">", fixture.Now()))
 			gomega.Expect(fixture.Reclaim("no-such-server", 0)).To(gomega.BeFalse())
 		})
 
 		ginkgo.DescribeTable("lags, but misses no machine that lives",
-			func(change func(), whileLagging, afterwards map[platform.ServerID]platform.MachinePhase) {
+			func(change func(), whileLagging, afterwards map[outside.ServerID]outside.MachinePhase) {
 				fixture.SetFaults(time.Hour, false)
 				change()
 				gomega.Expect(fixture.servers()).To(gomega.Equal(whileLagging))
@@ -101,22 +101,22 @@
 			},
 			ginkgo.Entry("a machine that is gone is still listed",
 				func() { fixture.Remove("glossa-1") },
-				map[platform.ServerID]platform.MachinePhase{"glossa-1": "live", "eggrafi-1": "live"},
-				map[platform.ServerID]platform.MachinePhase{"eggrafi-1": "live"}),
+				map[outside.ServerID]outside.MachinePhase{"glossa-1": "live", "eggrafi-1": "live"},
+				map[outside.ServerID]outside.MachinePhase{"eggrafi-1": "live"}),
 			ginkgo.Entry("a machine that leaves is still listed as live",
 				func() { fixture.Reclaim("glossa-1", time.Hour) },
-				map[platform.ServerID]platform.MachinePhase{"glossa-1": "live", "eggrafi-1": "live"},
-				map[platform.ServerID]platform.MachinePhase{"glossa-1": "leaving", "eggrafi-1": "live"}),
+				map[outside.ServerID]outside.MachinePhase{"glossa-1": "live", "eggrafi-1": "live"},
+				map[outside.ServerID]outside.MachinePhase{"glossa-1": "leaving", "eggrafi-1": "live"}),
 			ginkgo.Entry("a new machine is listed at once",
-				func() { fixture.Add(platform.Machine{Server: "glossa-2"}) },
-				map[platform.ServerID]platform.MachinePhase{"glossa-1": "live", "glossa-2": "live", "eggrafi-1": "live"},
-				map[platform.ServerID]platform.MachinePhase{"glossa-1": "live", "glossa-2": "live", "eggrafi-1": "live"}),
+				func() { fixture.Add(outside.Machine{Server: "glossa-2"}) },
+				map[outside.ServerID]outside.MachinePhase{"glossa-1": "live", "glossa-2": "live", "eggrafi-1": "live"},
+				map[outside.ServerID]outside.MachinePhase{"glossa-1": "live", "glossa-2": "live", "eggrafi-1": "live"}),
 		)
 
 		ginkgo.It("ends a call during an outage with an error", func() {
 			fixture.SetFaults(0, true)
 			_, err := fixture.list(0)
-			gomega.Expect(errors.Is(err, platform.ErrServerUnreachable)).To(gomega.BeTrue(), "error: %v", err)
+			gomega.Expect(errors.Is(err, outside.ErrServerUnreachable)).To(gomega.BeTrue(), "error: %v", err)
 			fixture.SetFaults(0, false)
 			gomega.Expect(fixture.servers()).To(gomega.HaveLen(2))
 		})
--- a/internal/platform/contract/weights.go
+++ b/internal/outside/contract/weights.go
@@ -7,14 +7,14 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // WeightStoreFixture is one binding with one store behind it, which allows 3
 // loads a second and 6 at once at full speed.
 type WeightStoreFixture struct {
 	Drive
-	Service platform.WeightStoreService
+	Service outside.WeightStoreService
 	// Fetch begins a load that does not end within the suite.
 	Fetch       func()
 	SetSlowDown func(factor float64)
@@ -27,9 +27,9 @@
 	WeightStoreFullSpeedLoads = 6
 )
 
-func (f *WeightStoreFixture) status() (status platform.WeightStoreStatus, err error) {
+func (f *WeightStoreFixture) status() (status outside.WeightStoreStatus, err error) {
 	ended := make(chan struct{})
-	f.Service.Status(200*time.Millisecond, func(read platform.WeightStoreStatus, failure error) {
+	f.Service.Status(200*time.Millisecond, func(read outside.WeightStoreStatus, failure error) {
 		status, err = read, failure
 		close(ended)
 	})
@@ -38,7 +38,7 @@
 }
 
 // DescribeWeightStoreService declares the specifications of
-// platform.WeightStoreService for a binding.
+// outside.WeightStoreService for a binding.
 func DescribeWeightStoreService(binding string, setUp func() *WeightStoreFixture) {
 	ginkgo.Describe("WeightStoreService over "+binding, func() {
 		var fixture *WeightStoreFixture
@@ -49,7 +49,7 @@
 				change()
 				status, err := fixture.status()
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
-				gomega.Expect(status).To(gomega.Equal(platform.WeightStoreStatus{
+				gomega.Expect(status).To(gomega.Equal(outside.WeightStoreStatus{
 					Active:         active,
 					FullSpeedLoads: WeightStoreFullSpeedLoads,
 					LoadsPerSecond: WeightStoreLoadsPerSecond,
@@ -64,7 +64,7 @@
 		ginkgo.It("ends a call during an outage with an error", func() {
 			fixture.SetOutage(true)
 			_, err := fixture.status()
-			gomega.Expect(errors.Is(err, platform.ErrServerUnreachable)).To(gomega.BeTrue(), "error: %v", err)
+			gomega.Expect(errors.Is(err, outside.ErrServerUnreachable)).To(gomega.BeTrue(), "error: %v", err)
 			fixture.SetOutage(false)
 			_, err = fixture.status()
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/platform/contract/weights_test.go
+++ b/internal/outside/contract/weights_test.go
@@ -6,8 +6,8 @@
 	"github.com/onsi/ginkgo/v2"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform/contract"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/outside/contract"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/weights"
 )
--- a/internal/platform/etcd/call.go
+++ b/internal/outside/etcd/call.go
@@ -10,8 +10,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd/wire"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd/wire"
 	"github.com/rotisserie/eris"
 )
 
@@ -20,7 +20,7 @@
 func (c *Client) post(ctx context.Context, path string, request, response any) error {
 	body, err := json.Marshal(request)
 	if err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrNotApplied, err)
+		return fmt.Errorf("%w: %w", outside.ErrNotApplied, err)
 	}
 	for range c.endpoints {
 		base, index := c.endpoint()
@@ -58,13 +58,13 @@
 	limited := io.LimitReader(httpResponse.Body, c.config.MaxResponseBytes+1)
 	encoded, err := io.ReadAll(limited)
 	if err != nil {
-		return true, fmt.Errorf("%w: reading the response: %w", platform.ErrAmbiguous, err)
+		return true, fmt.Errorf("%w: reading the response: %w", outside.ErrAmbiguous, err)
 	}
 	if int64(len(encoded)) > c.config.MaxResponseBytes {
-		return true, fmt.Errorf("%w: response exceeds %d bytes", platform.ErrAmbiguous, c.config.MaxResponseBytes)
+		return true, fmt.Errorf("%w: response exceeds %d bytes", outside.ErrAmbiguous, c.config.MaxResponseBytes)
 	}
 	if err := json.Unmarshal(encoded, response); err != nil {
-		return true, fmt.Errorf("%w: decoding the response: %w", platform.ErrAmbiguous, err)
+		return true, fmt.Errorf("%w: decoding the response: %w", outside.ErrAmbiguous, err)
 	}
 	return true, nil
 }
@@ -76,15 +76,15 @@
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return nil, false, fmt.Errorf("%w: %w", platform.ErrNotApplied, err)
+		return nil, false, fmt.Errorf("%w: %w", outside.ErrNotApplied, err)
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err = c.httpClient.Do(request)
 	if err != nil && !connected.Load() {
-		return nil, false, fmt.Errorf("%w: not connected: %w", platform.ErrNotApplied, err)
+		return nil, false, fmt.Errorf("%w: not connected: %w", outside.ErrNotApplied, err)
 	}
 	if err != nil {
-		return nil, true, fmt.Errorf("%w: %w", platform.ErrAmbiguous, err)
+		return nil, true, fmt.Errorf("%w: %w", outside.ErrAmbiguous, err)
 	}
 	if response.StatusCode != http.StatusOK {
 		defer drain(response.Body)
--- a/internal/platform/etcd/classify_test.go
+++ b/internal/outside/etcd/classify_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd"
 )
 
 // answering returns a handler that gives one answer.
@@ -41,29 +41,29 @@
 	DescribeTable("says of a failed write only what is proved",
 		func(handler http.HandlerFunc, expected error) {
 			client := newClient(serve(handler))
-			end := transact(client, 200*time.Millisecond, platform.Transaction{})
+			end := transact(client, 200*time.Millisecond, outside.Transaction{})
 			Expect(end.err).To(MatchError(expected))
-			other := platform.ErrAmbiguous
-			if expected == platform.ErrAmbiguous {
-				other = platform.ErrNotApplied
+			other := outside.ErrAmbiguous
+			if expected == outside.ErrAmbiguous {
+				other = outside.ErrNotApplied
 			}
 			Expect(end.err).NotTo(MatchError(other))
 		},
-		Entry("rate limit", answering(http.StatusTooManyRequests, `{"code":8}`), platform.ErrNotApplied),
-		Entry("bad request", answering(http.StatusBadRequest, `{"code":3}`), platform.ErrNotApplied),
-		Entry("unauthorized", answering(http.StatusUnauthorized, ""), platform.ErrNotApplied),
-		Entry("no leader", answering(http.StatusServiceUnavailable, noLeader), platform.ErrNotApplied),
-		Entry("redirect, not followed", http.RedirectHandler("/elsewhere", http.StatusTemporaryRedirect).ServeHTTP, platform.ErrNotApplied),
-		Entry("leader changed midway", answering(http.StatusServiceUnavailable, `{"code":14,"message":"etcdserver: leader changed"}`), platform.ErrAmbiguous),
-		Entry("unexplained unavailability", answering(http.StatusServiceUnavailable, ""), platform.ErrAmbiguous),
-		Entry("internal error", answering(http.StatusInternalServerError, ""), platform.ErrAmbiguous),
-		Entry("gateway timeout", answering(http.StatusGatewayTimeout, ""), platform.ErrAmbiguous),
-		Entry("request timeout", answering(http.StatusRequestTimeout, ""), platform.ErrAmbiguous),
-		Entry("garbage", answering(http.StatusOK, "<html>"), platform.ErrAmbiguous),
-		Entry("too large", answering(http.StatusOK, `{"x":"`+strings.Repeat("y", maxResponseBytes)+`"}`), platform.ErrAmbiguous),
-		Entry("cut short", http.HandlerFunc(cutShort), platform.ErrAmbiguous),
-		Entry("connection closed", http.HandlerFunc(abort), platform.ErrAmbiguous),
-		Entry("no answer in time", http.HandlerFunc(hang), platform.ErrAmbiguous),
+		Entry("rate limit", answering(http.StatusTooManyRequests, `{"code":8}`), outside.ErrNotApplied),
+		Entry("bad request", answering(http.StatusBadRequest, `{"code":3}`), outside.ErrNotApplied),
+		Entry("unauthorized", answering(http.StatusUnauthorized, ""), outside.ErrNotApplied),
+		Entry("no leader", answering(http.StatusServiceUnavailable, noLeader), outside.ErrNotApplied),
+		Entry("redirect, not followed", http.RedirectHandler("/elsewhere", http.StatusTemporaryRedirect).ServeHTTP, outside.ErrNotApplied),
+		Entry("leader changed midway", answering(http.StatusServiceUnavailable, `{"code":14,"message":"etcdserver: leader changed"}`), outside.ErrAmbiguous),
+		Entry("unexplained unavailability", answering(http.StatusServiceUnavailable, ""), outside.ErrAmbiguous),
+		Entry("internal error", answering(http.StatusInternalServerError, ""), outside.ErrAmbiguous),
+		Entry("gateway timeout", answering(http.StatusGatewayTimeout, ""), outside.ErrAmbiguous),
+		Entry("request timeout", answering(http.StatusRequestTimeout, ""), outside.ErrAmbiguous),
+		Entry("garbage", answering(http.StatusOK, "<html>"), outside.ErrAmbiguous),
+		Entry("too large", answering(http.StatusOK, `{"x":"`+strings.Repeat("y", maxResponseBytes)+`"}`), outside.ErrAmbiguous),
+		Entry("cut short", http.HandlerFunc(cutShort), outside.ErrAmbiguous),
+		Entry("connection closed", http.HandlerFunc(abort), outside.ErrAmbiguous),
+		Entry("no answer in time", http.HandlerFunc(hang), outside.ErrAmbiguous),
 	)
 
 	DescribeTable("says of a lease only what is proved",
@@ -72,20 +72,20 @@
 			err := awaitError(func(done func(error)) { client.KeepAlive(5, longTimeout, done) })
 			Expect(err).To(MatchError(expected))
 		},
-		Entry("not found", answering(http.StatusNotFound, `{"code":5,"message":"etcdserver: requested lease not found"}`), platform.ErrLeaseGone),
-		Entry("no time left", answering(http.StatusOK, `{"result":{"ID":"5"}}`), platform.ErrLeaseGone),
-		Entry("error in the stream", answering(http.StatusOK, `{"error":{"code":5,"message":"etcdserver: requested lease not found"}}`), platform.ErrLeaseGone),
-		Entry("other error in the stream", answering(http.StatusOK, `{"error":{"code":14}}`), platform.ErrAmbiguous),
-		Entry("empty", answering(http.StatusOK, `{}`), platform.ErrAmbiguous),
-		Entry("path not found", answering(http.StatusNotFound, ""), platform.ErrNotApplied),
+		Entry("not found", answering(http.StatusNotFound, `{"code":5,"message":"etcdserver: requested lease not found"}`), outside.ErrLeaseGone),
+		Entry("no time left", answering(http.StatusOK, `{"result":{"ID":"5"}}`), outside.ErrLeaseGone),
+		Entry("error in the stream", answering(http.StatusOK, `{"error":{"code":5,"message":"etcdserver: requested lease not found"}}`), outside.ErrLeaseGone),
+		Entry("other error in the stream", answering(http.StatusOK, `{"error":{"code":14}}`), outside.ErrAmbiguous),
+		Entry("empty", answering(http.StatusOK, `{}`), outside.ErrAmbiguous),
+		Entry("path not found", answering(http.StatusNotFound, ""), outside.ErrNotApplied),
 	)
 
 	It("knows that a write was not sent when nobody listens, and uses the next endpoint", func() {
 		gone := httptest.NewServer(http.NotFoundHandler())
 		gone.Close()
-		Expect(transact(newClient(gone.URL), longTimeout, platform.Transaction{}).err).To(MatchError(platform.ErrNotApplied))
+		Expect(transact(newClient(gone.URL), longTimeout, outside.Transaction{}).err).To(MatchError(outside.ErrNotApplied))
 		live := serve(answering(http.StatusOK, `{"header":{"revision":"4"},"succeeded":true}`))
-		end := transact(newClient(gone.URL, live), longTimeout, platform.Transaction{})
+		end := transact(newClient(gone.URL, live), longTimeout, outside.Transaction{})
 		Expect(end.err).NotTo(HaveOccurred())
 		Expect(end.result.Revision).To(BeEquivalentTo(4))
 	})
@@ -97,9 +97,9 @@
 			answering(http.StatusOK, `{"succeeded":true}`)(w, r)
 		})
 		client := newClient(serve(abort), live)
-		Expect(transact(client, longTimeout, platform.Transaction{}).err).To(MatchError(platform.ErrAmbiguous))
+		Expect(transact(client, longTimeout, outside.Transaction{}).err).To(MatchError(outside.ErrAmbiguous))
 		Expect(asked).To(BeEmpty())
-		Expect(transact(client, longTimeout, platform.Transaction{}).err).NotTo(HaveOccurred())
+		Expect(transact(client, longTimeout, outside.Transaction{}).err).NotTo(HaveOccurred())
 	})
 
 	It("ends calls at Close, and sends none after", func() {
@@ -108,7 +108,7 @@
 		client.RevokeLease(5, time.Hour, func(err error) { ended <- err })
 		client.Close()
 		Expect(ended).To(Receive(HaveOccurred()))
-		Expect(transact(client, longTimeout, platform.Transaction{}).err).To(MatchError(platform.ErrNotApplied))
+		Expect(transact(client, longTimeout, outside.Transaction{}).err).To(MatchError(outside.ErrNotApplied))
 	})
 
 	DescribeTable("refuses settings that can't work",
--- a/internal/platform/etcd/config.go
+++ b/internal/outside/etcd/config.go
@@ -1,4 +1,4 @@
-// Package etcd binds platform.KeyValueService to the published JSON interface
+// Package etcd binds outside.KeyValueService to the published JSON interface
 // of etcd v3 over HTTP.
 package etcd
 
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 )
@@ -44,7 +44,7 @@
 	WatchSilence time.Duration
 }
 
-// Client is a binding of platform.KeyValueService. It is safe for concurrent
+// Client is a binding of outside.KeyValueService. It is safe for concurrent
 // use.
 type Client struct {
 	config     Config
@@ -62,7 +62,7 @@
 	running sync.WaitGroup
 }
 
-var _ platform.KeyValueService = (*Client)(nil)
+var _ outside.KeyValueService = (*Client)(nil)
 
 // New returns a client. It does not connect yet.
 func New(config Config) (*Client, error) {
@@ -123,7 +123,7 @@
 }
 
 // Close ends all calls and watches and waits for them. It must not be called
-// from a callback. Calls made later end with platform.ErrNotApplied.
+// from a callback. Calls made later end with outside.ErrNotApplied.
 func (c *Client) Close() {
 	c.mutex.Lock()
 	c.closed = true
--- a/internal/platform/etcd/convert.go
+++ b/internal/outside/etcd/convert.go
@@ -1,8 +1,8 @@
 package etcd
 
 import (
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd/wire"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd/wire"
 )
 
 // prefixRange returns the range of all keys with the prefix. The empty prefix
@@ -14,7 +14,7 @@
 	return []byte(prefix), wire.PrefixEnd([]byte(prefix))
 }
 
-func encodeTransaction(transaction platform.Transaction) wire.TransactRequest {
+func encodeTransaction(transaction outside.Transaction) wire.TransactRequest {
 	var request wire.TransactRequest
 	for _, compare := range transaction.Compares {
 		key := []byte(compare.Key)
@@ -32,17 +32,17 @@
 	return request
 }
 
-func encodeOperation(operation platform.Operation) wire.RequestOperation {
+func encodeOperation(operation outside.Operation) wire.RequestOperation {
 	key := []byte(operation.Key)
-	if operation.Kind == platform.OperationDelete {
+	if operation.Kind == outside.OperationDelete {
 		return wire.RequestOperation{DeleteRange: &wire.DeleteRequest{Key: key}}
 	}
 	put := &wire.PutRequest{Key: key, Value: operation.Value, Lease: wire.Int64(operation.Lease)}
 	return wire.RequestOperation{Put: put}
 }
 
-func decodeTransaction(response wire.TransactResponse) platform.TransactionResult {
-	result := platform.TransactionResult{
+func decodeTransaction(response wire.TransactResponse) outside.TransactionResult {
+	result := outside.TransactionResult{
 		Succeeded: response.Succeeded,
 		Revision:  int64(response.Header.Revision),
 	}
@@ -57,25 +57,25 @@
 	return result
 }
 
-func decodeKeyValues(encoded []wire.KeyValue) []platform.KeyValue {
-	var decoded []platform.KeyValue
+func decodeKeyValues(encoded []wire.KeyValue) []outside.KeyValue {
+	var decoded []outside.KeyValue
 	for _, keyValue := range encoded {
 		decoded = append(decoded, decodeKeyValue(keyValue))
 	}
 	return decoded
 }
 
-func decodeKeyValue(encoded wire.KeyValue) platform.KeyValue {
-	return platform.KeyValue{
+func decodeKeyValue(encoded wire.KeyValue) outside.KeyValue {
+	return outside.KeyValue{
 		Key:         string(encoded.Key),
 		Value:       encoded.Value,
 		ModRevision: int64(encoded.ModRevision),
-		Lease:       platform.LeaseID(encoded.Lease),
+		Lease:       outside.LeaseID(encoded.Lease),
 	}
 }
 
-func decodeEvent(encoded wire.Event) platform.WatchEvent {
-	return platform.WatchEvent{
+func decodeEvent(encoded wire.Event) outside.WatchEvent {
+	return outside.WatchEvent{
 		Deleted:  encoded.Type == wire.EventDelete,
 		KeyValue: decodeKeyValue(encoded.KeyValue),
 	}
--- a/internal/platform/etcd/etcd_suite_test.go
+++ b/internal/outside/etcd/etcd_suite_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd"
 	"github.com/rs/zerolog"
 )
 
@@ -45,13 +45,13 @@
 
 // outcome is the end of a call.
 type outcome struct {
-	result platform.TransactionResult
+	result outside.TransactionResult
 	err    error
 }
 
-func transact(client *etcd.Client, timeout time.Duration, transaction platform.Transaction) outcome {
+func transact(client *etcd.Client, timeout time.Duration, transaction outside.Transaction) outcome {
 	ended := make(chan outcome, 2)
-	client.Transact(transaction, timeout, func(result platform.TransactionResult, err error) { ended <- outcome{result, err} })
+	client.Transact(transaction, timeout, func(result outside.TransactionResult, err error) { ended <- outcome{result, err} })
 	var end outcome
 	Eventually(ended, longTimeout).Should(Receive(&end))
 	return end
--- a/internal/platform/etcd/service.go
+++ b/internal/outside/etcd/service.go
@@ -5,55 +5,55 @@
 	"fmt"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd/wire"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd/wire"
 )
 
-// Transact implements platform.KeyValueService.
-func (c *Client) Transact(transaction platform.Transaction, timeout time.Duration, done func(platform.TransactionResult, error)) {
+// Transact implements outside.KeyValueService.
+func (c *Client) Transact(transaction outside.Transaction, timeout time.Duration, done func(outside.TransactionResult, error)) {
 	request := encodeTransaction(transaction)
-	run(c, timeout, done, func(ctx context.Context) (platform.TransactionResult, error) {
+	run(c, timeout, done, func(ctx context.Context) (outside.TransactionResult, error) {
 		var response wire.TransactResponse
 		if err := c.post(ctx, wire.PathTransact, request, &response); err != nil {
-			return platform.TransactionResult{}, err
+			return outside.TransactionResult{}, err
 		}
 		return decodeTransaction(response), nil
 	})
 }
 
-// Range implements platform.KeyValueService.
-func (c *Client) Range(prefix string, timeout time.Duration, done func(platform.RangeResult, error)) {
+// Range implements outside.KeyValueService.
+func (c *Client) Range(prefix string, timeout time.Duration, done func(outside.RangeResult, error)) {
 	key, end := prefixRange(prefix)
 	request := wire.RangeRequest{Key: key, RangeEnd: end}
-	run(c, timeout, done, func(ctx context.Context) (platform.RangeResult, error) {
+	run(c, timeout, done, func(ctx context.Context) (outside.RangeResult, error) {
 		var response wire.RangeResponse
 		if err := c.post(ctx, wire.PathRange, request, &response); err != nil {
-			return platform.RangeResult{}, err
+			return outside.RangeResult{}, err
 		}
 		keyValues := decodeKeyValues(response.KeyValues)
-		return platform.RangeResult{Revision: int64(response.Header.Revision), KeyValues: keyValues}, nil
+		return outside.RangeResult{Revision: int64(response.Header.Revision), KeyValues: keyValues}, nil
 	})
 }
 
-// GrantLease implements platform.KeyValueService. The time to live is rounded
+// GrantLease implements outside.KeyValueService. The time to live is rounded
 // up to whole seconds, which is all the protocol can carry.
-func (c *Client) GrantLease(timeToLive, timeout time.Duration, done func(platform.LeaseID, error)) {
+func (c *Client) GrantLease(timeToLive, timeout time.Duration, done func(outside.LeaseID, error)) {
 	seconds := (timeToLive + time.Second - 1) / time.Second
 	request := wire.LeaseGrantRequest{TimeToLive: wire.Int64(seconds)}
-	run(c, timeout, done, func(ctx context.Context) (platform.LeaseID, error) {
+	run(c, timeout, done, func(ctx context.Context) (outside.LeaseID, error) {
 		var response wire.LeaseResponse
 		if err := c.post(ctx, wire.PathLeaseGrant, request, &response); err != nil {
 			return 0, err
 		}
 		if response.ID == 0 {
-			return 0, fmt.Errorf("%w: lease granted without an id", platform.ErrAmbiguous)
+			return 0, fmt.Errorf("%w: lease granted without an id", outside.ErrAmbiguous)
 		}
-		return platform.LeaseID(response.ID), nil
+		return outside.LeaseID(response.ID), nil
 	})
 }
 
-// KeepAlive implements platform.KeyValueService.
-func (c *Client) KeepAlive(lease platform.LeaseID, timeout time.Duration, done func(error)) {
+// KeepAlive implements outside.KeyValueService.
+func (c *Client) KeepAlive(lease outside.LeaseID, timeout time.Duration, done func(error)) {
 	request := wire.LeaseRequest{ID: wire.Int64(lease)}
 	runPlain(c, timeout, done, func(ctx context.Context) error {
 		var response wire.StreamMessage[wire.LeaseResponse]
@@ -67,20 +67,20 @@
 func checkKeepAlive(response wire.StreamMessage[wire.LeaseResponse]) error {
 	switch {
 	case response.Error != nil && isLeaseNotFound(*response.Error):
-		return fmt.Errorf("%w: %w", platform.ErrNotApplied, platform.ErrLeaseGone)
+		return fmt.Errorf("%w: %w", outside.ErrNotApplied, outside.ErrLeaseGone)
 	case response.Error != nil:
-		return fmt.Errorf("%w: %s", platform.ErrAmbiguous, response.Error.Message)
+		return fmt.Errorf("%w: %s", outside.ErrAmbiguous, response.Error.Message)
 	case response.Result == nil:
-		return fmt.Errorf("%w: empty response", platform.ErrAmbiguous)
+		return fmt.Errorf("%w: empty response", outside.ErrAmbiguous)
 	case response.Result.TimeToLive <= 0:
-		return fmt.Errorf("%w: %w", platform.ErrNotApplied, platform.ErrLeaseGone)
+		return fmt.Errorf("%w: %w", outside.ErrNotApplied, outside.ErrLeaseGone)
 	default:
 		return nil
 	}
 }
 
-// RevokeLease implements platform.KeyValueService.
-func (c *Client) RevokeLease(lease platform.LeaseID, timeout time.Duration, done func(error)) {
+// RevokeLease implements outside.KeyValueService.
+func (c *Client) RevokeLease(lease outside.LeaseID, timeout time.Duration, done func(error)) {
 	request := wire.LeaseRequest{ID: wire.Int64(lease)}
 	runPlain(c, timeout, done, func(ctx context.Context) error {
 		var response wire.LeaseResponse
--- a/internal/platform/etcd/status.go
+++ b/internal/outside/etcd/status.go
@@ -6,15 +6,15 @@
 	"net/http"
 	"strings"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd/wire"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd/wire"
 )
 
 // errServiceFailed is a failure reported by the service.
 var errServiceFailed = errors.New("key-value service failed")
 
 // statusError is a response with an HTTP status other than OK. It matches the
-// errors of package platform that it proves.
+// errors of package outside that it proves.
 type statusError struct {
 	status int
 	body   wire.Error
@@ -28,7 +28,7 @@
 // Is implements the match of errors.Is.
 func (e *statusError) Is(target error) bool {
 	switch target {
-	case platform.ErrLeaseGone:
+	case outside.ErrLeaseGone:
 		return isLeaseNotFound(e.body)
 	case errServiceFailed:
 		return true
@@ -39,9 +39,9 @@
 
 func (e *statusError) outcome() error {
 	if e.refused() {
-		return platform.ErrNotApplied
+		return outside.ErrNotApplied
 	}
-	return platform.ErrAmbiguous
+	return outside.ErrAmbiguous
 }
 
 // refused reports whether the service has certainly not run the operation.
--- a/internal/platform/etcd/watch.go
+++ b/internal/outside/etcd/watch.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd/wire"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd/wire"
 )
 
 var (
@@ -23,7 +23,7 @@
 // watch is one open watch.
 type watch struct {
 	client  *Client
-	handler platform.WatchHandler
+	handler outside.WatchHandler
 	// revision of the newest events given to the handler.
 	revision int64
 
@@ -31,9 +31,9 @@
 	stopped bool
 }
 
-// Watch implements platform.KeyValueService. A call of the handler that began
+// Watch implements outside.KeyValueService. A call of the handler that began
 // before stop may end after it.
-func (c *Client) Watch(prefix string, fromRevision int64, handler platform.WatchHandler) (stop func()) {
+func (c *Client) Watch(prefix string, fromRevision int64, handler outside.WatchHandler) (stop func()) {
 	ctx, cancel := context.WithCancel(c.context)
 	watch := &watch{client: c, handler: handler, revision: fromRevision}
 	c.start(func() {
@@ -73,7 +73,7 @@
 	if ctx.Err() != nil && w.client.context.Err() == nil {
 		err = fmt.Errorf("%w: %w", errWatchSilent, err)
 	}
-	if !errors.Is(err, platform.ErrCompacted) {
+	if !errors.Is(err, outside.ErrCompacted) {
 		w.client.avoidAfter(err, index)
 	}
 	w.client.config.Logger.Info().Str("prefix", prefix).Int64("revision", w.revision).
@@ -124,7 +124,7 @@
 	}
 	response := message.Result
 	if response.CompactRevision != 0 {
-		return fmt.Errorf("%w: at %d", platform.ErrCompacted, response.CompactRevision)
+		return fmt.Errorf("%w: at %d", outside.ErrCompacted, response.CompactRevision)
 	}
 	if response.Canceled {
 		return fmt.Errorf("%w: %s", errWatchCanceled, response.CancelReason)
@@ -153,7 +153,7 @@
 		return fmt.Errorf("%w: %d after %d", errWatchOrder, revision, w.revision)
 	}
 	w.revision = revision
-	events := make([]platform.WatchEvent, 0, len(encoded))
+	events := make([]outside.WatchEvent, 0, len(encoded))
 	for _, event := range encoded {
 		events = append(events, decodeEvent(event))
 	}
--- a/internal/platform/etcd/watch_test.go
+++ b/internal/outside/etcd/watch_test.go
@@ -8,20 +8,20 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // watcher passes on what a watch delivers.
 type watcher struct {
-	events chan platform.WatchEvent
+	events chan outside.WatchEvent
 	lost   chan error
 }
 
 func newWatcher() *watcher {
-	return &watcher{events: make(chan platform.WatchEvent, 100), lost: make(chan error, 2)}
+	return &watcher{events: make(chan outside.WatchEvent, 100), lost: make(chan error, 2)}
 }
 
-func (w *watcher) Events(_ int64, events []platform.WatchEvent) {
+func (w *watcher) Events(_ int64, events []outside.WatchEvent) {
 	for _, event := range events {
 		w.events <- event
 	}
@@ -60,9 +60,9 @@
 		Entry("revision repeated", streaming(firstEvents+firstEvents), 2, ContainSubstring("out of order")),
 		Entry("error in the stream", streaming(firstEvents+`{"error":{"message":"moved"}}`), 2, ContainSubstring("moved")),
 		Entry("canceled", streaming(`{"result":{"canceled":true,"cancel_reason":"why"}}`), 0, ContainSubstring("why")),
-		Entry("compacted", streaming(`{"result":{"canceled":true,"compact_revision":"9"}}`), 0, platform.ErrCompacted),
+		Entry("compacted", streaming(`{"result":{"canceled":true,"compact_revision":"9"}}`), 0, outside.ErrCompacted),
 		Entry("message too large", streaming(`{"result":{"x":"`+strings.Repeat("y", 2*maxResponseBytes)), 0, ContainSubstring("too large")),
-		Entry("refused", answering(http.StatusServiceUnavailable, noLeader), 0, platform.ErrNotApplied),
+		Entry("refused", answering(http.StatusServiceUnavailable, noLeader), 0, outside.ErrNotApplied),
 	)
 
 	It("is not lost by stop", func() {
--- a/internal/platform/etcd/wire_test.go
+++ b/internal/outside/etcd/wire_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd"
 )
 
 // capture starts a server that keeps the last request and gives one answer.
@@ -41,11 +41,11 @@
 		url, path, body := capture(`{"header":{"cluster_id":"125","member_id":"138","revision":"9","raft_term":"2"},
 			"responses":[{"response_range":{"header":{"revision":"9"},"kvs":[{"key":"Zm9v","create_revision":"2",
 			"mod_revision":"8","version":"3","value":"YmFy","lease":"77"}],"count":"1"}},{"response_range":{"header":{"revision":"9"}}}]}`)
-		end := transact(newClient(url), longTimeout, platform.Transaction{
-			Compares: []platform.Compare{{Key: "foo", ModRevision: 5}, {Key: "new"}},
-			Operations: []platform.Operation{
+		end := transact(newClient(url), longTimeout, outside.Transaction{
+			Compares: []outside.Compare{{Key: "foo", ModRevision: 5}, {Key: "new"}},
+			Operations: []outside.Operation{
 				{Key: "foo", Value: []byte("bar"), Lease: 77},
-				{Kind: platform.OperationDelete, Key: "new"},
+				{Kind: outside.OperationDelete, Key: "new"},
 			},
 		})
 		Expect(path()).To(Equal("/v3/kv/txn"))
@@ -55,7 +55,7 @@
 			"success":[{"request_put":{"key":"Zm9v","value":"YmFy","lease":"77"}},{"request_delete_range":{"key":"bmV3"}}],
 			"failure":[{"request_range":{"key":"Zm9v"}},{"request_range":{"key":"bmV3"}}]}`))
 		Expect(end.err).NotTo(HaveOccurred())
-		Expect(end.result).To(Equal(platform.TransactionResult{Revision: 9, Current: []platform.KeyValue{
+		Expect(end.result).To(Equal(outside.TransactionResult{Revision: 9, Current: []outside.KeyValue{
 			{Key: "foo", Value: []byte("bar"), ModRevision: 8, Lease: 77},
 		}}))
 	})
@@ -68,12 +68,12 @@
 			Eventually(path, longTimeout).Should(Equal(expectedPath))
 			Expect(body()).To(MatchJSON(expectedBody))
 		},
-		Entry("range", func(c *etcd.Client) { c.Range("foo", longTimeout, func(platform.RangeResult, error) {}) },
+		Entry("range", func(c *etcd.Client) { c.Range("foo", longTimeout, func(outside.RangeResult, error) {}) },
 			`{}`, "/v3/kv/range", `{"key":"Zm9v","range_end":"Zm9w"}`),
-		Entry("range of all", func(c *etcd.Client) { c.Range("", longTimeout, func(platform.RangeResult, error) {}) },
+		Entry("range of all", func(c *etcd.Client) { c.Range("", longTimeout, func(outside.RangeResult, error) {}) },
 			`{}`, "/v3/kv/range", `{"key":"AA==","range_end":"AA=="}`),
 		Entry("grant, rounded up", func(c *etcd.Client) {
-			c.GrantLease(1500*time.Millisecond, longTimeout, func(platform.LeaseID, error) {})
+			c.GrantLease(1500*time.Millisecond, longTimeout, func(outside.LeaseID, error) {})
 		}, `{"ID":"7","TTL":"2"}`, "/v3/lease/grant", `{"TTL":"2"}`),
 		Entry("keep alive", func(c *etcd.Client) { c.KeepAlive(7, longTimeout, func(error) {}) },
 			`{"result":{"ID":"7","TTL":"2"}}`, "/v3/lease/keepalive", `{"ID":"7"}`),
--- a/internal/platform/httpapi/attempt.go
+++ b/internal/outside/httpapi/attempt.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -45,7 +45,7 @@
 
 // attempt is one HTTP request that must not be repeated.
 type attempt struct {
-	id    platform.AttemptID
+	id    outside.AttemptID
 	proof writeProof
 }
 
@@ -62,17 +62,17 @@
 }
 
 // unsent is the failure of an attempt for which no request was made.
-func (a *attempt) unsent(reason string) *platform.AttemptError {
-	return &platform.AttemptError{Attempt: a.id, Ran: result.RanNo, Reason: reason}
+func (a *attempt) unsent(reason string) *outside.AttemptError {
+	return &outside.AttemptError{Attempt: a.id, Ran: result.RanNo, Reason: reason}
 }
 
 // failed is the failure of an attempt after its request was sent.
-func (a *attempt) failed(reason string) *platform.AttemptError {
-	return &platform.AttemptError{Attempt: a.id, Ran: result.RanUnknown, Reason: reason}
+func (a *attempt) failed(reason string) *outside.AttemptError {
+	return &outside.AttemptError{Attempt: a.id, Ran: result.RanUnknown, Reason: reason}
 }
 
 // noResponse is the failure of an attempt that got no response.
-func (a *attempt) noResponse(ctx context.Context) *platform.AttemptError {
+func (a *attempt) noResponse(ctx context.Context) *outside.AttemptError {
 	failure := a.failed(reasonOf(ctx, reasonConnection))
 	if a.proof.nothingWritten() {
 		failure.Ran = result.RanNo
@@ -81,7 +81,7 @@
 }
 
 // unsuccessful is the failure of an attempt whose response has an error status.
-func (a *attempt) unsuccessful(response *http.Response) *platform.AttemptError {
+func (a *attempt) unsuccessful(response *http.Response) *outside.AttemptError {
 	problem, isProblem := readProblem(response)
 	if !isProblem {
 		return a.failed(reasonFailed)
@@ -89,8 +89,8 @@
 	return a.ofProblem(problem)
 }
 
-func (a *attempt) ofProblem(problem Problem) *platform.AttemptError {
-	return &platform.AttemptError{
+func (a *attempt) ofProblem(problem Problem) *outside.AttemptError {
+	return &outside.AttemptError{
 		Attempt: a.id, Ran: ranOf(problem.Ran), Reason: problem.Reason, Load: problem.Load,
 	}
 }
@@ -163,15 +163,15 @@
 }
 
 // loadOf reads the load headers; what is missing or unreadable is zero.
-func loadOf(header http.Header) platform.LoadHint {
+func loadOf(header http.Header) outside.LoadHint {
 	running, _ := strconv.Atoi(header.Get(HeaderLoadRunning))
 	queued, _ := strconv.Atoi(header.Get(HeaderLoadQueued))
 	leaving, _ := strconv.ParseBool(header.Get(HeaderLoadLeaving))
-	return platform.LoadHint{Running: running, Queued: queued, Leaving: leaving}
+	return outside.LoadHint{Running: running, Queued: queued, Leaving: leaving}
 }
 
 // SetLoad writes the load headers.
-func SetLoad(header http.Header, load platform.LoadHint) {
+func SetLoad(header http.Header, load outside.LoadHint) {
 	header.Set(HeaderLoadRunning, strconv.Itoa(load.Running))
 	header.Set(HeaderLoadQueued, strconv.Itoa(load.Queued))
 	header.Set(HeaderLoadLeaving, strconv.FormatBool(load.Leaving))
--- a/internal/platform/httpapi/backend.go
+++ b/internal/outside/httpapi/backend.go
@@ -5,10 +5,10 @@
 	"net/http"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
-// BackEnds implements platform.BackEndService.
+// BackEnds implements outside.BackEndService.
 type BackEnds struct {
 	client  *http.Client
 	lookup  Lookup
@@ -34,20 +34,20 @@
 // Close closes the idle connections.
 func (b *BackEnds) Close() { b.client.CloseIdleConnections() }
 
-// Call implements platform.BackEndService.
-func (b *BackEnds) Call(request platform.BackEndRequest, done func(platform.BackEndResponse, error)) {
+// Call implements outside.BackEndService.
+func (b *BackEnds) Call(request outside.BackEndRequest, done func(outside.BackEndResponse, error)) {
 	go func() {
 		response, failure := b.call(request)
 		if failure != nil {
-			done(platform.BackEndResponse{}, failure)
+			done(outside.BackEndResponse{}, failure)
 			return
 		}
 		done(response, nil)
 	}()
 }
 
-func (b *BackEnds) call(request platform.BackEndRequest) (platform.BackEndResponse, *platform.AttemptError) {
-	none := platform.BackEndResponse{}
+func (b *BackEnds) call(request outside.BackEndRequest) (outside.BackEndResponse, *outside.AttemptError) {
+	none := outside.BackEndResponse{}
 	current := &attempt{id: request.Attempt}
 	address, known := b.lookup(request.Server)
 	if !known {
@@ -71,7 +71,7 @@
 	return b.read(ctx, current, response)
 }
 
-func setBackEndHeaders(header http.Header, request platform.BackEndRequest) {
+func setBackEndHeaders(header http.Header, request outside.BackEndRequest) {
 	setHeader(header, HeaderRequest, request.RequestID)
 	setHeader(header, HeaderKey, request.Key)
 	setHeader(header, "Content-Type", request.ContentType)
@@ -81,8 +81,8 @@
 // read turns a complete response into the answer. A status that is not a
 // success is an answer too, unless its body is a problem document that speaks
 // about the run.
-func (b *BackEnds) read(ctx context.Context, current *attempt, response *http.Response) (platform.BackEndResponse, *platform.AttemptError) {
-	none := platform.BackEndResponse{}
+func (b *BackEnds) read(ctx context.Context, current *attempt, response *http.Response) (outside.BackEndResponse, *outside.AttemptError) {
+	none := outside.BackEndResponse{}
 	if !current.matches(response) {
 		return none, current.failed(reasonFailed)
 	}
@@ -93,7 +93,7 @@
 	if err != nil {
 		return none, current.failed(reasonOf(ctx, reasonTruncated))
 	}
-	return platform.BackEndResponse{
+	return outside.BackEndResponse{
 		Attempt:     current.id,
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
--- a/internal/platform/httpapi/engines.go
+++ b/internal/outside/httpapi/engines.go
@@ -6,10 +6,10 @@
 	"net/http"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
-// Engines implements platform.EngineService.
+// Engines implements outside.EngineService.
 type Engines struct {
 	client *http.Client
 	// control has connections of its own, so that orders and reports do not
@@ -31,26 +31,26 @@
 	e.control.CloseIdleConnections()
 }
 
-// Order implements platform.EngineService.
-func (e *Engines) Order(order platform.Order, timeout time.Duration, done func(platform.OrderResult, error)) {
+// Order implements outside.EngineService.
+func (e *Engines) Order(order outside.Order, timeout time.Duration, done func(outside.OrderResult, error)) {
 	go func() {
-		result := platform.OrderResult{}
+		result := outside.OrderResult{}
 		_, err := e.exchange(order.Server, timeout, http.MethodPost, PathOrders, order, &result)
 		if err == nil {
 			err = checkState(&result.State)
 		}
 		if err != nil {
-			done(platform.OrderResult{}, err)
+			done(outside.OrderResult{}, err)
 			return
 		}
 		done(result, nil)
 	}()
 }
 
-// State implements platform.EngineService.
-func (e *Engines) State(server platform.ServerID, sinceVersion uint64, timeout time.Duration, done func(*platform.EngineState, error)) {
+// State implements outside.EngineService.
+func (e *Engines) State(server outside.ServerID, sinceVersion uint64, timeout time.Duration, done func(*outside.EngineState, error)) {
 	go func() {
-		state := &platform.EngineState{}
+		state := &outside.EngineState{}
 		changed, err := e.exchange(server, timeout, http.MethodGet, PathState+sinceQuery(sinceVersion), nil, state)
 		if err == nil {
 			err = checkState(state)
@@ -66,19 +66,19 @@
 var errBadState = errors.New("state with an unknown phase or source")
 
 // checkState refuses a state with numbers that this program has no words for.
-func checkState(state *platform.EngineState) error {
+func checkState(state *outside.EngineState) error {
 	for _, replica := range state.Replicas {
-		if replica.Phase > platform.ReplicaFailed || replica.Source > platform.SourceRemote {
+		if replica.Phase > outside.ReplicaFailed || replica.Source > outside.SourceRemote {
 			return unreachable(errBadState)
 		}
 		for _, adapter := range replica.Adapters {
-			if adapter.Phase > platform.ReplicaFailed {
+			if adapter.Phase > outside.ReplicaFailed {
 				return unreachable(errBadState)
 			}
 		}
 	}
 	for _, checkpoint := range state.Cached {
-		if checkpoint.Source > platform.SourceRemote {
+		if checkpoint.Source > outside.SourceRemote {
 			return unreachable(errBadState)
 		}
 	}
@@ -86,7 +86,7 @@
 }
 
 // postCancel reports whether the engine knew the attempt and cancels it.
-func (e *Engines) postCancel(server platform.ServerID, attempt platform.AttemptID) bool {
+func (e *Engines) postCancel(server outside.ServerID, attempt outside.AttemptID) bool {
 	address, known := e.lookup(server)
 	if !known {
 		return false
@@ -105,10 +105,10 @@
 	return response.StatusCode == http.StatusNoContent
 }
 
-func (e *Engines) exchange(server platform.ServerID, timeout time.Duration, method, path string, content, result any) (bool, error) {
+func (e *Engines) exchange(server outside.ServerID, timeout time.Duration, method, path string, content, result any) (bool, error) {
 	address, known := e.lookup(server)
 	if !known {
-		return false, platform.ErrServerUnreachable
+		return false, outside.ErrServerUnreachable
 	}
 	return exchangeJSON(e.control, e.options.MaxResponseBytes, timeout, method, "http://"+address+path, content, result)
 }
--- a/internal/platform/httpapi/frame.go
+++ b/internal/outside/httpapi/frame.go
@@ -8,7 +8,7 @@
 	"io"
 	"sync"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // The ways in which a stream can be broken.
@@ -35,13 +35,13 @@
 // receivedFrame is the part of a StreamFrame that a client uses. Leaving the
 // rest out saves allocations on the way of every token.
 type receivedFrame struct {
-	Choices []receivedChoice   `json:"choices"`
-	Usage   *StreamUsage       `json:"usage"`
-	Index   int                `json:"chunk_index"`
-	Tokens  int                `json:"chunk_tokens"`
-	Chunks  *int               `json:"chunk_count"`
-	Load    *platform.LoadHint `json:"load"`
-	Problem *Problem           `json:"problem"`
+	Choices []receivedChoice  `json:"choices"`
+	Usage   *StreamUsage      `json:"usage"`
+	Index   int               `json:"chunk_index"`
+	Tokens  int               `json:"chunk_tokens"`
+	Chunks  *int              `json:"chunk_count"`
+	Load    *outside.LoadHint `json:"load"`
+	Problem *Problem          `json:"problem"`
 }
 
 type receivedChoice struct {
--- a/internal/platform/httpapi/generate.go
+++ b/internal/outside/httpapi/generate.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 var errCancelled = errors.New("cancelled by the caller")
@@ -22,16 +22,16 @@
 // which makes all calls of the sink.
 type generation struct {
 	engines *Engines
-	request platform.GenerateRequest
-	sink    platform.GenerateSink
+	request outside.GenerateRequest
+	sink    outside.GenerateSink
 	attempt attempt
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 }
 
-// Generate implements platform.EngineService. Cancel asks the engine to cancel
+// Generate implements outside.EngineService. Cancel asks the engine to cancel
 // and waits for its word on the attempt; without one, it closes the connection.
-func (e *Engines) Generate(request platform.GenerateRequest, sink platform.GenerateSink) (cancel func()) {
+func (e *Engines) Generate(request outside.GenerateRequest, sink outside.GenerateSink) (cancel func()) {
 	ctx, cancelCause := context.WithCancelCause(context.Background())
 	current := &generation{
 		engines: e, request: request, sink: sink,
@@ -86,7 +86,7 @@
 }
 
 // send returns the response if its status is a success.
-func (g *generation) send() (*http.Response, *platform.AttemptError) {
+func (g *generation) send() (*http.Response, *outside.AttemptError) {
 	if g.ctx.Err() != nil {
 		return nil, g.attempt.unsent(reasonOf(g.ctx, reasonCancelled))
 	}
@@ -122,7 +122,7 @@
 }
 
 // judge returns the failure that a response stands for, or nil.
-func (g *generation) judge(response *http.Response) *platform.AttemptError {
+func (g *generation) judge(response *http.Response) *outside.AttemptError {
 	if !g.attempt.matches(response) {
 		return g.attempt.failed(reasonFailed)
 	}
@@ -132,7 +132,7 @@
 	return nil
 }
 
-func setGenerateHeaders(header http.Header, request platform.GenerateRequest) {
+func setGenerateHeaders(header http.Header, request outside.GenerateRequest) {
 	header.Set("Content-Type", MediaJSON)
 	header.Set("Accept", MediaStream)
 	if !request.Deadline.IsZero() {
@@ -180,7 +180,7 @@
 }
 
 // broken is the failure for a stream that ended with an error.
-func (g *generation) broken(err error) *platform.AttemptError {
+func (g *generation) broken(err error) *outside.AttemptError {
 	switch {
 	case errors.Is(err, errBadFrame), errors.Is(err, errFrameTooLarge):
 		return g.attempt.failed(reasonFailed)
@@ -194,8 +194,8 @@
 	generation *generation
 	// next is the index of the chunk expected.
 	next    int
-	end     *platform.GenerateEnd
-	failure *platform.AttemptError
+	end     *outside.GenerateEnd
+	failure *outside.AttemptError
 }
 
 // accept takes the next frame; nil is the done marker.
@@ -229,7 +229,7 @@
 	if text == "" {
 		text = choice.Delta.Content
 	}
-	s.generation.sink.Chunk(platform.Chunk{
+	s.generation.sink.Chunk(outside.Chunk{
 		Attempt: s.generation.attempt.id, Index: frame.Index, Text: text, Tokens: frame.Tokens,
 	})
 	return nil
@@ -239,7 +239,7 @@
 	if s.end != nil || *frame.Chunks != s.next {
 		return errMissingChunk
 	}
-	s.end = &platform.GenerateEnd{Attempt: s.generation.attempt.id, Chunks: *frame.Chunks}
+	s.end = &outside.GenerateEnd{Attempt: s.generation.attempt.id, Chunks: *frame.Chunks}
 	if len(frame.Choices) > 0 && frame.Choices[0].FinishReason != nil {
 		s.end.FinishReason = *frame.Choices[0].FinishReason
 	}
@@ -259,8 +259,8 @@
 	return nil
 }
 
-func (u *StreamUsage) platformUsage() platform.Usage {
-	usage := platform.Usage{PromptTokens: u.PromptTokens, CompletionTokens: u.CompletionTokens}
+func (u *StreamUsage) platformUsage() outside.Usage {
+	usage := outside.Usage{PromptTokens: u.PromptTokens, CompletionTokens: u.CompletionTokens}
 	if u.PromptDetails != nil {
 		usage.CachedTokens = u.PromptDetails.CachedTokens
 	}
--- a/internal/platform/httpapi/httpapi_test.go
+++ b/internal/outside/httpapi/httpapi_test.go
@@ -13,8 +13,8 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -26,19 +26,19 @@
 // collector is a sink that keeps what it is given.
 type collector struct {
 	texts []string
-	end   *platform.GenerateEnd
-	err   *platform.AttemptError
+	end   *outside.GenerateEnd
+	err   *outside.AttemptError
 	ended sync.WaitGroup
 }
 
-func (c *collector) Chunk(chunk platform.Chunk) { c.texts = append(c.texts, chunk.Text) }
+func (c *collector) Chunk(chunk outside.Chunk) { c.texts = append(c.texts, chunk.Text) }
 
-func (c *collector) End(end platform.GenerateEnd) {
+func (c *collector) End(end outside.GenerateEnd) {
 	c.end = &end
 	c.ended.Done()
 }
 
-func (c *collector) Failed(err *platform.AttemptError) {
+func (c *collector) Failed(err *outside.AttemptError) {
 	c.err = err
 	c.ended.Done()
 }
@@ -47,13 +47,13 @@
 func generate(handler http.HandlerFunc, options httpapi.Options) *collector {
 	listener := httptest.NewServer(handler)
 	defer listener.Close()
-	client := httpapi.NewEngines(func(platform.ServerID) (string, bool) {
+	client := httpapi.NewEngines(func(outside.ServerID) (string, bool) {
 		return listener.Listener.Addr().String(), true
 	}, options)
 	defer client.Close()
 	sink := &collector{}
 	sink.ended.Add(1)
-	client.Generate(platform.GenerateRequest{
+	client.Generate(outside.GenerateRequest{
 		Attempt: "a1", Path: httpapi.PathCompletions, Body: []byte(`{}`), Deadline: time.Now().Add(time.Minute),
 	}, sink)
 	sink.ended.Wait()
@@ -159,7 +159,7 @@
 	listener := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
 		received.Store(request.Header.Get(httpapi.HeaderAttempt), true)
 	}))
-	client := httpapi.NewBackEnds(func(platform.ServerID) (string, bool) {
+	client := httpapi.NewBackEnds(func(outside.ServerID) (string, bool) {
 		return listener.Listener.Addr().String(), true
 	}, httpapi.Options{IdleConnectionsPerServer: 4})
 	const attempts = 2000
@@ -169,12 +169,12 @@
 		ended.Add(1)
 		// Some deadlines pass before the connection, some during the write.
 		limit := time.Duration(number%200) * 20 * time.Microsecond
-		client.Call(platform.BackEndRequest{
-			Attempt: platform.AttemptID(fmt.Sprint(number)), Key: "key", Method: http.MethodPost, Path: "/",
+		client.Call(outside.BackEndRequest{
+			Attempt: outside.AttemptID(fmt.Sprint(number)), Key: "key", Method: http.MethodPost, Path: "/",
 			Body: []byte("body"), Deadline: time.Now().Add(limit),
-		}, func(_ platform.BackEndResponse, err error) {
+		}, func(_ outside.BackEndResponse, err error) {
 			defer ended.Done()
-			var failure *platform.AttemptError
+			var failure *outside.AttemptError
 			if errors.As(err, &failure) && failure.Ran == result.RanNo {
 				notRun.Store(string(failure.Attempt), true)
 			}
@@ -197,14 +197,14 @@
 	func(state string, refused bool) {
 		listener := httptest.NewServer(answerWith(http.StatusOK, nil, state))
 		defer listener.Close()
-		client := httpapi.NewEngines(func(platform.ServerID) (string, bool) {
+		client := httpapi.NewEngines(func(outside.ServerID) (string, bool) {
 			return listener.Listener.Addr().String(), true
 		}, httpapi.Options{})
 		defer client.Close()
 		failures := make(chan error, 1)
-		client.State("server", 0, time.Minute, func(_ *platform.EngineState, err error) { failures <- err })
+		client.State("server", 0, time.Minute, func(_ *outside.EngineState, err error) { failures <- err })
 		err := <-failures
-		gomega.Expect(errors.Is(err, platform.ErrServerUnreachable)).To(gomega.Equal(refused))
+		gomega.Expect(errors.Is(err, outside.ErrServerUnreachable)).To(gomega.Equal(refused))
 	},
 	ginkgo.Entry("nothing wrong", `{"Replicas":[{"Phase":3,"Source":2}],"Cached":[{"Source":0}]}`, false),
 	ginkgo.Entry("an unknown phase", `{"Replicas":[{"Phase":4}]}`, true),
@@ -244,22 +244,22 @@
 		}
 	}))
 	defer listener.Close()
-	client := httpapi.NewBackEnds(func(platform.ServerID) (string, bool) {
+	client := httpapi.NewBackEnds(func(outside.ServerID) (string, bool) {
 		return listener.Listener.Addr().String(), true
 	}, httpapi.Options{})
 	defer client.Close()
 	outcomes := make(chan error, 1)
 	for number := range 2 {
-		client.Call(platform.BackEndRequest{
-			Attempt: platform.AttemptID(fmt.Sprint(number)), Method: http.MethodPost, Path: "/",
+		client.Call(outside.BackEndRequest{
+			Attempt: outside.AttemptID(fmt.Sprint(number)), Method: http.MethodPost, Path: "/",
 			Body: []byte("{}"), Deadline: time.Now().Add(time.Minute),
-		}, func(_ platform.BackEndResponse, err error) { outcomes <- err })
+		}, func(_ outside.BackEndResponse, err error) { outcomes <- err })
 		err := <-outcomes
 		if number == 0 {
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			continue
 		}
-		var failure *platform.AttemptError
+		var failure *outside.AttemptError
 		gomega.Expect(errors.As(err, &failure)).To(gomega.BeTrue())
 		gomega.Expect(failure.Ran).To(gomega.Equal(result.RanUnknown))
 	}
--- a/internal/platform/httpapi/listing.go
+++ b/internal/outside/httpapi/listing.go
@@ -4,10 +4,10 @@
 	"net/http"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
-// MachineList implements platform.MachineListService.
+// MachineList implements outside.MachineListService.
 type MachineList struct {
 	client  *http.Client
 	address string
@@ -23,11 +23,11 @@
 // Close closes the idle connections.
 func (m *MachineList) Close() { m.client.CloseIdleConnections() }
 
-// List implements platform.MachineListService.
-func (m *MachineList) List(sinceVersion uint64, timeout time.Duration, done func(*platform.MachineListing, error)) {
+// List implements outside.MachineListService.
+func (m *MachineList) List(sinceVersion uint64, timeout time.Duration, done func(*outside.MachineListing, error)) {
 	url := "http://" + m.address + PathMachines + sinceQuery(sinceVersion)
 	go func() {
-		listing := &platform.MachineListing{}
+		listing := &outside.MachineListing{}
 		changed, err := exchangeJSON(m.client, m.options.MaxResponseBytes, timeout, http.MethodGet, url, nil, listing)
 		if err != nil || !changed {
 			done(nil, err)
@@ -37,7 +37,7 @@
 	}()
 }
 
-// WeightStore implements platform.WeightStoreService.
+// WeightStore implements outside.WeightStoreService.
 type WeightStore struct {
 	client  *http.Client
 	address string
@@ -53,11 +53,11 @@
 // Close closes the idle connections.
 func (w *WeightStore) Close() { w.client.CloseIdleConnections() }
 
-// Status implements platform.WeightStoreService.
-func (w *WeightStore) Status(timeout time.Duration, done func(platform.WeightStoreStatus, error)) {
+// Status implements outside.WeightStoreService.
+func (w *WeightStore) Status(timeout time.Duration, done func(outside.WeightStoreStatus, error)) {
 	url := "http://" + w.address + PathWeightStatus
 	go func() {
-		status := platform.WeightStoreStatus{}
+		status := outside.WeightStoreStatus{}
 		_, err := exchangeJSON(w.client, w.options.MaxResponseBytes, timeout, http.MethodGet, url, nil, &status)
 		done(status, err)
 	}()
--- a/internal/platform/httpapi/options.go
+++ b/internal/outside/httpapi/options.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Lookup finds the address, host and port, of a server.
-type Lookup func(server platform.ServerID) (address string, known bool)
+type Lookup func(server outside.ServerID) (address string, known bool)
 
 // Options of the clients. The zero value of a field means its default.
 type Options struct {
--- a/internal/platform/httpapi/query.go
+++ b/internal/outside/httpapi/query.go
@@ -10,12 +10,12 @@
 	"strconv"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // exchangeJSON sends a request with an optional JSON body and decodes the JSON
 // answer into result; it reports false if the answer is 304 (not modified).
-// Every error wraps platform.ErrServerUnreachable.
+// Every error wraps outside.ErrServerUnreachable.
 func exchangeJSON(client *http.Client, limit int64, timeout time.Duration, method, url string, content, result any) (bool, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -66,7 +66,7 @@
 }
 
 func unreachable(err error) error {
-	return fmt.Errorf("%w: %w", platform.ErrServerUnreachable, err)
+	return fmt.Errorf("%w: %w", outside.ErrServerUnreachable, err)
 }
 
 func sinceQuery(version uint64) string {
--- a/internal/platform/httpapi/wire.go
+++ b/internal/outside/httpapi/wire.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Paths of the platform's HTTP interfaces.
@@ -86,15 +86,15 @@
 	Status int    `json:"status"`
 	// Ran is "no", "unknown" or "yes".
 	Ran string `json:"ran"`
-	// Reason is a word as in platform.AttemptError.
-	Reason string            `json:"reason"`
-	Load   platform.LoadHint `json:"load"`
+	// Reason is a word as in outside.AttemptError.
+	Reason string           `json:"reason"`
+	Load   outside.LoadHint `json:"load"`
 }
 
 // AttemptReference names an attempt, as the body of a POST to PathCancel or
 // PathCacheExport.
 type AttemptReference struct {
-	Attempt platform.AttemptID `json:"attempt"`
+	Attempt outside.AttemptID `json:"attempt"`
 }
 
 // StreamFrame is the data of one frame of a generated stream: a chunk object of
@@ -111,8 +111,8 @@
 	// Tokens in the chunk.
 	Tokens int `json:"chunk_tokens,omitempty"`
 	// Chunks is set in the last frame: the number of chunks in the stream.
-	Chunks *int               `json:"chunk_count,omitempty"`
-	Load   *platform.LoadHint `json:"load,omitempty"`
+	Chunks *int              `json:"chunk_count,omitempty"`
+	Load   *outside.LoadHint `json:"load,omitempty"`
 	// Problem is set in a frame that ends the stream with a failure.
 	Problem *Problem `json:"problem,omitempty"`
 }
--- a/internal/platform/identity.go
+++ b/internal/outside/identity.go
@@ -1,4 +1,4 @@
-// Package platform defines the interfaces to the systems hatchplank stands
+// Package outside defines the interfaces to the systems hatchplank stands
 // between: key-value service, model engines, other back-end servers, weight
 // store and machine list.
 //
@@ -7,7 +7,7 @@
 // caller is on the stack; bindings call it on a goroutine of their own, the
 // emulator calls it from its event loop. A call that outlives its timeout ends
 // with an error.
-package platform
+package outside
 
 import "fmt"
 
--- a/internal/platform/keyvalue.go
+++ b/internal/outside/keyvalue.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"errors"
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,7 +22,7 @@
 // repeated or reordered; each reply is matched to its own call.
 type Transport interface {
 	// Call sends a message and waits for the reply. Done follows the contract
-	// of package platform. A reply error carries only its text.
+	// of package outside. A reply error carries only its text.
 	Call(address string, message Message, timeout time.Duration, done func(Message, error))
 	// Send sends a message that needs no reply.
 	Send(address string, message Message)
--- a/internal/planner/adapters.go
+++ b/internal/planner/adapters.go
@@ -1,7 +1,7 @@
 package planner
 
 import (
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -12,7 +12,7 @@
 type host struct {
 	server int
 	// attempt is empty for a replica loaded by this plan.
-	attempt platform.AttemptID
+	attempt outside.AttemptID
 	ready   bool
 	busy    int
 }
@@ -41,7 +41,7 @@
 // that it does not hold yet.
 func (w *workspace) reserveForAdapters(server int, replica *Replica) {
 	base, known := w.index[replica.Model]
-	if !known || replica.Draining || replica.Phase == platform.ReplicaUnloading {
+	if !known || replica.Draining || replica.Phase == outside.ReplicaUnloading {
 		return
 	}
 	held := replica.memory() - replica.MemoryBytes
@@ -125,7 +125,7 @@
 		server := &w.snapshot.Servers[s]
 		for r := range server.Replicas {
 			replica := &server.Replicas[r]
-			if replica.Draining || replica.Phase == platform.ReplicaUnloading || !server.Usable || w.evicted[replica] {
+			if replica.Draining || replica.Phase == outside.ReplicaUnloading || !server.Usable || w.evicted[replica] {
 				continue
 			}
 			for a := range replica.Adapters {
@@ -137,7 +137,7 @@
 }
 
 func (w *workspace) retireAdapter(server *Server, replica *Replica, adapter *Adapter, holders []int) {
-	if adapter.Draining || adapter.Phase == platform.ReplicaUnloading {
+	if adapter.Draining || adapter.Phase == outside.ReplicaUnloading {
 		return
 	}
 	at, known := w.index[adapter.Name]
@@ -206,7 +206,7 @@
 		if replica == nil || !w.canHost(s, replica, row) {
 			continue
 		}
-		ready := replica.Phase == platform.ReplicaReady
+		ready := replica.Phase == outside.ReplicaReady
 		hosts = append(hosts, host{server: s, attempt: replica.Attempt, ready: ready, busy: replica.Running})
 	}
 	for _, load := range w.loads {
@@ -220,7 +220,7 @@
 func (w *workspace) canHost(s int, replica *Replica, row *Row) bool {
 	server := &w.snapshot.Servers[s]
 	stays := server.Usable && !server.Leaving && !replica.Draining && !w.evicted[replica]
-	loaded := replica.Phase == platform.ReplicaReady || replica.Phase == platform.ReplicaLoading
+	loaded := replica.Phase == outside.ReplicaReady || replica.Phase == outside.ReplicaLoading
 	if !stays || !loaded || w.servers[s].free < row.MemoryBytes || w.backedOff(server, row.Name) {
 		return false
 	}
--- a/internal/planner/benchmark_test.go
+++ b/internal/planner/benchmark_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/planner"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 // largeSnapshot is a cell with a share of waiting rows.
@@ -25,12 +25,12 @@
 	for i := range servers {
 		made := server(fmt.Sprintf("lm-%05d", i), 320*gigabyte)
 		for m := random.IntN(rows); m < rows && len(made.Replicas) < 4; m += 1 + random.IntN(9) {
-			replica := ready(snapshot.Rows[m].Name, "1", platform.SlotID(random.IntN(4)), snapshot.Rows[m].MemoryBytes)
+			replica := ready(snapshot.Rows[m].Name, "1", outside.SlotID(random.IntN(4)), snapshot.Rows[m].MemoryBytes)
 			made.Replicas = append(made.Replicas, replica)
 			made.CommittedBytes += replica.MemoryBytes
 		}
 		for m := random.IntN(5); m < rows && len(made.Cached) < 40; m += 1 + random.IntN(2*rows/40) {
-			made = withCache(made, snapshot.Rows[m].Name, platform.SourceDisk)
+			made = withCache(made, snapshot.Rows[m].Name, outside.SourceDisk)
 		}
 		snapshot.Servers = append(snapshot.Servers, made)
 	}
--- a/internal/planner/cost.go
+++ b/internal/planner/cost.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 const (
@@ -28,7 +28,7 @@
 }
 
 // bestSource is the fastest source of the row's checkpoint on any server.
-func (w *workspace) bestSource(i int) platform.CheckpointSource {
+func (w *workspace) bestSource(i int) outside.CheckpointSource {
 	if w.best == nil {
 		w.findBestSources()
 	}
@@ -36,9 +36,9 @@
 }
 
 func (w *workspace) findBestSources() {
-	w.best = make([]platform.CheckpointSource, len(w.rows))
+	w.best = make([]outside.CheckpointSource, len(w.rows))
 	for i := range w.best {
-		w.best[i] = platform.SourceRemote
+		w.best[i] = outside.SourceRemote
 	}
 	for s := range w.snapshot.Servers {
 		for _, cached := range w.snapshot.Servers[s].Cached {
@@ -51,10 +51,10 @@
 }
 
 // sourceAt is where a server would take a row's weights from.
-func (w *workspace) sourceAt(server *Server, row *Row) platform.CheckpointSource {
+func (w *workspace) sourceAt(server *Server, row *Row) outside.CheckpointSource {
 	cached := server.Cached
 	at := sort.Search(len(cached), func(k int) bool { return cached[k].Name >= row.Name })
-	best := platform.SourceRemote
+	best := outside.SourceRemote
 	for ; at < len(cached) && cached[at].Name == row.Name; at++ {
 		if cached[at].Version == row.Version {
 			best = min(best, cached[at].Source)
--- a/internal/planner/draw_test.go
+++ b/internal/planner/draw_test.go
@@ -7,8 +7,8 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/planner"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 // drawSnapshot draws a cell in any state, also states that break the limits.
@@ -19,7 +19,7 @@
 	for i := range models {
 		row := model(fmt.Sprintf("model-%d", i), random.IntN(4), int64(1+random.IntN(40))*gigabyte)
 		row.Min = random.IntN(row.Max + 1)
-		row.FirstSlot = platform.SlotID(random.IntN(3))
+		row.FirstSlot = outside.SlotID(random.IntN(3))
 		row.Demand = drawDemand(random)
 		snapshot.Rows = append(snapshot.Rows, row)
 		if random.IntN(2) == 0 {
@@ -54,8 +54,8 @@
 		if random.IntN(3) > 0 {
 			continue
 		}
-		replica := ready(fmt.Sprintf("model-%d", m), fmt.Sprint(1+random.IntN(2)), platform.SlotID(random.IntN(5)), int64(1+random.IntN(30))*gigabyte)
-		replica.Phase = platform.ReplicaPhase(random.IntN(3))
+		replica := ready(fmt.Sprintf("model-%d", m), fmt.Sprint(1+random.IntN(2)), outside.SlotID(random.IntN(5)), int64(1+random.IntN(30))*gigabyte)
+		replica.Phase = outside.ReplicaPhase(random.IntN(3))
 		replica.Draining = random.IntN(4) == 0
 		replica.Running = random.IntN(2)
 		if made.CommittedBytes+replica.MemoryBytes <= made.MemoryBytes {
@@ -68,8 +68,8 @@
 
 // checkPlan verifies a plan without the help of the Verifier.
 func checkPlan(t *rapid.T, snapshot *planner.Snapshot, plan planner.Plan) {
-	held, committed, slots := map[string]int{}, map[platform.ServerID]int64{}, map[string]bool{}
-	rows, servers := map[string]planner.Row{}, map[platform.ServerID]planner.Server{}
+	held, committed, slots := map[string]int{}, map[outside.ServerID]int64{}, map[string]bool{}
+	rows, servers := map[string]planner.Row{}, map[outside.ServerID]planner.Server{}
 	for _, row := range snapshot.Rows {
 		rows[row.Name] = row
 	}
--- a/internal/planner/loads.go
+++ b/internal/planner/loads.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -130,15 +130,15 @@
 	target.free -= need
 	target.placed = append(target.placed, row.Name)
 	readyAt := w.snapshot.Now.Add(seconds(choice.seconds))
-	if !fits || (choice.source == platform.SourceRemote && w.remoteStarts <= 0) {
+	if !fits || (choice.source == outside.SourceRemote && w.remoteStarts <= 0) {
 		work.readyAt = earlier(work.readyAt, readyAt.Add(w.queueDelay(queued)))
-		if c.cold && choice.source == platform.SourceRemote && w.policy.limitRemote {
+		if c.cold && choice.source == outside.SourceRemote && w.policy.limitRemote {
 			// Rows that are served already don't take the store's place for it.
 			w.remoteStarts--
 		}
 		return false
 	}
-	if choice.source == platform.SourceRemote {
+	if choice.source == outside.SourceRemote {
 		w.remoteStarts--
 	}
 	target.free += need - row.MemoryBytes
@@ -183,19 +183,19 @@
 
 // freeSlot takes the lowest slot not held; while servers are unknown the
 // highest, since what they hold was loaded into the lowest.
-func (w *workspace) freeSlot(i int) platform.SlotID {
+func (w *workspace) freeSlot(i int) outside.SlotID {
 	row, work := &w.snapshot.Rows[i], &w.rows[i]
 	if work.slots == nil {
-		work.slots = make(map[platform.SlotID]bool, 1)
+		work.slots = make(map[outside.SlotID]bool, 1)
 	}
 	for k := range row.Max {
-		slot := row.FirstSlot + platform.SlotID(k)
+		slot := row.FirstSlot + outside.SlotID(k)
 		if w.snapshot.UnknownServers > 0 {
-			slot = row.FirstSlot + platform.SlotID(row.Max-1-k)
+			slot = row.FirstSlot + outside.SlotID(row.Max-1-k)
 		}
 		if !work.slots[slot] {
 			return slot
 		}
 	}
-	return row.FirstSlot + platform.SlotID(row.Max)
+	return row.FirstSlot + outside.SlotID(row.Max)
 }
--- a/internal/planner/order_test.go
+++ b/internal/planner/order_test.go
@@ -6,8 +6,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/planner"
-	"github.com/hatchplank/hatchplank/internal/platform"
 )
 
 // waitingFor sets how long the row's first request has waited.
@@ -19,7 +19,7 @@
 
 // oneStart is a store that lets one load begin now.
 func oneStart() planner.Store {
-	return planner.Store{Known: true, Starts: 1, WeightStoreStatus: platform.WeightStoreStatus{FullSpeedLoads: 1}}
+	return planner.Store{Known: true, Starts: 1, WeightStoreStatus: outside.WeightStoreStatus{FullSpeedLoads: 1}}
 }
 
 func loadedModels(plan planner.Plan) []string {
--- a/internal/planner/placement.go
+++ b/internal/planner/placement.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 const (
@@ -19,7 +19,7 @@
 // placement is a server for a candidate.
 type placement struct {
 	server  int
-	source  platform.CheckpointSource
+	source  outside.CheckpointSource
 	seconds float64
 	cost    float64
 	// waits for memory that unloads under way give back.
@@ -87,7 +87,7 @@
 	row := &w.snapshot.Rows[c.row]
 	source := w.sourceAt(&w.snapshot.Servers[i], row)
 	option := placement{server: i, source: source, seconds: w.loadSeconds(row.WeightBytes, source)}
-	if source == platform.SourceDisk {
+	if source == outside.SourceDisk {
 		option.seconds *= float64(1 + w.servers[i].loading[source])
 	}
 	if w.policy.sourceAware {
@@ -155,7 +155,7 @@
 	for r := range server.Replicas {
 		replica := &server.Replicas[r]
 		at, known := w.index[replica.Model]
-		if !known || at == c.row || replica.Draining || replica.Phase != platform.ReplicaReady || w.evicted[replica] {
+		if !known || at == c.row || replica.Draining || replica.Phase != outside.ReplicaReady || w.evicted[replica] {
 			continue
 		}
 		if w.busy(at, replica) != busy || !w.mayGive(c, at, replica, busy) {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Action is what a decision does.
@@ -56,20 +56,20 @@
 type Decision struct {
 	Action Action
 	Reason Reason
-	Server platform.ServerID
+	Server outside.ServerID
 	// Model is the base model.
 	Model string
 	// Adapter is set for the adapter actions.
 	Adapter string
 	Version string
 	// Slot to load into, or the slot of the replica concerned.
-	Slot platform.SlotID
+	Slot outside.SlotID
 	// Attempt of the replica or adapter to unload or resume; of the replica
 	// when loading an adapter. Empty if the replica is loaded by this plan.
-	Attempt platform.AttemptID
+	Attempt outside.AttemptID
 	// MemoryBytes to reserve and WeightBytes to fetch, for loads.
 	MemoryBytes, WeightBytes int64
-	Source                   platform.CheckpointSource
+	Source                   outside.CheckpointSource
 	ExpectedReady            time.Time
 	// For is the row that needs the room when the reason is ReasonMakeRoom.
 	For string
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/planner"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -47,16 +47,16 @@
 }
 
 func server(id string, memory int64, replicas ...planner.Replica) planner.Server {
-	made := planner.Server{ID: platform.ServerID(id), MemoryBytes: memory, MaxBatch: 8, Usable: true, Replicas: replicas}
+	made := planner.Server{ID: outside.ServerID(id), MemoryBytes: memory, MaxBatch: 8, Usable: true, Replicas: replicas}
 	for _, replica := range replicas {
 		made.CommittedBytes += replica.MemoryBytes
 	}
 	return made
 }
 
-func ready(model, version string, slot platform.SlotID, memory int64) planner.Replica {
+func ready(model, version string, slot outside.SlotID, memory int64) planner.Replica {
 	return planner.Replica{
-		Model: model, Version: version, Slot: slot, Attempt: platform.AttemptID("load-" + model), Phase: platform.ReplicaReady,
+		Model: model, Version: version, Slot: slot, Attempt: outside.AttemptID("load-" + model), Phase: outside.ReplicaReady,
 		MemoryBytes: memory, Since: start.Add(-time.Hour),
 	}
 }
@@ -140,8 +140,8 @@
 	Entry("the fastest source", &planner.Snapshot{
 		Rows: []planner.Row{waiting(model("a", 1, 10*gigabyte), 1)},
 		Servers: []planner.Server{
-			server("lm-1", 20*gigabyte), withCache(server("lm-2", 20*gigabyte), "a", platform.SourceDisk),
-			withCache(server("lm-3", 20*gigabyte), "a", platform.SourceMemory),
+			server("lm-1", 20*gigabyte), withCache(server("lm-2", 20*gigabyte), "a", outside.SourceDisk),
+			withCache(server("lm-3", 20*gigabyte), "a", outside.SourceMemory),
 		},
 	}, "load a on lm-3: waiting"),
 	Entry("the base together with its adapter", &planner.Snapshot{
@@ -155,7 +155,7 @@
 	Entry("nothing while the store is full", &planner.Snapshot{
 		Rows:    []planner.Row{waiting(model("a", 1, 10*gigabyte), 1)},
 		Servers: []planner.Server{server("lm-1", 20*gigabyte)},
-		Store:   planner.Store{Known: true, Starts: 3, WeightStoreStatus: platform.WeightStoreStatus{Active: 6, FullSpeedLoads: 6}},
+		Store:   planner.Store{Known: true, Starts: 3, WeightStoreStatus: outside.WeightStoreStatus{Active: 6, FullSpeedLoads: 6}},
 	}),
 	Entry("to leave a leaving server at once", &planner.Snapshot{
 		Rows:    []planner.Row{withMin(model("a", 2, 10*gigabyte), 1)},
@@ -182,8 +182,8 @@
 	}, "unload a on lm-1: over_maximum"),
 )
 
-func withCache(server planner.Server, name string, source platform.CheckpointSource) planner.Server {
-	server.Cached = append(server.Cached, platform.CheckpointState{Name: name, Version: "1", Source: source})
+func withCache(server planner.Server, name string, source outside.CheckpointSource) planner.Server {
+	server.Cached = append(server.Cached, outside.CheckpointState{Name: name, Version: "1", Source: source})
 	return server
 }
 
@@ -239,7 +239,7 @@
 		for k := range 4 {
 			before.Observe(start.Add(time.Duration(k)*24*time.Hour), "a", "group-a", 2)
 		}
-		before.ObserveLoad(platform.SourceRemote, 10*gigabyte, 20*time.Second)
+		before.ObserveLoad(outside.SourceRemote, 10*gigabyte, 20*time.Second)
 		data, err := before.Encode()
 		Expect(err).NotTo(HaveOccurred())
 		decoded, err := planner.DecodeStatistics(data)
--- a/internal/planner/policy.go
+++ b/internal/planner/policy.go
@@ -5,7 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Names of the policies.
@@ -165,13 +165,13 @@
 }
 
 // loadSeconds estimates a load's duration from a source.
-func (w *workspace) loadSeconds(bytes int64, source platform.CheckpointSource) float64 {
+func (w *workspace) loadSeconds(bytes int64, source outside.CheckpointSource) float64 {
 	overhead := w.policy.parameters.LoadOverhead.Seconds()
 	if rate := w.snapshot.Statistics.loadRate(source); rate > 0 {
 		return rate*float64(bytes)/gigabyte + overhead
 	}
 	seconds := float64(bytes) / w.policy.parameters.BytesPerSecond[source]
-	if source == platform.SourceRemote && w.snapshot.Store.SlowDown > 1 {
+	if source == outside.SourceRemote && w.snapshot.Store.SlowDown > 1 {
 		seconds *= w.snapshot.Store.SlowDown
 	}
 	return seconds + overhead
--- a/internal/planner/retire.go
+++ b/internal/planner/retire.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -34,7 +34,7 @@
 // retireReplica decides on a replica alone, and else sorts it under its row.
 func (w *workspace) retireReplica(i int, replica *Replica, staying [][]placedReplica) {
 	server := &w.snapshot.Servers[i]
-	if !server.Usable || replica.Phase == platform.ReplicaUnloading || replica.Ordered {
+	if !server.Usable || replica.Phase == outside.ReplicaUnloading || replica.Ordered {
 		return
 	}
 	at, known := w.index[replica.Model]
@@ -75,7 +75,7 @@
 	if oldA != oldB {
 		return oldA
 	}
-	loadingA, loadingB := a.replica.Phase != platform.ReplicaReady, b.replica.Phase != platform.ReplicaReady
+	loadingA, loadingB := a.replica.Phase != outside.ReplicaReady, b.replica.Phase != outside.ReplicaReady
 	if loadingA != loadingB {
 		return loadingA
 	}
@@ -92,7 +92,7 @@
 func (w *workspace) retireCount(i int, live []placedReplica, count int, reason Reason, idleOnly bool) []placedReplica {
 	rest := live[:0:0]
 	for _, placed := range live {
-		busy := placed.replica.Running > 0 || placed.replica.Phase != platform.ReplicaReady
+		busy := placed.replica.Running > 0 || placed.replica.Phase != outside.ReplicaReady
 		if count <= 0 || (idleOnly && busy) {
 			rest = append(rest, placed)
 			continue
@@ -107,7 +107,7 @@
 // uncount takes a replica that is unloaded by this plan out of its row.
 func (w *workspace) uncount(i int, replica *Replica) {
 	work := &w.rows[i]
-	ready := replica.Phase == platform.ReplicaReady
+	ready := replica.Phase == outside.ReplicaReady
 	work.ending++
 	if replica.Version == w.snapshot.Rows[i].Version {
 		work.current--
@@ -151,7 +151,7 @@
 	for _, placed := range replicas {
 		replica := placed.replica
 		wanted := work.current < work.desired && work.current+work.outdated < row.Max && work.demand.Load() > 0
-		if !wanted || !replica.Draining || replica.Version != row.Version || replica.Phase != platform.ReplicaReady {
+		if !wanted || !replica.Draining || replica.Version != row.Version || replica.Phase != outside.ReplicaReady {
 			continue
 		}
 		server := &w.snapshot.Servers[placed.server]
@@ -168,7 +168,7 @@
 
 // unload decides the unload of a replica, unless that was decided before.
 func (w *workspace) unload(i int, replica *Replica, reason Reason, forRow string) {
-	if replica.Draining || replica.Ordered || replica.Phase == platform.ReplicaUnloading {
+	if replica.Draining || replica.Ordered || replica.Phase == outside.ReplicaUnloading {
 		return
 	}
 	w.decide(Decision{
--- a/internal/planner/snapshot.go
+++ b/internal/planner/snapshot.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -34,7 +34,7 @@
 	table.Row
 	// Min, Max and FirstSlot are the cell's allotment.
 	Min, Max  int
-	FirstSlot platform.SlotID
+	FirstSlot outside.SlotID
 	Demand    Demand
 }
 
@@ -56,7 +56,7 @@
 
 // Server is one engine of the cell.
 type Server struct {
-	ID   platform.ServerID
+	ID   outside.ServerID
 	Zone string
 	// MemoryBytes in total, and what the ledger has committed of it.
 	MemoryBytes, CommittedBytes int64
@@ -71,7 +71,7 @@
 	// Replicas in order of model.
 	Replicas []Replica
 	// Cached checkpoints in order of name.
-	Cached []platform.CheckpointState
+	Cached []outside.CheckpointState
 	// Backoffs of models whose load failed here, in order of model.
 	Backoffs []Backoff
 }
@@ -87,15 +87,15 @@
 type Replica struct {
 	Model   string
 	Version string
-	Slot    platform.SlotID
-	Attempt platform.AttemptID
+	Slot    outside.SlotID
+	Attempt outside.AttemptID
 	// Phase is ReplicaLoading also while the outcome of the order is unknown.
-	Phase platform.ReplicaPhase
+	Phase outside.ReplicaPhase
 	// Draining replicas get no new work; Ordered ones have their unload sent.
 	Draining, Ordered bool
 	Running           int
 	MemoryBytes       int64
-	Source            platform.CheckpointSource
+	Source            outside.CheckpointSource
 	// Since is when the phase was entered; ReadyAt estimates a load's end.
 	Since, ReadyAt time.Time
 	// Adapters in order of name.
@@ -106,8 +106,8 @@
 type Adapter struct {
 	Name        string
 	Version     string
-	Attempt     platform.AttemptID
-	Phase       platform.ReplicaPhase
+	Attempt     outside.AttemptID
+	Phase       outside.ReplicaPhase
 	Draining    bool
 	MemoryBytes int64
 }
@@ -116,7 +116,7 @@
 type Store struct {
 	// Known is false when the store's status was never read.
 	Known bool
-	platform.WeightStoreStatus
+	outside.WeightStoreStatus
 	// InFlight remote loads of this cell.
 	InFlight int
 	// Starts that the store's rate allows this cell now.
--- a/internal/planner/statistics.go
+++ b/internal/planner/statistics.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 const (
@@ -106,7 +106,7 @@
 }
 
 // ObserveLoad records how long a load took.
-func (s *Statistics) ObserveLoad(source platform.CheckpointSource, bytes int64, took time.Duration) {
+func (s *Statistics) ObserveLoad(source outside.CheckpointSource, bytes int64, took time.Duration) {
 	if bytes <= 0 || took <= 0 || int(source) >= len(s.secondsPerGigabyte) {
 		return
 	}
@@ -121,7 +121,7 @@
 }
 
 // loadRate returns the measured seconds per gigabyte, 0 if never measured.
-func (s *Statistics) loadRate(source platform.CheckpointSource) float64 {
+func (s *Statistics) loadRate(source outside.CheckpointSource) float64 {
 	if s == nil {
 		return 0
 	}
--- a/internal/planner/verifier.go
+++ b/internal/planner/verifier.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -35,7 +35,7 @@
 
 type slotKey struct {
 	model string
-	slot  platform.SlotID
+	slot  outside.SlotID
 }
 
 // Verifier checks decisions one after the other against a snapshot. Admitted
@@ -44,23 +44,23 @@
 type Verifier struct {
 	snapshot  *Snapshot
 	rows      map[string]int
-	servers   map[platform.ServerID]int
+	servers   map[outside.ServerID]int
 	held      map[string]int
 	slots     map[slotKey]bool
 	committed []int64
-	loaded    map[platform.ServerID]map[string]Decision
-	adapters  map[platform.ServerID]map[string]bool
+	loaded    map[outside.ServerID]map[string]Decision
+	adapters  map[outside.ServerID]map[string]bool
 }
 
 // NewVerifier returns a verifier for plans made from the snapshot.
 func NewVerifier(snapshot *Snapshot) *Verifier {
 	v := &Verifier{
 		snapshot: snapshot, rows: snapshot.rowIndex().byName,
-		servers: make(map[platform.ServerID]int, len(snapshot.Servers)),
+		servers: make(map[outside.ServerID]int, len(snapshot.Servers)),
 		held:    map[string]int{}, slots: map[slotKey]bool{},
 		committed: make([]int64, len(snapshot.Servers)),
-		loaded:    map[platform.ServerID]map[string]Decision{},
-		adapters:  map[platform.ServerID]map[string]bool{},
+		loaded:    map[outside.ServerID]map[string]Decision{},
+		adapters:  map[outside.ServerID]map[string]bool{},
 	}
 	for i := range snapshot.Servers {
 		v.count(i)
@@ -112,7 +112,7 @@
 		return rule
 	}
 	slot := slotKey{decision.Model, decision.Slot}
-	outside := decision.Slot < row.FirstSlot || decision.Slot >= row.FirstSlot+platform.SlotID(row.Max)
+	outside := decision.Slot < row.FirstSlot || decision.Slot >= row.FirstSlot+outside.SlotID(row.Max)
 	if outside || v.slots[slot] {
 		return RuleFreeSlot
 	}
--- a/internal/planner/workspace.go
+++ b/internal/planner/workspace.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -21,7 +21,7 @@
 	// largest memory of a server in bytes.
 	largest int64
 	// best source of each row's checkpoint in the cell; nil until asked for.
-	best []platform.CheckpointSource
+	best []outside.CheckpointSource
 	// expected rows are foreseen to be called soon; nil if none.
 	expected []bool
 	// evicted replicas make room by this plan.
@@ -57,7 +57,7 @@
 	reason      Reason
 	readyAt     time.Time
 	refused     string
-	slots       map[platform.SlotID]bool
+	slots       map[outside.SlotID]bool
 }
 
 // serverWork is the memory of one server.
@@ -131,10 +131,10 @@
 	w.servers[i].free = server.MemoryBytes - server.CommittedBytes
 	for r := range server.Replicas {
 		replica := &server.Replicas[r]
-		if replica.Draining || replica.Phase == platform.ReplicaUnloading {
+		if replica.Draining || replica.Phase == outside.ReplicaUnloading {
 			w.servers[i].freeing += replica.memory()
 		}
-		if replica.Phase == platform.ReplicaLoading {
+		if replica.Phase == outside.ReplicaLoading {
 			w.servers[i].loading[replica.Source]++
 		}
 		w.countReplica(server, replica)
@@ -155,12 +155,12 @@
 	row := &w.rows[at]
 	row.held++
 	if row.slots == nil {
-		row.slots = make(map[platform.SlotID]bool, 4)
+		row.slots = make(map[outside.SlotID]bool, 4)
 	}
 	row.slots[replica.Slot] = true
-	ready := replica.Phase == platform.ReplicaReady
+	ready := replica.Phase == outside.ReplicaReady
 	switch {
-	case replica.Draining || replica.Phase == platform.ReplicaUnloading:
+	case replica.Draining || replica.Phase == outside.ReplicaUnloading:
 		row.ending++
 		return
 	case server.Leaving || server.Unreachable:
--- a/internal/router/done.go
+++ b/internal/router/done.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Outcome of an attempt, as far as the endpoint's health is concerned.
@@ -26,7 +26,7 @@
 
 // Done gives a place back, exactly once, and learns from the outcome. A nil
 // hint teaches nothing about load.
-func (r *Router) Done(place Place, outcome Outcome, hint *platform.LoadHint) {
+func (r *Router) Done(place Place, outcome Outcome, hint *outside.LoadHint) {
 	if place.target == nil {
 		return
 	}
@@ -44,7 +44,7 @@
 }
 
 // learnHint takes the load told with an answer, which does not lag.
-func (r *Router) learnHint(shard *shard, name string, target *target, hint *platform.LoadHint, now time.Time) {
+func (r *Router) learnHint(shard *shard, name string, target *target, hint *outside.LoadHint, now time.Time) {
 	load := hint.Running + hint.Queued
 	target.learn(load, target.inFlight, now)
 	group := shard.groups[name]
--- a/internal/router/group.go
+++ b/internal/router/group.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/directory"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // hintLifetime is how long a load figure from elsewhere is believed; its
@@ -25,9 +25,9 @@
 }
 
 type targetKey struct {
-	server platform.ServerID
+	server outside.ServerID
 	model  string
-	slot   platform.SlotID
+	slot   outside.SlotID
 }
 
 // target is the state of one endpoint.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,7 +11,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/directory"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // shardCount is the number of independently locked parts of the router.
@@ -29,7 +29,7 @@
 	PrefixHash uint64
 	// Avoid is a server that failed this request; taken only if there is no
 	// other.
-	Avoid platform.ServerID
+	Avoid outside.ServerID
 }
 
 // Verdict says how a choice came out.
@@ -121,7 +121,7 @@
 	if config.Picker == nil {
 		config.Picker = TwoChoices{}
 	}
-	router := &Router{config: config, servers: servers{byID: map[platform.ServerID]*server{}}}
+	router := &Router{config: config, servers: servers{byID: map[outside.ServerID]*server{}}}
 	for index := range router.shards {
 		shard := &router.shards[index]
 		shard.groups = map[string]*group{}
@@ -213,7 +213,7 @@
 }
 
 // withoutAvoided drops the avoided server if others are left.
-func withoutAvoided(candidates []Candidate, avoid platform.ServerID) []Candidate {
+func withoutAvoided(candidates []Candidate, avoid outside.ServerID) []Candidate {
 	if avoid == "" || len(candidates) < 2 {
 		return candidates
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hatchplank/hatchplank/internal/directory"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 )
 
@@ -32,7 +32,7 @@
 }
 
 func endpoint(server string, change ...func(*directory.Endpoint)) directory.Endpoint {
-	made := directory.Endpoint{Server: platform.ServerID(server), Zone: "near", Model: model, Version: "2", MaxBatch: 4}
+	made := directory.Endpoint{Server: outside.ServerID(server), Zone: "near", Model: model, Version: "2", MaxBatch: 4}
 	for _, apply := range change {
 		apply(&made)
 	}
@@ -113,7 +113,7 @@
 		source.set(endpoint("a", loaded)).MeasuredAt = loop.Now()
 		Expect(router.Capacity(model).Places).To(Equal(2))
 		place := router.Pick(model, &Request{}).Place
-		router.Done(place, Succeeded, &platform.LoadHint{Running: 1})
+		router.Done(place, Succeeded, &outside.LoadHint{Running: 1})
 		Expect(router.Capacity(model).Places).To(Equal(3))
 		loop.RunFor(2 * hintLifetime)
 		Expect(router.Capacity(model).Places).To(Equal(4))
@@ -124,13 +124,13 @@
 		source.set(endpoint("a", func(e *directory.Endpoint) { e.MaxBatch = 12 })).Gateways = 3
 		Expect(router.Capacity(model).Places).To(Equal(4))
 		place := router.Pick(model, &Request{}).Place
-		router.Done(place, Succeeded, &platform.LoadHint{Running: 1})
+		router.Done(place, Succeeded, &outside.LoadHint{Running: 1})
 		// Of the 11 free places, 4 are granted, whoever asks how often.
 		for range 4 {
 			place = router.Pick(model, &Request{}).Place
 		}
 		Expect(router.Pick(model, &Request{}).Verdict).To(Equal(Full))
-		router.Done(place, Succeeded, &platform.LoadHint{Running: 3})
+		router.Done(place, Succeeded, &outside.LoadHint{Running: 3})
 		Expect(router.Capacity(model).Places).To(Equal(3 + 3))
 		loop.RunFor(2 * hintLifetime)
 		Expect(router.Capacity(model).Places).To(Equal(4))
@@ -237,7 +237,7 @@
 			Expect(place.Endpoint.Server).To(Equal(preferred.Endpoint.Server))
 			router.Done(place, Succeeded, nil)
 		}
-		counts := map[platform.ServerID]int{}
+		counts := map[outside.ServerID]int{}
 		for range 12 {
 			counts[router.Pick(model, &request).Place.Endpoint.Server]++
 		}
@@ -248,7 +248,7 @@
 		router, source, _ := newRouter(1)
 		wide := func(e *directory.Endpoint) { e.MaxBatch = 1000 }
 		source.set(endpoint("a", wide), endpoint("b", wide), endpoint("c", wide), endpoint("d", wide))
-		counts := map[platform.ServerID]int{}
+		counts := map[outside.ServerID]int{}
 		for range 1000 {
 			counts[router.Pick(model, &Request{}).Place.Endpoint.Server]++
 		}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // probeWait is when a server under probe by another group is looked at again:
@@ -18,12 +18,12 @@
 // taken under a shard's lock, never the other way round.
 type servers struct {
 	mutex sync.Mutex
-	byID  map[platform.ServerID]*server
+	byID  map[outside.ServerID]*server
 }
 
 // server is the health of one server.
 type server struct {
-	id platform.ServerID
+	id outside.ServerID
 	// users is the number of targets on the server, under servers.mutex.
 	users int
 	// troubled is set while failures count, so that a healthy server costs no
@@ -35,7 +35,7 @@
 }
 
 // use returns a server's state for one more target.
-func (s *servers) use(id platform.ServerID) *server {
+func (s *servers) use(id outside.ServerID) *server {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known := s.byID[id]
--- a/internal/serve/health.go
+++ b/internal/serve/health.go
@@ -6,7 +6,7 @@
 	"github.com/hatchplank/hatchplank/internal/api"
 	"github.com/hatchplank/hatchplank/internal/api/nodestatus"
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Health questions to the platform's services.
@@ -22,15 +22,15 @@
 // call for long, so they are asked every period.
 type health struct {
 	clock     clock.Clock
-	keyValues platform.KeyValueService
-	machines  platform.MachineListService
-	weights   platform.WeightStoreService
+	keyValues outside.KeyValueService
+	machines  outside.MachineListService
+	weights   outside.WeightStoreService
 	// report tells how the newest calls ended.
 	report func() api.PlatformHealth
 	stop   func()
 }
 
-func newHealth(c clock.Clock, keyValues platform.KeyValueService, machines platform.MachineListService, weights platform.WeightStoreService) *health {
+func newHealth(c clock.Clock, keyValues outside.KeyValueService, machines outside.MachineListService, weights outside.WeightStoreService) *health {
 	ofKeyValues := nodestatus.NewServiceObserver("key-value", c)
 	ofMachines := nodestatus.NewServiceObserver("machine list", c)
 	ofWeights := nodestatus.NewServiceObserver("weight store", c)
@@ -50,6 +50,6 @@
 }
 
 func (h *health) ask() {
-	h.keyValues.Range(healthKey, healthTimeout, func(platform.RangeResult, error) {})
-	h.weights.Status(healthTimeout, func(platform.WeightStoreStatus, error) {})
+	h.keyValues.Range(healthKey, healthTimeout, func(outside.RangeResult, error) {})
+	h.weights.Status(healthTimeout, func(outside.WeightStoreStatus, error) {})
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -20,10 +20,10 @@
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/membership"
 	"github.com/hatchplank/hatchplank/internal/node"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/peer/tcp"
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
 	"github.com/hatchplank/hatchplank/internal/settings"
 	"github.com/hatchplank/hatchplank/internal/telemetry"
 )
@@ -149,7 +149,7 @@
 }
 
 // lookup returns the address of a server on the machine list.
-func (p *Process) lookup(server platform.ServerID) (string, bool) {
+func (p *Process) lookup(server outside.ServerID) (string, bool) {
 	machine, known := p.node.Machines.Machine(server)
 	return machine.Address, known
 }
--- a/internal/slopes/node.go
+++ b/internal/slopes/node.go
@@ -7,7 +7,7 @@
 	"github.com/hatchplank/hatchplank/internal/applier"
 	"github.com/hatchplank/hatchplank/internal/membership"
 	"github.com/hatchplank/hatchplank/internal/node"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/backend"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
@@ -53,7 +53,7 @@
 			KeyValueService: keyvalue.NewSimulated(w.Network, w.keyValueProcess, process, w.KeyValue), meter: w.Meter,
 		},
 		Engines: &meteredEngines{EngineService: w.fleet.Client(process), meter: w.Meter},
-		BackEnds: backend.NewSimulated(w.Network, process, func(platform.ServerID) (backend.Host, bool) {
+		BackEnds: backend.NewSimulated(w.Network, process, func(outside.ServerID) (backend.Host, bool) {
 			return backend.Host{}, false
 		}),
 		Machines: &meteredMachines{
--- a/internal/slopes/services.go
+++ b/internal/slopes/services.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // HTTPCallBytes are the bytes of the request line, the status line and the
@@ -61,14 +61,14 @@
 
 // meteredEngines counts orders and state polls; streams are data.
 type meteredEngines struct {
-	platform.EngineService
+	outside.EngineService
 	meter *Meter
 }
 
-// Order implements platform.EngineService.
-func (s *meteredEngines) Order(order platform.Order, timeout time.Duration, done func(platform.OrderResult, error)) {
+// Order implements outside.EngineService.
+func (s *meteredEngines) Order(order outside.Order, timeout time.Duration, done func(outside.OrderResult, error)) {
 	s.meter.platformCall(RoleServers, "engine order", order)
-	s.EngineService.Order(order, timeout, func(result platform.OrderResult, err error) {
+	s.EngineService.Order(order, timeout, func(result outside.OrderResult, err error) {
 		if err == nil {
 			s.meter.platformReply(RoleServers, "engine order", result)
 		}
@@ -76,10 +76,10 @@
 	})
 }
 
-// State implements platform.EngineService.
-func (s *meteredEngines) State(server platform.ServerID, sinceVersion uint64, timeout time.Duration, done func(*platform.EngineState, error)) {
+// State implements outside.EngineService.
+func (s *meteredEngines) State(server outside.ServerID, sinceVersion uint64, timeout time.Duration, done func(*outside.EngineState, error)) {
 	s.meter.platformCall(RoleServers, "engine state", nil)
-	s.EngineService.State(server, sinceVersion, timeout, func(state *platform.EngineState, err error) {
+	s.EngineService.State(server, sinceVersion, timeout, func(state *outside.EngineState, err error) {
 		if state != nil {
 			s.meter.platformReply(RoleServers, "engine state", state)
 		}
@@ -89,14 +89,14 @@
 
 // meteredMachines counts readings of the machine list.
 type meteredMachines struct {
-	service platform.MachineListService
+	service outside.MachineListService
 	meter   *Meter
 }
 
-// List implements platform.MachineListService.
-func (s *meteredMachines) List(sinceVersion uint64, timeout time.Duration, done func(*platform.MachineListing, error)) {
+// List implements outside.MachineListService.
+func (s *meteredMachines) List(sinceVersion uint64, timeout time.Duration, done func(*outside.MachineListing, error)) {
 	s.meter.platformCall(RoleMachines, "machine list", nil)
-	s.service.List(sinceVersion, timeout, func(listing *platform.MachineListing, err error) {
+	s.service.List(sinceVersion, timeout, func(listing *outside.MachineListing, err error) {
 		if listing != nil {
 			s.meter.platformReply(RoleMachines, "machine list", listing)
 		}
@@ -106,12 +106,12 @@
 
 // meteredWeights counts readings of the weight store's status.
 type meteredWeights struct {
-	service platform.WeightStoreService
+	service outside.WeightStoreService
 	meter   *Meter
 }
 
-// Status implements platform.WeightStoreService.
-func (s *meteredWeights) Status(timeout time.Duration, done func(platform.WeightStoreStatus, error)) {
-	s.meter.platformCall(RoleWeights, "weight store status", platform.WeightStoreStatus{})
+// Status implements outside.WeightStoreService.
+func (s *meteredWeights) Status(timeout time.Duration, done func(outside.WeightStoreStatus, error)) {
+	s.meter.platformCall(RoleWeights, "weight store status", outside.WeightStoreStatus{})
 	s.service.Status(timeout, done)
 }
--- a/internal/slopes/state.go
+++ b/internal/slopes/state.go
@@ -12,7 +12,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/claims"
 	"github.com/hatchplank/hatchplank/internal/membership"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -34,8 +34,8 @@
 	if err != nil {
 		return nil, err
 	}
-	listing, err := measureState("machine list, by JSON", size.Servers, machinesOf(size), json.Marshal, decodeJSON[[]platform.Machine], func(machines []platform.Machine) any {
-		index := make(map[platform.ServerID]platform.Machine, len(machines))
+	listing, err := measureState("machine list, by JSON", size.Servers, machinesOf(size), json.Marshal, decodeJSON[[]outside.Machine], func(machines []outside.Machine) any {
+		index := make(map[outside.ServerID]outside.Machine, len(machines))
 		for _, machine := range machines {
 			index[machine.Server] = machine
 		}
@@ -71,13 +71,13 @@
 	return int(keys * claims.AcceptorsPerShard / float64(s.Nodes))
 }
 
-func machinesOf(size Size) []platform.Machine {
-	machines := make([]platform.Machine, size.Servers)
+func machinesOf(size Size) []outside.Machine {
+	machines := make([]outside.Machine, size.Servers)
 	for i := range machines {
-		machines[i] = platform.Machine{
-			Server: platform.ServerID(fmt.Sprintf("server-%05d", i)), Address: "10.200.100.100:8000", Pool: enginePool,
+		machines[i] = outside.Machine{
+			Server: outside.ServerID(fmt.Sprintf("server-%05d", i)), Address: "10.200.100.100:8000", Pool: enginePool,
 			Zone: fmt.Sprintf("zone-%02d", i%size.Zones), Region: fmt.Sprintf("region-%d", i%size.Regions),
-			Phase: platform.MachineLive, Engine: true,
+			Phase: outside.MachineLive, Engine: true,
 		}
 	}
 	return machines
--- a/internal/slopes/traffic.go
+++ b/internal/slopes/traffic.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/gateway"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/table"
 	"github.com/hatchplank/hatchplank/internal/tablestore"
@@ -25,7 +25,7 @@
 type responder struct{ counts *requestCounts }
 
 // Chunk implements gateway.Responder.
-func (responder) Chunk(platform.Chunk) {}
+func (responder) Chunk(outside.Chunk) {}
 
 // Finish implements gateway.Responder.
 func (r responder) Finish(gateway.Answer) { r.counts.served++ }
--- a/internal/slopes/world.go
+++ b/internal/slopes/world.go
@@ -9,7 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/membership"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/settings"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
@@ -123,12 +123,12 @@
 func (w *World) startServer(name string, at zone) {
 	w.zoneOf[name] = at
 	w.fleet.Start(engine.Config{
-		Server: platform.ServerID(name), Accelerators: acceleratorsPerServer, MemoryBytes: memoryPerServer,
+		Server: outside.ServerID(name), Accelerators: acceleratorsPerServer, MemoryBytes: memoryPerServer,
 		Remote: w.weights, TokensPerChunk: tokensPerChunk,
 	})
-	w.Machines.Add(platform.Machine{
-		Server: platform.ServerID(name), Address: "10.200.100.100:8000", Pool: enginePool,
-		Zone: at.name, Region: at.region, Phase: platform.MachineLive, Engine: true,
+	w.Machines.Add(outside.Machine{
+		Server: outside.ServerID(name), Address: "10.200.100.100:8000", Pool: enginePool,
+		Zone: at.name, Region: at.region, Phase: outside.MachineLive, Engine: true,
 	})
 }
 
@@ -158,7 +158,7 @@
 	if err != nil {
 		panic(err)
 	}
-	_, err = w.KeyValue.Transact(platform.Transaction{Operations: []platform.Operation{{
+	_, err = w.KeyValue.Transact(outside.Transaction{Operations: []outside.Operation{{
 		Key: membership.MemberPrefix + member.Name, Value: value, Lease: lease,
 	}}})
 	if err != nil {
--- a/internal/standin/backend/answer.go
+++ b/internal/standin/backend/answer.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // ContentType of every answer.
@@ -31,7 +31,7 @@
 	OutcomeLost
 )
 
-// The reasons of a refusal, as in platform.AttemptError.
+// The reasons of a refusal, as in outside.AttemptError.
 const (
 	ReasonRefused = "refused"
 	ReasonBusy    = "busy"
@@ -41,13 +41,13 @@
 // Outcome is the end of one request at the server.
 type Outcome struct {
 	Kind     OutcomeKind
-	Response platform.BackEndResponse
+	Response outside.BackEndResponse
 	Reason   string
-	Load     platform.LoadHint
+	Load     outside.LoadHint
 }
 
-func answerTo(request platform.BackEndRequest, load platform.LoadHint) Outcome {
-	response := platform.BackEndResponse{
+func answerTo(request outside.BackEndRequest, load outside.LoadHint) Outcome {
+	response := outside.BackEndResponse{
 		Attempt:     request.Attempt,
 		Status:      http.StatusOK,
 		ContentType: ContentType,
--- a/internal/standin/backend/backend_test.go
+++ b/internal/standin/backend/backend_test.go
@@ -9,7 +9,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/backend"
@@ -21,9 +21,9 @@
 	ginkgo.RunSpecs(t, "Back-end stand-in")
 }
 
-func request(number int) platform.BackEndRequest {
+func request(number int) outside.BackEndRequest {
 	name := fmt.Sprintf("request-%d", number)
-	return platform.BackEndRequest{Attempt: platform.AttemptID(name), Key: name, Body: []byte(name)}
+	return outside.BackEndRequest{Attempt: outside.AttemptID(name), Key: name, Body: []byte(name)}
 }
 
 var _ = ginkgo.Describe("Server", func() {
@@ -52,7 +52,7 @@
 		}
 		gomega.Expect(outcomes).To(gomega.HaveLen(1))
 		gomega.Expect(outcomes[0].Reason).To(gomega.Equal(backend.ReasonBusy))
-		gomega.Expect(outcomes[0].Load).To(gomega.Equal(platform.LoadHint{Running: 2, Queued: 3}))
+		gomega.Expect(outcomes[0].Load).To(gomega.Equal(outside.LoadHint{Running: 2, Queued: 3}))
 		for _, done := range []int{2, 4, 5} {
 			loop.RunFor(time.Second)
 			gomega.Expect(outcomes).To(gomega.HaveLen(1 + done))
@@ -132,7 +132,7 @@
 		server.SetFaults(backend.Faults{RefuseShare: 0.1, LoseAnswerShare: 0.1, HangShare: 0.05})
 		host := backend.Host{Server: server, Process: simulation.NewProcess(loop, "server")}
 		service := backend.NewSimulated(unreliableNetwork(t, loop), simulation.NewProcess(loop, "client"),
-			func(platform.ServerID) (backend.Host, bool) { return host, true })
+			func(outside.ServerID) (backend.Host, bool) { return host, true })
 		const calls = 50
 		ends := map[string]int{}
 		failures := map[string]error{}
@@ -140,7 +140,7 @@
 			call := request(number)
 			loop.AfterFunc(time.Duration(number)*5*time.Millisecond, func() {
 				call.Deadline = loop.Now().Add(100 * time.Millisecond)
-				service.Call(call, func(_ platform.BackEndResponse, err error) {
+				service.Call(call, func(_ outside.BackEndResponse, err error) {
 					ends[call.Key]++
 					failures[call.Key] = err
 				})
@@ -171,7 +171,7 @@
 	if runs > 1 {
 		t.Fatalf("%s ran %d times", key, runs)
 	}
-	failure, failed := err.(*platform.AttemptError)
+	failure, failed := err.(*outside.AttemptError)
 	if !failed && runs != 1 {
 		t.Fatalf("%s was answered without a run", key)
 	}
--- a/internal/standin/backend/config.go
+++ b/internal/standin/backend/config.go
@@ -9,7 +9,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Defaults of a Config.
@@ -21,7 +21,7 @@
 
 // Config describes one server.
 type Config struct {
-	Server platform.ServerID
+	Server outside.ServerID
 	// Concurrency is how many requests run at once.
 	Concurrency int
 	// QueueLimit is how many more may wait; beyond it requests are refused.
@@ -61,8 +61,8 @@
 
 // Status is what a server tells of itself.
 type Status struct {
-	Server platform.ServerID `json:"server"`
-	Down   bool              `json:"down"`
+	Server outside.ServerID `json:"server"`
+	Down   bool             `json:"down"`
 	// Leaving servers refuse new requests and finish the ones they have.
 	Leaving bool   `json:"leaving"`
 	Running int    `json:"running"`
--- a/internal/standin/backend/http.go
+++ b/internal/standin/backend/http.go
@@ -6,8 +6,8 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/standin/httpserver"
 )
 
@@ -37,13 +37,13 @@
 	}
 	deadline, err := httpserver.Deadline(request)
 	if err != nil {
-		httpserver.Refuse(writer, http.StatusBadRequest, httpserver.ReasonMalformed, platform.LoadHint{})
+		httpserver.Refuse(writer, http.StatusBadRequest, httpserver.ReasonMalformed, outside.LoadHint{})
 		return
 	}
 	outcomes := make(chan Outcome, 1)
-	abandon, err := server.Serve(platform.BackEndRequest{
+	abandon, err := server.Serve(outside.BackEndRequest{
 		Server:      server.ID(),
-		Attempt:     platform.AttemptID(request.Header.Get(httpapi.HeaderAttempt)),
+		Attempt:     outside.AttemptID(request.Header.Get(httpapi.HeaderAttempt)),
 		RequestID:   request.Header.Get(httpapi.HeaderRequest),
 		Key:         request.Header.Get(httpapi.HeaderKey),
 		Method:      request.Method,
@@ -74,7 +74,7 @@
 	}
 }
 
-func writeAnswer(writer http.ResponseWriter, response platform.BackEndResponse) {
+func writeAnswer(writer http.ResponseWriter, response outside.BackEndResponse) {
 	header := writer.Header()
 	header.Set("Content-Type", response.ContentType)
 	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
--- a/internal/standin/backend/recorder.go
+++ b/internal/standin/backend/recorder.go
@@ -3,12 +3,12 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
 // note records what happened to a request; called with the lock held.
-func (s *Server) note(kind record.Kind, request platform.BackEndRequest, reason string) {
+func (s *Server) note(kind record.Kind, request outside.BackEndRequest, reason string) {
 	if s.log == nil {
 		return
 	}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
@@ -40,7 +40,7 @@
 
 // job is one request at the server.
 type job struct {
-	request    platform.BackEndRequest
+	request    outside.BackEndRequest
 	generation uint64
 	// sequence orders the jobs by their arrival.
 	sequence uint64
@@ -64,13 +64,13 @@
 }
 
 // ID returns the server's identity.
-func (s *Server) ID() platform.ServerID { return s.config.Server }
+func (s *Server) ID() outside.ServerID { return s.config.Server }
 
 // Serve receives a request. Done is called exactly once, at once for a refusal
 // and later otherwise; without the server's lock held. Abandon tells that the
 // caller is gone: a request that waits is dropped without a run, one that runs
 // goes on.
-func (s *Server) Serve(request platform.BackEndRequest, done func(Outcome)) (abandon func(), err error) {
+func (s *Server) Serve(request outside.BackEndRequest, done func(Outcome)) (abandon func(), err error) {
 	s.mutex.Lock()
 	if s.down {
 		s.mutex.Unlock()
@@ -170,8 +170,8 @@
 	}
 }
 
-func (s *Server) load() platform.LoadHint {
-	return platform.LoadHint{Running: s.running, Queued: len(s.queue), Leaving: s.leaving}
+func (s *Server) load() outside.LoadHint {
+	return outside.LoadHint{Running: s.running, Queued: len(s.queue), Leaving: s.leaving}
 }
 
 func (s *Server) happens(share float64) bool {
--- a/internal/standin/backend/simulated.go
+++ b/internal/standin/backend/simulated.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 )
@@ -19,13 +19,13 @@
 func (h Host) reachable() bool { return !h.Process.Killed() && !h.Server.Down() }
 
 // Lookup finds the host of a server as it is now.
-type Lookup func(server platform.ServerID) (Host, bool)
+type Lookup func(server outside.ServerID) (Host, bool)
 
 // connectionRefusedDelay is how long a client waits to learn that nothing
 // listens at an address.
 const connectionRefusedDelay = 2 * simulation.DefaultDelay
 
-// Simulated is the platform.BackEndService of one client process over a
+// Simulated is the outside.BackEndService of one client process over a
 // simulated network. A call stands for one request on a connection: the network
 // may lose or delay it, but never delivers it twice.
 type Simulated struct {
@@ -43,8 +43,8 @@
 type exchange struct {
 	service *Simulated
 	host    Host
-	request platform.BackEndRequest
-	done    func(platform.BackEndResponse, error)
+	request outside.BackEndRequest
+	done    func(outside.BackEndResponse, error)
 
 	delivered bool
 	finished  bool
@@ -52,12 +52,12 @@
 	abandon   func()
 }
 
-// Call implements platform.BackEndService.
-func (s *Simulated) Call(request platform.BackEndRequest, done func(platform.BackEndResponse, error)) {
+// Call implements outside.BackEndService.
+func (s *Simulated) Call(request outside.BackEndRequest, done func(outside.BackEndResponse, error)) {
 	call := &exchange{service: s, request: request, done: done}
 	remaining := request.Deadline.Sub(s.client.Now())
 	if remaining <= 0 {
-		s.client.AfterFunc(0, func() { call.fail(result.RanNo, "timeout", platform.LoadHint{}) })
+		s.client.AfterFunc(0, func() { call.fail(result.RanNo, "timeout", outside.LoadHint{}) })
 		return
 	}
 	host, known := s.lookup(request.Server)
@@ -103,7 +103,7 @@
 }
 
 func (e *exchange) refuseConnection() {
-	e.fail(result.RanNo, "connection", platform.LoadHint{})
+	e.fail(result.RanNo, "connection", outside.LoadHint{})
 }
 
 // timeOut ends the call at its deadline. Whether the request arrived is not
@@ -112,7 +112,7 @@
 	if e.finished {
 		return
 	}
-	e.fail(result.RanUnknown, "timeout", platform.LoadHint{})
+	e.fail(result.RanUnknown, "timeout", outside.LoadHint{})
 	e.service.network.Deliver(e.service.client, e.host.Process, e.disconnect)
 }
 
@@ -125,13 +125,13 @@
 	}
 }
 
-func (e *exchange) fail(ran result.Ran, reason string, load platform.LoadHint) {
-	e.finish(platform.BackEndResponse{}, &platform.AttemptError{
+func (e *exchange) fail(ran result.Ran, reason string, load outside.LoadHint) {
+	e.finish(outside.BackEndResponse{}, &outside.AttemptError{
 		Attempt: e.request.Attempt, Ran: ran, Reason: reason, Load: load,
 	})
 }
 
-func (e *exchange) finish(response platform.BackEndResponse, err error) {
+func (e *exchange) finish(response outside.BackEndResponse, err error) {
 	if e.finished {
 		return
 	}
--- a/internal/standin/engine/adapter.go
+++ b/internal/standin/engine/adapter.go
@@ -1,24 +1,24 @@
 package engine
 
 import (
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
 // loadAdapter begins the load of an adapter on a base that is ready or still
 // loading; it becomes ready after its base.
-func (e *Engine) loadAdapter(command platform.Command) string {
+func (e *Engine) loadAdapter(command outside.Command) string {
 	replica := e.replicaOf(command.Model)
-	if replica == nil || (replica.load.phase != platform.ReplicaLoading && replica.load.phase != platform.ReplicaReady) {
+	if replica == nil || (replica.load.phase != outside.ReplicaLoading && replica.load.phase != outside.ReplicaReady) {
 		return ReasonNoBase
 	}
 	if command.Adapter == "" {
 		return ReasonBadCommand
 	}
-	var held platform.AttemptID
-	if present := replica.adapterOf(command.Adapter); present != nil && present.load.phase != platform.ReplicaFailed {
+	var held outside.AttemptID
+	if present := replica.adapterOf(command.Adapter); present != nil && present.load.phase != outside.ReplicaFailed {
 		held = present.load.attempt
-		if held == command.Attempt && present.load.phase != platform.ReplicaUnloading {
+		if held == command.Attempt && present.load.phase != outside.ReplicaUnloading {
 			return ""
 		}
 	}
@@ -49,26 +49,26 @@
 
 // adapterInitialized makes an adapter ready once both it and its base are.
 func (e *Engine) adapterInitialized(replica *replica, adapter *adapter) {
-	if replica.load.phase != platform.ReplicaReady {
+	if replica.load.phase != outside.ReplicaReady {
 		return
 	}
-	if adapter.load.phase != platform.ReplicaLoading || !adapter.load.fetched {
+	if adapter.load.phase != outside.ReplicaLoading || !adapter.load.fetched {
 		return
 	}
-	adapter.load.phase = platform.ReplicaReady
+	adapter.load.phase = outside.ReplicaReady
 	e.version++
 	e.logReplica(record.KindAdapterLoadReady, replica, adapter, "")
 }
 
 func (e *Engine) failAdapter(replica *replica, adapter *adapter, reason string) {
-	adapter.load.phase = platform.ReplicaFailed
+	adapter.load.phase = outside.ReplicaFailed
 	e.version++
 	e.logReplica(record.KindAdapterLoadFailed, replica, adapter, reason)
 	e.reserve(-adapter.load.memoryBytes)
 }
 
 // unloadAdapter begins to unload the adapter of an attempt.
-func (e *Engine) unloadAdapter(command platform.Command) string {
+func (e *Engine) unloadAdapter(command outside.Command) string {
 	replica := e.replicaOf(command.Model)
 	if replica == nil {
 		return ReasonNoSuchAttempt
@@ -78,15 +78,15 @@
 		return ReasonNoSuchAttempt
 	}
 	switch adapter.load.phase {
-	case platform.ReplicaUnloading:
+	case outside.ReplicaUnloading:
 		return ""
-	case platform.ReplicaFailed:
+	case outside.ReplicaFailed:
 		replica.removeAdapter(adapter)
 		e.version++
 		return ""
 	}
 	adapter.load.stop()
-	adapter.load.phase = platform.ReplicaUnloading
+	adapter.load.phase = outside.ReplicaUnloading
 	e.version++
 	e.logReplica(record.KindAdapterUnloadStarted, replica, adapter, "")
 	e.endGenerations(replica, func(generation *generation) bool {
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
@@ -12,7 +12,7 @@
 // beginStep lets waiting requests join a replica's batch and runs one step of
 // it, unless a step runs already or there is nothing to do.
 func (e *Engine) beginStep(replica *replica) {
-	if replica.stepping || e.faults.Hang || replica.load.phase != platform.ReplicaReady {
+	if replica.stepping || e.faults.Hang || replica.load.phase != outside.ReplicaReady {
 		return
 	}
 	e.fillBatch(replica)
@@ -34,7 +34,7 @@
 		deadline := next.request.Deadline
 		if !deadline.IsZero() && !now.Before(deadline) {
 			e.logGeneration(record.KindGenerationRefused, next, ReasonTimeout)
-			e.end(next, &platform.AttemptError{Ran: result.RanNo, Reason: ReasonTimeout})
+			e.end(next, &outside.AttemptError{Ran: result.RanNo, Reason: ReasonTimeout})
 			continue
 		}
 		replica.queue = slices.Delete(replica.queue, 0, 1)
@@ -147,7 +147,7 @@
 func (e *Engine) emit(generation *generation) {
 	from := generation.next * e.config.TokensPerChunk
 	to := min(from+e.config.TokensPerChunk, generation.body.tokens)
-	chunk := platform.Chunk{
+	chunk := outside.Chunk{
 		Attempt: generation.request.Attempt, Index: generation.next,
 		Text: textOf(generation.body.digest, from, to), Tokens: to - from,
 	}
@@ -172,9 +172,9 @@
 	e.logGeneration(record.KindGenerationCompleted, generation, "")
 	hint := e.hint(generation.replica)
 	hint.Running = max(0, hint.Running-1)
-	e.push(generation, delivery{end: &platform.GenerateEnd{
+	e.push(generation, delivery{end: &outside.GenerateEnd{
 		Attempt: generation.request.Attempt, Chunks: generation.chunks, FinishReason: "length", Load: hint,
-		Usage: platform.Usage{
+		Usage: outside.Usage{
 			PromptTokens:     generation.body.promptTokens(),
 			CompletionTokens: generation.body.tokens,
 			CachedTokens:     generation.cachedTokens,
@@ -188,7 +188,7 @@
 	generation.phase = generationEnded
 	delete(e.generations, generation.request.Attempt)
 	e.logGeneration(record.KindGenerationTruncated, generation, reason)
-	e.push(generation, delivery{err: &platform.AttemptError{
+	e.push(generation, delivery{err: &outside.AttemptError{
 		Attempt: generation.request.Attempt, Ran: result.RanUnknown,
 		Reason: ReasonTruncated, Load: e.hint(generation.replica),
 	}})
--- a/internal/standin/engine/benchmark_test.go
+++ b/internal/standin/engine/benchmark_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
@@ -19,18 +19,18 @@
 	next   func()
 }
 
-func (s countingSink) Chunk(platform.Chunk)          { *s.chunks++ }
-func (s countingSink) End(platform.GenerateEnd)      { s.next() }
-func (s countingSink) Failed(*platform.AttemptError) { s.next() }
+func (s countingSink) Chunk(outside.Chunk)          { *s.chunks++ }
+func (s countingSink) End(outside.GenerateEnd)      { s.next() }
+func (s countingSink) Failed(*outside.AttemptError) { s.next() }
 
 // benchmarkGenerate keeps 32 requests of 128 tokens running and reports chunks
 // and loop events a second of real time.
-func benchmarkGenerate(b *testing.B, tokensPerChunk int, service func(*simulation.Loop, *engine.Host, *engine.Fleet) func(platform.GenerateRequest, platform.GenerateSink)) {
+func benchmarkGenerate(b *testing.B, tokensPerChunk int, service func(*simulation.Loop, *engine.Host, *engine.Fleet) func(outside.GenerateRequest, outside.GenerateSink)) {
 	loop := simulation.NewLoop(1)
 	fleet := engine.NewFleet(loop, simulation.NewNetwork(loop))
 	log := record.NewStream(func(record.Event) {})
 	host := fleet.Start(engine.Config{Server: "lm-1", TokensPerChunk: tokensPerChunk, Record: log})
-	host.Engine.Order(platform.Order{Fence: platform.Fence{Epoch: 1}, Commands: []platform.Command{load("m", "load-m")}})
+	host.Engine.Order(outside.Order{Fence: outside.Fence{Epoch: 1}, Commands: []outside.Command{load("m", "load-m")}})
 	loop.RunFor(time.Minute)
 	generate := service(loop, host, fleet)
 	prompt := strings.Repeat("The family asks for a place. ", 20)
@@ -38,8 +38,8 @@
 	var start func()
 	start = func() {
 		started++
-		generate(platform.GenerateRequest{
-			Server: "lm-1", Attempt: platform.AttemptID(fmt.Sprint(started)), RequestID: "r", Model: "m",
+		generate(outside.GenerateRequest{
+			Server: "lm-1", Attempt: outside.AttemptID(fmt.Sprint(started)), RequestID: "r", Model: "m",
 			Body: body(fmt.Sprint(prompt, started), 128),
 		}, countingSink{&chunks, start})
 	}
@@ -56,15 +56,15 @@
 	b.ReportMetric(float64(chunks*tokensPerChunk)/b.Elapsed().Seconds(), "tokens/s")
 }
 
-func direct(_ *simulation.Loop, host *engine.Host, _ *engine.Fleet) func(platform.GenerateRequest, platform.GenerateSink) {
-	return func(request platform.GenerateRequest, sink platform.GenerateSink) {
+func direct(_ *simulation.Loop, host *engine.Host, _ *engine.Fleet) func(outside.GenerateRequest, outside.GenerateSink) {
+	return func(request outside.GenerateRequest, sink outside.GenerateSink) {
 		host.Engine.Generate(request, sink)
 	}
 }
 
-func overNetwork(loop *simulation.Loop, _ *engine.Host, fleet *engine.Fleet) func(platform.GenerateRequest, platform.GenerateSink) {
+func overNetwork(loop *simulation.Loop, _ *engine.Host, fleet *engine.Fleet) func(outside.GenerateRequest, outside.GenerateSink) {
 	client := fleet.Client(simulation.NewProcess(loop, "gateway"))
-	return func(request platform.GenerateRequest, sink platform.GenerateSink) { client.Generate(request, sink) }
+	return func(request outside.GenerateRequest, sink outside.GenerateSink) { client.Generate(request, sink) }
 }
 
 // An operation is one chunk.
@@ -77,9 +77,9 @@
 	subject := engine.New(loop, rand.New(rand.NewPCG(1, 2)), engine.Config{Server: "lm-1"})
 	for index := range 12 {
 		name := fmt.Sprint("model-", index)
-		subject.Order(platform.Order{
-			Fence:    platform.Fence{Epoch: 1, Sequence: uint64(index)},
-			Commands: []platform.Command{load(name, platform.AttemptID(name))},
+		subject.Order(outside.Order{
+			Fence:    outside.Fence{Epoch: 1, Sequence: uint64(index)},
+			Commands: []outside.Command{load(name, outside.AttemptID(name))},
 		})
 	}
 	b.ReportAllocs()
--- a/internal/standin/engine/checkpoint.go
+++ b/internal/standin/engine/checkpoint.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // checkpoint names weights.
@@ -60,11 +60,11 @@
 
 // SeedCheckpoint puts a checkpoint into the disk or host memory cache, as if
 // it had been loaded before.
-func (e *Engine) SeedCheckpoint(name, version string, source platform.CheckpointSource, bytes int64) {
+func (e *Engine) SeedCheckpoint(name, version string, source outside.CheckpointSource, bytes int64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	cache := &e.diskCache
-	if source == platform.SourceMemory {
+	if source == outside.SourceMemory {
 		cache = &e.hostCache
 	}
 	if cache.add(checkpoint{name, version}, bytes) {
@@ -74,17 +74,17 @@
 
 // cached lists the checkpoints of the machine in order of name and version,
 // each with its fastest source.
-func (e *Engine) cached() []platform.CheckpointState {
-	states := make([]platform.CheckpointState, 0, len(e.hostCache.entries)+len(e.diskCache.entries))
+func (e *Engine) cached() []outside.CheckpointState {
+	states := make([]outside.CheckpointState, 0, len(e.hostCache.entries)+len(e.diskCache.entries))
 	for _, entry := range e.hostCache.entries {
-		states = append(states, platform.CheckpointState{Name: entry.name, Version: entry.version, Source: platform.SourceMemory})
+		states = append(states, outside.CheckpointState{Name: entry.name, Version: entry.version, Source: outside.SourceMemory})
 	}
 	for _, entry := range e.diskCache.entries {
 		if e.hostCache.find(entry.checkpoint) < 0 {
-			states = append(states, platform.CheckpointState{Name: entry.name, Version: entry.version, Source: platform.SourceDisk})
+			states = append(states, outside.CheckpointState{Name: entry.name, Version: entry.version, Source: outside.SourceDisk})
 		}
 	}
-	slices.SortFunc(states, func(a, b platform.CheckpointState) int {
+	slices.SortFunc(states, func(a, b outside.CheckpointState) int {
 		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Version, b.Version))
 	})
 	return states
--- a/internal/standin/engine/clientstream.go
+++ b/internal/standin/engine/clientstream.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -10,8 +10,8 @@
 // the frames, drops repeated ones and repeated chunks, and ends exactly once.
 type clientStream struct {
 	service    *Simulated
-	request    platform.GenerateRequest
-	sink       platform.GenerateSink
+	request    outside.GenerateRequest
+	sink       outside.GenerateSink
 	connection *connection
 
 	// nextSequence of frame and nextIndex of chunk are awaited.
@@ -105,7 +105,7 @@
 }
 
 // takeEnd accepts an end only if all chunks came before it.
-func (s *clientStream) takeEnd(end platform.GenerateEnd) {
+func (s *clientStream) takeEnd(end outside.GenerateEnd) {
 	if end.Chunks != s.nextIndex {
 		s.fail(result.RanUnknown, ReasonTruncated)
 		return
@@ -114,7 +114,7 @@
 	s.sink.End(end)
 }
 
-func (s *clientStream) takeChunk(chunk platform.Chunk) {
+func (s *clientStream) takeChunk(chunk outside.Chunk) {
 	switch {
 	case chunk.Index < s.nextIndex:
 	case chunk.Index > s.nextIndex:
@@ -146,7 +146,7 @@
 		return
 	}
 	s.finish()
-	s.sink.Failed(&platform.AttemptError{Attempt: s.request.Attempt, Ran: ran, Reason: reason})
+	s.sink.Failed(&outside.AttemptError{Attempt: s.request.Attempt, Ran: ran, Reason: reason})
 }
 
 func (s *clientStream) finish() {
--- a/internal/standin/engine/concurrency_test.go
+++ b/internal/standin/engine/concurrency_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
@@ -23,9 +23,9 @@
 	whole bool
 }
 
-func (s *waitingSink) Chunk(chunk platform.Chunk)    { s.text.WriteString(chunk.Text) }
-func (s *waitingSink) End(platform.GenerateEnd)      { s.whole = true; s.ended.Done() }
-func (s *waitingSink) Failed(*platform.AttemptError) { s.ended.Done() }
+func (s *waitingSink) Chunk(chunk outside.Chunk)    { s.text.WriteString(chunk.Text) }
+func (s *waitingSink) End(outside.GenerateEnd)      { s.whole = true; s.ended.Done() }
+func (s *waitingSink) Failed(*outside.AttemptError) { s.ended.Done() }
 
 // Run with -race, this checks the locking; sinks are not synchronized.
 var _ = It("serves concurrent callers on the real clock", func() {
@@ -41,7 +41,7 @@
 	})
 	tiny := load("m", "a")
 	tiny.WeightBytes = 1000
-	Expect(subject.Order(platform.Order{Fence: platform.Fence{Epoch: 1}, Commands: []platform.Command{tiny}}).Accepted).To(BeTrue())
+	Expect(subject.Order(outside.Order{Fence: outside.Fence{Epoch: 1}, Commands: []outside.Command{tiny}}).Accepted).To(BeTrue())
 	Eventually(ready).Should(BeClosed())
 
 	var ended sync.WaitGroup
@@ -50,8 +50,8 @@
 		sinks[index] = &waitingSink{ended: &ended}
 		ended.Add(1)
 		go func() {
-			cancel := subject.Generate(platform.GenerateRequest{
-				Attempt: platform.AttemptID(fmt.Sprint(index)), Model: "m", Body: body(fmt.Sprint(index), 50),
+			cancel := subject.Generate(outside.GenerateRequest{
+				Attempt: outside.AttemptID(fmt.Sprint(index)), Model: "m", Body: body(fmt.Sprint(index), 50),
 			}, sinks[index])
 			subject.State(0)
 			if index%3 == 0 {
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -4,14 +4,14 @@
 	"math"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 	"github.com/hatchplank/hatchplank/internal/standin/weights"
 )
 
 // Config of an Engine. Zero fields take the defaults of WithDefaults.
 type Config struct {
-	Server platform.ServerID
+	Server outside.ServerID
 	// Accelerators and their memory together, in bytes.
 	Accelerators int
 	MemoryBytes  int64
--- a/internal/standin/engine/connection.go
+++ b/internal/standin/engine/connection.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 )
@@ -43,7 +43,7 @@
 // arrive accepts the connection on the server's machine; a repeated arrival is
 // ignored. A dead process's connection is refused, and since this was the
 // request's only arrival that counts, it is proved not to have run.
-func (c *connection) arrive(request platform.GenerateRequest) {
+func (c *connection) arrive(request outside.GenerateRequest) {
 	if c.phase != connectionNew {
 		return
 	}
@@ -57,7 +57,7 @@
 }
 
 // serve hands the request to the engine. A hanging engine never takes it.
-func (c *connection) serve(request platform.GenerateRequest) {
+func (c *connection) serve(request outside.GenerateRequest) {
 	switch {
 	case c.phase != connectionOpen:
 	case c.cancelled:
@@ -69,12 +69,12 @@
 
 // refuse closes a connection whose request did not run and will not.
 func (c *connection) refuse(reason string) {
-	c.send(delivery{err: &platform.AttemptError{Attempt: c.stream.request.Attempt, Ran: result.RanNo, Reason: reason}})
+	c.send(delivery{err: &outside.AttemptError{Attempt: c.stream.request.Attempt, Ran: result.RanNo, Reason: reason}})
 	c.close()
 }
 
-// Chunk implements platform.GenerateSink.
-func (c *connection) Chunk(chunk platform.Chunk) {
+// Chunk implements outside.GenerateSink.
+func (c *connection) Chunk(chunk outside.Chunk) {
 	if c.phase != connectionOpen {
 		return
 	}
@@ -87,11 +87,11 @@
 	c.send(delivery{chunk: chunk})
 }
 
-// End implements platform.GenerateSink.
-func (c *connection) End(end platform.GenerateEnd) { c.finish(delivery{end: &end}) }
+// End implements outside.GenerateSink.
+func (c *connection) End(end outside.GenerateEnd) { c.finish(delivery{end: &end}) }
 
-// Failed implements platform.GenerateSink.
-func (c *connection) Failed(err *platform.AttemptError) { c.finish(delivery{err: err}) }
+// Failed implements outside.GenerateSink.
+func (c *connection) Failed(err *outside.AttemptError) { c.finish(delivery{err: err}) }
 
 func (c *connection) finish(last delivery) {
 	if c.phase != connectionOpen {
@@ -140,7 +140,7 @@
 		return
 	}
 	c.phase = connectionClosed
-	c.send(delivery{err: &platform.AttemptError{
+	c.send(delivery{err: &outside.AttemptError{
 		Attempt: c.stream.request.Attempt, Ran: result.RanUnknown, Reason: ReasonTruncated,
 	}})
 }
--- a/internal/standin/engine/delivery.go
+++ b/internal/standin/engine/delivery.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Dropper is a sink that wants to know when its engine died: no End and no
@@ -14,15 +14,15 @@
 
 // delivery is one call of a sink: a chunk unless end or err is set.
 type delivery struct {
-	chunk platform.Chunk
-	end   *platform.GenerateEnd
-	err   *platform.AttemptError
+	chunk outside.Chunk
+	end   *outside.GenerateEnd
+	err   *outside.AttemptError
 }
 
 // outbox hands deliveries to one sink, in order and never overlapping, without
 // the engine's lock.
 type outbox struct {
-	sink platform.GenerateSink
+	sink outside.GenerateSink
 
 	mutex      sync.Mutex
 	pending    []delivery
--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -5,7 +5,7 @@
 //
 // Memory is accounted as one pool per machine. A replica is sharded evenly over
 // the accelerators it occupies, so what one accelerator holds follows from the
-// sum; and platform.EngineState reports one figure per machine, so a finer
+// sum; and outside.EngineState reports one figure per machine, so a finer
 // account could not be checked against what the owner was told. The model never
 // refuses an overcommit: it records it, for the checker to find.
 //
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 	"github.com/hatchplank/hatchplank/internal/standin/weights"
 )
@@ -26,8 +26,8 @@
 	alive bool
 	// starts counts the incarnations; timers of an earlier one do nothing.
 	starts      int
-	incarnation platform.Incarnation
-	fence       platform.Fence
+	incarnation outside.Incarnation
+	fence       outside.Fence
 	// version grows over incarnations too, so that no reader takes a restarted
 	// engine for an unchanged one.
 	version  uint64
@@ -39,11 +39,11 @@
 	replicas []*replica
 	used     int64
 	// loads remembers every attempt of a load in this incarnation.
-	loads map[platform.AttemptID]struct{}
+	loads map[outside.AttemptID]struct{}
 
 	attempts attemptSet
 	// running generations by attempt, for KV export.
-	generations map[platform.AttemptID]*generation
+	generations map[outside.AttemptID]*generation
 	imports     []kvImport
 	feed        cacheFeed
 	// touched generations have deliveries to be made; see exclusive.
@@ -79,16 +79,16 @@
 	e.alive = true
 	e.starts++
 	e.version++
-	e.incarnation = platform.Incarnation(fmt.Sprintf("%s-%d", e.config.BootID, e.starts))
-	e.fence = platform.Fence{}
+	e.incarnation = outside.Incarnation(fmt.Sprintf("%s-%d", e.config.BootID, e.starts))
+	e.fence = outside.Fence{}
 	e.role = e.config.Role
 	e.leaving = false
 	e.leavesAt = time.Time{}
 	e.replicas = nil
 	e.used = 0
-	e.loads = map[platform.AttemptID]struct{}{}
+	e.loads = map[outside.AttemptID]struct{}{}
 	e.attempts = attemptSet{}
-	e.generations = map[platform.AttemptID]*generation{}
+	e.generations = map[outside.AttemptID]*generation{}
 	e.imports = nil
 	e.hostCache = checkpointCache{capacity: e.config.HostCacheBytes}
 	e.disk = weights.NewLink(c, e.config.DiskBytesPerSecond, 1)
@@ -171,7 +171,7 @@
 }
 
 // Server returns the engine's name.
-func (e *Engine) Server() platform.ServerID { return e.config.Server }
+func (e *Engine) Server() outside.ServerID { return e.config.Server }
 
 // SetLeaving announces that the machine will be reclaimed at deadline (zero:
 // not known). The engine goes on serving; whoever reclaims it calls Kill.
@@ -181,12 +181,12 @@
 	e.leaving = true
 	e.leavesAt = deadline
 	e.version++
-	e.log(record.Event{Kind: record.KindMachinePhase, Phase: string(platform.MachineLeaving), Deadline: deadline})
+	e.log(record.Event{Kind: record.KindMachinePhase, Phase: string(outside.MachineLeaving), Deadline: deadline})
 }
 
 // State reads the engine's state, or nil if its version is sinceVersion or the
 // engine is dead. Load figures lag by Config.LoadLag.
-func (e *Engine) State(sinceVersion uint64) *platform.EngineState {
+func (e *Engine) State(sinceVersion uint64) *outside.EngineState {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if !e.alive || (sinceVersion != 0 && sinceVersion == e.version) {
@@ -196,9 +196,9 @@
 	return &state
 }
 
-func (e *Engine) state() platform.EngineState {
+func (e *Engine) state() outside.EngineState {
 	now := e.clock.Now()
-	state := platform.EngineState{
+	state := outside.EngineState{
 		Server:       e.config.Server,
 		Incarnation:  e.incarnation,
 		Fence:        e.fence,
@@ -206,7 +206,7 @@
 		Accelerators: e.config.Accelerators,
 		MemoryBytes:  e.config.MemoryBytes,
 		UsedBytes:    e.used,
-		Replicas:     make([]platform.ReplicaState, 0, len(e.replicas)),
+		Replicas:     make([]outside.ReplicaState, 0, len(e.replicas)),
 		Cached:       e.cached(),
 		MaxBatch:     e.config.MaxBatch,
 		Role:         e.role,
--- a/internal/standin/engine/fleet.go
+++ b/internal/standin/engine/fleet.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/weights"
 )
@@ -16,14 +16,14 @@
 type Fleet struct {
 	loop    *simulation.Loop
 	network *simulation.Network
-	hosts   map[platform.ServerID]*Host
+	hosts   map[outside.ServerID]*Host
 	// ResetDelay of connections after a death.
 	ResetDelay time.Duration
 }
 
 // NewFleet returns an empty fleet.
 func NewFleet(loop *simulation.Loop, network *simulation.Network) *Fleet {
-	return &Fleet{loop: loop, network: network, hosts: map[platform.ServerID]*Host{}, ResetDelay: DefaultResetDelay}
+	return &Fleet{loop: loop, network: network, hosts: map[outside.ServerID]*Host{}, ResetDelay: DefaultResetDelay}
 }
 
 // Host is a machine with one engine's process. The name of its processes on
@@ -59,7 +59,7 @@
 }
 
 // Host returns the machine of a server, or nil.
-func (f *Fleet) Host(server platform.ServerID) *Host { return f.hosts[server] }
+func (f *Fleet) Host(server outside.ServerID) *Host { return f.hosts[server] }
 
 // Kill ends the engine's process. The machine resets its connections after
 // Fleet.ResetDelay and refuses new ones.
