--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -4,12 +4,12 @@
 	"slices"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
-// Reasons of platform.AttemptError.
+// Reasons of outside.AttemptError.
 const (
 	ReasonRefused    = "refused"
 	ReasonNotLoaded  = "not_loaded"
@@ -31,7 +31,7 @@
 
 // generation is one attempt at a generation.
 type generation struct {
-	request platform.GenerateRequest
+	request outside.GenerateRequest
 	outbox  outbox
 	replica *replica
 	phase   generationPhase
@@ -56,7 +56,7 @@
 // A refusal is Failed with result.RanNo. Any other Failed means that the
 // connection breaks without a proper end: a transport must not make a clean
 // answer of it.
-func (e *Engine) Generate(request platform.GenerateRequest, sink platform.GenerateSink) (cancel func()) {
+func (e *Engine) Generate(request outside.GenerateRequest, sink outside.GenerateSink) (cancel func()) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if !e.alive {
@@ -78,32 +78,32 @@
 
 // admission returns why an attempt is not accepted, or nil; and finds its
 // replica.
-func (e *Engine) admission(arrived *generation) *platform.AttemptError {
+func (e *Engine) admission(arrived *generation) *outside.AttemptError {
 	request := &arrived.request
 	if e.attempts.seen(request.Attempt) {
 		// This arrival does not run, but the attempt it names may have.
-		return &platform.AttemptError{Ran: result.RanUnknown, Reason: ReasonRefused}
+		return &outside.AttemptError{Ran: result.RanUnknown, Reason: ReasonRefused}
 	}
 	if e.happens(e.faults.Refuse) {
-		return &platform.AttemptError{Reason: ReasonRefused}
+		return &outside.AttemptError{Reason: ReasonRefused}
 	}
 	if !request.Deadline.IsZero() && !e.clock.Now().Before(request.Deadline) {
-		return &platform.AttemptError{Reason: ReasonTimeout}
+		return &outside.AttemptError{Reason: ReasonTimeout}
 	}
 	arrived.replica = e.serving(request)
 	if arrived.replica == nil {
-		return &platform.AttemptError{Reason: ReasonNotLoaded}
+		return &outside.AttemptError{Reason: ReasonNotLoaded}
 	}
 	if e.queueFull(arrived.replica) {
-		return &platform.AttemptError{Reason: ReasonBusy}
+		return &outside.AttemptError{Reason: ReasonBusy}
 	}
 	return nil
 }
 
 // serving returns the ready replica that can run a request, or nil.
-func (e *Engine) serving(request *platform.GenerateRequest) *replica {
+func (e *Engine) serving(request *outside.GenerateRequest) *replica {
 	replica := e.replicaOf(request.Model)
-	if replica == nil || replica.load.phase != platform.ReplicaReady {
+	if replica == nil || replica.load.phase != outside.ReplicaReady {
 		return nil
 	}
 	if request.Adapter == "" {
@@ -113,7 +113,7 @@
 		return replica
 	}
 	adapter := replica.adapterOf(request.Adapter)
-	if adapter == nil || adapter.load.phase != platform.ReplicaReady {
+	if adapter == nil || adapter.load.phase != outside.ReplicaReady {
 		return nil
 	}
 	if request.Version != "" && request.Version != replica.version && request.Version != adapter.version {
@@ -130,7 +130,7 @@
 }
 
 // refuse answers an attempt that was not accepted, after Generate returned.
-func (e *Engine) refuse(refused *generation, refusal *platform.AttemptError) {
+func (e *Engine) refuse(refused *generation, refusal *outside.AttemptError) {
 	refused.phase = generationEnded
 	refusal.Attempt = refused.request.Attempt
 	refusal.Load = e.hint(refused.replica)
@@ -155,15 +155,15 @@
 	switch cancelled.phase {
 	case generationQueued:
 		e.logGeneration(record.KindGenerationCancelled, cancelled, "queued")
-		e.end(cancelled, &platform.AttemptError{Ran: result.RanNo, Reason: ReasonCancelled})
+		e.end(cancelled, &outside.AttemptError{Ran: result.RanNo, Reason: ReasonCancelled})
 	case generationRunning:
 		e.logGeneration(record.KindGenerationCancelled, cancelled, "running")
-		e.end(cancelled, &platform.AttemptError{Ran: result.RanYes, Reason: ReasonCancelled})
+		e.end(cancelled, &outside.AttemptError{Ran: result.RanYes, Reason: ReasonCancelled})
 	}
 }
 
 // end takes a generation off its replica and fails it.
-func (e *Engine) end(ended *generation, failure *platform.AttemptError) {
+func (e *Engine) end(ended *generation, failure *outside.AttemptError) {
 	replica := ended.replica
 	if ended.phase == generationRunning {
 		replica.running = without(replica.running, ended)
@@ -186,10 +186,10 @@
 		case !matches(ended):
 		case ended.phase == generationRunning:
 			e.logGeneration(record.KindGenerationTruncated, ended, reason)
-			e.end(ended, &platform.AttemptError{Ran: result.RanUnknown, Reason: ReasonTruncated})
+			e.end(ended, &outside.AttemptError{Ran: result.RanUnknown, Reason: ReasonTruncated})
 		default:
 			e.logGeneration(record.KindGenerationRefused, ended, ReasonNotLoaded)
-			e.end(ended, &platform.AttemptError{Ran: result.RanNo, Reason: ReasonNotLoaded})
+			e.end(ended, &outside.AttemptError{Ran: result.RanNo, Reason: ReasonNotLoaded})
 		}
 	}
 }
@@ -209,14 +209,14 @@
 	if len(replica.running) > 0 {
 		state = usageBusy
 	}
-	if replica.load.phase == platform.ReplicaReady && replica.usage.state != state {
+	if replica.load.phase == outside.ReplicaReady && replica.usage.state != state {
 		replica.usage.change(now, state)
 	}
 }
 
 // hint is the load told with an answer; it does not lag.
-func (e *Engine) hint(replica *replica) platform.LoadHint {
-	hint := platform.LoadHint{Leaving: e.leaving}
+func (e *Engine) hint(replica *replica) outside.LoadHint {
+	hint := outside.LoadHint{Leaving: e.leaving}
 	if replica != nil {
 		hint.Running = len(replica.running)
 		hint.Queued = len(replica.queue)
@@ -249,11 +249,11 @@
 
 // attemptSet remembers the newest attempts, in bounded memory.
 type attemptSet struct {
-	newer, older map[platform.AttemptID]struct{}
+	newer, older map[outside.AttemptID]struct{}
 }
 
 // seen reports whether the attempt was seen before, and remembers it.
-func (s *attemptSet) seen(attempt platform.AttemptID) bool {
+func (s *attemptSet) seen(attempt outside.AttemptID) bool {
 	if _, seen := s.newer[attempt]; seen {
 		return true
 	}
@@ -262,7 +262,7 @@
 	}
 	if s.newer == nil || len(s.newer) >= attemptsKept {
 		s.older = s.newer
-		s.newer = map[platform.AttemptID]struct{}{}
+		s.newer = map[outside.AttemptID]struct{}{}
 	}
 	s.newer[attempt] = struct{}{}
 	return false
--- a/internal/standin/engine/generate_test.go
+++ b/internal/standin/engine/generate_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
@@ -18,7 +18,7 @@
 	DescribeTable("the whole text arrives", func(tokensPerChunk, tokens, resumeFrom int) {
 		b := loaded(func(config *engine.Config) { config.TokensPerChunk = tokensPerChunk })
 		request := body("hello", tokens)
-		sink, _ := b.generate("1", request, func(r *platform.GenerateRequest) { r.ResumeFrom = resumeFrom })
+		sink, _ := b.generate("1", request, func(r *outside.GenerateRequest) { r.ResumeFrom = resumeFrom })
 		b.loop.RunFor(time.Minute)
 		Expect(sink.failure).To(BeNil())
 		var expected strings.Builder
@@ -36,9 +36,9 @@
 		Entry("resumed at its end", 1, 40, 40),
 	)
 
-	DescribeTable("refusals prove that nothing ran", func(change func(*bench, *platform.GenerateRequest), reason string) {
+	DescribeTable("refusals prove that nothing ran", func(change func(*bench, *outside.GenerateRequest), reason string) {
 		b := loaded(func(config *engine.Config) { config.MaxBatch, config.MaxQueue = 1, 1 })
-		sink, _ := b.generate("1", body("hello", 4), func(r *platform.GenerateRequest) { change(b, r) })
+		sink, _ := b.generate("1", body("hello", 4), func(r *outside.GenerateRequest) { change(b, r) })
 		Expect(sink.ended()).To(BeFalse(), "called before Generate returned")
 		b.loop.RunFor(time.Minute)
 		Expect(sink.failure).To(HaveField("Reason", reason))
@@ -49,25 +49,25 @@
 			}
 		}
 	},
-		Entry("unknown model", func(_ *bench, r *platform.GenerateRequest) { r.Model = "n" }, engine.ReasonNotLoaded),
-		Entry("other version", func(_ *bench, r *platform.GenerateRequest) { r.Version = "2" }, engine.ReasonNotLoaded),
-		Entry("unknown adapter", func(_ *bench, r *platform.GenerateRequest) { r.Adapter = "x" }, engine.ReasonNotLoaded),
-		Entry("still loading", func(b *bench, r *platform.GenerateRequest) {
+		Entry("unknown model", func(_ *bench, r *outside.GenerateRequest) { r.Model = "n" }, engine.ReasonNotLoaded),
+		Entry("other version", func(_ *bench, r *outside.GenerateRequest) { r.Version = "2" }, engine.ReasonNotLoaded),
+		Entry("unknown adapter", func(_ *bench, r *outside.GenerateRequest) { r.Adapter = "x" }, engine.ReasonNotLoaded),
+		Entry("still loading", func(b *bench, r *outside.GenerateRequest) {
 			b.order(load("n", "load-n"))
 			r.Model = "n"
 		}, engine.ReasonNotLoaded),
-		Entry("unloading", func(b *bench, _ *platform.GenerateRequest) { b.order(unload("m", "load-m")) }, engine.ReasonNotLoaded),
-		Entry("deadline passed", func(b *bench, r *platform.GenerateRequest) { r.Deadline = b.loop.Now() }, engine.ReasonTimeout),
-		Entry("refuse fault", func(b *bench, _ *platform.GenerateRequest) { b.engine.SetFaults(engine.Faults{Refuse: 1}) }, engine.ReasonRefused),
-		Entry("full queue", func(b *bench, _ *platform.GenerateRequest) {
+		Entry("unloading", func(b *bench, _ *outside.GenerateRequest) { b.order(unload("m", "load-m")) }, engine.ReasonNotLoaded),
+		Entry("deadline passed", func(b *bench, r *outside.GenerateRequest) { r.Deadline = b.loop.Now() }, engine.ReasonTimeout),
+		Entry("refuse fault", func(b *bench, _ *outside.GenerateRequest) { b.engine.SetFaults(engine.Faults{Refuse: 1}) }, engine.ReasonRefused),
+		Entry("full queue", func(b *bench, _ *outside.GenerateRequest) {
 			b.generate("a", body("a", 100), nil)
 			b.generate("b", body("b", 100), nil)
 		}, engine.ReasonBusy),
-		Entry("deadline passes in the queue", func(b *bench, r *platform.GenerateRequest) {
+		Entry("deadline passes in the queue", func(b *bench, r *outside.GenerateRequest) {
 			b.generate("a", body("a", 1000), nil)
 			r.Deadline = b.loop.Now().Add(time.Second)
 		}, engine.ReasonTimeout),
-		Entry("unload while queued", func(b *bench, _ *platform.GenerateRequest) {
+		Entry("unload while queued", func(b *bench, _ *outside.GenerateRequest) {
 			b.generate("a", body("a", 1000), nil)
 			b.loop.AfterFunc(time.Second, func() { b.order(unload("m", "load-m")) })
 		}, engine.ReasonNotLoaded),
@@ -165,7 +165,7 @@
 		b := loaded(func(config *engine.Config) { config.MaxBatch = 1 })
 		b.generate("a", body("a", 10), nil)
 		low, _ := b.generate("low", body("hello", 10), nil)
-		high, _ := b.generate("high", body("hello", 10), func(r *platform.GenerateRequest) { r.Priority = 5 })
+		high, _ := b.generate("high", body("hello", 10), func(r *outside.GenerateRequest) { r.Priority = 5 })
 		b.loop.RunFor(time.Minute)
 		Expect(high.endedAt).To(BeTemporally("<", low.firstAt))
 	})
@@ -224,7 +224,7 @@
 		readyAt, accepted := target.engine.ImportKV(export)
 		Expect(accepted).To(BeTrue())
 		target.loop.RunUntil(readyAt)
-		second, _ := target.generate("2", request, func(r *platform.GenerateRequest) {
+		second, _ := target.generate("2", request, func(r *outside.GenerateRequest) {
 			r.RequestID, r.ResumeFrom = export.RequestID, export.Chunks
 		})
 		target.loop.RunFor(20 * time.Millisecond)
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -7,8 +7,8 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/standin/httpserver"
 )
 
@@ -21,13 +21,13 @@
 
 	mutex sync.Mutex
 	// cancels holds how to cancel the attempts in progress.
-	cancels map[platform.AttemptID]func()
+	cancels map[outside.AttemptID]func()
 }
 
 // NewHandler returns the engine's HTTP form: the OpenAI interface, orders and
 // reports, and the control interface.
 func NewHandler(engine *Engine) http.Handler {
-	server := &httpServer{engine: engine, cancels: map[platform.AttemptID]func(){}}
+	server := &httpServer{engine: engine, cancels: map[outside.AttemptID]func(){}}
 	router := mux.NewRouter()
 	server.addPlatformRoutes(router)
 	server.addControlRoutes(router)
@@ -71,7 +71,7 @@
 }
 
 func (s *httpServer) serveOrder(writer http.ResponseWriter, request *http.Request) {
-	order := platform.Order{}
+	order := outside.Order{}
 	if !httpserver.ReadJSON(writer, request, httpserver.MaxBodyBytes, &order) {
 		return
 	}
@@ -119,7 +119,7 @@
 	}
 	export, found := s.engine.ExportKV(wanted.Attempt)
 	if !found {
-		httpserver.Refuse(writer, http.StatusNotFound, ReasonNoSuchAttempt, platform.LoadHint{})
+		httpserver.Refuse(writer, http.StatusNotFound, ReasonNoSuchAttempt, outside.LoadHint{})
 		return
 	}
 	httpserver.WriteJSON(writer, http.StatusOK, export)
@@ -137,7 +137,7 @@
 	}
 	readyAt, accepted := s.engine.ImportKV(export)
 	if !accepted {
-		httpserver.Refuse(writer, http.StatusConflict, ReasonNotLoaded, platform.LoadHint{})
+		httpserver.Refuse(writer, http.StatusConflict, ReasonNotLoaded, outside.LoadHint{})
 		return
 	}
 	httpserver.WriteJSON(writer, http.StatusOK, ImportAnswer{ReadyAt: readyAt})
@@ -153,7 +153,7 @@
 	cancel, found := s.cancels[wanted.Attempt]
 	s.mutex.Unlock()
 	if !found {
-		httpserver.Refuse(writer, http.StatusNotFound, ReasonNoSuchAttempt, platform.LoadHint{})
+		httpserver.Refuse(writer, http.StatusNotFound, ReasonNoSuchAttempt, outside.LoadHint{})
 		return
 	}
 	cancel()
@@ -161,5 +161,5 @@
 }
 
 func refuseMalformed(writer http.ResponseWriter) {
-	httpserver.Refuse(writer, http.StatusBadRequest, httpserver.ReasonMalformed, platform.LoadHint{})
+	httpserver.Refuse(writer, http.StatusBadRequest, httpserver.ReasonMalformed, outside.LoadHint{})
 }
--- a/internal/standin/engine/http_answer.go
+++ b/internal/standin/engine/http_answer.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"strings"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/standin/httpserver"
 )
 
@@ -26,7 +26,7 @@
 	buffer bytes.Buffer
 }
 
-func (a *streamAnswer) chunk(chunk *platform.Chunk) {
+func (a *streamAnswer) chunk(chunk *outside.Chunk) {
 	a.begin()
 	frame := a.frame()
 	frame.Index = chunk.Index
@@ -42,7 +42,7 @@
 	a.writeFrame(frame)
 }
 
-func (a *streamAnswer) end(end *platform.GenerateEnd) {
+func (a *streamAnswer) end(end *outside.GenerateEnd) {
 	a.begin()
 	frame := a.frame()
 	frame.Index = end.Chunks
@@ -55,7 +55,7 @@
 	a.flush()
 }
 
-func (a *streamAnswer) fail(failure *platform.AttemptError) {
+func (a *streamAnswer) fail(failure *outside.AttemptError) {
 	if breaksConnection(failure) {
 		a.flush()
 		httpserver.Abort()
@@ -134,7 +134,7 @@
 	FinishReason string               `json:"finish_reason"`
 }
 
-func (a *plainAnswer) chunk(chunk *platform.Chunk) {
+func (a *plainAnswer) chunk(chunk *outside.Chunk) {
 	if chunk.Index < a.next {
 		return
 	}
@@ -142,7 +142,7 @@
 	a.text.WriteString(chunk.Text)
 }
 
-func (a *plainAnswer) end(end *platform.GenerateEnd) {
+func (a *plainAnswer) end(end *outside.GenerateEnd) {
 	choice := completionChoice{FinishReason: end.FinishReason}
 	object := objectCompletion
 	if a.isChat() {
@@ -158,7 +158,7 @@
 	})
 }
 
-func (a *plainAnswer) fail(failure *platform.AttemptError) {
+func (a *plainAnswer) fail(failure *outside.AttemptError) {
 	if breaksConnection(failure) {
 		httpserver.Abort()
 	}
@@ -167,7 +167,7 @@
 
 func (a *plainAnswer) flush() {}
 
-func usageOf(usage platform.Usage) *httpapi.StreamUsage {
+func usageOf(usage outside.Usage) *httpapi.StreamUsage {
 	return &httpapi.StreamUsage{
 		PromptTokens:     usage.PromptTokens,
 		CompletionTokens: usage.CompletionTokens,
--- a/internal/standin/engine/http_generate.go
+++ b/internal/standin/engine/http_generate.go
@@ -7,8 +7,8 @@
 
 	"github.com/google/uuid"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/standin/httpserver"
 )
@@ -55,11 +55,11 @@
 
 // readGenerate reads the headers. A client that names neither the attempt nor
 // the model by header gets an attempt of its own and the body's model.
-func (s *httpServer) readGenerate(request *http.Request, body []byte, wish streamWish) (platform.GenerateRequest, error) {
+func (s *httpServer) readGenerate(request *http.Request, body []byte, wish streamWish) (outside.GenerateRequest, error) {
 	header := request.Header
-	wanted := platform.GenerateRequest{
+	wanted := outside.GenerateRequest{
 		Server:    s.engine.Server(),
-		Attempt:   platform.AttemptID(header.Get(httpapi.HeaderAttempt)),
+		Attempt:   outside.AttemptID(header.Get(httpapi.HeaderAttempt)),
 		RequestID: header.Get(httpapi.HeaderRequest),
 		Model:     header.Get(httpapi.HeaderModel),
 		Adapter:   header.Get(httpapi.HeaderAdapter),
@@ -69,7 +69,7 @@
 		Key:       header.Get(httpapi.HeaderKey),
 	}
 	if wanted.Attempt == "" {
-		wanted.Attempt = platform.AttemptID(uuid.NewString())
+		wanted.Attempt = outside.AttemptID(uuid.NewString())
 	}
 	if wanted.Model == "" {
 		wanted.Model = wish.Model
@@ -85,13 +85,13 @@
 	return wanted, err
 }
 
-func (s *httpServer) remember(attempt platform.AttemptID, cancel func()) {
+func (s *httpServer) remember(attempt outside.AttemptID, cancel func()) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.cancels[attempt] = cancel
 }
 
-func (s *httpServer) forget(attempt platform.AttemptID) {
+func (s *httpServer) forget(attempt outside.AttemptID) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.cancels, attempt)
@@ -136,16 +136,16 @@
 
 // httpAnswer writes one attempt's answer.
 type httpAnswer interface {
-	chunk(chunk *platform.Chunk)
-	end(end *platform.GenerateEnd)
-	fail(failure *platform.AttemptError)
+	chunk(chunk *outside.Chunk)
+	end(end *outside.GenerateEnd)
+	fail(failure *outside.AttemptError)
 	flush()
 }
 
 // answerForm is what both forms of answer share.
 type answerForm struct {
 	writer  http.ResponseWriter
-	attempt platform.AttemptID
+	attempt outside.AttemptID
 	path    string
 	model   string
 }
@@ -153,11 +153,11 @@
 func (f *answerForm) isChat() bool { return f.path == httpapi.PathChatCompletions }
 
 // refuse answers with a problem before anything else was written.
-func (f *answerForm) refuse(failure *platform.AttemptError) {
+func (f *answerForm) refuse(failure *outside.AttemptError) {
 	httpserver.WriteProblem(f.writer, problemOf(failure))
 }
 
-func problemOf(failure *platform.AttemptError) httpapi.Problem {
+func problemOf(failure *outside.AttemptError) httpapi.Problem {
 	return httpapi.Problem{
 		Title:  "Attempt " + strings.ReplaceAll(failure.Reason, "_", " "),
 		Status: http.StatusServiceUnavailable,
@@ -169,6 +169,6 @@
 
 // breaksConnection reports whether a failure is one that a client must find out
 // by itself, because the engine's stream just stops.
-func breaksConnection(failure *platform.AttemptError) bool {
+func breaksConnection(failure *outside.AttemptError) bool {
 	return failure.Reason == ReasonTruncated && failure.Ran != result.RanNo
 }
--- a/internal/standin/engine/http_sink.go
+++ b/internal/standin/engine/http_sink.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // httpSink keeps what the engine sends until the connection's goroutine takes
@@ -19,14 +19,14 @@
 
 func newHTTPSink() *httpSink { return &httpSink{ready: make(chan struct{}, 1)} }
 
-// Chunk implements platform.GenerateSink.
-func (s *httpSink) Chunk(chunk platform.Chunk) { s.add(delivery{chunk: chunk}) }
+// Chunk implements outside.GenerateSink.
+func (s *httpSink) Chunk(chunk outside.Chunk) { s.add(delivery{chunk: chunk}) }
 
-// End implements platform.GenerateSink.
-func (s *httpSink) End(end platform.GenerateEnd) { s.add(delivery{end: &end}) }
+// End implements outside.GenerateSink.
+func (s *httpSink) End(end outside.GenerateEnd) { s.add(delivery{end: &end}) }
 
-// Failed implements platform.GenerateSink.
-func (s *httpSink) Failed(err *platform.AttemptError) { s.add(delivery{err: err}) }
+// Failed implements outside.GenerateSink.
+func (s *httpSink) Failed(err *outside.AttemptError) { s.add(delivery{err: err}) }
 
 // Dropped implements Dropper.
 func (s *httpSink) Dropped() {
--- a/internal/standin/engine/kvtransfer.go
+++ b/internal/standin/engine/kvtransfer.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // importsKept is how many imported KV caches wait for their requests at most.
@@ -32,7 +32,7 @@
 
 // ExportKV returns the KV cache of a running attempt whose prompt is computed.
 // The attempt goes on; whoever moves it cancels it.
-func (e *Engine) ExportKV(attempt platform.AttemptID) (KVExport, bool) {
+func (e *Engine) ExportKV(attempt outside.AttemptID) (KVExport, bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	running, found := e.generations[attempt]
@@ -56,7 +56,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	replica := e.replicaOf(export.Model)
-	if !e.alive || replica == nil || replica.load.phase != platform.ReplicaReady || replica.version != export.Version {
+	if !e.alive || replica == nil || replica.load.phase != outside.ReplicaReady || replica.version != export.Version {
 		return time.Time{}, false
 	}
 	if len(e.imports) >= importsKept {
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
@@ -17,11 +17,11 @@
 
 // loadModel begins the load of a replica. The same attempt again is accepted
 // and changes nothing.
-func (e *Engine) loadModel(command platform.Command) string {
-	var held platform.AttemptID
-	if present := e.replicaOf(command.Model); present != nil && present.load.phase != platform.ReplicaFailed {
+func (e *Engine) loadModel(command outside.Command) string {
+	var held outside.AttemptID
+	if present := e.replicaOf(command.Model); present != nil && present.load.phase != outside.ReplicaFailed {
 		held = present.load.attempt
-		if held == command.Attempt && present.load.phase != platform.ReplicaUnloading {
+		if held == command.Attempt && present.load.phase != outside.ReplicaUnloading {
 			return ""
 		}
 	}
@@ -49,16 +49,16 @@
 	return ""
 }
 
-func newWeightLoad(command platform.Command) weightLoad {
+func newWeightLoad(command outside.Command) weightLoad {
 	return weightLoad{
-		attempt: command.Attempt, phase: platform.ReplicaLoading,
+		attempt: command.Attempt, phase: outside.ReplicaLoading,
 		memoryBytes: command.MemoryBytes, weightBytes: command.WeightBytes,
 	}
 }
 
 // prefixBlocks is how many blocks fit into a replica's memory beside the
 // weights.
-func (e *Engine) prefixBlocks(command platform.Command) int {
+func (e *Engine) prefixBlocks(command outside.Command) int {
 	blockBytes := e.config.KVBytesPerToken * int64(e.config.PrefixBlockTokens)
 	fitting := max(0, command.MemoryBytes-command.WeightBytes) / blockBytes
 	return int(min(fitting, int64(e.config.MaxPrefixBlocks)))
@@ -70,20 +70,20 @@
 // called under the engine's lock.
 func (e *Engine) fetch(load *weightLoad, wanted checkpoint, fetched func(error)) {
 	source := e.remote
-	load.source = platform.SourceRemote
+	load.source = outside.SourceRemote
 	switch {
 	case e.hostCache.touch(wanted):
 		e.diskCache.touch(wanted)
 		source = e.host
-		load.source = platform.SourceMemory
+		load.source = outside.SourceMemory
 	case e.diskCache.touch(wanted):
 		source = e.disk
-		load.source = platform.SourceDisk
+		load.source = outside.SourceDisk
 	}
 	starts := e.starts
 	load.transfer = source.Fetch(load.weightBytes, func(err error) {
 		e.exclusive(func() {
-			if !e.alive || e.starts != starts || load.phase != platform.ReplicaLoading {
+			if !e.alive || e.starts != starts || load.phase != outside.ReplicaLoading {
 				return
 			}
 			load.transfer = nil
@@ -131,10 +131,10 @@
 }
 
 func (e *Engine) modelReady(replica *replica) {
-	if replica.load.phase != platform.ReplicaLoading {
+	if replica.load.phase != outside.ReplicaLoading {
 		return
 	}
-	replica.load.phase = platform.ReplicaReady
+	replica.load.phase = outside.ReplicaReady
 	replica.load.timer = nil
 	replica.usage.change(e.clock.Now(), usageIdle)
 	e.version++
@@ -147,7 +147,7 @@
 // failModel ends a load in failure: its memory is free at once, and so is that
 // of adapters that waited for it.
 func (e *Engine) failModel(replica *replica, reason string) {
-	replica.load.phase = platform.ReplicaFailed
+	replica.load.phase = outside.ReplicaFailed
 	replica.usage.change(e.clock.Now(), usageNone)
 	e.version++
 	e.logReplica(record.KindLoadFailed, replica, nil, reason)
@@ -157,28 +157,28 @@
 
 // unloadModel begins to unload the replica of an attempt. What it runs is cut
 // off and what waits is refused: an owner drains first.
-func (e *Engine) unloadModel(command platform.Command) string {
+func (e *Engine) unloadModel(command outside.Command) string {
 	replica := e.replicaOf(command.Model)
 	if replica == nil || replica.load.attempt != command.Attempt {
 		return ReasonNoSuchAttempt
 	}
 	switch replica.load.phase {
-	case platform.ReplicaUnloading:
+	case outside.ReplicaUnloading:
 		return ""
-	case platform.ReplicaFailed:
+	case outside.ReplicaFailed:
 		e.removeReplica(replica)
 		e.version++
 		return ""
 	}
 	replica.load.stop()
-	replica.load.phase = platform.ReplicaUnloading
+	replica.load.phase = outside.ReplicaUnloading
 	e.version++
 	e.logReplica(record.KindUnloadStarted, replica, nil, "")
 	e.endGenerations(replica, func(*generation) bool { return true }, reasonUnloaded)
 	replica.usage.change(e.clock.Now(), usageNone)
 	for _, adapter := range replica.adapters {
 		adapter.load.stop()
-		adapter.load.phase = platform.ReplicaUnloading
+		adapter.load.phase = outside.ReplicaUnloading
 	}
 	replica.load.timer = e.after(e.config.UnloadTime, func() { e.modelUnloaded(replica) })
 	return ""
@@ -196,14 +196,14 @@
 func (e *Engine) dropAdapters(replica *replica) {
 	for _, adapter := range replica.adapters {
 		adapter.load.stop()
-		if adapter.load.phase == platform.ReplicaFailed {
+		if adapter.load.phase == outside.ReplicaFailed {
 			continue
 		}
 		kind := record.KindAdapterUnloadFinished
-		if adapter.load.phase == platform.ReplicaLoading {
+		if adapter.load.phase == outside.ReplicaLoading {
 			kind = record.KindAdapterLoadFailed
 		}
-		adapter.load.phase = platform.ReplicaFailed
+		adapter.load.phase = outside.ReplicaFailed
 		e.logReplica(kind, replica, adapter, reasonBaseGone)
 		e.reserve(-adapter.load.memoryBytes)
 	}
--- a/internal/standin/engine/order.go
+++ b/internal/standin/engine/order.go
@@ -1,7 +1,7 @@
 package engine
 
 import (
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
@@ -28,23 +28,23 @@
 
 // Order applies a fenced order. An order whose fence is not above the highest
 // seen, or that is meant for another incarnation, changes nothing.
-func (e *Engine) Order(order platform.Order) platform.OrderResult {
-	var result platform.OrderResult
+func (e *Engine) Order(order outside.Order) outside.OrderResult {
+	var result outside.OrderResult
 	e.exclusive(func() { result = e.order(order) })
 	return result
 }
 
-func (e *Engine) order(order platform.Order) platform.OrderResult {
+func (e *Engine) order(order outside.Order) outside.OrderResult {
 	if !e.alive {
-		return platform.OrderResult{Reason: ReasonDown}
+		return outside.OrderResult{Reason: ReasonDown}
 	}
 	reason := e.refusal(order)
 	e.log(record.Event{Kind: record.KindOrder, Fence: order.Fence, Accepted: reason == "", Reason: reason})
 	if reason != "" {
-		return platform.OrderResult{Reason: reason, State: e.state()}
+		return outside.OrderResult{Reason: reason, State: e.state()}
 	}
 	e.fence = order.Fence
-	result := platform.OrderResult{Accepted: true}
+	result := outside.OrderResult{Accepted: true}
 	for _, command := range order.Commands {
 		result.Outcomes = append(result.Outcomes, e.apply(command, order.Fence))
 	}
@@ -55,7 +55,7 @@
 // refusal returns why an order is not accepted, or "". A stale fence is named
 // first: its sender has been replaced, whatever incarnation it knew. An order
 // for another incarnation does not raise the fence.
-func (e *Engine) refusal(order platform.Order) string {
+func (e *Engine) refusal(order outside.Order) string {
 	switch {
 	case !e.fence.Less(order.Fence):
 		return ReasonStaleFence
@@ -69,7 +69,7 @@
 }
 
 // apply runs one command and records its outcome.
-func (e *Engine) apply(command platform.Command, fence platform.Fence) platform.CommandOutcome {
+func (e *Engine) apply(command outside.Command, fence outside.Fence) outside.CommandOutcome {
 	reason := e.run(command)
 	e.log(record.Event{
 		Kind: record.KindCommand, Command: command.Kind.String(), Fence: fence,
@@ -77,21 +77,21 @@
 		Model: command.Model, Version: command.Version, Adapter: command.Adapter,
 		Slot: command.Slot, Attempt: command.Attempt,
 	})
-	return platform.CommandOutcome{Accepted: reason == "", Reason: reason}
+	return outside.CommandOutcome{Accepted: reason == "", Reason: reason}
 }
 
 // run returns the reason why the command was not accepted, or "".
-func (e *Engine) run(command platform.Command) string {
+func (e *Engine) run(command outside.Command) string {
 	switch command.Kind {
-	case platform.CommandLoadModel:
+	case outside.CommandLoadModel:
 		return e.loadModel(command)
-	case platform.CommandUnloadModel:
+	case outside.CommandUnloadModel:
 		return e.unloadModel(command)
-	case platform.CommandLoadAdapter:
+	case outside.CommandLoadAdapter:
 		return e.loadAdapter(command)
-	case platform.CommandUnloadAdapter:
+	case outside.CommandUnloadAdapter:
 		return e.unloadAdapter(command)
-	case platform.CommandSetRole:
+	case outside.CommandSetRole:
 		return e.setRole(command.Role)
 	default:
 		return ReasonBadCommand
@@ -113,7 +113,7 @@
 
 // checkLoad returns why a load can't begin, or "". Held is the attempt that
 // holds the same model or adapter, "" if none.
-func (e *Engine) checkLoad(command platform.Command, held platform.AttemptID) string {
+func (e *Engine) checkLoad(command outside.Command, held outside.AttemptID) string {
 	if command.Model == "" || command.Attempt == "" || command.MemoryBytes <= 0 || command.WeightBytes < 0 {
 		return ReasonBadCommand
 	}
--- a/internal/standin/engine/order_test.go
+++ b/internal/standin/engine/order_test.go
@@ -6,7 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
@@ -14,27 +14,27 @@
 )
 
 var _ = Describe("orders", func() {
-	DescribeTable("the fence", func(fence platform.Fence, incarnation platform.Incarnation, reason string) {
+	DescribeTable("the fence", func(fence outside.Fence, incarnation outside.Incarnation, reason string) {
 		b := newBench(nil)
-		b.engine.Order(platform.Order{Fence: platform.Fence{Epoch: 2, Sequence: 5}})
-		result := b.engine.Order(platform.Order{
-			Fence: fence, Incarnation: incarnation, Commands: []platform.Command{load("m", "a")},
+		b.engine.Order(outside.Order{Fence: outside.Fence{Epoch: 2, Sequence: 5}})
+		result := b.engine.Order(outside.Order{
+			Fence: fence, Incarnation: incarnation, Commands: []outside.Command{load("m", "a")},
 		})
 		Expect(result.Accepted).To(Equal(reason == ""))
 		Expect(result.Reason).To(Equal(reason))
 		Expect(b.state().Replicas).To(HaveLen(map[bool]int{true: 1}[reason == ""]))
 	},
-		Entry("higher sequence", platform.Fence{Epoch: 2, Sequence: 6}, platform.Incarnation(""), ""),
-		Entry("higher epoch", platform.Fence{Epoch: 3}, platform.Incarnation("boot-1"), ""),
-		Entry("equal", platform.Fence{Epoch: 2, Sequence: 5}, platform.Incarnation(""), engine.ReasonStaleFence),
-		Entry("lower epoch", platform.Fence{Epoch: 1, Sequence: 9}, platform.Incarnation(""), engine.ReasonStaleFence),
-		Entry("other incarnation", platform.Fence{Epoch: 3}, platform.Incarnation("boot-2"), engine.ReasonOtherIncarnation),
+		Entry("higher sequence", outside.Fence{Epoch: 2, Sequence: 6}, outside.Incarnation(""), ""),
+		Entry("higher epoch", outside.Fence{Epoch: 3}, outside.Incarnation("boot-1"), ""),
+		Entry("equal", outside.Fence{Epoch: 2, Sequence: 5}, outside.Incarnation(""), engine.ReasonStaleFence),
+		Entry("lower epoch", outside.Fence{Epoch: 1, Sequence: 9}, outside.Incarnation(""), engine.ReasonStaleFence),
+		Entry("other incarnation", outside.Fence{Epoch: 3}, outside.Incarnation("boot-2"), engine.ReasonOtherIncarnation),
 	)
 
-	DescribeTable("commands that are not accepted", func(reason string, commands ...platform.Command) {
+	DescribeTable("commands that are not accepted", func(reason string, commands ...outside.Command) {
 		result := newBench(nil).order(commands...)
 		last := result.Outcomes[len(result.Outcomes)-1]
-		Expect(last).To(Equal(platform.CommandOutcome{Reason: reason}))
+		Expect(last).To(Equal(outside.CommandOutcome{Reason: reason}))
 	},
 		Entry("second attempt", engine.ReasonAlreadyLoaded, load("m", "a"), load("m", "b")),
 		Entry("load while unloading", engine.ReasonAlreadyLoaded, load("m", "a"), unload("m", "a"), load("m", "b")),
@@ -44,35 +44,35 @@
 		Entry("adapter without base", engine.ReasonNoBase, loadAdapter("m", "x", "a")),
 		Entry("adapter on unloading base", engine.ReasonNoBase, load("m", "a"), unload("m", "a"), loadAdapter("m", "x", "b")),
 		Entry("second adapter attempt", engine.ReasonAlreadyLoaded, load("m", "a"), loadAdapter("m", "x", "b"), loadAdapter("m", "x", "c")),
-		Entry("no memory given", engine.ReasonBadCommand, platform.Command{Kind: platform.CommandLoadModel, Model: "m", Attempt: "a"}),
-		Entry("unknown role", engine.ReasonBadCommand, platform.Command{Kind: platform.CommandSetRole, Role: "x"}),
+		Entry("no memory given", engine.ReasonBadCommand, outside.Command{Kind: outside.CommandLoadModel, Model: "m", Attempt: "a"}),
+		Entry("unknown role", engine.ReasonBadCommand, outside.Command{Kind: outside.CommandSetRole, Role: "x"}),
 	)
 
-	DescribeTable("a load takes its source's time", func(source platform.CheckpointSource, expected time.Duration) {
+	DescribeTable("a load takes its source's time", func(source outside.CheckpointSource, expected time.Duration) {
 		b := newBench(func(config *engine.Config) {
 			config.RemoteBytesPerSecond, config.DiskBytesPerSecond, config.HostBytesPerSecond = gigabyte, 5*gigabyte, 20*gigabyte
 			config.InitTime = time.Second
 		})
-		if source != platform.SourceRemote {
+		if source != outside.SourceRemote {
 			b.engine.SeedCheckpoint("m", "1", source, 10*gigabyte)
 		}
 		b.order(load("m", "a"))
 		b.loop.RunFor(expected - time.Millisecond)
-		Expect(b.state().Replicas[0].Phase).To(Equal(platform.ReplicaLoading))
+		Expect(b.state().Replicas[0].Phase).To(Equal(outside.ReplicaLoading))
 		b.loop.RunFor(2 * time.Millisecond)
-		Expect(b.state().Replicas[0].Phase).To(Equal(platform.ReplicaReady))
+		Expect(b.state().Replicas[0].Phase).To(Equal(outside.ReplicaReady))
 		Expect(b.state().Replicas[0].Source).To(Equal(source))
-		Expect(b.state().Cached).To(ConsistOf(platform.CheckpointState{Name: "m", Version: "1", Source: platform.SourceMemory}))
+		Expect(b.state().Cached).To(ConsistOf(outside.CheckpointState{Name: "m", Version: "1", Source: outside.SourceMemory}))
 	},
-		Entry("remote", platform.SourceRemote, 11*time.Second),
-		Entry("disk", platform.SourceDisk, 3*time.Second),
-		Entry("memory", platform.SourceMemory, 1500*time.Millisecond),
+		Entry("remote", outside.SourceRemote, 11*time.Second),
+		Entry("disk", outside.SourceDisk, 3*time.Second),
+		Entry("memory", outside.SourceMemory, 1500*time.Millisecond),
 	)
 
 	It("records an overcommit instead of refusing it", func() {
 		b := newBench(nil)
 		for _, model := range []string{"a", "b", "c", "d", "e", "f"} {
-			b.order(load(model, platform.AttemptID(model)))
+			b.order(load(model, outside.AttemptID(model)))
 		}
 		Expect(b.log.Events()).To(ContainElement(And(
 			HaveField("Overcommitted", true), HaveField("UsedBytes", BeEquivalentTo(120*gigabyte)))))
@@ -85,7 +85,7 @@
 		b.loop.RunFor(2 * time.Second) // the adapter's bytes are there
 		b.engine.SetFaults(engine.Faults{LoadFailure: 1})
 		b.loop.RunFor(time.Minute)
-		Expect(b.state().Replicas[0].Phase).To(Equal(platform.ReplicaFailed))
+		Expect(b.state().Replicas[0].Phase).To(Equal(outside.ReplicaFailed))
 		Expect(b.state().UsedBytes).To(BeZero())
 		Expect(b.order(unload("m", "a")).State.Replicas).To(BeEmpty())
 		Expect(b.log.Count(record.KindLoadFailed)).To(BeEquivalentTo(1))
@@ -98,16 +98,16 @@
 		b := newBench(func(config *engine.Config) { config.Remote = store })
 		b.order(load("m", "a"))
 		store.SetOutage(true)
-		Expect(b.state().Replicas[0].Phase).To(Equal(platform.ReplicaFailed))
+		Expect(b.state().Replicas[0].Phase).To(Equal(outside.ReplicaFailed))
 	})
 
 	It("makes an adapter ready after its base", func() {
 		b := newBench(nil)
 		b.order(load("m", "a"), loadAdapter("m", "x", "x1"))
 		b.loop.RunFor(2 * time.Second)
-		Expect(b.state().Replicas[0].Adapters[0].Phase).To(Equal(platform.ReplicaLoading))
+		Expect(b.state().Replicas[0].Adapters[0].Phase).To(Equal(outside.ReplicaLoading))
 		b.loop.RunFor(time.Minute)
-		Expect(b.state().Replicas[0].Adapters[0].Phase).To(Equal(platform.ReplicaReady))
+		Expect(b.state().Replicas[0].Adapters[0].Phase).To(Equal(outside.ReplicaReady))
 		Expect(b.order(unload("m", "a")).State.UsedBytes).To(BeEquivalentTo(21 * gigabyte))
 		b.loop.RunFor(time.Minute)
 		Expect(b.state().UsedBytes).To(BeZero())
@@ -124,10 +124,10 @@
 		after := b.state()
 		Expect(after.Incarnation).NotTo(Equal(before.Incarnation))
 		Expect(after.Version).To(BeNumerically(">", before.Version))
-		Expect(after.Fence).To(Equal(platform.Fence{}))
+		Expect(after.Fence).To(Equal(outside.Fence{}))
 		Expect(after.Leaving).To(BeFalse())
 		Expect(after.Replicas).To(BeEmpty())
-		Expect(after.Cached).To(ConsistOf(platform.CheckpointState{Name: "m", Version: "1", Source: platform.SourceDisk}))
+		Expect(after.Cached).To(ConsistOf(outside.CheckpointState{Name: "m", Version: "1", Source: outside.SourceDisk}))
 		Expect(b.engine.State(after.Version)).To(BeNil())
 	})
 
--- a/internal/standin/engine/property_test.go
+++ b/internal/standin/engine/property_test.go
@@ -8,18 +8,18 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
 // drawCommand draws any command over few models, adapters and attempts.
-func drawCommand(t *rapid.T) platform.Command {
-	return platform.Command{
-		Kind:        platform.CommandKind(rapid.IntRange(0, 4).Draw(t, "kind")),
+func drawCommand(t *rapid.T) outside.Command {
+	return outside.Command{
+		Kind:        outside.CommandKind(rapid.IntRange(0, 4).Draw(t, "kind")),
 		Model:       rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "model"),
 		Adapter:     rapid.SampledFrom([]string{"x", "y"}).Draw(t, "adapter"),
-		Attempt:     platform.AttemptID(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "attempt"))),
+		Attempt:     outside.AttemptID(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "attempt"))),
 		MemoryBytes: rapid.Int64Range(0, 40).Draw(t, "memory") * gigabyte,
 		WeightBytes: rapid.Int64Range(0, 10).Draw(t, "weights") * gigabyte,
 		Role:        engine.RoleDecode,
@@ -27,14 +27,14 @@
 }
 
 // held adds up the memory that a state's replicas and adapters hold.
-func held(state platform.EngineState) int64 {
+func held(state outside.EngineState) int64 {
 	var bytes int64
 	for _, replica := range state.Replicas {
-		if replica.Phase != platform.ReplicaFailed {
+		if replica.Phase != outside.ReplicaFailed {
 			bytes += replica.MemoryBytes
 		}
 		for _, adapter := range replica.Adapters {
-			if adapter.Phase != platform.ReplicaFailed {
+			if adapter.Phase != outside.ReplicaFailed {
 				bytes += adapter.MemoryBytes
 			}
 		}
@@ -50,9 +50,9 @@
 			b.engine.SetFaults(engine.Faults{LoadFailure: 0.3})
 			for range rapid.IntRange(1, 40).Draw(t, "steps") {
 				before := b.state()
-				order := platform.Order{
-					Fence:    platform.Fence{Epoch: rapid.Uint64Range(0, 4).Draw(t, "epoch"), Sequence: rapid.Uint64Range(0, 20).Draw(t, "sequence")},
-					Commands: []platform.Command{drawCommand(t), drawCommand(t)},
+				order := outside.Order{
+					Fence:    outside.Fence{Epoch: rapid.Uint64Range(0, 4).Draw(t, "epoch"), Sequence: rapid.Uint64Range(0, 20).Draw(t, "sequence")},
+					Commands: []outside.Command{drawCommand(t), drawCommand(t)},
 				}
 				result := b.engine.Order(order)
 				g.Expect(result.Accepted).To(Equal(before.Fence.Less(order.Fence)))
@@ -91,7 +91,7 @@
 					g.Expect(received).To(Equal(engine.ExpectedText("", request)))
 				}
 				if sink.failure != nil && len(sink.indexes) > 0 {
-					rest, _ := b.generate(fmt.Sprint("again-", attempt), request, func(r *platform.GenerateRequest) { r.ResumeFrom = len(sink.indexes) })
+					rest, _ := b.generate(fmt.Sprint("again-", attempt), request, func(r *outside.GenerateRequest) { r.ResumeFrom = len(sink.indexes) })
 					b.loop.RunFor(time.Minute)
 					g.Expect(engine.ExpectedText("", request)).To(HavePrefix(received + rest.text.String()))
 				}
--- a/internal/standin/engine/replica.go
+++ b/internal/standin/engine/replica.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 	"github.com/hatchplank/hatchplank/internal/standin/weights"
 )
@@ -15,7 +15,7 @@
 type replica struct {
 	model   string
 	version string
-	slot    platform.SlotID
+	slot    outside.SlotID
 	load    weightLoad
 	// adapters in order of name.
 	adapters []*adapter
@@ -40,9 +40,9 @@
 
 // weightLoad is the loading and unloading of one set of weights.
 type weightLoad struct {
-	attempt     platform.AttemptID
-	phase       platform.ReplicaPhase
-	source      platform.CheckpointSource
+	attempt     outside.AttemptID
+	phase       outside.ReplicaPhase
+	source      outside.CheckpointSource
 	memoryBytes int64
 	weightBytes int64
 	transfer    weights.Transfer
@@ -65,7 +65,7 @@
 
 func (l *weightLoad) progress() float64 {
 	switch {
-	case l.phase != platform.ReplicaLoading:
+	case l.phase != outside.ReplicaLoading:
 		return 1
 	case l.fetched:
 		return 1
@@ -120,18 +120,18 @@
 
 // state describes the replica with lagging load figures and the time at which
 // these were true.
-func (r *replica) state(now time.Time) (platform.ReplicaState, time.Time) {
+func (r *replica) state(now time.Time) (outside.ReplicaState, time.Time) {
 	figures, measuredAt := r.meter.read(now)
-	state := platform.ReplicaState{
+	state := outside.ReplicaState{
 		Model: r.model, Version: r.version, Slot: r.slot, Attempt: r.load.attempt,
 		Phase: r.load.phase, MemoryBytes: r.load.memoryBytes, Source: r.load.source,
 		Progress: r.load.progress(), Running: figures.running, Queued: figures.queued,
 	}
 	if len(r.adapters) > 0 {
-		state.Adapters = make([]platform.AdapterState, 0, len(r.adapters))
+		state.Adapters = make([]outside.AdapterState, 0, len(r.adapters))
 	}
 	for _, adapter := range r.adapters {
-		state.Adapters = append(state.Adapters, platform.AdapterState{
+		state.Adapters = append(state.Adapters, outside.AdapterState{
 			Adapter: adapter.name, Version: adapter.version, Attempt: adapter.load.attempt,
 			Phase: adapter.load.phase, MemoryBytes: adapter.load.memoryBytes,
 		})
--- a/internal/standin/engine/simulated.go
+++ b/internal/standin/engine/simulated.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 )
@@ -16,7 +16,7 @@
 // word on it.
 const DefaultCancelTimeout = time.Second
 
-// Simulated is platform.EngineService for one simulated client process.
+// Simulated is outside.EngineService for one simulated client process.
 type Simulated struct {
 	fleet  *Fleet
 	client *simulation.Process
@@ -24,25 +24,25 @@
 	StallTimeout, CancelTimeout time.Duration
 }
 
-var _ platform.EngineService = (*Simulated)(nil)
+var _ outside.EngineService = (*Simulated)(nil)
 
 // Client returns the service as seen from a client process.
 func (f *Fleet) Client(client *simulation.Process) *Simulated {
 	return &Simulated{fleet: f, client: client, StallTimeout: DefaultStallTimeout, CancelTimeout: DefaultCancelTimeout}
 }
 
-// Order implements platform.EngineService. Like a request on a TCP connection
+// Order implements outside.EngineService. Like a request on a TCP connection
 // an order arrives once at most; its reply may be lost.
-func (s *Simulated) Order(order platform.Order, timeout time.Duration, done func(platform.OrderResult, error)) {
+func (s *Simulated) Order(order outside.Order, timeout time.Duration, done func(outside.OrderResult, error)) {
 	host := s.fleet.hosts[order.Server]
 	if host == nil {
-		s.client.AfterFunc(timeout, func() { done(platform.OrderResult{}, platform.ErrServerUnreachable) })
+		s.client.AfterFunc(timeout, func() { done(outside.OrderResult{}, outside.ErrServerUnreachable) })
 		return
 	}
 	arrived := false
-	simulation.Call[platform.OrderResult]{
+	simulation.Call[outside.OrderResult]{
 		Network: s.fleet.network, Client: s.client, Server: host.stack, Timeout: timeout,
-		Serve: func(answer func(platform.OrderResult)) {
+		Serve: func(answer func(outside.OrderResult)) {
 			if arrived {
 				return
 			}
@@ -57,35 +57,35 @@
 				}
 			})
 		},
-		OnReply:   func(result platform.OrderResult) { done(result, nil) },
-		OnTimeout: func() { done(platform.OrderResult{}, platform.ErrServerUnreachable) },
+		OnReply:   func(result outside.OrderResult) { done(result, nil) },
+		OnTimeout: func() { done(outside.OrderResult{}, outside.ErrServerUnreachable) },
 	}.Start()
 }
 
-// State implements platform.EngineService.
-func (s *Simulated) State(server platform.ServerID, sinceVersion uint64, timeout time.Duration, done func(*platform.EngineState, error)) {
+// State implements outside.EngineService.
+func (s *Simulated) State(server outside.ServerID, sinceVersion uint64, timeout time.Duration, done func(*outside.EngineState, error)) {
 	host := s.fleet.hosts[server]
 	if host == nil {
-		s.client.AfterFunc(timeout, func() { done(nil, platform.ErrServerUnreachable) })
+		s.client.AfterFunc(timeout, func() { done(nil, outside.ErrServerUnreachable) })
 		return
 	}
-	simulation.Call[*platform.EngineState]{
+	simulation.Call[*outside.EngineState]{
 		Network: s.fleet.network, Client: s.client, Server: host.stack, Timeout: timeout,
-		Serve: func(answer func(*platform.EngineState)) {
+		Serve: func(answer func(*outside.EngineState)) {
 			host.Process.Run(func() {
 				if host.Engine.Responding() {
 					answer(host.Engine.State(sinceVersion))
 				}
 			})
 		},
-		OnReply:   func(state *platform.EngineState) { done(state, nil) },
-		OnTimeout: func() { done(nil, platform.ErrServerUnreachable) },
+		OnReply:   func(state *outside.EngineState) { done(state, nil) },
+		OnTimeout: func() { done(nil, outside.ErrServerUnreachable) },
 	}.Start()
 }
 
-// Generate implements platform.EngineService. The attempt is a connection: the
+// Generate implements outside.EngineService. The attempt is a connection: the
 // request arrives once at most, and the stream arrives in order.
-func (s *Simulated) Generate(request platform.GenerateRequest, sink platform.GenerateSink) (cancel func()) {
+func (s *Simulated) Generate(request outside.GenerateRequest, sink outside.GenerateSink) (cancel func()) {
 	stream := &clientStream{service: s, request: request, sink: sink, nextIndex: request.ResumeFrom}
 	host := s.fleet.hosts[request.Server]
 	if host == nil {
--- a/internal/standin/engine/simulated_test.go
+++ b/internal/standin/engine/simulated_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
@@ -33,15 +33,15 @@
 	host := fleet.Start(engine.Config{Server: "lm-1", Record: log})
 	client := simulation.NewProcess(loop, "gateway")
 	w := &world{loop: loop, network: network, host: host, client: client, service: fleet.Client(client), log: log}
-	host.Engine.Order(platform.Order{Fence: platform.Fence{Epoch: 1}, Commands: []platform.Command{load("m", "load-m")}})
+	host.Engine.Order(outside.Order{Fence: outside.Fence{Epoch: 1}, Commands: []outside.Command{load("m", "load-m")}})
 	loop.RunFor(time.Minute)
 	return w
 }
 
 func (w *world) generate(id string, tokens int) (*collector, func()) {
 	sink := &collector{loop: w.loop}
-	cancel := w.service.Generate(platform.GenerateRequest{
-		Server: "lm-1", Attempt: platform.AttemptID(id), RequestID: id, Model: "m",
+	cancel := w.service.Generate(outside.GenerateRequest{
+		Server: "lm-1", Attempt: outside.AttemptID(id), RequestID: id, Model: "m",
 		Body: body(id, tokens), Deadline: w.client.Now().Add(20 * time.Second),
 	}, sink)
 	return sink, cancel
@@ -112,14 +112,14 @@
 		w.loop.RunFor(100 * time.Millisecond)
 		w.host.Process.Resume()
 		w.loop.RunFor(time.Minute)
-		Expect(sink.failure).To(Equal(&platform.AttemptError{Attempt: "1", Reason: engine.ReasonCancelled}))
+		Expect(sink.failure).To(Equal(&outside.AttemptError{Attempt: "1", Reason: engine.ReasonCancelled}))
 		Expect(w.started()).To(BeZero())
 	})
 
 	It("does not take an end for complete when chunks are missing", func() {
 		w := newWorld(1)
 		sink := &collector{loop: w.loop}
-		w.service.Generate(platform.GenerateRequest{
+		w.service.Generate(outside.GenerateRequest{
 			Server: "lm-1", Attempt: "1", Model: "m", Body: body("hello", 5), ResumeFrom: 9,
 		}, sink)
 		w.loop.RunFor(time.Minute)
@@ -139,9 +139,9 @@
 		w := newWorld(1)
 		inject(w)
 		var failure error
-		w.service.Order(platform.Order{Server: "lm-1", Fence: platform.Fence{Epoch: 2}}, time.Second, func(_ platform.OrderResult, err error) { failure = err })
+		w.service.Order(outside.Order{Server: "lm-1", Fence: outside.Fence{Epoch: 2}}, time.Second, func(_ outside.OrderResult, err error) { failure = err })
 		w.loop.RunFor(time.Minute)
-		Expect(failure).To(MatchError(platform.ErrServerUnreachable))
+		Expect(failure).To(MatchError(outside.ErrServerUnreachable))
 		if applied {
 			Expect(w.host.Engine.State(0).Fence.Epoch).To(BeEquivalentTo(2))
 		} else if state := w.host.Engine.State(0); state != nil {
--- a/internal/standin/engine/suite_test.go
+++ b/internal/standin/engine/suite_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
@@ -28,7 +28,7 @@
 	loop   *simulation.Loop
 	engine *engine.Engine
 	log    *record.Log
-	fence  platform.Fence
+	fence  outside.Fence
 }
 
 func newBench(change func(*engine.Config)) *bench {
@@ -42,12 +42,12 @@
 }
 
 // order applies commands with the next fence.
-func (b *bench) order(commands ...platform.Command) platform.OrderResult {
+func (b *bench) order(commands ...outside.Command) outside.OrderResult {
 	b.fence.Sequence++
-	return b.engine.Order(platform.Order{Server: "lm-1", Fence: b.fence, Commands: commands})
+	return b.engine.Order(outside.Order{Server: "lm-1", Fence: b.fence, Commands: commands})
 }
 
-func (b *bench) state() platform.EngineState { return *b.engine.State(0) }
+func (b *bench) state() outside.EngineState { return *b.engine.State(0) }
 
 // loaded returns a bench with model "m" ready.
 func loaded(change func(*engine.Config)) *bench {
@@ -57,20 +57,20 @@
 	return b
 }
 
-func load(model string, attempt platform.AttemptID) platform.Command {
-	return platform.Command{
-		Kind: platform.CommandLoadModel, Model: model, Version: "1", Attempt: attempt,
+func load(model string, attempt outside.AttemptID) outside.Command {
+	return outside.Command{
+		Kind: outside.CommandLoadModel, Model: model, Version: "1", Attempt: attempt,
 		MemoryBytes: 20 * gigabyte, WeightBytes: 10 * gigabyte,
 	}
 }
 
-func unload(model string, attempt platform.AttemptID) platform.Command {
-	return platform.Command{Kind: platform.CommandUnloadModel, Model: model, Attempt: attempt}
+func unload(model string, attempt outside.AttemptID) outside.Command {
+	return outside.Command{Kind: outside.CommandUnloadModel, Model: model, Attempt: attempt}
 }
 
-func loadAdapter(model, adapter string, attempt platform.AttemptID) platform.Command {
-	return platform.Command{
-		Kind: platform.CommandLoadAdapter, Model: model, Adapter: adapter, Version: "1", Attempt: attempt,
+func loadAdapter(model, adapter string, attempt outside.AttemptID) outside.Command {
+	return outside.Command{
+		Kind: outside.CommandLoadAdapter, Model: model, Adapter: adapter, Version: "1", Attempt: attempt,
 		MemoryBytes: gigabyte, WeightBytes: gigabyte / 10,
 	}
 }
@@ -80,9 +80,9 @@
 }
 
 // generate starts a generation and returns what its sink collects.
-func (b *bench) generate(id string, body []byte, change func(*platform.GenerateRequest)) (*collector, func()) {
-	request := platform.GenerateRequest{
-		Server: "lm-1", Attempt: platform.AttemptID(id), RequestID: "request-" + id,
+func (b *bench) generate(id string, body []byte, change func(*outside.GenerateRequest)) (*collector, func()) {
+	request := outside.GenerateRequest{
+		Server: "lm-1", Attempt: outside.AttemptID(id), RequestID: "request-" + id,
 		Model: "m", Path: "/v1/chat/completions", Body: body,
 	}
 	if change != nil {
@@ -93,13 +93,13 @@
 	return sink, cancel
 }
 
-// collector is a sink that checks the contract of platform.GenerateSink.
+// collector is a sink that checks the contract of outside.GenerateSink.
 type collector struct {
 	loop    *simulation.Loop
 	text    strings.Builder
 	indexes []int
-	end     *platform.GenerateEnd
-	failure *platform.AttemptError
+	end     *outside.GenerateEnd
+	failure *outside.AttemptError
 	firstAt time.Time
 	endedAt time.Time
 	dropped bool
@@ -108,7 +108,7 @@
 	inside bool
 }
 
-func (c *collector) Chunk(chunk platform.Chunk) {
+func (c *collector) Chunk(chunk outside.Chunk) {
 	Expect(c.ended()).To(BeFalse(), "chunk after the end")
 	Expect(c.inside).To(BeFalse(), "calls overlap")
 	if c.cancel != nil {
@@ -123,12 +123,12 @@
 	c.indexes = append(c.indexes, chunk.Index)
 }
 
-func (c *collector) End(end platform.GenerateEnd) {
+func (c *collector) End(end outside.GenerateEnd) {
 	Expect(c.ended()).To(BeFalse(), "second end")
 	c.end, c.endedAt = &end, c.loop.Now()
 }
 
-func (c *collector) Failed(err *platform.AttemptError) {
+func (c *collector) Failed(err *outside.AttemptError) {
 	Expect(c.inside).To(BeFalse(), "calls overlap")
 	Expect(c.ended()).To(BeFalse(), "second end")
 	c.failure, c.endedAt = err, c.loop.Now()
--- a/internal/standin/httpserver/control.go
+++ b/internal/standin/httpserver/control.go
@@ -5,7 +5,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
@@ -41,19 +41,19 @@
 
 // HandleRecords offers the events of a log, of one server if that is given, by
 // "?after=SEQUENCE&limit=COUNT".
-func HandleRecords(router *mux.Router, log *record.Log, server platform.ServerID) {
+func HandleRecords(router *mux.Router, log *record.Log, server outside.ServerID) {
 	router.HandleFunc(PathRecords, func(writer http.ResponseWriter, request *http.Request) {
 		after, afterErr := Number(request, "after")
 		limit, limitErr := Number(request, "limit")
 		if afterErr != nil || limitErr != nil {
-			Refuse(writer, http.StatusBadRequest, ReasonMalformed, platform.LoadHint{})
+			Refuse(writer, http.StatusBadRequest, ReasonMalformed, outside.LoadHint{})
 			return
 		}
 		WriteJSON(writer, http.StatusOK, recordsOf(log, server, after, limit))
 	}).Methods(http.MethodGet)
 }
 
-func recordsOf(log *record.Log, server platform.ServerID, after, limit uint64) []record.Event {
+func recordsOf(log *record.Log, server outside.ServerID, after, limit uint64) []record.Event {
 	if limit == 0 || limit > maxRecords {
 		limit = maxRecords
 	}
--- a/internal/standin/httpserver/exchange.go
+++ b/internal/standin/httpserver/exchange.go
@@ -11,8 +11,8 @@
 	"strconv"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -41,10 +41,10 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		Refuse(writer, http.StatusRequestEntityTooLarge, ReasonTooLarge, platform.LoadHint{})
+		Refuse(writer, http.StatusRequestEntityTooLarge, ReasonTooLarge, outside.LoadHint{})
 		return nil, false
 	}
-	Refuse(writer, http.StatusBadRequest, ReasonMalformed, platform.LoadHint{})
+	Refuse(writer, http.StatusBadRequest, ReasonMalformed, outside.LoadHint{})
 	return nil, false
 }
 
@@ -56,7 +56,7 @@
 		return false
 	}
 	if json.Unmarshal(body, target) != nil {
-		Refuse(writer, http.StatusBadRequest, ReasonMalformed, platform.LoadHint{})
+		Refuse(writer, http.StatusBadRequest, ReasonMalformed, outside.LoadHint{})
 		return false
 	}
 	return true
@@ -68,7 +68,7 @@
 }
 
 // Refuse answers that the request did not run.
-func Refuse(writer http.ResponseWriter, status int, reason string, load platform.LoadHint) {
+func Refuse(writer http.ResponseWriter, status int, reason string, load outside.LoadHint) {
 	WriteProblem(writer, httpapi.Problem{
 		Status: status, Ran: result.RanNo.String(), Reason: reason, Load: load,
 	})
--- a/internal/standin/keyvalue/benchmark_test.go
+++ b/internal/standin/keyvalue/benchmark_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // BenchmarkSimulatedSwap is one compare-and-swap in virtual time, with 100
@@ -19,9 +19,9 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		transaction := put("key/a", "value")
-		transaction.Compares = []platform.Compare{{Key: "key/a", ModRevision: revision}}
+		transaction.Compares = []outside.Compare{{Key: "key/a", ModRevision: revision}}
 		ended := false
-		service.Transact(transaction, timeout, func(result platform.TransactionResult, err error) {
+		service.Transact(transaction, timeout, func(result outside.TransactionResult, err error) {
 			if err != nil || !result.Succeeded {
 				b.Fatal(result, err)
 			}
--- a/internal/standin/keyvalue/errors.go
+++ b/internal/standin/keyvalue/errors.go
@@ -4,10 +4,10 @@
 	"errors"
 	"fmt"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
-// Refusals. Each matches platform.ErrNotApplied.
+// Refusals. Each matches outside.ErrNotApplied.
 var (
 	// ErrOutage: the service is switched to refuse everything.
 	ErrOutage = refusal("no leader")
@@ -22,8 +22,8 @@
 	errBadTimeToLive     = refusal("lease time to live must be positive")
 )
 
-// errLeaseNotFound matches platform.ErrLeaseGone and platform.ErrNotApplied.
-var errLeaseNotFound = fmt.Errorf("%w: %w: requested lease not found", platform.ErrNotApplied, platform.ErrLeaseGone)
+// errLeaseNotFound matches outside.ErrLeaseGone and outside.ErrNotApplied.
+var errLeaseNotFound = fmt.Errorf("%w: %w: requested lease not found", outside.ErrNotApplied, outside.ErrLeaseGone)
 
 // ErrReplyLost tells a front end to give no reply to an operation that took
 // effect. It never reaches a client.
@@ -33,5 +33,5 @@
 var errWatchGap = errors.New("watch has missed events")
 
 func refusal(reason string) error {
-	return fmt.Errorf("%w: %s", platform.ErrNotApplied, reason)
+	return fmt.Errorf("%w: %s", outside.ErrNotApplied, reason)
 }
--- a/internal/standin/keyvalue/history.go
+++ b/internal/standin/keyvalue/history.go
@@ -3,13 +3,13 @@
 import (
 	"sort"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // revisionEvents are the changes of one revision.
 type revisionEvents struct {
 	revision int64
-	events   []platform.WatchEvent
+	events   []outside.WatchEvent
 }
 
 // history keeps the changes of recent revisions for watches that start in the
@@ -48,7 +48,7 @@
 }
 
 // Compact forgets the changes up to and including the revision. A watch from
-// an earlier revision ends with platform.ErrCompacted.
+// an earlier revision ends with outside.ErrCompacted.
 func (s *Store) Compact(revision int64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/standin/keyvalue/keyvalue_suite_test.go
+++ b/internal/standin/keyvalue/keyvalue_suite_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
 )
@@ -43,9 +43,9 @@
 	return process, keyvalue.NewSimulated(w.network, w.server, process, w.store)
 }
 
-func put(key, value string) platform.Transaction {
-	operation := platform.Operation{Kind: platform.OperationPut, Key: key, Value: []byte(value)}
-	return platform.Transaction{Operations: []platform.Operation{operation}}
+func put(key, value string) outside.Transaction {
+	operation := outside.Operation{Kind: outside.OperationPut, Key: key, Value: []byte(value)}
+	return outside.Transaction{Operations: []outside.Operation{operation}}
 }
 
 // write puts a key directly into the store.
@@ -62,7 +62,7 @@
 	loop      *simulation.Loop
 }
 
-func (w *watcher) Events(revision int64, _ []platform.WatchEvent) {
+func (w *watcher) Events(revision int64, _ []outside.WatchEvent) {
 	w.revisions = append(w.revisions, revision)
 }
 
--- a/internal/standin/keyvalue/lease.go
+++ b/internal/standin/keyvalue/lease.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // lease is one granted lease. Its timer is re-armed only when it fires, so a
 // keep-alive costs no timer.
 type lease struct {
-	id         platform.LeaseID
+	id         outside.LeaseID
 	timeToLive time.Duration
 	deadline   time.Time
 	timer      clock.Timer
@@ -20,15 +20,15 @@
 
 // leaseTable holds the leases that have not ended.
 type leaseTable struct {
-	byID map[platform.LeaseID]*lease
-	last platform.LeaseID
+	byID map[outside.LeaseID]*lease
+	last outside.LeaseID
 }
 
 func newLeaseTable() leaseTable {
-	return leaseTable{byID: map[platform.LeaseID]*lease{}}
+	return leaseTable{byID: map[outside.LeaseID]*lease{}}
 }
 
-func (t *leaseTable) allExist(operations []platform.Operation) bool {
+func (t *leaseTable) allExist(operations []outside.Operation) bool {
 	for _, operation := range operations {
 		if operation.Lease == 0 {
 			continue
@@ -40,13 +40,13 @@
 	return true
 }
 
-func (t *leaseTable) attach(id platform.LeaseID, key string) {
+func (t *leaseTable) attach(id outside.LeaseID, key string) {
 	if lease, exists := t.byID[id]; exists {
 		lease.keys[key] = struct{}{}
 	}
 }
 
-func (t *leaseTable) detach(id platform.LeaseID, key string) {
+func (t *leaseTable) detach(id outside.LeaseID, key string) {
 	if lease, exists := t.byID[id]; exists {
 		delete(lease.keys, key)
 	}
@@ -59,7 +59,7 @@
 }
 
 // GrantLease creates a lease. The time to live must be positive.
-func (s *Store) GrantLease(timeToLive time.Duration) (platform.LeaseID, error) {
+func (s *Store) GrantLease(timeToLive time.Duration) (outside.LeaseID, error) {
 	if timeToLive <= 0 {
 		return 0, errBadTimeToLive
 	}
@@ -81,7 +81,7 @@
 }
 
 // KeepAlive extends a lease by its time to live, which it returns.
-func (s *Store) KeepAlive(id platform.LeaseID) (time.Duration, error) {
+func (s *Store) KeepAlive(id outside.LeaseID) (time.Duration, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	lease, exists := s.leases.byID[id]
@@ -93,7 +93,7 @@
 }
 
 // RevokeLease ends a lease and deletes its keys.
-func (s *Store) RevokeLease(id platform.LeaseID) error {
+func (s *Store) RevokeLease(id outside.LeaseID) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	lease, exists := s.leases.byID[id]
@@ -138,9 +138,9 @@
 		keys = append(keys, key)
 	}
 	slices.Sort(keys)
-	deletions := make([]platform.Operation, 0, len(keys))
+	deletions := make([]outside.Operation, 0, len(keys))
 	for _, key := range keys {
-		deletions = append(deletions, platform.Operation{Kind: platform.OperationDelete, Key: key})
+		deletions = append(deletions, outside.Operation{Kind: outside.OperationDelete, Key: key})
 	}
 	s.commit(cause, deletions)
 }
--- a/internal/standin/keyvalue/property_test.go
+++ b/internal/standin/keyvalue/property_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
 )
@@ -18,7 +18,7 @@
 type attempt struct {
 	token  string
 	ended  int
-	result platform.TransactionResult
+	result outside.TransactionResult
 	err    error
 }
 
@@ -32,7 +32,7 @@
 }
 
 func (r *replica) refresh() {
-	r.service.Range("key/", timeout, func(result platform.RangeResult, err error) {
+	r.service.Range("key/", timeout, func(result outside.RangeResult, err error) {
 		if err != nil {
 			r.process.AfterFunc(timeout, r.refresh)
 			return
@@ -46,7 +46,7 @@
 	})
 }
 
-func (r *replica) Events(revision int64, events []platform.WatchEvent) {
+func (r *replica) Events(revision int64, events []outside.WatchEvent) {
 	if revision <= r.revision {
 		r.fault = fmt.Sprintf("revision %d after %d", revision, r.revision)
 	}
@@ -100,7 +100,7 @@
 	}
 	client := rapid.SampledFrom(s.replicas).Draw(t, "client")
 	key := fmt.Sprintf("key/%d", rapid.IntRange(0, 2).Draw(t, "key"))
-	client.service.Range(key, timeout, func(read platform.RangeResult, err error) {
+	client.service.Range(key, timeout, func(read outside.RangeResult, err error) {
 		if err == nil {
 			s.swap(client.service, key, read)
 		}
@@ -120,16 +120,16 @@
 }
 
 // swap writes a unique token if the key is still as read.
-func (s *scenario) swap(service *keyvalue.Simulated, key string, read platform.RangeResult) {
+func (s *scenario) swap(service *keyvalue.Simulated, key string, read outside.RangeResult) {
 	made := &attempt{token: fmt.Sprint("token ", len(s.attempts))}
 	s.attempts = append(s.attempts, made)
 	transaction := put(key, made.token)
-	compare := platform.Compare{Key: key}
+	compare := outside.Compare{Key: key}
 	if len(read.KeyValues) > 0 {
 		compare.ModRevision = read.KeyValues[0].ModRevision
 	}
-	transaction.Compares = []platform.Compare{compare}
-	service.Transact(transaction, timeout, func(result platform.TransactionResult, err error) {
+	transaction.Compares = []outside.Compare{compare}
+	service.Transact(transaction, timeout, func(result outside.TransactionResult, err error) {
 		made.ended++
 		made.result, made.err = result, err
 	})
@@ -169,13 +169,13 @@
 	switch {
 	case made.ended != 1:
 		t.Fatalf("%s ended %d times", made.token, made.ended)
-	case errors.Is(made.err, platform.ErrNotApplied) && applied:
+	case errors.Is(made.err, outside.ErrNotApplied) && applied:
 		t.Fatalf("%s was reported as not applied, and was", made.token)
 	case made.err == nil && made.result.Succeeded != applied:
 		t.Fatalf("%s: succeeded %v, applied %v", made.token, made.result.Succeeded, applied)
 	case made.err == nil && applied && made.result.Revision != revision:
 		t.Fatalf("%s: told revision %d, written at %d", made.token, made.result.Revision, revision)
-	case made.err != nil && !errors.Is(made.err, platform.ErrNotApplied) && !errors.Is(made.err, platform.ErrAmbiguous):
+	case made.err != nil && !errors.Is(made.err, outside.ErrNotApplied) && !errors.Is(made.err, outside.ErrAmbiguous):
 		t.Fatalf("%s ended with %v", made.token, made.err)
 	}
 }
--- a/internal/standin/keyvalue/record.go
+++ b/internal/standin/keyvalue/record.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Kind is a kind of operation, for counting.
@@ -75,7 +75,7 @@
 	// Time by the store's clock.
 	Time   time.Time
 	Cause  Cause
-	Events []platform.WatchEvent
+	Events []outside.WatchEvent
 }
 
 // Records returns the records of later revisions. The slice must not be
@@ -91,8 +91,8 @@
 	return nil
 }
 
-func (s *Store) record(cause Cause, events []platform.WatchEvent) {
-	var recorded []platform.WatchEvent
+func (s *Store) record(cause Cause, events []outside.WatchEvent) {
+	var recorded []outside.WatchEvent
 	for _, event := range events {
 		if s.isRecorded(event.KeyValue.Key) {
 			recorded = append(recorded, event)
--- a/internal/standin/keyvalue/server_calls.go
+++ b/internal/standin/keyvalue/server_calls.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd/wire"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd/wire"
 )
 
 func (s *server) transact(w http.ResponseWriter, r *http.Request) {
@@ -19,7 +19,7 @@
 		writeError(w, err)
 		return
 	}
-	run := func() (platform.TransactionResult, error) { return s.store.Transact(transaction) }
+	run := func() (outside.TransactionResult, error) { return s.store.Transact(transaction) }
 	result, ok := perform(s, w, r, KindTransact, run)
 	if !ok {
 		return
@@ -37,7 +37,7 @@
 		writeError(w, err)
 		return
 	}
-	run := func() (platform.RangeResult, error) { return selected.read(s.store), nil }
+	run := func() (outside.RangeResult, error) { return selected.read(s.store), nil }
 	result, ok := perform(s, w, r, KindRange, run)
 	if !ok {
 		return
@@ -55,7 +55,7 @@
 		return
 	}
 	timeToLive := time.Duration(request.TimeToLive) * time.Second
-	run := func() (platform.LeaseID, error) { return s.store.GrantLease(timeToLive) }
+	run := func() (outside.LeaseID, error) { return s.store.GrantLease(timeToLive) }
 	id, ok := perform(s, w, r, KindGrantLease, run)
 	if !ok {
 		return
@@ -70,10 +70,10 @@
 	if !readBody(w, r, &request) {
 		return
 	}
-	id := platform.LeaseID(request.ID)
+	id := outside.LeaseID(request.ID)
 	run := func() (time.Duration, error) {
 		timeToLive, err := s.store.KeepAlive(id)
-		if errors.Is(err, platform.ErrLeaseGone) {
+		if errors.Is(err, outside.ErrLeaseGone) {
 			return 0, nil
 		}
 		return timeToLive, err
@@ -92,7 +92,7 @@
 		return
 	}
 	run := func() (struct{}, error) {
-		return struct{}{}, s.store.RevokeLease(platform.LeaseID(request.ID))
+		return struct{}{}, s.store.RevokeLease(outside.LeaseID(request.ID))
 	}
 	if _, ok := perform(s, w, r, KindRevokeLease, run); ok {
 		writeJSON(w, wire.LeaseResponse{Header: s.header()})
@@ -103,7 +103,7 @@
 	return wire.Header{Revision: wire.Int64(s.store.Revision())}
 }
 
-func (s *server) leaseResponse(id platform.LeaseID, timeToLive time.Duration) wire.LeaseResponse {
+func (s *server) leaseResponse(id outside.LeaseID, timeToLive time.Duration) wire.LeaseResponse {
 	seconds := wire.Int64(timeToLive / time.Second)
 	return wire.LeaseResponse{Header: s.header(), ID: wire.Int64(id), TimeToLive: seconds}
 }
--- a/internal/standin/keyvalue/server_control.go
+++ b/internal/standin/keyvalue/server_control.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd/wire"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd/wire"
 )
 
 // The paths of the control calls.
--- a/internal/standin/keyvalue/server_convert.go
+++ b/internal/standin/keyvalue/server_convert.go
@@ -3,21 +3,21 @@
 import (
 	"bytes"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd/wire"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd/wire"
 )
 
 // errUnsupported refuses what the stand-in leaves out of the published
 // interface.
 var errUnsupported = refusal("not supported by the stand-in")
 
-func decodeTransaction(request wire.TransactRequest) (platform.Transaction, error) {
-	var transaction platform.Transaction
+func decodeTransaction(request wire.TransactRequest) (outside.Transaction, error) {
+	var transaction outside.Transaction
 	for _, compare := range request.Compares {
 		if compare.Target != wire.TargetModRevision || (compare.Result != wire.ResultEqual && compare.Result != "") {
 			return transaction, errUnsupported
 		}
-		transaction.Compares = append(transaction.Compares, platform.Compare{
+		transaction.Compares = append(transaction.Compares, outside.Compare{
 			Key:         string(compare.Key),
 			ModRevision: int64(compare.ModRevision),
 		})
@@ -32,19 +32,19 @@
 	return transaction, checkFailure(request)
 }
 
-func decodeOperation(operation wire.RequestOperation) (platform.Operation, error) {
+func decodeOperation(operation wire.RequestOperation) (outside.Operation, error) {
 	switch {
 	case operation.Put != nil:
-		return platform.Operation{
-			Kind:  platform.OperationPut,
+		return outside.Operation{
+			Kind:  outside.OperationPut,
 			Key:   string(operation.Put.Key),
 			Value: operation.Put.Value,
-			Lease: platform.LeaseID(operation.Put.Lease),
+			Lease: outside.LeaseID(operation.Put.Lease),
 		}, nil
 	case operation.DeleteRange != nil:
-		return platform.Operation{Kind: platform.OperationDelete, Key: string(operation.DeleteRange.Key)}, nil
+		return outside.Operation{Kind: outside.OperationDelete, Key: string(operation.DeleteRange.Key)}, nil
 	default:
-		return platform.Operation{}, errUnsupported
+		return outside.Operation{}, errUnsupported
 	}
 }
 
@@ -62,7 +62,7 @@
 	return nil
 }
 
-func encodeTransactionResult(request wire.TransactRequest, result platform.TransactionResult) wire.TransactResponse {
+func encodeTransactionResult(request wire.TransactRequest, result outside.TransactionResult) wire.TransactResponse {
 	response := wire.TransactResponse{
 		Header:    wire.Header{Revision: wire.Int64(result.Revision)},
 		Succeeded: result.Succeeded,
@@ -83,7 +83,7 @@
 	return response
 }
 
-func encodeRange(result platform.RangeResult) wire.RangeResponse {
+func encodeRange(result outside.RangeResult) wire.RangeResponse {
 	response := wire.RangeResponse{Header: wire.Header{Revision: wire.Int64(result.Revision)}}
 	for _, keyValue := range result.KeyValues {
 		response.KeyValues = append(response.KeyValues, encodeKeyValue(keyValue))
@@ -91,7 +91,7 @@
 	return response
 }
 
-func encodeKeyValue(keyValue platform.KeyValue) wire.KeyValue {
+func encodeKeyValue(keyValue outside.KeyValue) wire.KeyValue {
 	return wire.KeyValue{
 		Key:         []byte(keyValue.Key),
 		Value:       keyValue.Value,
@@ -100,7 +100,7 @@
 	}
 }
 
-func encodeEvents(events []platform.WatchEvent) []wire.Event {
+func encodeEvents(events []outside.WatchEvent) []wire.Event {
 	encoded := make([]wire.Event, 0, len(events))
 	for _, event := range events {
 		wireEvent := wire.Event{KeyValue: encodeKeyValue(event.KeyValue)}
@@ -135,7 +135,7 @@
 	}
 }
 
-func (s selection) read(store *Store) platform.RangeResult {
+func (s selection) read(store *Store) outside.RangeResult {
 	if !s.single {
 		return store.Range(s.key)
 	}
--- a/internal/standin/keyvalue/server_watch.go
+++ b/internal/standin/keyvalue/server_watch.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/etcd/wire"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/etcd/wire"
 )
 
 // The limits of a served watch.
@@ -72,7 +72,7 @@
 			return false
 		}
 	})
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, outside.ErrCompacted) {
 		return openedWatch{compactedAt: s.store.Compacted()}, nil
 	}
 	return openedWatch{id: id, queue: queue}, err
--- a/internal/standin/keyvalue/simulated.go
+++ b/internal/standin/keyvalue/simulated.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 )
 
-// Simulated is a client process's binding of platform.KeyValueService to a
+// Simulated is a client process's binding of outside.KeyValueService to a
 // store in another simulated process.
 type Simulated struct {
 	network *simulation.Network
@@ -18,7 +18,7 @@
 	store   *Store
 }
 
-var _ platform.KeyValueService = (*Simulated)(nil)
+var _ outside.KeyValueService = (*Simulated)(nil)
 
 // NewSimulated returns a binding for the client process. The store should be
 // driven by the server process's clock.
@@ -26,32 +26,32 @@
 	return &Simulated{network: network, server: server, client: client, store: store}
 }
 
-// Transact implements platform.KeyValueService.
-func (s *Simulated) Transact(transaction platform.Transaction, timeout time.Duration, done func(platform.TransactionResult, error)) {
-	run := func() (platform.TransactionResult, error) { return s.store.Transact(transaction) }
+// Transact implements outside.KeyValueService.
+func (s *Simulated) Transact(transaction outside.Transaction, timeout time.Duration, done func(outside.TransactionResult, error)) {
+	run := func() (outside.TransactionResult, error) { return s.store.Transact(transaction) }
 	call(s, KindTransact, timeout, run, done)
 }
 
-// Range implements platform.KeyValueService.
-func (s *Simulated) Range(prefix string, timeout time.Duration, done func(platform.RangeResult, error)) {
-	run := func() (platform.RangeResult, error) { return s.store.Range(prefix), nil }
+// Range implements outside.KeyValueService.
+func (s *Simulated) Range(prefix string, timeout time.Duration, done func(outside.RangeResult, error)) {
+	run := func() (outside.RangeResult, error) { return s.store.Range(prefix), nil }
 	call(s, KindRange, timeout, run, done)
 }
 
-// GrantLease implements platform.KeyValueService.
-func (s *Simulated) GrantLease(timeToLive, timeout time.Duration, done func(platform.LeaseID, error)) {
-	run := func() (platform.LeaseID, error) { return s.store.GrantLease(timeToLive) }
+// GrantLease implements outside.KeyValueService.
+func (s *Simulated) GrantLease(timeToLive, timeout time.Duration, done func(outside.LeaseID, error)) {
+	run := func() (outside.LeaseID, error) { return s.store.GrantLease(timeToLive) }
 	call(s, KindGrantLease, timeout, run, done)
 }
 
-// KeepAlive implements platform.KeyValueService.
-func (s *Simulated) KeepAlive(lease platform.LeaseID, timeout time.Duration, done func(error)) {
+// KeepAlive implements outside.KeyValueService.
+func (s *Simulated) KeepAlive(lease outside.LeaseID, timeout time.Duration, done func(error)) {
 	run := func() (time.Duration, error) { return s.store.KeepAlive(lease) }
 	call(s, KindKeepAlive, timeout, run, func(_ time.Duration, err error) { done(err) })
 }
 
-// RevokeLease implements platform.KeyValueService.
-func (s *Simulated) RevokeLease(lease platform.LeaseID, timeout time.Duration, done func(error)) {
+// RevokeLease implements outside.KeyValueService.
+func (s *Simulated) RevokeLease(lease outside.LeaseID, timeout time.Duration, done func(error)) {
 	run := func() (struct{}, error) { return struct{}{}, s.store.RevokeLease(lease) }
 	call(s, KindRevokeLease, timeout, run, func(_ struct{}, err error) { done(err) })
 }
@@ -82,7 +82,7 @@
 		OnReply: func(reply reply[Result]) { done(reply.result, reply.err) },
 		OnTimeout: func() {
 			var none Result
-			done(none, fmt.Errorf("%w: no reply to %s within %s", platform.ErrAmbiguous, kind, timeout))
+			done(none, fmt.Errorf("%w: no reply to %s within %s", outside.ErrAmbiguous, kind, timeout))
 		},
 	}.Start()
 }
--- a/internal/standin/keyvalue/simulated_test.go
+++ b/internal/standin/keyvalue/simulated_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
 )
@@ -20,9 +20,9 @@
 			_, service := world.client("client")
 			world.network.Cut = func(f, t string) bool { return f == from && t == to }
 			var ends []error
-			service.Transact(put("key/a", "1"), timeout, func(_ platform.TransactionResult, err error) { ends = append(ends, err) })
+			service.Transact(put("key/a", "1"), timeout, func(_ outside.TransactionResult, err error) { ends = append(ends, err) })
 			world.loop.RunFor(time.Minute)
-			Expect(ends).To(HaveExactElements(MatchError(platform.ErrAmbiguous)))
+			Expect(ends).To(HaveExactElements(MatchError(outside.ErrAmbiguous)))
 			Expect(world.store.Records(0)).To(HaveLen(map[bool]int{true: 1}[applied]))
 		},
 		Entry("to the service", "client", "kv", false),
@@ -35,7 +35,7 @@
 		world.network.ConditionsOf = func(string, string) simulation.Conditions {
 			return simulation.Conditions{Delay: time.Millisecond, Duplication: 1}
 		}
-		service.Transact(put("key/a", "1"), timeout, func(platform.TransactionResult, error) {})
+		service.Transact(put("key/a", "1"), timeout, func(outside.TransactionResult, error) {})
 		world.loop.RunFor(time.Minute)
 		Expect(world.store.Records(0)).To(HaveLen(1))
 	})
--- a/internal/standin/keyvalue/simulated_watch.go
+++ b/internal/standin/keyvalue/simulated_watch.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // The limits of a simulated watch.
@@ -27,7 +27,7 @@
 // messages, and ends with Lost when one is missing or nothing is heard.
 type simulatedWatch struct {
 	service *Simulated
-	handler platform.WatchHandler
+	handler outside.WatchHandler
 	// stopped by the client, or ended by Lost.
 	stopped bool
 	// delivered is the sequence of the newest message given to the handler.
@@ -37,8 +37,8 @@
 	silence   time.Duration
 }
 
-// Watch implements platform.KeyValueService.
-func (s *Simulated) Watch(prefix string, fromRevision int64, handler platform.WatchHandler) (stop func()) {
+// Watch implements outside.KeyValueService.
+func (s *Simulated) Watch(prefix string, fromRevision int64, handler outside.WatchHandler) (stop func()) {
 	watch := &simulatedWatch{
 		service: s,
 		handler: handler,
--- a/internal/standin/keyvalue/store.go
+++ b/internal/standin/keyvalue/store.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"golang.org/x/time/rate"
 )
 
@@ -109,38 +109,38 @@
 	return s.revision
 }
 
-// Transact runs a transaction. Its errors match platform.ErrNotApplied.
-func (s *Store) Transact(transaction platform.Transaction) (platform.TransactionResult, error) {
+// Transact runs a transaction. Its errors match outside.ErrNotApplied.
+func (s *Store) Transact(transaction outside.Transaction) (outside.TransactionResult, error) {
 	if err := s.checkTransaction(transaction); err != nil {
-		return platform.TransactionResult{}, err
+		return outside.TransactionResult{}, err
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if !s.holds(transaction.Compares) {
 		current := s.readCompared(transaction.Compares)
-		return platform.TransactionResult{Revision: s.revision, Current: current}, nil
+		return outside.TransactionResult{Revision: s.revision, Current: current}, nil
 	}
 	if !s.leases.allExist(transaction.Operations) {
-		return platform.TransactionResult{}, errLeaseNotFound
+		return outside.TransactionResult{}, errLeaseNotFound
 	}
 	s.commit(CauseTransaction, transaction.Operations)
-	return platform.TransactionResult{Succeeded: true, Revision: s.revision}, nil
+	return outside.TransactionResult{Succeeded: true, Revision: s.revision}, nil
 }
 
 // Range reads all keys with the prefix, in order.
-func (s *Store) Range(prefix string) platform.RangeResult {
+func (s *Store) Range(prefix string) outside.RangeResult {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return platform.RangeResult{Revision: s.revision, KeyValues: s.keys.withPrefix(prefix)}
+	return outside.RangeResult{Revision: s.revision, KeyValues: s.keys.withPrefix(prefix)}
 }
 
 // readKey reads one key.
-func (s *Store) readKey(key string) platform.RangeResult {
+func (s *Store) readKey(key string) outside.RangeResult {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	result := platform.RangeResult{Revision: s.revision}
+	result := outside.RangeResult{Revision: s.revision}
 	if keyValue, exists := s.keys.get(key); exists {
-		result.KeyValues = []platform.KeyValue{keyValue}
+		result.KeyValues = []outside.KeyValue{keyValue}
 	}
 	return result
 }
@@ -154,7 +154,7 @@
 	s.leases.stopTimers()
 }
 
-func (s *Store) checkTransaction(transaction platform.Transaction) error {
+func (s *Store) checkTransaction(transaction outside.Transaction) error {
 	if len(transaction.Operations) > s.options.MaxOperations || len(transaction.Compares) > s.options.MaxOperations {
 		return errTooManyOperations
 	}
@@ -176,7 +176,7 @@
 	return nil
 }
 
-func (s *Store) holds(compares []platform.Compare) bool {
+func (s *Store) holds(compares []outside.Compare) bool {
 	for _, compare := range compares {
 		current, _ := s.keys.get(compare.Key)
 		if current.ModRevision != compare.ModRevision {
@@ -186,8 +186,8 @@
 	return true
 }
 
-func (s *Store) readCompared(compares []platform.Compare) []platform.KeyValue {
-	var current []platform.KeyValue
+func (s *Store) readCompared(compares []outside.Compare) []outside.KeyValue {
+	var current []outside.KeyValue
 	for _, compare := range compares {
 		if keyValue, exists := s.keys.get(compare.Key); exists {
 			current = append(current, keyValue)
@@ -198,8 +198,8 @@
 
 // commit applies the operations as one revision and tells the watches. Without
 // an effect the revision stays.
-func (s *Store) commit(cause Cause, operations []platform.Operation) {
-	events := make([]platform.WatchEvent, 0, len(operations))
+func (s *Store) commit(cause Cause, operations []outside.Operation) {
+	events := make([]outside.WatchEvent, 0, len(operations))
 	for _, operation := range operations {
 		if event, changed := s.apply(operation); changed {
 			events = append(events, event)
@@ -214,18 +214,18 @@
 	s.notify(s.revision, events)
 }
 
-func (s *Store) apply(operation platform.Operation) (platform.WatchEvent, bool) {
+func (s *Store) apply(operation outside.Operation) (outside.WatchEvent, bool) {
 	revision := s.revision + 1
 	previous, existed := s.keys.get(operation.Key)
 	if existed {
 		s.leases.detach(previous.Lease, operation.Key)
 	}
-	if operation.Kind == platform.OperationDelete {
+	if operation.Kind == outside.OperationDelete {
 		s.keys.remove(operation.Key)
-		deleted := platform.KeyValue{Key: operation.Key, ModRevision: revision}
-		return platform.WatchEvent{Deleted: true, KeyValue: deleted}, existed
+		deleted := outside.KeyValue{Key: operation.Key, ModRevision: revision}
+		return outside.WatchEvent{Deleted: true, KeyValue: deleted}, existed
 	}
-	keyValue := platform.KeyValue{
+	keyValue := outside.KeyValue{
 		Key:         operation.Key,
 		Value:       bytes.Clone(operation.Value),
 		ModRevision: revision,
@@ -233,5 +233,5 @@
 	}
 	s.keys.put(keyValue)
 	s.leases.attach(operation.Lease, operation.Key)
-	return platform.WatchEvent{KeyValue: keyValue}, true
+	return outside.WatchEvent{KeyValue: keyValue}, true
 }
--- a/internal/standin/keyvalue/watch.go
+++ b/internal/standin/keyvalue/watch.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // WatchID names one watch of a store.
@@ -19,7 +19,7 @@
 	Sequence uint64
 	Revision int64
 	// Events of one revision; the slice must not be changed.
-	Events []platform.WatchEvent
+	Events []outside.WatchEvent
 	// Err, if set, ends the watch.
 	Err error
 }
@@ -48,7 +48,7 @@
 }
 
 // Watch delivers the changes of keys with the prefix after fromRevision, kept
-// ones at once. It fails with platform.ErrCompacted when some are gone.
+// ones at once. It fails with outside.ErrCompacted when some are gone.
 func (s *Store) Watch(prefix string, fromRevision int64, sink WatchSink) (WatchID, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -56,7 +56,7 @@
 		return 0, errClosed
 	}
 	if fromRevision < s.history.compacted {
-		return 0, fmt.Errorf("%w: %d, oldest kept %d", platform.ErrCompacted, fromRevision, s.history.compacted+1)
+		return 0, fmt.Errorf("%w: %d, oldest kept %d", outside.ErrCompacted, fromRevision, s.history.compacted+1)
 	}
 	s.watches.last++
 	created := &watch{id: s.watches.last, prefix: prefix, after: fromRevision, sink: sink}
@@ -84,7 +84,7 @@
 	return len(s.watches.ordered)
 }
 
-func (s *Store) notify(revision int64, events []platform.WatchEvent) {
+func (s *Store) notify(revision int64, events []outside.WatchEvent) {
 	for _, watch := range s.watches.ordered {
 		s.offer(watch, revision, events)
 	}
@@ -92,7 +92,7 @@
 }
 
 // offer sends the events that match the watch.
-func (s *Store) offer(watch *watch, revision int64, events []platform.WatchEvent) {
+func (s *Store) offer(watch *watch, revision int64, events []outside.WatchEvent) {
 	if revision <= watch.after || watch.gapped || watch.ended {
 		return
 	}
@@ -109,7 +109,7 @@
 
 // matchingEvents returns the events of keys with the prefix, without a copy
 // when all or none match.
-func matchingEvents(prefix string, events []platform.WatchEvent) []platform.WatchEvent {
+func matchingEvents(prefix string, events []outside.WatchEvent) []outside.WatchEvent {
 	count := 0
 	for i := range events {
 		if strings.HasPrefix(events[i].KeyValue.Key, prefix) {
@@ -122,7 +122,7 @@
 	if count == len(events) {
 		return events
 	}
-	matching := make([]platform.WatchEvent, 0, count)
+	matching := make([]outside.WatchEvent, 0, count)
 	for _, event := range events {
 		if strings.HasPrefix(event.KeyValue.Key, prefix) {
 			matching = append(matching, event)
--- a/internal/standin/machines/http.go
+++ b/internal/standin/machines/http.go
@@ -6,8 +6,8 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/standin/httpserver"
 )
 
@@ -19,7 +19,7 @@
 
 // ReclaimRequest is the body of a POST to PathReclaim.
 type ReclaimRequest struct {
-	Server platform.ServerID `json:"server"`
+	Server outside.ServerID `json:"server"`
 	// Warning is the time until the machine is gone, in milliseconds.
 	WarningMilliseconds int64 `json:"warning_milliseconds"`
 }
@@ -40,13 +40,13 @@
 func (l *List) serveMachines(writer http.ResponseWriter, request *http.Request) {
 	since, err := httpserver.Number(request, httpapi.QuerySince)
 	if err != nil {
-		httpserver.Refuse(writer, http.StatusBadRequest, httpserver.ReasonMalformed, platform.LoadHint{})
+		httpserver.Refuse(writer, http.StatusBadRequest, httpserver.ReasonMalformed, outside.LoadHint{})
 		return
 	}
 	listing, err := l.Read(since)
 	switch {
 	case err != nil:
-		httpserver.Refuse(writer, http.StatusServiceUnavailable, "outage", platform.LoadHint{})
+		httpserver.Refuse(writer, http.StatusServiceUnavailable, "outage", outside.LoadHint{})
 	case listing == nil:
 		writer.WriteHeader(http.StatusNotModified)
 	default:
@@ -61,7 +61,7 @@
 	}
 	warning := time.Duration(wanted.WarningMilliseconds) * time.Millisecond
 	if !l.Reclaim(wanted.Server, warning) {
-		httpserver.Refuse(writer, http.StatusNotFound, "unknown_server", platform.LoadHint{})
+		httpserver.Refuse(writer, http.StatusNotFound, "unknown_server", outside.LoadHint{})
 		return
 	}
 	writer.WriteHeader(http.StatusNoContent)
--- a/internal/standin/machines/list.go
+++ b/internal/standin/machines/list.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
@@ -41,22 +41,22 @@
 	version uint64
 	// visibleVersion and visible are the reading given last.
 	visibleVersion uint64
-	visible        []platform.Machine
+	visible        []outside.Machine
 }
 
 // entry is one machine with the changes that readers do not see yet.
 type entry struct {
-	machine platform.Machine
+	machine outside.Machine
 	gone    bool
 	// pending changes, oldest first.
 	pending []change
-	shown   platform.Machine
+	shown   outside.Machine
 }
 
 // change is a state of a machine and the time from which it was true.
 type change struct {
 	at      time.Time
-	machine platform.Machine
+	machine outside.Machine
 	gone    bool
 }
 
@@ -64,19 +64,19 @@
 // lag, so that its server can be told or ended. Each may be nil.
 type Hooks struct {
 	// Leaving: the machine will be gone at a time.
-	Leaving func(server platform.ServerID, leavesAt time.Time)
+	Leaving func(server outside.ServerID, leavesAt time.Time)
 	// Gone: the machine was taken away.
-	Gone func(server platform.ServerID)
+	Gone func(server outside.ServerID)
 }
 
 // NewList returns an empty list. What happens to the machines is appended to
 // the log, which may be nil.
 func NewList(listClock clock.Clock, log *record.Log, hooks Hooks) *List {
 	if hooks.Leaving == nil {
-		hooks.Leaving = func(platform.ServerID, time.Time) {}
+		hooks.Leaving = func(outside.ServerID, time.Time) {}
 	}
 	if hooks.Gone == nil {
-		hooks.Gone = func(platform.ServerID) {}
+		hooks.Gone = func(outside.ServerID) {}
 	}
 	// Later than any version of an earlier process.
 	version := uint64(listClock.Now().UnixNano())
@@ -85,10 +85,10 @@
 
 // Add lists a live machine at once, whatever the lag. A machine of the same
 // server is replaced.
-func (l *List) Add(machine platform.Machine) {
+func (l *List) Add(machine outside.Machine) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	machine.Phase = platform.MachineLive
+	machine.Phase = outside.MachineLive
 	machine.LeavesAt = time.Time{}
 	added := &entry{machine: machine, shown: machine}
 	index, found := l.find(machine.Server)
@@ -103,7 +103,7 @@
 
 // Reclaim takes a machine away after a warning: it is leaving now and gone
 // then. It reports whether the machine was there.
-func (l *List) Reclaim(server platform.ServerID, warning time.Duration) bool {
+func (l *List) Reclaim(server outside.ServerID, warning time.Duration) bool {
 	leavesAt := l.clock.Now().Add(warning)
 	if !l.announce(server, leavesAt, warning) {
 		return false
@@ -112,7 +112,7 @@
 	return true
 }
 
-func (l *List) announce(server platform.ServerID, leavesAt time.Time, warning time.Duration) bool {
+func (l *List) announce(server outside.ServerID, leavesAt time.Time, warning time.Duration) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	machine, present := l.livingEntry(server)
@@ -120,7 +120,7 @@
 		return false
 	}
 	leaving := machine.machine
-	leaving.Phase = platform.MachineLeaving
+	leaving.Phase = outside.MachineLeaving
 	leaving.LeavesAt = leavesAt
 	l.change(machine, leaving, false)
 	l.clock.AfterFunc(warning, func() { l.remove(server, machine) })
@@ -128,7 +128,7 @@
 }
 
 // SetPhase makes a machine live or leaving without an end.
-func (l *List) SetPhase(server platform.ServerID, phase platform.MachinePhase) bool {
+func (l *List) SetPhase(server outside.ServerID, phase outside.MachinePhase) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	machine, present := l.livingEntry(server)
@@ -143,7 +143,7 @@
 }
 
 // Remove takes a machine away without warning.
-func (l *List) Remove(server platform.ServerID) bool {
+func (l *List) Remove(server outside.ServerID) bool {
 	l.mutex.Lock()
 	machine, present := l.livingEntry(server)
 	l.mutex.Unlock()
@@ -154,7 +154,7 @@
 }
 
 // remove ends the machine unless it is gone or replaced already.
-func (l *List) remove(server platform.ServerID, expected *entry) bool {
+func (l *List) remove(server outside.ServerID, expected *entry) bool {
 	l.mutex.Lock()
 	machine, present := l.livingEntry(server)
 	if !present || machine != expected {
@@ -181,8 +181,8 @@
 	return l.faults
 }
 
-func (l *List) find(server platform.ServerID) (index int, found bool) {
-	return slices.BinarySearchFunc(l.entries, server, func(e *entry, target platform.ServerID) int {
+func (l *List) find(server outside.ServerID) (index int, found bool) {
+	return slices.BinarySearchFunc(l.entries, server, func(e *entry, target outside.ServerID) int {
 		switch {
 		case e.machine.Server < target:
 			return -1
@@ -195,7 +195,7 @@
 }
 
 // livingEntry returns the entry of a machine that is not gone.
-func (l *List) livingEntry(server platform.ServerID) (*entry, bool) {
+func (l *List) livingEntry(server outside.ServerID) (*entry, bool) {
 	index, found := l.find(server)
 	if !found || l.entries[index].gone {
 		return nil, false
@@ -203,7 +203,7 @@
 	return l.entries[index], true
 }
 
-func (l *List) change(changed *entry, machine platform.Machine, gone bool) {
+func (l *List) change(changed *entry, machine outside.Machine, gone bool) {
 	changed.machine = machine
 	changed.gone = gone
 	changed.pending = append(changed.pending, change{at: l.clock.Now(), machine: machine, gone: gone})
@@ -214,7 +214,7 @@
 	l.note(machine, phase)
 }
 
-func (l *List) note(machine platform.Machine, phase string) {
+func (l *List) note(machine outside.Machine, phase string) {
 	l.log.Append(record.Event{
 		At:       l.clock.Now(),
 		Kind:     record.KindMachinePhase,
--- a/internal/standin/machines/machines_test.go
+++ b/internal/standin/machines/machines_test.go
@@ -9,7 +9,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/machines"
 )
@@ -19,10 +19,10 @@
 	ginkgo.RunSpecs(t, "Machine-list stand-in")
 }
 
-func phases(list *machines.List) map[platform.ServerID]platform.MachinePhase {
+func phases(list *machines.List) map[outside.ServerID]outside.MachinePhase {
 	listing, err := list.Read(0)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	found := map[platform.ServerID]platform.MachinePhase{}
+	found := map[outside.ServerID]outside.MachinePhase{}
 	for _, machine := range listing.Machines {
 		found[machine.Server] = machine.Phase
 	}
@@ -40,13 +40,13 @@
 		loop = simulation.NewLoop(1)
 		told = nil
 		list = machines.NewList(loop, nil, machines.Hooks{
-			Leaving: func(server platform.ServerID, at time.Time) {
+			Leaving: func(server outside.ServerID, at time.Time) {
 				told = append(told, fmt.Sprint(server, " leaves in ", at.Sub(loop.Now())))
 			},
-			Gone: func(server platform.ServerID) { told = append(told, fmt.Sprint(server, " is gone")) },
+			Gone: func(server outside.ServerID) { told = append(told, fmt.Sprint(server, " is gone")) },
 		})
 		list.SetFaults(machines.Faults{Lag: lag})
-		list.Add(platform.Machine{Server: "a"})
+		list.Add(outside.Machine{Server: "a"})
 	})
 
 	ginkgo.It("shows a reclaimed machine's phases after the lag, and tells them at once", func() {
@@ -54,18 +54,18 @@
 		gomega.Expect(told).To(gomega.Equal([]string{"a leaves in 4s"}))
 		loop.RunFor(warning)
 		gomega.Expect(told).To(gomega.HaveLen(2))
-		gomega.Expect(phases(list)).To(gomega.HaveKeyWithValue(platform.ServerID("a"), platform.MachineLive))
+		gomega.Expect(phases(list)).To(gomega.HaveKeyWithValue(outside.ServerID("a"), outside.MachineLive))
 		loop.RunFor(lag - warning)
-		gomega.Expect(phases(list)).To(gomega.HaveKeyWithValue(platform.ServerID("a"), platform.MachineLeaving))
+		gomega.Expect(phases(list)).To(gomega.HaveKeyWithValue(outside.ServerID("a"), outside.MachineLeaving))
 		loop.RunFor(warning)
 		gomega.Expect(phases(list)).To(gomega.BeEmpty())
 	})
 
 	ginkgo.It("does not end a machine that took the place of a reclaimed one", func() {
 		list.Reclaim("a", warning)
-		list.Add(platform.Machine{Server: "a"})
+		list.Add(outside.Machine{Server: "a"})
 		loop.RunFor(time.Hour)
-		gomega.Expect(phases(list)).To(gomega.HaveKeyWithValue(platform.ServerID("a"), platform.MachineLive))
+		gomega.Expect(phases(list)).To(gomega.HaveKeyWithValue(outside.ServerID("a"), outside.MachineLive))
 		gomega.Expect(told).To(gomega.HaveLen(1))
 	})
 })
@@ -78,7 +78,7 @@
 		read := func() {
 			listing, err := list.Read(0)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
-			listed := map[platform.ServerID]bool{}
+			listed := map[outside.ServerID]bool{}
 			for _, machine := range listing.Machines {
 				listed[machine.Server] = true
 			}
@@ -93,11 +93,11 @@
 				version, shown = listing.Version, now
 			}
 		}
-		server := func(t *rapid.T) platform.ServerID {
-			return platform.ServerID(rapid.StringMatching("[a-d]").Draw(t, "server"))
+		server := func(t *rapid.T) outside.ServerID {
+			return outside.ServerID(rapid.StringMatching("[a-d]").Draw(t, "server"))
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"add":    func(t *rapid.T) { list.Add(platform.Machine{Server: server(t)}) },
+			"add":    func(t *rapid.T) { list.Add(outside.Machine{Server: server(t)}) },
 			"remove": func(t *rapid.T) { list.Remove(server(t)) },
 			"reclaim": func(t *rapid.T) {
 				list.Reclaim(server(t), time.Duration(rapid.IntRange(0, 5).Draw(t, "s"))*time.Second)
--- a/internal/standin/machines/read.go
+++ b/internal/standin/machines/read.go
@@ -4,12 +4,12 @@
 	"slices"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Read returns the list as readers see it now, or nil if its version is the one
 // given. The listing must not be changed.
-func (l *List) Read(sinceVersion uint64) (*platform.MachineListing, error) {
+func (l *List) Read(sinceVersion uint64) (*outside.MachineListing, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.faults.Outage {
@@ -20,7 +20,7 @@
 	if sinceVersion != 0 && sinceVersion == l.version {
 		return nil, nil
 	}
-	return &platform.MachineListing{Version: l.version, Machines: l.visible}, nil
+	return &outside.MachineListing{Version: l.version, Machines: l.visible}, nil
 }
 
 // showUntil shows the changes made up to a time.
@@ -50,7 +50,7 @@
 	if l.visible != nil && l.visibleVersion == l.version {
 		return
 	}
-	l.visible = make([]platform.Machine, 0, len(l.entries))
+	l.visible = make([]outside.Machine, 0, len(l.entries))
 	for _, machine := range l.entries {
 		l.visible = append(l.visible, machine.shown)
 	}
@@ -59,10 +59,10 @@
 
 // Living returns the machines that are not gone, as they are now and without
 // lag, in order of server.
-func (l *List) Living() []platform.Machine {
+func (l *List) Living() []outside.Machine {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	living := make([]platform.Machine, 0, len(l.entries))
+	living := make([]outside.Machine, 0, len(l.entries))
 	for _, machine := range l.entries {
 		if !machine.gone {
 			living = append(living, machine.machine)
--- a/internal/standin/machines/simulated.go
+++ b/internal/standin/machines/simulated.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 )
 
-// Simulated is the platform.MachineListService of one client process over a
+// Simulated is the outside.MachineListService of one client process over a
 // simulated network.
 type Simulated struct {
 	network *simulation.Network
@@ -22,19 +22,19 @@
 	return &Simulated{network: network, client: client, server: server, list: list}
 }
 
-// List implements platform.MachineListService. During an outage the call ends
-// with platform.ErrServerUnreachable after its timeout.
-func (s *Simulated) List(sinceVersion uint64, timeout time.Duration, done func(*platform.MachineListing, error)) {
-	simulation.Call[*platform.MachineListing]{
+// List implements outside.MachineListService. During an outage the call ends
+// with outside.ErrServerUnreachable after its timeout.
+func (s *Simulated) List(sinceVersion uint64, timeout time.Duration, done func(*outside.MachineListing, error)) {
+	simulation.Call[*outside.MachineListing]{
 		Network: s.network, Client: s.client, Server: s.server, Timeout: timeout,
-		Serve: func(answer func(*platform.MachineListing)) {
+		Serve: func(answer func(*outside.MachineListing)) {
 			listing, err := s.list.Read(sinceVersion)
 			if err != nil {
 				return
 			}
 			answer(listing)
 		},
-		OnReply:   func(listing *platform.MachineListing) { done(listing, nil) },
-		OnTimeout: func() { done(nil, platform.ErrServerUnreachable) },
+		OnReply:   func(listing *outside.MachineListing) { done(listing, nil) },
+		OnTimeout: func() { done(nil, outside.ErrServerUnreachable) },
 	}.Start()
 }
--- a/internal/standin/record/event.go
+++ b/internal/standin/record/event.go
@@ -5,34 +5,34 @@
 import (
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Event is one thing a stand-in saw. Kind says which of the fields are set; the
 // struct is flat so that millions of events cost one copy each.
 type Event struct {
 	// Sequence numbers the events of one Log from 1; set by Append.
-	Sequence    uint64               `json:"sequence"`
-	At          time.Time            `json:"at"`
-	Kind        Kind                 `json:"kind"`
-	Server      platform.ServerID    `json:"server,omitempty"`
-	Incarnation platform.Incarnation `json:"incarnation,omitempty"`
+	Sequence    uint64              `json:"sequence"`
+	At          time.Time           `json:"at"`
+	Kind        Kind                `json:"kind"`
+	Server      outside.ServerID    `json:"server,omitempty"`
+	Incarnation outside.Incarnation `json:"incarnation,omitempty"`
 	// Fence of an order.
-	Fence platform.Fence `json:"fence,omitzero"`
-	// Command of a KindCommand event, as platform.CommandKind's word.
+	Fence outside.Fence `json:"fence,omitzero"`
+	// Command of a KindCommand event, as outside.CommandKind's word.
 	Command string `json:"command,omitempty"`
 	// Accepted tells whether an order or command was accepted.
 	Accepted bool `json:"accepted,omitempty"`
 	// Reason is a word for a refusal, a failure or a truncation.
 	Reason string `json:"reason,omitempty"`
 
-	Model   string          `json:"model,omitempty"`
-	Version string          `json:"version,omitempty"`
-	Adapter string          `json:"adapter,omitempty"`
-	Slot    platform.SlotID `json:"slot,omitempty"`
+	Model   string         `json:"model,omitempty"`
+	Version string         `json:"version,omitempty"`
+	Adapter string         `json:"adapter,omitempty"`
+	Slot    outside.SlotID `json:"slot,omitempty"`
 	// Attempt of a load, a generation or a back-end call.
-	Attempt platform.AttemptID `json:"attempt,omitempty"`
-	// Source of a load, as platform.CheckpointSource's word.
+	Attempt outside.AttemptID `json:"attempt,omitempty"`
+	// Source of a load, as outside.CheckpointSource's word.
 	Source string `json:"source,omitempty"`
 
 	// UsedBytes of CapacityBytes are in use after a KindMemory event.
--- a/internal/standin/record/log_test.go
+++ b/internal/standin/record/log_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
 )
 
@@ -53,7 +53,7 @@
 			Expect(kind.String()).NotTo(BeEmpty())
 			event := record.Event{
 				Sequence: 3, Kind: kind, At: time.Date(2026, 1, 2, 3, 4, 5, 6, time.UTC),
-				Fence: platform.Fence{Epoch: 1, Sequence: 2}, Attempt: "a", BodyDigest: 1 << 63,
+				Fence: outside.Fence{Epoch: 1, Sequence: 2}, Attempt: "a", BodyDigest: 1 << 63,
 			}
 			text, err := json.Marshal(event)
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/standin/suite/layout.go
+++ b/internal/standin/suite/layout.go
@@ -4,7 +4,7 @@
 	"net"
 	"strconv"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Part is one kind of stand-in.
@@ -34,7 +34,7 @@
 // placedServer is a server of a pool with its place.
 type placedServer struct {
 	pool    Pool
-	machine platform.Machine
+	machine outside.Machine
 }
 
 // address returns the address of a port counted from the base port.
@@ -52,13 +52,13 @@
 	for _, pool := range c.Pools {
 		zones := c.zonesOf(pool)
 		for number := range pool.Servers {
-			placed = append(placed, placedServer{pool: pool, machine: platform.Machine{
-				Server:  platform.ServerID(serverName(pool, number+1)),
+			placed = append(placed, placedServer{pool: pool, machine: outside.Machine{
+				Server:  outside.ServerID(serverName(pool, number+1)),
 				Address: c.address(firstServerPort + len(placed)),
 				Pool:    pool.Name,
 				Zone:    zones[number%len(zones)],
 				Region:  c.Region,
-				Phase:   platform.MachineLive,
+				Phase:   outside.MachineLive,
 				Engine:  pool.Engine,
 			}})
 		}
--- a/internal/standin/suite/suite.go
+++ b/internal/standin/suite/suite.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/backend"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
@@ -35,8 +35,8 @@
 	bootID string
 
 	listeners listenerTable
-	engines   map[platform.ServerID]*engine.Engine
-	backEnds  map[platform.ServerID]*backend.Server
+	engines   map[outside.ServerID]*engine.Engine
+	backEnds  map[outside.ServerID]*backend.Server
 }
 
 // Start starts the parts. The machine list names all servers of the
@@ -51,8 +51,8 @@
 	}
 	suite := &Suite{
 		config: config, logger: logger, log: newLog(config.KeepRecords), bootID: uuid.NewString(),
-		engines:  map[platform.ServerID]*engine.Engine{},
-		backEnds: map[platform.ServerID]*backend.Server{},
+		engines:  map[outside.ServerID]*engine.Engine{},
+		backEnds: map[outside.ServerID]*backend.Server{},
 	}
 	suite.store = weights.NewStore(clock.System{}, config.weightStore())
 	suite.list = machines.NewList(clock.System{}, suite.log, machines.Hooks{Leaving: suite.announce, Gone: suite.end})
@@ -198,7 +198,7 @@
 }
 
 // announce tells a server that its machine is to be reclaimed.
-func (s *Suite) announce(server platform.ServerID, leavesAt time.Time) {
+func (s *Suite) announce(server outside.ServerID, leavesAt time.Time) {
 	if started, found := s.engines[server]; found {
 		started.SetLeaving(leavesAt)
 	}
@@ -208,7 +208,7 @@
 }
 
 // end ends a server whose machine is gone.
-func (s *Suite) end(server platform.ServerID) {
+func (s *Suite) end(server outside.ServerID) {
 	if started, found := s.engines[server]; found {
 		started.Kill()
 	}
--- a/internal/standin/suite/suite_test.go
+++ b/internal/standin/suite/suite_test.go
@@ -14,8 +14,8 @@
 	"github.com/rs/zerolog"
 	"github.com/sashabaranov/go-openai"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/standin/engine"
 	"github.com/hatchplank/hatchplank/internal/standin/httpserver"
 	"github.com/hatchplank/hatchplank/internal/standin/machines"
@@ -41,15 +41,15 @@
 	return running
 }
 
-func list(running *suite.Suite) []platform.Machine {
+func list(running *suite.Suite) []outside.Machine {
 	ginkgo.GinkgoHelper()
 	address, known := running.Address(string(suite.PartMachines))
 	gomega.Expect(known).To(gomega.BeTrue())
 	client := httpapi.NewMachineList(address, httpapi.Options{})
 	defer client.Close()
-	listings := make(chan *platform.MachineListing, 1)
-	client.List(0, timeout, func(listing *platform.MachineListing, _ error) { listings <- listing })
-	var listing *platform.MachineListing
+	listings := make(chan *outside.MachineListing, 1)
+	client.List(0, timeout, func(listing *outside.MachineListing, _ error) { listings <- listing })
+	var listing *outside.MachineListing
 	gomega.Eventually(listings, timeout).Should(gomega.Receive(&listing))
 	return listing.Machines
 }
@@ -164,21 +164,21 @@
 // load loads the model "dossier" on an engine.
 func load(address string) {
 	ginkgo.GinkgoHelper()
-	client := httpapi.NewEngines(func(platform.ServerID) (string, bool) { return address, true }, httpapi.Options{})
+	client := httpapi.NewEngines(func(outside.ServerID) (string, bool) { return address, true }, httpapi.Options{})
 	ginkgo.DeferCleanup(client.Close)
-	client.Order(platform.Order{Fence: platform.Fence{Epoch: 1}, Commands: []platform.Command{{
-		Kind: platform.CommandLoadModel, Model: "dossier", Version: "1", Attempt: "load",
+	client.Order(outside.Order{Fence: outside.Fence{Epoch: 1}, Commands: []outside.Command{{
+		Kind: outside.CommandLoadModel, Model: "dossier", Version: "1", Attempt: "load",
 		MemoryBytes: 2 << 30, WeightBytes: 1 << 30,
-	}}}, timeout, func(platform.OrderResult, error) {})
+	}}}, timeout, func(outside.OrderResult, error) {})
 	gomega.Eventually(func() string {
-		states := make(chan *platform.EngineState, 1)
-		client.State("glossa-01", 0, timeout, func(state *platform.EngineState, _ error) { states <- state })
+		states := make(chan *outside.EngineState, 1)
+		client.State("glossa-01", 0, timeout, func(state *outside.EngineState, _ error) { states <- state })
 		state := <-states
 		if state == nil || len(state.Replicas) == 0 {
 			return ""
 		}
 		return state.Replicas[0].Phase.String()
-	}, timeout).Should(gomega.Equal(platform.ReplicaReady.String()))
+	}, timeout).Should(gomega.Equal(outside.ReplicaReady.String()))
 }
 
 var _ = ginkgo.DescribeTable("Parse refuses", func(change, fault string) {
--- a/internal/standin/weights/http.go
+++ b/internal/standin/weights/http.go
@@ -5,8 +5,8 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
-	"github.com/hatchplank/hatchplank/internal/platform/httpapi"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/outside/httpapi"
 	"github.com/hatchplank/hatchplank/internal/standin/httpserver"
 )
 
@@ -19,8 +19,8 @@
 
 // HTTPUsage is what the control interface tells of the store.
 type HTTPUsage struct {
-	Waiting int                        `json:"waiting"`
-	Status  platform.WeightStoreStatus `json:"status"`
+	Waiting int                       `json:"waiting"`
+	Status  outside.WeightStoreStatus `json:"status"`
 }
 
 // NewHandler returns the store's HTTP form. Engines of the same process fetch
@@ -29,7 +29,7 @@
 	router := mux.NewRouter()
 	router.HandleFunc(httpapi.PathWeightStatus, func(writer http.ResponseWriter, _ *http.Request) {
 		if store.Outage() {
-			httpserver.Refuse(writer, http.StatusServiceUnavailable, "outage", platform.LoadHint{})
+			httpserver.Refuse(writer, http.StatusServiceUnavailable, "outage", outside.LoadHint{})
 			return
 		}
 		httpserver.WriteJSON(writer, http.StatusOK, store.Status())
--- a/internal/standin/weights/store.go
+++ b/internal/standin/weights/store.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // Config of a Store.
@@ -183,8 +183,8 @@
 }
 
 // Status reads the store's load.
-func (s *Store) Status() platform.WeightStoreStatus {
-	return platform.WeightStoreStatus{
+func (s *Store) Status() outside.WeightStoreStatus {
+	return outside.WeightStoreStatus{
 		Active:         s.link.Active(),
 		FullSpeedLoads: s.config.FullSpeedLoads,
 		LoadsPerSecond: s.config.LoadsPerSecond,
--- a/internal/standin/weights/store_test.go
+++ b/internal/standin/weights/store_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/weights"
 )
@@ -114,17 +114,17 @@
 			Network: simulation.NewNetwork(loop), Store: store,
 			Client: simulation.NewProcess(loop, "node"), Server: simulation.NewProcess(loop, "store"),
 		}
-		var status platform.WeightStoreStatus
+		var status outside.WeightStoreStatus
 		var failure error
 		ask := func() {
-			service.Status(time.Second, func(s platform.WeightStoreStatus, err error) { status, failure = s, err })
+			service.Status(time.Second, func(s outside.WeightStoreStatus, err error) { status, failure = s, err })
 			loop.RunFor(time.Minute)
 		}
 		ask()
-		Expect(status).To(Equal(platform.WeightStoreStatus{FullSpeedLoads: 6, LoadsPerSecond: 3, SlowDown: 1}))
+		Expect(status).To(Equal(outside.WeightStoreStatus{FullSpeedLoads: 6, LoadsPerSecond: 3, SlowDown: 1}))
 		store.SetOutage(true)
 		ask()
-		Expect(failure).To(MatchError(platform.ErrServerUnreachable))
+		Expect(failure).To(MatchError(outside.ErrServerUnreachable))
 	})
 })
 
--- a/internal/tablestore/catchup.go
+++ b/internal/tablestore/catchup.go
@@ -5,7 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -35,7 +35,7 @@
 
 var errNotCaughtUp = eris.New("the revision could not be read from the key-value service")
 
-// to reads up to the target revision. Done as in package platform.
+// to reads up to the target revision. Done as in package outside.
 func (c *catchUp) to(target table.Revision, done func(error)) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -66,7 +66,7 @@
 }
 
 func (c *catchUp) readEntry(revision table.Revision) {
-	c.store.KeyValues.Range(logKey(revision), c.store.options.Timeout, func(result platform.RangeResult, err error) {
+	c.store.KeyValues.Range(logKey(revision), c.store.options.Timeout, func(result outside.RangeResult, err error) {
 		switch {
 		case err != nil:
 			c.failed(err)
@@ -80,7 +80,7 @@
 }
 
 func (c *catchUp) readSnapshot() {
-	c.store.KeyValues.Range(snapshotPrefix, c.store.options.Timeout, func(result platform.RangeResult, err error) {
+	c.store.KeyValues.Range(snapshotPrefix, c.store.options.Timeout, func(result outside.RangeResult, err error) {
 		if err != nil {
 			c.failed(err)
 			return
@@ -94,7 +94,7 @@
 
 func (c *catchUp) readLog() {
 	before := c.store.Revision()
-	c.store.KeyValues.Range(logPrefix, c.store.options.Timeout, func(result platform.RangeResult, err error) {
+	c.store.KeyValues.Range(logPrefix, c.store.options.Timeout, func(result outside.RangeResult, err error) {
 		if err != nil {
 			c.failed(err)
 			return
@@ -104,7 +104,7 @@
 	})
 }
 
-func (c *catchUp) takeSnapshot(keyValue platform.KeyValue) {
+func (c *catchUp) takeSnapshot(keyValue outside.KeyValue) {
 	record, err := decodeRecord[snapshotRecord](keyValue.Value)
 	if err != nil {
 		c.store.Log.Error().Err(err).Str("key", keyValue.Key).Msg("unreadable table snapshot")
@@ -114,7 +114,7 @@
 }
 
 // takeEntries takes log records in order of key, which is that of revision.
-func (c *catchUp) takeEntries(keyValues []platform.KeyValue) {
+func (c *catchUp) takeEntries(keyValues []outside.KeyValue) {
 	entries := make([]LogEntry, 0, len(keyValues))
 	oldest := logKey(c.store.Revision())
 	for _, keyValue := range keyValues {
--- a/internal/tablestore/history.go
+++ b/internal/tablestore/history.go
@@ -1,13 +1,13 @@
 package tablestore
 
 import (
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // History reads who changed what, newest first, at most limit records (0: all
-// that are kept). Done as in package platform.
+// that are kept). Done as in package outside.
 func (s *Store) History(limit int, done func([]HistoryRecord, error)) {
-	s.KeyValues.Range(historyPrefix, s.options.Timeout, func(result platform.RangeResult, err error) {
+	s.KeyValues.Range(historyPrefix, s.options.Timeout, func(result outside.RangeResult, err error) {
 		if err != nil {
 			done(nil, err)
 			return
@@ -16,7 +16,7 @@
 	})
 }
 
-func decodeHistory(keyValues []platform.KeyValue, limit int) ([]HistoryRecord, error) {
+func decodeHistory(keyValues []outside.KeyValue, limit int) ([]HistoryRecord, error) {
 	if limit <= 0 || limit > len(keyValues) {
 		limit = len(keyValues)
 	}
--- a/internal/tablestore/propose.go
+++ b/internal/tablestore/propose.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
@@ -62,7 +62,7 @@
 	ambiguous   bool
 	baseHead    int64
 	entry       LogEntry
-	transaction platform.Transaction
+	transaction outside.Transaction
 }
 
 func (p *proposal) finish(outcome Outcome) {
@@ -88,7 +88,7 @@
 
 // rangeHead reads the head; a missing one is revision 0.
 func (p *proposal) rangeHead(onError func(), onHead func(head headRecord, modRevision int64)) {
-	p.store.KeyValues.Range(headKey, p.store.options.Timeout, func(reading platform.RangeResult, err error) {
+	p.store.KeyValues.Range(headKey, p.store.options.Timeout, func(reading outside.RangeResult, err error) {
 		if err != nil {
 			onError()
 			return
@@ -103,7 +103,7 @@
 	})
 }
 
-func headOf(keyValues []platform.KeyValue) (headRecord, int64, error) {
+func headOf(keyValues []outside.KeyValue) (headRecord, int64, error) {
 	keyValue, exists := findKey(keyValues, headKey)
 	if !exists {
 		return headRecord{}, 0, nil
@@ -166,13 +166,13 @@
 }
 
 func (p *proposal) write() {
-	p.store.KeyValues.Transact(p.transaction, p.store.options.Timeout, func(reply platform.TransactionResult, err error) {
+	p.store.KeyValues.Transact(p.transaction, p.store.options.Timeout, func(reply outside.TransactionResult, err error) {
 		switch {
 		case err == nil && reply.Succeeded:
 			p.accepted()
 		case err == nil:
 			p.judgeCurrent(reply.Current)
-		case errors.Is(err, platform.ErrNotApplied) && !p.ambiguous:
+		case errors.Is(err, outside.ErrNotApplied) && !p.ambiguous:
 			p.again(p.write)
 		case p.store.options.AssumeUnapplied:
 			p.finish(Outcome{Code: result.StoreUnavailable, Revision: p.store.Revision()})
@@ -183,7 +183,7 @@
 	})
 }
 
-func (p *proposal) judgeCurrent(current []platform.KeyValue) {
+func (p *proposal) judgeCurrent(current []outside.KeyValue) {
 	head, modRevision, err := headOf(current)
 	if err != nil {
 		p.again(p.readBack)
@@ -217,7 +217,7 @@
 
 // readLog finds out whose edit became the revision that this one aimed at.
 func (p *proposal) readLog(headRevision table.Revision) {
-	p.store.KeyValues.Range(logKey(p.entry.Revision), p.store.options.Timeout, func(reading platform.RangeResult, err error) {
+	p.store.KeyValues.Range(logKey(p.entry.Revision), p.store.options.Timeout, func(reading outside.RangeResult, err error) {
 		if err != nil {
 			p.again(func() { p.readLog(headRevision) })
 			return
@@ -226,7 +226,7 @@
 	})
 }
 
-func (p *proposal) judgeLog(keyValues []platform.KeyValue, headRevision table.Revision) {
+func (p *proposal) judgeLog(keyValues []outside.KeyValue, headRevision table.Revision) {
 	keyValue, exists := findKey(keyValues, logKey(p.entry.Revision))
 	if !exists {
 		p.finish(Outcome{Code: result.WriteAmbiguous, Revision: p.entry.Revision})
--- a/internal/tablestore/store.go
+++ b/internal/tablestore/store.go
@@ -13,8 +13,8 @@
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/membership"
 	"github.com/hatchplank/hatchplank/internal/membership/keywatch"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/platform"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -24,7 +24,7 @@
 // Dependencies of a Store. Random is used by the store alone.
 type Dependencies struct {
 	Members   membership.View
-	KeyValues platform.KeyValueService
+	KeyValues outside.KeyValueService
 	Transport peer.Transport
 	Clock     clock.Clock
 	Random    *rand.Rand
--- a/internal/tablestore/transaction.go
+++ b/internal/tablestore/transaction.go
@@ -1,16 +1,16 @@
 package tablestore
 
 import (
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
 // buildTransaction returns the write that makes the entry the newest revision
 // if the head is still the one given. It drops what is no longer kept.
-func buildTransaction(entry LogEntry, next *table.Snapshot, headModRevision int64) (platform.Transaction, error) {
+func buildTransaction(entry LogEntry, next *table.Snapshot, headModRevision int64) (outside.Transaction, error) {
 	encodedEntry, err := encodeRecord(entry)
 	if err != nil {
-		return platform.Transaction{}, err
+		return outside.Transaction{}, err
 	}
 	head := headRecord{Entry: entry}
 	if len(encodedEntry) > maxHeadDeltaBytes {
@@ -19,7 +19,7 @@
 	}
 	builder := &transactionBuilder{}
 	builder.put(headKey, head)
-	builder.operations = append(builder.operations, platform.Operation{Key: logKey(entry.Revision), Value: encodedEntry})
+	builder.operations = append(builder.operations, outside.Operation{Key: logKey(entry.Revision), Value: encodedEntry})
 	builder.put(historyKey(entry.Revision), entry.history())
 	builder.drop(logKey, entry.Revision-logKept)
 	builder.drop(historyKey, entry.Revision-historyKept)
@@ -27,14 +27,14 @@
 		builder.put(snapshotKey(entry.Revision), snapshotRecord{Revision: entry.Revision, Rows: next.Rows()})
 		builder.drop(snapshotKey, entry.Revision-snapshotsKept*snapshotInterval)
 	}
-	return platform.Transaction{
-		Compares:   []platform.Compare{{Key: headKey, ModRevision: headModRevision}},
+	return outside.Transaction{
+		Compares:   []outside.Compare{{Key: headKey, ModRevision: headModRevision}},
 		Operations: builder.operations,
 	}, builder.err
 }
 
 type transactionBuilder struct {
-	operations []platform.Operation
+	operations []outside.Operation
 	err        error
 }
 
@@ -44,12 +44,12 @@
 		b.err = err
 		return
 	}
-	b.operations = append(b.operations, platform.Operation{Key: key, Value: value})
+	b.operations = append(b.operations, outside.Operation{Key: key, Value: value})
 }
 
 // drop deletes the record of a revision that is no longer kept.
 func (b *transactionBuilder) drop(keyOf func(table.Revision) string, revision table.Revision) {
 	if revision > 0 {
-		b.operations = append(b.operations, platform.Operation{Kind: platform.OperationDelete, Key: keyOf(revision)})
+		b.operations = append(b.operations, outside.Operation{Kind: outside.OperationDelete, Key: keyOf(revision)})
 	}
 }
--- a/internal/tablestore/watch.go
+++ b/internal/tablestore/watch.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/hatchplank/hatchplank/internal/membership"
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // watchRankKey is the rendezvous key by which a zone's watchers are chosen.
@@ -51,7 +51,7 @@
 type headWatch struct{ store *Store }
 
 // Reading implements keywatch.Handler.
-func (w headWatch) Reading(reading platform.RangeResult) {
+func (w headWatch) Reading(reading outside.RangeResult) {
 	head, exists := findKey(reading.KeyValues, headKey)
 	if !exists {
 		w.store.replica.setLoaded()
@@ -61,7 +61,7 @@
 }
 
 // Changes implements keywatch.Handler.
-func (w headWatch) Changes(events []platform.WatchEvent) {
+func (w headWatch) Changes(events []outside.WatchEvent) {
 	for _, event := range events {
 		if !event.Deleted && event.KeyValue.Key == headKey {
 			w.follow(event.KeyValue)
@@ -72,7 +72,7 @@
 // Interrupted implements keywatch.Handler.
 func (headWatch) Interrupted(error) {}
 
-func (w headWatch) follow(keyValue platform.KeyValue) {
+func (w headWatch) follow(keyValue outside.KeyValue) {
 	head, err := decodeRecord[headRecord](keyValue.Value)
 	if err != nil {
 		w.store.Log.Error().Err(err).Msg("unreadable table head")
@@ -88,11 +88,11 @@
 	w.store.replica.setLoaded()
 }
 
-func findKey(keyValues []platform.KeyValue, key string) (platform.KeyValue, bool) {
+func findKey(keyValues []outside.KeyValue, key string) (outside.KeyValue, bool) {
 	for _, keyValue := range keyValues {
 		if keyValue.Key == key {
 			return keyValue, true
 		}
 	}
-	return platform.KeyValue{}, false
+	return outside.KeyValue{}, false
 }
--- a/internal/telemetry/decision.go
+++ b/internal/telemetry/decision.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/rs/zerolog"
 
-	"github.com/hatchplank/hatchplank/internal/platform"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/table"
 )
 
@@ -15,10 +15,10 @@
 	Epoch    uint64
 	Model    string
 	// Slot is logged when HasSlot is set, because slot 0 exists.
-	Slot    platform.SlotID
+	Slot    outside.SlotID
 	HasSlot bool
-	Attempt platform.AttemptID
-	Server  platform.ServerID
+	Attempt outside.AttemptID
+	Server  outside.ServerID
 	Reason  string
 }
 
