Refuse held requests before a stopping node exits

Ruled out: a kill by the platform; the log shows stopped with whole=false. Change: a stopping node refuses at once what can't be sent within 0.4 of the grace, and 0.7 s before the end gives everything that runs its final answer. Tests in virtual time; before, the functions did not exist and the request was held to the end.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -128,6 +128,8 @@
 		Ready:      n.notReady,
 		IdleLimit:  n.idleLimit,
 		Background: []func(context.Context){feed.Run, n.election.Run, n.holder.Run, n.link.Run, n.tidy, n.serveNodes},
+		Drain:      n.forwarder.Drain,
+		End:        n.forwarder.End,
 		HandOver:   n.election.Resign,
 	}
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -193,6 +193,7 @@
 	process = NewProcess(settings, zerolog.Nop())
 	process.Assemble(Parts{
 		Callers: callers, Ready: ready, IdleLimit: func() time.Duration { return time.Minute }, HandOver: func() {},
+		Drain: func(time.Time) {}, End: func() {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done = make(chan error, 1)
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -25,6 +25,10 @@
 	IdleLimit func() time.Duration
 	// Background work runs until its context ends.
 	Background []func(ctx context.Context)
+	// Drain refuses what can't be sent until the time; End gives what still runs
+	// its final answer.
+	Drain func(until time.Time)
+	End   func()
 	// HandOver gives the node's roles to others when it stops.
 	HandOver func()
 }
@@ -33,6 +37,10 @@
 	// acceptAfterStop is how long new requests are taken after SIGTERM, since
 	// callers learn late that the node leaves.
 	acceptAfterStop = 2500 * time.Millisecond
+	// sendShare of the grace is when the last held request is sent.
+	sendShare = 0.4
+	// endMargin before the process would be killed, what runs gets its answer.
+	endMargin = 700 * time.Millisecond
 	// exitMargin before the process would be killed.
 	exitMargin = 400 * time.Millisecond
 	// headerTimeout for a request's head.
@@ -183,7 +191,10 @@
 	started := time.Now()
 	p.stopping.Store(true)
 	p.logger.Info().Dur("grace_ms", p.settings.Stop.Grace).Msg("stopping")
+	p.parts.Drain(started.Add(time.Duration(sendShare * float64(p.settings.Stop.Grace))))
 	p.parts.HandOver()
+	ends := time.AfterFunc(p.settings.Stop.Grace-endMargin, p.parts.End)
+	defer ends.Stop()
 	time.Sleep(min(acceptAfterStop, p.settings.Stop.Grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(p.settings.Stop.Grace-exitMargin))
 	defer cancel()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -581,3 +581,46 @@
 		}
 	})
 }
+
+func TestStoppingNodeRefusesWhatItCannotSendInTime(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.orders.ready = map[string]time.Time{"n": time.Now().Add(3 * time.Second)}
+		started := time.Now()
+		time.AfterFunc(500*time.Millisecond, func() { b.forwarder.Drain(started.Add(time.Second)) })
+		outcome := b.forwarder.Serve(context.Background(), request("patient", "n", 10*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.NodeDraining))
+		Expect(outcome.Ran).To(Equal(result.RanNo))
+		Expect(outcome.RetryAfter).To(BeNumerically(">", 0))
+		Expect(time.Since(started)).To(BeNumerically("<=", time.Second))
+		late := time.Now()
+		outcome = b.forwarder.Serve(context.Background(), request("patient", "n", 10*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.NodeDraining))
+		Expect(time.Since(late)).To(BeZero(), "what arrives is not held any more")
+		outcome = b.forwarder.Serve(context.Background(), request("patient", "m", 10*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK), "what can be sent is")
+	})
+}
+
+func TestEndOfTheNodeGivesEachRequestItsAnswer(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.backend.answer["p1"] = hangs
+		b.backend.answer["p2"] = hangs
+		b.backend.answer["m1"] = streams(events(1, 1000), 50*time.Millisecond, io.EOF)
+		b.backend.answer["m2"] = b.backend.answer["m1"]
+		started := time.Now()
+		time.AfterFunc(time.Second, b.forwarder.End)
+		outcomes := make(chan Outcome, 3)
+		for _, asked := range []*Request{request("patient", "n", 10*time.Second), request("once", "", 10*time.Second), request("stream", "m", 10*time.Second)} {
+			go func() { outcomes <- b.forwarder.Serve(context.Background(), asked, &recorder{}) }()
+		}
+		found := map[result.Code]Outcome{}
+		for range 3 {
+			outcome := <-outcomes
+			found[outcome.Code] = outcome
+		}
+		Expect(time.Since(started)).To(Equal(time.Second))
+		Expect(found[result.NodeDraining].Ran).To(Equal(result.RanNo))
+		Expect(found[result.OutcomeUnknown].Ran).To(Equal(result.RanUnknown))
+		Expect(found[result.StreamBroken].Broken).To(BeTrue())
+	})
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,13 @@
 	observe func(Observation)
 	numbers atomic.Uint64
 
+	// drainUntil is when the last request may be sent, in nanoseconds since 1970;
+	// 0 while the node is not stopping.
+	drainUntil atomic.Int64
+	// life ends when the node does.
+	life context.Context
+	end  context.CancelFunc
+
 	patienceMutex sync.Mutex
 	// patience is the longest time that callers of a route gave.
 	patience map[string]time.Duration
@@ -65,7 +73,9 @@
 	if config.Observe == nil {
 		config.Observe = func(Observation) {}
 	}
+	life, end := context.WithCancel(context.Background())
 	return &Forwarder{
+		life: life, end: end,
 		view: config.View, backend: config.Backend, orders: config.Orders, zone: config.Zone,
 		tracker: newTracker(), budgets: newBudgets(config.Budget, config.Nodes), demand: newDemandTable(),
 		observe: config.Observe, patience: map[string]time.Duration{},
@@ -75,6 +85,15 @@
 // SetNodes tells how many nodes share the retry budget.
 func (f *Forwarder) SetNodes(nodes int) { f.budgets.setNodes(nodes) }
 
+// Drain refuses, from now on, the requests that can't be sent until the time.
+func (f *Forwarder) Drain(until time.Time) {
+	f.drainUntil.Store(until.UnixNano())
+	f.tracker.free()
+}
+
+// End gives all requests their final answer at once.
+func (f *Forwarder) End() { f.end() }
+
 // Demand returns what this node's callers ask for.
 func (f *Forwarder) Demand() []Demand { return f.demand.snapshot() }
 
@@ -148,6 +167,9 @@
 	flow := f.newFlow(request, route)
 	ctx, cancel := context.WithDeadline(ctx, flow.deadline)
 	defer cancel()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	defer context.AfterFunc(f.life, func() { stop(errNodeEnds) })()
 	f.budgets.request(flow.pool, request.Accepted)
 	f.demand.arrived(flow.key(), request.PromptTokens, request.Accepted)
 	return *f.run(ctx, flow, responder)
@@ -214,8 +236,14 @@
 	return outcome
 }
 
-// ended is the outcome when the caller is gone or the time is over.
+// errNodeEnds ends what runs when the node does.
+var errNodeEnds = errors.New("the node ends")
+
+// ended is the outcome when the caller is gone, the node ends or the time is over.
 func (f *Forwarder) ended(ctx context.Context, flow *flow) *Outcome {
+	if errors.Is(context.Cause(ctx), errNodeEnds) {
+		return f.giveUp(flow, errNodeEnds.Error(), result.NodeDraining)
+	}
 	if time.Now().Before(flow.deadline) && ctx.Err() == context.Canceled {
 		return flow.outcome(result.CallerGone, "the caller closed the connection")
 	}
