--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -31,6 +31,9 @@
 	leaseTime = 2 * time.Second
 	// peerBackoff is the longest pause between connections to another node.
 	peerBackoff = 200 * time.Millisecond
+	// peerQueue is how many messages may wait for another node: a node has one
+	// report under way, and updates that are lost are told again with the next.
+	peerQueue = 32
 )
 
 // Connections to servers and to the store.
@@ -66,6 +69,7 @@
 	}
 	transport, err := tcp.New(tcp.Config{
 		Address: settings.Listen.Peers, Secret: []byte(settings.Cluster.Secret), Logger: logger, MaxBackoff: peerBackoff,
+		QueueLength: peerQueue, MaxPendingCalls: peerQueue,
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for other nodes")
--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// reportLifetime is how long a node's report counts.
-	reportLifetime = 2500 * time.Millisecond
+	// reportPeriods is how many periods a node's report counts.
+	reportPeriods = 6
 	// rateTime over which arrivals are averaged.
 	rateTime = 4 * time.Second
 )
@@ -56,6 +56,15 @@
 	return u.rate * math.Exp(-now.Sub(u.rateAt).Seconds()/rateTime.Seconds())
 }
 
+// reportPeriodOf is the time between a node's reports when nothing begins to wait.
+// It grows with the nodes, so that the holder's work does not.
+func reportPeriodOf(nodes int) time.Duration {
+	return reportPeriod * time.Duration(max(1, (nodes+nodesPerPeriod-1)/nodesPerPeriod))
+}
+
+// lifetime is how long a report counts. It must be called with the lock held.
+func (b *demandBook) lifetime() time.Duration { return reportPeriods * reportPeriodOf(len(b.nodes)) }
+
 func newDemandBook() *demandBook {
 	return &demandBook{nodes: map[string]*nodeReport{}, usage: map[DemandRowKey]*usage{}}
 }
@@ -101,7 +110,7 @@
 	defer b.mutex.Unlock()
 	found := map[string]string{}
 	for name, node := range b.nodes {
-		if now.Sub(node.at) < reportLifetime {
+		if now.Sub(node.at) < b.lifetime() {
 			found[node.report.Address] = name
 		}
 	}
@@ -119,7 +128,7 @@
 		}
 	}
 	for _, node := range b.nodes {
-		if now.Sub(node.at) >= reportLifetime {
+		if now.Sub(node.at) >= b.lifetime() {
 			continue
 		}
 		for _, row := range node.report.Rows {
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -13,14 +13,17 @@
 )
 
 const (
-	// reportPeriod between a node's reports when nothing begins to wait.
-	reportPeriod = 400 * time.Millisecond
+	// reportPeriod between a node's reports when nothing begins to wait, for up to
+	// nodesPerPeriod nodes.
+	reportPeriod   = 400 * time.Millisecond
+	nodesPerPeriod = 30
 	// wantedPause collects requests that begin to wait together.
 	wantedPause = 2 * time.Millisecond
 	// callTimeout of a report.
 	callTimeout = 400 * time.Millisecond
-	// forgetAfter the last word of the holder, its word counts no more.
-	forgetAfter = 3 * time.Second
+	// forgetAfter this time, and as many periods as a report counts, without a
+	// word of the holder, its word counts no more.
+	forgetAfter = 600 * time.Millisecond
 )
 
 // LinkConfig configures a Link.
@@ -50,7 +53,9 @@
 	token    int64
 	version  uint64
 	heardAt  time.Time
-	loading  map[forward.DemandKey]time.Time
+	// nodes that report, as the holder says.
+	nodes   int
+	loading map[forward.DemandKey]time.Time
 	// arrived counts by row as told in the last report that was answered.
 	arrived map[forward.DemandKey]uint64
 }
@@ -92,21 +97,28 @@
 
 // Run reports demand until ctx ends.
 func (l *Link) Run(ctx context.Context) {
-	ticker := time.NewTicker(reportPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(reportPeriod)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.config.Wanted():
 			sleep(ctx, wantedPause)
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		l.report()
 		l.forget()
+		timer.Reset(l.period())
 	}
 }
 
+func (l *Link) period() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return reportPeriodOf(l.nodes)
+}
+
 // report sends this node's demand to the holder.
 func (l *Link) report() {
 	holder, known := l.config.Election.Holder()
@@ -175,6 +187,9 @@
 	}
 	now := time.Now()
 	l.heardAt = now
+	if update.Nodes > 0 {
+		l.nodes = update.Nodes
+	}
 	if update.Base <= l.version {
 		l.version = max(l.version, update.Version)
 	}
@@ -211,7 +226,7 @@
 func (l *Link) forget() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.heardAt.IsZero() || time.Since(l.heardAt) < forgetAfter {
+	if l.heardAt.IsZero() || time.Since(l.heardAt) < forgetAfter+reportPeriods*reportPeriodOf(l.nodes) {
 		return
 	}
 	l.heardAt = time.Time{}
@@ -233,5 +248,5 @@
 func (l *Link) Active() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !l.heardAt.IsZero() && time.Since(l.heardAt) < 2*reportPeriod
+	return !l.heardAt.IsZero() && time.Since(l.heardAt) < 2*reportPeriodOf(l.nodes)
 }
