Run the contract of the key-value service against the platform's store

Cause: the binding was tested on its own only. Change: transactions, leases and faults of the contract run against it; keys of any bytes are tested where keys are bytes, and text keys, with signs that a query gives a meaning, where they travel as text. Watch faults stay with bindings of one connection.

--- a/internal/outside/contract/keyvalue_bindings_test.go
+++ b/internal/outside/contract/keyvalue_bindings_test.go
@@ -4,14 +4,18 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/outside/etcd"
 	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
+	"github.com/hatchplank/hatchplank/platform"
+	"github.com/hatchplank/hatchplank/platform/standin"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
@@ -70,6 +74,23 @@
 	}
 }
 
+func openPlatformStore() *keyValueHarness {
+	manual := &manualClock{now: simulation.Epoch}
+	store := newStore(manual)
+	server := httptest.NewServer(standin.NewStoreServer(store))
+	client := exchange.NewClient(exchange.DialSettings{Timeout: longTimeout, Unacknowledged: longTimeout})
+	DeferCleanup(server.Close)
+	DeferCleanup(store.Close)
+	DeferCleanup(func() { client.Tidy(time.Now().Add(time.Hour)) })
+	return &keyValueHarness{
+		service:      platform.NewStore(strings.TrimPrefix(server.URL, "http://"), client, longTimeout),
+		store:        store,
+		advance:      manual.advance,
+		eventually:   func(condition func() bool) { Eventually(condition, longTimeout, time.Millisecond).Should(BeTrue()) },
+		shortTimeout: 50 * time.Millisecond,
+	}
+}
+
 func openSimulated() *keyValueHarness {
 	loop := simulation.NewLoop(1)
 	network := simulation.NewNetwork(loop)
--- a/internal/outside/contract/keyvalue_faults_test.go
+++ b/internal/outside/contract/keyvalue_faults_test.go
@@ -89,7 +89,11 @@
 		Expect(counters.Operations[keyvalue.KindTransact]).To(BeEquivalentTo(4))
 		Expect(counters.Refused[keyvalue.KindTransact]).To(BeEquivalentTo(1))
 	})
+}
 
+// describeWatchFaults is for bindings whose watch is one connection; the
+// platform's is a row of calls, and its own tests say what it goes on through.
+func describeWatchFaults(harness func() *keyValueHarness) {
 	It("loses a watch in an outage and refuses a new one", func() {
 		h := harness()
 		first, second := &watcher{}, &watcher{}
--- a/internal/outside/contract/keyvalue_test.go
+++ b/internal/outside/contract/keyvalue_test.go
@@ -14,11 +14,21 @@
 			var h *keyValueHarness
 			BeforeEach(func() { h = open() })
 			describeTransactions(func() *keyValueHarness { return h })
+			describeByteKeys(func() *keyValueHarness { return h })
 			describeLeases(func() *keyValueHarness { return h })
 			describeWatches(func() *keyValueHarness { return h })
 			describeFaults(func() *keyValueHarness { return h })
+			describeWatchFaults(func() *keyValueHarness { return h })
 		})
 	}
+	Describe("the platform's store", func() {
+		var h *keyValueHarness
+		BeforeEach(func() { h = openPlatformStore() })
+		describeTransactions(func() *keyValueHarness { return h })
+		describeTextKeys(func() *keyValueHarness { return h })
+		describeLeases(func() *keyValueHarness { return h })
+		describeFaults(func() *keyValueHarness { return h })
+	})
 })
 
 func describeTransactions(harness func() *keyValueHarness) {
@@ -78,14 +88,23 @@
 		Entry("an unknown lease", outside.Operation{Key: "a", Lease: 77}),
 	)
 
+}
+
+// readsPrefix expects the keys of a prefix, out of some that exist.
+func readsPrefix(harness func() *keyValueHarness, existing []string) func(prefix string, expected ...string) {
+	return func(prefix string, expected ...string) {
+		h := harness()
+		for _, key := range existing {
+			h.put(key, "value")
+		}
+		Expect(keysOf(h.read(prefix).KeyValues)).To(HaveExactElements(expected))
+	}
+}
+
+// describeByteKeys is for services whose keys are any bytes.
+func describeByteKeys(harness func() *keyValueHarness) {
 	DescribeTable("reads the keys of a prefix in order",
-		func(prefix string, expected ...string) {
-			h := harness()
-			for _, key := range []string{"b/2", "a", "b/1", "b", "b0", "c\xff", "c\xff\xff"} {
-				h.put(key, "value")
-			}
-			Expect(keysOf(h.read(prefix).KeyValues)).To(HaveExactElements(expected))
-		},
+		readsPrefix(harness, []string{"b/2", "a", "b/1", "b", "b0", "c\xff", "c\xff\xff"}),
 		Entry("a directory", "b/", "b/1", "b/2"),
 		Entry("all", "", "a", "b", "b/1", "b/2", "b0", "c\xff", "c\xff\xff"),
 		Entry("ending in the highest byte", "c\xff", "c\xff", "c\xff\xff"),
@@ -93,6 +112,17 @@
 	)
 }
 
+// describeTextKeys is for services whose keys travel as text.
+func describeTextKeys(harness func() *keyValueHarness) {
+	DescribeTable("reads the keys of a prefix in order",
+		readsPrefix(harness, []string{"b/2", "a", "b/1", "b", "b0", "cé", "cé&=?"}),
+		Entry("a directory", "b/", "b/1", "b/2"),
+		Entry("all", "", "a", "b", "b/1", "b/2", "b0", "cé", "cé&=?"),
+		Entry("signs that a query gives a meaning", "cé&", "cé&=?"),
+		Entry("none", "x"),
+	)
+}
+
 func describeLeases(harness func() *keyValueHarness) {
 	const timeToLive = 10 * time.Second
 
