--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -76,6 +76,17 @@
 	return names
 }
 
+// count is how often a server was sent to.
+func (b *fakeBackend) count(id string) int {
+	count := 0
+	for _, server := range b.servers() {
+		if server == id {
+			count++
+		}
+	}
+	return count
+}
+
 // recorder is a responder.
 type recorder struct {
 	mutex sync.Mutex
@@ -492,29 +503,18 @@
 			outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
 			Expect(outcome.Code).To(Equal(result.OK))
 		}
-		count := 0
-		for _, server := range b.backend.servers() {
-			if server == "m1" {
-				count++
-			}
-		}
-		Expect(count).To(BeNumerically("<=", 1))
+		Expect(b.backend.count("m1")).To(BeNumerically("<=", 1))
 	})
 }
 
 func TestServerThatCannotBeReachedIsTriedAtALowRate(t *testing.T) {
 	inVirtualTime(t, func(b *bench) {
 		b.backend.answer["p1"] = fails(FailureConnect, result.RanNo)
-		tries := 0
 		for range 100 {
 			b.forwarder.Serve(context.Background(), request("once", "", time.Second), &recorder{})
 			time.Sleep(50 * time.Millisecond)
 		}
-		for _, server := range b.backend.servers() {
-			if server == "p1" {
-				tries++
-			}
-		}
+		tries := b.backend.count("p1")
 		Expect(tries).To(BeNumerically(">=", 2))
 		Expect(tries).To(BeNumerically("<=", 6))
 	})
@@ -527,13 +527,7 @@
 			b.forwarder.Serve(context.Background(), request("once", "", time.Second), &recorder{})
 			time.Sleep(20 * time.Millisecond)
 		}
-		failed := 0
-		for _, server := range b.backend.servers() {
-			if server == "p1" {
-				failed++
-			}
-		}
-		Expect(failed).To(BeNumerically("<", 12))
+		Expect(b.backend.count("p1")).To(BeNumerically("<", 12))
 	})
 }
 
--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -84,6 +84,19 @@
 		b.count(node, row, now)
 	}
 	node.report, node.at = report, now
+	b.forget(now)
+}
+
+// forgetNodeAfter this time without a report, a node has left.
+const forgetNodeAfter = time.Minute
+
+// forget drops the nodes that have left. It must be called with the lock held.
+func (b *demandBook) forget(now time.Time) {
+	for name, node := range b.nodes {
+		if now.Sub(node.at) > forgetNodeAfter {
+			delete(b.nodes, name)
+		}
+	}
 }
 
 func (b *demandBook) count(node *nodeReport, row DemandRow, now time.Time) {
--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/placement"
 )
@@ -36,7 +37,7 @@
 	defer h.Wake()
 	if action.Kind == placement.Unload || action.Kind == placement.UnloadAdapter {
 		h.push(time.Now())
-		sleep(ctx, spreadTime)
+		clock.Sleep(ctx, spreadTime)
 	}
 	h.mutex.Lock()
 	order := Order{
@@ -52,7 +53,7 @@
 		h.finish(target, nil)
 	case err != nil || reply == ReplyConflict || reply == ReplyOtherInstance || reply == ReplyFenced || reply == ReplyInvalid:
 		// What holds now is read; an order that comes late finds another count.
-		sleep(ctx, reportLag)
+		clock.Sleep(ctx, reportLag)
 		h.refresh(ctx, target)
 	case action.Kind == placement.LoadAdapter || action.Kind == placement.UnloadAdapter:
 		h.adapterDone(ctx, target, action, reply)
@@ -104,7 +105,7 @@
 // asking for.
 func (h *Holder) adapterDone(ctx context.Context, target *entry, action placement.Action, reply Reply) {
 	if action.Kind == placement.LoadAdapter && reply == ReplyAccepted {
-		sleep(ctx, adapterTime)
+		clock.Sleep(ctx, adapterTime)
 	}
 	h.mutex.Lock()
 	if reply == ReplyAccepted || action.Kind == placement.UnloadAdapter {
@@ -127,7 +128,7 @@
 		first = action.Expected + reportLag/2
 	}
 	deadline := started.Add(loadPatience*action.Expected + orderPatience)
-	sleep(ctx, first)
+	clock.Sleep(ctx, first)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		report, err := h.report(ctx, target)
 		if err == nil && report.Sequence > sequence && !report.Busy {
@@ -138,7 +139,7 @@
 		if err != nil && h.config.View.Load().Servers[action.Server] == nil {
 			break
 		}
-		sleep(ctx, pollPeriod)
+		clock.Sleep(ctx, pollPeriod)
 	}
 	h.config.Logger.Warn().Str("server", action.Server).Str("order", action.Kind.String()).Str("model", action.Model).
 		Dur("after_ms", time.Since(started)).Msg("order not seen to end")
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/placement"
 )
@@ -16,7 +17,7 @@
 	planPeriod = 150 * time.Millisecond
 	// planPause is the shortest.
 	planPause = 4 * time.Millisecond
-	// idlePeriod between looks for a term.
+	// termPeriod between looks for a term.
 	termPeriod = 50 * time.Millisecond
 )
 
@@ -61,7 +62,7 @@
 	for ctx.Err() == nil {
 		term := h.config.Election.Term()
 		if term == nil {
-			sleep(ctx, termPeriod)
+			clock.Sleep(ctx, termPeriod)
 			continue
 		}
 		h.lead(ctx, term)
@@ -90,7 +91,7 @@
 		case <-term.Over():
 			return
 		case <-h.wake:
-			sleep(ctx, planPause)
+			clock.Sleep(ctx, planPause)
 		case <-timer.C:
 		}
 		h.tick(ctx, term)
@@ -230,13 +231,3 @@
 		h.config.Push(address, update)
 	}
 }
-
-// sleep returns early when ctx ends.
-func sleep(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/peer"
@@ -104,7 +105,7 @@
 		case <-ctx.Done():
 			return
 		case <-l.config.Wanted():
-			sleep(ctx, wantedPause)
+			clock.Sleep(ctx, wantedPause)
 		case <-timer.C:
 		}
 		l.report()
--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,152 @@
+package orders
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/placement"
+
+	_ "github.com/hatchplank/hatchplank/internal/fixedseed" // property tests repeat
+)
+
+// Elections, orders and links are tested against the platform's stand-ins, in
+// package platform.
+
+func TestOrders(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "Orders Suite")
+}
+
+var begin = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+
+var _ = ginkgo.Describe("ceiling", func() {
+	limits := CeilingLimits{Window: 5 * time.Second, Overage: 1.1}
+
+	ginkgo.It("is kept in every window, whenever loads are asked for", func() {
+		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+			rate := rapid.Float64Range(0.5, 40).Draw(t, "rate")
+			bucket := newCeiling(limits)
+			now := begin
+			var starts []time.Time
+			for range 300 {
+				now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+				for range min(bucket.available(rate, 0, now), rapid.IntRange(0, 50).Draw(t, "wanted")) {
+					bucket.take()
+					starts = append(starts, now)
+				}
+			}
+			most := rate*limits.Window.Seconds()*limits.Overage + 3
+			for i := range starts {
+				inWindow := 0
+				for _, start := range starts[i:] {
+					if start.Sub(starts[i]) < limits.Window {
+						inWindow++
+					}
+				}
+				if float64(inWindow) > most {
+					t.Fatalf("%d loads in a window, at most %v", inWindow, most)
+				}
+			}
+		})
+	})
+
+	ginkgo.It("keeps few loads under way at once", func() {
+		bucket := newCeiling(limits)
+		bucket.available(4, 0, begin)
+		Expect(bucket.available(4, 7, begin.Add(time.Minute))).To(BeZero())
+		Expect(bucket.available(4, 6, begin.Add(time.Minute))).To(Equal(1))
+	})
+})
+
+var _ = ginkgo.Describe("demand", func() {
+	report := func(node string, sequence uint64, rows ...DemandRow) DemandReport {
+		return DemandReport{Node: node, Address: node + ":1", Sequence: sequence, Started: 1, Rows: rows}
+	}
+	row := func(waiting, running int, arrived uint64) DemandRow {
+		return DemandRow{Pool: "p", Model: "m", Adapter: "a1", Waiting: waiting, Running: running, Arrived: arrived}
+	}
+
+	ginkgo.It("is summed over nodes and expires with their reports", func() {
+		book := newDemandBook()
+		book.take(report("x", 1, row(1, 2, 5)), begin)
+		book.take(report("y", 1, row(3, 0, 5)), begin)
+		found := book.ofPool("p", begin)["m"]
+		Expect(found.Waiting).To(Equal(4))
+		Expect(found.Running).To(Equal(2))
+		Expect(found.Adapters["a1"].Waiting).To(Equal(4))
+		Expect(book.live(begin)).To(HaveLen(2))
+		later := begin.Add(10 * time.Second)
+		Expect(book.ofPool("p", later)["m"].Waiting).To(BeZero())
+		Expect(book.live(later)).To(BeEmpty())
+	})
+
+	ginkgo.It("takes no report that is older than the one before, and each of a new process", func() {
+		book := newDemandBook()
+		book.take(report("x", 5, row(1, 0, 1)), begin)
+		book.take(report("x", 4, row(9, 0, 1)), begin)
+		Expect(book.ofPool("p", begin)["m"].Waiting).To(Equal(1))
+		restarted := report("x", 1, row(2, 0, 1))
+		restarted.Started = 2
+		book.take(restarted, begin)
+		Expect(book.ofPool("p", begin)["m"].Waiting).To(Equal(2))
+	})
+
+	ginkgo.It("counts arrivals once, and forgets their rate", func() {
+		book := newDemandBook()
+		book.take(report("x", 1, row(0, 0, 100)), begin)
+		for i := range uint64(40) {
+			book.take(report("x", 2+i, row(0, 0, 101+i)), begin.Add(time.Duration(i)*100*time.Millisecond))
+		}
+		at := begin.Add(4 * time.Second)
+		Expect(book.ofPool("p", at)["m"].Rate).To(BeNumerically("~", 6.5, 1.5))
+		Expect(book.ofPool("p", at.Add(40*time.Second))["m"].Rate).To(BeNumerically("<", 0.01))
+	})
+
+	ginkgo.It("keeps a model wanted while refused requests may come back", func() {
+		book := newDemandBook()
+		expected := row(0, 0, 1)
+		expected.Expected = true
+		book.take(report("x", 1, expected), begin)
+		Expect(book.ofPool("p", begin)["m"].Waiting).To(Equal(1))
+	})
+})
+
+var _ = ginkgo.Describe("an action", func() {
+	engine := &fleet.Engine{MemoryMB: 200, AdapterPlaces: 1, Models: map[string]*fleet.Model{
+		"a": {Name: "a", SizeMB: 70, AdapterMB: 1}, "b": {Name: "b", SizeMB: 70}, "c": {Name: "c", SizeMB: 70},
+	}}
+	holding := func(names ...string) *entry {
+		made := &entry{known: true, models: map[string]*heldModel{}}
+		for _, name := range names {
+			made.models[name] = &heldModel{adapters: map[string]bool{}}
+		}
+		return made
+	}
+	load := func(model string) placement.Action { return placement.Action{Kind: placement.Load, Model: model} }
+
+	ginkgo.DescribeTable("is checked again, whatever the plan says", func(target *entry, change func(e *entry), action placement.Action, allowed bool) {
+		if change != nil {
+			change(target)
+		}
+		Expect((&Holder{}).allowed(target, engine, action)).To(Equal(allowed))
+	},
+		ginkgo.Entry("room", holding("a"), nil, load("b"), true),
+		ginkgo.Entry("no room", holding("a", "b"), nil, load("c"), false),
+		ginkgo.Entry("held already", holding("a"), nil, load("a"), false),
+		ginkgo.Entry("room taken by a load", holding("a"), func(e *entry) { e.loading = "b" }, load("c"), false),
+		ginkgo.Entry("room not given back yet", holding("a"), func(e *entry) { e.unloading = "b" }, load("c"), false),
+		ginkgo.Entry("a model that nobody knows takes all", holding("x"), nil, load("c"), false),
+		ginkgo.Entry("an order is under way", holding(), func(e *entry) { e.working = true }, load("c"), false),
+		ginkgo.Entry("a server that was not heard", holding(), func(e *entry) { e.known = false }, load("c"), false),
+		ginkgo.Entry("no server", nil, nil, load("c"), false),
+		ginkgo.Entry("place for an adapter", holding("a"), nil, placement.Action{Kind: placement.LoadAdapter, Model: "a", Adapter: "a1"}, true),
+		ginkgo.Entry("no place for an adapter", holding("a"), func(e *entry) { e.models["a"].adapters["a2"] = true },
+			placement.Action{Kind: placement.LoadAdapter, Model: "a", Adapter: "a1"}, false),
+		ginkgo.Entry("adapter without its model", holding("b"), nil, placement.Action{Kind: placement.LoadAdapter, Model: "a", Adapter: "a1"}, false),
+	)
+})
--- a/internal/outside/contract/keyvalue_test.go
+++ b/internal/outside/contract/keyvalue_test.go
@@ -87,7 +87,6 @@
 		Entry("too large", outside.Operation{Key: "a", Value: make([]byte, 2<<20)}),
 		Entry("an unknown lease", outside.Operation{Key: "a", Lease: 77}),
 	)
-
 }
 
 // readsPrefix expects the keys of a prefix, out of some that exist.
