--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -343,3 +343,16 @@
 		}
 	}
 }
+
+func TestPauseOfTheProcessIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		var output bytes.Buffer
+		process := NewProcess(Settings{}, zerolog.New(&output))
+		last := process.noticePause(time.Now().Add(-idlePeriod))
+		Expect(output.String()).To(BeEmpty())
+		time.Sleep(idlePeriod + 3*time.Second)
+		process.noticePause(last)
+		Expect(output.String()).To(ContainSubstring(`"paused_ms":3000`))
+	})
+}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -47,6 +47,8 @@
 	headerTimeout = 10 * time.Second
 	// headerBytes of a request's head at most.
 	headerBytes = 64 << 10
+	// pauseNoticed is the shortest time that a process stood still which is logged.
+	pauseNoticed = 500 * time.Millisecond
 	// idlePeriod between looks at connections at rest.
 	idlePeriod = time.Second
 )
@@ -169,15 +171,18 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
-// closeIdle keeps callers' connections within the operators' limit.
+// closeIdle keeps callers' connections within the operators' limit, and notices
+// when the process stood still.
 func (p *Process) closeIdle(ctx context.Context) {
 	ticker := time.NewTicker(idlePeriod)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			last = p.noticePause(last)
 			if limit := p.parts.IdleLimit(); limit > 0 {
 				p.idle.closeOlder(limit)
 			}
@@ -185,6 +190,15 @@
 	}
 }
 
+// noticePause logs that the process was frozen or starved since the last look.
+func (p *Process) noticePause(last time.Time) time.Time {
+	now := time.Now()
+	if paused := now.Sub(last) - idlePeriod; paused > pauseNoticed {
+		p.logger.Warn().Dur("paused_ms", paused).Msg("process was paused")
+	}
+	return now
+}
+
 // stop ends the node: it is not ready any more, goes on taking what arrives for
 // a while, finishes what runs, and exits before it would be killed.
 func (p *Process) stop() {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -47,7 +47,8 @@
 	}
 	own := ofRequest(lines, request)
 	if len(own) == 0 {
-		return eris.Errorf("no line names the request %q", request)
+		return eris.Errorf("no line names the request %q; a node that was killed tells nothing of what it had: "+
+			"look for its line \"started\" after the request's time", request)
 	}
 	story := append(own, beliefs(lines, own)...)
 	sort.SliceStable(story, func(i, j int) bool { return story[i].at.Before(story[j].at) })
@@ -56,7 +57,7 @@
 			return err
 		}
 	}
-	_, err = fmt.Fprintln(output, conclusion(own))
+	_, err = fmt.Fprintln(output, conclusion(own, story))
 	return err
 }
 
@@ -171,8 +172,9 @@
 	return strings.Join(parts, "  ")
 }
 
-// conclusion is one sentence from the request's last line.
-func conclusion(own []*line) string {
+// conclusion is one sentence from the request's last line, and from a pause of
+// its node.
+func conclusion(own, story []*line) string {
 	last := own[0]
 	for _, told := range own {
 		if told.text == "request ended" {
@@ -190,5 +192,10 @@
 	if able, known := last.fields["able"].(float64); known && able == 0 && code != "ok" {
 		text += "; no server held what it needs"
 	}
+	for _, told := range story {
+		if told.text == "process was paused" && told.node == last.node {
+			text += fmt.Sprintf("; its node was paused for %v ms until %s", told.fields["paused_ms"], told.at.Format("15:04:05.000"))
+		}
+	}
 	return text
 }
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -15,8 +15,12 @@
 const (
 	// planPeriod is the longest time between two plans.
 	planPeriod = 150 * time.Millisecond
-	// planPause is the shortest.
-	planPause = 4 * time.Millisecond
+	// planPause is the shortest, and planPauseEach is added for each node, so that
+	// the holder's work does not grow with their reports.
+	planPause     = 4 * time.Millisecond
+	planPauseEach = 100 * time.Microsecond
+	// pushPauseEach, for each node, is left between updates to all nodes.
+	pushPauseEach = 500 * time.Microsecond
 	// termPeriod between looks for a term.
 	termPeriod = 50 * time.Millisecond
 )
@@ -47,8 +51,9 @@
 	mutex  sync.Mutex
 	term   *Term
 	ledger *ledger
-	// pushed is the version that was pushed last.
-	pushed  uint64
+	// pushed is the version that was pushed last, at pushedAt.
+	pushed   uint64
+	pushedAt time.Time
 	ceiling *ceiling
 }
 
@@ -91,7 +96,7 @@
 		case <-term.Over():
 			return
 		case <-h.wake:
-			clock.Sleep(ctx, planPause)
+			clock.Sleep(ctx, planPause+time.Duration(h.demand.nodeCount())*planPauseEach)
 		case <-timer.C:
 		}
 		h.tick(ctx, term)
@@ -216,18 +221,23 @@
 	}
 }
 
-// push tells all nodes what changed since the last push.
+// push tells all nodes what changed since the last push. With many nodes it waits
+// for more changes; the next plan pushes them.
 func (h *Holder) push(now time.Time) {
+	live := h.demand.live(now)
+	pause := time.Duration(len(live)) * pushPauseEach
 	h.mutex.Lock()
 	term, after := h.term, h.pushed
-	changed := term != nil && h.ledger.version != after
-	h.pushed = h.ledger.version
+	due := term != nil && h.ledger.version != after && now.Sub(h.pushedAt) >= pause
+	if due {
+		h.pushed, h.pushedAt = h.ledger.version, now
+	}
 	h.mutex.Unlock()
-	if !changed {
+	if !due {
 		return
 	}
 	update := h.update(term, after, now)
-	for address := range h.demand.live(now) {
+	for address := range live {
 		h.config.Push(address, update)
 	}
 }
