--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,132 @@
+package fleet_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+
+	_ "github.com/hatchplank/hatchplank/internal/fixedseed" // property tests repeat
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Fleet Suite")
+}
+
+func route(name, host, prefix string) *fleet.Route {
+	return &fleet.Route{Name: name, Host: host, Prefix: prefix, Targets: []fleet.Target{{Pool: "p", Weight: 1}}}
+}
+
+var _ = Describe("routes", func() {
+	configuration := fleet.NewConfiguration(1, 1, []*fleet.Route{
+		route("short", "h.example", "/a/"), route("long", "h.example", "/a/b/"), route("other", "o.example", "/a/"),
+	}, nil, fleet.Limits{})
+
+	DescribeTable("are found by host and longest prefix", func(host, path, expected string) {
+		found := configuration.Match(host, path)
+		if expected == "" {
+			Expect(found).To(BeNil())
+			return
+		}
+		Expect(found).NotTo(BeNil())
+		Expect(found.Name).To(Equal(expected))
+	},
+		Entry("short", "h.example", "/a/x", "short"),
+		Entry("long", "h.example", "/a/b/x", "long"),
+		Entry("host in capitals", "H.Example", "/a/", "short"),
+		Entry("host with a port", "h.example:8080", "/a/", "short"),
+		Entry("another host", "o.example", "/a/b/", "other"),
+		Entry("unknown host", "x.example", "/a/", ""),
+		Entry("not below a prefix", "h.example", "/b/", ""),
+		Entry("prefix without its end", "h.example", "/a", ""),
+		Entry("no path", "h.example", "", ""),
+	)
+
+	It("share consecutive requests by weight", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			first, second := rapid.IntRange(1, 100).Draw(t, "first"), rapid.IntRange(0, 100).Draw(t, "second")
+			split := &fleet.Route{Targets: []fleet.Target{{Pool: "a", Weight: first}, {Pool: "b", Weight: second}}}
+			const requests = 2000
+			begin := rapid.Uint64Range(0, 1<<40).Draw(t, "begin")
+			taken := 0
+			for number := range uint64(requests) {
+				if split.Pick(begin+number) == "a" {
+					taken++
+				}
+			}
+			share, expected := float64(taken)/requests, float64(first)/float64(first+second)
+			if share < expected-0.05 || share > expected+0.05 {
+				t.Fatalf("share %v, weight %v", share, expected)
+			}
+		})
+	})
+
+	It("without a weight go nowhere", func() {
+		Expect((&fleet.Route{Targets: []fleet.Target{{Pool: "a"}}}).Pick(1)).To(BeEmpty())
+		Expect((&fleet.Route{}).Pick(1)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("view", func() {
+	held := func(models ...string) map[string]fleet.Held {
+		made := map[string]fleet.Held{}
+		for _, model := range models {
+			made[model] = fleet.Held{}
+		}
+		return made
+	}
+	newView := func() *fleet.View {
+		view := fleet.NewView()
+		view.ReplaceServers(map[string]*fleet.Server{"s": {ID: "s", Pool: "p", Models: held("a")}})
+		return view
+	}
+
+	It("takes configurations upwards only", func() {
+		view := newView()
+		Expect(view.SetConfiguration(fleet.NewConfiguration(5, 50, nil, nil, fleet.Limits{}))).To(BeTrue())
+		Expect(view.SetConfiguration(fleet.NewConfiguration(4, 40, nil, nil, fleet.Limits{}))).To(BeFalse())
+		Expect(view.Load().Configuration.Version).To(BeEquivalentTo(5))
+	})
+
+	It("shows what the holder says over a server's record, until it is forgotten", func() {
+		view := newView()
+		view.Place([]*fleet.Server{{ID: "s", Models: held("b")}, {ID: "unknown", Models: held("c")}})
+		Expect(view.Load().Servers).To(HaveLen(1))
+		Expect(view.Load().Servers["s"].Holds("b", "")).To(BeTrue())
+		Expect(view.Load().Servers["s"].Holds("a", "")).To(BeFalse())
+		view.UpdateServers(map[string]*fleet.Server{"s": {ID: "s", Pool: "p", Models: held("a"), Draining: true}})
+		Expect(view.Load().Servers["s"].Holds("b", "")).To(BeTrue())
+		Expect(view.Load().Servers["s"].Draining).To(BeTrue())
+		view.ForgetPlaced()
+		Expect(view.Load().Servers["s"].Holds("a", "")).To(BeTrue())
+	})
+
+	It("drops what was said of a server that is gone", func() {
+		view := newView()
+		view.Place([]*fleet.Server{{ID: "s", Models: held("b")}})
+		view.UpdateServers(map[string]*fleet.Server{"s": nil})
+		Expect(view.Load().Pool("p")).To(BeEmpty())
+		view.ReplaceServers(map[string]*fleet.Server{"s": {ID: "s", Pool: "p", Models: held("a")}})
+		Expect(view.Load().Servers["s"].Holds("a", "")).To(BeTrue())
+	})
+
+	It("wakes those who wait for a change", func() {
+		view := newView()
+		changed := view.Changed()
+		Expect(changed).NotTo(BeClosed())
+		view.ReplaceServers(nil)
+		Expect(changed).To(BeClosed())
+	})
+
+	It("needs the adapter where one is asked for", func() {
+		server := &fleet.Server{Models: map[string]fleet.Held{"a": {Adapters: map[string]bool{"a1": true}}}}
+		Expect(server.Holds("", "")).To(BeTrue())
+		Expect(server.Holds("a", "a1")).To(BeTrue())
+		Expect(server.Holds("a", "a2")).To(BeFalse())
+		Expect(server.Holds("b", "")).To(BeFalse())
+	})
+})
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -35,26 +35,3 @@
 	held, ready := s.Models[model]
 	return ready && (adapter == "" || held.Adapters[adapter])
 }
-
-// UsedMB is the memory that models and adapters take, in MB, by the sizes of
-// the engine. Models that it does not know count as the whole memory.
-func (s *Server) UsedMB(engine *Engine) float64 {
-	used := 0.0
-	for name, held := range s.Models {
-		model := engine.Models[name]
-		if model == nil {
-			return engine.MemoryMB
-		}
-		used += model.SizeMB + float64(len(held.Adapters))*model.AdapterMB
-	}
-	return used
-}
-
-// AdapterCount is the number of adapters held.
-func (s *Server) AdapterCount() int {
-	count := 0
-	for _, held := range s.Models {
-		count += len(held.Adapters)
-	}
-	return count
-}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -68,7 +68,10 @@
 func (v *View) ReplaceServers(records map[string]*Server) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.records = records
+	v.records = make(map[string]*Server, len(records))
+	for id, record := range records {
+		v.records[id] = record
+	}
 	for id := range v.placed {
 		if records[id] == nil {
 			delete(v.placed, id)
