--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -54,7 +54,7 @@
 	// pushed is the version that was pushed last, at pushedAt.
 	pushed   uint64
 	pushedAt time.Time
-	ceiling *ceiling
+	ceiling  *ceiling
 }
 
 // NewHolder returns a holder; Run makes it work.
