Tell nodes only what differs from the servers' own records

Cause: at the begin of a term the holder told every node what every server holds, which their records show anyway: at 300 machines 2,998 servers times 300 nodes. Change: what equals the record is not told. The first try compared with the holder's own overlay instead of the record; the random troubles of the orders' test failed with it (three of three runs), and so it was found that a late order was never noticed by the record either, since that was compared with the overlay too. Both use the record now.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -98,6 +98,7 @@
 		Expect(view.Load().Servers).To(HaveLen(1))
 		Expect(view.Load().Servers["s"].Holds("b", "")).To(BeTrue())
 		Expect(view.Load().Servers["s"].Holds("a", "")).To(BeFalse())
+		Expect(view.Load().Servers["s"].Recorded()).To(HaveKey("a"))
 		view.UpdateServers(map[string]*fleet.Server{"s": {ID: "s", Pool: "p", Models: held("a"), Draining: true}})
 		Expect(view.Load().Servers["s"].Holds("b", "")).To(BeTrue())
 		Expect(view.Load().Servers["s"].Draining).To(BeTrue())
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -15,6 +15,9 @@
 	Draining bool
 	// Models that are ready, with their adapters.
 	Models map[string]Held
+	// recorded are the models that the server's own record shows, where the holder
+	// of orders knows better; nil: Models.
+	recorded map[string]Held
 	// InMemory and OnDisk name the models with a copy of their weights there.
 	InMemory, OnDisk map[string]bool
 	// SeenAt is when this state was told.
@@ -26,6 +29,14 @@
 	Adapters map[string]bool
 }
 
+// Recorded returns the models that the server's own record shows.
+func (s *Server) Recorded() map[string]Held {
+	if s.recorded != nil {
+		return s.recorded
+	}
+	return s.Models
+}
+
 // Holds reports whether the server can serve the model with the adapter;
 // an empty model is served by every server, an empty adapter by every holder.
 func (s *Server) Holds(model, adapter string) bool {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -149,6 +149,6 @@
 		return record
 	}
 	merged := *record
-	merged.Models = placed.Models
+	merged.Models, merged.recorded = placed.Models, record.Models
 	return &merged
 }
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -91,10 +92,11 @@
 	if !e.server.SeenAt.After(e.reportedAt.Add(recordLag)) {
 		return false
 	}
-	if len(e.server.Models) != len(e.models) {
+	recorded := e.server.Recorded()
+	if len(recorded) != len(e.models) {
 		return true
 	}
-	for name := range e.server.Models {
+	for name := range recorded {
 		if e.models[name] == nil {
 			return true
 		}
@@ -126,7 +128,24 @@
 	to.models, to.sequence, to.known = models, report.Sequence, true
 	to.reportedAt = now
 	to.inMemory, to.onDisk = report.InMemory, report.OnDisk
-	l.changed(to)
+	if to.version > 0 || !sameModels(models, to.server.Recorded()) {
+		l.changed(to)
+	}
+}
+
+// sameModels: the record shows just what the server holds, so that nodes need not
+// be told.
+func sameModels(models map[string]*heldModel, record map[string]fleet.Held) bool {
+	if len(models) != len(record) {
+		return false
+	}
+	for name, held := range models {
+		recorded, known := record[name]
+		if !known || !maps.Equal(held.adapters, recorded.Adapters) {
+			return false
+		}
+	}
+	return true
 }
 
 // states returns the entries that changed after the version.
