Bound the memory of bodies under way

Cause: bodies of 4 MB each had only a limit of their own; a hundred at once exceed the memory over which a node is killed.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -23,6 +23,12 @@
 	// garbageShare of the heap that may be garbage, in percent: memory is dearer
 	// than processor time.
 	garbageShare = 40
+	// memoryShare of the limit is where the collector begins to work harder, and
+	// bodyShare what bodies of requests may take.
+	memoryShare, bodyShare = 0.7, 0.25
+	// assumedMemoryMB where the settings give no limit.
+	assumedMemoryMB = 256
+	megabyte        = 1 << 20
 	// assumedNodes share the retry budget until their number is known.
 	assumedNodes = 12
 	// tidyPeriod between removals of what is not needed any more.
@@ -62,6 +68,9 @@
 // assemble binds the product's parts to the platform.
 func assemble(settings edge.Settings, logger zerolog.Logger) (*edge.Process, error) {
 	debug.SetGCPercent(garbageShare)
+	if limit := settings.Memory.LimitMB; limit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(limit) * megabyte))
+	}
 	n := &node{
 		settings: settings, logger: logger, view: fleet.NewView(), servers: exchange.NewClient(toServers),
 		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(toStore), settings.Store.Contact),
@@ -127,6 +136,7 @@
 	return edge.Parts{
 		Callers: &platform.Ingress{
 			Forwarder: n.forwarder, View: n.view, Closing: n.process.Stopping, Ended: n.requests.Ended,
+			Bodies: platform.NewBodies(n.bodyBytes()),
 		},
 		Metrics:    n.metrics,
 		Ready:      n.notReady,
@@ -158,6 +168,15 @@
 	}
 }
 
+// bodyBytes is the memory for bodies of requests under way.
+func (n *node) bodyBytes() int64 {
+	limit := n.settings.Memory.LimitMB
+	if limit == 0 {
+		limit = assumedMemoryMB
+	}
+	return int64(bodyShare * float64(limit) * megabyte)
+}
+
 // serveNodes serves the other nodes.
 func (n *node) serveNodes(ctx context.Context) {
 	n.transport.Start()
