--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -190,12 +190,19 @@
 	}
 }
 
+// mostPatience is how many routes are remembered; routes come and go with the
+// configurations.
+const mostPatience = 4096
+
 // cameBack tells by the time left whether the caller was refused before.
 func (f *Forwarder) cameBack(request *Request, route *fleet.Route) bool {
 	left := request.Deadline.Sub(request.Accepted)
 	f.patienceMutex.Lock()
 	defer f.patienceMutex.Unlock()
 	longest := f.patience[route.Prefix]
+	if len(f.patience) > mostPatience {
+		clear(f.patience)
+	}
 	if left > longest {
 		f.patience[route.Prefix] = left
 	}
