--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -73,7 +73,7 @@
 	}
 	n := &node{
 		settings: settings, logger: logger, view: fleet.NewView(), servers: exchange.NewClient(toServers),
-		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(toStore), settings.Store.Contact),
+		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(toStore), storeTimes(settings)),
 		process: edge.NewProcess(settings, logger),
 	}
 	transport, err := tcp.New(tcp.Config{
@@ -113,6 +113,10 @@
 	})
 }
 
+func storeTimes(settings edge.Settings) platform.StoreTimes {
+	return platform.StoreTimes{Contact: settings.Store.Contact, Changes: min(settings.Store.Changes, settings.Store.Drains)}
+}
+
 // turn is the time between the orders of two holders.
 func (n *node) turn() time.Duration {
 	if n.settings.Orders.Fenced {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -31,7 +31,7 @@
 node: {name: n, zone: z}
 listen: {callers: "127.0.0.1:0", health: "127.0.0.1:0", peers: "127.0.0.1:0"}
 cluster: {secret: s}
-store: {address: "127.0.0.1:1", contact: 3000ms, minimum_lease: 1000ms}
+store: {address: "127.0.0.1:1", contact: 3000ms, changes: 2000ms, drains: 2000ms, minimum_lease: 1000ms}
 retries: {ratio: 0.2, slack: 54, window: 10s}
 orders: {turn: 3000ms, fenced: false, load_window: 5s, load_overage: 1.1}
 stop: {grace: 8s}
@@ -58,6 +58,8 @@
 		"no window":      {"window: 10s}", "window: 0s}", "retries.window"},
 		"no secret":      {"secret: s", `secret: ""`, "cluster.secret is missing"},
 		"no contact":     {"contact: 3000ms, ", "", "store.contact"},
+		"no changes":     {"changes: 2000ms, ", "", "store.changes"},
+		"no drains":      {"drains: 2000ms, ", "", "store.drains"},
 		"no load window": {"load_window: 5s", "load_window: 0s", "orders.load_window"},
 	}
 	for name, test := range cases {
@@ -80,7 +82,7 @@
 	for gap, value := range map[string]string{
 		"{{node|json}}": `"n"`, "{{zone|json}}": `"z"`, "{{listen.front|json}}": `"10.0.0.1:1"`, "{{listen.ready|json}}": `"10.0.0.1:2"`,
 		"{{ip}}": "10.0.0.1", "{{internal-ports.0}}": "3", "{{platform.address|json}}": `"10.0.0.2:1"`,
-		"{{bounds.contact-ms}}": "3000", "{{platform.ttl-min-ms}}": "1000", "{{bounds.budget-ratio}}": "0.2",
+		"{{bounds.contact-ms}}": "3000", "{{bounds.config-apply-ms}}": "2000", "{{bounds.drain-ms}}": "2000", "{{platform.ttl-min-ms}}": "1000", "{{bounds.budget-ratio}}": "0.2",
 		"{{bounds.budget-slack}}": "54", "{{bounds.budget-window-s}}": "10", "{{bounds.lease-ms}}": "3000",
 		"{{bounds.require-fence}}": "false", "{{bounds.ceiling-window-s}}": "5", "{{bounds.ceiling-overage}}": "1.1",
 		"{{bounds.grace-s}}": "8", "{{limits.memory-mb}}": "284",
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -39,6 +39,10 @@
 		// Contact is the time without trouble after which the node must know what
 		// the store holds.
 		Contact time.Duration `yaml:"contact"`
+		// Changes and Drains are the times within which the node must act on a new
+		// configuration, and on a server that drains.
+		Changes time.Duration `yaml:"changes"`
+		Drains  time.Duration `yaml:"drains"`
 		// MinimumLease is the shortest lease that the store grants.
 		MinimumLease time.Duration `yaml:"minimum_lease"`
 	} `yaml:"store"`
@@ -113,6 +117,8 @@
 	}
 	require(s.Cluster.Secret != "", "cluster.secret is missing")
 	require(s.Store.Contact > 0, "store.contact must be above 0")
+	require(s.Store.Changes > 0, "store.changes must be above 0")
+	require(s.Store.Drains > 0, "store.drains must be above 0")
 	require(s.Store.MinimumLease > 0, "store.minimum_lease must be above 0")
 	require(s.Retries.Ratio >= 0 && s.Retries.Slack >= 0, "retries.ratio and retries.slack must not be below 0")
 	require(s.Retries.Window > 0, "retries.window must be above 0")
