Catch SIGHUP for the whole life of a node

Ruled out: the orderly stop; there is no line of it. Change: caught from the first line of serve to the end. With the old way the test's own process is ended by the signal.

--- a/cmd/hatchplank-node/serve.go
+++ b/cmd/hatchplank-node/serve.go
@@ -60,6 +60,9 @@
 }
 
 func serve(file string) error {
+	hangUps := edge.CatchHangUps()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	settings, err := readSettings(file)
 	if err != nil {
 		return err
@@ -69,12 +72,10 @@
 		return err
 	}
 	defer output.Close()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	process, err := assemble(settings, logger)
 	if err != nil {
 		return err
 	}
-	go edge.WatchSettings(ctx, file, settings, logger)
+	go edge.WatchSettings(ctx, hangUps, file, settings, logger)
 	return process.Run(ctx)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -358,3 +358,14 @@
 		Expect(output.String()).To(ContainSubstring(`"paused_ms":3000`))
 	})
 }
+
+// With the signal's default action, this test's process would end.
+func TestHangUpDoesNotEndANodeThatStops(t *testing.T) {
+	RegisterTestingT(t)
+	stopped, stop := context.WithCancel(context.Background())
+	stop()
+	hangUps := CatchHangUps()
+	WatchSettings(stopped, hangUps, "none", Settings{}, zerolog.Nop())
+	Expect(syscall.Kill(syscall.Getpid(), syscall.SIGHUP)).To(Succeed())
+	Eventually(hangUps, "10s").Should(Receive())
+}
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -15,13 +15,18 @@
 // a signal.
 const settingsPeriod = 5 * time.Second
 
+// CatchHangUps catches SIGHUP for the rest of the process's life: a node that is
+// starting, or is stopping and does not reload any more, must not be ended by it.
+func CatchHangUps() <-chan os.Signal {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	return hangUps
+}
+
 // WatchSettings reads the settings file again at SIGHUP and when it changed. The
 // log level is taken over at once; everything else at the next start, which the
 // log says.
-func WatchSettings(ctx context.Context, file string, current Settings, logger zerolog.Logger) {
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	defer signal.Stop(hangUps)
+func WatchSettings(ctx context.Context, hangUps <-chan os.Signal, file string, current Settings, logger zerolog.Logger) {
 	ticker := time.NewTicker(settingsPeriod)
 	defer ticker.Stop()
 	content, _ := os.ReadFile(file)
