Keep each node's calls to the store within its share of the rates

Change: internal/quota divides the rates among the nodes that the holder counts; renewals of a lease count and never wait; a call that would come too late is not made, and counts as not applied. The rates come from the settings.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -14,6 +14,7 @@
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/orders"
 	"github.com/hatchplank/hatchplank/internal/peer/tcp"
+	"github.com/hatchplank/hatchplank/internal/quota"
 	"github.com/hatchplank/hatchplank/platform"
 )
 
@@ -29,7 +30,8 @@
 	// assumedMemoryMB where the settings give no limit.
 	assumedMemoryMB = 256
 	megabyte        = 1 << 20
-	// assumedNodes share the retry budget until their number is known.
+	// assumedNodes share the retry budget and the store's rates until their number
+	// is known.
 	assumedNodes = 12
 	// tidyPeriod between removals of what is not needed any more.
 	tidyPeriod = time.Second
@@ -55,6 +57,7 @@
 	view      *fleet.View
 	servers   *exchange.Client
 	store     *platform.Store
+	calls     *quota.Share
 	transport *tcp.Transport
 	election  *orders.Election
 	holder    *orders.Holder
@@ -87,6 +90,8 @@
 	n.metrics = edge.NewMetrics(n.gauges())
 	n.requests = edge.NewRequestLog(logger, n.metrics)
 	n.store.Calls = n.metrics.StoreCall
+	n.calls = quota.NewShare(quota.Rates{Reads: settings.Store.ReadsPerSecond, Writes: settings.Store.WritesPerSecond}, assumedNodes)
+	n.store.Admit = n.calls.Wait
 	n.assembleOrders()
 	n.assembleForwarder()
 	n.process.Assemble(n.parts())
@@ -108,11 +113,17 @@
 		Election: n.election, Holder: n.holder, View: n.view, Transport: n.transport,
 		Demand:   func() []forward.Demand { return n.forwarder.Demand() },
 		Wanted:   func() <-chan struct{} { return n.forwarder.Wanted() },
-		SetNodes: func(nodes int) { n.forwarder.SetNodes(nodes) },
+		SetNodes: n.setNodes,
 		Name:     n.settings.Node.Name, Address: n.transport.Address(), Logger: n.logger,
 	})
 }
 
+// setNodes tells how many nodes share what is bounded for all of them.
+func (n *node) setNodes(nodes int) {
+	n.forwarder.SetNodes(nodes)
+	n.calls.SetNodes(nodes)
+}
+
 func storeTimes(settings edge.Settings) platform.StoreTimes {
 	return platform.StoreTimes{Contact: settings.Store.Contact, Changes: min(settings.Store.Changes, settings.Store.Drains)}
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -86,6 +86,7 @@
 		"{{bounds.budget-slack}}": "54", "{{bounds.budget-window-s}}": "10", "{{bounds.lease-ms}}": "3000",
 		"{{bounds.require-fence}}": "false", "{{bounds.ceiling-window-s}}": "5", "{{bounds.ceiling-overage}}": "1.1",
 		"{{bounds.grace-s}}": "8", "{{limits.memory-mb}}": "284",
+		"{{platform.reads-per-s}}": "2000", "{{platform.writes-per-s}}": "400",
 	} {
 		Expect(filled).To(ContainSubstring(gap))
 		filled = strings.ReplaceAll(filled, gap, value)
@@ -95,6 +96,8 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(settings.Listen.Peers).To(Equal("10.0.0.1:3"))
 	Expect(settings.Orders.Turn).To(Equal(3 * time.Second))
+	Expect(settings.Store.ReadsPerSecond).To(BeEquivalentTo(2000))
+	Expect(settings.Store.WritesPerSecond).To(BeEquivalentTo(400))
 }
 
 // blockedWriter never returns.
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -45,6 +45,10 @@
 		Drains  time.Duration `yaml:"drains"`
 		// MinimumLease is the shortest lease that the store grants.
 		MinimumLease time.Duration `yaml:"minimum_lease"`
+		// ReadsPerSecond and WritesPerSecond are what the store allows all nodes
+		// together; 0: any.
+		ReadsPerSecond  float64 `yaml:"reads_per_second"`
+		WritesPerSecond float64 `yaml:"writes_per_second"`
 	} `yaml:"store"`
 	Retries struct {
 		// Ratio of a pool's requests, and Slack over all nodes, that may be
@@ -120,6 +124,7 @@
 	require(s.Store.Changes > 0, "store.changes must be above 0")
 	require(s.Store.Drains > 0, "store.drains must be above 0")
 	require(s.Store.MinimumLease > 0, "store.minimum_lease must be above 0")
+	require(s.Store.ReadsPerSecond >= 0 && s.Store.WritesPerSecond >= 0, "store.reads_per_second and store.writes_per_second must not be below 0")
 	require(s.Retries.Ratio >= 0 && s.Retries.Slack >= 0, "retries.ratio and retries.slack must not be below 0")
 	require(s.Retries.Window > 0, "retries.window must be above 0")
 	require(s.Orders.Turn >= 0, "orders.turn must not be below 0")
--- /dev/null
+++ b/scripts/mechanisms.sh
@@ -0,0 +1,103 @@
+#!/usr/bin/env bash
+# Switches off each mechanism that keeps a rule, one at a time, in a copy of the
+# tree, and runs the tests that should notice. Prints one line for each mechanism
+# and ends with 1 if a mechanism was missed or its code was not found.
+# Usage: scripts/mechanisms.sh [NAME]...   (no names: all)
+set -uo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+cp -r "$root/cmd" "$root/internal" "$root/platform" "$root/deploy" "$root/docs" "$root/examples" "$root/go.mod" "$root/go.sum" "$copy/"
+wanted=("$@")
+missed=0
+
+# switch_off NAME FILE OLD NEW PACKAGE...: replaces the first place of OLD by NEW.
+switch_off() {
+  local name=$1 file=$2 old=$3 new=$4
+  shift 4
+  if ((${#wanted[@]})) && [[ " ${wanted[*]} " != *" $name "* ]]; then return; fi
+  cp "$copy/$file" "$copy/original"
+  if ! OLD=$old NEW=$new perl -0pi -e 'BEGIN { $found = 0 } $found = s/\Q$ENV{OLD}\E/$ENV{NEW}/; END { exit !$found }' "$copy/$file"; then
+    printf '%-28s NOT FOUND in %s\n' "$name" "$file"
+    missed=1
+  elif ! (cd "$copy" && go vet "./$(dirname "$file")" >/dev/null 2>&1); then
+    printf '%-28s DOES NOT BUILD\n' "$name"
+    missed=1
+  elif (cd "$copy" && timeout 120 go test "$@" >"$copy/output" 2>&1); then
+    printf '%-28s MISSED by %s\n' "$name" "$*"
+    missed=1
+  else
+    printf '%-28s noticed: %s\n' "$name" "$(grep -m1 -oE -- '--- FAIL: [A-Za-z0-9_]+|\[FAIL\] .*|panic: .*' "$copy/output" | cut -c1-90)"
+  fi
+  cp "$copy/original" "$copy/$file"
+}
+
+forward=./internal/forward
+# At most once, attempts, budget.
+switch_off at-most-once internal/fleet/route.go 'return r.Kind == KindRepeatable ||' 'return true || r.Kind == KindRepeatable ||' $forward
+switch_off proof-of-not-run platform/backend.go 'return nil, &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanUnknown' 'return nil, &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanNo' ./platform
+switch_off route-attempts internal/forward/attempt.go 'flow.runs+further < flow.route.MaxAttempts' 'flow.runs+further < 100' $forward
+switch_off retry-budget internal/forward/budget.go 'if float64(counts.repeats.sum(now)+1) > allowed {' 'if false && allowed < 0 {' $forward
+switch_off budget-share internal/forward/budget.go 'b.limits.Slack/float64(b.nodes)' 'b.limits.Slack' $forward
+# Deadlines and callers that leave.
+switch_off route-timeout internal/forward/forwarder.go 'deadline := request.Accepted.Add(route.Timeout)' 'deadline := request.Accepted.Add(10 * route.Timeout)' $forward
+switch_off caller-deadline internal/forward/forwarder.go 'if request.Deadline.Before(deadline) {' 'if false {' $forward
+switch_off deadline-at-server platform/backend.go 'writeHeader(&head, headerDeadline, strconv.FormatInt(left, 10))' '_ = left' ./platform
+switch_off caller-gone internal/exchange/client.go 'stop := context.AfterFunc(ctx, func() { _ = conn.Close() })' 'stop := context.AfterFunc(context.Background(), func() { _ = conn.Close() })' ./internal/exchange ./platform
+# Answers.
+switch_off answer-identity platform/backend.go 'return answer.Header.Get(headerRequestID) == attempt.Request.ID' 'return true' ./platform
+switch_off surplus-bytes internal/exchange/client.go '|| b.conn.reader.Buffered() > 0' '' ./internal/exchange
+switch_off foreign-costs-connection internal/exchange/client.go 'clean = false' 'clean = true' ./internal/exchange
+switch_off unwritten-costs-connection internal/exchange/client.go '|| !b.written.finished()' '' ./internal/exchange
+switch_off torn-answer-closes platform/ingress.go 'case outcome.Begun || outcome.Code == result.CallerGone:
+		// A closed connection is the only honest end of an answer that broke.
+		panic(http.ErrAbortHandler)' 'case outcome.Begun || outcome.Code == result.CallerGone:' ./platform
+switch_off whole-short-answers internal/forward/relay.go 'whole, err := io.ReadAll(io.LimitReader(reply.Body, wholeAnswerBytes))
+	if err != nil {' 'whole, err := io.ReadAll(io.LimitReader(reply.Body, wholeAnswerBytes))
+	if false && err != nil {' $forward ./platform
+switch_off honest-status platform/ingress.go 'if outcome.Ran == result.RanNo {' 'if true {' ./platform
+# Streams.
+switch_off whole-events internal/forward/relay.go 'if errors.Is(err, io.EOF) && len(bytes.TrimSpace(r.rest)) > 0 {' 'if false {' $forward
+switch_off no-repeated-events internal/forward/relay.go 'if resumed {' 'if false && resumed {' $forward
+switch_off resume-after platform/backend.go 'if attempt.ResumeAfter != "" {' 'if false {' ./platform
+switch_off silent-stream internal/forward/relay.go 'timer := time.AfterFunc(max(gap, flow.route.LatencyObjective), func() { cancel(errSilent) })' 'timer := time.AfterFunc(time.Hour, func() { cancel(errSilent) })' $forward
+switch_off impatience internal/forward/attempt.go 'func() { cancel(errImpatient) }' 'func() {}' $forward
+# Configuration and listing.
+switch_off newer-only internal/fleet/view.go 'configuration.Revision <= current.Revision' 'configuration.Revision < 0' ./internal/fleet
+switch_off history-gone platform/watch.go 'handler.Lost(outside.ErrCompacted)' '' ./platform
+switch_off silent-watch platform/watch.go 's.watchWait+s.watchSlack, http.MethodGet' 's.watchWait+s.watchSlack+time.Hour, http.MethodGet' ./platform
+switch_off order-of-events platform/feed.go 'servers[id] = nil' '' ./platform
+switch_off no-configuration internal/forward/forwarder.go 'Outcome{Code: result.NodeNotReady' 'Outcome{Code: result.UnknownPath' $forward ./platform
+switch_off draining-server internal/forward/choose.go 'return !server.Draining' 'return true' $forward
+switch_off instance-at-server platform/backend.go 'writeHeader(&head, headerExpectInstance, attempt.Server.ID)' '' ./platform
+# Choice and admission.
+switch_off pause-of-unreached internal/forward/choose.go 'return !now.Before(load.pausedUntil)' 'return true' $forward
+switch_off missing-model internal/forward/choose.go 'return !now.Before(load.missing[flow.need()])' 'return true' $forward
+switch_off full-server internal/forward/choose.go 'return load.estimate(now) < overfull*max(server.Slots, 1)' 'return true' $forward
+switch_off refusal-at-once internal/forward/admission.go 'code := result.NoBackEnd' 'if now.Before(flow.deadline) {
+		return nil
+	}
+	code := result.NoBackEnd' $forward
+switch_off time-to-come-back internal/forward/admission.go 'outcome.RetryAfter = flow.retryAfter(delay, now)' '' $forward
+switch_off prefix-affinity internal/forward/choose.go 'if _, sent := load.prefixes[flow.prefixes[i].hash]; sent {' 'if false {' $forward
+switch_off failing-server internal/forward/choose.go 'c.score += time.Duration(2 * load' 'c.score += time.Duration(0 * load' $forward
+# Orders.
+switch_off lease-end internal/orders/term.go '&& now.Before(t.validUntil)' '' ./platform
+switch_off turn internal/orders/term.go 'return !t.ended && t.entered && !now.Before(t.NotBefore)' 'return !t.ended' ./platform
+switch_off entered-before-order internal/orders/term.go '!t.ended && t.entered && ' '!t.ended && ' ./platform
+switch_off later-holder-ends internal/orders/election.go 'e.endReplaced(record)' '' ./platform
+switch_off lease-from-sending internal/orders/renewal.go 'term.renew(sent.Add(' 'term.renew(time.Now().Add(time.Second).Add(' ./platform ./internal/orders
+switch_off expected-count platform/orders.go 'Expect: order.ExpectSequence' 'Expect: 0' ./platform
+switch_off instance-of-order platform/orders.go '[][2]string{{headerExpectInstance, order.Server.ID}}' 'nil' ./platform
+switch_off ledger-check internal/orders/holder.go 'if !h.allowed(target, engine, action) {' 'if target == nil {' ./internal/orders ./platform
+switch_off no-work-before-unload internal/orders/holder.go 'delete(target.models, action.Model)' '' ./internal/orders ./platform
+switch_off late-order-noticed internal/orders/ledger.go 'if !e.server.SeenAt.After(e.reportedAt.Add(recordLag)) {' 'if true {' ./internal/orders ./platform
+switch_off store-ceiling internal/orders/ceiling.go 'return max(min(int(c.tokens), atOnce-underWay), 0)' 'return 100' ./internal/orders
+switch_off busy-server internal/placement/plan.go 'return !server.Busy && ' 'return ' ./internal/placement
+# Life of a process.
+switch_off not-ready-when-stopping internal/edge/process.go 'if p.Stopping() {' 'if false {' ./internal/edge
+switch_off stop-takes-what-arrives internal/edge/process.go 'time.Sleep(min(acceptAfterStop, p.settings.Stop.Grace/2))' '' ./internal/edge
+switch_off end-answers-all internal/forward/forwarder.go 'func (f *Forwarder) End() { f.end() }' 'func (f *Forwarder) End() {}' $forward
+switch_off drain-refuses internal/forward/admission.go 'return f.giveUp(flow, "the node is stopping", result.NodeDraining)' '' $forward
+switch_off log-never-blocks internal/edge/log.go 'logging.NewLogger(writer, level, node)' 'logging.NewLogger(output, level, node)' ./internal/edge
+exit $missed
