Let one node read the store for the others

Each node also decoded each heartbeat of each server. Change: internal/mirror. The holder of orders reads often and tells the others what changed (not heartbeats, not the configuration, which each reads once). A node follows it while its knowledge is younger than 0.35 of the time allowed for changes, else reads the store itself from the revision that it knows. The feed in platform/ only translates now.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -12,6 +12,7 @@
 	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
+	"github.com/hatchplank/hatchplank/internal/mirror"
 	"github.com/hatchplank/hatchplank/internal/orders"
 	"github.com/hatchplank/hatchplank/internal/peer/tcp"
 	"github.com/hatchplank/hatchplank/internal/quota"
@@ -58,6 +59,7 @@
 	servers   *exchange.Client
 	store     *platform.Store
 	calls     *quota.Share
+	mirror    *mirror.Mirror
 	transport *tcp.Transport
 	election  *orders.Election
 	holder    *orders.Holder
@@ -76,7 +78,7 @@
 	}
 	n := &node{
 		settings: settings, logger: logger, view: fleet.NewView(), servers: exchange.NewClient(toServers),
-		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(toStore), storeTimes(settings)),
+		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(toStore), settings.Store.Contact),
 		process: edge.NewProcess(settings, logger),
 	}
 	transport, err := tcp.New(tcp.Config{
@@ -93,6 +95,7 @@
 	n.calls = quota.NewShare(quota.Rates{Reads: settings.Store.ReadsPerSecond, Writes: settings.Store.WritesPerSecond}, assumedNodes)
 	n.store.Admit = n.calls.Wait
 	n.assembleOrders()
+	n.assembleMirror()
 	n.assembleForwarder()
 	n.process.Assemble(n.parts())
 	return n.process, nil
@@ -124,8 +127,25 @@
 	n.calls.SetNodes(nodes)
 }
 
-func storeTimes(settings edge.Settings) platform.StoreTimes {
-	return platform.StoreTimes{Contact: settings.Store.Contact, Changes: min(settings.Store.Changes, settings.Store.Drains)}
+// assembleMirror makes the node's copy of what the store holds. The holder of
+// orders reads for the others.
+func (n *node) assembleMirror() {
+	n.mirror = mirror.New(mirror.Config{
+		Source: platform.NewFeed(n.store, ownPrefix, n.logger), View: n.view, Own: n.election,
+		Times: mirror.Times{
+			Contact: n.settings.Store.Contact, Changes: min(n.settings.Store.Changes, n.settings.Store.Drains),
+		},
+		Relay: n.relay, Transport: n.transport, Address: n.transport.Address(), Logger: n.logger,
+	})
+}
+
+// relay is the address of the holder of orders, if that is another node.
+func (n *node) relay() string {
+	holder, known := n.election.Holder()
+	if !known || holder.Address == n.transport.Address() {
+		return ""
+	}
+	return holder.Address
 }
 
 // turn is the time between the orders of two holders.
@@ -147,7 +167,6 @@
 }
 
 func (n *node) parts() edge.Parts {
-	feed := platform.NewFeed(n.store, n.view, ownPrefix, n.election, n.logger)
 	return edge.Parts{
 		Callers: &platform.Ingress{
 			Forwarder: n.forwarder, View: n.view, Closing: n.process.Stopping, Ended: n.requests.Ended,
@@ -156,7 +175,7 @@
 		Metrics:    n.metrics,
 		Ready:      n.notReady,
 		IdleLimit:  n.idleLimit,
-		Background: []func(context.Context){feed.Run, n.election.Run, n.holder.Run, n.link.Run, n.tidy, n.serveNodes},
+		Background: []func(context.Context){n.mirror.Run, n.election.Run, n.holder.Run, n.link.Run, n.tidy, n.serveNodes},
 		Drain:      n.forwarder.Drain,
 		End:        n.forwarder.End,
 		HandOver:   n.election.Resign,
@@ -174,13 +193,17 @@
 			}
 			return 0
 		},
-		Holder: func() float64 {
-			if n.election.Term() != nil {
-				return 1
-			}
-			return 0
-		},
+		Holder:  func() float64 { return oneIf(n.election.Term() != nil) },
+		Relayed: func() float64 { return oneIf(n.mirror.Through()) },
+	}
+}
+
+// oneIf is the value of a gauge that tells whether something holds.
+func oneIf(holds bool) float64 {
+	if holds {
+		return 1
 	}
+	return 0
 }
 
 // bodyBytes is the memory for bodies of requests under way.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -26,6 +26,7 @@
 	metricServers     = "hatchplank_node_servers"
 	metricRevision    = "hatchplank_node_configuration_revision"
 	metricHolder      = "hatchplank_node_order_holder"
+	metricRelayed     = "hatchplank_node_reads_through_relay"
 )
 
 // MetricDescriptions lists the node's own metrics.
@@ -41,6 +42,7 @@
 	{metricServers, "gauge", "", "Servers known."},
 	{metricRevision, "gauge", "", "Revision of the configuration in force; 0 if there is none."},
 	{metricHolder, "gauge", "", "1 while this node holds the lease for orders."},
+	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
 // Metrics of a node.
@@ -51,7 +53,7 @@
 
 // Gauges are read when metrics are asked for.
 type Gauges struct {
-	Connections, Servers, Revision, Holder func() float64
+	Connections, Servers, Revision, Holder, Relayed func() float64
 }
 
 // NewMetrics returns the node's metrics.
@@ -61,6 +63,7 @@
 	set.NewGauge(metricServers, gauges.Servers)
 	set.NewGauge(metricRevision, gauges.Revision)
 	set.NewGauge(metricHolder, gauges.Holder)
+	set.NewGauge(metricRelayed, gauges.Relayed)
 	return &Metrics{
 		set: set, firstByte: set.NewPrometheusHistogram(metricFirstByte),
 		held: set.NewPrometheusHistogram(metricHeld), coldStart: set.NewPrometheusHistogram(metricColdStart),
--- /dev/null
+++ b/internal/mirror/apply.go
@@ -0,0 +1,77 @@
+package mirror
+
+import (
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/outside"
+)
+
+// replace takes over everything that exists. It must be called with the lock held.
+func (m *Mirror) replace(changes Changes) {
+	m.revision = changes.At
+	m.known = newKnown()
+	m.known.since = changes.At
+	m.known.take(changes)
+	servers := make(map[string]*fleet.Server, len(changes.Servers))
+	for id, server := range changes.Servers {
+		if server != nil {
+			servers[id] = server
+		}
+	}
+	m.config.View.ReplaceServers(servers)
+	var own []outside.KeyValue
+	for _, event := range changes.Own {
+		own = append(own, event.KeyValue)
+	}
+	m.config.Own.Replace(own)
+	m.takeConfiguration(changes.Configuration, changes.ConfigurationRevision)
+}
+
+// apply takes changes over, unless all of them are known. What is known of them
+// already does no harm: the last state of each server counts, and it is at least
+// as new as what is known. It must be called with the lock held.
+func (m *Mirror) apply(changes Changes) {
+	if changes.At <= m.revision || changes.Base > m.revision {
+		return
+	}
+	m.revision = changes.At
+	m.known.take(changes)
+	m.takeConfiguration(changes.Configuration, changes.ConfigurationRevision)
+	for id, server := range changes.Servers {
+		m.logServer(id, server, changes.At)
+	}
+	if len(changes.Servers) > 0 {
+		m.config.View.UpdateServers(changes.Servers)
+	}
+	for _, event := range changes.Own {
+		m.config.Own.Change(event)
+	}
+}
+
+// takeConfiguration must be called with the lock held; nil was not understood.
+func (m *Mirror) takeConfiguration(configuration *fleet.Configuration, revision int64) {
+	m.configuration = max(m.configuration, revision)
+	if configuration != nil && m.config.View.SetConfiguration(configuration) {
+		m.config.Logger.Info().Int64("version", configuration.Version).Int64("revision", configuration.Revision).
+			Int("routes", configuration.RouteCount()).Msg("configuration in force")
+	}
+}
+
+// logServer logs what routing depends on: a new server, its state, its end.
+func (m *Mirror) logServer(id string, server *fleet.Server, revision int64) {
+	before := m.config.View.Load().Servers[id]
+	if server == nil {
+		if before != nil {
+			m.config.Logger.Info().Str("server", id).Int64("revision", revision).Msg("server gone")
+		}
+		return
+	}
+	if before != nil && before.Draining == server.Draining {
+		return
+	}
+	state := "ready"
+	if server.Draining {
+		state = "draining"
+	}
+	m.config.Logger.Info().Str("server", id).Str("pool", server.Pool).Str("zone", server.Zone).
+		Str("state", state).Int64("revision", revision).Msg("server state")
+}
--- /dev/null
+++ b/internal/mirror/known.go
@@ -0,0 +1,174 @@
+package mirror
+
+import (
+	"maps"
+	"sort"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/outside"
+)
+
+// mostEnded keys that are gone are remembered, so that others can be told.
+const mostEnded = 512
+
+// known is what a node can tell others of the store: for each key its last state,
+// with the revision of the last change that matters to others. A server that only
+// wrote the same record once more did not change.
+type known struct {
+	// since: what changed at this revision or before can't be told.
+	since int64
+	// configuration is the newest one's revision.
+	configuration int64
+	servers       map[string]knownServer
+	own           map[string]outside.WatchEvent
+	// ended servers, by the revision at which they were seen to be gone.
+	ended map[string]int64
+}
+
+type knownServer struct {
+	record   ServerRecord
+	revision int64
+}
+
+func newKnown() *known {
+	return &known{servers: map[string]knownServer{}, own: map[string]outside.WatchEvent{}, ended: map[string]int64{}}
+}
+
+// take notes changes. All of them count as made at the last revision, which is
+// late enough for everyone who knows less.
+func (k *known) take(changes Changes) {
+	k.configuration = max(k.configuration, changes.ConfigurationRevision)
+	for id, server := range changes.Servers {
+		if server == nil {
+			delete(k.servers, id)
+			k.ended[id] = changes.At
+			continue
+		}
+		record := recordOf(server)
+		if before, exists := k.servers[id]; exists && before.record.equal(record) {
+			continue
+		}
+		delete(k.ended, id)
+		k.servers[id] = knownServer{record: record, revision: changes.At}
+	}
+	for _, event := range changes.Own {
+		k.own[event.KeyValue.Key] = event
+	}
+	k.bound()
+}
+
+// bound forgets the older half of what is gone.
+func (k *known) bound() {
+	if len(k.ended) <= mostEnded {
+		return
+	}
+	revisions := make([]int64, 0, len(k.ended))
+	for _, revision := range k.ended {
+		revisions = append(revisions, revision)
+	}
+	sort.Slice(revisions, func(i, j int) bool { return revisions[i] < revisions[j] })
+	k.since = max(k.since, revisions[len(revisions)/2])
+	maps.DeleteFunc(k.ended, func(_ string, revision int64) bool { return revision <= k.since })
+}
+
+// update tells what changed after the revision, up to at. It returns false if that
+// can't be told.
+func (k *known) update(after, at int64, age time.Duration) (Update, bool) {
+	if after < k.since {
+		return Update{}, false
+	}
+	update := Update{Base: after, At: at, Age: age, Configuration: k.configuration}
+	for _, server := range k.servers {
+		if server.revision > after {
+			update.Servers = append(update.Servers, server.record)
+		}
+	}
+	for id, revision := range k.ended {
+		if revision > after {
+			update.Ended = append(update.Ended, id)
+		}
+	}
+	for _, event := range k.own {
+		if event.KeyValue.ModRevision > after {
+			update.Own = append(update.Own, event)
+		}
+	}
+	sort.Slice(update.Own, func(i, j int) bool {
+		return update.Own[i].KeyValue.ModRevision < update.Own[j].KeyValue.ModRevision
+	})
+	return update, true
+}
+
+// ServerRecord is what others have to know of a server.
+type ServerRecord struct {
+	ID, Pool, Address, Zone string
+	Slots                   int
+	Draining                bool
+	// Models with their adapters.
+	Models []ModelRecord
+}
+
+// ModelRecord is a model that a server holds.
+type ModelRecord struct {
+	Name     string
+	Adapters []string
+}
+
+// recordOf lists models and adapters in order, so that records can be compared.
+func recordOf(server *fleet.Server) ServerRecord {
+	record := ServerRecord{
+		ID: server.ID, Pool: server.Pool, Address: server.Address, Zone: server.Zone, Slots: server.Slots, Draining: server.Draining,
+	}
+	for name, held := range server.Recorded() {
+		model := ModelRecord{Name: name}
+		for adapter := range held.Adapters {
+			model.Adapters = append(model.Adapters, adapter)
+		}
+		sort.Strings(model.Adapters)
+		record.Models = append(record.Models, model)
+	}
+	sort.Slice(record.Models, func(i, j int) bool { return record.Models[i].Name < record.Models[j].Name })
+	return record
+}
+
+func (r ServerRecord) equal(other ServerRecord) bool {
+	if r.ID != other.ID || r.Pool != other.Pool || r.Address != other.Address || r.Zone != other.Zone ||
+		r.Slots != other.Slots || r.Draining != other.Draining || len(r.Models) != len(other.Models) {
+		return false
+	}
+	for i, model := range r.Models {
+		if model.Name != other.Models[i].Name || !sameStrings(model.Adapters, other.Models[i].Adapters) {
+			return false
+		}
+	}
+	return true
+}
+
+func sameStrings(first, second []string) bool {
+	if len(first) != len(second) {
+		return false
+	}
+	for i := range first {
+		if first[i] != second[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// server returns the record as a server seen at the time.
+func (r ServerRecord) server(seenAt time.Time) *fleet.Server {
+	server := &fleet.Server{
+		ID: r.ID, Pool: r.Pool, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Draining: r.Draining,
+		Models: make(map[string]fleet.Held, len(r.Models)), SeenAt: seenAt,
+	}
+	for _, model := range r.Models {
+		held := fleet.Held{Adapters: make(map[string]bool, len(model.Adapters))}
+		for _, adapter := range model.Adapters {
+			held.Adapters[adapter] = true
+		}
+		server.Models[model.Name] = held
+	}
+	return server
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,340 @@
+// Package mirror keeps a node's copy of what the store holds: the operators'
+// configuration, the servers' records and the product's own keys.
+//
+// One node, the relay, reads the store often and tells the others what changed.
+// A node that hears the relay, and hears that the relay's own knowledge is fresh,
+// asks the store only for a new configuration, which is too large to be passed
+// around. As soon as that knowledge is too old, whatever the reason, the node
+// reads the store itself, from the revision up to which it knows everything. So
+// a relay that is dead, cut off or slow costs others a fraction of a second, and
+// the store's load does not grow with the number of nodes.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/peer"
+)
+
+// ErrHistoryGone: the store does not keep the changes since the revision.
+var ErrHistoryGone = errors.New("the store forgot its history")
+
+// Changes are what changed in the store after the revision Base, up to At.
+type Changes struct {
+	Base, At int64
+	// Configuration is nil if it did not change, or was not understood.
+	Configuration *fleet.Configuration
+	// ConfigurationRevision is zero if the configuration did not change.
+	ConfigurationRevision int64
+	// Servers by ID; nil for one that is gone.
+	Servers map[string]*fleet.Server
+	// Own keys, in order of revision.
+	Own []outside.WatchEvent
+}
+
+// Source reads the store. Its calls end with their context.
+type Source interface {
+	// Read returns everything as changes since revision zero.
+	Read(ctx context.Context) (Changes, error)
+	// Changes returns what changed after the revision; if that is nothing, it
+	// waits for changes, and may return none. ErrHistoryGone: read everything.
+	Changes(ctx context.Context, after int64, wait time.Duration) (Changes, error)
+	// Configuration returns the configuration alone with its revision; nil if it
+	// is not understood.
+	Configuration(ctx context.Context) (*fleet.Configuration, int64, error)
+}
+
+// OwnKeys receives the product's own keys in the store.
+type OwnKeys interface {
+	// Replace gives all keys that exist.
+	Replace(keyValues []outside.KeyValue)
+	// Change gives one key that was written or removed.
+	Change(event outside.WatchEvent)
+}
+
+// Times bound how late a node knows what the store holds.
+type Times struct {
+	// Contact is the time without trouble after which it must know.
+	Contact time.Duration
+	// Changes is the time within which it must act on a change.
+	Changes time.Duration
+}
+
+// Config configures a Mirror.
+type Config struct {
+	Source Source
+	View   *fleet.View
+	Own    OwnKeys
+	Times  Times
+	// Relay returns the address of the node that reads for the others; empty if
+	// there is none, or if it is this node.
+	Relay func() string
+	// Transport to other nodes; nil: this node reads for itself alone.
+	Transport peer.Transport
+	// Address of this node.
+	Address string
+	Logger  zerolog.Logger
+}
+
+const (
+	// aloneWaitShare of the contact time is how long a node that reads for itself
+	// waits for changes in one call: a call that a silent store swallowed is given
+	// up within the contact time.
+	aloneWaitShare = 0.5
+	// alonePauseShare of the time for changes is left between its calls; the rest is
+	// for the call, and for a node that is slow.
+	alonePauseShare = 0.45
+	// relayShare of the time for changes is how long the relay waits for changes in
+	// one call, and what it leaves between calls that brought some.
+	relayShare = 0.125
+	// trustShare of the time for changes is how old what the relay told may be. It is
+	// above twice the relay's share, and leaves the rest for messages that are lost
+	// and sent again.
+	trustShare = 0.35
+	// failedPause is left after a call that failed.
+	failedPause = 150 * time.Millisecond
+	// unreadPause is left after everything could not be read.
+	unreadPause = 250 * time.Millisecond
+)
+
+// Mirror keeps a view equal to what the store holds.
+type Mirror struct {
+	config Config
+	// woken: something that Run waits for has changed.
+	woken chan struct{}
+	// missed: the relay told of changes whose predecessors were missed.
+	missed chan struct{}
+
+	mutex sync.Mutex
+	// revision up to which everything is known; zero: nothing was read.
+	revision int64
+	// confirmedAt is when the store's own word was last heard, and relayedAt when
+	// that of the relay was fresh.
+	confirmedAt, relayedAt time.Time
+	// configuration is the revision of the newest one that was read, wanted that of
+	// the newest one that exists.
+	configuration, wanted int64
+	known                 *known
+	// subscribers by address, with when they last asked; they were told of all changes
+	// up to the revision pushed.
+	subscribers map[string]time.Time
+	pushed      int64
+	// through tells whether this node reads through the relay, for the log.
+	through bool
+	// lost: the store did not answer the last call.
+	lost bool
+}
+
+// New returns a mirror, and registers its messages with the transport.
+func New(config Config) *Mirror {
+	m := &Mirror{
+		config: config, woken: make(chan struct{}, 1), missed: make(chan struct{}, 1),
+		known: newKnown(), subscribers: map[string]time.Time{},
+	}
+	if config.Transport != nil {
+		config.Transport.Handle(Subscribe{}, m.serveSubscribe)
+		config.Transport.Handle(Update{}, m.serveUpdate)
+	}
+	return m
+}
+
+// Run keeps the copy until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	if m.config.Transport != nil {
+		go m.subscribe(ctx)
+	}
+	for ctx.Err() == nil {
+		switch m.next(time.Now()) {
+		case readAll:
+			m.readAll(ctx)
+		case readConfiguration:
+			m.readConfiguration(ctx)
+		case awaitRelay:
+			m.awaitRelay(ctx)
+		case readChanges:
+			m.readChanges(ctx)
+		}
+	}
+}
+
+// step is what Run does next.
+type step uint8
+
+const (
+	readAll step = iota
+	readConfiguration
+	awaitRelay
+	readChanges
+)
+
+func (m *Mirror) next(now time.Time) step {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	switch {
+	case m.revision == 0:
+		return readAll
+	case m.configuration < m.wanted:
+		return readConfiguration
+	case m.followsRelay(now):
+		return awaitRelay
+	}
+	return readChanges
+}
+
+// Through reports whether this node reads through the relay.
+func (m *Mirror) Through() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.through
+}
+
+// trust is how old the relay's word may be.
+func (m *Mirror) trust() time.Duration { return share(trustShare, m.config.Times.Changes) }
+
+func share(part float64, of time.Duration) time.Duration { return time.Duration(part * float64(of)) }
+
+// followsRelay must be called with the lock held. It notes and logs a change.
+func (m *Mirror) followsRelay(now time.Time) bool {
+	follows := !m.relayedAt.IsZero() && now.Sub(m.relayedAt) < m.trust()
+	if follows == m.through {
+		return follows
+	}
+	m.through = follows
+	event := m.config.Logger.Info().Str("dependency", "relay").Int64("revision", m.revision)
+	if follows {
+		event.Msg("dependency regained")
+	} else {
+		event.Dur("age_ms", now.Sub(m.relayedAt)).Msg("dependency lost")
+	}
+	return follows
+}
+
+// readAll takes over everything that exists.
+func (m *Mirror) readAll(ctx context.Context) {
+	changes, err := m.config.Source.Read(ctx)
+	m.told(err)
+	if err != nil {
+		clock.Sleep(ctx, unreadPause)
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.replace(changes)
+	m.confirmedAt = time.Now()
+	m.config.Logger.Info().Int("servers", len(changes.Servers)).Int64("revision", changes.At).Msg("servers read")
+}
+
+// readConfiguration reads the configuration of which the relay told.
+func (m *Mirror) readConfiguration(ctx context.Context) {
+	configuration, revision, err := m.config.Source.Configuration(ctx)
+	m.told(err)
+	if err != nil {
+		clock.Sleep(ctx, failedPause)
+		return
+	}
+	m.mutex.Lock()
+	m.takeConfiguration(configuration, revision)
+	behind := m.configuration < m.wanted
+	m.mutex.Unlock()
+	if behind {
+		clock.Sleep(ctx, failedPause)
+	}
+}
+
+// awaitRelay returns when the relay told something, or its word is too old.
+func (m *Mirror) awaitRelay(ctx context.Context) {
+	m.mutex.Lock()
+	left := time.Until(m.relayedAt.Add(m.trust()))
+	m.mutex.Unlock()
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-m.woken:
+	}
+}
+
+// readChanges asks the store for changes once, and tells the subscribers.
+func (m *Mirror) readChanges(ctx context.Context) {
+	wait, pause := m.cadence(time.Now())
+	m.mutex.Lock()
+	after := m.revision
+	m.mutex.Unlock()
+	sent := time.Now()
+	changes, err := m.config.Source.Changes(ctx, after, wait)
+	if ctx.Err() != nil {
+		return
+	}
+	if errors.Is(err, ErrHistoryGone) {
+		m.config.Logger.Warn().Err(err).Int64("revision", after).Msg("watch lost, reading again")
+		m.mutex.Lock()
+		m.revision = 0
+		m.mutex.Unlock()
+		return
+	}
+	m.told(err)
+	if err != nil {
+		clock.Sleep(ctx, failedPause)
+		return
+	}
+	m.mutex.Lock()
+	m.apply(changes)
+	// An answer that was read late, since the process stood still, says nothing of
+	// the time in between.
+	m.confirmedAt = earlier(time.Now(), sent.Add(wait+failedPause))
+	m.mutex.Unlock()
+	m.push(time.Now())
+	if changes.At > after {
+		clock.Sleep(ctx, pause)
+	}
+}
+
+func earlier(first, second time.Time) time.Time {
+	if first.Before(second) {
+		return first
+	}
+	return second
+}
+
+// cadence is how long a call waits for changes, and the pause after some came.
+func (m *Mirror) cadence(now time.Time) (wait, pause time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if len(m.liveSubscribers(now)) > 0 {
+		both := share(relayShare, m.config.Times.Changes)
+		return both, both
+	}
+	return share(aloneWaitShare, m.config.Times.Contact), share(alonePauseShare, m.config.Times.Changes)
+}
+
+// told logs when the store is lost and regained.
+func (m *Mirror) told(err error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	lost := err != nil
+	if lost == m.lost {
+		return
+	}
+	m.lost = lost
+	if lost {
+		m.config.Logger.Warn().Str("dependency", "store").Err(err).Msg("dependency lost")
+		return
+	}
+	m.config.Logger.Info().Str("dependency", "store").Int64("revision", m.revision).Msg("dependency regained")
+}
+
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/mirror/relay.go
@@ -0,0 +1,179 @@
+package mirror
+
+import (
+	"context"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/peer"
+)
+
+const (
+	// subscribePeriod between a node's subscriptions, which end after
+	// subscriptionTime.
+	subscribePeriod  = 2 * time.Second
+	subscriptionTime = 5 * time.Second
+	// relayPeriod between looks for another relay.
+	relayPeriod = 200 * time.Millisecond
+	// subscribeTimeout is how long an answer to a subscription is waited for.
+	subscribeTimeout = 400 * time.Millisecond
+)
+
+// Subscribe asks the relay for what changes after the revision.
+type Subscribe struct {
+	// Address of the subscriber.
+	Address  string
+	Revision int64
+}
+
+// Update tells what changed in the store after Base, up to At; nothing, if the
+// two are equal.
+type Update struct {
+	Base, At int64
+	// Age of the relay's knowledge when it told this.
+	Age time.Duration
+	// Configuration is the newest one's revision; its content is in the store.
+	Configuration int64
+	Servers       []ServerRecord
+	Ended         []string
+	Own           []outside.WatchEvent
+}
+
+// NotRelay is the answer of a node that can't tell what was asked for.
+type NotRelay struct{}
+
+func init() {
+	peer.Register(Subscribe{})
+	peer.Register(Update{})
+	peer.Register(NotRelay{})
+}
+
+// subscribe asks the relay now and then, and at once when there is another one or
+// changes were missed.
+func (m *Mirror) subscribe(ctx context.Context) {
+	ticker := time.NewTicker(relayPeriod)
+	defer ticker.Stop()
+	var last string
+	var asked time.Time
+	for {
+		missed := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.missed:
+			missed = true
+		case <-ticker.C:
+		}
+		relay := m.config.Relay()
+		if relay != "" && (missed || relay != last || time.Since(asked) >= subscribePeriod) {
+			m.ask(relay)
+			asked = time.Now()
+		}
+		last = relay
+	}
+}
+
+func (m *Mirror) ask(relay string) {
+	m.mutex.Lock()
+	revision := m.revision
+	m.mutex.Unlock()
+	if revision == 0 {
+		return
+	}
+	message := Subscribe{Address: m.config.Address, Revision: revision}
+	m.config.Transport.Call(relay, message, subscribeTimeout, func(reply peer.Message, err error) {
+		if update, told := reply.(Update); told && err == nil {
+			m.takeUpdate(update)
+		}
+	})
+}
+
+// serveSubscribe answers with what changed since, if this node reads the store
+// itself and its knowledge is fresh.
+func (m *Mirror) serveSubscribe(_ string, message peer.Message, reply func(peer.Message, error)) {
+	asked := message.(Subscribe)
+	now := time.Now()
+	m.mutex.Lock()
+	age := now.Sub(m.confirmedAt)
+	update, can := m.known.update(asked.Revision, max(m.revision, asked.Revision), age)
+	can = can && m.revision > 0 && !m.through && age < m.trust()
+	if m.revision > 0 && !m.through {
+		// Also if the knowledge is not fresh now: with a subscriber it soon is.
+		m.subscribers[asked.Address] = now
+	}
+	m.mutex.Unlock()
+	if !can {
+		reply(NotRelay{}, nil)
+		return
+	}
+	reply(update, nil)
+}
+
+func (m *Mirror) serveUpdate(_ string, message peer.Message, reply func(peer.Message, error)) {
+	m.takeUpdate(message.(Update))
+	reply(nil, nil)
+}
+
+// takeUpdate takes over what the relay told.
+func (m *Mirror) takeUpdate(update Update) {
+	now := time.Now()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.revision == 0 {
+		return
+	}
+	if update.Base > m.revision {
+		signal(m.missed)
+		return
+	}
+	m.apply(update.changes(now))
+	m.wanted = max(m.wanted, update.Configuration)
+	if confirmed := now.Add(-update.Age); confirmed.After(m.relayedAt) {
+		m.relayedAt = confirmed
+	}
+	signal(m.woken)
+}
+
+// changes returns the update as changes without a configuration.
+func (u Update) changes(now time.Time) Changes {
+	changes := Changes{Base: u.Base, At: u.At, Own: u.Own, Servers: make(map[string]*fleet.Server, len(u.Servers)+len(u.Ended))}
+	for _, record := range u.Servers {
+		changes.Servers[record.ID] = record.server(now)
+	}
+	for _, id := range u.Ended {
+		changes.Servers[id] = nil
+	}
+	return changes
+}
+
+// push tells the subscribers what changed since the last push, or that nothing did.
+func (m *Mirror) push(now time.Time) {
+	if m.config.Transport == nil {
+		return
+	}
+	m.mutex.Lock()
+	update, can := m.known.update(max(m.pushed, m.known.since), m.revision, now.Sub(m.confirmedAt))
+	m.pushed = m.revision
+	subscribers := m.liveSubscribers(now)
+	m.mutex.Unlock()
+	if !can {
+		return
+	}
+	for _, address := range subscribers {
+		m.config.Transport.Send(address, update)
+	}
+}
+
+// liveSubscribers must be called with the lock held. It forgets those that ended.
+func (m *Mirror) liveSubscribers(now time.Time) []string {
+	var live []string
+	for address, asked := range m.subscribers {
+		if now.Sub(asked) > subscriptionTime {
+			delete(m.subscribers, address)
+			continue
+		}
+		live = append(live, address)
+	}
+	return live
+}
