Show what a node knows; close the gaps that the mechanisms showed

'hatchplank inspect' reads a node's /status: configuration in force, holder, what each server holds, and at the holder why.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -12,6 +12,7 @@
 	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
+	"github.com/hatchplank/hatchplank/internal/inspect"
 	"github.com/hatchplank/hatchplank/internal/mirror"
 	"github.com/hatchplank/hatchplank/internal/orders"
 	"github.com/hatchplank/hatchplank/internal/peer/tcp"
@@ -173,6 +174,7 @@
 			Bodies: platform.NewBodies(n.bodyBytes()),
 		},
 		Metrics:    n.metrics,
+		Status:     n.status(),
 		Ready:      n.notReady,
 		IdleLimit:  n.idleLimit,
 		Background: []func(context.Context){n.mirror.Run, n.election.Run, n.holder.Run, n.link.Run, n.tidy, n.serveNodes},
@@ -182,6 +184,18 @@
 	}
 }
 
+// status shows what the node knows.
+func (n *node) status() *inspect.Source {
+	return &inspect.Source{
+		Node: n.settings.Node.Name, Zone: n.settings.Node.Zone, View: n.view, Demand: n.forwarder.Demand,
+		Holder: func() string {
+			holder, _ := n.election.Holder()
+			return holder.Name
+		},
+		Origins: n.holder.Origins, Relayed: n.mirror.Through,
+	}
+}
+
 // gauges are read when metrics are asked for.
 func (n *node) gauges() edge.Gauges {
 	return edge.Gauges{
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -45,6 +45,7 @@
 		NewLoadCommand(),
 		NewExperimentCommand(),
 		NewExplainCommand(),
+		NewInspectCommand(),
 		NewVersionCommand(),
 	)
 	return root
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -19,8 +19,9 @@
 	Callers http.Handler
 	// Ready returns why the node should get no new connections; empty: it should.
 	Ready func() string
-	// Metrics writes the node's figures; nil: none are served.
-	Metrics http.Handler
+	// Metrics writes the node's figures, Status what it knows, both at the address
+	// of the metrics; nil: none are served.
+	Metrics, Status http.Handler
 	// IdleLimit is how long callers' connections may be at rest.
 	IdleLimit func() time.Duration
 	// Background work runs until its context ends.
@@ -137,7 +138,12 @@
 	if p.parts.Metrics == nil || p.settings.Listen.Metrics == "" {
 		return nil
 	}
-	metrics := &http.Server{Handler: p.parts.Metrics, ReadHeaderTimeout: headerTimeout, ErrorLog: quietLog(p.logger)}
+	pages := http.NewServeMux()
+	pages.Handle("/metrics", p.parts.Metrics)
+	if p.parts.Status != nil {
+		pages.Handle("/status", p.parts.Status)
+	}
+	metrics := &http.Server{Handler: pages, ReadHeaderTimeout: headerTimeout, ErrorLog: quietLog(p.logger)}
 	p.others = append(p.others, metrics)
 	return p.serve(MetricsPage, metrics, p.settings.Listen.Metrics, failures)
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -156,6 +156,14 @@
 	}
 }
 
+// after delays an answer's head.
+func after(delay time.Duration, answer func(context.Context, Attempt) (*Reply, error)) func(context.Context, Attempt) (*Reply, error) {
+	return func(ctx context.Context, attempt Attempt) (*Reply, error) {
+		time.Sleep(delay)
+		return answer(ctx, attempt)
+	}
+}
+
 func fails(reason FailureReason, ran result.Ran) func(context.Context, Attempt) (*Reply, error) {
 	return func(context.Context, Attempt) (*Reply, error) {
 		return nil, &AttemptError{Reason: reason, Ran: ran}
@@ -501,6 +509,8 @@
 func TestServerThatSaysItDoesNotHoldTheModelIsLeftOut(t *testing.T) {
 	inVirtualTime(t, func(b *bench) {
 		b.backend.answer["m1"] = fails(FailureNotHeld, result.RanNo)
+		// The other server is slower, so that only what m1 said keeps requests away.
+		b.backend.answer["m2"] = after(100*time.Millisecond, b.backend.answer["m2"])
 		for range 3 {
 			outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
 			Expect(outcome.Code).To(Equal(result.OK))
@@ -543,6 +553,51 @@
 	})
 }
 
+func TestFullServersGetNoMore(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.backend.answer["p1"], b.backend.answer["p2"] = hangs, hangs
+		const places = 2 * overfull * 2
+		for range places {
+			go b.forwarder.Serve(context.Background(), request("once", "", time.Second), &recorder{})
+			synctest.Wait()
+		}
+		Expect(b.backend.servers()).To(HaveLen(places))
+		outcome := b.forwarder.Serve(context.Background(), request("once", "", time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.QueueFull))
+		Expect(outcome.Ran).To(Equal(result.RanNo))
+		Expect(outcome.RetryAfter).To(BeNumerically(">", 0))
+		Expect(b.backend.servers()).To(HaveLen(places))
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// What was sent to a server counts more than which server all nodes would choose.
+func TestPromptsGoWhereTheyWereSentBefore(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		ask := func(number int) {
+			asked := request("stream", "m", 5*time.Second)
+			asked.PromptTokens = 9000
+			asked.Prompt = []PromptPart{{fmt.Sprint("shared", number), 6300}, {"own", 2700}}
+			b.forwarder.Serve(context.Background(), asked, &recorder{})
+		}
+		server := func(draining bool) map[string]*fleet.Server {
+			return map[string]*fleet.Server{"m1": {ID: "m1", Pool: poolOfModels, Slots: 8, Models: holds("m"), Zone: "z", Draining: draining}}
+		}
+		b.backend.answer["m1"] = after(50*time.Millisecond, b.backend.answer["m1"])
+		b.backend.answer["m2"] = after(50*time.Millisecond, b.backend.answer["m2"])
+		const prompts = 20
+		b.view.UpdateServers(server(true))
+		for number := range prompts {
+			ask(number)
+		}
+		b.view.UpdateServers(server(false))
+		for number := range prompts {
+			ask(number)
+		}
+		Expect(b.backend.count("m2")).To(Equal(2 * prompts))
+	})
+}
+
 func TestSharedPromptsGoToOneServer(t *testing.T) {
 	inVirtualTime(t, func(b *bench) {
 		for range 10 {
--- /dev/null
+++ b/internal/inspect/inspect_test.go
@@ -0,0 +1,77 @@
+package inspect_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/forward"
+	"github.com/hatchplank/hatchplank/internal/inspect"
+)
+
+func source(origins inspect.Origins) *inspect.Source {
+	view := fleet.NewView()
+	view.SetConfiguration(fleet.NewConfiguration(7, 42, []*fleet.Route{{Host: "h", Prefix: "/a/"}}, nil, fleet.Limits{}))
+	view.ReplaceServers(map[string]*fleet.Server{
+		"i-2": {ID: "i-2", Pool: "models", Zone: "z", Models: map[string]fleet.Held{"m": {Adapters: map[string]bool{"a2": true, "a1": true}}}},
+		"i-1": {ID: "i-1", Pool: "models", Zone: "y", Draining: true},
+	})
+	return &inspect.Source{
+		Node: "n-1", Zone: "z", View: view, Holder: func() string { return "n-2" }, Relayed: func() bool { return true },
+		Origins: func() inspect.Origins { return origins },
+		Demand: func() []forward.Demand {
+			return []forward.Demand{
+				{DemandKey: forward.DemandKey{Pool: "models", Model: "m"}, Waiting: 2},
+				{DemandKey: forward.DemandKey{Pool: "models", Model: "quiet"}},
+			}
+		},
+	}
+}
+
+func TestPageTellsWhatIsInForceAndWhereModelsAre(t *testing.T) {
+	RegisterTestingT(t)
+	answer := httptest.NewRecorder()
+	source(nil).ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/status", nil))
+	var page inspect.Page
+	Expect(json.Unmarshal(answer.Body.Bytes(), &page)).To(Succeed())
+	Expect(page.Version).To(BeEquivalentTo(7))
+	Expect(page.Revision).To(BeEquivalentTo(42))
+	Expect(page.Routes).To(Equal(1))
+	Expect(page.Holds).To(BeFalse())
+	Expect(page.Servers).To(HaveLen(2))
+	Expect(page.Servers[0].ID).To(Equal("i-1"))
+	Expect(page.Servers[0].Draining).To(BeTrue())
+	Expect(page.Servers[1].Replicas).To(Equal([]inspect.Replica{{Model: "m", Adapters: []string{"a1", "a2"}}}))
+	Expect(page.Demand).To(Equal([]inspect.Demand{{Pool: "models", Model: "m", Waiting: 2}}))
+}
+
+func TestHolderTellsWhyAModelIsWhereItIs(t *testing.T) {
+	RegisterTestingT(t)
+	now := time.Now()
+	page := source(inspect.Origins{"i-2": {"m": {Since: now.Add(-12 * time.Second), Reason: "cold"}}}).Page(now)
+	Expect(page.Holds).To(BeTrue())
+	Expect(page.Servers[1].Replicas[0].Reason).To(Equal("cold"))
+	var text bytes.Buffer
+	Expect(page.Print(&text)).To(Succeed())
+	Expect(text.String()).To(ContainSubstring("configuration 7 of revision 42, 1 routes"))
+	Expect(text.String()).To(MatchRegexp(`i-2 +models +z +ready +m +a1,a2 +12s +cold`))
+	Expect(text.String()).To(MatchRegexp(`models +m +2 +0`))
+}
+
+func TestNodeWithoutConfigurationSaysSo(t *testing.T) {
+	RegisterTestingT(t)
+	empty := &inspect.Source{
+		Node: "n", View: fleet.NewView(), Holder: func() string { return "" }, Relayed: func() bool { return false },
+		Origins: func() inspect.Origins { return nil }, Demand: func() []forward.Demand { return nil },
+	}
+	var text bytes.Buffer
+	Expect(empty.Page(time.Now()).Print(&text)).To(Succeed())
+	Expect(text.String()).To(ContainSubstring("no configuration yet"))
+	Expect(text.String()).To(ContainSubstring("no node is known to order"))
+}
--- /dev/null
+++ b/internal/inspect/print.go
@@ -0,0 +1,66 @@
+package inspect
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// Print writes a page for a person.
+func (p Page) Print(output io.Writer) error {
+	fmt.Fprintf(output, "node %s in %s\n", p.Node, p.Zone)
+	if p.Revision == 0 {
+		fmt.Fprintln(output, "no configuration yet")
+	} else {
+		fmt.Fprintf(output, "configuration %d of revision %d, %d routes\n", p.Version, p.Revision, p.Routes)
+	}
+	fmt.Fprintln(output, p.holderLine())
+	writer := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(writer, "\nSERVER\tPOOL\tZONE\tSTATE\tMODEL\tADAPTERS\tFOR\tREASON")
+	for _, server := range p.Servers {
+		server.print(writer)
+	}
+	if err := writer.Flush(); err != nil {
+		return err
+	}
+	if len(p.Demand) == 0 {
+		return nil
+	}
+	fmt.Fprintln(writer, "\nPOOL\tMODEL\tADAPTER\tWAITING\tRUNNING")
+	for _, row := range p.Demand {
+		fmt.Fprintf(writer, "%s\t%s\t%s\t%d\t%d\n", row.Pool, row.Model, row.Adapter, row.Waiting, row.Running)
+	}
+	return writer.Flush()
+}
+
+func (p Page) holderLine() string {
+	switch {
+	case p.Holds:
+		return "this node orders the model servers"
+	case p.Holder == "":
+		return "no node is known to order the model servers"
+	case p.Relayed:
+		return p.Holder + " orders the model servers, and tells this node what the store holds; it knows why models are where they are"
+	}
+	return p.Holder + " orders the model servers, and knows why models are where they are; this node reads the store itself"
+}
+
+func (s Server) print(output io.Writer) {
+	state := "ready"
+	if s.Draining {
+		state = "draining"
+	}
+	line := fmt.Sprintf("%s\t%s\t%s\t%s", s.ID, s.Pool, s.Zone, state)
+	if len(s.Replicas) == 0 {
+		fmt.Fprintf(output, "%s\t\t\t\t\n", line)
+		return
+	}
+	for _, replica := range s.Replicas {
+		lasting := ""
+		if replica.Reason != "" {
+			lasting = fmt.Sprintf("%.0fs", replica.Seconds)
+		}
+		fmt.Fprintf(output, "%s\t%s\t%s\t%s\t%s\n", line, replica.Model, strings.Join(replica.Adapters, ","), lasting, replica.Reason)
+	}
+}
--- /dev/null
+++ b/internal/mirror/fakes_test.go
@@ -0,0 +1,379 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/peer"
+)
+
+// fakeStore is what all nodes of a test read.
+type fakeStore struct {
+	mutex         sync.Mutex
+	revision      int64
+	servers       map[string]*fleet.Server
+	configuration *fleet.Configuration
+	configuredAt  int64
+	history       []fakeChange
+	// forgotten: changes up to this revision are not kept.
+	forgotten int64
+	changed   chan struct{}
+}
+
+type fakeChange struct {
+	revision      int64
+	server        string
+	record        *fleet.Server
+	configuration *fleet.Configuration
+	configured    bool
+	own           *outside.WatchEvent
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{servers: map[string]*fleet.Server{}, changed: make(chan struct{})}
+}
+
+func (s *fakeStore) add(change fakeChange) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	change.revision = s.revision
+	switch {
+	case change.configured:
+		s.configuredAt = s.revision
+		if change.configuration != nil {
+			s.configuration = fleet.NewConfiguration(s.revision, s.revision, nil, nil, fleet.Limits{})
+			change.configuration = s.configuration
+		}
+	case change.own != nil:
+		change.own.KeyValue.ModRevision = s.revision
+	case change.record == nil:
+		delete(s.servers, change.server)
+	default:
+		s.servers[change.server] = change.record
+	}
+	s.history = append(s.history, change)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// configure writes a configuration, understood or not.
+func (s *fakeStore) configure(understood bool) {
+	change := fakeChange{configured: true}
+	if understood {
+		change.configuration = &fleet.Configuration{}
+	}
+	s.add(change)
+}
+
+func (s *fakeStore) put(id string, draining bool, models ...string) {
+	held := map[string]fleet.Held{}
+	for _, model := range models {
+		held[model] = fleet.Held{Adapters: map[string]bool{}}
+	}
+	s.add(fakeChange{server: id, record: &fleet.Server{ID: id, Pool: "p", Draining: draining, Models: held}})
+}
+
+func (s *fakeStore) remove(id string) { s.add(fakeChange{server: id}) }
+
+func (s *fakeStore) putOwn(key, value string) {
+	s.add(fakeChange{own: &outside.WatchEvent{KeyValue: outside.KeyValue{Key: key, Value: []byte(value)}}})
+}
+
+func (s *fakeStore) forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.forgotten, s.history = s.revision, nil
+}
+
+// since must be called with the lock held.
+func (s *fakeStore) since(revision int64) Changes {
+	changes := Changes{Base: revision, At: s.revision, Servers: map[string]*fleet.Server{}}
+	for _, change := range s.history {
+		if change.revision <= revision {
+			continue
+		}
+		switch {
+		case change.configured:
+			changes.ConfigurationRevision = change.revision
+			if change.configuration != nil {
+				changes.Configuration = change.configuration
+			}
+		case change.own != nil:
+			changes.Own = append(changes.Own, *change.own)
+		default:
+			changes.Servers[change.server] = change.record
+		}
+	}
+	return changes
+}
+
+// fakeSource is one node's way to the store.
+type fakeSource struct {
+	store *fakeStore
+	mutex sync.Mutex
+	// away: calls fail; silent: they are not answered.
+	away, silent bool
+	// calls by name.
+	calls map[string]int
+}
+
+var errAway = errors.New("the store is away")
+
+func (s *fakeSource) call(ctx context.Context, name string) error {
+	s.mutex.Lock()
+	s.calls[name]++
+	away, silent := s.away, s.silent
+	s.mutex.Unlock()
+	if silent {
+		select {
+		case <-ctx.Done():
+		case <-time.After(3 * time.Second):
+		}
+		return errAway
+	}
+	time.Sleep(4 * time.Millisecond)
+	if away {
+		return errAway
+	}
+	return ctx.Err()
+}
+
+func (s *fakeSource) set(away, silent bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.away, s.silent = away, silent
+}
+
+func (s *fakeSource) count(name string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls[name]
+}
+
+func (s *fakeSource) Read(ctx context.Context) (Changes, error) {
+	if err := s.call(ctx, "read"); err != nil {
+		return Changes{}, err
+	}
+	s.store.mutex.Lock()
+	defer s.store.mutex.Unlock()
+	return Changes{
+		At: s.store.revision, Servers: maps.Clone(s.store.servers),
+		Configuration: s.store.configuration, ConfigurationRevision: s.store.configuredAt,
+	}, nil
+}
+
+func (s *fakeSource) Changes(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
+	if err := s.call(ctx, "changes"); err != nil {
+		return Changes{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.store.mutex.Lock()
+		forgotten, changes, changed := s.store.forgotten, s.store.since(after), s.store.changed
+		s.store.mutex.Unlock()
+		if after < forgotten {
+			return Changes{}, ErrHistoryGone
+		}
+		if changes.At > after {
+			return changes, nil
+		}
+		select {
+		case <-ctx.Done():
+			return Changes{}, ctx.Err()
+		case <-timer.C:
+			return changes, nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *fakeSource) Configuration(ctx context.Context) (*fleet.Configuration, int64, error) {
+	if err := s.call(ctx, "configuration"); err != nil {
+		return nil, 0, err
+	}
+	s.store.mutex.Lock()
+	defer s.store.mutex.Unlock()
+	return s.store.configuration, s.store.configuredAt, nil
+}
+
+// fakeNetwork connects the nodes of a test.
+type fakeNetwork struct {
+	mutex sync.Mutex
+	nodes map[string]*fakeTransport
+	// cut nodes neither send nor receive; lose drops the next so many updates.
+	cut  map[string]bool
+	lose int
+	// sent messages by type.
+	sent    map[string]int
+	updates []Update
+}
+
+type fakeTransport struct {
+	network  *fakeNetwork
+	address  string
+	handlers map[reflect.Type]peer.Handler
+}
+
+func (t *fakeTransport) Handle(prototype peer.Message, handler peer.Handler) {
+	t.handlers[reflect.TypeOf(prototype)] = handler
+}
+
+func (t *fakeTransport) Send(address string, message peer.Message) {
+	t.Call(address, message, time.Second, func(peer.Message, error) {})
+}
+
+func (t *fakeTransport) Call(address string, message peer.Message, timeout time.Duration, done func(peer.Message, error)) {
+	target := t.network.pass(t.address, address, message)
+	go func() {
+		if target == nil {
+			time.Sleep(timeout)
+			done(nil, peer.ErrUnreachable)
+			return
+		}
+		time.Sleep(time.Millisecond)
+		target.handlers[reflect.TypeOf(message)](t.address, message, done)
+	}()
+}
+
+// pass returns the receiver of a message, or nil if it is lost.
+func (n *fakeNetwork) pass(from, to string, message peer.Message) *fakeTransport {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.sent[reflect.TypeOf(message).Name()]++
+	update, isUpdate := message.(Update)
+	if isUpdate {
+		n.updates = append(n.updates, update)
+	}
+	if n.cut[from] || n.cut[to] {
+		return nil
+	}
+	if isUpdate && n.lose > 0 {
+		n.lose--
+		return nil
+	}
+	return n.nodes[to]
+}
+
+func (n *fakeNetwork) setCut(address string, cut bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.cut[address] = cut
+}
+
+// fakeOwn keeps the product's own keys.
+type fakeOwn struct {
+	mutex  sync.Mutex
+	values map[string]string
+}
+
+func (o *fakeOwn) Replace(keyValues []outside.KeyValue) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, keyValue := range keyValues {
+		o.values[keyValue.Key] = string(keyValue.Value)
+	}
+}
+
+func (o *fakeOwn) Change(event outside.WatchEvent) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.values[event.KeyValue.Key] = string(event.KeyValue.Value)
+}
+
+func (o *fakeOwn) get(key string) string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.values[key]
+}
+
+// testNode is a node of a test.
+type testNode struct {
+	mirror *Mirror
+	view   *fleet.View
+	source *fakeSource
+	own    *fakeOwn
+	stop   context.CancelFunc
+}
+
+// revision of the configuration in force.
+func (n *testNode) revision() int64 {
+	if configuration := n.view.Load().Configuration; configuration != nil {
+		return configuration.Revision
+	}
+	return 0
+}
+
+// deployment is a store with nodes; the first one is everybody's relay.
+type deployment struct {
+	store   *fakeStore
+	network *fakeNetwork
+	nodes   []*testNode
+
+	mutex sync.Mutex
+	relay string
+}
+
+var testTimes = Times{Contact: 3 * time.Second, Changes: 2 * time.Second}
+
+func addressOf(number int) string { return string(rune('a'+number)) + ":1" }
+
+func newDeployment(nodes int) *deployment {
+	d := &deployment{
+		store: newFakeStore(), relay: addressOf(0),
+		network: &fakeNetwork{nodes: map[string]*fakeTransport{}, cut: map[string]bool{}, sent: map[string]int{}},
+	}
+	d.store.configure(true)
+	d.store.put("s", false, "m")
+	for number := range nodes {
+		d.nodes = append(d.nodes, d.addNode(addressOf(number)))
+	}
+	return d
+}
+
+func (d *deployment) addNode(address string) *testNode {
+	transport := &fakeTransport{network: d.network, address: address, handlers: map[reflect.Type]peer.Handler{}}
+	d.network.mutex.Lock()
+	d.network.nodes[address] = transport
+	d.network.mutex.Unlock()
+	n := &testNode{
+		view: fleet.NewView(), source: &fakeSource{store: d.store, calls: map[string]int{}}, own: &fakeOwn{values: map[string]string{}},
+	}
+	n.mirror = New(Config{
+		Source: n.source, View: n.view, Own: n.own, Times: testTimes, Transport: transport, Address: address, Logger: zerolog.Nop(),
+		Relay: func() string {
+			d.mutex.Lock()
+			defer d.mutex.Unlock()
+			if d.relay == address {
+				return ""
+			}
+			return d.relay
+		},
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	go n.mirror.Run(ctx)
+	return n
+}
+
+func (d *deployment) setRelay(number int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.relay = addressOf(number)
+}
+
+func (d *deployment) close() {
+	for _, node := range d.nodes {
+		node.stop()
+	}
+	time.Sleep(time.Minute)
+}
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,263 @@
+package mirror
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+)
+
+// settled is long enough for all nodes to follow the relay.
+const settled = 4 * time.Second
+
+func withNodes(t *testing.T, nodes int, body func(d *deployment)) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		d := newDeployment(nodes)
+		defer d.close()
+		time.Sleep(settled)
+		body(d)
+	})
+}
+
+// noise makes a server write its record now and then, as it does when it is well.
+func (d *deployment) noise(seconds int) {
+	for range seconds * 4 {
+		d.store.put("s", false, "m")
+		time.Sleep(250 * time.Millisecond)
+	}
+}
+
+func TestFollowersLeaveTheStoreToTheRelay(t *testing.T) {
+	withNodes(t, 4, func(d *deployment) {
+		before := d.nodes[1].source.count("changes")
+		relayed := d.nodes[0].source.count("changes")
+		d.noise(10)
+		Expect(d.nodes[1].mirror.Through()).To(BeTrue())
+		Expect(d.nodes[0].mirror.Through()).To(BeFalse())
+		Expect(d.nodes[1].source.count("changes")).To(Equal(before))
+		Expect(d.nodes[0].source.count("changes") - relayed).To(BeNumerically("<", 50))
+	})
+}
+
+func TestFollowersLearnOfChangesInTime(t *testing.T) {
+	withNodes(t, 3, func(d *deployment) {
+		d.store.configure(true)
+		d.store.put("s", true, "m", "n")
+		d.store.put("t", false)
+		d.store.putOwn("k", "v")
+		time.Sleep(600 * time.Millisecond)
+		for _, node := range d.nodes {
+			Expect(node.revision()).To(Equal(d.store.configuredAt))
+			Expect(node.view.Load().Servers["s"].Draining).To(BeTrue())
+			Expect(node.view.Load().Servers["s"].Holds("n", "")).To(BeTrue())
+			Expect(node.view.Load().Servers).To(HaveKey("t"))
+			Expect(node.own.get("k")).To(Equal("v"))
+		}
+		Expect(d.nodes[1].source.count("configuration")).To(Equal(1))
+		d.store.remove("t")
+		time.Sleep(600 * time.Millisecond)
+		for _, node := range d.nodes {
+			Expect(node.view.Load().Servers).NotTo(HaveKey("t"))
+		}
+	})
+}
+
+func TestRecordsThatDidNotChangeAreNotTold(t *testing.T) {
+	withNodes(t, 2, func(d *deployment) {
+		d.network.mutex.Lock()
+		d.network.updates = nil
+		d.network.mutex.Unlock()
+		d.noise(3)
+		d.network.mutex.Lock()
+		defer d.network.mutex.Unlock()
+		Expect(d.network.updates).NotTo(BeEmpty())
+		for _, update := range d.network.updates {
+			Expect(update.Servers).To(BeEmpty())
+		}
+	})
+}
+
+// Whatever happens to the relay, a follower acts on a change within the time for
+// changes, and a part of it is left for the request that depends on it.
+func TestFollowersReadThemselvesWhenTheRelay(t *testing.T) {
+	cases := map[string]func(d *deployment){
+		"is dead":                        func(d *deployment) { d.nodes[0].stop(); d.network.setCut(addressOf(0), true) },
+		"is cut off from the followers":  func(d *deployment) { d.network.setCut(addressOf(0), true) },
+		"is turned away by the store":    func(d *deployment) { d.nodes[0].source.set(true, false) },
+		"hears nothing of the store":     func(d *deployment) { d.nodes[0].source.set(false, true) },
+		"names another node that is not": func(d *deployment) { d.setRelay(9); d.nodes[0].stop() },
+		"is not agreed on":               func(d *deployment) { d.setRelay(1) },
+	}
+	for name, trouble := range cases {
+		t.Run(name, func(t *testing.T) {
+			withNodes(t, 3, func(d *deployment) {
+				for range 20 {
+					trouble(d)
+					d.store.configure(true)
+					d.store.put("s", true)
+					time.Sleep(share(0.75, testTimes.Changes))
+					Expect(d.nodes[2].revision()).To(Equal(d.store.configuredAt))
+					Expect(d.nodes[2].view.Load().Servers["s"].Draining).To(BeTrue())
+					d.store.put("s", false)
+					time.Sleep(137 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+func TestMissedUpdatesAreAskedForAgain(t *testing.T) {
+	withNodes(t, 2, func(d *deployment) {
+		// Between two of the regular subscriptions.
+		time.Sleep(subscribePeriod / 4)
+		before := d.nodes[1].source.count("changes")
+		d.network.mutex.Lock()
+		d.network.lose = 1
+		d.network.mutex.Unlock()
+		d.store.put("t", false)
+		time.Sleep(250 * time.Millisecond)
+		d.store.put("u", false)
+		time.Sleep(subscribePeriod / 4)
+		Expect(d.nodes[1].view.Load().Servers).To(HaveKey("t"))
+		Expect(d.nodes[1].view.Load().Servers).To(HaveKey("u"))
+		Expect(d.nodes[1].source.count("read")).To(Equal(1))
+		Expect(d.nodes[1].source.count("changes")).To(Equal(before), "the relay was asked, not the store")
+	})
+}
+
+// What the relay tells is as old as its own knowledge, not as its message.
+func TestOldKnowledgeOfTheRelayIsNotTrusted(t *testing.T) {
+	RegisterTestingT(t)
+	m := New(Config{View: fleet.NewView(), Own: &fakeOwn{values: map[string]string{}}, Times: testTimes})
+	m.replace(Changes{At: 10})
+	m.takeUpdate(Update{Base: 10, At: 10, Age: m.trust()})
+	Expect(m.next(time.Now())).To(Equal(readChanges))
+	m.takeUpdate(Update{Base: 10, At: 10})
+	Expect(m.next(time.Now())).To(Equal(awaitRelay))
+}
+
+func TestConfigurationThatIsNotUnderstoodIsReadOnce(t *testing.T) {
+	withNodes(t, 2, func(d *deployment) {
+		before := d.nodes[1].revision()
+		d.store.configure(false)
+		time.Sleep(5 * time.Second)
+		Expect(d.nodes[1].revision()).To(Equal(before))
+		Expect(d.nodes[1].source.count("configuration")).To(Equal(1))
+		d.store.configure(true)
+		time.Sleep(time.Second)
+		Expect(d.nodes[1].revision()).To(Equal(d.store.configuredAt))
+	})
+}
+
+func TestForgottenHistoryIsReadAgain(t *testing.T) {
+	withNodes(t, 2, func(d *deployment) {
+		for _, node := range d.nodes {
+			node.source.set(true, false)
+		}
+		time.Sleep(time.Second)
+		d.store.remove("s")
+		d.store.put("t", false)
+		d.store.forget()
+		for _, node := range d.nodes {
+			node.source.set(false, false)
+		}
+		time.Sleep(2 * time.Second)
+		for _, node := range d.nodes {
+			Expect(node.view.Load().Servers).NotTo(HaveKey("s"))
+			Expect(node.view.Load().Servers).To(HaveKey("t"))
+		}
+	})
+}
+
+// An answer of the store that is read late must not undo what the relay told since.
+func TestLateAnswerDoesNotUndoWhatIsKnown(t *testing.T) {
+	RegisterTestingT(t)
+	node := &testNode{view: fleet.NewView(), own: &fakeOwn{values: map[string]string{}}}
+	m := New(Config{View: node.view, Own: node.own, Times: testTimes})
+	server := func(draining bool) map[string]*fleet.Server {
+		return map[string]*fleet.Server{"s": {ID: "s", Pool: "p", Draining: draining}}
+	}
+	m.replace(Changes{At: 10, Servers: server(false)})
+	m.takeUpdate(Update{Base: 10, At: 12, Servers: []ServerRecord{{ID: "s", Pool: "p", Draining: true}}})
+	m.apply(Changes{Base: 10, At: 11, Servers: server(false)})
+	Expect(node.view.Load().Servers["s"].Draining).To(BeTrue())
+	m.apply(Changes{Base: 10, At: 13, Servers: server(false)})
+	Expect(node.view.Load().Servers["s"].Draining).To(BeFalse())
+}
+
+func TestWhatEndedIsBounded(t *testing.T) {
+	RegisterTestingT(t)
+	k := newKnown()
+	for revision := range int64(3 * mostEnded) {
+		k.take(Changes{At: revision + 1, Servers: map[string]*fleet.Server{fmt.Sprint(revision): nil}})
+	}
+	Expect(len(k.ended)).To(BeNumerically("<=", mostEnded))
+	_, can := k.update(1, 3*mostEnded, 0)
+	Expect(can).To(BeFalse(), "what was forgotten can't be told")
+	recent, can := k.update(3*mostEnded-5, 3*mostEnded, 0)
+	Expect(can).To(BeTrue())
+	Expect(recent.Ended).To(HaveLen(5))
+}
+
+// Any trouble, with relays that change: no node goes back, and once it is over
+// all know what the store holds.
+func TestAnyTroubleLeavesAllNodesEqual(t *testing.T) {
+	for seed := range uint64(30) {
+		withNodes(t, 4, func(d *deployment) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			highest := make([]int64, len(d.nodes))
+			for range 60 {
+				d.randomTrouble(random)
+				time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+				for number, node := range d.nodes {
+					Expect(node.revision()).To(BeNumerically(">=", highest[number]), "seed %d", seed)
+					highest[number] = node.revision()
+				}
+			}
+			for number, node := range d.nodes {
+				node.source.set(false, false)
+				d.network.setCut(addressOf(number), false)
+			}
+			time.Sleep(testTimes.Contact + testTimes.Changes)
+			for number, node := range d.nodes {
+				Expect(node.revision()).To(Equal(d.store.configuredAt), "seed %d, node %d", seed, number)
+				Expect(node.view.Load().Servers).To(HaveLen(len(d.store.servers)), "seed %d, node %d", seed, number)
+				for id, server := range d.store.servers {
+					Expect(node.view.Load().Servers[id].Draining).To(Equal(server.Draining), "seed %d, node %d", seed, number)
+					Expect(node.view.Load().Servers[id].Models).To(HaveLen(len(server.Models)), "seed %d, node %d", seed, number)
+				}
+			}
+		})
+	}
+}
+
+func (d *deployment) randomTrouble(random *rand.Rand) {
+	number := random.IntN(len(d.nodes))
+	id := string(rune('s' + random.IntN(5)))
+	switch random.IntN(9) {
+	case 0:
+		d.store.configure(true)
+	case 1, 2:
+		d.store.put(id, random.IntN(2) == 0, []string{"m", "n"}[:random.IntN(3)]...)
+	case 3:
+		d.store.remove(id)
+	case 4:
+		d.setRelay(number)
+	case 5:
+		d.network.setCut(addressOf(number), random.IntN(2) == 0)
+	case 6:
+		d.nodes[number].source.set(random.IntN(2) == 0, random.IntN(3) == 0)
+	case 7:
+		d.store.forget()
+	case 8:
+		d.network.mutex.Lock()
+		d.network.lose = random.IntN(4)
+		d.network.mutex.Unlock()
+	}
+}
--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -133,6 +133,7 @@
 		report, err := h.report(ctx, target)
 		if err == nil && report.Sequence > sequence && !report.Busy {
 			h.finish(target, &report)
+			h.noteReason(target, action)
 			h.push(time.Now())
 			return
 		}
@@ -146,6 +147,15 @@
 	h.finish(target, nil)
 }
 
+// noteReason keeps why a model was loaded.
+func (h *Holder) noteReason(target *entry, action placement.Action) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if held := target.models[action.Model]; held != nil && action.Kind == placement.Load {
+		held.reason = action.Reason
+	}
+}
+
 func (h *Holder) report(ctx context.Context, target *entry) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -9,6 +9,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/inspect"
 	"github.com/hatchplank/hatchplank/internal/placement"
 )
 
@@ -104,6 +105,16 @@
 	}
 }
 
+// Origins tells why each model is where it is; nil while this node holds no term.
+func (h *Holder) Origins() inspect.Origins {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.term == nil {
+		return nil
+	}
+	return h.ledger.origins()
+}
+
 // Wake makes a plan soon.
 func (h *Holder) Wake() {
 	select {
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/inspect"
 	"github.com/hatchplank/hatchplank/internal/placement"
 )
 
@@ -39,8 +40,13 @@
 type heldModel struct {
 	since    time.Time
 	adapters map[string]bool
+	// reason for which it was loaded.
+	reason string
 }
 
+// reasonFound: the server held the model when this holder first asked it.
+const reasonFound = "found there"
+
 // intentLifetime is how long room that was made is kept for its model.
 const intentLifetime = 3 * time.Second
 
@@ -117,7 +123,7 @@
 	for name, held := range report.Models {
 		kept := to.models[name]
 		if kept == nil {
-			kept = &heldModel{since: now}
+			kept = &heldModel{since: now, reason: reasonFound}
 		}
 		kept.adapters = make(map[string]bool, len(held.Adapters))
 		for adapter := range held.Adapters {
@@ -255,3 +261,16 @@
 	}
 	return count
 }
+
+// origins tells why each model is where it is.
+func (l *ledger) origins() inspect.Origins {
+	origins := make(inspect.Origins, len(l.entries))
+	for id, found := range l.entries {
+		models := make(map[string]inspect.Origin, len(found.models))
+		for name, held := range found.models {
+			models[name] = inspect.Origin{Since: held.since, Reason: held.reason}
+		}
+		origins[id] = models
+	}
+	return origins
+}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -60,16 +60,23 @@
 switch_off whole-events internal/forward/relay.go 'if errors.Is(err, io.EOF) && len(bytes.TrimSpace(r.rest)) > 0 {' 'if false {' $forward
 switch_off no-repeated-events internal/forward/relay.go 'if resumed {' 'if false && resumed {' $forward
 switch_off resume-after platform/backend.go 'if attempt.ResumeAfter != "" {' 'if false {' ./platform
-switch_off silent-stream internal/forward/relay.go 'timer := time.AfterFunc(max(gap, flow.route.LatencyObjective), func() { cancel(errSilent) })' 'timer := time.AfterFunc(time.Hour, func() { cancel(errSilent) })' $forward
+switch_off silent-stream internal/forward/relay.go 'func() { cancel(errSilent) }' 'func() {}' $forward
 switch_off impatience internal/forward/attempt.go 'func() { cancel(errImpatient) }' 'func() {}' $forward
 # Configuration and listing.
 switch_off newer-only internal/fleet/view.go 'configuration.Revision <= current.Revision' 'configuration.Revision < 0' ./internal/fleet
-switch_off history-gone platform/watch.go 'handler.Lost(outside.ErrCompacted)' '' ./platform
-switch_off silent-watch platform/watch.go 's.watchWait+s.watchSlack, http.MethodGet' 's.watchWait+s.watchSlack+time.Hour, http.MethodGet' ./platform
+switch_off history-gone internal/mirror/mirror.go 'm.revision = 0' '' ./internal/mirror
+switch_off silent-watch platform/watch.go 's.call(ctx, wait+s.watchSlack,' 's.call(ctx, wait+s.watchSlack+time.Hour,' ./platform
 switch_off order-of-events platform/feed.go 'servers[id] = nil' '' ./platform
 switch_off no-configuration internal/forward/forwarder.go 'Outcome{Code: result.NodeNotReady' 'Outcome{Code: result.UnknownPath' $forward ./platform
 switch_off draining-server internal/forward/choose.go 'return !server.Draining' 'return true' $forward
 switch_off instance-at-server platform/backend.go 'writeHeader(&head, headerExpectInstance, attempt.Server.ID)' '' ./platform
+# Reading through the relay.
+switch_off relay-is-trusted-briefly internal/mirror/mirror.go 'now.Sub(m.relayedAt) < m.trust()' 'now.Sub(m.relayedAt) < time.Hour' ./internal/mirror
+switch_off relay-tells-its-age internal/mirror/relay.go 'now.Add(-update.Age)' 'now' ./internal/mirror
+switch_off missed-updates internal/mirror/relay.go 'signal(m.missed)' '' ./internal/mirror
+switch_off late-answer internal/mirror/apply.go 'if changes.At <= m.revision || ' 'if ' ./internal/mirror
+switch_off told-configuration internal/mirror/relay.go 'm.wanted = max(m.wanted, update.Configuration)' '' ./internal/mirror
+switch_off bounded-memory-of-ends internal/mirror/known.go 'if len(k.ended) <= mostEnded {' 'if true {' ./internal/mirror
 # Choice and admission.
 switch_off pause-of-unreached internal/forward/choose.go 'return !now.Before(load.pausedUntil)' 'return true' $forward
 switch_off missing-model internal/forward/choose.go 'return !now.Before(load.missing[flow.need()])' 'return true' $forward
@@ -80,19 +87,18 @@
 	code := result.NoBackEnd' $forward
 switch_off time-to-come-back internal/forward/admission.go 'outcome.RetryAfter = flow.retryAfter(delay, now)' '' $forward
 switch_off prefix-affinity internal/forward/choose.go 'if _, sent := load.prefixes[flow.prefixes[i].hash]; sent {' 'if false {' $forward
-switch_off failing-server internal/forward/choose.go 'c.score += time.Duration(2 * load' 'c.score += time.Duration(0 * load' $forward
+switch_off failing-server internal/forward/choose.go 'time.Duration(2 * c.load.failureRate' 'time.Duration(0 * c.load.failureRate' $forward
 # Orders.
 switch_off lease-end internal/orders/term.go '&& now.Before(t.validUntil)' '' ./platform
 switch_off turn internal/orders/term.go 'return !t.ended && t.entered && !now.Before(t.NotBefore)' 'return !t.ended' ./platform
-switch_off entered-before-order internal/orders/term.go '!t.ended && t.entered && ' '!t.ended && ' ./platform
+switch_off entered-before-order internal/orders/term.go '!t.ended && t.entered && ' '!t.ended && ' ./internal/orders
 switch_off later-holder-ends internal/orders/election.go 'e.endReplaced(record)' '' ./platform
-switch_off lease-from-sending internal/orders/renewal.go 'term.renew(sent.Add(' 'term.renew(time.Now().Add(time.Second).Add(' ./platform ./internal/orders
+switch_off lease-from-sending internal/orders/renewal.go 'term.renew(sent.Add(' 'term.renew(sent.Add(time.Since(sent)).Add(' ./internal/orders
 switch_off expected-count platform/orders.go 'Expect: order.ExpectSequence' 'Expect: 0' ./platform
 switch_off instance-of-order platform/orders.go '[][2]string{{headerExpectInstance, order.Server.ID}}' 'nil' ./platform
-switch_off ledger-check internal/orders/holder.go 'if !h.allowed(target, engine, action) {' 'if target == nil {' ./internal/orders ./platform
 switch_off no-work-before-unload internal/orders/holder.go 'delete(target.models, action.Model)' '' ./internal/orders ./platform
-switch_off late-order-noticed internal/orders/ledger.go 'if !e.server.SeenAt.After(e.reportedAt.Add(recordLag)) {' 'if true {' ./internal/orders ./platform
-switch_off store-ceiling internal/orders/ceiling.go 'return max(min(int(c.tokens), atOnce-underWay), 0)' 'return 100' ./internal/orders
+switch_off late-order-noticed internal/orders/ledger.go 'if !e.server.SeenAt.After(e.reportedAt.Add(recordLag)) {' 'if true {' ./internal/orders
+switch_off store-ceiling internal/orders/ceiling.go 'return max(min(int(c.tokens), atOnce-underWay), 0)' 'return max(100, atOnce-underWay)' ./internal/orders
 switch_off busy-server internal/placement/plan.go 'return !server.Busy && ' 'return ' ./internal/placement
 # Life of a process.
 switch_off not-ready-when-stopping internal/edge/process.go 'if p.Stopping() {' 'if false {' ./internal/edge
