--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -60,6 +60,9 @@
 	if outcome.Status != 0 {
 		event = event.Int("status", outcome.Status).Dur("first_byte_ms", outcome.FirstByte)
 	}
+	if outcome.Cold {
+		event = event.Bool("cold", true)
+	}
 	if outcome.RetryAfter > 0 {
 		event = event.Dur("retry_after_ms", outcome.RetryAfter)
 	}
