--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -83,7 +83,7 @@
 		process: edge.NewProcess(settings, logger),
 	}
 	transport, err := tcp.New(tcp.Config{
-		Address: settings.Listen.Peers, Secret: []byte(settings.Cluster.Secret), Logger: logger, MaxBackoff: peerBackoff,
+		Address: settings.Listen.Peers, AdvertisedAddress: settings.Listen.PeersAdvertised, Secret: []byte(settings.Cluster.Secret), Logger: logger, MaxBackoff: peerBackoff,
 		QueueLength: peerQueue, MaxPendingCalls: peerQueue,
 	})
 	if err != nil {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -51,6 +51,7 @@
 	cases := map[string]struct{ from, to, problem string }{
 		"no name":        {"name: n,", "", "node.name is missing"},
 		"no zone":        {", zone: z", "", "node.zone is missing"},
+		"no peers' port": {`peers: "127.0.0.1:0"`, `peers: "127.0.0.1:0", peers_advertised: "there"`, "listen.peers_advertised"},
 		"no port":        {`store: {address: "127.0.0.1:1"`, `store: {address: "127.0.0.1"`, "store.address"},
 		"misspelt":       {"stop: {grace", "stop: {gracee", "gracee"},
 		"no unit":        {"grace: 8s", "grace: 8", "8"},
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -27,6 +27,9 @@
 		Health  string `yaml:"health"`
 		// Peers is where the other nodes reach this one.
 		Peers string `yaml:"peers"`
+		// PeersAdvertised is the address that other nodes are told, where they do not
+		// reach this one at Peers; empty: Peers.
+		PeersAdvertised string `yaml:"peers_advertised"`
 		// Metrics may be empty: then none are served.
 		Metrics string `yaml:"metrics"`
 	} `yaml:"listen"`
@@ -109,6 +112,7 @@
 		{"listen.callers", s.Listen.Callers, false},
 		{"listen.health", s.Listen.Health, false},
 		{"listen.peers", s.Listen.Peers, false},
+		{"listen.peers_advertised", s.Listen.PeersAdvertised, true},
 		{"listen.metrics", s.Listen.Metrics, true},
 		{"store.address", s.Store.Address, false},
 	}
