Tell the successor which servers were ordered lately, at an orderly end

Change: a holder that resigns writes, with the end of its record, how long ago each server was ordered within a turn, its predecessors' orders included; the successor orders all others at once. It is written only if the holder is known to know all (not right after it continued a dead process of its machine). The burst of the store's ceiling starts empty for each holder. What a holder finds at first may be old, and may give way.

--- a/internal/inspect/page.go
+++ b/internal/inspect/page.go
@@ -59,7 +59,8 @@
 	Running int    `json:"running"`
 }
 
-// Origin tells since when a model is at a server, and why.
+// Origin tells since when a model is at a server, zero if that is not known, and
+// why.
 type Origin struct {
 	Since  time.Time
 	Reason string
@@ -126,7 +127,10 @@
 		}
 		sort.Strings(replica.Adapters)
 		if origin, known := origins[name]; known {
-			replica.Reason, replica.Seconds = origin.Reason, now.Sub(origin.Since).Seconds()
+			replica.Reason = origin.Reason
+			if !origin.Since.IsZero() {
+				replica.Seconds = now.Sub(origin.Since).Seconds()
+			}
 		}
 		described.Replicas = append(described.Replicas, replica)
 	}
--- a/internal/inspect/print.go
+++ b/internal/inspect/print.go
@@ -58,7 +58,7 @@
 	}
 	for _, replica := range s.Replicas {
 		lasting := ""
-		if replica.Reason != "" {
+		if replica.Seconds > 0 {
 			lasting = fmt.Sprintf("%.0fs", replica.Seconds)
 		}
 		fmt.Fprintf(output, "%s\t%s\t%s\t%s\t%s\n", line, replica.Model, strings.Join(replica.Adapters, ","), lasting, replica.Reason)
--- a/internal/orders/campaign.go
+++ b/internal/orders/campaign.go
@@ -18,6 +18,11 @@
 	// enters: no other node's turn has to pass, so this node becomes the last
 	// that could order at once.
 	enters bool
+	// inherited is when each server may have been ordered last by another node.
+	inherited map[string]time.Time
+	// continues: a process before this one, on the same machine, may have ordered
+	// until now, and what it ordered is not known.
+	continues bool
 }
 
 // vacancy returns nil if there is a holder, as far as known.
@@ -32,6 +37,8 @@
 	found := &vacancy{notBefore: time.Now(), enters: true}
 	if last != nil {
 		found.lastRevision = last.Revision
+		found.inherited = last.inherited()
+		found.continues = !last.Resigned
 	}
 	if holder != nil {
 		// A record of this machine is that of a process before this one. Another
@@ -42,7 +49,7 @@
 		}
 		found.holderRevision = holder.Revision
 	}
-	if last != nil && last.Name != e.config.Self.Name {
+	if last != nil && last.Name != e.config.Self.Name && !last.Resigned {
 		if vacantAt.IsZero() {
 			vacantAt = time.Now()
 		}
@@ -63,6 +70,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode the record")
 	}
+	turns := e.turnsAt(at, sent)
 	transaction := outside.Transaction{
 		Compares: []outside.Compare{
 			{Key: e.holderKey(), ModRevision: at.holderRevision},
@@ -71,13 +79,18 @@
 		Operations: []outside.Operation{{Kind: outside.OperationPut, Key: e.holderKey(), Value: value, Lease: lease}},
 	}
 	if at.enters {
-		transaction.Operations = append(transaction.Operations, outside.Operation{Kind: outside.OperationPut, Key: e.lastKey(), Value: value})
+		entering, err := e.enteringRecord(turns, sent)
+		if err != nil {
+			return nil, err
+		}
+		transaction.Operations = append(transaction.Operations, outside.Operation{Kind: outside.OperationPut, Key: e.lastKey(), Value: entering})
 	}
 	reply, err := e.transact(transaction)
 	if err != nil {
 		return nil, err
 	}
 	term := newTerm(reply.Revision, at.notBefore, sent.Add(e.config.Lease-leaseMargin), at.enters)
+	term.turns = turns
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.resign {
@@ -85,7 +98,7 @@
 	}
 	e.term, e.lease = term, lease
 	record := e.config.Self
-	record.Revision = reply.Revision
+	record.Revision, record.seenAt = reply.Revision, time.Now()
 	e.holder = &record
 	if at.enters {
 		e.last = &record
@@ -94,6 +107,34 @@
 	return term, nil
 }
 
+// turnsAt is what a term that begins knows of earlier orders. After a whole turn
+// that is nothing, and nothing more is needed.
+func (e *Election) turnsAt(at vacancy, now time.Time) *turns {
+	known := newTurns()
+	if e.config.Turn > 0 {
+		known.wait = e.config.Turn + leaseMargin
+	}
+	if !at.enters {
+		return known
+	}
+	for server, last := range at.inherited {
+		known.inherited[server] = last
+	}
+	if at.continues {
+		known.completeFrom = now.Add(known.wait)
+	}
+	return known
+}
+
+// enteringRecord names this node as the last that could order, with the orders of
+// others that a successor must wait after as well.
+func (e *Election) enteringRecord(known *turns, now time.Time) ([]byte, error) {
+	record := e.config.Self
+	record.Recent, _ = known.recent(now)
+	value, err := json.Marshal(record)
+	return value, eris.Wrap(err, "encode the record")
+}
+
 func (e *Election) grant() (outside.LeaseID, error) {
 	return outside.Await(func(done func(outside.LeaseID, error)) {
 		e.config.Store.GrantLease(e.config.Lease, storeTimeout, done)
--- a/internal/orders/ceiling.go
+++ b/internal/orders/ceiling.go
@@ -30,7 +30,8 @@
 func (c *ceiling) available(rate float64, underWay int, now time.Time) int {
 	burst := max(ceilingMargin*(rate*c.limits.Window.Seconds()*(c.limits.Overage-1)+2), 1)
 	if c.at.IsZero() {
-		c.tokens = 1
+		// A holder before this one may have used its burst a moment ago.
+		c.tokens = 0
 	} else {
 		c.tokens = min(c.tokens+rate*now.Sub(c.at).Seconds(), burst)
 	}
--- a/internal/orders/election.go
+++ b/internal/orders/election.go
@@ -30,8 +30,24 @@
 type Record struct {
 	Name    string `json:"name"`
 	Address string `json:"address"`
+	// Resigned: the node ended its term in order, and no node has ordered since.
+	Resigned bool `json:"resigned,omitempty"`
+	// Recent orders of before this record was written: for each server that was
+	// ordered within a turn, how long ago, in milliseconds. All others were not.
+	Recent map[string]int64 `json:"recent,omitempty"`
 	// Revision at which the record was written; it is the term's token.
 	Revision int64 `json:"-"`
+	// seenAt is when this node learned of the record.
+	seenAt time.Time
+}
+
+// inherited is when each server may have been ordered last.
+func (r *Record) inherited() map[string]time.Time {
+	times := make(map[string]time.Time, len(r.Recent))
+	for server, age := range r.Recent {
+		times[server] = r.seenAt.Add(-time.Duration(age) * time.Millisecond)
+	}
+	return times
 }
 
 // ElectionConfig configures an Election.
@@ -128,7 +144,7 @@
 		e.config.Logger.Error().Err(err).Str("key", keyValue.Key).Msg("record is not understood")
 		return
 	}
-	record.Revision = keyValue.ModRevision
+	record.Revision, record.seenAt = keyValue.ModRevision, time.Now()
 	switch keyValue.Key {
 	case e.holderKey():
 		if e.holder == nil || e.holder.Revision < record.Revision {
@@ -171,8 +187,33 @@
 		return
 	}
 	term.end()
+	told := e.tellRecent(term)
 	err := outside.AwaitError(func(done func(error)) { e.config.Store.RevokeLease(lease, storeTimeout, done) })
-	e.config.Logger.Info().Int64("token", term.Token).AnErr("error", err).Msg("term handed over")
+	e.config.Logger.Info().Int64("token", term.Token).Bool("told_orders", told).AnErr("error", err).Msg("term handed over")
+}
+
+// tellRecent ends this node's record as holder, and tells the successor which
+// servers were ordered lately, if this node was the last one that could order and
+// knows all of them. Otherwise the successor waits for the whole turn.
+func (e *Election) tellRecent(term *Term) bool {
+	recent, complete := term.turns.recent(time.Now())
+	if !complete || !term.hasEntered() {
+		return false
+	}
+	record := e.config.Self
+	record.Resigned, record.Recent = true, recent
+	value, err := json.Marshal(record)
+	if err != nil {
+		return false
+	}
+	_, err = e.transact(outside.Transaction{
+		Compares: []outside.Compare{{Key: e.holderKey(), ModRevision: term.Token}},
+		Operations: []outside.Operation{
+			{Kind: outside.OperationPut, Key: e.lastKey(), Value: value},
+			{Kind: outside.OperationDelete, Key: e.holderKey()},
+		},
+	})
+	return err == nil
 }
 
 // Run takes part until ctx ends.
--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -66,9 +66,10 @@
 func (h *Holder) send(ctx context.Context, term *Term, order Order) (reply Reply, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	if !term.MayOrder(time.Now()) {
+	if !term.begin(order.Server.ID, time.Now()) {
 		return 0, false, nil
 	}
+	defer term.done(order.Server.ID)
 	reply, err = h.config.Engines.Order(ctx, order)
 	return reply, true, err
 }
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -38,6 +38,7 @@
 
 // heldModel is a model that a server holds and may be sent requests for.
 type heldModel struct {
+	// since when it is there; zero if this holder found it at first.
 	since    time.Time
 	adapters map[string]bool
 	// reason for which it was loaded.
@@ -120,10 +121,15 @@
 // but for the report that ends it.
 func (l *ledger) reported(to *entry, report Report, now time.Time) {
 	models := make(map[string]*heldModel, len(report.Models))
+	since := now
+	if to.reportedAt.IsZero() {
+		// What this holder finds at first may have been there for long.
+		since = time.Time{}
+	}
 	for name, held := range report.Models {
 		kept := to.models[name]
 		if kept == nil {
-			kept = &heldModel{since: now, reason: reasonFound}
+			kept = &heldModel{since: since, reason: reasonFound}
 		}
 		kept.adapters = make(map[string]bool, len(held.Adapters))
 		for adapter := range held.Adapters {
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -55,6 +55,33 @@
 		})
 	})
 
+	ginkgo.It("is kept by holders that follow each other at once", func() {
+		limits := CeilingLimits{Window: 5 * time.Second, Overage: 1.1}
+		const rate = 4.0
+		var begun []time.Time
+		now := time.Now()
+		current := newCeiling(limits)
+		for step := range 1000 {
+			if step%50 == 0 {
+				current = newCeiling(limits)
+			}
+			for range current.available(rate, 0, now) {
+				current.take()
+				begun = append(begun, now)
+			}
+			now = now.Add(20 * time.Millisecond)
+		}
+		for i, first := range begun {
+			within := 0
+			for _, at := range begun[i:] {
+				if at.Sub(first) < limits.Window {
+					within++
+				}
+			}
+			Expect(float64(within)).To(BeNumerically("<=", rate*limits.Window.Seconds()*limits.Overage+3))
+		}
+	})
+
 	ginkgo.It("keeps few loads under way at once", func() {
 		bucket := newCeiling(limits)
 		bucket.available(4, 0, begin)
--- a/internal/orders/term.go
+++ b/internal/orders/term.go
@@ -17,6 +17,9 @@
 	// NotBefore is when the predecessor's turn is over.
 	NotBefore time.Time
 
+	// turns are what is known of orders that others must wait after.
+	turns *turns
+
 	mutex      sync.Mutex
 	validUntil time.Time
 	// entered: the store names this node as the last one that ordered.
@@ -26,7 +29,9 @@
 }
 
 func newTerm(token int64, notBefore, validUntil time.Time, entered bool) *Term {
-	return &Term{Token: token, NotBefore: notBefore, validUntil: validUntil, entered: entered, over: make(chan struct{})}
+	return &Term{
+		Token: token, NotBefore: notBefore, validUntil: validUntil, entered: entered, over: make(chan struct{}), turns: newTurns(),
+	}
 }
 
 // MayOrder reports whether an order may be sent now.
@@ -36,6 +41,26 @@
 	return !t.ended && t.entered && !now.Before(t.NotBefore) && now.Before(t.validUntil)
 }
 
+// MayOrderServer reports whether this server may be ordered now: also when the
+// term allows orders, a predecessor's turn at the server may not be over.
+func (t *Term) MayOrderServer(server string, now time.Time) bool {
+	return t.MayOrder(now) && t.turns.over(server, now)
+}
+
+// begin notes that an order is sent to the server, if it may be now. Done must be
+// called when its answer came, or is not waited for any more.
+func (t *Term) begin(server string, now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.ended || !t.entered || now.Before(t.NotBefore) || !now.Before(t.validUntil) || !t.turns.over(server, now) {
+		return false
+	}
+	t.turns.begin(server)
+	return true
+}
+
+func (t *Term) done(server string) { t.turns.done(server, time.Now()) }
+
 // mustEnter reports whether the turn has come and the store does not know yet.
 func (t *Term) mustEnter(now time.Time) bool {
 	t.mutex.Lock()
@@ -49,6 +74,12 @@
 	t.entered = true
 }
 
+func (t *Term) hasEntered() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.entered
+}
+
 // Over is closed when the term has ended for good.
 func (t *Term) Over() <-chan struct{} { return t.over }
 
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -100,6 +100,9 @@
 switch_off late-order-noticed internal/orders/ledger.go 'if !e.server.SeenAt.After(e.reportedAt.Add(recordLag)) {' 'if true {' ./internal/orders
 switch_off store-ceiling internal/orders/ceiling.go 'return max(min(int(c.tokens), atOnce-underWay), 0)' 'return max(100, atOnce-underWay)' ./internal/orders
 switch_off busy-server internal/placement/plan.go 'return !server.Busy && ' 'return ' ./internal/placement
+switch_off turn-at-each-server internal/orders/turns.go 'last, known := t.inherited[server]' 'last, known := t.inherited[server+"?"]' ./internal/orders ./platform
+switch_off recent-orders-complete internal/orders/turns.go 'return ages, !now.Before(t.completeFrom)' 'return ages, true' ./internal/orders ./platform
+switch_off successor-without-burst internal/orders/ceiling.go 'c.tokens = 0' 'c.tokens = burst' ./internal/orders
 # Life of a process.
 switch_off not-ready-when-stopping internal/edge/process.go 'if p.Stopping() {' 'if false {' ./internal/edge
 switch_off stop-takes-what-arrives internal/edge/process.go 'time.Sleep(min(acceptAfterStop, p.settings.Stop.Grace/2))' '' ./internal/edge
