--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -12,6 +12,6 @@
 		Example: "  hatchplank experiment demo\n  hatchplank experiment faults --deployment schools --seed 1 --runs 20",
 	}
 	group(command)
-	command.AddCommand(newDemoCommand(), newClaimsCommand(), newFaultsCommand(), newOverloadCommand(), newPoliciesCommand(), newSlopesCommand())
+	command.AddCommand(newDemoCommand(), newClaimsCommand(), newFaultsCommand(), newOverloadCommand(), newPoliciesCommand())
 	return command
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -18,7 +18,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
@@ -84,26 +83,10 @@
 	Logger  zerolog.Logger
 }
 
-const (
-	// aloneWaitShare of the contact time is how long a node that reads for itself
-	// waits for changes in one call: a call that a silent store swallowed is given
-	// up within the contact time.
-	aloneWaitShare = 0.5
-	// alonePauseShare of the time for changes is left between its calls; the rest is
-	// for the call, and for a node that is slow.
-	alonePauseShare = 0.45
-	// relayShare of the time for changes is how long the relay waits for changes in
-	// one call, and what it leaves between calls that brought some.
-	relayShare = 0.125
-	// trustShare of the time for changes is how old what the relay told may be. It is
-	// above twice the relay's share, and leaves the rest for messages that are lost
-	// and sent again.
-	trustShare = 0.35
-	// failedPause is left after a call that failed.
-	failedPause = 150 * time.Millisecond
-	// unreadPause is left after everything could not be read.
-	unreadPause = 250 * time.Millisecond
-)
+// trustShare of the time for changes is how old what the relay told may be. It is
+// above twice the relay's share, and leaves the rest for messages that are lost
+// and sent again.
+const trustShare = 0.35
 
 // Mirror keeps a view equal to what the store holds.
 type Mirror struct {
@@ -217,121 +200,6 @@
 	return follows
 }
 
-// readAll takes over everything that exists.
-func (m *Mirror) readAll(ctx context.Context) {
-	changes, err := m.config.Source.Read(ctx)
-	m.told(err)
-	if err != nil {
-		clock.Sleep(ctx, unreadPause)
-		return
-	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.replace(changes)
-	m.confirmedAt = time.Now()
-	m.config.Logger.Info().Int("servers", len(changes.Servers)).Int64("revision", changes.At).Msg("servers read")
-}
-
-// readConfiguration reads the configuration of which the relay told.
-func (m *Mirror) readConfiguration(ctx context.Context) {
-	configuration, revision, err := m.config.Source.Configuration(ctx)
-	m.told(err)
-	if err != nil {
-		clock.Sleep(ctx, failedPause)
-		return
-	}
-	m.mutex.Lock()
-	m.takeConfiguration(configuration, revision)
-	behind := m.configuration < m.wanted
-	m.mutex.Unlock()
-	if behind {
-		clock.Sleep(ctx, failedPause)
-	}
-}
-
-// awaitRelay returns when the relay told something, or its word is too old.
-func (m *Mirror) awaitRelay(ctx context.Context) {
-	m.mutex.Lock()
-	left := time.Until(m.relayedAt.Add(m.trust()))
-	m.mutex.Unlock()
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-m.woken:
-	}
-}
-
-// readChanges asks the store for changes once, and tells the subscribers.
-func (m *Mirror) readChanges(ctx context.Context) {
-	wait, pause := m.cadence(time.Now())
-	m.mutex.Lock()
-	after := m.revision
-	m.mutex.Unlock()
-	sent := time.Now()
-	changes, err := m.config.Source.Changes(ctx, after, wait)
-	if ctx.Err() != nil {
-		return
-	}
-	if errors.Is(err, ErrHistoryGone) {
-		m.config.Logger.Warn().Err(err).Int64("revision", after).Msg("watch lost, reading again")
-		m.mutex.Lock()
-		m.revision = 0
-		m.mutex.Unlock()
-		return
-	}
-	m.told(err)
-	if err != nil {
-		clock.Sleep(ctx, failedPause)
-		return
-	}
-	m.mutex.Lock()
-	m.apply(changes)
-	// An answer that was read late, since the process stood still, says nothing of
-	// the time in between.
-	m.confirmedAt = earlier(time.Now(), sent.Add(wait+failedPause))
-	m.mutex.Unlock()
-	m.push(time.Now())
-	if changes.At > after {
-		clock.Sleep(ctx, pause)
-	}
-}
-
-func earlier(first, second time.Time) time.Time {
-	if first.Before(second) {
-		return first
-	}
-	return second
-}
-
-// cadence is how long a call waits for changes, and the pause after some came.
-func (m *Mirror) cadence(now time.Time) (wait, pause time.Duration) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if len(m.liveSubscribers(now)) > 0 {
-		both := share(relayShare, m.config.Times.Changes)
-		return both, both
-	}
-	return share(aloneWaitShare, m.config.Times.Contact), share(alonePauseShare, m.config.Times.Changes)
-}
-
-// told logs when the store is lost and regained.
-func (m *Mirror) told(err error) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	lost := err != nil
-	if lost == m.lost {
-		return
-	}
-	m.lost = lost
-	if lost {
-		m.config.Logger.Warn().Str("dependency", "store").Err(err).Msg("dependency lost")
-		return
-	}
-	m.config.Logger.Info().Str("dependency", "store").Int64("revision", m.revision).Msg("dependency regained")
-}
-
 func signal(channel chan struct{}) {
 	select {
 	case channel <- struct{}{}:
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -64,7 +64,7 @@
 switch_off impatience internal/forward/attempt.go 'func() { cancel(errImpatient) }' 'func() {}' $forward
 # Configuration and listing.
 switch_off newer-only internal/fleet/view.go 'configuration.Revision <= current.Revision' 'configuration.Revision < 0' ./internal/fleet
-switch_off history-gone internal/mirror/mirror.go 'm.revision = 0' '' ./internal/mirror
+switch_off history-gone internal/mirror/reading.go 'm.revision = 0' '' ./internal/mirror
 switch_off silent-watch platform/watch.go 's.call(ctx, wait+s.watchSlack,' 's.call(ctx, wait+s.watchSlack+time.Hour,' ./platform
 switch_off order-of-events platform/feed.go 'servers[id] = nil' '' ./platform
 switch_off no-configuration internal/forward/forwarder.go 'Outcome{Code: result.NodeNotReady' 'Outcome{Code: result.UnknownPath' $forward ./platform
