Leave very many changes at once to the store

Change: a push tells at most 2,000 records to all subscribers together, and 8 to each at least; what is more, each node reads from the store.

--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -142,6 +142,33 @@
 	Expect(m.next(time.Now())).To(Equal(awaitRelay))
 }
 
+// Very many changes at once are read from the store, by each node for itself, and
+// the relay is followed again after that.
+func TestManyChangesAreReadFromTheStore(t *testing.T) {
+	withNodes(t, 5, func(d *deployment) {
+		d.network.mutex.Lock()
+		d.network.updates = nil
+		d.network.mutex.Unlock()
+		before := d.nodes[1].source.count("changes")
+		most := mostFor(4)
+		for number := range 2 * most {
+			d.store.put(fmt.Sprint("t", number), false)
+		}
+		time.Sleep(share(0.75, testTimes.Changes))
+		for _, node := range d.nodes {
+			Expect(node.view.Load().Servers).To(HaveLen(1 + 2*most))
+		}
+		Expect(d.nodes[1].source.count("changes")).To(BeNumerically(">", before))
+		d.network.mutex.Lock()
+		for _, update := range d.network.updates {
+			Expect(update.size()).To(BeNumerically("<=", most))
+		}
+		d.network.mutex.Unlock()
+		time.Sleep(settled)
+		Expect(d.nodes[1].mirror.Through()).To(BeTrue())
+	})
+}
+
 func TestConfigurationThatIsNotUnderstoodIsReadOnce(t *testing.T) {
 	withNodes(t, 2, func(d *deployment) {
 		before := d.nodes[1].revision()
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -18,6 +18,10 @@
 	relayPeriod = 200 * time.Millisecond
 	// subscribeTimeout is how long an answer to a subscription is waited for.
 	subscribeTimeout = 400 * time.Millisecond
+	// mostTold records go out at once, to all subscribers together, and leastTold to
+	// each. What is more, such as all servers when a deployment starts, each node
+	// reads from the store: the relay's link and memory are not made for it.
+	mostTold, leastTold = 2000, 8
 )
 
 // Subscribe asks the relay for what changes after the revision.
@@ -40,6 +44,12 @@
 	Own           []outside.WatchEvent
 }
 
+// size is the number of records.
+func (u Update) size() int { return len(u.Servers) + len(u.Ended) }
+
+// mostFor is how many records each of so many subscribers is told at once.
+func mostFor(subscribers int) int { return max(mostTold/max(subscribers, 1), leastTold) }
+
 // NotRelay is the answer of a node that can't tell what was asked for.
 type NotRelay struct{}
 
@@ -97,7 +107,7 @@
 	m.mutex.Lock()
 	age := now.Sub(m.confirmedAt)
 	update, can := m.known.update(asked.Revision, max(m.revision, asked.Revision), age)
-	can = can && m.revision > 0 && !m.through && age < m.trust()
+	can = can && update.size() <= mostFor(len(m.subscribers)) && m.revision > 0 && !m.through && age < m.trust()
 	if m.revision > 0 && !m.through {
 		// Also if the knowledge is not fresh now: with a subscriber it soon is.
 		m.subscribers[asked.Address] = now
@@ -157,7 +167,7 @@
 	m.pushed = m.revision
 	subscribers := m.liveSubscribers(now)
 	m.mutex.Unlock()
-	if !can {
+	if !can || update.size() > mostFor(len(subscribers)) {
 		return
 	}
 	for _, address := range subscribers {
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -76,6 +76,7 @@
 switch_off missed-updates internal/mirror/relay.go 'signal(m.missed)' '' ./internal/mirror
 switch_off late-answer internal/mirror/apply.go 'if changes.At <= m.revision || ' 'if ' ./internal/mirror
 switch_off told-configuration internal/mirror/relay.go 'm.wanted = max(m.wanted, update.Configuration)' '' ./internal/mirror
+switch_off bounded-pushes internal/mirror/relay.go '!can || update.size() > mostFor(len(subscribers))' '!can' ./internal/mirror
 switch_off bounded-memory-of-ends internal/mirror/known.go 'if len(k.ended) <= mostEnded {' 'if true {' ./internal/mirror
 # Choice and admission.
 switch_off pause-of-unreached internal/forward/choose.go 'return !now.Before(load.pausedUntil)' 'return true' $forward
