--- a/cmd/hatchplank-node/node_test.go
+++ b/cmd/hatchplank-node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/edge"
+	"github.com/hatchplank/hatchplank/internal/inspect"
 	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
 	"github.com/hatchplank/hatchplank/platform/standin"
@@ -69,9 +71,15 @@
 
 // start runs a node until the test ends or stop is called.
 func (d *deployment) start(t *testing.T, name string) (callers string, stop func()) {
+	process, stop := d.run(t, name)
+	return "http://" + process.Address(edge.Callers), stop
+}
+
+// run runs a node until the test ends or stop is called.
+func (d *deployment) run(t *testing.T, name string) (process *edge.Process, stop func()) {
 	settings, err := edge.LoadSettings([]byte(fmt.Sprintf(nodeSettings, name, d.address)))
 	Expect(err).NotTo(HaveOccurred())
-	process, err := assemble(settings, zerolog.Nop())
+	process, err = assemble(settings, zerolog.Nop())
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -87,7 +95,7 @@
 	}
 	t.Cleanup(stop)
 	Eventually(func() int { return statusOf("http://" + process.Address(edge.Health) + "/ready") }, "30s").Should(Equal(http.StatusOK))
-	return "http://" + process.Address(edge.Callers), stop
+	return process, stop
 }
 
 func statusOf(url string) int {
@@ -129,3 +137,29 @@
 		return standin.Ask(second, "/s/x", "b")
 	}, "30s").Should(Equal(http.StatusOK))
 }
+
+func TestNodeShowsWhatItKnows(t *testing.T) {
+	RegisterTestingT(t)
+	d := newDeployment(t)
+	process, _ := d.run(t, "x")
+	page := func() inspect.Page {
+		var page inspect.Page
+		answer, err := http.Get("http://" + process.Address(edge.MetricsPage) + "/status")
+		Expect(err).NotTo(HaveOccurred())
+		defer answer.Body.Close()
+		Expect(json.NewDecoder(answer.Body).Decode(&page)).To(Succeed())
+		return page
+	}
+	Eventually(func() bool { return page().Holds }, "30s").Should(BeTrue())
+	Eventually(func() int { return standin.Ask("http://"+process.Address(edge.Callers), "/s/x", "b") }, "30s").Should(Equal(http.StatusOK))
+	shown := page()
+	Expect(shown.Holder).To(Equal("x"))
+	Expect(shown.Servers).To(HaveLen(3))
+	reasons := map[string]string{}
+	for _, server := range shown.Servers {
+		for _, replica := range server.Replicas {
+			reasons[replica.Model] = replica.Reason
+		}
+	}
+	Expect(reasons).To(Equal(map[string]string{"a": "found there", "b": "cold"}))
+}
