--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -332,7 +332,7 @@
 	RegisterTestingT(t)
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	Expect(err).NotTo(HaveOccurred())
-	for _, folder := range []string{".", "../orders", "../../platform", "../../cmd/hatchplank-node", "../logging"} {
+	for _, folder := range []string{".", "../orders", "../mirror", "../../platform", "../../cmd/hatchplank-node", "../logging"} {
 		files, err := filepath.Glob(filepath.Join(folder, "*.go"))
 		Expect(err).NotTo(HaveOccurred())
 		for _, file := range files {
