Guard what the forwarder's tests observe

Cause: go test -race found the tests' own list of observations written by two goroutines (the product's code is not part of it). The other packages of the platform's path were clean under -race. Measured: go test -race -count=3 ./internal/forward passes.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -194,7 +194,9 @@
 	view      *fleet.View
 	backend   *fakeBackend
 	orders    *fakeOrders
-	observed  []Observation
+
+	mutex    sync.Mutex
+	observed []Observation
 }
 
 func holds(models ...string) map[string]fleet.Held {
@@ -221,7 +223,11 @@
 	b.forwarder = New(Config{
 		View: b.view, Backend: b.backend, Orders: b.orders, Zone: "z", Nodes: 1,
 		Budget:  BudgetLimits{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
-		Observe: func(seen Observation) { b.observed = append(b.observed, seen) },
+		Observe: func(seen Observation) {
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			b.observed = append(b.observed, seen)
+		},
 	})
 	return b
 }
