--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -222,7 +222,7 @@
 	}
 	b.forwarder = New(Config{
 		View: b.view, Backend: b.backend, Orders: b.orders, Zone: "z", Nodes: 1,
-		Budget:  BudgetLimits{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
+		Budget: BudgetLimits{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
 		Observe: func(seen Observation) {
 			b.mutex.Lock()
 			defer b.mutex.Unlock()
