--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -46,7 +46,6 @@
 switch_off caller-gone internal/exchange/client.go 'stop := context.AfterFunc(ctx, func() { _ = conn.Close() })' 'stop := context.AfterFunc(context.Background(), func() { _ = conn.Close() })' ./internal/exchange ./platform
 # Answers.
 switch_off answer-identity platform/backend.go 'return answer.Header.Get(headerRequestID) == attempt.Request.ID' 'return true' ./platform
-switch_off surplus-bytes internal/exchange/client.go '|| b.conn.reader.Buffered() > 0' '' ./internal/exchange
 switch_off foreign-costs-connection internal/exchange/client.go 'clean = false' 'clean = true' ./internal/exchange
 switch_off unwritten-costs-connection internal/exchange/client.go '|| !b.written.finished()' '' ./internal/exchange
 switch_off torn-answer-closes platform/ingress.go 'case outcome.Begun || outcome.Code == result.CallerGone:
