Tell the newest configuration also as the next relay

Cause: found by reading the change once more. The revision of the newest configuration was kept twice: as wanted, from what a relay told, and as known, from what the node read from the store and tells others. A follower that became the relay told the older one. A node further behind, that took its update before its own answer of the store, would not have read the configuration until the next change. Change: one value. The test fails without it (told 5, newest 11).

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -102,10 +102,10 @@
 	// confirmedAt is when the store's own word was last heard, and relayedAt when
 	// that of the relay was fresh.
 	confirmedAt, relayedAt time.Time
-	// configuration is the revision of the newest one that was read, wanted that of
-	// the newest one that exists.
-	configuration, wanted int64
-	known                 *known
+	// configuration is the revision of the newest one that was read; known tells
+	// that of the newest one that exists.
+	configuration int64
+	known         *known
 	// subscribers by address, with when they last asked; they were told of all changes
 	// up to the revision pushed.
 	subscribers map[string]time.Time
@@ -164,7 +164,7 @@
 	switch {
 	case m.revision == 0:
 		return readAll
-	case m.configuration < m.wanted:
+	case m.configuration < m.known.configuration:
 		return readConfiguration
 	case m.followsRelay(now):
 		return awaitRelay
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -218,6 +218,19 @@
 	Expect(node.view.Load().Servers["s"].Draining).To(BeFalse())
 }
 
+// A node that learned of a configuration from one relay tells of it when it is the
+// relay itself; else a node that is further behind would never read it.
+func TestNextRelayTellsTheNewestConfiguration(t *testing.T) {
+	RegisterTestingT(t)
+	m := New(Config{View: fleet.NewView(), Own: &fakeOwn{values: map[string]string{}}, Times: testTimes})
+	m.replace(Changes{At: 10, ConfigurationRevision: 5})
+	m.takeUpdate(Update{Base: 10, At: 12, Configuration: 11})
+	Expect(m.next(time.Now())).To(Equal(readConfiguration))
+	told, can := m.known.update(10, 12, 0)
+	Expect(can).To(BeTrue())
+	Expect(told.Configuration).To(BeEquivalentTo(11))
+}
+
 func TestWhatEndedIsBounded(t *testing.T) {
 	RegisterTestingT(t)
 	k := newKnown()
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -50,7 +50,7 @@
 	}
 	m.mutex.Lock()
 	m.takeConfiguration(configuration, revision)
-	behind := m.configuration < m.wanted
+	behind := m.configuration < m.known.configuration
 	m.mutex.Unlock()
 	if behind {
 		clock.Sleep(ctx, failedPause)
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -138,7 +138,7 @@
 		return
 	}
 	m.apply(update.changes(now))
-	m.wanted = max(m.wanted, update.Configuration)
+	m.known.configuration = max(m.known.configuration, update.Configuration)
 	if confirmed := now.Add(-update.Age); confirmed.After(m.relayedAt) {
 		m.relayedAt = confirmed
 	}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -74,7 +74,7 @@
 switch_off relay-tells-its-age internal/mirror/relay.go 'now.Add(-update.Age)' 'now' ./internal/mirror
 switch_off missed-updates internal/mirror/relay.go 'signal(m.missed)' '' ./internal/mirror
 switch_off late-answer internal/mirror/apply.go 'if changes.At <= m.revision || ' 'if ' ./internal/mirror
-switch_off told-configuration internal/mirror/relay.go 'm.wanted = max(m.wanted, update.Configuration)' '' ./internal/mirror
+switch_off told-configuration internal/mirror/relay.go 'm.known.configuration = max(m.known.configuration, update.Configuration)' '' ./internal/mirror
 switch_off bounded-pushes internal/mirror/relay.go '!can || update.size() > mostFor(len(subscribers))' '!can' ./internal/mirror
 switch_off bounded-memory-of-ends internal/mirror/known.go 'if len(k.ended) <= mostEnded {' 'if true {' ./internal/mirror
 # Choice and admission.
