--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -136,19 +136,10 @@
 		Times: mirror.Times{
 			Contact: n.settings.Store.Contact, Changes: min(n.settings.Store.Changes, n.settings.Store.Drains),
 		},
-		Relay: n.relay, Transport: n.transport, Address: n.transport.Address(), Logger: n.logger,
+		Relay: n.election.HolderElsewhere, Transport: n.transport, Address: n.transport.Address(), Logger: n.logger,
 	})
 }
 
-// relay is the address of the holder of orders, if that is another node.
-func (n *node) relay() string {
-	holder, known := n.election.Holder()
-	if !known || holder.Address == n.transport.Address() {
-		return ""
-	}
-	return holder.Address
-}
-
 // turn is the time between the orders of two holders.
 func (n *node) turn() time.Duration {
 	if n.settings.Orders.Fenced {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Server is one incarnation of a server, as it last told of itself.
 type Server struct {
@@ -29,6 +32,25 @@
 	Adapters map[string]bool
 }
 
+// NewHeld returns a model that is held with the adapters.
+func NewHeld(adapters []string) Held {
+	held := Held{Adapters: make(map[string]bool, len(adapters))}
+	for _, adapter := range adapters {
+		held.Adapters[adapter] = true
+	}
+	return held
+}
+
+// AdapterNames lists the adapters in order; it is never nil.
+func (h Held) AdapterNames() []string {
+	names := make([]string, 0, len(h.Adapters))
+	for adapter := range h.Adapters {
+		names = append(names, adapter)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Recorded returns the models that the server's own record shows.
 func (s *Server) Recorded() map[string]Held {
 	if s.recorded != nil {
--- a/internal/inspect/page.go
+++ b/internal/inspect/page.go
@@ -121,11 +121,7 @@
 		ID: server.ID, Pool: server.Pool, Zone: server.Zone, Address: server.Address, Draining: server.Draining, Replicas: []Replica{},
 	}
 	for name, held := range server.Models {
-		replica := Replica{Model: name, Adapters: []string{}}
-		for adapter := range held.Adapters {
-			replica.Adapters = append(replica.Adapters, adapter)
-		}
-		sort.Strings(replica.Adapters)
+		replica := Replica{Model: name, Adapters: held.AdapterNames()}
 		if origin, known := origins[name]; known {
 			replica.Reason = origin.Reason
 			if !origin.Since.IsZero() {
--- a/internal/mirror/known.go
+++ b/internal/mirror/known.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -121,40 +122,19 @@
 		ID: server.ID, Pool: server.Pool, Address: server.Address, Zone: server.Zone, Slots: server.Slots, Draining: server.Draining,
 	}
 	for name, held := range server.Recorded() {
-		model := ModelRecord{Name: name}
-		for adapter := range held.Adapters {
-			model.Adapters = append(model.Adapters, adapter)
-		}
-		sort.Strings(model.Adapters)
-		record.Models = append(record.Models, model)
+		record.Models = append(record.Models, ModelRecord{Name: name, Adapters: held.AdapterNames()})
 	}
 	sort.Slice(record.Models, func(i, j int) bool { return record.Models[i].Name < record.Models[j].Name })
 	return record
 }
 
 func (r ServerRecord) equal(other ServerRecord) bool {
-	if r.ID != other.ID || r.Pool != other.Pool || r.Address != other.Address || r.Zone != other.Zone ||
-		r.Slots != other.Slots || r.Draining != other.Draining || len(r.Models) != len(other.Models) {
-		return false
-	}
-	for i, model := range r.Models {
-		if model.Name != other.Models[i].Name || !sameStrings(model.Adapters, other.Models[i].Adapters) {
-			return false
-		}
-	}
-	return true
+	return r.ID == other.ID && r.Pool == other.Pool && r.Address == other.Address && r.Zone == other.Zone &&
+		r.Slots == other.Slots && r.Draining == other.Draining && slices.EqualFunc(r.Models, other.Models, ModelRecord.equal)
 }
 
-func sameStrings(first, second []string) bool {
-	if len(first) != len(second) {
-		return false
-	}
-	for i := range first {
-		if first[i] != second[i] {
-			return false
-		}
-	}
-	return true
+func (m ModelRecord) equal(other ModelRecord) bool {
+	return m.Name == other.Name && slices.Equal(m.Adapters, other.Adapters)
 }
 
 // server returns the record as a server seen at the time.
@@ -164,11 +144,7 @@
 		Models: make(map[string]fleet.Held, len(r.Models)), SeenAt: seenAt,
 	}
 	for _, model := range r.Models {
-		held := fleet.Held{Adapters: make(map[string]bool, len(model.Adapters))}
-		for _, adapter := range model.Adapters {
-			held.Adapters[adapter] = true
-		}
-		server.Models[model.Name] = held
+		server.Models[model.Name] = fleet.NewHeld(model.Adapters)
 	}
 	return server
 }
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -163,9 +163,13 @@
 		return
 	}
 	m.mutex.Lock()
-	update, can := m.known.update(max(m.pushed, m.known.since), m.revision, now.Sub(m.confirmedAt))
+	subscribers, after := m.liveSubscribers(now), max(m.pushed, m.known.since)
 	m.pushed = m.revision
-	subscribers := m.liveSubscribers(now)
+	if len(subscribers) == 0 {
+		m.mutex.Unlock()
+		return
+	}
+	update, can := m.known.update(after, m.revision, now.Sub(m.confirmedAt))
 	m.mutex.Unlock()
 	if !can || update.size() > mostFor(len(subscribers)) {
 		return
--- a/internal/orders/campaign.go
+++ b/internal/orders/campaign.go
@@ -117,9 +117,7 @@
 	if !at.enters {
 		return known
 	}
-	for server, last := range at.inherited {
-		known.inherited[server] = last
-	}
+	known.inherited = at.inherited
 	if at.continues {
 		known.completeFrom = now.Add(known.wait)
 	}
--- a/internal/orders/election.go
+++ b/internal/orders/election.go
@@ -99,6 +99,16 @@
 	return *e.holder, true
 }
 
+// HolderElsewhere returns the address of the holder if that is another node, else
+// an empty one.
+func (e *Election) HolderElsewhere() string {
+	holder, known := e.Holder()
+	if !known || holder.Address == e.config.Self.Address {
+		return ""
+	}
+	return holder.Address
+}
+
 // Term returns this node's term, or nil.
 func (e *Election) Term() *Term {
 	e.mutex.Lock()
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -153,7 +153,7 @@
 		Demand: h.demand.ofPool(pool, now), StoreLoads: h.ceiling.available(engine.LoadsPerSecond, h.ledger.loadCount(), now),
 	}
 	for i := range input.Servers {
-		input.Servers[i].Busy = input.Servers[i].Busy || !term.MayOrderServer(input.Servers[i].ID, now)
+		input.Servers[i].Busy = input.Servers[i].Busy || !term.turns.over(input.Servers[i].ID, now)
 	}
 	for _, action := range placement.Plan(&input) {
 		target := h.ledger.entries[action.Server]
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -175,12 +175,7 @@
 func (e *entry) state(id string) ServerState {
 	models := make(map[string][]string, len(e.models))
 	for name, held := range e.models {
-		adapters := make([]string, 0, len(held.adapters))
-		for adapter := range held.adapters {
-			adapters = append(adapters, adapter)
-		}
-		sort.Strings(adapters)
-		models[name] = adapters
+		models[name] = fleet.Held{Adapters: held.adapters}.AdapterNames()
 	}
 	return ServerState{ID: id, Models: models, Version: e.version}
 }
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -212,11 +212,7 @@
 	for i, state := range states {
 		server := &fleet.Server{ID: state.ID, Models: map[string]fleet.Held{}, SeenAt: now}
 		for name, adapters := range state.Models {
-			held := fleet.Held{Adapters: make(map[string]bool, len(adapters))}
-			for _, adapter := range adapters {
-				held.Adapters[adapter] = true
-			}
-			server.Models[name] = held
+			server.Models[name] = fleet.NewHeld(adapters)
 		}
 		servers[i] = server
 	}
--- a/internal/orders/term.go
+++ b/internal/orders/term.go
@@ -38,13 +38,12 @@
 func (t *Term) MayOrder(now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return !t.ended && t.entered && !now.Before(t.NotBefore) && now.Before(t.validUntil)
+	return t.mayOrder(now)
 }
 
-// MayOrderServer reports whether this server may be ordered now: also when the
-// term allows orders, a predecessor's turn at the server may not be over.
-func (t *Term) MayOrderServer(server string, now time.Time) bool {
-	return t.MayOrder(now) && t.turns.over(server, now)
+// mayOrder must be called with the lock held.
+func (t *Term) mayOrder(now time.Time) bool {
+	return !t.ended && t.entered && !now.Before(t.NotBefore) && now.Before(t.validUntil)
 }
 
 // begin notes that an order is sent to the server, if it may be now. Done must be
@@ -52,7 +51,7 @@
 func (t *Term) begin(server string, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.ended || !t.entered || now.Before(t.NotBefore) || !now.Before(t.validUntil) || !t.turns.over(server, now) {
+	if !t.mayOrder(now) || !t.turns.over(server, now) {
 		return false
 	}
 	t.turns.begin(server)
