--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -63,6 +63,12 @@
 	if outcome.Cold {
 		event = event.Bool("cold", true)
 	}
+	if outcome.CameBack {
+		event = event.Bool("came_back", true)
+	}
+	if outcome.LongestPause > 0 {
+		event = event.Dur("longest_pause_ms", outcome.LongestPause)
+	}
 	if outcome.RetryAfter > 0 {
 		event = event.Dur("retry_after_ms", outcome.RetryAfter)
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -11,9 +11,9 @@
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
-// Orders tells what is known of loads under way.
+// Orders tells what the holder of orders plans.
 type Orders interface {
-	// ReadyAt is when a load under way is expected to end.
+	// ReadyAt is when a model that no server holds is expected at one.
 	ReadyAt(key DemandKey) (time.Time, bool)
 	// Active reports whether some node is known to give orders.
 	Active() bool
@@ -130,6 +130,7 @@
 	// lastEvent passed on, and whether the head was.
 	lastEvent string
 	begun     bool
+	pauses    pauses
 }
 
 func (fl *flow) need() string { return fl.request.Model + "/" + fl.request.Adapter }
@@ -142,7 +143,7 @@
 	return &Outcome{
 		Code: code, Reason: reason, Ran: fl.ran, Begun: fl.begun, Attempts: fl.sent, Server: fl.server,
 		Route: fl.route.Name, Pool: fl.pool, Held: fl.held, FirstByte: fl.firstByte,
-		Cold: fl.cold, Belief: fl.belief,
+		Cold: fl.cold, Belief: fl.belief, LongestPause: fl.pauses.longest, CameBack: fl.cameBack,
 	}
 }
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -124,6 +124,7 @@
 	for {
 		events, err := reader.next()
 		restartGap()
+		flow.pauses.event(len(events) > 0, time.Now())
 		if resumed {
 			events = withoutRepeated(events, flow.lastEvent)
 		}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -165,8 +165,12 @@
 	// FirstByte is the time from acceptance to the answer's head.
 	FirstByte time.Duration
 	// Cold: no server held what the request needs when it came.
-	Cold   bool
-	Belief Belief
+	Cold bool
+	// CameBack: the caller was probably refused before.
+	CameBack bool
+	// LongestPause between two events of the answer.
+	LongestPause time.Duration
+	Belief       Belief
 }
 
 // Belief is what the last decision about a request rested on.
