Wait for a copy's server while its models run, and count overdue orders as long

Change: a victim has a time until which it is waited for (its residency, or its running requests by Little's law); a server that makes room is waited for with what it loads; an overdue order is expected to take as long again as it is overdue. What room was made for is loaded before anything else is planned.

--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
@@ -185,9 +187,18 @@
 		h.finish(target, nil)
 		return
 	}
+	h.logReport(target, report)
 	h.finish(target, &report)
 }
 
+// logReport tells what a server holds, when that was asked for to begin with or
+// because it was in doubt.
+func (h *Holder) logReport(target *entry, report Report) {
+	h.config.Logger.Info().Str("server", h.serverOf(target).ID).Int64("sequence", report.Sequence).
+		Strs("models", slices.Sorted(maps.Keys(report.Models))).Strs("in_memory", slices.Sorted(maps.Keys(report.InMemory))).
+		Strs("on_disk", slices.Sorted(maps.Keys(report.OnDisk))).Msg("server reported")
+}
+
 // finish ends the work on an entry. Without a report the server is suspect for
 // a while and then asked again.
 func (h *Holder) finish(target *entry, report *Report) {
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -133,7 +133,7 @@
 	now := time.Now()
 	h.mutex.Lock()
 	for _, unknown := range h.ledger.sync(snapshot, now) {
-		unknown.working = true
+		unknown.working, unknown.busyUntil = true, now.Add(reportLag)
 		go h.refresh(ctx, unknown)
 	}
 	if term.MayOrder(now) {
@@ -198,16 +198,17 @@
 
 // begin notes an order before it is sent. It must be called with the lock held.
 func (h *Holder) begin(target *entry, action placement.Action, now time.Time) {
-	target.working = true
+	target.working, target.busyUntil = true, now.Add(action.Expected)
 	switch action.Kind {
 	case placement.Load:
-		target.loading, target.loadingUntil, target.intent = action.Model, now.Add(action.Expected), ""
+		target.loading, target.intent = action.Model, ""
 	case placement.Unload:
 		target.unloading = action.Model
 		target.intent, target.intentAt = action.Intent, now
 		delete(target.models, action.Model)
 		h.ledger.changed(target)
 	case placement.LoadAdapter:
+		target.busyUntil = now.Add(adapterTime)
 		target.loadingAdapter = action.Model + "/" + action.Adapter
 	case placement.UnloadAdapter:
 		delete(target.models[action.Model].adapters, action.Adapter)
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -27,11 +27,12 @@
 	loading string
 	// loadingAdapter is on its way, as MODEL/NAME.
 	loadingAdapter string
-	loadingUntil   time.Time
-	unloading      string
-	intent         string
-	intentAt       time.Time
-	suspectUntil   time.Time
+	// busyUntil is the expected end of the order or report under way.
+	busyUntil    time.Time
+	unloading    string
+	intent       string
+	intentAt     time.Time
+	suspectUntil time.Time
 	// version of the placement at which models changed.
 	version uint64
 }
@@ -209,8 +210,8 @@
 		Suspect: !e.known || now.Before(e.suspectUntil), Models: make(map[string]placement.Replica, len(e.models)),
 		Loading: e.loading, LoadingAdapter: e.loadingAdapter, InMemory: e.inMemory, OnDisk: e.onDisk,
 	}
-	if e.loading != "" {
-		server.FreeIn = max(e.loadingUntil.Sub(now), 0)
+	if e.working {
+		server.FreeIn = e.freeIn(now)
 	}
 	if e.intent != "" && now.Sub(e.intentAt) < intentLifetime {
 		server.Intent = e.intent
@@ -221,6 +222,10 @@
 	return server
 }
 
+// freeIn is the time until the order under way is expected to end. One that is
+// overdue is expected to take as long again as it is overdue.
+func (e *entry) freeIn(now time.Time) time.Duration { return e.busyUntil.Sub(now).Abs() }
+
 // usedMB is all memory that may be taken, also by what is on its way in or out.
 func (e *entry) usedMB(engine *fleet.Engine) float64 {
 	used := 0.0
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -177,3 +177,20 @@
 		ginkgo.Entry("adapter without its model", holding("b"), nil, placement.Action{Kind: placement.LoadAdapter, Model: "a", Adapter: "a1"}, false),
 	)
 })
+
+var _ = ginkgo.Describe("an order under way", func() {
+	at := func(after time.Duration) time.Duration {
+		found := entry{server: &fleet.Server{ID: "s"}, working: true, busyUntil: begin}
+		return found.plannable("s", begin.Add(after)).FreeIn
+	}
+
+	ginkgo.It("is expected to end in time", func() {
+		Expect(at(-time.Second)).To(Equal(time.Second))
+	})
+
+	ginkgo.It("is expected to take as long again as it is overdue", func() {
+		// Else a plan waits for a server that does not answer for as long as its
+		// order is waited for, while others could load the model.
+		Expect(at(3 * time.Second)).To(Equal(3 * time.Second))
+	})
+})
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -125,7 +125,7 @@
 	Server  string
 	Model   string
 	Adapter string
-	// Source and Expected time of a load.
+	// Source of a load, and the time that a load or unload is expected to take.
 	Source   Source
 	Expected time.Duration
 	// Intent is the model for which an unload makes room.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -314,3 +314,54 @@
 		})
 	})
 })
+
+var _ = Describe("a server with a copy is waited for", func() {
+	// The other server has room, but would load from the store for 8 s.
+	planFor := func(change func(in *placement.Input, copyHolder *placement.Server)) placement.Result {
+		copyHolder := server("1", "a", "b")
+		copyHolder.OnDisk = map[string]bool{"c": true}
+		in := input(map[string]*placement.Demand{"c": waiting(1), "a": idle(0.5, 0), "b": idle(0.5, 0)}, copyHolder, server("2"))
+		in.Engine.Models["c"].LoadTime = 8 * time.Second
+		change(in, &in.Servers[0])
+		return placement.Plan(in)
+	}
+
+	It("while its models run, if they will be idle soon", func() {
+		planned := planFor(func(in *placement.Input, _ *placement.Server) {
+			in.Demand["a"].Running, in.Demand["a"].Rate = 1, 4
+			in.Demand["b"].Running, in.Demand["b"].Rate = 2, 0.1
+		})
+		Expect(planned.Actions).To(BeEmpty())
+		Expect(planned.ReadyIn["c"]).To(Equal(300*time.Millisecond + 950*time.Millisecond))
+	})
+
+	It("not while its models run for long", func() {
+		planned := planFor(func(in *placement.Input, _ *placement.Server) {
+			in.Demand["a"].Running, in.Demand["a"].Rate = 9, 2
+			in.Demand["b"].Running, in.Demand["b"].Rate = 9, 2
+		})
+		Expect(planned.Actions).To(HaveLen(1))
+		Expect(planned.Actions[0].Server).To(Equal("2"))
+	})
+
+	It("while another model is loaded there", func() {
+		planned := planFor(func(_ *placement.Input, copyHolder *placement.Server) {
+			copyHolder.Busy, copyHolder.FreeIn, copyHolder.Loading = true, 300*time.Millisecond, "d"
+			delete(copyHolder.Models, "b")
+		})
+		Expect(planned.Actions).To(BeEmpty())
+		Expect(planned.ReadyIn["c"]).To(Equal(300*time.Millisecond + 950*time.Millisecond))
+	})
+
+	It("while room is made there for another model", func() {
+		planned := planFor(func(in *placement.Input, copyHolder *placement.Server) {
+			copyHolder.Busy, copyHolder.FreeIn, copyHolder.Intent = true, 100*time.Millisecond, "d"
+			copyHolder.InMemory = map[string]bool{"d": true}
+			delete(copyHolder.Models, "b")
+			in.Demand["d"] = waiting(1)
+		})
+		Expect(planned.Actions).To(BeEmpty())
+		Expect(planned.ReadyIn["d"]).To(Equal(600 * time.Millisecond))
+		Expect(planned.ReadyIn["c"]).To(Equal(600*time.Millisecond + 950*time.Millisecond))
+	})
+})
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -109,12 +109,13 @@
 	cold bool
 }
 
-// loadModels loads what demand lacks: models without any replica first.
+// loadModels loads what room was made for, and then what demand lacks: models
+// without any replica first.
 func (p *plan) loadModels() {
+	p.continueIntents()
 	for _, wish := range p.wishes() {
 		p.place(wish)
 	}
-	p.continueIntents()
 }
 
 func (p *plan) wishes() []wish {
@@ -212,10 +213,10 @@
 // mayWaitFor: the server takes an order now or, for a model that no server holds,
 // once the order under way has ended.
 func (p *plan) mayWaitFor(server *Server, w wish) bool {
-	if server.Leaving || server.Suspect || p.taken[server.ID] || server.Intent != "" {
+	if server.Leaving || server.Suspect || p.taken[server.ID] || server.Intent == w.model.Name {
 		return false
 	}
-	return w.cold || !server.Busy
+	return w.cold || !server.Busy && server.Intent == ""
 }
 
 // promise notes the least time until a model is there.
@@ -237,7 +238,7 @@
 func (p *plan) makeRoom(server *Server, victim string, model *fleet.Model) {
 	p.taken[server.ID] = true
 	p.actions = append(p.actions, Action{
-		Kind: Unload, Server: server.ID, Model: victim, Intent: model.Name, Reason: "makes room",
+		Kind: Unload, Server: server.ID, Model: victim, Intent: model.Name, Expected: unloadTime, Reason: "makes room",
 	})
 }
 
@@ -251,11 +252,10 @@
 // loadOn orders the load, or the unload of what is still in its way.
 func (p *plan) loadOn(server *Server, model *fleet.Model, reason string) {
 	if p.free(server) < model.SizeMB {
-		victims, _ := p.victims(server, wish{model: model, demand: &Demand{}, cold: true})
-		if len(victims) == 0 {
-			return
+		victims := p.victims(server, wish{model: model, demand: &Demand{}, cold: true}, model.SizeMB-p.free(server))
+		if len(victims) > 0 && victims[0].wait == 0 {
+			p.makeRoom(server, victims[0].model, model)
 		}
-		p.makeRoom(server, victims[0], model)
 		return
 	}
 	source, expected := SourceOf(server, model)
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -11,6 +11,9 @@
 	storeCost = 0.5
 	// unloadTime is how long an unload of an idle model takes.
 	unloadTime = 150 * time.Millisecond
+	// shortestRun and longestRun bound what is taken as the time of a request, in
+	// seconds.
+	shortestRun, longestRun = 0.3, 6.0
 	// shortestWait is expected where nothing tells how long a wait takes.
 	shortestWait = 50 * time.Millisecond
 	// crowdCost for each busy model on a server, in seconds: models on one server
@@ -34,7 +37,7 @@
 // option returns how a server would take the replica, or nil if it can't.
 func (p *plan) option(server *Server, w wish) *option {
 	source, load := SourceOf(server, w.model)
-	found := &option{server: server, start: server.FreeIn, cost: p.crowding(server)}
+	found := &option{server: server, start: p.freeIn(server), cost: p.crowding(server)}
 	if source == FromStore {
 		found.cost += storeCost
 		if p.storeLoads <= 0 {
@@ -47,13 +50,16 @@
 	if p.heldInZone(w.model.Name, server.Zone) {
 		found.cost += zoneCost
 	}
-	if p.free(server) < w.model.SizeMB {
-		victims, cost := p.victims(server, w)
+	if missing := w.model.SizeMB - p.freeBeside(server); missing > 0 {
+		victims := p.victims(server, w, missing)
 		if len(victims) == 0 {
 			return nil
 		}
-		found.victims = victims
-		found.cost += cost
+		for _, victim := range victims {
+			found.victims = append(found.victims, victim.model)
+			found.cost += victim.cost
+			found.start = max(found.start, victim.wait)
+		}
 	}
 	found.end = found.start + time.Duration(len(found.victims))*unloadTime + load
 	found.cost += found.end.Seconds()
@@ -81,51 +87,92 @@
 	return false
 }
 
+// freeIn is the time until the server can take an order for a model for which no
+// room is being made there yet.
+func (p *plan) freeIn(server *Server) time.Duration {
+	intended := p.Engine.Models[server.Intent]
+	if intended == nil {
+		return server.FreeIn
+	}
+	_, load := SourceOf(server, intended)
+	return server.FreeIn + load
+}
+
+// freeBeside is the free memory of a server in MB, once it holds the model for
+// which room is being made.
+func (p *plan) freeBeside(server *Server) float64 {
+	free := p.free(server)
+	if intended := p.Engine.Models[server.Intent]; intended != nil && server.Intent != server.Loading {
+		free -= intended.SizeMB
+	}
+	return free
+}
+
 // victim is a replica that may give way.
 type victim struct {
 	model string
 	size  float64
-	cost  float64
+	// cost in expected seconds of cold starts.
+	cost float64
+	// wait until it may give way.
+	wait time.Duration
 }
 
-// victims are the replicas that have to go for the wish, and what that costs
-// in expected seconds of cold starts. None are returned if there is no way.
-func (p *plan) victims(server *Server, w wish) (models []string, cost float64) {
-	missing := w.model.SizeMB - p.free(server)
+// weight orders victims: what they cost, and what waiting for them does.
+func (v victim) weight() float64 { return v.cost + v.wait.Seconds() }
+
+// victims are the replicas that have to go for the wish. None are returned if
+// there is no way.
+func (p *plan) victims(server *Server, w wish, missing float64) []victim {
 	var candidates []victim
 	for name, replica := range server.Models {
-		if found, may := p.victim(name, replica, w); may {
+		found, may := p.victim(name, replica, w)
+		if may && (w.cold || found.wait == 0) {
 			candidates = append(candidates, found)
 		}
 	}
 	sort.Slice(candidates, func(i, j int) bool {
-		if candidates[i].cost != candidates[j].cost {
-			return candidates[i].cost < candidates[j].cost
+		if candidates[i].weight() != candidates[j].weight() {
+			return candidates[i].weight() < candidates[j].weight()
 		}
 		return candidates[i].model < candidates[j].model
 	})
-	for _, candidate := range candidates {
+	for i, candidate := range candidates {
+		missing -= candidate.size
 		if missing <= 0 {
-			break
+			return candidates[:i+1]
 		}
-		models = append(models, candidate.model)
-		cost += candidate.cost
-		missing -= candidate.size
 	}
-	if missing > 0 {
-		return nil, 0
+	return nil
+}
+
+// idleIn is the time until a model's requests are expected to have ended, if few
+// more come.
+func (p *plan) idleIn(demand *Demand) time.Duration {
+	if demand.Running == 0 {
+		return 0
+	}
+	each := longestRun
+	if demand.Rate > 0 {
+		each = min(max(float64(demand.Running)/demand.Rate, shortestRun), longestRun)
 	}
-	return models, cost
+	last := 0.0
+	for number := 1; number <= demand.Running; number++ {
+		last += each / float64(number)
+	}
+	return time.Duration(last * float64(time.Second))
 }
 
 // victim tells whether a replica may give way to the wish, and what its loss
 // costs.
 func (p *plan) victim(name string, replica Replica, w wish) (victim, bool) {
 	model := p.Engine.Models[name]
-	if model == nil || p.Now.Sub(replica.Since) < residency {
+	if model == nil {
 		return victim{}, false
 	}
-	found := victim{model: name, size: model.HeldMB(len(replica.Adapters))}
+	found := victim{
+		model: name, size: model.HeldMB(len(replica.Adapters)), wait: max(residency-p.Now.Sub(replica.Since), 0),
+	}
 	demand := p.Demand[name]
 	if demand == nil {
 		return found, true
@@ -133,7 +180,7 @@
 	needed := p.desired(name, demand)
 	surplus := float64(p.ready[name]) > surplusFactor*float64(max(needed, 1))
 	if demand.Running > 0 && !surplus {
-		return found, false
+		found.wait = max(found.wait, p.idleIn(demand))
 	}
 	if p.ready[name] > 1 && surplus {
 		found.cost = 0.05 * demand.Rate
@@ -147,6 +194,6 @@
 	// The chance of use within the next seconds, with what a cold start costs.
 	const horizon = 8.0
 	chance := min(demand.Rate*horizon, 1)/(1+idle/horizon) + 0.02
-	found.cost = chance * (model.LoadTime.Seconds() + storeCost) / float64(p.ready[name])
+	found.cost = chance * (model.LoadTimeFrom(false, true).Seconds() + storeCost) / float64(p.ready[name])
 	return found, true
 }
