End a slow attempt only once its request has a place at another server

The forwarder ended the attempt so that the stream would go on elsewhere, and then found no other server, or no retry budget.

Change: a switchover reserves the place at the other server, and its share of the budget, before it ends the attempt; an attempt that nobody can take on is left alone. Three tests failed before: no other server, a stopping node, a spent budget; and one where another server comes later.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -26,15 +26,28 @@
 // still be asked.
 var errImpatient = errors.New("no answer in the attempt's share of the time")
 
-// attempt sends the request to the place. It returns nil if the request goes
-// on at another server.
-func (f *Forwarder) attempt(ctx context.Context, flow *flow, place *candidate, responder Responder) *Outcome {
+// attempt sends the request to the place. It returns nil if the request goes on at
+// another server, with the place there if that was taken already.
+func (f *Forwarder) attempt(ctx context.Context, flow *flow, place *candidate, responder Responder) (*Outcome, *candidate) {
 	flow.sent++
 	flow.server = place.server.ID
 	flow.tried[place.server.ID] = true
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stopPatience := f.limitPatience(flow, cancel)
+	change := f.newSwitchover(flow, cancel)
+	outcome := f.send(ctx, flow, place, responder, change)
+	next := change.end()
+	if outcome != nil && next != nil {
+		f.release(flow, next, nil)
+		next = nil
+	}
+	return outcome, next
+}
+
+// send sends the attempt and passes its answer on. It returns nil if the request
+// goes on at another server.
+func (f *Forwarder) send(ctx context.Context, flow *flow, place *candidate, responder Responder, change *switchover) *Outcome {
+	f.limitPatience(flow, change)
 	f.demand.running(flow.key(), 1)
 	defer f.demand.running(flow.key(), -1)
 	started := time.Now()
@@ -42,7 +55,7 @@
 		Request: flow.request, Route: flow.route, Server: place.server,
 		Deadline: flow.deadline, ResumeAfter: flow.lastEvent,
 	})
-	stopPatience()
+	change.pause()
 	if err != nil {
 		return f.failed(ctx, flow, place, asAttemptError(err))
 	}
@@ -54,18 +67,17 @@
 	if f.answeredWithFailure(flow, reply) {
 		return f.failed(ctx, flow, place, &AttemptError{Reason: FailureStatus, Ran: result.RanYes})
 	}
-	return f.relay(ctx, flow, place, reply, responder, cancel)
+	return f.relay(ctx, flow, place, reply, responder, change)
 }
 
 // limitPatience ends an attempt early if the request may go to another server.
-func (f *Forwarder) limitPatience(flow *flow, cancel context.CancelCauseFunc) (stop func()) {
+func (f *Forwarder) limitPatience(flow *flow, change *switchover) {
 	if !f.mayRepeat(flow, 1) {
-		return func() {}
+		return
 	}
 	patience := time.Duration(patienceShare * float64(time.Until(flow.deadline)))
 	patience = min(patience, time.Duration(objectiveFactor*float64(flow.route.LatencyObjective)))
-	timer := time.AfterFunc(patience, func() { cancel(errImpatient) })
-	return func() { timer.Stop() }
+	change.after(patience, errImpatient)
 }
 
 // mayRepeat reports whether the request may run again after the given number of
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -791,3 +791,95 @@
 		Expect(time.Since(started)).To(BeNumerically("<=", 200*time.Millisecond))
 	})
 }
+
+// pausing gives one event, the rest after a pause, and the end after another.
+func pausing(pause time.Duration) func(context.Context, Attempt) (*Reply, error) {
+	return func(ctx context.Context, _ Attempt) (*Reply, error) {
+		first := &pieces{ctx: ctx, parts: events(1, 1), err: io.EOF}
+		rest := &pieces{ctx: ctx, parts: []string{strings.Join(events(2, 5), "")}, pause: pause, err: io.EOF}
+		return &Reply{Status: 200, Events: true, Body: &chained{bodies: []io.ReadCloser{first, rest}}}, nil
+	}
+}
+
+// chained reads one body after the other.
+type chained struct{ bodies []io.ReadCloser }
+
+func (c *chained) Read(buffer []byte) (int, error) {
+	count, err := c.bodies[0].Read(buffer)
+	if errors.Is(err, io.EOF) && len(c.bodies) > 1 {
+		c.bodies = c.bodies[1:]
+		return count, nil
+	}
+	return count, err
+}
+
+func (c *chained) Close() error { return nil }
+
+// Found as LOST in sofrakod-yemekhane's trouble-3 without its first shift, seed 12:
+// a stream was ended for a pause, and no other server could take it on.
+func TestStreamThatPausesIsNotEndedWhereNoOtherServerCanGoOn(t *testing.T) {
+	cases := map[string]func(b *bench){
+		"no other server holds the model": func(b *bench) {
+			b.view.ReplaceServers(map[string]*fleet.Server{"m1": {ID: "m1", Pool: poolOfModels, Slots: 8, Models: holds("m"), Zone: "z"}})
+		},
+		"the node is stopping": func(b *bench) {
+			b.view.ReplaceServers(map[string]*fleet.Server{"m1": {ID: "m1", Pool: poolOfModels, Slots: 8, Models: holds("m"), Zone: "z"}})
+			b.forwarder.Drain(time.Now().Add(time.Second))
+		},
+		"the retry budget is spent": func(b *bench) {
+			b.forwarder.budgets = newBudgets(BudgetLimits{Window: 10 * time.Second}, 1)
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *bench) {
+				change(b)
+				b.backend.answer["m1"] = pausing(2 * time.Second)
+				answer := &recorder{}
+				outcome := b.forwarder.Serve(context.Background(), request("patient", "m", 5*time.Second), answer)
+				Expect(outcome.Code).To(Equal(result.OK))
+				Expect(answer.body.String()).To(Equal(strings.Join(events(1, 5), "")))
+				Expect(b.backend.servers()).To(Equal([]string{"m1"}))
+			})
+		})
+	}
+}
+
+func TestStreamThatPausesGoesOnAtAnotherServerOnceOneCan(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.view.ReplaceServers(map[string]*fleet.Server{"m1": {ID: "m1", Pool: poolOfModels, Slots: 8, Models: holds("m"), Zone: "z"}})
+		b.backend.answer["m1"] = pausing(time.Minute)
+		b.backend.answer["m2"] = streams(events(2, 5), time.Millisecond, io.EOF)
+		time.AfterFunc(2*time.Second, func() {
+			b.view.ReplaceServers(map[string]*fleet.Server{
+				"m1": {ID: "m1", Pool: poolOfModels, Slots: 8, Models: holds("m"), Zone: "z"},
+				"m2": {ID: "m2", Pool: poolOfModels, Slots: 8, Models: holds("m"), Zone: "z"},
+			})
+		})
+		answer := &recorder{}
+		outcome := b.forwarder.Serve(context.Background(), request("patient", "m", 5*time.Second), answer)
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(answer.body.String()).To(Equal(strings.Join(events(1, 5), "")))
+		Expect(b.backend.servers()).To(Equal([]string{"m1", "m2"}))
+		for id, load := range b.forwarder.tracker.servers {
+			Expect(load.own).To(BeZero(), id)
+		}
+	})
+}
+
+func TestSlowAttemptIsNotEndedWhereNoOtherServerCanTakeIt(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.view.ReplaceServers(map[string]*fleet.Server{"p1": {ID: "p1", Pool: plainPool, Slots: 2, Zone: "z"}})
+		b.backend.answer["p1"] = func(ctx context.Context, attempt Attempt) (*Reply, error) {
+			select {
+			case <-ctx.Done():
+				return nil, &AttemptError{Reason: FailureBroken, Ran: result.RanUnknown, Cause: ctx.Err()}
+			case <-time.After(800 * time.Millisecond):
+				return whole(200, "fine")(ctx, attempt)
+			}
+		}
+		outcome := b.forwarder.Serve(context.Background(), request("repeat", "", time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(b.backend.servers()).To(Equal([]string{"p1"}))
+	})
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -230,23 +230,37 @@
 
 // run sends attempts until one of them ends the request.
 func (f *Forwarder) run(ctx context.Context, flow *flow, responder Responder) *Outcome {
+	var next *candidate
 	for {
-		place, refusal := f.acquire(ctx, flow)
+		place, refusal := next, (*Outcome)(nil)
+		if place == nil {
+			place, refusal = f.nextPlace(ctx, flow)
+		}
 		if refusal != nil {
 			return refusal
 		}
-		if flow.sent == 0 {
-			flow.held = time.Since(flow.request.Accepted)
-		} else if !f.budgets.repeat(flow.pool, time.Now()) {
-			f.release(flow, place, nil)
-			return f.giveUp(flow, "retry budget is spent", result.RetryBudgetSpent)
-		}
-		if outcome := f.attempt(ctx, flow, place, responder); outcome != nil {
+		var outcome *Outcome
+		if outcome, next = f.attempt(ctx, flow, place, responder); outcome != nil {
 			return outcome
 		}
 	}
 }
 
+// nextPlace waits for a place and takes what it needs of the retry budget.
+func (f *Forwarder) nextPlace(ctx context.Context, flow *flow) (*candidate, *Outcome) {
+	place, refusal := f.acquire(ctx, flow)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if flow.sent == 0 {
+		flow.held = time.Since(flow.request.Accepted)
+	} else if !f.budgets.repeat(flow.pool, time.Now()) {
+		f.release(flow, place, nil)
+		return nil, f.giveUp(flow, "retry budget is spent", result.RetryBudgetSpent)
+	}
+	return place, nil
+}
+
 // giveUp ends a request that can't be tried again.
 func (f *Forwarder) giveUp(flow *flow, reason string, refused result.Code) *Outcome {
 	if flow.begun {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -29,10 +29,10 @@
 var errSilent = errors.New("the stream paused for too long")
 
 // relay passes an answer on. It returns nil if the request goes on elsewhere.
-func (f *Forwarder) relay(ctx context.Context, flow *flow, place *candidate, reply *Reply, responder Responder, cancel context.CancelCauseFunc) *Outcome {
+func (f *Forwarder) relay(ctx context.Context, flow *flow, place *candidate, reply *Reply, responder Responder, change *switchover) *Outcome {
 	var err error
 	if reply.Events {
-		err = f.relayEvents(flow, reply, responder, cancel)
+		err = f.relayEvents(flow, reply, responder, change)
 	} else {
 		err = f.relayBody(flow, reply, responder)
 	}
@@ -116,14 +116,18 @@
 }
 
 // relayEvents passes on whole events only, as they come.
-func (f *Forwarder) relayEvents(flow *flow, reply *Reply, responder Responder, cancel context.CancelCauseFunc) error {
-	stopGap, restartGap := f.limitGap(flow, cancel)
-	defer stopGap()
+func (f *Forwarder) relayEvents(flow *flow, reply *Reply, responder Responder, change *switchover) error {
+	first, gap := f.gapLimits(flow)
+	if gap > 0 {
+		change.after(first, errSilent)
+	}
 	reader := eventReader{body: reply.Body, buffer: make([]byte, 0, relayBuffer)}
 	resumed := flow.begun
 	for {
 		events, err := reader.next()
-		restartGap()
+		if gap > 0 && err == nil {
+			change.after(gap, errSilent)
+		}
 		flow.pauses.event(len(events) > 0, time.Now())
 		if resumed {
 			events = withoutRepeated(events, flow.lastEvent)
@@ -149,15 +153,14 @@
 	}
 }
 
-// limitGap ends an attempt whose stream pauses for too long, if it may go on at
-// another server.
-func (f *Forwarder) limitGap(flow *flow, cancel context.CancelCauseFunc) (stop, restart func()) {
+// gapLimits are how long the first event and the others may take before the
+// stream goes on at another server; zero if it may not.
+func (f *Forwarder) gapLimits(flow *flow) (first, gap time.Duration) {
 	if !f.mayRepeat(flow, 1) || flow.route.GapObjective <= 0 {
-		return func() {}, func() {}
+		return 0, 0
 	}
-	gap := gapFactor * flow.route.GapObjective
-	timer := time.AfterFunc(max(gap, flow.route.LatencyObjective), func() { cancel(errSilent) })
-	return func() { timer.Stop() }, func() { timer.Reset(gap) }
+	gap = gapFactor * flow.route.GapObjective
+	return max(gap, flow.route.LatencyObjective), gap
 }
 
 // eventReader cuts a body into whole events.
