--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -135,31 +136,39 @@
 	return found
 }
 
-// waitingNodes are the addresses of the nodes whose callers wait for one of the
-// models.
-func (b *demandBook) waitingNodes(models []comingKey, now time.Time) []string {
+// waitingNodes returns, by the address of a node, those of the models that its
+// callers wait for.
+func (b *demandBook) waitingNodes(models []comingKey, now time.Time) map[string][]comingKey {
 	asked := make(map[comingKey]bool, len(models))
 	for _, key := range models {
 		asked[key] = true
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	var addresses []string
+	waiting := map[string][]comingKey{}
 	for _, node := range b.nodes {
-		if now.Sub(node.at) < b.lifetime() && node.report.waitsForOne(asked) {
-			addresses = append(addresses, node.report.Address)
+		if now.Sub(node.at) >= b.lifetime() {
+			continue
+		}
+		for _, key := range node.report.waitsFor() {
+			if asked[key] {
+				waiting[node.report.Address] = append(waiting[node.report.Address], key)
+			}
 		}
 	}
-	return addresses
+	return waiting
 }
 
-func (r *DemandReport) waitsForOne(models map[comingKey]bool) bool {
+// waitsFor returns the models that the node's callers wait for.
+func (r *DemandReport) waitsFor() []comingKey {
+	var models []comingKey
 	for _, row := range r.Rows {
-		if row.Waiting > 0 && models[comingKey{row.Pool, row.Model}] {
-			return true
+		key := comingKey{row.Pool, row.Model}
+		if row.Waiting > 0 && !slices.Contains(models, key) {
+			models = append(models, key)
 		}
 	}
-	return false
+	return models
 }
 
 // ofPool sums the demand for a pool's models.
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -232,16 +232,16 @@
 	if report.Token != term.Token {
 		after = 0
 	}
-	return h.update(term, after, now), true
+	return h.update(term, after, report.waitsFor(), now), true
 }
 
-func (h *Holder) update(term *Term, after uint64, now time.Time) Update {
+func (h *Holder) update(term *Term, after uint64, models []comingKey, now time.Time) Update {
 	nodes := len(h.demand.live(now))
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	return Update{
 		Token: term.Token, Version: h.ledger.version, Base: after, Nodes: nodes,
-		Servers: h.ledger.states(after), Coming: h.promises.states(now),
+		Servers: h.ledger.states(after), Coming: h.promises.states(models, now),
 	}
 }
 
@@ -260,7 +260,7 @@
 	if !due {
 		return
 	}
-	update := h.update(term, after, now)
+	update := h.update(term, after, nil, now)
 	for address := range live {
 		h.config.Push(address, update)
 	}
@@ -272,13 +272,10 @@
 		return
 	}
 	waiting := h.demand.waitingNodes(changed, now)
-	if len(waiting) == 0 {
-		return
-	}
-	h.mutex.Lock()
-	update := Update{Token: term.Token, Coming: h.promises.states(now)}
-	h.mutex.Unlock()
-	for _, address := range waiting {
+	for address, models := range waiting {
+		h.mutex.Lock()
+		update := Update{Token: term.Token, Coming: h.promises.states(models, now)}
+		h.mutex.Unlock()
 		h.config.Push(address, update)
 	}
 }
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -195,7 +195,6 @@
 	if update.Base <= l.version {
 		l.version = max(l.version, update.Version)
 	}
-	l.coming = make(map[forward.DemandKey]time.Time, len(update.Coming))
 	for _, model := range update.Coming {
 		l.coming[forward.DemandKey{Pool: model.Pool, Model: model.Model}] = now.Add(model.Remaining)
 	}
@@ -238,7 +237,12 @@
 func (l *Link) ReadyAt(key forward.DemandKey) (time.Time, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	ready, coming := l.coming[forward.DemandKey{Pool: key.Pool, Model: key.Model}]
+	model := forward.DemandKey{Pool: key.Pool, Model: key.Model}
+	ready, coming := l.coming[model]
+	if coming && time.Since(ready) > promisePast {
+		delete(l.coming, model)
+		return time.Time{}, false
+	}
 	return ready, coming
 }
 
--- a/internal/orders/messages.go
+++ b/internal/orders/messages.go
@@ -64,7 +64,8 @@
 	// Nodes that share the retry budget.
 	Nodes   int
 	Servers []ServerState
-	Coming  []ComingState
+	// Coming are the models that the node's callers wait for, as far as planned.
+	Coming []ComingState
 }
 
 // NotHolder is the reply of a node that holds no term.
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/placement"
 
 	_ "github.com/hatchplank/hatchplank/internal/fixedseed" // property tests repeat
@@ -194,3 +195,42 @@
 		Expect(at(3 * time.Second)).To(Equal(3 * time.Second))
 	})
 })
+
+var _ = ginkgo.Describe("promises", func() {
+	key := func(model string) comingKey { return comingKey{pool: "p", model: model} }
+
+	ginkgo.It("are told to the nodes that wait for the model, and to no others", func() {
+		book := newDemandBook()
+		book.take(DemandReport{Node: "a", Address: "a:1", Sequence: 1, Rows: []DemandRow{
+			{Pool: "p", Model: "m", Waiting: 1}, {Pool: "p", Model: "m", Adapter: "x", Waiting: 1}, {Pool: "p", Model: "n", Running: 3},
+		}}, begin)
+		book.take(DemandReport{Node: "b", Address: "b:1", Sequence: 1, Rows: []DemandRow{{Pool: "p", Model: "n", Waiting: 2}}}, begin)
+		book.take(DemandReport{Node: "c", Address: "c:1", Sequence: 1, Rows: []DemandRow{{Pool: "p", Model: "m", Running: 2}}}, begin)
+		// Told to all, they took 10 Mbit/s of the holder's link with 86 nodes.
+		Expect(book.waitingNodes([]comingKey{key("m")}, begin)).To(Equal(map[string][]comingKey{"a:1": {key("m")}}))
+		Expect(book.waitingNodes([]comingKey{key("m"), key("n")}, begin)).To(HaveLen(2))
+	})
+
+	ginkgo.It("are told again when they move, by more than a share of what is left", func() {
+		told := newPromises()
+		told.update("p", map[string]time.Duration{"m": time.Second, "n": 6 * time.Second}, begin)
+		Expect(told.takeChanged()).To(ConsistOf(key("m"), key("n")))
+		told.update("p", map[string]time.Duration{"m": 1200 * time.Millisecond, "n": 6500 * time.Millisecond}, begin)
+		Expect(told.takeChanged()).To(ConsistOf(key("m")))
+		told.update("p", map[string]time.Duration{"n": 6500 * time.Millisecond}, begin)
+		Expect(told.takeChanged()).To(BeEmpty())
+		Expect(told.states([]comingKey{key("m"), key("n")}, begin.Add(time.Second))).To(Equal([]ComingState{
+			{Pool: "p", Model: "n", Remaining: 5500 * time.Millisecond},
+		}))
+	})
+
+	ginkgo.It("count for a while after they were not kept", func() {
+		row := forward.DemandKey{Pool: "p", Model: "m"}
+		link := &Link{coming: map[forward.DemandKey]time.Time{row: time.Now().Add(-promisePast / 2)}}
+		_, coming := link.ReadyAt(row)
+		Expect(coming).To(BeTrue())
+		link.coming[row] = time.Now().Add(-2 * promisePast)
+		_, coming = link.ReadyAt(row)
+		Expect(coming).To(BeFalse())
+	})
+})
--- a/internal/orders/promises.go
+++ b/internal/orders/promises.go
@@ -1,16 +1,15 @@
 package orders
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 const (
 	// promiseChange is the least change of a promised time that nodes are told at
 	// once.
 	promiseChange = 150 * time.Millisecond
-	// promisePast is how long a promise that was not kept is still told.
+	// promisePast is how long a node goes by a promise that was not kept.
 	promisePast = 2 * time.Second
+	// promiseShare of the time that is left is the least change that is told.
+	promiseShare = 0.15
 )
 
 // comingKey names a model of a pool that is waited for.
@@ -39,18 +38,19 @@
 		}
 	}
 	for model, in := range readyIn {
-		p.set(comingKey{pool, model}, now.Add(in))
+		p.set(comingKey{pool, model}, now.Add(in), now)
 	}
 }
 
-func (p *promises) set(key comingKey, readyAt time.Time) {
+func (p *promises) set(key comingKey, readyAt, now time.Time) {
 	found := p.byModel[key]
 	if found == nil {
 		found = &promise{}
 		p.byModel[key] = found
 	}
 	found.readyAt = readyAt
-	if readyAt.Sub(found.told).Abs() >= promiseChange {
+	worthTelling := max(promiseChange, time.Duration(promiseShare*float64(readyAt.Sub(now))))
+	if readyAt.Sub(found.told).Abs() >= worthTelling {
 		found.told = readyAt
 		p.changed = append(p.changed, key)
 	}
@@ -63,20 +63,15 @@
 	return changed
 }
 
-// states returns all promises in order.
-func (p *promises) states(now time.Time) []ComingState {
-	states := make([]ComingState, 0, len(p.byModel))
-	for key, found := range p.byModel {
-		if now.Sub(found.readyAt) > promisePast {
+// states returns the promises of the models, in their order.
+func (p *promises) states(models []comingKey, now time.Time) []ComingState {
+	var states []ComingState
+	for _, key := range models {
+		found := p.byModel[key]
+		if found == nil {
 			continue
 		}
 		states = append(states, ComingState{Pool: key.pool, Model: key.model, Remaining: max(found.readyAt.Sub(now), 0)})
 	}
-	sort.Slice(states, func(i, j int) bool {
-		if states[i].Pool != states[j].Pool {
-			return states[i].Pool < states[j].Pool
-		}
-		return states[i].Model < states[j].Model
-	})
 	return states
 }
