Load adapters before models, and let none that is wanted give way

Change: a plan gives adapters, which take 18 ms, before models; a server that a model waits for takes adapters meanwhile; an adapter that requests wait for is no victim. Three tests failed before.

--- a/internal/placement/adapters.go
+++ b/internal/placement/adapters.go
@@ -105,5 +105,6 @@
 		return time.Time{}, false
 	}
 	ofAdapter := demand.Adapters[adapter]
-	return ofAdapter.LastUsed, ofAdapter.Running > 0 && p.adapterHolders(model, adapter) == 1
+	wanted := ofAdapter.Running+ofAdapter.Waiting > 0
+	return ofAdapter.LastUsed, wanted && p.adapterHolders(model, adapter) == 1
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -365,3 +365,37 @@
 		Expect(planned.ReadyIn["c"]).To(Equal(600*time.Millisecond + 950*time.Millisecond))
 	})
 })
+
+var _ = Describe("adapters that are waited for", func() {
+	It("come before a model's load at the same server", func() {
+		// Found in sofrakod-yemekhane's scale-1, seed 13: a new server loaded three
+		// models one after the other, 18 s in which eight adapters that were asked
+		// for again and again had no server.
+		demand := map[string]*placement.Demand{"a": waiting(1), "c": waiting(5)}
+		demand["a"].Adapters["a1"] = &placement.AdapterDemand{Waiting: 1}
+		actions := placement.Plan(input(demand, server("1", "a"))).Actions
+		Expect(actions).To(HaveLen(1))
+		Expect(actions[0].Kind).To(Equal(placement.LoadAdapter))
+	})
+
+	It("are loaded at a server that a model waits for", func() {
+		holder := server("1", "a", "b")
+		holder.OnDisk = map[string]bool{"c": true}
+		demand := map[string]*placement.Demand{"a": waiting(1), "b": idle(1, 0), "c": waiting(5)}
+		demand["a"].Running, demand["b"].Running = 1, 1
+		demand["a"].Adapters["a1"] = &placement.AdapterDemand{Waiting: 1}
+		actions := placement.Plan(input(demand, holder)).Actions
+		Expect(actions).To(HaveLen(1))
+		Expect(actions[0].Kind).To(Equal(placement.LoadAdapter))
+	})
+
+	It("do not give way to each other", func() {
+		full := server("1", "a")
+		full.Models["a"] = placement.Replica{Adapters: map[string]bool{"a1": true, "a2": true}}
+		demand := map[string]*placement.Demand{"a": waiting(3)}
+		for _, adapter := range []string{"a1", "a2", "a3"} {
+			demand["a"].Adapters[adapter] = &placement.AdapterDemand{Waiting: 1}
+		}
+		Expect(placement.Plan(input(demand, full)).Actions).To(BeEmpty())
+	})
+})
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -28,8 +28,10 @@
 // be there.
 func Plan(input *Input) Result {
 	p := newPlan(input)
-	p.loadModels()
+	// An adapter takes a few milliseconds, a model seconds in which its server takes
+	// no adapters.
 	p.loadAdapters()
+	p.loadModels()
 	return Result{Actions: p.actions, ReadyIn: p.readyIn}
 }
 
@@ -37,8 +39,9 @@
 type plan struct {
 	*Input
 	actions []Action
-	// taken servers got an action in this plan.
-	taken map[string]bool
+	// taken servers got an action in this plan; reserved ones are waited for by a
+	// model, and take none for another.
+	taken, reserved map[string]bool
 	// replicas by model that are ready on servers that stay.
 	ready map[string]int
 	// coming replicas by model: loading, or with room being made.
@@ -50,7 +53,7 @@
 
 func newPlan(input *Input) *plan {
 	p := &plan{
-		Input: input, taken: map[string]bool{}, ready: map[string]int{}, coming: map[string]int{},
+		Input: input, taken: map[string]bool{}, reserved: map[string]bool{}, ready: map[string]int{}, coming: map[string]int{},
 		storeLoads: input.StoreLoads, readyIn: map[string]time.Duration{},
 	}
 	for i := range input.Servers {
@@ -185,7 +188,7 @@
 		p.promise(w.model.Name, best.end)
 	}
 	if best.start > 0 {
-		p.taken[best.server.ID] = true
+		p.reserved[best.server.ID] = true
 		return
 	}
 	if len(best.victims) == 0 {
@@ -213,7 +216,7 @@
 // mayWaitFor: the server takes an order now or, for a model that no server holds,
 // once the order under way has ended.
 func (p *plan) mayWaitFor(server *Server, w wish) bool {
-	if server.Leaving || server.Suspect || p.taken[server.ID] || server.Intent == w.model.Name {
+	if server.Leaving || server.Suspect || p.taken[server.ID] || p.reserved[server.ID] || server.Intent == w.model.Name {
 		return false
 	}
 	return w.cold || !server.Busy && server.Intent == ""
