Learn how many loads the weight store serves at full speed

It also counted loads from servers' own disks.

Change: the bound counts loads from the store only, begins with 4, grows by one with each load that was on time while the bound was reached, and shrinks to what the store served when loads take a quarter longer than undisturbed. The log tells each change.

--- a/internal/orders/ceiling.go
+++ b/internal/orders/ceiling.go
@@ -9,25 +9,38 @@
 }
 
 const (
-	// fullSpeedSeconds: loads under way at once, for each load a second that
-	// the store allows, before they slow each other down.
-	fullSpeedSeconds = 1.75
 	// ceilingMargin is the part of the burst that is not used.
 	ceilingMargin = 0.75
+	// firstAtOnce is how many loads are under way at once until it is known how
+	// many the store serves at full speed.
+	firstAtOnce = 4
+	// slowFactor times the undisturbed time is a load that others slowed down,
+	// and onTimeFactor one that they did not.
+	slowFactor, onTimeFactor = 1.25, 1.1
 )
 
-// ceiling is a token bucket: the rate of the store, with a burst as large as
-// the overage of one window.
+// ceiling bounds the loads from the weight store. It is a token bucket, the rate of
+// the store with a burst as large as the overage of one window; and a bound on the
+// loads under way at once, which grows while they are on time and shrinks to what
+// the store served when they slow each other down.
 type ceiling struct {
 	limits CeilingLimits
 	tokens float64
 	at     time.Time
+	atOnce int
 }
 
-func newCeiling(limits CeilingLimits) *ceiling { return &ceiling{limits: limits} }
+func newCeiling(limits CeilingLimits) *ceiling { return &ceiling{limits: limits, atOnce: firstAtOnce} }
 
-// available is how many loads may begin now, with the given number under way.
-func (c *ceiling) available(rate float64, underWay int, now time.Time) int {
+// storeLoads are the loads from the store that are under way.
+type storeLoads struct {
+	count int
+	// nextEnd is the time until the first of them is expected to end.
+	nextEnd time.Duration
+}
+
+// available is how many loads may begin now.
+func (c *ceiling) available(rate float64, underWay storeLoads, now time.Time) int {
 	burst := max(ceilingMargin*(rate*c.limits.Window.Seconds()*(c.limits.Overage-1)+2), 1)
 	if c.at.IsZero() {
 		// A holder before this one may have used its burst a moment ago.
@@ -36,17 +49,31 @@
 		c.tokens = min(c.tokens+rate*now.Sub(c.at).Seconds(), burst)
 	}
 	c.at = now
-	atOnce := max(int(fullSpeedSeconds*rate), 1)
-	return max(min(int(c.tokens), atOnce-underWay), 0)
+	return max(min(int(c.tokens), c.atOnce-underWay.count), 0)
 }
 
-// nextIn is the time until the rate allows another load.
-func (c *ceiling) nextIn(rate float64) time.Duration {
-	if c.tokens >= 1 || rate <= 0 {
-		return 0
+// nextIn is the time until another load may begin, where none may now.
+func (c *ceiling) nextIn(rate float64, underWay storeLoads) time.Duration {
+	wait := time.Duration(0)
+	if c.tokens < 1 && rate > 0 {
+		wait = time.Duration((1 - c.tokens) / rate * float64(time.Second))
+	}
+	if underWay.count >= c.atOnce {
+		wait = max(wait, underWay.nextEnd)
 	}
-	return time.Duration((1 - c.tokens) / rate * float64(time.Second))
+	return wait
 }
 
 // take counts a load that begins.
 func (c *ceiling) take() { c.tokens-- }
+
+// ended learns from a load that took a multiple of its undisturbed time, when so
+// many were under way as it began, itself included.
+func (c *ceiling) ended(multiple float64, underWay int) {
+	switch {
+	case multiple >= slowFactor:
+		c.atOnce = max(min(c.atOnce, int(float64(underWay)/multiple)), 1)
+	case multiple <= onTimeFactor && underWay >= c.atOnce:
+		c.atOnce++
+	}
+}
--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -126,6 +126,8 @@
 // follow asks for reports until the order was carried out.
 func (h *Holder) follow(ctx context.Context, target *entry, action placement.Action, sequence int64) {
 	started := time.Now()
+	fromStore := action.Kind == placement.Load && action.Source == placement.FromStore
+	underWay := h.storeLoadCount()
 	first := pollPeriod
 	if action.Kind == placement.Load {
 		first = action.Expected + reportLag/2
@@ -135,6 +137,9 @@
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		report, err := h.report(ctx, target)
 		if err == nil && report.Sequence > sequence && !report.Busy {
+			if fromStore {
+				h.storeLoadEnded(action, time.Since(started)-reportLag, underWay)
+			}
 			h.finish(target, &report)
 			h.noteReason(target, action)
 			h.push(time.Now())
@@ -150,6 +155,27 @@
 	h.finish(target, nil)
 }
 
+func (h *Holder) storeLoadCount() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.ledger.storeLoads(time.Now()).count
+}
+
+// storeLoadEnded learns how many loads the store serves at full speed.
+func (h *Holder) storeLoadEnded(action placement.Action, took time.Duration, underWay int) {
+	if action.Expected <= 0 {
+		return
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	before := h.ceiling.atOnce
+	h.ceiling.ended(took.Seconds()/action.Expected.Seconds(), underWay)
+	if h.ceiling.atOnce != before {
+		h.config.Logger.Info().Int("at_once", h.ceiling.atOnce).Int("before", before).Int("under_way", underWay).
+			Dur("took_ms", took).Dur("expected_ms", action.Expected).Msg("loads from the store at once")
+	}
+}
+
 // noteReason keeps why a model was loaded.
 func (h *Holder) noteReason(target *entry, action placement.Action) {
 	h.mutex.Lock()
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -151,11 +151,12 @@
 
 // plan must be called with the lock held.
 func (h *Holder) plan(ctx context.Context, term *Term, pool string, engine *fleet.Engine, now time.Time) {
+	underWay := h.ledger.storeLoads(now)
 	input := placement.Input{
 		Now: now, Engine: engine, Servers: h.ledger.servers(pool, now),
-		Demand: h.demand.ofPool(pool, now), StoreLoads: h.ceiling.available(engine.LoadsPerSecond, h.ledger.loadCount(), now),
+		Demand: h.demand.ofPool(pool, now), StoreLoads: h.ceiling.available(engine.LoadsPerSecond, underWay, now),
+		StoreNextIn: h.ceiling.nextIn(engine.LoadsPerSecond, underWay),
 	}
-	input.StoreNextIn = h.ceiling.nextIn(engine.LoadsPerSecond)
 	for i := range input.Servers {
 		server := &input.Servers[i]
 		if wait := term.turns.remaining(server.ID, now); wait > 0 {
@@ -201,7 +202,7 @@
 	target.working, target.busyUntil = true, now.Add(action.Expected)
 	switch action.Kind {
 	case placement.Load:
-		target.loading, target.intent = action.Model, ""
+		target.loading, target.source, target.intent = action.Model, action.Source, ""
 	case placement.Unload:
 		target.unloading = action.Model
 		target.intent, target.intentAt = action.Intent, now
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -23,8 +23,9 @@
 	onDisk     map[string]bool
 	// working: an order or a report is under way.
 	working bool
-	// loading and its expected end; unloading still takes memory.
+	// loading and where its weights come from; unloading still takes memory.
 	loading string
+	source  placement.Source
 	// loadingAdapter is on its way, as MODEL/NAME.
 	loadingAdapter string
 	// busyUntil is the expected end of the order or report under way.
@@ -181,15 +182,20 @@
 	return ServerState{ID: id, Models: models, Version: e.version}
 }
 
-// loadCount counts the loads under way.
-func (l *ledger) loadCount() int {
-	count := 0
-	for _, found := range l.entries {
-		if found.loading != "" {
-			count++
+// storeLoads counts the loads from the weight store that are under way.
+func (l *ledger) storeLoads(now time.Time) storeLoads {
+	var found storeLoads
+	for _, loading := range l.entries {
+		if loading.loading == "" || loading.source != placement.FromStore {
+			continue
 		}
+		end := loading.freeIn(now)
+		if found.count == 0 || end < found.nextEnd {
+			found.nextEnd = end
+		}
+		found.count++
 	}
-	return count
+	return found
 }
 
 // servers is the planner's input for a pool, in order of ID.
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -36,7 +36,7 @@
 			var starts []time.Time
 			for range 300 {
 				now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
-				for range min(bucket.available(rate, 0, now), rapid.IntRange(0, 50).Draw(t, "wanted")) {
+				for range min(bucket.available(rate, storeLoads{}, now), rapid.IntRange(0, 50).Draw(t, "wanted")) {
 					bucket.take()
 					starts = append(starts, now)
 				}
@@ -66,7 +66,7 @@
 			if step%50 == 0 {
 				current = newCeiling(limits)
 			}
-			for range current.available(rate, 0, now) {
+			for range current.available(rate, storeLoads{}, now) {
 				current.take()
 				begun = append(begun, now)
 			}
@@ -83,11 +83,30 @@
 		}
 	})
 
-	ginkgo.It("keeps few loads under way at once", func() {
+	ginkgo.It("bounds the loads under way", func() {
 		bucket := newCeiling(limits)
-		bucket.available(4, 0, begin)
-		Expect(bucket.available(4, 7, begin.Add(time.Minute))).To(BeZero())
-		Expect(bucket.available(4, 6, begin.Add(time.Minute))).To(Equal(1))
+		bucket.available(4, storeLoads{}, begin)
+		Expect(bucket.available(4, storeLoads{count: firstAtOnce}, begin.Add(time.Minute))).To(BeZero())
+		Expect(bucket.available(4, storeLoads{count: firstAtOnce - 1}, begin.Add(time.Minute))).To(Equal(1))
+		Expect(bucket.nextIn(4, storeLoads{count: firstAtOnce, nextEnd: 3 * time.Second})).To(Equal(3 * time.Second))
+	})
+
+	ginkgo.DescribeTable("learns how many loads the store serves at full speed", func(atOnce int) {
+		bucket := newCeiling(limits)
+		for range 100 {
+			// A store that serves atOnce loads at full speed slows more of them down
+			// in proportion.
+			bucket.ended(max(1, float64(bucket.atOnce)/float64(atOnce)), bucket.atOnce)
+		}
+		Expect(bucket.atOnce).To(BeNumerically(">=", atOnce*3/4))
+		Expect(bucket.atOnce).To(BeNumerically("<=", atOnce*5/4+1))
+	},
+		ginkgo.Entry("one", 1), ginkgo.Entry("as many as are assumed", 4), ginkgo.Entry("more", 13), ginkgo.Entry("many", 60))
+
+	ginkgo.It("does not grow by loads that ran with few others", func() {
+		bucket := newCeiling(limits)
+		bucket.ended(1, 1)
+		Expect(bucket.atOnce).To(Equal(firstAtOnce))
 	})
 })
 
