--- /dev/null
+++ b/scripts/ablation.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# Switches off each mechanism of the decisions in a copy of the tree, one at a time,
+# and plays paired days with and without it. Prints what each is worth by site.
+# Usage: scripts/ablation.sh BENCH JOBS SITE:DAYS:SEEDS...   (DAYS and SEEDS with commas)
+# MECHANISMS="NAME ..." plays only these.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+bench=$1 jobs=$2
+shift 2
+work=$(mktemp -d)
+echo "copy and journal in $work"
+git clone -q "$root" "$work/copy"
+cd "$work/copy"
+
+# play NAME WHY [paired.py's options]: plays all sites.
+play() {
+  local name=$1 why=$2 place site days seeds
+  shift 2
+  for place in "${sites[@]}"; do
+    IFS=: read -r site days seeds <<<"$place"
+    printf '%-26s %-26s ' "$name" "$(basename "$site" .toml)"
+    scripts/paired.py "$bench" "$site" "$work/$name/$(basename "$site")" --against "$work/all/$(basename "$site")" \
+      --days "$days" --seeds "$seeds" --jobs "$jobs" --brief --why "trial: ablation, $why"
+  done
+}
+
+# switch_off NAME FILE OLD NEW: replaces the first place of OLD by NEW.
+switch_off() {
+  local name=$1 file=$2
+  if [[ -n ${MECHANISMS:-} && " $MECHANISMS " != *" $name "* ]]; then return; fi
+  if ! OLD=$3 NEW=$4 perl -0pi -e 'BEGIN { $found = 0 } $found = s/\Q$ENV{OLD}\E/$ENV{NEW}/; END { exit !$found }' "$file"; then
+    printf '%-26s NOT FOUND in %s\n' "$name" "$file"
+    git checkout -q "$file"
+    return
+  fi
+  play "$name" "$name off"
+  git checkout -q "$file"
+}
+
+sites=("$@")
+play all "all mechanisms"
+switch_off plan-times internal/forward/admission.go '; coming {' '; false && coming {'
+switch_off wait-for-server internal/placement/plan.go 'return w.cold || !server.Busy' 'return !server.Busy'
+switch_off wait-for-idle internal/placement/victims.go 'if may && (w.cold || found.wait == 0)' 'if may && found.wait == 0'
+switch_off overdue-orders internal/orders/ledger.go 'return e.busyUntil.Sub(now).Abs()' 'return max(e.busyUntil.Sub(now), 0)'
+switch_off hold-on internal/forward/admission.go 'return held > ' 'return held < 0 && held > '
+switch_off hold-who-came-back internal/forward/admission.go 'return f.coming(flow) || f.withinHold(flow, now)' 'return false'
+switch_off queue-wait internal/forward/tracker.go 'if ahead <= 0 {' 'if ahead <= 1<<30 {'
+switch_off caller-patience internal/forward/forwarder.go 'if fl.route.CallerPatience <= 0 {' 'if true {'
+switch_off loads-at-once internal/orders/ceiling.go 'min(int(c.tokens), c.atOnce-underWay.count)' 'min(int(c.tokens), max(int(1.75*rate), 1)-underWay.count)'
+switch_off adapters-first internal/placement/plan.go '	p.loadAdapters()
+	p.loadModels()' '	p.loadModels()
+	p.loadAdapters()'
+switch_off prefix-affinity internal/forward/choose.go 'if _, sent := load.prefixes[flow.prefixes[i].hash]; sent {' 'if false {'
+switch_off first-choice internal/forward/choose.go 'if first && len(flow.prefixes) > 0 {' 'if false {'
+switch_off failure-scores internal/forward/choose.go 'time.Duration(2 * c.load.failureRate' 'time.Duration(0 * c.load.failureRate'
+switch_off latency-scores internal/forward/choose.go 'highestLatency)' 'highestLatency) * 0 + 1'
+switch_off second-replicas internal/placement/plan.go 'if demand.Rate >= sharedRate {' 'if false {'
+switch_off crowding-cost internal/placement/victims.go 'crowdCost = 0.25' 'crowdCost = 0.0'
+switch_off zone-cost internal/placement/victims.go 'zoneCost = 0.1' 'zoneCost = 0.0'
+switch_off relay internal/mirror/mirror.go 'now.Sub(m.relayedAt) < m.trust()' 'false'
