--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -63,6 +63,7 @@
 	if outcome.Cold {
 		event = event.Bool("cold", true)
 	}
+	event = addText(event, "late", string(outcome.Late))
 	if outcome.CameBack {
 		event = event.Bool("came_back", true)
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -48,3 +48,34 @@
 	RegisterTestingT(t)
 	Expect(explain.Explain("other", strings.NewReader(logs), &bytes.Buffer{})).To(MatchError(ContainSubstring("no line names")))
 }
+
+const dayLogs = `
+{"node":"a","request":"1","code":"ok","route":"r","status":200,"time":"2026-12-02T09:00:00.000Z","message":"request ended"}
+{"node":"b","request":"2","code":"ok","route":"r","status":200,"time":"2026-12-02T09:00:00.000Z","message":"request ended"}
+{"node":"a","request":"3","code":"no_back_end","route":"r","cold":true,"retry_after_ms":900,"time":"2026-12-02T09:00:00.000Z","message":"request ended"}
+{"node":"a","request":"4","code":"ok","route":"r","status":200,"late":"start","cold":true,"came_back":true,"time":"2026-12-02T09:00:00.000Z","message":"request ended"}
+{"node":"a","request":"5","code":"ok","route":"s","status":200,"late":"pause","time":"2026-12-02T09:00:00.000Z","message":"request ended"}
+{"node":"a","request":"6","code":"unknown_path","time":"2026-12-02T09:00:00.000Z","message":"request ended"}
+{"node":"a","request":"6","time":"2026-12-02T09:00:00.000Z","message":"attempt failed"}
+`
+
+func TestEndsOfADay(t *testing.T) {
+	RegisterTestingT(t)
+	var output bytes.Buffer
+	Expect(explain.Day(strings.NewReader(dayLogs), &output)).To(Succeed())
+	var words []string
+	for _, text := range strings.Split(strings.TrimSpace(output.String()), "\n") {
+		words = append(words, strings.Join(strings.Fields(text), " "))
+	}
+	Expect(words).To(Equal([]string{
+		"ROUTE REQUESTS SHARE END",
+		"r 4",
+		"2 0.500 answered",
+		"1 0.250 answered, began late, cold, had come back",
+		"1 0.250 no_back_end, told when to come back, cold",
+		"(none) 1",
+		"1 1.000 unknown_path",
+		"s 1",
+		"1 1.000 answered, paused too long",
+	}))
+}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -933,3 +933,19 @@
 		}
 	})
 }
+
+func TestTellsHowAnAnswerWasLate(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.view.ReplaceServers(map[string]*fleet.Server{"m1": {ID: "m1", Pool: poolOfModels, Slots: 8, Models: holds("m"), Zone: "z"}})
+		ends := map[Lateness]func(context.Context, Attempt) (*Reply, error){
+			OnTime:    streams(events(1, 3), 100*time.Millisecond, io.EOF),
+			LateStart: after(900*time.Millisecond, streams(events(1, 3), time.Millisecond, io.EOF)),
+			LatePause: streams(events(1, 3), 500*time.Millisecond, io.EOF),
+		}
+		for expected, answer := range ends {
+			b.backend.answer["m1"] = answer
+			outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
+			Expect(outcome.Late).To(Equal(expected))
+		}
+	})
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -169,6 +169,7 @@
 		Code: code, Reason: reason, Ran: fl.ran, Begun: fl.begun, Attempts: fl.sent, Server: fl.server,
 		Route: fl.route.Name, Pool: fl.pool, Held: fl.held, FirstByte: fl.firstByte,
 		Cold: fl.cold, Belief: fl.belief, LongestPause: fl.pauses.longest, CameBack: fl.cameBack,
+		Late: fl.lateness(),
 	}
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -168,6 +168,8 @@
 	Cold bool
 	// CameBack: the caller was probably refused before.
 	CameBack bool
+	// Late says how the answer missed its objectives.
+	Late Lateness
 	// LongestPause between two events of the answer.
 	LongestPause time.Duration
 	Belief       Belief
