--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -399,3 +399,27 @@
 		Expect(placement.Plan(input(demand, full)).Actions).To(BeEmpty())
 	})
 })
+
+var _ = Describe("nonsense in the configuration", func() {
+	DescribeTable("harms no other model", func(change func(model *fleet.Model), mayLoad bool) {
+		in := input(map[string]*placement.Demand{"c": waiting(9), "d": waiting(1)}, server("1"), server("2"))
+		change(in.Engine.Models["c"])
+		loaded := map[string]bool{}
+		for _, action := range placement.Plan(in).Actions {
+			Expect(action.Kind).To(Equal(placement.Load))
+			loaded[action.Model] = true
+			Expect(action.Expected).To(BeNumerically(">", 0))
+		}
+		Expect(loaded["d"]).To(BeTrue())
+		Expect(loaded["c"]).To(Equal(mayLoad))
+	},
+		Entry("a model larger than any server", func(model *fleet.Model) { model.SizeMB = 500_000 }, false),
+		Entry("a size of zero", func(model *fleet.Model) { model.SizeMB = 0 }, true),
+		Entry("no load times", func(model *fleet.Model) { model.LoadTime, model.WarmTime, model.DiskTime = 0, 0, 0 }, true),
+	)
+
+	It("a server that holds an unknown model takes nothing else", func() {
+		in := input(map[string]*placement.Demand{"c": waiting(1)}, server("1", "unknown"))
+		Expect(placement.Plan(in).Actions).To(BeEmpty())
+	})
+})
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -49,15 +49,26 @@
 	// storeLoads left.
 	storeLoads int
 	readyIn    map[string]time.Duration
+	// zones in which a model is held.
+	zones map[modelZone]bool
+	// desiredBy and crowdedBy keep what was computed for a model and a server.
+	desiredBy map[string]int
+	crowdedBy map[string]float64
 }
 
+type modelZone struct{ model, zone string }
+
 func newPlan(input *Input) *plan {
 	p := &plan{
 		Input: input, taken: map[string]bool{}, reserved: map[string]bool{}, ready: map[string]int{}, coming: map[string]int{},
 		storeLoads: input.StoreLoads, readyIn: map[string]time.Duration{},
+		zones: map[modelZone]bool{}, desiredBy: map[string]int{}, crowdedBy: map[string]float64{},
 	}
 	for i := range input.Servers {
 		server := &input.Servers[i]
+		for model := range server.Models {
+			p.zones[modelZone{model, server.Zone}] = true
+		}
 		if server.Leaving || server.Suspect {
 			continue
 		}
@@ -78,6 +89,15 @@
 
 // desired is how many replicas the demand calls for.
 func (p *plan) desired(model string, demand *Demand) int {
+	count, known := p.desiredBy[model]
+	if !known {
+		count = p.countDesired(demand)
+		p.desiredBy[model] = count
+	}
+	return count
+}
+
+func (p *plan) countDesired(demand *Demand) int {
 	need := (demand.Running + demand.Waiting + runningPerReplica - 1) / runningPerReplica
 	if demand.Rate >= sharedRate {
 		need = max(need, 2)
@@ -205,8 +225,7 @@
 		if _, holds := server.Models[w.model.Name]; holds || !p.mayWaitFor(server, w) {
 			continue
 		}
-		candidate := p.option(server, w)
-		if candidate != nil && (best == nil || candidate.cost < best.cost) {
+		if candidate := p.option(server, w, best); candidate != nil {
 			best = candidate
 		}
 	}
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -34,8 +34,9 @@
 	cost float64
 }
 
-// option returns how a server would take the replica, or nil if it can't.
-func (p *plan) option(server *Server, w wish) *option {
+// option returns how a server would take the replica, or nil if it can't, or not at
+// a lower cost than the best one so far.
+func (p *plan) option(server *Server, w wish, best *option) *option {
 	source, load := SourceOf(server, w.model)
 	found := &option{server: server, start: p.freeIn(server), cost: p.crowding(server)}
 	if source == FromStore {
@@ -47,9 +48,12 @@
 	if server.Busy {
 		found.start = max(found.start, shortestWait)
 	}
-	if p.heldInZone(w.model.Name, server.Zone) {
+	if p.zones[modelZone{w.model.Name, server.Zone}] {
 		found.cost += zoneCost
 	}
+	if best != nil && found.cost+(found.start+load).Seconds() >= best.cost {
+		return nil
+	}
 	if missing := w.model.SizeMB - p.freeBeside(server); missing > 0 {
 		victims := p.victims(server, w, missing)
 		if len(victims) == 0 {
@@ -63,30 +67,28 @@
 	}
 	found.end = found.start + time.Duration(len(found.victims))*unloadTime + load
 	found.cost += found.end.Seconds()
+	if best != nil && found.cost >= best.cost {
+		return nil
+	}
 	return found
 }
 
 // crowding is what the other models' requests on the server cost.
 func (p *plan) crowding(server *Server) float64 {
-	cost := 0.0
+	cost, known := p.crowdedBy[server.ID]
+	if known {
+		return cost
+	}
 	for name := range server.Models {
 		if demand := p.Demand[name]; demand != nil && demand.Running > 0 {
 			replicas := max(p.ready[name], 1)
 			cost += crowdCost * float64(demand.Running) / float64(replicas*runningPerReplica)
 		}
 	}
+	p.crowdedBy[server.ID] = cost
 	return cost
 }
 
-func (p *plan) heldInZone(model, zone string) bool {
-	for i := range p.Servers {
-		if _, held := p.Servers[i].Models[model]; held && p.Servers[i].Zone == zone {
-			return true
-		}
-	}
-	return false
-}
-
 // freeIn is the time until the server can take an order for a model for which no
 // room is being made there yet.
 func (p *plan) freeIn(server *Server) time.Duration {
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -79,6 +79,13 @@
 switch_off bounded-memory-of-ends internal/mirror/known.go 'if len(k.ended) <= mostEnded {' 'if true {' ./internal/mirror
 # Choice and admission.
 switch_off pause-of-unreached internal/forward/choose.go 'return !now.Before(load.pausedUntil)' 'return true' $forward
+switch_off queue-wait internal/forward/tracker.go 'if ahead <= 0 {' 'if ahead <= 1<<30 {' $forward
+switch_off caller-patience internal/forward/forwarder.go 'if fl.route.CallerPatience <= 0 {' 'if true {' $forward
+switch_off plan-times internal/forward/admission.go '; coming {' '; coming && false {' $forward
+switch_off word-of-the-plan internal/forward/admission.go 'if active && held < planPatience {' 'if false {' $forward
+switch_off hold-on internal/forward/admission.go 'return held > ' 'return held < 0 && held > ' $forward
+switch_off place-before-switchover internal/forward/switchover.go 'if s.place == nil {' 'if false {' $forward
+switch_off budget-before-switchover internal/forward/switchover.go 'if !f.budgets.repeat(asked.pool, now) {' 'if false {' $forward
 switch_off missing-model internal/forward/choose.go 'return !now.Before(load.missing[flow.need()])' 'return true' $forward
 switch_off full-server internal/forward/choose.go 'return load.estimate(now) < overfull*max(server.Slots, 1)' 'return true' $forward
 switch_off refusal-at-once internal/forward/admission.go 'code := result.NoBackEnd' 'if now.Before(flow.deadline) {
@@ -98,8 +105,17 @@
 switch_off instance-of-order platform/orders.go '[][2]string{{headerExpectInstance, order.Server.ID}}' 'nil' ./platform
 switch_off no-work-before-unload internal/orders/holder.go 'delete(target.models, action.Model)' '' ./internal/orders ./platform
 switch_off late-order-noticed internal/orders/ledger.go 'if !e.server.SeenAt.After(e.reportedAt.Add(recordLag)) {' 'if true {' ./internal/orders
-switch_off store-ceiling internal/orders/ceiling.go 'return max(min(int(c.tokens), atOnce-underWay), 0)' 'return max(100, atOnce-underWay)' ./internal/orders
+switch_off store-ceiling internal/orders/ceiling.go 'return max(min(int(c.tokens), c.atOnce-underWay.count), 0)' 'return 100' ./internal/orders
 switch_off busy-server internal/placement/plan.go 'return !server.Busy && ' 'return ' ./internal/placement
+switch_off wait-for-server internal/placement/plan.go 'return w.cold || !server.Busy' 'return !server.Busy' ./internal/placement
+switch_off wait-for-idle internal/placement/victims.go 'if may && (w.cold || found.wait == 0)' 'if may && found.wait == 0' ./internal/placement
+switch_off overdue-orders internal/orders/ledger.go 'return e.busyUntil.Sub(now).Abs()' 'return max(e.busyUntil.Sub(now), 0)' ./internal/orders
+switch_off loads-at-once internal/orders/ceiling.go 'c.atOnce = max(min(' 'c.atOnce = max(c.atOnce, min(' ./internal/orders
+switch_off promises-to-who-waits internal/orders/demand.go 'if asked[key] {' 'if true {' ./internal/orders
+switch_off adapters-first internal/placement/plan.go '	p.loadAdapters()
+	p.loadModels()' '	p.loadModels()
+	p.loadAdapters()' ./internal/placement
+switch_off wanted-adapters-stay internal/placement/adapters.go 'wanted && p.adapterHolders(model, adapter) == 1' 'wanted && p.adapterHolders(model, adapter) == 0' ./internal/placement
 switch_off turn-at-each-server internal/orders/turns.go 'last, known := t.inherited[server]' 'last, known := t.inherited[server+"?"]' ./internal/orders ./platform
 switch_off recent-orders-complete internal/orders/turns.go 'return ages, !now.Before(t.completeFrom)' 'return ages, true' ./internal/orders ./platform
 switch_off successor-without-burst internal/orders/ceiling.go 'c.tokens = 0' 'c.tokens = burst' ./internal/orders
