Count the shortest queue, and forget the promises of an earlier holder

Found by reading the change: a server without a queue did not count, so the wait that refused callers are told, and the log, could be that of another server (TestShortestQueueCounts fails before). Promises of a holder that is replaced were kept until they had passed. The loop over attempts reads in one direction.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -74,13 +75,14 @@
 func (f *Forwarder) choose(flow *flow, snapshot *fleet.Snapshot, now time.Time) choice {
 	var result choice
 	var candidates []candidate
-	flow.runTime, flow.belief.QueueWait = f.tracker.usualRunTime(flow.pool), 0
+	var waits []time.Duration
+	flow.runTime = f.tracker.usualRunTime(flow.pool)
 	for _, server := range snapshot.Pool(flow.pool) {
 		load := f.tracker.of(server.ID)
 		able, fits := passes(flow, server, load, now)
 		if able {
 			result.able++
-			flow.noteQueue(server, load, now)
+			waits = append(waits, load.queueWaitNow(server.Slots, flow.runTime, now))
 		}
 		if fits {
 			candidates = append(candidates, candidate{server: server, load: load})
@@ -96,22 +98,16 @@
 	}
 	flow.belief.Configuration = snapshot.Configuration.Revision
 	flow.belief.Able, flow.belief.Candidates = result.able, len(candidates)
+	flow.belief.QueueWait = 0
+	if len(waits) > 0 {
+		flow.belief.QueueWait = slices.Min(waits)
+	}
 	if result.best != nil {
 		f.reserve(flow, result.best, now)
 	}
 	return result
 }
 
-// noteQueue keeps the shortest wait for a slot.
-func (fl *flow) noteQueue(server *fleet.Server, load *serverLoad, now time.Time) {
-	load.mutex.Lock()
-	defer load.mutex.Unlock()
-	wait := load.queueWait(server.Slots, fl.runTime, now)
-	if fl.belief.QueueWait == 0 || wait < fl.belief.QueueWait {
-		fl.belief.QueueWait = wait
-	}
-}
-
 // passes tells whether a server holds what is needed, and whether it may be
 // sent the request now.
 func passes(flow *flow, server *fleet.Server, load *serverLoad, now time.Time) (able, fits bool) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -949,3 +949,14 @@
 		}
 	})
 }
+
+func TestShortestQueueCounts(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.forwarder.tracker.ran(poolOfModels, 2*time.Second)
+		b.forwarder.tracker.of("m2").tell(Load{Known: true, Running: 8, Waiting: 11, Slots: 8}, time.Now())
+		b.backend.answer["m1"] = streams(events(1, 3), time.Millisecond, io.EOF)
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 20*time.Second), &recorder{})
+		Expect(outcome.Server).To(Equal("m1"))
+		Expect(outcome.Belief.QueueWait).To(BeZero(), "one of two servers has a free slot")
+	})
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -256,17 +256,16 @@
 
 // run sends attempts until one of them ends the request.
 func (f *Forwarder) run(ctx context.Context, flow *flow, responder Responder) *Outcome {
-	var next *candidate
+	var place *candidate
 	for {
-		place, refusal := next, (*Outcome)(nil)
 		if place == nil {
-			place, refusal = f.nextPlace(ctx, flow)
-		}
-		if refusal != nil {
-			return refusal
+			var refusal *Outcome
+			if place, refusal = f.nextPlace(ctx, flow); refusal != nil {
+				return refusal
+			}
 		}
 		var outcome *Outcome
-		if outcome, next = f.attempt(ctx, flow, place, responder); outcome != nil {
+		if outcome, place = f.attempt(ctx, flow, place, responder); outcome != nil {
 			return outcome
 		}
 	}
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -66,6 +66,13 @@
 	return time.Duration(float64(ahead) / float64(slots) * float64(runTime))
 }
 
+// queueWaitNow is queueWait for callers that do not hold the lock.
+func (s *serverLoad) queueWaitNow(slots int, runTime time.Duration, now time.Time) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.queueWait(slots, runTime, now)
+}
+
 func (s *serverLoad) failureRate(now time.Time) float64 {
 	if s.failures == 0 {
 		return 0
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -186,6 +186,7 @@
 	if update.Token > l.token {
 		l.config.View.ForgetPlaced()
 		l.token, l.version = update.Token, 0
+		clear(l.coming)
 	}
 	now := time.Now()
 	l.heardAt = now
