Tell a server's record again that lapsed and came back

Cause: a reader that got the end and the new record of a server in one answer of the store compared the new record with the one before, found them equal, and told its subscribers nothing.

Change: a record carries the revision at which it was created, and one that was created anew counts as changed. A node's overlay and the holder's word of it now go by the record's creation too.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -115,6 +115,34 @@
 		Expect(view.Load().Servers["s"].Holds("a", "")).To(BeTrue())
 	})
 
+	It("keeps the holder's latest word, in whatever order it arrives", func() {
+		view := newView()
+		view.Place([]*fleet.Server{{ID: "s", Models: held("b"), PlacedVersion: 7}})
+		view.Place([]*fleet.Server{{ID: "s", Models: held("c"), PlacedVersion: 6}})
+		Expect(view.Load().Servers["s"].Holds("b", "")).To(BeTrue())
+		view.Place([]*fleet.Server{{ID: "s", Models: held("c"), PlacedVersion: 8}})
+		Expect(view.Load().Servers["s"].Holds("c", "")).To(BeTrue())
+	})
+
+	It("drops what was said of an earlier record of a server, and keeps what was said of the one to come", func() {
+		record := func(created int64) map[string]*fleet.Server {
+			return map[string]*fleet.Server{"s": {ID: "s", Pool: "p", Models: held("a"), Created: created}}
+		}
+		for _, take := range []func(*fleet.View, map[string]*fleet.Server){(*fleet.View).UpdateServers, (*fleet.View).ReplaceServers} {
+			view := fleet.NewView()
+			view.UpdateServers(record(5))
+			view.Place([]*fleet.Server{{ID: "s", Models: held("b"), Created: 5}})
+			take(view, record(5))
+			Expect(view.Load().Servers["s"].Holds("b", "")).To(BeTrue())
+			take(view, record(9))
+			Expect(view.Load().Servers["s"].Holds("a", "")).To(BeTrue())
+			view.Place([]*fleet.Server{{ID: "s", Models: held("c"), Created: 12}})
+			view.UpdateServers(map[string]*fleet.Server{"s": nil})
+			take(view, record(12))
+			Expect(view.Load().Servers["s"].Holds("c", "")).To(BeTrue())
+		}
+	})
+
 	It("wakes those who wait for a change", func() {
 		view := newView()
 		changed := view.Changed()
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -23,6 +23,12 @@
 	recorded map[string]Held
 	// InMemory and OnDisk name the models with a copy of their weights there.
 	InMemory, OnDisk map[string]bool
+	// Created is the revision of the store at which the server's record came into
+	// being. One that lapsed and came back has another, even if it says the same.
+	Created int64
+	// PlacedVersion is the version of the order holder's placement, for what it told
+	// of the models; it grows during a holder's term.
+	PlacedVersion uint64
 	// SeenAt is when this state was told.
 	SeenAt time.Time
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -68,15 +68,13 @@
 func (v *View) ReplaceServers(records map[string]*Server) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
+	for id := range v.placed {
+		v.dropOutdated(id, records[id])
+	}
 	v.records = make(map[string]*Server, len(records))
 	for id, record := range records {
 		v.records[id] = record
 	}
-	for id := range v.placed {
-		if records[id] == nil {
-			delete(v.placed, id)
-		}
-	}
 	v.publish(v.Load().Configuration)
 }
 
@@ -85,9 +83,9 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	for id, server := range changes {
+		v.dropOutdated(id, server)
 		if server == nil {
 			delete(v.records, id)
-			delete(v.placed, id)
 			continue
 		}
 		v.records[id] = server
@@ -95,12 +93,36 @@
 	v.publish(v.Load().Configuration)
 }
 
-// Place overlays what the order holder knows of the models on servers. A nil
-// map of models takes the overlay of that server away.
+// dropOutdated takes the overlay of a server away that was told of an earlier
+// record: the record is gone, or was gone in between, which only some nodes have
+// seen. It must be called with the lock held, before the record is taken over.
+func (v *View) dropOutdated(id string, record *Server) {
+	placed := v.placed[id]
+	if placed == nil {
+		return
+	}
+	oldest := int64(0)
+	if record != nil {
+		oldest = record.Created
+	} else if before := v.records[id]; before != nil {
+		oldest = before.Created + 1
+	}
+	if placed.Created < oldest {
+		delete(v.placed, id)
+	}
+}
+
+// Place overlays what the order holder knows of the models on servers, unless a
+// later version is known: messages may overtake each other, and an older word
+// would stand until the next change. A nil map of models takes the overlay of
+// that server away.
 func (v *View) Place(states []*Server) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	for _, state := range states {
+		if before := v.placed[state.ID]; before != nil && before.PlacedVersion > state.PlacedVersion {
+			continue
+		}
 		if state.Models == nil {
 			delete(v.placed, state.ID)
 			continue
--- a/internal/mirror/apply.go
+++ b/internal/mirror/apply.go
@@ -8,8 +8,7 @@
 // replace takes over everything that exists. It must be called with the lock held.
 func (m *Mirror) replace(changes Changes) {
 	m.revision = changes.At
-	m.known = newKnown()
-	m.known.since = changes.At
+	m.known = newKnown(max(changes.At, changes.Newest))
 	m.known.take(changes)
 	servers := make(map[string]*fleet.Server, len(changes.Servers))
 	for id, server := range changes.Servers {
@@ -33,6 +32,7 @@
 	if changes.At <= m.revision || changes.Base > m.revision {
 		return
 	}
+	before := m.revision
 	m.revision = changes.At
 	m.known.take(changes)
 	m.takeConfiguration(changes.Configuration, changes.ConfigurationRevision)
@@ -43,7 +43,9 @@
 		m.config.View.UpdateServers(changes.Servers)
 	}
 	for _, event := range changes.Own {
-		m.config.Own.Change(event)
+		if event.KeyValue.ModRevision > before {
+			m.config.Own.Change(event)
+		}
 	}
 }
 
@@ -65,7 +67,7 @@
 		}
 		return
 	}
-	if before != nil && before.Draining == server.Draining {
+	if before != nil && before.Draining == server.Draining && before.Created == server.Created {
 		return
 	}
 	state := "ready"
--- a/internal/mirror/fakes_test.go
+++ b/internal/mirror/fakes_test.go
@@ -58,6 +58,10 @@
 	case change.record == nil:
 		delete(s.servers, change.server)
 	default:
+		change.record.Created = s.revision
+		if before := s.servers[change.server]; before != nil {
+			change.record.Created = before.Created
+		}
 		s.servers[change.server] = change.record
 	}
 	s.history = append(s.history, change)
@@ -84,6 +88,12 @@
 
 func (s *fakeStore) remove(id string) { s.add(fakeChange{server: id}) }
 
+// restore writes a record that lapsed once more.
+func (s *fakeStore) restore(record *fleet.Server) {
+	again := *record
+	s.add(fakeChange{server: record.ID, record: &again})
+}
+
 func (s *fakeStore) putOwn(key, value string) {
 	s.add(fakeChange{own: &outside.WatchEvent{KeyValue: outside.KeyValue{Key: key, Value: []byte(value)}}})
 }
@@ -163,12 +173,31 @@
 	if err := s.call(ctx, "read"); err != nil {
 		return Changes{}, err
 	}
+	first, changes := s.page(func(id string) bool { return id < "u" })
+	time.Sleep(pagePause)
+	newest, second := s.page(func(id string) bool { return id >= "u" })
+	maps.Copy(changes.Servers, second.Servers)
+	changes.At, changes.Newest = first, newest
+	return changes, nil
+}
+
+// pagePause is the time between the two pages of a read of everything, which is
+// therefore no snapshot.
+const pagePause = 20 * time.Millisecond
+
+// page reads the configuration and the servers that are wanted, and the revision.
+func (s *fakeSource) page(wanted func(id string) bool) (int64, Changes) {
 	s.store.mutex.Lock()
 	defer s.store.mutex.Unlock()
-	return Changes{
-		At: s.store.revision, Servers: maps.Clone(s.store.servers),
-		Configuration: s.store.configuration, ConfigurationRevision: s.store.configuredAt,
-	}, nil
+	changes := Changes{
+		Servers: map[string]*fleet.Server{}, Configuration: s.store.configuration, ConfigurationRevision: s.store.configuredAt,
+	}
+	for id, server := range s.store.servers {
+		if wanted(id) {
+			changes.Servers[id] = server
+		}
+	}
+	return s.store.revision, changes
 }
 
 func (s *fakeSource) Changes(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
--- a/internal/mirror/known.go
+++ b/internal/mirror/known.go
@@ -17,7 +17,8 @@
 // with the revision of the last change that matters to others. A server that only
 // wrote the same record once more did not change.
 type known struct {
-	// since: what changed at this revision or before can't be told.
+	// since: what changed at this revision or before can't be told, and what is
+	// known is exactly what the store held at a revision only from this one on.
 	since int64
 	// configuration is the newest one's revision.
 	configuration int64
@@ -25,6 +26,8 @@
 	own           map[string]outside.WatchEvent
 	// ended servers, by the revision at which they were seen to be gone.
 	ended map[string]int64
+	// digest of all servers' records.
+	digest Digest
 }
 
 type knownServer struct {
@@ -32,8 +35,12 @@
 	revision int64
 }
 
-func newKnown() *known {
-	return &known{servers: map[string]knownServer{}, own: map[string]outside.WatchEvent{}, ended: map[string]int64{}}
+// newKnown returns what is known when changes after the revision can be told.
+func newKnown(since int64) *known {
+	return &known{
+		since: since, servers: map[string]knownServer{}, own: map[string]outside.WatchEvent{}, ended: map[string]int64{},
+		digest: noRecords,
+	}
 }
 
 // take notes changes. All of them count as made at the last revision, which is
@@ -41,15 +48,19 @@
 func (k *known) take(changes Changes) {
 	k.configuration = max(k.configuration, changes.ConfigurationRevision)
 	for id, server := range changes.Servers {
+		before, exists := k.servers[id]
 		if server == nil {
+			k.digest.remove(before.record, exists)
 			delete(k.servers, id)
 			k.ended[id] = changes.At
 			continue
 		}
 		record := recordOf(server)
-		if before, exists := k.servers[id]; exists && before.record.equal(record) {
+		if exists && before.record.equal(record) {
 			continue
 		}
+		k.digest.remove(before.record, exists)
+		k.digest.add(record)
 		delete(k.ended, id)
 		k.servers[id] = knownServer{record: record, revision: changes.At}
 	}
@@ -76,7 +87,7 @@
 // update tells what changed after the revision, up to at. It returns false if that
 // can't be told.
 func (k *known) update(after, at int64, age time.Duration) (Update, bool) {
-	if after < k.since {
+	if after < k.since || at < k.since {
 		return Update{}, false
 	}
 	update := Update{Base: after, At: at, Age: age, Configuration: k.configuration}
@@ -106,6 +117,9 @@
 	ID, Pool, Address, Zone string
 	Slots                   int
 	Draining                bool
+	// Created is the store's revision at which the record came into being. Without
+	// it, a record that lapsed and came back unchanged would not count as a change.
+	Created int64
 	// Models with their adapters.
 	Models []ModelRecord
 }
@@ -120,6 +134,7 @@
 func recordOf(server *fleet.Server) ServerRecord {
 	record := ServerRecord{
 		ID: server.ID, Pool: server.Pool, Address: server.Address, Zone: server.Zone, Slots: server.Slots, Draining: server.Draining,
+		Created: server.Created,
 	}
 	for name, held := range server.Recorded() {
 		record.Models = append(record.Models, ModelRecord{Name: name, Adapters: held.AdapterNames()})
@@ -130,7 +145,8 @@
 
 func (r ServerRecord) equal(other ServerRecord) bool {
 	return r.ID == other.ID && r.Pool == other.Pool && r.Address == other.Address && r.Zone == other.Zone &&
-		r.Slots == other.Slots && r.Draining == other.Draining && slices.EqualFunc(r.Models, other.Models, ModelRecord.equal)
+		r.Slots == other.Slots && r.Draining == other.Draining && r.Created == other.Created &&
+		slices.EqualFunc(r.Models, other.Models, ModelRecord.equal)
 }
 
 func (m ModelRecord) equal(other ModelRecord) bool {
@@ -141,7 +157,7 @@
 func (r ServerRecord) server(seenAt time.Time) *fleet.Server {
 	server := &fleet.Server{
 		ID: r.ID, Pool: r.Pool, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Draining: r.Draining,
-		Models: make(map[string]fleet.Held, len(r.Models)), SeenAt: seenAt,
+		Created: r.Created, Models: make(map[string]fleet.Held, len(r.Models)), SeenAt: seenAt,
 	}
 	for _, model := range r.Models {
 		server.Models[model.Name] = fleet.NewHeld(model.Adapters)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -29,6 +29,9 @@
 // Changes are what changed in the store after the revision Base, up to At.
 type Changes struct {
 	Base, At int64
+	// Newest is the revision up to which some of it may have been read: reading
+	// everything takes several calls. Zero: all was read at the revision At.
+	Newest int64
 	// Configuration is nil if it did not change, or was not understood.
 	Configuration *fleet.Configuration
 	// ConfigurationRevision is zero if the configuration did not change.
@@ -106,6 +109,10 @@
 	// that of the newest one that exists.
 	configuration int64
 	known         *known
+	// drifted: another node knows other records for the same revision, so everything
+	// is read again; driftAt is when that was done last.
+	drifted bool
+	driftAt time.Time
 	// subscribers by address, with when they last asked; they were told of all changes
 	// up to the revision pushed.
 	subscribers map[string]time.Time
@@ -120,7 +127,7 @@
 func New(config Config) *Mirror {
 	m := &Mirror{
 		config: config, woken: make(chan struct{}, 1), missed: make(chan struct{}, 1),
-		known: newKnown(), subscribers: map[string]time.Time{},
+		known: newKnown(0), subscribers: map[string]time.Time{},
 	}
 	if config.Transport != nil {
 		config.Transport.Handle(Subscribe{}, m.serveSubscribe)
@@ -162,7 +169,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	switch {
-	case m.revision == 0:
+	case m.revision == 0, m.drifted:
 		return readAll
 	case m.configuration < m.known.configuration:
 		return readConfiguration
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -45,6 +45,113 @@
 	})
 }
 
+// A follower that saw a server's record lapse, while the relay sees the end and the
+// new record in one answer, learns of the new one, though the relay knows one that
+// says the same.
+func TestRecordThatCameBackIsTold(t *testing.T) {
+	withNodes(t, 2, func(d *deployment) {
+		relay, follower := d.nodes[0], d.nodes[1]
+		record := d.store.servers["s"]
+		relay.source.set(true, false)
+		time.Sleep(share(trustShare, testTimes.Changes) + time.Second)
+		d.store.remove("s")
+		time.Sleep(share(aloneWaitShare, testTimes.Contact))
+		Expect(follower.view.Load().Servers).NotTo(HaveKey("s"))
+		Expect(relay.view.Load().Servers).To(HaveKey("s"))
+		follower.source.set(true, false)
+		// The call that it waits in ends.
+		time.Sleep(testTimes.Contact)
+		d.store.restore(record)
+		relay.source.set(false, false)
+		time.Sleep(settled)
+		Expect(follower.mirror.Through()).To(BeTrue())
+		Expect(follower.view.Load().Servers).To(HaveKey("s"))
+	})
+}
+
+// A read of everything is no snapshot: a record on its last page may be newer than
+// its revision. A follower that knows less is told of it all the same.
+func TestRecordNewerThanTheReadIsTold(t *testing.T) {
+	RegisterTestingT(t)
+	m := New(Config{View: fleet.NewView(), Own: &fakeOwn{values: map[string]string{}}, Times: testTimes})
+	draining := map[string]*fleet.Server{"s": {ID: "s", Pool: "p", Draining: true}}
+	m.replace(Changes{At: 10, Newest: 13, Servers: draining})
+	m.apply(Changes{Base: 10, At: 15, Servers: draining})
+	_, can := m.known.update(10, 15, 0)
+	Expect(can).To(BeFalse(), "what changed between the first page and the last can't be told")
+	_, can = m.known.update(13, 15, 0)
+	Expect(can).To(BeTrue())
+}
+
+// lose makes a node forget a server, as a fault of ours might.
+func (n *testNode) lose(id string) {
+	n.mirror.mutex.Lock()
+	defer n.mirror.mutex.Unlock()
+	n.mirror.known.take(Changes{At: n.mirror.revision, Servers: map[string]*fleet.Server{id: nil}})
+	n.view.UpdateServers(map[string]*fleet.Server{id: nil})
+}
+
+// Whatever makes two nodes differ, the one that lacks a record reads it again.
+func TestDifferenceBetweenNodesIsMended(t *testing.T) {
+	for number := range 2 {
+		withNodes(t, 2, func(d *deployment) {
+			d.nodes[number].lose("s")
+			time.Sleep(subscribePeriod + time.Second)
+			for _, node := range d.nodes {
+				Expect(node.view.Load().Servers).To(HaveKey("s"))
+				Expect(node.source.count("read")).To(Equal(2))
+			}
+		})
+	}
+}
+
+// A difference that reading does not mend costs a read now and then, no more.
+func TestDifferenceThatStaysCostsLittle(t *testing.T) {
+	withNodes(t, 2, func(d *deployment) {
+		for range 20 {
+			d.nodes[1].lose("s")
+			time.Sleep(subscribePeriod)
+		}
+		Expect(d.nodes[1].source.count("read")).To(BeNumerically("<=", 3))
+	})
+}
+
+// A node that can't read the store goes on with what the relay tells.
+func TestDifferenceDoesNotKeepFromTheRelay(t *testing.T) {
+	withNodes(t, 2, func(d *deployment) {
+		d.nodes[1].source.set(true, false)
+		d.nodes[1].lose("s")
+		time.Sleep(subscribePeriod + time.Second)
+		d.store.put("t", false)
+		time.Sleep(600 * time.Millisecond)
+		Expect(d.nodes[1].view.Load().Servers).To(HaveKey("t"))
+		d.nodes[1].source.set(false, false)
+		time.Sleep(600 * time.Millisecond)
+		Expect(d.nodes[1].view.Load().Servers).To(HaveKey("s"))
+	})
+}
+
+func TestEqualRecordsHaveEqualDigests(t *testing.T) {
+	RegisterTestingT(t)
+	record := ServerRecord{ID: "s", Pool: "p", Slots: 1, Created: 7, Models: []ModelRecord{{Name: "m", Adapters: []string{"a", "b"}}}}
+	others := []ServerRecord{
+		{ID: "s", Pool: "p", Slots: 1, Created: 8, Models: record.Models},
+		{ID: "s", Pool: "p", Slots: 1, Created: 7, Draining: true, Models: record.Models},
+		{ID: "s", Pool: "p", Slots: 1, Created: 7},
+		{ID: "s", Pool: "p", Slots: 1, Created: 7, Models: []ModelRecord{{Name: "m", Adapters: []string{"ab"}}}},
+		{ID: "sp", Slots: 1, Created: 7, Models: record.Models},
+	}
+	for _, other := range others {
+		Expect(other.hash()).NotTo(Equal(record.hash()), "%v", other)
+	}
+	var digest Digest
+	digest.add(record)
+	digest.add(others[0])
+	digest.remove(record, true)
+	digest.remove(ServerRecord{}, false)
+	Expect(digest).To(BeEquivalentTo(others[0].hash()))
+}
+
 func TestFollowersLearnOfChangesInTime(t *testing.T) {
 	withNodes(t, 3, func(d *deployment) {
 		d.store.configure(true)
@@ -136,9 +243,9 @@
 	RegisterTestingT(t)
 	m := New(Config{View: fleet.NewView(), Own: &fakeOwn{values: map[string]string{}}, Times: testTimes})
 	m.replace(Changes{At: 10})
-	m.takeUpdate(Update{Base: 10, At: 10, Age: m.trust()})
+	m.takeUpdate(Update{Base: 10, At: 10, Age: m.trust()}, "r:1")
 	Expect(m.next(time.Now())).To(Equal(readChanges))
-	m.takeUpdate(Update{Base: 10, At: 10})
+	m.takeUpdate(Update{Base: 10, At: 10}, "r:1")
 	Expect(m.next(time.Now())).To(Equal(awaitRelay))
 }
 
@@ -211,7 +318,7 @@
 		return map[string]*fleet.Server{"s": {ID: "s", Pool: "p", Draining: draining}}
 	}
 	m.replace(Changes{At: 10, Servers: server(false)})
-	m.takeUpdate(Update{Base: 10, At: 12, Servers: []ServerRecord{{ID: "s", Pool: "p", Draining: true}}})
+	m.takeUpdate(Update{Base: 10, At: 12, Servers: []ServerRecord{{ID: "s", Pool: "p", Draining: true}}}, "r:1")
 	m.apply(Changes{Base: 10, At: 11, Servers: server(false)})
 	Expect(node.view.Load().Servers["s"].Draining).To(BeTrue())
 	m.apply(Changes{Base: 10, At: 13, Servers: server(false)})
@@ -224,7 +331,7 @@
 	RegisterTestingT(t)
 	m := New(Config{View: fleet.NewView(), Own: &fakeOwn{values: map[string]string{}}, Times: testTimes})
 	m.replace(Changes{At: 10, ConfigurationRevision: 5})
-	m.takeUpdate(Update{Base: 10, At: 12, Configuration: 11})
+	m.takeUpdate(Update{Base: 10, At: 12, Configuration: 11}, "r:1")
 	Expect(m.next(time.Now())).To(Equal(readConfiguration))
 	told, can := m.known.update(10, 12, 0)
 	Expect(can).To(BeTrue())
@@ -233,7 +340,7 @@
 
 func TestWhatEndedIsBounded(t *testing.T) {
 	RegisterTestingT(t)
-	k := newKnown()
+	k := newKnown(0)
 	for revision := range int64(3 * mostEnded) {
 		k.take(Changes{At: revision + 1, Servers: map[string]*fleet.Server{fmt.Sprint(revision): nil}})
 	}
@@ -248,7 +355,7 @@
 // Any trouble, with relays that change: no node goes back, and once it is over
 // all know what the store holds.
 func TestAnyTroubleLeavesAllNodesEqual(t *testing.T) {
-	for seed := range uint64(30) {
+	for seed := range uint64(200) {
 		withNodes(t, 4, func(d *deployment) {
 			random := rand.New(rand.NewPCG(seed, 1))
 			highest := make([]int64, len(d.nodes))
@@ -280,7 +387,7 @@
 func (d *deployment) randomTrouble(random *rand.Rand) {
 	number := random.IntN(len(d.nodes))
 	id := string(rune('s' + random.IntN(5)))
-	switch random.IntN(9) {
+	switch random.IntN(10) {
 	case 0:
 		d.store.configure(true)
 	case 1, 2:
@@ -299,5 +406,11 @@
 		d.network.mutex.Lock()
 		d.network.lose = random.IntN(4)
 		d.network.mutex.Unlock()
+	case 9:
+		if record := d.store.servers[id]; record != nil {
+			d.store.remove(id)
+			time.Sleep(time.Duration(random.IntN(600)) * time.Millisecond)
+			d.store.restore(record)
+		}
 	}
 }
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -35,8 +35,15 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if changes.At < m.revision {
+		// The relay told more while this was read; it is read once more.
+		return
+	}
 	m.replace(changes)
 	m.confirmedAt = time.Now()
+	if m.drifted {
+		m.drifted, m.driftAt = false, m.confirmedAt
+	}
 	m.config.Logger.Info().Int("servers", len(changes.Servers)).Int64("revision", changes.At).Msg("servers read")
 }
 
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -29,6 +29,8 @@
 	// Address of the subscriber.
 	Address  string
 	Revision int64
+	// Digest of the records that it knows at the revision.
+	Digest Digest
 }
 
 // Update tells what changed in the store after Base, up to At; nothing, if the
@@ -39,9 +41,11 @@
 	Age time.Duration
 	// Configuration is the newest one's revision; its content is in the store.
 	Configuration int64
-	Servers       []ServerRecord
-	Ended         []string
-	Own           []outside.WatchEvent
+	// Digest of all records at the revision At; zero in what is pushed.
+	Digest  Digest
+	Servers []ServerRecord
+	Ended   []string
+	Own     []outside.WatchEvent
 }
 
 // size is the number of records.
@@ -86,15 +90,15 @@
 
 func (m *Mirror) ask(relay string) {
 	m.mutex.Lock()
-	revision := m.revision
+	revision, digest := m.revision, m.digestNow()
 	m.mutex.Unlock()
 	if revision == 0 {
 		return
 	}
-	message := Subscribe{Address: m.config.Address, Revision: revision}
+	message := Subscribe{Address: m.config.Address, Revision: revision, Digest: digest}
 	m.config.Transport.Call(relay, message, subscribeTimeout, func(reply peer.Message, err error) {
 		if update, told := reply.(Update); told && err == nil {
-			m.takeUpdate(update)
+			m.takeUpdate(update, relay)
 		}
 	})
 }
@@ -108,9 +112,13 @@
 	age := now.Sub(m.confirmedAt)
 	update, can := m.known.update(asked.Revision, max(m.revision, asked.Revision), age)
 	can = can && update.size() <= mostFor(len(m.subscribers)) && m.revision > 0 && !m.through && age < m.trust()
+	if update.At == m.revision {
+		update.Digest = m.digestNow()
+	}
 	if m.revision > 0 && !m.through {
 		// Also if the knowledge is not fresh now: with a subscriber it soon is.
 		m.subscribers[asked.Address] = now
+		m.compare(asked.Digest, asked.Revision, asked.Address, now)
 	}
 	m.mutex.Unlock()
 	if !can {
@@ -120,13 +128,13 @@
 	reply(update, nil)
 }
 
-func (m *Mirror) serveUpdate(_ string, message peer.Message, reply func(peer.Message, error)) {
-	m.takeUpdate(message.(Update))
+func (m *Mirror) serveUpdate(from string, message peer.Message, reply func(peer.Message, error)) {
+	m.takeUpdate(message.(Update), from)
 	reply(nil, nil)
 }
 
 // takeUpdate takes over what the relay told.
-func (m *Mirror) takeUpdate(update Update) {
+func (m *Mirror) takeUpdate(update Update, from string) {
 	now := time.Now()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -142,6 +150,7 @@
 	if confirmed := now.Add(-update.Age); confirmed.After(m.relayedAt) {
 		m.relayedAt = confirmed
 	}
+	m.compare(update.Digest, update.At, from, now)
 	signal(m.woken)
 }
 
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -75,6 +75,10 @@
 			found = &entry{models: map[string]*heldModel{}}
 			l.entries[id] = found
 		}
+		if found.server != nil && found.server.Created != server.Created {
+			// Nodes drop what they were told of the record before.
+			l.changed(found)
+		}
 		found.server = server
 		if found.stale() && !found.working && !server.Draining && !now.Before(found.suspectUntil) {
 			ask = append(ask, found)
@@ -179,7 +183,7 @@
 	for name, held := range e.models {
 		models[name] = fleet.Held{Adapters: held.adapters}.AdapterNames()
 	}
-	return ServerState{ID: id, Models: models, Version: e.version}
+	return ServerState{ID: id, Models: models, Version: e.version, Created: e.server.Created}
 }
 
 // storeLoads counts the loads from the weight store that are under way.
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -188,6 +188,7 @@
 		l.token, l.version = update.Token, 0
 		clear(l.coming)
 	}
+	defer l.mutex.Unlock()
 	now := time.Now()
 	l.heardAt = now
 	if update.Nodes > 0 {
@@ -199,7 +200,6 @@
 	for _, model := range update.Coming {
 		l.coming[forward.DemandKey{Pool: model.Pool, Model: model.Model}] = now.Add(model.Remaining)
 	}
-	l.mutex.Unlock()
 	if len(update.Servers) > 0 {
 		l.config.View.Place(placed(update.Servers, now))
 	}
@@ -211,7 +211,9 @@
 func placed(states []ServerState, now time.Time) []*fleet.Server {
 	servers := make([]*fleet.Server, len(states))
 	for i, state := range states {
-		server := &fleet.Server{ID: state.ID, Models: map[string]fleet.Held{}, SeenAt: now}
+		server := &fleet.Server{
+			ID: state.ID, Models: map[string]fleet.Held{}, PlacedVersion: state.Version, Created: state.Created, SeenAt: now,
+		}
 		for name, adapters := range state.Models {
 			server.Models[name] = fleet.NewHeld(adapters)
 		}
--- a/internal/orders/messages.go
+++ b/internal/orders/messages.go
@@ -45,6 +45,9 @@
 	Models map[string][]string
 	// Version of the placement at which this changed.
 	Version uint64
+	// Created is when the server's record came into being, as a revision of the
+	// store, as far as the holder knows.
+	Created int64
 }
 
 // ComingState is a model that is being loaded, or that the plan will load.
--- a/internal/orders/term_test.go
+++ b/internal/orders/term_test.go
@@ -83,6 +83,27 @@
 	})
 }
 
+// Nodes drop what they were told of a server whose record came back, so they are
+// told again, whatever the holder saw of it.
+func TestServerWhoseRecordCameBackIsToldAgain(t *testing.T) {
+	RegisterTestingT(t)
+	snapshot := func(created int64) *fleet.Snapshot {
+		return &fleet.Snapshot{
+			Configuration: fleet.NewConfiguration(1, 1, nil, []*fleet.Pool{{Name: "p", Engine: &fleet.Engine{}}}, fleet.Limits{}),
+			Servers:       map[string]*fleet.Server{"s": {ID: "s", Pool: "p", Created: created}},
+		}
+	}
+	book := newLedger()
+	book.sync(snapshot(5), time.Now())
+	book.reported(book.entries["s"], Report{Models: map[string]fleet.Held{"m": {}}}, time.Now())
+	told := book.version
+	book.sync(snapshot(5), time.Now())
+	Expect(book.states(told)).To(BeEmpty())
+	book.sync(snapshot(9), time.Now())
+	Expect(book.states(told)).To(HaveLen(1))
+	Expect(book.states(told)[0].Created).To(BeEquivalentTo(9))
+}
+
 // An order that was carried out late shows in the server's record.
 func TestRecordThatShowsOtherModelsMakesAnEntryStale(t *testing.T) {
 	reported := time.Now()
--- a/internal/outside/contract/keyvalue_test.go
+++ b/internal/outside/contract/keyvalue_test.go
@@ -45,7 +45,19 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(again.Succeeded).To(BeFalse())
 		Expect(again.Revision).To(Equal(created.Revision))
-		Expect(again.Current).To(Equal([]outside.KeyValue{{Key: "a/1", Value: []byte("first"), ModRevision: created.Revision}}))
+		Expect(again.Current).To(Equal([]outside.KeyValue{{Key: "a/1", Value: []byte("first"), CreateRevision: created.Revision, ModRevision: created.Revision}}))
+	})
+
+	It("tells when a key came into being, anew after it was removed", func() {
+		h := harness()
+		created := h.put("a", "1")
+		written := h.put("a", "2")
+		Expect(h.read("a").KeyValues[0].CreateRevision).To(Equal(created))
+		Expect(h.read("a").KeyValues[0].ModRevision).To(Equal(written))
+		_, err := h.transact(longTimeout, outside.Transaction{Operations: []outside.Operation{{Kind: outside.OperationDelete, Key: "a"}}})
+		Expect(err).NotTo(HaveOccurred())
+		again := h.put("a", "2")
+		Expect(h.read("a").KeyValues[0].CreateRevision).To(Equal(again))
 	})
 
 	It("writes all or nothing, by the compared revisions", func() {
--- a/internal/outside/etcd/convert.go
+++ b/internal/outside/etcd/convert.go
@@ -67,10 +67,11 @@
 
 func decodeKeyValue(encoded wire.KeyValue) outside.KeyValue {
 	return outside.KeyValue{
-		Key:         string(encoded.Key),
-		Value:       encoded.Value,
-		ModRevision: int64(encoded.ModRevision),
-		Lease:       outside.LeaseID(encoded.Lease),
+		Key:            string(encoded.Key),
+		Value:          encoded.Value,
+		CreateRevision: int64(encoded.CreateRevision),
+		ModRevision:    int64(encoded.ModRevision),
+		Lease:          outside.LeaseID(encoded.Lease),
 	}
 }
 
--- a/internal/outside/etcd/wire/wire.go
+++ b/internal/outside/etcd/wire/wire.go
@@ -48,10 +48,11 @@
 
 // KeyValue is one key as stored.
 type KeyValue struct {
-	Key         []byte `json:"key,omitempty"`
-	Value       []byte `json:"value,omitempty"`
-	ModRevision Int64  `json:"mod_revision,omitempty"`
-	Lease       Int64  `json:"lease,omitempty"`
+	Key            []byte `json:"key,omitempty"`
+	Value          []byte `json:"value,omitempty"`
+	CreateRevision Int64  `json:"create_revision,omitempty"`
+	ModRevision    Int64  `json:"mod_revision,omitempty"`
+	Lease          Int64  `json:"lease,omitempty"`
 }
 
 // The only comparison used: the key's modification revision equals a number.
--- a/internal/outside/keyvalue.go
+++ b/internal/outside/keyvalue.go
@@ -12,6 +12,9 @@
 type KeyValue struct {
 	Key   string
 	Value []byte
+	// CreateRevision is the service's revision at which the key came into being: a
+	// key that was removed and written again has another one.
+	CreateRevision int64
 	// ModRevision is the service's revision at which the key was last written.
 	ModRevision int64
 	Lease       LeaseID
--- a/internal/standin/keyvalue/server_convert.go
+++ b/internal/standin/keyvalue/server_convert.go
@@ -93,10 +93,11 @@
 
 func encodeKeyValue(keyValue outside.KeyValue) wire.KeyValue {
 	return wire.KeyValue{
-		Key:         []byte(keyValue.Key),
-		Value:       keyValue.Value,
-		ModRevision: wire.Int64(keyValue.ModRevision),
-		Lease:       wire.Int64(keyValue.Lease),
+		Key:            []byte(keyValue.Key),
+		Value:          keyValue.Value,
+		CreateRevision: wire.Int64(keyValue.CreateRevision),
+		ModRevision:    wire.Int64(keyValue.ModRevision),
+		Lease:          wire.Int64(keyValue.Lease),
 	}
 }
 
--- a/internal/standin/keyvalue/server_test.go
+++ b/internal/standin/keyvalue/server_test.go
@@ -52,11 +52,11 @@
 		Expect(written).To(MatchJSON(`{"header":{"revision":"2"},"succeeded":true}`))
 		_, refused := post("/v3/kv/txn", transaction)
 		Expect(refused).To(MatchJSON(`{"header":{"revision":"2"},"responses":[{"response_range":{"header":{"revision":"2"},
-			"kvs":[{"key":"Zm9v","value":"YmFy","mod_revision":"2","lease":"1"}]}}]}`))
+			"kvs":[{"key":"Zm9v","value":"YmFy","create_revision":"2","mod_revision":"2","lease":"1"}]}}]}`))
 		_, read := post("/v3/kv/range", `{"key":"Zm8=","range_end":"Zm8="}`)
 		Expect(read).To(ContainSubstring("not supported"))
 		_, read = post("/v3/kv/range", `{"key":"Zm9v"}`)
-		Expect(read).To(MatchJSON(`{"header":{"revision":"2"},"kvs":[{"key":"Zm9v","value":"YmFy","mod_revision":"2","lease":"1"}]}`))
+		Expect(read).To(MatchJSON(`{"header":{"revision":"2"},"kvs":[{"key":"Zm9v","value":"YmFy","create_revision":"2","mod_revision":"2","lease":"1"}]}`))
 		_, alive := post("/v3/lease/keepalive", `{"ID":"1"}`)
 		Expect(alive).To(MatchJSON(`{"result":{"header":{"revision":"2"},"ID":"1","TTL":"10"}}`))
 		_, revoked := post("/v3/kv/lease/revoke", `{"ID":"1"}`)
@@ -97,7 +97,7 @@
 		world.write("other", "1")
 		world.write("key/a", "2")
 		Expect(get("/control/records?after=2")).To(MatchJSON(`[{"revision":4,"time":"2026-01-01T00:00:00Z","cause":"transaction",
-			"events":[{"kv":{"key":"a2V5L2E=","value":"Mg==","mod_revision":"4"}}]}]`))
+			"events":[{"kv":{"key":"a2V5L2E=","value":"Mg==","create_revision":"2","mod_revision":"4"}}]}]`))
 		Expect(get("/control/counters")).To(ContainSubstring(`"refused":{"grant_lease":0,"keep_alive":0,"range":1`))
 	})
 })
--- a/internal/standin/keyvalue/store.go
+++ b/internal/standin/keyvalue/store.go
@@ -226,10 +226,14 @@
 		return outside.WatchEvent{Deleted: true, KeyValue: deleted}, existed
 	}
 	keyValue := outside.KeyValue{
-		Key:         operation.Key,
-		Value:       bytes.Clone(operation.Value),
-		ModRevision: revision,
-		Lease:       operation.Lease,
+		Key:            operation.Key,
+		Value:          bytes.Clone(operation.Value),
+		CreateRevision: revision,
+		ModRevision:    revision,
+		Lease:          operation.Lease,
+	}
+	if existed {
+		keyValue.CreateRevision = previous.CreateRevision
 	}
 	s.keys.put(keyValue)
 	s.leases.attach(operation.Lease, operation.Key)
