Count an unanswered load as one that may come

Change: such a load counts as doubtful for 2 s. A further replica is not ordered again while it may come; a model that no server holds is, since its callers can't rely on it.

--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -31,6 +31,10 @@
 	orderPatience = 4 * time.Second
 	// suspectTime is how long nothing is planned on a server that did not answer.
 	suspectTime = 700 * time.Millisecond
+	// doubtTime is how long a load that was ordered without an answer counts as one
+	// that may come: longer than it takes to try all servers, shorter than a crowded
+	// model should wait for a replica. An estimate.
+	doubtTime = 2 * time.Second
 )
 
 // execute gives one order and follows it to its end. The entry is working
@@ -54,6 +58,9 @@
 	case !sent:
 		h.finish(target, nil)
 	case err != nil || reply == ReplyConflict || reply == ReplyOtherInstance || reply == ReplyFenced || reply == ReplyInvalid:
+		if err != nil {
+			h.doubt(target, action)
+		}
 		// What holds now is read; an order that comes late finds another count.
 		clock.Sleep(ctx, reportLag)
 		h.refresh(ctx, target)
@@ -64,6 +71,16 @@
 	}
 }
 
+// doubt notes a load that was ordered without an answer.
+func (h *Holder) doubt(target *entry, action placement.Action) {
+	if action.Kind != placement.Load {
+		return
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	target.doubtful, target.doubtUntil = action.Model, time.Now().Add(doubtTime)
+}
+
 // send gives the order if the term still allows it.
 func (h *Holder) send(ctx context.Context, term *Term, order Order) (reply Reply, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -34,6 +34,10 @@
 	intent       string
 	intentAt     time.Time
 	suspectUntil time.Time
+	// doubtful is a model that the server was ordered to load without an answer, up
+	// to doubtUntil.
+	doubtful   string
+	doubtUntil time.Time
 	// version of the placement at which models changed.
 	version uint64
 }
@@ -226,6 +230,9 @@
 	if e.intent != "" && now.Sub(e.intentAt) < intentLifetime {
 		server.Intent = e.intent
 	}
+	if now.Before(e.doubtUntil) && e.models[e.doubtful] == nil {
+		server.Doubtful = e.doubtful
+	}
 	for name, held := range e.models {
 		server.Models[name] = placement.Replica{Since: held.since, Adapters: held.adapters}
 	}
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -42,6 +42,9 @@
 	Models  map[string]Replica
 	// Loading is the model being loaded, if any.
 	Loading string
+	// Doubtful is a model that the server was ordered to load without an answer: it
+	// may still load it, or never.
+	Doubtful string
 	// LoadingAdapter is the adapter being loaded, as MODEL/NAME, if any.
 	LoadingAdapter string
 	// Intent is the model for which room is being made, if any.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -70,6 +70,16 @@
 		Expect(actions[0].Expected).To(Equal(500 * time.Millisecond))
 	})
 
+	It("of further replicas don't begin again while one may still be carried out", func() {
+		crowded := &placement.Demand{Running: 12, Rate: 5, LastUsed: now, Adapters: map[string]*placement.AdapterDemand{}}
+		servers := []placement.Server{server("1", "c"), server("2"), server("3"), server("4"), server("5"), server("6")}
+		Expect(placement.Plan(input(map[string]*placement.Demand{"c": crowded}, servers...)).Actions).To(HaveLen(1))
+		servers[1].Doubtful = "c"
+		Expect(placement.Plan(input(map[string]*placement.Demand{"c": crowded}, servers...)).Actions).To(BeEmpty())
+		servers[0] = server("1")
+		Expect(placement.Plan(input(map[string]*placement.Demand{"c": waiting(1)}, servers...)).Actions).NotTo(BeEmpty(), "who waits can't rely on it")
+	})
+
 	DescribeTable("don't begin", func(change func(in *placement.Input)) {
 		in := input(map[string]*placement.Demand{"c": waiting(1)}, server("1"))
 		change(in)
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -46,6 +46,8 @@
 	ready map[string]int
 	// coming replicas by model: loading, or with room being made.
 	coming map[string]int
+	// doubtful replicas by model, which may come.
+	doubtful map[string]int
 	// storeLoads left.
 	storeLoads int
 	readyIn    map[string]time.Duration
@@ -61,7 +63,7 @@
 func newPlan(input *Input) *plan {
 	p := &plan{
 		Input: input, taken: map[string]bool{}, reserved: map[string]bool{}, ready: map[string]int{}, coming: map[string]int{},
-		storeLoads: input.StoreLoads, readyIn: map[string]time.Duration{},
+		doubtful: map[string]int{}, storeLoads: input.StoreLoads, readyIn: map[string]time.Duration{},
 		zones: map[modelZone]bool{}, desiredBy: map[string]int{}, crowdedBy: map[string]float64{},
 	}
 	for i := range input.Servers {
@@ -69,6 +71,9 @@
 		for model := range server.Models {
 			p.zones[modelZone{model, server.Zone}] = true
 		}
+		if server.Doubtful != "" {
+			p.doubtful[server.Doubtful]++
+		}
 		if server.Leaving || server.Suspect {
 			continue
 		}
@@ -149,8 +154,13 @@
 			continue
 		}
 		have := p.ready[name] + p.coming[name]
+		cold := have == 0
+		if !cold {
+			// Who waits for a cold model can't rely on an order without an answer.
+			have += p.doubtful[name]
+		}
 		if have < p.desired(name, demand) {
-			wishes = append(wishes, wish{model: model, demand: demand, cold: have == 0})
+			wishes = append(wishes, wish{model: model, demand: demand, cold: cold})
 		}
 	}
 	sort.Slice(wishes, func(i, j int) bool { return wishes[i].before(wishes[j]) })
