--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -164,8 +164,10 @@
 		Code: result.NoBackEnd, Route: "r", Pool: "p", Attempts: 1, RetryAfter: time.Second, Reason: "no place",
 		Belief: forward.Belief{Configuration: 7, Able: 0, Delay: 2 * time.Second},
 	})
+	log.UnderWay(forward.UnderWay{Request: request, Route: "r", Pool: "p", Server: "s1"})
 	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
-	Expect(lines).To(HaveLen(2))
+	Expect(lines).To(HaveLen(3))
+	Expect(lines[2]).To(And(ContainSubstring(`"request":"r1"`), ContainSubstring(`"server":"s1"`), ContainSubstring("request under way")))
 	var attempt, end map[string]any
 	Expect(json.Unmarshal([]byte(lines[0]), &attempt)).To(Succeed())
 	Expect(json.Unmarshal([]byte(lines[1]), &end)).To(Succeed())
--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -13,8 +13,9 @@
 // linesPerSecond of each kind that a node writes about requests.
 const linesPerSecond = 100
 
-// RequestLog writes one line for each request that ended, and one for each
-// attempt that failed, and counts both.
+// RequestLog writes one line for each request that ended, one for each that has
+// been under way for long, and one for each attempt that failed. It counts ends and
+// attempts.
 type RequestLog struct {
 	logger  zerolog.Logger
 	limiter *logging.Limiter
@@ -42,6 +43,16 @@
 	event.AnErr("error", seen.Failure.Cause).Msg("attempt failed")
 }
 
+// UnderWay notes a request that has not ended yet.
+func (l *RequestLog) UnderWay(told forward.UnderWay) {
+	event := l.limiter.Event(&l.logger, zerolog.InfoLevel, "under way")
+	if event == nil {
+		return
+	}
+	event = event.Str("request", told.Request.ID).Str("route", told.Route).Str("pool", told.Pool)
+	addText(event, "server", told.Server).Dur("took_ms", time.Since(told.Request.Accepted)).Msg("request under way")
+}
+
 // Ended notes a request's end.
 func (l *RequestLog) Ended(request *forward.Request, outcome forward.Outcome) {
 	code := outcome.Code.Name()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -31,6 +31,7 @@
 func (f *Forwarder) attempt(ctx context.Context, flow *flow, place *candidate, responder Responder) (*Outcome, *candidate) {
 	flow.sent++
 	flow.server = place.server.ID
+	flow.newest.Store(place.server)
 	flow.tried[place.server.ID] = true
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -440,6 +440,23 @@
 	})
 }
 
+// A request that takes long is told of once, with the server that has it.
+func TestTellsOfRequestsThatTakeLong(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		var told []UnderWay
+		b.forwarder.underWay = func(seen UnderWay) { told = append(told, seen) }
+		b.forwarder.Serve(context.Background(), request("once", "", time.Minute), &recorder{})
+		Expect(told).To(BeEmpty())
+		for id := range b.backend.answer {
+			b.backend.answer[id] = hangs
+		}
+		b.forwarder.Serve(context.Background(), request("once", "", time.Minute), &recorder{})
+		Expect(told).To(HaveLen(1))
+		Expect(told[0].Server).NotTo(BeEmpty())
+		Expect(told[0].Route).To(Equal("once"))
+	})
+}
+
 func TestEndsAtTheRoutesTimeout(t *testing.T) {
 	for _, route := range []string{"once", "stream"} {
 		inVirtualTime(t, func(b *bench) {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -33,6 +33,9 @@
 	Nodes int
 	// Observe is called with each attempt that ended; nil: not called.
 	Observe func(Observation)
+	// UnderWay is called once for each request that takes long, before it ends; nil:
+	// not called.
+	UnderWay func(UnderWay)
 }
 
 // Observation tells of one attempt that ended, for logs and metrics.
@@ -55,7 +58,9 @@
 	budgets *budgets
 	demand  *demandTable
 	observe func(Observation)
-	numbers atomic.Uint64
+	// underWay is called for a request that takes long.
+	underWay func(UnderWay)
+	numbers  atomic.Uint64
 	// started is when this node did.
 	started time.Time
 
@@ -76,12 +81,15 @@
 	if config.Observe == nil {
 		config.Observe = func(Observation) {}
 	}
+	if config.UnderWay == nil {
+		config.UnderWay = func(UnderWay) {}
+	}
 	life, end := context.WithCancel(context.Background())
 	return &Forwarder{
 		life: life, end: end, started: time.Now(),
 		view: config.View, backend: config.Backend, orders: config.Orders, zone: config.Zone,
 		tracker: newTracker(), budgets: newBudgets(config.Budget, config.Nodes), demand: newDemandTable(),
-		observe: config.Observe, patience: map[string]time.Duration{},
+		observe: config.Observe, underWay: config.UnderWay, patience: map[string]time.Duration{},
 	}
 }
 
@@ -126,8 +134,10 @@
 	held       time.Duration
 	firstByte  time.Duration
 	server     string
-	cold       bool
-	belief     Belief
+	// newest is the server of the newest attempt, for other goroutines.
+	newest *atomic.Pointer[fleet.Server]
+	cold   bool
+	belief Belief
 	// lastEvent passed on, and whether the head was.
 	lastEvent string
 	begun     bool
@@ -208,6 +218,7 @@
 	defer context.AfterFunc(f.life, func() { stop(errNodeEnds) })()
 	f.budgets.request(flow.pool, request.Accepted)
 	f.demand.arrived(flow.key())
+	defer f.tellUnderWay(flow)()
 	return *f.run(ctx, flow, responder)
 }
 
@@ -232,7 +243,7 @@
 	return &flow{
 		request: request, route: route, pool: route.Pick(f.numbers.Add(1)), deadline: deadline,
 		prefixes: sharedPrefixes(request), cameBack: f.cameBack(request, route), tried: map[string]bool{},
-		lastEvent: request.ResumeAfter,
+		lastEvent: request.ResumeAfter, newest: new(atomic.Pointer[fleet.Server]),
 	}
 }
 
