--- /dev/null
+++ b/internal/forward/admission_test.go
@@ -0,0 +1,256 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/result"
+)
+
+func TestRefusalsBeforeARouteIsFound(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		outcome := b.forwarder.Serve(context.Background(), request("nowhere", "", time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.UnknownPath))
+		empty := New(Config{View: fleet.NewView(), Backend: b.backend, Budget: BudgetLimits{Window: time.Second}, Nodes: 1})
+		outcome = empty.Serve(context.Background(), request("once", "", time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.NodeNotReady))
+		Expect(outcome.Ran).To(Equal(result.RanNo))
+	})
+}
+
+// A node that has waited long for a configuration tells callers to come back
+// later, but not later than they would.
+func TestNodeWithoutConfigurationTellsWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		empty := New(Config{View: fleet.NewView(), Budget: BudgetLimits{Window: time.Second}, Nodes: 1})
+		ask := func(wait time.Duration) time.Duration {
+			return empty.Serve(context.Background(), request("once", "", wait), &recorder{}).RetryAfter
+		}
+		Expect(ask(15 * time.Second)).To(Equal(shortestReadyDelay))
+		time.Sleep(2 * time.Second)
+		Expect(ask(15 * time.Second)).To(Equal(2 * time.Second))
+		Expect(ask(600 * time.Millisecond)).To(Equal(200 * time.Millisecond))
+	})
+}
+
+func TestHoldsAColdRequestThatItsObjectiveAllows(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		go func() {
+			time.Sleep(2 * time.Second)
+			Expect(b.forwarder.Demand()).To(ContainElement(HaveField("Waiting", 1)))
+			b.view.Place([]*fleet.Server{{ID: "m2", Models: holds("n")}})
+		}()
+		outcome := b.forwarder.Serve(context.Background(), request("patient", "n", 10*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(outcome.Cold).To(BeTrue())
+		Expect(outcome.Held).To(BeNumerically("~", 2*time.Second, 100*time.Millisecond))
+		Expect(b.backend.servers()).To(Equal([]string{"m2"}))
+		Expect(b.forwarder.Demand()).To(ContainElement(HaveField("Waiting", 0)))
+	})
+}
+
+func TestRefusesAtOnceWhatCannotMeetItsObjective(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.orders.ready = map[string]time.Time{"n": time.Now().Add(1200 * time.Millisecond)}
+		started := time.Now()
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "n", 5*time.Second), &recorder{})
+		Expect(outcome.Ran).To(Equal(result.RanNo))
+		Expect(outcome.Code).To(Equal(result.NoBackEnd))
+		Expect(time.Since(started)).To(BeZero())
+		Expect(outcome.RetryAfter).To(BeNumerically(">=", 1200*time.Millisecond))
+		Expect(outcome.RetryAfter).To(BeNumerically("<", 1700*time.Millisecond))
+		row := b.forwarder.Demand()[0]
+		Expect(row.Waiting).To(BeZero())
+		Expect(row.ExpectedUntil).To(BeTemporally(">", time.Now().Add(outcome.RetryAfter)))
+	})
+}
+
+// While no orders are given nothing that is missing is loaded, so a caller is told
+// at once to come back after that, also for an adapter, which takes no time.
+func TestTellsWhenOrdersAreGivenAgain(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		inVirtualTime(t, func(b *bench) {
+			b.orders.ordersIn, b.orders.unknown = 2*time.Second, !known
+			missing := request("stream", "m", 30*time.Second)
+			missing.Adapter = "a9"
+			started := time.Now()
+			outcome := b.forwarder.Serve(context.Background(), missing, &recorder{})
+			Expect(outcome.Code).To(Equal(result.NoBackEnd))
+			Expect(time.Since(started)).To(BeZero())
+			expected := 2 * time.Second
+			if !known {
+				expected = unknownDelay
+			}
+			Expect(outcome.RetryAfter).To(BeNumerically(">=", expected))
+			Expect(outcome.RetryAfter).To(BeNumerically("<", expected+loadOverhead+quietDelay))
+		})
+	}
+}
+
+func TestHoldsARequestThatCameBack(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.orders.ready = map[string]time.Time{"n": time.Now().Add(1200 * time.Millisecond)}
+		first := b.forwarder.Serve(context.Background(), request("stream", "n", 5*time.Second), &recorder{})
+		Expect(first.Code).To(Equal(result.NoBackEnd))
+		go func() {
+			time.Sleep(1200 * time.Millisecond)
+			b.view.Place([]*fleet.Server{{ID: "m2", Models: holds("n")}})
+		}()
+		second := b.forwarder.Serve(context.Background(), request("stream", "n", 4*time.Second), &recorder{})
+		Expect(second.Code).To(Equal(result.OK))
+	})
+}
+
+func TestStoppingNodeRefusesWhatItCannotSendInTime(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.orders.ready = map[string]time.Time{"n": time.Now().Add(3 * time.Second)}
+		started := time.Now()
+		time.AfterFunc(500*time.Millisecond, func() { b.forwarder.Drain(started.Add(time.Second)) })
+		outcome := b.forwarder.Serve(context.Background(), request("patient", "n", 10*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.NodeDraining))
+		Expect(outcome.Ran).To(Equal(result.RanNo))
+		Expect(outcome.RetryAfter).To(BeNumerically(">", 0))
+		Expect(time.Since(started)).To(BeNumerically("<=", time.Second))
+		late := time.Now()
+		outcome = b.forwarder.Serve(context.Background(), request("patient", "n", 10*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.NodeDraining))
+		Expect(time.Since(late)).To(BeZero(), "what arrives is not held any more")
+		outcome = b.forwarder.Serve(context.Background(), request("patient", "m", 10*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK), "what can be sent is")
+	})
+}
+
+func TestRequestThatCameBackIsNotHeldToItsEnd(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.forwarder.Serve(context.Background(), request("stream", "n", 5*time.Second), &recorder{})
+		started := time.Now()
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "n", 4*time.Second), &recorder{})
+		Expect(outcome.Ran).To(Equal(result.RanNo))
+		Expect(outcome.Code).To(Equal(result.NoBackEnd))
+		Expect(time.Since(started)).To(BeNumerically("<=", 2*time.Second))
+	})
+}
+
+func TestWaitsForThePlanBeforeItRefuses(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		started := time.Now()
+		time.AfterFunc(30*time.Millisecond, func() { b.orders.set("n", started.Add(500*time.Millisecond)) })
+		time.AfterFunc(500*time.Millisecond, func() {
+			b.view.Place([]*fleet.Server{{ID: "m1", Models: holds("m", "n")}})
+		})
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "n", 5*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK), "the plan's time is within the objective, the store's is not")
+		Expect(outcome.Held).To(BeNumerically(">=", 500*time.Millisecond))
+	})
+}
+
+func TestRefusesByThePlansTime(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		started := time.Now()
+		time.AfterFunc(30*time.Millisecond, func() { b.orders.set("n", started.Add(1500*time.Millisecond)) })
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "n", 20*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.NoBackEnd))
+		Expect(time.Since(started)).To(BeNumerically("<=", planPatience))
+		Expect(time.Since(started) + outcome.RetryAfter).To(BeNumerically("~", 1500*time.Millisecond+quietDelay, 5*time.Millisecond))
+	})
+}
+
+func TestWithoutAPlanTheRecordsTell(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		started := time.Now()
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "n", 20*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.NoBackEnd))
+		Expect(time.Since(started)).To(BeNumerically("<=", planPatience+planPoll))
+		Expect(time.Since(started) + outcome.RetryAfter).To(BeNumerically("~", 2*time.Second+loadOverhead, 5*time.Millisecond))
+	})
+}
+
+func TestHoldsOnWhereARefusalWouldComeLate(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		started := time.Now()
+		b.orders.set("n", started.Add(400*time.Millisecond))
+		time.AfterFunc(300*time.Millisecond, func() { b.orders.set("n", started.Add(2*time.Second)) })
+		time.AfterFunc(2*time.Second, func() { b.view.Place([]*fleet.Server{{ID: "m1", Models: holds("m", "n")}}) })
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "n", 5*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK), "refused after 0.3 s, it would be answered later than this")
+	})
+}
+
+func TestRefusesEarlyWhereThePlanSlipsEarly(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		started := time.Now()
+		b.orders.set("n", started.Add(400*time.Millisecond))
+		time.AfterFunc(110*time.Millisecond, func() { b.orders.set("n", started.Add(2*time.Second)) })
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "n", 5*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.NoBackEnd))
+		Expect(time.Since(started)).To(BeNumerically("<=", 200*time.Millisecond))
+	})
+}
+
+func TestRefusesWhereTheQueueIsLongerThanTheObjective(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.view.ReplaceServers(map[string]*fleet.Server{"m1": {ID: "m1", Pool: poolOfModels, Slots: 8, Models: holds("m"), Zone: "z"}})
+		b.forwarder.tracker.ran(poolOfModels, 2*time.Second)
+		b.forwarder.tracker.of("m1").tell(Load{Known: true, Running: 8, Waiting: 11, Slots: 8}, time.Now())
+		started := time.Now()
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 20*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.QueueFull))
+		Expect(time.Since(started)).To(BeZero())
+		Expect(outcome.RetryAfter).To(Equal(3*time.Second), "twelve requests are ahead of each of eight slots, for 2 s each")
+		Expect(b.backend.servers()).To(BeEmpty())
+	})
+}
+
+func TestWhoCameBackWaitsInTheQueue(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.view.ReplaceServers(map[string]*fleet.Server{"m1": {ID: "m1", Pool: poolOfModels, Slots: 8, Models: holds("m"), Zone: "z"}})
+		b.forwarder.Serve(context.Background(), request("stream", "m", 20*time.Second), &recorder{})
+		b.forwarder.tracker.ran(poolOfModels, 2*time.Second)
+		b.forwarder.tracker.of("m1").tell(Load{Known: true, Running: 8, Waiting: 4, Slots: 8}, time.Now())
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 15*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK))
+	})
+}
+
+func TestRefusesWhatWouldBeAnsweredAfterItsCallerLeaves(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		for _, patience := range []time.Duration{0, 2 * time.Second} {
+			route := *testRoutes()[0]
+			route.CallerPatience = patience
+			b.view.SetConfiguration(fleet.NewConfiguration(2, int64(2+patience), []*fleet.Route{&route}, []*fleet.Pool{{
+				Name: poolOfModels, Engine: testConfiguration().Pools[poolOfModels].Engine,
+			}}, fleet.Limits{}))
+			b.forwarder.Serve(context.Background(), request("stream", "m", 20*time.Second), &recorder{})
+			started := time.Now()
+			b.orders.set("n", started.Add(3*time.Second))
+			time.AfterFunc(3*time.Second, func() { b.view.Place([]*fleet.Server{{ID: "m1", Models: holds("m", "n")}}) })
+			outcome := b.forwarder.Serve(context.Background(), request("stream", "n", 10*time.Second), &recorder{})
+			if patience == 0 {
+				Expect(outcome.Code).To(Equal(result.OK))
+				b.view.ForgetPlaced()
+				continue
+			}
+			Expect(outcome.Code).To(Equal(result.NoBackEnd))
+			Expect(time.Since(started)).To(BeZero(), "it gets its final answer at once")
+			Expect(outcome.RetryAfter).To(BeNumerically(">", 3*time.Second))
+		}
+	})
+}
+
+func TestShortestQueueCounts(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.forwarder.tracker.ran(poolOfModels, 2*time.Second)
+		b.forwarder.tracker.of("m2").tell(Load{Known: true, Running: 8, Waiting: 11, Slots: 8}, time.Now())
+		b.backend.answer["m1"] = streams(events(1, 3), time.Millisecond, io.EOF)
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 20*time.Second), &recorder{})
+		Expect(outcome.Server).To(Equal("m1"))
+		Expect(outcome.Belief.QueueWait).To(BeZero(), "one of two servers has a free slot")
+	})
+}
--- /dev/null
+++ b/internal/forward/choose_test.go
@@ -0,0 +1,153 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/result"
+)
+
+func TestServesAtTheServerInItsZone(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		answer := &recorder{}
+		outcome := b.forwarder.Serve(context.Background(), request("once", "", time.Second), answer)
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(outcome.Status).To(Equal(200))
+		Expect(answer.body.String()).To(Equal("fine"))
+		Expect(b.backend.servers()).To(Equal([]string{"p1"}))
+	})
+}
+
+func TestServerThatSaysItDoesNotHoldTheModelIsLeftOut(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.backend.answer["m1"] = fails(FailureNotHeld, result.RanNo)
+		// The other server is slower, so that only what m1 said keeps requests away.
+		b.backend.answer["m2"] = after(100*time.Millisecond, b.backend.answer["m2"])
+		for range 3 {
+			outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
+			Expect(outcome.Code).To(Equal(result.OK))
+		}
+		Expect(b.backend.count("m1")).To(BeNumerically("<=", 1))
+	})
+}
+
+func TestServerThatCannotBeReachedIsTriedAtALowRate(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.backend.answer["p1"] = fails(FailureConnect, result.RanNo)
+		for range 100 {
+			b.forwarder.Serve(context.Background(), request("once", "", time.Second), &recorder{})
+			time.Sleep(50 * time.Millisecond)
+		}
+		tries := b.backend.count("p1")
+		Expect(tries).To(BeNumerically(">=", 2))
+		Expect(tries).To(BeNumerically("<=", 6))
+	})
+}
+
+func TestFailingServerGetsLessWork(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.backend.answer["p1"] = whole(500, "broken")
+		for range 40 {
+			b.forwarder.Serve(context.Background(), request("once", "", time.Second), &recorder{})
+			time.Sleep(20 * time.Millisecond)
+		}
+		Expect(b.backend.count("p1")).To(BeNumerically("<", 12))
+	})
+}
+
+func TestDrainingServerGetsNothing(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.view.UpdateServers(map[string]*fleet.Server{"p1": {ID: "p1", Pool: plainPool, Slots: 2, Zone: "z", Draining: true}})
+		for range 10 {
+			b.forwarder.Serve(context.Background(), request("once", "", time.Second), &recorder{})
+		}
+		Expect(b.backend.servers()).NotTo(ContainElement("p1"))
+	})
+}
+
+func TestFullServersGetNoMore(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.backend.answer["p1"], b.backend.answer["p2"] = hangs, hangs
+		const places = 2 * overfull * 2
+		for range places {
+			go b.forwarder.Serve(context.Background(), request("once", "", time.Second), &recorder{})
+			synctest.Wait()
+		}
+		Expect(b.backend.servers()).To(HaveLen(places))
+		outcome := b.forwarder.Serve(context.Background(), request("once", "", time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.QueueFull))
+		Expect(outcome.Ran).To(Equal(result.RanNo))
+		Expect(outcome.RetryAfter).To(BeNumerically(">", 0))
+		Expect(b.backend.servers()).To(HaveLen(places))
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// What was sent to a server counts more than which server all nodes would choose.
+func TestPromptsGoWhereTheyWereSentBefore(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		ask := func(number int) {
+			asked := request("stream", "m", 5*time.Second)
+			asked.PromptTokens = 9000
+			asked.Prompt = []PromptPart{{fmt.Sprint("shared", number), 6300}, {"own", 2700}}
+			b.forwarder.Serve(context.Background(), asked, &recorder{})
+		}
+		server := func(draining bool) map[string]*fleet.Server {
+			return map[string]*fleet.Server{"m1": {ID: "m1", Pool: poolOfModels, Slots: 8, Models: holds("m"), Zone: "z", Draining: draining}}
+		}
+		b.backend.answer["m1"] = after(50*time.Millisecond, b.backend.answer["m1"])
+		b.backend.answer["m2"] = after(50*time.Millisecond, b.backend.answer["m2"])
+		const prompts = 20
+		b.view.UpdateServers(server(true))
+		for number := range prompts {
+			ask(number)
+		}
+		b.view.UpdateServers(server(false))
+		for number := range prompts {
+			ask(number)
+		}
+		Expect(b.backend.count("m2")).To(Equal(2 * prompts))
+	})
+}
+
+func TestSharedPromptsGoToOneServer(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		for range 10 {
+			asked := request("stream", "m", 5*time.Second)
+			asked.PromptTokens = 9000
+			asked.Prompt = []PromptPart{{"a", 2500}, {"b", 3800}, {"own", 2700}}
+			b.forwarder.Serve(context.Background(), asked, &recorder{})
+		}
+		servers := b.backend.servers()
+		for _, server := range servers {
+			Expect(server).To(Equal(servers[0]))
+		}
+	})
+}
+
+func TestCountsNothingAfterTheEnd(t *testing.T) {
+	inVirtualTime(t, func(b *bench) {
+		b.backend.answer["m1"] = streams(append(events(1, 2), "x"), time.Millisecond, errors.New("reset"))
+		b.backend.answer["m2"] = hangs
+		for _, route := range []string{"stream", "patient", "once", "repeat"} {
+			for _, model := range []string{"m", "n"} {
+				b.forwarder.Serve(context.Background(), request(route, model, time.Second), &recorder{})
+			}
+		}
+		for id, load := range b.forwarder.tracker.servers {
+			Expect(load.own).To(BeZero(), id)
+			Expect(load.ownPrefill).To(BeZero(), id)
+		}
+		for _, row := range b.forwarder.Demand() {
+			Expect(row.Running).To(BeZero())
+			Expect(row.Waiting).To(BeZero())
+		}
+	})
+}
--- /dev/null
+++ b/internal/forward/fakes_test.go
@@ -0,0 +1,308 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/result"
+)
+
+// The tests of this package run in virtual time (testing/synctest), which
+// needs the testing package's own form.
+
+const (
+	poolOfModels = "models"
+	plainPool    = "plain"
+)
+
+func testRoutes() []*fleet.Route {
+	route := func(name string, kind fleet.RequestKind, resumable bool, attempts int, pool string, objective time.Duration) *fleet.Route {
+		return &fleet.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable, MaxAttempts: attempts,
+			Timeout: 5 * time.Second, LatencyObjective: objective, GapObjective: 400 * time.Millisecond, Priority: 1,
+			Targets: []fleet.Target{{Pool: pool, Weight: 1}},
+		}
+	}
+	// Where a request may run at most once, attempts are allowed as well, so that
+	// only its kind keeps it from running again.
+	return []*fleet.Route{
+		route("stream", fleet.KindStream, false, 2, poolOfModels, 800*time.Millisecond),
+		route("patient", fleet.KindStream, true, 2, poolOfModels, 4*time.Second),
+		route("once", fleet.KindOnce, false, 2, plainPool, 100*time.Millisecond),
+		route("repeat", fleet.KindRepeatable, false, 2, plainPool, 100*time.Millisecond),
+	}
+}
+
+func testConfiguration() *fleet.Configuration {
+	engine := &fleet.Engine{Slots: 8, MemoryMB: 200, AdapterPlaces: 2, LoadsPerSecond: 4, Models: map[string]*fleet.Model{
+		"m": {Name: "m", SizeMB: 70, LoadTime: 2 * time.Second},
+		"n": {Name: "n", SizeMB: 70, LoadTime: 2 * time.Second},
+	}}
+	return fleet.NewConfiguration(1, 1, testRoutes(), []*fleet.Pool{{Name: poolOfModels, Engine: engine}, {Name: plainPool}}, fleet.Limits{})
+}
+
+// fakeBackend answers by script; each server's function gives one attempt's
+// reply.
+type fakeBackend struct {
+	mutex    sync.Mutex
+	answer   map[string]func(ctx context.Context, attempt Attempt) (*Reply, error)
+	attempts []Attempt
+}
+
+func (b *fakeBackend) Send(ctx context.Context, attempt Attempt) (*Reply, error) {
+	b.mutex.Lock()
+	b.attempts = append(b.attempts, attempt)
+	answer := b.answer[attempt.Server.ID]
+	b.mutex.Unlock()
+	return answer(ctx, attempt)
+}
+
+func (b *fakeBackend) servers() []string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var names []string
+	for _, attempt := range b.attempts {
+		names = append(names, attempt.Server.ID)
+	}
+	return names
+}
+
+// count is how often a server was sent to.
+func (b *fakeBackend) count(id string) int {
+	count := 0
+	for _, server := range b.servers() {
+		if server == id {
+			count++
+		}
+	}
+	return count
+}
+
+// recorder is a responder.
+type recorder struct {
+	mutex sync.Mutex
+	begun int
+	body  bytes.Buffer
+}
+
+func (r *recorder) Begin(*Reply) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.begun++
+}
+
+func (r *recorder) Write(part []byte) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, err := r.body.Write(part)
+	return err
+}
+
+// pieces is a body that gives its parts one by one and then an error.
+type pieces struct {
+	ctx   context.Context
+	parts []string
+	pause time.Duration
+	err   error
+}
+
+func (p *pieces) Read(buffer []byte) (int, error) {
+	if p.pause > 0 {
+		select {
+		case <-p.ctx.Done():
+			return 0, p.ctx.Err()
+		case <-time.After(p.pause):
+		}
+	}
+	if len(p.parts) == 0 {
+		return 0, p.err
+	}
+	count := copy(buffer, p.parts[0])
+	p.parts = p.parts[1:]
+	return count, nil
+}
+
+func (p *pieces) Close() error { return nil }
+
+func events(from, to int) []string {
+	var parts []string
+	for number := from; number <= to; number++ {
+		parts = append(parts, fmt.Sprintf("id: %d\ndata: x\n\n", number))
+	}
+	return parts
+}
+
+func streams(parts []string, pause time.Duration, end error) func(context.Context, Attempt) (*Reply, error) {
+	return func(ctx context.Context, _ Attempt) (*Reply, error) {
+		return &Reply{Status: 200, Events: true, Body: &pieces{ctx: ctx, parts: append([]string(nil), parts...), pause: pause, err: end}}, nil
+	}
+}
+
+func whole(status int, text string) func(context.Context, Attempt) (*Reply, error) {
+	return func(ctx context.Context, _ Attempt) (*Reply, error) {
+		time.Sleep(5 * time.Millisecond)
+		return &Reply{Status: status, Body: &pieces{ctx: ctx, parts: []string{text}, err: io.EOF}}, nil
+	}
+}
+
+// after delays an answer's head.
+func after(delay time.Duration, answer func(context.Context, Attempt) (*Reply, error)) func(context.Context, Attempt) (*Reply, error) {
+	return func(ctx context.Context, attempt Attempt) (*Reply, error) {
+		time.Sleep(delay)
+		return answer(ctx, attempt)
+	}
+}
+
+func fails(reason FailureReason, ran result.Ran) func(context.Context, Attempt) (*Reply, error) {
+	return func(context.Context, Attempt) (*Reply, error) {
+		return nil, &AttemptError{Reason: reason, Ran: ran}
+	}
+}
+
+func hangs(ctx context.Context, _ Attempt) (*Reply, error) {
+	<-ctx.Done()
+	return nil, &AttemptError{Reason: FailureBroken, Ran: result.RanUnknown, Cause: ctx.Err()}
+}
+
+// fakeOrders tells of loads.
+type fakeOrders struct {
+	// ordersIn is the time until orders are given, unless nobody is known to.
+	ordersIn time.Duration
+	unknown  bool
+	mutex    sync.Mutex
+	ready    map[string]time.Time
+}
+
+// set tells when a model will be there.
+func (o *fakeOrders) set(model string, at time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.ready = map[string]time.Time{model: at}
+}
+
+func (o *fakeOrders) ReadyAt(key DemandKey) (time.Time, bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	at, loading := o.ready[key.Model]
+	return at, loading
+}
+
+func (o *fakeOrders) OrdersIn() (time.Duration, bool) { return o.ordersIn, !o.unknown }
+
+// bench is a forwarder with two servers of models and two plain ones.
+type bench struct {
+	forwarder *Forwarder
+	view      *fleet.View
+	backend   *fakeBackend
+	orders    *fakeOrders
+
+	mutex    sync.Mutex
+	observed []Observation
+}
+
+func holds(models ...string) map[string]fleet.Held {
+	held := map[string]fleet.Held{}
+	for _, model := range models {
+		held[model] = fleet.Held{Adapters: map[string]bool{}}
+	}
+	return held
+}
+
+func newBench(slack float64) *bench {
+	b := &bench{view: fleet.NewView(), backend: &fakeBackend{}, orders: &fakeOrders{}}
+	b.view.SetConfiguration(testConfiguration())
+	b.view.ReplaceServers(map[string]*fleet.Server{
+		"m1": {ID: "m1", Pool: poolOfModels, Slots: 8, Models: holds("m"), Zone: "z"},
+		"m2": {ID: "m2", Pool: poolOfModels, Slots: 8, Models: holds("m"), Zone: "y"},
+		"p1": {ID: "p1", Pool: plainPool, Slots: 2, Zone: "z"},
+		"p2": {ID: "p2", Pool: plainPool, Slots: 2, Zone: "y"},
+	})
+	b.backend.answer = map[string]func(context.Context, Attempt) (*Reply, error){
+		"m1": streams(events(1, 3), time.Millisecond, io.EOF), "m2": streams(events(1, 3), time.Millisecond, io.EOF),
+		"p1": whole(200, "fine"), "p2": whole(200, "fine"),
+	}
+	b.forwarder = New(Config{
+		View: b.view, Backend: b.backend, Orders: b.orders, Zone: "z", Nodes: 1,
+		Budget: BudgetLimits{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
+		Observe: func(seen Observation) {
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			b.observed = append(b.observed, seen)
+		},
+	})
+	return b
+}
+
+func request(route, model string, wait time.Duration) *Request {
+	now := time.Now()
+	return &Request{
+		ID: "r", Host: "h", Path: "/" + route + "/x", Model: model, PromptTokens: 1000, Accepted: now, Deadline: now.Add(wait),
+	}
+}
+
+func inVirtualTime(t *testing.T, body func(b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		body(newBench(100))
+	})
+}
+
+func brokenBody(ctx context.Context, _ Attempt) (*Reply, error) {
+	return &Reply{Status: 200, Body: &pieces{ctx: ctx, parts: []string{"fi"}, err: io.ErrUnexpectedEOF}}, nil
+}
+
+func answerOf(answer func(context.Context, Attempt) (*Reply, error), ctx context.Context, attempt Attempt) (*Reply, error, bool) {
+	reply, err := answer(ctx, attempt)
+	return reply, err, true
+}
+
+func streamThenSilence(parts []string) func(context.Context, Attempt) (*Reply, error) {
+	return func(ctx context.Context, _ Attempt) (*Reply, error) {
+		return &Reply{Status: 200, Events: true, Body: &silentAfter{pieces: pieces{ctx: ctx, parts: parts}}}, nil
+	}
+}
+
+// silentAfter gives its parts and then nothing until its context ends.
+type silentAfter struct{ pieces }
+
+func (s *silentAfter) Read(buffer []byte) (int, error) {
+	if len(s.parts) > 0 {
+		return s.pieces.Read(buffer)
+	}
+	<-s.ctx.Done()
+	return 0, s.ctx.Err()
+}
+
+// pausing gives one event, the rest after a pause, and the end after another.
+func pausing(pause time.Duration) func(context.Context, Attempt) (*Reply, error) {
+	return func(ctx context.Context, _ Attempt) (*Reply, error) {
+		first := &pieces{ctx: ctx, parts: events(1, 1), err: io.EOF}
+		rest := &pieces{ctx: ctx, parts: []string{strings.Join(events(2, 5), "")}, pause: pause, err: io.EOF}
+		return &Reply{Status: 200, Events: true, Body: &chained{bodies: []io.ReadCloser{first, rest}}}, nil
+	}
+}
+
+// chained reads one body after the other.
+type chained struct{ bodies []io.ReadCloser }
+
+func (c *chained) Read(buffer []byte) (int, error) {
+	count, err := c.bodies[0].Read(buffer)
+	if errors.Is(err, io.EOF) && len(c.bodies) > 1 {
+		c.bodies = c.bodies[1:]
+		return count, nil
+	}
+	return count, err
+}
+
+func (c *chained) Close() error { return nil }
