Use servers for a while whose records lapsed in an outage of the store

Cause: where leases run out while the store is away, nearly all servers' records end at its return and come back within 2 s.

Change: a server whose record ended while the store was away, or within 2 s of its return (0.75 of the time for changes, if that is less), and that had not said that it leaves, is used until then; what is told to other nodes stays the store's word.

Test, failing before: records that lapsed stay for a while, with changes told and read again; one that was draining goes at once, one that does not come back after the time.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -64,6 +64,13 @@
 	return true
 }
 
+// Record returns a server's record as it wrote it, or nil.
+func (v *View) Record(id string) *Server {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.records[id]
+}
+
 // ReplaceServers makes the records the only ones.
 func (v *View) ReplaceServers(records map[string]*Server) {
 	v.mutex.Lock()
--- a/internal/mirror/apply.go
+++ b/internal/mirror/apply.go
@@ -1,6 +1,8 @@
 package mirror
 
 import (
+	"time"
+
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/outside"
 )
@@ -16,6 +18,7 @@
 			servers[id] = server
 		}
 	}
+	m.addLapsed(servers, time.Now())
 	m.config.View.ReplaceServers(servers)
 	var own []outside.KeyValue
 	for _, event := range changes.Own {
@@ -36,11 +39,12 @@
 	m.revision = changes.At
 	m.known.take(changes)
 	m.takeConfiguration(changes.Configuration, changes.ConfigurationRevision)
-	for id, server := range changes.Servers {
+	shown := m.shown(changes.Servers, time.Now())
+	for id, server := range shown {
 		m.logServer(id, server, changes.At)
 	}
-	if len(changes.Servers) > 0 {
-		m.config.View.UpdateServers(changes.Servers)
+	if len(shown) > 0 {
+		m.config.View.UpdateServers(shown)
 	}
 	for _, event := range changes.Own {
 		if event.KeyValue.ModRevision > before {
--- /dev/null
+++ b/internal/mirror/lapse.go
@@ -0,0 +1,93 @@
+package mirror
+
+import (
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+)
+
+const (
+	// longestLapse is how long a server whose record ended while the store was away
+	// is still used after the store's return: by then the record of a server that
+	// lives is back.
+	longestLapse = 2 * time.Second
+	// lapseShare of the time for changes bounds it as well, so that a server which
+	// did leave meanwhile gets no request after its time.
+	lapseShare = 0.75
+)
+
+// lapseTime is how long a record that lapsed is waited for.
+func (m *Mirror) lapseTime() time.Duration {
+	return min(longestLapse, share(lapseShare, m.config.Times.Changes))
+}
+
+// lapseEnd returns until when a record that ended now may come back, if it may have
+// ended only because the store was away. It must be called with the lock held.
+func (m *Mirror) lapseEnd(now time.Time) (time.Time, bool) {
+	if m.lost {
+		return now.Add(m.lapseTime()), true
+	}
+	end := m.regainedAt.Add(m.lapseTime())
+	return end, !m.regainedAt.IsZero() && now.Before(end)
+}
+
+// holdLapsed keeps a server that is known and did not say that it leaves, although
+// its record ended. It returns false if there is no reason to. It must be called
+// with the lock held.
+func (m *Mirror) holdLapsed(id string, now time.Time) bool {
+	server := m.config.View.Load().Servers[id]
+	end, may := m.lapseEnd(now)
+	if !may || server == nil || server.Draining {
+		return false
+	}
+	if _, held := m.lapsed[id]; !held {
+		m.config.Logger.Info().Str("server", id).Time("until", end).Msg("server lapsed while the store was away")
+		m.lapsed[id] = end
+		time.AfterFunc(end.Sub(now), m.dropLapsed)
+	}
+	return true
+}
+
+// dropLapsed removes the servers whose records did not come back in time.
+func (m *Mirror) dropLapsed() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := time.Now()
+	ended := map[string]*fleet.Server{}
+	for id, end := range m.lapsed {
+		if !now.Before(end) {
+			delete(m.lapsed, id)
+			ended[id] = nil
+			m.logServer(id, nil, m.revision)
+		}
+	}
+	if len(ended) > 0 {
+		m.config.View.UpdateServers(ended)
+	}
+}
+
+// shown are the changes of servers that the view takes over: all but the ends of
+// those that are held. It must be called with the lock held.
+func (m *Mirror) shown(changes map[string]*fleet.Server, now time.Time) map[string]*fleet.Server {
+	shown := make(map[string]*fleet.Server, len(changes))
+	for id, server := range changes {
+		if server == nil && m.holdLapsed(id, now) {
+			continue
+		}
+		delete(m.lapsed, id)
+		shown[id] = server
+	}
+	return shown
+}
+
+// addLapsed adds to all servers that exist those that are held. It must be called
+// with the lock held.
+func (m *Mirror) addLapsed(servers map[string]*fleet.Server, now time.Time) {
+	for id := range m.config.View.Load().Servers {
+		if servers[id] != nil {
+			delete(m.lapsed, id)
+		} else if m.holdLapsed(id, now) {
+			servers[id] = m.config.View.Record(id)
+		}
+	}
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -120,16 +120,20 @@
 	// through tells whether this node reads through the relay, for the log.
 	through bool
 	// lost: the store did not answer the last call; failedPause was left last after
-	// one that failed, zero if none did.
+	// one that failed, zero if none did. It answered again at regainedAt.
 	lost        bool
 	failedPause time.Duration
+	regainedAt  time.Time
+	// lapsed servers are still used, each up to a time, although their records ended
+	// while the store was away.
+	lapsed map[string]time.Time
 }
 
 // New returns a mirror, and registers its messages with the transport.
 func New(config Config) *Mirror {
 	m := &Mirror{
 		config: config, woken: make(chan struct{}, 1), missed: make(chan struct{}, 1),
-		known: newKnown(0), subscribers: map[string]time.Time{},
+		known: newKnown(0), subscribers: map[string]time.Time{}, lapsed: map[string]time.Time{},
 	}
 	if config.Transport != nil {
 		config.Transport.Handle(Subscribe{}, m.serveSubscribe)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -286,6 +286,56 @@
 	})
 }
 
+// Records lapse while the store is away, and come back soon after it does, if
+// their servers live. Until then the servers are used, however a node learns.
+func TestRecordsThatLapsedInAnOutageStayForAWhile(t *testing.T) {
+	for name, after := range map[string]func(d *deployment){
+		"told of changes": func(*deployment) {},
+		"read again":      func(d *deployment) { d.store.forget() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withNodes(t, 3, func(d *deployment) {
+				d.store.put("t", false)
+				d.store.put("u", true)
+				time.Sleep(time.Second)
+				record := d.store.servers["s"]
+				d.outage(4*time.Second, func() {
+					for _, id := range []string{"s", "t", "u"} {
+						d.store.remove(id)
+					}
+					after(d)
+				})
+				grace := d.nodes[0].mirror.lapseTime()
+				time.Sleep(grace / 2)
+				for _, node := range d.nodes {
+					Expect(node.view.Load().Servers).To(HaveKey("s"))
+					Expect(node.view.Load().Servers).To(HaveKey("t"))
+					Expect(node.view.Load().Servers).NotTo(HaveKey("u"), "it had said that it leaves")
+				}
+				d.store.restore(record)
+				time.Sleep(grace + 2*time.Second)
+				for _, node := range d.nodes {
+					Expect(node.view.Load().Servers).To(HaveKey("s"))
+					Expect(node.view.Load().Servers).NotTo(HaveKey("t"), "its record did not come back")
+				}
+			})
+		})
+	}
+}
+
+// outage keeps the store away for the time, and changes it meanwhile.
+func (d *deployment) outage(lasts time.Duration, change func()) {
+	for _, node := range d.nodes {
+		node.source.set(true, false)
+	}
+	time.Sleep(lasts)
+	change()
+	for _, node := range d.nodes {
+		node.source.set(false, false)
+	}
+	time.Sleep(testTimes.Contact / 8)
+}
+
 // Very many changes at once are read from the store, by each node for itself, and
 // the relay is followed again after that.
 func TestManyChangesAreReadFromTheStore(t *testing.T) {
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -163,5 +163,6 @@
 		m.config.Logger.Warn().Str("dependency", "store").Err(err).Msg("dependency lost")
 		return
 	}
+	m.regainedAt = time.Now()
 	m.config.Logger.Info().Str("dependency", "store").Int64("revision", m.revision).Msg("dependency regained")
 }
