--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
 // settled is long enough for all nodes to follow the relay.
@@ -425,6 +426,21 @@
 	Expect(told.Configuration).To(BeEquivalentTo(11))
 }
 
+// Changes that overlap what is known repeat no event of the product's own keys: one
+// that was removed since would seem to be there again.
+func TestOwnKeysAreToldOnce(t *testing.T) {
+	RegisterTestingT(t)
+	own := &fakeOwn{values: map[string]string{}}
+	m := New(Config{View: fleet.NewView(), Own: own, Times: testTimes})
+	event := func(value string, revision int64) outside.WatchEvent {
+		return outside.WatchEvent{KeyValue: outside.KeyValue{Key: "k", Value: []byte(value), ModRevision: revision}}
+	}
+	m.replace(Changes{At: 10})
+	m.apply(Changes{Base: 10, At: 12, Own: []outside.WatchEvent{event("old", 11), event("new", 12)}})
+	m.apply(Changes{Base: 10, At: 13, Own: []outside.WatchEvent{event("old", 11)}})
+	Expect(own.get("k")).To(Equal("new"))
+}
+
 func TestWhatEndedIsBounded(t *testing.T) {
 	RegisterTestingT(t)
 	k := newKnown(0)
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -77,6 +77,17 @@
 switch_off told-configuration internal/mirror/relay.go 'm.known.configuration = max(m.known.configuration, update.Configuration)' '' ./internal/mirror
 switch_off bounded-pushes internal/mirror/relay.go '!can || update.size() > mostFor(len(subscribers))' '!can' ./internal/mirror
 switch_off bounded-memory-of-ends internal/mirror/known.go 'if len(k.ended) <= mostEnded {' 'if true {' ./internal/mirror
+switch_off record-that-came-back internal/mirror/known.go ' && r.Created == other.Created' '' ./internal/mirror
+switch_off read-is-no-snapshot internal/mirror/apply.go 'max(changes.At, changes.Newest)' 'changes.At' ./internal/mirror
+switch_off creation-revision platform/feed.go 'server.Created = event.KeyValue.CreateRevision' '' ./platform
+switch_off digest internal/mirror/digest.go 'm.drifted = m.driftAt.IsZero() || ' 'm.drifted = now.IsZero() && ' ./internal/mirror
+switch_off digest-pause internal/mirror/digest.go '>= driftPause' '>= 0' ./internal/mirror
+switch_off own-keys-once internal/mirror/apply.go 'if event.KeyValue.ModRevision > before {' 'if before >= 0 {' ./internal/mirror
+switch_off lapsed-records internal/mirror/lapse.go 'if !may || server == nil' 'if end.IsZero() || !may || true' ./internal/mirror
+switch_off lapse-ends internal/mirror/lapse.go 'time.AfterFunc(end.Sub(now), m.dropLapsed)' '' ./internal/mirror
+switch_off pause-after-failure internal/mirror/reading.go 'min(max(2*m.failedPause, failedPause), longest)' 'min(failedPause, longest)' ./internal/mirror
+switch_off latest-word internal/fleet/view.go 'before.PlacedVersion > state.PlacedVersion' 'false' ./internal/fleet
+switch_off word-of-earlier-record internal/fleet/view.go 'if placed.Created < oldest {' 'if oldest < 0 {' ./internal/fleet
 # Choice and admission.
 switch_off pause-of-unreached internal/forward/choose.go 'return !now.Before(load.pausedUntil)' 'return true' $forward
 switch_off queue-wait internal/forward/tracker.go 'if ahead <= 0 {' 'if ahead <= 1<<30 {' $forward
@@ -111,6 +122,13 @@
 switch_off wait-for-idle internal/placement/victims.go 'if may && (w.cold || found.wait == 0)' 'if may && found.wait == 0' ./internal/placement
 switch_off overdue-orders internal/orders/ledger.go 'return e.busyUntil.Sub(now).Abs()' 'return max(e.busyUntil.Sub(now), 0)' ./internal/orders
 switch_off loads-at-once internal/orders/ceiling.go 'c.atOnce = max(min(' 'c.atOnce = max(c.atOnce, min(' ./internal/orders
+switch_off told-again internal/orders/ledger.go 'found.server.Created != server.Created' 'false' ./internal/orders
+switch_off doubtful-loads internal/placement/plan.go 'have += p.doubtful[name]' '' ./internal/placement ./platform
+switch_off doubt-is-noted internal/orders/execute.go 'target.doubtful, target.doubtUntil = action.Model, time.Now().Add(doubtTime)' '' ./platform
+switch_off few-campaigns internal/orders/election.go 'if _, vacancy = e.vacancy(); vacancy == nil {' 'if false {' ./platform
+switch_off orders-in internal/forward/admission.go 'return ordersIn + load' 'return load' ./internal/forward
+switch_off orders-in-told internal/orders/link.go 'l.ordersFrom = now.Add(update.OrdersIn)' '' ./internal/orders ./platform
+switch_off unanswered-report internal/orders/link.go 'l.unanswered = true' '' ./internal/orders ./platform
 switch_off promises-to-who-waits internal/orders/demand.go 'if asked[key] {' 'if true {' ./internal/orders
 switch_off adapters-first internal/placement/plan.go '	p.loadAdapters()
 	p.loadModels()' '	p.loadModels()
