Hold lapsed servers only where no relay knows better, and log them in one line

Test, failing before: a server that ends is gone at once where the relay knows. One line tells of all servers that lapsed together, instead of one each; ends and records are noted by functions of their own.

--- a/internal/mirror/digest.go
+++ b/internal/mirror/digest.go
@@ -21,11 +21,7 @@
 func (d *Digest) add(record ServerRecord) { *d += Digest(record.hash()) }
 
 // remove takes a record out that is part of the set.
-func (d *Digest) remove(record ServerRecord, exists bool) {
-	if exists {
-		*d -= Digest(record.hash())
-	}
-}
+func (d *Digest) remove(record ServerRecord) { *d -= Digest(record.hash()) }
 
 // hash depends on all that equal compares.
 func (r ServerRecord) hash() uint64 {
--- a/internal/mirror/known.go
+++ b/internal/mirror/known.go
@@ -48,21 +48,11 @@
 func (k *known) take(changes Changes) {
 	k.configuration = max(k.configuration, changes.ConfigurationRevision)
 	for id, server := range changes.Servers {
-		before, exists := k.servers[id]
 		if server == nil {
-			k.digest.remove(before.record, exists)
-			delete(k.servers, id)
-			k.ended[id] = changes.At
-			continue
+			k.end(id, changes.At)
+		} else {
+			k.set(id, recordOf(server), changes.At)
 		}
-		record := recordOf(server)
-		if exists && before.record.equal(record) {
-			continue
-		}
-		k.digest.remove(before.record, exists)
-		k.digest.add(record)
-		delete(k.ended, id)
-		k.servers[id] = knownServer{record: record, revision: changes.At}
 	}
 	for _, event := range changes.Own {
 		k.own[event.KeyValue.Key] = event
@@ -70,6 +60,29 @@
 	k.bound()
 }
 
+// set notes a server's record, unless the same is known.
+func (k *known) set(id string, record ServerRecord, revision int64) {
+	before, exists := k.servers[id]
+	if exists && before.record.equal(record) {
+		return
+	}
+	if exists {
+		k.digest.remove(before.record)
+	}
+	k.digest.add(record)
+	delete(k.ended, id)
+	k.servers[id] = knownServer{record: record, revision: revision}
+}
+
+// end notes that a server is gone.
+func (k *known) end(id string, revision int64) {
+	if before, exists := k.servers[id]; exists {
+		k.digest.remove(before.record)
+	}
+	delete(k.servers, id)
+	k.ended[id] = revision
+}
+
 // bound forgets the older half of what is gone.
 func (k *known) bound() {
 	if len(k.ended) <= mostEnded {
--- a/internal/mirror/lapse.go
+++ b/internal/mirror/lapse.go
@@ -24,28 +24,35 @@
 // lapseEnd returns until when a record that ended now may come back, if it may have
 // ended only because the store was away. It must be called with the lock held.
 func (m *Mirror) lapseEnd(now time.Time) (time.Time, bool) {
-	if m.lost {
+	if m.lost && !m.through {
 		return now.Add(m.lapseTime()), true
 	}
 	end := m.regainedAt.Add(m.lapseTime())
 	return end, !m.regainedAt.IsZero() && now.Before(end)
 }
 
-// holdLapsed keeps a server that is known and did not say that it leaves, although
-// its record ended. It returns false if there is no reason to. It must be called
+// mayLapse: the server is known and did not say that it leaves. It must be called
 // with the lock held.
-func (m *Mirror) holdLapsed(id string, now time.Time) bool {
+func (m *Mirror) mayLapse(id string) bool {
 	server := m.config.View.Load().Servers[id]
-	end, may := m.lapseEnd(now)
-	if !may || server == nil || server.Draining {
-		return false
+	return server != nil && !server.Draining
+}
+
+// hold keeps servers up to the time although their records ended. It must be called
+// with the lock held.
+func (m *Mirror) hold(ids []string, end, now time.Time) {
+	held := 0
+	for _, id := range ids {
+		if _, known := m.lapsed[id]; !known {
+			m.lapsed[id] = end
+			held++
+		}
 	}
-	if _, held := m.lapsed[id]; !held {
-		m.config.Logger.Info().Str("server", id).Time("until", end).Msg("server lapsed while the store was away")
-		m.lapsed[id] = end
-		time.AfterFunc(end.Sub(now), m.dropLapsed)
+	if held == 0 {
+		return
 	}
-	return true
+	m.config.Logger.Info().Int("servers", held).Time("until", end).Msg("servers lapsed while the store was away")
+	time.AfterFunc(end.Sub(now), m.dropLapsed)
 }
 
 // dropLapsed removes the servers whose records did not come back in time.
@@ -69,25 +76,33 @@
 // shown are the changes of servers that the view takes over: all but the ends of
 // those that are held. It must be called with the lock held.
 func (m *Mirror) shown(changes map[string]*fleet.Server, now time.Time) map[string]*fleet.Server {
+	end, lapses := m.lapseEnd(now)
+	var held []string
 	shown := make(map[string]*fleet.Server, len(changes))
 	for id, server := range changes {
-		if server == nil && m.holdLapsed(id, now) {
+		if server == nil && lapses && m.mayLapse(id) {
+			held = append(held, id)
 			continue
 		}
 		delete(m.lapsed, id)
 		shown[id] = server
 	}
+	m.hold(held, end, now)
 	return shown
 }
 
 // addLapsed adds to all servers that exist those that are held. It must be called
 // with the lock held.
 func (m *Mirror) addLapsed(servers map[string]*fleet.Server, now time.Time) {
+	end, lapses := m.lapseEnd(now)
+	var held []string
 	for id := range m.config.View.Load().Servers {
-		if servers[id] != nil {
-			delete(m.lapsed, id)
-		} else if m.holdLapsed(id, now) {
+		if servers[id] == nil && lapses && m.mayLapse(id) {
+			held = append(held, id)
 			servers[id] = m.config.View.Record(id)
+			continue
 		}
+		delete(m.lapsed, id)
 	}
+	m.hold(held, end, now)
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -120,7 +120,8 @@
 	// through tells whether this node reads through the relay, for the log.
 	through bool
 	// lost: the store did not answer the last call; failedPause was left last after
-	// one that failed, zero if none did. It answered again at regainedAt.
+	// one that failed, zero if none did. What it holds was
+	// heard again at regainedAt, from it or from the relay.
 	lost        bool
 	failedPause time.Duration
 	regainedAt  time.Time
@@ -206,6 +207,9 @@
 	m.through = follows
 	event := m.config.Logger.Info().Str("dependency", "relay").Int64("revision", m.revision)
 	if follows {
+		if m.lost {
+			m.regainedAt = now
+		}
 		event.Msg("dependency regained")
 	} else {
 		event.Dur("age_ms", now.Sub(m.relayedAt)).Msg("dependency lost")
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -148,8 +148,7 @@
 	var digest Digest
 	digest.add(record)
 	digest.add(others[0])
-	digest.remove(record, true)
-	digest.remove(ServerRecord{}, false)
+	digest.remove(record)
 	Expect(digest).To(BeEquivalentTo(others[0].hash()))
 }
 
@@ -324,6 +323,20 @@
 	}
 }
 
+// A node that the store turns away, but that hears a relay with fresh word, takes a
+// server that ends for one that is gone.
+func TestServerThatEndsIsGoneAtOnceWhereTheRelayKnows(t *testing.T) {
+	withNodes(t, 3, func(d *deployment) {
+		d.nodes[1].source.set(true, false)
+		d.nodes[1].mirror.noteAnswer(errAway)
+		time.Sleep(settled)
+		Expect(d.nodes[1].mirror.Through()).To(BeTrue())
+		d.store.remove("s")
+		time.Sleep(600 * time.Millisecond)
+		Expect(d.nodes[1].view.Load().Servers).NotTo(HaveKey("s"))
+	})
+}
+
 // outage keeps the store away for the time, and changes it meanwhile.
 func (d *deployment) outage(lasts time.Duration, change func()) {
 	for _, node := range d.nodes {
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -44,7 +44,7 @@
 // readAll takes over everything that exists.
 func (m *Mirror) readAll(ctx context.Context) {
 	changes, err := m.config.Source.Read(ctx)
-	m.told(err)
+	m.noteAnswer(err)
 	if err != nil {
 		clock.Sleep(ctx, m.pauseAfterFailure(time.Now()))
 		return
@@ -66,7 +66,7 @@
 // readConfiguration reads the configuration of which the relay told.
 func (m *Mirror) readConfiguration(ctx context.Context) {
 	configuration, revision, err := m.config.Source.Configuration(ctx)
-	m.told(err)
+	m.noteAnswer(err)
 	if err != nil {
 		clock.Sleep(ctx, m.pauseAfterFailure(time.Now()))
 		return
@@ -112,7 +112,7 @@
 		m.mutex.Unlock()
 		return
 	}
-	m.told(err)
+	m.noteAnswer(err)
 	if err != nil {
 		clock.Sleep(ctx, m.pauseAfterFailure(time.Now()))
 		return
@@ -147,8 +147,8 @@
 	return share(aloneWaitShare, m.config.Times.Contact), share(alonePauseShare, m.config.Times.Changes)
 }
 
-// told notes whether the store answered, and logs when it is lost and regained.
-func (m *Mirror) told(err error) {
+// noteAnswer notes whether the store answered, and logs when it is lost and regained.
+func (m *Mirror) noteAnswer(err error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	lost := err != nil
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -83,7 +83,8 @@
 switch_off digest internal/mirror/digest.go 'm.drifted = m.driftAt.IsZero() || ' 'm.drifted = now.IsZero() && ' ./internal/mirror
 switch_off digest-pause internal/mirror/digest.go '>= driftPause' '>= 0' ./internal/mirror
 switch_off own-keys-once internal/mirror/apply.go 'if event.KeyValue.ModRevision > before {' 'if before >= 0 {' ./internal/mirror
-switch_off lapsed-records internal/mirror/lapse.go 'if !may || server == nil' 'if end.IsZero() || !may || true' ./internal/mirror
+switch_off lapsed-records internal/mirror/lapse.go 'if server == nil && lapses && m.mayLapse(id) {' 'if server == nil && lapses && id == "" {' ./internal/mirror
+switch_off lapse-without-relay internal/mirror/lapse.go 'if m.lost && !m.through {' 'if m.lost {' ./internal/mirror
 switch_off lapse-ends internal/mirror/lapse.go 'time.AfterFunc(end.Sub(now), m.dropLapsed)' '' ./internal/mirror
 switch_off pause-after-failure internal/mirror/reading.go 'min(max(2*m.failedPause, failedPause), longest)' 'min(failedPause, longest)' ./internal/mirror
 switch_off latest-word internal/fleet/view.go 'before.PlacedVersion > state.PlacedVersion' 'false' ./internal/fleet
