Count the replicas that a plan unloads

Each victim alone was a surplus replica, since the plan counted four for all four.

Change: a victim has one replica less for what the same plan decides after it. Test, failing before: four unloads of four replicas.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -70,6 +70,19 @@
 		Expect(actions[0].Expected).To(Equal(500 * time.Millisecond))
 	})
 
+	It("that make room in one plan leave a model in use what it needs", func() {
+		used := &placement.Demand{Rate: 5, Running: 0, LastUsed: now, Adapters: map[string]*placement.AdapterDemand{}}
+		busy := &placement.Demand{Rate: 5, Running: 30, LastUsed: now, Adapters: map[string]*placement.AdapterDemand{}}
+		demand := map[string]*placement.Demand{"a": used, "b": busy, "c": waiting(1), "d": waiting(1), "e": waiting(1), "f": waiting(1)}
+		unloads := 0
+		for _, action := range placement.Plan(input(demand, server("1", "a", "b"), server("2", "a", "b"), server("3", "a", "b"), server("4", "a", "b"))).Actions {
+			if action.Kind == placement.Unload && action.Model == "a" {
+				unloads++
+			}
+		}
+		Expect(unloads).To(BeNumerically("<=", 3), "one replica stays")
+	})
+
 	It("of further replicas don't begin again while one may still be carried out", func() {
 		crowded := &placement.Demand{Running: 12, Rate: 5, LastUsed: now, Adapters: map[string]*placement.AdapterDemand{}}
 		servers := []placement.Server{server("1", "c"), server("2"), server("3"), server("4"), server("5"), server("6")}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -266,9 +266,12 @@
 	}
 }
 
-// makeRoom unloads a victim for a model.
+// makeRoom unloads a victim for a model. The victim has one replica less for what
+// is planned after this: else all of its replicas, each of which may give way alone,
+// would go in one plan.
 func (p *plan) makeRoom(server *Server, victim string, model *fleet.Model) {
 	p.taken[server.ID] = true
+	p.ready[victim]--
 	p.actions = append(p.actions, Action{
 		Kind: Unload, Server: server.ID, Model: victim, Intent: model.Name, Expected: unloadTime, Reason: "makes room",
 	})
