--- a/internal/outside/etcd/wire_test.go
+++ b/internal/outside/etcd/wire_test.go
@@ -56,7 +56,7 @@
 			"failure":[{"request_range":{"key":"Zm9v"}},{"request_range":{"key":"bmV3"}}]}`))
 		Expect(end.err).NotTo(HaveOccurred())
 		Expect(end.result).To(Equal(outside.TransactionResult{Revision: 9, Current: []outside.KeyValue{
-			{Key: "foo", Value: []byte("bar"), ModRevision: 8, Lease: 77},
+			{Key: "foo", Value: []byte("bar"), CreateRevision: 2, ModRevision: 8, Lease: 77},
 		}}))
 	})
 
