--- a/scripts/days.py
+++ b/scripts/days.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
 """Writes days of trouble for the users' bench, and plays them.
 
-usage: scripts/days.py draw SITE FOLDER --seed N [--count 12]
-       scripts/days.py matrix SITE FOLDER [--kinds K,...]
+usage: scripts/days.py draw BENCH SITE FOLDER --seed N [--count 12]
+       scripts/days.py matrix BENCH SITE FOLDER [--kinds K,...]
        scripts/days.py play BENCH SITE FOLDER [--small] [--jobs N] [--why TEXT] [--log FOLDER]
 
 draw: days with three to seven troubles each, some at the same moment, a loss of the
@@ -12,9 +12,9 @@
 final loss of all machines, the holder killed, the store silent. play: prints the
 rules that a day breaks, its worth, and its lowest class.
 
-A day is the site's first quiet day with other troubles. The kinds are those that the
-bench's list of kinds names for a system without disks; a kind that the site's own
-list has is taken with the figures there.
+A day is the site's first quiet day with other troubles. The kinds are those that
+`BENCH kinds SITE` lists; a kind that the site's own list has is taken with the figures
+there.
 """
 import argparse
 import concurrent.futures
@@ -26,7 +26,7 @@
 import sys
 import tomllib
 
-# Every kind with the variants that can strike here, as of `fleetbench kinds`.
+# Figures of every kind, with the variants that can strike a system without disks.
 KINDS = [
     {"kind": "burst", "x": 2.0, "for_s": 4.0},
     {"kind": "shift", "share": 0.5, "for_s": 6.0},
@@ -144,15 +144,19 @@
         file.write("\n".join(lines) + "\n")
 
 
-def site_kinds(site):
-    """The site's own troubles, and those kinds that it does not list."""
+def site_kinds(arguments):
+    """The site's own troubles, and those that may come there though it does not list them."""
+    site = site_of(arguments.site)
+    told = subprocess.run([arguments.bench, "kinds", arguments.site], capture_output=True, text=True, check=True).stdout
+    open_kinds = set(re.findall(r"^([a-z_]+):", told, re.M))
     own = [{key: value for key, value in trouble.items() if key not in ("at", "zone", "service", "class")} for trouble in site.get("troubles", [])]
     listed = {(trouble["kind"], trouble.get("how", "")) for trouble in own}
-    return own + [trouble for trouble in KINDS if (trouble["kind"], trouble.get("how", "")) not in listed]
+    others = [trouble for trouble in KINDS if (trouble["kind"], trouble.get("how", "")) not in listed]
+    return own + [trouble for trouble in others if trouble["kind"] in open_kinds]
 
 
 def draw(arguments):
-    quiet, kinds = quiet_day(arguments.site), site_kinds(site_of(arguments.site))
+    quiet, kinds = quiet_day(arguments.site), site_kinds(arguments)
     source = random.Random(arguments.seed)
     for number in range(arguments.count):
         troubles = []
@@ -170,7 +174,7 @@
 def matrix(arguments):
     quiet = quiet_day(arguments.site)
     wanted = arguments.kinds.split(",") if arguments.kinds else []
-    for trouble in site_kinds(site_of(arguments.site)):
+    for trouble in site_kinds(arguments):
         if wanted and trouble["kind"] not in wanted:
             continue
         for name, companion in COMPANIONS.items():
@@ -235,12 +239,14 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     verbs = parser.add_subparsers(required=True)
     drawing = verbs.add_parser("draw")
+    drawing.add_argument("bench")
     drawing.add_argument("site")
     drawing.add_argument("folder")
     drawing.add_argument("--seed", type=int, required=True)
     drawing.add_argument("--count", type=int, default=12)
     drawing.set_defaults(run=draw)
     crossing = verbs.add_parser("matrix")
+    crossing.add_argument("bench")
     crossing.add_argument("site")
     crossing.add_argument("folder")
     crossing.add_argument("--kinds", default="")
