--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -17,6 +17,7 @@
 	"github.com/hatchplank/hatchplank/internal/orders"
 	"github.com/hatchplank/hatchplank/internal/peer/tcp"
 	"github.com/hatchplank/hatchplank/internal/quota"
+	"github.com/hatchplank/hatchplank/internal/tenants"
 	"github.com/hatchplank/hatchplank/platform"
 )
 
@@ -65,6 +66,7 @@
 	election  *orders.Election
 	holder    *orders.Holder
 	link      *orders.Link
+	quota     *tenants.Quota
 	forwarder *forward.Forwarder
 	metrics   *edge.Metrics
 	requests  *edge.RequestLog
@@ -95,6 +97,7 @@
 	n.store.Calls = n.metrics.StoreCall
 	n.calls = quota.NewShare(quota.Rates{Reads: settings.Store.ReadsPerSecond, Writes: settings.Store.WritesPerSecond}, assumedNodes)
 	n.store.Admit = n.calls.Wait
+	n.assembleQuota()
 	n.assembleOrders()
 	n.assembleMirror()
 	n.assembleForwarder()
@@ -102,6 +105,20 @@
 	return n.process, nil
 }
 
+// assembleQuota makes the node's part in counting what tenants get.
+func (n *node) assembleQuota() {
+	n.quota = tenants.NewQuota(tenants.QuotaConfig{
+		Window: n.settings.QuotaWindow(),
+		Directory: func() *tenants.Directory {
+			if configuration := n.view.Load().Configuration; configuration != nil {
+				return configuration.Tenants
+			}
+			return nil
+		},
+		Transport: n.transport, Address: n.transport.Address(), Counted: n.metrics.Quota, Logger: n.logger,
+	})
+}
+
 func (n *node) assembleOrders() {
 	n.election = orders.NewElection(orders.ElectionConfig{
 		Store: n.store, Prefix: ownPrefix, Self: orders.Record{Name: n.settings.Node.Name, Address: n.transport.Address()},
@@ -109,16 +126,17 @@
 	})
 	n.holder = orders.NewHolder(orders.HolderConfig{
 		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers}, Name: n.settings.Node.Name,
-		Ceiling: orders.CeilingLimits{Window: n.settings.Orders.LoadWindow, Overage: n.settings.Orders.LoadOverage},
-		Push:    func(address string, update orders.Update) { n.link.Push(address, update) },
-		Ordered: n.metrics.Order, Logger: n.logger,
+		Counters: n.quota.Counters,
+		Ceiling:  orders.CeilingLimits{Window: n.settings.Orders.LoadWindow, Overage: n.settings.Orders.LoadOverage},
+		Push:     func(address string, update orders.Update) { n.link.Push(address, update) },
+		Ordered:  n.metrics.Order, Logger: n.logger,
 	})
 	n.link = orders.NewLink(orders.LinkConfig{
 		Election: n.election, Holder: n.holder, View: n.view, Transport: n.transport,
 		Demand:   func() []forward.Demand { return n.forwarder.Demand() },
 		Wanted:   func() <-chan struct{} { return n.forwarder.Wanted() },
-		SetNodes: n.setNodes,
-		Name:     n.settings.Node.Name, Address: n.transport.Address(), Logger: n.logger,
+		SetNodes: n.setNodes, Counters: n.quota.Counters, SetCounters: n.quota.SetCounters,
+		Name: n.settings.Node.Name, Address: n.transport.Address(), Logger: n.logger,
 	})
 }
 
@@ -126,6 +144,7 @@
 func (n *node) setNodes(nodes int) {
 	n.forwarder.SetNodes(nodes)
 	n.calls.SetNodes(nodes)
+	n.quota.SetNodes(nodes)
 }
 
 // assembleMirror makes the node's copy of what the store holds. The holder of
@@ -150,7 +169,7 @@
 
 func (n *node) assembleForwarder() {
 	n.forwarder = forward.New(forward.Config{
-		View: n.view, Backend: &platform.Backend{Client: n.servers}, Orders: n.link, Zone: n.settings.Node.Zone,
+		View: n.view, Backend: &platform.Backend{Client: n.servers}, Orders: n.link, Quota: n.quota, Zone: n.settings.Node.Zone,
 		Nodes: assumedNodes, Observe: n.requests.Attempt, UnderWay: n.requests.UnderWay,
 		Budget: forward.BudgetLimits{
 			Ratio: n.settings.Retries.Ratio, Slack: n.settings.Retries.Slack, Window: n.settings.Retries.Window,
@@ -168,7 +187,7 @@
 		Status:     n.status(),
 		Ready:      n.notReady,
 		IdleLimit:  n.idleLimit,
-		Background: []func(context.Context){n.mirror.Run, n.election.Run, n.holder.Run, n.link.Run, n.tidy, n.serveNodes},
+		Background: []func(context.Context){n.mirror.Run, n.election.Run, n.holder.Run, n.link.Run, n.quota.Run, n.tidy, n.serveNodes},
 		Drain:      n.forwarder.Drain,
 		End:        n.forwarder.End,
 		HandOver:   n.election.Resign,
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -25,6 +25,7 @@
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/logging"
 	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/tenants"
 )
 
 const goodSettings = `
@@ -62,6 +63,7 @@
 		"no changes":     {"changes: 2000ms, ", "", "store.changes"},
 		"no drains":      {"drains: 2000ms, ", "", "store.drains"},
 		"no load window": {"load_window: 5s", "load_window: 0s", "orders.load_window"},
+		"quota window":   {"orders:", "quotas: {window_seconds: -1}\norders:", "quotas.window_seconds"},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -84,7 +86,7 @@
 		"{{node|json}}": `"n"`, "{{zone|json}}": `"z"`, "{{listen.front|json}}": `"10.0.0.1:1"`, "{{listen.ready|json}}": `"10.0.0.1:2"`,
 		"{{ip}}": "10.0.0.1", "{{internal-ports.0}}": "3", "{{platform.address|json}}": `"10.0.0.2:1"`,
 		"{{bounds.contact-ms}}": "3000", "{{bounds.config-apply-ms}}": "2000", "{{bounds.drain-ms}}": "2000", "{{platform.ttl-min-ms}}": "1000", "{{bounds.budget-ratio}}": "0.2",
-		"{{bounds.budget-slack}}": "54", "{{bounds.budget-window-s}}": "10", "{{bounds.lease-ms}}": "3000",
+		"{{bounds.budget-slack}}": "54", "{{bounds.budget-window-s}}": "10", "{{bounds.lease-ms}}": "3000", "{{bounds.quota-window-s}}": "6",
 		"{{bounds.require-fence}}": "false", "{{bounds.ceiling-window-s}}": "5", "{{bounds.ceiling-overage}}": "1.1",
 		"{{bounds.grace-s}}": "8", "{{limits.memory-mb}}": "284",
 		"{{platform.reads-per-s}}": "2000", "{{platform.writes-per-s}}": "400",
@@ -97,6 +99,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(settings.Listen.Peers).To(Equal("10.0.0.1:3"))
 	Expect(settings.Orders.Turn).To(Equal(3 * time.Second))
+	Expect(settings.QuotaWindow()).To(Equal(6 * time.Second))
 	Expect(settings.Store.ReadsPerSecond).To(BeEquivalentTo(2000))
 	Expect(settings.Store.WritesPerSecond).To(BeEquivalentTo(400))
 }
@@ -184,6 +187,7 @@
 	log.Ended(request, forward.Outcome{Code: result.OK, Cold: true})
 	metrics.StoreCall("/call")
 	metrics.Order("load", "accepted")
+	metrics.Quota("north", tenants.Verdict{Within: true})
 	answer := httptest.NewRecorder()
 	metrics.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hatchplank/hatchplank/internal/tenants"
 )
 
 // MetricDescription is a metric as documented in docs/operators/metrics.md.
@@ -22,6 +24,7 @@
 	metricColdStart   = "hatchplank_node_cold_start_seconds"
 	metricStoreCalls  = "hatchplank_node_store_calls_total"
 	metricOrders      = "hatchplank_node_orders_total"
+	metricQuota       = "hatchplank_node_quota_total"
 	metricConnections = "hatchplank_node_server_connections_total"
 	metricServers     = "hatchplank_node_servers"
 	metricRevision    = "hatchplank_node_configuration_revision"
@@ -38,6 +41,7 @@
 	{metricColdStart, "histogram", "", "Seconds to the first byte for requests that waited for a load."},
 	{metricStoreCalls, "counter", "call", "Calls to the store, by call."},
 	{metricOrders, "counter", "order, reply", "Orders given to model servers, by kind and reply."},
+	{metricQuota, "counter", "tenant, verdict, count", "Requests that were compared with their tenant's limit, by verdict (within, over) and by who counted (all: for all nodes; alone: this node, as no counting node answered)."},
 	{metricConnections, "counter", "", "Connections opened to servers."},
 	{metricServers, "gauge", "", "Servers known."},
 	{metricRevision, "gauge", "", "Revision of the configuration in force; 0 if there is none."},
@@ -85,6 +89,19 @@
 // Order counts an order.
 func (m *Metrics) Order(order, reply string) { m.count(metricOrders, "order", order, "reply", reply) }
 
+// Quota counts a verdict on a tenant's request. The operators' configuration bounds
+// the number of tenants.
+func (m *Metrics) Quota(tenant string, verdict tenants.Verdict) {
+	outcome, count := "over", "all"
+	if verdict.Within {
+		outcome = "within"
+	}
+	if verdict.CountedBy == "" {
+		count = "alone"
+	}
+	m.count(metricQuota, "tenant", tenant, "verdict", outcome, "count", count)
+}
+
 // ServeHTTP writes the metrics in the Prometheus text format.
 func (m *Metrics) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
 	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -60,6 +60,11 @@
 		Slack  float64       `yaml:"slack"`
 		Window time.Duration `yaml:"window"`
 	} `yaml:"retries"`
+	Quotas struct {
+		// Window over which a tenant's requests are summed: within it, they stay below
+		// the tenant's rate times the window plus its burst. 0: defaultQuotaWindow.
+		WindowSeconds float64 `yaml:"window_seconds"`
+	} `yaml:"quotas"`
 	Orders struct {
 		// Turn is the time between the orders of two holders to one server.
 		Turn time.Duration `yaml:"turn"`
@@ -83,6 +88,17 @@
 	} `yaml:"memory"`
 }
 
+// defaultQuotaWindow is taken where the settings name none: the users' figure.
+const defaultQuotaWindow = 8 * time.Second
+
+// QuotaWindow is the window over which a tenant's requests are summed.
+func (s *Settings) QuotaWindow() time.Duration {
+	if s.Quotas.WindowSeconds == 0 {
+		return defaultQuotaWindow
+	}
+	return time.Duration(s.Quotas.WindowSeconds * float64(time.Second))
+}
+
 // LoadSettings reads settings and checks them as a whole. Fields that it does
 // not know are an error, since they are probably misspelt.
 func LoadSettings(content []byte) (Settings, error) {
@@ -131,6 +147,7 @@
 	require(s.Store.ReadsPerSecond >= 0 && s.Store.WritesPerSecond >= 0, "store.reads_per_second and store.writes_per_second must not be below 0")
 	require(s.Retries.Ratio >= 0 && s.Retries.Slack >= 0, "retries.ratio and retries.slack must not be below 0")
 	require(s.Retries.Window > 0, "retries.window must be above 0")
+	require(s.Quotas.WindowSeconds >= 0, "quotas.window_seconds must not be below 0")
 	require(s.Orders.Turn >= 0, "orders.turn must not be below 0")
 	require(s.Orders.LoadWindow > 0, "orders.load_window must be above 0")
 	require(s.Orders.LoadOverage > 0, "orders.load_overage must be above 0")
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -229,8 +229,8 @@
 	f.demand.arrived(flow.key())
 	defer f.tellUnderWay(flow)()
 	outcome := f.run(ctx, flow, responder)
-	if f.quota != nil && request.Tenant != nil && outcome.Ran == result.RanNo {
-		f.quota.Return(request.Tenant, request.tokens(), request.Accepted)
+	if outcome.Ran == result.RanNo {
+		f.returnQuota(request)
 	}
 	return *outcome
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -42,6 +42,8 @@
 	Key *auth.Digest
 	// Tenant that the key belongs to, set by the Forwarder; nil if there is none.
 	Tenant *tenants.Tenant
+	// quota is what the tenant's limit said.
+	quota tenants.Verdict
 	// Accepted is when the request's head was read, Deadline when its caller
 	// stops waiting.
 	Accepted time.Time
--- a/internal/forward/tenant.go
+++ b/internal/forward/tenant.go
@@ -11,12 +11,10 @@
 
 // Quota bounds what all nodes together serve of a tenant's requests.
 type Quota interface {
-	// Take asks for a request of so many tokens, zero if it tells none. It returns
-	// whether the request is within the tenant's limit and, if not, how long it
-	// takes until there is room for it.
-	Take(ctx context.Context, tenant *tenants.Tenant, tokens int) (within bool, roomIn time.Duration)
+	// Take asks for a request of so many tokens, zero if it tells none.
+	Take(ctx context.Context, tenant *tenants.Tenant, tokens int) tenants.Verdict
 	// Return gives back what was taken at the time for a request that has not run.
-	Return(tenant *tenants.Tenant, tokens int, taken time.Time)
+	Return(tenant *tenants.Tenant, tokens int, verdict tenants.Verdict, taken time.Time)
 }
 
 // tokens of the prompt, and of the answer at most.
@@ -40,11 +38,27 @@
 	if f.quota == nil {
 		return nil
 	}
-	within, roomIn := f.quota.Take(ctx, request.Tenant, request.tokens())
-	if within {
+	request.quota = f.quota.Take(ctx, request.Tenant, request.tokens())
+	if request.quota.Within {
 		return nil
 	}
 	return &Outcome{
-		Code: result.OverQuota, Reason: "tenant " + request.Tenant.Name + " is over its limit", Route: route.Name, RetryAfter: roomIn,
+		Code: result.OverQuota, Reason: overLimit(request.Tenant, request.quota), Route: route.Name,
+		RetryAfter: request.quota.RoomIn, Belief: Belief{Configuration: configuration.Revision},
+	}
+}
+
+// overLimit says whose limit refuses a request, and by whose count.
+func overLimit(tenant *tenants.Tenant, verdict tenants.Verdict) string {
+	if verdict.CountedBy == "" {
+		return "tenant " + tenant.Name + " is over this node's share of its limit; no node that counts it answers"
+	}
+	return "tenant " + tenant.Name + " is over its limit, counted by " + verdict.CountedBy
+}
+
+// returnQuota gives back what was taken for a request that has not run.
+func (f *Forwarder) returnQuota(request *Request) {
+	if f.quota != nil && request.Tenant != nil {
+		f.quota.Return(request.Tenant, request.tokens(), request.quota, request.Accepted)
 	}
 }
--- /dev/null
+++ b/internal/orders/counters.go
@@ -0,0 +1,52 @@
+package orders
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/tenants"
+)
+
+// hearingPeriods of reports pass in a term before the nodes that count tenants are
+// chosen, so that a new holder has heard of those that live.
+const hearingPeriods = 2
+
+// chooseCounters chooses the nodes that count tenants among those that report, and
+// tells all of them when these change.
+func (h *Holder) chooseCounters(term *Term, now time.Time) {
+	live := h.demand.live(now)
+	living := make([]string, 0, len(live))
+	for address := range live {
+		living = append(living, address)
+	}
+	h.mutex.Lock()
+	heard := now.Sub(h.began) >= hearingPeriods*reportPeriodOf(h.demand.nodeCount())
+	earlier := h.counters
+	if len(earlier.Addresses) == 0 {
+		earlier = h.config.Counters()
+	}
+	chosen := tenants.Choose(earlier.Addresses, living)
+	changed := heard && len(chosen) > 0 && !slices.Equal(chosen, h.counters.Addresses)
+	if changed {
+		h.counters = tenants.Counters{Token: term.Token, Version: h.counters.Version + 1, Addresses: chosen}
+	}
+	update := Update{Token: term.Token, OrdersIn: term.ordersIn(now), Counters: h.counters}
+	h.mutex.Unlock()
+	if !changed {
+		return
+	}
+	for address := range live {
+		h.config.Push(address, update)
+	}
+}
+
+// countersUnknownTo returns the nodes that count tenants, if the reporting node does
+// not know them yet.
+func (h *Holder) countersUnknownTo(report DemandReport) tenants.Counters {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if report.Counters == h.counters.Version && report.CountersToken == h.counters.Token {
+		return tenants.Counters{}
+	}
+	return h.counters
+}
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -11,6 +11,7 @@
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/inspect"
 	"github.com/hatchplank/hatchplank/internal/placement"
+	"github.com/hatchplank/hatchplank/internal/tenants"
 )
 
 const (
@@ -33,6 +34,8 @@
 	Engines  Engines
 	// Name of this node.
 	Name string
+	// Counters are the nodes that count tenants' limits as this node knows.
+	Counters func() tenants.Counters
 	// Ceiling bounds the loads from the weight store.
 	Ceiling CeilingLimits
 	// Push sends an update to a node; it must not block.
@@ -57,6 +60,9 @@
 	pushedAt time.Time
 	ceiling  *ceiling
 	promises *promises
+	// began is when the term did; counters are the nodes that count tenants in it.
+	began    time.Time
+	counters tenants.Counters
 }
 
 // NewHolder returns a holder; Run makes it work.
@@ -81,6 +87,7 @@
 	h.mutex.Lock()
 	h.term, h.ledger, h.pushed = term, newLedger(), 0
 	h.ceiling, h.promises = newCeiling(h.config.Ceiling), newPromises()
+	h.began, h.counters = time.Now(), tenants.Counters{}
 	h.mutex.Unlock()
 	defer func() {
 		h.mutex.Lock()
@@ -147,6 +154,9 @@
 	h.mutex.Unlock()
 	h.push(now)
 	h.pushPromises(term, changed, now)
+	if snapshot.Configuration.Tenants != nil {
+		h.chooseCounters(term, now)
+	}
 }
 
 // plan must be called with the lock held.
@@ -233,7 +243,9 @@
 	if report.Token != term.Token {
 		after = 0
 	}
-	return h.update(term, after, report.waitsFor(), now), true
+	update := h.update(term, after, report.waitsFor(), now)
+	update.Counters = h.countersUnknownTo(report)
+	return update, true
 }
 
 func (h *Holder) update(term *Term, after uint64, models []comingKey, now time.Time) Update {
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -11,6 +11,7 @@
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/peer"
+	"github.com/hatchplank/hatchplank/internal/tenants"
 )
 
 const (
@@ -36,8 +37,12 @@
 	Demand func() []forward.Demand
 	Wanted func() <-chan struct{}
 	// SetNodes tells how many nodes share the retry budget.
-	SetNodes  func(nodes int)
-	Transport peer.Transport
+	SetNodes func(nodes int)
+	// Counters are the nodes that count tenants' limits as this node knows;
+	// SetCounters tells newer ones.
+	Counters    func() tenants.Counters
+	SetCounters func(told tenants.Counters)
+	Transport   peer.Transport
 	// Name and Address of this node.
 	Name, Address string
 	Logger        zerolog.Logger
@@ -159,6 +164,8 @@
 		Node: l.config.Name, Address: l.config.Address, Sequence: l.sequence, Started: l.started,
 		Token: l.token, Version: l.version,
 	}
+	counters := l.config.Counters()
+	report.Counters, report.CountersToken = counters.Version, counters.Token
 	arrived := map[forward.DemandKey]uint64{}
 	now := time.Now()
 	for _, row := range l.config.Demand() {
@@ -219,6 +226,9 @@
 	if update.Nodes > 0 {
 		l.config.SetNodes(update.Nodes)
 	}
+	if len(update.Counters.Addresses) > 0 {
+		l.config.SetCounters(update.Counters)
+	}
 }
 
 func placed(states []ServerState, now time.Time) []*fleet.Server {
--- a/internal/orders/messages.go
+++ b/internal/orders/messages.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/peer"
+	"github.com/hatchplank/hatchplank/internal/tenants"
 )
 
 // DemandRow is what one node's callers ask for by one key.
@@ -36,6 +37,10 @@
 	// Token and Version of the placement that the node knows.
 	Token   int64
 	Version uint64
+	// Counters is the version of the list of nodes that count tenants, and
+	// CountersToken the token of the term that it is from, as far as the node knows.
+	Counters      uint64
+	CountersToken int64
 }
 
 // ServerState is what a server holds, as the holder knows.
@@ -71,6 +76,8 @@
 	Servers  []ServerState
 	// Coming are the models that the node's callers wait for, as far as planned.
 	Coming []ComingState
+	// Counters are the nodes that count tenants' limits; without addresses: not told.
+	Counters tenants.Counters
 }
 
 // NotHolder is the reply of a node that holds no term.
--- /dev/null
+++ b/internal/tenants/account.go
@@ -0,0 +1,127 @@
+package tenants
+
+import (
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/window"
+)
+
+const (
+	// surgeShare of what a window allows may come at once. With the limit's rate it
+	// reaches what a window allows within two thirds of the users' window, so that a
+	// tenant that asks for more all the time gets its rate, and not all at once and
+	// then nothing.
+	surgeShare = 0.3
+	// nearLimit is the share of a surge below which a tenant is near its limit.
+	nearLimit = 0.25
+)
+
+// account counts what a tenant may still get: no more than rate times window plus
+// burst in any window and, so that this does not go at once, no more than a token
+// bucket gives. Unlike golang.org/x/time/rate it takes requests that cost more than
+// the bucket holds, when it is full, and takes tokens back.
+type account struct {
+	length time.Duration
+	// recent is what this node counted within the window, before what others had.
+	recent   window.Sum
+	before   float64
+	beforeAt time.Time
+	// level of the bucket in the limit's unit as of at; below zero after a request
+	// that cost more than there was.
+	level float64
+	at    time.Time
+	// nextRoom is until when refused callers were told to stay away.
+	nextRoom time.Time
+}
+
+// newAccount is full: nobody knows of requests before.
+func newAccount(limit Limit, length time.Duration, now time.Time) *account {
+	return &account{length: length, recent: window.NewSum(length, now), level: surge(limit, length), at: now}
+}
+
+// capacity is what a tenant may get within a window.
+func capacity(limit Limit, length time.Duration) float64 {
+	return limit.Rate*length.Seconds() + limit.Burst
+}
+
+func surge(limit Limit, length time.Duration) float64 { return surgeShare * capacity(limit, length) }
+
+// near reports whether so little is left that the tenant is near its limit.
+func near(limit Limit, length time.Duration, count Count) bool {
+	return count.Level < nearLimit*surge(limit, length)
+}
+
+// levelNow adds what the time since the last call brings.
+func (a *account) levelNow(limit Limit, now time.Time) float64 {
+	if passed := now.Sub(a.at); passed > 0 {
+		a.level += limit.Rate * passed.Seconds()
+		a.at = now
+	}
+	a.level = min(a.level, surge(limit, a.length))
+	return a.level
+}
+
+// used is what counts within the window now. What other nodes had counted leaves
+// evenly.
+func (a *account) used(now time.Time) float64 {
+	return a.recent.Total(now) + aged(a.before, now.Sub(a.beforeAt), a.length)
+}
+
+// aged is how much of an amount is still within the window, if it came evenly.
+func aged(amount float64, age, length time.Duration) float64 {
+	return amount * max(0, 1-age.Seconds()/length.Seconds())
+}
+
+// count is what others are told.
+func (a *account) count(limit Limit, now time.Time) Count {
+	return Count{Known: true, Level: a.levelNow(limit, now), Used: a.used(now)}
+}
+
+// hear takes over what another node had counted, where that leaves less than is known
+// here. A tenant that was near its limit probably used what came since.
+func (a *account) hear(count Count, limit Limit, now time.Time) {
+	left, used := count.Level, count.Used
+	if !near(limit, a.length, count) {
+		left += limit.Rate * count.Age.Seconds()
+		used = aged(used, count.Age, a.length)
+	}
+	a.level = min(a.levelNow(limit, now), left)
+	if missing := used - a.used(now); missing > 0 {
+		a.before, a.beforeAt = aged(a.before, now.Sub(a.beforeAt), a.length)+missing, now
+	}
+}
+
+// take takes the cost, if there is room for it. Otherwise it tells how long it takes
+// until there is, and each refused caller another time, so that they don't come back
+// together.
+func (a *account) take(limit Limit, cost float64, now time.Time) (within bool, roomIn time.Duration) {
+	missing := min(cost, surge(limit, a.length)) - a.levelNow(limit, now)
+	over := a.used(now) + min(cost, capacity(limit, a.length)) - capacity(limit, a.length)
+	if missing <= 0 && over <= 0 {
+		a.level -= cost
+		a.recent.Add(cost, now)
+		return true, 0
+	}
+	room := now.Add(timeFor(max(missing, 0), limit.Rate))
+	if over > 0 {
+		if leaves := now.Add(a.recent.LeavesIn(over, now)); leaves.After(room) {
+			room = leaves
+		}
+	}
+	if room.Before(a.nextRoom) {
+		room = a.nextRoom
+	}
+	a.nextRoom = room.Add(timeFor(cost, limit.Rate))
+	return false, min(room.Sub(now), a.length)
+}
+
+// giveBack returns the cost of a request that has not run.
+func (a *account) giveBack(cost float64, now time.Time) {
+	a.level += cost
+	a.recent.Add(-min(cost, max(a.recent.Total(now), 0)), now)
+}
+
+// timeFor is how long a rate takes to bring the units.
+func timeFor(units, rate float64) time.Duration {
+	return time.Duration(units / rate * float64(time.Second))
+}
--- /dev/null
+++ b/internal/tenants/ask.go
@@ -0,0 +1,135 @@
+package tenants
+
+import (
+	"context"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/peer"
+)
+
+// Take asks for a request of so many tokens, zero if it tells none.
+func (q *Quota) Take(ctx context.Context, tenant *Tenant, tokens int) Verdict {
+	if tenant.Limit.Rate <= 0 {
+		return Verdict{Within: true}
+	}
+	verdict := q.decide(ctx, tenant, tenant.Limit.Cost(tokens))
+	q.config.Counted(tenant.Name, verdict)
+	return verdict
+}
+
+// decide asks the nodes that count the tenant in their order, and decides alone if
+// none answers.
+func (q *Quota) decide(ctx context.Context, tenant *Tenant, cost float64) Verdict {
+	ranked := q.counters.ranked(tenant.Name)
+	for _, address := range ranked[:min(len(ranked), mostAsked)] {
+		if q.isSilent(address) {
+			continue
+		}
+		ask := Ask{Tenant: tenant.Name, Cost: cost, Heard: q.heard.other(tenant.Name, address, time.Now())}
+		if answer, answered := q.askOne(ctx, address, tenant, ask); answered {
+			q.heard.set(tenant.Name, answer, time.Now())
+			return Verdict{Within: answer.Within, RoomIn: answer.RoomIn, CountedBy: answer.CountedBy}
+		}
+	}
+	now := time.Now()
+	within, roomIn := q.alone.take(tenant, cost, q.heard.near(tenant, q.config.Window, now), now)
+	return Verdict{Within: within, RoomIn: roomIn}
+}
+
+// askOne asks one node, which may be this one.
+func (q *Quota) askOne(ctx context.Context, address string, tenant *Tenant, ask Ask) (Answer, bool) {
+	if address == q.config.Address {
+		if q.isAlone(time.Now()) {
+			return Answer{}, false
+		}
+		return q.count(tenant, ask), true
+	}
+	answers := make(chan *Answer, 1)
+	q.config.Transport.Call(address, ask, askTimeout, func(message peer.Message, err error) {
+		answer, isAnswer := message.(Answer)
+		if err != nil || !isAnswer {
+			q.setSilent(address, true)
+			answers <- nil
+			return
+		}
+		q.noteContact()
+		answers <- &answer
+	})
+	select {
+	case answer := <-answers:
+		if answer == nil {
+			return Answer{}, false
+		}
+		return *answer, true
+	case <-ctx.Done():
+		return Answer{}, false
+	}
+}
+
+// count counts on this node.
+func (q *Quota) count(tenant *Tenant, ask Ask) Answer {
+	within, roomIn, left := q.keeper.take(tenant, ask.Cost, ask.Heard, time.Now())
+	return Answer{Within: within, RoomIn: roomIn, CountedBy: q.config.Address, Left: left}
+}
+
+// serveAsk answers another node. If this node is not the first that counts the
+// tenant, it asks that one, whom the other node may not have reached.
+func (q *Quota) serveAsk(_ string, message peer.Message, reply func(peer.Message, error)) {
+	q.noteContact()
+	ask := message.(Ask)
+	if ask.Cost == 0 {
+		reply(Answer{}, nil)
+		return
+	}
+	tenant := q.tenant(ask.Tenant)
+	if tenant == nil {
+		// This node's configuration is older or newer than the other's.
+		reply(Answer{Within: true, CountedBy: q.config.Address}, nil)
+		return
+	}
+	ranked := q.counters.ranked(ask.Tenant)
+	if ask.Relayed || len(ranked) == 0 || ranked[0] == q.config.Address || q.isSilent(ranked[0]) {
+		reply(q.count(tenant, ask), nil)
+		return
+	}
+	relayed := ask
+	relayed.Relayed = true
+	q.config.Transport.Call(ranked[0], relayed, askTimeout/2, func(message peer.Message, err error) {
+		if answer, isAnswer := message.(Answer); err == nil && isAnswer {
+			reply(answer, nil)
+			return
+		}
+		q.setSilent(ranked[0], true)
+		reply(q.count(tenant, ask), nil)
+	})
+}
+
+func (q *Quota) tenant(name string) *Tenant {
+	directory := q.config.Directory()
+	if directory == nil {
+		return nil
+	}
+	return directory.ByName(name)
+}
+
+// Return gives back what was taken for a request that has not run, unless so much
+// time has passed that the limit's window is over.
+func (q *Quota) Return(tenant *Tenant, tokens int, verdict Verdict, taken time.Time) {
+	if !verdict.Within || verdict.CountedBy == "" || time.Since(taken) > q.config.Window {
+		return
+	}
+	cost := tenant.Limit.Cost(tokens)
+	if verdict.CountedBy == q.config.Address {
+		q.keeper.giveBack(tenant, cost, time.Now())
+		return
+	}
+	q.config.Transport.Send(verdict.CountedBy, GiveBack{Tenant: tenant.Name, Cost: cost})
+}
+
+func (q *Quota) serveGiveBack(_ string, message peer.Message, reply func(peer.Message, error)) {
+	back := message.(GiveBack)
+	if tenant := q.tenant(back.Tenant); tenant != nil {
+		q.keeper.giveBack(tenant, back.Cost, time.Now())
+	}
+	reply(nil, nil)
+}
--- /dev/null
+++ b/internal/tenants/counters.go
@@ -0,0 +1,120 @@
+package tenants
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Counters are the nodes that count tenants' limits, as the holder of orders tells.
+// They are immutable.
+type Counters struct {
+	// Token of the holder's term and Version within it order what was told.
+	Token   int64
+	Version uint64
+	// Addresses of the nodes.
+	Addresses []string
+}
+
+// newer reports whether c was told after the other.
+func (c Counters) newer(other Counters) bool {
+	if c.Token != other.Token {
+		return c.Token > other.Token
+	}
+	return c.Version > other.Version
+}
+
+// ranked returns the addresses in the order in which they count a tenant: by
+// rendezvous hash, so that a node that leaves moves only what it counted.
+func (c Counters) ranked(tenant string) []string {
+	ranked := slices.Clone(c.Addresses)
+	slices.SortFunc(ranked, func(a, b string) int {
+		weightOfA, weightOfB := xxhash.Sum64String(a+" "+tenant), xxhash.Sum64String(b+" "+tenant)
+		switch {
+		case weightOfA > weightOfB:
+			return -1
+		case weightOfA < weightOfB:
+			return 1
+		}
+		return 0
+	})
+	return ranked
+}
+
+// CountersSize is how many nodes count: enough that none counts much, and few
+// enough that each of them sees each tenant's requests in one place and that a node
+// needs few connections.
+const CountersSize = 8
+
+// Choose returns the nodes that count: those of the earlier ones that live, and
+// others in order of hash, so that all holders choose alike.
+func Choose(earlier, living []string) []string {
+	var chosen []string
+	for _, address := range earlier {
+		if slices.Contains(living, address) && len(chosen) < CountersSize {
+			chosen = append(chosen, address)
+		}
+	}
+	others := slices.Clone(living)
+	slices.SortFunc(others, func(a, b string) int {
+		if less := xxhash.Sum64String(a) < xxhash.Sum64String(b); less {
+			return -1
+		}
+		return 1
+	})
+	for _, address := range others {
+		if len(chosen) == CountersSize {
+			break
+		}
+		if !slices.Contains(chosen, address) {
+			chosen = append(chosen, address)
+		}
+	}
+	slices.Sort(chosen)
+	return chosen
+}
+
+// counterList holds the newest Counters and remembers rankings.
+type counterList struct {
+	mutex   sync.Mutex
+	current Counters
+	byName  map[string][]string
+}
+
+// set takes over what was told, unless something newer was. It reports whether the
+// addresses changed.
+func (l *counterList) set(told Counters) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !told.newer(l.current) {
+		return false
+	}
+	changed := !slices.Equal(told.Addresses, l.current.Addresses)
+	l.current = told
+	if changed {
+		l.byName = map[string][]string{}
+	}
+	return changed
+}
+
+func (l *counterList) get() Counters {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.current
+}
+
+// ranked is Counters.ranked, remembered for each tenant.
+func (l *counterList) ranked(tenant string) []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if found, known := l.byName[tenant]; known {
+		return found
+	}
+	ranked := l.current.ranked(tenant)
+	if l.byName == nil {
+		l.byName = map[string][]string{}
+	}
+	l.byName[tenant] = ranked
+	return ranked
+}
--- /dev/null
+++ b/internal/tenants/keeper.go
@@ -0,0 +1,54 @@
+package tenants
+
+import (
+	"sync"
+	"time"
+)
+
+// keeper counts tenants on this node, for all nodes.
+type keeper struct {
+	window time.Duration
+
+	mutex    sync.Mutex
+	accounts map[string]*account
+}
+
+func newKeeper(window time.Duration) *keeper {
+	return &keeper{window: window, accounts: map[string]*account{}}
+}
+
+// take counts a request. Heard is what the asking node heard from another one that
+// counted the tenant before.
+func (k *keeper) take(tenant *Tenant, cost float64, heard Count, now time.Time) (within bool, roomIn time.Duration, left Count) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	found := k.accounts[tenant.Name]
+	if found == nil {
+		found = newAccount(tenant.Limit, k.window, now)
+		k.accounts[tenant.Name] = found
+	}
+	if heard.Known {
+		found.hear(heard, tenant.Limit, now)
+	}
+	within, roomIn = found.take(tenant.Limit, cost, now)
+	return within, roomIn, found.count(tenant.Limit, now)
+}
+
+func (k *keeper) giveBack(tenant *Tenant, cost float64, now time.Time) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if found := k.accounts[tenant.Name]; found != nil {
+		found.giveBack(cost, now)
+	}
+}
+
+// forget drops tenants that are not known any more.
+func (k *keeper) forget(known func(tenant string) bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for name := range k.accounts {
+		if !known(name) {
+			delete(k.accounts, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/tenants/messages.go
@@ -0,0 +1,41 @@
+package tenants
+
+import (
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/peer"
+)
+
+// Ask takes from a tenant's limit at the node that counts it.
+type Ask struct {
+	Tenant string
+	// Cost in the unit of the tenant's limit; 0 only asks whether the node answers.
+	Cost float64
+	// Relayed: the sender was asked itself, and the receiver must answer for itself.
+	Relayed bool
+	// Heard is what the asking node heard from another node that counted the tenant;
+	// nothing, if the receiver counted it last.
+	Heard Count
+}
+
+// Answer to an Ask.
+type Answer struct {
+	Within bool
+	// RoomIn is the time until there is room, if the request is not within.
+	RoomIn time.Duration
+	// CountedBy is the address of the node that counted, and Left its count.
+	CountedBy string
+	Left      Count
+}
+
+// GiveBack returns the cost of a request that has not run.
+type GiveBack struct {
+	Tenant string
+	Cost   float64
+}
+
+func init() {
+	peer.Register(Ask{})
+	peer.Register(Answer{})
+	peer.Register(GiveBack{})
+}
--- /dev/null
+++ b/internal/tenants/quota_test.go
@@ -0,0 +1,273 @@
+package tenants_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	_ "github.com/hatchplank/hatchplank/internal/fixedseed" // property tests repeat
+	"github.com/hatchplank/hatchplank/internal/tenants"
+)
+
+// The tests run in virtual time, which needs the testing package's own form.
+
+const (
+	testRate  = 200_000.0
+	testBurst = 200_000.0
+	// testCost of a request, as most of the users' have.
+	testCost = 9_190
+)
+
+var tokenLimit = tenants.Limit{Rate: testRate, Burst: testBurst, InTokens: true, PlainTokens: 200}
+
+// allowed in a window by the limit alone, and with what the users tolerate.
+const (
+	allowed   = testRate*8 + testBurst
+	tolerated = allowed*1.1 + 110_000
+)
+
+// press sends requests of north at nodes in turn, each some milliseconds, until the
+// time is over, and notes what is within the limit.
+func press(fleet *network, directory *tenants.Directory, every, during time.Duration, seen *grants) {
+	addresses := fleet.addresses()
+	slices.Sort(addresses)
+	end := time.Now().Add(during)
+	for number := 0; time.Now().Before(end); number++ {
+		node := fleet.nodes[addresses[number*7%len(addresses)]]
+		go func() {
+			if node.quota.Take(context.Background(), north(directory), testCost).Within {
+				seen.add(testCost, time.Now())
+			}
+		}()
+		time.Sleep(every)
+	}
+	time.Sleep(time.Second)
+}
+
+func TestLimitHoldsOverAllNodesAndIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		directory := directoryOf(tokenLimit)
+		fleet := fleetOf(30, func() *tenants.Directory { return directory })
+		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		defer fleet.run(t)()
+		seen := &grants{}
+		// Three times the limit, for five windows.
+		press(fleet, directory, 15*time.Millisecond, 40*time.Second, seen)
+		most, total := seen.most()
+		g.Expect(most).To(BeNumerically("<=", allowed))
+		g.Expect(total).To(BeNumerically(">=", 0.98*(40*testRate+testBurst)))
+	})
+}
+
+// TestLimitHoldsWhileCountersChange: the node that counts is cut off, and the next
+// one, and they come back.
+func TestLimitHoldsWhileCountersChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		directory := directoryOf(tokenLimit)
+		fleet := fleetOf(30, func() *tenants.Directory { return directory })
+		counters := tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())}
+		fleet.tell(counters)
+		stop := fleet.run(t)
+		seen := &grants{}
+		first := fleet.nodes["node-00"].quota.Take(t.Context(), north(directory), testCost).CountedBy
+		press(fleet, directory, 15*time.Millisecond, 10*time.Second, seen)
+		fleet.setCut(first, true)
+		press(fleet, directory, 15*time.Millisecond, 3*time.Second, seen)
+		second := ""
+		for address, node := range fleet.nodes {
+			if address != first {
+				second = node.quota.Take(t.Context(), north(directory), testCost).CountedBy
+			}
+		}
+		g.Expect(second).NotTo(BeElementOf("", first))
+		fleet.setCut(first, false)
+		press(fleet, directory, 15*time.Millisecond, 3*time.Second, seen)
+		fleet.setCut(first, true)
+		fleet.setCut(second, true)
+		press(fleet, directory, 15*time.Millisecond, 10*time.Second, seen)
+		most, _ := seen.most()
+		g.Expect(most).To(BeNumerically("<=", tolerated))
+		stop()
+	})
+}
+
+// TestCalmTenantIsServedThroughAChange: a tenant at half of its limit is refused
+// nothing when the node that counts it changes.
+func TestCalmTenantIsServedThroughAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		directory := directoryOf(tokenLimit)
+		fleet := fleetOf(30, func() *tenants.Directory { return directory })
+		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		defer fleet.run(t)()
+		first := fleet.nodes["node-00"].quota.Take(t.Context(), north(directory), testCost).CountedBy
+		seen := &grants{}
+		press(fleet, directory, 92*time.Millisecond, 10*time.Second, seen)
+		fleet.setCut(first, true)
+		press(fleet, directory, 92*time.Millisecond, 10*time.Second, seen)
+		// A share of the requests is asked at the node that is cut off itself.
+		g.Expect(len(seen.costs)).To(BeNumerically(">=", 2*(10_000/92)-5))
+	})
+}
+
+func TestWithoutCountersANodeGivesItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		directory := directoryOf(tokenLimit)
+		fleet := fleetOf(20, func() *tenants.Directory { return directory })
+		for _, node := range fleet.nodes {
+			node.quota.SetNodes(len(fleet.nodes))
+		}
+		seen := &grants{}
+		press(fleet, directory, 15*time.Millisecond, 20*time.Second, seen)
+		most, total := seen.most()
+		g.Expect(most).To(BeNumerically("<=", tolerated))
+		g.Expect(total).To(BeNumerically(">=", 0.75*0.5*20*testRate))
+	})
+}
+
+func TestWhatHasNotRunIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		limit := tenants.Limit{Rate: 1, Burst: 1}
+		directory := directoryOf(limit)
+		fleet := fleetOf(10, func() *tenants.Directory { return directory })
+		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		defer fleet.run(t)()
+		for _, node := range fleet.nodes {
+			for range 3 {
+				taken := time.Now()
+				verdict := node.quota.Take(t.Context(), north(directory), 0)
+				g.Expect(verdict.Within).To(BeTrue())
+				node.quota.Return(north(directory), 0, verdict, taken)
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+	})
+}
+
+// TestRefusedCallersAreToldDifferentTimes: there is room when they come back.
+func TestRefusedCallersAreToldDifferentTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		limit := tenants.Limit{Rate: 2, Burst: 0}
+		directory := directoryOf(limit)
+		fleet := fleetOf(3, func() *tenants.Directory { return directory })
+		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		defer fleet.run(t)()
+		quota := fleet.nodes["node-00"].quota
+		take := func() tenants.Verdict { return quota.Take(t.Context(), north(directory), 0) }
+		for range 16 {
+			g.Expect(take().Within).To(BeTrue())
+			time.Sleep(500 * time.Millisecond)
+		}
+		began := time.Now()
+		last := time.Duration(-1)
+		for range 4 {
+			refused := take()
+			if refused.Within {
+				continue
+			}
+			back := time.Since(began) + refused.RoomIn
+			g.Expect(back).To(BeNumerically(">", last))
+			last = back
+		}
+		g.Expect(last).To(BeNumerically(">", time.Second))
+		time.Sleep(last)
+		g.Expect(take().Within).To(BeTrue())
+	})
+}
+
+func TestLimitThatIsLoweredHoldsOneWindowLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		directory := directoryOf(tokenLimit)
+		fleet := fleetOf(20, func() *tenants.Directory { return directory })
+		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		defer fleet.run(t)()
+		press(fleet, directory, 15*time.Millisecond, 12*time.Second, &grants{})
+		lower := tokenLimit
+		lower.Rate, lower.Burst = testRate/4, testBurst/4
+		directory = directoryOf(lower)
+		press(fleet, directory, 15*time.Millisecond, 8*time.Second, &grants{})
+		seen := &grants{}
+		press(fleet, directory, 15*time.Millisecond, 12*time.Second, seen)
+		most, total := seen.most()
+		g.Expect(most).To(BeNumerically("<=", allowed/4))
+		g.Expect(total).To(BeNumerically(">=", 0.98*12*testRate/4))
+	})
+}
+
+// TestLimitHoldsWhateverHappens: up to a fifth of the nodes are cut off, come back, and
+// others count; the limit is never passed by more than is tolerated. With more nodes
+// cut off, their own shares may add up to more.
+func TestLimitHoldsWhateverHappens(t *testing.T) {
+	const nodes, mostCut = 20, 4
+	rapid.Check(t, func(r *rapid.T) {
+		seed := rapid.IntRange(0, 1_000_000).Draw(r, "seed")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 4*nodes-1), 4, 10).Draw(r, "steps")
+		var failure string
+		synctest.Test(t, func(t *testing.T) {
+			directory := directoryOf(tokenLimit)
+			known := func() *tenants.Directory { return directory }
+			fleet := fleetOf(nodes, known)
+			counters := tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())}
+			fleet.tell(counters)
+			stop := fleet.run(t)
+			seen := &grants{}
+			press(fleet, directory, 15*time.Millisecond, 9*time.Second, seen)
+			for _, step := range steps {
+				address := fmt.Sprintf("node-%02d", (step+seed)%nodes)
+				switch step / nodes {
+				case 0, 1:
+					if len(fleet.living()) > nodes-mostCut {
+						fleet.setCut(address, true)
+					}
+				case 2:
+					fleet.setCut(address, false)
+				case 3:
+					counters.Version++
+					counters.Addresses = tenants.Choose(counters.Addresses, fleet.living())
+					fleet.tell(counters)
+				}
+				press(fleet, directory, 15*time.Millisecond, 1500*time.Millisecond, seen)
+			}
+			if most, _ := seen.most(); most > tolerated {
+				failure = fmt.Sprintf("%.0f within one window, tolerated are %.0f", most, tolerated)
+			}
+			stop()
+		})
+		if failure != "" {
+			r.Fatal(failure)
+		}
+	})
+}
+
+func TestCountersMoveOnlyWhatTheyCounted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var living []string
+		for i := range rapid.IntRange(1, 40).Draw(t, "nodes") {
+			living = append(living, fmt.Sprint("node-", i))
+		}
+		chosen := tenants.Choose(nil, living)
+		if len(chosen) != min(len(living), tenants.CountersSize) {
+			t.Fatalf("%d of %d nodes count", len(chosen), len(living))
+		}
+		gone := rapid.SampledFrom(chosen).Draw(t, "gone")
+		rest := slices.DeleteFunc(slices.Clone(living), func(address string) bool { return address == gone })
+		next := tenants.Choose(chosen, rest)
+		for _, address := range chosen {
+			if address != gone && !slices.Contains(next, address) {
+				t.Fatalf("%s counts no more", address)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/window/window_test.go
@@ -0,0 +1,59 @@
+package window_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	_ "github.com/hatchplank/hatchplank/internal/fixedseed" // property tests repeat
+	"github.com/hatchplank/hatchplank/internal/window"
+)
+
+const length = 8 * time.Second
+
+// TestSumCoversTheWindow: what was added within the window counts, and what is older
+// than the window and a slot does not.
+func TestSumCoversTheWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		sum := window.NewSum(length, now)
+		added := map[time.Time]float64{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			amount := float64(rapid.IntRange(0, 100).Draw(t, "amount"))
+			sum.Add(amount, now)
+			added[now] += amount
+			least, most := 0.0, 0.0
+			for at, amount := range added {
+				if now.Sub(at) < length {
+					least += amount
+				}
+				if now.Sub(at) < length+2*length/32 {
+					most += amount
+				}
+			}
+			if total := sum.Total(now); total < least || total > most {
+				t.Fatalf("total %v, not from %v to %v", total, least, most)
+			}
+		}
+	})
+}
+
+// TestLeavesInIsTrue: so much has left after that time, and not a slot before.
+func TestLeavesInIsTrue(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	sum := window.NewSum(length, now)
+	for range 10 {
+		now = now.Add(500 * time.Millisecond)
+		sum.Add(10, now)
+	}
+	leaves := sum.LeavesIn(25, now)
+	later := sum
+	g.Expect(later.Total(now.Add(leaves))).To(BeNumerically("<=", 75))
+	later = sum
+	g.Expect(later.Total(now.Add(leaves - length/32))).To(BeNumerically(">", 75))
+	g.Expect(sum.LeavesIn(1000, now)).To(Equal(length))
+}
--- a/scripts/days.py
+++ b/scripts/days.py
@@ -1,12 +1,13 @@
 #!/usr/bin/env python3
 """Writes days of trouble for the users' bench, and plays them.
 
-usage: scripts/days.py draw BENCH SITE FOLDER --seed N [--count 12]
+usage: scripts/days.py draw BENCH SITE FOLDER --seed N [--count 12] [--each KIND,...]
        scripts/days.py matrix BENCH SITE FOLDER [--kinds K,...]
        scripts/days.py play BENCH SITE FOLDER [--small] [--jobs N] [--why TEXT] [--log FOLDER]
 
 draw: days with three to seven troubles each, some at the same moment, a loss of the
-holder of orders and a shift of demand among them, drawn from the seed alone. Judge a
+holder of orders and a shift of demand among them, drawn from the seed alone; with
+--each, one trouble of each of these kinds in every day. Judge a
 change of policy on such days (scripts/paired.py takes their files), not on the days
 that it was made on. matrix: each kind of trouble twice, and at once with each of: a
 final loss of all machines, the holder killed, the store silent. play: prints the
@@ -89,12 +90,23 @@
     {"kind": "config_change", "how": "route"},
     {"kind": "config_change", "how": "weights"},
     {"kind": "config_change", "how": "timeout"},
+    {"kind": "config_change", "how": "tenant"},
+    {"kind": "config_change", "how": "quota"},
+    {"kind": "config_change", "how": "quota down"},
+    {"kind": "config_change", "how": "topup"},
+    {"kind": "hot_tenant", "x": 7.5, "for_s": 6.0},
+    {"kind": "hot_tenant", "x": 4.0, "for_s": 12.0, "count": 1},
+    {"kind": "revoke", "count": 2, "gap_s": 1.5},
+    {"kind": "revoke", "count": 1, "how": "last"},
+    {"kind": "platform_down", "share": 0.35, "for_s": 9.0, "how": "nodes many revoke meet"},
     {"kind": "config_storm", "for_s": 3.0, "gap_s": 0.3},
     {"kind": "model_shift", "count": 1, "for_s": 6.0},
     {"kind": "applied_late", "x": 0.5, "for_s": 5.0},
     {"kind": "applied_late", "x": 0.5, "for_s": 5.0, "how": "orders"},
 ]
-PLANNED = {"add_nodes", "config_change", "config_storm", "hup", "model_shift", "release", "roll_term", "scale_in", "scale_out"}
+# What only deployments with tenants have.
+OF_TENANTS = re.compile("tenant|quota|topup|revoke")
+PLANNED = {"add_nodes", "config_change", "config_storm", "hup", "model_shift", "release", "revoke", "roll_term", "scale_in", "scale_out"}
 HOLDER = [
     {"kind": "node_kill", "on": "core", "count": 1, "how": "leader"},
     {"kind": "node_freeze", "on": "core", "count": 1, "for_s": 4.0, "how": "leader"},
@@ -152,7 +164,10 @@
     own = [{key: value for key, value in trouble.items() if key not in ("at", "zone", "service", "class")} for trouble in site.get("troubles", [])]
     listed = {(trouble["kind"], trouble.get("how", "")) for trouble in own}
     others = [trouble for trouble in KINDS if (trouble["kind"], trouble.get("how", "")) not in listed]
-    return own + [trouble for trouble in others if trouble["kind"] in open_kinds]
+    others = [trouble for trouble in others if trouble["kind"] in open_kinds]
+    if "tenants" not in site:
+        others = [trouble for trouble in others if not OF_TENANTS.search(trouble["kind"] + " " + trouble.get("how", ""))]
+    return own + others
 
 
 def draw(arguments):
@@ -164,6 +179,9 @@
         for trouble in source.sample(kinds, source.randint(2, 5)):
             at = source.choice(moments) if source.random() < 0.5 else round(source.uniform(EARLIEST, LATEST), 2)
             troubles.append({"at": at, **trouble})
+        for kind in filter(None, arguments.each.split(",")):
+            trouble = source.choice([trouble for trouble in kinds if trouble["kind"] == kind])
+            troubles.append({"at": round(source.uniform(EARLIEST, LATEST), 2), **trouble})
         if number % 2 == 0:
             troubles.append({"at": moments[0], **source.choice(HOLDER)})
             troubles.append({"at": round(moments[0] + 0.5, 2), "kind": "model_shift", "count": 2, "for_s": 4.0})
@@ -244,6 +262,7 @@
     drawing.add_argument("folder")
     drawing.add_argument("--seed", type=int, required=True)
     drawing.add_argument("--count", type=int, default=12)
+    drawing.add_argument("--each", default="")
     drawing.set_defaults(run=draw)
     crossing = verbs.add_parser("matrix")
     crossing.add_argument("bench")
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -44,8 +44,15 @@
 switch_off headers-of-connection platform/headers.go 'if clientHeaders[name] {' 'if clientHeaders[name] && !connection[name] {' ./platform
 switch_off key-required internal/forward/tenant.go 'if route.Anonymous {' 'if true || route.Anonymous {' ./platform
 switch_off quota-asked internal/forward/tenant.go 'if within {' 'if true || within {' ./platform
-switch_off quota-given-back internal/forward/forwarder.go 'f.quota.Return(request.Tenant, request.tokens(), request.Accepted)' '' ./platform
+switch_off quota-given-back internal/forward/forwarder.go 'f.returnQuota(request)' '' ./platform
 switch_off tenant-before-route internal/fleet/priority.go 'ofTenant*len(r.ofRoutes)+ofRoute' 'ofRoute*len(r.ofTenants)+ofTenant' ./internal/fleet ./platform
+tenants=./internal/tenants
+switch_off quota-window internal/tenants/account.go 'if missing <= 0 && over <= 0 {' 'if missing <= 0 {' $tenants
+switch_off quota-surge internal/tenants/account.go 'if missing <= 0 && over <= 0 {' 'if over <= 0 {' $tenants
+switch_off quota-heard internal/tenants/keeper.go 'if heard.Known {' 'if false && heard.Known {' $tenants
+switch_off quota-alone-share internal/tenants/alone.go 'if now.Before(next) {' 'if false && now.Before(next) {' $tenants
+switch_off quota-cut-off-counter internal/tenants/ask.go 'if q.isAlone(time.Now()) {' 'if false && q.isAlone(time.Now()) {' $tenants
+switch_off quota-next-counter internal/tenants/quota.go 'mostAsked = 3' 'mostAsked = 1' $tenants
 # Deadlines and callers that leave.
 switch_off route-timeout internal/forward/forwarder.go 'deadline := request.Accepted.Add(route.Timeout)' 'deadline := request.Accepted.Add(10 * route.Timeout)' $forward
 switch_off caller-deadline internal/forward/forwarder.go 'if request.Deadline.Before(deadline) {' 'if false {' $forward
