Tell callers of an unknown key to try elsewhere while a newer configuration may exist

Cause: a node that has not read the newest configuration, or hears neither the store nor the relay, told the caller of a new key that nobody has it, and callers don't ask again after 401.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -173,7 +173,7 @@
 
 func (n *node) assembleForwarder() {
 	n.forwarder = forward.New(forward.Config{
-		View: n.view, Backend: &platform.Backend{Client: n.servers}, Orders: n.link, Quota: n.quota, Zone: n.settings.Node.Zone,
+		View: n.view, Backend: &platform.Backend{Client: n.servers}, Orders: n.link, Quota: n.quota, Behind: n.mirror.Behind, Zone: n.settings.Node.Zone,
 		Nodes: assumedNodes, Observe: n.requests.Attempt, UnderWay: n.requests.UnderWay,
 		Budget: forward.BudgetLimits{
 			Ratio: n.settings.Retries.Ratio, Slack: n.settings.Retries.Slack, Window: n.settings.Retries.Window,
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -28,6 +28,9 @@
 	Orders Orders
 	// Quota bounds what tenants get over all nodes; nil: nothing is bounded.
 	Quota Quota
+	// Behind reports whether a newer configuration may exist than the one in force;
+	// nil: never.
+	Behind func() bool
 	// Zone of this node.
 	Zone   string
 	Budget BudgetLimits
@@ -56,6 +59,7 @@
 	backend Backend
 	orders  Orders
 	quota   Quota
+	behind  func() bool
 	zone    string
 	tracker *tracker
 	budgets *budgets
@@ -84,13 +88,16 @@
 	if config.Observe == nil {
 		config.Observe = func(Observation) {}
 	}
+	if config.Behind == nil {
+		config.Behind = func() bool { return false }
+	}
 	if config.UnderWay == nil {
 		config.UnderWay = func(UnderWay) {}
 	}
 	life, end := context.WithCancel(context.Background())
 	return &Forwarder{
 		life: life, end: end, started: time.Now(),
-		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, zone: config.Zone,
+		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, behind: config.Behind, zone: config.Zone,
 		tracker: newTracker(), budgets: newBudgets(config.Budget, config.Nodes), demand: newDemandTable(),
 		observe: config.Observe, underWay: config.UnderWay, patience: map[string]time.Duration{},
 	}
--- a/internal/forward/tenant.go
+++ b/internal/forward/tenant.go
@@ -33,6 +33,13 @@
 		if route.Anonymous {
 			return nil
 		}
+		if f.behind() {
+			// The key may be a new one. Another node may know it.
+			return &Outcome{
+				Code: result.NodeNotReady, Reason: "no tenant has this key, but a newer configuration may", Route: route.Name,
+				RetryAfter: shortestReadyDelay,
+			}
+		}
 		return &Outcome{Code: result.Unauthenticated, Reason: "no tenant has this key", Route: route.Name}
 	}
 	if f.quota == nil {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -193,6 +193,19 @@
 	return m.through
 }
 
+// Behind reports whether the operators may have written a configuration that this node
+// has not read: one is known, or neither the store nor the relay was heard for as long
+// as a change may take.
+func (m *Mirror) Behind() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	heardAt := m.confirmedAt
+	if m.relayedAt.After(heardAt) {
+		heardAt = m.relayedAt
+	}
+	return m.configuration < m.known.configuration || time.Since(heardAt) > m.config.Times.Changes
+}
+
 // trust is how old the relay's word may be.
 func (m *Mirror) trust() time.Duration { return share(trustShare, m.config.Times.Changes) }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -390,6 +390,23 @@
 	})
 }
 
+// A node is behind while it knows of a configuration that it has not read, and once it
+// has heard neither the store nor the relay for as long as a change may take.
+func TestNodeKnowsWhetherItIsBehind(t *testing.T) {
+	RegisterTestingT(t)
+	m := New(Config{View: fleet.NewView(), Own: &fakeOwn{values: map[string]string{}}, Times: testTimes})
+	Expect(m.Behind()).To(BeTrue(), "nothing was read")
+	m.replace(Changes{At: 10, ConfigurationRevision: 5})
+	m.confirmedAt = time.Now()
+	Expect(m.Behind()).To(BeFalse())
+	m.takeUpdate(Update{Base: 10, At: 12, Configuration: 11}, "r:1")
+	Expect(m.Behind()).To(BeTrue(), "a configuration was not read")
+	m.takeConfiguration(nil, 11)
+	Expect(m.Behind()).To(BeFalse())
+	m.confirmedAt, m.relayedAt = time.Now().Add(-2*testTimes.Changes), time.Now().Add(-2*testTimes.Changes)
+	Expect(m.Behind()).To(BeTrue(), "nothing was heard for long")
+}
+
 func TestForgottenHistoryIsReadAgain(t *testing.T) {
 	withNodes(t, 2, func(d *deployment) {
 		for _, node := range d.nodes {
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -43,6 +43,7 @@
 switch_off reserved-headers platform/headers.go '&& !reserved(name)' '' ./platform
 switch_off headers-of-connection platform/headers.go 'if clientHeaders[name] {' 'if clientHeaders[name] && !connection[name] {' ./platform
 switch_off key-required internal/forward/tenant.go 'if route.Anonymous {' 'if true || route.Anonymous {' ./platform
+switch_off key-maybe-new internal/forward/tenant.go 'if f.behind() {' 'if false && f.behind() {' ./platform
 switch_off quota-asked internal/forward/tenant.go 'if within {' 'if true || within {' ./platform
 switch_off quota-given-back internal/forward/forwarder.go 'f.returnQuota(request)' '' ./platform
 switch_off tenant-before-route internal/fleet/priority.go 'ofTenant*len(r.ofRoutes)+ofRoute' 'ofRoute*len(r.ofTenants)+ofTenant' ./internal/fleet ./platform
