Leave a tenant's quota to its more urgent requests

Change: a request leaves a reserve in its tenant's bucket that grows with its route's rank, up to half of a surge for the least urgent; one that costs less than the tenant's usual request leaves much less, since refusing it would spare little.

--- a/internal/fleet/priority.go
+++ b/internal/fleet/priority.go
@@ -42,6 +42,15 @@
 	return rank
 }
 
+// RouteRank is a route's place among all, from 0, the most urgent, to 1.
+func (c *Configuration) RouteRank(route *Route) float64 {
+	if len(c.ranks.ofRoutes) < 2 {
+		return 0
+	}
+	place, _ := slices.BinarySearch(c.ranks.ofRoutes, route.Priority)
+	return float64(place) / float64(len(c.ranks.ofRoutes)-1)
+}
+
 // Priority of a tenant's requests on a route; 0 is the most urgent. Without a
 // tenant it is the route's own.
 func (c *Configuration) Priority(route *Route, tenant *tenants.Tenant) int {
--- a/internal/forward/tenant.go
+++ b/internal/forward/tenant.go
@@ -11,8 +11,8 @@
 
 // Quota bounds what all nodes together serve of a tenant's requests.
 type Quota interface {
-	// Take asks for a request of so many tokens, zero if it tells none.
-	Take(ctx context.Context, tenant *tenants.Tenant, tokens int) tenants.Verdict
+	// Take asks for a request.
+	Take(ctx context.Context, tenant *tenants.Tenant, need tenants.Need) tenants.Verdict
 	// Return gives back what was taken at the time for a request that has not run.
 	Return(tenant *tenants.Tenant, tokens int, verdict tenants.Verdict, taken time.Time)
 }
@@ -45,7 +45,7 @@
 	if f.quota == nil {
 		return nil
 	}
-	request.quota = f.quota.Take(ctx, request.Tenant, request.tokens())
+	request.quota = f.quota.Take(ctx, request.Tenant, tenants.Need{Tokens: request.tokens(), Rank: configuration.RouteRank(route)})
 	if request.quota.Within {
 		return nil
 	}
--- a/internal/tenants/account.go
+++ b/internal/tenants/account.go
@@ -12,6 +12,10 @@
 	// loss of all nodes nobody knows what came before, and a surge, the rate over the
 	// window and startTime of it must stay below what is tolerated.
 	surgeShare = 0.2
+	// reserveShare of a surge is left to more urgent requests by the least urgent ones.
+	reserveShare = 0.5
+	// costWeight of a request in the tenant's usual cost.
+	costWeight = 0.05
 	// startTime of its rate is what a tenant may get at once from a node that has not
 	// run for a window yet, and has not heard what came before.
 	startTime = 500 * time.Millisecond
@@ -33,6 +37,8 @@
 	// that cost more than there was.
 	level float64
 	at    time.Time
+	// usualCost of the tenant's requests.
+	usualCost float64
 	// nextRoom is until when refused callers were told to stay away.
 	nextRoom time.Time
 }
@@ -102,8 +108,8 @@
 // take takes the cost, if there is room for it. Otherwise it tells how long it takes
 // until there is, and each refused caller another time, so that they don't come back
 // together.
-func (a *account) take(limit Limit, cost float64, now time.Time) (within bool, roomIn time.Duration) {
-	missing := min(cost, surge(limit, a.length)) - a.levelNow(limit, now)
+func (a *account) take(limit Limit, cost, rank float64, now time.Time) (within bool, roomIn time.Duration) {
+	missing := min(cost+a.reserve(limit, cost, rank), surge(limit, a.length)) - a.levelNow(limit, now)
 	over := a.used(now) + min(cost, capacity(limit, a.length)) - capacity(limit, a.length)
 	if missing <= 0 && over <= 0 {
 		a.level -= cost
@@ -123,6 +129,14 @@
 	return false, min(room.Sub(now), a.length)
 }
 
+// reserve is what a request has to leave to more urgent ones. One that costs less than
+// the tenant's others leaves much less: refusing it would spare little.
+func (a *account) reserve(limit Limit, cost, rank float64) float64 {
+	a.usualCost += costWeight * (cost - a.usualCost)
+	size := min(cost/a.usualCost, 1)
+	return reserveShare * rank * size * size * surge(limit, a.length)
+}
+
 // giveBack returns the cost of a request that has not run.
 func (a *account) giveBack(cost float64, now time.Time) {
 	a.level += cost
--- a/internal/tenants/ask.go
+++ b/internal/tenants/ask.go
@@ -7,25 +7,25 @@
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
-// Take asks for a request of so many tokens, zero if it tells none.
-func (q *Quota) Take(ctx context.Context, tenant *Tenant, tokens int) Verdict {
+// Take asks for a request.
+func (q *Quota) Take(ctx context.Context, tenant *Tenant, need Need) Verdict {
 	if tenant.Limit.Rate <= 0 {
 		return Verdict{Within: true}
 	}
-	verdict := q.decide(ctx, tenant, tenant.Limit.Cost(tokens))
+	verdict := q.decide(ctx, tenant, tenant.Limit.Cost(need.Tokens), need.Rank)
 	q.config.Counted(tenant.Name, verdict)
 	return verdict
 }
 
 // decide asks the nodes that count the tenant in their order, and decides alone if
 // none answers.
-func (q *Quota) decide(ctx context.Context, tenant *Tenant, cost float64) Verdict {
+func (q *Quota) decide(ctx context.Context, tenant *Tenant, cost, rank float64) Verdict {
 	ranked := q.counters.ranked(tenant.Name)
 	for _, address := range ranked[:min(len(ranked), mostAsked)] {
 		if q.isSilent(address) {
 			continue
 		}
-		ask := Ask{Tenant: tenant.Name, Cost: cost, Heard: q.heard.other(tenant.Name, address, time.Now())}
+		ask := Ask{Tenant: tenant.Name, Cost: cost, Rank: rank, Heard: q.heard.other(tenant.Name, address, time.Now())}
 		if answer, answered := q.askOne(ctx, address, tenant, ask); answered {
 			q.heard.set(tenant.Name, answer, time.Now())
 			return Verdict{Within: answer.Within, RoomIn: answer.RoomIn, CountedBy: answer.CountedBy}
@@ -68,7 +68,7 @@
 
 // count counts on this node.
 func (q *Quota) count(tenant *Tenant, ask Ask) Answer {
-	within, roomIn, left := q.keeper.take(tenant, ask.Cost, ask.Heard, time.Now())
+	within, roomIn, left := q.keeper.take(tenant, ask.Cost, ask.Rank, ask.Heard, time.Now())
 	return Answer{Within: within, RoomIn: roomIn, CountedBy: q.config.Address, Left: left}
 }
 
--- a/internal/tenants/keeper.go
+++ b/internal/tenants/keeper.go
@@ -20,7 +20,7 @@
 
 // take counts a request. Heard is what the asking node heard from another one that
 // counted the tenant before.
-func (k *keeper) take(tenant *Tenant, cost float64, heard Count, now time.Time) (within bool, roomIn time.Duration, left Count) {
+func (k *keeper) take(tenant *Tenant, cost, rank float64, heard Count, now time.Time) (within bool, roomIn time.Duration, left Count) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	found := k.accounts[tenant.Name]
@@ -31,7 +31,7 @@
 	if heard.Known {
 		found.hear(heard, tenant.Limit, now)
 	}
-	within, roomIn = found.take(tenant.Limit, cost, now)
+	within, roomIn = found.take(tenant.Limit, cost, rank, now)
 	return within, roomIn, found.count(tenant.Limit, now)
 }
 
--- a/internal/tenants/messages.go
+++ b/internal/tenants/messages.go
@@ -11,6 +11,8 @@
 	Tenant string
 	// Cost in the unit of the tenant's limit; 0 only asks whether the node answers.
 	Cost float64
+	// Rank of the request among its tenant's, see Need.
+	Rank float64
 	// Relayed: the sender was asked itself, and the receiver must answer for itself.
 	Relayed bool
 	// Heard is what the asking node heard from another node that counted the tenant;
--- a/internal/tenants/quota.go
+++ b/internal/tenants/quota.go
@@ -41,6 +41,14 @@
 	Logger  zerolog.Logger
 }
 
+// Need is what a request takes of its tenant's limit.
+type Need struct {
+	// Tokens of the request; zero if it tells none.
+	Tokens int
+	// Rank among the tenant's requests, from 0, the most urgent, to 1.
+	Rank float64
+}
+
 // Verdict says whether a request is within its tenant's limit.
 type Verdict struct {
 	Within bool
--- a/internal/tenants/quota_test.go
+++ b/internal/tenants/quota_test.go
@@ -41,7 +41,7 @@
 	for number := 0; time.Now().Before(end); number++ {
 		node := fleet.nodes[addresses[number*7%len(addresses)]]
 		go func() {
-			if node.quota.Take(context.Background(), north(directory), testCost).Within {
+			if node.quota.Take(context.Background(), north(directory), tenants.Need{Tokens: testCost}).Within {
 				seen.add(testCost, time.Now())
 			}
 		}()
@@ -78,14 +78,14 @@
 		fleet.tell(counters)
 		stop := fleet.run(t)
 		seen := &grants{}
-		first := fleet.nodes["node-00"].quota.Take(t.Context(), north(directory), testCost).CountedBy
+		first := fleet.nodes["node-00"].quota.Take(t.Context(), north(directory), tenants.Need{Tokens: testCost}).CountedBy
 		press(fleet, directory, 15*time.Millisecond, 10*time.Second, seen)
 		fleet.setCut(first, true)
 		press(fleet, directory, 15*time.Millisecond, 3*time.Second, seen)
 		second := ""
 		for address, node := range fleet.nodes {
 			if address != first {
-				second = node.quota.Take(t.Context(), north(directory), testCost).CountedBy
+				second = node.quota.Take(t.Context(), north(directory), tenants.Need{Tokens: testCost}).CountedBy
 			}
 		}
 		g.Expect(second).NotTo(BeElementOf("", first))
@@ -109,7 +109,7 @@
 		fleet := fleetOf(30, func() *tenants.Directory { return directory })
 		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
 		defer fleet.run(t)()
-		first := fleet.nodes["node-00"].quota.Take(t.Context(), north(directory), testCost).CountedBy
+		first := fleet.nodes["node-00"].quota.Take(t.Context(), north(directory), tenants.Need{Tokens: testCost}).CountedBy
 		seen := &grants{}
 		press(fleet, directory, 92*time.Millisecond, 10*time.Second, seen)
 		fleet.setCut(first, true)
@@ -135,6 +135,36 @@
 	})
 }
 
+// TestUrgentAndSmallRequestsComeFirst: a tenant that asks for three times its limit
+// gets its urgent requests before its least urgent ones, and small ones all the same.
+func TestUrgentAndSmallRequestsComeFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		directory := directoryOf(tokenLimit)
+		fleet := fleetOf(10, func() *tenants.Directory { return directory })
+		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		defer fleet.run(t)()
+		quota := fleet.nodes["node-00"].quota
+		within := map[string]int{}
+		kinds := map[string]tenants.Need{
+			"urgent": {Tokens: testCost}, "not urgent": {Tokens: testCost, Rank: 1}, "small": {Tokens: 200, Rank: 1},
+		}
+		const rounds = 600
+		for range rounds {
+			for kind, need := range kinds {
+				if quota.Take(t.Context(), north(directory), need).Within {
+					within[kind]++
+				}
+			}
+			time.Sleep(30 * time.Millisecond)
+		}
+		// Urgent requests alone ask for one and a half times the limit.
+		g.Expect(within["urgent"]).To(BeNumerically(">", rounds*6/10))
+		g.Expect(within["not urgent"]).To(BeNumerically("<", rounds/8))
+		g.Expect(within["small"]).To(BeNumerically(">", rounds*9/10))
+	})
+}
+
 func TestWhatHasNotRunIsGivenBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -147,7 +177,7 @@
 		for _, node := range fleet.nodes {
 			for range 3 {
 				taken := time.Now()
-				verdict := node.quota.Take(t.Context(), north(directory), 0)
+				verdict := node.quota.Take(t.Context(), north(directory), tenants.Need{})
 				g.Expect(verdict.Within).To(BeTrue())
 				node.quota.Return(north(directory), 0, verdict, taken)
 				time.Sleep(10 * time.Millisecond)
@@ -166,7 +196,7 @@
 		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
 		defer fleet.run(t)()
 		quota := fleet.nodes["node-00"].quota
-		take := func() tenants.Verdict { return quota.Take(t.Context(), north(directory), 0) }
+		take := func() tenants.Verdict { return quota.Take(t.Context(), north(directory), tenants.Need{}) }
 		for range 16 {
 			g.Expect(take().Within).To(BeTrue())
 			time.Sleep(500 * time.Millisecond)
