Begin with as many loads from the store as end in time if it serves one

Each new holder began anew.

Change: until a load has ended, so many are under way that they end within 24 s if the store serves one: one of 13 s, four of 6 s as before.

--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -52,6 +52,15 @@
 	Models         map[string]*Model
 }
 
+// LongestLoad is the longest time that a load from the weight store takes undisturbed.
+func (e *Engine) LongestLoad() time.Duration {
+	longest := time.Duration(0)
+	for _, model := range e.Models {
+		longest = max(longest, model.LoadTime)
+	}
+	return longest
+}
+
 // Pool is a set of servers that do the same work.
 type Pool struct {
 	Name string
--- a/internal/orders/ceiling.go
+++ b/internal/orders/ceiling.go
@@ -14,6 +14,9 @@
 	// firstAtOnce is how many loads are under way at once until it is known how
 	// many the store serves at full speed.
 	firstAtOnce = 4
+	// longestGuess is how long loads may take at most, if the store serves only one at
+	// full speed: four at once of 6 s, one of 13 s. In that time nothing is learned.
+	longestGuess = 24 * time.Second
 	// slowFactor times the undisturbed time is a load that others slowed down,
 	// and onTimeFactor one that they did not.
 	slowFactor, onTimeFactor = 1.25, 1.1
@@ -28,10 +31,20 @@
 	tokens float64
 	at     time.Time
 	atOnce int
+	// learned: a load ended and told how many the store serves.
+	learned bool
 }
 
 func newCeiling(limits CeilingLimits) *ceiling { return &ceiling{limits: limits, atOnce: firstAtOnce} }
 
+// expect bounds the loads under way by the time that one takes, until it is learned how
+// many the store serves: too many at once all end late, and only then tell so.
+func (c *ceiling) expect(loadTime time.Duration) {
+	if !c.learned && loadTime > 0 {
+		c.atOnce = min(max(int(longestGuess/loadTime), 1), firstAtOnce)
+	}
+}
+
 // storeLoads are the loads from the store that are under way.
 type storeLoads struct {
 	count int
@@ -70,6 +83,7 @@
 // ended learns from a load that took a multiple of its undisturbed time, when so
 // many were under way as it began, itself included.
 func (c *ceiling) ended(multiple float64, underWay int) {
+	c.learned = true
 	switch {
 	case multiple >= slowFactor:
 		c.atOnce = max(min(c.atOnce, int(float64(underWay)/multiple)), 1)
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -164,6 +164,7 @@
 // plan must be called with the lock held.
 func (h *Holder) plan(ctx context.Context, term *Term, pool string, engine *fleet.Engine, now time.Time) {
 	underWay := h.ledger.storeLoads(now)
+	h.ceiling.expect(engine.LongestLoad())
 	input := placement.Input{
 		Now: now, Engine: engine, Servers: h.ledger.servers(pool, now),
 		Demand: h.demand.ofPool(pool, now), StoreLoads: h.ceiling.available(engine.LoadsPerSecond, underWay, now),
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -103,6 +103,18 @@
 	},
 		ginkgo.Entry("one", 1), ginkgo.Entry("as many as are assumed", 4), ginkgo.Entry("more", 13), ginkgo.Entry("many", 60))
 
+	ginkgo.DescribeTable("begins with as many loads as end in time if the store serves one", func(loadTime time.Duration, atOnce int) {
+		bucket := newCeiling(limits)
+		bucket.expect(loadTime)
+		Expect(bucket.atOnce).To(Equal(atOnce))
+		bucket.ended(1, atOnce)
+		learned := bucket.atOnce
+		bucket.expect(loadTime)
+		Expect(bucket.atOnce).To(Equal(learned), "what was learned stays")
+	},
+		ginkgo.Entry("short loads", 1500*time.Millisecond, firstAtOnce), ginkgo.Entry("loads of 6 s", 6*time.Second, firstAtOnce),
+		ginkgo.Entry("long loads", 13200*time.Millisecond, 1), ginkgo.Entry("very long loads", time.Minute, 1), ginkgo.Entry("not told", time.Duration(0), firstAtOnce))
+
 	ginkgo.It("does not grow by loads that ran with few others", func() {
 		bucket := newCeiling(limits)
 		bucket.ended(1, 1)
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -59,6 +59,7 @@
 switch_off quota-next-counter internal/tenants/quota.go 'mostAsked = 3' 'mostAsked = 1' $tenants
 switch_off quota-counters-kept internal/orders/counters.go 'h.config.Record.save(update.Counters, now)' '' ./platform
 switch_off quota-counters-told internal/orders/counters.go 'changed := heard &&' 'changed := false && heard &&' ./platform
+switch_off first-loads-at-once internal/orders/ceiling.go 'if !c.learned && loadTime > 0 {' 'if false && !c.learned && loadTime > 0 {' ./internal/orders
 # Deadlines and callers that leave.
 switch_off route-timeout internal/forward/forwarder.go 'deadline := request.Accepted.Add(route.Timeout)' 'deadline := request.Accepted.Add(10 * route.Timeout)' $forward
 switch_off caller-deadline internal/forward/forwarder.go 'if request.Deadline.Before(deadline) {' 'if false {' $forward
