Let a tenant's reserve grow after a loss of all nodes

Change: the reserve grows from nothing over a window after such a start. Test of a calm tenant that fails without.

--- a/internal/tenants/account.go
+++ b/internal/tenants/account.go
@@ -37,6 +37,9 @@
 	// that cost more than there was.
 	level float64
 	at    time.Time
+	// carefulFrom is when a node that knew nothing of what came before began to count;
+	// zero if it did.
+	carefulFrom time.Time
 	// usualCost of the tenant's requests.
 	usualCost float64
 	// nextRoom is until when refused callers were told to stay away.
@@ -46,11 +49,12 @@
 // newAccount is full if the node has run for a window, in which nobody asked it for
 // the tenant.
 func newAccount(limit Limit, length, running time.Duration, now time.Time) *account {
-	level := surge(limit, length)
+	a := &account{length: length, recent: window.NewSum(length, now), level: surge(limit, length), at: now}
 	if running < length {
-		level = min(level, limit.Rate*startTime.Seconds())
+		a.level = min(a.level, limit.Rate*startTime.Seconds())
+		a.carefulFrom = now
 	}
-	return &account{length: length, recent: window.NewSum(length, now), level: level, at: now}
+	return a
 }
 
 // capacity is what a tenant may get within a window.
@@ -109,7 +113,7 @@
 // until there is, and each refused caller another time, so that they don't come back
 // together.
 func (a *account) take(limit Limit, cost, rank float64, now time.Time) (within bool, roomIn time.Duration) {
-	missing := min(cost+a.reserve(limit, cost, rank), surge(limit, a.length)) - a.levelNow(limit, now)
+	missing := min(cost+a.reserve(limit, cost, rank, now), surge(limit, a.length)) - a.levelNow(limit, now)
 	over := a.used(now) + min(cost, capacity(limit, a.length)) - capacity(limit, a.length)
 	if missing <= 0 && over <= 0 {
 		a.level -= cost
@@ -130,11 +134,16 @@
 }
 
 // reserve is what a request has to leave to more urgent ones. One that costs less than
-// the tenant's others leaves much less: refusing it would spare little.
-func (a *account) reserve(limit Limit, cost, rank float64) float64 {
+// the tenant's others leaves much less: refusing it would spare little. After a careful
+// start the reserve grows over a window, as there is little in the bucket for anybody.
+func (a *account) reserve(limit Limit, cost, rank float64, now time.Time) float64 {
 	a.usualCost += costWeight * (cost - a.usualCost)
 	size := min(cost/a.usualCost, 1)
-	return reserveShare * rank * size * size * surge(limit, a.length)
+	share := reserveShare * rank * size * size
+	if !a.carefulFrom.IsZero() {
+		share *= min(now.Sub(a.carefulFrom).Seconds()/a.length.Seconds(), 1)
+	}
+	return share * surge(limit, a.length)
 }
 
 // giveBack returns the cost of a request that has not run.
--- a/internal/tenants/quota_test.go
+++ b/internal/tenants/quota_test.go
@@ -244,6 +244,27 @@
 	})
 }
 
+// TestCalmTenantIsServedAfterALossOfAllNodes: also its least urgent requests, of a
+// tenant at half of its limit.
+func TestCalmTenantIsServedAfterALossOfAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		directory := directoryOf(tokenLimit)
+		fleet := fleetOf(10, func() *tenants.Directory { return directory })
+		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		defer fleet.run(t)()
+		within := 0
+		const rounds = 50
+		for range rounds {
+			if fleet.nodes["node-00"].quota.Take(t.Context(), north(directory), tenants.Need{Tokens: testCost, Rank: 1}).Within {
+				within++
+			}
+			time.Sleep(90 * time.Millisecond)
+		}
+		g.Expect(within).To(Equal(rounds))
+	})
+}
+
 func TestLimitThatIsLoweredHoldsOneWindowLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -65,4 +65,4 @@
 switch_off few-campaigns internal/orders/election.go 'if _, vacancy = e.vacancy(); vacancy == nil {' 'if false {'
 switch_off relay internal/mirror/mirror.go 'now.Sub(m.relayedAt) < m.trust()' 'false'
 switch_off first-loads-at-once internal/orders/ceiling.go 'if !c.learned && loadTime > 0 {' 'if false && !c.learned && loadTime > 0 {'
-switch_off quota-urgent-first internal/tenants/account.go 'return reserveShare * rank' 'return 0 * reserveShare * rank'
+switch_off quota-urgent-first internal/tenants/account.go 'share := reserveShare * rank' 'share := 0 * reserveShare * rank'
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -50,7 +50,8 @@
 tenants=./internal/tenants
 switch_off quota-window internal/tenants/account.go 'if missing <= 0 && over <= 0 {' 'if missing <= 0 {' $tenants
 switch_off quota-surge internal/tenants/account.go 'if missing <= 0 && over <= 0 {' 'if over <= 0 {' $tenants
-switch_off quota-urgent-first internal/tenants/account.go 'return reserveShare * rank' 'return 0 * reserveShare * rank' $tenants
+switch_off quota-urgent-first internal/tenants/account.go 'share := reserveShare * rank' 'share := 0 * reserveShare * rank' $tenants
+switch_off quota-reserve-grows internal/tenants/account.go 'if !a.carefulFrom.IsZero() {' 'if false && !a.carefulFrom.IsZero() {' $tenants
 switch_off quota-small-pass internal/tenants/account.go 'min(cost/a.usualCost, 1)' 'min(1+cost/a.usualCost, 1)' $tenants
 switch_off quota-after-restart internal/tenants/account.go 'if running < length {' 'if false && running < length {' $tenants
 switch_off quota-heard internal/tenants/keeper.go 'if heard.Known {' 'if false && heard.Known {' $tenants
