--- a/internal/forward/tenant.go
+++ b/internal/forward/tenant.go
@@ -11,7 +11,7 @@
 
 // Quota bounds what all nodes together serve of a tenant's requests.
 type Quota interface {
-	// Take asks for a request.
+	// Take asks whether a request is within its tenant's limit, and counts it if it is.
 	Take(ctx context.Context, tenant *tenants.Tenant, need tenants.Need) tenants.Verdict
 	// Return gives back what was taken at the time for a request that has not run.
 	Return(tenant *tenants.Tenant, tokens int, verdict tenants.Verdict, taken time.Time)
--- a/internal/tenants/alone.go
+++ b/internal/tenants/alone.go
@@ -1,6 +1,7 @@
 package tenants
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -52,9 +53,5 @@
 func (a *alone) forget(known func(tenant string) bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	for name := range a.next {
-		if !known(name) {
-			delete(a.next, name)
-		}
-	}
+	maps.DeleteFunc(a.next, func(name string, _ time.Time) bool { return !known(name) })
 }
--- a/internal/tenants/ask.go
+++ b/internal/tenants/ask.go
@@ -7,7 +7,7 @@
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
-// Take asks for a request.
+// Take asks whether a request is within its tenant's limit, and counts it if it is.
 func (q *Quota) Take(ctx context.Context, tenant *Tenant, need Need) Verdict {
 	if tenant.Limit.Rate <= 0 {
 		return Verdict{Within: true}
@@ -83,7 +83,8 @@
 	}
 	tenant := q.tenant(ask.Tenant)
 	if tenant == nil {
-		// This node's configuration is older or newer than the other's.
+		// This node's configuration is older or newer than the other's, for the short time
+		// that a change takes; the other node knows the tenant, and refuses unknown keys.
 		reply(Answer{Within: true, CountedBy: q.config.Address}, nil)
 		return
 	}
--- a/internal/tenants/heard.go
+++ b/internal/tenants/heard.go
@@ -1,6 +1,7 @@
 package tenants
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -61,9 +62,5 @@
 func (h *heard) forget(known func(tenant string) bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	for name := range h.byTenant {
-		if !known(name) {
-			delete(h.byTenant, name)
-		}
-	}
+	maps.DeleteFunc(h.byTenant, func(name string, _ heardCount) bool { return !known(name) })
 }
--- a/internal/tenants/keeper.go
+++ b/internal/tenants/keeper.go
@@ -1,6 +1,7 @@
 package tenants
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -47,9 +48,5 @@
 func (k *keeper) forget(known func(tenant string) bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	for name := range k.accounts {
-		if !known(name) {
-			delete(k.accounts, name)
-		}
-	}
+	maps.DeleteFunc(k.accounts, func(name string, _ *account) bool { return !known(name) })
 }
--- a/internal/tenants/quota.go
+++ b/internal/tenants/quota.go
@@ -93,7 +93,7 @@
 // SetNodes tells how many nodes there are.
 func (q *Quota) SetNodes(nodes int) { q.alone.setNodes(nodes) }
 
-// SetCounters tells which nodes count.
+// SetCounters tells which nodes count. Whoever told it is a contact.
 func (q *Quota) SetCounters(told Counters) {
 	q.noteContact()
 	if !q.counters.set(told) {
