Count only where more than half of the counting nodes are heard

Change: a node counts only while it hears of more than half of the eight, by messages 0.2 s apart; else it answers that it may not. A node that reaches none gives a tenant near its limit a tenth of its share. A holder names nodes only while its lease lasts.

Tests of a split network and of a node cut off, failing without.

--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -156,7 +156,7 @@
 	h.mutex.Unlock()
 	h.push(now)
 	h.pushPromises(term, changed, now)
-	if snapshot.Configuration.Tenants != nil {
+	if snapshot.Configuration.Tenants != nil && term.leads(now) {
 		h.chooseCounters(term, now)
 	}
 }
--- a/internal/orders/term.go
+++ b/internal/orders/term.go
@@ -46,6 +46,13 @@
 	return !t.ended && t.entered && !now.Before(t.NotBefore) && now.Before(t.validUntil)
 }
 
+// leads reports whether the lease is known to last.
+func (t *Term) leads(now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return !t.ended && now.Before(t.validUntil)
+}
+
 // ordersIn is the time until orders may be given, as far as known.
 func (t *Term) ordersIn(now time.Time) time.Duration { return max(t.NotBefore.Sub(now), 0) }
 
--- a/internal/tenants/alone.go
+++ b/internal/tenants/alone.go
@@ -15,6 +15,10 @@
 // tenants ask for that are not near their limits.
 const aloneShare = 0.5
 
+// nearShare is that of a tenant which was near its limit: a third of the nodes may be
+// cut off together, and what they give adds to a limit that is used up.
+const nearShare = 0.1
+
 // alone counts tenants while no node that counts them can be reached. A tenant's
 // callers at this node then get one request, and after it part of this node's share of
 // the rate; those of a tenant that was near its limit get that only.
@@ -36,7 +40,11 @@
 func (a *alone) take(tenant *Tenant, cost float64, near bool, now time.Time) (within bool, roomIn time.Duration) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	pause := timeFor(cost, aloneShare*tenant.Limit.Rate/float64(a.nodes))
+	share := aloneShare
+	if near {
+		share = nearShare
+	}
+	pause := timeFor(cost, share*tenant.Limit.Rate/float64(a.nodes))
 	next := a.next[tenant.Name]
 	if near && next.Add(pause).Before(now) {
 		next = now.Add(pause)
--- a/internal/tenants/ask.go
+++ b/internal/tenants/ask.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
+// errMayNotCount is the answer of a node that does not hear of enough others.
+var errMayNotCount = errors.New("this node may be cut off from others that count")
+
 // Take asks whether a request is within its tenant's limit, and counts it if it is.
 func (q *Quota) Take(ctx context.Context, tenant *Tenant, need Need) Verdict {
 	if tenant.Limit.Rate <= 0 {
@@ -39,7 +43,7 @@
 // askOne asks one node, which may be this one.
 func (q *Quota) askOne(ctx context.Context, address string, tenant *Tenant, ask Ask) (Answer, bool) {
 	if address == q.config.Address {
-		if q.isAlone(time.Now()) {
+		if !q.mayCount(time.Now()) {
 			return Answer{}, false
 		}
 		return q.count(tenant, ask), true
@@ -52,7 +56,7 @@
 			answers <- nil
 			return
 		}
-		q.noteContact()
+		q.noteHeard(address)
 		answers <- &answer
 	})
 	select {
@@ -74,13 +78,17 @@
 
 // serveAsk answers another node. If this node is not the first that counts the
 // tenant, it asks that one, whom the other node may not have reached.
-func (q *Quota) serveAsk(_ string, message peer.Message, reply func(peer.Message, error)) {
-	q.noteContact()
+func (q *Quota) serveAsk(from string, message peer.Message, reply func(peer.Message, error)) {
+	q.noteHeard(from)
 	ask := message.(Ask)
 	if ask.Cost == 0 {
 		reply(Answer{}, nil)
 		return
 	}
+	if !q.mayCount(time.Now()) {
+		reply(nil, errMayNotCount)
+		return
+	}
 	tenant := q.tenant(ask.Tenant)
 	if tenant == nil {
 		// This node's configuration is older or newer than the other's, for the short time
--- a/internal/tenants/fakes_test.go
+++ b/internal/tenants/fakes_test.go
@@ -37,8 +37,10 @@
 	address  string
 	handlers map[reflect.Type]peer.Handler
 	quota    *tenants.Quota
-	// cut nodes reach nobody, and nobody reaches them.
-	cut bool
+	// cut nodes reach nobody, and nobody reaches them. Others reach those of their part
+	// of the network.
+	cut  bool
+	part int
 }
 
 // fleetOf starts nodes that know one tenant, and tells all of them who counts.
@@ -65,6 +67,7 @@
 	for _, node := range f.nodes {
 		go node.quota.Run(ctx)
 	}
+	time.Sleep(time.Second)
 	return func() {
 		cancel()
 		time.Sleep(time.Second)
@@ -100,6 +103,18 @@
 	return f.nodes[address].cut
 }
 
+func (f *network) partOf(address string) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.nodes[address].part
+}
+
+func (f *network) setPart(address string, part int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.nodes[address].part = part
+}
+
 func (f *network) setCut(address string, cut bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -119,7 +134,7 @@
 	var once sync.Once
 	finish := func(message peer.Message, err error) { once.Do(func() { done(message, err) }) }
 	time.AfterFunc(timeout, func() { finish(nil, errNoAnswer) })
-	if n.network.isCut(n.address) || n.network.isCut(address) {
+	if n.network.isCut(n.address) || n.network.isCut(address) || n.network.partOf(address) != n.network.partOf(n.address) {
 		return
 	}
 	time.AfterFunc(delay, func() {
--- a/internal/tenants/quota.go
+++ b/internal/tenants/quota.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
@@ -16,11 +16,12 @@
 	// askTimeout is how long a node that counts may take to answer: some tens of
 	// round trips, and below the shortest objective of the users' routes (150 ms).
 	askTimeout = 100 * time.Millisecond
-	// probePeriod between looks whether a node that did not answer does again.
-	probePeriod = 500 * time.Millisecond
-	// contactTime is how long a node that counts goes on counting for its own callers
-	// without a word from another node: it may be cut off, and another one count.
-	contactTime = 2 * probePeriod
+	// probePeriod between looks whether the other nodes that count answer.
+	probePeriod = 200 * time.Millisecond
+	// quorumTime is how long a node goes on counting that does not hear of more than half
+	// of those that count: it may be cut off with others, and the next one count for the
+	// rest. In that time a tenant may get its rate twice.
+	quorumTime = 500 * time.Millisecond
 	// tidyPeriod between removals of tenants that are not known any more.
 	tidyPeriod = 10 * time.Second
 	// mostAsked nodes are asked for one request.
@@ -73,8 +74,10 @@
 	mutex sync.Mutex
 	// silent nodes did not answer.
 	silent map[string]bool
-	// contactAt is when another node last asked or answered.
-	contactAt time.Time
+	// heardAt is when each of the other nodes that count last asked or answered.
+	heardAt map[string]time.Time
+	// changed wakes Run when the nodes that count change.
+	changed chan struct{}
 }
 
 // NewQuota returns a quota and registers its messages with the transport.
@@ -84,6 +87,7 @@
 	}
 	quota := &Quota{
 		config: config, keeper: newKeeper(config.Window), alone: newAlone(), heard: newHeard(), silent: map[string]bool{},
+		heardAt: map[string]time.Time{}, changed: make(chan struct{}, 1),
 	}
 	config.Transport.Handle(Ask{}, quota.serveAsk)
 	config.Transport.Handle(GiveBack{}, quota.serveGiveBack)
@@ -93,12 +97,15 @@
 // SetNodes tells how many nodes there are.
 func (q *Quota) SetNodes(nodes int) { q.alone.setNodes(nodes) }
 
-// SetCounters tells which nodes count. Whoever told it is a contact.
+// SetCounters tells which nodes count.
 func (q *Quota) SetCounters(told Counters) {
-	q.noteContact()
 	if !q.counters.set(told) {
 		return
 	}
+	select {
+	case q.changed <- struct{}{}:
+	default:
+	}
 	q.config.Logger.Info().Strs("counters", told.Addresses).Int64("token", told.Token).Uint64("version", told.Version).
 		Msg("nodes that count quotas changed")
 }
@@ -109,8 +116,16 @@
 // Run looks after nodes that did not answer until ctx ends.
 func (q *Quota) Run(ctx context.Context) {
 	tidied := time.Now()
-	for ctx.Err() == nil {
-		clock.Sleep(ctx, probePeriod)
+	timer := time.NewTimer(probePeriod)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-q.changed:
+		case <-timer.C:
+			timer.Reset(probePeriod)
+		}
 		for _, address := range q.toProbe(time.Now()) {
 			q.probe(address)
 		}
@@ -134,46 +149,51 @@
 func (q *Quota) probe(address string) {
 	q.config.Transport.Call(address, Ask{}, askTimeout, func(_ peer.Message, err error) {
 		if err == nil {
-			q.noteContact()
+			q.noteHeard(address)
 			q.setSilent(address, false)
 		}
 	})
 }
 
-// toProbe are the nodes that did not answer and, if this node counts and has not
-// heard of another one for long, another one that counts.
+// toProbe are the nodes that did not answer and, if this node counts, the others that
+// count and were not heard lately.
 func (q *Quota) toProbe(now time.Time) []string {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	known := q.counters.get().Addresses
-	var silent []string
-	for address := range q.silent {
-		if !slices.Contains(known, address) {
-			delete(q.silent, address)
-			continue
-		}
-		silent = append(silent, address)
-	}
-	if position := slices.Index(known, q.config.Address); position >= 0 && len(silent) == 0 && now.Sub(q.contactAt) >= probePeriod {
-		if next := known[(position+1)%len(known)]; next != q.config.Address {
-			return []string{next}
+	maps.DeleteFunc(q.silent, func(address string, _ bool) bool { return !slices.Contains(known, address) })
+	maps.DeleteFunc(q.heardAt, func(address string, _ time.Time) bool { return !slices.Contains(known, address) })
+	counts := slices.Contains(known, q.config.Address)
+	var due []string
+	for _, address := range known {
+		unheard := counts && now.Sub(q.heardAt[address]) >= probePeriod/2
+		if address != q.config.Address && (q.silent[address] || unheard) {
+			due = append(due, address)
 		}
 	}
-	return silent
+	return due
 }
 
-func (q *Quota) noteContact() {
+// noteHeard notes that another node asked or answered.
+func (q *Quota) noteHeard(address string) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.contactAt = time.Now()
+	q.heardAt[address] = time.Now()
 }
 
-// isAlone reports whether this node has not heard of another one for long, although
-// there are others.
-func (q *Quota) isAlone(now time.Time) bool {
+// mayCount reports whether this node is one of those that count and hears of more than
+// half of them: of two parts of a network that is cut, at most one counts.
+func (q *Quota) mayCount(now time.Time) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return len(q.counters.get().Addresses) > 1 && now.Sub(q.contactAt) >= contactTime
+	known := q.counters.get().Addresses
+	heard := 0
+	for _, address := range known {
+		if address == q.config.Address || now.Sub(q.heardAt[address]) < quorumTime {
+			heard++
+		}
+	}
+	return slices.Contains(known, q.config.Address) && 2*heard > len(known)
 }
 
 func (q *Quota) setSilent(address string, silent bool) {
--- a/internal/tenants/quota_test.go
+++ b/internal/tenants/quota_test.go
@@ -119,6 +119,56 @@
 	})
 }
 
+// TestSplitNetworkGivesTheLimitOnce: a third of the nodes is cut off together, with the
+// node that counted, while a tenant asks for three times its limit.
+func TestSplitNetworkGivesTheLimitOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		directory := directoryOf(tokenLimit)
+		fleet := fleetOf(30, func() *tenants.Directory { return directory })
+		counters := tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())}
+		fleet.tell(counters)
+		defer fleet.run(t)()
+		seen := &grants{}
+		press(fleet, directory, 15*time.Millisecond, 10*time.Second, seen)
+		first := fleet.nodes["node-00"].quota.Take(t.Context(), north(directory), tenants.Need{Tokens: testCost}).CountedBy
+		fleet.setPart(first, 1)
+		others := slices.DeleteFunc(fleet.addresses(), func(address string) bool { return slices.Contains(counters.Addresses, address) })
+		slices.Sort(others)
+		for _, address := range others[:9] {
+			fleet.setPart(address, 1)
+		}
+		press(fleet, directory, 15*time.Millisecond, 10*time.Second, seen)
+		most, _ := seen.most()
+		g.Expect(most).To(BeNumerically("<=", allowed*1.1))
+	})
+}
+
+// TestNodeCutOffGivesATenantNearItsLimitLittle: what it gives adds to a limit that is
+// used up elsewhere.
+func TestNodeCutOffGivesATenantNearItsLimitLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		directory := directoryOf(tokenLimit)
+		fleet := fleetOf(30, func() *tenants.Directory { return directory })
+		for _, node := range fleet.nodes {
+			node.quota.SetNodes(len(fleet.nodes))
+		}
+		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		defer fleet.run(t)()
+		press(fleet, directory, 15*time.Millisecond, 10*time.Second, &grants{})
+		fleet.setCut("node-00", true)
+		within := 0
+		for range 70 {
+			if fleet.nodes["node-00"].quota.Take(t.Context(), north(directory), tenants.Need{Tokens: testCost}).Within {
+				within++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		g.Expect(within).To(BeNumerically("<=", 1))
+	})
+}
+
 func TestWithoutCountersANodeGivesItsShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -228,15 +278,19 @@
 		fleet := fleetOf(20, known)
 		counters := tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())}
 		fleet.tell(counters)
+		stop := fleet.run(t)
 		time.Sleep(testWindow)
 		seen := &grants{}
 		for range 3 {
 			press(fleet, directory, 15*time.Millisecond, 3*time.Second, seen)
+			stop()
 			for _, node := range fleet.nodes {
 				node.start(known)
 			}
 			fleet.tell(counters)
+			stop = fleet.run(t)
 		}
+		defer stop()
 		press(fleet, directory, 15*time.Millisecond, 8*time.Second, seen)
 		most, _ := seen.most()
 		g.Expect(most).To(BeNumerically("<=", tolerated))
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -56,7 +56,8 @@
 switch_off quota-after-restart internal/tenants/account.go 'if running < length {' 'if false && running < length {' $tenants
 switch_off quota-heard internal/tenants/keeper.go 'if heard.Known {' 'if false && heard.Known {' $tenants
 switch_off quota-alone-share internal/tenants/alone.go 'if now.Before(next) {' 'if false && now.Before(next) {' $tenants
-switch_off quota-cut-off-counter internal/tenants/ask.go 'if q.isAlone(time.Now()) {' 'if false && q.isAlone(time.Now()) {' $tenants
+switch_off quota-quorum internal/tenants/quota.go '&& 2*heard > len(known)' '' $tenants
+switch_off quota-near-share internal/tenants/alone.go 'share = nearShare' 'share = 10 * nearShare' $tenants
 switch_off quota-next-counter internal/tenants/quota.go 'mostAsked = 3' 'mostAsked = 1' $tenants
 switch_off quota-counters-kept internal/orders/counters.go 'h.config.Record.save(update.Counters, now)' '' ./platform
 switch_off quota-counters-told internal/orders/counters.go 'changed := heard &&' 'changed := false && heard &&' ./platform
