Hash the living nodes only where counting nodes are missing, and share the tests' set-up

Cause: the holder chooses the counting nodes on each plan, and sorted all living nodes by hash though all eight lived; six tests repeated four lines of set-up.

The choice is the same.

--- a/internal/tenants/account.go
+++ b/internal/tenants/account.go
@@ -37,8 +37,8 @@
 	// that cost more than there was.
 	level float64
 	at    time.Time
-	// carefulFrom is when a node that knew nothing of what came before began to count;
-	// zero if it did.
+	// carefulFrom is when this node began to count without knowing what came before;
+	// zero if it knew.
 	carefulFrom time.Time
 	// usualCost of the tenant's requests.
 	usualCost float64
--- a/internal/tenants/counters.go
+++ b/internal/tenants/counters.go
@@ -1,6 +1,7 @@
 package tenants
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
@@ -30,14 +31,7 @@
 func (c Counters) ranked(tenant string) []string {
 	ranked := slices.Clone(c.Addresses)
 	slices.SortFunc(ranked, func(a, b string) int {
-		weightOfA, weightOfB := xxhash.Sum64String(a+" "+tenant), xxhash.Sum64String(b+" "+tenant)
-		switch {
-		case weightOfA > weightOfB:
-			return -1
-		case weightOfA < weightOfB:
-			return 1
-		}
-		return 0
+		return cmp.Compare(xxhash.Sum64String(b+" "+tenant), xxhash.Sum64String(a+" "+tenant))
 	})
 	return ranked
 }
@@ -56,13 +50,17 @@
 			chosen = append(chosen, address)
 		}
 	}
+	if len(chosen) < CountersSize {
+		chosen = fill(chosen, living)
+	}
+	slices.Sort(chosen)
+	return chosen
+}
+
+// fill adds living nodes in order of hash until there are enough.
+func fill(chosen, living []string) []string {
 	others := slices.Clone(living)
-	slices.SortFunc(others, func(a, b string) int {
-		if less := xxhash.Sum64String(a) < xxhash.Sum64String(b); less {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(others, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
 	for _, address := range others {
 		if len(chosen) == CountersSize {
 			break
@@ -71,7 +69,6 @@
 			chosen = append(chosen, address)
 		}
 	}
-	slices.Sort(chosen)
 	return chosen
 }
 
--- a/internal/tenants/fakes_test.go
+++ b/internal/tenants/fakes_test.go
@@ -54,6 +54,14 @@
 	return fleet
 }
 
+// counted starts nodes that know one tenant with the limit, and who counts it.
+func counted(nodes int, limit tenants.Limit) (*network, *tenants.Directory) {
+	directory := directoryOf(limit)
+	fleet := fleetOf(nodes, func() *tenants.Directory { return directory })
+	fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+	return fleet, directory
+}
+
 // start makes the node's quota anew, as after a restart.
 func (n *testNode) start(directory func() *tenants.Directory) {
 	n.quota = tenants.NewQuota(tenants.QuotaConfig{
--- a/internal/tenants/quota_test.go
+++ b/internal/tenants/quota_test.go
@@ -53,9 +53,7 @@
 func TestLimitHoldsOverAllNodesAndIsUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		directory := directoryOf(tokenLimit)
-		fleet := fleetOf(30, func() *tenants.Directory { return directory })
-		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		fleet, directory := counted(30, tokenLimit)
 		defer fleet.run(t)()
 		seen := &grants{}
 		// Three times the limit, for five windows.
@@ -105,9 +103,7 @@
 func TestCalmTenantIsServedThroughAChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		directory := directoryOf(tokenLimit)
-		fleet := fleetOf(30, func() *tenants.Directory { return directory })
-		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		fleet, directory := counted(30, tokenLimit)
 		defer fleet.run(t)()
 		first := fleet.nodes["node-00"].quota.Take(t.Context(), north(directory), tenants.Need{Tokens: testCost}).CountedBy
 		seen := &grants{}
@@ -193,9 +189,7 @@
 func TestUrgentAndSmallRequestsComeFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		directory := directoryOf(tokenLimit)
-		fleet := fleetOf(10, func() *tenants.Directory { return directory })
-		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		fleet, directory := counted(10, tokenLimit)
 		defer fleet.run(t)()
 		quota := fleet.nodes["node-00"].quota
 		within := map[string]int{}
@@ -222,10 +216,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		limit := tenants.Limit{Rate: 1, Burst: 1}
-		directory := directoryOf(limit)
-		fleet := fleetOf(10, func() *tenants.Directory { return directory })
+		fleet, directory := counted(10, limit)
 		time.Sleep(testWindow)
-		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
 		defer fleet.run(t)()
 		for _, node := range fleet.nodes {
 			for range 3 {
@@ -244,9 +236,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		limit := tenants.Limit{Rate: 2, Burst: 0}
-		directory := directoryOf(limit)
-		fleet := fleetOf(3, func() *tenants.Directory { return directory })
-		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		fleet, directory := counted(3, limit)
 		defer fleet.run(t)()
 		quota := fleet.nodes["node-00"].quota
 		take := func() tenants.Verdict { return quota.Take(t.Context(), north(directory), tenants.Need{}) }
@@ -306,9 +296,7 @@
 func TestCalmTenantIsServedAfterALossOfAllNodes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		directory := directoryOf(tokenLimit)
-		fleet := fleetOf(10, func() *tenants.Directory { return directory })
-		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.addresses())})
+		fleet, directory := counted(10, tokenLimit)
 		defer fleet.run(t)()
 		within := 0
 		const rounds = 50
