Log what the tries of one request have in common

The lines of attempts and ends named a request by its id only, which differs at each try, so that they could not show whether two servers ended under the same request, the first of the hypotheses about servers that end one after the other. Each line has the identity now: a digest of caller, target and body. No decision depends on it yet.

--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -35,7 +35,7 @@
 	if event == nil {
 		return
 	}
-	event = event.Str("request", seen.Request.ID).Str("server", seen.Server).Int("attempt", seen.Number).
+	event = addIdentity(event.Str("request", seen.Request.ID), seen.Request).Str("server", seen.Server).Int("attempt", seen.Number).
 		Str("reason", reason).Str("ran", seen.Failure.Ran.String()).Bool("again", seen.Again)
 	if seen.Failure.Load.Known {
 		event = event.Int("server_running", seen.Failure.Load.Running).Int("server_waiting", seen.Failure.Load.Waiting)
@@ -61,7 +61,7 @@
 	if event == nil {
 		return
 	}
-	event = event.Str("request", request.ID).Str("code", code).Int("result_code", int(outcome.Code)).
+	event = addIdentity(event.Str("request", request.ID), request).Str("code", code).Int("result_code", int(outcome.Code)).
 		Str("route", outcome.Route).Str("pool", outcome.Pool).Str("ran", outcome.Ran.String()).
 		Int("attempts", outcome.Attempts).Dur("held_ms", outcome.Held).Dur("took_ms", time.Since(request.Accepted))
 	event = addText(event, "model", request.Model)
@@ -105,6 +105,14 @@
 	return event
 }
 
+// addIdentity tells what the tries of one request have in common.
+func addIdentity(event *zerolog.Event, request *forward.Request) *zerolog.Event {
+	if request.Identity.IsZero() {
+		return event
+	}
+	return event.Str("identity", request.Identity.String())
+}
+
 func addText(event *zerolog.Event, name, value string) *zerolog.Event {
 	if value == "" {
 		return event
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -15,6 +15,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/auth"
 	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/poison"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 )
@@ -28,9 +29,11 @@
 // Request is one attempt of a caller.
 type Request struct {
 	// ID appears in all log lines and at the server.
-	ID   string
-	Host string
-	Path string
+	ID string
+	// Identity is the same for each try of one request.
+	Identity poison.Identity
+	Host     string
+	Path     string
 	// Model and Adapter are empty for requests that need none.
 	Model   string
 	Adapter string
