--- a/cmd/hatchplank-node/repeated_end_test.go
+++ b/cmd/hatchplank-node/repeated_end_test.go
@@ -103,7 +103,9 @@
 		tries++
 		// The innocent show that there are servers to run a request.
 		Eventually(func() int { return standin.AskWith(node, "/p/x", "", "innocent") }, "30s").Should(Equal(http.StatusOK))
-		if status := standin.AskWith(node, "/p/x", "", deadly); status == http.StatusServiceUnavailable {
+		// A caller without a key comes back from anywhere.
+		from := fmt.Sprintf("127.0.0.%d", 1+tries)
+		if status := standin.AskFrom(from, node, "/p/x", "", deadly); status == http.StatusServiceUnavailable {
 			refusedInRow++
 		} else {
 			refusedInRow = 0
