Know a request of a caller without a key wherever it comes from

Cause: the identity of a request held the caller's address, which differs between the tries of one caller. Callers without a key are not told apart now; those with one are, by the key. Besides, one judgement condemned only those with the most ends, and an innocent that was condemned could explain the guilty one's ends for good: all are judged now, and a fourth end counts if nothing explains it.

--- a/internal/poison/identity.go
+++ b/internal/poison/identity.go
@@ -15,12 +15,13 @@
 
 // Identity is what two tries of one request have in common: their caller, target and
 // body. It is a digest that nobody can aim at, so that no caller can bring the request
-// of another under suspicion.
+// of one with another key under suspicion.
 type Identity [16]byte
 
-// IdentityOf digests a request. The caller is whatever tells callers apart: a key, or
-// the address of one that has none. Headers are left out, since some of them differ
-// between two tries: IDs, deadlines, the event that a stream goes on at.
+// IdentityOf digests a request. The caller is its key, and empty without one: then
+// requests of any such callers that are alike in all else are the same. Headers are left
+// out, since some of them differ between two tries: IDs, deadlines, the event that a
+// stream goes on at.
 func IdentityOf(caller, method, host, target string, body []byte) Identity {
 	digest := sha256.New()
 	for _, part := range []string{caller, method, host, target} {
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -31,8 +31,8 @@
 }
 
 // Ledger counts the ends of servers by what was under way there. An end at which a
-// condemned identity was under way is that one's doing, and counts against no other:
-// else its neighbours, which callers send again as well, would follow it.
+// condemned identity was under way is explained by that one: else its neighbours, which
+// callers send again as well, would follow it.
 type Ledger struct {
 	mutex sync.Mutex
 	ends  map[string]*ledgerEnd
@@ -75,37 +75,68 @@
 	}
 }
 
-// Judge returns the identities that are to be refused from now on: of those with too
-// many ends that no condemned one explains, those with the most.
-func (l *Ledger) Judge(condemned func(Identity) bool, now time.Time) []Verdict {
+// Judge returns the identities that are to be refused from now on.
+func (l *Ledger) Judge(held func(Identity) bool, now time.Time) []Verdict {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.forget(now)
-	counts, most := l.count(condemned)
+	condemned := map[Identity]bool{}
+	isCondemned := func(identity Identity) bool { return condemned[identity] || held(identity) }
 	var verdicts []Verdict
-	for identity, ends := range counts {
-		_, before := l.convictions[identity]
-		if before || ends >= condemnedAfter && ends == most {
+	for guilty := l.guiltiest(isCondemned); len(guilty) > 0; guilty = l.guiltiest(isCondemned) {
+		for _, identity := range guilty {
+			condemned[identity] = true
 			verdicts = append(verdicts, l.condemn(identity, now))
 		}
 	}
-	slices.SortFunc(verdicts, func(a, b Verdict) int { return slices.Compare(a.Identity[:], b.Identity[:]) })
 	return verdicts
 }
 
-// count returns the unexplained ends of each identity, and the most of one.
-func (l *Ledger) count(condemned func(Identity) bool) (counts map[Identity]int, most int) {
-	counts = map[Identity]int{}
-	for _, end := range l.ends {
-		if end.explained(condemned) {
+// tally counts the ends of one identity.
+type tally struct {
+	all, unexplained int
+}
+
+// guilty reports whether an identity with these ends is to be refused. One with more
+// than condemnedAfter is so if a single one is unexplained: the others may have been
+// explained by an innocent.
+func (t tally) guilty(convicted bool) bool {
+	return t.unexplained >= condemnedAfter || t.unexplained > 0 && (convicted || t.all > condemnedAfter)
+}
+
+// guiltiest returns, of the identities that are to be refused, those with the most ends
+// that no condemned one explains, in order.
+func (l *Ledger) guiltiest(condemned func(Identity) bool) []Identity {
+	var found []Identity
+	most := 0
+	for identity, ends := range l.count(condemned) {
+		if _, convicted := l.convictions[identity]; condemned(identity) || !ends.guilty(convicted) || ends.unexplained < most {
 			continue
 		}
+		if ends.unexplained > most {
+			most, found = ends.unexplained, nil
+		}
+		found = append(found, identity)
+	}
+	slices.SortFunc(found, func(a, b Identity) int { return slices.Compare(a[:], b[:]) })
+	return found
+}
+
+// count returns the ends of each identity.
+func (l *Ledger) count(condemned func(Identity) bool) map[Identity]tally {
+	counts := map[Identity]tally{}
+	for _, end := range l.ends {
+		explained := end.explained(condemned)
 		for identity := range end.suspects {
-			counts[identity]++
-			most = max(most, counts[identity])
+			ends := counts[identity]
+			ends.all++
+			if !explained {
+				ends.unexplained++
+			}
+			counts[identity] = ends
 		}
 	}
-	return counts, most
+	return counts
 }
 
 func (e *ledgerEnd) explained(condemned func(Identity) bool) bool {
--- /dev/null
+++ b/internal/poison/ledger_test.go
@@ -0,0 +1,113 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	_ "github.com/hatchplank/hatchplank/internal/fixedseed" // fixes the seed
+)
+
+// ledgerOf counts ends, each given by the numbers of what was under way.
+func ledgerOf(ends [][]int, now time.Time) *Ledger {
+	ledger := NewLedger()
+	for i, numbers := range ends {
+		ledger.Add([]ServerEnd{{Server: fmt.Sprint("s", i), Suspects: identities(numbers)}}, now)
+	}
+	return ledger
+}
+
+func identities(numbers []int) []Identity {
+	var all []Identity
+	for _, number := range numbers {
+		all = append(all, numbered(number, number+1)...)
+	}
+	return all
+}
+
+func TestLedgerFindsWhatEndsServers(t *testing.T) {
+	cases := map[string]struct {
+		ends [][]int
+		// held are refused already.
+		held, condemned []int
+	}{
+		"two ends":                            {[][]int{{1}, {1}}, nil, nil},
+		"three ends":                          {[][]int{{1}, {1}, {1}}, nil, []int{1}},
+		"a neighbour at two of three":         {[][]int{{1, 2}, {1, 2}, {1}}, nil, []int{1}},
+		"a neighbour at all three":            {[][]int{{1, 2}, {1, 2}, {1, 2}}, nil, []int{1, 2}},
+		"a neighbour at three of four":        {[][]int{{1, 2}, {1, 2}, {1, 2}, {1}}, nil, []int{1}},
+		"two at servers of their own":         {[][]int{{1}, {2}, {1}, {2}, {1}, {2}}, nil, []int{1, 2}},
+		"two, one with more ends":             {[][]int{{1}, {2}, {1}, {2}, {1}, {2}, {1}}, nil, []int{1, 2}},
+		"what a held one explains":            {[][]int{{1, 2}, {1, 2}, {1, 2}}, []int{1}, nil},
+		"explained, and one end more":         {[][]int{{1, 2}, {1, 2}, {1, 2}, {2}}, []int{1}, []int{2}},
+		"two explained, and one end more":     {[][]int{{1, 2}, {1, 2}, {2}}, []int{1}, nil},
+		"many neighbours at one end":          {[][]int{{1, 2, 3, 4, 5, 6, 7, 8}, {1}, {1}}, nil, []int{1}},
+		"ends under other requests each time": {[][]int{{1}, {2}, {3}, {4}}, nil, nil},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			held := map[Identity]bool{}
+			for _, identity := range identities(test.held) {
+				held[identity] = true
+			}
+			now := time.Now()
+			var condemned []Identity
+			for _, verdict := range ledgerOf(test.ends, now).Judge(func(i Identity) bool { return held[i] }, now) {
+				condemned = append(condemned, verdict.Identity)
+			}
+			Expect(condemned).To(ConsistOf(identities(test.condemned)))
+		})
+	}
+}
+
+// Whatever ends, with whatever beside: who is condemned was at three ended servers, and
+// whoever is at all of four ends is condemned.
+func TestLedgerIsFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ends := rapid.SliceOfN(rapid.SliceOfNDistinct(rapid.IntRange(1, 12), 0, 6, rapid.ID[int]), 0, 12).Draw(t, "ends")
+		guilty := rapid.Bool().Draw(t, "guilty")
+		if guilty && len(ends) > condemnedAfter {
+			for i := range ends {
+				ends[i] = append(ends[i], 99)
+			}
+		}
+		now := time.Now()
+		counts := map[Identity]int{}
+		for _, end := range ends {
+			for _, identity := range identities(end) {
+				counts[identity]++
+			}
+		}
+		found := false
+		for _, verdict := range ledgerOf(ends, now).Judge(func(Identity) bool { return false }, now) {
+			if counts[verdict.Identity] < condemnedAfter || len(verdict.Servers) != counts[verdict.Identity] {
+				t.Fatalf("condemned with %d ends of %d", len(verdict.Servers), counts[verdict.Identity])
+			}
+			found = found || verdict.Identity == numbered(99, 100)[0]
+		}
+		if guilty && len(ends) > condemnedAfter && !found {
+			t.Fatal("the one at all ends was not condemned")
+		}
+	})
+}
+
+// Memory is bounded, whatever callers send.
+func TestLedgerIsBounded(t *testing.T) {
+	RegisterTestingT(t)
+	ledger := NewLedger()
+	now := time.Now()
+	all := numbered(0, 4*mostSuspects)
+	for i := range 3 * mostEnds {
+		ledger.Add([]ServerEnd{{Server: fmt.Sprint("s", i), Suspects: all}}, now.Add(time.Duration(i)*time.Millisecond))
+	}
+	Expect(len(ledger.ends)).To(BeNumerically("<=", mostEnds+1))
+	for _, end := range ledger.ends {
+		Expect(len(end.suspects)).To(BeNumerically("<=", mostSuspects))
+	}
+	ledger.Judge(func(Identity) bool { return false }, now.Add(endMemory+time.Hour))
+	Expect(ledger.ends).To(BeEmpty())
+}
