--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -292,3 +292,29 @@
 		Expect(w.held(poison[0])).To(BeZero())
 	})
 }
+
+// Symptom: requests that were served between the ends of three servers were refused for
+// minutes. Sequence: a node started again, read from the store which servers had ended, and
+// condemned what was under way at three of them. Cause: it took the time at which it read
+// of an end for that of the end, so that all servings lay before. Settled by: no node
+// released the request, though one that had served it 45 times lived all the while.
+func TestEndsThatAreLearnedLateKeepTheirTime(t *testing.T) {
+	inWorld(t, 3, 3, func(w *world) {
+		innocent := numbered(0, 1)
+		// One judge never answers, so the ends go by way of the store.
+		w.network.SetCut(w.nodes[2].address, true)
+		for i := range condemnedAfter {
+			w.end(w.server(fmt.Sprint("s", i)), map[*node][]Identity{w.nodes[0]: innocent})
+			time.Sleep(3 * time.Second)
+			if i == condemnedAfter-2 {
+				w.nodes[0].guard.Served(innocent[0], time.Now())
+				time.Sleep(time.Second)
+			}
+		}
+		Expect(w.held(innocent[0])).To(BeZero())
+		w.nodes[1].stop()
+		w.nodes[1] = w.start(w.nodes[1].address)
+		time.Sleep(contact)
+		Expect(w.held(innocent[0])).To(BeZero())
+	})
+}
