Tell the ends of servers with their age

Cause: a node that learned late of an end, from a report sent again or from the store after its start, counted it as of then. A request that had been served since the end looked as if it had not, and was refused for ten minutes. Ends are told with their age now, and one that is released leaves the store.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -73,7 +73,7 @@
 
 	mutex sync.Mutex
 	// gathered ends of this node that go out together, and the unanswered reports.
-	gathered   []ServerEnd
+	gathered   []timedEnd
 	unanswered []*unanswered
 	// judging: a judgement is due.
 	judging bool
@@ -82,7 +82,7 @@
 // unanswered is a report that a judge has not answered yet.
 type unanswered struct {
 	judge string
-	ends  []ServerEnd
+	ends  []timedEnd
 	since time.Time
 	// sending: an answer is being waited for.
 	sending bool
@@ -145,7 +145,7 @@
 	check, ended := g.suspects.add(identity, server.ID, server.Address, time.Now())
 	switch {
 	case ended:
-		g.report(ServerEnd{Server: server.ID, Suspects: []Identity{identity}})
+		g.report(timedEnd{server: server.ID, suspects: []Identity{identity}, at: time.Now()})
 	case check:
 		go g.look(context.WithoutCancel(ctx), server)
 	}
@@ -173,7 +173,7 @@
 
 // Ended notes that a server is known to have ended.
 func (g *Guard) Ended(server, proof string) {
-	identities := g.suspects.end(server)
+	identities, brokeAt := g.suspects.end(server)
 	if len(identities) == 0 {
 		return
 	}
@@ -181,7 +181,7 @@
 	slices.SortFunc(identities, func(a, b Identity) int { return slices.Compare(a[:], b[:]) })
 	g.config.Logger.Warn().Str("server", server).Str("proof", proof).Int("requests", len(identities)).
 		Strs("identities", logged(identities)).Msg("server ended under requests")
-	g.report(ServerEnd{Server: server, Suspects: identities})
+	g.report(timedEnd{server: server, suspects: identities, at: brokeAt})
 }
 
 func logged(identities []Identity) []string {
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -312,9 +312,12 @@
 			}
 		}
 		Expect(w.held(innocent[0])).To(BeZero())
-		w.nodes[1].stop()
-		w.nodes[1] = w.start(w.nodes[1].address)
-		time.Sleep(contact)
-		Expect(w.held(innocent[0])).To(BeZero())
+		for i := range w.nodes {
+			w.nodes[i].stop()
+			w.store.watch(w.nodes[i], false)
+			w.nodes[i] = w.start(w.nodes[i].address)
+			time.Sleep(contact)
+			Expect(w.held(innocent[0])).To(BeZero())
+		}
 	})
 }
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -28,6 +28,25 @@
 	// Server is the ID of its incarnation.
 	Server   string
 	Suspects []Identity
+	// Age of the end when this is told. Whether its suspects were served since depends on
+	// the time of the end, not on that at which a node learns of it.
+	Age time.Duration
+}
+
+// aged returns the ends as they are to be told at the time, each with when it was.
+func aged(ends []timedEnd, now time.Time) []ServerEnd {
+	told := make([]ServerEnd, len(ends))
+	for i, end := range ends {
+		told[i] = ServerEnd{Server: end.server, Suspects: end.suspects, Age: now.Sub(end.at)}
+	}
+	return told
+}
+
+// timedEnd is a server's end with its time on this node's steady clock.
+type timedEnd struct {
+	server   string
+	suspects []Identity
+	at       time.Time
 }
 
 // Ledger counts the ends of servers by what was under way there. An end at which a
@@ -62,11 +81,15 @@
 	defer l.mutex.Unlock()
 	l.forget(now)
 	for _, told := range ends {
+		at := now.Add(-told.Age)
 		end := l.ends[told.Server]
 		if end == nil {
-			end = &ledgerEnd{at: now, suspects: map[Identity]bool{}}
+			end = &ledgerEnd{at: at, suspects: map[Identity]bool{}}
 			l.ends[told.Server] = end
 		}
+		if at.Before(end.at) {
+			end.at = at
+		}
 		for _, identity := range told.Suspects {
 			if len(end.suspects) < mostSuspects {
 				end.suspects[identity] = true
--- a/internal/poison/shared_ends.go
+++ b/internal/poison/shared_ends.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,8 +18,8 @@
 	guard *Guard
 
 	mutex sync.Mutex
-	// ends that the key shall hold, with when they were added.
-	ends  map[string]sharedEnd
+	// ends that the key shall hold, by server.
+	ends  map[string]timedEnd
 	dirty bool
 	// revision of the key, as far as known.
 	revision int64
@@ -25,11 +27,6 @@
 	nextTry  time.Time
 }
 
-type sharedEnd struct {
-	at       time.Time
-	suspects []Identity
-}
-
 // savedEnds is the value of a node's key, with the time of day at which it was written.
 type savedEnds struct {
 	AtMillis int64       `json:"at_ms"`
@@ -37,13 +34,13 @@
 }
 
 func newSharedEnds(guard *Guard) *sharedEnds {
-	return &sharedEnds{guard: guard, ends: map[string]sharedEnd{}}
+	return &sharedEnds{guard: guard, ends: map[string]timedEnd{}}
 }
 
 func (s *sharedEnds) key() string { return s.guard.config.EndsPrefix + s.guard.config.Address }
 
 // add shares ends by way of the store.
-func (s *sharedEnds) add(ends []ServerEnd, now time.Time) {
+func (s *sharedEnds) add(ends []timedEnd, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for server, shared := range s.ends {
@@ -52,13 +49,28 @@
 		}
 	}
 	for _, end := range ends {
-		if _, shared := s.ends[end.Server]; !shared {
-			s.ends[end.Server] = sharedEnd{at: now, suspects: end.Suspects}
+		if _, shared := s.ends[end.server]; !shared {
+			s.ends[end.server] = end
 			s.dirty = true
 		}
 	}
 	for len(s.ends) > mostShared {
-		dropEarliest(s.ends, func(end sharedEnd) time.Time { return end.at })
+		dropEarliest(s.ends, func(end timedEnd) time.Time { return end.at })
+	}
+}
+
+// clear takes an identity out of all ends that are shared: else nodes that start again
+// would blame it for them, and none would remember that it was served.
+func (s *sharedEnds) clear(identity Identity) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for server, end := range s.ends {
+		if !slices.Contains(end.suspects, identity) {
+			continue
+		}
+		end.suspects = slices.DeleteFunc(slices.Clone(end.suspects), func(suspect Identity) bool { return suspect == identity })
+		s.ends[server] = end
+		s.dirty = true
 	}
 }
 
@@ -73,10 +85,7 @@
 		return
 	}
 	s.dirty, s.writing = false, true
-	saved := savedEnds{AtMillis: now.UnixMilli()}
-	for server, end := range s.ends {
-		saved.Ends = append(saved.Ends, ServerEnd{Server: server, Suspects: end.suspects})
-	}
+	saved := savedEnds{AtMillis: now.UnixMilli(), Ends: aged(slices.Collect(maps.Values(s.ends)), now)}
 	revision := s.revision
 	s.mutex.Unlock()
 	value, err := json.Marshal(saved)
@@ -127,7 +136,9 @@
 		s.guard.config.Logger.Error().Err(err).Str("key", keyValue.Key).Msg("ends of servers are not understood")
 		return
 	}
-	if time.Since(time.UnixMilli(saved.AtMillis)) < endMemory {
-		s.guard.take(saved.Ends)
+	since := max(time.Since(time.UnixMilli(saved.AtMillis)), 0)
+	for i := range saved.Ends {
+		saved.Ends[i].Age += since
 	}
+	s.guard.take(saved.Ends)
 }
--- a/internal/poison/spread.go
+++ b/internal/poison/spread.go
@@ -11,7 +11,7 @@
 const mostTold = 32
 
 // report gathers ends for a moment and sends them to the nodes that judge.
-func (g *Guard) report(end ServerEnd) {
+func (g *Guard) report(end timedEnd) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.gathered = append(g.gathered, end)
@@ -32,7 +32,7 @@
 	}
 	g.mutex.Unlock()
 	g.sendUnanswered(now)
-	g.take(ends)
+	g.take(aged(ends, now))
 }
 
 // sendUnanswered sends the reports that no judge has answered yet, for a while.
@@ -55,7 +55,7 @@
 	g.unanswered = kept
 	g.mutex.Unlock()
 	for _, report := range due {
-		g.config.Transport.Call(report.judge, Report{Ends: report.ends}, reportTimeout, func(message peer.Message, err error) {
+		g.config.Transport.Call(report.judge, Report{Ends: aged(report.ends, now)}, reportTimeout, func(message peer.Message, err error) {
 			g.answered(report, message, err)
 		})
 	}
@@ -155,6 +155,7 @@
 // release lets an identity go, and reports whether it was held.
 func (g *Guard) release(identity Identity, reason string) bool {
 	g.ledger.Clear(identity)
+	g.shared.clear(identity)
 	g.record.forget(identity)
 	held := g.quarantine.remove(identity)
 	if held {
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -76,20 +76,23 @@
 	return true
 }
 
-// end notes that a server ended and returns what was under way there, once.
-func (s *suspects) end(server string) []Identity {
+// end notes that a server ended. It returns, once, what was under way there, and when
+// the first of it broke.
+func (s *suspects) end(server string) (identities []Identity, brokeAt time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	broken := s.servers[server]
 	if broken == nil || broken.ended {
-		return nil
+		return nil, time.Time{}
 	}
 	broken.ended = true
-	identities := make([]Identity, 0, len(broken.brokenAt))
-	for identity := range broken.brokenAt {
+	for identity, at := range broken.brokenAt {
 		identities = append(identities, identity)
+		if brokeAt.IsZero() || at.Before(brokeAt) {
+			brokeAt = at
+		}
 	}
-	return identities
+	return identities, brokeAt
 }
 
 // open returns the servers of which it is not known whether they ended, with their
