--- a/internal/standin/peers/peers.go
+++ b/internal/standin/peers/peers.go
@@ -47,6 +47,13 @@
 	return node
 }
 
+// Remove takes a node away. Calls to it fail at once.
+func (n *Network) Remove(address string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	delete(n.nodes, address)
+}
+
 // Addresses of all nodes, in order.
 func (n *Network) Addresses() []string {
 	n.mutex.Lock()
@@ -83,15 +90,21 @@
 	n.nodes[address].part = part
 }
 
-// handler returns what handles a message, or nil if it does not arrive.
-func (n *Network) handler(from *Node, to string, message peer.Message) peer.Handler {
+// handler returns what handles a message; nil if it does not arrive, and whether that is
+// known at once, since nobody has the address.
+func (n *Network) handler(from *Node, to string, message peer.Message) (handler peer.Handler, refused bool) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	target := n.nodes[to]
-	if target == nil || n.nodes[from.address] != from || from.cut || target.cut || from.part != target.part {
-		return nil
+	switch {
+	case n.nodes[from.address] != from || from.cut:
+		return nil, false
+	case target == nil:
+		return nil, true
+	case target.cut || from.part != target.part:
+		return nil, false
 	}
-	return target.handlers[reflect.TypeOf(message)]
+	return target.handlers[reflect.TypeOf(message)], false
 }
 
 // Handle implements peer.Transport.
@@ -111,7 +124,10 @@
 	var once sync.Once
 	finish := func(message peer.Message, err error) { once.Do(func() { done(message, err) }) }
 	time.AfterFunc(timeout, func() { finish(nil, peer.ErrUnreachable) })
-	handler := n.network.handler(n, address, message)
+	handler, refused := n.network.handler(n, address, message)
+	if refused {
+		time.AfterFunc(delay, func() { finish(nil, peer.ErrUnreachable) })
+	}
 	if handler == nil {
 		return
 	}
