--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -233,7 +233,7 @@
 			holder, _ := n.election.Holder()
 			return holder.Name
 		},
-		Origins: n.holder.Origins, Relayed: n.mirror.Through,
+		Origins: n.holder.Origins, Relayed: n.mirror.Through, Poison: n.poison.Verdicts,
 	}
 }
 
--- a/internal/inspect/inspect_test.go
+++ b/internal/inspect/inspect_test.go
@@ -13,6 +13,7 @@
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/inspect"
+	"github.com/hatchplank/hatchplank/internal/poison"
 )
 
 func source(origins inspect.Origins) *inspect.Source {
@@ -24,6 +25,7 @@
 	})
 	return &inspect.Source{
 		Node: "n-1", Zone: "z", View: view, Holder: func() string { return "n-2" }, Relayed: func() bool { return true },
+		Poison:  func() []poison.Verdict { return nil },
 		Origins: func() inspect.Origins { return origins },
 		Demand: func() []forward.Demand {
 			return []forward.Demand{
@@ -64,11 +66,25 @@
 	Expect(text.String()).To(MatchRegexp(`models +m +2 +0`))
 }
 
+func TestPageTellsOfRefusedRequests(t *testing.T) {
+	RegisterTestingT(t)
+	now := time.Now()
+	shown := source(nil)
+	identity := poison.IdentityOf("", "POST", "h", "/x", nil)
+	shown.Poison = func() []poison.Verdict {
+		return []poison.Verdict{{Identity: identity, Times: 1, Servers: []string{"i-1", "i-2"}, Until: now.Add(9 * time.Minute)}}
+	}
+	var text bytes.Buffer
+	Expect(shown.Page(now).Print(&text)).To(Succeed())
+	Expect(text.String()).To(MatchRegexp(identity.Text() + ` +1 +540s +i-1,i-2`))
+}
+
 func TestNodeWithoutConfigurationSaysSo(t *testing.T) {
 	RegisterTestingT(t)
 	empty := &inspect.Source{
 		Node: "n", View: fleet.NewView(), Holder: func() string { return "" }, Relayed: func() bool { return false },
 		Origins: func() inspect.Origins { return nil }, Demand: func() []forward.Demand { return nil },
+		Poison: func() []poison.Verdict { return nil },
 	}
 	var text bytes.Buffer
 	Expect(empty.Page(time.Now()).Print(&text)).To(Succeed())
--- a/internal/inspect/page.go
+++ b/internal/inspect/page.go
@@ -10,6 +10,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
+	"github.com/hatchplank/hatchplank/internal/poison"
 )
 
 // Page is what a node knows.
@@ -28,6 +29,18 @@
 	Relayed bool     `json:"relayed"`
 	Servers []Server `json:"servers"`
 	Demand  []Demand `json:"demand"`
+	// Poison are the requests that are refused since servers ended under them.
+	Poison []Poison `json:"poison"`
+}
+
+// Poison is a request that is refused since servers ended under it.
+type Poison struct {
+	// Identity of the request, as in logs and as in its key in the store.
+	Identity string   `json:"identity"`
+	Servers  []string `json:"servers"`
+	// Times that it was refused so, and seconds that it is still.
+	Times   int     `json:"times"`
+	Seconds float64 `json:"seconds"`
 }
 
 // Server is what a node knows of one server.
@@ -79,6 +92,7 @@
 	// Origins is nil unless this node holds orders.
 	Origins func() Origins
 	Relayed func() bool
+	Poison  func() []poison.Verdict
 }
 
 // ServeHTTP answers with the page as JSON.
@@ -90,7 +104,7 @@
 // Page collects what the node knows.
 func (s *Source) Page(now time.Time) Page {
 	snapshot := s.View.Load()
-	page := Page{Node: s.Node, Zone: s.Zone, Holder: s.Holder(), Relayed: s.Relayed(), Servers: []Server{}, Demand: []Demand{}}
+	page := Page{Node: s.Node, Zone: s.Zone, Holder: s.Holder(), Relayed: s.Relayed(), Servers: []Server{}, Demand: []Demand{}, Poison: []Poison{}}
 	if configuration := snapshot.Configuration; configuration != nil {
 		page.Version, page.Revision, page.Routes = configuration.Version, configuration.Revision, configuration.RouteCount()
 	}
@@ -113,6 +127,11 @@
 			})
 		}
 	}
+	for _, verdict := range s.Poison() {
+		page.Poison = append(page.Poison, Poison{
+			Identity: verdict.Identity.Text(), Servers: verdict.Servers, Times: verdict.Times, Seconds: verdict.Until.Sub(now).Seconds(),
+		})
+	}
 	return page
 }
 
--- a/internal/inspect/print.go
+++ b/internal/inspect/print.go
@@ -24,14 +24,29 @@
 	if err := writer.Flush(); err != nil {
 		return err
 	}
+	p.printDemand(writer)
+	p.printPoison(writer)
+	return writer.Flush()
+}
+
+func (p Page) printDemand(output io.Writer) {
 	if len(p.Demand) == 0 {
-		return nil
+		return
 	}
-	fmt.Fprintln(writer, "\nPOOL\tMODEL\tADAPTER\tWAITING\tRUNNING")
+	fmt.Fprintln(output, "\nPOOL\tMODEL\tADAPTER\tWAITING\tRUNNING")
 	for _, row := range p.Demand {
-		fmt.Fprintf(writer, "%s\t%s\t%s\t%d\t%d\n", row.Pool, row.Model, row.Adapter, row.Waiting, row.Running)
+		fmt.Fprintf(output, "%s\t%s\t%s\t%d\t%d\n", row.Pool, row.Model, row.Adapter, row.Waiting, row.Running)
+	}
+}
+
+func (p Page) printPoison(output io.Writer) {
+	if len(p.Poison) == 0 {
+		return
+	}
+	fmt.Fprintln(output, "\nREFUSED REQUEST\tTIMES\tSTILL FOR\tSERVERS THAT ENDED")
+	for _, refused := range p.Poison {
+		fmt.Fprintf(output, "%s\t%d\t%.0fs\t%s\n", refused.Identity, refused.Times, refused.Seconds, strings.Join(refused.Servers, ","))
 	}
-	return writer.Flush()
 }
 
 func (p Page) holderLine() string {
