--- a/internal/command/inspect_test.go
+++ b/internal/command/inspect_test.go
@@ -11,6 +11,7 @@
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/inspect"
+	"github.com/hatchplank/hatchplank/internal/poison"
 )
 
 func inspectNode(t *testing.T, handler http.Handler, arguments ...string) (string, error) {
@@ -29,7 +30,7 @@
 	g := NewWithT(t)
 	source := &inspect.Source{
 		Node: "n-1", View: fleet.NewView(), Holder: func() string { return "n-2" }, Relayed: func() bool { return false },
-		Origins: func() inspect.Origins { return nil }, Demand: func() []forward.Demand { return nil },
+		Origins: func() inspect.Origins { return nil }, Demand: func() []forward.Demand { return nil }, Poison: func() []poison.Verdict { return nil },
 	}
 	pages := http.NewServeMux()
 	pages.Handle("/status", source)
