--- a/internal/forward/poison_test.go
+++ b/internal/forward/poison_test.go
@@ -67,11 +67,12 @@
 func TestPoisonRequestIsRefusedAtOnce(t *testing.T) {
 	withGuard(t, func(b *bench, guard *fakeGuard) {
 		guard.hold(10 * time.Minute)
-		outcome := b.forwarder.Serve(context.Background(), request("repeat", "", time.Second), &recorder{})
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "n", time.Second), &recorder{})
 		Expect(outcome.Code).To(Equal(result.RequestPoisonous))
 		Expect(outcome.Ran).To(Equal(result.RanNo))
 		Expect(outcome.RetryAfter).To(Equal(10 * time.Minute))
 		Expect(b.backend.servers()).To(BeEmpty())
+		// Nothing is loaded for it.
 		Expect(b.forwarder.Demand()).To(BeEmpty())
 	})
 }
--- a/internal/poison/fakes_test.go
+++ b/internal/poison/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"slices"
@@ -242,6 +243,23 @@
 	})
 }
 
+// sharedEndsOf counts the ends in the store that name the identity.
+func (s *fakeStore) sharedEndsOf(identity Identity) int {
+	count := 0
+	for _, keyValue := range s.all() {
+		var saved savedEnds
+		if !strings.HasPrefix(keyValue.Key, "ends/") || json.Unmarshal(keyValue.Value, &saved) != nil {
+			continue
+		}
+		for _, end := range saved.Ends {
+			if slices.Contains(end.Suspects, identity) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // removeAll removes all keys, as an operator does.
 func (s *fakeStore) removeAll() {
 	for _, keyValue := range s.verdicts() {
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -230,6 +230,27 @@
 	}
 }
 
+// The same where the node that started again sees the last end itself: the others must
+// not believe it either.
+func TestNodeThatStartedAgainBlamesNobodyForOldEnds(t *testing.T) {
+	inWorld(t, 4, 4, func(w *world) {
+		innocent := numbered(0, 1)
+		w.network.SetCut(w.nodes[3].address, true)
+		end := func(number int, at *node) {
+			w.end(w.server(fmt.Sprint("s", number)), map[*node][]Identity{at: innocent})
+			time.Sleep(3 * time.Second)
+		}
+		end(0, w.nodes[0])
+		w.nodes[2].guard.Served(innocent[0], time.Now())
+		end(1, w.nodes[0])
+		w.nodes[1].stop()
+		w.nodes[1] = w.start(w.nodes[1].address)
+		w.network.SetCut(w.nodes[0].address, true)
+		end(2, w.nodes[1])
+		Expect(w.held(innocent[0])).To(BeZero())
+	})
+}
+
 // A server that breaks many attempts and lives is looked at a few times a second.
 func TestServersThatLiveAreLookedAtSeldom(t *testing.T) {
 	inWorld(t, 1, 1, func(w *world) {
@@ -308,6 +329,8 @@
 			}
 		}
 		Expect(w.held(innocent[0])).To(BeZero())
+		// The ends before it was released don't name it in the store any more.
+		Expect(w.store.sharedEndsOf(innocent[0])).To(BeNumerically("<=", 1))
 		for i := range w.nodes {
 			w.nodes[i].stop()
 			w.store.watch(w.nodes[i], false)
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -111,3 +111,16 @@
 	ledger.Judge(func(Identity) bool { return false }, now.Add(endMemory+time.Hour))
 	Expect(ledger.ends).To(BeEmpty())
 }
+
+// A verdict blames since the first end, whenever a node learned of it.
+func TestVerdictTellsWhenTheFirstServerEnded(t *testing.T) {
+	RegisterTestingT(t)
+	now := time.Now()
+	ledger := NewLedger()
+	for i, age := range []time.Duration{2 * time.Second, 9 * time.Second, 0} {
+		ledger.Add([]ServerEnd{{Server: fmt.Sprint("s", i), Suspects: numbered(0, 1), Age: age}}, now)
+	}
+	verdicts := ledger.Judge(func(Identity) bool { return false }, now)
+	Expect(verdicts).To(HaveLen(1))
+	Expect(now.Sub(verdicts[0].Since)).To(Equal(9 * time.Second))
+}
