Give a tenant's cost back only to the process that counted it

Cause: a node that starts again counts with little at first, as it knows nothing of what came before, and added to that what requests gave back which its earlier process had counted. Answers tell the process now, and a cost that returns names it.

--- a/internal/tenants/ask.go
+++ b/internal/tenants/ask.go
@@ -32,7 +32,7 @@
 		ask := Ask{Tenant: tenant.Name, Cost: cost, Rank: rank, Heard: q.heard.other(tenant.Name, address, time.Now())}
 		if answer, answered := q.askOne(ctx, address, tenant, ask); answered {
 			q.heard.set(tenant.Name, answer, time.Now())
-			return Verdict{Within: answer.Within, RoomIn: answer.RoomIn, CountedBy: answer.CountedBy}
+			return Verdict{Within: answer.Within, RoomIn: answer.RoomIn, CountedBy: answer.CountedBy, process: answer.Process}
 		}
 	}
 	now := time.Now()
@@ -73,7 +73,7 @@
 // count counts on this node.
 func (q *Quota) count(tenant *Tenant, ask Ask) Answer {
 	within, roomIn, left := q.keeper.take(tenant, ask.Cost, ask.Rank, ask.Heard, time.Now())
-	return Answer{Within: within, RoomIn: roomIn, CountedBy: q.config.Address, Left: left}
+	return Answer{Within: within, RoomIn: roomIn, CountedBy: q.config.Address, Process: q.process, Left: left}
 }
 
 // serveAsk answers another node. If this node is not the first that counts the
@@ -93,6 +93,7 @@
 	if tenant == nil {
 		// This node's configuration is older or newer than the other's, for the short time
 		// that a change takes; the other node knows the tenant, and refuses unknown keys.
+		// Without a process, since nothing was counted that could be given back.
 		reply(Answer{Within: true, CountedBy: q.config.Address}, nil)
 		return
 	}
@@ -132,12 +133,12 @@
 		q.keeper.giveBack(tenant, cost, time.Now())
 		return
 	}
-	q.config.Transport.Send(verdict.CountedBy, GiveBack{Tenant: tenant.Name, Cost: cost})
+	q.config.Transport.Send(verdict.CountedBy, GiveBack{Tenant: tenant.Name, Cost: cost, Process: verdict.process})
 }
 
 func (q *Quota) serveGiveBack(_ string, message peer.Message, reply func(peer.Message, error)) {
 	back := message.(GiveBack)
-	if tenant := q.tenant(back.Tenant); tenant != nil {
+	if tenant := q.tenant(back.Tenant); tenant != nil && back.Process == q.process {
 		q.keeper.giveBack(tenant, back.Cost, time.Now())
 	}
 	reply(nil, nil)
--- a/internal/tenants/messages.go
+++ b/internal/tenants/messages.go
@@ -27,13 +27,18 @@
 	RoomIn time.Duration
 	// CountedBy is the address of the node that counted, and Left its count.
 	CountedBy string
-	Left      Count
+	// Process tells the processes of that node apart.
+	Process int64
+	Left    Count
 }
 
 // GiveBack returns the cost of a request that has not run.
 type GiveBack struct {
 	Tenant string
 	Cost   float64
+	// Process that counted the cost. A later one of the node never did, and would take it
+	// for room.
+	Process int64
 }
 
 func init() {
--- a/internal/tenants/quota.go
+++ b/internal/tenants/quota.go
@@ -58,6 +58,8 @@
 	// CountedBy is the address of the node that counted for all; empty if this node
 	// had to decide alone.
 	CountedBy string
+	// process of that node which did.
+	process int64
 }
 
 // Quota keeps tenants within their limits over all nodes. Each tenant's requests are
@@ -65,7 +67,9 @@
 // does not answer, the next one in the tenant's order counts. It is safe for
 // concurrent use.
 type Quota struct {
-	config   QuotaConfig
+	config QuotaConfig
+	// process tells the processes of this node apart, in nanoseconds of its clock.
+	process  int64
 	counters counterList
 	keeper   *keeper
 	alone    *alone
@@ -86,7 +90,7 @@
 		config.Counted = func(string, Verdict) {}
 	}
 	quota := &Quota{
-		config: config, keeper: newKeeper(config.Window), alone: newAlone(), heard: newHeard(), silent: map[string]bool{},
+		config: config, process: time.Now().UnixNano(), keeper: newKeeper(config.Window), alone: newAlone(), heard: newHeard(), silent: map[string]bool{},
 		heardAt: map[string]time.Time{}, changed: make(chan struct{}, 1),
 	}
 	config.Transport.Handle(Ask{}, quota.serveAsk)
