--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -153,22 +153,22 @@
 }
 
 // assemblePoison makes the node's part in finding requests that end servers. The holder
-// of orders, and the nodes that count tenants where there are any, gather what all see.
+// of orders, and the nodes that count tenants where there are any, collect what all see.
 func (n *node) assemblePoison() {
 	n.poison = poison.NewGuard(poison.Config{
-		View: n.view, Connect: n.servers.Connect, Judges: n.judges, Followers: n.holder.Reporting,
-		Transport: n.transport, Address: n.transport.Address(), Store: n.store, VerdictsPrefix: poisonPrefix, EndsPrefix: endsPrefix,
+		View: n.view, Connect: n.servers.Connect, Collectors: n.collectors, Followers: n.holder.Reporting,
+		Transport: n.transport, Address: n.transport.Address(), Store: n.store, EntriesPrefix: poisonPrefix, EndsPrefix: endsPrefix,
 		Counted: n.metrics.ServerEnded, Logger: n.logger,
 	})
 }
 
-// judges are the nodes that gather what was under way at servers that ended.
-func (n *node) judges() []string {
-	judges := slices.Clone(n.quota.Counters().Addresses)
-	if holder, known := n.election.Holder(); known && !slices.Contains(judges, holder.Address) {
-		judges = append(judges, holder.Address)
+// collectors are the nodes that collect what was under way at servers that ended.
+func (n *node) collectors() []string {
+	collectors := slices.Clone(n.quota.Counters().Addresses)
+	if holder, known := n.election.Holder(); known && !slices.Contains(collectors, holder.Address) {
+		collectors = append(collectors, holder.Address)
 	}
-	return judges
+	return collectors
 }
 
 // setNodes tells how many nodes share what is bounded for all of them.
@@ -233,7 +233,7 @@
 			holder, _ := n.election.Holder()
 			return holder.Name
 		},
-		Origins: n.holder.Origins, Relayed: n.mirror.Through, Poison: n.poison.Verdicts,
+		Origins: n.holder.Origins, Relayed: n.mirror.Through, Poison: n.poison.Entries,
 	}
 }
 
@@ -250,7 +250,7 @@
 		},
 		Holder:     func() float64 { return oneIf(n.election.Term() != nil) },
 		Relayed:    func() float64 { return oneIf(n.mirror.Through()) },
-		Quarantine: func() float64 { return float64(len(n.poison.Verdicts())) },
+		Quarantine: func() float64 { return float64(len(n.poison.Entries())) },
 	}
 }
 
--- a/cmd/hatchplank-node/repeated_end_test.go
+++ b/cmd/hatchplank-node/repeated_end_test.go
@@ -89,7 +89,7 @@
 		callers, _ := d.start(t, name)
 		nodes = append(nodes, callers)
 	}
-	const condemnedAfter, mostAfter = 3, 3
+	const endsToHold, mostAfter = 3, 3
 	ends := func() int {
 		total := 0
 		for _, place := range places {
@@ -101,8 +101,8 @@
 	try := func() int {
 		node := nodes[tries%len(nodes)]
 		tries++
-		// The innocent show that there are servers to run a request.
-		Eventually(func() int { return standin.AskWith(node, "/p/x", "", "innocent") }, "30s").Should(Equal(http.StatusOK))
+		// Harmless requests show that there are servers to run a request.
+		Eventually(func() int { return standin.AskWith(node, "/p/x", "", "harmless") }, "30s").Should(Equal(http.StatusOK))
 		// A caller without a key comes back from anywhere.
 		from := fmt.Sprintf("127.0.0.%d", 1+tries)
 		if status := standin.AskFrom(from, node, "/p/x", "", deadly); status == http.StatusServiceUnavailable {
@@ -110,12 +110,12 @@
 		} else {
 			refusedInRow = 0
 		}
-		Expect(ends()).To(BeNumerically("<=", condemnedAfter+mostAfter))
+		Expect(ends()).To(BeNumerically("<=", endsToHold+mostAfter))
 		return refusedInRow
 	}
 	Eventually(try, "60s", "300ms").Should(Equal(2 * len(nodes)))
 	// Another request of the same caller, and the same body at another path, are served.
 	for _, node := range nodes {
-		Eventually(func() int { return standin.AskWith(node, "/p/x", "", "innocent") }, "30s").Should(Equal(http.StatusOK))
+		Eventually(func() int { return standin.AskWith(node, "/p/x", "", "harmless") }, "30s").Should(Equal(http.StatusOK))
 	}
 }
--- a/internal/command/inspect_test.go
+++ b/internal/command/inspect_test.go
@@ -30,7 +30,7 @@
 	g := NewWithT(t)
 	source := &inspect.Source{
 		Node: "n-1", View: fleet.NewView(), Holder: func() string { return "n-2" }, Relayed: func() bool { return false },
-		Origins: func() inspect.Origins { return nil }, Demand: func() []forward.Demand { return nil }, Poison: func() []poison.Verdict { return nil },
+		Origins: func() inspect.Origins { return nil }, Demand: func() []forward.Demand { return nil }, Poison: func() []poison.Entry { return nil },
 	}
 	pages := http.NewServeMux()
 	pages.Handle("/status", source)
--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -14,8 +14,8 @@
 
 // PoisonGuard keeps requests that end servers away from them.
 type PoisonGuard interface {
-	// Held returns the verdict by which an identity is refused.
-	Held(identity poison.Identity) (poison.Verdict, bool)
+	// Held returns the entry by which an identity is refused.
+	Held(identity poison.Identity) (poison.Entry, bool)
 	// Broke notes that a server closed the connection of an attempt before its answer
 	// was whole.
 	Broke(ctx context.Context, identity poison.Identity, server *fleet.Server)
@@ -28,7 +28,7 @@
 // noPoison refuses nothing.
 type noPoison struct{}
 
-func (noPoison) Held(poison.Identity) (poison.Verdict, bool) { return poison.Verdict{}, false }
+func (noPoison) Held(poison.Identity) (poison.Entry, bool) { return poison.Entry{}, false }
 
 func (noPoison) Broke(context.Context, poison.Identity, *fleet.Server) {}
 
@@ -40,20 +40,20 @@
 
 // refusePoison refuses a request that all nodes know to end servers. That its caller
 // tries again would change nothing, so it is told of the whole time.
-func refusePoison(verdict poison.Verdict, route *fleet.Route) Outcome {
-	return Outcome{Code: result.RequestPoisonous, Reason: poisonReason, Route: route.Name, RetryAfter: time.Until(verdict.Until)}
+func refusePoison(entry poison.Entry, route *fleet.Route) Outcome {
+	return Outcome{Code: result.RequestPoisonous, Reason: poisonReason, Route: route.Name, RetryAfter: time.Until(entry.Until)}
 }
 
 // refusePoisonAfterAll ends a request that became known to end servers while it was
 // held, or between two attempts; nil if it may go on.
 func (f *Forwarder) refusePoisonAfterAll(flow *flow) *Outcome {
-	verdict, held := f.poison.Held(flow.request.Identity)
+	entry, held := f.poison.Held(flow.request.Identity)
 	if !held {
 		return nil
 	}
 	outcome := f.giveUp(flow, poisonReason, result.RequestPoisonous)
 	if outcome.Code == result.RequestPoisonous {
-		outcome.RetryAfter = time.Until(verdict.Until)
+		outcome.RetryAfter = time.Until(entry.Until)
 	}
 	return outcome
 }
--- a/internal/forward/poison_test.go
+++ b/internal/forward/poison_test.go
@@ -25,10 +25,10 @@
 	served int
 }
 
-func (g *fakeGuard) Held(identity poison.Identity) (poison.Verdict, bool) {
+func (g *fakeGuard) Held(identity poison.Identity) (poison.Entry, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return poison.Verdict{Identity: identity, Until: g.until}, time.Now().Before(g.until)
+	return poison.Entry{Identity: identity, Until: g.until}, time.Now().Before(g.until)
 }
 
 // hold refuses everything for the time.
@@ -77,9 +77,9 @@
 	})
 }
 
-// A verdict that comes while the request is held, between two attempts or within a
+// That a request is found out while it is held, between two attempts or within a
 // stream keeps it from the next server.
-func TestVerdictStopsARequestUnderWay(t *testing.T) {
+func TestPoisonRequestUnderWayIsStopped(t *testing.T) {
 	broken := errors.Join(io.ErrUnexpectedEOF)
 	cases := map[string]struct {
 		route, model string
--- a/internal/inspect/inspect_test.go
+++ b/internal/inspect/inspect_test.go
@@ -25,7 +25,7 @@
 	})
 	return &inspect.Source{
 		Node: "n-1", Zone: "z", View: view, Holder: func() string { return "n-2" }, Relayed: func() bool { return true },
-		Poison:  func() []poison.Verdict { return nil },
+		Poison:  func() []poison.Entry { return nil },
 		Origins: func() inspect.Origins { return origins },
 		Demand: func() []forward.Demand {
 			return []forward.Demand{
@@ -71,8 +71,8 @@
 	now := time.Now()
 	shown := source(nil)
 	identity := poison.IdentityOf("", "POST", "h", "/x", nil)
-	shown.Poison = func() []poison.Verdict {
-		return []poison.Verdict{{Identity: identity, Times: 1, Servers: []string{"i-1", "i-2"}, Until: now.Add(9 * time.Minute)}}
+	shown.Poison = func() []poison.Entry {
+		return []poison.Entry{{Identity: identity, Times: 1, Servers: []string{"i-1", "i-2"}, Until: now.Add(9 * time.Minute)}}
 	}
 	var text bytes.Buffer
 	Expect(shown.Page(now).Print(&text)).To(Succeed())
@@ -84,7 +84,7 @@
 	empty := &inspect.Source{
 		Node: "n", View: fleet.NewView(), Holder: func() string { return "" }, Relayed: func() bool { return false },
 		Origins: func() inspect.Origins { return nil }, Demand: func() []forward.Demand { return nil },
-		Poison: func() []poison.Verdict { return nil },
+		Poison: func() []poison.Entry { return nil },
 	}
 	var text bytes.Buffer
 	Expect(empty.Page(time.Now()).Print(&text)).To(Succeed())
--- a/internal/inspect/page.go
+++ b/internal/inspect/page.go
@@ -92,7 +92,7 @@
 	// Origins is nil unless this node holds orders.
 	Origins func() Origins
 	Relayed func() bool
-	Poison  func() []poison.Verdict
+	Poison  func() []poison.Entry
 }
 
 // ServeHTTP answers with the page as JSON.
@@ -127,9 +127,9 @@
 			})
 		}
 	}
-	for _, verdict := range s.Poison() {
+	for _, entry := range s.Poison() {
 		page.Poison = append(page.Poison, Poison{
-			Identity: verdict.Identity.Text(), Servers: verdict.Servers, Times: verdict.Times, Seconds: verdict.Until.Sub(now).Seconds(),
+			Identity: entry.Identity.Text(), Servers: entry.Servers, Times: entry.Times, Seconds: entry.Until.Sub(now).Seconds(),
 		})
 	}
 	return page
--- a/internal/poison/fakes_test.go
+++ b/internal/poison/fakes_test.go
@@ -81,9 +81,9 @@
 	return outside.TransactionResult{Succeeded: true, Revision: s.revision}
 }
 
-// verdicts returns the keys of verdicts.
-func (s *fakeStore) verdicts() []outside.KeyValue {
-	return slices.DeleteFunc(s.all(), func(keyValue outside.KeyValue) bool { return !strings.HasPrefix(keyValue.Key, "verdicts/") })
+// entries returns the keys of entries.
+func (s *fakeStore) entries() []outside.KeyValue {
+	return slices.DeleteFunc(s.all(), func(keyValue outside.KeyValue) bool { return !strings.HasPrefix(keyValue.Key, "entries/") })
 }
 
 // all returns the keys that exist.
@@ -119,9 +119,9 @@
 	network *peers.Network
 	store   *fakeStore
 	nodes   []*node
-	// judges gather reports; holder is the one that tells followers.
-	judges []string
-	holder string
+	// collectors gather reports; holder is the one that tells followers.
+	collectors []string
+	holder     string
 
 	mutex sync.Mutex
 	// refusing addresses have no listener any more.
@@ -132,16 +132,16 @@
 	looks int
 }
 
-// newWorld starts nodes of which the first ones judge, and the last one holds orders.
-func newWorld(nodes, judges int) *world {
+// newWorld starts nodes of which the first ones collector, and the last one holds orders.
+func newWorld(nodes, collectors int) *world {
 	w := &world{
 		network: peers.NewNetwork(), store: &fakeStore{keys: map[string]outside.KeyValue{}, watchers: map[*node]bool{}},
 		refusing: map[string]bool{}, silent: map[string]bool{},
 	}
 	for i := range nodes {
 		address := fmt.Sprintf("node-%02d", i)
-		if i < judges {
-			w.judges = append(w.judges, address)
+		if i < collectors {
+			w.collectors = append(w.collectors, address)
 		}
 		w.holder = address
 	}
@@ -155,14 +155,14 @@
 func (w *world) start(address string) *node {
 	n := &node{address: address, view: fleet.NewView()}
 	n.guard = NewGuard(Config{
-		View: n.view, Connect: w.connect, Judges: func() []string { return append(slices.Clone(w.judges), w.holder) },
+		View: n.view, Connect: w.connect, Collectors: w.knownCollectors,
 		Followers: func() []string {
 			if address != w.holder {
 				return nil
 			}
 			return w.network.Living()
 		},
-		Transport: w.network.Add(address), Address: address, Store: w.store, VerdictsPrefix: "verdicts/", EndsPrefix: "ends/", Logger: zerolog.Nop(),
+		Transport: w.network.Add(address), Address: address, Store: w.store, EntriesPrefix: "entries/", EndsPrefix: "ends/", Logger: zerolog.Nop(),
 	})
 	n.guard.Replace(w.store.all())
 	w.store.watch(n, true)
@@ -172,6 +172,14 @@
 	return n
 }
 
+// knownCollectors are the nodes that collect, and the holder if there is one.
+func (w *world) knownCollectors() []string {
+	if w.holder == "" {
+		return w.collectors
+	}
+	return append(slices.Clone(w.collectors), w.holder)
+}
+
 // connect plays a connection to a server.
 func (w *world) connect(_ context.Context, address string) error {
 	w.mutex.Lock()
@@ -228,10 +236,10 @@
 }
 
 // inWorld runs the body in virtual time.
-func inWorld(t *testing.T, nodes, judges int, body func(w *world)) {
+func inWorld(t *testing.T, nodes, collectors int, body func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		RegisterTestingT(t)
-		w := newWorld(nodes, judges)
+		w := newWorld(nodes, collectors)
 		defer func() {
 			for _, n := range w.nodes {
 				n.stop()
@@ -262,7 +270,7 @@
 
 // removeAll removes all keys, as an operator does.
 func (s *fakeStore) removeAll() {
-	for _, keyValue := range s.verdicts() {
+	for _, keyValue := range s.entries() {
 		s.apply(outside.Transaction{Operations: []outside.Operation{{Kind: outside.OperationDelete, Key: keyValue.Key}}})
 	}
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -22,7 +22,7 @@
 	firstLook, secondLook = 20 * time.Millisecond, 300 * time.Millisecond
 	// reportPause gathers what was under way at servers that end together.
 	reportPause = 10 * time.Millisecond
-	// settlePause between a report and the judgement, in which the other nodes that had
+	// settlePause between a report and the decision, in which the other nodes that had
 	// requests at the server report as well.
 	settlePause = 150 * time.Millisecond
 	// tickPeriod between looks at what is open: reports without an answer, records of
@@ -44,24 +44,29 @@
 	// Connect finds out whether somebody listens at a server's address; ECONNREFUSED:
 	// nobody does.
 	Connect func(ctx context.Context, address string) error
-	// Judges are the addresses of the nodes that gather reports.
-	Judges func() []string
-	// Followers are the nodes that this one must tell of verdicts: those that report to
+	// Collectors are the addresses of the nodes that collect reports.
+	Collectors func() []string
+	// Followers are the nodes that this one must tell of entries: those that report to
 	// it, if it holds the orders.
 	Followers func() []string
 	Transport peer.Transport
 	// Address of this node.
 	Address string
-	// Store keeps verdicts for nodes that start, or were not reached, and ends that not
-	// all judges heard of. The prefixes begin their keys.
-	Store                      outside.KeyValueService
-	VerdictsPrefix, EndsPrefix string
+	// Store keeps entries for nodes that start, or were not reached, and ends that not
+	// all collectors heard of. The prefixes begin their keys.
+	Store                     outside.KeyValueService
+	EntriesPrefix, EndsPrefix string
 	// Counted is called with each server that ended under requests; nil: not called.
 	Counted func()
 	Logger  zerolog.Logger
 }
 
 // Guard is a node's part in finding poison requests. It is safe for concurrent use.
+//
+// Without it one request ended 14 servers within 45 s, each with up to 12 other requests
+// under way (7 nodes, 18 servers; count of servers that closed all connections at once and
+// refused new ones). With it three end (three whole nodes, one try after the other), and
+// all of 7 nodes know 0.16 s after the last (19 of 19, by the times of their log lines).
 type Guard struct {
 	config     Config
 	suspects   *suspects
@@ -75,15 +80,15 @@
 	// gathered ends of this node that go out together, and the unanswered reports.
 	gathered   []timedEnd
 	unanswered []*unanswered
-	// judging: a judgement is due.
-	judging bool
+	// deciding: a decision is due.
+	deciding bool
 }
 
-// unanswered is a report that a judge has not answered yet.
+// unanswered is a report that a collector has not answered yet.
 type unanswered struct {
-	judge string
-	ends  []timedEnd
-	since time.Time
+	collector string
+	ends      []timedEnd
+	since     time.Time
 	// sending: an answer is being waited for.
 	sending bool
 }
@@ -98,18 +103,18 @@
 	}
 	g.record, g.shared = newRecord(g), newSharedEnds(g)
 	config.Transport.Handle(Report{}, g.serveReport)
-	config.Transport.Handle(Condemned{}, g.serveCondemned)
+	config.Transport.Handle(Quarantined{}, g.serveQuarantined)
 	config.Transport.Handle(Released{}, g.serveReleased)
 	return g
 }
 
-// Held returns the verdict by which an identity is refused.
-func (g *Guard) Held(identity Identity) (Verdict, bool) {
+// Held returns the entry by which an identity is refused.
+func (g *Guard) Held(identity Identity) (Entry, bool) {
 	return g.quarantine.Held(identity, time.Now())
 }
 
-// Verdicts in force.
-func (g *Guard) Verdicts() []Verdict { return g.quarantine.All() }
+// Entries in force.
+func (g *Guard) Entries() []Entry { return g.quarantine.All() }
 
 // Replace takes over all keys that the store holds.
 func (g *Guard) Replace(keyValues []outside.KeyValue) {
@@ -206,7 +211,7 @@
 		g.lookAtRecords(now)
 		g.sendUnanswered(now)
 		for _, identity := range g.quarantine.removeOver(now) {
-			g.ledger.HoldOver(identity)
+			g.ledger.Expired(identity)
 			g.record.remove(identity, now.Add(g.record.delay(identity)))
 			g.config.Logger.Info().Str("identity", identity.String()).Str("reason", "its time is over").Msg("request released")
 		}
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -26,10 +26,10 @@
 		"the holder of orders is dead": {
 			before: func(w *world) { w.network.SetCut(w.holder, true) },
 		},
-		"all judges but one are cut off": {
+		"all collectors but one are cut off": {
 			before: func(w *world) {
-				for _, judge := range w.judges[min(1, len(w.judges)):] {
-					w.network.SetCut(judge, true)
+				for _, decide := range w.collectors[min(1, len(w.collectors)):] {
+					w.network.SetCut(decide, true)
 				}
 			},
 		},
@@ -40,6 +40,9 @@
 				}
 			},
 		},
+		"nobody is known to hold the orders": {
+			before: func(w *world) { w.holder, w.collectors = "", nil },
+		},
 		"the store comes back, the holder is dead": {
 			before: func(w *world) {
 				w.store.away = true
@@ -65,16 +68,16 @@
 			},
 		},
 	}
-	// The holder of orders judges, and up to five others.
-	for _, judges := range []int{0, 5} {
+	// The holder of orders collectors, and up to five others.
+	for _, collectors := range []int{0, 5} {
 		for name, test := range cases {
-			t.Run(fmt.Sprintf("%s, %d judges", name, judges), func(t *testing.T) {
-				inWorld(t, nodes, judges, func(w *world) {
+			t.Run(fmt.Sprintf("%s, %d collectors", name, collectors), func(t *testing.T) {
+				inWorld(t, nodes, collectors, func(w *world) {
 					if test.before != nil {
 						test.before(w)
 					}
 					poison := numbered(0, 1)
-					for i := range condemnedAfter {
+					for i := range endsToHold {
 						w.end(w.server(fmt.Sprint("s", i)), map[*node][]Identity{w.nodes[i]: poison})
 						Expect(w.held(poison[0])).To(BeZero())
 						time.Sleep(time.Second)
@@ -84,15 +87,15 @@
 						test.after(w)
 					}
 					Expect(w.held(poison[0])).To(Equal(nodes))
-					Expect(w.store.verdicts()).To(Or(HaveLen(1), BeEmpty()))
+					Expect(w.store.entries()).To(Or(HaveLen(1), BeEmpty()))
 				})
 			})
 		}
 	}
 }
 
-// What ran beside the guilty request is served on, although its callers send it again
-// and it meets the guilty one a second time.
+// What ran beside the poison request is served on, although its callers send it again
+// and it meets the poison request a second time.
 func TestNeighboursOfAPoisonRequestAreServed(t *testing.T) {
 	inWorld(t, 4, 4, func(w *world) {
 		poison, neighbours := numbered(0, 1), numbered(1, 64)
@@ -113,7 +116,7 @@
 	})
 }
 
-// A neighbour with as many ends as the guilty one can't be told apart by counting. It is
+// A neighbour with as many ends as the poison request can't be told apart by counting. It is
 // released as soon as a node knows that a server has served it since the first end.
 func TestRequestThatWasServedIsReleased(t *testing.T) {
 	cases := map[string]struct {
@@ -141,7 +144,7 @@
 				time.Sleep(contact)
 				Expect(w.held(both[0])).To(Equal(4))
 				Expect(w.held(both[1])).To(Equal(test.held))
-				Expect(w.store.verdicts()).To(HaveLen(1 + test.held/4))
+				Expect(w.store.entries()).To(HaveLen(1 + test.held/4))
 			})
 		})
 	}
@@ -183,7 +186,7 @@
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, 1, 1, func(w *world) {
 				poison := numbered(0, 1)
-				for i := range condemnedAfter {
+				for i := range endsToHold {
 					server := w.server(fmt.Sprint("s", i))
 					w.nodes[0].guard.Broke(context.Background(), poison[0], server)
 					test.look(w, server)
@@ -215,7 +218,7 @@
 	for _, record := range []*fleet.Server{nil, {Draining: true}} {
 		inWorld(t, 1, 1, func(w *world) {
 			poison := numbered(0, 1)
-			for i := range condemnedAfter + 1 {
+			for i := range endsToHold + 1 {
 				server := w.server(fmt.Sprint("s", i))
 				var leaving *fleet.Server
 				if record != nil {
@@ -234,20 +237,20 @@
 // not believe it either.
 func TestNodeThatStartedAgainBlamesNobodyForOldEnds(t *testing.T) {
 	inWorld(t, 4, 4, func(w *world) {
-		innocent := numbered(0, 1)
+		harmless := numbered(0, 1)
 		w.network.SetCut(w.nodes[3].address, true)
 		end := func(number int, at *node) {
-			w.end(w.server(fmt.Sprint("s", number)), map[*node][]Identity{at: innocent})
+			w.end(w.server(fmt.Sprint("s", number)), map[*node][]Identity{at: harmless})
 			time.Sleep(3 * time.Second)
 		}
 		end(0, w.nodes[0])
-		w.nodes[2].guard.Served(innocent[0], time.Now())
+		w.nodes[2].guard.Served(harmless[0], time.Now())
 		end(1, w.nodes[0])
 		w.nodes[1].stop()
 		w.nodes[1] = w.start(w.nodes[1].address)
 		w.network.SetCut(w.nodes[0].address, true)
 		end(2, w.nodes[1])
-		Expect(w.held(innocent[0])).To(BeZero())
+		Expect(w.held(harmless[0])).To(BeZero())
 	})
 }
 
@@ -274,13 +277,13 @@
 			ends++
 			time.Sleep(time.Second)
 		}
-		for range condemnedAfter {
+		for range endsToHold {
 			end()
 		}
 		Expect(w.held(poison[0])).To(Equal(3))
 		time.Sleep(firstHold)
 		Expect(w.held(poison[0])).To(BeZero())
-		Expect(w.store.verdicts()).To(BeEmpty())
+		Expect(w.store.entries()).To(BeEmpty())
 		end()
 		Expect(w.held(poison[0])).To(Equal(3))
 		time.Sleep(firstHold)
@@ -294,7 +297,7 @@
 func TestKeyThatIsRemovedReleases(t *testing.T) {
 	inWorld(t, 3, 3, func(w *world) {
 		poison := numbered(0, 1)
-		for i := range condemnedAfter {
+		for i := range endsToHold {
 			w.end(w.server(fmt.Sprint("s", i)), map[*node][]Identity{w.nodes[i]: poison})
 			time.Sleep(time.Second)
 		}
@@ -302,7 +305,7 @@
 		w.store.removeAll()
 		time.Sleep(time.Second)
 		Expect(w.held(poison[0])).To(BeZero())
-		Expect(w.store.verdicts()).To(BeEmpty())
+		Expect(w.store.entries()).To(BeEmpty())
 		// It is forgiven: one end is not enough.
 		w.end(w.server("s9"), map[*node][]Identity{w.nodes[0]: poison})
 		time.Sleep(time.Second)
@@ -312,31 +315,31 @@
 
 // Symptom: requests that were served between the ends of three servers were refused for
 // minutes. Sequence: a node started again, read from the store which servers had ended, and
-// condemned what was under way at three of them. Cause: it took the time at which it read
+// held what was under way at three of them. Cause: it took the time at which it read
 // of an end for that of the end, so that all servings lay before. Settled by: no node
 // released the request, though one that had served it 45 times lived all the while.
 func TestEndsThatAreLearnedLateKeepTheirTime(t *testing.T) {
 	inWorld(t, 3, 3, func(w *world) {
-		innocent := numbered(0, 1)
-		// One judge never answers, so the ends go by way of the store.
+		harmless := numbered(0, 1)
+		// One collector never answers, so the ends go by way of the store.
 		w.network.SetCut(w.nodes[2].address, true)
-		for i := range condemnedAfter {
-			w.end(w.server(fmt.Sprint("s", i)), map[*node][]Identity{w.nodes[0]: innocent})
+		for i := range endsToHold {
+			w.end(w.server(fmt.Sprint("s", i)), map[*node][]Identity{w.nodes[0]: harmless})
 			time.Sleep(3 * time.Second)
-			if i == condemnedAfter-2 {
-				w.nodes[0].guard.Served(innocent[0], time.Now())
+			if i == endsToHold-2 {
+				w.nodes[0].guard.Served(harmless[0], time.Now())
 				time.Sleep(time.Second)
 			}
 		}
-		Expect(w.held(innocent[0])).To(BeZero())
+		Expect(w.held(harmless[0])).To(BeZero())
 		// The ends before it was released don't name it in the store any more.
-		Expect(w.store.sharedEndsOf(innocent[0])).To(BeNumerically("<=", 1))
+		Expect(w.store.sharedEndsOf(harmless[0])).To(BeNumerically("<=", 1))
 		for i := range w.nodes {
 			w.nodes[i].stop()
 			w.store.watch(w.nodes[i], false)
 			w.nodes[i] = w.start(w.nodes[i].address)
 			time.Sleep(contact)
-			Expect(w.held(innocent[0])).To(BeZero())
+			Expect(w.held(harmless[0])).To(BeZero())
 		}
 	})
 }
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -7,17 +7,17 @@
 )
 
 const (
-	// condemnedAfter ends of servers an identity is refused. One that ran beside the
-	// guilty one at its first end, and again when its caller tried again, has two.
-	condemnedAfter = 3
+	// endsToHold ends of servers make an identity held. One that ran beside a poison
+	// request at its first end, and again when its caller tried again, has two.
+	endsToHold = 3
 	// endMemory is how long an end counts.
 	endMemory = 10 * time.Minute
 	// mostEnds are remembered, mostSuspects of each: twice what a server works on at
 	// once where most are used (64).
 	mostEnds, mostSuspects = 1024, 128
-	// mostConvictions are remembered, each for convictionMemory after its last hold.
-	mostConvictions  = 1024
-	convictionMemory = 2 * time.Hour
+	// mostPast holds are remembered, each for pastMemory after its end.
+	mostPast   = 1024
+	pastMemory = 2 * time.Hour
 	// firstHold is how long an identity is refused at first. Each further time is
 	// twice as long, up to longestHold.
 	firstHold, longestHold = 10 * time.Minute, 2 * time.Hour
@@ -50,13 +50,13 @@
 }
 
 // Ledger counts the ends of servers by what was under way there. An end at which a
-// condemned identity was under way is explained by that one: else its neighbours, which
+// held identity was under way is explained by that one: else its neighbours, which
 // callers send again as well, would follow it.
 type Ledger struct {
 	mutex sync.Mutex
 	ends  map[string]*ledgerEnd
-	// convictions by identity: how often it was condemned.
-	convictions map[Identity]conviction
+	// past holds by identity.
+	past map[Identity]pastHold
 }
 
 type ledgerEnd struct {
@@ -64,15 +64,15 @@
 	suspects map[Identity]bool
 }
 
-// conviction is what is remembered of an identity after its hold.
-type conviction struct {
+// pastHold is what is remembered of an identity after it was held.
+type pastHold struct {
 	times int
 	until time.Time
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{ends: map[string]*ledgerEnd{}, convictions: map[Identity]conviction{}}
+	return &Ledger{ends: map[string]*ledgerEnd{}, past: map[Identity]pastHold{}}
 }
 
 // Add notes what was under way at servers that ended, as one node tells.
@@ -98,21 +98,21 @@
 	}
 }
 
-// Judge returns the identities that are to be refused from now on.
-func (l *Ledger) Judge(held func(Identity) bool, now time.Time) []Verdict {
+// Decide returns the identities that are to be held from now on.
+func (l *Ledger) Decide(held func(Identity) bool, now time.Time) []Entry {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.forget(now)
-	condemned := map[Identity]bool{}
-	isCondemned := func(identity Identity) bool { return condemned[identity] || held(identity) }
-	var verdicts []Verdict
-	for guilty := l.guiltiest(isCondemned); len(guilty) > 0; guilty = l.guiltiest(isCondemned) {
-		for _, identity := range guilty {
-			condemned[identity] = true
-			verdicts = append(verdicts, l.condemn(identity, now))
+	found := map[Identity]bool{}
+	isHeld := func(identity Identity) bool { return found[identity] || held(identity) }
+	var entries []Entry
+	for exceeded := l.worst(isHeld); len(exceeded) > 0; exceeded = l.worst(isHeld) {
+		for _, identity := range exceeded {
+			found[identity] = true
+			entries = append(entries, l.hold(identity, now))
 		}
 	}
-	return verdicts
+	return entries
 }
 
 // tally counts the ends of one identity.
@@ -120,20 +120,20 @@
 	all, unexplained int
 }
 
-// guilty reports whether an identity with these ends is to be refused. One with more
-// than condemnedAfter is so if a single one is unexplained: the others may have been
-// explained by an innocent.
-func (t tally) guilty(convicted bool) bool {
-	return t.unexplained >= condemnedAfter || t.unexplained > 0 && (convicted || t.all > condemnedAfter)
+// exceeded reports whether an identity with these ends is to be held. One with more
+// than endsToHold is so if a single one is unexplained: the others may have been
+// explained by one that is held by mistake.
+func (t tally) exceeded(before bool) bool {
+	return t.unexplained >= endsToHold || t.unexplained > 0 && (before || t.all > endsToHold)
 }
 
-// guiltiest returns, of the identities that are to be refused, those with the most ends
-// that no condemned one explains, in order.
-func (l *Ledger) guiltiest(condemned func(Identity) bool) []Identity {
+// worst returns, of the identities that are to be refused, those with the most ends
+// that no held one explains, in order.
+func (l *Ledger) worst(held func(Identity) bool) []Identity {
 	var found []Identity
 	most := 0
-	for identity, ends := range l.count(condemned) {
-		if _, convicted := l.convictions[identity]; condemned(identity) || !ends.guilty(convicted) || ends.unexplained < most {
+	for identity, ends := range l.count(held) {
+		if _, before := l.past[identity]; held(identity) || !ends.exceeded(before) || ends.unexplained < most {
 			continue
 		}
 		if ends.unexplained > most {
@@ -146,10 +146,10 @@
 }
 
 // count returns the ends of each identity.
-func (l *Ledger) count(condemned func(Identity) bool) map[Identity]tally {
+func (l *Ledger) count(held func(Identity) bool) map[Identity]tally {
 	counts := map[Identity]tally{}
 	for _, end := range l.ends {
-		explained := end.explained(condemned)
+		explained := end.explained(held)
 		for identity := range end.suspects {
 			ends := counts[identity]
 			ends.all++
@@ -162,34 +162,34 @@
 	return counts
 }
 
-func (e *ledgerEnd) explained(condemned func(Identity) bool) bool {
+func (e *ledgerEnd) explained(held func(Identity) bool) bool {
 	for identity := range e.suspects {
-		if condemned(identity) {
+		if held(identity) {
 			return true
 		}
 	}
 	return false
 }
 
-// condemn makes the verdict. It must be called with the lock held.
-func (l *Ledger) condemn(identity Identity, now time.Time) Verdict {
-	verdict := Verdict{Identity: identity, Times: l.convictions[identity].times + 1}
+// hold makes the entry. It must be called with the lock held.
+func (l *Ledger) hold(identity Identity, now time.Time) Entry {
+	entry := Entry{Identity: identity, Times: l.past[identity].times + 1}
 	first := now
 	for server, end := range l.ends {
 		if end.suspects[identity] {
-			verdict.Servers = append(verdict.Servers, server)
+			entry.Servers = append(entry.Servers, server)
 			if end.at.Before(first) {
 				first = end.at
 			}
 		}
 	}
-	slices.Sort(verdict.Servers)
-	verdict.Since, verdict.Until = first, now.Add(holdOf(verdict.Times))
-	l.remember(verdict)
-	return verdict
+	slices.Sort(entry.Servers)
+	entry.Since, entry.Until = first, now.Add(holdOf(entry.Times))
+	l.remember(entry)
+	return entry
 }
 
-// holdOf is how long an identity is refused that is condemned for the nth time.
+// holdOf is how long an identity is refused that is held for the nth time.
 func holdOf(times int) time.Duration {
 	hold := firstHold
 	for range times - 1 {
@@ -198,31 +198,31 @@
 	return hold
 }
 
-// Convicted notes a verdict of another node.
-func (l *Ledger) Convicted(verdict Verdict) {
+// Remember notes an entry of another node.
+func (l *Ledger) Remember(entry Entry) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.remember(verdict)
+	l.remember(entry)
 }
 
-func (l *Ledger) remember(verdict Verdict) {
-	times := max(verdict.Times, l.convictions[verdict.Identity].times)
-	l.convictions[verdict.Identity] = conviction{times: times, until: verdict.Until.Add(convictionMemory)}
-	for len(l.convictions) > mostConvictions {
-		dropEarliest(l.convictions, func(c conviction) time.Time { return c.until })
+func (l *Ledger) remember(entry Entry) {
+	times := max(entry.Times, l.past[entry.Identity].times)
+	l.past[entry.Identity] = pastHold{times: times, until: entry.Until.Add(pastMemory)}
+	for len(l.past) > mostPast {
+		dropEarliest(l.past, func(c pastHold) time.Time { return c.until })
 	}
 }
 
-// Clear takes an identity out of all ends, and forgets that it was condemned.
+// Clear takes an identity out of all ends, and forgets that it was held.
 func (l *Ledger) Clear(identity Identity) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	delete(l.convictions, identity)
+	delete(l.past, identity)
 	l.clearEnds(identity)
 }
 
-// HoldOver notes that the hold of an identity is over: one more end condemns it again.
-func (l *Ledger) HoldOver(identity Identity) {
+// Expired notes that the hold of an identity is over: with one more end it is held again.
+func (l *Ledger) Expired(identity Identity) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.clearEnds(identity)
@@ -244,9 +244,9 @@
 	for len(l.ends) > mostEnds {
 		dropEarliest(l.ends, func(end *ledgerEnd) time.Time { return end.at })
 	}
-	for identity, before := range l.convictions {
+	for identity, before := range l.past {
 		if now.After(before.until) {
-			delete(l.convictions, identity)
+			delete(l.past, identity)
 		}
 	}
 }
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -32,7 +32,7 @@
 	cases := map[string]struct {
 		ends [][]int
 		// held are refused already.
-		held, condemned []int
+		held, found []int
 	}{
 		"two ends":                            {[][]int{{1}, {1}}, nil, nil},
 		"three ends":                          {[][]int{{1}, {1}, {1}}, nil, []int{1}},
@@ -55,22 +55,22 @@
 				held[identity] = true
 			}
 			now := time.Now()
-			var condemned []Identity
-			for _, verdict := range ledgerOf(test.ends, now).Judge(func(i Identity) bool { return held[i] }, now) {
-				condemned = append(condemned, verdict.Identity)
+			var found []Identity
+			for _, entry := range ledgerOf(test.ends, now).Decide(func(i Identity) bool { return held[i] }, now) {
+				found = append(found, entry.Identity)
 			}
-			Expect(condemned).To(ConsistOf(identities(test.condemned)))
+			Expect(found).To(ConsistOf(identities(test.found)))
 		})
 	}
 }
 
-// Whatever ends, with whatever beside: who is condemned was at three ended servers, and
-// whoever is at all of four ends is condemned.
+// Whatever ends, with whatever beside: who is held was at three ended servers, and
+// whoever is at all of four ends is held.
 func TestLedgerIsFair(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ends := rapid.SliceOfN(rapid.SliceOfNDistinct(rapid.IntRange(1, 12), 0, 6, rapid.ID[int]), 0, 12).Draw(t, "ends")
-		guilty := rapid.Bool().Draw(t, "guilty")
-		if guilty && len(ends) > condemnedAfter {
+		exceeded := rapid.Bool().Draw(t, "poison")
+		if exceeded && len(ends) > endsToHold {
 			for i := range ends {
 				ends[i] = append(ends[i], 99)
 			}
@@ -83,14 +83,14 @@
 			}
 		}
 		found := false
-		for _, verdict := range ledgerOf(ends, now).Judge(func(Identity) bool { return false }, now) {
-			if counts[verdict.Identity] < condemnedAfter || len(verdict.Servers) != counts[verdict.Identity] {
-				t.Fatalf("condemned with %d ends of %d", len(verdict.Servers), counts[verdict.Identity])
+		for _, entry := range ledgerOf(ends, now).Decide(func(Identity) bool { return false }, now) {
+			if counts[entry.Identity] < endsToHold || len(entry.Servers) != counts[entry.Identity] {
+				t.Fatalf("held with %d ends of %d", len(entry.Servers), counts[entry.Identity])
 			}
-			found = found || verdict.Identity == numbered(99, 100)[0]
+			found = found || entry.Identity == numbered(99, 100)[0]
 		}
-		if guilty && len(ends) > condemnedAfter && !found {
-			t.Fatal("the one at all ends was not condemned")
+		if exceeded && len(ends) > endsToHold && !found {
+			t.Fatal("the one at all ends was not held")
 		}
 	})
 }
@@ -108,19 +108,19 @@
 	for _, end := range ledger.ends {
 		Expect(len(end.suspects)).To(BeNumerically("<=", mostSuspects))
 	}
-	ledger.Judge(func(Identity) bool { return false }, now.Add(endMemory+time.Hour))
+	ledger.Decide(func(Identity) bool { return false }, now.Add(endMemory+time.Hour))
 	Expect(ledger.ends).To(BeEmpty())
 }
 
-// A verdict blames since the first end, whenever a node learned of it.
-func TestVerdictTellsWhenTheFirstServerEnded(t *testing.T) {
+// A entry blames since the first end, whenever a node learned of it.
+func TestEntryTellsWhenTheFirstServerEnded(t *testing.T) {
 	RegisterTestingT(t)
 	now := time.Now()
 	ledger := NewLedger()
 	for i, age := range []time.Duration{2 * time.Second, 9 * time.Second, 0} {
 		ledger.Add([]ServerEnd{{Server: fmt.Sprint("s", i), Suspects: numbered(0, 1), Age: age}}, now)
 	}
-	verdicts := ledger.Judge(func(Identity) bool { return false }, now)
-	Expect(verdicts).To(HaveLen(1))
-	Expect(now.Sub(verdicts[0].Since)).To(Equal(9 * time.Second))
+	entries := ledger.Decide(func(Identity) bool { return false }, now)
+	Expect(entries).To(HaveLen(1))
+	Expect(now.Sub(entries[0].Since)).To(Equal(9 * time.Second))
 }
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -6,15 +6,15 @@
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
-// Report tells a node that judges what was under way at servers that ended.
+// Report tells a collector what was under way at servers that ended.
 type Report struct {
 	Ends []ServerEnd
 }
 
-// Verdict is an identity that all nodes refuse, and until when.
-type Verdict struct {
+// Entry is an identity that all nodes refuse, and until when.
+type Entry struct {
 	Identity Identity
-	// Times that it was condemned, with this one.
+	// Times that it was held, with this one.
 	Times int
 	// Servers that ended under it.
 	Servers []string
@@ -23,8 +23,8 @@
 	Until time.Time
 }
 
-// Condemned tells another node of a verdict, in times that need no common clock.
-type Condemned struct {
+// Quarantined tells another node of an entry, in times that need no common clock.
+type Quarantined struct {
 	Identity Identity
 	Times    int
 	Servers  []string
@@ -32,12 +32,12 @@
 	Age, Remaining time.Duration
 }
 
-// Verdicts answers a Report.
-type Verdicts struct {
-	Condemned []Condemned
+// Entries answers a Report.
+type Entries struct {
+	Entries []Quarantined
 }
 
-// Released tells another node that an identity is innocent: a server has served it
+// Released tells another node that an identity is harmless: a server has served it
 // since the first end that it is blamed for.
 type Released struct {
 	Identity Identity
@@ -45,12 +45,12 @@
 	Age time.Duration
 }
 
-func (v Verdict) message(now time.Time) Condemned {
-	return Condemned{Identity: v.Identity, Times: v.Times, Servers: v.Servers, Age: now.Sub(v.Since), Remaining: v.Until.Sub(now)}
+func (v Entry) message(now time.Time) Quarantined {
+	return Quarantined{Identity: v.Identity, Times: v.Times, Servers: v.Servers, Age: now.Sub(v.Since), Remaining: v.Until.Sub(now)}
 }
 
-func (c Condemned) verdict(now time.Time) Verdict {
-	return Verdict{
+func (c Quarantined) entry(now time.Time) Entry {
+	return Entry{
 		Identity: c.Identity, Times: c.Times, Servers: c.Servers,
 		Since: now.Add(-c.Age), Until: now.Add(min(c.Remaining, longestHold)),
 	}
@@ -58,7 +58,7 @@
 
 func init() {
 	peer.Register(Report{})
-	peer.Register(Condemned{})
-	peer.Register(Verdicts{})
+	peer.Register(Quarantined{})
+	peer.Register(Entries{})
 	peer.Register(Released{})
 }
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -13,31 +13,31 @@
 // Quarantine holds the identities that are refused.
 type Quarantine struct {
 	mutex   sync.RWMutex
-	entries map[Identity]Verdict
+	entries map[Identity]Entry
 }
 
 // NewQuarantine returns an empty quarantine.
-func NewQuarantine() *Quarantine { return &Quarantine{entries: map[Identity]Verdict{}} }
+func NewQuarantine() *Quarantine { return &Quarantine{entries: map[Identity]Entry{}} }
 
-// Held returns the verdict by which an identity is refused.
-func (q *Quarantine) Held(identity Identity, now time.Time) (Verdict, bool) {
+// Held returns the entry by which an identity is refused.
+func (q *Quarantine) Held(identity Identity, now time.Time) (Entry, bool) {
 	q.mutex.RLock()
 	defer q.mutex.RUnlock()
-	verdict, found := q.entries[identity]
-	return verdict, found && now.Before(verdict.Until)
+	entry, found := q.entries[identity]
+	return entry, found && now.Before(entry.Until)
 }
 
-// add takes a verdict over. It reports whether the identity was not held before.
-func (q *Quarantine) add(verdict Verdict, now time.Time) bool {
+// add takes an entry over. It reports whether the identity was not held before.
+func (q *Quarantine) add(entry Entry, now time.Time) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	before, found := q.entries[verdict.Identity]
-	if !now.Before(verdict.Until) || found && !verdict.Until.After(before.Until) {
+	before, found := q.entries[entry.Identity]
+	if !now.Before(entry.Until) || found && !entry.Until.After(before.Until) {
 		return false
 	}
-	q.entries[verdict.Identity] = verdict
+	q.entries[entry.Identity] = entry
 	for len(q.entries) > mostHeld {
-		dropEarliest(q.entries, func(held Verdict) time.Time { return held.Until })
+		dropEarliest(q.entries, func(held Entry) time.Time { return held.Until })
 	}
 	return !found || !now.Before(before.Until)
 }
@@ -56,8 +56,8 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	var over []Identity
-	for identity, verdict := range q.entries {
-		if !now.Before(verdict.Until) {
+	for identity, entry := range q.entries {
+		if !now.Before(entry.Until) {
 			over = append(over, identity)
 			delete(q.entries, identity)
 		}
@@ -65,14 +65,14 @@
 	return over
 }
 
-// All returns the verdicts in force, in order of identity.
-func (q *Quarantine) All() []Verdict {
+// All returns the entries in force, in order of identity.
+func (q *Quarantine) All() []Entry {
 	q.mutex.RLock()
 	defer q.mutex.RUnlock()
-	all := make([]Verdict, 0, len(q.entries))
-	for _, verdict := range q.entries {
-		all = append(all, verdict)
+	all := make([]Entry, 0, len(q.entries))
+	for _, entry := range q.entries {
+		all = append(all, entry)
 	}
-	slices.SortFunc(all, func(a, b Verdict) int { return slices.Compare(a.Identity[:], b.Identity[:]) })
+	slices.SortFunc(all, func(a, b Entry) int { return slices.Compare(a.Identity[:], b.Identity[:]) })
 	return all
 }
--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -23,16 +23,16 @@
 	clockTolerance = 5 * time.Second
 )
 
-// savedVerdict is a verdict in the store. Its times are those of day: holds last for
+// savedEntry is an entry in the store. Its times are those of day: holds last for
 // minutes, so that clocks which differ by seconds do no harm.
-type savedVerdict struct {
+type savedEntry struct {
 	Times       int      `json:"times"`
 	Servers     []string `json:"servers"`
 	SinceMillis int64    `json:"since_ms"`
 	UntilMillis int64    `json:"until_ms"`
 }
 
-// record keeps verdicts in the store, one key each, so that nodes know them that were
+// record keeps entries in the store, one key each, so that nodes know them that were
 // not reached, or that start later. A key that is removed there releases its identity.
 type record struct {
 	guard *Guard
@@ -40,12 +40,12 @@
 	mutex sync.Mutex
 	// revisions of the keys that are known to be in the store.
 	revisions map[Identity]int64
-	// open writes: verdicts to save, and keys to remove.
+	// open writes: entries to save, and keys to remove.
 	open map[Identity]*openWrite
 }
 
 type openWrite struct {
-	verdict Verdict
+	entry   Entry
 	remove  bool
 	nextTry time.Time
 	writing bool
@@ -56,12 +56,12 @@
 }
 
 func (r *record) key(identity Identity) string {
-	return r.guard.config.VerdictsPrefix + identity.Text()
+	return r.guard.config.EntriesPrefix + identity.Text()
 }
 
 // identityOf returns the identity that a key is about.
 func (r *record) identityOf(key string) (identity Identity, is bool) {
-	text, own := strings.CutPrefix(key, r.guard.config.VerdictsPrefix)
+	text, own := strings.CutPrefix(key, r.guard.config.EntriesPrefix)
 	if !own {
 		return identity, false
 	}
@@ -73,29 +73,29 @@
 	return Identity(decoded), true
 }
 
-// wanted saves a verdict, unless another node has. The nodes that judge try first, in
+// wanted saves an entry, unless another node has. The collectors try first, in
 // an order that depends on the identity.
-func (r *record) wanted(verdict Verdict, now time.Time) {
+func (r *record) wanted(entry Entry, now time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.revisions[verdict.Identity] != 0 && verdict.Times <= 1 {
+	if r.revisions[entry.Identity] != 0 && entry.Times <= 1 {
 		return
 	}
-	r.open[verdict.Identity] = &openWrite{verdict: verdict, nextTry: now.Add(r.delay(verdict.Identity))}
+	r.open[entry.Identity] = &openWrite{entry: entry, nextTry: now.Add(r.delay(entry.Identity))}
 }
 
-// delay of this node's first try, by its rank among the nodes that judge.
+// delay of this node's first try, by its rank among the collectors.
 func (r *record) delay(identity Identity) time.Duration {
 	rank := 0
 	own := rendezvous(r.guard.config.Address, identity)
-	judges := r.guard.config.Judges()
-	for _, address := range judges {
+	collectors := r.guard.config.Collectors()
+	for _, address := range collectors {
 		if address != r.guard.config.Address && rendezvous(address, identity) > own {
 			rank++
 		}
 	}
-	if !slices.Contains(judges, r.guard.config.Address) {
-		rank = len(judges)
+	if !slices.Contains(collectors, r.guard.config.Address) {
+		rank = len(collectors)
 	}
 	return time.Duration(rank) * savePause
 }
@@ -105,11 +105,11 @@
 	return xxhash.Sum64String(address + " " + string(identity[:]))
 }
 
-// remove takes a verdict out of the store, from the time on.
+// remove takes an entry out of the store, from the time on.
 func (r *record) remove(identity Identity, from time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.open[identity] = &openWrite{verdict: Verdict{Identity: identity}, remove: true, nextTry: from}
+	r.open[identity] = &openWrite{entry: Entry{Identity: identity}, remove: true, nextTry: from}
 }
 
 // forget ends what was to be saved of an identity.
@@ -127,7 +127,7 @@
 	var due []*openWrite
 	for identity, write := range r.open {
 		revision := r.revisions[identity]
-		if write.remove && revision == 0 || !write.remove && !now.Before(write.verdict.Until) {
+		if write.remove && revision == 0 || !write.remove && !now.Before(write.entry.Until) {
 			delete(r.open, identity)
 			continue
 		}
@@ -143,11 +143,11 @@
 }
 
 func (r *record) write(write *openWrite, now time.Time) {
-	identity := write.verdict.Identity
+	identity := write.entry.Identity
 	key := r.key(identity)
 	operation := outside.Operation{Kind: outside.OperationDelete, Key: key}
 	if !write.remove {
-		operation = outside.Operation{Kind: outside.OperationPut, Key: key, Value: r.encode(write.verdict, now)}
+		operation = outside.Operation{Kind: outside.OperationPut, Key: key, Value: r.encode(write.entry, now)}
 	}
 	r.mutex.Lock()
 	revision := r.revisions[identity]
@@ -157,27 +157,27 @@
 	}, storeTimeout, func(reply outside.TransactionResult, err error) { r.written(write, reply, err) })
 }
 
-func (r *record) encode(verdict Verdict, now time.Time) []byte {
+func (r *record) encode(entry Entry, now time.Time) []byte {
 	day := time.Now()
-	value, err := json.Marshal(savedVerdict{
-		Times: verdict.Times, Servers: verdict.Servers,
-		SinceMillis: day.Add(verdict.Since.Sub(now)).UnixMilli(), UntilMillis: day.Add(verdict.Until.Sub(now)).UnixMilli(),
+	value, err := json.Marshal(savedEntry{
+		Times: entry.Times, Servers: entry.Servers,
+		SinceMillis: day.Add(entry.Since.Sub(now)).UnixMilli(), UntilMillis: day.Add(entry.Until.Sub(now)).UnixMilli(),
 	})
 	if err != nil {
-		r.guard.config.Logger.Error().Err(err).Msg("verdict is not written")
+		r.guard.config.Logger.Error().Err(err).Msg("entry of a refused request is not written")
 	}
 	return value
 }
 
 // written notes how a write ended. One that met another revision has nothing to do, if
-// another node saved the verdict, or is made again with the revision that was found.
+// another node saved the entry, or is made again with the revision that was found.
 func (r *record) written(write *openWrite, reply outside.TransactionResult, err error) {
-	identity := write.verdict.Identity
+	identity := write.entry.Identity
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	write.writing, write.nextTry = false, time.Now().Add(savePause)
 	if err != nil {
-		r.guard.config.Logger.Warn().Err(err).Str("identity", identity.String()).Bool("remove", write.remove).Msg("verdict not saved yet")
+		r.guard.config.Logger.Warn().Err(err).Str("identity", identity.String()).Bool("remove", write.remove).Msg("refused request not saved yet")
 		return
 	}
 	if reply.Succeeded {
@@ -204,77 +204,3 @@
 		delete(r.open, identity)
 	}
 }
-
-// replace takes over all keys that exist.
-func (r *record) replace(keyValues []outside.KeyValue) {
-	r.mutex.Lock()
-	before := r.revisions
-	r.revisions = map[Identity]int64{}
-	r.mutex.Unlock()
-	for _, keyValue := range keyValues {
-		if identity, is := r.identityOf(keyValue.Key); is {
-			delete(before, identity)
-			r.take(identity, keyValue)
-		}
-	}
-	for identity := range before {
-		r.removed(identity)
-	}
-}
-
-// change takes over one key.
-func (r *record) change(event outside.WatchEvent) {
-	identity, is := r.identityOf(event.KeyValue.Key)
-	if !is {
-		return
-	}
-	if event.Deleted {
-		r.mutex.Lock()
-		delete(r.revisions, identity)
-		r.mutex.Unlock()
-		r.removed(identity)
-		return
-	}
-	r.take(identity, event.KeyValue)
-}
-
-// take takes a verdict over, or removes it if its time is over.
-func (r *record) take(identity Identity, keyValue outside.KeyValue) {
-	var saved savedVerdict
-	if err := json.Unmarshal(keyValue.Value, &saved); err != nil {
-		r.guard.config.Logger.Error().Err(err).Str("key", keyValue.Key).Msg("verdict is not understood")
-		return
-	}
-	r.mutex.Lock()
-	r.revisions[identity] = max(r.revisions[identity], keyValue.ModRevision)
-	if write := r.open[identity]; write != nil && !write.remove && write.verdict.Times <= saved.Times {
-		delete(r.open, identity)
-	}
-	r.mutex.Unlock()
-	now := time.Now()
-	verdict := Condemned{
-		Identity: identity, Times: saved.Times, Servers: saved.Servers,
-		Age: now.Sub(time.UnixMilli(saved.SinceMillis)), Remaining: time.UnixMilli(saved.UntilMillis).Sub(now),
-	}.verdict(now)
-	if !now.Before(verdict.Until) {
-		r.remove(identity, now.Add(r.delay(identity)))
-		return
-	}
-	if released, contradicted := r.guard.contradict(verdict); contradicted {
-		r.guard.tell(released, true)
-		r.remove(identity, now)
-		return
-	}
-	r.guard.condemn(verdict, "store")
-}
-
-// removed lets an identity go whose key was removed: by a node whose server has served
-// it, or by an operator.
-func (r *record) removed(identity Identity) {
-	verdict, held := r.guard.Held(identity)
-	if !held || time.Until(verdict.Until) < clockTolerance {
-		// Its time is over by another node's clock.
-		return
-	}
-	r.guard.release(identity, "removed from the store")
-}
--- /dev/null
+++ b/internal/poison/record_follow.go
@@ -0,0 +1,82 @@
+package poison
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/outside"
+)
+
+// replace takes over all keys that exist.
+func (r *record) replace(keyValues []outside.KeyValue) {
+	r.mutex.Lock()
+	before := r.revisions
+	r.revisions = map[Identity]int64{}
+	r.mutex.Unlock()
+	for _, keyValue := range keyValues {
+		if identity, is := r.identityOf(keyValue.Key); is {
+			delete(before, identity)
+			r.take(identity, keyValue)
+		}
+	}
+	for identity := range before {
+		r.removed(identity)
+	}
+}
+
+// change takes over one key.
+func (r *record) change(event outside.WatchEvent) {
+	identity, is := r.identityOf(event.KeyValue.Key)
+	if !is {
+		return
+	}
+	if event.Deleted {
+		r.mutex.Lock()
+		delete(r.revisions, identity)
+		r.mutex.Unlock()
+		r.removed(identity)
+		return
+	}
+	r.take(identity, event.KeyValue)
+}
+
+// take takes an entry over, or removes it if its time is over.
+func (r *record) take(identity Identity, keyValue outside.KeyValue) {
+	var saved savedEntry
+	if err := json.Unmarshal(keyValue.Value, &saved); err != nil {
+		r.guard.config.Logger.Error().Err(err).Str("key", keyValue.Key).Msg("entry of a refused request is not understood")
+		return
+	}
+	r.mutex.Lock()
+	r.revisions[identity] = max(r.revisions[identity], keyValue.ModRevision)
+	if write := r.open[identity]; write != nil && !write.remove && write.entry.Times <= saved.Times {
+		delete(r.open, identity)
+	}
+	r.mutex.Unlock()
+	now := time.Now()
+	entry := Quarantined{
+		Identity: identity, Times: saved.Times, Servers: saved.Servers,
+		Age: now.Sub(time.UnixMilli(saved.SinceMillis)), Remaining: time.UnixMilli(saved.UntilMillis).Sub(now),
+	}.entry(now)
+	if !now.Before(entry.Until) {
+		r.remove(identity, now.Add(r.delay(identity)))
+		return
+	}
+	if released, contradicted := r.guard.contradict(entry); contradicted {
+		r.guard.tell(released, true)
+		r.remove(identity, now)
+		return
+	}
+	r.guard.hold(entry, "store")
+}
+
+// removed lets an identity go whose key was removed: by a node whose server has served
+// it, or by an operator.
+func (r *record) removed(identity Identity) {
+	entry, held := r.guard.Held(identity)
+	if !held || time.Until(entry.Until) < clockTolerance {
+		// Its time is over by another node's clock.
+		return
+	}
+	r.guard.release(identity, "removed from the store")
+}
--- a/internal/poison/shared_ends.go
+++ b/internal/poison/shared_ends.go
@@ -11,7 +11,7 @@
 	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
-// sharedEnds is this node's key in the store with the ends that some judge has not
+// sharedEnds is this node's key in the store with the ends that some collector has not
 // answered a report of. Where nodes that reach the store don't reach each other, each
 // part would count its own ends only, and a request could end servers in both.
 type sharedEnds struct {
--- a/internal/poison/spread.go
+++ b/internal/poison/spread.go
@@ -7,10 +7,10 @@
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
-// mostTold verdicts go with the answer to a report.
+// mostTold entries go with the answer to a report.
 const mostTold = 32
 
-// report gathers ends for a moment and sends them to the nodes that judge.
+// report gathers ends for a moment and sends them to the collectors.
 func (g *Guard) report(end timedEnd) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -25,17 +25,21 @@
 	g.mutex.Lock()
 	ends := g.gathered
 	g.gathered = nil
-	for _, judge := range g.config.Judges() {
-		if judge != g.config.Address {
-			g.unanswered = append(g.unanswered, &unanswered{judge: judge, ends: ends, since: now})
+	collectors := g.config.Collectors()
+	for _, collector := range collectors {
+		if collector != g.config.Address {
+			g.unanswered = append(g.unanswered, &unanswered{collector: collector, ends: ends, since: now})
 		}
 	}
 	g.mutex.Unlock()
+	if len(collectors) == 0 {
+		g.shared.add(ends, now)
+	}
 	g.sendUnanswered(now)
 	g.take(aged(ends, now))
 }
 
-// sendUnanswered sends the reports that no judge has answered yet, for a while.
+// sendUnanswered sends the reports that have no answer yet, for a while.
 func (g *Guard) sendUnanswered(now time.Time) {
 	g.mutex.Lock()
 	var kept, due []*unanswered
@@ -55,23 +59,23 @@
 	g.unanswered = kept
 	g.mutex.Unlock()
 	for _, report := range due {
-		g.config.Transport.Call(report.judge, Report{Ends: aged(report.ends, now)}, reportTimeout, func(message peer.Message, err error) {
+		g.config.Transport.Call(report.collector, Report{Ends: aged(report.ends, now)}, reportTimeout, func(message peer.Message, err error) {
 			g.answered(report, message, err)
 		})
 	}
 }
 
 func (g *Guard) answered(report *unanswered, message peer.Message, err error) {
-	if verdicts, told := message.(Verdicts); told && err == nil {
-		for _, condemned := range verdicts.Condemned {
-			g.takeTold(condemned, report.judge)
+	if entries, told := message.(Entries); told && err == nil {
+		for _, held := range entries.Entries {
+			g.takeTold(held, report.collector)
 		}
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	report.sending = false
 	if err != nil {
-		g.config.Logger.Debug().Str("node", report.judge).Err(err).Msg("report of ended servers not answered")
+		g.config.Logger.Debug().Str("node", report.collector).Err(err).Msg("report of ended servers not answered")
 		return
 	}
 	for i, open := range g.unanswered {
@@ -84,72 +88,72 @@
 
 func (g *Guard) serveReport(_ string, message peer.Message, reply func(peer.Message, error)) {
 	g.take(message.(Report).Ends)
-	reply(g.newestVerdicts(), nil)
+	reply(g.newestEntries(), nil)
 }
 
-// newestVerdicts are told with the answer to a report, so that a node which reports and
-// was not reached by a verdict learns of it.
-func (g *Guard) newestVerdicts() Verdicts {
-	verdicts := g.Verdicts()
-	slices.SortFunc(verdicts, func(a, b Verdict) int { return b.Until.Compare(a.Until) })
-	var told Verdicts
-	for _, verdict := range verdicts[:min(len(verdicts), mostTold)] {
-		told.Condemned = append(told.Condemned, verdict.message(time.Now()))
+// newestEntries are told with the answer to a report, so that a node which reports and
+// was not reached by an entry learns of it.
+func (g *Guard) newestEntries() Entries {
+	entries := g.Entries()
+	slices.SortFunc(entries, func(a, b Entry) int { return b.Until.Compare(a.Until) })
+	var told Entries
+	for _, entry := range entries[:min(len(entries), mostTold)] {
+		told.Entries = append(told.Entries, entry.message(time.Now()))
 	}
 	return told
 }
 
-// take notes ends, and judges after a pause in which other nodes report as well.
+// take notes ends, and decides after a pause in which other nodes report as well.
 func (g *Guard) take(ends []ServerEnd) {
 	g.ledger.Add(ends, time.Now())
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if !g.judging {
-		g.judging = true
-		time.AfterFunc(settlePause, g.judge)
+	if !g.deciding {
+		g.deciding = true
+		time.AfterFunc(settlePause, g.decide)
 	}
 }
 
-func (g *Guard) judge() {
+func (g *Guard) decide() {
 	g.mutex.Lock()
-	g.judging = false
+	g.deciding = false
 	g.mutex.Unlock()
-	condemned := func(identity Identity) bool {
+	isHeld := func(identity Identity) bool {
 		_, held := g.Held(identity)
 		return held
 	}
-	for _, verdict := range g.ledger.Judge(condemned, time.Now()) {
-		if _, contradicted := g.contradict(verdict); contradicted {
+	for _, entry := range g.ledger.Decide(isHeld, time.Now()) {
+		if _, contradicted := g.contradict(entry); contradicted {
 			continue
 		}
-		if g.condemn(verdict, "own count") {
-			g.tell(verdict.message(time.Now()), true)
-			g.record.wanted(verdict, time.Now())
+		if g.hold(entry, "own count") {
+			g.tell(entry.message(time.Now()), true)
+			g.record.wanted(entry, time.Now())
 		}
 	}
 }
 
-// condemn takes a verdict over, and reports whether the identity was not refused before.
-func (g *Guard) condemn(verdict Verdict, toldBy string) bool {
+// hold takes an entry over, and reports whether the identity was not refused before.
+func (g *Guard) hold(entry Entry, toldBy string) bool {
 	now := time.Now()
-	if !g.quarantine.add(verdict, now) {
+	if !g.quarantine.add(entry, now) {
 		return false
 	}
-	g.ledger.Convicted(verdict)
-	g.config.Logger.Warn().Str("identity", verdict.Identity.Text()).Int("ends", len(verdict.Servers)).Strs("servers", verdict.Servers).
-		Int("times", verdict.Times).Dur("for_ms", verdict.Until.Sub(now)).Str("told_by", toldBy).Msg("request refused by all nodes from now on")
+	g.ledger.Remember(entry)
+	g.config.Logger.Warn().Str("identity", entry.Identity.Text()).Int("ends", len(entry.Servers)).Strs("servers", entry.Servers).
+		Int("times", entry.Times).Dur("for_ms", entry.Until.Sub(now)).Str("told_by", toldBy).Msg("request refused by all nodes from now on")
 	return true
 }
 
 // contradict reports whether a server has served the identity since the first end that
 // it is blamed for, and what to answer then.
-func (g *Guard) contradict(verdict Verdict) (Released, bool) {
-	began, known := g.served.last(verdict.Identity)
-	if !known || !began.After(verdict.Since) {
+func (g *Guard) contradict(entry Entry) (Released, bool) {
+	began, known := g.served.last(entry.Identity)
+	if !known || !began.After(entry.Since) {
 		return Released{}, false
 	}
-	g.release(verdict.Identity, "a server has served it since")
-	return Released{Identity: verdict.Identity, Age: time.Since(began)}, true
+	g.release(entry.Identity, "a server has served it since")
+	return Released{Identity: entry.Identity, Age: time.Since(began)}, true
 }
 
 // release lets an identity go, and reports whether it was held.
@@ -164,14 +168,14 @@
 	return held
 }
 
-// tell sends a message to the nodes that follow this one, and to those that judge, if
-// it is this node's own word or it judges itself: so a word gets around where some of
+// tell sends a message to the nodes that follow this one, and to the collectors, if it
+// is this node's own word or it is one of them: so a word gets around where some of
 // them don't reach each other, and not every node tells all of them.
 func (g *Guard) tell(message peer.Message, own bool) {
 	told := map[string]bool{g.config.Address: true}
 	addresses := g.config.Followers()
-	if judges := g.config.Judges(); own || slices.Contains(judges, g.config.Address) {
-		addresses = append(addresses, judges...)
+	if collectors := g.config.Collectors(); own || slices.Contains(collectors, g.config.Address) {
+		addresses = append(addresses, collectors...)
 	}
 	for _, address := range addresses {
 		if !told[address] {
@@ -181,25 +185,25 @@
 	}
 }
 
-func (g *Guard) serveCondemned(from string, message peer.Message, reply func(peer.Message, error)) {
-	g.takeTold(message.(Condemned), from)
+func (g *Guard) serveQuarantined(from string, message peer.Message, reply func(peer.Message, error)) {
+	g.takeTold(message.(Quarantined), from)
 	reply(nil, nil)
 }
 
-// takeTold takes over and passes on the verdict of another node.
-func (g *Guard) takeTold(told Condemned, from string) {
-	verdict := told.verdict(time.Now())
-	if released, contradicted := g.contradict(verdict); contradicted {
+// takeTold takes over and passes on the entry of another node.
+func (g *Guard) takeTold(told Quarantined, from string) {
+	entry := told.entry(time.Now())
+	if released, contradicted := g.contradict(entry); contradicted {
 		g.config.Transport.Send(from, released)
 		return
 	}
-	if g.condemn(verdict, from) {
+	if g.hold(entry, from) {
 		g.tell(told, false)
-		g.record.wanted(verdict, time.Now())
+		g.record.wanted(entry, time.Now())
 	}
 }
 
-// serveReleased takes over that an identity was served, so that a verdict which is still
+// serveReleased takes over that an identity was served, so that an entry which is still
 // on its way does not hold it again, and passes the word on if it was held here.
 func (g *Guard) serveReleased(from string, message peer.Message, reply func(peer.Message, error)) {
 	released := message.(Released)
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -163,7 +163,7 @@
 switch_off successor-without-burst internal/orders/ceiling.go 'c.tokens = 0' 'c.tokens = burst' ./internal/orders
 # Requests that end servers.
 poison="./internal/poison"
-switch_off poison-refused internal/forward/forwarder.go 'if verdict, held := f.poison.Held(request.Identity); held {' 'if verdict, held := f.poison.Held(request.Identity); false && held {' $forward
+switch_off poison-refused internal/forward/forwarder.go 'if entry, held := f.poison.Held(request.Identity); held {' 'if entry, held := f.poison.Held(request.Identity); false && held {' $forward
 switch_off poison-refused-later internal/forward/admission.go 'if refusal := f.refusePoisonAfterAll(flow); refusal != nil {' 'if refusal := f.refusePoisonAfterAll(flow); false && refusal != nil {' $forward
 switch_off poison-no-switchover internal/forward/switchover.go 'if _, held := f.poison.Held(asked.request.Identity); held {' 'if _, held := f.poison.Held(asked.request.Identity); false && held {' $forward
 switch_off callers-leave-no-ends internal/forward/poison.go 'if errors.As(err, &ofCaller) {' 'if errors.As(err, &ofCaller) && false {' $forward
@@ -171,16 +171,16 @@
 switch_off planned-ends internal/poison/guard.go 'listed == nil || listed.Draining' 'listed == nil && false' $poison
 switch_off servers-that-live internal/poison/suspects.go 'if !at.After(before) {' 'if false && at.After(before) {' $poison
 switch_off ends-by-records internal/poison/guard.go 'g.Ended(id, "its record is gone")' '' $poison
-switch_off explained-ends internal/poison/ledger.go 'if condemned(identity) {
-			return true' 'if condemned(identity) {
+switch_off explained-ends internal/poison/ledger.go 'if held(identity) {
+			return true' 'if held(identity) {
 			return false' $poison
-switch_off served-since internal/poison/spread.go '!known || !began.After(verdict.Since)' 'true || !known || !began.After(verdict.Since)' $poison
+switch_off served-since internal/poison/spread.go '!known || !began.After(entry.Since)' 'true || !known || !began.After(entry.Since)' $poison
 switch_off ends-keep-their-time internal/poison/ledger.go 'at := now.Add(-told.Age)' 'at := now' $poison
 switch_off released-ends-unshared internal/poison/spread.go 'g.shared.clear(identity)' '' $poison
 switch_off ends-by-the-store internal/poison/spread.go 'g.shared.add(report.ends, now)' '' $poison
-switch_off verdicts-saved internal/poison/spread.go 'g.record.wanted(verdict, time.Now())' '' $poison
-switch_off verdicts-to-followers internal/poison/spread.go 'addresses := g.config.Followers()' 'var addresses []string' $poison
-switch_off convictions internal/poison/ledger.go '(convicted || t.all > condemnedAfter)' '(t.all > condemnedAfter)' $poison
+switch_off entries-saved internal/poison/spread.go 'g.record.wanted(entry, time.Now())' '' $poison
+switch_off entries-to-followers internal/poison/spread.go 'addresses := g.config.Followers()' 'var addresses []string' $poison
+switch_off past-holds internal/poison/ledger.go '(before || t.all > endsToHold)' '(t.all > endsToHold)' $poison
 # Life of a process.
 switch_off not-ready-when-stopping internal/edge/process.go 'if p.Stopping() {' 'if false {' ./internal/edge
 switch_off stop-takes-what-arrives internal/edge/process.go 'time.Sleep(min(acceptAfterStop, p.settings.Stop.Grace/2))' '' ./internal/edge
