Count a tenant only at nodes that the others hear in time

Cause: a node that was asked, or whose own calls were answered, took itself for one that the others hear, and so went on counting for its own callers beside the next one. Nodes tell each other now whom they do not hear in time, with the probes and answers that they send anyway.

--- a/internal/tenants/ask.go
+++ b/internal/tenants/ask.go
@@ -56,7 +56,9 @@
 			answers <- nil
 			return
 		}
-		q.noteHeard(address)
+		if !answer.Silent {
+			q.noteHeard(address)
+		}
 		answers <- &answer
 	})
 	select {
@@ -79,10 +81,16 @@
 // serveAsk answers another node. If this node is not the first that counts the
 // tenant, it asks that one, whom the other node may not have reached.
 func (q *Quota) serveAsk(from string, message peer.Message, reply func(peer.Message, error)) {
-	q.noteHeard(from)
 	ask := message.(Ask)
+	answer := func(answer Answer) {
+		answer.Silent = q.isSilent(from)
+		reply(answer, nil)
+	}
+	if !ask.Silent {
+		q.noteHeard(from)
+	}
 	if ask.Cost == 0 {
-		reply(Answer{}, nil)
+		answer(Answer{})
 		return
 	}
 	if !q.mayCount(time.Now()) {
@@ -94,23 +102,23 @@
 		// This node's configuration is older or newer than the other's, for the short time
 		// that a change takes; the other node knows the tenant, and refuses unknown keys.
 		// Without a process, since nothing was counted that could be given back.
-		reply(Answer{Within: true, CountedBy: q.config.Address}, nil)
+		answer(Answer{Within: true, CountedBy: q.config.Address})
 		return
 	}
 	ranked := q.counters.ranked(ask.Tenant)
 	if ask.Relayed || len(ranked) == 0 || ranked[0] == q.config.Address || q.isSilent(ranked[0]) {
-		reply(q.count(tenant, ask), nil)
+		answer(q.count(tenant, ask))
 		return
 	}
 	relayed := ask
 	relayed.Relayed = true
 	q.config.Transport.Call(ranked[0], relayed, askTimeout/2, func(message peer.Message, err error) {
-		if answer, isAnswer := message.(Answer); err == nil && isAnswer {
-			reply(answer, nil)
+		if counted, isAnswer := message.(Answer); err == nil && isAnswer {
+			answer(counted)
 			return
 		}
 		q.setSilent(ranked[0], true)
-		reply(q.count(tenant, ask), nil)
+		answer(q.count(tenant, ask))
 	})
 }
 
--- a/internal/tenants/messages.go
+++ b/internal/tenants/messages.go
@@ -13,6 +13,9 @@
 	Cost float64
 	// Rank of the request among its tenant's, see Need.
 	Rank float64
+	// Silent: the receiver's last answer came too late for the sender, or not at all, so
+	// it must not take this for a sign that it is heard.
+	Silent bool
 	// Relayed: the sender was asked itself, and the receiver must answer for itself.
 	Relayed bool
 	// Heard is what the asking node heard from another node that counted the tenant;
@@ -27,6 +30,8 @@
 	RoomIn time.Duration
 	// CountedBy is the address of the node that counted, and Left its count.
 	CountedBy string
+	// Silent as in Ask: the asking node's own answers come too late for this one.
+	Silent bool
 	// Process tells the processes of that node apart.
 	Process int64
 	Left    Count
--- a/internal/tenants/quota.go
+++ b/internal/tenants/quota.go
@@ -78,7 +78,8 @@
 	mutex sync.Mutex
 	// silent nodes did not answer.
 	silent map[string]bool
-	// heardAt is when each of the other nodes that count last asked or answered.
+	// heardAt is when each of the other nodes that count last asked or answered. One that
+	// gets no answer in time asks as well, but asks others to count: else two counted.
 	heardAt map[string]time.Time
 	// changed wakes Run when the nodes that count change.
 	changed chan struct{}
@@ -151,11 +152,14 @@
 
 // probe looks whether a node answers.
 func (q *Quota) probe(address string) {
-	q.config.Transport.Call(address, Ask{}, askTimeout, func(_ peer.Message, err error) {
-		if err == nil {
+	q.config.Transport.Call(address, Ask{Silent: q.isSilent(address)}, askTimeout, func(message peer.Message, err error) {
+		if err != nil {
+			return
+		}
+		if answer, isAnswer := message.(Answer); isAnswer && !answer.Silent {
 			q.noteHeard(address)
-			q.setSilent(address, false)
 		}
+		q.setSilent(address, false)
 	})
 }
 
