Show an end that does not count as its record goes first, in a failing test

Beside five busy processes TestRequestThatEndsServersIsRefusedByAllNodes saw a seventh end: the record of an ended server is removed there at once, and a node may learn of that before it sees its attempt break. The test of planned ends gives a server that took its record away two seconds to serve on, as such servers do.

--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -225,6 +225,8 @@
 					leaving = &fleet.Server{ID: server.ID, Address: server.Address, Draining: true}
 				}
 				w.nodes[0].view.UpdateServers(map[string]*fleet.Server{server.ID: leaving})
+				// It serves on meanwhile.
+				time.Sleep(2 * time.Second)
 				w.end(server, map[*node][]Identity{w.nodes[0]: poison})
 				time.Sleep(time.Second)
 			}
@@ -254,6 +256,22 @@
 	})
 }
 
+// Where another server takes an ended one's place at once, its record may be gone before
+// the node sees that the attempt broke.
+func TestRecordThatGoesWithItsServerIsNoPlan(t *testing.T) {
+	inWorld(t, 1, 1, func(w *world) {
+		poison := numbered(0, 1)
+		for i := range endsToHold {
+			server := w.server(fmt.Sprint("s", i))
+			time.Sleep(time.Second)
+			w.nodes[0].view.UpdateServers(map[string]*fleet.Server{server.ID: nil})
+			w.end(server, map[*node][]Identity{w.nodes[0]: poison})
+			time.Sleep(time.Second)
+		}
+		Expect(w.held(poison[0])).To(Equal(1))
+	})
+}
+
 // A server that breaks many attempts and lives is looked at a few times a second.
 func TestServersThatLiveAreLookedAtSeldom(t *testing.T) {
 	inWorld(t, 1, 1, func(w *world) {
