Take a server whose record goes together with it for one that ended

Cause: only a server that was listed as its attempt broke counted; one whose record is removed at once, as another takes its place, was taken for one that left as planned. Servers that take their records away serve on for seconds, so a view up to a second old decides.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -82,6 +82,9 @@
 	unanswered []*unanswered
 	// deciding: a decision is due.
 	deciding bool
+	// recent views, as of the last ticks: servers that leave as planned serve on for
+	// longer than these are old.
+	recent [2]*fleet.Snapshot
 }
 
 // unanswered is a report that a collector has not answered yet.
@@ -143,8 +146,7 @@
 // whole. It counts once it is proved that the server ended, and not where that was
 // planned: a server that drains, or that took its record away, ends in time.
 func (g *Guard) Broke(ctx context.Context, identity Identity, server *fleet.Server) {
-	listed := g.config.View.Load().Servers[server.ID]
-	if identity.IsZero() || listed == nil || listed.Draining {
+	if identity.IsZero() || g.leftAsPlanned(server.ID) {
 		return
 	}
 	check, ended := g.suspects.add(identity, server.ID, server.Address, time.Now())
@@ -156,6 +158,20 @@
 	}
 }
 
+// leftAsPlanned reports whether a server drains, or took its record away a while ago: one
+// whose record goes together with it, since another one takes its place, did not.
+func (g *Guard) leftAsPlanned(server string) bool {
+	listed := g.config.View.Load().Servers[server]
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, earlier := range g.recent {
+		if listed == nil && earlier != nil {
+			listed = earlier.Servers[server]
+		}
+	}
+	return listed == nil || listed.Draining
+}
+
 // look finds out whether a server that broke attempts has ended.
 func (g *Guard) look(ctx context.Context, server *fleet.Server) {
 	for again := true; again; {
@@ -208,6 +224,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		g.keepView()
 		g.lookAtRecords(now)
 		g.sendUnanswered(now)
 		for _, identity := range g.quarantine.removeOver(now) {
@@ -220,6 +237,13 @@
 	}
 }
 
+// keepView remembers which servers are listed now.
+func (g *Guard) keepView() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.recent[0], g.recent[1] = g.config.View.Load(), g.recent[0]
+}
+
 // lookAtRecords finds the servers that ended by their records: these are gone without
 // a drain, or another incarnation has the address.
 func (g *Guard) lookAtRecords(now time.Time) {
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -168,7 +168,7 @@
 switch_off poison-no-switchover internal/forward/switchover.go 'if _, held := f.poison.Held(asked.request.Identity); held {' 'if _, held := f.poison.Held(asked.request.Identity); false && held {' $forward
 switch_off callers-leave-no-ends internal/forward/poison.go 'if errors.As(err, &ofCaller) {' 'if errors.As(err, &ofCaller) && false {' $forward
 switch_off unframed-is-no-proof internal/forward/poison.go 'case reply.Unframed:' 'case false:' $forward
-switch_off planned-ends internal/poison/guard.go 'listed == nil || listed.Draining' 'listed == nil && false' $poison
+switch_off planned-ends internal/poison/guard.go 'return listed == nil || listed.Draining' 'return listed == nil && false' $poison
 switch_off servers-that-live internal/poison/suspects.go 'if !at.After(before) {' 'if false && at.After(before) {' $poison
 switch_off ends-by-records internal/poison/guard.go 'g.Ended(id, "its record is gone")' '' $poison
 switch_off explained-ends internal/poison/ledger.go 'if held(identity) {
