--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -135,6 +135,11 @@
 		}
 		_ = conn.Close()
 	}
+	return c.open(ctx, address)
+}
+
+// open opens a connection and counts it.
+func (c *Client) open(ctx context.Context, address string) (*connection, error) {
 	conn, err := c.dial.dial(ctx, address)
 	if err != nil {
 		return nil, err
@@ -148,13 +153,10 @@
 // Connect finds out whether somebody listens at an address. A connection that comes up
 // is kept for the next request.
 func (c *Client) Connect(ctx context.Context, address string) error {
-	conn, err := c.dial.dial(ctx, address)
+	conn, err := c.open(ctx, address)
 	if err != nil {
 		return err
 	}
-	c.mutex.Lock()
-	c.opened++
-	c.mutex.Unlock()
 	conn.keepUntil = time.Now().Add(keepDefault)
 	c.putIdle(address, conn)
 	return nil
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -199,7 +199,7 @@
 		return
 	}
 	g.config.Counted()
-	slices.SortFunc(identities, func(a, b Identity) int { return slices.Compare(a[:], b[:]) })
+	slices.SortFunc(identities, Identity.compare)
 	g.config.Logger.Warn().Str("server", server).Str("proof", proof).Int("requests", len(identities)).
 		Strs("identities", logged(identities)).Msg("server ended under requests")
 	g.report(timedEnd{server: server, suspects: identities, at: brokeAt})
--- a/internal/poison/identity.go
+++ b/internal/poison/identity.go
@@ -8,6 +8,7 @@
 package poison
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -23,6 +24,7 @@
 // out, since some of them differ between two tries: IDs, deadlines, the event that a
 // stream goes on at.
 func IdentityOf(caller, method, host, target string, body []byte) Identity {
+	// A hash takes all that is written to it; its errors are always nil.
 	digest := sha256.New()
 	for _, part := range []string{caller, method, host, target} {
 		// The length keeps two parts from being read as one another's beginning.
@@ -46,5 +48,8 @@
 // Text is the whole identity, as in the store's keys and in commands.
 func (i Identity) Text() string { return hex.EncodeToString(i[:]) }
 
+// compare orders identities, so that what depends on their order repeats.
+func (i Identity) compare(other Identity) int { return bytes.Compare(i[:], other[:]) }
+
 // IsZero reports whether the request has no identity, as one that was not read.
 func (i Identity) IsZero() bool { return i == Identity{} }
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -141,7 +141,7 @@
 		}
 		found = append(found, identity)
 	}
-	slices.SortFunc(found, func(a, b Identity) int { return slices.Compare(a[:], b[:]) })
+	slices.SortFunc(found, Identity.compare)
 	return found
 }
 
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -45,14 +45,14 @@
 	Age time.Duration
 }
 
-func (v Entry) message(now time.Time) Quarantined {
-	return Quarantined{Identity: v.Identity, Times: v.Times, Servers: v.Servers, Age: now.Sub(v.Since), Remaining: v.Until.Sub(now)}
+func (e Entry) message(now time.Time) Quarantined {
+	return Quarantined{Identity: e.Identity, Times: e.Times, Servers: e.Servers, Age: now.Sub(e.Since), Remaining: e.Until.Sub(now)}
 }
 
-func (c Quarantined) entry(now time.Time) Entry {
+func (q Quarantined) entry(now time.Time) Entry {
 	return Entry{
-		Identity: c.Identity, Times: c.Times, Servers: c.Servers,
-		Since: now.Add(-c.Age), Until: now.Add(min(c.Remaining, longestHold)),
+		Identity: q.Identity, Times: q.Times, Servers: q.Servers,
+		Since: now.Add(-q.Age), Until: now.Add(min(q.Remaining, longestHold)),
 	}
 }
 
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -73,6 +73,6 @@
 	for _, entry := range q.entries {
 		all = append(all, entry)
 	}
-	slices.SortFunc(all, func(a, b Entry) int { return slices.Compare(a.Identity[:], b.Identity[:]) })
+	slices.SortFunc(all, func(a, b Entry) int { return a.Identity.compare(b.Identity) })
 	return all
 }
--- a/internal/tenants/quota_test.go
+++ b/internal/tenants/quota_test.go
@@ -446,9 +446,7 @@
 func TestNodeThatOthersDoNotReachInTimeCountsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		directory := directoryOf(tokenLimit)
-		fleet := fleetOf(4, func() *tenants.Directory { return directory })
-		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.Addresses())})
+		fleet, directory := counted(4, tokenLimit)
 		defer fleet.run(t)()
 		seen := &grants{}
 		press(fleet, directory, 15*time.Millisecond, 10*time.Second, seen)
