Publish what changed of a view alone, and look only at a model's holders

With 10,000 servers each change published all of them anew, and each look for a server went over all of the pool. Property test: a view told in pieces equals one told at once; it found servers listed twice where one change named them twice.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
-	"sort"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 )
@@ -13,11 +15,39 @@
 	// Servers by ID.
 	Servers map[string]*Server
 	byPool  map[string][]*Server
+	// holders by pool and model, each made when it is asked for first.
+	holders sync.Map
 }
 
 // Pool returns the servers of a pool in order of ID.
 func (s *Snapshot) Pool(name string) []*Server { return s.byPool[name] }
 
+// poolModel names a model of a pool.
+type poolModel struct{ pool, model string }
+
+// Holders returns the servers of a pool that hold a model, in order of ID; all of them
+// for an empty model.
+//
+// A request looks at these alone: looking at 10,000 servers takes 2 ms of a core at each
+// look, and a request that waits looks every 20 ms.
+func (s *Snapshot) Holders(pool, model string) []*Server {
+	if model == "" {
+		return s.byPool[pool]
+	}
+	key := poolModel{pool, model}
+	if found, made := s.holders.Load(key); made {
+		return found.([]*Server)
+	}
+	var holders []*Server
+	for _, server := range s.byPool[pool] {
+		if server.Holds(model, "") {
+			holders = append(holders, server)
+		}
+	}
+	s.holders.Store(key, holders)
+	return holders
+}
+
 // View holds the newest snapshot. Reading is free of locks; changes are
 // serialized and wake those who wait for one.
 type View struct {
@@ -60,7 +90,8 @@
 	if current != nil && configuration.Revision <= current.Revision {
 		return false
 	}
-	v.publish(configuration)
+	before := v.Load()
+	v.show(&Snapshot{Configuration: configuration, Servers: before.Servers, byPool: before.byPool})
 	return true
 }
 
@@ -89,15 +120,17 @@
 func (v *View) UpdateServers(changes map[string]*Server) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
+	changed := make([]string, 0, len(changes))
 	for id, server := range changes {
 		v.dropOutdated(id, server)
+		changed = append(changed, id)
 		if server == nil {
 			delete(v.records, id)
 			continue
 		}
 		v.records[id] = server
 	}
-	v.publish(v.Load().Configuration)
+	v.publishChanged(changed)
 }
 
 // dropOutdated takes the overlay of a server away that was told of an earlier
@@ -126,7 +159,9 @@
 func (v *View) Place(states []*Server) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
+	changed := make([]string, 0, len(states))
 	for _, state := range states {
+		changed = append(changed, state.ID)
 		if before := v.placed[state.ID]; before != nil && before.PlacedVersion > state.PlacedVersion {
 			continue
 		}
@@ -136,7 +171,7 @@
 		}
 		v.placed[state.ID] = state
 	}
-	v.publish(v.Load().Configuration)
+	v.publishChanged(changed)
 }
 
 // ForgetPlaced drops the overlay, for example when the holder is lost.
@@ -164,13 +199,64 @@
 		snapshot.byPool[server.Pool] = append(snapshot.byPool[server.Pool], server)
 	}
 	for _, servers := range snapshot.byPool {
-		sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
+		slices.SortFunc(servers, byID)
 	}
+	v.show(snapshot)
+}
+
+func byID(a, b *Server) int { return strings.Compare(a.ID, b.ID) }
+
+// show must be called with the lock held.
+func (v *View) show(snapshot *Snapshot) {
 	v.current.Store(snapshot)
 	close(v.changed)
 	v.changed = make(chan struct{})
 }
 
+// publishChanged publishes what changed of a few servers. It must be called with the
+// lock held. With 10,000 servers it takes 0.5 ms, and publishing all anew 4.4 ms
+// (BenchmarkView).
+func (v *View) publishChanged(ids []string) {
+	before := v.Load()
+	snapshot := &Snapshot{Configuration: before.Configuration, Servers: maps.Clone(before.Servers), byPool: maps.Clone(before.byPool)}
+	pools := map[string][]*Server{}
+	slices.Sort(ids)
+	ids = slices.Compact(ids)
+	for _, id := range ids {
+		if old := snapshot.Servers[id]; old != nil {
+			delete(snapshot.Servers, id)
+			pools[old.Pool] = append(pools[old.Pool], nil)
+		}
+		if record := v.records[id]; record != nil {
+			server := overlay(record, v.placed[id])
+			snapshot.Servers[id] = server
+			pools[server.Pool] = append(pools[server.Pool], server)
+		}
+	}
+	for pool, changed := range pools {
+		snapshot.byPool[pool] = merge(before.byPool[pool], changed, ids)
+	}
+	v.show(snapshot)
+}
+
+// merge returns the servers in order of ID, without those that changed as they were and
+// with them as they are; nil stands for one that is gone. The IDs are in order.
+func merge(servers, changed []*Server, ids []string) []*Server {
+	changed = slices.DeleteFunc(changed, func(server *Server) bool { return server == nil })
+	slices.SortFunc(changed, byID)
+	merged := make([]*Server, 0, len(servers)+len(changed))
+	for _, server := range servers {
+		if _, isChanged := slices.BinarySearch(ids, server.ID); isChanged {
+			continue
+		}
+		for len(changed) > 0 && changed[0].ID < server.ID {
+			merged, changed = append(merged, changed[0]), changed[1:]
+		}
+		merged = append(merged, server)
+	}
+	return append(merged, changed...)
+}
+
 // overlay returns the record with the models that the holder knows of. Records
 // come later than the holder's word, so they don't change it.
 func overlay(record, placed *Server) *Server {
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -77,7 +77,7 @@
 	var candidates []candidate
 	var waits []time.Duration
 	flow.runTime = f.tracker.usualRunTime(flow.pool)
-	for _, server := range snapshot.Pool(flow.pool) {
+	for _, server := range snapshot.Holders(flow.pool, flow.request.Model) {
 		load := f.tracker.of(server.ID)
 		able, fits := passes(flow, server, load, now)
 		if able {
