Bound the idle connections to all servers together

A holder that asked 9,640 servers kept a connection to each, against 4,100 descriptors of its machine: 14 s after the start it accepted nobody any more.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -51,9 +51,11 @@
 type Client struct {
 	dial DialSettings
 
-	mutex  sync.Mutex
-	idle   map[string][]*connection
-	opened uint64
+	mutex sync.Mutex
+	idle  map[string][]*connection
+	// kept counts the idle connections, of which there are mostIdle at most; 0: any.
+	kept, mostIdle int
+	opened         uint64
 }
 
 // NewClient returns a client.
@@ -61,6 +63,12 @@
 	return &Client{dial: dial, idle: map[string][]*connection{}}
 }
 
+// SetMostIdle bounds the idle connections to all servers together. Before the first use.
+//
+// A node that asks 9,640 servers something otherwise keeps as many connections, more than
+// its machine has descriptors, and can accept none of its callers.
+func (c *Client) SetMostIdle(most int) { c.mostIdle = most }
+
 // Opened counts the connections that came up.
 func (c *Client) Opened() uint64 {
 	c.mutex.Lock()
@@ -171,6 +179,11 @@
 		return nil
 	}
 	last := kept[len(kept)-1]
+	c.kept--
+	if len(kept) == 1 {
+		delete(c.idle, address)
+		return last
+	}
 	c.idle[address] = kept[:len(kept)-1]
 	return last
 }
@@ -182,9 +195,28 @@
 		_ = conn.Close()
 		return
 	}
+	if c.mostIdle > 0 && c.kept >= c.mostIdle {
+		c.closeAny()
+	}
+	c.kept++
 	c.idle[address] = append(c.idle[address], conn)
 }
 
+// closeAny closes the oldest idle connection of any server. It must be called with the
+// lock held.
+func (c *Client) closeAny() {
+	for address, kept := range c.idle {
+		_ = kept[0].Close()
+		c.kept--
+		if len(kept) == 1 {
+			delete(c.idle, address)
+		} else {
+			c.idle[address] = kept[1:]
+		}
+		return
+	}
+}
+
 // Tidy closes kept connections whose time is over. It is called now and then.
 func (c *Client) Tidy(now time.Time) {
 	c.mutex.Lock()
@@ -197,6 +229,7 @@
 				continue
 			}
 			_ = conn.Close()
+			c.kept--
 		}
 		if len(left) == 0 {
 			delete(c.idle, address)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -106,6 +107,34 @@
 	})
 }
 
+// A node that asks very many servers once keeps few of the connections.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	const servers, most = 200, 10
+	scripts := make([]script, servers)
+	for i := range scripts {
+		scripts[i] = answers(answer("1", "one"))
+	}
+	withServer(t, scripts, func(client *Client, server *scriptedServer) {
+		client.SetMostIdle(most)
+		for number := range servers {
+			request := requestFor("1")
+			request.Address = fmt.Sprint("s", number)
+			response, err := client.Do(context.Background(), request)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(read(response)).To(Equal("one"))
+			Expect(client.kept).To(BeNumerically("<=", most))
+		}
+		kept := 0
+		for _, idle := range client.idle {
+			kept += len(idle)
+		}
+		Expect(kept).To(Equal(most))
+		client.Tidy(time.Now().Add(time.Hour))
+		Expect(client.kept).To(BeZero())
+		Expect(client.idle).To(BeEmpty())
+	})
+}
+
 func TestNothingIsSentTwice(t *testing.T) {
 	closes := func(conn net.Conn, reader *bufio.Reader) {
 		readRequest(reader)
