--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -17,10 +17,15 @@
 type Input struct {
 	Now    time.Time
 	Engine *fleet.Engine
-	// Servers in order of ID.
+	// Servers in order of ID: all, or those that actions may concern.
 	Servers []Server
+	// Elsewhere counts the replicas by model at ServersElsewhere other servers.
+	Elsewhere        map[string]int
+	ServersElsewhere int
 	// Demand by model.
 	Demand map[string]*Demand
+	// LoadAhead: models that no server holds are loaded before they are asked for.
+	LoadAhead bool
 	// StoreLoads is how many loads from the weight store may begin now.
 	StoreLoads int
 	// StoreNextIn is the time until one may begin, where none may now.
@@ -39,6 +44,8 @@
 	Leaving bool
 	// Suspect servers did not answer lately; nothing is planned on them.
 	Suspect bool
+	// Unasked servers hold what their records show and take no orders yet.
+	Unasked bool
 	Models  map[string]Replica
 	// Loading is the model being loaded, if any.
 	Loading string
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -66,6 +67,7 @@
 		doubtful: map[string]int{}, storeLoads: input.StoreLoads, readyIn: map[string]time.Duration{},
 		zones: map[modelZone]bool{}, desiredBy: map[string]int{}, crowdedBy: map[string]float64{},
 	}
+	maps.Copy(p.ready, input.Elsewhere)
 	for i := range input.Servers {
 		server := &input.Servers[i]
 		for model := range server.Models {
@@ -111,7 +113,7 @@
 	if demand.Waiting > 0 {
 		need = max(need, 1)
 	}
-	return min(need, max(len(p.Servers)/3, 1))
+	return min(need, max((len(p.Servers)+p.ServersElsewhere)/3, 1))
 }
 
 // replicasForAdapters holds the adapters that are in use at once.
@@ -141,9 +143,13 @@
 // without any replica first.
 func (p *plan) loadModels() {
 	p.continueIntents()
-	for _, wish := range p.wishes() {
+	wishes := p.wishes()
+	for _, wish := range wishes {
 		p.place(wish)
 	}
+	if p.LoadAhead && len(wishes) == 0 {
+		p.loadAhead()
+	}
 }
 
 func (p *plan) wishes() []wish {
@@ -204,7 +210,7 @@
 }
 
 func (p *plan) usable(server *Server) bool {
-	return !server.Busy && !server.Leaving && !server.Suspect && !p.taken[server.ID]
+	return !server.Busy && !server.Leaving && !server.Suspect && !server.Unasked && !p.taken[server.ID]
 }
 
 // place finds the server where a replica costs least, first of all time. If that
@@ -245,7 +251,7 @@
 // mayWaitFor: the server takes an order now or, for a model that no server holds,
 // once the order under way has ended.
 func (p *plan) mayWaitFor(server *Server, w wish) bool {
-	if server.Leaving || server.Suspect || p.taken[server.ID] || p.reserved[server.ID] || server.Intent == w.model.Name {
+	if server.Leaving || server.Suspect || server.Unasked || p.taken[server.ID] || p.reserved[server.ID] || server.Intent == w.model.Name {
 		return false
 	}
 	return w.cold || !server.Busy && server.Intent == ""
