Ask few servers at once, and plan a large pool with a sample

A new holder asked all servers at once: 9,640 goroutines and connections. Now 32 at a time, wanted ones first; until a server is asked, its record counts. Server reports that say what the record says are not logged.

--- /dev/null
+++ b/internal/orders/asking.go
@@ -0,0 +1,87 @@
+package orders
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/placement"
+)
+
+// askAtOnce is how many servers are asked for reports at once. A new holder has to hear
+// each server once, and each question takes a connection: 9,640 at once took all of a
+// machine's 4,100 descriptors, so that neither callers nor nodes reached it any more. At
+// 5 ms a question it is 6,000 servers a second.
+const askAtOnce = 32
+
+// asking is the order in which servers are asked for reports. The holder's lock guards
+// it.
+type asking struct {
+	queue   []*entry
+	workers int
+}
+
+// ask begins to ask the servers, those first that hold what is waited for. It must be
+// called with the lock held; those that were not asked before are forgotten.
+func (h *Holder) ask(ctx context.Context, stale []*entry, now time.Time) {
+	if len(stale) > askAtOnce {
+		waited := h.demand.waited(now)
+		sort.SliceStable(stale, func(i, j int) bool { return stale[i].holdsAny(waited) && !stale[j].holdsAny(waited) })
+	}
+	h.asking.queue = stale
+	for h.asking.workers < askAtOnce && h.asking.workers < len(stale) {
+		h.asking.workers++
+		go h.askAll(ctx)
+	}
+}
+
+// askAll asks one server after the other until none is left to ask.
+func (h *Holder) askAll(ctx context.Context) {
+	for {
+		next := h.nextAsked(ctx)
+		if next == nil {
+			return
+		}
+		h.refresh(ctx, next)
+	}
+}
+
+func (h *Holder) nextAsked(ctx context.Context) *entry {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := time.Now()
+	for len(h.asking.queue) > 0 && ctx.Err() == nil {
+		next := h.asking.queue[0]
+		h.asking.queue = h.asking.queue[1:]
+		if next.working || !next.stale() {
+			continue
+		}
+		next.working, next.busyUntil = true, now.Add(reportLag)
+		return next
+	}
+	h.asking.workers--
+	return nil
+}
+
+// holdsAny reports whether the server holds one of the models, as far as known.
+func (e *entry) holdsAny(models map[comingKey]bool) bool {
+	for name := range e.server.Models {
+		if models[comingKey{e.server.Pool, name}] {
+			return true
+		}
+	}
+	return false
+}
+
+// unasked: nothing but the server's record tells what it holds.
+func (e *entry) unasked() bool { return !e.known && e.suspectUntil.IsZero() }
+
+// recordedReplicas are the models that a server's record shows.
+func recordedReplicas(server *fleet.Server) map[string]placement.Replica {
+	replicas := make(map[string]placement.Replica, len(server.Models))
+	for name, held := range server.Recorded() {
+		replicas[name] = placement.Replica{Adapters: held.Adapters}
+	}
+	return replicas
+}
--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -159,6 +159,22 @@
 	return waiting
 }
 
+// waited are the models that callers of any node wait for.
+func (b *demandBook) waited(now time.Time) map[comingKey]bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	models := map[comingKey]bool{}
+	for _, node := range b.nodes {
+		if now.Sub(node.at) >= b.lifetime() {
+			continue
+		}
+		for _, key := range node.report.waitsFor() {
+			models[key] = true
+		}
+	}
+	return models
+}
+
 // waitsFor returns the models that the node's callers wait for.
 func (r *DemandReport) waitsFor() []comingKey {
 	var models []comingKey
--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -137,7 +137,7 @@
 	}
 	target.working, target.loadingAdapter = false, ""
 	h.mutex.Unlock()
-	h.push(time.Now())
+	h.tellChange(target, action.Model)
 }
 
 // follow asks for reports until the order was carried out.
@@ -159,7 +159,7 @@
 			}
 			h.finish(target, &report)
 			h.noteReason(target, action)
-			h.push(time.Now())
+			h.tellChange(target, action.Model)
 			return
 		}
 		if err != nil && h.config.View.Load().Servers[action.Server] == nil {
@@ -234,9 +234,11 @@
 	h.finish(target, &report)
 }
 
-// logReport tells what a server holds, when that was asked for to begin with or
-// because it was in doubt.
+// logReport tells what a server holds where its record says something else.
 func (h *Holder) logReport(target *entry, report Report) {
+	if sameModels(report.Models, h.serverOf(target).Recorded()) {
+		return
+	}
 	h.config.Logger.Info().Str("server", h.serverOf(target).ID).Int64("sequence", report.Sequence).
 		Strs("models", slices.Sorted(maps.Keys(report.Models))).Strs("in_memory", slices.Sorted(maps.Keys(report.InMemory))).
 		Strs("on_disk", slices.Sorted(maps.Keys(report.OnDisk))).Msg("server reported")
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -40,6 +40,8 @@
 	Record *CountersRecord
 	// Ceiling bounds the loads from the weight store.
 	Ceiling CeilingLimits
+	// LoadAhead: models that no server holds are loaded before they are asked for.
+	LoadAhead bool
 	// Push sends an update to a node; it must not block.
 	Push func(address string, update Update)
 	// Ordered is called with each order that was sent, and its reply; nil: not
@@ -57,6 +59,7 @@
 	mutex  sync.Mutex
 	term   *Term
 	ledger *ledger
+	asking *asking
 	// pushed is the version that was pushed last, at pushedAt.
 	pushed   uint64
 	pushedAt time.Time
@@ -69,7 +72,7 @@
 
 // NewHolder returns a holder; Run makes it work.
 func NewHolder(config HolderConfig) *Holder {
-	return &Holder{config: config, demand: newDemandBook(), wake: make(chan struct{}, 1), ledger: newLedger(), promises: newPromises()}
+	return &Holder{config: config, demand: newDemandBook(), wake: make(chan struct{}, 1), ledger: newLedger(), asking: &asking{}, promises: newPromises()}
 }
 
 // Run plans and orders during this node's terms until ctx ends.
@@ -87,7 +90,7 @@
 // lead works during one term.
 func (h *Holder) lead(ctx context.Context, term *Term) {
 	h.mutex.Lock()
-	h.term, h.ledger, h.pushed = term, newLedger(), 0
+	h.term, h.ledger, h.pushed, h.asking = term, newLedger(), 0, &asking{}
 	h.ceiling, h.promises = newCeiling(h.config.Ceiling), newPromises()
 	h.began, h.counters = time.Now(), tenants.Counters{}
 	h.mutex.Unlock()
@@ -141,10 +144,7 @@
 	}
 	now := time.Now()
 	h.mutex.Lock()
-	for _, unknown := range h.ledger.sync(snapshot, now) {
-		unknown.working, unknown.busyUntil = true, now.Add(reportLag)
-		go h.refresh(ctx, unknown)
-	}
+	h.ask(ctx, h.ledger.sync(snapshot, now), now)
 	if term.MayOrder(now) {
 		for name, pool := range snapshot.Configuration.Pools {
 			if pool.Engine != nil {
@@ -165,9 +165,11 @@
 func (h *Holder) plan(ctx context.Context, term *Term, pool string, engine *fleet.Engine, now time.Time) {
 	underWay := h.ledger.storeLoads(now)
 	h.ceiling.expect(engine.LongestLoad())
+	demand := h.demand.ofPool(pool, now)
+	sample := h.ledger.sample(pool, demand, now)
 	input := placement.Input{
-		Now: now, Engine: engine, Servers: h.ledger.servers(pool, now),
-		Demand: h.demand.ofPool(pool, now), StoreLoads: h.ceiling.available(engine.LoadsPerSecond, underWay, now),
+		Now: now, Engine: engine, Servers: sample.servers, Elsewhere: sample.elsewhere, ServersElsewhere: sample.left,
+		Demand: demand, LoadAhead: h.config.LoadAhead, StoreLoads: h.ceiling.available(engine.LoadsPerSecond, underWay, now),
 		StoreNextIn: h.ceiling.nextIn(engine.LoadsPerSecond, underWay),
 	}
 	for i := range input.Servers {
@@ -261,9 +263,30 @@
 	}
 }
 
-// push tells all nodes what changed since the last push. With many nodes it waits
-// for more changes; the next plan pushes them.
-func (h *Holder) push(now time.Time) {
+// tellChange tells all nodes of a model or adapter that is there. Where they are so many
+// that this waits for more changes, those whose callers wait for it are told at once: of
+// 985 nodes all are told every 0.49 s, which is an answer's whole objective.
+func (h *Holder) tellChange(target *entry, model string) {
+	now := time.Now()
+	if h.push(now) {
+		return
+	}
+	h.mutex.Lock()
+	key, term := comingKey{target.server.Pool, model}, h.term
+	update := Update{Servers: []ServerState{target.state(target.server.ID)}}
+	h.mutex.Unlock()
+	if term == nil {
+		return
+	}
+	update.Token, update.OrdersIn = term.Token, term.ordersIn(now)
+	for address := range h.demand.waitingNodes([]comingKey{key}, now) {
+		h.config.Push(address, update)
+	}
+}
+
+// push tells all nodes what changed since the last push, and reports whether it did.
+// With many nodes it waits for more changes; the next plan pushes them.
+func (h *Holder) push(now time.Time) bool {
 	live := h.demand.live(now)
 	pause := time.Duration(len(live)) * pushPauseEach
 	h.mutex.Lock()
@@ -274,12 +297,13 @@
 	}
 	h.mutex.Unlock()
 	if !due {
-		return
+		return false
 	}
 	update := h.update(term, after, nil, now)
 	for address := range live {
 		h.config.Push(address, update)
 	}
+	return true
 }
 
 // pushPromises tells the nodes that wait for models when these will be there.
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -61,6 +62,19 @@
 type ledger struct {
 	entries map[string]*entry
 	version uint64
+	// changes are the entries that changed, in order of the versions at which they did;
+	// one that changed once more stands in it twice.
+	changes []changedEntry
+	// byPool are the IDs of each pool's servers in order; nil: to be made.
+	byPool map[string][]string
+	// turn is where the next sample of a large pool begins.
+	turn int
+}
+
+// changedEntry is an entry that changed at a version.
+type changedEntry struct {
+	version uint64
+	id      string
 }
 
 func newLedger() *ledger { return &ledger{entries: map[string]*entry{}} }
@@ -78,6 +92,10 @@
 		if found == nil {
 			found = &entry{models: map[string]*heldModel{}}
 			l.entries[id] = found
+			l.byPool = nil
+		}
+		if found.server != nil && found.server.Pool != server.Pool {
+			l.byPool = nil
 		}
 		if found.server != nil && found.server.Created != server.Created {
 			// Nodes drop what they were told of the record before.
@@ -91,6 +109,7 @@
 	for id := range l.entries {
 		if snapshot.Servers[id] == nil && !l.entries[id].working {
 			delete(l.entries, id)
+			l.byPool = nil
 		}
 	}
 	return ask
@@ -125,6 +144,19 @@
 func (l *ledger) changed(changed *entry) {
 	l.version++
 	changed.version = l.version
+	l.changes = append(l.changes, changedEntry{l.version, changed.server.ID})
+	if len(l.changes) > 2*len(l.entries)+minimumChanges {
+		l.changes = slices.DeleteFunc(l.changes, l.superseded)
+	}
+}
+
+// minimumChanges are kept before those that are superseded are dropped.
+const minimumChanges = 1024
+
+// superseded: the entry changed once more, or is gone.
+func (l *ledger) superseded(change changedEntry) bool {
+	found := l.entries[change.id]
+	return found == nil || found.version != change.version
 }
 
 // reported takes a report over. It is not called while an order is under way,
@@ -150,32 +182,26 @@
 	to.models, to.sequence, to.known = models, report.Sequence, true
 	to.reportedAt = now
 	to.inMemory, to.onDisk = report.InMemory, report.OnDisk
-	if to.version > 0 || !sameModels(models, to.server.Recorded()) {
+	if to.version > 0 || !sameModels(report.Models, to.server.Recorded()) {
 		l.changed(to)
 	}
 }
 
 // sameModels: the record shows just what the server holds, so that nodes need not
 // be told.
-func sameModels(models map[string]*heldModel, record map[string]fleet.Held) bool {
-	if len(models) != len(record) {
-		return false
-	}
-	for name, held := range models {
-		recorded, known := record[name]
-		if !known || !maps.Equal(held.adapters, recorded.Adapters) {
-			return false
-		}
-	}
-	return true
+func sameModels(models, record map[string]fleet.Held) bool {
+	return maps.EqualFunc(models, record, func(held, recorded fleet.Held) bool {
+		return maps.Equal(held.Adapters, recorded.Adapters)
+	})
 }
 
 // states returns the entries that changed after the version.
 func (l *ledger) states(after uint64) []ServerState {
 	var states []ServerState
-	for id, found := range l.entries {
-		if found.version > after && found.known {
-			states = append(states, found.state(id))
+	first := sort.Search(len(l.changes), func(i int) bool { return l.changes[i].version > after })
+	for _, change := range l.changes[first:] {
+		if found := l.entries[change.id]; !l.superseded(change) && found.known {
+			states = append(states, found.state(change.id))
 		}
 	}
 	sort.Slice(states, func(i, j int) bool { return states[i].ID < states[j].ID })
@@ -206,22 +232,11 @@
 	return found
 }
 
-// servers is the planner's input for a pool, in order of ID.
-func (l *ledger) servers(pool string, now time.Time) []placement.Server {
-	var servers []placement.Server
-	for id, found := range l.entries {
-		if found.server.Pool == pool {
-			servers = append(servers, found.plannable(id, now))
-		}
-	}
-	sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
-	return servers
-}
-
 func (e *entry) plannable(id string, now time.Time) placement.Server {
 	server := placement.Server{
 		ID: id, Zone: e.server.Zone, Busy: e.working, Leaving: e.server.Draining,
 		Suspect: !e.known || now.Before(e.suspectUntil), Models: make(map[string]placement.Replica, len(e.models)),
+		Unasked: e.unasked(),
 		Loading: e.loading, LoadingAdapter: e.loadingAdapter, InMemory: e.inMemory, OnDisk: e.onDisk,
 	}
 	if e.working {
@@ -233,6 +248,10 @@
 	if now.Before(e.doubtUntil) && e.models[e.doubtful] == nil {
 		server.Doubtful = e.doubtful
 	}
+	if server.Unasked {
+		server.Suspect, server.Models = false, recordedReplicas(e.server)
+		return server
+	}
 	for name, held := range e.models {
 		server.Models[name] = placement.Replica{Since: held.since, Adapters: held.adapters}
 	}
