Choose the holder by its machine, and bound connections by descriptors

The holder of the fleet was one of its smallest machines, taken by who was first: 0.192 of a core, 20 Mbit/s, 4,100 descriptors, beside 60 machines with four to ten times as much. A node now waits longer before it campaigns, by the time that its machine takes to tell 1,000 nodes of a change (0.12 s and 0.72 s on the two kinds). Idle connections to servers take a quarter of the descriptors at most. Limits that the settings don't tell, or too few descriptors, are an error that names the setting.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -94,6 +94,7 @@
 		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(toStore), settings.Store.Contact),
 		process: edge.NewProcess(settings, logger),
 	}
+	n.servers.SetMostIdle(settings.Machine.IdleConnections())
 	transport, err := tcp.New(tcp.Config{
 		Address: settings.Listen.Peers, AdvertisedAddress: settings.Listen.PeersAdvertised, Secret: []byte(settings.Cluster.Secret), Logger: logger, MaxBackoff: peerBackoff,
 		QueueLength: peerQueue, MaxPendingCalls: peerQueue,
@@ -133,15 +134,16 @@
 func (n *node) assembleOrders() {
 	n.election = orders.NewElection(orders.ElectionConfig{
 		Store: n.store, Prefix: ownPrefix, Self: orders.Record{Name: n.settings.Node.Name, Address: n.transport.Address()},
-		Lease: max(leaseTime, n.settings.Store.MinimumLease), Turn: n.turn(), Logger: n.logger,
+		Lease: max(leaseTime, n.settings.Store.MinimumLease), Turn: n.turn(), Handicap: n.settings.Machine.TellTime(), Logger: n.logger,
 	})
 	n.counters = &orders.CountersRecord{Store: n.store, Key: countersKey, Told: n.quota.SetCounters, Logger: n.logger}
 	n.holder = orders.NewHolder(orders.HolderConfig{
 		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers}, Name: n.settings.Node.Name,
 		Counters: n.quota.Counters, Record: n.counters,
-		Ceiling: orders.CeilingLimits{Window: n.settings.Orders.LoadWindow, Overage: n.settings.Orders.LoadOverage},
-		Push:    func(address string, update orders.Update) { n.link.Push(address, update) },
-		Ordered: n.metrics.Order, Logger: n.logger,
+		Ceiling:   orders.CeilingLimits{Window: n.settings.Orders.LoadWindow, Overage: n.settings.Orders.LoadOverage},
+		LoadAhead: true,
+		Push:      func(address string, update orders.Update) { n.link.Push(address, update) },
+		Ordered:   n.metrics.Order, Logger: n.logger,
 	})
 	n.link = orders.NewLink(orders.LinkConfig{
 		Election: n.election, Holder: n.holder, View: n.view, Transport: n.transport,
--- a/cmd/hatchplank-node/node_test.go
+++ b/cmd/hatchplank-node/node_test.go
@@ -33,6 +33,7 @@
 orders: {turn: 100ms, fenced: false, load_window: 5s, load_overage: 1.1}
 stop: {grace: 2s}
 log: {level: info}
+machine: {processor_share: 0.4, link_mbps: 1000, descriptors: 4100}
 `
 
 // deployment is a store, two engines and a plain server.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -38,6 +38,7 @@
 stop: {grace: 8s}
 log: {level: info}
 memory: {limit_mb: 284}
+machine: {processor_share: 0.4, link_mbps: 1000, descriptors: 4100}
 `
 
 func TestSettings(t *testing.T) {
@@ -63,6 +64,10 @@
 		"no changes":     {"changes: 2000ms, ", "", "store.changes"},
 		"no drains":      {"drains: 2000ms, ", "", "store.drains"},
 		"no load window": {"load_window: 5s", "load_window: 0s", "orders.load_window"},
+		"no processor":   {"processor_share: 0.4", "processor_share: 0", "machine.processor_share"},
+		"no link":        {"link_mbps: 1000, ", "", "machine.link_mbps"},
+		"no descriptors": {", descriptors: 4100", "", "machine.descriptors"},
+		"too few":        {"descriptors: 4100", "descriptors: 399", "machine.descriptors: 399 are too few, a node needs 400"},
 		"quota window":   {"orders:", "quotas: {window_seconds: -1}\norders:", "quotas.window_seconds"},
 	}
 	for name, test := range cases {
@@ -89,6 +94,7 @@
 		"{{bounds.budget-slack}}": "54", "{{bounds.budget-window-s}}": "10", "{{bounds.lease-ms}}": "3000", "{{bounds.quota-window-s}}": "6",
 		"{{bounds.require-fence}}": "false", "{{bounds.ceiling-window-s}}": "5", "{{bounds.ceiling-overage}}": "1.1",
 		"{{bounds.grace-s}}": "8", "{{limits.memory-mb}}": "284",
+		"{{limits.cpu-weight}}": "0.4", "{{limits.link-mbps}}": "1000.0", "{{limits.max-fds}}": "4100",
 		"{{platform.reads-per-s}}": "2000", "{{platform.writes-per-s}}": "400",
 	} {
 		Expect(filled).To(ContainSubstring(gap))
@@ -102,6 +108,19 @@
 	Expect(settings.QuotaWindow()).To(Equal(6 * time.Second))
 	Expect(settings.Store.ReadsPerSecond).To(BeEquivalentTo(2000))
 	Expect(settings.Store.WritesPerSecond).To(BeEquivalentTo(400))
+	Expect(settings.Machine).To(Equal(Machine{ProcessorShare: 0.4, LinkMbps: 1000, Descriptors: 4100}))
+}
+
+// A fleet of large and small machines: large ones campaign first, whatever the chance
+// wait of each, and idle connections leave most descriptors to others.
+func TestMachineDecidesWhatANodeTakesOn(t *testing.T) {
+	RegisterTestingT(t)
+	small := Machine{ProcessorShare: 0.192, LinkMbps: 20, Descriptors: 4100}
+	large := Machine{ProcessorShare: 0.8, LinkMbps: 200, Descriptors: 8192}
+	const spreadAndWord = 200 * time.Millisecond
+	Expect(small.TellTime() - large.TellTime()).To(BeNumerically(">", spreadAndWord))
+	Expect(large.TellTime()).To(BeNumerically("<", spreadAndWord))
+	Expect(small.IdleConnections()).To(BeNumerically("<=", (4100-fileDescriptors)/4))
 }
 
 // blockedWriter never returns.
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -86,6 +86,7 @@
 		// LimitMB is the memory over which the process is killed.
 		LimitMB int `yaml:"limit_mb"`
 	} `yaml:"memory"`
+	Machine Machine `yaml:"machine"`
 }
 
 // defaultQuotaWindow is taken where the settings name none: the users' figure.
@@ -152,6 +153,9 @@
 	require(s.Orders.LoadWindow > 0, "orders.load_window must be above 0")
 	require(s.Orders.LoadOverage > 0, "orders.load_overage must be above 0")
 	require(s.Stop.Grace > 0, "stop.grace must be above 0")
+	require(s.Machine.ProcessorShare > 0, "machine.processor_share must be above 0")
+	require(s.Machine.LinkMbps > 0, "machine.link_mbps must be above 0")
+	require(s.Machine.Descriptors >= leastDescriptors, "machine.descriptors: %d are too few, a node needs %d", s.Machine.Descriptors, leastDescriptors)
 	require(s.Memory.LimitMB >= 0, "memory.limit_mb must not be below 0")
 	return errors.Join(problems...)
 }
--- a/internal/orders/election.go
+++ b/internal/orders/election.go
@@ -64,8 +64,12 @@
 	// Lease is the time after which a holder that is not heard is replaced.
 	Lease time.Duration
 	// Turn is the time between the orders of two holders.
-	Turn   time.Duration
-	Logger zerolog.Logger
+	Turn time.Duration
+	// Handicap is how much longer than others this node waits before it campaigns: the
+	// time that its machine takes to tell all nodes of a change. A holder on one of the
+	// smallest of 985 machines ran out of descriptors 14 s after the start.
+	Handicap time.Duration
+	Logger   zerolog.Logger
 }
 
 // Election finds the one holder by a record in the store.
@@ -113,6 +117,12 @@
 	return holder.Address
 }
 
+// HoldsHere reports whether the holder, as far as known, is this node.
+func (e *Election) HoldsHere() bool {
+	holder, known := e.Holder()
+	return known && holder.Address == e.config.Self.Address
+}
+
 // Term returns this node's term, or nil.
 func (e *Election) Term() *Term {
 	e.mutex.Lock()
@@ -238,7 +248,7 @@
 			e.wait(ctx, changed, time.Second)
 			continue
 		}
-		e.wait(ctx, nil, campaignWait(rand.Float64()))
+		e.wait(ctx, nil, e.campaignDelay(*vacancy))
 		if _, vacancy = e.vacancy(); vacancy == nil {
 			// Another node was first meanwhile.
 			continue
@@ -253,6 +263,16 @@
 	}
 }
 
+// campaignDelay is the wait before a campaign. Nobody competes for the record of a
+// process before this one.
+func (e *Election) campaignDelay(at vacancy) time.Duration {
+	wait := campaignWait(rand.Float64())
+	if at.holderRevision == 0 {
+		wait += e.config.Handicap
+	}
+	return wait
+}
+
 // campaignWait is how long a node waits before it campaigns, by a random number
 // from 0 to 1. The waits are spread so that, whatever the number of nodes, few of
 // them end before the first one's record is known to the others (Nonnenmacher and
