--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -28,6 +28,8 @@
 	ownPrefix = "hatchplank/"
 	// countersKey names the nodes that count tenants.
 	countersKey = ownPrefix + "quota-counters"
+	// copyKey tells of the copy of all servers' records.
+	copyKey = ownPrefix + "records"
 	// poisonPrefix begins the keys of requests that are refused.
 	poisonPrefix = ownPrefix + "poison/"
 	// endsPrefix begins the keys of servers that ended under requests, one for each node.
@@ -188,7 +190,8 @@
 		Times: mirror.Times{
 			Contact: n.settings.Store.Contact, Changes: min(n.settings.Store.Changes, n.settings.Store.Drains),
 		},
-		Relay: n.election.HolderElsewhere, Transport: n.transport, Address: n.transport.Address(), Logger: n.logger,
+		Relay: n.election.HolderElsewhere, IsRelay: n.election.HoldsHere, CopyKey: copyKey,
+		LinkBytesPerSecond: n.settings.Machine.LinkBytesPerSecond(), Transport: n.transport, Address: n.transport.Address(), Logger: n.logger,
 	})
 }
 
--- a/internal/mirror/apply.go
+++ b/internal/mirror/apply.go
@@ -18,14 +18,24 @@
 			servers[id] = server
 		}
 	}
+	m.partial = false
 	m.addLapsed(servers, time.Now())
 	m.config.View.ReplaceServers(servers)
+	m.replaceOwn(changes)
+	m.content.set(changes.ConfigurationValue, changes.ConfigurationRevision)
+	m.takeConfiguration(changes.Configuration, changes.ConfigurationRevision)
+}
+
+// replaceOwn takes over all of the product's own keys. It must be called with the
+// lock held.
+func (m *Mirror) replaceOwn(changes Changes) {
 	var own []outside.KeyValue
 	for _, event := range changes.Own {
 		own = append(own, event.KeyValue)
+		m.noteCopy(event)
 	}
+	m.ownAt = max(m.ownAt, changes.At)
 	m.config.Own.Replace(own)
-	m.takeConfiguration(changes.Configuration, changes.ConfigurationRevision)
 }
 
 // apply takes changes over, unless all of them are known. What is known of them
@@ -35,9 +45,9 @@
 	if changes.At <= m.revision || changes.Base > m.revision {
 		return
 	}
-	before := m.revision
 	m.revision = changes.At
 	m.known.take(changes)
+	m.content.set(changes.ConfigurationValue, changes.ConfigurationRevision)
 	m.takeConfiguration(changes.Configuration, changes.ConfigurationRevision)
 	shown := m.shown(changes.Servers, time.Now())
 	for id, server := range shown {
@@ -46,11 +56,19 @@
 	if len(shown) > 0 {
 		m.config.View.UpdateServers(shown)
 	}
+	m.changeOwn(changes)
+}
+
+// changeOwn hands on the changes of own keys that were not handed on before. It must be
+// called with the lock held.
+func (m *Mirror) changeOwn(changes Changes) {
 	for _, event := range changes.Own {
-		if event.KeyValue.ModRevision > before {
+		if event.KeyValue.ModRevision > m.ownAt {
+			m.noteCopy(event)
 			m.config.Own.Change(event)
 		}
 	}
+	m.ownAt = max(m.ownAt, changes.At)
 }
 
 // takeConfiguration must be called with the lock held; nil was not understood.
--- /dev/null
+++ b/internal/mirror/copy.go
@@ -0,0 +1,282 @@
+package mirror
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"encoding/gob"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/outside"
+)
+
+const (
+	// onePage is how many servers a node reads from the store itself. A fleet with more
+	// of them is read by the relay alone: a record is 720 bytes there, so that 985 nodes
+	// that read 10,000 records each move 7 GB, 57 s of a link of 1,000 Mbit/s.
+	onePage = 500
+	// copyPeriod is the shortest time between two copies. A copy takes some 10 ms to
+	// encode for 10,000 records; what changed since is told by the relay.
+	copyPeriod = 3 * time.Second
+	// copyRefresh is how old a copy becomes although nothing changed: changes after its
+	// revision must be in the store's history, of which the users' platform keeps 20 s.
+	copyRefresh = 6 * time.Second
+	// copyPatienceShare of the time for changes is how long a node without records waits
+	// for a copy before it reads all records itself; up to as long again by chance, so
+	// that nodes don't do so at the same moment.
+	copyPatienceShare = 0.8
+	// copyPartBytes bounds a value: the store takes 1 MB, encoded in four thirds.
+	copyPartBytes = 700 << 10
+	// largestCopyBytes bounds what a copy may expand to: 100,000 records of 200 bytes.
+	largestCopyBytes = 20 << 20
+)
+
+// copyEntry tells of the copy of all servers' records that the relay left in the
+// store.
+type copyEntry struct {
+	// Revision at which the store held just these records.
+	Revision int64 `json:"revision"`
+	Records  int   `json:"records"`
+}
+
+// recordsCopy is the content of the copy.
+type recordsCopy struct {
+	Revision int64
+	Records  []ServerRecord
+}
+
+// encode returns the copy in parts that the store takes.
+func (c *recordsCopy) encode() ([][]byte, error) {
+	var packed bytes.Buffer
+	compressor, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, eris.Wrap(err, "compress the records")
+	}
+	if err := gob.NewEncoder(compressor).Encode(c); err != nil {
+		return nil, eris.Wrap(err, "encode the records")
+	}
+	if err := compressor.Close(); err != nil {
+		return nil, eris.Wrap(err, "compress the records")
+	}
+	var parts [][]byte
+	for rest := packed.Bytes(); len(rest) > 0; {
+		length := min(len(rest), copyPartBytes)
+		parts = append(parts, rest[:length])
+		rest = rest[length:]
+	}
+	return parts, nil
+}
+
+// decodeCopy fails on anything but a whole copy.
+func decodeCopy(parts [][]byte) (*recordsCopy, error) {
+	expanded := io.LimitReader(flate.NewReader(bytes.NewReader(bytes.Join(parts, nil))), largestCopyBytes)
+	var found recordsCopy
+	if err := gob.NewDecoder(expanded).Decode(&found); err != nil {
+		return nil, eris.Wrap(err, "decode the copy of the records")
+	}
+	return &found, nil
+}
+
+// noteCopy takes over the entry if the own key is that of the copy. It must be called
+// with the lock held.
+func (m *Mirror) noteCopy(event outside.WatchEvent) {
+	if event.KeyValue.Key != m.config.CopyKey || event.Deleted || event.KeyValue.ModRevision <= m.copyRevision {
+		return
+	}
+	var entry copyEntry
+	if err := json.Unmarshal(event.KeyValue.Value, &entry); err != nil {
+		m.config.Logger.Error().Err(err).Msg("entry of the copied records is not understood")
+		return
+	}
+	m.copyEntry, m.copyRevision = entry, event.KeyValue.ModRevision
+}
+
+// isLarge reports whether the servers' records are too many to be read by each node.
+func (m *Mirror) isLarge(own Changes) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, event := range own.Own {
+		m.noteCopy(event)
+	}
+	m.large = m.large || m.copyEntry.Records > onePage
+	return m.large
+}
+
+// begin takes over what was read without the servers' records, which follow. What the
+// view shows of servers stays meanwhile.
+func (m *Mirror) begin(read Changes) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.takeConfiguration(read.Configuration, read.ConfigurationRevision)
+	if read.At < m.revision {
+		return
+	}
+	now := time.Now()
+	m.large, m.partial, m.partialAt = true, true, now
+	m.revision, m.confirmedAt = read.At, now
+	m.known = newKnown(max(read.At, read.Newest))
+	m.known.take(Changes{At: read.At, ConfigurationRevision: read.ConfigurationRevision, Own: read.Own})
+	if m.drifted {
+		m.drifted, m.driftAt = false, now
+	}
+	m.replaceOwn(read)
+	m.config.Logger.Info().Int64("revision", read.At).Msg("configuration read, servers follow")
+}
+
+// recordsDue reports whether a node without the servers' records can read them now.
+// It must be called with the lock held.
+func (m *Mirror) recordsDue(now time.Time) bool {
+	return m.copyEntry.Revision > m.copied || m.config.IsRelay() || now.Sub(m.partialAt) > m.copyPatience()
+}
+
+func (m *Mirror) copyPatience() time.Duration {
+	return share(copyPatienceShare, m.config.Times.Changes)
+}
+
+// readRecords reads the copy of the servers' records; the relay, and a node that waited
+// for a copy in vain, reads the records themselves.
+func (m *Mirror) readRecords(ctx context.Context) {
+	m.mutex.Lock()
+	fromCopy := m.copyEntry.Revision > m.copied && !m.config.IsRelay()
+	m.mutex.Unlock()
+	if fromCopy {
+		m.readCopy(ctx)
+		return
+	}
+	if !m.config.IsRelay() {
+		clock.Sleep(ctx, rand.N(m.copyPatience()))
+		m.mutex.Lock()
+		available := m.copyEntry.Revision > m.copied
+		m.mutex.Unlock()
+		if available {
+			return
+		}
+	}
+	changes, err := m.config.Source.Read(ctx, true)
+	if !m.failed(ctx, err) {
+		m.takeAll(changes)
+	}
+}
+
+func (m *Mirror) readCopy(ctx context.Context) {
+	parts, err := m.config.Source.ReadCopy(ctx)
+	if m.failed(ctx, err) {
+		return
+	}
+	found, err := decodeCopy(parts)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err != nil {
+		// Another copy, or the records themselves, will do.
+		m.config.Logger.Error().Err(err).Int64("revision", m.copyEntry.Revision).Msg("copied records are not understood")
+		m.copied = m.copyEntry.Revision
+		return
+	}
+	m.takeCopy(found)
+}
+
+// takeCopy takes the records over, but for those of which later changes are known. It
+// must be called with the lock held.
+func (m *Mirror) takeCopy(found *recordsCopy) {
+	m.copied = max(m.copied, found.Revision)
+	if !m.partial {
+		return
+	}
+	now := time.Now()
+	servers := make(map[string]*fleet.Server, len(found.Records))
+	sets := modelSets{}
+	for _, record := range found.Records {
+		if _, ended := m.known.ended[record.ID]; ended {
+			continue
+		}
+		if _, known := m.known.servers[record.ID]; !known {
+			m.known.set(record.ID, record, found.Revision)
+		}
+	}
+	for id, held := range m.known.servers {
+		servers[id] = held.record.server(now, sets)
+	}
+	// What the store held is known exactly from the later of the two revisions on; the
+	// changes after the earlier one are asked for once more.
+	m.known.since = max(m.known.since, found.Revision, m.revision)
+	m.revision = min(m.revision, found.Revision)
+	m.partial = false
+	m.addLapsed(servers, now)
+	m.config.View.ReplaceServers(servers)
+	m.readDone(len(servers), m.revision)
+	signal(m.missed)
+}
+
+// writeCopy leaves a copy of the servers' records in the store, if this node is the
+// relay of a large fleet and they changed since the last one.
+func (m *Mirror) writeCopy(ctx context.Context, now time.Time) {
+	m.mutex.Lock()
+	age := now.Sub(m.copyAt)
+	outdated := m.known.recordsAt > m.copyEntry.Revision && age >= copyPeriod || age >= copyRefresh
+	exact := !m.partial && m.revision >= m.known.since
+	if !m.large || !exact || !outdated || m.copying || !m.config.IsRelay() {
+		m.mutex.Unlock()
+		return
+	}
+	m.copying, m.copyAt = true, now
+	content, before := recordsCopy{Revision: m.revision, Records: m.known.records()}, m.copyRevision
+	m.mutex.Unlock()
+	go m.storeCopy(ctx, content, before)
+}
+
+func (m *Mirror) storeCopy(ctx context.Context, content recordsCopy, before int64) {
+	err := m.sendCopy(ctx, content, before)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.copying = false
+	event := m.config.Logger.Info()
+	if err != nil {
+		event = m.config.Logger.Warn().Err(err)
+	}
+	event.Int64("revision", content.Revision).Int("servers", len(content.Records)).Msg("records copied to the store")
+}
+
+func (m *Mirror) sendCopy(ctx context.Context, content recordsCopy, before int64) error {
+	parts, err := content.encode()
+	if err != nil {
+		return err
+	}
+	entry, err := json.Marshal(copyEntry{Revision: content.Revision, Records: len(content.Records)})
+	if err != nil {
+		return eris.Wrap(err, "encode the entry of the copied records")
+	}
+	return m.config.Source.WriteCopy(ctx, parts, outside.KeyValue{Key: m.config.CopyKey, Value: entry}, before)
+}
+
+// modelSets shares equal sets of models between servers, which seldom differ in them:
+// 10,000 servers with two models each otherwise take 8 MB for their maps.
+type modelSets map[string]map[string]fleet.Held
+
+func (s modelSets) of(models []ModelRecord) map[string]fleet.Held {
+	var key strings.Builder
+	for _, model := range models {
+		key.WriteString(model.Name)
+		for _, adapter := range model.Adapters {
+			key.WriteByte('/')
+			key.WriteString(adapter)
+		}
+		key.WriteByte(',')
+	}
+	found, known := s[key.String()]
+	if !known {
+		found = make(map[string]fleet.Held, len(models))
+		for _, model := range models {
+			found[model.Name] = fleet.NewHeld(model.Adapters)
+		}
+		s[key.String()] = found
+	}
+	return found
+}
--- a/internal/mirror/digest.go
+++ b/internal/mirror/digest.go
@@ -56,7 +56,7 @@
 // everything is known; zero if that is not known exactly. It must be called with
 // the lock held.
 func (m *Mirror) digestNow() Digest {
-	if m.revision == 0 || m.revision < m.known.since {
+	if m.revision == 0 || m.partial || m.revision < m.known.since {
 		return 0
 	}
 	return m.known.digest
--- a/internal/mirror/known.go
+++ b/internal/mirror/known.go
@@ -28,6 +28,17 @@
 	ended map[string]int64
 	// digest of all servers' records.
 	digest Digest
+	// recordsAt is the revision of the last change of a record or end of a server.
+	recordsAt int64
+	// changed servers, in order of the revisions at which they did; those that changed
+	// once more stand in it twice.
+	changed []changedServer
+}
+
+// changedServer is a server whose record changed, or that ended, at a revision.
+type changedServer struct {
+	revision int64
+	id       string
 }
 
 type knownServer struct {
@@ -72,6 +83,16 @@
 	k.digest.add(record)
 	delete(k.ended, id)
 	k.servers[id] = knownServer{record: record, revision: revision}
+	k.note(id, revision)
+}
+
+// note must be called with revisions that don't fall, but for those up to since, which
+// are never told.
+func (k *known) note(id string, revision int64) {
+	k.recordsAt = max(k.recordsAt, revision)
+	if revision > k.since {
+		k.changed = append(k.changed, changedServer{revision, id})
+	}
 }
 
 // end notes that a server is gone.
@@ -81,10 +102,30 @@
 	}
 	delete(k.servers, id)
 	k.ended[id] = revision
+	k.note(id, revision)
+}
+
+// records of all servers, in order of ID.
+func (k *known) records() []ServerRecord {
+	records := make([]ServerRecord, 0, len(k.servers))
+	for _, server := range k.servers {
+		records = append(records, server.record)
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].ID < records[j].ID })
+	return records
 }
 
-// bound forgets the older half of what is gone.
+// mostChanged changes are kept in order beside one for each server.
+const mostChanged = 4096
+
+// bound forgets the older half of what is gone, and of the changes what is too old.
 func (k *known) bound() {
+	if len(k.changed) > 2*mostChanged {
+		k.since = max(k.since, k.changed[len(k.changed)-mostChanged].revision)
+	}
+	if first := k.firstAfter(k.since); first > mostChanged {
+		k.changed = slices.Clone(k.changed[first:])
+	}
 	if len(k.ended) <= mostEnded {
 		return
 	}
@@ -104,14 +145,11 @@
 		return Update{}, false
 	}
 	update := Update{Base: after, At: at, Age: age, Configuration: k.configuration}
-	for _, server := range k.servers {
-		if server.revision > after {
+	for _, change := range k.changed[k.firstAfter(after):] {
+		if server, exists := k.servers[change.id]; exists && server.revision == change.revision {
 			update.Servers = append(update.Servers, server.record)
-		}
-	}
-	for id, revision := range k.ended {
-		if revision > after {
-			update.Ended = append(update.Ended, id)
+		} else if ended, gone := k.ended[change.id]; gone && ended == change.revision {
+			update.Ended = append(update.Ended, change.id)
 		}
 	}
 	for _, event := range k.own {
@@ -125,6 +163,11 @@
 	return update, true
 }
 
+// firstAfter is the place of the first change after the revision.
+func (k *known) firstAfter(revision int64) int {
+	return sort.Search(len(k.changed), func(i int) bool { return k.changed[i].revision > revision })
+}
+
 // ServerRecord is what others have to know of a server.
 type ServerRecord struct {
 	ID, Pool, Address, Zone string
@@ -167,13 +210,9 @@
 }
 
 // server returns the record as a server seen at the time.
-func (r ServerRecord) server(seenAt time.Time) *fleet.Server {
-	server := &fleet.Server{
+func (r ServerRecord) server(seenAt time.Time, sets modelSets) *fleet.Server {
+	return &fleet.Server{
 		ID: r.ID, Pool: r.Pool, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Draining: r.Draining,
-		Created: r.Created, Models: make(map[string]fleet.Held, len(r.Models)), SeenAt: seenAt,
-	}
-	for _, model := range r.Models {
-		server.Models[model.Name] = fleet.NewHeld(model.Adapters)
+		Created: r.Created, Models: sets.of(r.Models), SeenAt: seenAt,
 	}
-	return server
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -3,11 +3,14 @@
 //
 // One node, the relay, reads the store often and tells the others what changed.
 // A node that hears the relay, and hears that the relay's own knowledge is fresh,
-// asks the store only for a new configuration, which is too large to be passed
-// around. As soon as that knowledge is too old, whatever the reason, the node
+// asks the store for nothing. As soon as that knowledge is too old, whatever the reason, the node
 // reads the store itself, from the revision up to which it knows everything. So
 // a relay that is dead, cut off or slow costs others a fraction of a second, and
 // the store's load does not grow with the number of nodes.
+//
+// The configuration and the product's own keys never wait for servers' records. In a
+// large fleet only the relay reads the records themselves; it leaves a compact copy
+// of them in the store, from which the others begin (see copy.go).
 package mirror
 
 import (
@@ -36,22 +39,39 @@
 	Configuration *fleet.Configuration
 	// ConfigurationRevision is zero if the configuration did not change.
 	ConfigurationRevision int64
+	// ConfigurationValue is the configuration as it was written.
+	ConfigurationValue []byte
 	// Servers by ID; nil for one that is gone.
 	Servers map[string]*fleet.Server
 	// Own keys, in order of revision.
 	Own []outside.WatchEvent
+	// More servers exist than were read.
+	More bool
 }
 
 // Source reads the store. Its calls end with their context.
 type Source interface {
-	// Read returns everything as changes since revision zero.
-	Read(ctx context.Context) (Changes, error)
+	// Read returns everything as changes since revision zero; if not whole, with no
+	// more servers than one call brings.
+	Read(ctx context.Context, whole bool) (Changes, error)
+	// Own returns the product's own keys alone, as changes since revision zero.
+	Own(ctx context.Context) (Changes, error)
+	// ReadCopy returns the parts of the copy of the servers' records, in order.
+	ReadCopy(ctx context.Context) ([][]byte, error)
+	// WriteCopy writes the parts and the entry that tells of them, at once, if the
+	// entry still has the revision; zero: there is none.
+	WriteCopy(ctx context.Context, parts [][]byte, entry outside.KeyValue, revision int64) error
 	// Changes returns what changed after the revision; if that is nothing, it
 	// waits for changes, and may return none. ErrHistoryGone: read everything.
 	Changes(ctx context.Context, after int64, wait time.Duration) (Changes, error)
+	// OwnChanges is Changes of the product's own keys alone.
+	OwnChanges(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 	// Configuration returns the configuration alone with its revision; nil if it
 	// is not understood.
 	Configuration(ctx context.Context) (*fleet.Configuration, int64, error)
+	// Decode returns a configuration of the revision from its value; nil if it is not
+	// understood.
+	Decode(value []byte, revision int64) *fleet.Configuration
 }
 
 // OwnKeys receives the product's own keys in the store.
@@ -96,6 +116,13 @@
 	// Relay returns the address of the node that reads for the others; empty if
 	// there is none, or if it is this node.
 	Relay func() string
+	// IsRelay reports whether this node is the one that reads for the others; nil:
+	// never.
+	IsRelay func() bool
+	// CopyKey is the product's own key that tells of the copy of the servers' records.
+	CopyKey string
+	// LinkBytesPerSecond of this machine; zero: not known.
+	LinkBytesPerSecond float64
 	// Transport to other nodes; nil: this node reads for itself alone.
 	Transport peer.Transport
 	// Address of this node.
@@ -126,6 +153,10 @@
 	// that of the newest one that exists.
 	configuration int64
 	known         *known
+	// content is the newest configuration that was read, to be passed on; see content.go.
+	content content
+	// contentBy is until when this node waits for the configuration of which it knows.
+	contentBy time.Time
 	// drifted: another node knows other records for the same revision, so everything
 	// is read again; driftAt is when that was done last.
 	drifted bool
@@ -142,6 +173,23 @@
 	lost        bool
 	failedPause time.Duration
 	regainedAt  time.Time
+	// large: the servers' records don't fit into one call.
+	large bool
+	// partial: only those records are known that changed since partialAt; the view
+	// shows what was known before.
+	partial   bool
+	partialAt time.Time
+	// ownAt is the revision up to which changes of own keys were handed on.
+	ownAt int64
+	// copyEntry tells of the newest copy of the records in the store, copyRevision is
+	// that entry's own, and copied the revision of the copy that was taken last.
+	copyEntry    copyEntry
+	copyRevision int64
+	copied       int64
+	copyAt       time.Time
+	copying      bool
+	// vacantAt is since when no node is known to be the relay; zero if one is.
+	vacantAt time.Time
 	// lapsed servers are still used, each up to a time, although their records ended
 	// while the store was away.
 	lapsed map[string]time.Time
@@ -153,6 +201,9 @@
 		config: config, woken: make(chan struct{}, 1), missed: make(chan struct{}, 1),
 		known: newKnown(0), subscribers: map[string]time.Time{}, lapsed: map[string]time.Time{},
 	}
+	if config.IsRelay == nil {
+		m.config.IsRelay = func() bool { return false }
+	}
 	if config.Transport != nil {
 		config.Transport.Handle(Subscribe{}, m.serveSubscribe)
 		config.Transport.Handle(Update{}, m.serveUpdate)
@@ -171,8 +222,12 @@
 			m.readAll(ctx)
 		case readConfiguration:
 			m.readConfiguration(ctx)
+		case readRecords:
+			m.readRecords(ctx)
 		case awaitRelay:
 			m.awaitRelay(ctx)
+		case awaitElection:
+			m.awaitElection(ctx)
 		case readChanges:
 			m.readChanges(ctx)
 		}
@@ -185,7 +240,9 @@
 const (
 	readAll step = iota
 	readConfiguration
+	readRecords
 	awaitRelay
+	awaitElection
 	readChanges
 )
 
@@ -195,10 +252,14 @@
 	switch {
 	case m.revision == 0, m.drifted:
 		return readAll
-	case m.configuration < m.known.configuration:
+	case m.configuration < m.known.configuration && (!now.Before(m.contentBy) || !m.followsRelay(now)):
 		return readConfiguration
+	case m.partial && m.recordsDue(now):
+		return readRecords
 	case m.followsRelay(now):
 		return awaitRelay
+	case m.electionRuns(now):
+		return awaitElection
 	}
 	return readChanges
 }
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -41,14 +41,44 @@
 	return m.failedPause*3/4 + rand.N(m.failedPause/4)
 }
 
-// readAll takes over everything that exists.
+// readAll takes over everything that exists. In a large fleet that is done in two
+// steps: what is small first, and the servers' records after it.
 func (m *Mirror) readAll(ctx context.Context) {
-	changes, err := m.config.Source.Read(ctx)
+	own, err := m.config.Source.Own(ctx)
+	if m.failed(ctx, err) {
+		return
+	}
+	if m.isLarge(own) && !m.config.IsRelay() {
+		configuration, revision, err := m.config.Source.Configuration(ctx)
+		if m.failed(ctx, err) {
+			return
+		}
+		own.Configuration, own.ConfigurationRevision = configuration, revision
+		m.begin(own)
+		return
+	}
+	changes, err := m.config.Source.Read(ctx, m.config.IsRelay())
+	if m.failed(ctx, err) {
+		return
+	}
+	if changes.More {
+		m.begin(changes)
+		return
+	}
+	m.takeAll(changes)
+}
+
+// failed notes whether a call that reads failed, and leaves a pause if it did.
+func (m *Mirror) failed(ctx context.Context, err error) bool {
 	m.noteAnswer(err)
 	if err != nil {
 		clock.Sleep(ctx, m.pauseAfterFailure(time.Now()))
-		return
 	}
+	return err != nil
+}
+
+// takeAll takes over everything that was read.
+func (m *Mirror) takeAll(changes Changes) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if changes.At < m.revision {
@@ -56,11 +86,17 @@
 		return
 	}
 	m.replace(changes)
+	m.large = m.large || len(changes.Servers) > onePage
+	m.readDone(len(changes.Servers), changes.At)
+}
+
+// readDone must be called with the lock held.
+func (m *Mirror) readDone(servers int, revision int64) {
 	m.confirmedAt = time.Now()
 	if m.drifted {
 		m.drifted, m.driftAt = false, m.confirmedAt
 	}
-	m.config.Logger.Info().Int("servers", len(changes.Servers)).Int64("revision", changes.At).Msg("servers read")
+	m.config.Logger.Info().Int("servers", servers).Int64("revision", revision).Msg("servers read")
 }
 
 // readConfiguration reads the configuration of which the relay told.
@@ -83,7 +119,11 @@
 // awaitRelay returns when the relay told something, or its word is too old.
 func (m *Mirror) awaitRelay(ctx context.Context) {
 	m.mutex.Lock()
-	left := time.Until(m.relayedAt.Add(m.trust()))
+	until := m.relayedAt.Add(m.trust())
+	if m.configuration < m.known.configuration {
+		until = earlier(until, m.contentBy)
+	}
+	left := time.Until(until)
 	m.mutex.Unlock()
 	timer := time.NewTimer(left)
 	defer timer.Stop()
@@ -124,6 +164,7 @@
 	m.confirmedAt = earlier(time.Now(), sent.Add(wait+failedPause))
 	m.mutex.Unlock()
 	m.push(time.Now())
+	m.writeCopy(ctx, time.Now())
 	if changes.At > after {
 		clock.Sleep(ctx, pause)
 	}
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -18,10 +18,13 @@
 	relayPeriod = 200 * time.Millisecond
 	// subscribeTimeout is how long an answer to a subscription is waited for.
 	subscribeTimeout = 400 * time.Millisecond
-	// mostTold records go out at once, to all subscribers together, and leastTold to
-	// each. What is more, such as all servers when a deployment starts, each node
-	// reads from the store: the relay's link and memory are not made for it.
+	// mostTold records go out at once at most, and leastTold to each subscriber. What is
+	// more, such as all servers when a deployment starts, each node reads from the
+	// store: the relay's link and memory are not made for it.
 	mostTold, leastTold = 2000, 8
+	// toldShare of the time for changes is how long the relay's link may be busy with
+	// one change, and recordBytes what a record takes in a message.
+	toldShare, recordBytes = 0.25, 120
 )
 
 // Subscribe asks the relay for what changes after the revision.
@@ -39,8 +42,11 @@
 	Base, At int64
 	// Age of the relay's knowledge when it told this.
 	Age time.Duration
-	// Configuration is the newest one's revision; its content is in the store.
+	// Configuration is the newest one's revision.
 	Configuration int64
+	// Content is that configuration, packed; empty where it is not told, so that it has
+	// to be read from the store if it does not come soon.
+	Content []byte
 	// Digest of all records at the revision At; zero in what is pushed.
 	Digest  Digest
 	Servers []ServerRecord
@@ -51,8 +57,15 @@
 // size is the number of records.
 func (u Update) size() int { return len(u.Servers) + len(u.Ended) }
 
-// mostFor is how many records each of so many subscribers is told at once.
-func mostFor(subscribers int) int { return max(mostTold/max(subscribers, 1), leastTold) }
+// mostFor is how many records each of so many subscribers is told at once: what the
+// machine's link bears. At 985 subscribers a bound of 2,000 records in all is two for
+// each, so that any change sent all nodes to the store.
+func (m *Mirror) mostFor(subscribers int) int {
+	subscribers = max(subscribers, 1)
+	bytes := m.config.LinkBytesPerSecond * share(toldShare, m.config.Times.Changes).Seconds()
+	borne := min(int(bytes/recordBytes)/subscribers, mostTold)
+	return max(borne, mostTold/subscribers, leastTold)
+}
 
 // NotRelay is the answer of a node that can't tell what was asked for.
 type NotRelay struct{}
@@ -111,7 +124,7 @@
 	m.mutex.Lock()
 	age := now.Sub(m.confirmedAt)
 	update, can := m.known.update(asked.Revision, max(m.revision, asked.Revision), age)
-	can = can && update.size() <= mostFor(len(m.subscribers)) && m.revision > 0 && !m.through && age < m.trust()
+	can = can && update.size() <= m.mostFor(len(m.subscribers)) && m.revision > 0 && !m.partial && !m.through && age < m.trust()
 	if update.At == m.revision {
 		update.Digest = m.digestNow()
 	}
@@ -146,7 +159,7 @@
 		return
 	}
 	m.apply(update.changes(now))
-	m.known.configuration = max(m.known.configuration, update.Configuration)
+	m.noteConfiguration(update, now)
 	if confirmed := now.Add(-update.Age); confirmed.After(m.relayedAt) {
 		m.relayedAt = confirmed
 	}
@@ -157,8 +170,9 @@
 // changes returns the update as changes without a configuration.
 func (u Update) changes(now time.Time) Changes {
 	changes := Changes{Base: u.Base, At: u.At, Own: u.Own, Servers: make(map[string]*fleet.Server, len(u.Servers)+len(u.Ended))}
+	sets := modelSets{}
 	for _, record := range u.Servers {
-		changes.Servers[record.ID] = record.server(now)
+		changes.Servers[record.ID] = record.server(now, sets)
 	}
 	for _, id := range u.Ended {
 		changes.Servers[id] = nil
@@ -179,10 +193,15 @@
 		return
 	}
 	update, can := m.known.update(after, m.revision, now.Sub(m.confirmedAt))
+	can = can && update.size() <= m.mostFor(len(subscribers))
+	if can {
+		update.Content = m.contentToTell(len(subscribers), now)
+	}
 	m.mutex.Unlock()
-	if !can || update.size() > mostFor(len(subscribers)) {
+	if !can {
 		return
 	}
+	update.Content = packed(update.Content)
 	for _, address := range subscribers {
 		m.config.Transport.Send(address, update)
 	}
