Tell nodes of a large fleet that records changed too much, instead of nothing

As the servers registered, more records changed than the relay may tell, so all 985 nodes read 10,000 records from watches of the store, which filled its link; its answers to the relay came late as well, and at 0 s the history that all had read up to was forgotten. Now the relay says that it skipped records, and the copy brings them. The test of many changes keeps to a fleet that is not large, with more nodes for as many skipped records as before.

--- a/internal/mirror/apply.go
+++ b/internal/mirror/apply.go
@@ -47,6 +47,7 @@
 	}
 	m.revision = changes.At
 	m.known.take(changes)
+	m.large = m.large || len(m.known.servers) > onePage
 	m.content.set(changes.ConfigurationValue, changes.ConfigurationRevision)
 	m.takeConfiguration(changes.Configuration, changes.ConfigurationRevision)
 	shown := m.shown(changes.Servers, time.Now())
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -23,9 +23,10 @@
 	// of them is read by the relay alone: a record is 720 bytes there, so that 985 nodes
 	// that read 10,000 records each move 7 GB, 57 s of a link of 1,000 Mbit/s.
 	onePage = 500
-	// copyPeriod is the shortest time between two copies. A copy takes some 10 ms to
-	// encode for 10,000 records; what changed since is told by the relay.
-	copyPeriod = 3 * time.Second
+	// copyPeriodShare of the time for changes is the shortest time between two copies, so
+	// that a change which only a copy tells is known in time. A copy takes 12 ms to encode
+	// for 10,000 records.
+	copyPeriodShare = 0.3
 	// copyRefresh is how old a copy becomes although nothing changed: changes after its
 	// revision must be in the store's history, of which the users' platform keeps 20 s.
 	copyRefresh = 6 * time.Second
@@ -131,6 +132,25 @@
 	m.config.Logger.Info().Int64("revision", read.At).Msg("configuration read, servers follow")
 }
 
+// skip takes over an update without the records that changed. A copy that has them
+// follows. It must be called with the lock held.
+func (m *Mirror) skip(update Update, now time.Time) {
+	if update.At <= m.revision {
+		return
+	}
+	if !m.partial {
+		m.partialAt = now
+		m.copied = max(m.copied, m.revision)
+		m.config.Logger.Info().Int64("revision", m.revision).Int64("newest", update.At).Msg("too many changes, servers follow")
+	}
+	own, configuration := m.known.own, m.known.configuration
+	m.large, m.partial, m.revision = true, true, update.At
+	m.known = newKnown(update.At)
+	m.known.own, m.known.configuration = own, configuration
+	m.known.takeOwn(update.Own)
+	m.changeOwn(Changes{At: update.At, Own: update.Own})
+}
+
 // recordsDue reports whether a node without the servers' records can read them now.
 // It must be called with the lock held.
 func (m *Mirror) recordsDue(now time.Time) bool {
@@ -220,7 +240,7 @@
 func (m *Mirror) writeCopy(ctx context.Context, now time.Time) {
 	m.mutex.Lock()
 	age := now.Sub(m.copyAt)
-	outdated := m.known.recordsAt > m.copyEntry.Revision && age >= copyPeriod || age >= copyRefresh
+	outdated := m.known.recordsAt > m.copyEntry.Revision && age >= share(copyPeriodShare, m.config.Times.Changes) || age >= copyRefresh
 	exact := !m.partial && m.revision >= m.known.since
 	if !m.large || !exact || !outdated || m.copying || !m.config.IsRelay() {
 		m.mutex.Unlock()
--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -108,6 +108,38 @@
 	})
 }
 
+// A start at which thousands of servers come while the nodes are there already: only the
+// relay hears of each of them, the others take copies and call the store for nothing else.
+func TestManyServersThatComeAreTakenFromCopies(t *testing.T) {
+	withNodes(t, 5, func(d *deployment) {
+		d.nodes[0].mirror.config.LinkBytesPerSecond = 1
+		before := make([]int, len(d.nodes))
+		for number, node := range d.nodes {
+			before[number] = node.source.count("changes")
+		}
+		const servers = 8 * mostTold
+		for number := range servers {
+			d.store.put(fmt.Sprint("w", number), false, "m", fmt.Sprint("n", number%7))
+			if number%1000 == 0 {
+				time.Sleep(300 * time.Millisecond)
+			}
+		}
+		d.store.configure(true)
+		time.Sleep(share(0.5, testTimes.Changes))
+		for _, node := range d.nodes {
+			Expect(node.revision()).To(Equal(d.store.configuredAt))
+		}
+		time.Sleep(testTimes.Changes)
+		d.expectEqual()
+		for number, node := range d.nodes[1:] {
+			Expect(node.mirror.Through()).To(BeTrue())
+			Expect(node.source.count("read")).To(Equal(1), "node %d", number+1)
+			// The first hundreds come before the fleet is known to be large.
+			Expect(node.source.count("changes")-before[number+1]).To(BeNumerically("<=", 4), "node %d", number+1)
+		}
+	})
+}
+
 // A storm of configurations to many nodes over a slow link: the link is not given more
 // than it bears, no node reads the store for a version that comes by the relay, and all
 // have the last one in time.
--- a/internal/mirror/known.go
+++ b/internal/mirror/known.go
@@ -65,10 +65,14 @@
 			k.set(id, recordOf(server), changes.At)
 		}
 	}
-	for _, event := range changes.Own {
+	k.takeOwn(changes.Own)
+	k.bound()
+}
+
+func (k *known) takeOwn(events []outside.WatchEvent) {
+	for _, event := range events {
 		k.own[event.KeyValue.Key] = event
 	}
-	k.bound()
 }
 
 // set notes a server's record, unless the same is known.
@@ -152,15 +156,20 @@
 			update.Ended = append(update.Ended, change.id)
 		}
 	}
+	update.Own = k.ownAfter(after)
+	return update, true
+}
+
+// ownAfter are the own keys that changed after the revision, in order.
+func (k *known) ownAfter(after int64) []outside.WatchEvent {
+	var changed []outside.WatchEvent
 	for _, event := range k.own {
 		if event.KeyValue.ModRevision > after {
-			update.Own = append(update.Own, event)
+			changed = append(changed, event)
 		}
 	}
-	sort.Slice(update.Own, func(i, j int) bool {
-		return update.Own[i].KeyValue.ModRevision < update.Own[j].KeyValue.ModRevision
-	})
-	return update, true
+	sort.Slice(changed, func(i, j int) bool { return changed[i].KeyValue.ModRevision < changed[j].KeyValue.ModRevision })
+	return changed
 }
 
 // firstAfter is the place of the first change after the revision.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -350,21 +350,23 @@
 	time.Sleep(testTimes.Contact / 8)
 }
 
-// Very many changes at once are read from the store, by each node for itself, and
-// the relay is followed again after that.
+// Very many changes at once, in a fleet that is not large, are read from the store, by
+// each node for itself, and the relay is followed again after that.
 func TestManyChangesAreReadFromTheStore(t *testing.T) {
-	withNodes(t, 5, func(d *deployment) {
+	const nodes = 9
+	withNodes(t, nodes, func(d *deployment) {
 		d.network.mutex.Lock()
 		d.network.updates = nil
 		d.network.mutex.Unlock()
 		before := d.nodes[1].source.count("changes")
-		most := d.nodes[0].mirror.mostFor(4)
-		for number := range 2 * most {
+		most := d.nodes[0].mirror.mostFor(nodes - 1)
+		many := most + onePage/4
+		for number := range many {
 			d.store.put(fmt.Sprint("t", number), false)
 		}
 		time.Sleep(share(0.75, testTimes.Changes))
 		for _, node := range d.nodes {
-			Expect(node.view.Load().Servers).To(HaveLen(1 + 2*most))
+			Expect(node.view.Load().Servers).To(HaveLen(1 + many))
 		}
 		Expect(d.nodes[1].source.count("changes")).To(BeNumerically(">", before))
 		d.network.mutex.Lock()
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -48,7 +48,10 @@
 	// to be read from the store if it does not come soon.
 	Content []byte
 	// Digest of all records at the revision At; zero in what is pushed.
-	Digest  Digest
+	Digest Digest
+	// Skipped: more records changed than are told. All else is told; the records have to
+	// be taken from the copy in the store.
+	Skipped bool
 	Servers []ServerRecord
 	Ended   []string
 	Own     []outside.WatchEvent
@@ -67,6 +70,21 @@
 	return max(borne, mostTold/subscribers, leastTold)
 }
 
+// bearable reports whether an update can be told to each of so many subscribers. In a
+// large fleet it leaves the records out where they are too many. It must be called with
+// the lock held.
+func (m *Mirror) bearable(update *Update, can bool, subscribers int) bool {
+	if can && update.size() <= m.mostFor(subscribers) {
+		return true
+	}
+	if !m.large || m.revision < m.known.since {
+		return false
+	}
+	update.Servers, update.Ended, update.Skipped = nil, nil, true
+	update.At, update.Configuration, update.Own = m.revision, m.known.configuration, m.known.ownAfter(update.Base)
+	return true
+}
+
 // NotRelay is the answer of a node that can't tell what was asked for.
 type NotRelay struct{}
 
@@ -124,7 +142,8 @@
 	m.mutex.Lock()
 	age := now.Sub(m.confirmedAt)
 	update, can := m.known.update(asked.Revision, max(m.revision, asked.Revision), age)
-	can = can && update.size() <= m.mostFor(len(m.subscribers)) && m.revision > 0 && !m.partial && !m.through && age < m.trust()
+	update.Base, update.Age = asked.Revision, age
+	can = m.bearable(&update, can, len(m.subscribers)) && m.revision > 0 && !m.partial && !m.through && age < m.trust()
 	if update.At == m.revision {
 		update.Digest = m.digestNow()
 	}
@@ -158,7 +177,11 @@
 		signal(m.missed)
 		return
 	}
-	m.apply(update.changes(now))
+	if update.Skipped {
+		m.skip(update, now)
+	} else {
+		m.apply(update.changes(now))
+	}
 	m.noteConfiguration(update, now)
 	if confirmed := now.Add(-update.Age); confirmed.After(m.relayedAt) {
 		m.relayedAt = confirmed
@@ -193,7 +216,8 @@
 		return
 	}
 	update, can := m.known.update(after, m.revision, now.Sub(m.confirmedAt))
-	can = can && update.size() <= m.mostFor(len(subscribers))
+	update.Base, update.Age = after, now.Sub(m.confirmedAt)
+	can = m.bearable(&update, can, len(subscribers))
 	if can {
 		update.Content = m.contentToTell(len(subscribers), now)
 	}
