--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -116,6 +116,13 @@
 	node.arrived[key] = row.Arrived
 }
 
+// nodeCount is the number of nodes that reported.
+func (b *demandBook) nodeCount() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.nodes)
+}
+
 // live returns the nodes that reported lately, by address.
 func (b *demandBook) live(now time.Time) map[string]string {
 	b.mutex.Lock()
