Wait for the word of a new relay before watching all servers

All nodes knew the relay but had heard nothing of it yet, watched 10,000 servers come and filled the store's link, so that the relay heard of them after 4 to 6 s. Now a node waits a quarter of the time for changes for a relay that it never heard, and the relay keeps its pace before it has subscribers.

--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -187,6 +187,27 @@
 	})
 }
 
+// A start at which nodes and servers come together: the nodes know who the relay is before
+// it has told them anything, and still leave the store's link to it.
+func TestNodesWaitForTheWordOfANewRelay(t *testing.T) {
+	withNodes(t, 0, func(d *deployment) {
+		for number := range 4 {
+			d.nodes = append(d.nodes, d.addNode(addressOf(number)))
+		}
+		time.Sleep(100 * time.Millisecond)
+		for number := range onePage {
+			d.store.put(fmt.Sprint("w", number), false, "m")
+			time.Sleep(time.Millisecond)
+		}
+		for number, node := range d.nodes[1:] {
+			Expect(node.source.count("changes")).To(BeZero(), "node %d", number+1)
+			Expect(node.mirror.Through()).To(BeTrue(), "node %d", number+1)
+		}
+		time.Sleep(settled)
+		d.expectEqual()
+	})
+}
+
 func TestCopyThatIsBrokenIsReplaced(t *testing.T) {
 	withLargeFleet(t, 2, func(d *deployment) {
 		time.Sleep(settled)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -190,8 +190,10 @@
 	copying      bool
 	// tree is this node's place among the nodes that pass on what the relay tells.
 	tree place
-	// vacantAt is since when no node is known to be the relay; zero if one is.
+	// vacantAt is since when there is no relay that this node ever followed; zero if there
+	// is. Followed is the relay that it followed last.
 	vacantAt time.Time
+	followed string
 	// lapsed servers are still used, each up to a time, although their records ended
 	// while the store was away.
 	lapsed map[string]time.Time
@@ -203,6 +205,9 @@
 		config: config, woken: make(chan struct{}, 1), missed: make(chan struct{}, 1),
 		known: newKnown(0), subscribers: map[string]time.Time{}, lapsed: map[string]time.Time{},
 	}
+	if config.Relay == nil {
+		m.config.Relay = func() string { return "" }
+	}
 	if config.IsRelay == nil {
 		m.config.IsRelay = func() bool { return false }
 	}
@@ -299,6 +304,9 @@
 // followsRelay must be called with the lock held. It notes and logs a change.
 func (m *Mirror) followsRelay(now time.Time) bool {
 	follows := !m.relayedAt.IsZero() && now.Sub(m.relayedAt) < m.trust() && !m.config.IsRelay()
+	if follows {
+		m.followed, m.vacantAt = m.config.Relay(), time.Time{}
+	}
 	if follows == m.through {
 		return follows
 	}
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -125,7 +125,12 @@
 	}
 	left := time.Until(until)
 	m.mutex.Unlock()
-	timer := time.NewTimer(left)
+	m.awaitWord(ctx, left)
+}
+
+// awaitWord returns when the relay told something, or after the time.
+func (m *Mirror) awaitWord(ctx context.Context, longest time.Duration) {
+	timer := time.NewTimer(longest)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -181,7 +186,7 @@
 func (m *Mirror) cadence(now time.Time) (wait, pause time.Duration) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if len(m.liveSubscribers(now)) > 0 {
+	if m.config.IsRelay() || len(m.liveSubscribers(now)) > 0 {
 		both := share(relayShare, m.config.Times.Changes)
 		return both, both
 	}
