Bridge a gap in the history by the relay, and read no copy twice

All nodes took a stale copy from before the gap, found its history gone, and began anew, without end: four calls and 260 KB each time, 985 nodes. The relay's read of all records timed out beside them and began anew as well; no copy was written from 0 s on. A test replays the gap. TestManyChangesAreReadFromTheStore gets 17 nodes: with 9 the relay could read its changes in two parts that it may tell.

--- a/internal/mirror/apply.go
+++ b/internal/mirror/apply.go
@@ -18,7 +18,7 @@
 			servers[id] = server
 		}
 	}
-	m.partial = false
+	m.partial, m.complete = false, true
 	m.addLapsed(servers, time.Now())
 	m.config.View.ReplaceServers(servers)
 	m.replaceOwn(changes)
@@ -31,6 +31,9 @@
 func (m *Mirror) replaceOwn(changes Changes) {
 	var own []outside.KeyValue
 	for _, event := range changes.Own {
+		if event.Deleted {
+			continue
+		}
 		own = append(own, event.KeyValue)
 		m.noteCopy(event)
 	}
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -13,7 +13,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/outside"
 )
@@ -31,9 +30,11 @@
 	// revision must be in the store's history, of which the users' platform keeps 20 s.
 	copyRefresh = 6 * time.Second
 	// copyPatienceShare of the time for changes is how long a node without records waits
-	// for a copy before it reads all records itself; up to as long again by chance, so
-	// that nodes don't do so at the same moment.
+	// for a copy before it reads all records itself, and pagePatience as long again for
+	// each page of them, by chance up to twice that: all nodes of a fleet that read 20
+	// pages each at once would keep the relay from doing so.
 	copyPatienceShare = 0.8
+	pagePatience      = time.Second
 	// copyPartBytes bounds a value: the store takes 1 MB, encoded in four thirds.
 	copyPartBytes = 700 << 10
 	// largestCopyBytes bounds what a copy may expand to: 100,000 records of 200 bytes.
@@ -116,12 +117,17 @@
 func (m *Mirror) begin(read Changes) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	m.content.set(read.ConfigurationValue, read.ConfigurationRevision)
 	m.takeConfiguration(read.Configuration, read.ConfigurationRevision)
 	if read.At < m.revision {
 		return
 	}
 	now := time.Now()
-	m.large, m.partial, m.partialAt = true, true, now
+	m.large, m.partial, m.partialAt, m.patience = true, true, now, m.newPatience()
+	if m.complete {
+		// A copy from before this does not tell what changed in between.
+		m.copied = max(m.copied, read.At-1)
+	}
 	m.revision, m.confirmedAt = read.At, now
 	m.known = newKnown(max(read.At, read.Newest))
 	m.known.take(Changes{At: read.At, ConfigurationRevision: read.ConfigurationRevision, Own: read.Own})
@@ -139,96 +145,124 @@
 		return
 	}
 	if !m.partial {
-		m.partialAt = now
+		m.partialAt, m.patience = now, m.newPatience()
 		m.copied = max(m.copied, m.revision)
 		m.config.Logger.Info().Int64("revision", m.revision).Int64("newest", update.At).Msg("too many changes, servers follow")
 	}
-	own, configuration := m.known.own, m.known.configuration
+	configuration := m.known.configuration
 	m.large, m.partial, m.revision = true, true, update.At
 	m.known = newKnown(update.At)
-	m.known.own, m.known.configuration = own, configuration
+	m.known.configuration = configuration
 	m.known.takeOwn(update.Own)
-	m.changeOwn(Changes{At: update.At, Own: update.Own})
+	m.replaceOwn(Changes{At: update.At, Own: update.Own})
 }
 
 // recordsDue reports whether a node without the servers' records can read them now.
 // It must be called with the lock held.
 func (m *Mirror) recordsDue(now time.Time) bool {
-	return m.copyEntry.Revision > m.copied || m.config.IsRelay() || now.Sub(m.partialAt) > m.copyPatience()
+	return m.copyEntry.Revision > m.copied || m.config.IsRelay() || now.Sub(m.partialAt) > m.patience
 }
 
-func (m *Mirror) copyPatience() time.Duration {
-	return share(copyPatienceShare, m.config.Times.Changes)
+// newPatience must be called with the lock held.
+func (m *Mirror) newPatience() time.Duration {
+	pages := time.Duration(max(m.copyEntry.Records, len(m.config.View.Load().Servers)) / onePage)
+	return share(copyPatienceShare, m.config.Times.Changes) + pages*pagePatience + rand.N(pages*pagePatience+time.Second)
 }
 
 // readRecords reads the copy of the servers' records; the relay, and a node that waited
-// for a copy in vain, reads the records themselves.
+// for a copy in vain, reads the records themselves. The relay goes on meanwhile: it tells
+// the others of configurations.
 func (m *Mirror) readRecords(ctx context.Context) {
 	m.mutex.Lock()
 	fromCopy := m.copyEntry.Revision > m.copied && !m.config.IsRelay()
+	m.reading = !fromCopy
 	m.mutex.Unlock()
 	if fromCopy {
 		m.readCopy(ctx)
 		return
 	}
-	if !m.config.IsRelay() {
-		clock.Sleep(ctx, rand.N(m.copyPatience()))
-		m.mutex.Lock()
-		available := m.copyEntry.Revision > m.copied
-		m.mutex.Unlock()
-		if available {
-			return
+	go func() {
+		changes, err := m.config.Source.Read(ctx, true)
+		if !m.failed(ctx, err) {
+			m.takeAll(changes)
 		}
-	}
-	changes, err := m.config.Source.Read(ctx, true)
-	if !m.failed(ctx, err) {
-		m.takeAll(changes)
-	}
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		m.reading = false
+	}()
 }
 
+// readCopy reads the copy at a tenth of a call's price, and at the whole price if that one
+// is older than the entry which tells of it.
 func (m *Mirror) readCopy(ctx context.Context) {
-	parts, err := m.config.Source.ReadCopy(ctx)
+	m.mutex.Lock()
+	wanted := m.copyEntry.Revision
+	m.mutex.Unlock()
+	found, err := m.fetchCopy(ctx, true)
+	if err == nil && found != nil && found.Revision < wanted {
+		found, err = m.fetchCopy(ctx, false)
+	}
 	if m.failed(ctx, err) {
 		return
 	}
-	found, err := decodeCopy(parts)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if err != nil {
-		// Another copy, or the records themselves, will do.
-		m.config.Logger.Error().Err(err).Int64("revision", m.copyEntry.Revision).Msg("copied records are not understood")
-		m.copied = m.copyEntry.Revision
+	m.copied = max(m.copied, wanted)
+	if found == nil || !m.partial {
 		return
 	}
-	m.takeCopy(found)
+	m.merge(found.Records, found.Revision, found.Revision)
 }
 
-// takeCopy takes the records over, but for those of which later changes are known. It
-// must be called with the lock held.
-func (m *Mirror) takeCopy(found *recordsCopy) {
-	m.copied = max(m.copied, found.Revision)
-	if !m.partial {
-		return
+// fetchCopy returns nil for a copy that is not understood: another one, or the records
+// themselves, will do.
+func (m *Mirror) fetchCopy(ctx context.Context, stale bool) (*recordsCopy, error) {
+	parts, err := m.config.Source.ReadCopy(ctx, stale)
+	if err != nil {
+		return nil, err
+	}
+	found, err := decodeCopy(parts)
+	if err != nil {
+		m.config.Logger.Error().Err(err).Msg("copied records are not understood")
+	}
+	return found, nil
+}
+
+// takeRecords takes over the servers of all that was read. It must be called with the lock
+// held.
+func (m *Mirror) takeRecords(changes Changes) {
+	records := make([]ServerRecord, 0, len(changes.Servers))
+	for _, server := range changes.Servers {
+		if server != nil {
+			records = append(records, recordOf(server))
+		}
 	}
+	m.merge(records, changes.At, max(changes.At, changes.Newest))
+}
+
+// merge takes the records over that the store held at the revision, or read from it on up
+// to the newest, but for those of which later changes are known. It must be called with
+// the lock held.
+func (m *Mirror) merge(records []ServerRecord, revision, newest int64) {
 	now := time.Now()
-	servers := make(map[string]*fleet.Server, len(found.Records))
-	sets := modelSets{}
-	for _, record := range found.Records {
+	for _, record := range records {
 		if _, ended := m.known.ended[record.ID]; ended {
 			continue
 		}
 		if _, known := m.known.servers[record.ID]; !known {
-			m.known.set(record.ID, record, found.Revision)
+			m.known.set(record.ID, record, revision)
 		}
 	}
+	servers := make(map[string]*fleet.Server, len(m.known.servers))
+	sets := modelSets{}
 	for id, held := range m.known.servers {
 		servers[id] = held.record.server(now, sets)
 	}
-	// What the store held is known exactly from the later of the two revisions on; the
-	// changes after the earlier one are asked for once more.
-	m.known.since = max(m.known.since, found.Revision, m.revision)
-	m.revision = min(m.revision, found.Revision)
-	m.partial = false
+	// What the store held is known exactly from the latest of the revisions on; the
+	// changes after the earliest are asked for once more.
+	m.known.since = max(m.known.since, newest, m.revision)
+	m.revision = min(m.revision, revision)
+	m.partial, m.complete = false, true
 	m.addLapsed(servers, now)
 	m.config.View.ReplaceServers(servers)
 	m.readDone(len(servers), m.revision)
--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -50,7 +51,8 @@
 		d.expectEqual()
 		for number, node := range d.nodes[1:] {
 			Expect(node.source.count("read")).To(Equal(1), "node %d asks whether the fleet is large", number+1)
-			Expect(node.source.count("copy")).To(Equal(1), "node %d", number+1)
+			Expect(node.source.count("stale copy")).To(Equal(1), "node %d", number+1)
+			Expect(node.source.count("copy")).To(BeZero(), "node %d", number+1)
 		}
 		// A node that starts later finds the copy.
 		d.store.put("late", false, "m")
@@ -76,7 +78,7 @@
 			Expect(node.own.get("own/holder")).To(Equal("a"))
 		}
 		// The records come without a relay as well.
-		time.Sleep(share(2*copyPatienceShare, testTimes.Changes) + time.Second)
+		time.Sleep(share(copyPatienceShare, testTimes.Changes) + 4*pagePatience)
 		for _, node := range d.nodes[1:] {
 			Expect(node.view.Load().Servers).To(HaveLen(len(d.store.servers)))
 		}
@@ -208,6 +210,47 @@
 	})
 }
 
+// The store's watches hear nothing for a second in which a server leaves and the
+// configuration changes; then the history is dropped, and copies that may be stale are
+// from before. A read of all records takes long. The configuration does not wait for it,
+// the records come from one new copy, and no node reads again and again.
+func TestHistoryThatIsDroppedInAGap(t *testing.T) {
+	withLargeFleet(t, 6, func(d *deployment) {
+		time.Sleep(settled)
+		before := make([]map[string]int, len(d.nodes))
+		for number, node := range d.nodes {
+			node.source.mutex.Lock()
+			before[number] = maps.Clone(node.source.calls)
+			node.source.wholeTime = share(0.3, testTimes.Changes)
+			node.source.mutex.Unlock()
+			node.source.setMute(true)
+		}
+		d.store.put("w5", true, "m")
+		d.store.configure(true)
+		time.Sleep(time.Second)
+		d.store.mutex.Lock()
+		d.store.behind = true
+		d.store.mutex.Unlock()
+		d.store.forget()
+		for _, node := range d.nodes {
+			node.source.setMute(false)
+		}
+		time.Sleep(share(0.2, testTimes.Changes))
+		for number, node := range d.nodes {
+			Expect(node.revision()).To(Equal(d.store.configuredAt), "node %d", number)
+		}
+		time.Sleep(share(0.8, testTimes.Changes))
+		d.expectEqual()
+		time.Sleep(settled)
+		for number, node := range d.nodes[1:] {
+			Expect(node.mirror.Through()).To(BeTrue(), "node %d", number+1)
+			for call, most := range map[string]int{"read": 0, "own": 1, "copy": 2, "stale copy": 2, "configuration": 1, "changes": 4} {
+				Expect(node.source.count(call)-before[number+1][call]).To(BeNumerically("<=", most), "node %d, %s", number+1, call)
+			}
+		}
+	})
+}
+
 func TestCopyThatIsBrokenIsReplaced(t *testing.T) {
 	withLargeFleet(t, 2, func(d *deployment) {
 		time.Sleep(settled)
@@ -270,7 +313,7 @@
 				node.source.set(false, false)
 				d.network.setCut(addressOf(number), false)
 			}
-			time.Sleep(testTimes.Contact + testTimes.Changes + share(2*copyPatienceShare, testTimes.Changes))
+			time.Sleep(testTimes.Contact + testTimes.Changes + share(copyPatienceShare, testTimes.Changes) + 4*pagePatience)
 			d.expectEqual("seed %d", seed)
 		})
 	}
--- a/internal/mirror/fakes_test.go
+++ b/internal/mirror/fakes_test.go
@@ -26,6 +26,9 @@
 	// own keys, and the copy of the records.
 	own    map[string]outside.WatchEvent
 	copied [][]byte
+	// behind: stale reads get the copy before the last one.
+	behind       bool
+	copiedBefore [][]byte
 	// forgotten: changes up to this revision are not kept.
 	forgotten int64
 	changed   chan struct{}
@@ -143,6 +146,10 @@
 	mutex sync.Mutex
 	// away: calls fail; silent: they are not answered.
 	away, silent bool
+	// mute: watches hear nothing of what changes.
+	mute bool
+	// wholeTime is how long a read of everything takes.
+	wholeTime time.Duration
 	// calls by name.
 	calls map[string]int
 }
@@ -174,6 +181,18 @@
 	s.away, s.silent = away, silent
 }
 
+func (s *fakeSource) isMute() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.mute
+}
+
+func (s *fakeSource) setMute(mute bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.mute = mute
+}
+
 func (s *fakeSource) count(name string) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -206,12 +225,15 @@
 	return changes, nil
 }
 
-func (s *fakeSource) ReadCopy(ctx context.Context) ([][]byte, error) {
-	if err := s.call(ctx, "copy"); err != nil {
+func (s *fakeSource) ReadCopy(ctx context.Context, stale bool) ([][]byte, error) {
+	if err := s.call(ctx, map[bool]string{false: "copy", true: "stale copy"}[stale]); err != nil {
 		return nil, err
 	}
 	s.store.mutex.Lock()
 	defer s.store.mutex.Unlock()
+	if stale && s.store.behind {
+		return s.store.copiedBefore, nil
+	}
 	return s.store.copied, nil
 }
 
@@ -224,7 +246,7 @@
 		s.store.mutex.Unlock()
 		return errors.New("another was first")
 	}
-	s.store.copied = parts
+	s.store.copiedBefore, s.store.copied = s.store.copied, parts
 	s.store.mutex.Unlock()
 	s.store.putOwn(entry.Key, string(entry.Value))
 	return nil
@@ -240,7 +262,7 @@
 		return changes, nil
 	}
 	first, changes := s.page(func(id string) bool { return id < "u" })
-	time.Sleep(pagePause)
+	time.Sleep(pagePause + s.wholeTime)
 	newest, second := s.page(func(id string) bool { return id >= "u" })
 	maps.Copy(changes.Servers, second.Servers)
 	changes.At, changes.Newest = first, newest
@@ -284,6 +306,9 @@
 		if after < forgotten {
 			return Changes{}, ErrHistoryGone
 		}
+		if s.isMute() {
+			changes, changed = Changes{Base: after, At: after}, nil
+		}
 		if changes.At > after {
 			return changes, nil
 		}
@@ -312,13 +337,16 @@
 	}
 }
 
-func (s *fakeSource) Configuration(ctx context.Context) (*fleet.Configuration, int64, error) {
+func (s *fakeSource) Configuration(ctx context.Context) (Changes, error) {
 	if err := s.call(ctx, "configuration"); err != nil {
-		return nil, 0, err
+		return Changes{}, err
 	}
 	s.store.mutex.Lock()
 	defer s.store.mutex.Unlock()
-	return s.store.configuration, s.store.configuredAt, nil
+	return Changes{
+		At: s.store.revision, Configuration: s.store.configuration, ConfigurationRevision: s.store.configuredAt,
+		ConfigurationValue: []byte(understoodValue),
+	}, nil
 }
 
 // fakeNetwork connects the nodes of a test.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -56,8 +56,9 @@
 	Read(ctx context.Context, whole bool) (Changes, error)
 	// Own returns the product's own keys alone, as changes since revision zero.
 	Own(ctx context.Context) (Changes, error)
-	// ReadCopy returns the parts of the copy of the servers' records, in order.
-	ReadCopy(ctx context.Context) ([][]byte, error)
+	// ReadCopy returns the parts of the copy of the servers' records, in order. A stale
+	// one may be some seconds old, and costs less.
+	ReadCopy(ctx context.Context, stale bool) ([][]byte, error)
 	// WriteCopy writes the parts and the entry that tells of them, at once, if the
 	// entry still has the revision; zero: there is none.
 	WriteCopy(ctx context.Context, parts [][]byte, entry outside.KeyValue, revision int64) error
@@ -66,9 +67,8 @@
 	Changes(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 	// OwnChanges is Changes of the product's own keys alone.
 	OwnChanges(ctx context.Context, after int64, wait time.Duration) (Changes, error)
-	// Configuration returns the configuration alone with its revision; nil if it
-	// is not understood.
-	Configuration(ctx context.Context) (*fleet.Configuration, int64, error)
+	// Configuration returns the configuration alone, as changes since revision zero.
+	Configuration(ctx context.Context) (Changes, error)
 	// Decode returns a configuration of the revision from its value; nil if it is not
 	// understood.
 	Decode(value []byte, revision int64) *fleet.Configuration
@@ -179,6 +179,12 @@
 	// shows what was known before.
 	partial   bool
 	partialAt time.Time
+	// complete: all records were known once; patience is how long a copy of those that
+	// are not known any more is waited for.
+	complete bool
+	patience time.Duration
+	// reading: the relay reads all records meanwhile.
+	reading bool
 	// ownAt is the revision up to which changes of own keys were handed on.
 	ownAt int64
 	// copyEntry tells of the newest copy of the records in the store, copyRevision is
@@ -261,7 +267,7 @@
 		return readAll
 	case m.configuration < m.known.configuration && (!now.Before(m.contentBy) || !m.followsRelay(now)):
 		return readConfiguration
-	case m.partial && m.recordsDue(now):
+	case m.partial && !m.reading && m.recordsDue(now):
 		return readRecords
 	case m.followsRelay(now):
 		return awaitRelay
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -353,14 +353,14 @@
 // Very many changes at once, in a fleet that is not large, are read from the store, by
 // each node for itself, and the relay is followed again after that.
 func TestManyChangesAreReadFromTheStore(t *testing.T) {
-	const nodes = 9
+	const nodes = 17
 	withNodes(t, nodes, func(d *deployment) {
 		d.network.mutex.Lock()
 		d.network.updates = nil
 		d.network.mutex.Unlock()
 		before := d.nodes[1].source.count("changes")
 		most := d.nodes[0].mirror.mostFor(nodes - 1)
-		many := most + onePage/4
+		many := 2 * most
 		for number := range many {
 			d.store.put(fmt.Sprint("t", number), false)
 		}
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -48,21 +48,24 @@
 	if m.failed(ctx, err) {
 		return
 	}
-	if m.isLarge(own) && !m.config.IsRelay() {
-		configuration, revision, err := m.config.Source.Configuration(ctx)
+	if m.isLarge(own) {
+		configured, err := m.config.Source.Configuration(ctx)
 		if m.failed(ctx, err) {
 			return
 		}
-		own.Configuration, own.ConfigurationRevision = configuration, revision
+		own.Configuration, own.ConfigurationRevision = configured.Configuration, configured.ConfigurationRevision
+		own.ConfigurationValue = configured.ConfigurationValue
 		m.begin(own)
+		m.push(time.Now())
 		return
 	}
-	changes, err := m.config.Source.Read(ctx, m.config.IsRelay())
+	changes, err := m.config.Source.Read(ctx, false)
 	if m.failed(ctx, err) {
 		return
 	}
 	if changes.More {
 		m.begin(changes)
+		m.push(time.Now())
 		return
 	}
 	m.takeAll(changes)
@@ -81,6 +84,10 @@
 func (m *Mirror) takeAll(changes Changes) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if m.partial {
+		m.takeRecords(changes)
+		return
+	}
 	if changes.At < m.revision {
 		// The relay told more while this was read; it is read once more.
 		return
@@ -101,14 +108,15 @@
 
 // readConfiguration reads the configuration of which the relay told.
 func (m *Mirror) readConfiguration(ctx context.Context) {
-	configuration, revision, err := m.config.Source.Configuration(ctx)
+	read, err := m.config.Source.Configuration(ctx)
 	m.noteAnswer(err)
 	if err != nil {
 		clock.Sleep(ctx, m.pauseAfterFailure(time.Now()))
 		return
 	}
 	m.mutex.Lock()
-	m.takeConfiguration(configuration, revision)
+	m.content.set(read.ConfigurationValue, read.ConfigurationRevision)
+	m.takeConfiguration(read.Configuration, read.ConfigurationRevision)
 	behind := m.configuration < m.known.configuration
 	m.mutex.Unlock()
 	if behind {
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -51,8 +51,8 @@
 	Content []byte
 	// Digest of all records at the revision At; zero in what is pushed.
 	Digest Digest
-	// Skipped: more records changed than are told. All else is told; the records have to
-	// be taken from the copy in the store.
+	// Skipped: more records changed than are told, so that they have to be taken from the
+	// copy in the store. Own are all own keys that exist then, whatever the base.
 	Skipped bool
 	Servers []ServerRecord
 	Ended   []string
@@ -79,11 +79,11 @@
 	if can && update.size() <= m.mostFor(subscribers) {
 		return true
 	}
-	if !m.large || m.revision < m.known.since {
+	if !m.large || m.revision == 0 {
 		return false
 	}
 	update.Servers, update.Ended, update.Skipped = nil, nil, true
-	update.At, update.Configuration, update.Own = m.revision, m.known.configuration, m.known.ownAfter(update.Base)
+	update.At, update.Configuration, update.Own = m.revision, m.known.configuration, m.known.ownAfter(0)
 	return true
 }
 
@@ -153,7 +153,7 @@
 	age := now.Sub(m.heardAt())
 	update, can := m.known.update(asked.Revision, max(m.revision, asked.Revision), age)
 	update.Base, update.Age = asked.Revision, age
-	can = m.bearable(&update, can, len(m.subscribers)) && m.revision > 0 && !m.partial && age < m.trust()
+	can = m.bearable(&update, can && !m.partial, len(m.subscribers)) && m.revision > 0 && age < m.trust()
 	if update.At == m.revision {
 		update.Digest = m.digestNow()
 	}
@@ -194,7 +194,7 @@
 	if m.revision == 0 {
 		return false
 	}
-	if update.Base > m.revision {
+	if update.Base > m.revision && !update.Skipped {
 		signal(m.missed)
 		return false
 	}
@@ -243,7 +243,7 @@
 	age := now.Sub(m.heardAt())
 	update, can := m.known.update(after, m.revision, age)
 	update.Base, update.Age = after, age
-	can = m.bearable(&update, can, len(subscribers))
+	can = m.bearable(&update, can && !m.partial, len(subscribers))
 	if can {
 		update.Content = m.contentToTell(len(subscribers), now)
 	}
