--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -251,6 +251,20 @@
 	})
 }
 
+// A relay that refuses the first subscriptions is asked again before the store is.
+func TestNewRelayThatRefusesIsAskedAgain(t *testing.T) {
+	withNodes(t, 0, func(d *deployment) {
+		d.nodes = append(d.nodes, d.addNode(addressOf(0)), d.addNode(addressOf(1)))
+		d.network.setCut(addressOf(1), true)
+		time.Sleep(relayPeriod + 50*time.Millisecond)
+		d.network.setCut(addressOf(1), false)
+		// A call to the store that has begun ends first.
+		time.Sleep(share(electionShare, testTimes.Changes) + share(aloneWaitShare, testTimes.Contact))
+		Expect(d.nodes[1].mirror.Through()).To(BeTrue())
+		Expect(d.nodes[1].source.count("changes")).To(BeNumerically("<=", 1))
+	})
+}
+
 func TestCopyThatIsBrokenIsReplaced(t *testing.T) {
 	withLargeFleet(t, 2, func(d *deployment) {
 		time.Sleep(settled)
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -16,6 +16,10 @@
 	subscriptionTime = 5 * time.Second
 	// relayPeriod between looks for another relay.
 	relayPeriod = 200 * time.Millisecond
+	// unheardPeriod between the subscriptions of a node that no relay told anything yet. A
+	// relay refuses connections while hundreds of nodes come at once; 615 of 985 that
+	// came back after subscribePeriod watched 10,000 servers in the store meanwhile.
+	unheardPeriod = 400 * time.Millisecond
 	// subscribeTimeout is how long an answer to a subscription is waited for.
 	subscribeTimeout = 400 * time.Millisecond
 	// mostTold records go out at once at most, and leastTold to each subscriber. What is
@@ -120,7 +124,7 @@
 		case <-ticker.C:
 		}
 		relay := m.parent()
-		if relay != "" && (missed || relay != last || time.Since(asked) >= subscribePeriod) {
+		if relay != "" && (missed || relay != last || time.Since(asked) >= m.subscribePeriod()) {
 			m.ask(relay)
 			asked = time.Now()
 		}
@@ -128,6 +132,16 @@
 	}
 }
 
+// subscribePeriod is the time between subscriptions.
+func (m *Mirror) subscribePeriod() time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.relayedAt.IsZero() {
+		return unheardPeriod
+	}
+	return subscribePeriod
+}
+
 func (m *Mirror) ask(relay string) {
 	m.mutex.Lock()
 	revision, digest, avoid := m.revision, m.digestNow(), m.tree.avoid
