--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -1,22 +1,11 @@
 package mirror
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"encoding/gob"
 	"encoding/json"
-	"fmt"
-	"io"
-	"maps"
-	"math"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/outside"
 )
@@ -26,115 +15,14 @@
 	// of them is read by the relay alone: a record is 720 bytes there, so that 985 nodes
 	// that read 10,000 records each move 7 GB, 57 s of a link of 1,000 Mbit/s.
 	onePage = 500
-	// copyPeriodShare of the time for changes is the shortest time between two copies, so
-	// that a change which only a copy tells is known in time. A copy takes 22 ms to encode
-	// for 10,000 records.
-	copyPeriodShare = 0.3
-	// copyRefresh is how old a copy becomes although nothing changed: changes after its
-	// revision must be in the store's history, of which the users' platform keeps 20 s.
-	copyRefresh = 6 * time.Second
 	// copyPatienceShare of the time for changes is how long a node without records waits
 	// for a copy before it reads all records itself, and pagePatience as long again for
 	// each page of them, by chance up to twice that: all nodes of a fleet that read 20
 	// pages each at once would keep the relay from doing so.
 	copyPatienceShare = 0.8
 	pagePatience      = time.Second
-	// copyPartBytes bounds a value: the store takes 1 MB, encoded in four thirds.
-	copyPartBytes = 700 << 10
-	// largestCopyBytes bounds what a copy may expand to: 100,000 records of 200 bytes.
-	largestCopyBytes = 20 << 20
 )
 
-// copyEntry tells of the copy of all servers' records that the relay left in the
-// store.
-type copyEntry struct {
-	// Revision at which the store held just these records.
-	Revision int64 `json:"revision"`
-	Records  int   `json:"records"`
-	// Parts are their names.
-	Parts []string `json:"parts"`
-}
-
-// CopyPart is a part of the copy, as it lies in the store. Its name begins with the zone
-// of the servers in it.
-type CopyPart struct {
-	Name  string
-	Value []byte
-}
-
-// zonePrefix begins the names of a zone's parts.
-func zonePrefix(zone string) string { return zone + "/" }
-
-// recordsCopy are the records of the copy: of one zone, or of all.
-type recordsCopy struct {
-	Revision int64
-	Records  []ServerRecord
-}
-
-// encode returns the copy in parts that the store takes, by zone.
-func (c *recordsCopy) encode() ([]CopyPart, error) {
-	zones := map[string]*recordsCopy{}
-	for _, record := range c.Records {
-		if zones[record.Zone] == nil {
-			zones[record.Zone] = &recordsCopy{Revision: c.Revision}
-		}
-		zones[record.Zone].Records = append(zones[record.Zone].Records, record)
-	}
-	var parts []CopyPart
-	for _, zone := range slices.Sorted(maps.Keys(zones)) {
-		packed, err := zones[zone].pack()
-		if err != nil {
-			return nil, err
-		}
-		for number := 0; len(packed) > 0; number++ {
-			length := min(len(packed), copyPartBytes)
-			parts = append(parts, CopyPart{Name: fmt.Sprintf("%s%02d", zonePrefix(zone), number), Value: packed[:length]})
-			packed = packed[length:]
-		}
-	}
-	return parts, nil
-}
-
-// pack encodes the records of a zone.
-func (c *recordsCopy) pack() ([]byte, error) {
-	var packed bytes.Buffer
-	compressor, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err != nil {
-		return nil, eris.Wrap(err, "compress the records")
-	}
-	if err := gob.NewEncoder(compressor).Encode(c); err != nil {
-		return nil, eris.Wrap(err, "encode the records")
-	}
-	if err := compressor.Close(); err != nil {
-		return nil, eris.Wrap(err, "compress the records")
-	}
-	return packed.Bytes(), nil
-}
-
-// decodeCopy returns the records of whole zones, at the earliest of their revisions. It
-// fails on anything else.
-func decodeCopy(parts []CopyPart) (*recordsCopy, error) {
-	zones := map[string][]byte{}
-	for _, part := range parts {
-		zone, _, _ := strings.Cut(part.Name, zonePrefix(""))
-		zones[zone] = append(zones[zone], part.Value...)
-	}
-	if len(zones) == 0 {
-		return nil, eris.New("the copy of the records has no parts")
-	}
-	whole := &recordsCopy{Revision: math.MaxInt64}
-	for zone, packed := range zones {
-		expanded := io.LimitReader(flate.NewReader(bytes.NewReader(packed)), largestCopyBytes)
-		var found recordsCopy
-		if err := gob.NewDecoder(expanded).Decode(&found); err != nil {
-			return nil, eris.Wrapf(err, "decode the copy of the records of zone %q", zone)
-		}
-		whole.Revision = min(whole.Revision, found.Revision)
-		whole.Records = append(whole.Records, found.Records...)
-	}
-	return whole, nil
-}
-
 // noteCopy takes over the entry if the own key is that of the copy. It must be called
 // with the lock held.
 func (m *Mirror) noteCopy(event outside.WatchEvent) {
@@ -347,75 +235,3 @@
 	m.readDone(len(servers), m.revision)
 	signal(m.missed)
 }
-
-// writeCopy leaves a copy of the servers' records in the store, if this node is the
-// relay of a large fleet and they changed since the last one.
-func (m *Mirror) writeCopy(ctx context.Context, now time.Time) {
-	m.mutex.Lock()
-	age := now.Sub(m.copyAt)
-	outdated := m.known.recordsAt > m.copyEntry.Revision && age >= share(copyPeriodShare, m.config.Times.Changes) || age >= copyRefresh
-	exact := !m.partial && m.revision >= m.known.since
-	if !m.large || !exact || !outdated || m.copying || !m.config.IsRelay() {
-		m.mutex.Unlock()
-		return
-	}
-	m.copying, m.copyAt = true, now
-	content, entry, before := recordsCopy{Revision: m.revision, Records: m.known.records()}, m.copyEntry, m.copyRevision
-	m.mutex.Unlock()
-	go m.storeCopy(ctx, content, entry, before)
-}
-
-// storeCopy replaces the copy of which the entry tells that has the revision.
-func (m *Mirror) storeCopy(ctx context.Context, content recordsCopy, replaced copyEntry, before int64) {
-	err := m.sendCopy(ctx, content, replaced, before)
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.copying = false
-	event := m.config.Logger.Info()
-	if err != nil {
-		event = m.config.Logger.Warn().Err(err)
-	}
-	event.Int64("revision", content.Revision).Int("servers", len(content.Records)).Msg("records copied to the store")
-}
-
-func (m *Mirror) sendCopy(ctx context.Context, content recordsCopy, replaced copyEntry, before int64) error {
-	parts, err := content.encode()
-	if err != nil {
-		return err
-	}
-	entry := copyEntry{Revision: content.Revision, Records: len(content.Records)}
-	for _, part := range parts {
-		entry.Parts = append(entry.Parts, part.Name)
-	}
-	value, err := json.Marshal(entry)
-	if err != nil {
-		return eris.Wrap(err, "encode the entry of the copied records")
-	}
-	removed := slices.DeleteFunc(slices.Clone(replaced.Parts), func(name string) bool { return slices.Contains(entry.Parts, name) })
-	return m.config.Source.WriteCopy(ctx, parts, removed, outside.KeyValue{Key: m.config.CopyKey, Value: value}, before)
-}
-
-// modelSets shares equal sets of models between servers, which seldom differ in them:
-// 10,000 servers with two models each otherwise take 8 MB for their maps.
-type modelSets map[string]map[string]fleet.Held
-
-func (s modelSets) of(models []ModelRecord) map[string]fleet.Held {
-	var key strings.Builder
-	for _, model := range models {
-		key.WriteString(model.Name)
-		for _, adapter := range model.Adapters {
-			key.WriteByte('/')
-			key.WriteString(adapter)
-		}
-		key.WriteByte(',')
-	}
-	found, known := s[key.String()]
-	if !known {
-		found = make(map[string]fleet.Held, len(models))
-		for _, model := range models {
-			found[model.Name] = fleet.NewHeld(model.Adapters)
-		}
-		s[key.String()] = found
-	}
-	return found
-}
