Count the questions of each term apart

A worker of an earlier term took one from the next term's count when it ended, so that more than 32 were asked at once. The test fails without the change: a count below zero.

--- a/internal/orders/asking.go
+++ b/internal/orders/asking.go
@@ -14,8 +14,8 @@
 // 5 ms a question it is 6,000 servers a second.
 const askAtOnce = 32
 
-// asking is the order in which servers are asked for reports. The holder's lock guards
-// it.
+// asking is the order in which servers are asked for reports in a term. The holder's lock
+// guards it.
 type asking struct {
 	queue   []*entry
 	workers int
@@ -30,7 +30,7 @@
 	h.asking.queue = stale
 	for h.asking.workers < askAtOnce && h.asking.workers < len(stale) {
 		h.asking.workers++
-		go h.askAll(ctx)
+		go h.askAll(ctx, h.asking)
 	}
 }
 
@@ -48,10 +48,10 @@
 	return append(ordered, others...)
 }
 
-// askAll asks one server after the other until none is left to ask.
-func (h *Holder) askAll(ctx context.Context) {
+// askAll asks one server after the other until none is left to ask, or the term is over.
+func (h *Holder) askAll(ctx context.Context, term *asking) {
 	for {
-		next := h.nextAsked(ctx)
+		next := h.nextAsked(ctx, term)
 		if next == nil {
 			return
 		}
@@ -59,20 +59,20 @@
 	}
 }
 
-func (h *Holder) nextAsked(ctx context.Context) *entry {
+func (h *Holder) nextAsked(ctx context.Context, term *asking) *entry {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	now := time.Now()
-	for len(h.asking.queue) > 0 && ctx.Err() == nil {
-		next := h.asking.queue[0]
-		h.asking.queue = h.asking.queue[1:]
+	for len(term.queue) > 0 && ctx.Err() == nil {
+		next := term.queue[0]
+		term.queue = term.queue[1:]
 		if next.working || !next.stale() {
 			continue
 		}
 		next.working, next.busyUntil = true, now.Add(reportLag)
 		return next
 	}
-	h.asking.workers--
+	term.workers--
 	return nil
 }
 
--- a/internal/orders/scale_test.go
+++ b/internal/orders/scale_test.go
@@ -117,6 +117,27 @@
 	})
 }
 
+// A term that ends while servers are asked leaves nothing to the next one.
+func TestTermsAskApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		engines := &countingEngines{}
+		holder := holderOf(largeSnapshot(1000), engines, func(string, Update) {})
+		for range 5 {
+			ctx, cancel := context.WithCancel(t.Context())
+			holder.mutex.Lock()
+			holder.ledger, holder.asking = newLedger(), &asking{}
+			holder.ask(ctx, holder.ledger.sync(holder.config.View.Load(), time.Now()), time.Now())
+			holder.mutex.Unlock()
+			time.Sleep(12 * time.Millisecond)
+			cancel()
+		}
+		time.Sleep(20 * time.Millisecond)
+		g.Expect(holder.asking.workers).To(BeZero())
+		g.Expect(engines.most).To(BeNumerically("<=", 2*askAtOnce), "the last questions of a term beside the first of the next")
+	})
+}
+
 // reportedLedger is the ledger of a holder that has heard all servers.
 func reportedLedger(snapshot *fleet.Snapshot) *ledger {
 	l := newLedger()
