--- a/internal/mirror/content.go
+++ b/internal/mirror/content.go
@@ -11,7 +11,7 @@
 const (
 	// contentShare of the relay's link is what passing configurations on may take. One
 	// that is written while that is used up waits for its turn, and replaces those that
-	// waited: 12 versions in 4 s to 985 nodes would take 10 s of 200 Mbit/s.
+	// waited, so that versions which come faster than the link bears don't queue up.
 	contentShare = 0.5
 	// contentPatienceShare of the time for changes is how long a node waits for a
 	// configuration that the relay announced, before it reads it from the store; the
@@ -53,8 +53,8 @@
 	return c.value
 }
 
-// usualPacking is by how much a configuration shrinks at least: those of the users'
-// platform to a sixth or less.
+// usualPacking is by how much a configuration shrinks at least, an estimate: an example of
+// the users' platform shrinks from 39 KB to 4 KB.
 const usualPacking = 6
 
 // noteConfiguration takes over what the relay tells of the newest configuration. It must
--- a/internal/placement/ahead.go
+++ b/internal/placement/ahead.go
@@ -16,7 +16,7 @@
 	aheadShare = 1.0 / 8
 	// placesPerModel that must be free for each model that is missing. Where there are
 	// fewer, most of what is loaded ahead is never asked for, and in the way of what is:
-	// 13 servers for 299 models lost 0.10 of their worth by it.
+	// a day of 13 servers without room for all models lost 0.10 of its worth by it.
 	placesPerModel = 2
 )
 
