Go through the nodes that count in one place, and derive what a view publishes

Five loops over the nodes each left out those whose reports are too old; publish took the configuration that it can read itself. Behaviour is the same.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -113,7 +113,7 @@
 	for id, record := range records {
 		v.records[id] = record
 	}
-	v.publish(v.Load().Configuration)
+	v.publish()
 }
 
 // UpdateServers applies changed records by ID; nil removes one.
@@ -182,13 +182,13 @@
 		return
 	}
 	v.placed = map[string]*Server{}
-	v.publish(v.Load().Configuration)
+	v.publish()
 }
 
 // publish must be called with the lock held.
-func (v *View) publish(configuration *Configuration) {
+func (v *View) publish() {
 	snapshot := &Snapshot{
-		Configuration: configuration,
+		Configuration: v.Load().Configuration,
 		Servers:       make(map[string]*Server, len(v.records)),
 		byPool:        map[string][]*Server{},
 	}
--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"iter"
 	"math"
 	"slices"
 	"sync"
@@ -123,15 +124,26 @@
 	return len(b.nodes)
 }
 
+// counting are the nodes whose reports count, by name. The lock must be held while they
+// are gone through.
+func (b *demandBook) counting(now time.Time) iter.Seq2[string, *nodeReport] {
+	lifetime := b.lifetime()
+	return func(yield func(string, *nodeReport) bool) {
+		for name, node := range b.nodes {
+			if now.Sub(node.at) < lifetime && !yield(name, node) {
+				return
+			}
+		}
+	}
+}
+
 // live returns the nodes that reported lately, by address.
 func (b *demandBook) live(now time.Time) map[string]string {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	found := map[string]string{}
-	for name, node := range b.nodes {
-		if now.Sub(node.at) < b.lifetime() {
-			found[node.report.Address] = name
-		}
+	for name, node := range b.counting(now) {
+		found[node.report.Address] = name
 	}
 	return found
 }
@@ -146,10 +158,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	waiting := map[string][]comingKey{}
-	for _, node := range b.nodes {
-		if now.Sub(node.at) >= b.lifetime() {
-			continue
-		}
+	for _, node := range b.counting(now) {
 		for _, key := range node.report.waitsFor() {
 			if asked[key] {
 				waiting[node.report.Address] = append(waiting[node.report.Address], key)
@@ -164,9 +173,9 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var addresses []string
-	for _, node := range b.nodes {
+	for _, node := range b.counting(now) {
 		asks := func(row DemandRow) bool { return comingKey{row.Pool, row.Model} == model }
-		if now.Sub(node.at) < b.lifetime() && slices.ContainsFunc(node.report.Rows, asks) {
+		if slices.ContainsFunc(node.report.Rows, asks) {
 			addresses = append(addresses, node.report.Address)
 		}
 	}
@@ -178,10 +187,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	models := map[comingKey]bool{}
-	for _, node := range b.nodes {
-		if now.Sub(node.at) >= b.lifetime() {
-			continue
-		}
+	for _, node := range b.counting(now) {
 		for _, key := range node.report.waitsFor() {
 			models[key] = true
 		}
@@ -211,10 +217,7 @@
 			addUsage(demandOf(models, key.Model), key.Adapter, found, now)
 		}
 	}
-	for _, node := range b.nodes {
-		if now.Sub(node.at) >= b.lifetime() {
-			continue
-		}
+	for _, node := range b.counting(now) {
 		for _, row := range node.report.Rows {
 			if row.Pool == pool {
 				addRow(demandOf(models, row.Model), row)
