Take a configuration, and end a watch that failed, in one place each

The content to pass on and the configuration were taken together in four places, and the end of a watch stood in two. A watch of own keys whose history is gone now writes the log line of the other as well; else behaviour is the same.

--- a/internal/mirror/apply.go
+++ b/internal/mirror/apply.go
@@ -22,8 +22,7 @@
 	m.addLapsed(servers, time.Now())
 	m.config.View.ReplaceServers(servers)
 	m.replaceOwn(changes)
-	m.content.set(changes.ConfigurationValue, changes.ConfigurationRevision)
-	m.takeConfiguration(changes.Configuration, changes.ConfigurationRevision)
+	m.takeRead(changes)
 }
 
 // replaceOwn takes over all of the product's own keys. It must be called with the
@@ -51,8 +50,7 @@
 	m.revision = changes.At
 	m.known.take(changes)
 	m.large = m.large || len(m.known.servers) > onePage
-	m.content.set(changes.ConfigurationValue, changes.ConfigurationRevision)
-	m.takeConfiguration(changes.Configuration, changes.ConfigurationRevision)
+	m.takeRead(changes)
 	shown := m.shown(changes.Servers, time.Now())
 	for id, server := range shown {
 		m.logServer(id, server, changes.At)
@@ -75,6 +73,13 @@
 	m.ownAt = max(m.ownAt, changes.At)
 }
 
+// takeRead takes over the configuration that was read, to be passed on as well. It must be
+// called with the lock held.
+func (m *Mirror) takeRead(changes Changes) {
+	m.content.set(changes.ConfigurationValue, changes.ConfigurationRevision)
+	m.takeConfiguration(changes.Configuration, changes.ConfigurationRevision)
+}
+
 // takeConfiguration must be called with the lock held; nil was not understood.
 func (m *Mirror) takeConfiguration(configuration *fleet.Configuration, revision int64) {
 	m.configuration = max(m.configuration, revision)
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -53,8 +53,7 @@
 func (m *Mirror) begin(read Changes) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.content.set(read.ConfigurationValue, read.ConfigurationRevision)
-	m.takeConfiguration(read.Configuration, read.ConfigurationRevision)
+	m.takeRead(read)
 	if read.At < m.revision {
 		return
 	}
--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -363,20 +363,7 @@
 func TestAnyTroubleLeavesAllNodesOfALargeFleetEqual(t *testing.T) {
 	for seed := range uint64(20) {
 		withLargeFleet(t, 4, func(d *deployment) {
-			random := rand.New(rand.NewPCG(seed, 2))
-			highest := make([]int64, len(d.nodes))
-			for range 40 {
-				d.randomTrouble(random)
-				time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
-				for number, node := range d.nodes {
-					Expect(node.revision()).To(BeNumerically(">=", highest[number]), "seed %d", seed)
-					highest[number] = node.revision()
-				}
-			}
-			for number, node := range d.nodes {
-				node.source.set(false, false)
-				d.network.setCut(addressOf(number), false)
-			}
+			d.endureTrouble(seed, 2, 40)
 			time.Sleep(testTimes.Contact + testTimes.Changes + share(copyPatienceShare, testTimes.Changes) + 4*pagePatience)
 			d.expectEqual("seed %d", seed)
 		})
--- a/internal/mirror/election.go
+++ b/internal/mirror/election.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 )
 
@@ -47,16 +46,7 @@
 		return
 	}
 	changes, err := m.config.Source.OwnChanges(ctx, after, wait)
-	if ctx.Err() != nil {
-		return
-	}
-	if errors.Is(err, ErrHistoryGone) {
-		m.mutex.Lock()
-		m.revision = 0
-		m.mutex.Unlock()
-		return
-	}
-	if m.failed(ctx, err) {
+	if m.watchFailed(ctx, err, after) {
 		return
 	}
 	m.mutex.Lock()
--- a/internal/mirror/known.go
+++ b/internal/mirror/known.go
@@ -145,10 +145,10 @@
 // update tells what changed after the revision, up to at. It returns false if that
 // can't be told.
 func (k *known) update(after, at int64, age time.Duration) (Update, bool) {
+	update := Update{Base: after, At: at, Age: age, Configuration: k.configuration}
 	if after < k.since || at < k.since {
-		return Update{}, false
+		return update, false
 	}
-	update := Update{Base: after, At: at, Age: age, Configuration: k.configuration}
 	for _, change := range k.changed[k.firstAfter(after):] {
 		if server, exists := k.servers[change.id]; exists && server.revision == change.revision {
 			update.Servers = append(update.Servers, server.record)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -494,20 +494,7 @@
 func TestAnyTroubleLeavesAllNodesEqual(t *testing.T) {
 	for seed := range uint64(200) {
 		withNodes(t, 4, func(d *deployment) {
-			random := rand.New(rand.NewPCG(seed, 1))
-			highest := make([]int64, len(d.nodes))
-			for range 60 {
-				d.randomTrouble(random)
-				time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
-				for number, node := range d.nodes {
-					Expect(node.revision()).To(BeNumerically(">=", highest[number]), "seed %d", seed)
-					highest[number] = node.revision()
-				}
-			}
-			for number, node := range d.nodes {
-				node.source.set(false, false)
-				d.network.setCut(addressOf(number), false)
-			}
+			d.endureTrouble(seed, 1, 60)
 			time.Sleep(testTimes.Contact + testTimes.Changes)
 			for number, node := range d.nodes {
 				Expect(node.revision()).To(Equal(d.store.configuredAt), "seed %d, node %d", seed, number)
@@ -521,6 +508,24 @@
 	}
 }
 
+// endureTrouble checks that no node goes back while there is trouble, and ends it.
+func (d *deployment) endureTrouble(seed, stream uint64, steps int) {
+	random := rand.New(rand.NewPCG(seed, stream))
+	highest := make([]int64, len(d.nodes))
+	for range steps {
+		d.randomTrouble(random)
+		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+		for number, node := range d.nodes {
+			Expect(node.revision()).To(BeNumerically(">=", highest[number]), "seed %d", seed)
+			highest[number] = node.revision()
+		}
+	}
+	for number, node := range d.nodes {
+		node.source.set(false, false)
+		d.network.setCut(addressOf(number), false)
+	}
+}
+
 func (d *deployment) randomTrouble(random *rand.Rand) {
 	number := random.IntN(len(d.nodes))
 	id := string(rune('s' + random.IntN(5)))
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -109,14 +109,11 @@
 // readConfiguration reads the configuration of which the relay told.
 func (m *Mirror) readConfiguration(ctx context.Context) {
 	read, err := m.config.Source.Configuration(ctx)
-	m.noteAnswer(err)
-	if err != nil {
-		clock.Sleep(ctx, m.pauseAfterFailure(time.Now()))
+	if m.failed(ctx, err) {
 		return
 	}
 	m.mutex.Lock()
-	m.content.set(read.ConfigurationValue, read.ConfigurationRevision)
-	m.takeConfiguration(read.Configuration, read.ConfigurationRevision)
+	m.takeRead(read)
 	behind := m.configuration < m.known.configuration
 	m.mutex.Unlock()
 	if behind {
@@ -155,19 +152,7 @@
 	m.mutex.Unlock()
 	sent := time.Now()
 	changes, err := m.config.Source.Changes(ctx, after, wait)
-	if ctx.Err() != nil {
-		return
-	}
-	if errors.Is(err, ErrHistoryGone) {
-		m.config.Logger.Warn().Err(err).Int64("revision", after).Msg("watch lost, reading again")
-		m.mutex.Lock()
-		m.revision = 0
-		m.mutex.Unlock()
-		return
-	}
-	m.noteAnswer(err)
-	if err != nil {
-		clock.Sleep(ctx, m.pauseAfterFailure(time.Now()))
+	if m.watchFailed(ctx, err, after) {
 		return
 	}
 	m.mutex.Lock()
@@ -183,6 +168,22 @@
 	}
 }
 
+// watchFailed reports whether a watch from the revision brought nothing. Where the history
+// since it is gone, everything is read again.
+func (m *Mirror) watchFailed(ctx context.Context, err error, after int64) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	if !errors.Is(err, ErrHistoryGone) {
+		return m.failed(ctx, err)
+	}
+	m.config.Logger.Warn().Err(err).Int64("revision", after).Msg("watch lost, reading again")
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.revision = 0
+	return true
+}
+
 func earlier(first, second time.Time) time.Time {
 	if first.Before(second) {
 		return first
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -172,7 +172,6 @@
 	}
 	age := now.Sub(m.heardAt())
 	update, can := m.known.update(asked.Revision, max(m.revision, asked.Revision), age)
-	update.Base, update.Age = asked.Revision, age
 	can = m.bearable(&update, can && !m.partial, len(m.subscribers)) && m.revision > 0 && age < m.trust()
 	if update.At == m.revision {
 		update.Digest = m.digestNow()
@@ -262,7 +261,6 @@
 	}
 	age := now.Sub(m.heardAt())
 	update, can := m.known.update(after, m.revision, age)
-	update.Base, update.Age = after, age
 	can = m.bearable(&update, can && !m.partial, len(subscribers))
 	if can {
 		update.Content = m.contentToTell(len(subscribers), now)
