Tell what servers say of themselves in their answers, and what is sent in spite of it

No line told what an answer said beside its status and load, so that a word that was not read looked like one that was forgotten. Two lines, two counters, fields; nothing is decided by them yet.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -15,6 +15,7 @@
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/inspect"
 	"github.com/hatchplank/hatchplank/internal/mirror"
+	"github.com/hatchplank/hatchplank/internal/notice"
 	"github.com/hatchplank/hatchplank/internal/orders"
 	"github.com/hatchplank/hatchplank/internal/peer/tcp"
 	"github.com/hatchplank/hatchplank/internal/poison"
@@ -79,6 +80,7 @@
 	quota     *tenants.Quota
 	counters  *orders.CountersRecord
 	poison    *poison.Guard
+	notices   *notice.Board
 	forwarder *forward.Forwarder
 	metrics   *edge.Metrics
 	requests  *edge.RequestLog
@@ -107,6 +109,7 @@
 	n.transport = transport
 	n.metrics = edge.NewMetrics(n.gauges())
 	n.requests = edge.NewRequestLog(logger, n.metrics)
+	n.notices = notice.NewBoard(notice.Config{Counted: n.metrics.Notice, Despite: n.metrics.Despite, Logger: logger})
 	n.store.Calls = n.metrics.StoreCall
 	n.calls = quota.NewShare(quota.Rates{Reads: settings.Store.ReadsPerSecond, Writes: settings.Store.WritesPerSecond}, assumedNodes)
 	n.store.Admit = n.calls.Wait
@@ -140,7 +143,7 @@
 	})
 	n.counters = &orders.CountersRecord{Store: n.store, Key: countersKey, Told: n.quota.SetCounters, Logger: n.logger}
 	n.holder = orders.NewHolder(orders.HolderConfig{
-		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers}, Name: n.settings.Node.Name,
+		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers, Notices: n.notices}, Name: n.settings.Node.Name,
 		Counters: n.quota.Counters, Record: n.counters,
 		Ceiling:   orders.CeilingLimits{Window: n.settings.Orders.LoadWindow, Overage: n.settings.Orders.LoadOverage},
 		LoadAhead: true,
@@ -205,7 +208,7 @@
 
 func (n *node) assembleForwarder() {
 	n.forwarder = forward.New(forward.Config{
-		View: n.view, Backend: &platform.Backend{Client: n.servers}, Orders: n.link, Quota: n.quota, Poison: n.poison, Behind: n.mirror.Behind, Zone: n.settings.Node.Zone,
+		View: n.view, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Poison: n.poison, Behind: n.mirror.Behind, Zone: n.settings.Node.Zone,
 		Nodes: assumedNodes, Observe: n.requests.Attempt, UnderWay: n.requests.UnderWay,
 		Budget: forward.BudgetLimits{
 			Ratio: n.settings.Retries.Ratio, Slack: n.settings.Retries.Slack, Window: n.settings.Retries.Window,
@@ -308,6 +311,7 @@
 			return
 		case now := <-ticker.C:
 			n.forwarder.Tidy()
+			n.notices.Keep(func(id string) bool { return n.view.Load().Servers[id] != nil })
 			n.servers.Tidy(now)
 		}
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -24,6 +24,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/logging"
+	"github.com/hatchplank/hatchplank/internal/notice"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 )
@@ -207,6 +208,8 @@
 	metrics.StoreCall("/call")
 	metrics.Order("load", "accepted")
 	metrics.ServerEnded()
+	metrics.Notice(notice.KindLeaving)
+	metrics.Despite(notice.KindLeaving)
 	metrics.Quota("north", tenants.Verdict{Within: true})
 	answer := httptest.NewRecorder()
 	metrics.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
@@ -358,7 +361,7 @@
 	RegisterTestingT(t)
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	Expect(err).NotTo(HaveOccurred())
-	for _, folder := range []string{".", "../orders", "../mirror", "../../platform", "../../cmd/hatchplank-node", "../logging"} {
+	for _, folder := range []string{".", "../orders", "../mirror", "../notice", "../../platform", "../../cmd/hatchplank-node", "../logging"} {
 		files, err := filepath.Glob(filepath.Join(folder, "*.go"))
 		Expect(err).NotTo(HaveOccurred())
 		for _, file := range files {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/hatchplank/hatchplank/internal/notice"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 )
 
@@ -32,6 +33,8 @@
 	metricServerEnds  = "hatchplank_node_server_ends_total"
 	metricQuarantine  = "hatchplank_node_poison_requests"
 	metricRelayed     = "hatchplank_node_reads_through_relay"
+	metricNotices     = "hatchplank_node_server_notices_total"
+	metricDespite     = "hatchplank_node_sends_despite_notice_total"
 )
 
 // MetricDescriptions lists the node's own metrics.
@@ -50,6 +53,8 @@
 	{metricHolder, "gauge", "", "1 while this node holds the lease for orders."},
 	{metricServerEnds, "counter", "", "Servers that ended while they had requests of this node."},
 	{metricQuarantine, "gauge", "", "Requests that are refused because servers ended under them."},
+	{metricNotices, "counter", "notice", "Answers in which servers told of themselves: that they leave, that they want nothing for a while (retry_after), or a time that can't be read (unreadable)."},
+	{metricDespite, "counter", "notice", "Sendings to servers that had told this node not to send, by what they had told."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
@@ -97,6 +102,12 @@
 // Order counts an order.
 func (m *Metrics) Order(order, reply string) { m.count(metricOrders, "order", order, "reply", reply) }
 
+// Notice counts an answer in which a server told of itself.
+func (m *Metrics) Notice(kind notice.Kind) { m.count(metricNotices, "notice", string(kind)) }
+
+// Despite counts a sending to a server that had told this node not to.
+func (m *Metrics) Despite(kind notice.Kind) { m.count(metricDespite, "notice", string(kind)) }
+
 // Quota counts a verdict on a tenant's request. The operators' configuration bounds
 // the number of tenants.
 func (m *Metrics) Quota(tenant string, verdict tenants.Verdict) {
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -45,6 +45,9 @@
 	// Matches tells whether an answer with this head belongs to the request;
 	// nil: each does.
 	Matches func(head *http.Response) bool
+	// Heard is called with the head of each final answer that is read, also of those
+	// that belong to other requests; nil: not called.
+	Heard func(head *http.Response)
 }
 
 // Client keeps connections to servers. It is safe for concurrent use.
@@ -116,6 +119,9 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		if request.Heard != nil {
+			request.Heard(response)
+		}
 		if request.Matches == nil || request.Matches(response) {
 			return response, clean, nil
 		}
--- /dev/null
+++ b/internal/notice/notice.go
@@ -0,0 +1,148 @@
+// Package notice keeps what servers tell this node about themselves in their answers:
+// that they leave, or that they want no requests for a while. It is newer than what the
+// listing says of them, and it is for this node alone.
+package notice
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/logging"
+)
+
+// Notice is what one answer tells of the server that gave it.
+type Notice struct {
+	// Leaving: the server takes no new work and will end.
+	Leaving bool
+	// RetryAfter is how long the server wants nothing from this node; zero: it did not say.
+	RetryAfter time.Duration
+	// Unreadable is a time that could not be read, as it stood; it counts as none.
+	Unreadable string
+}
+
+// IsZero reports whether the answer told nothing.
+func (n Notice) IsZero() bool { return n == Notice{} }
+
+// Kind of a notice, as it is counted.
+type Kind string
+
+// The kinds.
+const (
+	KindLeaving    Kind = "leaving"
+	KindRetryAfter Kind = "retry_after"
+	KindUnreadable Kind = "unreadable"
+)
+
+// linesPerSecond that are logged of each kind.
+const linesPerSecond = 20
+
+// Config of a Board.
+type Config struct {
+	// Counted is called with each notice that was heard; nil: not called.
+	Counted func(kind Kind)
+	// Despite is called with each sending to a server that had told this node not to
+	// send; nil: not called.
+	Despite func(kind Kind)
+	Logger  zerolog.Logger
+}
+
+// Board is what servers have told this node. It is safe for concurrent use.
+type Board struct {
+	config  Config
+	limiter *logging.Limiter
+
+	mutex sync.RWMutex
+	// pausedUntil by server, and leaving servers.
+	pausedUntil map[string]time.Time
+	leaving     map[string]bool
+}
+
+// NewBoard returns a board on which nothing was noted.
+func NewBoard(config Config) *Board {
+	if config.Counted == nil {
+		config.Counted = func(Kind) {}
+	}
+	if config.Despite == nil {
+		config.Despite = func(Kind) {}
+	}
+	return &Board{config: config, limiter: logging.NewLimiter(linesPerSecond), pausedUntil: map[string]time.Time{}, leaving: map[string]bool{}}
+}
+
+// Heard notes what a server's answer told.
+func (b *Board) Heard(server *fleet.Server, heard Notice) {
+	if heard.IsZero() {
+		return
+	}
+	b.note(server.ID, heard, time.Now())
+	for kind, told := range map[Kind]bool{
+		KindLeaving: heard.Leaving, KindRetryAfter: heard.RetryAfter > 0, KindUnreadable: heard.Unreadable != "",
+	} {
+		if told {
+			b.config.Counted(kind)
+		}
+	}
+	if event := b.limiter.Event(&b.config.Logger, zerolog.InfoLevel, "notice"); event != nil {
+		event.Str("server", server.ID).Str("pool", server.Pool).Bool("server_leaving", heard.Leaving).
+			Dur("server_retry_after_ms", heard.RetryAfter).Str("unreadable", heard.Unreadable).Msg("server told of itself")
+	}
+}
+
+func (b *Board) note(id string, heard Notice, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if heard.Leaving {
+		b.leaving[id] = true
+	}
+	if until := now.Add(heard.RetryAfter); heard.RetryAfter > 0 && until.After(b.pausedUntil[id]) {
+		b.pausedUntil[id] = until
+	}
+}
+
+// PausedUntil is until when a server wants nothing from this node; the zero time if it
+// has not asked for a pause.
+func (b *Board) PausedUntil(id string) time.Time {
+	b.mutex.RLock()
+	defer b.mutex.RUnlock()
+	return b.pausedUntil[id]
+}
+
+// Sending notes that something is sent to a server, and logs and counts it if the server
+// had told this node not to.
+func (b *Board) Sending(server *fleet.Server, purpose string) {
+	b.mutex.RLock()
+	leaving, paused := b.leaving[server.ID], time.Until(b.pausedUntil[server.ID])
+	b.mutex.RUnlock()
+	if leaving {
+		b.config.Despite(KindLeaving)
+	}
+	if paused > 0 {
+		b.config.Despite(KindRetryAfter)
+	}
+	if !leaving && paused <= 0 {
+		return
+	}
+	if event := b.limiter.Event(&b.config.Logger, zerolog.WarnLevel, "despite"); event != nil {
+		event.Str("server", server.ID).Str("purpose", purpose).Bool("server_leaving", leaving).Dur("pause_left_ms", max(paused, 0)).
+			Msg("sent although the server told not to")
+	}
+}
+
+// Keep forgets the servers that are not known any more.
+func (b *Board) Keep(known func(id string) bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := time.Now()
+	for id, until := range b.pausedUntil {
+		if !now.Before(until) {
+			delete(b.pausedUntil, id)
+		}
+	}
+	for id := range b.leaving {
+		if !known(id) {
+			delete(b.leaving, id)
+		}
+	}
+}
