--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -220,8 +220,8 @@
 		Servers:       make(map[string]*Server, len(v.records)),
 		byPool:        map[string][]*Server{},
 	}
-	for id := range v.records {
-		snapshot.Servers[id] = v.shown(id)
+	for id, record := range v.records {
+		snapshot.Servers[id] = v.shown(record)
 	}
 	for _, server := range snapshot.Servers {
 		snapshot.byPool[server.Pool] = append(snapshot.byPool[server.Pool], server)
@@ -255,8 +255,8 @@
 			delete(snapshot.Servers, id)
 			pools[old.Pool] = append(pools[old.Pool], nil)
 		}
-		if v.records[id] != nil {
-			server := v.shown(id)
+		if record := v.records[id]; record != nil {
+			server := v.shown(record)
 			snapshot.Servers[id] = server
 			pools[server.Pool] = append(pools[server.Pool], server)
 		}
@@ -285,11 +285,11 @@
 	return append(merged, changed...)
 }
 
-// shown is a listed server's record with all that is known beside it. It must be called
-// with the lock held.
-func (v *View) shown(id string) *Server {
-	server := overlay(v.records[id], v.placed[id])
-	if !v.leaving.has(server.Life()) {
+// shown is a server's record with all that is known beside it. It must be called with the
+// lock held.
+func (v *View) shown(record *Server) *Server {
+	server := overlay(record, v.placed[record.ID])
+	if len(v.leaving) == 0 || !v.leaving.has(server.Life()) {
 		return server
 	}
 	leaving := *server
