--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -191,6 +191,16 @@
 switch_off entries-saved internal/poison/spread.go 'g.record.wanted(entry, time.Now())' '' $poison
 switch_off entries-to-followers internal/poison/spread.go 'addresses := g.config.Followers()' 'var addresses []string' $poison
 switch_off past-holds internal/poison/ledger.go '(before || t.all > endsToHold)' '(t.all > endsToHold)' $poison
+# What servers tell in their answers.
+switch_off word-of-leaving platform/notices.go 'Leaving: answer.Header.Get(headerLeaving) == leavingYes' 'Leaving: false' ./platform
+switch_off leaving-beside-records internal/fleet/view.go 'if len(v.leaving) == 0 || !v.leaving.has(server.Life()) {' 'if true {' ./internal/fleet
+switch_off leaving-by-life internal/fleet/leaving.go 'case later(record.Born, known.born):' 'case false:' ./internal/fleet
+switch_off leaving-told-to-holder internal/orders/link.go 'Leaving: l.config.View.Leaving(),' '' ./platform
+switch_off pause-of-requests internal/forward/choose.go 'if fits && pause <= 0 {' 'if fits {' $forward
+switch_off pause-of-orders internal/orders/holder.go 'return max(h.config.Pauses.PausedUntil(server).Sub(now), 0)' 'return 0' ./platform
+switch_off longest-pause internal/notice/notice.go 'if until.After(b.pausedUntil[id]) {' 'if true {' ./internal/notice
+switch_off asked-before-sending internal/forward/attempt.go 'if !f.stillTakes(place.server) {' 'if false {' $forward
+switch_off word-of-other-instance platform/notices.go 'instance != "" && instance != server.ID' 'false && instance != server.ID' ./platform
 # Life of a process.
 switch_off not-ready-when-stopping internal/edge/process.go 'if p.Stopping() {' 'if false {' ./internal/edge
 switch_off stop-takes-what-arrives internal/edge/process.go 'time.Sleep(min(acceptAfterStop, p.settings.Stop.Grace/2))' '' ./internal/edge
