Count connections whose answer is under way among those that wait, while a node stops

Seen once, beside a soak and a build: the second request on a kept connection was reset when a node of the product's own interface was told to stop between the two. net/http notes that a connection waits after its caller may have read the answer; in that moment none seemed to wait, and the node closed them at once, the one that began to wait among them.

--- a/internal/api/idle_connections.go
+++ b/internal/api/idle_connections.go
@@ -26,24 +26,33 @@
 type idleConnections struct {
 	mutex sync.Mutex
 	idle  map[net.Conn]struct{}
-	// usedAt is when one of them was last used again.
+	// answering connections will wait next: their callers may have read the answer
+	// already, and send the next request before the server notes its end.
+	answering map[net.Conn]struct{}
+	// usedAt is when one of them was last used again, or began to wait.
 	usedAt time.Time
 }
 
+func newIdleConnections() *idleConnections {
+	return &idleConnections{idle: map[net.Conn]struct{}{}, answering: map[net.Conn]struct{}{}}
+}
+
 // observe is the server's ConnState hook.
 func (c *idleConnections) observe(connection net.Conn, state http.ConnState) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if state == http.StateIdle {
-		c.idle[connection] = struct{}{}
-		return
-	}
-	if _, waited := c.idle[connection]; !waited {
-		return
-	}
+	_, waited := c.idle[connection]
 	delete(c.idle, connection)
-	if state == http.StateActive {
+	delete(c.answering, connection)
+	switch state {
+	case http.StateIdle:
+		c.idle[connection] = struct{}{}
 		c.usedAt = time.Now()
+	case http.StateActive:
+		c.answering[connection] = struct{}{}
+		if waited {
+			c.usedAt = time.Now()
+		}
 	}
 }
 
@@ -51,7 +60,7 @@
 func (c *idleConnections) isQuiet(since, now time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.idle) == 0 {
+	if len(c.idle)+len(c.answering) == 0 {
 		return true
 	}
 	if c.usedAt.After(since) {
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -43,7 +43,7 @@
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler, options ServeOptions) error {
 	server := NewServer(handler, options.Limits)
 	server.TLSConfig = options.TLS
-	connections := &idleConnections{idle: map[net.Conn]struct{}{}}
+	connections := newIdleConnections()
 	server.ConnState = connections.observe
 	stopped := make(chan error, 1)
 	release := context.AfterFunc(ctx, func() {
