End a backoff with the life of the server that asked for it

A server that starts again under its ID knows nothing of before, and was left alone all the same. Nodes also name only those leaving servers to the holder whose records don't say so.

--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -58,11 +58,11 @@
 	return leaves && !later(life.Born, known.born)
 }
 
-// listed are the lives that have a record, in order of ID.
-func (l leavingLives) listed(records map[string]*Server) []Life {
+// unrecorded are the lives whose records say that they are ready, in order of ID.
+func (l leavingLives) unrecorded(records map[string]*Server) []Life {
 	var lives []Life
 	for id, known := range l {
-		if records[id] != nil {
+		if record := records[id]; record != nil && !record.Draining {
 			lives = append(lives, Life{ID: id, Born: known.born})
 		}
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -45,6 +45,9 @@
 	Born int64
 }
 
+// Follows reports whether the life is known to have begun after another one under the ID.
+func (l Life) Follows(other Life) bool { return l.ID == other.ID && later(l.Born, other.Born) }
+
 // Life of the server that the state is of.
 func (s *Server) Life() Life { return Life{ID: s.ID, Born: s.Born} }
 
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -140,8 +140,8 @@
 // until it begins another life. It reports whether that was new.
 //
 // Its record may say that it is ready for long: while the store is away, or behind. Without
-// this a node sent such a server requests for 11.5 s after it knew (one server, store away
-// for 12 s; the node's lines).
+// this a node sent such a server three more requests in the 3 s after it knew (store away for
+// 12 s; one node's log lines).
 func (v *View) SetLeaving(life Life) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
@@ -154,11 +154,11 @@
 	return true
 }
 
-// Leaving returns the lives that told that they leave and are still listed, in order of ID.
+// Leaving returns the lives that told that they leave and whose records don't, in order of ID.
 func (v *View) Leaving() []Life {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return v.leaving.listed(v.records)
+	return v.leaving.unrecorded(v.records)
 }
 
 // dropOutdated takes the overlay of a server away that was told of an earlier
--- a/internal/forward/backoff.go
+++ b/internal/forward/backoff.go
@@ -19,19 +19,19 @@
 type Backoffs interface {
 	// BackoffUntil is until when a server does; a time that is past or zero: it takes
 	// requests.
-	BackoffUntil(server string) time.Time
+	BackoffUntil(server *fleet.Server) time.Time
 }
 
 // noBackoffs: no server asked for one.
 type noBackoffs struct{}
 
-func (noBackoffs) BackoffUntil(string) time.Time { return time.Time{} }
+func (noBackoffs) BackoffUntil(*fleet.Server) time.Time { return time.Time{} }
 
 // stillTakes reports whether a server that was chosen before has not told otherwise since.
 func (f *Forwarder) stillTakes(server *fleet.Server) bool {
 	listed := f.view.Load().Servers[server.ID]
 	leaves := listed != nil && listed.ToldLeaving
-	return !leaves && !time.Now().Before(f.backoffs.BackoffUntil(server.ID))
+	return !leaves && !time.Now().Before(f.backoffs.BackoffUntil(server))
 }
 
 // backoffLeft is the time until some server that holds what the request needs wants
@@ -42,7 +42,7 @@
 		if server.Draining || !server.Holds(flow.request.Model, flow.request.Adapter) {
 			continue
 		}
-		left := f.backoffs.BackoffUntil(server.ID).Sub(now)
+		left := f.backoffs.BackoffUntil(server).Sub(now)
 		if left <= 0 {
 			return 0
 		}
--- a/internal/forward/backoff_test.go
+++ b/internal/forward/backoff_test.go
@@ -18,10 +18,10 @@
 	until map[string]time.Time
 }
 
-func (p *askedBackoffs) BackoffUntil(server string) time.Time {
+func (p *askedBackoffs) BackoffUntil(server *fleet.Server) time.Time {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.until[server]
+	return p.until[server.ID]
 }
 
 func (p *askedBackoffs) ask(pause time.Duration, servers ...string) {
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -83,7 +83,7 @@
 		// A server that turns requests away tells that it has no load, so that without this
 		// it is the first choice of each request: 111 refused attempts in 7 s at four such
 		// servers (count of the attempts' log lines, seven nodes).
-		backoff := f.backoffs.BackoffUntil(server.ID).Sub(now)
+		backoff := f.backoffs.BackoffUntil(server).Sub(now)
 		if able {
 			result.able++
 			waits = append(waits, max(backoff, load.queueWaitNow(server.Slots, flow.runTime, now)))
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -73,8 +73,14 @@
 	limiter *logging.Limiter
 
 	mutex sync.RWMutex
-	// backoffUntil by server.
-	backoffUntil map[string]time.Time
+	// backoffs by the ID of their server.
+	backoffs map[string]backoff
+}
+
+// backoff is until when a life of a server wants nothing.
+type backoff struct {
+	life  fleet.Life
+	until time.Time
 }
 
 // NewBoard returns a board on which nothing was noted.
@@ -85,7 +91,7 @@
 	if config.Despite == nil {
 		config.Despite = func(Kind) {}
 	}
-	return &Board{config: config, limiter: logging.NewLimiter(linesPerSecond), backoffUntil: map[string]time.Time{}}
+	return &Board{config: config, limiter: logging.NewLimiter(linesPerSecond), backoffs: map[string]backoff{}}
 }
 
 // Heard notes what a server's answer told.
@@ -97,7 +103,7 @@
 		b.config.View.SetLeaving(server.Life())
 	}
 	if heard.RetryAfter > 0 {
-		b.backOff(server.ID, time.Now().Add(heard.RetryAfter))
+		b.backOff(server.Life(), time.Now().Add(heard.RetryAfter))
 	}
 	for _, kind := range heard.kinds() {
 		b.config.Counted(kind)
@@ -109,28 +115,36 @@
 }
 
 // backOff notes until when a server wants nothing. The longest time counts: the answer that
-// asks for a shorter one may be the older.
-func (b *Board) backOff(id string, until time.Time) {
+// asks for a shorter one may be the older. What an earlier life asked for is over.
+func (b *Board) backOff(life fleet.Life, until time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if until.After(b.backoffUntil[id]) {
-		b.backoffUntil[id] = until
+	known := b.backoffs[life.ID]
+	if known.life.Follows(life) {
+		return
+	}
+	if until.After(known.until) || life.Follows(known.life) {
+		b.backoffs[life.ID] = backoff{life: life, until: until}
 	}
 }
 
 // BackoffUntil is until when a server wants nothing from this node; the zero time if it
 // has not asked for that.
-func (b *Board) BackoffUntil(id string) time.Time {
+func (b *Board) BackoffUntil(server *fleet.Server) time.Time {
 	b.mutex.RLock()
 	defer b.mutex.RUnlock()
-	return b.backoffUntil[id]
+	known, asked := b.backoffs[server.ID]
+	if !asked || server.Life().Follows(known.life) {
+		return time.Time{}
+	}
+	return known.until
 }
 
 // Sending notes that something is sent to a server, and logs and counts it if the server
 // had told this node not to.
 func (b *Board) Sending(server *fleet.Server, purpose string) {
 	listed := b.config.View.Load().Servers[server.ID]
-	leaving, left := listed != nil && listed.ToldLeaving, time.Until(b.BackoffUntil(server.ID))
+	leaving, left := listed != nil && listed.ToldLeaving, time.Until(b.BackoffUntil(server))
 	if leaving {
 		b.config.Despite(KindLeaving)
 	}
@@ -150,5 +164,5 @@
 func (b *Board) Tidy(now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	maps.DeleteFunc(b.backoffUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(b.backoffs, func(_ string, known backoff) bool { return !now.Before(known.until) })
 }
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -42,19 +42,19 @@
 		now, latest := time.Now(), time.Time{}
 		for range rapid.IntRange(1, 20).Draw(t, "words") {
 			until := now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
-			b.backOff("s", until)
+			b.backOff(b.server.Life(), until)
 			if until.After(latest) {
 				latest = until
 			}
 			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "step")) * time.Millisecond)
 			b.Tidy(now)
 			if now.Before(latest) {
-				g.Expect(b.BackoffUntil("s")).To(Equal(latest))
+				g.Expect(b.BackoffUntil(b.server)).To(Equal(latest))
 			}
 		}
 		b.Tidy(latest)
-		g.Expect(b.BackoffUntil("s")).To(BeZero())
-		g.Expect(b.backoffUntil).To(BeEmpty())
+		g.Expect(b.BackoffUntil(b.server)).To(BeZero())
+		g.Expect(b.backoffs).To(BeEmpty())
 	})
 }
 
@@ -80,3 +80,21 @@
 		Expect(b.output.String()).To(ContainSubstring(`"unreadable":"soon"`))
 	})
 }
+
+// A server that starts again under its ID has not asked for anything.
+func TestBackoffEndsWithItsLife(t *testing.T) {
+	RegisterTestingT(t)
+	b := newBoard()
+	until := time.Now().Add(time.Hour)
+	first, second := &fleet.Server{ID: "s", Born: 5}, &fleet.Server{ID: "s", Born: 6}
+	b.backOff(first.Life(), until)
+	Expect(b.BackoffUntil(first)).To(Equal(until))
+	Expect(b.BackoffUntil(second)).To(BeZero())
+	// A record that was passed on without its birth.
+	Expect(b.BackoffUntil(b.server)).To(Equal(until))
+	b.backOff(second.Life(), until.Add(-time.Minute))
+	Expect(b.BackoffUntil(second)).To(Equal(until.Add(-time.Minute)))
+	// A late answer of the first life.
+	b.backOff(first.Life(), until.Add(time.Hour))
+	Expect(b.BackoffUntil(second)).To(Equal(until.Add(-time.Minute)))
+}
--- a/internal/orders/asking.go
+++ b/internal/orders/asking.go
@@ -66,7 +66,7 @@
 	for len(term.queue) > 0 && ctx.Err() == nil {
 		next := term.queue[0]
 		term.queue = term.queue[1:]
-		if next.working || !next.stale() || h.backoffLeft(next.server.ID, now) > 0 {
+		if next.working || !next.stale() || h.backoffLeft(next.server, now) > 0 {
 			continue
 		}
 		next.working, next.busyUntil = true, now.Add(reportLag)
--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -85,7 +85,7 @@
 func (h *Holder) send(ctx context.Context, term *Term, order Order) (reply Reply, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	if h.backoffLeft(order.Server.ID, time.Now()) > 0 {
+	if h.backoffLeft(order.Server, time.Now()) > 0 {
 		return 0, false, nil
 	}
 	if !term.begin(order.Server.ID, time.Now()) {
@@ -207,7 +207,7 @@
 
 func (h *Holder) report(ctx context.Context, target *entry) (Report, error) {
 	server := h.serverOf(target)
-	if h.backoffLeft(server.ID, time.Now()) > 0 {
+	if h.backoffLeft(server, time.Now()) > 0 {
 		return Report{}, errBackingOff
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -186,7 +186,8 @@
 	}
 	for i := range input.Servers {
 		server := &input.Servers[i]
-		if wait := max(term.turns.remaining(server.ID, now), h.backoffLeft(server.ID, now)); wait > 0 {
+		backoff := h.backoffLeft(h.ledger.entries[server.ID].server, now)
+		if wait := max(term.turns.remaining(server.ID, now), backoff); wait > 0 {
 			server.Busy, server.FreeIn = true, max(server.FreeIn, wait)
 		}
 	}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -199,7 +199,7 @@
 switch_off leaving-told-to-holder internal/orders/link.go 'Leaving: l.config.View.Leaving(),' '' ./platform
 switch_off backoff-of-requests internal/forward/choose.go 'if fits && backoff <= 0 {' 'if fits {' $forward
 switch_off backoff-of-orders internal/orders/backoff.go 'return max(h.config.Backoffs.BackoffUntil(server).Sub(now), 0)' 'return 0' ./platform
-switch_off longest-backoff internal/notice/notice.go 'if until.After(b.backoffUntil[id]) {' 'if true {' ./internal/notice
+switch_off longest-backoff internal/notice/notice.go 'if until.After(known.until) || life.Follows(known.life) {' 'if true {' ./internal/notice
 switch_off asked-before-sending internal/forward/attempt.go 'if !f.stillTakes(place.server) {' 'if false {' $forward
 switch_off word-of-other-instance platform/notices.go 'instance != "" && instance != server.ID' 'false && instance != server.ID' ./platform
 # Life of a process.
