--- a/internal/serve/serve_suite_test.go
+++ b/internal/serve/serve_suite_test.go
@@ -43,6 +43,11 @@
 // quiet drops all log lines.
 var quiet = zerolog.Nop()
 
+// logOf is a node's log, which is shown with a spec that fails.
+func logOf(name string) zerolog.Logger {
+	return zerolog.New(GinkgoWriter).With().Timestamp().Str("node", name).Logger()
+}
+
 func startPlatform() *suite.Suite {
 	GinkgoHelper()
 	config, err := suite.BuiltIn(examples.Schools)
@@ -86,7 +91,7 @@
 
 func startNode(chosen settings.Settings) *runningNode {
 	GinkgoHelper()
-	process, err := serve.New(chosen, quiet)
+	process, err := serve.New(chosen, logOf(chosen.Node.Name))
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	node := &runningNode{url: "http://" + process.CallerAddress(), stop: cancel, stopped: make(chan error, 1)}
