--- a/internal/mirror/copy_test.go
+++ b/internal/mirror/copy_test.go
@@ -294,9 +294,10 @@
 			d.store.add(fakeChange{server: id, record: &fleet.Server{ID: id, Pool: "p", Zone: fmt.Sprint("z", number%4)}})
 		}
 		time.Sleep(settled)
-		late := d.addNode(addressOf(2))
-		late.mirror.config.Zone = "z1"
-		late.source.copyTime = time.Second
+		late := d.addNodeWith(addressOf(2), func(n *testNode) {
+			n.mirror.config.Zone = "z1"
+			n.source.copyTime = time.Second
+		})
 		time.Sleep(100 * time.Millisecond)
 		Expect(late.view.Load().Servers).To(HaveLen(2 * onePage / 4))
 		for _, server := range late.view.Load().Servers {
--- a/internal/mirror/fakes_test.go
+++ b/internal/mirror/fakes_test.go
@@ -498,6 +498,11 @@
 }
 
 func (d *deployment) addNode(address string) *testNode {
+	return d.addNodeWith(address, func(*testNode) {})
+}
+
+// addNodeWith adds a node that is changed before it starts.
+func (d *deployment) addNodeWith(address string, change func(n *testNode)) *testNode {
 	transport := &fakeTransport{network: d.network, address: address, handlers: map[reflect.Type]peer.Handler{}}
 	d.network.mutex.Lock()
 	d.network.nodes[address] = transport
@@ -522,6 +527,7 @@
 		},
 		CopyKey: testCopyKey,
 	})
+	change(n)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	go n.mirror.Run(ctx)
--- a/internal/orders/scale_test.go
+++ b/internal/orders/scale_test.go
@@ -133,7 +133,9 @@
 			cancel()
 		}
 		time.Sleep(20 * time.Millisecond)
+		holder.mutex.Lock()
 		g.Expect(holder.asking.workers).To(BeZero())
+		holder.mutex.Unlock()
 		g.Expect(engines.most).To(BeNumerically("<=", 2*askAtOnce), "the last questions of a term beside the first of the next")
 	})
 }
