Keep a stopping node's connections in one map, by their state

Connections that wait and those whose answer is under way stood in two maps, though the end waits for both alike.

--- a/internal/api/idle_connections.go
+++ b/internal/api/idle_connections.go
@@ -18,41 +18,37 @@
 	quietCheck = 20 * time.Millisecond
 )
 
-// idleConnections knows the connections that wait for their next request.
+// idleConnections knows the connections that wait for their next request, or will when
+// their answer has ended: its caller may have read it already, and send the next request
+// before the server notes that the connection waits.
 //
 // net/http closes them at the end, also when the next request has arrived but
 // has not been read yet. As each answer of a draining node closes its connection,
 // callers that go on soon use up those that are left.
 type idleConnections struct {
 	mutex sync.Mutex
-	idle  map[net.Conn]struct{}
-	// answering connections will wait next: their callers may have read the answer
-	// already, and send the next request before the server notes its end.
-	answering map[net.Conn]struct{}
+	// states are idle or active.
+	states map[net.Conn]http.ConnState
 	// usedAt is when one of them was last used again, or began to wait.
 	usedAt time.Time
 }
 
 func newIdleConnections() *idleConnections {
-	return &idleConnections{idle: map[net.Conn]struct{}{}, answering: map[net.Conn]struct{}{}}
+	return &idleConnections{states: map[net.Conn]http.ConnState{}}
 }
 
 // observe is the server's ConnState hook.
 func (c *idleConnections) observe(connection net.Conn, state http.ConnState) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	_, waited := c.idle[connection]
-	delete(c.idle, connection)
-	delete(c.answering, connection)
-	switch state {
-	case http.StateIdle:
-		c.idle[connection] = struct{}{}
+	waited := c.states[connection] == http.StateIdle
+	if state != http.StateIdle && state != http.StateActive {
+		delete(c.states, connection)
+		return
+	}
+	c.states[connection] = state
+	if waited || state == http.StateIdle {
 		c.usedAt = time.Now()
-	case http.StateActive:
-		c.answering[connection] = struct{}{}
-		if waited {
-			c.usedAt = time.Now()
-		}
 	}
 }
 
@@ -60,7 +56,7 @@
 func (c *idleConnections) isQuiet(since, now time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.idle)+len(c.answering) == 0 {
+	if len(c.states) == 0 {
 		return true
 	}
 	if c.usedAt.After(since) {
