Show the limits that servers name, what is sent to such servers, and words that no node reads

Now 'server told of itself' has the limit, 'server's limit' each change of it, 'sent to a server with a limit' each request, order and question; two metrics count them, and a third kind of notice counts words whose names begin like the known ones and that nothing reads. No decision uses any of it yet.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -109,7 +109,7 @@
 	n.transport = transport
 	n.metrics = edge.NewMetrics(n.gauges())
 	n.requests = edge.NewRequestLog(logger, n.metrics)
-	n.notices = notice.NewBoard(notice.Config{View: n.view, Counted: n.metrics.Notice, Despite: n.metrics.Despite, Logger: logger})
+	n.notices = notice.NewBoard(notice.Config{View: n.view, Counted: n.metrics.Notice, Despite: n.metrics.Despite, Limited: n.metrics.ToLimited, Logger: logger})
 	n.store.Calls = n.metrics.StoreCall
 	n.calls = quota.NewShare(quota.Rates{Reads: settings.Store.ReadsPerSecond, Writes: settings.Store.WritesPerSecond}, assumedNodes)
 	n.store.Admit = n.calls.Wait
@@ -259,6 +259,7 @@
 		Holder:     func() float64 { return oneIf(n.election.Term() != nil) },
 		Relayed:    func() float64 { return oneIf(n.mirror.Through()) },
 		Quarantine: func() float64 { return float64(len(n.poison.Entries())) },
+		Limited:    func() float64 { return float64(n.notices.LimitedServers()) },
 	}
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -171,7 +171,7 @@
 
 func newTestMetrics() *Metrics {
 	none := func() float64 { return 0 }
-	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Holder: none, Relayed: none, Quarantine: none})
+	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Holder: none, Relayed: none, Quarantine: none, Limited: none})
 }
 
 func TestRequestLogTellsWhatDecided(t *testing.T) {
@@ -210,6 +210,7 @@
 	metrics.ServerEnded()
 	metrics.Notice(notice.KindLeaving)
 	metrics.Despite(notice.KindLeaving)
+	metrics.ToLimited(notice.PurposeRequest)
 	metrics.Quota("north", tenants.Verdict{Within: true})
 	answer := httptest.NewRecorder()
 	metrics.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -35,6 +35,8 @@
 	metricRelayed     = "hatchplank_node_reads_through_relay"
 	metricNotices     = "hatchplank_node_server_notices_total"
 	metricDespite     = "hatchplank_node_sends_despite_notice_total"
+	metricLimited     = "hatchplank_node_limited_servers"
+	metricToLimited   = "hatchplank_node_sends_to_limited_servers_total"
 )
 
 // MetricDescriptions lists the node's own metrics.
@@ -53,8 +55,10 @@
 	{metricHolder, "gauge", "", "1 while this node holds the lease for orders."},
 	{metricServerEnds, "counter", "", "Servers that ended while they had requests of this node."},
 	{metricQuarantine, "gauge", "", "Requests that are refused because servers ended under them."},
-	{metricNotices, "counter", "notice", "Answers in which servers told of themselves: that they leave, that they want nothing for a while (retry_after), or a time that can't be read (unreadable)."},
+	{metricNotices, "counter", "notice", "Answers in which servers told of themselves: that they leave, that they want nothing for a while (retry_after), how many requests a second they take from all nodes (limit), something that can't be read (unreadable), or something that no node knows (unknown)."},
 	{metricDespite, "counter", "notice", "Sendings to servers that had told this node not to send, by what they had told."},
+	{metricLimited, "gauge", "", "Servers that name a limit for all nodes together, as far as this node knows."},
+	{metricToLimited, "counter", "purpose", "Sendings to such servers, by purpose (request, order, report)."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
@@ -66,7 +70,7 @@
 
 // Gauges are read when metrics are asked for.
 type Gauges struct {
-	Connections, Servers, Revision, Holder, Relayed, Quarantine func() float64
+	Connections, Servers, Revision, Holder, Relayed, Quarantine, Limited func() float64
 }
 
 // NewMetrics returns the node's metrics.
@@ -78,6 +82,7 @@
 	set.NewGauge(metricHolder, gauges.Holder)
 	set.NewGauge(metricRelayed, gauges.Relayed)
 	set.NewGauge(metricQuarantine, gauges.Quarantine)
+	set.NewGauge(metricLimited, gauges.Limited)
 	return &Metrics{
 		set: set, firstByte: set.NewPrometheusHistogram(metricFirstByte),
 		held: set.NewPrometheusHistogram(metricHeld), coldStart: set.NewPrometheusHistogram(metricColdStart),
@@ -108,6 +113,11 @@
 // Despite counts a sending to a server that had told this node not to.
 func (m *Metrics) Despite(kind notice.Kind) { m.count(metricDespite, "notice", string(kind)) }
 
+// ToLimited counts a sending to a server with a limit.
+func (m *Metrics) ToLimited(purpose notice.Purpose) {
+	m.count(metricToLimited, "purpose", string(purpose))
+}
+
 // Quota counts a verdict on a tenant's request. The operators' configuration bounds
 // the number of tenants.
 func (m *Metrics) Quota(tenant string, verdict tenants.Verdict) {
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -1,6 +1,6 @@
 // Package notice keeps what servers tell this node about themselves in their answers:
-// that they leave, or that they want no requests for a while. It is newer than what the
-// listing says of them, and it is for this node alone.
+// that they leave, that they want no requests for a while, or how many they take from all
+// nodes together. It is newer than what the listing says of them.
 package notice
 
 import (
@@ -20,8 +20,36 @@
 	Leaving bool
 	// RetryAfter is how long the server wants nothing from this node; zero: it did not say.
 	RetryAfter time.Duration
-	// Unreadable is a time that could not be read, as it stood; it counts as none.
+	// Limit of what the server takes.
+	Limit Limit
+	// Unreadable is a time or limit that could not be read, as it stood; it counts as none.
 	Unreadable string
+	// Unknown are the names of what the server told of itself that no node reads, so that
+	// a new one shows before it matters.
+	Unknown string
+}
+
+// Limit is what a server takes from all nodes together, as it named it.
+type Limit struct {
+	// Named: the server named a limit; without one, PerSecond means nothing.
+	Named     bool
+	PerSecond float64
+}
+
+// Purpose of something that is sent to a server.
+type Purpose string
+
+// The purposes.
+const (
+	PurposeRequest Purpose = "request"
+	PurposeOrder   Purpose = "order"
+	PurposeReport  Purpose = "report"
+)
+
+// Asked is what an answer belongs to: it was sent at a time, or just after.
+type Asked struct {
+	Purpose Purpose
+	At      time.Time
 }
 
 // IsZero reports whether the answer told nothing.
@@ -36,9 +64,15 @@
 	if n.RetryAfter > 0 {
 		kinds = append(kinds, KindRetryAfter)
 	}
+	if n.Limit.Named {
+		kinds = append(kinds, KindLimit)
+	}
 	if n.Unreadable != "" {
 		kinds = append(kinds, KindUnreadable)
 	}
+	if n.Unknown != "" {
+		kinds = append(kinds, KindUnknown)
+	}
 	return kinds
 }
 
@@ -49,7 +83,9 @@
 const (
 	KindLeaving    Kind = "leaving"
 	KindRetryAfter Kind = "retry_after"
+	KindLimit      Kind = "limit"
 	KindUnreadable Kind = "unreadable"
+	KindUnknown    Kind = "unknown"
 )
 
 // linesPerSecond that are logged of each kind.
@@ -64,6 +100,8 @@
 	// Despite is called with each sending to a server that had told this node not to
 	// send; nil: not called.
 	Despite func(kind Kind)
+	// Limited is called with each sending to a server whose limit is known; nil: not called.
+	Limited func(purpose Purpose)
 	Logger  zerolog.Logger
 }
 
@@ -75,6 +113,7 @@
 	mutex sync.RWMutex
 	// backoffs by the ID of their server.
 	backoffs map[string]backoff
+	limits   limitBook
 }
 
 // backoff is until when a life of a server wants nothing.
@@ -91,11 +130,15 @@
 	if config.Despite == nil {
 		config.Despite = func(Kind) {}
 	}
-	return &Board{config: config, limiter: logging.NewLimiter(linesPerSecond), backoffs: map[string]backoff{}}
+	if config.Limited == nil {
+		config.Limited = func(Purpose) {}
+	}
+	return &Board{config: config, limiter: logging.NewLimiter(linesPerSecond), backoffs: map[string]backoff{}, limits: limitBook{}}
 }
 
 // Heard notes what a server's answer told.
-func (b *Board) Heard(server *fleet.Server, heard Notice) {
+func (b *Board) Heard(server *fleet.Server, heard Notice, asked Asked) {
+	b.hearLimit(server, heard.Limit, asked)
 	if heard.IsZero() {
 		return
 	}
@@ -110,7 +153,8 @@
 	}
 	if event := b.limiter.Event(&b.config.Logger, zerolog.InfoLevel, "notice"); event != nil {
 		event.Str("server", server.ID).Str("pool", server.Pool).Bool("server_leaving", heard.Leaving).
-			Dur("server_retry_after_ms", heard.RetryAfter).Str("unreadable", heard.Unreadable).Msg("server told of itself")
+			Dur("server_retry_after_ms", heard.RetryAfter).Float64("server_limit", heard.Limit.perSecond()).Bool("server_limited", heard.Limit.Named).
+			Str("unreadable", heard.Unreadable).Str("unknown", heard.Unknown).Msg("server told of itself")
 	}
 }
 
@@ -141,8 +185,9 @@
 }
 
 // Sending notes that something is sent to a server, and logs and counts it if the server
-// had told this node not to.
-func (b *Board) Sending(server *fleet.Server, purpose string) {
+// had told this node not to, or has a limit that is known here.
+func (b *Board) Sending(server *fleet.Server, purpose Purpose) {
+	b.tellLimited(server, purpose)
 	listed := b.config.View.Load().Servers[server.ID]
 	leaving, left := listed != nil && listed.ToldLeaving, time.Until(b.BackoffUntil(server))
 	if leaving {
@@ -155,14 +200,16 @@
 		return
 	}
 	if event := b.limiter.Event(&b.config.Logger, zerolog.WarnLevel, "despite"); event != nil {
-		event.Str("server", server.ID).Str("purpose", purpose).Bool("server_leaving", leaving).Dur("backoff_left_ms", max(left, 0)).
+		event.Str("server", server.ID).Str("purpose", string(purpose)).Bool("server_leaving", leaving).Dur("backoff_left_ms", max(left, 0)).
 			Msg("sent although the server told not to")
 	}
 }
 
-// Tidy forgets the backoffs that are over. It is called now and then.
+// Tidy forgets the backoffs that are over, and limits of servers that are gone. It is called
+// now and then.
 func (b *Board) Tidy(now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	maps.DeleteFunc(b.backoffs, func(_ string, known backoff) bool { return !now.Before(known.until) })
+	b.limits.tidy(b.config.View.Load().Servers, now)
 }
