Move the counting over all nodes out of package tenants into ratelimit

A limit that holds for all nodes together is counted by one of them; tenants were the only ones who had such limits. Next, servers have them too: one mechanism for both. Tests of tenants pass as they were, but for the names of types. Messages keep the names and fields that earlier builds know, which run beside this one while nodes are replaced; an earlier build's answer that counted nothing is no answer for a limit that only the asking node knows.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -20,6 +20,7 @@
 	"github.com/hatchplank/hatchplank/internal/peer/tcp"
 	"github.com/hatchplank/hatchplank/internal/poison"
 	"github.com/hatchplank/hatchplank/internal/quota"
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 	"github.com/hatchplank/hatchplank/platform"
 )
@@ -77,6 +78,7 @@
 	election  *orders.Election
 	holder    *orders.Holder
 	link      *orders.Link
+	limiter   *ratelimit.Limiter
 	quota     *tenants.Quota
 	counters  *orders.CountersRecord
 	poison    *poison.Guard
@@ -113,7 +115,7 @@
 	n.store.Calls = n.metrics.StoreCall
 	n.calls = quota.NewShare(quota.Rates{Reads: settings.Store.ReadsPerSecond, Writes: settings.Store.WritesPerSecond}, assumedNodes)
 	n.store.Admit = n.calls.Wait
-	n.assembleQuota()
+	n.assembleLimits()
 	n.assembleOrders()
 	n.assemblePoison()
 	n.assembleMirror()
@@ -122,18 +124,18 @@
 	return n.process, nil
 }
 
-// assembleQuota makes the node's part in counting what tenants get.
-func (n *node) assembleQuota() {
-	n.quota = tenants.NewQuota(tenants.QuotaConfig{
-		Window: n.settings.QuotaWindow(),
-		Directory: func() *tenants.Directory {
-			if configuration := n.view.Load().Configuration; configuration != nil {
-				return configuration.Tenants
-			}
-			return nil
-		},
-		Transport: n.transport, Address: n.transport.Address(), Counted: n.metrics.Quota, Logger: n.logger,
+// assembleLimits makes the node's part in counting what holds for all nodes together.
+func (n *node) assembleLimits() {
+	directory := func() *tenants.Directory {
+		if configuration := n.view.Load().Configuration; configuration != nil {
+			return configuration.Tenants
+		}
+		return nil
+	}
+	n.limiter = ratelimit.New(ratelimit.Config{
+		Known: tenants.LimitsOf(directory, n.settings.QuotaWindow()), Transport: n.transport, Address: n.transport.Address(), Logger: n.logger,
 	})
+	n.quota = &tenants.Quota{Limiter: n.limiter, Window: n.settings.QuotaWindow(), Counted: n.metrics.Quota}
 }
 
 func (n *node) assembleOrders() {
@@ -141,10 +143,10 @@
 		Store: n.store, Prefix: ownPrefix, Self: orders.Record{Name: n.settings.Node.Name, Address: n.transport.Address()},
 		Lease: max(leaseTime, n.settings.Store.MinimumLease), Turn: n.turn(), Handicap: n.settings.Machine.TellTime(), Logger: n.logger,
 	})
-	n.counters = &orders.CountersRecord{Store: n.store, Key: countersKey, Told: n.quota.SetCounters, Logger: n.logger}
+	n.counters = &orders.CountersRecord{Store: n.store, Key: countersKey, Told: n.limiter.SetCounters, Logger: n.logger}
 	n.holder = orders.NewHolder(orders.HolderConfig{
 		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers, Notices: n.notices}, Name: n.settings.Node.Name,
-		Counters: n.quota.Counters, Record: n.counters, Backoffs: n.notices,
+		Counters: n.limiter.Counters, Record: n.counters, Backoffs: n.notices,
 		Ceiling:   orders.CeilingLimits{Window: n.settings.Orders.LoadWindow, Overage: n.settings.Orders.LoadOverage},
 		LoadAhead: true,
 		Push:      func(address string, update orders.Update) { n.link.Push(address, update) },
@@ -154,7 +156,7 @@
 		Election: n.election, Holder: n.holder, View: n.view, Transport: n.transport,
 		Demand:   func() []forward.Demand { return n.forwarder.Demand() },
 		Wanted:   func() <-chan struct{} { return n.forwarder.Wanted() },
-		SetNodes: n.setNodes, Counters: n.quota.Counters, SetCounters: n.quota.SetCounters,
+		SetNodes: n.setNodes, Counters: n.limiter.Counters, SetCounters: n.limiter.SetCounters,
 		Name: n.settings.Node.Name, Address: n.transport.Address(), Logger: n.logger,
 	})
 }
@@ -171,7 +173,7 @@
 
 // collectors are the nodes that collect what was under way at servers that ended.
 func (n *node) collectors() []string {
-	collectors := slices.Clone(n.quota.Counters().Addresses)
+	collectors := slices.Clone(n.limiter.Counters().Addresses)
 	if holder, known := n.election.Holder(); known && !slices.Contains(collectors, holder.Address) {
 		collectors = append(collectors, holder.Address)
 	}
@@ -182,7 +184,7 @@
 func (n *node) setNodes(nodes int) {
 	n.forwarder.SetNodes(nodes)
 	n.calls.SetNodes(nodes)
-	n.quota.SetNodes(nodes)
+	n.limiter.SetNodes(nodes)
 }
 
 // assembleMirror makes the node's copy of what the store holds. The holder of
@@ -226,7 +228,7 @@
 		Status:     n.status(),
 		Ready:      n.notReady,
 		IdleLimit:  n.idleLimit,
-		Background: []func(context.Context){n.mirror.Run, n.election.Run, n.holder.Run, n.link.Run, n.quota.Run, n.poison.Run, n.tidy, n.serveNodes},
+		Background: []func(context.Context){n.mirror.Run, n.election.Run, n.holder.Run, n.link.Run, n.limiter.Run, n.poison.Run, n.tidy, n.serveNodes},
 		Drain:      n.forwarder.Drain,
 		End:        n.forwarder.End,
 		HandOver:   n.election.Resign,
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -25,8 +25,8 @@
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/logging"
 	"github.com/hatchplank/hatchplank/internal/notice"
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/result"
-	"github.com/hatchplank/hatchplank/internal/tenants"
 )
 
 const goodSettings = `
@@ -211,7 +211,7 @@
 	metrics.Notice(notice.KindLeaving)
 	metrics.Despite(notice.KindLeaving)
 	metrics.ToLimited(notice.PurposeRequest)
-	metrics.Quota("north", tenants.Verdict{Within: true})
+	metrics.Quota("north", ratelimit.Verdict{Within: true})
 	answer := httptest.NewRecorder()
 	metrics.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/hatchplank/hatchplank/internal/notice"
-	"github.com/hatchplank/hatchplank/internal/tenants"
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 )
 
 // MetricDescription is a metric as documented in docs/operators/metrics.md.
@@ -120,7 +120,7 @@
 
 // Quota counts a verdict on a tenant's request. The operators' configuration bounds
 // the number of tenants.
-func (m *Metrics) Quota(tenant string, verdict tenants.Verdict) {
+func (m *Metrics) Quota(tenant string, verdict ratelimit.Verdict) {
 	outcome, count := "over", "all"
 	if verdict.Within {
 		outcome = "within"
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -16,6 +16,7 @@
 	"github.com/hatchplank/hatchplank/internal/auth"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/poison"
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 )
@@ -46,7 +47,7 @@
 	// Tenant that the key belongs to, set by the Forwarder; nil if there is none.
 	Tenant *tenants.Tenant
 	// quota is what the tenant's limit said.
-	quota tenants.Verdict
+	quota ratelimit.Verdict
 	// Accepted is when the request's head was read, Deadline when its caller
 	// stops waiting.
 	Accepted time.Time
--- a/internal/forward/tenant.go
+++ b/internal/forward/tenant.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 )
@@ -12,9 +12,9 @@
 // Quota bounds what all nodes together serve of a tenant's requests.
 type Quota interface {
 	// Take asks whether a request is within its tenant's limit, and counts it if it is.
-	Take(ctx context.Context, tenant *tenants.Tenant, need tenants.Need) tenants.Verdict
-	// Return gives back what was taken at the time for a request that has not run.
-	Return(tenant *tenants.Tenant, tokens int, verdict tenants.Verdict, taken time.Time)
+	Take(ctx context.Context, tenant *tenants.Tenant, need tenants.Need) ratelimit.Verdict
+	// Return gives back what was taken for a request that has not run.
+	Return(tenant *tenants.Tenant, need tenants.Need, verdict ratelimit.Verdict)
 }
 
 // tokens of the prompt, and of the answer at most.
@@ -56,7 +56,7 @@
 }
 
 // overLimit says whose limit refuses a request, and by whose count.
-func overLimit(tenant *tenants.Tenant, verdict tenants.Verdict) string {
+func overLimit(tenant *tenants.Tenant, verdict ratelimit.Verdict) string {
 	if verdict.CountedBy == "" {
 		return "tenant " + tenant.Name + " is over this node's share of its limit; no node that counts it answers"
 	}
@@ -66,6 +66,6 @@
 // returnQuota gives back what was taken for a request that has not run.
 func (f *Forwarder) returnQuota(request *Request) {
 	if f.quota != nil && request.Tenant != nil {
-		f.quota.Return(request.Tenant, request.tokens(), request.quota, request.Accepted)
+		f.quota.Return(request.Tenant, tenants.Need{Tokens: request.tokens()}, request.quota)
 	}
 }
--- a/internal/orders/counters.go
+++ b/internal/orders/counters.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/tenants"
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 )
 
 // hearingPeriods of reports pass in a term before the nodes that count tenants are
@@ -25,10 +25,10 @@
 	if len(earlier.Addresses) == 0 {
 		earlier = h.config.Counters()
 	}
-	chosen := tenants.Choose(earlier.Addresses, living)
+	chosen := ratelimit.Choose(earlier.Addresses, living)
 	changed := heard && len(chosen) > 0 && !slices.Equal(chosen, h.counters.Addresses)
 	if changed {
-		h.counters = tenants.Counters{Token: term.Token, Version: h.counters.Version + 1, Addresses: chosen}
+		h.counters = ratelimit.Counters{Token: term.Token, Version: h.counters.Version + 1, Addresses: chosen}
 	}
 	update := Update{Token: term.Token, OrdersIn: term.ordersIn(now), Counters: h.counters}
 	h.mutex.Unlock()
@@ -56,11 +56,11 @@
 
 // countersUnknownTo returns the nodes that count tenants, if the reporting node does
 // not know them yet.
-func (h *Holder) countersUnknownTo(report DemandReport) tenants.Counters {
+func (h *Holder) countersUnknownTo(report DemandReport) ratelimit.Counters {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if report.Counters == h.counters.Version && report.CountersToken == h.counters.Token {
-		return tenants.Counters{}
+		return ratelimit.Counters{}
 	}
 	return h.counters
 }
--- a/internal/orders/counters_record.go
+++ b/internal/orders/counters_record.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/outside"
-	"github.com/hatchplank/hatchplank/internal/tenants"
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 )
 
 // saveRetry is the pause after a try to save that failed.
@@ -21,7 +21,7 @@
 	Store outside.KeyValueService
 	Key   string
 	// Told is called with what the store holds.
-	Told   func(counters tenants.Counters)
+	Told   func(counters ratelimit.Counters)
 	Logger zerolog.Logger
 
 	mutex sync.Mutex
@@ -29,7 +29,7 @@
 	revision int64
 	saving   bool
 	nextTry  time.Time
-	saved    tenants.Counters
+	saved    ratelimit.Counters
 }
 
 // Replace takes over all keys that exist.
@@ -50,7 +50,7 @@
 	if keyValue.Key != r.Key {
 		return
 	}
-	var counters tenants.Counters
+	var counters ratelimit.Counters
 	if err := json.Unmarshal(keyValue.Value, &counters); err != nil {
 		r.Logger.Error().Err(err).Str("key", r.Key).Msg("record of the nodes that count quotas is not understood")
 		return
@@ -62,7 +62,7 @@
 }
 
 // save writes the counters, unless they are there or a try is under way.
-func (r *CountersRecord) save(counters tenants.Counters, now time.Time) {
+func (r *CountersRecord) save(counters ratelimit.Counters, now time.Time) {
 	r.mutex.Lock()
 	known := r.saved.Token == counters.Token && r.saved.Version == counters.Version
 	if known || r.saving || now.Before(r.nextTry) || len(counters.Addresses) == 0 {
@@ -87,7 +87,7 @@
 
 // ended notes how a try ended. A try that met another revision is made again with
 // the one that the node learns of.
-func (r *CountersRecord) ended(counters tenants.Counters, began time.Time, succeeded bool, err error) {
+func (r *CountersRecord) ended(counters ratelimit.Counters, began time.Time, succeeded bool, err error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.saving, r.nextTry = false, began.Add(saveRetry)
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -12,7 +12,7 @@
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/inspect"
 	"github.com/hatchplank/hatchplank/internal/placement"
-	"github.com/hatchplank/hatchplank/internal/tenants"
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 )
 
 const (
@@ -42,7 +42,7 @@
 	// Name of this node.
 	Name string
 	// Counters are the nodes that count tenants' limits as this node knows.
-	Counters func() tenants.Counters
+	Counters func() ratelimit.Counters
 	// Record keeps them in the store.
 	Record *CountersRecord
 	// Backoffs are what servers asked this node for; nil: none did.
@@ -76,7 +76,7 @@
 	promises *promises
 	// began is when the term did; counters are the nodes that count tenants in it.
 	began    time.Time
-	counters tenants.Counters
+	counters ratelimit.Counters
 }
 
 // NewHolder returns a holder; Run makes it work.
@@ -101,7 +101,7 @@
 	h.mutex.Lock()
 	h.term, h.ledger, h.pushed, h.asking = term, newLedger(), 0, &asking{}
 	h.ceiling, h.promises = newCeiling(h.config.Ceiling), newPromises()
-	h.began, h.counters = time.Now(), tenants.Counters{}
+	h.began, h.counters = time.Now(), ratelimit.Counters{}
 	h.mutex.Unlock()
 	defer func() {
 		h.mutex.Lock()
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -11,7 +11,7 @@
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/tenants"
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 )
 
 const (
@@ -40,8 +40,8 @@
 	SetNodes func(nodes int)
 	// Counters are the nodes that count tenants' limits as this node knows;
 	// SetCounters tells newer ones.
-	Counters    func() tenants.Counters
-	SetCounters func(told tenants.Counters)
+	Counters    func() ratelimit.Counters
+	SetCounters func(told ratelimit.Counters)
 	Transport   peer.Transport
 	// Name and Address of this node.
 	Name, Address string
--- a/internal/orders/messages.go
+++ b/internal/orders/messages.go
@@ -11,7 +11,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/peer"
-	"github.com/hatchplank/hatchplank/internal/tenants"
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 )
 
 // DemandRow is what one node's callers ask for by one key.
@@ -81,7 +81,7 @@
 	// Coming are the models that the node's callers wait for, as far as planned.
 	Coming []ComingState
 	// Counters are the nodes that count tenants' limits; without addresses: not told.
-	Counters tenants.Counters
+	Counters ratelimit.Counters
 }
 
 // NotHolder is the reply of a node that holds no term.
--- a/internal/tenants/account.go
+++ b/internal/ratelimit/account.go
@@ -1,4 +1,4 @@
-package tenants
+package ratelimit
 
 import (
 	"time"
@@ -7,23 +7,23 @@
 )
 
 const (
-	// surgeShare of what a window allows may come at once, so that a tenant that asks
-	// for more all the time gets its rate, and not all at once and then nothing. After a
+	// surgeShare of what a window allows may come at once, so that callers who ask
+	// for more all the time get the rate, and not all at once and then nothing. After a
 	// loss of all nodes nobody knows what came before, and a surge, the rate over the
 	// window and startTime of it must stay below what is tolerated.
 	surgeShare = 0.2
 	// reserveShare of a surge is left to more urgent requests by the least urgent ones.
 	reserveShare = 0.5
-	// costWeight of a request in the tenant's usual cost.
+	// costWeight of a request in the usual cost.
 	costWeight = 0.05
-	// startTime of its rate is what a tenant may get at once from a node that has not
+	// startTime of the rate is what may be had at once from a node that has not
 	// run for a window yet, and has not heard what came before.
 	startTime = 500 * time.Millisecond
-	// nearLimit is the share of a surge below which a tenant is near its limit.
+	// nearLimit is the share of a surge below which a limit is nearly reached.
 	nearLimit = 0.25
 )
 
-// account counts what a tenant may still get: no more than rate times window plus
+// account counts what may still be had of one limit: no more than rate times window plus
 // burst in any window and, so that this does not go at once, no more than a token
 // bucket gives. Unlike golang.org/x/time/rate it takes requests that cost more than
 // the bucket holds, when it is full, and takes tokens back.
@@ -40,33 +40,33 @@
 	// carefulFrom is when this node began to count without knowing what came before;
 	// zero if it knew.
 	carefulFrom time.Time
-	// usualCost of the tenant's requests.
+	// usualCost of the requests.
 	usualCost float64
 	// nextRoom is until when refused callers were told to stay away.
 	nextRoom time.Time
 }
 
 // newAccount is full if the node has run for a window, in which nobody asked it for
-// the tenant.
-func newAccount(limit Limit, length, running time.Duration, now time.Time) *account {
-	a := &account{length: length, recent: window.NewSum(length, now), level: surge(limit, length), at: now}
-	if running < length {
+// the limit.
+func newAccount(limit Limit, running time.Duration, now time.Time) *account {
+	a := &account{length: limit.Window, recent: window.NewSum(limit.Window, now), level: surge(limit), at: now}
+	if running < limit.Window {
 		a.level = min(a.level, limit.Rate*startTime.Seconds())
 		a.carefulFrom = now
 	}
 	return a
 }
 
-// capacity is what a tenant may get within a window.
-func capacity(limit Limit, length time.Duration) float64 {
-	return limit.Rate*length.Seconds() + limit.Burst
+// capacity is what may be had within a window.
+func capacity(limit Limit) float64 {
+	return limit.Rate*limit.Window.Seconds() + limit.Burst
 }
 
-func surge(limit Limit, length time.Duration) float64 { return surgeShare * capacity(limit, length) }
+func surge(limit Limit) float64 { return surgeShare * capacity(limit) }
 
-// near reports whether so little is left that the tenant is near its limit.
-func near(limit Limit, length time.Duration, count Count) bool {
-	return count.Level < nearLimit*surge(limit, length)
+// near reports whether so little is left that the limit is nearly reached.
+func near(limit Limit, count Count) bool {
+	return count.Level < nearLimit*surge(limit)
 }
 
 // levelNow adds what the time since the last call brings.
@@ -75,7 +75,7 @@
 		a.level += limit.Rate * passed.Seconds()
 		a.at = now
 	}
-	a.level = min(a.level, surge(limit, a.length))
+	a.level = min(a.level, surge(limit))
 	return a.level
 }
 
@@ -96,10 +96,10 @@
 }
 
 // hear takes over what another node had counted, where that leaves less than is known
-// here. A tenant that was near its limit probably used what came since.
+// here. Where little was left, what came since was probably used.
 func (a *account) hear(count Count, limit Limit, now time.Time) {
 	left, used := count.Level, count.Used
-	if !near(limit, a.length, count) {
+	if !near(limit, count) {
 		left += limit.Rate * count.Age.Seconds()
 		used = aged(used, count.Age, a.length)
 	}
@@ -109,16 +109,16 @@
 	}
 }
 
-// take takes the cost, if there is room for it. Otherwise it tells how long it takes
-// until there is, and each refused caller another time, so that they don't come back
-// together.
-func (a *account) take(limit Limit, cost, rank float64, now time.Time) (within bool, roomIn time.Duration) {
-	missing := min(cost+a.reserve(limit, cost, rank, now), surge(limit, a.length)) - a.levelNow(limit, now)
-	over := a.used(now) + min(cost, capacity(limit, a.length)) - capacity(limit, a.length)
+// take takes the cost, if there is room for it. Otherwise it tells how long it takes until
+// there is, and each refused caller another time within a window, so that they don't come
+// back together.
+func (a *account) take(limit Limit, cost, rank float64, now time.Time) Verdict {
+	missing := min(cost+a.reserve(limit, cost, rank, now), surge(limit)) - a.levelNow(limit, now)
+	over := a.used(now) + min(cost, capacity(limit)) - capacity(limit)
 	if missing <= 0 && over <= 0 {
 		a.level -= cost
 		a.recent.Add(cost, now)
-		return true, 0
+		return Verdict{Within: true}
 	}
 	room := now.Add(timeFor(max(missing, 0), limit.Rate))
 	if over > 0 {
@@ -126,15 +126,17 @@
 			room = leaves
 		}
 	}
+	next := room
 	if room.Before(a.nextRoom) {
 		room = a.nextRoom
 	}
 	a.nextRoom = room.Add(timeFor(cost, limit.Rate))
-	return false, min(room.Sub(now), a.length)
+	nextIn := next.Sub(now)
+	return Verdict{RoomIn: min(room.Sub(now), max(a.length, nextIn)), NextIn: nextIn}
 }
 
 // reserve is what a request has to leave to more urgent ones. One that costs less than
-// the tenant's others leaves much less: refusing it would spare little. After a careful
+// the others leaves much less: refusing it would spare little. After a careful
 // start the reserve grows over a window, as there is little in the bucket for anybody.
 func (a *account) reserve(limit Limit, cost, rank float64, now time.Time) float64 {
 	a.usualCost += costWeight * (cost - a.usualCost)
@@ -143,7 +145,7 @@
 	if !a.carefulFrom.IsZero() {
 		share *= min(now.Sub(a.carefulFrom).Seconds()/a.length.Seconds(), 1)
 	}
-	return share * surge(limit, a.length)
+	return share * surge(limit)
 }
 
 // giveBack returns the cost of a request that has not run.
--- a/internal/tenants/counters.go
+++ b/internal/ratelimit/counters.go
@@ -1,4 +1,4 @@
-package tenants
+package ratelimit
 
 import (
 	"cmp"
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Counters are the nodes that count tenants' limits, as the holder of orders tells.
+// Counters are the nodes that count limits for all, as the holder of orders tells.
 // They are immutable.
 type Counters struct {
 	// Token of the holder's term and Version within it order what was told.
@@ -26,19 +26,18 @@
 	return c.Version > other.Version
 }
 
-// ranked returns the addresses in the order in which they count a tenant: by
+// ranked returns the addresses in the order in which they count a limit: by
 // rendezvous hash, so that a node that leaves moves only what it counted.
-func (c Counters) ranked(tenant string) []string {
+func (c Counters) ranked(name string) []string {
 	ranked := slices.Clone(c.Addresses)
 	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(b+" "+tenant), xxhash.Sum64String(a+" "+tenant))
+		return cmp.Compare(xxhash.Sum64String(b+" "+name), xxhash.Sum64String(a+" "+name))
 	})
 	return ranked
 }
 
 // CountersSize is how many nodes count: enough that none counts much, and few
-// enough that each of them sees each tenant's requests in one place and that a node
-// needs few connections.
+// enough that a quorum of them is soon heard and that a node needs few connections.
 const CountersSize = 8
 
 // Choose returns the nodes that count: those of the earlier ones that live, and
@@ -72,6 +71,9 @@
 	return chosen
 }
 
+// mostRanked rankings are remembered: servers, whose limits are counted too, come and go.
+const mostRanked = 4096
+
 // counterList holds the newest Counters and remembers rankings.
 type counterList struct {
 	mutex   sync.Mutex
@@ -101,17 +103,17 @@
 	return l.current
 }
 
-// ranked is Counters.ranked, remembered for each tenant.
-func (l *counterList) ranked(tenant string) []string {
+// ranked is Counters.ranked, remembered for each limit.
+func (l *counterList) ranked(name string) []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if found, known := l.byName[tenant]; known {
+	if found, known := l.byName[name]; known {
 		return found
 	}
-	ranked := l.current.ranked(tenant)
-	if l.byName == nil {
+	ranked := l.current.ranked(name)
+	if l.byName == nil || len(l.byName) >= mostRanked {
 		l.byName = map[string][]string{}
 	}
-	l.byName[tenant] = ranked
+	l.byName[name] = ranked
 	return ranked
 }
--- /dev/null
+++ b/internal/ratelimit/limit.go
@@ -0,0 +1,52 @@
+// Package ratelimit keeps limits over all nodes together: of what tenants get, and of what
+// servers take.
+//
+// One node counts each limit, and the others ask it before they use something; if that
+// node does not answer, the next one in the limit's order counts. A question walks through
+// the files: ask (this node asks), keeper and account (another one counts), heard (what
+// this node learns from the answer), alone (nobody answered). File counters says who counts.
+package ratelimit
+
+import "time"
+
+// Limit bounds what all nodes together use of something.
+type Limit struct {
+	// Rate in units a second; 0: no limit.
+	Rate float64
+	// Burst in units above the rate, in each window.
+	Burst float64
+	// Window over which the limit holds.
+	Window time.Duration
+	// FirstWaits: while a node has to decide alone, also the first request waits for the
+	// node's share. Without it each of 985 nodes would give one at once.
+	FirstWaits bool
+}
+
+// Request is something that is to be counted.
+type Request struct {
+	// Name of the limit.
+	Name string
+	// Limit as this node knows it. The node that counts goes by its own word where it has
+	// one (Config.Known).
+	Limit Limit
+	// Cost in the limit's unit.
+	Cost float64
+	// Rank among the requests, from 0, the most urgent, to 1.
+	Rank float64
+}
+
+// Verdict says whether a request is within its limit.
+type Verdict struct {
+	Within bool
+	// RoomIn is the time until there is room for this request, if it is not within: others
+	// were told that they come before.
+	RoomIn time.Duration
+	// NextIn is the time until there is room for any request.
+	NextIn time.Duration
+	// CountedBy is the address of the node that counted for all; empty if this node
+	// had to decide alone.
+	CountedBy string
+	// process of that node which did.
+	process int64
+	takenAt time.Time
+}
--- a/internal/tenants/messages.go
+++ b/internal/ratelimit/messages.go
@@ -1,4 +1,4 @@
-package tenants
+package ratelimit
 
 import (
 	"time"
@@ -6,19 +6,23 @@
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
-// Ask takes from a tenant's limit at the node that counts it.
+// Ask takes from a limit at the node that counts it.
 type Ask struct {
+	// Tenant is the name of the limit. Nodes that run an earlier build, which counts
+	// tenants only, know the field by this name.
 	Tenant string
-	// Cost in the unit of the tenant's limit; 0 only asks whether the node answers.
+	// Limit as the asking node knows it; zero if it is known by its name.
+	Limit Limit
+	// Cost in the limit's unit; 0 only asks whether the node answers.
 	Cost float64
-	// Rank of the request among its tenant's, see Need.
+	// Rank as in Request.
 	Rank float64
 	// Silent: the receiver's last answer came too late for the sender, or not at all, so
 	// it must not take this for a sign that it is heard.
 	Silent bool
 	// Relayed: the sender was asked itself, and the receiver must answer for itself.
 	Relayed bool
-	// Heard is what the asking node heard from another node that counted the tenant;
+	// Heard is what the asking node heard from another node that counted the limit;
 	// nothing, if the receiver counted it last.
 	Heard Count
 }
@@ -26,19 +30,20 @@
 // Answer to an Ask.
 type Answer struct {
 	Within bool
-	// RoomIn is the time until there is room, if the request is not within.
-	RoomIn time.Duration
+	// RoomIn and NextIn as in Verdict.
+	RoomIn, NextIn time.Duration
 	// CountedBy is the address of the node that counted, and Left its count.
 	CountedBy string
 	// Silent as in Ask: the asking node's own answers come too late for this one.
 	Silent bool
-	// Process tells the processes of that node apart.
+	// Process tells the processes of that node apart; 0 if nothing was counted.
 	Process int64
 	Left    Count
 }
 
 // GiveBack returns the cost of a request that has not run.
 type GiveBack struct {
+	// Tenant as in Ask.
 	Tenant string
 	Cost   float64
 	// Process that counted the cost. A later one of the node never did, and would take it
@@ -46,8 +51,9 @@
 	Process int64
 }
 
+// The names are those of earlier builds, which run beside this one while nodes are replaced.
 func init() {
-	peer.Register(Ask{})
-	peer.Register(Answer{})
-	peer.Register(GiveBack{})
+	peer.RegisterAs("tenants.Ask", Ask{})
+	peer.RegisterAs("tenants.Answer", Answer{})
+	peer.RegisterAs("tenants.GiveBack", GiveBack{})
 }
--- a/internal/tenants/benchmark_test.go
+++ b/internal/tenants/benchmark_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/hatchplank/hatchplank/internal/auth"
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 )
 
@@ -24,7 +25,7 @@
 		b.Fatal(err)
 	}
 	fleet := fleetOf(1, func() *tenants.Directory { return directory })
-	fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: fleet.Addresses()})
+	fleet.tell(ratelimit.Counters{Token: 1, Version: 1, Addresses: fleet.Addresses()})
 	quota := fleet.nodes["node-00"].quota
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/tenants/directory.go
+++ b/internal/tenants/directory.go
@@ -1,10 +1,6 @@
 // Package tenants knows the operators' tenants: which one a caller's key belongs
 // to, how urgent its requests are, and how much all nodes together may serve of
 // them.
-//
-// A request that is compared with its tenant's limit walks through the files: ask (this
-// node asks), keeper and account (another one counts), heard (what this node learns from
-// the answer), alone (nobody answered). File counters says who counts.
 package tenants
 
 import (
--- a/internal/tenants/fakes_test.go
+++ b/internal/tenants/fakes_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/auth"
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/standin/peers"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 )
@@ -24,10 +25,11 @@
 	nodes map[string]*testNode
 }
 
-// testNode is a node's transport and quota.
+// testNode is a node's transport, limiter and quota.
 type testNode struct {
 	*peers.Node
 	address string
+	limiter *ratelimit.Limiter
 	quota   *tenants.Quota
 }
 
@@ -47,22 +49,23 @@
 func counted(nodes int, limit tenants.Limit) (*network, *tenants.Directory) {
 	directory := directoryOf(limit)
 	fleet := fleetOf(nodes, func() *tenants.Directory { return directory })
-	fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.Addresses())})
+	fleet.tell(ratelimit.Counters{Token: 1, Version: 1, Addresses: ratelimit.Choose(nil, fleet.Addresses())})
 	return fleet, directory
 }
 
 // start makes the node's quota anew, as after a restart.
 func (n *testNode) start(directory func() *tenants.Directory) {
-	n.quota = tenants.NewQuota(tenants.QuotaConfig{
-		Window: testWindow, Directory: directory, Transport: n.Node, Address: n.address, Logger: zerolog.Nop(),
+	n.limiter = ratelimit.New(ratelimit.Config{
+		Known: tenants.LimitsOf(directory, testWindow), Transport: n.Node, Address: n.address, Logger: zerolog.Nop(),
 	})
+	n.quota = &tenants.Quota{Limiter: n.limiter, Window: testWindow}
 }
 
 // run lets all nodes look after each other until the returned function is called.
 func (f *network) run(t *testing.T) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
 	for _, node := range f.nodes {
-		go node.quota.Run(ctx)
+		go node.limiter.Run(ctx)
 	}
 	time.Sleep(time.Second)
 	return func() {
@@ -72,11 +75,11 @@
 }
 
 // tell tells all nodes that reach anybody who counts.
-func (f *network) tell(counters tenants.Counters) {
+func (f *network) tell(counters ratelimit.Counters) {
 	for _, node := range f.nodes {
 		if !f.IsCut(node.address) {
-			node.quota.SetCounters(counters)
-			node.quota.SetNodes(len(f.nodes))
+			node.limiter.SetCounters(counters)
+			node.limiter.SetNodes(len(f.nodes))
 		}
 	}
 }
--- a/internal/tenants/quota_test.go
+++ b/internal/tenants/quota_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	_ "github.com/hatchplank/hatchplank/internal/fixedseed" // property tests repeat
+	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 )
 
@@ -72,7 +73,7 @@
 		g := NewWithT(t)
 		directory := directoryOf(tokenLimit)
 		fleet := fleetOf(30, func() *tenants.Directory { return directory })
-		counters := tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.Addresses())}
+		counters := ratelimit.Counters{Token: 1, Version: 1, Addresses: ratelimit.Choose(nil, fleet.Addresses())}
 		fleet.tell(counters)
 		stop := fleet.run(t)
 		seen := &grants{}
@@ -122,7 +123,7 @@
 		g := NewWithT(t)
 		directory := directoryOf(tokenLimit)
 		fleet := fleetOf(30, func() *tenants.Directory { return directory })
-		counters := tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.Addresses())}
+		counters := ratelimit.Counters{Token: 1, Version: 1, Addresses: ratelimit.Choose(nil, fleet.Addresses())}
 		fleet.tell(counters)
 		defer fleet.run(t)()
 		seen := &grants{}
@@ -148,9 +149,9 @@
 		directory := directoryOf(tokenLimit)
 		fleet := fleetOf(30, func() *tenants.Directory { return directory })
 		for _, node := range fleet.nodes {
-			node.quota.SetNodes(len(fleet.nodes))
+			node.limiter.SetNodes(len(fleet.nodes))
 		}
-		counters := tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.Addresses())}
+		counters := ratelimit.Counters{Token: 1, Version: 1, Addresses: ratelimit.Choose(nil, fleet.Addresses())}
 		fleet.tell(counters)
 		defer fleet.run(t)()
 		press(fleet, directory, 15*time.Millisecond, 10*time.Second, &grants{})
@@ -174,7 +175,7 @@
 		directory := directoryOf(tokenLimit)
 		fleet := fleetOf(20, func() *tenants.Directory { return directory })
 		for _, node := range fleet.nodes {
-			node.quota.SetNodes(len(fleet.nodes))
+			node.limiter.SetNodes(len(fleet.nodes))
 		}
 		seen := &grants{}
 		press(fleet, directory, 15*time.Millisecond, 20*time.Second, seen)
@@ -221,10 +222,9 @@
 		defer fleet.run(t)()
 		for _, node := range fleet.nodes {
 			for range 3 {
-				taken := time.Now()
 				verdict := node.quota.Take(t.Context(), north(directory), tenants.Need{})
 				g.Expect(verdict.Within).To(BeTrue())
-				node.quota.Return(north(directory), 0, verdict, taken)
+				node.quota.Return(north(directory), tenants.Need{}, verdict)
 				time.Sleep(10 * time.Millisecond)
 			}
 		}
@@ -239,7 +239,7 @@
 		fleet, directory := counted(3, limit)
 		defer fleet.run(t)()
 		quota := fleet.nodes["node-00"].quota
-		take := func() tenants.Verdict { return quota.Take(t.Context(), north(directory), tenants.Need{}) }
+		take := func() ratelimit.Verdict { return quota.Take(t.Context(), north(directory), tenants.Need{}) }
 		for range 16 {
 			g.Expect(take().Within).To(BeTrue())
 			time.Sleep(500 * time.Millisecond)
@@ -269,7 +269,7 @@
 		directory := directoryOf(tokenLimit)
 		known := func() *tenants.Directory { return directory }
 		fleet := fleetOf(20, known)
-		counters := tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.Addresses())}
+		counters := ratelimit.Counters{Token: 1, Version: 1, Addresses: ratelimit.Choose(nil, fleet.Addresses())}
 		fleet.tell(counters)
 		stop := fleet.run(t)
 		time.Sleep(testWindow)
@@ -315,7 +315,7 @@
 		g := NewWithT(t)
 		directory := directoryOf(tokenLimit)
 		fleet := fleetOf(20, func() *tenants.Directory { return directory })
-		fleet.tell(tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.Addresses())})
+		fleet.tell(ratelimit.Counters{Token: 1, Version: 1, Addresses: ratelimit.Choose(nil, fleet.Addresses())})
 		defer fleet.run(t)()
 		press(fleet, directory, 15*time.Millisecond, 12*time.Second, &grants{})
 		lower := tokenLimit
@@ -343,7 +343,7 @@
 			directory := directoryOf(tokenLimit)
 			known := func() *tenants.Directory { return directory }
 			fleet := fleetOf(nodes, known)
-			counters := tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.Addresses())}
+			counters := ratelimit.Counters{Token: 1, Version: 1, Addresses: ratelimit.Choose(nil, fleet.Addresses())}
 			fleet.tell(counters)
 			stop := fleet.run(t)
 			seen := &grants{}
@@ -359,7 +359,7 @@
 					fleet.SetCut(address, false)
 				case 3:
 					counters.Version++
-					counters.Addresses = tenants.Choose(counters.Addresses, fleet.Living())
+					counters.Addresses = ratelimit.Choose(counters.Addresses, fleet.Living())
 					fleet.tell(counters)
 				}
 				press(fleet, directory, 15*time.Millisecond, 1500*time.Millisecond, seen)
@@ -381,13 +381,13 @@
 		for i := range rapid.IntRange(1, 40).Draw(t, "nodes") {
 			living = append(living, fmt.Sprint("node-", i))
 		}
-		chosen := tenants.Choose(nil, living)
-		if len(chosen) != min(len(living), tenants.CountersSize) {
+		chosen := ratelimit.Choose(nil, living)
+		if len(chosen) != min(len(living), ratelimit.CountersSize) {
 			t.Fatalf("%d of %d nodes count", len(chosen), len(living))
 		}
 		gone := rapid.SampledFrom(chosen).Draw(t, "gone")
 		rest := slices.DeleteFunc(slices.Clone(living), func(address string) bool { return address == gone })
-		next := tenants.Choose(chosen, rest)
+		next := ratelimit.Choose(chosen, rest)
 		for _, address := range chosen {
 			if address != gone && !slices.Contains(next, address) {
 				t.Fatalf("%s counts no more", address)
@@ -409,19 +409,18 @@
 		directory := directoryOf(tokenLimit)
 		known := func() *tenants.Directory { return directory }
 		fleet := fleetOf(3, known)
-		counters := tenants.Counters{Token: 1, Version: 1, Addresses: tenants.Choose(nil, fleet.Addresses())}
+		counters := ratelimit.Counters{Token: 1, Version: 1, Addresses: ratelimit.Choose(nil, fleet.Addresses())}
 		fleet.tell(counters)
 		stop := fleet.run(t)
-		take := func(node string) tenants.Verdict {
+		take := func(node string) ratelimit.Verdict {
 			return fleet.nodes[node].quota.Take(t.Context(), north(directory), tenants.Need{Tokens: testCost})
 		}
 		first := take("node-00").CountedBy
 		asker := slices.DeleteFunc(fleet.Addresses(), func(address string) bool { return address == first })[0]
-		var taken []tenants.Verdict
+		var taken []ratelimit.Verdict
 		for range 20 {
 			taken = append(taken, take(asker))
 		}
-		at := time.Now()
 		stop()
 		fleet.nodes[first].start(known)
 		fleet.tell(counters)
@@ -430,7 +429,7 @@
 			// What the new process gives at first is used up.
 		}
 		for _, verdict := range taken {
-			fleet.nodes[asker].quota.Return(north(directory), testCost, verdict, at)
+			fleet.nodes[asker].quota.Return(north(directory), tenants.Need{Tokens: testCost}, verdict)
 		}
 		time.Sleep(10 * time.Millisecond)
 		g.Expect(take(asker).Within).To(BeFalse())
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -58,17 +58,17 @@
 switch_off quota-given-back internal/forward/forwarder.go 'f.returnQuota(request)' '' ./platform
 switch_off tenant-before-route internal/fleet/priority.go 'ofTenant*len(r.ofRoutes)+ofRoute' 'ofRoute*len(r.ofTenants)+ofTenant' ./internal/fleet ./platform
 tenants=./internal/tenants
-switch_off quota-window internal/tenants/account.go 'if missing <= 0 && over <= 0 {' 'if missing <= 0 {' $tenants
-switch_off quota-surge internal/tenants/account.go 'if missing <= 0 && over <= 0 {' 'if over <= 0 {' $tenants
-switch_off quota-urgent-first internal/tenants/account.go 'share := reserveShare * rank' 'share := 0 * reserveShare * rank' $tenants
-switch_off quota-reserve-grows internal/tenants/account.go 'if !a.carefulFrom.IsZero() {' 'if false && !a.carefulFrom.IsZero() {' $tenants
-switch_off quota-small-pass internal/tenants/account.go 'min(cost/a.usualCost, 1)' 'min(1+cost/a.usualCost, 1)' $tenants
-switch_off quota-after-restart internal/tenants/account.go 'if running < length {' 'if false && running < length {' $tenants
-switch_off quota-heard internal/tenants/keeper.go 'if heard.Known {' 'if false && heard.Known {' $tenants
-switch_off quota-alone-share internal/tenants/alone.go 'if now.Before(next) {' 'if false && now.Before(next) {' $tenants
-switch_off quota-quorum internal/tenants/quota.go '&& 2*heard > len(known)' '' $tenants
-switch_off quota-near-share internal/tenants/alone.go 'share = nearShare' 'share = 10 * nearShare' $tenants
-switch_off quota-next-counter internal/tenants/quota.go 'mostAsked = 3' 'mostAsked = 1' $tenants
+switch_off quota-window internal/ratelimit/account.go 'if missing <= 0 && over <= 0 {' 'if missing <= 0 {' $tenants
+switch_off quota-surge internal/ratelimit/account.go 'if missing <= 0 && over <= 0 {' 'if over <= 0 {' $tenants
+switch_off quota-urgent-first internal/ratelimit/account.go 'share := reserveShare * rank' 'share := 0 * reserveShare * rank' $tenants
+switch_off quota-reserve-grows internal/ratelimit/account.go 'if !a.carefulFrom.IsZero() {' 'if false && !a.carefulFrom.IsZero() {' $tenants
+switch_off quota-small-pass internal/ratelimit/account.go 'min(cost/a.usualCost, 1)' 'min(1+cost/a.usualCost, 1)' $tenants
+switch_off quota-after-restart internal/ratelimit/account.go 'if running < limit.Window {' 'if false && running < limit.Window {' $tenants
+switch_off quota-heard internal/ratelimit/keeper.go 'if heard.Known {' 'if false && heard.Known {' $tenants
+switch_off quota-alone-share internal/ratelimit/alone.go 'if now.Before(next) {' 'if false && now.Before(next) {' $tenants
+switch_off quota-quorum internal/ratelimit/limiter.go '&& 2*heard > len(known)' '' $tenants
+switch_off quota-near-share internal/ratelimit/alone.go 'share = nearShare' 'share = 10 * nearShare' $tenants
+switch_off quota-next-counter internal/ratelimit/limiter.go 'mostAsked = 3' 'mostAsked = 1' $tenants
 switch_off quota-counters-kept internal/orders/counters.go 'h.config.Record.save(update.Counters, now)' '' ./platform
 switch_off quota-counters-told internal/orders/counters.go 'changed := heard &&' 'changed := false && heard &&' ./platform
 switch_off first-loads-at-once internal/orders/ceiling.go 'if !c.learned && loadTime > 0 {' 'if false && !c.learned && loadTime > 0 {' ./internal/orders
