--- /dev/null
+++ b/internal/forward/limit_test.go
@@ -0,0 +1,212 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/serverlimit"
+)
+
+// fakeLimits are servers with limits, whose turns are given as set.
+type fakeLimits struct {
+	mutex sync.Mutex
+	// grants by server; one that is not named has no limit.
+	grants map[string]serverlimit.Grant
+	// taken and returned turns, and the longest time that was to be waited.
+	taken, returned int
+	mostWait        time.Duration
+}
+
+func (l *fakeLimits) Take(_ context.Context, server *fleet.Server, need serverlimit.Need) serverlimit.Grant {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	grant, limited := l.grants[server.ID]
+	if !limited {
+		return serverlimit.Grant{Within: true}
+	}
+	l.mostWait = max(l.mostWait, need.MaxWait)
+	grant.Limited, grant.Within = true, grant.RoomIn == 0 && grant.In <= need.MaxWait
+	if grant.Within {
+		l.taken++
+	} else if grant.RoomIn == 0 {
+		grant.RoomIn = grant.In
+	}
+	return grant
+}
+
+func (l *fakeLimits) Return(grant serverlimit.Grant) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if grant.Limited && grant.Within {
+		l.returned++
+	}
+}
+
+func (l *fakeLimits) Limited(server *fleet.Server) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	_, limited := l.grants[server.ID]
+	return limited
+}
+
+func (l *fakeLimits) TurnIn(*fleet.Server, time.Time) time.Duration { return 0 }
+
+func (l *fakeLimits) Interval(server *fleet.Server) time.Duration {
+	if l.Limited(server) {
+		return time.Second
+	}
+	return 0
+}
+
+// name makes servers name a limit, with the turn that each question gets.
+func (l *fakeLimits) name(grant serverlimit.Grant, servers ...string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, server := range servers {
+		l.grants[server] = grant
+	}
+}
+
+func withLimits(t *testing.T, body func(b *bench, limits *fakeLimits)) {
+	inVirtualTime(t, func(b *bench) {
+		limits := &fakeLimits{grants: map[string]serverlimit.Grant{}}
+		b.forwarder.limits = limits
+		body(b, limits)
+	})
+}
+
+func TestRequestWaitsForItsTurn(t *testing.T) {
+	withLimits(t, func(b *bench, limits *fakeLimits) {
+		limits.name(serverlimit.Grant{In: 700 * time.Millisecond}, "m1", "m2")
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(outcome.Held).To(BeNumerically("~", 700*time.Millisecond, 10*time.Millisecond))
+		Expect(outcome.Cold).To(BeFalse())
+		Expect(limits.mostWait).To(Equal(800*time.Millisecond), "its objective")
+		Expect([]int{limits.taken, limits.returned}).To(Equal([]int{1, 0}))
+	})
+}
+
+// What can't be served in time is rejected at once, with the time of its turn.
+func TestRequestWithoutATurnInTimeIsRefusedAtOnce(t *testing.T) {
+	for name, grant := range map[string]serverlimit.Grant{
+		"later": {In: 1200 * time.Millisecond}, "given to others": {RoomIn: 1200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withLimits(t, func(b *bench, limits *fakeLimits) {
+				limits.name(grant, "m1", "m2")
+				outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 9*time.Second), &recorder{})
+				Expect(outcome.Code).To(Equal(result.QueueFull))
+				Expect(outcome.Ran).To(Equal(result.RanNo))
+				Expect(outcome.Held).To(BeZero())
+				Expect(outcome.RetryAfter).To(BeNumerically(">=", 1200*time.Millisecond))
+				Expect(outcome.RetryAfter).To(BeNumerically("<=", 2200*time.Millisecond), "an interval later at most")
+				Expect(b.backend.servers()).To(BeEmpty())
+				Expect(b.forwarder.Demand()).To(HaveEach(HaveField("Waiting", 0)), "nothing is missing")
+			})
+		})
+	}
+}
+
+func TestServersWithALimitAreTheLastChoice(t *testing.T) {
+	withLimits(t, func(b *bench, limits *fakeLimits) {
+		limits.name(serverlimit.Grant{}, "m1")
+		for range 20 {
+			outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
+			Expect(outcome.Code).To(Equal(result.OK))
+		}
+		Expect(b.backend.count("m1")).To(BeZero())
+		b.view.UpdateServers(map[string]*fleet.Server{"m2": nil})
+		Expect(b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{}).Code).To(Equal(result.OK))
+		Expect(b.backend.count("m1")).To(Equal(1))
+	})
+}
+
+// A turn is given back when its request goes elsewhere, when its caller leaves, and when the
+// server was not reached.
+func TestTurnThatIsNotUsedIsGivenBack(t *testing.T) {
+	for name, body := range map[string]func(b *bench, limits *fakeLimits){
+		"another server": func(b *bench, limits *fakeLimits) {
+			m2 := b.view.Load().Servers["m2"]
+			b.view.UpdateServers(map[string]*fleet.Server{"m2": nil})
+			time.AfterFunc(300*time.Millisecond, func() { b.view.UpdateServers(map[string]*fleet.Server{"m2": m2}) })
+			outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
+			Expect(outcome.Server).To(Equal("m2"))
+		},
+		"caller leaves": func(b *bench, _ *fakeLimits) {
+			b.view.UpdateServers(map[string]*fleet.Server{"m2": nil})
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(300*time.Millisecond, cancel)
+			outcome := b.forwarder.Serve(ctx, request("stream", "m", 5*time.Second), &recorder{})
+			Expect(outcome.Code).To(Equal(result.CallerGone))
+		},
+		"server leaves": func(b *bench, _ *fakeLimits) {
+			b.view.UpdateServers(map[string]*fleet.Server{"m2": nil})
+			time.AfterFunc(300*time.Millisecond, func() { b.view.SetLeaving(fleet.Life{ID: "m1"}) })
+			outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
+			Expect(outcome.Ran).To(Equal(result.RanNo))
+			Expect(b.backend.servers()).To(BeEmpty())
+		},
+		"not reached": func(b *bench, _ *fakeLimits) {
+			b.view.UpdateServers(map[string]*fleet.Server{"m2": nil})
+			b.backend.answer["m1"] = fails(FailureConnect, result.RanNo)
+			outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
+			Expect(outcome.Ran).To(Equal(result.RanNo))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withLimits(t, func(b *bench, limits *fakeLimits) {
+				limits.name(serverlimit.Grant{In: 700 * time.Millisecond}, "m1")
+				body(b, limits)
+				Expect(limits.returned).To(Equal(limits.taken))
+			})
+		})
+	}
+}
+
+// The word may come between the choice of a server and the sending.
+func TestServerThatNamesALimitAfterItWasChosenIsAskedForATurn(t *testing.T) {
+	withLimits(t, func(b *bench, limits *fakeLimits) {
+		b.view.UpdateServers(map[string]*fleet.Server{"m2": nil})
+		asked := request("patient", "m", 10*time.Second)
+		flow := b.forwarder.newFlow(asked, b.view.Load().Configuration.Match(asked.Host, asked.Path))
+		place, refusal := b.forwarder.nextPlace(context.Background(), flow)
+		Expect(refusal).To(BeNil())
+		limits.name(serverlimit.Grant{}, "m1")
+		outcome, next := b.forwarder.attempt(context.Background(), flow, place, &recorder{})
+		Expect(outcome).To(BeNil())
+		Expect(next).To(BeNil())
+		Expect(b.backend.servers()).To(BeEmpty())
+		Expect(flow.sent).To(BeZero())
+		Expect(place.load.own).To(BeZero())
+	})
+}
+
+// An attempt is not ended for a server whose limit has no room now.
+func TestSlowAttemptGoesOnWhereNoTurnIsFree(t *testing.T) {
+	for _, free := range []bool{false, true} {
+		withLimits(t, func(b *bench, limits *fakeLimits) {
+			b.backend.answer["m1"] = after(4*time.Second, streams(events(1, 3), time.Millisecond, io.EOF))
+			limits.name(serverlimit.Grant{In: time.Second}, "m2")
+			if free {
+				limits.name(serverlimit.Grant{}, "m2")
+			}
+			outcome := b.forwarder.Serve(context.Background(), request("patient", "m", 5*time.Second), &recorder{})
+			Expect(outcome.Code).To(Equal(result.OK))
+			if free {
+				Expect(b.backend.servers()).To(Equal([]string{"m1", "m2"}))
+				Expect(limits.taken).To(Equal(1))
+				return
+			}
+			Expect(b.backend.servers()).To(Equal([]string{"m1"}))
+			Expect(limits.taken).To(Equal(limits.returned))
+		})
+	}
+}
--- a/internal/notice/limits_test.go
+++ b/internal/notice/limits_test.go
@@ -83,3 +83,66 @@
 		Expect(b.output.String()).To(ContainSubstring(`"purpose":"order","server_limit":2.5,"message":"sent to a server with a limit"`))
 	})
 }
+
+// What was heard last counts, wherever it was heard.
+func TestLimitsThatOthersHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		b := newBoard()
+		life := b.server.Life()
+		time.Sleep(time.Minute)
+		Expect(b.TellLimits([]HeardLimit{{Life: life, Limit: of(2), Age: time.Second}}, "x")).To(BeTrue())
+		Expect(b.Limit(b.server)).To(Equal(of(2)))
+		Expect(b.TellLimits([]HeardLimit{{Life: life, Limit: of(2)}}, "y")).To(BeFalse(), "nothing new")
+		Expect(b.TellLimits([]HeardLimit{{Life: life, Age: 500 * time.Millisecond}}, "x")).To(BeFalse(), "older than the last word")
+		Expect(b.Limit(b.server)).To(Equal(of(2)))
+		time.Sleep(time.Second)
+		Expect(b.TellLimits([]HeardLimit{{Life: life}}, "x")).To(BeTrue())
+		Expect(b.Limit(b.server)).To(BeZero())
+		Expect(b.TellLimits([]HeardLimit{{Life: life, Limit: of(2), Age: time.Minute}}, "z")).To(BeFalse(), "a word that was long on its way")
+		Expect(b.TellLimits([]HeardLimit{{Life: fleet.Life{ID: "s", Born: 9}, Limit: of(3), Age: time.Minute}}, "z")).To(BeTrue(), "a later life")
+	})
+}
+
+// Others are told what this node heard itself, once; a node that asks is told all.
+func TestLimitsAreToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		b := newBoard()
+		b.TellLimits([]HeardLimit{{Life: fleet.Life{ID: "other"}, Limit: of(4)}}, "x")
+		b.says(of(2), request())
+		Expect(b.News()).To(Receive())
+		own, version := b.OwnLimits(0)
+		Expect(own).To(Equal([]HeardLimit{{Life: b.server.Life(), Limit: of(2)}}))
+		time.Sleep(time.Second)
+		b.says(of(2), request())
+		Expect(b.News()).NotTo(Receive())
+		own, _ = b.OwnLimits(version)
+		Expect(own).To(BeEmpty())
+		all, _ := b.Limits(0)
+		Expect(all).To(HaveLen(2))
+		b.says(Limit{}, Asked{Purpose: PurposeRequest, At: time.Now().Add(time.Millisecond)})
+		own, _ = b.OwnLimits(version)
+		Expect(own).To(HaveLen(1))
+		Expect(own[0].Limit).To(BeZero())
+	})
+}
+
+// Limits are kept while their server may come back, and ends as long as older words may come.
+func TestOldLimitsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		b := newBoard()
+		b.TellLimits([]HeardLimit{
+			{Life: fleet.Life{ID: "gone"}, Limit: of(1)}, {Life: b.server.Life(), Limit: of(1)}, {Life: fleet.Life{ID: "over"}},
+		}, "x")
+		for _, step := range []struct {
+			after time.Duration
+			kept  int
+		}{{30 * time.Second, 3}, {time.Minute, 2}, {10 * time.Minute, 1}} {
+			time.Sleep(step.after)
+			b.Tidy(time.Now())
+			Expect(b.limits.entries).To(HaveLen(step.kept))
+		}
+	})
+}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -71,6 +71,27 @@
 switch_off quota-next-counter internal/ratelimit/limiter.go 'mostAsked = 3' 'mostAsked = 1' $tenants
 switch_off quota-counters-kept internal/orders/counters.go 'h.config.Record.save(update.Counters, now)' '' ./platform
 switch_off quota-counters-told internal/orders/counters.go 'changed := heard &&' 'changed := false && heard &&' ./platform
+# Servers' limits.
+switch_off limit-read platform/notices.go 'told.Limit = parseLimit(text)' '_ = parseLimit(text)' ./platform
+switch_off limit-turn internal/serverlimit/serverlimit.go 'if !limit.Named {
+		return Grant{Within: true}' 'if true {
+		return Grant{Within: true}' ./platform
+switch_off limit-by-each-node internal/ratelimit/ask.go 'ranked := l.counters.ranked(request.Name)' 'ranked := []string{l.config.Address}' ./internal/ratelimit ./platform
+switch_off limit-starts-empty internal/ratelimit/account.go 'a.level = 0' 'a.level = 3 * surge(limit)' ./platform ./internal/ratelimit
+switch_off limit-alone-waits internal/ratelimit/alone.go '(near || limit.Paced)' 'near' ./internal/ratelimit
+switch_off limit-of-earlier-build internal/ratelimit/ask.go 'answer.countedNothing() && !l.isKnown(request.Name)' 'false' ./internal/ratelimit
+switch_off limit-told-by-holder internal/orders/limits.go 'due := version != after &&' 'due := false &&' ./platform
+switch_off limit-told-without-holder internal/orders/limits.go 'if len(limits) == 0 {' 'if len(limits) >= 0 {' ./platform
+switch_off limit-told-in-replies internal/orders/holder.go 'update.Limits, update.LimitsVersion =' '_, update.LimitsVersion =' ./platform
+switch_off limit-newest-word internal/notice/limits.go 'known.at.After(at) &&' 'false &&' ./internal/notice
+switch_off limit-ended-by-later internal/notice/limits.go 'asked.At.After(e.at)' 'true' ./internal/notice
+switch_off limit-of-orders internal/orders/quiet.go 'grant := h.config.Limits.Take(ctx, server, serverlimit.Need{MaxWait: serverlimit.Window})' 'grant := serverlimit.Grant{Within: true}' ./platform
+switch_off limit-given-back internal/forward/attempt.go 'f.limits.Return(place.grant)' '_ = place.grant' ./internal/forward
+switch_off limit-after-choice internal/forward/attempt.go '|| f.newlyLimited(place)' '' ./internal/forward
+switch_off limit-refused-at-once internal/forward/admission.go 'turnless := able &&' 'turnless := false && able &&' ./internal/forward
+switch_off limit-urgent-first internal/serverlimit/serverlimit.go 'min(need.MaxWait, horizon(need.Rank))' 'need.MaxWait' ./platform
+switch_off limit-last-choice internal/forward/choose.go '+ f.limitPenalty(flow, c.server)' '' ./internal/forward ./platform
+switch_off limit-quorum-wakes internal/ratelimit/ask.go 'if !l.lookAgain(now) {' 'if true {' ./platform ./internal/ratelimit
 switch_off first-loads-at-once internal/orders/ceiling.go 'if !c.learned && loadTime > 0 {' 'if false && !c.learned && loadTime > 0 {' ./internal/orders
 # Deadlines and callers that leave.
 switch_off route-timeout internal/forward/forwarder.go 'deadline := request.Accepted.Add(route.Timeout)' 'deadline := request.Accepted.Add(10 * route.Timeout)' $forward
