--- a/internal/notice/limits_test.go
+++ b/internal/notice/limits_test.go
@@ -100,6 +100,7 @@
 		Expect(b.TellLimits([]HeardLimit{{Life: life}}, "x")).To(BeTrue())
 		Expect(b.Limit(b.server)).To(BeZero())
 		Expect(b.TellLimits([]HeardLimit{{Life: life, Limit: of(2), Age: time.Minute}}, "z")).To(BeFalse(), "a word that was long on its way")
+		Expect(b.TellLimits([]HeardLimit{{Life: fleet.Life{ID: "s", Born: 8}, Limit: of(2)}}, "z")).To(BeTrue())
 		Expect(b.TellLimits([]HeardLimit{{Life: fleet.Life{ID: "s", Born: 9}, Limit: of(3), Age: time.Minute}}, "z")).To(BeTrue(), "a later life")
 	})
 }
