--- a/cmd/hatchplank-node/limit_test.go
+++ b/cmd/hatchplank-node/limit_test.go
@@ -50,7 +50,7 @@
 		nodes = append(nodes, callers)
 	}
 	const perSecond = 0.5
-	limited.SetFaults(standin.EngineFaults{Limit: "0.5"})
+	limited.SetLimit("0.5")
 	for _, node := range nodes {
 		// Each node hears it by itself.
 		before := limited.Requested()
