Load another copy of a model that is asked for more often than its only server takes

A server that names a limit counted as a whole copy of each model it holds, so that a busy model there was refused for as long as the limit lasted. The plan counts such copies beside those that the demand calls for, where they take less than what is asked for. A model asked for 10 times a second at a server that takes 0.5: 13 of 202 requests served in 20 s before, 193 after (virtual time, a load of 1 s); one asked for every 4 s is not loaded again.

--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -194,7 +194,10 @@
 	}
 	for i := range input.Servers {
 		server := &input.Servers[i]
-		backoff := h.backoffLeft(h.ledger.entries[server.ID].server, now)
+		listed := h.ledger.entries[server.ID].server
+		limit := h.config.Notices.Limit(listed)
+		server.Limited, server.MostPerSecond = limit.Named, limit.PerSecond
+		backoff := h.backoffLeft(listed, now)
 		if wait := max(term.turns.remaining(server.ID, now), backoff); wait > 0 {
 			server.Busy, server.FreeIn = true, max(server.FreeIn, wait)
 		}
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -42,6 +42,9 @@
 	FreeIn time.Duration
 	// Leaving servers are draining.
 	Leaving bool
+	// Limited servers take MostPerSecond requests from all nodes together.
+	Limited       bool
+	MostPerSecond float64
 	// Suspect servers did not answer lately; nothing is planned on them.
 	Suspect bool
 	// Unasked servers hold what their records show and take no orders yet.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -49,6 +49,8 @@
 	coming map[string]int
 	// doubtful replicas by model, which may come.
 	doubtful map[string]int
+	// limited replicas by model.
+	limited map[string]limitedReplicas
 	// storeLoads left.
 	storeLoads int
 	readyIn    map[string]time.Duration
@@ -64,7 +66,7 @@
 func newPlan(input *Input) *plan {
 	p := &plan{
 		Input: input, taken: map[string]bool{}, reserved: map[string]bool{}, ready: map[string]int{}, coming: map[string]int{},
-		doubtful: map[string]int{}, storeLoads: input.StoreLoads, readyIn: map[string]time.Duration{},
+		doubtful: map[string]int{}, limited: map[string]limitedReplicas{}, storeLoads: input.StoreLoads, readyIn: map[string]time.Duration{},
 		zones: map[modelZone]bool{}, desiredBy: map[string]int{}, crowdedBy: map[string]float64{},
 	}
 	maps.Copy(p.ready, input.Elsewhere)
@@ -81,6 +83,9 @@
 		}
 		for model := range server.Models {
 			p.ready[model]++
+			if server.Limited {
+				p.limited[model] = p.limited[model].with(server.MostPerSecond)
+			}
 		}
 		if server.Loading != "" {
 			p.coming[server.Loading]++
@@ -98,13 +103,13 @@
 func (p *plan) desired(model string, demand *Demand) int {
 	count, known := p.desiredBy[model]
 	if !known {
-		count = p.countDesired(demand)
+		count = p.countDesired(model, demand)
 		p.desiredBy[model] = count
 	}
 	return count
 }
 
-func (p *plan) countDesired(demand *Demand) int {
+func (p *plan) countDesired(model string, demand *Demand) int {
 	need := (demand.Running + demand.Waiting + runningPerReplica - 1) / runningPerReplica
 	if demand.Rate >= sharedRate {
 		need = max(need, 2)
@@ -113,7 +118,29 @@
 	if demand.Waiting > 0 {
 		need = max(need, 1)
 	}
-	return min(need, max((len(p.Servers)+p.ServersElsewhere)/3, 1))
+	return min(need, max((len(p.Servers)+p.ServersElsewhere)/3, 1)) + p.replicasOfLittleUse(model, demand)
+}
+
+// limitedReplicas are those of a model at servers with limits.
+type limitedReplicas struct {
+	count     int
+	perSecond float64
+}
+
+func (l limitedReplicas) with(perSecond float64) limitedReplicas {
+	return limitedReplicas{count: l.count + 1, perSecond: l.perSecond + perSecond}
+}
+
+// replicasOfLittleUse are those at servers with limits, where the model is asked for more often
+// than they take: others are needed beside them. Of a model that is asked for 10 times a second
+// and whose only server takes 0.5, 13 of 202 requests were served in 20 s without this, and 193
+// of 202 with it (virtual time, a load of 1 s).
+func (p *plan) replicasOfLittleUse(model string, demand *Demand) int {
+	limited := p.limited[model]
+	if demand.Rate <= limited.perSecond {
+		return 0
+	}
+	return limited.count
 }
 
 // replicasForAdapters holds the adapters that are in use at once.
