--- a/internal/forward/backoff.go
+++ b/internal/forward/backoff.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"iter"
 	"math/rand/v2"
 	"time"
 
@@ -38,10 +39,7 @@
 // requests again; zero if one does, or none holds it.
 func (f *Forwarder) backoffLeft(flow *flow, now time.Time) time.Duration {
 	least := time.Duration(0)
-	for _, server := range f.view.Load().Holders(flow.pool, flow.request.Model) {
-		if server.Draining || !server.Holds(flow.request.Model, flow.request.Adapter) {
-			continue
-		}
+	for server := range f.holders(flow) {
 		left := f.backoffs.BackoffUntil(server).Sub(now)
 		if left <= 0 {
 			return 0
@@ -53,6 +51,17 @@
 	return least
 }
 
+// holders are the servers that hold what the request needs and take new work.
+func (f *Forwarder) holders(flow *flow) iter.Seq[*fleet.Server] {
+	return func(yield func(*fleet.Server) bool) {
+		for _, server := range f.view.Load().Holders(flow.pool, flow.request.Model) {
+			if !server.Draining && server.Holds(flow.request.Model, flow.request.Adapter) && !yield(server) {
+				return
+			}
+		}
+	}
+}
+
 // spread is the delay, longer at random by a part of what is left of the servers' backoff, or
 // of the interval that their limits leave.
 func (f *Forwarder) spread(flow *flow, delay time.Duration, now time.Time) time.Duration {
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -157,10 +157,7 @@
 // zero if they are not the reason.
 func (f *Forwarder) limitInterval(flow *flow, now time.Time) time.Duration {
 	longest := time.Duration(0)
-	for _, server := range f.view.Load().Holders(flow.pool, flow.request.Model) {
-		if server.Draining || !server.Holds(flow.request.Model, flow.request.Adapter) {
-			continue
-		}
+	for server := range f.holders(flow) {
 		if f.turnIn(flow, server, now) <= 0 {
 			return 0
 		}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -53,7 +53,7 @@
 }
 
 // IsZero reports whether the answer told nothing.
-func (n Notice) IsZero() bool { return n == Notice{} }
+func (n Notice) IsZero() bool { return len(n.kinds()) == 0 }
 
 // kinds of the notice.
 func (n Notice) kinds() []Kind {
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,23 +18,27 @@
 
 // Quarantine holds the identities that are refused.
 type Quarantine struct {
-	mutex   sync.RWMutex
-	entries map[Identity]Entry
-	// refusedFrom is when new entries begin to refuse.
-	refusedFrom map[Identity]time.Time
+	mutex sync.RWMutex
+	held  map[Identity]heldEntry
+}
+
+// heldEntry is an entry, and when it begins to refuse.
+type heldEntry struct {
+	Entry
+	refusesFrom time.Time
 }
 
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{entries: map[Identity]Entry{}, refusedFrom: map[Identity]time.Time{}}
+	return &Quarantine{held: map[Identity]heldEntry{}}
 }
 
 // Held returns the entry of an identity that is held.
 func (q *Quarantine) Held(identity Identity, now time.Time) (Entry, bool) {
 	q.mutex.RLock()
 	defer q.mutex.RUnlock()
-	entry, found := q.entries[identity]
-	return entry, found && now.Before(entry.Until)
+	held, found := q.held[identity]
+	return held.Entry, found && now.Before(held.Until)
 }
 
 // Refused returns the entry by which an identity is refused: one that is held, and that
@@ -43,31 +46,27 @@
 func (q *Quarantine) Refused(identity Identity, now time.Time) (Entry, bool) {
 	q.mutex.RLock()
 	defer q.mutex.RUnlock()
-	entry, found := q.entries[identity]
-	return entry, found && now.Before(entry.Until) && !now.Before(q.refusedFrom[identity])
+	held, found := q.held[identity]
+	return held.Entry, found && now.Before(held.Until) && !now.Before(held.refusesFrom)
 }
 
 // add takes an entry over, which refuses from a time on unless the identity is held
 // already. It reports whether it was not.
-func (q *Quarantine) add(entry Entry, refusedFrom, now time.Time) bool {
+func (q *Quarantine) add(entry Entry, refusesFrom, now time.Time) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	before, found := q.entries[entry.Identity]
+	before, found := q.held[entry.Identity]
 	if !now.Before(entry.Until) || found && !entry.Until.After(before.Until) {
 		return false
 	}
-	q.entries[entry.Identity] = entry
 	again := found && now.Before(before.Until)
-	if !again {
-		q.refusedFrom[entry.Identity] = refusedFrom
+	if again {
+		refusesFrom = before.refusesFrom
 	}
-	for len(q.entries) > mostHeld {
-		dropEarliest(q.entries, func(held Entry) time.Time { return held.Until })
+	q.held[entry.Identity] = heldEntry{Entry: entry, refusesFrom: refusesFrom}
+	for len(q.held) > mostHeld {
+		dropEarliest(q.held, func(held heldEntry) time.Time { return held.Until })
 	}
-	maps.DeleteFunc(q.refusedFrom, func(identity Identity, _ time.Time) bool {
-		_, held := q.entries[identity]
-		return !held
-	})
 	return !again
 }
 
@@ -75,9 +74,8 @@
 func (q *Quarantine) remove(identity Identity) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	_, found := q.entries[identity]
-	delete(q.entries, identity)
-	delete(q.refusedFrom, identity)
+	_, found := q.held[identity]
+	delete(q.held, identity)
 	return found
 }
 
@@ -86,11 +84,10 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	var over []Identity
-	for identity, entry := range q.entries {
-		if !now.Before(entry.Until) {
+	for identity, held := range q.held {
+		if !now.Before(held.Until) {
 			over = append(over, identity)
-			delete(q.entries, identity)
-			delete(q.refusedFrom, identity)
+			delete(q.held, identity)
 		}
 	}
 	return over
@@ -100,9 +97,9 @@
 func (q *Quarantine) All() []Entry {
 	q.mutex.RLock()
 	defer q.mutex.RUnlock()
-	all := make([]Entry, 0, len(q.entries))
-	for _, entry := range q.entries {
-		all = append(all, entry)
+	all := make([]Entry, 0, len(q.held))
+	for _, held := range q.held {
+		all = append(all, held.Entry)
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return a.Identity.compare(b.Identity) })
 	return all
