Blame, of requests at just the same ends of servers, those first that were never served

Cause: the count knew of no difference between the two, though each node had served the one many times and nobody the other. Nodes now report which suspects they have seen served, and of several with as many ends those come first that nobody has; what these explain is not held against the others. No objections are needed, which chased the entries without end when they were tried. What costs more: a request that ends servers, was served before, and has a new request of others beside it at all three ends, is refused after a fourth.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -152,7 +152,7 @@
 	check, ended := g.suspects.add(identity, server.ID, server.Address, time.Now())
 	switch {
 	case ended:
-		g.report(timedEnd{server: server.ID, suspects: []Identity{identity}, at: time.Now()})
+		g.report(timedEnd{server: server.ID, suspects: []Identity{identity}, served: g.served.of([]Identity{identity}), at: time.Now()})
 	case check:
 		go g.look(context.WithoutCancel(ctx), server)
 	}
@@ -202,7 +202,7 @@
 	slices.SortFunc(identities, Identity.compare)
 	g.config.Logger.Warn().Str("server", server).Str("proof", proof).Int("requests", len(identities)).
 		Strs("identities", logged(identities)).Msg("server ended under requests")
-	g.report(timedEnd{server: server, suspects: identities, at: brokeAt})
+	g.report(timedEnd{server: server, suspects: identities, served: g.served.of(identities), at: brokeAt})
 }
 
 func logged(identities []Identity) []string {
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -28,6 +28,8 @@
 	// Server is the ID of its incarnation.
 	Server   string
 	Suspects []Identity
+	// Served are those of them that the telling node has seen servers serve before.
+	Served []Identity
 	// Age of the end when this is told. Whether its suspects were served since depends on
 	// the time of the end, not on that at which a node learns of it.
 	Age time.Duration
@@ -37,16 +39,16 @@
 func aged(ends []timedEnd, now time.Time) []ServerEnd {
 	told := make([]ServerEnd, len(ends))
 	for i, end := range ends {
-		told[i] = ServerEnd{Server: end.server, Suspects: end.suspects, Age: now.Sub(end.at)}
+		told[i] = ServerEnd{Server: end.server, Suspects: end.suspects, Served: end.served, Age: now.Sub(end.at)}
 	}
 	return told
 }
 
 // timedEnd is a server's end with its time on this node's steady clock.
 type timedEnd struct {
-	server   string
-	suspects []Identity
-	at       time.Time
+	server           string
+	suspects, served []Identity
+	at               time.Time
 }
 
 // Ledger counts the ends of servers by what was under way there. An end at which a
@@ -60,8 +62,9 @@
 }
 
 type ledgerEnd struct {
-	at       time.Time
-	suspects map[Identity]bool
+	at time.Time
+	// suspects, and which of them were served before, as some node tells.
+	suspects, served map[Identity]bool
 }
 
 // pastHold is what is remembered of an identity after it was held.
@@ -84,7 +87,7 @@
 		at := now.Add(-told.Age)
 		end := l.ends[told.Server]
 		if end == nil {
-			end = &ledgerEnd{at: at, suspects: map[Identity]bool{}}
+			end = &ledgerEnd{at: at, suspects: map[Identity]bool{}, served: map[Identity]bool{}}
 			l.ends[told.Server] = end
 		}
 		if at.Before(end.at) {
@@ -95,6 +98,11 @@
 				end.suspects[identity] = true
 			}
 		}
+		for _, identity := range told.Served {
+			if len(end.served) < mostSuspects {
+				end.served[identity] = true
+			}
+		}
 	}
 }
 
@@ -128,7 +136,11 @@
 }
 
 // worst returns, of the identities that are to be refused, those with the most ends
-// that no held one explains, in order.
+// that no held one explains, in order. Of several with as many, those come first that were
+// never seen served: what they explain is no fault of the others.
+//
+// Without that a harmless request at just the same three ends as one that ends servers was
+// refused with it, 7 to 816 times in five of 130 runs of four nodes under faults for 30 s.
 func (l *Ledger) worst(held func(Identity) bool) []Identity {
 	var found []Identity
 	most := 0
@@ -141,10 +153,24 @@
 		}
 		found = append(found, identity)
 	}
+	if unseen := slices.DeleteFunc(slices.Clone(found), l.wasServed); len(unseen) > 0 {
+		found = unseen
+	}
 	slices.SortFunc(found, Identity.compare)
 	return found
 }
 
+// wasServed reports whether some node has seen an identity served before an end that it is
+// blamed for.
+func (l *Ledger) wasServed(identity Identity) bool {
+	for _, end := range l.ends {
+		if end.served[identity] {
+			return true
+		}
+	}
+	return false
+}
+
 // count returns the ends of each identity.
 func (l *Ledger) count(held func(Identity) bool) map[Identity]tally {
 	counts := map[Identity]tally{}
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -31,21 +31,25 @@
 func TestLedgerFindsWhatEndsServers(t *testing.T) {
 	cases := map[string]struct {
 		ends [][]int
-		// held are refused already.
-		held, found []int
+		// held are refused already, served were seen served before the ends.
+		held, found, served []int
 	}{
-		"two ends":                            {[][]int{{1}, {1}}, nil, nil},
-		"three ends":                          {[][]int{{1}, {1}, {1}}, nil, []int{1}},
-		"a neighbour at two of three":         {[][]int{{1, 2}, {1, 2}, {1}}, nil, []int{1}},
-		"a neighbour at all three":            {[][]int{{1, 2}, {1, 2}, {1, 2}}, nil, []int{1, 2}},
-		"a neighbour at three of four":        {[][]int{{1, 2}, {1, 2}, {1, 2}, {1}}, nil, []int{1}},
-		"two at servers of their own":         {[][]int{{1}, {2}, {1}, {2}, {1}, {2}}, nil, []int{1, 2}},
-		"two, one with more ends":             {[][]int{{1}, {2}, {1}, {2}, {1}, {2}, {1}}, nil, []int{1, 2}},
-		"what a held one explains":            {[][]int{{1, 2}, {1, 2}, {1, 2}}, []int{1}, nil},
-		"explained, and one end more":         {[][]int{{1, 2}, {1, 2}, {1, 2}, {2}}, []int{1}, []int{2}},
-		"two explained, and one end more":     {[][]int{{1, 2}, {1, 2}, {2}}, []int{1}, nil},
-		"many neighbours at one end":          {[][]int{{1, 2, 3, 4, 5, 6, 7, 8}, {1}, {1}}, nil, []int{1}},
-		"ends under other requests each time": {[][]int{{1}, {2}, {3}, {4}}, nil, nil},
+		"two ends":                              {[][]int{{1}, {1}}, nil, nil, nil},
+		"three ends":                            {[][]int{{1}, {1}, {1}}, nil, []int{1}, nil},
+		"a neighbour at two of three":           {[][]int{{1, 2}, {1, 2}, {1}}, nil, []int{1}, nil},
+		"a neighbour at all three":              {[][]int{{1, 2}, {1, 2}, {1, 2}}, nil, []int{1, 2}, nil},
+		"a neighbour at three of four":          {[][]int{{1, 2}, {1, 2}, {1, 2}, {1}}, nil, []int{1}, nil},
+		"two at servers of their own":           {[][]int{{1}, {2}, {1}, {2}, {1}, {2}}, nil, []int{1, 2}, nil},
+		"two, one with more ends":               {[][]int{{1}, {2}, {1}, {2}, {1}, {2}, {1}}, nil, []int{1, 2}, nil},
+		"what a held one explains":              {[][]int{{1, 2}, {1, 2}, {1, 2}}, []int{1}, nil, nil},
+		"explained, and one end more":           {[][]int{{1, 2}, {1, 2}, {1, 2}, {2}}, []int{1}, []int{2}, nil},
+		"two explained, and one end more":       {[][]int{{1, 2}, {1, 2}, {2}}, []int{1}, nil, nil},
+		"many neighbours at one end":            {[][]int{{1, 2, 3, 4, 5, 6, 7, 8}, {1}, {1}}, nil, []int{1}, nil},
+		"a neighbour at all three, once served": {[][]int{{1, 2}, {1, 2}, {1, 2}}, nil, []int{1}, []int{2}},
+		"both once served":                      {[][]int{{1, 2}, {1, 2}, {1, 2}}, nil, []int{1, 2}, []int{1, 2}},
+		"once served, and alone at a fourth":    {[][]int{{1, 2}, {1, 2}, {1, 2}, {2}}, nil, []int{2}, []int{2}},
+		"once served, and ends servers now":     {[][]int{{2}, {2}, {2}}, nil, []int{2}, []int{2}},
+		"ends under other requests each time":   {[][]int{{1}, {2}, {3}, {4}}, nil, nil, nil},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -56,7 +60,9 @@
 			}
 			now := time.Now()
 			var found []Identity
-			for _, entry := range ledgerOf(test.ends, now).Decide(func(i Identity) bool { return held[i] }, now) {
+			ledger := ledgerOf(test.ends, now)
+			ledger.Add([]ServerEnd{{Server: "s0", Served: identities(test.served)}}, now)
+			for _, entry := range ledger.Decide(func(i Identity) bool { return held[i] }, now) {
 				found = append(found, entry.Identity)
 			}
 			Expect(found).To(ConsistOf(identities(test.found)))
--- a/internal/poison/served.go
+++ b/internal/poison/served.go
@@ -34,6 +34,19 @@
 	s.next = (s.next + 1) % mostServed
 }
 
+// of returns those of the identities that were served.
+func (s *served) of(identities []Identity) []Identity {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var found []Identity
+	for _, identity := range identities {
+		if _, known := s.began[identity]; known {
+			found = append(found, identity)
+		}
+	}
+	return found
+}
+
 // last returns when a server began with what it served of the identity last.
 func (s *served) last(identity Identity) (began time.Time, known bool) {
 	s.mutex.Lock()
