Send the requests of package httpapi through exchange

Both sent a request once at most, each in its own way: exchange by its own connections, httpapi by counting the bytes that net/http's client gave to each connection, with a body that it could not rewind. It finds silent connections as well.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -27,7 +27,7 @@
 	inlineBody = 2 << 10
 	// foreignAnswers are skipped at most before the exchange fails.
 	foreignAnswers = 2
-	// idlePerServer connections are kept at most.
+	// idlePerServer connections are kept at most, unless the settings tell.
 	idlePerServer = 64
 	// longestForeign answer that is read in order to skip it, in bytes.
 	longestForeign = 1 << 20
@@ -63,6 +63,12 @@
 
 // NewClient returns a client.
 func NewClient(dial DialSettings) *Client {
+	if dial.IdlePerServer == 0 {
+		dial.IdlePerServer = idlePerServer
+	}
+	if dial.Keep == 0 {
+		dial.Keep = keepDefault
+	}
 	return &Client{dial: dial, idle: map[string][]*connection{}}
 }
 
@@ -102,7 +108,7 @@
 	}
 	response.Body = &answerBody{
 		ReadCloser: response.Body, client: c, conn: conn, address: request.Address, stop: stop, written: written,
-		keep: clean && !response.Close, keepFor: keepFor(response.Header.Get("Keep-Alive")),
+		keep: clean && !response.Close, keepFor: keepFor(response.Header.Get("Keep-Alive"), c.dial.Keep),
 	}
 	return response, nil
 }
@@ -171,7 +177,7 @@
 	if err != nil {
 		return err
 	}
-	conn.keepUntil = time.Now().Add(keepDefault)
+	conn.keepUntil = time.Now().Add(c.dial.Keep)
 	c.putIdle(address, conn)
 	return nil
 }
@@ -197,7 +203,7 @@
 func (c *Client) putIdle(address string, conn *connection) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.idle[address]) >= idlePerServer {
+	if len(c.idle[address]) >= c.dial.IdlePerServer {
 		_ = conn.Close()
 		return
 	}
@@ -223,6 +229,19 @@
 	}
 }
 
+// closeIdle closes all kept connections.
+func (c *Client) closeIdle() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for address, kept := range c.idle {
+		for _, conn := range kept {
+			_ = conn.Close()
+		}
+		delete(c.idle, address)
+	}
+	c.kept = 0
+}
+
 // Tidy closes kept connections whose time is over. It is called now and then.
 func (c *Client) Tidy(now time.Time) {
 	c.mutex.Lock()
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -45,6 +45,10 @@
 	// Unacknowledged is how long sent bytes may go without acknowledgement, and
 	// how long a silent peer may leave probes unanswered.
 	Unacknowledged time.Duration
+	// IdlePerServer connections are kept at most, and each for so long if its server does
+	// not tell a time; zero: 64, and 4 s.
+	IdlePerServer int
+	Keep          time.Duration
 	// Dial connects; nil: by TCP with these settings.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -101,8 +105,8 @@
 }
 
 // keepFor reads how long a server keeps a connection, from its Keep-Alive
-// header.
-func keepFor(header string) time.Duration {
+// header, or else is as given.
+func keepFor(header string, otherwise time.Duration) time.Duration {
 	for _, part := range strings.Split(header, ",") {
 		name, value, found := strings.Cut(strings.TrimSpace(part), "=")
 		if !found || !strings.EqualFold(name, "timeout") {
@@ -112,5 +116,5 @@
 			return max(time.Duration(seconds)*time.Second-keepMargin, 0)
 		}
 	}
-	return keepDefault
+	return otherwise
 }
--- a/internal/outside/httpapi/attempt.go
+++ b/internal/outside/httpapi/attempt.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
@@ -28,35 +29,17 @@
 
 var errTooLarge = errors.New("body too large")
 
-// oneShotBody is a body that net/http cannot rewind. Without it, the transport
-// would by itself repeat a request with an Idempotency-Key, or a GET, when a
-// pooled connection breaks.
-type oneShotBody struct{ reader bytes.Reader }
-
-func newOneShotBody(body []byte) *oneShotBody {
-	oneShot := &oneShotBody{}
-	oneShot.reader.Reset(body)
-	return oneShot
-}
-
-func (b *oneShotBody) Read(buffer []byte) (int, error) { return b.reader.Read(buffer) }
-
-func (b *oneShotBody) Close() error { return nil }
-
 // attempt is one HTTP request that must not be repeated.
 type attempt struct {
-	id    outside.AttemptID
-	proof writeProof
+	id outside.AttemptID
 }
 
 // newRequest builds the attempt's request.
 func (a *attempt) newRequest(ctx context.Context, method, url string, body []byte) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(a.proof.trace(ctx), method, url, newOneShotBody(body))
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	request.ContentLength = int64(len(body))
-	request.GetBody = nil
 	setHeader(request.Header, HeaderAttempt, string(a.id))
 	return request, nil
 }
@@ -72,9 +55,9 @@
 }
 
 // noResponse is the failure of an attempt that got no response.
-func (a *attempt) noResponse(ctx context.Context) *outside.AttemptError {
+func (a *attempt) noResponse(ctx context.Context, err error) *outside.AttemptError {
 	failure := a.failed(reasonOf(ctx, reasonConnection))
-	if a.proof.nothingWritten() {
+	if errors.Is(err, exchange.ErrNotSent) {
 		failure.Ran = result.RanNo
 	}
 	return failure
--- a/internal/outside/httpapi/backend.go
+++ b/internal/outside/httpapi/backend.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
@@ -21,10 +22,15 @@
 	return &BackEnds{client: newClient(options), lookup: lookup, options: options}
 }
 
-// newClient returns a client that follows no redirection.
+// newClient returns a client that sends each request once at most, and follows no
+// redirection. A server whose bytes go without acknowledgement is given up like one that
+// can't be reached.
 func newClient(options Options) *http.Client {
 	return &http.Client{
-		Transport: newTransport(options),
+		Transport: &exchange.Transport{Client: exchange.NewClient(exchange.DialSettings{
+			Timeout: options.DialTimeout, Unacknowledged: options.DialTimeout,
+			IdlePerServer: options.IdleConnectionsPerServer, Keep: options.IdleConnectionTimeout,
+		})},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
@@ -65,7 +71,7 @@
 	setBackEndHeaders(httpRequest.Header, request)
 	response, err := b.client.Do(httpRequest)
 	if err != nil {
-		return none, current.noResponse(ctx)
+		return none, current.noResponse(ctx, err)
 	}
 	defer response.Body.Close()
 	return b.read(ctx, current, response)
--- a/internal/outside/httpapi/generate.go
+++ b/internal/outside/httpapi/generate.go
@@ -105,7 +105,7 @@
 	setGenerateHeaders(request.Header, g.request)
 	response, err := g.engines.client.Do(request)
 	if err != nil {
-		return nil, g.attempt.noResponse(g.ctx)
+		return nil, g.attempt.noResponse(g.ctx, err)
 	}
 	if failure := g.judge(response); failure != nil {
 		response.Body.Close()
