--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -29,7 +29,7 @@
 const (
 	// ownPrefix of the product's keys in the store.
 	ownPrefix = "hatchplank/"
-	// countersKey names the nodes that count tenants.
+	// countersKey names the nodes that count limits.
 	countersKey = ownPrefix + "quota-counters"
 	// copyKey tells of the copy of all servers' records.
 	copyKey = ownPrefix + "records"
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -92,16 +92,16 @@
 		// it is the first choice of each request: 111 refused attempts in 7 s at four such
 		// servers (count of the attempts' log lines, seven nodes).
 		backoff := f.backoffs.BackoffUntil(server).Sub(now)
-		turn := f.turnIn(flow, server, now)
+		turn := f.turnAt(flow, server, now)
 		if able {
 			result.able++
-			if now.Before(flow.turns[server.ID]) {
+			if turn.refused {
 				result.turnless++
 			}
-			waits = append(waits, max(backoff, turn, load.queueWaitNow(server.Slots, flow.runTime, now)))
+			waits = append(waits, max(backoff, turn.in, load.queueWaitNow(server.Slots, flow.runTime, now)))
 		}
-		if fits && backoff <= 0 && turn <= mostWait && f.mayAskForTurn(flow, server, now) {
-			candidates = append(candidates, candidate{server: server, load: load, turnIn: turn})
+		if fits && backoff <= 0 && turn.mayBeAsked(flow, mostWait) {
+			candidates = append(candidates, candidate{server: server, load: load, turnIn: turn.in})
 		}
 	}
 	first := f.firstChoice(flow, candidates)
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -105,13 +105,28 @@
 	f.release(flow, place, nil)
 }
 
-// mayAskForTurn: the flow has not been told to wait for its turn at the server. While it has
-// a reservation it only looks for a server without a limit.
-func (f *Forwarder) mayAskForTurn(flow *flow, server *fleet.Server, now time.Time) bool {
-	if now.Before(flow.turns[server.ID]) {
-		return false
+// turn is what a flow knows of its turn at a server; the zero turn: there is no limit.
+type turn struct {
+	limited bool
+	// in is the time until the turn may be, as far as known.
+	in time.Duration
+	// refused: the flow asked, and got none in time. It may ask again then.
+	refused bool
+}
+
+// turnAt tells what the flow knows of its turn at a server.
+func (f *Forwarder) turnAt(flow *flow, server *fleet.Server, now time.Time) turn {
+	if !f.limits.Limited(server) {
+		return turn{}
 	}
-	return flow.reserved == nil || !f.limits.Limited(server)
+	told := flow.turns[server.ID].Sub(now)
+	return turn{limited: true, in: max(f.limits.TurnIn(server, now), told, 0), refused: told > 0}
+}
+
+// mayBeAsked: a turn may come in time. While the flow waits for one it only looks for a server
+// without a limit.
+func (t turn) mayBeAsked(flow *flow, mostWait time.Duration) bool {
+	return !t.limited || !t.refused && t.in <= mostWait && flow.reserved == nil
 }
 
 // mostTurnWait is how long the flow may wait for its turn at a server: as long as a request
@@ -135,12 +150,6 @@
 	return b
 }
 
-// turnIn is the time until the flow may get its turn at a server with a limit, as far as
-// known; zero: now, or the server has none.
-func (f *Forwarder) turnIn(flow *flow, server *fleet.Server, now time.Time) time.Duration {
-	return max(f.limits.TurnIn(server, now), flow.turns[server.ID].Sub(now), 0)
-}
-
 // limitPenalty makes servers with a limit the last choice: what they still take is for
 // requests that no other server can serve in time.
 func (f *Forwarder) limitPenalty(flow *flow, server *fleet.Server) time.Duration {
@@ -158,7 +167,7 @@
 func (f *Forwarder) limitInterval(flow *flow, now time.Time) time.Duration {
 	longest := time.Duration(0)
 	for server := range f.holders(flow) {
-		if f.turnIn(flow, server, now) <= 0 {
+		if f.turnAt(flow, server, now).in <= 0 {
 			return 0
 		}
 		longest = max(longest, f.limits.Interval(server))
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// end makes servers name no limit any more.
+func (l *fakeLimits) end(servers ...string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, server := range servers {
+		delete(l.grants, server)
+	}
+}
+
 func withLimits(t *testing.T, body func(b *bench, limits *fakeLimits)) {
 	inVirtualTime(t, func(b *bench) {
 		limits := &fakeLimits{grants: map[string]serverlimit.Grant{}}
@@ -213,3 +222,19 @@
 		})
 	}
 }
+
+// Once a server names no limit any more, nothing is left of the turns that were refused.
+func TestRefusedTurnEndsWithTheLimit(t *testing.T) {
+	withLimits(t, func(b *bench, limits *fakeLimits) {
+		b.view.UpdateServers(map[string]*fleet.Server{"m2": nil})
+		limits.name(serverlimit.Grant{RoomIn: time.Minute}, "m1")
+		asked := request("patient", "m", 10*time.Second)
+		flow := b.forwarder.newFlow(asked, b.view.Load().Configuration.Match(asked.Host, asked.Path))
+		_, refusal := b.forwarder.nextPlace(context.Background(), flow)
+		Expect(refusal).NotTo(BeNil())
+		limits.end("m1")
+		place, refusal := b.forwarder.nextPlace(context.Background(), flow)
+		Expect(refusal).To(BeNil())
+		Expect(place.server.ID).To(Equal("m1"))
+	})
+}
--- a/internal/notice/limits.go
+++ b/internal/notice/limits.go
@@ -152,8 +152,10 @@
 	b.mutex.Unlock()
 	if changed {
 		b.signal()
-		b.config.Logger.Info().Str("server", server.ID).Str("pool", server.Pool).Bool("server_limited", limit.Named).
-			Float64("server_limit", limit.perSecond()).Float64("server_limit_before", known.perSecond()).Msg("server's limit")
+		if event := b.limiter.Event(&b.config.Logger, zerolog.InfoLevel, "limit"); event != nil {
+			event.Str("server", server.ID).Str("pool", server.Pool).Bool("server_limited", limit.Named).
+				Float64("server_limit", limit.perSecond()).Float64("server_limit_before", known.perSecond()).Msg("server's limit")
+		}
 	}
 }
 
@@ -196,8 +198,11 @@
 		isNew := b.limits.tell(one, time.Now())
 		b.mutex.Unlock()
 		anyNew = anyNew || isNew
-		if isNew {
-			b.config.Logger.Info().Str("server", one.Life.ID).Bool("server_limited", one.Limit.Named).
+		if !isNew {
+			continue
+		}
+		if event := b.limiter.Event(&b.config.Logger, zerolog.InfoLevel, "limit"); event != nil {
+			event.Str("server", one.Life.ID).Bool("server_limited", one.Limit.Named).
 				Float64("server_limit", one.Limit.perSecond()).Str("told_by", from).Msg("server's limit")
 		}
 	}
--- a/internal/orders/counters.go
+++ b/internal/orders/counters.go
@@ -7,11 +7,11 @@
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
 )
 
-// hearingPeriods of reports pass in a term before the nodes that count tenants are
+// hearingPeriods of reports pass in a term before the nodes that count limits are
 // chosen, so that a new holder has heard of those that live.
 const hearingPeriods = 2
 
-// chooseCounters chooses the nodes that count tenants among those that report, and
+// chooseCounters chooses the nodes that count limits for all, of tenants and of servers, among those that report, and
 // tells all of them when these change.
 func (h *Holder) chooseCounters(term *Term, now time.Time) {
 	live := h.demand.live(now)
@@ -54,7 +54,7 @@
 	return addresses
 }
 
-// countersUnknownTo returns the nodes that count tenants, if the reporting node does
+// countersUnknownTo returns the nodes that count limits, if the reporting node does
 // not know them yet.
 func (h *Holder) countersUnknownTo(report DemandReport) ratelimit.Counters {
 	h.mutex.Lock()
--- a/internal/orders/counters_record.go
+++ b/internal/orders/counters_record.go
@@ -14,7 +14,7 @@
 // saveRetry is the pause after a try to save that failed.
 const saveRetry = time.Second
 
-// CountersRecord keeps in the store which nodes count tenants, so that nodes know it
+// CountersRecord keeps in the store which nodes count limits, so that nodes know it
 // as soon as they have read the store, before they have heard of a holder: after a
 // loss of all nodes that takes seconds.
 type CountersRecord struct {
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -42,7 +42,7 @@
 	Engines  Engines
 	// Name of this node.
 	Name string
-	// Counters are the nodes that count tenants' limits as this node knows.
+	// Counters are the nodes that count limits as this node knows.
 	Counters func() ratelimit.Counters
 	// Record keeps them in the store.
 	Record *CountersRecord
--- a/internal/ratelimit/ask.go
+++ b/internal/ratelimit/ask.go
@@ -113,8 +113,8 @@
 		answer(Answer{})
 		return
 	}
-	l.noteAsked(time.Now())
 	now := time.Now()
+	l.noteAsked(now)
 	if l.mayCount(now) {
 		l.countFor(ask, answer)
 		return
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -26,9 +26,9 @@
 	// which nothing of it is left to know. tidyPeriod is between looks for such limits.
 	unusedTime = time.Minute
 	tidyPeriod = 10 * time.Second
-	// lookTime is how long the answers to that look are waited for: some round trips. Without
-	// it each node decides alone for 0.2 s after a server named the first limit, and refuses
-	// what comes.
+	// lookTime is how long a node that is asked, and has not heard the others that count since
+	// nothing was limited, waits for them: some round trips. Without it each node decides alone
+	// for 0.2 s after a server named the first limit, and refuses what comes.
 	lookTime = 20 * time.Millisecond
 	// inUseTime after a question a node goes on to look after the others that count.
 	inUseTime = 10 * time.Second
@@ -78,13 +78,13 @@
 	if config.Known == nil {
 		config.Known = func(string) (Limit, bool) { return Limit{}, false }
 	}
+	if config.InUse == nil {
+		config.InUse = func() bool { return true }
+	}
 	limiter := &Limiter{
 		config: config, process: time.Now().UnixNano(), keeper: newKeeper(), alone: newAlone(), heard: newHeard(), silent: map[string]bool{},
 		heardAt: map[string]time.Time{}, changed: make(chan struct{}, 1),
 	}
-	if config.InUse == nil {
-		limiter.config.InUse = func() bool { return true }
-	}
 	config.Transport.Handle(Ask{}, limiter.serveAsk)
 	config.Transport.Handle(GiveBack{}, limiter.serveGiveBack)
 	return limiter
