--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -80,6 +80,8 @@
 	// began is when the term did; counters are the nodes that count limits in it.
 	began    time.Time
 	counters ratelimit.Counters
+	// countersHeardAt is when more than half of them were last heard, or the term began.
+	countersHeardAt time.Time
 	// limitsPushed is the version of servers' limits that was pushed last, at limitsPushedAt.
 	limitsPushed   uint64
 	limitsPushedAt time.Time
@@ -108,7 +110,7 @@
 	h.term, h.ledger, h.pushed, h.asking = term, newLedger(), 0, &asking{}
 	h.ceiling, h.promises = newCeiling(h.config.Ceiling), newPromises()
 	h.began, h.counters = time.Now(), ratelimit.Counters{}
-	h.limitsPushed = 0
+	h.countersHeardAt, h.limitsPushed = h.began, 0
 	h.mutex.Unlock()
 	defer func() {
 		h.mutex.Lock()
