Tell of limits by a message that earlier builds know

A node of an earlier build, which runs beside this one while nodes are replaced, closes the connection on which a type comes that it does not know, and with it the calls that wait there. A node's word on limits is an update without a token now, which such a node passes over.

--- a/internal/orders/limits.go
+++ b/internal/orders/limits.go
@@ -1,13 +1,6 @@
 package orders
 
-import (
-	"time"
-
-	"github.com/hatchplank/hatchplank/internal/peer"
-)
-
-// holderWord stands for the holder in the log of who told of a limit.
-const holderWord = "holder"
+import "time"
 
 // limitPauseEach, for each node, is left between tellings of servers' limits to all nodes:
 // with 985 nodes every 2 s, a fifth of the holder's time (0.4 ms of it for a message).
@@ -25,19 +18,11 @@
 	}
 	for _, address := range l.config.Counters().Addresses {
 		if address != l.config.Address {
-			l.config.Transport.Send(address, LimitNews{Node: l.config.Name, Limits: limits})
+			l.config.Transport.Send(address, Update{Limits: limits})
 		}
 	}
 }
 
-func (l *Link) serveLimitNews(_ string, message peer.Message, reply func(peer.Message, error)) {
-	news := message.(LimitNews)
-	if l.config.Notices.TellLimits(news.Limits, news.Node) {
-		l.config.Holder.Wake()
-	}
-	reply(nil, nil)
-}
-
 // pushLimits tells all nodes of the servers' limits that changed. Each node that learns of one
 // by itself has sent the server something it did not want: 985 nodes 985 requests.
 func (h *Holder) pushLimits(term *Term, now time.Time) {
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -87,7 +87,6 @@
 	}
 	config.Transport.Handle(DemandReport{}, link.serveReport)
 	config.Transport.Handle(Update{}, link.servePush)
-	config.Transport.Handle(LimitNews{}, link.serveLimitNews)
 	return link
 }
 
@@ -101,15 +100,15 @@
 	reply(update, nil)
 }
 
-func (l *Link) servePush(_ string, message peer.Message, reply func(peer.Message, error)) {
-	l.apply(message.(Update))
+func (l *Link) servePush(from string, message peer.Message, reply func(peer.Message, error)) {
+	l.apply(message.(Update), from)
 	reply(nil, nil)
 }
 
 // Push sends an update to a node, or takes it over if the node is this one.
 func (l *Link) Push(address string, update Update) {
 	if address == l.config.Address {
-		l.apply(update)
+		l.apply(update, address)
 		return
 	}
 	l.config.Transport.Send(address, update)
@@ -150,7 +149,7 @@
 	report, told := l.newReport()
 	if holder.Address == l.config.Address {
 		if update, holds := l.config.Holder.Report(report); holds {
-			l.answered(update, told)
+			l.answered(update, told, holder.Address)
 		}
 		return
 	}
@@ -163,7 +162,7 @@
 			l.notAnswered()
 			return
 		}
-		l.answered(update, told)
+		l.answered(update, told, holder.Address)
 	})
 }
 
@@ -207,8 +206,8 @@
 	l.unanswered = true
 }
 
-func (l *Link) answered(update Update, told told) {
-	l.apply(update)
+func (l *Link) answered(update Update, told told, from string) {
+	l.apply(update, from)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.arrived = told.arrived
@@ -218,10 +217,13 @@
 	}
 }
 
-// apply takes over what the holder knows.
-func (l *Link) apply(update Update) {
+// apply takes over what the holder knows, or what another node heard of limits.
+func (l *Link) apply(update Update, from string) {
+	if l.config.Notices.TellLimits(update.Limits, from) {
+		l.config.Holder.Wake()
+	}
 	l.mutex.Lock()
-	if update.Token < l.token {
+	if update.Token == 0 || update.Token < l.token {
 		l.mutex.Unlock()
 		return
 	}
@@ -244,7 +246,6 @@
 	for _, model := range update.Coming {
 		l.coming[forward.DemandKey{Pool: model.Pool, Model: model.Model}] = now.Add(model.Remaining)
 	}
-	l.config.Notices.TellLimits(update.Limits, holderWord)
 	if update.LimitsBase <= l.limitsKnown {
 		l.limitsKnown = max(l.limitsKnown, update.LimitsVersion)
 	}
--- a/internal/orders/messages.go
+++ b/internal/orders/messages.go
@@ -71,7 +71,9 @@
 	Remaining time.Duration
 }
 
-// Update tells a node what has changed.
+// Update tells a node what has changed. One without a token is of a node that is not the holder
+// and heard of servers' limits: not a type of its own, since a node of an earlier build closes
+// the connection on which a type comes that it does not know.
 type Update struct {
 	// Token of the holder's term.
 	Token   int64
@@ -92,13 +94,6 @@
 	LimitsBase, LimitsVersion uint64
 }
 
-// LimitNews tells the nodes that count of servers' limits that the sender heard itself, while
-// its report is on its way to the holder, which may be gone.
-type LimitNews struct {
-	Node   string
-	Limits []notice.HeardLimit
-}
-
 // NotHolder is the reply of a node that holds no term.
 type NotHolder struct{}
 
@@ -106,5 +101,4 @@
 	peer.Register(DemandReport{})
 	peer.Register(Update{})
 	peer.Register(NotHolder{})
-	peer.Register(LimitNews{})
 }
