End a server's limit only by an answer to a request that ran

A refusal need not name what the server named, and a surplus answer belongs to an earlier request: taken for a lift, either would let all nodes send as before until the next word. And a birth that one node knows and another does not makes no new limit, which each would tell the other.

--- a/internal/notice/limits.go
+++ b/internal/notice/limits.go
@@ -86,7 +86,9 @@
 // set makes an entry the newest, and reports whether it says something new.
 func (l *limitBook) set(entry limitEntry) bool {
 	known, isKnown := l.entries[entry.life.ID]
-	if isKnown && known.limit == entry.limit && known.life == entry.life {
+	// A birth that one node knows and another does not makes no other life.
+	sameLife := !known.life.Follows(entry.life) && !entry.life.Follows(known.life)
+	if isKnown && known.limit == entry.limit && sameLife {
 		known.at = entry.at
 		l.entries[entry.life.ID] = known
 		return false
@@ -110,13 +112,13 @@
 }
 
 // endedBy reports whether an answer that names no limit ends the one that is known: it is
-// of a later life, or of a request that was sent after the limit was heard. Servers need
-// not name it where they answer orders and questions.
+// of a later life, or of a request that was sent after the limit was heard, and ran. Servers
+// need not name it where they refuse, or answer orders and questions.
 func (e limitEntry) endedBy(life fleet.Life, asked Asked) bool {
 	if !e.limit.Named {
 		return false
 	}
-	return life.Follows(e.life) || asked.Purpose == PurposeRequest && asked.At.After(e.at)
+	return life.Follows(e.life) || asked.Purpose == PurposeRequest && asked.Ran && asked.At.After(e.at)
 }
 
 // of returns the limit of a server; the zero limit if none is known.
--- a/internal/notice/limits_test.go
+++ b/internal/notice/limits_test.go
@@ -11,7 +11,7 @@
 )
 
 // request is something that is sent now.
-func request() Asked { return Asked{Purpose: PurposeRequest, At: time.Now()} }
+func request() Asked { return Asked{Purpose: PurposeRequest, At: time.Now(), Ran: true} }
 
 // of is the limit of so many a second.
 func of(perSecond float64) Limit { return Limit{Named: true, PerSecond: perSecond} }
@@ -37,8 +37,10 @@
 		Expect(b.Limit(b.server)).To(Equal(of(5)))
 		b.says(of(1), early)
 		Expect(b.Limit(b.server)).To(Equal(of(1)))
-		// Answers to orders and questions need not name it.
+		// Refusals, and answers to orders and questions, need not name it.
 		time.Sleep(time.Second)
+		b.says(Limit{}, Asked{Purpose: PurposeRequest, At: time.Now()})
+		Expect(b.Limit(b.server)).To(Equal(of(1)))
 		b.says(Limit{}, Asked{Purpose: PurposeOrder, At: time.Now()})
 		Expect(b.Limit(b.server)).To(Equal(of(1)))
 		time.Sleep(time.Second)
@@ -96,6 +98,7 @@
 		Expect(b.TellLimits([]HeardLimit{{Life: life, Limit: of(2)}}, "y")).To(BeFalse(), "nothing new")
 		Expect(b.TellLimits([]HeardLimit{{Life: life, Age: 500 * time.Millisecond}}, "x")).To(BeFalse(), "older than the last word")
 		Expect(b.Limit(b.server)).To(Equal(of(2)))
+		Expect(b.TellLimits([]HeardLimit{{Life: fleet.Life{ID: "s", Born: 4}, Limit: of(2)}}, "y")).To(BeFalse(), "a birth that is not known here")
 		time.Sleep(time.Second)
 		Expect(b.TellLimits([]HeardLimit{{Life: life}}, "x")).To(BeTrue())
 		Expect(b.Limit(b.server)).To(BeZero())
@@ -122,7 +125,7 @@
 		Expect(own).To(BeEmpty())
 		all, _ := b.Limits(0)
 		Expect(all).To(HaveLen(2))
-		b.says(Limit{}, Asked{Purpose: PurposeRequest, At: time.Now().Add(time.Millisecond)})
+		b.says(Limit{}, Asked{Purpose: PurposeRequest, At: time.Now().Add(time.Millisecond), Ran: true})
 		own, _ = b.OwnLimits(version)
 		Expect(own).To(HaveLen(1))
 		Expect(own[0].Limit).To(BeZero())
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -50,6 +50,8 @@
 type Asked struct {
 	Purpose Purpose
 	At      time.Time
+	// Ran: the server has begun to work on it, as the answer shows.
+	Ran bool
 }
 
 // IsZero reports whether the answer told nothing.
