Let collectors tell what they have served of the suspects that others report

Cause: only who had the request under way at a server that ended told whether it had been served. Collectors now add what they know to each end that they hear of, and tell the others, well within the pause before a decision.

--- a/internal/poison/spread.go
+++ b/internal/poison/spread.go
@@ -103,9 +103,15 @@
 	return told
 }
 
-// take notes ends, and decides after a pause in which other nodes report as well.
+// take notes ends, tells the other collectors what this node has served of their suspects, and
+// decides after a pause in which other nodes report as well.
 func (g *Guard) take(ends []ServerEnd) {
-	g.ledger.Add(ends, time.Now())
+	now := time.Now()
+	g.ledger.Add(ends, now)
+	if vouched := g.vouch(ends); len(vouched) > 0 {
+		g.ledger.Add(vouched, now)
+		g.tellCollectors(Report{Ends: vouched})
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if !g.deciding {
@@ -114,6 +120,28 @@
 	}
 }
 
+// vouch returns the ends of which this node has seen suspects served that were not known to be,
+// with these alone. A node that had nothing under way at a server reports nothing of its own.
+func (g *Guard) vouch(ends []ServerEnd) []ServerEnd {
+	var vouched []ServerEnd
+	for _, end := range ends {
+		known := slices.DeleteFunc(g.served.of(end.Suspects), func(identity Identity) bool { return slices.Contains(end.Served, identity) })
+		if len(known) > 0 {
+			vouched = append(vouched, ServerEnd{Server: end.Server, Served: known, Age: end.Age})
+		}
+	}
+	return vouched
+}
+
+// tellCollectors sends a report to the other collectors, which need not answer.
+func (g *Guard) tellCollectors(report Report) {
+	for _, collector := range g.config.Collectors() {
+		if collector != g.config.Address {
+			g.config.Transport.Send(collector, report)
+		}
+	}
+}
+
 func (g *Guard) decide() {
 	g.mutex.Lock()
 	g.deciding = false
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -95,6 +95,7 @@
 switch_off limit-refusal-ends internal/forward/limit.go 'if !f.limits.Limited(server) {' 'if false {' ./internal/forward
 switch_off counters-of-most internal/orders/counters.go 'if hearsMost(earlier.Addresses, live) {' 'if true {' ./platform
 switch_off counters-lost internal/orders/counters.go '|| now.Sub(h.countersHeardAt) >= countersLost' '' ./platform
+switch_off poison-vouched internal/poison/spread.go 'if vouched := g.vouch(ends); len(vouched) > 0 {' 'if vouched := g.vouch(ends); len(vouched) < 0 {' ./internal/poison
 switch_off poison-never-served internal/poison/ledger.go 'len(unseen) > 0 {' 'false && len(unseen) > 0 {' ./internal/poison
 switch_off limit-quorum-wakes internal/ratelimit/ask.go 'if !l.lookAgain(now) {' 'if true {' ./platform ./internal/ratelimit
 switch_off first-loads-at-once internal/orders/ceiling.go 'if !c.learned && loadTime > 0 {' 'if false && !c.learned && loadTime > 0 {' ./internal/orders
