--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -124,7 +124,7 @@
 		held   int
 	}{
 		"before the first end, while the other never was": {-time.Second, 0},
-		"between two ends":     {1500 * time.Millisecond, 0},
+		"between two ends": {1500 * time.Millisecond, 0},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
