--- a/internal/bounds/bounds_test.go
+++ b/internal/bounds/bounds_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	_ "github.com/hatchplank/hatchplank/internal/fixedseed" // property tests repeat
 	"github.com/hatchplank/hatchplank/internal/bounds"
+	_ "github.com/hatchplank/hatchplank/internal/fixedseed" // property tests repeat
 )
 
 func TestBounds(t *testing.T) {
