--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -83,13 +83,13 @@
 
 // send gives the order if the term still allows it.
 func (h *Holder) send(ctx context.Context, term *Term, order Order) (reply Reply, sent bool, err error) {
-	grant, may := h.awaitTurn(ctx, order.Server)
+	grant, may := h.awaitRoom(ctx, order.Server)
 	if !may {
 		return 0, false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	// The term is asked last, since the turn may have taken time.
+	// The term is asked last, since waiting for room may have taken time.
 	if !term.begin(order.Server.ID, time.Now()) {
 		h.config.Limits.Return(grant)
 		return 0, false, nil
@@ -210,7 +210,7 @@
 
 func (h *Holder) report(ctx context.Context, target *entry) (Report, error) {
 	server := h.serverOf(target)
-	if _, may := h.awaitTurn(ctx, server); !may {
+	if _, may := h.awaitRoom(ctx, server); !may {
 		return Report{}, errQuiet
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -146,10 +146,10 @@
 	if !known {
 		return
 	}
-	report, told := l.newReport()
+	report, content := l.newReport()
 	if holder.Address == l.config.Address {
 		if update, holds := l.config.Holder.Report(report); holds {
-			l.answered(update, told, holder.Address)
+			l.answered(update, content, holder.Address)
 		}
 		return
 	}
@@ -162,18 +162,18 @@
 			l.notAnswered()
 			return
 		}
-		l.answered(update, told, holder.Address)
+		l.answered(update, content, holder.Address)
 	})
 }
 
-// told is what the holder knows once a report was answered.
-type told struct {
+// reported is what the holder knows once a report was answered.
+type reported struct {
 	token   int64
 	arrived map[forward.DemandKey]uint64
 	limits  uint64
 }
 
-func (l *Link) newReport() (DemandReport, told) {
+func (l *Link) newReport() (DemandReport, reported) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.sequence++
@@ -181,14 +181,14 @@
 		Node: l.config.Name, Address: l.config.Address, Sequence: l.sequence, Started: l.started,
 		Token: l.token, Version: l.version, Leaving: l.config.View.Leaving(), LimitsVersion: l.limitsKnown,
 	}
-	telling := told{token: l.token, arrived: map[forward.DemandKey]uint64{}}
-	report.Limits, telling.limits = l.config.Notices.OwnLimits(l.limitsTold)
+	content := reported{token: l.token, arrived: map[forward.DemandKey]uint64{}}
+	report.Limits, content.limits = l.config.Notices.OwnLimits(l.limitsTold)
 	counters := l.config.Counters()
 	report.Counters, report.CountersToken = counters.Version, counters.Token
 	now := time.Now()
 	for _, row := range l.config.Demand() {
 		expected := now.Before(row.ExpectedUntil)
-		telling.arrived[row.DemandKey] = row.Arrived
+		content.arrived[row.DemandKey] = row.Arrived
 		if row.Waiting == 0 && row.Running == 0 && !expected && row.Arrived == l.arrived[row.DemandKey] {
 			continue
 		}
@@ -197,7 +197,7 @@
 			Expected: expected, Priority: row.Priority, Arrived: row.Arrived,
 		})
 	}
-	return report, telling
+	return report, content
 }
 
 func (l *Link) notAnswered() {
@@ -206,14 +206,14 @@
 	l.unanswered = true
 }
 
-func (l *Link) answered(update Update, told told, from string) {
+func (l *Link) answered(update Update, known reported, from string) {
 	l.apply(update, from)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.arrived = told.arrived
-	if told.token == l.token {
+	l.arrived = known.arrived
+	if known.token == l.token {
 		// A new holder is told everything with the next report.
-		l.limitsTold = max(l.limitsTold, told.limits)
+		l.limitsTold = max(l.limitsTold, known.limits)
 	}
 }
 
--- a/internal/orders/quiet.go
+++ b/internal/orders/room.go
@@ -18,12 +18,12 @@
 	return max(h.config.Notices.BackoffUntil(server).Sub(now), 0)
 }
 
-// awaitTurn waits until a server may be sent something, and takes that from its limit. It
-// returns false if the server wants nothing, or has no room for long.
+// awaitRoom waits until a server's limit has room, and takes it. It returns false if the server
+// wants nothing, or has no room for long.
 //
 // Orders and questions come to a server like requests, and a load is followed by a question
 // every 50 ms: 20 a second, whatever the server's limit.
-func (h *Holder) awaitTurn(ctx context.Context, server *fleet.Server) (serverlimit.Grant, bool) {
+func (h *Holder) awaitRoom(ctx context.Context, server *fleet.Server) (serverlimit.Grant, bool) {
 	if h.backoffLeft(server, time.Now()) > 0 {
 		return serverlimit.Grant{}, false
 	}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -85,7 +85,7 @@
 switch_off limit-told-in-replies internal/orders/holder.go 'update.Limits, update.LimitsVersion =' '_, update.LimitsVersion =' ./platform
 switch_off limit-newest-word internal/notice/limits.go 'known.at.After(at) &&' 'false &&' ./internal/notice
 switch_off limit-ended-by-later internal/notice/limits.go 'asked.At.After(e.at)' 'true' ./internal/notice
-switch_off limit-of-orders internal/orders/quiet.go 'grant := h.config.Limits.Take(ctx, server, serverlimit.Need{MaxWait: serverlimit.Window})' 'grant := serverlimit.Grant{Within: true}' ./platform
+switch_off limit-of-orders internal/orders/room.go 'grant := h.config.Limits.Take(ctx, server, serverlimit.Need{MaxWait: serverlimit.Window})' 'grant := serverlimit.Grant{Within: true}' ./platform
 switch_off limit-given-back internal/forward/attempt.go 'f.limits.Return(place.grant)' '_ = place.grant' ./internal/forward
 switch_off limit-after-choice internal/forward/attempt.go '|| f.newlyLimited(place)' '' ./internal/forward
 switch_off limit-refused-at-once internal/forward/admission.go 'turnless := able &&' 'turnless := false && able &&' ./internal/forward
