--- a/internal/forward/backoff_test.go
+++ b/internal/forward/backoff_test.go
@@ -104,24 +104,30 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			inBackoffs(t, func(b *bench, backoffs *askedBackoffs) {
-				asked := request("patient", "m", 10*time.Second)
-				flow := b.forwarder.newFlow(asked, b.view.Load().Configuration.Match(asked.Host, asked.Path))
-				b.view.UpdateServers(map[string]*fleet.Server{"m2": nil})
-				place, refusal := b.forwarder.nextPlace(context.Background(), flow)
-				Expect(refusal).To(BeNil())
-				Expect(place.server.ID).To(Equal("m1"))
-				tells(b, backoffs)
-				outcome, next := b.forwarder.attempt(context.Background(), flow, place, &recorder{})
-				Expect(outcome).To(BeNil())
-				Expect(next).To(BeNil())
-				Expect(b.backend.servers()).To(BeEmpty())
-				Expect(flow.sent).To(BeZero())
-				Expect(place.load.own).To(BeZero())
+				b.expectNothingSentAfter(func() { tells(b, backoffs) })
 			})
 		})
 	}
 }
 
+// expectNothingSentAfter chooses the only server for a request, m1, has it tell something, and
+// expects that the request is not sent there, and that the place is free again.
+func (b *bench) expectNothingSentAfter(tells func()) {
+	asked := request("patient", "m", 10*time.Second)
+	flow := b.forwarder.newFlow(asked, b.view.Load().Configuration.Match(asked.Host, asked.Path))
+	b.view.UpdateServers(map[string]*fleet.Server{"m2": nil})
+	place, refusal := b.forwarder.nextPlace(context.Background(), flow)
+	Expect(refusal).To(BeNil())
+	Expect(place.server.ID).To(Equal("m1"))
+	tells()
+	outcome, next := b.forwarder.attempt(context.Background(), flow, place, &recorder{})
+	Expect(outcome).To(BeNil())
+	Expect(next).To(BeNil())
+	Expect(b.backend.servers()).To(BeEmpty())
+	Expect(flow.sent).To(BeZero())
+	Expect(place.load.own).To(BeZero())
+}
+
 // A server that wakes and turns away again costs each request one attempt a pause.
 func TestBackoffsInARowCostOneAttemptEach(t *testing.T) {
 	inBackoffs(t, func(b *bench, backoffs *askedBackoffs) {
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -186,18 +186,7 @@
 // The word may come between the choice of a server and the sending.
 func TestServerThatNamesALimitAfterItWasChosenIsAskedForATurn(t *testing.T) {
 	withLimits(t, func(b *bench, limits *fakeLimits) {
-		b.view.UpdateServers(map[string]*fleet.Server{"m2": nil})
-		asked := request("patient", "m", 10*time.Second)
-		flow := b.forwarder.newFlow(asked, b.view.Load().Configuration.Match(asked.Host, asked.Path))
-		place, refusal := b.forwarder.nextPlace(context.Background(), flow)
-		Expect(refusal).To(BeNil())
-		limits.name(serverlimit.Grant{}, "m1")
-		outcome, next := b.forwarder.attempt(context.Background(), flow, place, &recorder{})
-		Expect(outcome).To(BeNil())
-		Expect(next).To(BeNil())
-		Expect(b.backend.servers()).To(BeEmpty())
-		Expect(flow.sent).To(BeZero())
-		Expect(place.load.own).To(BeZero())
+		b.expectNothingSentAfter(func() { limits.name(serverlimit.Grant{}, "m1") })
 	})
 }
 
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -383,6 +383,14 @@
 	})
 }
 
+// endThree ends three servers one after the other, each under the identities at one node.
+func (w *world) endThree(identities []Identity, at ...*node) {
+	for i := range endsToHold {
+		w.end(w.server(fmt.Sprint("s", i)), map[*node][]Identity{at[i]: identities})
+		time.Sleep(time.Second)
+	}
+}
+
 // A request that was served before is refused all the same once servers end under it, and under
 // none that was not.
 func TestRequestThatEndsServersAfterItWasServedIsRefused(t *testing.T) {
@@ -390,10 +398,7 @@
 		changed := numbered(0, 1)
 		w.nodes[3].guard.Served(changed[0], time.Now())
 		time.Sleep(time.Second)
-		for i := range 3 {
-			w.end(w.server(fmt.Sprint("s", i)), map[*node][]Identity{w.nodes[i]: changed})
-			time.Sleep(time.Second)
-		}
+		w.endThree(changed, w.nodes[0], w.nodes[1], w.nodes[2])
 		Expect(w.held(changed[0])).To(Equal(4))
 	})
 }
@@ -408,10 +413,7 @@
 		both := numbered(0, 2)
 		w.nodes[0].guard.Served(both[1], time.Now())
 		time.Sleep(time.Second)
-		for i := range 3 {
-			w.end(w.server(fmt.Sprint("s", i)), map[*node][]Identity{w.nodes[1+i%2]: both})
-			time.Sleep(time.Second)
-		}
+		w.endThree(both, w.nodes[1], w.nodes[2], w.nodes[1])
 		Expect(w.held(both[0])).To(Equal(4))
 		Expect(w.held(both[1])).To(BeZero())
 	})
