Keep a stopping node until it knows that it holds no votes of claims

Callers: after planned stops alone, requests with an idempotency key were refused ("claim_unavailable") for the whole quarantine, an hour by default. None ran twice.

Cause: IsAcceptor asked the node's copy of the configurations only. Between a commit that names the node and the moment at which it reads of it, the node is an acceptor without knowing, and left; the committed configuration named a node that was gone.

Evidence: traces of random rolling restarts.

Why this holds: a node leaves only when no configuration newer than the known one is active at its acceptor or can still be committed, which a reading after the proposal's patience shows; and it takes no new proposals while it stops.

Found while tracing the keyed request that ran twice (TestServe); it is not its cause, since the quarantine lets nothing run twice.

--- a/internal/claims/acceptor.go
+++ b/internal/claims/acceptor.go
@@ -44,6 +44,8 @@
 	complete        bool
 	entries         []KeyRecord
 	quarantineUntil time.Time
+	// installedAt is when the newest page came.
+	installedAt time.Time
 }
 
 func newAcceptor(retention time.Duration, maxEntries int) *acceptor {
@@ -180,7 +182,7 @@
 }
 
 // install takes a page of a proposed configuration.
-func (a *acceptor) install(request InstallRequest) bool {
+func (a *acceptor) install(request InstallRequest, now time.Time) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if request.Configuration.Epoch <= a.active.Epoch {
@@ -196,6 +198,7 @@
 	}
 	pending.entries = append(pending.entries, request.Entries...)
 	pending.nextPage++
+	pending.installedAt = now
 	pending.complete = request.Last
 	return true
 }
@@ -259,6 +262,23 @@
 	return sealed && now.Sub(a.sealedSince) > patience
 }
 
+// ahead reports whether this acceptor votes in a configuration newer than the
+// known one, or was handed one that may still be committed. The latter is ruled
+// out once the key-value service was read proposalPatience after the handover.
+func (a *acceptor) ahead(known uint64, readAt time.Time) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.active.Epoch > known {
+		return true
+	}
+	for _, pending := range a.proposed {
+		if pending.configuration.Epoch > known && readAt.Sub(pending.installedAt) < proposalPatience {
+			return true
+		}
+	}
+	return false
+}
+
 // size returns the number of keys held.
 func (a *acceptor) size() int {
 	a.mutex.Lock()
--- a/internal/claims/claims_suite_test.go
+++ b/internal/claims/claims_suite_test.go
@@ -39,10 +39,19 @@
 	set     *ClaimSet
 	member  membership.Member
 	cluster *testCluster
+	// view of the members, the newest of the numbered ones; nil: the cluster's.
+	view   []membership.Member
+	viewed int
 }
 
-func (n *testNode) Self() membership.Member      { return n.member }
-func (n *testNode) Members() []membership.Member { return n.cluster.members }
+func (n *testNode) Self() membership.Member { return n.member }
+
+func (n *testNode) Members() []membership.Member {
+	if n.view != nil {
+		return n.view
+	}
+	return n.cluster.members
+}
 
 func newTestCluster(seed uint64, nodes int) *testCluster {
 	loop := simulation.NewLoop(seed)
--- a/internal/claims/claimset.go
+++ b/internal/claims/claimset.go
@@ -111,17 +111,32 @@
 	s.configurations.stop()
 }
 
-// IsAcceptor reports whether this node still holds votes of any shard.
+// IsAcceptor reports whether this node holds votes of any shard, or may come to
+// hold them by a configuration whose commit it has not heard of.
 func (s *ClaimSet) IsAcceptor() bool {
 	self := s.config.Members.Self().ID()
 	for shard := range s.config.Shards {
-		if current, known := s.configurations.get(shard); known && current.has(self) {
+		current, known := s.configurations.get(shard)
+		if known && current.has(self) || s.acceptorAhead(shard) {
 			return true
 		}
 	}
 	return false
 }
 
+// acceptorAhead reports whether the shard's acceptor here may hold votes that
+// the known configuration does not tell of.
+func (s *ClaimSet) acceptorAhead(shard int) bool {
+	current, _ := s.configurations.get(shard)
+	return s.acceptors[shard].ahead(current.Epoch, s.configurations.lastRead())
+}
+
+// install refuses proposals while the node is being stopped: one made from an
+// older list of members would leave the shard without this acceptor's votes.
+func (s *ClaimSet) install(a *acceptor, request InstallRequest) bool {
+	return !s.config.Members.Self().Draining && a.install(request, s.config.Clock.Now())
+}
+
 // Keys returns the number of keys this node holds votes for.
 func (s *ClaimSet) Keys() int {
 	total := 0
@@ -168,7 +183,7 @@
 	transport.Handle(InstallRequest{}, func(_ string, message peer.Message, reply func(peer.Message, error)) {
 		request := message.(InstallRequest)
 		s.answer(request.Configuration, reply, func(a *acceptor) peer.Message {
-			return Acknowledgement{OK: a.install(request)}
+			return Acknowledgement{OK: s.install(a, request)}
 		})
 	})
 }
--- a/internal/claims/configurationcache.go
+++ b/internal/claims/configurationcache.go
@@ -31,9 +31,11 @@
 type configurationCache struct {
 	set *ClaimSet
 
-	mutex   sync.Mutex
-	known   []knownConfiguration
-	loaded  bool
+	mutex  sync.Mutex
+	known  []knownConfiguration
+	loaded bool
+	// readAt is when the newest complete reading began; zero: none.
+	readAt  time.Time
 	stopped bool
 	// failures to read since the newest reading.
 	failures int
@@ -94,23 +96,50 @@
 	return true
 }
 
+// read learns all configurations and then follows their changes.
 func (c *configurationCache) read() {
 	if c.isStopped() {
 		return
 	}
-	c.set.config.KeyValues.Range(configurationPrefix, keyValueTimeout, func(result outside.RangeResult, err error) {
+	c.readAll(func(revision int64, err error) {
 		if err != nil {
 			c.readLater()
 			return
 		}
-		c.succeeded()
-		for _, pair := range result.KeyValues {
-			c.learnPair(pair)
+		c.watch(revision)
+	})
+}
+
+// refresh learns all configurations once more, for a caller that must know
+// whether a change was missed or never made. A failure leaves them as they are.
+func (c *configurationCache) refresh() {
+	c.readAll(func(_ int64, err error) {
+		if err != nil {
+			c.set.config.Logger.Debug().Err(err).Msg("claim configurations not refreshed")
 		}
-		c.watch(result.Revision)
 	})
 }
 
+func (c *configurationCache) readAll(done func(revision int64, err error)) {
+	began := c.set.config.Clock.Now()
+	c.set.config.KeyValues.Range(configurationPrefix, keyValueTimeout, func(result outside.RangeResult, err error) {
+		if err == nil {
+			for _, pair := range result.KeyValues {
+				c.learnPair(pair)
+			}
+			c.succeeded(began)
+		}
+		done(result.Revision, err)
+	})
+}
+
+// lastRead returns when the newest complete reading began; zero: none.
+func (c *configurationCache) lastRead() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.readAt
+}
+
 func (c *configurationCache) readLater() {
 	c.mutex.Lock()
 	pause := rereadPause(c.failures)
@@ -119,10 +148,13 @@
 	c.set.config.Clock.AfterFunc(c.set.jitter(pause), c.read)
 }
 
-func (c *configurationCache) succeeded() {
+func (c *configurationCache) succeeded(began time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.failures = 0
+	if began.After(c.readAt) {
+		c.readAt = began
+	}
 }
 
 func (c *configurationCache) watch(revision int64) {
--- a/internal/claims/reconfiguration.go
+++ b/internal/claims/reconfiguration.go
@@ -17,9 +17,10 @@
 	// lossGrace is how long a shard's votes must be out of reach before they
 	// count as lost.
 	lossGrace = 60 * time.Second
-	// sealPatience is how long an acceptor stays sealed before it asks for a
-	// new configuration, since the one it was sealed for was given up.
-	sealPatience = 5 * time.Second
+	// proposalPatience is how long after a proposal's newest step it counts as
+	// one that may be committed. An acceptor sealed for longer asks for a new
+	// configuration.
+	proposalPatience = 5 * time.Second
 	// minRetry and maxRetry bound the pause after a failed try, which doubles.
 	minRetry = time.Second
 	maxRetry = 8 * time.Second
@@ -45,6 +46,7 @@
 	if !s.configurations.isLoaded() || !s.membersKnown() {
 		return
 	}
+	s.refreshBeforeLeaving()
 	now := s.config.Clock.Now()
 	s.live.update(s.config.Members.Members())
 	for shard := range s.config.Shards {
@@ -52,6 +54,20 @@
 	}
 }
 
+// refreshBeforeLeaving reads the configurations while only that can tell a
+// draining node whether it holds votes.
+func (s *ClaimSet) refreshBeforeLeaving() {
+	if !s.config.Members.Self().Draining {
+		return
+	}
+	for shard := range s.config.Shards {
+		if s.acceptorAhead(shard) {
+			s.configurations.refresh()
+			return
+		}
+	}
+}
+
 func (s *ClaimSet) membersKnown() bool {
 	return s.config.Synchronised == nil || s.config.Synchronised()
 }
@@ -61,7 +77,7 @@
 	s.reconfigurationMutex.Lock()
 	defer s.reconfigurationMutex.Unlock()
 	state := &s.reconfigurations[shard]
-	stuck := s.acceptors[shard].stuck(current.id(shard), sealPatience, now)
+	stuck := s.acceptors[shard].stuck(current.id(shard), proposalPatience, now)
 	if !stuck && live.keeps(current) {
 		*state = reconfigurationState{}
 		return
