--- a/internal/claims/planned_stop_test.go
+++ b/internal/claims/planned_stop_test.go
@@ -31,6 +31,17 @@
 		Expect(node.set.IsAcceptor()).To(BeTrue())
 	})
 
+	// The same where a peer, which knows of the commit, has asked for a vote.
+	It("waits while it votes in a configuration that it has not read", func() {
+		cluster := newTestCluster(12, 1)
+		node := cluster.nodes["node-0"]
+		current, _ := node.set.configurations.get(0)
+		committed := ConfigurationID{Shard: 0, Epoch: current.Epoch + 1, Token: "committed"}
+		Expect(cluster.install(node, InstallRequest{Configuration: committed, Last: true})).To(Equal(Acknowledgement{OK: true}))
+		node.set.acceptors[0].vote(VoteRequest{Configuration: committed, Key: Key{Value: "seat-1"}, Attempt: "a/1"}, node.process.Now())
+		Expect(node.set.acceptorAhead(0)).To(BeTrue())
+	})
+
 	// Guards against a proposal that is installed at a node which has checked already that
 	// it holds nothing.
 	It("takes no further configuration", func() {
