--- a/internal/claims/proposer.go
+++ b/internal/claims/proposer.go
@@ -164,6 +164,7 @@
 
 // act carries out what the end of a round asks for.
 func (o *claimOperation) act(round *claimRound, decision roundDecision, result Result, final bool) {
+	o.log(round, decision)
 	if decision == won {
 		o.set.granted.put(o.attempt, grantedRound{holder: round.holder, digest: o.digest})
 		o.done(result)
@@ -181,6 +182,15 @@
 	o.nextRound(delay)
 }
 
+// log tells how a round ended and under which holder the acceptors know it, so that two runs of
+// one key can be traced to their votes.
+func (o *claimOperation) log(round *claimRound, decision roundDecision) {
+	o.set.config.Logger.Debug().Int("shard", o.shard).Uint64("epoch", round.configuration.Epoch).
+		Str("attempt", string(o.attempt)).Str("holder", string(round.holder)).
+		Str("held_by", string(round.majorityHolder())).Str("reason", decision.String()).
+		Msg("claim round ended")
+}
+
 // abandon releases the votes of a round that was not won and never will be.
 func (o *claimOperation) abandon(round *claimRound) {
 	if round == nil {
--- a/internal/claims/round.go
+++ b/internal/claims/round.go
@@ -48,6 +48,22 @@
 	noMajority
 )
 
+// String is the decision's word in logs.
+func (d roundDecision) String() string {
+	switch d {
+	case won:
+		return "granted"
+	case heldByOther:
+		return "held by another attempt"
+	case usedForOther:
+		return "used for another request"
+	case noMajority:
+		return "no majority"
+	default:
+		return "undecided"
+	}
+}
+
 // decide looks at the votes so far.
 func (r *claimRound) decide() roundDecision {
 	quorum := r.configuration.writeQuorum()
--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -183,6 +183,27 @@
 		Expect(b.backEnds.calls).To(HaveLen(1))
 	})
 
+	// Guards against two claims under one attempt: a late release of the first would take
+	// away the vote of the second.
+	DescribeTable("claims a key once for an attempt", func(prepare func(b *bench), calls int) {
+		b := newBench(5, Limits{})
+		b.pools.set(testPool, 4, "p1", "p2")
+		prepare(b)
+		b.submit(b.poolRequest(limit, "family-1"))
+		b.loop.RunFor(2 * limit)
+		Expect(b.claims.asked).To(HaveLen(1))
+		Expect(b.backEnds.calls).To(HaveLen(calls))
+	},
+		Entry("that is granted after its place was given up", func(b *bench) { b.claims.delay = longestClaim + time.Millisecond }, 1),
+		Entry("that is granted late, and then refused by the servers", func(b *bench) {
+			b.claims.delay = longestClaim + time.Millisecond
+			failing(result.RanNo, "refused")(b)
+		}, 4),
+		Entry("that is denied", func(b *bench) {
+			b.claims.held[claims.Key{Tenant: "alpha", Value: "family-1"}] = &fakeClaim{attempt: "other"}
+		}, 0),
+	)
+
 	It("releases a claim granted after the caller has gone", func() {
 		b := newBench(5, Limits{})
 		b.pools.set(testPool, 4, "p1")
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -128,6 +128,8 @@
 	down     bool
 	held     map[claims.Key]*fakeClaim
 	released int
+	// asked are the attempts for which a key was claimed.
+	asked []outside.AttemptID
 }
 
 type fakeClaim struct {
@@ -137,6 +139,7 @@
 }
 
 func (f *fakeClaims) Claim(key claims.Key, attempt outside.AttemptID, digest uint64, _ time.Time, done func(claims.Result)) {
+	f.asked = append(f.asked, attempt)
 	f.loop.AfterFunc(f.delay, func() { done(f.decide(key, attempt, digest)) })
 }
 
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -89,15 +90,19 @@
 		Eventually(second.stopped, patience).Should(Receive(BeNil()))
 	})
 
+	// Guards against a keyed request that runs again at the node which took over the claims.
 	It("keep the claims when the last of them stops, though the key-value service is out for a while", func(ctx SpecContext) {
 		platform := startPlatform()
+		showRuns(platform)
 		last := startNode(settingsFor(platform, "last", "marousi"))
 		Eventually(last.confirm, patience).WithArguments(ctx).Should(Equal(http.StatusOK))
+		Expect(runs(platform)).To(Equal(1), "before the planned stop")
 		setKeyValueFaults(ctx, platform, `{"outage":true}`)
 		last.stop()
 		Eventually(last.readiness, patience).ShouldNot(Equal(http.StatusOK))
 		setKeyValueFaults(ctx, platform, `{}`)
 		Eventually(last.stopped, patience).Should(Receive(BeNil()))
+		Expect(runs(platform)).To(Equal(1), "after the planned stop")
 
 		next := startNode(settingsFor(platform, "next", "piraeus"))
 		Eventually(next.confirm, patience).WithArguments(ctx).Should(Or(Equal(http.StatusOK), Equal(http.StatusConflict)))
@@ -140,5 +145,18 @@
 	return response.StatusCode
 }
 
+// showRuns writes what reached the servers to the output of a spec that fails. The attempt's
+// name begins with its node and that node's incarnation.
+func showRuns(platform *suite.Suite) {
+	DeferCleanup(func() {
+		for _, event := range platform.Log().Events() {
+			if event.Kind == record.KindBackEndReceived || event.Kind == record.KindBackEndRun {
+				GinkgoWriter.Printf("%s %s at %s: attempt %q, key %q, request %q\n", event.At.Format(time.StampMicro),
+					event.Kind, event.Server, event.Attempt, event.Key, event.RequestID)
+			}
+		}
+	})
+}
+
 // runs counts what the servers ran.
 func runs(platform *suite.Suite) int { return int(platform.Log().Count(record.KindBackEndRun)) }
