Refuse only the likeliest of the requests that were under way at the same ended servers

Cause: of several identities at the same unexplained ends all were held for the full time, though one explains them. Where some node remembers that the harmless one was served it is left out, but none does when all have started again, or have served 2,048 other requests since.

Why this holds: reports carry how long each request had run at an end. What ends a server does so after its own time, so the one whose times vary least is refused, for 5 s; servers that serve its rivals confirm it without another end; an end without it shows the rival and releases it. After the 5 s its ends count against nobody else, and one more refuses it again.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -56,6 +56,7 @@
 	f.demand.running(flow.key(), 1)
 	defer f.demand.running(flow.key(), -1)
 	started := time.Now()
+	flow.attemptBegan = started
 	reply, err := f.backend.Send(ctx, Attempt{
 		Request: flow.request, Route: flow.route, Server: place.server,
 		Deadline: flow.deadline, ResumeAfter: flow.lastEvent, Priority: flow.priority,
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -29,8 +29,10 @@
 	sent, runs int
 	ran        result.Ran
 	held       time.Duration
-	firstByte  time.Duration
-	server     string
+	// attemptBegan is when the newest attempt was sent.
+	attemptBegan time.Time
+	firstByte    time.Duration
+	server       string
 	// newest is the server of the newest attempt, for other goroutines.
 	newest *atomic.Pointer[fleet.Server]
 	cold   bool
--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -17,8 +17,8 @@
 	// Held returns the entry by which an identity is refused.
 	Held(identity poison.Identity) (poison.Entry, bool)
 	// Broke notes that a server closed the connection of an attempt before its answer
-	// was whole.
-	Broke(ctx context.Context, identity poison.Identity, server *fleet.Server)
+	// was whole, and when the attempt began.
+	Broke(ctx context.Context, identity poison.Identity, server *fleet.Server, began time.Time)
 	// Ended notes a proof that a server has ended.
 	Ended(server, proof string)
 	// Served notes that a server which began at the time answered in full.
@@ -30,7 +30,7 @@
 
 func (noPoison) Held(poison.Identity) (poison.Entry, bool) { return poison.Entry{}, false }
 
-func (noPoison) Broke(context.Context, poison.Identity, *fleet.Server) {}
+func (noPoison) Broke(context.Context, poison.Identity, *fleet.Server, time.Time) {}
 
 func (noPoison) Ended(string, string) {}
 
@@ -66,7 +66,7 @@
 	case failure.Reason == FailureOtherInstance:
 		f.poison.Ended(server.ID, "another instance answers")
 	case failure.Reason == FailureBroken && ctx.Err() == nil && closedByServer(failure.Cause):
-		f.poison.Broke(ctx, flow.request.Identity, server)
+		f.poison.Broke(ctx, flow.request.Identity, server, flow.attemptBegan)
 	}
 }
 
@@ -75,7 +75,7 @@
 func (f *Forwarder) learnFromWhole(ctx context.Context, flow *flow, server *fleet.Server, reply *Reply, started time.Time) {
 	switch {
 	case reply.Unframed:
-		f.poison.Broke(ctx, flow.request.Identity, server)
+		f.poison.Broke(ctx, flow.request.Identity, server, started)
 	case reply.Status < failedStatus:
 		f.poison.Served(flow.request.Identity, started)
 	}
--- a/internal/forward/poison_test.go
+++ b/internal/forward/poison_test.go
@@ -38,7 +38,7 @@
 	g.until = time.Now().Add(span)
 }
 
-func (g *fakeGuard) Broke(_ context.Context, _ poison.Identity, server *fleet.Server) {
+func (g *fakeGuard) Broke(_ context.Context, _ poison.Identity, server *fleet.Server, _ time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.broke = append(g.broke, server.ID)
--- a/internal/poison/fakes_test.go
+++ b/internal/poison/fakes_test.go
@@ -210,7 +210,7 @@
 	w.mutex.Unlock()
 	for n, identities := range under {
 		for _, identity := range identities {
-			n.guard.Broke(context.Background(), identity, server)
+			n.guard.Broke(context.Background(), identity, server, time.Now())
 		}
 	}
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -137,22 +136,28 @@
 
 // Served notes that a server which began with the identity at the time served it whole.
 func (g *Guard) Served(identity Identity, began time.Time) {
-	if !identity.IsZero() {
-		g.served.add(identity, began)
+	if identity.IsZero() {
+		return
 	}
+	g.served.add(identity, began)
+	g.clearRival(identity, began)
 }
 
-// Broke notes that a server closed the connection of an attempt before its answer was
-// whole. It counts once it is proved that the server ended, and not where that was
+// Broke notes that a server closed the connection of an attempt, begun at the time, before
+// its answer was whole. It counts once it is proved that the server ended, and not where that was
 // planned: a server that drains, or that took its record away, ends in time.
-func (g *Guard) Broke(ctx context.Context, identity Identity, server *fleet.Server) {
+func (g *Guard) Broke(ctx context.Context, identity Identity, server *fleet.Server, began time.Time) {
 	if identity.IsZero() || g.leftAsPlanned(server.ID) {
 		return
 	}
-	check, ended := g.suspects.add(identity, server.ID, server.Address, time.Now())
+	now := time.Now()
+	check, ended := g.suspects.add(identity, server.ID, server.Address, began, now)
 	switch {
 	case ended:
-		g.report(timedEnd{server: server.ID, suspects: []Identity{identity}, served: g.served.of([]Identity{identity}), at: time.Now()})
+		g.report(timedEnd{
+			server: server.ID, suspects: []suspect{{identity: identity, elapsed: now.Sub(began)}},
+			served: g.served.of([]Identity{identity}), at: now,
+		})
 	case check:
 		go g.look(context.WithoutCancel(ctx), server)
 	}
@@ -194,15 +199,23 @@
 
 // Ended notes that a server is known to have ended.
 func (g *Guard) Ended(server, proof string) {
-	identities, brokeAt := g.suspects.end(server)
-	if len(identities) == 0 {
+	suspects, brokeAt := g.suspects.end(server)
+	if len(suspects) == 0 {
 		return
 	}
 	g.config.Counted()
-	slices.SortFunc(identities, Identity.compare)
+	identities := identitiesOf(suspects)
 	g.config.Logger.Warn().Str("server", server).Str("proof", proof).Int("requests", len(identities)).
 		Strs("identities", logged(identities)).Msg("server ended under requests")
-	g.report(timedEnd{server: server, suspects: identities, served: g.served.of(identities), at: brokeAt})
+	g.report(timedEnd{server: server, suspects: suspects, served: g.served.of(identities), at: brokeAt})
+}
+
+func identitiesOf(suspects []suspect) []Identity {
+	identities := make([]Identity, len(suspects))
+	for i, suspect := range suspects {
+		identities[i] = suspect.identity
+	}
+	return identities
 }
 
 func logged(identities []Identity) []string {
@@ -232,6 +245,7 @@
 			g.record.remove(identity, now.Add(g.record.delay(identity)))
 			g.config.Logger.Info().Str("identity", identity.String()).Str("reason", "its time is over").Msg("request released")
 		}
+		g.confirm(now)
 		g.record.tick(now)
 		g.shared.tick(now)
 	}
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -188,7 +188,7 @@
 				poison := numbered(0, 1)
 				for i := range endsToHold {
 					server := w.server(fmt.Sprint("s", i))
-					w.nodes[0].guard.Broke(context.Background(), poison[0], server)
+					w.nodes[0].guard.Broke(context.Background(), poison[0], server, time.Now())
 					test.look(w, server)
 					time.Sleep(5 * time.Second)
 				}
@@ -277,7 +277,7 @@
 	inWorld(t, 1, 1, func(w *world) {
 		server := w.server("s")
 		for _, identity := range numbered(0, 100) {
-			w.nodes[0].guard.Broke(context.Background(), identity, server)
+			w.nodes[0].guard.Broke(context.Background(), identity, server, time.Now())
 			time.Sleep(10 * time.Millisecond)
 		}
 		Expect(w.looked()).To(BeNumerically("<=", 2*4))
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +23,10 @@
 	// firstHold is how long an identity is refused at first. Each further time is
 	// twice as long, up to longestHold.
 	firstHold, longestHold = 10 * time.Minute, 2 * time.Hour
+	// provisionalHold is how long the likeliest of several requests at the same ends is
+	// refused: longer than a report takes to all nodes in touch, and short for a request
+	// that is refused by mistake.
+	provisionalHold = 5 * time.Second
 )
 
 // ServerEnd is a server that ended, with what was under way there.
@@ -28,6 +34,8 @@
 	// Server is the ID of its incarnation.
 	Server   string
 	Suspects []Identity
+	// Elapsed is how long each of them had run, in the same order. Earlier builds send none.
+	Elapsed []time.Duration
 	// Served are those of them that the telling node has seen servers serve before.
 	Served []Identity
 	// Age of the end when this is told. Whether its suspects were served since depends on
@@ -39,16 +47,30 @@
 func aged(ends []timedEnd, now time.Time) []ServerEnd {
 	told := make([]ServerEnd, len(ends))
 	for i, end := range ends {
-		told[i] = ServerEnd{Server: end.server, Suspects: end.suspects, Served: end.served, Age: now.Sub(end.at)}
+		told[i] = ServerEnd{Server: end.server, Suspects: identitiesOf(end.suspects), Served: end.served, Age: now.Sub(end.at)}
+		for _, suspect := range end.suspects {
+			told[i].Elapsed = append(told[i].Elapsed, suspect.elapsed)
+		}
 	}
 	return told
 }
 
+// unknownElapsed is that of a suspect whose node did not report how long it had run.
+const unknownElapsed = time.Duration(-1)
+
+func (e ServerEnd) elapsedOf(index int) time.Duration {
+	if index < len(e.Elapsed) {
+		return e.Elapsed[index]
+	}
+	return unknownElapsed
+}
+
 // timedEnd is a server's end with its time on this node's steady clock.
 type timedEnd struct {
-	server           string
-	suspects, served []Identity
-	at               time.Time
+	server   string
+	suspects []suspect
+	served   []Identity
+	at       time.Time
 }
 
 // Ledger counts the ends of servers by what was under way there. An end at which a
@@ -63,8 +85,26 @@
 
 type ledgerEnd struct {
 	at time.Time
-	// suspects, and which of them were served before, as some node tells.
-	suspects, served map[Identity]bool
+	// suspects, and how long each had run.
+	suspects map[Identity]time.Duration
+	// served are those of them that were served before, as some node tells.
+	served map[Identity]bool
+	// settled: the identity that explains this end was held for it, and is no longer.
+	settled bool
+}
+
+// suspect notes an identity. Of several attempts the longest one counts: the first of them
+// ended the server, if they did.
+func (e *ledgerEnd) suspect(identity Identity, elapsed time.Duration) {
+	if before, known := e.suspects[identity]; known {
+		elapsed = max(elapsed, before)
+	}
+	e.suspects[identity] = elapsed
+}
+
+func (e *ledgerEnd) has(identity Identity) bool {
+	_, suspected := e.suspects[identity]
+	return suspected
 }
 
 // pastHold is what is remembered of an identity after it was held.
@@ -87,15 +127,15 @@
 		at := now.Add(-told.Age)
 		end := l.ends[told.Server]
 		if end == nil {
-			end = &ledgerEnd{at: at, suspects: map[Identity]bool{}, served: map[Identity]bool{}}
+			end = &ledgerEnd{at: at, suspects: map[Identity]time.Duration{}, served: map[Identity]bool{}}
 			l.ends[told.Server] = end
 		}
 		if at.Before(end.at) {
 			end.at = at
 		}
-		for _, identity := range told.Suspects {
+		for i, identity := range told.Suspects {
 			if len(end.suspects) < mostSuspects {
-				end.suspects[identity] = true
+				end.suspect(identity, told.elapsedOf(i))
 			}
 		}
 		for _, identity := range told.Served {
@@ -106,21 +146,88 @@
 	}
 }
 
-// Decide returns the identities that are to be held from now on.
-func (l *Ledger) Decide(held func(Identity) bool, now time.Time) []Entry {
+// Decide returns the identities that are to be held from now on, and the held ones that are
+// to be released, since one of these explains their ends.
+func (l *Ledger) Decide(held func(Identity) bool, now time.Time) (entries []Entry, explained []Identity) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.forget(now)
 	found := map[Identity]bool{}
 	isHeld := func(identity Identity) bool { return found[identity] || held(identity) }
-	var entries []Entry
 	for exceeded := l.worst(isHeld); len(exceeded) > 0; exceeded = l.worst(isHeld) {
-		for _, identity := range exceeded {
-			found[identity] = true
-			entries = append(entries, l.hold(identity, now))
+		identity := l.likeliest(exceeded)
+		entries = append(entries, l.hold(identity, l.rivals(identity, exceeded, isHeld), now))
+		found[identity] = true
+	}
+	for _, entry := range entries {
+		explained = append(explained, l.explainedBy(entry.Identity, held)...)
+	}
+	return entries, explained
+}
+
+// likeliest returns the identity whose time from its start to the end of its server varies
+// least: what ends a server does so after its own time, while others were begun at any time
+// before.
+func (l *Ledger) likeliest(identities []Identity) Identity {
+	return slices.MinFunc(identities, func(a, b Identity) int {
+		return cmp.Or(cmp.Compare(l.spread(a), l.spread(b)), a.compare(b))
+	})
+}
+
+// spread is the difference between the longest and the shortest time that the identity had
+// run at the ends; the longest time there is if one of them is not known.
+func (l *Ledger) spread(identity Identity) time.Duration {
+	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
+	for _, end := range l.ends {
+		elapsed, suspected := end.suspects[identity]
+		if !suspected {
+			continue
 		}
+		if elapsed == unknownElapsed {
+			return math.MaxInt64
+		}
+		shortest, longest = min(shortest, elapsed), max(longest, elapsed)
 	}
-	return entries
+	return longest - shortest
+}
+
+// rivals returns those of the others that were at all unexplained ends of an identity.
+func (l *Ledger) rivals(identity Identity, others []Identity, held func(Identity) bool) []Identity {
+	explained := func(end *ledgerEnd) bool { return end.explained(held) }
+	var found []Identity
+	for _, other := range others {
+		if other != identity && l.atAllEndsOf(other, identity, explained) {
+			found = append(found, other)
+		}
+	}
+	slices.SortFunc(found, Identity.compare)
+	return found
+}
+
+// explainedBy returns the held identities all of whose ends, and at least one more, the
+// other one was at. Those of which ends have been forgotten are left out.
+func (l *Ledger) explainedBy(other Identity, held func(Identity) bool) []Identity {
+	counts := l.count(held)
+	noException := func(*ledgerEnd) bool { return false }
+	var explained []Identity
+	for identity, ends := range counts {
+		complete := held(identity) && ends.all >= endsToHold
+		if complete && counts[other].all > ends.all && l.atAllEndsOf(other, identity, noException) {
+			explained = append(explained, identity)
+		}
+	}
+	slices.SortFunc(explained, Identity.compare)
+	return explained
+}
+
+// atAllEndsOf reports whether one identity was at all ends of another but the excepted.
+func (l *Ledger) atAllEndsOf(one, another Identity, excepted func(*ledgerEnd) bool) bool {
+	for _, end := range l.ends {
+		if end.has(another) && !excepted(end) && !end.has(one) {
+			return false
+		}
+	}
+	return true
 }
 
 // tally counts the ends of one identity.
@@ -157,7 +264,6 @@
 	if unseen := slices.DeleteFunc(slices.Clone(found), l.wasServed); len(unseen) > 0 {
 		found = unseen
 	}
-	slices.SortFunc(found, Identity.compare)
 	return found
 }
 
@@ -190,6 +296,9 @@
 }
 
 func (e *ledgerEnd) explained(held func(Identity) bool) bool {
+	if e.settled {
+		return true
+	}
 	for identity := range e.suspects {
 		if held(identity) {
 			return true
@@ -199,11 +308,14 @@
 }
 
 // hold makes the entry. It must be called with the lock held.
-func (l *Ledger) hold(identity Identity, now time.Time) Entry {
-	entry := Entry{Identity: identity, Times: l.past[identity].times + 1}
+func (l *Ledger) hold(identity Identity, rivals []Identity, now time.Time) Entry {
+	entry := Entry{Identity: identity, Times: l.past[identity].times, Rivals: rivals, Until: now.Add(provisionalHold)}
+	if !entry.provisional() {
+		entry = entry.confirmed(now)
+	}
 	first := now
 	for server, end := range l.ends {
-		if end.suspects[identity] {
+		if end.has(identity) {
 			entry.Servers = append(entry.Servers, server)
 			if end.at.Before(first) {
 				first = end.at
@@ -211,11 +323,19 @@
 		}
 	}
 	slices.Sort(entry.Servers)
-	entry.Since, entry.Until = first, now.Add(holdOf(entry.Times))
+	entry.Since = first
 	l.remember(entry)
 	return entry
 }
 
+// confirmed is the entry once nothing but its identity explains the ends.
+func (e Entry) confirmed(now time.Time) Entry {
+	e.Rivals = nil
+	e.Times++
+	e.Until = now.Add(holdOf(e.Times))
+	return e
+}
+
 // holdOf is how long an identity is refused that is held for the nth time.
 func holdOf(times int) time.Duration {
 	hold := firstHold
@@ -245,19 +365,20 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	delete(l.past, identity)
-	l.clearEnds(identity)
+	for _, end := range l.ends {
+		delete(end.suspects, identity)
+	}
 }
 
 // Expired notes that the hold of an identity is over: with one more end it is held again.
+// The ends that it was held for count against no other.
 func (l *Ledger) Expired(identity Identity) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.clearEnds(identity)
-}
-
-func (l *Ledger) clearEnds(identity Identity) {
 	for _, end := range l.ends {
-		delete(end.suspects, identity)
+		if end.has(identity) {
+			end.settled = true
+		}
 	}
 }
 
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -41,6 +41,31 @@
 	return held.Entry, found && now.Before(held.Until)
 }
 
+// heldAt returns which identities are held at a time. It does not follow later changes: an
+// entry of another node that came during a decision would make its rival the only suspect.
+func (q *Quarantine) heldAt(now time.Time) func(Identity) bool {
+	q.mutex.RLock()
+	defer q.mutex.RUnlock()
+	held := make(map[Identity]bool, len(q.held))
+	for identity, entry := range q.held {
+		held[identity] = now.Before(entry.Until)
+	}
+	return func(identity Identity) bool { return held[identity] }
+}
+
+// hasRival reports whether an identity, begun at a time, is a rival of one that is held for
+// ends since before.
+func (q *Quarantine) hasRival(identity Identity, began time.Time) bool {
+	q.mutex.RLock()
+	defer q.mutex.RUnlock()
+	for _, held := range q.held {
+		if began.After(held.Since) && slices.Contains(held.Rivals, identity) {
+			return true
+		}
+	}
+	return false
+}
+
 // Refused returns the entry by which an identity is refused: one that is held, and that
 // nobody has objected to in time.
 func (q *Quarantine) Refused(identity Identity, now time.Time) (Entry, bool) {
@@ -51,7 +76,7 @@
 }
 
 // add takes an entry over, which refuses from a time on unless the identity is held
-// already. It reports whether it was not.
+// already. It reports whether it was not, or only provisionally.
 func (q *Quarantine) add(entry Entry, refusesFrom, now time.Time) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -67,7 +92,7 @@
 	for len(q.held) > mostHeld {
 		dropEarliest(q.held, func(held heldEntry) time.Time { return held.Until })
 	}
-	return !again
+	return !again || before.provisional() && !entry.provisional()
 }
 
 // remove lets an identity go, and reports whether it was held.
--- a/internal/poison/shared_ends.go
+++ b/internal/poison/shared_ends.go
@@ -65,10 +65,11 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for server, end := range s.ends {
-		if !slices.Contains(end.suspects, identity) {
+		isCleared := func(suspect suspect) bool { return suspect.identity == identity }
+		if !slices.ContainsFunc(end.suspects, isCleared) {
 			continue
 		}
-		end.suspects = slices.DeleteFunc(slices.Clone(end.suspects), func(suspect Identity) bool { return suspect == identity })
+		end.suspects = slices.DeleteFunc(slices.Clone(end.suspects), isCleared)
 		s.ends[server] = end
 		s.dirty = true
 	}
--- a/internal/poison/spread.go
+++ b/internal/poison/spread.go
@@ -135,31 +135,74 @@
 
 // tellCollectors sends a report to the other collectors, which need not answer.
 func (g *Guard) tellCollectors(report Report) {
-	for _, collector := range g.config.Collectors() {
-		if collector != g.config.Address {
-			g.config.Transport.Send(collector, report)
-		}
+	for _, collector := range g.otherCollectors() {
+		g.config.Transport.Send(collector, report)
 	}
 }
 
+func (g *Guard) otherCollectors() []string {
+	isOwn := func(collector string) bool { return collector == g.config.Address }
+	return slices.DeleteFunc(slices.Clone(g.config.Collectors()), isOwn)
+}
+
 func (g *Guard) decide() {
 	g.mutex.Lock()
 	g.deciding = false
 	g.mutex.Unlock()
 	now := time.Now()
-	isHeld := func(identity Identity) bool {
-		_, held := g.quarantine.Held(identity, now)
-		return held
-	}
-	for _, entry := range g.ledger.Decide(isHeld, now) {
+	entries, explained := g.ledger.Decide(g.quarantine.heldAt(now), now)
+	for _, entry := range entries {
 		if _, contradicted := g.contradict(entry); contradicted {
 			continue
 		}
 		if g.hold(entry, "own count", objectionTime) {
 			g.tell(entry.message(time.Now()), true)
-			g.record.wanted(entry, time.Now())
+			g.save(entry)
 		}
 	}
+	for _, identity := range explained {
+		g.release(identity, "another request explains its ends")
+		g.tell(Released{Identity: identity, Explained: true}, true)
+		g.record.remove(identity, now)
+	}
+}
+
+// confirm holds for good what is held provisionally, once servers have served all its rivals
+// since: none of these explains the ends.
+func (g *Guard) confirm(now time.Time) {
+	for _, entry := range g.Entries() {
+		if !entry.provisional() || slices.ContainsFunc(entry.Rivals, func(rival Identity) bool { return !g.servedSince(rival, entry.Since) }) {
+			continue
+		}
+		confirmed := entry.confirmed(now)
+		if g.hold(confirmed, "its rivals were served", 0) {
+			g.tell(confirmed.message(now), true)
+			g.save(confirmed)
+		}
+	}
+}
+
+func (g *Guard) servedSince(identity Identity, since time.Time) bool {
+	began, known := g.served.last(identity)
+	return known && began.After(since)
+}
+
+// clearRival tells the collectors of a server that served a rival of what is held
+// provisionally: the other rivals may be served at other nodes.
+func (g *Guard) clearRival(identity Identity, began time.Time) {
+	if !g.quarantine.hasRival(identity, began) {
+		return
+	}
+	for _, collector := range g.otherCollectors() {
+		g.config.Transport.Send(collector, Released{Identity: identity, Age: time.Since(began)})
+	}
+}
+
+// save keeps an entry for nodes that start later, unless it is over before they have.
+func (g *Guard) save(entry Entry) {
+	if !entry.provisional() {
+		g.record.wanted(entry, time.Now())
+	}
 }
 
 // hold takes an entry over, which others may object to for a time, and reports whether the
@@ -171,17 +214,17 @@
 	}
 	g.ledger.Remember(entry)
 	g.config.Logger.Warn().Str("identity", entry.Identity.Text()).Int("ends", len(entry.Servers)).Strs("servers", entry.Servers).
-		Int("times", entry.Times).Dur("for_ms", entry.Until.Sub(now)).Str("told_by", toldBy).Msg("request refused by all nodes from now on")
+		Int("times", entry.Times).Bool("provisional", entry.provisional()).Dur("for_ms", entry.Until.Sub(now)).Str("told_by", toldBy).Msg("request refused by all nodes from now on")
 	return true
 }
 
 // contradict reports whether a server has served the identity since the first end that
 // it is blamed for, and what to answer then.
 func (g *Guard) contradict(entry Entry) (Released, bool) {
-	began, known := g.served.last(entry.Identity)
-	if !known || !began.After(entry.Since) {
+	if !g.servedSince(entry.Identity, entry.Since) {
 		return Released{}, false
 	}
+	began, _ := g.served.last(entry.Identity)
 	g.release(entry.Identity, "a server has served it since")
 	return Released{Identity: entry.Identity, Age: time.Since(began)}, true
 }
@@ -229,16 +272,20 @@
 	}
 	if g.hold(entry, from, objectionTime) {
 		g.tell(told, false)
-		g.record.wanted(entry, time.Now())
+		g.save(entry)
 	}
 }
 
-// serveReleased takes over that an identity was served, so that an entry which is still
-// on its way does not hold it again, and passes the word on if it was held here.
+// serveReleased takes over that an identity is harmless, and passes the message on if it was
+// held here. That it was served is kept, so that an entry in flight does not hold it again.
 func (g *Guard) serveReleased(from string, message peer.Message, reply func(peer.Message, error)) {
 	released := message.(Released)
-	g.served.add(released.Identity, time.Now().Add(-released.Age))
-	if g.release(released.Identity, "a server has served it since, told by "+from) {
+	reason := "another request explains its ends"
+	if !released.Explained {
+		reason = "a server has served it since"
+		g.served.add(released.Identity, time.Now().Add(-released.Age))
+	}
+	if g.release(released.Identity, reason+", told by "+from) {
 		g.tell(released, false)
 	}
 	reply(nil, nil)
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,29 +26,40 @@
 	address string
 	// ended: the server is known to have ended. checked: somebody looks whether it has.
 	ended, checked bool
-	// brokenAt is when its attempts broke.
-	brokenAt map[Identity]time.Time
+	attempts       map[Identity]brokenAttempt
+}
+
+// brokenAttempt is when an attempt broke, and how long it had run.
+type brokenAttempt struct {
+	at      time.Time
+	elapsed time.Duration
+}
+
+// suspect was under way at a server that ended, for so long.
+type suspect struct {
+	identity Identity
+	elapsed  time.Duration
 }
 
 func newSuspects() *suspects { return &suspects{servers: map[string]*brokenServer{}} }
 
-// add notes an attempt that the server broke. Check: nobody looks yet whether the
+// add notes an attempt that the server broke, and when it began. Check: nobody looks yet whether the
 // server has ended. Ended: it is known to have.
-func (s *suspects) add(identity Identity, server, address string, now time.Time) (check, ended bool) {
+func (s *suspects) add(identity Identity, server, address string, began, now time.Time) (check, ended bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.forget(now)
 	broken := s.servers[server]
 	if broken == nil {
-		broken = &brokenServer{address: address, brokenAt: map[Identity]time.Time{}}
+		broken = &brokenServer{address: address, attempts: map[Identity]brokenAttempt{}}
 		s.servers[server] = broken
 	}
 	broken.at = now
 	if broken.ended {
 		return false, true
 	}
-	if len(broken.brokenAt) < mostSuspects {
-		broken.brokenAt[identity] = now
+	if len(broken.attempts) < mostSuspects {
+		broken.attempts[identity] = brokenAttempt{at: now, elapsed: now.Sub(began)}
 	}
 	check = !broken.checked
 	broken.checked = true
@@ -64,21 +76,21 @@
 	if broken == nil || broken.ended {
 		return false
 	}
-	for identity, at := range broken.brokenAt {
-		if !at.After(before) {
-			delete(broken.brokenAt, identity)
+	for identity, attempt := range broken.attempts {
+		if !attempt.at.After(before) {
+			delete(broken.attempts, identity)
 		}
 	}
-	if len(broken.brokenAt) == 0 {
+	if len(broken.attempts) == 0 {
 		delete(s.servers, server)
 		return false
 	}
 	return true
 }
 
-// end notes that a server ended. It returns, once, what was under way there, and when
-// the first of it broke.
-func (s *suspects) end(server string) (identities []Identity, brokeAt time.Time) {
+// end notes that a server ended. It returns, once and in order, what was under way there,
+// and when the first of it broke.
+func (s *suspects) end(server string) (found []suspect, brokeAt time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	broken := s.servers[server]
@@ -86,13 +98,14 @@
 		return nil, time.Time{}
 	}
 	broken.ended = true
-	for identity, at := range broken.brokenAt {
-		identities = append(identities, identity)
-		if brokeAt.IsZero() || at.Before(brokeAt) {
-			brokeAt = at
+	for identity, attempt := range broken.attempts {
+		found = append(found, suspect{identity: identity, elapsed: attempt.elapsed})
+		if brokeAt.IsZero() || attempt.at.Before(brokeAt) {
+			brokeAt = attempt.at
 		}
 	}
-	return identities, brokeAt
+	slices.SortFunc(found, func(a, b suspect) int { return a.identity.compare(b.identity) })
+	return found, brokeAt
 }
 
 // open returns the servers of which it is not known whether they ended, with their
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -198,6 +198,11 @@
 switch_off turn-at-each-server internal/orders/turns.go 'last, known := t.inherited[server]' 'last, known := t.inherited[server+"?"]' ./internal/orders ./platform
 switch_off recent-orders-complete internal/orders/turns.go 'return ages, !now.Before(t.completeFrom)' 'return ages, true' ./internal/orders ./platform
 switch_off successor-without-burst internal/orders/ceiling.go 'c.tokens = 0' 'c.tokens = burst' ./internal/orders
+# Planned stops and claims.
+switch_off stop-acceptor-ahead internal/claims/claimset.go 'known && current.has(self) || s.acceptorAhead(shard)' 'known && current.has(self)' ./internal/claims
+switch_off stop-active-epoch internal/claims/acceptor.go 'if a.active.Epoch > known {' 'if false {' ./internal/claims
+switch_off stop-takes-nothing internal/claims/claimset.go '!s.config.Members.Self().Draining && a.install' 'a.install' ./internal/claims
+switch_off stop-reads-again internal/claims/reconfiguration.go 's.refreshBeforeLeaving()' '' ./internal/claims
 # Requests that end servers.
 poison="./internal/poison"
 switch_off poison-refused internal/forward/forwarder.go 'if entry, held := f.poison.Held(request.Identity); held {' 'if entry, held := f.poison.Held(request.Identity); false && held {' $forward
@@ -211,13 +216,19 @@
 switch_off explained-ends internal/poison/ledger.go 'if held(identity) {
 			return true' 'if held(identity) {
 			return false' $poison
-switch_off served-since internal/poison/spread.go '!known || !began.After(entry.Since)' 'true || !known || !began.After(entry.Since)' $poison
+switch_off served-since internal/poison/spread.go 'return known && began.After(since)' 'return false && known && began.After(since)' $poison
+switch_off poison-likeliest internal/poison/ledger.go 'cmp.Compare(l.spread(a), l.spread(b))' 'cmp.Compare(l.spread(b), l.spread(a))' $poison
+switch_off poison-provisional internal/poison/ledger.go 'if !entry.provisional() {' 'if true {' $poison
+switch_off poison-confirmed internal/poison/guard.go 'g.confirm(now)' '' $poison
+switch_off poison-rivals-served internal/poison/guard.go 'g.clearRival(identity, began)' '' $poison
+switch_off poison-explained internal/poison/spread.go 'for _, identity := range explained {' 'for _, identity := range explained[:0] {' $poison
+switch_off poison-settled internal/poison/ledger.go 'end.settled = true' '' $poison
 switch_off ends-keep-their-time internal/poison/ledger.go 'at := now.Add(-told.Age)' 'at := now' $poison
 switch_off released-ends-unshared internal/poison/spread.go 'g.shared.clear(identity)' '' $poison
 switch_off ends-by-the-store internal/poison/spread.go 'g.shared.add(report.ends, now)' '' $poison
-switch_off entries-saved internal/poison/spread.go 'g.record.wanted(entry, time.Now())' '' $poison
+switch_off entries-saved internal/poison/spread.go 'g.record.wanted(entry, time.Now())' '_ = entry' $poison
 switch_off entries-to-followers internal/poison/spread.go 'addresses := g.config.Followers()' 'var addresses []string' $poison
-switch_off objections internal/poison/quarantine.go '&& !now.Before(q.refusedFrom[identity])' '' $poison
+switch_off objections internal/poison/quarantine.go '&& !now.Before(held.refusesFrom)' '' $poison
 switch_off past-holds internal/poison/ledger.go '(before || t.all > endsToHold)' '(t.all > endsToHold)' $poison
 # What servers tell in their answers.
 switch_off word-of-leaving platform/notices.go 'Leaving: answer.Header.Get(headerLeaving) == leavingYes' 'Leaving: false' ./platform
