Play the planned stop of the only node in virtual time

The new test plays its sequence with whole nodes: a caller repeats a keyed request, the only node stops, another one follows, while the store, the network, the back ends and the processes are disturbed at every moment.

--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -203,6 +203,9 @@
 switch_off stop-active-epoch internal/claims/acceptor.go 'if a.active.Epoch > known {' 'if false {' ./internal/claims
 switch_off stop-takes-nothing internal/claims/claimset.go '!s.config.Members.Self().Draining && a.install' 'a.install' ./internal/claims
 switch_off stop-reads-again internal/claims/reconfiguration.go 's.refreshBeforeLeaving()' '' ./internal/claims
+switch_off stop-hands-keys-over internal/claims/acceptor.go 'return SealReply{OK: true, Entries: all[first:last], More: last < len(all)}' 'return SealReply{OK: true, Entries: all[last:last]}' ./internal/emulator
+switch_off stop-rests-with-keys internal/claims/transfer.go 'r.entries = append(r.entries, entries...)' '' ./internal/emulator
+switch_off claim-before-run internal/gateway/dispatch.go 'if e.claim.needed && !e.claim.held {' 'if false {' ./internal/emulator
 # Requests that end servers.
 poison="./internal/poison"
 switch_off poison-refused internal/forward/forwarder.go 'if entry, held := f.poison.Held(request.Identity); held {' 'if entry, held := f.poison.Held(request.Identity); false && held {' $forward
