Hand over keys with their age, so that a clock that is ahead forgets none

Callers of hatchplank serve: a keyed request that was repeated within the retention ran twice where a node whose clock is ahead by the retention took over the claims.

Cause: records carried the time of day of the first vote, and the acceptor that took them over compared it with its own. Evidence: two new entries of "keeps a claim through" (nodes replaced by ones 2 h ahead; a shard read back from the key-value service by such a node) were granted the key again before.

Why this holds: a record is handed over with its age, measured by one clock, and the receiver's time is derived from it; no two clocks are compared. The time in the key-value service is not counted, which only remembers longer.

--- a/internal/claims/acceptor.go
+++ b/internal/claims/acceptor.go
@@ -150,7 +150,7 @@
 	}
 	a.sealedFor[request.Token] = true
 	a.expire(now)
-	all := a.sortedEntries()
+	all := a.sortedEntries(now)
 	first := min(request.Page*pageEntries, len(all))
 	last := min(first+pageEntries, len(all))
 	return SealReply{OK: true, Entries: all[first:last], More: last < len(all)}
@@ -165,10 +165,12 @@
 	}
 }
 
-func (a *acceptor) sortedEntries() []KeyRecord {
+func (a *acceptor) sortedEntries(now time.Time) []KeyRecord {
 	all := make([]KeyRecord, 0, len(a.entries))
 	for _, entry := range a.entries {
-		all = append(all, *entry)
+		handed := *entry
+		handed.Age = now.Sub(entry.ClaimedAt)
+		all = append(all, handed)
 	}
 	sort.Slice(all, func(i, j int) bool { return lessKey(all[i].Key, all[j].Key) })
 	return all
@@ -196,7 +198,10 @@
 	if request.Page != pending.nextPage {
 		return request.Page < pending.nextPage
 	}
-	pending.entries = append(pending.entries, request.Entries...)
+	for _, entry := range request.Entries {
+		entry.ClaimedAt = now.Add(-entry.Age)
+		pending.entries = append(pending.entries, entry)
+	}
 	pending.nextPage++
 	pending.installedAt = now
 	pending.complete = request.Last
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -71,6 +71,32 @@
 				c.loop.RunFor(40 * time.Second)
 			}
 		}),
+		// Guards against a key that is forgotten, and runs again, at a node with another time
+		// of day than the one that voted.
+		Entry("a replacement of all nodes by ones whose clocks are ahead", func(c *testCluster) {
+			for i := range 5 {
+				c.start(fmt.Sprintf("ahead-%d", i), fmt.Sprintf("zone-%d", i%3), 1).process.SetDrift(0, 2*time.Hour)
+			}
+			for i := range 5 {
+				c.kill(fmt.Sprintf("node-%d", i))
+				c.loop.RunFor(40 * time.Second)
+			}
+		}),
+		Entry("a rest in the key-value service, and a node whose clock is ahead", func(c *testCluster) {
+			for name, node := range c.nodes {
+				node.member.Draining = true
+				for i := range c.members {
+					c.members[i].Draining = c.members[i].Draining || c.members[i].Name == name
+				}
+			}
+			c.loop.RunFor(30 * time.Second)
+			for _, name := range c.names() {
+				c.kill(name)
+			}
+			c.loop.RunFor(10 * time.Second)
+			c.start("ahead", "zone-0", 1).process.SetDrift(0, 2*time.Hour)
+			c.loop.RunFor(30 * time.Second)
+		}),
 		Entry("a key-value outage with a death in it", func(c *testCluster) {
 			c.store.SetFaults(keyvalue.Faults{Outage: true})
 			c.kill("node-1")
--- a/internal/claims/merge.go
+++ b/internal/claims/merge.go
@@ -45,9 +45,7 @@
 }
 
 func (t *keyTally) add(entry KeyRecord) {
-	if entry.ClaimedAt.Before(t.entry.ClaimedAt) {
-		t.entry.ClaimedAt = entry.ClaimedAt
-	}
+	t.entry.Age = max(t.entry.Age, entry.Age)
 	if entry.Outcome != nil && len(entry.Holders) == 1 {
 		t.entry.Outcome = entry.Outcome
 		t.recorded = entry.Holders[0]
--- a/internal/claims/messages.go
+++ b/internal/claims/messages.go
@@ -114,8 +114,13 @@
 	// Holders that may have won the key; more than one: contested.
 	Holders []outside.AttemptID
 	Outcome *Outcome
-	// ClaimedAt is the acceptor's time of the first vote.
+	// ClaimedAt is the first vote by the acceptor's own clock, which says nothing
+	// to another node.
 	ClaimedAt time.Time
+	// Age of the first vote when the record was handed over. The time that it
+	// rests in the key-value service is not counted, so that no clock there can
+	// make a key be forgotten early.
+	Age time.Duration
 }
 
 func init() {
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -206,6 +206,7 @@
 switch_off stop-hands-keys-over internal/claims/acceptor.go 'return SealReply{OK: true, Entries: all[first:last], More: last < len(all)}' 'return SealReply{OK: true, Entries: all[last:last]}' ./internal/emulator
 switch_off stop-rests-with-keys internal/claims/transfer.go 'r.entries = append(r.entries, entries...)' '' ./internal/emulator
 switch_off claim-before-run internal/gateway/dispatch.go 'if e.claim.needed && !e.claim.held {' 'if false {' ./internal/emulator
+switch_off keys-by-age internal/claims/acceptor.go 'entry.ClaimedAt = now.Add(-entry.Age)' '' ./internal/claims
 # Requests that end servers.
 poison="./internal/poison"
 switch_off poison-refused internal/forward/forwarder.go 'if entry, held := f.poison.Held(request.Identity); held {' 'if entry, held := f.poison.Held(request.Identity); false && held {' $forward
