--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -1,8 +1,6 @@
 package poison
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -29,50 +27,6 @@
 	provisionalHold = 5 * time.Second
 )
 
-// ServerEnd is a server that ended, with what was under way there.
-type ServerEnd struct {
-	// Server is the ID of its incarnation.
-	Server   string
-	Suspects []Identity
-	// Elapsed is how long each of them had run, in the same order. Earlier builds send none.
-	Elapsed []time.Duration
-	// Served are those of them that the telling node has seen servers serve before.
-	Served []Identity
-	// Age of the end when this is told. Whether its suspects were served since depends on
-	// the time of the end, not on that at which a node learns of it.
-	Age time.Duration
-}
-
-// aged returns the ends as they are to be told at the time, each with when it was.
-func aged(ends []timedEnd, now time.Time) []ServerEnd {
-	told := make([]ServerEnd, len(ends))
-	for i, end := range ends {
-		told[i] = ServerEnd{Server: end.server, Suspects: identitiesOf(end.suspects), Served: end.served, Age: now.Sub(end.at)}
-		for _, suspect := range end.suspects {
-			told[i].Elapsed = append(told[i].Elapsed, suspect.elapsed)
-		}
-	}
-	return told
-}
-
-// unknownElapsed is that of a suspect whose node did not report how long it had run.
-const unknownElapsed = time.Duration(-1)
-
-func (e ServerEnd) elapsedOf(index int) time.Duration {
-	if index < len(e.Elapsed) {
-		return e.Elapsed[index]
-	}
-	return unknownElapsed
-}
-
-// timedEnd is a server's end with its time on this node's steady clock.
-type timedEnd struct {
-	server   string
-	suspects []suspect
-	served   []Identity
-	at       time.Time
-}
-
 // Ledger counts the ends of servers by what was under way there. An end at which a
 // held identity was under way is explained by that one: else its neighbours, which
 // callers send again as well, would follow it.
@@ -83,30 +37,6 @@
 	past map[Identity]pastHold
 }
 
-type ledgerEnd struct {
-	at time.Time
-	// suspects, and how long each had run.
-	suspects map[Identity]time.Duration
-	// served are those of them that were served before, as some node tells.
-	served map[Identity]bool
-	// settled: the identity that explains this end was held for it, and is no longer.
-	settled bool
-}
-
-// suspect notes an identity. Of several attempts the longest one counts: the first of them
-// ended the server, if they did.
-func (e *ledgerEnd) suspect(identity Identity, elapsed time.Duration) {
-	if before, known := e.suspects[identity]; known {
-		elapsed = max(elapsed, before)
-	}
-	e.suspects[identity] = elapsed
-}
-
-func (e *ledgerEnd) has(identity Identity) bool {
-	_, suspected := e.suspects[identity]
-	return suspected
-}
-
 // pastHold is what is remembered of an identity after it was held.
 type pastHold struct {
 	times int
@@ -118,27 +48,27 @@
 	return &Ledger{ends: map[string]*ledgerEnd{}, past: map[Identity]pastHold{}}
 }
 
-// Add notes what was under way at servers that ended, as one node tells.
+// Add notes what was under way at servers that ended, as one node reports.
 func (l *Ledger) Add(ends []ServerEnd, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.forget(now)
-	for _, told := range ends {
-		at := now.Add(-told.Age)
-		end := l.ends[told.Server]
+	for _, reported := range ends {
+		at := now.Add(-reported.Age)
+		end := l.ends[reported.Server]
 		if end == nil {
 			end = &ledgerEnd{at: at, suspects: map[Identity]time.Duration{}, served: map[Identity]bool{}}
-			l.ends[told.Server] = end
+			l.ends[reported.Server] = end
 		}
 		if at.Before(end.at) {
 			end.at = at
 		}
-		for i, identity := range told.Suspects {
+		for i, identity := range reported.Suspects {
 			if len(end.suspects) < mostSuspects {
-				end.suspect(identity, told.elapsedOf(i))
+				end.suspect(identity, reported.elapsedOf(i))
 			}
 		}
-		for _, identity := range told.Served {
+		for _, identity := range reported.Served {
 			if len(end.served) < mostSuspects {
 				end.served[identity] = true
 			}
@@ -165,71 +95,6 @@
 	return entries, explained
 }
 
-// likeliest returns the identity whose time from its start to the end of its server varies
-// least: what ends a server does so after its own time, while others were begun at any time
-// before.
-func (l *Ledger) likeliest(identities []Identity) Identity {
-	return slices.MinFunc(identities, func(a, b Identity) int {
-		return cmp.Or(cmp.Compare(l.spread(a), l.spread(b)), a.compare(b))
-	})
-}
-
-// spread is the difference between the longest and the shortest time that the identity had
-// run at the ends; the longest time there is if one of them is not known.
-func (l *Ledger) spread(identity Identity) time.Duration {
-	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
-	for _, end := range l.ends {
-		elapsed, suspected := end.suspects[identity]
-		if !suspected {
-			continue
-		}
-		if elapsed == unknownElapsed {
-			return math.MaxInt64
-		}
-		shortest, longest = min(shortest, elapsed), max(longest, elapsed)
-	}
-	return longest - shortest
-}
-
-// rivals returns those of the others that were at all unexplained ends of an identity.
-func (l *Ledger) rivals(identity Identity, others []Identity, held func(Identity) bool) []Identity {
-	explained := func(end *ledgerEnd) bool { return end.explained(held) }
-	var found []Identity
-	for _, other := range others {
-		if other != identity && l.atAllEndsOf(other, identity, explained) {
-			found = append(found, other)
-		}
-	}
-	slices.SortFunc(found, Identity.compare)
-	return found
-}
-
-// explainedBy returns the held identities all of whose ends, and at least one more, the
-// other one was at. Those of which ends have been forgotten are left out.
-func (l *Ledger) explainedBy(other Identity, held func(Identity) bool) []Identity {
-	counts := l.count(held)
-	noException := func(*ledgerEnd) bool { return false }
-	var explained []Identity
-	for identity, ends := range counts {
-		complete := held(identity) && ends.all >= endsToHold
-		if complete && counts[other].all > ends.all && l.atAllEndsOf(other, identity, noException) {
-			explained = append(explained, identity)
-		}
-	}
-	slices.SortFunc(explained, Identity.compare)
-	return explained
-}
-
-// atAllEndsOf reports whether one identity was at all ends of another but the excepted.
-func (l *Ledger) atAllEndsOf(one, another Identity, excepted func(*ledgerEnd) bool) bool {
-	for _, end := range l.ends {
-		if end.has(another) && !excepted(end) && !end.has(one) {
-			return false
-		}
-	}
-	return true
-}
-
 // tally counts the ends of one identity.
 type tally struct {
 	all, unexplained int
@@ -243,12 +108,8 @@
 }
 
 // worst returns, of the identities that are to be refused, those with the most ends
-// that no held one explains, in order. Of several with as many, those come first that were
-// never seen served: what they explain is no fault of the others.
-//
-// Without that a harmless request at just the same three ends as one that ends servers is
-// refused with it, for ten minutes (2 identities held in place of 1, test of the ledger). It
-// helps where some node has seen the harmless one served in its life.
+// that no held one explains. Of several with as many, those come first that were never
+// seen served: the ends that they explain count against no other.
 func (l *Ledger) worst(held func(Identity) bool) []Identity {
 	var found []Identity
 	most := 0
@@ -267,8 +128,8 @@
 	return found
 }
 
-// wasServed reports whether some node has seen an identity served before an end that it is
-// blamed for.
+// wasServed reports whether some node has seen an identity served before an end at which it
+// was under way.
 func (l *Ledger) wasServed(identity Identity) bool {
 	for _, end := range l.ends {
 		if end.served[identity] {
@@ -295,18 +156,6 @@
 	return counts
 }
 
-func (e *ledgerEnd) explained(held func(Identity) bool) bool {
-	if e.settled {
-		return true
-	}
-	for identity := range e.suspects {
-		if held(identity) {
-			return true
-		}
-	}
-	return false
-}
-
 // hold makes the entry. It must be called with the lock held.
 func (l *Ledger) hold(identity Identity, rivals []Identity, now time.Time) Entry {
 	entry := Entry{Identity: identity, Times: l.past[identity].times, Rivals: rivals, Until: now.Add(provisionalHold)}
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -44,8 +44,8 @@
 	Entries []Quarantined
 }
 
-// Released tells another node that an identity is harmless: a server has served it
-// since the first end that it is blamed for, or another request explains its ends.
+// Released clears an identity: a server has served it since the first end of its entry, or
+// another request explains its ends.
 type Released struct {
 	Identity Identity
 	// Age of the run that was served, since it began.
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -10,10 +10,8 @@
 // Each of them has cost three servers.
 const mostHeld = 1024
 
-// objectionTime is how long a new entry refuses nobody, so that a node which knows better
-// can object. Such a word came 1 to 3 ms after the entry (log lines of four nodes on one
-// machine); three harmless requests were refused in between. The rest is for nodes in other
-// zones; it is an estimate.
+// objectionTime is how long a new entry refuses nobody, so that a node which has served the
+// identity since can object. It exceeds the time of two messages between zones.
 const objectionTime = 50 * time.Millisecond
 
 // Quarantine holds the identities that are refused.
--- a/internal/poison/record_follow.go
+++ b/internal/poison/record_follow.go
@@ -63,11 +63,11 @@
 		return
 	}
 	if released, contradicted := r.guard.contradict(entry); contradicted {
-		r.guard.tell(released, true)
+		r.guard.broadcast(released, true)
 		r.remove(identity, now)
 		return
 	}
-	// What is saved has been told to all nodes before.
+	// What is saved has been sent to all nodes before.
 	r.guard.hold(entry, "store", 0)
 }
 
--- a/internal/poison/shared_ends.go
+++ b/internal/poison/shared_ends.go
@@ -60,7 +60,7 @@
 }
 
 // clear takes an identity out of all ends that are shared: else nodes that start again
-// would blame it for them, and none would remember that it was served.
+// would suspect it, and none would remember that it was served.
 func (s *sharedEnds) clear(identity Identity) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/poison/spread.go
+++ b/internal/poison/spread.go
@@ -7,8 +7,8 @@
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
-// mostTold entries go with the answer to a report.
-const mostTold = 32
+// mostSentEntries entries are sent with the answer to a report.
+const mostSentEntries = 32
 
 // report gathers ends for a moment and sends them to the collectors.
 func (g *Guard) report(end timedEnd) {
@@ -68,7 +68,7 @@
 func (g *Guard) answered(report *unanswered, message peer.Message, err error) {
 	if entries, told := message.(Entries); told && err == nil {
 		for _, held := range entries.Entries {
-			g.takeTold(held, report.collector)
+			g.receiveEntry(held, report.collector)
 		}
 	}
 	g.mutex.Lock()
@@ -91,26 +91,26 @@
 	reply(g.newestEntries(), nil)
 }
 
-// newestEntries are told with the answer to a report, so that a node which reports and
-// was not reached by an entry learns of it.
+// newestEntries are sent with the answer to a report, so that a node which reports and
+// was not reached by an entry receives it.
 func (g *Guard) newestEntries() Entries {
 	entries := g.Entries()
 	slices.SortFunc(entries, func(a, b Entry) int { return b.Until.Compare(a.Until) })
-	var told Entries
-	for _, entry := range entries[:min(len(entries), mostTold)] {
-		told.Entries = append(told.Entries, entry.message(time.Now()))
+	var newest Entries
+	for _, entry := range entries[:min(len(entries), mostSentEntries)] {
+		newest.Entries = append(newest.Entries, entry.message(time.Now()))
 	}
-	return told
+	return newest
 }
 
-// take notes ends, tells the other collectors what this node has served of their suspects, and
-// decides after a pause in which other nodes report as well.
+// take notes ends, reports to the other collectors what this node has served of their suspects,
+// and decides after a pause in which other nodes report as well.
 func (g *Guard) take(ends []ServerEnd) {
 	now := time.Now()
 	g.ledger.Add(ends, now)
-	if vouched := g.vouch(ends); len(vouched) > 0 {
-		g.ledger.Add(vouched, now)
-		g.tellCollectors(Report{Ends: vouched})
+	if served := g.endsWithServed(ends); len(served) > 0 {
+		g.ledger.Add(served, now)
+		g.sendToCollectors(Report{Ends: served})
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -120,21 +120,22 @@
 	}
 }
 
-// vouch returns the ends of which this node has seen suspects served that were not known to be,
-// with these alone. A node that had nothing under way at a server reports nothing of its own.
-func (g *Guard) vouch(ends []ServerEnd) []ServerEnd {
-	var vouched []ServerEnd
+// endsWithServed returns the ends of whose suspects this node has seen some served that the
+// reporting node has not, with these alone: a node that had nothing under way at a server
+// reports nothing of its own.
+func (g *Guard) endsWithServed(ends []ServerEnd) []ServerEnd {
+	var found []ServerEnd
 	for _, end := range ends {
-		known := slices.DeleteFunc(g.served.of(end.Suspects), func(identity Identity) bool { return slices.Contains(end.Served, identity) })
-		if len(known) > 0 {
-			vouched = append(vouched, ServerEnd{Server: end.Server, Served: known, Age: end.Age})
+		isReported := func(identity Identity) bool { return slices.Contains(end.Served, identity) }
+		if served := slices.DeleteFunc(g.served.of(end.Suspects), isReported); len(served) > 0 {
+			found = append(found, ServerEnd{Server: end.Server, Served: served, Age: end.Age})
 		}
 	}
-	return vouched
+	return found
 }
 
-// tellCollectors sends a report to the other collectors, which need not answer.
-func (g *Guard) tellCollectors(report Report) {
+// sendToCollectors sends a report to the other collectors, which need not answer.
+func (g *Guard) sendToCollectors(report Report) {
 	for _, collector := range g.otherCollectors() {
 		g.config.Transport.Send(collector, report)
 	}
@@ -156,13 +157,13 @@
 			continue
 		}
 		if g.hold(entry, "own count", objectionTime) {
-			g.tell(entry.message(time.Now()), true)
+			g.broadcast(entry.message(time.Now()), true)
 			g.save(entry)
 		}
 	}
 	for _, identity := range explained {
 		g.release(identity, "another request explains its ends")
-		g.tell(Released{Identity: identity, Explained: true}, true)
+		g.broadcast(Released{Identity: identity, Explained: true}, true)
 		g.record.remove(identity, now)
 	}
 }
@@ -176,7 +177,7 @@
 		}
 		confirmed := entry.confirmed(now)
 		if g.hold(confirmed, "its rivals were served", 0) {
-			g.tell(confirmed.message(now), true)
+			g.broadcast(confirmed.message(now), true)
 			g.save(confirmed)
 		}
 	}
@@ -187,8 +188,8 @@
 	return known && began.After(since)
 }
 
-// clearRival tells the collectors of a server that served a rival of what is held
-// provisionally: the other rivals may be served at other nodes.
+// clearRival reports to the collectors that a rival of what is held provisionally was served:
+// the other rivals may be served at other nodes.
 func (g *Guard) clearRival(identity Identity, began time.Time) {
 	if !g.quarantine.hasRival(identity, began) {
 		return
@@ -218,8 +219,8 @@
 	return true
 }
 
-// contradict reports whether a server has served the identity since the first end that
-// it is blamed for, and what to answer then.
+// contradict reports whether a server has served the identity since the first end of the
+// entry, and what to answer then.
 func (g *Guard) contradict(entry Entry) (Released, bool) {
 	if !g.servedSince(entry.Identity, entry.Since) {
 		return Released{}, false
@@ -241,37 +242,37 @@
 	return held
 }
 
-// tell sends a message to the nodes that follow this one, and to the collectors, if it
-// is this node's own word or it is one of them: so a word gets around where some of
-// them don't reach each other, and not every node tells all of them.
-func (g *Guard) tell(message peer.Message, own bool) {
-	told := map[string]bool{g.config.Address: true}
+// broadcast sends a message to the nodes that follow this one, and to the collectors, if it
+// is this node's own or it is one of them: so it arrives where some of them don't reach
+// each other, and not every node sends to all of them.
+func (g *Guard) broadcast(message peer.Message, own bool) {
+	reached := map[string]bool{g.config.Address: true}
 	addresses := g.config.Followers()
 	if collectors := g.config.Collectors(); own || slices.Contains(collectors, g.config.Address) {
 		addresses = append(addresses, collectors...)
 	}
 	for _, address := range addresses {
-		if !told[address] {
-			told[address] = true
+		if !reached[address] {
+			reached[address] = true
 			g.config.Transport.Send(address, message)
 		}
 	}
 }
 
 func (g *Guard) serveQuarantined(from string, message peer.Message, reply func(peer.Message, error)) {
-	g.takeTold(message.(Quarantined), from)
+	g.receiveEntry(message.(Quarantined), from)
 	reply(nil, nil)
 }
 
-// takeTold takes over and passes on the entry of another node.
-func (g *Guard) takeTold(told Quarantined, from string) {
-	entry := told.entry(time.Now())
+// receiveEntry takes over and passes on the entry of another node.
+func (g *Guard) receiveEntry(received Quarantined, from string) {
+	entry := received.entry(time.Now())
 	if released, contradicted := g.contradict(entry); contradicted {
 		g.config.Transport.Send(from, released)
 		return
 	}
 	if g.hold(entry, from, objectionTime) {
-		g.tell(told, false)
+		g.broadcast(received, false)
 		g.save(entry)
 	}
 }
@@ -286,7 +287,7 @@
 		g.served.add(released.Identity, time.Now().Add(-released.Age))
 	}
 	if g.release(released.Identity, reason+", told by "+from) {
-		g.tell(released, false)
+		g.broadcast(released, false)
 	}
 	reply(nil, nil)
 }
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -95,7 +95,7 @@
 switch_off limit-refusal-ends internal/forward/limit.go 'if !f.limits.Limited(server) {' 'if false {' ./internal/forward
 switch_off counters-of-most internal/orders/counters.go 'if hearsMost(earlier.Addresses, live) {' 'if true {' ./platform
 switch_off counters-lost internal/orders/counters.go '|| now.Sub(h.countersHeardAt) >= countersLost' '' ./platform
-switch_off poison-vouched internal/poison/spread.go 'if vouched := g.vouch(ends); len(vouched) > 0 {' 'if vouched := g.vouch(ends); len(vouched) < 0 {' ./internal/poison
+switch_off poison-vouched internal/poison/spread.go 'if served := g.endsWithServed(ends); len(served) > 0 {' 'if served := g.endsWithServed(ends); len(served) < 0 {' ./internal/poison
 switch_off poison-never-served internal/poison/ledger.go 'len(unseen) > 0 {' 'false && len(unseen) > 0 {' ./internal/poison
 switch_off limit-quorum-wakes internal/ratelimit/ask.go 'if !l.lookAgain(now) {' 'if true {' ./platform ./internal/ratelimit
 switch_off first-loads-at-once internal/orders/ceiling.go 'if !c.learned && loadTime > 0 {' 'if false && !c.learned && loadTime > 0 {' ./internal/orders
@@ -215,19 +215,19 @@
 switch_off callers-leave-no-ends internal/forward/poison.go 'if errors.As(err, &ofCaller) {' 'if errors.As(err, &ofCaller) && false {' $forward
 switch_off unframed-is-no-proof internal/forward/poison.go 'case reply.Unframed:' 'case false:' $forward
 switch_off planned-ends internal/poison/guard.go 'return listed == nil || listed.Draining' 'return listed == nil && false' $poison
-switch_off servers-that-live internal/poison/suspects.go 'if !at.After(before) {' 'if false && at.After(before) {' $poison
+switch_off servers-that-live internal/poison/suspects.go 'if !attempt.at.After(before) {' 'if false && attempt.at.After(before) {' $poison
 switch_off ends-by-records internal/poison/guard.go 'g.Ended(id, "its record is gone")' '' $poison
-switch_off explained-ends internal/poison/ledger.go 'if held(identity) {
+switch_off explained-ends internal/poison/server_end.go 'if held(identity) {
 			return true' 'if held(identity) {
 			return false' $poison
 switch_off served-since internal/poison/spread.go 'return known && began.After(since)' 'return false && known && began.After(since)' $poison
-switch_off poison-likeliest internal/poison/ledger.go 'cmp.Compare(l.spread(a), l.spread(b))' 'cmp.Compare(l.spread(b), l.spread(a))' $poison
+switch_off poison-likeliest internal/poison/ambiguity.go 'cmp.Compare(l.spread(a), l.spread(b))' 'cmp.Compare(l.spread(b), l.spread(a))' $poison
 switch_off poison-provisional internal/poison/ledger.go 'if !entry.provisional() {' 'if true {' $poison
 switch_off poison-confirmed internal/poison/guard.go 'g.confirm(now)' '' $poison
 switch_off poison-rivals-served internal/poison/guard.go 'g.clearRival(identity, began)' '' $poison
 switch_off poison-explained internal/poison/spread.go 'for _, identity := range explained {' 'for _, identity := range explained[:0] {' $poison
 switch_off poison-settled internal/poison/ledger.go 'end.settled = true' '' $poison
-switch_off ends-keep-their-time internal/poison/ledger.go 'at := now.Add(-told.Age)' 'at := now' $poison
+switch_off ends-keep-their-time internal/poison/ledger.go 'at := now.Add(-reported.Age)' 'at := now' $poison
 switch_off released-ends-unshared internal/poison/spread.go 'g.shared.clear(identity)' '' $poison
 switch_off ends-by-the-store internal/poison/spread.go 'g.shared.add(report.ends, now)' '' $poison
 switch_off entries-saved internal/poison/spread.go 'g.record.wanted(entry, time.Now())' '_ = entry' $poison
