--- a/internal/claims/claimset.go
+++ b/internal/claims/claimset.go
@@ -112,7 +112,7 @@
 }
 
 // IsAcceptor reports whether this node holds votes of any shard, or may come to
-// hold them by a configuration whose commit it has not heard of.
+// hold them by a configuration whose commit it has not read.
 func (s *ClaimSet) IsAcceptor() bool {
 	self := s.config.Members.Self().ID()
 	for shard := range s.config.Shards {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs all tests but those that KNOWN-RED.txt lists, which it prints. Arguments go to
-# "go test"; without any, all packages are tested.
+# "go test"; packages begin with "./", and without any, all are tested.
 #
 # An entry names a test function, "TestName", or one spec of a suite, "TestName: its text";
 # the suite's other specs run.
@@ -11,8 +11,8 @@
 packages=()
 for argument in "$@"; do
   case $argument in
-    -*) flags+=("$argument") ;;
-    *) packages+=("$argument") ;;
+    ./* | */...) packages+=("$argument") ;;
+    *) flags+=("$argument") ;;
   esac
 done
 if ((${#packages[@]} == 0)); then packages=(./...); fi
