List a harmless request that is confirmed by mistake, with a test that fails

Trace, by the nodes' lines: i-20 ended under one bad request (two ends), i-21 and i-23 under another (two then); 87e110 and b32b68, harmless, were at all three. 87e110 was held provisionally at 27.133, and for ten minutes at 29.108, "its rivals were served", as b32b68 had been. Elimination proves something only where one of the tie is the cause.

--- a/internal/poison/provisional_test.go
+++ b/internal/poison/provisional_test.go
@@ -87,3 +87,24 @@
 		}
 	})
 }
+
+// Guards against a harmless request that is refused for minutes where servers ended under two
+// others: it was at three of the ends, each of them at two or fewer, and that its rival was served
+// says nothing of who ended the servers.
+func TestRivalsThatWereServedProveNothingWhereTwoRequestsEndServers(t *testing.T) {
+	inWorld(t, 4, 3, func(w *world) {
+		harmless, bad := numbered(0, 2), numbered(2, 4)
+		for i, culprit := range []Identity{bad[0], bad[1], bad[1]} {
+			server := w.server(fmt.Sprint("s", i))
+			w.refuse(server)
+			for number, identity := range append([]Identity{culprit}, harmless...) {
+				ran := time.Second + time.Duration(number*i)*100*time.Millisecond
+				w.nodes[i].guard.Broke(context.Background(), identity, server, time.Now().Add(-ran))
+			}
+			time.Sleep(time.Second)
+		}
+		w.nodes[3].guard.Served(harmless[1], time.Now())
+		time.Sleep(provisionalHold)
+		Expect(w.held(harmless[0])).To(BeZero())
+	})
+}
