--- a/internal/poison/server_end.go
+++ b/internal/poison/server_end.go
@@ -54,7 +54,7 @@
 	suspects map[Identity]time.Duration
 	// served are those of them that were served before, as some node reports.
 	served map[Identity]bool
-	// settled: the identity that explains this end was held for it, and is no longer.
+	// settled: an identity was held for this end, and its hold is over.
 	settled bool
 }
 
