--- a/internal/claims/claimset.go
+++ b/internal/claims/claimset.go
@@ -127,6 +127,7 @@
 // acceptorAhead reports whether the shard's acceptor here may hold votes that
 // the known configuration does not tell of.
 func (s *ClaimSet) acceptorAhead(shard int) bool {
+	// One that is not known has epoch 0, before all others.
 	current, _ := s.configurations.get(shard)
 	return s.acceptors[shard].ahead(current.Epoch, s.configurations.lastRead())
 }
