Let two tests use the emulator's pause and one loop for ties

last_node_test.go had a pause of its own beside World.pause; the listed test of two requests that end servers repeated the loop of tie.

--- a/internal/emulator/last_node_test.go
+++ b/internal/emulator/last_node_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/hatchplank/hatchplank/internal/gateway"
 	"github.com/hatchplank/hatchplank/internal/result"
-	"github.com/hatchplank/hatchplank/internal/simulation"
 	"github.com/hatchplank/hatchplank/internal/standin/backend"
 	"github.com/hatchplank/hatchplank/internal/standin/keyvalue"
 	"github.com/hatchplank/hatchplank/internal/standin/record"
@@ -120,7 +119,7 @@
 	case 11:
 		for _, n := range w.Nodes {
 			if !n.down {
-				pause(w.Loop, n.Process, s.upTo(30*time.Second))
+				w.pause(n.identity(), n.Process, s.upTo(30*time.Second))
 			}
 		}
 	}
@@ -131,12 +130,6 @@
 	return time.Duration(1 + s.random.Int64N(int64(longest)))
 }
 
-// pause stops a process for a span.
-func pause(loop *simulation.Loop, process *simulation.Process, span time.Duration) {
-	process.Pause()
-	loop.AfterFunc(span, process.Resume)
-}
-
 func (s *succession) disturbBackEnds(faults backend.Faults) {
 	for _, host := range s.world.BackEnds {
 		host.server.SetFaults(faults)
--- a/internal/poison/provisional_test.go
+++ b/internal/poison/provisional_test.go
@@ -9,12 +9,15 @@
 	. "github.com/onsi/gomega"
 )
 
-// tie ends three servers under all identities at three nodes. The first identity has always run
-// for the same time, so it is the likeliest.
-func (w *world) tie(identities []Identity) {
+// tie ends three servers under all identities at three nodes, and each under its culprit, if
+// there are any. The first identity has always run for the same time, so it is the likeliest.
+func (w *world) tie(identities []Identity, culprits ...Identity) {
 	for i := range endsToHold {
 		server := w.server(fmt.Sprint("s", i))
 		w.refuse(server)
+		if i < len(culprits) {
+			w.nodes[i].guard.Broke(context.Background(), culprits[i], server, time.Now().Add(-time.Second))
+		}
 		for number, identity := range identities {
 			ran := time.Second + time.Duration(number*i)*100*time.Millisecond
 			w.nodes[i].guard.Broke(context.Background(), identity, server, time.Now().Add(-ran))
@@ -94,15 +97,7 @@
 func TestRivalsThatWereServedProveNothingWhereTwoRequestsEndServers(t *testing.T) {
 	inWorld(t, 4, 3, func(w *world) {
 		harmless, bad := numbered(0, 2), numbered(2, 4)
-		for i, culprit := range []Identity{bad[0], bad[1], bad[1]} {
-			server := w.server(fmt.Sprint("s", i))
-			w.refuse(server)
-			for number, identity := range append([]Identity{culprit}, harmless...) {
-				ran := time.Second + time.Duration(number*i)*100*time.Millisecond
-				w.nodes[i].guard.Broke(context.Background(), identity, server, time.Now().Add(-ran))
-			}
-			time.Sleep(time.Second)
-		}
+		w.tie(harmless, bad[0], bad[1], bad[1])
 		w.nodes[3].guard.Served(harmless[1], time.Now())
 		time.Sleep(provisionalHold)
 		Expect(w.held(harmless[0])).To(BeZero())
