--- a/internal/standin/keyvalue/store.go
+++ b/internal/standin/keyvalue/store.go
@@ -59,6 +59,8 @@
 	watches watchTable
 	// revision of the newest committed transaction.
 	revision int64
+	// era counts the restores from a backup.
+	era      int64
 	faults   Faults
 	limiter  *rate.Limiter
 	counters Counters
