Log and count the store's era, so that a restore from a backup shows

What callers saw: a configuration that was acknowledged was not in force, and a draining server got requests, after the store had been away for 2 s. Logs show revisions that fall (98 to 88, 143 to 111) but not why: nothing read the header Store-Era, so a restore could not be told from an outage, from another service at the address, or from a stale read.

One line at each rise: era now and before, newest revision before. A gauge tells the era. Nothing is decided by it yet.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -99,7 +99,7 @@
 	}
 	n := &node{
 		settings: settings, logger: logger, view: fleet.NewView(), servers: exchange.NewClient(toServers),
-		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(toStore), settings.Store.Contact),
+		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(toStore), settings.Store.Contact, logger),
 		process: edge.NewProcess(settings, logger),
 	}
 	n.servers.SetMostIdle(settings.Machine.IdleConnections())
@@ -267,6 +267,7 @@
 			}
 			return 0
 		},
+		Era:        func() float64 { return float64(n.store.Era()) },
 		Holder:     func() float64 { return oneIf(n.election.Term() != nil) },
 		Relayed:    func() float64 { return oneIf(n.mirror.Through()) },
 		Quarantine: func() float64 { return float64(len(n.poison.Entries())) },
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -172,7 +172,7 @@
 
 func newTestMetrics() *Metrics {
 	none := func() float64 { return 0 }
-	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Holder: none, Relayed: none, Quarantine: none, Limited: none})
+	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Era: none, Holder: none, Relayed: none, Quarantine: none, Limited: none})
 }
 
 func TestRequestLogTellsWhatDecided(t *testing.T) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -30,6 +30,7 @@
 	metricConnections = "hatchplank_node_server_connections_total"
 	metricServers     = "hatchplank_node_servers"
 	metricRevision    = "hatchplank_node_configuration_revision"
+	metricStoreEra    = "hatchplank_node_store_era"
 	metricHolder      = "hatchplank_node_order_holder"
 	metricServerEnds  = "hatchplank_node_server_ends_total"
 	metricQuarantine  = "hatchplank_node_poison_requests"
@@ -54,6 +55,7 @@
 	{metricConnections, "counter", "", "Connections opened to servers."},
 	{metricServers, "gauge", "", "Servers known."},
 	{metricRevision, "gauge", "", "Revision of the configuration in force; 0 if there is none."},
+	{metricStoreEra, "gauge", "", "How often the store came back from a backup, as it counts itself; 0 if it does not tell."},
 	{metricHolder, "gauge", "", "1 while this node holds the lease for orders."},
 	{metricServerEnds, "counter", "", "Servers that ended while they had requests of this node."},
 	{metricQuarantine, "gauge", "", "Requests that are refused because servers ended under them."},
@@ -73,7 +75,7 @@
 
 // Gauges are read when metrics are asked for.
 type Gauges struct {
-	Connections, Servers, Revision, Holder, Relayed, Quarantine, Limited func() float64
+	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited func() float64
 }
 
 // NewMetrics returns the node's metrics.
@@ -82,6 +84,7 @@
 	set.NewGauge(metricConnections, gauges.Connections)
 	set.NewGauge(metricServers, gauges.Servers)
 	set.NewGauge(metricRevision, gauges.Revision)
+	set.NewGauge(metricStoreEra, gauges.Era)
 	set.NewGauge(metricHolder, gauges.Holder)
 	set.NewGauge(metricRelayed, gauges.Relayed)
 	set.NewGauge(metricQuarantine, gauges.Quarantine)
