--- a/cmd/hatchplank-node/node_test.go
+++ b/cmd/hatchplank-node/node_test.go
@@ -58,11 +58,14 @@
 	return d
 }
 
-func (d *deployment) add(t *testing.T, engine *standin.Engine, pool string) {
+// add starts a server and returns its address.
+func (d *deployment) add(t *testing.T, engine *standin.Engine, pool string) (address string) {
 	server := httptest.NewServer(engine)
 	t.Cleanup(server.Close)
 	d.engines = append(d.engines, engine)
-	d.put(standin.ServerKey(engine.ID), engine.Record(pool, strings.TrimPrefix(server.URL, "http://"), "ready"))
+	address = strings.TrimPrefix(server.URL, "http://")
+	d.put(standin.ServerKey(engine.ID), engine.Record(pool, address, "ready"))
+	return address
 }
 
 func (d *deployment) put(key, value string) {
