--- a/internal/outside/contract/keyvalue_bindings_test.go
+++ b/internal/outside/contract/keyvalue_bindings_test.go
@@ -83,7 +83,7 @@
 	DeferCleanup(store.Close)
 	DeferCleanup(func() { client.Tidy(time.Now().Add(time.Hour)) })
 	return &keyValueHarness{
-		service:      platform.NewStore(strings.TrimPrefix(server.URL, "http://"), client, longTimeout),
+		service:      platform.NewStore(strings.TrimPrefix(server.URL, "http://"), client, longTimeout, zerolog.Nop()),
 		store:        store,
 		advance:      manual.advance,
 		eventually:   func(condition func() bool) { Eventually(condition, longTimeout, time.Millisecond).Should(BeTrue()) },
