Order revisions by the store's era, so that what follows a restore is taken

Cause: a revision was taken for a clock. It orders changes only until the store is restored from a backup; then it goes back, and revisions are given out again. A node that had seen 98 dropped what was written at 88 to 98; one that had seen 143 watched from there, or told the relay so, and was told nothing of what was written at 111 to 143.

Change: the upper bits of a revision count the store's eras. The binding to the platform makes them from the header Store-Era and takes them away again, so each comparison that stood in the code is right, wherever it stands, and none can be forgotten. A watch, and a condition of a transaction, of an earlier era end there. Between nodes an update names its era; one of another era is not taken, and makes a node that is behind read again. Eras count from the one in which the system first used the store, which it keeps there, so that without a restore all numbers are those of earlier builds.

A restored store is older than what nodes knew. The configuration in force stays until the operator writes again; a server that drained still does; one that had ended is not used for 1.5 s, in which its end is written again; one that is missing is used as long.

Why it holds: revisions of one key now rise for ever, and those of two eras are never equal.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -31,6 +31,8 @@
 	ownPrefix = "hatchplank/"
 	// countersKey names the nodes that count limits.
 	countersKey = ownPrefix + "quota-counters"
+	// firstEraKey keeps the store's era in which the system first used it.
+	firstEraKey = ownPrefix + "first-era"
 	// copyKey tells of the copy of all servers' records.
 	copyKey = ownPrefix + "records"
 	// poisonPrefix begins the keys of requests that are refused.
@@ -115,6 +117,7 @@
 	n.requests = edge.NewRequestLog(logger, n.metrics)
 	n.notices = notice.NewBoard(notice.Config{View: n.view, Counted: n.metrics.Notice, Despite: n.metrics.Despite, Limited: n.metrics.ToLimited, Logger: logger})
 	n.store.Calls = n.metrics.StoreCall
+	n.store.FirstEraKey = firstEraKey
 	n.calls = quota.NewShare(quota.Rates{Reads: settings.Store.ReadsPerSecond, Writes: settings.Store.WritesPerSecond}, assumedNodes)
 	n.store.Admit = n.calls.Wait
 	n.assembleLimits()
--- a/internal/mirror/apply.go
+++ b/internal/mirror/apply.go
@@ -9,6 +9,8 @@
 
 // replace takes over everything that exists. It must be called with the lock held.
 func (m *Mirror) replace(changes Changes) {
+	now := time.Now()
+	m.enterEra(changes.At, now)
 	m.revision = changes.At
 	m.known = newKnown(max(changes.At, changes.Newest))
 	m.known.take(changes)
@@ -19,7 +21,8 @@
 		}
 	}
 	m.partial, m.complete = false, true
-	m.addLapsed(servers, time.Now())
+	m.addLapsed(servers, now)
+	m.keepServers(servers, now)
 	m.config.View.ReplaceServers(servers)
 	m.replaceOwn(changes)
 	m.takeRead(changes)
@@ -76,6 +79,7 @@
 // takeRead takes over the configuration that was read, to be passed on as well. It must be
 // called with the lock held.
 func (m *Mirror) takeRead(changes Changes) {
+	changes = m.keepNewer(changes)
 	m.content.set(changes.ConfigurationValue, changes.ConfigurationRevision)
 	m.takeConfiguration(changes.Configuration, changes.ConfigurationRevision)
 }
--- a/internal/mirror/copy.go
+++ b/internal/mirror/copy.go
@@ -53,11 +53,13 @@
 func (m *Mirror) begin(read Changes) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.takeRead(read)
 	if read.At < m.revision {
+		m.takeRead(read)
 		return
 	}
 	now := time.Now()
+	m.enterEra(read.At, now)
+	m.takeRead(read)
 	m.large, m.partial, m.partialAt, m.patience = true, true, now, m.newPatience()
 	if m.complete {
 		// A copy from before this does not tell what changed in between.
@@ -230,6 +232,7 @@
 	m.revision = min(m.revision, revision)
 	m.partial, m.complete = false, true
 	m.addLapsed(servers, now)
+	m.keepServers(servers, now)
 	m.config.View.ReplaceServers(servers)
 	m.readDone(len(servers), m.revision)
 	signal(m.missed)
--- a/internal/mirror/lapse.go
+++ b/internal/mirror/lapse.go
@@ -85,6 +85,7 @@
 			continue
 		}
 		delete(m.lapsed, id)
+		delete(m.returned, id)
 		shown[id] = server
 	}
 	m.hold(held, end, now)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -201,6 +201,16 @@
 	// is. Followed is the relay that it followed last.
 	vacantAt time.Time
 	followed string
+	// era of the last read of everything; entered: there was one. Latest is the newest
+	// revision of before a read that begins again.
+	era, latest int64
+	entered     bool
+	// restored: the servers' records are read for the first time since a restore. Ended
+	// are the servers that had ended before it, returned those of them that it brought back.
+	restored bool
+	ended    map[string]int64
+	returned map[string]*fleet.Server
+	rereadAt time.Time
 	// lapsed servers are still used, each up to a time, although their records ended
 	// while the store was away.
 	lapsed map[string]time.Time
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -180,7 +180,7 @@
 	m.config.Logger.Warn().Err(err).Int64("revision", after).Msg("watch lost, reading again")
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.revision = 0
+	m.forgetRevision()
 	return true
 }
 
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -46,6 +46,8 @@
 // two are equal.
 type Update struct {
 	Base, At int64
+	// Era of the store that the sender is in; zero from builds that know none.
+	Era int64
 	// Age of the relay's knowledge when it told this.
 	Age time.Duration
 	// Configuration is the newest one's revision.
@@ -170,9 +172,14 @@
 		reply(Redirect{Address: inner}, nil)
 		return
 	}
+	behind := outside.EraOf(asked.Revision) > m.era
+	if behind && m.revision > 0 {
+		m.readAgain(asked.Address, now)
+	}
 	age := now.Sub(m.heardAt())
 	update, can := m.known.update(asked.Revision, max(m.revision, asked.Revision), age)
-	can = m.bearable(&update, can && !m.partial, len(m.subscribers)) && m.revision > 0 && age < m.trust()
+	can = m.bearable(&update, can && !m.partial, len(m.subscribers)) && m.revision > 0 && !behind && age < m.trust()
+	update.Era = m.era
 	if update.At == m.revision {
 		update.Digest = m.digestNow()
 	}
@@ -213,6 +220,12 @@
 	if m.revision == 0 {
 		return false
 	}
+	if update.Era != m.era {
+		if update.Era > m.era {
+			m.readAgain(from, now)
+		}
+		return false
+	}
 	if update.Base > m.revision && !update.Skipped {
 		signal(m.missed)
 		return false
@@ -262,6 +275,7 @@
 	age := now.Sub(m.heardAt())
 	update, can := m.known.update(after, m.revision, age)
 	can = m.bearable(&update, can && !m.partial, len(subscribers))
+	update.Era = m.era
 	if can {
 		update.Content = m.contentToTell(len(subscribers), now)
 	}
