Ask a store that was away for its era at once

What callers would have seen: a configuration that the operator wrote right after a restore is in force up to 2.4 s after its acknowledgement at a node that reads for itself, where the revisions have come up to its own again: its watch sees no event and waits for 1.5 s before the answer names the era.

Change: the first call after one that failed waits for 10 ms only. It costs one call more for each node and outage. TestNodeLearnsOfARestoreAsSoonAsTheStoreIsBack failed before.

--- a/internal/mirror/election.go
+++ b/internal/mirror/election.go
@@ -14,8 +14,8 @@
 // the relay hears of them as late.
 const electionShare = 0.25
 
-// shortestElectionWait of a call, since the store counts waits in milliseconds.
-const shortestElectionWait = 10 * time.Millisecond
+// shortestWait of a call, since the store counts waits in milliseconds.
+const shortestWait = 10 * time.Millisecond
 
 // electionRuns must be called with the lock held, by a node that follows no relay. It
 // notes since when there is none that this node ever followed.
@@ -39,7 +39,7 @@
 func (m *Mirror) awaitElection(ctx context.Context) {
 	m.mutex.Lock()
 	after := m.ownAt
-	wait := max(share(electionShare, m.config.Times.Changes)-time.Since(m.vacantAt), shortestElectionWait)
+	wait := max(share(electionShare, m.config.Times.Changes)-time.Since(m.vacantAt), shortestWait)
 	m.mutex.Unlock()
 	if m.config.Relay() != "" {
 		m.awaitWord(ctx, wait)
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -195,6 +195,10 @@
 func (m *Mirror) cadence(now time.Time) (wait, pause time.Duration) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if m.lost {
+		// The answer tells whether the store was restored meanwhile.
+		return shortestWait, 0
+	}
 	if m.config.IsRelay() || len(m.liveSubscribers(now)) > 0 {
 		both := share(relayShare, m.config.Times.Changes)
 		return both, both
