Save again what a restore of the store has lost of the system's own keys

What callers would have seen: requests that end servers run again after a restore, since nodes took the entries that a backup lacks for ones that an operator removed; and limits counted by nobody that a node which starts then knows. Found by asking who writes again what the system itself wrote.

Change: the parts are told of a restore as such. Entries that were lost still hold, and are saved by one node as when they were found; the ends that a node shares, and the nodes that count limits, are written again by whom they are from. An operator's removal still releases.

TestEntryThatARestoreLostStillHolds, TestSharedEndsThatARestoreLostAreWrittenAgain and TestNodesThatCountAreSavedAgainAfterARestore failed before.

--- a/internal/orders/counters_record.go
+++ b/internal/orders/counters_record.go
@@ -39,8 +39,12 @@
 	}
 }
 
-// Restored takes over all keys that exist after the store came back from a backup.
+// Restored takes over all keys that exist after the store came back from a backup. What was
+// saved since is lost.
 func (r *CountersRecord) Restored(keyValues []outside.KeyValue) {
+	r.mutex.Lock()
+	r.revision, r.saved = 0, ratelimit.Counters{}
+	r.mutex.Unlock()
 	r.Replace(keyValues)
 }
 
--- a/internal/poison/fakes_test.go
+++ b/internal/poison/fakes_test.go
@@ -81,6 +81,26 @@
 	return outside.TransactionResult{Succeeded: true, Revision: s.revision}
 }
 
+// restore brings back the keys of a backup, in another era, and tells the nodes.
+func (s *fakeStore) restore(backup []outside.KeyValue) {
+	s.mutex.Lock()
+	era := outside.EraOf(s.revision) + 1
+	s.revision = outside.RevisionOf(era, 1000)
+	s.keys = map[string]outside.KeyValue{}
+	for _, keyValue := range backup {
+		keyValue.ModRevision = outside.RevisionOf(era, outside.OwnRevision(keyValue.ModRevision))
+		s.keys[keyValue.Key] = keyValue
+	}
+	var nodes []*node
+	for watcher := range s.watchers {
+		nodes = append(nodes, watcher)
+	}
+	s.mutex.Unlock()
+	for _, n := range nodes {
+		n.guard.Restored(s.all())
+	}
+}
+
 // entries returns the keys of entries.
 func (s *fakeStore) entries() []outside.KeyValue {
 	return slices.DeleteFunc(s.all(), func(keyValue outside.KeyValue) bool { return !strings.HasPrefix(keyValue.Key, "entries/") })
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -126,8 +126,12 @@
 	}
 }
 
-// Restored takes over all keys that the store holds after it came back from a backup.
-func (g *Guard) Restored(keyValues []outside.KeyValue) { g.Replace(keyValues) }
+// Restored takes over all keys that the store holds after it came back from a backup. The
+// entries that it lost still hold, and are saved again.
+func (g *Guard) Restored(keyValues []outside.KeyValue) {
+	g.record.restored(keyValues)
+	g.shared.restored(keyValues)
+}
 
 // Change takes over one key that was written to the store, or removed there.
 func (g *Guard) Change(event outside.WatchEvent) {
--- a/internal/poison/record_follow.go
+++ b/internal/poison/record_follow.go
@@ -24,6 +24,26 @@
 	}
 }
 
+// restored takes over all keys that exist after a restore of the store, and saves what it lost.
+func (r *record) restored(keyValues []outside.KeyValue) {
+	r.mutex.Lock()
+	lost := r.revisions
+	r.revisions = map[Identity]int64{}
+	r.mutex.Unlock()
+	for _, keyValue := range keyValues {
+		if identity, is := r.identityOf(keyValue.Key); is {
+			delete(lost, identity)
+			r.take(identity, keyValue)
+		}
+	}
+	now := time.Now()
+	for identity := range lost {
+		if entry, held := r.guard.quarantine.Held(identity, now); held {
+			r.wanted(entry, now)
+		}
+	}
+}
+
 // change takes over one key.
 func (r *record) change(event outside.WatchEvent) {
 	identity, is := r.identityOf(event.KeyValue.Key)
--- a/internal/poison/shared_ends.go
+++ b/internal/poison/shared_ends.go
@@ -120,6 +120,17 @@
 	}
 }
 
+// restored takes over all keys that exist after a restore of the store, and writes this
+// node's own again.
+func (s *sharedEnds) restored(keyValues []outside.KeyValue) {
+	s.mutex.Lock()
+	s.revision, s.dirty = 0, len(s.ends) > 0
+	s.mutex.Unlock()
+	for _, keyValue := range keyValues {
+		s.take(keyValue)
+	}
+}
+
 // take counts the ends of another node's key.
 func (s *sharedEnds) take(keyValue outside.KeyValue) {
 	address, is := strings.CutPrefix(keyValue.Key, s.guard.config.EndsPrefix)
