Keep to what was known through two restores in a row, and copy records again

Three faults of the reading after a restore, each with the test that shows it: - a server that had ended came into use when the store was restored once more before its time was over (TestEndedServerThatABackupBringsBackIsNotUsedAtOnce, now twice in a row); - the relay of a large fleet never wrote a copy of the records again, as it expected the entry of the copy that was lost (TestRestoreOfALargeFleetIsReadByTheRelayAlone: 40 nodes make one call each for the own keys and for the configuration and two at most for the copy, and the relay alone reads the records); - any change counted as a read without a configuration; only a read of everything is one.

--- a/internal/mirror/fakes_test.go
+++ b/internal/mirror/fakes_test.go
@@ -197,6 +197,13 @@
 	s.mute = mute
 }
 
+// all returns the numbers of calls by name.
+func (s *fakeSource) all() map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.calls)
+}
+
 func (s *fakeSource) count(name string) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -216,10 +216,13 @@
 	era, latest int64
 	entered     bool
 	// restored: the servers' records are read for the first time since a restore. Ended
-	// are the servers that had ended before it, returned those of them that it brought back.
-	restored bool
-	ended    map[string]int64
-	returned map[string]*fleet.Server
+	// are the servers that had ended before it, returned those of them that it brought back,
+	// which are not used until returnedUntil.
+	restored      bool
+	ended         map[string]int64
+	returned      map[string]*fleet.Server
+	returnedUntil time.Time
+	// rereadAt is when another node's later era made this one read again last.
 	rereadAt time.Time
 	// lapsed servers are still used, each up to a time, although their records ended
 	// while the store was away.
--- a/internal/mirror/restore.go
+++ b/internal/mirror/restore.go
@@ -25,6 +25,10 @@
 	}
 	m.restored, m.regainedAt = true, now
 	m.ended = m.known.ended
+	for id := range m.returned {
+		m.ended[id] = revision
+	}
+	m.copyEntry, m.copyRevision = copyEntry{}, 0
 	m.config.Logger.Warn().Int64("era", era).Int64("revision", revision).Int64("revision_before", m.latest).Msg("reading a restored store")
 	return true
 }
@@ -53,7 +57,8 @@
 // with the lock held.
 func (m *Mirror) keepNewer(read Changes) Changes {
 	held := m.config.View.Load().Configuration
-	if held == nil || outside.EraOf(read.At) <= outside.EraOf(held.Revision) {
+	isChange := read.Base > 0
+	if isChange || held == nil || outside.EraOf(read.ConfigurationRevision) <= outside.EraOf(held.Revision) {
 		return read
 	}
 	if read.Configuration != nil && read.Configuration.Version >= held.Version {
@@ -61,20 +66,16 @@
 	}
 	kept := *held
 	kept.Revision = read.ConfigurationRevision
-	if kept.Revision == 0 {
-		kept.Revision = read.At
-	}
+	read.ConfigurationValue = nil
 	if m.content.revision == held.Revision {
 		read.ConfigurationValue = m.content.value
-	} else {
-		read.ConfigurationValue = nil
 	}
 	event := m.config.Logger.Warn().Int64("version", held.Version).Int64("revision", kept.Revision)
 	if read.Configuration != nil {
 		event = event.Int64("version_restored", read.Configuration.Version)
 	}
 	event.Msg("older configuration restored, the one in force stays")
-	read.Configuration, read.ConfigurationRevision = &kept, kept.Revision
+	read.Configuration = &kept
 	return read
 }
 
@@ -101,6 +102,7 @@
 	m.ended = nil
 	if len(m.returned) > 0 {
 		m.config.Logger.Info().Int("servers", len(m.returned)).Msg("ended servers restored, not used yet")
+		m.returnedUntil = now.Add(m.lapseTime())
 		time.AfterFunc(m.lapseTime(), m.useReturned)
 	}
 }
@@ -109,6 +111,10 @@
 func (m *Mirror) useReturned() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if time.Now().Before(m.returnedUntil) {
+		// The store was restored once more since.
+		return
+	}
 	for id := range m.returned {
 		if _, listed := m.known.servers[id]; !listed {
 			delete(m.returned, id)
