Say when the key-value service of hatchplank serve goes back to an earlier state

The cause of the incident, sought elsewhere: epochs of owners, cells, claims and the table's revision live in that service, and each is compared as if it never fell. The published protocol promises that; a restore from a backup beneath running nodes breaks it, and no line told of it. Nothing else changes.

--- a/internal/outside/etcd/config.go
+++ b/internal/outside/etcd/config.go
@@ -34,7 +34,7 @@
 	// transport must be an *http.Transport, since others do not tell whether a
 	// request was sent. Its timeout must be zero.
 	HTTPClient *http.Client
-	// Logger logs lost watches.
+	// Logger logs lost watches, and that the service went back to an earlier state.
 	Logger zerolog.Logger
 	// MaxResponseBytes bounds a response. Zero: DefaultMaxResponseBytes.
 	MaxResponseBytes int64
@@ -53,6 +53,7 @@
 	// preferred counts changes of endpoint; modulo their number it is the
 	// index of the one to use.
 	preferred atomic.Uint32
+	rollbacks rollbackDetector
 
 	// context ends with Close.
 	context context.Context
@@ -80,7 +81,7 @@
 	if config.WatchSilence == 0 {
 		config.WatchSilence = DefaultWatchSilence
 	}
-	client := &Client{config: config, httpClient: httpClient, endpoints: endpoints}
+	client := &Client{config: config, httpClient: httpClient, endpoints: endpoints, rollbacks: rollbackDetector{logger: config.Logger}}
 	client.context, client.cancel = context.WithCancel(context.Background())
 	return client, nil
 }
--- a/internal/outside/etcd/service.go
+++ b/internal/outside/etcd/service.go
@@ -14,9 +14,11 @@
 	request := encodeTransaction(transaction)
 	run(c, timeout, done, func(ctx context.Context) (outside.TransactionResult, error) {
 		var response wire.TransactResponse
+		floor := c.rollbacks.begin()
 		if err := c.post(ctx, wire.PathTransact, request, &response); err != nil {
 			return outside.TransactionResult{}, err
 		}
+		c.rollbacks.answered(floor, int64(response.Header.Revision))
 		return decodeTransaction(response), nil
 	})
 }
@@ -27,9 +29,11 @@
 	request := wire.RangeRequest{Key: key, RangeEnd: end}
 	run(c, timeout, done, func(ctx context.Context) (outside.RangeResult, error) {
 		var response wire.RangeResponse
+		floor := c.rollbacks.begin()
 		if err := c.post(ctx, wire.PathRange, request, &response); err != nil {
 			return outside.RangeResult{}, err
 		}
+		c.rollbacks.answered(floor, int64(response.Header.Revision))
 		keyValues := decodeKeyValues(response.KeyValues)
 		return outside.RangeResult{Revision: int64(response.Header.Revision), KeyValues: keyValues}, nil
 	})
