Release a request that others' ends leave too few of its own

Cause: a held request was released only if one other had been at all its ends and at more.

Change: it is released once held requests with more ends leave it fewer ends of its own than it takes to be held. The rule before is the case in which one leaves it none.

--- a/internal/poison/ambiguity.go
+++ b/internal/poison/ambiguity.go
@@ -46,15 +46,28 @@
 	return found
 }
 
-// explainedBy returns the held identities all of whose ends, and at least one more, the
-// other one was at. Those of which ends have been forgotten are left out.
-func (l *Ledger) explainedBy(other Identity, held func(Identity) bool) []Identity {
+// explained returns the held identities that have fewer than endsToHold ends left of their
+// own: at the others, one was under way that is held as well and has more ends. Those of which
+// ends have been forgotten are left out.
+func (l *Ledger) explained(held, heldNow func(Identity) bool) []Identity {
 	counts := l.count(held)
-	noException := func(*ledgerEnd) bool { return false }
+	own := map[Identity]int{}
+	for _, end := range l.ends {
+		most := 0
+		for identity := range end.suspects {
+			if heldNow(identity) {
+				most = max(most, counts[identity].all)
+			}
+		}
+		for identity := range end.suspects {
+			if counts[identity].all >= most {
+				own[identity]++
+			}
+		}
+	}
 	var explained []Identity
 	for identity, ends := range counts {
-		complete := held(identity) && ends.all >= endsToHold
-		if complete && counts[other].all > ends.all && l.atAllEndsOf(other, identity, noException) {
+		if held(identity) && ends.all >= endsToHold && own[identity] < endsToHold {
 			explained = append(explained, identity)
 		}
 	}
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -89,8 +89,8 @@
 		entries = append(entries, l.hold(identity, l.rivals(identity, exceeded, isHeld), now))
 		found[identity] = true
 	}
-	for _, entry := range entries {
-		explained = append(explained, l.explainedBy(entry.Identity, held)...)
+	if len(entries) > 0 {
+		explained = l.explained(held, isHeld)
 	}
 	return entries, explained
 }
--- a/internal/poison/provisional_test.go
+++ b/internal/poison/provisional_test.go
@@ -103,3 +103,21 @@
 		Expect(w.held(harmless[0])).To(BeZero())
 	})
 }
+
+// Guards against a harmless request that stays refused for minutes although one of two that ended
+// its servers is found: what that one explains leaves it fewer ends than it is held for.
+func TestRequestIsReleasedOnceTheCauseOfMostOfItsEndsIsHeld(t *testing.T) {
+	inWorld(t, 4, 3, func(w *world) {
+		harmless, bad := numbered(0, 2), numbered(2, 4)
+		w.tie(harmless, bad[0], bad[1], bad[1])
+		w.nodes[3].guard.Served(harmless[1], time.Now())
+		time.Sleep(provisionalHold)
+		Expect(w.held(harmless[0])).To(Equal(4))
+		for i := range 2 {
+			w.end(w.server(fmt.Sprint("t", i)), map[*node][]Identity{w.nodes[i]: bad[1:]})
+			time.Sleep(time.Second)
+		}
+		Expect(w.held(bad[1])).To(Equal(4))
+		Expect(w.held(harmless[0])).To(BeZero())
+	})
+}
