--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -244,6 +244,30 @@
 switch_off longest-backoff internal/notice/notice.go 'if until.After(known.until) || life.Follows(known.life) {' 'if true {' ./internal/notice
 switch_off asked-before-sending internal/forward/attempt.go 'if !f.stillTakes(place.server) {' 'if false {' $forward
 switch_off word-of-other-instance platform/notices.go 'instance != "" && instance != server.ID' 'false && instance != server.ID' ./platform
+# A store that comes back from a backup.
+restores="./platform -run Restore|Backup|Revisions|Election|Holder -skip TestTokensRise"
+switch_off era-of-revisions platform/era.go 'return max(era-t.first, 0)' 'return 0' $restores
+switch_off first-era platform/era.go 'return max(era-t.first, 0)' 'return era' $restores
+switch_off first-era-written platform/transact.go 'first, added := s.eras.unrecorded()' 'first, added := s.eras.unrecorded(); added = false' $restores
+switch_off era-of-watches platform/watch.go '|| answer.era != outside.EraOf(revision)' '' $restores
+switch_off era-of-conditions platform/transact.go 'revision = neverRevision' '_ = neverRevision' $restores
+switch_off era-of-answers platform/transact.go 'condition, older := olderCondition(transaction, answer.era); older' 'condition, older := olderCondition(transaction, answer.era); older && false' $restores
+switch_off era-of-updates internal/mirror/relay.go 'if update.Era != m.era {' 'if false {' ./internal/mirror
+switch_off era-of-subscribers internal/mirror/relay.go '&& !behind' '' ./internal/mirror
+switch_off rereads-bounded internal/mirror/restore.go 'if now.Sub(m.rereadAt) < rereadPause {' 'if false {' ./internal/mirror
+switch_off newer-configuration-stays internal/mirror/apply.go 'changes = m.keepNewer(changes)' '' $restores
+switch_off draining-stays internal/mirror/restore.go 'm.config.View.SetLeaving(before.Life())' '_ = before' $restores
+switch_off ended-stay internal/mirror/restore.go 'ended && !lapsed' 'ended && !lapsed && false' $restores
+switch_off lost-servers-stay internal/mirror/restore.go 'm.restored, m.regainedAt = true, now' 'm.restored = true' $restores
+switch_off copies-after-restore internal/mirror/restore.go 'm.copyEntry, m.copyRevision = copyEntry{}, 0' '' ./internal/mirror
+switch_off era-asked-at-once internal/mirror/reading.go 'return shortestWait, 0' '' $restores
+switch_off renewals-unconfirmed internal/orders/renewal.go 'err == nil && !e.outlived(term)' 'err == nil' $restores
+switch_off terms-confirmed internal/orders/restore.go '!e.isOwn(*e.holder) || !term.leads(now)' 'false' $restores
+switch_off last-holder-lost internal/orders/restore.go "return era > 0 && (last == nil" "return era > 0 && last != nil && last.Name == \"\" && (last == nil" $restores
+switch_off lease-of-one-era internal/orders/campaign.go 'if outside.EraOf(reply.Revision) != era {' 'if false {' $restores
+switch_off entries-outlast-restores internal/poison/guard.go 'g.record.restored(keyValues)' 'g.record.replace(keyValues)' ./internal/poison -run Restore
+switch_off counters-saved-again internal/orders/counters_record.go 'r.revision, r.saved = 0, ratelimit.Counters{}' '' ./platform
+switch_off rollback-noticed internal/outside/etcd/rollback.go 'if revision >= floor {' 'if true {' ./internal/outside/etcd
 # Life of a process.
 switch_off not-ready-when-stopping internal/edge/process.go 'if p.Stopping() {' 'if false {' ./internal/edge
 switch_off stop-takes-what-arrives internal/edge/process.go 'time.Sleep(min(acceptAfterStop, p.settings.Stop.Grace/2))' '' ./internal/edge
