--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -55,7 +55,7 @@
 	{metricConnections, "counter", "", "Connections opened to servers."},
 	{metricServers, "gauge", "", "Servers known."},
 	{metricRevision, "gauge", "", "Revision of the configuration in force; 0 if there is none."},
-	{metricStoreEra, "gauge", "", "How often the store came back from a backup, as it counts itself; 0 if it does not tell."},
+	{metricStoreEra, "gauge", "", "How often the store came back from a backup since the system first used it, as far as it tells."},
 	{metricHolder, "gauge", "", "1 while this node holds the lease for orders."},
 	{metricServerEnds, "counter", "", "Servers that ended while they had requests of this node."},
 	{metricQuarantine, "gauge", "", "Requests that are refused because servers ended under them."},
