--- a/internal/poison/record_follow.go
+++ b/internal/poison/record_follow.go
@@ -9,39 +9,35 @@
 
 // replace takes over all keys that exist.
 func (r *record) replace(keyValues []outside.KeyValue) {
-	r.mutex.Lock()
-	before := r.revisions
-	r.revisions = map[Identity]int64{}
-	r.mutex.Unlock()
-	for _, keyValue := range keyValues {
-		if identity, is := r.identityOf(keyValue.Key); is {
-			delete(before, identity)
-			r.take(identity, keyValue)
-		}
-	}
-	for identity := range before {
+	for identity := range r.takeAll(keyValues) {
 		r.removed(identity)
 	}
 }
 
 // restored takes over all keys that exist after a restore of the store, and saves what it lost.
 func (r *record) restored(keyValues []outside.KeyValue) {
+	now := time.Now()
+	for identity := range r.takeAll(keyValues) {
+		if entry, held := r.guard.quarantine.Held(identity, now); held {
+			r.wanted(entry, now)
+		}
+	}
+}
+
+// takeAll takes over all keys that exist. It returns the identities of which keys were known
+// that do not.
+func (r *record) takeAll(keyValues []outside.KeyValue) (missing map[Identity]int64) {
 	r.mutex.Lock()
-	lost := r.revisions
+	missing = r.revisions
 	r.revisions = map[Identity]int64{}
 	r.mutex.Unlock()
 	for _, keyValue := range keyValues {
 		if identity, is := r.identityOf(keyValue.Key); is {
-			delete(lost, identity)
+			delete(missing, identity)
 			r.take(identity, keyValue)
 		}
 	}
-	now := time.Now()
-	for identity := range lost {
-		if entry, held := r.guard.quarantine.Held(identity, now); held {
-			r.wanted(entry, now)
-		}
-	}
+	return missing
 }
 
 // change takes over one key.
