--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -258,13 +258,10 @@
 switch_off newer-configuration-stays internal/mirror/apply.go 'changes = m.keepNewer(changes)' '' $restores
 switch_off draining-stays internal/mirror/restore.go 'm.config.View.SetLeaving(before.Life())' '_ = before' $restores
 switch_off ended-stay internal/mirror/restore.go 'ended && !lapsed' 'ended && !lapsed && false' $restores
-switch_off lost-servers-stay internal/mirror/restore.go 'm.restored, m.regainedAt = true, now' 'm.restored = true' $restores
 switch_off copies-after-restore internal/mirror/restore.go 'm.copyEntry, m.copyRevision = copyEntry{}, 0' '' ./internal/mirror
 switch_off era-asked-at-once internal/mirror/reading.go 'return shortestWait, 0' '' $restores
 switch_off renewals-unconfirmed internal/orders/renewal.go 'err == nil && !e.outlived(term)' 'err == nil' $restores
-switch_off terms-confirmed internal/orders/restore.go '!e.isOwn(*e.holder) || !term.leads(now)' 'false' $restores
 switch_off last-holder-lost internal/orders/restore.go "return era > 0 && (last == nil" "return era > 0 && last != nil && last.Name == \"\" && (last == nil" $restores
-switch_off lease-of-one-era internal/orders/campaign.go 'if outside.EraOf(reply.Revision) != era {' 'if false {' $restores
 switch_off entries-outlast-restores internal/poison/guard.go 'g.record.restored(keyValues)' 'g.record.replace(keyValues)' ./internal/poison -run Restore
 switch_off counters-saved-again internal/orders/counters_record.go 'r.revision, r.saved = 0, ratelimit.Counters{}' '' ./platform
 switch_off rollback-noticed internal/outside/etcd/rollback.go 'if revision >= floor {' 'if true {' ./internal/outside/etcd
