--- a/internal/poison/provisional_test.go
+++ b/internal/poison/provisional_test.go
@@ -26,6 +26,16 @@
 	}
 }
 
+// twoCulprits ends three servers under two harmless requests, one of them under one bad request and
+// two under another, and lets the likeliest harmless one's rival be served.
+func (w *world) twoCulprits() (harmless, bad []Identity) {
+	harmless, bad = numbered(0, 2), numbered(2, 4)
+	w.tie(harmless, bad[0], bad[1], bad[1])
+	w.nodes[3].guard.Served(harmless[1], time.Now())
+	time.Sleep(provisionalHold)
+	return harmless, bad
+}
+
 // Guards against a request that ends a further server each time its provisional hold is over,
 // although its rivals, each at another node, have been served since.
 func TestProvisionalHoldIsConfirmedOnceItsRivalsAreServed(t *testing.T) {
@@ -96,10 +106,7 @@
 // says nothing of who ended the servers.
 func TestRivalsThatWereServedProveNothingWhereTwoRequestsEndServers(t *testing.T) {
 	inWorld(t, 4, 3, func(w *world) {
-		harmless, bad := numbered(0, 2), numbered(2, 4)
-		w.tie(harmless, bad[0], bad[1], bad[1])
-		w.nodes[3].guard.Served(harmless[1], time.Now())
-		time.Sleep(provisionalHold)
+		harmless, _ := w.twoCulprits()
 		Expect(w.held(harmless[0])).To(BeZero())
 	})
 }
@@ -108,10 +115,7 @@
 // its servers is found: what that one explains leaves it fewer ends than it is held for.
 func TestRequestIsReleasedOnceTheCauseOfMostOfItsEndsIsHeld(t *testing.T) {
 	inWorld(t, 4, 3, func(w *world) {
-		harmless, bad := numbered(0, 2), numbered(2, 4)
-		w.tie(harmless, bad[0], bad[1], bad[1])
-		w.nodes[3].guard.Served(harmless[1], time.Now())
-		time.Sleep(provisionalHold)
+		harmless, bad := w.twoCulprits()
 		Expect(w.held(harmless[0])).To(Equal(4))
 		for i := range 2 {
 			w.end(w.server(fmt.Sprint("t", i)), map[*node][]Identity{w.nodes[i]: bad[1:]})
