--- a/internal/poison/fakes_test.go
+++ b/internal/poison/fakes_test.go
@@ -136,9 +136,10 @@
 
 // cluster consists of nodes, a store and the servers' addresses.
 type cluster struct {
-	network *peers.Network
-	store   *fakeStore
-	nodes   []*node
+	network  *peers.Network
+	messages *countedMessages
+	store    *fakeStore
+	nodes    []*node
 	// collectors collect reports; holder holds the lease for orders and sends to followers.
 	collectors []string
 	holder     string
@@ -156,7 +157,7 @@
 // lease for orders.
 func newCluster(nodes, collectors int) *cluster {
 	c := &cluster{
-		network: peers.NewNetwork(), store: &fakeStore{keys: map[string]outside.KeyValue{}, watchers: map[*node]bool{}},
+		network: peers.NewNetwork(), messages: &countedMessages{}, store: &fakeStore{keys: map[string]outside.KeyValue{}, watchers: map[*node]bool{}},
 		refusing: map[string]bool{}, unresponsive: map[string]bool{},
 	}
 	for i := range nodes {
@@ -183,7 +184,7 @@
 			}
 			return c.network.Living()
 		},
-		Transport: c.network.Add(address), Address: address, Store: c.store, EntriesPrefix: "entries/", CrashesPrefix: "ends/", Logger: zerolog.Nop(),
+		Transport: countedTransport{c.network.Add(address), c.messages}, Address: address, Store: c.store, EntriesPrefix: "entries/", CrashesPrefix: "ends/", Logger: zerolog.Nop(),
 	})
 	n.guard.Replace(c.store.all())
 	c.store.watch(n, true)
