Forward an entry and its release once where they cross

Cause: Quarantined and Released named an identity only, so nothing ordered them. A node that had dropped the entry took the next copy for a new one and forwarded it; one that held it forwarded the release.

A release names the crashes it is about, as an entry does, and nodes remember them while crashes count. The crashes an identity was released from only grow, so the result does not depend on the order of arrival and each node forwards each message at most once. A release of the build before names none and applies to the crashes that the receiver knows; the kept encoding of that build is still decoded.

--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -116,6 +116,28 @@
 	g.Expect(kept).To(HaveLen(len(prototypes)))
 }
 
+// earlierFile holds encodings of builds whose messages had fewer fields.
+const earlierFile = "testdata/earlier.json"
+
+// Guards against a new field without which a message of an earlier build is not understood: it is
+// the zero value, and the others keep theirs.
+func TestMessagesOfEarlierBuilds(t *testing.T) {
+	g := NewWithT(t)
+	released := filled(poison.Released{}).(poison.Released)
+	released.Ends = nil
+	expected := map[string]peer.Message{"poison.Released": released}
+	earlier := map[string][]byte{}
+	content, err := os.ReadFile(earlierFile)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(json.Unmarshal(content, &earlier)).To(Succeed())
+	for name, encoded := range earlier {
+		var decoded peer.Message
+		g.Expect(gob.NewDecoder(bytes.NewReader(encoded)).Decode(&decoded)).To(Succeed())
+		g.Expect(decoded).To(Equal(expected[name]), name)
+	}
+	g.Expect(earlier).To(HaveLen(len(expected)))
+}
+
 // filled returns a message like the prototype whose exported fields, and those of nested
 // structs, aren't zero.
 func filled(prototype peer.Message) peer.Message {
--- a/internal/poison/crash_log.go
+++ b/internal/poison/crash_log.go
@@ -37,6 +37,8 @@
 	crashes map[string]*crashRecord
 	// past quarantines by identity.
 	past map[Identity]pastQuarantine
+	// released are the crashes that identities were released from.
+	released map[Identity]*releasedCrashes
 }
 
 // pastQuarantine is what is kept of an identity that was quarantined.
@@ -47,7 +49,9 @@
 
 // NewCrashLog returns an empty log.
 func NewCrashLog() *CrashLog {
-	return &CrashLog{crashes: map[string]*crashRecord{}, past: map[Identity]pastQuarantine{}}
+	return &CrashLog{
+		crashes: map[string]*crashRecord{}, past: map[Identity]pastQuarantine{}, released: map[Identity]*releasedCrashes{},
+	}
 }
 
 // Add records what one node reports as running at servers that crashed.
@@ -66,7 +70,7 @@
 			crash.at = at
 		}
 		for i, identity := range reported.Suspects {
-			if len(crash.suspects) < maxSuspects {
+			if len(crash.suspects) < maxSuspects && !l.isReleasedFrom(identity, reported.Server) {
 				crash.addSuspect(identity, reported.elapsedOf(i))
 			}
 		}
@@ -164,21 +168,29 @@
 	if !entry.provisional() {
 		entry = entry.confirmed(now)
 	}
-	first := now
-	for server, crash := range l.crashes {
-		if crash.hasSuspect(identity) {
-			entry.Servers = append(entry.Servers, server)
-			if crash.at.Before(first) {
-				first = crash.at
-			}
+	entry.Servers, entry.Since = l.serversOf(identity), now
+	for _, server := range entry.Servers {
+		if at := l.crashes[server].at; at.Before(entry.Since) {
+			entry.Since = at
 		}
 	}
-	slices.Sort(entry.Servers)
-	entry.Since = first
 	l.remember(entry)
 	return entry
 }
 
+// serversOf returns, in order, the servers that crashed under an identity. The caller must hold
+// the lock.
+func (l *CrashLog) serversOf(identity Identity) []string {
+	var servers []string
+	for server, crash := range l.crashes {
+		if crash.hasSuspect(identity) {
+			servers = append(servers, server)
+		}
+	}
+	slices.Sort(servers)
+	return servers
+}
+
 // confirmed returns the entry as it is once only its identity explains the crashes.
 func (e Entry) confirmed(now time.Time) Entry {
 	e.Rivals = nil
@@ -211,16 +223,6 @@
 	}
 }
 
-// Clear removes an identity from the suspects of all crashes, and forgets its past quarantines.
-func (l *CrashLog) Clear(identity Identity) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	delete(l.past, identity)
-	for _, crash := range l.crashes {
-		delete(crash.suspects, identity)
-	}
-}
-
 // QuarantineExpired records that the quarantine of an identity is over: one more crash
 // quarantines it again. The crashes that it was quarantined for count against no other
 // identity.
@@ -249,6 +251,7 @@
 			delete(l.past, identity)
 		}
 	}
+	l.expireReleases(now)
 }
 
 // dropEarliest removes the value with the earliest time.
--- a/internal/poison/entry_store_watch.go
+++ b/internal/poison/entry_store_watch.go
@@ -84,6 +84,10 @@
 		s.remove(identity, now)
 		return
 	}
+	if s.guard.crashes.IsReleased(entry) {
+		s.remove(identity, now.Add(s.delay(identity)))
+		return
+	}
 	// A saved entry was sent to all nodes before, so it needs no objection window.
 	s.guard.applyEntry(entry, "store", 0)
 }
@@ -96,5 +100,5 @@
 		// Another node deleted it because it has expired by that node's clock.
 		return
 	}
-	s.guard.release(identity, "removed from the store")
+	s.guard.release(identity, s.guard.knownCrashes(identity), "removed from the store")
 }
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -54,6 +54,9 @@
 	Age time.Duration
 	// Explained: another request explains the crashes. Then no run was served, and Age is zero.
 	Explained bool
+	// Ends are the servers that crashed under it. Earlier builds send none: then the release
+	// applies to the crashes that the receiver knows.
+	Ends []string
 }
 
 func (e Entry) message(now time.Time) Quarantined {
--- a/internal/poison/propagation.go
+++ b/internal/poison/propagation.go
@@ -163,8 +163,9 @@
 		}
 	}
 	for _, identity := range explained {
-		g.release(identity, "another request explains its crashes")
-		g.broadcast(Released{Identity: identity, Explained: true}, true)
+		released := Released{Identity: identity, Explained: true, Ends: g.knownCrashes(identity)}
+		g.release(identity, released.Ends, "another request explains its crashes")
+		g.broadcast(released, true)
 		g.entryStore.remove(identity, now)
 	}
 }
@@ -209,10 +210,14 @@
 }
 
 // applyEntry quarantines an identity, subject to an objection window, and reports whether it
-// was not quarantined before.
+// was not quarantined before. An entry whose identity was released is dropped.
 func (g *Guard) applyEntry(entry Entry, source string, window time.Duration) bool {
 	now := time.Now()
-	if !g.quarantine.add(entry, now.Add(window), now) {
+	if g.crashes.IsReleased(entry) || !g.quarantine.add(entry, now.Add(window), now) {
+		return false
+	}
+	if g.quarantine.removeIf(entry.Identity, g.crashes.IsReleased) {
+		// It was released after the first check.
 		return false
 	}
 	g.crashes.RememberEntry(entry)
@@ -228,20 +233,36 @@
 		return Released{}, false
 	}
 	began, _ := g.served.lastBegan(entry.Identity)
-	g.release(entry.Identity, "a server has served it since")
-	return Released{Identity: entry.Identity, Age: time.Since(began)}, true
+	released := Released{Identity: entry.Identity, Age: time.Since(began), Ends: mergeServers(g.knownCrashes(entry.Identity), entry.Servers)}
+	g.release(entry.Identity, released.Ends, "a server has served it since")
+	return released, true
 }
 
-// release drops an identity from the quarantine, and reports whether it was quarantined.
-func (g *Guard) release(identity Identity, reason string) bool {
-	g.crashes.Clear(identity)
-	g.shared.clear(identity)
-	g.entryStore.cancelSave(identity)
-	quarantined := g.quarantine.remove(identity)
-	if quarantined {
+// release drops an identity from the quarantine and from the suspects of crashes. It reports
+// whether the identity was quarantined, and whether it had not been released from all of these
+// crashes before.
+func (g *Guard) release(identity Identity, servers []string, reason string) (removed, grew bool) {
+	grew = g.crashes.Release(identity, servers, time.Now())
+	g.shared.clear(identity, servers)
+	removed = g.quarantine.removeIf(identity, g.crashes.IsReleased)
+	if removed {
+		g.entryStore.cancelSave(identity)
 		g.config.Logger.Warn().Str("identity", identity.Text()).Str("reason", reason).Msg("request released")
 	}
-	return quarantined
+	return removed, grew
+}
+
+// knownCrashes returns the servers that, as far as this node knows, crashed under an identity.
+func (g *Guard) knownCrashes(identity Identity) []string {
+	entry, _ := g.quarantine.Lookup(identity, time.Now())
+	return mergeServers(g.crashes.CrashesOf(identity), entry.Servers)
+}
+
+// mergeServers returns the servers of both lists, in order.
+func mergeServers(one, other []string) []string {
+	merged := slices.Concat(one, other)
+	slices.Sort(merged)
+	return slices.Compact(merged)
 }
 
 // broadcast sends a message to this node's followers, and also to the collectors if the message
@@ -279,17 +300,21 @@
 	}
 }
 
-// serveReleased clears an identity, and forwards the message if the identity was quarantined
-// here. That it was served is recorded, so that an entry in flight does not quarantine it
-// again.
+// serveReleased releases an identity, and forwards the message if the identity was quarantined
+// here, or if it is new that other requests explain its crashes: the entry may still be in flight
+// to nodes that receive it from here. That it was served is recorded, so that an entry in flight
+// does not quarantine it again.
 func (g *Guard) serveReleased(from string, message peer.Message, reply func(peer.Message, error)) {
 	released := message.(Released)
-	reason := "another request explains its crashes"
+	reason, servers := "another request explains its crashes", released.Ends
 	if !released.Explained {
 		reason = "a server has served it since"
 		g.served.add(released.Identity, time.Now().Add(-released.Age))
 	}
-	if g.release(released.Identity, reason+", reported by "+from) {
+	if !released.Explained || len(released.Ends) == 0 {
+		servers = mergeServers(released.Ends, g.knownCrashes(released.Identity))
+	}
+	if removed, grew := g.release(released.Identity, servers, reason+", reported by "+from); removed || grew && released.Explained {
 		g.broadcast(released, false)
 	}
 	reply(nil, nil)
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -95,13 +95,16 @@
 	return !active || before.provisional() && !entry.provisional()
 }
 
-// remove drops an identity, and reports whether it was quarantined.
-func (q *Quarantine) remove(identity Identity) bool {
+// removeIf drops the entry of an identity if the condition holds, and reports whether it did.
+func (q *Quarantine) removeIf(identity Identity, condition func(Entry) bool) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	_, found := q.entries[identity]
+	entry, found := q.entries[identity]
+	if !found || !condition(entry.Entry) {
+		return false
+	}
 	delete(q.entries, identity)
-	return found
+	return true
 }
 
 // removeExpired removes and returns the identities whose quarantine is over.
--- a/internal/poison/shared_crashes.go
+++ b/internal/poison/shared_crashes.go
@@ -59,13 +59,14 @@
 	}
 }
 
-// clear removes an identity from all shared crashes: otherwise nodes that restart would suspect
-// it, without remembering that it was served.
-func (s *sharedCrashes) clear(identity Identity) {
+// clear removes an identity from the servers' shared crashes: otherwise nodes that restart would
+// suspect it, without remembering that it was released.
+func (s *sharedCrashes) clear(identity Identity, servers []string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for server, crash := range s.crashes {
-		isCleared := func(suspect suspect) bool { return suspect.identity == identity }
+	isCleared := func(suspect suspect) bool { return suspect.identity == identity }
+	for _, server := range servers {
+		crash := s.crashes[server]
 		if !slices.ContainsFunc(crash.suspects, isCleared) {
 			continue
 		}
