Keep a later quarantine entry when an earlier one's key is deleted

Servers crashed under a poison request that was quarantined: all nodes released it when the store's key of an earlier entry was deleted.

Cause: a deletion named an identity only. A node's pending deletion took the newest revision of the key, and nodes that observed a deletion took it for one of the entry in force.

A pending deletion is for the revision it was scheduled for, and nodes remember the crashes of the key's entry: an entry for later ones stays and is saved.

--- a/internal/poison/entry_store.go
+++ b/internal/poison/entry_store.go
@@ -38,21 +38,31 @@
 	guard *Guard
 
 	mutex sync.Mutex
-	// revisions of the keys that are known to be in the store.
-	revisions map[Identity]int64
+	// keys that are known to be in the store.
+	keys map[Identity]storedKey
 	// pending writes: entries to save, and keys to delete.
 	pending map[Identity]*pendingWrite
 }
 
+// storedKey is what is known of an entry's key.
+type storedKey struct {
+	// revision is zero once this node has deleted the key, until the deletion is observed.
+	revision int64
+	// servers that crashed under the entry; none if only the revision is known.
+	servers []string
+}
+
 type pendingWrite struct {
-	entry   Entry
-	remove  bool
-	nextTry time.Time
-	writing bool
+	entry  Entry
+	remove bool
+	// revision of the key to delete.
+	revision int64
+	nextTry  time.Time
+	writing  bool
 }
 
 func newEntryStore(guard *Guard) *entryStore {
-	return &entryStore{guard: guard, revisions: map[Identity]int64{}, pending: map[Identity]*pendingWrite{}}
+	return &entryStore{guard: guard, keys: map[Identity]storedKey{}, pending: map[Identity]*pendingWrite{}}
 }
 
 func (s *entryStore) key(identity Identity) string {
@@ -78,7 +88,7 @@
 func (s *entryStore) save(entry Entry, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.revisions[entry.Identity] != 0 && entry.Times <= 1 {
+	if s.keys[entry.Identity].revision != 0 && entry.Times <= 1 {
 		return
 	}
 	s.pending[entry.Identity] = &pendingWrite{entry: entry, nextTry: now.Add(s.delay(entry.Identity))}
@@ -105,11 +115,12 @@
 	return xxhash.Sum64String(address + " " + string(identity[:]))
 }
 
-// remove schedules the deletion of an entry's key, not before the given time.
+// remove schedules the deletion of an entry's key, not before the given time. A key that is written
+// later stays.
 func (s *entryStore) remove(identity Identity, from time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.pending[identity] = &pendingWrite{entry: Entry{Identity: identity}, remove: true, nextTry: from}
+	s.pending[identity] = &pendingWrite{entry: Entry{Identity: identity}, remove: true, revision: s.keys[identity].revision, nextTry: from}
 }
 
 // cancelSave drops a pending save of an identity.
@@ -126,8 +137,8 @@
 	s.mutex.Lock()
 	var due []*pendingWrite
 	for identity, write := range s.pending {
-		revision := s.revisions[identity]
-		if write.remove && revision == 0 || !write.remove && !now.Before(write.entry.Until) {
+		isGone := write.revision == 0 || write.revision != s.keys[identity].revision
+		if write.remove && isGone || !write.remove && !now.Before(write.entry.Until) {
 			delete(s.pending, identity)
 			continue
 		}
@@ -149,9 +160,12 @@
 	if !write.remove {
 		operation = outside.Operation{Kind: outside.OperationPut, Key: key, Value: s.encode(write.entry, now)}
 	}
-	s.mutex.Lock()
-	revision := s.revisions[identity]
-	s.mutex.Unlock()
+	revision := write.revision
+	if !write.remove {
+		s.mutex.Lock()
+		revision = s.keys[identity].revision
+		s.mutex.Unlock()
+	}
 	s.guard.config.Store.Transact(outside.Transaction{
 		Compares: []outside.Compare{{Key: key, ModRevision: revision}}, Operations: []outside.Operation{operation},
 	}, storeTimeout, func(reply outside.TransactionResult, err error) { s.written(write, reply, err) })
@@ -182,22 +196,38 @@
 	}
 	if reply.Succeeded {
 		if write.remove {
-			delete(s.revisions, identity)
+			s.noteDeleted(identity, write.revision)
 		} else {
-			s.revisions[identity] = max(s.revisions[identity], reply.Revision)
+			s.note(identity, storedKey{revision: reply.Revision, servers: write.entry.Servers})
 		}
 		s.finish(identity, write)
 		return
 	}
-	delete(s.revisions, identity)
+	delete(s.keys, identity)
 	for _, current := range reply.Current {
-		s.revisions[identity] = current.ModRevision
+		s.keys[identity] = storedKey{revision: current.ModRevision}
 	}
-	if saved := s.revisions[identity] != 0; saved != write.remove {
+	if saved := s.keys[identity].revision != 0; saved != write.remove {
 		s.finish(identity, write)
 	}
 }
 
+// note records a key unless a later revision of it is known. The caller must hold the lock.
+func (s *entryStore) note(identity Identity, key storedKey) {
+	if key.revision >= s.keys[identity].revision {
+		s.keys[identity] = key
+	}
+}
+
+// noteDeleted records that this node has deleted a revision of a key. What the key held is kept until the
+// deletion is observed, which tells whether a later entry is in force. The caller must hold the
+// lock.
+func (s *entryStore) noteDeleted(identity Identity, revision int64) {
+	if key, known := s.keys[identity]; known && key.revision == revision {
+		s.keys[identity] = storedKey{servers: key.servers}
+	}
+}
+
 // finish drops a write that is complete. The caller must hold the lock.
 func (s *entryStore) finish(identity Identity, write *pendingWrite) {
 	if s.pending[identity] == write {
--- a/internal/poison/entry_store_watch.go
+++ b/internal/poison/entry_store_watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/outside"
@@ -9,8 +10,8 @@
 
 // replace applies a complete read of the keys: identities whose keys were deleted are released.
 func (s *entryStore) replace(keyValues []outside.KeyValue) {
-	for identity := range s.loadAll(keyValues) {
-		s.keyRemoved(identity)
+	for identity, key := range s.loadAll(keyValues) {
+		s.keyRemoved(identity, key)
 	}
 }
 
@@ -27,10 +28,10 @@
 
 // loadAll loads all existing keys. It returns the identities that had a key before and have
 // none now.
-func (s *entryStore) loadAll(keyValues []outside.KeyValue) (missing map[Identity]int64) {
+func (s *entryStore) loadAll(keyValues []outside.KeyValue) (missing map[Identity]storedKey) {
 	s.mutex.Lock()
-	missing = s.revisions
-	s.revisions = map[Identity]int64{}
+	missing = s.keys
+	s.keys = map[Identity]storedKey{}
 	s.mutex.Unlock()
 	for _, keyValue := range keyValues {
 		if identity, ok := s.identityOf(keyValue.Key); ok {
@@ -49,9 +50,10 @@
 	}
 	if event.Deleted {
 		s.mutex.Lock()
-		delete(s.revisions, identity)
+		key := s.keys[identity]
+		delete(s.keys, identity)
 		s.mutex.Unlock()
-		s.keyRemoved(identity)
+		s.keyRemoved(identity, key)
 		return
 	}
 	s.load(identity, event.KeyValue)
@@ -65,7 +67,7 @@
 		return
 	}
 	s.mutex.Lock()
-	s.revisions[identity] = max(s.revisions[identity], keyValue.ModRevision)
+	s.note(identity, storedKey{revision: keyValue.ModRevision, servers: saved.Servers})
 	if write := s.pending[identity]; write != nil && !write.remove && write.entry.Times <= saved.Times {
 		delete(s.pending, identity)
 	}
@@ -92,13 +94,20 @@
 	s.guard.applyEntry(entry, "store", 0)
 }
 
-// keyRemoved releases an identity whose key was deleted: by a node that knows of a server that
-// has served it, or by an operator.
-func (s *entryStore) keyRemoved(identity Identity) {
-	entry, quarantined := s.guard.quarantine.Lookup(identity, time.Now())
-	if !quarantined || time.Until(entry.Until) < maxClockSkew {
+// keyRemoved releases an identity whose key was deleted: by a node that released it, or by an
+// operator. An entry for later crashes than those of the key stays in force and is saved: the
+// deletion was not meant for it.
+func (s *entryStore) keyRemoved(identity Identity, key storedKey) {
+	now := time.Now()
+	entry, quarantined := s.guard.quarantine.Lookup(identity, now)
+	if !quarantined || entry.Until.Sub(now) < maxClockSkew {
 		// Another node deleted it because it has expired by that node's clock.
 		return
 	}
+	isOfKey := func(server string) bool { return slices.Contains(key.servers, server) }
+	if len(key.servers) > 0 && !entry.provisional() && len(slices.DeleteFunc(slices.Clone(entry.Servers), isOfKey)) > 0 {
+		s.save(entry, now)
+		return
+	}
 	s.guard.release(identity, s.guard.knownCrashes(identity), "removed from the store")
 }
