Refuse a request for long only when it is proved to crash servers

Cause: three crashes counted as a proof although each had another suspect, and so did the success of rivals none of which explains each crash; what a guess seemed to explain no longer counted against the real causes. Evidence: lines 'its rivals were served' 0.1 to 0.5 s after another unrelated request was served; all nodes had the same counts.

An entry is provisional until its request was the only suspect of one of its crashes, by what was served since, or more than three other causes would be needed. A guess explains only crashes of others that it was at throughout, and expires without a proof. The table for one poison request stays as it is.

--- a/internal/poison/crash.go
+++ b/internal/poison/crash.go
@@ -55,9 +55,11 @@
 	suspects map[Identity]time.Duration
 	// served are those of the suspects that some node reports as served before.
 	served map[Identity]bool
-	// settled is set once an identity was quarantined for this crash and the quarantine is
-	// over.
+	// settled is set once an identity was quarantined for this crash, not provisionally, and the
+	// quarantine is over.
 	settled bool
+	// spent are the suspects that were as likely as one whose provisional quarantine is over.
+	spent map[Identity]bool
 }
 
 // addSuspect records an identity. Of several attempts the one that ran longest counts: if the
@@ -69,19 +71,30 @@
 	c.suspects[identity] = elapsed
 }
 
+// spend excludes the crash from the fresh ones of a suspect.
+func (c *crashRecord) spend(identity Identity) {
+	if !c.hasSuspect(identity) {
+		return
+	}
+	if c.spent == nil {
+		c.spent = map[Identity]bool{}
+	}
+	c.spent[identity] = true
+}
+
 func (c *crashRecord) hasSuspect(identity Identity) bool {
 	_, suspected := c.suspects[identity]
 	return suspected
 }
 
-// explained reports whether an identity was running that is quarantined, or was quarantined for
-// this crash.
-func (c *crashRecord) explained(isQuarantined func(Identity) bool) bool {
+// explained reports whether an identity was running that is the proved cause of crashes, or was
+// quarantined as such for this one.
+func (c *crashRecord) explained(isProved func(Identity) bool) bool {
 	if c.settled {
 		return true
 	}
 	for identity := range c.suspects {
-		if isQuarantined(identity) {
+		if isProved(identity) {
 			return true
 		}
 	}
--- a/internal/poison/crash_log.go
+++ b/internal/poison/crash_log.go
@@ -45,6 +45,8 @@
 type pastQuarantine struct {
 	times int
 	until time.Time
+	// provisional: the last quarantine was provisional.
+	provisional bool
 }
 
 // NewCrashLog returns an empty log.
@@ -88,78 +90,32 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.expire(now)
-	found := map[Identity]bool{}
-	isQuarantined := func(identity Identity) bool { return found[identity] || wasQuarantined(identity) }
-	for candidates := l.topSuspects(isQuarantined); len(candidates) > 0; candidates = l.topSuspects(isQuarantined) {
+	attribution := l.newAttribution(wasQuarantined)
+	for candidates := attribution.candidates(); len(candidates) > 0; candidates = attribution.candidates() {
 		identity := l.likeliestCause(candidates)
-		entries = append(entries, l.newEntry(identity, l.rivals(identity, candidates, isQuarantined), now))
-		found[identity] = true
+		entry := l.newEntry(identity, attribution.rivals(identity), now)
+		entries = append(entries, entry)
+		attribution.found[identity] = entry
 	}
 	if len(entries) > 0 {
-		explained = l.toRelease(wasQuarantined, isQuarantined)
+		explained = attribution.toRelease()
 	}
 	return entries, explained
 }
 
-// crashCount counts the crashes of one identity.
-type crashCount struct {
-	all, unexplained int
-}
-
-// exceedsThreshold reports whether an identity with these crashes is to be quarantined. With
-// more than crashThreshold crashes, or after an earlier quarantine, a single unexplained one is
-// enough: the others may have been explained by a false positive.
-func (c crashCount) exceedsThreshold(quarantinedBefore bool) bool {
-	return c.unexplained >= crashThreshold || c.unexplained > 0 && (quarantinedBefore || c.all > crashThreshold)
-}
-
-// topSuspects returns, of the identities that exceed the threshold, those with the most
-// unexplained crashes. Where several have equally many, those that no node has seen served come
-// first, since the crashes that they explain no longer count against any other.
-func (l *CrashLog) topSuspects(isQuarantined func(Identity) bool) []Identity {
-	var found []Identity
-	maxUnexplained := 0
-	for identity, count := range l.count(isQuarantined) {
-		if _, quarantinedBefore := l.past[identity]; isQuarantined(identity) || !count.exceedsThreshold(quarantinedBefore) || count.unexplained < maxUnexplained {
-			continue
-		}
-		if count.unexplained > maxUnexplained {
-			maxUnexplained, found = count.unexplained, nil
-		}
-		found = append(found, identity)
-	}
-	if unseen := slices.DeleteFunc(slices.Clone(found), l.wasServed); len(unseen) > 0 {
-		found = unseen
-	}
-	return found
-}
-
-// wasServed reports whether some node has seen an identity served before a crash at which it
-// was running.
-func (l *CrashLog) wasServed(identity Identity) bool {
-	for _, crash := range l.crashes {
-		if crash.served[identity] {
-			return true
-		}
-	}
-	return false
-}
-
-// count returns the number of crashes of each identity.
-func (l *CrashLog) count(isQuarantined func(Identity) bool) map[Identity]crashCount {
-	counts := map[Identity]crashCount{}
+// Suspects returns the identities that were running at crashes, each with the time of its first.
+func (l *CrashLog) Suspects() map[Identity]time.Time {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	first := map[Identity]time.Time{}
 	for _, crash := range l.crashes {
-		explained := crash.explained(isQuarantined)
 		for identity := range crash.suspects {
-			count := counts[identity]
-			count.all++
-			if !explained {
-				count.unexplained++
+			if at, known := first[identity]; !known || crash.at.Before(at) {
+				first[identity] = crash.at
 			}
-			counts[identity] = count
 		}
 	}
-	return counts
+	return first
 }
 
 // newEntry makes and remembers the entry of an identity. The caller must hold the lock.
@@ -217,7 +173,7 @@
 
 func (l *CrashLog) remember(entry Entry) {
 	times := max(entry.Times, l.past[entry.Identity].times)
-	l.past[entry.Identity] = pastQuarantine{times: times, until: entry.Until.Add(pastQuarantineRetention)}
+	l.past[entry.Identity] = pastQuarantine{times: times, until: entry.Until.Add(pastQuarantineRetention), provisional: entry.provisional()}
 	for len(l.past) > maxPastQuarantines {
 		dropEarliest(l.past, func(past pastQuarantine) time.Time { return past.until })
 	}
@@ -229,6 +185,10 @@
 func (l *CrashLog) QuarantineExpired(identity Identity) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.past[identity].provisional {
+		l.spendCrashes(identity)
+		return
+	}
 	for _, crash := range l.crashes {
 		if crash.hasSuspect(identity) {
 			crash.settled = true
@@ -236,6 +196,27 @@
 	}
 }
 
+// spendCrashes records that a provisional quarantine is over without a proof. Its crashes alone
+// quarantine neither the identity again nor another one that was as likely. They count for
+// identities that had fewer, such as one of two poison requests.
+func (l *CrashLog) spendCrashes(identity Identity) {
+	none := func(*crashRecord) bool { return false }
+	counts := map[Identity]int{}
+	for _, crash := range l.crashes {
+		for suspect := range crash.suspects {
+			counts[suspect]++
+		}
+	}
+	for suspect, count := range counts {
+		if suspect != identity && (count < crashThreshold || !l.presentAtAllCrashesOf(identity, suspect, none)) {
+			continue
+		}
+		for _, crash := range l.crashes {
+			crash.spend(suspect)
+		}
+	}
+}
+
 // expire drops what is too old, and the oldest crashes and quarantines beyond the limits.
 func (l *CrashLog) expire(now time.Time) {
 	for server, crash := range l.crashes {
--- a/internal/poison/propagation.go
+++ b/internal/poison/propagation.go
@@ -151,6 +151,7 @@
 	g.mutex.Lock()
 	g.decisionScheduled = false
 	g.mutex.Unlock()
+	g.clearServed()
 	now := time.Now()
 	entries, explained := g.crashes.Decide(g.quarantine.quarantinedAt(now), now)
 	for _, entry := range entries {
@@ -163,13 +164,36 @@
 		}
 	}
 	for _, identity := range explained {
-		released := Released{Identity: identity, Explained: true, Ends: g.knownCrashes(identity)}
-		g.release(identity, released.Ends, "another request explains its crashes")
+		g.releaseExplained(identity)
+	}
+}
+
+// releaseExplained releases an identity from the crashes that another one explains. It stays
+// suspected of the others: without it, a third request that was running there would seem to be
+// their only possible cause.
+func (g *Guard) releaseExplained(identity Identity) {
+	now := time.Now()
+	released := Released{Identity: identity, Explained: true, Ends: g.crashes.ExplainedCrashes(identity, g.quarantine.quarantinedAt(now))}
+	if len(released.Ends) == 0 {
+		// It was released meanwhile by a message.
+		return
+	}
+	if removed, _ := g.release(identity, released.Ends, "another request explains its crashes"); removed {
 		g.broadcast(released, true)
 		g.entryStore.remove(identity, now)
 	}
 }
 
+// clearServed clears the suspects that this node knows to have been served since their first
+// crash. Otherwise they would leave open which of the others is the cause, or be taken for it.
+func (g *Guard) clearServed() {
+	for identity, since := range g.crashes.Suspects() {
+		if g.servedSince(identity, since) {
+			g.release(identity, g.knownCrashes(identity), "a server has served it since")
+		}
+	}
+}
+
 // confirm makes provisional entries final once servers have served all their rivals since the
 // first crash: then no rival explains the crashes.
 func (g *Guard) confirm(now time.Time) {
@@ -193,9 +217,23 @@
 // reportRivalServed reports to the collectors that a rival of a provisional entry was served:
 // its other rivals may be served at other nodes.
 func (g *Guard) reportRivalServed(identity Identity, began time.Time) {
-	if !g.quarantine.hasRival(identity, began) {
-		return
+	if g.quarantine.hasRival(identity, began) {
+		g.sendServed(identity, began)
+	}
+}
+
+// reportServedRivals reports to the collectors which rivals of a new entry servers have served
+// since its first crash.
+func (g *Guard) reportServedRivals(entry Entry) {
+	for _, rival := range entry.Rivals {
+		if began, known := g.served.lastBegan(rival); known && began.After(entry.Since) {
+			g.sendServed(rival, began)
+		}
 	}
+}
+
+// sendServed reports to the collectors that a server has served an identity.
+func (g *Guard) sendServed(identity Identity, began time.Time) {
 	for _, collector := range g.otherCollectors() {
 		g.config.Transport.Send(collector, Released{Identity: identity, Age: time.Since(began)})
 	}
@@ -223,6 +261,7 @@
 	g.crashes.RememberEntry(entry)
 	g.config.Logger.Warn().Str("identity", entry.Identity.Text()).Int("ends", len(entry.Servers)).Strs("servers", entry.Servers).
 		Int("times", entry.Times).Bool("provisional", entry.provisional()).Dur("for_ms", entry.Until.Sub(now)).Str("told_by", source).Msg("request refused by all nodes from now on")
+	g.reportServedRivals(entry)
 	return true
 }
 
--- a/internal/poison/provisional_test.go
+++ b/internal/poison/provisional_test.go
@@ -31,10 +31,16 @@
 // poison request and two under another, and has the rival of the likeliest unrelated request
 // served.
 func (c *cluster) twoCulprits() (unrelated, poison []Identity) {
+	unrelated, poison = c.tieUnderTwoCulprits()
+	time.Sleep(provisionalQuarantine)
+	return unrelated, poison
+}
+
+// tieUnderTwoCulprits is the same within the provisional quarantine.
+func (c *cluster) tieUnderTwoCulprits() (unrelated, poison []Identity) {
 	unrelated, poison = numbered(0, 2), numbered(2, 4)
 	c.tie(unrelated, poison[0], poison[1], poison[1])
 	c.nodes[3].guard.RequestServed(unrelated[1], time.Now())
-	time.Sleep(provisionalQuarantine)
 	return unrelated, poison
 }
 
@@ -113,11 +119,12 @@
 	})
 }
 
-// Guards against an unrelated request that stays refused for minutes although one of the two
-// poison requests beside it is found: the crashes that are left to it are below the threshold.
+// Guards against an unrelated request that stays refused although one of the two poison requests
+// beside it is found: the crashes that are left to it are below the threshold. It is released
+// before its provisional quarantine would have expired.
 func TestRequestIsReleasedOnceTheCauseOfMostOfItsCrashesIsQuarantined(t *testing.T) {
 	runInCluster(t, 4, 3, func(c *cluster) {
-		unrelated, poison := c.twoCulprits()
+		unrelated, poison := c.tieUnderTwoCulprits()
 		Expect(c.refusedBy(unrelated[0])).To(Equal(4))
 		for i := range 2 {
 			c.crash(c.server(fmt.Sprint("t", i)), map[*node][]Identity{c.nodes[i]: poison[1:]})
@@ -127,3 +134,72 @@
 		Expect(c.refusedBy(unrelated[0])).To(BeZero())
 	})
 }
+
+// Guards against a poison request that runs again after its provisional quarantine although the
+// requests beside it had been served before the entry was made, each by another node that is no
+// collector.
+func TestRivalsServedBeforeTheEntryConfirmIt(t *testing.T) {
+	runInCluster(t, 8, 3, func(c *cluster) {
+		poison, others := numbered(0, 1), numbered(1, 7)
+		for i := range crashThreshold {
+			c.crash(c.server(fmt.Sprint("s", i)), map[*node][]Identity{c.nodes[i]: append([]Identity{poison[0]}, others[2*i:2*i+2]...)})
+			time.Sleep(time.Second / 2)
+			if i == 0 {
+				c.nodes[4].guard.RequestServed(others[0], time.Now())
+				c.nodes[5].guard.RequestServed(others[1], time.Now())
+			}
+		}
+		time.Sleep(time.Second)
+		Expect(c.refusedBy(poison[0])).To(Equal(8))
+		Expect(c.store.entries()).To(HaveLen(1))
+		time.Sleep(provisionalQuarantine)
+		Expect(c.refusedBy(poison[0])).To(Equal(8))
+	})
+}
+
+// Guards against a poison request that crashes a further server after each provisional quarantine,
+// since the requests beside it are not sent again: once more causes than can be assumed would be
+// needed to explain its crashes, it is quarantined for the full time.
+func TestRequestThatCrashesServersBesideOthersIsQuarantinedAtTheFourthCrash(t *testing.T) {
+	runInCluster(t, 4, 3, func(c *cluster) {
+		poison, others := numbered(0, 1), numbered(1, 9)
+		crash := func(i int) {
+			c.crash(c.server(fmt.Sprint("s", i)), map[*node][]Identity{c.nodes[i]: append([]Identity{poison[0]}, others[2*i:2*i+2]...)})
+			time.Sleep(time.Second)
+		}
+		for i := range crashThreshold {
+			crash(i)
+		}
+		Expect(c.refusedBy(poison[0])).To(Equal(4))
+		time.Sleep(provisionalQuarantine)
+		Expect(c.refusedBy(poison[0])).To(BeZero())
+		crash(crashThreshold)
+		time.Sleep(provisionalQuarantine)
+		Expect(c.refusedBy(poison[0])).To(Equal(4))
+		for _, other := range others {
+			Expect(c.refusedBy(other)).To(BeZero())
+		}
+	})
+}
+
+// Guards against a released false positive that takes the crashes it was suspected of with it: a
+// third request at them was left as their only suspect, and quarantined for the full time.
+func TestReleasedRequestStaysSuspectedOfUnexplainedCrashes(t *testing.T) {
+	RegisterTestingT(t)
+	now := time.Now()
+	log := crashLogOf([][]int{{1, 2}, {1, 2, 3}, {1, 2}, {3}, {3}}, now)
+	released, third := numbered(1, 2)[0], numbered(2, 3)[0]
+	log.RememberEntry(Entry{Identity: released, Rivals: []Identity{third}, Until: now.Add(provisionalQuarantine)})
+	entries, explained := log.Decide(func(identity Identity) bool { return identity == released }, now)
+	Expect(entries).To(HaveLen(1))
+	Expect(explained).To(Equal([]Identity{released}))
+	poison := entries[0].Identity
+	isQuarantined := func(identity Identity) bool { return identity == released || identity == poison }
+	Expect(log.ExplainedCrashes(released, isQuarantined)).To(Equal([]string{"s1"}))
+	log.Release(released, log.ExplainedCrashes(released, isQuarantined), now)
+	log.Add([]Crash{{Server: "s9", Suspects: identities([]int{2, 4})}}, now)
+	entries, _ = log.Decide(func(identity Identity) bool { return identity == poison }, now)
+	Expect(entries).To(HaveLen(1))
+	Expect(entries[0].Identity).To(Equal(third))
+	Expect(entries[0].provisional()).To(BeTrue())
+}
--- a/internal/poison/release.go
+++ b/internal/poison/release.go
@@ -39,12 +39,21 @@
 		}
 	}
 	if grew {
-		delete(l.past, identity)
+		l.forgetPast(identity)
 		released.until = now.Add(releaseRetention)
 	}
 	return grew
 }
 
+// forgetPast forgets how often an identity was quarantined. That the last quarantine was
+// provisional is kept: a decision under way may still count it as quarantined.
+func (l *CrashLog) forgetPast(identity Identity) {
+	if past, known := l.past[identity]; known {
+		past.times = 0
+		l.past[identity] = past
+	}
+}
+
 // IsReleased reports whether an identity was released from so many crashes of its entry that
 // those left are below the threshold.
 func (l *CrashLog) IsReleased(entry Entry) bool {
@@ -73,6 +82,14 @@
 	return l.serversOf(identity)
 }
 
+// ExplainedCrashes returns the servers that crashed under an identity and under another one whose
+// quarantine is not provisional.
+func (l *CrashLog) ExplainedCrashes(identity Identity, isQuarantined func(Identity) bool) []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.newAttribution(isQuarantined).explainedCrashes(identity)
+}
+
 // expireReleases drops releases that are too old, and the oldest beyond the limit.
 func (l *CrashLog) expireReleases(now time.Time) {
 	for identity, released := range l.released {
--- a/internal/poison/traffic_test.go
+++ b/internal/poison/traffic_test.go
@@ -34,6 +34,10 @@
 	crashes   int
 	refusedAt []time.Time
 	stopped   bool
+	// refusedSince are the unrelated requests refused at their last try, with the time of the
+	// first refusal since they were accepted; longestRefusal is the longest time between two.
+	refusedSince   map[Identity]time.Time
+	longestRefusal time.Duration
 }
 
 const (
@@ -60,7 +64,7 @@
 }
 
 func newTraffic(c *cluster, seed uint64, crashDelay, jitter time.Duration) *traffic {
-	t := &traffic{cluster: c, random: rand.New(rand.NewPCG(seed, 1)), unrelatedRandom: rand.New(rand.NewPCG(seed, 2)), crashDelay: crashDelay, jitter: jitter}
+	t := &traffic{cluster: c, random: rand.New(rand.NewPCG(seed, 1)), unrelatedRandom: rand.New(rand.NewPCG(seed, 2)), crashDelay: crashDelay, jitter: jitter, refusedSince: map[Identity]time.Time{}}
 	for range trafficServers {
 		t.servers = append(t.servers, t.newServer())
 	}
@@ -126,10 +130,11 @@
 	}
 	run := t.begin(server, unrelated, t.unrelatedRandom)
 	if _, refused := run.node.guard.Refused(unrelated); refused {
-		t.refusedAt = append(t.refusedAt, time.Now())
+		t.noteRefusal(unrelated)
 		server.runs = server.runs[:len(server.runs)-1]
 		return
 	}
+	delete(t.refusedSince, unrelated)
 	time.AfterFunc(unrelatedRun, func() {
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
@@ -140,17 +145,34 @@
 	})
 }
 
+func (t *traffic) noteRefusal(unrelated Identity) {
+	now := time.Now()
+	t.refusedAt = append(t.refusedAt, now)
+	if _, refusedBefore := t.refusedSince[unrelated]; !refusedBefore {
+		t.refusedSince[unrelated] = now
+	}
+	t.longestRefusal = max(t.longestRefusal, now.Sub(t.refusedSince[unrelated]))
+}
+
 // collide crashes three servers under the poison request while the unrelated one runs there,
 // each time for a random time already.
 func (t *traffic) collide(poison, unrelated Identity) {
+	t.collideAll([]Identity{poison}, []Identity{unrelated})
+}
+
+// collideAll is the same with several poison requests, which crash servers in turn, and several
+// unrelated ones.
+func (t *traffic) collideAll(poison, unrelated []Identity) {
 	for place := range crashThreshold {
 		t.mutex.Lock()
-		t.begin(t.servers[place], unrelated, t.unrelatedRandom)
+		for _, identity := range unrelated {
+			t.begin(t.servers[place], identity, t.unrelatedRandom)
+		}
 		before := time.Duration(t.random.Int64N(int64(time.Second)))
 		t.mutex.Unlock()
 		time.Sleep(before)
 		t.mutex.Lock()
-		left := t.sendPoison(place, poison)
+		left := t.sendPoison(place, poison[place%len(poison)])
 		t.mutex.Unlock()
 		time.Sleep(left + poisonPause)
 	}
@@ -158,16 +180,25 @@
 
 // run lets both callers continue.
 func (t *traffic) run(poison, unrelated Identity) {
-	t.every(poisonPause, poisonTries, func() (answered time.Duration) {
-		for range 1 + t.random.IntN(2) {
-			answered = max(answered, t.sendPoison(t.random.IntN(trafficServers), poison))
-		}
-		return answered
-	})
-	t.every(unrelatedPause, int(trafficTime/unrelatedPause), func() time.Duration {
-		t.sendUnrelated(t.unrelatedRandom.IntN(trafficServers), unrelated)
-		return 0
-	})
+	t.runAll([]Identity{poison}, []Identity{unrelated})
+}
+
+// runAll lets all callers continue.
+func (t *traffic) runAll(poison, unrelated []Identity) {
+	for _, identity := range poison {
+		t.every(poisonPause, poisonTries, func() (answered time.Duration) {
+			for range 1 + t.random.IntN(2) {
+				answered = max(answered, t.sendPoison(t.random.IntN(trafficServers), identity))
+			}
+			return answered
+		})
+	}
+	for _, identity := range unrelated {
+		t.every(unrelatedPause, int(trafficTime/unrelatedPause), func() time.Duration {
+			t.sendUnrelated(t.unrelatedRandom.IntN(trafficServers), identity)
+			return 0
+		})
+	}
 	time.Sleep(trafficTime + restartTime)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -205,6 +236,9 @@
 	// maxFurtherCrashes bounds the crashes after the third.
 	maxFurtherCrashes = 3
 	collisions        = 25
+	// maxTrafficMessages bounds what nodes send in a case: all messages that forward an entry or a
+	// release are far fewer.
+	maxTrafficMessages = 20_000
 )
 
 // serveAndForget has all nodes serve a request, and then as many others as they remember.
@@ -259,3 +293,68 @@
 		})
 	}
 }
+
+// meeting is a kind of traffic in which unrelated requests run at the crashes of poison requests.
+type meeting struct {
+	causes, unrelated int
+	// callersReturn: the poison requests' callers send them again.
+	callersReturn      bool
+	crashDelay, jitter time.Duration
+}
+
+func (m meeting) String() string {
+	return fmt.Sprintf("%d poison requests, %d unrelated, callers return: %v, crash after %v + %v", m.causes, m.unrelated, m.callersReturn, m.crashDelay, m.jitter)
+}
+
+// play plays the traffic once, and checks what unrelated callers and servers see.
+func (m meeting) play(c *cluster, seed uint64) *traffic {
+	c.messages.limit = maxTrafficMessages
+	all := numbered(int(5*seed), int(5*seed+5))
+	poison, unrelated := all[:m.causes], all[5-m.unrelated:]
+	simulated := newTraffic(c, seed, m.crashDelay, m.jitter)
+	simulated.collideAll(poison, unrelated)
+	if m.callersReturn {
+		simulated.runAll(poison, unrelated)
+	} else {
+		simulated.runAll(nil, unrelated)
+	}
+	Expect(simulated.longestRefusal).To(BeNumerically("<=", maxRefusal), "seed %d", seed)
+	Expect(simulated.crashes).To(BeNumerically("<=", m.causes*crashThreshold+maxFurtherCrashes), "seed %d", seed)
+	Expect(c.messages.count()).To(BeNumerically("<", maxTrafficMessages), "seed %d", seed)
+	for _, identity := range unrelated {
+		Expect(c.refusedBy(identity)).To(BeZero(), "seed %d", seed)
+	}
+	return simulated
+}
+
+// Guards against unrelated requests that are refused for minutes beside several poison requests,
+// each at some of the crashes only: an unrelated request at all of them looked like their cause.
+func TestUnrelatedRequestsBesideSeveralPoisonRequestsAreServedSoon(t *testing.T) {
+	var meetings []meeting
+	for _, causes := range []int{1, 2, 3} {
+		for _, callersReturn := range []bool{false, true} {
+			for _, unrelated := range []int{1, 2} {
+				meetings = append(
+					meetings,
+					meeting{causes, unrelated, callersReturn, time.Millisecond, 4 * time.Millisecond},
+					meeting{causes, unrelated, callersReturn, 300 * time.Millisecond, 50 * time.Millisecond},
+					meeting{causes, unrelated, callersReturn, 0, time.Second},
+				)
+			}
+		}
+	}
+	for _, meeting := range meetings {
+		t.Run(meeting.String(), func(t *testing.T) {
+			refusals, crashes, longest := 0, 0, time.Duration(0)
+			for seed := range uint64(collisions) {
+				runInCluster(t, 4, 4, func(c *cluster) {
+					simulated := meeting.play(c, seed)
+					refusals += len(simulated.refusedAt)
+					crashes += simulated.crashes - crashThreshold
+					longest = max(longest, simulated.longestRefusal)
+				})
+			}
+			t.Logf("%d collisions: %d refusals, the longest for %v, %d further servers crashed", collisions, refusals, longest, crashes)
+		})
+	}
+}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -96,7 +96,7 @@
 switch_off counters-of-most internal/orders/counters.go 'if majorityReports(earlier.Addresses, live) {' 'if true {' ./platform
 switch_off counters-lost internal/orders/counters.go '|| now.Sub(h.countersMajorityAt) >= countersTimeout' '' ./platform
 switch_off poison-vouched internal/poison/propagation.go 'if served := g.crashesWithServed(crashes); len(served) > 0 {' 'if served := g.crashesWithServed(crashes); len(served) < 0 {' ./internal/poison
-switch_off poison-never-served internal/poison/crash_log.go 'len(unseen) > 0 {' 'false && len(unseen) > 0 {' ./internal/poison
+switch_off poison-never-served internal/poison/attribution.go '(a.served[identity] || !a.served[other])' 'true' ./internal/poison
 switch_off limit-quorum-wakes internal/ratelimit/take.go 'if !l.probeForQuorum(now) {' 'if true {' ./platform ./internal/ratelimit
 switch_off first-loads-at-once internal/orders/load_limiter.go 'if !l.measured && loadTime > 0 {' 'if false && !l.measured && loadTime > 0 {' ./internal/orders
 # Deadlines and callers that leave.
@@ -217,9 +217,14 @@
 switch_off planned-ends internal/poison/guard.go 'return listed == nil || listed.Draining' 'return listed == nil && false' $poison
 switch_off servers-that-live internal/poison/suspects.go 'if !attempt.at.After(before) {' 'if false && attempt.at.After(before) {' $poison
 switch_off ends-by-records internal/poison/guard.go 'g.ServerCrashed(id, "its record is gone")' '' $poison
-switch_off explained-ends internal/poison/crash.go 'if isQuarantined(identity) {
-			return true' 'if isQuarantined(identity) {
-			return false' $poison
+switch_off explained-ends internal/poison/crash.go 'if isProved(identity) {' 'if false && isProved(identity) {' $poison
+switch_off poison-alone-proves internal/poison/attribution.go 'if len(others) == 0 {' 'if false {' $poison
+switch_off poison-causes-needed internal/poison/attribution.go '|| causesNeeded(crashes) > maxCoincidingCauses' '' $poison
+switch_off poison-subsumed internal/poison/attribution.go '&& !a.isSubsumed(identity)' '' $poison
+switch_off poison-spent internal/poison/crash_log.go 'l.spendCrashes(identity)' '' $poison
+switch_off poison-served-earlier internal/poison/propagation.go 'g.reportServedRivals(entry)' '' $poison
+switch_off released-of-explained internal/poison/propagation.go 'Ends: g.crashes.ExplainedCrashes(identity, g.quarantine.quarantinedAt(now))' 'Ends: g.knownCrashes(identity)' $poison
+switch_off later-entries-stay internal/poison/entry_store_watch.go 'if len(key.servers) > 0 &&' 'if false &&' $poison
 switch_off served-since internal/poison/propagation.go 'return known && began.After(since)' 'return false && known && began.After(since)' $poison
 switch_off poison-likeliest internal/poison/attribution.go 'cmp.Compare(l.elapsedRange(a), l.elapsedRange(b))' 'cmp.Compare(l.elapsedRange(b), l.elapsedRange(a))' $poison
 switch_off poison-provisional internal/poison/crash_log.go 'if !entry.provisional() {' 'if true {' $poison
@@ -234,7 +239,7 @@
 switch_off entries-saved internal/poison/propagation.go 'g.entryStore.save(entry, time.Now())' '_ = entry' $poison
 switch_off entries-to-followers internal/poison/propagation.go 'addresses := g.config.Followers()' 'var addresses []string' $poison
 switch_off objections internal/poison/quarantine.go '&& !now.Before(entry.refusesFrom)' '' $poison
-switch_off past-holds internal/poison/crash_log.go '(quarantinedBefore || c.all > crashThreshold)' '(c.all > crashThreshold)' $poison
+switch_off past-holds internal/poison/attribution.go '(quarantinedBefore || c.all > crashThreshold)' '(c.all > crashThreshold)' $poison
 # What servers tell in their answers.
 switch_off word-of-leaving platform/notices.go 'Leaving: response.Header.Get(headerLeaving) == leavingTrue' 'Leaving: false' ./platform
 switch_off leaving-beside-records internal/fleet/view.go 'if len(v.leaving) == 0 || !v.leaving.has(server.Incarnation()) {' 'if true {' ./internal/fleet
