Wait for a holder that a restore of the store has lost

Cause: no record was taken for the proof that there was no holder. A first holder now looks at the first reports of the servers; if one has accepted orders, it sends none until lease and handover period are over.

--- a/internal/orders/campaign.go
+++ b/internal/orders/campaign.go
@@ -20,6 +20,8 @@
 	activates bool
 	// lastOrders is when each server may have been sent the last order of another node.
 	lastOrders map[string]time.Time
+	// first is set if the store names no earlier holder and is not known to have been restored.
+	first bool
 	// restarted is set if an earlier process of this node may have sent orders until now,
 	// of which this process has no list.
 	restarted bool
@@ -55,6 +57,7 @@
 	case e.lastHolderUncertain(last):
 		found.notBefore, found.activates = e.earliestOrderAfterRestore(vacantAt), false
 	case last == nil:
+		found.first = true
 	case last.Name != e.config.Self.Name && !last.Resigned:
 		found.notBefore, found.activates = vacantAt.Add(e.config.HandoverPeriod+leaseMargin), false
 	default:
@@ -102,6 +105,9 @@
 	}
 	term := newTerm(reply.Revision, at.notBefore, sent.Add(e.config.Lease-leaseMargin), at.activates)
 	term.history = history
+	if at.first && e.config.HandoverPeriod > 0 {
+		term.firstUntil = sent.Add(e.config.Lease + e.config.HandoverPeriod + leaseMargin)
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.resigned {
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -171,6 +171,9 @@
 	now := time.Now()
 	h.mutex.Lock()
 	h.requestReports(ctx, h.servers.sync(snapshot, now), now)
+	if h.servers.orderedBefore && term.notePredecessor() {
+		h.config.Logger.Warn().Int64("token", term.Token).Dur("first_order_in_ms", term.ordersIn(now)).Msg("servers were ordered by a holder that the store does not name")
+	}
 	if term.MayOrder(now) {
 		for name, pool := range snapshot.Configuration.Pools {
 			if pool.Engine != nil {
--- a/internal/orders/server_table.go
+++ b/internal/orders/server_table.go
@@ -76,6 +76,9 @@
 	byPool map[string][]string
 	// sampleStart is where the next sample of a large pool begins.
 	sampleStart int
+	// orderedBefore is set once a server's first report in this term shows that it has accepted
+	// orders, which were an earlier holder's.
+	orderedBefore bool
 }
 
 // changedEntry records that an entry changed at a version.
@@ -187,6 +190,9 @@
 		}
 		models[name] = kept
 	}
+	if to.reportedAt.IsZero() && report.Sequence > 0 {
+		t.orderedBefore = true
+	}
 	to.models, to.sequence, to.reported = models, report.Sequence, true
 	to.reportedAt = now
 	to.inMemory, to.onDisk = report.InMemory, report.OnDisk
--- a/internal/orders/term.go
+++ b/internal/orders/term.go
@@ -23,9 +23,14 @@
 
 	// history holds the orders after which a successor has to wait.
 	history *orderHistory
-
-	mutex      sync.Mutex
-	validUntil time.Time
+	// firstUntil is set if the store named no earlier holder when the term began: the time until
+	// which no orders are sent if there was one all the same.
+	firstUntil time.Time
+
+	mutex sync.Mutex
+	// predecessor is set once it is known that there was an earlier holder.
+	predecessor bool
+	validUntil  time.Time
 	// active is set while the store names this node as the last active holder.
 	active bool
 	ended  bool
@@ -47,7 +52,7 @@
 
 // mayOrder is MayOrder for callers that hold the lock.
 func (t *Term) mayOrder(now time.Time) bool {
-	return !t.ended && t.active && !now.Before(t.NotBefore) && now.Before(t.validUntil)
+	return !t.ended && t.active && !now.Before(t.ordersFrom()) && now.Before(t.validUntil)
 }
 
 // leaseValid reports whether the term has not ended and its lease is still valid.
@@ -57,8 +62,20 @@
 	return !t.ended && now.Before(t.validUntil)
 }
 
+// ordersFrom returns the time from which orders may be sent. The lock must be held.
+func (t *Term) ordersFrom() time.Time {
+	if t.predecessor && t.firstUntil.After(t.NotBefore) {
+		return t.firstUntil
+	}
+	return t.NotBefore
+}
+
 // ordersIn returns the time until orders may be sent, as far as known.
-func (t *Term) ordersIn(now time.Time) time.Duration { return max(t.NotBefore.Sub(now), 0) }
+func (t *Term) ordersIn(now time.Time) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return max(t.ordersFrom().Sub(now), 0)
+}
 
 // beginOrder records that an order is being sent to the server, and returns false if none may
 // be sent now. endOrder must be called once the order was answered or is not waited for any
@@ -73,6 +90,19 @@
 	return true
 }
 
+// notePredecessor records that an earlier holder has sent orders. If the store named none when the
+// term began, a restore has lost its record: it may send more until its lease ends, and the handover
+// period follows. It reports whether this was not known before.
+func (t *Term) notePredecessor() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.firstUntil.IsZero() || t.predecessor {
+		return false
+	}
+	t.predecessor = true
+	return true
+}
+
 // endOrder records the end of an order that beginOrder allowed.
 func (t *Term) endOrder(server string) { t.history.end(server, time.Now()) }
 
