Probe a server again after a probe without an answer

A server's crash could go unseen: once a probe had neither been answered nor refused, no further one was started for the server while attempts kept breaking.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -202,7 +202,8 @@
 			}
 		}
 		if err != nil {
-			// No answer and no refusal: its record in the store decides.
+			// No answer and no refusal: its record in the store decides, or a later probe.
+			g.suspects.endProbe(server.ID)
 			return
 		}
 		again = g.suspects.confirmAlive(server.ID, began)
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -199,6 +199,24 @@
 	}
 }
 
+// Guards against a crash that goes unseen because an earlier probe of the server got no answer: no
+// further probe was started for it.
+func TestServerIsProbedAgainAfterAProbeWithoutAnswer(t *testing.T) {
+	runInCluster(t, 1, 1, func(c *cluster) {
+		poison := numbered(0, 1)
+		for i := range crashThreshold {
+			server := c.server(fmt.Sprint("s", i))
+			c.makeUnresponsive(server)
+			c.nodes[0].guard.AttemptBroken(context.Background(), poison[0], server, time.Now())
+			time.Sleep(time.Second)
+			c.refuse(server)
+			c.nodes[0].guard.AttemptBroken(context.Background(), poison[0], server, time.Now())
+			time.Sleep(time.Second)
+		}
+		Expect(c.refusedBy(poison[0])).To(Equal(1))
+	})
+}
+
 // makeUnresponsive makes a server's address neither accept nor refuse connections.
 func (c *cluster) makeUnresponsive(server *fleet.Server) {
 	c.mutex.Lock()
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -88,6 +88,15 @@
 	return true
 }
 
+// endProbe records that a probe found out nothing, so that the next broken attempt starts another.
+func (s *suspects) endProbe(server string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if broken := s.servers[server]; broken != nil {
+		broken.probing = false
+	}
+}
+
 // confirmCrash records that a server crashed. It returns the identities that were running
 // there, in order, and the time at which the first attempt broke; a second call returns none.
 func (s *suspects) confirmCrash(server string) (found []suspect, brokeAt time.Time) {
