List freshness that grows between nodes subscribed to each other

Found by looking for the class of entries and releases that cross: in virtual time, with links of 30 ms and more and a silent store, two nodes that are subscribed to each other take their state for 0 to 40 ms old until a subscription ends after 5 s.

--- a/internal/mirror/fakes_test.go
+++ b/internal/mirror/fakes_test.go
@@ -378,6 +378,8 @@
 	// sent counts the messages by type.
 	sent    map[string]int
 	updates []Update
+	// latency of each message.
+	latency time.Duration
 }
 
 type fakeTransport struct {
@@ -402,7 +404,7 @@
 			done(nil, peer.ErrUnreachable)
 			return
 		}
-		time.Sleep(time.Millisecond)
+		time.Sleep(t.network.latency)
 		target.handlers[reflect.TypeOf(message)](t.address, message, done)
 	}()
 }
@@ -497,7 +499,7 @@
 func newDeployment(nodes int) *deployment {
 	d := &deployment{
 		store: newFakeStore(), relay: addressOf(0),
-		network: &fakeNetwork{nodes: map[string]*fakeTransport{}, partitioned: map[string]bool{}, sent: map[string]int{}},
+		network: &fakeNetwork{nodes: map[string]*fakeTransport{}, partitioned: map[string]bool{}, sent: map[string]int{}, latency: time.Millisecond},
 	}
 	d.store.configure(true)
 	d.store.put("s", false, "m")
