--- a/internal/poison/entry_store.go
+++ b/internal/poison/entry_store.go
@@ -219,9 +219,9 @@
 	}
 }
 
-// noteDeleted records that this node has deleted a revision of a key. What the key held is kept until the
-// deletion is observed, which tells whether a later entry is in force. The caller must hold the
-// lock.
+// noteDeleted records that this node has deleted a revision of a key. What the key held is kept
+// until the deletion is observed, to tell whether a later entry is in force by then. The caller
+// must hold the lock.
 func (s *entryStore) noteDeleted(identity Identity, revision int64) {
 	if key, known := s.keys[identity]; known && key.revision == revision {
 		s.keys[identity] = storedKey{servers: key.servers}
