Refuse a poison request for the full time if two causes can't explain its crashes

Cause: since an entry needs a proof, this one was provisional, as other requests that were never sent again had run at each crash; after 5 s all nodes sent copies at once.

A request counts as proved where more than two other causes would be needed, three before. An entry that is provisional already is proved by a crash alone only. The test of the third crash failed before.

--- a/internal/poison/attribution.go
+++ b/internal/poison/attribution.go
@@ -10,8 +10,9 @@
 
 // maxCoincidingCauses is the number of poison requests that may by coincidence run beside one
 // unrelated request, so that it is at all of their crashes. A request whose crashes need more
-// causes to be explained without it is their cause.
-const maxCoincidingCauses = 3
+// causes to be explained without it is their cause. With 3, a poison request beside requests that
+// are never sent again would run again after each provisional quarantine.
+const maxCoincidingCauses = 2
 
 // maxExaminedCrashes bounds the crashes of one identity for which causes are counted.
 const maxExaminedCrashes = 16
@@ -142,10 +143,11 @@
 }
 
 // exceeds reports whether an identity is to be quarantined, or is quarantined provisionally and
-// proved by now.
+// proved by now: that more causes would be needed proves nothing then, since rivals may have been
+// cleared that were running at all of its crashes.
 func (a *attribution) exceeds(identity Identity, count crashCount) bool {
 	if a.isProvisional(identity) {
-		return count.unexplained > 0 && len(a.rivals(identity)) == 0
+		return a.wasAlone(identity)
 	}
 	return !a.isProved(identity) && count.exceedsThreshold(a.log.past[identity].times > 0) && !a.isSubsumed(identity)
 }
