--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -236,7 +236,7 @@
 switch_off poison-settled internal/poison/crash_log.go 'crash.settled = true' '' $poison
 switch_off ends-keep-their-time internal/poison/crash_log.go 'at := now.Add(-reported.Age)' 'at := now' $poison
 switch_off released-ends-unshared internal/poison/propagation.go 'g.shared.clear(identity, servers)' '' $poison
-switch_off releases-remembered internal/poison/propagation.go 'if g.crashes.IsReleased(entry) || !g.quarantine' 'if !g.quarantine' $poison
+switch_off releases-remembered internal/poison/release.go 'return left < len(entry.Servers) && left < crashThreshold' 'return false' $poison
 switch_off ends-by-the-store internal/poison/propagation.go 'g.shared.add(report.crashes, now)' '' $poison
 switch_off entries-saved internal/poison/propagation.go 'g.entryStore.save(entry, time.Now())' '_ = entry' $poison
 switch_off entries-to-followers internal/poison/propagation.go 'addresses := g.config.Followers()' 'var addresses []string' $poison
