Count the age of a confirmation from the store's answer

Two nodes that are subscribed to each other took their state to be 0 to 140 ms old for up to 5 s while the store answered nobody. An update's age left out the time that the update was under way, so each copy seemed newer than the one before by the latency of a round, and nothing told a copy of a known confirmation from a new one.

An update now names the confirmation that its age counts from: the process that got the store's answer, and when by its steady clock. Copies of known confirmations, and of a node's own, confirm nothing. The reply to a subscription shows that the origin's clock was not behind a moment of this node's clock, so the latency of all hops is counted, and an update that is received late is as old as it is. Updates of builds before, which name no confirmation, count as one round trip older, and confirm nothing if their sender is subscribed to this node.

The previous encoding of mirror.Update moves to earlier.json, which checks that it is understood.

--- a/internal/mirror/fakes_test.go
+++ b/internal/mirror/fakes_test.go
@@ -378,8 +378,9 @@
 	// sent counts the messages by type.
 	sent    map[string]int
 	updates []Update
-	// latency of each message.
-	latency time.Duration
+	// latency of each message; linkLatency, if it is set, that of each message and reply on a link.
+	latency     time.Duration
+	linkLatency func(from, to string) time.Duration
 }
 
 type fakeTransport struct {
@@ -404,8 +405,16 @@
 			done(nil, peer.ErrUnreachable)
 			return
 		}
-		time.Sleep(t.network.latency)
-		target.handlers[reflect.TypeOf(message)](t.address, message, done)
+		if t.network.linkLatency == nil {
+			time.Sleep(t.network.latency)
+			target.handlers[reflect.TypeOf(message)](t.address, message, done)
+			return
+		}
+		time.Sleep(t.network.linkLatency(t.address, address))
+		target.handlers[reflect.TypeOf(message)](t.address, message, func(reply peer.Message, err error) {
+			time.Sleep(t.network.linkLatency(address, t.address))
+			done(reply, err)
+		})
 	}()
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -160,8 +160,11 @@
 	// revision up to which the state is complete; zero: the whole state has to be read.
 	revision int64
 	// confirmedAt is when the store itself last confirmed the state, relayConfirmedAt the time as
-	// of which the relay last did.
+	// of which the relay last did, and relayConfirmation the confirmation that the relay passed on.
 	confirmedAt, relayConfirmedAt time.Time
+	relayConfirmation             Confirmation
+	// confirmations that other nodes received.
+	confirmations confirmations
 	// configurationRevision is the revision of the newest configuration that was read; state has
 	// that of the newest one that exists.
 	configurationRevision int64
@@ -240,6 +243,7 @@
 	m := &Mirror{
 		config: config, wakeup: make(chan struct{}, 1), resubscribe: make(chan struct{}, 1),
 		state: newState(0), subscribers: map[string]subscriber{}, inGrace: map[string]time.Time{},
+		confirmations: newConfirmations(),
 	}
 	if config.Relay == nil {
 		m.config.Relay = func() string { return "" }
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -63,6 +63,8 @@
 	Servers []ServerRecord
 	Ended   []string
 	Own     []outside.WatchEvent
+	// Confirmation of the sender's state by the store that Age counts from.
+	Confirmation Confirmation
 }
 
 // subscriber is a node that subscribed to updates.
@@ -139,7 +141,8 @@
 func (m *Mirror) subscribePeriod() time.Duration {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.relayConfirmedAt.IsZero() {
+	if m.relayConfirmedAt.IsZero() ||
+		m.confirmations.looselyBound(m.relayConfirmation.Origin, share(looseRoundTripShare, m.config.Times.Changes)) {
 		return initialSubscribePeriod
 	}
 	return subscribePeriod
@@ -154,9 +157,14 @@
 		return
 	}
 	message := Subscribe{Address: m.config.Address, Zone: m.config.Zone, Revision: revision, Digest: digest, Avoid: avoid}
+	asked := time.Now()
 	m.config.Transport.Call(relay, message, subscribeTimeout, func(reply peer.Message, err error) {
+		now := time.Now()
+		if err == nil {
+			m.noteRoundTrip(relay, asked, now)
+		}
 		if update, isUpdate := reply.(Update); isUpdate && err == nil {
-			m.handleUpdate(update, relay)
+			m.receive(update, receipt{from: relay, asked: asked, received: now})
 			return
 		}
 		m.handleRefusal(reply, relay)
@@ -181,7 +189,7 @@
 	age := now.Sub(m.confirmedAsOf())
 	update, ok := m.state.updateSince(request.Revision, max(m.revision, request.Revision), age)
 	ok = m.limitUpdate(&update, ok && !m.partial, len(m.subscribers)) && m.revision > 0 && !behind && age < m.maxRelayAge()
-	update.Era = m.era
+	update.Era, update.Confirmation = m.era, m.confirmation()
 	if update.At == m.revision {
 		update.Digest = m.currentDigest()
 	}
@@ -205,21 +213,25 @@
 	reply(nil, nil)
 }
 
-// handleUpdate applies an update from the relay and passes it on.
+// handleUpdate handles an update that a node pushed.
 func (m *Mirror) handleUpdate(update Update, from string) {
-	now := time.Now()
-	if m.applyUpdate(update, from, now) {
-		m.push(now)
+	m.receive(update, receipt{from: from, received: time.Now()})
+}
+
+// receive applies an update from the relay and passes it on.
+func (m *Mirror) receive(update Update, by receipt) {
+	if m.applyUpdate(update, by) {
+		m.push(by.received)
 	}
 }
 
 // minFresherShare of Times.Changes is by how much an update without changes must be fresher than
-// the last one to be passed on. Otherwise two nodes that are subscribed to each other would never
-// stop.
+// the last one to be passed on, so that the same confirmation from several nodes is passed on once.
 const minFresherShare = 0.02
 
 // applyUpdate reports whether the update has to be passed on to subscribers.
-func (m *Mirror) applyUpdate(update Update, from string, now time.Time) bool {
+func (m *Mirror) applyUpdate(update Update, by receipt) bool {
+	from, now := by.from, by.received
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.revision == 0 {
@@ -242,9 +254,7 @@
 		m.apply(update.changes(now))
 	}
 	m.applyConfigurationUpdate(update, now)
-	if confirmed := now.Add(-update.Age); confirmed.After(m.relayConfirmedAt) {
-		m.relayConfirmedAt = confirmed
-	}
+	m.adoptConfirmation(update, by)
 	m.compareDigest(update.Digest, update.At, from, now)
 	signal(m.wakeup)
 	changed := m.revision > revision || m.configurationRevision > configuration ||
@@ -280,7 +290,7 @@
 	age := now.Sub(m.confirmedAsOf())
 	update, ok := m.state.updateSince(after, m.revision, age)
 	ok = m.limitUpdate(&update, ok && !m.partial, len(subscribers))
-	update.Era = m.era
+	update.Era, update.Confirmation = m.era, m.confirmation()
 	if ok {
 		update.Content = m.contentToPush(len(subscribers), now)
 	}
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -125,7 +125,9 @@
 	g := NewWithT(t)
 	released := filled(poison.Released{}).(poison.Released)
 	released.Ends = nil
-	expected := map[string]peer.Message{"poison.Released": released}
+	update := filled(mirror.Update{}).(mirror.Update)
+	update.Confirmation = mirror.Confirmation{}
+	expected := map[string]peer.Message{"mirror.Update": update, "poison.Released": released}
 	earlier := map[string][]byte{}
 	content, err := os.ReadFile(earlierFile)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -131,7 +131,16 @@
 switch_off instance-at-server platform/backend.go 'writeHeader(&head, headerExpectInstance, attempt.Server.ID)' '' ./platform
 # Reading through the relay.
 switch_off relay-is-trusted-briefly internal/mirror/mirror.go 'now.Sub(m.relayConfirmedAt) < m.maxRelayAge()' 'now.Sub(m.relayConfirmedAt) < time.Hour' ./internal/mirror
-switch_off relay-tells-its-age internal/mirror/relay.go 'now.Add(-update.Age)' 'now' ./internal/mirror
+switch_off relay-tells-its-age internal/mirror/confirmation.go 'duration).Add(-update.Age)' 'duration)' ./internal/mirror
+switch_off copies-confirm-nothing internal/mirror/confirmation.go 'isNew := !exists || confirmation.At > known.newest' 'isNew := !exists || true' ./internal/mirror
+switch_off own-confirmation internal/mirror/confirmation.go 'case c.self:' 'case c.self + 1<<31:' ./internal/mirror
+switch_off clock-of-origin internal/mirror/confirmation.go 'at = earlier(at, known.zero.Add(confirmation.At))' '_ = at' ./internal/mirror
+switch_off closer-bound-of-clock internal/mirror/confirmation.go 'zero.After(o.zero) || ' '' ./internal/mirror
+switch_off clock-bounds-age internal/mirror/confirmation.go ' || by.received.Sub(o.zeroAt) > subscriptionTTL' '' ./internal/mirror
+switch_off clock-bounded-early internal/mirror/confirmation.go '&& known.roundTrip > maxRoundTrip' '&& false' ./internal/mirror
+switch_off round-trip-of-build-before internal/mirror/confirmation.go 'by.sentAfter(c.roundTrips[by.from].duration)' 'by.sentAfter(0)' ./internal/mirror
+switch_off subscriber-of-build-before internal/mirror/confirmation.go '!by.fromSubscriber' 'true' ./internal/mirror
+switch_off origins-forgotten internal/mirror/confirmation.go 'if now.Sub(c.prunedAt) < originMemory {' 'if true {' ./internal/mirror
 switch_off missed-updates internal/mirror/relay.go 'signal(m.resubscribe)' '' ./internal/mirror
 switch_off late-answer internal/mirror/apply.go 'if changes.At <= m.revision || ' 'if ' ./internal/mirror
 switch_off told-configuration internal/mirror/relay.go 'm.known.configuration = max(m.known.configuration, update.Configuration)' '' ./internal/mirror
