Confirm the state as of the beginning of a read

Found while asking where else a state counts as fresher than the store's answer.

TestReadConfirmsTheStateAsOfItsBeginning fails without either.

--- a/internal/mirror/confirmation_test.go
+++ b/internal/mirror/confirmation_test.go
@@ -311,3 +311,26 @@
 		Expect(m.confirmations.roundTrips).To(BeEmpty())
 	})
 }
+
+// Guards against a read of the whole state that takes seconds and counts as fresh when it ends, and
+// against an answer to a watch that confirms a state which was reset meanwhile.
+func TestReadConfirmsTheStateAsOfItsBeginning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		d := newDeployment(0)
+		defer d.close()
+		d.nodes = append(d.nodes, d.addNodeWith(addressOf(0), func(n *testNode) { n.source.readTime = testTimes.Changes }))
+		for d.nodes[0].revision() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		synctest.Wait()
+		Expect(d.nodes[0].confirmedAge()).To(BeNumerically(">=", testTimes.Changes))
+	})
+	RegisterTestingT(t)
+	m := New(Config{View: fleet.NewView(), Own: &fakeOwn{values: map[string]string{}}, Times: testTimes})
+	m.replace(Changes{At: 10})
+	m.confirmRead(12, time.Now())
+	Expect(m.Behind()).To(BeTrue(), "the state is not that of the answer")
+	m.confirmRead(10, time.Now())
+	Expect(m.Behind()).To(BeFalse())
+}
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -44,6 +44,7 @@
 // readAll reads the whole state. In a large fleet that takes two steps: the configuration and the
 // own keys first, then the servers' records.
 func (m *Mirror) readAll(ctx context.Context) {
+	asked := time.Now()
 	own, err := m.config.Source.Own(ctx)
 	if m.callFailed(ctx, err) {
 		return
@@ -56,19 +57,34 @@
 		own.Configuration, own.ConfigurationRevision = configured.Configuration, configured.ConfigurationRevision
 		own.ConfigurationValue = configured.ConfigurationValue
 		m.beginPartial(own)
+		m.confirmRead(own.At, asked)
 		m.push(time.Now())
 		return
 	}
+	asked = time.Now()
 	changes, err := m.config.Source.Read(ctx, false)
 	if m.callFailed(ctx, err) {
 		return
 	}
 	if changes.More {
 		m.beginPartial(changes)
+		m.confirmRead(changes.At, asked)
 		m.push(time.Now())
 		return
 	}
 	m.applyRead(changes)
+	m.confirmRead(changes.At, asked)
+}
+
+// confirmRead records an answer of the store that shows the state up to the revision, as of a time.
+// A read confirms the state as of when it began, since it may take seconds. An answer confirms
+// nothing if the state was reset to before the revision in the meantime.
+func (m *Mirror) confirmRead(revision int64, asOf time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.revision >= revision && asOf.After(m.confirmedAt) {
+		m.confirmedAt = asOf
+	}
 }
 
 // callFailed records the result of a call that reads, and pauses if it failed.
@@ -99,9 +115,8 @@
 
 // noteFullRead records that all servers are known. It must be called with the lock held.
 func (m *Mirror) noteFullRead(servers int, revision int64) {
-	m.confirmedAt = time.Now()
 	if m.drifted {
-		m.drifted, m.driftReadAt = false, m.confirmedAt
+		m.drifted, m.driftReadAt = false, time.Now()
 	}
 	m.config.Logger.Info().Int("servers", servers).Int64("revision", revision).Msg("servers read")
 }
@@ -159,8 +174,9 @@
 	m.apply(changes)
 	// An answer that was read late because the process was paused says nothing about the time in
 	// between.
-	m.confirmedAt = earlier(time.Now(), sent.Add(wait+minFailurePause))
+	answered := earlier(time.Now(), sent.Add(wait+minFailurePause))
 	m.mutex.Unlock()
+	m.confirmRead(changes.At, answered)
 	m.push(time.Now())
 	m.writeSnapshotIfDue(ctx, time.Now())
 	if changes.At > after {
--- a/internal/mirror/snapshot.go
+++ b/internal/mirror/snapshot.go
@@ -66,7 +66,7 @@
 		// Earlier snapshots lack the changes between the state before and this read.
 		m.snapshotFloor = max(m.snapshotFloor, read.At-1)
 	}
-	m.revision, m.confirmedAt = read.At, now
+	m.revision = read.At
 	m.state = newState(max(read.At, read.Newest))
 	m.state.apply(Changes{At: read.At, ConfigurationRevision: read.ConfigurationRevision, Own: read.Own})
 	if m.drifted {
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -131,6 +131,10 @@
 switch_off instance-at-server platform/backend.go 'writeHeader(&head, headerExpectInstance, attempt.Server.ID)' '' ./platform
 # Reading through the relay.
 switch_off relay-is-trusted-briefly internal/mirror/mirror.go 'now.Sub(m.relayConfirmedAt) < m.maxRelayAge()' 'now.Sub(m.relayConfirmedAt) < time.Hour' ./internal/mirror
+switch_off read-is-as-old-as-its-call internal/mirror/reading.go 'm.confirmRead(changes.At, asked)
+}' 'm.confirmRead(changes.At, time.Now())
+}' ./internal/mirror
+switch_off reset-state-is-unconfirmed internal/mirror/reading.go 'if m.revision >= revision && asOf' 'if asOf' ./internal/mirror
 switch_off relay-tells-its-age internal/mirror/confirmation.go 'duration).Add(-update.Age)' 'duration)' ./internal/mirror
 switch_off copies-confirm-nothing internal/mirror/confirmation.go 'isNew := !exists || confirmation.At > known.newest' 'isNew := !exists || true' ./internal/mirror
 switch_off own-confirmation internal/mirror/confirmation.go 'case c.self:' 'case c.self + 1<<31:' ./internal/mirror
