Mark test nodes of the previous build before they start

A node of the previous build got its transport while its goroutines already used it, which -race reports. The new tests pass under -race three times in a row; the scenarios are the same.

--- a/internal/mirror/confirmation_test.go
+++ b/internal/mirror/confirmation_test.go
@@ -32,12 +32,13 @@
 
 // newRing returns a deployment whose nodes record the store's answers, and the time of the last
 // answer.
-func newRing(nodes int, linkLatency func(from, to string) time.Duration) (*deployment, *atomic.Int64) {
+func newRing(nodes int, linkLatency func(from, to string) time.Duration, change func(number int, n *testNode)) (*deployment, *atomic.Int64) {
 	d, last := newDeployment(0), &atomic.Int64{}
 	d.network.linkLatency = linkLatency
 	for number := range nodes {
 		d.nodes = append(d.nodes, d.addNodeWith(addressOf(number), func(n *testNode) {
 			n.mirror.config.Source = answerRecorder{n.source, last}
+			change(number, n)
 		}))
 	}
 	return d, last
@@ -86,7 +87,7 @@
 		}
 		synctest.Test(t, func(t *testing.T) {
 			RegisterTestingT(t)
-			d, answered := newRing(nodes, latency)
+			d, answered := newRing(nodes, latency, func(int, *testNode) {})
 			defer d.close()
 			ctx, stop := context.WithCancel(t.Context())
 			defer stop()
@@ -122,10 +123,10 @@
 	})
 }
 
-// previousBuild makes a node behave as one of the build before confirmations: it sends none, and
+// becomePreviousBuild makes a node behave as one of the build before confirmations: it sends none, and
 // counts an update's age from its receipt, whatever it confirms.
-func (d *deployment) previousBuild(node *testNode) {
-	transport := node.mirror.config.Transport.(*fakeTransport)
+func (n *testNode) becomePreviousBuild() {
+	transport := n.mirror.config.Transport.(*fakeTransport)
 	var number atomic.Uint32
 	asBefore := func(message peer.Message) peer.Message {
 		update, isUpdate := message.(Update)
@@ -141,7 +142,7 @@
 			handle(from, asBefore(message), func(answer peer.Message, err error) { reply(withoutConfirmation(answer), err) })
 		})
 	}
-	node.mirror.config.Transport = previousTransport{transport, node, asBefore}
+	n.mirror.config.Transport = previousTransport{transport, n, asBefore}
 }
 
 // previousTransport sends messages as a node of the previous build.
@@ -181,13 +182,13 @@
 			t.Run(fmt.Sprint(previous, milliseconds), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					RegisterTestingT(t)
-					d, _ := newRing(len(previous), func(string, string) time.Duration { return time.Duration(milliseconds) * time.Millisecond })
-					defer d.close()
-					for number, node := range d.nodes {
+					latency := func(string, string) time.Duration { return time.Duration(milliseconds) * time.Millisecond }
+					d, _ := newRing(len(previous), latency, func(number int, n *testNode) {
 						if previous[number] {
-							d.previousBuild(node)
+							n.becomePreviousBuild()
 						}
-					}
+					})
+					defer d.close()
 					ctx, stop := context.WithCancel(t.Context())
 					defer stop()
 					time.Sleep(settled)
