Add a table of observations of servers

A node knows the load of a server only from its own requests, and discovers a crash only by its own refused connection. The table holds the newest observations of all nodes by incarnation of the server, with ages and expiry.

--- /dev/null
+++ b/internal/observation/entry.go
@@ -0,0 +1,187 @@
+package observation
+
+import (
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+)
+
+// entry is what is known of one incarnation of a server.
+type entry struct {
+	server fleet.Incarnation
+	// newest is the time of the newest observation.
+	newest time.Time
+
+	load     Load
+	loadAt   time.Time
+	loadFrom origin
+	// loadVersion is the table's version at which the load was stored, and reachVersion that
+	// at which a change of whether the server is reachable was stored, which reachSentAt is
+	// the time of observation of.
+	loadVersion, reachVersion uint64
+	reachSentAt               time.Time
+
+	// unreachableAt and reachableAt are the times of the newest observations that the server is
+	// unreachable or answered. unreachableFrom and reachableFrom are who made them.
+	unreachableAt, reachableAt     time.Time
+	unreachableFrom, reachableFrom origin
+	// toldUnreachableAt is the time of the newest observation of another node that the server is
+	// unreachable. suspectedSince is when this node received the suspicion; zero if none is
+	// known to be in force.
+	toldUnreachableAt, suspectedSince time.Time
+	// mistrusted are the nodes whose suspicion another node's observation ended, and when.
+	mistrusted map[string]time.Time
+}
+
+// origin is where an observation is from; the zero value is this node.
+type origin struct {
+	// node is the address of the node that sent it.
+	node string
+	// forwarded is set if the order holder sent it, which is never sent on.
+	forwarded bool
+}
+
+// local reports whether this node made the observation.
+func (o origin) local() bool { return o.node == "" }
+
+// matches reports whether a statement about the incarnation may be answered from the entry. If only
+// one of the two has a start time, they may be the same incarnation.
+func (e *entry) matches(server fleet.Incarnation) bool {
+	return !server.Follows(e.server) && !e.server.Follows(server)
+}
+
+func (e *entry) loadInForce(now time.Time) bool {
+	return !e.loadAt.IsZero() && now.Sub(e.loadAt) < LoadLifetime
+}
+
+// reachFrom returns who made the newest observation of whether the server is reachable.
+func (e *entry) reachFrom() origin {
+	if e.unreachableAt.After(e.reachableAt) {
+		return e.unreachableFrom
+	}
+	return e.reachableFrom
+}
+
+// unreachable reports whether the newest observation in force is that the server is unreachable,
+// whichever node made it.
+func (e *entry) unreachable(now time.Time) bool {
+	return e.unreachableAt.After(e.reachableAt) && now.Sub(e.unreachableAt) < SuspicionLifetime
+}
+
+// suspectedAt reports whether another node's observation that the server is unreachable is in
+// force.
+func (e *entry) suspectedAt(now time.Time) bool {
+	return e.toldUnreachableAt.After(e.reachableAt) && now.Sub(e.toldUnreachableAt) < SuspicionLifetime
+}
+
+// setLoad stores a load unless a newer one is stored. It must be called with the lock held.
+func (t *Table) setLoad(found *entry, load Load, at time.Time, from origin) {
+	if !found.loadAt.IsZero() && !at.After(found.loadAt) {
+		return
+	}
+	t.version++
+	found.load, found.loadAt, found.loadFrom, found.loadVersion = load, at, from, t.version
+	found.touch(at)
+}
+
+// setUnreachable stores that the server was unreachable at a time. It must be called with the lock
+// held.
+func (t *Table) setUnreachable(found *entry, at, now time.Time, from origin) {
+	if found.mistrusts(from, now) {
+		return
+	}
+	if !at.After(found.reachableAt) {
+		if from.forwarded && found.reachableFrom.local() {
+			// Other nodes suspect a server that this node has reached since.
+			t.announceReach(found, found.reachableAt, found.reachableFrom)
+		}
+		return
+	}
+	if !from.local() && at.After(found.toldUnreachableAt) {
+		wasSuspected := found.suspectedAt(now)
+		if !wasSuspected {
+			t.endSuspicion(found, EndExpired, "", now)
+		}
+		found.toldUnreachableAt = at
+		if !wasSuspected && found.suspectedAt(now) {
+			found.suspectedSince = now
+			t.changes = append(t.changes, Suspicion{Server: found.server, Begun: true, ToldBy: from.node})
+		}
+	}
+	if !at.After(found.unreachableAt) {
+		return
+	}
+	changed := !found.unreachable(now)
+	found.unreachableAt, found.unreachableFrom = at, from
+	found.touch(at)
+	if changed || at.Sub(found.reachSentAt) >= renewalPeriod {
+		t.announceReach(found, at, from)
+	}
+}
+
+// setReachable stores that the server answered at a time. It must be called with the lock held.
+func (t *Table) setReachable(found *entry, at, now time.Time, from origin) {
+	if !at.After(found.reachableAt) {
+		return
+	}
+	changed := found.unreachable(now) && at.After(found.unreachableAt)
+	if changed {
+		found.mistrust(found.unreachableFrom, from, now)
+	}
+	wasSuspected := found.suspectedAt(now)
+	found.reachableAt, found.reachableFrom = at, from
+	found.touch(at)
+	if wasSuspected && !found.suspectedAt(now) {
+		t.endSuspicion(found, EndReached, from.node, now)
+	}
+	if changed {
+		t.announceReach(found, at, from)
+	}
+}
+
+// announceReach marks whether the server is reachable as to be sent. It must be called with the
+// lock held.
+func (t *Table) announceReach(found *entry, at time.Time, from origin) {
+	t.version++
+	found.reachVersion, found.reachSentAt, t.reachVersion = t.version, at, t.version
+	if !from.local() {
+		return
+	}
+	select {
+	case t.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// endSuspicion notes the end of a suspicion if one was in force. It must be called with the lock
+// held.
+func (t *Table) endSuspicion(found *entry, reason EndReason, toldBy string, now time.Time) {
+	if found.suspectedSince.IsZero() {
+		return
+	}
+	t.changes = append(t.changes, Suspicion{Server: found.server, Reason: reason, ToldBy: toldBy, Lasted: now.Sub(found.suspectedSince)})
+	found.suspectedSince = time.Time{}
+}
+
+// mistrust records that another node reached the server that a reporting node found unreachable.
+func (e *entry) mistrust(reporter, reached origin, now time.Time) {
+	if reporter.local() || reporter.forwarded || reporter == reached {
+		return
+	}
+	if e.mistrusted == nil {
+		e.mistrusted = map[string]time.Time{}
+	}
+	e.mistrusted[reporter.node] = now
+}
+
+// mistrusts reports whether a node is not believed that the server is unreachable.
+func (e *entry) mistrusts(from origin, now time.Time) bool {
+	since, found := e.mistrusted[from.node]
+	return found && !from.forwarded && now.Sub(since) < mistrustTime
+}
+
+func (e *entry) touch(at time.Time) {
+	if at.After(e.newest) {
+		e.newest = at
+	}
+}
