Exchange observations of servers between nodes and the order holder

Nodes send the holder the loads and refused connections that they observe, with their demand reports and in between as updates without a token. The holder sends each node the newest loads of the servers that its callers' requests may be sent to, with the arrival rates of their models, and all nodes which servers became unreachable. New fields only; no message type is added.

--- a/internal/observation/entry.go
+++ b/internal/observation/entry.go
@@ -62,6 +62,14 @@
 	return e.reachableFrom
 }
 
+// reachAt returns the time of the newest observation of whether the server is reachable.
+func (e *entry) reachAt() time.Time {
+	if e.unreachableAt.After(e.reachableAt) {
+		return e.unreachableAt
+	}
+	return e.reachableAt
+}
+
 // unreachable reports whether the newest observation in force is that the server is unreachable,
 // whichever node made it.
 func (e *entry) unreachable(now time.Time) bool {
@@ -82,6 +90,9 @@
 	t.version++
 	found.load, found.loadAt, found.loadFrom, found.loadVersion = load, at, from, t.version
 	found.touch(at)
+	if at.After(t.sharedAt) && t.SharesLoads(load.Slots) {
+		t.sharedAt = at
+	}
 }
 
 // setUnreachable stores that the server was unreachable at a time. It must be called with the lock
--- a/internal/observation/table.go
+++ b/internal/observation/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
@@ -21,7 +22,13 @@
 	// version increases with each observation that is to be sent; reachVersion is the version of
 	// the last one of whether a server is reachable.
 	version, reachVersion uint64
-	rates   map[rateKey]rate
+	rates                 map[rateKey]rate
+	// sharedAt is the time of the newest load that nodes tell each other.
+	sharedAt time.Time
+	// arrived counts this node's requests to pools without models.
+	arrived map[string]uint64
+	// nodes is the number of nodes of the system; 0 if not known.
+	nodes atomic.Int64
 	// urgent receives after an observation that is to be sent immediately.
 	urgent chan struct{}
 	// changes are the begun and ended suspicions that OnSuspicion has not been called with.
@@ -37,7 +44,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{entries: map[string]*entry{}, rates: map[rateKey]rate{}, urgent: make(chan struct{}, 1)}
+	return &Table{entries: map[string]*entry{}, rates: map[rateKey]rate{}, arrived: map[string]uint64{}, urgent: make(chan struct{}, 1)}
 }
 
 // RecordLoad records the load in a response that this node received.
--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/forward"
+	"github.com/hatchplank/hatchplank/internal/observation"
 	"github.com/hatchplank/hatchplank/internal/placement"
 )
 
@@ -22,16 +23,22 @@
 type demandTracker struct {
 	mutex sync.Mutex
 	nodes map[string]*nodeReport
-	// usage by row, over all nodes.
-	usage map[forward.DemandKey]*usage
+	// usage by row, over all nodes; poolUsage of pools without models, by pool.
+	usage     map[forward.DemandKey]*usage
+	poolUsage map[string]*usage
 }
 
 // nodeReport is the latest report of a node.
 type nodeReport struct {
 	report     DemandReport
 	receivedAt time.Time
-	// arrived is the reported count of arrivals by row.
-	arrived map[forward.DemandKey]uint64
+	// arrived is the reported count of arrivals by row, and poolArrived by pool without models.
+	arrived     map[forward.DemandKey]uint64
+	poolArrived map[string]uint64
+	// requestedAt is when the node last reported demand for a model.
+	requestedAt map[modelKey]time.Time
+	// pushed is what the node was sent of the servers' loads.
+	pushed *pushedLoads
 }
 
 // usage is how often a row was requested.
@@ -69,7 +76,7 @@
 }
 
 func newDemandTracker() *demandTracker {
-	return &demandTracker{nodes: map[string]*nodeReport{}, usage: map[forward.DemandKey]*usage{}}
+	return &demandTracker{nodes: map[string]*nodeReport{}, usage: map[forward.DemandKey]*usage{}, poolUsage: map[string]*usage{}}
 }
 
 // add stores a report, unless a newer one of the same process is stored.
@@ -78,13 +85,20 @@
 	defer t.mutex.Unlock()
 	node := t.nodes[report.Node]
 	if node == nil || node.report.Started != report.Started {
-		node = &nodeReport{arrived: map[forward.DemandKey]uint64{}}
+		node = &nodeReport{
+			arrived: map[forward.DemandKey]uint64{}, poolArrived: map[string]uint64{},
+			requestedAt: map[modelKey]time.Time{}, pushed: &pushedLoads{received: observation.Received{}},
+		}
 		t.nodes[report.Node] = node
 	} else if node.report.Sequence >= report.Sequence {
 		return
 	}
 	for _, row := range report.Rows {
 		t.countArrivals(node, row, now)
+		node.requestedAt[modelKey{row.Pool, row.Model}] = now
+	}
+	for _, pool := range report.PoolArrivals {
+		countNew(node.poolArrived, t.poolUsage, pool.Pool, pool.Arrived, now)
 	}
 	node.report, node.receivedAt = report, now
 	t.removeExpired(now)
@@ -105,20 +119,25 @@
 // countArrivals adds a row's new arrivals to its usage. It must be called with the lock held.
 func (t *demandTracker) countArrivals(node *nodeReport, row DemandRow, now time.Time) {
 	key := forward.DemandKey{Pool: row.Pool, Model: row.Model, Adapter: row.Adapter}
-	found := t.usage[key]
+	countNew(node.arrived, t.usage, key, row.Arrived, now)
+}
+
+// countNew adds the arrivals since a node's last report to the usage of a key.
+func countNew[K comparable](reported map[K]uint64, usages map[K]*usage, key K, arrived uint64, now time.Time) {
+	found := usages[key]
 	if found == nil {
 		found = &usage{}
-		t.usage[key] = found
+		usages[key] = found
 	}
-	before, known := node.arrived[key]
-	if !known && row.Arrived > 0 {
+	before, known := reported[key]
+	if !known && arrived > 0 {
 		// Arrivals from before this holder's term say little about the current rate.
-		before = row.Arrived - 1
+		before = arrived - 1
 	}
-	if row.Arrived > before {
-		found.add(row.Arrived-before, now)
+	if arrived > before {
+		found.add(arrived-before, now)
 	}
-	node.arrived[key] = row.Arrived
+	reported[key] = arrived
 }
 
 // nodeCount returns the number of nodes that have reported and not expired.
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -12,6 +12,7 @@
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/inspect"
 	"github.com/hatchplank/hatchplank/internal/notice"
+	"github.com/hatchplank/hatchplank/internal/observation"
 	"github.com/hatchplank/hatchplank/internal/placement"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
 )
@@ -49,6 +50,8 @@
 	SavedCounters *CountersStore
 	// Notices are the backoffs and rate limits that servers sent to this node or another one.
 	Notices *notice.Registry
+	// Observations holds what all nodes observe of servers. If nil, nothing is exchanged.
+	Observations *observation.Table
 	// Limits keeps the load on servers within the rate limits that they announced.
 	Limits forward.Limits
 	// LoadRate bounds the loads from the weight store.
@@ -89,10 +92,15 @@
 	// limitsPushedAt.
 	limitsPushed   uint64
 	limitsPushedAt time.Time
+	// observations is the state of sending observations to nodes. Only Run uses it.
+	observations observationPushes
 }
 
 // NewHolder returns a holder, which starts to work when Run is called.
 func NewHolder(config HolderConfig) *Holder {
+	if config.Observations == nil {
+		config.Observations = observation.NewTable()
+	}
 	return &Holder{config: config, demand: newDemandTracker(), wake: make(chan struct{}, 1), servers: newServerTable(), reports: &reportQueue{}, estimates: newReadyEstimates()}
 }
 
@@ -116,6 +124,7 @@
 	h.termStart, h.counters = time.Now(), ratelimit.Counters{}
 	h.countersMajorityAt, h.limitsPushed = h.termStart, 0
 	h.mutex.Unlock()
+	h.observations = observationPushes{}
 	defer func() {
 		h.mutex.Lock()
 		h.term = nil
@@ -186,6 +195,8 @@
 	h.push(now)
 	h.pushEstimates(term, changed, now)
 	h.pushLimits(term, now)
+	h.pushReachChanges(term, now)
+	h.pushLoads(term, snapshot, now)
 	if term.leaseValid(now) {
 		h.chooseCounters(term, now)
 	}
@@ -284,6 +295,7 @@
 		}
 	}
 	h.config.Notices.MergeLimits(report.Limits, report.Node)
+	h.config.Observations.Merge(report.Observations, observation.Origin{Node: report.Address}, now)
 	h.Wake()
 	after, limitsAfter := report.Version, report.LimitsVersion
 	if report.Token != term.Token {
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -11,6 +11,7 @@
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/notice"
+	"github.com/hatchplank/hatchplank/internal/observation"
 	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
 )
@@ -41,6 +42,12 @@
 	// Notices holds the rate limits that servers sent to this node, and receives those that
 	// other nodes report.
 	Notices *notice.Registry
+	// Observations holds what this node and others observe of servers. The holder of this node
+	// must have the same table. If nil, nothing is exchanged.
+	Observations *observation.Table
+	// OnObservations is called with the number of observations in each message that was sent to
+	// or received from another node; may be nil.
+	OnObservations func(direction Direction, count int)
 	// SetNodes is called with the number of nodes that share the retry budget.
 	SetNodes func(nodes int)
 	// Counters returns the nodes that count rate limits for all, as known to this node;
@@ -82,10 +89,18 @@
 	limitsReported, limitsReceived uint64
 	// limitsSent is the version up to which the counting nodes were sent this node's limits.
 	limitsSent uint64
+	// observations is the state of sending this node's observations to the holder.
+	observations observationState
 }
 
 // NewLink returns a link and registers its message handlers with the transport.
 func NewLink(config LinkConfig) *Link {
+	if config.Observations == nil {
+		config.Observations = observation.NewTable()
+	}
+	if config.OnObservations == nil {
+		config.OnObservations = func(Direction, int) {}
+	}
 	link := &Link{
 		config: config, started: time.Now().UnixNano(),
 		readyTimes: map[forward.DemandKey]time.Time{}, arrived: map[forward.DemandKey]uint64{},
@@ -97,7 +112,9 @@
 
 // serveReport handles a node's report; it replies NotHolder if this node has no term.
 func (l *Link) serveReport(_ string, message peer.Message, reply func(peer.Message, error)) {
-	update, holds := l.config.Holder.HandleReport(message.(DemandReport))
+	report := message.(DemandReport)
+	l.countObservations(Received, report.Observations)
+	update, holds := l.config.Holder.HandleReport(report)
 	if !holds {
 		reply(NotHolder{}, nil)
 		return
@@ -117,11 +134,15 @@
 		l.apply(update, address)
 		return
 	}
+	l.countObservations(Sent, update.Observations)
 	l.config.Transport.Send(address, update)
 }
 
-// Run reports demand to the holder until ctx ends.
+// Run reports demand and observations to the holder until ctx ends.
 func (l *Link) Run(ctx context.Context) {
+	var observations sync.WaitGroup
+	observations.Go(func() { l.runObservations(ctx) })
+	defer observations.Wait()
 	timer := time.NewTimer(reportPeriod)
 	defer timer.Stop()
 	for {
@@ -154,6 +175,9 @@
 		return
 	}
 	report, content := l.newReport()
+	if holder.Address != l.config.Address {
+		report.Observations = l.unsentObservations(holder.Address, true)
+	}
 	if holder.Address == l.config.Address {
 		if update, holds := l.config.Holder.HandleReport(report); holds {
 			l.reportAnswered(update, content, holder.Address)
@@ -193,6 +217,7 @@
 	report.Limits, content.limits = l.config.Notices.LocalLimits(l.limitsReported)
 	counters := l.config.Counters()
 	report.Counters, report.CountersToken = counters.Version, counters.Token
+	report.PoolArrivals = poolArrivals(l.config.Observations)
 	now := time.Now()
 	for _, row := range l.config.Demand() {
 		expected := now.Before(row.ExpectedUntil)
@@ -213,6 +238,8 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.unanswered = true
+	// The observations in the report may be lost.
+	l.observations.cursor = observation.Cursor{}
 }
 
 // reportAnswered applies the reply to a report.
@@ -227,9 +254,10 @@
 	}
 }
 
-// apply applies an update from the holder, or rate limits from another node. Of an update from
-// an earlier term it applies only the rate limits.
+// apply applies an update from the holder, or rate limits and observations from another node. Of
+// an update from an earlier term it applies only these.
 func (l *Link) apply(update Update, from string) {
+	l.mergeObservations(update, from)
 	if l.config.Notices.MergeLimits(update.Limits, from) {
 		l.config.Holder.Wake()
 	}
@@ -242,6 +270,7 @@
 		l.config.View.ClearPlacements()
 		l.token, l.version = update.Token, 0
 		l.limitsReported, l.limitsReceived = 0, 0
+		l.observations.cursor = observation.Cursor{}
 		clear(l.readyTimes)
 	}
 	defer l.mutex.Unlock()
@@ -265,6 +294,7 @@
 	}
 	if update.Nodes > 0 {
 		l.config.SetNodes(update.Nodes)
+		l.config.Observations.SetNodes(update.Nodes)
 	}
 	if len(update.Counters.Addresses) > 0 {
 		l.config.SetCounters(update.Counters)
--- a/internal/orders/messages.go
+++ b/internal/orders/messages.go
@@ -12,6 +12,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/notice"
+	"github.com/hatchplank/hatchplank/internal/observation"
 	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
 )
@@ -53,6 +54,17 @@
 	// CountersToken the token of the term that the list is from.
 	Counters      uint64
 	CountersToken int64
+	// Observations are what this node observed of servers and has not sent yet.
+	Observations []observation.Observation
+	// PoolArrivals are the requests to pools without models.
+	PoolArrivals []PoolArrivals
+}
+
+// PoolArrivals counts a node's requests to a pool without models, for which there are no rows.
+type PoolArrivals struct {
+	Pool string
+	// Arrived counts the requests since the node started.
+	Arrived uint64
 }
 
 // ServerState is the models that a server holds, as known to the holder.
@@ -75,7 +87,7 @@
 }
 
 // Update sends a node the changes that it doesn't have. One without a token is from a node that is
-// not the holder, and contains only servers' rate limits. Such an update is not a message type of
+// not the holder, and contains only servers' rate limits or the node's observations. Such an update is not a message type of
 // its own, since a node of an earlier build closes a connection on which it receives an unknown
 // type.
 type Update struct {
@@ -98,6 +110,11 @@
 	// Limits are the servers' rate limits that changed after LimitsBase, up to LimitsVersion.
 	Limits                    []notice.ObservedLimit
 	LimitsBase, LimitsVersion uint64
+	// Observations are what nodes observed of servers: from the holder, those of all nodes that
+	// the receiver needs; from another node, its own.
+	Observations []observation.Observation
+	// Rates are the arrival rates, over all nodes, of models that the receiver's callers request.
+	Rates []observation.Rate
 }
 
 // NotHolder is the reply of a node without a term to a demand report.
--- a/internal/orders/ready_estimates.go
+++ b/internal/orders/ready_estimates.go
@@ -1,6 +1,9 @@
 package orders
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// An estimate is sent to nodes again when it has changed by at least minEstimateChange
@@ -14,6 +17,11 @@
 // modelKey identifies a model in a pool.
 type modelKey struct{ pool, model string }
 
+// compare orders keys by pool and model.
+func (k modelKey) compare(other modelKey) int {
+	return cmp.Or(cmp.Compare(k.pool, other.pool), cmp.Compare(k.model, other.model))
+}
+
 // readyEstimate is the time at which a model is expected to be ready at some server.
 type readyEstimate struct {
 	readyAt time.Time
