Wire the table of observations into the node

One table per node, shared by the link, the holder and the forwarder's configuration. Metrics of the observations exchanged and of the suspicions in force; a log line when a suspicion begins and ends. The encodings of reports and updates without the new fields become those of an earlier build.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -16,6 +16,7 @@
 	"github.com/hatchplank/hatchplank/internal/inspect"
 	"github.com/hatchplank/hatchplank/internal/mirror"
 	"github.com/hatchplank/hatchplank/internal/notice"
+	"github.com/hatchplank/hatchplank/internal/observation"
 	"github.com/hatchplank/hatchplank/internal/orders"
 	"github.com/hatchplank/hatchplank/internal/peer/tcp"
 	"github.com/hatchplank/hatchplank/internal/poison"
@@ -88,10 +89,12 @@
 	counters   *orders.CountersStore
 	poison     *poison.Guard
 	notices    *notice.Registry
-	forwarder  *forward.Forwarder
-	metrics    *edge.Metrics
-	requests   *edge.RequestLog
-	process    *edge.Process
+	// observations is what this node and others observe of servers.
+	observations *observation.Table
+	forwarder    *forward.Forwarder
+	metrics      *edge.Metrics
+	requests     *edge.RequestLog
+	process      *edge.Process
 }
 
 // assemble creates the product's components and connects them to the platform.
@@ -117,6 +120,8 @@
 	n.metrics = edge.NewMetrics(n.gauges())
 	n.requests = edge.NewRequestLog(logger, n.metrics)
 	n.notices = notice.NewRegistry(notice.Config{View: n.view, OnNotice: n.metrics.Notice, OnDisregarded: n.metrics.SentDespiteNotice, OnLimitedSend: n.metrics.SentToLimited, Logger: logger})
+	n.observations = observation.NewTable()
+	n.observations.OnSuspicion = observation.LogSuspicions(logger)
 	n.store.OnCall = n.metrics.StoreCall
 	n.store.FirstEraKey = firstEraKey
 	n.storeCalls = quota.NewShare(quota.Rates{Reads: settings.Store.ReadsPerSecond, Writes: settings.Store.WritesPerSecond}, initialNodes)
@@ -158,7 +163,7 @@
 	n.counters = &orders.CountersStore{Store: n.store, Key: countersKey, OnChange: n.limiter.SetCounters, Logger: n.logger}
 	n.holder = orders.NewHolder(orders.HolderConfig{
 		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers, Notices: n.notices}, Name: n.settings.Node.Name,
-		Counters: n.limiter.Counters, SavedCounters: n.counters, Notices: n.notices, Limits: n.limits,
+		Counters: n.limiter.Counters, SavedCounters: n.counters, Notices: n.notices, Limits: n.limits, Observations: n.observations,
 		LoadRate:  orders.LoadRateLimits{Window: n.settings.Orders.LoadWindow, Overage: n.settings.Orders.LoadOverage},
 		LoadAhead: true,
 		Push:      func(address string, update orders.Update) { n.link.Push(address, update) },
@@ -169,6 +174,7 @@
 		Demand:    func() []forward.Demand { return n.forwarder.Demand() },
 		NewDemand: func() <-chan struct{} { return n.forwarder.DemandAdded() },
 		Notices:   n.notices, SetNodes: n.setNodes, Counters: n.limiter.Counters, SetCounters: n.limiter.SetCounters,
+		Observations: n.observations, OnObservations: n.metrics.Observations,
 		Name: n.settings.Node.Name, Address: n.transport.Address(), Logger: n.logger,
 	})
 }
@@ -228,7 +234,7 @@
 func (n *node) assembleForwarder() {
 	n.forwarder = forward.New(forward.Config{
 		View: n.view, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: n.mirror.Behind, Zone: n.settings.Node.Zone,
-		Nodes: initialNodes, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning,
+		Observations: n.observations, Nodes: initialNodes, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning,
 		Budget: forward.BudgetLimits{
 			Ratio: n.settings.Retries.Ratio, Slack: n.settings.Retries.Slack, Window: n.settings.Retries.Window,
 		},
@@ -281,6 +287,7 @@
 		Relayed:    func() float64 { return boolGauge(n.mirror.FollowsRelay()) },
 		Quarantine: func() float64 { return float64(len(n.poison.Entries())) },
 		Limited:    func() float64 { return float64(n.notices.LimitedServers()) },
+		Suspected:  func() float64 { return float64(n.observations.Suspicions(time.Now())) },
 	}
 }
 
@@ -336,7 +343,14 @@
 			n.forwarder.Prune()
 			n.notices.Prune(now)
 			n.limits.Prune(now)
+			n.pruneObservations(now)
 			n.servers.Prune(now)
 		}
 	}
 }
+
+// pruneObservations discards expired observations, and those of servers without a record.
+func (n *node) pruneObservations(now time.Time) {
+	servers := n.view.Load().Servers
+	n.observations.Prune(func(id string) bool { return servers[id] != nil }, now)
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/hatchplank/hatchplank/internal/notice"
+	"github.com/hatchplank/hatchplank/internal/orders"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
 )
@@ -40,6 +41,8 @@
 	metricLimitedServers    = "hatchplank_node_limited_servers"
 	metricServerLimit       = "hatchplank_node_server_limit_total"
 	metricSentToLimited     = "hatchplank_node_sends_to_limited_servers_total"
+	metricObservations      = "hatchplank_node_observations_total"
+	metricSuspectedServers  = "hatchplank_node_suspected_servers"
 )
 
 // MetricDescriptions lists the node's own metrics.
@@ -64,6 +67,8 @@
 	{metricLimitedServers, "gauge", "", "Servers that name a limit for all nodes together, as far as this node knows."},
 	{metricServerLimit, "counter", "verdict, count", "Questions whether a server's limit has room, by verdict (within, over) and by who counted (all, alone: as for tenants)."},
 	{metricSentToLimited, "counter", "purpose", "Sendings to such servers, by purpose (request, order, report)."},
+	{metricObservations, "counter", "direction", "Observations of servers' loads, and of whether they are reachable, exchanged with other nodes, by direction (sent, received)."},
+	{metricSuspectedServers, "gauge", "", "Servers that another node found unreachable and that no node has reached since, as far as this node knows."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
@@ -75,7 +80,7 @@
 
 // Gauges holds the functions that supply the gauges' values at each scrape.
 type Gauges struct {
-	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited func() float64
+	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited, Suspected func() float64
 }
 
 // NewMetrics registers the node's metrics.
@@ -89,6 +94,10 @@
 	set.NewGauge(metricRelayed, gauges.Relayed)
 	set.NewGauge(metricQuarantine, gauges.Quarantine)
 	set.NewGauge(metricLimitedServers, gauges.Limited)
+	set.NewGauge(metricSuspectedServers, gauges.Suspected)
+	for _, direction := range []orders.Direction{orders.Sent, orders.Received} {
+		set.NewCounter(observationsCounter(direction))
+	}
 	return &Metrics{
 		set: set, firstByte: set.NewPrometheusHistogram(metricFirstByte),
 		held: set.NewPrometheusHistogram(metricHeld), coldStart: set.NewPrometheusHistogram(metricColdStart),
@@ -104,6 +113,17 @@
 	m.set.GetOrCreateCounter(name + "{" + strings.Join(parts, ",") + "}").Inc()
 }
 
+// Observations counts the observations in a message that was sent to or received from another
+// node.
+func (m *Metrics) Observations(direction orders.Direction, count int) {
+	m.set.GetOrCreateCounter(observationsCounter(direction)).Add(count)
+}
+
+// observationsCounter returns the name of the counter of observations with its label.
+func observationsCounter(direction orders.Direction) string {
+	return fmt.Sprintf("%s{direction=%q}", metricObservations, string(direction))
+}
+
 // StoreCall counts a call to the store.
 func (m *Metrics) StoreCall(call string) { m.count(metricStoreCalls, "call", call) }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/observation"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -34,6 +35,8 @@
 	Backoffs Backoffs
 	// Limits enforces the rate limits that servers announced; nil: none.
 	Limits Limits
+	// Observations holds what nodes observe of servers; nil: nothing is recorded.
+	Observations *observation.Table
 	// Poison quarantines requests that crash servers; nil: none is quarantined.
 	Poison PoisonGuard
 	// MayBeStale reports whether a newer configuration than the one in force may exist; nil:
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -125,7 +125,11 @@
 	g := NewWithT(t)
 	released := filled(poison.Released{}).(poison.Released)
 	released.Ends = nil
-	expected := map[string]peer.Message{"poison.Released": released}
+	report := filled(orders.DemandReport{}).(orders.DemandReport)
+	report.Observations, report.PoolArrivals = nil, nil
+	update := filled(orders.Update{}).(orders.Update)
+	update.Observations, update.Rates = nil, nil
+	expected := map[string]peer.Message{"poison.Released": released, "orders.DemandReport": report, "orders.Update": update}
 	earlier := map[string][]byte{}
 	content, err := os.ReadFile(earlierFile)
 	g.Expect(err).NotTo(HaveOccurred())
