End a suspicion at all nodes, however messages cross

A property test with overtaking and repeated messages found nodes that kept a suspicion after an answer: another node's answer was sent on only if the sender itself suspected the server. An answer within a suspicion's lifetime is now sent again, at most every 100 ms. 60,000 cases pass.

--- a/internal/observation/entry.go
+++ b/internal/observation/entry.go
@@ -15,11 +15,15 @@
 	load     Load
 	loadAt   time.Time
 	loadFrom origin
-	// loadVersion is the table's version at which the load was stored, and reachVersion that
-	// at which a change of whether the server is reachable was stored, which reachSentAt is
-	// the time of observation of.
-	loadVersion, reachVersion uint64
-	reachSentAt               time.Time
+	// loadVersion is the table's version at which the load was stored.
+	loadVersion uint64
+
+	// reachVersion is the table's version at which it was last announced whether the server is
+	// reachable, and announcedAt the time of that observation. announcedUnreachable is set if it
+	// was unreachable. suspicionAt is when other nodes were last told so.
+	reachVersion             uint64
+	announcedAt, suspicionAt time.Time
+	announcedUnreachable     bool
 
 	// unreachableAt and reachableAt are the times of the newest observations that the server is
 	// unreachable or answered. unreachableFrom and reachableFrom are who made them.
@@ -102,9 +106,12 @@
 		return
 	}
 	if !at.After(found.reachableAt) {
+		if from.forwarded {
+			// Other nodes suspect a server that was reached since.
+			found.suspicionAt = now
+		}
 		if from.forwarded && found.reachableFrom.local() {
-			// Other nodes suspect a server that this node has reached since.
-			t.announceReach(found, found.reachableAt, found.reachableFrom)
+			t.announceReach(found, false, found.reachableAt, found.reachableFrom)
 		}
 		return
 	}
@@ -125,8 +132,8 @@
 	changed := !found.unreachable(now)
 	found.unreachableAt, found.unreachableFrom = at, from
 	found.touch(at)
-	if changed || at.Sub(found.reachSentAt) >= renewalPeriod {
-		t.announceReach(found, at, from)
+	if changed || at.Sub(found.announcedAt) >= renewalPeriod {
+		t.announceReach(found, true, at, from)
 	}
 }
 
@@ -135,7 +142,7 @@
 	if !at.After(found.reachableAt) {
 		return
 	}
-	changed := found.unreachable(now) && at.After(found.unreachableAt)
+	changed := found.contradicts(at, now)
 	if changed {
 		found.mistrust(found.unreachableFrom, from, now)
 	}
@@ -146,15 +153,29 @@
 		t.endSuspicion(found, EndReached, from.node, now)
 	}
 	if changed {
-		t.announceReach(found, at, from)
+		t.announceReach(found, false, at, from)
+	}
+}
+
+// contradicts reports whether other nodes may suspect a server that answered at a time. They may do
+// so after they were told of an earlier answer, if the messages about it took less time than those of
+// the suspicion.
+func (e *entry) contradicts(at, now time.Time) bool {
+	if at.Before(e.unreachableAt) || now.Sub(e.suspicionAt) >= SuspicionLifetime {
+		return false
 	}
+	return e.announcedUnreachable || at.Sub(e.announcedAt) >= answerPause
 }
 
 // announceReach marks whether the server is reachable as to be sent. It must be called with the
 // lock held.
-func (t *Table) announceReach(found *entry, at time.Time, from origin) {
+func (t *Table) announceReach(found *entry, unreachable bool, at time.Time, from origin) {
 	t.version++
-	found.reachVersion, found.reachSentAt, t.reachVersion = t.version, at, t.version
+	found.reachVersion, t.reachVersion = t.version, t.version
+	found.announcedUnreachable, found.announcedAt = unreachable, at
+	if unreachable {
+		found.suspicionAt = at
+	}
 	if !from.local() {
 		return
 	}
--- a/internal/observation/observation.go
+++ b/internal/observation/observation.go
@@ -23,6 +23,9 @@
 	// renewalPeriod is the time after which an unchanged observation that a server is
 	// unreachable is sent again. It renews a suspicion before it expires.
 	renewalPeriod = SuspicionLifetime / 2
+	// answerPause is the time after which another answer of a server that was suspected is sent. It
+	// is longer than messages are usually in transit.
+	answerPause = 100 * time.Millisecond
 	// mistrustTime is how long a node is not believed that a server is unreachable, after
 	// another node reached the server that the node had reported. A node that is cut off from
 	// live servers would otherwise renew its suspicions with every attempt.
