--- a/internal/observation/table_test.go
+++ b/internal/observation/table_test.go
@@ -1,6 +1,7 @@
 package observation
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,4 +62,129 @@
 		Expect(table.Suspected(first, testStart)).To(BeFalse())
 		Expect(table.Urgent()).To(Receive())
 	})
+
+	// Guards against a suspicion without end, and against one that ends while other nodes still
+	// find the server unreachable.
+	ginkgo.It("suspects a server for 2 s after the newest observation of another node", func() {
+		table, _ := suspicionTable()
+		table.Merge([]Observation{{Server: first, Unreachable: true}}, holder, testStart)
+		table.Merge([]Observation{{Server: first, Unreachable: true, ReachAge: 300 * time.Millisecond}}, holder, after(1800*time.Millisecond))
+		Expect(table.Suspected(first, after(3500*time.Millisecond-1))).To(BeTrue())
+		since, suspected := table.SuspectedSince(first, after(time.Second))
+		Expect(suspected).To(BeTrue())
+		Expect(since).To(Equal(testStart))
+		Expect(table.Suspected(first, after(3500*time.Millisecond))).To(BeFalse())
+		Expect(table.Suspicions(after(3500 * time.Millisecond))).To(BeZero())
+	})
+
+	// Guards against an operator who can't see why a node avoids a server.
+	ginkgo.DescribeTable("tells who began and who ended a suspicion",
+		func(end func(table *Table), reason EndReason, toldBy string) {
+			table, told := suspicionTable()
+			table.Merge([]Observation{{Server: first, Unreachable: true}}, holder, testStart)
+			end(table)
+			Expect(*told).To(Equal([]Suspicion{
+				{Server: first, Begun: true, ToldBy: holder.Node},
+				{Server: first, Reason: reason, ToldBy: toldBy, Lasted: time.Second},
+			}))
+			Expect(table.Suspected(first, after(time.Second))).To(BeFalse())
+		},
+		ginkgo.Entry("an answer here", func(table *Table) { table.RecordReachable(first, after(time.Second)) }, EndReached, ""),
+		ginkgo.Entry("an answer at another node", func(table *Table) {
+			table.Merge([]Observation{{Server: first, ReachAge: 1}}, holder, after(time.Second))
+		}, EndReached, holder.Node),
+		ginkgo.Entry("a new incarnation", func(table *Table) { table.RecordReachable(second, after(time.Second)) }, EndIncarnation, ""),
+		ginkgo.Entry("a removed record", func(table *Table) {
+			table.Prune(func(string) bool { return false }, after(time.Second))
+		}, EndRemoved, ""),
+	)
+
+	// Guards against a cut-off node whose attempts all fail: it must not renew a suspicion that
+	// another node's answer ended, while other nodes are still believed.
+	ginkgo.It("does not believe a node again whose suspicion another node's answer ended", func() {
+		table, _ := suspicionTable()
+		cutOff, other := Origin{Node: "cut:1"}, Origin{Node: "other:1"}
+		unreachable := []Observation{{Server: first, Unreachable: true}}
+		table.Merge(unreachable, cutOff, testStart)
+		Expect(table.Suspected(first, testStart)).To(BeTrue())
+		Expect(table.Merge([]Observation{{Server: first, ReachAge: 1}}, other, after(10*time.Millisecond))).To(BeTrue())
+		for elapsed := 20 * time.Millisecond; elapsed < mistrustTime; elapsed += 100 * time.Millisecond {
+			Expect(table.Merge(unreachable, cutOff, after(elapsed))).To(BeFalse())
+			table.RecordReachable(first, after(elapsed))
+			Expect(table.Suspected(first, after(elapsed))).To(BeFalse())
+		}
+		Expect(table.Merge(unreachable, other, after(mistrustTime))).To(BeTrue())
+		Expect(table.Suspected(first, after(mistrustTime))).To(BeTrue())
+	})
+
+	// Guards against a message whose size grows with the number of servers, and against
+	// observations that stay unsent.
+	ginkgo.It("sends at most 64 observations at a time, and the others next", func() {
+		table, _ := suspicionTable()
+		const servers = 100
+		for i := range servers {
+			server := fleet.Incarnation{ID: fmt.Sprint("s", i), Born: 1}
+			table.RecordLoad(server, testLoad, testStart)
+			if i%2 == 0 {
+				table.RecordUnreachable(server, testStart)
+			}
+		}
+		sent := map[string]int{}
+		var cursor Cursor
+		for range 3 {
+			var observations []Observation
+			observations, cursor = table.Unsent(cursor, true, testStart)
+			Expect(len(observations)).To(BeNumerically("<=", MaxPerMessage))
+			for _, one := range observations {
+				if one.LoadKnown {
+					sent[one.Server.ID]++
+				}
+			}
+		}
+		Expect(sent).To(HaveLen(servers))
+		observations, _ := table.Unsent(cursor, true, testStart)
+		Expect(observations).To(BeEmpty())
+	})
+
+	// Guards against messages in a system that does not need them.
+	ginkgo.DescribeTable("shares only what a node can't observe itself",
+		func(nodes int, loads, suspicions bool) {
+			table := NewTable()
+			table.SetNodes(nodes)
+			table.RecordLoad(first, testLoad, testStart)
+			table.RecordUnreachable(first, testStart)
+			observations, _ := table.Unsent(Cursor{}, true, testStart)
+			table.Merge([]Observation{{Server: second, LoadKnown: true, Load: testLoad}}, Origin{Node: "x:1"}, testStart)
+			_, shared := table.LoadsFor("y:1", []fleet.Incarnation{second}, Received{}, testStart)
+			Expect(shared).To(Equal(loads))
+			Expect(len(observations) > 0 && observations[0].LoadKnown).To(Equal(loads))
+			Expect(len(observations) > 0 && observations[0].Unreachable).To(Equal(suspicions))
+		},
+		ginkgo.Entry("unknown number of nodes", 0, false, false),
+		ginkgo.Entry("16 nodes, 24 slots", 16, false, false),
+		ginkgo.Entry("17 nodes, 24 slots", 17, false, true),
+		ginkgo.Entry("24 nodes, 24 slots", 24, false, true),
+		ginkgo.Entry("25 nodes, 24 slots", 25, true, true),
+	)
+
+	// Guards against a choice that counts on arrivals of a time when a holder was there.
+	ginkgo.It("forgets arrival rates that are not renewed", func() {
+		table := NewTable()
+		table.SetRates([]Rate{{Pool: "p", Model: "m", PerSecond: 3}}, testStart)
+		table.Prune(func(string) bool { return true }, after(LoadLifetime))
+		Expect(table.ArrivalRate("p", "m")).To(Equal(3.0))
+		table.Prune(func(string) bool { return true }, after(LoadLifetime+1))
+		Expect(table.ArrivalRate("p", "m")).To(BeZero())
+	})
 })
+
+// holder is the order holder as the sender of observations.
+var holder = Origin{Node: "h:1", Holder: true}
+
+// suspicionTable returns a table of a large system and the begins and ends of its suspicions.
+func suspicionTable() (*Table, *[]Suspicion) {
+	table, told := NewTable(), &[]Suspicion{}
+	table.SetNodes(100)
+	table.OnSuspicion = func(suspicion Suspicion) { *told = append(*told, suspicion) }
+	return table, told
+}
