--- a/internal/observation/entry.go
+++ b/internal/observation/entry.go
@@ -58,6 +58,17 @@
 	return !e.loadAt.IsZero() && now.Sub(e.loadAt) < LoadLifetime
 }
 
+// sharesLoad reports whether the load is in force, and the order holder sends it to nodes.
+func (e *entry) sharesLoad(nodes int, now time.Time) bool {
+	return e.loadInForce(now) && !e.loadFrom.forwarded && SharesLoads(e.load.Slots, nodes)
+}
+
+// copyLoad copies the load to an observation.
+func (e *entry) copyLoad(observed *Observation, now time.Time) {
+	observed.LoadKnown, observed.Load, observed.LoadAge = true, e.load, now.Sub(e.loadAt)
+	observed.Load.Slowdown = RoundForMessage(e.load.Slowdown)
+}
+
 // reachFrom returns who made the newest observation of whether the server is reachable.
 func (e *entry) reachFrom() origin {
 	if e.unreachableAt.After(e.reachableAt) {
--- a/internal/observation/exchange.go
+++ b/internal/observation/exchange.go
@@ -154,40 +154,70 @@
 // Received is what a node has received from the order holder: the version of the load by server.
 type Received map[string]uint64
 
+// candidate is a load that a node may be sent, and the version that it has received before.
+type candidate struct {
+	entry    *entry
+	received uint64
+}
+
 // LoadsFor returns the loads that the order holder sends to the node at an address: those of the
-// servers that the node does not have and did not send itself. It records them as received.
-// Shared reports whether loads of any of the servers are shared.
+// servers in the lists that the node does not have and did not send itself. It records them as
+// received. Shared reports whether loads of any of the servers are shared.
 //
 // If there are more than MaxPerMessage, it returns those that the node received longest ago.
-func (t *Table) LoadsFor(address string, servers []fleet.Incarnation, received Received, now time.Time) (observations []Observation, shared bool) {
+func (t *Table) LoadsFor(address string, lists [][]*fleet.Server, received Received, now time.Time) (observations []Observation, shared bool) {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
-	type candidate struct {
-		entry    *entry
-		received uint64
-	}
 	var candidates []candidate
-	nodes := t.Nodes()
-	for _, server := range servers {
-		found := t.entries[server.ID]
-		if found == nil || !found.matches(server) || !found.loadInForce(now) || found.loadFrom.forwarded || !SharesLoads(found.load.Slots, nodes) {
-			continue
-		}
-		shared = true
-		if version := received[server.ID]; found.loadVersion > version && found.loadFrom.node != address {
+	inForce, nodes := 0, t.Nodes()
+	for _, servers := range lists {
+		for _, server := range servers {
+			found := t.entries[server.ID]
+			if found == nil || !found.sharesLoad(nodes, now) || !found.matches(server.Incarnation()) {
+				continue
+			}
+			inForce++
+			version := received[server.ID]
+			if found.loadVersion <= version || found.loadFrom.node == address {
+				continue
+			}
+			// A server may be in several lists.
+			received[server.ID] = found.loadVersion
 			candidates = append(candidates, candidate{found, version})
 		}
 	}
-	if len(candidates) > MaxPerMessage {
-		slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.received, b.received) })
-		candidates = candidates[:MaxPerMessage]
+	if len(received) > 2*inForce+MaxPerMessage {
+		t.pruneReceived(received, now)
+	}
+	observations = make([]Observation, 0, min(len(candidates), MaxPerMessage))
+	for _, one := range longestAgo(candidates, received) {
+		observations = append(observations, Observation{Server: one.entry.server})
+		one.entry.copyLoad(&observations[len(observations)-1], now)
+	}
+	return observations, inForce > 0
+}
+
+// longestAgo returns the candidates that were received longest ago, at most MaxPerMessage. The
+// others are no longer recorded as received.
+func longestAgo(candidates []candidate, received Received) []candidate {
+	if len(candidates) <= MaxPerMessage {
+		return candidates
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.received, b.received) })
+	for _, one := range candidates[MaxPerMessage:] {
+		received[one.entry.server.ID] = one.received
 	}
-	message := message{observations: make([]Observation, 0, len(candidates))}
-	for _, one := range candidates {
-		message.setLoad(one.entry, now)
-		received[one.entry.server.ID] = one.entry.loadVersion
+	return candidates[:MaxPerMessage]
+}
+
+// pruneReceived discards the versions of loads that are no longer in force, which are not sent again.
+// It must be called with the lock held.
+func (t *Table) pruneReceived(received Received, now time.Time) {
+	for id := range received {
+		if found := t.entries[id]; found == nil || !found.loadInForce(now) {
+			delete(received, id)
+		}
 	}
-	return message.observations, shared
 }
 
 // message collects the observations of a message, at most one for each server.
@@ -219,8 +249,7 @@
 	if observed == nil {
 		return false
 	}
-	observed.LoadKnown, observed.Load, observed.LoadAge = true, found.load, now.Sub(found.loadAt)
-	observed.Load.Slowdown = RoundForMessage(found.load.Slowdown)
+	found.copyLoad(observed, now)
 	return true
 }
 
--- a/internal/observation/exchange_test.go
+++ b/internal/observation/exchange_test.go
@@ -61,7 +61,7 @@
 				others = append(others, changes[i])
 			}
 		}
-		loads, _ := e.tables[0].LoadsFor(address(to), []fleet.Incarnation{first, second}, e.received[to], e.now)
+		loads, _ := e.tables[0].LoadsFor(address(to), [][]*fleet.Server{{{ID: first.ID}}}, e.received[to], e.now)
 		e.post(to, Origin{Node: address(0), Holder: true}, append(others, loads...))
 	}
 }
--- a/internal/observation/table_test.go
+++ b/internal/observation/table_test.go
@@ -155,7 +155,7 @@
 			table.RecordUnreachable(first, testStart)
 			observations, _ := table.Unsent(Cursor{}, true, testStart)
 			table.Merge([]Observation{{Server: second, LoadKnown: true, Load: testLoad}}, Origin{Node: "x:1"}, testStart)
-			_, shared := table.LoadsFor("y:1", []fleet.Incarnation{second}, Received{}, testStart)
+			_, shared := table.LoadsFor("y:1", [][]*fleet.Server{{{ID: second.ID, Born: second.Born}}}, Received{}, testStart)
 			Expect(shared).To(Equal(loads))
 			Expect(len(observations) > 0 && observations[0].LoadKnown).To(Equal(loads))
 			Expect(len(observations) > 0 && observations[0].Unreachable).To(Equal(suspicions))
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -254,8 +254,8 @@
 	}
 }
 
-// apply applies an update from the holder, or rate limits and observations from another node. Of
-// an update from an earlier term it applies only these.
+// apply applies an update from the holder, or rate limits and observations from any node. Of an
+// update from an earlier term it applies only these.
 func (l *Link) apply(update Update, from string) {
 	l.mergeObservations(update, from)
 	if l.config.Notices.MergeLimits(update.Limits, from) {
--- a/internal/orders/messages.go
+++ b/internal/orders/messages.go
@@ -110,6 +110,10 @@
 	// Limits are the servers' rate limits that changed after LimitsBase, up to LimitsVersion.
 	Limits                    []notice.ObservedLimit
 	LimitsBase, LimitsVersion uint64
+	// HolderToken is the token of the sender's term in an update from the holder that contains
+	// only observations and rates. Its Token is 0, so that it changes nothing else: neither at
+	// nodes of an earlier build, nor when the holder was last heard, on which placements depend.
+	HolderToken int64
 	// Observations are what nodes observed of servers: from the holder, those of all nodes that
 	// the receiver needs; from another node, its own.
 	Observations []observation.Observation
--- a/internal/orders/observation_push.go
+++ b/internal/orders/observation_push.go
@@ -64,7 +64,7 @@
 	}
 	state.reachPushedAt = now
 	for address, name := range live {
-		update := Update{Token: term.Token, OrdersIn: term.ordersIn(now), Observations: withoutOwn(changes, senders, address)}
+		update := Update{HolderToken: term.Token, Observations: withoutOwn(changes, senders, address)}
 		if name != h.config.Name && len(update.Observations) > 0 {
 			h.config.Push(address, update)
 		}
@@ -107,7 +107,7 @@
 		node.models = append(node.models, poolsWithoutModels...)
 		update := h.loadsFor(node, snapshot, now)
 		if len(update.Observations) > 0 || len(update.Rates) > 0 {
-			update.Token, update.OrdersIn = term.Token, term.ordersIn(now)
+			update.HolderToken = term.Token
 			h.config.Push(node.address, update)
 		}
 	}
@@ -115,21 +115,11 @@
 
 // loadsFor returns the loads and arrival rates that a node is sent.
 func (h *Holder) loadsFor(node *dueNode, snapshot *fleet.Snapshot, now time.Time) Update {
-	var servers []fleet.Incarnation
-	included := map[string]bool{}
-	for _, model := range node.models {
-		for _, server := range snapshot.Holders(model.pool, model.model) {
-			if !included[server.ID] {
-				included[server.ID] = true
-				servers = append(servers, server.Incarnation())
-			}
-		}
-	}
-	received := node.pushed.received
-	if len(received) > 2*len(servers) {
-		maps.DeleteFunc(received, func(id string, _ uint64) bool { return !included[id] })
+	lists := make([][]*fleet.Server, len(node.models))
+	for i, model := range node.models {
+		lists[i] = snapshot.Holders(model.pool, model.model)
 	}
-	loads, shared := h.config.Observations.LoadsFor(node.address, servers, received, now)
+	loads, shared := h.config.Observations.LoadsFor(node.address, lists, node.pushed.received, now)
 	update := Update{Observations: loads}
 	if node.name == h.config.Name {
 		update.Observations = nil
--- a/internal/orders/observations.go
+++ b/internal/orders/observations.go
@@ -96,7 +96,7 @@
 		return
 	}
 	l.countObservations(Received, update.Observations)
-	fromHolder := update.Token != 0
+	fromHolder := update.HolderToken != 0
 	now := time.Now()
 	changed := l.config.Observations.Merge(update.Observations, observation.Origin{Node: from, Holder: fromHolder}, now)
 	if fromHolder {
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -128,7 +128,7 @@
 	report := filled(orders.DemandReport{}).(orders.DemandReport)
 	report.Observations, report.PoolArrivals = nil, nil
 	update := filled(orders.Update{}).(orders.Update)
-	update.Observations, update.Rates = nil, nil
+	update.HolderToken, update.Observations, update.Rates = 0, nil, nil
 	expected := map[string]peer.Message{"poison.Released": released, "orders.DemandReport": report, "orders.Update": update}
 	earlier := map[string][]byte{}
 	content, err := os.ReadFile(earlierFile)
