Keep the exchange of observations going while a new holder counts nodes

The first replies of a new holder name few nodes, by which nothing would be shared for a report period. A lower number now takes effect after 5 s.

--- a/internal/observation/conditions.go
+++ b/internal/observation/conditions.go
@@ -12,6 +12,8 @@
 	// maxNodesWithoutSuspicions is the number of nodes up to which each discovers a crash
 	// alone, which costs fewer attempts than telling costs messages.
 	maxNodesWithoutSuspicions = 16
+	// nodeCountTime is longer than all nodes take to report to a new order holder, up to 300 nodes.
+	nodeCountTime = 5 * time.Second
 )
 
 // UpdatePeriod is the minimum time between messages with loads that a node sends or receives.
@@ -27,8 +29,17 @@
 // SharesSuspicions reports whether nodes tell each other which servers are unreachable.
 func SharesSuspicions(nodes int) bool { return nodes > maxNodesWithoutSuspicions }
 
-// SetNodes sets the number of nodes of the system, which decides what is shared.
-func (t *Table) SetNodes(nodes int) { t.nodes.Store(int64(nodes)) }
+// SetNodes sets the number of nodes of the system, which decides what is shared. A lower number
+// takes effect if no higher one is set for nodeCountTime: a new order holder counts up from one.
+func (t *Table) SetNodes(nodes int, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if nodes < t.Nodes() && now.Sub(t.nodesSetAt) < nodeCountTime {
+		return
+	}
+	t.nodes.Store(int64(nodes))
+	t.nodesSetAt = now
+}
 
 // Nodes returns the number of nodes of the system; 0 if not known.
 func (t *Table) Nodes() int { return int(t.nodes.Load()) }
--- a/internal/observation/entry.go
+++ b/internal/observation/entry.go
@@ -105,8 +105,11 @@
 	t.version++
 	found.load, found.loadAt, found.loadFrom, found.loadVersion = load, at, from, t.version
 	found.touch(at)
-	if at.After(t.sharedAt) && t.SharesLoads(load.Slots) {
-		t.sharedAt = at
+	if at.After(t.loadAt) {
+		t.loadAt = at
+	}
+	if load.Slots > 0 && (t.fewestSlots == 0 || load.Slots < t.fewestSlots) {
+		t.fewestSlots = load.Slots
 	}
 }
 
--- a/internal/observation/exchange.go
+++ b/internal/observation/exchange.go
@@ -125,7 +125,7 @@
 func (t *Table) HasSharedLoads(now time.Time) bool {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
-	return !t.sharedAt.IsZero() && now.Sub(t.sharedAt) < LoadLifetime
+	return t.SharesLoads(t.fewestSlots) && now.Sub(t.loadAt) < LoadLifetime
 }
 
 // collectReach adds the selected observations of whether servers are reachable after a version, and
--- a/internal/observation/exchange_test.go
+++ b/internal/observation/exchange_test.go
@@ -36,7 +36,7 @@
 	e := &exchange{now: testStart, cursors: make([]Cursor, nodes)}
 	for range nodes {
 		table := NewTable()
-		table.SetNodes(100)
+		table.SetNodes(100, testStart)
 		e.tables = append(e.tables, table)
 		e.received = append(e.received, Received{})
 	}
--- a/internal/observation/table.go
+++ b/internal/observation/table.go
@@ -23,12 +23,14 @@
 	// the last one of whether a server is reachable.
 	version, reachVersion uint64
 	rates                 map[rateKey]rate
-	// sharedAt is the time of the newest load that nodes tell each other.
-	sharedAt time.Time
+	// loadAt is the time of the newest load, and fewestSlots the fewest slots of any server.
+	loadAt      time.Time
+	fewestSlots int
 	// arrived counts this node's requests to pools without models.
 	arrived map[string]uint64
-	// nodes is the number of nodes of the system; 0 if not known.
-	nodes atomic.Int64
+	// nodes is the number of nodes of the system, set at nodesSetAt; 0 if not known.
+	nodes      atomic.Int64
+	nodesSetAt time.Time
 	// urgent receives after an observation that is to be sent immediately.
 	urgent chan struct{}
 	// changes are the begun and ended suspicions that OnSuspicion has not been called with.
--- a/internal/observation/table_test.go
+++ b/internal/observation/table_test.go
@@ -117,6 +117,20 @@
 		Expect(table.Suspected(first, after(mistrustTime))).To(BeTrue())
 	})
 
+	// Guards against two nodes that both consider themselves the order holder and renew each other's
+	// observations, which would never expire.
+	ginkgo.It("never sends on what an order holder sent", func() {
+		table, _ := suspicionTable()
+		table.Merge([]Observation{{Server: first, LoadKnown: true, Load: testLoad, Unreachable: true}}, holder, testStart)
+		loads, shared := table.LoadsFor("x:1", [][]*fleet.Server{{{ID: first.ID}}}, Received{}, testStart)
+		Expect(shared).To(BeFalse())
+		Expect(loads).To(BeEmpty())
+		changes, _, _ := table.ReachChanges(0, testStart)
+		Expect(changes).To(BeEmpty())
+		unsent, _ := table.Unsent(Cursor{}, true, testStart)
+		Expect(unsent).To(BeEmpty())
+	})
+
 	// Guards against a message whose size grows with the number of servers, and against
 	// observations that stay unsent.
 	ginkgo.It("sends at most 64 observations at a time, and the others next", func() {
@@ -150,7 +164,7 @@
 	ginkgo.DescribeTable("shares only what a node can't observe itself",
 		func(nodes int, loads, suspicions bool) {
 			table := NewTable()
-			table.SetNodes(nodes)
+			table.SetNodes(nodes, testStart)
 			table.RecordLoad(first, testLoad, testStart)
 			table.RecordUnreachable(first, testStart)
 			observations, _ := table.Unsent(Cursor{}, true, testStart)
@@ -167,6 +181,18 @@
 		ginkgo.Entry("25 nodes, 24 slots", 25, true, true),
 	)
 
+	// Guards against a new holder, to which few nodes have reported yet, that ends all exchange.
+	ginkgo.It("shares less only once fewer nodes are reported for some seconds", func() {
+		table := NewTable()
+		table.SetNodes(100, testStart)
+		table.SetNodes(1, after(nodeCountTime-1))
+		Expect(table.SharesLoads(24)).To(BeTrue())
+		table.SetNodes(1, after(nodeCountTime))
+		Expect(table.SharesLoads(24)).To(BeFalse())
+		table.SetNodes(100, after(nodeCountTime))
+		Expect(table.SharesLoads(24)).To(BeTrue())
+	})
+
 	// Guards against a choice that counts on arrivals of a time when a holder was there.
 	ginkgo.It("forgets arrival rates that are not renewed", func() {
 		table := NewTable()
@@ -184,7 +210,7 @@
 // suspicionTable returns a table of a large system and the begins and ends of its suspicions.
 func suspicionTable() (*Table, *[]Suspicion) {
 	table, told := NewTable(), &[]Suspicion{}
-	table.SetNodes(100)
+	table.SetNodes(100, testStart)
 	table.OnSuspicion = func(suspicion Suspicion) { *told = append(*told, suspicion) }
 	return table, told
 }
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -294,7 +294,7 @@
 	}
 	if update.Nodes > 0 {
 		l.config.SetNodes(update.Nodes)
-		l.config.Observations.SetNodes(update.Nodes)
+		l.config.Observations.SetNodes(update.Nodes, now)
 	}
 	if len(update.Counters.Addresses) > 0 {
 		l.config.SetCounters(update.Counters)
--- a/internal/orders/observation_benchmark_test.go
+++ b/internal/orders/observation_benchmark_test.go
@@ -86,7 +86,7 @@
 	snapshot := f.snapshot()
 	streams := map[string]*countingStream{}
 	holder := holderOf(snapshot, &countingEngines{}, func(address string, update Update) { streams[address].send(update) })
-	holder.config.Observations.SetNodes(f.nodes)
+	holder.config.Observations.SetNodes(f.nodes, time.Now())
 	term := newTerm(5, time.Now(), time.Now().Add(time.Hour), true)
 	holder.term = term
 	tables := make([]*observation.Table, f.nodes)
@@ -96,7 +96,7 @@
 	for node := range f.nodes {
 		streams[nodeAddress(node)] = &countingStream{}
 		tables[node] = observation.NewTable()
-		tables[node].SetNodes(f.nodes)
+		tables[node].SetNodes(f.nodes, time.Now())
 		arrived[node], reported[node] = map[string]uint64{}, map[string]uint64{}
 	}
 	incoming := &countingStream{}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -41,6 +41,16 @@
 switch_off two-steps internal/mirror/tree.go 'len(m.subscribers) < fanOut' 'true' ./internal/mirror
 switch_off new-relay-awaited internal/mirror/election.go 'return now.Sub(m.noRelaySince) < share(electionWaitShare, m.config.Times.Changes)' 'return false' ./internal/mirror
 switch_off wanted-told-at-once internal/orders/push.go 'for _, address := range h.demand.nodesRequesting(key, now) {' 'for _, address := range h.demand.nodesRequesting(key, now)[:0] {' ./internal/orders
+switch_off loads-expire internal/observation/entry.go 'now.Sub(e.loadAt) < LoadLifetime' 'now.Sub(e.loadAt) < 100*LoadLifetime' ./internal/observation
+switch_off older-load-dropped internal/observation/entry.go 'if !found.loadAt.IsZero() && !at.After(found.loadAt) {' 'if false {' ./internal/observation
+switch_off told-are-not-forwarded internal/observation/entry.go 'e.loadInForce(now) && !e.loadFrom.forwarded &&' 'e.loadInForce(now) &&' ./internal/observation
+switch_off suspicion-expires internal/observation/entry.go 'now.Sub(e.toldUnreachableAt) < SuspicionLifetime' 'now.Sub(e.toldUnreachableAt) < 100*SuspicionLifetime' ./internal/observation
+switch_off cut-off-mistrusted internal/observation/entry.go 'if found.mistrusts(from, now) {' 'if false {' ./internal/observation
+switch_off answer-told-again internal/observation/entry.go 'return e.announcedUnreachable || at.Sub(e.announcedAt) >= answerPause' 'return e.announcedUnreachable' ./internal/observation
+switch_off refusal-told-at-once internal/orders/observations.go 'case <-table.Urgent():' 'case <-make(chan struct{}):' ./platform -run 'Observation|Suspicion'
+switch_off shared-if-needed internal/observation/conditions.go 'return slots > 0 && slots < nodes' 'return slots > 0' ./internal/observation
+switch_off sent-to-next-holder internal/orders/observations.go 'if state.address != holder {' 'if state.address == "" {' ./platform -run 'Observation|Suspicion'
+switch_off pushes-bounded internal/orders/observation_push.go 'if now.Sub(node.pushed.at) >= period {' 'if true {' ./platform -run 'Observation|Suspicion'
 
 forward=./internal/forward
 # At most once, attempts, budget.
