--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -176,7 +176,7 @@
 	}
 	report, content := l.newReport()
 	if holder.Address != l.config.Address {
-		report.Observations = l.unsentObservations(holder.Address, true)
+		report.Observations = l.unsentObservations(true)
 	}
 	if holder.Address == l.config.Address {
 		if update, holds := l.config.Holder.HandleReport(report); holds {
--- a/internal/orders/observations.go
+++ b/internal/orders/observations.go
@@ -26,9 +26,8 @@
 
 // observationState is the state of sending a node's observations to the holder.
 type observationState struct {
-	// cursor is what the holder at the address has.
-	cursor  observation.Cursor
-	address string
+	// cursor is what the holder of the current term was sent.
+	cursor observation.Cursor
 	// sentAt is when loads were last sent.
 	sentAt time.Time
 }
@@ -62,23 +61,18 @@
 		// The holder has the same table.
 		l.config.Holder.Wake()
 	default:
-		if unsent := l.unsentObservations(holder.Address, withLoads); len(unsent) > 0 {
+		if unsent := l.unsentObservations(withLoads); len(unsent) > 0 {
 			l.Push(holder.Address, Update{Observations: unsent})
 		}
 	}
 }
 
-// unsentObservations returns what the holder at the address has not been sent, and records it as
-// sent. Loads are left out if some were sent within the update period.
-func (l *Link) unsentObservations(holder string, withLoads bool) []observation.Observation {
+// unsentObservations returns what the holder has not been sent, and records it as sent. Loads are left out if some were sent within the update period.
+func (l *Link) unsentObservations(withLoads bool) []observation.Observation {
 	now := time.Now()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	state := &l.observations
-	if state.address != holder {
-		// Another holder has none of this node's observations.
-		*state = observationState{address: holder}
-	}
 	withLoads = withLoads && now.Sub(state.sentAt) >= l.config.Observations.UpdatePeriod()
 	unsent, cursor := l.config.Observations.Unsent(state.cursor, withLoads, now)
 	state.cursor = cursor
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -49,7 +49,7 @@
 switch_off answer-told-again internal/observation/entry.go 'return e.announcedUnreachable || at.Sub(e.announcedAt) >= answerPause' 'return e.announcedUnreachable' ./internal/observation
 switch_off refusal-told-at-once internal/orders/observations.go 'case <-table.Urgent():' 'case <-make(chan struct{}):' ./platform -run 'Observation|Suspicion'
 switch_off shared-if-needed internal/observation/conditions.go 'return slots > 0 && slots < nodes' 'return slots > 0' ./internal/observation
-switch_off sent-to-next-holder internal/orders/observations.go 'if state.address != holder {' 'if state.address == "" {' ./platform -run 'Observation|Suspicion'
+switch_off sent-to-next-holder internal/orders/link.go $'\t\tl.observations.cursor = observation.Cursor{}' '' ./platform -run 'Observation|Suspicion'
 switch_off pushes-bounded internal/orders/observation_push.go 'if now.Sub(node.pushed.at) >= period {' 'if true {' ./platform -run 'Observation|Suspicion'
 
 forward=./internal/forward
