--- a/internal/observation/exchange.go
+++ b/internal/observation/exchange.go
@@ -162,7 +162,8 @@
 
 // LoadsFor returns the loads that the order holder sends to the node at an address: those of the
 // servers in the lists that the node does not have and did not send itself. It records them as
-// received. Shared reports whether loads of any of the servers are shared.
+// received, which no other goroutine may use. Shared reports whether loads of any of the servers are
+// shared.
 //
 // If there are more than MaxPerMessage, it returns those that the node received longest ago.
 func (t *Table) LoadsFor(address string, lists [][]*fleet.Server, received Received, now time.Time) (observations []Observation, shared bool) {
@@ -186,7 +187,7 @@
 			candidates = append(candidates, candidate{found, version})
 		}
 	}
-	if len(received) > 2*inForce+MaxPerMessage {
+	if len(received) > inForce+MaxPerMessage {
 		t.pruneReceived(received, now)
 	}
 	observations = make([]Observation, 0, min(len(candidates), MaxPerMessage))
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -177,6 +177,7 @@
 	report, content := l.newReport()
 	if holder.Address != l.config.Address {
 		report.Observations = l.unsentObservations(true)
+		l.countObservations(Sent, report.Observations)
 	}
 	if holder.Address == l.config.Address {
 		if update, holds := l.config.Holder.HandleReport(report); holds {
--- a/internal/orders/observations.go
+++ b/internal/orders/observations.go
@@ -58,8 +58,10 @@
 	switch {
 	case !known:
 	case holder.Address == l.config.Address:
-		// The holder has the same table.
-		l.config.Holder.Wake()
+		// The holder has the same table, and sends loads with its next plan.
+		if !withLoads {
+			l.config.Holder.Wake()
+		}
 	default:
 		if unsent := l.unsentObservations(withLoads); len(unsent) > 0 {
 			l.Push(holder.Address, Update{Observations: unsent})
@@ -93,13 +95,21 @@
 	fromHolder := update.HolderToken != 0
 	now := time.Now()
 	changed := l.config.Observations.Merge(update.Observations, observation.Origin{Node: from, Holder: fromHolder}, now)
-	if fromHolder {
+	switch {
+	case fromHolder && update.HolderToken >= l.currentToken():
 		l.config.Observations.SetRates(update.Rates, now)
-	} else if changed {
+	case !fromHolder && changed:
 		l.config.Holder.Wake()
 	}
 }
 
+// currentToken returns the token of the newest term that this node knows.
+func (l *Link) currentToken() int64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.token
+}
+
 // countObservations reports the number of observations in a message.
 func (l *Link) countObservations(direction Direction, observations []observation.Observation) {
 	if len(observations) > 0 {
