Bound the servers that an update of loads looks at

A pool without models, or a model at thousands of servers, would cost the holder nodes x servers looks in each period. An update looks at 512 of a list, the next one at the next.

--- a/internal/observation/table.go
+++ b/internal/observation/table.go
@@ -78,7 +78,8 @@
 }
 
 // Load returns the newest load of the incarnation and when it was observed, whichever node
-// observed it; known is false if there is none or it is too old.
+// observed it; known is false if there is none or it is too old. It includes this node's own
+// observations where nodes share none: SharesLoads reports whether they do.
 func (t *Table) Load(server fleet.Incarnation, now time.Time) (load Load, at time.Time, known bool) {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
--- a/internal/orders/observation_push.go
+++ b/internal/orders/observation_push.go
@@ -21,6 +21,10 @@
 	ratePeriod = time.Second
 	// maxRates bounds the arrival rates in a message.
 	maxRates = 64
+	// maxServersLookedAt bounds the servers of a model, or of a pool without models, that an update
+	// looks at; the next one looks at the next of them. A look takes some 50 ns, and a holder
+	// with 985 nodes makes 400 updates per second.
+	maxServersLookedAt = 512
 	// minRate is the arrival rate, in requests per second, below which a model's is not sent: over
 	// all nodes, less than one request while loads are in force.
 	minRate = 0.1
@@ -42,6 +46,8 @@
 // pushedLoads is what a process of a node was sent of the servers' loads.
 type pushedLoads struct {
 	received observation.Received
+	// updates counts the updates of loads.
+	updates int
 	// at and ratesAt are when loads and rates were last sent.
 	at, ratesAt time.Time
 }
@@ -117,8 +123,9 @@
 func (h *Holder) loadsFor(node *dueNode, snapshot *fleet.Snapshot, now time.Time) Update {
 	lists := make([][]*fleet.Server, len(node.models))
 	for i, model := range node.models {
-		lists[i] = snapshot.Holders(model.pool, model.model)
+		lists[i] = window(snapshot.Holders(model.pool, model.model), node.pushed.updates)
 	}
+	node.pushed.updates++
 	loads, shared := h.config.Observations.LoadsFor(node.address, lists, node.pushed.received, now)
 	update := Update{Observations: loads}
 	if node.name == h.config.Name {
@@ -131,6 +138,16 @@
 	return update
 }
 
+// window returns the part of a long list that the update with a number looks at.
+func window(servers []*fleet.Server, number int) []*fleet.Server {
+	if len(servers) <= maxServersLookedAt {
+		return servers
+	}
+	windows := (len(servers) + maxServersLookedAt - 1) / maxServersLookedAt
+	first := number % windows * maxServersLookedAt
+	return servers[first:min(first+maxServersLookedAt, len(servers))]
+}
+
 // ratesOf returns the arrival rates of the models that have one, the highest ones if there are too
 // many.
 func ratesOf(models []modelKey, rates map[modelKey]float64) []observation.Rate {
