Read loads with further figures

Every load report of a server that reports more than three figures was discarded, since the parser accepted exactly three. It now reads "running,waiting,slots[,slowdown%[,...]]": the fourth figure is passed on as forward.Load.Slowdown, further ones are ignored and counted under the header's name as unknown notices, and what cannot be parsed is counted as unreadable. A load with an unreadable count is not known; before, the count was read as 0, so that the server looked idle.

--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -80,6 +80,9 @@
 type Load struct {
 	Reported                bool
 	Running, Waiting, Slots int
+	// Slowdown is the current duration of work on the server as a multiple of usual; 0 if not
+	// reported.
+	Slowdown float64
 }
 
 // Reply is a server's response: its head, and its body to be read.
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -22,11 +22,11 @@
 	RetryAfter time.Duration
 	// Limit on the rate of requests that the server accepts.
 	Limit Limit
-	// Unreadable is the text of a time or limit that could not be parsed; it is otherwise
+	// Unreadable is the text of a time, limit or load that could not be parsed; it is otherwise
 	// ignored.
 	Unreadable string
-	// Unknown are the names of notices that this build does not read. They are recorded so
-	// that a new kind of notice is seen in logs and metrics before it matters.
+	// Unknown are the names of notices that this build does not read, or not to their end. They
+	// are recorded so that a new kind of notice is seen in logs and metrics before it matters.
 	Unknown string
 }
 
