--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -36,10 +36,10 @@
 	Backoffs Backoffs
 	// Limits enforces the rate limits that servers announced; nil: none.
 	Limits Limits
+	// Observations holds what nodes observe of servers; nil: nothing is recorded.
+	Observations *observation.Table
 	// Poison quarantines requests that crash servers; nil: none is quarantined.
 	Poison PoisonGuard
-	// Observations that nodes share of servers; nil: none.
-	Observations *observation.Table
 	// Random returns numbers from 0 up to 1, with which servers are drawn; nil: those of
 	// math/rand/v2.
 	Random func() float64
