Weigh the slowdown that servers report

Servers that share their machines were scored like others. The mean of the slowdowns that they report, kept by incarnation with a half-life of 4 s, now multiplies the time of a prompt and of the queue; without reports nothing changes.

--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -95,6 +95,9 @@
 		if decision.LoadAge > 0 {
 			event = event.Dur("load_age_ms", decision.LoadAge)
 		}
+		if decision.Slowdown > 0 && decision.Slowdown != 1 {
+			event = event.Float64("slowdown", decision.Slowdown)
+		}
 		if decision.Arrivals > 0 {
 			event = event.Float64("arrivals", decision.Arrivals)
 		}
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -46,13 +46,6 @@
 	b.nodes = max(nodes, 1)
 }
 
-// nodeCount is the number of nodes that share the slack.
-func (b *budgets) nodeCount() int {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.nodes
-}
-
 // of returns the pool's budget. The lock must be held.
 func (b *budgets) of(pool string) *budget {
 	found := b.byPool[pool]
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -27,6 +27,8 @@
 	// number of free slots, and perQueued what a request adds in addition once there is none.
 	perRequest, perQueued time.Duration
 	free                  int
+	// slowdown is the expected duration of work as a multiple of usual.
+	slowdown float64
 	// sharedAge is the age of the load, if loads of other nodes are in force.
 	sharedAge time.Duration
 	shared    bool
@@ -158,6 +160,7 @@
 	c.load.mutex.Lock()
 	defer c.load.mutex.Unlock()
 	flow.decision.Load, flow.decision.Score = c.load.estimate(now), c.score
+	flow.decision.Slowdown = c.slowdown
 	flow.decision.LoadSource, flow.decision.LoadAge = c.load.source(now)
 	c.load.changeOwn(1, now)
 	c.load.ownPrefill += flow.request.PromptTokens
--- a/internal/forward/draw.go
+++ b/internal/forward/draw.go
@@ -7,10 +7,6 @@
 )
 
 const (
-	// minUpdatePeriod and updatePeriodPerNode give the shortest time between two messages with
-	// loads to a node: what the order holder can send to all nodes.
-	minUpdatePeriod     = 250 * time.Millisecond
-	updatePeriodPerNode = 2500 * time.Microsecond
 	// horizonFactor is the time whose arrivals are distributed, as a multiple of the age of the
 	// loads. Loads that are renewed periodically reach twice their mean age, and the servers
 	// complete requests meanwhile, which levels them as well. Of 24 replays (91 nodes, 2 to 6
@@ -20,11 +16,6 @@
 	horizonFactor = 3
 )
 
-// updatePeriod is the shortest time between two messages with loads to one of so many nodes.
-func updatePeriod(nodes int) time.Duration {
-	return max(minUpdatePeriod, time.Duration(nodes)*updatePeriodPerNode)
-}
-
 // pick returns the candidate that gets the request; nil without candidates. It is the one with the
 // lowest score, unless loads of other nodes are in force: all nodes have these loads, so the
 // candidate is drawn such that the requests that all nodes send meanwhile level the delays.
@@ -71,7 +62,7 @@
 	if known == 0 {
 		return 0
 	}
-	age := horizonFactor * max(ages/time.Duration(known), updatePeriod(f.budgets.nodeCount()))
+	age := horizonFactor * max(ages/time.Duration(known), f.observations.UpdatePeriod())
 	return f.observations.ArrivalRate(flow.pool, flow.request.Model) * age.Seconds()
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -222,6 +222,9 @@
 	Load       int
 	LoadSource LoadSource
 	LoadAge    time.Duration
+	// Slowdown is the expected duration of the chosen server's work as a multiple of usual; 1 if it
+	// reports none.
+	Slowdown float64
 	// Arrivals is the number of requests that all nodes send while they know the same loads.
 	// From 1 on, the server was drawn; below, it had the lowest score.
 	Arrivals float64
--- a/internal/forward/score.go
+++ b/internal/forward/score.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// promptChunkTokens is the part of a prompt that a server processes between two decoding steps
+	// of its running streams.
+	promptChunkTokens = 2048
 	// otherZonePenalty is added to the score of a server in another zone.
 	otherZonePenalty = 3 * time.Millisecond
 	// preferredCachedShare is the share of a prompt prefix that is assumed to be cached at
@@ -59,11 +62,13 @@
 	tokens := flow.request.PromptTokens - cachedTokens(flow, c.load, preferred) + c.load.ownPrefill + baseTokens
 	latency := min(max(c.load.latencyNow(now), minLatencyFactor), maxLatencyFactor)
 	slots, present := max(c.server.Slots, 1), c.load.estimate(now)
-	alone := float64(tokenTime) * float64(tokens) * latency
+	slowdown := c.load.speed.sustainedAt(now)
+	alone := float64(tokenTime) * float64(tokens) * latency * slowdown
 	crowding := 1 + float64(present)/float64(slots)
 	c.score = time.Duration(alone * crowding)
-	c.perRequest, c.perQueued = time.Duration(alone/float64(slots)), flow.runTime/time.Duration(slots)
+	c.perRequest, c.perQueued = time.Duration(alone/float64(slots)), time.Duration(float64(flow.runTime)*c.load.speed.sustainedAt(now)/float64(slots))
 	c.free = max(slots-present, 0)
+	c.slowdown = slowdown
 	c.sharedAge, c.shared = now.Sub(c.load.shared.at), c.load.usesShared()
 	c.score += c.load.queueWait(c.server.Slots, flow.runTime, now)
 	c.score += c.slotIn + f.limitPenalty(flow, c.server)
--- a/internal/forward/shared_load.go
+++ b/internal/forward/shared_load.go
@@ -61,13 +61,14 @@
 		load.shared.othersAt = at
 	}
 	load.shared.load, load.shared.at = newest, at
+	load.speed = load.speed.with(newest.Slowdown, at)
 	load.shared.inForce = now.Sub(load.shared.othersAt) < observation.LoadLifetime
 }
 
-// meet discards what was shared about an earlier incarnation of the server. The lock must be held.
+// meet discards what was known about an earlier incarnation of the server. The lock must be held.
 func (s *serverLoad) meet(incarnation fleet.Incarnation) {
 	if incarnation.Follows(s.incarnation) {
-		s.shared, s.seenAt = sharedLoad{}, time.Time{}
+		s.speed, s.shared, s.seenAt = speed{}, sharedLoad{}, time.Time{}
 	}
 	s.incarnation = incarnation
 }
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -35,13 +35,14 @@
 	report      Load
 	reportedAt  time.Time
 	ownAtReport int
-	// incarnation is the one that shared and seenAt belong to. seenAt is when this node received
+	// incarnation is the one that speed, shared and seenAt belong to. seenAt is when this node received
 	// the newest load that it recorded for all nodes.
 	incarnation fleet.Incarnation
 	shared      sharedLoad
 	seenAt      time.Time
 	// fullAt is when the server last refused a request as full without a report of its load.
 	fullAt time.Time
+	speed  speed
 	// ownChanges are the changes of own within observation.LoadLifetime, the oldest first.
 	ownChanges []ownChange
 	// failures is a rate from 0 to 1 as of failuresAt.
@@ -75,15 +76,15 @@
 	return s.own
 }
 
-// queueWait is how long a request would wait for a slot if each request takes runTime. The lock
-// must be held.
+// queueWait is how long a request would wait for a slot if each request usually takes runTime. The
+// lock must be held.
 func (s *serverLoad) queueWait(slots int, runTime time.Duration, now time.Time) time.Duration {
 	slots = max(slots, 1)
 	ahead := s.estimate(now) - slots + 1
 	if ahead <= 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead) / float64(slots) * float64(runTime))
+	return time.Duration(float64(ahead) / float64(slots) * float64(runTime) * s.speed.sustainedAt(now))
 }
 
 // failureRate is the recent share of failed attempts, which decays with time.
@@ -287,5 +288,7 @@
 	defer load.mutex.Unlock()
 	now := time.Now()
 	before := load.latencyNow(now)
-	load.latency, load.latencyAt = before+latencyWeight*(perToken/average-before), now
+	// What the reported slowdown explains is not counted twice.
+	factor := perToken / average / load.speed.sustainedAt(now)
+	load.latency, load.latencyAt = before+latencyWeight*(factor-before), now
 }
