--- a/internal/forward/stale_load_test.go
+++ b/internal/forward/stale_load_test.go
@@ -118,8 +118,9 @@
 		nodes[i] = New(Config{View: view, Backend: backend, Zone: "z", Nodes: r.nodes, Observations: tables[i], Random: draw, Budget: BudgetLimits{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second}})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	var engines sync.WaitGroup
 	for _, server := range r.servers {
-		go server.run(ctx)
+		engines.Go(func() { server.run(ctx) })
 	}
 	if r.tokens == nil {
 		r.tokens = func(*rand.Rand) (int, int) { return 1900, 300 }
@@ -158,6 +159,7 @@
 	}
 	group.Wait()
 	cancel()
+	engines.Wait()
 	for _, server := range r.servers {
 		outcomes.preempted += server.preempted
 		outcomes.peak = max(outcomes.peak, server.peak)
