Count requests to pools without models for their arrival rate

Demand counts only requests for models, so that no arrival rate was known for pools without models, and the lowest of the shared loads won there.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -200,7 +200,7 @@
 	defer stop(nil)
 	defer context.AfterFunc(f.lifetime, func() { stop(errNodeStopped) })()
 	f.budgets.request(flow.pool, request.Accepted)
-	f.demand.addArrival(flow.demandKey())
+	f.recordArrival(flow)
 	defer f.watchLongRunning(flow)()
 	outcome := f.run(ctx, flow, responder)
 	if outcome.Ran == result.RanNo {
--- a/internal/forward/shared_load.go
+++ b/internal/forward/shared_load.go
@@ -44,6 +44,14 @@
 	change int
 }
 
+// recordArrival counts a request for the arrival rates of its model, or of its pool if it needs none.
+func (f *Forwarder) recordArrival(flow *flow) {
+	f.demand.addArrival(flow.demandKey())
+	if f.observations != nil && flow.request.Model == "" {
+		f.observations.RecordArrival(flow.pool)
+	}
+}
+
 // refreshLoad takes the newest load of the server from the table of observations. Without one, or
 // with only this node's own loads in it, the choice is based on this node's reports. The load's lock,
 // under which recordAnswer writes to the table, must be held: seenAt tells whose load it is.
--- a/internal/forward/stale_load_test.go
+++ b/internal/forward/stale_load_test.go
@@ -377,6 +377,18 @@
 	})
 }
 
+// Guards against choosing the lowest score among the servers of a pool without models, for want of an
+// arrival rate: demand counts only requests for models.
+func TestRequestsToPoolsWithoutModelsAreCounted(t *testing.T) {
+	inVirtualTimeWithTable(t, func(b *testbed, table *observation.Table) {
+		for range 3 {
+			b.forwarder.Serve(context.Background(), request("once", "", time.Second), &recorder{})
+		}
+		b.forwarder.Serve(context.Background(), request("stream", "m", time.Second), &recorder{})
+		Expect(table.Arrivals()).To(Equal(map[string]uint64{plainPool: 3}))
+	})
+}
+
 // BenchmarkChoose measures a choice among 60 servers, with this node's own reports and with loads of
 // other nodes; the bound is 50 µs.
 func BenchmarkChoose(b *testing.B) {
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -49,6 +49,16 @@
 switch_off route-attempts internal/forward/attempt.go 'flow.runs+further < flow.route.MaxAttempts' 'flow.runs+further < 100' $forward
 switch_off retry-budget internal/forward/budget.go 'if float64(counts.repeats.sum(now)+1) > allowed {' 'if false && allowed < 0 {' $forward
 switch_off budget-share internal/forward/budget.go 'b.limits.Slack/float64(b.nodes)' 'b.limits.Slack' $forward
+# Choice under stale load.
+switch_off load-figures platform/server_load.go 'if len(figures) < loadFigures {' 'if len(figures) != loadFigures {' ./platform
+switch_off loads-of-nodes internal/forward/shared_load.go 'return s.shared.inForce &&' 'return false &&' $forward
+switch_off own-requests-since internal/forward/shared_load.go '+s.own-s.ownAt(s.shared.at)' '+s.own' $forward
+switch_off drawn internal/forward/draw.go 'if !flow.decision.Drawn() {' 'if true {' $forward
+switch_off drawn-horizon internal/forward/draw.go 'horizonFactor = 3' 'horizonFactor = 0' $forward
+switch_off refused-only internal/forward/shared_load.go 'if ctx.Err() == nil && errors.Is(failure.Cause, syscall.ECONNREFUSED) {' 'if true || errors.Is(failure.Cause, syscall.ECONNREFUSED) {' $forward
+switch_off slowdown internal/forward/speed.go 'if s.at.IsZero() {' 'if true {' $forward
+switch_off suspected-avoided internal/forward/suspicion.go 'if !isSuspected {' 'if true || !isSuspected {' $forward
+switch_off suspicion-checked-once internal/forward/suspicion.go '!since.Equal(checkedSince) &&' 'true &&' $forward
 # Tenants and what crosses the edge.
 switch_off reserved-headers platform/header_filter.go '&& !reserved(name)' '' ./platform
 switch_off headers-of-connection platform/header_filter.go 'if clientHeaders[name] {' 'if clientHeaders[name] && !connection[name] {' ./platform
