--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -53,7 +53,7 @@
 	if event == nil {
 		return
 	}
-	event.Str("server", check.Server.ID).Str("pool", check.Server.Pool).Str("outcome", outcome).AnErr("error", check.Err).Msg("suspected server checked")
+	event.Str("server", check.Server.ID).Str("pool", check.Server.Pool).Bool("reached", check.Err == nil).AnErr("error", check.Err).Msg("suspected server checked")
 }
 
 // LongRunning logs a request that has been in flight for long.
