--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -42,6 +42,20 @@
 	event.AnErr("error", failed.Failure.Cause).Msg("attempt failed")
 }
 
+// SuspicionChecked logs and counts a check of a server that another node found unreachable.
+func (l *RequestLog) SuspicionChecked(check forward.SuspicionCheck) {
+	outcome := "reached"
+	if check.Err != nil {
+		outcome = "failed"
+	}
+	l.metrics.count(metricSuspicionChecks, "outcome", outcome)
+	event := l.limiter.Event(&l.logger, zerolog.InfoLevel, "suspicion check")
+	if event == nil {
+		return
+	}
+	event.Str("server", check.Server.ID).Str("pool", check.Server.Pool).Bool("reached", check.Err == nil).AnErr("error", check.Err).Msg("suspected server checked")
+}
+
 // LongRunning logs a request that has been in flight for long.
 func (l *RequestLog) LongRunning(running forward.LongRunning) {
 	event := l.limiter.Event(&l.logger, zerolog.InfoLevel, "under way")
@@ -91,9 +105,19 @@
 	event = event.Int64("configuration", decision.Configuration).Int("able", decision.Eligible).Int("candidates", decision.Candidates)
 	if decision.Candidates > 0 {
 		event = event.Int("server_load", decision.Load).Dur("score_ms", decision.Score)
+		event = addText(event, "load_from", string(decision.LoadSource))
 		if decision.LoadAge > 0 {
 			event = event.Dur("load_age_ms", decision.LoadAge)
 		}
+		if decision.Slowdown > 0 && decision.Slowdown != 1 {
+			event = event.Float64("slowdown", decision.Slowdown)
+		}
+		if decision.Arrivals > 0 {
+			event = event.Float64("arrivals", decision.Arrivals)
+		}
+	}
+	if decision.Suspected > 0 {
+		event = event.Int("suspected", decision.Suspected)
 	}
 	if decision.QueueWait > 0 {
 		event = event.Dur("queue_wait_ms", decision.QueueWait)
@@ -132,6 +156,7 @@
 // recordMetrics counts a finished request and, if it was served, records its times.
 func (l *RequestLog) recordMetrics(request *forward.Request, outcome forward.Outcome, code string) {
 	l.metrics.count(metricRequests, "code", code)
+	l.metrics.choice(outcome.Decision)
 	if outcome.Code != result.OK {
 		return
 	}
