Take less time for a choice

A choice among 60 servers evaluated the caller's time limit and the queue twice for each of them, and the shares sorted delays above any possible level.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -86,12 +86,16 @@
 
 // level returns the delay, in nanoseconds, below which all candidates together take the requests.
 func level(candidates []Candidate, requests float64) float64 {
+	// One candidate alone would take all of them below this delay; later steps don't matter.
+	highest := candidates[lowest(candidates)].delayAfter(requests)
 	steps := make([]step, 0, 2*len(candidates))
 	for _, candidate := range candidates {
 		delay, each := float64(candidate.Delay), candidate.each()
+		if delay >= highest {
+			continue
+		}
 		steps = append(steps, step{delay: delay, change: 1 / each})
-		if candidate.PerQueued > 0 {
-			full := delay + max(candidate.Free, 0)*each
+		if full := candidate.fullAt(); candidate.PerQueued > 0 && full < highest {
 			steps = append(steps, step{delay: full, change: 1/float64(candidate.PerQueued) - 1/each})
 		}
 	}
@@ -114,6 +118,18 @@
 // nothing takes all that are left at its delay.
 func (c Candidate) each() float64 { return float64(max(c.PerRequest, 1)) }
 
+// fullAt returns the delay once the free slots are taken.
+func (c Candidate) fullAt() float64 { return float64(c.Delay) + max(c.Free, 0)*c.each() }
+
+// delayAfter returns the delay, in nanoseconds, after so many further requests.
+func (c Candidate) delayAfter(requests float64) float64 {
+	free := max(c.Free, 0)
+	if c.PerQueued <= 0 || requests <= free {
+		return float64(c.Delay) + requests*c.each()
+	}
+	return c.fullAt() + (requests-free)*float64(c.PerQueued)
+}
+
 // takenBelow returns the number of requests that the candidate takes until its delay reaches the
 // level.
 func (c Candidate) takenBelow(level float64) float64 {
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -43,14 +43,8 @@
 // filter reports whether a server may take the flow's next attempt.
 type filter func(flow *flow, server *fleet.Server, load *serverLoad, now time.Time) bool
 
-// startsInTime reports whether the server's queue is short enough for the request to begin
-// while that is useful to the caller.
-func startsInTime(flow *flow, server *fleet.Server, load *serverLoad, now time.Time) bool {
-	return !now.Add(load.queueWait(server.Slots, flow.runTime, now)).After(flow.startBy(now))
-}
-
 // filters in order of cost, the cheapest first. They are called with the load's lock held.
-var filters = []filter{takesNewWork, holdsModel, notTried, notPaused, hasCapacity, startsInTime}
+var filters = []filter{takesNewWork, holdsModel, notTried, notPaused, hasCapacity}
 
 func takesNewWork(_ *flow, server *fleet.Server, _ *serverLoad, _ time.Time) bool {
 	return !server.Draining
@@ -103,7 +97,7 @@
 	candidates := slices.Grow((*scratch)[:0], len(holders))
 	shortestWait := time.Duration(math.MaxInt64)
 	flow.runTime = f.tracker.averageRunTime(flow.pool)
-	maxWait := f.maxSlotWait(flow, now)
+	maxWait, maxQueueWait := f.maxSlotWait(flow, now), flow.startBy(now).Sub(now)
 	loads := f.tracker.ofServers(holders)
 	for i, server := range holders {
 		load := loads[i]
@@ -120,7 +114,8 @@
 			}
 			shortestWait = min(shortestWait, max(backoff, slot.in, queueWait))
 		}
-		if fits && backoff <= 0 && slot.mayRequest(flow, maxWait) {
+		// The queue must be short enough for the request to begin while that is useful to the caller.
+		if fits && queueWait <= maxQueueWait && backoff <= 0 && slot.mayRequest(flow, maxWait) {
 			candidates = append(candidates, candidate{server: server, load: load, slotIn: slot.in})
 		}
 	}
--- a/internal/forward/score.go
+++ b/internal/forward/score.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// promptChunkTokens is the part of a prompt that a server processes between two decoding steps
-	// of its running streams.
-	promptChunkTokens = 2048
 	// otherZonePenalty is added to the score of a server in another zone.
 	otherZonePenalty = 3 * time.Millisecond
 	// preferredCachedShare is the share of a prompt prefix that is assumed to be cached at
