--- a/internal/forward/stale_load_test.go
+++ b/internal/forward/stale_load_test.go
@@ -113,7 +113,7 @@
 	for i := range nodes {
 		if r.period > 0 {
 			tables[i] = observation.NewTable()
-			tables[i].SetNodes(r.nodes)
+			tables[i].SetNodes(r.nodes, time.Now())
 		}
 		nodes[i] = New(Config{View: view, Backend: backend, Zone: "z", Nodes: r.nodes, Observations: tables[i], Random: draw, Budget: BudgetLimits{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second}})
 	}
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -176,7 +176,8 @@
 	}
 	report, content := l.newReport()
 	if holder.Address != l.config.Address {
-		report.Observations = l.unsentObservations(holder.Address, true)
+		report.Observations = l.unsentObservations(true)
+		l.countObservations(Sent, report.Observations)
 	}
 	if holder.Address == l.config.Address {
 		if update, holds := l.config.Holder.HandleReport(report); holds {
@@ -294,7 +295,7 @@
 	}
 	if update.Nodes > 0 {
 		l.config.SetNodes(update.Nodes)
-		l.config.Observations.SetNodes(update.Nodes)
+		l.config.Observations.SetNodes(update.Nodes, now)
 	}
 	if len(update.Counters.Addresses) > 0 {
 		l.config.SetCounters(update.Counters)
