Keep what is known of a server's newest incarnation

A late statement about an earlier incarnation discarded the speed of the new one. The arrivals in the decision are those of the last choice, also if it had no candidate.

--- a/internal/forward/draw.go
+++ b/internal/forward/draw.go
@@ -20,6 +20,7 @@
 // lowest score, unless loads of other nodes are in force: all nodes have these loads, so the
 // candidate is drawn such that the requests that all nodes send meanwhile level the delays.
 func (f *Forwarder) pick(flow *flow, candidates []candidate) *candidate {
+	flow.decision.Arrivals = 0
 	if len(candidates) == 0 {
 		return nil
 	}
--- a/internal/forward/shared_load.go
+++ b/internal/forward/shared_load.go
@@ -75,6 +75,9 @@
 
 // meet discards what was known about an earlier incarnation of the server. The lock must be held.
 func (s *serverLoad) meet(incarnation fleet.Incarnation) {
+	if s.incarnation.Follows(incarnation) {
+		return
+	}
 	if incarnation.Follows(s.incarnation) {
 		s.speed, s.shared, s.seenAt = speed{}, sharedLoad{}, time.Time{}
 	}
--- a/internal/forward/stale_load_test.go
+++ b/internal/forward/stale_load_test.go
@@ -375,6 +375,22 @@
 	})
 }
 
+// Guards against taking a restarted server for as slow as before, and against a late message of the
+// earlier incarnation that discards what is known of the new one.
+func TestSpeedBelongsToOneIncarnation(t *testing.T) {
+	RegisterTestingT(t)
+	now, load := time.Unix(1_700_000_000, 0), &serverLoad{}
+	first, second := fleet.Incarnation{ID: "s", Born: 1}, fleet.Incarnation{ID: "s", Born: 2}
+	load.meet(first)
+	load.speed = load.speed.with(3, now)
+	load.meet(second)
+	Expect(load.speed.sustainedAt(now)).To(Equal(1.0))
+	load.speed = load.speed.with(2, now)
+	load.meet(first)
+	load.meet(second)
+	Expect(load.speed.sustainedAt(now)).To(Equal(1.5))
+}
+
 // Guards against choosing the lowest score among the servers of a pool without models, for want of an
 // arrival rate: demand counts only requests for models.
 func TestRequestsToPoolsWithoutModelsAreCounted(t *testing.T) {
