Count the slack of the retry budget for all nodes

Cause: each node used 0.75 x (slack / nodes) of the slack, whatever the others left. With 91 nodes and a slack of 222, 669 requests were refused for a spent budget while most of the slack was unused.

Change: the decision is a package, internal/retrybudget. A node first uses the ratio of its own requests. Where the even share of the slack is below 4 retries in a window, it takes further ones from the count of the counter nodes (internal/ratelimit), as a limit of a new kind: each counter node votes by what it allowed itself, three quarters of them grant a retry, and each allows three quarters of the limit. So no count is handed over when a counter node fails, and the sum holds whichever of them are reached. A new counter node does not vote for a window. Without a quorum a node has its share of a tenth of the slack. Nodes that were refused ask again only after 5 ms for each node.

The search for another server no longer holds the switch-over's lock, since it may wait for counter nodes: a response ends it.

The limit is a field of TakeRequest.Limit that earlier builds do not know; they count it as a limit with a token bucket of the same capacity. Their encodings of the three messages are kept.

Tests: budget_test.go of internal/forward moved with the code, with calls renamed. wirenames.json has the new fields, the encodings of the build before are in earlier.json. Two lines of scripts/mechanisms.sh named code that no longer existed; they and five new ones are noticed.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -21,6 +21,7 @@
 	"github.com/hatchplank/hatchplank/internal/poison"
 	"github.com/hatchplank/hatchplank/internal/quota"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
+	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 	"github.com/hatchplank/hatchplank/platform"
@@ -228,6 +229,7 @@
 func (n *node) assembleForwarder() {
 	n.forwarder = forward.New(forward.Config{
 		View: n.view, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: n.mirror.Behind, Zone: n.settings.Node.Zone,
+		Fleet: retrybudget.Count{Limiter: n.limiter}, OnRetry: n.requests.Retry,
 		Nodes: initialNodes, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning,
 		Budget: forward.BudgetLimits{
 			Ratio: n.settings.Retries.Ratio, Slack: n.settings.Retries.Slack, Window: n.settings.Retries.Window,
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -27,6 +27,7 @@
 	"github.com/hatchplank/hatchplank/internal/notice"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
 )
 
@@ -214,6 +215,7 @@
 	metrics.ServerLimit(serverlimit.Grant{Allowed: true})
 	metrics.SentToLimited(notice.PurposeRequest)
 	metrics.Quota("north", ratelimit.Verdict{Allowed: true})
+	metrics.Retry(retrybudget.Decision{Allowed: true, By: retrybudget.ByNode})
 	answer := httptest.NewRecorder()
 	metrics.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/notice"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
+	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
 )
 
@@ -40,6 +41,7 @@
 	metricLimitedServers    = "hatchplank_node_limited_servers"
 	metricServerLimit       = "hatchplank_node_server_limit_total"
 	metricSentToLimited     = "hatchplank_node_sends_to_limited_servers_total"
+	metricRetries           = "hatchplank_node_retries_total"
 )
 
 // MetricDescriptions lists the node's own metrics.
@@ -64,6 +66,7 @@
 	{metricLimitedServers, "gauge", "", "Servers that name a limit for all nodes together, as far as this node knows."},
 	{metricServerLimit, "counter", "verdict, count", "Questions whether a server's limit has room, by verdict (within, over) and by who counted (all, alone: as for tenants)."},
 	{metricSentToLimited, "counter", "purpose", "Sendings to such servers, by purpose (request, order, report)."},
+	{metricRetries, "counter", "verdict, by", "Attempts beyond a request's first that were compared with the retry budget, by verdict (within, over) and by who decided (node: this node's own allowance; fleet: the count for all nodes; share: this node's even share, as too few counting nodes answered)."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
@@ -155,6 +158,11 @@
 	m.count(metricQuota, "tenant", tenant, "verdict", verdictLabel(verdict.Allowed), "count", countLabel(verdict.CountedBy != ""))
 }
 
+// Retry counts a decision of the retry budget.
+func (m *Metrics) Retry(decision retrybudget.Decision) {
+	m.count(metricRetries, "verdict", verdictLabel(decision.Allowed), "by", string(decision.By))
+}
+
 // ServeHTTP writes the metrics in the Prometheus text format.
 func (m *Metrics) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
 	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -8,13 +8,15 @@
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/logging"
 	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/retrybudget"
 )
 
 // maxLinesPerSecond limits the log lines about requests, for each kind of line.
 const maxLinesPerSecond = 100
 
-// RequestLog logs each finished request, each long-running request and each failed attempt,
-// within a rate limit. It also counts finished requests and failed attempts in the metrics.
+// RequestLog logs each finished request, each long-running request, each failed attempt and each
+// decision of the retry budget, within a rate limit. It also counts finished requests, failed
+// attempts and these decisions in the metrics.
 type RequestLog struct {
 	logger  zerolog.Logger
 	limiter *logging.Limiter
@@ -42,6 +44,18 @@
 	event.AnErr("error", failed.Failure.Cause).Msg("attempt failed")
 }
 
+// Retry logs and counts a decision of the retry budget.
+func (l *RequestLog) Retry(request *forward.Request, decision retrybudget.Decision) {
+	l.metrics.Retry(decision)
+	verdict := verdictLabel(decision.Allowed)
+	event := l.limiter.Event(&l.logger, zerolog.InfoLevel, "retry/"+verdict+"/"+string(decision.By))
+	if event == nil {
+		return
+	}
+	event.Str("request", request.ID).Str("pool", decision.Pool).Str("verdict", verdict).Str("by", string(decision.By)).Bool("asked", decision.Asked).
+		Float64("own_retries", decision.Used).Float64("own_allowance", decision.Own).Float64("rank", decision.Rank).Msg("retry budget")
+}
+
 // LongRunning logs a request that has been in flight for long.
 func (l *RequestLog) LongRunning(running forward.LongRunning) {
 	event := l.limiter.Event(&l.logger, zerolog.InfoLevel, "under way")
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -73,6 +73,11 @@
 // modelAndAdapter identifies the model and adapter that the request needs.
 func (fl *flow) modelAndAdapter() string { return fl.request.Model + "/" + fl.request.Adapter }
 
+// rank is the urgency of the request, from 0 (most urgent) to 1.
+func (fl *flow) rank() float64 {
+	return float64(min(fl.priority, lowestPriority)) / lowestPriority
+}
+
 func (fl *flow) demandKey() DemandKey {
 	return DemandKey{Pool: fl.pool, Model: fl.request.Model, Adapter: fl.request.Adapter}
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -9,6 +9,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/retrybudget"
 )
 
 // Orders gives the plans of the order holder: the node that orders servers to load and unload
@@ -44,6 +45,10 @@
 	Budget BudgetLimits
 	// Nodes that share the budget, until SetNodes is called.
 	Nodes int
+	// Fleet counts the slack of the budget over all nodes; nil: each node has its even share.
+	Fleet retrybudget.Fleet
+	// OnRetry is called with each decision of the budget on a retry; nil: not called.
+	OnRetry func(*Request, retrybudget.Decision)
 	// Observe is called with each attempt that failed; nil: not called.
 	Observe func(Observation)
 	// LongRunning is called once for each request that is still in flight after a second; nil:
@@ -74,7 +79,8 @@
 	mayBeStale func() bool
 	zone       string
 	tracker    *tracker
-	budgets    *budgets
+	budgets    *retrybudget.Budget
+	onRetry    func(*Request, retrybudget.Decision)
 	demand     *demandTable
 	observe    func(Observation)
 	// longRunning is called for a request that takes long.
@@ -114,6 +120,9 @@
 	if config.Poison == nil {
 		config.Poison = noPoison{}
 	}
+	if config.OnRetry == nil {
+		config.OnRetry = func(*Request, retrybudget.Decision) {}
+	}
 	if config.LongRunning == nil {
 		config.LongRunning = func(LongRunning) {}
 	}
@@ -121,13 +130,14 @@
 	return &Forwarder{
 		lifetime: lifetime, cancel: cancel, started: time.Now(),
 		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, mayBeStale: config.MayBeStale, zone: config.Zone,
-		tracker: newTracker(), budgets: newBudgets(config.Budget, config.Nodes), demand: newDemandTable(),
+		tracker: newTracker(), demand: newDemandTable(),
+		budgets: retrybudget.New(retrybudget.Config{Limits: config.Budget, Nodes: config.Nodes, Fleet: config.Fleet}), onRetry: config.OnRetry,
 		observe: config.Observe, longRunning: config.LongRunning, longestTimes: map[string]time.Duration{},
 	}
 }
 
 // SetNodes sets the number of nodes that share the retry budget.
-func (f *Forwarder) SetNodes(nodes int) { f.budgets.setNodes(nodes) }
+func (f *Forwarder) SetNodes(nodes int) { f.budgets.SetNodes(nodes) }
 
 // Drain refuses, from now on, the requests that can't be sent before the time.
 func (f *Forwarder) Drain(until time.Time) {
@@ -176,7 +186,7 @@
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	defer context.AfterFunc(f.lifetime, func() { stop(errNodeStopped) })()
-	f.budgets.request(flow.pool, request.Accepted)
+	f.budgets.Request(flow.pool, request.Accepted)
 	f.demand.addArrival(flow.demandKey())
 	defer f.watchLongRunning(flow)()
 	outcome := f.run(ctx, flow, responder)
@@ -222,8 +232,11 @@
 	}
 	if flow.attempts == 0 {
 		flow.held = time.Since(flow.request.Accepted)
-	} else if !f.budgets.takeRetry(flow.pool, time.Now()) {
+	} else if !f.takeRetry(ctx, flow) {
 		f.release(flow, target, nil)
+		if ctx.Err() != nil {
+			return nil, f.cancellationOutcome(ctx, flow)
+		}
 		return nil, f.giveUp(flow, "retry budget is spent", result.RetryBudgetSpent)
 	}
 	return target, nil
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -65,8 +65,7 @@
 // the request may be sent now. If not, the target is kept as the flow's reservation, or released
 // where no slot comes in time; then the flow records when the limit has capacity again.
 func (f *Forwarder) takeSlot(ctx context.Context, flow *flow, target *candidate, maxWait time.Duration) bool {
-	rank := float64(min(flow.priority, lowestPriority)) / lowestPriority
-	target.grant = f.limits.Take(ctx, target.server, serverlimit.Request{Rank: rank, MaxWait: maxWait})
+	target.grant = f.limits.Take(ctx, target.server, serverlimit.Request{Rank: flow.rank(), MaxWait: maxWait})
 	now := time.Now()
 	switch {
 	case !target.grant.Allowed:
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -125,7 +125,17 @@
 	g := NewWithT(t)
 	released := filled(poison.Released{}).(poison.Released)
 	released.Ends = nil
-	expected := map[string]peer.Message{"poison.Released": released}
+	answer := filled(ratelimit.TakeReply{}).(ratelimit.TakeReply)
+	answer.Voted = false
+	giveBack := filled(ratelimit.ReturnMessage{}).(ratelimit.ReturnMessage)
+	giveBack.Vote = 0
+	expected := map[string]peer.Message{
+		"poison.Released": released, "tenants.Answer": answer, "tenants.GiveBack": giveBack,
+		"tenants.Ask": ratelimit.TakeRequest{
+			Tenant: "text 2", Limit: ratelimit.Limit{Rate: 4.5, Burst: 5.5, Window: 6, Paced: true}, Cost: 8.5, Rank: 9.5, MaxWait: 10,
+			Silent: true, Relayed: true, Heard: ratelimit.Count{Known: true, Level: 15.5, Used: 16.5, Age: 17},
+		},
+	}
 	earlier := map[string][]byte{}
 	content, err := os.ReadFile(earlierFile)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -5,7 +5,8 @@
 // use something; if that node does not reply, the next one in the limit's order counts. A
 // request passes through these files: take (this node asks a counter node), meters and meter
 // (the counter node counts), remote_counts (this node keeps the count in the reply), fallback
-// (no counter node replied). counters.go determines which nodes count.
+// (no counter node replied). counters.go determines which nodes count. Voted limits pass through
+// ballot (this node asks all counter nodes) and votes (each of them votes).
 package ratelimit
 
 import "time"
@@ -24,6 +25,14 @@
 	// time in which its part of the rate yields one: otherwise each of 985 nodes would grant
 	// one at once.
 	Paced bool
+	// Voted limits may be used up at once, and only the sum over the window is bounded. They
+	// need no counter node that knows what was used: each counter node votes by what it allowed
+	// itself, and a quorum of votes grants a request (votes.go). The sum stays within the limit
+	// also while counter nodes fail, restart or are partitioned. It costs a call to each
+	// counter node. What was granted can't be returned. A counter node of an earlier build,
+	// which does not know the field, counts the limit as one with a token bucket, and so allows
+	// no more.
+	Voted bool
 }
 
 // Request is something to be counted.
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -60,6 +60,7 @@
 	meters       *meters
 	fallback     *fallback
 	remoteCounts *remoteCounts
+	votes        *votes
 
 	mutex sync.Mutex
 	// unreachable counter nodes did not reply to a call, nor to a probe since.
@@ -85,7 +86,7 @@
 		config.InUse = func() bool { return true }
 	}
 	limiter := &Limiter{
-		config: config, process: time.Now().UnixNano(), meters: newMeters(), fallback: newFallback(), remoteCounts: newRemoteCounts(), unreachable: map[string]bool{},
+		config: config, process: time.Now().UnixNano(), meters: newMeters(), fallback: newFallback(), remoteCounts: newRemoteCounts(), votes: newVotes(), unreachable: map[string]bool{},
 		contactAt: map[string]time.Time{}, wakeUp: make(chan struct{}, 1),
 	}
 	config.Transport.Handle(TakeRequest{}, limiter.serveTake)
@@ -101,6 +102,7 @@
 	if !l.counters.set(counters) {
 		return
 	}
+	l.votes.updateCounter(func() bool { return slices.Contains(l.counters.get().Addresses, l.config.Address) }, time.Now())
 	l.wake()
 	l.config.Logger.Info().Strs("counters", counters.Addresses).Int64("token", counters.Token).Uint64("version", counters.Version).
 		Msg("nodes that count quotas changed")
@@ -167,6 +169,7 @@
 	l.meters.prune(now)
 	l.fallback.prune(now)
 	l.remoteCounts.prune(now)
+	l.votes.prune(now)
 }
 
 // probe checks whether a node replies.
--- a/internal/ratelimit/messages.go
+++ b/internal/ratelimit/messages.go
@@ -28,6 +28,8 @@
 	// Heard is the count that the requesting node received from another node that counted the
 	// limit; zero if the receiver counted it last.
 	Heard Count
+	// Vote identifies the request for the votes of a voted limit.
+	Vote uint64
 }
 
 // TakeReply is the reply to a TakeRequest.
@@ -43,6 +45,8 @@
 	// Process identifies the process of that node; 0 if nothing was counted.
 	Process int64
 	Left    Count
+	// Voted: the node counted a vote, which it takes back by its ID.
+	Voted bool
 }
 
 // ReturnMessage returns the cost of a request that was not executed.
@@ -54,6 +58,8 @@
 	// add it to the capacity: 132 requests were executed in a window in which 119 are
 	// tolerated (soak of 4 nodes).
 	Process int64
+	// Vote is the ID of the vote to be taken back; 0 if the limit is not voted.
+	Vote uint64
 }
 
 // Messages are registered under the names that earlier builds use, which run beside this one
--- a/internal/ratelimit/take.go
+++ b/internal/ratelimit/take.go
@@ -13,8 +13,12 @@
 var errNoQuorum = errors.New("this node may be cut off from others that count")
 
 // Take asks whether a request is within its limit, and counts it if it is. It asks the counter
-// nodes in the limit's order, and decides locally if none replies.
+// nodes in the limit's order, and decides locally if none replies. For a voted limit it asks all
+// counter nodes, and without a quorum of them the verdict is refused with an empty CountedBy.
 func (l *Limiter) Take(ctx context.Context, request Request) Verdict {
+	if request.Limit.Voted {
+		return l.takeVoted(ctx, request)
+	}
 	ranked := l.counters.ranked(request.Name)
 	for _, address := range ranked[:min(len(ranked), maxAsked)] {
 		if l.isUnreachable(address) {
@@ -103,6 +107,10 @@
 // serveTake handles a TakeRequest of another node.
 func (l *Limiter) serveTake(from string, message peer.Message, reply func(peer.Message, error)) {
 	request := message.(TakeRequest)
+	if request.Limit.Voted {
+		l.serveVote(request, reply)
+		return
+	}
 	respond := func(taken TakeReply) {
 		taken.Silent = l.isUnreachable(from)
 		reply(taken, nil)
@@ -134,6 +142,16 @@
 	})
 }
 
+// serveVote handles a request of another node for this node's vote.
+func (l *Limiter) serveVote(request TakeRequest, reply func(peer.Message, error)) {
+	vote, mayVote := l.castVote(request)
+	if !mayVote {
+		reply(nil, errNoVote)
+		return
+	}
+	reply(vote, nil)
+}
+
 // countOrRelay handles a request of another node. If this node is not the first in the limit's
 // order, it relays the request to the first, which the other node may have failed to reach.
 func (l *Limiter) countOrRelay(request TakeRequest, respond func(TakeReply)) {
@@ -163,9 +181,9 @@
 }
 
 // Return gives back what was taken for a request that was not executed, unless the limit's
-// window has passed since.
+// window has passed since, or the limit is voted.
 func (l *Limiter) Return(request Request, verdict Verdict) {
-	if !verdict.Allowed || verdict.CountedBy == "" || time.Since(verdict.takenAt) > request.Limit.Window {
+	if request.Limit.Voted || !verdict.Allowed || verdict.CountedBy == "" || time.Since(verdict.takenAt) > request.Limit.Window {
 		return
 	}
 	if verdict.CountedBy == l.config.Address {
@@ -177,7 +195,11 @@
 
 // serveReturn handles a ReturnMessage of another node.
 func (l *Limiter) serveReturn(_ string, message peer.Message, reply func(peer.Message, error)) {
-	if returned := message.(ReturnMessage); returned.Process == l.process {
+	switch returned := message.(ReturnMessage); {
+	case returned.Process != l.process:
+	case returned.Vote != 0:
+		l.votes.giveBack(returned.Tenant, returned.Vote)
+	default:
 		l.meters.giveBack(returned.Tenant, returned.Cost, time.Now())
 	}
 	reply(nil, nil)
--- /dev/null
+++ b/internal/retrybudget/budget.go
@@ -0,0 +1,249 @@
+// Package retrybudget decides whether a node may retry a request: send an attempt beyond its
+// first one.
+//
+// The retries of all nodes together are bounded in each window. A node first uses the retries
+// that its own requests allow. Where the even share of the slack is small, the rest of the slack
+// is taken from the count of the whole fleet; see Fleet.
+package retrybudget
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/window"
+)
+
+// Limits bound the retries, that is, the attempts beyond the first of each request, of all nodes
+// together in each window: Slack + Ratio * requests. They hold for each pool by itself.
+type Limits struct {
+	// Ratio is the number of retries that are allowed per request.
+	Ratio float64
+	// Slack is the number of retries that are allowed whatever the number of requests.
+	Slack float64
+	// Window over which requests and retries are counted.
+	Window time.Duration
+}
+
+const (
+	// usedShare is the share of the limits that is used, so that the limits hold also where
+	// nodes and servers count differently.
+	usedShare = 0.75
+	// fleetShare is the share of the slack that the fleet's count grants at most, whichever
+	// counter nodes fail. While nodes reach the same counter nodes it grants 6/8 of that, 0.675
+	// of the slack (ratelimit.Limit.Voted).
+	fleetShare = 0.9
+	// cutOffShare is the share of the slack that is divided among the nodes for the time in
+	// which they reach no quorum. Other nodes may use up fleetShare meanwhile.
+	cutOffShare = 1 - fleetShare
+	// fewRetries is the even share of the slack, in retries per node and window, below which
+	// the slack is counted for the whole fleet. With 222 retries for 91 nodes, 669 retries were
+	// refused while most of the slack was unused.
+	fewRetries = 4
+	// pausePerNode is the time per node for which a node asks no more after the fleet's count
+	// refused, so that all nodes together ask at most 200 times a second.
+	pausePerNode = 5 * time.Millisecond
+	// maxPause bounds the time for which a node follows a refusal.
+	maxPause = time.Second
+	// cutOffPause is the time for which a node asks no more after no quorum replied.
+	cutOffPause = time.Second
+)
+
+// Fleet is the count of the slack over all nodes.
+type Fleet interface {
+	// Take asks for one retry out of slack retries in the window, and counts it if it is
+	// granted. It replies soon enough for a request that waits for it.
+	Take(ctx context.Context, retry Retry, slack float64, window time.Duration) Answer
+}
+
+// Retry is something to be decided on.
+type Retry struct {
+	Pool string
+	// Rank is the urgency of the request, from 0 (most urgent) to 1.
+	Rank float64
+}
+
+// Answer is the fleet's answer on a Retry.
+type Answer struct {
+	// Counted is false if too few counter nodes replied. Then the fleet granted nothing.
+	Counted bool
+	Allowed bool
+	// RetryIn is the time until the count has capacity, if it is refused.
+	RetryIn time.Duration
+}
+
+// Decider is who decided on a retry.
+type Decider string
+
+// The deciders.
+const (
+	// ByNode: this node's own allowance.
+	ByNode Decider = "node"
+	// ByFleet: the count over all nodes.
+	ByFleet Decider = "fleet"
+	// ByShare: this node's even share of the slack, as it reached no quorum of counter nodes.
+	ByShare Decider = "share"
+)
+
+// Decision is the decision on a retry.
+type Decision struct {
+	Retry
+	Allowed bool
+	// By is empty if the request ended before there was a decision.
+	By Decider
+	// Asked: the counter nodes were asked for this retry.
+	Asked bool
+	// Used is the number of retries in the window that this node allowed by itself, and Own the
+	// number that it may allow.
+	Used, Own float64
+}
+
+// Config configures a Budget.
+type Config struct {
+	Limits Limits
+	// Nodes that share the slack, until SetNodes is called.
+	Nodes int
+	// Fleet counts the slack over all nodes; nil: each node has its even share.
+	Fleet Fleet
+}
+
+// pool counts the requests and retries of one pool at this node.
+type pool struct {
+	// retries that this node allowed by itself. The fleet counts the others.
+	requests, retries window.Sum
+	// refusedUntil is the time until which the fleet is not asked for retries of at least
+	// refusedRank, as it just refused one.
+	refusedUntil time.Time
+	refusedRank  float64
+	// cutOffUntil is the time until which the fleet is not asked, as no quorum replied.
+	cutOffUntil time.Time
+}
+
+// Budget decides on a node's retries. It is safe for concurrent use.
+type Budget struct {
+	limits Limits
+	fleet  Fleet
+
+	mutex  sync.Mutex
+	nodes  int
+	byPool map[string]*pool
+}
+
+// New returns a budget without requests.
+func New(config Config) *Budget {
+	return &Budget{limits: config.Limits, fleet: config.Fleet, nodes: max(config.Nodes, 1), byPool: map[string]*pool{}}
+}
+
+// SetNodes sets the number of nodes that share the slack.
+func (b *Budget) SetNodes(nodes int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.nodes = max(nodes, 1)
+}
+
+// of returns the counts of a pool. The lock must be held.
+func (b *Budget) of(name string, now time.Time) *pool {
+	found := b.byPool[name]
+	if found == nil {
+		found = &pool{requests: window.NewSum(b.limits.Window, now), retries: window.NewSum(b.limits.Window, now)}
+		b.byPool[name] = found
+	}
+	return found
+}
+
+// Request counts a request of a caller.
+func (b *Budget) Request(pool string, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.of(pool, now).requests.Add(1, now)
+}
+
+// isShared reports whether the slack is counted over all nodes. The lock must be held.
+func (b *Budget) isShared() bool {
+	return b.fleet != nil && b.nodes > 1 && b.limits.Slack > 0 && b.limits.Slack < fewRetries*float64(b.nodes)
+}
+
+// Take takes one retry from the budget if that allows it. It may wait for the fleet's answer.
+func (b *Budget) Take(ctx context.Context, retry Retry, now time.Time) Decision {
+	if decision, decided := b.takeOwn(retry, now); decided {
+		return decision
+	}
+	answer := b.fleet.Take(ctx, retry, fleetShare*b.limits.Slack, b.limits.Window)
+	if !answer.Counted && ctx.Err() != nil {
+		// The request ended while the fleet was asked, which shows nothing about the fleet.
+		return Decision{Retry: retry, Asked: true}
+	}
+	return b.apply(retry, answer, now)
+}
+
+// takeOwn decides on a retry without the fleet; decided is false if the fleet has to be asked.
+func (b *Budget) takeOwn(retry Retry, now time.Time) (decision Decision, decided bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	counts := b.of(retry.Pool, now)
+	own := usedShare * b.limits.Ratio * counts.requests.Total(now)
+	if !b.isShared() {
+		return counts.take(retry, ByNode, own+usedShare*b.limits.Slack/float64(b.nodes), now), true
+	}
+	if decision = counts.take(retry, ByNode, own, now); decision.Allowed {
+		return decision, true
+	}
+	switch {
+	case now.Before(counts.cutOffUntil):
+		return counts.take(retry, ByShare, b.withCutOffShare(own), now), true
+	case now.Before(counts.refusedUntil) && retry.Rank >= counts.refusedRank:
+		decision.By = ByFleet
+		return decision, true
+	}
+	return Decision{}, false
+}
+
+// withCutOffShare returns what a node may allow that reaches no quorum. The lock must be held.
+func (b *Budget) withCutOffShare(own float64) float64 {
+	return own + cutOffShare*b.limits.Slack/float64(b.nodes)
+}
+
+// apply decides on a retry after the fleet's answer.
+func (b *Budget) apply(retry Retry, answer Answer, now time.Time) Decision {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	counts := b.of(retry.Pool, now)
+	own := usedShare * b.limits.Ratio * counts.requests.Total(now)
+	var decision Decision
+	switch {
+	case !answer.Counted:
+		counts.cutOffUntil = now.Add(cutOffPause)
+		decision = counts.take(retry, ByShare, b.withCutOffShare(own), now)
+	default:
+		if !answer.Allowed {
+			counts.refuse(retry.Rank, b.pause(answer.RetryIn), now)
+		}
+		decision = Decision{Retry: retry, Allowed: answer.Allowed, By: ByFleet, Used: counts.retries.Total(now), Own: own}
+	}
+	decision.Asked = true
+	return decision
+}
+
+// pause is how long the fleet is not asked after it refused. The lock must be held.
+func (b *Budget) pause(retryIn time.Duration) time.Duration {
+	return max(min(retryIn, maxPause), time.Duration(b.nodes)*pausePerNode)
+}
+
+// take allows a retry if that leaves the retries within the allowance.
+func (p *pool) take(retry Retry, by Decider, allowance float64, now time.Time) Decision {
+	decision := Decision{Retry: retry, By: by, Used: p.retries.Total(now), Own: allowance}
+	if decision.Used+1 > allowance {
+		return decision
+	}
+	p.retries.Add(1, now)
+	decision.Allowed = true
+	return decision
+}
+
+// refuse records that the fleet refused a retry of the rank.
+func (p *pool) refuse(rank float64, pause time.Duration, now time.Time) {
+	if now.Before(p.refusedUntil) {
+		rank = min(rank, p.refusedRank)
+	}
+	p.refusedUntil, p.refusedRank = now.Add(pause), rank
+}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -47,8 +47,13 @@
 switch_off at-most-once internal/fleet/route.go 'return r.Kind == KindRepeatable ||' 'return true || r.Kind == KindRepeatable ||' $forward
 switch_off proof-of-not-run platform/backend.go 'return nil, &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanUnknown' 'return nil, &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanNo' ./platform
 switch_off route-attempts internal/forward/attempt.go 'flow.runs+further < flow.route.MaxAttempts' 'flow.runs+further < 100' $forward
-switch_off retry-budget internal/forward/budget.go 'if float64(counts.repeats.sum(now)+1) > allowed {' 'if false && allowed < 0 {' $forward
-switch_off budget-share internal/forward/budget.go 'b.limits.Slack/float64(b.nodes)' 'b.limits.Slack' $forward
+switch_off retry-budget internal/retrybudget/budget.go 'if decision.Used+1 > allowance {' 'if false && allowance < 0 {' ./internal/retrybudget
+switch_off budget-share internal/retrybudget/budget.go 'usedShare*b.limits.Slack/float64(b.nodes)' 'usedShare*b.limits.Slack' ./internal/retrybudget
+switch_off fleet-budget-cold internal/ratelimit/votes.go 'now.Sub(v.since) < request.Limit.Window+voteMargin' 'false' ./internal/retrybudget
+switch_off fleet-budget-quorum internal/ratelimit/votes.go 'return (3*counters + 3) / 4' 'return counters/2 + 1' ./internal/retrybudget
+switch_off fleet-budget-returns internal/ratelimit/ballot.go 'case !reply.Voted:' 'case true:' ./internal/retrybudget
+switch_off fleet-budget-replaced internal/ratelimit/votes.go '!v.isCounter ||' '' ./internal/retrybudget
+switch_off fleet-budget-pause internal/retrybudget/budget.go 'case now.Before(counts.refusedUntil) &&' 'case false &&' ./internal/retrybudget
 # Tenants and what crosses the edge.
 switch_off reserved-headers platform/header_filter.go '&& !reserved(name)' '' ./platform
 switch_off headers-of-connection platform/header_filter.go 'if clientHeaders[name] {' 'if clientHeaders[name] && !connection[name] {' ./platform
@@ -157,7 +162,7 @@
 switch_off word-of-the-plan internal/forward/admission.go 'if active && held < planPatience {' 'if false {' $forward
 switch_off hold-on internal/forward/admission.go 'return held > ' 'return held < 0 && held > ' $forward
 switch_off place-before-switchover internal/forward/switchover.go 'if s.target == nil {' 'if false {' $forward
-switch_off budget-before-switchover internal/forward/switchover.go 'if !f.budgets.takeRetry(flow.pool, now) {' 'if false {' $forward
+switch_off budget-before-switchover internal/forward/switchover.go 'if !f.takeRetry(ctx, flow) {' 'if false {' $forward
 switch_off missing-model internal/forward/choose.go 'return !now.Before(load.notHeldUntil[flow.modelAndAdapter()])' 'return true' $forward
 switch_off full-server internal/forward/choose.go 'return load.estimate(now) < maxRequestsPerSlot*max(server.Slots, 1)' 'return true' $forward
 switch_off refusal-at-once internal/forward/admission.go 'code := result.NoBackEnd' 'if now.Before(flow.deadline) {
