Let the first counter nodes of a system vote at once

Cause: counter nodes of voted limits vote only after a window, so a new system had no slack to share in its first 10 s, where even shares gave each node 1.8 retries. And a burst of retries at one node could exceed the transport's 32 calls in progress to a node, which then fail.

Change: a process that read the store before any counter nodes were saved votes at once if it is among the first ones of a term.

Tests: first counter nodes, restarted ones, a burst of 100 retries at one node, and the store's reads.

--- a/internal/orders/counters_store.go
+++ b/internal/orders/counters_store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +24,9 @@
 	Key string
 	// OnChange is called with each record received from the store.
 	OnChange func(counters ratelimit.Counters)
-	Logger   zerolog.Logger
+	// OnNone is called when the store was read and has no record; nil: not called.
+	OnNone func()
+	Logger zerolog.Logger
 
 	mutex sync.Mutex
 	// revision is the newest known revision of the record.
@@ -35,6 +38,14 @@
 
 // Replace applies the record if it is among all keys that exist.
 func (s *CountersStore) Replace(keyValues []outside.KeyValue) {
+	s.applyAll(keyValues)
+	exists := slices.ContainsFunc(keyValues, func(keyValue outside.KeyValue) bool { return keyValue.Key == s.Key })
+	if !exists && s.OnNone != nil {
+		s.OnNone()
+	}
+}
+
+func (s *CountersStore) applyAll(keyValues []outside.KeyValue) {
 	for _, keyValue := range keyValues {
 		s.apply(keyValue)
 	}
@@ -46,7 +57,7 @@
 	s.mutex.Lock()
 	s.revision, s.saved = 0, ratelimit.Counters{}
 	s.mutex.Unlock()
-	s.Replace(keyValues)
+	s.applyAll(keyValues)
 }
 
 // Change applies the change of one key.
--- a/internal/ratelimit/ballot.go
+++ b/internal/ratelimit/ballot.go
@@ -10,12 +10,21 @@
 )
 
 // takeVoted asks all counter nodes for their votes, and waits until a quorum has allowed the
-// request or can't any more. A counter node that fails delays nothing while a quorum replies.
+// request or can't any more, for takeTimeout at most. A counter node that fails delays nothing
+// while a quorum replies.
 func (l *Limiter) takeVoted(ctx context.Context, request Request) Verdict {
 	counters := l.counters.get().Addresses
 	if len(counters) == 0 {
 		return Verdict{}
 	}
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	select {
+	case l.ballots <- struct{}{}:
+		defer func() { <-l.ballots }()
+	case <-ctx.Done():
+		return Verdict{}
+	}
 	message := TakeRequest{
 		Tenant: request.Name, Limit: perCounter(request.Limit, len(counters)), Cost: request.Cost, Rank: request.Rank, Vote: rand.Uint64(),
 		// A counter node of an earlier build must count the request itself.
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -33,6 +33,10 @@
 	quorumWait = 20 * time.Millisecond
 	// activeTime is how long a counter node probes the others after a request.
 	activeTime = 10 * time.Second
+	// maxBallots is how many requests this node sends to all counter nodes at once. The others
+	// wait, since a transport limits the calls in progress to one node (32 on the users'
+	// platform), and replies take some milliseconds.
+	maxBallots = 12
 	// maxAsked is how many counter nodes are asked for one request.
 	maxAsked = 3
 )
@@ -73,6 +77,8 @@
 	// requestedAt is when another node last sent a request, and probedAt when a request last
 	// made this node probe the other counter nodes.
 	requestedAt, probedAt time.Time
+	// ballots holds an element for each request to all counter nodes that is in progress.
+	ballots chan struct{}
 	// wakeUp wakes Run when the counter nodes changed, or are needed again.
 	wakeUp chan struct{}
 }
@@ -87,7 +93,7 @@
 	}
 	limiter := &Limiter{
 		config: config, process: time.Now().UnixNano(), meters: newMeters(), fallback: newFallback(), remoteCounts: newRemoteCounts(), votes: newVotes(), unreachable: map[string]bool{},
-		contactAt: map[string]time.Time{}, wakeUp: make(chan struct{}, 1),
+		contactAt: map[string]time.Time{}, wakeUp: make(chan struct{}, 1), ballots: make(chan struct{}, maxBallots),
 	}
 	config.Transport.Handle(TakeRequest{}, limiter.serveTake)
 	config.Transport.Handle(ReturnMessage{}, limiter.serveReturn)
@@ -102,12 +108,20 @@
 	if !l.counters.set(counters) {
 		return
 	}
-	l.votes.updateCounter(func() bool { return slices.Contains(l.counters.get().Addresses, l.config.Address) }, time.Now())
+	l.votes.update(l.counters.get, l.config.Address, time.Now())
 	l.wake()
 	l.config.Logger.Info().Strs("counters", counters.Addresses).Int64("token", counters.Token).Uint64("version", counters.Version).
 		Msg("nodes that count quotas changed")
 }
 
+// SetNoCountersYet is called when the store was read and has no counter nodes: no node has counted
+// for another one yet.
+func (l *Limiter) SetNoCountersYet() {
+	if len(l.counters.get().Addresses) == 0 {
+		l.votes.setNoneBefore()
+	}
+}
+
 // wake makes Run probe the other counter nodes now.
 func (l *Limiter) wake() {
 	select {
--- a/internal/ratelimit/votes.go
+++ b/internal/ratelimit/votes.go
@@ -16,6 +16,8 @@
 	// votedReserveShare is the share of a voted limit that the least urgent requests leave to
 	// more urgent ones.
 	votedReserveShare = 0.1
+	// firstVersion of the counter nodes within a holder's term.
+	firstVersion = 1
 )
 
 // errNoVote is returned to nodes that request a vote from a node that may not vote.
@@ -53,27 +55,40 @@
 
 // votes holds this node's votes as a counter node. It knows only its own: after a restart, or
 // when this node becomes a counter node, it allows nothing for a window, since votes that were
-// lost with a process, or cast by the node that this one replaces, still count.
+// lost with a process, or cast by the node that this one replaces, still count. Only the first
+// counter nodes of a system vote at once.
 type votes struct {
 	mutex     sync.Mutex
 	isCounter bool
-	// since is when this node became a counter node.
+	// noneBefore: there were no counter nodes yet when this process read the store.
+	noneBefore bool
+	// since is when this node became a counter node; zero if there were none before.
 	since  time.Time
 	byName map[string]*voteMeter
 }
 
 func newVotes() *votes { return &votes{byName: map[string]*voteMeter{}} }
 
-// updateCounter is called when the counter nodes changed. isAmong reports whether this node is
-// one of the newest.
-func (v *votes) updateCounter(isAmong func() bool, now time.Time) {
+// setNoneBefore records that there were no counter nodes yet.
+func (v *votes) setNoneBefore() {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	isCounter := isAmong()
+	v.noneBefore = true
+}
+
+// update is called when the counter nodes of this node, which has the address, changed.
+func (v *votes) update(newest func() Counters, address string, now time.Time) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	counters := newest()
+	isCounter := slices.Contains(counters.Addresses, address)
 	if isCounter && !v.isCounter {
 		v.since = now
+		if v.noneBefore && counters.Version == firstVersion {
+			v.since = time.Time{}
+		}
 	}
-	v.isCounter = isCounter
+	v.isCounter, v.noneBefore = isCounter, false
 }
 
 // cast decides on a request, and counts it if it is allowed. It returns false if this node may
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -36,15 +36,15 @@
 func TestBoundHoldsUnderRandomFaultsOfCounterNodes(t *testing.T) {
 	granted, largest := 0, -largeLimits.Slack
 	rapid.Check(t, func(r *rapid.T) {
-		steps := rapid.SliceOfN(rapid.IntRange(0, 6), 3, 8).Draw(r, "steps")
-		targets := rapid.SliceOfN(rapid.IntRange(0, largeFleet-1), 8, 8).Draw(r, "targets")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 6), 4, 10).Draw(r, "steps")
+		targets := rapid.SliceOfN(rapid.IntRange(0, largeFleet-1), 10, 10).Draw(r, "targets")
 		var excess float64
 		withFleet(t, largeFleet, largeLimits, func(f *testFleet) {
 			for i, step := range steps {
 				counters := f.counters.Addresses
 				target := counters[targets[i]%len(counters)]
 				f.fault(step, target)
-				f.load(f.nodes, 20*time.Millisecond, 2*time.Second)
+				f.load(f.nodes, 20*time.Millisecond, time.Second)
 			}
 			excess = f.maxExcess()
 			largest = max(largest, excess)
@@ -207,6 +207,30 @@
 	}
 }
 
+// Guards against a new system that has no slack in its first window, and against counter nodes that
+// take later ones for the first.
+func TestFirstCounterNodesVoteAtOnce(t *testing.T) {
+	withFleet(t, largeFleet, largeLimits, func(f *testFleet) {
+		for _, node := range f.nodes {
+			f.start(node)
+		}
+		Expect(f.burst(f.nodes[largeFleet-1], 5)).To(BeZero(), "processes that found counter nodes")
+		f.counters = ratelimit.Counters{}
+		for _, node := range f.nodes {
+			f.start(node)
+			node.limiter.SetNoCountersYet()
+		}
+		f.counters = ratelimit.Counters{Token: 9, Version: 1, Addresses: ratelimit.ChooseCounters(nil, f.Addresses())}
+		f.setCounters()
+		Expect(f.burst(f.nodes[largeFleet-1], 200)).To(Equal(used))
+		for _, address := range f.counters.Addresses {
+			f.start(f.named(address))
+			f.named(address).limiter.SetNoCountersYet()
+		}
+		Expect(f.burst(f.nodes[largeFleet-2], 5)).To(BeZero(), "counter nodes that were restarted")
+	})
+}
+
 // Guards against two sets of counter nodes that both grant the slack, for nodes that know the newest
 // set and for nodes that don't.
 func TestReplacedCounterNodesDoNotVote(t *testing.T) {
@@ -247,6 +271,21 @@
 	})
 }
 
+// Guards against a burst that exceeds the transport's calls in progress: the calls fail, and the
+// node takes itself to be cut off.
+func TestManyRetriesAtOnceAreAllCounted(t *testing.T) {
+	withFleet(t, largeFleet, largeLimits, func(f *testFleet) {
+		asker := f.notCounter()
+		for range 100 {
+			go f.retry(asker, 0)
+		}
+		time.Sleep(time.Millisecond)
+		Expect(asker.transport.sent.Load()).To(BeNumerically("<=", 8*32))
+		time.Sleep(time.Second)
+		Expect(f.decisions[retrybudget.ByFleet]).To(Equal(100))
+	})
+}
+
 // Guards against urgent requests that are refused because others used up the slack.
 func TestUrgentRequestsGetTheRestOfTheSlack(t *testing.T) {
 	withFleet(t, largeFleet, largeLimits, func(f *testFleet) {
