Ask for a server's slot as before in a switch-over

A search for another server that a response ends no longer cancels the request for a slot of a server's rate limit: the counter node may have granted it, and the slot would be lost until it passes. The slot is given back afterwards, as before, and no retry is taken for a search that ended.

--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -112,7 +112,7 @@
 }
 
 // reserveAnother reserves capacity at a server that was not tried, and takes a retry from the
-// budget; nil if either is not available.
+// budget; nil if either is not available, or once the context is done.
 func (f *Forwarder) reserveAnother(ctx context.Context, flow *flow) *candidate {
 	if _, held := f.poison.Refused(flow.request.Identity); held {
 		return nil
@@ -121,10 +121,10 @@
 	if found.best == nil {
 		return nil
 	}
-	if !f.takeSlot(ctx, flow, found.best, 0) {
+	if !f.takeSlot(f.lifetime, flow, found.best, 0) {
 		return nil
 	}
-	if !f.takeRetry(ctx, flow) {
+	if ctx.Err() != nil || !f.takeRetry(ctx, flow) {
 		f.release(flow, found.best, nil)
 		return nil
 	}
