--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -22,6 +22,7 @@
 	"github.com/hatchplank/hatchplank/internal/poison"
 	"github.com/hatchplank/hatchplank/internal/quota"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
+	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 	"github.com/hatchplank/hatchplank/platform"
@@ -160,7 +161,7 @@
 		Era: n.store.RevisionEra, Restored: func() bool { return n.store.Era() > 0 },
 		Lease: max(holderLease, n.settings.Store.MinimumLease), HandoverPeriod: n.handoverPeriod(), ExtraCampaignWait: n.settings.Machine.FanOutTime(), Logger: n.logger,
 	})
-	n.counters = &orders.CountersStore{Store: n.store, Key: countersKey, OnChange: n.limiter.SetCounters, Logger: n.logger}
+	n.counters = &orders.CountersStore{Store: n.store, Key: countersKey, OnChange: n.limiter.SetCounters, OnNone: n.limiter.SetNoCountersYet, Logger: n.logger}
 	n.holder = orders.NewHolder(orders.HolderConfig{
 		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers, Notices: n.notices}, Name: n.settings.Node.Name,
 		Counters: n.limiter.Counters, SavedCounters: n.counters, Notices: n.notices, Limits: n.limits, Observations: n.observations,
@@ -235,6 +236,7 @@
 	n.forwarder = forward.New(forward.Config{
 		View: n.view, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: n.mirror.Behind, Zone: n.settings.Node.Zone,
 		Connect: n.servers.Connect, OnSuspicionCheck: n.requests.SuspicionChecked,
+		Fleet: retrybudget.Count{Limiter: n.limiter}, OnRetry: n.requests.Retry,
 		Observations: n.observations, Nodes: initialNodes, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning,
 		Budget: forward.BudgetLimits{
 			Ratio: n.settings.Retries.Ratio, Slack: n.settings.Retries.Slack, Window: n.settings.Retries.Window,
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/hatchplank/hatchplank/internal/notice"
 	"github.com/hatchplank/hatchplank/internal/orders"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
+	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
 )
 
@@ -46,6 +47,7 @@
 	metricSuspicionChecks   = "hatchplank_node_suspicion_checks_total"
 	metricObservations      = "hatchplank_node_observations_total"
 	metricSuspectedServers  = "hatchplank_node_suspected_servers"
+	metricRetries           = "hatchplank_node_retries_total"
 )
 
 // MetricDescriptions lists the node's own metrics.
@@ -74,6 +76,7 @@
 	{metricSuspicionChecks, "counter", "outcome", "Checks by connecting to a server that another node found unreachable, by outcome (reached, failed)."},
 	{metricObservations, "counter", "direction", "Observations of servers' loads, and of whether they are reachable, exchanged with other nodes, by direction (sent, received)."},
 	{metricSuspectedServers, "gauge", "", "Servers that another node found unreachable and that no node has reached since, as far as this node knows."},
+	{metricRetries, "counter", "verdict, by", "Attempts beyond a request's first that were compared with the retry budget, by verdict (within, over) and by who decided (node: this node's own allowance; fleet: the count for all nodes; share: this node's even share, as too few counting nodes answered)."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
@@ -192,6 +195,11 @@
 	m.count(metricQuota, "tenant", tenant, "verdict", verdictLabel(verdict.Allowed), "count", countLabel(verdict.CountedBy != ""))
 }
 
+// Retry counts a decision of the retry budget.
+func (m *Metrics) Retry(decision retrybudget.Decision) {
+	m.count(metricRetries, "verdict", verdictLabel(decision.Allowed), "by", string(decision.By))
+}
+
 // ServeHTTP writes the metrics in the Prometheus text format.
 func (m *Metrics) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
 	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -131,8 +131,17 @@
 	report.Observations, report.PoolArrivals = nil, nil
 	update := filled(orders.Update{}).(orders.Update)
 	update.HolderToken, update.Observations, update.Rates = 0, nil, nil
+	answer := filled(ratelimit.TakeReply{}).(ratelimit.TakeReply)
+	answer.Voted = false
+	giveBack := filled(ratelimit.ReturnMessage{}).(ratelimit.ReturnMessage)
+	giveBack.Vote = 0
 	expected := map[string]peer.Message{
 		"mirror.Update": confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
+		"tenants.Answer": answer, "tenants.GiveBack": giveBack,
+		"tenants.Ask": ratelimit.TakeRequest{
+			Tenant: "text 2", Limit: ratelimit.Limit{Rate: 4.5, Burst: 5.5, Window: 6, Paced: true}, Cost: 8.5, Rank: 9.5, MaxWait: 10,
+			Silent: true, Relayed: true, Heard: ratelimit.Count{Known: true, Level: 15.5, Used: 16.5, Age: 17},
+		},
 	}
 	earlier := map[string][]byte{}
 	content, err := os.ReadFile(earlierFile)
