Try a quarantined request at one node alone where nothing proves it

One unrelated request alone at three crashes under three poison requests was refused for ten minutes: by counting it can't be told from a poison request with others beside it.

Cause: a quarantine that no proof supports ended by a timer only, and one at a coincidence (more than two other causes needed) counted as proved.

Change: such a quarantine ends by a trial. While callers ask, the arbiter (the collector with the highest rendezvous weight for the identity) keeps the entry in force and tells all nodes that a trial may begin; it allows one node at a time one run, of at most 60 s, at the server with the fewest requests. Served: released everywhere. A crash under it alone: proved. Two crashes beside others: counts as proved. Without an outcome the next trial waits until the run can't be under way any more. If nobody asks, or no arbiter answers, the entry ends by its time as before.

Messages get fields only (Report.Trial, Entries.TrialGranted, Quarantined.CoincidenceRivals, TrialPhase, TrialRemaining). Builds before never ask and allow none, and take a coincidence for proved, as they did.

Changes to tests: TestMessagesOfEarlierBuilds also decodes the encodings of Report, Quarantined and Entries of the build before, which were kept; the cluster of the poison tests guards its holder by a lock, since tests change it while nodes run.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -13,6 +13,10 @@
 const (
 	// otherZonePenalty is added to the score of a server in another zone.
 	otherZonePenalty = 3 * time.Millisecond
+	// trialCompanyPenalty is added for each request at a server to the score of a trial of a poison
+	// request. It exceeds all other terms: the trial may crash the server under these requests, and
+	// proves nothing if they may be the cause.
+	trialCompanyPenalty = time.Minute
 	// maxRequestsPerSlot is the number of requests, running and queued, per slot at which
 	// a server counts as full.
 	maxRequestsPerSlot = 3
@@ -182,6 +186,9 @@
 	if c.server.Zone != f.zone {
 		c.score += otherZonePenalty
 	}
+	if flow.trial {
+		c.score += time.Duration(c.load.estimate(now)) * trialCompanyPenalty
+	}
 }
 
 // cachedTokens is the number of prompt tokens that the server is expected to have cached:
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -79,7 +79,7 @@
 // reserveAnother reserves capacity at a server that was not tried, and takes a retry from the
 // budget; nil if either is not available.
 func (f *Forwarder) reserveAnother(flow *flow) *candidate {
-	if _, held := f.poison.Refused(flow.request.Identity); held {
+	if _, held := f.quarantined(flow); held || flow.trial {
 		return nil
 	}
 	now := time.Now()
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -125,7 +125,18 @@
 	g := NewWithT(t)
 	released := filled(poison.Released{}).(poison.Released)
 	released.Ends = nil
-	expected := map[string]peer.Message{"poison.Released": released}
+	quarantined := filled(poison.Quarantined{}).(poison.Quarantined)
+	quarantined.CoincidenceRivals, quarantined.TrialPhase, quarantined.TrialRemaining = nil, 0, 0
+	entries := filled(poison.Entries{}).(poison.Entries)
+	entries.TrialGranted = false
+	for i := range entries.Entries {
+		entries.Entries[i].CoincidenceRivals, entries.Entries[i].TrialPhase, entries.Entries[i].TrialRemaining = nil, 0, 0
+	}
+	report := filled(poison.Report{}).(poison.Report)
+	report.Trial = nil
+	expected := map[string]peer.Message{
+		"poison.Released": released, "poison.Quarantined": quarantined, "poison.Entries": entries, "poison.Report": report,
+	}
 	earlier := map[string][]byte{}
 	content, err := os.ReadFile(earlierFile)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/poison/crash_log.go
+++ b/internal/poison/crash_log.go
@@ -93,7 +93,8 @@
 	attribution := l.newAttribution(wasQuarantined)
 	for candidates := attribution.candidates(); len(candidates) > 0; candidates = attribution.candidates() {
 		identity := l.likeliestCause(candidates)
-		entry := l.newEntry(identity, attribution.rivals(identity), now)
+		rivals, coincidence := attribution.rivals(identity)
+		entry := l.newEntry(identity, rivals, coincidence, now)
 		entries = append(entries, entry)
 		attribution.add(entry)
 	}
@@ -119,11 +120,12 @@
 }
 
 // newEntry makes and remembers the entry of an identity. The caller must hold the lock.
-func (l *CrashLog) newEntry(identity Identity, rivals []Identity, now time.Time) Entry {
-	entry := Entry{Identity: identity, Times: l.past[identity].times, Rivals: rivals, Until: now.Add(provisionalQuarantine)}
-	if !entry.provisional() {
+func (l *CrashLog) newEntry(identity Identity, rivals []Identity, coincidence bool, now time.Time) Entry {
+	entry := Entry{Identity: identity, Times: l.past[identity].times, Until: now.Add(provisionalQuarantine)}
+	if len(rivals) == 0 || coincidence {
 		entry = entry.confirmed(now)
 	}
+	entry.Rivals, entry.Coincidence = rivals, coincidence && len(rivals) > 0
 	entry.Servers, entry.Since = l.serversOf(identity), now
 	for _, server := range entry.Servers {
 		if at := l.crashes[server].at; at.Before(entry.Since) {
@@ -149,8 +151,10 @@
 
 // confirmed returns the entry as it is once only its identity explains the crashes.
 func (e Entry) confirmed(now time.Time) Entry {
-	e.Rivals = nil
-	e.Times++
+	if !e.Coincidence {
+		e.Times++
+	}
+	e.Rivals, e.Coincidence = nil, false
 	e.Until = now.Add(quarantineDuration(e.Times))
 	return e
 }
