Count a coincidence and its proof as one quarantine

A coincidence counted as the first quarantine and the crash of its trial as the second, so a poison request was refused for 20 min at its first proof.

--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -70,6 +70,11 @@
 		return false, nil
 	case guard.BeginTrial(ctx, request.Identity, time.Until(requestDeadline(request, route))):
 		return true, nil
+	default:
+		// Another node's trial may have been served meanwhile.
+		if _, held = guard.Quarantined(request.Identity); !held {
+			return false, nil
+		}
 	}
 	outcome := refusePoison(entry, route)
 	return false, &outcome
--- a/internal/poison/crash_log.go
+++ b/internal/poison/crash_log.go
@@ -45,8 +45,8 @@
 type pastQuarantine struct {
 	times int
 	until time.Time
-	// provisional: the last quarantine was provisional.
-	provisional bool
+	// provisional: the last quarantine was provisional; coincidence: it was for the full time.
+	provisional, coincidence bool
 }
 
 // NewCrashLog returns an empty log.
@@ -94,7 +94,8 @@
 	for candidates := attribution.candidates(); len(candidates) > 0; candidates = attribution.candidates() {
 		identity := l.likeliestCause(candidates)
 		rivals, coincidence := attribution.rivals(identity)
-		entry := l.newEntry(identity, rivals, coincidence, now)
+		counted := wasQuarantined(identity) && l.past[identity].coincidence
+		entry := l.newEntry(identity, rivals, coincidence, counted, now)
 		entries = append(entries, entry)
 		attribution.add(entry)
 	}
@@ -119,9 +120,10 @@
 	return first
 }
 
-// newEntry makes and remembers the entry of an identity. The caller must hold the lock.
-func (l *CrashLog) newEntry(identity Identity, rivals []Identity, coincidence bool, now time.Time) Entry {
-	entry := Entry{Identity: identity, Times: l.past[identity].times, Until: now.Add(provisionalQuarantine)}
+// newEntry makes and remembers the entry of an identity. With counted, it follows one that
+// already counts as a quarantine and is in force. The caller must hold the lock.
+func (l *CrashLog) newEntry(identity Identity, rivals []Identity, coincidence, counted bool, now time.Time) Entry {
+	entry := Entry{Identity: identity, Times: l.past[identity].times, Until: now.Add(provisionalQuarantine), Coincidence: counted}
 	if len(rivals) == 0 || coincidence {
 		entry = entry.confirmed(now)
 	}
@@ -177,7 +179,7 @@
 
 func (l *CrashLog) remember(entry Entry) {
 	times := max(entry.Times, l.past[entry.Identity].times)
-	l.past[entry.Identity] = pastQuarantine{times: times, until: entry.Until.Add(pastQuarantineRetention), provisional: entry.provisional()}
+	l.past[entry.Identity] = pastQuarantine{times: times, until: entry.Until.Add(pastQuarantineRetention), provisional: entry.provisional(), coincidence: entry.Coincidence}
 	for len(l.past) > maxPastQuarantines {
 		dropEarliest(l.past, func(past pastQuarantine) time.Time { return past.until })
 	}
--- a/internal/poison/trial_test.go
+++ b/internal/poison/trial_test.go
@@ -128,6 +128,10 @@
 	if crashes {
 		Expect(callers.sent()).To(Equal(1))
 		Expect(c.refusedBy(callers.identity)).To(Equal(len(c.nodes)))
+		// It is the first proof, and refused for the time of one.
+		entry, _ := c.nodes[0].guard.Quarantined(callers.identity)
+		Expect(entry.Times).To(Equal(1))
+		Expect(entry.RetryAfter(time.Now())).To(BeNumerically("<=", initialQuarantine))
 		return
 	}
 	// A served request is released, and all nodes send it from then on.
@@ -145,32 +149,38 @@
 		run  time.Duration
 		// again is the shortest time until the next copy.
 		again time.Duration
+		// slow is the additional latency of messages to and from the next arbiter.
+		slow time.Duration
 	}{
-		"the run ends without an outcome": {nil, 100 * time.Millisecond, trialPause},
+		"the run ends without an outcome": {nil, 100 * time.Millisecond, trialPause, 0},
 		"the trying node is lost": {func(c *cluster, tries *node) {
 			c.network.SetCut(tries.address, true)
 			tries.stop()
 			// It may have been the arbiter as well.
 			c.setHolder("node-05")
-		}, 100 * time.Millisecond, maxTrialTime},
+		}, 100 * time.Millisecond, maxTrialTime, 0},
 		"another collector takes the arbiter's place": {func(c *cluster, _ *node) {
 			c.network.SetCut("node-04", true)
 			c.setHolder("node-05")
-		}, 10 * time.Second, maxTrialTime},
+		}, 10 * time.Second, maxTrialTime, 0},
+		"another collector takes its place before it is told": {func(c *cluster, _ *node) {
+			c.setHolder("node-05")
+		}, 10 * time.Second, maxTrialTime, 400 * time.Millisecond},
 		"the arbiter is lost, and no other collector is known": {func(c *cluster, _ *node) {
 			c.network.SetCut("node-04", true)
 			c.setHolder("")
-		}, 10 * time.Second, maxTrialTime},
+		}, 10 * time.Second, maxTrialTime, 0},
 		"the store is unavailable": {func(c *cluster, _ *node) {
 			c.store.mutex.Lock()
 			defer c.store.mutex.Unlock()
 			c.store.unavailable = true
-		}, 100 * time.Millisecond, trialPause},
+		}, 100 * time.Millisecond, trialPause, 0},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			runInCluster(t, 6, 0, func(c *cluster) {
 				c.setHolder("node-04")
+				c.network.SetSlow("node-05", test.slow)
 				callers := c.provisional()
 				callers.run, callers.lost = test.run, true
 				go callers.callFor(2 * maxTrialTime)
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -233,19 +233,20 @@
 switch_off poison-provisional internal/poison/crash_log.go 'entry.Rivals, entry.Coincidence = rivals, coincidence && len(rivals) > 0' '_ = coincidence' $poison
 # Trials.
 switch_off trials internal/poison/trial.go 'if !entry.trial.isOpen(now) {' 'if true {' $poison
-switch_off trial-by-one-node internal/poison/trial.go 'case !isDue || state.isBusy(entry.trial, now):' 'case !isDue:' $poison
+switch_off trial-by-one-node internal/poison/trial_arbiter.go 'case !isDue || state.isBusy(entry.trial, now):' 'case !isDue:' $poison
 switch_off trial-one-copy internal/poison/trial.go 'if own == nil || own.begun {' 'if own == nil {' $poison
 switch_off trial-permission internal/poison/trial.go 'return own.granted
 }' 'return true
 }' $poison
-switch_off trial-known internal/poison/trial.go 'return known.isUnderWay(now)' 'return false' $poison
-switch_off trial-not-missed internal/poison/trial.go '&& !mayHaveMissed' '&& (true || !mayHaveMissed)' $poison
-switch_off trial-over internal/poison/trial.go 'state.node, state.nextAt = "", now.Add(trialPause)' 'state.node = ""' $poison
-switch_off trial-prolongs internal/poison/trial.go 'if until.After(entry.Until) && until.Before(limit) {' 'if false {' $poison
-switch_off trial-kept-open internal/poison/trial.go 'if entry.trial.isUnderWay(now) {' 'if false {' $poison
+switch_off trial-known internal/poison/trial_arbiter.go 'return known.isUnderWay(now)' 'return false' $poison
+switch_off trial-settles internal/poison/trial_arbiter.go '&& now.Sub(since) >= arbiterSettling' '&& now.Sub(since) >= 0' $poison
+switch_off trial-not-missed internal/poison/trial_arbiter.go '&& !mayHaveMissed' '&& (true || !mayHaveMissed)' $poison
+switch_off trial-over internal/poison/trial_arbiter.go 'state.node, state.nextAt = "", now.Add(trialPause)' 'state.node = ""' $poison
+switch_off trial-prolongs internal/poison/trial_arbiter.go 'if until.After(entry.Until) && until.Before(limit) {' 'if false {' $poison
+switch_off trial-kept-open internal/poison/trial_arbiter.go 'if entry.trial.isUnderWay(now) {' 'if false {' $poison
 switch_off trial-served internal/poison/guard.go 'g.releaseServed(identity)' '' $poison
 switch_off trials-bounded internal/poison/attribution.go '|| a.failedTrials(identity)' '' $poison
-switch_off trial-phase internal/poison/trial.go 'if other.phase > s.phase ||' 'if other.phase != s.phase ||' $poison
+switch_off trial-phase internal/poison/trial_state.go 'if other.phase > s.phase ||' 'if other.phase != s.phase ||' $poison
 switch_off proof-stays internal/poison/quarantine.go 'if entry.provisional() || !entry.Until.After(before.Until) {' 'if !entry.Until.After(before.Until) {' $poison
 switch_off coincidence-saved internal/poison/entry_store.go 'CoincidenceRivals: entry.Rivals,' '' $poison
 switch_off proof-saved internal/poison/entry_store.go '&& (entry.Coincidence || !key.coincidence)' '' $poison
