Price a model's place on a server in lost requests per second

Plans compare nothing: a model gets one replica per 8 requests, and the last replica of a rare model is never compared with the next one of a busy model. Package placevalue prices both in one unit: requests that are refused or answered late, weighted by priority. A further replica's gain is what the servers that hold the model and the new one lose before and after its requests spread over both; a last replica's loss is its expected requests, each counted by the time of the load that it waits for.

--- /dev/null
+++ b/internal/placevalue/placevalue.go
@@ -0,0 +1,163 @@
+// Package placevalue prices the places that models have in servers' memory, so that the next
+// replica of one model can be compared with the replica of another that it would evict. Its
+// functions are pure.
+//
+// The unit is lost requests per second: requests that are refused or answered late, each
+// weighted by its priority. A late request counts lateLoss, a refused one 1.
+package placevalue
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// lateLoss is what a late answer counts, as a share of a refusal. Callers still use many
+	// late answers.
+	lateLoss = 0.5
+	// refusedAfter is the duration of a load from which a request that waits for it counts
+	// as refused: few callers wait longer.
+	refusedAfter = 5 * time.Second
+	// minGapSeconds is added to the time since a model was last requested, so that the
+	// estimated rate of a model that was just requested is bounded.
+	minGapSeconds = 8.0
+	// priorityLevels is the number of priorities that weights distinguish.
+	priorityLevels = 10
+	// minOwn is the number of requests below which a model is not what fills its servers.
+	minOwn = 1.0
+	// maxAdded is the largest number of replicas whose common gain is considered.
+	maxAdded = 8
+	// crowdedShare is the share of slots taken from which a further replica is considered.
+	crowdedShare = 0.5
+)
+
+// Weight returns what a request of a priority counts: 1 at priority 0, the most urgent, down
+// to 0.1 at priority 9 and beyond.
+func Weight(priority int) float64 {
+	return float64(priorityLevels-min(max(priority, 0), priorityLevels-1)) / priorityLevels
+}
+
+// Server is the load of one server.
+type Server struct {
+	// Load is the number of requests running and waiting.
+	Load float64
+	// Capacity is the number of slots times the server's speed, as a multiple of usual.
+	Capacity float64
+}
+
+// Group is the servers that hold one model or are about to.
+type Group struct {
+	// Servers is their number.
+	Servers int
+	// Load and Capacity are the sums over the servers.
+	Load, Capacity float64
+	// Own is the part of Load that is the model's own.
+	Own float64
+	// Rate is the model's arrival rate in requests per second, weighted by priority.
+	Rate float64
+}
+
+// LateShare returns the probability that a request finds no free slot at a server with this
+// mean load. The load is assumed to vary as a Poisson distribution does, in its normal
+// approximation.
+func LateShare(load, capacity float64) float64 {
+	if capacity <= 0 {
+		return 1
+	}
+	deviation := math.Sqrt(max(load, 1))
+	return math.Erfc((capacity-load)/deviation/math.Sqrt2) / 2
+}
+
+// Crowded reports whether more than half of the group's slots are taken, and would not be
+// without the model's own requests.
+func (g Group) Crowded() bool {
+	free := crowdedShare * g.Capacity
+	return g.Servers > 0 && g.Load > free && g.Load-g.Own < free
+}
+
+// lateShare is the LateShare of the group's average server.
+func (g Group) lateShare() float64 {
+	return LateShare(g.Load/float64(g.Servers), g.Capacity/float64(g.Servers))
+}
+
+// Gain returns the lost requests per second that another replica, on a server outside the group,
+// avoids. The model's requests are assumed to move there until the server is as full as the
+// group, which also changes what other models' requests lose on both sides. Where one replica
+// alone leaves all servers full, it is the share of one in the gain of several: models that need
+// several would otherwise never get the first.
+func (g Group) Gain(server Server) float64 {
+	if g.Servers <= 0 || g.Own < minOwn || g.Rate <= 0 || server.Capacity <= 0 {
+		return 0
+	}
+	best := 0.0
+	for added := 1; added <= maxAdded; added *= 2 {
+		best = max(best, g.gainOf(float64(added), server)/float64(added))
+	}
+	return best
+}
+
+// gainOf returns the lost requests per second that replicas on several servers like the given one
+// avoid; negative if they lose more than they avoid.
+func (g Group) gainOf(added float64, server Server) float64 {
+	level := (g.Load + added*server.Load) / (g.Capacity + added*server.Capacity)
+	moved := min(max(added*(level*server.Capacity-server.Load), 0), g.Own)
+	relieved := g
+	relieved.Load -= moved
+	loadThere := server.Load + moved/added
+	lateBefore := g.Load*g.lateShare() + added*server.Load*LateShare(server.Load, server.Capacity)
+	lateAfter := relieved.Load*relieved.lateShare() + added*loadThere*LateShare(loadThere, server.Capacity)
+	return lateLoss * g.Rate / g.Own * (lateBefore - lateAfter)
+}
+
+// RemovalLoss returns the lost requests per second that the group has if it loses one of its
+// servers, which is not the last: the gain of adding that server to the others.
+func (g Group) RemovalLoss() float64 {
+	if g.Servers < 2 {
+		return 0
+	}
+	count := float64(g.Servers)
+	removed := Server{Load: max(g.Load-g.Own, 0) / count, Capacity: g.Capacity / count}
+	left := g
+	left.Servers--
+	left.Load -= removed.Load
+	left.Capacity -= removed.Capacity
+	return left.Gain(removed)
+}
+
+// LastReplica is the only replica of a model that has no requests now.
+type LastReplica struct {
+	// Idle is the time since the model was last requested, or since requests began to be
+	// counted.
+	Idle time.Duration
+	// Rate is the recent arrival rate in requests per second.
+	Rate float64
+	// Reload is the duration of a load.
+	Reload time.Duration
+	// StoreContended is set if the reload is from the weight store and other models wait for
+	// loads from there: it then delays one of them.
+	StoreContended bool
+}
+
+// Loss returns the lost requests per second if the replica is evicted. Memory is assumed to be
+// full, so that the model, once it is loaded again, takes the place of another like it: its
+// place is worth the requests that arrive, whether they find this model or the next one cold.
+func (r LastReplica) Loss() float64 {
+	rate := max(r.Rate, 1/(max(r.Idle.Seconds(), 0)+minGapSeconds))
+	loss := rate * ColdLoss(r.Reload)
+	if r.StoreContended {
+		loss *= 2
+	}
+	return loss
+}
+
+// ColdLoss returns what a request counts that waits through a load: from lateLoss, for a short
+// one, to a refusal.
+func ColdLoss(load time.Duration) float64 {
+	waited := min(max(load.Seconds()/refusedAfter.Seconds(), 0), 1)
+	return lateLoss + (1-lateLoss)*waited
+}
+
+// RecentUse returns the probability that a model which was last used some time ago is used
+// within the horizon. Both are in the same unit. It assumes no known rate: a model unused for as
+// long as the horizon is used within it in half of the cases.
+func RecentUse(idle, horizon float64) float64 { return 1 / (1 + max(idle, 0)/horizon) }
