Load further replicas where they are worth more than the place they take

A busy model whose servers are full got further replicas only in free or surplus places, and one per 8 requests whatever its servers' load is. With the load of servers as input, the plan adds replicas of models that fill their servers, on the server where that gains most, if the loss of the evicted model is at most 2/3 of the gain. Models without replica still come first, ordered by requests weighted by priority. What was worth keeping in the last minute is kept (RecentLosses), so that loads which alternate cause no eviction each time.

--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -34,6 +34,11 @@
 	// NextStoreLoadIn is the time until the next load from the weight store may begin, if
 	// none may now.
 	NextStoreLoadIn time.Duration
+	// CountedSince is when requests began to be counted for Demand; zero if not known.
+	CountedSince time.Time
+	// RecentLosses are the recent losses by the removal of further replicas, by model
+	// (RecentLosses.At).
+	RecentLosses map[string]float64
 }
 
 // Server is one model server.
@@ -68,6 +73,12 @@
 	Intent string
 	// InMemory and OnDisk are the models whose weights the server has cached there.
 	InMemory, OnDisk map[string]bool
+	// Load is the number of requests running and waiting at the server, averaged over some
+	// seconds, and Slots how many it runs concurrently; 0 if its load is not known.
+	Load  float64
+	Slots int
+	// Speed is the server's speed as a multiple of usual; 0 if not known.
+	Speed float64
 }
 
 // Replica is a model that a server holds.
@@ -109,6 +120,8 @@
 	// not slowed by others. It has the models that are being loaded, for which memory is being
 	// freed, or that are in demand without a replica and can be placed.
 	ReadyIn map[string]time.Duration
+	// RemovalLosses by model, for RecentLosses.Record; nil if no server's load is known.
+	RemovalLosses map[string]RemovalLoss
 }
 
 // Kind is the kind of an action.
@@ -153,4 +166,8 @@
 	Intent string
 	// Reason is a short text for the logs.
 	Reason string
+	// Value and Cost, in lost requests per second (package placevalue), are what a further
+	// replica that was chosen by value avoids, and what its place costs other models; zero
+	// for other orders.
+	Value, Cost float64
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -31,11 +31,12 @@
 // expected to be ready.
 func Plan(input *Input) Result {
 	p := newPlan(input)
+	losses := p.removalLosses()
 	// Adapters come first: an adapter's load takes a few milliseconds, a model's seconds
 	// in which its server takes no adapters.
 	p.loadAdapters()
 	p.loadModels()
-	return Result{Actions: p.actions, ReadyIn: p.readyIn}
+	return Result{Actions: p.actions, ReadyIn: p.readyIn, RemovalLosses: losses}
 }
 
 // plan is the state of one Plan call.
@@ -61,6 +62,10 @@
 	// desiredByModel and crowdingByServer cache the results of desired and crowding.
 	desiredByModel   map[string]int
 	crowdingByServer map[string]float64
+	// groups by model; nil if no server's load is known.
+	groups map[string]*modelGroup
+	// coldRequests caches the sum of storeContended; negative if it is not computed yet.
+	coldRequests float64
 }
 
 type modelZone struct{ model, zone string }
@@ -69,7 +74,7 @@
 	p := &plan{
 		Input: input, assigned: map[string]bool{}, reserved: map[string]bool{}, ready: map[string]int{}, pending: map[string]int{},
 		unconfirmed: map[string]int{}, limited: map[string]limitedReplicas{}, storeLoads: input.StoreLoads, readyIn: map[string]time.Duration{},
-		zones: map[modelZone]bool{}, desiredByModel: map[string]int{}, crowdingByServer: map[string]float64{},
+		zones: map[modelZone]bool{}, desiredByModel: map[string]int{}, crowdingByServer: map[string]float64{}, coldRequests: -1,
 	}
 	maps.Copy(p.ready, input.ReplicasElsewhere)
 	for i := range input.Servers {
@@ -98,6 +103,7 @@
 			p.recordIntentReadyIn(server)
 		}
 	}
+	p.groupServers()
 	return p
 }
 
@@ -120,7 +126,8 @@
 	if demand.Waiting > 0 {
 		need = max(need, 1)
 	}
-	return min(need, max((len(p.Servers)+p.ServersElsewhere)/3, 1)) + p.saturatedReplicas(model, demand)
+	need = min(need, max((len(p.Servers)+p.ServersElsewhere)/3, 1)) + p.saturatedReplicas(model, demand)
+	return max(need, p.replicasWorthKeeping(model))
 }
 
 // limitedReplicas are a model's replicas on servers with a rate limit, with the sum of
@@ -168,16 +175,19 @@
 	demand *Demand
 	// cold is set if no replica of the model is ready or pending.
 	cold bool
+	// waiting is the number of waiting requests, weighted by priority if loads are known.
+	waiting float64
 }
 
 // loadModels loads the models for which memory was freed, and then the replicas that the
-// demand calls for: models without any replica first.
+// demand calls for: models without any replica first, and those that relieve full servers last.
 func (p *plan) loadModels() {
 	p.continueIntents()
 	wanted := p.wantedReplicas()
 	for _, replica := range wanted {
 		p.place(replica)
 	}
+	p.relieveServers()
 	if p.LoadAhead && len(wanted) == 0 {
 		p.loadAhead()
 	}
@@ -198,7 +208,7 @@
 			have += p.unconfirmed[name]
 		}
 		if have < p.desired(name, demand) {
-			wanted = append(wanted, wantedReplica{model: model, demand: demand, cold: cold})
+			wanted = append(wanted, wantedReplica{model: model, demand: demand, cold: cold, waiting: float64(demand.Waiting) * p.weight(demand)})
 		}
 	}
 	sort.Slice(wanted, func(i, j int) bool { return wanted[i].before(wanted[j]) })
@@ -211,8 +221,8 @@
 	if w.cold != other.cold {
 		return w.cold
 	}
-	if w.demand.Waiting != other.demand.Waiting {
-		return w.demand.Waiting > other.demand.Waiting
+	if w.waiting != other.waiting {
+		return w.waiting > other.waiting
 	}
 	if w.demand.Rate != other.demand.Rate {
 		return w.demand.Rate > other.demand.Rate
--- /dev/null
+++ b/internal/placement/value_test.go
@@ -0,0 +1,102 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hatchplank/hatchplank/internal/placement"
+)
+
+var _ = Describe("any plan with known loads", func() {
+	// Guards against further replicas that overfill a server, exceed the store's rate, or give a
+	// server two orders; and against ones that cost more than they gain, or take the place of a
+	// model with requests.
+	It("fits, is deterministic, and gains more than it costs", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			in := drawInput(t)
+			in.Servers = in.Servers[:rapid.IntRange(1, len(in.Servers)).Draw(t, "count")]
+			for i := range in.Servers {
+				in.Servers[i].Slots = rapid.SampledFrom([]int{0, 8, 24}).Draw(t, "slots")
+				in.Servers[i].Load = float64(rapid.IntRange(0, 60).Draw(t, "load"))
+				in.Servers[i].Speed = rapid.SampledFrom([]float64{0, 0.6, 1.4}).Draw(t, "speed")
+			}
+			for _, demand := range in.Demand {
+				demand.Running *= rapid.IntRange(0, 4).Draw(t, "running factor")
+			}
+			actions := placement.Plan(in).Actions
+			if again := placement.Plan(in).Actions; fmt.Sprint(actions) != fmt.Sprint(again) {
+				t.Fatalf("not repeatable: %v and %v", actions, again)
+			}
+			checkPlan(t, in, actions)
+			for _, action := range actions {
+				if action.Value == 0 {
+					continue
+				}
+				demand := in.Demand[action.Model]
+				if action.Cost > action.Value || action.Kind == placement.Unload && demand.Running+demand.Waiting > 0 {
+					t.Fatalf("%v is not worth it", action)
+				}
+			}
+		})
+	})
+
+	// Guards against urgent requests that wait behind more requests of low priority.
+	It("orders cold models by the priority of their waiting requests", func() {
+		in := input(map[string]*placement.Demand{"c": waiting(3), "d": waiting(2)}, server("1"), server("2"))
+		in.Demand["c"].Priority, in.StoreLoads = 9, 1
+		Expect(placement.Plan(in).Actions[0].Model).To(Equal("c"), "without known loads as before")
+		in.Servers[0].Slots = 24
+		Expect(placement.Plan(in).Actions[0].Model).To(Equal("d"))
+	})
+})
+
+// Guards against a recent worth that lasts for ever, or that is another number of replicas'.
+func TestRecentLossesDecay(t *testing.T) {
+	RegisterTestingT(t)
+	recent := placement.NewRecentLosses()
+	record := func(servers int, loss float64, after time.Duration) {
+		recent.Record(map[string]placement.RemovalLoss{"a": {Servers: servers, PerSecond: loss}}, now.Add(after))
+	}
+	record(2, 2, 0)
+	record(2, 1, time.Second)
+	Expect(recent.At(now)["a"]).To(Equal(2.0))
+	Expect(recent.At(now.Add(time.Minute))["a"]).To(BeNumerically("~", 2/2.718, 0.01))
+	record(3, 0.5, 2*time.Second)
+	Expect(recent.At(now.Add(2 * time.Second))["a"]).To(Equal(0.5))
+	record(2, 0.4, 3*time.Second)
+	Expect(recent.At(now.Add(3 * time.Second))["a"]).To(BeNumerically(">", 0.4))
+	Expect(recent.At(now.Add(10 * time.Minute))).To(BeEmpty())
+}
+
+// loadedInput is busyInput with known loads: every sixth model fills its servers.
+func loadedInput(servers, models int) *placement.Input {
+	in := busyInput(servers, models)
+	for i := range in.Servers {
+		in.Servers[i].Slots, in.Servers[i].Load = 24, float64(i*7%40)
+	}
+	for i := 1; i < models; i += 6 {
+		if demand := in.Demand[fmt.Sprintf("m%d", i)]; demand.Waiting == 0 {
+			demand.Running, demand.Rate = 40, 20
+		}
+	}
+	return in
+}
+
+// BenchmarkPlanWithLoads measures one plan with known loads. The limit is 10 ms for 60 servers and
+// 400 models.
+func BenchmarkPlanWithLoads(b *testing.B) {
+	for _, size := range []struct{ servers, models int }{{60, 200}, {60, 400}, {512, 1100}} {
+		b.Run(fmt.Sprintf("servers=%d/models=%d", size.servers, size.models), func(b *testing.B) {
+			in := loadedInput(size.servers, size.models)
+			b.ReportAllocs()
+			for b.Loop() {
+				placement.Plan(in)
+			}
+		})
+	}
+}
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
 )
 
 const (
@@ -19,6 +21,8 @@
 	// crowdCost in seconds is added for each fully used replica on a server: models on one
 	// server share its batch.
 	crowdCost = 0.25
+	// horizon in seconds is the time after an eviction for which its cost is estimated.
+	horizon = 8.0
 	// zoneCost in seconds is added for a second replica in the same zone.
 	zoneCost = 0.1
 )
@@ -77,6 +81,9 @@
 // crowding returns the cost in seconds of sharing the server with the running requests of
 // the models that it holds.
 func (p *plan) crowding(server *Server) float64 {
+	if server.loadKnown() {
+		return measuredCrowding(server)
+	}
 	cost, known := p.crowdingByServer[server.ID]
 	if known {
 		return cost
@@ -132,7 +139,7 @@
 func (p *plan) victims(server *Server, w wantedReplica, missing float64) []victim {
 	var candidates []victim
 	for name, replica := range server.Models {
-		found, may := p.victim(name, replica, w)
+		found, may := p.victim(server, name, replica, w)
 		if may && (w.cold || found.wait == 0) {
 			candidates = append(candidates, found)
 		}
@@ -169,14 +176,24 @@
 	return time.Duration(last * float64(time.Second))
 }
 
+// residency returns how long a replica is protected from eviction after its load: for at least as
+// long as the server would take to load it again, if the server's load is known.
+func (p *plan) residency(server *Server, model *fleet.Model) time.Duration {
+	if !server.loadKnown() {
+		return minResidency
+	}
+	_, reload := SourceOf(server, model)
+	return max(reload, minResidency)
+}
+
 // victim reports whether a replica may be evicted for the wanted one, and at which cost.
-func (p *plan) victim(name string, replica Replica, w wantedReplica) (victim, bool) {
+func (p *plan) victim(server *Server, name string, replica Replica, w wantedReplica) (victim, bool) {
 	model := p.Engine.Models[name]
 	if model == nil {
 		return victim{}, false
 	}
 	found := victim{
-		model: name, size: model.FootprintMB(len(replica.Adapters)), wait: max(minResidency-p.Now.Sub(replica.Since), 0),
+		model: name, size: model.FootprintMB(len(replica.Adapters)), wait: max(p.residency(server, model)-p.Now.Sub(replica.Since), 0),
 	}
 	demand := p.Demand[name]
 	if demand == nil {
@@ -188,8 +205,11 @@
 		found.wait = max(found.wait, p.idleIn(demand))
 	}
 	if p.ready[name] > 1 && surplus {
-		found.cost = 0.05 * demand.Rate
-		return found, true
+		// Further replicas that were needed recently cost more, and give way only to a
+		// model without replica or to one for which a place is worth more.
+		recent := p.RecentLosses[name]
+		found.cost = 0.05*demand.Rate + recent*horizon
+		return found, w.cold || recent < retainedLoss
 	}
 	if !w.cold || demand.Waiting > 0 {
 		// A replica that its own model needs is evicted only for a model that has none, and
@@ -198,7 +218,6 @@
 	}
 	idle := p.Now.Sub(demand.LastUsed).Seconds()
 	// The probability of a request within the horizon, times the cost of a cold start.
-	const horizon = 8.0
 	probability := min(demand.Rate*horizon, 1)/(1+idle/horizon) + 0.02
 	found.cost = probability * (model.LoadTimeFrom(false, true).Seconds() + storeCost) / float64(p.ready[name])
 	return found, true
