Pass servers' loads to the plan, and say why a replica was added

The holder didn't hand the observed loads to the planner. The planner of serve shares the probability of use after idle time.

go test ./internal/orders ./internal/placement ./internal/placevalue ./internal/edge ./internal/planner: pass.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -167,7 +167,7 @@
 		LoadRate:  orders.LoadRateLimits{Window: n.settings.Orders.LoadWindow, Overage: n.settings.Orders.LoadOverage},
 		LoadAhead: true,
 		Push:      func(address string, update orders.Update) { n.link.Push(address, update) },
-		OnOrder:   n.metrics.Order, Logger: n.logger,
+		OnOrder:   n.metrics.Order, OnReplicaOrder: n.metrics.ReplicaOrder, Logger: n.logger,
 	})
 	n.link = orders.NewLink(orders.LinkConfig{
 		Election: n.election, Holder: n.holder, View: n.view, Transport: n.transport,
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/notice"
 	"github.com/hatchplank/hatchplank/internal/orders"
+	"github.com/hatchplank/hatchplank/internal/placement"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
 )
@@ -41,6 +42,7 @@
 	metricLimitedServers    = "hatchplank_node_limited_servers"
 	metricServerLimit       = "hatchplank_node_server_limit_total"
 	metricSentToLimited     = "hatchplank_node_sends_to_limited_servers_total"
+	metricReplicaOrders     = "hatchplank_node_replica_orders_total"
 	metricObservations      = "hatchplank_node_observations_total"
 	metricSuspectedServers  = "hatchplank_node_suspected_servers"
 )
@@ -67,6 +69,7 @@
 	{metricLimitedServers, "gauge", "", "Servers that name a limit for all nodes together, as far as this node knows."},
 	{metricServerLimit, "counter", "verdict, count", "Questions whether a server's limit has room, by verdict (within, over) and by who counted (all, alone: as for tenants)."},
 	{metricSentToLimited, "counter", "purpose", "Sendings to such servers, by purpose (request, order, report)."},
+	{metricReplicaOrders, "counter", "order, reason", "Loads and unloads of models that were planned, by kind and reason."},
 	{metricObservations, "counter", "direction", "Observations of servers' loads, and of whether they are reachable, exchanged with other nodes, by direction (sent, received)."},
 	{metricSuspectedServers, "gauge", "", "Servers that another node found unreachable and that no node has reached since, as far as this node knows."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
@@ -95,6 +98,9 @@
 	set.NewGauge(metricQuarantine, gauges.Quarantine)
 	set.NewGauge(metricLimitedServers, gauges.Limited)
 	set.NewGauge(metricSuspectedServers, gauges.Suspected)
+	for _, kind := range []placement.Kind{placement.Load, placement.Unload} {
+		set.NewCounter(replicaOrdersCounter(kind.String(), placement.ReasonRelief))
+	}
 	for _, direction := range []orders.Direction{orders.Sent, orders.Received} {
 		set.NewCounter(observationsCounter(direction))
 	}
@@ -133,6 +139,16 @@
 // Order counts an order to a model server, by kind and reply.
 func (m *Metrics) Order(order, reply string) { m.count(metricOrders, "order", order, "reply", reply) }
 
+// ReplicaOrder counts a planned load or unload of a model, by kind and reason.
+func (m *Metrics) ReplicaOrder(order, reason string) {
+	m.set.GetOrCreateCounter(replicaOrdersCounter(order, reason)).Inc()
+}
+
+// replicaOrdersCounter returns the name of the counter of planned loads and unloads with its labels.
+func replicaOrdersCounter(order, reason string) string {
+	return fmt.Sprintf("%s{order=%q,reason=%q}", metricReplicaOrders, order, reason)
+}
+
 // Notice counts a response in which a server sent a notice about its own state.
 func (m *Metrics) Notice(kind notice.Kind) { m.count(metricNotices, "notice", string(kind)) }
 
--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -119,6 +119,12 @@
 	if action.Kind == placement.Load {
 		event = event.Str("source", action.Source.String()).Dur("expected_ms", action.Expected)
 	}
+	if action.Intent != "" {
+		event = event.Str("intent", action.Intent)
+	}
+	if action.Value > 0 {
+		event = event.Float64("value", action.Value).Float64("cost", action.Cost)
+	}
 	switch {
 	case !sent:
 		event.Msg("order not sent: the term ended, the server asked to back off, or its rate limit is used up")
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -63,7 +63,10 @@
 	// OnOrder is called with the kind of each order that was sent and its reply, "none" if
 	// there was no reply; may be nil.
 	OnOrder func(order, reply string)
-	Logger  zerolog.Logger
+	// OnReplicaOrder is called with the kind and the reason of each order for a model that is
+	// begun; may be nil.
+	OnReplicaOrder func(order, reason string)
+	Logger         zerolog.Logger
 }
 
 // Holder plans placements and sends orders during this node's terms. It is safe for concurrent
@@ -82,6 +85,8 @@
 	pushedAt      time.Time
 	loadLimiter   *loadLimiter
 	estimates     *readyEstimates
+	// recent is what further replicas were recently worth, by pool.
+	recent map[string]*placement.RecentLosses
 	// termStart is when the term began; counters are the nodes that count rate limits in it.
 	termStart time.Time
 	counters  ratelimit.Counters
@@ -101,7 +106,7 @@
 	if config.Observations == nil {
 		config.Observations = observation.NewTable()
 	}
-	return &Holder{config: config, demand: newDemandTracker(), wake: make(chan struct{}, 1), servers: newServerTable(), reports: &reportQueue{}, estimates: newReadyEstimates()}
+	return &Holder{config: config, demand: newDemandTracker(), wake: make(chan struct{}, 1), servers: newServerTable(), reports: &reportQueue{}, estimates: newReadyEstimates(), recent: map[string]*placement.RecentLosses{}}
 }
 
 // Run plans and orders during this node's terms until ctx ends.
@@ -122,6 +127,7 @@
 	h.term, h.servers, h.pushedVersion, h.reports = term, newServerTable(), 0, &reportQueue{}
 	h.loadLimiter, h.estimates = newLoadLimiter(h.config.LoadRate), newReadyEstimates()
 	h.termStart, h.counters = time.Now(), ratelimit.Counters{}
+	h.recent = map[string]*placement.RecentLosses{}
 	h.countersMajorityAt, h.limitsPushed = h.termStart, 0
 	h.mutex.Unlock()
 	h.observations = observationPushes{}
@@ -212,6 +218,7 @@
 		Now: now, Engine: engine, Servers: sample.servers, ReplicasElsewhere: sample.elsewhere, ServersElsewhere: sample.leftOut,
 		Demand: demand, LoadAhead: h.config.LoadAhead, StoreLoads: h.loadLimiter.available(engine.LoadsPerSecond, inProgress, now),
 		NextStoreLoadIn: h.loadLimiter.nextIn(engine.LoadsPerSecond, inProgress),
+		CountedSince:    h.termStart, RecentLosses: h.recentLosses(pool).At(now),
 	}
 	for i := range input.Servers {
 		server := &input.Servers[i]
@@ -222,8 +229,10 @@
 		if wait := max(term.history.remaining(server.ID, now), backoff); wait > 0 {
 			server.Busy, server.FreeIn = true, max(server.FreeIn, wait)
 		}
+		h.setLoad(server, h.servers.entries[server.ID], now)
 	}
 	planned := placement.Plan(&input)
+	h.recentLosses(pool).Record(planned.RemovalLosses, now)
 	h.estimates.update(pool, planned.ReadyIn, now)
 	for _, action := range planned.Actions {
 		target := h.servers.entries[action.Server]
@@ -233,11 +242,19 @@
 		if action.Kind == placement.Load && action.Source == placement.FromStore {
 			h.loadLimiter.take()
 		}
+		h.countReplicaOrder(action)
 		h.noteOrder(target, action, now)
 		go h.execute(ctx, term, target, action)
 	}
 }
 
+// countReplicaOrder counts an order for a model.
+func (h *Holder) countReplicaOrder(action placement.Action) {
+	if h.config.OnReplicaOrder != nil && action.Adapter == "" {
+		h.config.OnReplicaOrder(action.Kind.String(), action.Reason)
+	}
+}
+
 // allowed checks an action against what the server can hold, independently of the planner.
 // It must be called with the lock held.
 func (h *Holder) allowed(target *entry, engine *fleet.Engine, action placement.Action) bool {
--- a/internal/orders/server_table.go
+++ b/internal/orders/server_table.go
@@ -45,6 +45,8 @@
 	unconfirmedUntil time.Time
 	// version is the placement version at which models last changed.
 	version uint64
+	// load is the server's average load, if it is known.
+	load loadAverage
 }
 
 // heldModel is a model that a server holds and may be sent requests for.
--- a/internal/placement/recent.go
+++ b/internal/placement/recent.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"time"
-
 )
 
 const (
@@ -90,4 +89,3 @@
 	}
 	return loss
 }
-
--- a/internal/placement/value.go
+++ b/internal/placement/value.go
@@ -29,10 +29,12 @@
 	// slowServerCost in seconds is added for a server that takes twice the usual time for its
 	// work, and in proportion for other speeds.
 	slowServerCost = 0.5
-	// reasonRelief is the reason of orders for further replicas that were chosen by value.
-	reasonRelief = "relieves full servers"
 )
 
+// ReasonRelief is the reason of loads of further replicas that were chosen by value, and of the
+// unloads that free memory for them.
+const ReasonRelief = "relieves full servers"
+
 // loadKnown reports whether the server's load is known.
 func (s *Server) loadKnown() bool { return s.Slots > 0 }
 
@@ -354,7 +356,7 @@
 	p.assigned[best.server.ID] = true
 	action := Action{
 		Kind: Load, Server: best.server.ID, Model: wanted.model.Name, Source: best.source,
-		Reason: reasonRelief, Value: best.gain, Cost: best.cost,
+		Reason: ReasonRelief, Value: best.gain, Cost: best.cost,
 	}
 	_, action.Expected = SourceOf(best.server, wanted.model)
 	if best.source == FromStore {
--- a/internal/placevalue/placevalue.go
+++ b/internal/placevalue/placevalue.go
@@ -18,8 +18,8 @@
 	// refusedAfter is the duration of a load from which a request that waits for it counts
 	// as refused: few callers wait longer.
 	refusedAfter = 5 * time.Second
-	// minGapSeconds is added to the time since a model was last requested, so that the
-	// estimated rate of a model that was just requested is bounded.
+	// minGapSeconds is the expected time until the next request for a model that was just
+	// requested, whose rate is not known.
 	minGapSeconds = 8.0
 	// priorityLevels is the number of priorities that weights distinguish.
 	priorityLevels = 10
@@ -142,7 +142,7 @@
 // full, so that the model, once it is loaded again, takes the place of another like it: its
 // place is worth the requests that arrive, whether they find this model or the next one cold.
 func (r LastReplica) Loss() float64 {
-	rate := max(r.Rate, 1/(max(r.Idle.Seconds(), 0)+minGapSeconds))
+	rate := max(r.Rate, RecentUse(r.Idle.Seconds(), minGapSeconds)/minGapSeconds)
 	loss := rate * ColdLoss(r.Reload)
 	if r.StoreContended {
 		loss *= 2
@@ -159,5 +159,5 @@
 
 // RecentUse returns the probability that a model which was last used some time ago is used
 // within the horizon. Both are in the same unit. It assumes no known rate: a model unused for as
-// long as the horizon is used within it in half of the cases.
+// long as the horizon is used within it in half of the cases. Package planner uses it too.
 func RecentUse(idle, horizon float64) float64 { return 1 / (1 + max(idle, 0)/horizon) }
--- a/internal/planner/cost.go
+++ b/internal/planner/cost.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/outside"
+	"github.com/hatchplank/hatchplank/internal/placevalue"
 )
 
 const (
@@ -190,7 +191,7 @@
 		probability = statistics.useProbability(idle, victimHorizon.Seconds())
 	}
 	// Recent use makes further use likely, also without recorded gaps.
-	probability = max(probability, 1/(1+idle/victimHorizon.Seconds()))
+	probability = max(probability, placevalue.RecentUse(idle, victimHorizon.Seconds()))
 	if w.isExpected(i) {
 		probability = 1
 	}
