Keep the store's only load for cold models where servers have room

A third replica that the count of requests calls for took the only load from the weight store for its 13 s, although the servers that hold the model had room, while requests for cold models came. With known loads it is not loaded then. Lines for the mechanisms and the ablation of replicas by value, and tests of a successor that finds freed memory and of replicas that were needed a moment ago.

--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -376,8 +376,15 @@
 	Expect(actions[0].Model).To(Equal("c"))
 	Expect(actions[0].Value).To(BeNumerically(">", actions[0].Cost*1.5))
 	Expect(actions[0].Cost).To(BeNumerically(">", 0))
+	value := actions[0].Value
+	// A load of 2 s costs a request that waits for it 0.7.
+	lossOf := func(share float64) func(in *placement.Input) {
+		return func(in *placement.Input) { in.Demand["c"] = idle(share*value/0.7, 5*time.Minute) }
+	}
+	Expect(planFor(lossOf(0.6))).To(HaveLen(1))
 	for name, change := range map[string]func(in *placement.Input){
-		"asked for often": func(in *placement.Input) { in.Demand["c"] = idle(0.9, 0) },
+		"worth 0.75 of the gain": lossOf(0.75),
+		"asked for often":        func(in *placement.Input) { in.Demand["c"] = idle(0.9, 0) },
 		"just loaded": func(in *placement.Input) {
 			in.Servers[1].Models["c"] = placement.Replica{Since: now.Add(-time.Second)}
 		},
--- a/internal/placement/value.go
+++ b/internal/placement/value.go
@@ -351,6 +351,15 @@
 	return p.coldRequests >= 1
 }
 
+// delaysColdModel reports whether a load of the replica from the weight store would delay that of a
+// cold model, although the servers that hold the replica's model have room: more than the two
+// replicas that a model gets for the case that a server is lost.
+func (p *plan) delaysColdModel(w wantedReplica) bool {
+	name := w.model.Name
+	group := p.groups[name]
+	return group != nil && group.known > 0 && p.ready[name]+p.pending[name] >= 2 && !group.Crowded() && p.storeContended()
+}
+
 // orderRelief orders the load of a further replica, or the unload that it needs.
 func (p *plan) orderRelief(wanted crowdedModel, best *relief) {
 	p.assigned[best.server.ID] = true
--- a/internal/placement/value_test.go
+++ b/internal/placement/value_test.go
@@ -55,6 +55,65 @@
 	})
 })
 
+// Guards against a third replica by the count of requests, on servers with room, that takes the only
+// load from the weight store before the next cold model.
+func TestStoreIsKeptForColdModels(t *testing.T) {
+	RegisterTestingT(t)
+	planFor := func(load float64, coldRate float64) []placement.Action {
+		in := input(map[string]*placement.Demand{"a": {Running: 20, Rate: 5, LastUsed: now}, "c": idle(coldRate, time.Second), "d": idle(coldRate, time.Second)})
+		for i := range 9 {
+			in.Servers = append(in.Servers, server(fmt.Sprint(i)))
+		}
+		for i := range 2 {
+			in.Servers[i] = server(fmt.Sprint(i), "a")
+			in.Servers[i].Load, in.Servers[i].Slots = load, 24
+		}
+		in.StoreLoads = 1
+		return placement.Plan(in).Actions
+	}
+	Expect(planFor(10, 0.9)).To(BeEmpty())
+	Expect(planFor(10, 0.1)).To(HaveLen(1), "no request for a cold model is expected")
+	Expect(planFor(20, 0.9)).To(HaveLen(1), "the servers are full")
+}
+
+// Guards against replicas that were needed a moment ago and go to a model that gets them by count,
+// and come back as soon as the load does.
+func TestRecentlyNeededReplicasDontGoByCount(t *testing.T) {
+	RegisterTestingT(t)
+	in := input(map[string]*placement.Demand{"a": idle(0.5, 5*time.Second), "b": {Running: 20, Rate: 5, LastUsed: now}, "d": {Running: 1}})
+	for i := range 9 {
+		held := []string{"a", "d"}
+		if i == 0 {
+			held[0] = "b"
+		}
+		in.Servers = append(in.Servers, server(fmt.Sprint(i), held...))
+		in.Servers[i].Load, in.Servers[i].Slots = 3, 24
+	}
+	Expect(placement.Plan(in).Actions).NotTo(BeEmpty())
+	in.RecentLosses = map[string]float64{"a": 0.5, "d": 0.5}
+	Expect(placement.Plan(in).Actions).To(BeEmpty())
+	in.Demand["c"] = waiting(1)
+	Expect(placement.Plan(in).Actions).To(HaveLen(1), "but to a model without replica")
+}
+
+// Guards against a successor that leaves memory empty which the last holder freed before it died,
+// and against one that fills it with a replica that is no longer needed.
+func TestNextHolderUsesFreedMemory(t *testing.T) {
+	RegisterTestingT(t)
+	planFor := func(load float64) []placement.Action {
+		crowded, freed := server("1", "a", "b"), server("2", "d")
+		crowded.Load, crowded.Slots, freed.Slots = load, 24, 24
+		in := input(map[string]*placement.Demand{"a": {Running: 30, Rate: 10, LastUsed: now}, "b": {}, "d": {}}, crowded, freed)
+		in.CountedSince = now
+		return placement.Plan(in).Actions
+	}
+	actions := planFor(30)
+	Expect(actions).To(HaveLen(1))
+	Expect(actions[0].Kind).To(Equal(placement.Load))
+	Expect(actions[0].Reason).To(Equal(placement.ReasonRelief))
+	Expect(planFor(9)).To(BeEmpty())
+}
+
 // Guards against a recent worth that lasts for ever, or that is another number of replicas'.
 func TestRecentLossesDecay(t *testing.T) {
 	RegisterTestingT(t)
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -43,6 +43,9 @@
 // is not lower than that of the best option so far.
 func (p *plan) evaluate(server *Server, w wantedReplica, best *option) *option {
 	source, load := SourceOf(server, w.model)
+	if source == FromStore && p.delaysColdModel(w) {
+		return nil
+	}
 	found := &option{server: server, start: p.freeIn(server), cost: p.crowding(server)}
 	if source == FromStore {
 		found.cost += storeCost
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -181,6 +181,15 @@
 switch_off busy-server internal/placement/plan.go 'return !server.Busy && ' 'return ' ./internal/placement
 switch_off wait-for-server internal/placement/plan.go 'return w.cold || !server.Busy' 'return !server.Busy' ./internal/placement
 switch_off wait-for-idle internal/placement/victims.go 'if may && (w.cold || found.wait == 0)' 'if may && found.wait == 0' ./internal/placement
+# Replicas by value.
+switch_off relief internal/placement/plan.go '	p.relieveServers()' '' ./internal/placement
+switch_off cost-below-gain internal/placement/value.go 'if found.cost > maxCostShare*found.gain {' 'if false {' ./internal/placement
+switch_off growth-by-steps internal/placement/value.go ' || !group.mayGrow()' '' ./internal/placement
+switch_off recent-worth internal/placement/recent.go 'if loss := peak.decayed(now); loss >= minRecentLoss {' 'if loss := peak.decayed(now); loss >= 1e9 {' ./internal/placement
+switch_off recent-worth-of-count internal/placement/victims.go 'return found, w.cold || recent < retainedLoss' 'return found, true' ./internal/placement
+switch_off own-share-fills internal/placevalue/placevalue.go 'g.Load-g.Own < free' 'true' ./internal/placevalue
+switch_off store-for-cold internal/placement/victims.go 'source == FromStore && p.delaysColdModel(w)' 'false' ./internal/placement
+switch_off shared-loads-only internal/orders/server_loads.go '!known || !table.SharesLoads(load.Slots)' '!known' ./internal/orders
 switch_off overdue-orders internal/orders/server_table.go 'return e.busyUntil.Sub(now).Abs()' 'return max(e.busyUntil.Sub(now), 0)' ./internal/orders
 switch_off loads-at-once internal/orders/load_limiter.go 'l.maxConcurrent = max(min(' 'l.maxConcurrent = max(l.maxConcurrent, min(' ./internal/orders
 switch_off told-again internal/orders/server_table.go 'found.server.Created != server.Created' 'false' ./internal/orders
