--- a/internal/orders/server_loads_test.go
+++ b/internal/orders/server_loads_test.go
@@ -42,9 +42,9 @@
 	}
 	table.RecordLoad(held.server.Incarnation(), observation.Load{Running: 20, Waiting: 4, Slots: 24, Slowdown: 2}, testStart)
 	g.Expect(loadAt(0).Slots).To(BeZero(), "number of nodes not known")
-	table.SetNodes(24)
+	table.SetNodes(24, testStart)
 	g.Expect(loadAt(0).Slots).To(BeZero(), "as many slots as nodes")
-	table.SetNodes(91)
+	table.SetNodes(91, testStart)
 	found := loadAt(0)
 	g.Expect([]float64{found.Load, float64(found.Slots), found.Speed}).To(Equal([]float64{24, 24, 0.5}))
 	g.Expect(loadAt(4*time.Second).Slots).To(BeZero(), "expired")
@@ -104,7 +104,7 @@
 			holder := holderOf(view.Load(), engines, func(string, Update) {})
 			var lines bytes.Buffer
 			holder.config.Logger = zerolog.New(zerolog.SyncWriter(&lines))
-			holder.config.Observations.SetNodes(nodes)
+			holder.config.Observations.SetNodes(nodes, time.Now())
 			ctx, cancel := context.WithCancel(t.Context())
 			term := newTerm(5, time.Now(), time.Now().Add(time.Hour), true)
 			holder.term, holder.termStart, holder.loadLimiter = term, time.Now(), newLoadLimiter(holder.config.LoadRate)
