Weight only waiting requests by priority

The rate of a model with a waiting request was weighted by that request's priority, while other models' rates count fully, since their priorities are not reported. A model lost value by waiting.

go test ./internal/placement ./internal/placevalue: pass.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -208,7 +208,7 @@
 			have += p.unconfirmed[name]
 		}
 		if have < p.desired(name, demand) {
-			wanted = append(wanted, wantedReplica{model: model, demand: demand, cold: cold, waiting: float64(demand.Waiting) * p.weight(demand)})
+			wanted = append(wanted, wantedReplica{model: model, demand: demand, cold: cold, waiting: p.waiting(demand)})
 		}
 	}
 	sort.Slice(wanted, func(i, j int) bool { return wanted[i].before(wanted[j]) })
--- a/internal/placement/value.go
+++ b/internal/placement/value.go
@@ -138,17 +138,17 @@
 	}
 	if demand := p.Demand[name]; demand != nil {
 		group.Own = min(float64(demand.Running), group.Load)
-		group.Rate = demand.Rate * p.weight(demand)
+		group.Rate = demand.Rate
 	}
 }
 
-// weight returns what a request of the demand counts. Only the priority of waiting requests is
-// known; others, and all where no load is known, count 1.
-func (p *plan) weight(demand *Demand) float64 {
-	if p.groups == nil || demand.Waiting == 0 {
-		return 1
+// waiting returns the number of waiting requests, weighted by priority if loads are known. The
+// priority of other requests is not reported, so that they all count as much.
+func (p *plan) waiting(demand *Demand) float64 {
+	if p.groups == nil {
+		return float64(demand.Waiting)
 	}
-	return placevalue.Weight(demand.Priority)
+	return float64(demand.Waiting) * placevalue.Weight(demand.Priority)
 }
 
 // replicasWorthKeeping returns the number of ready and pending replicas of the model if the
--- a/internal/placevalue/placevalue.go
+++ b/internal/placevalue/placevalue.go
@@ -2,8 +2,8 @@
 // replica of one model can be compared with the replica of another that it would evict. Its
 // functions are pure.
 //
-// The unit is lost requests per second: requests that are refused or answered late, each
-// weighted by its priority. A late request counts lateLoss, a refused one 1.
+// The unit is lost requests per second: requests that are refused or answered late. A late request
+// counts lateLoss, a refused one 1. Requests whose priority is known are weighted by it.
 package placevalue
 
 import (
@@ -53,7 +53,7 @@
 	Load, Capacity float64
 	// Own is the part of Load that is the model's own.
 	Own float64
-	// Rate is the model's arrival rate in requests per second, weighted by priority.
+	// Rate is the model's arrival rate in requests per second.
 	Rate float64
 }
 
