--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -384,7 +384,10 @@
 	Expect(planFor(lossOf(0.6))).To(HaveLen(1))
 	for name, change := range map[string]func(in *placement.Input){
 		"worth 0.75 of the gain": lossOf(0.75),
-		"asked for often":        func(in *placement.Input) { in.Demand["c"] = idle(0.9, 0) },
+		"the other server has a rate limit": func(in *placement.Input) {
+			in.Servers[1].Limited, in.Servers[1].MaxPerSecond = true, 1
+		},
+		"asked for often": func(in *placement.Input) { in.Demand["c"] = idle(0.9, 0) },
 		"just loaded": func(in *placement.Input) {
 			in.Servers[1].Models["c"] = placement.Replica{Since: now.Add(-time.Second)}
 		},
--- a/internal/placement/value.go
+++ b/internal/placement/value.go
@@ -239,9 +239,10 @@
 	return best
 }
 
-// takesRelief reports whether the server may get a further replica now.
+// takesRelief reports whether the server may get a further replica now. One with a rate limit of
+// its own relieves others by less than its free slots show.
 func (p *plan) takesRelief(server *Server) bool {
-	return server.loadKnown() && p.usable(server) && !p.reserved[server.ID] && server.Intent == "" && server.UnconfirmedLoad == ""
+	return server.loadKnown() && !server.Limited && p.usable(server) && !p.reserved[server.ID] && server.Intent == "" && server.UnconfirmedLoad == ""
 }
 
 // reliefOn returns how the server would take a further replica; nil if it can't, or if that costs
