--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/notice"
 	"github.com/hatchplank/hatchplank/internal/orders"
+	"github.com/hatchplank/hatchplank/internal/placement"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
@@ -45,6 +46,7 @@
 	metricSentToLimited     = "hatchplank_node_sends_to_limited_servers_total"
 	metricChoices           = "hatchplank_node_choices_total"
 	metricSuspicionChecks   = "hatchplank_node_suspicion_checks_total"
+	metricReplicaOrders     = "hatchplank_node_replica_orders_total"
 	metricObservations      = "hatchplank_node_observations_total"
 	metricSuspectedServers  = "hatchplank_node_suspected_servers"
 	metricRetries           = "hatchplank_node_retries_total"
@@ -74,6 +76,7 @@
 	{metricSentToLimited, "counter", "purpose", "Sendings to such servers, by purpose (request, order, report)."},
 	{metricChoices, "counter", "load, choice", "Requests for which a server was chosen, by where its load was from (own requests, report, nodes: the newest load that any node observed) and how the last choice was made (lowest score, or drawn)."},
 	{metricSuspicionChecks, "counter", "outcome", "Checks by connecting to a server that another node found unreachable, by outcome (reached, failed)."},
+	{metricReplicaOrders, "counter", "order, reason", "Loads and unloads of models that were planned, by kind and reason."},
 	{metricObservations, "counter", "direction", "Observations of servers' loads, and of whether they are reachable, exchanged with other nodes, by direction (sent, received)."},
 	{metricSuspectedServers, "gauge", "", "Servers that another node found unreachable and that no node has reached since, as far as this node knows."},
 	{metricRetries, "counter", "verdict, by", "Attempts beyond a request's first that were compared with the retry budget, by verdict (within, over) and by who decided (node: this node's own allowance; fleet: the count for all nodes; share: this node's even share, as too few counting nodes answered)."},
@@ -103,6 +106,9 @@
 	set.NewGauge(metricQuarantine, gauges.Quarantine)
 	set.NewGauge(metricLimitedServers, gauges.Limited)
 	set.NewGauge(metricSuspectedServers, gauges.Suspected)
+	for _, kind := range []placement.Kind{placement.Load, placement.Unload} {
+		set.NewCounter(replicaOrdersCounter(kind.String(), placement.ReasonRelief))
+	}
 	for _, direction := range []orders.Direction{orders.Sent, orders.Received} {
 		set.NewCounter(observationsCounter(direction))
 	}
@@ -141,6 +147,16 @@
 // Order counts an order to a model server, by kind and reply.
 func (m *Metrics) Order(order, reply string) { m.count(metricOrders, "order", order, "reply", reply) }
 
+// ReplicaOrder counts a planned load or unload of a model, by kind and reason.
+func (m *Metrics) ReplicaOrder(order, reason string) {
+	m.set.GetOrCreateCounter(replicaOrdersCounter(order, reason)).Inc()
+}
+
+// replicaOrdersCounter returns the name of the counter of planned loads and unloads with its labels.
+func replicaOrdersCounter(order, reason string) string {
+	return fmt.Sprintf("%s{order=%q,reason=%q}", metricReplicaOrders, order, reason)
+}
+
 // Notice counts a response in which a server sent a notice about its own state.
 func (m *Metrics) Notice(kind notice.Kind) { m.count(metricNotices, "notice", string(kind)) }
 
