Measure run times at the usual speed of the servers

The wait for a slot multiplies the average run time by the slowdown that a server reports, but the average contained the slowdown already.

--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -43,7 +43,8 @@
 	lastEvent string
 	headSent  bool
 	gaps      eventGaps
-	// runTime is the pool's average time from a response's beginning to its end.
+	// runTime is the pool's average time from a response's beginning to its end, at the usual speed
+	// of the servers.
 	runTime time.Duration
 }
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -40,7 +40,7 @@
 		err = f.relayBody(flow, reply, responder)
 	}
 	if err == nil {
-		f.tracker.recordRunTime(flow.pool, time.Since(headReceived))
+		f.tracker.recordRunTime(flow.pool, target.load.atUsualSpeed(time.Since(headReceived), time.Now()))
 		f.reportServed(ctx, flow, target.server, reply, started)
 		f.release(flow, target, &AttemptError{Reason: FailureStatus, Load: reply.Load})
 		outcome := flow.outcome(result.OK, "")
--- a/internal/forward/stale_load_test.go
+++ b/internal/forward/stale_load_test.go
@@ -464,3 +464,24 @@
 	Expect(known.with(3.5, now).sustainedAt(now)).To(BeNumerically("<", 1.85))
 	Expect(known.sustainedAt(now.Add(30 * time.Second))).To(BeNumerically("~", 1, 0.01))
 }
+
+// Guards against counting a slowdown twice in the wait for a slot, and so refusing a request that would
+// start in time: the run times are measured at servers that are all slowed, as they report.
+func TestReportedSlowdownIsNotCountedTwiceInTheWait(t *testing.T) {
+	inVirtualTimeWithTable(t, func(b *testbed, table *observation.Table) {
+		for _, server := range []string{"m1", "m2"} {
+			b.backend.answer[server] = reportsLoad(0, streams(events(1, 11), 100*time.Millisecond, io.EOF))
+		}
+		for range 30 {
+			Expect(b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{}).Code).To(Equal(result.OK))
+		}
+		time.Sleep(time.Millisecond)
+		for _, server := range []string{"m1", "m2"} {
+			table.RecordLoad(fleet.Incarnation{ID: server}, observation.Load{Running: 8, Waiting: 3, Slots: 8, Slowdown: 2}, time.Now())
+		}
+		time.Sleep(time.Millisecond)
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(outcome.Held).To(BeZero())
+	})
+}
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -89,6 +89,13 @@
 	return time.Duration(float64(ahead) / float64(slots) * float64(runTime) * s.speed.sustainedAt(now))
 }
 
+// atUsualSpeed is the duration that work on the server would have had at its usual speed.
+func (s *serverLoad) atUsualSpeed(took time.Duration, now time.Time) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return time.Duration(float64(took) / s.speed.sustainedAt(now))
+}
+
 // failureRate is the recent share of failed attempts, which decays with time.
 func (s *serverLoad) failureRate(now time.Time) float64 {
 	if s.failures == 0 {
@@ -170,8 +177,8 @@
 	// tokenTime is the average time to the first byte per prompt token, in nanoseconds, by
 	// pool.
 	tokenTime map[string]float64
-	// runTime is the average time from a response's beginning to its end, in nanoseconds, by
-	// pool.
+	// runTime is the average time from a response's beginning to its end at the usual speed of
+	// the servers, in nanoseconds, by pool. queueWait multiplies it by a server's slowdown.
 	runTime map[string]float64
 }
 
@@ -251,7 +258,8 @@
 	return defaultTokenTime
 }
 
-// recordRunTime adds the time from a response's beginning to its end to the pool's average.
+// recordRunTime adds the time from a response's beginning to its end, at the usual speed of its
+// server, to the pool's average.
 func (t *tracker) recordRunTime(pool string, took time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -262,8 +270,8 @@
 	t.runTime[pool] = average + latencyWeight/4*(float64(took)-average)
 }
 
-// averageRunTime is the pool's average time from a response's beginning to its end; zero until the
-// first response has ended.
+// averageRunTime is the pool's average time from a response's beginning to its end at the usual speed
+// of the servers; zero until the first response has ended.
 func (t *tracker) averageRunTime(pool string) time.Duration {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
