Take this node's loads for its own when recorded out of order

Two responses of a server that arrive at about the same time can be recorded in the other order. The table then keeps the newer load, while the time of the older one was noted as that of this node's newest. The load counted as another node's: for 3 s instead of 1 s, and in place of the server's report, also where nodes share no loads.

--- a/internal/forward/shared_load.go
+++ b/internal/forward/shared_load.go
@@ -140,7 +140,11 @@
 	target.load.mutex.Lock()
 	defer target.load.mutex.Unlock()
 	target.load.meet(incarnation)
-	target.load.seenAt = now
+	// Responses at about the same time may be recorded in another order; the table keeps the
+	// newest load.
+	if now.After(target.load.seenAt) {
+		target.load.seenAt = now
+	}
 	f.observations.RecordLoad(incarnation, observation.Load{
 		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown,
 	}, now)
--- a/internal/forward/stale_load_test.go
+++ b/internal/forward/stale_load_test.go
@@ -485,3 +485,20 @@
 		Expect(outcome.Held).To(BeZero())
 	})
 }
+
+// Guards against taking this node's own load for that of another node when two responses arrive at
+// about the same time and are recorded in the other order: the load would count for 3 s instead of 1 s.
+func TestOwnLoadRecordedOutOfOrderStaysOwn(t *testing.T) {
+	inVirtualTimeWithTable(t, func(b *testbed, _ *observation.Table) {
+		target := &candidate{server: b.view.Load().Servers["m1"], load: b.forwarder.tracker.of("m1")}
+		first := time.Now()
+		second := first.Add(time.Microsecond)
+		b.forwarder.recordAnswer(target, Load{Reported: true, Running: 4, Slots: 8}, second)
+		b.forwarder.recordAnswer(target, Load{Reported: true, Running: 3, Slots: 8}, first)
+		time.Sleep(time.Millisecond)
+		target.load.mutex.Lock()
+		defer target.load.mutex.Unlock()
+		b.forwarder.refreshLoad(target.server, target.load, time.Now())
+		Expect(target.load.usesShared()).To(BeFalse())
+	})
+}
