Ignore late responses of a server's earlier incarnation

A response of the earlier incarnation set the incarnation back, so that the next choice discarded the speed of the running one. Its load was also noted as this node's newest, though the table drops it, so that the load before it counted as another node's.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -105,9 +105,10 @@
 	target.load.mutex.Lock()
 	target.load.ownPrefill -= flow.request.PromptTokens
 	target.load.recordReachable()
-	target.load.meet(target.server.Incarnation())
+	if target.load.meet(target.server.Incarnation()) {
+		target.load.speed = target.load.speed.with(reply.Load.Slowdown, time.Now())
+	}
 	target.load.setReported(reply.Load, time.Now())
-	target.load.speed = target.load.speed.with(reply.Load.Slowdown, time.Now())
 	target.load.recordResult(reply.Status >= minFailureStatus, time.Now())
 	target.load.mutex.Unlock()
 	f.recordAnswer(target, reply.Load, time.Now())
--- a/internal/forward/shared_load.go
+++ b/internal/forward/shared_load.go
@@ -59,7 +59,11 @@
 	if f.observations == nil {
 		return
 	}
-	load.meet(server.Incarnation())
+	if !load.meet(server.Incarnation()) {
+		// The server restarted with its clock set back: what is listed counts.
+		load.discardObserved()
+		load.incarnation = server.Incarnation()
+	}
 	newest, at, known := f.observations.Load(server.Incarnation(), now)
 	if !known {
 		load.shared = sharedLoad{}
@@ -73,12 +77,22 @@
 	load.shared.inForce = now.Sub(load.shared.othersAt) < observation.LoadLifetime
 }
 
-// meet discards what was known about an earlier incarnation of the server. The lock must be held.
-func (s *serverLoad) meet(incarnation fleet.Incarnation) {
+// meet discards what was known about an earlier incarnation of the server. It reports whether the
+// incarnation is not itself an earlier one, whose statements don't count. The lock must be held.
+func (s *serverLoad) meet(incarnation fleet.Incarnation) bool {
+	if s.incarnation.Follows(incarnation) {
+		return false
+	}
 	if incarnation.Follows(s.incarnation) {
-		s.speed, s.shared, s.seenAt = speed{}, sharedLoad{}, time.Time{}
+		s.discardObserved()
 	}
 	s.incarnation = incarnation
+	return true
+}
+
+// discardObserved discards what belongs to one incarnation of the server. The lock must be held.
+func (s *serverLoad) discardObserved() {
+	s.speed, s.shared, s.seenAt = speed{}, sharedLoad{}, time.Time{}
 }
 
 // source is where the estimate of the load is from, and the age of the report, if there was one. The
@@ -139,7 +153,9 @@
 	}
 	target.load.mutex.Lock()
 	defer target.load.mutex.Unlock()
-	target.load.meet(incarnation)
+	if !target.load.meet(incarnation) {
+		return
+	}
 	// Responses at about the same time may be recorded in another order; the table keeps the
 	// newest load.
 	if now.After(target.load.seenAt) {
--- a/internal/forward/stale_load_test.go
+++ b/internal/forward/stale_load_test.go
@@ -502,3 +502,26 @@
 		Expect(target.load.usesShared()).To(BeFalse())
 	})
 }
+
+// Guards against discarding what is known about a restarted server when a response of its earlier
+// incarnation arrives late.
+func TestLateResponseOfAnEarlierIncarnationChangesNothing(t *testing.T) {
+	inVirtualTimeWithTable(t, func(b *testbed, table *observation.Table) {
+		load := b.forwarder.tracker.of("m1")
+		earlier := &candidate{server: &fleet.Server{ID: "m1", Born: 1, Slots: 8}, load: load}
+		later := &candidate{server: &fleet.Server{ID: "m1", Born: 2, Slots: 8}, load: load}
+		flow := b.forwarder.newFlow(request("stream", "m", time.Second), testRoutes()[0])
+		respond := func(target *candidate, slowdown float64) {
+			b.forwarder.recordResponse(flow, target, &Reply{Status: 200, Load: Load{Reported: true, Running: 2, Slots: 8, Slowdown: slowdown}}, time.Millisecond)
+			time.Sleep(time.Millisecond)
+		}
+		respond(earlier, 1)
+		respond(later, 3)
+		respond(earlier, 1)
+		load.mutex.Lock()
+		defer load.mutex.Unlock()
+		b.forwarder.refreshLoad(later.server, load, time.Now())
+		Expect(load.usesShared()).To(BeFalse(), "no other node observed the server")
+		Expect(load.speed.sustainedAt(time.Now())).To(BeNumerically("~", 2, 0.01))
+	})
+}
