--- a/internal/observation/table.go
+++ b/internal/observation/table.go
@@ -1,6 +1,7 @@
 package observation
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -157,6 +158,7 @@
 			if now.Sub(found.newest) > retention {
 				delete(t.entries, id)
 			}
+			maps.DeleteFunc(found.mistrusted, func(_ string, since time.Time) bool { return now.Sub(since) >= mistrustTime })
 		}
 		for key, stored := range t.rates {
 			if now.Sub(stored.receivedAt) > LoadLifetime {
--- a/internal/observation/table_test.go
+++ b/internal/observation/table_test.go
@@ -117,6 +117,18 @@
 		Expect(table.Suspected(first, after(mistrustTime))).To(BeTrue())
 	})
 
+	// Guards against memory that grows with the nodes that ever reported a server wrongly.
+	ginkgo.It("keeps a node's mistakes only for as long as it is not believed", func() {
+		table, _ := suspicionTable()
+		for i := range 100 {
+			now := after(time.Duration(i) * time.Second)
+			table.Merge([]Observation{{Server: first, Unreachable: true}}, Origin{Node: fmt.Sprintf("n%d:1", i)}, now)
+			table.Merge([]Observation{{Server: first, ReachAge: 1}}, Origin{Node: "other:1"}, now.Add(time.Millisecond))
+			table.Prune(func(string) bool { return true }, now.Add(2*time.Millisecond))
+		}
+		Expect(len(table.entries[first.ID].mistrusted)).To(BeNumerically("<=", int(mistrustTime/time.Second)))
+	})
+
 	// Guards against two nodes that both consider themselves the order holder and renew each other's
 	// observations, which would never expire.
 	ginkgo.It("never sends on what an order holder sent", func() {
