--- a/internal/forward/suspicion_test.go
+++ b/internal/forward/suspicion_test.go
@@ -182,3 +182,30 @@
 		Expect(served.Load()).To(Equal(int32(4)))
 	})
 }
+
+// Guards against holding a request until a hanging check ends, although the check of another server
+// found it reachable: it is sent there at once.
+func TestRequestDoesNotWaitForAllChecks(t *testing.T) {
+	for _, hanging := range []string{"m1", "m2"} {
+		withSuspicions(t, nil, func(b *testbed, table *observation.Table, _ *atomic.Int32) {
+			b.forwarder.connect = func(ctx context.Context, address string) error {
+				if address == hanging {
+					<-ctx.Done()
+					return ctx.Err()
+				}
+				time.Sleep(10 * time.Millisecond)
+				return nil
+			}
+			servers := map[string]*fleet.Server{}
+			for _, id := range []string{"m1", "m2"} {
+				servers[id] = &fleet.Server{ID: id, Address: id, Pool: modelPool, Slots: 8, Models: holds("m"), Zone: "z"}
+				suspect(table, id)
+			}
+			b.view.ReplaceServers(servers)
+			outcome := serveFromModel(b)
+			Expect(outcome.Server).NotTo(Equal(hanging))
+			Expect(outcome.Held).To(BeNumerically("~", 10*time.Millisecond, time.Millisecond))
+			time.Sleep(suspicionCheckTimeout)
+		})
+	}
+}
