--- a/internal/forward/stale_load_test.go
+++ b/internal/forward/stale_load_test.go
@@ -479,3 +479,64 @@
 	Expect(known.with(3.5, now).sustainedAt(now)).To(BeNumerically("<", 1.85))
 	Expect(known.sustainedAt(now.Add(30 * time.Second))).To(BeNumerically("~", 1, 0.01))
 }
+
+// Guards against counting a slowdown twice in the wait for a slot, and so refusing a request that would
+// start in time: the run times are measured at servers that are all slowed, as they report.
+func TestReportedSlowdownIsNotCountedTwiceInTheWait(t *testing.T) {
+	inVirtualTimeWithTable(t, func(b *testbed, table *observation.Table) {
+		for _, server := range []string{"m1", "m2"} {
+			b.backend.answer[server] = reportsLoad(0, streams(events(1, 11), 100*time.Millisecond, io.EOF))
+		}
+		for range 30 {
+			Expect(b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{}).Code).To(Equal(result.OK))
+		}
+		time.Sleep(time.Millisecond)
+		for _, server := range []string{"m1", "m2"} {
+			table.RecordLoad(fleet.Incarnation{ID: server}, observation.Load{Running: 8, Waiting: 3, Slots: 8, Slowdown: 2}, time.Now())
+		}
+		time.Sleep(time.Millisecond)
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(outcome.Held).To(BeZero())
+	})
+}
+
+// Guards against taking this node's own load for that of another node when two responses arrive at
+// about the same time and are recorded in the other order: the load would count for 3 s instead of 1 s.
+func TestOwnLoadRecordedOutOfOrderStaysOwn(t *testing.T) {
+	inVirtualTimeWithTable(t, func(b *testbed, _ *observation.Table) {
+		target := &candidate{server: b.view.Load().Servers["m1"], load: b.forwarder.tracker.of("m1")}
+		first := time.Now()
+		second := first.Add(time.Microsecond)
+		b.forwarder.recordAnswer(target, Load{Reported: true, Running: 4, Slots: 8}, second)
+		b.forwarder.recordAnswer(target, Load{Reported: true, Running: 3, Slots: 8}, first)
+		time.Sleep(time.Millisecond)
+		target.load.mutex.Lock()
+		defer target.load.mutex.Unlock()
+		b.forwarder.refreshLoad(target.server, target.load, time.Now())
+		Expect(target.load.usesShared()).To(BeFalse())
+	})
+}
+
+// Guards against discarding what is known about a restarted server when a response of its earlier
+// incarnation arrives late.
+func TestLateResponseOfAnEarlierIncarnationChangesNothing(t *testing.T) {
+	inVirtualTimeWithTable(t, func(b *testbed, table *observation.Table) {
+		load := b.forwarder.tracker.of("m1")
+		earlier := &candidate{server: &fleet.Server{ID: "m1", Born: 1, Slots: 8}, load: load}
+		later := &candidate{server: &fleet.Server{ID: "m1", Born: 2, Slots: 8}, load: load}
+		flow := b.forwarder.newFlow(request("stream", "m", time.Second), testRoutes()[0])
+		respond := func(target *candidate, slowdown float64) {
+			b.forwarder.recordResponse(flow, target, &Reply{Status: 200, Load: Load{Reported: true, Running: 2, Slots: 8, Slowdown: slowdown}}, time.Millisecond)
+			time.Sleep(time.Millisecond)
+		}
+		respond(earlier, 1)
+		respond(later, 3)
+		respond(earlier, 1)
+		load.mutex.Lock()
+		defer load.mutex.Unlock()
+		b.forwarder.refreshLoad(later.server, load, time.Now())
+		Expect(load.usesShared()).To(BeFalse(), "no other node observed the server")
+		Expect(load.speed.sustainedAt(time.Now())).To(BeNumerically("~", 2, 0.01))
+	})
+}
--- a/internal/forward/suspicion_test.go
+++ b/internal/forward/suspicion_test.go
@@ -134,3 +134,78 @@
 	alone := play(false)
 	NewWithT(t).Expect(play(true)).To(BeNumerically("<=", alone/4))
 }
+
+// Guards against holding a request until a hanging check of a suspected server ends, although another
+// server can take it meanwhile.
+func TestRequestWaitingForACheckTakesAFreedServer(t *testing.T) {
+	withSuspicions(t, nil, func(b *testbed, table *observation.Table, checks *atomic.Int32) {
+		b.forwarder.connect = func(ctx context.Context, _ string) error {
+			checks.Add(1)
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		b.view.ReplaceServers(map[string]*fleet.Server{
+			"m1": {ID: "m1", Pool: modelPool, Slots: 8, Models: holds("m"), Zone: "z"},
+			"m2": {ID: "m2", Pool: modelPool, Slots: 8, Models: holds("m"), Zone: "z", Draining: true},
+		})
+		suspect(table, "m1")
+		time.AfterFunc(20*time.Millisecond, func() {
+			b.view.ReplaceServers(map[string]*fleet.Server{
+				"m1": {ID: "m1", Pool: modelPool, Slots: 8, Models: holds("m"), Zone: "z"},
+				"m2": {ID: "m2", Pool: modelPool, Slots: 8, Models: holds("m"), Zone: "z"},
+			})
+		})
+		outcome := serveFromModel(b)
+		Expect(outcome.Server).To(Equal("m2"))
+		Expect(outcome.Held).To(BeNumerically("~", 20*time.Millisecond, time.Millisecond))
+		time.Sleep(suspicionCheckTimeout)
+		Expect(checks.Load()).To(Equal(int32(1)))
+	})
+}
+
+// Guards against refusing requests with an objective of 100 ms, less than the shortest expected delay,
+// because another request of the node waits for the check of their servers, which takes 10 ms.
+func TestRequestsWithAShortObjectiveAreHeldDuringACheck(t *testing.T) {
+	withSuspicions(t, nil, func(b *testbed, table *observation.Table, checks *atomic.Int32) {
+		suspect(table, "p1")
+		suspect(table, "p2")
+		var served atomic.Int32
+		for range 4 {
+			go func() {
+				outcome := b.forwarder.Serve(context.Background(), request("once", "", 600*time.Millisecond), &recorder{})
+				if outcome.Code == result.OK {
+					served.Add(1)
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		Expect(served.Load()).To(Equal(int32(4)))
+	})
+}
+
+// Guards against holding a request until a hanging check ends, although the check of another server
+// found it reachable: it is sent there at once.
+func TestRequestDoesNotWaitForAllChecks(t *testing.T) {
+	for _, hanging := range []string{"m1", "m2"} {
+		withSuspicions(t, nil, func(b *testbed, table *observation.Table, _ *atomic.Int32) {
+			b.forwarder.connect = func(ctx context.Context, address string) error {
+				if address == hanging {
+					<-ctx.Done()
+					return ctx.Err()
+				}
+				time.Sleep(10 * time.Millisecond)
+				return nil
+			}
+			servers := map[string]*fleet.Server{}
+			for _, id := range []string{"m1", "m2"} {
+				servers[id] = &fleet.Server{ID: id, Address: id, Pool: modelPool, Slots: 8, Models: holds("m"), Zone: "z"}
+				suspect(table, id)
+			}
+			b.view.ReplaceServers(servers)
+			outcome := serveFromModel(b)
+			Expect(outcome.Server).NotTo(Equal(hanging))
+			Expect(outcome.Held).To(BeNumerically("~", 10*time.Millisecond, time.Millisecond))
+			time.Sleep(suspicionCheckTimeout)
+		})
+	}
+}
