Let an urgent request count only those ahead of it in a server's queue

Cause: with the loads of other nodes known, the wait at a server counted all waiting requests, although servers start the most urgent first. Change: where loads of other nodes are in force, the waiting requests count by the share of this node's recent requests that are at least as urgent. Measured: TestUrgentRequestIsSentToAServerWithAQueue, refused before (queue wait 2.25 s), served now.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -98,7 +98,7 @@
 	defer candidateLists.Put(scratch)
 	candidates := slices.Grow((*scratch)[:0], len(holders))
 	shortestWait := time.Duration(math.MaxInt64)
-	flow.runTime = f.tracker.averageRunTime(flow.pool)
+	flow.runTime, flow.aheadShare = f.tracker.averageRunTime(flow.pool), f.aheadShare(flow)
 	maxWait, maxQueueWait := f.maxSlotWait(flow, now), flow.startBy(now).Sub(now)
 	loads := f.tracker.ofServers(holders)
 	for i, server := range holders {
@@ -148,7 +148,7 @@
 	defer load.mutex.Unlock()
 	f.refreshLoad(server, load, now)
 	eligible = takesNewWork(flow, server, load, now) && holdsModel(flow, server, load, now)
-	queueWait = load.queueWait(server.Slots, flow.runTime, now)
+	queueWait = load.queueWait(server.Slots, flow, now)
 	for _, passes := range filters {
 		if !passes(flow, server, load, now) {
 			return eligible, false, queueWait
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -48,6 +48,8 @@
 	// runTime is the pool's average time from a response's beginning to its end, at the usual speed
 	// of the servers.
 	runTime time.Duration
+	// aheadShare is the share of the requests that wait at a server that it starts before this one.
+	aheadShare float64
 }
 
 // respondBy is the time by which the response must begin before the caller leaves.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -99,6 +99,7 @@
 	budgets          *retrybudget.Budget
 	onRetry          func(*Request, retrybudget.Decision)
 	demand           *demandTable
+	priorities       *priorityMix
 	observe          func(Observation)
 	// longRunning is called for a request that takes long.
 	longRunning func(LongRunning)
@@ -153,7 +154,7 @@
 	return &Forwarder{
 		lifetime: lifetime, cancel: cancel, started: time.Now(),
 		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
-		tracker: newTracker(), demand: newDemandTable(),
+		tracker: newTracker(), demand: newDemandTable(), priorities: newPriorityMix(),
 		budgets: retrybudget.New(retrybudget.Config{Limits: config.Budget, Nodes: config.Nodes, Fleet: config.Fleet}), onRetry: config.OnRetry,
 		observe: config.Observe, longRunning: config.LongRunning, longestTimes: map[string]time.Duration{},
 	}
--- a/internal/forward/score.go
+++ b/internal/forward/score.go
@@ -71,7 +71,7 @@
 	c.free = max(slots-present, 0)
 	c.slowdown = slowdown
 	c.sharedAge, c.shared = now.Sub(c.load.shared.at), c.load.usesShared()
-	c.score += c.load.queueWait(c.server.Slots, flow.runTime, now)
+	c.score += c.load.queueWait(c.server.Slots, flow, now)
 	c.score += c.slotIn + f.limitPenalty(flow, c.server)
 	c.score += time.Duration(2 * c.load.failureRate(now) * float64(flow.route.LatencyObjective))
 	if c.server.Zone != f.zone {
--- a/internal/forward/shared_load.go
+++ b/internal/forward/shared_load.go
@@ -47,6 +47,7 @@
 // recordArrival counts a request for the arrival rates of its model, or of its pool if it needs none.
 func (f *Forwarder) recordArrival(flow *flow) {
 	f.demand.addArrival(flow.demandKey())
+	f.priorities.record(flow.pool, flow.priority)
 	if f.observations != nil && flow.request.Model == "" {
 		f.observations.RecordArrival(flow.pool)
 	}
--- a/internal/forward/stale_load_test.go
+++ b/internal/forward/stale_load_test.go
@@ -540,3 +540,27 @@
 		Expect(load.speed.sustainedAt(time.Now())).To(BeNumerically("~", 2, 0.01))
 	})
 }
+
+// Guards against refusing an urgent request for the queues of its servers, which serve it first: a
+// server whose waiting requests are nearly all less urgent starts it when the next request ends. A
+// request that is as urgent as the others waits for all of them and is refused.
+func TestUrgentRequestIsSentToAServerWithAQueue(t *testing.T) {
+	for _, others := range []int{lowestPriority, 0} {
+		inVirtualTimeWithTable(t, func(b *testbed, table *observation.Table) {
+			b.forwarder.tracker.recordRunTime(modelPool, 2*time.Second)
+			for range 1000 {
+				b.forwarder.priorities.record(modelPool, others)
+			}
+			for _, server := range []string{"m1", "m2"} {
+				table.RecordLoad(fleet.Incarnation{ID: server}, observation.Load{Running: 8, Waiting: 8, Slots: 8}, time.Now())
+			}
+			time.Sleep(time.Millisecond)
+			outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 2*time.Second), &recorder{})
+			if others == lowestPriority {
+				Expect(outcome.Code).To(Equal(result.OK))
+			} else {
+				Expect(outcome.Code).To(Equal(result.QueueFull))
+			}
+		})
+	}
+}
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -80,15 +80,18 @@
 	return s.own
 }
 
-// queueWait is how long a request would wait for a slot if each request usually takes runTime. The
-// lock must be held.
-func (s *serverLoad) queueWait(slots int, runTime time.Duration, now time.Time) time.Duration {
+// queueWait is how long the flow's request would wait for a slot: for one request to end, and for those
+// of the waiting ones that the server starts first. The lock must be held.
+func (s *serverLoad) queueWait(slots int, flow *flow, now time.Time) time.Duration {
 	slots = max(slots, 1)
-	ahead := s.estimate(now) - slots + 1
+	ahead := float64(s.estimate(now) - slots + 1)
 	if ahead <= 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead) / float64(slots) * float64(runTime) * s.speed.sustainedAt(now))
+	if s.usesShared() {
+		ahead = 1 + (ahead-1)*flow.aheadShare
+	}
+	return time.Duration(ahead / float64(slots) * float64(flow.runTime) * s.speed.sustainedAt(now))
 }
 
 // atUsualSpeed is the duration that work on the server would have had at its usual speed.
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -65,6 +65,7 @@
 switch_off drawn-horizon internal/forward/draw.go 'horizonFactor = 3' 'horizonFactor = 0' $forward
 switch_off refused-only internal/forward/shared_load.go 'if ctx.Err() == nil && errors.Is(failure.Cause, syscall.ECONNREFUSED) {' 'if true || errors.Is(failure.Cause, syscall.ECONNREFUSED) {' $forward
 switch_off slowdown internal/forward/speed.go 'if s.at.IsZero() {' 'if true {' $forward
+switch_off urgent-first internal/forward/tracker.go 'ahead = 1 + (ahead-1)*flow.aheadShare' 'ahead += 0 * flow.aheadShare' $forward
 switch_off suspected-avoided internal/forward/suspicion.go 'if !isSuspected {' 'if true || !isSuspected {' $forward
 switch_off suspicion-checked-once internal/forward/suspicion.go '!since.Equal(checkedSince) &&' 'true &&' $forward
 switch_off retry-budget internal/retrybudget/budget.go 'if decision.Used+1 > allowance {' 'if false && allowance < 0 {' ./internal/retrybudget -skip RandomFaults
