retrybudget, ratelimit: Fix two data races in tests

A test fleet restarted a node while retries of other goroutines used its budget, and limiter tests changed whether limits are in use while the limiters read it (go test -race).

--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -36,7 +36,7 @@
 	*peers.Network
 	transports []*countingTransport
 	limiters   []*ratelimit.Limiter
-	inUse      bool
+	inUse      atomic.Bool
 }
 
 // withFleet runs the body with nodes at which the counter nodes are set.
@@ -54,7 +54,7 @@
 			transport := &countingTransport{Transport: f.Add(address)}
 			f.transports = append(f.transports, transport)
 			f.limiters = append(f.limiters, ratelimit.New(ratelimit.Config{
-				Transport: transport, Address: address, InUse: func() bool { return f.inUse }, Logger: zerolog.Nop(),
+				Transport: transport, Address: address, InUse: f.inUse.Load, Logger: zerolog.Nop(),
 			}))
 		}
 		counters := ratelimit.Counters{Token: 1, Version: 1, Addresses: ratelimit.ChooseCounters(nil, f.Addresses())}
@@ -104,7 +104,7 @@
 
 func TestSlotsAreGrantedAheadInOrder(t *testing.T) {
 	withFleet(t, 4, func(f *fleet) {
-		f.inUse = true
+		f.inUse.Store(true)
 		time.Sleep(time.Second)
 		f.takePaced(0, 2, time.Second)
 		began := time.Now()
@@ -128,7 +128,7 @@
 
 func TestReturnedSlotIsGrantedToTheNextRequest(t *testing.T) {
 	withFleet(t, 4, func(f *fleet) {
-		f.inUse = true
+		f.inUse.Store(true)
 		time.Sleep(time.Second)
 		f.takePaced(0, 1, 2*time.Second)
 		request := ratelimit.Request{
@@ -166,7 +166,7 @@
 // limit that it is allowed.
 func TestReplyWithoutSuchALimitIsNotACount(t *testing.T) {
 	withFleet(t, 2, func(f *fleet) {
-		f.inUse = true
+		f.inUse.Store(true)
 		for _, transport := range f.transports {
 			transport.Handle(ratelimit.TakeRequest{}, func(_ string, _ peer.Message, reply func(peer.Message, error)) {
 				reply(ratelimit.TakeReply{Within: true, CountedBy: "earlier"}, nil)
--- a/internal/retrybudget/fakes_test.go
+++ b/internal/retrybudget/fakes_test.go
@@ -119,6 +119,8 @@
 
 // start starts a node's process, in place of an earlier one.
 func (f *testFleet) start(n *node) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	n.transport = &transport{Transport: f.Add(n.address)}
 	n.limiter = ratelimit.New(ratelimit.Config{
 		Transport: n.transport, Address: n.address, InUse: func() bool { return false }, Logger: zerolog.Nop(),
@@ -156,7 +158,10 @@
 
 // retry takes a retry at a node and records it.
 func (f *testFleet) retry(n *node, rank float64) retrybudget.Decision {
-	decision := n.budget.Take(context.Background(), retrybudget.Retry{Pool: "p", Rank: rank}, time.Now())
+	f.mutex.Lock()
+	budget := n.budget
+	f.mutex.Unlock()
+	decision := budget.Take(context.Background(), retrybudget.Retry{Pool: "p", Rank: rank}, time.Now())
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if decision.Allowed {
