ratelimit: Repeat a request that concurrent ones deprived of a quorum

When many nodes retried at the same moment, each counter node allowed other retries, and few got the votes of six: with message delays of up to 4 ms, 14 of 455 simultaneous retries were granted, and 7 of 728, where 149 were left. The others were refused for a spent budget, and the nodes asked no more for 0.9 s.

--- a/internal/ratelimit/ballot.go
+++ b/internal/ratelimit/ballot.go
@@ -3,15 +3,21 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
+// contentionPause is the mean time until a request is repeated that was refused because concurrent
+// ones divided the votes. It is some round trips, so that the votes were returned and the requests
+// arrive spread out. Without it, 14 of 455 simultaneous retries were granted where 149 were left.
+const contentionPause = 25 * time.Millisecond
+
 // takeVoted asks all counter nodes for their votes, and waits until a quorum has allowed the
 // request or can't any more, for takeTimeout at most. A counter node that fails delays nothing
-// while a quorum replies.
+// while a quorum replies. A request that other ones deprived of a quorum is repeated in that time.
 func (l *Limiter) takeVoted(ctx context.Context, request Request) Verdict {
 	counters := l.counters.get().Addresses
 	if len(counters) == 0 {
@@ -19,11 +25,33 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
+	var refused Verdict
+	for {
+		verdict, contended := l.holdBallot(ctx, counters, request)
+		switch {
+		case verdict.CountedBy == "":
+			// The time ended while the request was repeated.
+			return refused
+		case !contended:
+			return verdict
+		}
+		refused = verdict
+		select {
+		case <-time.After(contentionPause/2 + rand.N(contentionPause)):
+		case <-ctx.Done():
+			return refused
+		}
+	}
+}
+
+// holdBallot asks all counter nodes once. It also reports whether the request was refused, though
+// some counter nodes allowed it, as each of them allowed other ones of many concurrent requests.
+func (l *Limiter) holdBallot(ctx context.Context, counters []string, request Request) (verdict Verdict, contended bool) {
 	select {
 	case l.ballots <- struct{}{}:
 		defer func() { <-l.ballots }()
 	case <-ctx.Done():
-		return Verdict{}
+		return Verdict{}, false
 	}
 	message := TakeRequest{
 		Tenant: request.Name, Limit: perCounter(request.Limit, len(counters)), Cost: request.Cost, Rank: request.Rank, Vote: rand.Uint64(),
@@ -149,9 +177,12 @@
 	}
 }
 
-// await returns the verdict. Once the context is done, the request is refused as if no counter
+// isKept reports whether a vote can't be taken back, so that repeating the request would use up more.
+func isKept(reply TakeReply) bool { return !reply.Voted }
+
+// await returns the verdict, and whether the request was refused though some allowed it. Once the context is done, the request is refused as if no counter
 // node had replied.
-func (b *ballot) await(ctx context.Context) Verdict {
+func (b *ballot) await(ctx context.Context) (verdict Verdict, contended bool) {
 	select {
 	case <-b.decided:
 	case <-ctx.Done():
@@ -160,9 +191,9 @@
 		if !b.isDecided {
 			b.set(Verdict{})
 		}
-		return b.verdict
+		return b.verdict, false
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.verdict
+	return b.verdict, !b.verdict.Allowed && b.verdict.CountedBy != "" && len(b.allowed) > 0 && !slices.ContainsFunc(b.allowed, isKept)
 }
--- a/internal/retrybudget/fakes_test.go
+++ b/internal/retrybudget/fakes_test.go
@@ -34,6 +34,8 @@
 	sent    atomic.Int64
 	earlier bool
 	blocked []string
+	// delayed returns how much longer a call takes to arrive; nil: no longer.
+	delayed func() time.Duration
 }
 
 func (t *transport) Call(address string, message peer.Message, timeout time.Duration, done func(peer.Message, error)) {
@@ -42,6 +44,10 @@
 		time.AfterFunc(timeout, func() { done(nil, peer.ErrUnreachable) })
 		return
 	}
+	if t.delayed != nil {
+		time.AfterFunc(t.delayed(), func() { t.Transport.Call(address, message, timeout, done) })
+		return
+	}
 	t.Transport.Call(address, message, timeout, done)
 }
 
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -320,3 +322,32 @@
 		Expect(f.maxExcess()).To(BeNumerically("<=", 0))
 	})
 }
+
+// Guards against refusals while the slack is unused: when many nodes retry at the same moment, each
+// counter node allows other retries, and few get a quorum of votes.
+func TestBurstAtAllNodesUsesTheSlack(t *testing.T) {
+	for _, each := range []int{3, 5, 8} {
+		t.Run(fmt.Sprint(each, " retries at each node"), func(t *testing.T) {
+			withFleet(t, largeFleet, largeLimits, func(f *testFleet) {
+				random := rand.New(rand.NewPCG(1, 2))
+				var mutex sync.Mutex
+				for _, node := range f.nodes {
+					node.transport.delayed = func() time.Duration {
+						mutex.Lock()
+						defer mutex.Unlock()
+						return time.Duration(random.IntN(4000)) * time.Microsecond
+					}
+				}
+				for _, node := range f.nodes {
+					for range each {
+						go f.retry(node, 0)
+					}
+				}
+				time.Sleep(time.Second)
+				Expect(f.decisions[retrybudget.ByFleet]).To(BeNumerically(">=", used))
+				f.load(f.nodes, 10*time.Millisecond, 12*time.Second)
+				Expect(f.maxExcess()).To(BeNumerically("<=", 0))
+			})
+		})
+	}
+}
