retrybudget: Don't take a queue of own retries for a partition

A node asks for twelve retries at a time, and the others wait within the same 100 ms. One that ran out of time was recorded as if no quorum had replied, so that the node refused all retries beyond its own allowance for a second: with round trips of 22 ms, 60 concurrent retries were enough, while the slack had room.

--- a/internal/ratelimit/ballot.go
+++ b/internal/ratelimit/ballot.go
@@ -29,7 +29,7 @@
 	for {
 		verdict, contended := l.holdBallot(ctx, counters, request)
 		switch {
-		case verdict.CountedBy == "":
+		case verdict.CountedBy == "" && refused.CountedBy != "":
 			// The time ended while the request was repeated.
 			return refused
 		case !contended:
@@ -47,11 +47,12 @@
 // holdBallot asks all counter nodes once. It also reports whether the request was refused, though
 // some counter nodes allowed it, as each of them allowed other ones of many concurrent requests.
 func (l *Limiter) holdBallot(ctx context.Context, counters []string, request Request) (verdict Verdict, contended bool) {
+	queued := len(l.ballots) == cap(l.ballots)
 	select {
 	case l.ballots <- struct{}{}:
 		defer func() { <-l.ballots }()
 	case <-ctx.Done():
-		return Verdict{}, false
+		return Verdict{Queued: true}, false
 	}
 	message := TakeRequest{
 		Tenant: request.Name, Limit: perCounter(request.Limit, len(counters)), Cost: request.Cost, Rank: request.Rank, Vote: rand.Uint64(),
@@ -62,7 +63,9 @@
 	for _, address := range counters {
 		l.requestVote(address, message, votes)
 	}
-	return votes.await(ctx)
+	verdict, contended = votes.await(ctx)
+	verdict.Queued = queued
+	return verdict, contended
 }
 
 // requestVote passes the vote of one counter node, which may be this one, to the ballot.
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -64,6 +64,9 @@
 	NextSlotIn time.Duration
 	// CountedBy is the address of the counter node; empty if this node decided without one.
 	CountedBy string
+	// Queued: the request first waited for other requests of this node. If no counter node replied
+	// in the remaining time, that does not show that they are out of reach.
+	Queued bool
 	// process of the counter node.
 	process int64
 	takenAt time.Time
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -73,6 +73,9 @@
 type Answer struct {
 	// Counted is false if too few counter nodes replied. Then the fleet granted nothing.
 	Counted bool
+	// Queued: the retry first waited for other retries of this node. If it is not counted, that does
+	// not show that the counter nodes are out of reach.
+	Queued  bool
 	Allowed bool
 	// RetryIn is the time until the count has capacity, if it is refused.
 	RetryIn time.Duration
@@ -218,7 +221,9 @@
 	var decision Decision
 	switch {
 	case !answer.Counted:
-		counts.cutOffUntil = now.Add(cutOffPause)
+		if !answer.Queued {
+			counts.cutOffUntil = now.Add(cutOffPause)
+		}
 		decision = counts.take(retry, ByShare, b.withCutOffShare(own), now)
 	default:
 		if !answer.Allowed {
--- a/internal/retrybudget/count.go
+++ b/internal/retrybudget/count.go
@@ -27,5 +27,5 @@
 		Name: namePrefix + retry.Pool, Cost: 1, Rank: retry.Rank,
 		Limit: ratelimit.Limit{Rate: slack / window.Seconds(), Window: window, Voted: true},
 	})
-	return Answer{Counted: verdict.CountedBy != "", Allowed: verdict.Allowed, RetryIn: verdict.NextSlotIn}
+	return Answer{Counted: verdict.CountedBy != "", Queued: verdict.Queued, Allowed: verdict.Allowed, RetryIn: verdict.NextSlotIn}
 }
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -351,3 +351,23 @@
 		})
 	}
 }
+
+// Guards against a node that takes itself for cut off, and refuses retries for a second, since some of
+// its own concurrent retries waited too long for others.
+func TestNodeWithManyConcurrentRetriesIsNotCutOff(t *testing.T) {
+	withFleet(t, largeFleet, largeLimits, func(f *testFleet) {
+		for _, address := range f.counters.Addresses {
+			f.SetSlow(address, 10*time.Millisecond)
+		}
+		node := f.notCounter()
+		for range 60 {
+			go f.retry(node, 0)
+		}
+		time.Sleep(200 * time.Millisecond)
+		Expect(f.decisions[retrybudget.ByShare]).To(BeZero())
+		Expect(f.decisions[retrybudget.ByFleet]).To(BeNumerically("<", 60), "some of them waited too long")
+		decision := f.retry(node, 0)
+		Expect(decision.Allowed).To(BeTrue())
+		Expect(decision.By).To(Equal(retrybudget.ByFleet))
+	})
+}
