retrybudget: Keep the bound where the fleet's size changes who decides

When the fleet grew past 55 nodes (slack 222) or shrank to 55, the slack was used twice within a window, by the nodes themselves and by the counter nodes: 95 retries more than allowed. A fleet whose size changes back and forth at this point has a tenth of the slack meanwhile.

--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -51,6 +51,9 @@
 	pausePerNode = 10 * time.Millisecond
 	// maxPause bounds the time for which a node follows a refusal.
 	maxPause = time.Second
+	// switchMargin is how much longer than a window the slack is not used after a change of who
+	// decides on it, since nodes learn the number of nodes at different times.
+	switchMargin = 2 * time.Second
 	// cutOffPause is the time for which a node asks no more after no quorum replied.
 	cutOffPause = time.Second
 )
@@ -136,6 +139,10 @@
 	mutex  sync.Mutex
 	nodes  int
 	byPool map[string]*pool
+	// nodesKnown is set once SetNodes was called, and resumeAt is the time from which the slack is
+	// used again after it began or ceased to be counted for the whole fleet.
+	nodesKnown bool
+	resumeAt   time.Time
 }
 
 // New returns a budget without requests.
@@ -143,11 +150,18 @@
 	return &Budget{limits: config.Limits, fleet: config.Fleet, nodes: max(config.Nodes, 1), byPool: map[string]*pool{}}
 }
 
-// SetNodes sets the number of nodes that share the slack.
+// SetNodes sets the number of nodes that share the slack. Where that changes who decides on it, it is
+// not used for a window, except for the share of nodes without a quorum: the counter nodes don't know
+// what the nodes allowed themselves, and the nodes not what the counter nodes granted to others.
 func (b *Budget) SetNodes(nodes int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	wasShared := b.isShared()
 	b.nodes = max(nodes, 1)
+	if b.nodesKnown && b.isShared() != wasShared {
+		b.resumeAt = time.Now().Add(b.limits.Window + switchMargin)
+	}
+	b.nodesKnown = true
 }
 
 // of returns the counts of a pool. The lock must be held.
@@ -191,6 +205,9 @@
 	defer b.mutex.Unlock()
 	counts := b.of(retry.Pool, now)
 	own := usedShare * b.limits.Ratio * counts.requests.Total(now)
+	if now.Before(b.resumeAt) {
+		return counts.take(retry, ByNode, b.withCutOffShare(own), now), true
+	}
 	if !b.isShared() {
 		return counts.take(retry, ByNode, own+usedShare*b.limits.Slack/float64(b.nodes), now), true
 	}
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -371,3 +371,30 @@
 		Expect(decision.By).To(Equal(retrybudget.ByFleet))
 	})
 }
+
+// Guards against a slack that is used twice within a window when the fleet grows or shrinks past the
+// size from which it is counted for the whole fleet: by the nodes themselves and by the counter nodes.
+func TestBoundHoldsWhileTheSlackBeginsOrCeasesToBeShared(t *testing.T) {
+	const below, above = 55, 56
+	for _, sizes := range [][]int{{below, above}, {above, below}} {
+		t.Run(fmt.Sprint("from ", sizes[0], " to ", sizes[1], " nodes"), func(t *testing.T) {
+			withFleet(t, above, largeLimits, func(f *testFleet) {
+				for _, nodes := range sizes {
+					for _, node := range f.nodes {
+						node.budget.SetNodes(nodes)
+					}
+					for _, node := range f.nodes {
+						f.burst(node, 4)
+					}
+				}
+				Expect(f.maxExcess()).To(BeNumerically("<=", 0))
+				time.Sleep(largeLimits.Window + 3*time.Second)
+				earlier := len(f.retries)
+				for _, node := range f.nodes {
+					f.burst(node, 4)
+				}
+				Expect(len(f.retries)-earlier).To(BeNumerically(">=", used), "the slack is used again")
+			})
+		})
+	}
+}
