--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -320,3 +322,79 @@
 		Expect(f.maxExcess()).To(BeNumerically("<=", 0))
 	})
 }
+
+// Guards against refusals while the slack is unused: when many nodes retry at the same moment, each
+// counter node allows other retries, and few get a quorum of votes.
+func TestBurstAtAllNodesUsesTheSlack(t *testing.T) {
+	for _, each := range []int{3, 5, 8} {
+		t.Run(fmt.Sprint(each, " retries at each node"), func(t *testing.T) {
+			withFleet(t, largeFleet, largeLimits, func(f *testFleet) {
+				random := rand.New(rand.NewPCG(1, 2))
+				var mutex sync.Mutex
+				for _, node := range f.nodes {
+					node.transport.delayed = func() time.Duration {
+						mutex.Lock()
+						defer mutex.Unlock()
+						return time.Duration(random.IntN(4000)) * time.Microsecond
+					}
+				}
+				for _, node := range f.nodes {
+					for range each {
+						go f.retry(node, 0)
+					}
+				}
+				time.Sleep(time.Second)
+				Expect(f.decisions[retrybudget.ByFleet]).To(BeNumerically(">=", used))
+				f.load(f.nodes, 10*time.Millisecond, 12*time.Second)
+				Expect(f.maxExcess()).To(BeNumerically("<=", 0))
+			})
+		})
+	}
+}
+
+// Guards against a node that takes itself for cut off, and refuses retries for a second, since some of
+// its own concurrent retries waited too long for others.
+func TestNodeWithManyConcurrentRetriesIsNotCutOff(t *testing.T) {
+	withFleet(t, largeFleet, largeLimits, func(f *testFleet) {
+		for _, address := range f.counters.Addresses {
+			f.SetSlow(address, 10*time.Millisecond)
+		}
+		node := f.notCounter()
+		for range 60 {
+			go f.retry(node, 0)
+		}
+		time.Sleep(200 * time.Millisecond)
+		Expect(f.decisions[retrybudget.ByShare]).To(BeZero())
+		Expect(f.decisions[retrybudget.ByFleet]).To(BeNumerically("<", 60), "some of them waited too long")
+		decision := f.retry(node, 0)
+		Expect(decision.Allowed).To(BeTrue())
+		Expect(decision.By).To(Equal(retrybudget.ByFleet))
+	})
+}
+
+// Guards against a slack that is used twice within a window when the fleet grows or shrinks past the
+// size from which it is counted for the whole fleet: by the nodes themselves and by the counter nodes.
+func TestBoundHoldsWhileTheSlackBeginsOrCeasesToBeShared(t *testing.T) {
+	const below, above = 55, 56
+	for _, sizes := range [][]int{{below, above}, {above, below}} {
+		t.Run(fmt.Sprint("from ", sizes[0], " to ", sizes[1], " nodes"), func(t *testing.T) {
+			withFleet(t, above, largeLimits, func(f *testFleet) {
+				for _, nodes := range sizes {
+					for _, node := range f.nodes {
+						node.budget.SetNodes(nodes)
+					}
+					for _, node := range f.nodes {
+						f.burst(node, 4)
+					}
+				}
+				Expect(f.maxExcess()).To(BeNumerically("<=", 0))
+				time.Sleep(largeLimits.Window + 3*time.Second)
+				earlier := len(f.retries)
+				for _, node := range f.nodes {
+					f.burst(node, 4)
+				}
+				Expect(len(f.retries)-earlier).To(BeNumerically(">=", used), "the slack is used again")
+			})
+		})
+	}
+}
