--- a/internal/placement/recent.go
+++ b/internal/placement/recent.go
@@ -80,10 +80,19 @@
 	return found
 }
 
+// recentLoss returns the recent loss of a model; 0 if no server's load is known. The losses decay
+// over minutes, while plans must be those without loads as soon as the loads have expired.
+func (p *plan) recentLoss(model string) float64 {
+	if p.groups == nil {
+		return 0
+	}
+	return p.RecentLosses[model]
+}
+
 // furtherReplicaLoss returns the loss if one of several replicas of a model is evicted: now, or by
 // its recent load.
 func (p *plan) furtherReplicaLoss(model string) float64 {
-	loss := p.RecentLosses[model]
+	loss := p.recentLoss(model)
 	if group := p.groups[model]; group != nil && group.known > 0 {
 		loss = max(loss, group.RemovalLoss())
 	}
--- a/internal/placement/unknown_loads_test.go
+++ b/internal/placement/unknown_loads_test.go
@@ -73,3 +73,14 @@
 	RegisterTestingT(t)
 	Expect(digestOfPlans(20_000)).To(Equal("7140ebb8005f4c6f"))
 }
+
+// Guards against plans that still depend on loads after these have expired.
+func TestRecentLossesAreIgnoredWithoutKnownLoads(t *testing.T) {
+	RegisterTestingT(t)
+	for seed := range 5000 {
+		in := randomInput(rand.New(rand.NewPCG(uint64(seed), 4)))
+		expected := fmt.Sprint(placement.Plan(in))
+		in.RecentLosses = map[string]float64{"a": 0.5, "b": 0.5, "c": 0.5}
+		Expect(fmt.Sprint(placement.Plan(in))).To(Equal(expected))
+	}
+}
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -210,7 +210,7 @@
 	if p.ready[name] > 1 && surplus {
 		// Further replicas that were needed recently cost more, and give way only to a
 		// model without replica or to one for which a place is worth more.
-		recent := p.RecentLosses[name]
+		recent := p.recentLoss(name)
 		found.cost = 0.05*demand.Rate + recent*horizon
 		return found, w.cold || recent < retainedLoss
 	}
