--- a/internal/placement/value.go
+++ b/internal/placement/value.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -343,7 +345,9 @@
 	}
 	if p.coldRequests < 0 {
 		p.coldRequests = 0
-		for name, demand := range p.Demand {
+		// In order of name, since the order of the summands changes the sum.
+		for _, name := range slices.Sorted(maps.Keys(p.Demand)) {
+			demand := p.Demand[name]
 			if model := p.Engine.Models[name]; model != nil && p.ready[name]+p.pending[name] == 0 {
 				p.coldRequests += float64(demand.Waiting) + demand.Rate*loadTimeOf(model).Seconds()
 			}
--- a/internal/placement/value_test.go
+++ b/internal/placement/value_test.go
@@ -159,3 +159,27 @@
 		})
 	}
 }
+
+// Guards against plans that differ from run to run with the order in which a map's values are summed.
+func TestPlansAreRepeatableWhereExpectedRequestsAddUpToOne(t *testing.T) {
+	RegisterTestingT(t)
+	in := input(map[string]*placement.Demand{
+		"a": {Running: 20, Rate: 5, LastUsed: now}, "c": idle(0.1, time.Second), "d": idle(0.2, time.Second), "e": idle(0.7, time.Second),
+	})
+	for _, model := range []string{"c", "d", "e"} {
+		in.Engine.Models[model].LoadTime = time.Second
+	}
+	for i := range 9 {
+		in.Servers = append(in.Servers, server(fmt.Sprint(i)))
+	}
+	for i := range 2 {
+		in.Servers[i] = server(fmt.Sprint(i), "a")
+		in.Servers[i].Load, in.Servers[i].Slots = 10, 24
+	}
+	in.StoreLoads = 1
+	plans := map[string]bool{}
+	for range 300 {
+		plans[fmt.Sprint(placement.Plan(in).Actions)] = true
+	}
+	Expect(plans).To(HaveLen(1))
+}
