placement: Load a third replica where several models fill the servers

A third replica by count was withheld from the weight store as long as its model alone did not fill its servers, although the reason given is that these have room. Two models with 30 requests each on two servers of 24 slots got none, with seven empty servers beside them.

--- a/internal/placement/value.go
+++ b/internal/placement/value.go
@@ -362,7 +362,7 @@
 func (p *plan) delaysColdModel(w wantedReplica) bool {
 	name := w.model.Name
 	group := p.groups[name]
-	return group != nil && group.known > 0 && p.ready[name]+p.pending[name] >= 2 && !group.Crowded() && p.storeContended()
+	return group != nil && group.known > 0 && p.ready[name]+p.pending[name] >= 2 && !group.Full() && p.storeContended()
 }
 
 // orderRelief orders the load of a further replica, or the unload that it needs.
--- a/internal/placement/value_test.go
+++ b/internal/placement/value_test.go
@@ -183,3 +183,21 @@
 	}
 	Expect(plans).To(HaveLen(1))
 }
+
+// Guards against a third replica that is withheld, as if the servers had room, since two models fill
+// them together.
+func TestThirdReplicaOnServersThatTwoModelsFill(t *testing.T) {
+	RegisterTestingT(t)
+	in := input(map[string]*placement.Demand{
+		"a": {Running: 30, Rate: 5, LastUsed: now}, "b": {Running: 30, Rate: 5, LastUsed: now}, "c": idle(0.9, time.Second), "d": idle(0.9, time.Second),
+	})
+	for i := range 9 {
+		in.Servers = append(in.Servers, server(fmt.Sprint(i)))
+	}
+	for i := range 2 {
+		in.Servers[i] = server(fmt.Sprint(i), "a", "b")
+		in.Servers[i].Load, in.Servers[i].Slots = 30, 24
+	}
+	in.StoreLoads = 1
+	Expect(placement.Plan(in).Actions).To(HaveLen(1))
+}
--- a/internal/placevalue/placevalue.go
+++ b/internal/placevalue/placevalue.go
@@ -68,12 +68,12 @@
 	return math.Erfc((capacity-load)/deviation/math.Sqrt2) / 2
 }
 
+// Full reports whether more than half of the group's slots are taken, by whichever models.
+func (g Group) Full() bool { return g.Servers > 0 && g.Load > crowdedShare*g.Capacity }
+
 // Crowded reports whether more than half of the group's slots are taken, and would not be
 // without the model's own requests.
-func (g Group) Crowded() bool {
-	free := crowdedShare * g.Capacity
-	return g.Servers > 0 && g.Load > free && g.Load-g.Own < free
-}
+func (g Group) Crowded() bool { return g.Full() && g.Load-g.Own < crowdedShare*g.Capacity }
 
 // lateShare is the LateShare of the group's average server.
 func (g Group) lateShare() float64 {
