orders: Average the speed of a server as its load is

The planner took the newest slowdown report for up to 3 s, also where servers are slowed 2.5 times for a fraction of a second: one such report made 32 slots count as 13, and a server with a load of 12 as full.

--- a/internal/orders/server_loads.go
+++ b/internal/orders/server_loads.go
@@ -9,28 +9,38 @@
 	"github.com/hatchplank/hatchplank/internal/placement"
 )
 
-// loadAverageTime is the time constant of the average over a server's loads. A load varies by
-// some requests within the time of one, while a replica that it calls for is loaded for seconds.
+// loadAverageTime is the time constant of the average over a server's loads and speeds. A load
+// varies by some requests within the time of one, and a server may be slowed for a fraction of a
+// second, while a replica that they call for is loaded for seconds.
 const loadAverageTime = 3 * time.Second
 
 // loadAverage is the average load of one incarnation of a server.
 type loadAverage struct {
 	server fleet.Incarnation
 	load   float64
-	at     time.Time
+	// speed is the average speed as a multiple of usual; 0 if not reported.
+	speed float64
+	at    time.Time
 }
 
-// add adds the newest load of an incarnation and returns the average. It starts anew with another
-// incarnation, and if no load was known for longer than a load is in force.
-func (a *loadAverage) add(server fleet.Incarnation, load float64, now time.Time) float64 {
+// add adds the newest load and speed of an incarnation. It starts anew with another incarnation, and
+// if no load was known for longer than a load is in force. A speed of 0 is not known.
+func (a *loadAverage) add(server fleet.Incarnation, load, speed float64, now time.Time) {
 	elapsed := now.Sub(a.at)
 	if a.server != server || elapsed > observation.LoadLifetime {
-		a.load = load
-	} else {
-		a.load += (load - a.load) * (1 - math.Exp(-elapsed.Seconds()/loadAverageTime.Seconds()))
+		*a = loadAverage{server: server, load: load, speed: speed, at: now}
+		return
+	}
+	share := 1 - math.Exp(-elapsed.Seconds()/loadAverageTime.Seconds())
+	a.load += (load - a.load) * share
+	switch {
+	case speed <= 0:
+	case a.speed <= 0:
+		a.speed = speed
+	default:
+		a.speed += (speed - a.speed) * share
 	}
-	a.server, a.at = server, now
-	return a.load
+	a.at = now
 }
 
 // setLoad sets the load of a server as input of the planner, if nodes tell each other the loads of
@@ -41,11 +51,12 @@
 	if !known || !table.SharesLoads(load.Slots) {
 		return
 	}
-	server.Load = held.load.add(incarnation, float64(load.Running+load.Waiting), now)
-	server.Slots = load.Slots
+	speed := 0.0
 	if load.Slowdown > 0 {
-		server.Speed = 1 / load.Slowdown
+		speed = 1 / load.Slowdown
 	}
+	held.load.add(incarnation, float64(load.Running+load.Waiting), speed, now)
+	server.Load, server.Slots, server.Speed = held.load.load, load.Slots, held.load.speed
 }
 
 // recentLosses returns the recent losses of a pool's models in this term. It must be called with
--- a/internal/orders/server_loads_test.go
+++ b/internal/orders/server_loads_test.go
@@ -22,10 +22,40 @@
 	g := NewWithT(t)
 	var average loadAverage
 	first, second := fleet.Incarnation{ID: "s", Born: 1}, fleet.Incarnation{ID: "s", Born: 2}
-	g.Expect(average.add(first, 20, testStart)).To(Equal(20.0))
-	g.Expect(average.add(first, 0, testStart.Add(time.Second))).To(BeNumerically("~", 14.3, 0.1))
-	g.Expect(average.add(second, 3, testStart.Add(time.Second))).To(Equal(3.0))
-	g.Expect(average.add(second, 9, testStart.Add(5*time.Second))).To(Equal(9.0))
+	add := func(server fleet.Incarnation, load float64, after time.Duration) float64 {
+		average.add(server, load, 0, testStart.Add(after))
+		return average.load
+	}
+	g.Expect(add(first, 20, 0)).To(Equal(20.0))
+	g.Expect(add(first, 0, time.Second)).To(BeNumerically("~", 14.3, 0.1))
+	g.Expect(add(second, 3, time.Second)).To(Equal(3.0))
+	g.Expect(add(second, 9, 5*time.Second)).To(Equal(9.0))
+}
+
+// Guards against a server that counts as slow for seconds, and replicas that are loaded for that, since
+// it was slowed for a moment when its load was reported.
+func TestBriefSlowdownHardlyChangesTheSpeed(t *testing.T) {
+	g := NewWithT(t)
+	holder := holderOf(largeSnapshot(1), &countingEngines{}, func(string, Update) {})
+	table := holder.config.Observations
+	table.SetNodes(91, testStart)
+	held := &entry{server: &fleet.Server{ID: "s", Born: 7}}
+	speedAt := func(after time.Duration, slowdown float64) float64 {
+		now := testStart.Add(after)
+		table.RecordLoad(held.server.Incarnation(), observation.Load{Running: 12, Slots: 32, Slowdown: slowdown}, now)
+		server := placement.Server{ID: "s"}
+		holder.setLoad(&server, held, now)
+		return server.Speed
+	}
+	for i := range 50 {
+		g.Expect(speedAt(time.Duration(i)*100*time.Millisecond, 1)).To(Equal(1.0))
+	}
+	g.Expect(speedAt(5*time.Second, 2.5)).To(BeNumerically(">", 0.95))
+	g.Expect(speedAt(6*time.Second, 0)).To(BeNumerically(">", 0.95), "not reported")
+	for i := range 100 {
+		speedAt(6*time.Second+time.Duration(i)*100*time.Millisecond, 2)
+	}
+	g.Expect(speedAt(16*time.Second, 2)).To(BeNumerically("~", 0.5, 0.05))
 }
 
 // Guards against loads that are taken for known where nodes don't share them, after they expired,
