placevalue: Relieve servers that several models fill together

A model was considered for a further replica only if its servers would have room without it. Two models with 20 requests each on a server of 24 slots then both got none, at any load, beside an empty server whose models nobody requested; a single model with 40 got one. A model whose own requests alone take more than half of the slots is now considered too.

--- a/internal/placement/value_test.go
+++ b/internal/placement/value_test.go
@@ -201,3 +201,20 @@
 	in.StoreLoads = 1
 	Expect(placement.Plan(in).Actions).To(HaveLen(1))
 }
+
+// Guards against full servers that are never relieved, since two models fill them together and neither
+// does alone.
+func TestTwoModelsThatFillAServerTogetherAreRelieved(t *testing.T) {
+	for _, own := range []int{40, 24, 20} {
+		RegisterTestingT(t)
+		full, empty := server("1", "a", "b"), server("2", "d", "e")
+		full.Load, full.Slots, empty.Slots = 40, 24, 24
+		in := input(map[string]*placement.Demand{
+			"a": {Running: own, Rate: 20, LastUsed: now}, "b": {Running: 40 - own, Rate: 20, LastUsed: now}, "d": {}, "e": {},
+		}, full, empty)
+		in.CountedSince = now.Add(-time.Minute)
+		actions := placement.Plan(in).Actions
+		Expect(actions).To(HaveLen(1), "%d requests of one of them", own)
+		Expect(actions[0].Reason).To(Equal(placement.ReasonRelief))
+	}
+}
--- a/internal/placevalue/placevalue.go
+++ b/internal/placevalue/placevalue.go
@@ -71,9 +71,13 @@
 // Full reports whether more than half of the group's slots are taken, by whichever models.
 func (g Group) Full() bool { return g.Servers > 0 && g.Load > crowdedShare*g.Capacity }
 
-// Crowded reports whether more than half of the group's slots are taken, and would not be
-// without the model's own requests.
-func (g Group) Crowded() bool { return g.Full() && g.Load-g.Own < crowdedShare*g.Capacity }
+// Crowded reports whether more than half of the group's slots are taken, and the model's own requests
+// are what fills them: they alone take more than half, or without them no more than half would be
+// taken. So several models that fill their servers together count as well as one that does alone.
+func (g Group) Crowded() bool {
+	half := crowdedShare * g.Capacity
+	return g.Full() && (g.Own > half || g.Load-g.Own < half)
+}
 
 // lateShare is the LateShare of the group's average server.
 func (g Group) lateShare() float64 {
