--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -238,18 +238,18 @@
 		if model == nil || server.Loading != "" || !p.usable(server) {
 			continue
 		}
-		if _, holds := server.Models[model.Name]; holds || !p.stillNeeded(model.Name) {
+		if _, holds := server.Models[model.Name]; holds || !p.stillNeeded(server, model.Name) {
 			continue
 		}
 		p.loadOn(server, model, "room was made")
 	}
 }
 
-// stillNeeded reports whether the model's demand calls for all its ready and pending
-// replicas.
-func (p *plan) stillNeeded(model string) bool {
+// stillNeeded reports whether the model's demand calls for all its ready and pending replicas, or
+// the one for which memory was freed on the server still relieves others.
+func (p *plan) stillNeeded(server *Server, model string) bool {
 	demand := p.Demand[model]
-	return demand != nil && p.ready[model]+p.pending[model] <= p.desired(model, demand)
+	return demand != nil && (p.ready[model]+p.pending[model] <= p.desired(model, demand) || p.intentGain(server, model) >= retainedLoss)
 }
 
 // usable reports whether the server may get an order in this plan.
--- a/internal/placement/value.go
+++ b/internal/placement/value.go
@@ -163,6 +163,21 @@
 	return p.ready[model] + p.pending[model]
 }
 
+// intentGain returns the lost requests per second that the server will avoid as another replica of
+// its intended model; 0 if its load is not known. RemovalLoss assumes that all servers have the same
+// load, while a relief is ordered on one with little.
+func (p *plan) intentGain(server *Server, model string) float64 {
+	group := p.groups[model]
+	if group == nil || group.known < 2 || !server.loadKnown() {
+		return 0
+	}
+	others, there := group.Group, server.value()
+	others.Servers--
+	others.Load -= there.Load
+	others.Capacity -= there.Capacity
+	return others.Gain(there)
+}
+
 // measuredCrowding returns the cost in seconds of sharing a server whose load is known.
 func measuredCrowding(server *Server) float64 {
 	cost := crowdCost * server.Load / runningPerReplica / server.speed()
--- a/internal/placement/value_test.go
+++ b/internal/placement/value_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -218,3 +221,37 @@
 		Expect(actions[0].Reason).To(Equal(placement.ReasonRelief))
 	}
 }
+
+// Guards against a model that is evicted in vain, since the next plan drops the replica for which its
+// place was freed.
+func TestUnloadForReliefIsFollowedByTheLoad(t *testing.T) {
+	RegisterTestingT(t)
+	reliefs := 0
+	for seed := range 20_000 {
+		random := rand.New(rand.NewPCG(uint64(seed), 9))
+		in := randomInput(random)
+		for i := range in.Servers {
+			in.Servers[i].Slots, in.Servers[i].Load = 24, float64(random.IntN(50))
+		}
+		for _, name := range slices.Sorted(maps.Keys(in.Demand)) {
+			in.Demand[name].Running *= 1 + random.IntN(3)
+			in.Demand[name].Rate *= 3
+		}
+		for _, action := range placement.Plan(in).Actions {
+			if action.Kind != placement.Unload || action.Reason != placement.ReasonRelief {
+				continue
+			}
+			reliefs++
+			next := *in
+			next.StoreLoads = 4
+			next.Servers = slices.Clone(in.Servers)
+			freed := &next.Servers[slices.IndexFunc(next.Servers, func(s placement.Server) bool { return s.ID == action.Server })]
+			freed.Models, freed.Intent = maps.Clone(freed.Models), action.Intent
+			delete(freed.Models, action.Model)
+			Expect(placement.Plan(&next).Actions).To(ContainElement(And(
+				HaveField("Kind", placement.Load), HaveField("Server", action.Server), HaveField("Model", action.Intent),
+			)), "seed %d", seed)
+		}
+	}
+	Expect(reliefs).To(BeNumerically(">", 20), "such unloads occur")
+}
