--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -197,7 +197,7 @@
 switch_off growth-by-steps internal/placement/value.go ' || !group.mayGrow()' '' ./internal/placement
 switch_off recent-worth internal/placement/recent.go 'if loss := peak.decayed(now); loss >= minRecentLoss {' 'if loss := peak.decayed(now); loss >= 1e9 {' ./internal/placement
 switch_off recent-worth-of-count internal/placement/victims.go 'return found, w.cold || recent < retainedLoss' 'return found, true' ./internal/placement
-switch_off own-share-fills internal/placevalue/placevalue.go 'g.Load-g.Own < free' 'true' ./internal/placevalue
+switch_off own-share-fills internal/placevalue/placevalue.go 'g.Load-g.Own < half' 'true' ./internal/placevalue
 switch_off store-for-cold internal/placement/victims.go 'source == FromStore && p.delaysColdModel(w)' 'false' ./internal/placement
 switch_off shared-loads-only internal/orders/server_loads.go '!known || !table.SharesLoads(load.Slots)' '!known' ./internal/orders
 switch_off overdue-orders internal/orders/server_table.go 'return e.busyUntil.Sub(now).Abs()' 'return max(e.busyUntil.Sub(now), 0)' ./internal/orders
