--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -105,7 +105,7 @@
 	target.load.mutex.Lock()
 	target.load.ownPrefill -= flow.request.PromptTokens
 	target.load.recordReachable()
-	if target.load.meet(target.server.Incarnation()) {
+	if target.load.adoptIncarnation(target.server.Incarnation()) {
 		target.load.speed = target.load.speed.with(reply.Load.Slowdown, time.Now())
 	}
 	target.load.setReported(reply.Load, time.Now())
--- a/internal/forward/shared_load.go
+++ b/internal/forward/shared_load.go
@@ -55,12 +55,12 @@
 
 // refreshLoad takes the newest load of the server from the table of observations. Without one, or
 // with only this node's own loads in it, the choice is based on this node's reports. The load's lock,
-// under which recordAnswer writes to the table, must be held: seenAt tells whose load it is.
+// under which recordAnswer writes to the table, must be held: ownLoadAt tells whose load it is.
 func (f *Forwarder) refreshLoad(server *fleet.Server, load *serverLoad, now time.Time) {
 	if f.observations == nil {
 		return
 	}
-	if !load.meet(server.Incarnation()) {
+	if !load.adoptIncarnation(server.Incarnation()) {
 		// The server restarted with its clock set back: what is listed counts.
 		load.discardObserved()
 		load.incarnation = server.Incarnation()
@@ -70,7 +70,7 @@
 		load.shared = sharedLoad{}
 		return
 	}
-	if !at.Equal(load.seenAt) {
+	if !at.Equal(load.ownLoadAt) {
 		load.shared.othersAt = at
 	}
 	load.shared.load, load.shared.at = newest, at
@@ -78,9 +78,9 @@
 	load.shared.inForce = now.Sub(load.shared.othersAt) < observation.LoadLifetime
 }
 
-// meet discards what was known about an earlier incarnation of the server. It reports whether the
+// adoptIncarnation discards what was known about an earlier incarnation of the server. It reports whether the
 // incarnation is not itself an earlier one, whose statements don't count. The lock must be held.
-func (s *serverLoad) meet(incarnation fleet.Incarnation) bool {
+func (s *serverLoad) adoptIncarnation(incarnation fleet.Incarnation) bool {
 	if s.incarnation.Follows(incarnation) {
 		return false
 	}
@@ -93,7 +93,7 @@
 
 // discardObserved discards what belongs to one incarnation of the server. The lock must be held.
 func (s *serverLoad) discardObserved() {
-	s.speed, s.shared, s.seenAt = speed{}, sharedLoad{}, time.Time{}
+	s.speed, s.shared, s.ownLoadAt = speed{}, sharedLoad{}, time.Time{}
 }
 
 // source is where the estimate of the load is from, and the age of the report, if there was one. The
@@ -154,13 +154,13 @@
 	}
 	target.load.mutex.Lock()
 	defer target.load.mutex.Unlock()
-	if !target.load.meet(incarnation) {
+	if !target.load.adoptIncarnation(incarnation) {
 		return
 	}
 	// Responses at about the same time may be recorded in another order; the table keeps the
 	// newest load.
-	if now.After(target.load.seenAt) {
-		target.load.seenAt = now
+	if now.After(target.load.ownLoadAt) {
+		target.load.ownLoadAt = now
 	}
 	f.observations.RecordLoad(incarnation, observation.Load{
 		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown,
--- a/internal/forward/stale_load_test.go
+++ b/internal/forward/stale_load_test.go
@@ -381,13 +381,13 @@
 	RegisterTestingT(t)
 	now, load := time.Unix(1_700_000_000, 0), &serverLoad{}
 	first, second := fleet.Incarnation{ID: "s", Born: 1}, fleet.Incarnation{ID: "s", Born: 2}
-	load.meet(first)
+	load.adoptIncarnation(first)
 	load.speed = load.speed.with(3, now)
-	load.meet(second)
+	load.adoptIncarnation(second)
 	Expect(load.speed.sustainedAt(now)).To(Equal(1.0))
 	load.speed = load.speed.with(2, now)
-	load.meet(first)
-	load.meet(second)
+	load.adoptIncarnation(first)
+	load.adoptIncarnation(second)
 	Expect(load.speed.sustainedAt(now)).To(Equal(1.5))
 }
 
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -35,11 +35,11 @@
 	report      Load
 	reportedAt  time.Time
 	ownAtReport int
-	// incarnation is the one that speed, shared and seenAt belong to. seenAt is when this node received
+	// incarnation is the one that speed, shared and ownLoadAt belong to. ownLoadAt is when this node received
 	// the newest load that it recorded for all nodes.
 	incarnation fleet.Incarnation
 	shared      sharedLoad
-	seenAt      time.Time
+	ownLoadAt      time.Time
 	// fullAt is when the server last refused a request as full without a report of its load.
 	fullAt time.Time
 	speed  speed
--- a/internal/observation/entry.go
+++ b/internal/observation/entry.go
@@ -104,7 +104,7 @@
 	}
 	t.version++
 	found.load, found.loadAt, found.loadFrom, found.loadVersion = load, at, from, t.version
-	found.touch(at)
+	found.renew(at)
 	if at.After(t.loadAt) {
 		t.loadAt = at
 	}
@@ -145,7 +145,7 @@
 	}
 	changed := !found.unreachable(now)
 	found.unreachableAt, found.unreachableFrom = at, from
-	found.touch(at)
+	found.renew(at)
 	if changed || at.Sub(found.announcedAt) >= renewalPeriod {
 		t.announceReach(found, true, at, from)
 	}
@@ -162,7 +162,7 @@
 	}
 	wasSuspected := found.suspectedAt(now)
 	found.reachableAt, found.reachableFrom = at, from
-	found.touch(at)
+	found.renew(at)
 	if wasSuspected && !found.suspectedAt(now) {
 		t.endSuspicion(found, EndReached, from.node, now)
 	}
@@ -226,7 +226,7 @@
 	return found && !from.forwarded && now.Sub(since) < mistrustTime
 }
 
-func (e *entry) touch(at time.Time) {
+func (e *entry) renew(at time.Time) {
 	if at.After(e.newest) {
 		e.newest = at
 	}
