--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -39,7 +39,7 @@
 	// the newest load that it recorded for all nodes.
 	incarnation fleet.Incarnation
 	shared      sharedLoad
-	ownLoadAt      time.Time
+	ownLoadAt   time.Time
 	// fullAt is when the server last refused a request as full without a report of its load.
 	fullAt time.Time
 	speed  speed
