--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -301,7 +301,6 @@
 switch_off coincidence-saved internal/poison/entry_store.go 'CoincidenceRivals: entry.Rivals,' '' $poison
 switch_off proof-saved internal/poison/entry_store.go '&& (entry.Coincidence || !key.coincidence)' '' $poison
 switch_off coincidence-told internal/poison/messages.go 'message.Rivals, message.CoincidenceRivals = nil, e.Rivals' 'message.CoincidenceRivals = e.Rivals' $poison
-switch_off trial-released internal/forward/poison.go 'if _, held = guard.Quarantined(request.Identity); !held {' 'if false {' $forward
 switch_off trial-runs-once internal/forward/poison.go 'held && !(flow.trial && flow.ran == result.RanNo &&' 'held && !(flow.trial &&' $forward
 switch_off trial-no-switchover internal/forward/switchover.go 'held || flow.trial {' 'held {' $forward
 switch_off trial-ends internal/forward/forwarder.go 'defer f.endTrial(request)' '_ = trial' $forward
