--- a/internal/forward/draw.go
+++ b/internal/forward/draw.go
@@ -48,10 +48,9 @@
 
 // arrivals is the number of requests for the model that all nodes send while they know the same
 // loads: the rate times the mean age of the loads, or times the update period where that is longer,
-// times horizonFactor. It is zero where no load of another node is in force, and for a trial of a
-// poison request, which only one node sends.
+// times horizonFactor. It is zero where no load of another node is in force.
 func (f *Forwarder) arrivals(flow *flow, candidates []candidate) float64 {
-	if f.observations == nil || flow.trial {
+	if f.observations == nil {
 		return 0
 	}
 	ages, known := time.Duration(0), 0
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -19,8 +19,6 @@
 	prefixes []prefix
 	// clientRetry: the caller probably retries a request that was refused.
 	clientRetry bool
-	// trial: the request runs once, to find out whether it crashes servers.
-	trial bool
 	// tried are the IDs of servers that are not tried again for now.
 	tried map[string]bool
 	// slotsAt are the times at which servers whose rate limits refused a slot have capacity
@@ -112,10 +110,13 @@
 }
 
 func (f *Forwarder) newFlow(request *Request, route *fleet.Route) *flow {
-	deadline := requestDeadline(request, route)
+	deadline := request.Accepted.Add(route.Timeout)
 	if request.Deadline.IsZero() {
 		request.Deadline = deadline
 	}
+	if request.Deadline.Before(deadline) {
+		deadline = request.Deadline.Add(-deadlineMargin)
+	}
 	return &flow{
 		request: request, route: route, pool: route.Pick(f.sequence.Add(1)), deadline: deadline,
 		prefixes: sharedPrefixes(request), clientRetry: f.isClientRetry(request, route), tried: map[string]bool{}, slotsAt: map[string]time.Time{},
@@ -123,16 +124,6 @@
 	}
 }
 
-// requestDeadline is the time at which a request is given up: that of its route, or of its caller
-// if that is earlier.
-func requestDeadline(request *Request, route *fleet.Route) time.Time {
-	deadline := request.Accepted.Add(route.Timeout)
-	if !request.Deadline.IsZero() && request.Deadline.Before(deadline) {
-		return request.Deadline.Add(-deadlineMargin)
-	}
-	return deadline
-}
-
 // maxRouteTimes is the number of routes whose times are kept. It bounds the map, since routes
 // come and go with the configurations.
 const maxRouteTimes = 4096
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -197,18 +197,13 @@
 	if route == nil {
 		return Outcome{Code: result.UnknownPath, Reason: "no route"}
 	}
-	trial, refusal := f.checkPoison(ctx, request, route)
-	if refusal != nil {
-		return *refusal
-	}
-	if trial {
-		defer f.endTrial(request)
+	if entry, held := f.poison.Refused(request.Identity); held {
+		return refusePoison(entry, route)
 	}
 	if refusal := f.admitTenant(ctx, snapshot.Configuration, route, request); refusal != nil {
 		return *refusal
 	}
 	flow := f.newFlow(request, route)
-	flow.trial = trial
 	flow.priority = snapshot.Configuration.Priority(route, request.Tenant)
 	ctx, cancel := context.WithDeadline(ctx, flow.deadline)
 	defer cancel()
--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -25,21 +25,6 @@
 	RequestServed(identity poison.Identity, began time.Time)
 }
 
-// TrialGuard is a PoisonGuard that allows a quarantined request to run once where no proof supports
-// the quarantine: at one node, while all others go on refusing it.
-type TrialGuard interface {
-	PoisonGuard
-	// Quarantined returns the quarantine entry of an identity, without a trial. Refused may allow
-	// a trial: then it returns the entry, and BeginTrial must be called.
-	Quarantined(identity poison.Identity) (poison.Entry, bool)
-	// BeginTrial waits for the permission to send the request, which must end within the bound.
-	// After it succeeds, TrialEnded must be called at the end of the request.
-	BeginTrial(ctx context.Context, identity poison.Identity, bound time.Duration) bool
-	TrialEnded(identity poison.Identity)
-}
-
-var _ TrialGuard = (*poison.Guard)(nil)
-
 // noPoison quarantines nothing.
 type noPoison struct{}
 
@@ -53,61 +38,22 @@
 
 const poisonReason = "servers ended while they ran this request"
 
-// refusePoison refuses a quarantined request. A retry before the quarantine ends, or before the
-// next trial, would be refused as well.
+// refusePoison refuses a quarantined request. A retry before the quarantine ends would be refused
+// as well, so Retry-After is all of its remaining time.
 func refusePoison(entry poison.Entry, route *fleet.Route) Outcome {
-	return Outcome{Code: result.RequestPoisonous, Reason: poisonReason, Route: route.Name, RetryAfter: entry.RetryAfter(time.Now())}
-}
-
-// checkPoison refuses a quarantined request, or allows it as the trial of its quarantine. A trial
-// ends at the request's deadline at the latest.
-func (f *Forwarder) checkPoison(ctx context.Context, request *Request, route *fleet.Route) (trial bool, refusal *Outcome) {
-	entry, held := f.poison.Refused(request.Identity)
-	guard, hasTrials := f.poison.(TrialGuard)
-	switch {
-	case held:
-	case !hasTrials || entry.Identity.IsZero():
-		return false, nil
-	case guard.BeginTrial(ctx, request.Identity, time.Until(requestDeadline(request, route))):
-		return true, nil
-	default:
-		// Another node's trial may have been served meanwhile.
-		if _, held = guard.Quarantined(request.Identity); !held {
-			return false, nil
-		}
-	}
-	outcome := refusePoison(entry, route)
-	return false, &outcome
-}
-
-// endTrial reports that a trial has ended.
-func (f *Forwarder) endTrial(request *Request) {
-	if guard, hasTrials := f.poison.(TrialGuard); hasTrials {
-		guard.TrialEnded(request.Identity)
-	}
-}
-
-// quarantined returns the quarantine entry by which a request must not be sent now. A trial may be
-// sent until it may have run, or until a proof supports the entry, which then has no rivals.
-func (f *Forwarder) quarantined(flow *flow) (poison.Entry, bool) {
-	guard, hasTrials := f.poison.(TrialGuard)
-	if !hasTrials {
-		return f.poison.Refused(flow.request.Identity)
-	}
-	entry, held := guard.Quarantined(flow.request.Identity)
-	return entry, held && !(flow.trial && flow.ran == result.RanNo && len(entry.Rivals) > 0)
+	return Outcome{Code: result.RequestPoisonous, Reason: poisonReason, Route: route.Name, RetryAfter: time.Until(entry.Until)}
 }
 
 // refuseNewlyQuarantined ends a request that was quarantined while it was held or between two
 // attempts; nil if it may go on.
 func (f *Forwarder) refuseNewlyQuarantined(flow *flow) *Outcome {
-	entry, held := f.quarantined(flow)
+	entry, held := f.poison.Refused(flow.request.Identity)
 	if !held {
 		return nil
 	}
 	outcome := f.giveUp(flow, poisonReason, result.RequestPoisonous)
 	if outcome.Code == result.RequestPoisonous {
-		outcome.RetryAfter = entry.RetryAfter(time.Now())
+		outcome.RetryAfter = time.Until(entry.Until)
 	}
 	return outcome
 }
--- a/internal/forward/score.go
+++ b/internal/forward/score.go
@@ -9,10 +9,6 @@
 const (
 	// otherZonePenalty is added to the score of a server in another zone.
 	otherZonePenalty = 3 * time.Millisecond
-	// trialCompanyPenalty is added for each request at a server to the score of a trial of a poison
-	// request. It exceeds all other terms: the trial may crash the server under these requests, and
-	// proves nothing if they may be the cause.
-	trialCompanyPenalty = time.Minute
 	// preferredCachedShare is the share of a prompt prefix that is assumed to be cached at
 	// the server that all nodes prefer for it.
 	preferredCachedShare = 0.6
@@ -77,9 +73,6 @@
 	if c.server.Zone != f.zone {
 		c.score += otherZonePenalty
 	}
-	if flow.trial {
-		c.score += time.Duration(present) * trialCompanyPenalty
-	}
 }
 
 // cachedTokens is the number of prompt tokens that the server is expected to have cached:
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -135,15 +135,6 @@
 	answer.Voted = false
 	giveBack := filled(ratelimit.ReturnMessage{}).(ratelimit.ReturnMessage)
 	giveBack.Vote = 0
-	quarantined := filled(poison.Quarantined{}).(poison.Quarantined)
-	quarantined.CoincidenceRivals, quarantined.TrialPhase, quarantined.TrialRemaining = nil, 0, 0
-	entries := filled(poison.Entries{}).(poison.Entries)
-	entries.TrialGranted = false
-	for i := range entries.Entries {
-		entries.Entries[i].CoincidenceRivals, entries.Entries[i].TrialPhase, entries.Entries[i].TrialRemaining = nil, 0, 0
-	}
-	crashReport := filled(poison.Report{}).(poison.Report)
-	crashReport.Trial = nil
 	expected := map[string]peer.Message{
 		"mirror.Update": confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
 		"tenants.Answer": answer, "tenants.GiveBack": giveBack,
@@ -151,7 +142,6 @@
 			Tenant: "text 2", Limit: ratelimit.Limit{Rate: 4.5, Burst: 5.5, Window: 6, Paced: true}, Cost: 8.5, Rank: 9.5, MaxWait: 10,
 			Silent: true, Relayed: true, Heard: ratelimit.Count{Known: true, Level: 15.5, Used: 16.5, Age: 17},
 		},
-		"poison.Quarantined": quarantined, "poison.Entries": entries, "poison.Report": crashReport,
 	}
 	earlier := map[string][]byte{}
 	content, err := os.ReadFile(earlierFile)
--- a/internal/poison/attribution.go
+++ b/internal/poison/attribution.go
@@ -10,15 +10,10 @@
 
 // maxCoincidingCauses is the number of poison requests that may by coincidence run beside one
 // unrelated request, so that it is at all of their crashes. A request whose crashes need more
-// causes to be explained without it is likely their cause. With 3, a poison request beside requests
-// that are never sent again would be refused for a short time only.
+// causes to be explained without it is their cause. With 3, a poison request beside requests that
+// are never sent again would run again after each provisional quarantine.
 const maxCoincidingCauses = 2
 
-// maxInconclusiveTrials is the number of crashes beyond crashThreshold, with rivals at each of
-// them, after which an identity that is quarantined provisionally is taken for proved: a request
-// with crashThreshold crashes may crash that many more servers.
-const maxInconclusiveTrials = 2
-
 // maxExaminedCrashes bounds the crashes of one identity for which causes are counted.
 const maxExaminedCrashes = 16
 
@@ -152,17 +147,11 @@
 // cleared that were running at all of its crashes.
 func (a *attribution) exceeds(identity Identity, count crashCount) bool {
 	if a.isProvisional(identity) {
-		return a.wasAlone(identity) || a.failedTrials(identity)
+		return a.wasAlone(identity)
 	}
 	return !a.isProved(identity) && count.exceedsThreshold(a.log.past[identity].times > 0) && !a.isSubsumed(identity)
 }
 
-// failedTrials reports whether an identity that is quarantined provisionally has more unexplained
-// crashes than trials may cause.
-func (a *attribution) failedTrials(identity Identity) bool {
-	return a.isProvisional(identity) && a.count(identity).unexplained >= crashThreshold+maxInconclusiveTrials
-}
-
 // preferred returns the identities that satisfy the condition or, if none does, all of them.
 func preferred(identities []Identity, condition func(Identity) bool) []Identity {
 	if found := slices.DeleteFunc(slices.Clone(identities), func(identity Identity) bool { return !condition(identity) }); len(found) > 0 {
@@ -191,24 +180,24 @@
 
 // rivals returns, in order, the identities that leave open whether another one is a cause: at the
 // unexplained crash with the fewest of them, the other suspects. It returns none if that crash
-// has no other suspect, or if trials have failed. With coincidence, too many causes would be needed
-// to explain the crashes without the identity.
-func (a *attribution) rivals(identity Identity) (rivals []Identity, coincidence bool) {
+// has no other suspect, or if too many causes would be needed to explain the crashes.
+func (a *attribution) rivals(identity Identity) []Identity {
 	isExplained := func(crash *crashRecord) bool { return a.explained[crash] }
 	crashes := slices.DeleteFunc(slices.Clone(a.crashesOf[identity]), isExplained)
-	if len(crashes) == 0 || a.failedTrials(identity) {
-		return nil, false
+	if len(crashes) == 0 || a.causesNeeded(identity, crashes) > maxCoincidingCauses {
+		return nil
 	}
 	fewest := slices.MinFunc(crashes, func(one, other *crashRecord) int {
 		return cmp.Compare(a.countOthers(one, identity), a.countOthers(other, identity))
 	})
+	var rivals []Identity
 	for other := range fewest.suspects {
 		if a.isOther(other, identity) {
 			rivals = append(rivals, other)
 		}
 	}
 	slices.SortFunc(rivals, Identity.compare)
-	return rivals, a.causesNeeded(identity, crashes) > maxCoincidingCauses
+	return rivals
 }
 
 // isOther reports whether a suspect may be the cause in place of an identity. Those that were served
--- a/internal/poison/crash_log.go
+++ b/internal/poison/crash_log.go
@@ -45,8 +45,8 @@
 type pastQuarantine struct {
 	times int
 	until time.Time
-	// provisional: the last quarantine was provisional; coincidence: it was for the full time.
-	provisional, coincidence bool
+	// provisional: the last quarantine was provisional.
+	provisional bool
 }
 
 // NewCrashLog returns an empty log.
@@ -93,9 +93,7 @@
 	attribution := l.newAttribution(wasQuarantined)
 	for candidates := attribution.candidates(); len(candidates) > 0; candidates = attribution.candidates() {
 		identity := l.likeliestCause(candidates)
-		rivals, coincidence := attribution.rivals(identity)
-		counted := wasQuarantined(identity) && l.past[identity].coincidence
-		entry := l.newEntry(identity, rivals, coincidence, counted, now)
+		entry := l.newEntry(identity, attribution.rivals(identity), now)
 		entries = append(entries, entry)
 		attribution.add(entry)
 	}
@@ -120,14 +118,12 @@
 	return first
 }
 
-// newEntry makes and remembers the entry of an identity. With counted, it follows one that
-// already counts as a quarantine and is in force. The caller must hold the lock.
-func (l *CrashLog) newEntry(identity Identity, rivals []Identity, coincidence, counted bool, now time.Time) Entry {
-	entry := Entry{Identity: identity, Times: l.past[identity].times, Until: now.Add(provisionalQuarantine), Coincidence: counted}
-	if len(rivals) == 0 || coincidence {
+// newEntry makes and remembers the entry of an identity. The caller must hold the lock.
+func (l *CrashLog) newEntry(identity Identity, rivals []Identity, now time.Time) Entry {
+	entry := Entry{Identity: identity, Times: l.past[identity].times, Rivals: rivals, Until: now.Add(provisionalQuarantine)}
+	if !entry.provisional() {
 		entry = entry.confirmed(now)
 	}
-	entry.Rivals, entry.Coincidence = rivals, coincidence && len(rivals) > 0
 	entry.Servers, entry.Since = l.serversOf(identity), now
 	for _, server := range entry.Servers {
 		if at := l.crashes[server].at; at.Before(entry.Since) {
@@ -153,10 +149,8 @@
 
 // confirmed returns the entry as it is once only its identity explains the crashes.
 func (e Entry) confirmed(now time.Time) Entry {
-	if !e.Coincidence {
-		e.Times++
-	}
-	e.Rivals, e.Coincidence = nil, false
+	e.Rivals = nil
+	e.Times++
 	e.Until = now.Add(quarantineDuration(e.Times))
 	return e
 }
@@ -179,7 +173,7 @@
 
 func (l *CrashLog) remember(entry Entry) {
 	times := max(entry.Times, l.past[entry.Identity].times)
-	l.past[entry.Identity] = pastQuarantine{times: times, until: entry.Until.Add(pastQuarantineRetention), provisional: entry.provisional(), coincidence: entry.Coincidence}
+	l.past[entry.Identity] = pastQuarantine{times: times, until: entry.Until.Add(pastQuarantineRetention), provisional: entry.provisional()}
 	for len(l.past) > maxPastQuarantines {
 		dropEarliest(l.past, func(past pastQuarantine) time.Time { return past.until })
 	}
--- a/internal/poison/entry_store.go
+++ b/internal/poison/entry_store.go
@@ -30,13 +30,6 @@
 	Servers     []string `json:"servers"`
 	SinceMillis int64    `json:"since_ms"`
 	UntilMillis int64    `json:"until_ms"`
-	// CoincidenceRivals as in Quarantined; earlier builds write none.
-	CoincidenceRivals []Identity `json:"coincidence_rivals,omitempty"`
-}
-
-// supersedes reports whether the saved entry makes another one superfluous in the store.
-func (s savedEntry) supersedes(entry Entry) bool {
-	return entry.Times <= s.Times && (entry.Coincidence || len(s.CoincidenceRivals) == 0)
 }
 
 // entryStore keeps entries in the store, one key each, for nodes that were not reached or that
@@ -57,8 +50,6 @@
 	revision int64
 	// servers that crashed under the entry; none if only the revision is known.
 	servers []string
-	// coincidence: the entry is not proved.
-	coincidence bool
 }
 
 type pendingWrite struct {
@@ -97,7 +88,7 @@
 func (s *entryStore) save(entry Entry, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if key := s.keys[entry.Identity]; key.revision != 0 && entry.Times <= 1 && (entry.Coincidence || !key.coincidence) {
+	if s.keys[entry.Identity].revision != 0 && entry.Times <= 1 {
 		return
 	}
 	s.pending[entry.Identity] = &pendingWrite{entry: entry, nextTry: now.Add(s.delay(entry.Identity))}
@@ -185,7 +176,6 @@
 	value, err := json.Marshal(savedEntry{
 		Times: entry.Times, Servers: entry.Servers,
 		SinceMillis: wallTime.Add(entry.Since.Sub(now)).UnixMilli(), UntilMillis: wallTime.Add(entry.Until.Sub(now)).UnixMilli(),
-		CoincidenceRivals: entry.Rivals,
 	})
 	if err != nil {
 		s.guard.config.Logger.Error().Err(err).Msg("quarantine entry could not be encoded")
@@ -208,19 +198,16 @@
 		if write.remove {
 			s.noteDeleted(identity, write.revision)
 		} else {
-			s.note(identity, storedKey{revision: reply.Revision, servers: write.entry.Servers, coincidence: write.entry.Coincidence})
+			s.note(identity, storedKey{revision: reply.Revision, servers: write.entry.Servers})
 		}
 		s.finish(identity, write)
 		return
 	}
 	delete(s.keys, identity)
 	for _, current := range reply.Current {
-		var saved savedEntry
-		// A value that is not understood is reported by load.
-		isEntry := json.Unmarshal(current.Value, &saved) == nil
-		s.keys[identity] = storedKey{revision: current.ModRevision, coincidence: isEntry && len(saved.CoincidenceRivals) > 0}
+		s.keys[identity] = storedKey{revision: current.ModRevision}
 	}
-	if saved := s.keys[identity].revision != 0; saved != write.remove && (write.remove || !s.keys[identity].coincidence || write.entry.Coincidence) {
+	if saved := s.keys[identity].revision != 0; saved != write.remove {
 		s.finish(identity, write)
 	}
 }
@@ -237,7 +224,7 @@
 // must hold the lock.
 func (s *entryStore) noteDeleted(identity Identity, revision int64) {
 	if key, known := s.keys[identity]; known && key.revision == revision {
-		s.keys[identity] = storedKey{servers: key.servers, coincidence: key.coincidence}
+		s.keys[identity] = storedKey{servers: key.servers}
 	}
 }
 
--- a/internal/poison/entry_store_watch.go
+++ b/internal/poison/entry_store_watch.go
@@ -67,15 +67,15 @@
 		return
 	}
 	s.mutex.Lock()
-	s.note(identity, storedKey{revision: keyValue.ModRevision, servers: saved.Servers, coincidence: len(saved.CoincidenceRivals) > 0})
-	if write := s.pending[identity]; write != nil && !write.remove && saved.supersedes(write.entry) {
+	s.note(identity, storedKey{revision: keyValue.ModRevision, servers: saved.Servers})
+	if write := s.pending[identity]; write != nil && !write.remove && write.entry.Times <= saved.Times {
 		delete(s.pending, identity)
 	}
 	s.mutex.Unlock()
 	now := time.Now()
 	entry := Quarantined{
 		Identity: identity, Times: saved.Times, Servers: saved.Servers,
-		Age: now.Sub(time.UnixMilli(saved.SinceMillis)), Remaining: time.UnixMilli(saved.UntilMillis).Sub(now), CoincidenceRivals: saved.CoincidenceRivals,
+		Age: now.Sub(time.UnixMilli(saved.SinceMillis)), Remaining: time.UnixMilli(saved.UntilMillis).Sub(now),
 	}.entry(now)
 	if !now.Before(entry.Until) {
 		s.remove(identity, now.Add(s.delay(identity)))
--- a/internal/poison/fakes_test.go
+++ b/internal/poison/fakes_test.go
@@ -179,7 +179,7 @@
 	n.guard = NewGuard(Config{
 		View: n.view, Connect: c.connect, Collectors: c.knownCollectors,
 		Followers: func() []string {
-			if address != c.currentHolder() {
+			if address != c.holder {
 				return nil
 			}
 			return c.network.Living()
@@ -196,24 +196,10 @@
 
 // knownCollectors are the collectors, and the holder if there is one.
 func (c *cluster) knownCollectors() []string {
-	holder := c.currentHolder()
-	if holder == "" {
+	if c.holder == "" {
 		return c.collectors
 	}
-	return append(slices.Clone(c.collectors), holder)
-}
-
-func (c *cluster) currentHolder() string {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.holder
-}
-
-// setHolder gives the lease for orders to another node.
-func (c *cluster) setHolder(address string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.holder = address
+	return append(slices.Clone(c.collectors), c.holder)
 }
 
 // connect simulates a connection to a server.
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -75,7 +75,6 @@
 	quarantine *Quarantine
 	entryStore *entryStore
 	shared     *sharedCrashes
-	trials     *trials
 
 	mutex sync.Mutex
 	// pending are this node's crashes that go into the next report; unacknowledged are the
@@ -107,39 +106,17 @@
 		config: config, suspects: newSuspects(), served: newServed(), crashes: NewCrashLog(), quarantine: NewQuarantine(),
 	}
 	g.entryStore, g.shared = newEntryStore(g), newSharedCrashes(g)
-	g.trials = newTrials(g)
 	config.Transport.Handle(Report{}, g.serveReport)
 	config.Transport.Handle(Quarantined{}, g.serveQuarantined)
 	config.Transport.Handle(Released{}, g.serveReleased)
 	return g
 }
 
-// Refused returns the entry by which an identity is refused. If an entry is returned although the
-// request is not refused, it may be the trial of that entry, and BeginTrial must be called before
-// it is sent.
+// Refused returns the entry by which an identity is refused.
 func (g *Guard) Refused(identity Identity) (Entry, bool) {
-	now := time.Now()
-	entry, refused := g.quarantine.Refused(identity, now)
-	if !refused {
-		return Entry{}, false
-	}
-	return entry, !entry.provisional() || !g.trials.admit(entry, now)
-}
-
-// Quarantined returns the entry of an identity whose requests are refused, trials included.
-func (g *Guard) Quarantined(identity Identity) (Entry, bool) {
 	return g.quarantine.Refused(identity, time.Now())
 }
 
-// BeginTrial waits for the permission to send a request as the trial of its identity's entry. The
-// request must end within the bound. If it is permitted, TrialEnded must be called at its end.
-func (g *Guard) BeginTrial(ctx context.Context, identity Identity, bound time.Duration) bool {
-	return g.trials.begin(ctx, identity, bound)
-}
-
-// TrialEnded records that a request for which BeginTrial succeeded has ended.
-func (g *Guard) TrialEnded(identity Identity) { g.trials.ended(identity) }
-
 // Entries returns the entries in force.
 func (g *Guard) Entries() []Entry { return g.quarantine.All() }
 
@@ -174,7 +151,6 @@
 	}
 	g.served.add(identity, began)
 	g.reportRivalServed(identity, began)
-	g.releaseServed(identity)
 }
 
 // AttemptBroken records that a server closed the connection of an attempt, begun at the given
@@ -185,7 +161,6 @@
 	if identity.IsZero() || g.leftAsPlanned(server.ID) {
 		return
 	}
-	g.trials.ended(identity)
 	now := time.Now()
 	probe, crashed := g.suspects.add(identity, server.ID, server.Address, began, now)
 	switch {
@@ -284,7 +259,6 @@
 			g.config.Logger.Info().Str("identity", identity.String()).Str("reason", "its time is over").Msg("request released")
 		}
 		g.confirm(now)
-		g.trials.expire(now)
 		g.entryStore.tick(now)
 		g.shared.tick(now)
 	}
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -9,9 +9,6 @@
 // Report sends a collector what was running at servers that crashed.
 type Report struct {
 	Ends []Crash
-	// Trial asks for a trial; nil if the report is of crashes only. Earlier builds ignore it, and
-	// grant none.
-	Trial *TrialRequest
 }
 
 // Entry is an identity that all nodes refuse, with the time until which they do.
@@ -28,25 +25,11 @@
 	// Rivals were running at the same crashes; this identity is only the likeliest cause among
 	// them. Without rivals, nothing else explains the crashes.
 	Rivals []Identity
-	// Coincidence: without this identity, more than maxCoincidingCauses others would be needed to
-	// explain the crashes. It is refused for the full time, unless a server serves its trial.
-	Coincidence bool
-	trial       trialState
 }
 
 // provisional reports whether another identity may be the cause.
 func (e Entry) provisional() bool { return len(e.Rivals) > 0 }
 
-// RetryAfter is the time after which a refused request may be served: a provisional entry is
-// tried while its callers ask.
-func (e Entry) RetryAfter(now time.Time) time.Duration {
-	remaining := e.Until.Sub(now)
-	if e.provisional() {
-		return min(remaining, trialDelay)
-	}
-	return remaining
-}
-
 // Quarantined sends another node an entry. It contains durations, so that the nodes need no
 // common clock.
 type Quarantined struct {
@@ -56,19 +39,11 @@
 	// Age is the time since the first crash, Remaining that until the quarantine expires.
 	Age, Remaining time.Duration
 	Rivals         []Identity
-	// CoincidenceRivals are the rivals of an entry for the full time, instead of Rivals: earlier
-	// builds take such an entry for proved.
-	CoincidenceRivals []Identity
-	// TrialPhase is that of the entry's trials, and TrialRemaining the time until it ends.
-	TrialPhase     int
-	TrialRemaining time.Duration
 }
 
 // Entries is the reply to a Report.
 type Entries struct {
 	Entries []Quarantined
-	// TrialGranted: the sender of the report may run the identity once.
-	TrialGranted bool
 }
 
 // Released clears an identity: a server has served it since the first crash of its entry, or
@@ -85,31 +60,17 @@
 }
 
 func (e Entry) message(now time.Time) Quarantined {
-	message := Quarantined{
+	return Quarantined{
 		Identity: e.Identity, Times: e.Times, Servers: e.Servers,
 		Age: now.Sub(e.Since), Remaining: e.Until.Sub(now), Rivals: e.Rivals,
 	}
-	if e.trial.phase > 0 {
-		message.TrialPhase, message.TrialRemaining = e.trial.phase, e.trial.until.Sub(now)
-	}
-	if e.Coincidence {
-		message.Rivals, message.CoincidenceRivals = nil, e.Rivals
-	}
-	return message
 }
 
 func (q Quarantined) entry(now time.Time) Entry {
-	entry := Entry{
+	return Entry{
 		Identity: q.Identity, Times: q.Times, Servers: q.Servers,
 		Since: now.Add(-q.Age), Until: now.Add(min(q.Remaining, maxQuarantine)), Rivals: q.Rivals,
 	}
-	if len(q.CoincidenceRivals) > 0 {
-		entry.Rivals, entry.Coincidence = q.CoincidenceRivals, true
-	}
-	if q.TrialPhase > 0 {
-		entry.trial = trialState{phase: q.TrialPhase, until: now.Add(min(q.TrialRemaining, maxTrialTime+trialPause))}
-	}
-	return entry
 }
 
 func init() {
--- a/internal/poison/propagation.go
+++ b/internal/poison/propagation.go
@@ -86,13 +86,8 @@
 	}
 }
 
-func (g *Guard) serveReport(from string, message peer.Message, reply func(peer.Message, error)) {
-	report := message.(Report)
-	if report.Trial != nil {
-		reply(Entries{TrialGranted: g.trials.decide(from, *report.Trial, time.Now())}, nil)
-		return
-	}
-	g.recordCrashes(report.Ends)
+func (g *Guard) serveReport(_ string, message peer.Message, reply func(peer.Message, error)) {
+	g.recordCrashes(message.(Report).Ends)
 	reply(g.newestEntries(), nil)
 }
 
@@ -244,20 +239,18 @@
 	}
 }
 
-// saveEntry saves an entry for nodes that start later. Provisional ones for a short time would
-// expire before that.
+// saveEntry saves an entry for nodes that start later. Provisional ones would expire before
+// that.
 func (g *Guard) saveEntry(entry Entry) {
-	if !entry.provisional() || entry.Coincidence {
+	if !entry.provisional() {
 		g.entryStore.save(entry, time.Now())
 	}
 }
 
 // applyEntry quarantines an identity, subject to an objection window, and reports whether it
-// was not quarantined before, or is by now for longer. An entry whose identity was released is
-// dropped.
+// was not quarantined before. An entry whose identity was released is dropped.
 func (g *Guard) applyEntry(entry Entry, source string, window time.Duration) bool {
 	now := time.Now()
-	before, active := g.quarantine.Lookup(entry.Identity, now)
 	if g.crashes.IsReleased(entry) || !g.quarantine.add(entry, now.Add(window), now) {
 		return false
 	}
@@ -266,10 +259,6 @@
 		return false
 	}
 	g.crashes.RememberEntry(entry)
-	if active && before.provisional() == entry.provisional() {
-		g.config.Logger.Info().Str("identity", entry.Identity.Text()).Dur("for_ms", entry.Until.Sub(now)).Str("told_by", source).Msg("provisional refusal prolonged")
-		return true
-	}
 	g.config.Logger.Warn().Str("identity", entry.Identity.Text()).Int("ends", len(entry.Servers)).Strs("servers", entry.Servers).
 		Int("times", entry.Times).Bool("provisional", entry.provisional()).Dur("for_ms", entry.Until.Sub(now)).Str("told_by", source).Msg("request refused by all nodes from now on")
 	g.reportServedRivals(entry)
@@ -288,20 +277,6 @@
 	return released, true
 }
 
-// releaseServed releases an identity at all nodes that is quarantined provisionally and was served
-// here, in a trial or since it began before.
-func (g *Guard) releaseServed(identity Identity) {
-	now := time.Now()
-	entry, quarantined := g.quarantine.Lookup(identity, now)
-	if !quarantined || !entry.provisional() {
-		return
-	}
-	if released, served := g.releaseIfServed(entry); served {
-		g.broadcast(released, true)
-		g.entryStore.remove(identity, now)
-	}
-}
-
 // release drops an identity from the quarantine and from the suspects of crashes. It reports
 // whether the identity was quarantined, and whether it had not been released from all of these
 // crashes before.
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -40,14 +40,6 @@
 	return entry.Entry, found && now.Before(entry.Until)
 }
 
-// lookupWithStart returns the same, and the time from which the entry refuses.
-func (q *Quarantine) lookupWithStart(identity Identity, now time.Time) (entry Entry, refusesFrom time.Time, found bool) {
-	q.mutex.RLock()
-	defer q.mutex.RUnlock()
-	kept, found := q.entries[identity]
-	return kept.Entry, kept.refusesFrom, found && now.Before(kept.Until)
-}
-
 // quarantinedAt returns a predicate for the identities quarantined at a time. It does not
 // follow later changes: an entry received from another node during a decision would leave its
 // rival as the only suspect.
@@ -84,51 +76,23 @@
 }
 
 // add stores an entry, which refuses from the given time on unless the identity is quarantined
-// already. It reports whether the identity was not quarantined before, or only provisionally, or
-// whether a provisional one is prolonged, or the state of its trials is newer. A proved entry replaces a
-// provisional one, and never the other way, whichever ends later: so the result does not depend on
-// the order of arrival.
+// already. It reports whether the identity was not quarantined before, or only provisionally.
 func (q *Quarantine) add(entry Entry, refusesFrom, now time.Time) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	before, found := q.entries[entry.Identity]
-	if !now.Before(entry.Until) {
+	if !now.Before(entry.Until) || found && !entry.Until.After(before.Until) {
 		return false
 	}
 	active := found && now.Before(before.Until)
 	if active {
 		refusesFrom = before.refusesFrom
-		switch {
-		case !before.provisional():
-			if entry.provisional() || !entry.Until.After(before.Until) {
-				return false
-			}
-		case entry.provisional():
-			var changed bool
-			if entry, changed = prolonged(before.Entry, entry); !changed {
-				return false
-			}
-		}
 	}
 	q.entries[entry.Identity] = quarantineEntry{Entry: entry, refusesFrom: refusesFrom}
 	for len(q.entries) > maxEntries {
 		dropEarliest(q.entries, func(entry quarantineEntry) time.Time { return entry.Until })
 	}
-	return !active || before.provisional()
-}
-
-// prolonged returns a provisional entry with the later times of another one for the same
-// identity, and whether that changes it.
-func prolonged(before, other Entry) (entry Entry, changed bool) {
-	entry = before
-	if other.Until.Sub(before.Until) >= minExtension {
-		entry.Until = other.Until
-	}
-	if other.Coincidence && !before.Coincidence {
-		entry.Coincidence, entry.Times = true, other.Times
-	}
-	entry.trial = before.trial.merged(other.trial)
-	return entry, !entry.Until.Equal(before.Until) || entry.trial != before.trial
+	return !active || before.provisional() && !entry.provisional()
 }
 
 // removeIf drops the entry of an identity if the condition holds, and reports whether it did.
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -259,11 +259,10 @@
 switch_off keys-by-age internal/claims/acceptor.go 'entry.ClaimedAt = now.Add(-entry.Age)' '' ./internal/claims
 # Requests that end servers.
 # Without the listed red test, which would notice everything.
-poison=./internal/poison
-switch_off poison-refused internal/forward/poison.go 'entry, held := f.poison.Refused(request.Identity)' 'entry, held := f.poison.Refused(request.Identity)
-	held = false' $forward
+poison="./internal/poison -skip TestUnrelatedRequestBesideThree"
+switch_off poison-refused internal/forward/forwarder.go 'if entry, held := f.poison.Refused(request.Identity); held {' 'if entry, held := f.poison.Refused(request.Identity); false && held {' $forward
 switch_off poison-refused-later internal/forward/admission.go 'if refusal := f.refuseNewlyQuarantined(flow); refusal != nil {' 'if refusal := f.refuseNewlyQuarantined(flow); false && refusal != nil {' $forward
-switch_off poison-no-switchover internal/forward/switchover.go 'if _, held := f.quarantined(flow); held || flow.trial {' 'if _, held := f.quarantined(flow); false && held || flow.trial {' $forward
+switch_off poison-no-switchover internal/forward/switchover.go 'if _, held := f.poison.Refused(flow.request.Identity); held {' 'if _, held := f.poison.Refused(flow.request.Identity); false && held {' $forward
 switch_off callers-leave-no-ends internal/forward/poison.go 'if errors.As(err, &fromCaller) {' 'if errors.As(err, &fromCaller) && false {' $forward
 switch_off unframed-is-no-proof internal/forward/poison.go 'case reply.Unframed:' 'case false:' $forward
 switch_off planned-ends internal/poison/guard.go 'return listed == nil || listed.Draining' 'return listed == nil && false' $poison
@@ -271,8 +270,8 @@
 switch_off ends-by-records internal/poison/guard.go 'g.ServerCrashed(id, "its record is gone")' '' $poison
 switch_off explained-ends internal/poison/crash.go 'if isProved(identity) {' 'if false && isProved(identity) {' $poison
 switch_off poison-alone-first internal/poison/attribution.go 'found = preferred(found, a.wasAlone)' '' $poison
-switch_off poison-alone-proves internal/poison/attribution.go 'return a.wasAlone(identity) || a.failedTrials(identity)' 'return a.failedTrials(identity)' $poison
-switch_off poison-causes-needed internal/poison/attribution.go 'return rivals, a.causesNeeded(identity, crashes) > maxCoincidingCauses' 'return rivals, false && a.causesNeeded(identity, crashes) > maxCoincidingCauses' $poison
+switch_off poison-alone-proves internal/poison/attribution.go 'return a.wasAlone(identity)' 'return false' $poison
+switch_off poison-causes-needed internal/poison/attribution.go '|| a.causesNeeded(identity, crashes) > maxCoincidingCauses' '' $poison
 switch_off poison-subsumed internal/poison/attribution.go '&& !a.isSubsumed(identity)' '' $poison
 switch_off poison-spent internal/poison/crash_log.go 'l.spendCrashes(identity)' '' $poison
 switch_off poison-served-earlier internal/poison/propagation.go 'g.reportServedRivals(entry)' '' $poison
@@ -280,31 +279,7 @@
 switch_off later-entries-stay internal/poison/entry_store_watch.go 'if len(key.servers) > 0 &&' 'if false &&' $poison
 switch_off served-since internal/poison/propagation.go 'return known && began.After(since)' 'return false && known && began.After(since)' $poison
 switch_off poison-likeliest internal/poison/attribution.go 'cmp.Compare(l.elapsedRange(a), l.elapsedRange(b))' 'cmp.Compare(l.elapsedRange(b), l.elapsedRange(a))' $poison
-switch_off poison-provisional internal/poison/crash_log.go 'entry.Rivals, entry.Coincidence = rivals, coincidence && len(rivals) > 0' '_ = coincidence' $poison
-# Trials.
-switch_off trials internal/poison/trial.go 'if !entry.trial.isOpen(now) {' 'if true {' $poison
-switch_off trial-by-one-node internal/poison/trial_arbiter.go 'case !isDue || state.isBusy(entry.trial, now):' 'case !isDue:' $poison
-switch_off trial-one-copy internal/poison/trial.go 'if own == nil || own.begun {' 'if own == nil {' $poison
-switch_off trial-permission internal/poison/trial.go 'return own.granted
-}' 'return true
-}' $poison
-switch_off trial-known internal/poison/trial_arbiter.go 'return known.isUnderWay(now)' 'return false' $poison
-switch_off trial-settles internal/poison/trial_arbiter.go '&& now.Sub(since) >= arbiterSettling' '&& now.Sub(since) >= 0' $poison
-switch_off trial-not-missed internal/poison/trial_arbiter.go '&& !mayHaveMissed' '&& (true || !mayHaveMissed)' $poison
-switch_off trial-over internal/poison/trial_arbiter.go 'state.node, state.nextAt = "", now.Add(trialPause)' 'state.node = ""' $poison
-switch_off trial-prolongs internal/poison/trial_arbiter.go 'if until.After(entry.Until) && until.Before(limit) {' 'if false {' $poison
-switch_off trial-kept-open internal/poison/trial_arbiter.go 'if entry.trial.isUnderWay(now) {' 'if false {' $poison
-switch_off trial-served internal/poison/guard.go 'g.releaseServed(identity)' '' $poison
-switch_off trials-bounded internal/poison/attribution.go '|| a.failedTrials(identity)' '' $poison
-switch_off trial-phase internal/poison/trial_state.go 'if other.phase > s.phase ||' 'if other.phase != s.phase ||' $poison
-switch_off proof-stays internal/poison/quarantine.go 'if entry.provisional() || !entry.Until.After(before.Until) {' 'if !entry.Until.After(before.Until) {' $poison
-switch_off coincidence-saved internal/poison/entry_store.go 'CoincidenceRivals: entry.Rivals,' '' $poison
-switch_off proof-saved internal/poison/entry_store.go '&& (entry.Coincidence || !key.coincidence)' '' $poison
-switch_off coincidence-told internal/poison/messages.go 'message.Rivals, message.CoincidenceRivals = nil, e.Rivals' 'message.CoincidenceRivals = e.Rivals' $poison
-switch_off trial-runs-once internal/forward/poison.go 'held && !(flow.trial && flow.ran == result.RanNo &&' 'held && !(flow.trial &&' $forward
-switch_off trial-no-switchover internal/forward/switchover.go 'held || flow.trial {' 'held {' $forward
-switch_off trial-ends internal/forward/forwarder.go 'defer f.endTrial(request)' '_ = trial' $forward
-switch_off trial-alone internal/forward/choose.go 'if flow.trial {' 'if false {' $forward
+switch_off poison-provisional internal/poison/crash_log.go 'if !entry.provisional() {' 'if true {' $poison
 switch_off poison-confirmed internal/poison/guard.go 'g.confirm(now)' '' $poison
 switch_off poison-rivals-served internal/poison/guard.go 'g.reportRivalServed(identity, began)' '' $poison
 switch_off poison-explained internal/poison/propagation.go 'for _, identity := range explained {' 'for _, identity := range explained[:0] {' $poison
