--- a/internal/forward/score.go
+++ b/internal/forward/score.go
@@ -63,7 +63,7 @@
 	alone := float64(tokenTime) * float64(tokens) * latency * slowdown
 	crowding := 1 + float64(present)/float64(slots)
 	c.score = time.Duration(alone * crowding)
-	c.perRequest, c.perQueued = time.Duration(alone/float64(slots)), time.Duration(float64(flow.runTime)*c.load.speed.sustainedAt(now)/float64(slots))
+	c.perRequest, c.perQueued = time.Duration(alone/float64(slots)), time.Duration(float64(flow.runTime)*slowdown/float64(slots))
 	c.free = max(slots-present, 0)
 	c.slowdown = slowdown
 	c.sharedAge, c.shared = now.Sub(c.load.shared.at), c.load.usesShared()
