Log what a node's retry allowance is computed from

A process that forgot what it retried and a share computed from too few nodes look alike in the log: both are a large own_allowance. Each decision of the retry budget now has the number of nodes, the requests in the window and for how long the process has counted. Decisions are unchanged.

--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -67,7 +67,8 @@
 		return
 	}
 	event.Str("request", request.ID).Str("pool", decision.Pool).Str("verdict", verdict).Str("by", string(decision.By)).Bool("asked", decision.Asked).
-		Float64("own_retries", decision.Used).Float64("own_allowance", decision.Own).Float64("rank", decision.Rank).Msg("retry budget")
+		Float64("own_retries", decision.Used).Float64("own_allowance", decision.Own).Float64("rank", decision.Rank).
+		Int("nodes", decision.Basis.Nodes).Float64("requests", decision.Basis.Requests).Dur("counted_ms", decision.Basis.Age).Msg("retry budget")
 }
 
 // LongRunning logs a request that has been in flight for long.
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -108,6 +108,18 @@
 	// Used is the number of retries in the window that this node allowed by itself, and Own the
 	// number that it may allow.
 	Used, Own float64
+	// Basis is what Own was computed from.
+	Basis Basis
+}
+
+// Basis is what a node's allowance is computed from.
+type Basis struct {
+	// Nodes that share the slack.
+	Nodes int
+	// Requests in the window, as counted by this process.
+	Requests float64
+	// Age is for how long this process has counted.
+	Age time.Duration
 }
 
 // Config configures a Budget.
@@ -133,8 +145,9 @@
 
 // Budget decides on a node's retries. It is safe for concurrent use.
 type Budget struct {
-	limits Limits
-	fleet  Fleet
+	limits  Limits
+	fleet   Fleet
+	started time.Time
 
 	mutex  sync.Mutex
 	nodes  int
@@ -147,7 +160,9 @@
 
 // New returns a budget without requests.
 func New(config Config) *Budget {
-	return &Budget{limits: config.Limits, fleet: config.Fleet, nodes: max(config.Nodes, 1), byPool: map[string]*pool{}}
+	return &Budget{
+		limits: config.Limits, fleet: config.Fleet, started: time.Now(), nodes: max(config.Nodes, 1), byPool: map[string]*pool{},
+	}
 }
 
 // SetNodes sets the number of nodes that share the slack. Where that changes who decides on it, it is
@@ -188,6 +203,19 @@
 
 // Take takes one retry from the budget if that allows it. It may wait for the fleet's answer.
 func (b *Budget) Take(ctx context.Context, retry Retry, now time.Time) Decision {
+	decision := b.decide(ctx, retry, now)
+	decision.Basis = b.basis(retry.Pool, now)
+	return decision
+}
+
+// basis returns what the allowance of a pool is computed from.
+func (b *Budget) basis(pool string, now time.Time) Basis {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return Basis{Nodes: b.nodes, Requests: b.of(pool, now).requests.Total(now), Age: now.Sub(b.started)}
+}
+
+func (b *Budget) decide(ctx context.Context, retry Retry, now time.Time) Decision {
 	if decision, decided := b.takeOwn(retry, now); decided {
 		return decision
 	}
