--- a/internal/retrybudget/fakes_test.go
+++ b/internal/retrybudget/fakes_test.go
@@ -162,6 +162,15 @@
 	return f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool { return !slices.Contains(f.counters.Addresses, n.address) })]
 }
 
+// request counts a request at a node and records it.
+func (f *testFleet) request(n *node) {
+	f.mutex.Lock()
+	f.requests = append(f.requests, time.Now())
+	budget := n.budget
+	f.mutex.Unlock()
+	budget.Request("p", time.Now())
+}
+
 // retry takes a retry at a node and records it.
 func (f *testFleet) retry(n *node, rank float64) retrybudget.Decision {
 	f.mutex.Lock()
@@ -195,10 +204,7 @@
 	for number := 0; time.Now().Before(end); number++ {
 		n := nodes[number*7%len(nodes)]
 		if number%10 == 0 {
-			f.mutex.Lock()
-			f.requests = append(f.requests, time.Now())
-			f.mutex.Unlock()
-			n.budget.Request("p", time.Now())
+			f.request(n)
 		}
 		for range 3 {
 			go f.retry(n, 0)
--- /dev/null
+++ b/internal/retrybudget/restart_test.go
@@ -0,0 +1,76 @@
+package retrybudget_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hatchplank/hatchplank/internal/retrybudget"
+)
+
+// smallLimits are limits whose even share suffices in a fleet of smallFleet nodes.
+var smallLimits = retrybudget.Limits{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
+
+const smallFleet = 8
+
+// fail sends 100 requests a second to the nodes in turn, each of which is retried once.
+func (f *testFleet) fail(duration time.Duration) {
+	end := time.Now().Add(duration)
+	for number := 0; time.Now().Before(end); number++ {
+		f.request(f.nodes[number%len(f.nodes)])
+		f.retry(f.nodes[number%len(f.nodes)], 0)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against nodes that spend the budget once more after each restart, since a process does
+// not know what the one before it used.
+func TestRestartedNodesStayWithinTheRetryBudget(t *testing.T) {
+	for _, fleet := range []struct {
+		name   string
+		limits retrybudget.Limits
+		nodes  int
+	}{{"even shares", smallLimits, smallFleet}, {"slack counted for the fleet", largeLimits, largeFleet}} {
+		t.Run(fleet.name, func(t *testing.T) {
+			largest := -fleet.limits.Slack
+			rapid.Check(t, func(r *rapid.T) {
+				pauses := rapid.SliceOfN(rapid.IntRange(0, 4000), 1, 6).Draw(r, "pauses")
+				restarted := rapid.SliceOfN(rapid.IntRange(1, fleet.nodes), 6, 6).Draw(r, "restarted")
+				var excess float64
+				withFleet(t, fleet.nodes, fleet.limits, func(f *testFleet) {
+					f.fail(time.Second)
+					for i, pause := range pauses {
+						for _, node := range f.nodes[:restarted[i]] {
+							f.start(node)
+						}
+						f.fail(time.Duration(pause) * time.Millisecond)
+					}
+					f.fail(fleet.limits.Window)
+					excess = f.maxExcess()
+				})
+				largest = max(largest, excess)
+				if excess > 0 {
+					r.Fatalf("%.1f retries more than allowed in a window", excess)
+				}
+			})
+			t.Logf("at most %.1f retries more than allowed in a window", largest)
+		})
+	}
+}
+
+// Guards against a large fleet that starts with the shares of a small one.
+func TestNodesUseNoSlackBeforeTheyKnowTheNumberOfNodes(t *testing.T) {
+	g := NewWithT(t)
+	allowed := 0
+	for range largeFleet {
+		budget := retrybudget.New(retrybudget.Config{Limits: largeLimits})
+		for range 20 {
+			if takeRetry(budget, "p", time.Now().Add(largeLimits.Window)) {
+				allowed++
+			}
+		}
+	}
+	g.Expect(allowed).To(BeNumerically("<=", largeLimits.Slack))
+}
