retrybudget: Give processes that start a part of the budget that earlier ones can't have used

Cause: the retries of the window are counted in memory alone. A process that starts could spend its share of the slack, and what the requests of the window allow, whatever earlier processes of its node had used of them.

Change: until a process has counted for a window, it allows a fifth of what its own requests and its own time earn. All processes that start within a window have no more requests and time than the window, so they stay within a fifth together, however many there are and whatever messages are lost; a process that has counted for a window keeps three quarters. The rest is for differences in how nodes and servers count. A node that finds a store without counter nodes has no earlier process.

Existing tests whose nodes have just started say that there was no earlier process; their checks are as they were.

Planned restarts lose retries that the processes before left unused.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -161,7 +161,7 @@
 		Era: n.store.RevisionEra, Restored: func() bool { return n.store.Era() > 0 },
 		Lease: max(holderLease, n.settings.Store.MinimumLease), HandoverPeriod: n.handoverPeriod(), ExtraCampaignWait: n.settings.Machine.FanOutTime(), Logger: n.logger,
 	})
-	n.counters = &orders.CountersStore{Store: n.store, Key: countersKey, OnChange: n.limiter.SetCounters, OnNone: n.limiter.SetNoCountersYet, Logger: n.logger}
+	n.counters = &orders.CountersStore{Store: n.store, Key: countersKey, OnChange: n.limiter.SetCounters, OnNone: n.noCountersYet, Logger: n.logger}
 	n.holder = orders.NewHolder(orders.HolderConfig{
 		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers, Notices: n.notices}, Name: n.settings.Node.Name,
 		Counters: n.limiter.Counters, SavedCounters: n.counters, Notices: n.notices, Limits: n.limits, Observations: n.observations,
@@ -202,9 +202,16 @@
 	return collectors
 }
 
+// noCountersYet is called when the store was read and has no counter nodes: no node has served a
+// request yet.
+func (n *node) noCountersYet() {
+	n.limiter.SetNoCountersYet()
+	n.forwarder.RetryBudget().SetNoEarlierProcess()
+}
+
 // setNodes sets the number of nodes that share budgets and rate limits.
 func (n *node) setNodes(nodes int) {
-	n.forwarder.SetNodes(nodes)
+	n.forwarder.RetryBudget().SetNodes(nodes)
 	n.storeCalls.SetNodes(nodes)
 	n.limiter.SetNodes(nodes)
 }
--- a/internal/forward/budget_test.go
+++ b/internal/forward/budget_test.go
@@ -14,7 +14,9 @@
 
 // newBudgets returns a budget with even shares of the slack.
 func newBudgets(limits BudgetLimits, nodes int) *retrybudget.Budget {
-	return retrybudget.New(retrybudget.Config{Limits: limits, Nodes: nodes})
+	budget := retrybudget.New(retrybudget.Config{Limits: limits, Nodes: nodes})
+	budget.SetNoEarlierProcess()
+	return budget
 }
 
 // slowFleet answers after 100 ms, unless the request ends first; if it answers late, it answers
@@ -43,6 +45,7 @@
 	b.forwarder.budgets = retrybudget.New(retrybudget.Config{
 		Limits: BudgetLimits{Ratio: 0.2, Slack: 222, Window: 10 * time.Second}, Nodes: 91, Fleet: fleet,
 	})
+	b.forwarder.budgets.SetNoEarlierProcess()
 }
 
 // Guards against retries that ignore the fleet's answer.
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -244,6 +244,7 @@
 			b.observed = append(b.observed, seen)
 		},
 	})
+	b.forwarder.RetryBudget().SetNoEarlierProcess()
 	return b
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -160,8 +160,8 @@
 	}
 }
 
-// SetNodes sets the number of nodes that share the retry budget.
-func (f *Forwarder) SetNodes(nodes int) { f.budgets.SetNodes(nodes) }
+// RetryBudget returns the budget of retries.
+func (f *Forwarder) RetryBudget() *retrybudget.Budget { return f.budgets }
 
 // Drain refuses, from now on, the requests that can't be sent before the time.
 func (f *Forwarder) Drain(until time.Time) {
--- a/internal/forward/stale_load_test.go
+++ b/internal/forward/stale_load_test.go
@@ -116,6 +116,7 @@
 			tables[i].SetNodes(r.nodes, time.Now())
 		}
 		nodes[i] = New(Config{View: view, Backend: backend, Zone: "z", Nodes: r.nodes, Observations: tables[i], Random: draw, Budget: BudgetLimits{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second}})
+		nodes[i].RetryBudget().SetNoEarlierProcess()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var engines sync.WaitGroup
--- /dev/null
+++ b/internal/retrybudget/allowance.go
@@ -0,0 +1,46 @@
+package retrybudget
+
+import "time"
+
+const (
+	// fullShare is the share of the limits that the nodes use whose processes have counted for a
+	// window.
+	fullShare = 0.75
+	// startShare is the share of the limits that processes use which have not counted for a window.
+	// The processes before them may have used all of fullShare in the same window. The rest of the
+	// limits is for differences in how nodes and servers count.
+	startShare = 0.2
+	// cutOffShare is the share of the slack that is divided among the nodes for the time in
+	// which they reach no quorum. Other nodes may use up fleetShare meanwhile.
+	cutOffShare = 1 - fleetShare
+)
+
+// allowances are the retries that this process may allow by itself in a window, in three cases.
+type allowances struct {
+	// byRequests is what the requests of the window allow, without any of the slack.
+	byRequests float64
+	// withEvenShare and withoutQuorum add this node's share of the slack: of all of it, and of the
+	// part for nodes without a quorum.
+	withEvenShare, withoutQuorum float64
+}
+
+// allowances returns what the process may allow now. The lock must be held.
+//
+// A process does not know what earlier processes of its node allowed in the window. So until it has
+// counted for a window, it allows startShare of what its own requests and its own time earn: all
+// processes that start within a window have together no more requests and time than the window.
+func (b *Budget) allowances(counts *pool, now time.Time) allowances {
+	byRequests := b.limits.Ratio * counts.requests.Total(now)
+	evenShare := b.limits.Slack / float64(b.nodes)
+	share, earned := fullShare, 1.0
+	if age := now.Sub(b.started); age < b.limits.Window && !b.noEarlier {
+		share, earned = startShare, max(age.Seconds()/b.limits.Window.Seconds(), 0)
+	}
+	// The slack that is not for nodes without a quorum is used up by votes, whatever restarts.
+	withoutQuorum := cutOffShare * share / (fullShare + startShare)
+	return allowances{
+		byRequests:    share * byRequests,
+		withEvenShare: share * (byRequests + earned*evenShare),
+		withoutQuorum: share*byRequests + withoutQuorum*earned*evenShare,
+	}
+}
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -27,16 +27,10 @@
 }
 
 const (
-	// usedShare is the share of the limits that is used, so that the limits hold also where
-	// nodes and servers count differently.
-	usedShare = 0.75
 	// fleetShare is the share of the slack that the fleet's count grants at most, whichever
 	// counter nodes fail. While nodes reach the same counter nodes it grants 6/8 of that, 0.675
 	// of the slack (ratelimit.Limit.Voted).
 	fleetShare = 0.9
-	// cutOffShare is the share of the slack that is divided among the nodes for the time in
-	// which they reach no quorum. Other nodes may use up fleetShare meanwhile.
-	cutOffShare = 1 - fleetShare
 	// fewRetries is the even share of the slack, in retries per node and window, below which
 	// the slack is counted for the whole fleet. With 222 retries for 91 nodes, 669 retries were
 	// refused while most of the slack was unused.
@@ -145,8 +139,9 @@
 
 // Budget decides on a node's retries. It is safe for concurrent use.
 type Budget struct {
-	limits  Limits
-	fleet   Fleet
+	limits Limits
+	fleet  Fleet
+	// started is when this process began to count.
 	started time.Time
 
 	mutex  sync.Mutex
@@ -156,6 +151,8 @@
 	// used again after it began or ceased to be counted for the whole fleet.
 	nodesKnown bool
 	resumeAt   time.Time
+	// noEarlier is set if no earlier process of this node used the budget within the window.
+	noEarlier bool
 }
 
 // New returns a budget without requests.
@@ -165,6 +162,14 @@
 	}
 }
 
+// SetNoEarlierProcess is called when no earlier process of this node used the budget within the
+// window. The process then may use as much as one that has counted for a window.
+func (b *Budget) SetNoEarlierProcess() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.noEarlier = true
+}
+
 // SetNodes sets the number of nodes that share the slack. Where that changes who decides on it, it is
 // not used for a window, except for the share of nodes without a quorum: the counter nodes don't know
 // what the nodes allowed themselves, and the nodes not what the counter nodes granted to others.
@@ -232,19 +237,19 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	counts := b.of(retry.Pool, now)
-	own := usedShare * b.limits.Ratio * counts.requests.Total(now)
+	allowed := b.allowances(counts, now)
 	if now.Before(b.resumeAt) {
-		return counts.take(retry, ByNode, b.withCutOffShare(own), now), true
+		return counts.take(retry, ByNode, allowed.withoutQuorum, now), true
 	}
 	if !b.isShared() {
-		return counts.take(retry, ByNode, own+usedShare*b.limits.Slack/float64(b.nodes), now), true
+		return counts.take(retry, ByNode, allowed.withEvenShare, now), true
 	}
-	if decision = counts.take(retry, ByNode, own, now); decision.Allowed {
+	if decision = counts.take(retry, ByNode, allowed.byRequests, now); decision.Allowed {
 		return decision, true
 	}
 	switch {
 	case now.Before(counts.cutOffUntil):
-		return counts.take(retry, ByShare, b.withCutOffShare(own), now), true
+		return counts.take(retry, ByShare, allowed.withoutQuorum, now), true
 	case now.Before(counts.refusedUntil) && retry.Rank >= counts.refusedRank:
 		decision.By = ByFleet
 		return decision, true
@@ -252,29 +257,24 @@
 	return Decision{}, false
 }
 
-// withCutOffShare returns what a node may allow that reaches no quorum. The lock must be held.
-func (b *Budget) withCutOffShare(own float64) float64 {
-	return own + cutOffShare*b.limits.Slack/float64(b.nodes)
-}
-
 // apply decides on a retry after the fleet's answer.
 func (b *Budget) apply(retry Retry, answer Answer, now time.Time) Decision {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	counts := b.of(retry.Pool, now)
-	own := usedShare * b.limits.Ratio * counts.requests.Total(now)
+	allowed := b.allowances(counts, now)
 	var decision Decision
 	switch {
 	case !answer.Counted:
 		if !answer.Queued {
 			counts.cutOffUntil = now.Add(cutOffPause)
 		}
-		decision = counts.take(retry, ByShare, b.withCutOffShare(own), now)
+		decision = counts.take(retry, ByShare, allowed.withoutQuorum, now)
 	default:
 		if !answer.Allowed {
 			counts.refuse(retry.Rank, b.pause(answer.RetryIn), now)
 		}
-		decision = Decision{Retry: retry, Allowed: answer.Allowed, By: ByFleet, Used: counts.retries.Total(now), Own: own}
+		decision = Decision{Retry: retry, Allowed: answer.Allowed, By: ByFleet, Used: counts.retries.Total(now), Own: allowed.byRequests}
 	}
 	decision.Asked = true
 	return decision
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -22,9 +22,12 @@
 	return moment
 }
 
-// newBudget returns the budget of one of the nodes, with even shares of the slack.
+// newBudget returns the budget of one of the nodes, with even shares of the slack. No earlier
+// process of the node used it.
 func newBudget(limits retrybudget.Limits, nodes int) *retrybudget.Budget {
-	return retrybudget.New(retrybudget.Config{Limits: limits, Nodes: nodes})
+	budget := retrybudget.New(retrybudget.Config{Limits: limits, Nodes: nodes})
+	budget.SetNoEarlierProcess()
+	return budget
 }
 
 // takeRetry takes a retry of the highest urgency.
--- a/internal/retrybudget/restart_test.go
+++ b/internal/retrybudget/restart_test.go
@@ -10,11 +10,9 @@
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 )
 
-// smallLimits are limits whose even share suffices in a fleet of smallFleet nodes.
+// smallLimits are limits whose even share suffices in a fleet of 8 nodes, and not in one of 20.
 var smallLimits = retrybudget.Limits{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
 
-const smallFleet = 8
-
 // fail sends 100 requests a second to the nodes in turn, each of which is retried once.
 func (f *testFleet) fail(duration time.Duration) {
 	end := time.Now().Add(duration)
@@ -29,17 +27,16 @@
 // not know what the one before it used.
 func TestRestartedNodesStayWithinTheRetryBudget(t *testing.T) {
 	for _, fleet := range []struct {
-		name   string
-		limits retrybudget.Limits
-		nodes  int
-	}{{"even shares", smallLimits, smallFleet}, {"slack counted for the fleet", largeLimits, largeFleet}} {
+		name  string
+		nodes int
+	}{{"even shares", 8}, {"slack counted for the fleet", 20}} {
 		t.Run(fleet.name, func(t *testing.T) {
-			largest := -fleet.limits.Slack
+			largest := -smallLimits.Slack
 			rapid.Check(t, func(r *rapid.T) {
 				pauses := rapid.SliceOfN(rapid.IntRange(0, 4000), 1, 6).Draw(r, "pauses")
 				restarted := rapid.SliceOfN(rapid.IntRange(1, fleet.nodes), 6, 6).Draw(r, "restarted")
 				var excess float64
-				withFleet(t, fleet.nodes, fleet.limits, func(f *testFleet) {
+				withFleet(t, fleet.nodes, smallLimits, func(f *testFleet) {
 					f.fail(time.Second)
 					for i, pause := range pauses {
 						for _, node := range f.nodes[:restarted[i]] {
@@ -47,7 +44,7 @@
 						}
 						f.fail(time.Duration(pause) * time.Millisecond)
 					}
-					f.fail(fleet.limits.Window)
+					f.fail(smallLimits.Window)
 					excess = f.maxExcess()
 				})
 				largest = max(largest, excess)
