orders: Count nodes that don't report for a minute more, and save their number

Cause: shares of the slack are computed from the number of nodes that reported to the order holder. A holder that has just started has heard of one to seven of eight, also of two after a planned restart, and a holder that is cut off hears itself alone, while the others keep their shares. Evidence: nodes 1 to 7 in the retry budget's log for up to 4.5 s; an allowance of 44 where a share is 5.25.

Change: the holder counts the most nodes that reported at the same time in the last one to two minutes, and saves the number beside the counter nodes. A new holder continues from it, and a node that starts has it as soon as it has read the store. A node uses its share for 30 s after it was told the number, so that the shares of nodes which are out of reach are free before others get them. In a new system the number is not sent before all nodes had time to report.

Why it works: a share is given to others a minute after its node was last heard at the earliest, and that node stops to use it 30 s after it was last told; a window lies between.

--- a/internal/orders/counters.go
+++ b/internal/orders/counters.go
@@ -30,7 +30,7 @@
 		addresses = append(addresses, address)
 	}
 	h.mutex.Lock()
-	collected := now.Sub(h.termStart) >= collectPeriods*reportPeriodOf(h.demand.nodeCount())
+	collected := h.hasCollected(now)
 	earlier := h.counters
 	if len(earlier.Addresses) == 0 {
 		earlier = h.config.Counters()
@@ -46,7 +46,7 @@
 	}
 	update := Update{Token: term.Token, OrdersIn: term.ordersIn(now), Counters: h.counters}
 	h.mutex.Unlock()
-	h.config.SavedCounters.save(update.Counters, now)
+	h.config.SavedCounters.save(update.Counters, h.countNodes(now), now)
 	if !changed {
 		return
 	}
@@ -55,6 +55,23 @@
 	}
 }
 
+// hasCollected reports whether all live nodes had time to report in this term. The lock must be held.
+func (h *Holder) hasCollected(now time.Time) bool {
+	return now.Sub(h.termStart) >= collectPeriods*reportPeriodOf(h.demand.nodeCount())
+}
+
+// countNodes returns the number of nodes that share limits; 0 while it is not known.
+func (h *Holder) countNodes(now time.Time) int {
+	reporting := len(h.demand.liveNodes(now))
+	h.mutex.Lock()
+	size, collected := h.size, h.hasCollected(now)
+	h.mutex.Unlock()
+	if !collected && !size.isKnown() {
+		return 0
+	}
+	return size.count(reporting, now)
+}
+
 // majorityReports reports whether more than half of the counting nodes report, or there are none.
 func majorityReports(counting []string, live map[string]string) bool {
 	reporting := 0
--- a/internal/orders/counters_store.go
+++ b/internal/orders/counters_store.go
@@ -15,15 +15,25 @@
 // saveRetryPause is the minimum time between two attempts to save.
 const saveRetryPause = time.Second
 
-// CountersStore saves in the store which nodes count rate limits. So nodes know it as soon as they
-// have read the store, before they receive it from a holder, which takes seconds after a loss of
-// all nodes. It is safe for concurrent use.
+// countersRecord is the record in the store. An earlier build reads and writes it without Nodes.
+type countersRecord struct {
+	ratelimit.Counters
+	// Nodes is the number of nodes that share limits.
+	Nodes int `json:",omitempty"`
+}
+
+// CountersStore saves in the store which nodes count rate limits, and how many nodes share them. So
+// nodes know it as soon as they have read the store, before they receive it from a holder, which
+// takes seconds after a loss of all nodes. It is safe for concurrent use.
 type CountersStore struct {
 	Store outside.KeyValueService
 	// Key of the record.
 	Key string
 	// OnChange is called with each record received from the store.
 	OnChange func(counters ratelimit.Counters)
+	// OnNodes is called with the number of nodes in each record received from the store; nil: not
+	// called.
+	OnNodes func(nodes int)
 	// OnNone is called when the store was read and has no record; nil: not called.
 	OnNone func()
 	Logger zerolog.Logger
@@ -33,7 +43,16 @@
 	revision int64
 	saving   bool
 	nextTry  time.Time
-	saved    ratelimit.Counters
+	saved    countersRecord
+	// nodes is the number of nodes in the newest record received.
+	nodes int
+}
+
+// Nodes returns the number of nodes that share limits as it was saved last; 0 if it is not known.
+func (s *CountersStore) Nodes() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.nodes
 }
 
 // Replace applies the record if it is among all keys that exist.
@@ -55,9 +74,13 @@
 // may have lost what was saved, so it is saved again.
 func (s *CountersStore) Restored(keyValues []outside.KeyValue) {
 	s.mutex.Lock()
-	s.revision, s.saved = 0, ratelimit.Counters{}
+	nodes := s.nodes
+	s.revision, s.saved = 0, countersRecord{}
 	s.mutex.Unlock()
 	s.applyAll(keyValues)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.nodes = max(s.nodes, nodes)
 }
 
 // Change applies the change of one key.
@@ -72,22 +95,29 @@
 	if keyValue.Key != s.Key {
 		return
 	}
-	var counters ratelimit.Counters
-	if err := json.Unmarshal(keyValue.Value, &counters); err != nil {
+	var record countersRecord
+	if err := json.Unmarshal(keyValue.Value, &record); err != nil {
 		s.Logger.Error().Err(err).Str("key", s.Key).Msg("cannot decode the record of the nodes that count rate limits")
 		return
 	}
 	s.mutex.Lock()
 	s.revision = max(s.revision, keyValue.ModRevision)
+	if record.Nodes > 0 {
+		s.nodes = record.Nodes
+	}
 	s.mutex.Unlock()
-	s.OnChange(counters)
+	s.OnChange(record.Counters)
+	if record.Nodes > 0 && s.OnNodes != nil {
+		s.OnNodes(record.Nodes)
+	}
 }
 
-// save writes the counters, unless they are saved already, a write is in progress, or the last one
-// began less than saveRetryPause ago.
-func (s *CountersStore) save(counters ratelimit.Counters, now time.Time) {
+// save writes the counters and the number of nodes, unless they are saved already, a write is in
+// progress, or the last one began less than saveRetryPause ago.
+func (s *CountersStore) save(counters ratelimit.Counters, nodes int, now time.Time) {
+	record := countersRecord{Counters: counters, Nodes: nodes}
 	s.mutex.Lock()
-	known := s.saved.Token == counters.Token && s.saved.Version == counters.Version
+	known := s.saved.Token == counters.Token && s.saved.Version == counters.Version && s.saved.Nodes == nodes
 	if known || s.saving || now.Before(s.nextTry) || len(counters.Addresses) == 0 {
 		s.mutex.Unlock()
 		return
@@ -95,27 +125,27 @@
 	s.saving = true
 	compare := outside.Compare{Key: s.Key, ModRevision: s.revision}
 	s.mutex.Unlock()
-	value, err := json.Marshal(counters)
+	value, err := json.Marshal(record)
 	if err != nil {
-		s.saveEnded(counters, now, false, err)
+		s.saveEnded(record, now, false, err)
 		return
 	}
 	s.Store.Transact(outside.Transaction{
 		Compares:   []outside.Compare{compare},
 		Operations: []outside.Operation{{Kind: outside.OperationPut, Key: s.Key, Value: value}},
 	}, storeTimeout, func(reply outside.TransactionResult, err error) {
-		s.saveEnded(counters, now, reply.Succeeded, err)
+		s.saveEnded(record, now, reply.Succeeded, err)
 	})
 }
 
 // saveEnded records the result of a write. A write that failed since the revision had changed is
 // retried with the revision that this node receives.
-func (s *CountersStore) saveEnded(counters ratelimit.Counters, began time.Time, succeeded bool, err error) {
+func (s *CountersStore) saveEnded(record countersRecord, began time.Time, succeeded bool, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.saving, s.nextTry = false, began.Add(saveRetryPause)
 	if succeeded {
-		s.saved = counters
+		s.saved, s.nodes = record, record.Nodes
 		return
 	}
 	s.Logger.Warn().Err(err).Msg("nodes that count quotas not saved yet")
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -90,6 +90,8 @@
 	// termStart is when the term began; counters are the nodes that count rate limits in it.
 	termStart time.Time
 	counters  ratelimit.Counters
+	// size is the number of nodes that share limits.
+	size *fleetSize
 	// countersMajorityAt is when more than half of the counting nodes last reported, or the
 	// term began.
 	countersMajorityAt time.Time
@@ -106,7 +108,7 @@
 	if config.Observations == nil {
 		config.Observations = observation.NewTable()
 	}
-	return &Holder{config: config, demand: newDemandTracker(), wake: make(chan struct{}, 1), servers: newServerTable(), reports: &reportQueue{}, estimates: newReadyEstimates(), recent: map[string]*placement.RecentLosses{}}
+	return &Holder{config: config, demand: newDemandTracker(), wake: make(chan struct{}, 1), servers: newServerTable(), reports: &reportQueue{}, estimates: newReadyEstimates(), size: newFleetSize(0, time.Now()), recent: map[string]*placement.RecentLosses{}}
 }
 
 // Run plans and orders during this node's terms until ctx ends.
@@ -129,6 +131,7 @@
 	h.termStart, h.counters = time.Now(), ratelimit.Counters{}
 	h.recent = map[string]*placement.RecentLosses{}
 	h.countersMajorityAt, h.limitsPushed = h.termStart, 0
+	h.size = newFleetSize(h.config.SavedCounters.Nodes(), h.termStart)
 	h.mutex.Unlock()
 	h.observations = observationPushes{}
 	defer func() {
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -77,7 +77,7 @@
 	ordersFrom time.Time
 	// unanswered is set if the last report that ended got no reply from a holder.
 	unanswered bool
-	// nodes is the number of reporting nodes that the holder sent.
+	// nodes is the number of nodes that the holder sent.
 	nodes int
 	// readyTimes is when models that no server holds are expected to be ready.
 	readyTimes map[forward.DemandKey]time.Time
@@ -302,6 +302,16 @@
 	}
 }
 
+// SetSavedNodes sets the number of nodes that share limits as an earlier holder saved it, unless a
+// holder has sent it.
+func (l *Link) SetSavedNodes(nodes int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.nodes == 0 {
+		l.config.SetNodes(nodes)
+	}
+}
+
 // placedServers returns servers with the models that the holder reports for them.
 func placedServers(states []ServerState, now time.Time) []*fleet.Server {
 	servers := make([]*fleet.Server, len(states))
--- a/internal/retrybudget/allowance.go
+++ b/internal/retrybudget/allowance.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// ShareLifetime is how long a node uses its share of the slack without being told the number of
+// nodes again. Whoever tells it counts a node that is out of reach for longer than that.
+const ShareLifetime = 30 * time.Second
+
 const (
 	// fullShare is the share of the limits that the nodes use whose processes have counted for a
 	// window.
@@ -32,6 +36,9 @@
 func (b *Budget) allowances(counts *pool, now time.Time) allowances {
 	byRequests := b.limits.Ratio * counts.requests.Total(now)
 	evenShare := b.limits.Slack / float64(b.nodes)
+	if !b.nodesUntil.IsZero() && now.After(b.nodesUntil) {
+		evenShare = 0
+	}
 	share, earned := fullShare, 1.0
 	if age := now.Sub(b.started); age < b.limits.Window && !b.noEarlier {
 		share, earned = startShare, max(age.Seconds()/b.limits.Window.Seconds(), 0)
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -144,9 +144,11 @@
 	// started is when this process began to count.
 	started time.Time
 
-	mutex  sync.Mutex
-	nodes  int
-	byPool map[string]*pool
+	mutex sync.Mutex
+	nodes int
+	// nodesUntil is when nodes is too old for a share; zero: it is from the configuration.
+	nodesUntil time.Time
+	byPool     map[string]*pool
 	// nodesKnown is set once SetNodes was called, and resumeAt is the time from which the slack is
 	// used again after it began or ceased to be counted for the whole fleet.
 	nodesKnown bool
@@ -170,16 +172,17 @@
 	b.noEarlier = true
 }
 
-// SetNodes sets the number of nodes that share the slack. Where that changes who decides on it, it is
+// SetNodes sets the number of nodes that share the slack, for ShareLifetime. Where that changes who decides on it, it is
 // not used for a window, except for the share of nodes without a quorum: the counter nodes don't know
 // what the nodes allowed themselves, and the nodes not what the counter nodes granted to others.
 func (b *Budget) SetNodes(nodes int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	wasShared := b.isShared()
-	b.nodes = max(nodes, 1)
+	now := time.Now()
+	b.nodes, b.nodesUntil = max(nodes, 1), now.Add(ShareLifetime)
 	if b.nodesKnown && b.isShared() != wasShared {
-		b.resumeAt = time.Now().Add(b.limits.Window + switchMargin)
+		b.resumeAt = now.Add(b.limits.Window + switchMargin)
 	}
 	b.nodesKnown = true
 }
--- a/internal/retrybudget/restart_test.go
+++ b/internal/retrybudget/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -71,3 +72,19 @@
 	}
 	g.Expect(allowed).To(BeNumerically("<=", largeLimits.Slack))
 }
+
+// Guards against nodes that keep their shares of the slack while they are cut off, and others that
+// share all of it among themselves meanwhile.
+func TestNodeThatIsNotToldTheNumberOfNodesGivesItsShareBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		budget := newBudget(smallLimits, 8)
+		budget.SetNodes(8)
+		time.Sleep(retrybudget.ShareLifetime)
+		g.Expect(takeRetry(budget, "p", time.Now())).To(BeTrue())
+		time.Sleep(time.Millisecond)
+		g.Expect(takeRetry(budget, "p", time.Now())).To(BeFalse())
+		budget.SetNodes(8)
+		g.Expect(takeRetry(budget, "p", time.Now())).To(BeTrue())
+	})
+}
