retrybudget: Use no slack before the number of nodes is known

Change: without a number, a node allows what its requests allow. It has the number once it has read the store.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -50,8 +50,8 @@
 	// defaultMemoryMB is assumed as the memory limit if the settings give none.
 	defaultMemoryMB = 256
 	megabyte        = 1 << 20
-	// initialNodes is the assumed number of nodes that share the retry budget and the store's
-	// rate limits, until the actual number is known.
+	// initialNodes is the assumed number of nodes that share the store's rate limits, until the
+	// actual number is known.
 	initialNodes = 12
 	// prunePeriod is the interval at which expired state is discarded.
 	prunePeriod = time.Second
@@ -245,7 +245,7 @@
 		View: n.view, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: n.mirror.Behind, Zone: n.settings.Node.Zone,
 		Connect: n.servers.Connect, OnSuspicionCheck: n.requests.SuspicionChecked,
 		Fleet: retrybudget.Count{Limiter: n.limiter}, OnRetry: n.requests.Retry,
-		Observations: n.observations, Nodes: initialNodes, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning,
+		Observations: n.observations, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning,
 		Budget: forward.BudgetLimits{
 			Ratio: n.settings.Retries.Ratio, Slack: n.settings.Retries.Slack, Window: n.settings.Retries.Window,
 		},
--- a/internal/retrybudget/allowance.go
+++ b/internal/retrybudget/allowance.go
@@ -28,6 +28,15 @@
 	withEvenShare, withoutQuorum float64
 }
 
+// evenShare returns this node's share of the slack; 0 if the number of nodes is not known. The lock
+// must be held.
+func (b *Budget) evenShare(now time.Time) float64 {
+	if b.nodes == 0 || !b.nodesUntil.IsZero() && now.After(b.nodesUntil) {
+		return 0
+	}
+	return b.limits.Slack / float64(b.nodes)
+}
+
 // allowances returns what the process may allow now. The lock must be held.
 //
 // A process does not know what earlier processes of its node allowed in the window. So until it has
@@ -35,10 +44,7 @@
 // processes that start within a window have together no more requests and time than the window.
 func (b *Budget) allowances(counts *pool, now time.Time) allowances {
 	byRequests := b.limits.Ratio * counts.requests.Total(now)
-	evenShare := b.limits.Slack / float64(b.nodes)
-	if !b.nodesUntil.IsZero() && now.After(b.nodesUntil) {
-		evenShare = 0
-	}
+	evenShare := b.evenShare(now)
 	share, earned := fullShare, 1.0
 	if age := now.Sub(b.started); age < b.limits.Window && !b.noEarlier {
 		share, earned = startShare, max(age.Seconds()/b.limits.Window.Seconds(), 0)
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -108,7 +108,7 @@
 
 // Basis is what a node's allowance is computed from.
 type Basis struct {
-	// Nodes that share the slack.
+	// Nodes that share the slack; 0 if their number is not known.
 	Nodes int
 	// Requests in the window, as counted by this process.
 	Requests float64
@@ -119,7 +119,7 @@
 // Config configures a Budget.
 type Config struct {
 	Limits Limits
-	// Nodes that share the slack, until SetNodes is called.
+	// Nodes that share the slack, until SetNodes is called; 0: not known. Then none of it is used.
 	Nodes int
 	// Fleet counts the slack over all nodes; nil: each node has its even share.
 	Fleet Fleet
@@ -160,7 +160,7 @@
 // New returns a budget without requests.
 func New(config Config) *Budget {
 	return &Budget{
-		limits: config.Limits, fleet: config.Fleet, started: time.Now(), nodes: max(config.Nodes, 1), byPool: map[string]*pool{},
+		limits: config.Limits, fleet: config.Fleet, started: time.Now(), nodes: config.Nodes, byPool: map[string]*pool{},
 	}
 }
 
