retrybudget: Pass the counts of a planned stop on to the next process

Cause: the process that starts does not know what the one before it counted, which a planned stop could tell.

Change: once no request is in flight, a process closes its budget and writes its counts to the store. The next one deletes the record by its revision, and counts on from it if that is confirmed, so that no two processes use one record. Records of an earlier era of the store are not used, and a process that does not know all counts of its node writes none.

Random restarts, planned and not, stay within the budget.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -33,6 +33,9 @@
 	ownPrefix = "hatchplank/"
 	// countersKey holds the names of the nodes that count requests against rate limits.
 	countersKey = ownPrefix + "quota-counters"
+	// retriesPrefix precedes the names of nodes that stopped as planned, in the keys of what they
+	// counted for the retry budget.
+	retriesPrefix = ownPrefix + "retries/"
 	// firstEraKey holds the store's era from which nodes count.
 	firstEraKey = ownPrefix + "first-era"
 	// snapshotKey holds the manifest of the snapshot of all servers' records.
@@ -88,6 +91,7 @@
 	limits     *serverlimit.Limits
 	quota      *tenants.Quota
 	counters   *orders.CountersStore
+	usage      *retrybudget.UsageStore
 	poison     *poison.Guard
 	notices    *notice.Registry
 	// observations is what this node and others observe of servers.
@@ -130,8 +134,9 @@
 	n.assembleLimits()
 	n.assembleOrders()
 	n.assemblePoison()
-	n.assembleMirror()
 	n.assembleForwarder()
+	n.assembleUsage()
+	n.assembleMirror()
 	n.process.Assemble(n.components())
 	return n.process, nil
 }
@@ -221,7 +226,7 @@
 // reads the store for the other nodes.
 func (n *node) assembleMirror() {
 	n.mirror = mirror.New(mirror.Config{
-		Source: platform.NewFeed(n.store, ownPrefix, n.logger), View: n.view, Own: mirror.OwnKeyReceivers{n.election, n.counters, n.poison},
+		Source: platform.NewFeed(n.store, ownPrefix, n.logger), View: n.view, Own: mirror.OwnKeyReceivers{n.election, n.counters, n.usage, n.poison},
 		Times: mirror.Times{
 			Contact: n.settings.Store.Contact, Changes: min(n.settings.Store.Changes, n.settings.Store.Drains),
 		},
@@ -242,7 +247,7 @@
 // assembleForwarder creates the forwarder of clients' requests.
 func (n *node) assembleForwarder() {
 	n.forwarder = forward.New(forward.Config{
-		View: n.view, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: n.mirror.Behind, Zone: n.settings.Node.Zone,
+		View: n.view, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: func() bool { return n.mirror.Behind() }, Zone: n.settings.Node.Zone,
 		Connect: n.servers.Connect, OnSuspicionCheck: n.requests.SuspicionChecked,
 		Fleet: retrybudget.Count{Limiter: n.limiter}, OnRetry: n.requests.Retry,
 		Observations: n.observations, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning,
@@ -252,6 +257,14 @@
 	})
 }
 
+// assembleUsage creates the store of what a process counted for the retry budget.
+func (n *node) assembleUsage() {
+	n.usage = &retrybudget.UsageStore{
+		Store: n.store, Key: retriesPrefix + n.settings.Node.Name, Budget: n.forwarder.RetryBudget(), Era: n.store.RevisionEra,
+		MinimumLease: n.settings.Store.MinimumLease, Logger: n.logger,
+	}
+}
+
 // components returns what the process runs.
 func (n *node) components() edge.Components {
 	return edge.Components{
@@ -267,6 +280,7 @@
 		Drain:       n.forwarder.Drain,
 		EndRequests: n.forwarder.Close,
 		HandOver:    n.election.Resign,
+		Stopped:     n.usage.Save,
 	}
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -247,7 +247,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	process = NewProcess(settings, zerolog.Nop())
 	process.Assemble(Components{
-		Callers: callers, Ready: ready, IdleLimit: func() time.Duration { return time.Minute }, HandOver: func() {},
+		Callers: callers, Ready: ready, IdleLimit: func() time.Duration { return time.Minute }, HandOver: func() {}, Stopped: func() {},
 		Drain: func(time.Time) {}, EndRequests: func() {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -32,6 +32,9 @@
 	EndRequests func()
 	// HandOver passes the node's roles to other nodes at shutdown.
 	HandOver func()
+	// Stopped is called at shutdown once no request is in flight, exitMargin before the end of the
+	// grace period at the latest.
+	Stopped func()
 }
 
 const (
@@ -229,6 +232,7 @@
 	if err != nil {
 		_ = p.callers.Close()
 	}
+	p.components.Stopped()
 	for _, server := range p.auxiliary {
 		_ = server.Close()
 	}
--- a/internal/retrybudget/allowance.go
+++ b/internal/retrybudget/allowance.go
@@ -28,6 +28,12 @@
 	withEvenShare, withoutQuorum float64
 }
 
+// isComplete reports whether the process knows all that its node counted in the window. The lock must
+// be held.
+func (b *Budget) isComplete(now time.Time) bool {
+	return b.noEarlier || now.Sub(b.started) >= b.limits.Window
+}
+
 // evenShare returns this node's share of the slack; 0 if the number of nodes is not known. The lock
 // must be held.
 func (b *Budget) evenShare(now time.Time) float64 {
@@ -46,8 +52,8 @@
 	byRequests := b.limits.Ratio * counts.requests.Total(now)
 	evenShare := b.evenShare(now)
 	share, earned := fullShare, 1.0
-	if age := now.Sub(b.started); age < b.limits.Window && !b.noEarlier {
-		share, earned = startShare, max(age.Seconds()/b.limits.Window.Seconds(), 0)
+	if !b.isComplete(now) {
+		share, earned = startShare, max(now.Sub(b.started).Seconds()/b.limits.Window.Seconds(), 0)
 	}
 	// The slack that is not for nodes without a quorum is used up by votes, whatever restarts.
 	withoutQuorum := cutOffShare * share / (fullShare + startShare)
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -155,6 +155,8 @@
 	resumeAt   time.Time
 	// noEarlier is set if no earlier process of this node used the budget within the window.
 	noEarlier bool
+	// closed is set once no further retries are allowed.
+	closed bool
 }
 
 // New returns a budget without requests.
@@ -241,6 +243,9 @@
 	defer b.mutex.Unlock()
 	counts := b.of(retry.Pool, now)
 	allowed := b.allowances(counts, now)
+	if b.closed {
+		return Decision{Retry: retry, By: ByNode, Used: counts.retries.Total(now)}, true
+	}
 	if now.Before(b.resumeAt) {
 		return counts.take(retry, ByNode, allowed.withoutQuorum, now), true
 	}
@@ -268,6 +273,8 @@
 	allowed := b.allowances(counts, now)
 	var decision Decision
 	switch {
+	case b.closed:
+		decision = Decision{Retry: retry, By: ByNode, Used: counts.retries.Total(now)}
 	case !answer.Counted:
 		if !answer.Queued {
 			counts.cutOffUntil = now.Add(cutOffPause)
--- a/internal/retrybudget/restart_test.go
+++ b/internal/retrybudget/restart_test.go
@@ -24,6 +24,15 @@
 	}
 }
 
+// restartAsPlanned replaces a node's process by one that continues from what it counted.
+func (f *testFleet) restartAsPlanned(n *node) {
+	usage, complete := n.budget.Close(time.Now())
+	f.start(n)
+	if complete {
+		n.budget.Continue(usage, 0, time.Now())
+	}
+}
+
 // Guards against nodes that spend the budget once more after each restart, since a process does
 // not know what the one before it used.
 func TestRestartedNodesStayWithinTheRetryBudget(t *testing.T) {
@@ -35,13 +44,18 @@
 			largest := -smallLimits.Slack
 			rapid.Check(t, func(r *rapid.T) {
 				pauses := rapid.SliceOfN(rapid.IntRange(0, 4000), 1, 6).Draw(r, "pauses")
+				planned := rapid.SliceOfN(rapid.Bool(), 6, 6).Draw(r, "planned")
 				restarted := rapid.SliceOfN(rapid.IntRange(1, fleet.nodes), 6, 6).Draw(r, "restarted")
 				var excess float64
 				withFleet(t, fleet.nodes, smallLimits, func(f *testFleet) {
 					f.fail(time.Second)
 					for i, pause := range pauses {
 						for _, node := range f.nodes[:restarted[i]] {
-							f.start(node)
+							if planned[i] {
+								f.restartAsPlanned(node)
+							} else {
+								f.start(node)
+							}
 						}
 						f.fail(time.Duration(pause) * time.Millisecond)
 					}
--- /dev/null
+++ b/internal/retrybudget/usage.go
@@ -0,0 +1,76 @@
+package retrybudget
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/window"
+)
+
+// Usage is what a process counted in the window before it stopped, by pool.
+type Usage map[string]PoolUsage
+
+// PoolUsage is what a process counted for one pool.
+type PoolUsage struct {
+	Requests, Retries []window.Amount
+}
+
+// Close ends the use of the budget: it allows no further retries. It returns what was counted, and
+// whether that is all that the node counted in the window.
+func (b *Budget) Close(now time.Time) (usage Usage, complete bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.closed = true
+	usage = Usage{}
+	for name, counts := range b.byPool {
+		usage[name] = PoolUsage{Requests: counts.requests.Amounts(now), Retries: counts.retries.Amounts(now)}
+	}
+	return usage, b.isComplete(now)
+}
+
+// mayRetry reports whether a process that knows all that its node counted may allow a retry by itself.
+func (b *Budget) mayRetry(now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if !b.isShared() && fullShare*b.evenShare(now) >= 1 {
+		return true
+	}
+	for _, counts := range b.byPool {
+		if fullShare*b.limits.Ratio*counts.requests.Total(now) >= 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// Continue counts on from what the process before this one counted, which stopped the given time
+// ago. The usage must be that of the last process that was not killed, and be used once.
+func (b *Budget) Continue(usage Usage, stopped time.Duration, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for name, before := range usage {
+		counts := b.of(name, now)
+		counts.requests = b.merged(counts.requests.Amounts(now), before.Requests, stopped, now)
+		// The time since the stop depends on the time of day, which may have been set. Retries count
+		// for at least as long as they should without it.
+		counts.retries = b.merged(counts.retries.Amounts(now), before.Retries, 0, now)
+	}
+	b.noEarlier = true
+}
+
+// merged returns a sum of the amounts of this process and of the one before it.
+func (b *Budget) merged(own, before []window.Amount, stopped time.Duration, now time.Time) window.Sum {
+	all := slices.Clone(own)
+	for _, amount := range before {
+		amount.Age += stopped
+		all = append(all, amount)
+	}
+	slices.SortFunc(all, func(a, b window.Amount) int { return int(b.Age - a.Age) })
+	sum := window.NewSum(b.limits.Window, now.Add(-2*b.limits.Window))
+	for _, amount := range all {
+		if amount.Age < 2*b.limits.Window {
+			sum.Add(amount.Amount, now.Add(-amount.Age))
+		}
+	}
+	return sum
+}
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -56,6 +56,26 @@
 	return total
 }
 
+// Amount is an amount in a Sum and its age.
+type Amount struct {
+	// Age is the time since the end of the slot that the amount is in; 0 for the newest slot.
+	Age    time.Duration
+	Amount float64
+}
+
+// Amounts returns the amounts in the window, the oldest first.
+func (s *Sum) Amounts(now time.Time) []Amount {
+	s.advance(now)
+	var amounts []Amount
+	for slot := max(s.newest-slotCount, 0); slot <= s.newest; slot++ {
+		if amount := *s.amountAt(slot); amount != 0 {
+			end := s.start.Add(time.Duration(slot+1) * s.slotLength)
+			amounts = append(amounts, Amount{Age: max(now.Sub(end), 0), Amount: amount})
+		}
+	}
+	return amounts
+}
+
 // TimeUntilExpired returns the time until the given amount has expired from the
 // window if nothing is added, or the window's length if its total is less.
 func (s *Sum) TimeUntilExpired(amount float64, now time.Time) time.Duration {
