forward: Take no retry for an attempt after ones that reached no server

What callers saw: requests refused for a spent retry budget after attempts that no server received. The budget bounds what servers receive beyond the first arrival of each request, but each attempt after a refused connection took a retry, as did a target that was given up before anything was sent.

Change: a flow may send without a retry until an attempt may have reached a server, and a retry that was taken for an attempt which reached none is used for the next one.

TestAttemptsThatReachNoServerUseNoRetries failed before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -35,6 +35,7 @@
 		return nil, nil
 	}
 	flow.attempts++
+	flow.maySend = false
 	flow.server = target.server.ID
 	flow.latestServer.Store(target.server)
 	flow.tried[target.server.ID] = true
@@ -47,6 +48,7 @@
 		f.release(flow, next, nil)
 		next = nil
 	}
+	flow.maySend = flow.maySend || next != nil
 	return outcome, next
 }
 
@@ -131,6 +133,7 @@
 		flow.runs++
 		flow.ran = max(flow.ran, failure.Ran)
 	}
+	flow.maySend = failure.Reason == FailureConnect
 	willRetry := f.mayTryAnother(flow, failure)
 	cancelled := ctx.Err() != nil && !switchedOver
 	f.observe(Observation{Request: flow.request, Server: target.server.ID, Number: flow.attempts, Failure: failure, WillRetry: willRetry && !cancelled})
--- a/internal/forward/budget_test.go
+++ b/internal/forward/budget_test.go
@@ -112,3 +112,24 @@
 		Expect(decision.By).To(Equal(retrybudget.ByFleet))
 	})
 }
+
+// Guards against requests that are refused since the budget was used up by attempts that reached no
+// server: only what reaches a server beyond a request's first arrival is a retry.
+func TestAttemptsThatReachNoServerUseNoRetries(t *testing.T) {
+	for name, test := range map[string]struct {
+		first func(context.Context, Attempt) (*Reply, error)
+		code  result.Code
+	}{
+		"no connection":   {fails(FailureConnect, result.RanNo), result.OK},
+		"refused as full": {fails(FailureFull, result.RanNo), result.RetryBudgetSpent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.forwarder.budgets = newBudgets(BudgetLimits{Window: 10 * time.Second}, 1)
+				b.backend.answer["p1"] = test.first
+				outcome := b.forwarder.Serve(context.Background(), request("repeat", "", time.Second), &recorder{})
+				Expect(outcome.Code).To(Equal(test.code))
+			})
+		})
+	}
+}
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -28,6 +28,9 @@
 	// attempts counts the attempts that were sent, runs those that may have run.
 	attempts, runs int
 	ran            result.Ran
+	// maySend: the next attempt needs no retry from the budget. It is the first one to reach a
+	// server, or a retry was taken for one that did not.
+	maySend bool
 	// held is the time from acceptance to the first attempt.
 	held time.Duration
 	// attemptStarted is when the latest attempt was sent.
@@ -118,6 +121,7 @@
 		deadline = request.Deadline.Add(-deadlineMargin)
 	}
 	return &flow{
+		maySend: true,
 		request: request, route: route, pool: route.Pick(f.sequence.Add(1)), deadline: deadline,
 		prefixes: sharedPrefixes(request), clientRetry: f.isClientRetry(request, route), tried: map[string]bool{}, slotsAt: map[string]time.Time{},
 		lastEvent: request.ResumeAfter, latestServer: new(atomic.Pointer[fleet.Server]),
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -248,7 +248,7 @@
 }
 
 // nextTarget waits for a server that can take the request, and takes a retry from the budget
-// for each attempt but the first.
+// unless no server was reached yet.
 func (f *Forwarder) nextTarget(ctx context.Context, flow *flow) (*candidate, *Outcome) {
 	target, refusal := f.acquire(ctx, flow)
 	if refusal != nil {
@@ -256,13 +256,15 @@
 	}
 	if flow.attempts == 0 {
 		flow.held = time.Since(flow.request.Accepted)
-	} else if !f.takeRetry(ctx, flow) {
+	}
+	if !flow.maySend && !f.takeRetry(ctx, flow) {
 		f.release(flow, target, nil)
 		if ctx.Err() != nil {
 			return nil, f.cancellationOutcome(ctx, flow)
 		}
 		return nil, f.giveUp(flow, "retry budget is spent", result.RetryBudgetSpent)
 	}
+	flow.maySend = true
 	return target, nil
 }
 
