Show how many nodes share the retry budget, and let each of its mechanisms be noticed by a test

hatchplank_node_sharing_nodes is the number that shares are computed from; the log's nodes is 0 once it is too old. scripts/mechanisms.sh has ten new lines. Three were noticed by no test at first: slack that a process earns with its time (restarts came too seldom), a record that was not confirmed as deleted, and the saved number of nodes (all nodes were back at once).

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -307,12 +307,13 @@
 			}
 			return 0
 		},
-		Era:        func() float64 { return float64(n.store.Era()) },
-		Holder:     func() float64 { return boolGauge(n.election.Term() != nil) },
-		Relayed:    func() float64 { return boolGauge(n.mirror.FollowsRelay()) },
-		Quarantine: func() float64 { return float64(len(n.poison.Entries())) },
-		Limited:    func() float64 { return float64(n.notices.LimitedServers()) },
-		Suspected:  func() float64 { return float64(n.observations.Suspicions(time.Now())) },
+		Era:          func() float64 { return float64(n.store.Era()) },
+		Holder:       func() float64 { return boolGauge(n.election.Term() != nil) },
+		Relayed:      func() float64 { return boolGauge(n.mirror.FollowsRelay()) },
+		Quarantine:   func() float64 { return float64(len(n.poison.Entries())) },
+		Limited:      func() float64 { return float64(n.notices.LimitedServers()) },
+		Suspected:    func() float64 { return float64(n.observations.Suspicions(time.Now())) },
+		SharingNodes: func() float64 { return float64(n.forwarder.RetryBudget().Nodes(time.Now())) },
 	}
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -50,6 +50,7 @@
 	metricObservations      = "hatchplank_node_observations_total"
 	metricSuspectedServers  = "hatchplank_node_suspected_servers"
 	metricRetries           = "hatchplank_node_retries_total"
+	metricSharingNodes      = "hatchplank_node_sharing_nodes"
 )
 
 // MetricDescriptions lists the node's own metrics.
@@ -80,6 +81,7 @@
 	{metricObservations, "counter", "direction", "Observations of servers' loads, and of whether they are reachable, exchanged with other nodes, by direction (sent, received)."},
 	{metricSuspectedServers, "gauge", "", "Servers that another node found unreachable and that no node has reached since, as far as this node knows."},
 	{metricRetries, "counter", "verdict, by", "Attempts beyond a request's first that were compared with the retry budget, by verdict (within, over) and by who decided (node: this node's own allowance; fleet: the count for all nodes; share: this node's even share, as too few counting nodes answered)."},
+	{metricSharingNodes, "gauge", "", "Nodes that share the slack of the retry budget, as far as this node knows; 0 if it does not know."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
@@ -91,7 +93,7 @@
 
 // Gauges holds the functions that supply the gauges' values at each scrape.
 type Gauges struct {
-	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited, Suspected func() float64
+	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited, Suspected, SharingNodes func() float64
 }
 
 // NewMetrics registers the node's metrics.
@@ -106,6 +108,7 @@
 	set.NewGauge(metricQuarantine, gauges.Quarantine)
 	set.NewGauge(metricLimitedServers, gauges.Limited)
 	set.NewGauge(metricSuspectedServers, gauges.Suspected)
+	set.NewGauge(metricSharingNodes, gauges.SharingNodes)
 	for _, kind := range []placement.Kind{placement.Load, placement.Unload} {
 		set.NewCounter(replicaOrdersCounter(kind.String(), placement.ReasonRelief))
 	}
--- a/internal/retrybudget/allowance.go
+++ b/internal/retrybudget/allowance.go
@@ -34,13 +34,21 @@
 	return b.noEarlier || now.Sub(b.started) >= b.limits.Window
 }
 
-// evenShare returns this node's share of the slack; 0 if the number of nodes is not known. The lock
-// must be held.
-func (b *Budget) evenShare(now time.Time) float64 {
-	if b.nodes == 0 || !b.nodesUntil.IsZero() && now.After(b.nodesUntil) {
+// sharingNodes returns the number of nodes that share the slack; 0 if it is not known, or was set too
+// long ago. The lock must be held.
+func (b *Budget) sharingNodes(now time.Time) int {
+	if !b.nodesUntil.IsZero() && now.After(b.nodesUntil) {
 		return 0
 	}
-	return b.limits.Slack / float64(b.nodes)
+	return b.nodes
+}
+
+// evenShare returns this node's share of the slack. The lock must be held.
+func (b *Budget) evenShare(now time.Time) float64 {
+	if nodes := b.sharingNodes(now); nodes > 0 {
+		return b.limits.Slack / float64(nodes)
+	}
+	return 0
 }
 
 // allowances returns what the process may allow now. The lock must be held.
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -189,6 +189,13 @@
 	b.nodesKnown = true
 }
 
+// Nodes returns the number of nodes that share the slack; 0 if it is not known.
+func (b *Budget) Nodes(now time.Time) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.sharingNodes(now)
+}
+
 // of returns the counts of a pool. The lock must be held.
 func (b *Budget) of(name string, now time.Time) *pool {
 	found := b.byPool[name]
@@ -222,7 +229,7 @@
 func (b *Budget) basis(pool string, now time.Time) Basis {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return Basis{Nodes: b.nodes, Requests: b.of(pool, now).requests.Total(now), Age: now.Sub(b.started)}
+	return Basis{Nodes: b.sharingNodes(now), Requests: b.of(pool, now).requests.Total(now), Age: now.Sub(b.started)}
 }
 
 func (b *Budget) decide(ctx context.Context, retry Retry, now time.Time) Decision {
--- a/internal/retrybudget/restart_test.go
+++ b/internal/retrybudget/restart_test.go
@@ -43,9 +43,9 @@
 		t.Run(fleet.name, func(t *testing.T) {
 			largest := -smallLimits.Slack
 			rapid.Check(t, func(r *rapid.T) {
-				pauses := rapid.SliceOfN(rapid.IntRange(0, 4000), 1, 6).Draw(r, "pauses")
-				planned := rapid.SliceOfN(rapid.Bool(), 6, 6).Draw(r, "planned")
-				restarted := rapid.SliceOfN(rapid.IntRange(1, fleet.nodes), 6, 6).Draw(r, "restarted")
+				pauses := rapid.SliceOfN(rapid.IntRange(0, 2000), 1, 16).Draw(r, "pauses")
+				planned := rapid.SliceOfN(rapid.Bool(), 16, 16).Draw(r, "planned")
+				restarted := rapid.SliceOfN(rapid.IntRange(1, fleet.nodes), 16, 16).Draw(r, "restarted")
 				var excess float64
 				withFleet(t, fleet.nodes, smallLimits, func(f *testFleet) {
 					f.fail(time.Second)
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -69,7 +69,17 @@
 switch_off suspected-avoided internal/forward/suspicion.go 'if !isSuspected {' 'if true || !isSuspected {' $forward
 switch_off suspicion-checked-once internal/forward/suspicion.go '!since.Equal(checkedSince) &&' 'true &&' $forward
 switch_off retry-budget internal/retrybudget/budget.go 'if decision.Used+1 > allowance {' 'if false && allowance < 0 {' ./internal/retrybudget -skip RandomFaults
-switch_off budget-share internal/retrybudget/budget.go 'usedShare*b.limits.Slack/float64(b.nodes)' 'usedShare*b.limits.Slack' ./internal/retrybudget -skip RandomFaults
+switch_off budget-share internal/retrybudget/allowance.go 'return b.limits.Slack / float64(nodes)' 'return b.limits.Slack' ./internal/retrybudget -skip RandomFaults
+switch_off budget-of-a-start internal/retrybudget/allowance.go 'if !b.isComplete(now) {' 'if false {' ./internal/retrybudget -skip RandomFaults
+switch_off budget-earned internal/retrybudget/allowance.go 'max(now.Sub(b.started).Seconds()/b.limits.Window.Seconds(), 0)' '1' ./internal/retrybudget -skip RandomFaults
+switch_off budget-share-expires internal/retrybudget/allowance.go 'if !b.nodesUntil.IsZero() && now.After(b.nodesUntil) {' 'if false {' ./internal/retrybudget -skip RandomFaults
+switch_off budget-closed internal/retrybudget/budget.go 'if b.closed {' 'if false {' ./platform -run PassesNoneOn\|StoppedAsPlanned
+switch_off usage-once internal/retrybudget/usage_store.go 'used := deleted &&' 'used :=' ./platform -run Restored\|StoppedAsPlanned
+switch_off usage-of-this-era internal/retrybudget/usage_store.go 'record.Era == s.Era() &&' '' ./platform -run RestoredRecord
+switch_off usage-complete internal/retrybudget/usage_store.go '!complete ||' '!complete && false ||' ./platform -run PassesNoneOn
+switch_off fleet-size-saved internal/orders/holder.go 'newFleetSize(h.config.SavedCounters.Nodes(), h.termStart)' 'newFleetSize(0, h.termStart)' ./platform -run HaveNotReported
+switch_off fleet-size-kept internal/orders/fleet_size.go 's.current = max(s.current, reporting)' 's.current, s.previous = reporting, 0' ./platform -run CutOff
+switch_off free-without-arrival internal/forward/attempt.go 'flow.maySend = failure.Reason == FailureConnect' '' ./internal/forward -run ReachNoServer
 switch_off fleet-budget-cold internal/ratelimit/votes.go 'now.Sub(v.since) < request.Limit.Window+voteMargin' 'false' ./internal/retrybudget -skip RandomFaults
 switch_off fleet-budget-quorum internal/ratelimit/votes.go 'return (3*counters + 3) / 4' 'return counters/2 + 1' ./internal/retrybudget -skip RandomFaults
 switch_off fleet-budget-returns internal/ratelimit/ballot.go 'case !reply.Voted:' 'case true:' ./internal/retrybudget -skip RandomFaults
