orders: Let a node's number of nodes fall as slowly as a holder's

Beside the build before, a holder that has just started tells the number of nodes that report to it, and a node of this build would take the share of a fleet of one. A node now uses the largest number that it was told in the last one to two minutes.

--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -77,8 +77,10 @@
 	ordersFrom time.Time
 	// unanswered is set if the last report that ended got no reply from a holder.
 	unanswered bool
-	// nodes is the number of nodes that the holder sent.
+	// nodes is the number of nodes that the holder sent last, and size the number that is used: a
+	// holder of an earlier build counts only the nodes that report to it at the moment.
 	nodes int
+	size  *fleetSize
 	// readyTimes is when models that no server holds are expected to be ready.
 	readyTimes map[forward.DemandKey]time.Time
 	// arrived is the count of arrivals by row in the last report that was answered.
@@ -102,7 +104,7 @@
 		config.OnObservations = func(Direction, int) {}
 	}
 	link := &Link{
-		config: config, started: time.Now().UnixNano(),
+		config: config, started: time.Now().UnixNano(), size: newFleetSize(0, time.Now()),
 		readyTimes: map[forward.DemandKey]time.Time{}, arrived: map[forward.DemandKey]uint64{},
 	}
 	config.Transport.Handle(DemandReport{}, link.serveReport)
@@ -294,7 +296,7 @@
 		l.config.View.ApplyPlacements(placedServers(update.Servers, now))
 	}
 	if update.Nodes > 0 {
-		l.config.SetNodes(update.Nodes)
+		l.config.SetNodes(l.size.count(update.Nodes, now))
 		l.config.Observations.SetNodes(update.Nodes, now)
 	}
 	if len(update.Counters.Addresses) > 0 {
@@ -308,7 +310,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.nodes == 0 {
-		l.config.SetNodes(nodes)
+		l.config.SetNodes(l.size.count(nodes, time.Now()))
 	}
 }
 
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -78,7 +78,7 @@
 switch_off usage-of-this-era internal/retrybudget/usage_store.go 'record.Era == s.Era() &&' '' ./platform -run RestoredRecord
 switch_off usage-complete internal/retrybudget/usage_store.go '!complete ||' '!complete && false ||' ./platform -run PassesNoneOn
 switch_off fleet-size-saved internal/orders/holder.go 'newFleetSize(h.config.SavedCounters.Nodes(), h.termStart)' 'newFleetSize(0, h.termStart)' ./platform -run HaveNotReported
-switch_off fleet-size-kept internal/orders/fleet_size.go 's.current = max(s.current, reporting)' 's.current, s.previous = reporting, 0' ./platform -run CutOff
+switch_off fleet-size-kept internal/orders/fleet_size.go 's.current = max(s.current, counted)' 's.current, s.previous = counted, 0' ./platform -run CutOff
 switch_off free-without-arrival internal/forward/attempt.go 'flow.maySend = failure.Reason == FailureConnect' '' ./internal/forward -run ReachNoServer
 switch_off fleet-budget-cold internal/ratelimit/votes.go 'now.Sub(v.since) < request.Limit.Window+voteMargin' 'false' ./internal/retrybudget -skip RandomFaults
 switch_off fleet-budget-quorum internal/ratelimit/votes.go 'return (3*counters + 3) / 4' 'return counters/2 + 1' ./internal/retrybudget -skip RandomFaults
