retrybudget: Don't take a restored store for a new system, and say some things plainer

A store that lost the counter nodes in a restore looks like that of a system which never ran; a process that starts then must not use the budget as if no process was before it.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -208,11 +208,13 @@
 	return collectors
 }
 
-// noCountersYet is called when the store was read and has no counter nodes: no node has served a
-// request yet.
+// noCountersYet is called when the store was read and has no counter nodes. Unless a restore has lost
+// them, no node has served a request yet.
 func (n *node) noCountersYet() {
 	n.limiter.SetNoCountersYet()
-	n.forwarder.RetryBudget().SetNoEarlierProcess()
+	if n.store.Era() == 0 {
+		n.forwarder.RetryBudget().SetNoEarlierProcess()
+	}
 }
 
 // setNodes sets the number of nodes that share budgets and rate limits.
@@ -257,7 +259,7 @@
 	})
 }
 
-// assembleUsage creates the store of what a process counted for the retry budget.
+// assembleUsage creates what passes the counts of the retry budget on to the node's next process.
 func (n *node) assembleUsage() {
 	n.usage = &retrybudget.UsageStore{
 		Store: n.store, Key: retriesPrefix + n.settings.Node.Name, Budget: n.forwarder.RetryBudget(), Era: n.store.RevisionEra,
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -55,7 +55,7 @@
 	// Zone of this node.
 	Zone   string
 	Budget BudgetLimits
-	// Nodes that share the budget, until SetNodes is called.
+	// Nodes that share the budget until its SetNodes is called; 0: not known.
 	Nodes int
 	// Fleet counts the slack of the budget over all nodes; nil: each node has its even share.
 	Fleet retrybudget.Fleet
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -174,9 +174,10 @@
 	b.noEarlier = true
 }
 
-// SetNodes sets the number of nodes that share the slack, for ShareLifetime. Where that changes who decides on it, it is
-// not used for a window, except for the share of nodes without a quorum: the counter nodes don't know
-// what the nodes allowed themselves, and the nodes not what the counter nodes granted to others.
+// SetNodes sets the number of nodes that share the slack, for ShareLifetime. Where that changes who
+// decides on it, it is not used for a window, except for the share of nodes without a quorum: the counter
+// nodes don't know what the nodes allowed themselves, and the nodes not what the counter nodes granted to
+// others.
 func (b *Budget) SetNodes(nodes int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -232,6 +233,7 @@
 	return Basis{Nodes: b.sharingNodes(now), Requests: b.of(pool, now).requests.Total(now), Age: now.Sub(b.started)}
 }
 
+// decide is Take without the basis of the decision.
 func (b *Budget) decide(ctx context.Context, retry Retry, now time.Time) Decision {
 	if decision, decided := b.takeOwn(retry, now); decided {
 		return decision
--- a/internal/retrybudget/usage.go
+++ b/internal/retrybudget/usage.go
@@ -51,8 +51,8 @@
 	for name, before := range usage {
 		counts := b.of(name, now)
 		counts.requests = b.merged(counts.requests.Amounts(now), before.Requests, stopped, now)
-		// The time since the stop depends on the time of day, which may have been set. Retries count
-		// for at least as long as they should without it.
+		// Retries count as if the process had stopped now: the time since then is from the time of day,
+		// which may have been set.
 		counts.retries = b.merged(counts.retries.Amounts(now), before.Retries, 0, now)
 	}
 	b.noEarlier = true
--- a/internal/retrybudget/usage_store.go
+++ b/internal/retrybudget/usage_store.go
@@ -22,13 +22,11 @@
 )
 
 // UsageStore passes what a process counted to the next process of its node, if it stops as planned.
-// The next process deletes the record by its revision and uses it only if the store confirms that, so
-// that no second process continues from the same counts. Without a record, or without an answer, it
-// has those of a process that starts.
+// The next process deletes the record by its revision, and uses it only if the store confirms that, so
+// that no second process continues from the same counts. Otherwise it counts as a process that starts.
 //
-// A record that is lost, late or unread costs retries for a window. A process that was killed leaves
-// none, and deletes the one before it only if it uses it. So whoever uses a record knows what all
-// processes before it counted, except for what a killed one allowed as one that starts.
+// A process that was killed leaves no record. If it had not used the one before it, the next process
+// does: it then lacks what the killed one allowed, which is within the startShare.
 type UsageStore struct {
 	Store outside.KeyValueService
 	// Key of the node's record.
