retrybudget: Test restarts at 3, 8, 20, 30 and 91 nodes, also after a time without retries

The bound was tested at 8 and 20 nodes alone, and from a start at which few requests had earned anything. Requests of up to 12 s now precede the failures.

--- a/internal/retrybudget/restart_test.go
+++ b/internal/retrybudget/restart_test.go
@@ -11,9 +11,18 @@
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 )
 
-// smallLimits are limits whose even share suffices in a fleet of 8 nodes, and not in one of 20.
+// smallLimits are limits whose even share suffices in a fleet of up to 14 nodes.
 var smallLimits = retrybudget.Limits{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
 
+// serve sends 100 requests a second to the nodes in turn, none of which is retried.
+func (f *testFleet) serve(duration time.Duration) {
+	end := time.Now().Add(duration)
+	for number := 0; time.Now().Before(end); number++ {
+		f.request(f.nodes[number%len(f.nodes)])
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // fail sends 100 requests a second to the nodes in turn, each of which is retried once.
 func (f *testFleet) fail(duration time.Duration) {
 	end := time.Now().Add(duration)
@@ -39,15 +48,17 @@
 	for _, fleet := range []struct {
 		name  string
 		nodes int
-	}{{"even shares", 8}, {"slack counted for the fleet", 20}} {
+	}{{"even shares, 3 nodes", 3}, {"even shares, 8 nodes", 8}, {"fleet's count, 20 nodes", 20}, {"fleet's count, 30 nodes", 30}, {"fleet's count, 91 nodes", 91}} {
 		t.Run(fleet.name, func(t *testing.T) {
 			largest := -smallLimits.Slack
 			rapid.Check(t, func(r *rapid.T) {
+				quiet := rapid.IntRange(0, 12).Draw(r, "quiet")
 				pauses := rapid.SliceOfN(rapid.IntRange(0, 2000), 1, 16).Draw(r, "pauses")
 				planned := rapid.SliceOfN(rapid.Bool(), 16, 16).Draw(r, "planned")
 				restarted := rapid.SliceOfN(rapid.IntRange(1, fleet.nodes), 16, 16).Draw(r, "restarted")
 				var excess float64
 				withFleet(t, fleet.nodes, smallLimits, func(f *testFleet) {
+					f.serve(time.Duration(quiet) * time.Second)
 					f.fail(time.Second)
 					for i, pause := range pauses {
 						for _, node := range f.nodes[:restarted[i]] {
