orders, retrybudget: Keep and compute less for the number of nodes

Read again: the holder listed the reporting nodes twice each tick; the size of the fleet had a lock beside those of both its users; nodesKnown said what nodesUntil says. Behavior is the same.

go test ./internal/orders ./internal/retrybudget passes, as before.

--- a/internal/orders/counters.go
+++ b/internal/orders/counters.go
@@ -46,7 +46,7 @@
 	}
 	update := Update{Token: term.Token, OrdersIn: term.ordersIn(now), Counters: h.counters}
 	h.mutex.Unlock()
-	h.config.SavedCounters.save(update.Counters, h.countNodes(now), now)
+	h.config.SavedCounters.save(update.Counters, h.countNodes(len(live), now), now)
 	if !changed {
 		return
 	}
@@ -60,16 +60,15 @@
 	return now.Sub(h.termStart) >= collectPeriods*reportPeriodOf(h.demand.nodeCount())
 }
 
-// countNodes returns the number of nodes that share limits; 0 while it is not known.
-func (h *Holder) countNodes(now time.Time) int {
-	reporting := len(h.demand.liveNodes(now))
+// countNodes returns the number of nodes that share limits, of which some report now; 0 while it is not
+// known.
+func (h *Holder) countNodes(reporting int, now time.Time) int {
 	h.mutex.Lock()
-	size, collected := h.size, h.hasCollected(now)
-	h.mutex.Unlock()
-	if !collected && !size.isKnown() {
+	defer h.mutex.Unlock()
+	if !h.hasCollected(now) && !h.size.isKnown() {
 		return 0
 	}
-	return size.count(reporting, now)
+	return h.size.count(reporting, now)
 }
 
 // majorityReports reports whether more than half of the counting nodes report, or there are none.
--- a/internal/orders/fleet_size.go
+++ b/internal/orders/fleet_size.go
@@ -1,18 +1,19 @@
 package orders
 
 import (
-	"sync"
 	"time"
+
+	"github.com/hatchplank/hatchplank/internal/retrybudget"
 )
 
-// sizeRetention is how long nodes that no longer report are counted at least. They may be out of
-// reach only, and use their shares of limits for retrybudget.ShareLifetime and a window.
-const sizeRetention = time.Minute
+// sizeRetention is the time for which nodes that do not report are still counted. They may only be out
+// of reach, and then use their shares for the lifetime of a share; what they allowed counts for a window
+// more, which is shorter than that.
+const sizeRetention = 2 * retrybudget.ShareLifetime
 
 // fleetSize is the number of nodes that share limits: the largest number that was counted in the last
-// one to two times sizeRetention. It is safe for concurrent use.
+// one to two times sizeRetention. It is not safe for concurrent use.
 type fleetSize struct {
-	mutex sync.Mutex
 	// current is the most since rotatedAt, and previous the most in the time before it.
 	current, previous int
 	rotatedAt         time.Time
@@ -26,8 +27,6 @@
 
 // count takes the number of nodes that are counted now into account and returns the size.
 func (s *fleetSize) count(counted int, now time.Time) int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	if now.Sub(s.rotatedAt) >= sizeRetention {
 		s.previous, s.current, s.rotatedAt = s.current, 0, now
 	}
@@ -38,7 +37,5 @@
 // isKnown reports whether the size includes a number from before, and so nodes that have not reported
 // yet.
 func (s *fleetSize) isKnown() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	return s.previous > 0
 }
--- a/internal/orders/push.go
+++ b/internal/orders/push.go
@@ -6,7 +6,7 @@
 
 // update returns the placement changes after a version, with the estimates for the models.
 func (h *Holder) update(term *Term, after uint64, models []modelKey, now time.Time) Update {
-	nodes := h.countNodes(now)
+	nodes := h.countNodes(len(h.demand.liveNodes(now)), now)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	return Update{
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -149,10 +149,9 @@
 	// nodesUntil is when nodes is too old for a share; zero: it is from the configuration.
 	nodesUntil time.Time
 	byPool     map[string]*pool
-	// nodesKnown is set once SetNodes was called, and resumeAt is the time from which the slack is
-	// used again after it began or ceased to be counted for the whole fleet.
-	nodesKnown bool
-	resumeAt   time.Time
+	// resumeAt is the time from which the slack is used again after it began or ceased to be counted
+	// for the whole fleet.
+	resumeAt time.Time
 	// noEarlier is set if no earlier process of this node used the budget within the window.
 	noEarlier bool
 	// closed is set once no further retries are allowed.
@@ -181,13 +180,12 @@
 func (b *Budget) SetNodes(nodes int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	wasShared := b.isShared()
+	wasSet, wasShared := !b.nodesUntil.IsZero(), b.isShared()
 	now := time.Now()
 	b.nodes, b.nodesUntil = max(nodes, 1), now.Add(ShareLifetime)
-	if b.nodesKnown && b.isShared() != wasShared {
+	if wasSet && b.isShared() != wasShared {
 		b.resumeAt = now.Add(b.limits.Window + switchMargin)
 	}
-	b.nodesKnown = true
 }
 
 // Nodes returns the number of nodes that share the slack; 0 if it is not known.
--- a/internal/retrybudget/usage.go
+++ b/internal/retrybudget/usage.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -65,7 +66,7 @@
 		amount.Age += stopped
 		all = append(all, amount)
 	}
-	slices.SortFunc(all, func(a, b window.Amount) int { return int(b.Age - a.Age) })
+	slices.SortFunc(all, func(a, b window.Amount) int { return cmp.Compare(b.Age, a.Age) })
 	sum := window.NewSum(b.limits.Window, now.Add(-2*b.limits.Window))
 	for _, amount := range all {
 		if amount.Age < 2*b.limits.Window {
