serverpath: Log and count pools of which a node reaches no server

Needed to tell the hypotheses of the incident of partitioned nodes apart: a node that has lost its path, an order holder that has, and servers that are down looked alike in each node's log.

A monitor gets the result of each new connection to a server. Two unreached servers of a pool with none reached meanwhile make a line, which says whether the node is the order holder.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -24,6 +24,7 @@
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
+	"github.com/hatchplank/hatchplank/internal/serverpath"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 	"github.com/hatchplank/hatchplank/platform"
 )
@@ -79,6 +80,7 @@
 	settings   edge.Settings
 	logger     zerolog.Logger
 	view       *fleet.View
+	paths      *serverpath.Monitor
 	servers    *exchange.Client
 	store      *platform.Store
 	storeCalls *quota.Share
@@ -108,11 +110,14 @@
 	if limit := settings.Memory.LimitMB; limit > 0 {
 		debug.SetMemoryLimit(int64(softLimitShare * float64(limit) * megabyte))
 	}
+	view := fleet.NewView()
 	n := &node{
-		settings: settings, logger: logger, view: fleet.NewView(), servers: exchange.NewClient(serverDialSettings),
+		settings: settings, logger: logger, view: view,
 		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(storeDialSettings), settings.Store.Contact, logger),
 		process: edge.NewProcess(settings, logger),
 	}
+	n.paths = serverpath.NewMonitor(serverpath.Config{View: view, IsOrderHolder: func() bool { return n.election.Term() != nil }, Logger: logger})
+	n.servers = exchange.NewClient(dialSettings(n.paths))
 	n.servers.SetMaxIdle(settings.Machine.MaxIdleConnections())
 	transport, err := tcp.New(tcp.Config{
 		Address: settings.Listen.Peers, AdvertisedAddress: settings.Listen.PeersAdvertised, Secret: []byte(settings.Cluster.Secret), Logger: logger, MaxBackoff: maxPeerBackoff,
@@ -141,6 +146,19 @@
 	return n.process, nil
 }
 
+// dialSettings returns the settings of connections to servers, whose results the monitor gets.
+func dialSettings(paths *serverpath.Monitor) exchange.DialSettings {
+	settings := serverDialSettings
+	settings.OnDial = func(address string, err error) {
+		if err != nil {
+			paths.Failed(address, err)
+			return
+		}
+		paths.Reached(address)
+	}
+	return settings
+}
+
 // tenants returns the tenants of the configuration in force; nil if there are none.
 func (n *node) tenants() *tenants.Directory {
 	if configuration := n.view.Load().Configuration; configuration != nil {
@@ -315,6 +333,7 @@
 		Quarantine:   func() float64 { return float64(len(n.poison.Entries())) },
 		Limited:      func() float64 { return float64(n.notices.LimitedServers()) },
 		Suspected:    func() float64 { return float64(n.observations.Suspicions(time.Now())) },
+		Unreached:    func() float64 { return float64(n.paths.Unreached()) },
 		SharingNodes: func() float64 { return float64(n.forwarder.RetryBudget().Nodes(time.Now())) },
 	}
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -174,7 +174,7 @@
 
 func newTestMetrics() *Metrics {
 	none := func() float64 { return 0 }
-	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Era: none, Holder: none, Relayed: none, Quarantine: none, Limited: none})
+	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Era: none, Holder: none, Relayed: none, Quarantine: none, Limited: none, Unreached: none})
 }
 
 func TestRequestLogRecordsTheDecision(t *testing.T) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -51,6 +51,7 @@
 	metricSuspectedServers  = "hatchplank_node_suspected_servers"
 	metricRetries           = "hatchplank_node_retries_total"
 	metricSharingNodes      = "hatchplank_node_sharing_nodes"
+	metricUnreachedPools    = "hatchplank_node_unreached_pools"
 )
 
 // MetricDescriptions lists the node's own metrics.
@@ -82,6 +83,7 @@
 	{metricSuspectedServers, "gauge", "", "Servers that another node found unreachable and that no node has reached since, as far as this node knows."},
 	{metricRetries, "counter", "verdict, by", "Attempts beyond a request's first that were compared with the retry budget, by verdict (within, over) and by who decided (node: this node's own allowance; fleet: the count for all nodes; share: this node's even share, as too few counting nodes answered)."},
 	{metricSharingNodes, "gauge", "", "Nodes that share the slack of the retry budget, as far as this node knows; 0 if it does not know."},
+	{metricUnreachedPools, "gauge", "", "Pools of which this node reaches no server, by its newest connections."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
@@ -93,7 +95,7 @@
 
 // Gauges holds the functions that supply the gauges' values at each scrape.
 type Gauges struct {
-	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited, Suspected, SharingNodes func() float64
+	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited, Suspected, SharingNodes, Unreached func() float64
 }
 
 // NewMetrics registers the node's metrics.
@@ -109,6 +111,7 @@
 	set.NewGauge(metricLimitedServers, gauges.Limited)
 	set.NewGauge(metricSuspectedServers, gauges.Suspected)
 	set.NewGauge(metricSharingNodes, gauges.SharingNodes)
+	set.NewGauge(metricUnreachedPools, gauges.Unreached)
 	for _, kind := range []placement.Kind{placement.Load, placement.Unload} {
 		set.NewCounter(replicaOrdersCounter(kind.String(), placement.ReasonRelief))
 	}
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"strings"
@@ -52,6 +53,9 @@
 	IdleTimeout      time.Duration
 	// Dial opens a connection; nil: TCP with these settings.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// OnDial is called with the result of each attempt to open a connection that was not cancelled;
+	// nil: not called.
+	OnDial func(address string, err error)
 }
 
 // dial opens a connection within the time limit.
@@ -63,6 +67,9 @@
 		dial = d.dialTCP
 	}
 	raw, err := dial(ctx, address)
+	if d.OnDial != nil && (err == nil || !errors.Is(ctx.Err(), context.Canceled)) {
+		d.OnDial(address, err)
+	}
 	if err != nil {
 		return nil, err
 	}
