peer/tcp: Streams, connections of their own that carry bytes after a request and its reply

For connections to servers through other nodes. A stream has the handshake of every peer connection, its request is the connection's first message, and either side then sends what it wants. A node of an earlier build refuses the request and closes the connection, which carries nothing else.

--- a/internal/peer/tcp/config.go
+++ b/internal/peer/tcp/config.go
@@ -48,7 +48,9 @@
 	// TLS configuration of accepted and dialed connections. If nil, TLS is not
 	// used.
 	TLS    *tls.Config
-	Logger zerolog.Logger
+	// StreamDialer connects to peers for streams. If nil, a default one is used.
+	StreamDialer *net.Dialer
+	Logger       zerolog.Logger
 	// Clock for call timeouts, backoff and idle connections. If nil, the system
 	// clock is used.
 	Clock clock.Clock
@@ -87,6 +89,9 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.StreamDialer == nil {
+		c.StreamDialer = &net.Dialer{}
+	}
 	if c.Clock == nil {
 		c.Clock = clock.System{}
 	}
--- a/internal/peer/tcp/inbound.go
+++ b/internal/peer/tcp/inbound.go
@@ -121,9 +121,14 @@
 	session   *session
 	from      string
 	replies   chan outgoing
+	// received counts the messages.
+	received int
+	// stream is set once the connection becomes a stream.
+	stream *streamRequest
 }
 
-// serve reads messages on this goroutine and writes replies on another.
+// serve reads messages on this goroutine and writes replies on another, until the
+// connection is closed or becomes a stream, which it then serves.
 func (i *inbound) serve() {
 	readEnded := make(chan struct{})
 	written := make(chan struct{})
@@ -134,16 +139,19 @@
 	i.session.readLoop(i.receive)
 	close(readEnded)
 	<-written
+	if i.stream != nil {
+		i.serveStream()
+	}
 }
 
 func (i *inbound) writeReplies(readEnded <-chan struct{}) {
-	defer i.session.close()
 	for {
 		select {
 		case <-readEnded:
 			return
 		case item := <-i.replies:
 			if !i.writeBatch(item) {
+				i.session.close()
 				return
 			}
 		}
@@ -169,6 +177,10 @@
 	if message.Kind == envelopeReply {
 		return errBadFrame
 	}
+	i.received++
+	if handler, known := i.transport.streamHandlerOf(message.Message); known {
+		return i.beginStream(message, handler)
+	}
 	reply := func(peer.Message, error) {}
 	if message.Kind == envelopeCall {
 		reply = i.replyOnce(message.ID)
--- a/internal/peer/tcp/link.go
+++ b/internal/peer/tcp/link.go
@@ -175,32 +175,35 @@
 
 // dial connects to the peer and runs the handshake, within HandshakeTimeout.
 func (l *link) dial() (net.Conn, error) {
-	config := l.transport.config
-	ctx, cancel := context.WithTimeout(l.transport.context, config.HandshakeTimeout)
+	ctx, cancel := context.WithTimeout(l.transport.context, l.transport.config.HandshakeTimeout)
 	defer cancel()
-	dialer := &net.Dialer{}
-	conn, err := dialer.DialContext(ctx, "tcp", l.address)
+	return l.transport.dialPeer(ctx, &net.Dialer{}, l.address)
+}
+
+// dialPeer connects to the peer at an address and runs the handshake.
+func (t *Transport) dialPeer(ctx context.Context, dialer *net.Dialer, address string) (net.Conn, error) {
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	if config.TLS != nil {
-		conn = tls.Client(conn, l.clientTLS())
+	if t.config.TLS != nil {
+		conn = tls.Client(conn, t.clientTLS(address))
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	if err := dialHandshake(conn, config.Secret, l.transport.advertised); err != nil {
+	if err := dialHandshake(conn, t.config.Secret, t.advertised); err != nil {
 		_ = conn.Close()
-		return nil, fmt.Errorf("handshake with %s: %w", l.address, err)
+		return nil, fmt.Errorf("handshake with %s: %w", address, err)
 	}
 	return conn, nil
 }
 
-// clientTLS returns the TLS configuration for dialing, with the peer's host as the
+// clientTLS returns the TLS configuration for dialing an address, with its host as the
 // default server name.
-func (l *link) clientTLS() *tls.Config {
-	config := l.transport.config.TLS.Clone()
+func (t *Transport) clientTLS(address string) *tls.Config {
+	config := t.config.TLS.Clone()
 	if config.ServerName == "" {
-		host, _, _ := net.SplitHostPort(l.address)
+		host, _, _ := net.SplitHostPort(address)
 		config.ServerName = host
 	}
 	return config
--- a/internal/peer/tcp/session.go
+++ b/internal/peer/tcp/session.go
@@ -17,6 +17,7 @@
 type session struct {
 	transport *Transport
 	conn      net.Conn
+	reader    *bufio.Reader
 	writer    *bufio.Writer
 	encoder   *encoder
 	decoder   *decoder
@@ -24,12 +25,14 @@
 
 func newSession(transport *Transport, conn net.Conn) *session {
 	limit := transport.config.MaxFrameBytes
+	reader := bufio.NewReaderSize(conn, connectionBufferBytes)
 	return &session{
 		transport: transport,
 		conn:      conn,
+		reader:    reader,
 		writer:    bufio.NewWriterSize(conn, connectionBufferBytes),
 		encoder:   newEncoder(limit),
-		decoder:   newDecoder(bufio.NewReaderSize(conn, connectionBufferBytes), limit),
+		decoder:   newDecoder(reader, limit),
 	}
 }
 
@@ -60,10 +63,9 @@
 	_ = s.conn.SetWriteDeadline(time.Now().Add(s.transport.config.WriteTimeout))
 }
 
-// readLoop passes each message to receive until the connection is closed. It
-// closes the connection after an invalid message.
+// readLoop passes each message to receive until the connection is closed or becomes
+// a stream. It closes the connection after an invalid message.
 func (s *session) readLoop(receive func(envelope) error) {
-	defer s.close()
 	for {
 		message, size, err := s.decoder.decode()
 		if err == nil {
@@ -71,10 +73,14 @@
 			s.transport.statistics.bytesReceived.Add(uint64(size))
 			err = receive(message)
 		}
+		if errors.Is(err, errStreamBegins) {
+			return
+		}
 		if errors.Is(err, errBadFrame) {
 			s.transport.reportViolation(s.conn, err)
 		}
 		if err != nil {
+			s.close()
 			return
 		}
 	}
--- a/internal/peer/tcp/transport.go
+++ b/internal/peer/tcp/transport.go
@@ -36,6 +36,8 @@
 	mutex    sync.Mutex
 	closed   bool
 	handlers map[reflect.Type]peer.Handler
+	// streamHandlers by the type of the request that begins a stream.
+	streamHandlers map[reflect.Type]peer.StreamHandler
 	links    map[string]*link
 	accepted map[net.Conn]struct{}
 }
@@ -68,6 +70,7 @@
 		violationLogLimiter: rate.NewLimiter(maxViolationLogsPerSecond, maxViolationLogsPerSecond),
 		handshakes:          make(chan struct{}, config.MaxHandshakes),
 		handlers:            map[reflect.Type]peer.Handler{},
+		streamHandlers:      map[reflect.Type]peer.StreamHandler{},
 		links:               map[string]*link{},
 		accepted:            map[net.Conn]struct{}{},
 	}
