serverpath: Reach servers through other nodes while the own path is lost

Cause: a node knew one path to a server, its own.

Change: a connection that fails, or takes over 100 ms, is asked for at another node as well, over a stream that carries its bytes. Two servers of a pool found so, with none reached meanwhile, and the whole pool's paths count as lost; probes find out within a second or so that they are back. Choice, limits, budgets and retries stay with the node that took the request.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -81,6 +81,8 @@
 	logger     zerolog.Logger
 	view       *fleet.View
 	paths      *serverpath.Monitor
+	carrier    *serverpath.Carrier
+	carriers   *carriers
 	servers    *exchange.Client
 	store      *platform.Store
 	storeCalls *quota.Share
@@ -110,18 +112,14 @@
 	if limit := settings.Memory.LimitMB; limit > 0 {
 		debug.SetMemoryLimit(int64(softLimitShare * float64(limit) * megabyte))
 	}
-	view := fleet.NewView()
 	n := &node{
-		settings: settings, logger: logger, view: view,
+		settings: settings, logger: logger, view: fleet.NewView(),
 		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(storeDialSettings), settings.Store.Contact, logger),
 		process: edge.NewProcess(settings, logger),
 	}
-	n.paths = serverpath.NewMonitor(serverpath.Config{View: view, IsOrderHolder: func() bool { return n.election.Term() != nil }, Logger: logger})
-	n.servers = exchange.NewClient(dialSettings(n.paths))
-	n.servers.SetMaxIdle(settings.Machine.MaxIdleConnections())
 	transport, err := tcp.New(tcp.Config{
 		Address: settings.Listen.Peers, AdvertisedAddress: settings.Listen.PeersAdvertised, Secret: []byte(settings.Cluster.Secret), Logger: logger, MaxBackoff: maxPeerBackoff,
-		QueueLength: peerQueueLength, MaxPendingCalls: peerQueueLength,
+		QueueLength: peerQueueLength, MaxPendingCalls: peerQueueLength, StreamDialer: exchange.NewDialer(serverDialSettings.AckTimeout),
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for other nodes")
@@ -136,6 +134,8 @@
 	n.store.FirstEraKey = firstEraKey
 	n.storeCalls = quota.NewShare(quota.Rates{Reads: settings.Store.ReadsPerSecond, Writes: settings.Store.WritesPerSecond}, initialNodes)
 	n.store.Admit = n.storeCalls.Wait
+	n.carriers = &carriers{node: n}
+	n.assemblePaths()
 	n.assembleLimits()
 	n.assembleOrders()
 	n.assemblePoison()
@@ -146,17 +146,25 @@
 	return n.process, nil
 }
 
-// dialSettings returns the settings of connections to servers, whose results the monitor gets.
-func dialSettings(paths *serverpath.Monitor) exchange.DialSettings {
+// assemblePaths creates the client of the servers, which reaches them by this node's own path or
+// through other nodes.
+func (n *node) assemblePaths() {
+	n.paths = serverpath.NewMonitor(serverpath.Config{
+		View: n.view, Probe: func(ctx context.Context, address string) error { return n.servers.ConnectDirect(ctx, address) },
+		IsOrderHolder: func() bool { return n.election.Term() != nil }, Logger: n.logger,
+	})
+	n.paths.OnChange = func() { n.forwarder.PathsChanged() }
 	settings := serverDialSettings
-	settings.OnDial = func(address string, err error) {
-		if err != nil {
-			paths.Failed(address, err)
-			return
-		}
-		paths.Reached(address)
+	n.carrier = &serverpath.Carrier{
+		Monitor: n.paths, Dial: settings.DialDirect, MaxConnections: n.settings.Machine.MaxCarriedConnections(), OnRequest: n.metrics.CarryRequest,
 	}
-	return settings
+	n.transport.HandleStream(serverpath.OpenRequest{}, n.carrier.Serve)
+	settings.Paths = &serverpath.Dialer{
+		Monitor:        n.paths,
+		Intermediaries: &serverpath.Intermediaries{Transport: n.transport, Nodes: n.carriers.addresses, OnAnswer: n.metrics.CarrierAnswer},
+	}
+	n.servers = exchange.NewClient(settings)
+	n.servers.SetMaxIdle(n.settings.Machine.MaxIdleConnections())
 }
 
 // tenants returns the tenants of the configuration in force; nil if there are none.
@@ -200,6 +208,7 @@
 		NewDemand: func() <-chan struct{} { return n.forwarder.DemandAdded() },
 		Notices:   n.notices, SetNodes: n.setNodes, Counters: n.limiter.Counters, SetCounters: n.limiter.SetCounters,
 		Observations: n.observations, OnObservations: n.metrics.Observations,
+		PathsLost: n.paths.AnyLost, SetCarriers: n.carriers.set,
 		Name: n.settings.Node.Name, Address: n.transport.Address(), Logger: n.logger,
 	})
 }
@@ -268,7 +277,7 @@
 func (n *node) assembleForwarder() {
 	n.forwarder = forward.New(forward.Config{
 		View: n.view, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: func() bool { return n.mirror.Behind() }, Zone: n.settings.Node.Zone,
-		Connect: n.servers.Connect, OnSuspicionCheck: n.requests.SuspicionChecked,
+		Connect: n.servers.Connect, Indirect: n.paths.Lost, OnSuspicionCheck: n.requests.SuspicionChecked,
 		Fleet: retrybudget.Count{Limiter: n.limiter}, OnRetry: n.requests.Retry,
 		Observations: n.observations, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning,
 		Budget: forward.BudgetLimits{
@@ -292,18 +301,25 @@
 			Forwarder: n.forwarder, View: n.view, Closing: n.process.Stopping, OnOutcome: n.requests.Ended,
 			BodyMemory: platform.NewBodyMemory(n.maxBodyBytes()),
 		},
-		Metrics:     n.metrics,
-		Status:      n.status(),
-		Ready:       n.notReadyReason,
-		IdleLimit:   n.idleLimit,
-		Background:  []func(context.Context){n.mirror.Run, n.election.Run, n.holder.Run, n.link.Run, n.limiter.Run, n.poison.Run, n.prune, n.servePeers},
-		Drain:       n.forwarder.Drain,
-		EndRequests: n.forwarder.Close,
-		HandOver:    n.election.Resign,
-		Stopped:     n.usage.Save,
+		Metrics:      n.metrics,
+		Status:       n.status(),
+		Ready:        n.notReadyReason,
+		IdleLimit:    n.idleLimit,
+		Background:   []func(context.Context){n.mirror.Run, n.election.Run, n.holder.Run, n.link.Run, n.limiter.Run, n.poison.Run, n.paths.Run, n.prune, n.servePeers},
+		Drain:        n.drain,
+		EndRequests:  n.forwarder.Close,
+		HandOver:     n.election.Resign,
+		AwaitCarried: n.carrier.Wait,
+		Stopped:      n.usage.Save,
 	}
 }
 
+// drain refuses requests that can't be sent before the time, and new connections of other nodes.
+func (n *node) drain(until time.Time) {
+	n.carrier.Stop()
+	n.forwarder.Drain(until)
+}
+
 // status returns the source of the node's status page.
 func (n *node) status() *inspect.Source {
 	return &inspect.Source{
@@ -333,7 +349,8 @@
 		Quarantine:   func() float64 { return float64(len(n.poison.Entries())) },
 		Limited:      func() float64 { return float64(n.notices.LimitedServers()) },
 		Suspected:    func() float64 { return float64(n.observations.Suspicions(time.Now())) },
-		Unreached:    func() float64 { return float64(n.paths.Unreached()) },
+		LostPaths:    func() float64 { return float64(n.paths.CountLost()) },
+		Carried:      func() float64 { return float64(n.carrier.Carried()) },
 		SharingNodes: func() float64 { return float64(n.forwarder.RetryBudget().Nodes(time.Now())) },
 	}
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -30,6 +30,7 @@
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
+	"github.com/hatchplank/hatchplank/internal/serverpath"
 )
 
 const validSettings = `
@@ -174,7 +175,7 @@
 
 func newTestMetrics() *Metrics {
 	none := func() float64 { return 0 }
-	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Era: none, Holder: none, Relayed: none, Quarantine: none, Limited: none, Unreached: none})
+	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Era: none, Holder: none, Relayed: none, Quarantine: none, Limited: none, LostPaths: none, Carried: none})
 }
 
 func TestRequestLogRecordsTheDecision(t *testing.T) {
@@ -231,6 +232,8 @@
 	metrics.SentToLimited(notice.PurposeRequest)
 	metrics.Quota("north", ratelimit.Verdict{Allowed: true})
 	metrics.Retry(retrybudget.Decision{Allowed: true, By: retrybudget.ByNode})
+	metrics.CarryRequest(serverpath.Opened)
+	metrics.CarrierAnswer(serverpath.Opened)
 	answer := httptest.NewRecorder()
 	metrics.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
--- a/internal/edge/machine.go
+++ b/internal/edge/machine.go
@@ -13,6 +13,9 @@
 	// connections to servers may occupy. The others are for clients, other nodes and requests
 	// in flight.
 	idleConnectionShare = 0.25
+	// carriedConnectionShare is the share that connections carried for other nodes may occupy, with
+	// two descriptors each.
+	carriedConnectionShare = 0.25
 
 	// The settings give bandwidth in megabits (10^6 bits).
 	bitsPerMegabit, bitsPerByte = 1e6, 8
@@ -40,6 +43,12 @@
 	return int(idleConnectionShare * float64(m.Descriptors-reservedDescriptors))
 }
 
+// MaxCarriedConnections returns the maximum number of connections to servers that the node carries for
+// other nodes.
+func (m Machine) MaxCarriedConnections() int {
+	return int(carriedConnectionShare / 2 * float64(m.Descriptors-reservedDescriptors))
+}
+
 // FanOutTime estimates how long the machine takes to send one change to all nodes of a large
 // fleet. Nodes with a long fan-out time campaign later for the order holder's lease, since the
 // holder sends changes often.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
+	"github.com/hatchplank/hatchplank/internal/serverpath"
 )
 
 // MetricDescription describes a metric, as documented in docs/operators/metrics.md.
@@ -51,7 +52,10 @@
 	metricSuspectedServers  = "hatchplank_node_suspected_servers"
 	metricRetries           = "hatchplank_node_retries_total"
 	metricSharingNodes      = "hatchplank_node_sharing_nodes"
-	metricUnreachedPools    = "hatchplank_node_unreached_pools"
+	metricLostPaths         = "hatchplank_node_lost_server_paths"
+	metricCarried           = "hatchplank_node_carried_connections"
+	metricCarryRequests     = "hatchplank_node_carry_requests_total"
+	metricCarrierAnswers    = "hatchplank_node_carrier_answers_total"
 )
 
 // MetricDescriptions lists the node's own metrics.
@@ -83,7 +87,10 @@
 	{metricSuspectedServers, "gauge", "", "Servers that another node found unreachable and that no node has reached since, as far as this node knows."},
 	{metricRetries, "counter", "verdict, by", "Attempts beyond a request's first that were compared with the retry budget, by verdict (within, over) and by who decided (node: this node's own allowance; fleet: the count for all nodes; share: this node's even share, as too few counting nodes answered)."},
 	{metricSharingNodes, "gauge", "", "Nodes that share the slack of the retry budget, as far as this node knows; 0 if it does not know."},
-	{metricUnreachedPools, "gauge", "", "Pools of which this node reaches no server, by its newest connections."},
+	{metricLostPaths, "gauge", "", "Servers that this node does not reach although other nodes do, and reaches through them."},
+	{metricCarried, "gauge", "", "Connections to servers that this node carries for other nodes."},
+	{metricCarryRequests, "counter", "outcome", "Requests of other nodes for a connection to a server, by outcome (opened, refused, unreached, busy, unknown_server)."},
+	{metricCarrierAnswers, "counter", "outcome", "Answers of other nodes to such requests of this node, by outcome."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
@@ -95,7 +102,7 @@
 
 // Gauges holds the functions that supply the gauges' values at each scrape.
 type Gauges struct {
-	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited, Suspected, SharingNodes, Unreached func() float64
+	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited, Suspected, SharingNodes, LostPaths, Carried func() float64
 }
 
 // NewMetrics registers the node's metrics.
@@ -111,7 +118,8 @@
 	set.NewGauge(metricLimitedServers, gauges.Limited)
 	set.NewGauge(metricSuspectedServers, gauges.Suspected)
 	set.NewGauge(metricSharingNodes, gauges.SharingNodes)
-	set.NewGauge(metricUnreachedPools, gauges.Unreached)
+	set.NewGauge(metricLostPaths, gauges.LostPaths)
+	set.NewGauge(metricCarried, gauges.Carried)
 	for _, kind := range []placement.Kind{placement.Load, placement.Unload} {
 		set.NewCounter(replicaOrdersCounter(kind.String(), placement.ReasonRelief))
 	}
@@ -150,6 +158,16 @@
 // ServerCrashed counts a server that crashed while it had requests of this node.
 func (m *Metrics) ServerCrashed() { m.set.GetOrCreateCounter(metricServerCrashes).Inc() }
 
+// CarryRequest counts a request of another node for a connection to a server.
+func (m *Metrics) CarryRequest(outcome serverpath.Outcome) {
+	m.count(metricCarryRequests, "outcome", outcome.String())
+}
+
+// CarrierAnswer counts another node's answer to a request for a connection to a server.
+func (m *Metrics) CarrierAnswer(outcome serverpath.Outcome) {
+	m.count(metricCarrierAnswers, "outcome", outcome.String())
+}
+
 // Order counts an order to a model server, by kind and reply.
 func (m *Metrics) Order(order, reply string) { m.count(metricOrders, "order", order, "reply", reply) }
 
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -32,6 +32,9 @@
 	EndRequests func()
 	// HandOver passes the node's roles to other nodes at shutdown.
 	HandOver func()
+	// AwaitCarried waits until no requests of other nodes are in flight through this node, or ctx ends;
+	// nil: there are none.
+	AwaitCarried func(ctx context.Context)
 	// Stopped is called at shutdown once no request is in flight, exitMargin before the end of the
 	// grace period at the latest.
 	Stopped func()
@@ -232,6 +235,9 @@
 	if err != nil {
 		_ = p.callers.Close()
 	}
+	if p.components.AwaitCarried != nil {
+		p.components.AwaitCarried(ctx)
+	}
 	p.components.Stopped()
 	for _, server := range p.auxiliary {
 		_ = server.Close()
--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -127,6 +127,9 @@
 		if decision.Slowdown > 0 && decision.Slowdown != 1 {
 			event = event.Float64("slowdown", decision.Slowdown)
 		}
+		if decision.Indirect {
+			event = event.Bool("indirect", true)
+		}
 		if decision.Arrivals > 0 {
 			event = event.Float64("arrivals", decision.Arrivals)
 		}
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -43,6 +43,8 @@
 	// Head is the encoded request line and headers, including the empty line.
 	Head []byte
 	Body []byte
+	// DirectOnly is set if the request must not pass through another node.
+	DirectOnly bool
 	// Matches reports whether a response with this head belongs to the request; nil: every
 	// response does.
 	Matches func(head *http.Response) bool
@@ -57,7 +59,7 @@
 	dial DialSettings
 
 	mutex sync.Mutex
-	idle  map[string][]*connection
+	idle  map[route][]*connection
 	// idleCount is the number of idle connections to all servers, maxIdle its limit; 0: no limit.
 	idleCount, maxIdle int
 	opened             uint64
@@ -71,7 +73,7 @@
 	if dial.IdleTimeout == 0 {
 		dial.IdleTimeout = defaultIdleTimeout
 	}
-	return &Client{dial: dial, idle: map[string][]*connection{}}
+	return &Client{dial: dial, idle: map[route][]*connection{}}
 }
 
 // SetMaxIdle limits the idle connections to all servers together. It must be called before the
@@ -92,7 +94,7 @@
 // the body returns io.EOF only if the response is complete. When ctx ends, even while the body is
 // being read, the connection is closed.
 func (c *Client) Do(ctx context.Context, request Request) (*http.Response, error) {
-	conn, err := c.acquire(ctx, request.Address)
+	conn, err := c.acquire(ctx, request.Address, request.DirectOnly)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
@@ -110,7 +112,7 @@
 		return nil, err
 	}
 	response.Body = &responseBody{
-		ReadCloser: response.Body, client: c, conn: conn, address: request.Address, stop: stop, write: write,
+		ReadCloser: response.Body, client: c, conn: conn, stop: stop, write: write,
 		reusable: clean && !response.Close, idleTimeout: idleTimeoutFrom(response.Header.Get("Keep-Alive"), c.dial.IdleTimeout),
 	}
 	return response, nil
@@ -147,9 +149,9 @@
 }
 
 // acquire returns an idle connection that is still usable, or else opens a new one.
-func (c *Client) acquire(ctx context.Context, address string) (*connection, error) {
+func (c *Client) acquire(ctx context.Context, address string, directOnly bool) (*connection, error) {
 	for {
-		conn := c.takeIdle(address)
+		conn := c.takeIdle(c.routeTo(address, directOnly))
 		if conn == nil {
 			break
 		}
@@ -158,12 +160,17 @@
 		}
 		_ = conn.Close()
 	}
-	return c.open(ctx, address)
+	return c.open(ctx, address, directOnly)
+}
+
+// routeTo returns the route by which a server is reached now.
+func (c *Client) routeTo(address string, directOnly bool) route {
+	return route{address, !directOnly && c.dial.Paths != nil && c.dial.Paths.Indirect(address)}
 }
 
 // open opens a connection and counts it.
-func (c *Client) open(ctx context.Context, address string) (*connection, error) {
-	conn, err := c.dial.dial(ctx, address)
+func (c *Client) open(ctx context.Context, address string, directOnly bool) (*connection, error) {
+	conn, err := c.dial.open(ctx, address, directOnly)
 	if err != nil {
 		return nil, err
 	}
@@ -176,39 +183,48 @@
 // Connect checks whether a server accepts connections at an address. A connection that is opened
 // is kept for the next request.
 func (c *Client) Connect(ctx context.Context, address string) error {
-	conn, err := c.open(ctx, address)
+	return c.connect(ctx, address, false)
+}
+
+// ConnectDirect is Connect by this node's own path.
+func (c *Client) ConnectDirect(ctx context.Context, address string) error {
+	return c.connect(ctx, address, true)
+}
+
+func (c *Client) connect(ctx context.Context, address string, directOnly bool) error {
+	conn, err := c.open(ctx, address, directOnly)
 	if err != nil {
 		return err
 	}
 	conn.expiresAt = time.Now().Add(c.dial.IdleTimeout)
-	c.putIdle(address, conn)
+	c.putIdle(conn)
 	return nil
 }
 
-// takeIdle removes and returns the most recently used idle connection to a server; nil if there is
+// takeIdle removes and returns the most recently used idle connection of a route; nil if there is
 // none.
-func (c *Client) takeIdle(address string) *connection {
+func (c *Client) takeIdle(by route) *connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	kept := c.idle[address]
+	kept := c.idle[by]
 	if len(kept) == 0 {
 		return nil
 	}
 	last := kept[len(kept)-1]
 	c.idleCount--
 	if len(kept) == 1 {
-		delete(c.idle, address)
+		delete(c.idle, by)
 		return last
 	}
-	c.idle[address] = kept[:len(kept)-1]
+	c.idle[by] = kept[:len(kept)-1]
 	return last
 }
 
 // putIdle keeps a connection for reuse, within the limits on idle connections.
-func (c *Client) putIdle(address string, conn *connection) {
+func (c *Client) putIdle(conn *connection) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.idle[address]) >= c.dial.MaxIdlePerServer {
+	if len(c.idle[conn.route]) >= c.dial.MaxIdlePerServer {
 		_ = conn.Close()
 		return
 	}
@@ -216,19 +232,19 @@
 		c.closeOldestIdle()
 	}
 	c.idleCount++
-	c.idle[address] = append(c.idle[address], conn)
+	c.idle[conn.route] = append(c.idle[conn.route], conn)
 }
 
-// closeOldestIdle closes the least recently used idle connection of an arbitrary server. It must be
+// closeOldestIdle closes the least recently used idle connection of an arbitrary route. It must be
 // called with the lock held.
 func (c *Client) closeOldestIdle() {
-	for address, kept := range c.idle {
+	for by, kept := range c.idle {
 		_ = kept[0].Close()
 		c.idleCount--
 		if len(kept) == 1 {
-			delete(c.idle, address)
+			delete(c.idle, by)
 		} else {
-			c.idle[address] = kept[1:]
+			c.idle[by] = kept[1:]
 		}
 		return
 	}
@@ -238,11 +254,11 @@
 func (c *Client) closeIdle() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for address, kept := range c.idle {
+	for by, kept := range c.idle {
 		for _, conn := range kept {
 			_ = conn.Close()
 		}
-		delete(c.idle, address)
+		delete(c.idle, by)
 	}
 	c.idleCount = 0
 }
@@ -251,7 +267,7 @@
 func (c *Client) Prune(now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for address, kept := range c.idle {
+	for by, kept := range c.idle {
 		var left []*connection
 		for _, conn := range kept {
 			if now.Before(conn.expiresAt) {
@@ -262,10 +278,10 @@
 			c.idleCount--
 		}
 		if len(left) == 0 {
-			delete(c.idle, address)
+			delete(c.idle, by)
 			continue
 		}
-		c.idle[address] = left
+		c.idle[by] = left
 	}
 }
 
@@ -317,7 +333,6 @@
 	io.ReadCloser
 	client      *Client
 	conn        *connection
-	address     string
 	stop        func() bool
 	write       *requestWrite
 	reusable    bool
@@ -346,7 +361,7 @@
 		return
 	}
 	b.conn.expiresAt = time.Now().Add(b.idleTimeout)
-	b.client.putIdle(b.address, b.conn)
+	b.client.putIdle(b.conn)
 }
 
 // Close ends the exchange. If the response was not read completely, the connection is closed.
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -10,7 +10,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"strconv"
 	"strings"
@@ -36,10 +35,31 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	route  route
 	// expiresAt is when an idle connection is no longer reused, since the server may close it.
 	expiresAt time.Time
 }
 
+// route is a server's address, and whether connections to it pass through another node.
+type route struct {
+	address  string
+	indirect bool
+}
+
+// DialFunc opens a connection to a server.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Paths chooses by which path connections to servers are opened.
+type Paths interface {
+	// Indirect reports whether connections to a server pass through another node now.
+	Indirect(address string) bool
+	// Dial opens a connection by any path, and reports whether it passes through another node.
+	// Direct opens one by this node's own path, within its own time limit.
+	Dial(ctx context.Context, address string, direct DialFunc) (conn net.Conn, indirect bool, err error)
+	// DialDirect opens a connection by this node's own path.
+	DialDirect(ctx context.Context, address string, direct DialFunc) (net.Conn, error)
+}
+
 // DialSettings configures the connections to servers.
 type DialSettings struct {
 	// Timeout is the time limit for opening a connection.
@@ -52,42 +72,52 @@
 	MaxIdlePerServer int
 	IdleTimeout      time.Duration
 	// Dial opens a connection; nil: TCP with these settings.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// OnDial is called with the result of each attempt to open a connection that was not cancelled;
-	// nil: not called.
-	OnDial func(address string, err error)
+	Dial DialFunc
+	// Paths chooses the path of each connection; nil: this node's own.
+	Paths Paths
 }
 
-// dial opens a connection within the time limit.
-func (d DialSettings) dial(ctx context.Context, address string) (*connection, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
-	defer cancel()
-	dial := d.Dial
-	if dial == nil {
-		dial = d.dialTCP
-	}
-	raw, err := dial(ctx, address)
-	if d.OnDial != nil && (err == nil || !errors.Is(ctx.Err(), context.Canceled)) {
-		d.OnDial(address, err)
+// open opens a connection to a server, by this node's own path if directOnly is set.
+func (d DialSettings) open(ctx context.Context, address string, directOnly bool) (*connection, error) {
+	var raw net.Conn
+	indirect := false
+	var err error
+	switch {
+	case d.Paths == nil:
+		raw, err = d.DialDirect(ctx, address)
+	case directOnly:
+		raw, err = d.Paths.DialDirect(ctx, address, d.DialDirect)
+	default:
+		raw, indirect, err = d.Paths.Dial(ctx, address, d.DialDirect)
 	}
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), route: route{address, indirect}}, nil
+}
+
+// DialDirect opens a connection by this node's own path, within the time limit.
+func (d DialSettings) DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	if d.Dial != nil {
+		return d.Dial(ctx, address)
+	}
+	return NewDialer(d.AckTimeout).DialContext(ctx, "tcp", address)
 }
 
-// dialTCP opens a TCP connection with keep-alive probes and AckTimeout.
-func (d DialSettings) dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{
+// NewDialer returns a dialer of TCP connections with keep-alive probes, on which sent data may remain
+// unacknowledged for a time.
+func NewDialer(ackTimeout time.Duration) *net.Dialer {
+	return &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return raw.Control(func(descriptor uintptr) {
 				// On failure the system's default applies, which only detects a dead peer later.
-				_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.AckTimeout.Milliseconds()))
+				_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
 			})
 		},
 	}
-	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // isReusable reports whether the connection is open and no data has arrived on it since the last
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -32,6 +32,8 @@
 	// sharedAge is the age of the load, if loads of other nodes are in force.
 	sharedAge time.Duration
 	shared    bool
+	// indirect: this node reaches the server through another node.
+	indirect bool
 	// suspectedSince is when this node received the suspicion that the server is unreachable.
 	suspectedSince time.Time
 	// slotIn is the expected wait for a slot under the server's rate limit; zero without a
@@ -118,7 +120,7 @@
 		}
 		// The queue must be short enough for the request to begin while that is useful to the caller.
 		if fits && queueWait <= maxQueueWait && backoff <= 0 && slot.mayRequest(flow, maxWait) {
-			candidates = append(candidates, candidate{server: server, load: load, slotIn: slot.in})
+			candidates = append(candidates, candidate{server: server, load: load, slotIn: slot.in, indirect: f.indirect(server.Address)})
 		}
 	}
 	candidates, result.check, result.checking = f.avoidSuspected(flow, candidates, now)
@@ -163,7 +165,7 @@
 	c.load.mutex.Lock()
 	defer c.load.mutex.Unlock()
 	flow.decision.Load, flow.decision.Score = c.load.estimate(now), c.score
-	flow.decision.Slowdown = c.slowdown
+	flow.decision.Slowdown, flow.decision.Indirect = c.slowdown, c.indirect
 	flow.decision.LoadSource, flow.decision.LoadAge = c.load.source(now)
 	c.load.changeOwn(1, now)
 	c.load.ownPrefill += flow.request.PromptTokens
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -44,6 +44,8 @@
 	// Connect tests whether a process listens at a server's address. With it, servers that other
 	// nodes found unreachable are avoided and checked; nil: they are not.
 	Connect func(ctx context.Context, address string) error
+	// Indirect reports whether the server at an address is reached through another node; nil: none is.
+	Indirect func(address string) bool
 	// OnSuspicionCheck is called with each such check; nil: not called.
 	OnSuspicionCheck func(SuspicionCheck)
 	// Random returns numbers from 0 up to 1, with which servers are drawn; nil: those of
@@ -93,6 +95,7 @@
 	observations     *observation.Table
 	random           func() float64
 	connect          func(ctx context.Context, address string) error
+	indirect         func(address string) bool
 	onSuspicionCheck func(SuspicionCheck)
 	zone             string
 	tracker          *tracker
@@ -141,6 +144,9 @@
 	if config.OnSuspicionCheck == nil {
 		config.OnSuspicionCheck = func(SuspicionCheck) {}
 	}
+	if config.Indirect == nil {
+		config.Indirect = func(string) bool { return false }
+	}
 	if config.Random == nil {
 		config.Random = rand.Float64
 	}
@@ -153,7 +159,7 @@
 	lifetime, cancel := context.WithCancel(context.Background())
 	return &Forwarder{
 		lifetime: lifetime, cancel: cancel, started: time.Now(),
-		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
+		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, indirect: config.Indirect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
 		tracker: newTracker(), demand: newDemandTable(), priorities: newPriorityMix(),
 		budgets: retrybudget.New(retrybudget.Config{Limits: config.Budget, Nodes: config.Nodes, Fleet: config.Fleet}), onRetry: config.OnRetry,
 		observe: config.Observe, longRunning: config.LongRunning, longestTimes: map[string]time.Duration{},
@@ -169,6 +175,13 @@
 	f.tracker.notifyFreed()
 }
 
+// PathsChanged is called after servers have become reachable by another path: failed connections show
+// nothing of them any more.
+func (f *Forwarder) PathsChanged() {
+	f.tracker.endPauses()
+	f.tracker.notifyFreed()
+}
+
 // Close ends all requests in flight at once, each with its final answer.
 func (f *Forwarder) Close() { f.cancel() }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -228,6 +228,8 @@
 	// Slowdown is the expected duration of the chosen server's work as a multiple of usual; 1 if it
 	// reports none.
 	Slowdown float64
+	// Indirect: the chosen server was reached through another node.
+	Indirect bool
 	// Arrivals is the number of requests that all nodes send while they know the same loads.
 	// From 1 on, the server was drawn; below, it had the lowest score.
 	Arrivals float64
--- a/internal/forward/score.go
+++ b/internal/forward/score.go
@@ -9,6 +9,8 @@
 const (
 	// otherZonePenalty is added to the score of a server in another zone.
 	otherZonePenalty = 3 * time.Millisecond
+	// indirectPenalty is added to the score of a server that is reached through another node.
+	indirectPenalty = 6 * time.Millisecond
 	// preferredCachedShare is the share of a prompt prefix that is assumed to be cached at
 	// the server that all nodes prefer for it.
 	preferredCachedShare = 0.6
@@ -52,7 +54,7 @@
 }
 
 // score sets the candidate's score: the expected time until the response begins, with
-// penalties for other zones, rate limits and recent failures.
+// penalties for other zones, indirect paths, rate limits and recent failures.
 func (f *Forwarder) score(flow *flow, c *candidate, preferred bool, tokenTime time.Duration, now time.Time) {
 	c.load.mutex.Lock()
 	defer c.load.mutex.Unlock()
@@ -73,6 +75,9 @@
 	if c.server.Zone != f.zone {
 		c.score += otherZonePenalty
 	}
+	if c.indirect {
+		c.score += indirectPenalty
+	}
 }
 
 // cachedTokens is the number of prompt tokens that the server is expected to have cached:
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -236,6 +238,18 @@
 	return s.own == 0
 }
 
+// endPauses ends the pauses of all servers after failed connections.
+func (t *tracker) endPauses() {
+	t.mutex.Lock()
+	loads := slices.Collect(maps.Values(t.servers))
+	t.mutex.Unlock()
+	for _, load := range loads {
+		load.mutex.Lock()
+		load.recordReachable()
+		load.mutex.Unlock()
+	}
+}
+
 // notifyFreed wakes the requests that wait for capacity.
 func (t *tracker) notifyFreed() {
 	t.mutex.Lock()
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -325,5 +325,8 @@
 	update.LimitsBase = limitsAfter
 	update.Limits, update.LimitsVersion = h.config.Notices.Limits(limitsAfter)
 	update.Counters = h.countersFor(report)
+	if report.PathsLost {
+		update.Carriers = h.carriersFor(report.Address, now)
+	}
 	return update, true
 }
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -55,6 +55,10 @@
 	Counters    func() ratelimit.Counters
 	SetCounters func(counters ratelimit.Counters)
 	Transport   peer.Transport
+	// PathsLost reports whether this node does not reach servers that other nodes reach; nil: never.
+	// SetCarriers is called with the nodes through which it may reach them.
+	PathsLost   func() bool
+	SetCarriers func(addresses []string)
 	// Name and Address are those of this node.
 	Name, Address string
 	Logger        zerolog.Logger
@@ -103,6 +107,12 @@
 	if config.OnObservations == nil {
 		config.OnObservations = func(Direction, int) {}
 	}
+	if config.PathsLost == nil {
+		config.PathsLost = func() bool { return false }
+	}
+	if config.SetCarriers == nil {
+		config.SetCarriers = func([]string) {}
+	}
 	link := &Link{
 		config: config, started: time.Now().UnixNano(), size: newFleetSize(0, time.Now()),
 		readyTimes: map[forward.DemandKey]time.Time{}, arrived: map[forward.DemandKey]uint64{},
@@ -215,6 +225,7 @@
 	report := DemandReport{
 		Node: l.config.Name, Address: l.config.Address, Sequence: l.sequence, Started: l.started,
 		Token: l.token, Version: l.version, Leaving: l.config.View.Leaving(), LimitsVersion: l.limitsReceived,
+		CarriesConnections: true, PathsLost: l.config.PathsLost(),
 	}
 	content := reportContent{token: l.token, arrived: map[forward.DemandKey]uint64{}}
 	report.Limits, content.limits = l.config.Notices.LocalLimits(l.limitsReported)
@@ -302,6 +313,9 @@
 	if len(update.Counters.Addresses) > 0 {
 		l.config.SetCounters(update.Counters)
 	}
+	if len(update.Carriers) > 0 {
+		l.config.SetCarriers(update.Carriers)
+	}
 }
 
 // SetSavedNodes sets the number of nodes that share limits as an earlier holder saved it, unless a
--- a/internal/orders/messages.go
+++ b/internal/orders/messages.go
@@ -58,6 +58,11 @@
 	Observations []observation.Observation
 	// PoolArrivals are the requests to pools without models.
 	PoolArrivals []PoolArrivals
+	// CarriesConnections is set if other nodes may reach servers through the node. Earlier builds
+	// can't.
+	CarriesConnections bool
+	// PathsLost is set while the node does not reach servers that other nodes reach.
+	PathsLost bool
 }
 
 // PoolArrivals counts a node's requests to a pool without models, for which there are no rows.
@@ -119,6 +124,9 @@
 	Observations []observation.Observation
 	// Rates are the arrival rates, over all nodes, of models that the receiver's callers request.
 	Rates []observation.Rate
+	// Carriers are addresses of nodes through which the receiver may reach servers, if its report says
+	// that it has lost paths.
+	Carriers []string
 }
 
 // NotHolder is the reply of a node without a term to a demand report.
--- a/internal/peer/tcp/config.go
+++ b/internal/peer/tcp/config.go
@@ -47,7 +47,7 @@
 	Secret []byte
 	// TLS configuration of accepted and dialed connections. If nil, TLS is not
 	// used.
-	TLS    *tls.Config
+	TLS *tls.Config
 	// StreamDialer connects to peers for streams. If nil, a default one is used.
 	StreamDialer *net.Dialer
 	Logger       zerolog.Logger
--- a/internal/peer/tcp/transport.go
+++ b/internal/peer/tcp/transport.go
@@ -38,8 +38,8 @@
 	handlers map[reflect.Type]peer.Handler
 	// streamHandlers by the type of the request that begins a stream.
 	streamHandlers map[reflect.Type]peer.StreamHandler
-	links    map[string]*link
-	accepted map[net.Conn]struct{}
+	links          map[string]*link
+	accepted       map[net.Conn]struct{}
 }
 
 var _ peer.Transport = (*Transport)(nil)
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -26,6 +26,7 @@
 	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/poison"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
+	"github.com/hatchplank/hatchplank/internal/serverpath"
 	"github.com/hatchplank/hatchplank/internal/tablestore"
 )
 
@@ -63,6 +64,8 @@
 	"poison.Quarantined":         poison.Quarantined{},
 	"poison.Released":            poison.Released{},
 	"poison.Report":              poison.Report{},
+	"serverpath.OpenReply":       serverpath.OpenReply{},
+	"serverpath.OpenRequest":     serverpath.OpenRequest{},
 	"tablestore.PullReply":       tablestore.PullReply{},
 	"tablestore.PullRequest":     tablestore.PullRequest{},
 	"tablestore.PushMessage":     tablestore.PushMessage{},
