orders: A holder that does not reach the servers gives up its lease

What callers saw: while the order holder was among the partitioned nodes nothing was loaded for anybody; callers of models that no server held were refused with no_back_end by all nodes.

Cause: a holder kept its lease as long as it reached the store, whether or not its orders reached a server. Evidence: in the record of the incident the holder, cut off from 5 to 17 s, renews its lease every 0.5 s, logs 94 failed reports and 17 orders without an answer, and no server accepts an order in that time.

Nodes that don't reach the servers campaign 1.5 s later than others. An order of which no byte was sent does not count as one that a successor has to wait for.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -190,7 +190,8 @@
 	n.election = orders.NewElection(orders.ElectionConfig{
 		Store: n.store, Prefix: ownPrefix, Self: orders.HolderRecord{Name: n.settings.Node.Name, Address: n.transport.Address()},
 		Era: n.store.RevisionEra, Restored: func() bool { return n.store.Era() > 0 },
-		Lease: max(holderLease, n.settings.Store.MinimumLease), HandoverPeriod: n.handoverPeriod(), ExtraCampaignWait: n.settings.Machine.FanOutTime(), Logger: n.logger,
+		Lease: max(holderLease, n.settings.Store.MinimumLease), HandoverPeriod: n.handoverPeriod(), ExtraCampaignWait: n.settings.Machine.FanOutTime(),
+		LostShare: n.paths.LostShare, Logger: n.logger,
 	})
 	n.counters = &orders.CountersStore{Store: n.store, Key: countersKey, OnChange: n.limiter.SetCounters, OnNone: n.noCountersYet, Logger: n.logger}
 	n.counters.OnNodes = func(nodes int) { n.link.SetSavedNodes(nodes) }
@@ -198,9 +199,9 @@
 		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers, Notices: n.notices}, Name: n.settings.Node.Name,
 		Counters: n.limiter.Counters, SavedCounters: n.counters, Notices: n.notices, Limits: n.limits, Observations: n.observations,
 		LoadRate:  orders.LoadRateLimits{Window: n.settings.Orders.LoadWindow, Overage: n.settings.Orders.LoadOverage},
-		LoadAhead: true,
-		Push:      func(address string, update orders.Update) { n.link.Push(address, update) },
-		OnOrder:   n.metrics.Order, OnReplicaOrder: n.metrics.ReplicaOrder, Logger: n.logger,
+		LoadAhead: true, LostShare: n.paths.LostShare,
+		Push:    func(address string, update orders.Update) { n.link.Push(address, update) },
+		OnOrder: n.metrics.Order, OnReplicaOrder: n.metrics.ReplicaOrder, Logger: n.logger,
 	})
 	n.link = orders.NewLink(orders.LinkConfig{
 		Election: n.election, Holder: n.holder, View: n.view, Transport: n.transport,
--- a/internal/orders/campaign.go
+++ b/internal/orders/campaign.go
@@ -32,9 +32,10 @@
 func (e *Election) vacancy() (<-chan struct{}, *vacancy) {
 	e.mutex.Lock()
 	changed := e.changed
-	holder, last, synced, resigned, vacantAt := e.holder, e.lastHolder, e.synced, e.resigned, e.vacantAt
+	holder, last, synced, vacantAt := e.holder, e.lastHolder, e.synced, e.vacantAt
+	abstains := e.resigned || time.Now().Before(e.abstainsUntil)
 	e.mutex.Unlock()
-	if !synced || resigned {
+	if !synced || abstains {
 		return changed, nil
 	}
 	found := &vacancy{notBefore: time.Now(), activates: true}
--- a/internal/orders/election.go
+++ b/internal/orders/election.go
@@ -86,7 +86,11 @@
 	// on one of the smallest of 985 machines ran out of file descriptors 14 s after the
 	// start.
 	ExtraCampaignWait time.Duration
-	Logger            zerolog.Logger
+	// LostShare returns the share of the servers with models that this node does not reach although
+	// other nodes do, from 0 to 1; nil: always 0. A node that does not reach them campaigns later than
+	// the others.
+	LostShare func() float64
+	Logger    zerolog.Logger
 }
 
 // Election elects one node as the holder, by a record in the store. It is safe for concurrent
@@ -105,6 +109,8 @@
 	// changed is closed, and replaced, on each change.
 	changed  chan struct{}
 	resigned bool
+	// abstainsUntil is until when this node does not campaign, since it gave up its lease.
+	abstainsUntil time.Time
 	// vacantAt is when the holder's record was last seen to be deleted or expired, and
 	// restoredAt when this node first observed the store's era restoredEra.
 	vacantAt, restoredAt time.Time
@@ -120,6 +126,9 @@
 	if config.Restored == nil {
 		config.Restored = func() bool { return config.Era() > 0 }
 	}
+	if config.LostShare == nil {
+		config.LostShare = func() float64 { return 0 }
+	}
 	return &Election{config: config, changed: make(chan struct{})}
 }
 
@@ -238,9 +247,13 @@
 	e.resigned = true
 	e.term = nil
 	e.mutex.Unlock()
-	if term == nil {
-		return
+	if term != nil {
+		e.giveUp(term, lease)
 	}
+}
+
+// giveUp ends the term with a handover.
+func (e *Election) giveUp(term *Term, lease outside.LeaseID) {
 	term.end()
 	handedOver := e.handOver(term)
 	err := outside.AwaitError(func(done func(error)) { e.config.Store.RevokeLease(lease, storeTimeout, done) })
@@ -303,6 +316,9 @@
 	if at.holderRevision == 0 {
 		wait += e.config.ExtraCampaignWait
 	}
+	if e.config.LostShare() >= maxLostShare {
+		wait += partitionedCampaignWait
+	}
 	return wait
 }
 
--- a/internal/orders/engines.go
+++ b/internal/orders/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/placement"
@@ -58,10 +59,13 @@
 	InMemory, OnDisk map[string]bool
 }
 
+// ErrNotSent means that no byte of an order was sent.
+var ErrNotSent = errors.New("order not sent")
+
 // Engines calls the model servers.
 type Engines interface {
-	// Order sends one order. After an error the server may have accepted it, or may still
-	// carry it out later.
+	// Order sends one order. After an error other than ErrNotSent the server may have accepted it, or
+	// may still carry it out later.
 	Order(ctx context.Context, order Order) (Reply, error)
 	// Report asks a server for its state. The state returned may be some 100 ms old.
 	Report(ctx context.Context, server *fleet.Server) (Report, error)
--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -58,7 +59,7 @@
 	case !sent:
 		h.finish(target, nil)
 	case err != nil || reply == ReplyConflict || reply == ReplyOtherInstance || reply == ReplyFenced || reply == ReplyInvalid:
-		if err != nil {
+		if err != nil && !errors.Is(err, ErrNotSent) {
 			h.noteUnconfirmedLoad(target, action)
 		}
 		// Reads the server's current state. Should the order still arrive late, its
@@ -96,8 +97,12 @@
 		h.config.Limits.Return(grant)
 		return 0, false, nil
 	}
-	defer term.endOrder(order.Server.ID)
 	reply, err = h.config.Engines.Order(ctx, order)
+	if errors.Is(err, ErrNotSent) {
+		term.cancelOrder(order.Server.ID)
+	} else {
+		term.endOrder(order.Server.ID)
+	}
 	return reply, true, err
 }
 
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -56,6 +56,9 @@
 	Limits forward.Limits
 	// LoadRate bounds the loads from the weight store.
 	LoadRate LoadRateLimits
+	// LostShare returns the share of the servers with models that this node does not reach although
+	// other nodes do, from 0 to 1; nil: always 0.
+	LostShare func() float64
 	// LoadAhead makes the holder load models that no server holds before they are requested.
 	LoadAhead bool
 	// Push sends an update to a node; it must not block.
@@ -108,6 +111,9 @@
 	if config.Observations == nil {
 		config.Observations = observation.NewTable()
 	}
+	if config.LostShare == nil {
+		config.LostShare = func() float64 { return 0 }
+	}
 	return &Holder{config: config, demand: newDemandTracker(), wake: make(chan struct{}, 1), servers: newServerTable(), reports: &reportQueue{}, estimates: newReadyEstimates(), size: newFleetSize(0, time.Now()), recent: map[string]*placement.RecentLosses{}}
 }
 
@@ -209,6 +215,7 @@
 	if term.leaseValid(now) {
 		h.chooseCounters(term, now)
 	}
+	h.yieldIfPartitioned(term, now)
 }
 
 // plan plans one pool and starts its orders. It must be called with the lock held.
--- a/internal/orders/order_history.go
+++ b/internal/orders/order_history.go
@@ -56,11 +56,23 @@
 func (h *orderHistory) end(server string, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	h.removeInFlight(server)
+	h.completed[server] = now
+}
+
+// cancel records that an order to a server was not sent.
+func (h *orderHistory) cancel(server string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.removeInFlight(server)
+}
+
+// removeInFlight removes one order to a server. The lock must be held.
+func (h *orderHistory) removeInFlight(server string) {
 	h.inFlight[server]--
 	if h.inFlight[server] == 0 {
 		delete(h.inFlight, server)
 	}
-	h.completed[server] = now
 }
 
 // recent returns the age of the last order, in milliseconds rounded down, of each server that
--- a/internal/orders/order_history_test.go
+++ b/internal/orders/order_history_test.go
@@ -16,6 +16,8 @@
 	history.begin("under way")
 	history.begin("done")
 	history.end("done", start)
+	history.begin("not sent")
+	history.cancel("not sent")
 	history.begin("long ago")
 	history.end("long ago", start.Add(-4*time.Second))
 	ages, complete := history.recent(start.Add(500 * time.Millisecond))
--- a/internal/orders/partition.go
+++ b/internal/orders/partition.go
@@ -5,8 +5,27 @@
 	"time"
 )
 
-// maxCarriers is the number of carriers that a node is sent.
-const maxCarriers = 16
+const (
+	// maxLostShare is the share of the servers with models that a holder may not reach and still keep
+	// its lease.
+	maxLostShare = 0.5
+	// yieldAbstention is how long a node that gave up its lease does not campaign: longer than another
+	// node takes to become the holder.
+	yieldAbstention = 5 * time.Second
+	// partitionedCampaignWait is how much longer than others a node waits before it campaigns while it
+	// does not reach most servers.
+	partitionedCampaignWait = 1500 * time.Millisecond
+	// maxCarriers is the number of carriers that a node is sent.
+	maxCarriers = 16
+)
+
+// yieldIfPartitioned ends this node's term if it reaches less of the servers than another node that
+// could become the holder.
+func (h *Holder) yieldIfPartitioned(term *Term, now time.Time) {
+	if h.config.LostShare() >= maxLostShare && len(h.demand.carriers(h.config.Name, now)) > 0 {
+		go h.config.Election.Yield(term)
+	}
+}
 
 // carriersFor returns some nodes through which the node at an address may reach servers, at random.
 func (h *Holder) carriersFor(address string, now time.Time) []string {
@@ -33,3 +52,19 @@
 	}
 	return addresses
 }
+
+// Yield ends a term of this node with a handover, and keeps the node from campaigning for a while. It has
+// no effect if the term is not the current one.
+func (e *Election) Yield(term *Term) {
+	e.mutex.Lock()
+	if e.term != term {
+		e.mutex.Unlock()
+		return
+	}
+	lease := e.lease
+	e.term = nil
+	e.abstainsUntil = time.Now().Add(yieldAbstention)
+	e.mutex.Unlock()
+	e.config.Logger.Warn().Int64("token", term.Token).Float64("lost_share", e.config.LostShare()).Msg("order holder does not reach the servers and gives up its lease")
+	e.giveUp(term, lease)
+}
--- a/internal/orders/term.go
+++ b/internal/orders/term.go
@@ -106,6 +106,9 @@
 // endOrder records the end of an order that beginOrder allowed.
 func (t *Term) endOrder(server string) { t.history.end(server, time.Now()) }
 
+// cancelOrder records that an order that beginOrder allowed was not sent.
+func (t *Term) cancelOrder(server string) { t.history.cancel(server) }
+
 // needsActivation reports whether the time to send orders has come and the store doesn't name
 // this node as the last active holder yet.
 func (t *Term) needsActivation(now time.Time) bool {
