serverpath: Ask paused nodes as a last resort, and log a lost path once

A node that had lost the paths and whose only carrier was killed refused everything for up to 2 s, since all nodes that it knew were paused. The one that was asked longest ago is asked again, four times a second at most. Nodes that the order holder did not name are asked as well, after those.

Its log had 13 lines for one lost pool; now one for the first server and one for the pool.

--- a/cmd/hatchplank-node/carriers.go
+++ b/cmd/hatchplank-node/carriers.go
@@ -9,8 +9,8 @@
 // carriersTTL is how long the holder's list of carriers is used.
 const carriersTTL = 10 * time.Second
 
-// carriers are the nodes through which this node may reach servers: those that the order holder sent or,
-// without a list of it, the holder and the nodes that count rate limits. It is safe for concurrent use.
+// carriers are the nodes through which this node may reach servers: those that the order holder sent, the
+// holder, and the nodes that count rate limits. It is safe for concurrent use.
 type carriers struct {
 	node *node
 
@@ -26,18 +26,18 @@
 	c.sent, c.receivedAt = addresses, time.Now()
 }
 
-// addresses returns the addresses of the nodes.
-func (c *carriers) addresses() []string {
+// addresses returns the addresses of the nodes in the holder's list, and of the others.
+func (c *carriers) addresses() (reaching, others []string) {
 	c.mutex.Lock()
-	sent := slices.Clone(c.sent)
-	isCurrent := time.Since(c.receivedAt) < carriersTTL
+	if time.Since(c.receivedAt) < carriersTTL {
+		reaching = slices.Clone(c.sent)
+	}
 	c.mutex.Unlock()
-	if !isCurrent || len(sent) == 0 {
-		sent = slices.Clone(c.node.limiter.Counters().Addresses)
-		if holder, known := c.node.election.Holder(); known && !slices.Contains(sent, holder.Address) {
-			sent = append(sent, holder.Address)
-		}
+	others = slices.Clone(c.node.limiter.Counters().Addresses)
+	if holder, known := c.node.election.Holder(); known && !slices.Contains(others, holder.Address) {
+		others = append(others, holder.Address)
 	}
 	own := c.node.transport.Address()
-	return slices.DeleteFunc(sent, func(address string) bool { return address == own })
+	others = slices.DeleteFunc(others, func(address string) bool { return address == own || slices.Contains(reaching, address) })
+	return reaching, others
 }
--- a/internal/serverpath/fakes_test.go
+++ b/internal/serverpath/fakes_test.go
@@ -82,7 +82,7 @@
 				return err
 			},
 		})
-		node.dialer = &Dialer{Monitor: node.monitor, Intermediaries: &Intermediaries{Transport: node, Nodes: func() []string { return others(names, name) }}}
+		node.dialer = &Dialer{Monitor: node.monitor, Intermediaries: &Intermediaries{Transport: node, Nodes: func() (reaching, others []string) { return nil, otherThan(names, name) }}}
 		node.carrier = &Carrier{Monitor: node.monitor, Dial: node.direct, MaxConnections: 10}
 		n.nodes[name] = node
 		go node.monitor.Run(ctx)
@@ -90,7 +90,7 @@
 	return n
 }
 
-func others(names []string, own string) []string {
+func otherThan(names []string, own string) []string {
 	var found []string
 	for _, name := range names {
 		if name != own {
--- a/internal/serverpath/intermediaries.go
+++ b/internal/serverpath/intermediaries.go
@@ -25,8 +25,11 @@
 	spreadFrom = 4
 	// provenTTL is how long a node that opened a connection is preferred.
 	provenTTL = 5 * time.Second
-	// The times for which a node is not asked: after it was busy, after it did not reach a server or
-	// did not reply, and after it did not understand the request, as earlier builds don't.
+	// lastResortPause is the time after which a node is asked again in spite of a pause, if no other can
+	// be asked.
+	lastResortPause = 250 * time.Millisecond
+	// The pauses of a node: after it was busy, after it did not reach a server or did not reply, and after
+	// it did not understand the request, as earlier builds don't.
 	busyPause, unreachedPause, unsupportedPause = 500 * time.Millisecond, 2 * time.Second, 10 * time.Second
 )
 
@@ -34,8 +37,9 @@
 type Intermediaries struct {
 	// Transport opens streams to other nodes.
 	Transport peer.StreamTransport
-	// Nodes returns the addresses of other nodes that may be asked.
-	Nodes func() []string
+	// Nodes returns the addresses of other nodes that may be asked: those that are known to reach the
+	// servers, and others.
+	Nodes func() (reaching, others []string)
 	// OnAnswer is called with the outcome of each request that another node answered; nil: not
 	// called.
 	OnAnswer func(outcome Outcome)
@@ -48,8 +52,11 @@
 type intermediary struct {
 	// open is the number of connections through it.
 	open int
-	// pausedUntil is when it may be asked again, provenUntil until when it is preferred.
-	pausedUntil, provenUntil time.Time
+	// askedAt is when it was last asked, pausedUntil until when it is asked only if no other node can
+	// be, and provenUntil until when it is preferred.
+	askedAt, pausedUntil, provenUntil time.Time
+	// unsupportedUntil is until when it is not asked at all, since it did not understand a request.
+	unsupportedUntil time.Time
 }
 
 // verdict counts the nodes that tried to connect to a server and did not: those to which it refused the
@@ -158,7 +165,7 @@
 	case got.outcome == Unreached, errors.Is(got.err, peer.ErrUnreachable):
 		state.pausedUntil, state.provenUntil = now.Add(unreachedPause), time.Time{}
 	case got.outcome == 0:
-		state.pausedUntil = now.Add(unsupportedPause)
+		state.unsupportedUntil = now.Add(unsupportedPause)
 	}
 	i.mutex.Unlock()
 	if i.OnAnswer != nil && got.outcome != 0 {
@@ -175,32 +182,61 @@
 	}
 }
 
-// choose returns the nodes to ask, in order: those that opened connections lately, the least used
-// first, and then the others. The others come first once all of those are in use.
+// choose returns the nodes to ask, in order: those that opened connections lately, the least used first,
+// then those that are known to reach the servers, and then others. If all are paused, it returns one that
+// was asked longest ago.
 func (i *Intermediaries) choose(now time.Time) []string {
-	nodes := slices.Clone(i.Nodes())
+	reaching, others := i.Nodes()
+	nodes := slices.Concat(reaching, others)
 	rand.Shuffle(len(nodes), func(a, b int) { nodes[a], nodes[b] = nodes[b], nodes[a] })
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	i.prune(nodes, now)
-	nodes = slices.DeleteFunc(nodes, func(node string) bool { return now.Before(i.state(node).pausedUntil) })
-	slices.SortStableFunc(nodes, func(a, b string) int { return i.rank(a, now) - i.rank(b, now) })
-	return nodes[:min(len(nodes), maxAsked)]
+	nodes = slices.DeleteFunc(nodes, func(node string) bool { return now.Before(i.state(node).unsupportedUntil) })
+	ready := slices.DeleteFunc(slices.Clone(nodes), func(node string) bool { return now.Before(i.state(node).pausedUntil) })
+	if len(ready) == 0 {
+		return i.lastResort(nodes, now)
+	}
+	slices.SortStableFunc(ready, func(a, b string) int {
+		return i.rank(a, slices.Contains(reaching, a), now) - i.rank(b, slices.Contains(reaching, b), now)
+	})
+	ready = ready[:min(len(ready), maxAsked)]
+	for _, node := range ready {
+		i.state(node).askedAt = now
+	}
+	return ready
+}
+
+// lastResort returns the node that was asked longest ago, unless that was within lastResortPause. The lock
+// must be held.
+func (i *Intermediaries) lastResort(nodes []string, now time.Time) []string {
+	if len(nodes) == 0 {
+		return nil
+	}
+	longest := slices.MinFunc(nodes, func(a, b string) int { return i.state(a).askedAt.Compare(i.state(b).askedAt) })
+	if now.Sub(i.state(longest).askedAt) < lastResortPause {
+		return nil
+	}
+	i.state(longest).askedAt = now
+	return []string{longest}
 }
 
 // rank orders nodes: the lower, the sooner asked. The lock must be held.
-func (i *Intermediaries) rank(node string, now time.Time) int {
+func (i *Intermediaries) rank(node string, reaching bool, now time.Time) int {
 	state := i.state(node)
-	if now.Before(state.provenUntil) {
+	switch {
+	case now.Before(state.provenUntil):
 		return state.open
+	case reaching:
+		return max(state.open, spreadFrom)
 	}
-	return max(state.open, spreadFrom)
+	return max(state.open, spreadFrom) + 1
 }
 
 // prune forgets nodes that are neither listed nor in use. The lock must be held.
 func (i *Intermediaries) prune(listed []string, now time.Time) {
 	for node, state := range i.nodes {
-		if state.open == 0 && now.After(state.pausedUntil) && !slices.Contains(listed, node) {
+		if state.open == 0 && now.After(state.pausedUntil) && now.After(state.unsupportedUntil) && !slices.Contains(listed, node) {
 			delete(i.nodes, node)
 		}
 	}
--- a/internal/serverpath/monitor.go
+++ b/internal/serverpath/monitor.go
@@ -149,7 +149,8 @@
 	if paths == nil || !paths.failed[address] || paths.lost[address] {
 		return false
 	}
-	if len(paths.lost) == 0 {
+	isFirst, wasAll := len(paths.lost) == 0 && !paths.all, paths.all
+	if isFirst {
 		paths.since = time.Now()
 	}
 	paths.lost[address] = true
@@ -161,7 +162,7 @@
 	}
 	servers := len(m.config.View.Load().Pool(name))
 	paths.all = paths.all || unreached >= min(minLost, servers)
-	if paths.all || len(paths.lost) == 1 {
+	if isFirst || paths.all != wasAll {
 		m.config.Logger.Warn().Str("pool", name).Str("server_address", address).Int("servers", servers).Int("lost", m.countLost(name, paths)).
 			Str("reached_by", node).Bool("order_holder", m.config.IsOrderHolder()).Msg("path to servers lost")
 	}
