--- a/cmd/hatchplank-node/node_test.go
+++ b/cmd/hatchplank-node/node_test.go
@@ -42,6 +42,8 @@
 	store   *keyvalue.Store
 	address string
 	engines []*standin.Engine
+	// addresses are those of the engines.
+	addresses []string
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -65,6 +67,7 @@
 	t.Cleanup(server.Close)
 	d.engines = append(d.engines, engine)
 	address = strings.TrimPrefix(server.URL, "http://")
+	d.addresses = append(d.addresses, address)
 	d.put(standin.ServerKey(engine.ID), engine.Record(pool, address, "ready"))
 	return address
 }
