--- a/internal/serverpath/serverpath_test.go
+++ b/internal/serverpath/serverpath_test.go
@@ -148,6 +148,20 @@
 	})
 }
 
+// Guards against requests that wait for a carrier which has lost the path itself.
+func TestCarrierWithoutAPathSaysSoAtOnce(t *testing.T) {
+	inVirtualTime(t, 3, 4, func(t *testing.T, n *network) {
+		RegisterTestingT(t)
+		n.set("n1", hangs)
+		n.nodes["n1"].dial(t, "s0")
+		n.nodes["n1"].dial(t, "s1")
+		began := time.Now()
+		_, outcome := n.nodes["n1"].carrier.connect(context.Background(), "s2")
+		Expect(outcome).To(Equal(Unreached))
+		Expect(time.Since(began)).To(BeZero())
+	})
+}
+
 // Guards against orders that a server would take for those of another holder.
 func TestDirectConnectionsPassNoOtherNode(t *testing.T) {
 	inVirtualTime(t, 3, 4, func(t *testing.T, n *network) {
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -52,6 +52,20 @@
 switch_off sent-to-next-holder internal/orders/link.go $'\t\tl.observations.cursor = observation.Cursor{}' '' ./platform -run 'Observation|Suspicion'
 switch_off pushes-bounded internal/orders/observation_push.go 'if now.Sub(node.pushed.at) >= period {' 'if true {' ./platform -run 'Observation|Suspicion'
 
+# Paths to servers through other nodes.
+paths=./internal/serverpath
+switch_off fallback-before-timeout internal/serverpath/dialer.go 'time.AfterFunc(fallbackDelay, fallback.run)' 'time.AfterFunc(time.Hour, fallback.run)' $paths
+switch_off whole-pool-lost internal/serverpath/monitor.go 'paths.all = paths.all || unreached >= min(minLost, servers)' '_ = servers' $paths
+switch_off path-probed internal/serverpath/monitor.go 'if m.config.Probe(ctx, address) == nil {' 'if false {' $paths
+switch_off refusal-confirmed internal/serverpath/dialer.go 'f.said.unreached > 0' 'false' $paths
+switch_off carrier-knows-its-paths internal/serverpath/carrier.go 'case c.Monitor.Lost(address):' 'case false:' $paths
+switch_off carried-bounded internal/serverpath/carrier.go 'if c.carried.Add(1) > int64(c.MaxConnections) {' 'if c.carried.Add(1) < 0 {' $paths
+switch_off carriers-spread internal/serverpath/intermediaries.go 'return max(state.open, spreadFrom) + 1' 'return 1 << 20' $paths
+switch_off earlier-builds-paused internal/serverpath/intermediaries.go 'state.unsupportedUntil = now.Add(unsupportedPause)' '_ = unsupportedPause' $paths
+switch_off carried-awaited internal/serverpath/carrier.go 'return answered != 0 && now.Sub' 'return now.Sub' $paths
+switch_off partitioned-holder-yields internal/orders/partition.go 'h.config.LostShare() >= maxLostShare' 'false' ./cmd/hatchplank-node -run OrderHolderPartitioned
+switch_off yielded-abstains internal/orders/partition.go 'e.abstainsUntil = time.Now().Add(yieldAbstention)' '' ./platform -run Yields
+
 forward=./internal/forward
 # At most once, attempts, budget.
 switch_off at-most-once internal/fleet/route.go 'return r.Kind == KindRepeatable ||' 'return true || r.Kind == KindRepeatable ||' $forward
