--- a/internal/serverpath/intermediaries.go
+++ b/internal/serverpath/intermediaries.go
@@ -52,9 +52,9 @@
 type intermediary struct {
 	// open is the number of connections through it.
 	open int
-	// askedAt is when it was last asked, pausedUntil until when it is asked only if no other node can
-	// be, and provenUntil until when it is preferred.
-	askedAt, pausedUntil, provenUntil time.Time
+	// chosenAt is when it was last chosen to be asked, pausedUntil until when it is asked only if no other
+	// node can be, and provenUntil until when it is preferred.
+	chosenAt, pausedUntil, provenUntil time.Time
 	// unsupportedUntil is until when it is not asked at all, since it did not understand a request.
 	unsupportedUntil time.Time
 }
@@ -184,7 +184,7 @@
 
 // choose returns the nodes to ask, in order: those that opened connections lately, the least used first,
 // then those that are known to reach the servers, and then others. If all are paused, it returns one that
-// was asked longest ago.
+// was chosen longest ago.
 func (i *Intermediaries) choose(now time.Time) []string {
 	reaching, others := i.Nodes()
 	nodes := slices.Concat(reaching, others)
@@ -202,22 +202,22 @@
 	})
 	ready = ready[:min(len(ready), maxAsked)]
 	for _, node := range ready {
-		i.state(node).askedAt = now
+		i.state(node).chosenAt = now
 	}
 	return ready
 }
 
-// lastResort returns the node that was asked longest ago, unless that was within lastResortPause. The lock
+// lastResort returns the node that was chosen longest ago, unless that was within lastResortPause. The lock
 // must be held.
 func (i *Intermediaries) lastResort(nodes []string, now time.Time) []string {
 	if len(nodes) == 0 {
 		return nil
 	}
-	longest := slices.MinFunc(nodes, func(a, b string) int { return i.state(a).askedAt.Compare(i.state(b).askedAt) })
-	if now.Sub(i.state(longest).askedAt) < lastResortPause {
+	longest := slices.MinFunc(nodes, func(a, b string) int { return i.state(a).chosenAt.Compare(i.state(b).chosenAt) })
+	if now.Sub(i.state(longest).chosenAt) < lastResortPause {
 		return nil
 	}
-	i.state(longest).askedAt = now
+	i.state(longest).chosenAt = now
 	return []string{longest}
 }
 
