--- a/cmd/hatchplank-node/partition_random_test.go
+++ b/cmd/hatchplank-node/partition_random_test.go
@@ -262,6 +262,6 @@
 	const slack = 10
 	if all[true] > 0 && all[false] > 0 {
 		least := 2.0 / 3 * float64(served[false]) / float64(all[false]) * float64(all[true])
-		Expect(float64(served[true]+slack)).To(BeNumerically(">=", least))
+		Expect(float64(served[true] + slack)).To(BeNumerically(">=", least))
 	}
 }
--- a/cmd/hatchplank-node/partition_test.go
+++ b/cmd/hatchplank-node/partition_test.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// count returns the number of connections that were opened since the last cut of all.
+func (l *serverLinks) count() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.open)
+}
+
 // heal ends all cuts.
 func (l *serverLinks) heal() {
 	l.mutex.Lock()
@@ -123,6 +130,8 @@
 					Expect(standin.Post(node, request.path, request.model)).To(Equal(http.StatusOK))
 				}
 			}
+			links.heal()
+			Eventually(links.count, "30s").Should(BeNumerically(">", 0), "probes restore the path")
 		})
 	}
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -312,7 +312,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(read(response)).To(Equal("one"))
 	<-closed
-	kept := client.idle[request.Address]
+	kept := client.idle[route{address: request.Address}]
 	Expect(kept).To(HaveLen(1))
 	Eventually(kept[0].isReusable).Should(BeFalse())
 	request = requestFor("2")
