--- a/internal/orders/scale_test.go
+++ b/internal/orders/scale_test.go
@@ -95,6 +95,8 @@
 		}
 		engines.mutex.Unlock()
 		time.Sleep(3 * time.Second)
+		engines.mutex.Lock()
+		defer engines.mutex.Unlock()
 		g.Expect(engines.maxInProgress).To(Equal(maxConcurrentReports))
 		g.Expect(engines.answered).To(Equal(largeFleet))
 	})
