--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -130,9 +130,13 @@
 	released.Ends = nil
 	confirmed := filled(mirror.Update{}).(mirror.Update)
 	confirmed.Confirmation = mirror.Confirmation{}
-	report := filled(orders.DemandReport{}).(orders.DemandReport)
+	reportWithoutPaths := filled(orders.DemandReport{}).(orders.DemandReport)
+	reportWithoutPaths.CarriesConnections, reportWithoutPaths.PathsLost = false, false
+	updateWithoutPaths := filled(orders.Update{}).(orders.Update)
+	updateWithoutPaths.Carriers = nil
+	report := reportWithoutPaths
 	report.Observations, report.PoolArrivals = nil, nil
-	update := filled(orders.Update{}).(orders.Update)
+	update := updateWithoutPaths
 	update.HolderToken, update.Observations, update.Rates = 0, nil, nil
 	answer := filled(ratelimit.TakeReply{}).(ratelimit.TakeReply)
 	answer.Voted = false
@@ -140,6 +144,7 @@
 	giveBack.Vote = 0
 	expected := map[string]peer.Message{
 		"mirror.Update": confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
+		"orders.DemandReport without paths": reportWithoutPaths, "orders.Update without paths": updateWithoutPaths,
 		"tenants.Answer": answer, "tenants.GiveBack": giveBack,
 		"tenants.Ask": ratelimit.TakeRequest{
 			Tenant: "text 2", Limit: ratelimit.Limit{Rate: 4.5, Burst: 5.5, Window: 6, Paced: true}, Cost: 8.5, Rank: 9.5, MaxWait: 10,
