Use the stand-in's client in the random partitions, and one set of keep-alive probes

Reading the change once more: the random partitions wrote the stand-in's client again, with the platform's header names outside platform/, and the carrier repeated the probes of connections to servers. Behaviour and assertions are the same.

--- a/cmd/hatchplank-node/partition_random_test.go
+++ b/cmd/hatchplank-node/partition_random_test.go
@@ -5,10 +5,8 @@
 import (
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -208,28 +206,13 @@
 	r.sent = append(r.sent, request)
 }
 
-// post sends a request with an identity, by a client that leaves after responseTime; 0 if there was no complete
-// response.
+// post sends a request with an ID, by a client that leaves after responseTime.
 func post(url, path, id string) int {
-	request, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader("body"))
-	if err != nil {
-		return 0
-	}
-	request.Host = "h.example"
-	request.Header.Set("Hatchplank-Request-Id", id)
-	request.Header.Set("Hatchplank-Deadline-Ms", fmt.Sprint(responseTime.Milliseconds()))
+	model := ""
 	if path == "/s/x" {
-		request.Header.Set("Hatchplank-Model", "a")
-	}
-	response, err := (&http.Client{Timeout: responseTime}).Do(request)
-	if err != nil {
-		return 0
-	}
-	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return 0
+		model = "a"
 	}
-	return response.StatusCode
+	return standin.PostAs(id, responseTime, url, path, model)
 }
 
 // judge checks the answers against what the servers ran.
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -106,11 +106,14 @@
 	return NewDialer(d.AckTimeout).DialContext(ctx, "tcp", address)
 }
 
+// KeepAlive are the probes of connections to servers, by which a dead peer is noticed.
+var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // NewDialer returns a dialer of TCP connections with keep-alive probes, on which sent data may remain
 // unacknowledged for a time.
 func NewDialer(ackTimeout time.Duration) *net.Dialer {
 	return &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		KeepAliveConfig: KeepAlive,
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return raw.Control(func(descriptor uintptr) {
 				// On failure the system's default applies, which only detects a dead peer later.
--- a/internal/serverpath/carrier.go
+++ b/internal/serverpath/carrier.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
+	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
@@ -105,7 +106,7 @@
 	defer stop()
 	if socket, isTCP := node.(*net.TCPConn); isTCP {
 		// An error leaves the system's settings, with which a dead node is noticed later.
-		_ = socket.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2})
+		_ = socket.SetKeepAliveConfig(exchange.KeepAlive)
 	}
 	connection := &carriedConnection{node: node, server: server, opened: time.Now()}
 	defer c.add(connection)()
@@ -164,7 +165,8 @@
 		defer close(nodeEnded)
 		defer c.server.Close()
 		if !copyBytes(c.server, c.node, func() { c.answeredAfter.Store(0) }) {
-			// The server may have answered before it closed the connection.
+			// The server may have answered before it closed the connection. What the node still sends
+			// is of no use then, and its end is no failure.
 			_, _ = io.Copy(io.Discard, c.node)
 		}
 	}()
