poison: Name the parts of prompts in the log line of a crash

The line "server ended under requests" names digests of whole requests, so it doesn't tell whether requests that are otherwise different share a part of their prompt.

What a guard is told of an attempt is a poison.Request, the identity and the parts, instead of the identity alone. Nothing decides by the parts yet.

--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -18,11 +18,11 @@
 	Refused(identity poison.Identity) (poison.Entry, bool)
 	// AttemptBroken reports that a server closed the connection of an attempt that began at the
 	// time, before its response was complete.
-	AttemptBroken(ctx context.Context, identity poison.Identity, server *fleet.Server, began time.Time)
+	AttemptBroken(ctx context.Context, request poison.Request, server *fleet.Server, began time.Time)
 	// ServerCrashed reports a proof that a server's process has ended.
 	ServerCrashed(server, proof string)
 	// RequestServed reports that an attempt that began at the time got a complete response.
-	RequestServed(identity poison.Identity, began time.Time)
+	RequestServed(request poison.Request, began time.Time)
 }
 
 // noPoison quarantines nothing.
@@ -30,11 +30,11 @@
 
 func (noPoison) Refused(poison.Identity) (poison.Entry, bool) { return poison.Entry{}, false }
 
-func (noPoison) AttemptBroken(context.Context, poison.Identity, *fleet.Server, time.Time) {}
+func (noPoison) AttemptBroken(context.Context, poison.Request, *fleet.Server, time.Time) {}
 
 func (noPoison) ServerCrashed(string, string) {}
 
-func (noPoison) RequestServed(poison.Identity, time.Time) {}
+func (noPoison) RequestServed(poison.Request, time.Time) {}
 
 const poisonReason = "servers ended while they ran this request"
 
@@ -67,7 +67,7 @@
 	case failure.Reason == FailureOtherInstance:
 		f.poison.ServerCrashed(server.ID, "another instance answers")
 	case failure.Reason == FailureBroken && ctx.Err() == nil && closedByServer(failure.Cause):
-		f.poison.AttemptBroken(ctx, flow.request.Identity, server, flow.attemptStarted)
+		f.poison.AttemptBroken(ctx, flow.request.poisonRequest(), server, flow.attemptStarted)
 	}
 }
 
@@ -76,12 +76,17 @@
 func (f *Forwarder) reportServed(ctx context.Context, flow *flow, server *fleet.Server, reply *Reply, started time.Time) {
 	switch {
 	case reply.Unframed:
-		f.poison.AttemptBroken(ctx, flow.request.Identity, server, started)
+		f.poison.AttemptBroken(ctx, flow.request.poisonRequest(), server, started)
 	case reply.Status < minFailureStatus:
-		f.poison.RequestServed(flow.request.Identity, started)
+		f.poison.RequestServed(flow.request.poisonRequest(), started)
 	}
 }
 
+// poisonRequest returns what crashes of servers are counted by.
+func (r *Request) poisonRequest() poison.Request {
+	return poison.Request{Identity: r.Identity, Parts: r.SharedParts}
+}
+
 // closedByServer reports whether the server closed or reset the connection. A time-out doesn't
 // count: the network between node and server may be partitioned.
 func closedByServer(err error) bool {
--- a/internal/forward/poison_test.go
+++ b/internal/forward/poison_test.go
@@ -38,7 +38,7 @@
 	g.until = time.Now().Add(span)
 }
 
-func (g *fakeGuard) AttemptBroken(_ context.Context, _ poison.Identity, server *fleet.Server, _ time.Time) {
+func (g *fakeGuard) AttemptBroken(_ context.Context, _ poison.Request, server *fleet.Server, _ time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.broke = append(g.broke, server.ID)
@@ -50,7 +50,7 @@
 	g.ended = append(g.ended, server)
 }
 
-func (g *fakeGuard) RequestServed(poison.Identity, time.Time) {
+func (g *fakeGuard) RequestServed(poison.Request, time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.served++
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -35,8 +35,10 @@
 	ID string
 	// Identity is the same for all tries of one request.
 	Identity poison.Identity
-	Host     string
-	Path     string
+	// SharedParts are the parts of the prompt that other requests may share: all but the last.
+	SharedParts []poison.Part
+	Host        string
+	Path        string
 	// Model and Adapter are empty for requests that need none.
 	Model   string
 	Adapter string
--- a/internal/poison/fakes_test.go
+++ b/internal/poison/fakes_test.go
@@ -232,7 +232,7 @@
 	c.mutex.Unlock()
 	for n, identities := range under {
 		for _, identity := range identities {
-			n.guard.AttemptBroken(context.Background(), identity, server, time.Now())
+			n.guard.AttemptBroken(context.Background(), Request{Identity: identity}, server, time.Now())
 		}
 	}
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -1,8 +1,12 @@
 package poison
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -145,29 +149,29 @@
 
 // RequestServed records that a server which began a request at the given time served it
 // completely.
-func (g *Guard) RequestServed(identity Identity, began time.Time) {
-	if identity.IsZero() {
+func (g *Guard) RequestServed(request Request, began time.Time) {
+	if request.Identity.IsZero() {
 		return
 	}
-	g.served.add(identity, began)
-	g.reportRivalServed(identity, began)
+	g.served.add(request.Identity, began)
+	g.reportRivalServed(request.Identity, began)
 }
 
 // AttemptBroken records that a server closed the connection of an attempt, begun at the given
 // time, before its answer was complete. The attempt counts once the server is proved to have
 // crashed, and not where its shutdown was planned: a server that drains or has deregistered
 // stops in an orderly way.
-func (g *Guard) AttemptBroken(ctx context.Context, identity Identity, server *fleet.Server, began time.Time) {
-	if identity.IsZero() || g.leftAsPlanned(server.ID) {
+func (g *Guard) AttemptBroken(ctx context.Context, request Request, server *fleet.Server, began time.Time) {
+	if request.Identity.IsZero() || g.leftAsPlanned(server.ID) {
 		return
 	}
 	now := time.Now()
-	probe, crashed := g.suspects.add(identity, server.ID, server.Address, began, now)
+	probe, crashed := g.suspects.add(request, server.ID, server.Address, began, now)
 	switch {
 	case crashed:
 		g.queueCrash(timedCrash{
-			server: server.ID, suspects: []suspect{{identity: identity, elapsed: now.Sub(began)}},
-			served: g.served.among([]Identity{identity}), at: now,
+			server: server.ID, suspects: []suspect{{Request: request, elapsed: now.Sub(began)}},
+			served: g.served.among([]Identity{request.Identity}), at: now,
 		})
 	case probe:
 		go g.probe(context.WithoutCancel(ctx), server)
@@ -219,14 +223,14 @@
 	g.config.OnCrash()
 	identities := identitiesOf(suspects)
 	g.config.Logger.Warn().Str("server", server).Str("proof", proof).Int("requests", len(identities)).
-		Strs("identities", loggedIdentities(identities)).Msg("server ended under requests")
+		Strs("identities", loggedIdentities(identities)).Strs("parts", loggedParts(suspects)).Msg("server ended under requests")
 	g.queueCrash(timedCrash{server: server, suspects: suspects, served: g.served.among(identities), at: brokeAt})
 }
 
 func identitiesOf(suspects []suspect) []Identity {
 	identities := make([]Identity, len(suspects))
 	for i, suspect := range suspects {
-		identities[i] = suspect.identity
+		identities[i] = suspect.Identity
 	}
 	return identities
 }
@@ -239,6 +243,26 @@
 	return texts
 }
 
+// loggedParts returns the parts of the suspects' prompts, those of the most suspects first, each
+// with the number of these.
+func loggedParts(suspects []suspect) []string {
+	counts, ids := map[Identity]int{}, map[Identity]string{}
+	for _, suspect := range suspects {
+		for _, part := range suspect.Parts {
+			counts[part.Identity]++
+			ids[part.Identity] = part.loggedID()
+		}
+	}
+	parts := slices.SortedFunc(maps.Keys(counts), func(a, b Identity) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), a.compare(b))
+	})
+	var texts []string
+	for _, part := range parts[:min(len(parts), maxLoggedIdentities)] {
+		texts = append(texts, fmt.Sprintf("%s=%d", ids[part], counts[part]))
+	}
+	return texts
+}
+
 // Run drives retries, expiry and writes to the store until ctx is done.
 func (g *Guard) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -133,13 +133,13 @@
 				both := numbered(0, 2)
 				began := time.Now()
 				if test.served < 0 {
-					c.nodes[3].guard.RequestServed(both[1], began.Add(test.served))
+					c.nodes[3].guard.RequestServed(Request{Identity: both[1]}, began.Add(test.served))
 				}
 				for i := range 3 {
 					c.crash(c.server(fmt.Sprint("s", i)), map[*node][]Identity{c.nodes[i]: both})
 					time.Sleep(time.Second)
 					if i == 1 && test.served > 0 {
-						c.nodes[3].guard.RequestServed(both[1], began.Add(test.served))
+						c.nodes[3].guard.RequestServed(Request{Identity: both[1]}, began.Add(test.served))
 					}
 				}
 				time.Sleep(propagationLimit)
@@ -189,7 +189,7 @@
 				poison := numbered(0, 1)
 				for i := range crashThreshold {
 					server := c.server(fmt.Sprint("s", i))
-					c.nodes[0].guard.AttemptBroken(context.Background(), poison[0], server, time.Now())
+					c.nodes[0].guard.AttemptBroken(context.Background(), Request{Identity: poison[0]}, server, time.Now())
 					test.react(c, server)
 					time.Sleep(5 * time.Second)
 				}
@@ -207,10 +207,10 @@
 		for i := range crashThreshold {
 			server := c.server(fmt.Sprint("s", i))
 			c.makeUnresponsive(server)
-			c.nodes[0].guard.AttemptBroken(context.Background(), poison[0], server, time.Now())
+			c.nodes[0].guard.AttemptBroken(context.Background(), Request{Identity: poison[0]}, server, time.Now())
 			time.Sleep(time.Second)
 			c.refuse(server)
-			c.nodes[0].guard.AttemptBroken(context.Background(), poison[0], server, time.Now())
+			c.nodes[0].guard.AttemptBroken(context.Background(), Request{Identity: poison[0]}, server, time.Now())
 			time.Sleep(time.Second)
 		}
 		Expect(c.refusedBy(poison[0])).To(Equal(1))
@@ -264,7 +264,7 @@
 			time.Sleep(3 * time.Second)
 		}
 		crash(0, c.nodes[0])
-		c.nodes[2].guard.RequestServed(unrelated[0], time.Now())
+		c.nodes[2].guard.RequestServed(Request{Identity: unrelated[0]}, time.Now())
 		crash(1, c.nodes[0])
 		c.nodes[1].stop()
 		c.nodes[1] = c.start(c.nodes[1].address)
@@ -295,7 +295,7 @@
 	runInCluster(t, 1, 1, func(c *cluster) {
 		server := c.server("s")
 		for _, identity := range numbered(0, 100) {
-			c.nodes[0].guard.AttemptBroken(context.Background(), identity, server, time.Now())
+			c.nodes[0].guard.AttemptBroken(context.Background(), Request{Identity: identity}, server, time.Now())
 			time.Sleep(10 * time.Millisecond)
 		}
 		Expect(c.probeCount()).To(BeNumerically("<=", 2*4))
@@ -362,7 +362,7 @@
 			c.crash(c.server(fmt.Sprint("s", i)), map[*node][]Identity{c.nodes[0]: unrelated})
 			time.Sleep(3 * time.Second)
 			if i == crashThreshold-2 {
-				c.nodes[0].guard.RequestServed(unrelated[0], time.Now())
+				c.nodes[0].guard.RequestServed(Request{Identity: unrelated[0]}, time.Now())
 				time.Sleep(time.Second)
 			}
 		}
@@ -390,7 +390,7 @@
 			c.crash(c.server(fmt.Sprint("s", i)), map[*node][]Identity{c.nodes[i]: both})
 			if i < 2 {
 				time.Sleep(time.Second)
-				c.nodes[3].guard.RequestServed(both[1], time.Now())
+				c.nodes[3].guard.RequestServed(Request{Identity: both[1]}, time.Now())
 			}
 		}
 		for range 1000 {
@@ -413,7 +413,7 @@
 func TestRequestThatCrashesServersAfterItWasServedIsRefused(t *testing.T) {
 	runInCluster(t, 4, 3, func(c *cluster) {
 		request := numbered(0, 1)
-		c.nodes[3].guard.RequestServed(request[0], time.Now())
+		c.nodes[3].guard.RequestServed(Request{Identity: request[0]}, time.Now())
 		time.Sleep(time.Second)
 		c.crashThree(request, c.nodes[0], c.nodes[1], c.nodes[2])
 		Expect(c.refusedBy(request[0])).To(Equal(4))
@@ -428,7 +428,7 @@
 func TestNodeWithNothingRunningReportsWhatItHasServed(t *testing.T) {
 	runInCluster(t, 4, 4, func(c *cluster) {
 		both := numbered(0, 2)
-		c.nodes[0].guard.RequestServed(both[1], time.Now())
+		c.nodes[0].guard.RequestServed(Request{Identity: both[1]}, time.Now())
 		time.Sleep(time.Second)
 		c.crashThree(both, c.nodes[1], c.nodes[2], c.nodes[1])
 		Expect(c.refusedBy(both[0])).To(Equal(4))
--- a/internal/poison/provisional_test.go
+++ b/internal/poison/provisional_test.go
@@ -17,11 +17,11 @@
 		server := c.server(fmt.Sprint("s", i))
 		c.refuse(server)
 		if i < len(culprits) {
-			c.nodes[i].guard.AttemptBroken(context.Background(), culprits[i], server, time.Now().Add(-time.Second))
+			c.nodes[i].guard.AttemptBroken(context.Background(), Request{Identity: culprits[i]}, server, time.Now().Add(-time.Second))
 		}
 		for number, identity := range identities {
 			ran := time.Second + time.Duration(number*i)*100*time.Millisecond
-			c.nodes[i].guard.AttemptBroken(context.Background(), identity, server, time.Now().Add(-ran))
+			c.nodes[i].guard.AttemptBroken(context.Background(), Request{Identity: identity}, server, time.Now().Add(-ran))
 		}
 		time.Sleep(time.Second)
 	}
@@ -40,7 +40,7 @@
 func (c *cluster) tieUnderTwoCulprits() (unrelated, poison []Identity) {
 	unrelated, poison = numbered(0, 2), numbered(2, 4)
 	c.tie(unrelated, poison[0], poison[1], poison[1])
-	c.nodes[3].guard.RequestServed(unrelated[1], time.Now())
+	c.nodes[3].guard.RequestServed(Request{Identity: unrelated[1]}, time.Now())
 	return unrelated, poison
 }
 
@@ -51,8 +51,8 @@
 		tied := numbered(0, 3)
 		c.tie(tied)
 		Expect(c.refusedBy(tied[0])).To(Equal(8))
-		c.nodes[4].guard.RequestServed(tied[1], time.Now())
-		c.nodes[5].guard.RequestServed(tied[2], time.Now())
+		c.nodes[4].guard.RequestServed(Request{Identity: tied[1]}, time.Now())
+		c.nodes[5].guard.RequestServed(Request{Identity: tied[2]}, time.Now())
 		time.Sleep(provisionalQuarantine)
 		Expect(c.refusedBy(tied[0])).To(Equal(8))
 		Expect(c.refusedBy(tied[1]) + c.refusedBy(tied[2])).To(BeZero())
@@ -65,7 +65,7 @@
 	runInCluster(t, 4, 3, func(c *cluster) {
 		tied := numbered(0, 3)
 		c.tie(tied)
-		c.nodes[3].guard.RequestServed(tied[1], time.Now())
+		c.nodes[3].guard.RequestServed(Request{Identity: tied[1]}, time.Now())
 		Expect(c.refusedBy(tied[0])).To(Equal(4))
 		Expect(c.store.entries()).To(BeEmpty())
 		time.Sleep(provisionalQuarantine)
@@ -99,7 +99,7 @@
 			c.crash(c.server(fmt.Sprint("s", i)), map[*node][]Identity{c.nodes[i]: unrelated})
 			if i == 0 {
 				time.Sleep(time.Second)
-				c.nodes[3].guard.RequestServed(unrelated[0], time.Now())
+				c.nodes[3].guard.RequestServed(Request{Identity: unrelated[0]}, time.Now())
 			}
 		}
 		for range 1000 {
@@ -148,8 +148,8 @@
 			c.crash(c.server(fmt.Sprint("s", i)), map[*node][]Identity{c.nodes[i]: append([]Identity{poison[0]}, others...)})
 			time.Sleep(time.Second / 2)
 			if i == 0 {
-				c.nodes[4].guard.RequestServed(others[0], time.Now())
-				c.nodes[5].guard.RequestServed(others[1], time.Now())
+				c.nodes[4].guard.RequestServed(Request{Identity: others[0]}, time.Now())
+				c.nodes[5].guard.RequestServed(Request{Identity: others[1]}, time.Now())
 			}
 		}
 		time.Sleep(time.Second)
--- /dev/null
+++ b/internal/poison/request.go
@@ -0,0 +1,89 @@
+package poison
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"hash"
+)
+
+const (
+	// maxParts is the number of parts of a prompt that are counted: the first ones, since the
+	// parts that requests share come first.
+	maxParts = 64
+	// maxLoggedPartID is the number of bytes of a part's ID in logs and refusals. The ID is the
+	// caller's word, and may be long.
+	maxLoggedPartID = 32
+)
+
+// Request is what crashes are counted by: the request itself, and the parts of its prompt that
+// other requests may share.
+type Request struct {
+	Identity Identity
+	Parts    []Part
+}
+
+// Part is a part of a prompt that other requests may share.
+type Part struct {
+	// ID is the caller's name of the part.
+	ID string
+	// Identity depends on the caller and the host as well, so that no caller can bring the parts
+	// of another one under suspicion.
+	Identity Identity
+}
+
+// PartsOf returns the distinct parts of a prompt by their IDs, in order. The last part, which
+// belongs to the request or its session alone, has to be left out by the caller. Parts beyond
+// maxParts are left out.
+func PartsOf(caller, host string, ids []string) []Part {
+	if len(ids) == 0 {
+		return nil
+	}
+	parts := make([]Part, 0, min(len(ids), maxParts))
+	digest := sha256.New()
+	for _, id := range ids {
+		if len(parts) == maxParts {
+			break
+		}
+		identity := partIdentity(digest, caller, host, id)
+		if !containsPart(parts, identity) {
+			parts = append(parts, Part{ID: id, Identity: identity})
+		}
+	}
+	return parts
+}
+
+// partIdentity digests a part of a prompt. The first byte tells it apart from the digest of a
+// request, which begins with the length of the caller's key.
+func partIdentity(digest hash.Hash, caller, host, id string) Identity {
+	digest.Reset()
+	// A hash never returns a write error.
+	_, _ = digest.Write([]byte{partMarker})
+	var length [8]byte
+	for _, text := range []string{caller, host, id} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(text)))
+		_, _ = digest.Write(length[:])
+		_, _ = digest.Write([]byte(text))
+	}
+	var sum [sha256.Size]byte
+	return Identity(digest.Sum(sum[:0]))
+}
+
+// partMarker is no first byte of a length.
+const partMarker = 0xff
+
+func containsPart(parts []Part, identity Identity) bool {
+	for i := range parts {
+		if parts[i].Identity == identity {
+			return true
+		}
+	}
+	return false
+}
+
+// loggedID returns the part's ID as it stands in logs.
+func (p Part) loggedID() string {
+	if len(p.ID) > maxLoggedPartID {
+		return p.ID[:maxLoggedPartID]
+	}
+	return p.ID
+}
--- a/internal/poison/shared_crashes.go
+++ b/internal/poison/shared_crashes.go
@@ -64,7 +64,7 @@
 func (s *sharedCrashes) clear(identity Identity, servers []string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	isCleared := func(suspect suspect) bool { return suspect.identity == identity }
+	isCleared := func(suspect suspect) bool { return suspect.Identity == identity }
 	for _, server := range servers {
 		crash := s.crashes[server]
 		if !slices.ContainsFunc(crash.suspects, isCleared) {
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -33,19 +33,20 @@
 type brokenAttempt struct {
 	at      time.Time
 	elapsed time.Duration
+	request Request
 }
 
-// suspect is an identity that was running at a crashed server, and for how long.
+// suspect is a request that was running at a crashed server, and for how long.
 type suspect struct {
-	identity Identity
-	elapsed  time.Duration
+	Request
+	elapsed time.Duration
 }
 
 func newSuspects() *suspects { return &suspects{servers: map[string]*suspectedServer{}} }
 
 // add records a broken attempt and when it began. It reports whether the caller shall probe the
 // server, since no probe is under way, and whether the server is known to have crashed.
-func (s *suspects) add(identity Identity, server, address string, began, now time.Time) (probe, crashed bool) {
+func (s *suspects) add(request Request, server, address string, began, now time.Time) (probe, crashed bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.expire(now)
@@ -59,7 +60,7 @@
 		return false, true
 	}
 	if len(broken.attempts) < maxSuspects {
-		broken.attempts[identity] = brokenAttempt{at: now, elapsed: now.Sub(began)}
+		broken.attempts[request.Identity] = brokenAttempt{at: now, elapsed: now.Sub(began), request: request}
 	}
 	probe = !broken.probing
 	broken.probing = true
@@ -97,7 +98,7 @@
 	}
 }
 
-// confirmCrash records that a server crashed. It returns the identities that were running
+// confirmCrash records that a server crashed. It returns the requests that were running
 // there, in order, and the time at which the first attempt broke; a second call returns none.
 func (s *suspects) confirmCrash(server string) (found []suspect, brokeAt time.Time) {
 	s.mutex.Lock()
@@ -107,13 +108,13 @@
 		return nil, time.Time{}
 	}
 	broken.crashed = true
-	for identity, attempt := range broken.attempts {
-		found = append(found, suspect{identity: identity, elapsed: attempt.elapsed})
+	for _, attempt := range broken.attempts {
+		found = append(found, suspect{Request: attempt.request, elapsed: attempt.elapsed})
 		if brokeAt.IsZero() || attempt.at.Before(brokeAt) {
 			brokeAt = attempt.at
 		}
 	}
-	slices.SortFunc(found, func(a, b suspect) int { return a.identity.compare(b.identity) })
+	slices.SortFunc(found, func(a, b suspect) int { return a.Identity.compare(b.Identity) })
 	return found, brokeAt
 }
 
--- a/internal/poison/traffic_test.go
+++ b/internal/poison/traffic_test.go
@@ -93,7 +93,7 @@
 	t.crashes++
 	t.refuse(server.server)
 	for _, run := range server.runs {
-		run.node.guard.AttemptBroken(context.Background(), run.identity, server.server, run.began)
+		run.node.guard.AttemptBroken(context.Background(), Request{Identity: run.identity}, server.server, run.began)
 	}
 	time.AfterFunc(restartTime, func() {
 		t.mutex.Lock()
@@ -140,7 +140,7 @@
 		defer t.mutex.Unlock()
 		if !server.crashed {
 			server.runs = slices.DeleteFunc(server.runs, func(other serverRun) bool { return other == run })
-			run.node.guard.RequestServed(unrelated, run.began)
+			run.node.guard.RequestServed(Request{Identity: unrelated}, run.began)
 		}
 	})
 }
@@ -244,9 +244,9 @@
 // serveAndForget has all nodes serve a request, and then as many others as they remember.
 func (c *cluster) serveAndForget(identity Identity) {
 	for _, n := range c.nodes {
-		n.guard.RequestServed(identity, time.Now())
+		n.guard.RequestServed(Request{Identity: identity}, time.Now())
 		for _, other := range numbered(1000, 1000+maxServed) {
-			n.guard.RequestServed(other, time.Now())
+			n.guard.RequestServed(Request{Identity: other}, time.Now())
 		}
 	}
 	time.Sleep(time.Minute)
