--- a/cmd/hatchplank-node/poison_request_test.go
+++ b/cmd/hatchplank-node/poison_request_test.go
@@ -69,6 +69,34 @@
 	return len(s.engines) - 1
 }
 
+// startCrashingServers starts servers with these names.
+func startCrashingServers(t *testing.T, d *deployment, names ...string) []*crashingServer {
+	var servers []*crashingServer
+	for _, name := range names {
+		servers = append(servers, newCrashingServer(t, d, name))
+	}
+	return servers
+}
+
+// startAll starts nodes and returns their URLs.
+func (d *deployment) startAll(t *testing.T, names ...string) []string {
+	var urls []string
+	for _, name := range names {
+		url, _ := d.start(t, name)
+		urls = append(urls, url)
+	}
+	return urls
+}
+
+// totalCrashes returns the number of incarnations that crashed, of all servers.
+func totalCrashes(servers []*crashingServer) int {
+	total := 0
+	for _, server := range servers {
+		total += server.crashes()
+	}
+	return total
+}
+
 // Guards against a poison request that crashes one server after the other. A request crashed the
 // server that ran it, and its client sent it again, with another ID, to another node, which
 // forwarded it to the next server, and so on: 14 servers of a pool crashed, 8 of them when the third
@@ -78,23 +106,8 @@
 func TestRequestThatCrashesServersIsRefusedByAllNodes(t *testing.T) {
 	RegisterTestingT(t)
 	d := newDeployment(t)
-	var servers []*crashingServer
-	for _, name := range []string{"p", "q", "r"} {
-		servers = append(servers, newCrashingServer(t, d, name))
-	}
-	var nodes []string
-	for _, name := range []string{"x", "y", "z"} {
-		url, _ := d.start(t, name)
-		nodes = append(nodes, url)
-	}
+	servers, nodes := startCrashingServers(t, d, "p", "q", "r"), d.startAll(t, "x", "y", "z")
 	const crashesToQuarantine, maxFurtherCrashes = 3, 3
-	totalCrashes := func() int {
-		total := 0
-		for _, server := range servers {
-			total += server.crashes()
-		}
-		return total
-	}
 	tries, consecutiveRefusals := 0, 0
 	try := func() int {
 		node := nodes[tries%len(nodes)]
@@ -108,7 +121,7 @@
 		} else {
 			consecutiveRefusals = 0
 		}
-		Expect(totalCrashes()).To(BeNumerically("<=", crashesToQuarantine+maxFurtherCrashes))
+		Expect(totalCrashes(servers)).To(BeNumerically("<=", crashesToQuarantine+maxFurtherCrashes))
 		return consecutiveRefusals
 	}
 	Eventually(try, "60s", "300ms").Should(Equal(2 * len(nodes)))
@@ -117,3 +130,33 @@
 		Eventually(func() int { return standin.PostBody(node, "/p/x", "", "harmless") }, "30s").Should(Equal(http.StatusOK))
 	}
 }
+
+// Guards against one part of prompts that crashes one server after the other: requests that share
+// it, no two of them alike, were each taken for a new request, and 40 servers crashed.
+func TestRequestsThatShareAPromptPartThatCrashesServersAreRefused(t *testing.T) {
+	RegisterTestingT(t)
+	d := newDeployment(t)
+	servers, nodes := startCrashingServers(t, d, "p", "q", "r", "s"), d.startAll(t, "x", "y", "z")
+	const crashesToQuarantine, maxFurtherCrashes = 5, 3
+	tries, consecutiveRefusals := 0, 0
+	serves := func(node string) int {
+		tries++
+		return standin.PostPrompt(node, "/p/x", "harmless", "5c1e", fmt.Sprint("b", tries%6), fmt.Sprint("e", tries))
+	}
+	try := func() int {
+		node := nodes[tries%len(nodes)]
+		// Requests with the same first part show that servers are available.
+		Eventually(func() int { return serves(node) }, "30s").Should(Equal(http.StatusOK))
+		if status := standin.PostPrompt(node, "/p/x", fmt.Sprint(crashingBody, tries), "5c1e", "dead", fmt.Sprint("e", tries)); status == http.StatusServiceUnavailable {
+			consecutiveRefusals++
+		} else {
+			consecutiveRefusals = 0
+		}
+		Expect(totalCrashes(servers)).To(BeNumerically("<=", crashesToQuarantine+maxFurtherCrashes))
+		return consecutiveRefusals
+	}
+	Eventually(try, "60s", "300ms").Should(Equal(2 * len(nodes)))
+	for _, node := range nodes {
+		Eventually(func() int { return serves(node) }, "30s").Should(Equal(http.StatusOK))
+	}
+}
