--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -220,7 +220,7 @@
 	n.poison = poison.NewGuard(poison.Config{
 		View: n.view, Connect: n.servers.Connect, Collectors: n.collectors, Followers: n.holder.ReportingNodes,
 		Transport: n.transport, Address: n.transport.Address(), Store: n.store, EntriesPrefix: poisonPrefix, CrashesPrefix: crashesPrefix,
-		OnCrash: n.metrics.ServerCrashed, Logger: n.logger,
+		OnCrash: n.metrics.ServerCrashed, OnTrial: n.metrics.PoisonTrial, Logger: n.logger,
 	})
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -27,6 +27,7 @@
 	"github.com/hatchplank/hatchplank/internal/logging"
 	"github.com/hatchplank/hatchplank/internal/notice"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
+	"github.com/hatchplank/hatchplank/internal/poison"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
@@ -226,6 +227,7 @@
 	metrics.StoreCall("/call")
 	metrics.Order("load", "accepted")
 	metrics.ServerCrashed()
+	metrics.PoisonTrial(poison.TrialGranted)
 	metrics.Notice(notice.KindLeaving)
 	metrics.SentDespiteNotice(notice.KindLeaving)
 	metrics.ServerLimit(serverlimit.Grant{Allowed: true})
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/hatchplank/hatchplank/internal/notice"
 	"github.com/hatchplank/hatchplank/internal/orders"
 	"github.com/hatchplank/hatchplank/internal/placement"
+	"github.com/hatchplank/hatchplank/internal/poison"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
@@ -39,6 +40,7 @@
 	metricHolder            = "hatchplank_node_order_holder"
 	metricServerCrashes     = "hatchplank_node_server_ends_total"
 	metricQuarantine        = "hatchplank_node_poison_requests"
+	metricPoisonTrials      = "hatchplank_node_poison_trials_total"
 	metricRelayed           = "hatchplank_node_reads_through_relay"
 	metricNotices           = "hatchplank_node_server_notices_total"
 	metricSentDespiteNotice = "hatchplank_node_sends_despite_notice_total"
@@ -75,6 +77,7 @@
 	{metricHolder, "gauge", "", "1 while this node holds the lease for orders."},
 	{metricServerCrashes, "counter", "", "Servers that ended while they had requests of this node."},
 	{metricQuarantine, "gauge", "", "Requests that are refused because servers ended under them."},
+	{metricPoisonTrials, "counter", "event", "Trials of quarantined requests, and of requests with a quarantined part of their prompt, at this node: granted, denied (another one is under way, or its crash would prove nothing), served, crashed, undecided."},
 	{metricNotices, "counter", "notice", "Answers in which servers told of themselves: that they leave, that they want nothing for a while (retry_after), how many requests a second they take from all nodes (limit), something that can't be read (unreadable), or something that no node knows (unknown)."},
 	{metricSentDespiteNotice, "counter", "notice", "Sendings to servers that had told this node not to send, by what they had told."},
 	{metricLimitedServers, "gauge", "", "Servers that name a limit for all nodes together, as far as this node knows."},
@@ -158,6 +161,11 @@
 // ServerCrashed counts a server that crashed while it had requests of this node.
 func (m *Metrics) ServerCrashed() { m.set.GetOrCreateCounter(metricServerCrashes).Inc() }
 
+// PoisonTrial counts what happens to a trial of a quarantined request.
+func (m *Metrics) PoisonTrial(event poison.TrialEvent) {
+	m.count(metricPoisonTrials, "event", string(event))
+}
+
 // CarryRequest counts a request of another node for a connection to a server.
 func (m *Metrics) CarryRequest(outcome serverpath.Outcome) {
 	m.count(metricCarryRequests, "outcome", outcome.String())
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -66,8 +66,11 @@
 	})
 	sw.pause()
 	if err != nil {
-		return f.handleFailure(ctx, flow, target, asAttemptError(err))
+		failure := asAttemptError(err)
+		flow.trialSent = failure.Reason != FailureConnect
+		return f.handleFailure(ctx, flow, target, failure)
 	}
+	flow.trialSent = true
 	defer reply.Body.Close()
 	if flow.firstByte == 0 {
 		flow.firstByte = time.Since(flow.request.Accepted)
--- a/internal/forward/draw.go
+++ b/internal/forward/draw.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/balance"
@@ -24,6 +25,9 @@
 	if len(candidates) == 0 {
 		return nil
 	}
+	if flow.trial != nil {
+		return leastLoaded(candidates, time.Now())
+	}
 	flow.decision.Arrivals = f.arrivals(flow, candidates)
 	if !flow.decision.Drawn() {
 		return lowestScore(candidates)
@@ -35,6 +39,22 @@
 	return &candidates[balance.Pick(balance.Shares(options, flow.decision.Arrivals), f.random())]
 }
 
+// leastLoaded returns the first candidate with the fewest requests. A request that may crash its
+// server takes the others there with it, and they leave open which one was the cause.
+func leastLoaded(candidates []candidate, now time.Time) *candidate {
+	best, fewest := &candidates[0], math.MaxInt
+	for i := range candidates {
+		load := candidates[i].load
+		load.mutex.Lock()
+		requests := load.estimate(now)
+		load.mutex.Unlock()
+		if requests < fewest {
+			best, fewest = &candidates[i], requests
+		}
+	}
+	return best
+}
+
 // lowestScore returns the first candidate with the lowest score.
 func lowestScore(candidates []candidate) *candidate {
 	best := &candidates[0]
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/poison"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -45,6 +46,10 @@
 	// lastEvent is the ID of the last event passed on; headSent: the response head was.
 	lastEvent string
 	headSent  bool
+	// trial is set where the request is quarantined and runs as a trial; trialSent: a server may
+	// have read it, so that it is sent to no other one.
+	trial     *poison.Trial
+	trialSent bool
 	gaps      eventGaps
 	// runTime is the pool's average time from a response's beginning to its end, at the usual speed
 	// of the servers.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -10,6 +10,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/observation"
+	"github.com/hatchplank/hatchplank/internal/poison"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 )
@@ -210,13 +211,17 @@
 	if route == nil {
 		return Outcome{Code: result.UnknownPath, Reason: "no route"}
 	}
-	if entry, held := f.poison.Refused(request.Identity); held {
-		return refusePoison(entry, route)
+	trial, refusal := f.poison.Admit(ctx, poison.Request{Identity: request.Identity, Parts: request.SharedParts}, f.deadlineOf(request, route))
+	if refusal != nil {
+		return refusePoison(*refusal, route)
 	}
 	if refusal := f.admitTenant(ctx, snapshot.Configuration, route, request); refusal != nil {
+		f.poison.EndTrial(trial, false)
 		return *refusal
 	}
 	flow := f.newFlow(request, route)
+	flow.trial = trial
+	defer func() { f.poison.EndTrial(trial, flow.trialSent) }()
 	flow.priority = snapshot.Configuration.Priority(route, request.Tenant)
 	ctx, cancel := context.WithDeadline(ctx, flow.deadline)
 	defer cancel()
@@ -233,6 +238,15 @@
 	return *outcome
 }
 
+// deadlineOf returns the time after which the response is of no use.
+func (f *Forwarder) deadlineOf(request *Request, route *fleet.Route) time.Time {
+	deadline := request.Accepted.Add(route.Timeout)
+	if !request.Deadline.IsZero() && request.Deadline.Before(deadline) {
+		return request.Deadline
+	}
+	return deadline
+}
+
 // readyDelay is the Retry-After of a node without a configuration: as long as the node has waited
 // for one. Nothing shows when it will come, but a long wait so far makes a further long one likely.
 func (f *Forwarder) readyDelay(request *Request, now time.Time) time.Duration {
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -114,7 +114,7 @@
 // reserveAnother reserves capacity at a server that was not tried, and takes a retry from the
 // budget; nil if either is not available, or once the context is done.
 func (f *Forwarder) reserveAnother(ctx context.Context, flow *flow) *candidate {
-	if _, held := f.poison.Refused(flow.request.Identity); held {
+	if _, held := f.poison.Refused(flow.poisonRequest()); held || flow.trial != nil {
 		return nil
 	}
 	found := f.choose(flow, f.view.Load(), time.Now())
--- a/internal/inspect/page.go
+++ b/internal/inspect/page.go
@@ -42,6 +42,8 @@
 	// Quarantines is how often the request was quarantined, RemainingSeconds how long it still is.
 	Quarantines      int     `json:"times"`
 	RemainingSeconds float64 `json:"seconds"`
+	// TrialSeconds is how long one node at a time may run it after that; zero: not at all.
+	TrialSeconds float64 `json:"trial_seconds"`
 }
 
 // Server is the state of a server as the node knows it.
@@ -129,7 +131,8 @@
 	}
 	for _, entry := range s.Poison() {
 		page.Poison = append(page.Poison, Poison{
-			Identity: entry.Identity.Text(), Servers: entry.Servers, Quarantines: entry.Times, RemainingSeconds: entry.Until.Sub(now).Seconds(),
+			Identity: entry.Identity.Text(), Servers: entry.Servers, Quarantines: entry.Times, RemainingSeconds: max(entry.Until.Sub(now), 0).Seconds(),
+			TrialSeconds: entry.TrialTime(now).Seconds(),
 		})
 	}
 	return page
--- a/internal/inspect/print.go
+++ b/internal/inspect/print.go
@@ -43,9 +43,9 @@
 	if len(p.Poison) == 0 {
 		return
 	}
-	fmt.Fprintln(output, "\nPOISON REQUEST\tQUARANTINES\tREMAINING\tCRASHED SERVERS")
+	fmt.Fprintln(output, "\nPOISON REQUEST\tQUARANTINES\tREFUSED FOR\tTRIALS FOR\tCRASHED SERVERS")
 	for _, entry := range p.Poison {
-		fmt.Fprintf(output, "%s\t%d\t%.0fs\t%s\n", entry.Identity, entry.Quarantines, entry.RemainingSeconds, strings.Join(entry.Servers, ","))
+		fmt.Fprintf(output, "%s\t%d\t%.0fs\t%.0fs\t%s\n", entry.Identity, entry.Quarantines, entry.RemainingSeconds, entry.TrialSeconds, strings.Join(entry.Servers, ","))
 	}
 }
 
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -64,6 +64,9 @@
 	"poison.Quarantined":         poison.Quarantined{},
 	"poison.Released":            poison.Released{},
 	"poison.Report":              poison.Report{},
+	"poison.TrialEnded":          poison.TrialEnded{},
+	"poison.TrialReply":          poison.TrialReply{},
+	"poison.TrialRequest":        poison.TrialRequest{},
 	"serverpath.OpenReply":       serverpath.OpenReply{},
 	"serverpath.OpenRequest":     serverpath.OpenRequest{},
 	"tablestore.PullReply":       tablestore.PullReply{},
@@ -142,7 +145,14 @@
 	answer.Voted = false
 	giveBack := filled(ratelimit.ReturnMessage{}).(ratelimit.ReturnMessage)
 	giveBack.Vote = 0
+	crashes := filled(poison.Report{}).(poison.Report)
+	crashes.Ends[0].Parts, crashes.Ends[0].Trials = nil, nil
+	quarantined := filled(poison.Quarantined{}).(poison.Quarantined)
+	quarantined.RefusedFor = 0
+	entries := filled(poison.Entries{}).(poison.Entries)
+	entries.Entries[0].RefusedFor = 0
 	expected := map[string]peer.Message{
+		"poison.Report": crashes, "poison.Quarantined": quarantined, "poison.Entries": entries,
 		"mirror.Update": confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
 		"orders.DemandReport without paths": reportWithoutPaths, "orders.Update without paths": updateWithoutPaths,
 		"tenants.Answer": answer, "tenants.GiveBack": giveBack,
--- a/internal/poison/attribution.go
+++ b/internal/poison/attribution.go
@@ -8,15 +8,6 @@
 	"time"
 )
 
-// maxCoincidingCauses is the number of poison requests that may by coincidence run beside one
-// unrelated request, so that it is at all of their crashes. A request whose crashes need more
-// causes to be explained without it is their cause. With 3, a poison request beside requests that
-// are never sent again would run again after each provisional quarantine.
-const maxCoincidingCauses = 2
-
-// maxExaminedCrashes bounds the crashes of one identity for which causes are counted.
-const maxExaminedCrashes = 16
-
 // attribution decides once which requests crashed servers. The lock of the log is held meanwhile.
 type attribution struct {
 	log *CrashLog
@@ -28,21 +19,33 @@
 	served map[Identity]bool
 	// crashesOf are the crashes of each identity, in order of server.
 	crashesOf map[Identity][]*crashRecord
+	// breadths are those of the parts of prompts.
+	breadths map[Identity]breadth
 	// explained are the crashes that a proved identity explains, and provisional the identities
 	// that are quarantined provisionally, both by the entries found so far.
 	explained   map[*crashRecord]bool
 	provisional []Identity
 }
 
+// breadth tells how many requests refer to a part of prompts.
+type breadth struct {
+	// requests with the part at its crashes, and its largest position in a prompt.
+	requests, position int
+}
+
 // newAttribution returns the state of a decision. The caller must hold the lock of the log.
 func (l *CrashLog) newAttribution(wasQuarantined func(Identity) bool) *attribution {
 	a := &attribution{
-		log: l, wasQuarantined: wasQuarantined, found: map[Identity]Entry{}, served: map[Identity]bool{}, crashesOf: map[Identity][]*crashRecord{},
+		log: l, wasQuarantined: wasQuarantined, found: map[Identity]Entry{}, served: map[Identity]bool{}, crashesOf: map[Identity][]*crashRecord{}, breadths: map[Identity]breadth{},
 	}
 	for _, server := range slices.Sorted(maps.Keys(l.crashes)) {
 		crash := l.crashes[server]
 		for identity := range crash.suspects {
 			a.crashesOf[identity] = append(a.crashesOf[identity], crash)
+			if part, isPart := crash.parts[identity]; isPart {
+				known := a.breadths[identity]
+				a.breadths[identity] = breadth{known.requests + part.requests, max(known.position, part.position)}
+			}
 		}
 		for identity := range crash.served {
 			a.served[identity] = true
@@ -95,18 +98,23 @@
 	// all crashes; those that no proved identity explains; and of these the ones for which no
 	// provisional quarantine has been over.
 	all, unexplained, fresh int
+	// threshold is the number of crashes at which the identity is quarantined.
+	threshold int
 }
 
 // exceedsThreshold reports whether an identity with these crashes is to be quarantined. With
-// more than crashThreshold crashes, or after an earlier quarantine, a single fresh one is
+// more crashes than the threshold, or after an earlier quarantine, a single fresh one is
 // enough: the others may have been explained by a false positive.
 func (c crashCount) exceedsThreshold(quarantinedBefore bool) bool {
-	return c.fresh >= crashThreshold || c.fresh > 0 && (quarantinedBefore || c.all > crashThreshold)
+	return c.fresh >= c.threshold || c.fresh > 0 && (quarantinedBefore || c.all > c.threshold)
 }
 
 // count returns the number of crashes of an identity.
 func (a *attribution) count(identity Identity) crashCount {
-	var count crashCount
+	count := crashCount{threshold: crashThreshold}
+	if a.isPart(identity) && a.served[identity] {
+		count.threshold = servedPartThreshold
+	}
 	for _, crash := range a.crashesOf[identity] {
 		count.all++
 		if a.explained[crash] {
@@ -120,7 +128,32 @@
 	return count
 }
 
-// candidates returns the identities to be quarantined next; of these, one is. Those that were alone
+// isPart reports whether an identity is that of a part of prompts.
+func (a *attribution) isPart(identity Identity) bool {
+	_, isPart := a.breadths[identity]
+	return isPart
+}
+
+// breadthOf returns the breadth of an identity. A request is narrower than each of its parts.
+func (a *attribution) breadthOf(identity Identity) breadth {
+	if part, isPart := a.breadths[identity]; isPart {
+		return part
+	}
+	return breadth{requests: len(a.crashesOf[identity]), position: math.MaxInt}
+}
+
+// isBroader reports whether a part of prompts was running at all crashes of another identity, in
+// more requests. That identity explains its crashes as well, and fewer requests are refused for it.
+func (a *attribution) isBroader(part, identity Identity) bool {
+	if !a.isPart(part) || slices.ContainsFunc(a.crashesOf[identity], func(crash *crashRecord) bool { return !crash.hasSuspect(part) }) {
+		return false
+	}
+	one, other := a.breadthOf(part), a.breadthOf(identity)
+	return one.requests > other.requests || one.requests == other.requests && one.position < other.position
+}
+
+// candidates returns the identities to be quarantined next; of these, one is. Parts that are broader
+// than another one are left out. Those that were alone
 // at a crash come first, since they explain crashes of the others, then those with the most
 // unexplained crashes. Where several have equally many, those that no node has seen served come
 // first.
@@ -133,6 +166,9 @@
 			found = append(found, identity)
 		}
 	}
+	found = preferred(found, func(identity Identity) bool {
+		return !slices.ContainsFunc(found, func(other Identity) bool { return a.isBroader(identity, other) })
+	})
 	found = preferred(found, a.wasAlone)
 	maxUnexplained := 0
 	for _, identity := range found {
@@ -143,8 +179,7 @@
 }
 
 // exceeds reports whether an identity is to be quarantined, or is quarantined provisionally and
-// proved by now: that more causes would be needed proves nothing then, since rivals may have been
-// cleared that were running at all of its crashes.
+// proved by now.
 func (a *attribution) exceeds(identity Identity, count crashCount) bool {
 	if a.isProvisional(identity) {
 		return a.wasAlone(identity)
@@ -179,12 +214,11 @@
 }
 
 // rivals returns, in order, the identities that leave open whether another one is a cause: at the
-// unexplained crash with the fewest of them, the other suspects. It returns none if that crash
-// has no other suspect, or if too many causes would be needed to explain the crashes.
+// unexplained crash with the fewest of them, the other suspects.
 func (a *attribution) rivals(identity Identity) []Identity {
 	isExplained := func(crash *crashRecord) bool { return a.explained[crash] }
 	crashes := slices.DeleteFunc(slices.Clone(a.crashesOf[identity]), isExplained)
-	if len(crashes) == 0 || a.causesNeeded(identity, crashes) > maxCoincidingCauses {
+	if len(crashes) == 0 {
 		return nil
 	}
 	fewest := slices.MinFunc(crashes, func(one, other *crashRecord) int {
@@ -217,31 +251,6 @@
 	return count
 }
 
-// causesNeeded returns how many other suspects it takes to have one at each of an identity's
-// crashes, or more than maxCoincidingCauses. It is found by taking the suspect of the most
-// remaining crashes each time, so it may be too high.
-func (a *attribution) causesNeeded(identity Identity, crashes []*crashRecord) int {
-	left := slices.Clone(crashes[:min(len(crashes), maxExaminedCrashes)])
-	causes := 0
-	for ; len(left) > 0 && causes <= maxCoincidingCauses; causes++ {
-		counts := map[Identity]int{}
-		var most Identity
-		for _, crash := range left {
-			for suspect := range crash.suspects {
-				if !a.isOther(suspect, identity) {
-					continue
-				}
-				counts[suspect]++
-				if counts[suspect] > counts[most] || counts[suspect] == counts[most] && suspect.compare(most) < 0 {
-					most = suspect
-				}
-			}
-		}
-		left = slices.DeleteFunc(left, func(crash *crashRecord) bool { return crash.hasSuspect(most) || a.countOthers(crash, identity) == 0 })
-	}
-	return causes
-}
-
 // toRelease returns the quarantined identities that are left with fewer than crashThreshold
 // crashes of their own, none of them with no other suspect. Identities some of whose crashes have
 // expired from the log are left out, since their count is incomplete.
@@ -284,9 +293,12 @@
 // likeliestCause returns the identity whose running time until the crash varies least between
 // crashes: a poison request crashes a server a fixed time after its own start, while unrelated
 // requests had started at arbitrary times before.
-func (l *CrashLog) likeliestCause(identities []Identity) Identity {
-	return slices.MinFunc(identities, func(a, b Identity) int {
-		return cmp.Or(cmp.Compare(l.elapsedRange(a), l.elapsedRange(b)), a.compare(b))
+func (a *attribution) likeliestCause(identities []Identity) Identity {
+	return slices.MinFunc(identities, func(one, other Identity) int {
+		return cmp.Or(
+			cmp.Compare(a.log.elapsedRange(one), a.log.elapsedRange(other)),
+			cmp.Compare(a.breadthOf(other).position, a.breadthOf(one).position), one.compare(other),
+		)
 	})
 }
 
--- a/internal/poison/crash_log.go
+++ b/internal/poison/crash_log.go
@@ -16,17 +16,30 @@
 	// maxCrashes is the number of crashes that are kept, maxSuspects that of the suspects of
 	// each: twice the number of requests that the largest servers run concurrently (64).
 	maxCrashes, maxSuspects = 1024, 128
+	// maxSuspectedParts is the number of parts of prompts that are kept for each crash.
+	maxSuspectedParts = 512
+	// servedPartThreshold is the number of crashes at which a part of prompts is quarantined that
+	// servers have served before. A part that many requests share is in each crash, and may have
+	// had no time to be served since the first of several quick ones.
+	servedPartThreshold = 5
 	// maxPastQuarantines is the number of past quarantines that are kept, each for
 	// pastQuarantineRetention after its end.
 	maxPastQuarantines      = 1024
 	pastQuarantineRetention = 2 * time.Hour
 	// initialQuarantine is how long an identity is refused the first time. Each further time
-	// takes twice as long, up to maxQuarantine.
-	initialQuarantine, maxQuarantine = 10 * time.Minute, 2 * time.Hour
+	// takes twice as long.
+	initialQuarantine = 10 * time.Minute
 	// provisionalQuarantine is how long the likeliest of several requests at the same crashes
-	// is refused: longer than a report takes to all reachable nodes, and short, since the
-	// request may be a false positive.
-	provisionalQuarantine = 5 * time.Second
+	// is refused before a trial: longer than a report takes to all reachable nodes, and short,
+	// since the request may be a false positive.
+	provisionalQuarantine = time.Second
+	// provisionalTrials is the time in which a provisional entry admits trials, and trialWindow
+	// that of a proved one.
+	provisionalTrials, trialWindow = crashRetention, 24 * time.Hour
+	// maxQuarantines is the number of quarantines after which there is no further trial, and
+	// lastQuarantine the length of the last one, which an operator ends.
+	maxQuarantines = 3
+	lastQuarantine = 30 * 24 * time.Hour
 )
 
 // CrashLog counts the crashes of servers by the requests that were running there. A crash at
@@ -47,6 +60,10 @@
 	until time.Time
 	// provisional: the last quarantine was provisional.
 	provisional bool
+	// servers are the crashes that the last quarantine is for, and refusedUntil the time from which
+	// it admitted trials.
+	servers      []string
+	refusedUntil time.Time
 }
 
 // NewCrashLog returns an empty log.
@@ -65,19 +82,19 @@
 		at := now.Add(-reported.Age)
 		crash := l.crashes[reported.Server]
 		if crash == nil {
-			crash = &crashRecord{at: at, suspects: map[Identity]time.Duration{}, served: map[Identity]bool{}}
+			crash = newCrashRecord(reported.Server, at)
 			l.crashes[reported.Server] = crash
 		}
 		if at.Before(crash.at) {
 			crash.at = at
 		}
 		for i, identity := range reported.Suspects {
-			if len(crash.suspects) < maxSuspects && !l.isReleasedFrom(identity, reported.Server) {
-				crash.addSuspect(identity, reported.elapsedOf(i))
-			}
+			crash.addRequest(identity, reported.elapsedOf(i), reported.partsOf(i), reported.trialsOf(i), func(identity Identity) bool {
+				return l.isReleasedFrom(identity, reported.Server)
+			})
 		}
 		for _, identity := range reported.Served {
-			if len(crash.served) < maxSuspects {
+			if len(crash.served) < maxSuspects+maxSuspectedParts {
 				crash.served[identity] = true
 			}
 		}
@@ -91,8 +108,13 @@
 	defer l.mutex.Unlock()
 	l.expire(now)
 	attribution := l.newAttribution(wasQuarantined)
+	for _, identity := range attribution.failedTrials() {
+		entry := l.newEntry(identity, nil, now)
+		entries = append(entries, entry)
+		attribution.add(entry)
+	}
 	for candidates := attribution.candidates(); len(candidates) > 0; candidates = attribution.candidates() {
-		identity := l.likeliestCause(candidates)
+		identity := attribution.likeliestCause(candidates)
 		entry := l.newEntry(identity, attribution.rivals(identity), now)
 		entries = append(entries, entry)
 		attribution.add(entry)
@@ -121,6 +143,7 @@
 // newEntry makes and remembers the entry of an identity. The caller must hold the lock.
 func (l *CrashLog) newEntry(identity Identity, rivals []Identity, now time.Time) Entry {
 	entry := Entry{Identity: identity, Times: l.past[identity].times, Rivals: rivals, Until: now.Add(provisionalQuarantine)}
+	entry.TrialsUntil = entry.Until.Add(provisionalTrials)
 	if !entry.provisional() {
 		entry = entry.confirmed(now)
 	}
@@ -152,14 +175,21 @@
 	e.Rivals = nil
 	e.Times++
 	e.Until = now.Add(quarantineDuration(e.Times))
+	e.TrialsUntil = e.Until
+	if e.Times < maxQuarantines {
+		e.TrialsUntil = e.Until.Add(trialWindow)
+	}
 	return e
 }
 
 // quarantineDuration is how long an identity is refused that is quarantined for the nth time.
 func quarantineDuration(times int) time.Duration {
+	if times >= maxQuarantines {
+		return lastQuarantine
+	}
 	duration := initialQuarantine
 	for range times - 1 {
-		duration = min(2*duration, maxQuarantine)
+		duration *= 2
 	}
 	return duration
 }
@@ -173,7 +203,10 @@
 
 func (l *CrashLog) remember(entry Entry) {
 	times := max(entry.Times, l.past[entry.Identity].times)
-	l.past[entry.Identity] = pastQuarantine{times: times, until: entry.Until.Add(pastQuarantineRetention), provisional: entry.provisional()}
+	l.past[entry.Identity] = pastQuarantine{
+		times: times, until: entry.expires().Add(pastQuarantineRetention),
+		provisional: entry.provisional(), servers: entry.Servers, refusedUntil: entry.Until,
+	}
 	for len(l.past) > maxPastQuarantines {
 		dropEarliest(l.past, func(past pastQuarantine) time.Time { return past.until })
 	}
--- a/internal/poison/entry_store.go
+++ b/internal/poison/entry_store.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"encoding/hex"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -29,7 +28,29 @@
 	Times       int      `json:"times"`
 	Servers     []string `json:"servers"`
 	SinceMillis int64    `json:"since_ms"`
-	UntilMillis int64    `json:"until_ms"`
+	// UntilMillis is the end of the entry, RefusedUntilMillis the time from which trials are
+	// admitted. Earlier builds have none, and refuse until the end.
+	UntilMillis        int64 `json:"until_ms"`
+	RefusedUntilMillis int64 `json:"refused_until_ms,omitempty"`
+	// Rivals are in hexadecimal; entries with rivals are provisional.
+	Rivals []string `json:"rivals,omitempty"`
+}
+
+// message returns the saved entry as a node would send it.
+func (s savedEntry) message(identity Identity, now time.Time) Quarantined {
+	message := Quarantined{
+		Identity: identity, Times: s.Times, Servers: s.Servers,
+		Age: now.Sub(time.UnixMilli(s.SinceMillis)), Remaining: time.UnixMilli(s.UntilMillis).Sub(now),
+	}
+	if s.RefusedUntilMillis != 0 {
+		message.RefusedFor = max(time.UnixMilli(s.RefusedUntilMillis).Sub(now), time.Nanosecond)
+	}
+	for _, text := range s.Rivals {
+		if rival, err := parseIdentity(text); err == nil {
+			message.Rivals = append(message.Rivals, rival)
+		}
+	}
+	return message
 }
 
 // entryStore keeps entries in the store, one key each, for nodes that were not reached or that
@@ -50,6 +71,8 @@
 	revision int64
 	// servers that crashed under the entry; none if only the revision is known.
 	servers []string
+	// times is that of the entry.
+	times int
 }
 
 type pendingWrite struct {
@@ -75,20 +98,20 @@
 	if !hasPrefix {
 		return identity, false
 	}
-	decoded, err := hex.DecodeString(text)
-	if err != nil || len(decoded) != len(identity) {
+	identity, err := parseIdentity(text)
+	if err != nil {
 		s.guard.config.Logger.Error().Str("key", key).Msg("key of a refused request is not understood")
 		return identity, false
 	}
-	return Identity(decoded), true
+	return identity, true
 }
 
-// save schedules the write of an entry, unless another node has saved it. The collectors try
+// save schedules the write of an entry, unless another node has saved it or a later one. The collectors try
 // first, in an order that depends on the identity.
 func (s *entryStore) save(entry Entry, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.keys[entry.Identity].revision != 0 && entry.Times <= 1 {
+	if key := s.keys[entry.Identity]; key.revision != 0 && entry.Times <= key.times {
 		return
 	}
 	s.pending[entry.Identity] = &pendingWrite{entry: entry, nextTry: now.Add(s.delay(entry.Identity))}
@@ -138,7 +161,7 @@
 	var due []*pendingWrite
 	for identity, write := range s.pending {
 		isGone := write.revision == 0 || write.revision != s.keys[identity].revision
-		if write.remove && isGone || !write.remove && !now.Before(write.entry.Until) {
+		if write.remove && isGone || !write.remove && !now.Before(write.entry.expires()) {
 			delete(s.pending, identity)
 			continue
 		}
@@ -173,10 +196,15 @@
 
 func (s *entryStore) encode(entry Entry, now time.Time) []byte {
 	wallTime := time.Now()
-	value, err := json.Marshal(savedEntry{
+	saved := savedEntry{
 		Times: entry.Times, Servers: entry.Servers,
-		SinceMillis: wallTime.Add(entry.Since.Sub(now)).UnixMilli(), UntilMillis: wallTime.Add(entry.Until.Sub(now)).UnixMilli(),
-	})
+		SinceMillis: wallTime.Add(entry.Since.Sub(now)).UnixMilli(),
+		UntilMillis: wallTime.Add(entry.expires().Sub(now)).UnixMilli(), RefusedUntilMillis: wallTime.Add(entry.Until.Sub(now)).UnixMilli(),
+	}
+	for _, rival := range entry.Rivals {
+		saved.Rivals = append(saved.Rivals, rival.Text())
+	}
+	value, err := json.Marshal(saved)
 	if err != nil {
 		s.guard.config.Logger.Error().Err(err).Msg("quarantine entry could not be encoded")
 	}
@@ -184,7 +212,8 @@
 }
 
 // written handles the result of a write. After a revision conflict, the write is complete if
-// another node has saved or deleted the entry; otherwise it is retried with the revision found.
+// another node has saved the entry, or a later one, or has deleted it; otherwise it is retried with
+// the revision found.
 func (s *entryStore) written(write *pendingWrite, reply outside.TransactionResult, err error) {
 	identity := write.entry.Identity
 	s.mutex.Lock()
@@ -198,16 +227,22 @@
 		if write.remove {
 			s.noteDeleted(identity, write.revision)
 		} else {
-			s.note(identity, storedKey{revision: reply.Revision, servers: write.entry.Servers})
+			s.note(identity, storedKey{revision: reply.Revision, servers: write.entry.Servers, times: write.entry.Times})
 		}
 		s.finish(identity, write)
 		return
 	}
 	delete(s.keys, identity)
 	for _, current := range reply.Current {
-		s.keys[identity] = storedKey{revision: current.ModRevision}
+		key := storedKey{revision: current.ModRevision}
+		var saved savedEntry
+		if err := json.Unmarshal(current.Value, &saved); err == nil {
+			key.times = saved.Times
+		}
+		s.keys[identity] = key
 	}
-	if saved := s.keys[identity].revision != 0; saved != write.remove {
+	key := s.keys[identity]
+	if write.remove && key.revision == 0 || !write.remove && key.revision != 0 && write.entry.Times <= key.times {
 		s.finish(identity, write)
 	}
 }
--- a/internal/poison/entry_store_watch.go
+++ b/internal/poison/entry_store_watch.go
@@ -67,23 +67,18 @@
 		return
 	}
 	s.mutex.Lock()
-	s.note(identity, storedKey{revision: keyValue.ModRevision, servers: saved.Servers})
+	s.note(identity, storedKey{revision: keyValue.ModRevision, servers: saved.Servers, times: saved.Times})
 	if write := s.pending[identity]; write != nil && !write.remove && write.entry.Times <= saved.Times {
 		delete(s.pending, identity)
 	}
 	s.mutex.Unlock()
 	now := time.Now()
-	entry := Quarantined{
-		Identity: identity, Times: saved.Times, Servers: saved.Servers,
-		Age: now.Sub(time.UnixMilli(saved.SinceMillis)), Remaining: time.UnixMilli(saved.UntilMillis).Sub(now),
-	}.entry(now)
-	if !now.Before(entry.Until) {
+	entry := saved.message(identity, now).entry(now)
+	if !now.Before(entry.expires()) {
 		s.remove(identity, now.Add(s.delay(identity)))
 		return
 	}
-	if released, served := s.guard.releaseIfServed(entry); served {
-		s.guard.broadcast(released, true)
-		s.remove(identity, now)
+	if s.guard.withdrawIfServed(entry) {
 		return
 	}
 	if s.guard.crashes.IsReleased(entry) {
@@ -100,7 +95,7 @@
 func (s *entryStore) keyRemoved(identity Identity, key storedKey) {
 	now := time.Now()
 	entry, quarantined := s.guard.quarantine.Lookup(identity, now)
-	if !quarantined || entry.Until.Sub(now) < maxClockSkew {
+	if !quarantined || entry.expires().Sub(now) < maxClockSkew {
 		// Another node deleted it because it has expired by that node's clock.
 		return
 	}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -59,6 +59,8 @@
 	// collector has not acknowledged. The prefixes begin their keys.
 	Store                        outside.KeyValueService
 	EntriesPrefix, CrashesPrefix string
+	// OnTrial is called with what happens to trials of this node; may be nil.
+	OnTrial func(TrialEvent)
 	// OnCrash is called with each server that crashed under requests; may be nil.
 	OnCrash func()
 	Logger  zerolog.Logger
@@ -79,6 +81,7 @@
 	quarantine *Quarantine
 	entryStore *entryStore
 	shared     *sharedCrashes
+	trials     *trials
 
 	mutex sync.Mutex
 	// pending are this node's crashes that go into the next report; unacknowledged are the
@@ -103,24 +106,24 @@
 
 // NewGuard returns a guard and registers its message handlers with the transport.
 func NewGuard(config Config) *Guard {
+	if config.OnTrial == nil {
+		config.OnTrial = func(TrialEvent) {}
+	}
 	if config.OnCrash == nil {
 		config.OnCrash = func() {}
 	}
 	g := &Guard{
-		config: config, suspects: newSuspects(), served: newServed(), crashes: NewCrashLog(), quarantine: NewQuarantine(),
+		config: config, suspects: newSuspects(), served: newServed(), crashes: NewCrashLog(), quarantine: NewQuarantine(), trials: newTrials(),
 	}
 	g.entryStore, g.shared = newEntryStore(g), newSharedCrashes(g)
 	config.Transport.Handle(Report{}, g.serveReport)
 	config.Transport.Handle(Quarantined{}, g.serveQuarantined)
 	config.Transport.Handle(Released{}, g.serveReleased)
+	config.Transport.Handle(TrialRequest{}, g.serveTrialRequest)
+	config.Transport.Handle(TrialEnded{}, g.serveTrialEnded)
 	return g
 }
 
-// Refused returns the entry by which an identity is refused.
-func (g *Guard) Refused(identity Identity) (Entry, bool) {
-	return g.quarantine.Refused(identity, time.Now())
-}
-
 // Entries returns the entries in force.
 func (g *Guard) Entries() []Entry { return g.quarantine.All() }
 
@@ -153,8 +156,31 @@
 	if request.Identity.IsZero() {
 		return
 	}
-	g.served.add(request.Identity, began)
-	g.reportRivalServed(request.Identity, began)
+	g.served.add(request, began)
+	if g.quarantine.isEmpty() {
+		return
+	}
+	if request.Trial != nil {
+		request.Trial.reported.Store(true)
+		g.config.OnTrial(TrialServed)
+	}
+	for _, identity := range request.identities() {
+		g.reportRivalServed(identity, began)
+		if entry, quarantined := g.quarantine.Lookup(identity, time.Now()); quarantined {
+			g.withdrawIfServed(entry)
+		}
+	}
+}
+
+// withdrawIfServed releases an identity everywhere that a server has served since the first crash
+// of its entry. It reports whether that is so.
+func (g *Guard) withdrawIfServed(entry Entry) bool {
+	released, served := g.releaseIfServed(entry)
+	if served {
+		g.broadcast(released, true)
+		g.entryStore.remove(entry.Identity, time.Now())
+	}
+	return served
 }
 
 // AttemptBroken records that a server closed the connection of an attempt, begun at the given
@@ -162,16 +188,29 @@
 // crashed, and not where its shutdown was planned: a server that drains or has deregistered
 // stops in an orderly way.
 func (g *Guard) AttemptBroken(ctx context.Context, request Request, server *fleet.Server, began time.Time) {
+	g.attemptEnded(ctx, request, server, began, false)
+}
+
+// AnswerUnframed records that the connection of an attempt, begun at the given time, ended after
+// an answer that may be complete: nothing in it tells. It is, unless the server has crashed.
+func (g *Guard) AnswerUnframed(ctx context.Context, request Request, server *fleet.Server, began time.Time) {
+	g.attemptEnded(ctx, request, server, began, true)
+}
+
+func (g *Guard) attemptEnded(ctx context.Context, request Request, server *fleet.Server, began time.Time, maybeComplete bool) {
 	if request.Identity.IsZero() || g.leftAsPlanned(server.ID) {
 		return
 	}
+	if request.Trial != nil {
+		request.Trial.reported.Store(true)
+	}
 	now := time.Now()
-	probe, crashed := g.suspects.add(request, server.ID, server.Address, began, now)
+	probe, crashed := g.suspects.add(request, server.ID, server.Address, maybeComplete, began, now)
 	switch {
 	case crashed:
 		g.queueCrash(timedCrash{
 			server: server.ID, suspects: []suspect{{Request: request, elapsed: now.Sub(began)}},
-			served: g.served.among([]Identity{request.Identity}), at: now,
+			served: g.served.among(request.identities()), at: now,
 		})
 	case probe:
 		go g.probe(context.WithoutCancel(ctx), server)
@@ -210,7 +249,22 @@
 			g.suspects.endProbe(server.ID)
 			return
 		}
-		again = g.suspects.confirmAlive(server.ID, began)
+		var ended []brokenAttempt
+		ended, again = g.suspects.confirmAlive(server.ID, began)
+		g.survived(ended)
+	}
+}
+
+// survived records attempts that did not crash their server.
+func (g *Guard) survived(attempts []brokenAttempt) {
+	for _, attempt := range attempts {
+		switch trial := attempt.request.Trial; {
+		case attempt.maybeComplete:
+			g.RequestServed(attempt.request, attempt.at.Add(-attempt.elapsed))
+		case trial != nil:
+			trial.reported.Store(false)
+			g.EndTrial(trial, true)
+		}
 	}
 }
 
@@ -224,7 +278,14 @@
 	identities := identitiesOf(suspects)
 	g.config.Logger.Warn().Str("server", server).Str("proof", proof).Int("requests", len(identities)).
 		Strs("identities", loggedIdentities(identities)).Strs("parts", loggedParts(suspects)).Msg("server ended under requests")
-	g.queueCrash(timedCrash{server: server, suspects: suspects, served: g.served.among(identities), at: brokeAt})
+	crash := timedCrash{server: server, suspects: suspects, at: brokeAt}
+	crash.served = g.served.among(crash.identities())
+	for _, suspect := range suspects {
+		if suspect.Trial != nil {
+			g.config.OnTrial(TrialCrashed)
+		}
+	}
+	g.queueCrash(crash)
 }
 
 func identitiesOf(suspects []suspect) []Identity {
@@ -244,7 +305,7 @@
 }
 
 // loggedParts returns the parts of the suspects' prompts, those of the most suspects first, each
-// with the number of these.
+// with its identity and the number of these.
 func loggedParts(suspects []suspect) []string {
 	counts, ids := map[Identity]int{}, map[Identity]string{}
 	for _, suspect := range suspects {
@@ -258,7 +319,7 @@
 	})
 	var texts []string
 	for _, part := range parts[:min(len(parts), maxLoggedIdentities)] {
-		texts = append(texts, fmt.Sprintf("%s=%d", ids[part], counts[part]))
+		texts = append(texts, fmt.Sprintf("%s:%s=%d", ids[part], part, counts[part]))
 	}
 	return texts
 }
--- a/internal/poison/identity.go
+++ b/internal/poison/identity.go
@@ -12,6 +12,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 )
 
 // Identity is what all tries of one request have in common: a digest of caller, target and
@@ -39,6 +40,18 @@
 	return identity
 }
 
+// parseIdentity parses a Text.
+func parseIdentity(text string) (Identity, error) {
+	decoded, err := hex.DecodeString(text)
+	if err == nil && len(decoded) != len(Identity{}) {
+		err = fmt.Errorf("identity %q has %d bytes", text, len(decoded))
+	}
+	if err != nil {
+		return Identity{}, err
+	}
+	return Identity(decoded), nil
+}
+
 // loggedBytes is the length of an identity in logs: enough to distinguish the requests of a
 // day.
 const loggedBytes = 6
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -21,12 +21,31 @@
 	Servers []string
 	// Since is the time of the first of these crashes.
 	Since time.Time
-	Until time.Time
+	// Until is the time until which no node runs it. Then one node at a time may run it as a trial,
+	// up to TrialsUntil; there are no trials if that is not later.
+	Until, TrialsUntil time.Time
 	// Rivals were running at the same crashes; this identity is only the likeliest cause among
 	// them. Without rivals, nothing else explains the crashes.
 	Rivals []Identity
 }
 
+// expires returns the time at which the entry is over.
+func (e Entry) expires() time.Time {
+	if e.TrialsUntil.After(e.Until) {
+		return e.TrialsUntil
+	}
+	return e.Until
+}
+
+// TrialTime is how long trials are admitted, from the end of the refusal on.
+func (e Entry) TrialTime(now time.Time) time.Duration {
+	from := e.Until
+	if now.After(from) {
+		from = now
+	}
+	return max(e.TrialsUntil.Sub(from), 0)
+}
+
 // provisional reports whether another identity may be the cause.
 func (e Entry) provisional() bool { return len(e.Rivals) > 0 }
 
@@ -36,9 +55,12 @@
 	Identity Identity
 	Times    int
 	Servers  []string
-	// Age is the time since the first crash, Remaining that until the quarantine expires.
+	// Age is the time since the first crash, Remaining that until the entry expires.
 	Age, Remaining time.Duration
 	Rivals         []Identity
+	// RefusedFor is the part of Remaining in which no node runs the request; after it, trials are
+	// admitted. Earlier builds send none, and refuse the request for all of the time.
+	RefusedFor time.Duration
 }
 
 // Entries is the reply to a Report.
@@ -62,18 +84,49 @@
 func (e Entry) message(now time.Time) Quarantined {
 	return Quarantined{
 		Identity: e.Identity, Times: e.Times, Servers: e.Servers,
-		Age: now.Sub(e.Since), Remaining: e.Until.Sub(now), Rivals: e.Rivals,
+		Age: now.Sub(e.Since), Remaining: e.expires().Sub(now), RefusedFor: max(e.Until.Sub(now), time.Nanosecond), Rivals: e.Rivals,
 	}
 }
 
 func (q Quarantined) entry(now time.Time) Entry {
+	remaining := min(q.Remaining, lastQuarantine)
+	refusedFor := min(q.RefusedFor, remaining)
+	if q.RefusedFor == 0 {
+		refusedFor = remaining
+	}
 	return Entry{
 		Identity: q.Identity, Times: q.Times, Servers: q.Servers,
-		Since: now.Add(-q.Age), Until: now.Add(min(q.Remaining, maxQuarantine)), Rivals: q.Rivals,
+		Since: now.Add(-q.Age), Until: now.Add(refusedFor), TrialsUntil: now.Add(remaining), Rivals: q.Rivals,
 	}
 }
 
+// TrialRequest asks the node that grants trials of an identity for one.
+type TrialRequest struct {
+	Identity Identity
+	// Others are the other identities of the request that is to run.
+	Others []Identity
+	// For is the longest time that the trial takes.
+	For time.Duration
+}
+
+// TrialReply is the answer to a TrialRequest. Without Granted, a further request may be granted
+// after Wait.
+type TrialReply struct {
+	Granted bool
+	Wait    time.Duration
+}
+
+// TrialEnded tells that a trial is over and has decided nothing.
+type TrialEnded struct {
+	Identity Identity
+	// Sent: a server may have run it.
+	Sent bool
+}
+
 func init() {
+	peer.RegisterAs("poison.TrialRequest", TrialRequest{})
+	peer.RegisterAs("poison.TrialReply", TrialReply{})
+	peer.RegisterAs("poison.TrialEnded", TrialEnded{})
 	peer.RegisterAs("poison.Report", Report{})
 	peer.RegisterAs("poison.Quarantined", Quarantined{})
 	peer.RegisterAs("poison.Entries", Entries{})
--- a/internal/poison/propagation.go
+++ b/internal/poison/propagation.go
@@ -128,7 +128,7 @@
 	var found []Crash
 	for _, crash := range crashes {
 		isReported := func(identity Identity) bool { return slices.Contains(crash.Served, identity) }
-		if served := slices.DeleteFunc(g.served.among(crash.Suspects), isReported); len(served) > 0 {
+		if served := slices.DeleteFunc(g.served.among(crash.identities()), isReported); len(served) > 0 {
 			found = append(found, Crash{Server: crash.Server, Served: served, Age: crash.Age})
 		}
 	}
@@ -239,13 +239,8 @@
 	}
 }
 
-// saveEntry saves an entry for nodes that start later. Provisional ones would expire before
-// that.
-func (g *Guard) saveEntry(entry Entry) {
-	if !entry.provisional() {
-		g.entryStore.save(entry, time.Now())
-	}
-}
+// saveEntry saves an entry for nodes that start later.
+func (g *Guard) saveEntry(entry Entry) { g.entryStore.save(entry, time.Now()) }
 
 // applyEntry quarantines an identity, subject to an objection window, and reports whether it
 // was not quarantined before. An entry whose identity was released is dropped.
@@ -259,8 +254,9 @@
 		return false
 	}
 	g.crashes.RememberEntry(entry)
+	g.trials.forget(entry.Identity)
 	g.config.Logger.Warn().Str("identity", entry.Identity.Text()).Int("ends", len(entry.Servers)).Strs("servers", entry.Servers).
-		Int("times", entry.Times).Bool("provisional", entry.provisional()).Dur("for_ms", entry.Until.Sub(now)).Str("told_by", source).Msg("request refused by all nodes from now on")
+		Int("times", entry.Times).Bool("provisional", entry.provisional()).Dur("for_ms", entry.Until.Sub(now)).Dur("trials_until_ms", entry.expires().Sub(now)).Str("told_by", source).Msg("request refused by all nodes from now on")
 	g.reportServedRivals(entry)
 	return true
 }
@@ -284,6 +280,7 @@
 	grew = g.crashes.Release(identity, servers, time.Now())
 	g.shared.clear(identity, servers)
 	removed = g.quarantine.removeIf(identity, g.crashes.IsReleased)
+	g.trials.forget(identity)
 	if removed {
 		g.entryStore.cancelSave(identity)
 		g.config.Logger.Warn().Str("identity", identity.Text()).Str("reason", reason).Msg("request released")
@@ -348,7 +345,7 @@
 	reason, servers := "another request explains its crashes", released.Ends
 	if !released.Explained {
 		reason = "a server has served it since"
-		g.served.add(released.Identity, time.Now().Add(-released.Age))
+		g.served.addIdentity(released.Identity, time.Now().Add(-released.Age))
 	}
 	if !released.Explained || len(released.Ends) == 0 {
 		servers = mergeServers(released.Ends, g.knownCrashes(released.Identity))
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,8 @@
 type Quarantine struct {
 	mutex   sync.RWMutex
 	entries map[Identity]quarantineEntry
+	// size is the number of entries. Reading it takes no lock.
+	size atomic.Int64
 }
 
 // quarantineEntry is an entry with the time from which it refuses requests.
@@ -37,7 +40,7 @@
 	q.mutex.RLock()
 	defer q.mutex.RUnlock()
 	entry, found := q.entries[identity]
-	return entry.Entry, found && now.Before(entry.Until)
+	return entry.Entry, found && now.Before(entry.expires())
 }
 
 // quarantinedAt returns a predicate for the identities quarantined at a time. It does not
@@ -48,7 +51,7 @@
 	defer q.mutex.RUnlock()
 	quarantined := make(map[Identity]bool, len(q.entries))
 	for identity, entry := range q.entries {
-		quarantined[identity] = now.Before(entry.Until)
+		quarantined[identity] = now.Before(entry.expires())
 	}
 	return func(identity Identity) bool { return quarantined[identity] }
 }
@@ -66,13 +69,13 @@
 	return false
 }
 
-// Refused returns the entry by which an identity is refused: one that is quarantined and whose
-// objection window is over.
+// Refused returns the entry by which an identity is refused, or runs as a trial only: one that is
+// quarantined and whose objection window is over.
 func (q *Quarantine) Refused(identity Identity, now time.Time) (Entry, bool) {
 	q.mutex.RLock()
 	defer q.mutex.RUnlock()
 	entry, found := q.entries[identity]
-	return entry.Entry, found && now.Before(entry.Until) && !now.Before(entry.refusesFrom)
+	return entry.Entry, found && now.Before(entry.expires()) && !now.Before(entry.refusesFrom)
 }
 
 // add stores an entry, which refuses from the given time on unless the identity is quarantined
@@ -81,20 +84,33 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	before, found := q.entries[entry.Identity]
-	if !now.Before(entry.Until) || found && !entry.Until.After(before.Until) {
+	active := found && now.Before(before.expires())
+	if !now.Before(entry.expires()) || active && !entry.supersedes(before.Entry) {
 		return false
 	}
-	active := found && now.Before(before.Until)
 	if active {
 		refusesFrom = before.refusesFrom
 	}
 	q.entries[entry.Identity] = quarantineEntry{Entry: entry, refusesFrom: refusesFrom}
 	for len(q.entries) > maxEntries {
-		dropEarliest(q.entries, func(entry quarantineEntry) time.Time { return entry.Until })
+		dropEarliest(q.entries, func(entry quarantineEntry) time.Time { return entry.expires() })
 	}
-	return !active || before.provisional() && !entry.provisional()
+	q.size.Store(int64(len(q.entries)))
+	return !active || entry.Times > before.Times
 }
 
+// supersedes reports whether an entry replaces an earlier one of its identity: one for further
+// crashes does, and so does the longer of two for the same.
+func (e Entry) supersedes(before Entry) bool {
+	if e.Times != before.Times {
+		return e.Times > before.Times
+	}
+	return e.expires().After(before.expires())
+}
+
+// isEmpty reports whether no identity is quarantined.
+func (q *Quarantine) isEmpty() bool { return q.size.Load() == 0 }
+
 // removeIf drops the entry of an identity if the condition holds, and reports whether it did.
 func (q *Quarantine) removeIf(identity Identity, condition func(Entry) bool) bool {
 	q.mutex.Lock()
@@ -104,6 +120,7 @@
 		return false
 	}
 	delete(q.entries, identity)
+	q.size.Store(int64(len(q.entries)))
 	return true
 }
 
@@ -113,11 +130,12 @@
 	defer q.mutex.Unlock()
 	var expired []Identity
 	for identity, entry := range q.entries {
-		if !now.Before(entry.Until) {
+		if !now.Before(entry.expires()) {
 			expired = append(expired, identity)
 			delete(q.entries, identity)
 		}
 	}
+	q.size.Store(int64(len(q.entries)))
 	return expired
 }
 
--- a/internal/poison/request.go
+++ b/internal/poison/request.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"hash"
+	"slices"
 )
 
 const (
@@ -20,6 +21,33 @@
 type Request struct {
 	Identity Identity
 	Parts    []Part
+	// Trial is set where the request may run only as a trial.
+	Trial *Trial
+}
+
+// identities returns those by which crashes are counted.
+func (r Request) identities() []Identity { return []Identity{r.Identity} }
+
+// partIdentities returns those of the parts alone.
+func (r Request) partIdentities() []Identity { return r.identities()[1:] }
+
+// without returns the request without an identity, its own or that of a part.
+func (r Request) without(identity Identity) Request {
+	if r.Identity == identity {
+		r.Identity = Identity{}
+	}
+	r.Parts = slices.DeleteFunc(slices.Clone(r.Parts), func(part Part) bool { return part.Identity == identity })
+	return r
+}
+
+// partNamed returns the ID of the part with the identity, or an empty one if it is the request's own.
+func (r Request) partNamed(identity Identity) string {
+	for i := range r.Parts {
+		if r.Parts[i].Identity == identity {
+			return r.Parts[i].loggedID()
+		}
+	}
+	return ""
 }
 
 // Part is a part of a prompt that other requests may share.
--- a/internal/poison/shared_crashes.go
+++ b/internal/poison/shared_crashes.go
@@ -64,13 +64,19 @@
 func (s *sharedCrashes) clear(identity Identity, servers []string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	isCleared := func(suspect suspect) bool { return suspect.Identity == identity }
 	for _, server := range servers {
 		crash := s.crashes[server]
-		if !slices.ContainsFunc(crash.suspects, isCleared) {
+		if !slices.Contains(crash.identities(), identity) {
 			continue
 		}
-		crash.suspects = slices.DeleteFunc(slices.Clone(crash.suspects), isCleared)
+		suspects := make([]suspect, 0, len(crash.suspects))
+		for _, suspect := range crash.suspects {
+			suspect.Request = suspect.without(identity)
+			if !suspect.Identity.IsZero() || len(suspect.Parts) > 0 {
+				suspects = append(suspects, suspect)
+			}
+		}
+		crash.suspects = suspects
 		s.crashes[server] = crash
 		s.dirty = true
 	}
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -34,6 +34,8 @@
 	at      time.Time
 	elapsed time.Duration
 	request Request
+	// maybeComplete: the answer may have been complete.
+	maybeComplete bool
 }
 
 // suspect is a request that was running at a crashed server, and for how long.
@@ -46,7 +48,7 @@
 
 // add records a broken attempt and when it began. It reports whether the caller shall probe the
 // server, since no probe is under way, and whether the server is known to have crashed.
-func (s *suspects) add(request Request, server, address string, began, now time.Time) (probe, crashed bool) {
+func (s *suspects) add(request Request, server, address string, maybeComplete bool, began, now time.Time) (probe, crashed bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.expire(now)
@@ -60,7 +62,7 @@
 		return false, true
 	}
 	if len(broken.attempts) < maxSuspects {
-		broken.attempts[request.Identity] = brokenAttempt{at: now, elapsed: now.Sub(began), request: request}
+		broken.attempts[request.Identity] = brokenAttempt{at: now, elapsed: now.Sub(began), request: request, maybeComplete: maybeComplete}
 	}
 	probe = !broken.probing
 	broken.probing = true
@@ -68,25 +70,26 @@
 }
 
 // confirmAlive records that the server accepted a connection, late enough that a crash up to
-// the given time would have been seen. It reports whether attempts broke later, so that the
-// server must be probed again.
-func (s *suspects) confirmAlive(server string, before time.Time) (again bool) {
+// the given time would have been seen. It returns the attempts that ended before, and
+// reports whether attempts broke later, so that the server must be probed again.
+func (s *suspects) confirmAlive(server string, before time.Time) (ended []brokenAttempt, again bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	broken := s.servers[server]
 	if broken == nil || broken.crashed {
-		return false
+		return nil, false
 	}
 	for identity, attempt := range broken.attempts {
 		if !attempt.at.After(before) {
 			delete(broken.attempts, identity)
+			ended = append(ended, attempt)
 		}
 	}
 	if len(broken.attempts) == 0 {
 		delete(s.servers, server)
-		return false
+		return ended, false
 	}
-	return true
+	return ended, true
 }
 
 // endProbe records that a probe found out nothing, so that the next broken attempt starts another.
--- /dev/null
+++ b/internal/poison/trial.go
@@ -0,0 +1,277 @@
+package poison
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/peer"
+)
+
+const (
+	// trialAskTimeout is the timeout of a TrialRequest.
+	trialAskTimeout = 400 * time.Millisecond
+	// maxTrialTime is the longest time for which a trial is granted. A node that stops meanwhile
+	// holds up the next trial for as long.
+	maxTrialTime = 15 * time.Second
+	// trialMargin is how much longer than its request a trial is granted: a crash has to be
+	// reported and decided on before the next trial.
+	trialMargin = 2 * time.Second
+	// trialPause is the time before a further trial after one that decided nothing. It doubles up
+	// to maxTrialPause.
+	trialPause, maxTrialPause = time.Second, time.Minute
+	// trialSpacing is the time between the trials of two identities, unless the first is decided
+	// earlier. Two at one server would leave open which one crashed it.
+	trialSpacing = 2 * time.Second
+	// maxTrialWait bounds the Retry-After of a request that is refused beside a trial.
+	maxTrialWait = time.Second
+)
+
+// TrialEvent is what happens to a trial, as a label of metrics.
+type TrialEvent string
+
+// The events.
+const (
+	TrialGranted   TrialEvent = "granted"
+	TrialDenied    TrialEvent = "denied"
+	TrialServed    TrialEvent = "served"
+	TrialCrashed   TrialEvent = "crashed"
+	TrialUndecided TrialEvent = "undecided"
+)
+
+// Trial is the permission to run a request once, at one server, although it is quarantined. The
+// outcome decides: served, it is released; if the server crashes, it is quarantined again.
+type Trial struct {
+	tried []Identity
+	// reported is set once the outcome is known, or is being found out by a probe of the server.
+	reported atomic.Bool
+}
+
+// identities returns those on trial; none without a trial.
+func (t *Trial) identities() []Identity {
+	if t == nil {
+		return nil
+	}
+	return t.tried
+}
+
+// Refusal says why a request may not run.
+type Refusal struct {
+	// Part is the ID of the part of the prompt that is quarantined; empty if the whole request is.
+	Part string
+	// RetryAfter is the time after which it may run.
+	RetryAfter time.Duration
+}
+
+// Refused returns the refusal of a request that is quarantined, unless it is on trial.
+func (g *Guard) Refused(request Request) (Refusal, bool) {
+	if request.Trial != nil || g.quarantine.isEmpty() {
+		return Refusal{}, false
+	}
+	now := time.Now()
+	for _, identity := range request.identities() {
+		if entry, refused := g.quarantine.Refused(identity, now); refused {
+			return Refusal{Part: request.partNamed(identity), RetryAfter: entry.refusedFor(now)}, true
+		}
+	}
+	return Refusal{}, false
+}
+
+// refusedFor is the time until a request may run again, as a trial at the earliest.
+func (e Entry) refusedFor(now time.Time) time.Duration { return max(e.Until.Sub(now), maxTrialWait) }
+
+// Admit decides whether a request with this deadline may run. Where it is quarantined and trials
+// are due, it returns the trial that it may run as, if the node that grants them agrees. The
+// caller must end the trial.
+func (g *Guard) Admit(ctx context.Context, request Request, deadline time.Time) (*Trial, *Refusal) {
+	if g.quarantine.isEmpty() {
+		return nil, nil
+	}
+	now := time.Now()
+	all := request.identities()
+	var due []Identity
+	for _, identity := range all {
+		entry, refused := g.quarantine.Refused(identity, now)
+		if refused && now.Before(entry.Until) {
+			return nil, &Refusal{Part: request.partNamed(identity), RetryAfter: entry.refusedFor(now)}
+		}
+		if refused {
+			due = append(due, identity)
+		}
+	}
+	if len(due) == 0 {
+		return nil, nil
+	}
+	trial := &Trial{}
+	for _, identity := range due {
+		others := slices.DeleteFunc(slices.Clone(all), func(other Identity) bool { return other == identity })
+		reply := g.askForTrial(ctx, TrialRequest{Identity: identity, Others: others, For: deadline.Sub(now) + trialMargin})
+		if !reply.Granted {
+			g.EndTrial(trial, false)
+			g.config.OnTrial(TrialDenied)
+			return nil, &Refusal{Part: request.partNamed(identity), RetryAfter: max(reply.Wait, minTrialWait)}
+		}
+		trial.tried = append(trial.tried, identity)
+	}
+	g.config.OnTrial(TrialGranted)
+	g.config.Logger.Info().Strs("identities", loggedIdentities(trial.tried)).Msg("trial of a quarantined request granted")
+	return trial, nil
+}
+
+// minTrialWait is the shortest Retry-After of a request that gets no trial.
+const minTrialWait = 100 * time.Millisecond
+
+// EndTrial ends a trial. Unless its outcome was reported, it has decided nothing; sent tells
+// whether a server may have run it.
+func (g *Guard) EndTrial(trial *Trial, sent bool) {
+	if trial == nil || trial.reported.Load() {
+		return
+	}
+	if sent {
+		g.config.OnTrial(TrialUndecided)
+	}
+	for _, identity := range trial.tried {
+		ended := TrialEnded{Identity: identity, Sent: sent}
+		switch granter := g.trialGranter(); granter {
+		case "":
+		case g.config.Address:
+			g.trials.end(ended, time.Now())
+		default:
+			g.config.Transport.Send(granter, ended)
+		}
+	}
+}
+
+// trialGranter returns the address of the collector that grants all trials; empty if none is known.
+func (g *Guard) trialGranter() string {
+	var granter string
+	var most uint64
+	for _, collector := range g.config.Collectors() {
+		if weight := rendezvousWeight(collector, Identity{}); granter == "" || weight > most {
+			granter, most = collector, weight
+		}
+	}
+	return granter
+}
+
+// askForTrial asks the node that grants trials. Without an answer none is granted.
+func (g *Guard) askForTrial(ctx context.Context, ask TrialRequest) TrialReply {
+	denied := TrialReply{Wait: maxTrialWait}
+	granter := g.trialGranter()
+	switch granter {
+	case "":
+		return denied
+	case g.config.Address:
+		return g.grantTrial(ask)
+	}
+	replies := make(chan TrialReply, 1)
+	g.config.Transport.Call(granter, ask, trialAskTimeout, func(message peer.Message, err error) {
+		reply, ok := message.(TrialReply)
+		if err != nil || !ok {
+			reply = denied
+		}
+		replies <- reply
+	})
+	select {
+	case reply := <-replies:
+		return reply
+	case <-ctx.Done():
+		// A trial that is granted now ends by its time.
+		return denied
+	}
+}
+
+func (g *Guard) serveTrialRequest(_ string, message peer.Message, reply func(peer.Message, error)) {
+	reply(g.grantTrial(message.(TrialRequest)), nil)
+}
+
+func (g *Guard) serveTrialEnded(_ string, message peer.Message, reply func(peer.Message, error)) {
+	g.trials.end(message.(TrialEnded), time.Now())
+	reply(nil, nil)
+}
+
+// grantTrial grants a trial unless one is under way, or a crash would leave open which identity of
+// the request was its cause.
+func (g *Guard) grantTrial(ask TrialRequest) TrialReply {
+	now := time.Now()
+	g.clearServed()
+	if g.crashes.IsAmbiguous(ask.Identity, ask.Others, g.quarantine.quarantinedAt(now)) {
+		return TrialReply{Wait: maxTrialWait}
+	}
+	return g.trials.grant(ask, now)
+}
+
+// trials are the trials that this node has granted.
+type trials struct {
+	mutex   sync.Mutex
+	granted map[Identity]grantedTrial
+	// latest is the identity of the latest one, and spacedUntil the time from which that of another
+	// one may follow.
+	latest      Identity
+	spacedUntil time.Time
+}
+
+// grantedTrial is the latest trial of an identity.
+type grantedTrial struct {
+	// until is the time at which the next one may be granted.
+	until time.Time
+	// undecided is the number of trials in a row that decided nothing.
+	undecided int
+}
+
+func newTrials() *trials { return &trials{granted: map[Identity]grantedTrial{}} }
+
+// grant grants a trial if the latest one is over.
+func (t *trials) grant(ask TrialRequest, now time.Time) TrialReply {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	latest := t.granted[ask.Identity]
+	left := latest.until.Sub(now)
+	if ask.Identity != t.latest {
+		left = max(left, t.spacedUntil.Sub(now))
+	}
+	if left > 0 {
+		return TrialReply{Wait: min(left, maxTrialWait)}
+	}
+	t.latest, t.spacedUntil = ask.Identity, now.Add(trialSpacing)
+	latest.until = now.Add(min(max(ask.For, trialMargin), maxTrialTime))
+	t.granted[ask.Identity] = latest
+	for len(t.granted) > maxEntries {
+		dropEarliest(t.granted, func(granted grantedTrial) time.Time { return granted.until })
+	}
+	return TrialReply{Granted: true}
+}
+
+// end ends a trial that decided nothing. The next one may follow at once if no server ran it.
+func (t *trials) end(ended TrialEnded, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	latest, granted := t.granted[ended.Identity]
+	if !granted {
+		return
+	}
+	latest.until = now
+	t.endSpacing(ended.Identity)
+	if ended.Sent {
+		latest.until = now.Add(min(trialPause<<min(latest.undecided, 6), maxTrialPause))
+		latest.undecided++
+	}
+	t.granted[ended.Identity] = latest
+}
+
+// forget drops the trials of an identity that is decided on.
+func (t *trials) forget(identity Identity) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.granted, identity)
+	t.endSpacing(identity)
+}
+
+// endSpacing lets the trial of another identity follow at once. The lock must be held.
+func (t *trials) endSpacing(identity Identity) {
+	if t.latest == identity {
+		t.spacedUntil = time.Time{}
+	}
+}
