poison: Count crashes by the parts of prompts as well as by whole requests

What callers saw: one part of prompts crashed each server that began to answer a request with it. 27 and 32 such requests reached servers after the fifth crash, 38 and 40 servers crashed, and of 103 other callers of the route 52 were served.

Cause: suspicion knew whole requests only. No two of these requests were alike, so each stood at one crash.

--- a/cmd/hatchplank-node/node_test.go
+++ b/cmd/hatchplank-node/node_test.go
@@ -72,6 +72,12 @@
 	return address
 }
 
+// remove deletes a key of the store.
+func (d *deployment) remove(key string) {
+	_, err := d.store.Transact(outside.Transaction{Operations: []outside.Operation{{Kind: outside.OperationDelete, Key: key}}})
+	Expect(err).NotTo(HaveOccurred())
+}
+
 // put writes a key of the store.
 func (d *deployment) put(key, value string) {
 	_, err := d.store.Transact(outside.Transaction{Operations: []outside.Operation{{Key: key, Value: []byte(value)}}})
--- a/cmd/hatchplank-node/poison_request_test.go
+++ b/cmd/hatchplank-node/poison_request_test.go
@@ -136,7 +136,9 @@
 func TestRequestsThatShareAPromptPartThatCrashesServersAreRefused(t *testing.T) {
 	RegisterTestingT(t)
 	d := newDeployment(t)
-	servers, nodes := startCrashingServers(t, d, "p", "q", "r", "s"), d.startAll(t, "x", "y", "z")
+	servers := startCrashingServers(t, d, "p", "q", "r", "s")
+	d.remove(standin.ServerKey("i-9"))
+	nodes := d.startAll(t, "x", "y", "z")
 	const crashesToQuarantine, maxFurtherCrashes = 5, 3
 	tries, consecutiveRefusals := 0, 0
 	serves := func(node string) int {
--- a/internal/poison/request.go
+++ b/internal/poison/request.go
@@ -25,8 +25,15 @@
 	Trial *Trial
 }
 
-// identities returns those by which crashes are counted.
-func (r Request) identities() []Identity { return []Identity{r.Identity} }
+// identities returns those of the request and its parts, the request's first.
+func (r Request) identities() []Identity {
+	all := make([]Identity, 0, 1+len(r.Parts))
+	all = append(all, r.Identity)
+	for i := range r.Parts {
+		all = append(all, r.Parts[i].Identity)
+	}
+	return all
+}
 
 // partIdentities returns those of the parts alone.
 func (r Request) partIdentities() []Identity { return r.identities()[1:] }
