serverpath: Reset a carried connection that the server did not close in order

Cause: copyBytes took any error for the end of the source, and carry closed the connection towards the node in order. The same after a crash of the node that carries: its system closes its sockets in order.

Change: an end that is not io.EOF resets the connection towards the node; a node that reads an end asks the carrying node once more, and takes it for the server's only if that one answers.

TestResetOfACarriedConnectionReachesTheNode/reset and TestConnectionThroughACrashedNodeDoesNotEndInOrder failed before.

--- a/internal/serverpath/carrier.go
+++ b/internal/serverpath/carrier.go
@@ -158,19 +158,26 @@
 }
 
 // carry copies bytes until either side ends the connection. When the node does, the connection to the
-// server is closed at once; when the server does, its last bytes are sent first.
+// server is closed at once; when the server does, its last bytes are sent first. A connection that the
+// server does not close in order is reset towards the node: an answer may end with its connection, and
+// would look complete otherwise.
 func (c *carriedConnection) carry() {
 	nodeEnded := make(chan struct{})
 	go func() {
 		defer close(nodeEnded)
 		defer c.server.Close()
-		if !copyBytes(c.server, c.node, func() { c.answeredAfter.Store(0) }) {
+		if sourceEnded, _ := copyBytes(c.server, c.node, func() { c.answeredAfter.Store(0) }); !sourceEnded {
 			// The server may have answered before it closed the connection. What the node still sends
 			// is of no use then, and its end is no failure.
 			_, _ = io.Copy(io.Discard, c.node)
 		}
 	}()
-	copyBytes(c.node, c.server, func() { c.answeredAfter.Store(int64(max(time.Since(c.opened), 1))) })
+	_, err := copyBytes(c.node, c.server, func() { c.answeredAfter.Store(int64(max(time.Since(c.opened), 1))) })
+	if !errors.Is(err, io.EOF) {
+		reset(c.node)
+		<-nodeEnded
+		return
+	}
 	if half, canHalfClose := c.node.(interface{ CloseWrite() error }); canHalfClose && half.CloseWrite() == nil {
 		_ = c.node.SetReadDeadline(time.Now().Add(drainTimeout))
 		<-nodeEnded
@@ -179,12 +186,21 @@
 	<-nodeEnded
 }
 
+// reset closes a connection such that the other side sees that it did not end in order.
+func reset(conn net.Conn) {
+	if socket, isTCP := conn.(interface{ SetLinger(seconds int) error }); isTCP {
+		// Without it, the connection is closed in order, which is all that it allows.
+		_ = socket.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // carriedBuffers are buffers for reuse.
 var carriedBuffers = sync.Pool{New: func() any { return new([carriedBufferBytes]byte) }}
 
-// copyBytes copies until the source ends or the target fails, and reports whether it was the source. It
-// calls onBytes before each write.
-func copyBytes(target, source net.Conn, onBytes func()) (sourceEnded bool) {
+// copyBytes copies until the source ends or the target fails. It reports whether it was the source, and
+// how that ended: io.EOF if it was closed in order. It calls onBytes before each write.
+func copyBytes(target, source net.Conn, onBytes func()) (sourceEnded bool, err error) {
 	buffer := carriedBuffers.Get().(*[carriedBufferBytes]byte)
 	defer carriedBuffers.Put(buffer)
 	for {
@@ -194,11 +210,11 @@
 			// An error is returned by the write that follows.
 			_ = target.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, writeErr := target.Write(buffer[:count]); writeErr != nil {
-				return false
+				return false, writeErr
 			}
 		}
 		if err != nil {
-			return true
+			return true, err
 		}
 	}
 }
--- /dev/null
+++ b/internal/serverpath/carrier_test.go
@@ -0,0 +1,83 @@
+package serverpath
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// connectionPair returns both ends of a connection over loopback TCP.
+func connectionPair(t *testing.T) (near, far *net.TCPConn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	accepted, err := listener.Accept()
+	Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _, _ = dialed.Close(), accepted.Close() })
+	return dialed.(*net.TCPConn), accepted.(*net.TCPConn)
+}
+
+// Guards against a response without length or chunks that is given to its caller as complete after
+// the server has reset the carried connection in the middle of it.
+func TestResetOfACarriedConnectionReachesTheNode(t *testing.T) {
+	cases := map[string]struct {
+		end  func(server *net.TCPConn)
+		seen error
+	}{
+		"closed in order": {func(server *net.TCPConn) { _ = server.Close() }, nil},
+		"reset": {func(server *net.TCPConn) {
+			_ = server.SetLinger(0)
+			_ = server.Close()
+		}, syscall.ECONNRESET},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			node, towardsNode := connectionPair(t)
+			server, towardsServer := connectionPair(t)
+			carried := &carriedConnection{node: towardsNode, server: towardsServer, opened: time.Now()}
+			done := make(chan struct{})
+			go func() { defer close(done); carried.carry() }()
+			_, err := server.Write([]byte("five events"))
+			Expect(err).NotTo(HaveOccurred())
+			buffer := make([]byte, len("five events"))
+			_, err = io.ReadFull(node, buffer)
+			Expect(err).NotTo(HaveOccurred())
+			test.end(server)
+			_, err = io.ReadAll(node)
+			Expect(errors.Is(err, test.seen)).To(BeTrue(), "%v", err)
+			_ = node.Close()
+			Eventually(done).Should(BeClosed())
+		})
+	}
+}
+
+// Guards against the same after the crash of the node that carries the connection: its system closes
+// the connection in order.
+func TestConnectionThroughACrashedNodeDoesNotEndInOrder(t *testing.T) {
+	for _, crashed := range []bool{false, true} {
+		inVirtualTime(t, 2, 4, func(t *testing.T, n *network) {
+			RegisterTestingT(t)
+			n.set("n0", hangs)
+			got := n.nodes["n0"].dial(t, "s0")
+			Expect(got.err).NotTo(HaveOccurred())
+			n.mutex.Lock()
+			n.nodes["n1"].crashed = crashed
+			n.mutex.Unlock()
+			_ = n.accepted["s0"][0].Close()
+			_, err := got.conn.Read(make([]byte, 1))
+			if crashed {
+				Expect(err).To(Equal(io.ErrUnexpectedEOF))
+			} else {
+				Expect(err).To(Equal(io.EOF))
+			}
+		})
+	}
+}
--- a/internal/serverpath/fakes_test.go
+++ b/internal/serverpath/fakes_test.go
@@ -49,6 +49,8 @@
 	carrier *Carrier
 	// earlier: the node is of an earlier build.
 	earlier bool
+	// crashed: the node answers nothing.
+	crashed bool
 	// asked counts the requests of other nodes.
 	asked int
 }
@@ -142,8 +144,11 @@
 	t.network.mutex.Lock()
 	target := t.network.nodes[address]
 	target.asked++
-	earlier := target.earlier
+	earlier, crashed := target.earlier, target.crashed
 	t.network.mutex.Unlock()
+	if crashed {
+		return nil, nil, peer.ErrUnreachable
+	}
 	if earlier {
 		return nil, nil, errors.New("no handler for message")
 	}
--- a/internal/serverpath/intermediaries.go
+++ b/internal/serverpath/intermediaries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -97,7 +98,7 @@
 			if got.err == nil {
 				go closeLate(answers, pending)
 				i.distrust(refusedBy)
-				return i.track(got.conn, got.node), got.node, said, nil
+				return i.track(got.conn, got.node, server), got.node, said, nil
 			}
 			switch got.outcome {
 			case Refused:
@@ -254,9 +255,22 @@
 }
 
 // track counts a connection through a node until it is closed.
-func (i *Intermediaries) track(conn net.Conn, node string) net.Conn {
+func (i *Intermediaries) track(conn net.Conn, node, server string) net.Conn {
 	i.count(node, 1)
-	return &trackedConn{Conn: conn, closed: sync.OnceFunc(func() { i.count(node, -1) })}
+	return &trackedConn{
+		Conn: conn, closed: sync.OnceFunc(func() { i.count(node, -1) }),
+		answers: func() bool { return i.answers(node, server) },
+	}
+}
+
+// answers reports whether a node answers requests for connections to a server, whether or not it opens
+// one.
+func (i *Intermediaries) answers(node, server string) bool {
+	got := i.ask(context.Background(), node, server)
+	if got.conn != nil {
+		_ = got.conn.Close()
+	}
+	return got.outcome != 0
 }
 
 func (i *Intermediaries) count(node string, change int) {
@@ -265,10 +279,22 @@
 	i.state(node).open += change
 }
 
-// trackedConn calls closed when it is closed.
+// trackedConn is a connection through another node. It calls closed when it is closed, and answers to
+// learn whether that node still answers.
 type trackedConn struct {
 	net.Conn
-	closed func()
+	closed  func()
+	answers func() bool
+}
+
+// Read implements net.Conn. The system closes the connections of a node that crashes in order, so an end
+// counts as the server's only if the node still answers.
+func (c *trackedConn) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	if errors.Is(err, io.EOF) && !c.answers() {
+		err = io.ErrUnexpectedEOF
+	}
+	return count, err
 }
 
 // Close implements net.Conn.
