--- a/internal/forward/poison_test.go
+++ b/internal/forward/poison_test.go
@@ -169,11 +169,6 @@
 			return nil, &AttemptError{Reason: reason, Ran: result.RanUnknown, Cause: cause}
 		}
 	}
-	unframed := func(ctx context.Context, attempt Attempt) (*Reply, error) {
-		reply, err := answers(200, "fine")(ctx, attempt)
-		reply.Unframed = true
-		return reply, err
-	}
 	cases := map[string]struct {
 		answer               func(context.Context, Attempt) (*Reply, error)
 		broke, ended, served int
@@ -190,7 +185,7 @@
 		"another instance answers":  {failsWith(FailureOtherInstance, nil), 0, 1, 0},
 		"served":                    {answers(200, "fine"), 0, 0, 1},
 		"failed with an answer":     {answers(500, "broken"), 0, 0, 0},
-		"body without a length":     {unframed, 1, 0, 0},
+		"body without a length":     {unframed(answers(200, "fine")), 1, 0, 0},
 		"reports to be full":        {failsWith(FailureFull, nil), 0, 0, 0},
 		"does not hold the adapter": {failsWith(FailureNotHeld, nil), 0, 0, 0},
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -97,7 +97,7 @@
 	Body io.ReadCloser
 	Load Load
 	// Unframed: only the end of the connection marks the end of the body, so that the response
-	// of a server that crashed looks complete.
+	// of a server that crashed looks complete unless the server is probed.
 	Unframed bool
 	// Opaque is for the protocol binding that made the reply.
 	Opaque any
--- /dev/null
+++ b/internal/forward/unframed_test.go
@@ -0,0 +1,108 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/result"
+)
+
+// unframed makes an answer end with its connection.
+func unframed(answer func(context.Context, Attempt) (*Reply, error)) func(context.Context, Attempt) (*Reply, error) {
+	return func(ctx context.Context, attempt Attempt) (*Reply, error) {
+		reply, err := answer(ctx, attempt)
+		if reply != nil {
+			reply.Unframed = true
+		}
+		return reply, err
+	}
+}
+
+// Guards against a response that ends with its connection and is given to its caller as complete,
+// although its server crashed in the middle of it.
+func TestUnframedResponseOfACrashedServerIsBroken(t *testing.T) {
+	cases := map[string]struct {
+		route, model string
+		answer       func(context.Context, Attempt) (*Reply, error)
+		// refusesAfter is the time from the end of the connection until the server refuses others.
+		refusesAfter time.Duration
+		body         string
+	}{
+		"between two events":             {"stream", "m", streams(events(1, 2), time.Millisecond, io.EOF), 0, strings.Join(events(1, 2), "")},
+		"sockets are closed one by one":  {"stream", "m", streams(events(1, 2), time.Millisecond, io.EOF), 15 * time.Millisecond, strings.Join(events(1, 2), "")},
+		"after the head of a stream":     {"stream", "m", streams(nil, time.Millisecond, io.EOF), 0, ""},
+		"in a body that is no stream":    {"once", "", answers(200, "half of an ans"), 0, ""},
+		"after the head of a short body": {"once", "", answers(200, ""), 0, ""},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				for id := range b.backend.answer {
+					b.backend.answer[id] = unframed(test.answer)
+				}
+				var probedFirst time.Time
+				b.forwarder.connect = func(context.Context, string) error {
+					if probedFirst.IsZero() {
+						probedFirst = time.Now()
+					}
+					if time.Since(probedFirst) < test.refusesAfter {
+						return nil
+					}
+					return syscall.ECONNREFUSED
+				}
+				seen := &recorder{}
+				outcome := b.forwarder.Serve(context.Background(), request(test.route, test.model, 5*time.Second), seen)
+				Expect(outcome.Code).NotTo(Equal(result.OK))
+				Expect(outcome.Broken).To(Equal(seen.begun > 0))
+				Expect(seen.body.String()).To(Equal(test.body))
+			})
+		})
+	}
+}
+
+// Guards against a resumable stream that is given to its caller as complete in the middle, instead of
+// going on at another server.
+func TestUnframedStreamOfACrashedServerContinuesAtAnother(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		crashed := func() bool { return len(b.backend.servers()) == 1 }
+		answer := func(ctx context.Context, attempt Attempt) (*Reply, error) {
+			if crashed() {
+				return streams(events(1, 2), time.Millisecond, io.EOF)(ctx, attempt)
+			}
+			return streams(events(3, 4), time.Millisecond, io.EOF)(ctx, attempt)
+		}
+		b.backend.answer["m1"], b.backend.answer["m2"] = unframed(answer), unframed(answer)
+		b.forwarder.connect = func(context.Context, string) error {
+			if crashed() {
+				return syscall.ECONNREFUSED
+			}
+			return nil
+		}
+		seen := &recorder{}
+		outcome := b.forwarder.Serve(context.Background(), request("patient", "m", 5*time.Second), seen)
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(seen.body.String()).To(Equal(strings.Join(events(1, 4), "")))
+	})
+}
+
+// Guards against complete responses that are taken for broken, since their server is slow to accept a
+// connection or is not reached.
+func TestUnframedResponseOfALivingServerIsComplete(t *testing.T) {
+	for _, probed := range []error{nil, syscall.ETIMEDOUT, context.DeadlineExceeded} {
+		inVirtualTime(t, func(b *testbed) {
+			b.backend.answer["p1"] = unframed(answers(200, "fine"))
+			b.backend.answer["p2"] = b.backend.answer["p1"]
+			b.forwarder.connect = func(context.Context, string) error { return probed }
+			seen := &recorder{}
+			outcome := b.forwarder.Serve(context.Background(), request("once", "", time.Second), seen)
+			Expect(outcome.Code).To(Equal(result.OK))
+			Expect(seen.body.String()).To(Equal("fine"))
+		})
+	}
+}
