poison, forward: Test trials that end without an outcome, and parts that callers forge

Trials of a node that stops, whose caller leaves, that is not sent; a granting node that is cut off and has no successor; two suspects at once; a poison request beside the trial; the last quarantine; parts of another caller; the bounds of parts.

--- /dev/null
+++ b/internal/poison/trial_test.go
@@ -0,0 +1,219 @@
+package poison
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// suspect quarantines a request provisionally, beside others that are not sent again, and waits until
+// trials are due.
+func (c *cluster) suspect(identity Identity, others ...Identity) {
+	for i := range crashThreshold {
+		c.crash(c.server(fmt.Sprint(identity, "-", i)), map[*node][]Identity{c.nodes[i]: {identity, others[i]}})
+		time.Sleep(500 * time.Millisecond)
+	}
+	time.Sleep(provisionalQuarantine)
+}
+
+// trialOf returns the only admission of a request that all nodes are asked for at once.
+func (c *cluster) trialOf(request Request) admission {
+	admitted := c.admittedAtOnce(request)
+	Expect(admitted).To(HaveLen(1))
+	Expect(admitted[0].request.Trial).NotTo(BeNil())
+	return admitted[0]
+}
+
+// Guards against a request that several nodes send in the moment in which its quarantine ends, and
+// against one that stays refused after a trial in which it was served.
+func TestTrialThatIsServedReleasesEverywhere(t *testing.T) {
+	runInCluster(t, 8, 3, func(c *cluster) {
+		all := numbered(0, 4)
+		c.suspect(all[0], all[1:]...)
+		trial := c.trialOf(Request{Identity: all[0]})
+		trial.node.guard.RequestServed(trial.request, time.Now().Add(-time.Millisecond))
+		trial.node.guard.EndTrial(trial.request.Trial, true)
+		time.Sleep(time.Second)
+		Expect(c.admittedAtOnce(Request{Identity: all[0]})).To(HaveLen(8))
+		Expect(c.store.entries()).To(BeEmpty())
+	})
+}
+
+// Guards against a request that stays refused, or that two nodes try, after the node with the trial has
+// stopped, lost its caller or its server's answer.
+func TestTrialWithoutAnOutcomeIsFollowedByAnother(t *testing.T) {
+	cases := map[string]struct {
+		end  func(c *cluster, trial admission)
+		next time.Duration
+	}{
+		"not sent":         {func(_ *cluster, trial admission) { trial.node.guard.EndTrial(trial.request.Trial, false) }, messageTime},
+		"sent, no answer":  {func(_ *cluster, trial admission) { trial.node.guard.EndTrial(trial.request.Trial, true) }, trialPause + messageTime},
+		"the node stopped": {func(c *cluster, trial admission) { c.network.SetCut(trial.node.address, true) }, time.Second + trialMargin},
+		"connection broken, the server lives": {func(c *cluster, trial admission) {
+			trial.node.guard.AttemptBroken(context.Background(), trial.request, c.server("living"), time.Now())
+			trial.node.guard.EndTrial(trial.request.Trial, true)
+		}, secondProbeDelay + trialPause + messageTime},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			runInCluster(t, 8, 3, func(c *cluster) {
+				all := numbered(0, 4)
+				c.suspect(all[0], all[1:]...)
+				test.end(c, c.trialOf(Request{Identity: all[0]}))
+				if test.next > messageTime {
+					time.Sleep(test.next - 2*messageTime)
+					Expect(c.admittedAtOnce(Request{Identity: all[0]})).To(BeEmpty())
+				}
+				time.Sleep(test.next)
+				c.trialOf(Request{Identity: all[0]})
+			})
+		})
+	}
+}
+
+// Guards against nodes that run a quarantined request freely because they don't reach the node that
+// grants trials, or that has no successor yet.
+func TestRequestIsRefusedWithoutANodeThatGrantsTrials(t *testing.T) {
+	runInCluster(t, 5, 0, func(c *cluster) {
+		all := numbered(0, 4)
+		c.suspect(all[0], all[1:]...)
+		c.network.SetCut(c.holder, true)
+		reached := c.admittedAtOnce(Request{Identity: all[0]})
+		for _, admitted := range reached {
+			Expect(admitted.node.address).To(Equal(c.holder))
+		}
+		c.holder = ""
+		time.Sleep(maxTrialTime)
+		Expect(c.admittedAtOnce(Request{Identity: all[0]})).To(BeEmpty())
+		c.holder = c.nodes[0].address
+		c.trialOf(Request{Identity: all[0]})
+	})
+}
+
+// Guards against trials of two suspects at one server at the same time, whose crash proves nothing.
+func TestSuspectsAreTriedOneAfterTheOther(t *testing.T) {
+	runInCluster(t, 4, 3, func(c *cluster) {
+		all := numbered(0, 8)
+		c.suspect(all[0], all[2:5]...)
+		c.suspect(all[1], all[5:8]...)
+		c.trialOf(Request{Identity: all[0]})
+		Expect(c.admittedAtOnce(Request{Identity: all[1]})).To(BeEmpty())
+		time.Sleep(trialSpacing)
+		c.trialOf(Request{Identity: all[1]})
+	})
+}
+
+// Guards against a poison request that is tried for ever: after the third quarantine only an operator
+// releases it.
+func TestTrialsEndWithTheThirdQuarantine(t *testing.T) {
+	runInCluster(t, 4, 3, func(c *cluster) {
+		all := numbered(0, 4)
+		c.suspect(all[0], all[1:]...)
+		for number := range maxQuarantines {
+			c.crashTrial(fmt.Sprint("trial-", number), c.trialOf(Request{Identity: all[0]}))
+			time.Sleep(2 * time.Second)
+			Expect(c.refusedBy(all[0])).To(Equal(4))
+			time.Sleep(quarantineDuration(min(number+1, maxQuarantines-1)))
+		}
+		time.Sleep(trialWindow)
+		Expect(c.admittedAtOnce(Request{Identity: all[0]})).To(BeEmpty())
+		for i := range c.nodes {
+			c.restart(i)
+		}
+		Expect(c.admittedAtOnce(Request{Identity: all[0]})).To(BeEmpty())
+		c.store.removeAll()
+		time.Sleep(time.Second)
+		Expect(c.admittedAtOnce(Request{Identity: all[0]})).To(HaveLen(4))
+	})
+}
+
+// Guards against an unrelated request that is quarantined for the full time, since a poison request
+// crashed the server of its trial.
+func TestCrashInATrialBesideAPoisonRequestProvesNothing(t *testing.T) {
+	runInCluster(t, 4, 3, func(c *cluster) {
+		all := numbered(0, 4)
+		unrelated, poison := all[0], all[1]
+		c.suspect(unrelated, all[1:]...)
+		trial := c.trialOf(Request{Identity: unrelated})
+		server := c.server("both")
+		c.refuse(server)
+		trial.node.guard.AttemptBroken(context.Background(), trial.request, server, time.Now())
+		c.nodes[0].guard.AttemptBroken(context.Background(), Request{Identity: poison}, server, time.Now())
+		time.Sleep(time.Second)
+		for _, entry := range c.nodes[0].guard.Entries() {
+			Expect(entry.provisional()).To(BeTrue())
+		}
+		time.Sleep(maxTrialTime)
+		again := c.trialOf(Request{Identity: unrelated})
+		again.node.guard.RequestServed(again.request, time.Now().Add(-time.Millisecond))
+		time.Sleep(time.Second)
+		Expect(c.refusedBy(unrelated)).To(BeZero())
+	})
+}
+
+// Guards against a part that all requests share and that is quarantined for a crash in a trial, whose
+// request had another suspected part.
+func TestRequestWithAnotherSuspectIsNoTrial(t *testing.T) {
+	RegisterTestingT(t)
+	now := time.Now()
+	parts := PartsOf("caller", "h", []string{"first", "dead", "fatal", "new"})
+	shared, dead, fatal, unknown := parts[0].Identity, parts[1].Identity, parts[2].Identity, parts[3].Identity
+	log := NewCrashLog()
+	for i, part := range []Identity{dead, fatal, dead} {
+		log.Add([]Crash{{Server: fmt.Sprint("s", i), Suspects: numbered(i, i+1), Parts: [][]Identity{{shared, part}}}}, now)
+	}
+	for _, identity := range []Identity{shared, dead} {
+		log.RememberEntry(Entry{Identity: identity, Rivals: numbered(0, 1), Until: now.Add(provisionalQuarantine)})
+	}
+	quarantined := func(identity Identity) bool { return identity == shared || identity == dead }
+	Expect(log.IsAmbiguous(shared, []Identity{dead}, quarantined)).To(BeTrue())
+	Expect(log.IsAmbiguous(shared, []Identity{unknown}, quarantined)).To(BeFalse())
+	Expect(log.IsAmbiguous(dead, []Identity{shared}, quarantined)).To(BeFalse())
+	Expect(log.IsAmbiguous(dead, []Identity{shared, fatal}, quarantined)).To(BeTrue())
+}
+
+// Guards against a caller who has the parts of another one refused, by putting them into prompts that
+// crash servers while the other sends nothing.
+func TestPartsOfAnotherCallerAreNotSuspected(t *testing.T) {
+	runInCluster(t, 4, 3, func(c *cluster) {
+		forged := PartsOf("attacker", "h", []string{"theirs"})
+		for i, identity := range numbered(0, 8) {
+			server := c.server(fmt.Sprint("s", i))
+			c.refuse(server)
+			c.nodes[i%4].guard.AttemptBroken(context.Background(), Request{Identity: identity, Parts: forged}, server, time.Now())
+			time.Sleep(time.Second)
+		}
+		Expect(c.admittedAtOnce(Request{Identity: numbered(9, 10)[0], Parts: forged})).NotTo(HaveLen(4))
+		Expect(c.admittedAtOnce(Request{Identity: numbered(9, 10)[0], Parts: PartsOf("victim", "h", []string{"theirs"})})).To(HaveLen(4))
+	})
+}
+
+// Memory is bounded, whatever parts callers list.
+func TestPartsAreBounded(t *testing.T) {
+	RegisterTestingT(t)
+	var ids []string
+	for i := range 1000 {
+		ids = append(ids, fmt.Sprint("part", i/2, strings.Repeat("x", 1000)))
+	}
+	parts := PartsOf("caller", "h", ids)
+	Expect(parts).To(HaveLen(maxParts))
+	Expect(parts[0].loggedID()).To(HaveLen(maxLoggedPartID))
+	Expect(PartsOf("caller", "h", nil)).To(BeEmpty())
+
+	now := time.Now()
+	log := NewCrashLog()
+	for i, identity := range numbered(0, 2*maxSuspects) {
+		var own []Identity
+		for _, part := range PartsOf("caller", "h", []string{fmt.Sprint("a", i), fmt.Sprint("b", i), fmt.Sprint("c", i), fmt.Sprint("d", i), fmt.Sprint("e", i)}) {
+			own = append(own, part.Identity)
+		}
+		log.Add([]Crash{{Server: "s", Suspects: []Identity{identity}, Parts: [][]Identity{own}}}, now)
+	}
+	Expect(len(log.crashes["s"].suspects)).To(BeNumerically("<=", maxSuspects+maxSuspectedParts))
+	Expect(len(log.crashes["s"].parts)).To(BeNumerically("<=", maxSuspectedParts))
+	Expect(len(log.crashes["s"].requests)).To(BeNumerically("<=", maxSuspects))
+}
