--- a/internal/poison/attribution.go
+++ b/internal/poison/attribution.go
@@ -145,17 +145,19 @@
 // isBroader reports whether a part of prompts was running at all crashes of another identity, in
 // more requests. That identity explains its crashes as well, and fewer requests are refused for it.
 func (a *attribution) isBroader(part, identity Identity) bool {
-	if !a.isPart(part) || slices.ContainsFunc(a.crashesOf[identity], func(crash *crashRecord) bool { return !crash.hasSuspect(part) }) {
+	if !a.isPart(part) || len(a.crashesOf[part]) < len(a.crashesOf[identity]) {
 		return false
 	}
 	one, other := a.breadthOf(part), a.breadthOf(identity)
-	return one.requests > other.requests || one.requests == other.requests && one.position < other.position
+	if one.requests < other.requests || one.requests == other.requests && one.position >= other.position {
+		return false
+	}
+	return !slices.ContainsFunc(a.crashesOf[identity], func(crash *crashRecord) bool { return !crash.hasSuspect(part) })
 }
 
 // candidates returns the identities to be quarantined next; of these, one is. Parts that are broader
-// than another one are left out. Those that were alone
-// at a crash come first, since they explain crashes of the others, then those with the most
-// unexplained crashes. Where several have equally many, those that no node has seen served come
+// than another candidate are left out. Those that were alone at a crash come first, since they explain
+// crashes of the others, then those with the most unexplained crashes. Where several have equally many, those that no node has seen served come
 // first.
 func (a *attribution) candidates() []Identity {
 	counts := map[Identity]crashCount{}
--- a/internal/poison/benchmark_test.go
+++ b/internal/poison/benchmark_test.go
@@ -11,18 +11,29 @@
 // BenchmarkDecide measures a decision after a zone with 200 servers was lost, each of which ran 64
 // requests, most of them of many callers.
 func BenchmarkDecide(b *testing.B) {
+	for _, parts := range []int{0, 3, 16} {
+		b.Run(fmt.Sprintf("%d parts", parts), func(b *testing.B) { benchmarkDecide(b, parts) })
+	}
+}
+
+func benchmarkDecide(b *testing.B, parts int) {
 	random := rand.New(rand.NewPCG(1, 1))
-	all := numbered(0, 1000)
+	all := numbered(0, 2000)
 	var crashes []Crash
 	for i := range 200 {
 		crash := Crash{Server: fmt.Sprint("s", i)}
 		for place := range 64 {
-			identity := all[random.IntN(len(all))]
+			identity := all[random.IntN(1000)]
 			if place < 8 {
 				identity = all[place]
 			}
 			crash.Suspects = append(crash.Suspects, identity)
 			crash.Elapsed = append(crash.Elapsed, time.Duration(random.IntN(1000))*time.Millisecond)
+			var own []Identity
+			for position := range parts {
+				own = append(own, all[1000+10*position+random.IntN(1+min(6*position, 50))])
+			}
+			crash.Parts = append(crash.Parts, own)
 		}
 		crashes = append(crashes, crash)
 	}
