poison: Don't send a request on trial after the trial's time

Found by reading: a node that was paused, or held a request for a model to load, could send it while another node ran the next trial. TestTrialIsNotSentAfterItsTime fails without the time.

--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -45,6 +45,9 @@
 // outcome decides: served, it is released; if the server crashes, it is quarantined again.
 type Trial struct {
 	tried []Identity
+	// sendBy is the time by which the request must be sent. A node that is paused, or holds the
+	// request for longer, doesn't run it beside the next trial.
+	sendBy time.Time
 	// reported is set once the outcome is known, or is being found out by a probe of the server.
 	reported atomic.Bool
 }
@@ -65,12 +68,12 @@
 	RetryAfter time.Duration
 }
 
-// Refused returns the refusal of a request that is quarantined, unless it is on trial.
+// Refused returns the refusal of a request that is quarantined, unless it may be sent as a trial.
 func (g *Guard) Refused(request Request) (Refusal, bool) {
-	if request.Trial != nil || g.quarantine.isEmpty() {
+	now := time.Now()
+	if g.quarantine.isEmpty() || request.Trial != nil && now.Before(request.Trial.sendBy) {
 		return Refusal{}, false
 	}
-	now := time.Now()
 	for _, identity := range request.identities() {
 		if entry, refused := g.quarantine.Refused(identity, now); refused {
 			return Refusal{Part: request.partNamed(identity), RetryAfter: entry.refusedFor(now)}, true
@@ -104,10 +107,11 @@
 	if len(due) == 0 {
 		return nil, nil
 	}
-	trial := &Trial{}
+	lasts := min(deadline.Sub(now)+trialMargin, maxTrialTime)
+	trial := &Trial{sendBy: now.Add(lasts - trialMargin)}
 	for _, identity := range due {
 		others := slices.DeleteFunc(slices.Clone(all), func(other Identity) bool { return other == identity })
-		reply := g.askForTrial(ctx, TrialRequest{Identity: identity, Others: others, For: deadline.Sub(now) + trialMargin})
+		reply := g.askForTrial(ctx, TrialRequest{Identity: identity, Others: others, For: lasts})
 		if !reply.Granted {
 			g.EndTrial(trial, false)
 			g.config.OnTrial(TrialDenied)
--- a/internal/poison/trial_test.go
+++ b/internal/poison/trial_test.go
@@ -94,6 +94,21 @@
 	})
 }
 
+// Guards against a node that was paused, or held a request for long, and sends it beside the next trial.
+func TestTrialIsNotSentAfterItsTime(t *testing.T) {
+	runInCluster(t, 4, 3, func(c *cluster) {
+		all := numbered(0, 4)
+		c.suspect(all[0], all[1:]...)
+		trial := c.trialOf(Request{Identity: all[0]})
+		_, refused := trial.node.guard.Refused(trial.request)
+		Expect(refused).To(BeFalse())
+		time.Sleep(time.Second + trialMargin)
+		c.trialOf(Request{Identity: all[0]})
+		_, refused = trial.node.guard.Refused(trial.request)
+		Expect(refused).To(BeTrue())
+	})
+}
+
 // Guards against trials of two suspects at one server at the same time, whose crash proves nothing.
 func TestSuspectsAreTriedOneAfterTheOther(t *testing.T) {
 	runInCluster(t, 4, 3, func(c *cluster) {
