orders: Yield to a node that reaches the servers with models, whatever other paths it has lost

Cause: the holder reaches no server with models, and yields only to a node that has lost no path at all. Each of the seven nodes has lost one: some to the servers with models, the others to the three of the other pool. A boolean over all pools stood for what a holder needs, the servers with models.

Change: a report says whether its node reaches most of these, and the holder yields if one does.

TestOrderHolderIsReplacedWhereEachNodeHasLostAPath failed before, both variants.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -209,7 +209,7 @@
 		NewDemand: func() <-chan struct{} { return n.forwarder.DemandAdded() },
 		Notices:   n.notices, SetNodes: n.setNodes, Counters: n.limiter.Counters, SetCounters: n.limiter.SetCounters,
 		Observations: n.observations, OnObservations: n.metrics.Observations,
-		PathsLost: n.paths.AnyLost, SetCarriers: n.carriers.set,
+		PathsLost: n.paths.AnyLost, LostShare: n.paths.LostShare, SetCarriers: n.carriers.set,
 		Name: n.settings.Node.Name, Address: n.transport.Address(), Logger: n.logger,
 	})
 }
--- a/cmd/hatchplank-node/partition_test.go
+++ b/cmd/hatchplank-node/partition_test.go
@@ -151,3 +151,28 @@
 		})
 	}
 }
+
+// Guards against an order holder that keeps its lease while it reaches no server, since each other node
+// has lost a path as well: one to a server without models, another to a part of those with models.
+func TestOrderHolderIsReplacedWhereEachNodeHasLostAPath(t *testing.T) {
+	for name, state := range linkVariants {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			d := newDeployment(t)
+			_, holderLinks := d.startWithLinks(t, "holder")
+			other, otherLinks := d.startWithLinks(t, "other")
+			third, thirdLinks := d.startWithLinks(t, "third")
+			Eventually(func() int { return standin.Post(other, "/s/x", "a/a1") }, "30s").Should(Equal(http.StatusOK))
+			modelServer, plainServer := d.addresses[0], d.addresses[len(d.addresses)-1]
+			otherLinks.cut(state, plainServer)
+			thirdLinks.cut(state, modelServer)
+			for _, lost := range []struct{ node, path, model string }{{other, "/p/x", ""}, {third, "/s/x", "a"}} {
+				for range 5 {
+					Eventually(func() int { return standin.PostWithin(responseTime, lost.node, lost.path, lost.model) }, "30s").Should(Equal(http.StatusOK))
+				}
+			}
+			holderLinks.cut(state)
+			Eventually(func() int { return standin.PostWithin(responseTime, other, "/s/x", "a/a2") }, "30s").Should(Equal(http.StatusOK))
+		})
+	}
+}
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -59,6 +59,9 @@
 	// SetCarriers is called with the nodes through which it may reach them.
 	PathsLost   func() bool
 	SetCarriers func(addresses []string)
+	// LostShare returns the share of the servers with models that this node does not reach although
+	// other nodes do; nil: none.
+	LostShare func() float64
 	// Name and Address are those of this node.
 	Name, Address string
 	Logger        zerolog.Logger
@@ -110,6 +113,9 @@
 	if config.PathsLost == nil {
 		config.PathsLost = func() bool { return false }
 	}
+	if config.LostShare == nil {
+		config.LostShare = func() float64 { return 0 }
+	}
 	if config.SetCarriers == nil {
 		config.SetCarriers = func([]string) {}
 	}
@@ -225,7 +231,7 @@
 	report := DemandReport{
 		Node: l.config.Name, Address: l.config.Address, Sequence: l.sequence, Started: l.started,
 		Token: l.token, Version: l.version, Leaving: l.config.View.Leaving(), LimitsVersion: l.limitsReceived,
-		CarriesConnections: true, PathsLost: l.config.PathsLost(),
+		CarriesConnections: true, PathsLost: l.config.PathsLost(), ReachesModelServers: l.config.LostShare() < maxLostShare,
 	}
 	content := reportContent{token: l.token, arrived: map[forward.DemandKey]uint64{}}
 	report.Limits, content.limits = l.config.Notices.LocalLimits(l.limitsReported)
--- a/internal/orders/messages.go
+++ b/internal/orders/messages.go
@@ -63,6 +63,9 @@
 	CarriesConnections bool
 	// PathsLost is set while the node does not reach servers that other nodes reach.
 	PathsLost bool
+	// ReachesModelServers is set if the node reaches most of the servers with models, so that it can
+	// order them. Earlier builds send none.
+	ReachesModelServers bool
 }
 
 // PoolArrivals counts a node's requests to a pool without models, for which there are no rows.
--- a/internal/orders/partition.go
+++ b/internal/orders/partition.go
@@ -22,7 +22,7 @@
 // yieldIfPartitioned ends this node's term if it reaches less of the servers than another node that
 // could become the holder.
 func (h *Holder) yieldIfPartitioned(term *Term, now time.Time) {
-	if h.config.LostShare() >= maxLostShare && len(h.demand.carriers(h.config.Name, now)) > 0 {
+	if h.config.LostShare() >= maxLostShare && h.demand.hasSuccessor(h.config.Name, now) {
 		go h.config.Election.Yield(term)
 	}
 }
@@ -39,6 +39,19 @@
 	return carriers[:min(len(carriers), maxCarriers)]
 }
 
+// hasSuccessor reports whether a node other than the one with a name reaches the servers with models. It
+// may have lost paths to others. Earlier builds tell only whether they have lost any.
+func (t *demandTracker) hasSuccessor(except string, now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for name, node := range t.validReports(now) {
+		if name != except && node.report.CarriesConnections && (node.report.ReachesModelServers || !node.report.PathsLost) {
+			return true
+		}
+	}
+	return false
+}
+
 // carriers returns the addresses of the nodes, but for the one with a name, that reach the servers and
 // carry connections for others.
 func (t *demandTracker) carriers(except string, now time.Time) []string {
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -133,7 +133,9 @@
 	released.Ends = nil
 	confirmed := filled(mirror.Update{}).(mirror.Update)
 	confirmed.Confirmation = mirror.Confirmation{}
-	reportWithoutPaths := filled(orders.DemandReport{}).(orders.DemandReport)
+	reportWithoutModels := filled(orders.DemandReport{}).(orders.DemandReport)
+	reportWithoutModels.ReachesModelServers = false
+	reportWithoutPaths := reportWithoutModels
 	reportWithoutPaths.CarriesConnections, reportWithoutPaths.PathsLost = false, false
 	updateWithoutPaths := filled(orders.Update{}).(orders.Update)
 	updateWithoutPaths.Carriers = nil
@@ -154,7 +156,8 @@
 	expected := map[string]peer.Message{
 		"poison.Report": crashes, "poison.Quarantined": quarantined, "poison.Entries": entries,
 		"mirror.Update": confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
-		"orders.DemandReport without paths": reportWithoutPaths, "orders.Update without paths": updateWithoutPaths,
+		"orders.DemandReport without model servers": reportWithoutModels,
+		"orders.DemandReport without paths":         reportWithoutPaths, "orders.Update without paths": updateWithoutPaths,
 		"tenants.Answer": answer, "tenants.GiveBack": giveBack,
 		"tenants.Ask": ratelimit.TakeRequest{
 			Tenant: "text 2", Limit: ratelimit.Limit{Rate: 4.5, Burst: 5.5, Window: 6, Paced: true}, Cost: 8.5, Rank: 9.5, MaxWait: 10,
