poison: Take a crash in a trial for a proof only where nothing else was running

Cause, by reading: a crash in a trial was a proof unless another suspect of it had further crashes. A poison request at its own first crash has none, and its crash of the server of a trial quarantined the request on trial for ten minutes. TestCrashInATrialBesideAPoisonRequestProvesNothing builds that and failed before.

Change: where anything but the request on trial was running, two crashes in trials are the proof, three if some had a suspect with other crashes.

--- a/internal/poison/trial_proof.go
+++ b/internal/poison/trial_proof.go
@@ -2,9 +2,10 @@
 
 import "slices"
 
-// maxTrialCrashes is the number of crashes in trials that prove an identity to be their cause, even
-// if others could be that were running beside it.
-const maxTrialCrashes = 3
+// A crash in a trial proves an identity to be its cause where nothing else was running at the server.
+// Otherwise it takes trialCrashes of them, or maxTrialCrashes if some had a suspect beside it that has
+// other crashes as well: a poison request may run beside a trial at its own first crash.
+const trialCrashes, maxTrialCrashes = 2, 3
 
 // IsAmbiguous reports whether a crash under a request on trial for an identity would leave open
 // which of the request's identities is the cause.
@@ -31,7 +32,7 @@
 // failedTrial reports whether one of an identity's crashes, in a trial, proves that it is the cause.
 // Where that was proved before, each crash since its quarantine does.
 func (a *attribution) failedTrial(identity Identity, crashes []*crashRecord) bool {
-	past, count := a.log.past[identity], 0
+	past, count, unrivalled := a.log.past[identity], 0, 0
 	for _, crash := range crashes {
 		own, tried := crash.trials[identity]
 		switch {
@@ -41,12 +42,26 @@
 				return true
 			}
 		case tried && !a.hasCompetitor(crash, identity, own):
-			return true
+			if isAlone(crash, own) {
+				return true
+			}
+			unrivalled++
+			count++
 		case tried:
 			count++
 		}
 	}
-	return count >= maxTrialCrashes
+	return unrivalled >= trialCrashes || count >= maxTrialCrashes
+}
+
+// isAlone reports whether only one request, with its own identities, was running at a crash.
+func isAlone(crash *crashRecord, own []Identity) bool {
+	for suspect := range crash.suspects {
+		if !slices.Contains(own, suspect) {
+			return false
+		}
+	}
+	return true
 }
 
 // hasCompetitor reports whether another suspect may be the cause of a crash in the trial of an
--- a/internal/poison/trial_test.go
+++ b/internal/poison/trial_test.go
@@ -147,26 +147,46 @@
 }
 
 // Guards against an unrelated request that is quarantined for the full time, since a poison request
-// crashed the server of its trial.
+// crashed the server of its trial: one that has crashed others, or none before.
 func TestCrashInATrialBesideAPoisonRequestProvesNothing(t *testing.T) {
+	for _, poison := range []Identity{numbered(1, 2)[0], numbered(9, 10)[0]} {
+		runInCluster(t, 4, 3, func(c *cluster) {
+			all := numbered(0, 4)
+			unrelated := all[0]
+			c.suspect(unrelated, all[1:]...)
+			trial := c.trialOf(Request{Identity: unrelated})
+			server := c.server("both")
+			c.refuse(server)
+			trial.node.guard.AttemptBroken(context.Background(), trial.request, server, time.Now())
+			c.nodes[0].guard.AttemptBroken(context.Background(), Request{Identity: poison}, server, time.Now())
+			time.Sleep(time.Second)
+			for _, entry := range c.nodes[0].guard.Entries() {
+				Expect(entry.provisional()).To(BeTrue())
+			}
+			time.Sleep(maxTrialTime)
+			again := c.trialOf(Request{Identity: unrelated})
+			again.node.guard.RequestServed(again.request, time.Now().Add(-time.Millisecond))
+			time.Sleep(time.Second)
+			Expect(c.refusedBy(unrelated)).To(BeZero())
+		})
+	}
+}
+
+// Guards against a poison request whose trials prove nothing, since others run beside it each time.
+func TestCrashesInTwoTrialsBesideOthersProveTheCause(t *testing.T) {
 	runInCluster(t, 4, 3, func(c *cluster) {
-		all := numbered(0, 4)
-		unrelated, poison := all[0], all[1]
-		c.suspect(unrelated, all[1:]...)
-		trial := c.trialOf(Request{Identity: unrelated})
-		server := c.server("both")
-		c.refuse(server)
-		trial.node.guard.AttemptBroken(context.Background(), trial.request, server, time.Now())
-		c.nodes[0].guard.AttemptBroken(context.Background(), Request{Identity: poison}, server, time.Now())
-		time.Sleep(time.Second)
-		for _, entry := range c.nodes[0].guard.Entries() {
-			Expect(entry.provisional()).To(BeTrue())
+		all := numbered(0, 8)
+		c.suspect(all[0], all[1:4]...)
+		for number := range trialCrashes {
+			trial := c.trialOf(Request{Identity: all[0]})
+			server := c.server(fmt.Sprint("trial-", number))
+			c.refuse(server)
+			trial.node.guard.AttemptBroken(context.Background(), trial.request, server, time.Now())
+			c.nodes[0].guard.AttemptBroken(context.Background(), Request{Identity: all[5+number]}, server, time.Now())
+			time.Sleep(time.Second + trialMargin)
 		}
-		time.Sleep(maxTrialTime)
-		again := c.trialOf(Request{Identity: unrelated})
-		again.node.guard.RequestServed(again.request, time.Now().Add(-time.Millisecond))
-		time.Sleep(time.Second)
-		Expect(c.refusedBy(unrelated)).To(BeZero())
+		Expect(c.refusedBy(all[0])).To(Equal(4))
+		Expect(c.nodes[0].guard.Entries()[0].provisional()).To(BeFalse())
 	})
 }
 
