--- a/internal/serverpath/carrier.go
+++ b/internal/serverpath/carrier.go
@@ -166,6 +166,7 @@
 	go func() {
 		defer close(nodeEnded)
 		defer c.server.Close()
+		// How the node ended makes no difference: the connection to the server is closed in any case.
 		if sourceEnded, _ := copyBytes(c.server, c.node, func() { c.answeredAfter.Store(0) }); !sourceEnded {
 			// The server may have answered before it closed the connection. What the node still sends
 			// is of no use then, and its end is no failure.
