Use one piece of code for what the change had written twice

- poison: one search for a part by its identity, and one function that sorts identities and drops repeated ones.
- orders: the nodes that carry connections, and those that can take over the orders, are one loop with two conditions.
- The two tests of complete nodes with poison requests share the loop that sends until all nodes refuse; both ask for what they asked for.

Behaviour stays as it is.

--- a/cmd/hatchplank-node/poison_request_test.go
+++ b/cmd/hatchplank-node/poison_request_test.go
@@ -97,40 +97,48 @@
 	return total
 }
 
-// Guards against a poison request that crashes one server after the other. A request crashed the
-// server that ran it, and its client sent it again, with another ID, to another node, which
-// forwarded it to the next server, and so on: 14 servers of a pool crashed, 8 of them when the third
-// crash could have been known to all nodes. Nodes kept the results of attempts by server and
-// by request, so they did not recognise a retried request (76 of the 98 attempts that failed in
-// crashes, at all seven nodes, were the first of their request; none was a node's own retry).
-func TestRequestThatCrashesServersIsRefusedByAllNodes(t *testing.T) {
-	RegisterTestingT(t)
-	d := newDeployment(t)
-	servers, nodes := startCrashingServers(t, d, "p", "q", "r"), d.startAll(t, "x", "y", "z")
-	const crashesToQuarantine, maxFurtherCrashes = 3, 3
+// sendUntilRefused sends poison requests to the nodes in turn, each after a request that is served there,
+// until each node has refused them twice. No more servers than maxCrashes crash.
+func sendUntilRefused(nodes []string, servers []*crashingServer, maxCrashes int, serves func(node string) int, sendPoison func(node string, number int) int) {
 	tries, consecutiveRefusals := 0, 0
 	try := func() int {
 		node := nodes[tries%len(nodes)]
 		tries++
-		// Unrelated requests show that servers are available.
-		Eventually(func() int { return standin.PostBody(node, "/p/x", "", "harmless") }, "30s").Should(Equal(http.StatusOK))
-		// A client without an idempotency key may retry from any address.
-		from := fmt.Sprintf("127.0.0.%d", 1+tries)
-		if status := standin.PostFrom(from, node, "/p/x", "", crashingBody); status == http.StatusServiceUnavailable {
+		// Requests that are served show that servers are available.
+		Eventually(func() int { return serves(node) }, "30s").Should(Equal(http.StatusOK))
+		if sendPoison(node, tries) == http.StatusServiceUnavailable {
 			consecutiveRefusals++
 		} else {
 			consecutiveRefusals = 0
 		}
-		Expect(totalCrashes(servers)).To(BeNumerically("<=", crashesToQuarantine+maxFurtherCrashes))
+		Expect(totalCrashes(servers)).To(BeNumerically("<=", maxCrashes))
 		return consecutiveRefusals
 	}
 	Eventually(try, "60s", "300ms").Should(Equal(2 * len(nodes)))
 	// Other requests are still served by each node.
 	for _, node := range nodes {
-		Eventually(func() int { return standin.PostBody(node, "/p/x", "", "harmless") }, "30s").Should(Equal(http.StatusOK))
+		Eventually(func() int { return serves(node) }, "30s").Should(Equal(http.StatusOK))
 	}
 }
 
+// Guards against a poison request that crashes one server after the other. A request crashed the
+// server that ran it, and its client sent it again, with another ID, to another node, which
+// forwarded it to the next server, and so on: 14 servers of a pool crashed, 8 of them when the third
+// crash could have been known to all nodes. Nodes kept the results of attempts by server and
+// by request, so they did not recognise a retried request (76 of the 98 attempts that failed in
+// crashes, at all seven nodes, were the first of their request; none was a node's own retry).
+func TestRequestThatCrashesServersIsRefusedByAllNodes(t *testing.T) {
+	RegisterTestingT(t)
+	d := newDeployment(t)
+	servers, nodes := startCrashingServers(t, d, "p", "q", "r"), d.startAll(t, "x", "y", "z")
+	const crashesToQuarantine, maxFurtherCrashes = 3, 3
+	serves := func(node string) int { return standin.PostBody(node, "/p/x", "", "harmless") }
+	sendUntilRefused(nodes, servers, crashesToQuarantine+maxFurtherCrashes, serves, func(node string, number int) int {
+		// A client without an idempotency key may retry from any address.
+		return standin.PostFrom(fmt.Sprintf("127.0.0.%d", 1+number), node, "/p/x", "", crashingBody)
+	})
+}
+
 // Guards against one part of prompts that crashes one server after the other: requests that share
 // it, no two of them alike, were each taken for a new request, and 40 servers crashed.
 func TestRequestsThatShareAPromptPartThatCrashesServersAreRefused(t *testing.T) {
@@ -140,25 +148,12 @@
 	d.remove(standin.ServerKey("i-9"))
 	nodes := d.startAll(t, "x", "y", "z")
 	const crashesToQuarantine, maxFurtherCrashes = 5, 3
-	tries, consecutiveRefusals := 0, 0
+	sent := 0
 	serves := func(node string) int {
-		tries++
-		return standin.PostPrompt(node, "/p/x", "harmless", "5c1e", fmt.Sprint("b", tries%6), fmt.Sprint("e", tries))
-	}
-	try := func() int {
-		node := nodes[tries%len(nodes)]
-		// Requests with the same first part show that servers are available.
-		Eventually(func() int { return serves(node) }, "30s").Should(Equal(http.StatusOK))
-		if status := standin.PostPrompt(node, "/p/x", fmt.Sprint(crashingBody, tries), "5c1e", "dead", fmt.Sprint("e", tries)); status == http.StatusServiceUnavailable {
-			consecutiveRefusals++
-		} else {
-			consecutiveRefusals = 0
-		}
-		Expect(totalCrashes(servers)).To(BeNumerically("<=", crashesToQuarantine+maxFurtherCrashes))
-		return consecutiveRefusals
-	}
-	Eventually(try, "60s", "300ms").Should(Equal(2 * len(nodes)))
-	for _, node := range nodes {
-		Eventually(func() int { return serves(node) }, "30s").Should(Equal(http.StatusOK))
+		sent++
+		return standin.PostPrompt(node, "/p/x", "harmless", "5c1e", fmt.Sprint("b", sent%6), fmt.Sprint("e", sent))
 	}
+	sendUntilRefused(nodes, servers, crashesToQuarantine+maxFurtherCrashes, serves, func(node string, number int) int {
+		return standin.PostPrompt(node, "/p/x", fmt.Sprint(crashingBody, number), "5c1e", "dead", fmt.Sprint("d", number))
+	})
 }
--- a/internal/orders/partition.go
+++ b/internal/orders/partition.go
@@ -42,24 +42,24 @@
 // hasSuccessor reports whether a node other than the one with a name reaches the servers with models. It
 // may have lost paths to others. Earlier builds tell only whether they have lost any.
 func (t *demandTracker) hasSuccessor(except string, now time.Time) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	for name, node := range t.validReports(now) {
-		if name != except && node.report.CarriesConnections && (node.report.ReachesModelServers || !node.report.PathsLost) {
-			return true
-		}
-	}
-	return false
+	successors := t.carriersThat(except, now, func(report DemandReport) bool { return report.ReachesModelServers || !report.PathsLost })
+	return len(successors) > 0
 }
 
 // carriers returns the addresses of the nodes, but for the one with a name, that reach the servers and
 // carry connections for others.
 func (t *demandTracker) carriers(except string, now time.Time) []string {
+	return t.carriersThat(except, now, func(report DemandReport) bool { return !report.PathsLost })
+}
+
+// carriersThat returns the addresses of the nodes, but for the one with a name, that carry connections for
+// others and whose report satisfies the condition.
+func (t *demandTracker) carriersThat(except string, now time.Time, condition func(DemandReport) bool) []string {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var addresses []string
 	for name, node := range t.validReports(now) {
-		if name != except && node.report.CarriesConnections && !node.report.PathsLost {
+		if name != except && node.report.CarriesConnections && condition(node.report) {
 			addresses = append(addresses, node.report.Address)
 		}
 	}
--- a/internal/poison/crash.go
+++ b/internal/poison/crash.go
@@ -64,9 +64,7 @@
 
 // identities returns those of all suspects and of their parts.
 func (c Crash) identities() []Identity {
-	all := slices.Concat(append([][]Identity{c.Suspects}, c.Parts...)...)
-	slices.SortFunc(all, Identity.compare)
-	return slices.Compact(all)
+	return distinct(slices.Concat(append([][]Identity{c.Suspects}, c.Parts...)...))
 }
 
 // timedCrash is a crash with its time on this node's monotonic clock.
@@ -83,8 +81,13 @@
 	for _, suspect := range c.suspects {
 		all = append(all, suspect.Request.identities()...)
 	}
-	slices.SortFunc(all, Identity.compare)
-	return slices.Compact(all)
+	return distinct(all)
+}
+
+// distinct sorts identities and drops those that occur again.
+func distinct(identities []Identity) []Identity {
+	slices.SortFunc(identities, Identity.compare)
+	return slices.Compact(identities)
 }
 
 // crashRecord merges what the nodes report about one crash.
--- a/internal/poison/request.go
+++ b/internal/poison/request.go
@@ -48,10 +48,8 @@
 
 // partNamed returns the ID of the part with the identity, or an empty one if it is the request's own.
 func (r Request) partNamed(identity Identity) string {
-	for i := range r.Parts {
-		if r.Parts[i].Identity == identity {
-			return r.Parts[i].loggedID()
-		}
+	if index := indexOfPart(r.Parts, identity); index >= 0 {
+		return r.Parts[index].loggedID()
 	}
 	return ""
 }
@@ -82,7 +80,7 @@
 		digested = append(digested[:scope], id...)
 		sum := sha256.Sum256(digested)
 		identity := Identity(sum[:len(Identity{})])
-		if !containsPart(parts, identity) {
+		if indexOfPart(parts, identity) < 0 {
 			parts = append(parts, Part{ID: id, Identity: identity})
 		}
 	}
@@ -98,13 +96,9 @@
 	return append(binary.BigEndian.AppendUint64(digested, uint64(len(text))), text...)
 }
 
-func containsPart(parts []Part, identity Identity) bool {
-	for i := range parts {
-		if parts[i].Identity == identity {
-			return true
-		}
-	}
-	return false
+// indexOfPart returns the index of the part with an identity, or -1.
+func indexOfPart(parts []Part, identity Identity) int {
+	return slices.IndexFunc(parts, func(part Part) bool { return part.Identity == identity })
 }
 
 // loggedID returns the part's ID as it stands in logs.
