forward: Check by its record that a chosen server still takes requests

Callers: a request was sent to a server whose record had said, since the server was chosen, that it drains, or whose record was gone (DRAIN). Cause: the check before an attempt knew only leaving notices from answers; the choice knew the records. So a request that waited for a slot under a rate limit, a vote on a retry or a trial was sent by what was known when it was chosen. The check now asks the view for both, and a server without a record takes nothing.

TestNoticeAfterTheChoiceKeepsTheRequestFromTheServer/draining and /gone and both cases of TestRequestThatWaitsForASlotIsNotSentToAServerThatLeaves failed before.

--- a/internal/forward/backoff.go
+++ b/internal/forward/backoff.go
@@ -28,12 +28,11 @@
 
 func (noBackoffs) BackoffUntil(*fleet.Server) time.Time { return time.Time{} }
 
-// stillAccepts reports whether a server that was chosen earlier has not announced its
-// shutdown or requested a backoff since.
+// stillAccepts reports whether a server that was chosen earlier is still registered, has not
+// announced its shutdown and has not requested a backoff since.
 func (f *Forwarder) stillAccepts(server *fleet.Server) bool {
 	listed := f.view.Load().Servers[server.ID]
-	shutsDown := listed != nil && listed.ReportedLeaving
-	return !shutsDown && !time.Now().Before(f.backoffs.BackoffUntil(server))
+	return listed != nil && !listed.Draining && !time.Now().Before(f.backoffs.BackoffUntil(server))
 }
 
 // remainingBackoff is the shortest time until a server that holds what the request needs takes
--- a/internal/forward/backoff_test.go
+++ b/internal/forward/backoff_test.go
@@ -96,11 +96,14 @@
 	})
 }
 
-// A server's notice may arrive between its choice and the attempt.
+// A server's notice or its record's change may arrive between its choice and the attempt. Guards
+// against requests to servers whose records said that they drain, or were gone.
 func TestNoticeAfterTheChoiceKeepsTheRequestFromTheServer(t *testing.T) {
 	for name, notify := range map[string]func(b *testbed, backoffs *fakeBackoffs){
-		"pause":   func(_ *testbed, backoffs *fakeBackoffs) { backoffs.backOff(3*time.Second, "m1") },
-		"leaving": func(b *testbed, _ *fakeBackoffs) { b.view.SetLeaving(fleet.Incarnation{ID: "m1"}) },
+		"pause":    func(_ *testbed, backoffs *fakeBackoffs) { backoffs.backOff(3*time.Second, "m1") },
+		"leaving":  func(b *testbed, _ *fakeBackoffs) { b.view.SetLeaving(fleet.Incarnation{ID: "m1"}) },
+		"draining": func(b *testbed, _ *fakeBackoffs) { b.setDraining("m1") },
+		"gone":     func(b *testbed, _ *fakeBackoffs) { b.view.UpdateServers(map[string]*fleet.Server{"m1": nil}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			withBackoffs(t, func(b *testbed, backoffs *fakeBackoffs) {
