mirror, forward: Read the record of a chosen server again where the records are outdated

Callers: requests reached servers that had announced by their records that they leave, 2 to 8 s late (DRAIN), or were cut off there when the server ended. Cause: one time of freshness was kept for the configuration, the own keys and the servers' records.

The age of the records is kept separately, and counts from nothing while changes are known to be missing. A request whose server's record is older than 0.6 of the time in which nodes must act on a change waits for a read of that one record (200 ms and a fifth of its time at most). Where the store does not answer, the request is sent by the old record, and no further record is read for a second. Reads are shared by concurrent requests, and are none while a relay is followed. Metrics: age of the records, outcomes of these reads.

TestOutdatedRecordIsReadBeforeARequestIsSent failed before.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -277,7 +277,7 @@
 // assembleForwarder creates the forwarder of clients' requests.
 func (n *node) assembleForwarder() {
 	n.forwarder = forward.New(forward.Config{
-		View: n.view, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: func() bool { return n.mirror.Behind() }, Zone: n.settings.Node.Zone,
+		View: n.view, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: func() bool { return n.mirror.Behind() }, Records: records{n}, OnRecordCheck: n.metrics.RecordCheck, Zone: n.settings.Node.Zone,
 		Connect: n.servers.Connect, Indirect: n.paths.Lost, OnSuspicionCheck: n.requests.SuspicionChecked,
 		Fleet: retrybudget.Count{Limiter: n.limiter}, OnRetry: n.requests.Retry,
 		Observations: n.observations, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning,
@@ -352,10 +352,28 @@
 		Suspected:    func() float64 { return float64(n.observations.Suspicions(time.Now())) },
 		LostPaths:    func() float64 { return float64(n.paths.CountLost()) },
 		Carried:      func() float64 { return float64(n.carrier.Carried()) },
+		RecordsAge:   n.recordsAge,
 		SharingNodes: func() float64 { return float64(n.forwarder.RetryBudget().Nodes(time.Now())) },
 	}
 }
 
+// recordsAge returns the age of the servers' records in seconds; -1 if they were never all known.
+func (n *node) recordsAge() float64 {
+	if age, known := n.mirror.RecordsAge(); known {
+		return age.Seconds()
+	}
+	return -1
+}
+
+// records passes calls on to the node's mirror, which is created after the forwarder.
+type records struct{ node *node }
+
+func (r records) Outdated(server string) bool { return r.node.mirror.Outdated(server) }
+
+func (r records) ReadRecord(ctx context.Context, server string) error {
+	return r.node.mirror.ReadRecord(ctx, server)
+}
+
 // boolGauge returns the value of a gauge for a condition.
 func boolGauge(value bool) float64 {
 	if value {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -176,7 +176,7 @@
 
 func newTestMetrics() *Metrics {
 	none := func() float64 { return 0 }
-	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Era: none, Holder: none, Relayed: none, Quarantine: none, Limited: none, LostPaths: none, Carried: none})
+	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Era: none, Holder: none, Relayed: none, Quarantine: none, Limited: none, LostPaths: none, Carried: none, RecordsAge: none})
 }
 
 func TestRequestLogRecordsTheDecision(t *testing.T) {
@@ -236,6 +236,7 @@
 	metrics.Retry(retrybudget.Decision{Allowed: true, By: retrybudget.ByNode})
 	metrics.CarryRequest(serverpath.Opened)
 	metrics.CarrierAnswer(serverpath.Opened)
+	metrics.RecordCheck(forward.RecordAccepts)
 	answer := httptest.NewRecorder()
 	metrics.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -58,6 +58,8 @@
 	metricCarried           = "hatchplank_node_carried_connections"
 	metricCarryRequests     = "hatchplank_node_carry_requests_total"
 	metricCarrierAnswers    = "hatchplank_node_carrier_answers_total"
+	metricRecordsAge        = "hatchplank_node_server_records_age_seconds"
+	metricRecordChecks      = "hatchplank_node_record_checks_total"
 )
 
 // MetricDescriptions lists the node's own metrics.
@@ -94,6 +96,8 @@
 	{metricCarried, "gauge", "", "Connections to servers that this node carries for other nodes."},
 	{metricCarryRequests, "counter", "outcome", "Requests of other nodes for a connection to a server, by outcome (opened, refused, unreached, busy, unknown_server)."},
 	{metricCarrierAnswers, "counter", "outcome", "Answers of other nodes to such requests of this node, by outcome."},
+	{metricRecordsAge, "gauge", "", "Seconds since the store is known to have held the servers' records that this node has; -1 if it never had all of them."},
+	{metricRecordChecks, "counter", "outcome", "Reads of one server's record before a request was sent there, since the known one was too old, by outcome (accepts, leaves, unread: the store did not answer)."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
@@ -105,7 +109,7 @@
 
 // Gauges holds the functions that supply the gauges' values at each scrape.
 type Gauges struct {
-	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited, Suspected, SharingNodes, LostPaths, Carried func() float64
+	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited, Suspected, SharingNodes, LostPaths, Carried, RecordsAge func() float64
 }
 
 // NewMetrics registers the node's metrics.
@@ -123,6 +127,7 @@
 	set.NewGauge(metricSharingNodes, gauges.SharingNodes)
 	set.NewGauge(metricLostPaths, gauges.LostPaths)
 	set.NewGauge(metricCarried, gauges.Carried)
+	set.NewGauge(metricRecordsAge, gauges.RecordsAge)
 	for _, kind := range []placement.Kind{placement.Load, placement.Unload} {
 		set.NewCounter(replicaOrdersCounter(kind.String(), placement.ReasonRelief))
 	}
@@ -155,6 +160,11 @@
 	return fmt.Sprintf("%s{direction=%q}", metricObservations, string(direction))
 }
 
+// RecordCheck counts a read of an outdated server record before a request was sent there.
+func (m *Metrics) RecordCheck(outcome forward.RecordCheck) {
+	m.count(metricRecordChecks, "outcome", string(outcome))
+}
+
 // StoreCall counts a call to the store.
 func (m *Metrics) StoreCall(call string) { m.count(metricStoreCalls, "call", call) }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -30,6 +30,7 @@
 // attempt sends the request to the target. It returns a nil outcome if the request goes on
 // at another server, together with that server if it is reserved already.
 func (f *Forwarder) attempt(ctx context.Context, flow *flow, target *candidate, responder Responder) (*Outcome, *candidate) {
+	f.updateOutdated(ctx, flow, target.server)
 	if !f.stillAccepts(target.server) || f.newlyLimited(target) {
 		f.release(flow, target, nil)
 		return nil, nil
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -52,6 +52,10 @@
 	// Random returns numbers from 0 up to 1, with which servers are drawn; nil: those of
 	// math/rand/v2.
 	Random func() float64
+	// Records are as old as the servers' records in the view; nil: always current.
+	Records Records
+	// OnRecordCheck is called with the outcome of each check of an outdated record; nil: not called.
+	OnRecordCheck func(RecordCheck)
 	// MayBeStale reports whether a newer configuration than the one in force may exist; nil:
 	// never.
 	MayBeStale func() bool
@@ -91,7 +95,10 @@
 	backoffs   Backoffs
 	limits     Limits
 	poison     PoisonGuard
+	records    Records
 	mayBeStale func() bool
+	// onRecordCheck is called for each check of an outdated record.
+	onRecordCheck func(RecordCheck)
 	// observations is nil without a table.
 	observations     *observation.Table
 	random           func() float64
@@ -142,6 +149,12 @@
 	if config.Poison == nil {
 		config.Poison = noPoison{}
 	}
+	if config.Records == nil {
+		config.Records = currentRecords{}
+	}
+	if config.OnRecordCheck == nil {
+		config.OnRecordCheck = func(RecordCheck) {}
+	}
 	if config.OnSuspicionCheck == nil {
 		config.OnSuspicionCheck = func(SuspicionCheck) {}
 	}
@@ -160,7 +173,7 @@
 	lifetime, cancel := context.WithCancel(context.Background())
 	return &Forwarder{
 		lifetime: lifetime, cancel: cancel, started: time.Now(),
-		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, indirect: config.Indirect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
+		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, records: config.Records, onRecordCheck: config.OnRecordCheck, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, indirect: config.Indirect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
 		tracker: newTracker(), demand: newDemandTable(), priorities: newPriorityMix(),
 		budgets: retrybudget.New(retrybudget.Config{Limits: config.Budget, Nodes: config.Nodes, Fleet: config.Fleet}), onRetry: config.OnRetry,
 		observe: config.Observe, longRunning: config.LongRunning, longestTimes: map[string]time.Duration{},
--- a/internal/mirror/apply.go
+++ b/internal/mirror/apply.go
@@ -23,7 +23,7 @@
 	m.partial, m.initialized = false, true
 	m.addServersInGrace(servers, now)
 	m.carryOverRestore(servers, now)
-	m.config.View.ReplaceServers(servers)
+	m.showAllRecords(servers)
 	m.replaceOwn(changes, restored)
 	m.adoptRead(changes)
 }
@@ -61,9 +61,7 @@
 	for id, server := range visible {
 		m.logServer(id, server, changes.At)
 	}
-	if len(visible) > 0 {
-		m.config.View.UpdateServers(visible)
-	}
+	m.showRecords(visible)
 	m.applyOwn(changes)
 }
 
--- a/internal/mirror/confirmation.go
+++ b/internal/mirror/confirmation.go
@@ -170,7 +170,11 @@
 	entry, subscribed := m.subscribers[by.from]
 	by.fromSubscriber = subscribed && by.received.Sub(entry.subscribedAt) <= subscriptionTTL
 	at, confirmation, isNew := m.confirmations.confirmedAsOf(update, by)
-	if isNew && at.After(m.relayConfirmedAt) {
+	if !isNew {
+		return
+	}
+	m.confirmRecords(at, by.received)
+	if at.After(m.relayConfirmedAt) {
 		m.relayConfirmedAt, m.relayConfirmation = at, confirmation
 	}
 }
--- a/internal/mirror/fakes_test.go
+++ b/internal/mirror/fakes_test.go
@@ -355,6 +355,30 @@
 	}
 }
 
+func (s *fakeSource) ConfigurationChanges(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
+	if err := s.call(ctx, "configuration changes"); err != nil {
+		return Changes{}, err
+	}
+	deadline := time.Now().Add(wait)
+	for {
+		changes, err := s.await(ctx, after, time.Until(deadline))
+		changes.Servers, changes.Own = nil, nil
+		if err != nil || changes.ConfigurationRevision > 0 || !time.Now().Before(deadline) {
+			return changes, err
+		}
+		after = changes.At
+	}
+}
+
+func (s *fakeSource) Record(ctx context.Context, id string) (Changes, error) {
+	if err := s.call(ctx, "record"); err != nil {
+		return Changes{}, err
+	}
+	s.store.mutex.Lock()
+	defer s.store.mutex.Unlock()
+	return Changes{At: s.store.revision, Servers: map[string]*fleet.Server{id: s.store.servers[id]}}, nil
+}
+
 func (s *fakeSource) Configuration(ctx context.Context) (Changes, error) {
 	if err := s.call(ctx, "configuration"); err != nil {
 		return Changes{}, err
--- a/internal/mirror/grace.go
+++ b/internal/mirror/grace.go
@@ -67,9 +67,7 @@
 			m.logServer(id, nil, m.revision)
 		}
 	}
-	if len(removed) > 0 {
-		m.config.View.UpdateServers(removed)
-	}
+	m.showRecords(removed)
 }
 
 // visibleChanges returns the changes that the view applies: all but the removals of servers in
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -70,6 +70,8 @@
 	OwnChanges(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 	// Configuration returns the configuration alone, as changes since revision zero.
 	Configuration(ctx context.Context) (Changes, error)
+	// Record returns the record of one server, nil in Servers if there is none, at the revision At.
+	Record(ctx context.Context, id string) (Changes, error)
 	// Decode decodes a configuration's value, of the given revision; nil if it can't be decoded.
 	Decode(value []byte, revision int64) *fleet.Configuration
 }
@@ -230,6 +232,8 @@
 	removedBefore   map[string]int64
 	reappeared      map[string]*fleet.Server
 	reappearedUntil time.Time
+	// ages is as of when the servers' records are known.
+	ages recordAges
 	// rereadAt is when this node last read the whole state again because another node reported a
 	// later era.
 	rereadAt time.Time
@@ -243,7 +247,7 @@
 	m := &Mirror{
 		config: config, wakeup: make(chan struct{}, 1), resubscribe: make(chan struct{}, 1),
 		state: newState(0), subscribers: map[string]subscriber{}, inGrace: map[string]time.Time{},
-		confirmations: newConfirmations(),
+		confirmations: newConfirmations(), ages: newRecordAges(),
 	}
 	if config.Relay == nil {
 		m.config.Relay = func() string { return "" }
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -82,7 +82,11 @@
 func (m *Mirror) confirmRead(revision int64, asOf time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.revision >= revision && asOf.After(m.confirmedAt) {
+	if m.revision < revision {
+		return
+	}
+	m.confirmRecords(asOf, time.Now())
+	if asOf.After(m.confirmedAt) {
 		m.confirmedAt = asOf
 	}
 }
--- a/internal/mirror/restore.go
+++ b/internal/mirror/restore.go
@@ -122,8 +122,6 @@
 			delete(m.reappeared, id)
 		}
 	}
-	if len(m.reappeared) > 0 {
-		m.config.View.UpdateServers(m.reappeared)
-	}
+	m.showRecords(m.reappeared)
 	m.reappeared = nil
 }
--- a/internal/mirror/snapshot.go
+++ b/internal/mirror/snapshot.go
@@ -195,7 +195,7 @@
 			servers[record.ID] = record.server(now, sets)
 		}
 	}
-	m.config.View.UpdateServers(servers)
+	m.showRecords(servers)
 	m.config.Logger.Info().Int("servers", len(servers)).Int64("revision", snapshot.Revision).Msg("servers of the zone read")
 }
 
@@ -235,7 +235,7 @@
 	m.partial, m.initialized = false, true
 	m.addServersInGrace(servers, now)
 	m.carryOverRestore(servers, now)
-	m.config.View.ReplaceServers(servers)
+	m.showAllRecords(servers)
 	m.noteFullRead(len(servers), m.revision)
 	signal(m.resubscribe)
 }
