mirror: Leave the records to the relay where a node of a large fleet has lost it

Cause: a node without a relay watched everything. When 985 nodes and 10,000 servers start together the relay is late once by 1.75 s, all nodes watch, and one answer, 500 records, for each of them takes 2.8 s of the store's link. The relay's own answer is in that queue: it is given up after 2.1 s, its lease runs out, and the same happens to the next one, for 20 s.

In a large fleet a node without a relay now watches the own keys and the configuration only, each by a watch of its own, and what it needs of the records it reads by itself. A node that knows no server at all, as when a whole deployment starts, can't know how large the fleet is, and does the same for the contact time.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -70,6 +71,8 @@
 	OwnChanges(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 	// Configuration returns the configuration alone, as changes since revision zero.
 	Configuration(ctx context.Context) (Changes, error)
+	// ConfigurationChanges is like Changes, for the configuration alone.
+	ConfigurationChanges(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 	// Record returns the record of one server, nil in Servers if there is none, at the revision At.
 	Record(ctx context.Context, id string) (Changes, error)
 	// Decode decodes a configuration's value, of the given revision; nil if it can't be decoded.
@@ -167,6 +170,13 @@
 	relayConfirmation             Confirmation
 	// confirmations that other nodes received.
 	confirmations confirmations
+	// configurationWatched is the revision up to which changes of the configuration alone were
+	// watched, and configurationConfirmedAt when the store last confirmed that.
+	configurationWatched     int64
+	configurationConfirmedAt time.Time
+	// directSince is since when this node has followed no relay, and refreshAt when it reads a
+	// newer records snapshot if that goes on.
+	directSince, refreshAt time.Time
 	// configurationRevision is the revision of the newest configuration that was read; state has
 	// that of the newest one that exists.
 	configurationRevision int64
@@ -279,6 +289,10 @@
 			m.awaitRelay(ctx)
 		case awaitElection:
 			m.awaitElection(ctx)
+		case watchEssentials:
+			m.watchEssentials(ctx)
+		case refreshRecords:
+			m.refreshRecords()
 		case readChanges:
 			m.readChanges(ctx)
 		}
@@ -294,6 +308,8 @@
 	readRecords
 	awaitRelay
 	awaitElection
+	watchEssentials
+	refreshRecords
 	readChanges
 )
 
@@ -312,6 +328,10 @@
 		return awaitRelay
 	case m.electionPending(now):
 		return awaitElection
+	case m.leavesRecordsToRelay(now) && m.refreshDue(now):
+		return refreshRecords
+	case m.leavesRecordsToRelay(now):
+		return watchEssentials
 	}
 	return readChanges
 }
@@ -330,7 +350,11 @@
 func (m *Mirror) Behind() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.configurationRevision < m.state.configuration || time.Since(m.confirmedAsOf()) > m.config.Times.Changes
+	asOf := m.confirmedAsOf()
+	if m.configurationConfirmedAt.After(asOf) {
+		asOf = m.configurationConfirmedAt
+	}
+	return m.configurationRevision < m.state.configuration || time.Since(asOf) > m.config.Times.Changes
 }
 
 // confirmedAsOf is the time as of which the store or the relay last confirmed the state. It must be
@@ -355,6 +379,9 @@
 	if follows {
 		m.lastRelay, m.noRelaySince = m.config.Relay(), time.Time{}
 	}
+	if follows || m.directSince.IsZero() {
+		m.directSince, m.refreshAt = now, now.Add(essentialsRefresh+rand.N(essentialsRefresh))
+	}
 	if follows == m.following {
 		return follows
 	}
--- a/internal/mirror/snapshot.go
+++ b/internal/mirror/snapshot.go
@@ -36,6 +36,7 @@
 		return
 	}
 	m.manifest, m.manifestRevision = manifest, event.KeyValue.ModRevision
+	m.largeFleet = m.largeFleet || manifest.Records > maxDirectServers
 }
 
 // isLarge reports whether the fleet has too many servers for each node to read their records.
@@ -45,7 +46,6 @@
 	for _, event := range own.Own {
 		m.noteManifest(event)
 	}
-	m.largeFleet = m.largeFleet || m.manifest.Records > maxDirectServers
 	return m.largeFleet
 }
 
@@ -82,17 +82,25 @@
 	if update.At <= m.revision {
 		return
 	}
+	if !m.partial {
+		m.config.Logger.Info().Int64("revision", m.revision).Int64("newest", update.At).Msg("too many changes, servers follow")
+	}
+	m.beginGap(update.At, update.Own, now)
+	m.replaceOwn(Changes{At: update.At, Own: update.Own}, false)
+}
+
+// beginGap makes this node wait for a snapshot with the records that changed since its revision, up
+// to a later one. It must be called with the lock held, with all own keys at that revision.
+func (m *Mirror) beginGap(revision int64, own []outside.WatchEvent, now time.Time) {
 	if !m.partial {
 		m.partialAt, m.snapshotWait = now, m.newSnapshotWait()
 		m.snapshotFloor = max(m.snapshotFloor, m.revision)
-		m.config.Logger.Info().Int64("revision", m.revision).Int64("newest", update.At).Msg("too many changes, servers follow")
 	}
 	configuration := m.state.configuration
-	m.largeFleet, m.partial, m.revision = true, true, update.At
-	m.state = newState(update.At)
+	m.largeFleet, m.partial, m.revision = true, true, revision
+	m.state = newState(revision)
 	m.state.configuration = configuration
-	m.state.applyOwn(update.Own)
-	m.replaceOwn(Changes{At: update.At, Own: update.Own}, false)
+	m.state.applyOwn(own)
 }
 
 // recordsDue reports whether a node without the servers' records should read them now. It must be
