mirror: Log servers that change together in one line

More than 32 changes of one update are counted in a line. TestServersThatChangeTogetherAreLoggedTogether failed before.

--- a/internal/mirror/apply.go
+++ b/internal/mirror/apply.go
@@ -58,9 +58,7 @@
 	m.largeFleet = m.largeFleet || len(m.state.servers) > maxDirectServers
 	m.adoptRead(changes)
 	visible := m.visibleChanges(changes.Servers, time.Now())
-	for id, server := range visible {
-		m.logServer(id, server, changes.At)
-	}
+	m.logServers(visible, changes.At)
 	m.showRecords(visible)
 	m.applyOwn(changes)
 }
@@ -95,16 +93,50 @@
 	}
 }
 
-// logServer logs changes that routing depends on: a new server, a changed state, a removal.
-func (m *Mirror) logServer(id string, server *fleet.Server, revision int64) {
-	before := m.config.View.Record(id)
-	if server == nil {
-		if before != nil {
-			m.config.Logger.Info().Str("server", id).Int64("revision", revision).Msg("server gone")
+// maxServerLines is the most servers that get a line each in the log when they change together: in
+// a fleet of 985 nodes and 10,000 servers that start together, these would be ten million lines.
+const maxServerLines = 32
+
+// logServers logs changes that routing depends on, together if there are many. It must be called
+// with the lock held, before the view has them.
+func (m *Mirror) logServers(changes map[string]*fleet.Server, revision int64) {
+	if len(changes) <= maxServerLines {
+		for id, server := range changes {
+			m.logServer(id, server, revision)
 		}
 		return
 	}
-	if before != nil && before.Draining == server.Draining && before.Created == server.Created {
+	ready, draining, gone := 0, 0, 0
+	for id, server := range changes {
+		switch {
+		case !changesRouting(m.config.View.Record(id), server):
+		case server == nil:
+			gone++
+		case server.Draining:
+			draining++
+		default:
+			ready++
+		}
+	}
+	m.config.Logger.Info().Int("ready", ready).Int("draining", draining).Int("gone", gone).Int64("revision", revision).Msg("server states")
+}
+
+// changesRouting reports whether routing depends on the change of a record; nil stands for a
+// server without one.
+func changesRouting(before, server *fleet.Server) bool {
+	if before == nil || server == nil {
+		return before != server
+	}
+	return before.Draining != server.Draining || before.Created != server.Created
+}
+
+// logServer logs a change that routing depends on: a new server, a changed state, a removal.
+func (m *Mirror) logServer(id string, server *fleet.Server, revision int64) {
+	if !changesRouting(m.config.View.Record(id), server) {
+		return
+	}
+	if server == nil {
+		m.config.Logger.Info().Str("server", id).Int64("revision", revision).Msg("server gone")
 		return
 	}
 	state := "ready"
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -1,13 +1,16 @@
 package mirror
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/outside"
@@ -557,3 +560,23 @@
 		}
 	}
 }
+
+// Guards against a line for each of 10,000 servers at each of 985 nodes when all of them start.
+func TestServersThatChangeTogetherAreLoggedTogether(t *testing.T) {
+	RegisterTestingT(t)
+	var log bytes.Buffer
+	m := New(Config{View: fleet.NewView(), Own: &fakeOwn{values: map[string]string{}}, Times: testTimes, Logger: zerolog.New(&log)})
+	change := func(count int, draining bool) []string {
+		log.Reset()
+		servers := map[string]*fleet.Server{}
+		for number := range count {
+			id := fmt.Sprint("w", number)
+			servers[id] = &fleet.Server{ID: id, Draining: draining}
+		}
+		m.apply(Changes{Base: m.revision, At: m.revision + 1, Servers: servers})
+		return strings.Split(strings.TrimSpace(log.String()), "\n")
+	}
+	Expect(change(10*maxServerLines, false)).To(ConsistOf(And(ContainSubstring(`"ready":320,"draining":0,"gone":0`), ContainSubstring("server states"))))
+	Expect(change(maxServerLines, true)).To(HaveLen(maxServerLines))
+	Expect(change(maxServerLines+1, true)).To(ConsistOf(ContainSubstring(`"ready":0,"draining":1,"gone":0`)))
+}
--- a/internal/mirror/records_age.go
+++ b/internal/mirror/records_age.go
@@ -165,14 +165,12 @@
 		return
 	}
 	before, server := m.config.View.Record(id), read.Servers[id]
-	if before != nil && server != nil && before.Draining == server.Draining && before.Created == server.Created {
+	if !changesRouting(before, server) {
 		m.ages.single[id] = asOf
 		return
 	}
 	visible := m.visibleChanges(map[string]*fleet.Server{id: server}, time.Now())
-	for changed, record := range visible {
-		m.logServer(changed, record, read.At)
-	}
+	m.logServers(visible, read.At)
 	m.showRecords(visible)
 	m.ages.single[id] = asOf
 }
