orders: Space the reports of a fleet from the holder's first reply on

Cause: nodes space their reports by the number of nodes that share limits, which a new holder does not tell until it may have heard all of them: two periods of a fleet of that size, 26 s at 985 nodes. Until then each node reported every 0.4 s, 2,460 reports a second, and for each the holder built a map of all nodes, 160 KB. It was late by 1.75 s after a second, then all nodes read the store themselves, and its lease ran out. So did the next holder's.

Replies name the nodes that report now, by which reports are spaced; limits wait for the other number as before. Reports without a reply are repeated after 0.8, 1.6, then 3.2 s; demand that begins to wait is reported at once. Nodes are counted without a map: a report takes 19 us and no allocation (226 us and 160 KB before, BenchmarkHandleReport with 984 nodes).

The builds before send no such number, and are understood (wirenames tests).

--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -23,6 +23,8 @@
 type demandTracker struct {
 	mutex sync.Mutex
 	nodes map[string]*nodeReport
+	// expiredAt is when nodes that no longer report were removed last.
+	expiredAt time.Time
 	// usage by row, over all nodes; poolUsage of pools without models, by pool.
 	usage     map[forward.DemandKey]*usage
 	poolUsage map[string]*usage
@@ -101,11 +103,18 @@
 		countNew(node.poolArrived, t.poolUsage, pool.Pool, pool.Arrived, now)
 	}
 	node.report, node.receivedAt = report, now
-	t.removeExpired(now)
+	if now.Sub(t.expiredAt) >= expiryPeriod {
+		t.expiredAt = now
+		t.removeExpired(now)
+	}
 }
 
-// nodeExpiry is the time without a report after which a node is removed.
-const nodeExpiry = time.Minute
+const (
+	// nodeExpiry is the time without a report after which a node is removed.
+	nodeExpiry = time.Minute
+	// expiryPeriod is the time between checks for such nodes.
+	expiryPeriod = time.Second
+)
 
 // removeExpired removes the nodes that no longer report. It must be called with the lock held.
 func (t *demandTracker) removeExpired(now time.Time) {
@@ -160,6 +169,18 @@
 	}
 }
 
+// liveCount returns the number of nodes with a valid report. It allocates nothing, since it is called
+// for each report.
+func (t *demandTracker) liveCount(now time.Time) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	count := 0
+	for range t.validReports(now) {
+		count++
+	}
+	return count
+}
+
 // liveNodes returns the names of the nodes with a valid report, by address.
 func (t *demandTracker) liveNodes(now time.Time) map[string]string {
 	t.mutex.Lock()
--- a/internal/orders/link.go
+++ b/internal/orders/link.go
@@ -25,6 +25,10 @@
 	demandBatchPause = 2 * time.Millisecond
 	// callTimeout limits the wait for the reply to a report.
 	callTimeout = 400 * time.Millisecond
+	// maxReportBackoff is the longest time between reports to a holder that does not answer, and
+	// maxReportFailures bounds the count of those.
+	maxReportBackoff  = 3200 * time.Millisecond
+	maxReportFailures = 3
 	// The holder's placement expires after holderTimeout plus reportLifetimePeriods report
 	// periods without an update from the holder.
 	holderTimeout = 600 * time.Millisecond
@@ -84,8 +88,14 @@
 	ordersFrom time.Time
 	// unanswered is set if the last report that ended got no reply from a holder.
 	unanswered bool
-	// nodes is the number of nodes that the holder sent last, and size the number that is used: a
-	// holder of an earlier build counts only the nodes that report to it at the moment.
+	// failures counts the reports without an answer one after the other. reportedTo is the holder
+	// that the last report was sent to, at reportedAt.
+	failures   int
+	reportedTo string
+	reportedAt time.Time
+	// nodes is the number of nodes that the holder sent last, by which reports are spaced, and size
+	// the number that share limits: a holder of an earlier build counts only the nodes that report to
+	// it at the moment.
 	nodes int
 	size  *fleetSize
 	// readyTimes is when models that no server holds are expected to be ready.
@@ -172,6 +182,11 @@
 		case <-l.config.Notices.LimitChanges():
 			l.sendLimits()
 		case <-timer.C:
+			if !l.reportDue(time.Now()) {
+				l.expirePlacement()
+				timer.Reset(l.period())
+				continue
+			}
 		}
 		l.report()
 		l.expirePlacement()
@@ -186,12 +201,34 @@
 	return reportPeriodOf(l.nodes)
 }
 
+// reportDue reports whether a report is due that nothing but the time calls for. While the holder
+// does not answer, the time between reports doubles up to maxReportBackoff: reports of a whole fleet
+// every reportPeriod would keep a holder that is late from answering any.
+func (l *Link) reportDue(now time.Time) bool {
+	holder, _ := l.config.Election.Holder()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	backoff := min(reportPeriod<<min(l.failures, maxReportFailures), maxReportBackoff)
+	return l.failures == 0 || holder.Address != l.reportedTo || now.Sub(l.reportedAt) >= backoff
+}
+
+// noteReport records to which holder a report is sent.
+func (l *Link) noteReport(holder string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if holder != l.reportedTo {
+		l.failures = 0
+	}
+	l.reportedTo, l.reportedAt = holder, time.Now()
+}
+
 // report sends this node's demand to the holder.
 func (l *Link) report() {
 	holder, known := l.config.Election.Holder()
 	if !known {
 		return
 	}
+	l.noteReport(holder.Address)
 	report, content := l.newReport()
 	if holder.Address != l.config.Address {
 		report.Observations = l.unsentObservations(true)
@@ -258,6 +295,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.unanswered = true
+	l.failures = min(l.failures+1, maxReportFailures)
 	// The observations in the report may be lost.
 	l.observations.cursor = observation.Cursor{}
 }
@@ -295,10 +333,10 @@
 	}
 	defer l.mutex.Unlock()
 	now := time.Now()
-	l.updatedAt, l.unanswered = now, false
+	l.updatedAt, l.unanswered, l.failures = now, false, 0
 	l.ordersFrom = now.Add(update.OrdersIn)
-	if update.Nodes > 0 {
-		l.nodes = update.Nodes
+	if update.Reporting > 0 || update.Nodes > 0 {
+		l.nodes = max(update.Reporting, update.Nodes)
 	}
 	if update.Base <= l.version {
 		l.version = max(l.version, update.Version)
--- a/internal/orders/messages.go
+++ b/internal/orders/messages.go
@@ -104,7 +104,7 @@
 	Version uint64
 	// Base is the version after which Servers has all changes.
 	Base uint64
-	// Nodes is the number of nodes that share the retry budget.
+	// Nodes is the number of nodes that share the retry budget; 0 while it is not known.
 	Nodes int
 	// OrdersIn is the time until the holder may send orders, while its predecessor's handover
 	// period lasts.
@@ -130,6 +130,9 @@
 	// Carriers are addresses of nodes through which the receiver may reach servers, if its report says
 	// that it has lost paths.
 	Carriers []string
+	// Reporting is the number of nodes that report to the holder now, by which they space their
+	// reports. Earlier builds send none.
+	Reporting int
 }
 
 // NotHolder is the reply of a node without a term to a demand report.
--- a/internal/orders/push.go
+++ b/internal/orders/push.go
@@ -6,11 +6,12 @@
 
 // update returns the placement changes after a version, with the estimates for the models.
 func (h *Holder) update(term *Term, after uint64, models []modelKey, now time.Time) Update {
-	nodes := h.countNodes(len(h.demand.liveNodes(now)), now)
+	reporting := h.demand.liveCount(now)
+	nodes := h.countNodes(reporting, now)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	return Update{
-		Token: term.Token, Version: h.servers.version, Base: after, Nodes: nodes, OrdersIn: term.ordersIn(now),
+		Token: term.Token, Version: h.servers.version, Base: after, Nodes: nodes, Reporting: reporting, OrdersIn: term.ordersIn(now),
 		Servers: h.servers.statesAfter(after), Coming: h.estimates.states(models, now),
 	}
 }
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -137,7 +137,9 @@
 	reportWithoutModels.ReachesModelServers = false
 	reportWithoutPaths := reportWithoutModels
 	reportWithoutPaths.CarriesConnections, reportWithoutPaths.PathsLost = false, false
-	updateWithoutPaths := filled(orders.Update{}).(orders.Update)
+	updateWithoutReporting := filled(orders.Update{}).(orders.Update)
+	updateWithoutReporting.Reporting = 0
+	updateWithoutPaths := updateWithoutReporting
 	updateWithoutPaths.Carriers = nil
 	report := reportWithoutPaths
 	report.Observations, report.PoolArrivals = nil, nil
@@ -158,7 +160,8 @@
 		"mirror.Update": confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
 		"orders.DemandReport without model servers": reportWithoutModels,
 		"orders.DemandReport without paths":         reportWithoutPaths, "orders.Update without paths": updateWithoutPaths,
-		"tenants.Answer": answer, "tenants.GiveBack": giveBack,
+		"orders.Update without reporting": updateWithoutReporting,
+		"tenants.Answer":                  answer, "tenants.GiveBack": giveBack,
 		"tenants.Ask": ratelimit.TakeRequest{
 			Tenant: "text 2", Limit: ratelimit.Limit{Rate: 4.5, Burst: 5.5, Window: 6, Paced: true}, Cost: 8.5, Rank: 9.5, MaxWait: 10,
 			Silent: true, Relayed: true, Heard: ratelimit.Count{Known: true, Level: 15.5, Used: 16.5, Age: 17},
