mirror: Take an answer that leaves changes out for no confirmation, and read on at once

Callers: changes of the configuration and leaving servers were known as late as the relay was behind. Cause: the store sends some 500 changes in an answer. The relay took each for all changes up to now and paused after it, so that it read 750 changes a second while 1,700 servers a second registered, was ten seconds behind, and it and all followers counted as current.

Subscribers get the changes of several calls together, as often as before.

TestAnswerThatLeavesChangesOutConfirmsNothing failed before.

--- a/internal/mirror/fakes_test.go
+++ b/internal/mirror/fakes_test.go
@@ -119,13 +119,19 @@
 	s.compacted, s.history = s.revision, nil
 }
 
-// since returns the changes after the revision. It must be called with the lock held.
-func (s *fakeStore) since(revision int64) Changes {
+// since returns the changes after the revision, up to a number of them; zero: all. It must be called
+// with the lock held.
+func (s *fakeStore) since(revision int64, limit int) Changes {
 	changes := Changes{Base: revision, At: s.revision, Servers: map[string]*fleet.Server{}}
+	found := 0
 	for _, change := range s.history {
 		if change.revision <= revision {
 			continue
 		}
+		if found++; limit > 0 && found > limit {
+			changes.At, changes.More = change.revision-1, true
+			break
+		}
 		switch {
 		case change.configured:
 			changes.ConfigurationRevision, changes.ConfigurationValue = change.revision, []byte(invalidValue)
@@ -148,6 +154,8 @@
 	mutex sync.Mutex
 	// unavailable makes calls fail; unresponsive leaves them without an answer.
 	unavailable, unresponsive bool
+	// maxChanges is how many changes a watch returns at most; zero: any number.
+	maxChanges int
 	// stalled makes watches deliver no changes.
 	stalled bool
 	// readTime is how long a read of the whole state takes.
@@ -319,7 +327,7 @@
 	defer timer.Stop()
 	for {
 		s.store.mutex.Lock()
-		compacted, changes, changed := s.store.compacted, s.store.since(after), s.store.changed
+		compacted, changes, changed := s.store.compacted, s.store.since(after, s.maxChanges), s.store.changed
 		s.store.mutex.Unlock()
 		if after < compacted {
 			return Changes{}, ErrCompacted
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -46,7 +46,8 @@
 	Servers map[string]*fleet.Server
 	// Own holds the changes of own keys, in order of revision.
 	Own []outside.WatchEvent
-	// More reports that more servers exist than were read.
+	// More reports that more servers exist than were read, or that later changes than those up to At
+	// may exist already.
 	More bool
 }
 
@@ -194,6 +195,8 @@
 	// subscribers by address; all changes up to pushedRevision were pushed to them.
 	subscribers    map[string]subscriber
 	pushedRevision int64
+	// pushedAt is when changes that this node read were pushed last. Only Run uses it.
+	pushedAt time.Time
 	// following reports whether this node follows the relay, as last logged.
 	following bool
 	// storeUnavailable is set if the last call to the store failed; failurePause is the pause after
--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -163,7 +163,9 @@
 	}
 }
 
-// readChanges polls the store for changes once and pushes them to the subscribers.
+// readChanges polls the store for changes once and pushes them to the subscribers. An answer that
+// leaves changes out confirms nothing; the next call follows at once, and subscribers get the
+// changes of several calls together.
 func (m *Mirror) readChanges(ctx context.Context) {
 	wait, pause := m.pollTiming(time.Now())
 	m.mutex.Lock()
@@ -180,10 +182,16 @@
 	// between.
 	answered := earlier(time.Now(), sent.Add(wait+minFailurePause))
 	m.mutex.Unlock()
-	m.confirmRead(changes.At, answered)
-	m.push(time.Now())
+	if changes.More && time.Since(m.pushedAt) < pause {
+		return
+	}
+	if !changes.More {
+		m.confirmRead(changes.At, answered)
+	}
+	m.pushedAt = time.Now()
+	m.push(m.pushedAt)
 	m.writeSnapshotIfDue(ctx, time.Now())
-	if changes.At > after {
+	if changes.At > after && !changes.More {
 		clock.Sleep(ctx, pause)
 	}
 }
--- a/internal/mirror/records_age_test.go
+++ b/internal/mirror/records_age_test.go
@@ -171,3 +171,29 @@
 		d.expectEqual()
 	})
 }
+
+// Guards against an answer of the store that is taken for all changes: with 500 changes in each, a
+// relay was ten seconds behind the store while thousands of servers registered, and counted as
+// current, so that changes of the configuration and leaving servers were known as late.
+func TestAnswerThatLeavesChangesOutConfirmsNothing(t *testing.T) {
+	withLargeFleet(t, 3, func(d *deployment) {
+		time.Sleep(settled)
+		for _, node := range d.nodes {
+			node.source.maxChanges = 50
+		}
+		for number := range 40 * 50 {
+			d.store.put(fmt.Sprint("w", number), false, "m", "o")
+		}
+		w := &drainWatch{deployment: d, drainedAt: map[string]time.Time{}}
+		w.drain(1)
+		d.store.configure(true)
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			w.check()
+		}
+		Expect(w.late).To(BeEmpty())
+		Expect(d.nodes[0].revision()).To(Equal(d.store.configuredAt))
+		time.Sleep(settled)
+		d.expectEqual()
+	})
+}
