orders: Bound how many servers a new holder asks for reports in a second

A holder of 10,000 servers asked 32 at a time for reports, without a pause: 2 s of a core in a profile of a node with as many registered servers, beside which it has to read the store for all nodes and to renew its lease. It asks 1,000 a second of a core now, the servers with awaited models first as before.

Nodes accept 2,048 handshakes at a time in place of 256: all nodes connect to a new holder at once, and 57 of 101 logged were rejected and connected again.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -64,6 +64,9 @@
 	holderLease = 2 * time.Second
 	// maxPeerBackoff is the maximum backoff between connection attempts to another node.
 	maxPeerBackoff = 200 * time.Millisecond
+	// maxPeerHandshakes is the maximum number of handshakes with other nodes in progress. All nodes
+	// of a fleet connect to a new holder at the same time, and those it rejects connect again.
+	maxPeerHandshakes = 2048
 	// peerQueueLength is the maximum number of messages queued for another node. A node has one
 	// report in flight, and an update that was lost is included in the next one.
 	peerQueueLength = 32
@@ -119,7 +122,7 @@
 	}
 	transport, err := tcp.New(tcp.Config{
 		Address: settings.Listen.Peers, AdvertisedAddress: settings.Listen.PeersAdvertised, Secret: []byte(settings.Cluster.Secret), Logger: logger, MaxBackoff: maxPeerBackoff,
-		QueueLength: peerQueueLength, MaxPendingCalls: peerQueueLength, StreamDialer: exchange.NewDialer(serverDialSettings.AckTimeout),
+		MaxHandshakes: maxPeerHandshakes, QueueLength: peerQueueLength, MaxPendingCalls: peerQueueLength, StreamDialer: exchange.NewDialer(serverDialSettings.AckTimeout),
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for other nodes")
@@ -198,8 +201,9 @@
 	n.holder = orders.NewHolder(orders.HolderConfig{
 		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers, Notices: n.notices}, Name: n.settings.Node.Name,
 		Counters: n.limiter.Counters, SavedCounters: n.counters, Notices: n.notices, Limits: n.limits, Observations: n.observations,
-		LoadRate:  orders.LoadRateLimits{Window: n.settings.Orders.LoadWindow, Overage: n.settings.Orders.LoadOverage},
-		LoadAhead: true, LostShare: n.paths.LostShare,
+		ReportsPerSecond: n.settings.Machine.ReportsPerSecond(),
+		LoadRate:         orders.LoadRateLimits{Window: n.settings.Orders.LoadWindow, Overage: n.settings.Orders.LoadOverage},
+		LoadAhead:        true, LostShare: n.paths.LostShare,
 		Push:    func(address string, update orders.Update) { n.link.Push(address, update) },
 		OnOrder: n.metrics.Order, OnReplicaOrder: n.metrics.ReplicaOrder, Logger: n.logger,
 	})
--- a/internal/edge/machine.go
+++ b/internal/edge/machine.go
@@ -57,3 +57,11 @@
 	processorTime := float64(fanOutProcessorTime) / m.ProcessorShare
 	return time.Duration(fanOutNodes * (linkTime + processorTime))
 }
+
+// reportsPerSecondOfACore is how many calls for a server's report may take a quarter of a core, at
+// some 0.25 ms each.
+const reportsPerSecondOfACore = 1000
+
+// ReportsPerSecond returns how many servers the machine may ask for reports in a second while it
+// does other work.
+func (m Machine) ReportsPerSecond() float64 { return reportsPerSecondOfACore * m.ProcessorShare }
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/fleet"
@@ -54,6 +55,8 @@
 	Observations *observation.Table
 	// Limits keeps the load on servers within the rate limits that they announced.
 	Limits forward.Limits
+	// ReportsPerSecond bounds the calls to servers for reports; zero: no bound.
+	ReportsPerSecond float64
 	// LoadRate bounds the loads from the weight store.
 	LoadRate LoadRateLimits
 	// LostShare returns the share of the servers with models that this node does not reach although
@@ -78,6 +81,8 @@
 	config HolderConfig
 	demand *demandTracker
 	wake   chan struct{}
+	// reportLimiter bounds the calls to servers for reports.
+	reportLimiter *rate.Limiter
 
 	mutex   sync.Mutex
 	term    *Term
@@ -114,7 +119,11 @@
 	if config.LostShare == nil {
 		config.LostShare = func() float64 { return 0 }
 	}
-	return &Holder{config: config, demand: newDemandTracker(), wake: make(chan struct{}, 1), servers: newServerTable(), reports: &reportQueue{}, estimates: newReadyEstimates(), size: newFleetSize(0, time.Now()), recent: map[string]*placement.RecentLosses{}}
+	return &Holder{
+		config: config, demand: newDemandTracker(), wake: make(chan struct{}, 1), reportLimiter: newReportLimiter(config.ReportsPerSecond),
+		servers: newServerTable(), reports: &reportQueue{}, estimates: newReadyEstimates(), size: newFleetSize(0, time.Now()),
+		recent: map[string]*placement.RecentLosses{},
+	}
 }
 
 // Run plans and orders during this node's terms until ctx ends.
--- a/internal/orders/report_queue.go
+++ b/internal/orders/report_queue.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/placement"
 )
@@ -14,6 +16,14 @@
 // At 5 ms a call, 32 allow some 6,000 servers a second.
 const maxConcurrentReports = 32
 
+// newReportLimiter returns what bounds the calls to servers for reports; zero: no bound.
+func newReportLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), maxConcurrentReports)
+}
+
 // reportQueue holds the servers still to be asked for reports in a term, in that order, and the
 // number of workers that ask them. The holder's lock guards it.
 type reportQueue struct {
@@ -57,6 +67,10 @@
 		if next == nil {
 			return
 		}
+		if h.reportLimiter.Wait(ctx) != nil {
+			h.finish(next, nil)
+			continue
+		}
 		h.refresh(ctx, next)
 	}
 }
--- a/internal/orders/scale_test.go
+++ b/internal/orders/scale_test.go
@@ -102,6 +102,29 @@
 	})
 }
 
+// Guards against a new holder of 10,000 servers that asks for reports as fast as it can, which takes
+// the processor from everything else that it does.
+func TestNewHolderSpacesItsCallsForReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		engines := &countingEngines{}
+		holder := holderOf(largeSnapshot(largeFleet), engines, func(string, Update) {})
+		const perSecond = 800
+		holder.reportLimiter = newReportLimiter(perSecond)
+		holder.mutex.Lock()
+		holder.requestReports(t.Context(), holder.servers.sync(holder.config.View.Load(), time.Now()), time.Now())
+		holder.mutex.Unlock()
+		time.Sleep(3 * time.Second)
+		engines.mutex.Lock()
+		g.Expect(engines.answered).To(BeNumerically("~", 3*perSecond, 2*maxConcurrentReports))
+		engines.mutex.Unlock()
+		time.Sleep(largeFleet / perSecond * time.Second)
+		engines.mutex.Lock()
+		defer engines.mutex.Unlock()
+		g.Expect(engines.answered).To(Equal(largeFleet))
+	})
+}
+
 // Rounds of requests for reports may overlap, when one plan follows soon after another. No server
 // is then asked twice.
 func TestOverlappingRoundsAskEachServerOnce(t *testing.T) {
