--- a/internal/mirror/essentials.go
+++ b/internal/mirror/essentials.go
@@ -63,17 +63,22 @@
 	watches.Wait()
 }
 
-// essentialsWait is how long one call of watchEssentials waits for changes.
+// essentialsWait returns how long one call of watchEssentials waits for changes. It must be called
+// with the lock held.
 func (m *Mirror) essentialsWait() time.Duration {
+	if m.storeUnavailable {
+		// As in pollTiming, the answer shows whether the store was restored.
+		return minWait
+	}
 	return share(directWaitShare, m.config.Times.Contact)
 }
 
 // watchOwnKeys waits for changes of own keys once.
 func (m *Mirror) watchOwnKeys(ctx context.Context) {
 	m.mutex.Lock()
-	after := m.ownKeysRevision
+	after, wait := m.ownKeysRevision, m.essentialsWait()
 	m.mutex.Unlock()
-	changes, err := m.config.Source.OwnChanges(ctx, after, m.essentialsWait())
+	changes, err := m.config.Source.OwnChanges(ctx, after, wait)
 	if m.watchFailed(ctx, err, after) {
 		return
 	}
@@ -85,9 +90,9 @@
 // watchConfiguration waits for a configuration once.
 func (m *Mirror) watchConfiguration(ctx context.Context) {
 	m.mutex.Lock()
-	after := max(m.configurationWatched, m.revision)
+	after, wait := max(m.configurationWatched, m.revision), m.essentialsWait()
 	m.mutex.Unlock()
-	sent, wait := time.Now(), m.essentialsWait()
+	sent := time.Now()
 	changes, err := m.config.Source.ConfigurationChanges(ctx, after, wait)
 	if m.watchFailed(ctx, err, after) {
 		return
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -40,6 +40,15 @@
 switch_off copy-after-gap internal/mirror/snapshot.go 'm.snapshotFloor = max(m.snapshotFloor, read.At-1)' '_ = read' ./internal/mirror
 switch_off two-steps internal/mirror/tree.go 'len(m.subscribers) < fanOut' 'true' ./internal/mirror
 switch_off new-relay-awaited internal/mirror/election.go 'return now.Sub(m.noRelaySince) < share(electionWaitShare, m.config.Times.Changes)' 'return false' ./internal/mirror
+switch_off records-left-to-relay internal/mirror/essentials.go 'if m.config.Transport == nil || m.config.IsRelay() {' 'if true {' ./internal/mirror
+switch_off records-age internal/mirror/records_age.go 'return time.Since(m.recordKnownAsOf(id)) > m.maxRecordAge()' 'return false' ./internal/mirror
+switch_off missing-changes-outdate internal/mirror/records_age.go 'm.ages.single[id], m.partial || m.revision == 0' 'm.ages.single[id], false' ./internal/mirror
+switch_off full-answer-confirms internal/mirror/reading.go 'if !changes.More {' 'if true {' ./internal/mirror
+switch_off outdated-record-read internal/forward/attempt.go 'f.updateOutdated(ctx, flow, target.server)' '' ./internal/forward
+switch_off record-after-choice internal/forward/backoff.go 'listed != nil && !listed.Draining &&' '' ./internal/forward
+switch_off reports-spaced-at-once internal/orders/link.go 'max(update.Reporting, update.Nodes)' 'update.Nodes' ./internal/orders
+switch_off reports-back-off internal/orders/link.go 'return l.failures == 0 ||' 'return true ||' ./platform -run Unanswered
+switch_off server-reports-spaced internal/orders/report_queue.go 'if h.reportLimiter.Wait(ctx) != nil {' 'if ctx.Err() != nil {' ./internal/orders
 switch_off wanted-told-at-once internal/orders/push.go 'for _, address := range h.demand.nodesRequesting(key, now) {' 'for _, address := range h.demand.nodesRequesting(key, now)[:0] {' ./internal/orders
 switch_off loads-expire internal/observation/entry.go 'now.Sub(e.loadAt) < LoadLifetime' 'now.Sub(e.loadAt) < 100*LoadLifetime' ./internal/observation
 switch_off older-load-dropped internal/observation/entry.go 'if !found.loadAt.IsZero() && !at.After(found.loadAt) {' 'if false {' ./internal/observation
