--- a/internal/mirror/apply.go
+++ b/internal/mirror/apply.go
@@ -95,21 +95,19 @@
 
 // maxServerLines is the most servers that get a line each in the log when they change together: in
 // a fleet of 985 nodes and 10,000 servers that start together, these would be ten million lines.
-const maxServerLines = 32
+const maxServerLines = 128
 
-// logServers logs changes that routing depends on, together if there are many. It must be called
-// with the lock held, before the view has them.
+// logServers logs the changes that routing depends on: new servers, changed states and removals,
+// together if there are many. It must be called with the lock held, before the view has them.
 func (m *Mirror) logServers(changes map[string]*fleet.Server, revision int64) {
-	if len(changes) <= maxServerLines {
-		for id, server := range changes {
-			m.logServer(id, server, revision)
-		}
-		return
-	}
+	var relevant []string
 	ready, draining, gone := 0, 0, 0
 	for id, server := range changes {
+		if !changesRouting(m.config.View.Record(id), server) {
+			continue
+		}
+		relevant = append(relevant, id)
 		switch {
-		case !changesRouting(m.config.View.Record(id), server):
 		case server == nil:
 			gone++
 		case server.Draining:
@@ -118,6 +116,12 @@
 			ready++
 		}
 	}
+	if len(relevant) <= maxServerLines {
+		for _, id := range relevant {
+			m.logServer(id, changes[id], revision)
+		}
+		return
+	}
 	m.config.Logger.Info().Int("ready", ready).Int("draining", draining).Int("gone", gone).Int64("revision", revision).Msg("server states")
 }
 
@@ -130,11 +134,8 @@
 	return before.Draining != server.Draining || before.Created != server.Created
 }
 
-// logServer logs a change that routing depends on: a new server, a changed state, a removal.
+// logServer logs a change that routing depends on; nil stands for a removal.
 func (m *Mirror) logServer(id string, server *fleet.Server, revision int64) {
-	if !changesRouting(m.config.View.Record(id), server) {
-		return
-	}
 	if server == nil {
 		m.config.Logger.Info().Str("server", id).Int64("revision", revision).Msg("server gone")
 		return
--- a/internal/mirror/grace.go
+++ b/internal/mirror/grace.go
@@ -64,9 +64,9 @@
 		if !now.Before(end) {
 			delete(m.inGrace, id)
 			removed[id] = nil
-			m.logServer(id, nil, m.revision)
 		}
 	}
+	m.logServers(removed, m.revision)
 	m.showRecords(removed)
 }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -576,7 +576,8 @@
 		m.apply(Changes{Base: m.revision, At: m.revision + 1, Servers: servers})
 		return strings.Split(strings.TrimSpace(log.String()), "\n")
 	}
-	Expect(change(10*maxServerLines, false)).To(ConsistOf(And(ContainSubstring(`"ready":320,"draining":0,"gone":0`), ContainSubstring("server states"))))
+	Expect(change(10*maxServerLines, false)).To(ConsistOf(And(ContainSubstring(`"ready":1280,"draining":0,"gone":0`), ContainSubstring("server states"))))
 	Expect(change(maxServerLines, true)).To(HaveLen(maxServerLines))
-	Expect(change(maxServerLines+1, true)).To(ConsistOf(ContainSubstring(`"ready":0,"draining":1,"gone":0`)))
+	Expect(change(maxServerLines, true)).To(ConsistOf(BeEmpty()), "routing does not depend on heartbeats")
+	Expect(change(2*maxServerLines+1, true)).To(ConsistOf(ContainSubstring(`"ready":0,"draining":129,"gone":0`)))
 }
