--- a/internal/mirror/essentials.go
+++ b/internal/mirror/essentials.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/hatchplank/hatchplank/internal/clock"
 )
 
 // In a large fleet a node without a relay watches the configuration and the own keys, and leaves
@@ -18,6 +20,11 @@
 // it reads a newer snapshot, plus at random as long again.
 const essentialsRefresh = 10 * time.Second
 
+// configurationWatchShare of Times.Changes is how long a node without a relay watches the own keys
+// only, as most relays are replaced within that time. The relay was lost at maxRelayAgeShare; the
+// rest of Times.Changes is left for the call.
+const configurationWatchShare = 0.25
+
 // leavesRecordsToRelay reports whether this node, which follows no relay, watches the configuration
 // and the own keys only. A node that knows no server at all, as when a whole deployment starts,
 // can't know whether the fleet is large, and waits for the relay for Times.Contact. It must be
@@ -90,8 +97,13 @@
 // watchConfiguration waits for a configuration once.
 func (m *Mirror) watchConfiguration(ctx context.Context) {
 	m.mutex.Lock()
+	begins := m.directSince.Add(share(configurationWatchShare, m.config.Times.Changes))
 	after, wait := max(m.configurationWatched, m.revision), m.essentialsWait()
 	m.mutex.Unlock()
+	if delay := time.Until(begins); delay > 0 {
+		clock.Sleep(ctx, delay)
+		return
+	}
 	sent := time.Now()
 	changes, err := m.config.Source.ConfigurationChanges(ctx, after, wait)
 	if m.watchFailed(ctx, err, after) {
