--- a/internal/mirror/records_age.go
+++ b/internal/mirror/records_age.go
@@ -25,8 +25,8 @@
 	recordRetryPause = time.Second
 )
 
-// errRecordsUnavailable reports that the last read of a record failed a short time ago.
-var errRecordsUnavailable = errors.New("the store did not return the last record that was read")
+// errRecordsUnavailable reports that calls to the store failed a short time ago.
+var errRecordsUnavailable = errors.New("read a server's record: the store does not answer this node")
 
 // recordAges is as of when the servers' records in the view are those of the store. Its methods
 // must be called with the mirror's lock held.
@@ -116,12 +116,13 @@
 
 // ReadRecord reads the record of one server from the store and applies it to the view. Concurrent
 // calls for a server share one read. It fails if the store does not answer in recordReadTimeout or
-// before ctx ends, and at once for recordRetryPause after that.
+// before ctx ends; and at once for recordRetryPause after that, and while other calls to the store
+// fail.
 func (m *Mirror) ReadRecord(ctx context.Context, id string) error {
 	m.mutex.Lock()
 	read, inProgress := m.ages.reads[id]
 	if !inProgress {
-		if time.Since(m.ages.failedAt) < recordRetryPause {
+		if m.storeUnavailable || time.Since(m.ages.failedAt) < recordRetryPause {
 			m.mutex.Unlock()
 			return errRecordsUnavailable
 		}
