--- a/internal/mirror/essentials.go
+++ b/internal/mirror/essentials.go
@@ -91,6 +91,7 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	m.state.applyOwn(changes.Own)
 	m.applyOwn(changes)
 }
 
--- a/internal/mirror/essentials_test.go
+++ b/internal/mirror/essentials_test.go
@@ -92,8 +92,10 @@
 		d.network.setPartitioned(addressOf(2), true)
 		d.store.remove("w1")
 		d.store.put("new", false, "m")
+		d.store.putOwn("own/key", "a")
 		time.Sleep(2*essentialsRefresh + maxSnapshotAge + testTimes.Contact)
 		d.expectEqual()
 		Expect(d.nodes[2].source.count("read")).To(Equal(1), "when it started")
+		Expect(d.nodes[2].mirror.state.own).To(HaveKey("own/key"), "it passes on all own keys")
 	})
 }
--- a/internal/mirror/records_age.go
+++ b/internal/mirror/records_age.go
@@ -28,8 +28,8 @@
 // errRecordsUnavailable reports that calls to the store failed a short time ago.
 var errRecordsUnavailable = errors.New("read a server's record: the store does not answer this node")
 
-// recordAges is as of when the servers' records in the view are those of the store. Its methods
-// must be called with the mirror's lock held.
+// recordAges is as of when the servers' records in the view are those of the store. The mirror's
+// lock guards it.
 type recordAges struct {
 	// all is the time as of which all records are known; the zero time: they never were.
 	all time.Time
