--- a/internal/mirror/records_age_test.go
+++ b/internal/mirror/records_age_test.go
@@ -197,3 +197,40 @@
 		d.expectEqual()
 	})
 }
+
+// Guards against a node that uses old records until they are too old although it knows that it lacks
+// changes.
+func TestRecordsWithKnownGapsAreOutdatedAtOnce(t *testing.T) {
+	withLargeFleet(t, 2, func(d *deployment) {
+		time.Sleep(settled)
+		m := d.nodes[1].mirror
+		Expect(m.Outdated("w1")).To(BeFalse())
+		m.mutex.Lock()
+		m.applySkipped(Update{At: m.revision + 1}, time.Now())
+		m.mutex.Unlock()
+		Expect(m.Outdated("w1")).To(BeTrue())
+		Expect(m.ReadRecord(context.Background(), "w1")).To(Succeed())
+		Expect(m.Outdated("w1")).To(BeFalse())
+	})
+}
+
+// Guards against a state that counts as confirmed by an answer which leaves later changes out.
+func TestFullAnswerDoesNotConfirmTheState(t *testing.T) {
+	withLargeFleet(t, 1, func(d *deployment) {
+		time.Sleep(settled)
+		node := d.nodes[0]
+		node.stop()
+		time.Sleep(testTimes.Contact)
+		node.source.maxChanges = 1
+		d.store.put("w1", true, "m")
+		d.store.put("w2", true, "m")
+		confirmed := node.mirror.confirmedAt
+		node.mirror.readChanges(context.Background())
+		Expect(node.mirror.confirmedAt).To(Equal(confirmed))
+		// The relay's own snapshot is another change.
+		for range 4 {
+			node.mirror.readChanges(context.Background())
+		}
+		Expect(node.mirror.confirmedAt).To(BeTemporally(">", confirmed))
+	})
+}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -45,7 +45,7 @@
 switch_off missing-changes-outdate internal/mirror/records_age.go 'm.ages.single[id], m.partial || m.revision == 0' 'm.ages.single[id], false' ./internal/mirror
 switch_off full-answer-confirms internal/mirror/reading.go 'if !changes.More {' 'if true {' ./internal/mirror
 switch_off outdated-record-read internal/forward/attempt.go 'f.updateOutdated(ctx, flow, target.server)' '' ./internal/forward
-switch_off record-after-choice internal/forward/backoff.go 'listed != nil && !listed.Draining &&' '' ./internal/forward
+switch_off record-after-choice internal/forward/backoff.go 'listed != nil && !listed.Draining &&' '!(listed != nil && listed.ReportedLeaving) &&' ./internal/forward
 switch_off reports-spaced-at-once internal/orders/link.go 'max(update.Reporting, update.Nodes)' 'update.Nodes' ./internal/orders
 switch_off reports-back-off internal/orders/link.go 'return l.failures == 0 ||' 'return true ||' ./platform -run Unanswered
 switch_off server-reports-spaced internal/orders/report_queue.go 'if h.reportLimiter.Wait(ctx) != nil {' 'if ctx.Err() != nil {' ./internal/orders
