--- a/internal/mirror/essentials.go
+++ b/internal/mirror/essentials.go
@@ -11,10 +11,8 @@
 
 // In a large fleet a node without a relay watches the configuration and the own keys, and leaves
 // the servers' records alone: if each node reads the records as soon as the relay is late, they
-// occupy the store's link, and the relay, which has to read them as well, gets later still. So a
-// relay that was late by two seconds when 985 nodes and 10,000 servers started together lost its
-// lease, and the next ones after it. What a node needs of the records meanwhile it reads by itself
-// (records_age.go).
+// occupy the store's link, and the relay, which has to read them as well, gets later still, up to the
+// end of its lease. What a node needs of the records meanwhile it reads by itself (records_age.go).
 
 // essentialsRefresh is how long a node without a relay goes on with the records that it has before
 // it reads a newer snapshot, plus at random as long again.
--- a/internal/mirror/fakes_test.go
+++ b/internal/mirror/fakes_test.go
@@ -352,26 +352,29 @@
 	if err := s.call(ctx, "own changes"); err != nil {
 		return Changes{}, err
 	}
-	deadline := time.Now().Add(wait)
-	for {
-		changes, err := s.await(ctx, after, time.Until(deadline))
+	return s.awaitPart(ctx, after, wait, func(changes *Changes) bool {
 		changes.Servers, changes.Configuration, changes.ConfigurationRevision = nil, nil, 0
-		if err != nil || len(changes.Own) > 0 || !time.Now().Before(deadline) {
-			return changes, err
-		}
-		after = changes.At
-	}
+		return len(changes.Own) > 0
+	})
 }
 
 func (s *fakeSource) ConfigurationChanges(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
 	if err := s.call(ctx, "configuration changes"); err != nil {
 		return Changes{}, err
 	}
+	return s.awaitPart(ctx, after, wait, func(changes *Changes) bool {
+		changes.Servers, changes.Own = nil, nil
+		return changes.ConfigurationRevision > 0
+	})
+}
+
+// awaitPart is like await for a part of the changes. selectPart removes the others, and reports whether
+// any are left.
+func (s *fakeSource) awaitPart(ctx context.Context, after int64, wait time.Duration, selectPart func(*Changes) bool) (Changes, error) {
 	deadline := time.Now().Add(wait)
 	for {
 		changes, err := s.await(ctx, after, time.Until(deadline))
-		changes.Servers, changes.Own = nil, nil
-		if err != nil || changes.ConfigurationRevision > 0 || !time.Now().Before(deadline) {
+		if found := selectPart(&changes); err != nil || found || !time.Now().Before(deadline) {
 			return changes, err
 		}
 		after = changes.At
