Add a case of requests cut off at a planned stop during a store outage

The stop of a node waits for the handover of its lease before it closes idle connections and before it sets the timer for final answers. While the store does not answer, the node takes requests for longer, and closes their connections without an answer at the end of the grace period.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -o target/review/ ./review/doubled
+go build -o target/review/ ./review/doubled ./review/cutoff
