--- a/review/stand/node.go
+++ b/review/stand/node.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -80,6 +82,30 @@
 	return node, node.start(options, settings)
 }
 
+// started are the processes that an interrupted case has to end.
+var started struct {
+	mutex sync.Mutex
+	once  sync.Once
+	nodes []*Node
+}
+
+// endOnSignal ends all nodes and this process if it is interrupted.
+func endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		started.mutex.Lock()
+		for _, node := range started.nodes {
+			node.Kill()
+		}
+		os.Exit(exitNotRun)
+	}()
+}
+
+// exitNotRun is the exit code of a case that could not run.
+const exitNotRun = 2
+
 func (n *Node) start(options NodeOptions, settings string) error {
 	output, err := os.Create(filepath.Join(options.Folder, options.Name+".log"))
 	if err != nil {
@@ -89,9 +115,13 @@
 	n.command.Dir = options.Root
 	n.command.Env = append(os.Environ(), "HATCHPLANK_BOOT="+settings)
 	n.command.Stdout, n.command.Stderr = output, output
+	started.once.Do(endOnSignal)
+	started.mutex.Lock()
+	defer started.mutex.Unlock()
 	if err := n.command.Start(); err != nil {
 		return err
 	}
+	started.nodes = append(started.nodes, n)
 	go func() {
 		_ = n.command.Wait()
 		_ = output.Close()
