--- a/review/doubled/main.go
+++ b/review/doubled/main.go
@@ -18,8 +18,8 @@
 	"github.com/hatchplank/hatchplank/review/stand"
 )
 
-// The machines, bounds and faults are those of the site abay-channel: 7 nodes; surplus answers at up to
-// 0.6 of the servers, in up to 0.05 of their answers, for up to 5.85 s at a time.
+// The machines, bounds and faults are those of the site abay-channel: 7 nodes; late surplus answers
+// at up to 0.6 of the servers, in up to 0.03 of their answers, for up to 5 s at a time.
 const (
 	configuration = `{"version":1,"routes":[{"name":"r-avail","host":"abay.example","path-prefix":"/avail/","kind":"non_idempotent",
  "timeout-ms":5000,"target-latency-ms":1000,"priority":2,"service":"channel","max-attempts":1}],
@@ -31,10 +31,10 @@
 	queue    = 2
 	work     = 30 * time.Millisecond
 	// spoiledShare is the share of its answers that the faulty server sends twice.
-	spoiledShare = 0.05
+	spoiledShare = 0.03
 	// spoiledTime is how long it does so at a time, and calmTime the pause before it does again.
-	spoiledTime, calmTime = 5500 * time.Millisecond, 1500 * time.Millisecond
-	rounds                = 14
+	spoiledTime, calmTime = 5 * time.Second, time.Second
+	rounds                = 16
 	// In every period, groupCallers at each of groupNodes nodes send requests for groupTime, each with
 	// groupPause between two of them. One caller at each of the other nodes sends one between
 	// singleFrom and singleTo of the period, and a few more after calmFrom, one after the other.
