--- a/review/cutoff/main.go
+++ b/review/cutoff/main.go
@@ -29,7 +29,7 @@
 	work = 4500 * time.Millisecond
 	// grace is the time from SIGTERM to SIGKILL, and outage how long the store does not answer; it
 	// begins outageLead before SIGTERM.
-	grace, outage, outageLead = 8 * time.Second, 4800 * time.Millisecond, 300 * time.Millisecond
+	grace, outage, outageLead = 8 * time.Second, 4500 * time.Millisecond, 300 * time.Millisecond
 	nodeCount                 = 3
 )
 
