exchange: Log and count what arrives in place of one response for each request

Cause: nothing told which attempt a response was attributed to, on which connection, and what was sent there before, so a surplus response could not be told from a server that runs what it refused. No decision changes. Measured: go test of exchange, edge and platform passes.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -115,9 +115,10 @@
 	if limit := settings.Memory.LimitMB; limit > 0 {
 		debug.SetMemoryLimit(int64(softLimitShare * float64(limit) * megabyte))
 	}
+	storeClient := exchange.NewClient(storeDialSettings)
 	n := &node{
 		settings: settings, logger: logger, view: fleet.NewView(),
-		store:   platform.NewStore(settings.Store.Address, exchange.NewClient(storeDialSettings), settings.Store.Contact, logger),
+		store:   platform.NewStore(settings.Store.Address, storeClient, settings.Store.Contact, logger),
 		process: edge.NewProcess(settings, logger),
 	}
 	transport, err := tcp.New(tcp.Config{
@@ -130,6 +131,7 @@
 	n.transport = transport
 	n.metrics = edge.NewMetrics(n.gauges())
 	n.requests = edge.NewRequestLog(logger, n.metrics)
+	storeClient.OnAnomaly = n.requests.ResponseAnomaly
 	n.notices = notice.NewRegistry(notice.Config{View: n.view, OnNotice: n.metrics.Notice, OnDisregarded: n.metrics.SentDespiteNotice, OnLimitedSend: n.metrics.SentToLimited, Logger: logger})
 	n.observations = observation.NewTable()
 	n.observations.OnSuspicion = observation.LogSuspicions(logger)
@@ -167,6 +169,7 @@
 		Intermediaries: &serverpath.Intermediaries{Transport: n.transport, Nodes: n.carriers.addresses, OnAnswer: n.metrics.CarrierAnswer},
 	}
 	n.servers = exchange.NewClient(settings)
+	n.servers.OnAnomaly = n.requests.ResponseAnomaly
 	n.servers.SetMaxIdle(n.settings.Machine.MaxIdleConnections())
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -22,6 +22,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/logging"
@@ -224,6 +225,7 @@
 	log.AttemptFailed(forward.Observation{Request: request, Failure: &forward.AttemptError{Reason: forward.FailureFull}})
 	log.Ended(request, forward.Outcome{Code: result.OK, Cold: true, Decision: forward.Decision{LoadSource: forward.LoadFromNodes}})
 	log.SuspicionChecked(forward.SuspicionCheck{Server: &fleet.Server{ID: "s1"}})
+	log.ResponseAnomaly(exchange.Anomaly{Kind: exchange.AnomalyForeignResponse})
 	metrics.StoreCall("/call")
 	metrics.Order("load", "accepted")
 	metrics.ServerCrashed()
--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/logging"
 	"github.com/hatchplank/hatchplank/internal/result"
@@ -58,6 +59,17 @@
 	event.Str("server", check.Server.ID).Str("pool", check.Server.Pool).Bool("reached", check.Err == nil).AnErr("error", check.Err).Msg("suspected server checked")
 }
 
+// ResponseAnomaly logs and counts what a server sent in place of one response for each request.
+func (l *RequestLog) ResponseAnomaly(anomaly exchange.Anomaly) {
+	l.metrics.count(metricAnomalies, "kind", string(anomaly.Kind))
+	event := l.limiter.Event(&l.logger, zerolog.WarnLevel, "anomaly/"+string(anomaly.Kind))
+	if event == nil {
+		return
+	}
+	event.Str("kind", string(anomaly.Kind)).Str("address", anomaly.Address).Uint64("connection", anomaly.Connection).Int("exchange", anomaly.Exchange).
+		Str("request", anomaly.Identity).Strs("earlier", anomaly.Earlier).Int("status", anomaly.Status).AnErr("error", anomaly.Cause).Msg("response anomaly")
+}
+
 // Retry logs and counts a decision of the retry budget.
 func (l *RequestLog) Retry(request *forward.Request, decision retrybudget.Decision) {
 	l.metrics.Retry(decision)
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -45,6 +44,8 @@
 	Body []byte
 	// DirectOnly is set if the request must not pass through another node.
 	DirectOnly bool
+	// Identity is what the request's responses carry, such as its ID; empty: they carry nothing.
+	Identity string
 	// Matches reports whether a response with this head belongs to the request; nil: every
 	// response does.
 	Matches func(head *http.Response) bool
@@ -56,6 +57,9 @@
 // Client sends requests to servers and keeps idle connections for reuse. It is safe for concurrent
 // use.
 type Client struct {
+	// OnAnomaly is called with each anomaly; nil: not called. It must be set before the first use.
+	OnAnomaly func(Anomaly)
+
 	dial DialSettings
 
 	mutex sync.Mutex
@@ -98,6 +102,7 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
+	conn.begin(request.Identity)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	write := &requestWrite{}
 	if err := write.start(conn, request); err != nil {
@@ -105,7 +110,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	response, clean, err := readResponse(conn.reader, request)
+	response, clean, err := c.readResponse(conn, request)
 	if err != nil {
 		stop()
 		_ = conn.Close()
@@ -120,11 +125,14 @@
 
 // readResponse reads the head of the request's response. It skips interim (1xx) responses, and a few
 // responses that belong to other requests; clean is false if there were any of the latter.
-func readResponse(reader *bufio.Reader, request Request) (response *http.Response, clean bool, err error) {
+func (c *Client) readResponse(conn *connection, request Request) (response *http.Response, clean bool, err error) {
 	clean = true
 	for skipped := 0; skipped <= maxSkippedResponses; {
-		response, err = http.ReadResponse(reader, &http.Request{Method: request.Method})
+		response, err = http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
 		if err != nil {
+			if conn.reader.Buffered() > 0 {
+				c.report(conn, AnomalyMalformedResponse, request.Identity, 0, err)
+			}
 			return nil, false, eris.Wrap(err, "read the answer's head")
 		}
 		if response.StatusCode < http.StatusOK {
@@ -134,8 +142,12 @@
 			request.OnHead(response)
 		}
 		if request.Matches == nil || request.Matches(response) {
+			if conn.sentEarlier(request.Identity) {
+				c.report(conn, AnomalyAmbiguousResponse, request.Identity, response.StatusCode, nil)
+			}
 			return response, clean, nil
 		}
+		c.report(conn, AnomalyForeignResponse, request.Identity, response.StatusCode, nil)
 		clean = false
 		skipped++
 		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
@@ -155,9 +167,13 @@
 		if conn == nil {
 			break
 		}
-		if time.Now().Before(conn.expiresAt) && conn.isReusable() {
+		state := conn.state()
+		if state == idleQuiet && time.Now().Before(conn.expiresAt) {
 			return conn, nil
 		}
+		if state == idleData {
+			c.report(conn, AnomalyUnrequestedData, "", 0, nil)
+		}
 		_ = conn.Close()
 	}
 	return c.open(ctx, address, directOnly)
@@ -176,6 +192,7 @@
 	}
 	c.mutex.Lock()
 	c.opened++
+	conn.number = c.opened
 	c.mutex.Unlock()
 	return conn, nil
 }
@@ -356,6 +373,9 @@
 func (b *responseBody) finish() {
 	b.closed = true
 	stopped := b.stop()
+	if b.conn.reader.Buffered() > 0 {
+		b.client.report(b.conn, AnomalyUnrequestedData, "", 0, nil)
+	}
 	if !stopped || !b.reusable || !b.write.finished() || b.conn.reader.Buffered() > 0 {
 		_ = b.conn.Close()
 		return
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -36,10 +37,32 @@
 	net.Conn
 	reader *bufio.Reader
 	route  route
+	// number of the connection within its client, from 1.
+	number uint64
+	// exchanges is the number of requests sent, and earlier the identities of the last ones before the
+	// latest, which is identity.
+	exchanges int
+	identity  string
+	earlier   []string
 	// expiresAt is when an idle connection is no longer reused, since the server may close it.
 	expiresAt time.Time
 }
 
+// begin records that a request with the identity is sent.
+func (c *connection) begin(identity string) {
+	if c.exchanges > 0 {
+		c.earlier = append(c.earlier[max(0, len(c.earlier)-maxEarlier+1):len(c.earlier):len(c.earlier)], c.identity)
+	}
+	c.exchanges++
+	c.identity = identity
+}
+
+// sentEarlier reports whether one of the last requests before the latest had the identity; false if it
+// is empty.
+func (c *connection) sentEarlier(identity string) bool {
+	return identity != "" && slices.Contains(c.earlier, identity)
+}
+
 // route is a server's address, and whether connections to it pass through another node.
 type route struct {
 	address  string
@@ -123,28 +146,48 @@
 	}
 }
 
-// isReusable reports whether the connection is open and no data has arrived on it since the last
-// response.
-func (c *connection) isReusable() bool {
+// idleState is the state of a connection between two exchanges.
+type idleState uint8
+
+const (
+	// idleQuiet: the connection is open and no data has arrived since the last response.
+	idleQuiet idleState = iota
+	// idleData: data has arrived that belongs to no request.
+	idleData
+	// idleClosed: the connection is closed or has failed.
+	idleClosed
+)
+
+// state returns the state of an idle connection. One that is not a socket of the system counts as
+// quiet unless data has been read from it.
+func (c *connection) state() idleState {
 	if c.reader.Buffered() > 0 {
-		return false
+		return idleData
 	}
 	socket, isSyscall := c.Conn.(syscall.Conn)
 	if !isSyscall {
-		return true
+		return idleQuiet
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return idleClosed
 	}
-	noData := false
+	state := idleClosed
 	err = raw.Read(func(descriptor uintptr) bool {
 		var peeked [1]byte
-		_, _, failure := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = failure == syscall.EAGAIN
+		count, _, failure := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case failure == syscall.EAGAIN:
+			state = idleQuiet
+		case failure == nil && count > 0:
+			state = idleData
+		}
 		return true
 	})
-	return err == nil && noData
+	if err != nil {
+		return idleClosed
+	}
+	return state
 }
 
 // idleTimeoutFrom returns how long to keep an idle connection: the timeout of the server's Keep-Alive
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -314,7 +314,7 @@
 	<-closed
 	kept := client.idle[route{address: request.Address}]
 	Expect(kept).To(HaveLen(1))
-	Eventually(kept[0].isReusable).Should(BeFalse())
+	Eventually(kept[0].state).Should(Equal(idleClosed))
 	request = requestFor("2")
 	request.Address = listener.Addr().String()
 	response, err = client.Do(context.Background(), request)
