streamorigin: Resume a stream of a caller at the software version that began it

Cause: a request with Last-Event-Id went to any server of the pool, and of another pool on a route to several. Change: nodes keep where streams began; while a pool has servers of several versions, two of the counter nodes keep it too, and a node that does not know a stream asks them. A stream nobody knows is refused where versions are mixed. In a pool with one version nothing is sent, asked or waited for. Evidence: the tests of stream_version_test.go and package streamorigin, also a random one over restarts, cuts and changes of version; the code before had neither the field nor the question.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -25,6 +25,7 @@
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
 	"github.com/hatchplank/hatchplank/internal/serverpath"
+	"github.com/hatchplank/hatchplank/internal/streamorigin"
 	"github.com/hatchplank/hatchplank/internal/tenants"
 	"github.com/hatchplank/hatchplank/platform"
 )
@@ -103,6 +104,7 @@
 	notices    *notice.Registry
 	// observations is what this node and others observe of servers.
 	observations *observation.Table
+	origins      *streamorigin.Origins
 	forwarder    *forward.Forwarder
 	metrics      *edge.Metrics
 	requests     *edge.RequestLog
@@ -283,8 +285,12 @@
 
 // assembleForwarder creates the forwarder of clients' requests.
 func (n *node) assembleForwarder() {
+	n.origins = streamorigin.New(streamorigin.Config{
+		View: n.view, Transport: n.transport, Address: n.transport.Address(),
+		Nodes: func() []string { return n.limiter.Counters().Addresses }, OnFind: n.metrics.StreamOrigin,
+	})
 	n.forwarder = forward.New(forward.Config{
-		View: n.view, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: func() bool { return n.mirror.Behind() }, Records: records{n}, OnRecordCheck: n.metrics.RecordCheck, Zone: n.settings.Node.Zone,
+		View: n.view, Origins: n.origins, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: func() bool { return n.mirror.Behind() }, Records: records{n}, OnRecordCheck: n.metrics.RecordCheck, Zone: n.settings.Node.Zone,
 		Connect: n.servers.Connect, Indirect: n.paths.Lost, OnSuspicionCheck: n.requests.SuspicionChecked,
 		Fleet: retrybudget.Count{Limiter: n.limiter}, OnRetry: n.requests.Retry,
 		Observations: n.observations, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning,
@@ -313,7 +319,7 @@
 		Status:       n.status(),
 		Ready:        n.notReadyReason,
 		IdleLimit:    n.idleLimit,
-		Background:   []func(context.Context){n.mirror.Run, n.election.Run, n.holder.Run, n.link.Run, n.limiter.Run, n.poison.Run, n.paths.Run, n.prune, n.servePeers},
+		Background:   []func(context.Context){n.mirror.Run, n.election.Run, n.holder.Run, n.link.Run, n.limiter.Run, n.poison.Run, n.origins.Run, n.paths.Run, n.prune, n.servePeers},
 		Drain:        n.drain,
 		EndRequests:  n.forwarder.Close,
 		HandOver:     n.election.Resign,
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -33,6 +33,7 @@
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
 	"github.com/hatchplank/hatchplank/internal/serverpath"
+	"github.com/hatchplank/hatchplank/internal/streamorigin"
 )
 
 const validSettings = `
@@ -239,6 +240,7 @@
 	metrics.CarryRequest(serverpath.Opened)
 	metrics.CarrierAnswer(serverpath.Opened)
 	metrics.RecordCheck(forward.RecordAccepts)
+	metrics.StreamOrigin(streamorigin.Known)
 	answer := httptest.NewRecorder()
 	metrics.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -16,6 +16,7 @@
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
 	"github.com/hatchplank/hatchplank/internal/serverpath"
+	"github.com/hatchplank/hatchplank/internal/streamorigin"
 )
 
 // MetricDescription describes a metric, as documented in docs/operators/metrics.md.
@@ -60,6 +61,7 @@
 	metricCarrierAnswers    = "hatchplank_node_carrier_answers_total"
 	metricRecordsAge        = "hatchplank_node_server_records_age_seconds"
 	metricRecordChecks      = "hatchplank_node_record_checks_total"
+	metricStreamOrigins     = "hatchplank_node_stream_origins_total"
 	metricAnomalies         = "hatchplank_node_response_anomalies_total"
 )
 
@@ -99,6 +101,7 @@
 	{metricCarrierAnswers, "counter", "outcome", "Answers of other nodes to such requests of this node, by outcome."},
 	{metricRecordsAge, "gauge", "", "Seconds since the store is known to have held the servers' records that this node has; -1 if it never had all of them."},
 	{metricRecordChecks, "counter", "outcome", "Reads of one server's record before a request was sent there, since the known one was too old, by outcome (accepts, leaves, unread: the store did not answer)."},
+	{metricStreamOrigins, "counter", "finding", "Searches for the software version that began a stream which its caller resumes, by finding (known, irrelevant: the pool has one version, unknown: the stream is refused)."},
 	{metricAnomalies, "counter", "kind", "What servers and the store sent in place of one response for each request, by kind (foreign_response, ambiguous_response, unrequested_data, malformed_response)."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
@@ -167,6 +170,11 @@
 	m.count(metricRecordChecks, "outcome", string(outcome))
 }
 
+// StreamOrigin counts a search for the origin of a stream that its caller resumes.
+func (m *Metrics) StreamOrigin(finding streamorigin.Finding) {
+	m.count(metricStreamOrigins, "finding", string(finding))
+}
+
 // StoreCall counts a call to the store.
 func (m *Metrics) StoreCall(call string) { m.count(metricStoreCalls, "call", call) }
 
--- a/internal/fleet/route.go
+++ b/internal/fleet/route.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -62,6 +63,11 @@
 	return r.Kind == KindRepeatable || (r.Kind == KindStream && r.Resumable)
 }
 
+// LeadsTo reports whether the route's requests may go to a pool.
+func (r *Route) LeadsTo(pool string) bool {
+	return slices.ContainsFunc(r.Targets, func(target Target) bool { return target.Pool == pool && target.Weight > 0 })
+}
+
 // Pick chooses the pool for the request with this number, so that consecutive numbers are
 // distributed over the targets by weight. It returns an empty name if no target has a weight.
 func (r *Route) Pick(number uint64) string {
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -49,6 +49,8 @@
 	// version is the software version of the server that began the stream; nil inside until an event
 	// is passed on. Copies of the flow share it.
 	version *atomic.Pointer[string]
+	// onBegin is called with the server at which a stream that may be resumed begins; nil for others.
+	onBegin func(server *fleet.Server)
 	// trial is set where the request is quarantined and runs as a trial; trialSent: a server may
 	// have read it, so that it is sent to no other one.
 	trial     *poison.Trial
@@ -128,12 +130,16 @@
 	if request.Deadline.Before(deadline) {
 		deadline = request.Deadline.Add(-deadlineMargin)
 	}
-	return &flow{
+	flow := &flow{
 		maySend: true,
 		request: request, route: route, pool: route.Pick(f.sequence.Add(1)), deadline: deadline,
 		prefixes: sharedPrefixes(request), clientRetry: f.isClientRetry(request, route), tried: map[string]bool{}, slotsAt: map[string]time.Time{},
 		lastEvent: request.ResumeAfter, latestServer: new(atomic.Pointer[fleet.Server]), version: new(atomic.Pointer[string]),
 	}
+	if route.Kind == fleet.KindStream && route.Resumable {
+		flow.onBegin = func(server *fleet.Server) { f.recordOrigin(flow, server) }
+	}
+	return flow
 }
 
 // maxRouteTimes is the number of routes whose times are kept. It bounds the map, since routes
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -38,6 +38,8 @@
 	Backoffs Backoffs
 	// Limits enforces the rate limits that servers announced; nil: none.
 	Limits Limits
+	// Origins keeps where streams began; nil: a stream that its caller resumes continues at any server.
+	Origins StreamOrigins
 	// Observations holds what nodes observe of servers; nil: nothing is recorded.
 	Observations *observation.Table
 	// Poison quarantines requests that crash servers; nil: none is quarantined.
@@ -96,6 +98,7 @@
 	limits     Limits
 	poison     PoisonGuard
 	records    Records
+	origins    StreamOrigins
 	mayBeStale func() bool
 	// onRecordCheck is called for each check of an outdated record.
 	onRecordCheck func(RecordCheck)
@@ -149,6 +152,9 @@
 	if config.Poison == nil {
 		config.Poison = noPoison{}
 	}
+	if config.Origins == nil {
+		config.Origins = noOrigins{}
+	}
 	if config.Records == nil {
 		config.Records = currentRecords{}
 	}
@@ -173,7 +179,7 @@
 	lifetime, cancel := context.WithCancel(context.Background())
 	return &Forwarder{
 		lifetime: lifetime, cancel: cancel, started: time.Now(),
-		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, records: config.Records, onRecordCheck: config.OnRecordCheck, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, indirect: config.Indirect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
+		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, records: config.Records, origins: config.Origins, onRecordCheck: config.OnRecordCheck, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, indirect: config.Indirect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
 		tracker: newTracker(), demand: newDemandTable(), priorities: newPriorityMix(),
 		budgets: retrybudget.New(retrybudget.Config{Limits: config.Budget, Nodes: config.Nodes, Fleet: config.Fleet}), onRetry: config.OnRetry,
 		observe: config.Observe, longRunning: config.LongRunning, longestTimes: map[string]time.Duration{},
@@ -235,6 +241,10 @@
 	flow := f.newFlow(request, route)
 	flow.trial = trial
 	defer func() { f.poison.EndTrial(trial, flow.trialSent) }()
+	if refusal := f.bindOrigin(ctx, flow); refusal != nil {
+		f.returnQuota(request)
+		return *refusal
+	}
 	flow.priority = snapshot.Configuration.Priority(route, request.Tenant)
 	ctx, cancel := context.WithDeadline(ctx, flow.deadline)
 	defer cancel()
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -122,7 +122,7 @@
 	}
 	fl.headSent = true
 	if reply.Events {
-		fl.bindVersion(fl.latestServer.Load().SoftwareVersion)
+		fl.beginStream(fl.latestServer.Load())
 	}
 	responder.Begin(reply)
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -60,6 +60,9 @@
 	// ResumeAfter is the ID of the last event that the caller received; empty if it resumes no
 	// stream.
 	ResumeAfter string
+	// Resumes is the ID of the caller's request that brought the first event of the stream that it
+	// resumes; empty if it names none.
+	Resumes string
 	// Opaque is for the protocol binding that made the request.
 	Opaque any
 }
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -1,16 +1,77 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/streamorigin"
 )
 
 // A stream belongs to the software version of the server that began it: what servers of two versions
 // generate does not fit together, and a server does not check which version began the stream that it
 // is asked to resume.
 
+// StreamOrigins keeps the pools and software versions of the servers at which streams began, for all nodes.
+type StreamOrigins interface {
+	// Begin records the origin of the stream whose first event is passed on for the request with the ID.
+	// With share, other nodes learn it in any case.
+	Begin(request string, origin streamorigin.Origin, share bool)
+	// Find returns the origin of such a stream, which the pool is to resume. With ask, other nodes are
+	// asked in any case. The wait is limited.
+	Find(ctx context.Context, request, pool string, ask bool) (streamorigin.Origin, streamorigin.Finding)
+}
+
+// noOrigins is for nodes on their own.
+type noOrigins struct{}
+
+func (noOrigins) Begin(string, streamorigin.Origin, bool) {}
+
+func (noOrigins) Find(context.Context, string, string, bool) (streamorigin.Origin, streamorigin.Finding) {
+	return streamorigin.Origin{}, streamorigin.Irrelevant
+}
+
+// recordOrigin records where the flow's stream began. A stream that the caller resumes keeps the ID of
+// the request that brought its first event.
+func (f *Forwarder) recordOrigin(flow *flow, server *fleet.Server) {
+	id := flow.request.ID
+	if flow.resumesNamed() {
+		id = flow.request.Resumes
+	}
+	f.origins.Begin(id, streamorigin.Origin{Pool: server.Pool, SoftwareVersion: server.SoftwareVersion}, len(flow.route.Targets) > 1)
+}
+
+// resumesNamed reports whether the caller resumes a stream and names the request that began it.
+func (fl *flow) resumesNamed() bool { return fl.request.ResumeAfter != "" && fl.request.Resumes != "" }
+
+// bindOrigin binds a stream that the caller resumes to the pool and the software version that began it.
+// It returns a refusal if they can't be found out, or if the route no longer leads to the pool.
+func (f *Forwarder) bindOrigin(ctx context.Context, flow *flow) *Outcome {
+	if !flow.resumesNamed() {
+		return nil
+	}
+	origin, finding := f.origins.Find(ctx, flow.request.Resumes, flow.pool, len(flow.route.Targets) > 1)
+	switch {
+	case finding == streamorigin.Unknown:
+		return flow.refuse(result.NoBackEnd, "the software version that began the stream is not known")
+	case finding == streamorigin.Known && !flow.route.LeadsTo(origin.Pool):
+		return flow.refuse(result.NoBackEnd, "the route does not lead to the pool that began the stream")
+	case finding == streamorigin.Known:
+		flow.pool = origin.Pool
+		flow.bindVersion(origin.SoftwareVersion)
+	}
+	return nil
+}
+
+// beginStream is called when the first event of a stream is passed on.
+func (fl *flow) beginStream(server *fleet.Server) {
+	fl.bindVersion(server.SoftwareVersion)
+	if fl.onBegin != nil {
+		fl.onBegin(server)
+	}
+}
+
 // bindVersion records the software version that began the stream.
 func (fl *flow) bindVersion(version string) { fl.version.CompareAndSwap(nil, &version) }
 
--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/streamorigin"
 )
 
 // versioned are servers that hold the model, by ID, with their software versions.
@@ -74,3 +75,72 @@
 		Expect(b.backend.servers()).To(Equal([]string{"m1", "m2"}))
 	})
 }
+
+// fakeOrigins are the origins that all nodes know; others are unknown.
+type fakeOrigins map[string]streamorigin.Origin
+
+func (o fakeOrigins) Begin(request string, origin streamorigin.Origin, _ bool) { o[request] = origin }
+
+func (o fakeOrigins) Find(_ context.Context, request, _ string, _ bool) (streamorigin.Origin, streamorigin.Finding) {
+	if origin, known := o[request]; known {
+		return origin, streamorigin.Known
+	}
+	return streamorigin.Origin{}, streamorigin.Unknown
+}
+
+// resumption is the request of a caller that resumes a stream.
+func resumption(of, after string) *Request {
+	resumed := request("patient", "m", 5*time.Second)
+	resumed.ID, resumed.Resumes, resumed.ResumeAfter = "resumption", of, after
+	return resumed
+}
+
+// A stream that its caller resumed went on at a server of another software version.
+func TestResumedStreamGoesToTheSoftwareVersionThatBeganIt(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		origins := fakeOrigins{}
+		b.forwarder.origins = origins
+		b.view.ReplaceServers(versioned(map[string]string{"m1": "v1", "m2": "v2", "m3": "v2"}))
+		b.backend.answer["m3"] = streams(events(3, 4), time.Millisecond, io.EOF)
+		b.backend.answer["m2"] = b.backend.answer["m3"]
+		origins["first"] = streamorigin.Origin{Pool: modelPool, SoftwareVersion: "v2"}
+		for range 4 {
+			outcome := b.forwarder.Serve(context.Background(), resumption("first", "2"), &recorder{})
+			Expect(outcome.Code).To(Equal(result.OK))
+		}
+		Expect(b.backend.count("m1")).To(BeZero())
+		Expect(origins).NotTo(HaveKey("resumption"))
+	})
+}
+
+// A stream whose version serves no more, or is not known, was begun by one version and ended by another.
+func TestResumedStreamIsRefusedWithoutItsSoftwareVersion(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		b.forwarder.origins = fakeOrigins{"first": {Pool: modelPool, SoftwareVersion: "v0"}}
+		b.view.ReplaceServers(versioned(map[string]string{"m1": "v1", "m2": "v2"}))
+		for _, id := range []string{"first", "never"} {
+			began := time.Now()
+			outcome := b.forwarder.Serve(context.Background(), resumption(id, "2"), &recorder{})
+			Expect(outcome.Code).NotTo(Equal(result.OK))
+			Expect(outcome.Ran).To(Equal(result.RanNo))
+			Expect(outcome.Reason).To(ContainSubstring("software version"))
+			Expect(time.Since(began)).To(BeZero())
+		}
+		Expect(b.backend.servers()).To(BeEmpty())
+	})
+}
+
+// A resumed stream of a route to several pools went to another pool.
+func TestResumedStreamGoesToThePoolThatBeganIt(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		origins := fakeOrigins{}
+		b.forwarder.origins = origins
+		outcome := b.forwarder.Serve(context.Background(), request("patient", "m", 5*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(origins["r"].Pool).To(Equal(modelPool))
+		origins["r"] = streamorigin.Origin{Pool: plainPool}
+		outcome = b.forwarder.Serve(context.Background(), resumption("r", "2"), &recorder{})
+		Expect(outcome.Ran).To(Equal(result.RanNo))
+		Expect(outcome.Reason).To(ContainSubstring("pool"))
+	})
+}
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -27,6 +27,7 @@
 	"github.com/hatchplank/hatchplank/internal/poison"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
 	"github.com/hatchplank/hatchplank/internal/serverpath"
+	"github.com/hatchplank/hatchplank/internal/streamorigin"
 	"github.com/hatchplank/hatchplank/internal/tablestore"
 )
 
@@ -69,6 +70,9 @@
 	"poison.TrialRequest":        poison.TrialRequest{},
 	"serverpath.OpenReply":       serverpath.OpenReply{},
 	"serverpath.OpenRequest":     serverpath.OpenRequest{},
+	"streamorigin.Began":         streamorigin.Began{},
+	"streamorigin.Lookup":        streamorigin.Lookup{},
+	"streamorigin.LookupReply":   streamorigin.LookupReply{},
 	"tablestore.PullReply":       tablestore.PullReply{},
 	"tablestore.PullRequest":     tablestore.PullRequest{},
 	"tablestore.PushMessage":     tablestore.PushMessage{},
--- /dev/null
+++ b/internal/streamorigin/origins.go
@@ -0,0 +1,231 @@
+// Package streamorigin keeps the pool and the software version of the servers at which streams began, so
+// that a stream that its caller resumes, at any node, continues at servers of the same version. What two
+// versions generate does not fit together, and servers do not check it.
+//
+// The node that passes on a stream's first event keeps its origin. While a pool has servers of several
+// versions, it also sends it to two of the counter nodes (see package ratelimit), which all nodes know;
+// a node that does not know a stream asks them. As long as a pool has one version, nothing is sent.
+package streamorigin
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/peer"
+)
+
+const (
+	// observePeriod is the interval at which the servers' versions are observed.
+	observePeriod = 250 * time.Millisecond
+	// sendPeriod is the interval at which origins are sent to other nodes.
+	sendPeriod = 20 * time.Millisecond
+	// copies is the number of nodes that an origin is sent to.
+	copies = 2
+	// maxQueued is the maximum number of origins that wait to be sent, and maxPerMessage that of a
+	// message. Further ones are kept by this node only.
+	maxQueued, maxPerMessage = 1 << 16, 512
+	// askTimeout limits the wait for other nodes.
+	askTimeout = 150 * time.Millisecond
+)
+
+// Finding is the result of a search for a stream's origin.
+type Finding string
+
+// The findings.
+const (
+	// Known: the origin is known.
+	Known Finding = "known"
+	// Irrelevant: the origin is not known, but all servers in the pool have had one version since before
+	// the stream can have begun.
+	Irrelevant Finding = "irrelevant"
+	// Unknown: the origin is not known, and the pool has had several versions.
+	Unknown Finding = "unknown"
+)
+
+// Config of Origins.
+type Config struct {
+	View      *fleet.View
+	Transport peer.Transport
+	// Address of this node, and Nodes that keep origins for all.
+	Address string
+	Nodes   func() []string
+	// OnFind is called with each finding; nil: not called.
+	OnFind func(Finding)
+}
+
+// Origins keeps the origins of streams. It is safe for concurrent use.
+type Origins struct {
+	config   Config
+	started  time.Time
+	table    table
+	versions versions
+
+	mutex sync.Mutex
+	// queued origins are sent to other nodes.
+	queued map[Key]Origin
+}
+
+// New returns Origins; Run must be called to observe versions and to send.
+func New(config Config) *Origins {
+	if config.OnFind == nil {
+		config.OnFind = func(Finding) {}
+	}
+	o := &Origins{config: config, started: time.Now(), queued: map[Key]Origin{}}
+	config.Transport.Handle(Began{}, o.handleBegan)
+	config.Transport.Handle(Lookup{}, o.handleLookup)
+	return o
+}
+
+// Run observes versions and sends origins until ctx ends.
+func (o *Origins) Run(ctx context.Context) {
+	observe, send := time.NewTicker(observePeriod), time.NewTicker(sendPeriod)
+	defer observe.Stop()
+	defer send.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-observe.C:
+			for _, pool := range o.versions.observe(o.config.View.Load(), time.Now()) {
+				o.enqueue(o.table.ofPool(pool))
+			}
+		case <-send.C:
+			o.send()
+		}
+	}
+}
+
+// Begin records that the first event of a stream was passed on; request is the ID of the request that it
+// was passed on for. With share, other nodes learn the origin in any case.
+func (o *Origins) Begin(request string, origin Origin, share bool) {
+	stream := keyOf(request)
+	o.table.put(stream, origin, time.Now())
+	if share || o.versions.isMixed(origin.Pool) {
+		o.enqueue(map[Key]Origin{stream: origin})
+	}
+}
+
+// Find returns the origin of the stream whose first event was passed on for a request with the ID. It
+// asks other nodes if this one does not know it and the answer may differ from any server in the pool:
+// with ask, or if the pool may have had several versions. The wait is limited.
+func (o *Origins) Find(ctx context.Context, request, pool string, ask bool) (Origin, Finding) {
+	origin, finding := o.find(ctx, keyOf(request), pool, ask)
+	o.config.OnFind(finding)
+	return origin, finding
+}
+
+func (o *Origins) find(ctx context.Context, stream Key, pool string, ask bool) (Origin, Finding) {
+	if origin, known := o.table.get(stream); known {
+		return origin, Known
+	}
+	mixed := o.versions.isMixed(pool)
+	if !mixed && !ask && time.Since(o.started) >= retention {
+		return Origin{}, Irrelevant
+	}
+	origin, known, mixedElsewhere := o.ask(ctx, Lookup{Stream: stream, Pool: pool})
+	switch {
+	case known:
+		return origin, Known
+	case mixed || mixedElsewhere:
+		return Origin{}, Unknown
+	}
+	return Origin{}, Irrelevant
+}
+
+// ask asks the nodes that keep origins.
+func (o *Origins) ask(ctx context.Context, lookup Lookup) (origin Origin, known, mixed bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	nodes := slices.DeleteFunc(slices.Clone(o.config.Nodes()), func(node string) bool { return node == o.config.Address })
+	replies := make(chan LookupReply, len(nodes))
+	for _, node := range nodes {
+		o.config.Transport.Call(node, lookup, askTimeout, func(message peer.Message, err error) {
+			// A node that did not answer knows nothing, as far as this one can tell.
+			reply, _ := message.(LookupReply)
+			replies <- reply
+		})
+	}
+	for range nodes {
+		select {
+		case reply := <-replies:
+			if reply.Known {
+				return Origin{Pool: reply.Pool, SoftwareVersion: reply.SoftwareVersion}, true, true
+			}
+			mixed = mixed || reply.Mixed
+		case <-ctx.Done():
+			return Origin{}, false, mixed
+		}
+	}
+	return Origin{}, false, mixed
+}
+
+func (o *Origins) handleLookup(_ string, message peer.Message, reply func(peer.Message, error)) {
+	lookup := message.(Lookup)
+	origin, known := o.table.get(lookup.Stream)
+	reply(LookupReply{
+		Known: known, Pool: origin.Pool, SoftwareVersion: origin.SoftwareVersion, Mixed: o.versions.isMixed(lookup.Pool),
+	}, nil)
+}
+
+func (o *Origins) handleBegan(_ string, message peer.Message, _ func(peer.Message, error)) {
+	began := message.(Began)
+	now := time.Now()
+	for _, stream := range began.Streams {
+		o.table.put(stream, Origin{Pool: began.Pool, SoftwareVersion: began.SoftwareVersion}, now)
+	}
+}
+
+// enqueue queues origins for other nodes.
+func (o *Origins) enqueue(streams map[Key]Origin) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for stream, origin := range streams {
+		if len(o.queued) >= maxQueued {
+			return
+		}
+		o.queued[stream] = origin
+	}
+}
+
+// send sends the queued origins.
+func (o *Origins) send() {
+	nodes := o.config.Nodes()
+	if len(nodes) == 0 {
+		return
+	}
+	o.mutex.Lock()
+	queued := o.queued
+	o.queued = map[Key]Origin{}
+	o.mutex.Unlock()
+	type target struct {
+		node   string
+		origin Origin
+	}
+	streams := map[target][]Key{}
+	for stream, origin := range queued {
+		for _, node := range keepers(stream, nodes) {
+			if node != o.config.Address {
+				streams[target{node, origin}] = append(streams[target{node, origin}], stream)
+			}
+		}
+	}
+	for to, keys := range streams {
+		for part := range slices.Chunk(keys, maxPerMessage) {
+			o.config.Transport.Send(to.node, Began{Pool: to.origin.Pool, SoftwareVersion: to.origin.SoftwareVersion, Streams: part})
+		}
+	}
+}
+
+// keepers returns the nodes that keep a stream's origin, by rendezvous hash.
+func keepers(stream Key, nodes []string) []string {
+	ranked := slices.Clone(nodes)
+	weight := func(node string) uint64 { return xxhash.Sum64String(node + string(stream[:])) }
+	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(weight(b), weight(a)) })
+	return ranked[:min(copies, len(ranked))]
+}
--- /dev/null
+++ b/internal/streamorigin/origins_test.go
@@ -0,0 +1,213 @@
+package streamorigin
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/standin/peers"
+)
+
+// testNode is a node with a view of its own.
+type testNode struct {
+	view    *fleet.View
+	origins *Origins
+	stop    context.CancelFunc
+}
+
+// deployment is nodes that all keep origins for each other.
+type deployment struct {
+	network *peers.Network
+	nodes   map[string]*testNode
+	ctx     context.Context
+}
+
+// start adds a node, or starts one again without its memory.
+func (d *deployment) start(address string) *testNode {
+	if before := d.nodes[address]; before != nil {
+		before.stop()
+	}
+	node := &testNode{view: fleet.NewView()}
+	node.origins = New(Config{View: node.view, Transport: d.network.Add(address), Address: address, Nodes: d.network.Addresses})
+	var ctx context.Context
+	ctx, node.stop = context.WithCancel(d.ctx)
+	go node.origins.Run(ctx)
+	d.nodes[address] = node
+	return node
+}
+
+// serve makes servers with the versions known to a node.
+func (n *testNode) serve(versions ...string) {
+	servers := map[string]*fleet.Server{}
+	for _, version := range versions {
+		servers["s-"+version] = &fleet.Server{ID: "s-" + version, Pool: "p", SoftwareVersion: version}
+	}
+	n.view.ReplaceServers(servers)
+}
+
+// inDeployment runs the body in virtual time with nodes a, b, … and servers of the versions.
+func inDeployment(t *testing.T, count int, versions []string, body func(d *deployment)) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		d := &deployment{network: peers.NewNetwork(), nodes: map[string]*testNode{}, ctx: ctx}
+		for number := range count {
+			d.start(string(rune('a' + number))).serve(versions...)
+		}
+		time.Sleep(time.Second)
+		body(d)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A stream that was resumed at another node went on at servers of any software version.
+func TestEachNodeKnowsWhereAStreamBegan(t *testing.T) {
+	origin := Origin{Pool: "p", SoftwareVersion: "v1"}
+	cases := map[string]func(d *deployment){
+		"nothing fails":            func(*deployment) {},
+		"the node starts again":    func(d *deployment) { d.start("a").serve("v1", "v2") },
+		"the node is gone":         func(d *deployment) { d.network.Remove("a") },
+		"the node is cut off":      func(d *deployment) { d.network.SetCut("a", true) },
+		"nodes see other versions": func(d *deployment) { d.nodes["b"].serve("v2") },
+	}
+	for name, failure := range cases {
+		t.Run(name, func(t *testing.T) {
+			inDeployment(t, 5, []string{"v1", "v2"}, func(d *deployment) {
+				d.nodes["a"].origins.Begin("r1", origin, false)
+				time.Sleep(2 * sendPeriod)
+				failure(d)
+				for _, address := range []string{"b", "c", "d", "e"} {
+					found, finding := d.nodes[address].origins.Find(context.Background(), "r1", "p", false)
+					Expect(finding).To(Equal(Known), address)
+					Expect(found).To(Equal(origin), address)
+				}
+			})
+		})
+	}
+}
+
+// A stream that began before the second version appeared was not known to other nodes.
+func TestStreamsThatBeganBeforeAChangeOfVersionAreKnown(t *testing.T) {
+	inDeployment(t, 4, []string{"v1"}, func(d *deployment) {
+		d.nodes["a"].origins.Begin("r1", Origin{Pool: "p", SoftwareVersion: "v1"}, false)
+		time.Sleep(5 * time.Second)
+		for _, node := range d.nodes {
+			node.serve("v2")
+		}
+		time.Sleep(time.Second)
+		d.network.Remove("a")
+		found, finding := d.nodes["b"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Known))
+		Expect(found.SoftwareVersion).To(Equal("v1"))
+	})
+}
+
+// A stream that no node knows was resumed at any version, also by a node that had just started and saw
+// only one.
+func TestUnknownStreamIsNotResumedWhereVersionsAreMixed(t *testing.T) {
+	inDeployment(t, 3, []string{"v1", "v2"}, func(d *deployment) {
+		_, finding := d.nodes["a"].origins.Find(context.Background(), "never", "p", false)
+		Expect(finding).To(Equal(Unknown))
+		d.start("a").serve("v2")
+		_, finding = d.nodes["a"].origins.Find(context.Background(), "never", "p", false)
+		Expect(finding).To(Equal(Unknown))
+	})
+}
+
+// Nothing is asked or sent in a pool of one version, and a change is over after the retention.
+func TestUnknownStreamIsResumedWhereOneVersionServes(t *testing.T) {
+	inDeployment(t, 3, []string{"v1"}, func(d *deployment) {
+		time.Sleep(retention)
+		began := time.Now()
+		_, finding := d.nodes["a"].origins.Find(context.Background(), "never", "p", false)
+		Expect(finding).To(Equal(Irrelevant))
+		Expect(time.Since(began)).To(BeZero())
+		for _, node := range d.nodes {
+			node.serve("v2")
+		}
+		time.Sleep(time.Second)
+		_, finding = d.nodes["a"].origins.Find(context.Background(), "never", "p", false)
+		Expect(finding).To(Equal(Unknown))
+		time.Sleep(retention + time.Second)
+		_, finding = d.nodes["a"].origins.Find(context.Background(), "never", "p", false)
+		Expect(finding).To(Equal(Irrelevant))
+	})
+}
+
+// The wait for nodes that do not answer is limited.
+func TestSearchForAnOriginIsLimited(t *testing.T) {
+	inDeployment(t, 3, []string{"v1", "v2"}, func(d *deployment) {
+		d.network.SetCut("b", true)
+		d.network.SetCut("c", true)
+		began := time.Now()
+		_, finding := d.nodes["a"].origins.Find(context.Background(), "never", "p", false)
+		Expect(finding).To(Equal(Unknown))
+		Expect(time.Since(began)).To(BeNumerically("<=", askTimeout))
+	})
+}
+
+// No node names a wrong origin, whatever restarts, cuts and changes of version come between.
+func TestOriginsAreNeverConfused(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			RegisterTestingT(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			d := &deployment{network: peers.NewNetwork(), nodes: map[string]*testNode{}, ctx: ctx}
+			addresses := []string{"a", "b", "c", "d"}
+			for _, address := range addresses {
+				d.start(address).serve("v1")
+			}
+			time.Sleep(time.Second)
+			began := map[string]string{}
+			current := "v1"
+			for step := range rapid.IntRange(5, 40).Draw(r, "steps") {
+				address := rapid.SampledFrom(addresses).Draw(r, "node")
+				switch rapid.IntRange(0, 5).Draw(r, "what") {
+				case 0, 1:
+					request := fmt.Sprint("r", step)
+					d.nodes[address].origins.Begin(request, Origin{Pool: "p", SoftwareVersion: current}, false)
+					began[request] = current
+				case 2:
+					d.start(address).serve(current)
+				case 3:
+					d.network.SetCut(address, !d.network.IsCut(address))
+				case 4:
+					current = rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(r, "version")
+					for _, node := range d.nodes {
+						node.serve("v1", current)
+					}
+				case 5:
+					time.Sleep(time.Duration(rapid.IntRange(1, 90_000).Draw(r, "pause")) * time.Millisecond)
+				}
+				for request, version := range began {
+					found, finding := d.nodes[address].origins.Find(ctx, request, "p", false)
+					if finding == Known {
+						Expect(found.SoftwareVersion).To(Equal(version))
+					}
+				}
+			}
+			cancel()
+			synctest.Wait()
+		})
+	})
+}
+
+// Memory stays bounded, however many streams begin.
+func TestTableIsBounded(t *testing.T) {
+	RegisterTestingT(t)
+	var kept table
+	now := time.Now()
+	for number := range 3 * maxKept {
+		kept.put(keyOf(fmt.Sprint(number)), Origin{Pool: "p"}, now)
+	}
+	Expect(len(kept.current) + len(kept.previous)).To(BeNumerically("<=", 2*maxKept))
+	_, known := kept.get(keyOf(fmt.Sprint(3*maxKept - 1)))
+	Expect(known).To(BeTrue())
+}
