edge: Count all times of a planned stop from SIGTERM, whatever the store does

Cause: Process.stop waited for HandOver, two store calls of up to 0.9 s each, before it started the clock for closing the port and idle connections and the timer for final answers, which then came after the process had ended. Saving the retry budget's counts waited for carried requests, and the process for the store, without a bound of its own.

Change: the steps that call other systems (handover, save) run beside the shutdown, every time is computed from SIGTERM, and the process exits killMargin before the end of the grace period whatever is left; a step that has not finished is logged. What is lost then: the successor waits the whole handover period, and the next process starts without the counts, as after a kill.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -30,28 +30,17 @@
 	// EndRequests ends the requests in flight, each with its final answer.
 	Drain       func(until time.Time)
 	EndRequests func()
-	// HandOver passes the node's roles to other nodes at shutdown.
+	// HandOver passes the node's roles to other nodes at shutdown, while requests are still served.
 	HandOver func()
 	// AwaitCarried waits until no requests of other nodes are in flight through this node, or ctx ends;
 	// nil: there are none.
 	AwaitCarried func(ctx context.Context)
-	// Stopped is called at shutdown once no request is in flight, exitMargin before the end of the
-	// grace period at the latest.
+	// Stopped is called at shutdown once no request of a client is in flight, exitMargin before the end
+	// of the grace period at the latest.
 	Stopped func()
 }
 
 const (
-	// acceptAfterStop is how long new requests are accepted after SIGTERM, since clients
-	// notice with a delay that the node shuts down.
-	acceptAfterStop = 2500 * time.Millisecond
-	// sendDeadlineShare is the share of the grace period in which held requests may still be
-	// sent to servers.
-	sendDeadlineShare = 0.4
-	// finalAnswerMargin is how long before the end of the grace period requests in flight get
-	// their final answers.
-	finalAnswerMargin = 700 * time.Millisecond
-	// exitMargin is how long before the end of the grace period the process exits.
-	exitMargin = 400 * time.Millisecond
 	// headerTimeout is the time limit for reading a request's header.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes is the maximum size of a request's header in bytes.
@@ -132,10 +121,7 @@
 
 // listen opens all addresses and serves them.
 func (p *Process) listen(failures chan<- error) error {
-	p.callers = &http.Server{
-		Handler: p.components.Callers, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: p.idle.connStateChanged, ErrorLog: httpErrorLog(p.logger),
-	}
+	p.callers = p.newCallersServer()
 	health := &http.Server{Handler: http.HandlerFunc(p.health), ReadHeaderTimeout: headerTimeout, ErrorLog: httpErrorLog(p.logger)}
 	p.auxiliary = []*http.Server{health}
 	if err := p.serve(Callers, p.callers, p.settings.Listen.Callers, failures); err != nil {
@@ -157,6 +143,14 @@
 	return p.serve(MetricsPage, metrics, p.settings.Listen.Metrics, failures)
 }
 
+// newCallersServer returns the server of the clients' requests.
+func (p *Process) newCallersServer() *http.Server {
+	return &http.Server{
+		Handler: p.components.Callers, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: p.idle.connStateChanged, ErrorLog: httpErrorLog(p.logger),
+	}
+}
+
 // serve opens one address and serves it in the background. A later failure goes to failures.
 func (p *Process) serve(name Listener, server *http.Server, address string, failures chan<- error) error {
 	listener, err := net.Listen("tcp", address)
@@ -166,12 +160,17 @@
 	p.mutex.Lock()
 	p.addresses[name] = listener.Addr().String()
 	p.mutex.Unlock()
+	p.serveAt(listener, server, failures)
+	return nil
+}
+
+// serveAt serves a listener in the background. A later failure goes to failures.
+func (p *Process) serveAt(listener net.Listener, server *http.Server, failures chan<- error) {
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			failures <- eris.Wrapf(err, "serve at %s", address)
+			failures <- eris.Wrapf(err, "serve at %s", listener.Addr())
 		}
 	}()
-	return nil
 }
 
 // health serves the health check: status 200 if the node should get new connections, else 503
@@ -216,31 +215,3 @@
 	}
 	return now
 }
-
-// stop shuts the node down. It reports that it is not ready, accepts new requests for
-// acceptAfterStop, waits for requests in flight, and returns before the grace period ends, when
-// the platform would kill the process.
-func (p *Process) stop() {
-	started := time.Now()
-	p.stopping.Store(true)
-	p.logger.Info().Dur("grace_ms", p.settings.Stop.Grace).Msg("stopping")
-	p.components.Drain(started.Add(time.Duration(sendDeadlineShare * float64(p.settings.Stop.Grace))))
-	p.components.HandOver()
-	endTimer := time.AfterFunc(p.settings.Stop.Grace-finalAnswerMargin, p.components.EndRequests)
-	defer endTimer.Stop()
-	time.Sleep(min(acceptAfterStop, p.settings.Stop.Grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(p.settings.Stop.Grace-exitMargin))
-	defer cancel()
-	err := p.callers.Shutdown(ctx)
-	if err != nil {
-		_ = p.callers.Close()
-	}
-	if p.components.AwaitCarried != nil {
-		p.components.AwaitCarried(ctx)
-	}
-	p.components.Stopped()
-	for _, server := range p.auxiliary {
-		_ = server.Close()
-	}
-	p.logger.Info().Dur("took_ms", time.Since(started)).Bool("whole", err == nil).Msg("stopped")
-}
