forward: Join the events of a stream's attempts by their IDs and contents

Callers saw streams that lacked an event, repeated one, joined two runs, or ended early and looked complete, where an attempt was continued at another server or a caller resumed a stream.

Cause: what a server sent after a resumption was passed on unread. Any status below 500, and any body, counted as the continuation. Events were compared with the last ID only where this node itself had resumed the stream, by the length and bytes of their IDs, and split at LF LF alone; the rest of the stream was not looked at. The ID after which a stream is resumed could be older than the last event passed on.

Change: eventStream holds what the caller has, over all attempts; a segment of it is one attempt, which joins, repeats or follows. A continuation must be an event stream with the status that was sent. Repeated events must be those that were passed on: the last one by its content, all of them where the server begins at the start. IDs must rise where their order is certain (decimal numbers). A step larger than the stream's own constant one, seen eight times, shows that events are missing. An attempt that doesn't fit breaks off, so that another server is tried within the budget, or the caller sees a broken stream that it can resume. After an event without an ID a stream is not resumed, nor cancelled as stalled.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -63,7 +63,7 @@
 	flow.attemptStarted = started
 	reply, err := f.backend.Send(ctx, Attempt{
 		Request: flow.request, Route: flow.route, Server: target.server,
-		Deadline: flow.deadline, ResumeAfter: flow.lastEvent, Priority: flow.priority,
+		Deadline: flow.deadline, ResumeAfter: flow.stream.last, Priority: flow.priority,
 	})
 	sw.pause()
 	if err != nil {
@@ -101,10 +101,10 @@
 	return flow.route.Repeatable() && flow.runs+further < flow.route.MaxAttempts
 }
 
-// isRetryableFailure reports whether the server answered with a failure that is not passed
-// on, because another server may run the request or a response was begun already.
+// isRetryableFailure reports whether the server's response is not passed on, because another server may
+// run the request, or because it does not continue the one that was begun.
 func (f *Forwarder) isRetryableFailure(flow *flow, reply *Reply) bool {
-	return reply.Status >= minFailureStatus && (flow.headSent || f.mayRepeat(flow, 1))
+	return !flow.continues(reply) || reply.Status >= minFailureStatus && f.mayRepeat(flow, 1)
 }
 
 // recordResponse updates the server's load, failure rate and latency from a response head.
--- /dev/null
+++ b/internal/forward/event.go
@@ -0,0 +1,116 @@
+package forward
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"hash/fnv"
+	"strconv"
+	"strings"
+)
+
+// errSurplusResponse breaks a stream in which the head of another response follows: without a length or
+// chunks, what a server sends after its response looks like a part of it.
+var errSurplusResponse = errors.New("another response follows within the stream")
+
+// byteOrderMark may precede the first event of a stream.
+var byteOrderMark = []byte("\ufeff")
+
+// streamEvent is what of a server-sent event matters for joining streams.
+type streamEvent struct {
+	// id is empty if the event has none.
+	id string
+	// hasContent: the event has an ID or data, so that it is more than a comment.
+	hasContent bool
+	// digest of the event's ID, type and data, which don't depend on its server.
+	digest uint64
+}
+
+// parseEvent reads a complete event.
+func parseEvent(block []byte) (streamEvent, error) {
+	var event streamEvent
+	digest := fnv.New64a()
+	for line := range bytes.FieldsFuncSeq(bytes.TrimPrefix(block, byteOrderMark), isLineEnd) {
+		if bytes.HasPrefix(line, []byte("HTTP/1.")) {
+			return streamEvent{}, errSurplusResponse
+		}
+		name, value, _ := strings.Cut(string(line), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch name {
+		case "id":
+			event.id, event.hasContent = strings.TrimSpace(value), true
+		case "data":
+			event.hasContent = true
+		case "event":
+		default:
+			continue
+		}
+		_, _ = digest.Write([]byte(name + ":" + value + "\n"))
+	}
+	event.digest = digest.Sum64()
+	return event, nil
+}
+
+func isLineEnd(char rune) bool { return char == '\r' || char == '\n' }
+
+// compareEventIDs returns a negative number if the ID a comes before b, 0 if they are the same and a
+// positive number otherwise. The order is certain for decimal numbers, also after a common prefix; that
+// of other IDs is the most likely one.
+func compareEventIDs(a, b string) (order int, certain bool) {
+	if a == b {
+		return 0, true
+	}
+	prefixA, numberA := cutNumber(a)
+	prefixB, numberB := cutNumber(b)
+	if prefixA == prefixB && numberA != "" && numberB != "" {
+		return compareNumbers(numberA, numberB), true
+	}
+	if len(a) == len(b) {
+		return cmp.Compare(a, b), false
+	}
+	if order := compareNumberParts(a, b); order != 0 {
+		return order, false
+	}
+	return cmp.Compare(len(a), len(b)), false
+}
+
+// cutNumber cuts the decimal number at the end of an ID off.
+func cutNumber(id string) (prefix, number string) {
+	prefix = strings.TrimRight(id, "0123456789")
+	return prefix, id[len(prefix):]
+}
+
+func compareNumbers(a, b string) int {
+	a, b = strings.TrimLeft(a, "0"), strings.TrimLeft(b, "0")
+	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
+}
+
+// compareNumberParts compares IDs that consist of several numbers with the same characters between them,
+// such as a time and a sequence number; 0 if they don't.
+func compareNumberParts(a, b string) int {
+	isDigit := func(char rune) bool { return char >= '0' && char <= '9' }
+	isOther := func(char rune) bool { return !isDigit(char) }
+	if strings.Join(strings.FieldsFunc(a, isDigit), " ") != strings.Join(strings.FieldsFunc(b, isDigit), " ") {
+		return 0
+	}
+	partsA, partsB := strings.FieldsFunc(a, isOther), strings.FieldsFunc(b, isOther)
+	for i := range min(len(partsA), len(partsB)) {
+		if order := compareNumbers(partsA[i], partsB[i]); order != 0 {
+			return order
+		}
+	}
+	return 0
+}
+
+// eventStep is the difference of the decimal numbers of two IDs, the second of which comes later; 0 if it is
+// not known.
+func eventStep(from, to string) uint64 {
+	prefixFrom, numberFrom := cutNumber(from)
+	prefixTo, numberTo := cutNumber(to)
+	before, err := strconv.ParseUint(numberFrom, 10, 64)
+	after, alsoErr := strconv.ParseUint(numberTo, 10, 64)
+	if err != nil || alsoErr != nil || prefixFrom != prefixTo || after < before {
+		return 0
+	}
+	return after - before
+}
--- /dev/null
+++ b/internal/forward/eventstream.go
@@ -0,0 +1,191 @@
+package forward
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/fnv"
+)
+
+// minSteps is the number of equal differences between the IDs of consecutive events from which a larger
+// one, where a stream was continued, shows that events are missing.
+const minSteps = 8
+
+// Errors that break a stream whose events do not follow one another.
+var (
+	errEventOrder = errors.New("the IDs of the stream's events do not rise")
+	// errNotContinued: what a server sent does not follow the last event that was passed on.
+	errNotContinued = errors.New("the response does not continue the stream")
+)
+
+// eventStream joins the events of several attempts into the one stream that a caller receives.
+type eventStream struct {
+	// last is the ID of the last event that the caller has; empty if it has none.
+	last string
+	// passed: an event was passed on. unnumbered: one without an ID was passed on after the last ID, so
+	// that no server can continue the stream behind it.
+	passed, unnumbered bool
+	// first is the ID of the first event that was passed on, chain the digest of all events, and
+	// lastDigest that of the last one.
+	first             string
+	chain, lastDigest uint64
+	// step is the difference between the IDs of consecutive events, steps the number of times that it
+	// was seen; irregular: it differs.
+	step      uint64
+	steps     int
+	irregular bool
+	// withinEvent: an attempt broke within an event, so that events are still to come.
+	withinEvent bool
+}
+
+// resumable reports whether another server can continue the stream, or begin it again where the caller
+// has no event.
+func (s *eventStream) resumable() bool {
+	return !s.unnumbered && (s.last != "" || !s.passed)
+}
+
+// segmentState is how far the events of an attempt are known to follow those before.
+type segmentState int
+
+const (
+	// segmentJoining: the attempt continues a stream, and has sent no event yet.
+	segmentJoining segmentState = iota + 1
+	// segmentRepeating: it sends events that the caller has.
+	segmentRepeating
+	// segmentFollowing: its events follow those that the caller has.
+	segmentFollowing
+)
+
+// streamSegment is the part of a stream that one attempt sends.
+type streamSegment struct {
+	stream *eventStream
+	state  segmentState
+	// chain is the digest of the repeated events; fromStart: they are all events that were passed on.
+	chain     uint64
+	fromStart bool
+	// previous is the ID of the last repeated event.
+	previous string
+}
+
+// newSegment begins the events of an attempt that was asked to continue after the last event.
+func (s *eventStream) newSegment() *streamSegment {
+	segment := &streamSegment{stream: s, state: segmentFollowing}
+	if s.last != "" {
+		segment.state = segmentJoining
+	}
+	return segment
+}
+
+// accept reports whether an event is to be passed on. Its error breaks the stream before the event.
+func (g *streamSegment) accept(event streamEvent) (bool, error) {
+	if !event.hasContent {
+		return g.state == segmentFollowing, nil
+	}
+	switch g.state {
+	case segmentJoining:
+		return g.join(event)
+	case segmentRepeating:
+		return false, g.repeat(event)
+	default:
+		return true, g.follow(event)
+	}
+}
+
+// join decides what the first event of a continuation is.
+func (g *streamSegment) join(event streamEvent) (bool, error) {
+	if event.id == "" {
+		if g.stream.passed {
+			return false, errNotContinued
+		}
+		g.state = segmentFollowing
+		return true, g.follow(event)
+	}
+	order, _ := compareEventIDs(event.id, g.stream.last)
+	if order <= 0 {
+		g.state = segmentRepeating
+		g.fromStart = event.id == g.stream.first
+		return false, g.repeat(event)
+	}
+	if g.stream.lacksEventsBefore(event.id) {
+		return false, errNotContinued
+	}
+	g.state = segmentFollowing
+	return true, g.follow(event)
+}
+
+// repeat checks an event that the caller has against what was passed on.
+func (g *streamSegment) repeat(event streamEvent) error {
+	g.chain = addDigest(g.chain, event.digest)
+	if event.id == "" {
+		return nil
+	}
+	if g.previous != "" && !mayFollow(event.id, g.previous) {
+		return errEventOrder
+	}
+	g.previous = event.id
+	order, _ := compareEventIDs(event.id, g.stream.last)
+	switch {
+	case order < 0:
+		return nil
+	case order > 0, g.stream.passed && event.digest != g.stream.lastDigest, g.fromStart && g.chain != g.stream.chain:
+		return errNotContinued
+	}
+	g.state = segmentFollowing
+	return nil
+}
+
+// follow records an event that is passed on.
+func (g *streamSegment) follow(event streamEvent) error {
+	s := g.stream
+	if event.id != "" && s.last != "" && !mayFollow(event.id, s.last) {
+		return errEventOrder
+	}
+	s.withinEvent = false
+	s.chain, s.lastDigest = addDigest(s.chain, event.digest), event.digest
+	s.unnumbered = event.id == ""
+	if event.id != "" {
+		if s.passed {
+			s.recordStep(eventStep(s.last, event.id))
+		} else {
+			s.first = event.id
+		}
+		s.last = event.id
+	}
+	s.passed = true
+	return nil
+}
+
+// end checks the end of a complete response.
+func (g *streamSegment) end() error {
+	if g.state == segmentRepeating || g.stream.withinEvent {
+		return errNotContinued
+	}
+	return nil
+}
+
+// mayFollow reports whether an event may come after another one, as far as the order of their IDs is
+// certain.
+func mayFollow(id, before string) bool {
+	order, certain := compareEventIDs(id, before)
+	return order > 0 || !certain
+}
+
+func (s *eventStream) recordStep(step uint64) {
+	if s.steps == 0 {
+		s.step = step
+	}
+	s.irregular = s.irregular || step != s.step
+	s.steps++
+}
+
+// lacksEventsBefore reports whether events are missing between the last one and the ID: it is further
+// ahead than each ID was so far. It can't tell where the differences vary or are few.
+func (s *eventStream) lacksEventsBefore(id string) bool {
+	return s.step > 0 && !s.irregular && s.steps >= minSteps && eventStep(s.last, id) > s.step
+}
+
+// addDigest adds an event's digest to that of the events before it.
+func addDigest(chain, digest uint64) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, chain), digest))
+	return hash.Sum64()
+}
--- /dev/null
+++ b/internal/forward/eventstream_test.go
@@ -0,0 +1,358 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/result"
+)
+
+type answerFunc = func(context.Context, Attempt) (*Reply, error)
+
+// inTurn gives the first answer to the first attempt and the others to those that follow; the last one
+// goes on.
+func (b *testbed) inTurn(list ...answerFunc) {
+	answer := func(ctx context.Context, attempt Attempt) (*Reply, error) {
+		number := len(b.backend.servers())
+		return list[min(number, len(list))-1](ctx, attempt)
+	}
+	b.backend.answer["m1"], b.backend.answer["m2"] = answer, answer
+}
+
+func serveStream(b *testbed, route, resumeAfter string) (Outcome, *recorder) {
+	seen := &recorder{}
+	asked := request(route, "m", 5*time.Second)
+	asked.ResumeAfter = resumeAfter
+	return b.forwarder.Serve(context.Background(), asked, seen), seen
+}
+
+func raw(parts ...string) answerFunc { return streams(parts, time.Millisecond, io.EOF) }
+
+// statusOnly answers with a status and no event stream.
+func statusOnly(status int, text string) answerFunc { return answers(status, text) }
+
+// Guards against an answer that is no continuation being passed on into an open stream, which then ended
+// as complete.
+func TestAnswerThatDoesNotContinueTheStreamIsNotPassedOn(t *testing.T) {
+	notFound := func(ctx context.Context, attempt Attempt) (*Reply, error) {
+		reply, err := raw("id: 3\ndata: no such stream\n\n")(ctx, attempt)
+		reply.Status = 404
+		return reply, err
+	}
+	cases := map[string]answerFunc{
+		"204": statusOnly(204, ""), "400": statusOnly(400, "no"), "404": statusOnly(404, "no"), "409": statusOnly(409, "no"),
+		"302": statusOnly(302, ""), "404 with events": notFound, "200 without events": statusOnly(200, "id: 3\ndata: x\n\n"),
+		"500": statusOnly(500, "no"),
+	}
+	for name, second := range cases {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.inTurn(streams(events(1, 2), time.Millisecond, io.ErrUnexpectedEOF), second)
+				outcome, seen := serveStream(b, "patient", "")
+				Expect(seen.body.String()).To(Equal(strings.Join(events(1, 2), "")))
+				Expect(outcome.Broken).To(BeTrue(), "the stream looks complete")
+				Expect(outcome.Code).NotTo(Equal(result.OK))
+			})
+		})
+	}
+}
+
+// Guards against events that a caller has received already being passed on again when it resumes a
+// stream.
+func TestCallersOwnResumptionRepeatsNoEvent(t *testing.T) {
+	cases := map[string]struct {
+		parts []string
+		want  string
+	}{
+		"the last event again":     {events(2, 4), strings.Join(events(3, 4), "")},
+		"from the start":           {events(1, 4), strings.Join(events(3, 4), "")},
+		"all in one piece":         {[]string{strings.Join(events(1, 4), "")}, strings.Join(events(3, 4), "")},
+		"no event again":           {events(3, 4), strings.Join(events(3, 4), "")},
+		"nothing but the last one": {events(2, 2), ""},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.inTurn(raw(test.parts...))
+				outcome, seen := serveStream(b, "patient", "2")
+				Expect(seen.body.String()).To(Equal(test.want))
+				Expect(outcome.Code).To(Equal(result.OK))
+			})
+		})
+	}
+}
+
+// Guards against IDs that fall or repeat within one response being passed on as one stream.
+func TestStreamWhoseIDsDoNotRiseIsBroken(t *testing.T) {
+	surplus := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	cases := map[string][]string{
+		"falls":                     append(events(1, 3), events(2, 4)...),
+		"begins again":              append(events(1, 3), events(1, 3)...),
+		"repeats":                   append(events(1, 3), events(3, 4)...),
+		"in one piece":              {strings.Join(append(events(1, 3), events(2, 4)...), "")},
+		"surplus response":          append(append(events(1, 3), surplus), events(1, 3)...),
+		"surplus response, no more": append(events(1, 3), surplus),
+	}
+	for name, parts := range cases {
+		for _, route := range []string{"stream", "patient"} {
+			t.Run(name+" on "+route, func(t *testing.T) {
+				inVirtualTime(t, func(b *testbed) {
+					b.inTurn(raw(parts...))
+					outcome, seen := serveStream(b, route, "")
+					Expect(seen.body.String()).To(Equal(strings.Join(events(1, 3), "")))
+					Expect(outcome.Broken).To(BeTrue(), "the stream looks complete")
+				})
+			})
+		}
+	}
+}
+
+// Guards against a continuation that belongs to another run or lacks events.
+func TestContinuationThatDoesNotFitIsNotPassedOn(t *testing.T) {
+	other := func(from, to int) []string {
+		var parts []string
+		for _, event := range events(from, to) {
+			parts = append(parts, strings.Replace(event, "data: x", "data: another run", 1))
+		}
+		return parts
+	}
+	cases := map[string][]string{
+		"another run from the start":                other(1, 8),
+		"another run from the last event":           other(4, 8),
+		"another run from before the last event":    other(3, 8),
+		"the repeated part lacks the last event":    append(events(1, 3), events(5, 8)...),
+		"the repeated part ends before the last":    events(1, 3),
+		"events without an ID before the repeated":  append([]string{"data: x\n\n"}, events(4, 8)...),
+		"numbers begin again without the same data": append(other(1, 2), events(3, 8)...),
+	}
+	for name, second := range cases {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.inTurn(streams(events(1, 4), time.Millisecond, io.ErrUnexpectedEOF), raw(second...))
+				outcome, seen := serveStream(b, "patient", "")
+				Expect(seen.body.String()).To(Equal(strings.Join(events(1, 4), "")))
+				Expect(outcome.Broken).To(BeTrue(), "the stream looks complete")
+			})
+		})
+	}
+}
+
+// Guards against a gap where a stream was continued, after events whose IDs rose by one.
+func TestContinuationThatLacksAnEventIsNotPassedOn(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		b.inTurn(streams(events(1, 10), time.Millisecond, io.ErrUnexpectedEOF), raw(events(12, 14)...))
+		outcome, seen := serveStream(b, "patient", "")
+		Expect(seen.body.String()).To(Equal(strings.Join(events(1, 10), "")))
+		Expect(outcome.Broken).To(BeTrue(), "the stream looks complete")
+	})
+}
+
+// Guards against a continuation being taken for one that lacks events, since events hold several tokens.
+func TestContinuationWithOtherStepsIsPassedOn(t *testing.T) {
+	event := func(id int) string { return events(id, id)[0] }
+	var irregular, tens []string
+	for number := 1; number <= 20; number++ {
+		irregular = append(irregular, event(3*number+number%2))
+		tens = append(tens, event(10*number))
+	}
+	for name, parts := range map[string][2][]string{
+		"larger after varying ones": {irregular, {event(90), event(91)}},
+		"a smaller last one":        {tens, {event(203)}},
+		"larger after few":          {tens[:4], {event(90), event(91)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.inTurn(streams(parts[0], time.Millisecond, io.ErrUnexpectedEOF), raw(parts[1]...))
+				outcome, seen := serveStream(b, "patient", "")
+				Expect(outcome.Code).To(Equal(result.OK))
+				Expect(seen.body.String()).To(Equal(strings.Join(append(parts[0], parts[1]...), "")))
+			})
+		})
+	}
+}
+
+// Guards against a stream that broke within an event ending as complete, since a server that was asked to
+// continue it answered with no event.
+func TestEmptyContinuationAfterAPartOfAnEventIsNoEnd(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		b.inTurn(streams(append(events(1, 2), "id: 3\nda"), time.Millisecond, io.ErrUnexpectedEOF), raw())
+		outcome, seen := serveStream(b, "patient", "")
+		Expect(seen.body.String()).To(Equal(strings.Join(events(1, 2), "")))
+		Expect(outcome.Broken).To(BeTrue(), "the stream looks complete")
+	})
+}
+
+// Guards against a stream being resumed after an ID that is not the last event's: the events since would
+// be passed on twice.
+func TestStreamWithEventsAfterTheLastIDIsNotResumed(t *testing.T) {
+	unnumbered := []string{"data: a\n\n", "data: b\n\n"}
+	cases := map[string]struct {
+		parts       []string
+		resumeAfter string
+	}{
+		"after the caller's ID": {unnumbered, "7"},
+		"after an event's ID":   {append(events(1, 1), unnumbered...), ""},
+		"an ID that is reset":   {append(events(1, 1), "id:\ndata: a\n\n"), ""},
+	}
+	for name, test := range cases {
+		for end, first := range map[string]answerFunc{
+			"broken": streams(test.parts, time.Millisecond, io.ErrUnexpectedEOF), "silent": stallsAfter(test.parts),
+		} {
+			t.Run(name+", "+end, func(t *testing.T) {
+				inVirtualTime(t, func(b *testbed) {
+					b.inTurn(first, raw(append(append([]string(nil), test.parts...), events(8, 9)...)...))
+					outcome, seen := serveStream(b, "patient", test.resumeAfter)
+					Expect(seen.body.String()).To(Equal(strings.Join(test.parts, "")))
+					Expect(outcome.Code).NotTo(Equal(result.OK))
+					Expect(b.backend.servers()).To(HaveLen(1))
+				})
+			})
+		}
+	}
+}
+
+// Guards against events being repeated or lost where lines end with CRLF or CR, and where an event
+// arrives in several pieces.
+func TestResumedStreamWithAnyLineEnds(t *testing.T) {
+	for name, end := range map[string]string{"LF": "\n", "CRLF": "\r\n", "CR": "\r"} {
+		for _, size := range []int{1, 3, 7, 1000} {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, size), func(t *testing.T) {
+				inVirtualTime(t, func(b *testbed) {
+					text := func(from, to int) string {
+						return strings.ReplaceAll(strings.Join(events(from, to), ""), "\n", end)
+					}
+					b.inTurn(
+						streams(pieces(text(1, 3)+"id: 4"+end+"da", size), 0, io.ErrUnexpectedEOF),
+						streams(pieces(text(2, 6), size), 0, io.EOF))
+					outcome, seen := serveStream(b, "patient", "")
+					Expect(seen.body.String()).To(Equal(text(1, 6)))
+					Expect(outcome.Code).To(Equal(result.OK))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a continuation at a server that ends its lines differently, or begins with a byte order
+// mark, being rejected, or passed on as part of the event before.
+func TestContinuationWithOtherLineEnds(t *testing.T) {
+	for name, second := range map[string]string{
+		"CRLF":      strings.ReplaceAll(strings.Join(events(2, 4), ""), "\n", "\r\n"),
+		"BOM":       "\ufeff" + strings.Join(events(2, 4), ""),
+		"comments":  ": hello\n\n" + strings.Join(events(2, 4), ": ping\n\n"),
+		"blank":     "\n\n" + strings.Join(events(2, 4), ""),
+		"retry":     "retry: 5\n\n" + strings.Join(events(2, 4), ""),
+		"no spaces": strings.ReplaceAll(strings.Join(events(2, 4), ""), ": ", ":"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.inTurn(streams(events(1, 2), time.Millisecond, io.ErrUnexpectedEOF), raw(second))
+				outcome, seen := serveStream(b, "patient", "")
+				Expect(outcome.Code).To(Equal(result.OK))
+				Expect(dataEvents(seen.body.String())).To(Equal([]string{"1 x", "2 x", "3 x", "4 x"}))
+			})
+		})
+	}
+}
+
+// Guards against later events that are taken for repeated ones, since their IDs are shorter.
+func TestOrderOfEventIDs(t *testing.T) {
+	for _, ids := range [][3]string{
+		{"8", "9", "10"},
+		{"008", "9", "010"},
+		{"08", "9", "10"},
+		{"007", "8", "9"},
+		{"1700-9", "1700-10", "1701-0"},
+		{"run-8", "run-9", "run-10"},
+		{"0x19", "0x1a", "0x1b"},
+		{"18446744073709551615", "18446744073709551616", "18446744073709551617"},
+	} {
+		t.Run(strings.Join(ids[:], " "), func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				event := func(id string) string { return "id: " + id + "\ndata: x\n\n" }
+				b.inTurn(streams([]string{event(ids[0])}, time.Millisecond, io.ErrUnexpectedEOF), raw(event(ids[0]), event(ids[1]), event(ids[2])))
+				outcome, seen := serveStream(b, "patient", "")
+				Expect(seen.body.String()).To(Equal(event(ids[0]) + event(ids[1]) + event(ids[2])))
+				Expect(outcome.Code).To(Equal(result.OK))
+			})
+		})
+	}
+}
+
+// Guards against an event being lost that arrives together with the end of its response, or with an error.
+func TestEventThatArrivesWithTheEndIsPassedOn(t *testing.T) {
+	for name, end := range map[string]error{"end": io.EOF, "reset": errors.New("reset")} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				last := func(context.Context, Attempt) (*Reply, error) {
+					return &Reply{Status: 200, Events: true, Body: &lastReadBody{text: strings.Join(events(1, 2), ""), err: end}}, nil
+				}
+				b.inTurn(last, raw(events(3, 3)...))
+				outcome, seen := serveStream(b, "patient", "")
+				Expect(outcome.Code).To(Equal(result.OK))
+				want := events(1, 2)
+				if !errors.Is(end, io.EOF) {
+					want = events(1, 3)
+				}
+				Expect(seen.body.String()).To(Equal(strings.Join(want, "")))
+			})
+		})
+	}
+}
+
+// lastReadBody returns all of its text together with its end.
+type lastReadBody struct {
+	text string
+	err  error
+}
+
+func (l *lastReadBody) Read(buffer []byte) (int, error) {
+	count := copy(buffer, l.text)
+	l.text = l.text[count:]
+	if l.text == "" {
+		return count, l.err
+	}
+	return count, nil
+}
+
+func (l *lastReadBody) Close() error { return nil }
+
+// pieces cuts a text.
+func pieces(text string, size int) []string {
+	var cut []string
+	for len(text) > 0 {
+		end := min(size, len(text))
+		cut = append(cut, text[:end])
+		text = text[end:]
+	}
+	return cut
+}
+
+// dataEvents returns "ID data" of each event that has data, as a client reads a stream.
+func dataEvents(stream string) []string {
+	stream = strings.TrimPrefix(stream, "\ufeff")
+	stream = strings.ReplaceAll(strings.ReplaceAll(stream, "\r\n", "\n"), "\r", "\n")
+	var found []string
+	for _, block := range strings.Split(stream, "\n\n") {
+		id, data := "", ""
+		for _, line := range strings.Split(block, "\n") {
+			if value, is := strings.CutPrefix(line, "id:"); is {
+				id = strings.TrimPrefix(value, " ")
+			}
+			if value, is := strings.CutPrefix(line, "data:"); is {
+				data = strings.TrimPrefix(value, " ")
+			}
+		}
+		if data != "" {
+			found = append(found, id+" "+data)
+		}
+	}
+	return found
+}
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -43,9 +43,10 @@
 	// cold: no server held the model when the request arrived.
 	cold     bool
 	decision Decision
-	// lastEvent is the ID of the last event passed on; headSent: the response head was.
-	lastEvent string
-	headSent  bool
+	// stream is what of an event stream was passed on; headSent: the response head was, with headStatus.
+	stream     eventStream
+	headSent   bool
+	headStatus int
 	// trial is set where the request is quarantined and runs as a trial; trialSent: a server may
 	// have read it, so that it is sent to no other one.
 	trial     *poison.Trial
@@ -70,6 +71,14 @@
 	return fl.deadline
 }
 
+// mayContinue reports whether another server's response can follow what was passed on.
+func (fl *flow) mayContinue() bool { return !fl.headSent || fl.stream.resumable() }
+
+// continues reports whether a response can follow the head that was sent.
+func (fl *flow) continues(reply *Reply) bool {
+	return !fl.headSent || reply.Events && reply.Status == fl.headStatus
+}
+
 // startBy is the time by which a server must begin with the request: in time for the latency
 // objective or, where a late response is better than a refusal, before the caller leaves.
 func (fl *flow) startBy(now time.Time) time.Time {
@@ -129,7 +138,7 @@
 		maySend: true,
 		request: request, route: route, pool: route.Pick(f.sequence.Add(1)), deadline: deadline,
 		prefixes: sharedPrefixes(request), clientRetry: f.isClientRetry(request, route), tried: map[string]bool{}, slotsAt: map[string]time.Time{},
-		lastEvent: request.ResumeAfter, latestServer: new(atomic.Pointer[fleet.Server]),
+		stream: eventStream{last: request.ResumeAfter}, latestServer: new(atomic.Pointer[fleet.Server]),
 	}
 }
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -14,17 +15,11 @@
 	// maxBufferedBytes is how much of a response body is read before anything is passed on, so
 	// that a shorter response that breaks can be replaced by another server's.
 	maxBufferedBytes = 256 << 10
-	// maxEventBytes is the longest event of a stream; a longer one breaks the stream.
-	maxEventBytes = 1 << 20
 	// gapFactor is the time without an event after which another server continues a stream,
 	// if one can, as a multiple of the route's gap objective.
-	gapFactor        = 4
-	relayBufferBytes = 4 << 10
+	gapFactor = 4
 )
 
-// errEventTooLong breaks a stream with an event longer than maxEventBytes.
-var errEventTooLong = errors.New("stream event exceeds the length limit")
-
 // errStreamStalled cancels an attempt whose stream had no event for too long while another server
 // can continue it.
 var errStreamStalled = errors.New("no event within the stream's gap limit")
@@ -59,7 +54,7 @@
 	flow.runs++
 	flow.ran = result.RanYes
 	cancelled := ctx.Err() != nil && !cancelledForSwitchover(ctx)
-	willRetry := !cancelled && f.mayRepeat(flow, 0) && (!flow.headSent || flow.lastEvent != "")
+	willRetry := !cancelled && f.mayRepeat(flow, 0) && flow.mayContinue()
 	f.observe(Observation{Request: flow.request, Server: target.server.ID, Number: flow.attempts, Failure: failure, WillRetry: willRetry})
 	if cancelled {
 		return f.cancellationOutcome(ctx, flow)
@@ -120,149 +115,96 @@
 	if fl.headSent {
 		return
 	}
-	fl.headSent = true
+	fl.headSent, fl.headStatus = true, reply.Status
 	responder.Begin(reply)
 }
 
-// relayEvents passes on the events of a stream as they come, complete events only.
+// relayEvents passes on the events of a stream as they come, complete events only, and only those that
+// follow the ones that the caller has.
 func (f *Forwarder) relayEvents(flow *flow, reply *Reply, responder Responder, sw *switchover) error {
 	first, gap := f.gapLimits(flow)
-	if gap > 0 {
+	if gap > 0 && flow.mayContinue() {
 		sw.after(first, errStreamStalled)
 	}
-	reader := eventReader{body: reply.Body, buffer: make([]byte, 0, relayBufferBytes)}
-	resumed := flow.headSent
+	reader, segment := newEventReader(reply.Body), flow.stream.newSegment()
 	for {
-		events, err := reader.next()
-		if gap > 0 && err == nil {
-			sw.after(gap, errStreamStalled)
-		}
-		flow.gaps.record(len(events) > 0, time.Now())
-		if resumed {
-			events = withoutRepeated(events, flow.lastEvent)
-		}
-		if len(events) > 0 || errors.Is(err, io.EOF) {
-			// The head is sent with the first event: until then another server's response
-			// can replace this one.
-			flow.begin(responder, reply)
+		blocks, err := reader.next()
+		flow.gaps.record(len(blocks) > 0, time.Now())
+		events, orderErr := segment.acceptAll(blocks, flow.headSent)
+		if orderErr != nil {
+			err = orderErr
+		} else if errors.Is(err, io.EOF) {
+			err = cmp.Or(segment.end(), err)
 		}
-		if len(events) > 0 {
-			if id := lastEventID(events); id != "" {
-				flow.lastEvent = id
-			}
-			if writeErr := responder.Write(events); writeErr != nil {
-				return callerError{writeErr}
-			}
+		if err := flow.passOn(responder, reply, events, errors.Is(err, io.EOF)); err != nil {
+			return err
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
+			flow.stream.withinEvent = flow.stream.withinEvent || reader.withinEvent()
 			return err
 		}
+		f.limitGap(flow, gap, sw)
 	}
 }
 
-// gapLimits are how long the first event and each later one may take before the stream is
-// continued at another server; zero if it may not be.
-func (f *Forwarder) gapLimits(flow *flow) (first, gap time.Duration) {
-	if !f.mayRepeat(flow, 1) || flow.route.GapObjective <= 0 {
-		return 0, 0
+// passOn sends events. The head is sent with the first ones, or at the stream's end: until then another
+// server's response can replace this one.
+func (fl *flow) passOn(responder Responder, reply *Reply, events []byte, ended bool) error {
+	if len(events) > 0 || ended {
+		fl.begin(responder, reply)
 	}
-	gap = gapFactor * flow.route.GapObjective
-	return max(gap, flow.route.LatencyObjective), gap
-}
-
-// eventReader splits a body into complete events.
-type eventReader struct {
-	body   io.Reader
-	buffer []byte
-	// partial is the beginning of an event that is not complete yet.
-	partial []byte
-}
-
-// next returns the complete events of the next reads. It returns io.EOF at the end of a complete
-// stream, and io.ErrUnexpectedEOF if the body ends within an event.
-func (r *eventReader) next() ([]byte, error) {
-	for {
-		buffer := r.buffer[:cap(r.buffer)]
-		count, err := r.body.Read(buffer)
-		r.partial = append(r.partial, buffer[:count]...)
-		if end := completeLength(r.partial); end > 0 {
-			events := append([]byte(nil), r.partial[:end]...)
-			r.partial = append(r.partial[:0], r.partial[end:]...)
-			return events, r.checkEnd(err)
-		}
-		if err != nil {
-			return nil, r.checkEnd(err)
-		}
-		if len(r.partial) > maxEventBytes {
-			return nil, errEventTooLong
-		}
+	if len(events) == 0 {
+		return nil
 	}
-}
-
-// checkEnd turns an io.EOF within an event into io.ErrUnexpectedEOF.
-func (r *eventReader) checkEnd(err error) error {
-	if errors.Is(err, io.EOF) && len(bytes.TrimSpace(r.partial)) > 0 {
-		return io.ErrUnexpectedEOF
+	if err := responder.Write(events); err != nil {
+		return callerError{err}
 	}
-	return err
+	return nil
 }
 
-// completeLength is the length in bytes of the complete events at the beginning of data.
-func completeLength(data []byte) int {
-	if end := bytes.LastIndex(data, []byte("\n\n")); end >= 0 {
-		return end + len("\n\n")
-	}
-	if end := bytes.LastIndex(data, []byte("\r\n\r\n")); end >= 0 {
-		return end + len("\r\n\r\n")
+// limitGap limits the time until the next event, if another server can continue the stream.
+func (f *Forwarder) limitGap(flow *flow, gap time.Duration, sw *switchover) {
+	switch {
+	case gap <= 0:
+	case flow.mayContinue():
+		sw.after(gap, errStreamStalled)
+	default:
+		sw.pause()
 	}
-	return 0
 }
 
-// lastEventID is the ID of the last event that has one.
-func lastEventID(events []byte) string {
-	id := ""
-	for _, line := range bytes.Split(events, []byte("\n")) {
-		if found := eventID(line); found != "" {
-			id = found
+// acceptAll returns the events that are to be passed on, up to one that breaks the stream. A byte order
+// mark stays only before the stream's first event.
+func (g *streamSegment) acceptAll(blocks [][]byte, begun bool) ([]byte, error) {
+	var accepted []byte
+	for _, block := range blocks {
+		event, err := parseEvent(block)
+		if err != nil {
+			return accepted, err
 		}
-	}
-	return id
-}
-
-func eventID(line []byte) string {
-	value, isID := bytes.CutPrefix(line, []byte("id:"))
-	if !isID {
-		return ""
-	}
-	return string(bytes.TrimSpace(value))
-}
-
-// withoutRepeated drops the events up to the ID of the last one that was passed on, which a server
-// may send again when it resumes a stream.
-func withoutRepeated(events []byte, lastPassed string) []byte {
-	var kept []byte
-	for len(events) > 0 {
-		end := bytes.Index(events, []byte("\n\n"))
-		if end < 0 {
-			return append(kept, events...)
+		pass, err := g.accept(event)
+		if err != nil {
+			return accepted, err
 		}
-		event := events[:end+2]
-		events = events[end+2:]
-		if id := lastEventID(event); id == "" || laterID(id, lastPassed) {
-			kept = append(kept, event...)
+		if pass && (begun || len(accepted) > 0) {
+			block = bytes.TrimPrefix(block, byteOrderMark)
+		}
+		if pass {
+			accepted = append(accepted, block...)
 		}
 	}
-	return kept
+	return accepted, nil
 }
 
-// laterID reports whether one event ID comes after another: by length, then by bytes, which orders
-// decimal numbers.
-func laterID(id, than string) bool {
-	if len(id) != len(than) {
-		return len(id) > len(than)
+// gapLimits are how long the first event and each later one may take before the stream is
+// continued at another server; zero if it may not be.
+func (f *Forwarder) gapLimits(flow *flow) (first, gap time.Duration) {
+	if !f.mayRepeat(flow, 1) || flow.route.GapObjective <= 0 {
+		return 0, 0
 	}
-	return id > than
+	gap = gapFactor * flow.route.GapObjective
+	return max(gap, flow.route.LatencyObjective), gap
 }
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -177,8 +177,13 @@
 	if false && err != nil {' $forward ./platform
 switch_off honest-status platform/ingress.go 'if outcome.Ran == result.RanNo {' 'if true {' ./platform
 # Streams.
-switch_off whole-events internal/forward/relay.go 'if errors.Is(err, io.EOF) && len(bytes.TrimSpace(r.partial)) > 0 {' 'if false {' $forward
-switch_off no-repeated-events internal/forward/relay.go 'if resumed {' 'if false && resumed {' $forward
+switch_off whole-events internal/forward/eventreader.go 'if errors.Is(err, io.EOF) && r.withinEvent() {' 'if false {' $forward
+switch_off no-repeated-events internal/forward/eventstream.go 'if order <= 0 {' 'if false {' $forward
+switch_off rising-events internal/forward/eventstream.go 'return order > 0 || !certain' 'return true' $forward
+switch_off same-run internal/forward/eventstream.go 'g.stream.passed && event.digest != g.stream.lastDigest, ' '' $forward
+switch_off no-missing-events internal/forward/eventstream.go 'if g.stream.lacksEventsBefore(event.id) {' 'if false {' $forward
+switch_off continuations-only internal/forward/attempt.go 'return !flow.continues(reply) ||' 'return' $forward
+switch_off last-id-only internal/forward/eventstream.go 'return !s.unnumbered && ' 'return ' $forward
 switch_off resume-after platform/backend.go 'if attempt.ResumeAfter != "" {' 'if false {' ./platform
 switch_off silent-stream internal/forward/relay.go 'func() { cancel(errSilent) }' 'func() {}' $forward
 switch_off impatience internal/forward/attempt.go 'func() { cancel(errImpatient) }' 'func() {}' $forward
