forward: Verify the end of an unframed response by its server's incarnation

Callers got a response without length or chunks as complete although its server had crashed in the middle of it.

Cause: such a response counted as complete unless its server's address refused connections at once or 20 ms later. Another incarnation that started there at once accepts them. A refusal was hidden where another node didn't reach the server, and a failure of another kind counted as a server that lives.

Evidence, failed on the code before: TestUnframedStreamOfARestartedServerIsNotComplete (3 of 5 cases; the two others are whole responses: the stream ended after its first event without an error, or was not resumed), TestUnframedResponseIsBrokenWhereTheServerRefusesThisNode, TestUnframedResponseOfAnotherIncarnationIsBroken (1 of 5, "another incarnation answers": the others are responses that stay complete), TestUnconfirmedEndOfAStreamIsConfirmedByAnotherServer (2 of 3).

Change: the node asks the server for a report, addressed to the incarnation that sent the response. Another incarnation or a refused connection, confirmed or not, breaks the response; the same incarnation completes it. Where no report comes, a connection counts as before. A stream that may be resumed, of a server that could not be checked at all, is broken, so that another server, or the caller, asks for what follows.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -285,7 +285,7 @@
 func (n *node) assembleForwarder() {
 	n.forwarder = forward.New(forward.Config{
 		View: n.view, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: func() bool { return n.mirror.Behind() }, Records: records{n}, OnRecordCheck: n.metrics.RecordCheck, Zone: n.settings.Node.Zone,
-		Connect: n.servers.Connect, Indirect: n.paths.Lost, OnSuspicionCheck: n.requests.SuspicionChecked,
+		Connect: n.servers.Connect, CheckIncarnation: (&platform.IncarnationCheck{Client: n.servers, View: n.view, Notices: n.notices}).Check, Indirect: n.paths.Lost, OnSuspicionCheck: n.requests.SuspicionChecked,
 		Fleet: retrybudget.Count{Limiter: n.limiter}, OnRetry: n.requests.Retry,
 		Observations: n.observations, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning,
 		Budget: forward.BudgetLimits{
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -73,7 +73,7 @@
 	}
 	flow.trialSent = true
 	defer reply.Body.Close()
-	f.verifyEnd(ctx, target, reply)
+	f.verifyEnd(ctx, flow, target, reply)
 	if flow.firstByte == 0 {
 		flow.firstByte = time.Since(flow.request.Accepted)
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -45,6 +45,10 @@
 	// Connect tests whether a process listens at a server's address. With it, servers that other
 	// nodes found unreachable are avoided and checked; nil: they are not.
 	Connect func(ctx context.Context, address string) error
+	// CheckIncarnation tests whether the incarnation of a server still answers. Its error is
+	// ErrOtherIncarnation if another one does, and ErrIncarnationUnknown if that can't be told; nil: it is
+	// never known.
+	CheckIncarnation func(ctx context.Context, server *fleet.Server) error
 	// Indirect reports whether the server at an address is reached through another node; nil: none is.
 	Indirect func(address string) bool
 	// OnSuspicionCheck is called with each such check; nil: not called.
@@ -103,6 +107,7 @@
 	observations     *observation.Table
 	random           func() float64
 	connect          func(ctx context.Context, address string) error
+	checkIncarnation func(ctx context.Context, server *fleet.Server) error
 	indirect         func(address string) bool
 	onSuspicionCheck func(SuspicionCheck)
 	zone             string
@@ -173,7 +178,7 @@
 	lifetime, cancel := context.WithCancel(context.Background())
 	return &Forwarder{
 		lifetime: lifetime, cancel: cancel, started: time.Now(),
-		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, records: config.Records, onRecordCheck: config.OnRecordCheck, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, indirect: config.Indirect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
+		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, records: config.Records, onRecordCheck: config.OnRecordCheck, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, checkIncarnation: config.CheckIncarnation, indirect: config.Indirect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
 		tracker: newTracker(), demand: newDemandTable(), priorities: newPriorityMix(),
 		budgets: retrybudget.New(retrybudget.Config{Limits: config.Budget, Nodes: config.Nodes, Fleet: config.Fleet}), onRetry: config.OnRetry,
 		observe: config.Observe, longRunning: config.LongRunning, longestTimes: map[string]time.Duration{},
--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -94,6 +94,8 @@
 		f.poison.ServerCrashed(server.ID, "refuses connections")
 	case failure.Reason == FailureOtherInstance:
 		f.poison.ServerCrashed(server.ID, "another instance answers")
+	case failure.Reason == FailureBroken && errors.Is(failure.Cause, errEndUnconfirmed):
+		f.poison.AnswerUnframed(ctx, flow.poisonRequest(), server, flow.attemptStarted)
 	case failure.Reason == FailureBroken && ctx.Err() == nil && closedByServer(failure.Cause):
 		f.poison.AttemptBroken(ctx, flow.poisonRequest(), server, flow.attemptStarted)
 	}
--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -6,20 +6,54 @@
 	"io"
 	"syscall"
 	"time"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
 )
 
-// unframedProbeDelays are the times after the end of an unframed body at which its server is probed. A
+// unframedCheckDelays are the times after the end of an unframed body at which its server is checked. A
 // crashed server refuses connections at once or, where its sockets are closed one by one, shortly
 // afterwards.
-var unframedProbeDelays = [...]time.Duration{0, 20 * time.Millisecond}
+var unframedCheckDelays = [...]time.Duration{0, 20 * time.Millisecond}
+
+// incarnationCheckTimeout limits one check of a server's incarnation, for which the end of a response
+// waits.
+const incarnationCheckTimeout = 200 * time.Millisecond
+
+// Errors of Config.CheckIncarnation.
+var (
+	// ErrOtherIncarnation: another incarnation answers at the server's address.
+	ErrOtherIncarnation = errors.New("another incarnation answers")
+	// ErrIncarnationUnknown: the server doesn't tell its incarnation.
+	ErrIncarnationUnknown = errors.New("the server's incarnation is not known")
+)
+
+// errEndUnconfirmed breaks a stream that may be complete, so that another server is asked to continue it,
+// by this node or by the caller.
+var errEndUnconfirmed = errors.New("the response ended with its connection, and its server could not be checked")
+
+// serverState is what checks show of a server after an unframed response of it has ended.
+type serverState int
+
+const (
+	// serverUnknown: it was not reached, in another way than by a refused connection.
+	serverUnknown serverState = iota + 1
+	// serverListens: something accepts connections at its address.
+	serverListens
+	// serverRuns: it is the incarnation that sent the response.
+	serverRuns
+	// serverEnded: nothing, or another incarnation, listens at its address.
+	serverEnded
+)
 
 // unframedBody is a body that ends with its connection. It reports the end as io.ErrUnexpectedEOF if the
 // server has crashed: the system closes its connections in order, also in the middle of a response.
 type unframedBody struct {
 	io.ReadCloser
-	// connect tests whether the server accepts connections.
-	connect func() error
-	end     error
+	// check tests the server.
+	check func() serverState
+	// mayResume reports whether the caller, or another attempt, can ask for what may be missing.
+	mayResume func() bool
+	end       error
 }
 
 // Read implements io.Reader.
@@ -32,27 +66,76 @@
 		return count, nil
 	}
 	b.end = err
-	if errors.Is(err, io.EOF) && b.serverCrashed() {
-		b.end = io.ErrUnexpectedEOF
+	if errors.Is(err, io.EOF) {
+		b.end = b.verifiedEnd()
 	}
 	return 0, b.end
 }
 
-func (b *unframedBody) serverCrashed() bool {
-	began := time.Now()
-	for _, delay := range unframedProbeDelays {
+// verifiedEnd is the error with which a body ends that was closed in order.
+func (b *unframedBody) verifiedEnd() error {
+	state := b.checkRepeatedly()
+	switch {
+	case state == serverEnded:
+		return io.ErrUnexpectedEOF
+	case state == serverUnknown && b.mayResume():
+		return errEndUnconfirmed
+	}
+	return io.EOF
+}
+
+func (b *unframedBody) checkRepeatedly() serverState {
+	began, state := time.Now(), serverUnknown
+	for _, delay := range unframedCheckDelays {
 		time.Sleep(time.Until(began.Add(delay)))
-		if errors.Is(b.connect(), syscall.ECONNREFUSED) {
-			return true
+		state = b.check()
+		if state == serverEnded || state == serverRuns {
+			break
+		}
+	}
+	return state
+}
+
+// refusedHere is implemented by the errors of connections that were refused although that is no proof for
+// other nodes.
+type refusedHere interface{ RefusedHere() bool }
+
+// stateOf returns what the error of a check shows; nil: the server answered.
+func stateOf(err error, answered serverState) serverState {
+	var refused refusedHere
+	switch {
+	case err == nil:
+		return answered
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrOtherIncarnation):
+		return serverEnded
+	case errors.As(err, &refused) && refused.RefusedHere():
+		return serverEnded
+	}
+	return serverUnknown
+}
+
+// checkServer finds out whether a server still runs: by its incarnation, where it tells that in time,
+// otherwise by a connection.
+func (f *Forwarder) checkServer(ctx context.Context, server *fleet.Server) serverState {
+	if f.checkIncarnation != nil {
+		limited, cancel := context.WithTimeout(ctx, incarnationCheckTimeout)
+		state := stateOf(f.checkIncarnation(limited, server), serverRuns)
+		cancel()
+		if state != serverUnknown {
+			return state
 		}
 	}
-	return false
+	return stateOf(f.connect(ctx, server.Address), serverListens)
 }
 
 // verifyEnd makes the body of an unframed response report whether its server has crashed.
-func (f *Forwarder) verifyEnd(ctx context.Context, target *candidate, reply *Reply) {
+func (f *Forwarder) verifyEnd(ctx context.Context, flow *flow, target *candidate, reply *Reply) {
 	if !reply.Unframed || f.connect == nil {
 		return
 	}
-	reply.Body = &unframedBody{ReadCloser: reply.Body, connect: func() error { return f.connect(ctx, target.server.Address) }}
+	reply.Body = &unframedBody{
+		ReadCloser: reply.Body,
+		check:      func() serverState { return f.checkServer(ctx, target.server) },
+		mayResume:  func() bool { return reply.Events && flow.route.Repeatable() && flow.stream.resumable() },
+	}
 }
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -106,3 +107,74 @@
 		})
 	}
 }
+
+// refusedError is the failure of a connection that was refused, which proves nothing to other nodes.
+type refusedError struct{ error }
+
+func (refusedError) RefusedHere() bool { return true }
+
+// Guards against a response of a crashed server being given to its caller as complete, since other nodes
+// did not reach the server to confirm that it refuses connections.
+func TestUnframedResponseIsBrokenWhereTheServerRefusesThisNode(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		b.inTurn(unframed(streams(events(1, 2), time.Millisecond, io.EOF)))
+		b.forwarder.connect = func(context.Context, string) error { return refusedError{syscall.EIO} }
+		outcome, seen := serveStream(b, "stream", "")
+		Expect(outcome.Broken).To(BeTrue())
+		Expect(seen.body.String()).To(Equal(strings.Join(events(1, 2), "")))
+	})
+}
+
+// Guards against a response being taken for complete since something accepts connections at the address
+// of its server, which has crashed.
+func TestUnframedResponseOfAnotherIncarnationIsBroken(t *testing.T) {
+	for name, test := range map[string]struct {
+		check  error
+		broken bool
+	}{
+		"another incarnation answers": {ErrOtherIncarnation, true},
+		"the same one answers":        {nil, false},
+		"it does not tell":            {ErrIncarnationUnknown, false},
+		"it does not answer":          {syscall.ECONNRESET, false},
+		"it does not answer in time":  {context.DeadlineExceeded, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.inTurn(unframed(streams(events(1, 2), time.Millisecond, io.EOF)))
+				b.forwarder.connect = func(context.Context, string) error { return nil }
+				b.forwarder.checkIncarnation = func(context.Context, *fleet.Server) error { return test.check }
+				for _, route := range []string{"stream", "patient"} {
+					outcome, _ := serveStream(b, route, "")
+					Expect(outcome.Broken).To(Equal(test.broken), route)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a stream being given to its caller as complete although its server could not be checked
+// and another one has more of it.
+func TestUnconfirmedEndOfAStreamIsConfirmedByAnotherServer(t *testing.T) {
+	for name, test := range map[string]struct {
+		last   int
+		slack  float64
+		broken bool
+	}{
+		"the stream was complete": {3, 100, false}, "events were missing": {5, 100, false}, "the retry budget is spent": {5, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				if test.slack == 0 {
+					b.forwarder.budgets = newBudgets(BudgetLimits{Window: 10 * time.Second}, 1)
+				}
+				b.inTurn(unframed(streams(events(1, 3), time.Millisecond, io.EOF)), streams(events(4, test.last), time.Millisecond, io.EOF))
+				b.forwarder.connect = func(context.Context, string) error { return syscall.ETIMEDOUT }
+				outcome, seen := serveStream(b, "patient", "")
+				Expect(outcome.Broken).To(Equal(test.broken))
+				if !test.broken {
+					Expect(seen.body.String()).To(Equal(strings.Join(events(1, test.last), "")))
+				}
+			})
+		})
+	}
+}
--- a/internal/serverpath/messages.go
+++ b/internal/serverpath/messages.go
@@ -65,3 +65,7 @@
 
 // Error implements error.
 func (e unconfirmedError) Error() string { return e.cause.Error() + " (not confirmed by another node)" }
+
+// RefusedHere reports that this node's connection was refused. Where a connection to the server ended just
+// before, that shows that the server has ended, too.
+func (e unconfirmedError) RefusedHere() bool { return true }
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -184,6 +184,9 @@
 switch_off no-missing-events internal/forward/eventstream.go 'if g.stream.lacksEventsBefore(event.id) {' 'if false {' $forward
 switch_off continuations-only internal/forward/attempt.go 'return !flow.continues(reply) ||' 'return' $forward
 switch_off last-id-only internal/forward/eventstream.go 'return !s.unnumbered && ' 'return ' $forward
+switch_off other-incarnation internal/forward/unframed.go ', errors.Is(err, ErrOtherIncarnation):' ':' $forward ./platform
+switch_off refused-here internal/forward/unframed.go '&& refused.RefusedHere():' '&& refused.RefusedHere() && false:' $forward
+switch_off unconfirmed-ends internal/forward/unframed.go 'case state == serverUnknown && b.mayResume():' 'case false:' $forward
 switch_off resume-after platform/backend.go 'if attempt.ResumeAfter != "" {' 'if false {' ./platform
 switch_off silent-stream internal/forward/relay.go 'func() { cancel(errSilent) }' 'func() {}' $forward
 switch_off impatience internal/forward/attempt.go 'func() { cancel(errImpatient) }' 'func() {}' $forward
