--- a/internal/forward/eventstream_test.go
+++ b/internal/forward/eventstream_test.go
@@ -357,3 +357,35 @@
 	}
 	return found
 }
+
+// What nothing tells: these streams are wrong, and end as complete. A change that tells one of them
+// removes it here and in docs/design/streams.md.
+func TestCasesThatNothingTells(t *testing.T) {
+	broken := func(parts []string) answerFunc { return streams(parts, time.Millisecond, io.ErrUnexpectedEOF) }
+	otherRun := func(from, to int) []string {
+		return []string{strings.ReplaceAll(strings.Join(events(from, to), ""), "data: x", "data: another run")}
+	}
+	cases := map[string]struct {
+		route, resumeAfter string
+		answers            []answerFunc
+		passed             []string
+	}{
+		"a server leaves an event out":                       {"stream", "", []answerFunc{raw(slices.Concat(events(1, 2), events(4, 5))...)}, slices.Concat(events(1, 2), events(4, 5))},
+		"a continuation leaves an event out after few":       {"patient", "", []answerFunc{broken(events(1, 3)), raw(events(5, 6)...)}, slices.Concat(events(1, 3), events(5, 6))},
+		"a server says that nothing follows":                 {"patient", "", []answerFunc{broken(events(1, 3)), raw()}, events(1, 3)},
+		"another run goes on after the last event":           {"patient", "", []answerFunc{broken(events(1, 3)), raw(otherRun(4, 6)...)}, slices.Concat(events(1, 3), otherRun(4, 6))},
+		"another run begins again, after the caller's event": {"patient", "2", []answerFunc{raw(append(otherRun(1, 2), events(3, 4)...)...)}, events(3, 4)},
+		"a server that lives on ends an unframed stream":     {"stream", "", []answerFunc{unframed(raw(events(1, 2)...))}, events(1, 2)},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.forwarder.connect = func(context.Context, string) error { return nil }
+				b.inTurn(test.answers...)
+				outcome, seen := serveStream(b, test.route, test.resumeAfter)
+				Expect(outcome.Code).To(Equal(result.OK))
+				Expect(seen.body.String()).To(Equal(strings.Join(test.passed, "")))
+			})
+		})
+	}
+}
