--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"cmp"
 	"errors"
-	"hash/fnv"
+	"hash/maphash"
 	"strconv"
 	"strings"
 )
@@ -29,29 +29,53 @@
 // parseEvent reads a complete event.
 func parseEvent(block []byte) (streamEvent, error) {
 	var event streamEvent
-	digest := fnv.New64a()
-	for line := range bytes.FieldsFuncSeq(bytes.TrimPrefix(block, byteOrderMark), isLineEnd) {
+	var digest maphash.Hash
+	digest.SetSeed(digestSeed)
+	block = bytes.TrimPrefix(block, byteOrderMark)
+	for len(block) > 0 {
+		end := lineLength(block)
+		line := block[:end]
+		block = block[min(end+1, len(block)):]
 		if bytes.HasPrefix(line, []byte("HTTP/1.")) {
 			return streamEvent{}, errSurplusResponse
 		}
-		name, value, _ := strings.Cut(string(line), ":")
-		value = strings.TrimPrefix(value, " ")
-		switch name {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
 		case "id":
-			event.id, event.hasContent = strings.TrimSpace(value), true
+			event.id, event.hasContent = string(bytes.TrimSpace(value)), true
 		case "data":
 			event.hasContent = true
 		case "event":
 		default:
 			continue
 		}
-		_, _ = digest.Write([]byte(name + ":" + value + "\n"))
+		_, _ = digest.Write(name)
+		_ = digest.WriteByte(':')
+		_, _ = digest.Write(value)
+		_ = digest.WriteByte('\n')
 	}
 	event.digest = digest.Sum64()
 	return event, nil
 }
 
-func isLineEnd(char rune) bool { return char == '\r' || char == '\n' }
+// lineLength is the length in bytes of the first line of data, without its end.
+func lineLength(data []byte) int {
+	for i, char := range data {
+		if char == '\n' || char == '\r' {
+			return i
+		}
+	}
+	return len(data)
+}
+
+// digestSeed is of this process, in which all digests of a stream are made.
+var digestSeed = maphash.MakeSeed()
+
+// addDigest adds an event's digest to that of the events before it.
+func addDigest(chain, digest uint64) uint64 {
+	return maphash.Comparable(digestSeed, [2]uint64{chain, digest})
+}
 
 // compareEventIDs returns a negative number if the ID a comes before b, 0 if they are the same and a
 // positive number otherwise. The order is certain for decimal numbers, also after a common prefix; that
@@ -76,8 +100,11 @@
 
 // cutNumber cuts the decimal number at the end of an ID off.
 func cutNumber(id string) (prefix, number string) {
-	prefix = strings.TrimRight(id, "0123456789")
-	return prefix, id[len(prefix):]
+	begin := len(id)
+	for begin > 0 && id[begin-1] >= '0' && id[begin-1] <= '9' {
+		begin--
+	}
+	return id[:begin], id[begin:]
 }
 
 func compareNumbers(a, b string) int {
--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -19,8 +19,10 @@
 type eventReader struct {
 	body   io.Reader
 	buffer []byte
-	// partial is the beginning of an event that is not complete yet.
+	// partial is the beginning of an event that is not complete yet, behind the events that next returned,
+	// which are taken bytes long.
 	partial []byte
+	taken   int
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -28,8 +30,10 @@
 }
 
 // next returns the events that the next reads complete. It returns io.EOF at the end of a complete
-// stream, and io.ErrUnexpectedEOF if the body ends within an event; both may come with events.
+// stream, and io.ErrUnexpectedEOF if the body ends within an event; both may come with events. The events
+// are valid until the next call.
 func (r *eventReader) next() ([][]byte, error) {
+	r.partial, r.taken = append(r.partial[:0], r.partial[r.taken:]...), 0
 	for {
 		count, err := r.body.Read(r.buffer)
 		r.partial = append(r.partial, r.buffer[:count]...)
@@ -45,24 +49,22 @@
 	}
 }
 
-// takeComplete removes the complete events from partial.
+// takeComplete returns the complete events at the beginning of partial.
 func (r *eventReader) takeComplete() [][]byte {
 	var events [][]byte
-	taken := 0
 	for {
-		length := eventLength(r.partial[taken:])
+		rest := r.partial[r.taken:]
+		length := eventLength(rest)
 		if length == 0 {
-			break
+			return events
 		}
-		events = append(events, bytes.Clone(r.partial[taken:taken+length]))
-		taken += length
+		events = append(events, rest[:length])
+		r.taken += length
 	}
-	r.partial = append(r.partial[:0], r.partial[taken:]...)
-	return events
 }
 
 // withinEvent reports whether a part of an event was read that is not complete.
-func (r *eventReader) withinEvent() bool { return len(bytes.TrimSpace(r.partial)) > 0 }
+func (r *eventReader) withinEvent() bool { return len(bytes.TrimSpace(r.partial[r.taken:])) > 0 }
 
 // checkEnd turns an io.EOF within an event into io.ErrUnexpectedEOF.
 func (r *eventReader) checkEnd(err error) error {
@@ -77,8 +79,8 @@
 func eventLength(data []byte) int {
 	started, crlf := false, false
 	for begin := 0; ; {
-		length := bytes.IndexAny(data[begin:], "\r\n")
-		if length < 0 {
+		length := lineLength(data[begin:])
+		if begin+length == len(data) {
 			return 0
 		}
 		end := begin + length + 1
--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -1,10 +1,6 @@
 package forward
 
-import (
-	"encoding/binary"
-	"errors"
-	"hash/fnv"
-)
+import "errors"
 
 // minSteps is the number of equal differences between the IDs of consecutive events from which a larger
 // one, where a stream was continued, shows that events are missing.
@@ -182,10 +178,3 @@
 func (s *eventStream) lacksEventsBefore(id string) bool {
 	return s.step > 0 && !s.irregular && s.steps >= minSteps && eventStep(s.last, id) > s.step
 }
-
-// addDigest adds an event's digest to that of the events before it.
-func addDigest(chain, digest uint64) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, chain), digest))
-	return hash.Sum64()
-}
