forward: Test a switchover at the moment of the last event or of the end

The reservation of a search that was cancelled meanwhile is given back by its own goroutine, so the test waits for that.

--- a/internal/forward/eventstream_test.go
+++ b/internal/forward/eventstream_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -389,3 +390,66 @@
 		})
 	}
 }
+
+// timedBody returns each part at its time after the body's first read, and then the end.
+type timedBody struct {
+	scriptedBody
+	began time.Time
+	at    []time.Duration
+}
+
+func (t *timedBody) Read(buffer []byte) (int, error) {
+	if t.began.IsZero() {
+		t.began = time.Now()
+	}
+	select {
+	case <-t.ctx.Done():
+		return 0, t.ctx.Err()
+	case <-time.After(time.Until(t.began.Add(t.at[0]))):
+	}
+	if len(t.at) > 1 {
+		t.at = t.at[1:]
+	}
+	return t.scriptedBody.Read(buffer)
+}
+
+// Guards against an event being lost or passed on twice where another server takes a stream over at the
+// moment of its last event, or of its end.
+func TestSwitchoverAtTheMomentOfTheLastEvent(t *testing.T) {
+	const gap = gapFactor * 400 * time.Millisecond
+	for name, at := range map[string][]time.Duration{
+		"the last event":         {0, gap, gap},
+		"the end":                {0, 0, gap},
+		"both, one after":        {0, gap, 2 * gap},
+		"the first event":        {4 * time.Second, 4 * time.Second, 4 * time.Second},
+		"just before":            {0, gap - 1, gap - 1},
+		"just after":             {0, gap + 1, gap + 1},
+		"the end just after":     {0, 0, gap + 1},
+		"the last, end together": {0, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 20 {
+				inVirtualTime(t, func(b *testbed) {
+					continues := func(ctx context.Context, attempt Attempt) (*Reply, error) {
+						last := 0
+						_, _ = fmt.Sscan(attempt.ResumeAfter, &last)
+						return streams(events(last+1, 2), 0, io.EOF)(ctx, attempt)
+					}
+					b.inTurn(func(ctx context.Context, _ Attempt) (*Reply, error) {
+						body := &timedBody{scriptedBody: scriptedBody{ctx: ctx, parts: events(1, 2), err: io.EOF}, at: at}
+						return &Reply{Status: 200, Events: true, Body: body}, nil
+					}, continues)
+					seen := &recorder{}
+					outcome := b.forwarder.Serve(context.Background(), request("patient", "m", 30*time.Second), seen)
+					Expect(seen.body.String()).To(Equal(strings.Join(events(1, 2), "")))
+					Expect(outcome.Code).To(Equal(result.OK))
+					// A search for another server that was cancelled gives it back.
+					synctest.Wait()
+					for id, load := range b.forwarder.tracker.servers {
+						Expect(load.own).To(BeZero(), id)
+					}
+				})
+			}
+		})
+	}
+}
