--- a/internal/forward/eventstream_property_test.go
+++ b/internal/forward/eventstream_property_test.go
@@ -153,7 +153,7 @@
 	} else if rapid.IntRange(0, 4).Draw(t, "route") == 0 {
 		trial.route = "stream"
 	}
-	for attempt := range 2 {
+	for attempt := range rapid.IntRange(1, 4).Draw(t, "attempts") {
 		trial.scripts = append(trial.scripts, drawScript(t, attempt))
 	}
 	return trial
@@ -266,6 +266,21 @@
 	}
 }
 
+// allowAttempts sets the number of attempts of all routes, and as many servers.
+func (b *testbed) allowAttempts(count int) {
+	routes := testRoutes()
+	for _, route := range routes {
+		route.MaxAttempts = count
+	}
+	b.view.SetConfiguration(fleet.NewConfiguration(2, 2, routes, []*fleet.Pool{{Name: modelPool, Engine: &fleet.Engine{Slots: 8}}, {Name: plainPool}}, fleet.Limits{}))
+	servers := map[string]*fleet.Server{}
+	for number := range count {
+		id := fmt.Sprintf("m%d", number+1)
+		servers[id] = &fleet.Server{ID: id, Pool: modelPool, Slots: 8, Models: holds("m"), Zone: "z"}
+	}
+	b.view.ReplaceServers(servers)
+}
+
 // statusRecorder also keeps the head.
 type statusRecorder struct {
 	recorder
@@ -282,6 +297,7 @@
 	seen = &statusRecorder{}
 	synctest.Test(t, func(*testing.T) {
 		b := newTestbed(100)
+		b.allowAttempts(len(j.scripts))
 		var answers []answerFunc
 		for _, script := range j.scripts {
 			answers = append(answers, j.answer(script))
@@ -293,6 +309,10 @@
 			asked.ResumeAfter = j.right.ids[j.resumeAfter-1]
 		}
 		outcome = b.forwarder.Serve(context.Background(), asked, seen)
+		synctest.Wait()
+		for id, load := range b.forwarder.tracker.servers {
+			Expect(load.own).To(BeZero(), id)
+		}
 	})
 	return outcome, seen
 }
--- a/internal/forward/eventstream_test.go
+++ b/internal/forward/eventstream_test.go
@@ -25,7 +25,9 @@
 		number := len(b.backend.servers())
 		return list[min(number, len(list))-1](ctx, attempt)
 	}
-	b.backend.answer["m1"], b.backend.answer["m2"] = answer, answer
+	for _, id := range []string{"m1", "m2", "m3", "m4"} {
+		b.backend.answer[id] = answer
+	}
 }
 
 func serveStream(b *testbed, route, resumeAfter string) (Outcome, *recorder) {
