forward: Pass streams that can't be resumed on from their start

 dropped the events up to the ID that a caller sent also on routes whose streams can't be resumed, where servers begin at the start. TestStreamThatCanNotBeResumedIsPassedOnFromItsStart failed ("id: 3 ..." in place of "id: 1 ..."); it passes on the code before. The server is still told the caller's ID there.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -63,7 +64,7 @@
 	flow.attemptStarted = started
 	reply, err := f.backend.Send(ctx, Attempt{
 		Request: flow.request, Route: flow.route, Server: target.server,
-		Deadline: flow.deadline, ResumeAfter: flow.stream.last, Priority: flow.priority,
+		Deadline: flow.deadline, ResumeAfter: cmp.Or(flow.stream.last, flow.request.ResumeAfter), Priority: flow.priority,
 	})
 	sw.pause()
 	if err != nil {
--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -1,6 +1,10 @@
 package forward
 
-import "errors"
+import (
+	"errors"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+)
 
 // minSteps is the number of equal differences between the IDs of consecutive events from which a larger
 // one, where a stream was continued, shows that events are missing.
@@ -33,6 +37,15 @@
 	withinEvent bool
 }
 
+// newEventStream returns the stream of a request, of which its caller may have a part. Where a route's
+// streams can't be resumed, servers begin them at the start, whatever the caller has.
+func newEventStream(request *Request, route *fleet.Route) eventStream {
+	if !route.Repeatable() {
+		return eventStream{}
+	}
+	return eventStream{last: request.ResumeAfter}
+}
+
 // resumable reports whether another server can continue the stream, or begin it again where the caller
 // has no event.
 func (s *eventStream) resumable() bool {
--- a/internal/forward/eventstream_test.go
+++ b/internal/forward/eventstream_test.go
@@ -455,3 +455,15 @@
 		})
 	}
 }
+
+// Guards against the beginning of a stream that can't be resumed being dropped, since its caller sent the
+// ID of an event.
+func TestStreamThatCanNotBeResumedIsPassedOnFromItsStart(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		b.inTurn(raw(events(1, 4)...))
+		outcome, seen := serveStream(b, "stream", "2")
+		Expect(seen.body.String()).To(Equal(strings.Join(events(1, 4), "")))
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(b.backend.attempts[0].ResumeAfter).To(Equal("2"), "the server is told")
+	})
+}
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -138,7 +138,7 @@
 		maySend: true,
 		request: request, route: route, pool: route.Pick(f.sequence.Add(1)), deadline: deadline,
 		prefixes: sharedPrefixes(request), clientRetry: f.isClientRetry(request, route), tried: map[string]bool{}, slotsAt: map[string]time.Time{},
-		stream: eventStream{last: request.ResumeAfter}, latestServer: new(atomic.Pointer[fleet.Server]),
+		stream: newEventStream(request, route), latestServer: new(atomic.Pointer[fleet.Server]),
 	}
 }
 
