--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -15,8 +15,8 @@
 // afterwards.
 var unframedCheckDelays = [...]time.Duration{0, 20 * time.Millisecond}
 
-// incarnationCheckTimeout limits one check of a server's incarnation, for which the end of a response
-// waits.
+// incarnationCheckTimeout limits the checks of a server's incarnation together, for which the end of a
+// response waits.
 const incarnationCheckTimeout = 200 * time.Millisecond
 
 // Errors of Config.CheckIncarnation.
@@ -49,8 +49,10 @@
 // server has crashed: the system closes its connections in order, also in the middle of a response.
 type unframedBody struct {
 	io.ReadCloser
-	// check tests the server.
-	check func() serverState
+	// ctx of the attempt.
+	ctx context.Context
+	// check tests the server, and its incarnation within the context's time.
+	check func(limited context.Context) serverState
 	// mayResume reports whether the caller, or another attempt, can ask for what may be missing.
 	mayResume func() bool
 	end       error
@@ -86,9 +88,11 @@
 
 func (b *unframedBody) checkRepeatedly() serverState {
 	began, state := time.Now(), serverUnknown
+	limited, cancel := context.WithDeadline(b.ctx, began.Add(incarnationCheckTimeout))
+	defer cancel()
 	for _, delay := range unframedCheckDelays {
 		time.Sleep(time.Until(began.Add(delay)))
-		state = b.check()
+		state = b.check(limited)
 		if state == serverEnded || state == serverRuns {
 			break
 		}
@@ -116,12 +120,9 @@
 
 // checkServer finds out whether a server still runs: by its incarnation, where it tells that in time,
 // otherwise by a connection.
-func (f *Forwarder) checkServer(ctx context.Context, server *fleet.Server) serverState {
-	if f.checkIncarnation != nil {
-		limited, cancel := context.WithTimeout(ctx, incarnationCheckTimeout)
-		state := stateOf(f.checkIncarnation(limited, server), serverRuns)
-		cancel()
-		if state != serverUnknown {
+func (f *Forwarder) checkServer(ctx, limited context.Context, server *fleet.Server) serverState {
+	if f.checkIncarnation != nil && limited.Err() == nil {
+		if state := stateOf(f.checkIncarnation(limited, server), serverRuns); state != serverUnknown {
 			return state
 		}
 	}
@@ -134,8 +135,8 @@
 		return
 	}
 	reply.Body = &unframedBody{
-		ReadCloser: reply.Body,
-		check:      func() serverState { return f.checkServer(ctx, target.server) },
-		mayResume:  func() bool { return reply.Events && flow.route.Repeatable() && flow.stream.resumable() },
+		ReadCloser: reply.Body, ctx: ctx,
+		check:     func(limited context.Context) serverState { return f.checkServer(ctx, limited, target.server) },
+		mayResume: func() bool { return reply.Events && flow.route.Repeatable() && flow.stream.resumable() },
 	}
 }
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -178,3 +178,20 @@
 		})
 	}
 }
+
+// Guards against the end of a response waiting for long for a server that accepts connections and does
+// not answer.
+func TestEndOfAnUnframedResponseWaitsForABoundedTime(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		b.inTurn(unframed(streams(events(1, 2), time.Millisecond, io.EOF)))
+		b.forwarder.connect = func(context.Context, string) error { return nil }
+		b.forwarder.checkIncarnation = func(ctx context.Context, _ *fleet.Server) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		began := time.Now()
+		outcome, _ := serveStream(b, "patient", "")
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(time.Since(began)).To(BeNumerically("<=", incarnationCheckTimeout+10*time.Millisecond))
+	})
+}
