--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -45,11 +46,11 @@
 	sw := f.newSwitchover(flow, cancel)
 	outcome := f.send(ctx, flow, target, responder, sw)
 	next := sw.end()
-	if outcome != nil && next != nil {
+	flow.maySend = flow.maySend || next != nil
+	if next != nil && (outcome != nil || !continuesStream(flow, next.server, nil, time.Now())) {
 		f.release(flow, next, nil)
 		next = nil
 	}
-	flow.maySend = flow.maySend || next != nil
 	return outcome, next
 }
 
@@ -63,7 +64,7 @@
 	flow.attemptStarted = started
 	reply, err := f.backend.Send(ctx, Attempt{
 		Request: flow.request, Route: flow.route, Server: target.server,
-		Deadline: flow.deadline, ResumeAfter: flow.lastEvent, Priority: flow.priority,
+		Deadline: flow.deadline, ResumeAfter: cmp.Or(flow.stream.last, flow.request.ResumeAfter), Priority: flow.priority,
 	})
 	sw.pause()
 	if err != nil {
@@ -73,7 +74,7 @@
 	}
 	flow.trialSent = true
 	defer reply.Body.Close()
-	f.verifyEnd(ctx, target, reply)
+	f.verifyEnd(ctx, flow, target, reply)
 	if flow.firstByte == 0 {
 		flow.firstByte = time.Since(flow.request.Accepted)
 	}
@@ -101,10 +102,10 @@
 	return flow.route.Repeatable() && flow.runs+further < flow.route.MaxAttempts
 }
 
-// isRetryableFailure reports whether the server answered with a failure that is not passed
-// on, because another server may run the request or a response was begun already.
+// isRetryableFailure reports whether the server's response is not passed on, because another server may
+// run the request, or because it does not continue the one that was begun.
 func (f *Forwarder) isRetryableFailure(flow *flow, reply *Reply) bool {
-	return reply.Status >= minFailureStatus && (flow.headSent || f.mayRepeat(flow, 1))
+	return !flow.continues(reply) || reply.Status >= minFailureStatus && f.mayRepeat(flow, 1)
 }
 
 // recordResponse updates the server's load, failure rate and latency from a response head.
