--- /dev/null
+++ b/internal/forward/event.go
@@ -0,0 +1,143 @@
+package forward
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"hash/maphash"
+	"strconv"
+	"strings"
+)
+
+// errSurplusResponse breaks a stream in which the head of another response follows: without a length or
+// chunks, what a server sends after its response looks like a part of it.
+var errSurplusResponse = errors.New("another response follows within the stream")
+
+// byteOrderMark may precede the first event of a stream.
+var byteOrderMark = []byte("\ufeff")
+
+// streamEvent is what of a server-sent event matters for joining streams.
+type streamEvent struct {
+	// id is empty if the event has none.
+	id string
+	// hasContent: the event has an ID or data, so that it is more than a comment.
+	hasContent bool
+	// digest of the event's ID, type and data, which don't depend on its server.
+	digest uint64
+}
+
+// parseEvent reads a complete event.
+func parseEvent(block []byte) (streamEvent, error) {
+	var event streamEvent
+	var digest maphash.Hash
+	digest.SetSeed(digestSeed)
+	block = bytes.TrimPrefix(block, byteOrderMark)
+	for len(block) > 0 {
+		end := lineLength(block)
+		line := block[:end]
+		block = block[min(end+1, len(block)):]
+		if bytes.HasPrefix(line, []byte("HTTP/1.")) {
+			return streamEvent{}, errSurplusResponse
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			event.id, event.hasContent = string(bytes.TrimSpace(value)), true
+		case "data":
+			event.hasContent = true
+		case "event":
+		default:
+			continue
+		}
+		_, _ = digest.Write(name)
+		_ = digest.WriteByte(':')
+		_, _ = digest.Write(value)
+		_ = digest.WriteByte('\n')
+	}
+	event.digest = digest.Sum64()
+	return event, nil
+}
+
+// lineLength is the length in bytes of the first line of data, without its end.
+func lineLength(data []byte) int {
+	for i, char := range data {
+		if char == '\n' || char == '\r' {
+			return i
+		}
+	}
+	return len(data)
+}
+
+// digestSeed is of this process, in which all digests of a stream are made.
+var digestSeed = maphash.MakeSeed()
+
+// addDigest adds an event's digest to that of the events before it.
+func addDigest(chain, digest uint64) uint64 {
+	return maphash.Comparable(digestSeed, [2]uint64{chain, digest})
+}
+
+// compareEventIDs returns a negative number if the ID a comes before b, 0 if they are the same and a
+// positive number otherwise. The order is certain for decimal numbers, also after a common prefix; that
+// of other IDs is the most likely one.
+func compareEventIDs(a, b string) (order int, certain bool) {
+	if a == b {
+		return 0, true
+	}
+	prefixA, numberA := cutNumber(a)
+	prefixB, numberB := cutNumber(b)
+	if prefixA == prefixB && numberA != "" && numberB != "" {
+		return compareNumbers(numberA, numberB), true
+	}
+	if len(a) == len(b) {
+		return cmp.Compare(a, b), false
+	}
+	if order := compareNumberParts(a, b); order != 0 {
+		return order, false
+	}
+	return cmp.Compare(len(a), len(b)), false
+}
+
+// cutNumber cuts the decimal number at the end of an ID off.
+func cutNumber(id string) (prefix, number string) {
+	begin := len(id)
+	for begin > 0 && id[begin-1] >= '0' && id[begin-1] <= '9' {
+		begin--
+	}
+	return id[:begin], id[begin:]
+}
+
+func compareNumbers(a, b string) int {
+	a, b = strings.TrimLeft(a, "0"), strings.TrimLeft(b, "0")
+	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
+}
+
+// compareNumberParts compares IDs that consist of several numbers with the same characters between them,
+// such as a time and a sequence number; 0 if they don't.
+func compareNumberParts(a, b string) int {
+	isDigit := func(char rune) bool { return char >= '0' && char <= '9' }
+	isOther := func(char rune) bool { return !isDigit(char) }
+	if strings.Join(strings.FieldsFunc(a, isDigit), " ") != strings.Join(strings.FieldsFunc(b, isDigit), " ") {
+		return 0
+	}
+	partsA, partsB := strings.FieldsFunc(a, isOther), strings.FieldsFunc(b, isOther)
+	for i := range min(len(partsA), len(partsB)) {
+		if order := compareNumbers(partsA[i], partsB[i]); order != 0 {
+			return order
+		}
+	}
+	return 0
+}
+
+// eventStep is the difference of the decimal numbers of two IDs, the second of which comes later; 0 if it is
+// not known.
+func eventStep(from, to string) uint64 {
+	prefixFrom, numberFrom := cutNumber(from)
+	prefixTo, numberTo := cutNumber(to)
+	before, err := strconv.ParseUint(numberFrom, 10, 64)
+	after, alsoErr := strconv.ParseUint(numberTo, 10, 64)
+	if err != nil || alsoErr != nil || prefixFrom != prefixTo || after < before {
+		return 0
+	}
+	return after - before
+}
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -43,9 +43,15 @@
 	// cold: no server held the model when the request arrived.
 	cold     bool
 	decision Decision
-	// lastEvent is the ID of the last event passed on; headSent: the response head was.
-	lastEvent string
-	headSent  bool
+	// stream is what of an event stream was passed on; headSent: the response head was, with headStatus.
+	stream     eventStream
+	headSent   bool
+	headStatus int
+	// version is the software version of the server that began the stream; nil inside until an event
+	// is passed on. Copies of the flow share it.
+	version *atomic.Pointer[string]
+	// onBegin is called with the server at which a stream that may be resumed begins; nil for others.
+	onBegin func(server *fleet.Server)
 	// trial is set where the request is quarantined and runs as a trial; trialSent: a server may
 	// have read it, so that it is sent to no other one.
 	trial     *poison.Trial
@@ -70,6 +76,14 @@
 	return fl.deadline
 }
 
+// mayContinue reports whether another server's response can follow what was passed on.
+func (fl *flow) mayContinue() bool { return !fl.headSent || fl.stream.resumable() }
+
+// continues reports whether a response can follow the head that was sent.
+func (fl *flow) continues(reply *Reply) bool {
+	return !fl.headSent || reply.Events && reply.Status == fl.headStatus
+}
+
 // startBy is the time by which a server must begin with the request: in time for the latency
 // objective or, where a late response is better than a refusal, before the caller leaves.
 func (fl *flow) startBy(now time.Time) time.Time {
@@ -125,12 +139,16 @@
 	if request.Deadline.Before(deadline) {
 		deadline = request.Deadline.Add(-deadlineMargin)
 	}
-	return &flow{
+	flow := &flow{
 		maySend: true,
 		request: request, route: route, pool: route.Pick(f.sequence.Add(1)), deadline: deadline,
 		prefixes: sharedPrefixes(request), clientRetry: f.isClientRetry(request, route), tried: map[string]bool{}, slotsAt: map[string]time.Time{},
-		lastEvent: request.ResumeAfter, latestServer: new(atomic.Pointer[fleet.Server]),
+		stream: newEventStream(request, route), latestServer: new(atomic.Pointer[fleet.Server]), version: new(atomic.Pointer[string]),
+	}
+	if route.Kind == fleet.KindStream && route.Resumable {
+		flow.onBegin = func(server *fleet.Server) { f.recordOrigin(flow, server) }
 	}
+	return flow
 }
 
 // maxRouteTimes is the number of routes whose times are kept. It bounds the map, since routes
