exchange: Bound the head of a response in bytes and interim responses in number

What callers saw: a server that sent a status line, a header line, headers or bytes that are no HTTP without end was read until the attempt's context ended, 0.55 to 2.1 GB of heap in 3 s, in a node that has 184 to 536 MB. Interim responses without end were read until then as well. Cause: http.ReadResponse reads lines and headers without a limit. Change: the connection's buffered reader reads through a reader that counts while a head is read, 64 KiB with its interim responses, and at most 32 of those. What exceeds it is an error of a request that may have run, closes the connection, and is logged and counted as head_too_long or too_many_interim. Bodies pass the reader uncounted. Evidence: TestHeadWithoutEndIsCut failed before in each of its 8 cases, each read until the context's end after 500 ms of virtual time ("read/write on closed pipe", or the whole of what had come quoted as a malformed response). TestHeadOfMaximumLengthIsRead failed at the longer head, which was accepted. Both pass now, with no more than 64 KiB and one read buffer taken from the server. TestSlowHeadWithoutEndEndsWithTheContext passed before. Tests of exchange, edge, platform, outside, serverpath and hatchplank-node pass.

--- a/internal/exchange/anomaly.go
+++ b/internal/exchange/anomaly.go
@@ -14,6 +14,12 @@
 	AnomalyUnrequestedData AnomalyKind = "unrequested_data"
 	// AnomalyMalformedResponse: the data that arrived is no HTTP response.
 	AnomalyMalformedResponse AnomalyKind = "malformed_response"
+	// AnomalyHeadTooLong: the head of the response, or data that is none, exceeds maxHeadBytes.
+	AnomalyHeadTooLong AnomalyKind = "head_too_long"
+	// AnomalyTooManyInterim: more than maxInterimResponses interim responses came before a final one.
+	AnomalyTooManyInterim AnomalyKind = "too_many_interim"
+	// AnomalyBodyTooLong: the body of the response exceeds the limit of its reader.
+	AnomalyBodyTooLong AnomalyKind = "body_too_long"
 )
 
 // Anomaly describes an anomaly for logs and metrics.
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -128,16 +128,13 @@
 func (c *Client) readResponse(conn *connection, request Request) (response *http.Response, clean bool, err error) {
 	clean = true
 	for skipped := 0; skipped <= maxSkippedResponses; {
-		response, err = http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
+		response, err = conn.readHead(request.Method)
 		if err != nil {
-			if conn.reader.Buffered() > 0 {
-				c.report(conn, AnomalyMalformedResponse, request.Identity, 0, err)
+			if kind := conn.headAnomaly(err); kind != "" {
+				c.report(conn, kind, request.Identity, 0, err)
 			}
 			return nil, false, eris.Wrap(err, "read the answer's head")
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if request.OnHead != nil {
 			request.OnHead(response)
 		}
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -35,6 +35,8 @@
 // connection is a connection to a server, used by one exchange at a time.
 type connection struct {
 	net.Conn
+	// head is what reader reads from.
+	head   headReader
 	reader *bufio.Reader
 	route  route
 	// number of the connection within its client, from 1.
@@ -116,7 +118,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), route: route{address, indirect}}, nil
+	conn := &connection{Conn: raw, head: headReader{source: raw}, route: route{address, indirect}}
+	conn.reader = bufio.NewReaderSize(&conn.head, readBuffer)
+	return conn, nil
 }
 
 // DialDirect opens a connection by this node's own path, within the time limit.
