exchange: Never read the rest of a skipped response's body as a response

What callers saw: nothing known; a body of another request over 1 MiB could be taken for the request's response. Cause: a response of another request is skipped by reading at most 1 MiB of its body. The bytes after that were then parsed as the next response. Change: the exchange fails as it does after other responses that can't be skipped, and body_too_long is counted. Evidence: TestBodyOfASkippedResponseIsNeverReadAsAResponse failed before: a response within the body of another request's, after its first 1 MiB, was returned ("Expected an error, got nil"). TestBodyWithoutEndFollowsItsReader passed before.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -150,7 +150,10 @@
 		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, false, ErrResponseMismatch
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBody)); err != nil {
+		if err := skipBody(response); err != nil {
+			if errors.Is(err, ErrBodyTooLong) {
+				c.report(conn, AnomalyBodyTooLong, request.Identity, response.StatusCode, err)
+			}
 			return nil, false, errors.Join(ErrResponseMismatch, err)
 		}
 	}
