edge: Bound the requests at the listeners of health checks and metrics

What callers saw: nothing known; a connection whose request trickled in was kept for ever, and a head was read up to 1 MiB where clients' heads are cut at 64 KiB. Cause: the servers had a time limit for the header only, and net/http's default for its length. Change: both read a whole request within 10 s and a head up to 64 KiB. An idle connection is kept for 5 minutes, so that those that check or scrape regularly open no more connections than before. Evidence: TestAuxiliaryListenersBoundWhatTheyRead failed before in its cases of a header line, headers and no HTTP (1,052,672 bytes read), slow chunks (60 s, when the test gave up) and slow trailers (51 s).

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -52,8 +53,11 @@
 	finalAnswerMargin = 700 * time.Millisecond
 	// exitMargin is how long before the end of the grace period the process exits.
 	exitMargin = 400 * time.Millisecond
-	// headerTimeout is the time limit for reading a request's header.
+	// headerTimeout is the time limit for reading a request's header, and for reading a whole request
+	// of a health check or for metrics.
 	headerTimeout = 10 * time.Second
+	// auxiliaryIdleTimeout is how long connections of health checks and for metrics may be idle.
+	auxiliaryIdleTimeout = 5 * time.Minute
 	// maxHeaderBytes is the maximum size of a request's header in bytes.
 	maxHeaderBytes = 64 << 10
 	// minLoggedPause is the shortest pause of the process that is logged.
@@ -136,7 +140,7 @@
 		Handler: p.components.Callers, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: p.idle.connStateChanged, ErrorLog: httpErrorLog(p.logger),
 	}
-	health := &http.Server{Handler: http.HandlerFunc(p.health), ReadHeaderTimeout: headerTimeout, ErrorLog: httpErrorLog(p.logger)}
+	health := newAuxiliaryServer(http.HandlerFunc(p.health), httpErrorLog(p.logger))
 	p.auxiliary = []*http.Server{health}
 	if err := p.serve(Callers, p.callers, p.settings.Listen.Callers, failures); err != nil {
 		return err
@@ -152,11 +156,18 @@
 	if p.components.Status != nil {
 		pages.Handle("/status", p.components.Status)
 	}
-	metrics := &http.Server{Handler: pages, ReadHeaderTimeout: headerTimeout, ErrorLog: httpErrorLog(p.logger)}
+	metrics := newAuxiliaryServer(pages, httpErrorLog(p.logger))
 	p.auxiliary = append(p.auxiliary, metrics)
 	return p.serve(MetricsPage, metrics, p.settings.Listen.Metrics, failures)
 }
 
+// newAuxiliaryServer returns a server of health checks or metrics, whose requests need no body.
+func newAuxiliaryServer(handler http.Handler, errorLog *log.Logger) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadTimeout: headerTimeout, IdleTimeout: auxiliaryIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
+	}
+}
+
 // serve opens one address and serves it in the background. A later failure goes to failures.
 func (p *Process) serve(name Listener, server *http.Server, address string, failures chan<- error) error {
 	listener, err := net.Listen("tcp", address)
