forward: Search each byte of a stream's event once for its end

What callers saw: nothing known; an event that came in many pieces without its end kept a core of the node busy: up to 1 MiB is buffered, and all of it was searched again after each piece. Cause: eventReader searched the whole buffered part for an end of an event at every read. Change: it remembers the length of the part that was searched without result.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -177,8 +177,10 @@
 type eventReader struct {
 	body   io.Reader
 	buffer []byte
-	// partial is the beginning of an event that is not complete yet.
-	partial []byte
+	// partial is the beginning of an event that is not complete yet, and searched the length of a
+	// part of it in which no event ends.
+	partial  []byte
+	searched int
 }
 
 // next returns the complete events of the next reads. It returns io.EOF at the end of a complete
@@ -188,11 +190,13 @@
 		buffer := r.buffer[:cap(r.buffer)]
 		count, err := r.body.Read(buffer)
 		r.partial = append(r.partial, buffer[:count]...)
-		if end := completeLength(r.partial); end > 0 {
+		if length := completeLength(r.partial[r.searched:]); length > 0 {
+			end := r.searched + length
 			events := append([]byte(nil), r.partial[:end]...)
-			r.partial = append(r.partial[:0], r.partial[end:]...)
+			r.partial, r.searched = append(r.partial[:0], r.partial[end:]...), 0
 			return events, r.checkEnd(err)
 		}
+		r.searched = max(0, len(r.partial)-len("\r\n\r\n")+1)
 		if err != nil {
 			return nil, r.checkEnd(err)
 		}
