serve: Log and count responses that are cut

What operators saw: nothing; a response to hatchplank serve that exceeded a limit was an error of its attempt only. Cause: the clients of servers and services passed no callback to exchange, and read bodies past its limits. Change: httpapi.Options.OnAnomaly, which serve logs (100 lines a second of each kind) and counts as hatchplank_response_anomalies_total. Bodies are read by exchange.ReadBody, whose limits they already had. Evidence: with the callback declared but not called, the four cases of "a response without end is cut and reported" failed; they pass now. Responses of etcd are not counted: that client uses net/http, which cuts a head at 10 MiB.

--- a/internal/outside/httpapi/attempt.go
+++ b/internal/outside/httpapi/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"mime"
 	"net/http"
 	"strconv"
@@ -120,7 +119,7 @@
 	if err != nil || media != MediaProblem {
 		return Problem{}, false
 	}
-	body, err := readLimited(response.Body, maxProblemBytes)
+	body, err := readLimited(response, maxProblemBytes)
 	if err != nil {
 		return Problem{}, false
 	}
@@ -132,15 +131,12 @@
 }
 
 // readLimited reads a whole body. It returns errTooLarge if the body exceeds limit bytes.
-func readLimited(body io.Reader, limit int64) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(content)) > limit {
+func readLimited(response *http.Response, limit int64) ([]byte, error) {
+	content, err := exchange.ReadBody(response, limit)
+	if errors.Is(err, exchange.ErrBodyTooLong) {
 		return nil, errTooLarge
 	}
-	return content, nil
+	return content, err
 }
 
 // setHeader sets a header unless the value is empty.
--- a/internal/outside/httpapi/backend.go
+++ b/internal/outside/httpapi/backend.go
@@ -26,11 +26,13 @@
 // A connection fails when sent bytes remain unacknowledged for the dial timeout, as it does
 // when the server can't be connected to.
 func newClient(options Options) *http.Client {
+	client := exchange.NewClient(exchange.DialSettings{
+		Timeout: options.DialTimeout, AckTimeout: options.DialTimeout,
+		MaxIdlePerServer: options.IdleConnectionsPerServer, IdleTimeout: options.IdleConnectionTimeout,
+	})
+	client.OnAnomaly = options.OnAnomaly
 	return &http.Client{
-		Transport: &exchange.Transport{Client: exchange.NewClient(exchange.DialSettings{
-			Timeout: options.DialTimeout, AckTimeout: options.DialTimeout,
-			MaxIdlePerServer: options.IdleConnectionsPerServer, IdleTimeout: options.IdleConnectionTimeout,
-		})},
+		Transport: &exchange.Transport{Client: client},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
@@ -94,7 +96,7 @@
 	if response.Header.Get("Content-Type") == MediaProblem {
 		return none, current.statusFailure(response)
 	}
-	body, err := readLimited(response.Body, b.options.MaxResponseBytes)
+	body, err := readLimited(response, b.options.MaxResponseBytes)
 	if err != nil {
 		return none, current.unknownFailure(reasonOf(ctx, reasonTruncated))
 	}
--- a/internal/outside/httpapi/options.go
+++ b/internal/outside/httpapi/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/outside"
 )
 
@@ -32,6 +33,9 @@
 	// StreamInBody sets "stream":true in the body of a generation, for engines that ignore
 	// the Accept header. Otherwise the body is sent unchanged.
 	StreamInBody bool
+	// OnAnomaly is called with what a server sent in place of one response for each request; nil: not
+	// called.
+	OnAnomaly func(exchange.Anomaly)
 }
 
 // Defaults of Options.
--- a/internal/outside/httpapi/query.go
+++ b/internal/outside/httpapi/query.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -32,7 +31,7 @@
 	case http.StatusNotModified:
 		return false, nil
 	case http.StatusOK:
-		return true, decodeJSON(response.Body, limit, result)
+		return true, decodeJSON(response, limit, result)
 	default:
 		return false, unreachable(fmt.Errorf("unexpected HTTP status %d", response.StatusCode))
 	}
@@ -54,8 +53,8 @@
 	return request, nil
 }
 
-func decodeJSON(body io.Reader, limit int64, result any) error {
-	content, err := readLimited(body, limit)
+func decodeJSON(response *http.Response, limit int64, result any) error {
+	content, err := readLimited(response, limit)
 	if err != nil {
 		return unreachable(err)
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -104,13 +104,14 @@
 		return eris.Wrap(err, "key-value service")
 	}
 	p.keyValues = keyValues
-	machines := httpapi.NewMachineList(hostPort(p.settings.Platform.MachineList), httpapi.Options{})
-	weights := httpapi.NewWeightStore(hostPort(p.settings.Platform.WeightStore), httpapi.Options{})
+	options := p.clientOptions()
+	machines := httpapi.NewMachineList(hostPort(p.settings.Platform.MachineList), options)
+	weights := httpapi.NewWeightStore(hostPort(p.settings.Platform.WeightStore), options)
 	p.health = newHealth(p.clock, keyValues, machines, weights)
 	p.node, err = node.New(node.Config{
 		Self: p.self(), Settings: p.settings, Clock: p.clock, Seed: rand.Uint64(),
-		KeyValues: p.health.keyValues, Engines: httpapi.NewEngines(p.serverAddress, httpapi.Options{}),
-		BackEnds: httpapi.NewBackEnds(p.serverAddress, httpapi.Options{}), Machines: p.health.machines, Weights: p.health.weights,
+		KeyValues: p.health.keyValues, Engines: httpapi.NewEngines(p.serverAddress, options),
+		BackEnds: httpapi.NewBackEnds(p.serverAddress, options), Machines: p.health.machines, Weights: p.health.weights,
 		Transport: p.transport, Logger: p.logger, Mechanisms: applier.AllMechanisms(),
 		OnFatalError: p.fail,
 	})
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -27,6 +27,9 @@
 	BodyBytes prometheus.Gauge
 	// Panics counts the panics recovered in handlers.
 	Panics prometheus.Counter
+	// Anomalies counts, by kind, what servers and services sent in place of one response for each
+	// request.
+	Anomalies *prometheus.CounterVec
 }
 
 // Description is the documentation of one metric.
@@ -43,6 +46,7 @@
 	{"hatchplank_http_chunks_total", "counter", "", "Pieces of generated answers relayed to callers."},
 	{"hatchplank_http_body_bytes", "gauge", "", "Bytes reserved for the bodies of requests in flight."},
 	{"hatchplank_http_panics_total", "counter", "", "Faults caught in request handlers; each one is a defect."},
+	{"hatchplank_response_anomalies_total", "counter", "kind", "What servers and services sent in place of one response for each request, by kind (unrequested_data, malformed_response, head_too_long, too_many_interim, body_too_long)."},
 }
 
 // latencyBuckets are in seconds and cover answers of loaded models as well as cold
@@ -61,10 +65,11 @@
 		Chunks:     prometheus.NewCounter(prometheus.CounterOpts(options(4))),
 		BodyBytes:  prometheus.NewGauge(prometheus.GaugeOpts(options(5))),
 		Panics:     prometheus.NewCounter(prometheus.CounterOpts(options(6))),
+		Anomalies:  prometheus.NewCounterVec(prometheus.CounterOpts(options(7)), []string{"kind"}),
 	}
 	metrics.registry.MustRegister(
 		metrics.Requests, metrics.InFlight, metrics.FirstChunk, metrics.Duration,
-		metrics.Chunks, metrics.BodyBytes, metrics.Panics,
+		metrics.Chunks, metrics.BodyBytes, metrics.Panics, metrics.Anomalies,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -49,6 +49,7 @@
 		metrics := telemetry.NewMetrics()
 		metrics.Requests.WithLabelValues("/v1/models", "ok").Inc()
 		metrics.Duration.WithLabelValues("/v1/models").Observe(1)
+		metrics.Anomalies.WithLabelValues("head_too_long").Inc()
 		families, err := metrics.Registry().Gather()
 		Expect(err).NotTo(HaveOccurred())
 		page, err := os.ReadFile(metricsPage)
