--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -128,16 +128,13 @@
 func (c *Client) readResponse(conn *connection, request Request) (response *http.Response, clean bool, err error) {
 	clean = true
 	for skipped := 0; skipped <= maxSkippedResponses; {
-		response, err = http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
+		response, err = conn.readHead(request.Method)
 		if err != nil {
-			if conn.reader.Buffered() > 0 {
-				c.report(conn, AnomalyMalformedResponse, request.Identity, 0, err)
+			if kind := conn.headAnomaly(err); kind != "" {
+				c.report(conn, kind, request.Identity, 0, err)
 			}
 			return nil, false, eris.Wrap(err, "read the answer's head")
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if request.OnHead != nil {
 			request.OnHead(response)
 		}
@@ -153,7 +150,10 @@
 		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, false, ErrResponseMismatch
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBody)); err != nil {
+		if err := skipBody(response); err != nil {
+			if errors.Is(err, ErrBodyTooLong) {
+				c.report(conn, AnomalyBodyTooLong, request.Identity, response.StatusCode, err)
+			}
 			return nil, false, errors.Join(ErrResponseMismatch, err)
 		}
 	}
