edge: Answer requests that are read while the callers' port closes

Cause: http.Server.Shutdown begins with the flag on which net/http drops what it has just read, and closes idle connections also while a request is being read on them: their state changes only after the whole header.

Change: the node closes the port first, and ends connections without a request by a read deadline instead of closing them. Their read then either gets bytes, and the request is served, or net/http closes them. Shutdown follows once none is left on which a request is being read. New connections have newConnectionWait for their first request.

The tests failed before: a request whose header ends 0.1 s after the port closed got "unexpected EOF" on a new connection and on one used before; 51 of 200 requests sent within 10 ms of the closing were taken and not answered. Not covered: connections that wait in the kernel's accept queue are still reset unread, and a connection that turns idle in the microseconds before Shutdown sets its flag.

--- a/internal/edge/connections.go
+++ b/internal/edge/connections.go
@@ -24,6 +24,9 @@
 func (c *idleConnections) connStateChanged(conn net.Conn, state http.ConnState) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if client, isClient := conn.(*clientConnection); isClient {
+		client.stateChanged(state)
+	}
 	if state == http.StateIdle || state == http.StateNew {
 		c.idleSince[conn] = time.Now()
 		return
@@ -43,3 +46,16 @@
 		}
 	}
 }
+
+// closeUnused ends the connections on which no request has begun, new ones after newConnectionWait. It
+// returns how many connections are left that have no request, or whose request is being read.
+func (c *idleConnections) closeUnused(now time.Time) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for conn, since := range c.idleSince {
+		if client, isClient := conn.(*clientConnection); isClient {
+			client.closeUnused(now.Sub(since))
+		}
+	}
+	return len(c.idleSince)
+}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -59,7 +59,7 @@
 	idle       *idleConnections
 	started    atomic.Bool
 	stopping   atomic.Bool
-	callers    *http.Server
+	callers    callersServer
 	auxiliary  []*http.Server
 
 	mutex     sync.Mutex
@@ -121,12 +121,13 @@
 
 // listen opens all addresses and serves them.
 func (p *Process) listen(failures chan<- error) error {
-	p.callers = p.newCallersServer()
 	health := &http.Server{Handler: http.HandlerFunc(p.health), ReadHeaderTimeout: headerTimeout, ErrorLog: httpErrorLog(p.logger)}
 	p.auxiliary = []*http.Server{health}
-	if err := p.serve(Callers, p.callers, p.settings.Listen.Callers, failures); err != nil {
+	listener, err := p.open(Callers, p.settings.Listen.Callers)
+	if err != nil {
 		return err
 	}
+	p.serveCallers(listener, failures)
 	if err := p.serve(Health, health, p.settings.Listen.Health, failures); err != nil {
 		return err
 	}
@@ -143,34 +144,40 @@
 	return p.serve(MetricsPage, metrics, p.settings.Listen.Metrics, failures)
 }
 
-// newCallersServer returns the server of the clients' requests.
-func (p *Process) newCallersServer() *http.Server {
-	return &http.Server{
-		Handler: p.components.Callers, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: p.idle.connStateChanged, ErrorLog: httpErrorLog(p.logger),
+// open opens one address.
+func (p *Process) open(name Listener, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen at %s", address)
 	}
+	p.mutex.Lock()
+	p.addresses[name] = listener.Addr().String()
+	p.mutex.Unlock()
+	return listener, nil
 }
 
 // serve opens one address and serves it in the background. A later failure goes to failures.
 func (p *Process) serve(name Listener, server *http.Server, address string, failures chan<- error) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := p.open(name, address)
 	if err != nil {
-		return eris.Wrapf(err, "listen at %s", address)
+		return err
 	}
-	p.mutex.Lock()
-	p.addresses[name] = listener.Addr().String()
-	p.mutex.Unlock()
 	p.serveAt(listener, server, failures)
 	return nil
 }
 
-// serveAt serves a listener in the background. A later failure goes to failures.
-func (p *Process) serveAt(listener net.Listener, server *http.Server, failures chan<- error) {
+// serveAt serves a listener in the background. A later failure goes to failures. The channel that it
+// returns is closed once no more connections are accepted.
+func (p *Process) serveAt(listener net.Listener, server *http.Server, failures chan<- error) <-chan struct{} {
+	done := make(chan struct{})
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		defer close(done)
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) && !p.Stopping() {
 			failures <- eris.Wrapf(err, "serve at %s", listener.Addr())
 		}
 	}()
+	return done
 }
 
 // health serves the health check: status 200 if the node should get new connections, else 503
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -38,10 +38,7 @@
 	time.Sleep(time.Until(started.Add(min(acceptAfterStop, p.settings.Stop.Grace/2))))
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-exitMargin))
 	defer cancel()
-	err := p.callers.Shutdown(ctx)
-	if err != nil {
-		_ = p.callers.Close()
-	}
+	err := p.callers.shutDown(ctx)
 	saved := inBackground(p.components.Stopped)
 	if p.components.AwaitCarried != nil {
 		p.components.AwaitCarried(ctx)
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -91,9 +92,8 @@
 	Expect(err).NotTo(HaveOccurred())
 	process := NewProcess(settings, zerolog.Nop())
 	process.Assemble(components)
-	process.callers = process.newCallersServer()
 	listener := newPipeListener()
-	process.serveAt(listener, process.callers, make(chan error, 1))
+	process.serveCallers(listener, make(chan error, 1))
 	prepare(listener, record)
 	synctest.Wait()
 	record.began = time.Now()
@@ -102,7 +102,7 @@
 	synctest.Wait()
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
-	return record.at
+	return maps.Clone(record.at)
 }
 
 // idleConnection connects a client whose first request has been answered; the step is noted once the
@@ -192,3 +192,82 @@
 		time.Sleep(2 * time.Hour)
 	})
 }
+
+// Two soaks saw it: net/http drops without an answer what it reads while the server shuts down.
+func TestRequestThatIsReadAsThePortClosesIsAnswered(t *testing.T) {
+	for name, earlier := range map[string]int{"on a new connection": 0, "on a connection used before": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				RegisterTestingT(t)
+				answered := make(chan error, 1)
+				stopInVirtualTime(Components{}, func(listener *pipeListener, _ *stopRecord) {
+					connection := listener.dial()
+					reader := bufio.NewReader(connection)
+					for range earlier {
+						_, _ = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+						response, err := http.ReadResponse(reader, nil)
+						Expect(err).NotTo(HaveOccurred())
+						_, _ = io.Copy(io.Discard, response.Body)
+					}
+					_, _ = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n")
+					go func() {
+						<-listener.closed
+						time.Sleep(100 * time.Millisecond)
+						_, _ = io.WriteString(connection, "\r\n")
+						_, err := http.ReadResponse(reader, nil)
+						answered <- err
+					}()
+				})
+				Expect(<-answered).To(Succeed())
+			})
+		})
+	}
+}
+
+// A request that the node took is answered, at whatever moment of the stop it was sent.
+func TestNoRequestIsTakenWithoutAnAnswerAroundTheClosingOfThePort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		const clients = 100
+		lost := make(chan time.Duration, 2*clients)
+		taken := make(chan struct{}, 2*clients)
+		var all sync.WaitGroup
+		stopInVirtualTime(Components{}, func(listener *pipeListener, _ *stopRecord) {
+			send := func(reader *bufio.Reader, connection net.Conn) (sent, answered bool) {
+				if _, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+					return false, false
+				}
+				response, err := http.ReadResponse(reader, nil)
+				if err == nil {
+					_, err = io.Copy(io.Discard, response.Body)
+				}
+				return true, err == nil
+			}
+			began := time.Now()
+			for client := range 2 * clients {
+				used := client%2 == 0
+				wait := acceptAfterStop + time.Duration(client/2-clients/2)*200*time.Microsecond
+				all.Go(func() {
+					dialWait := min(wait, acceptAfterStop) - time.Millisecond
+					time.Sleep(dialWait)
+					connection := listener.dial()
+					reader := bufio.NewReader(connection)
+					if used {
+						_, _ = send(reader, connection)
+					}
+					time.Sleep(wait - dialWait)
+					sent, answered := send(reader, connection)
+					if sent {
+						taken <- struct{}{}
+					}
+					if sent && !answered {
+						lost <- time.Since(began)
+					}
+				})
+			}
+		})
+		all.Wait()
+		Expect(len(taken)).To(BeNumerically(">", clients))
+		Expect(lost).To(BeEmpty())
+	})
+}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -360,6 +360,7 @@
 switch_off not-ready-when-stopping internal/edge/process.go 'if p.Stopping() {' 'if false {' ./internal/edge
 switch_off stop-takes-what-arrives internal/edge/stop.go 'time.Sleep(time.Until(started.Add(min(acceptAfterStop, p.settings.Stop.Grace/2))))' '' ./internal/edge
 switch_off stop-beside-the-store internal/edge/stop.go 'handedOver := inBackground(p.components.HandOver)' 'p.components.HandOver(); handedOver := inBackground(func() {})' ./internal/edge
+switch_off stop-answers-what-is-read internal/edge/callers.go '	s.closeUnused(ctx)' '' ./internal/edge
 switch_off end-answers-all internal/forward/forwarder.go 'func (f *Forwarder) Close() { f.cancel() }' 'func (f *Forwarder) Close() {}' $forward
 switch_off drain-refuses internal/forward/admission.go 'return f.giveUp(flow, "the node is stopping", result.NodeDraining)' '' $forward
 switch_off log-never-blocks internal/edge/log.go 'logging.NewLogger(writer, level, node)' 'logging.NewLogger(output, level, node)' ./internal/edge
