forward: Apply a server's rejection to requests of the same size or larger only

A request that is larger than a server's memory, or than what is free of it, is rejected as if the server were full. The node then counted the server as full for all requests for 1 s, or as not holding the model and adapter for 300 ms; with some such requests a second, and one holder of an adapter, all others were refused again and again.

Change: a rejection that may be due to a request's size is kept with the size, prompt and longest answer, and applies to later requests of that size or larger. Rejections of larger ones don't extend it. Requests without tokens, and 421, are handled as before. Notice that a full mark is kept beside the reported load and not as one.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -16,9 +16,6 @@
 	// attemptObjectiveFactor is the longest time limit of such an attempt, as a multiple of
 	// the latency objective.
 	attemptObjectiveFactor = 2.5
-	// notHeldTTL is how long a server gets no requests for a model after it answered that it
-	// does not hold it, or did not run a request for it and gave no reason.
-	notHeldTTL = 300 * time.Millisecond
 	// minFailureStatus is the lowest HTTP status that counts as a failure of the server.
 	minFailureStatus = 500
 )
@@ -188,16 +185,18 @@
 	switch failure.Reason {
 	case FailureConnect:
 		load.recordUnreachable(now)
-	case FailureNotHeld, FailureRefused:
-		load.notHeldUntil[flow.modelAndAdapter()] = now.Add(notHeldTTL)
+	case FailureNotHeld:
+		load.notHeld[flow.modelAndAdapter()] = rejection{at: now}
+	case FailureRefused:
+		key := flow.modelAndAdapter()
+		load.notHeld[key] = load.notHeld[key].add(sizeOf(flow.request), notHeldTTL, now)
 	case FailureOtherInstance:
 		// Another incarnation has the address now. The view drops this one once its record
 		// is replaced.
 		load.pausedUntil = now.Add(maxPause)
 	case FailureFull:
 		if !failure.Load.Reported {
-			load.setReported(Load{Reported: true, Running: maxRequestsPerSlot * server.Slots}, now)
-			load.fullAt = now
+			load.markFull(flow.request, server, now)
 		}
 	case FailureBroken, FailureTimeout:
 		load.recordResult(true, now)
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -56,7 +56,7 @@
 	if !server.Holds(flow.request.Model, flow.request.Adapter) {
 		return false
 	}
-	return len(load.notHeldUntil) == 0 || !now.Before(load.notHeldUntil[flow.modelAndAdapter()])
+	return len(load.notHeld) == 0 || !load.notHeld[flow.modelAndAdapter()].covers(flow.request, notHeldTTL, now)
 }
 
 func notTried(flow *flow, server *fleet.Server, _ *serverLoad, _ time.Time) bool {
@@ -67,8 +67,8 @@
 	return !now.Before(load.pausedUntil)
 }
 
-func hasCapacity(_ *flow, server *fleet.Server, load *serverLoad, now time.Time) bool {
-	return load.estimate(now) < maxRequestsPerSlot*max(server.Slots, 1)
+func hasCapacity(flow *flow, server *fleet.Server, load *serverLoad, now time.Time) bool {
+	return load.estimateFor(flow.request, now) < maxRequestsPerSlot*max(server.Slots, 1)
 }
 
 // choice is the result of choosing a server.
@@ -174,9 +174,9 @@
 func (f *Forwarder) reserve(flow *flow, c *candidate, now time.Time) {
 	c.load.mutex.Lock()
 	defer c.load.mutex.Unlock()
-	flow.decision.Load, flow.decision.Score = c.load.estimate(now), c.score
+	flow.decision.Load, flow.decision.Score = c.load.estimateFor(flow.request, now), c.score
 	flow.decision.Slowdown, flow.decision.Indirect = c.slowdown, c.indirect
-	flow.decision.LoadSource, flow.decision.LoadAge = c.load.source(now)
+	flow.decision.LoadSource, flow.decision.LoadAge = c.load.source(flow.request, now)
 	c.load.changeOwn(1, now)
 	c.load.ownPrefill += flow.request.PromptTokens
 	hashes := make([]uint64, len(flow.prefixes))
--- a/internal/forward/score.go
+++ b/internal/forward/score.go
@@ -60,7 +60,7 @@
 	defer c.load.mutex.Unlock()
 	tokens := flow.request.PromptTokens - cachedTokens(flow, c.load, preferred) + c.load.ownPrefill + baseTokens
 	latency := min(max(c.load.latencyNow(now), minLatencyFactor), maxLatencyFactor)
-	slots, present := max(c.server.Slots, 1), c.load.estimate(now)
+	slots, present := max(c.server.Slots, 1), c.load.estimateFor(flow.request, now)
 	slowdown := c.load.speed.sustainedAt(now)
 	alone := float64(tokenTime) * float64(tokens) * latency * slowdown
 	crowding := 1 + float64(present)/float64(slots)
@@ -68,7 +68,7 @@
 	c.perRequest, c.perQueued = time.Duration(alone/float64(slots)), time.Duration(float64(flow.runTime)*slowdown/float64(slots))
 	c.free = max(slots-present, 0)
 	c.slowdown = slowdown
-	c.sharedAge, c.shared = now.Sub(c.load.shared.at), c.load.usesShared()
+	c.sharedAge, c.shared = now.Sub(c.load.shared.at), c.load.usesSharedFor(flow.request)
 	c.score += c.load.queueWait(c.server.Slots, flow, now)
 	c.score += c.slotIn + f.limitPenalty(flow, c.server)
 	c.score += time.Duration(2 * c.load.failureRate(now) * float64(flow.route.LatencyObjective))
--- a/internal/forward/shared_load.go
+++ b/internal/forward/shared_load.go
@@ -98,9 +98,9 @@
 
 // source is where the estimate of the load is from, and the age of the report, if there was one. The
 // lock must be held.
-func (s *serverLoad) source(now time.Time) (LoadSource, time.Duration) {
+func (s *serverLoad) source(request *Request, now time.Time) (LoadSource, time.Duration) {
 	switch {
-	case s.usesShared():
+	case s.usesSharedFor(request):
 		return LoadFromNodes, now.Sub(s.shared.at)
 	case !s.report.Reported:
 		return LoadFromOwnRequests, 0
@@ -111,10 +111,8 @@
 }
 
 // usesShared reports whether the newest load that any node observed is used: nodes other than this
-// one observe the server, and it did not refuse a request as full since. The lock must be held.
-func (s *serverLoad) usesShared() bool {
-	return s.shared.inForce && !s.fullAt.After(s.shared.at)
-}
+// one observe the server. The lock must be held.
+func (s *serverLoad) usesShared() bool { return s.shared.inForce }
 
 // changeOwn counts this node's requests at the server. The lock must be held.
 func (s *serverLoad) changeOwn(change int, now time.Time) {
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -42,9 +42,9 @@
 	incarnation fleet.Incarnation
 	shared      sharedLoad
 	ownLoadAt   time.Time
-	// fullAt is when the server last refused a request as full without a report of its load.
-	fullAt time.Time
-	speed  speed
+	// full is the server's last rejection of a request as full without a report of its load.
+	full  fullMark
+	speed speed
 	// checkedSince identifies the suspicion that this node checked last, by when it received it.
 	checkedSince time.Time
 	// checks is the number of checks in progress.
@@ -62,20 +62,25 @@
 	// average, as of latencyAt.
 	latency   float64
 	latencyAt time.Time
-	// notHeldUntil are the times until which the server gets no requests for models that it
-	// answered not to hold, or refused without a reason, by model and adapter.
-	notHeldUntil map[string]time.Time
+	// notHeld are the server's last rejections of requests for models that it answered not to hold,
+	// or refused without a reason, by model and adapter.
+	notHeld map[string]rejection
 	// prefixes are the times at which prompt prefixes were last sent here, by hash.
 	prefixes map[uint64]time.Time
 }
 
-// estimate is the estimated number of requests at the server, running and waiting: its reported
-// load, corrected by this node's requests since, or only this node's requests if the report is
-// too old. Loads of other nodes in force replace the report. The lock must be held.
+// estimate is the estimated number of requests at the server, running and waiting. Loads of other
+// nodes in force replace this node's estimate. The lock must be held.
 func (s *serverLoad) estimate(now time.Time) int {
 	if s.usesShared() {
 		return s.sharedEstimate()
 	}
+	return s.ownEstimate(now)
+}
+
+// ownEstimate is the estimate without the loads of other nodes: the reported load, corrected by this
+// node's requests since, or only this node's requests if the report is too old. The lock must be held.
+func (s *serverLoad) ownEstimate(now time.Time) int {
 	if s.report.Reported && now.Sub(s.reportedAt) < reportedLoadTTL {
 		return max(s.own, s.report.Running+s.report.Waiting+s.own-s.ownAtReport)
 	}
@@ -86,11 +91,11 @@
 // of the waiting ones that the server starts first. The lock must be held.
 func (s *serverLoad) queueWait(slots int, flow *flow, now time.Time) time.Duration {
 	slots = max(slots, 1)
-	ahead := float64(s.estimate(now) - slots + 1)
+	ahead := float64(s.estimateFor(flow.request, now) - slots + 1)
 	if ahead <= 0 {
 		return 0
 	}
-	if s.usesShared() {
+	if s.usesSharedFor(flow.request) {
 		ahead = 1 + (ahead-1)*flow.aheadShare
 	}
 	return time.Duration(ahead / float64(slots) * float64(flow.runTime) * s.speed.sustainedAt(now))
@@ -224,7 +229,7 @@
 func (t *tracker) entry(id string) *serverLoad {
 	found := t.servers[id]
 	if found == nil {
-		found = &serverLoad{notHeldUntil: map[string]time.Time{}, latency: 1}
+		found = &serverLoad{notHeld: map[string]rejection{}, latency: 1}
 		t.servers[id] = found
 	}
 	return found
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -232,8 +232,9 @@
 switch_off hold-on internal/forward/admission.go 'return held > ' 'return held < 0 && held > ' $forward
 switch_off place-before-switchover internal/forward/switchover.go 'if s.target == nil {' 'if false {' $forward
 switch_off budget-before-switchover internal/forward/switchover.go 'if ctx.Err() != nil || !f.takeRetry(ctx, flow) {' 'if false {' $forward
-switch_off missing-model internal/forward/choose.go 'return !now.Before(load.notHeldUntil[flow.modelAndAdapter()])' 'return true' $forward
-switch_off full-server internal/forward/choose.go 'return load.estimate(now) < maxRequestsPerSlot*max(server.Slots, 1)' 'return true' $forward
+switch_off missing-model internal/forward/choose.go '!load.notHeld[flow.modelAndAdapter()].covers(flow.request, notHeldTTL, now)' 'true' $forward
+switch_off rejected-by-size internal/forward/rejection.go 'now.Sub(r.at) < limit && sizeOf(request) >= r.tokens' 'now.Sub(r.at) < limit' $forward
+switch_off full-server internal/forward/choose.go 'return load.estimateFor(flow.request, now) < maxRequestsPerSlot*max(server.Slots, 1)' 'return true' $forward
 switch_off refusal-at-once internal/forward/admission.go 'code := result.NoBackEnd' 'if now.Before(flow.deadline) {
 		return nil
 	}
