forward: End requests that wait for other nodes when the node stops

What callers saw: by reading and in tests, no run: a request that waits for a trial of a quarantined request, or for the count of its tenant, when the final answers are due gets none, as the connections are closed 0.3 s later (one trial may take 0.4 s); one that waits for a server's record was sent to the server after the final answers.

Cause: the forwarder's lifetime ended a request only once these waits were over, and an attempt did not look whether its request had ended meanwhile.

Change: the lifetime applies from the beginning of Serve, and an attempt is not sent after the end of its request.

TestCloseEndsRequestsThatWaitForOtherNodes failed before in all three cases ("the request has not ended").

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -28,6 +28,10 @@
 // at another server, together with that server if it is reserved already.
 func (f *Forwarder) attempt(ctx context.Context, flow *flow, target *candidate, responder Responder) (*Outcome, *candidate) {
 	f.updateOutdated(ctx, flow, target.server)
+	if ctx.Err() != nil {
+		f.release(flow, target, nil)
+		return f.cancellationOutcome(ctx, flow), nil
+	}
 	if !f.stillAccepts(target.server) || f.newlyLimited(target) {
 		f.release(flow, target, nil)
 		return nil, nil
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -224,6 +224,9 @@
 	if route == nil {
 		return Outcome{Code: result.UnknownPath, Reason: "no route"}
 	}
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	defer context.AfterFunc(f.lifetime, func() { stop(errNodeStopped) })()
 	trial, refusal := f.poison.Admit(ctx, poison.Request{Identity: request.Identity, Parts: request.SharedParts}, f.deadlineOf(request, route))
 	if refusal != nil {
 		return refusePoison(*refusal, route)
@@ -238,9 +241,6 @@
 	flow.priority = snapshot.Configuration.Priority(route, request.Tenant)
 	ctx, cancel := context.WithDeadline(ctx, flow.deadline)
 	defer cancel()
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	defer context.AfterFunc(f.lifetime, func() { stop(errNodeStopped) })()
 	f.budgets.Request(flow.pool, request.Accepted)
 	f.recordArrival(flow)
 	defer f.watchLongRunning(flow)()
