--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -271,3 +271,14 @@
 		Expect(lost).To(BeEmpty())
 	})
 }
+
+// A node whose log is not read did not exit.
+func TestProcessExitsWhileItsLogIsBlocked(t *testing.T) {
+	RegisterTestingT(t)
+	logger, output, err := NewLogger(blockedWriter{}, "info", "n")
+	Expect(err).NotTo(HaveOccurred())
+	logger.Info().Msg("line")
+	closed := make(chan error, 1)
+	go func() { closed <- output.Close() }()
+	Eventually(closed, "10s").Should(Receive(MatchError(errLogBlocked)))
+}
