exchange: Send no request where one with the same identity was sent before

What callers saw: a request that may run once ran twice, or was answered 503 and ran (TWICE, REFUSED).

Cause: the attempts of one request share its ID, and a later one could go on the connection of an earlier one. A surplus response to the earlier attempt then matched the later one: a rejection counted as proof that the attempt that ran had not run.

At platform.Backend.Send 14 of 14 cases failed on the code before (TestSurplusResponseDoesNotCountForTheNextAttempt), for instance "attempt failed: full (ran: no): answered with status 503" for an attempt that ran.

Change: a connection remembers digests of the identities sent on it. Request.NotAfter lists the identities whose responses can't be told from the request's own, and idle connections on which one of them was sent are left to other requests. This holds for retries, attempts to resume, trials and callers that repeat an ID, since all of them are sent with the request's ID. A connection is closed after 1,024 requests, which bounds the digests to 4 KB. A collision of digests only makes another connection carry the request. The anomaly ambiguous_response can't occur any more and is removed.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -99,7 +99,7 @@
 	{metricCarrierAnswers, "counter", "outcome", "Answers of other nodes to such requests of this node, by outcome."},
 	{metricRecordsAge, "gauge", "", "Seconds since the store is known to have held the servers' records that this node has; -1 if it never had all of them."},
 	{metricRecordChecks, "counter", "outcome", "Reads of one server's record before a request was sent there, since the known one was too old, by outcome (accepts, leaves, unread: the store did not answer)."},
-	{metricAnomalies, "counter", "kind", "What servers and the store sent in place of one response for each request, by kind (foreign_response, ambiguous_response, unrequested_data, malformed_response)."},
+	{metricAnomalies, "counter", "kind", "What servers and the store sent in place of one response for each request, by kind (foreign_response, unrequested_data, malformed_response)."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
--- a/internal/exchange/anomaly.go
+++ b/internal/exchange/anomaly.go
@@ -7,9 +7,6 @@
 const (
 	// AnomalyForeignResponse: the response belongs to another request, and is skipped.
 	AnomalyForeignResponse AnomalyKind = "foreign_response"
-	// AnomalyAmbiguousResponse: the response may also belong to an earlier request on the connection,
-	// which had the same identity.
-	AnomalyAmbiguousResponse AnomalyKind = "ambiguous_response"
 	// AnomalyUnrequestedData: data arrived on an idle connection, which is closed.
 	AnomalyUnrequestedData AnomalyKind = "unrequested_data"
 	// AnomalyMalformedResponse: the data that arrived is no HTTP response.
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,14 +45,18 @@
 	Body []byte
 	// DirectOnly is set if the request must not pass through another node.
 	DirectOnly bool
-	// Identity is what the request's responses carry, such as its ID; empty: they carry nothing.
+	// Identity is what tells the request's responses from those to other requests, such as its ID;
+	// empty: they can't be told apart, and no NotAfter refers to the request.
 	Identity string
+	// NotAfter are the identities of earlier requests whose responses can't be told from the request's
+	// own. The request goes on no connection on which one of them was sent.
+	NotAfter []string
 	// Matches reports whether a response with this head belongs to the request; nil: every
 	// response does.
 	Matches func(head *http.Response) bool
-	// OnHead is called with the head of each final response that is read, including those
-	// that belong to other requests; nil: not called.
-	OnHead func(head *http.Response)
+	// OnHead is called with the head of each final response that is read, and with whether it belongs
+	// to the request; nil: not called.
+	OnHead func(head *http.Response, matches bool)
 }
 
 // Client sends requests to servers and keeps idle connections for reuse. It is safe for concurrent
@@ -98,7 +103,7 @@
 // the body returns io.EOF only if the response is complete. When ctx ends, even while the body is
 // being read, the connection is closed.
 func (c *Client) Do(ctx context.Context, request Request) (*http.Response, error) {
-	conn, err := c.acquire(ctx, request.Address, request.DirectOnly)
+	conn, err := c.acquire(ctx, request)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
@@ -118,7 +123,7 @@
 	}
 	response.Body = &responseBody{
 		ReadCloser: response.Body, client: c, conn: conn, stop: stop, write: write,
-		reusable: clean && !response.Close, idleTimeout: idleTimeoutFrom(response.Header.Get("Keep-Alive"), c.dial.IdleTimeout),
+		reusable: clean && !response.Close && !conn.isUsedUp(), idleTimeout: idleTimeoutFrom(response.Header.Get("Keep-Alive"), c.dial.IdleTimeout),
 	}
 	return response, nil
 }
@@ -138,13 +143,11 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		matches := request.Matches == nil || request.Matches(response)
 		if request.OnHead != nil {
-			request.OnHead(response)
+			request.OnHead(response, matches)
 		}
-		if request.Matches == nil || request.Matches(response) {
-			if conn.sentEarlier(request.Identity) {
-				c.report(conn, AnomalyAmbiguousResponse, request.Identity, response.StatusCode, nil)
-			}
+		if matches {
 			return response, clean, nil
 		}
 		c.report(conn, AnomalyForeignResponse, request.Identity, response.StatusCode, nil)
@@ -160,10 +163,10 @@
 	return nil, false, ErrResponseMismatch
 }
 
-// acquire returns an idle connection that is still usable, or else opens a new one.
-func (c *Client) acquire(ctx context.Context, address string, directOnly bool) (*connection, error) {
+// acquire returns an idle connection that is still usable for the request, or else opens a new one.
+func (c *Client) acquire(ctx context.Context, request Request) (*connection, error) {
 	for {
-		conn := c.takeIdle(c.routeTo(address, directOnly))
+		conn := c.takeIdle(c.routeTo(request.Address, request.DirectOnly), request.NotAfter)
 		if conn == nil {
 			break
 		}
@@ -176,7 +179,7 @@
 		}
 		_ = conn.Close()
 	}
-	return c.open(ctx, address, directOnly)
+	return c.open(ctx, request.Address, request.DirectOnly)
 }
 
 // routeTo returns the route by which a server is reached now.
@@ -218,23 +221,26 @@
 	return nil
 }
 
-// takeIdle removes and returns the most recently used idle connection of a route; nil if there is
-// none.
-func (c *Client) takeIdle(by route) *connection {
+// takeIdle removes and returns the most recently used idle connection of a route on which no request
+// with one of the identities was sent; nil if there is none. The others stay idle.
+func (c *Client) takeIdle(by route, notAfter []string) *connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	kept := c.idle[by]
-	if len(kept) == 0 {
-		return nil
-	}
-	last := kept[len(kept)-1]
-	c.idleCount--
-	if len(kept) == 1 {
-		delete(c.idle, by)
-		return last
+	for i := len(kept) - 1; i >= 0; i-- {
+		taken := kept[i]
+		if taken.sent.containsAny(notAfter) {
+			continue
+		}
+		c.idleCount--
+		if len(kept) == 1 {
+			delete(c.idle, by)
+			return taken
+		}
+		c.idle[by] = slices.Delete(kept, i, i+1)
+		return taken
 	}
-	c.idle[by] = kept[:len(kept)-1]
-	return last
+	return nil
 }
 
 // putIdle keeps a connection for reuse, within the limits on idle connections.
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -11,7 +11,6 @@
 	"bufio"
 	"context"
 	"net"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -44,6 +43,8 @@
 	exchanges int
 	identity  string
 	earlier   []string
+	// sent are the identities of all requests sent.
+	sent sentIdentities
 	// expiresAt is when an idle connection is no longer reused, since the server may close it.
 	expiresAt time.Time
 }
@@ -55,13 +56,11 @@
 	}
 	c.exchanges++
 	c.identity = identity
+	c.sent.add(identity)
 }
 
-// sentEarlier reports whether one of the last requests before the latest had the identity; false if it
-// is empty.
-func (c *connection) sentEarlier(identity string) bool {
-	return identity != "" && slices.Contains(c.earlier, identity)
-}
+// isUsedUp reports whether the connection has carried as many requests as it may.
+func (c *connection) isUsedUp() bool { return c.exchanges >= maxExchanges }
 
 // route is a server's address, and whether connections to it pass through another node.
 type route struct {
