forward: Promise "not run" only with the server's proof

Cause: a response with one of these statuses but without the server's proof was passed on. Clients take the status itself for a promise, and the server may have run the request.

Change: the binding marks such replies (Reply.ReadsAsNotRun). The forwarder ends a request that is not repeatable in its own words, with an unknown outcome (502), without the server's seal. Other failures are passed on unchanged with their seal, and repeatable requests as before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -81,6 +81,9 @@
 	if f.isRetryableFailure(flow, reply) {
 		return f.handleFailure(ctx, flow, target, &AttemptError{Reason: FailureStatus, Ran: result.RanYes})
 	}
+	if reply.ReadsAsNotRun && !flow.route.Repeatable() {
+		return f.handleFailure(ctx, flow, target, &AttemptError{Reason: FailureStatus, Ran: result.RanUnknown})
+	}
 	return f.relay(ctx, flow, target, reply, responder, sw, started)
 }
 
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -158,6 +158,15 @@
 	}
 }
 
+// readsAsNotRun makes callers take the reply for a promise that the request has not run.
+func readsAsNotRun(answer func(context.Context, Attempt) (*Reply, error)) func(context.Context, Attempt) (*Reply, error) {
+	return func(ctx context.Context, attempt Attempt) (*Reply, error) {
+		reply, err := answer(ctx, attempt)
+		reply.ReadsAsNotRun = true
+		return reply, err
+	}
+}
+
 // after delays a response head.
 func after(delay time.Duration, answer func(context.Context, Attempt) (*Reply, error)) func(context.Context, Attempt) (*Reply, error) {
 	return func(ctx context.Context, attempt Attempt) (*Reply, error) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -20,10 +20,11 @@
 		code     result.Code
 		ran      result.Ran
 	}{
-		"never sent":      {fails(FailureConnect, result.RanNo), 2, result.OK, result.RanYes},
-		"refused as full": {fails(FailureFull, result.RanNo), 2, result.OK, result.RanYes},
-		"answer lost":     {fails(FailureBroken, result.RanUnknown), 1, result.OutcomeUnknown, result.RanUnknown},
-		"server failed":   {answers(500, "broken"), 1, result.OK, result.RanYes},
+		"never sent":            {fails(FailureConnect, result.RanNo), 2, result.OK, result.RanYes},
+		"refused as full":       {fails(FailureFull, result.RanNo), 2, result.OK, result.RanYes},
+		"answer lost":           {fails(FailureBroken, result.RanUnknown), 1, result.OutcomeUnknown, result.RanUnknown},
+		"server failed":         {answers(500, "broken"), 1, result.OK, result.RanYes},
+		"refused without proof": {readsAsNotRun(answers(503, "full")), 1, result.OutcomeUnknown, result.RanUnknown},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -90,6 +90,9 @@
 // Reply is a server's response: its head, and its body to be read.
 type Reply struct {
 	Status int
+	// ReadsAsNotRun: callers take the status for a promise that the request has not run, which the
+	// server did not prove.
+	ReadsAsNotRun bool
 	// Events: the body is a stream of server-sent events.
 	Events bool
 	// Body ends with io.EOF only if the response is complete, as far as that can be known; see
