exchange: Notice data on idle connections that are no sockets

What callers saw: nothing that was traced to it; nodes' streams to each other are TCP, whose received data is peeked at, also through another node.

Cause: an idle connection that is no socket of the system counted as quiet whatever had arrived on it, and was used again after its end. One whose socket can't be reached, as through another node over TLS, counted as closed and was never reused.

Evidence: TestIdleConnectionThatIsNoSocketIsChecked failed on the code before: a surplus response on the idle connection ended the test's bubble in a deadlock instead of a new connection, and the end of the connection made the next request fail. TestSurplusResponseOnAnIdleCarriedConnectionIsNoticed also passes on the code before, since such connections were closed after each response.

Change: an idle connection that is no socket is read from, which ends with the next use. Data or an end closes it. Sockets are peeked at as before; the socket is looked up once per connection.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -255,6 +255,7 @@
 		c.closeOldestIdle()
 	}
 	c.idleCount++
+	conn.beginWatch()
 	c.idle[conn.route] = append(c.idle[conn.route], conn)
 }
 
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -35,6 +35,8 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	// socket is nil if the connection is none of the system.
+	socket syscall.RawConn
 	route  route
 	// number of the connection within its client, from 1.
 	number uint64
@@ -45,6 +47,8 @@
 	earlier   []string
 	// sent are the identities of all requests sent.
 	sent sentIdentities
+	// watch observes an idle connection that is no socket; nil: it is one, or is not idle.
+	watch *idleWatch
 	// expiresAt is when an idle connection is no longer reused, since the server may close it.
 	expiresAt time.Time
 }
@@ -115,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), route: route{address, indirect}}, nil
+	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), socket: socketOf(raw), route: route{address, indirect}}, nil
 }
 
 // DialDirect opens a connection by this node's own path, within the time limit.
@@ -157,22 +161,16 @@
 	idleClosed
 )
 
-// state returns the state of an idle connection. One that is not a socket of the system counts as
-// quiet unless data has been read from it.
+// state returns the state of an idle connection.
 func (c *connection) state() idleState {
+	if c.watch != nil {
+		return c.endWatch()
+	}
 	if c.reader.Buffered() > 0 {
 		return idleData
 	}
-	socket, isSyscall := c.Conn.(syscall.Conn)
-	if !isSyscall {
-		return idleQuiet
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return idleClosed
-	}
 	state := idleClosed
-	err = raw.Read(func(descriptor uintptr) bool {
+	err := c.socket.Read(func(descriptor uintptr) bool {
 		var peeked [1]byte
 		count, _, failure := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -94,11 +94,13 @@
 		RegisterTestingT(t)
 		server := &scriptedServer{scripts: scripts}
 		client := NewClient(DialSettings{Timeout: time.Second, Dial: server.dial})
+		defer func() {
+			client.Prune(time.Now().Add(time.Hour))
+			// Scripts that still wait end within this time.
+			time.Sleep(time.Minute)
+			synctest.Wait()
+		}()
 		test(client, server)
-		client.Prune(time.Now().Add(time.Hour))
-		// Scripts that still wait end within this time.
-		time.Sleep(time.Minute)
-		synctest.Wait()
 	})
 }
 
