exchange: Report "nothing was sent" only by a socket's word

What callers saw: nothing that was traced to it; a request could have been sent again after a part of it had left over a connection that is no socket.

Cause: a failed write that reported no bytes counted as proof that nothing was sent. Only a socket's count is that proof: a connection over TLS reports 0 also after a part of a record was sent.

Evidence: TestFailedWriteThatIsNoSocketsProvesNothing failed on the code before (ErrNotSent for a request that the server received).

Change: ErrNotSent after a failed write needs a socket. Of the places that make RanNo, ErrNotSent or FailureConnect, the others hold by evidence: no connection was opened or taken; a socket accepted no byte (a context that ends, a server that closed the connection while it was idle, or a process that was paused between check and write makes no difference to the count); the server's own proof, or status 421, in a response with the request's ID on a connection on which that ID was sent once.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -318,18 +318,18 @@
 }
 
 // start writes the request, or its head if the body is long. The error is ErrNotSent if nothing was
-// written.
+// written, which only a socket tells: over TLS, a record may have been sent in part.
 func (w *requestWrite) start(conn *connection, request Request) error {
 	if len(request.Body) <= maxInlineBody {
 		count, err := conn.Write(append(request.Head[:len(request.Head):len(request.Head)], request.Body...))
-		if err != nil && count == 0 {
+		if err != nil && count == 0 && conn.socket != nil {
 			return errors.Join(ErrNotSent, err)
 		}
 		w.done = err == nil
 		return err
 	}
 	count, err := conn.Write(request.Head)
-	if err != nil && count == 0 {
+	if err != nil && count == 0 && conn.socket != nil {
 		return errors.Join(ErrNotSent, err)
 	}
 	if err != nil {
