--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -11,7 +11,6 @@
 	"bufio"
 	"context"
 	"net"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -38,6 +37,8 @@
 	// head is what reader reads from.
 	head   headReader
 	reader *bufio.Reader
+	// socket is nil if the connection is none of the system.
+	socket syscall.RawConn
 	route  route
 	// number of the connection within its client, from 1.
 	number uint64
@@ -46,6 +47,10 @@
 	exchanges int
 	identity  string
 	earlier   []string
+	// sent are the identities of all requests sent.
+	sent sentIdentities
+	// watch observes an idle connection that is no socket; nil: it is one, or is not idle.
+	watch *idleWatch
 	// expiresAt is when an idle connection is no longer reused, since the server may close it.
 	expiresAt time.Time
 }
@@ -57,13 +62,11 @@
 	}
 	c.exchanges++
 	c.identity = identity
+	c.sent.add(identity)
 }
 
-// sentEarlier reports whether one of the last requests before the latest had the identity; false if it
-// is empty.
-func (c *connection) sentEarlier(identity string) bool {
-	return identity != "" && slices.Contains(c.earlier, identity)
-}
+// isUsedUp reports whether the connection has carried as many requests as it may.
+func (c *connection) isUsedUp() bool { return c.exchanges >= maxExchanges }
 
 // route is a server's address, and whether connections to it pass through another node.
 type route struct {
@@ -118,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &connection{Conn: raw, head: headReader{source: raw}, route: route{address, indirect}}
+	conn := &connection{Conn: raw, socket: socketOf(raw), head: headReader{source: raw}, route: route{address, indirect}}
 	conn.reader = bufio.NewReaderSize(&conn.head, readBuffer)
 	return conn, nil
 }
@@ -162,22 +165,16 @@
 	idleClosed
 )
 
-// state returns the state of an idle connection. One that is not a socket of the system counts as
-// quiet unless data has been read from it.
+// state returns the state of an idle connection.
 func (c *connection) state() idleState {
+	if c.watch != nil {
+		return c.endWatch()
+	}
 	if c.reader.Buffered() > 0 {
 		return idleData
 	}
-	socket, isSyscall := c.Conn.(syscall.Conn)
-	if !isSyscall {
-		return idleQuiet
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return idleClosed
-	}
 	state := idleClosed
-	err = raw.Read(func(descriptor uintptr) bool {
+	err := c.socket.Read(func(descriptor uintptr) bool {
 		var peeked [1]byte
 		count, _, failure := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
