--- a/internal/exchange/anomaly.go
+++ b/internal/exchange/anomaly.go
@@ -7,13 +7,16 @@
 const (
 	// AnomalyForeignResponse: the response belongs to another request, and is skipped.
 	AnomalyForeignResponse AnomalyKind = "foreign_response"
-	// AnomalyAmbiguousResponse: the response may also belong to an earlier request on the connection,
-	// which had the same identity.
-	AnomalyAmbiguousResponse AnomalyKind = "ambiguous_response"
 	// AnomalyUnrequestedData: data arrived on an idle connection, which is closed.
 	AnomalyUnrequestedData AnomalyKind = "unrequested_data"
 	// AnomalyMalformedResponse: the data that arrived is no HTTP response.
 	AnomalyMalformedResponse AnomalyKind = "malformed_response"
+	// AnomalyHeadTooLong: the head of the response, or data that is none, exceeds maxHeadBytes.
+	AnomalyHeadTooLong AnomalyKind = "head_too_long"
+	// AnomalyTooManyInterim: more than maxInterimResponses interim responses came before a final one.
+	AnomalyTooManyInterim AnomalyKind = "too_many_interim"
+	// AnomalyBodyTooLong: the body of the response exceeds the limit of its reader.
+	AnomalyBodyTooLong AnomalyKind = "body_too_long"
 )
 
 // Anomaly describes an anomaly for logs and metrics.
--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -23,6 +23,7 @@
 	// which are taken bytes long.
 	partial []byte
 	taken   int
+	scanner eventScanner
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -54,10 +55,11 @@
 	var events [][]byte
 	for {
 		rest := r.partial[r.taken:]
-		length := eventLength(rest)
+		length := r.scanner.scan(rest)
 		if length == 0 {
 			return events
 		}
+		r.scanner = eventScanner{}
 		events = append(events, rest[:length])
 		r.taken += length
 	}
@@ -74,29 +76,39 @@
 	return err
 }
 
-// eventLength is the length in bytes of the first event of data, including the blank lines around it; 0
-// if it is not complete.
-func eventLength(data []byte) int {
-	started, crlf := false, false
-	for begin := 0; ; {
-		length := lineLength(data[begin:])
-		if begin+length == len(data) {
+// eventScanner finds the end of the first event of data that comes in pieces. It searches each byte once.
+type eventScanner struct {
+	// begin is where the current line begins, searched the length of a part of it without line end.
+	begin, searched int
+	// started: a line that is not blank has ended. crlf: the last line ended with CRLF.
+	started, crlf bool
+}
+
+// scan returns the length in bytes of the first event of data, including the blank lines around it; 0 if
+// it is not complete. Until it is, data must begin with that of the call before.
+func (s *eventScanner) scan(data []byte) int {
+	for {
+		length := s.searched + lineLength(data[s.begin+s.searched:])
+		end := s.begin + length + 1
+		if end > len(data) {
+			s.searched = length
 			return 0
 		}
-		end := begin + length + 1
+		blank := length == 0 && s.started
 		endsWithCR := data[end-1] == '\r'
-		if endsWithCR && end == len(data) && crlf {
-			// The LF of the blank line is still to come.
+		if endsWithCR && end == len(data) && (s.crlf || !blank) {
+			// An LF may still come.
+			s.searched = length
 			return 0
 		}
-		crlf = endsWithCR && end < len(data) && data[end] == '\n'
-		if crlf {
+		s.crlf = endsWithCR && end < len(data) && data[end] == '\n'
+		if s.crlf {
 			end++
 		}
-		if length == 0 && started {
+		if blank {
 			return end
 		}
-		started = started || length > 0
-		begin = end
+		s.started = s.started || length > 0
+		s.begin, s.searched = end, 0
 	}
 }
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -240,8 +240,9 @@
 switch_off hold-on internal/forward/admission.go 'return held > ' 'return held < 0 && held > ' $forward
 switch_off place-before-switchover internal/forward/switchover.go 'if s.target == nil {' 'if false {' $forward
 switch_off budget-before-switchover internal/forward/switchover.go 'if ctx.Err() != nil || !f.takeRetry(ctx, flow) {' 'if false {' $forward
-switch_off missing-model internal/forward/choose.go 'return !now.Before(load.notHeldUntil[flow.modelAndAdapter()])' 'return true' $forward
-switch_off full-server internal/forward/choose.go 'return load.estimate(now) < maxRequestsPerSlot*max(server.Slots, 1)' 'return true' $forward
+switch_off missing-model internal/forward/choose.go '!load.notHeld[flow.modelAndAdapter()].covers(flow.request, notHeldTTL, now)' 'true' $forward
+switch_off rejected-by-size internal/forward/rejection.go 'now.Sub(r.at) < limit && sizeOf(request) >= r.tokens' 'now.Sub(r.at) < limit' $forward
+switch_off full-server internal/forward/choose.go 'return load.estimateFor(flow.request, now) < maxRequestsPerSlot*max(server.Slots, 1)' 'return true' $forward
 switch_off refusal-at-once internal/forward/admission.go 'code := result.NoBackEnd' 'if now.Before(flow.deadline) {
 		return nil
 	}
@@ -368,6 +369,7 @@
 switch_off not-ready-when-stopping internal/edge/process.go 'if p.Stopping() {' 'if false {' ./internal/edge
 switch_off stop-takes-what-arrives internal/edge/stop.go 'time.Sleep(time.Until(started.Add(min(acceptAfterStop, p.settings.Stop.Grace/2))))' '' ./internal/edge
 switch_off stop-beside-the-store internal/edge/stop.go 'handedOver := inBackground(p.components.HandOver)' 'p.components.HandOver(); handedOver := inBackground(func() {})' ./internal/edge
+switch_off stop-answers-what-is-read internal/edge/callers.go '	s.closeUnused(ctx)' '' ./internal/edge
 switch_off end-answers-all internal/forward/forwarder.go 'func (f *Forwarder) Close() { f.cancel() }' 'func (f *Forwarder) Close() {}' $forward
 switch_off drain-refuses internal/forward/admission.go 'return f.giveUp(flow, "the node is stopping", result.NodeDraining)' '' $forward
 switch_off log-never-blocks internal/edge/log.go 'logging.NewLogger(writer, level, node)' 'logging.NewLogger(output, level, node)' ./internal/edge
