--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -169,6 +169,14 @@
 switch_off answer-identity platform/backend.go 'return response.Header.Get(headerRequestID) == attempt.Request.ID' 'return true' ./platform
 switch_off foreign-costs-connection internal/exchange/client.go 'clean = false' 'clean = true' ./internal/exchange
 switch_off unwritten-costs-connection internal/exchange/client.go '|| !b.write.finished()' '' ./internal/exchange
+switch_off one-sending-a-connection internal/exchange/client.go 'if taken.sent.containsAny(notAfter) {' 'if false {' ./internal/exchange ./platform
+switch_off identities-bounded internal/exchange/connection.go 'return c.exchanges >= maxExchanges' 'return false' ./internal/exchange
+switch_off idle-watch internal/exchange/client.go 'conn.beginWatch()' 'conn.watch = nil' ./internal/exchange
+switch_off sockets-word internal/exchange/client.go 'if err != nil && count == 0 && conn.socket != nil {' 'if err != nil && count == 0 {' ./internal/exchange
+switch_off orders-alone platform/orders.go 'NotAfter: []string{pathOrder, pathReport}' 'NotAfter: nil' ./platform
+switch_off replies-without-id platform/orders.go 'return response.Header.Get(headerRequestID) == ""' 'return true' ./platform
+switch_off foreign-notices platform/notices.go 'if !matches {' 'if false {' ./platform
+switch_off proof-only internal/forward/attempt.go 'if reply.ReadsAsNotRun && !flow.route.Repeatable() {' 'if false {' ./internal/forward
 switch_off torn-answer-closes platform/ingress.go 'case outcome.HeadSent || outcome.Code == result.CallerGone:
 		// Only a closed connection tells the client that the response is incomplete.
 		panic(http.ErrAbortHandler)' 'case outcome.HeadSent || outcome.Code == result.CallerGone:' ./platform
