forward: Take an event as complete whose blank line is a CR at the end of its body

A complete event was dropped, and its stream broken, where lines end with CRLF and the last one with CR: the reader waited for the LF.

--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -37,7 +37,7 @@
 	for {
 		count, err := r.body.Read(r.buffer)
 		r.partial = append(r.partial, r.buffer[:count]...)
-		if events := r.takeComplete(); len(events) > 0 {
+		if events := r.takeComplete(err != nil); len(events) > 0 {
 			return events, r.checkEnd(err)
 		}
 		if err != nil {
@@ -49,12 +49,12 @@
 	}
 }
 
-// takeComplete returns the complete events at the beginning of partial.
-func (r *eventReader) takeComplete() [][]byte {
+// takeComplete returns the complete events at the beginning of partial; ended: nothing follows it.
+func (r *eventReader) takeComplete(ended bool) [][]byte {
 	var events [][]byte
 	for {
 		rest := r.partial[r.taken:]
-		length := eventLength(rest)
+		length := eventLength(rest, ended)
 		if length == 0 {
 			return events
 		}
@@ -75,8 +75,8 @@
 }
 
 // eventLength is the length in bytes of the first event of data, including the blank lines around it; 0
-// if it is not complete.
-func eventLength(data []byte) int {
+// if it is not complete. The LF of a blank line's CRLF is waited for, unless the data has ended.
+func eventLength(data []byte, ended bool) int {
 	started, crlf := false, false
 	for begin := 0; ; {
 		length := lineLength(data[begin:])
@@ -85,8 +85,7 @@
 		}
 		end := begin + length + 1
 		endsWithCR := data[end-1] == '\r'
-		if endsWithCR && end == len(data) && crlf {
-			// The LF of the blank line is still to come.
+		if endsWithCR && end == len(data) && crlf && !ended {
 			return 0
 		}
 		crlf = endsWithCR && end < len(data) && data[end] == '\n'
