--- a/internal/forward/event_reader_test.go
+++ b/internal/forward/event_reader_test.go
@@ -45,7 +45,7 @@
 		complete := 0
 		for {
 			scanner := eventScanner{}
-			length := scanner.scan(left[complete:])
+			length := scanner.scan(left[complete:], err != nil)
 			if length == 0 {
 				break
 			}
--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -38,7 +38,7 @@
 	for {
 		count, err := r.body.Read(r.buffer)
 		r.partial = append(r.partial, r.buffer[:count]...)
-		if events := r.takeComplete(); len(events) > 0 {
+		if events := r.takeComplete(err != nil); len(events) > 0 {
 			return events, r.checkEnd(err)
 		}
 		if err != nil {
@@ -50,12 +50,12 @@
 	}
 }
 
-// takeComplete returns the complete events at the beginning of partial.
-func (r *eventReader) takeComplete() [][]byte {
+// takeComplete returns the complete events at the beginning of partial; ended: nothing follows it.
+func (r *eventReader) takeComplete(ended bool) [][]byte {
 	var events [][]byte
 	for {
 		rest := r.partial[r.taken:]
-		length := r.scanner.scan(rest)
+		length := r.scanner.scan(rest, ended)
 		if length == 0 {
 			return events
 		}
@@ -85,8 +85,9 @@
 }
 
 // scan returns the length in bytes of the first event of data, including the blank lines around it; 0 if
-// it is not complete. Until it is, data must begin with that of the call before.
-func (s *eventScanner) scan(data []byte) int {
+// it is not complete. Until it is, data must begin with that of the call before. The LF of a CRLF is
+// waited for, unless the data has ended.
+func (s *eventScanner) scan(data []byte, ended bool) int {
 	for {
 		length := s.searched + lineLength(data[s.begin+s.searched:])
 		end := s.begin + length + 1
@@ -96,8 +97,7 @@
 		}
 		blank := length == 0 && s.started
 		endsWithCR := data[end-1] == '\r'
-		if endsWithCR && end == len(data) && (s.crlf || !blank) {
-			// An LF may still come.
+		if endsWithCR && end == len(data) && !ended && (s.crlf || !blank) {
 			s.searched = length
 			return 0
 		}
