--- a/internal/forward/eventstream_test.go
+++ b/internal/forward/eventstream_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -467,3 +468,20 @@
 		Expect(b.backend.attempts[0].ResumeAfter).To(Equal("2"), "the server is told")
 	})
 }
+
+// Blank lines after the last event of a stream were left out, so that the body was not the server's.
+func TestStreamIsPassedOnToItsLastByte(t *testing.T) {
+	for _, end := range []string{"\n", "\r\n", "\n\n", " ", "\r"} {
+		t.Run(strconv.Quote(end), func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				sent := append(events(1, 2), end)
+				b.backend.answer["m1"] = streams(sent, time.Millisecond, io.EOF)
+				b.backend.answer["m2"] = b.backend.answer["m1"]
+				seen := &recorder{}
+				outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), seen)
+				Expect(outcome.Code).To(Equal(result.OK))
+				Expect(seen.body.String()).To(Equal(strings.Join(sent, "")))
+			})
+		})
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -137,7 +137,9 @@
 		if orderErr != nil {
 			err = orderErr
 		} else if errors.Is(err, io.EOF) {
-			err = cmp.Or(segment.end(), err)
+			if err = cmp.Or(segment.end(), err); errors.Is(err, io.EOF) {
+				events = append(events, reader.rest()...)
+			}
 		}
 		if err := flow.passOn(responder, reply, events, errors.Is(err, io.EOF)); err != nil {
 			return err
