--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint ci demo soak soak-short mechanisms
+.PHONY: build test lint ci demo soak soak-short soak-short-all soak-short-responses soak-short-partitions mechanisms
 
 build:
 	go build -o bin/hatchplank ./cmd/hatchplank
@@ -21,14 +21,20 @@
 soak:
 	go test -tags soak ./platform/soak -run 'TestSoak|TestJudge|TestSeedsThatFailedOnce' -count=1 -v -timeout 30m -soak.for 2m
 
-# All with a seed that is always alike, for CI: under two minutes. What KNOWN-RED.txt lists by this seed is
-# printed and left out.
+# All with a seed that is always alike, for CI: under two minutes, two at a time. What KNOWN-RED.txt lists by
+# this seed is printed and left out.
 soak-short:
-	go test -tags soak ./platform/soak -run 'TestJudge' -count=1
+	$(MAKE) -j2 --output-sync soak-short-all soak-short-responses soak-short-partitions
+
+soak-short-all:
 	grep '^TestSoak/5040 ' KNOWN-RED.txt || \
-	go test -tags soak ./platform/soak -run 'TestSoak$$' -count=1 -timeout 5m -soak.seed 5040 -soak.for 20s
+	go test -tags soak ./platform/soak -run 'TestJudge|TestSoak$$' -count=1 -timeout 5m -soak.seed 5040 -soak.for 20s
+
+soak-short-responses:
 	grep '^TestSoakOfResponses/5040 ' KNOWN-RED.txt || \
 	go test -tags soak ./platform/soak -run 'TestSoakOfResponses$$' -count=1 -timeout 5m -soak.seed 5040 -soak.for 10s
+
+soak-short-partitions:
 	go test -tags soak ./cmd/hatchplank-node -run 'TestRandomPartitions' -count=1 -timeout 5m -partitions.seed 4 -partitions.for 15s
 
 # Switches off each mechanism in a copy and runs the tests that should notice.
