serverpath: Reset a carried connection also over TLS

A caller got a response without length or chunks as complete although the server had reset the connection in the middle of it, where the connection was carried by another node and nodes talk over TLS.

Cause: the carrier resets its connection to the node by SO_LINGER and Close, but *tls.Conn has no SetLinger, and its Close sends the alert that announces an end in order: the node reads io.EOF. The reset now goes to the connection below TLS.

Evidence: the added case of TestResetOfACarriedConnectionReachesTheNode, "reset, over TLS", failed before: the node's read returned <nil> where ECONNRESET was expected; the case that closes in order over TLS passed before and after.

Measured: go test -count=3 ./internal/serverpath -run TestResetOfACarried passes.

--- a/internal/serverpath/carrier.go
+++ b/internal/serverpath/carrier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -189,6 +190,10 @@
 
 // reset closes a connection such that the other side sees that it did not end in order.
 func reset(conn net.Conn) {
+	if secured, isTLS := conn.(*tls.Conn); isTLS {
+		// Closing the TLS connection itself would send the alert of an end in order.
+		conn = secured.NetConn()
+	}
 	if socket, isTCP := conn.(interface{ SetLinger(seconds int) error }); isTCP {
 		// Without it, the connection is closed in order, which is all that it allows.
 		_ = socket.SetLinger(0)
--- a/internal/serverpath/carrier_test.go
+++ b/internal/serverpath/carrier_test.go
@@ -1,9 +1,12 @@
 package serverpath
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"syscall"
 	"testing"
 	"time"
@@ -24,23 +27,41 @@
 	return dialed.(*net.TCPConn), accepted.(*net.TCPConn)
 }
 
+// overTLS returns both ends of a TLS connection over a connection.
+func overTLS(near, far net.Conn) (client, server *tls.Conn) {
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certified.Close()
+	trusted := certified.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs
+	return tls.Client(near, &tls.Config{RootCAs: trusted, ServerName: "example.com", MinVersion: tls.VersionTLS13}),
+		tls.Server(far, &tls.Config{Certificates: certified.TLS.Certificates, MinVersion: tls.VersionTLS13})
+}
+
 // Guards against a response without length or chunks that is given to its caller as complete after
 // the server has reset the carried connection in the middle of it.
 func TestResetOfACarriedConnectionReachesTheNode(t *testing.T) {
+	closeInOrder := func(server *net.TCPConn) { _ = server.Close() }
+	sendReset := func(server *net.TCPConn) {
+		_ = server.SetLinger(0)
+		_ = server.Close()
+	}
 	cases := map[string]struct {
-		end  func(server *net.TCPConn)
-		seen error
+		secure bool
+		end    func(server *net.TCPConn)
+		seen   error
 	}{
-		"closed in order": {func(server *net.TCPConn) { _ = server.Close() }, nil},
-		"reset": {func(server *net.TCPConn) {
-			_ = server.SetLinger(0)
-			_ = server.Close()
-		}, syscall.ECONNRESET},
+		"closed in order":           {false, closeInOrder, nil},
+		"closed in order, over TLS": {true, closeInOrder, nil},
+		"reset":                     {false, sendReset, syscall.ECONNRESET},
+		"reset, over TLS":           {true, sendReset, syscall.ECONNRESET},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			RegisterTestingT(t)
-			node, towardsNode := connectionPair(t)
+			var node, towardsNode net.Conn
+			node, towardsNode = connectionPair(t)
+			if test.secure {
+				node, towardsNode = overTLS(node, towardsNode)
+			}
 			server, towardsServer := connectionPair(t)
 			carried := &carriedConnection{node: towardsNode, server: towardsServer, opened: time.Now()}
 			done := make(chan struct{})
