httpapi: Take "not run" only from a problem document of the attempt

A caller of hatchplank serve could be told that its request has not run although it ran: a surplus problem document with ran "no" from a server that repeats no attempt ID counted as proof for whichever attempt came next on the connection.

Cause: attempt.matches accepts a response without HeaderAttempt, which servers of plain HTTP need for their results. The interface says that a response repeats the header, and only its own documents carry "ran", so one without the header now proves nothing: RanNo becomes RanUnknown. RanYes and everything else stay as they were.

Evidence: the new entry "a refusal of an attempt that it does not name" failed before: Ran 0 (RanNo) where 1 (RanUnknown) was expected. The entry "a refusal" gave no header, which departs from the interface, and expected RanNo. It now names its attempt and expects the same; what it sent before is the new entry, with the stricter outcome. One of another attempt is added, which passed before and after.

Measured: go test ./internal/outside/... ./internal/serve ./internal/standin/... passes.

--- a/internal/outside/httpapi/attempt.go
+++ b/internal/outside/httpapi/attempt.go
@@ -70,7 +70,12 @@
 	if !isProblem {
 		return a.unknownFailure(reasonFailed)
 	}
-	return a.problemFailure(problem)
+	failure := a.problemFailure(problem)
+	if failure.Ran == result.RanNo && response.Header.Get(HeaderAttempt) == "" {
+		// It may be a surplus response to an earlier attempt on the connection.
+		failure.Ran = result.RanUnknown
+	}
+	return failure
 }
 
 // problemFailure returns the error that a problem document describes.
--- a/internal/outside/httpapi/httpapi_test.go
+++ b/internal/outside/httpapi/httpapi_test.go
@@ -83,6 +83,11 @@
 
 var problemHeader = map[string]string{"Content-Type": httpapi.MediaProblem}
 
+// problemOf returns the headers of a problem document that names an attempt.
+func problemOf(attempt string) map[string]string {
+	return map[string]string{"Content-Type": httpapi.MediaProblem, httpapi.HeaderAttempt: attempt}
+}
+
 var _ = ginkgo.DescribeTable("a stream",
 	func(body string, texts []string, reason string) {
 		sink := generate(respondWith(http.StatusOK, nil, body), httpapi.Options{MaxFrameBytes: 1024})
@@ -118,7 +123,10 @@
 		gomega.Expect(sink.err.Ran).To(gomega.Equal(ran))
 		gomega.Expect(sink.err.Reason).To(gomega.Equal(reason))
 	},
-	ginkgo.Entry("a refusal", 503, problemHeader, `{"ran":"no","reason":"busy"}`, result.RanNo, "busy"),
+	ginkgo.Entry("a refusal", 503, problemOf("a1"), `{"ran":"no","reason":"busy"}`, result.RanNo, "busy"),
+	ginkgo.Entry("a refusal of another attempt", 503, problemOf("a2"), `{"ran":"no","reason":"busy"}`, result.RanUnknown, "failed"),
+	// Guards against a surplus response of a server that names no attempt: it counted as proof for another one.
+	ginkgo.Entry("a refusal of an attempt that it does not name", 503, problemHeader, `{"ran":"no","reason":"busy"}`, result.RanUnknown, "busy"),
 	ginkgo.Entry("a failure after a run", 500, problemHeader, `{"ran":"yes","reason":"failed"}`, result.RanYes, "failed"),
 	ginkgo.Entry("a problem without the ran field", 503, problemHeader, `{}`, result.RanUnknown, ""),
 	ginkgo.Entry("a problem cut short", 503, problemHeader, `{"ran":"no","reason":"bu`, result.RanUnknown, "failed"),
