orders: Check the term again once the connection for an order is open

A server could get an order of a holder whose lease had ended, up to 50 ms later.

Cause: Holder.send checks the term before the call, and the call may open a connection first, for up to 300 ms (the dial timeout), while a term ends 250 ms before its lease does. Orders go on no connection that has carried an order or a report, so nearly each one opens its connection. A process that stops in between adds to it.

The order now carries the check, and exchange.Client asks it once the connection is open, right before it writes; an order that is not sent counts as such. A process that stops between that check and the write can still be late.

Evidence: TestOrderIsNotSentAfterItsTermEndedWhileConnecting (platform) failed before: "Expected an error, got nil", with a term that ends 1 ms before the connection is open. TestOrderIsNotSentAfterItsTerm (orders) fails without the holder's part: 1 order sent where 0 was expected.

Measured: go test ./internal/exchange ./internal/orders ./platform passes.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -18,6 +18,8 @@
 	ErrNotSent = errors.New("nothing was sent")
 	// ErrResponseMismatch reports that the responses on the connection belong to other requests.
 	ErrResponseMismatch = errors.New("the answer belongs to another request")
+
+	errNoLongerAllowed = errors.New("the request may no longer be sent")
 )
 
 const (
@@ -51,6 +53,9 @@
 	// NotAfter are the identities of earlier requests whose responses can't be told from the request's
 	// own. The request goes on no connection on which one of them was sent.
 	NotAfter []string
+	// MaySend is asked once the connection is open, since opening it takes time: if it returns false, the
+	// request is not sent. nil: it may be sent.
+	MaySend func() bool
 	// Matches reports whether a response with this head belongs to the request; nil: every
 	// response does.
 	Matches func(head *http.Response) bool
@@ -107,6 +112,10 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
+	if request.MaySend != nil && !request.MaySend() {
+		_ = conn.Close()
+		return nil, errors.Join(ErrNotSent, errNoLongerAllowed)
+	}
 	conn.begin(request.Identity)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	write := &requestWrite{}
--- a/internal/orders/engines.go
+++ b/internal/orders/engines.go
@@ -21,6 +21,9 @@
 	// ExpectSequence is the number of orders that the server must have accepted before, so
 	// that an order that arrives late has no effect once another one was accepted.
 	ExpectSequence int64
+	// MaySend reports whether the order may still be sent. It is asked once a connection is open; nil: it
+	// may.
+	MaySend func() bool
 }
 
 // Reply is a server's reply to an order.
--- a/internal/orders/execute.go
+++ b/internal/orders/execute.go
@@ -97,6 +97,7 @@
 		h.config.Limits.Return(grant)
 		return 0, false, nil
 	}
+	order.MaySend = func() bool { return term.MayOrder(time.Now()) }
 	reply, err = h.config.Engines.Order(ctx, order)
 	if errors.Is(err, ErrNotSent) {
 		term.cancelOrder(order.Server.ID)
