poison: Let only a trial's own end make way for the next

A request that had crashed servers could be tried at two servers at once, and crash both.

Cause: TrialEnded names the identity, which successive trials share. A node that ends its trial after the trial's time (its request was held, or the node paused) ended the one that had followed it at another node, and a third was granted beside that.

A trial now has an ID of its own in TrialRequest and TrialEnded, and the granting node ignores the end of any trial but the latest.

Evidence: TestLateEndOfATrialDoesNotEndTheNext failed before: one admission where none was expected, beside the trial under way.

--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -164,8 +164,12 @@
 	quarantined.RefusedFor = 0
 	entries := filled(poison.Entries{}).(poison.Entries)
 	entries.Entries[0].RefusedFor = 0
+	trial := filled(poison.TrialRequest{}).(poison.TrialRequest)
+	trial.Trial = 0
+	trialEnd := filled(poison.TrialEnded{}).(poison.TrialEnded)
+	trialEnd.Trial = 0
 	expected := map[string]peer.Message{
-		"poison.Report": crashes, "poison.Quarantined": quarantined, "poison.Entries": entries,
+		"poison.TrialRequest": trial, "poison.TrialEnded": trialEnd, "poison.Report": crashes, "poison.Quarantined": quarantined, "poison.Entries": entries,
 		"mirror.Subscribe": subscription, "mirror.Update without packing": unpacked, "mirror.Update without software versions": unversioned,
 		"mirror.Update": confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
 		"orders.DemandReport without model servers": reportWithoutModels,
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -107,6 +107,8 @@
 	Others []Identity
 	// For is the longest time that the trial takes.
 	For time.Duration
+	// Trial identifies the trial, also when it ends; 0 from nodes of an earlier build.
+	Trial uint64
 }
 
 // TrialReply is the answer to a TrialRequest. Without Granted, a further request may be granted
@@ -121,6 +123,8 @@
 	Identity Identity
 	// Sent: a server may have run it.
 	Sent bool
+	// Trial as in TrialRequest.
+	Trial uint64
 }
 
 func init() {
--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,8 @@
 // Trial is the permission to run a request once, at one server, although it is quarantined. The
 // outcome decides: served, it is released; if the server crashes, it is quarantined again.
 type Trial struct {
+	// id distinguishes the trial from others of the same identities.
+	id    uint64
 	tried []Identity
 	// sendBy is the time by which the request must be sent. A node that is paused, or holds the
 	// request for longer, doesn't run it beside the next trial.
@@ -108,10 +111,10 @@
 		return nil, nil
 	}
 	lasts := min(deadline.Sub(now)+trialMargin, maxTrialTime)
-	trial := &Trial{sendBy: now.Add(lasts - trialMargin)}
+	trial := &Trial{id: rand.Uint64(), sendBy: now.Add(lasts - trialMargin)}
 	for _, identity := range due {
 		others := slices.DeleteFunc(slices.Clone(all), func(other Identity) bool { return other == identity })
-		reply := g.askForTrial(ctx, TrialRequest{Identity: identity, Others: others, For: lasts})
+		reply := g.askForTrial(ctx, TrialRequest{Identity: identity, Others: others, For: lasts, Trial: trial.id})
 		if !reply.Granted {
 			g.EndTrial(trial, false)
 			g.config.OnTrial(TrialDenied)
@@ -137,7 +140,7 @@
 		g.config.OnTrial(TrialUndecided)
 	}
 	for _, identity := range trial.tried {
-		ended := TrialEnded{Identity: identity, Sent: sent}
+		ended := TrialEnded{Identity: identity, Sent: sent, Trial: trial.id}
 		switch granter := g.trialGranter(); granter {
 		case "":
 		case g.config.Address:
@@ -219,6 +222,8 @@
 
 // grantedTrial is the latest trial of an identity.
 type grantedTrial struct {
+	// id as in TrialRequest.
+	id uint64
 	// until is the time at which the next one may be granted.
 	until time.Time
 	// undecided is the number of trials in a row that decided nothing.
@@ -240,6 +245,7 @@
 		return TrialReply{Wait: min(left, maxTrialWait)}
 	}
 	t.latest, t.spacedUntil = ask.Identity, now.Add(trialSpacing)
+	latest.id = ask.Trial
 	latest.until = now.Add(min(max(ask.For, trialMargin), maxTrialTime))
 	t.granted[ask.Identity] = latest
 	for len(t.granted) > maxEntries {
@@ -248,12 +254,12 @@
 	return TrialReply{Granted: true}
 }
 
-// end ends a trial that decided nothing. The next one may follow at once if no server ran it.
+// end ends a trial that decided nothing, unless a later one has followed. The next one may follow at once if no server ran it.
 func (t *trials) end(ended TrialEnded, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	latest, granted := t.granted[ended.Identity]
-	if !granted {
+	if !granted || latest.id != ended.Trial {
 		return
 	}
 	latest.until = now
--- a/internal/poison/trial_test.go
+++ b/internal/poison/trial_test.go
@@ -109,6 +109,25 @@
 	})
 }
 
+// Guards against a trial that is granted beside another one, after the end of an earlier one was told late.
+func TestLateEndOfATrialDoesNotEndTheNext(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		runInCluster(t, 4, 3, func(c *cluster) {
+			all := numbered(0, 4)
+			c.suspect(all[0], all[1:]...)
+			first := c.trialOf(Request{Identity: all[0]})
+			time.Sleep(time.Second + trialMargin)
+			second := c.trialOf(Request{Identity: all[0]})
+			first.node.guard.EndTrial(first.request.Trial, sent)
+			time.Sleep(trialPause + messageTime)
+			Expect(c.admittedAtOnce(Request{Identity: all[0]})).To(BeEmpty())
+			second.node.guard.EndTrial(second.request.Trial, false)
+			time.Sleep(messageTime)
+			c.trialOf(Request{Identity: all[0]})
+		})
+	}
+}
+
 // Guards against trials of two suspects at one server at the same time, whose crash proves nothing.
 func TestSuspectsAreTriedOneAfterTheOther(t *testing.T) {
 	runInCluster(t, 4, 3, func(c *cluster) {
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -335,6 +335,7 @@
 switch_off poison-explained internal/poison/propagation.go 'for _, identity := range explained {' 'for _, identity := range explained[:0] {' $poison
 switch_off poison-settled internal/poison/crash_log.go 'crash.settled = true' '' $poison
 switch_off ends-keep-their-time internal/poison/crash_log.go 'at := now.Add(-reported.Age)' 'at := now' $poison
+switch_off trial-of-its-id internal/poison/trial.go 'latest.id != ended.Trial' 'false' $poison
 switch_off released-ends-unshared internal/poison/propagation.go 'g.shared.clear(identity, servers)' '' $poison
 switch_off releases-remembered internal/poison/release.go 'return left < len(entry.Servers) && left < crashThreshold' 'return false' $poison
 switch_off ends-by-the-store internal/poison/propagation.go 'g.shared.add(report.crashes, now)' '' $poison
