forward: Test a server that was reserved before its stream began

Nothing failed when Forwarder.attempt kept a server of another software version that the switchover had reserved before the first event. TestStreamDoesNotMoveToAServerReservedBeforeItBegan does, with that check switched off: servers m1, m2 where m1, m1 was expected, events 3 and 4 from the other version.

--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/serverlimit"
 	"github.com/hatchplank/hatchplank/internal/streamorigin"
 )
 
@@ -47,6 +48,64 @@
 	}
 }
 
+// slowLimits take a while to grant a slot at any server but m1, and tell when they are asked.
+type slowLimits struct {
+	NoLimits
+	asked chan struct{}
+}
+
+func (l *slowLimits) Take(_ context.Context, server *fleet.Server, _ serverlimit.Request) serverlimit.Grant {
+	if server.ID != "m1" {
+		l.asked <- struct{}{}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return serverlimit.Grant{Allowed: true}
+}
+
+// beginsLate is a body whose first events come a while after begin, and that then blocks.
+type beginsLate struct {
+	stalledBody
+	begin chan struct{}
+}
+
+func (b *beginsLate) Read(buffer []byte) (int, error) {
+	if len(b.parts) > 0 {
+		<-b.begin
+		time.Sleep(50 * time.Millisecond)
+	}
+	return b.stalledBody.Read(buffer)
+}
+
+// slowCaller takes a while to receive each part.
+type slowCaller struct{ recorder }
+
+func (c *slowCaller) Write(part []byte) error {
+	time.Sleep(200 * time.Millisecond)
+	return c.recorder.Write(part)
+}
+
+// Guards against a server of another software version that was reserved just before the stream began.
+func TestStreamDoesNotMoveToAServerReservedBeforeItBegan(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		limits := &slowLimits{asked: make(chan struct{}, 10)}
+		b.forwarder.limits = limits
+		b.view.ReplaceServers(versioned(map[string]string{"m1": "v1", "m2": "v2"}))
+		b.backend.answer["m1"] = func(ctx context.Context, attempt Attempt) (*Reply, error) {
+			if attempt.ResumeAfter != "" {
+				return streams(events(3, 4), time.Millisecond, io.EOF)(ctx, attempt)
+			}
+			body := &beginsLate{stalledBody{scriptedBody{ctx: ctx, parts: []string{strings.Join(events(1, 2), "")}}}, limits.asked}
+			return &Reply{Status: 200, Events: true, Body: body}, nil
+		}
+		b.backend.answer["m2"] = streams(events(3, 4), time.Millisecond, io.EOF)
+		seen := &slowCaller{}
+		outcome := b.forwarder.Serve(context.Background(), request("patient", "m", 5*time.Second), seen)
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(seen.body.String()).To(Equal(strings.Join(events(1, 4), "")))
+		Expect(b.backend.servers()).To(Equal([]string{"m1", "m1"}))
+	})
+}
+
 // A caller whose stream only another software version could continue waited for the deadline.
 func TestStreamWithoutServersOfItsVersionBreaksAtOnce(t *testing.T) {
 	inVirtualTime(t, func(b *testbed) {
