streamorigin: Test that origins of routes to several pools are shared and asked for

Nothing in the package failed when Begin ignored share, Find ignored ask, or the table forgot its previous generation. TestOriginsOfARouteToSeveralPoolsAreSharedAndAskedFor fails with either of the first two switched off, TestOriginIsKeptForItsRetention with the third. Both pass on the code as it is.

--- a/internal/streamorigin/origins_test.go
+++ b/internal/streamorigin/origins_test.go
@@ -211,3 +211,33 @@
 	_, known := kept.get(keyOf(fmt.Sprint(3*maxKept - 1)))
 	Expect(known).To(BeTrue())
 }
+
+// Guards against a stream of a route to several pools whose origin only the node that began it knows: each
+// pool has one version, and another node resumed it in any of them.
+func TestOriginsOfARouteToSeveralPoolsAreSharedAndAskedFor(t *testing.T) {
+	origin := Origin{Pool: "p", SoftwareVersion: "v1"}
+	inDeployment(t, 4, []string{"v1"}, func(d *deployment) {
+		time.Sleep(2 * retention)
+		d.nodes["a"].origins.Begin("r1", origin, true)
+		time.Sleep(2 * sendPeriod)
+		d.network.Remove("a")
+		for _, address := range []string{"b", "c", "d"} {
+			found, finding := d.nodes[address].origins.Find(context.Background(), "r1", "q", true)
+			Expect(finding).To(Equal(Known), address)
+			Expect(found).To(Equal(origin), address)
+		}
+	})
+}
+
+// Guards against an origin that is dropped before its retention ends, as a new generation begins.
+func TestOriginIsKeptForItsRetention(t *testing.T) {
+	RegisterTestingT(t)
+	var kept table
+	now, origin := time.Now(), Origin{Pool: "p"}
+	kept.put(keyOf("first"), origin, now)
+	kept.put(keyOf("r"), origin, now.Add(retention-time.Millisecond))
+	kept.put(keyOf("next generation"), origin, now.Add(retention))
+	found, known := kept.get(keyOf("r"))
+	Expect(known).To(BeTrue())
+	Expect(found).To(Equal(origin))
+}
