--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -194,6 +194,7 @@
 switch_off last-id-only internal/forward/eventstream.go 'return !s.unnumbered && ' 'return ' $forward
 switch_off other-incarnation internal/forward/unframed.go ', errors.Is(err, ErrOtherIncarnation):' ':' $forward ./platform
 switch_off refused-here internal/forward/unframed.go '&& refused.RefusedHere():' '&& refused.RefusedHere() && false:' $forward
+switch_off reserved-too-early internal/forward/attempt.go '(outcome != nil || !continuesStream(flow, next.server, nil, time.Now()))' 'outcome != nil' $forward
 switch_off unconfirmed-ends internal/forward/unframed.go 'case state == serverUnknown && b.mayResume():' 'case false:' $forward
 switch_off resume-after platform/backend.go 'if attempt.ResumeAfter != "" {' 'if false {' ./platform
 switch_off silent-stream internal/forward/relay.go 'func() { cancel(errSilent) }' 'func() {}' $forward
@@ -335,6 +336,7 @@
 switch_off poison-explained internal/poison/propagation.go 'for _, identity := range explained {' 'for _, identity := range explained[:0] {' $poison
 switch_off poison-settled internal/poison/crash_log.go 'crash.settled = true' '' $poison
 switch_off ends-keep-their-time internal/poison/crash_log.go 'at := now.Add(-reported.Age)' 'at := now' $poison
+switch_off trial-of-its-id internal/poison/trial.go 'latest.id != ended.Trial' 'false' $poison
 switch_off released-ends-unshared internal/poison/propagation.go 'g.shared.clear(identity, servers)' '' $poison
 switch_off releases-remembered internal/poison/release.go 'return left < len(entry.Servers) && left < crashThreshold' 'return false' $poison
 switch_off ends-by-the-store internal/poison/propagation.go 'g.shared.add(report.crashes, now)' '' $poison
