exchange: Let the server of BenchmarkDo accept further connections

BenchmarkDo did not end: a connection is closed after maxExchanges requests (1,024), and the benchmark's server accepted only one. go test ./internal/exchange -run xxx -bench 'BenchmarkDo/100$' -count 4 still ran after 10 minutes. With -benchtime 300ms -count 3 it now ends with 20.2 to 25.8 us, 3.2 KB and 33 allocations an exchange.

--- a/internal/exchange/benchmark_test.go
+++ b/internal/exchange/benchmark_test.go
@@ -22,20 +22,21 @@
 			}
 			defer listener.Close()
 			text := []byte("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/plain\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n" + strings.Repeat("x", size))
+			// A client opens another connection after maxExchanges.
 			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					if request, _ := readRequest(reader); request == nil {
-						return
-					}
-					if _, err := conn.Write(text); err != nil {
-						return
-					}
+				for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+					go func() {
+						defer conn.Close()
+						reader := bufio.NewReader(conn)
+						for {
+							if request, _ := readRequest(reader); request == nil {
+								return
+							}
+							if _, err := conn.Write(text); err != nil {
+								return
+							}
+						}
+					}()
 				}
 			}()
 			client := NewClient(DialSettings{Timeout: 10 * time.Second, AckTimeout: time.Minute})
