platform: Ask servers without models for their incarnation after an unframed response

Cause: such a server gives no report, so a successor that accepted connections at its address counted as the same one. Change: it is asked at its pool's health path, addressed to the incarnation.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -87,7 +87,7 @@
 	{metricSentDespiteNotice, "counter", "notice", "Sendings to servers that had told this node not to send, by what they had told."},
 	{metricLimitedServers, "gauge", "", "Servers that name a limit for all nodes together, as far as this node knows."},
 	{metricServerLimit, "counter", "verdict, count", "Questions whether a server's limit has room, by verdict (within, over) and by who counted (all, alone: as for tenants)."},
-	{metricSentToLimited, "counter", "purpose", "Sendings to such servers, by purpose (request, order, report)."},
+	{metricSentToLimited, "counter", "purpose", "Sendings to such servers, by purpose (request, order, report, health)."},
 	{metricChoices, "counter", "load, choice", "Requests for which a server was chosen, by where its load was from (own requests, report, nodes: the newest load that any node observed) and how the last choice was made (lowest score, or drawn)."},
 	{metricSuspicionChecks, "counter", "outcome", "Checks by connecting to a server that another node found unreachable, by outcome (reached, failed)."},
 	{metricReplicaOrders, "counter", "order, reason", "Loads and unloads of models that were planned, by kind and reason."},
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -68,6 +68,8 @@
 	// MaxConnections is the number of connections that a server accepts from all nodes
 	// together.
 	MaxConnections int
+	// HealthPath is the path at which its servers tell their health and incarnation; empty: unknown.
+	HealthPath string
 	// Engine is nil for servers that hold no models.
 	Engine *Engine
 }
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -40,12 +40,13 @@
 // Purpose of something that is sent to a server.
 type Purpose string
 
-// The purposes: a client's request, an order to load or unload something, and a call for the
-// server's report.
+// The purposes: a client's request, an order to load or unload something, a call for the server's
+// report, and a health check.
 const (
 	PurposeRequest Purpose = "request"
 	PurposeOrder   Purpose = "order"
 	PurposeReport  Purpose = "report"
+	PurposeHealth  Purpose = "health"
 )
 
 // Call is what a response answers.
