forward: Check a server after an unframed response once it has had time to end

Change: the check comes 20 ms after the end, as the last one of two did before, and a second one only if the first shows nothing. Evidence: TestUnframedResponseOfAServerThatIsEndingIsBroken failed before. The test of crashed servers counts the time until a server refuses connections from the end of the response, as its comment says, and no longer from the first probe.

--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -10,10 +10,10 @@
 	"github.com/hatchplank/hatchplank/internal/fleet"
 )
 
-// unframedCheckDelays are the times after the end of an unframed body at which its server is checked. A
-// crashed server refuses connections at once or, where its sockets are closed one by one, shortly
-// afterwards.
-var unframedCheckDelays = [...]time.Duration{0, 20 * time.Millisecond}
+// unframedCheckDelays are the times after the end of an unframed body at which its server is checked, the
+// second one if the first shows nothing. A server that ends may close its connections one by one, and
+// answer on the last ones meanwhile.
+var unframedCheckDelays = [...]time.Duration{20 * time.Millisecond, 40 * time.Millisecond}
 
 // incarnationCheckTimeout limits the checks of a server's incarnation together, for which the end of a
 // response waits.
@@ -93,7 +93,7 @@
 	for _, delay := range unframedCheckDelays {
 		time.Sleep(time.Until(began.Add(delay)))
 		state = b.check(limited)
-		if state == serverEnded || state == serverRuns {
+		if state != serverUnknown {
 			break
 		}
 	}
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -25,6 +25,31 @@
 	}
 }
 
+// endRecorder records when a body has ended.
+type endRecorder struct {
+	io.ReadCloser
+	ended *time.Time
+}
+
+func (r endRecorder) Read(buffer []byte) (int, error) {
+	count, err := r.ReadCloser.Read(buffer)
+	if err != nil {
+		*r.ended = time.Now()
+	}
+	return count, err
+}
+
+// recordsEnd records when the body of an answer has ended.
+func recordsEnd(answer func(context.Context, Attempt) (*Reply, error), ended *time.Time) func(context.Context, Attempt) (*Reply, error) {
+	return func(ctx context.Context, attempt Attempt) (*Reply, error) {
+		reply, err := answer(ctx, attempt)
+		if reply != nil {
+			reply.Body = endRecorder{reply.Body, ended}
+		}
+		return reply, err
+	}
+}
+
 // Guards against a response that ends with its connection and is given to its caller as complete,
 // although its server crashed in the middle of it.
 func TestUnframedResponseOfACrashedServerIsBroken(t *testing.T) {
@@ -44,15 +69,12 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			inVirtualTime(t, func(b *testbed) {
+				var ended time.Time
 				for id := range b.backend.answer {
-					b.backend.answer[id] = unframed(test.answer)
+					b.backend.answer[id] = unframed(recordsEnd(test.answer, &ended))
 				}
-				var probedFirst time.Time
 				b.forwarder.connect = func(context.Context, string) error {
-					if probedFirst.IsZero() {
-						probedFirst = time.Now()
-					}
-					if time.Since(probedFirst) < test.refusesAfter {
+					if time.Since(ended) < test.refusesAfter {
 						return nil
 					}
 					return syscall.ECONNREFUSED
@@ -195,3 +217,23 @@
 		Expect(time.Since(began)).To(BeNumerically("<=", incarnationCheckTimeout+10*time.Millisecond))
 	})
 }
+
+// Guards against a response being given to its caller as complete although its server was about to end:
+// it answered on its last connections while it closed them.
+func TestUnframedResponseOfAServerThatIsEndingIsBroken(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		var ended time.Time
+		for id := range b.backend.answer {
+			b.backend.answer[id] = unframed(recordsEnd(answers(200, "half of an ans"), &ended))
+		}
+		b.forwarder.connect = func(context.Context, string) error { return nil }
+		b.forwarder.checkIncarnation = func(context.Context, *fleet.Server) error {
+			if time.Since(ended) < 5*time.Millisecond {
+				return nil
+			}
+			return ErrOtherIncarnation
+		}
+		outcome := b.forwarder.Serve(context.Background(), request("once", "", 5*time.Second), &recorder{})
+		Expect(outcome.Code).NotTo(Equal(result.OK))
+	})
+}
