orders: Measure a new holder's lease from when the call for it was sent

What can be seen: a node that becomes the holder while the store's responses are slow, and then loses the store before its first renewal, sends orders after its lease has expired. The order of its successor may follow within the handover period.

The first validity of a term counted from after the response to the grant, which may take up to 0.9 s (storeTimeout), while the lease may begin when the call is sent. Renewals counted from their sending.

Evidence: TestSlowGrantDoesNotExtendTheLease failed before: with a response after 0.85 s, 2.66 s between the orders of the two holders, 3 s required. It passes now, as the tests of internal/orders and platform do.

It works because the lease can't begin before the call for it is sent.

--- a/internal/orders/campaign.go
+++ b/internal/orders/campaign.go
@@ -71,6 +71,8 @@
 // was observed.
 func (e *Election) campaign(at vacancy) (*Term, error) {
 	era := e.config.Era()
+	// The lease may begin as soon as the call for it is sent.
+	leaseFrom := time.Now()
 	lease, err := e.grantLease()
 	if err != nil {
 		return nil, err
@@ -104,7 +106,7 @@
 		// The restored store may have granted the same lease to another node.
 		return nil, eris.Errorf("the store was restored meanwhile: era %d, before %d", outside.EraOf(reply.Revision), era)
 	}
-	term := newTerm(reply.Revision, at.notBefore, sent.Add(e.config.Lease-leaseMargin), at.activates)
+	term := newTerm(reply.Revision, at.notBefore, leaseFrom.Add(e.config.Lease-leaseMargin), at.activates)
 	term.history = history
 	if at.first && e.config.HandoverPeriod > 0 {
 		term.firstUntil = sent.Add(e.config.Lease + e.config.HandoverPeriod + leaseMargin)
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -265,6 +265,7 @@
 switch_off entered-before-order internal/orders/term.go '!t.ended && t.active && ' '!t.ended && ' ./internal/orders
 switch_off later-holder-ends internal/orders/election.go 'e.endSupersededTerm(record)' '' ./platform
 switch_off lease-from-sending internal/orders/renewal.go 'term.renew(sent.Add(' 'term.renew(sent.Add(time.Since(sent)).Add(' ./internal/orders
+switch_off lease-from-grant internal/orders/campaign.go 'leaseFrom.Add(' 'sent.Add(0 * time.Since(leaseFrom)).Add(' ./platform
 switch_off expected-count platform/orders.go 'Expect: order.ExpectSequence' 'Expect: 0' ./platform
 switch_off instance-of-order platform/orders.go '[][2]string{{headerExpectInstance, order.Server.ID}}' 'nil' ./platform
 switch_off no-work-before-unload internal/orders/holder.go 'delete(target.models, action.Model)' '' ./internal/orders ./platform
