retrybudget: Let requests allow retries in each quarter of the window

Cause: each node kept to its requests of the last 10 s, up to its own moment. A node that had been quiet could spend the requests of 10 s at once and lose its callers; the nodes that got them spent in the same window what the callers' next requests allowed, up to 0.75 x ratio x the requests of 20 s.

Change: requests allow retries in spans of a quarter of the window. The retries of any window are then allowed by the requests of 12.5 s, at whichever nodes, 0.94 of what the window's requests allow. A retry that the requests allow in part takes the rest from the node's share of the slack, which counts over the window as before. A stopping node's record keeps all retries in the field that earlier builds read, and by what they were allowed.

--- a/internal/retrybudget/allowance.go
+++ b/internal/retrybudget/allowance.go
@@ -19,14 +19,25 @@
 	cutOffShare = 1 - fleetShare
 )
 
-// allowances are the retries that this process may allow by itself in a window, in three cases.
-type allowances struct {
-	// byRequests is what the requests of the window allow, without any of the slack.
-	byRequests float64
-	// withEvenShare and withoutQuorum add this node's share of the slack: of all of it, and of the
-	// part for nodes without a quorum.
-	withEvenShare, withoutQuorum float64
-}
+// requestSpans is the number of spans in a window in each of which a node's requests allow its retries.
+// Callers move between nodes, so nodes that have just lost their callers and nodes that have just got
+// them may both use up their allowance in one window. All retries of a window by requests are then
+// allowed by the requests of the window and one span before it, of which they are at most fullShare.
+const requestSpans = 4
+
+// allowance is what this process may allow by itself: the retries that its requests allow in a span, and
+// those of the slack in a window.
+type allowance struct{ byRequests, slack float64 }
+
+// total is the number of retries that may be allowed at once.
+func (a allowance) total() float64 { return a.byRequests + a.slack }
+
+// allowances are the allowances of this process in three cases: without any of the slack, with this
+// node's share of all of it, and with its share of the part for nodes without a quorum.
+type allowances struct{ byRequests, withEvenShare, withoutQuorum allowance }
+
+// span returns the time in which a node's requests allow its retries.
+func (l Limits) span() time.Duration { return l.Window / requestSpans }
 
 // isComplete reports whether the process knows all that its node counted in the window. The lock must
 // be held.
@@ -57,7 +68,7 @@
 // counted for a window, it allows startShare of what its own requests and its own time earn: all
 // processes that start within a window have together no more requests and time than the window.
 func (b *Budget) allowances(counts *pool, now time.Time) allowances {
-	byRequests := b.limits.Ratio * counts.requests.Total(now)
+	byRequests := b.limits.Ratio * counts.requests.Within(b.limits.span(), now)
 	evenShare := b.evenShare(now)
 	share, earned := fullShare, 1.0
 	if !b.isComplete(now) {
@@ -66,8 +77,8 @@
 	// The slack that is not for nodes without a quorum is used up by votes, whatever restarts.
 	withoutQuorum := cutOffShare * share / (fullShare + startShare)
 	return allowances{
-		byRequests:    share * byRequests,
-		withEvenShare: share * (byRequests + earned*evenShare),
-		withoutQuorum: share*byRequests + withoutQuorum*earned*evenShare,
+		byRequests:    allowance{byRequests: share * byRequests},
+		withEvenShare: allowance{byRequests: share * byRequests, slack: share * earned * evenShare},
+		withoutQuorum: allowance{byRequests: share * byRequests, slack: withoutQuorum * earned * evenShare},
 	}
 }
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -99,8 +99,8 @@
 	By Decider
 	// Asked: the counter nodes were asked for this retry.
 	Asked bool
-	// Used is the number of retries in the window that this node allowed by itself, and Own the
-	// number that it may allow.
+	// Used is the number of retries that this node allowed by itself, by its requests in the span and
+	// from the slack in the window, and Own the number that it may allow.
 	Used, Own float64
 	// Basis is what Own was computed from.
 	Basis Basis
@@ -110,7 +110,7 @@
 type Basis struct {
 	// Nodes that share the slack; 0 if their number is not known.
 	Nodes int
-	// Requests in the window, as counted by this process.
+	// Requests in the span, as counted by this process.
 	Requests float64
 	// Age is for how long this process has counted.
 	Age time.Duration
@@ -127,8 +127,10 @@
 
 // pool counts the requests and retries of one pool at this node.
 type pool struct {
-	// retries that this node allowed by itself. The fleet counts the others.
-	requests, retries window.Sum
+	requests window.Sum
+	// byRequests and bySlack are the retries that this node allowed by itself: what its requests
+	// allowed of them, and what it took from its share of the slack. The fleet counts the others.
+	byRequests, bySlack window.Sum
 	// refusedUntil is the time until which the fleet is not asked for retries of at least
 	// refusedRank, as it just refused one.
 	refusedUntil time.Time
@@ -199,7 +201,8 @@
 func (b *Budget) of(name string, now time.Time) *pool {
 	found := b.byPool[name]
 	if found == nil {
-		found = &pool{requests: window.NewSum(b.limits.Window, now), retries: window.NewSum(b.limits.Window, now)}
+		sum := window.NewSum(b.limits.Window, now)
+		found = &pool{requests: sum, byRequests: sum, bySlack: sum}
 		b.byPool[name] = found
 	}
 	return found
@@ -228,7 +231,7 @@
 func (b *Budget) basis(pool string, now time.Time) Basis {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return Basis{Nodes: b.sharingNodes(now), Requests: b.of(pool, now).requests.Total(now), Age: now.Sub(b.started)}
+	return Basis{Nodes: b.sharingNodes(now), Requests: b.of(pool, now).requests.Within(b.limits.span(), now), Age: now.Sub(b.started)}
 }
 
 // decide is Take without the basis of the decision.
@@ -251,20 +254,20 @@
 	counts := b.of(retry.Pool, now)
 	allowed := b.allowances(counts, now)
 	if b.closed {
-		return Decision{Retry: retry, By: ByNode, Used: counts.retries.Total(now)}, true
+		return Decision{Retry: retry, By: ByNode, Used: counts.used(b.limits, now)}, true
 	}
 	if now.Before(b.resumeAt) {
-		return counts.take(retry, ByNode, allowed.withoutQuorum, now), true
+		return b.takeFrom(counts, retry, ByNode, allowed.withoutQuorum, now), true
 	}
 	if !b.isShared() {
-		return counts.take(retry, ByNode, allowed.withEvenShare, now), true
+		return b.takeFrom(counts, retry, ByNode, allowed.withEvenShare, now), true
 	}
-	if decision = counts.take(retry, ByNode, allowed.byRequests, now); decision.Allowed {
+	if decision = b.takeFrom(counts, retry, ByNode, allowed.byRequests, now); decision.Allowed {
 		return decision, true
 	}
 	switch {
 	case now.Before(counts.cutOffUntil):
-		return counts.take(retry, ByShare, allowed.withoutQuorum, now), true
+		return b.takeFrom(counts, retry, ByShare, allowed.withoutQuorum, now), true
 	case now.Before(counts.refusedUntil) && retry.Rank >= counts.refusedRank:
 		decision.By = ByFleet
 		return decision, true
@@ -281,17 +284,17 @@
 	var decision Decision
 	switch {
 	case b.closed:
-		decision = Decision{Retry: retry, By: ByNode, Used: counts.retries.Total(now)}
+		decision = Decision{Retry: retry, By: ByNode, Used: counts.used(b.limits, now)}
 	case !answer.Counted:
 		if !answer.Queued {
 			counts.cutOffUntil = now.Add(cutOffPause)
 		}
-		decision = counts.take(retry, ByShare, allowed.withoutQuorum, now)
+		decision = b.takeFrom(counts, retry, ByShare, allowed.withoutQuorum, now)
 	default:
 		if !answer.Allowed {
 			counts.refuse(retry.Rank, b.pause(answer.RetryIn), now)
 		}
-		decision = Decision{Retry: retry, Allowed: answer.Allowed, By: ByFleet, Used: counts.retries.Total(now), Own: allowed.byRequests}
+		decision = Decision{Retry: retry, Allowed: answer.Allowed, By: ByFleet, Used: counts.used(b.limits, now), Own: allowed.byRequests.total()}
 	}
 	decision.Asked = true
 	return decision
@@ -302,17 +305,31 @@
 	return max(min(retryIn, maxPause), time.Duration(b.nodes)*pausePerNode)
 }
 
-// take allows a retry if that leaves the retries within the allowance.
-func (p *pool) take(retry Retry, by Decider, allowance float64, now time.Time) Decision {
-	decision := Decision{Retry: retry, By: by, Used: p.retries.Total(now), Own: allowance}
-	if decision.Used+1 > allowance {
+// takeFrom allows a retry if the allowance has capacity. What the requests don't allow of it is taken
+// from the slack. The lock must be held.
+func (b *Budget) takeFrom(counts *pool, retry Retry, by Decider, allowed allowance, now time.Time) Decision {
+	decision := Decision{Retry: retry, By: by, Used: counts.used(b.limits, now), Own: allowed.total()}
+	byRequests := min(max(allowed.byRequests-counts.usedByRequests(b.limits, now), 0), 1)
+	bySlack := 1 - byRequests
+	if bySlack > 0 && counts.bySlack.Total(now)+bySlack > allowed.slack {
 		return decision
 	}
-	p.retries.Add(1, now)
+	counts.byRequests.Add(byRequests, now)
+	counts.bySlack.Add(bySlack, now)
 	decision.Allowed = true
 	return decision
 }
 
+// usedByRequests is what requests allowed of the retries in the span.
+func (p *pool) usedByRequests(limits Limits, now time.Time) float64 {
+	return p.byRequests.Covering(limits.span(), now)
+}
+
+// used is the number of retries that count against an allowance.
+func (p *pool) used(limits Limits, now time.Time) float64 {
+	return p.usedByRequests(limits, now) + p.bySlack.Total(now)
+}
+
 // refuse records that the fleet refused a retry of the rank.
 func (p *pool) refuse(rank float64, pause time.Duration, now time.Time) {
 	if now.Before(p.refusedUntil) {
--- /dev/null
+++ b/internal/retrybudget/moving_callers_test.go
@@ -0,0 +1,65 @@
+package retrybudget_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/retrybudget"
+)
+
+// callAt sends 250 requests a second to the nodes in turn; each is retried the given number of times.
+func (f *testFleet) callAt(nodes []*node, retries int, duration time.Duration) {
+	end := time.Now().Add(duration)
+	for number := 0; time.Now().Before(end); number++ {
+		n := nodes[number%len(nodes)]
+		f.request(n)
+		for range retries {
+			go f.retry(n, 0)
+		}
+		time.Sleep(4 * time.Millisecond)
+	}
+}
+
+// Guards against nodes that spend what ten seconds of requests allow at once, and others that spend in
+// the same window what the requests of the same callers allow after these have moved to them.
+func TestBoundHoldsWhileCallersMoveBetweenNodes(t *testing.T) {
+	moves := map[string]func(*testFleet, *node){
+		"callers move":            func(*testFleet, *node) {},
+		"nodes are killed":        func(f *testFleet, n *node) { f.start(n) },
+		"nodes stop as planned":   func(f *testFleet, n *node) { f.restartAsPlanned(n) },
+		"callers move to and fro": nil,
+	}
+	for move, end := range moves {
+		for _, nodes := range []int{2, 4, 7, 8, 12, 20} {
+			for _, full := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second} {
+				t.Run(fmt.Sprint(move, ", ", nodes, " nodes, full for ", full), func(t *testing.T) {
+					limits := retrybudget.Limits{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+					withFleet(t, nodes, limits, func(f *testFleet) {
+						for _, node := range f.nodes {
+							node.budget.SetNodes(nodes)
+						}
+						from, to := f.nodes[:nodes/2], f.nodes[nodes/2:]
+						f.callAt(from, 0, limits.Window)
+						f.callAt(from, 3, full)
+						if end == nil {
+							for range 4 {
+								f.callAt(to, 3, full)
+								f.callAt(from, 3, full)
+							}
+						} else {
+							for _, node := range from {
+								end(f, node)
+							}
+						}
+						f.callAt(to, 3, limits.Window)
+						time.Sleep(200 * time.Millisecond)
+						Expect(f.maxExcess()).To(BeNumerically("<=", 0))
+					})
+				})
+			}
+		}
+	}
+}
--- a/internal/retrybudget/restart_test.go
+++ b/internal/retrybudget/restart_test.go
@@ -113,3 +113,24 @@
 		g.Expect(takeRetry(budget, "p", time.Now())).To(BeTrue())
 	})
 }
+
+// Guards against a process that spends the budget once more because the process before it, of an earlier
+// build, did not tell by what its retries were allowed.
+func TestRetriesOfAnEarlierBuildCountAgainstTheWholeBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		budget := newBudget(smallLimits, 8)
+		for range 100 {
+			budget.Request("p", time.Now())
+		}
+		for takeRetry(budget, "p", time.Now()) {
+		}
+		usage, _ := budget.Close(time.Now())
+		earlier := usage["p"]
+		earlier.ByRequests, earlier.BySlack = nil, nil
+		next := newBudget(smallLimits, 8)
+		next.Continue(retrybudget.Usage{"p": earlier}, 0, time.Now())
+		g.Expect(earlier.Retries).NotTo(BeEmpty())
+		g.Expect(takeRetry(next, "p", time.Now())).To(BeFalse())
+	})
+}
--- a/internal/retrybudget/usage.go
+++ b/internal/retrybudget/usage.go
@@ -13,7 +13,32 @@
 
 // PoolUsage is what a process counted for one pool.
 type PoolUsage struct {
-	Requests, Retries []window.Amount
+	Requests []window.Amount
+	// Retries are all of them, for processes of builds that don't tell by what they were allowed.
+	Retries []window.Amount
+	// ByRequests and BySlack are what requests and the slack allowed of the retries; nil if an earlier
+	// build wrote the usage.
+	ByRequests, BySlack []window.Amount
+}
+
+// newPoolUsage returns what is counted of a pool.
+func newPoolUsage(counts *pool, now time.Time) PoolUsage {
+	usage := PoolUsage{
+		Requests:   counts.requests.Amounts(now),
+		ByRequests: append([]window.Amount{}, counts.byRequests.Amounts(now)...),
+		BySlack:    append([]window.Amount{}, counts.bySlack.Amounts(now)...),
+	}
+	usage.Retries = slices.Concat(usage.ByRequests, usage.BySlack)
+	return usage
+}
+
+// retries returns the retries by what allowed them. Where the usage does not tell, they count as
+// allowed by both.
+func (u PoolUsage) retries() (byRequests, bySlack []window.Amount) {
+	if u.ByRequests == nil && u.BySlack == nil {
+		return u.Retries, u.Retries
+	}
+	return u.ByRequests, u.BySlack
 }
 
 // Close ends the use of the budget: it allows no further retries. It returns what was counted, and
@@ -24,7 +49,7 @@
 	b.closed = true
 	usage = Usage{}
 	for name, counts := range b.byPool {
-		usage[name] = PoolUsage{Requests: counts.requests.Amounts(now), Retries: counts.retries.Amounts(now)}
+		usage[name] = newPoolUsage(counts, now)
 	}
 	return usage, b.isComplete(now)
 }
@@ -54,7 +79,9 @@
 		counts.requests = b.merged(counts.requests.Amounts(now), before.Requests, stopped, now)
 		// Retries count as if the process had stopped now: the time since then is from the time of day,
 		// which may have been set.
-		counts.retries = b.merged(counts.retries.Amounts(now), before.Retries, 0, now)
+		byRequests, bySlack := before.retries()
+		counts.byRequests = b.merged(counts.byRequests.Amounts(now), byRequests, 0, now)
+		counts.bySlack = b.merged(counts.bySlack.Amounts(now), bySlack, 0, now)
 	}
 	b.noEarlier = true
 }
