edge: Let the idle limit cut off no request that is being read

What callers could see: a connection closed without an answer while they send a request on it, if it was idle for longer than the configuration's idle limit before.

Cause: net/http counts a connection as idle until it has read the whole header of the next request, and closeExpired closed whatever was counted as idle.

Change: closeExpired ends a connection as the stop does, by a read deadline that gives way to bytes that have come.

TestIdleLimitDoesNotCutOffARequestThatIsBeingRead failed before with "unexpected EOF"; it passes now, as the other tests of internal/edge do.

--- a/internal/edge/connections.go
+++ b/internal/edge/connections.go
@@ -34,16 +34,22 @@
 	delete(c.idleSince, conn)
 }
 
-// closeExpired closes the connections that have been idle for longer than limit.
+// closeExpired closes the connections that have been idle for longer than limit. net/http counts a
+// connection as idle until it has read the whole header of the next request, which must not be cut off.
 func (c *idleConnections) closeExpired(limit time.Duration) {
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for conn, since := range c.idleSince {
-		if now.Sub(since) > limit {
-			_ = conn.Close()
-			delete(c.idleSince, conn)
+		if now.Sub(since) <= limit {
+			continue
 		}
+		if client, isClient := conn.(*clientConnection); isClient {
+			client.closeUnused(now.Sub(since))
+			continue
+		}
+		_ = conn.Close()
+		delete(c.idleSince, conn)
 	}
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -384,6 +385,44 @@
 	})
 }
 
+// The idle limit closed connections on which the header of a request was being read.
+func TestIdleLimitDoesNotCutOffARequestThatIsBeingRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		settings, err := LoadSettings([]byte(validSettings))
+		Expect(err).NotTo(HaveOccurred())
+		process := NewProcess(settings, zerolog.Nop())
+		process.Assemble(Components{
+			Callers:   http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) }),
+			IdleLimit: func() time.Duration { return 3 * time.Second },
+		})
+		listener := newPipeListener()
+		process.serveCallers(listener, make(chan error, 1))
+		defer func() { _ = process.callers.server.Close() }()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go process.monitor(ctx)
+		connection := listener.dial()
+		reader := bufio.NewReader(connection)
+		expectAnswer := func() {
+			response, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusNoContent))
+		}
+		_, _ = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		expectAnswer()
+		time.Sleep(2500 * time.Millisecond)
+		_, _ = io.WriteString(connection, "GET / HTTP/1.1\r\n")
+		time.Sleep(2500 * time.Millisecond)
+		_, _ = io.WriteString(connection, "Host: h\r\n\r\n")
+		expectAnswer()
+		answered := time.Now()
+		_, err = reader.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+		Expect(time.Since(answered)).To(BeNumerically("~", 3500*time.Millisecond, 600*time.Millisecond))
+	})
+}
+
 // fieldPattern matches the names of log fields in source files.
 var fieldPattern = regexp.MustCompile(`(?:\.(?:Str|Int|Int64|Dur|Bool|AnErr|Strs)\(|addText\(event, )"([a-z_]+)"`)
 
