retrybudget: Say how spans bound a window, and make the test's moves one kind of function

No behaviour changes: the receiver of what takes a retry is the pool again, and the comment of requestSpans says what it bounds.

--- a/internal/retrybudget/allowance.go
+++ b/internal/retrybudget/allowance.go
@@ -19,10 +19,10 @@
 	cutOffShare = 1 - fleetShare
 )
 
-// requestSpans is the number of spans in a window in each of which a node's requests allow its retries.
-// Callers move between nodes, so nodes that have just lost their callers and nodes that have just got
-// them may both use up their allowance in one window. All retries of a window by requests are then
-// allowed by the requests of the window and one span before it, of which they are at most fullShare.
+// requestSpans is the number of spans in a window. Requests allow retries in each span by itself: each
+// node's window ends at another time and callers move between nodes, so that retries of one window may be
+// allowed by requests of that window and of the time before it that requests count. With a span, that is
+// at most fullShare * (1 + 1/requestSpans) of what the window's requests allow.
 const requestSpans = 4
 
 // allowance is what this process may allow by itself: the retries that its requests allow in a span, and
@@ -36,7 +36,7 @@
 // node's share of all of it, and with its share of the part for nodes without a quorum.
 type allowances struct{ byRequests, withEvenShare, withoutQuorum allowance }
 
-// span returns the time in which a node's requests allow its retries.
+// span returns the time over which requests, and the retries that they allow, are counted.
 func (l Limits) span() time.Duration { return l.Window / requestSpans }
 
 // isComplete reports whether the process knows all that its node counted in the window. The lock must
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -258,17 +258,17 @@
 		return Decision{Retry: retry, By: ByNode, Used: counts.used(now)}, true
 	}
 	if now.Before(b.resumeAt) {
-		return b.takeFrom(counts, retry, ByNode, allowed.withoutQuorum, now), true
+		return counts.take(retry, ByNode, allowed.withoutQuorum, now), true
 	}
 	if !b.isShared() {
-		return b.takeFrom(counts, retry, ByNode, allowed.withEvenShare, now), true
+		return counts.take(retry, ByNode, allowed.withEvenShare, now), true
 	}
-	if decision = b.takeFrom(counts, retry, ByNode, allowed.byRequests, now); decision.Allowed {
+	if decision = counts.take(retry, ByNode, allowed.byRequests, now); decision.Allowed {
 		return decision, true
 	}
 	switch {
 	case now.Before(counts.cutOffUntil):
-		return b.takeFrom(counts, retry, ByShare, allowed.withoutQuorum, now), true
+		return counts.take(retry, ByShare, allowed.withoutQuorum, now), true
 	case now.Before(counts.refusedUntil) && retry.Rank >= counts.refusedRank:
 		decision.By = ByFleet
 		return decision, true
@@ -290,7 +290,7 @@
 		if !answer.Queued {
 			counts.cutOffUntil = now.Add(cutOffPause)
 		}
-		decision = b.takeFrom(counts, retry, ByShare, allowed.withoutQuorum, now)
+		decision = counts.take(retry, ByShare, allowed.withoutQuorum, now)
 	default:
 		if !answer.Allowed {
 			counts.refuse(retry.Rank, b.pause(answer.RetryIn), now)
@@ -306,17 +306,17 @@
 	return max(min(retryIn, maxPause), time.Duration(b.nodes)*pausePerNode)
 }
 
-// takeFrom allows a retry if the allowance has capacity. What the requests don't allow of it is taken
-// from the slack. The lock must be held.
-func (b *Budget) takeFrom(counts *pool, retry Retry, by Decider, allowed allowance, now time.Time) Decision {
-	decision := Decision{Retry: retry, By: by, Used: counts.used(now), Own: allowed.total()}
-	byRequests := min(max(allowed.byRequests-counts.byRequests.Total(now), 0), 1)
+// take allows a retry if the allowance has capacity. What the requests don't allow of it is taken from
+// the slack.
+func (p *pool) take(retry Retry, by Decider, allowed allowance, now time.Time) Decision {
+	decision := Decision{Retry: retry, By: by, Used: p.used(now), Own: allowed.total()}
+	byRequests := min(max(allowed.byRequests-p.byRequests.Total(now), 0), 1)
 	bySlack := 1 - byRequests
-	if bySlack > 0 && counts.bySlack.Total(now)+bySlack > allowed.slack {
+	if bySlack > 0 && p.bySlack.Total(now)+bySlack > allowed.slack {
 		return decision
 	}
-	counts.byRequests.Add(byRequests, now)
-	counts.bySlack.Add(bySlack, now)
+	p.byRequests.Add(byRequests, now)
+	p.bySlack.Add(bySlack, now)
 	decision.Allowed = true
 	return decision
 }
--- a/internal/retrybudget/moving_callers_test.go
+++ b/internal/retrybudget/moving_callers_test.go
@@ -26,16 +26,30 @@
 // Guards against nodes that spend what ten seconds of requests allow at once, and others that spend in
 // the same window what the requests of the same callers allow after these have moved to them.
 func TestBoundHoldsWhileCallersMoveBetweenNodes(t *testing.T) {
-	moves := map[string]func(*testFleet, *node){
-		"callers move":            func(*testFleet, *node) {},
-		"nodes are killed":        func(f *testFleet, n *node) { f.start(n) },
-		"nodes stop as planned":   func(f *testFleet, n *node) { f.restartAsPlanned(n) },
-		"callers move to and fro": nil,
+	restartAll := func(restart func(f *testFleet, n *node)) func(f *testFleet, from, to []*node, full time.Duration) {
+		return func(f *testFleet, from, _ []*node, _ time.Duration) {
+			for _, node := range from {
+				restart(f, node)
+			}
+		}
 	}
-	for move, end := range moves {
+	// What happens between the time in which the callers are at one half of the nodes and the time in
+	// which they are at the other half.
+	moves := map[string]func(f *testFleet, from, to []*node, full time.Duration){
+		"callers move":          func(*testFleet, []*node, []*node, time.Duration) {},
+		"nodes are killed":      restartAll((*testFleet).start),
+		"nodes stop as planned": restartAll((*testFleet).restartAsPlanned),
+		"callers move to and fro": func(f *testFleet, from, to []*node, full time.Duration) {
+			for range 4 {
+				f.callAt(to, 3, full)
+				f.callAt(from, 3, full)
+			}
+		},
+	}
+	for name, move := range moves {
 		for _, nodes := range []int{2, 4, 7, 8, 12, 20} {
 			for _, full := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second} {
-				t.Run(fmt.Sprint(move, ", ", nodes, " nodes, full for ", full), func(t *testing.T) {
+				t.Run(fmt.Sprint(name, ", ", nodes, " nodes, full for ", full), func(t *testing.T) {
 					limits := retrybudget.Limits{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
 					withFleet(t, nodes, limits, func(f *testFleet) {
 						for _, node := range f.nodes {
@@ -44,16 +58,7 @@
 						from, to := f.nodes[:nodes/2], f.nodes[nodes/2:]
 						f.callAt(from, 0, limits.Window)
 						f.callAt(from, 3, full)
-						if end == nil {
-							for range 4 {
-								f.callAt(to, 3, full)
-								f.callAt(from, 3, full)
-							}
-						} else {
-							for _, node := range from {
-								end(f, node)
-							}
-						}
+						move(f, from, to, full)
 						f.callAt(to, 3, limits.Window)
 						time.Sleep(200 * time.Millisecond)
 						Expect(f.maxExcess()).To(BeNumerically("<=", 0))
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -91,7 +91,7 @@
 switch_off urgent-first internal/forward/tracker.go 'ahead = 1 + (ahead-1)*flow.aheadShare' 'ahead += 0 * flow.aheadShare' $forward
 switch_off suspected-avoided internal/forward/suspicion.go 'if !isSuspected {' 'if true || !isSuspected {' $forward
 switch_off suspicion-checked-once internal/forward/suspicion.go '!since.Equal(checkedSince) &&' 'true &&' $forward
-switch_off retry-budget internal/retrybudget/budget.go 'if bySlack > 0 && counts.bySlack.Total(now)+bySlack > allowed.slack {' 'if false {' ./internal/retrybudget -skip RandomFaults
+switch_off retry-budget internal/retrybudget/budget.go 'if bySlack > 0 && p.bySlack.Total(now)+bySlack > allowed.slack {' 'if false {' ./internal/retrybudget -skip RandomFaults
 switch_off budget-spans internal/retrybudget/allowance.go 'return l.Window / requestSpans' 'return l.Window' ./internal/retrybudget -run MoveBetween
 switch_off budget-share internal/retrybudget/allowance.go 'return b.limits.Slack / float64(nodes)' 'return b.limits.Slack' ./internal/retrybudget -skip RandomFaults
 switch_off budget-of-a-start internal/retrybudget/allowance.go 'if !b.isComplete(now) {' 'if false {' ./internal/retrybudget -skip RandomFaults
