retrybudget: Send the requests of three tests in one place

callAt repeated the loop of serve and fail with another interval and other retries; the three call one function now. Only test code: intervals, retries and assertions are as they were. The tests of retrybudget pass, and make lint.

--- a/internal/retrybudget/moving_callers_test.go
+++ b/internal/retrybudget/moving_callers_test.go
@@ -12,15 +12,11 @@
 
 // callAt sends 250 requests a second to the nodes in turn; each is retried the given number of times.
 func (f *testFleet) callAt(nodes []*node, retries int, duration time.Duration) {
-	end := time.Now().Add(duration)
-	for number := 0; time.Now().Before(end); number++ {
-		n := nodes[number%len(nodes)]
-		f.request(n)
+	f.call(nodes, 4*time.Millisecond, duration, func(n *node) {
 		for range retries {
 			go f.retry(n, 0)
 		}
-		time.Sleep(4 * time.Millisecond)
-	}
+	})
 }
 
 // Guards against nodes that spend what ten seconds of requests allow at once, and others that spend in
--- a/internal/retrybudget/restart_test.go
+++ b/internal/retrybudget/restart_test.go
@@ -14,23 +14,25 @@
 // smallLimits are limits whose even share suffices in a fleet of up to 14 nodes.
 var smallLimits = retrybudget.Limits{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
 
-// serve sends 100 requests a second to the nodes in turn, none of which is retried.
-func (f *testFleet) serve(duration time.Duration) {
+// call sends requests to the nodes in turn, one in each interval, and calls then after each.
+func (f *testFleet) call(nodes []*node, interval, duration time.Duration, then func(n *node)) {
 	end := time.Now().Add(duration)
 	for number := 0; time.Now().Before(end); number++ {
-		f.request(f.nodes[number%len(f.nodes)])
-		time.Sleep(10 * time.Millisecond)
+		n := nodes[number%len(nodes)]
+		f.request(n)
+		then(n)
+		time.Sleep(interval)
 	}
 }
 
+// serve sends 100 requests a second to the nodes in turn, none of which is retried.
+func (f *testFleet) serve(duration time.Duration) {
+	f.call(f.nodes, 10*time.Millisecond, duration, func(*node) {})
+}
+
 // fail sends 100 requests a second to the nodes in turn, each of which is retried once.
 func (f *testFleet) fail(duration time.Duration) {
-	end := time.Now().Add(duration)
-	for number := 0; time.Now().Before(end); number++ {
-		f.request(f.nodes[number%len(f.nodes)])
-		f.retry(f.nodes[number%len(f.nodes)], 0)
-		time.Sleep(10 * time.Millisecond)
-	}
+	f.call(f.nodes, 10*time.Millisecond, duration, func(n *node) { f.retry(n, 0) })
 }
 
 // restartAsPlanned replaces a node's process by one that continues from what it counted.
