forward: Learn no speed from a response that took no measurable time

A first byte after zero nanoseconds made the pool's average time per token zero and the server's latency factor 0/0. The factor stays NaN from then on, and the conversion of a NaN score to a duration depends on the processor: the lowest value on x86-64, zero on arm64. So a server with such a factor got every request on one and none on the other.

Real clocks rarely measure zero, so no caller is known to have seen it.

--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -316,8 +316,11 @@
 const defaultTokenTime = 40 * time.Microsecond
 
 // recordFirstByte adds the time to a first byte to the pool's average, and to the server's latency
-// factor.
+// factor. A time below the clock's resolution says nothing about either.
 func (t *tracker) recordFirstByte(pool string, load *serverLoad, tokens int, took time.Duration) {
+	if took <= 0 {
+		return
+	}
 	perToken := float64(took) / float64(tokens+baseTokens)
 	t.mutex.Lock()
 	average, known := t.tokenTime[pool]
