forward: Break a stream before foreign data in place of an event

Callers of a streaming route saw pieces that no run made, with an empty ID or one of another form, within a stream that ended with status 200.

Cause: once the first event of an attempt was good, all that was not proven to be wrong was passed on: blocks without an ID, bytes that are no event, IDs whose form cannot be compared with the last one.

Change: on a streaming route each block is checked in every state of the segment. In a stream with IDs it must have exactly one, of the form of those before where that is certain. An attempt that breaks so is treated as others that break their stream. On other routes, events without an ID between others stay legal.

Control characters other than NUL pass within data: a model may print a terminal's sequences, and the request would fail at every server.

TestStreamWithEventsAfterTheLastIDIsNotResumed had mixed streams on a streaming route. Its cases are now on a repeatable route, with a stream without IDs on the streaming one; that the streaming route stops before the event without ID, and resumes there, is a test of its own.

--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -3,16 +3,13 @@
 import (
 	"bytes"
 	"cmp"
-	"errors"
 	"hash/maphash"
 	"strconv"
 	"strings"
+	"unicode"
+	"unicode/utf8"
 )
 
-// errSurplusResponse breaks a stream in which the head of another response follows: without a length or
-// chunks, what a server sends after its response looks like a part of it.
-var errSurplusResponse = errors.New("another response follows within the stream")
-
 // byteOrderMark may precede the first event of a stream.
 var byteOrderMark = []byte("\ufeff")
 
@@ -22,16 +19,23 @@
 	id string
 	// hasContent: the event has an ID or data, so that it is more than a comment.
 	hasContent bool
+	// isComment: the event has only comments and a reconnection time.
+	isComment bool
+	// fault is what is wrong with the event by itself; nil if it is well-formed.
+	fault error
 	// digest of the event's ID, type and data, which don't depend on its server.
 	digest uint64
 }
 
-// parseEvent reads a complete event.
+// parseEvent reads a complete event. Its error breaks streams of all kinds.
 func parseEvent(block []byte) (streamEvent, error) {
-	var event streamEvent
+	event := streamEvent{isComment: true}
 	var digest maphash.Hash
 	digest.SetSeed(digestSeed)
 	block = bytes.TrimPrefix(block, byteOrderMark)
+	if !utf8.Valid(block) {
+		event.fault = errMalformedEvent
+	}
 	for len(block) > 0 {
 		end := lineLength(block)
 		line := block[:end]
@@ -39,26 +43,90 @@
 		if bytes.HasPrefix(line, []byte("HTTP/1.")) {
 			return streamEvent{}, errSurplusResponse
 		}
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		value = bytes.TrimPrefix(value, []byte(" "))
-		switch string(name) {
-		case "id":
-			event.id, event.hasContent = string(bytes.TrimSpace(value)), true
-		case "data":
-			event.hasContent = true
-		case "event":
-		default:
-			continue
+		if len(line) > 0 {
+			event.add(parseField(line), &digest)
 		}
-		_, _ = digest.Write(name)
-		_ = digest.WriteByte(':')
-		_, _ = digest.Write(value)
-		_ = digest.WriteByte('\n')
 	}
 	event.digest = digest.Sum64()
 	return event, nil
 }
 
+// eventField is a line of an event.
+type eventField struct {
+	// name is empty for a comment.
+	name, value []byte
+	// hasColon: the line has a colon, so that it is a field also if its name is not known.
+	hasColon bool
+}
+
+func parseField(line []byte) eventField {
+	name, value, hasColon := bytes.Cut(line, []byte(":"))
+	return eventField{name, bytes.TrimPrefix(value, []byte(" ")), hasColon}
+}
+
+// add adds a field to the event and, if it doesn't depend on the server, to its digest.
+func (e *streamEvent) add(field eventField, digest *maphash.Hash) {
+	e.fault = cmp.Or(e.fault, field.check())
+	switch string(field.name) {
+	case "id":
+		if e.id != "" || len(bytes.TrimSpace(field.value)) == 0 {
+			e.fault = cmp.Or[error](e.fault, errEventIDForm)
+		}
+		e.id, e.hasContent = string(bytes.TrimSpace(field.value)), true
+	case "data":
+		e.hasContent = true
+	case "event":
+	default:
+		e.isComment = e.isComment && field.isComment()
+		return
+	}
+	e.isComment = false
+	_, _ = digest.Write(field.name)
+	_ = digest.WriteByte(':')
+	_, _ = digest.Write(field.value)
+	_ = digest.WriteByte('\n')
+}
+
+// isComment reports whether the field is a comment or a reconnection time, which are no part of an event.
+func (f eventField) isComment() bool {
+	if string(f.name) != "retry" {
+		return len(f.name) == 0
+	}
+	_, digits := cutNumber(string(f.value))
+	return digits != "" && len(digits) == len(f.value)
+}
+
+// check reports a line that no encoder of events writes. Clients ignore fields that they don't know.
+func (f eventField) check() error {
+	switch string(f.name) {
+	case "data":
+		if bytes.IndexByte(f.value, 0) >= 0 {
+			return errMalformedEvent
+		}
+		return nil
+	case "id", "event", "retry", "":
+	default:
+		if !f.hasColon || !isToken(f.name) {
+			return errMalformedEvent
+		}
+	}
+	if bytes.ContainsFunc(f.value, func(char rune) bool { return unicode.IsControl(char) && char != '\t' }) {
+		return errMalformedEvent
+	}
+	return nil
+}
+
+// isToken reports whether a name consists of the characters of a header field's name (RFC 9110, 5.6.2).
+func isToken(name []byte) bool {
+	for _, char := range name {
+		isAlphanumeric := char >= '0' && char <= '9' || char >= 'a' && char <= 'z' || char >= 'A' && char <= 'Z'
+		if !isAlphanumeric && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(char)) {
+			return false
+		}
+	}
+	return true
+}
+
 // lineLength is the length in bytes of the first line of data, without its end.
 func lineLength(data []byte) int {
 	for i, char := range data {
--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -12,9 +12,6 @@
 	relayBufferBytes = 4 << 10
 )
 
-// errEventTooLong breaks a stream with an event longer than maxEventBytes.
-var errEventTooLong = errors.New("stream event exceeds the length limit")
-
 // eventReader splits a body into complete events. Lines end with LF, CRLF or CR.
 type eventReader struct {
 	body   io.Reader
--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -1,7 +1,7 @@
 package forward
 
 import (
-	"errors"
+	"strings"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 )
@@ -10,15 +10,14 @@
 // one, where a stream was continued, shows that events are missing.
 const minSteps = 8
 
-// Errors that break a stream whose events do not follow one another.
-var (
-	errEventOrder = errors.New("the IDs of the stream's events do not rise")
-	// errNotContinued: what a server sent does not follow the last event that was passed on.
-	errNotContinued = errors.New("the response does not continue the stream")
-)
+// minSamePrefix is the number of consecutive IDs with decimal numbers after the same prefix from which others
+// are foreign. It exceeds the decimal digits that follow one another in hexadecimal numbers.
+const minSamePrefix = 16
 
 // eventStream joins the events of several attempts into the one stream that a caller receives.
 type eventStream struct {
+	// numbered: the route's streams are events with rising IDs, if these have IDs at all.
+	numbered bool
 	// last is the ID of the last event that the caller has; empty if it has none.
 	last string
 	// passed: an event was passed on. unnumbered: one without an ID was passed on after the last ID, so
@@ -33,6 +32,9 @@
 	step      uint64
 	steps     int
 	irregular bool
+	// samePrefix is the number of events of this attempt since the one with another prefix before its decimal
+	// number. Another server may use another prefix.
+	samePrefix int
 	// withinEvent: an attempt broke within an event, so that events are still to come.
 	withinEvent bool
 }
@@ -40,10 +42,11 @@
 // newEventStream returns the stream of a request, of which its caller may have a part. Where a route's
 // streams can't be resumed, servers begin them at the start, whatever the caller has.
 func newEventStream(request *Request, route *fleet.Route) eventStream {
-	if !route.Repeatable() {
-		return eventStream{}
+	stream := eventStream{numbered: route.Kind == fleet.KindStream}
+	if route.Repeatable() {
+		stream.last = request.ResumeAfter
 	}
-	return eventStream{last: request.ResumeAfter}
+	return stream
 }
 
 // resumable reports whether another server can continue the stream, or begin it again where the caller
@@ -77,6 +80,7 @@
 
 // newSegment begins the events of an attempt that was asked to continue after the last event.
 func (s *eventStream) newSegment() *streamSegment {
+	s.samePrefix = 0
 	segment := &streamSegment{stream: s, state: segmentFollowing}
 	if s.last != "" {
 		segment.state = segmentJoining
@@ -86,6 +90,9 @@
 
 // accept reports whether an event is to be passed on. Its error breaks the stream before the event.
 func (g *streamSegment) accept(event streamEvent) (bool, error) {
+	if err := g.stream.check(event); err != nil {
+		return false, err
+	}
 	if !event.hasContent {
 		return g.state == segmentFollowing, nil
 	}
@@ -99,6 +106,44 @@
 	}
 }
 
+// check reports an event that no run of the stream has made.
+func (s *eventStream) check(event streamEvent) error {
+	switch {
+	case !s.numbered:
+		return nil
+	case event.fault != nil:
+		return event.fault
+	case event.isComment:
+		return nil
+	case s.last == "" && s.passed && event.id != "":
+		return errLateEventID
+	case s.last == "":
+		return nil
+	case event.id == "":
+		return errNoEventID
+	case s.isFormKnown() && !hasSameForm(event.id, s.last):
+		return errEventIDForm
+	}
+	return nil
+}
+
+// isFormKnown reports whether all IDs are certain to be decimal numbers after the prefix of the last one. A
+// prefix with digits may be a number that rises, too.
+func (s *eventStream) isFormKnown() bool {
+	prefix, number := cutNumber(s.last)
+	if number == "" || strings.ContainsAny(prefix, "0123456789") {
+		return false
+	}
+	return prefix == "" || s.samePrefix >= minSamePrefix
+}
+
+// hasSameForm reports whether two IDs are decimal numbers after the same prefix.
+func hasSameForm(a, b string) bool {
+	prefixA, numberA := cutNumber(a)
+	prefixB, numberB := cutNumber(b)
+	return prefixA == prefixB && numberA != "" && numberB != ""
+}
+
 // join decides what the first event of a continuation is.
 func (g *streamSegment) join(event streamEvent) (bool, error) {
 	if event.id == "" {
@@ -152,6 +197,7 @@
 	s.chain, s.lastDigest = addDigest(s.chain, event.digest), event.digest
 	s.unnumbered = event.id == ""
 	if event.id != "" {
+		s.recordForm(event.id)
 		if s.passed {
 			s.recordStep(eventStep(s.last, event.id))
 		} else {
@@ -178,6 +224,14 @@
 	return order > 0 || !certain
 }
 
+func (s *eventStream) recordForm(id string) {
+	if hasSameForm(id, s.last) {
+		s.samePrefix++
+	} else {
+		s.samePrefix = 0
+	}
+}
+
 func (s *eventStream) recordStep(step uint64) {
 	if s.steps == 0 {
 		s.step = step
--- a/internal/forward/eventstream_test.go
+++ b/internal/forward/eventstream_test.go
@@ -26,14 +26,18 @@
 		number := len(b.backend.servers())
 		return list[min(number, len(list))-1](ctx, attempt)
 	}
-	for _, id := range []string{"m1", "m2", "m3", "m4"} {
+	for _, id := range []string{"m1", "m2", "m3", "m4", "p1", "p2"} {
 		b.backend.answer[id] = answer
 	}
 }
 
 func serveStream(b *testbed, route, resumeAfter string) (Outcome, *recorder) {
 	seen := &recorder{}
-	asked := request(route, "m", 5*time.Second)
+	model := "m"
+	if route == "repeat" {
+		model = ""
+	}
+	asked := request(route, model, 5*time.Second)
 	asked.ResumeAfter = resumeAfter
 	return b.forwarder.Serve(context.Background(), asked, seen), seen
 }
@@ -195,16 +199,18 @@
 }
 
 // Guards against a stream being resumed after an ID that is not the last event's: the events since would
-// be passed on twice.
+// be passed on twice. On a streaming route, only a stream without IDs has such events.
 func TestStreamWithEventsAfterTheLastIDIsNotResumed(t *testing.T) {
 	unnumbered := []string{"data: a\n\n", "data: b\n\n"}
 	cases := map[string]struct {
+		route       string
 		parts       []string
 		resumeAfter string
 	}{
-		"after the caller's ID": {unnumbered, "7"},
-		"after an event's ID":   {append(events(1, 1), unnumbered...), ""},
-		"an ID that is reset":   {append(events(1, 1), "id:\ndata: a\n\n"), ""},
+		"after the caller's ID": {"repeat", unnumbered, "7"},
+		"after an event's ID":   {"repeat", append(events(1, 1), unnumbered...), ""},
+		"an ID that is reset":   {"repeat", append(events(1, 1), "id:\ndata: a\n\n"), ""},
+		"no IDs":                {"patient", unnumbered, ""},
 	}
 	for name, test := range cases {
 		for end, first := range map[string]answerFunc{
@@ -213,7 +219,7 @@
 			t.Run(name+", "+end, func(t *testing.T) {
 				inVirtualTime(t, func(b *testbed) {
 					b.inTurn(first, raw(append(append([]string(nil), test.parts...), events(8, 9)...)...))
-					outcome, seen := serveStream(b, "patient", test.resumeAfter)
+					outcome, seen := serveStream(b, test.route, test.resumeAfter)
 					Expect(seen.body.String()).To(Equal(strings.Join(test.parts, "")))
 					Expect(outcome.Code).NotTo(Equal(result.OK))
 					Expect(b.backend.servers()).To(HaveLen(1))
@@ -223,6 +229,36 @@
 	}
 }
 
+// Guards against an event without an ID being passed on where the stream goes on after an event that has one,
+// and against its continuation repeating or leaving out an event.
+func TestStreamIsResumedBeforeAnEventWithoutID(t *testing.T) {
+	unnumbered := []string{"data: a\n\n", "data: b\n\n"}
+	cases := map[string]struct {
+		parts       []string
+		resumeAfter string
+		last        int
+	}{
+		"after the caller's ID": {unnumbered, "7", 7},
+		"after an event's ID":   {append(events(1, 1), unnumbered...), "", 1},
+		"an ID that is reset":   {append(events(1, 1), "id:\ndata: a\n\n"), "", 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.inTurn(stallsAfter(test.parts), raw(events(test.last+1, 9)...))
+				outcome, seen := serveStream(b, "patient", test.resumeAfter)
+				passed := events(test.last+1, 9)
+				if test.resumeAfter == "" {
+					passed = events(1, 9)
+				}
+				Expect(seen.body.String()).To(Equal(strings.Join(passed, "")))
+				Expect(outcome.Code).To(Equal(result.OK))
+				Expect(b.backend.attempts[1].ResumeAfter).To(Equal(strconv.Itoa(test.last)))
+			})
+		})
+	}
+}
+
 // Guards against events being repeated or lost where lines end with CRLF or CR, and where an event
 // arrives in several pieces.
 func TestResumedStreamWithAnyLineEnds(t *testing.T) {
@@ -369,6 +405,7 @@
 	otherRun := func(from, to int) []string {
 		return []string{strings.ReplaceAll(strings.Join(events(from, to), ""), "data: x", "data: another run")}
 	}
+	opaque := []string{"id: a1f9\ndata: x\n\n", "id: zz9\ndata: foreign\n\n", "id: a1fa\ndata: x\n\n"}
 	cases := map[string]struct {
 		route, resumeAfter string
 		answers            []answerFunc
@@ -379,6 +416,11 @@
 		"a server says that nothing follows":                 {"patient", "", []answerFunc{broken(events(1, 3)), raw()}, events(1, 3)},
 		"another run goes on after the last event":           {"patient", "", []answerFunc{broken(events(1, 3)), raw(otherRun(4, 6)...)}, slices.Concat(events(1, 3), otherRun(4, 6))},
 		"another run begins again, after the caller's event": {"patient", "2", []answerFunc{raw(append(otherRun(1, 2), events(3, 4)...)...)}, events(3, 4)},
+		"a foreign event with a higher ID":                   {"stream", "", []answerFunc{raw(slices.Concat(events(1, 2), events(40, 40), events(41, 42))...)}, slices.Concat(events(1, 2), events(40, 42))},
+		"a foreign comment":                                  {"stream", "", []answerFunc{raw(slices.Concat(events(1, 2), []string{": foreign\n\n"}, events(3, 3))...)}, slices.Concat(events(1, 2), []string{": foreign\n\n"}, events(3, 3))},
+		"foreign data before an event's ID":                  {"stream", "", []answerFunc{raw(slices.Concat(events(1, 2), []string{"data: foreign\n"}, events(3, 3))...)}, slices.Concat(events(1, 2), []string{"data: foreign\n"}, events(3, 3))},
+		"a foreign field before an event's ID":               {"stream", "", []answerFunc{raw(slices.Concat(events(1, 2), []string{"foreign: x\n"}, events(3, 3))...)}, slices.Concat(events(1, 2), []string{"foreign: x\n"}, events(3, 3))},
+		"an odd ID among opaque ones":                        {"stream", "", []answerFunc{raw(opaque...)}, opaque},
 		"a server that lives on ends an unframed stream":     {"stream", "", []answerFunc{unframed(raw(events(1, 2)...))}, events(1, 2)},
 	}
 	for name, test := range cases {
--- /dev/null
+++ b/internal/forward/foreign_blocks_test.go
@@ -0,0 +1,139 @@
+package forward
+
+import (
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/result"
+)
+
+// foreignBlocks are what no run sends behind an event with a decimal ID, by kind.
+var foreignBlocks = map[string]string{
+	"data without an ID":           "data: foreign\n\n",
+	"an empty ID":                  "id: \ndata: foreign\n\n",
+	"an ID with a NUL":             "id: 4\x00\ndata: foreign\n\n",
+	"a name and data without ID":   "event: token\ndata: foreign\n\n",
+	"other fields":                 "foo: bar\nbaz: qux\n\n",
+	"no field at all":              "foreign bytes\n\n",
+	"binary bytes":                 "\x16\x03\x01\xff\xfe\n\n",
+	"an ID of letters":             "id: zz9\ndata: foreign\n\n",
+	"a negative ID":                "id: -7\ndata: foreign\n\n",
+	"a fraction":                   "id: 4.5\ndata: foreign\n\n",
+	"an exponent":                  "id: 4e9\ndata: foreign\n\n",
+	"a hexadecimal ID":             "id: 0x9\ndata: foreign\n\n",
+	"no ID, digits as binary data": "data: \x00\x01\x02\n\n",
+	// Foreign bytes that merge with the next event, without a blank line between.
+	"an ID, no blank line":      "id: 4\n",
+	"a line, no blank line":     "foreign\n",
+	"bytes, no line end":        "\x16\x03\x01",
+	"text, no line end":         "foreign",
+	"a control character":       "ev\x1bent: x\n",
+	"a name without data or ID": "event: foreign\n\n",
+	"a time that is no number":  "retry: foreign\n\n",
+}
+
+// Foreign data within a stream reached its caller as a piece that no run made: all that wasn't proven to be
+// wrong was passed on, once the first event of an attempt was good.
+func TestForeignBlocksWithinAStreamAreNotPassedOn(t *testing.T) {
+	whole := strings.Join(events(1, 6), "")
+	places := map[string]struct {
+		parts func(block string) []string
+		// before is the number of the last event before the block, resumeAfter what the caller sends.
+		before      int
+		resumeAfter string
+	}{
+		"between":    {func(block string) []string { return slices.Concat(events(1, 3), []string{block}, events(4, 6)) }, 3, ""},
+		"at the end": {func(block string) []string { return append(events(1, 6), block) }, 6, ""},
+		"in one piece": {func(block string) []string {
+			return []string{strings.Join(events(1, 3), "") + block + strings.Join(events(4, 6), "")}
+		}, 3, ""},
+		"with the next": {func(block string) []string {
+			return slices.Concat(events(1, 3), []string{block + strings.Join(events(4, 6), "")})
+		}, 3, ""},
+		"byte by byte": {func(block string) []string {
+			return pieces(strings.Join(events(1, 3), "")+block+strings.Join(events(4, 6), ""), 1)
+		}, 3, ""},
+		"after a resumption": {func(block string) []string { return slices.Concat([]string{block}, events(3, 6)) }, 2, "2"},
+		"after a repetition": {func(block string) []string { return slices.Concat(events(2, 2), []string{block}, events(3, 6)) }, 2, "2"},
+	}
+	for kind, block := range foreignBlocks {
+		for place, at := range places {
+			for _, route := range []string{"stream", "patient"} {
+				if route == "stream" && at.resumeAfter != "" {
+					continue // the route's servers begin streams at the start
+				}
+				t.Run(kind+", "+place+", "+route, func(t *testing.T) {
+					inVirtualTime(t, func(b *testbed) {
+						b.inTurn(raw(at.parts(block)...), raw(events(at.before+1, 6)...))
+						outcome, seen := serveStream(b, route, at.resumeAfter)
+						if route == "patient" {
+							want := strings.TrimPrefix(whole, strings.Join(events(1, 2), ""))
+							if at.resumeAfter == "" {
+								want = whole
+							}
+							Expect(seen.body.String()).To(Equal(want))
+							// Nothing tells a part of foreign data from a part of one more event.
+							mayLackEvents := place == "at the end" && !strings.HasSuffix(block, "\n\n")
+							Expect(outcome.Broken).To(Equal(mayLackEvents))
+							Expect(outcome.Code == result.OK).NotTo(Equal(mayLackEvents))
+							Expect(b.backend.servers()).To(HaveLen(2))
+							return
+						}
+						Expect(seen.body.String()).To(Equal(strings.Join(events(1, at.before), "")))
+						Expect(outcome.Broken).To(BeTrue(), "the stream looks complete")
+						Expect(outcome.Code).To(Equal(result.StreamBroken))
+						Expect(b.backend.servers()).To(HaveLen(1))
+					})
+				})
+			}
+		}
+	}
+}
+
+// Guards against whole streams being broken by the check for foreign data.
+func TestWholeStreamsOfAllKindsPass(t *testing.T) {
+	event := func(id string) string { return "id: " + id + "\ndata: x\n\n" }
+	var redis, hexadecimal []string
+	for number := range 40 {
+		redis = append(redis, event("1700"+strings.Repeat("0", number/20)+"-"+strings.Repeat("1", 1+number%20)))
+	}
+	for _, digits := range []string{"1", "2", "3", "4", "5", "6", "7", "8", "9", "a", "b", "10"} {
+		hexadecimal = append(hexadecimal, event("run-"+digits))
+	}
+	cases := map[string][]string{
+		"IDs in steps":           {event("10"), event("20"), event("35")},
+		"IDs with a prefix":      {event("run-8"), event("run-9"), event("run-10")},
+		"times and numbers":      redis,
+		"hexadecimal IDs":        hexadecimal,
+		"opaque IDs":             {event("a1f9"), event("a1fa"), event("a200")},
+		"comments":               {": hello\n\n", event("1"), ": ping\n\n", event("2"), "retry: 5\n\n", event("3"), ": bye\n\n"},
+		"a version of weights":   {event("1"), "hatchplank-weight-versions: 2\n" + event("2"), event("3")},
+		"names":                  {"event: token\n" + event("1"), "event: token\n" + event("2")},
+		"a terminal's output":    {"id: 1\ndata: \x1b[1mx\tÄ\n\n", event("2")},
+		"no IDs":                 {"data: a\n\n", "data: b\n\n", "event: done\n\n"},
+		"no IDs, one event":      {"data: a\n\n"},
+		"no event":               {": nothing\n\n"},
+		"blank lines and no BOM": {"\n\n", event("1"), "\n\n", event("2"), "\n"},
+		"a BOM":                  {"\ufeff" + event("1"), event("2")},
+	}
+	for name, parts := range cases {
+		for _, route := range []string{"stream", "patient"} {
+			for size, cut := range map[string][]string{"events": parts, "one piece": {strings.Join(parts, "")}, "bytes": pieces(strings.Join(parts, ""), 1)} {
+				t.Run(name+" on "+route+", "+size, func(t *testing.T) {
+					inVirtualTime(t, func(b *testbed) {
+						b.inTurn(streams(cut, time.Microsecond, io.EOF))
+						outcome, seen := serveStream(b, route, "")
+						Expect(seen.body.String()).To(Equal(strings.Join(parts, "")))
+						Expect(outcome.Code).To(Equal(result.OK))
+						Expect(b.backend.servers()).To(HaveLen(1))
+					})
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/streamerror.go
@@ -0,0 +1,46 @@
+package forward
+
+// StreamFault is a kind of fault in a server's event stream.
+type StreamFault string
+
+// The kinds.
+const (
+	// FaultMalformed: bytes that are no event.
+	FaultMalformed StreamFault = "malformed"
+	// FaultNoID: an event without an ID in a stream whose events have IDs, or the reverse.
+	FaultNoID StreamFault = "no_id"
+	// FaultIDForm: an ID that is empty, set twice, or of another form than those before.
+	FaultIDForm StreamFault = "id_form"
+	// FaultIDOrder: IDs that don't rise.
+	FaultIDOrder StreamFault = "id_order"
+	// FaultNotContinued: a response that doesn't follow the last event of the stream.
+	FaultNotContinued StreamFault = "not_continued"
+	// FaultSurplusResponse: the head of another response.
+	FaultSurplusResponse StreamFault = "surplus_response"
+	// FaultTooLong: an event above the length limit.
+	FaultTooLong StreamFault = "event_too_long"
+)
+
+// StreamError breaks a stream before an event that its server should not have sent.
+type StreamError struct {
+	Fault StreamFault
+	text  string
+}
+
+// Error implements error.
+func (e *StreamError) Error() string { return e.text }
+
+// Errors that break a stream.
+var (
+	errMalformedEvent = &StreamError{FaultMalformed, "bytes that are no event follow within the stream"}
+	errNoEventID      = &StreamError{FaultNoID, "an event has no ID in a stream whose events have IDs"}
+	errLateEventID    = &StreamError{FaultNoID, "an event has an ID in a stream whose events have none"}
+	errEventIDForm    = &StreamError{FaultIDForm, "the ID of an event is not of the form of those before"}
+	errEventOrder     = &StreamError{FaultIDOrder, "the IDs of the stream's events do not rise"}
+	// errNotContinued: what a server sent does not follow the last event that was passed on.
+	errNotContinued = &StreamError{FaultNotContinued, "the response does not continue the stream"}
+	// errSurplusResponse: without a length or chunks, what a server sends after its response looks like a
+	// part of it.
+	errSurplusResponse = &StreamError{FaultSurplusResponse, "another response follows within the stream"}
+	errEventTooLong    = &StreamError{FaultTooLong, "stream event exceeds the length limit"}
+)
