forward: Run the benchmark of relayed events again

BenchmarkRelayEvents ended with a nil pointer: since streams are bound to the software version of the server that began them, a flow needs one. Only test code.

--- a/internal/forward/eventstream_benchmark_test.go
+++ b/internal/forward/eventstream_benchmark_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
 )
 
 // discarding is a responder that keeps nothing.
@@ -26,6 +28,7 @@
 	b.ReportAllocs()
 	for range b.N {
 		flow := t.forwarder.newFlow(request("stream", "m", time.Minute), testRoutes()[0])
+		flow.latestServer.Store(&fleet.Server{})
 		reply := &Reply{Status: 200, Events: true, Body: &scriptedBody{ctx: context.Background(), parts: parts, err: io.EOF}}
 		if err := t.forwarder.relayEvents(flow, reply, discarding{}, t.forwarder.newSwitchover(flow, func(error) {})); err != nil && !errors.Is(err, io.EOF) {
 			b.Fatal(err)
