forward: Break a stream before foreign data ahead of its first ID

Callers saw foreign blocks before a stream's first event, and whole responses of foreign data as complete streams.

Cause: streams without IDs are legal, so that nothing tells a foreign block from the first event of one until another event follows. And an event that a foreign blank line divides was two: the part with the ID was passed on, the stream went on behind it, and its data was lost.

Change: the first event without an ID, and an event without data, wait for the next one. Where an error follows, the stream is broken before them. Nodes learn whether a pool's streams have IDs, which ends the wait where they have none, and breaks a stream without any where they have.

--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -18,7 +18,7 @@
 	// id is empty if the event has none.
 	id string
 	// hasContent: the event has an ID or data, so that it is more than a comment.
-	hasContent bool
+	hasContent, hasData bool
 	// isComment: the event has only comments and a reconnection time.
 	isComment bool
 	// fault is what is wrong with the event by itself; nil if it is well-formed.
@@ -74,7 +74,7 @@
 		}
 		e.id, e.hasContent = string(bytes.TrimSpace(field.value)), true
 	case "data":
-		e.hasContent = true
+		e.hasContent, e.hasData = true, true
 	case "event":
 	default:
 		e.isComment = e.isComment && field.isComment()
--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"strings"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
@@ -76,6 +77,19 @@
 	fromStart bool
 	// previous is the ID of the last repeated event.
 	previous string
+	// pool is what is known of the streams of the attempt's pool.
+	pool poolStreamIDs
+	// sawID: an event with an ID was passed on. isUnnumbered: the response's events have none.
+	sawID, isUnnumbered bool
+	// held are events that the next one shows to be a part of the stream or foreign, heldBytes long.
+	held      []heldEvent
+	heldBytes int
+}
+
+// heldEvent is an event that was neither passed on nor dropped yet.
+type heldEvent struct {
+	event streamEvent
+	block []byte
 }
 
 // newSegment begins the events of an attempt that was asked to continue after the last event.
@@ -88,12 +102,81 @@
 	return segment
 }
 
+// acceptAll appends the events that are to be passed on, up to one that breaks the stream. A byte order
+// mark stays only before the stream's first event.
+func (g *streamSegment) acceptAll(blocks [][]byte, begun bool) ([]byte, error) {
+	var accepted []byte
+	for _, block := range blocks {
+		event, err := parseEvent(block)
+		if err != nil {
+			return accepted, err
+		}
+		if begun || len(accepted)+len(g.held) > 0 {
+			block = bytes.TrimPrefix(block, byteOrderMark)
+		}
+		if g.mustHold(event) {
+			err = g.hold(event, block)
+		} else {
+			g.held = append(g.held, heldEvent{event, block})
+			accepted, err = g.acceptHeld(accepted)
+		}
+		if err != nil {
+			return accepted, err
+		}
+	}
+	return accepted, nil
+}
+
+// hold keeps an event until a later one is accepted.
+func (g *streamSegment) hold(event streamEvent, block []byte) error {
+	if g.heldBytes += len(block); g.heldBytes > maxEventBytes {
+		return errEventTooLong
+	}
+	g.held = append(g.held, heldEvent{event, bytes.Clone(block)})
+	return nil
+}
+
+// mustHold reports whether only the next event shows that this one is a part of the stream: the first
+// without an ID, and one without data, which may be a part of an event that foreign data divides. Clients
+// ignore events without data until the next one.
+func (g *streamSegment) mustHold(event streamEvent) bool {
+	switch {
+	case !g.stream.numbered || event.fault != nil:
+		return false
+	case event.isComment:
+		return len(g.held) > 0
+	case event.id != "":
+		return !event.hasData
+	}
+	known := g.stream.passed || g.stream.last != "" || g.pool.always || g.pool.never
+	return !known && len(g.held) == 0
+}
+
+// acceptHeld appends the held events that are to be passed on, unless one of them breaks the stream: the
+// stream is broken before the first of them then.
+func (g *streamSegment) acceptHeld(accepted []byte) ([]byte, error) {
+	stream, segment, length := *g.stream, *g, len(accepted)
+	for _, held := range g.held {
+		pass, err := g.accept(held.event)
+		if err != nil {
+			*g.stream, *g = stream, segment
+			g.held, g.isUnnumbered = nil, stream.last == "" && err == error(errNoEventID)
+			return accepted[:length], err
+		}
+		if pass {
+			accepted = append(accepted, held.block...)
+		}
+	}
+	g.held, g.heldBytes = g.held[:0], 0
+	return accepted, nil
+}
+
 // accept reports whether an event is to be passed on. Its error breaks the stream before the event.
 func (g *streamSegment) accept(event streamEvent) (bool, error) {
-	if err := g.stream.check(event); err != nil {
+	if err := g.check(event); err != nil {
 		return false, err
 	}
-	if !event.hasContent {
+	if event.isComment || !event.hasContent && !g.stream.numbered {
 		return g.state == segmentFollowing, nil
 	}
 	switch g.state {
@@ -107,7 +190,8 @@
 }
 
 // check reports an event that no run of the stream has made.
-func (s *eventStream) check(event streamEvent) error {
+func (g *streamSegment) check(event streamEvent) error {
+	s := g.stream
 	switch {
 	case !s.numbered:
 		return nil
@@ -115,10 +199,8 @@
 		return event.fault
 	case event.isComment:
 		return nil
-	case s.last == "" && s.passed && event.id != "":
-		return errLateEventID
 	case s.last == "":
-		return nil
+		return g.checkFirst(event)
 	case event.id == "":
 		return errNoEventID
 	case s.isFormKnown() && !hasSameForm(event.id, s.last):
@@ -127,6 +209,21 @@
 	return nil
 }
 
+// checkFirst reports an event that no run has made, where no event before it has an ID.
+func (g *streamSegment) checkFirst(event streamEvent) error {
+	if event.id != "" {
+		if g.stream.passed {
+			return errLateEventID
+		}
+		return nil
+	}
+	g.isUnnumbered = true
+	if g.pool.always {
+		return errNoEventID
+	}
+	return nil
+}
+
 // isFormKnown reports whether all IDs are certain to be decimal numbers after the prefix of the last one. A
 // prefix with digits may be a number that rises, too.
 func (s *eventStream) isFormKnown() bool {
@@ -197,6 +294,7 @@
 	s.chain, s.lastDigest = addDigest(s.chain, event.digest), event.digest
 	s.unnumbered = event.id == ""
 	if event.id != "" {
+		g.sawID = true
 		s.recordForm(event.id)
 		if s.passed {
 			s.recordStep(eventStep(s.last, event.id))
@@ -209,12 +307,21 @@
 	return nil
 }
 
-// end checks the end of a complete response.
-func (g *streamSegment) end() error {
+// end appends the held events at the end of a complete response, and checks this end.
+func (g *streamSegment) end(accepted []byte) ([]byte, error) {
+	accepted, err := g.acceptHeld(accepted)
+	if err != nil {
+		return accepted, err
+	}
 	if g.state == segmentRepeating || g.stream.withinEvent {
-		return errNotContinued
+		return accepted, errNotContinued
 	}
-	return nil
+	return accepted, nil
+}
+
+// breakOff records the end of an incomplete response; withinEvent: it ended within an event.
+func (g *streamSegment) breakOff(withinEvent bool) {
+	g.stream.withinEvent = g.stream.withinEvent || withinEvent || len(g.held) > 0
 }
 
 // mayFollow reports whether an event may come after another one, as far as the order of their IDs is
--- a/internal/forward/eventstream_test.go
+++ b/internal/forward/eventstream_test.go
@@ -421,6 +421,8 @@
 		"foreign data before an event's ID":                  {"stream", "", []answerFunc{raw(slices.Concat(events(1, 2), []string{"data: foreign\n"}, events(3, 3))...)}, slices.Concat(events(1, 2), []string{"data: foreign\n"}, events(3, 3))},
 		"a foreign field before an event's ID":               {"stream", "", []answerFunc{raw(slices.Concat(events(1, 2), []string{"foreign: x\n"}, events(3, 3))...)}, slices.Concat(events(1, 2), []string{"foreign: x\n"}, events(3, 3))},
 		"an odd ID among opaque ones":                        {"stream", "", []answerFunc{raw(opaque...)}, opaque},
+		"a foreign ID before the first event":                {"stream", "", []answerFunc{raw(slices.Concat(opaque[1:2], events(1, 2))...)}, slices.Concat(opaque[1:2], events(1, 2))},
+		"nothing but foreign data in a pool not known yet":   {"stream", "", []answerFunc{raw("data: foreign\n\n")}, []string{"data: foreign\n\n"}},
 		"a server that lives on ends an unframed stream":     {"stream", "", []answerFunc{unframed(raw(events(1, 2)...))}, events(1, 2)},
 	}
 	for name, test := range cases {
--- a/internal/forward/foreign_blocks_test.go
+++ b/internal/forward/foreign_blocks_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"slices"
 	"strings"
@@ -95,6 +96,147 @@
 	}
 }
 
+// Foreign data before a stream's first event reached its caller: until an event has an ID, the stream may be one
+// without any.
+func TestForeignBlocksBeforeAStreamAreNotPassedOn(t *testing.T) {
+	for kind, block := range foreignBlocks {
+		if strings.Contains(kind, "ID of letters") || strings.HasPrefix(kind, "a negative") || strings.HasPrefix(kind, "a fraction") ||
+			strings.HasPrefix(kind, "an exponent") || strings.HasPrefix(kind, "a hexadecimal") {
+			continue // the stream's form isn't known yet
+		}
+		for place, parts := range map[string][]string{
+			"first": slices.Concat([]string{block}, events(1, 6)), "in one piece": {block + strings.Join(events(1, 6), "")},
+			"behind a comment": slices.Concat([]string{": ping\n\n", block, ": ping\n\n"}, events(1, 6)),
+		} {
+			for _, route := range []string{"stream", "patient"} {
+				t.Run(kind+", "+place+", "+route, func(t *testing.T) {
+					inVirtualTime(t, func(b *testbed) {
+						b.inTurn(raw(parts...), raw(events(1, 6)...))
+						outcome, seen := serveStream(b, route, "")
+						got := strings.ReplaceAll(seen.body.String(), ": ping\n\n", "")
+						if route == "patient" {
+							Expect(got).To(Equal(strings.Join(events(1, 6), "")))
+							Expect(outcome.Code).To(Equal(result.OK))
+							Expect(b.backend.servers()).To(HaveLen(2))
+							return
+						}
+						Expect(got).To(BeEmpty())
+						Expect(outcome.Broken).To(Equal(outcome.HeadSent), "the stream looks complete")
+						Expect(outcome.Code).To(BeElementOf(result.OutcomeUnknown, result.StreamBroken))
+						Expect(b.backend.servers()).To(HaveLen(1))
+					})
+				})
+			}
+		}
+	}
+}
+
+// A stream of nothing but foreign data reached its caller as a complete one, in a pool whose streams have IDs.
+func TestStreamOfForeignBlocksIsNotPassedOn(t *testing.T) {
+	for kind, parts := range map[string][]string{
+		"one block": {"data: foreign\n\n"}, "several": {"data: foreign\n\n", "foo: bar\n\n"}, "a name": {"event: foreign\n\n"},
+	} {
+		for _, route := range []string{"stream", "patient"} {
+			t.Run(kind+", "+route, func(t *testing.T) {
+				inVirtualTime(t, func(b *testbed) {
+					serveStreams(b, route, minNumberedStreams, raw(events(1, 2)...))
+					b.backend.attempts = nil
+					b.inTurn(raw(parts...), raw(events(1, 6)...))
+					outcome, seen := serveStream(b, route, "")
+					if route == "patient" {
+						Expect(seen.body.String()).To(Equal(strings.Join(events(1, 6), "")))
+						Expect(outcome.Code).To(Equal(result.OK))
+						return
+					}
+					Expect(seen.begun).To(BeZero())
+					Expect(outcome.Code).To(Equal(result.OutcomeUnknown))
+				})
+			})
+		}
+	}
+}
+
+// serveStreams serves some streams, each answered alike.
+func serveStreams(b *testbed, route string, count int, answer answerFunc) (codes []result.Code) {
+	for range count {
+		b.inTurn(answer)
+		outcome, _ := serveStream(b, route, "")
+		codes = append(codes, outcome.Code)
+	}
+	return codes
+}
+
+// Guards against a pool's streams without IDs being broken for good, since its streams had IDs before a release.
+func TestPoolWhoseStreamsLoseTheirIDsServesThem(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		unnumbered := raw("data: a\n\n", "data: b\n\n")
+		serveStreams(b, "stream", minNumberedStreams, raw(events(1, 2)...))
+		codes := serveStreams(b, "stream", 6, unnumbered)
+		Expect(codes[:minUnnumberedStreams]).To(HaveEach(result.OutcomeUnknown))
+		Expect(codes[minUnnumberedStreams:]).To(HaveEach(result.OK))
+		Expect(serveStreams(b, "stream", 2, raw(events(1, 2)...))).To(HaveEach(result.OK))
+		Expect(serveStreams(b, "stream", 2, unnumbered)).To(HaveEach(result.OK), "one of the former kind proves nothing")
+	})
+}
+
+// Guards against each first event of a stream without IDs waiting for the second one.
+func TestFirstEventOfAStreamWithoutIDsIsNotDelayedForLong(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		for number := range 3 {
+			began := time.Now()
+			var first time.Duration
+			b.inTurn(streams([]string{"data: a\n\n", "data: b\n\n"}, 100*time.Millisecond, io.EOF))
+			seen := &writeTimes{}
+			outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), seen)
+			first = seen.at[0].Sub(began)
+			Expect(outcome.Code).To(Equal(result.OK))
+			if number == 0 {
+				Expect(first).To(Equal(200 * time.Millisecond))
+			} else {
+				Expect(first).To(Equal(100 * time.Millisecond))
+			}
+		}
+	})
+}
+
+// writeTimes is a responder that keeps when parts of the body came.
+type writeTimes struct{ at []time.Time }
+
+func (w *writeTimes) Begin(*Reply) {}
+
+func (w *writeTimes) Write([]byte) error {
+	w.at = append(w.at, time.Now())
+	return nil
+}
+
+// A blank line within an event made two of it: the first part, which has the ID, was passed on, and the stream
+// went on behind it.
+func TestPartOfAnEventBeforeForeignDataIsNotPassedOn(t *testing.T) {
+	for name, parts := range map[string][]string{
+		"a blank line":          {"id: 3\n\n", "data: x\n\n"},
+		"foreign data":          {"id: 3\n\n", "foreign\n\n"},
+		"a comment":             {"id: 3\n\n", ": ping\n\n", "data: x\n\n"},
+		"the event again":       {"id: 3\n\n", "id: 3\ndata: x\n\n"},
+		"a higher ID of others": {"id: 50\n\n", "id: 3\ndata: x\n\n"},
+		"cut":                   {"id: 3\n\n", "da"},
+	} {
+		for _, route := range []string{"stream", "patient"} {
+			t.Run(name+", "+route, func(t *testing.T) {
+				inVirtualTime(t, func(b *testbed) {
+					b.inTurn(raw(slices.Concat(events(1, 2), parts)...), raw(events(3, 6)...))
+					outcome, seen := serveStream(b, route, "")
+					last := 2
+					if route == "patient" {
+						last = 6
+					}
+					Expect(seen.body.String()).To(Equal(strings.Join(events(1, last), "")))
+					Expect(outcome.Broken).To(Equal(route == "stream"))
+				})
+			})
+		}
+	}
+}
+
 // Guards against whole streams being broken by the check for foreign data.
 func TestWholeStreamsOfAllKindsPass(t *testing.T) {
 	event := func(id string) string { return "id: " + id + "\ndata: x\n\n" }
@@ -117,6 +259,7 @@
 		"a terminal's output":    {"id: 1\ndata: \x1b[1mx\tÄ\n\n", event("2")},
 		"no IDs":                 {"data: a\n\n", "data: b\n\n", "event: done\n\n"},
 		"no IDs, one event":      {"data: a\n\n"},
+		"an ID without data":     {event("1"), "id: 2\n\n", ": ping\n\n", "id: 3\n\n", event("4"), "event: done\nid: 5\n\n"},
 		"no event":               {": nothing\n\n"},
 		"blank lines and no BOM": {"\n\n", event("1"), "\n\n", event("2"), "\n"},
 		"a BOM":                  {"\ufeff" + event("1"), event("2")},
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -130,17 +129,18 @@
 		sw.after(first, errStreamStalled)
 	}
 	reader, segment := newEventReader(reply.Body), flow.stream.newSegment()
+	segment.pool = f.streamIDs.of(flow.pool)
+	defer func() { f.recordStreamIDs(flow, segment) }()
 	for {
 		blocks, err := reader.next()
 		flow.gaps.record(len(blocks) > 0, time.Now())
 		events, orderErr := segment.acceptAll(blocks, flow.headSent)
-		if orderErr != nil {
-			err = orderErr
-		} else if errors.Is(err, io.EOF) {
-			if err = cmp.Or(segment.end(), err); errors.Is(err, io.EOF) {
+		if orderErr == nil && errors.Is(err, io.EOF) {
+			if events, orderErr = segment.end(events); orderErr == nil {
 				events = append(events, reader.rest()...)
 			}
 		}
+		err = cmp.Or(orderErr, err)
 		if err := flow.passOn(responder, reply, events, errors.Is(err, io.EOF)); err != nil {
 			return err
 		}
@@ -148,13 +148,20 @@
 			return nil
 		}
 		if err != nil {
-			flow.stream.withinEvent = flow.stream.withinEvent || reader.withinEvent()
+			segment.breakOff(reader.withinEvent())
 			return err
 		}
 		f.limitGap(flow, gap, sw)
 	}
 }
 
+// recordStreamIDs records whether the events of a response had IDs.
+func (f *Forwarder) recordStreamIDs(flow *flow, segment *streamSegment) {
+	if flow.stream.numbered && (segment.sawID || segment.isUnnumbered) {
+		f.streamIDs.record(flow.pool, segment.sawID)
+	}
+}
+
 // passOn sends events. The head is sent with the first ones, or at the stream's end: until then another
 // server's response can replace this one.
 func (fl *flow) passOn(responder Responder, reply *Reply, events []byte, ended bool) error {
@@ -181,29 +188,6 @@
 	}
 }
 
-// acceptAll returns the events that are to be passed on, up to one that breaks the stream. A byte order
-// mark stays only before the stream's first event.
-func (g *streamSegment) acceptAll(blocks [][]byte, begun bool) ([]byte, error) {
-	var accepted []byte
-	for _, block := range blocks {
-		event, err := parseEvent(block)
-		if err != nil {
-			return accepted, err
-		}
-		pass, err := g.accept(event)
-		if err != nil {
-			return accepted, err
-		}
-		if pass && (begun || len(accepted) > 0) {
-			block = bytes.TrimPrefix(block, byteOrderMark)
-		}
-		if pass {
-			accepted = append(accepted, block...)
-		}
-	}
-	return accepted, nil
-}
-
 // gapLimits are how long the first event and each later one may take before the stream is
 // continued at another server; zero if it may not be.
 func (f *Forwarder) gapLimits(flow *flow) (first, gap time.Duration) {
