forward: Send foreign data in the random test of streams

Servers of TestStreamIsAPrefixOfTheRightOneAndCompleteOnlyIfWhole now also send foreign data: the kinds of foreignBlocks and any bytes before, between and after events, and any bytes behind a NUL within an event. dataEvents, by which it is judged, returns all that is no comment rather than only what has data. Foreign data that nothing tells isn't drawn.

Only test code.

--- a/internal/forward/eventstream_property_test.go
+++ b/internal/forward/eventstream_property_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -75,6 +76,8 @@
 	eventsWithError = "answers with a status of 400 or more and events"
 	noEvents        = "answers with a body that is no event stream"
 	rejects         = "rejects the attempt"
+	foreignBetween  = "sends foreign data before, between or after events"
+	foreignAnywhere = "sends foreign data within an event or between two"
 )
 
 // How a response ends.
@@ -98,10 +101,13 @@
 	at, cut float64
 	size    int
 	style   lineStyle
+	// foreign data, of a kind of foreignBlocks or any bytes.
+	foreign string
+	bytes   []byte
 }
 
 func drawScript(t *rapid.T, attempt int) answerScript {
-	kinds := []string{continues, continues, repeatsSome, beginsAgain, fallsBack, surplus, statusInstead, eventsWithError, noEvents, rejects}
+	kinds := []string{continues, continues, repeatsSome, beginsAgain, fallsBack, surplus, statusInstead, eventsWithError, noEvents, rejects, foreignBetween, foreignBetween, foreignAnywhere}
 	if attempt > 0 {
 		kinds = append(kinds, anotherRun, anotherRunSoon, skips)
 	}
@@ -112,7 +118,9 @@
 		status: rapid.SampledFrom([]int{204, 302, 400, 404, 409, 429, 500, 503}).Draw(t, name("status")),
 		back:   rapid.IntRange(1, 4).Draw(t, name("events back")),
 		at:     rapid.Float64Range(0, 1).Draw(t, name("middle")), cut: rapid.Float64Range(0, 1).Draw(t, name("cut")),
-		size: rapid.SampledFrom([]int{1, 2, 5, 17, 64, 4096}).Draw(t, name("piece")),
+		size:    rapid.SampledFrom([]int{1, 2, 5, 17, 64, 4096}).Draw(t, name("piece")),
+		foreign: rapid.SampledFrom(append(slices.Sorted(maps.Keys(foreignBlocks)), "")).Draw(t, name("foreign data")),
+		bytes:   rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(t, name("bytes")),
 		style: lineStyle{
 			end:      rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, name("line end")),
 			comments: rapid.Bool().Draw(t, name("comments")), bom: rapid.Bool().Draw(t, name("BOM")),
@@ -125,7 +133,9 @@
 	right, other generation
 	resumeAfter  int
 	route        string
-	scripts      []answerScript
+	// poolKnown: the node knows that the pool's streams have IDs.
+	poolKnown bool
+	scripts   []answerScript
 }
 
 func drawIDs(t *rapid.T) []string {
@@ -153,6 +163,7 @@
 	} else if rapid.IntRange(0, 4).Draw(t, "route") == 0 {
 		trial.route = "stream"
 	}
+	trial.poolKnown = rapid.Bool().Draw(t, "pool known")
 	for attempt := range rapid.IntRange(1, 4).Draw(t, "attempts") {
 		trial.scripts = append(trial.scripts, drawScript(t, attempt))
 	}
@@ -192,6 +203,13 @@
 		case fallsBack:
 			middle := last + int(script.at*float64(parts-last))
 			text = j.right.events(last+1, middle, script.style) + j.right.events(max(middle+1-script.back, 1), parts, script.style)
+		case foreignBetween:
+			text = j.withForeignBetween(script, last)
+		case foreignAnywhere:
+			text = j.right.events(last+1, parts, script.style)
+			// A NUL makes the event that it is in a foreign one, whatever follows.
+			at := int(script.at * float64(len(text)))
+			text = text[:at] + "\x00" + string(script.bytes) + text[at:]
 		case surplus:
 			text = j.right.events(last+1, parts, script.style) + "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + j.right.events(1, parts, script.style)
 		default:
@@ -205,6 +223,26 @@
 	}
 }
 
+// withForeignBetween returns the events after the last one, and perhaps some before, with foreign data at the
+// beginning, between two of them or at the end. It leaves out foreign data that nothing tells.
+func (j joinTrial) withForeignBetween(script answerScript, last int) string {
+	parts, from := len(j.right.ids), max(last+1-script.back*(script.size%2), 1)
+	before := min(from-1+int(script.at*float64(parts-from+2)), parts)
+	foreign := foreignBlocks[script.foreign]
+	begins := last == 0 && before == 0
+	_, number := cutNumber(j.right.ids[0])
+	if oddIDs[script.foreign] && (begins || number != j.right.ids[0]) {
+		foreign = ""
+	}
+	if begins && !j.poolKnown && (parts == 1 || script.end == cutUnreached) {
+		return j.right.events(from, parts, script.style)
+	}
+	if foreign == "" {
+		foreign = string(script.bytes)
+	}
+	return j.right.events(from, before, script.style) + foreign + j.right.events(before+1, parts, script.style)
+}
+
 // provenSkip is the number of events to skip; 0 where the IDs before do not prove that some are missing.
 func (j joinTrial) provenSkip(last, wanted int) int {
 	first := j.resumeAfter + 1
@@ -304,6 +342,9 @@
 		}
 		b.inTurn(answers...)
 		b.checks(j.scripts)
+		for j.poolKnown && !b.forwarder.streamIDs.of(modelPool).always {
+			b.forwarder.streamIDs.record(modelPool, true)
+		}
 		asked := request(j.route, "m", 5*time.Second)
 		if j.resumeAfter > 0 {
 			asked.ResumeAfter = j.right.ids[j.resumeAfter-1]
--- a/internal/forward/eventstream_test.go
+++ b/internal/forward/eventstream_test.go
@@ -376,13 +376,13 @@
 	return cut
 }
 
-// dataEvents returns "ID data" of each event that has data, as a client reads a stream.
+// dataEvents returns "ID data" of each event, as a client reads a stream, and of all that is no comment.
 func dataEvents(stream string) []string {
 	stream = strings.TrimPrefix(stream, "\ufeff")
 	stream = strings.ReplaceAll(strings.ReplaceAll(stream, "\r\n", "\n"), "\r", "\n")
 	var found []string
 	for _, block := range strings.Split(stream, "\n\n") {
-		id, data := "", ""
+		id, data, isComment := "", "", true
 		for _, line := range strings.Split(block, "\n") {
 			if value, is := strings.CutPrefix(line, "id:"); is {
 				id = strings.TrimPrefix(value, " ")
@@ -390,8 +390,9 @@
 			if value, is := strings.CutPrefix(line, "data:"); is {
 				data = strings.TrimPrefix(value, " ")
 			}
+			isComment = isComment && (strings.TrimSpace(line) == "" || strings.HasPrefix(line, ":") || strings.HasPrefix(line, "retry:"))
 		}
-		if data != "" {
+		if !isComment {
 			found = append(found, id+" "+data)
 		}
 	}
--- a/internal/forward/foreign_blocks_test.go
+++ b/internal/forward/foreign_blocks_test.go
@@ -38,6 +38,9 @@
 	"a time that is no number":  "retry: foreign\n\n",
 }
 
+// oddIDs are the kinds of foreignBlocks that only the form of the IDs before tells.
+var oddIDs = map[string]bool{"an ID of letters": true, "a negative ID": true, "a fraction": true, "an exponent": true, "a hexadecimal ID": true}
+
 // Foreign data within a stream reached its caller as a piece that no run made: all that wasn't proven to be
 // wrong was passed on, once the first event of an attempt was good.
 func TestForeignBlocksWithinAStreamAreNotPassedOn(t *testing.T) {
@@ -100,9 +103,8 @@
 // without any.
 func TestForeignBlocksBeforeAStreamAreNotPassedOn(t *testing.T) {
 	for kind, block := range foreignBlocks {
-		if strings.Contains(kind, "ID of letters") || strings.HasPrefix(kind, "a negative") || strings.HasPrefix(kind, "a fraction") ||
-			strings.HasPrefix(kind, "an exponent") || strings.HasPrefix(kind, "a hexadecimal") {
-			continue // the stream's form isn't known yet
+		if oddIDs[kind] {
+			continue
 		}
 		for place, parts := range map[string][]string{
 			"first": slices.Concat([]string{block}, events(1, 6)), "in one piece": {block + strings.Join(events(1, 6), "")},
