forward: Count no crash where a complete stream ends within an event

Requests whose stream ended within foreign data were suspected to crash servers: after some of them, on different servers, a request is refused.

Cause: a framed response that was complete but ended within an event was reported as io.ErrUnexpectedEOF, as if the server had closed the connection.

Change: it is an error of its own. An unframed response ends with its connection, so that it counts as before.

--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -28,7 +28,7 @@
 }
 
 // next returns the events that the next reads complete. It returns io.EOF at the end of a complete
-// stream, and io.ErrUnexpectedEOF if the body ends within an event; both may come with events. The events
+// stream, and errPartialEvent if the body ends within an event; both may come with events. The events
 // are valid until the next call.
 func (r *eventReader) next() ([][]byte, error) {
 	r.partial, r.taken = append(r.partial[:0], r.partial[r.taken:]...), 0
@@ -68,10 +68,10 @@
 // withinEvent reports whether a part of an event was read that is not complete.
 func (r *eventReader) withinEvent() bool { return len(bytes.TrimSpace(r.rest())) > 0 }
 
-// checkEnd turns an io.EOF within an event into io.ErrUnexpectedEOF.
+// checkEnd turns an io.EOF within an event into errPartialEvent.
 func (r *eventReader) checkEnd(err error) error {
 	if errors.Is(err, io.EOF) && r.withinEvent() {
-		return io.ErrUnexpectedEOF
+		return errPartialEvent
 	}
 	return err
 }
--- a/internal/forward/poison_test.go
+++ b/internal/forward/poison_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -100,6 +101,42 @@
 	})
 }
 
+// A stream that ended within foreign data counted against its request, as if it had crashed the server.
+func TestForeignDataIsNoCrash(t *testing.T) {
+	for name, block := range foreignBlocks {
+		for _, route := range []string{"stream", "patient"} {
+			for place, parts := range map[string][]string{"end": append(events(1, 2), block), "middle": slices.Concat(events(1, 2), []string{block}, events(3, 4))} {
+				t.Run(name+", "+place+", "+route, func(t *testing.T) {
+					withGuard(t, func(b *testbed, guard *fakeGuard) {
+						b.inTurn(raw(parts...), raw(events(3, 4)...))
+						serveStream(b, route, "")
+						Expect(guard.broke).To(BeEmpty())
+						Expect(guard.ended).To(BeEmpty())
+						failed := b.forwarder.tracker.servers[b.backend.servers()[0]]
+						Expect(failed.failures).To(BeNumerically(">", 0), "a failed result of the server")
+					})
+				})
+			}
+		}
+	}
+}
+
+// Guards against the check for foreign data hiding a crash: only a framed response proves that its end is not one.
+func TestStreamThatACrashCutsWithinAnEventCounts(t *testing.T) {
+	cut := append(events(1, 2), "id: 3\nda")
+	for name, answer := range map[string]answerFunc{
+		"framed": streams(cut, time.Millisecond, io.ErrUnexpectedEOF), "unframed": unframed(raw(cut...)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			withGuard(t, func(b *testbed, guard *fakeGuard) {
+				b.inTurn(answer)
+				serveStream(b, "stream", "")
+				Expect(guard.broke).To(HaveLen(1))
+			})
+		})
+	}
+}
+
 // A request that is quarantined while it is held, between two attempts or within a stream is not
 // sent to another server.
 func TestPoisonRequestInFlightIsStopped(t *testing.T) {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -133,6 +133,9 @@
 	defer func() { f.recordStreamIDs(flow, segment) }()
 	for {
 		blocks, err := reader.next()
+		if reply.Unframed && errors.Is(err, errPartialEvent) {
+			err = io.ErrUnexpectedEOF // the server may have crashed
+		}
 		flow.gaps.record(len(blocks) > 0, time.Now())
 		events, orderErr := segment.acceptAll(blocks, flow.headSent)
 		if orderErr == nil && errors.Is(err, io.EOF) {
--- a/internal/forward/streamerror.go
+++ b/internal/forward/streamerror.go
@@ -17,6 +17,8 @@
 	FaultNotContinued StreamFault = "not_continued"
 	// FaultSurplusResponse: the head of another response.
 	FaultSurplusResponse StreamFault = "surplus_response"
+	// FaultPartialEvent: a complete response that ends within an event.
+	FaultPartialEvent StreamFault = "partial_event"
 	// FaultTooLong: an event above the length limit.
 	FaultTooLong StreamFault = "event_too_long"
 )
@@ -42,5 +44,6 @@
 	// errSurplusResponse: without a length or chunks, what a server sends after its response looks like a
 	// part of it.
 	errSurplusResponse = &StreamError{FaultSurplusResponse, "another response follows within the stream"}
+	errPartialEvent    = &StreamError{FaultPartialEvent, "the response is complete but ends within an event"}
 	errEventTooLong    = &StreamError{FaultTooLong, "stream event exceeds the length limit"}
 )
