edge: Log and count what broke a stream, by fault

No log line and no metric told a stream that broke before foreign data from one whose server had closed the connection.

Failed attempts carry stream_fault, one of eight kinds, beside the server, and hatchplank_node_stream_faults_total counts them. scripts/mechanisms.sh switches the new checks off; whole-events did not build since errors is used in one place of its file.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -206,6 +206,24 @@
 	Expect(end).To(And(HaveKeyWithValue("level", "warn"), HaveKeyWithValue("code", "no_back_end"), HaveKeyWithValue("configuration", 7.0), HaveKeyWithValue("expected_delay_ms", 2000.0)))
 }
 
+func brokenStream() *forward.AttemptError {
+	return &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanYes, Cause: &forward.StreamError{Fault: forward.FaultNoID}}
+}
+
+// No log line said what a server had sent within a stream that broke.
+func TestRequestLogShowsWhatBrokeAStream(t *testing.T) {
+	RegisterTestingT(t)
+	var output, scraped bytes.Buffer
+	metrics := newTestMetrics()
+	log := NewRequestLog(zerolog.New(&output), metrics)
+	log.AttemptFailed(forward.Observation{Request: &forward.Request{ID: "r1"}, Server: "s1", Failure: brokenStream()})
+	var attempt map[string]any
+	Expect(json.Unmarshal(output.Bytes(), &attempt)).To(Succeed())
+	Expect(attempt).To(And(HaveKeyWithValue("server", "s1"), HaveKeyWithValue("reason", "broken"), HaveKeyWithValue("stream_fault", "no_id")))
+	metrics.set.WritePrometheus(&scraped)
+	Expect(scraped.String()).To(ContainSubstring(`hatchplank_node_stream_faults_total{fault="no_id"} 1`))
+}
+
 // Guards against a choice by other nodes' loads that the log shows as one by the server's report.
 func TestRequestLogShowsWhereTheLoadWasFrom(t *testing.T) {
 	RegisterTestingT(t)
@@ -225,6 +243,7 @@
 	log := NewRequestLog(zerolog.Nop(), metrics)
 	request := &forward.Request{ID: "r1", Model: "m", Accepted: time.Now()}
 	log.AttemptFailed(forward.Observation{Request: request, Failure: &forward.AttemptError{Reason: forward.FailureFull}})
+	log.AttemptFailed(forward.Observation{Request: request, Failure: brokenStream()})
 	log.Ended(request, forward.Outcome{Code: result.OK, Cold: true, Decision: forward.Decision{LoadSource: forward.LoadFromNodes}})
 	log.SuspicionChecked(forward.SuspicionCheck{Server: &fleet.Server{ID: "s1"}})
 	log.ResponseAnomaly(exchange.Anomaly{Kind: exchange.AnomalyForeignResponse})
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -63,6 +63,7 @@
 	metricRecordChecks      = "hatchplank_node_record_checks_total"
 	metricStreamOrigins     = "hatchplank_node_stream_origins_total"
 	metricAnomalies         = "hatchplank_node_response_anomalies_total"
+	metricStreamFaults      = "hatchplank_node_stream_faults_total"
 )
 
 // MetricDescriptions lists the node's own metrics.
@@ -103,6 +104,7 @@
 	{metricRecordChecks, "counter", "outcome", "Reads of one server's record before a request was sent there, since the known one was too old, by outcome (accepts, leaves, unread: the store did not answer)."},
 	{metricStreamOrigins, "counter", "finding", "Searches for the software version that began a stream which its caller resumes, by finding (known, irrelevant: the pool has one version, unknown: the stream is refused)."},
 	{metricAnomalies, "counter", "kind", "What servers and the store sent in place of one response for each request, by kind (foreign_response, unrequested_data, malformed_response, head_too_long, too_many_interim, body_too_long)."},
+	{metricStreamFaults, "counter", "fault", "Streams broken before what their server should not have sent, by fault (malformed, no_id, id_form, id_order, not_continued, surplus_response, partial_event, event_too_long)."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,9 +32,12 @@
 
 // AttemptFailed logs and counts a failed attempt.
 func (l *RequestLog) AttemptFailed(failed forward.Observation) {
-	reason := string(failed.Failure.Reason)
+	reason, fault := string(failed.Failure.Reason), streamFault(failed.Failure)
 	l.metrics.count(metricAttempts, "outcome", reason)
-	event := l.limiter.Event(&l.logger, zerolog.InfoLevel, "attempt/"+reason)
+	if fault != "" {
+		l.metrics.count(metricStreamFaults, "fault", fault)
+	}
+	event := l.limiter.Event(&l.logger, zerolog.InfoLevel, "attempt/"+reason+"/"+fault)
 	if event == nil {
 		return
 	}
@@ -42,7 +46,16 @@
 	if failed.Failure.Load.Reported {
 		event = event.Int("server_running", failed.Failure.Load.Running).Int("server_waiting", failed.Failure.Load.Waiting)
 	}
-	event.AnErr("error", failed.Failure.Cause).Msg("attempt failed")
+	addText(event, "stream_fault", fault).AnErr("error", failed.Failure.Cause).Msg("attempt failed")
+}
+
+// streamFault returns the kind of fault that broke a stream; empty for other failures.
+func streamFault(failure *forward.AttemptError) string {
+	var broken *forward.StreamError
+	if errors.As(failure, &broken) {
+		return string(broken.Fault)
+	}
+	return ""
 }
 
 // SuspicionChecked logs and counts a check of a server that another node found unreachable.
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -27,7 +27,7 @@
     printf '%-28s MISSED by %s\n' "$name" "$*"
     missed=1
   else
-    printf '%-28s noticed: %s\n' "$name" "$(grep -m1 -oE -- '--- FAIL: [A-Za-z0-9_]+|\[FAIL\] .*|panic: .*|fatal error: .*' "$copy/output" | cut -c1-90)"
+    printf '%-28s noticed: %s\n' "$name" "$(grep -a -m1 -oE -- '--- FAIL: [A-Za-z0-9_]+|\[FAIL\] .*|panic: .*|fatal error: .*' "$copy/output" | cut -c1-90)"
   fi
   cp "$copy/original" "$copy/$file"
 }
@@ -186,11 +186,17 @@
 	if false && err != nil {' $forward ./platform
 switch_off honest-status platform/ingress.go 'if outcome.Ran == result.RanNo {' 'if true {' ./platform
 # Streams.
-switch_off whole-events internal/forward/eventreader.go 'if errors.Is(err, io.EOF) && r.withinEvent() {' 'if false {' $forward
+switch_off whole-events internal/forward/eventreader.go 'if errors.Is(err, io.EOF) && r.withinEvent() {' 'if errors.Is(err, io.EOF) && r.withinEvent() && false {' $forward
 switch_off no-repeated-events internal/forward/eventstream.go 'if order <= 0 {' 'if false && order <= 0 {' $forward
 switch_off rising-events internal/forward/eventstream.go 'return order > 0 || !certain' 'return order > 0 || !certain || true' $forward
 switch_off same-run internal/forward/eventstream.go 'g.stream.passed && event.digest != g.stream.lastDigest, ' '' $forward
 switch_off no-missing-events internal/forward/eventstream.go 'if g.stream.lacksEventsBefore(event.id) {' 'if false {' $forward
+switch_off foreign-blocks internal/forward/eventstream.go 'if err := g.check(event); err != nil {' 'if err := g.check(event); false && err != nil {' $forward
+switch_off id-form internal/forward/eventstream.go 'case s.isFormKnown() && ' 'case false && ' $forward
+switch_off held-first-event internal/forward/eventstream.go 'return !known && len(g.held) == 0' 'return !known && false' $forward
+switch_off held-part-of-event internal/forward/eventstream.go 'return !event.hasData' 'return false' $forward
+switch_off unnumbered-pools internal/forward/eventstream.go 'if g.pool.always {' 'if false {' $forward
+switch_off partial-event-no-crash internal/forward/eventreader.go 'return errPartialEvent' 'return io.ErrUnexpectedEOF' $forward
 switch_off continuations-only internal/forward/attempt.go 'return !flow.continues(reply) ||' 'return' $forward
 switch_off last-id-only internal/forward/eventstream.go 'return !s.unnumbered && ' 'return ' $forward
 switch_off other-incarnation internal/forward/unframed.go ', errors.Is(err, ErrOtherIncarnation):' ':' $forward ./platform
