--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -1,7 +1,8 @@
 package forward
 
 import (
-	"errors"
+	"bytes"
+	"strings"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 )
@@ -10,15 +11,14 @@
 // one, where a stream was continued, shows that events are missing.
 const minSteps = 8
 
-// Errors that break a stream whose events do not follow one another.
-var (
-	errEventOrder = errors.New("the IDs of the stream's events do not rise")
-	// errNotContinued: what a server sent does not follow the last event that was passed on.
-	errNotContinued = errors.New("the response does not continue the stream")
-)
+// minSamePrefix is the number of consecutive IDs with decimal numbers after the same prefix from which others
+// are foreign. It exceeds the decimal digits that follow one another in hexadecimal numbers.
+const minSamePrefix = 16
 
 // eventStream joins the events of several attempts into the one stream that a caller receives.
 type eventStream struct {
+	// numbered: the route's streams are events with rising IDs, if these have IDs at all.
+	numbered bool
 	// last is the ID of the last event that the caller has; empty if it has none.
 	last string
 	// passed: an event was passed on. unnumbered: one without an ID was passed on after the last ID, so
@@ -33,6 +33,9 @@
 	step      uint64
 	steps     int
 	irregular bool
+	// samePrefix is the number of events of this attempt since the one with another prefix before its decimal
+	// number. Another server may use another prefix.
+	samePrefix int
 	// withinEvent: an attempt broke within an event, so that events are still to come.
 	withinEvent bool
 }
@@ -40,10 +43,11 @@
 // newEventStream returns the stream of a request, of which its caller may have a part. Where a route's
 // streams can't be resumed, servers begin them at the start, whatever the caller has.
 func newEventStream(request *Request, route *fleet.Route) eventStream {
-	if !route.Repeatable() {
-		return eventStream{}
+	stream := eventStream{numbered: route.Kind == fleet.KindStream}
+	if route.Repeatable() {
+		stream.last = request.ResumeAfter
 	}
-	return eventStream{last: request.ResumeAfter}
+	return stream
 }
 
 // resumable reports whether another server can continue the stream, or begin it again where the caller
@@ -73,10 +77,24 @@
 	fromStart bool
 	// previous is the ID of the last repeated event.
 	previous string
+	// pool is what is known of the streams of the attempt's pool.
+	pool poolStreamIDs
+	// sawID: an event with an ID was passed on. isUnnumbered: the response's events have none.
+	sawID, isUnnumbered bool
+	// held are events that the next one shows to be a part of the stream or foreign, heldBytes long.
+	held      []heldEvent
+	heldBytes int
+}
+
+// heldEvent is an event that was neither passed on nor dropped yet.
+type heldEvent struct {
+	event streamEvent
+	block []byte
 }
 
 // newSegment begins the events of an attempt that was asked to continue after the last event.
 func (s *eventStream) newSegment() *streamSegment {
+	s.samePrefix = 0
 	segment := &streamSegment{stream: s, state: segmentFollowing}
 	if s.last != "" {
 		segment.state = segmentJoining
@@ -84,9 +102,81 @@
 	return segment
 }
 
+// acceptAll appends the events that are to be passed on, up to one that breaks the stream. A byte order
+// mark stays only before the stream's first event.
+func (g *streamSegment) acceptAll(blocks [][]byte, begun bool) ([]byte, error) {
+	var accepted []byte
+	for _, block := range blocks {
+		event, err := parseEvent(block)
+		if err != nil {
+			return accepted, err
+		}
+		if begun || len(accepted)+len(g.held) > 0 {
+			block = bytes.TrimPrefix(block, byteOrderMark)
+		}
+		if g.mustHold(event) {
+			err = g.hold(event, block)
+		} else {
+			g.held = append(g.held, heldEvent{event, block})
+			accepted, err = g.acceptHeld(accepted)
+		}
+		if err != nil {
+			return accepted, err
+		}
+	}
+	return accepted, nil
+}
+
+// hold keeps an event until a later one is accepted.
+func (g *streamSegment) hold(event streamEvent, block []byte) error {
+	if g.heldBytes += len(block); g.heldBytes > maxEventBytes {
+		return errEventTooLong
+	}
+	g.held = append(g.held, heldEvent{event, bytes.Clone(block)})
+	return nil
+}
+
+// mustHold reports whether only the next event shows that this one is a part of the stream: the first
+// without an ID, and one without data, which may be a part of an event that foreign data divides. Clients
+// ignore events without data until the next one.
+func (g *streamSegment) mustHold(event streamEvent) bool {
+	switch {
+	case !g.stream.numbered || event.fault != nil:
+		return false
+	case event.isComment:
+		return len(g.held) > 0
+	case event.id != "":
+		return !event.hasData
+	}
+	known := g.stream.passed || g.stream.last != "" || g.pool.always || g.pool.never
+	return !known && len(g.held) == 0
+}
+
+// acceptHeld appends the held events that are to be passed on, unless one of them breaks the stream: the
+// stream is broken before the first of them then.
+func (g *streamSegment) acceptHeld(accepted []byte) ([]byte, error) {
+	stream, segment, length := *g.stream, *g, len(accepted)
+	for _, held := range g.held {
+		pass, err := g.accept(held.event)
+		if err != nil {
+			*g.stream, *g = stream, segment
+			g.held, g.isUnnumbered = nil, stream.last == "" && err == error(errNoEventID)
+			return accepted[:length], err
+		}
+		if pass {
+			accepted = append(accepted, held.block...)
+		}
+	}
+	g.held, g.heldBytes = g.held[:0], 0
+	return accepted, nil
+}
+
 // accept reports whether an event is to be passed on. Its error breaks the stream before the event.
 func (g *streamSegment) accept(event streamEvent) (bool, error) {
-	if !event.hasContent {
+	if err := g.check(event); err != nil {
+		return false, err
+	}
+	if event.isComment || !event.hasContent && !g.stream.numbered {
 		return g.state == segmentFollowing, nil
 	}
 	switch g.state {
@@ -99,6 +189,58 @@
 	}
 }
 
+// check reports an event that no run of the stream has made.
+func (g *streamSegment) check(event streamEvent) error {
+	s := g.stream
+	switch {
+	case !s.numbered:
+		return nil
+	case event.fault != nil:
+		return event.fault
+	case event.isComment:
+		return nil
+	case s.last == "":
+		return g.checkFirst(event)
+	case event.id == "":
+		return errNoEventID
+	case s.isFormKnown() && !hasSameForm(event.id, s.last):
+		return errEventIDForm
+	}
+	return nil
+}
+
+// checkFirst reports an event that no run has made, where no event before it has an ID.
+func (g *streamSegment) checkFirst(event streamEvent) error {
+	if event.id != "" {
+		if g.stream.passed {
+			return errLateEventID
+		}
+		return nil
+	}
+	g.isUnnumbered = true
+	if g.pool.always {
+		return errNoEventID
+	}
+	return nil
+}
+
+// isFormKnown reports whether all IDs are certain to be decimal numbers after the prefix of the last one. A
+// prefix with digits may be a number that rises, too.
+func (s *eventStream) isFormKnown() bool {
+	prefix, number := cutNumber(s.last)
+	if number == "" || strings.ContainsAny(prefix, "0123456789") {
+		return false
+	}
+	return prefix == "" || s.samePrefix >= minSamePrefix
+}
+
+// hasSameForm reports whether two IDs are decimal numbers after the same prefix.
+func hasSameForm(a, b string) bool {
+	prefixA, numberA := cutNumber(a)
+	prefixB, numberB := cutNumber(b)
+	return prefixA == prefixB && numberA != "" && numberB != ""
+}
+
 // join decides what the first event of a continuation is.
 func (g *streamSegment) join(event streamEvent) (bool, error) {
 	if event.id == "" {
@@ -152,6 +294,8 @@
 	s.chain, s.lastDigest = addDigest(s.chain, event.digest), event.digest
 	s.unnumbered = event.id == ""
 	if event.id != "" {
+		g.sawID = true
+		s.recordForm(event.id)
 		if s.passed {
 			s.recordStep(eventStep(s.last, event.id))
 		} else {
@@ -163,12 +307,21 @@
 	return nil
 }
 
-// end checks the end of a complete response.
-func (g *streamSegment) end() error {
+// end appends the held events at the end of a complete response, and checks this end.
+func (g *streamSegment) end(accepted []byte) ([]byte, error) {
+	accepted, err := g.acceptHeld(accepted)
+	if err != nil {
+		return accepted, err
+	}
 	if g.state == segmentRepeating || g.stream.withinEvent {
-		return errNotContinued
+		return accepted, errNotContinued
 	}
-	return nil
+	return accepted, nil
+}
+
+// breakOff records the end of an incomplete response; withinEvent: it ended within an event.
+func (g *streamSegment) breakOff(withinEvent bool) {
+	g.stream.withinEvent = g.stream.withinEvent || withinEvent || len(g.held) > 0
 }
 
 // mayFollow reports whether an event may come after another one, as far as the order of their IDs is
@@ -178,6 +331,14 @@
 	return order > 0 || !certain
 }
 
+func (s *eventStream) recordForm(id string) {
+	if hasSameForm(id, s.last) {
+		s.samePrefix++
+	} else {
+		s.samePrefix = 0
+	}
+}
+
 func (s *eventStream) recordStep(step uint64) {
 	if s.steps == 0 {
 		s.step = step
