streamorigin: Take a pool for one of one version only on evidence

What callers saw: text of two software versions joined in one stream, when a stream was resumed at a node that had been cut off or stood still while servers of a new version joined, or that got its records late.

Cause: a node that had itself seen one version found the origin "irrelevant" without asking anybody, however old its records were, and any server could go on. An answer that failed to come counted as "not known and not mixed".

Change: only a view that covered the retention without a gap and is current now shows that a pool has had one version. The start, records older than a request may be sent by, and a second without an observation are gaps. A node without this asks the counter nodes, whose replies say what they have seen and whether that is complete (two new fields; builds without them give no evidence). What all have seen is put together. A stream of a pool with one version is bound to this version, so that it does not go to a server of another one that joins meanwhile. A server whose version was not observed yet makes its streams' origins be sent at once.

Evidence: TestNodeOutOfStepDoesNotGuessTheVersion, before: 6 of 6 found "irrelevant"; now 4 known with their version, 2 (cut off, nobody to ask) refused. TestGapInTheRecordsIsNoEvidence, TestUnknownStreamIsBoundToTheOnlyVersion, TestSilenceOfOtherNodesIsNoEvidence and TestResumedStreamDoesNotGoToAVersionThatJoinsMeanwhile failed before too.

Price: for a minute after a start of all nodes, streams that no node knows are refused where they went on before.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -266,14 +266,17 @@
 func (n *node) assembleMirror() {
 	n.mirror = mirror.New(mirror.Config{
 		Source: platform.NewFeed(n.store, ownPrefix, n.logger), View: n.view, Own: mirror.OwnKeyReceivers{n.election, n.counters, n.usage, n.poison},
-		Times: mirror.Times{
-			Contact: n.settings.Store.Contact, Changes: min(n.settings.Store.Changes, n.settings.Store.Drains),
-		},
+		Times: n.mirrorTimes(),
 		Relay: n.election.RemoteHolderAddress, IsRelay: n.election.IsLocalHolder, SnapshotKey: snapshotKey,
 		LinkBytesPerSecond: n.settings.Machine.LinkBytesPerSecond(), Transport: n.transport, Address: n.transport.Address(), Zone: n.settings.Node.Zone, Logger: n.logger,
 	})
 }
 
+// mirrorTimes returns the bounds of the replica's staleness.
+func (n *node) mirrorTimes() mirror.Times {
+	return mirror.Times{Contact: n.settings.Store.Contact, Changes: min(n.settings.Store.Changes, n.settings.Store.Drains)}
+}
+
 // handoverPeriod returns the minimum time between the orders of two holders to the same server;
 // zero if the servers check fencing tokens.
 func (n *node) handoverPeriod() time.Duration {
@@ -287,7 +290,9 @@
 func (n *node) assembleForwarder() {
 	n.origins = streamorigin.New(streamorigin.Config{
 		View: n.view, Transport: n.transport, Address: n.transport.Address(),
-		Nodes: func() []string { return n.limiter.Counters().Addresses }, OnFind: n.metrics.StreamOrigin,
+		Nodes:      func() []string { return n.limiter.Counters().Addresses },
+		RecordsAge: func() (time.Duration, bool) { return n.mirror.RecordsAge() }, MaxRecordsAge: mirror.MaxRecordAge(n.mirrorTimes()),
+		OnFind: n.metrics.StreamOrigin,
 	})
 	n.forwarder = forward.New(forward.Config{
 		View: n.view, Origins: n.origins, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: func() bool { return n.mirror.Behind() }, Records: records{n}, OnRecordCheck: n.metrics.RecordCheck, Zone: n.settings.Node.Zone,
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -18,8 +18,8 @@
 	// Begin records the origin of the stream whose first event is passed on for the request with the ID.
 	// With share, other nodes learn it in any case.
 	Begin(request string, origin streamorigin.Origin, share bool)
-	// Find returns the origin of such a stream, which the pool is to resume. With ask, other nodes are
-	// asked in any case. The wait is limited.
+	// Find returns the origin of such a stream, which the pool is to resume; without a pool, any server
+	// may continue it. With ask, other nodes are asked in any case. The wait is limited.
 	Find(ctx context.Context, request, pool string, ask bool) (streamorigin.Origin, streamorigin.Finding)
 }
 
@@ -55,9 +55,10 @@
 	switch {
 	case finding == streamorigin.Unknown:
 		return flow.refuse(result.NoBackEnd, "the software version that began the stream is not known")
-	case finding == streamorigin.Known && !flow.route.LeadsTo(origin.Pool):
+	case origin.Pool == "":
+	case !flow.route.LeadsTo(origin.Pool):
 		return flow.refuse(result.NoBackEnd, "the route does not lead to the pool that began the stream")
-	case finding == streamorigin.Known:
+	default:
 		flow.pool = origin.Pool
 		flow.bindVersion(origin.SoftwareVersion)
 	}
--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -147,6 +147,13 @@
 	return streamorigin.Origin{}, streamorigin.Unknown
 }
 
+// oneVersion is a pool that had one version, which began the streams that nobody knows.
+type oneVersion struct{ noOrigins }
+
+func (oneVersion) Find(context.Context, string, string, bool) (streamorigin.Origin, streamorigin.Finding) {
+	return streamorigin.Origin{Pool: modelPool, SoftwareVersion: "v1"}, streamorigin.Irrelevant
+}
+
 // resumption is the request of a caller that resumes a stream.
 func resumption(of, after string) *Request {
 	resumed := request("patient", "m", 5*time.Second)
@@ -172,6 +179,20 @@
 	})
 }
 
+// Guards against a stream that is continued at a server of another version which joined just now.
+func TestResumedStreamDoesNotGoToAVersionThatJoinsMeanwhile(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		b.forwarder.origins = oneVersion{}
+		b.view.ReplaceServers(versioned(map[string]string{"m1": "v2", "m2": "v1", "m3": "v2"}))
+		b.backend.answer["m2"] = streams(events(3, 4), time.Millisecond, io.EOF)
+		for range 4 {
+			outcome := b.forwarder.Serve(context.Background(), resumption("first", "2"), &recorder{})
+			Expect(outcome.Code).To(Equal(result.OK))
+		}
+		Expect(b.backend.count("m2")).To(Equal(4))
+	})
+}
+
 // A stream whose version serves no more, or is not known, was begun by one version and ended by another.
 func TestResumedStreamIsRefusedWithoutItsSoftwareVersion(t *testing.T) {
 	inVirtualTime(t, func(b *testbed) {
--- a/internal/mirror/records_age.go
+++ b/internal/mirror/records_age.go
@@ -94,9 +94,10 @@
 }
 
 // maxRecordAge is the maximum age of a record by which a request is sent.
-func (m *Mirror) maxRecordAge() time.Duration {
-	return share(maxRecordAgeShare, m.config.Times.Changes)
-}
+func (m *Mirror) maxRecordAge() time.Duration { return MaxRecordAge(m.config.Times) }
+
+// MaxRecordAge returns the maximum age of a record by which a request is sent.
+func MaxRecordAge(times Times) time.Duration { return share(maxRecordAgeShare, times.Changes) }
 
 // RecordsAge returns the age of the servers' records, in the sense of Outdated; false if they were
 // never all known.
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -168,6 +168,8 @@
 	trial.Trial = 0
 	trialEnd := filled(poison.TrialEnded{}).(poison.TrialEnded)
 	trialEnd.Trial = 0
+	lookupReply := filled(streamorigin.LookupReply{}).(streamorigin.LookupReply)
+	lookupReply.Versions, lookupReply.Complete = nil, false
 	expected := map[string]peer.Message{
 		"poison.TrialRequest": trial, "poison.TrialEnded": trialEnd, "poison.Report": crashes, "poison.Quarantined": quarantined, "poison.Entries": entries,
 		"mirror.Subscribe": subscription, "mirror.Update without packing": unpacked, "mirror.Update without software versions": unversioned,
@@ -175,6 +177,7 @@
 		"orders.DemandReport without model servers": reportWithoutModels,
 		"orders.DemandReport without paths":         reportWithoutPaths, "orders.Update without paths": updateWithoutPaths,
 		"orders.Update without reporting": updateWithoutReporting,
+		"streamorigin.LookupReply":        lookupReply,
 		"tenants.Answer":                  answer, "tenants.GiveBack": giveBack,
 		"tenants.Ask": ratelimit.TakeRequest{
 			Tenant: "text 2", Limit: ratelimit.Limit{Rate: 4.5, Burst: 5.5, Window: 6, Paced: true}, Cost: 8.5, Rank: 9.5, MaxWait: 10,
--- a/internal/streamorigin/messages.go
+++ b/internal/streamorigin/messages.go
@@ -23,8 +23,12 @@
 	// Known: the node knows the origin, which is the pool with the software version.
 	Known                 bool
 	Pool, SoftwareVersion string
-	// Mixed: the node has lately seen servers of several software versions in the pool that was asked for.
+	// Mixed: the pool that was asked for had several software versions within the retention.
 	Mixed bool
+	// Versions that the node knows the pool to have had within the retention, and whether the pool had no
+	// others. Builds that send none know only what Mixed says.
+	Versions []string
+	Complete bool
 }
 
 func init() {
--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -41,10 +41,11 @@
 const (
 	// Known: the origin is known.
 	Known Finding = "known"
-	// Irrelevant: the origin is not known, but all servers in the pool have had one version since before
-	// the stream can have begun.
+	// Irrelevant: it is not known at which server the stream began, but all servers in the pool have had
+	// one version since before it can have begun. The origin has this version; servers of others that
+	// join meanwhile are not meant.
 	Irrelevant Finding = "irrelevant"
-	// Unknown: the origin is not known, and the pool has had several versions.
+	// Unknown: the origin is not known, and the pool has had several versions or may have had them.
 	Unknown Finding = "unknown"
 )
 
@@ -55,6 +56,10 @@
 	// Address of this node, and Nodes that keep origins for all.
 	Address string
 	Nodes   func() []string
+	// RecordsAge returns the age of the servers' records in View; false if they were never all known.
+	// The records are current up to MaxRecordsAge. nil: they always are.
+	RecordsAge    func() (time.Duration, bool)
+	MaxRecordsAge time.Duration
 	// OnFind is called with each finding; nil: not called.
 	OnFind func(Finding)
 }
@@ -62,7 +67,6 @@
 // Origins keeps the origins of streams. It is safe for concurrent use.
 type Origins struct {
 	config   Config
-	started  time.Time
 	table    table
 	versions versions
 
@@ -76,7 +80,10 @@
 	if config.OnFind == nil {
 		config.OnFind = func(Finding) {}
 	}
-	o := &Origins{config: config, started: time.Now(), queued: map[Key]Origin{}}
+	if config.RecordsAge == nil {
+		config.RecordsAge = func() (time.Duration, bool) { return 0, true }
+	}
+	o := &Origins{config: config, queued: map[Key]Origin{}}
 	config.Transport.Handle(Began{}, o.handleBegan)
 	config.Transport.Handle(Lookup{}, o.handleLookup)
 	return o
@@ -92,7 +99,7 @@
 		case <-ctx.Done():
 			return
 		case <-observe.C:
-			for _, pool := range o.versions.observe(o.config.View.Load(), time.Now()) {
+			for _, pool := range o.versions.observe(o.config.View.Load(), o.recordsCurrent(), time.Now()) {
 				o.enqueue(o.table.ofPool(pool))
 			}
 		case <-send.C:
@@ -106,14 +113,14 @@
 func (o *Origins) Begin(request string, origin Origin, share bool) {
 	stream := keyOf(request)
 	o.table.put(stream, origin, time.Now())
-	if share || o.versions.isMixed(origin.Pool) {
+	if share || !o.versions.load().isSole(origin) {
 		o.enqueue(map[Key]Origin{stream: origin})
 	}
 }
 
 // Find returns the origin of the stream whose first event was passed on for a request with the ID. It
-// asks other nodes if this one does not know it and the answer may differ from any server in the pool:
-// with ask, or if the pool may have had several versions. The wait is limited.
+// asks other nodes if this one knows neither the origin nor that the pool had only one version, and with
+// ask. The wait is limited.
 func (o *Origins) Find(ctx context.Context, request, pool string, ask bool) (Origin, Finding) {
 	origin, finding := o.find(ctx, keyOf(request), pool, ask)
 	o.config.OnFind(finding)
@@ -124,29 +131,30 @@
 	if origin, known := o.table.get(stream); known {
 		return origin, Known
 	}
-	mixed := o.versions.isMixed(pool)
-	if !mixed && !ask && time.Since(o.started) >= retention {
-		return Origin{}, Irrelevant
+	found := o.evidence(pool, time.Now())
+	if version, only := found.sole(); only && !ask {
+		return Origin{Pool: pool, SoftwareVersion: version}, Irrelevant
 	}
-	origin, known, mixedElsewhere := o.ask(ctx, Lookup{Stream: stream, Pool: pool})
-	switch {
-	case known:
+	origin, known, found := o.ask(ctx, Lookup{Stream: stream, Pool: pool}, found)
+	if known {
 		return origin, Known
-	case mixed || mixedElsewhere:
-		return Origin{}, Unknown
 	}
-	return Origin{}, Irrelevant
+	if version, only := found.sole(); only {
+		return Origin{Pool: pool, SoftwareVersion: version}, Irrelevant
+	}
+	return Origin{}, Unknown
 }
 
-// ask asks the nodes that keep origins.
-func (o *Origins) ask(ctx context.Context, lookup Lookup) (origin Origin, known, mixed bool) {
+// ask asks the nodes that keep origins, and returns the origin or their evidence together with this
+// node's own. A node that does not answer, in time or at all, may know the origin: its silence is no
+// evidence.
+func (o *Origins) ask(ctx context.Context, lookup Lookup, found evidence) (origin Origin, known bool, together evidence) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	nodes := slices.DeleteFunc(slices.Clone(o.config.Nodes()), func(node string) bool { return node == o.config.Address })
 	replies := make(chan LookupReply, len(nodes))
 	for _, node := range nodes {
-		o.config.Transport.Call(node, lookup, askTimeout, func(message peer.Message, err error) {
-			// A node that did not answer knows nothing, as far as this one can tell.
+		o.config.Transport.Call(node, lookup, askTimeout, func(message peer.Message, _ error) {
 			reply, _ := message.(LookupReply)
 			replies <- reply
 		})
@@ -155,21 +163,24 @@
 		select {
 		case reply := <-replies:
 			if reply.Known {
-				return Origin{Pool: reply.Pool, SoftwareVersion: reply.SoftwareVersion}, true, true
+				return Origin{Pool: reply.Pool, SoftwareVersion: reply.SoftwareVersion}, true, found
 			}
-			mixed = mixed || reply.Mixed
+			found = found.with(reply.Versions, reply.Complete)
+			found.mixed = found.mixed || reply.Mixed
 		case <-ctx.Done():
-			return Origin{}, false, mixed
+			return Origin{}, false, found
 		}
 	}
-	return Origin{}, false, mixed
+	return Origin{}, false, found
 }
 
 func (o *Origins) handleLookup(_ string, message peer.Message, reply func(peer.Message, error)) {
 	lookup := message.(Lookup)
 	origin, known := o.table.get(lookup.Stream)
+	own := o.evidence(lookup.Pool, time.Now())
 	reply(LookupReply{
-		Known: known, Pool: origin.Pool, SoftwareVersion: origin.SoftwareVersion, Mixed: o.versions.isMixed(lookup.Pool),
+		Known: known, Pool: origin.Pool, SoftwareVersion: origin.SoftwareVersion,
+		Mixed: len(own.versions) > 1, Versions: own.versions, Complete: own.complete,
 	}, nil)
 }
 
--- a/internal/streamorigin/origins_test.go
+++ b/internal/streamorigin/origins_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/peer"
 	"github.com/hatchplank/hatchplank/internal/standin/peers"
 )
 
@@ -19,6 +20,27 @@
 	view    *fleet.View
 	origins *Origins
 	stop    context.CancelFunc
+	// lateSince is since when the node gets no records; the zero time if it does.
+	lateSince time.Time
+}
+
+// testRecordsAge is the age up to which the records of a testNode are current.
+const testRecordsAge = time.Second
+
+// setLate makes the node get no records any more, or ends that.
+func (n *testNode) setLate(late bool) {
+	n.lateSince = time.Time{}
+	if late {
+		n.lateSince = time.Now()
+	}
+}
+
+// recordsAge is the age of the records that the node has.
+func (n *testNode) recordsAge() (time.Duration, bool) {
+	if n.lateSince.IsZero() {
+		return 0, true
+	}
+	return time.Since(n.lateSince), true
 }
 
 // deployment is nodes that all keep origins for each other.
@@ -34,7 +56,10 @@
 		before.stop()
 	}
 	node := &testNode{view: fleet.NewView()}
-	node.origins = New(Config{View: node.view, Transport: d.network.Add(address), Address: address, Nodes: d.network.Addresses})
+	node.origins = New(Config{
+		View: node.view, Transport: d.network.Add(address), Address: address, Nodes: d.network.Addresses,
+		RecordsAge: node.recordsAge, MaxRecordsAge: testRecordsAge,
+	})
 	var ctx context.Context
 	ctx, node.stop = context.WithCancel(d.ctx)
 	go node.origins.Run(ctx)
@@ -51,6 +76,15 @@
 	n.view.ReplaceServers(servers)
 }
 
+// serve makes servers with the versions known to the nodes that get records.
+func (d *deployment) serve(versions ...string) {
+	for _, node := range d.nodes {
+		if node.lateSince.IsZero() {
+			node.serve(versions...)
+		}
+	}
+}
+
 // inDeployment runs the body in virtual time with nodes a, b, … and servers of the versions.
 func inDeployment(t *testing.T, count int, versions []string, body func(d *deployment)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -121,6 +155,106 @@
 	})
 }
 
+// Guards against a stream that is continued at another version by a node which was cut off, stood still or
+// gets its records late while servers of this version joined: it took the pool for one of one version.
+func TestNodeOutOfStepDoesNotGuessTheVersion(t *testing.T) {
+	cases := map[string]struct{ cutOff, back bool }{
+		"cut off":                     {cutOff: true},
+		"back and not caught up":      {cutOff: true, back: true},
+		"reachable with late records": {},
+	}
+	for name, c := range cases {
+		for _, version := range []string{"v1", "v2"} {
+			t.Run(name+", began at "+version, func(t *testing.T) {
+				inDeployment(t, 5, []string{"v1"}, func(d *deployment) {
+					time.Sleep(2 * retention)
+					d.network.SetCut("e", c.cutOff)
+					d.nodes["e"].setLate(true)
+					time.Sleep(3 * time.Second)
+					d.serve("v1", "v2")
+					time.Sleep(time.Second)
+					d.nodes["a"].origins.Begin("r1", Origin{Pool: "p", SoftwareVersion: version}, false)
+					time.Sleep(2 * sendPeriod)
+					if c.back {
+						d.network.SetCut("e", false)
+					}
+					found, finding := d.nodes["e"].origins.Find(context.Background(), "r1", "p", false)
+					if c.cutOff && !c.back {
+						Expect(finding).To(Equal(Unknown))
+						return
+					}
+					Expect(finding).To(Equal(Known))
+					Expect(found.SoftwareVersion).To(Equal(version))
+				})
+			})
+		}
+	}
+}
+
+// Guards against evidence of a node whose records were late, or which stood still, within the retention: a
+// version that came and went meanwhile is not known to it.
+func TestGapInTheRecordsIsNoEvidence(t *testing.T) {
+	inDeployment(t, 1, []string{"v1"}, func(d *deployment) {
+		time.Sleep(2 * retention)
+		node := d.nodes["a"]
+		node.setLate(true)
+		time.Sleep(2 * testRecordsAge)
+		node.setLate(false)
+		time.Sleep(time.Second)
+		_, finding := node.origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Unknown))
+		time.Sleep(retention)
+		_, finding = node.origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Irrelevant))
+	})
+}
+
+// Guards against a process that was suspended and takes its view for one without a gap.
+func TestSuspensionIsAGapInTheView(t *testing.T) {
+	RegisterTestingT(t)
+	var seen versions
+	view, now := fleet.NewView(), time.Now()
+	for range 4 * retention / time.Second {
+		now = now.Add(time.Second)
+		seen.observe(view.Load(), true, now)
+	}
+	Expect(seen.load().covers(now)).To(BeTrue())
+	now = now.Add(maxObserveGap + observePeriod)
+	seen.observe(view.Load(), true, now)
+	Expect(seen.load().covers(now)).To(BeFalse())
+}
+
+// Guards against a stream that goes to a version that joins just then: the pool had one before, which is
+// the stream's.
+func TestUnknownStreamIsBoundToTheOnlyVersion(t *testing.T) {
+	inDeployment(t, 3, []string{"v1"}, func(d *deployment) {
+		time.Sleep(2 * retention)
+		found, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Irrelevant))
+		Expect(found).To(Equal(Origin{Pool: "p", SoftwareVersion: "v1"}))
+		d.start("b").serve("v1")
+		time.Sleep(time.Second)
+		found, finding = d.nodes["b"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Irrelevant))
+		Expect(found).To(Equal(Origin{Pool: "p", SoftwareVersion: "v1"}))
+	})
+}
+
+// Guards against a silence, or the word of a build that sends no evidence, that counts as knowledge.
+func TestSilenceOfOtherNodesIsNoEvidence(t *testing.T) {
+	inDeployment(t, 2, []string{"v1"}, func(d *deployment) {
+		time.Sleep(2 * retention)
+		d.start("b").serve("v1")
+		time.Sleep(time.Second)
+		d.network.SetCut("a", true)
+		_, finding := d.nodes["b"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Unknown))
+		d.network.Add("a").Handle(Lookup{}, func(_ string, _ peer.Message, reply func(peer.Message, error)) { reply(LookupReply{}, nil) })
+		_, finding = d.nodes["b"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Unknown))
+	})
+}
+
 // Nothing is asked or sent in a pool of one version, and a change is over after the retention.
 func TestUnknownStreamIsResumedWhereOneVersionServes(t *testing.T) {
 	inDeployment(t, 3, []string{"v1"}, func(d *deployment) {
--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -1,26 +1,59 @@
 package streamorigin
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 )
 
-// versions tracks which pools had servers of several software versions within the retention. Only one
+// maxObserveGap is the maximum time between two observations for servers not to have come and gone
+// in between: a process that was suspended observes nothing.
+const maxObserveGap = time.Second
+
+// observed is which software versions a node has seen in the pools. It is immutable.
+type observed struct {
+	// versions that servers of a pool had within the retention, in order, by pool.
+	versions map[string][]string
+	// currentSince is since when the servers' records have been current without a gap; the zero time
+	// if they are not.
+	currentSince time.Time
+}
+
+// covers reports whether every version that was in service within the retention has been seen.
+func (o *observed) covers(now time.Time) bool {
+	return !o.currentSince.IsZero() && now.Sub(o.currentSince) >= retention
+}
+
+// isSole reports whether the origin's version is the only one that its pool is seen to have now.
+func (o *observed) isSole(origin Origin) bool {
+	seen := o.versions[origin.Pool]
+	return !o.currentSince.IsZero() && len(seen) == 1 && seen[0] == origin.SoftwareVersion
+}
+
+// versions tracks which software versions the servers of each pool had within the retention. Only one
 // goroutine may call observe.
 type versions struct {
 	// seenAt is when a server of a pool last had a version, and present are those that snapshot has.
-	seenAt   map[Origin]time.Time
-	present  map[Origin]bool
-	snapshot *fleet.Snapshot
-	// mixed are the pools with several versions.
-	mixed atomic.Pointer[map[string]bool]
+	seenAt     map[Origin]time.Time
+	present    map[Origin]bool
+	snapshot   *fleet.Snapshot
+	observedAt time.Time
+	published  atomic.Pointer[observed]
 }
 
-// observe records the versions of the servers in a snapshot, and returns the pools that have several now
-// and had not before.
-func (v *versions) observe(snapshot *fleet.Snapshot, now time.Time) (added []string) {
+// load returns what was observed.
+func (v *versions) load() *observed {
+	if seen := v.published.Load(); seen != nil {
+		return seen
+	}
+	return &observed{}
+}
+
+// observe records the versions of the servers in a snapshot, whose records are current or not, and
+// returns the pools that have several now and had not before.
+func (v *versions) observe(snapshot *fleet.Snapshot, current bool, now time.Time) (added []string) {
 	if v.seenAt == nil {
 		v.seenAt = map[Origin]time.Time{}
 	}
@@ -32,37 +65,40 @@
 		}
 		v.markPresent(now)
 	}
-	counts := map[string]int{}
+	before := v.load()
+	next := &observed{versions: map[string][]string{}, currentSince: v.currentSince(before, current, now)}
+	v.observedAt = now
 	for origin, at := range v.seenAt {
 		if now.Sub(at) > retention {
 			delete(v.seenAt, origin)
 			continue
 		}
-		counts[origin.Pool]++
+		next.versions[origin.Pool] = append(next.versions[origin.Pool], origin.SoftwareVersion)
 	}
-	mixed := map[string]bool{}
-	for pool, count := range counts {
-		if count < 2 {
-			continue
-		}
-		mixed[pool] = true
-		if !v.isMixed(pool) {
+	for pool, seen := range next.versions {
+		slices.Sort(seen)
+		if len(seen) > 1 && len(before.versions[pool]) < 2 {
 			added = append(added, pool)
 		}
 	}
-	v.mixed.Store(&mixed)
+	v.published.Store(next)
 	return added
 }
 
+// currentSince returns since when the records have been current without a gap.
+func (v *versions) currentSince(before *observed, current bool, now time.Time) time.Time {
+	switch {
+	case !current:
+		return time.Time{}
+	case before.currentSince.IsZero(), now.Sub(v.observedAt) > maxObserveGap:
+		return now
+	}
+	return before.currentSince
+}
+
 // markPresent records that the versions which are present are there at the time.
 func (v *versions) markPresent(now time.Time) {
 	for origin := range v.present {
 		v.seenAt[origin] = now
 	}
 }
-
-// isMixed reports whether a pool had several versions within the retention.
-func (v *versions) isMixed(pool string) bool {
-	mixed := v.mixed.Load()
-	return mixed != nil && (*mixed)[pool]
-}
