streamorigin: Keep the pools' software versions in the store

What callers saw: text of two software versions joined in one stream after all nodes were killed at once while servers of both were in service, or just after those of the old one had left.

Cause: what the fleet knew of versions was in the nodes' memory. After the kill every node had seen one version, or none yet.

Change: one own key holds the versions that each pool had within the retention. It is written when the set changes, by the counter nodes in order, with compare-and-swap; a version is removed by a node whose view covered the retention without it. A record of the current era of the store and current servers' records show that a pool has had one version, also right after a start. Nodes that run while the store is restored from a backup write again what they knew; a record that the restore brought back is not trusted.

TestStreamsOfOneVersionGoOnAfterAKillOfAllNodes: with one version 5 of 5 nodes find it at once, also where servers name none. A release takes two writes (TestVersionIsRemovedFromTheStoreAfterTheRetention, no conflicts).

Price: after an update from a build without the key, and after a restore while no node runs, streams that no node knows are refused for up to a minute; while the store is away, those that neither this node nor a keeper knows.

The fake of the tests keeps its lateness in an atomic: the race detector found it read by the node's own goroutine.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -46,6 +46,8 @@
 	poisonPrefix = ownPrefix + "poison/"
 	// crashesPrefix is the prefix of the keys that record server crashes, one for each node.
 	crashesPrefix = ownPrefix + "server-ends/"
+	// versionsKey holds the software versions that the pools had lately.
+	versionsKey = ownPrefix + "software-versions"
 	// gcPercent is the garbage collector's target percentage: lower than Go's default of 100,
 	// since memory costs more than processor time.
 	gcPercent = 40
@@ -251,6 +253,7 @@
 	n.limiter.SetNoCountersYet()
 	if n.store.Era() == 0 {
 		n.forwarder.RetryBudget().SetNoEarlierProcess()
+		n.origins.SetNoEarlierProcess()
 	}
 }
 
@@ -265,7 +268,7 @@
 // reads the store for the other nodes.
 func (n *node) assembleMirror() {
 	n.mirror = mirror.New(mirror.Config{
-		Source: platform.NewFeed(n.store, ownPrefix, n.logger), View: n.view, Own: mirror.OwnKeyReceivers{n.election, n.counters, n.usage, n.poison},
+		Source: platform.NewFeed(n.store, ownPrefix, n.logger), View: n.view, Own: mirror.OwnKeyReceivers{n.election, n.counters, n.usage, n.poison, n.origins},
 		Times: n.mirrorTimes(),
 		Relay: n.election.RemoteHolderAddress, IsRelay: n.election.IsLocalHolder, SnapshotKey: snapshotKey,
 		LinkBytesPerSecond: n.settings.Machine.LinkBytesPerSecond(), Transport: n.transport, Address: n.transport.Address(), Zone: n.settings.Node.Zone, Logger: n.logger,
@@ -292,7 +295,8 @@
 		View: n.view, Transport: n.transport, Address: n.transport.Address(),
 		Nodes:      func() []string { return n.limiter.Counters().Addresses },
 		RecordsAge: func() (time.Duration, bool) { return n.mirror.RecordsAge() }, MaxRecordsAge: mirror.MaxRecordAge(n.mirrorTimes()),
-		OnFind: n.metrics.StreamOrigin,
+		Store: n.store, VersionsKey: versionsKey, Era: n.store.RevisionEra,
+		OnFind: n.metrics.StreamOrigin, Logger: n.logger,
 	})
 	n.forwarder = forward.New(forward.Config{
 		View: n.view, Origins: n.origins, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: func() bool { return n.mirror.Behind() }, Records: records{n}, OnRecordCheck: n.metrics.RecordCheck, Zone: n.settings.Node.Zone,
--- a/internal/streamorigin/evidence.go
+++ b/internal/streamorigin/evidence.go
@@ -34,9 +34,9 @@
 
 // evidence returns what this node knows of a pool's versions.
 func (o *Origins) evidence(pool string, now time.Time) evidence {
-	seen := o.versions.load()
-	own := evidence{}.with(seen.versions[pool], seen.covers(now) && o.recordsCurrent())
-	return own.with(present(o.config.View.Load(), pool), false)
+	seen, saved := o.versions.load(), o.saved.load()
+	own := evidence{}.with(seen.versions[pool], o.recordsCurrent() && (saved.complete || seen.covers(now)))
+	return own.with(saved.pools[pool], false).with(present(o.config.View.Load(), pool), false)
 }
 
 // present returns the versions of the servers of a pool.
--- /dev/null
+++ b/internal/streamorigin/fakes_test.go
@@ -0,0 +1,162 @@
+package streamorigin
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/outside"
+)
+
+const (
+	// versionsKey is the key under which tests save versions.
+	versionsKey = "versions"
+	// storeDelay is the latency of a call, and that of a change on its way to the nodes.
+	storeDelay = 4 * time.Millisecond
+)
+
+// fakeStore keeps keys, and sends changes to the nodes that get records.
+type fakeStore struct {
+	outside.KeyValueService
+	mutex    sync.Mutex
+	revision int64
+	keys     map[string]outside.KeyValue
+	watchers map[*testNode]bool
+	// unavailable: the store answers no node.
+	unavailable bool
+	// writes are those that succeeded, and conflicts those that did not.
+	writes, conflicts int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{keys: map[string]outside.KeyValue{}, watchers: map[*testNode]bool{}}
+}
+
+// join makes a node read all keys and get changes.
+func (s *fakeStore) join(node *testNode) {
+	if s.isUnavailable() {
+		node.setLate(true)
+	} else {
+		if s.empty() {
+			node.origins.SetNoEarlierProcess()
+		}
+		node.origins.Replace(s.all())
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.watchers[node] = true
+}
+
+// leave ends that a node gets changes.
+func (s *fakeStore) leave(node *testNode) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.watchers, node)
+}
+
+// era is that of the newest revision.
+func (s *fakeStore) era() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return outside.EraOf(s.revision)
+}
+
+// empty reports whether nothing was ever written.
+func (s *fakeStore) empty() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.revision == 0
+}
+
+// all returns the keys that exist.
+func (s *fakeStore) all() []outside.KeyValue {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var all []outside.KeyValue
+	for _, keyValue := range s.keys {
+		all = append(all, keyValue)
+	}
+	return all
+}
+
+// setUnavailable makes the store answer no node, or ends that.
+func (s *fakeStore) setUnavailable(unavailable bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.unavailable = unavailable
+}
+
+func (s *fakeStore) isUnavailable() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.unavailable
+}
+
+// written returns how many writes succeeded, and how many met another one.
+func (s *fakeStore) written() (writes, conflicts int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.writes, s.conflicts
+}
+
+// Transact writes if all compares succeed.
+func (s *fakeStore) Transact(transaction outside.Transaction, timeout time.Duration, done func(outside.TransactionResult, error)) {
+	if s.isUnavailable() {
+		time.AfterFunc(timeout, func() { done(outside.TransactionResult{}, outside.ErrAmbiguous) })
+		return
+	}
+	time.AfterFunc(storeDelay, func() {
+		result := s.apply(transaction)
+		time.AfterFunc(storeDelay, func() { done(result, nil) })
+	})
+}
+
+func (s *fakeStore) apply(transaction outside.Transaction) outside.TransactionResult {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, compare := range transaction.Compares {
+		if current := s.keys[compare.Key]; current.ModRevision != compare.ModRevision {
+			s.conflicts++
+			result := outside.TransactionResult{Revision: s.revision}
+			if current.ModRevision != 0 {
+				result.Current = []outside.KeyValue{current}
+			}
+			return result
+		}
+	}
+	s.revision++
+	s.writes++
+	for _, operation := range transaction.Operations {
+		event := outside.WatchEvent{KeyValue: outside.KeyValue{Key: operation.Key, Value: operation.Value, ModRevision: s.revision}}
+		s.keys[operation.Key] = event.KeyValue
+		for watcher := range s.watchers {
+			time.AfterFunc(storeDelay, func() {
+				if !watcher.isLate() {
+					watcher.origins.Change(event)
+				}
+			})
+		}
+	}
+	return outside.TransactionResult{Succeeded: true, Revision: s.revision}
+}
+
+// restore replaces the keys by those of a backup, in another era, and notifies the nodes.
+func (s *fakeStore) restore(backup []outside.KeyValue) {
+	s.mutex.Lock()
+	era := outside.EraOf(s.revision) + 1
+	s.revision = outside.RevisionOf(era, 1000)
+	s.keys = map[string]outside.KeyValue{}
+	for _, keyValue := range backup {
+		keyValue.ModRevision = outside.RevisionOf(era, outside.OwnRevision(keyValue.ModRevision))
+		s.keys[keyValue.Key] = keyValue
+	}
+	var nodes []*testNode
+	for watcher := range s.watchers {
+		nodes = append(nodes, watcher)
+	}
+	s.mutex.Unlock()
+	for _, node := range nodes {
+		if !node.isLate() {
+			node.origins.Restored(s.all())
+		}
+	}
+}
--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -15,8 +15,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
@@ -60,6 +62,12 @@
 	// The records are current up to MaxRecordsAge. nil: they always are.
 	RecordsAge    func() (time.Duration, bool)
 	MaxRecordsAge time.Duration
+	// Store holds, under VersionsKey, the software versions that the pools had within the retention, and
+	// Era returns its era; nil: they are not saved.
+	Store       outside.KeyValueService
+	VersionsKey string
+	Era         func() int64
+	Logger      zerolog.Logger
 	// OnFind is called with each finding; nil: not called.
 	OnFind func(Finding)
 }
@@ -69,6 +77,7 @@
 	config   Config
 	table    table
 	versions versions
+	saved    *versionStore
 
 	mutex sync.Mutex
 	// queued origins are sent to other nodes.
@@ -83,7 +92,7 @@
 	if config.RecordsAge == nil {
 		config.RecordsAge = func() (time.Duration, bool) { return 0, true }
 	}
-	o := &Origins{config: config, queued: map[Key]Origin{}}
+	o := &Origins{config: config, saved: newVersionStore(config), queued: map[Key]Origin{}}
 	config.Transport.Handle(Began{}, o.handleBegan)
 	config.Transport.Handle(Lookup{}, o.handleLookup)
 	return o
@@ -99,21 +108,46 @@
 		case <-ctx.Done():
 			return
 		case <-observe.C:
-			for _, pool := range o.versions.observe(o.config.View.Load(), o.recordsCurrent(), time.Now()) {
-				o.enqueue(o.table.ofPool(pool))
-			}
+			o.observe(time.Now())
 		case <-send.C:
 			o.send()
 		}
 	}
 }
 
+// observe observes the servers' versions. The streams of pools that have several now and had not before are
+// sent to other nodes.
+func (o *Origins) observe(now time.Time) {
+	current := o.recordsCurrent()
+	for _, pool := range o.versions.observe(o.config.View.Load(), current, now) {
+		o.enqueue(o.table.ofPool(pool))
+	}
+	if current {
+		o.saved.update(o.versions.load(), now)
+	}
+}
+
+// SetNoEarlierProcess is called before Replace if no process used the store before this one started.
+func (o *Origins) SetNoEarlierProcess() { o.saved.setNoEarlierProcess() }
+
+// Replace passes all own keys in the store.
+func (o *Origins) Replace(keyValues []outside.KeyValue) { o.saved.replace(keyValues) }
+
+// Restored passes all own keys after the store was restored from a backup.
+func (o *Origins) Restored(keyValues []outside.KeyValue) {
+	o.versions.interrupt()
+	o.saved.replace(keyValues)
+}
+
+// Change passes one own key that was written or deleted.
+func (o *Origins) Change(event outside.WatchEvent) { o.saved.change(event) }
+
 // Begin records that the first event of a stream was passed on; request is the ID of the request that it
 // was passed on for. With share, other nodes learn the origin in any case.
 func (o *Origins) Begin(request string, origin Origin, share bool) {
 	stream := keyOf(request)
 	o.table.put(stream, origin, time.Now())
-	if share || !o.versions.load().isSole(origin) {
+	if share || !o.versions.load().isSole(origin) || !o.saved.load().allows(origin) {
 		o.enqueue(map[Key]Origin{stream: origin})
 	}
 }
--- a/internal/streamorigin/origins_test.go
+++ b/internal/streamorigin/origins_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,11 +18,12 @@
 
 // testNode is a node with a view of its own.
 type testNode struct {
+	address string
 	view    *fleet.View
 	origins *Origins
 	stop    context.CancelFunc
-	// lateSince is since when the node gets no records; the zero time if it does.
-	lateSince time.Time
+	// lateSince is since when the node gets no records; nil if it does.
+	lateSince atomic.Pointer[time.Time]
 }
 
 // testRecordsAge is the age up to which the records of a testNode are current.
@@ -29,25 +31,31 @@
 
 // setLate makes the node get no records any more, or ends that.
 func (n *testNode) setLate(late bool) {
-	n.lateSince = time.Time{}
-	if late {
-		n.lateSince = time.Now()
+	if !late {
+		n.lateSince.Store(nil)
+		return
 	}
+	now := time.Now()
+	n.lateSince.Store(&now)
 }
 
+func (n *testNode) isLate() bool { return n.lateSince.Load() != nil }
+
 // recordsAge is the age of the records that the node has.
 func (n *testNode) recordsAge() (time.Duration, bool) {
-	if n.lateSince.IsZero() {
-		return 0, true
+	if since := n.lateSince.Load(); since != nil {
+		return time.Since(*since), true
 	}
-	return time.Since(n.lateSince), true
+	return 0, true
 }
 
 // deployment is nodes that all keep origins for each other.
 type deployment struct {
 	network *peers.Network
 	nodes   map[string]*testNode
-	ctx     context.Context
+	// store is nil if versions are not saved.
+	store *fakeStore
+	ctx   context.Context
 }
 
 // start adds a node, or starts one again without its memory.
@@ -55,11 +63,18 @@
 	if before := d.nodes[address]; before != nil {
 		before.stop()
 	}
-	node := &testNode{view: fleet.NewView()}
-	node.origins = New(Config{
+	node := &testNode{address: address, view: fleet.NewView()}
+	config := Config{
 		View: node.view, Transport: d.network.Add(address), Address: address, Nodes: d.network.Addresses,
 		RecordsAge: node.recordsAge, MaxRecordsAge: testRecordsAge,
-	})
+	}
+	if d.store != nil {
+		config.Store, config.VersionsKey, config.Era = d.store, versionsKey, d.store.era
+	}
+	node.origins = New(config)
+	if d.store != nil {
+		d.store.join(node)
+	}
 	var ctx context.Context
 	ctx, node.stop = context.WithCancel(d.ctx)
 	go node.origins.Run(ctx)
@@ -79,18 +94,38 @@
 // serve makes servers with the versions known to the nodes that get records.
 func (d *deployment) serve(versions ...string) {
 	for _, node := range d.nodes {
-		if node.lateSince.IsZero() {
+		if !node.isLate() {
 			node.serve(versions...)
 		}
 	}
 }
 
+// killAll kills all nodes at once and starts them again after a second, when servers of the versions serve.
+func (d *deployment) killAll(versions ...string) {
+	for _, node := range d.nodes {
+		node.stop()
+		d.network.Remove(node.address)
+		if d.store != nil {
+			d.store.leave(node)
+		}
+	}
+	time.Sleep(time.Second)
+	for address := range d.nodes {
+		d.start(address).serve(versions...)
+	}
+}
+
 // inDeployment runs the body in virtual time with nodes a, b, … and servers of the versions.
 func inDeployment(t *testing.T, count int, versions []string, body func(d *deployment)) {
+	inDeploymentWithStore(t, nil, count, versions, body)
+}
+
+// inDeploymentWithStore is inDeployment with a store that keeps the versions.
+func inDeploymentWithStore(t *testing.T, store *fakeStore, count int, versions []string, body func(d *deployment)) {
 	synctest.Test(t, func(t *testing.T) {
 		RegisterTestingT(t)
 		ctx, cancel := context.WithCancel(context.Background())
-		d := &deployment{network: peers.NewNetwork(), nodes: map[string]*testNode{}, ctx: ctx}
+		d := &deployment{network: peers.NewNetwork(), nodes: map[string]*testNode{}, store: store, ctx: ctx}
 		for number := range count {
 			d.start(string(rune('a' + number))).serve(versions...)
 		}
--- /dev/null
+++ b/internal/streamorigin/version_store_test.go
@@ -0,0 +1,188 @@
+package streamorigin
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/outside"
+)
+
+// Guards against streams of two versions that are joined after a kill of all nodes: none of them remembered
+// that the pool had had another version.
+func TestStreamsAreNotJoinedAfterAKillOfAllNodes(t *testing.T) {
+	cases := map[string][]string{"both versions serve": {"v1", "v2"}, "the old one has just left": {"v2"}}
+	for name, after := range cases {
+		for _, pause := range []time.Duration{0, 300 * time.Millisecond, 3300 * time.Millisecond} {
+			t.Run(name+", resumed after "+pause.String(), func(t *testing.T) {
+				inDeploymentWithStore(t, newFakeStore(), 5, []string{"v1"}, func(d *deployment) {
+					time.Sleep(2 * retention)
+					d.serve("v1", "v2")
+					time.Sleep(2 * time.Second)
+					d.nodes["a"].origins.Begin("r1", Origin{Pool: "p", SoftwareVersion: "v1"}, false)
+					time.Sleep(time.Second)
+					d.serve(after...)
+					time.Sleep(time.Second)
+					d.killAll(after...)
+					time.Sleep(pause)
+					for address, node := range d.nodes {
+						_, finding := node.origins.Find(context.Background(), "r1", "p", false)
+						Expect(finding).To(Equal(Unknown), address)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against streams that are refused after a kill of all nodes although the pool has had one version,
+// or servers name none.
+func TestStreamsOfOneVersionGoOnAfterAKillOfAllNodes(t *testing.T) {
+	for _, version := range []string{"v1", ""} {
+		inDeploymentWithStore(t, newFakeStore(), 5, []string{version}, func(d *deployment) {
+			time.Sleep(5 * time.Second)
+			d.nodes["a"].origins.Begin("r1", Origin{Pool: "p", SoftwareVersion: version}, false)
+			d.killAll(version)
+			for address, node := range d.nodes {
+				found, finding := node.origins.Find(context.Background(), "r1", "p", false)
+				Expect(finding).To(Equal(Irrelevant), address)
+				Expect(found.SoftwareVersion).To(Equal(version), address)
+			}
+		})
+	}
+}
+
+// Guards against a pool that counts as mixed for longer than the retention after its old version left.
+func TestVersionIsRemovedFromTheStoreAfterTheRetention(t *testing.T) {
+	store := newFakeStore()
+	inDeploymentWithStore(t, store, 5, []string{"v1"}, func(d *deployment) {
+		time.Sleep(2 * retention)
+		d.serve("v2")
+		time.Sleep(2 * time.Second)
+		d.killAll("v2")
+		_, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Unknown))
+		time.Sleep(retention + 2*time.Second)
+		d.killAll("v2")
+		found, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Irrelevant))
+		Expect(found.SoftwareVersion).To(Equal("v2"))
+		writes, conflicts := store.written()
+		Expect(writes).To(Equal(3), "one for each change")
+		Expect(conflicts).To(BeZero())
+	})
+}
+
+// Guards against a missing record that is taken for one without versions: an earlier build used the store,
+// or somebody deleted the record.
+func TestMissingRecordIsNoEvidence(t *testing.T) {
+	store := newFakeStore()
+	store.revision = 1
+	inDeploymentWithStore(t, store, 3, []string{"v1"}, func(d *deployment) {
+		_, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Unknown))
+		writes, _ := store.written()
+		Expect(writes).To(BeZero())
+		time.Sleep(retention)
+		_, finding = d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Irrelevant))
+		d.killAll("v1")
+		_, finding = d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Irrelevant))
+	})
+}
+
+// Guards against a record that a restore of the store brought back, which lacks the versions since: nodes
+// that start after it trusted it, or those that ran forgot what they knew.
+func TestRestoredRecordIsCompletedOrNotTrusted(t *testing.T) {
+	for name, killed := range map[string]bool{"nodes run": false, "nodes were killed": true} {
+		t.Run(name, func(t *testing.T) {
+			store := newFakeStore()
+			inDeploymentWithStore(t, store, 5, []string{"v1"}, func(d *deployment) {
+				time.Sleep(5 * time.Second)
+				backup := store.all()
+				d.serve("v1", "v2")
+				time.Sleep(5 * time.Second)
+				d.serve("v1")
+				if killed {
+					store.restore(backup)
+					d.killAll("v1")
+				} else {
+					store.restore(backup)
+					time.Sleep(2 * time.Second)
+					d.killAll("v1")
+				}
+				for address, node := range d.nodes {
+					_, finding := node.origins.Find(context.Background(), "r1", "p", false)
+					Expect(finding).To(Equal(Unknown), address)
+				}
+			})
+		})
+	}
+}
+
+// Guards against refusals after a restore of the store, where the running nodes know all versions.
+func TestStreamsOfOneVersionGoOnAfterARestore(t *testing.T) {
+	store := newFakeStore()
+	inDeploymentWithStore(t, store, 3, []string{"v1"}, func(d *deployment) {
+		time.Sleep(5 * time.Second)
+		store.restore(nil)
+		for range 2 {
+			found, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+			Expect(finding).To(Equal(Irrelevant))
+			Expect(found.SoftwareVersion).To(Equal("v1"))
+			time.Sleep(2 * time.Second)
+			d.killAll("v1")
+		}
+	})
+}
+
+// Guards against versions that get lost while the store is away, and against a store that is called over
+// and over.
+func TestVersionsAreSavedOnceTheStoreIsBack(t *testing.T) {
+	store := newFakeStore()
+	inDeploymentWithStore(t, store, 3, []string{"v1"}, func(d *deployment) {
+		time.Sleep(5 * time.Second)
+		store.setUnavailable(true)
+		d.serve("v1", "v2")
+		time.Sleep(20 * time.Second)
+		store.setUnavailable(false)
+		time.Sleep(maxSavePause + time.Second)
+		d.serve("v1")
+		d.killAll("v1")
+		_, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Unknown))
+		writes, _ := store.written()
+		Expect(writes).To(Equal(2))
+	})
+}
+
+// Guards against a version that one node saved and another, whose records are a moment behind, removes.
+func TestVersionThatAnotherNodeSawFirstStaysSaved(t *testing.T) {
+	store := newFakeStore()
+	inDeploymentWithStore(t, store, 3, []string{"v1"}, func(d *deployment) {
+		time.Sleep(2 * retention)
+		d.nodes["c"].serve("v1", "v2")
+		time.Sleep(5 * time.Second)
+		d.killAll("v1")
+		_, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Unknown))
+		writes, _ := store.written()
+		Expect(writes).To(Equal(2))
+	})
+}
+
+// Guards against a record that can't be decoded, or is too large, and counts as one without versions.
+func TestRecordThatIsNotUnderstoodIsNoEvidence(t *testing.T) {
+	for _, value := range []string{"", "{", `{"era":-1}`, "[]", `{"pools":{"p":["v1"]}}x`} {
+		store := newFakeStore()
+		store.revision = 1
+		store.keys[versionsKey] = outside.KeyValue{Key: versionsKey, Value: []byte(value), ModRevision: 1}
+		inDeploymentWithStore(t, store, 1, []string{"v1"}, func(d *deployment) {
+			_, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+			Expect(finding).To(Equal(Unknown), value)
+		})
+	}
+}
--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -40,7 +40,9 @@
 	present    map[Origin]bool
 	snapshot   *fleet.Snapshot
 	observedAt time.Time
-	published  atomic.Pointer[observed]
+	// interrupted is set if servers may have come and gone unseen since the last observation.
+	interrupted atomic.Bool
+	published   atomic.Pointer[observed]
 }
 
 // load returns what was observed.
@@ -90,12 +92,15 @@
 	switch {
 	case !current:
 		return time.Time{}
-	case before.currentSince.IsZero(), now.Sub(v.observedAt) > maxObserveGap:
+	case v.interrupted.Swap(false), before.currentSince.IsZero(), now.Sub(v.observedAt) > maxObserveGap:
 		return now
 	}
 	return before.currentSince
 }
 
+// interrupt makes the view have a gap now.
+func (v *versions) interrupt() { v.interrupted.Store(true) }
+
 // markPresent records that the versions which are present are there at the time.
 func (v *versions) markPresent(now time.Time) {
 	for origin := range v.present {
