--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -15,8 +15,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
@@ -41,10 +43,11 @@
 const (
 	// Known: the origin is known.
 	Known Finding = "known"
-	// Irrelevant: the origin is not known, but all servers in the pool have had one version since before
-	// the stream can have begun.
+	// Irrelevant: it is not known at which server the stream began, but all servers in the pool have had
+	// one version since before it can have begun. The origin has this version; servers of others that
+	// join meanwhile are not meant.
 	Irrelevant Finding = "irrelevant"
-	// Unknown: the origin is not known, and the pool has had several versions.
+	// Unknown: the origin is not known, and the pool has had several versions or may have had them.
 	Unknown Finding = "unknown"
 )
 
@@ -55,6 +58,16 @@
 	// Address of this node, and Nodes that keep origins for all.
 	Address string
 	Nodes   func() []string
+	// RecordsAge returns the age of the servers' records in View; false if they were never all known.
+	// The records are current up to MaxRecordsAge. nil: they always are.
+	RecordsAge    func() (time.Duration, bool)
+	MaxRecordsAge time.Duration
+	// Store holds, under VersionsKey, the software versions that the pools had within the retention, and
+	// Era returns its era; nil: they are not saved.
+	Store       outside.KeyValueService
+	VersionsKey string
+	Era         func() int64
+	Logger      zerolog.Logger
 	// OnFind is called with each finding; nil: not called.
 	OnFind func(Finding)
 }
@@ -62,9 +75,9 @@
 // Origins keeps the origins of streams. It is safe for concurrent use.
 type Origins struct {
 	config   Config
-	started  time.Time
 	table    table
 	versions versions
+	saved    *versionStore
 
 	mutex sync.Mutex
 	// queued origins are sent to other nodes.
@@ -76,7 +89,10 @@
 	if config.OnFind == nil {
 		config.OnFind = func(Finding) {}
 	}
-	o := &Origins{config: config, started: time.Now(), queued: map[Key]Origin{}}
+	if config.RecordsAge == nil {
+		config.RecordsAge = func() (time.Duration, bool) { return 0, true }
+	}
+	o := &Origins{config: config, saved: newVersionStore(config), queued: map[Key]Origin{}}
 	config.Transport.Handle(Began{}, o.handleBegan)
 	config.Transport.Handle(Lookup{}, o.handleLookup)
 	return o
@@ -92,28 +108,53 @@
 		case <-ctx.Done():
 			return
 		case <-observe.C:
-			for _, pool := range o.versions.observe(o.config.View.Load(), time.Now()) {
-				o.enqueue(o.table.ofPool(pool))
-			}
+			o.observe(time.Now())
 		case <-send.C:
 			o.send()
 		}
 	}
 }
 
+// observe observes the servers' versions. The streams of pools that have several now and had not before are
+// sent to other nodes.
+func (o *Origins) observe(now time.Time) {
+	current := o.recordsCurrent()
+	for _, pool := range o.versions.observe(o.config.View.Load(), current, now) {
+		o.enqueue(o.table.ofPool(pool))
+	}
+	if current {
+		o.saved.update(o.versions.load(), now)
+	}
+}
+
+// SetNoEarlierProcess is called before Replace if no process used the store before this one started.
+func (o *Origins) SetNoEarlierProcess() { o.saved.setNoEarlierProcess() }
+
+// Replace passes all own keys in the store.
+func (o *Origins) Replace(keyValues []outside.KeyValue) { o.saved.replace(keyValues) }
+
+// Restored passes all own keys after the store was restored from a backup.
+func (o *Origins) Restored(keyValues []outside.KeyValue) {
+	o.versions.interrupt()
+	o.saved.replace(keyValues)
+}
+
+// Change passes one own key that was written or deleted.
+func (o *Origins) Change(event outside.WatchEvent) { o.saved.change(event) }
+
 // Begin records that the first event of a stream was passed on; request is the ID of the request that it
 // was passed on for. With share, other nodes learn the origin in any case.
 func (o *Origins) Begin(request string, origin Origin, share bool) {
 	stream := keyOf(request)
 	o.table.put(stream, origin, time.Now())
-	if share || o.versions.isMixed(origin.Pool) {
+	if share || !o.versions.load().isSole(origin) || !o.saved.load().allows(origin) {
 		o.enqueue(map[Key]Origin{stream: origin})
 	}
 }
 
 // Find returns the origin of the stream whose first event was passed on for a request with the ID. It
-// asks other nodes if this one does not know it and the answer may differ from any server in the pool:
-// with ask, or if the pool may have had several versions. The wait is limited.
+// asks other nodes if this one knows neither the origin nor that the pool had only one version, and with
+// ask. The wait is limited.
 func (o *Origins) Find(ctx context.Context, request, pool string, ask bool) (Origin, Finding) {
 	origin, finding := o.find(ctx, keyOf(request), pool, ask)
 	o.config.OnFind(finding)
@@ -124,29 +165,30 @@
 	if origin, known := o.table.get(stream); known {
 		return origin, Known
 	}
-	mixed := o.versions.isMixed(pool)
-	if !mixed && !ask && time.Since(o.started) >= retention {
-		return Origin{}, Irrelevant
+	found := o.evidence(pool, time.Now())
+	if version, only := found.sole(); only && !ask {
+		return Origin{Pool: pool, SoftwareVersion: version}, Irrelevant
 	}
-	origin, known, mixedElsewhere := o.ask(ctx, Lookup{Stream: stream, Pool: pool})
-	switch {
-	case known:
+	origin, known, found := o.ask(ctx, Lookup{Stream: stream, Pool: pool}, found)
+	if known {
 		return origin, Known
-	case mixed || mixedElsewhere:
-		return Origin{}, Unknown
 	}
-	return Origin{}, Irrelevant
+	if version, only := found.sole(); only {
+		return Origin{Pool: pool, SoftwareVersion: version}, Irrelevant
+	}
+	return Origin{}, Unknown
 }
 
-// ask asks the nodes that keep origins.
-func (o *Origins) ask(ctx context.Context, lookup Lookup) (origin Origin, known, mixed bool) {
+// ask asks the nodes that keep origins, and returns the origin or their evidence together with this
+// node's own. A node that does not answer, in time or at all, may know the origin: its silence is no
+// evidence.
+func (o *Origins) ask(ctx context.Context, lookup Lookup, found evidence) (origin Origin, known bool, together evidence) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	nodes := slices.DeleteFunc(slices.Clone(o.config.Nodes()), func(node string) bool { return node == o.config.Address })
 	replies := make(chan LookupReply, len(nodes))
 	for _, node := range nodes {
-		o.config.Transport.Call(node, lookup, askTimeout, func(message peer.Message, err error) {
-			// A node that did not answer knows nothing, as far as this one can tell.
+		o.config.Transport.Call(node, lookup, askTimeout, func(message peer.Message, _ error) {
 			reply, _ := message.(LookupReply)
 			replies <- reply
 		})
@@ -155,21 +197,24 @@
 		select {
 		case reply := <-replies:
 			if reply.Known {
-				return Origin{Pool: reply.Pool, SoftwareVersion: reply.SoftwareVersion}, true, true
+				return Origin{Pool: reply.Pool, SoftwareVersion: reply.SoftwareVersion}, true, found
 			}
-			mixed = mixed || reply.Mixed
+			found = found.with(reply.Versions, reply.Complete)
+			found.mixed = found.mixed || reply.Mixed
 		case <-ctx.Done():
-			return Origin{}, false, mixed
+			return Origin{}, false, found
 		}
 	}
-	return Origin{}, false, mixed
+	return Origin{}, false, found
 }
 
 func (o *Origins) handleLookup(_ string, message peer.Message, reply func(peer.Message, error)) {
 	lookup := message.(Lookup)
 	origin, known := o.table.get(lookup.Stream)
+	own := o.evidence(lookup.Pool, time.Now())
 	reply(LookupReply{
-		Known: known, Pool: origin.Pool, SoftwareVersion: origin.SoftwareVersion, Mixed: o.versions.isMixed(lookup.Pool),
+		Known: known, Pool: origin.Pool, SoftwareVersion: origin.SoftwareVersion,
+		Mixed: len(own.versions) > 1, Versions: own.versions, Complete: own.complete,
 	}, nil)
 }
 
