mirror: Tell models with separators in their names apart

One odd entry is enough.

Cause: sets of models are shared under a key that joins names with separators.

Change: the key has the length of each name, as the digest of a record, which encodes the same bytes as before.

Evidence: TestModelsWithSeparatorsAreNotTakenForOthers fails before (by the old key, eight of its nine sets are four pairs) and passes after.

--- a/internal/mirror/digest.go
+++ b/internal/mirror/digest.go
@@ -25,30 +25,39 @@
 // hash covers all fields that equal compares, except Born and SoftwareVersion.
 func (r ServerRecord) hash() uint64 {
 	var encoded []byte
-	text := func(value string) {
-		encoded = binary.AppendUvarint(encoded, uint64(len(value)))
-		encoded = append(encoded, value...)
-	}
 	for _, value := range []string{r.ID, r.Pool, r.Address, r.Zone} {
-		text(value)
+		encoded = appendText(encoded, value)
 	}
 	draining := uint64(0)
 	if r.Draining {
 		draining = 1
 	}
-	for _, value := range []uint64{uint64(r.Slots), draining, uint64(r.Created), uint64(len(r.Models))} {
+	for _, value := range []uint64{uint64(r.Slots), draining, uint64(r.Created)} {
 		encoded = binary.AppendUvarint(encoded, value)
 	}
-	for _, model := range r.Models {
-		text(model.Name)
+	encoded = appendModels(encoded, r.Models)
+	hash := fnv.New64a()
+	_, _ = hash.Write(encoded) // Writing to a hash never fails.
+	return hash.Sum64()
+}
+
+// appendText appends a text with its length, so that no other sequence of texts is encoded alike.
+func appendText(encoded []byte, text string) []byte {
+	encoded = binary.AppendUvarint(encoded, uint64(len(text)))
+	return append(encoded, text...)
+}
+
+// appendModels appends the models with their adapters.
+func appendModels(encoded []byte, models []ModelRecord) []byte {
+	encoded = binary.AppendUvarint(encoded, uint64(len(models)))
+	for _, model := range models {
+		encoded = appendText(encoded, model.Name)
 		encoded = binary.AppendUvarint(encoded, uint64(len(model.Adapters)))
 		for _, adapter := range model.Adapters {
-			text(adapter)
+			encoded = appendText(encoded, adapter)
 		}
 	}
-	hash := fnv.New64a()
-	_, _ = hash.Write(encoded) // Writing to a hash never fails.
-	return hash.Sum64()
+	return encoded
 }
 
 // currentDigest is the digest of the records that the store held at revision; zero if they are not
--- a/internal/mirror/snapshot_format.go
+++ b/internal/mirror/snapshot_format.go
@@ -117,22 +117,14 @@
 type modelSets map[string]map[string]fleet.LoadedModel
 
 func (s modelSets) of(models []ModelRecord) map[string]fleet.LoadedModel {
-	var key strings.Builder
-	for _, model := range models {
-		key.WriteString(model.Name)
-		for _, adapter := range model.Adapters {
-			key.WriteByte('/')
-			key.WriteString(adapter)
-		}
-		key.WriteByte(',')
-	}
-	set, exists := s[key.String()]
+	key := string(appendModels(nil, models))
+	set, exists := s[key]
 	if !exists {
 		set = make(map[string]fleet.LoadedModel, len(models))
 		for _, model := range models {
 			set[model.Name] = fleet.NewLoadedModel(model.Adapters)
 		}
-		s[key.String()] = set
+		s[key] = set
 	}
 	return set
 }
