--- a/internal/mirror/odd_records_test.go
+++ b/internal/mirror/odd_records_test.go
@@ -1,12 +1,61 @@
 package mirror
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
 )
 
+// oddZones are names that another writer left as the zone of a server.
+var oddZones = []string{"", "/", "z0/", "z0/00", "a/b/c", strings.Repeat("z", 250), "line\r\nbreak", "\x00", "zone with spaces", "\xff"}
+
+// The records of other zones were missing in snapshots that held a zone whose name has a slash.
+func TestOddZonesKeepTheRecordsOfOtherZonesInSnapshots(t *testing.T) {
+	for _, odd := range oddZones {
+		t.Run(fmt.Sprintf("%.20q", odd), func(t *testing.T) {
+			RegisterTestingT(t)
+			content := recordsSnapshot{Revision: 7}
+			for number := range 40 {
+				content.Records = append(content.Records, ServerRecord{ID: fmt.Sprint("w", number), Pool: "p", Address: "10.0.0.1:80", Zone: fmt.Sprint("z", number%4)})
+			}
+			content.Records = append(content.Records, ServerRecord{ID: "odd", Pool: "p", Address: "10.0.0.1:80", Zone: odd})
+			parts, err := content.encode()
+			Expect(err).NotTo(HaveOccurred())
+			for _, part := range parts {
+				Expect(len(part.Name)).To(BeNumerically("<=", 150), "with the prefix, a key of the store")
+			}
+			decoded, err := decodeSnapshot(parts)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(decoded.Records).To(ConsistOf(content.Records))
+		})
+	}
+}
+
+// One entry each in many zones made every snapshot exceed a transaction of the store, so that none was written.
+func TestSnapshotOfManyZonesFitsInATransaction(t *testing.T) {
+	RegisterTestingT(t)
+	content := recordsSnapshot{Revision: 7, Records: benchmarkRecords(3 * maxDirectServers)}
+	for number := range 200 {
+		content.Records = append(content.Records, ServerRecord{ID: fmt.Sprint("odd", number), Pool: "p", Zone: fmt.Sprint("odd", number)})
+	}
+	parts, err := content.encode()
+	Expect(err).NotTo(HaveOccurred())
+	// 31 entries: the manifest, these parts, and as many to remove.
+	Expect(len(parts)).To(BeNumerically("<=", 15))
+	decoded, err := decodeSnapshot(parts)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(decoded.Records).To(HaveLen(len(content.Records)))
+	for number := range 6 {
+		zone := fmt.Sprint("zone-", number)
+		Expect(parts).To(ContainElement(HaveField("Name", HavePrefix(zonePrefix(zone)))), "a node reads its own zone first")
+	}
+}
+
 // A model's name with separators gave other servers the models of the server that held it.
 func TestModelsWithSeparatorsAreNotTakenForOthers(t *testing.T) {
 	RegisterTestingT(t)
@@ -30,3 +79,22 @@
 		}
 	}
 }
+
+// One odd entry kept the nodes of a large fleet from the servers that registered later.
+func TestOddEntryInALargeFleetKeepsOthersFollowed(t *testing.T) {
+	for number, odd := range oddZones {
+		withLargeFleet(t, 4, func(d *deployment) {
+			time.Sleep(settled)
+			d.store.add(fakeChange{server: "odd", record: &fleet.Server{
+				ID: "odd", Pool: "p", Zone: odd, Slots: 1 << 62, Born: -1 << 63, Models: map[string]fleet.LoadedModel{"m,n0": {}, "m/": {}},
+			}})
+			time.Sleep(maxSnapshotAge + testTimes.Changes)
+			d.store.put("later", false, "m")
+			d.store.put("w3", true, "m")
+			d.store.configure(true)
+			d.nodes = append(d.nodes, d.addNode(addressOf(4)))
+			time.Sleep(maxSnapshotAge + testTimes.Contact)
+			d.expectEqual("zone %d", number)
+		})
+	}
+}
--- a/internal/mirror/snapshot_format.go
+++ b/internal/mirror/snapshot_format.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/flate"
 	"encoding/gob"
 	"fmt"
@@ -49,15 +50,56 @@
 	Records  []ServerRecord
 }
 
-// encode returns the snapshot in parts that the store accepts, by zone.
-func (s *recordsSnapshot) encode() ([]SnapshotPart, error) {
+const (
+	// maxSnapshotZones is how many zones have parts of their own: a transaction of the store has 31
+	// entries for the manifest, the parts, and those to remove.
+	maxSnapshotZones = 12
+	// sharedZone names the parts with the records of all other zones. Nodes of such a zone read the
+	// whole snapshot at once.
+	sharedZone = ""
+	// maxZoneBytes is the longest name of a zone that is part of a key.
+	maxZoneBytes = 64
+)
+
+// inPartNames reports whether the name of a zone may be part of a part's name.
+func inPartNames(zone string) bool {
+	return len(zone) <= maxZoneBytes && !strings.ContainsFunc(zone, func(char rune) bool {
+		isLetter := char >= 'a' && char <= 'z' || char >= 'A' && char <= 'Z'
+		return !isLetter && (char < '0' || char > '9') && !strings.ContainsRune(".-_", char)
+	})
+}
+
+// byZone returns the snapshot in parts by zone. The zones with the most records have their own.
+func (s *recordsSnapshot) byZone() map[string]*recordsSnapshot {
+	sizes := map[string]int{}
+	for _, record := range s.Records {
+		if inPartNames(record.Zone) {
+			sizes[record.Zone]++
+		}
+	}
+	largest := slices.SortedFunc(maps.Keys(sizes), func(a, b string) int {
+		return cmp.Or(cmp.Compare(sizes[b], sizes[a]), strings.Compare(a, b))
+	})
 	zones := map[string]*recordsSnapshot{}
+	for _, zone := range largest[:min(len(largest), maxSnapshotZones)] {
+		zones[zone] = &recordsSnapshot{Revision: s.Revision}
+	}
 	for _, record := range s.Records {
-		if zones[record.Zone] == nil {
-			zones[record.Zone] = &recordsSnapshot{Revision: s.Revision}
+		zone := record.Zone
+		if zones[zone] == nil {
+			zone = sharedZone
+		}
+		if zones[zone] == nil {
+			zones[zone] = &recordsSnapshot{Revision: s.Revision}
 		}
-		zones[record.Zone].Records = append(zones[record.Zone].Records, record)
+		zones[zone].Records = append(zones[zone].Records, record)
 	}
+	return zones
+}
+
+// encode returns the snapshot in parts that the store accepts, by zone.
+func (s *recordsSnapshot) encode() ([]SnapshotPart, error) {
+	zones := s.byZone()
 	var parts []SnapshotPart
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		compressed, err := zones[zone].compress()
