mirror: Read the configuration when other writers' keys sort before it

Callers: a node that started while 500 or more foreign keys (or 1 MB of them) sorted between the product's keys and op/config got no configuration until the operator wrote the next one, and refused every request with 404. If all nodes started then, the whole system did.

Cause: a read of the first page was expected to contain the configuration; the read of all pages that follows passes on the servers' records only.

Change: a read that lacks records and the configuration is completed by a read of the configuration, as in a fleet that is known to be large.

--- a/internal/mirror/reading.go
+++ b/internal/mirror/reading.go
@@ -50,15 +50,7 @@
 		return
 	}
 	if m.isLarge(own) {
-		configured, err := m.config.Source.Configuration(ctx)
-		if m.callFailed(ctx, err) {
-			return
-		}
-		own.Configuration, own.ConfigurationRevision = configured.Configuration, configured.ConfigurationRevision
-		own.ConfigurationValue = configured.ConfigurationValue
-		m.beginPartial(own)
-		m.confirmRead(own.At, asked)
-		m.push(time.Now())
+		m.readPartial(ctx, own, asked)
 		return
 	}
 	asked = time.Now()
@@ -67,15 +59,29 @@
 		return
 	}
 	if changes.More {
-		m.beginPartial(changes)
-		m.confirmRead(changes.At, asked)
-		m.push(time.Now())
+		m.readPartial(ctx, changes, asked)
 		return
 	}
 	m.applyRead(changes)
 	m.confirmRead(changes.At, asked)
 }
 
+// readPartial applies a read, asked for at a time, that lacks servers' records, and reads the
+// configuration unless the read contains it: keys of other writers may sort before it.
+func (m *Mirror) readPartial(ctx context.Context, read Changes, asked time.Time) {
+	if read.ConfigurationRevision == 0 {
+		configured, err := m.config.Source.Configuration(ctx)
+		if m.callFailed(ctx, err) {
+			return
+		}
+		read.Configuration, read.ConfigurationRevision = configured.Configuration, configured.ConfigurationRevision
+		read.ConfigurationValue = configured.ConfigurationValue
+	}
+	m.beginPartial(read)
+	m.confirmRead(read.At, asked)
+	m.push(time.Now())
+}
+
 // confirmRead records an answer of the store that shows the state up to the revision, as of a time.
 // A read confirms the state as of when it began, since it may take seconds. An answer confirms
 // nothing if the state was reset to before the revision in the meantime.
