mirror: Hold a server whose record another writer replaced by an odd one

Callers: a live server whose record was replaced by an odd one stayed in use only at nodes that saw the change in a watch. A node that read all records again (after a compaction, an outage, a restore, a start) lost it until its next heartbeat; a writer who touches all entries leaves such a node without servers. Nodes then differed in their records, and those with a common relay read everything again.

Cause: a rejected record was left out of a read, as one that doesn't exist.

Change: reads and watches tell of rejected records. Rejected records are not part of the digest, so that it depends on the store alone.

TestDrainingBeforeARejectedRecordIsNotMissed passes before and after: it guards what the relay passes on.

--- a/internal/mirror/apply.go
+++ b/internal/mirror/apply.go
@@ -13,6 +13,7 @@
 	restored := m.enterEra(changes.At, now)
 	m.revision = changes.At
 	m.state = newState(max(changes.At, changes.Newest))
+	m.holdLast(changes.Rejected)
 	m.state.apply(changes)
 	servers := make(map[string]*fleet.Server, len(changes.Servers))
 	for id, server := range changes.Servers {
@@ -20,6 +21,7 @@
 			servers[id] = server
 		}
 	}
+	m.addHeld(servers, now)
 	m.partial, m.initialized = false, true
 	m.addServersInGrace(servers, now)
 	m.carryOverRestore(servers, now)
@@ -54,10 +56,11 @@
 		return
 	}
 	m.revision = changes.At
+	m.holdLast(changes.Rejected)
 	m.state.apply(changes)
 	m.largeFleet = m.largeFleet || len(m.state.servers) > maxDirectServers
 	m.adoptRead(changes)
-	visible := m.visibleChanges(changes.Servers, time.Now())
+	visible := m.visibleChanges(m.withHeld(changes), time.Now())
 	m.logServers(visible, changes.At)
 	m.showRecords(visible)
 	m.applyOwn(changes)
--- a/internal/mirror/fakes_test.go
+++ b/internal/mirror/fakes_test.go
@@ -19,9 +19,11 @@
 
 // fakeStore is the store that all nodes of a test read.
 type fakeStore struct {
-	mutex         sync.Mutex
-	revision      int64
-	servers       map[string]*fleet.Server
+	mutex    sync.Mutex
+	revision int64
+	servers  map[string]*fleet.Server
+	// rejected are the servers whose records can't be used; servers has their last ones that could.
+	rejected      map[string]bool
 	configuration *fleet.Configuration
 	configuredAt  int64
 	history       []fakeChange
@@ -42,11 +44,12 @@
 	record        *fleet.Server
 	configuration *fleet.Configuration
 	configured    bool
+	rejected      bool
 	own           *outside.WatchEvent
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{servers: map[string]*fleet.Server{}, own: map[string]outside.WatchEvent{}, changed: make(chan struct{})}
+	return &fakeStore{servers: map[string]*fleet.Server{}, rejected: map[string]bool{}, own: map[string]outside.WatchEvent{}, changed: make(chan struct{})}
 }
 
 func (s *fakeStore) count() int {
@@ -70,9 +73,13 @@
 	case change.own != nil:
 		change.own.KeyValue.ModRevision = s.revision
 		s.own[change.own.KeyValue.Key] = *change.own
+	case change.rejected:
+		s.rejected[change.server] = true
 	case change.record == nil:
 		delete(s.servers, change.server)
+		delete(s.rejected, change.server)
 	default:
+		delete(s.rejected, change.server)
 		change.record.Created = s.revision
 		if before := s.servers[change.server]; before != nil {
 			change.record.Created = before.Created
@@ -101,6 +108,9 @@
 	s.add(fakeChange{server: id, record: &fleet.Server{ID: id, Pool: "p", Draining: draining, Models: held}})
 }
 
+// spoil replaces a server's record by one that can't be used.
+func (s *fakeStore) spoil(id string) { s.add(fakeChange{server: id, rejected: true}) }
+
 func (s *fakeStore) remove(id string) { s.add(fakeChange{server: id}) }
 
 // recreate writes an expired record again.
@@ -122,7 +132,7 @@
 // since returns the changes after the revision, up to a number of them; zero: all. It must be called
 // with the lock held.
 func (s *fakeStore) since(revision int64, limit int) Changes {
-	changes := Changes{Base: revision, At: s.revision, Servers: map[string]*fleet.Server{}}
+	changes := Changes{Base: revision, At: s.revision, Servers: map[string]*fleet.Server{}, Rejected: map[string]*fleet.Server{}}
 	found := 0
 	for _, change := range s.history {
 		if change.revision <= revision {
@@ -141,8 +151,13 @@
 			}
 		case change.own != nil:
 			changes.Own = append(changes.Own, *change.own)
+		case change.rejected:
+			if _, changed := changes.Servers[change.server]; !changed {
+				changes.Rejected[change.server] = nil
+			}
 		default:
 			changes.Servers[change.server] = change.record
+			delete(changes.Rejected, change.server)
 		}
 	}
 	return changes
@@ -291,6 +306,7 @@
 	time.Sleep(pagePause + s.readTime)
 	newest, second := s.page(func(id string) bool { return id >= "u" })
 	maps.Copy(changes.Servers, second.Servers)
+	maps.Copy(changes.Rejected, second.Rejected)
 	changes.At, changes.Newest = first, newest
 	return changes, nil
 }
@@ -304,10 +320,15 @@
 	s.store.mutex.Lock()
 	defer s.store.mutex.Unlock()
 	changes := Changes{
-		Servers: map[string]*fleet.Server{}, Configuration: s.store.configuration, ConfigurationRevision: s.store.configuredAt,
+		Servers: map[string]*fleet.Server{}, Rejected: map[string]*fleet.Server{}, Configuration: s.store.configuration, ConfigurationRevision: s.store.configuredAt,
 	}
-	for id, server := range s.store.servers {
+	for id := range s.store.rejected {
 		if wanted(id) {
+			changes.Rejected[id] = nil
+		}
+	}
+	for id, server := range s.store.servers {
+		if wanted(id) && !s.store.rejected[id] {
 			changes.Servers[id] = server
 		}
 	}
@@ -387,6 +408,9 @@
 	}
 	s.store.mutex.Lock()
 	defer s.store.mutex.Unlock()
+	if s.store.rejected[id] {
+		return Changes{}, ErrRejected
+	}
 	return Changes{At: s.store.revision, Servers: map[string]*fleet.Server{id: s.store.servers[id]}}, nil
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -30,6 +30,9 @@
 // ErrCompacted reports that the store no longer keeps the changes since the requested revision.
 var ErrCompacted = errors.New("the store no longer keeps the changes since the revision")
 
+// ErrRejected reports that the record of a server exists and can't be used.
+var ErrRejected = errors.New("the record of the server can't be used")
+
 // Changes are the changes of the store after the revision Base, up to At.
 type Changes struct {
 	Base, At int64
@@ -44,6 +47,9 @@
 	ConfigurationValue []byte
 	// Servers by ID; nil for one whose record was removed.
 	Servers map[string]*fleet.Server
+	// Rejected are the servers, by ID, whose records exist and can't be used, each with its last
+	// record that could; nil if that is not known.
+	Rejected map[string]*fleet.Server
 	// Own holds the changes of own keys, in order of revision.
 	Own []outside.WatchEvent
 	// More reports that more servers exist than were read, or that later changes than those up to At
@@ -75,6 +81,7 @@
 	// ConfigurationChanges is like Changes, for the configuration alone.
 	ConfigurationChanges(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 	// Record returns the record of one server, nil in Servers if there is none, at the revision At.
+	// It returns ErrRejected if the record can't be used.
 	Record(ctx context.Context, id string) (Changes, error)
 	// Decode decodes a configuration's value, of the given revision; nil if it can't be decoded.
 	Decode(value []byte, revision int64) *fleet.Configuration
--- /dev/null
+++ b/internal/mirror/rejected.go
@@ -0,0 +1,61 @@
+package mirror
+
+import (
+	"maps"
+	"time"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
+)
+
+// A server's record that can't be used was most likely left by another writer: the server writes its
+// own again at its next heartbeat, and the record's removal tells that it is gone. Until then its last
+// usable record holds. Such servers are not part of the state's records and their digest, which is the
+// same at all nodes whatever records they have seen.
+
+// rejectedServers returns the servers by ID; nil for those without a known record.
+func rejectedServers(records []ServerRecord, now time.Time, sets modelSets) map[string]*fleet.Server {
+	servers := make(map[string]*fleet.Server, len(records))
+	for _, record := range records {
+		servers[record.ID] = nil
+		if record.isKnown() {
+			servers[record.ID] = record.server(now, sets)
+		}
+	}
+	return servers
+}
+
+// holdLast adds the last records that this node has seen to rejected servers without one, except those
+// that had expired before. It must be called with the lock held.
+func (m *Mirror) holdLast(rejected map[string]*fleet.Server) {
+	for id, last := range rejected {
+		if _, expired := m.inGrace[id]; last == nil && !expired {
+			rejected[id] = m.config.View.Record(id)
+		}
+	}
+}
+
+// addHeld adds the rejected servers with a known record to all others. It must be called with the lock
+// held.
+func (m *Mirror) addHeld(servers map[string]*fleet.Server, now time.Time) {
+	sets := modelSets{}
+	for id, entry := range m.state.rejected {
+		if servers[id] == nil && entry.record.isKnown() {
+			servers[id] = entry.record.server(now, sets)
+		}
+	}
+}
+
+// withHeld returns the changed servers, and the rejected ones whose last record this node does not show
+// yet. It must be called with the lock held.
+func (m *Mirror) withHeld(changes Changes) map[string]*fleet.Server {
+	if len(changes.Rejected) == 0 {
+		return changes.Servers
+	}
+	servers := maps.Clone(changes.Servers)
+	for id, last := range changes.Rejected {
+		if last != nil && last != m.config.View.Record(id) {
+			servers[id] = last
+		}
+	}
+	return servers
+}
--- /dev/null
+++ b/internal/mirror/rejected_test.go
@@ -0,0 +1,104 @@
+package mirror
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// A server whose record was replaced by an odd one was lost at nodes that read all records again, and nodes that
+// differed in it read them every 30 s.
+func TestServerBehindARejectedRecordIsHeldByAllNodes(t *testing.T) {
+	withNodes(t, 4, func(d *deployment) {
+		d.store.put("a", false, "m")
+		d.store.put("z", false, "m")
+		time.Sleep(settled)
+		d.store.spoil("a")
+		d.store.spoil("foreign")
+		time.Sleep(testTimes.Changes)
+		d.expectEqual("as a change")
+		d.network.setPartitioned(addressOf(2), true)
+		d.store.put("later", false, "m")
+		d.store.configure(true)
+		time.Sleep(testTimes.Contact)
+		for _, node := range d.nodes {
+			node.source.setFault(true, false)
+		}
+		time.Sleep(testTimes.Changes)
+		d.store.put("z", true, "m")
+		d.store.compact()
+		for _, node := range d.nodes {
+			node.source.setFault(false, false)
+		}
+		d.network.setPartitioned(addressOf(2), false)
+		time.Sleep(2 * testTimes.Contact)
+		d.expectEqual("by a read of all records")
+		before := make([]int, len(d.nodes))
+		for number, node := range d.nodes {
+			before[number] = node.source.count("read")
+		}
+		time.Sleep(10 * driftReadInterval)
+		for number, node := range d.nodes {
+			Expect(node.source.count("read")-before[number]).To(BeZero(), "node %d", number)
+		}
+		d.store.put("a", true, "m")
+		time.Sleep(testTimes.Changes)
+		d.expectEqual("as a good record again")
+		d.store.spoil("a")
+		time.Sleep(testTimes.Changes)
+		d.expectEqual("the last good record drains")
+		d.store.remove("a")
+		d.store.remove("foreign")
+		time.Sleep(2 * testTimes.Contact)
+		d.expectEqual("removed")
+	})
+}
+
+// A server that announced its end just before its record was replaced by an odd one stayed in use at nodes that
+// missed the update between the two.
+func TestDrainingBeforeARejectedRecordIsNotMissed(t *testing.T) {
+	withNodes(t, 4, func(d *deployment) {
+		time.Sleep(settled)
+		d.network.mutex.Lock()
+		d.network.dropUpdates = 3
+		d.network.mutex.Unlock()
+		d.store.put("s", true, "m")
+		time.Sleep(2 * share(relayPollShare, testTimes.Changes))
+		d.store.spoil("s")
+		time.Sleep(testTimes.Changes)
+		d.expectEqual()
+	})
+}
+
+// As above, in a fleet whose nodes read the records from snapshots; one of them starts after the record was replaced.
+func TestServerBehindARejectedRecordIsHeldInALargeFleet(t *testing.T) {
+	withLargeFleet(t, 4, func(d *deployment) {
+		time.Sleep(settled)
+		for _, id := range []string{"w5", "w6", "foreign"} {
+			d.store.spoil(id)
+		}
+		time.Sleep(maxSnapshotAge + testTimes.Changes)
+		d.nodes = append(d.nodes, d.addNode(addressOf(4)))
+		time.Sleep(testTimes.Contact)
+		d.expectEqual("at a node that starts")
+		for _, node := range d.nodes {
+			node.source.setFault(true, false)
+		}
+		time.Sleep(testTimes.Changes)
+		d.store.put("w1", true, "m")
+		d.store.put("later", false, "m")
+		d.store.configure(true)
+		d.store.compact()
+		for _, node := range d.nodes {
+			node.source.setFault(false, false)
+		}
+		time.Sleep(maxSnapshotAge + 2*testTimes.Contact)
+		d.expectEqual("after a gap")
+		d.store.put("w5", true, "m")
+		d.store.remove("w6")
+		d.store.remove("foreign")
+		time.Sleep(maxSnapshotAge + testTimes.Contact)
+		d.expectEqual("good again, and removed")
+	})
+}
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -73,6 +73,9 @@
 	// Packed holds the records in place of Servers, if there are many and the receiver unpacks
 	// them.
 	Packed []byte
+	// Rejected are the servers whose records in the store can't be used, each with its last record
+	// that could, or only its ID. Earlier builds ignore them.
+	Rejected []ServerRecord
 }
 
 // subscriber is a node that subscribed to updates.
@@ -84,7 +87,7 @@
 }
 
 // size is the number of records and removals.
-func (u Update) size() int { return len(u.Servers) + len(u.Ended) }
+func (u Update) size() int { return len(u.Servers) + len(u.Ended) + len(u.Rejected) }
 
 // recordLimit returns how many records may be sent at once to each of a number of subscribers, in so
 // many bytes each: what the machine's link can carry, up to maxRecordsPushed, but no less than a
@@ -113,7 +116,7 @@
 	if !m.largeFleet || m.revision == 0 {
 		return false
 	}
-	update.Servers, update.Ended, update.Skipped = nil, nil, true
+	update.Servers, update.Ended, update.Rejected, update.Skipped = nil, nil, nil, true
 	update.At, update.Configuration, update.Own = m.revision, m.state.configuration, m.state.ownAfter(0)
 	return true
 }
@@ -296,6 +299,7 @@
 	for _, id := range u.Ended {
 		changes.Servers[id] = nil
 	}
+	changes.Rejected = rejectedServers(u.Rejected, now, sets)
 	return changes
 }
 
--- a/internal/mirror/snapshot.go
+++ b/internal/mirror/snapshot.go
@@ -162,7 +162,8 @@
 	if snapshot == nil || !m.partial {
 		return
 	}
-	m.mergeRecords(snapshot.Records, snapshot.Revision, snapshot.Revision)
+	rejected := rejectedServers(snapshot.Rejected, time.Now(), modelSets{})
+	m.mergeRecords(snapshot.Records, rejected, snapshot.Revision, snapshot.Revision)
 }
 
 // fetchSnapshot reads parts of the snapshot with a stale read, which costs a tenth of a normal one,
@@ -216,13 +217,14 @@
 			records = append(records, recordOf(server))
 		}
 	}
-	m.mergeRecords(records, changes.At, max(changes.At, changes.Newest))
+	m.mergeRecords(records, changes.Rejected, changes.At, max(changes.At, changes.Newest))
 }
 
 // mergeRecords applies records that the store held at the revision, or that were read between it
 // and newest, except those with later known changes. It must be called with the lock held.
-func (m *Mirror) mergeRecords(records []ServerRecord, revision, newest int64) {
+func (m *Mirror) mergeRecords(records []ServerRecord, rejected map[string]*fleet.Server, revision, newest int64) {
 	now := time.Now()
+	m.holdLast(rejected)
 	for _, record := range records {
 		if _, removed := m.state.removed[record.ID]; removed {
 			continue
@@ -231,6 +233,13 @@
 			m.state.set(record.ID, record, revision)
 		}
 	}
+	for id, last := range rejected {
+		_, removed := m.state.removed[id]
+		_, exists := m.state.servers[id]
+		if !removed && !exists {
+			m.state.reject(id, last, revision)
+		}
+	}
 	servers := make(map[string]*fleet.Server, len(m.state.servers))
 	sets := modelSets{}
 	for id, entry := range m.state.servers {
@@ -240,6 +249,7 @@
 	// the earliest are requested once more.
 	m.state.baseRevision = max(m.state.baseRevision, newest, m.revision)
 	m.revision = min(m.revision, revision)
+	m.addHeld(servers, now)
 	m.partial, m.initialized = false, true
 	m.addServersInGrace(servers, now)
 	m.carryOverRestore(servers, now)
--- a/internal/mirror/snapshot_format.go
+++ b/internal/mirror/snapshot_format.go
@@ -48,6 +48,8 @@
 type recordsSnapshot struct {
 	Revision int64
 	Records  []ServerRecord
+	// Rejected as in Update.
+	Rejected []ServerRecord
 }
 
 const (
@@ -84,6 +86,9 @@
 	for _, zone := range largest[:min(len(largest), maxSnapshotZones)] {
 		zones[zone] = &recordsSnapshot{Revision: s.Revision}
 	}
+	if len(s.Rejected) > 0 {
+		zones[sharedZone] = &recordsSnapshot{Revision: s.Revision, Rejected: s.Rejected}
+	}
 	for _, record := range s.Records {
 		zone := record.Zone
 		if zones[zone] == nil {
@@ -150,6 +155,7 @@
 		}
 		all.Revision = min(all.Revision, ofZone.Revision)
 		all.Records = append(all.Records, ofZone.Records...)
+		all.Rejected = append(all.Rejected, ofZone.Rejected...)
 	}
 	return all, nil
 }
--- a/internal/mirror/snapshot_write.go
+++ b/internal/mirror/snapshot_write.go
@@ -34,11 +34,16 @@
 		return
 	}
 	m.writingSnapshot, m.snapshotStartedAt = true, now
-	snapshot, replaced, revision := recordsSnapshot{Revision: m.revision, Records: m.state.records()}, m.manifest, m.manifestRevision
+	snapshot, replaced, revision := m.snapshot(), m.manifest, m.manifestRevision
 	m.mutex.Unlock()
 	go m.writeSnapshot(ctx, snapshot, replaced, revision)
 }
 
+// snapshot returns a snapshot of the state. It must be called with the lock held.
+func (m *Mirror) snapshot() recordsSnapshot {
+	return recordsSnapshot{Revision: m.revision, Records: m.state.records(), Rejected: sortedRecords(m.state.rejected)}
+}
+
 // writeSnapshot writes a snapshot in place of the one that the manifest describes, provided that
 // the manifest's key still has the revision, and logs the result.
 func (m *Mirror) writeSnapshot(ctx context.Context, snapshot recordsSnapshot, replaced snapshotManifest, revision int64) {
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -25,6 +25,9 @@
 	configuration int64
 	servers       map[string]versionedRecord
 	own           map[string]outside.WatchEvent
+	// rejected are the servers whose records in the store can't be used, each with its last record
+	// that could; that has only an ID if it is not known. They are not in servers.
+	rejected map[string]versionedRecord
 	// removed servers, with the revision at which their removal was observed.
 	removed map[string]int64
 	// digest of all servers' records.
@@ -52,7 +55,7 @@
 func newState(baseRevision int64) *state {
 	return &state{
 		baseRevision: baseRevision, servers: map[string]versionedRecord{}, own: map[string]outside.WatchEvent{}, removed: map[string]int64{},
-		digest: emptyDigest,
+		rejected: map[string]versionedRecord{}, digest: emptyDigest,
 	}
 }
 
@@ -67,6 +70,9 @@
 			s.set(id, recordOf(server), changes.At)
 		}
 	}
+	for id, last := range changes.Rejected {
+		s.reject(id, last, changes.At)
+	}
 	s.applyOwn(changes.Own)
 	s.trim()
 }
@@ -89,6 +95,7 @@
 	}
 	s.digest.add(record)
 	delete(s.removed, id)
+	delete(s.rejected, id)
 	s.servers[id] = versionedRecord{record: record, revision: revision}
 	s.recordChange(id, revision)
 }
@@ -108,14 +115,36 @@
 		s.digest.remove(before.record)
 	}
 	delete(s.servers, id)
+	delete(s.rejected, id)
 	s.removed[id] = revision
 	s.recordChange(id, revision)
 }
 
+// reject records that a server's record can't be used, with its last one that could, or nil.
+func (s *state) reject(id string, last *fleet.Server, revision int64) {
+	before, exists := s.servers[id]
+	if exists {
+		s.digest.remove(before.record)
+		delete(s.servers, id)
+	}
+	record := ServerRecord{ID: id}
+	if last != nil {
+		record = recordOf(last)
+	}
+	if known, rejected := s.rejected[id]; rejected && known.record.equal(record) {
+		return
+	}
+	delete(s.removed, id)
+	s.rejected[id] = versionedRecord{record: record, revision: revision}
+	s.recordChange(id, revision)
+}
+
 // records returns the records of all servers, in order of ID.
-func (s *state) records() []ServerRecord {
-	records := make([]ServerRecord, 0, len(s.servers))
-	for _, server := range s.servers {
+func (s *state) records() []ServerRecord { return sortedRecords(s.servers) }
+
+func sortedRecords(servers map[string]versionedRecord) []ServerRecord {
+	records := make([]ServerRecord, 0, len(servers))
+	for _, server := range servers {
 		records = append(records, server.record)
 	}
 	sort.Slice(records, func(i, j int) bool { return records[i].ID < records[j].ID })
@@ -158,6 +187,8 @@
 			update.Servers = append(update.Servers, server.record)
 		} else if revision, removed := s.removed[change.id]; removed && revision == change.revision {
 			update.Ended = append(update.Ended, change.id)
+		} else if server, rejected := s.rejected[change.id]; rejected && server.revision == change.revision {
+			update.Rejected = append(update.Rejected, server.record)
 		}
 	}
 	update.Own = s.ownAfter(after)
@@ -228,6 +259,9 @@
 	return m.Name == other.Name && slices.Equal(m.Adapters, other.Adapters)
 }
 
+// isKnown reports whether the record was ever read; otherwise it has only an ID.
+func (r ServerRecord) isKnown() bool { return r.Pool != "" }
+
 // server returns the record as a fleet.Server that was seen at the time.
 func (r ServerRecord) server(seenAt time.Time, sets modelSets) *fleet.Server {
 	return &fleet.Server{
