mirror: Read other servers' records after one that is rejected

Callers: at a node whose records are out of date, one request for a server behind an odd record kept the node from reading any server's record for a second, again and again. Requests went by outdated records meanwhile, also to servers that had announced their end.

Cause: the read of one record failed alike whether the store did not answer or the record could not be used; after a failure no record is read for recordRetryPause.

Change: a rejected record confirms the last usable one, which holds.

Evidence: TestReadOfARejectedRecordDoesNotStopOtherReads fails before (the read returns an error, and the next one of another server would too) and passes after.

--- a/internal/mirror/records_age.go
+++ b/internal/mirror/records_age.go
@@ -150,6 +150,11 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	delete(m.ages.reads, id)
+	if errors.Is(err, ErrRejected) {
+		// The last record holds.
+		m.ages.single[id] = asked
+		return
+	}
 	if err != nil {
 		read.err, m.ages.failedAt = err, time.Now()
 		return
--- a/internal/mirror/rejected_test.go
+++ b/internal/mirror/rejected_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -102,3 +103,22 @@
 		d.expectEqual("good again, and removed")
 	})
 }
+
+// A read of one rejected record counted as a failure of the store, so that no server's record was read for a second,
+// and requests were sent by outdated ones.
+func TestReadOfARejectedRecordDoesNotStopOtherReads(t *testing.T) {
+	withNodes(t, 1, func(d *deployment) {
+		d.store.put("t", false, "m")
+		time.Sleep(settled)
+		node := d.nodes[0]
+		node.source.setStalled(true)
+		time.Sleep(testTimes.Changes)
+		d.store.spoil("s")
+		d.store.put("t", true, "m")
+		Expect(node.mirror.ReadRecord(context.Background(), "s")).To(Succeed())
+		Expect(node.view.Load().Servers["s"].Draining).To(BeFalse(), "its last record holds")
+		Expect(node.mirror.ReadRecord(context.Background(), "t")).To(Succeed())
+		Expect(node.view.Load().Servers["t"].Draining).To(BeTrue())
+		node.source.setStalled(false)
+	})
+}
