ratelimit: Let counter nodes confirm only nodes with the same list

Cause: 29 of 84 nodes lost the store, but not the other nodes. The next order holder did not hear of them and chose other counter nodes in place of three of the eight. The list reached the 60 nodes that report to it; the others learn it from the store or that holder only. The counter node of the earlier list was replaced, did not know it, and had contact with more than half of its list: five nodes that by then counted by the new one. It went on granting the rate to the 24 nodes with the earlier list, for as long as they were cut off, beside its successor. No node decided alone.

Messages between limiters now have the version and digest of the sender's list. Contact counts toward the quorum only with the same list. A node with an older list gets the newer one in the reply, one that hears of a newer list asks for it before it handles the request, and a counter node that gets a list sends it to those that it replaces. A replaced node that is still asked relays the request to the node that counts now. The fields are new; an earlier build's messages have none, and confirm any list as before.

--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -154,8 +154,12 @@
 	report.Observations, report.PoolArrivals = nil, nil
 	update := updateWithoutPaths
 	update.HolderToken, update.Observations, update.Rates = 0, nil, nil
-	answer := filled(ratelimit.TakeReply{}).(ratelimit.TakeReply)
+	answerWithoutList := filled(ratelimit.TakeReply{}).(ratelimit.TakeReply)
+	answerWithoutList.List, answerWithoutList.Counters = ratelimit.ListVersion{}, ratelimit.Counters{}
+	answer := answerWithoutList
 	answer.Voted = false
+	askWithoutList := filled(ratelimit.TakeRequest{}).(ratelimit.TakeRequest)
+	askWithoutList.List = ratelimit.ListVersion{}
 	giveBack := filled(ratelimit.ReturnMessage{}).(ratelimit.ReturnMessage)
 	giveBack.Vote = 0
 	crashes := filled(poison.Report{}).(poison.Report)
@@ -176,6 +180,7 @@
 		"orders.DemandReport without paths":         reportWithoutPaths, "orders.Update without paths": updateWithoutPaths,
 		"orders.Update without reporting": updateWithoutReporting,
 		"tenants.Answer":                  answer, "tenants.GiveBack": giveBack,
+		"tenants.Answer without list": answerWithoutList, "tenants.Ask without list": askWithoutList,
 		"tenants.Ask": ratelimit.TakeRequest{
 			Tenant: "text 2", Limit: ratelimit.Limit{Rate: 4.5, Burst: 5.5, Window: 6, Paced: true}, Cost: 8.5, Rank: 9.5, MaxWait: 10,
 			Silent: true, Relayed: true, Heard: ratelimit.Count{Known: true, Level: 15.5, Used: 16.5, Age: 17},
--- a/internal/ratelimit/counters.go
+++ b/internal/ratelimit/counters.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,12 +20,29 @@
 	Addresses []string
 }
 
-// isNewer reports whether c is newer than the other.
-func (c Counters) isNewer(other Counters) bool {
-	if c.Token != other.Token {
-		return c.Token > other.Token
+// ListVersion identifies Counters in messages between nodes.
+type ListVersion struct {
+	// Token and Version as in Counters.
+	Token   int64
+	Version uint64
+	// Digest of the addresses. Two holders may choose the same nodes.
+	Digest uint64
+}
+
+// list returns the version that identifies the counter nodes.
+func (c Counters) list() ListVersion {
+	return ListVersion{Token: c.Token, Version: c.Version, Digest: xxhash.Sum64String(strings.Join(c.Addresses, " "))}
+}
+
+// isKnown reports whether the version was sent. An earlier build sends none.
+func (v ListVersion) isKnown() bool { return v != ListVersion{} }
+
+// isNewer reports whether v is newer than the other.
+func (v ListVersion) isNewer(other ListVersion) bool {
+	if v.Token != other.Token {
+		return v.Token > other.Token
 	}
-	return c.Version > other.Version
+	return v.Version > other.Version
 }
 
 // ranked returns the addresses in the order in which they count a limit: by rendezvous hash,
@@ -78,24 +96,41 @@
 
 // counterList holds the newest Counters and caches rankings.
 type counterList struct {
-	mutex    sync.Mutex
-	current  Counters
+	mutex   sync.Mutex
+	current Counters
+	// version identifies current.
+	version  ListVersion
 	rankings map[string][]string
 }
 
-// set replaces the counters if the update is newer, and reports whether the addresses changed.
-func (l *counterList) set(update Counters) bool {
+// set replaces the counters if the update is newer. It returns the earlier ones, and whether the
+// addresses changed.
+func (l *counterList) set(update Counters) (earlier Counters, changed bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !update.isNewer(l.current) {
-		return false
+	earlier = l.current
+	if !update.list().isNewer(l.version) {
+		return earlier, false
 	}
-	changed := !slices.Equal(update.Addresses, l.current.Addresses)
-	l.current = update
+	changed = !slices.Equal(update.Addresses, earlier.Addresses)
+	l.current, l.version = update, update.list()
 	if changed {
 		l.rankings = map[string][]string{}
 	}
-	return changed
+	return earlier, changed
+}
+
+// list returns the version of the newest counters.
+func (l *counterList) list() ListVersion {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.version
+}
+
+// confirms reports whether a node with the list of a version counts by the same nodes as this one. A
+// node of an earlier build does not tell, and is assumed to.
+func (l *counterList) confirms(list ListVersion) bool {
+	return !list.isKnown() || list.Digest == l.list().Digest
 }
 
 func (l *counterList) get() Counters {
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -69,11 +69,11 @@
 	mutex sync.Mutex
 	// unreachable counter nodes did not reply to a call, nor to a probe since.
 	unreachable map[string]bool
-	// contactAt is when each of the other counter nodes last sent a request or a reply. Messages
-	// of nodes that do not get the replies of this one in time, and so let another node count,
-	// are not contact: when they were, two nodes granted 2.84 million tokens in a window of
+	// contacts are the last request or reply of each of the other counter nodes. Messages of
+	// nodes that do not get the replies of this one in time, and so let another node count, are
+	// not contact: when they were, two nodes granted 2.84 million tokens in a window of
 	// 1.8 million (virtual time).
-	contactAt map[string]time.Time
+	contacts map[string]contact
 	// requestedAt is when another node last sent a request, and probedAt when a request last
 	// made this node probe the other counter nodes.
 	requestedAt, probedAt time.Time
@@ -83,6 +83,13 @@
 	wakeUp chan struct{}
 }
 
+// contact is a message of another counter node.
+type contact struct {
+	at time.Time
+	// list of counter nodes that the other node had.
+	list ListVersion
+}
+
 // New returns a Limiter and registers its message handlers with the transport.
 func New(config Config) *Limiter {
 	if config.ConfiguredLimit == nil {
@@ -93,7 +100,7 @@
 	}
 	limiter := &Limiter{
 		config: config, process: time.Now().UnixNano(), meters: newMeters(), fallback: newFallback(), remoteCounts: newRemoteCounts(), votes: newVotes(), unreachable: map[string]bool{},
-		contactAt: map[string]time.Time{}, wakeUp: make(chan struct{}, 1), ballots: make(chan struct{}, maxBallots),
+		contacts: map[string]contact{}, wakeUp: make(chan struct{}, 1), ballots: make(chan struct{}, maxBallots),
 	}
 	config.Transport.Handle(TakeRequest{}, limiter.serveTake)
 	config.Transport.Handle(ReturnMessage{}, limiter.serveReturn)
@@ -104,16 +111,35 @@
 func (l *Limiter) SetNodes(nodes int) { l.fallback.setNodes(nodes) }
 
 // SetCounters sets the counter nodes, unless newer ones were set.
-func (l *Limiter) SetCounters(counters Counters) {
-	if !l.counters.set(counters) {
+func (l *Limiter) SetCounters(counters Counters) { l.setCounters(counters, "") }
+
+// setCounters is SetCounters with the address of the node that sent the list; empty: a holder or the store.
+func (l *Limiter) setCounters(counters Counters, from string) {
+	earlier, changed := l.counters.set(counters)
+	if !changed {
 		return
 	}
 	l.votes.update(l.counters.get, l.config.Address, time.Now())
+	l.announce(earlier)
 	l.wake()
-	l.config.Logger.Info().Strs("counters", counters.Addresses).Int64("token", counters.Token).Uint64("version", counters.Version).
+	l.config.Logger.Info().Strs("counters", counters.Addresses).Int64("token", counters.Token).Uint64("version", counters.Version).Str("from", from).
 		Msg("nodes that count quotas changed")
 }
 
+// announce sends the new list to the counter nodes of the earlier one that it replaces: they may not
+// receive it from a holder, and would count beside those of the new list.
+func (l *Limiter) announce(earlier Counters) {
+	if !l.isCounter() {
+		return
+	}
+	counters := l.counters.get().Addresses
+	for _, address := range earlier.Addresses {
+		if address != l.config.Address && !slices.Contains(counters, address) {
+			l.probe(address, func() {})
+		}
+	}
+}
+
 // SetNoCountersYet is called when the store was read and has no counter nodes: no node has counted
 // for another one yet.
 func (l *Limiter) SetNoCountersYet() {
@@ -169,7 +195,7 @@
 			timer.Reset(probePeriod)
 		}
 		for _, address := range l.toProbe(time.Now()) {
-			l.probe(address)
+			l.probe(address, func() {})
 		}
 		if time.Since(pruned) >= prunePeriod {
 			pruned = time.Now()
@@ -186,19 +212,31 @@
 	l.votes.prune(now)
 }
 
-// probe checks whether a node replies.
-func (l *Limiter) probe(address string) {
-	l.config.Transport.Call(address, TakeRequest{Silent: l.isUnreachable(address)}, takeTimeout, func(message peer.Message, err error) {
+// probe checks whether a node replies, tells it of a newer list of counter nodes and learns of one, and
+// then calls done.
+func (l *Limiter) probe(address string, done func()) {
+	l.config.Transport.Call(address, TakeRequest{Silent: l.isUnreachable(address), List: l.counters.list()}, takeTimeout, func(message peer.Message, err error) {
+		defer done()
 		if err != nil {
 			return
 		}
-		if reply, isReply := message.(TakeReply); isReply && !reply.Silent {
-			l.noteContact(address)
+		if reply, isReply := message.(TakeReply); isReply {
+			l.noteReply(address, reply)
 		}
 		l.setUnreachable(address, false)
 	})
 }
 
+// noteReply records a reply of another node as contact, and applies the list of counter nodes in it.
+func (l *Limiter) noteReply(address string, reply TakeReply) {
+	if len(reply.Counters.Addresses) > 0 {
+		l.setCounters(reply.Counters, address)
+	}
+	if !reply.Silent {
+		l.noteContact(address, reply.List)
+	}
+}
+
 // toProbe returns the unreachable counter nodes and, if this node is a counter node and limits
 // are in use, the others without recent contact.
 func (l *Limiter) toProbe(now time.Time) []string {
@@ -206,11 +244,11 @@
 	defer l.mutex.Unlock()
 	addresses := l.counters.get().Addresses
 	maps.DeleteFunc(l.unreachable, func(address string, _ bool) bool { return !slices.Contains(addresses, address) })
-	maps.DeleteFunc(l.contactAt, func(address string, _ time.Time) bool { return !slices.Contains(addresses, address) })
+	maps.DeleteFunc(l.contacts, func(address string, _ contact) bool { return !slices.Contains(addresses, address) })
 	probes := slices.Contains(addresses, l.config.Address) && (now.Sub(l.requestedAt) < activeTime || l.config.InUse())
 	var due []string
 	for _, address := range addresses {
-		noContact := probes && now.Sub(l.contactAt[address]) >= probePeriod/2
+		noContact := probes && !l.isInContact(address, probePeriod/2, now)
 		if address != l.config.Address && (l.unreachable[address] || noContact) {
 			due = append(due, address)
 		}
@@ -218,28 +256,41 @@
 	return due
 }
 
-// noteContact records a request or reply of another node.
-func (l *Limiter) noteContact(address string) {
+// noteContact records a request or reply of another node, which has a list of counter nodes.
+func (l *Limiter) noteContact(address string, list ListVersion) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.contactAt[address] = time.Now()
+	l.contacts[address] = contact{at: time.Now(), list: list}
+}
+
+// isInContact reports whether another counter node was in contact within the time, with the same list
+// of counter nodes as this one. The lock must be held.
+func (l *Limiter) isInContact(address string, within time.Duration, now time.Time) bool {
+	last, exists := l.contacts[address]
+	return exists && now.Sub(last.at) < within && l.counters.confirms(last.list)
 }
 
 // hasQuorum reports whether this node is a counter node and has contact with more than half of
-// them: of two sides of a network partition, at most one counts.
+// them, which have the same list: of two sides of a network partition at most one counts, and so
+// do of two lists the counter nodes of at most one, as each list has more than half of the one before.
 func (l *Limiter) hasQuorum(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	addresses := l.counters.get().Addresses
 	reachable := 0
 	for _, address := range addresses {
-		if address == l.config.Address || now.Sub(l.contactAt[address]) < quorumTimeout {
+		if address == l.config.Address || l.isInContact(address, quorumTimeout, now) {
 			reachable++
 		}
 	}
 	return slices.Contains(addresses, l.config.Address) && 2*reachable > len(addresses)
 }
 
+// isCounter reports whether this node is a counter node.
+func (l *Limiter) isCounter() bool {
+	return slices.Contains(l.counters.get().Addresses, l.config.Address)
+}
+
 func (l *Limiter) setUnreachable(address string, unreachable bool) {
 	l.mutex.Lock()
 	changed := l.unreachable[address] != unreachable
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -41,6 +41,11 @@
 
 // withFleet runs the body with nodes at which the counter nodes are set.
 func withFleet(t *testing.T, nodes int, body func(f *fleet)) {
+	withBuilds(t, nodes, func(int) bool { return false }, body)
+}
+
+// withBuilds is withFleet with some nodes of an earlier build.
+func withBuilds(t *testing.T, nodes int, isEarlier func(node int) bool, body func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		RegisterTestingT(t)
 		f := &fleet{Network: peers.NewNetwork()}
@@ -52,6 +57,9 @@
 		for i := range nodes {
 			address := fmt.Sprintf("node-%02d", i)
 			transport := &countingTransport{Transport: f.Add(address)}
+			if isEarlier(i) {
+				transport.Transport = earlierBuild{transport.Transport}
+			}
 			f.transports = append(f.transports, transport)
 			f.limiters = append(f.limiters, ratelimit.New(ratelimit.Config{
 				Transport: transport, Address: address, InUse: f.inUse.Load, Logger: zerolog.Nop(),
--- a/internal/ratelimit/messages.go
+++ b/internal/ratelimit/messages.go
@@ -30,6 +30,8 @@
 	Heard Count
 	// Vote identifies the request for the votes of a voted limit.
 	Vote uint64
+	// List of counter nodes that the sender has; zero from an earlier build.
+	List ListVersion
 }
 
 // TakeReply is the reply to a TakeRequest.
@@ -47,6 +49,9 @@
 	Left    Count
 	// Voted: the node counted a vote, which it takes back by its ID.
 	Voted bool
+	// List as in TakeRequest, and Counters that list if the requesting node has an older one.
+	List     ListVersion
+	Counters Counters
 }
 
 // ReturnMessage returns the cost of a request that was not executed.
--- a/internal/ratelimit/take.go
+++ b/internal/ratelimit/take.go
@@ -42,6 +42,7 @@
 func (l *Limiter) takeAt(ctx context.Context, address string, request Request) (TakeReply, bool) {
 	message := TakeRequest{
 		Tenant: request.Name, Cost: request.Cost, Rank: request.Rank, MaxWait: request.MaxWait, Heard: l.remoteCounts.except(request.Name, address, time.Now()),
+		List: l.counters.list(),
 	}
 	if !l.isConfigured(request.Name) {
 		message.Limit = request.Limit
@@ -60,9 +61,7 @@
 			replies <- nil
 			return
 		}
-		if !reply.Silent {
-			l.noteContact(address)
-		}
+		l.noteReply(address, reply)
 		replies <- &reply
 	})
 	select {
@@ -111,35 +110,42 @@
 		l.serveVote(request, reply)
 		return
 	}
-	respond := func(taken TakeReply) {
-		taken.Silent = l.isUnreachable(from)
-		reply(taken, nil)
-	}
 	if !request.Silent {
-		l.noteContact(from)
+		l.noteContact(from, request.List)
+	}
+	if request.List.isNewer(l.counters.list()) {
+		l.probe(from, func() { l.serveCurrent(from, request, reply) })
+		return
 	}
+	l.serveCurrent(from, request, reply)
+}
+
+// serveCurrent handles a request of another node, whose list of counter nodes is no newer than this
+// node's unless it did not reply to a probe.
+func (l *Limiter) serveCurrent(from string, request TakeRequest, reply func(peer.Message, error)) {
 	if request.Cost == 0 {
-		respond(TakeReply{})
+		reply(l.addressed(TakeReply{}, from, request), nil)
 		return
 	}
 	now := time.Now()
 	l.noteRequest(now)
-	if l.hasQuorum(now) {
-		l.countOrRelay(request, respond)
-		return
-	}
-	if !l.probeForQuorum(now) {
-		reply(nil, errNoQuorum)
+	if l.isCounter() && !l.hasQuorum(now) && l.probeForQuorum(now) {
+		// While nothing was limited, or since the list changed, the counter nodes did not confirm
+		// each other. They may do so now.
+		time.AfterFunc(quorumWait, func() { l.countOrRelay(from, request, reply) })
 		return
 	}
-	// While nothing was limited, the counter nodes sent each other nothing. They may reply now.
-	time.AfterFunc(quorumWait, func() {
-		if !l.hasQuorum(time.Now()) {
-			reply(nil, errNoQuorum)
-			return
-		}
-		l.countOrRelay(request, respond)
-	})
+	l.countOrRelay(from, request, reply)
+}
+
+// addressed adds to a reply what the requesting node has to know of this one.
+func (l *Limiter) addressed(reply TakeReply, from string, request TakeRequest) TakeReply {
+	reply.Silent = l.isUnreachable(from)
+	reply.List, reply.Counters = l.counters.list(), Counters{}
+	if request.List.isKnown() && reply.List.isNewer(request.List) {
+		reply.Counters = l.counters.get()
+	}
+	return reply
 }
 
 // serveVote handles a request of another node for this node's vote.
@@ -153,10 +159,17 @@
 }
 
 // countOrRelay handles a request of another node. If this node is not the first in the limit's
-// order, it relays the request to the first, which the other node may have failed to reach.
-func (l *Limiter) countOrRelay(request TakeRequest, respond func(TakeReply)) {
+// order, it relays the request to the first, which the other node may have failed to reach, or may not
+// know if its list of counter nodes is an older one.
+func (l *Limiter) countOrRelay(from string, request TakeRequest, reply func(peer.Message, error)) {
+	respond := func(taken TakeReply) { reply(l.addressed(taken, from, request), nil) }
+	isCounter := l.isCounter()
+	if isCounter && !l.hasQuorum(time.Now()) {
+		reply(nil, errNoQuorum)
+		return
+	}
 	limit, exists := l.limitOf(request)
-	if !exists {
+	if isCounter && !exists {
 		// While a configuration change spreads, this node's configuration may be older or
 		// newer than that of the requesting node, which has the limit. The reply has no
 		// process, since nothing was counted that could be returned.
@@ -164,19 +177,27 @@
 		return
 	}
 	ranked := l.counters.ranked(request.Tenant)
-	if request.Relayed || len(ranked) == 0 || ranked[0] == l.config.Address || l.isUnreachable(ranked[0]) {
+	count := func() {
+		if !l.hasQuorum(time.Now()) {
+			reply(nil, errNoQuorum)
+			return
+		}
 		respond(l.countHere(limit, request))
+	}
+	if request.Relayed || len(ranked) == 0 || ranked[0] == l.config.Address || l.isUnreachable(ranked[0]) {
+		count()
 		return
 	}
 	relayed := request
-	relayed.Relayed = true
+	relayed.Relayed, relayed.List = true, l.counters.list()
 	l.config.Transport.Call(ranked[0], relayed, takeTimeout/2, func(received peer.Message, err error) {
-		if reply, isReply := received.(TakeReply); err == nil && isReply {
-			respond(reply)
+		if taken, isReply := received.(TakeReply); err == nil && isReply {
+			l.noteReply(ranked[0], taken)
+			respond(taken)
 			return
 		}
 		l.setUnreachable(ranked[0], true)
-		respond(l.countHere(limit, request))
+		count()
 	})
 }
 
