ratelimit: Leave a limit to the other side where more than a node's share is requested

A third of the nodes, partitioned with the counter node of a tenant's limit, granted a seventh of the limit beside a successor that granted all of it: 5.29 to 5.42 million tokens in a window in which 5.06 are tolerated (28 nodes, four times the limit, virtual time).

Cause: a node that reaches no counter node grants half of its share, and a tenth only if the limit was nearly reached at the last count within a window. A limit that nobody used before the partition, or a partition longer than a window, left it at half: 0.58 to 0.64 million by nine nodes, beside 0.16 to 0.53 by the counter node until it finds that it has no quorum.

The node now knows what was requested at it while it decides alone. If that exceeds its whole share and there are counter nodes, it grants a tenth. Without any counter nodes, and for paced limits, nothing changes. The pause after a grant is computed when the next request arrives, by the share that holds then.

No bound for any demand: a tenant that asks little of the smaller side and more than its limit of the other may still exceed it where over a fifth of the nodes is cut off.

Measured: go test of internal/ratelimit and internal/tenants passes, in virtual time and with random faults.

--- a/internal/ratelimit/fallback.go
+++ b/internal/ratelimit/fallback.go
@@ -4,6 +4,8 @@
 	"maps"
 	"sync"
 	"time"
+
+	"github.com/hatchplank/hatchplank/internal/window"
 )
 
 // assumedNodes is the number of nodes that share the limits until the real one is known: more
@@ -15,8 +17,9 @@
 // about what tenants use that are not near their limits.
 const fallbackShare = 0.5
 
-// nearLimitShare replaces fallbackShare for a limit that was nearly reached: a third of the
-// nodes may be partitioned together, and what they grant adds to a limit that is used up.
+// nearLimitShare replaces fallbackShare for a limit that was nearly reached, or of which more is
+// requested here than this node's whole share: a third of the nodes may be partitioned together,
+// and what they grant adds to a limit that is used up.
 const nearLimitShare = 0.1
 
 // fallback decides on requests while no counter node can be reached. Callers at this node then
@@ -25,12 +28,49 @@
 type fallback struct {
 	mutex sync.Mutex
 	nodes int
-	// nextAt is when each limit allows the next request, by name.
-	nextAt map[string]time.Time
+	// byName of the limit.
+	byName map[string]*fallbackMeter
+}
+
+// fallbackMeter is the state of one limit.
+type fallbackMeter struct {
+	// began is when the first request arrived, and requested what was requested within the window
+	// since, in the limit's unit, while no counter node replied.
+	began     time.Time
+	requested window.Sum
+	// grantedAt is when a request was granted last, and granted its cost. A limit that begins
+	// with a pause has them as if one had been granted then.
+	grantedAt time.Time
+	granted   float64
+	// nextAt is when the next request could be granted, as of the last request.
+	nextAt time.Time
+}
+
+// exceedsShare counts a request, and reports whether more was requested before it than the node's share
+// of the limit.
+func (m *fallbackMeter) exceedsShare(request Request, nodes int, now time.Time) bool {
+	before := m.requested.Total(now)
+	m.requested.Add(request.Cost, now)
+	counted := min(now.Sub(m.began), request.Limit.Window)
+	return before > (request.Limit.Rate*counted.Seconds()+request.Limit.Burst)/float64(nodes)
+}
+
+// take grants a request if the rate yielded the cost of the last one since. With pauseFirst, callers that
+// requested nothing for long wait for that too.
+func (m *fallbackMeter) take(cost, rate float64, pauseFirst bool, now time.Time) (allowed bool, retryAfter time.Duration) {
+	if pauseFirst && now.Sub(m.grantedAt) > 2*timeFor(cost, rate) {
+		m.grantedAt, m.granted = now, cost
+	}
+	m.nextAt = m.grantedAt.Add(timeFor(m.granted, rate))
+	if now.Before(m.nextAt) {
+		return false, m.nextAt.Sub(now)
+	}
+	m.grantedAt, m.granted, m.nextAt = now, cost, now.Add(timeFor(cost, rate))
+	return true, 0
 }
 
 func newFallback() *fallback {
-	return &fallback{nodes: assumedNodes, nextAt: map[string]time.Time{}}
+	return &fallback{nodes: assumedNodes, byName: map[string]*fallbackMeter{}}
 }
 
 func (f *fallback) setNodes(nodes int) {
@@ -39,30 +79,34 @@
 	f.nodes = max(nodes, 1)
 }
 
-// take decides on a request; nearLimit is set if the limit was nearly reached.
-func (f *fallback) take(name string, limit Limit, cost float64, nearLimit bool, now time.Time) (allowed bool, retryAfter time.Duration) {
+// fallbackState is what this node knows of a limit that it decides on.
+type fallbackState struct {
+	// nearLimit is set if the limit was nearly reached at the last count.
+	nearLimit bool
+	// othersMayCount is set if there are counter nodes, which this node does not reach.
+	othersMayCount bool
+}
+
+// take decides on a request.
+func (f *fallback) take(request Request, state fallbackState, now time.Time) (allowed bool, retryAfter time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	limit := request.Limit
+	found := f.byName[request.Name]
+	if found == nil {
+		found = &fallbackMeter{began: now, requested: window.NewSum(limit.Window, now)}
+		f.byName[request.Name] = found
+	}
 	share := fallbackShare
-	if nearLimit {
+	if exceeds := found.exceedsShare(request, f.nodes, now); state.nearLimit || exceeds && state.othersMayCount && !limit.Paced {
 		share = nearLimitShare
 	}
-	pause := timeFor(cost, share*limit.Rate/float64(f.nodes))
-	next := f.nextAt[name]
-	if (nearLimit || limit.Paced) && next.Add(pause).Before(now) {
-		next = now.Add(pause)
-		f.nextAt[name] = next
-	}
-	if now.Before(next) {
-		return false, next.Sub(now)
-	}
-	f.nextAt[name] = now.Add(pause)
-	return true, 0
+	return found.take(request.Cost, share*limit.Rate/float64(f.nodes), state.nearLimit || limit.Paced, now)
 }
 
 // prune drops limits that were not used for idleTime.
 func (f *fallback) prune(now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	maps.DeleteFunc(f.nextAt, func(_ string, next time.Time) bool { return now.Sub(next) > idleTime })
+	maps.DeleteFunc(f.byName, func(_ string, idle *fallbackMeter) bool { return now.Sub(idle.nextAt) > idleTime })
 }
--- a/internal/ratelimit/take.go
+++ b/internal/ratelimit/take.go
@@ -33,7 +33,9 @@
 		}
 	}
 	now := time.Now()
-	allowed, retryAfter := l.fallback.take(request.Name, request.Limit, request.Cost, l.remoteCounts.isNearLimit(request.Name, request.Limit, now), now)
+	allowed, retryAfter := l.fallback.take(request, fallbackState{
+		nearLimit: l.remoteCounts.isNearLimit(request.Name, request.Limit, now), othersMayCount: len(ranked) > 0,
+	}, now)
 	// A counter node may be reachable again by the next probe.
 	return Verdict{Allowed: allowed, RetryAfter: retryAfter, NextSlotIn: min(retryAfter, probePeriod)}
 }
