forward: Hold only the first event without data of a stream

In a stream whose events have an ID and no data, all events would have waited for its end: each was held until one with data followed.

Change: the first waits for the next event. Where that is good, the stream has such events, and none waits any more.

Evidence: TestEventsWaitForTheNextOneOnce, in place of TestFirstEventOfAStreamWithoutIDsIsNotDelayedForLong, whose case it has; "no data" is the new one.

--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -36,6 +36,8 @@
 	// samePrefix is the number of events of this attempt since the one with another prefix before its decimal
 	// number. Another server may use another prefix.
 	samePrefix int
+	// hasDataless: an event without data was passed on.
+	hasDataless bool
 	// withinEvent: an attempt broke within an event, so that events are still to come.
 	withinEvent bool
 }
@@ -137,8 +139,7 @@
 }
 
 // mustHold reports whether only the next event shows that this one is a part of the stream: the first
-// without an ID, and one without data, which may be a part of an event that foreign data divides. Clients
-// ignore events without data until the next one.
+// without an ID, and the first without data, which may be a part of an event that foreign data divides.
 func (g *streamSegment) mustHold(event streamEvent) bool {
 	switch {
 	case !g.stream.numbered || event.fault != nil:
@@ -146,7 +147,7 @@
 	case event.isComment:
 		return len(g.held) > 0
 	case event.id != "":
-		return !event.hasData
+		return !event.hasData && !g.stream.hasDataless && len(g.held) == 0
 	}
 	known := g.stream.passed || g.stream.last != "" || g.pool.always || g.pool.never
 	return !known && len(g.held) == 0
@@ -293,6 +294,7 @@
 	s.withinEvent = false
 	s.chain, s.lastDigest = addDigest(s.chain, event.digest), event.digest
 	s.unnumbered = event.id == ""
+	s.hasDataless = s.hasDataless || !event.hasData
 	if event.id != "" {
 		g.sawID = true
 		s.recordForm(event.id)
--- a/internal/forward/foreign_blocks_test.go
+++ b/internal/forward/foreign_blocks_test.go
@@ -181,33 +181,43 @@
 	})
 }
 
-// Guards against each first event of a stream without IDs waiting for the second one.
-func TestFirstEventOfAStreamWithoutIDsIsNotDelayedForLong(t *testing.T) {
-	inVirtualTime(t, func(b *testbed) {
-		for number := range 3 {
-			began := time.Now()
-			var first time.Duration
-			b.inTurn(streams([]string{"data: a\n\n", "data: b\n\n"}, 100*time.Millisecond, io.EOF))
-			seen := &writeTimes{}
-			outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), seen)
-			first = seen.at[0].Sub(began)
-			Expect(outcome.Code).To(Equal(result.OK))
-			if number == 0 {
-				Expect(first).To(Equal(200 * time.Millisecond))
-			} else {
-				Expect(first).To(Equal(100 * time.Millisecond))
-			}
-		}
-	})
+// Guards against events that wait for the next one in each stream without IDs, or again and again in one whose
+// events have no data.
+func TestEventsWaitForTheNextOneOnce(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	for name, test := range map[string]struct {
+		parts []string
+		// first and later are the pauses before each write of the first and the later streams.
+		first, later []time.Duration
+	}{
+		"no IDs":  {[]string{"data: a\n\n", "data: b\n\n", "data: c\n\n"}, []time.Duration{2 * pause, pause}, []time.Duration{pause, pause, pause}},
+		"no data": {[]string{"id: 1\n\n", "id: 2\n\n", "id: 3\n\n"}, []time.Duration{2 * pause, pause}, []time.Duration{2 * pause, pause}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				for _, pauses := range [][]time.Duration{test.first, test.later, test.later} {
+					b.inTurn(streams(test.parts, pause, io.EOF))
+					seen := &writeTimes{last: time.Now()}
+					outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), seen)
+					Expect(outcome.Code).To(Equal(result.OK))
+					Expect(seen.pauses).To(Equal(pauses))
+				}
+			})
+		})
+	}
 }
 
-// writeTimes is a responder that keeps when parts of the body came.
-type writeTimes struct{ at []time.Time }
+// writeTimes is a responder that keeps the pauses before each part of the body.
+type writeTimes struct {
+	last   time.Time
+	pauses []time.Duration
+}
 
 func (w *writeTimes) Begin(*Reply) {}
 
 func (w *writeTimes) Write([]byte) error {
-	w.at = append(w.at, time.Now())
+	now := time.Now()
+	w.pauses, w.last = append(w.pauses, now.Sub(w.last)), now
 	return nil
 }
 
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -194,7 +194,7 @@
 switch_off foreign-blocks internal/forward/eventstream.go 'if err := g.check(event); err != nil {' 'if err := g.check(event); false && err != nil {' $forward
 switch_off id-form internal/forward/eventstream.go 'case s.isFormKnown() && ' 'case false && ' $forward
 switch_off held-first-event internal/forward/eventstream.go 'return !known && len(g.held) == 0' 'return !known && false' $forward
-switch_off held-part-of-event internal/forward/eventstream.go 'return !event.hasData' 'return false' $forward
+switch_off held-part-of-event internal/forward/eventstream.go 'return !event.hasData && !g.stream.hasDataless' 'return false' $forward
 switch_off unnumbered-pools internal/forward/eventstream.go 'if g.pool.always {' 'if false {' $forward
 switch_off partial-event-no-crash internal/forward/eventreader.go 'return errPartialEvent' 'return io.ErrUnexpectedEOF' $forward
 switch_off continuations-only internal/forward/attempt.go 'return !flow.continues(reply) ||' 'return' $forward
