--- a/internal/forward/foreign_blocks_test.go
+++ b/internal/forward/foreign_blocks_test.go
@@ -99,6 +99,28 @@
 	}
 }
 
+// Guards against retries after foreign data beyond the route's attempts and the retry budget.
+func TestForeignDataIsRetriedWithinTheBudget(t *testing.T) {
+	garbled := func(from, to int) answerFunc { return raw(append(events(from, to), "data: foreign\n\n")...) }
+	for name, test := range map[string]struct {
+		slack         float64
+		servers, last int
+	}{"attempts": {100, 2, 5}, "budget": {0, 1, 3}} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.forwarder.budgets = newBudgets(BudgetLimits{Slack: test.slack, Window: 10 * time.Second}, 1)
+				b.inTurn(garbled(1, 3), garbled(4, 5), garbled(6, 6))
+				outcome, seen := serveStream(b, "patient", "")
+				Expect(outcome.Code).To(BeElementOf(result.StreamBroken, result.RetryBudgetSpent))
+				Expect(outcome.Broken).To(BeTrue())
+				Expect(outcome.Ran).To(Equal(result.RanYes))
+				Expect(seen.body.String()).To(Equal(strings.Join(events(1, test.last), "")))
+				Expect(b.backend.servers()).To(HaveLen(test.servers))
+			})
+		})
+	}
+}
+
 // Foreign data before a stream's first event reached its caller: until an event has an ID, the stream may be one
 // without any.
 func TestForeignBlocksBeforeAStreamAreNotPassedOn(t *testing.T) {
