--- a/internal/streamorigin/fakes_test.go
+++ b/internal/streamorigin/fakes_test.go
@@ -39,13 +39,24 @@
 		if s.empty() {
 			node.origins.SetNoEarlierProcess()
 		}
-		node.origins.Replace(s.all())
+		s.read(node)
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.watchers[node] = true
 }
 
+// read makes a node read all keys.
+func (s *fakeStore) read(node *testNode) {
+	era := s.era()
+	if node.eraKnown && era > node.era {
+		node.origins.Restored(s.all())
+	} else {
+		node.origins.Replace(s.all())
+	}
+	node.era, node.eraKnown = era, true
+}
+
 // leave ends that a node gets changes.
 func (s *fakeStore) leave(node *testNode) {
 	s.mutex.Lock()
@@ -156,7 +167,7 @@
 	s.mutex.Unlock()
 	for _, node := range nodes {
 		if !node.isLate() {
-			node.origins.Restored(s.all())
+			s.read(node)
 		}
 	}
 }
--- a/internal/streamorigin/origins_test.go
+++ b/internal/streamorigin/origins_test.go
@@ -24,6 +24,9 @@
 	stop    context.CancelFunc
 	// lateSince is since when the node gets no records; nil if it does.
 	lateSince atomic.Pointer[time.Time]
+	// era of the store that the node read last, if any.
+	era      int64
+	eraKnown bool
 }
 
 // testRecordsAge is the age up to which the records of a testNode are current.
@@ -75,13 +78,17 @@
 	if d.store != nil {
 		d.store.join(node)
 	}
-	var ctx context.Context
-	ctx, node.stop = context.WithCancel(d.ctx)
-	go node.origins.Run(ctx)
+	node.run(d.ctx)
 	d.nodes[address] = node
 	return node
 }
 
+// run runs the node until ctx ends or it is stopped.
+func (n *testNode) run(ctx context.Context) {
+	ctx, n.stop = context.WithCancel(ctx)
+	go n.origins.Run(ctx)
+}
+
 // serve makes servers with the versions known to a node.
 func (n *testNode) serve(versions ...string) {
 	servers := map[string]*fleet.Server{}
