streamorigin: Log and count what a finding rests on

What callers saw: nothing; after an incident nobody could tell why a resumed stream had gone to a server, or was refused.

Change: one line, "origin of a resumed stream", for each finding that is not from the node's own table (ten a second for each finding): the finding, its basis, the versions known, how old the records are and for how long they have been current, how many nodes were asked and answered. hatchplank_node_stream_origins_total gets a label for the basis.

Evidence: TestFindingIsLoggedWithItsBasis.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -241,7 +241,7 @@
 	metrics.CarryRequest(serverpath.Opened)
 	metrics.CarrierAnswer(serverpath.Opened)
 	metrics.RecordCheck(forward.RecordAccepts)
-	metrics.StreamOrigin(streamorigin.Known)
+	metrics.StreamOrigin(streamorigin.Known, streamorigin.FromTable)
 	answer := httptest.NewRecorder()
 	metrics.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -101,7 +101,7 @@
 	{metricCarrierAnswers, "counter", "outcome", "Answers of other nodes to such requests of this node, by outcome."},
 	{metricRecordsAge, "gauge", "", "Seconds since the store is known to have held the servers' records that this node has; -1 if it never had all of them."},
 	{metricRecordChecks, "counter", "outcome", "Reads of one server's record before a request was sent there, since the known one was too old, by outcome (accepts, leaves, unread: the store did not answer)."},
-	{metricStreamOrigins, "counter", "finding", "Searches for the software version that began a stream which its caller resumes, by finding (known, irrelevant: the pool has had one version, at whose servers the stream goes on, unknown: the stream is refused)."},
+	{metricStreamOrigins, "counter", "finding, basis", "Searches for the software version that began a stream which its caller resumes, by finding (known, irrelevant: the pool has had one version, at whose servers the stream goes on, unknown: the stream is refused) and by what it rests on (table: this node keeps it, keeper: another node does, record: the versions saved in the store, view: this node has seen all servers for a minute, reply: another node's record or view, none)."},
 	{metricAnomalies, "counter", "kind", "What servers and the store sent in place of one response for each request, by kind (foreign_response, unrequested_data, malformed_response, head_too_long, too_many_interim, body_too_long)."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
@@ -171,8 +171,8 @@
 }
 
 // StreamOrigin counts a search for the origin of a stream that its caller resumes.
-func (m *Metrics) StreamOrigin(finding streamorigin.Finding) {
-	m.count(metricStreamOrigins, "finding", string(finding))
+func (m *Metrics) StreamOrigin(finding streamorigin.Finding, basis streamorigin.Basis) {
+	m.count(metricStreamOrigins, "finding", string(finding), "basis", string(basis))
 }
 
 // StoreCall counts a call to the store.
--- a/internal/streamorigin/fakes_test.go
+++ b/internal/streamorigin/fakes_test.go
@@ -1,6 +1,9 @@
 package streamorigin
 
 import (
+	"bytes"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +17,25 @@
 	storeDelay = 4 * time.Millisecond
 )
 
+// lockedBuffer is a buffer that several goroutines write to.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(part []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(part)
+}
+
+// lines returns the lines with the text.
+func (b *lockedBuffer) lines(text string) []string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return slices.DeleteFunc(strings.Split(b.buffer.String(), "\n"), func(line string) bool { return !strings.Contains(line, text) })
+}
+
 // fakeStore keeps keys, and sends changes to the nodes that get records.
 type fakeStore struct {
 	outside.KeyValueService
--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
+	"github.com/hatchplank/hatchplank/internal/logging"
 	"github.com/hatchplank/hatchplank/internal/outside"
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
@@ -34,6 +35,9 @@
 	maxQueued, maxPerMessage = 1 << 16, 512
 	// askTimeout limits the wait for other nodes.
 	askTimeout = 150 * time.Millisecond
+	// linesPerSecond bounds the log lines about each finding: after the loss of a node, all its callers
+	// resume their streams.
+	linesPerSecond = 10
 )
 
 // Finding is the result of a search for a stream's origin.
@@ -68,8 +72,8 @@
 	VersionsKey string
 	Era         func() int64
 	Logger      zerolog.Logger
-	// OnFind is called with each finding; nil: not called.
-	OnFind func(Finding)
+	// OnFind is called with each finding and what it rests on; nil: not called.
+	OnFind func(Finding, Basis)
 }
 
 // Origins keeps the origins of streams. It is safe for concurrent use.
@@ -78,6 +82,7 @@
 	table    table
 	versions versions
 	saved    *versionStore
+	limiter  *logging.Limiter
 
 	mutex sync.Mutex
 	// queued origins are sent to other nodes.
@@ -87,12 +92,12 @@
 // New returns Origins; Run must be called to observe versions and to send.
 func New(config Config) *Origins {
 	if config.OnFind == nil {
-		config.OnFind = func(Finding) {}
+		config.OnFind = func(Finding, Basis) {}
 	}
 	if config.RecordsAge == nil {
 		config.RecordsAge = func() (time.Duration, bool) { return 0, true }
 	}
-	o := &Origins{config: config, saved: newVersionStore(config), queued: map[Key]Origin{}}
+	o := &Origins{config: config, saved: newVersionStore(config), limiter: logging.NewLimiter(linesPerSecond), queued: map[Key]Origin{}}
 	config.Transport.Handle(Began{}, o.handleBegan)
 	config.Transport.Handle(Lookup{}, o.handleLookup)
 	return o
@@ -156,56 +161,74 @@
 // asks other nodes if this one knows neither the origin nor that the pool had only one version, and with
 // ask. The wait is limited.
 func (o *Origins) Find(ctx context.Context, request, pool string, ask bool) (Origin, Finding) {
-	origin, finding := o.find(ctx, keyOf(request), pool, ask)
-	o.config.OnFind(finding)
-	return origin, finding
+	found := o.search(ctx, keyOf(request), pool, ask)
+	o.config.OnFind(found.finding, found.basis)
+	o.logSearch(request, pool, found)
+	return found.origin, found.finding
 }
 
-func (o *Origins) find(ctx context.Context, stream Key, pool string, ask bool) (Origin, Finding) {
+// search is the result of a search for a stream's origin.
+type search struct {
+	origin  Origin
+	finding Finding
+	basis   Basis
+	// versions that the pool is known to have had.
+	versions []string
+	// asked is the number of nodes that were asked, answered that of the replies that were awaited.
+	asked, answered int
+}
+
+func (o *Origins) search(ctx context.Context, stream Key, pool string, ask bool) search {
 	if origin, known := o.table.get(stream); known {
-		return origin, Known
+		return search{origin: origin, finding: Known, basis: FromTable}
 	}
 	found := o.evidence(pool, time.Now())
-	if version, only := found.sole(); only && !ask {
-		return Origin{Pool: pool, SoftwareVersion: version}, Irrelevant
+	if _, only := found.sole(); only && !ask {
+		return found.conclude(pool)
 	}
-	origin, known, found := o.ask(ctx, Lookup{Stream: stream, Pool: pool}, found)
-	if known {
-		return origin, Known
-	}
-	if version, only := found.sole(); only {
-		return Origin{Pool: pool, SoftwareVersion: version}, Irrelevant
+	replies, asked := o.ask(ctx, Lookup{Stream: stream, Pool: pool})
+	for _, reply := range replies {
+		if reply.Known {
+			origin := Origin{Pool: reply.Pool, SoftwareVersion: reply.SoftwareVersion}
+			return search{origin: origin, finding: Known, basis: FromKeeper, asked: asked, answered: len(replies)}
+		}
+		found = found.withReply(reply)
 	}
-	return Origin{}, Unknown
+	result := found.conclude(pool)
+	result.asked, result.answered = asked, len(replies)
+	return result
 }
 
-// ask asks the nodes that keep origins, and returns the origin or their evidence together with this
-// node's own. A node that does not answer, in time or at all, may know the origin: its silence is no
-// evidence.
-func (o *Origins) ask(ctx context.Context, lookup Lookup, found evidence) (origin Origin, known bool, together evidence) {
+// ask asks the nodes that keep origins, and returns their replies; that of a node which knows the origin
+// is the last. A node that does not answer, in time or at all, may know it: its silence is no evidence.
+func (o *Origins) ask(ctx context.Context, lookup Lookup) (replies []LookupReply, asked int) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	nodes := slices.DeleteFunc(slices.Clone(o.config.Nodes()), func(node string) bool { return node == o.config.Address })
-	replies := make(chan LookupReply, len(nodes))
+	results := make(chan *LookupReply, len(nodes))
 	for _, node := range nodes {
 		o.config.Transport.Call(node, lookup, askTimeout, func(message peer.Message, _ error) {
-			reply, _ := message.(LookupReply)
-			replies <- reply
+			if reply, answered := message.(LookupReply); answered {
+				results <- &reply
+				return
+			}
+			results <- nil
 		})
 	}
 	for range nodes {
 		select {
-		case reply := <-replies:
-			if reply.Known {
-				return Origin{Pool: reply.Pool, SoftwareVersion: reply.SoftwareVersion}, true, found
+		case reply := <-results:
+			if reply != nil {
+				replies = append(replies, *reply)
+			}
+			if reply != nil && reply.Known {
+				return replies, len(nodes)
 			}
-			found = found.with(reply.Versions, reply.Complete)
-			found.mixed = found.mixed || reply.Mixed
 		case <-ctx.Done():
-			return Origin{}, false, found
+			return replies, len(nodes)
 		}
 	}
-	return Origin{}, false, found
+	return replies, len(nodes)
 }
 
 func (o *Origins) handleLookup(_ string, message peer.Message, reply func(peer.Message, error)) {
@@ -214,10 +237,32 @@
 	own := o.evidence(lookup.Pool, time.Now())
 	reply(LookupReply{
 		Known: known, Pool: origin.Pool, SoftwareVersion: origin.SoftwareVersion,
-		Mixed: len(own.versions) > 1, Versions: own.versions, Complete: own.complete,
+		Mixed: len(own.versions) > 1, Versions: own.versions, Complete: own.basis != NoBasis,
 	}, nil)
 }
 
+// logSearch writes a line on a search whose result is not from this node's own table.
+func (o *Origins) logSearch(request, pool string, found search) {
+	if found.basis == FromTable {
+		return
+	}
+	event := o.limiter.Event(&o.config.Logger, zerolog.InfoLevel, string(found.finding))
+	if event == nil {
+		return
+	}
+	if age, known := o.config.RecordsAge(); known {
+		event.Dur("records_age_ms", age)
+	}
+	if since := o.versions.load().currentSince; !since.IsZero() {
+		event.Dur("covered_ms", time.Since(since))
+	}
+	if found.finding != Unknown {
+		event.Str("pool_began", found.origin.Pool).Str("software_version", found.origin.SoftwareVersion)
+	}
+	event.Str("request", request).Str("pool", pool).Str("finding", string(found.finding)).Str("basis", string(found.basis)).
+		Int("versions", len(found.versions)).Int("asked", found.asked).Int("answered", found.answered).Msg("origin of a resumed stream")
+}
+
 func (o *Origins) handleBegan(_ string, message peer.Message, _ func(peer.Message, error)) {
 	began := message.(Began)
 	now := time.Now()
--- a/internal/streamorigin/origins_test.go
+++ b/internal/streamorigin/origins_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
@@ -24,6 +25,9 @@
 	stop    context.CancelFunc
 	// lateSince is since when the node gets no records; nil if it does.
 	lateSince atomic.Pointer[time.Time]
+	// log are the node's lines, and basis is that of its last finding.
+	log   lockedBuffer
+	basis atomic.Pointer[Basis]
 	// era of the store that the node read last, if any.
 	era      int64
 	eraKnown bool
@@ -69,7 +73,8 @@
 	node := &testNode{address: address, view: fleet.NewView()}
 	config := Config{
 		View: node.view, Transport: d.network.Add(address), Address: address, Nodes: d.network.Addresses,
-		RecordsAge: node.recordsAge, MaxRecordsAge: testRecordsAge,
+		RecordsAge: node.recordsAge, MaxRecordsAge: testRecordsAge, Logger: zerolog.New(&node.log),
+		OnFind: func(_ Finding, basis Basis) { node.basis.Store(&basis) },
 	}
 	if d.store != nil {
 		config.Store, config.VersionsKey, config.Era = d.store, versionsKey, d.store.era
--- a/internal/streamorigin/version_store_test.go
+++ b/internal/streamorigin/version_store_test.go
@@ -186,3 +186,35 @@
 		})
 	}
 }
+
+// Guards against findings whose reason nobody can tell afterwards, and against a line for each of thousands of
+// resumed streams.
+func TestFindingIsLoggedWithItsBasis(t *testing.T) {
+	line := "origin of a resumed stream"
+	inDeploymentWithStore(t, newFakeStore(), 3, []string{"v1"}, func(d *deployment) {
+		node := d.nodes["b"]
+		find := func(request string) Basis {
+			node.origins.Find(context.Background(), request, "p", false)
+			return *node.basis.Load()
+		}
+		node.origins.Begin("own", Origin{Pool: "p", SoftwareVersion: "v1"}, false)
+		Expect(find("own")).To(Equal(FromTable))
+		Expect(node.log.lines(line)).To(BeEmpty())
+		Expect(find("r1")).To(Equal(FromRecord))
+		node.setLate(true)
+		time.Sleep(2 * testRecordsAge)
+		Expect(find("r1")).To(Equal(FromReply))
+		d.network.SetCut("b", true)
+		Expect(find("r1")).To(Equal(NoBasis))
+		lines := node.log.lines(line)
+		Expect(lines).To(HaveLen(3))
+		Expect(lines[0]).To(And(ContainSubstring(`"finding":"irrelevant"`), ContainSubstring(`"basis":"record"`), ContainSubstring(`"covered_ms":`), ContainSubstring(`"asked":0`)))
+		Expect(lines[2]).To(And(ContainSubstring(`"finding":"unknown"`), ContainSubstring(`"records_age_ms":2`), ContainSubstring(`"asked":2,"answered":0`), Not(ContainSubstring("covered_ms"))))
+		node.setLate(false)
+		time.Sleep(time.Second)
+		for range 1000 {
+			find("r1")
+		}
+		Expect(len(node.log.lines(line))).To(BeNumerically("<=", 3+linesPerSecond))
+	})
+}
