forward: Begin streams only at versions that all current nodes know

What callers saw: text of two software versions joined when a stream began at a server of a new version just after it had joined, and was resumed at a node whose records were a moment old, but current.

Cause: records are current up to the age by which requests are sent. In that time a node does not know the new version and takes the pool for one of one version.

Change: a stream that its caller may resume begins at a server of a settled version, one that this node has known for as long as records are current, if any such server holds the model, takes new work, can be connected to and was not tried. A version in the store's record at a node's start is settled.

TestStreamBeginsAtAVersionThatAllNodesKnow and TestStreamDoesNotWaitForASettledVersionThatFails for the forwarder.

Price: while servers of the known versions are full, new streams wait for them for up to that time after a new version has come.

--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
@@ -21,6 +22,8 @@
 	// Find returns the origin of such a stream, which the pool is to resume; without a pool, any server
 	// may continue it. With ask, other nodes are asked in any case. The wait is limited.
 	Find(ctx context.Context, request, pool string, ask bool) (streamorigin.Origin, streamorigin.Finding)
+	// Settled returns the versions of a pool that every node with current records knows.
+	Settled(pool string) []string
 }
 
 // noOrigins is for nodes on their own.
@@ -32,6 +35,8 @@
 	return streamorigin.Origin{}, streamorigin.Irrelevant
 }
 
+func (noOrigins) Settled(string) []string { return nil }
+
 // recordOrigin records where the flow's stream began. A stream that the caller resumes keeps the ID of
 // the request that brought its first event.
 func (f *Forwarder) recordOrigin(flow *flow, server *fleet.Server) {
@@ -83,6 +88,21 @@
 	return version == nil || *version == server.SoftwareVersion
 }
 
+// settledVersions returns the versions at whose servers the flow should begin a stream that its caller may
+// resume: a node that does not know the others yet would take it for a stream of these. It returns none
+// for other requests.
+func (f *Forwarder) settledVersions(flow *flow) []string {
+	if flow.onBegin == nil || flow.version.Load() != nil {
+		return nil
+	}
+	return f.origins.Settled(flow.pool)
+}
+
+// dropUnsettled removes the candidates without one of the versions.
+func dropUnsettled(candidates []candidate, settled []string) []candidate {
+	return slices.DeleteFunc(candidates, func(one candidate) bool { return !slices.Contains(settled, one.server.SoftwareVersion) })
+}
+
 // refuseWithoutVersion ends a stream that only servers of another software version could continue: its
 // caller may then resume it at another node or begin anew. It returns nil if one of the stream's version
 // is reached, if no server has another one, or if the stream has not begun.
--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -147,6 +147,55 @@
 	return streamorigin.Origin{}, streamorigin.Unknown
 }
 
+func (o fakeOrigins) Settled(string) []string { return nil }
+
+// settledOrigins are origins of pools with settled versions.
+type settledOrigins struct {
+	fakeOrigins
+	settled []string
+}
+
+func (o *settledOrigins) Settled(string) []string { return o.settled }
+
+// Guards against a stream that begins at a server of a version which other nodes do not know yet: its caller
+// resumes it at one of these, which takes it for a stream of the version that it knows.
+func TestStreamBeginsAtAVersionThatAllNodesKnow(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		origins := &settledOrigins{fakeOrigins: fakeOrigins{}, settled: []string{"v1"}}
+		b.forwarder.origins = origins
+		b.view.ReplaceServers(versioned(map[string]string{"m1": "v2", "m2": "v1"}))
+		b.backend.answer["m1"] = streams(events(1, 4), time.Millisecond, io.EOF)
+		b.backend.answer["m2"] = b.backend.answer["m1"]
+		begin := func() string {
+			before := len(b.backend.servers())
+			Expect(b.forwarder.Serve(context.Background(), request("patient", "m", 5*time.Second), &recorder{}).Code).To(Equal(result.OK))
+			Expect(b.backend.servers()).To(HaveLen(before + 1))
+			return b.backend.servers()[before]
+		}
+		for range 4 {
+			Expect(begin()).To(Equal("m2"))
+		}
+		origins.settled = []string{"v0"}
+		Expect(begin()).To(Equal("m1"), "no server of a settled version")
+		origins.settled = nil
+		Expect(begin()).To(Equal("m1"), "nothing is settled")
+	})
+}
+
+// Guards against a stream that waits for a server of a settled version which does not serve it.
+func TestStreamDoesNotWaitForASettledVersionThatFails(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		b.forwarder.origins = &settledOrigins{fakeOrigins: fakeOrigins{}, settled: []string{"v1"}}
+		b.view.ReplaceServers(versioned(map[string]string{"m1": "v2", "m2": "v1"}))
+		b.backend.answer["m1"] = streams(events(1, 4), time.Millisecond, io.EOF)
+		b.backend.answer["m2"] = streams(nil, time.Millisecond, io.ErrUnexpectedEOF)
+		began := time.Now()
+		Expect(b.forwarder.Serve(context.Background(), request("patient", "m", 5*time.Second), &recorder{}).Code).To(Equal(result.OK))
+		Expect(b.backend.servers()).To(Equal([]string{"m2", "m1"}))
+		Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+	})
+}
+
 // oneVersion is a pool that had one version, which began the streams that nobody knows.
 type oneVersion struct{ noOrigins }
 
--- a/internal/streamorigin/faults_test.go
+++ b/internal/streamorigin/faults_test.go
@@ -107,10 +107,23 @@
 // runs reports whether a node serves callers.
 func (w *world) runs(address string) bool { return !w.suspended || address != suspendedNode }
 
-// begin begins a stream at each node and each version that it sees and that serves.
+// eligible returns the versions at which a node begins streams: those that it sees, and of these only
+// settled ones if there are any.
+func (w *world) eligible(node *testNode) []string {
+	seen := present(node.view.Load(), "p")
+	settled := slices.DeleteFunc(slices.Clone(seen), func(version string) bool {
+		return !slices.Contains(node.origins.Settled("p"), version)
+	})
+	if len(settled) > 0 {
+		return settled
+	}
+	return seen
+}
+
+// begin begins a stream at each node and each version that serves.
 func (w *world) begin(step int) {
 	for address, node := range w.nodes {
-		for _, version := range present(node.view.Load(), "p") {
+		for _, version := range w.eligible(node) {
 			if w.runs(address) && slices.Contains(w.serving, version) {
 				request := fmt.Sprint(step, address, version)
 				node.origins.Begin(request, Origin{Pool: "p", SoftwareVersion: version}, false)
@@ -198,14 +211,17 @@
 // Guards against streams of two versions that are joined, whatever fails in which order while a release
 // goes on: a resumed stream goes to the version that began it, or is refused.
 func TestStreamsAreNotJoinedWhateverFails(t *testing.T) {
-	var all resumptions
-	for _, order := range orders(slices.Sorted(maps.Keys(faults)), 3) {
-		if slices.Contains(order, release) {
-			all.add(play(t, 3*time.Second, order...))
+	for _, pause := range []time.Duration{300 * time.Millisecond, 3 * time.Second} {
+		var all resumptions
+		for _, order := range orders(slices.Sorted(maps.Keys(faults)), 3) {
+			if slices.Contains(order, release) {
+				all.add(play(t, pause, order...))
+			}
 		}
+		t.Logf("after %v each, resumptions: %d known, %d bound to the only version, %d refused that could have gone on, %d without a server",
+			pause, all.known, all.bound, all.refused, all.withoutServer)
+		NewWithT(t).Expect(all.wrong).To(BeEmpty())
 	}
-	t.Logf("resumptions: %d known, %d bound to the only version, %d refused that could have gone on, %d without a server", all.known, all.bound, all.refused, all.withoutServer)
-	NewWithT(t).Expect(all.wrong).To(BeEmpty())
 }
 
 // Guards against refusals while nothing fails and one version serves.
--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -98,6 +98,7 @@
 		config.RecordsAge = func() (time.Duration, bool) { return 0, true }
 	}
 	o := &Origins{config: config, saved: newVersionStore(config), limiter: logging.NewLimiter(linesPerSecond), queued: map[Key]Origin{}}
+	o.versions.settleTime = config.MaxRecordsAge
 	config.Transport.Handle(Began{}, o.handleBegan)
 	config.Transport.Handle(Lookup{}, o.handleLookup)
 	return o
@@ -124,7 +125,7 @@
 // sent to other nodes.
 func (o *Origins) observe(now time.Time) {
 	current := o.recordsCurrent()
-	for _, pool := range o.versions.observe(o.config.View.Load(), current, now) {
+	for _, pool := range o.versions.observe(o.config.View.Load(), o.saved.load(), current, now) {
 		o.enqueue(o.table.ofPool(pool))
 	}
 	if current {
@@ -147,6 +148,10 @@
 // Change passes one own key that was written or deleted.
 func (o *Origins) Change(event outside.WatchEvent) { o.saved.change(event) }
 
+// Settled returns the versions of a pool that every node with current records knows. A stream that begins
+// at a server of another one may be resumed at a node that takes it for a stream of these.
+func (o *Origins) Settled(pool string) []string { return o.versions.load().settled[pool] }
+
 // Begin records that the first event of a stream was passed on; request is the ID of the request that it
 // was passed on for. With share, other nodes learn the origin in any case.
 func (o *Origins) Begin(request string, origin Origin, share bool) {
--- a/internal/streamorigin/origins_test.go
+++ b/internal/streamorigin/origins_test.go
@@ -263,11 +263,11 @@
 	view, now := fleet.NewView(), time.Now()
 	for range 4 * retention / time.Second {
 		now = now.Add(time.Second)
-		seen.observe(view.Load(), true, now)
+		seen.observe(view.Load(), &saved{}, true, now)
 	}
 	Expect(seen.load().covers(now)).To(BeTrue())
 	now = now.Add(maxObserveGap + observePeriod)
-	seen.observe(view.Load(), true, now)
+	seen.observe(view.Load(), &saved{}, true, now)
 	Expect(seen.load().covers(now)).To(BeFalse())
 }
 
--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -1,6 +1,7 @@
 package streamorigin
 
 import (
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -14,8 +15,9 @@
 
 // observed is which software versions a node has seen in the pools. It is immutable.
 type observed struct {
-	// versions that servers of a pool had within the retention, in order, by pool.
-	versions map[string][]string
+	// versions that servers of a pool had within the retention, in order, by pool, and settled are those
+	// of them that all nodes with current records must know.
+	versions, settled map[string][]string
 	// currentSince is since when the servers' records have been current without a gap; the zero time
 	// if they are not.
 	currentSince time.Time
@@ -32,11 +34,16 @@
 	return !o.currentSince.IsZero() && len(seen) == 1 && seen[0] == origin.SoftwareVersion
 }
 
+// sighting is when servers of a pool had a version.
+type sighting struct{ first, last time.Time }
+
 // versions tracks which software versions the servers of each pool had within the retention. Only one
 // goroutine may call observe.
 type versions struct {
-	// seenAt is when a server of a pool last had a version, and present are those that snapshot has.
-	seenAt     map[Origin]time.Time
+	// settleTime is how long after this node every node with current records knows a version.
+	settleTime time.Duration
+	sightings  map[Origin]sighting
+	// present are the pools' versions in the snapshot.
 	present    map[Origin]bool
 	snapshot   *fleet.Snapshot
 	observedAt time.Time
@@ -54,31 +61,32 @@
 }
 
 // observe records the versions of the servers in a snapshot, whose records are current or not, and
-// returns the pools that have several now and had not before.
-func (v *versions) observe(snapshot *fleet.Snapshot, current bool, now time.Time) (added []string) {
-	if v.seenAt == nil {
-		v.seenAt = map[Origin]time.Time{}
+// returns the pools that have several now and had not before. Versions that are saved when the first
+// servers are observed count as settled.
+func (v *versions) observe(snapshot *fleet.Snapshot, saved *saved, current bool, now time.Time) (added []string) {
+	firstSeen := func(Origin) time.Time { return now }
+	if len(v.sightings) == 0 {
+		v.sightings = map[Origin]sighting{}
+		firstSeen = func(origin Origin) time.Time {
+			if slices.Contains(saved.pools[origin.Pool], origin.SoftwareVersion) {
+				return now.Add(-v.settleTime)
+			}
+			return now
+		}
 	}
-	v.markPresent(now)
+	v.markPresent(firstSeen, now)
 	if snapshot != v.snapshot {
 		v.snapshot, v.present = snapshot, map[Origin]bool{}
 		for _, server := range snapshot.Servers {
 			v.present[Origin{Pool: server.Pool, SoftwareVersion: server.SoftwareVersion}] = true
 		}
-		v.markPresent(now)
+		v.markPresent(firstSeen, now)
 	}
 	before := v.load()
-	next := &observed{versions: map[string][]string{}, currentSince: v.currentSince(before, current, now)}
+	next := v.summary(now)
+	next.currentSince = v.currentSince(before, current, now)
 	v.observedAt = now
-	for origin, at := range v.seenAt {
-		if now.Sub(at) > retention {
-			delete(v.seenAt, origin)
-			continue
-		}
-		next.versions[origin.Pool] = append(next.versions[origin.Pool], origin.SoftwareVersion)
-	}
 	for pool, seen := range next.versions {
-		slices.Sort(seen)
 		if len(seen) > 1 && len(before.versions[pool]) < 2 {
 			added = append(added, pool)
 		}
@@ -87,6 +95,22 @@
 	return added
 }
 
+// summary returns the versions within the retention, and forgets the others.
+func (v *versions) summary(now time.Time) *observed {
+	maps.DeleteFunc(v.sightings, func(_ Origin, seen sighting) bool { return now.Sub(seen.last) > retention })
+	next := &observed{versions: map[string][]string{}, settled: map[string][]string{}}
+	for origin, seen := range v.sightings {
+		next.versions[origin.Pool] = append(next.versions[origin.Pool], origin.SoftwareVersion)
+		if now.Sub(seen.first) >= v.settleTime {
+			next.settled[origin.Pool] = append(next.settled[origin.Pool], origin.SoftwareVersion)
+		}
+	}
+	for _, versions := range next.versions {
+		slices.Sort(versions)
+	}
+	return next
+}
+
 // currentSince returns since when the records have been current without a gap.
 func (v *versions) currentSince(before *observed, current bool, now time.Time) time.Time {
 	switch {
@@ -102,8 +126,13 @@
 func (v *versions) interrupt() { v.interrupted.Store(true) }
 
 // markPresent records that the versions which are present are there at the time.
-func (v *versions) markPresent(now time.Time) {
+func (v *versions) markPresent(firstSeen func(Origin) time.Time, now time.Time) {
 	for origin := range v.present {
-		v.seenAt[origin] = now
+		seen, known := v.sightings[origin]
+		if !known {
+			seen.first = firstSeen(origin)
+		}
+		seen.last = now
+		v.sightings[origin] = seen
 	}
 }
