forward: Do not bind a stream to a version that its server changed

What callers saw: not seen.

Cause: a stream is bound to the version of the record by which its server was chosen, whatever the record says when the first event comes.

Change: if the record names another version by then, the stream's version is unknown: no server continues it, and no origin is kept. If it does so before the request is sent, another server is chosen.

Evidence: TestStreamOfAServerThatChangedItsVersionIsNotContinued and TestStreamIsNotSentToAServerWhoseVersionHasChanged failed before.

Not covered: a record that changes after the first event. The users' platform gives each start a new ID, and a request names the ID it is for.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -33,7 +33,7 @@
 		f.release(flow, target, nil)
 		return f.cancellationOutcome(ctx, flow), nil
 	}
-	if !f.stillAccepts(target.server) || f.newlyLimited(target) {
+	if !f.stillAccepts(target.server) || f.newlyLimited(target) || !f.hasVersion(target.server) {
 		f.release(flow, target, nil)
 		return nil, nil
 	}
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -70,14 +70,29 @@
 	return nil
 }
 
+// unknownVersion stands for the version of a stream whose server changed its version while the stream
+// began. No server has it.
+var unknownVersion = new(string)
+
 // beginStream is called when the first event of a stream is passed on.
 func (fl *flow) beginStream(server *fleet.Server) {
+	if !fl.hasVersion(server) {
+		fl.version.CompareAndSwap(nil, unknownVersion)
+		return
+	}
 	fl.bindVersion(server.SoftwareVersion)
 	if fl.onBegin != nil {
 		fl.onBegin(server)
 	}
 }
 
+// hasVersion reports whether the record of a server that was chosen earlier still names its version. A
+// server that starts again under its ID may have another.
+func (f *Forwarder) hasVersion(server *fleet.Server) bool {
+	listed := f.view.Load().Servers[server.ID]
+	return listed == nil || listed.SoftwareVersion == server.SoftwareVersion
+}
+
 // bindVersion records the software version that began the stream.
 func (fl *flow) bindVersion(version string) { fl.version.CompareAndSwap(nil, &version) }
 
@@ -85,7 +100,7 @@
 // stream that has not begun.
 func continuesStream(flow *flow, server *fleet.Server, _ *serverLoad, _ time.Time) bool {
 	version := flow.version.Load()
-	return version == nil || *version == server.SoftwareVersion
+	return version == nil || version != unknownVersion && *version == server.SoftwareVersion
 }
 
 // settledVersions returns the versions at whose servers the flow should begin a stream that its caller may
--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -273,3 +273,52 @@
 		Expect(outcome.Reason).To(ContainSubstring("pool"))
 	})
 }
+
+// setVersion makes the record of a server name another software version, as after a restart under its ID.
+func (b *testbed) setVersion(id, version string) {
+	record := *b.view.Record(id)
+	record.SoftwareVersion, record.Born = version, record.Born+1
+	b.view.UpdateServers(map[string]*fleet.Server{id: &record})
+}
+
+// Guards against a stream that is continued by the version of its server's earlier record: the server started
+// again under its ID at another version, and it is not known which of the two began the stream.
+func TestStreamOfAServerThatChangedItsVersionIsNotContinued(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		origins := fakeOrigins{}
+		b.forwarder.origins = origins
+		b.view.ReplaceServers(versioned(map[string]string{"m1": "v1", "m2": "v1", "m3": "v2"}))
+		b.backend.answer["m1"] = func(ctx context.Context, attempt Attempt) (*Reply, error) {
+			b.setVersion("m1", "v2")
+			return streams(events(1, 2), time.Millisecond, io.ErrUnexpectedEOF)(ctx, attempt)
+		}
+		b.backend.answer["m2"] = streams(events(3, 4), time.Millisecond, io.EOF)
+		b.backend.answer["m3"] = b.backend.answer["m2"]
+		began := time.Now()
+		outcome := b.forwarder.Serve(context.Background(), request("patient", "m", 5*time.Second), &recorder{})
+		Expect(outcome.Broken).To(BeTrue())
+		Expect(outcome.Reason).To(ContainSubstring("software version"))
+		Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+		Expect(b.backend.servers()).To(Equal([]string{"m1"}))
+		Expect(origins).To(BeEmpty())
+	})
+}
+
+// Guards against a stream that is sent to a server whose record, read again before, names another version
+// than the one it was chosen by.
+func TestStreamIsNotSentToAServerWhoseVersionHasChanged(t *testing.T) {
+	withOutdatedRecords(t, func(b *testbed, _ context.Context, server string) error {
+		if server == "m1" && b.view.Record("m1").SoftwareVersion == "v1" {
+			b.setVersion("m1", "v2")
+		}
+		return nil
+	}, func(b *testbed) {
+		b.forwarder.origins = fakeOrigins{"first": {Pool: modelPool, SoftwareVersion: "v1"}}
+		b.view.ReplaceServers(versioned(map[string]string{"m1": "v1", "m2": "v1"}))
+		b.backend.answer["m1"] = streams(events(3, 4), time.Millisecond, io.EOF)
+		b.backend.answer["m2"] = b.backend.answer["m1"]
+		outcome := b.forwarder.Serve(context.Background(), resumption("first", "2"), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(b.backend.servers()).To(Equal([]string{"m2"}))
+	})
+}
