streamorigin: Refuse a stream of a route to several pools that no node knows

What callers saw: after a kill of all nodes, a stream of a route to several pools could be continued in another pool than the one that began it, by servers of another version.

Cause: each pool had had one version, so the origin counted as irrelevant, though the stream may have begun in either pool.

Change: what versions one pool has had tells nothing about a route to several.

Evidence: TestStreamOfARouteToSeveralPoolsStaysInItsPoolAfterAKill failed before ("irrelevant").

Price: after a kill of all nodes these streams are refused, and their callers begin anew.

--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -20,8 +20,8 @@
 	// With share, other nodes learn it in any case.
 	Begin(request string, origin streamorigin.Origin, share bool)
 	// Find returns the origin of such a stream, which the pool is to resume; without a pool, any server
-	// may continue it. With ask, other nodes are asked in any case. The wait is limited.
-	Find(ctx context.Context, request, pool string, ask bool) (streamorigin.Origin, streamorigin.Finding)
+	// may continue it. With severalPools, it may have begun in another one. The wait is limited.
+	Find(ctx context.Context, request, pool string, severalPools bool) (streamorigin.Origin, streamorigin.Finding)
 	// Settled returns the versions of a pool that every node with current records knows.
 	Settled(pool string) []string
 }
--- a/internal/streamorigin/evidence.go
+++ b/internal/streamorigin/evidence.go
@@ -32,7 +32,7 @@
 	versions []string
 	// basis shows that the pool had no others; NoBasis: it may have.
 	basis Basis
-	// mixed: the pool had several versions, whether or not they are known.
+	// mixed: the stream may be of several versions, whether or not they are known.
 	mixed bool
 }
 
--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -163,12 +163,13 @@
 }
 
 // Find returns the origin of the stream whose first event was passed on for a request with the ID. It
-// asks other nodes if this one knows neither the origin nor that the pool had only one version, and with
-// ask. The wait is limited.
-func (o *Origins) Find(ctx context.Context, request, pool string, ask bool) (Origin, Finding) {
-	found := o.search(ctx, keyOf(request), pool, ask)
+// asks other nodes if this one knows neither the origin nor that the pool had only one version. With
+// severalPools, the stream may have begun in another one: what versions the pool had tells nothing. The
+// wait is limited.
+func (o *Origins) Find(ctx context.Context, request, pool string, severalPools bool) (Origin, Finding) {
+	found := o.search(ctx, keyOf(request), pool, severalPools)
 	o.config.OnFind(found.finding, found.basis)
-	o.logSearch(request, pool, found)
+	o.logSearch(request, pool, severalPools, found)
 	return found.origin, found.finding
 }
 
@@ -183,12 +184,13 @@
 	asked, answered int
 }
 
-func (o *Origins) search(ctx context.Context, stream Key, pool string, ask bool) search {
+func (o *Origins) search(ctx context.Context, stream Key, pool string, severalPools bool) search {
 	if origin, known := o.table.get(stream); known {
 		return search{origin: origin, finding: Known, basis: FromTable}
 	}
 	found := o.evidence(pool, time.Now())
-	if _, only := found.sole(); only && !ask {
+	found.mixed = severalPools
+	if _, only := found.sole(); only {
 		return found.conclude(pool)
 	}
 	replies, asked := o.ask(ctx, Lookup{Stream: stream, Pool: pool})
@@ -247,7 +249,7 @@
 }
 
 // logSearch writes a line on a search whose result is not from this node's own table.
-func (o *Origins) logSearch(request, pool string, found search) {
+func (o *Origins) logSearch(request, pool string, severalPools bool, found search) {
 	if found.basis == FromTable {
 		return
 	}
@@ -264,6 +266,9 @@
 	if found.finding != Unknown {
 		event.Str("pool_began", found.origin.Pool).Str("software_version", found.origin.SoftwareVersion)
 	}
+	if severalPools {
+		event.Bool("several_pools", true)
+	}
 	event.Str("request", request).Str("pool", pool).Str("finding", string(found.finding)).Str("basis", string(found.basis)).
 		Int("versions", len(found.versions)).Int("asked", found.asked).Int("answered", found.answered).Msg("origin of a resumed stream")
 }
--- a/internal/streamorigin/version_store_test.go
+++ b/internal/streamorigin/version_store_test.go
@@ -187,6 +187,25 @@
 	}
 }
 
+// Guards against a stream of a route to several pools that is resumed in another pool after a kill of all
+// nodes: each pool has had one version, but not the same.
+func TestStreamOfARouteToSeveralPoolsStaysInItsPoolAfterAKill(t *testing.T) {
+	inDeploymentWithStore(t, newFakeStore(), 4, []string{"v1"}, func(d *deployment) {
+		time.Sleep(5 * time.Second)
+		d.nodes["a"].origins.Begin("r1", Origin{Pool: "p", SoftwareVersion: "v1"}, true)
+		time.Sleep(time.Second)
+		d.killAll("v1")
+		for address, node := range d.nodes {
+			found, finding := node.origins.Find(context.Background(), "r1", "q", true)
+			Expect(finding).To(Equal(Unknown), address)
+			Expect(found).To(BeZero())
+			found, finding = node.origins.Find(context.Background(), "r1", "p", true)
+			Expect(finding).To(Equal(Unknown), address+": it may have begun in the other pool")
+			Expect(found).To(BeZero())
+		}
+	})
+}
+
 // Guards against findings whose reason nobody can tell afterwards, and against a line for each of thousands of
 // resumed streams.
 func TestFindingIsLoggedWithItsBasis(t *testing.T) {
