--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
@@ -19,8 +20,10 @@
 	// With share, other nodes learn it in any case.
 	Begin(request string, origin streamorigin.Origin, share bool)
 	// Find returns the origin of such a stream, which the pool is to resume; without a pool, any server
-	// may continue it. With ask, other nodes are asked in any case. The wait is limited.
-	Find(ctx context.Context, request, pool string, ask bool) (streamorigin.Origin, streamorigin.Finding)
+	// may continue it. With severalPools, it may have begun in another one. The wait is limited.
+	Find(ctx context.Context, request, pool string, severalPools bool) (streamorigin.Origin, streamorigin.Finding)
+	// Settled returns the versions of a pool that every node with current records knows.
+	Settled(pool string) []string
 }
 
 // noOrigins is for nodes on their own.
@@ -32,6 +35,8 @@
 	return streamorigin.Origin{}, streamorigin.Irrelevant
 }
 
+func (noOrigins) Settled(string) []string { return nil }
+
 // recordOrigin records where the flow's stream began. A stream that the caller resumes keeps the ID of
 // the request that brought its first event.
 func (f *Forwarder) recordOrigin(flow *flow, server *fleet.Server) {
@@ -65,14 +70,29 @@
 	return nil
 }
 
+// unknownVersion stands for the version of a stream whose server changed its version while the stream
+// began. No server has it.
+var unknownVersion = new(string)
+
 // beginStream is called when the first event of a stream is passed on.
 func (fl *flow) beginStream(server *fleet.Server) {
+	if !fl.hasVersion(server) {
+		fl.version.CompareAndSwap(nil, unknownVersion)
+		return
+	}
 	fl.bindVersion(server.SoftwareVersion)
 	if fl.onBegin != nil {
 		fl.onBegin(server)
 	}
 }
 
+// hasVersion reports whether the record of a server that was chosen earlier still names its version. A
+// server that starts again under its ID may have another.
+func (f *Forwarder) hasVersion(server *fleet.Server) bool {
+	listed := f.view.Load().Servers[server.ID]
+	return listed == nil || listed.SoftwareVersion == server.SoftwareVersion
+}
+
 // bindVersion records the software version that began the stream.
 func (fl *flow) bindVersion(version string) { fl.version.CompareAndSwap(nil, &version) }
 
@@ -80,7 +100,22 @@
 // stream that has not begun.
 func continuesStream(flow *flow, server *fleet.Server, _ *serverLoad, _ time.Time) bool {
 	version := flow.version.Load()
-	return version == nil || *version == server.SoftwareVersion
+	return version == nil || version != unknownVersion && *version == server.SoftwareVersion
+}
+
+// settledVersions returns the versions at whose servers the flow should begin a stream that its caller may
+// resume: a node that does not know the others yet would take it for a stream of these. It returns none
+// for other requests.
+func (f *Forwarder) settledVersions(flow *flow) []string {
+	if flow.onBegin == nil || flow.version.Load() != nil {
+		return nil
+	}
+	return f.origins.Settled(flow.pool)
+}
+
+// dropUnsettled removes the candidates without one of the versions.
+func dropUnsettled(candidates []candidate, settled []string) []candidate {
+	return slices.DeleteFunc(candidates, func(one candidate) bool { return !slices.Contains(settled, one.server.SoftwareVersion) })
 }
 
 // refuseWithoutVersion ends a stream that only servers of another software version could continue: its
--- a/internal/streamorigin/fakes_test.go
+++ b/internal/streamorigin/fakes_test.go
@@ -1,6 +1,9 @@
 package streamorigin
 
 import (
+	"bytes"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +17,25 @@
 	storeDelay = 4 * time.Millisecond
 )
 
+// lockedBuffer is a buffer that several goroutines write to.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(part []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(part)
+}
+
+// lines returns the lines with the text.
+func (b *lockedBuffer) lines(text string) []string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return slices.DeleteFunc(strings.Split(b.buffer.String(), "\n"), func(line string) bool { return !strings.Contains(line, text) })
+}
+
 // fakeStore keeps keys, and sends changes to the nodes that get records.
 type fakeStore struct {
 	outside.KeyValueService
@@ -39,13 +61,24 @@
 		if s.empty() {
 			node.origins.SetNoEarlierProcess()
 		}
-		node.origins.Replace(s.all())
+		s.read(node)
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.watchers[node] = true
 }
 
+// read makes a node read all keys.
+func (s *fakeStore) read(node *testNode) {
+	era := s.era()
+	if node.eraKnown && era > node.era {
+		node.origins.Restored(s.all())
+	} else {
+		node.origins.Replace(s.all())
+	}
+	node.era, node.eraKnown = era, true
+}
+
 // leave ends that a node gets changes.
 func (s *fakeStore) leave(node *testNode) {
 	s.mutex.Lock()
@@ -156,7 +189,7 @@
 	s.mutex.Unlock()
 	for _, node := range nodes {
 		if !node.isLate() {
-			node.origins.Restored(s.all())
+			s.read(node)
 		}
 	}
 }
--- a/internal/streamorigin/origins_test.go
+++ b/internal/streamorigin/origins_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
@@ -24,6 +25,12 @@
 	stop    context.CancelFunc
 	// lateSince is since when the node gets no records; nil if it does.
 	lateSince atomic.Pointer[time.Time]
+	// log are the node's lines, and basis is that of its last finding.
+	log   lockedBuffer
+	basis atomic.Pointer[Basis]
+	// era of the store that the node read last, if any.
+	era      int64
+	eraKnown bool
 }
 
 // testRecordsAge is the age up to which the records of a testNode are current.
@@ -66,7 +73,8 @@
 	node := &testNode{address: address, view: fleet.NewView()}
 	config := Config{
 		View: node.view, Transport: d.network.Add(address), Address: address, Nodes: d.network.Addresses,
-		RecordsAge: node.recordsAge, MaxRecordsAge: testRecordsAge,
+		RecordsAge: node.recordsAge, MaxRecordsAge: testRecordsAge, Logger: zerolog.New(&node.log),
+		OnFind: func(_ Finding, basis Basis) { node.basis.Store(&basis) },
 	}
 	if d.store != nil {
 		config.Store, config.VersionsKey, config.Era = d.store, versionsKey, d.store.era
@@ -75,13 +83,17 @@
 	if d.store != nil {
 		d.store.join(node)
 	}
-	var ctx context.Context
-	ctx, node.stop = context.WithCancel(d.ctx)
-	go node.origins.Run(ctx)
+	node.run(d.ctx)
 	d.nodes[address] = node
 	return node
 }
 
+// run runs the node until ctx ends or it is stopped.
+func (n *testNode) run(ctx context.Context) {
+	ctx, n.stop = context.WithCancel(ctx)
+	go n.origins.Run(ctx)
+}
+
 // serve makes servers with the versions known to a node.
 func (n *testNode) serve(versions ...string) {
 	servers := map[string]*fleet.Server{}
@@ -251,11 +263,11 @@
 	view, now := fleet.NewView(), time.Now()
 	for range 4 * retention / time.Second {
 		now = now.Add(time.Second)
-		seen.observe(view.Load(), true, now)
+		seen.observe(view.Load(), &saved{}, true, now)
 	}
 	Expect(seen.load().covers(now)).To(BeTrue())
 	now = now.Add(maxObserveGap + observePeriod)
-	seen.observe(view.Load(), true, now)
+	seen.observe(view.Load(), &saved{}, true, now)
 	Expect(seen.load().covers(now)).To(BeFalse())
 }
 
--- a/internal/streamorigin/version_store_test.go
+++ b/internal/streamorigin/version_store_test.go
@@ -186,3 +186,54 @@
 		})
 	}
 }
+
+// Guards against a stream of a route to several pools that is resumed in another pool after a kill of all
+// nodes: each pool has had one version, but not the same.
+func TestStreamOfARouteToSeveralPoolsStaysInItsPoolAfterAKill(t *testing.T) {
+	inDeploymentWithStore(t, newFakeStore(), 4, []string{"v1"}, func(d *deployment) {
+		time.Sleep(5 * time.Second)
+		d.nodes["a"].origins.Begin("r1", Origin{Pool: "p", SoftwareVersion: "v1"}, true)
+		time.Sleep(time.Second)
+		d.killAll("v1")
+		for address, node := range d.nodes {
+			found, finding := node.origins.Find(context.Background(), "r1", "q", true)
+			Expect(finding).To(Equal(Unknown), address)
+			Expect(found).To(BeZero())
+			found, finding = node.origins.Find(context.Background(), "r1", "p", true)
+			Expect(finding).To(Equal(Unknown), address+": it may have begun in the other pool")
+			Expect(found).To(BeZero())
+		}
+	})
+}
+
+// Guards against findings whose reason nobody can tell afterwards, and against a line for each of thousands of
+// resumed streams.
+func TestFindingIsLoggedWithItsBasis(t *testing.T) {
+	line := "origin of a resumed stream"
+	inDeploymentWithStore(t, newFakeStore(), 3, []string{"v1"}, func(d *deployment) {
+		node := d.nodes["b"]
+		find := func(request string) Basis {
+			node.origins.Find(context.Background(), request, "p", false)
+			return *node.basis.Load()
+		}
+		node.origins.Begin("own", Origin{Pool: "p", SoftwareVersion: "v1"}, false)
+		Expect(find("own")).To(Equal(FromTable))
+		Expect(node.log.lines(line)).To(BeEmpty())
+		Expect(find("r1")).To(Equal(FromRecord))
+		node.setLate(true)
+		time.Sleep(2 * testRecordsAge)
+		Expect(find("r1")).To(Equal(FromReply))
+		d.network.SetCut("b", true)
+		Expect(find("r1")).To(Equal(NoBasis))
+		lines := node.log.lines(line)
+		Expect(lines).To(HaveLen(3))
+		Expect(lines[0]).To(And(ContainSubstring(`"finding":"irrelevant"`), ContainSubstring(`"basis":"record"`), ContainSubstring(`"covered_ms":`), ContainSubstring(`"asked":0`)))
+		Expect(lines[2]).To(And(ContainSubstring(`"finding":"unknown"`), ContainSubstring(`"records_age_ms":2`), ContainSubstring(`"asked":2,"answered":0`), Not(ContainSubstring("covered_ms"))))
+		node.setLate(false)
+		time.Sleep(time.Second)
+		for range 1000 {
+			find("r1")
+		}
+		Expect(len(node.log.lines(line))).To(BeNumerically("<=", 3+linesPerSecond))
+	})
+}
