mirror: Don't hold a server whose record was removed before the odd one was written

Callers: a node that missed the removal of a server's record (cut off, history gone) and then read an odd entry under the same ID would hold the server that had left, as long as the entry exists: requests to an address without a server, and a server that is gone counts as acknowledged and in use (DRAIN).

Cause, in: a rejected record said nothing about when its key was created.

Change: rejected records carry the revision at which the key was created; the last usable record holds only if it is of the same key.

TestOddEntryUnderTheIDOfAServerThatLeftDoesNotHoldIt fails before and passes after.

--- a/internal/mirror/fakes_test.go
+++ b/internal/mirror/fakes_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -23,7 +24,7 @@
 	revision int64
 	servers  map[string]*fleet.Server
 	// rejected are the servers whose records can't be used; servers has their last ones that could.
-	rejected      map[string]bool
+	rejected      map[string]*fleet.Server
 	configuration *fleet.Configuration
 	configuredAt  int64
 	history       []fakeChange
@@ -49,7 +50,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{servers: map[string]*fleet.Server{}, rejected: map[string]bool{}, own: map[string]outside.WatchEvent{}, changed: make(chan struct{})}
+	return &fakeStore{servers: map[string]*fleet.Server{}, rejected: map[string]*fleet.Server{}, own: map[string]outside.WatchEvent{}, changed: make(chan struct{})}
 }
 
 func (s *fakeStore) count() int {
@@ -74,7 +75,11 @@
 		change.own.KeyValue.ModRevision = s.revision
 		s.own[change.own.KeyValue.Key] = *change.own
 	case change.rejected:
-		s.rejected[change.server] = true
+		change.record = &fleet.Server{ID: change.server, Created: s.revision}
+		if before := cmp.Or(s.servers[change.server], s.rejected[change.server]); before != nil {
+			change.record.Created = before.Created
+		}
+		s.rejected[change.server] = change.record
 	case change.record == nil:
 		delete(s.servers, change.server)
 		delete(s.rejected, change.server)
@@ -153,7 +158,7 @@
 			changes.Own = append(changes.Own, *change.own)
 		case change.rejected:
 			if _, changed := changes.Servers[change.server]; !changed {
-				changes.Rejected[change.server] = nil
+				changes.Rejected[change.server] = change.record
 			}
 		default:
 			changes.Servers[change.server] = change.record
@@ -322,13 +327,13 @@
 	changes := Changes{
 		Servers: map[string]*fleet.Server{}, Rejected: map[string]*fleet.Server{}, Configuration: s.store.configuration, ConfigurationRevision: s.store.configuredAt,
 	}
-	for id := range s.store.rejected {
+	for id, record := range s.store.rejected {
 		if wanted(id) {
-			changes.Rejected[id] = nil
+			changes.Rejected[id] = record
 		}
 	}
 	for id, server := range s.store.servers {
-		if wanted(id) && !s.store.rejected[id] {
+		if wanted(id) && s.store.rejected[id] == nil {
 			changes.Servers[id] = server
 		}
 	}
@@ -408,8 +413,8 @@
 	}
 	s.store.mutex.Lock()
 	defer s.store.mutex.Unlock()
-	if s.store.rejected[id] {
-		return Changes{}, ErrRejected
+	if record := s.store.rejected[id]; record != nil {
+		return Changes{At: s.store.revision, Rejected: map[string]*fleet.Server{id: record}}, ErrRejected
 	}
 	return Changes{At: s.store.revision, Servers: map[string]*fleet.Server{id: s.store.servers[id]}}, nil
 }
--- a/internal/mirror/odd_records_test.go
+++ b/internal/mirror/odd_records_test.go
@@ -1,6 +1,8 @@
 package mirror
 
 import (
+	"bytes"
+	"encoding/gob"
 	"fmt"
 	"strings"
 	"testing"
@@ -98,3 +100,60 @@
 		})
 	}
 }
+
+// FuzzRecordsBetweenNodes checks that a record with any fields passes unchanged through the state, updates, packing and
+// snapshots beside others, and that the digest forgets it when it is removed.
+func FuzzRecordsBetweenNodes(f *testing.F) {
+	for _, zone := range oddZones {
+		f.Add("odd", "p", "10.0.0.1:80", zone, "m,n", "a/b", 1<<62, int64(-1<<63), false)
+	}
+	f.Add("", "", "", "", "", "", -1<<63, int64(1<<63-1), true)
+	f.Fuzz(func(t *testing.T, id, pool, address, zone, model, adapter string, slots int, born int64, rejected bool) {
+		RegisterTestingT(t)
+		odd := ServerRecord{
+			ID: id, Pool: pool, Address: address, Zone: zone, Slots: slots, Born: born, SoftwareVersion: model, Created: 3,
+			Models: []ModelRecord{{Name: model, Adapters: []string{adapter}}},
+		}
+		held := newState(0)
+		for number, record := range benchmarkRecords(2 * minPackedRecords) {
+			held.set(record.ID, recordOf(record.server(time.Now(), modelSets{})), int64(number+1))
+		}
+		before := held.digest
+		held.set(id, odd, 100)
+		if rejected {
+			held.reject(id, odd.server(time.Now(), modelSets{}), 100)
+			Expect(held.digest).To(Equal(before))
+		}
+		update, ok := held.updateSince(0, 100, 0)
+		Expect(ok).To(BeTrue())
+		update, err := throughGob(update.packed()).unpacked()
+		Expect(err).NotTo(HaveOccurred())
+		follower := newState(0)
+		follower.apply(update.changes(time.Now()))
+		content := recordsSnapshot{Revision: 100, Records: held.records(), Rejected: sortedRecords(held.rejected)}
+		parts, err := content.encode()
+		Expect(err).NotTo(HaveOccurred())
+		snapshot, err := decodeSnapshot(parts)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(follower.digest).To(Equal(held.digest))
+		Expect(len(snapshot.Records)).To(Equal(len(held.servers)))
+		for _, record := range snapshot.Records {
+			Expect(record.equal(held.servers[record.ID].record)).To(BeTrue())
+		}
+		for id, entry := range held.rejected {
+			Expect(len(snapshot.Rejected)).To(Equal(1))
+			Expect(snapshot.Rejected[0].equal(entry.record)).To(BeTrue())
+			Expect(follower.rejected[id].record.isKnown()).To(Equal(pool != ""))
+		}
+		held.remove(id, 101)
+		Expect(held.digest).To(Equal(before))
+	})
+}
+
+func throughGob(update Update) Update {
+	var encoded bytes.Buffer
+	var decoded Update
+	Expect(gob.NewEncoder(&encoded).Encode(update)).To(Succeed())
+	Expect(gob.NewDecoder(&encoded).Decode(&decoded)).To(Succeed())
+	return decoded
+}
--- a/internal/mirror/rejected.go
+++ b/internal/mirror/rejected.go
@@ -12,24 +12,24 @@
 // usable record holds. Such servers are not part of the state's records and their digest, which is the
 // same at all nodes whatever records they have seen.
 
-// rejectedServers returns the servers by ID; nil for those without a known record.
+// rejectedServers returns the servers by ID.
 func rejectedServers(records []ServerRecord, now time.Time, sets modelSets) map[string]*fleet.Server {
 	servers := make(map[string]*fleet.Server, len(records))
 	for _, record := range records {
-		servers[record.ID] = nil
-		if record.isKnown() {
-			servers[record.ID] = record.server(now, sets)
-		}
+		servers[record.ID] = record.server(now, sets)
 	}
 	return servers
 }
 
-// holdLast adds the last records that this node has seen to rejected servers without one, except those
-// that had expired before. It must be called with the lock held.
+// holdLast replaces rejected servers without a known record by the last records that this node has
+// seen. A record that was created later than that one does not stand for the same server: the server's
+// own was removed. It must be called with the lock held.
 func (m *Mirror) holdLast(rejected map[string]*fleet.Server) {
-	for id, last := range rejected {
-		if _, expired := m.inGrace[id]; last == nil && !expired {
-			rejected[id] = m.config.View.Record(id)
+	for id, server := range rejected {
+		last := m.config.View.Record(id)
+		_, expired := m.inGrace[id]
+		if server.Pool == "" && last != nil && last.Created == server.Created && !expired {
+			rejected[id] = last
 		}
 	}
 }
@@ -45,16 +45,20 @@
 	}
 }
 
-// withHeld returns the changed servers, and the rejected ones whose last record this node does not show
-// yet. It must be called with the lock held.
+// withHeld returns the changed servers, and the rejected ones that this node does not show by their
+// last records. It must be called with the lock held.
 func (m *Mirror) withHeld(changes Changes) map[string]*fleet.Server {
 	if len(changes.Rejected) == 0 {
 		return changes.Servers
 	}
 	servers := maps.Clone(changes.Servers)
 	for id, last := range changes.Rejected {
-		if last != nil && last != m.config.View.Record(id) {
+		shown := m.config.View.Record(id)
+		switch {
+		case last.Pool != "" && last != shown:
 			servers[id] = last
+		case last.Pool == "" && shown != nil:
+			servers[id] = nil
 		}
 	}
 	return servers
--- a/internal/mirror/rejected_test.go
+++ b/internal/mirror/rejected_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -122,3 +124,51 @@
 		node.source.setStalled(false)
 	})
 }
+
+// Random faults, odd records in place of servers' own and as new entries, and servers that write theirs again: all nodes
+// end up with the same records.
+func TestNodesConvergeAfterRandomOddRecords(t *testing.T) {
+	for seed := range uint64(40) {
+		start := withNodes
+		if seed%4 == 0 {
+			start = withLargeFleet
+		}
+		start(t, 4, func(d *deployment) {
+			random := rand.New(rand.NewPCG(seed, 3))
+			for range 30 {
+				d.store.spoil(string(rune('q' + random.IntN(8))))
+				d.injectFaults(seed, random.Uint64(), 3)
+			}
+			for id := range maps.Clone(d.store.rejected) {
+				if record := d.store.servers[id]; record != nil {
+					d.store.recreate(record)
+				}
+			}
+			time.Sleep(maxSnapshotAge + 2*testTimes.Contact + testTimes.Changes + 4*pageWait)
+			d.expectEqual("seed %d", seed)
+		})
+	}
+}
+
+// A server that left was held for as long as another writer's entry under its ID existed, by nodes that missed the
+// removal of its record.
+func TestOddEntryUnderTheIDOfAServerThatLeftDoesNotHoldIt(t *testing.T) {
+	for _, start := range []func(*testing.T, int, func(*deployment)){withNodes, withLargeFleet} {
+		start(t, 3, func(d *deployment) {
+			d.store.put("t", false, "m")
+			time.Sleep(settled + maxSnapshotAge)
+			for _, node := range d.nodes {
+				node.source.setFault(true, false)
+			}
+			time.Sleep(testTimes.Changes)
+			d.store.remove("t")
+			d.store.spoil("t")
+			d.store.compact()
+			for _, node := range d.nodes {
+				node.source.setFault(false, false)
+			}
+			time.Sleep(maxSnapshotAge + 2*testTimes.Contact)
+			d.expectEqual()
+		})
+	}
+}
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -73,8 +73,8 @@
 	// Packed holds the records in place of Servers, if there are many and the receiver unpacks
 	// them.
 	Packed []byte
-	// Rejected are the servers whose records in the store can't be used, each with its last record
-	// that could, or only its ID. Earlier builds ignore them.
+	// Rejected are the servers whose records in the store can't be used, as in Changes. Earlier builds
+	// ignore them.
 	Rejected []ServerRecord
 }
 
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -25,8 +25,8 @@
 	configuration int64
 	servers       map[string]versionedRecord
 	own           map[string]outside.WatchEvent
-	// rejected are the servers whose records in the store can't be used, each with its last record
-	// that could; that has only an ID if it is not known. They are not in servers.
+	// rejected are the servers whose records in the store can't be used, as in Changes. They are not
+	// in servers.
 	rejected map[string]versionedRecord
 	// removed servers, with the revision at which their removal was observed.
 	removed map[string]int64
@@ -120,17 +120,14 @@
 	s.recordChange(id, revision)
 }
 
-// reject records that a server's record can't be used, with its last one that could, or nil.
+// reject records that a server's record can't be used; see Changes.Rejected.
 func (s *state) reject(id string, last *fleet.Server, revision int64) {
 	before, exists := s.servers[id]
 	if exists {
 		s.digest.remove(before.record)
 		delete(s.servers, id)
 	}
-	record := ServerRecord{ID: id}
-	if last != nil {
-		record = recordOf(last)
-	}
+	record := recordOf(last)
 	if known, rejected := s.rejected[id]; rejected && known.record.equal(record) {
 		return
 	}
@@ -259,7 +256,7 @@
 	return m.Name == other.Name && slices.Equal(m.Adapters, other.Adapters)
 }
 
-// isKnown reports whether the record was ever read; otherwise it has only an ID.
+// isKnown reports whether the record of a rejected server was read before.
 func (r ServerRecord) isKnown() bool { return r.Pool != "" }
 
 // server returns the record as a fleet.Server that was seen at the time.
