orders: Elect a holder although an election record is odd

Callers: an odd entry at the holder's key left all nodes without a holder for good, and one at the key of the last active holder as soon as the holder ended: no model was loaded any more, and no node read the store for the others.

Cause: any JSON object at the holder's key counted as a holder whose lease ends some time, but an entry without a lease never goes. One that can't be decoded was ignored, so that campaigns named an earlier revision of its key and failed.

Change: an entry without a lease makes the place vacant; the next holder waits until the lease of the one before it and the handover period are over. An entry that can't be decoded counts as that of an unknown node. Other own keys are no longer decoded as election records.

--- a/internal/orders/campaign.go
+++ b/internal/orders/campaign.go
@@ -43,10 +43,15 @@
 		// A record of this node was written by an earlier process of it. Another node's
 		// record is valid as long as its lease: refused connections don't prove that
 		// the node sends no more orders.
-		if holder.Name != e.config.Self.Name {
+		if holder.Name != e.config.Self.Name && holder.lease != 0 {
 			return changed, nil
 		}
 		found.holderRevision = holder.Revision
+		if holder.lease == 0 {
+			// No node writes the record without a lease, and it would never expire. The lease of
+			// the holder whose record it replaced may still be valid.
+			vacantAt = holder.receivedAt.Add(e.config.Lease)
+		}
 	}
 	if last != nil {
 		found.lastRevision = last.Revision
--- a/internal/orders/election.go
+++ b/internal/orders/election.go
@@ -200,13 +200,17 @@
 	e.notifyChange()
 }
 
-// applyRecord applies one key's record unless a newer one is known. It must be called with the
-// lock held.
+// applyRecord applies one key's record unless a newer one is known. One that can't be decoded counts
+// as that of an unknown node, since a campaign has to name the key's revision. It must be called with
+// the lock held.
 func (e *Election) applyRecord(keyValue outside.KeyValue) {
+	if keyValue.Key != e.holderKey() && keyValue.Key != e.lastKey() {
+		return
+	}
 	var record HolderRecord
 	if err := json.Unmarshal(keyValue.Value, &record); err != nil {
-		e.config.Logger.Error().Err(err).Str("key", keyValue.Key).Msg("cannot decode an election record")
-		return
+		e.config.Logger.Error().Err(err).Str("key", keyValue.Key).Int64("revision", keyValue.ModRevision).Msg("cannot decode an election record")
+		record = HolderRecord{}
 	}
 	record.Revision, record.lease, record.receivedAt = keyValue.ModRevision, keyValue.Lease, time.Now()
 	switch keyValue.Key {
