--- a/internal/mirror/records_age.go
+++ b/internal/mirror/records_age.go
@@ -151,8 +151,7 @@
 	defer m.mutex.Unlock()
 	delete(m.ages.reads, id)
 	if errors.Is(err, ErrRejected) {
-		m.holdLast(changes.Rejected)
-		changes.Servers, err = m.withHeld(Changes{Servers: map[string]*fleet.Server{id: m.config.View.Record(id)}, Rejected: changes.Rejected}), nil
+		changes.Servers, err = m.lastRecord(id, changes.Rejected), nil
 	}
 	if err != nil {
 		read.err, m.ages.failedAt = err, time.Now()
--- a/internal/mirror/rejected.go
+++ b/internal/mirror/rejected.go
@@ -34,6 +34,16 @@
 	}
 }
 
+// lastRecord returns the last record of a rejected server that was read by itself, by ID; nil if it is
+// not known. It must be called with the lock held.
+func (m *Mirror) lastRecord(id string, rejected map[string]*fleet.Server) map[string]*fleet.Server {
+	m.holdLast(rejected)
+	if last := rejected[id]; last != nil && last.Pool != "" {
+		return map[string]*fleet.Server{id: last}
+	}
+	return map[string]*fleet.Server{id: nil}
+}
+
 // addHeld adds the rejected servers with a known record to all others. It must be called with the lock
 // held.
 func (m *Mirror) addHeld(servers map[string]*fleet.Server, now time.Time) {
