peer: Keep the encoding of mirror.Update without rejected records

TestWireNames and TestMessagesOfEarlierBuilds failed since added a field to the message. As for the fields before: the encoding kept so far becomes that of an earlier build, which must still be understood, and the one with the field is kept as well. No other kept encoding changed.

--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -137,7 +137,10 @@
 	released.Ends = nil
 	subscription := filled(mirror.Subscribe{}).(mirror.Subscribe)
 	subscription.Unpacks = false
+	withoutRejected := filled(mirror.Update{}).(mirror.Update)
+	withoutRejected.Rejected = nil
 	unversioned := filled(mirror.Update{}, "SoftwareVersion").(mirror.Update)
+	unversioned.Rejected = nil
 	unpacked := unversioned
 	unpacked.Packed = nil
 	confirmed := unpacked
@@ -171,7 +174,8 @@
 	expected := map[string]peer.Message{
 		"poison.TrialRequest": trial, "poison.TrialEnded": trialEnd, "poison.Report": crashes, "poison.Quarantined": quarantined, "poison.Entries": entries,
 		"mirror.Subscribe": subscription, "mirror.Update without packing": unpacked, "mirror.Update without software versions": unversioned,
-		"mirror.Update": confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
+		"mirror.Update without rejected records": withoutRejected,
+		"mirror.Update":                          confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
 		"orders.DemandReport without model servers": reportWithoutModels,
 		"orders.DemandReport without paths":         reportWithoutPaths, "orders.Update without paths": updateWithoutPaths,
 		"orders.Update without reporting": updateWithoutReporting,
