--- a/internal/mirror/records_age.go
+++ b/internal/mirror/records_age.go
@@ -152,9 +152,7 @@
 	defer m.mutex.Unlock()
 	delete(m.ages.reads, id)
 	if errors.Is(err, ErrRejected) {
-		// The last record holds.
-		m.ages.single[id] = asked
-		return
+		changes.Servers, err = m.lastRecord(id, changes.Rejected), nil
 	}
 	if err != nil {
 		read.err, m.ages.failedAt = err, time.Now()
