ratelimit: Tell nodes with an earlier list the newer one with votes

Where nothing but retries is counted, nodes that no order holder sent the newest list of counter nodes got no retry of the slack: replaced counter nodes, which have the new list and don't vote, left five votes of the six that are needed.

Cause: since counter nodes send a new list to those that it replaces, these stop voting at once; but only requests of tenants' and servers' limits told a node with the old list of it.

Evidence: TestVotedLimitHoldsWhereNodesHaveAnEarlierList failed: no retry at nodes without the new list.

Measured: go test of internal/ratelimit, retrybudget, tenants and platform passes.

--- a/internal/ratelimit/ballot.go
+++ b/internal/ratelimit/ballot.go
@@ -58,6 +58,7 @@
 		Tenant: request.Name, Limit: perCounter(request.Limit, len(counters)), Cost: request.Cost, Rank: request.Rank, Vote: rand.Uint64(),
 		// A counter node of an earlier build must count the request itself.
 		Relayed: true,
+		List:    l.counters.list(),
 	}
 	votes := &ballot{counters: len(counters), decided: make(chan struct{}), giveBack: func(reply TakeReply) { l.returnVote(message, reply) }}
 	for _, address := range counters {
@@ -79,8 +80,12 @@
 		return
 	}
 	l.config.Transport.Call(address, message, takeTimeout, func(received peer.Message, err error) {
+		reply, isReply := received.(TakeReply)
+		if err == nil && isReply {
+			l.applyList(address, reply)
+		}
 		// A node that had no such limit counted nothing, whatever it replied.
-		if reply, isReply := received.(TakeReply); err == nil && isReply && reply.Process != 0 {
+		if err == nil && isReply && reply.Process != 0 {
 			votes.add(reply)
 		} else {
 			votes.addFailure()
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -229,14 +229,19 @@
 
 // noteReply records a reply of another node as contact, and applies the list of counter nodes in it.
 func (l *Limiter) noteReply(address string, reply TakeReply) {
-	if len(reply.Counters.Addresses) > 0 {
-		l.setCounters(reply.Counters, address)
-	}
+	l.applyList(address, reply)
 	if !reply.Silent {
 		l.noteContact(address, reply.List)
 	}
 }
 
+// applyList applies the list of counter nodes in the reply of another node.
+func (l *Limiter) applyList(address string, reply TakeReply) {
+	if len(reply.Counters.Addresses) > 0 {
+		l.setCounters(reply.Counters, address)
+	}
+}
+
 // toProbe returns the unreachable counter nodes and, if this node is a counter node and limits
 // are in use, the others without recent contact.
 func (l *Limiter) toProbe(now time.Time) []string {
--- a/internal/ratelimit/take.go
+++ b/internal/ratelimit/take.go
@@ -108,11 +108,7 @@
 // serveTake handles a TakeRequest of another node.
 func (l *Limiter) serveTake(from string, message peer.Message, reply func(peer.Message, error)) {
 	request := message.(TakeRequest)
-	if request.Limit.Voted {
-		l.serveVote(request, reply)
-		return
-	}
-	if !request.Silent {
+	if !request.Silent && !request.Limit.Voted {
 		l.noteContact(from, request.List)
 	}
 	if request.List.isNewer(l.counters.list()) {
@@ -125,6 +121,10 @@
 // serveCurrent handles a request of another node, whose list of counter nodes is no newer than this
 // node's unless it did not reply to a probe.
 func (l *Limiter) serveCurrent(from string, request TakeRequest, reply func(peer.Message, error)) {
+	if request.Limit.Voted {
+		l.serveVote(from, request, reply)
+		return
+	}
 	if request.Cost == 0 {
 		reply(l.addressed(TakeReply{}, from, request), nil)
 		return
@@ -151,13 +151,13 @@
 }
 
 // serveVote handles a request of another node for this node's vote.
-func (l *Limiter) serveVote(request TakeRequest, reply func(peer.Message, error)) {
+func (l *Limiter) serveVote(from string, request TakeRequest, reply func(peer.Message, error)) {
 	vote, mayVote := l.castVote(request)
 	if !mayVote {
 		reply(nil, errNoVote)
 		return
 	}
-	reply(vote, nil)
+	reply(l.addressed(vote, from, request), nil)
 }
 
 // countOrRelay handles a request of another node. If this node is not the first in the limit's
