ratelimit: Log when a counter node gains and loses its quorum

A counter node now logs when it begins and ceases to count, with the list that it counts by: at most a line each time that it is woken, and none while nothing changes.

--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -183,7 +183,7 @@
 
 // Run probes other counter nodes and drops idle limits until ctx ends.
 func (l *Limiter) Run(ctx context.Context) {
-	pruned := time.Now()
+	pruned, counting := time.Now(), false
 	timer := time.NewTimer(probePeriod)
 	defer timer.Stop()
 	for {
@@ -197,6 +197,11 @@
 		for _, address := range l.toProbe(time.Now()) {
 			l.probe(address, func() {})
 		}
+		if has := l.hasQuorum(time.Now()); has != counting {
+			counting = has
+			l.config.Logger.Info().Bool("counts", counting).Int64("token", l.counters.list().Token).Uint64("version", l.counters.list().Version).
+				Msg("quorum of nodes that count quotas")
+		}
 		if time.Since(pruned) >= prunePeriod {
 			pruned = time.Now()
 			l.prune(time.Now())
