streamorigin: Remove a saved version also where views have gaps

What callers saw: nothing yet. Where the store fails about once a minute, no node's view covers the retention, so that a version which left would stay in the record for good, and streams that no node knows would be refused after every restart.

Change: a node that has not seen a version for five minutes beyond the retention removes it too, while its records are current. What is kept is merged once an update instead of once a version, which copied all pools for each of them.

Evidence: TestVersionIsRemovedFromTheStoreDespiteGapsInTheRecords failed without it.

--- a/internal/streamorigin/version_store.go
+++ b/internal/streamorigin/version_store.go
@@ -25,6 +25,9 @@
 	// firstOtherRank is above the ranks of the nodes that keep origins. The others write only if none of
 	// those does, and lateRanks spreads them.
 	firstOtherRank, lateRanks = 8, 64
+	// maxUnseen is how long a version stays saved that no node sees, where no node's view covers the
+	// retention: the store may fail often.
+	maxUnseen = 5 * time.Minute
 	// maxRecordBytes bounds the record; a larger one is not complete.
 	maxRecordBytes = 512 << 10
 	// noEra marks a record that is not complete.
@@ -52,6 +55,9 @@
 	return !slices.ContainsFunc(s.pools[origin.Pool], func(version string) bool { return version != origin.SoftwareVersion })
 }
 
+// savedVersion is since when a version has been known to be saved, and not been seen by this node.
+type savedVersion struct{ readAt, unseenSince time.Time }
+
 // versionStore saves the pools' software versions in the store whenever they change: each version that was
 // seen is added at once, and removed by a node whose view has covered the retention without it.
 type versionStore struct {
@@ -68,8 +74,8 @@
 	// revision is the newest known revision of the record, which is stored; zero if there is none.
 	revision int64
 	stored   versionRecord
-	// readAt is when a version was first read in the record.
-	readAt map[Origin]time.Time
+	// known are the saved versions.
+	known map[Origin]savedVersion
 	// carried are the versions known before the store lost them, to be stored again; nil: none.
 	carried map[string][]string
 	// currentAt is when the servers' records were current last.
@@ -87,7 +93,7 @@
 func newVersionStore(config Config) *versionStore {
 	s := &versionStore{
 		store: config.Store, key: config.VersionsKey, era: config.Era, address: config.Address, nodes: config.Nodes,
-		logger: config.Logger, readAt: map[Origin]time.Time{},
+		logger: config.Logger, known: map[Origin]savedVersion{},
 	}
 	s.published.Store(&saved{})
 	return s
@@ -167,17 +173,28 @@
 		s.carried = union(s.stored.Pools, s.carried)
 	}
 	s.stored, s.complete = record, isComplete || s.carried != nil
-	readAt := map[Origin]time.Time{}
+	known, now := map[Origin]savedVersion{}, time.Now()
 	for pool, versions := range record.Pools {
 		for _, version := range versions {
 			origin := Origin{Pool: pool, SoftwareVersion: version}
-			readAt[origin] = time.Now()
-			if before, known := s.readAt[origin]; known {
-				readAt[origin] = before
+			known[origin] = savedVersion{readAt: now, unseenSince: now}
+			if before, exists := s.known[origin]; exists {
+				known[origin] = before
 			}
 		}
 	}
-	s.readAt = readAt
+	s.known = known
+}
+
+// noteSeen records which saved versions this node has seen within the retention. It must be called with the
+// lock held.
+func (s *versionStore) noteSeen(seen *observed, now time.Time) {
+	for origin, version := range s.known {
+		if slices.Contains(seen.versions[origin.Pool], origin.SoftwareVersion) {
+			version.unseenSince = now
+			s.known[origin] = version
+		}
+	}
 }
 
 // publish makes the known versions available to load. It must be called with the lock held.
@@ -194,6 +211,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.currentAt = now
+	s.noteSeen(seen, now)
 	wanted, known := s.wanted(seen, now)
 	if !known || s.stored.Era == wanted.Era && maps.EqualFunc(s.stored.Pools, wanted.Pools, slices.Equal) {
 		s.dueSince = time.Time{}
@@ -215,21 +233,29 @@
 	if !covers && !s.complete {
 		return versionRecord{}, false
 	}
-	pools := union(seen.versions, nil)
+	kept := map[string][]string{}
 	for pool, versions := range s.stored.Pools {
 		for _, version := range versions {
-			// Another node may have seen the version just before this one.
-			if recent := now.Sub(s.readAt[Origin{Pool: pool, SoftwareVersion: version}]) <= retention; recent || !covers {
-				pools = union(pools, map[string][]string{pool: {version}})
+			if s.keeps(Origin{Pool: pool, SoftwareVersion: version}, covers, now) {
+				kept[pool] = append(kept[pool], version)
 			}
 		}
 	}
+	pools := union(seen.versions, kept)
 	if !covers {
 		pools = union(pools, s.carried)
 	}
 	return versionRecord{Era: s.era(), Pools: pools}, true
 }
 
+// keeps reports whether a saved version stays saved although this node may not have seen it within the
+// retention: another node may have seen it just before this one, or in a gap of this node's view. It must
+// be called with the lock held.
+func (s *versionStore) keeps(origin Origin, covers bool, now time.Time) bool {
+	known := s.known[origin]
+	return now.Sub(known.readAt) <= retention || !covers && now.Sub(known.unseenSince) <= maxUnseen
+}
+
 // rank is this node's place among those that write.
 func (s *versionStore) rank() int {
 	nodes := slices.Sorted(slices.Values(s.nodes()))
--- a/internal/streamorigin/version_store_test.go
+++ b/internal/streamorigin/version_store_test.go
@@ -75,6 +75,32 @@
 	})
 }
 
+// Guards against a version that stays saved for good, since gaps in the records keep each node's view from
+// covering the retention.
+func TestVersionIsRemovedFromTheStoreDespiteGapsInTheRecords(t *testing.T) {
+	inDeploymentWithStore(t, newFakeStore(), 3, []string{"v1"}, func(d *deployment) {
+		time.Sleep(2 * retention)
+		d.serve("v2")
+		for range 2 * (maxUnseen + 2*retention) / retention {
+			time.Sleep(retention / 2)
+			_, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+			if finding == Irrelevant {
+				break
+			}
+			for _, node := range d.nodes {
+				node.setLate(true)
+			}
+			time.Sleep(2 * testRecordsAge)
+			for _, node := range d.nodes {
+				node.setLate(false)
+			}
+		}
+		d.killAll("v2")
+		_, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Irrelevant))
+	})
+}
+
 // Guards against a missing record that is taken for one without versions: an earlier build used the store,
 // or somebody deleted the record.
 func TestMissingRecordIsNoEvidence(t *testing.T) {
