--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -5,6 +5,9 @@
 // The node that passes on a stream's first event keeps its origin. While a pool has servers of several
 // versions, it also sends it to two of the counter nodes (see package ratelimit), which all nodes know;
 // a node that does not know a stream asks them. As long as a pool has one version, nothing is sent.
+//
+// A stream that no node knows goes on only if the pool is shown to have had one version: by a record in
+// the store of the versions that the pools had lately, or by a node whose view had no gap.
 package streamorigin
 
 import (
