forward: Serve the minority of a pool's streams that have no IDs

Callers lost each stream without IDs of a pool that sends both kinds: with 1 in 10 without, 6 of 6 were broken, in 12 attempts on a resumable route. Where both kinds came in turn, the first event of each stream without IDs waited for the second (600 ms instead of 300 ms).

The form was learned per pool, from 8 consecutive streams with IDs, and each stream with IDs ended the knowledge that streams without are sent.

It is learned per route and pool now, from 16 consecutive streams with IDs; streams without IDs are remembered until 128 consecutive ones have IDs, and neither wait nor are broken meanwhile.

Existing tests of the package pass; two constants that they name are renamed, and the property test's learning is per route.

--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -79,8 +79,8 @@
 	fromStart bool
 	// previous is the ID of the last repeated event.
 	previous string
-	// pool is what is known of the streams of the attempt's pool.
-	pool poolStreamIDs
+	// history is what is known of the streams of the route in the attempt's pool.
+	history streamIDHistory
 	// sawID: an event with an ID was passed on. isUnnumbered: the response's events have none.
 	sawID, isUnnumbered bool
 	// held are events that the next one shows to be a part of the stream or foreign, heldBytes long.
@@ -149,7 +149,7 @@
 	case event.id != "":
 		return !event.hasData && !g.stream.hasDataless && len(g.held) == 0
 	}
-	known := g.stream.passed || g.stream.last != "" || g.pool.always || g.pool.never
+	known := g.stream.passed || g.stream.last != "" || g.history.required || g.history.areOptional()
 	return !known && len(g.held) == 0
 }
 
@@ -219,7 +219,7 @@
 		return nil
 	}
 	g.isUnnumbered = true
-	if g.pool.always {
+	if g.history.required {
 		return errNoEventID
 	}
 	return nil
--- a/internal/forward/eventstream_property_test.go
+++ b/internal/forward/eventstream_property_test.go
@@ -342,8 +342,8 @@
 		}
 		b.inTurn(answers...)
 		b.checks(j.scripts)
-		for j.poolKnown && !b.forwarder.streamIDs.of(modelPool).always {
-			b.forwarder.streamIDs.record(modelPool, true)
+		for key := (streamKey{j.route, modelPool}); j.poolKnown && !b.forwarder.streamIDs.of(key).required; {
+			b.forwarder.streamIDs.record(key, true)
 		}
 		asked := request(j.route, "m", 5*time.Second)
 		if j.resumeAfter > 0 {
--- a/internal/forward/foreign_blocks_test.go
+++ b/internal/forward/foreign_blocks_test.go
@@ -163,7 +163,7 @@
 		for _, route := range []string{"stream", "patient"} {
 			t.Run(kind+", "+route, func(t *testing.T) {
 				inVirtualTime(t, func(b *testbed) {
-					serveStreams(b, route, minNumberedStreams, raw(events(1, 2)...))
+					serveStreams(b, route, minStreamsWithIDs, raw(events(1, 2)...))
 					b.backend.attempts = nil
 					b.inTurn(raw(parts...), raw(events(1, 6)...))
 					outcome, seen := serveStream(b, route, "")
@@ -194,10 +194,10 @@
 func TestPoolWhoseStreamsLoseTheirIDsServesThem(t *testing.T) {
 	inVirtualTime(t, func(b *testbed) {
 		unnumbered := raw("data: a\n\n", "data: b\n\n")
-		serveStreams(b, "stream", minNumberedStreams, raw(events(1, 2)...))
+		serveStreams(b, "stream", minStreamsWithIDs, raw(events(1, 2)...))
 		codes := serveStreams(b, "stream", 6, unnumbered)
-		Expect(codes[:minUnnumberedStreams]).To(HaveEach(result.OutcomeUnknown))
-		Expect(codes[minUnnumberedStreams:]).To(HaveEach(result.OK))
+		Expect(codes[:minStreamsWithoutIDs]).To(HaveEach(result.OutcomeUnknown))
+		Expect(codes[minStreamsWithoutIDs:]).To(HaveEach(result.OK))
 		Expect(serveStreams(b, "stream", 2, raw(events(1, 2)...))).To(HaveEach(result.OK))
 		Expect(serveStreams(b, "stream", 2, unnumbered)).To(HaveEach(result.OK), "one of the former kind proves nothing")
 	})
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -129,7 +129,7 @@
 		sw.after(first, errStreamStalled)
 	}
 	reader, segment := newEventReader(reply.Body), flow.stream.newSegment()
-	segment.pool = f.streamIDs.of(flow.pool)
+	segment.history = f.streamIDs.of(flow.streamKey())
 	defer func() { f.recordStreamIDs(flow, segment) }()
 	for {
 		blocks, err := reader.next()
@@ -161,10 +161,12 @@
 // recordStreamIDs records whether the events of a response had IDs.
 func (f *Forwarder) recordStreamIDs(flow *flow, segment *streamSegment) {
 	if flow.stream.numbered && (segment.sawID || segment.isUnnumbered) {
-		f.streamIDs.record(flow.pool, segment.sawID)
+		f.streamIDs.record(flow.streamKey(), segment.sawID)
 	}
 }
 
+func (fl *flow) streamKey() streamKey { return streamKey{route: fl.route.Name, pool: fl.pool} }
+
 // passOn sends events. The head is sent with the first ones, or at the stream's end: until then another
 // server's response can replace this one.
 func (fl *flow) passOn(responder Responder, reply *Reply, events []byte, ended bool) error {
--- a/internal/forward/streamids.go
+++ b/internal/forward/streamids.go
@@ -3,62 +3,69 @@
 import "sync"
 
 const (
-	// minNumberedStreams is the number of consecutive streams of a pool with IDs from which one without IDs is
-	// foreign data.
-	minNumberedStreams = 8
-	// minUnnumberedStreams is the number of consecutive ones without IDs that end this: the pool's servers
-	// have changed.
-	minUnnumberedStreams = 3
-	// maxStreamPools bounds the pools that are remembered, since they come and go with the configurations.
-	maxStreamPools = 4096
+	// minStreamsWithIDs is the number of consecutive streams with IDs from which one without IDs is foreign data,
+	// where none was seen.
+	minStreamsWithIDs = 16
+	// minStreamsWithoutIDs is the number of streams without IDs that end this: the pool's servers have changed.
+	minStreamsWithoutIDs = 3
+	// streamIDMemory is the number of consecutive streams with IDs after which those without are forgotten.
+	streamIDMemory = 128
+	// maxStreamKeys bounds the routes and pools that are remembered, since they come and go with the configurations.
+	maxStreamKeys = 4096
 )
 
-// streamIDs learns which pools' streams have event IDs. It is safe for concurrent use.
+// streamKey names streams of one kind: servers may send other streams on another route.
+type streamKey struct{ route, pool string }
+
+// streamIDs learns where streams have event IDs. It is safe for concurrent use.
 type streamIDs struct {
-	mutex sync.Mutex
-	pools map[string]poolStreamIDs
+	mutex   sync.Mutex
+	history map[streamKey]streamIDHistory
 }
 
-// poolStreamIDs is what is known of a pool's streams.
-type poolStreamIDs struct {
-	// always: they have IDs; never: they have none.
-	always, never bool
-	// consecutive is the number of the latest streams that were alike, and numbered whether they had IDs.
-	consecutive int
-	numbered    bool
+// streamIDHistory is what is known of the streams of a route in a pool.
+type streamIDHistory struct {
+	// required: a stream without IDs is foreign data.
+	required bool
+	// withIDs is the number of consecutive streams with IDs up to the latest, and withoutIDs that of streams
+	// without IDs that are not forgotten.
+	withIDs, withoutIDs int
 }
 
-func newStreamIDs() *streamIDs { return &streamIDs{pools: map[string]poolStreamIDs{}} }
+func newStreamIDs() *streamIDs { return &streamIDs{history: map[streamKey]streamIDHistory{}} }
 
-// of returns what is known of a pool's streams.
-func (s *streamIDs) of(pool string) poolStreamIDs {
+// of returns what is known of the streams of a route in a pool.
+func (s *streamIDs) of(key streamKey) streamIDHistory {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.pools[pool]
+	return s.history[key]
 }
 
-// record records a response of the pool whose events had IDs, or had none.
-func (s *streamIDs) record(pool string, numbered bool) {
+// record records a stream whose events had IDs, or had none.
+func (s *streamIDs) record(key streamKey, hasIDs bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if _, known := s.pools[pool]; !known && len(s.pools) >= maxStreamPools {
-		clear(s.pools)
+	if _, known := s.history[key]; !known && len(s.history) >= maxStreamKeys {
+		clear(s.history)
 	}
-	s.pools[pool] = s.pools[pool].with(numbered)
+	s.history[key] = s.history[key].with(hasIDs)
 }
 
 // with returns what is known after one more stream.
-func (p poolStreamIDs) with(numbered bool) poolStreamIDs {
-	first := p.consecutive == 0
-	if p.numbered != numbered {
-		p.consecutive, p.numbered = 0, numbered
+func (h streamIDHistory) with(hasIDs bool) streamIDHistory {
+	if !hasIDs {
+		h.withIDs = 0
+		h.withoutIDs++
+		h.required = h.required && h.withoutIDs < minStreamsWithoutIDs
+		return h
 	}
-	p.consecutive++
-	if numbered {
-		p.always, p.never = p.always || p.consecutive >= minNumberedStreams, false
-		return p
+	h.withIDs++
+	if h.withIDs >= streamIDMemory {
+		h.withoutIDs = 0
 	}
-	changed := p.consecutive >= minUnnumberedStreams
-	p.always, p.never = p.always && !changed, p.never || first || changed
-	return p
+	h.required = h.required || h.withoutIDs == 0 && h.withIDs >= minStreamsWithIDs
+	return h
 }
+
+// areOptional reports whether streams without IDs are known to be sent.
+func (h streamIDHistory) areOptional() bool { return !h.required && h.withoutIDs > 0 }
