forward: Don't unlearn event IDs by one server's foreign data

After 20 good streams, callers received the 4th and 5th of five streams of foreign data (`data: foreign`) as complete ones, code OK.

Three consecutive streams without IDs ended the check, whoever sent them, so one faulty server could end it for its pool.

It takes 3 from at least two servers now, until 128 consecutive streams with IDs, or 16 in a row from one server, which may be the pool's only one.

--- a/internal/forward/eventstream_property_test.go
+++ b/internal/forward/eventstream_property_test.go
@@ -343,7 +343,7 @@
 		b.inTurn(answers...)
 		b.checks(j.scripts)
 		for key := (streamKey{j.route, modelPool}); j.poolKnown && !b.forwarder.streamIDs.of(key).required; {
-			b.forwarder.streamIDs.record(key, true)
+			b.forwarder.streamIDs.record(key, "m1", true)
 		}
 		asked := request(j.route, "m", 5*time.Second)
 		if j.resumeAfter > 0 {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -161,7 +161,7 @@
 // recordStreamIDs records whether the events of a response had IDs.
 func (f *Forwarder) recordStreamIDs(flow *flow, segment *streamSegment) {
 	if flow.stream.numbered && (segment.sawID || segment.isUnnumbered) {
-		f.streamIDs.record(flow.streamKey(), segment.sawID)
+		f.streamIDs.record(flow.streamKey(), flow.latestServer.Load().ID, segment.sawID)
 	}
 }
 
--- a/internal/forward/streamids.go
+++ b/internal/forward/streamids.go
@@ -6,8 +6,12 @@
 	// minStreamsWithIDs is the number of consecutive streams with IDs from which one without IDs is foreign data,
 	// where none was seen.
 	minStreamsWithIDs = 16
-	// minStreamsWithoutIDs is the number of streams without IDs that end this: the pool's servers have changed.
+	// minStreamsWithoutIDs is the number of streams without IDs, of several servers, that end this: the pool's
+	// servers have changed. One server alone may be faulty.
 	minStreamsWithoutIDs = 3
+	// minConsecutiveWithoutIDs is the number of consecutive ones that end it, also of one server: it may be the
+	// only one.
+	minConsecutiveWithoutIDs = 16
 	// streamIDMemory is the number of consecutive streams with IDs after which those without are forgotten.
 	streamIDMemory = 128
 	// maxStreamKeys bounds the routes and pools that are remembered, since they come and go with the configurations.
@@ -27,9 +31,14 @@
 type streamIDHistory struct {
 	// required: a stream without IDs is foreign data.
 	required bool
-	// withIDs is the number of consecutive streams with IDs up to the latest, and withoutIDs that of streams
-	// without IDs that are not forgotten.
-	withIDs, withoutIDs int
+	// consecutive is the number of latest streams that were alike: with IDs or, if latestWithout, without.
+	consecutive   int
+	latestWithout bool
+	// withoutIDs is the number of streams without IDs that are not forgotten, firstServer the server of the
+	// first of them; severalServers: not all are of this one.
+	withoutIDs     int
+	firstServer    string
+	severalServers bool
 }
 
 func newStreamIDs() *streamIDs { return &streamIDs{history: map[streamKey]streamIDHistory{}} }
@@ -41,30 +50,46 @@
 	return s.history[key]
 }
 
-// record records a stream whose events had IDs, or had none.
-func (s *streamIDs) record(key streamKey, hasIDs bool) {
+// record records a stream of a server whose events had IDs, or had none.
+func (s *streamIDs) record(key streamKey, server string, hasIDs bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if _, known := s.history[key]; !known && len(s.history) >= maxStreamKeys {
 		clear(s.history)
 	}
-	s.history[key] = s.history[key].with(hasIDs)
+	history := s.history[key]
+	history.record(server, hasIDs)
+	s.history[key] = history
 }
 
-// with returns what is known after one more stream.
-func (h streamIDHistory) with(hasIDs bool) streamIDHistory {
-	if !hasIDs {
-		h.withIDs = 0
-		h.withoutIDs++
-		h.required = h.required && h.withoutIDs < minStreamsWithoutIDs
-		return h
+func (h *streamIDHistory) record(server string, hasIDs bool) {
+	if h.latestWithout == hasIDs {
+		h.consecutive, h.latestWithout = 0, !hasIDs
 	}
-	h.withIDs++
-	if h.withIDs >= streamIDMemory {
-		h.withoutIDs = 0
+	h.consecutive++
+	if hasIDs {
+		h.recordWith()
+	} else {
+		h.recordWithout(server)
+	}
+}
+
+func (h *streamIDHistory) recordWith() {
+	if h.consecutive >= streamIDMemory {
+		h.withoutIDs, h.severalServers = 0, false
+	}
+	h.required = h.required || h.withoutIDs == 0 && h.consecutive >= minStreamsWithIDs
+}
+
+func (h *streamIDHistory) recordWithout(server string) {
+	if h.withoutIDs == 0 {
+		h.firstServer = server
+	}
+	h.withoutIDs++
+	h.severalServers = h.severalServers || server != h.firstServer
+	if h.severalServers && h.withoutIDs >= minStreamsWithoutIDs || h.consecutive >= minConsecutiveWithoutIDs {
+		h.required = false
 	}
-	h.required = h.required || h.withoutIDs == 0 && h.withIDs >= minStreamsWithIDs
-	return h
 }
 
 // areOptional reports whether streams without IDs are known to be sent.
--- a/internal/forward/streamids_test.go
+++ b/internal/forward/streamids_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -50,3 +52,50 @@
 		}
 	})
 }
+
+// Three streams of foreign data from one server ended the check, and those that followed were passed on.
+func TestOneServersForeignStreamsAreNeverPassedOn(t *testing.T) {
+	foreign := raw("data: foreign\n\n")
+	for name, faulty := range map[string]answerFunc{"foreign data only": foreign, "one good stream in three": inThrees(raw(events(1, 3)...), foreign)} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				serveStreams(b, "stream", 20, raw(events(1, 3)...))
+				b.backend.answer["m1"], b.backend.answer["m2"] = faulty, raw(events(1, 3)...)
+				b.backend.attempts = nil
+				broken := 0
+				for range 200 {
+					outcome, seen := serveStream(b, "stream", "")
+					Expect(seen.body.String()).To(BeElementOf("", strings.Join(events(1, 3), "")))
+					if outcome.Code != result.OK {
+						broken++
+					}
+					time.Sleep(time.Second)
+				}
+				Expect(broken).To(BeNumerically(">", minStreamsWithoutIDs))
+			})
+		})
+	}
+}
+
+// inThrees gives the first answer to the first of three attempts, and the second to the others.
+func inThrees(first, others answerFunc) answerFunc {
+	number := 0
+	return func(ctx context.Context, attempt Attempt) (*Reply, error) {
+		number++
+		if number%3 == 1 {
+			return first(ctx, attempt)
+		}
+		return others(ctx, attempt)
+	}
+}
+
+// Guards against streams being broken for good after a release of a pool's only server.
+func TestOnlyServerWhoseStreamsLoseTheirIDsServesThem(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		b.view.ReplaceServers(map[string]*fleet.Server{"m1": {ID: "m1", Pool: modelPool, Slots: 8, Models: holds("m"), Zone: "z"}})
+		serveStreams(b, "stream", 20, raw(events(1, 3)...))
+		codes := serveStreams(b, "stream", minConsecutiveWithoutIDs+2, raw("data: a\n\n"))
+		Expect(codes[:minConsecutiveWithoutIDs]).To(HaveEach(result.OutcomeUnknown))
+		Expect(codes[minConsecutiveWithoutIDs:]).To(HaveEach(result.OK))
+	})
+}
