forward: Don't take the form of event IDs from the caller's Last-Event-Id

A caller that sent Last-Event-Id 5 to servers whose IDs are tok-6, tok-7 got an error: both attempts were broken, with two failed results for good servers and a spent retry.

The caller's decimal number made the form of IDs certain.

Only an ID that a server sent does now. The first event of another form than the caller's waits for the next: it is foreign if that one has the caller's form, or if the response ends, so that a lone foreign event after the caller's last one is still not passed on.

--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -80,6 +80,8 @@
 	fromStart bool
 	// previous is the ID of the last repeated event.
 	previous string
+	// formConfirmed: the server sent an ID of the form of the last one, which may be of the caller alone.
+	formConfirmed bool
 	// history is what is known of the streams of the route in the attempt's pool.
 	history streamIDHistory
 	// sawID: an event with an ID was passed on. isUnnumbered: the response's events have none.
@@ -140,7 +142,8 @@
 }
 
 // mustHold reports whether only the next event shows that this one is a part of the stream: the first
-// without an ID, and the first without data, which may be a part of an event that foreign data divides.
+// without an ID, the first without data, which may be a part of an event that foreign data divides, and one
+// whose ID has another form than the caller's.
 func (g *streamSegment) mustHold(event streamEvent) bool {
 	switch {
 	case !g.stream.numbered || event.fault != nil:
@@ -148,7 +151,8 @@
 	case event.isComment:
 		return len(g.held) > 0
 	case event.id != "":
-		return !event.hasData && !g.stream.hasDataless && len(g.held) == 0
+		isPart := !event.hasData && !g.stream.hasDataless
+		return (isPart || g.differsFromCallersForm(event)) && len(g.held) == 0
 	}
 	known := g.stream.passed || g.stream.last != "" || g.history.required || g.history.areOptional()
 	return !known && len(g.held) == 0
@@ -162,6 +166,10 @@
 // acceptHeld appends the held events that are to be passed on, unless one of them breaks the stream: the
 // stream is broken before the first of them then.
 func (g *streamSegment) acceptHeld(accepted []byte) ([]byte, error) {
+	if g.isHeldFormForeign() {
+		g.held = nil
+		return accepted, errEventIDForm
+	}
 	stream, segment, length := *g.stream, *g, len(accepted)
 	for _, held := range g.held {
 		pass, err := g.accept(held.event)
@@ -186,6 +194,7 @@
 	if event.isComment || !event.hasContent && !g.stream.numbered {
 		return g.state == segmentFollowing, nil
 	}
+	g.formConfirmed = g.formConfirmed || hasSameForm(event.id, g.stream.last)
 	switch g.state {
 	case segmentJoining:
 		return g.join(event)
@@ -210,7 +219,7 @@
 		return g.checkFirst(event)
 	case event.id == "":
 		return errNoEventID
-	case s.isFormKnown() && !hasSameForm(event.id, s.last):
+	case g.isFormKnown() && !hasSameForm(event.id, s.last):
 		return errEventIDForm
 	}
 	return nil
@@ -231,9 +240,15 @@
 	return nil
 }
 
-// isFormKnown reports whether all IDs are certain to be decimal numbers after the prefix of the last one. A
+// isFormKnown reports whether all IDs are certain to be decimal numbers after the prefix of the last one, which
+// the caller's ID alone doesn't show.
+func (g *streamSegment) isFormKnown() bool {
+	return (g.stream.passed || g.formConfirmed) && g.stream.hasCertainForm()
+}
+
+// hasCertainForm reports whether other IDs than decimal numbers after the prefix of the last one are foreign. A
 // prefix with digits may be a number that rises, too.
-func (s *eventStream) isFormKnown() bool {
+func (s *eventStream) hasCertainForm() bool {
 	prefix, number := cutNumber(s.last)
 	if number == "" || strings.ContainsAny(prefix, "0123456789") {
 		return false
@@ -241,6 +256,24 @@
 	return prefix == "" || s.samePrefix >= minSamePrefix
 }
 
+// differsFromCallersForm reports whether the ID of an event is not of the form of the caller's ID, and no server
+// has sent one that is.
+func (g *streamSegment) differsFromCallersForm(event streamEvent) bool {
+	s := g.stream
+	isCallers := s.last != "" && !s.passed && !g.formConfirmed
+	return isCallers && event.id != "" && s.hasCertainForm() && !hasSameForm(event.id, s.last)
+}
+
+// isHeldFormForeign reports whether the held event differs from the caller's form alone: the next event is of
+// this form, or there is none.
+func (g *streamSegment) isHeldFormForeign() bool {
+	if !g.stream.numbered || len(g.held) == 0 || !g.differsFromCallersForm(g.held[0].event) {
+		return false
+	}
+	next := g.held[len(g.held)-1].event
+	return len(g.held) == 1 || next.isComment || hasSameForm(next.id, g.stream.last)
+}
+
 // hasSameForm reports whether two IDs are decimal numbers after the same prefix.
 func hasSameForm(a, b string) bool {
 	prefixA, numberA := cutNumber(a)
--- a/internal/forward/streamids_test.go
+++ b/internal/forward/streamids_test.go
@@ -141,3 +141,45 @@
 		Expect(b.forwarder.streamIDs.of(streamKey{"stream", modelPool}).areOptional()).To(BeTrue())
 	})
 }
+
+// A caller's odd Last-Event-Id made good servers fail: their IDs were compared with its form, so that both attempts
+// were broken.
+func TestCallersLastEventIDDoesNotDecideTheFormOfIDs(t *testing.T) {
+	for name, test := range map[string]struct {
+		resumeAfter string
+		parts       []string
+	}{
+		"a prefix":  {"5", []string{"id: tok-6\ndata: x\n\n", "id: tok-7\ndata: x\n\n"}},
+		"no number": {"5", []string{"id: x\ndata: x\n\n", ": ping\n\n", "id: y\ndata: x\n\n", "id: z\ndata: x\n\n"}},
+		"no data":   {"5", []string{"id: tok-6\n\n", "id: tok-7\ndata: x\n\n"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.inTurn(raw(test.parts...))
+				outcome, seen := serveStream(b, "patient", test.resumeAfter)
+				Expect(outcome.Code).To(Equal(result.OK))
+				Expect(b.backend.servers()).To(HaveLen(1))
+				Expect(seen.body.String()).To(Equal(strings.Join(test.parts, "")))
+			})
+		})
+	}
+}
+
+// Guards against foreign data that is passed on because the caller's Last-Event-Id leaves the form of IDs open.
+func TestForeignIDAfterTheCallersIsNotPassedOn(t *testing.T) {
+	foreign := "id: zz9\ndata: foreign\n\n"
+	for name, parts := range map[string][]string{
+		"alone":                   {foreign},
+		"before a comment":        {foreign, ": ping\n\n"},
+		"before a comment, event": append([]string{foreign, ": ping\n\n"}, events(3, 6)...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.inTurn(raw(parts...), raw(events(3, 6)...))
+				outcome, seen := serveStream(b, "patient", "2")
+				Expect(outcome.Code).To(Equal(result.OK))
+				Expect(seen.body.String()).To(Equal(strings.Join(events(3, 6), "")))
+			})
+		})
+	}
+}
