forward: Don't pass on foreign white space behind a stream's last event

Callers received foreign bytes that Unicode counts as white space, such as VT, FF, U+2003 and U+0085, at the end of a complete stream, code OK.

The rest of a response counted as empty if trimming Unicode's white space left nothing.

Only CR, LF and ASCII spaces are no part of an event now. Spaces stay, as TestStreamIsPassedOnToItsLastByte has a server that ends with one.

--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -65,8 +65,8 @@
 // rest returns what was read after the last complete event.
 func (r *eventReader) rest() []byte { return r.partial[r.taken:] }
 
-// withinEvent reports whether a part of an event was read that is not complete.
-func (r *eventReader) withinEvent() bool { return len(bytes.TrimSpace(r.rest())) > 0 }
+// withinEvent reports whether a part of an event was read that is not complete: more than line ends and spaces.
+func (r *eventReader) withinEvent() bool { return len(bytes.Trim(r.rest(), "\r\n ")) > 0 }
 
 // checkEnd turns an io.EOF within an event into errPartialEvent.
 func (r *eventReader) checkEnd(err error) error {
--- a/internal/forward/foreign_blocks_test.go
+++ b/internal/forward/foreign_blocks_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -314,3 +315,19 @@
 		}
 	}
 }
+
+// Foreign bytes that Unicode counts as white space were passed on behind the last event of a complete stream.
+func TestWhiteSpaceBehindTheLastEventIsNotPassedOn(t *testing.T) {
+	for _, tail := range []string{"\v\f\u2003\u0085", "\u2003\u0085\v", "\n\v", " \v", "\t\r\n", "\u00a0\n"} {
+		for _, route := range []string{"stream", "patient"} {
+			t.Run(strconv.Quote(tail)+", "+route, func(t *testing.T) {
+				inVirtualTime(t, func(b *testbed) {
+					b.inTurn(raw(append(events(1, 2), tail)...))
+					outcome, seen := serveStream(b, route, "")
+					Expect(seen.body.String()).To(Equal(strings.Join(events(1, 2), "")))
+					Expect(outcome.Broken).To(BeTrue())
+				})
+			})
+		}
+	}
+}
