forward: Pass pings without data on as comments

Callers of servers that keep a stream's connection open by `event: ping`, without an ID or data, lost the stream before the first ping.

A ping was an event without an ID in a stream whose events have IDs, though clients dispatch nothing for it.

It passes as a comment does. Other names alone stay foreign data, as TestForeignBlocksWithinAStreamAreNotPassedOn requires; so does `data: [DONE]` behind a stream with IDs, as a streaming route's events must have rising IDs.

--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -19,7 +19,7 @@
 	id string
 	// hasContent: the event has an ID or data, so that it is more than a comment.
 	hasContent, hasData bool
-	// isComment: the event has only comments and a reconnection time.
+	// isComment: the event has only comments, a reconnection time and the name of a ping.
 	isComment bool
 	// fault is what is wrong with the event by itself; nil if it is well-formed.
 	fault error
@@ -80,7 +80,7 @@
 		e.isComment = e.isComment && field.isComment()
 		return
 	}
-	e.isComment = false
+	e.isComment = e.isComment && field.isPing()
 	_, _ = digest.Write(field.name)
 	_ = digest.WriteByte(':')
 	_, _ = digest.Write(field.value)
@@ -96,6 +96,12 @@
 	return digits != "" && len(digits) == len(f.value)
 }
 
+// isPing reports whether the field names a ping. Clients dispatch no event without data, so that a ping alone is a
+// comment to them.
+func (f eventField) isPing() bool {
+	return string(f.name) == "event" && string(f.value) == "ping"
+}
+
 // check reports a line that no encoder of events writes. Clients ignore fields that they don't know.
 func (f eventField) check() error {
 	switch string(f.name) {
--- a/internal/forward/foreign_blocks_test.go
+++ b/internal/forward/foreign_blocks_test.go
@@ -331,3 +331,43 @@
 		}
 	}
 }
+
+// Streams whose server keeps the connection open by pings, which have neither an ID nor data, were broken before the
+// first of them.
+func TestPingsWithoutDataPassAsComments(t *testing.T) {
+	const ping = "event: ping\n\n"
+	withIDs := slices.Concat([]string{ping}, events(1, 2), []string{ping, ping}, events(3, 4), []string{ping})
+	for name, parts := range map[string][]string{
+		"with IDs": withIDs, "without IDs": {ping, "data: a\n\n", ping, "data: b\n\n"}, "pings only": {ping, ping},
+		"CRLF": strings.Split(strings.ReplaceAll(strings.Join(withIDs, "|"), "\n", "\r\n"), "|"),
+	} {
+		for _, route := range []string{"stream", "patient"} {
+			t.Run(name+", "+route, func(t *testing.T) {
+				inVirtualTime(t, func(b *testbed) {
+					b.inTurn(raw(parts...))
+					outcome, seen := serveStream(b, route, "")
+					Expect(outcome.Code).To(Equal(result.OK))
+					Expect(b.backend.servers()).To(HaveLen(1))
+					Expect(seen.body.String()).To(Equal(strings.Join(parts, "")))
+				})
+			})
+		}
+	}
+}
+
+// Guards against foreign data that passes as a ping.
+func TestPingsWithContentAreForeign(t *testing.T) {
+	for _, block := range []string{
+		"event: ping\ndata: {}\n\n", "event: ping\nfoo: bar\n\n", "event: ping\nid: \n\n", "event: pings\n\n", "event: ping\nevent: foreign\n\n",
+		"data: [DONE]\n\n",
+	} {
+		t.Run(strconv.Quote(block), func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.inTurn(raw(append(events(1, 2), block)...), raw(events(3, 4)...))
+				outcome, seen := serveStream(b, "patient", "")
+				Expect(outcome.Code).To(Equal(result.OK))
+				Expect(seen.body.String()).To(Equal(strings.Join(events(1, 4), "")))
+			})
+		})
+	}
+}
