forward: Name what is known of event IDs for what it says

They are streaming (the route), endsWithoutID (the caller's stream), hasIDs and lacksIDs (a response) and idsRequired and idsOptional (a route in a pool) now. No change in behavior.

Evidence: the package's tests pass; make lint is clean.

--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -18,13 +18,13 @@
 
 // eventStream joins the events of several attempts into the one stream that a caller receives.
 type eventStream struct {
-	// numbered: the route's streams are events with rising IDs, if these have IDs at all.
-	numbered bool
+	// streaming: on a streaming route all events of a stream have rising IDs, or none has an ID.
+	streaming bool
 	// last is the ID of the last event that the caller has; empty if it has none.
 	last string
-	// passed: an event was passed on. unnumbered: one without an ID was passed on after the last ID, so
+	// passed: an event was passed on. endsWithoutID: one without an ID was passed on after the last ID, so
 	// that no server can continue the stream behind it.
-	passed, unnumbered bool
+	passed, endsWithoutID bool
 	// first is the ID of the first event that was passed on, chain the digest of all events, and
 	// lastDigest that of the last one.
 	first             string
@@ -46,7 +46,7 @@
 // newEventStream returns the stream of a request, of which its caller may have a part. Where a route's
 // streams can't be resumed, servers begin them at the start, whatever the caller has.
 func newEventStream(request *Request, route *fleet.Route) eventStream {
-	stream := eventStream{numbered: route.Kind == fleet.KindStream}
+	stream := eventStream{streaming: route.Kind == fleet.KindStream}
 	if route.Repeatable() {
 		stream.last = request.ResumeAfter
 	}
@@ -56,7 +56,7 @@
 // resumable reports whether another server can continue the stream, or begin it again where the caller
 // has no event.
 func (s *eventStream) resumable() bool {
-	return !s.unnumbered && (s.last != "" || !s.passed)
+	return !s.endsWithoutID && (s.last != "" || !s.passed)
 }
 
 // segmentState is how far the events of an attempt are known to follow those before.
@@ -84,8 +84,8 @@
 	formConfirmed bool
 	// history is what is known of the streams of the route in the attempt's pool.
 	history streamIDHistory
-	// sawID: an event with an ID was passed on. isUnnumbered: the response's events have none.
-	sawID, isUnnumbered bool
+	// hasIDs: an event with an ID was passed on. lacksIDs: the response's events have none.
+	hasIDs, lacksIDs bool
 	// held are events that the next one shows to be a part of the stream or foreign, heldBytes long with the
 	// comments behind them.
 	held      []heldEvent
@@ -152,7 +152,7 @@
 // whose ID has another form than the caller's.
 func (g *streamSegment) mustHold(event streamEvent) bool {
 	switch {
-	case !g.stream.numbered || event.fault != nil:
+	case !g.stream.streaming || event.fault != nil:
 		return false
 	case event.isComment:
 		return len(g.held) > 0
@@ -160,7 +160,7 @@
 		isPart := !event.hasData && !g.stream.hasDataless
 		return (isPart || g.differsFromCallersForm(event)) && len(g.held) == 0
 	}
-	known := g.stream.passed || g.stream.last != "" || g.history.required || g.history.areOptional()
+	known := g.stream.passed || g.stream.last != "" || g.history.idsRequired || g.history.idsOptional()
 	return !known && len(g.held) == 0
 }
 
@@ -181,7 +181,7 @@
 		pass, err := g.accept(held.event)
 		if err != nil {
 			*g.stream, *g = stream, segment
-			g.held, g.isUnnumbered = nil, stream.last == "" && err == error(errNoEventID)
+			g.held, g.lacksIDs = nil, stream.last == "" && err == error(errNoEventID)
 			return accepted[:length], err
 		}
 		if pass {
@@ -197,7 +197,7 @@
 	if err := g.check(event); err != nil {
 		return false, err
 	}
-	if event.isComment || !event.hasContent && !g.stream.numbered {
+	if event.isComment || !event.hasContent && !g.stream.streaming {
 		return g.state == segmentFollowing, nil
 	}
 	g.formConfirmed = g.formConfirmed || hasSameForm(event.id, g.stream.last)
@@ -215,7 +215,7 @@
 func (g *streamSegment) check(event streamEvent) error {
 	s := g.stream
 	switch {
-	case !s.numbered:
+	case !s.streaming:
 		return nil
 	case event.fault != nil:
 		return event.fault
@@ -239,8 +239,8 @@
 		}
 		return nil
 	}
-	g.isUnnumbered = true
-	if g.history.required {
+	g.lacksIDs = true
+	if g.history.idsRequired {
 		return errNoEventID
 	}
 	return nil
@@ -273,7 +273,7 @@
 // isHeldFormForeign reports whether the held event differs from the caller's form alone: the next event is of
 // this form, or there is none.
 func (g *streamSegment) isHeldFormForeign() bool {
-	if !g.stream.numbered || len(g.held) == 0 || !g.differsFromCallersForm(g.held[0].event) {
+	if !g.stream.streaming || len(g.held) == 0 || !g.differsFromCallersForm(g.held[0].event) {
 		return false
 	}
 	next := g.held[len(g.held)-1].event
@@ -338,10 +338,10 @@
 	}
 	s.withinEvent = false
 	s.chain, s.lastDigest = addDigest(s.chain, event.digest), event.digest
-	s.unnumbered = event.id == ""
+	s.endsWithoutID = event.id == ""
 	s.hasDataless = s.hasDataless || !event.hasData
 	if event.id != "" {
-		g.sawID = true
+		g.hasIDs = true
 		s.recordForm(event.id)
 		if s.passed {
 			s.recordStep(eventStep(s.last, event.id))
@@ -369,7 +369,7 @@
 // breakOff records the end of an incomplete response; withinEvent: it ended within an event.
 func (g *streamSegment) breakOff(err error, withinEvent bool) {
 	var fault *StreamError
-	g.isUnnumbered = g.isUnnumbered || g.holdsEventWithoutID() && !errors.As(err, &fault)
+	g.lacksIDs = g.lacksIDs || g.holdsEventWithoutID() && !errors.As(err, &fault)
 	g.stream.withinEvent = g.stream.withinEvent || withinEvent || len(g.held) > 0
 }
 
--- a/internal/forward/eventstream_property_test.go
+++ b/internal/forward/eventstream_property_test.go
@@ -342,7 +342,7 @@
 		}
 		b.inTurn(answers...)
 		b.checks(j.scripts)
-		for key := (streamKey{j.route, modelPool}); j.poolKnown && !b.forwarder.streamIDs.of(key).required; {
+		for key := (streamKey{j.route, modelPool}); j.poolKnown && !b.forwarder.streamIDs.of(key).idsRequired; {
 			b.forwarder.streamIDs.record(key, "m1", true)
 		}
 		asked := request(j.route, "m", 5*time.Second)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -168,8 +168,8 @@
 
 // recordStreamIDs records whether the events of a response had IDs.
 func (f *Forwarder) recordStreamIDs(flow *flow, segment *streamSegment) {
-	if flow.stream.numbered && (segment.sawID || segment.isUnnumbered) {
-		f.streamIDs.record(flow.streamKey(), flow.latestServer.Load().ID, segment.sawID)
+	if flow.stream.streaming && (segment.hasIDs || segment.lacksIDs) {
+		f.streamIDs.record(flow.streamKey(), flow.latestServer.Load().ID, segment.hasIDs)
 	}
 }
 
--- a/internal/forward/streamids.go
+++ b/internal/forward/streamids.go
@@ -29,8 +29,8 @@
 
 // streamIDHistory is what is known of the streams of a route in a pool.
 type streamIDHistory struct {
-	// required: a stream without IDs is foreign data.
-	required bool
+	// idsRequired: a stream without IDs is foreign data.
+	idsRequired bool
 	// consecutive is the number of latest streams that were alike: with IDs or, if latestWithout, without.
 	consecutive   int
 	latestWithout bool
@@ -78,7 +78,7 @@
 	if h.consecutive >= streamIDMemory {
 		h.withoutIDs, h.severalServers = 0, false
 	}
-	h.required = h.required || h.withoutIDs == 0 && h.consecutive >= minStreamsWithIDs
+	h.idsRequired = h.idsRequired || h.withoutIDs == 0 && h.consecutive >= minStreamsWithIDs
 }
 
 func (h *streamIDHistory) recordWithout(server string) {
@@ -88,9 +88,9 @@
 	h.withoutIDs++
 	h.severalServers = h.severalServers || server != h.firstServer
 	if h.severalServers && h.withoutIDs >= minStreamsWithoutIDs || h.consecutive >= minConsecutiveWithoutIDs {
-		h.required = false
+		h.idsRequired = false
 	}
 }
 
-// areOptional reports whether streams without IDs are known to be sent.
-func (h streamIDHistory) areOptional() bool { return !h.required && h.withoutIDs > 0 }
+// idsOptional reports whether streams without IDs are known to be sent.
+func (h streamIDHistory) idsOptional() bool { return !h.idsRequired && h.withoutIDs > 0 }
--- a/internal/forward/streamids_test.go
+++ b/internal/forward/streamids_test.go
@@ -139,7 +139,7 @@
 	inVirtualTime(t, func(b *testbed) {
 		b.inTurn(streams([]string{"data: a\n\n"}, time.Millisecond, io.ErrUnexpectedEOF))
 		serveStream(b, "stream", "")
-		Expect(b.forwarder.streamIDs.of(streamKey{"stream", modelPool}).areOptional()).To(BeTrue())
+		Expect(b.forwarder.streamIDs.of(streamKey{"stream", modelPool}).idsOptional()).To(BeTrue())
 	})
 }
 
