forward: Test that learned streams without IDs are forgotten and bounded

No test failed when streams without IDs were remembered for good, or when the number of remembered routes had no bound.

Evidence: of 4 changes to the rule's conditions (memory, bound, several servers, consecutive streams) each makes at least one test fail.

--- a/internal/forward/streamids_test.go
+++ b/internal/forward/streamids_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -213,3 +214,40 @@
 	runtime.ReadMemStats(&stats)
 	return int(stats.HeapAlloc)
 }
+
+// Guards against a few streams without IDs that end the check for good, and against rare faults of several servers
+// that add up.
+func TestStreamsWithoutIDsAreForgotten(t *testing.T) {
+	RegisterTestingT(t)
+	learned, key := newStreamIDs(), streamKey{"stream", modelPool}
+	record := func(count int, server string, hasIDs bool) {
+		for range count {
+			learned.record(key, server, hasIDs)
+		}
+	}
+	record(1, "m1", false)
+	record(streamIDMemory-1, "m2", true)
+	Expect(learned.of(key).idsOptional()).To(BeTrue())
+	record(1, "m2", true)
+	Expect(learned.of(key).idsRequired).To(BeTrue())
+	for _, server := range []string{"m1", "m2", "m3", "m4"} {
+		record(minStreamsWithoutIDs-1, server, false)
+		record(streamIDMemory, "m5", true)
+	}
+	Expect(learned.of(key).idsRequired).To(BeTrue())
+	for _, server := range []string{"m1", "m2", "m3"} {
+		record(1, server, false)
+		record(streamIDMemory-1, "m5", true)
+	}
+	Expect(learned.of(key).idsRequired).To(BeFalse())
+}
+
+// Guards against memory that grows with the routes and pools of past configurations.
+func TestLearnedStreamIDsAreBounded(t *testing.T) {
+	RegisterTestingT(t)
+	learned := newStreamIDs()
+	for number := range 2 * maxStreamKeys {
+		learned.record(streamKey{strconv.Itoa(number), modelPool}, "m1", true)
+	}
+	Expect(len(learned.history)).To(BeNumerically("<=", maxStreamKeys))
+}
