forward: Serve streams without IDs to callers that send a Last-Event-Id

A caller that sends a Last-Event-Id got an error from good servers whose streams have no IDs, also where the node knows that they have none: each attempt was broken, with a failed result for its server. It was served before foreign data was checked.

The caller's ID made IDs a requirement for its stream.

Where streams without IDs are known, the first event of a response may lack one; later ones may if it does.

Evidence: the new test fails before and passes now; 2 of 2 cases of foreign data in a response with IDs pass before and now. The random test of streams: 50,000 draws pass.

--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -221,7 +221,7 @@
 		return event.fault
 	case event.isComment:
 		return nil
-	case s.last == "":
+	case s.last == "", g.mayLackIDs(event):
 		return g.checkFirst(event)
 	case event.id == "":
 		return errNoEventID
@@ -246,6 +246,11 @@
 	return nil
 }
 
+// mayLackIDs reports whether the response may be a stream without IDs, although the caller sent one.
+func (g *streamSegment) mayLackIDs(event streamEvent) bool {
+	return event.id == "" && g.state == segmentJoining && !g.stream.passed && g.history.idsOptional()
+}
+
 // isFormKnown reports whether all IDs are certain to be decimal numbers after the prefix of the last one, which
 // the caller's ID alone doesn't show.
 func (g *streamSegment) isFormKnown() bool {
@@ -293,6 +298,9 @@
 		if g.stream.passed {
 			return false, errNotContinued
 		}
+		if g.stream.streaming {
+			g.stream.last = "" // the stream has no IDs
+		}
 		g.state = segmentFollowing
 		return true, g.follow(event)
 	}
--- a/internal/forward/streamids_test.go
+++ b/internal/forward/streamids_test.go
@@ -251,3 +251,34 @@
 	}
 	Expect(len(learned.history)).To(BeNumerically("<=", maxStreamKeys))
 }
+
+// Servers whose streams have no IDs failed for a caller that sends a Last-Event-Id all the same.
+func TestCallersLastEventIDRequiresNoIDs(t *testing.T) {
+	unnamed := []string{"data: a\n\n", "data: b\n\n"}
+	inVirtualTime(t, func(b *testbed) {
+		serveStreams(b, "patient", 1, raw(unnamed...))
+		b.backend.attempts = nil
+		b.inTurn(raw(unnamed...))
+		outcome, seen := serveStream(b, "patient", "5")
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(seen.body.String()).To(Equal(strings.Join(unnamed, "")))
+		Expect(b.backend.servers()).To(HaveLen(1))
+	})
+}
+
+// Guards against foreign data that passes since the caller sent the ID and the route has streams without IDs.
+func TestForeignDataAfterTheCallersIDIsNotPassedOnWithEvents(t *testing.T) {
+	for name, parts := range map[string][]string{
+		"after a repetition": append(events(1, 2), "data: foreign\n\n"),
+		"after an event":     append(events(3, 3), "data: foreign\n\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				serveStreams(b, "patient", 1, raw("data: a\n\n"))
+				b.inTurn(raw(parts...))
+				_, seen := serveStream(b, "patient", "2")
+				Expect(seen.body.String()).NotTo(ContainSubstring("foreign"))
+			})
+		})
+	}
+}
