--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
@@ -17,13 +18,13 @@
 
 // eventStream joins the events of several attempts into the one stream that a caller receives.
 type eventStream struct {
-	// numbered: the route's streams are events with rising IDs, if these have IDs at all.
-	numbered bool
+	// streaming: on a streaming route all events of a stream have rising IDs, or none has an ID.
+	streaming bool
 	// last is the ID of the last event that the caller has; empty if it has none.
 	last string
-	// passed: an event was passed on. unnumbered: one without an ID was passed on after the last ID, so
+	// passed: an event was passed on. endsWithoutID: one without an ID was passed on after the last ID, so
 	// that no server can continue the stream behind it.
-	passed, unnumbered bool
+	passed, endsWithoutID bool
 	// first is the ID of the first event that was passed on, chain the digest of all events, and
 	// lastDigest that of the last one.
 	first             string
@@ -45,7 +46,7 @@
 // newEventStream returns the stream of a request, of which its caller may have a part. Where a route's
 // streams can't be resumed, servers begin them at the start, whatever the caller has.
 func newEventStream(request *Request, route *fleet.Route) eventStream {
-	stream := eventStream{numbered: route.Kind == fleet.KindStream}
+	stream := eventStream{streaming: route.Kind == fleet.KindStream}
 	if route.Repeatable() {
 		stream.last = request.ResumeAfter
 	}
@@ -55,7 +56,7 @@
 // resumable reports whether another server can continue the stream, or begin it again where the caller
 // has no event.
 func (s *eventStream) resumable() bool {
-	return !s.unnumbered && (s.last != "" || !s.passed)
+	return !s.endsWithoutID && (s.last != "" || !s.passed)
 }
 
 // segmentState is how far the events of an attempt are known to follow those before.
@@ -79,11 +80,14 @@
 	fromStart bool
 	// previous is the ID of the last repeated event.
 	previous string
-	// pool is what is known of the streams of the attempt's pool.
-	pool poolStreamIDs
-	// sawID: an event with an ID was passed on. isUnnumbered: the response's events have none.
-	sawID, isUnnumbered bool
-	// held are events that the next one shows to be a part of the stream or foreign, heldBytes long.
+	// formConfirmed: the server sent an ID of the form of the last one, which may be of the caller alone.
+	formConfirmed bool
+	// history is what is known of the streams of the route in the attempt's pool.
+	history streamIDHistory
+	// hasIDs: an event with an ID was passed on. lacksIDs: the response's events have none.
+	hasIDs, lacksIDs bool
+	// held are events that the next one shows to be a part of the stream or foreign, heldBytes long with the
+	// comments behind them.
 	held      []heldEvent
 	heldBytes int
 }
@@ -134,34 +138,50 @@
 	if g.heldBytes += len(block); g.heldBytes > maxEventBytes {
 		return errEventTooLong
 	}
+	if event.isComment {
+		last := &g.held[len(g.held)-1]
+		last.block = append(last.block, block...)
+		return nil
+	}
 	g.held = append(g.held, heldEvent{event, bytes.Clone(block)})
 	return nil
 }
 
 // mustHold reports whether only the next event shows that this one is a part of the stream: the first
-// without an ID, and the first without data, which may be a part of an event that foreign data divides.
+// without an ID, the first without data, which may be a part of an event that foreign data divides, and one
+// whose ID has another form than the caller's.
 func (g *streamSegment) mustHold(event streamEvent) bool {
 	switch {
-	case !g.stream.numbered || event.fault != nil:
+	case !g.stream.streaming || event.fault != nil:
 		return false
 	case event.isComment:
 		return len(g.held) > 0
 	case event.id != "":
-		return !event.hasData && !g.stream.hasDataless && len(g.held) == 0
+		isPart := !event.hasData && !g.stream.hasDataless
+		return (isPart || g.differsFromCallersForm(event)) && len(g.held) == 0
 	}
-	known := g.stream.passed || g.stream.last != "" || g.pool.always || g.pool.never
+	known := g.stream.passed || g.stream.last != "" || g.history.idsRequired || g.history.idsOptional()
 	return !known && len(g.held) == 0
 }
 
+// holdsEventWithoutID reports whether an event without an ID is held. No server can continue a stream behind it.
+func (g *streamSegment) holdsEventWithoutID() bool {
+	return len(g.held) > 0 && g.held[0].event.id == ""
+}
+
 // acceptHeld appends the held events that are to be passed on, unless one of them breaks the stream: the
 // stream is broken before the first of them then.
 func (g *streamSegment) acceptHeld(accepted []byte) ([]byte, error) {
+	if g.isHeldFormForeign() {
+		g.held = nil
+		return accepted, errEventIDForm
+	}
 	stream, segment, length := *g.stream, *g, len(accepted)
 	for _, held := range g.held {
 		pass, err := g.accept(held.event)
 		if err != nil {
 			*g.stream, *g = stream, segment
-			g.held, g.isUnnumbered = nil, stream.last == "" && err == error(errNoEventID)
+			g.held, g.lacksIDs = nil, stream.last == "" && err == error(errNoEventID)
 			return accepted[:length], err
 		}
 		if pass {
@@ -177,9 +197,10 @@
 	if err := g.check(event); err != nil {
 		return false, err
 	}
-	if event.isComment || !event.hasContent && !g.stream.numbered {
+	if event.isComment || !event.hasContent && !g.stream.streaming {
 		return g.state == segmentFollowing, nil
 	}
+	g.formConfirmed = g.formConfirmed || hasSameForm(event.id, g.stream.last)
 	switch g.state {
 	case segmentJoining:
 		return g.join(event)
@@ -194,17 +215,17 @@
 func (g *streamSegment) check(event streamEvent) error {
 	s := g.stream
 	switch {
-	case !s.numbered:
+	case !s.streaming:
 		return nil
 	case event.fault != nil:
 		return event.fault
 	case event.isComment:
 		return nil
-	case s.last == "":
+	case s.last == "", g.mayLackIDs(event):
 		return g.checkFirst(event)
 	case event.id == "":
 		return errNoEventID
-	case s.isFormKnown() && !hasSameForm(event.id, s.last):
+	case g.isFormKnown() && !hasSameForm(event.id, s.last):
 		return errEventIDForm
 	}
 	return nil
@@ -218,16 +239,27 @@
 		}
 		return nil
 	}
-	g.isUnnumbered = true
-	if g.pool.always {
+	g.lacksIDs = true
+	if g.history.idsRequired {
 		return errNoEventID
 	}
 	return nil
 }
 
-// isFormKnown reports whether all IDs are certain to be decimal numbers after the prefix of the last one. A
+// mayLackIDs reports whether the response may be a stream without IDs, although the caller sent one.
+func (g *streamSegment) mayLackIDs(event streamEvent) bool {
+	return event.id == "" && g.state == segmentJoining && !g.stream.passed && g.history.idsOptional()
+}
+
+// isFormKnown reports whether all IDs are certain to be decimal numbers after the prefix of the last one, which
+// the caller's ID alone doesn't show.
+func (g *streamSegment) isFormKnown() bool {
+	return (g.stream.passed || g.formConfirmed) && g.stream.hasCertainForm()
+}
+
+// hasCertainForm reports whether other IDs than decimal numbers after the prefix of the last one are foreign. A
 // prefix with digits may be a number that rises, too.
-func (s *eventStream) isFormKnown() bool {
+func (s *eventStream) hasCertainForm() bool {
 	prefix, number := cutNumber(s.last)
 	if number == "" || strings.ContainsAny(prefix, "0123456789") {
 		return false
@@ -235,6 +267,24 @@
 	return prefix == "" || s.samePrefix >= minSamePrefix
 }
 
+// differsFromCallersForm reports whether the ID of an event is not of the form of the caller's ID, and no server
+// has sent one that is.
+func (g *streamSegment) differsFromCallersForm(event streamEvent) bool {
+	s := g.stream
+	isCallers := s.last != "" && !s.passed && !g.formConfirmed
+	return isCallers && event.id != "" && s.hasCertainForm() && !hasSameForm(event.id, s.last)
+}
+
+// isHeldFormForeign reports whether the held event differs from the caller's form alone: the next event is of
+// this form, or there is none.
+func (g *streamSegment) isHeldFormForeign() bool {
+	if !g.stream.streaming || len(g.held) == 0 || !g.differsFromCallersForm(g.held[0].event) {
+		return false
+	}
+	next := g.held[len(g.held)-1].event
+	return len(g.held) == 1 || hasSameForm(next.id, g.stream.last)
+}
+
 // hasSameForm reports whether two IDs are decimal numbers after the same prefix.
 func hasSameForm(a, b string) bool {
 	prefixA, numberA := cutNumber(a)
@@ -248,6 +298,9 @@
 		if g.stream.passed {
 			return false, errNotContinued
 		}
+		if g.stream.streaming {
+			g.stream.last = "" // the stream has no IDs
+		}
 		g.state = segmentFollowing
 		return true, g.follow(event)
 	}
@@ -293,10 +346,10 @@
 	}
 	s.withinEvent = false
 	s.chain, s.lastDigest = addDigest(s.chain, event.digest), event.digest
-	s.unnumbered = event.id == ""
+	s.endsWithoutID = event.id == ""
 	s.hasDataless = s.hasDataless || !event.hasData
 	if event.id != "" {
-		g.sawID = true
+		g.hasIDs = true
 		s.recordForm(event.id)
 		if s.passed {
 			s.recordStep(eventStep(s.last, event.id))
@@ -322,7 +375,9 @@
 }
 
 // breakOff records the end of an incomplete response; withinEvent: it ended within an event.
-func (g *streamSegment) breakOff(withinEvent bool) {
+func (g *streamSegment) breakOff(err error, withinEvent bool) {
+	var fault *StreamError
+	g.lacksIDs = g.lacksIDs || g.holdsEventWithoutID() && !errors.As(err, &fault)
 	g.stream.withinEvent = g.stream.withinEvent || withinEvent || len(g.held) > 0
 }
 
--- a/internal/forward/foreign_blocks_test.go
+++ b/internal/forward/foreign_blocks_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -163,7 +164,7 @@
 		for _, route := range []string{"stream", "patient"} {
 			t.Run(kind+", "+route, func(t *testing.T) {
 				inVirtualTime(t, func(b *testbed) {
-					serveStreams(b, route, minNumberedStreams, raw(events(1, 2)...))
+					serveStreams(b, route, minStreamsWithIDs, raw(events(1, 2)...))
 					b.backend.attempts = nil
 					b.inTurn(raw(parts...), raw(events(1, 6)...))
 					outcome, seen := serveStream(b, route, "")
@@ -194,10 +195,10 @@
 func TestPoolWhoseStreamsLoseTheirIDsServesThem(t *testing.T) {
 	inVirtualTime(t, func(b *testbed) {
 		unnumbered := raw("data: a\n\n", "data: b\n\n")
-		serveStreams(b, "stream", minNumberedStreams, raw(events(1, 2)...))
+		serveStreams(b, "stream", minStreamsWithIDs, raw(events(1, 2)...))
 		codes := serveStreams(b, "stream", 6, unnumbered)
-		Expect(codes[:minUnnumberedStreams]).To(HaveEach(result.OutcomeUnknown))
-		Expect(codes[minUnnumberedStreams:]).To(HaveEach(result.OK))
+		Expect(codes[:minStreamsWithoutIDs]).To(HaveEach(result.OutcomeUnknown))
+		Expect(codes[minStreamsWithoutIDs:]).To(HaveEach(result.OK))
 		Expect(serveStreams(b, "stream", 2, raw(events(1, 2)...))).To(HaveEach(result.OK))
 		Expect(serveStreams(b, "stream", 2, unnumbered)).To(HaveEach(result.OK), "one of the former kind proves nothing")
 	})
@@ -314,3 +315,59 @@
 		}
 	}
 }
+
+// Foreign bytes that Unicode counts as white space were passed on behind the last event of a complete stream.
+func TestWhiteSpaceBehindTheLastEventIsNotPassedOn(t *testing.T) {
+	for _, tail := range []string{"\v\f\u2003\u0085", "\u2003\u0085\v", "\n\v", " \v", "\t\r\n", "\u00a0\n"} {
+		for _, route := range []string{"stream", "patient"} {
+			t.Run(strconv.Quote(tail)+", "+route, func(t *testing.T) {
+				inVirtualTime(t, func(b *testbed) {
+					b.inTurn(raw(append(events(1, 2), tail)...))
+					outcome, seen := serveStream(b, route, "")
+					Expect(seen.body.String()).To(Equal(strings.Join(events(1, 2), "")))
+					Expect(outcome.Broken).To(BeTrue())
+				})
+			})
+		}
+	}
+}
+
+// Streams whose server keeps the connection open by pings, which have neither an ID nor data, were broken before the
+// first of them.
+func TestPingsWithoutDataPassAsComments(t *testing.T) {
+	const ping = "event: ping\n\n"
+	withIDs := slices.Concat([]string{ping}, events(1, 2), []string{ping, ping}, events(3, 4), []string{ping})
+	for name, parts := range map[string][]string{
+		"with IDs": withIDs, "without IDs": {ping, "data: a\n\n", ping, "data: b\n\n"}, "pings only": {ping, ping},
+		"CRLF": strings.Split(strings.ReplaceAll(strings.Join(withIDs, "|"), "\n", "\r\n"), "|"),
+	} {
+		for _, route := range []string{"stream", "patient"} {
+			t.Run(name+", "+route, func(t *testing.T) {
+				inVirtualTime(t, func(b *testbed) {
+					b.inTurn(raw(parts...))
+					outcome, seen := serveStream(b, route, "")
+					Expect(outcome.Code).To(Equal(result.OK))
+					Expect(b.backend.servers()).To(HaveLen(1))
+					Expect(seen.body.String()).To(Equal(strings.Join(parts, "")))
+				})
+			})
+		}
+	}
+}
+
+// Guards against foreign data that passes as a ping.
+func TestPingsWithContentAreForeign(t *testing.T) {
+	for _, block := range []string{
+		"event: ping\ndata: {}\n\n", "event: ping\nfoo: bar\n\n", "event: ping\nid: \n\n", "event: pings\n\n", "event: ping\nevent: foreign\n\n",
+		"data: [DONE]\n\n",
+	} {
+		t.Run(strconv.Quote(block), func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.inTurn(raw(append(events(1, 2), block)...), raw(events(3, 4)...))
+				outcome, seen := serveStream(b, "patient", "")
+				Expect(outcome.Code).To(Equal(result.OK))
+				Expect(seen.body.String()).To(Equal(strings.Join(events(1, 4), "")))
+			})
+		})
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -129,7 +129,7 @@
 		sw.after(first, errStreamStalled)
 	}
 	reader, segment := newEventReader(reply.Body), flow.stream.newSegment()
-	segment.pool = f.streamIDs.of(flow.pool)
+	segment.history = f.streamHistory(flow)
 	defer func() { f.recordStreamIDs(flow, segment) }()
 	for {
 		blocks, err := reader.next()
@@ -151,20 +151,30 @@
 			return nil
 		}
 		if err != nil {
-			segment.breakOff(reader.withinEvent())
+			segment.breakOff(err, reader.withinEvent())
 			return err
 		}
-		f.limitGap(flow, gap, sw)
+		f.limitGap(flow, segment, gap, sw)
 	}
 }
 
+func (f *Forwarder) streamHistory(flow *flow) streamIDHistory {
+	if flow.streamHistory == nil {
+		history := f.streamIDs.of(flow.streamKey())
+		flow.streamHistory = &history
+	}
+	return *flow.streamHistory
+}
+
 // recordStreamIDs records whether the events of a response had IDs.
 func (f *Forwarder) recordStreamIDs(flow *flow, segment *streamSegment) {
-	if flow.stream.numbered && (segment.sawID || segment.isUnnumbered) {
-		f.streamIDs.record(flow.pool, segment.sawID)
+	if flow.stream.streaming && (segment.hasIDs || segment.lacksIDs) {
+		f.streamIDs.record(flow.streamKey(), flow.latestServer.Load().ID, segment.hasIDs)
 	}
 }
 
+func (fl *flow) streamKey() streamKey { return streamKey{route: fl.route.Name, pool: fl.pool} }
+
 // passOn sends events. The head is sent with the first ones, or at the stream's end: until then another
 // server's response can replace this one.
 func (fl *flow) passOn(responder Responder, reply *Reply, events []byte, ended bool) error {
@@ -181,10 +191,10 @@
 }
 
 // limitGap limits the time until the next event, if another server can continue the stream.
-func (f *Forwarder) limitGap(flow *flow, gap time.Duration, sw *switchover) {
+func (f *Forwarder) limitGap(flow *flow, segment *streamSegment, gap time.Duration, sw *switchover) {
 	switch {
 	case gap <= 0:
-	case flow.mayContinue():
+	case flow.mayContinue() && !segment.holdsEventWithoutID():
 		sw.after(gap, errStreamStalled)
 	default:
 		sw.pause()
--- a/internal/forward/streamids.go
+++ b/internal/forward/streamids.go
@@ -3,62 +3,94 @@
 import "sync"
 
 const (
-	// minNumberedStreams is the number of consecutive streams of a pool with IDs from which one without IDs is
-	// foreign data.
-	minNumberedStreams = 8
-	// minUnnumberedStreams is the number of consecutive ones without IDs that end this: the pool's servers
-	// have changed.
-	minUnnumberedStreams = 3
-	// maxStreamPools bounds the pools that are remembered, since they come and go with the configurations.
-	maxStreamPools = 4096
+	// minStreamsWithIDs is the number of consecutive streams with IDs from which one without IDs is foreign data,
+	// where none was seen.
+	minStreamsWithIDs = 16
+	// minStreamsWithoutIDs is the number of streams without IDs, of several servers, that end this: the pool's
+	// servers have changed. One server alone may be faulty.
+	minStreamsWithoutIDs = 3
+	// minConsecutiveWithoutIDs is the number of consecutive ones that end it, also of one server: it may be the
+	// only one.
+	minConsecutiveWithoutIDs = 16
+	// streamIDMemory is the number of consecutive streams with IDs after which those without are forgotten.
+	streamIDMemory = 128
+	// maxStreamKeys bounds the routes and pools that are remembered, since they come and go with the configurations.
+	maxStreamKeys = 4096
 )
 
-// streamIDs learns which pools' streams have event IDs. It is safe for concurrent use.
+// streamKey names streams of one kind: servers may send other streams on another route.
+type streamKey struct{ route, pool string }
+
+// streamIDs learns where streams have event IDs. It is safe for concurrent use.
 type streamIDs struct {
-	mutex sync.Mutex
-	pools map[string]poolStreamIDs
+	mutex   sync.Mutex
+	history map[streamKey]streamIDHistory
 }
 
-// poolStreamIDs is what is known of a pool's streams.
-type poolStreamIDs struct {
-	// always: they have IDs; never: they have none.
-	always, never bool
-	// consecutive is the number of the latest streams that were alike, and numbered whether they had IDs.
-	consecutive int
-	numbered    bool
+// streamIDHistory is what is known of the streams of a route in a pool.
+type streamIDHistory struct {
+	// idsRequired: a stream without IDs is foreign data.
+	idsRequired bool
+	// consecutive is the number of latest streams that were alike: with IDs or, if latestWithout, without.
+	consecutive   int
+	latestWithout bool
+	// withoutIDs is the number of streams without IDs that are not forgotten, firstServer the server of the
+	// first of them; severalServers: not all are of this one.
+	withoutIDs     int
+	firstServer    string
+	severalServers bool
 }
 
-func newStreamIDs() *streamIDs { return &streamIDs{pools: map[string]poolStreamIDs{}} }
+func newStreamIDs() *streamIDs { return &streamIDs{history: map[streamKey]streamIDHistory{}} }
 
-// of returns what is known of a pool's streams.
-func (s *streamIDs) of(pool string) poolStreamIDs {
+// of returns what is known of the streams of a route in a pool.
+func (s *streamIDs) of(key streamKey) streamIDHistory {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.pools[pool]
+	return s.history[key]
 }
 
-// record records a response of the pool whose events had IDs, or had none.
-func (s *streamIDs) record(pool string, numbered bool) {
+// record records a stream of a server whose events had IDs, or had none.
+func (s *streamIDs) record(key streamKey, server string, hasIDs bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if _, known := s.pools[pool]; !known && len(s.pools) >= maxStreamPools {
-		clear(s.pools)
+	if _, known := s.history[key]; !known && len(s.history) >= maxStreamKeys {
+		clear(s.history)
 	}
-	s.pools[pool] = s.pools[pool].with(numbered)
+	history := s.history[key]
+	history.record(server, hasIDs)
+	s.history[key] = history
 }
 
-// with returns what is known after one more stream.
-func (p poolStreamIDs) with(numbered bool) poolStreamIDs {
-	first := p.consecutive == 0
-	if p.numbered != numbered {
-		p.consecutive, p.numbered = 0, numbered
+func (h *streamIDHistory) record(server string, hasIDs bool) {
+	if h.latestWithout == hasIDs {
+		h.consecutive, h.latestWithout = 0, !hasIDs
 	}
-	p.consecutive++
-	if numbered {
-		p.always, p.never = p.always || p.consecutive >= minNumberedStreams, false
-		return p
+	h.consecutive++
+	if hasIDs {
+		h.recordWith()
+	} else {
+		h.recordWithout(server)
 	}
-	changed := p.consecutive >= minUnnumberedStreams
-	p.always, p.never = p.always && !changed, p.never || first || changed
-	return p
 }
+
+func (h *streamIDHistory) recordWith() {
+	if h.consecutive >= streamIDMemory {
+		h.withoutIDs, h.severalServers = 0, false
+	}
+	h.idsRequired = h.idsRequired || h.withoutIDs == 0 && h.consecutive >= minStreamsWithIDs
+}
+
+func (h *streamIDHistory) recordWithout(server string) {
+	if h.withoutIDs == 0 {
+		h.firstServer = server
+	}
+	h.withoutIDs++
+	h.severalServers = h.severalServers || server != h.firstServer
+	if h.severalServers && h.withoutIDs >= minStreamsWithoutIDs || h.consecutive >= minConsecutiveWithoutIDs {
+		h.idsRequired = false
+	}
+}
+
+// idsOptional reports whether streams without IDs are known to be sent.
+func (h streamIDHistory) idsOptional() bool { return !h.idsRequired && h.withoutIDs > 0 }
