fleet: Treat a birth in the future as not reported

Callers would have seen a server held to one request a second after it had stopped to announce that limit, and requests sent to a server that had told of its end, since one odd record of it had named a `born` up to the year 9999: no later record of the server counted as later.

Cause: births were compared and taken over as they stood. Now one that is more than five minutes ahead of the node's clock counts as not reported, where births are compared and where an incarnation is taken over from a record or from another node. An entry from such a record therefore ends as one without a birth does: with requests that name no limit, or with a later record.

Before the change, of the new tests TestFutureBirthDoesNotOutrankLaterIncarnations, TestBirthWithinTheClockSkewCounts, TestLimitOfAFutureBirthIsLifted and TestReportedLimitOfAFutureBirthIsLifted failed; now the tests of fleet, notice and observation pass.

--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -23,6 +23,7 @@
 // add stores the notice of an incarnation, and drops old ones. It reports whether the notice is
 // new.
 func (l leavingNotices) add(incarnation Incarnation, records map[string]*Server) bool {
+	incarnation = incarnation.WithPlausibleBirth()
 	if record := records[incarnation.ID]; record != nil && bornLater(record.Born, incarnation.Born) {
 		// A late notice: another incarnation has started since.
 		return false
@@ -49,7 +50,7 @@
 		delete(l, record.ID)
 	case notice.born == 0:
 		// The notice came without the time of birth.
-		notice.born = record.Born
+		notice.born = plausibleBirth(record.Born)
 		l[record.ID] = notice
 	}
 }
@@ -74,4 +75,6 @@
 }
 
 // bornLater reports whether a birth is known to be later than another one.
-func bornLater(born, than int64) bool { return born != 0 && than != 0 && born > than }
+func bornLater(born, than int64) bool {
+	return than != 0 && born > than && plausibleBirth(born) != 0
+}
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -77,3 +79,37 @@
 	view.SetLeaving(Incarnation{ID: "s"})
 	Expect(view.Record("s").Draining).To(BeFalse())
 }
+
+// A record whose birth lies in the future hid the leaving notice of its server, and a notice that
+// was received under it outlived all later incarnations.
+func TestFutureBirthDoesNotOutrankLaterIncarnations(t *testing.T) {
+	for _, ahead := range []time.Duration{time.Hour, 200 * 365 * 24 * time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			RegisterTestingT(t)
+			now := time.Now().UnixMilli()
+			odd := &Server{ID: "s", Pool: "p", Born: time.Now().Add(ahead).UnixMilli()}
+			good := &Server{ID: "s", Pool: "p", Born: now}
+			view := NewView()
+			view.ReplaceServers(map[string]*Server{"s": odd})
+			Expect(view.SetLeaving(good.Incarnation())).To(BeTrue())
+
+			view = NewView()
+			view.ReplaceServers(map[string]*Server{"s": odd})
+			Expect(view.SetLeaving(Incarnation{ID: "s", Born: odd.Born})).To(BeTrue())
+			view.ReplaceServers(map[string]*Server{"s": good})
+			Expect(view.Load().Servers["s"].Draining).To(BeTrue(), "it may be the incarnation that sent the notice")
+			time.Sleep(2 * time.Hour)
+			view.ReplaceServers(map[string]*Server{"s": {ID: "s", Pool: "p", Born: now + 1000}})
+			Expect(view.Load().Servers["s"].Draining).To(BeFalse())
+		})
+	}
+}
+
+// Clocks of servers may be ahead of a node's.
+func TestBirthWithinTheClockSkewCounts(t *testing.T) {
+	RegisterTestingT(t)
+	now := time.Now()
+	first, second := Incarnation{ID: "s", Born: now.UnixMilli()}, Incarnation{ID: "s", Born: now.Add(maxClockSkew - time.Second).UnixMilli()}
+	Expect(second.Follows(first)).To(BeTrue())
+	Expect(Incarnation{ID: "s", Born: now.Add(maxClockSkew + time.Minute).UnixMilli()}.Follows(first)).To(BeFalse())
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -55,7 +55,26 @@
 }
 
 // Incarnation returns the incarnation that the state belongs to.
-func (s *Server) Incarnation() Incarnation { return Incarnation{ID: s.ID, Born: s.Born} }
+func (s *Server) Incarnation() Incarnation {
+	return Incarnation{ID: s.ID, Born: s.Born}.WithPlausibleBirth()
+}
+
+// WithPlausibleBirth returns the incarnation without its birth if that lies in the future.
+func (i Incarnation) WithPlausibleBirth() Incarnation {
+	return Incarnation{ID: i.ID, Born: plausibleBirth(i.Born)}
+}
+
+// maxClockSkew bounds how far a server's clock may be ahead of this node's.
+const maxClockSkew = 5 * time.Minute
+
+// plausibleBirth returns the birth, or zero, which stands for one that was not reported, if it is
+// in the future. Every later birth would count as earlier than such a one.
+func plausibleBirth(born int64) int64 {
+	if born > time.Now().Add(maxClockSkew).UnixMilli() {
+		return 0
+	}
+	return born
+}
 
 // LoadedModel is a model that a server holds.
 type LoadedModel struct {
--- a/internal/notice/limits.go
+++ b/internal/notice/limits.go
@@ -75,6 +75,7 @@
 // merge updates a server's limit from a report of another node unless the current entry is
 // newer, and reports whether the entry changed.
 func (l *limitTable) merge(observed ObservedLimit, now time.Time) bool {
+	observed.Life = observed.Life.WithPlausibleBirth()
 	current, exists := l.entries[observed.Life.ID]
 	observedAt := now.Add(-observed.Age)
 	if exists && (current.incarnation.Follows(observed.Life) || current.observedAt.After(observedAt) && !observed.Life.Follows(current.incarnation)) {
--- a/internal/notice/limits_test.go
+++ b/internal/notice/limits_test.go
@@ -153,3 +153,33 @@
 		}
 	})
 }
+
+// A record whose birth lies in the future was in force for one heartbeat: the limit that was
+// received under it outlived requests whose responses announce none.
+func TestLimitOfAFutureBirthIsLifted(t *testing.T) {
+	for _, born := range []int64{time.Now().Add(time.Hour).UnixMilli(), 253_402_300_799_999} {
+		synctest.Test(t, func(t *testing.T) {
+			RegisterTestingT(t)
+			f := newFixture()
+			good := &fleet.Server{ID: "s", Pool: "p", Born: time.Now().UnixMilli()}
+			f.RecordNotice(&fleet.Server{ID: "s", Pool: "p", Born: born}, Notice{Limit: limitOf(1)}, startedRequest())
+			Expect(f.Limit(good)).To(Equal(limitOf(1)))
+			time.Sleep(time.Second)
+			f.RecordNotice(good, Notice{}, startedRequest())
+			Expect(f.Limit(good)).To(BeZero())
+		})
+	}
+}
+
+// Another node may pass on a limit with a birth in the future.
+func TestReportedLimitOfAFutureBirthIsLifted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		f := newFixture()
+		good := &fleet.Server{ID: "s", Pool: "p", Born: time.Now().UnixMilli()}
+		f.MergeLimits([]ObservedLimit{{Life: fleet.Incarnation{ID: "s", Born: time.Now().Add(time.Hour).UnixMilli()}, Limit: limitOf(1)}}, "x")
+		time.Sleep(2 * time.Hour)
+		f.RecordNotice(good, Notice{}, startedRequest())
+		Expect(f.Limit(good)).To(BeZero())
+	})
+}
