fleet: End a leaving notice without a birth with its incarnation

But a record that lapses in an outage of the store comes back, created anew, for the same incarnation, which may still be leaving (rule DRAIN). So where births can't be compared:

- a record at another address ends the notice at once;
- one that was created again at the same address ends it ten minutes after the notice, far beyond the time for which a leaving server serves; a record that was not created again never ends it;
- for a minute after that a notice without a birth under the ID is not taken: nodes that lag, and late responses, would bring back the earlier one, on the holder for good.

The registry's periodic Prune ends the notices whose time is over, as records are not read again without a change.

--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -113,3 +113,77 @@
 	Expect(second.Follows(first)).To(BeTrue())
 	Expect(Incarnation{ID: "s", Born: now.Add(maxClockSkew + time.Minute).UnixMilli()}.Follows(first)).To(BeFalse())
 }
+
+// Without births the leaving notice of a removed record held for the next server under its ID, for good.
+func TestLeavingNoticeWithoutBirthEndsAtAnotherAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		view := NewView()
+		view.ReplaceServers(map[string]*Server{"s": {ID: "s", Pool: "p", Address: "a:1", Created: 1}})
+		Expect(view.SetLeaving(Incarnation{ID: "s"})).To(BeTrue())
+		view.UpdateServers(map[string]*Server{"s": {ID: "s", Pool: "p", Address: "a:1", Created: 1}})
+		Expect(view.Load().Servers["s"].Draining).To(BeTrue(), "the same incarnation's record says that it is ready")
+		view.UpdateServers(map[string]*Server{"s": nil})
+		view.UpdateServers(map[string]*Server{"s": {ID: "s", Pool: "p", Address: "a:2", Created: 50}})
+		Expect(view.Load().Servers["s"].Draining).To(BeFalse())
+		Expect(view.Leaving()).To(BeEmpty())
+
+		// A node that has the earlier record still reports the notice.
+		Expect(view.SetLeaving(Incarnation{ID: "s"})).To(BeFalse())
+		Expect(view.Load().Servers["s"].Draining).To(BeFalse())
+		time.Sleep(2 * time.Minute)
+		view.ExpireLeaving()
+		Expect(view.leaving).To(BeEmpty())
+		Expect(view.SetLeaving(Incarnation{ID: "s"})).To(BeTrue())
+		Expect(view.Load().Servers["s"].Draining).To(BeTrue(), "the new incarnation leaves")
+	})
+}
+
+// A record that expired in an outage of the store is created again by the same incarnation, which is
+// still leaving; but a notice must not hold for good for another one at its address.
+func TestLeavingNoticeWithoutBirthOutlastsAnOutageOnly(t *testing.T) {
+	for name, change := range map[string]func(view *View){
+		"notice before the record is created again": func(view *View) {
+			view.SetLeaving(Incarnation{ID: "s"})
+			view.UpdateServers(map[string]*Server{"s": nil})
+		},
+		"notice while there is no record": func(view *View) {
+			view.UpdateServers(map[string]*Server{"s": nil})
+			view.SetLeaving(Incarnation{ID: "s"})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				RegisterTestingT(t)
+				view := NewView()
+				view.ReplaceServers(map[string]*Server{"s": {ID: "s", Pool: "p", Address: "a:1", Created: 1}})
+				change(view)
+				time.Sleep(noticeRetention - time.Second)
+				view.UpdateServers(map[string]*Server{"s": {ID: "s", Pool: "p", Address: "a:1", Created: 50}})
+				view.ExpireLeaving()
+				Expect(view.Load().Servers["s"].Draining).To(BeTrue())
+				time.Sleep(2 * time.Second)
+				view.ExpireLeaving()
+				Expect(view.Load().Servers["s"].Draining).To(BeFalse())
+				Expect(view.Leaving()).To(BeEmpty())
+			})
+		})
+	}
+}
+
+// A record that was not created again never ends the notice.
+func TestLeavingNoticeHoldsForItsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		view := NewView()
+		record := &Server{ID: "s", Pool: "p", Address: "a:1", Created: 1}
+		view.ReplaceServers(map[string]*Server{"s": record})
+		view.SetLeaving(Incarnation{ID: "s"})
+		for range 3 {
+			time.Sleep(noticeRetention)
+			view.ReplaceServers(map[string]*Server{"s": record})
+			view.ExpireLeaving()
+			Expect(view.Load().Servers["s"].Draining).To(BeTrue())
+		}
+	})
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -162,6 +162,16 @@
 	return v.leaving.unrecorded(v.records)
 }
 
+// ExpireLeaving makes servers available again whose leaving notices hold no longer. It is called
+// periodically.
+func (v *View) ExpireLeaving() {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if ids := v.leaving.expire(v.records); len(ids) > 0 {
+		v.publishChanged(ids)
+	}
+}
+
 // dropOutdated drops the placement of a server that refers to an earlier record: the record was
 // deleted, now or in between, which not all nodes have observed. The caller must hold the lock,
 // and call it before the record is stored.
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -213,8 +213,10 @@
 	}
 }
 
-// Prune drops backoffs that have ended, and expired limits. It is called periodically.
+// Prune drops backoffs that have ended, and expired leaving notices and limits. It is called
+// periodically.
 func (r *Registry) Prune(now time.Time) {
+	r.config.View.ExpireLeaving()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	maps.DeleteFunc(r.backoffs, func(_ string, current backoff) bool { return !now.Before(current.until) })
