orders: Ignore counter lists that no holder can have written

Callers would have been held to rate limits by no common count, and streams would have had no keeper of their origin, since one record of another writer under the key `quota-counters` named a node that does not exist: with a token of 1<<62 the lists of every later holder counted as older.

Cause: the highest token won, whatever it was. A holder's token is the revision at which its record was written, so it is lower than the revision of a list of its term, and not higher than that of the current holder's record. A record with another token, or with a version beyond 2^53, is now ignored. One with the holder's own token and a later version is outranked by the holder's next list. The holder saves its list again over a record that it did not write; over one that can't be decoded it could not, as its revision was not taken.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -203,7 +203,7 @@
 		Lease: max(holderLease, n.settings.Store.MinimumLease), HandoverPeriod: n.handoverPeriod(), ExtraCampaignWait: n.settings.Machine.FanOutTime(),
 		LostShare: n.paths.LostShare, Logger: n.logger,
 	})
-	n.counters = &orders.CountersStore{Store: n.store, Key: countersKey, OnChange: n.limiter.SetCounters, OnNone: n.noCountersYet, Logger: n.logger}
+	n.counters = &orders.CountersStore{Store: n.store, Key: countersKey, OnChange: n.limiter.SetCounters, OnNone: n.noCountersYet, Holder: n.election.Holder, Logger: n.logger}
 	n.counters.OnNodes = func(nodes int) { n.link.SetSavedNodes(nodes) }
 	n.holder = orders.NewHolder(orders.HolderConfig{
 		Election: n.election, View: n.view, Engines: &platform.Engines{Client: n.servers, Notices: n.notices}, Name: n.settings.Node.Name,
--- a/internal/orders/counters.go
+++ b/internal/orders/counters.go
@@ -31,18 +31,24 @@
 	}
 	h.mutex.Lock()
 	collected := h.hasCollected(now)
-	earlier := h.counters
+	earlier, version := h.counters, h.counters.Version
+	// Another writer's record with the token of this term: a newer list has to replace it.
+	known := h.config.Counters()
+	foreign := known.Token == term.Token && known.Version > version
+	if foreign {
+		version = known.Version
+	}
 	if len(earlier.Addresses) == 0 {
-		earlier = h.config.Counters()
+		earlier = known
 	}
 	if majorityReports(earlier.Addresses, live) {
 		h.countersMajorityAt = now
 	}
 	chosen := ratelimit.ChooseCounters(earlier.Addresses, addresses)
 	mayChange := h.countersMajorityAt.Equal(now) || now.Sub(h.countersMajorityAt) >= countersTimeout
-	changed := collected && mayChange && len(chosen) > 0 && !slices.Equal(chosen, h.counters.Addresses)
+	changed := collected && mayChange && len(chosen) > 0 && (foreign || !slices.Equal(chosen, h.counters.Addresses))
 	if changed {
-		h.counters = ratelimit.Counters{Token: term.Token, Version: h.counters.Version + 1, Addresses: chosen}
+		h.counters = ratelimit.Counters{Token: term.Token, Version: version + 1, Addresses: chosen}
 	}
 	update := Update{Token: term.Token, OrdersIn: term.ordersIn(now), Counters: h.counters}
 	h.mutex.Unlock()
--- a/internal/orders/counters_store.go
+++ b/internal/orders/counters_store.go
@@ -22,6 +22,10 @@
 	Nodes int `json:",omitempty"`
 }
 
+func (r countersRecord) equal(other countersRecord) bool {
+	return r.Token == other.Token && r.Version == other.Version && r.Nodes == other.Nodes && slices.Equal(r.Addresses, other.Addresses)
+}
+
 // CountersStore saves in the store which nodes count rate limits, and how many nodes share them. So
 // nodes know it as soon as they have read the store, before they receive it from a holder, which
 // takes seconds after a loss of all nodes. It is safe for concurrent use.
@@ -29,8 +33,10 @@
 	Store outside.KeyValueService
 	// Key of the record.
 	Key string
-	// OnChange is called with each record received from the store.
+	// OnChange is called with each valid record received from the store.
 	OnChange func(counters ratelimit.Counters)
+	// Holder returns the current holder's record, if there is one; nil: not known.
+	Holder func() (HolderRecord, bool)
 	// OnNodes is called with the number of nodes in each record received from the store; nil: not
 	// called.
 	OnNodes func(nodes int)
@@ -96,22 +102,56 @@
 		return
 	}
 	var record countersRecord
-	if err := json.Unmarshal(keyValue.Value, &record); err != nil {
+	err := json.Unmarshal(keyValue.Value, &record)
+	if err != nil {
 		s.Logger.Error().Err(err).Str("key", s.Key).Msg("cannot decode the record of the nodes that count rate limits")
-		return
 	}
-	s.mutex.Lock()
-	s.revision = max(s.revision, keyValue.ModRevision)
-	if record.Nodes > 0 {
-		s.nodes = record.Nodes
+	valid := err == nil && s.mayBeOfHolder(record, keyValue.ModRevision)
+	s.received(record, valid, keyValue.ModRevision)
+	if !valid {
+		return
 	}
-	s.mutex.Unlock()
 	s.OnChange(record.Counters)
 	if record.Nodes > 0 && s.OnNodes != nil {
 		s.OnNodes(record.Nodes)
 	}
 }
 
+// maxListVersion exceeds the number of lists that one term can have.
+const maxListVersion = 1 << 53
+
+// mayBeOfHolder reports whether a record written at a revision may be that of a holder. Its token is
+// the revision of the holder's record, which is written before; an invalid one would outrank the
+// lists of all later holders.
+func (s *CountersStore) mayBeOfHolder(record countersRecord, revision int64) bool {
+	newest := revision - 1
+	if s.Holder != nil {
+		if holder, known := s.Holder(); known {
+			newest = min(newest, holder.Revision)
+		}
+	}
+	if record.Token <= newest && record.Version <= maxListVersion {
+		return true
+	}
+	s.Logger.Error().Str("key", s.Key).Int64("token", record.Token).Uint64("version", record.Version).Int64("revision", revision).
+		Msg("record of the nodes that count rate limits ignored: no holder can have written it")
+	return false
+}
+
+// received updates the state by a record received from the store. One that this node did not save
+// has replaced the saved one.
+func (s *CountersStore) received(record countersRecord, valid bool, revision int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision = max(s.revision, revision)
+	if !valid || !record.equal(s.saved) {
+		s.saved = countersRecord{}
+	}
+	if valid && record.Nodes > 0 {
+		s.nodes = record.Nodes
+	}
+}
+
 // save writes the counters and the number of nodes, unless they are saved already, a write is in
 // progress, or the last one began less than saveRetryPause ago.
 func (s *CountersStore) save(counters ratelimit.Counters, nodes int, now time.Time) {
