--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -77,3 +79,111 @@
 	view.SetLeaving(Incarnation{ID: "s"})
 	Expect(view.Record("s").Draining).To(BeFalse())
 }
+
+// A record whose birth lies in the future hid the leaving notice of its server, and a notice that
+// was received under it outlived all later incarnations.
+func TestFutureBirthDoesNotOutrankLaterIncarnations(t *testing.T) {
+	for _, ahead := range []time.Duration{time.Hour, 200 * 365 * 24 * time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			RegisterTestingT(t)
+			now := time.Now().UnixMilli()
+			odd := &Server{ID: "s", Pool: "p", Born: time.Now().Add(ahead).UnixMilli()}
+			good := &Server{ID: "s", Pool: "p", Born: now}
+			view := NewView()
+			view.ReplaceServers(map[string]*Server{"s": odd})
+			Expect(view.SetLeaving(good.Incarnation())).To(BeTrue())
+
+			view = NewView()
+			view.ReplaceServers(map[string]*Server{"s": odd})
+			Expect(view.SetLeaving(Incarnation{ID: "s", Born: odd.Born})).To(BeTrue())
+			view.ReplaceServers(map[string]*Server{"s": good})
+			Expect(view.Load().Servers["s"].Draining).To(BeTrue(), "it may be the incarnation that sent the notice")
+			time.Sleep(2 * time.Hour)
+			view.ReplaceServers(map[string]*Server{"s": {ID: "s", Pool: "p", Born: now + 1000}})
+			Expect(view.Load().Servers["s"].Draining).To(BeFalse())
+		})
+	}
+}
+
+// Clocks of servers may be ahead of a node's.
+func TestBirthWithinTheClockSkewCounts(t *testing.T) {
+	RegisterTestingT(t)
+	now := time.Now()
+	first, second := Incarnation{ID: "s", Born: now.UnixMilli()}, Incarnation{ID: "s", Born: now.Add(maxClockSkew - time.Second).UnixMilli()}
+	Expect(second.Follows(first)).To(BeTrue())
+	Expect(Incarnation{ID: "s", Born: now.Add(maxClockSkew + time.Minute).UnixMilli()}.Follows(first)).To(BeFalse())
+}
+
+// Without births the leaving notice of a removed record held for the next server under its ID, for good.
+func TestLeavingNoticeWithoutBirthEndsAtAnotherAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		view := NewView()
+		view.ReplaceServers(map[string]*Server{"s": {ID: "s", Pool: "p", Address: "a:1", Created: 1}})
+		Expect(view.SetLeaving(Incarnation{ID: "s"})).To(BeTrue())
+		view.UpdateServers(map[string]*Server{"s": {ID: "s", Pool: "p", Address: "a:1", Created: 1}})
+		Expect(view.Load().Servers["s"].Draining).To(BeTrue(), "the same incarnation's record says that it is ready")
+		view.UpdateServers(map[string]*Server{"s": nil})
+		view.UpdateServers(map[string]*Server{"s": {ID: "s", Pool: "p", Address: "a:2", Created: 50}})
+		Expect(view.Load().Servers["s"].Draining).To(BeFalse())
+		Expect(view.Leaving()).To(BeEmpty())
+
+		// A node that has the earlier record still reports the notice.
+		Expect(view.SetLeaving(Incarnation{ID: "s"})).To(BeFalse())
+		Expect(view.Load().Servers["s"].Draining).To(BeFalse())
+		time.Sleep(2 * time.Minute)
+		view.ExpireLeaving()
+		Expect(view.leaving).To(BeEmpty())
+		Expect(view.SetLeaving(Incarnation{ID: "s"})).To(BeTrue())
+		Expect(view.Load().Servers["s"].Draining).To(BeTrue(), "the new incarnation leaves")
+	})
+}
+
+// A record that expired in an outage of the store is created again by the same incarnation, which is
+// still leaving; but a notice must not hold for good for another one at its address.
+func TestLeavingNoticeWithoutBirthOutlastsAnOutageOnly(t *testing.T) {
+	for name, change := range map[string]func(view *View){
+		"notice before the record is created again": func(view *View) {
+			view.SetLeaving(Incarnation{ID: "s"})
+			view.UpdateServers(map[string]*Server{"s": nil})
+		},
+		"notice while there is no record": func(view *View) {
+			view.UpdateServers(map[string]*Server{"s": nil})
+			view.SetLeaving(Incarnation{ID: "s"})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				RegisterTestingT(t)
+				view := NewView()
+				view.ReplaceServers(map[string]*Server{"s": {ID: "s", Pool: "p", Address: "a:1", Created: 1}})
+				change(view)
+				time.Sleep(noticeRetention - time.Second)
+				view.UpdateServers(map[string]*Server{"s": {ID: "s", Pool: "p", Address: "a:1", Created: 50}})
+				view.ExpireLeaving()
+				Expect(view.Load().Servers["s"].Draining).To(BeTrue())
+				time.Sleep(2 * time.Second)
+				view.ExpireLeaving()
+				Expect(view.Load().Servers["s"].Draining).To(BeFalse())
+				Expect(view.Leaving()).To(BeEmpty())
+			})
+		})
+	}
+}
+
+// A record that was not created again never ends the notice.
+func TestLeavingNoticeHoldsForItsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		view := NewView()
+		record := &Server{ID: "s", Pool: "p", Address: "a:1", Created: 1}
+		view.ReplaceServers(map[string]*Server{"s": record})
+		view.SetLeaving(Incarnation{ID: "s"})
+		for range 3 {
+			time.Sleep(noticeRetention)
+			view.ReplaceServers(map[string]*Server{"s": record})
+			view.ExpireLeaving()
+			Expect(view.Load().Servers["s"].Draining).To(BeTrue())
+		}
+	})
+}
