streamorigin: Ask for the origin of each resumed stream that this node does not know

Callers saw a stream continued at servers of another software version. A node whose record and view showed one version bound the stream to it without asking, although its records may be up to MaxRecordAge old: while a node started during a release, where no settled server was left, and where a version came between two observations.

A node now always asks the counter nodes. The wait ends once one knows the origin, or once the stream's keepers have answered and there is evidence of the pool's versions. Without any reply the stream is refused. A node that is the only counter node, or has none, goes by its own evidence as before.

TestNodeWithOlderRecordsAsksForTheOrigin fails without the change (the stream is bound to v1 at the late node).

--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -4,7 +4,7 @@
 //
 // The node that passes on a stream's first event keeps its origin. While a pool has servers of several
 // versions, it also sends it to two of the counter nodes (see package ratelimit), which all nodes know;
-// a node that does not know a stream asks them. As long as a pool has one version, nothing is sent.
+// a node that does not know a stream asks them. As long as a pool has one version, no origin is sent.
 //
 // A stream that no node knows goes on only if the pool is shown to have had one version: by a record in
 // the store of the versions that the pools had lately, or by a node whose view had no gap.
@@ -166,7 +166,7 @@
 }
 
 // Find returns the origin of the stream whose first event was passed on for a request with the ID. It
-// asks other nodes if this one knows neither the origin nor that the pool had only one version. With
+// asks other nodes if this one does not know the origin: its records may lack a version. With
 // severalPools, the stream may have begun in another one: what versions the pool had tells nothing. The
 // wait is limited.
 func (o *Origins) Find(ctx context.Context, request, pool string, severalPools bool) (Origin, Finding) {
@@ -193,52 +193,76 @@
 	}
 	found := o.evidence(pool, time.Now())
 	found.mixed = severalPools
-	if _, only := found.sole(); only {
+	nodes := o.others()
+	if len(nodes) == 0 {
 		return found.conclude(pool)
 	}
-	replies, asked := o.ask(ctx, Lookup{Stream: stream, Pool: pool})
+	replies := o.ask(ctx, nodes, Lookup{Stream: stream, Pool: pool}, found)
+	result := search{finding: Unknown, basis: NoBasis, versions: found.versions}
+	if len(replies) > 0 {
+		result = combine(found, replies, pool)
+	}
+	result.asked, result.answered = len(nodes), len(replies)
+	return result
+}
+
+// combine returns what follows from this node's evidence and the replies of others.
+func combine(own evidence, replies []LookupReply, pool string) search {
 	for _, reply := range replies {
 		if reply.Known {
 			origin := Origin{Pool: reply.Pool, SoftwareVersion: reply.SoftwareVersion}
-			return search{origin: origin, finding: Known, basis: FromKeeper, asked: asked, answered: len(replies)}
+			return search{origin: origin, finding: Known, basis: FromKeeper}
 		}
-		found = found.withReply(reply)
+		own = own.withReply(reply)
 	}
-	result := found.conclude(pool)
-	result.asked, result.answered = asked, len(replies)
-	return result
+	return own.conclude(pool)
+}
+
+// others returns the other nodes that keep origins.
+func (o *Origins) others() []string {
+	return slices.DeleteFunc(slices.Clone(o.config.Nodes()), func(node string) bool { return node == o.config.Address })
+}
+
+// nodeReply is the reply of a node; nil if it did not answer.
+type nodeReply struct {
+	node  string
+	reply *LookupReply
 }
 
-// ask asks the nodes that keep origins, and returns their replies; that of a node which knows the origin
-// is the last. A node that does not answer, in time or at all, may know it: its silence is no evidence.
-func (o *Origins) ask(ctx context.Context, lookup Lookup) (replies []LookupReply, asked int) {
+// ask asks the nodes, and returns their replies. It ends once one knows the origin, or once the stream's
+// keepers have answered and there is evidence of the pool's versions: the others would hardly know more. A
+// node that does not answer, in time or at all, may know the origin: its silence is no evidence.
+func (o *Origins) ask(ctx context.Context, nodes []string, lookup Lookup, found evidence) (replies []LookupReply) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	nodes := slices.DeleteFunc(slices.Clone(o.config.Nodes()), func(node string) bool { return node == o.config.Address })
-	results := make(chan *LookupReply, len(nodes))
+	awaited := slices.DeleteFunc(keepers(lookup.Stream, o.config.Nodes()), func(node string) bool { return node == o.config.Address })
+	results := make(chan nodeReply, len(nodes))
 	for _, node := range nodes {
 		o.config.Transport.Call(node, lookup, askTimeout, func(message peer.Message, _ error) {
 			if reply, answered := message.(LookupReply); answered {
-				results <- &reply
+				results <- nodeReply{node, &reply}
 				return
 			}
-			results <- nil
+			results <- nodeReply{node, nil}
 		})
 	}
 	for range nodes {
 		select {
-		case reply := <-results:
-			if reply != nil {
-				replies = append(replies, *reply)
+		case result := <-results:
+			if result.reply == nil {
+				continue
 			}
-			if reply != nil && reply.Known {
-				return replies, len(nodes)
+			replies = append(replies, *result.reply)
+			found = found.withReply(*result.reply)
+			awaited = slices.DeleteFunc(awaited, func(node string) bool { return node == result.node })
+			if result.reply.Known || len(awaited) == 0 && found.basis != NoBasis {
+				return replies
 			}
 		case <-ctx.Done():
-			return replies, len(nodes)
+			return replies
 		}
 	}
-	return replies, len(nodes)
+	return replies
 }
 
 func (o *Origins) handleLookup(_ string, message peer.Message, reply func(peer.Message, error)) {
--- /dev/null
+++ b/internal/streamorigin/resumption_test.go
@@ -0,0 +1,89 @@
+package streamorigin
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a stream that is joined at a node which concludes from its own records, as old as they may be,
+// that the pool has had one version.
+func TestNodeWithOlderRecordsAsksForTheOrigin(t *testing.T) {
+	cases := map[string]func(d *deployment){
+		"records within the age limit": func(d *deployment) {
+			d.nodes["c"].setLate(true)
+			d.serve("v1", "v2")
+			time.Sleep(300 * time.Millisecond)
+		},
+		"the stream's node starts during a release": func(d *deployment) {
+			d.nodes["c"].setLate(true)
+			d.serve("v1", "v2")
+			time.Sleep(300 * time.Millisecond)
+			d.start("a").serve("v1", "v2")
+			time.Sleep(300 * time.Millisecond)
+			Expect(d.nodes["a"].origins.Settled("p")).To(ContainElement("v2"))
+		},
+		"no settled server is left": func(d *deployment) {
+			d.nodes["c"].setLate(true)
+			d.serve("v2")
+			time.Sleep(300 * time.Millisecond)
+		},
+		"a version between two observations": func(d *deployment) {
+			time.Sleep(10 * time.Millisecond)
+			d.serve("v1", "v2")
+			time.Sleep(50 * time.Millisecond)
+		},
+	}
+	for name, release := range cases {
+		t.Run(name, func(t *testing.T) {
+			inDeploymentWithStore(t, newFakeStore(), 5, []string{"v1"}, func(d *deployment) {
+				time.Sleep(2 * retention)
+				release(d)
+				origin := Origin{Pool: "p", SoftwareVersion: "v2"}
+				d.nodes["a"].origins.Begin("r1", origin, false)
+				time.Sleep(2 * sendPeriod)
+				d.serve("v1")
+				time.Sleep(50 * time.Millisecond)
+				for address, node := range d.nodes {
+					found, finding := node.origins.Find(context.Background(), "r1", "p", false)
+					Expect(finding).To(Equal(Known), address)
+					Expect(found).To(Equal(origin), address)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a wait for all nodes: the stream's keepers are enough, and only they are waited for.
+func TestSearchEndsWithTheKeepersReplies(t *testing.T) {
+	inDeploymentWithStore(t, newFakeStore(), 6, []string{"v1"}, func(d *deployment) {
+		time.Sleep(2 * retention)
+		kept := keepers(keyOf("r1"), d.network.Addresses())
+		var others []string
+		for address := range d.nodes {
+			if address != kept[0] && address != kept[1] {
+				others = append(others, address)
+			}
+		}
+		find := func() (Finding, time.Duration) {
+			began := time.Now()
+			_, finding := d.nodes[others[0]].origins.Find(context.Background(), "r1", "p", false)
+			return finding, time.Since(began)
+		}
+		for _, silent := range others[1:] {
+			d.network.SetCut(silent, true)
+		}
+		finding, waited := find()
+		Expect(finding).To(Equal(Irrelevant))
+		Expect(waited).To(BeNumerically("<=", 5*time.Millisecond))
+		d.network.SetCut(kept[0], true)
+		finding, waited = find()
+		Expect(finding).To(Equal(Irrelevant), "a dead keeper costs the wait")
+		Expect(waited).To(BeNumerically("<=", askTimeout))
+		d.network.SetCut(kept[1], true)
+		finding, _ = find()
+		Expect(finding).To(Equal(Unknown), "no node replies")
+	})
+}
