streamorigin: Keep a stream's origin and version known while it is relayed

Callers whose stream outlasted the record of its server by a minute and who then resumed it got servers of another software version: the origin and the sight of the version are kept for a minute, and a server serves its streams to the end after its record has gone.

The node that relays a stream now records its origin again every 30 s until the request ends, and counts the version as seen, so that it stays in the store's record and in the replies of this node. Cost: one timer a resumable stream, one goroutine for those that last 30 s.

TestStreamThatOutlastsTheRecordOfItsVersionIsNotJoined and TestOriginIsRefreshedWhileItsStreamIsRelayed fail without the two calls ("irrelevant" instead of "unknown"; recorded once instead of 4 times).

--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -52,6 +52,8 @@
 	version *atomic.Pointer[string]
 	// onBegin is called with the server at which a stream that may be resumed begins; nil for others.
 	onBegin func(server *fleet.Server)
+	// begunAt is the server at which onBegin was called. Copies of the flow share it.
+	begunAt *atomic.Pointer[fleet.Server]
 	// hasVersion reports whether a server's record still names the version that it was chosen by.
 	hasVersion func(server *fleet.Server) bool
 	// trial is set where the request is quarantined and runs as a trial; trialSent: a server may
@@ -146,7 +148,7 @@
 		request: request, route: route, pool: route.Pick(f.sequence.Add(1)), deadline: deadline,
 		prefixes: sharedPrefixes(request), clientRetry: f.isClientRetry(request, route), tried: map[string]bool{}, slotsAt: map[string]time.Time{},
 		stream: newEventStream(request, route), latestServer: new(atomic.Pointer[fleet.Server]), version: new(atomic.Pointer[string]),
-		hasVersion: f.hasVersion,
+		begunAt: new(atomic.Pointer[fleet.Server]), hasVersion: f.hasVersion,
 	}
 	if route.Kind == fleet.KindStream && route.Resumable {
 		flow.onBegin = func(server *fleet.Server) { f.recordOrigin(flow, server) }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -260,6 +260,7 @@
 	f.budgets.Request(flow.pool, request.Accepted)
 	f.recordArrival(flow)
 	defer f.watchLongRunning(flow)()
+	defer f.keepOriginKnown(ctx, flow)()
 	outcome := f.run(ctx, flow, responder)
 	if outcome.Ran == result.RanNo {
 		f.returnQuota(request)
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -16,8 +16,8 @@
 
 // StreamOrigins keeps the pools and software versions of the servers at which streams began, for all nodes.
 type StreamOrigins interface {
-	// Begin records the origin of the stream whose first event is passed on for the request with the ID.
-	// With share, other nodes learn it in any case.
+	// Begin records the origin of the stream whose first event is passed on for the request with the ID, and
+	// is called again while the stream is relayed. With share, other nodes learn it in any case.
 	Begin(request string, origin streamorigin.Origin, share bool)
 	// Find returns the origin of such a stream, which the pool is to resume; without a pool, any server
 	// may continue it. With severalPools, it may have begun in another one. The wait is limited.
@@ -47,6 +47,30 @@
 	f.origins.Begin(id, streamorigin.Origin{Pool: server.Pool, SoftwareVersion: server.SoftwareVersion}, len(flow.route.Targets) > 1)
 }
 
+// keepOriginKnown records the origin of the flow's stream over and over while it is relayed: it may outlast
+// the retention of origins and the record of its server. The caller must call stop when the request ends.
+func (f *Forwarder) keepOriginKnown(ctx context.Context, flow *flow) (stop func() bool) {
+	if flow.onBegin == nil {
+		return func() bool { return false }
+	}
+	return time.AfterFunc(streamorigin.RefreshPeriod, func() { f.refreshOrigin(ctx, flow) }).Stop
+}
+
+// refreshOrigin records the origin of the flow's stream at intervals until ctx ends.
+func (f *Forwarder) refreshOrigin(ctx context.Context, flow *flow) {
+	refresh := time.NewTicker(streamorigin.RefreshPeriod)
+	defer refresh.Stop()
+	for ctx.Err() == nil {
+		if server := flow.begunAt.Load(); server != nil {
+			f.recordOrigin(flow, server)
+		}
+		select {
+		case <-ctx.Done():
+		case <-refresh.C:
+		}
+	}
+}
+
 // resumesNamed reports whether the caller resumes a stream and names the request that began it.
 func (fl *flow) resumesNamed() bool { return fl.request.ResumeAfter != "" && fl.request.Resumes != "" }
 
@@ -82,6 +106,7 @@
 	}
 	fl.bindVersion(server.SoftwareVersion)
 	if fl.onBegin != nil {
+		fl.begunAt.Store(server)
 		fl.onBegin(server)
 	}
 }
--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -149,6 +149,32 @@
 
 func (o fakeOrigins) Settled(string) []string { return nil }
 
+// beginTimes are the times at which origins were recorded.
+type beginTimes struct {
+	fakeOrigins
+	times chan time.Time
+}
+
+func (o *beginTimes) Begin(string, streamorigin.Origin, bool) { o.times <- time.Now() }
+
+// Guards against a stream that outlasts the retention of its origin, and is then joined.
+func TestOriginIsRefreshedWhileItsStreamIsRelayed(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		origins := &beginTimes{times: make(chan time.Time, 100)}
+		b.forwarder.origins = origins
+		b.view.ReplaceServers(versioned(map[string]string{"m1": "v1"}))
+		b.backend.answer["m1"] = streams(events(1, 100), time.Second, io.EOF)
+		b.view.Load().Configuration.Match("h", "/patient/x").Timeout = 5 * time.Minute
+		began := time.Now()
+		outcome := b.forwarder.Serve(context.Background(), request("patient", "m", 5*time.Minute), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(time.Since(began)).To(BeNumerically(">", 90*time.Second))
+		Expect(origins.times).To(HaveLen(4), "at the first event and each half retention")
+		time.Sleep(5 * time.Minute)
+		Expect(origins.times).To(HaveLen(4), "not after its end")
+	})
+}
+
 // settledOrigins are origins of pools with settled versions.
 type settledOrigins struct {
 	fakeOrigins
--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -155,11 +155,17 @@
 // at a server of another one may be resumed at a node that takes it for a stream of these.
 func (o *Origins) Settled(pool string) []string { return o.versions.load().settled[pool] }
 
-// Begin records that the first event of a stream was passed on; request is the ID of the request that it
-// was passed on for. With share, other nodes learn the origin in any case.
+// RefreshPeriod is the interval at which Begin must be called while a stream is relayed, so that neither
+// its origin nor its version is forgotten.
+const RefreshPeriod = retention / 2
+
+// Begin records that the first event of a stream was passed on, or that the stream is still relayed;
+// request is the ID of the request that the first event was passed on for. With share, other nodes learn
+// the origin in any case.
 func (o *Origins) Begin(request string, origin Origin, share bool) {
 	stream := keyOf(request)
 	o.table.put(stream, origin, time.Now())
+	o.versions.relay(origin)
 	if share || !o.versions.load().isSole(origin) || !o.saved.load().allows(origin) {
 		o.enqueue(map[Key]Origin{stream: origin})
 	}
--- a/internal/streamorigin/resumption_test.go
+++ b/internal/streamorigin/resumption_test.go
@@ -87,3 +87,34 @@
 		Expect(finding).To(Equal(Unknown), "no node replies")
 	})
 }
+
+// Guards against a stream that is joined since it outlasted the record of its version: a server serves its
+// streams to the end after it has left.
+func TestStreamThatOutlastsTheRecordOfItsVersionIsNotJoined(t *testing.T) {
+	inDeploymentWithStore(t, newFakeStore(), 5, []string{"v1"}, func(d *deployment) {
+		time.Sleep(2 * retention)
+		origin := Origin{Pool: "p", SoftwareVersion: "v1"}
+		d.nodes["a"].origins.Begin("r1", origin, false)
+		time.Sleep(time.Second)
+		d.serve("v1", "v2")
+		time.Sleep(time.Second)
+		d.serve("v2")
+		for range 6 {
+			time.Sleep(RefreshPeriod)
+			d.nodes["a"].origins.Begin("r1", origin, false)
+			d.nodes["a"].origins.Begin("other"+time.Now().String(), Origin{Pool: "p", SoftwareVersion: "v2"}, false)
+			time.Sleep(2 * sendPeriod)
+			for address, node := range d.nodes {
+				found, finding := node.origins.Find(context.Background(), "r1", "p", false)
+				Expect(finding).To(Equal(Known), address)
+				Expect(found).To(Equal(origin), address)
+			}
+		}
+		_, finding := d.nodes["b"].origins.Find(context.Background(), "never", "p", false)
+		Expect(finding).To(Equal(Unknown), "a stream of the version is still relayed")
+		time.Sleep(2*retention + 5*time.Second)
+		found, finding := d.nodes["b"].origins.Find(context.Background(), "never", "p", false)
+		Expect(finding).To(Equal(Irrelevant), "the version is forgotten after its last stream")
+		Expect(found.SoftwareVersion).To(Equal("v2"))
+	})
+}
--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,8 @@
 	// versions that servers of a pool had within the retention, in order, by pool, and settled are those
 	// of them that all nodes with current records must know.
 	versions, settled map[string][]string
+	// present are the pools' versions in the snapshot that was observed last.
+	present map[Origin]bool
 	// currentSince is since when the servers' records have been current without a gap; the zero time
 	// if they are not.
 	currentSince time.Time
@@ -47,6 +50,9 @@
 	present    map[Origin]bool
 	snapshot   *fleet.Snapshot
 	observedAt time.Time
+	// relayed are the versions of streams that this node relays, without a server in the snapshot.
+	relayedMutex sync.Mutex
+	relayed      map[Origin]bool
 	// interrupted is set if servers may have come and gone unseen since the last observation.
 	interrupted atomic.Bool
 	published   atomic.Pointer[observed]
@@ -82,6 +88,7 @@
 		}
 		v.markPresent(firstSeen, now)
 	}
+	v.mark(v.takeRelayed(), firstSeen, now)
 	before := v.load()
 	next := v.summary(now)
 	next.currentSince = v.currentSince(before, current, now)
@@ -98,7 +105,7 @@
 // summary returns the versions within the retention, and forgets the others.
 func (v *versions) summary(now time.Time) *observed {
 	maps.DeleteFunc(v.sightings, func(_ Origin, seen sighting) bool { return now.Sub(seen.last) > retention })
-	next := &observed{versions: map[string][]string{}, settled: map[string][]string{}}
+	next := &observed{versions: map[string][]string{}, settled: map[string][]string{}, present: v.present}
 	for origin, seen := range v.sightings {
 		next.versions[origin.Pool] = append(next.versions[origin.Pool], origin.SoftwareVersion)
 		if now.Sub(seen.first) >= v.settleTime {
@@ -125,9 +132,36 @@
 // interrupt makes the view have a gap now.
 func (v *versions) interrupt() { v.interrupted.Store(true) }
 
+// relay records that this node relays a stream of a version, whether or not a server still has it.
+func (v *versions) relay(origin Origin) {
+	if v.load().present[origin] {
+		return
+	}
+	v.relayedMutex.Lock()
+	defer v.relayedMutex.Unlock()
+	if v.relayed == nil {
+		v.relayed = map[Origin]bool{}
+	}
+	v.relayed[origin] = true
+}
+
+// takeRelayed returns the versions passed to relay since the last call.
+func (v *versions) takeRelayed() map[Origin]bool {
+	v.relayedMutex.Lock()
+	defer v.relayedMutex.Unlock()
+	relayed := v.relayed
+	v.relayed = nil
+	return relayed
+}
+
 // markPresent records that the versions which are present are there at the time.
 func (v *versions) markPresent(firstSeen func(Origin) time.Time, now time.Time) {
-	for origin := range v.present {
+	v.mark(v.present, firstSeen, now)
+}
+
+// mark records that versions are in service at the time.
+func (v *versions) mark(inService map[Origin]bool, firstSeen func(Origin) time.Time, now time.Time) {
+	for origin := range inService {
 		seen, known := v.sightings[origin]
 		if !known {
 			seen.first = firstSeen(origin)
