streamorigin: Ignore the late answer of a conflicting write

A pool's second version was forgotten, and a stream could be joined until the next change: when a write of the record of versions conflicted and its answer came after a newer change, the node replaced its newer record by the older one of the answer. written now compares revisions for conflicts, as it does for writes that succeeded.

TestLateConflictDoesNotReplaceANewerRecord fails without the change ({v1} instead of {v1 v2}).

--- a/internal/streamorigin/version_store.go
+++ b/internal/streamorigin/version_store.go
@@ -303,7 +303,7 @@
 		s.revision, s.carried = reply.Revision, nil
 		s.adopt(record)
 		s.logger.Info().Int("pools", len(record.Pools)).Int64("revision", reply.Revision).Msg("software versions saved")
-	case !reply.Succeeded:
+	case !reply.Succeeded && reply.Revision >= s.revision:
 		s.applyFrom(reply.Current)
 	}
 	s.pause = 0
--- a/internal/streamorigin/version_store_test.go
+++ b/internal/streamorigin/version_store_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/hatchplank/hatchplank/internal/outside"
 )
@@ -266,3 +268,23 @@
 		Expect(len(node.log.lines(line))).To(BeNumerically("<=", 3+linesPerSecond))
 	})
 }
+
+// Guards against a version that is forgotten, since the late answer of a write that conflicted replaces a
+// newer record.
+func TestLateConflictDoesNotReplaceANewerRecord(t *testing.T) {
+	RegisterTestingT(t)
+	record := func(revision int64, versions ...string) outside.KeyValue {
+		value, err := json.Marshal(versionRecord{Pools: map[string][]string{"p": versions}})
+		Expect(err).NotTo(HaveOccurred())
+		return outside.KeyValue{Key: versionsKey, Value: value, ModRevision: revision}
+	}
+	s := newVersionStore(Config{VersionsKey: versionsKey, Era: func() int64 { return 0 }, Logger: zerolog.Nop()})
+	s.change(outside.WatchEvent{KeyValue: record(101, "v1", "v2")})
+	s.written(versionRecord{}, outside.TransactionResult{Revision: 100, Current: []outside.KeyValue{record(100, "v1")}}, nil)
+	Expect(s.load().pools).To(Equal(map[string][]string{"p": {"v1", "v2"}}))
+	Expect(s.revision).To(Equal(int64(101)))
+	s.written(versionRecord{}, outside.TransactionResult{Revision: 100}, nil)
+	Expect(s.revision).To(Equal(int64(101)), "the record was written after the reply")
+	s.written(versionRecord{}, outside.TransactionResult{Revision: 103, Current: []outside.KeyValue{record(102, "v2")}}, nil)
+	Expect(s.load().pools).To(Equal(map[string][]string{"p": {"v2"}}))
+}
