--- a/internal/streamorigin/origins_test.go
+++ b/internal/streamorigin/origins_test.go
@@ -267,6 +267,7 @@
 	}
 	Expect(seen.load().covers(now)).To(BeTrue())
 	now = now.Add(maxObserveGap + observePeriod)
+	Expect(seen.load().covers(now)).To(BeFalse(), "nothing has been observed since the suspension")
 	seen.observe(view.Load(), &saved{}, true, now)
 	Expect(seen.load().covers(now)).To(BeFalse())
 }
--- a/internal/streamorigin/resumption_test.go
+++ b/internal/streamorigin/resumption_test.go
@@ -118,3 +118,17 @@
 		Expect(found.SoftwareVersion).To(Equal("v2"))
 	})
 }
+
+// Guards against a stream that is bound by a view which has not been observed since the process was suspended.
+func TestViewBeforeTheFirstObservationAfterASuspensionIsNoEvidence(t *testing.T) {
+	inDeployment(t, 1, []string{"v1"}, func(d *deployment) {
+		time.Sleep(2 * retention)
+		node := d.nodes["a"]
+		_, finding := node.origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Irrelevant))
+		node.stop()
+		time.Sleep(10 * time.Second)
+		_, finding = node.origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Unknown))
+	})
+}
--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -24,11 +24,13 @@
 	// currentSince is since when the servers' records have been current without a gap; the zero time
 	// if they are not.
 	currentSince time.Time
+	// at is the time of the observation.
+	at time.Time
 }
 
 // covers reports whether every version that was in service within the retention has been seen.
 func (o *observed) covers(now time.Time) bool {
-	return !o.currentSince.IsZero() && now.Sub(o.currentSince) >= retention
+	return !o.currentSince.IsZero() && now.Sub(o.currentSince) >= retention && now.Sub(o.at) <= maxObserveGap
 }
 
 // isSole reports whether the origin's version is the only one that its pool is seen to have now.
@@ -105,7 +107,7 @@
 // summary returns the versions within the retention, and forgets the others.
 func (v *versions) summary(now time.Time) *observed {
 	maps.DeleteFunc(v.sightings, func(_ Origin, seen sighting) bool { return now.Sub(seen.last) > retention })
-	next := &observed{versions: map[string][]string{}, settled: map[string][]string{}, present: v.present}
+	next := &observed{versions: map[string][]string{}, settled: map[string][]string{}, present: v.present, at: now}
 	for origin, seen := range v.sightings {
 		next.versions[origin.Pool] = append(next.versions[origin.Pool], origin.SoftwareVersion)
 		if now.Sub(seen.first) >= v.settleTime {
