streamorigin: Take a record that does not name the pools for none

A record of versions without its pools ({"era":0}), as another program or a later build might write, counted as complete and without versions: a node that started then bound each stream that no node knew to the version that it saw. A record now needs its pools, each with versions; this build never writes another one as complete.

The new values of TestRecordThatIsNotUnderstoodIsNoEvidence fail without the change ("irrelevant").

--- a/internal/streamorigin/version_store.go
+++ b/internal/streamorigin/version_store.go
@@ -43,6 +43,16 @@
 	Pools map[string][]string `json:"pools"`
 }
 
+// valid reports whether the record names the pools, each with its versions.
+func (r versionRecord) valid() bool {
+	for _, versions := range r.Pools {
+		if len(versions) == 0 {
+			return false
+		}
+	}
+	return r.Pools != nil
+}
+
 // saved is what a node knows of the record. It is immutable.
 type saved struct {
 	pools map[string][]string
@@ -160,6 +170,9 @@
 			s.logger.Error().Err(err).Str("key", s.key).Msg("cannot decode the record of software versions")
 			record = versionRecord{Era: noEra}
 		}
+		if !record.valid() {
+			record = versionRecord{Era: noEra}
+		}
 	}
 	s.adopt(record)
 	s.complete = s.complete || keyValue == nil && s.noEarlierProcess
