streamorigin: Send all origins to the keepers when the records stop being current

While the store was away, callers that resumed a stream begun before that were refused until it was back, if the node that knows the stream is no counter node: its origin had not been sent, since its pool had one version, and nobody asks that node.

TestStreamBegunBeforeTheStoreWasAwayGoesOn fails without the change ("unknown").

--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -125,11 +125,14 @@
 }
 
 // observe observes the servers' versions. The streams of pools that have several now and had not before are
-// sent to other nodes.
+// sent to other nodes; all of them are when the records stop being current, as nothing follows from these then.
 func (o *Origins) observe(now time.Time) {
-	current := o.recordsCurrent()
-	for _, pool := range o.versions.observe(o.config.View.Load(), o.saved.load(), current, now) {
-		o.enqueue(o.table.ofPool(pool))
+	current, wasCurrent := o.recordsCurrent(), !o.versions.load().currentSince.IsZero()
+	mixed := o.versions.observe(o.config.View.Load(), o.saved.load(), current, now)
+	if wasCurrent && !current {
+		o.enqueue(o.table.where(func(Origin) bool { return true }))
+	} else if len(mixed) > 0 {
+		o.enqueue(o.table.where(func(origin Origin) bool { return slices.Contains(mixed, origin.Pool) }))
 	}
 	if current {
 		o.saved.update(o.versions.load(), now)
--- a/internal/streamorigin/origins_test.go
+++ b/internal/streamorigin/origins_test.go
@@ -60,11 +60,21 @@
 type deployment struct {
 	network *peers.Network
 	nodes   map[string]*testNode
+	// counters are the nodes that keep origins; nil: all.
+	counters atomic.Pointer[[]string]
 	// store is nil if versions are not saved.
 	store *fakeStore
 	ctx   context.Context
 }
 
+// counterNodes returns the nodes that keep origins.
+func (d *deployment) counterNodes() []string {
+	if counters := d.counters.Load(); counters != nil {
+		return *counters
+	}
+	return d.network.Addresses()
+}
+
 // start adds a node, or starts one again without its memory.
 func (d *deployment) start(address string) *testNode {
 	if before := d.nodes[address]; before != nil {
@@ -72,7 +82,7 @@
 	}
 	node := &testNode{address: address, view: fleet.NewView()}
 	config := Config{
-		View: node.view, Transport: d.network.Add(address), Address: address, Nodes: d.network.Addresses,
+		View: node.view, Transport: d.network.Add(address), Address: address, Nodes: d.counterNodes,
 		RecordsAge: node.recordsAge, MaxRecordsAge: testRecordsAge, Logger: zerolog.New(&node.log),
 		OnFind: func(_ Finding, basis Basis) { node.basis.Store(&basis) },
 	}
--- a/internal/streamorigin/resumption_test.go
+++ b/internal/streamorigin/resumption_test.go
@@ -132,3 +132,28 @@
 		Expect(finding).To(Equal(Unknown))
 	})
 }
+
+// Guards against a stream that is refused for as long as the store is away, although it began before that at a
+// node that still serves: the node is no counter node, and nobody asked it.
+func TestStreamBegunBeforeTheStoreWasAwayGoesOn(t *testing.T) {
+	store := newFakeStore()
+	inDeploymentWithStore(t, store, 5, []string{"v1"}, func(d *deployment) {
+		d.counters.Store(&[]string{"a", "b", "c"})
+		time.Sleep(2 * retention)
+		origin := Origin{Pool: "p", SoftwareVersion: "v1"}
+		d.nodes["d"].origins.Begin("r1", origin, false)
+		store.setUnavailable(true)
+		for _, node := range d.nodes {
+			node.setLate(true)
+		}
+		time.Sleep(testRecordsAge + observePeriod + 2*sendPeriod)
+		for range 10 {
+			for _, address := range []string{"a", "e"} {
+				found, finding := d.nodes[address].origins.Find(context.Background(), "r1", "p", false)
+				Expect(finding).To(Equal(Known), address)
+				Expect(found).To(Equal(origin), address)
+			}
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -62,14 +62,14 @@
 	return *found, true
 }
 
-// ofPool returns the streams that began in a pool.
-func (t *table) ofPool(pool string) map[Key]Origin {
+// where returns the streams whose origin matches.
+func (t *table) where(matches func(Origin) bool) map[Key]Origin {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	streams := map[Key]Origin{}
 	for _, generation := range []map[Key]*Origin{t.previous, t.current} {
 		for stream, origin := range generation {
-			if origin.Pool == pool {
+			if matches(*origin) {
 				streams[stream] = *origin
 			}
 		}
