forward: Prefer settled versions only among servers that can take the request now

During a release, a new stream waited, or was refused at its deadline, while an idle server of the new version was free: a server of a settled version that was full or in a backoff of an hour still counted as one to wait for. Now servers of other versions are left out only if one of a settled version can take the request: no backoff, a slot, an acceptable queue.

Settled versions protect streams that are resumed at a node which does not know the version.

TestStreamDoesNotWaitForASettledVersionThatIsBusy fails without the change (refused with 2003 after 5 s, full and in backoff). All tests of internal/forward pass.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -107,7 +107,7 @@
 	flow.runTime, flow.aheadShare = f.tracker.averageRunTime(flow.pool), f.aheadShare(flow)
 	maxWait, maxQueueWait := f.maxSlotWait(flow, now), flow.startBy(now).Sub(now)
 	loads := f.tracker.ofServers(holders)
-	settled, settledServers := f.settledVersions(flow), 0
+	settled := f.settledVersions(flow)
 	for i, server := range holders {
 		load := loads[i]
 		eligible, fits, queueWait, pause := f.assess(flow, server, load, now)
@@ -128,18 +128,13 @@
 				result.unreachable++
 			}
 			shortestWait = min(shortestWait, max(backoff, slot.in, queueWait))
-			if pause <= 0 && !flow.tried[server.ID] && slices.Contains(settled, server.SoftwareVersion) {
-				settledServers++
-			}
 		}
 		// The queue must be short enough for the request to begin while that is useful to the caller.
 		if fits && queueWait <= maxQueueWait && backoff <= 0 && slot.mayRequest(flow, maxWait) {
 			candidates = append(candidates, candidate{server: server, load: load, slotIn: slot.in, indirect: f.indirect(server.Address)})
 		}
 	}
-	if settledServers > 0 {
-		candidates = dropUnsettled(candidates, settled)
-	}
+	candidates = preferSettled(candidates, settled)
 	candidates, result.check, result.checking = f.avoidSuspected(flow, candidates, now)
 	f.scoreAll(flow, candidates, now)
 	if picked := f.pick(flow, candidates); picked != nil {
--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -138,9 +138,13 @@
 	return f.origins.Settled(flow.pool)
 }
 
-// dropUnsettled removes the candidates without one of the versions.
-func dropUnsettled(candidates []candidate, settled []string) []candidate {
-	return slices.DeleteFunc(candidates, func(one candidate) bool { return !slices.Contains(settled, one.server.SoftwareVersion) })
+// preferSettled removes the candidates without one of the versions if others have one.
+func preferSettled(candidates []candidate, settled []string) []candidate {
+	unsettled := func(one candidate) bool { return !slices.Contains(settled, one.server.SoftwareVersion) }
+	if !slices.ContainsFunc(candidates, func(one candidate) bool { return !unsettled(one) }) {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, unsettled)
 }
 
 // refuseWithoutVersion ends a stream that only servers of another software version could continue: its
--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -222,6 +222,36 @@
 	})
 }
 
+// Guards against a stream that waits for a server of a settled version which can't take it now, while one of
+// another version is free.
+func TestStreamDoesNotWaitForASettledVersionThatIsBusy(t *testing.T) {
+	cases := map[string]func(b *testbed, settled *fleet.Server){
+		"backoff": func(b *testbed, settled *fleet.Server) {
+			b.forwarder.backoffs = &fakeBackoffs{until: map[string]time.Time{settled.ID: time.Now().Add(time.Hour)}}
+		},
+		"full": func(b *testbed, settled *fleet.Server) {
+			load := b.forwarder.tracker.ofServers([]*fleet.Server{settled})[0]
+			load.mutex.Lock()
+			defer load.mutex.Unlock()
+			load.changeOwn(maxRequestsPerSlot*settled.Slots, time.Now())
+		},
+	}
+	for name, busy := range cases {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				b.forwarder.origins = &settledOrigins{fakeOrigins: fakeOrigins{}, settled: []string{"v1"}}
+				b.view.ReplaceServers(versioned(map[string]string{"m1": "v2", "m2": "v1"}))
+				busy(b, b.view.Load().Servers["m2"])
+				b.backend.answer["m1"] = streams(events(1, 4), time.Millisecond, io.EOF)
+				began := time.Now()
+				Expect(b.forwarder.Serve(context.Background(), request("patient", "m", 5*time.Second), &recorder{}).Code).To(Equal(result.OK))
+				Expect(b.backend.servers()).To(Equal([]string{"m1"}))
+				Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+			})
+		})
+	}
+}
+
 // oneVersion is a pool that had one version, which began the streams that nobody knows.
 type oneVersion struct{ noOrigins }
 
