streamorigin: Write the marker of a too large record once

With more versions than a record of half a megabyte holds, each node wrote the marker that stands for such a record every 16 s, and all nodes read each write: the marker differs from the wanted record for good. A node that knows the marker to be stored does not write it again; the record is written once it fits.

TestMarkerOfATooLargeRecordIsWrittenOnce fails without the change (57 writes in 5 min by three nodes).

--- a/internal/streamorigin/version_store.go
+++ b/internal/streamorigin/version_store.go
@@ -43,6 +43,9 @@
 	Pools map[string][]string `json:"pools"`
 }
 
+// isMarker reports whether the record stands for one that was too large or not understood.
+func (r versionRecord) isMarker() bool { return r.Era == noEra }
+
 // valid reports whether the record names the pools, each with its versions.
 func (r versionRecord) valid() bool {
 	for _, versions := range r.Pools {
@@ -283,10 +286,13 @@
 func (s *versionStore) write(record versionRecord) {
 	value, err := json.Marshal(record)
 	if err == nil && len(value) > maxRecordBytes {
+		s.nextTry = time.Now().Add(maxSavePause)
+		if s.revision != 0 && s.stored.isMarker() {
+			return
+		}
 		s.logger.Error().Int("bytes", len(value)).Int("pools", len(record.Pools)).Msg("too many software versions to save")
 		record = versionRecord{Era: noEra}
 		value, err = json.Marshal(record)
-		s.nextTry = time.Now().Add(maxSavePause)
 	}
 	if err != nil {
 		s.logger.Error().Err(err).Msg("software versions could not be encoded")
--- a/internal/streamorigin/version_store_test.go
+++ b/internal/streamorigin/version_store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -289,3 +290,25 @@
 	s.written(versionRecord{}, outside.TransactionResult{Revision: 103, Current: []outside.KeyValue{record(102, "v2")}}, nil)
 	Expect(s.load().pools).To(Equal(map[string][]string{"p": {"v2"}}))
 }
+
+// Guards against writes without end of the marker that stands for a record which is too large, and against a
+// marker that stays once the record fits again.
+func TestMarkerOfATooLargeRecordIsWrittenOnce(t *testing.T) {
+	store := newFakeStore()
+	inDeploymentWithStore(t, store, 3, []string{"v1"}, func(d *deployment) {
+		time.Sleep(2 * retention)
+		before, _ := store.written()
+		d.serve("v1", strings.Repeat("x", maxRecordBytes))
+		time.Sleep(5 * time.Minute)
+		writes, conflicts := store.written()
+		Expect(writes-before).To(Equal(1), "%d conflicts", conflicts)
+		_, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Unknown))
+		d.serve("v1")
+		time.Sleep(2*retention + 2*maxSavePause)
+		writes, _ = store.written()
+		Expect(writes-before).To(Equal(2), "the record fits again")
+		_, finding = d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
+		Expect(finding).To(Equal(Irrelevant))
+	})
+}
