streamorigin: Name the finding SoleVersion

Irrelevant said that the version does not matter; the stream is bound to the only version that the pool has had. The label of hatchplank_node_stream_origins_total stays "irrelevant", so dashboards and alerts go on. No change of behaviour.

--- a/internal/forward/stream_version.go
+++ b/internal/forward/stream_version.go
@@ -32,7 +32,7 @@
 func (noOrigins) Begin(string, streamorigin.Origin, bool) {}
 
 func (noOrigins) Find(context.Context, string, string, bool) (streamorigin.Origin, streamorigin.Finding) {
-	return streamorigin.Origin{}, streamorigin.Irrelevant
+	return streamorigin.Origin{}, streamorigin.SoleVersion
 }
 
 func (noOrigins) Settled(string) []string { return nil }
--- a/internal/forward/stream_version_test.go
+++ b/internal/forward/stream_version_test.go
@@ -256,7 +256,7 @@
 type oneVersion struct{ noOrigins }
 
 func (oneVersion) Find(context.Context, string, string, bool) (streamorigin.Origin, streamorigin.Finding) {
-	return streamorigin.Origin{Pool: modelPool, SoftwareVersion: "v1"}, streamorigin.Irrelevant
+	return streamorigin.Origin{Pool: modelPool, SoftwareVersion: "v1"}, streamorigin.SoleVersion
 }
 
 // resumption is the request of a caller that resumes a stream.
--- a/internal/streamorigin/evidence.go
+++ b/internal/streamorigin/evidence.go
@@ -69,7 +69,7 @@
 // conclude returns what follows for a stream that no node knows.
 func (e evidence) conclude(pool string) search {
 	if version, only := e.sole(); only {
-		return search{origin: Origin{Pool: pool, SoftwareVersion: version}, finding: Irrelevant, basis: e.basis, versions: e.versions}
+		return search{origin: Origin{Pool: pool, SoftwareVersion: version}, finding: SoleVersion, basis: e.basis, versions: e.versions}
 	}
 	return search{finding: Unknown, basis: e.basis, versions: e.versions}
 }
--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -50,10 +50,9 @@
 const (
 	// Known: the origin is known.
 	Known Finding = "known"
-	// Irrelevant: it is not known at which server the stream began, but all servers in the pool have had
-	// one version since before it can have begun. The origin has this version; servers of others that
-	// join meanwhile are not meant.
-	Irrelevant Finding = "irrelevant"
+	// SoleVersion: the origin is not known, but the pool has had one version since before the stream can
+	// have begun. The origin has this version; servers of others that join meanwhile are not meant.
+	SoleVersion Finding = "irrelevant"
 	// Unknown: the origin is not known, and the pool has had several versions or may have had them.
 	Unknown Finding = "unknown"
 )
--- a/internal/streamorigin/origins_test.go
+++ b/internal/streamorigin/origins_test.go
@@ -262,7 +262,7 @@
 		Expect(finding).To(Equal(Unknown))
 		time.Sleep(retention)
 		_, finding = node.origins.Find(context.Background(), "r1", "p", false)
-		Expect(finding).To(Equal(Irrelevant))
+		Expect(finding).To(Equal(SoleVersion))
 	})
 }
 
@@ -288,12 +288,12 @@
 	inDeployment(t, 3, []string{"v1"}, func(d *deployment) {
 		time.Sleep(2 * retention)
 		found, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
-		Expect(finding).To(Equal(Irrelevant))
+		Expect(finding).To(Equal(SoleVersion))
 		Expect(found).To(Equal(Origin{Pool: "p", SoftwareVersion: "v1"}))
 		d.start("b").serve("v1")
 		time.Sleep(time.Second)
 		found, finding = d.nodes["b"].origins.Find(context.Background(), "r1", "p", false)
-		Expect(finding).To(Equal(Irrelevant))
+		Expect(finding).To(Equal(SoleVersion))
 		Expect(found).To(Equal(Origin{Pool: "p", SoftwareVersion: "v1"}))
 	})
 }
@@ -320,7 +320,7 @@
 		time.Sleep(retention)
 		began := time.Now()
 		found := d.nodes["a"].origins.search(context.Background(), keyOf("never"), "p", false)
-		Expect(found.finding).To(Equal(Irrelevant))
+		Expect(found.finding).To(Equal(SoleVersion))
 		Expect(time.Since(began)).To(BeNumerically("<=", 2*time.Millisecond), "one round trip")
 		Expect(found.asked).To(Equal(2))
 		d.nodes["a"].origins.Begin("r1", Origin{Pool: "p", SoftwareVersion: "v1"}, false)
@@ -337,7 +337,7 @@
 		Expect(finding).To(Equal(Unknown))
 		time.Sleep(retention + time.Second)
 		_, finding = d.nodes["a"].origins.Find(context.Background(), "never", "p", false)
-		Expect(finding).To(Equal(Irrelevant))
+		Expect(finding).To(Equal(SoleVersion))
 	})
 }
 
--- a/internal/streamorigin/version_store_test.go
+++ b/internal/streamorigin/version_store_test.go
@@ -51,7 +51,7 @@
 			d.killAll(version)
 			for address, node := range d.nodes {
 				found, finding := node.origins.Find(context.Background(), "r1", "p", false)
-				Expect(finding).To(Equal(Irrelevant), address)
+				Expect(finding).To(Equal(SoleVersion), address)
 				Expect(found.SoftwareVersion).To(Equal(version), address)
 			}
 		})
@@ -71,7 +71,7 @@
 		time.Sleep(retention + 2*time.Second)
 		d.killAll("v2")
 		found, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
-		Expect(finding).To(Equal(Irrelevant))
+		Expect(finding).To(Equal(SoleVersion))
 		Expect(found.SoftwareVersion).To(Equal("v2"))
 		writes, conflicts := store.written()
 		Expect(writes).To(Equal(3), "one for each change")
@@ -88,7 +88,7 @@
 		for range 2 * (maxUnseen + 2*retention) / retention {
 			time.Sleep(retention / 2)
 			_, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
-			if finding == Irrelevant {
+			if finding == SoleVersion {
 				break
 			}
 			for _, node := range d.nodes {
@@ -101,7 +101,7 @@
 		}
 		d.killAll("v2")
 		_, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
-		Expect(finding).To(Equal(Irrelevant))
+		Expect(finding).To(Equal(SoleVersion))
 	})
 }
 
@@ -117,10 +117,10 @@
 		Expect(writes).To(BeZero())
 		time.Sleep(retention)
 		_, finding = d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
-		Expect(finding).To(Equal(Irrelevant))
+		Expect(finding).To(Equal(SoleVersion))
 		d.killAll("v1")
 		_, finding = d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
-		Expect(finding).To(Equal(Irrelevant))
+		Expect(finding).To(Equal(SoleVersion))
 	})
 }
 
@@ -161,7 +161,7 @@
 		store.restore(nil)
 		for range 2 {
 			found, finding := d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
-			Expect(finding).To(Equal(Irrelevant))
+			Expect(finding).To(Equal(SoleVersion))
 			Expect(found.SoftwareVersion).To(Equal("v1"))
 			time.Sleep(2 * time.Second)
 			d.killAll("v1")
@@ -309,6 +309,6 @@
 		writes, _ = store.written()
 		Expect(writes-before).To(Equal(2), "the record fits again")
 		_, finding = d.nodes["a"].origins.Find(context.Background(), "r1", "p", false)
-		Expect(finding).To(Equal(Irrelevant))
+		Expect(finding).To(Equal(SoleVersion))
 	})
 }
