streamorigin: Send the origins of a pool that a route leaves

A route was moved to another pool while its streams ran: a node that did not know where a stream began continued it in the new pool, if that had had one version, since the origins of a pool of one version are not sent to the keepers. A node that observes a configuration by which requests no longer go to a pool now sends the origins of this pool, as for one with a second version. Configurations that move no requests cost nothing.

TestStreamOfAMovedRouteIsKnown fails without the change (bound to v1 of the new pool).

--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -85,6 +85,8 @@
 	versions versions
 	saved    *versionStore
 	limiter  *logging.Limiter
+	// configuration is the one that was observed last.
+	configuration *fleet.Configuration
 
 	mutex sync.Mutex
 	// queued origins are sent to other nodes.
@@ -123,21 +125,33 @@
 	}
 }
 
-// observe observes the servers' versions. The streams of pools that have several now and had not before are
-// sent to other nodes; all of them are when the records stop being current, as nothing follows from these then.
+// observe observes the servers' versions and the routes. The streams of pools that have several versions now
+// and had not before, or that a route has left, are sent to other nodes; all streams are when the records
+// stop being current, as nothing follows from these then.
 func (o *Origins) observe(now time.Time) {
+	snapshot := o.config.View.Load()
 	current, wasCurrent := o.recordsCurrent(), !o.versions.load().currentSince.IsZero()
-	mixed := o.versions.observe(o.config.View.Load(), o.saved.load(), current, now)
+	pools := append(o.versions.observe(snapshot, o.saved.load(), current, now), o.observeRoutes(snapshot)...)
 	if wasCurrent && !current {
 		o.enqueue(o.table.where(func(Origin) bool { return true }))
-	} else if len(mixed) > 0 {
-		o.enqueue(o.table.where(func(origin Origin) bool { return slices.Contains(mixed, origin.Pool) }))
+	} else if len(pools) > 0 {
+		o.enqueue(o.table.where(func(origin Origin) bool { return slices.Contains(pools, origin.Pool) }))
 	}
 	if current {
 		o.saved.update(o.versions.load(), now)
 	}
 }
 
+// observeRoutes returns the pools that routes have left since the last call.
+func (o *Origins) observeRoutes(snapshot *fleet.Snapshot) []string {
+	before := o.configuration
+	o.configuration = snapshot.Configuration
+	if before == nil || o.configuration == nil || before == o.configuration {
+		return nil
+	}
+	return o.configuration.PoolsLeft(before)
+}
+
 // SetNoEarlierProcess is called before Replace if no process used the store before this one started.
 func (o *Origins) SetNoEarlierProcess() { o.saved.setNoEarlierProcess() }
 
--- a/internal/streamorigin/resumption_test.go
+++ b/internal/streamorigin/resumption_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
 )
 
 // Guards against a stream that is joined at a node which concludes from its own records, as old as they may be,
@@ -157,3 +159,36 @@
 		}
 	})
 }
+
+// Guards against a stream that goes on in another pool, since its route was moved there while it ran: only the
+// node that began it knew where.
+func TestStreamOfAMovedRouteIsKnown(t *testing.T) {
+	inDeploymentWithStore(t, newFakeStore(), 5, []string{"v1"}, func(d *deployment) {
+		d.counters.Store(&[]string{"b", "c", "d"})
+		leadTo := func(pool string, revision int64) {
+			for _, node := range d.nodes {
+				route := &fleet.Route{Host: "h", Prefix: "/", Targets: []fleet.Target{{Pool: pool, Weight: 1}}}
+				Expect(node.view.SetConfiguration(fleet.NewConfiguration(revision, revision, []*fleet.Route{route}, nil, fleet.Limits{}))).To(BeTrue())
+			}
+		}
+		for _, node := range d.nodes {
+			node.view.ReplaceServers(map[string]*fleet.Server{
+				"s-p": {ID: "s-p", Pool: "p", SoftwareVersion: "v1"}, "s-q": {ID: "s-q", Pool: "q", SoftwareVersion: "v1"},
+			})
+		}
+		leadTo("q", 1)
+		time.Sleep(2 * retention)
+		origin := Origin{Pool: "q", SoftwareVersion: "v1"}
+		d.nodes["a"].origins.Begin("r1", origin, false)
+		time.Sleep(time.Second)
+		_, sent := d.nodes["b"].origins.table.get(keyOf("r1"))
+		Expect(sent).To(BeFalse())
+		leadTo("p", 2)
+		time.Sleep(observePeriod + 2*sendPeriod)
+		for address, node := range d.nodes {
+			found, finding := node.origins.Find(context.Background(), "r1", "p", false)
+			Expect(finding).To(Equal(Known), address)
+			Expect(found).To(Equal(origin), address)
+		}
+	})
+}
