streamorigin: Describe the state of the version store and name its steps

A newcomer could not tell which of replace, applyFrom, apply, adopt and publish does what. A comment gives the states (complete, unsaved) and where a record comes from; applyFrom and apply are applyKeys and applyKey, adopt is setStored, and carried is unsaved. No change of behaviour.

--- a/internal/streamorigin/version_store.go
+++ b/internal/streamorigin/version_store.go
@@ -73,6 +73,15 @@
 
 // versionStore saves the pools' software versions in the store whenever they change: each version that was
 // seen is added at once, and removed by a node whose view has covered the retention without it.
+//
+// Its state is what is known of the one record:
+//
+//	complete, nothing unsaved   the stored record names all versions
+//	complete, some unsaved      the store lost the record; stored and unsaved name all versions
+//	not complete                no record, a marker or one of an earlier era: there may have been others
+//
+// The record comes with all keys (replace), as a change (change) or with the result of a write (written). Each
+// sets the state (setStored) and makes it available to load (publish).
 type versionStore struct {
 	store   outside.KeyValueService
 	key     string
@@ -89,13 +98,14 @@
 	stored   versionRecord
 	// known are the saved versions.
 	known map[Origin]savedVersion
-	// carried are the versions known before the store lost them, to be stored again; nil: none.
-	carried map[string][]string
+	// unsaved are the versions known before the store lost them, to be stored again; nil: none.
+	unsaved map[string][]string
 	// currentAt is when the servers' records were current last.
 	currentAt time.Time
 	// noEarlierProcess: no process used the store before this one started.
 	noEarlierProcess bool
-	complete         bool
+	// complete: stored and unsaved name all versions, apart from those that this node has seen since.
+	complete bool
 	// dueSince is since when the record has lacked a version or had one too many; the zero time if it is
 	// as it should be.
 	dueSince, nextTry time.Time
@@ -128,7 +138,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision = 0
-	s.applyFrom(keyValues)
+	s.applyKeys(keyValues)
 	s.noEarlierProcess = false
 	s.publish()
 }
@@ -144,27 +154,27 @@
 		return
 	}
 	if event.Deleted {
-		s.apply(nil)
+		s.applyKey(nil)
 	} else {
-		s.apply(&event.KeyValue)
+		s.applyKey(&event.KeyValue)
 	}
 	s.publish()
 }
 
-// applyFrom applies the record if it is among the keys, which are all that exist. It must be called with
+// applyKeys applies the record if it is among the keys, which are all that exist. It must be called with
 // the lock held.
-func (s *versionStore) applyFrom(keyValues []outside.KeyValue) {
+func (s *versionStore) applyKeys(keyValues []outside.KeyValue) {
 	for _, keyValue := range keyValues {
 		if keyValue.Key == s.key {
-			s.apply(&keyValue)
+			s.applyKey(&keyValue)
 			return
 		}
 	}
-	s.apply(nil)
+	s.applyKey(nil)
 }
 
-// apply applies the record as it is stored; nil if there is none. It must be called with the lock held.
-func (s *versionStore) apply(keyValue *outside.KeyValue) {
+// applyKey applies the record as it is stored; nil if there is none. It must be called with the lock held.
+func (s *versionStore) applyKey(keyValue *outside.KeyValue) {
 	record := versionRecord{Era: noEra}
 	s.revision = 0
 	if keyValue != nil {
@@ -177,18 +187,18 @@
 			record = versionRecord{Era: noEra}
 		}
 	}
-	s.adopt(record)
+	s.setStored(record)
 	s.complete = s.complete || keyValue == nil && s.noEarlierProcess
 }
 
-// adopt applies a record that is stored. If it is deleted, or was brought back by a restore of the store,
-// what was known before is kept. It must be called with the lock held.
-func (s *versionStore) adopt(record versionRecord) {
+// setStored sets the record that is stored. If it is deleted, or was brought back by a restore of the store,
+// the versions known before become unsaved ones. It must be called with the lock held.
+func (s *versionStore) setStored(record versionRecord) {
 	isComplete := record.Era == s.era()
 	if !isComplete && s.complete && time.Since(s.currentAt) <= retention {
-		s.carried = union(s.stored.Pools, s.carried)
+		s.unsaved = union(s.stored.Pools, s.unsaved)
 	}
-	s.stored, s.complete = record, isComplete || s.carried != nil
+	s.stored, s.complete = record, isComplete || s.unsaved != nil
 	known, now := map[Origin]savedVersion{}, time.Now()
 	for pool, versions := range record.Pools {
 		for _, version := range versions {
@@ -215,7 +225,7 @@
 
 // publish makes the known versions available to load. It must be called with the lock held.
 func (s *versionStore) publish() {
-	s.published.Store(&saved{pools: union(s.stored.Pools, s.carried), complete: s.complete})
+	s.published.Store(&saved{pools: union(s.stored.Pools, s.unsaved), complete: s.complete})
 }
 
 // update writes the record if it is not as it should be by what this node has seen, and this node's turn
@@ -259,7 +269,7 @@
 	}
 	pools := union(seen.versions, kept)
 	if !covers {
-		pools = union(pools, s.carried)
+		pools = union(pools, s.unsaved)
 	}
 	return versionRecord{Era: s.era(), Pools: pools}, true
 }
@@ -319,11 +329,11 @@
 		s.logger.Warn().Err(err).Dur("pause_ms", s.pause).Msg("software versions not saved yet")
 		return
 	case reply.Succeeded && reply.Revision >= s.revision && record.Era == s.era():
-		s.revision, s.carried = reply.Revision, nil
-		s.adopt(record)
+		s.revision, s.unsaved = reply.Revision, nil
+		s.setStored(record)
 		s.logger.Info().Int("pools", len(record.Pools)).Int64("revision", reply.Revision).Msg("software versions saved")
 	case !reply.Succeeded && reply.Revision >= s.revision:
-		s.applyFrom(reply.Current)
+		s.applyKeys(reply.Current)
 	}
 	s.pause = 0
 	s.publish()
--- a/internal/streamorigin/version_store_test.go
+++ b/internal/streamorigin/version_store_test.go
@@ -206,8 +206,10 @@
 
 // Guards against a record that can't be decoded, or is too large, and counts as one without versions.
 func TestRecordThatIsNotUnderstoodIsNoEvidence(t *testing.T) {
-	for _, value := range []string{"", "{", `{"era":-1}`, "[]", `{"pools":{"p":["v1"]}}x`,
-		`{"era":0}`, `{}`, `{"era":0,"pools":null,"next":1}`, `{"era":0,"pools":{"p":null}}`} {
+	for _, value := range []string{
+		"", "{", `{"era":-1}`, "[]", `{"pools":{"p":["v1"]}}x`,
+		`{"era":0}`, `{}`, `{"era":0,"pools":null,"next":1}`, `{"era":0,"pools":{"p":null}}`,
+	} {
 		store := newFakeStore()
 		store.revision = 1
 		store.keys[versionsKey] = outside.KeyValue{Key: versionsKey, Value: []byte(value), ModRevision: 1}
