--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -4,7 +4,7 @@
 //
 // The node that passes on a stream's first event keeps its origin. While a pool has servers of several
 // versions, it also sends it to two of the counter nodes (see package ratelimit), which all nodes know;
-// a node that does not know a stream asks them. As long as a pool has one version, nothing is sent.
+// a node that does not know a stream asks them. As long as a pool has one version, no origin is sent.
 //
 // A stream that no node knows goes on only if the pool is shown to have had one version: by a record in
 // the store of the versions that the pools had lately, or by a node whose view had no gap.
@@ -50,10 +50,9 @@
 const (
 	// Known: the origin is known.
 	Known Finding = "known"
-	// Irrelevant: it is not known at which server the stream began, but all servers in the pool have had
-	// one version since before it can have begun. The origin has this version; servers of others that
-	// join meanwhile are not meant.
-	Irrelevant Finding = "irrelevant"
+	// SoleVersion: the origin is not known, but the pool has had one version since before the stream can
+	// have begun. The origin has this version; servers of others that join meanwhile are not meant.
+	SoleVersion Finding = "irrelevant"
 	// Unknown: the origin is not known, and the pool has had several versions or may have had them.
 	Unknown Finding = "unknown"
 )
@@ -86,6 +85,8 @@
 	versions versions
 	saved    *versionStore
 	limiter  *logging.Limiter
+	// configuration is the one that was observed last.
+	configuration *fleet.Configuration
 
 	mutex sync.Mutex
 	// queued origins are sent to other nodes.
@@ -124,18 +125,33 @@
 	}
 }
 
-// observe observes the servers' versions. The streams of pools that have several now and had not before are
-// sent to other nodes.
+// observe observes the servers' versions and the routes. The streams of pools that have several versions now
+// and had not before, or that a route has left, are sent to other nodes; all streams are when the records
+// stop being current, as nothing follows from these then.
 func (o *Origins) observe(now time.Time) {
-	current := o.recordsCurrent()
-	for _, pool := range o.versions.observe(o.config.View.Load(), o.saved.load(), current, now) {
-		o.enqueue(o.table.ofPool(pool))
+	snapshot := o.config.View.Load()
+	current, wasCurrent := o.recordsCurrent(), !o.versions.load().currentSince.IsZero()
+	pools := append(o.versions.observe(snapshot, o.saved.load(), current, now), o.observeRoutes(snapshot)...)
+	if wasCurrent && !current {
+		o.enqueue(o.table.where(func(Origin) bool { return true }))
+	} else if len(pools) > 0 {
+		o.enqueue(o.table.where(func(origin Origin) bool { return slices.Contains(pools, origin.Pool) }))
 	}
 	if current {
 		o.saved.update(o.versions.load(), now)
 	}
 }
 
+// observeRoutes returns the pools that routes have left since the last call.
+func (o *Origins) observeRoutes(snapshot *fleet.Snapshot) []string {
+	before := o.configuration
+	o.configuration = snapshot.Configuration
+	if before == nil || o.configuration == nil || before == o.configuration {
+		return nil
+	}
+	return o.configuration.PoolsLeft(before)
+}
+
 // SetNoEarlierProcess is called before Replace if no process used the store before this one started.
 func (o *Origins) SetNoEarlierProcess() { o.saved.setNoEarlierProcess() }
 
@@ -155,18 +171,24 @@
 // at a server of another one may be resumed at a node that takes it for a stream of these.
 func (o *Origins) Settled(pool string) []string { return o.versions.load().settled[pool] }
 
-// Begin records that the first event of a stream was passed on; request is the ID of the request that it
-// was passed on for. With share, other nodes learn the origin in any case.
+// RefreshPeriod is the interval at which Begin must be called while a stream is relayed, so that neither
+// its origin nor its version is forgotten.
+const RefreshPeriod = retention / 2
+
+// Begin records that the first event of a stream was passed on, or that the stream is still relayed;
+// request is the ID of the request that the first event was passed on for. With share, other nodes learn
+// the origin in any case.
 func (o *Origins) Begin(request string, origin Origin, share bool) {
 	stream := keyOf(request)
 	o.table.put(stream, origin, time.Now())
+	o.versions.relay(origin)
 	if share || !o.versions.load().isSole(origin) || !o.saved.load().allows(origin) {
 		o.enqueue(map[Key]Origin{stream: origin})
 	}
 }
 
 // Find returns the origin of the stream whose first event was passed on for a request with the ID. It
-// asks other nodes if this one knows neither the origin nor that the pool had only one version. With
+// asks other nodes if this one does not know the origin: its records may lack a version. With
 // severalPools, the stream may have begun in another one: what versions the pool had tells nothing. The
 // wait is limited.
 func (o *Origins) Find(ctx context.Context, request, pool string, severalPools bool) (Origin, Finding) {
@@ -193,52 +215,76 @@
 	}
 	found := o.evidence(pool, time.Now())
 	found.mixed = severalPools
-	if _, only := found.sole(); only {
+	nodes := o.others()
+	if len(nodes) == 0 {
 		return found.conclude(pool)
 	}
-	replies, asked := o.ask(ctx, Lookup{Stream: stream, Pool: pool})
+	replies := o.ask(ctx, nodes, Lookup{Stream: stream, Pool: pool}, found)
+	result := search{finding: Unknown, basis: NoBasis, versions: found.versions}
+	if len(replies) > 0 {
+		result = combine(found, replies, pool)
+	}
+	result.asked, result.answered = len(nodes), len(replies)
+	return result
+}
+
+// combine returns what follows from this node's evidence and the replies of others.
+func combine(own evidence, replies []LookupReply, pool string) search {
 	for _, reply := range replies {
 		if reply.Known {
 			origin := Origin{Pool: reply.Pool, SoftwareVersion: reply.SoftwareVersion}
-			return search{origin: origin, finding: Known, basis: FromKeeper, asked: asked, answered: len(replies)}
+			return search{origin: origin, finding: Known, basis: FromKeeper}
 		}
-		found = found.withReply(reply)
+		own = own.withReply(reply)
 	}
-	result := found.conclude(pool)
-	result.asked, result.answered = asked, len(replies)
-	return result
+	return own.conclude(pool)
+}
+
+// others returns the other nodes that keep origins.
+func (o *Origins) others() []string {
+	return slices.DeleteFunc(slices.Clone(o.config.Nodes()), func(node string) bool { return node == o.config.Address })
+}
+
+// nodeReply is the reply of a node; nil if it did not answer.
+type nodeReply struct {
+	node  string
+	reply *LookupReply
 }
 
-// ask asks the nodes that keep origins, and returns their replies; that of a node which knows the origin
-// is the last. A node that does not answer, in time or at all, may know it: its silence is no evidence.
-func (o *Origins) ask(ctx context.Context, lookup Lookup) (replies []LookupReply, asked int) {
+// ask asks the nodes, and returns their replies. It ends once one knows the origin, or once the stream's
+// keepers have answered and there is evidence of the pool's versions: the others would hardly know more. A
+// node that does not answer, in time or at all, may know the origin: its silence is no evidence.
+func (o *Origins) ask(ctx context.Context, nodes []string, lookup Lookup, found evidence) (replies []LookupReply) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	nodes := slices.DeleteFunc(slices.Clone(o.config.Nodes()), func(node string) bool { return node == o.config.Address })
-	results := make(chan *LookupReply, len(nodes))
+	awaited := slices.DeleteFunc(keepers(lookup.Stream, o.config.Nodes()), func(node string) bool { return node == o.config.Address })
+	results := make(chan nodeReply, len(nodes))
 	for _, node := range nodes {
 		o.config.Transport.Call(node, lookup, askTimeout, func(message peer.Message, _ error) {
 			if reply, answered := message.(LookupReply); answered {
-				results <- &reply
+				results <- nodeReply{node, &reply}
 				return
 			}
-			results <- nil
+			results <- nodeReply{node, nil}
 		})
 	}
 	for range nodes {
 		select {
-		case reply := <-results:
-			if reply != nil {
-				replies = append(replies, *reply)
+		case result := <-results:
+			if result.reply == nil {
+				continue
 			}
-			if reply != nil && reply.Known {
-				return replies, len(nodes)
+			replies = append(replies, *result.reply)
+			found = found.withReply(*result.reply)
+			awaited = slices.DeleteFunc(awaited, func(node string) bool { return node == result.node })
+			if result.reply.Known || len(awaited) == 0 && found.basis != NoBasis {
+				return replies
 			}
 		case <-ctx.Done():
-			return replies, len(nodes)
+			return replies
 		}
 	}
-	return replies, len(nodes)
+	return replies
 }
 
 func (o *Origins) handleLookup(_ string, message peer.Message, reply func(peer.Message, error)) {
