platform: Keep the last value of a field that can't be decoded

Callers: one odd optional field over a live server's record took away what the server had reported: slots "8" left one slot, an adapter 7 or models "x" no model at all, so that requests for them were refused; a zone 7 no zone; a version 1 another software version, so that streams were not continued there and the pool counted as mixed. Until such a record was rejected and the last one held.

Cause: each odd field counted as not reported, whatever was known of the server.

Change: decodeServer tells the fields that it could not decode. Such a record goes the way of a rejected one, out of the digest, and takes these fields from the last record of the same server (ID, creation revision, born if both tell it); its other fields, such as the state, count. Only a new server's odd field counts as not reported; its odd version stays one of its own, as TestSoftwareVersionsOfRecordsStayDifferent demands.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -40,8 +40,27 @@
 	PlacementVersion uint64
 	// SeenAt is when this state was observed.
 	SeenAt time.Time
+	// Undecoded are the fields of the record that could not be decoded, and are not known from an
+	// earlier one either.
+	Undecoded RecordFields
 }
 
+// RecordFields is a set of optional fields of a server's record.
+type RecordFields uint8
+
+// Fields of a server's record. FieldAvailable stands for InMemory and OnDisk.
+const (
+	FieldZone RecordFields = 1 << iota
+	FieldSoftwareVersion
+	FieldSlots
+	FieldBorn
+	FieldModels
+	FieldAvailable
+)
+
+// Has reports whether the set contains the field.
+func (f RecordFields) Has(field RecordFields) bool { return f&field != 0 }
+
 // Incarnation identifies one run of a server process.
 type Incarnation struct {
 	ID   string
--- a/internal/mirror/apply.go
+++ b/internal/mirror/apply.go
@@ -21,7 +21,11 @@
 			servers[id] = server
 		}
 	}
-	m.addHeld(servers, now)
+	for id, last := range changes.Rejected {
+		if last.Pool != "" {
+			servers[id] = last
+		}
+	}
 	m.partial, m.initialized = false, true
 	m.addServersInGrace(servers, now)
 	m.carryOverRestore(servers, now)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -49,7 +49,8 @@
 	Servers map[string]*fleet.Server
 	// Rejected are the servers, by ID, whose records exist and can't be used, each with its last
 	// record that could; if that is not known it has no pool, and Created is that of the record that
-	// can't be used.
+	// can't be used. A record of which only optional fields can't be decoded is among them too, with
+	// the last values of these.
 	Rejected map[string]*fleet.Server
 	// Own holds the changes of own keys, in order of revision.
 	Own []outside.WatchEvent
@@ -82,7 +83,7 @@
 	// ConfigurationChanges is like Changes, for the configuration alone.
 	ConfigurationChanges(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 	// Record returns the record of one server, nil in Servers if there is none, at the revision At.
-	// If the record can't be used it returns it in Rejected, and ErrRejected.
+	// If the record, or part of it, can't be used it returns it in Rejected, and ErrRejected.
 	Record(ctx context.Context, id string) (Changes, error)
 	// Decode decodes a configuration's value, of the given revision; nil if it can't be decoded.
 	Decode(value []byte, revision int64) *fleet.Configuration
--- a/internal/mirror/rejected.go
+++ b/internal/mirror/rejected.go
@@ -10,7 +10,8 @@
 // A server's record that can't be used was most likely left by another writer: the server writes its
 // own again at its next heartbeat, and the record's removal tells that it is gone. Until then its last
 // usable record holds. Such servers are not part of the state's records and their digest, which is the
-// same at all nodes whatever records they have seen.
+// same at all nodes whatever records they have seen. The same holds for a record of which optional
+// fields can't be decoded, and for these fields alone.
 
 // rejectedServers returns the servers by ID.
 func rejectedServers(records []ServerRecord, now time.Time, sets modelSets) map[string]*fleet.Server {
@@ -21,19 +22,56 @@
 	return servers
 }
 
-// holdLast replaces rejected servers without a known record by the last records that this node has
-// seen. A record that was created later than that one does not stand for the same server: the server's
-// own was removed. It must be called with the lock held.
+// holdLast replaces what is not known of rejected servers by the last records that this node has seen.
+// It must be called with the lock held.
 func (m *Mirror) holdLast(rejected map[string]*fleet.Server) {
 	for id, server := range rejected {
-		last := m.config.View.Record(id)
-		_, expired := m.inGrace[id]
-		if server.Pool == "" && last != nil && last.Created == server.Created && !expired {
-			rejected[id] = last
+		if _, expired := m.inGrace[id]; !expired {
+			rejected[id] = Hold(server, m.config.View.Record(id))
 		}
 	}
 }
 
+// Hold returns the record that holds for a rejected server after its last known one, which may be nil: the
+// last one, or its fields that can't be decoded in the new one. A record that was created later than the
+// last one, or by a later incarnation, does not stand for the same server.
+func Hold(rejected, last *fleet.Server) *fleet.Server {
+	switch {
+	case last == nil || last.Pool == "" || last.Created != rejected.Created:
+		return rejected
+	case rejected.Pool == "":
+		return last
+	case rejected.Undecoded == 0 || rejected.Born != 0 && last.Born != 0 && rejected.Born != last.Born:
+		return rejected
+	}
+	return withUndecoded(rejected, last)
+}
+
+// withUndecoded returns the server with its fields that can't be decoded as in the last record.
+func withUndecoded(server, last *fleet.Server) *fleet.Server {
+	completed := *server
+	completed.Undecoded &= last.Undecoded
+	if server.Undecoded.Has(fleet.FieldZone) {
+		completed.Zone = last.Zone
+	}
+	if server.Undecoded.Has(fleet.FieldSoftwareVersion) {
+		completed.SoftwareVersion = last.SoftwareVersion
+	}
+	if server.Undecoded.Has(fleet.FieldSlots) {
+		completed.Slots = last.Slots
+	}
+	if server.Undecoded.Has(fleet.FieldBorn) {
+		completed.Born = last.Born
+	}
+	if server.Undecoded.Has(fleet.FieldModels) {
+		completed.Models = last.Recorded()
+	}
+	if server.Undecoded.Has(fleet.FieldAvailable) {
+		completed.InMemory, completed.OnDisk = last.InMemory, last.OnDisk
+	}
+	return &completed
+}
+
 // lastRecord returns the last record of a rejected server that was read by itself, by ID; nil if it is
 // not known. It must be called with the lock held.
 func (m *Mirror) lastRecord(id string, rejected map[string]*fleet.Server) map[string]*fleet.Server {
--- a/internal/mirror/rejected_test.go
+++ b/internal/mirror/rejected_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
 )
 
 // A server whose record was replaced by an odd one was lost at nodes that read all records again, and nodes that
@@ -172,3 +174,25 @@
 		})
 	}
 }
+
+// TestRelayThatMissedTheLastRecordClearsNoFields: a relay that started after a record became odd must not clear the fields
+// that its subscribers know from the record before.
+func TestRelayThatMissedTheLastRecordClearsNoFields(t *testing.T) {
+	RegisterTestingT(t)
+	view := fleet.NewView()
+	m := New(Config{View: view})
+	good := ServerRecord{ID: "s", Pool: "p", Address: "10.0.0.1:80", Zone: "z", Slots: 8, Created: 3, Models: []ModelRecord{{Name: "m", Adapters: []string{"a"}}}}
+	odd := ServerRecord{ID: "s", Pool: "p", Address: "10.0.0.1:80", Zone: "z", Draining: true, Created: 3, Undecoded: fleet.FieldSlots | fleet.FieldModels}
+	m.apply(Update{At: 5, Servers: []ServerRecord{good}}.changes(time.Now()))
+	m.apply(throughGob(Update{Base: 5, At: 6, Rejected: []ServerRecord{odd}}).changes(time.Now()))
+	held := good
+	held.Draining = true
+	Expect(recordOf(view.Record("s"))).To(Equal(held))
+	content := recordsSnapshot{Revision: 6, Rejected: []ServerRecord{odd}}
+	parts, err := content.encode()
+	Expect(err).NotTo(HaveOccurred())
+	snapshot, err := decodeSnapshot(parts)
+	Expect(err).NotTo(HaveOccurred())
+	m.mergeRecords(nil, rejectedServers(snapshot.Rejected, time.Now(), modelSets{}), 6, 6)
+	Expect(recordOf(view.Record("s"))).To(Equal(held))
+}
