mirror: Bound how long the last record behind an odd entry holds

Cause: a held record ended only with a usable one or the key's removal. A usable and an odd record in one answer counted as the usable one, so that the odd one was not even known.

Then the record counts as removed, as any other: requests that run go on. What other nodes still pass on does not bring it back. While the node's records are not current the period begins anew: the server can't write either. A usable record restarts the period. 30 s and not a few heartbeats, since the existing tests, FuzzServerRecord among them, hold a live server for up to 25 s without a heartbeat.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -43,6 +43,8 @@
 	// Undecoded are the fields of the record that could not be decoded, and are not known from an
 	// earlier one either.
 	Undecoded RecordFields
+	// Held is set if the record in the store can't be used, so that this is the last one that could.
+	Held bool
 }
 
 // RecordFields is a set of optional fields of a server's record.
--- a/internal/mirror/digest.go
+++ b/internal/mirror/digest.go
@@ -22,7 +22,7 @@
 // remove removes a record that is in the set.
 func (d *Digest) remove(record ServerRecord) { *d -= Digest(record.hash()) }
 
-// hash covers all fields that equal compares, except Born, SoftwareVersion and Undecoded.
+// hash covers all fields that equal compares, except Born, SoftwareVersion, Undecoded and Held.
 func (r ServerRecord) hash() uint64 {
 	var encoded []byte
 	for _, value := range []string{r.ID, r.Pool, r.Address, r.Zone} {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -262,13 +262,15 @@
 	// inGrace holds the servers that are still used although their records expired while the store
 	// was unavailable, each with the end of its grace period.
 	inGrace map[string]time.Time
+	// holds are the servers whose records can't be used, by ID.
+	holds map[string]*hold
 }
 
 // New returns a Mirror and registers its message handlers with the transport.
 func New(config Config) *Mirror {
 	m := &Mirror{
 		config: config, wakeup: make(chan struct{}, 1), resubscribe: make(chan struct{}, 1),
-		state: newState(0), subscribers: map[string]subscriber{}, inGrace: map[string]time.Time{},
+		state: newState(0), subscribers: map[string]subscriber{}, inGrace: map[string]time.Time{}, holds: map[string]*hold{},
 		confirmations: newConfirmations(), ages: newRecordAges(),
 	}
 	if config.Relay == nil {
--- a/internal/mirror/records_age.go
+++ b/internal/mirror/records_age.go
@@ -71,12 +71,14 @@
 	for id := range changes {
 		delete(m.ages.single, id)
 	}
+	m.releaseHolds(changes)
 	m.config.View.UpdateServers(changes)
 }
 
 // showAllRecords is like showRecords, for the records of all servers.
 func (m *Mirror) showAllRecords(servers map[string]*fleet.Server) {
 	clear(m.ages.single)
+	m.releaseHolds(servers)
 	m.config.View.ReplaceServers(servers)
 }
 
@@ -169,6 +171,7 @@
 	if exists && known.revision > read.At || m.state.removed[id] > read.At {
 		return
 	}
+	m.releaseHolds(read.Servers)
 	before, server := m.config.View.Record(id), read.Servers[id]
 	if !changesRouting(before, server) {
 		m.ages.single[id] = asOf
--- a/internal/mirror/rejected.go
+++ b/internal/mirror/rejected.go
@@ -9,7 +9,7 @@
 
 // A server's record that can't be used was most likely left by another writer: the server writes its
 // own again at its next heartbeat, and the record's removal tells that it is gone. Until then its last
-// usable record holds. Such servers are not part of the state's records and their digest, which is the
+// usable record holds, for maxHoldPeriod at most. Such servers are not part of the state's records and their digest, which is the
 // same at all nodes whatever records they have seen. The same holds for a record of which optional
 // fields can't be decoded, and for these fields alone.
 
@@ -27,9 +27,82 @@
 func (m *Mirror) holdLast(rejected map[string]*fleet.Server) {
 	for id, server := range rejected {
 		if _, expired := m.inGrace[id]; !expired {
-			rejected[id] = Hold(server, m.config.View.Record(id))
+			server = Hold(server, m.config.View.Record(id))
 		}
+		if server.Held && m.holdExpired(server) {
+			server = unknownServer(server)
+		}
+		rejected[id] = server
+	}
+}
+
+// unknownServer returns a rejected server without its last record.
+func unknownServer(server *fleet.Server) *fleet.Server {
+	return &fleet.Server{ID: server.ID, Created: server.Created}
+}
+
+// maxHoldPeriod is how long a record that can't be used does not end its server's use. A running server
+// writes its own record again at each heartbeat, which is every second or two; a store that limits
+// writing calls may delay a number of them.
+const maxHoldPeriod = 30 * time.Second
+
+// hold is a record that can't be used in place of a server's own, since it was first seen.
+type hold struct {
+	// created identifies the server's record.
+	created int64
+	// expired is set maxHoldPeriod after the beginning: the record counts as removed.
+	expired bool
+}
+
+// holdExpired reports whether the last record of a held server no longer holds. The first call for a
+// server begins the period. It must be called with the lock held.
+func (m *Mirror) holdExpired(server *fleet.Server) bool {
+	entry := m.holds[server.ID]
+	if entry == nil || entry.created != server.Created {
+		entry = &hold{created: server.Created}
+		m.holds[server.ID] = entry
+		time.AfterFunc(maxHoldPeriod, func() { m.expireHold(server.ID, entry) })
 	}
+	return entry.expired
+}
+
+// releaseHolds forgets the holds of servers whose records can be used. It must be called with the lock
+// held.
+func (m *Mirror) releaseHolds(servers map[string]*fleet.Server) {
+	maps.DeleteFunc(m.holds, func(id string, _ *hold) bool {
+		server := servers[id]
+		return server != nil && !server.Held
+	})
+}
+
+// expireHold removes a server whose own record was not written again in time. While this node's records
+// are not current, the server may have written it, and the period begins anew.
+func (m *Mirror) expireHold(id string, entry *hold) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	last := m.config.View.Record(id)
+	switch {
+	case m.holds[id] != entry:
+		return
+	case last == nil || last.Created != entry.created:
+		delete(m.holds, id)
+		return
+	case time.Since(m.recordKnownAsOf(id)) > m.maxRecordAge():
+		time.AfterFunc(maxHoldPeriod, func() { m.expireHold(id, entry) })
+		return
+	}
+	entry.expired = true
+	if _, rejected := m.state.rejected[id]; rejected {
+		m.state.reject(id, unknownServer(last), m.revision)
+	}
+	m.config.Logger.Warn().Str("server", id).Dur("held_ms", maxHoldPeriod).Msg("unusable server record counts as removed")
+	removed := map[string]*fleet.Server{id: nil}
+	m.logServers(removed, m.revision)
+	m.showRecords(removed)
+	maps.DeleteFunc(m.holds, func(id string, entry *hold) bool {
+		_, rejected := m.state.rejected[id]
+		return entry.expired && !rejected
+	})
 }
 
 // Hold returns the record that holds for a rejected server after its last known one, which may be nil: the
@@ -39,8 +112,12 @@
 	switch {
 	case last == nil || last.Pool == "" || last.Created != rejected.Created:
 		return rejected
-	case rejected.Pool == "":
+	case rejected.Pool == "" && last.Held:
 		return last
+	case rejected.Pool == "":
+		held := *last
+		held.Held = true
+		return &held
 	case rejected.Undecoded == 0 || rejected.Born != 0 && last.Born != 0 && rejected.Born != last.Born:
 		return rejected
 	}
--- a/internal/mirror/rejected_test.go
+++ b/internal/mirror/rejected_test.go
@@ -175,6 +175,75 @@
 	}
 }
 
+// TestDeadServerBehindARejectedRecordIsRemoved: an odd entry without a lease in place of a dead server's record kept it in
+// use for good, at all nodes.
+func TestDeadServerBehindARejectedRecordIsRemoved(t *testing.T) {
+	for _, start := range []func(*testing.T, int, func(*deployment)){withNodes, withLargeFleet} {
+		start(t, 4, func(d *deployment) {
+			d.store.put("t", false, "m")
+			d.store.put("alive", false, "m")
+			time.Sleep(settled + maxSnapshotAge)
+			d.store.spoil("t")
+			d.store.spoil("alive")
+			time.Sleep(maxHoldPeriod / 2)
+			d.nodes = append(d.nodes, d.addNode(addressOf(4)))
+			d.expectShown("t", 4)
+			d.store.put("alive", false, "m")
+			time.Sleep(testTimes.Changes)
+			d.store.spoil("alive")
+			time.Sleep(maxHoldPeriod/2 + testTimes.Changes)
+			for _, node := range d.nodes[:4] {
+				Expect(node.view.Load().Servers).NotTo(HaveKey("t"))
+			}
+			d.expectShown("alive", 5)
+			d.store.put("alive", false, "m")
+			d.nodes = append(d.nodes, d.addNode(addressOf(5)))
+			time.Sleep(maxHoldPeriod)
+			d.setRelay(5)
+			time.Sleep(time.Hour)
+			for _, node := range d.nodes {
+				Expect(node.view.Load().Servers).NotTo(HaveKey("t"), "whatever other nodes held")
+			}
+			d.expectShown("alive", 6)
+			d.store.put("t", false, "m")
+			time.Sleep(settled + maxSnapshotAge)
+			d.expectShown("t", 6)
+		})
+	}
+}
+
+// TestServerBehindARejectedRecordIsHeldWhileTheStoreIsAway: a server can't write its record again while the store is
+// unavailable, so an outage must not end its use.
+func TestServerBehindARejectedRecordIsHeldWhileTheStoreIsAway(t *testing.T) {
+	withNodes(t, 4, func(d *deployment) {
+		d.store.put("t", false, "m")
+		time.Sleep(settled)
+		d.store.spoil("t")
+		time.Sleep(testTimes.Changes)
+		for _, node := range d.nodes {
+			node.source.setFault(true, false)
+		}
+		time.Sleep(2 * maxHoldPeriod)
+		d.expectShown("t", 4)
+		for _, node := range d.nodes {
+			node.source.setFault(false, false)
+		}
+		time.Sleep(testTimes.Contact)
+		d.expectShown("t", 4)
+		time.Sleep(2 * maxHoldPeriod)
+		for _, node := range d.nodes {
+			Expect(node.view.Load().Servers).NotTo(HaveKey("t"))
+		}
+	})
+}
+
+// expectShown checks that the first nodes have the server.
+func (d *deployment) expectShown(id string, nodes int) {
+	for number, node := range d.nodes[:nodes] {
+		Expect(node.view.Load().Servers).To(HaveKey(id), "node %d", number)
+	}
+}
+
 // TestRelayThatMissedTheLastRecordClearsNoFields: a relay that started after a record became odd must not clear the fields
 // that its subscribers know from the record before.
 func TestRelayThatMissedTheLastRecordClearsNoFields(t *testing.T) {
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -226,6 +226,8 @@
 	Models []ModelRecord
 	// Undecoded as in fleet.Server. Only records of rejected servers have any.
 	Undecoded fleet.RecordFields
+	// Held as in fleet.Server, likewise.
+	Held bool
 }
 
 // ModelRecord is a model that a server holds, with its adapters.
@@ -240,6 +242,7 @@
 	record := ServerRecord{
 		ID: server.ID, Pool: server.Pool, Address: server.Address, Zone: server.Zone, Slots: server.Slots, Draining: server.Draining,
 		Born: server.Born, SoftwareVersion: server.SoftwareVersion, Created: server.Created, Undecoded: server.Undecoded,
+		Held: server.Held,
 	}
 	for name, held := range server.Recorded() {
 		record.Models = append(record.Models, ModelRecord{Name: name, Adapters: held.AdapterNames()})
@@ -250,7 +253,7 @@
 
 func (r ServerRecord) equal(other ServerRecord) bool {
 	return r.ID == other.ID && r.Pool == other.Pool && r.Address == other.Address && r.Zone == other.Zone &&
-		r.Slots == other.Slots && r.Draining == other.Draining && r.Born == other.Born && r.SoftwareVersion == other.SoftwareVersion && r.Created == other.Created && r.Undecoded == other.Undecoded &&
+		r.Slots == other.Slots && r.Draining == other.Draining && r.Born == other.Born && r.SoftwareVersion == other.SoftwareVersion && r.Created == other.Created && r.Undecoded == other.Undecoded && r.Held == other.Held &&
 		slices.EqualFunc(r.Models, other.Models, ModelRecord.equal)
 }
 
@@ -266,6 +269,6 @@
 	return &fleet.Server{
 		ID: r.ID, Pool: r.Pool, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Draining: r.Draining,
 		Born: r.Born, SoftwareVersion: r.SoftwareVersion, Created: r.Created, Models: sets.of(r.Models), SeenAt: seenAt,
-		Undecoded: r.Undecoded,
+		Undecoded: r.Undecoded, Held: r.Held,
 	}
 }
