edge: Export the number of rejected server records

Callers: operators saw odd records among the servers' only in the log, at most 32 lines a minute; Feed.RejectedRecords counted them and nothing read it.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -92,6 +92,7 @@
 	servers    *exchange.Client
 	store      *platform.Store
 	storeCalls *quota.Share
+	feed       *platform.Feed
 	mirror     *mirror.Mirror
 	transport  *tcp.Transport
 	election   *orders.Election
@@ -267,8 +268,9 @@
 // assembleMirror creates the node's replica of the store. The order holder is the relay, which
 // reads the store for the other nodes.
 func (n *node) assembleMirror() {
+	n.feed = platform.NewFeed(n.store, ownPrefix, n.logger)
 	n.mirror = mirror.New(mirror.Config{
-		Source: platform.NewFeed(n.store, ownPrefix, n.logger), View: n.view, Own: mirror.OwnKeyReceivers{n.election, n.counters, n.usage, n.poison, n.origins},
+		Source: n.feed, View: n.view, Own: mirror.OwnKeyReceivers{n.election, n.counters, n.usage, n.poison, n.origins},
 		Times: n.mirrorTimes(),
 		Relay: n.election.RemoteHolderAddress, IsRelay: n.election.IsLocalHolder, SnapshotKey: snapshotKey,
 		LinkBytesPerSecond: n.settings.Machine.LinkBytesPerSecond(), Transport: n.transport, Address: n.transport.Address(), Zone: n.settings.Node.Zone, Logger: n.logger,
@@ -375,6 +377,7 @@
 		LostPaths:    func() float64 { return float64(n.paths.CountLost()) },
 		Carried:      func() float64 { return float64(n.carrier.Carried()) },
 		RecordsAge:   n.recordsAge,
+		Rejected:     func() float64 { return float64(n.feed.RejectedRecords()) },
 		SharingNodes: func() float64 { return float64(n.forwarder.RetryBudget().Nodes(time.Now())) },
 	}
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -271,6 +271,14 @@
 	}
 }
 
+// TestRejectedRecordsAreExported: odd records among the servers' showed in the log only.
+func TestRejectedRecordsAreExported(t *testing.T) {
+	RegisterTestingT(t)
+	answer := httptest.NewRecorder()
+	NewMetrics(Gauges{Rejected: func() float64 { return 3 }}).ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	Expect(answer.Body.String()).To(ContainSubstring("hatchplank_node_rejected_records_total 3\n"))
+}
+
 // startProcess runs a process with the given handler of clients' requests and readiness check.
 func startProcess(callers http.Handler, ready func() string) (process *Process, stop context.CancelFunc, done chan error) {
 	settings, err := LoadSettings([]byte(validSettings))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -60,6 +60,7 @@
 	metricCarryRequests     = "hatchplank_node_carry_requests_total"
 	metricCarrierAnswers    = "hatchplank_node_carrier_answers_total"
 	metricRecordsAge        = "hatchplank_node_server_records_age_seconds"
+	metricRejectedRecords   = "hatchplank_node_rejected_records_total"
 	metricRecordChecks      = "hatchplank_node_record_checks_total"
 	metricStreamOrigins     = "hatchplank_node_stream_origins_total"
 	metricAnomalies         = "hatchplank_node_response_anomalies_total"
@@ -101,6 +102,7 @@
 	{metricCarryRequests, "counter", "outcome", "Requests of other nodes for a connection to a server, by outcome (opened, refused, unreached, busy, unknown_server)."},
 	{metricCarrierAnswers, "counter", "outcome", "Answers of other nodes to such requests of this node, by outcome."},
 	{metricRecordsAge, "gauge", "", "Seconds since the store is known to have held the servers' records that this node has; -1 if it never had all of them."},
+	{metricRejectedRecords, "counter", "", "Server records from the store that could not be used, each revision once; the last usable one holds for a while."},
 	{metricRecordChecks, "counter", "outcome", "Reads of one server's record before a request was sent there, since the known one was too old, by outcome (accepts, leaves, unread: the store did not answer)."},
 	{metricStreamOrigins, "counter", "finding, basis", "Searches for the software version that began a stream which its caller resumes, by finding (known, irrelevant: the pool has had one version, at whose servers the stream goes on, unknown: the stream is refused) and by what it rests on (table: this node keeps it, keeper: another node does, record: the versions saved in the store, view: this node has seen all servers for a minute, reply: another node's record or view, none)."},
 	{metricAnomalies, "counter", "kind", "What servers and the store sent in place of one response for each request, by kind (foreign_response, unrequested_data, malformed_response, head_too_long, too_many_interim, body_too_long)."},
@@ -116,7 +118,7 @@
 
 // Gauges holds the functions that supply the gauges' values at each scrape.
 type Gauges struct {
-	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited, Suspected, SharingNodes, LostPaths, Carried, RecordsAge func() float64
+	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited, Suspected, SharingNodes, LostPaths, Carried, RecordsAge, Rejected func() float64
 }
 
 // NewMetrics registers the node's metrics.
@@ -135,6 +137,7 @@
 	set.NewGauge(metricLostPaths, gauges.LostPaths)
 	set.NewGauge(metricCarried, gauges.Carried)
 	set.NewGauge(metricRecordsAge, gauges.RecordsAge)
+	set.NewGauge(metricRejectedRecords, gauges.Rejected)
 	for _, kind := range []placement.Kind{placement.Load, placement.Unload} {
 		set.NewCounter(replicaOrdersCounter(kind.String(), placement.ReasonRelief))
 	}
