mirror: Don't let a late read of one record undo an odd one

Callers: a read of a single record that ended after a later change with an odd field had been applied brought back the earlier state, so that a server which had announced its end got requests until its next record. Seen in a unit test only.

Cause: the read was compared with the revisions of usable and removed records, not of rejected ones.

Evidence: TestLateReadOfARecordDoesNotUndoAnOddOne fails before, passes after; go test ./internal/mirror passes.

--- a/internal/mirror/records_age.go
+++ b/internal/mirror/records_age.go
@@ -167,8 +167,7 @@
 // The state that is passed on to others stays as it is, since it is complete up to a revision only
 // without such single records. It must be called with the lock held.
 func (m *Mirror) applyRecord(id string, read Changes, asOf time.Time) {
-	known, exists := m.state.servers[id]
-	if exists && known.revision > read.At || m.state.removed[id] > read.At {
+	if max(m.state.servers[id].revision, m.state.rejected[id].revision, m.state.removed[id]) > read.At {
 		return
 	}
 	m.releaseHolds(read.Servers)
--- a/internal/mirror/rejected_test.go
+++ b/internal/mirror/rejected_test.go
@@ -265,3 +265,19 @@
 	m.mergeRecords(nil, rejectedServers(snapshot.Rejected, time.Now(), modelSets{}), 6, 6)
 	Expect(recordOf(view.Record("s"))).To(Equal(held))
 }
+
+// TestLateReadOfARecordDoesNotUndoAnOddOne: a read of a single record that ended after a later change was applied brought
+// back the state from before, if that change had an odd field.
+func TestLateReadOfARecordDoesNotUndoAnOddOne(t *testing.T) {
+	RegisterTestingT(t)
+	view := fleet.NewView()
+	m := New(Config{View: view})
+	ready := &fleet.Server{ID: "s", Pool: "p", Created: 3, Slots: 8}
+	m.apply(Changes{At: 5, Servers: map[string]*fleet.Server{"s": ready}})
+	odd := &fleet.Server{ID: "s", Pool: "p", Created: 3, Draining: true, Undecoded: fleet.FieldSlots}
+	m.apply(Changes{Base: 5, At: 7, Servers: map[string]*fleet.Server{}, Rejected: map[string]*fleet.Server{"s": odd}})
+	m.applyRecord("s", Changes{At: 6, Servers: map[string]*fleet.Server{"s": ready}}, time.Now())
+	Expect(view.Record("s").Draining).To(BeTrue())
+	m.applyRecord("s", Changes{At: 8, Servers: map[string]*fleet.Server{"s": ready}}, time.Now())
+	Expect(view.Record("s").Draining).To(BeFalse(), "a later read")
+}
