mirror: Use servers with an odd field after a restore

Callers: a server that had been removed before the store was restored, registered again and had a record with an odd optional field was dropped once the wait for its own record was over, at nodes that follow a relay until its record changed. Seen in a unit test only.

Cause: only usable records counted as listed.

Change: a record of which only optional fields are odd counts as well; one that can't be used does not, as before.

Evidence: TestServerWithAnOddFieldIsUsedAfterARestore fails before, passes after; the tests of restores in ./internal/mirror pass.

--- a/internal/mirror/rejected_test.go
+++ b/internal/mirror/rejected_test.go
@@ -281,3 +281,19 @@
 	m.applyRecord("s", Changes{At: 8, Servers: map[string]*fleet.Server{"s": ready}}, time.Now())
 	Expect(view.Record("s").Draining).To(BeFalse(), "a later read")
 }
+
+// TestServerWithAnOddFieldIsUsedAfterARestore: a server that had been removed before a restore and has a record with an odd
+// field stayed out of use once the wait for its own record was over.
+func TestServerWithAnOddFieldIsUsedAfterARestore(t *testing.T) {
+	RegisterTestingT(t)
+	view := fleet.NewView()
+	m := New(Config{View: view})
+	odd := &fleet.Server{ID: "odd", Pool: "p", Created: 3, Undecoded: fleet.FieldSlots}
+	held := &fleet.Server{ID: "held", Pool: "p", Created: 3, Held: true}
+	m.reappeared = map[string]*fleet.Server{"odd": odd, "held": held, "gone": {ID: "gone", Pool: "p"}}
+	m.state.reject("odd", odd, 5)
+	m.state.reject("held", held, 5)
+	m.useReappeared()
+	Expect(view.Load().Servers).To(HaveLen(1))
+	Expect(view.Load().Servers).To(HaveKey("odd"))
+}
--- a/internal/mirror/restore.go
+++ b/internal/mirror/restore.go
@@ -118,7 +118,9 @@
 		return
 	}
 	for id := range m.reappeared {
-		if _, listed := m.state.servers[id]; !listed {
+		_, listed := m.state.servers[id]
+		rejected := m.state.rejected[id].record
+		if !listed && (!rejected.isKnown() || rejected.Held) {
 			delete(m.reappeared, id)
 		}
 	}
