peer: Keep the encoding of updates before odd fields

The encoding of the build before is kept among those of earlier builds, as for earlier fields: it decodes to the same message without the two; nothing else of either test changes.

Evidence: go test ./internal/peer fails in these two before, passes after.

--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -137,9 +137,10 @@
 	released.Ends = nil
 	subscription := filled(mirror.Subscribe{}).(mirror.Subscribe)
 	subscription.Unpacks = false
-	withoutRejected := filled(mirror.Update{}).(mirror.Update)
+	withoutOddFields := filled(mirror.Update{}, "Undecoded", "Held").(mirror.Update)
+	withoutRejected := withoutOddFields
 	withoutRejected.Rejected = nil
-	unversioned := filled(mirror.Update{}, "SoftwareVersion").(mirror.Update)
+	unversioned := filled(mirror.Update{}, "SoftwareVersion", "Undecoded", "Held").(mirror.Update)
 	unversioned.Rejected = nil
 	unpacked := unversioned
 	unpacked.Packed = nil
@@ -180,8 +181,8 @@
 	expected := map[string]peer.Message{
 		"poison.TrialRequest": trial, "poison.TrialEnded": trialEnd, "poison.Report": crashes, "poison.Quarantined": quarantined, "poison.Entries": entries,
 		"mirror.Subscribe": subscription, "mirror.Update without packing": unpacked, "mirror.Update without software versions": unversioned,
-		"mirror.Update without rejected records": withoutRejected,
-		"mirror.Update":                          confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
+		"mirror.Update without rejected records": withoutRejected, "mirror.Update without odd fields": withoutOddFields,
+		"mirror.Update": confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
 		"orders.DemandReport without model servers": reportWithoutModels,
 		"orders.DemandReport without paths":         reportWithoutPaths, "orders.Update without paths": updateWithoutPaths,
 		"orders.Update without reporting": updateWithoutReporting,
