forward: Break streams that a foreign event ID opens

Callers saw a foreign block as the first event of a stream, with an ID such as 4e9, 0x9, zz9, 4.5 or -7; the stream went on with 1, 2, ... and ended as whole.

Cause: the form of IDs was known only from the first decimal number that was passed on, so nothing was compared with a stream's first ID.

Change: a first event whose ID is no bare decimal number waits for the next one, and the attempt breaks before it if that has a decimal ID. Per route and pool the node also learns whether streams begin with decimal IDs, by the numbers that hold for IDs at all (now traitHistory); where they do, a first event of another form breaks the attempt in any case. It is held there too: only a stream without a decimal ID behind the first is evidence of a changed format, so that foreign openings of several servers don't end the check. Where other forms are known nothing waits, and a decimal ID right behind an opaque first one breaks the stream visibly, unless both can be a hexadecimal counter (f, 10).

"a foreign ID before the first event" leaves TestCasesThatNothingTells: TestForeignBlocksBeforeAStreamAreNotPassedOn leaves out no kind of IDs any more and requires that nothing is passed on. What nothing tells yet takes its place there: nothing but a foreign ID, and two of them, in a pool not known yet; a hexadecimal ID below the first one. The random test draws such IDs before the first event of decimal streams, too.

--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -181,6 +181,22 @@
 	return id[:begin], id[begin:]
 }
 
+// isDecimal reports whether an ID is a decimal number without a prefix.
+func isDecimal(id string) bool {
+	prefix, number := cutNumber(id)
+	return prefix == "" && number != ""
+}
+
+// changesToDecimal reports whether a decimal number follows an ID that is none. Both may be hexadecimal: 10 follows f.
+func changesToDecimal(id, next string) bool {
+	if isDecimal(id) || !isDecimal(next) {
+		return false
+	}
+	isOther := func(char rune) bool { return !strings.ContainsRune("0123456789abcdef", char) }
+	id = strings.ToLower(id)
+	return strings.ContainsFunc(id, isOther) || compareNumbers(id, next) >= 0
+}
+
 func compareNumbers(a, b string) int {
 	a, b = strings.TrimLeft(a, "0"), strings.TrimLeft(b, "0")
 	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -86,12 +86,31 @@
 	history streamIDHistory
 	// hasIDs: an event with an ID was passed on. lacksIDs: the response's events have none.
 	hasIDs, lacksIDs bool
+	// opening is the form of the stream's first ID, if this response has it.
+	opening idForm
 	// held are events that the next one shows to be a part of the stream or foreign, heldBytes long with the
 	// comments behind them.
 	held      []heldEvent
 	heldBytes int
 }
 
+// idForm is the form of an event's ID.
+type idForm int
+
+const (
+	// formDecimal: a decimal number without a prefix.
+	formDecimal idForm = iota + 1
+	// formOther: any other ID.
+	formOther
+)
+
+func formOf(id string) idForm {
+	if isDecimal(id) {
+		return formDecimal
+	}
+	return formOther
+}
+
 // heldEvent is an event that was neither passed on nor dropped yet.
 type heldEvent struct {
 	event streamEvent
@@ -148,8 +167,8 @@
 }
 
 // mustHold reports whether only the next event shows that this one is a part of the stream: the first
-// without an ID, the first without data, which may be a part of an event that foreign data divides, and one
-// whose ID has another form than the caller's.
+// without an ID, the first without data, which may be a part of an event that foreign data divides, one whose ID
+// has another form than the caller's, and the stream's first if its ID is no decimal number.
 func (g *streamSegment) mustHold(event streamEvent) bool {
 	switch {
 	case !g.stream.streaming || event.fault != nil:
@@ -158,9 +177,10 @@
 		return len(g.held) > 0
 	case event.id != "":
 		isPart := !event.hasData && !g.stream.hasDataless
-		return (isPart || g.differsFromCallersForm(event)) && len(g.held) == 0
+		isOdd := g.differsFromCallersForm(event) || g.opensWithOtherForm(event) && !g.history.decimals.optional()
+		return (isPart || isOdd) && len(g.held) == 0
 	}
-	known := g.stream.passed || g.stream.last != "" || g.history.idsRequired || g.history.idsOptional()
+	known := g.stream.passed || g.stream.last != "" || g.history.ids.required || g.history.ids.optional()
 	return !known && len(g.held) == 0
 }
 
@@ -172,9 +192,9 @@
 // acceptHeld appends the held events that are to be passed on, unless one of them breaks the stream: the
 // stream is broken before the first of them then.
 func (g *streamSegment) acceptHeld(accepted []byte) ([]byte, error) {
-	if g.isHeldFormForeign() {
+	if err := g.checkHeld(); err != nil {
 		g.held = nil
-		return accepted, errEventIDForm
+		return accepted, err
 	}
 	stream, segment, length := *g.stream, *g, len(accepted)
 	for _, held := range g.held {
@@ -182,6 +202,9 @@
 		if err != nil {
 			*g.stream, *g = stream, segment
 			g.held, g.lacksIDs = nil, stream.last == "" && err == error(errNoEventID)
+			if g.opening == formOther && err == error(errEventIDForm) {
+				g.opening = 0 // the first ID may be the foreign one
+			}
 			return accepted[:length], err
 		}
 		if pass {
@@ -225,7 +248,7 @@
 		return g.checkFirst(event)
 	case event.id == "":
 		return errNoEventID
-	case g.isFormKnown() && !hasSameForm(event.id, s.last):
+	case g.isFormKnown() && !hasSameForm(event.id, s.last), g.followsForeignOpening(event):
 		return errEventIDForm
 	}
 	return nil
@@ -240,7 +263,7 @@
 		return nil
 	}
 	g.lacksIDs = true
-	if g.history.idsRequired {
+	if g.history.ids.required {
 		return errNoEventID
 	}
 	return nil
@@ -248,7 +271,7 @@
 
 // mayLackIDs reports whether the response may be a stream without IDs, although the caller sent one.
 func (g *streamSegment) mayLackIDs(event streamEvent) bool {
-	return event.id == "" && g.state == segmentJoining && !g.stream.passed && g.history.idsOptional()
+	return event.id == "" && g.state == segmentJoining && !g.stream.passed && g.history.ids.optional()
 }
 
 // isFormKnown reports whether all IDs are certain to be decimal numbers after the prefix of the last one, which
@@ -275,16 +298,56 @@
 	return isCallers && event.id != "" && s.hasCertainForm() && !hasSameForm(event.id, s.last)
 }
 
+// checkHeld reports a held event that the next one, or the end, shows to be foreign.
+func (g *streamSegment) checkHeld() error {
+	switch {
+	case len(g.held) == 0:
+		return nil
+	case g.isHeldFormForeign():
+		return errEventIDForm
+	}
+	return g.checkHeldOpening()
+}
+
 // isHeldFormForeign reports whether the held event differs from the caller's form alone: the next event is of
 // this form, or there is none.
 func (g *streamSegment) isHeldFormForeign() bool {
-	if !g.stream.streaming || len(g.held) == 0 || !g.differsFromCallersForm(g.held[0].event) {
+	if !g.stream.streaming || !g.differsFromCallersForm(g.held[0].event) {
 		return false
 	}
 	next := g.held[len(g.held)-1].event
 	return len(g.held) == 1 || hasSameForm(next.id, g.stream.last)
 }
 
+// opensWithOtherForm reports whether an event is the stream's first, and its ID no decimal number.
+func (g *streamSegment) opensWithOtherForm(event streamEvent) bool {
+	s := g.stream
+	return s.streaming && s.last == "" && !s.passed && event.fault == nil && event.id != "" && !isDecimal(event.id)
+}
+
+// checkHeldOpening reports a first event that is foreign: the next one has a decimal number, or all streams of the
+// route begin with one. A stream without any is evidence that the route's form has changed.
+func (g *streamSegment) checkHeldOpening() error {
+	first, next := g.held[0].event, g.held[len(g.held)-1].event
+	switch {
+	case !g.opensWithOtherForm(first), next.fault != nil, next.id == "":
+		return nil
+	case changesToDecimal(first.id, next.id):
+		return errEventIDForm
+	case g.history.decimals.required:
+		g.opening = formOther
+		return errEventIDForm
+	}
+	return nil
+}
+
+// followsForeignOpening reports whether an event shows that the first one, which was passed on, was foreign.
+// Another server's IDs may be of another form.
+func (g *streamSegment) followsForeignOpening(event streamEvent) bool {
+	s := g.stream
+	return g.hasIDs && s.last == s.first && changesToDecimal(s.last, event.id)
+}
+
 // hasSameForm reports whether two IDs are decimal numbers after the same prefix.
 func hasSameForm(a, b string) bool {
 	prefixA, numberA := cutNumber(a)
@@ -350,6 +413,9 @@
 	s.hasDataless = s.hasDataless || !event.hasData
 	if event.id != "" {
 		g.hasIDs = true
+		if s.last == "" {
+			g.opening = formOf(event.id)
+		}
 		s.recordForm(event.id)
 		if s.passed {
 			s.recordStep(eventStep(s.last, event.id))
@@ -377,7 +443,12 @@
 // breakOff records the end of an incomplete response; withinEvent: it ended within an event.
 func (g *streamSegment) breakOff(err error, withinEvent bool) {
 	var fault *StreamError
-	g.lacksIDs = g.lacksIDs || g.holdsEventWithoutID() && !errors.As(err, &fault)
+	if !errors.As(err, &fault) && len(g.held) > 0 {
+		g.lacksIDs = g.lacksIDs || g.holdsEventWithoutID()
+		if g.opensWithOtherForm(g.held[0].event) {
+			g.opening = formOther
+		}
+	}
 	g.stream.withinEvent = g.stream.withinEvent || withinEvent || len(g.held) > 0
 }
 
--- a/internal/forward/eventstream_property_test.go
+++ b/internal/forward/eventstream_property_test.go
@@ -230,8 +230,7 @@
 	before := min(from-1+int(script.at*float64(parts-from+2)), parts)
 	foreign := foreignBlocks[script.foreign]
 	begins := last == 0 && before == 0
-	_, number := cutNumber(j.right.ids[0])
-	if oddIDs[script.foreign] && (begins || number != j.right.ids[0]) {
+	if oddIDs[script.foreign] && !isDecimal(j.right.ids[0]) {
 		foreign = ""
 	}
 	if begins && !j.poolKnown && (parts == 1 || script.end == cutUnreached) {
@@ -342,8 +341,9 @@
 		}
 		b.inTurn(answers...)
 		b.checks(j.scripts)
-		for key := (streamKey{j.route, modelPool}); j.poolKnown && !b.forwarder.streamIDs.of(key).idsRequired; {
+		for key := (streamKey{j.route, modelPool}); j.poolKnown && !b.forwarder.streamIDs.of(key).ids.required; {
 			b.forwarder.streamIDs.record(key, "m1", true)
+			b.forwarder.streamIDs.recordForm(key, "m1", isDecimal(j.right.ids[0]))
 		}
 		asked := request(j.route, "m", 5*time.Second)
 		if j.resumeAfter > 0 {
--- a/internal/forward/eventstream_test.go
+++ b/internal/forward/eventstream_test.go
@@ -407,6 +407,7 @@
 		return []string{strings.ReplaceAll(strings.Join(events(from, to), ""), "data: x", "data: another run")}
 	}
 	opaque := []string{"id: a1f9\ndata: x\n\n", "id: zz9\ndata: foreign\n\n", "id: a1fa\ndata: x\n\n"}
+	foreignIDs, hexadecimal := []string{"id: zz8\ndata: foreign\n\n", opaque[1]}, []string{"id: a\ndata: foreign\n\n"}
 	cases := map[string]struct {
 		route, resumeAfter string
 		answers            []answerFunc
@@ -422,7 +423,9 @@
 		"foreign data before an event's ID":                  {"stream", "", []answerFunc{raw(slices.Concat(events(1, 2), []string{"data: foreign\n"}, events(3, 3))...)}, slices.Concat(events(1, 2), []string{"data: foreign\n"}, events(3, 3))},
 		"a foreign field before an event's ID":               {"stream", "", []answerFunc{raw(slices.Concat(events(1, 2), []string{"foreign: x\n"}, events(3, 3))...)}, slices.Concat(events(1, 2), []string{"foreign: x\n"}, events(3, 3))},
 		"an odd ID among opaque ones":                        {"stream", "", []answerFunc{raw(opaque...)}, opaque},
-		"a foreign ID before the first event":                {"stream", "", []answerFunc{raw(slices.Concat(opaque[1:2], events(1, 2))...)}, slices.Concat(opaque[1:2], events(1, 2))},
+		"nothing but a foreign ID in a pool not known yet":   {"stream", "", []answerFunc{raw(opaque[1])}, opaque[1:2]},
+		"two foreign IDs in a pool not known yet":            {"stream", "", []answerFunc{raw(slices.Concat(foreignIDs, events(1, 2))...)}, slices.Concat(foreignIDs, events(1, 2))},
+		"a foreign hexadecimal ID before a higher one":       {"stream", "", []answerFunc{raw(slices.Concat(hexadecimal, events(11, 12))...)}, slices.Concat(hexadecimal, events(11, 12))},
 		"nothing but foreign data in a pool not known yet":   {"stream", "", []answerFunc{raw("data: foreign\n\n")}, []string{"data: foreign\n\n"}},
 		"a server that lives on ends an unframed stream":     {"stream", "", []answerFunc{unframed(raw(events(1, 2)...))}, events(1, 2)},
 	}
--- a/internal/forward/foreign_blocks_test.go
+++ b/internal/forward/foreign_blocks_test.go
@@ -126,9 +126,6 @@
 // without any.
 func TestForeignBlocksBeforeAStreamAreNotPassedOn(t *testing.T) {
 	for kind, block := range foreignBlocks {
-		if oddIDs[kind] {
-			continue
-		}
 		for place, parts := range map[string][]string{
 			"first": slices.Concat([]string{block}, events(1, 6)), "in one piece": {block + strings.Join(events(1, 6), "")},
 			"behind a comment": slices.Concat([]string{": ping\n\n", block, ": ping\n\n"}, events(1, 6)),
@@ -288,6 +285,10 @@
 		"times and numbers":      redis,
 		"hexadecimal IDs":        hexadecimal,
 		"opaque IDs":             {event("a1f9"), event("a1fa"), event("a200")},
+		"one opaque ID":          {event("tok-5")},
+		"hexadecimal counters":   {event("f"), event("10"), event("11")},
+		"capital hexadecimals":   {event("0F"), event("10"), event("11")},
+		"UUIDs":                  {event("0190a3c2-7d1e-7000-8000-00000000000f"), event("0190a3c2-7d1e-7000-8000-000000000010")},
 		"comments":               {": hello\n\n", event("1"), ": ping\n\n", event("2"), "retry: 5\n\n", event("3"), ": bye\n\n"},
 		"a version of weights":   {event("1"), "hatchplank-weight-versions: 2\n" + event("2"), event("3")},
 		"names":                  {"event: token\n" + event("1"), "event: token\n" + event("2")},
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -166,10 +166,17 @@
 	return *flow.streamHistory
 }
 
-// recordStreamIDs records whether the events of a response had IDs.
+// recordStreamIDs records whether the events of a response had IDs, and the form of the first.
 func (f *Forwarder) recordStreamIDs(flow *flow, segment *streamSegment) {
-	if flow.stream.streaming && (segment.hasIDs || segment.lacksIDs) {
-		f.streamIDs.record(flow.streamKey(), flow.latestServer.Load().ID, segment.hasIDs)
+	if !flow.stream.streaming {
+		return
+	}
+	key, server := flow.streamKey(), flow.latestServer.Load().ID
+	if segment.hasIDs || segment.lacksIDs {
+		f.streamIDs.record(key, server, segment.hasIDs)
+	}
+	if segment.opening != 0 {
+		f.streamIDs.recordForm(key, server, segment.opening == formDecimal)
 	}
 }
 
--- a/internal/forward/streamids.go
+++ b/internal/forward/streamids.go
@@ -4,7 +4,7 @@
 
 const (
 	// minStreamsWithIDs is the number of consecutive streams with IDs from which one without IDs is foreign data,
-	// where none was seen.
+	// where none was seen. The same numbers hold for streams whose IDs are decimal numbers.
 	minStreamsWithIDs = 16
 	// minStreamsWithoutIDs is the number of streams without IDs, of several servers, that end this: the pool's
 	// servers have changed. One server alone may be faulty.
@@ -21,7 +21,7 @@
 // streamKey names streams of one kind: servers may send other streams on another route.
 type streamKey struct{ route, pool string }
 
-// streamIDs learns where streams have event IDs. It is safe for concurrent use.
+// streamIDs learns where streams have event IDs, and of which form. It is safe for concurrent use.
 type streamIDs struct {
 	mutex   sync.Mutex
 	history map[streamKey]streamIDHistory
@@ -29,14 +29,20 @@
 
 // streamIDHistory is what is known of the streams of a route in a pool.
 type streamIDHistory struct {
-	// idsRequired: a stream without IDs is foreign data.
-	idsRequired bool
-	// consecutive is the number of latest streams that were alike: with IDs or, if latestWithout, without.
+	// ids: events have IDs. decimals: those IDs are decimal numbers without a prefix.
+	ids, decimals traitHistory
+}
+
+// traitHistory is what is known of a trait that streams have or lack.
+type traitHistory struct {
+	// required: a stream that lacks the trait is foreign data.
+	required bool
+	// consecutive is the number of latest streams that were alike: with the trait or, if latestWithout, without.
 	consecutive   int
 	latestWithout bool
-	// withoutIDs is the number of streams without IDs that are not forgotten, firstServer the server of the
+	// without is the number of streams that lack the trait and are not forgotten, firstServer the server of the
 	// first of them; severalServers: not all are of this one.
-	withoutIDs     int
+	without        int
 	firstServer    string
 	severalServers bool
 }
@@ -52,45 +58,54 @@
 
 // record records a stream of a server whose events had IDs, or had none.
 func (s *streamIDs) record(key streamKey, server string, hasIDs bool) {
+	s.update(key, func(history *streamIDHistory) { history.ids.record(server, hasIDs) })
+}
+
+// recordForm records a stream of a server whose first ID was a decimal number without a prefix, or was not.
+func (s *streamIDs) recordForm(key streamKey, server string, isDecimal bool) {
+	s.update(key, func(history *streamIDHistory) { history.decimals.record(server, isDecimal) })
+}
+
+func (s *streamIDs) update(key streamKey, change func(*streamIDHistory)) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if _, known := s.history[key]; !known && len(s.history) >= maxStreamKeys {
 		clear(s.history)
 	}
 	history := s.history[key]
-	history.record(server, hasIDs)
+	change(&history)
 	s.history[key] = history
 }
 
-func (h *streamIDHistory) record(server string, hasIDs bool) {
-	if h.latestWithout == hasIDs {
-		h.consecutive, h.latestWithout = 0, !hasIDs
+func (h *traitHistory) record(server string, hasTrait bool) {
+	if h.latestWithout == hasTrait {
+		h.consecutive, h.latestWithout = 0, !hasTrait
 	}
 	h.consecutive++
-	if hasIDs {
+	if hasTrait {
 		h.recordWith()
 	} else {
 		h.recordWithout(server)
 	}
 }
 
-func (h *streamIDHistory) recordWith() {
+func (h *traitHistory) recordWith() {
 	if h.consecutive >= streamIDMemory {
-		h.withoutIDs, h.severalServers = 0, false
+		h.without, h.severalServers = 0, false
 	}
-	h.idsRequired = h.idsRequired || h.withoutIDs == 0 && h.consecutive >= minStreamsWithIDs
+	h.required = h.required || h.without == 0 && h.consecutive >= minStreamsWithIDs
 }
 
-func (h *streamIDHistory) recordWithout(server string) {
-	if h.withoutIDs == 0 {
+func (h *traitHistory) recordWithout(server string) {
+	if h.without == 0 {
 		h.firstServer = server
 	}
-	h.withoutIDs++
+	h.without++
 	h.severalServers = h.severalServers || server != h.firstServer
-	if h.severalServers && h.withoutIDs >= minStreamsWithoutIDs || h.consecutive >= minConsecutiveWithoutIDs {
-		h.idsRequired = false
+	if h.severalServers && h.without >= minStreamsWithoutIDs || h.consecutive >= minConsecutiveWithoutIDs {
+		h.required = false
 	}
 }
 
-// idsOptional reports whether streams without IDs are known to be sent.
-func (h streamIDHistory) idsOptional() bool { return !h.idsRequired && h.withoutIDs > 0 }
+// optional reports whether streams that lack the trait are known to be sent.
+func (h traitHistory) optional() bool { return !h.required && h.without > 0 }
--- a/internal/forward/streamids_test.go
+++ b/internal/forward/streamids_test.go
@@ -140,7 +140,7 @@
 	inVirtualTime(t, func(b *testbed) {
 		b.inTurn(streams([]string{"data: a\n\n"}, time.Millisecond, io.ErrUnexpectedEOF))
 		serveStream(b, "stream", "")
-		Expect(b.forwarder.streamIDs.of(streamKey{"stream", modelPool}).idsOptional()).To(BeTrue())
+		Expect(b.forwarder.streamIDs.of(streamKey{"stream", modelPool}).ids.optional()).To(BeTrue())
 	})
 }
 
@@ -227,19 +227,19 @@
 	}
 	record(1, "m1", false)
 	record(streamIDMemory-1, "m2", true)
-	Expect(learned.of(key).idsOptional()).To(BeTrue())
+	Expect(learned.of(key).ids.optional()).To(BeTrue())
 	record(1, "m2", true)
-	Expect(learned.of(key).idsRequired).To(BeTrue())
+	Expect(learned.of(key).ids.required).To(BeTrue())
 	for _, server := range []string{"m1", "m2", "m3", "m4"} {
 		record(minStreamsWithoutIDs-1, server, false)
 		record(streamIDMemory, "m5", true)
 	}
-	Expect(learned.of(key).idsRequired).To(BeTrue())
+	Expect(learned.of(key).ids.required).To(BeTrue())
 	for _, server := range []string{"m1", "m2", "m3"} {
 		record(1, server, false)
 		record(streamIDMemory-1, "m5", true)
 	}
-	Expect(learned.of(key).idsRequired).To(BeFalse())
+	Expect(learned.of(key).ids.required).To(BeFalse())
 }
 
 // Guards against memory that grows with the routes and pools of past configurations.
@@ -282,3 +282,116 @@
 		})
 	}
 }
+
+// Guards against foreign data that reaches its caller as a whole stream or its beginning, on a route whose IDs are
+// known to be decimal numbers.
+func TestForeignIDsThatOpenAStreamOfAKnownRouteAreNotPassedOn(t *testing.T) {
+	foreign := func(id string) string { return "id: " + id + "\ndata: foreign\n\n" }
+	for name, parts := range map[string][]string{
+		"alone":               {foreign("zz9")},
+		"alone, no data":      {"id: zz9\n\n"},
+		"two":                 append([]string{foreign("zz8"), foreign("zz9")}, events(1, 6)...),
+		"two and a comment":   append([]string{foreign("-7"), ": ping\n\n", foreign("4e9")}, events(1, 6)...),
+		"a hexadecimal ID":    append([]string{foreign("0a")}, events(11, 12)...),
+		"before foreign data": append([]string{foreign("4.5"), "data: foreign\n\n"}, events(1, 6)...),
+	} {
+		for _, route := range []string{"stream", "patient"} {
+			t.Run(name+", "+route, func(t *testing.T) {
+				inVirtualTime(t, func(b *testbed) {
+					serveStreams(b, route, minStreamsWithIDs, raw(events(1, 3)...))
+					b.backend.attempts = nil
+					b.inTurn(raw(parts...), raw(events(1, 6)...))
+					outcome, seen := serveStream(b, route, "")
+					if route == "patient" {
+						Expect(outcome.Code).To(Equal(result.OK))
+						Expect(seen.body.String()).To(Equal(strings.Join(events(1, 6), "")))
+						return
+					}
+					Expect(outcome.Code).To(Equal(result.OutcomeUnknown))
+					Expect(seen.begun).To(BeZero())
+				})
+			})
+		}
+	}
+}
+
+// A stream that a foreign ID opened ended as a whole one, on a route that is known to have opaque IDs.
+func TestStreamBehindAForeignOpeningIDDoesNotEndAsWhole(t *testing.T) {
+	for _, id := range []string{"zz9", "-7", "4.5", "4e9", "0x9"} {
+		t.Run(id, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				serveStreams(b, "stream", 2, raw("id: tok-5\ndata: x\n\n", "id: tok-6\ndata: x\n\n"))
+				b.inTurn(raw(append([]string{"id: " + id + "\ndata: foreign\n\n"}, events(1, 3)...)...))
+				outcome, seen := serveStream(b, "stream", "")
+				Expect(outcome.Broken).To(BeTrue(), "the stream looks complete")
+				Expect(seen.body.String()).NotTo(ContainSubstring("data: x"))
+			})
+		})
+	}
+}
+
+// Guards against streams being broken for good after a release that changes the form of their IDs.
+func TestRouteWhoseIDsChangeTheirFormServesThem(t *testing.T) {
+	opaque := raw("id: tok-5\ndata: x\n\n", "id: tok-6\ndata: x\n\n")
+	for name, only := range map[string]bool{"several servers": false, "only server": true} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				lost := minStreamsWithoutIDs
+				if only {
+					b.view.ReplaceServers(map[string]*fleet.Server{"m1": {ID: "m1", Pool: modelPool, Slots: 8, Models: holds("m"), Zone: "z"}})
+					lost = minConsecutiveWithoutIDs
+				}
+				serveStreams(b, "stream", minStreamsWithIDs, raw(events(1, 3)...))
+				codes := serveStreams(b, "stream", lost+4, opaque)
+				Expect(codes[:lost]).To(HaveEach(result.OutcomeUnknown))
+				Expect(codes[lost:]).To(HaveEach(result.OK))
+				Expect(serveStreams(b, "stream", 20, raw(events(1, 3)...))).To(HaveEach(result.OK))
+				Expect(serveStreams(b, "stream", 2, opaque)).To(HaveEach(result.OK), "opaque IDs are not forgotten yet")
+			})
+		})
+	}
+}
+
+// Guards against foreign openings of several servers that end the check: the decimal number behind them shows that
+// the route's form is the same as before.
+func TestForeignOpeningsOfAllServersAreNeverPassedOn(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		serveStreams(b, "stream", minStreamsWithIDs, raw(events(1, 3)...))
+		for range 2 * minConsecutiveWithoutIDs {
+			b.inTurn(raw(append([]string{"id: zz9\ndata: foreign\n\n"}, events(1, 3)...)...))
+			outcome, seen := serveStream(b, "stream", "")
+			Expect(outcome.Code).To(Equal(result.OutcomeUnknown))
+			Expect(seen.begun).To(BeZero())
+		}
+	})
+}
+
+// Guards against first events that wait for the next one in each stream of a route with opaque IDs.
+func TestFirstOpaqueIDOfAKnownRouteDoesNotWait(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	parts := []string{"id: tok-5\ndata: x\n\n", "id: tok-6\ndata: x\n\n", "id: tok-7\ndata: x\n\n"}
+	inVirtualTime(t, func(b *testbed) {
+		for _, pauses := range [][]time.Duration{{2 * pause, pause}, {pause, pause, pause}, {pause, pause, pause}} {
+			b.inTurn(streams(parts, pause, io.EOF))
+			seen := &writeTimes{last: time.Now()}
+			outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), seen)
+			Expect(outcome.Code).To(Equal(result.OK))
+			Expect(seen.pauses).To(Equal(pauses))
+		}
+	})
+}
+
+// Guards against opaque streams that never reach their caller, since each pauses after the first event.
+func TestOpaqueStreamsThatPauseAfterTheFirstEventAreServed(t *testing.T) {
+	parts := []string{"id: tok-5\ndata: x\n\n", "id: tok-6\ndata: x\n\n"}
+	paused := timed([]time.Duration{time.Millisecond, 1700 * time.Millisecond}, parts...)
+	inVirtualTime(t, func(b *testbed) {
+		for range 4 {
+			b.backend.attempts = nil
+			b.inTurn(paused)
+			outcome, seen := serveStream(b, "patient", "")
+			Expect(outcome.Code).To(Equal(result.OK))
+			Expect(seen.body.String()).To(Equal(strings.Join(parts, "")))
+		}
+	})
+}
