poison: Try requests that were served before instead of taking them for proved

Cause: being the only suspect of one crash counts as proof. A content that is nearly all of a pool's traffic is alone at a crash by chance.

An identity that some node had seen served before its crashes now gets a provisional entry, whether it was alone or its rivals were served: a trial after 1 s releases it, or proves it. Messages and saved entries carry that in an additional field, so it holds after a restart of all nodes. Identities that nobody has seen served are proved as before.

The price is one more server for a request that was served before and crashes servers now, and two or three where others run beside its trials.

--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -168,9 +168,12 @@
 	crashes := filled(poison.Report{}).(poison.Report)
 	crashes.Ends[0].Parts, crashes.Ends[0].Trials = nil, nil
 	quarantined := filled(poison.Quarantined{}).(poison.Quarantined)
+	quarantined.ServedBefore = false
+	unservedQuarantined := quarantined
 	quarantined.RefusedFor = 0
-	entries := filled(poison.Entries{}).(poison.Entries)
-	entries.Entries[0].RefusedFor = 0
+	entries, unservedEntries := filled(poison.Entries{}).(poison.Entries), filled(poison.Entries{}).(poison.Entries)
+	unservedEntries.Entries[0].ServedBefore = false
+	entries.Entries[0].RefusedFor, entries.Entries[0].ServedBefore = 0, false
 	trial := filled(poison.TrialRequest{}).(poison.TrialRequest)
 	trial.Trial = 0
 	trialEnd := filled(poison.TrialEnded{}).(poison.TrialEnded)
@@ -179,6 +182,7 @@
 	lookupReply.Versions, lookupReply.Complete = nil, false
 	expected := map[string]peer.Message{
 		"poison.TrialRequest": trial, "poison.TrialEnded": trialEnd, "poison.Report": crashes, "poison.Quarantined": quarantined, "poison.Entries": entries,
+		"poison.Quarantined without served before": unservedQuarantined, "poison.Entries without served before": unservedEntries,
 		"mirror.Subscribe": subscription, "mirror.Update without packing": unpacked, "mirror.Update without software versions": unversioned,
 		"mirror.Update without rejected records": withoutRejected,
 		"mirror.Update":                          confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
--- a/internal/poison/attribution.go
+++ b/internal/poison/attribution.go
@@ -184,7 +184,7 @@
 // proved by now.
 func (a *attribution) exceeds(identity Identity, count crashCount) bool {
 	if a.isProvisional(identity) {
-		return a.wasAlone(identity)
+		return a.wasAlone(identity) && !a.served[identity]
 	}
 	return !a.isProved(identity) && count.exceedsThreshold(a.log.past[identity].times > 0) && !a.isSubsumed(identity)
 }
--- a/internal/poison/crash_log.go
+++ b/internal/poison/crash_log.go
@@ -109,13 +109,13 @@
 	l.expire(now)
 	attribution := l.newAttribution(wasQuarantined)
 	for _, identity := range attribution.failedTrials() {
-		entry := l.newEntry(identity, nil, now)
+		entry := l.newEntry(Entry{Identity: identity}, now)
 		entries = append(entries, entry)
 		attribution.add(entry)
 	}
 	for candidates := attribution.candidates(); len(candidates) > 0; candidates = attribution.candidates() {
 		identity := attribution.likeliestCause(candidates)
-		entry := l.newEntry(identity, attribution.rivals(identity), now)
+		entry := l.newEntry(Entry{Identity: identity, Rivals: attribution.rivals(identity), ServedBefore: attribution.served[identity]}, now)
 		entries = append(entries, entry)
 		attribution.add(entry)
 	}
@@ -140,9 +140,10 @@
 	return first
 }
 
-// newEntry makes and remembers the entry of an identity. The caller must hold the lock.
-func (l *CrashLog) newEntry(identity Identity, rivals []Identity, now time.Time) Entry {
-	entry := Entry{Identity: identity, Times: l.past[identity].times, Rivals: rivals, Until: now.Add(provisionalQuarantine)}
+// newEntry completes and remembers the entry of an identity. The caller must hold the lock.
+func (l *CrashLog) newEntry(entry Entry, now time.Time) Entry {
+	identity := entry.Identity
+	entry.Times, entry.Until = l.past[identity].times, now.Add(provisionalQuarantine)
 	entry.TrialsUntil = entry.Until.Add(provisionalTrials)
 	if !entry.provisional() {
 		entry = entry.confirmed(now)
@@ -172,7 +173,7 @@
 
 // confirmed returns the entry as it is once only its identity explains the crashes.
 func (e Entry) confirmed(now time.Time) Entry {
-	e.Rivals = nil
+	e.Rivals, e.ServedBefore = nil, false
 	e.Times++
 	e.Until = now.Add(quarantineDuration(e.Times))
 	e.TrialsUntil = e.Until
--- a/internal/poison/entry_store.go
+++ b/internal/poison/entry_store.go
@@ -34,6 +34,8 @@
 	RefusedUntilMillis int64 `json:"refused_until_ms,omitempty"`
 	// Rivals are in hexadecimal; entries with rivals are provisional.
 	Rivals []string `json:"rivals,omitempty"`
+	// ServedBefore as in Entry; such entries are provisional as well.
+	ServedBefore bool `json:"served_before,omitempty"`
 }
 
 // message returns the saved entry as a node would send it.
@@ -41,6 +43,7 @@
 	message := Quarantined{
 		Identity: identity, Times: s.Times, Servers: s.Servers,
 		Age: now.Sub(time.UnixMilli(s.SinceMillis)), Remaining: time.UnixMilli(s.UntilMillis).Sub(now),
+		ServedBefore: s.ServedBefore,
 	}
 	if s.RefusedUntilMillis != 0 {
 		message.RefusedFor = max(time.UnixMilli(s.RefusedUntilMillis).Sub(now), time.Nanosecond)
@@ -200,6 +203,7 @@
 		Times: entry.Times, Servers: entry.Servers,
 		SinceMillis: wallTime.Add(entry.Since.Sub(now)).UnixMilli(),
 		UntilMillis: wallTime.Add(entry.expires().Sub(now)).UnixMilli(), RefusedUntilMillis: wallTime.Add(entry.Until.Sub(now)).UnixMilli(),
+		ServedBefore: entry.ServedBefore,
 	}
 	for _, rival := range entry.Rivals {
 		saved.Rivals = append(saved.Rivals, rival.Text())
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -27,6 +27,9 @@
 	// Rivals were running at the same crashes; this identity is only the likeliest cause among
 	// them. Without rivals, nothing else explains the crashes.
 	Rivals []Identity
+	// ServedBefore: some node had seen the identity served before. Then being alone at a crash is no
+	// proof, and only a trial confirms the entry.
+	ServedBefore bool
 }
 
 // expires returns the time at which the entry is over.
@@ -46,8 +49,8 @@
 	return max(e.TrialsUntil.Sub(from), 0)
 }
 
-// provisional reports whether another identity may be the cause.
-func (e Entry) provisional() bool { return len(e.Rivals) > 0 }
+// provisional reports whether the identity may not be the cause.
+func (e Entry) provisional() bool { return len(e.Rivals) > 0 || e.ServedBefore }
 
 // Quarantined sends another node an entry. It contains durations, so that the nodes need no
 // common clock.
@@ -61,6 +64,8 @@
 	// RefusedFor is the part of Remaining in which no node runs the request; after it, trials are
 	// admitted. Earlier builds send none, and refuse the request for all of the time.
 	RefusedFor time.Duration
+	// ServedBefore as in Entry. Earlier builds send none.
+	ServedBefore bool
 }
 
 // Entries is the reply to a Report.
@@ -85,6 +90,7 @@
 	return Quarantined{
 		Identity: e.Identity, Times: e.Times, Servers: e.Servers,
 		Age: now.Sub(e.Since), Remaining: e.expires().Sub(now), RefusedFor: max(e.Until.Sub(now), time.Nanosecond), Rivals: e.Rivals,
+		ServedBefore: e.ServedBefore,
 	}
 }
 
@@ -97,6 +103,7 @@
 	return Entry{
 		Identity: q.Identity, Times: q.Times, Servers: q.Servers,
 		Since: now.Add(-q.Age), Until: now.Add(refusedFor), TrialsUntil: now.Add(remaining), Rivals: q.Rivals,
+		ServedBefore: q.ServedBefore,
 	}
 }
 
--- a/internal/poison/propagation.go
+++ b/internal/poison/propagation.go
@@ -198,7 +198,7 @@
 // first crash: then no rival explains the crashes.
 func (g *Guard) confirm(now time.Time) {
 	for _, entry := range g.Entries() {
-		if !entry.provisional() || slices.ContainsFunc(entry.Rivals, func(rival Identity) bool { return !g.servedSince(rival, entry.Since) }) {
+		if !entry.provisional() || entry.ServedBefore || slices.ContainsFunc(entry.Rivals, func(rival Identity) bool { return !g.servedSince(rival, entry.Since) }) {
 			continue
 		}
 		confirmed := entry.confirmed(now)
