poison: Let a trial decide once it is admitted, not served rivals

Cause: its entry was confirmed because its rivals were served, 0.45 s after a node had been granted its trial. All nodes refuse the content by then, so it can't be served itself, whereas its rivals can.

Served rivals confirm an entry only until trials are admitted. So that this isn't left to the next tick, 0.5 s apart, a node checks when it serves a rival or is told that one was served.

The price is one more server for a request that crashes servers, whose rivals are served later than 1 s after its entry and before its trial ends.

TestRivalsServedDuringATrialDoNotConfirmTheEntry failed before. Tests of internal/poison pass, their assertions unchanged.

--- a/internal/poison/propagation.go
+++ b/internal/poison/propagation.go
@@ -195,10 +195,13 @@
 }
 
 // confirm makes provisional entries final once servers have served all their rivals since the
-// first crash: then no rival explains the crashes.
+// first crash: then no rival explains the crashes. Once trials are admitted, these decide instead.
 func (g *Guard) confirm(now time.Time) {
 	for _, entry := range g.Entries() {
-		if !entry.provisional() || entry.ServedBefore || slices.ContainsFunc(entry.Rivals, func(rival Identity) bool { return !g.servedSince(rival, entry.Since) }) {
+		if !entry.provisional() || entry.ServedBefore || !now.Before(entry.Until) {
+			continue
+		}
+		if slices.ContainsFunc(entry.Rivals, func(rival Identity) bool { return !g.servedSince(rival, entry.Since) }) {
 			continue
 		}
 		confirmed := entry.confirmed(now)
@@ -215,10 +218,11 @@
 }
 
 // reportRivalServed reports to the collectors that a rival of a provisional entry was served:
-// its other rivals may be served at other nodes.
+// its other rivals may be served at other nodes. The entry is confirmed at once if none is left.
 func (g *Guard) reportRivalServed(identity Identity, began time.Time) {
 	if g.quarantine.hasRival(identity, began) {
 		g.sendServed(identity, began)
+		g.confirm(time.Now())
 	}
 }
 
@@ -345,7 +349,11 @@
 	reason, servers := "another request explains its crashes", released.Ends
 	if !released.Explained {
 		reason = "a server has served it since"
-		g.served.addIdentity(released.Identity, time.Now().Add(-released.Age))
+		began := time.Now().Add(-released.Age)
+		g.served.addIdentity(released.Identity, began)
+		if g.quarantine.hasRival(released.Identity, began) {
+			g.confirm(time.Now())
+		}
 	}
 	if !released.Explained || len(released.Ends) == 0 {
 		servers = mergeServers(released.Ends, g.knownCrashes(released.Identity))
--- a/internal/poison/provisional_test.go
+++ b/internal/poison/provisional_test.go
@@ -209,3 +209,20 @@
 	Expect(entries[0].Identity).To(Equal(third))
 	Expect(entries[0].provisional()).To(BeTrue())
 }
+
+// Guards against an entry that is confirmed by its rivals while its trial is under way: the rivals of
+// a harmless request are served in the meantime, and it isn't, since all nodes refuse it.
+func TestRivalsServedDuringATrialDoNotConfirmTheEntry(t *testing.T) {
+	runInCluster(t, 4, 3, func(c *cluster) {
+		tied := numbered(0, 2)
+		c.tie(tied)
+		time.Sleep(provisionalQuarantine)
+		Expect(c.admittedAtOnce(Request{Identity: tied[0]})).To(HaveLen(1))
+		c.nodes[3].guard.RequestServed(Request{Identity: tied[1]}, time.Now())
+		time.Sleep(time.Second)
+		for _, n := range c.nodes {
+			Expect(n.guard.Entries()).To(HaveLen(1))
+			Expect(n.guard.Entries()[0].provisional()).To(BeTrue())
+		}
+	})
+}
