streamorigin: Conclude from records as of the search where no node replies

What callers saw: after all nodes were replaced by ones at other addresses, streams of a pool with one version were refused for as long as the saved list names the nodes before, more than 10 s.

Cause: refuses whatever no other node replies to. None of the listed nodes exists then.

Change: without a reply, a node waits up to 500 ms for records that are known as of the beginning of its search, and concludes from its own evidence then. A node that is cut off gets none, so that records of up to a second before the search, by which a stream may be joined, are not enough. Nodes that keep no origins write the versions within 12 s, where that took up to 36 s: no node that keeps origins exists in this case either.

--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -38,6 +38,9 @@
 	maxQueued, maxPerMessage = 1 << 16, 512
 	// askTimeout limits the wait for other nodes.
 	askTimeout = 150 * time.Millisecond
+	// recordsTimeout limits the wait for current records where no node answers, which are looked at
+	// every recordsCheckPeriod.
+	recordsTimeout, recordsCheckPeriod = 500 * time.Millisecond, 10 * time.Millisecond
 	// linesPerSecond bounds the log lines about each finding: after the loss of a node, all its callers
 	// resume their streams.
 	linesPerSecond = 10
@@ -219,15 +222,40 @@
 	if len(nodes) == 0 {
 		return found.conclude(pool)
 	}
+	began := time.Now()
 	replies := o.ask(ctx, nodes, Lookup{Stream: stream, Pool: pool}, found)
 	result := search{finding: Unknown, basis: NoBasis, versions: found.versions}
-	if len(replies) > 0 {
+	switch {
+	case len(replies) > 0:
 		result = combine(found, replies, pool)
+	case o.awaitRecords(ctx, began):
+		found = o.evidence(pool, time.Now())
+		found.mixed = severalPools
+		result = found.conclude(pool)
 	}
 	result.asked, result.answered = len(nodes), len(replies)
 	return result
 }
 
+// awaitRecords waits until the servers' records are known as of a time, and reports whether they are. Then
+// they have every version at whose servers a stream began before, also where no other node answers.
+func (o *Origins) awaitRecords(ctx context.Context, asOf time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
+	defer cancel()
+	check := time.NewTicker(recordsCheckPeriod)
+	defer check.Stop()
+	for {
+		if age, known := o.config.RecordsAge(); known && age <= time.Since(asOf) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-check.C:
+		}
+	}
+}
+
 // combine returns what follows from this node's evidence and the replies of others.
 func combine(own evidence, replies []LookupReply, pool string) search {
 	for _, reply := range replies {
--- a/internal/streamorigin/version_store.go
+++ b/internal/streamorigin/version_store.go
@@ -24,7 +24,7 @@
 	minSavePause, maxSavePause = time.Second, 16 * time.Second
 	// firstOtherRank is above the ranks of the nodes that keep origins. The others write only if none of
 	// those does, and lateRanks spreads them.
-	firstOtherRank, lateRanks = 8, 64
+	firstOtherRank, lateRanks = 8, 16
 	// maxUnseen is how long a version stays saved that no node sees, where no node's view covers the
 	// retention: the store may fail often.
 	maxUnseen = 5 * time.Minute
