forward: Split the joining of streams by the forms of IDs and by held events

eventstream.go had 482 lines on three subjects; the functions are unchanged. scripts/mechanisms.sh names the places of the parts that moved or changed.

--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"strings"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 )
@@ -12,10 +11,6 @@
 // one, where a stream was continued, shows that events are missing.
 const minSteps = 8
 
-// minSamePrefix is the number of consecutive IDs with decimal numbers after the same prefix from which others
-// are foreign. It exceeds the decimal digits that follow one another in hexadecimal numbers.
-const minSamePrefix = 16
-
 // eventStream joins the events of several attempts into the one stream that a caller receives.
 type eventStream struct {
 	// streaming: on a streaming route all events of a stream have rising IDs, or none has an ID.
@@ -94,29 +89,6 @@
 	heldBytes int
 }
 
-// idForm is the form of an event's ID.
-type idForm int
-
-const (
-	// formDecimal: a decimal number without a prefix.
-	formDecimal idForm = iota + 1
-	// formOther: any other ID.
-	formOther
-)
-
-func formOf(id string) idForm {
-	if isDecimal(id) {
-		return formDecimal
-	}
-	return formOther
-}
-
-// heldEvent is an event that was neither passed on nor dropped yet.
-type heldEvent struct {
-	event streamEvent
-	block []byte
-}
-
 // newSegment begins the events of an attempt that was asked to continue after the last event.
 func (s *eventStream) newSegment() *streamSegment {
 	s.samePrefix = 0
@@ -152,69 +124,6 @@
 	return accepted, nil
 }
 
-// hold keeps an event until a later one is accepted.
-func (g *streamSegment) hold(event streamEvent, block []byte) error {
-	if g.heldBytes += len(block); g.heldBytes > maxEventBytes {
-		return errEventTooLong
-	}
-	if event.isComment {
-		last := &g.held[len(g.held)-1]
-		last.block = append(last.block, block...)
-		return nil
-	}
-	g.held = append(g.held, heldEvent{event, bytes.Clone(block)})
-	return nil
-}
-
-// mustHold reports whether only the next event shows that this one is a part of the stream: the first
-// without an ID, the first without data, which may be a part of an event that foreign data divides, one whose ID
-// has another form than the caller's, and the stream's first if its ID is no decimal number.
-func (g *streamSegment) mustHold(event streamEvent) bool {
-	switch {
-	case !g.stream.streaming || event.fault != nil:
-		return false
-	case event.isComment:
-		return len(g.held) > 0
-	case event.id != "":
-		isPart := !event.hasData && !g.stream.hasDataless
-		isOdd := g.differsFromCallersForm(event) || g.opensWithOtherForm(event) && !g.history.decimals.optional()
-		return (isPart || isOdd) && len(g.held) == 0
-	}
-	known := g.stream.passed || g.stream.last != "" || g.history.ids.required || g.history.ids.optional()
-	return !known && len(g.held) == 0
-}
-
-// holdsEventWithoutID reports whether an event without an ID is held. No server can continue a stream behind it.
-func (g *streamSegment) holdsEventWithoutID() bool {
-	return len(g.held) > 0 && g.held[0].event.id == ""
-}
-
-// acceptHeld appends the held events that are to be passed on, unless one of them breaks the stream: the
-// stream is broken before the first of them then.
-func (g *streamSegment) acceptHeld(accepted []byte) ([]byte, error) {
-	if err := g.checkHeld(); err != nil {
-		g.held = nil
-		return accepted, err
-	}
-	stream, segment, length := *g.stream, *g, len(accepted)
-	for _, held := range g.held {
-		pass, err := g.accept(held.event)
-		if err != nil {
-			*g.stream, *g = stream, segment
-			g.held, g.lacksIDs = nil, stream.last == "" && err == error(errNoEventID)
-			if g.opening == formOther && err == error(errEventIDForm) {
-				g.opening = 0 // the first ID may be the foreign one
-			}
-			return accepted[:length], err
-		}
-		if pass {
-			accepted = append(accepted, held.block...)
-		}
-	}
-	g.held, g.heldBytes = g.held[:0], 0
-	return accepted, nil
-}
-
 // accept reports whether an event is to be passed on. Its error breaks the stream before the event.
 func (g *streamSegment) accept(event streamEvent) (bool, error) {
 	if err := g.check(event); err != nil {
@@ -274,87 +183,6 @@
 	return event.id == "" && g.state == segmentJoining && !g.stream.passed && g.history.ids.optional()
 }
 
-// isFormKnown reports whether all IDs are certain to be decimal numbers after the prefix of the last one, which
-// the caller's ID alone doesn't show.
-func (g *streamSegment) isFormKnown() bool {
-	return (g.stream.passed || g.formConfirmed) && g.stream.hasCertainForm()
-}
-
-// hasCertainForm reports whether other IDs than decimal numbers after the prefix of the last one are foreign. A
-// prefix with digits may be a number that rises, too.
-func (s *eventStream) hasCertainForm() bool {
-	prefix, number := cutNumber(s.last)
-	if number == "" || strings.ContainsAny(prefix, "0123456789") {
-		return false
-	}
-	return prefix == "" || s.samePrefix >= minSamePrefix
-}
-
-// differsFromCallersForm reports whether the ID of an event is not of the form of the caller's ID, and no server
-// has sent one that is.
-func (g *streamSegment) differsFromCallersForm(event streamEvent) bool {
-	s := g.stream
-	isCallers := s.last != "" && !s.passed && !g.formConfirmed
-	return isCallers && event.id != "" && s.hasCertainForm() && !hasSameForm(event.id, s.last)
-}
-
-// checkHeld reports a held event that the next one, or the end, shows to be foreign.
-func (g *streamSegment) checkHeld() error {
-	switch {
-	case len(g.held) == 0:
-		return nil
-	case g.isHeldFormForeign():
-		return errEventIDForm
-	}
-	return g.checkHeldOpening()
-}
-
-// isHeldFormForeign reports whether the held event differs from the caller's form alone: the next event is of
-// this form, or there is none.
-func (g *streamSegment) isHeldFormForeign() bool {
-	if !g.stream.streaming || !g.differsFromCallersForm(g.held[0].event) {
-		return false
-	}
-	next := g.held[len(g.held)-1].event
-	return len(g.held) == 1 || hasSameForm(next.id, g.stream.last)
-}
-
-// opensWithOtherForm reports whether an event is the stream's first, and its ID no decimal number.
-func (g *streamSegment) opensWithOtherForm(event streamEvent) bool {
-	s := g.stream
-	return s.streaming && s.last == "" && !s.passed && event.fault == nil && event.id != "" && !isDecimal(event.id)
-}
-
-// checkHeldOpening reports a first event that is foreign: the next one has a decimal number, or all streams of the
-// route begin with one. A stream without any is evidence that the route's form has changed.
-func (g *streamSegment) checkHeldOpening() error {
-	first, next := g.held[0].event, g.held[len(g.held)-1].event
-	switch {
-	case !g.opensWithOtherForm(first), next.fault != nil, next.id == "":
-		return nil
-	case changesToDecimal(first.id, next.id):
-		return errEventIDForm
-	case g.history.decimals.required:
-		g.opening = formOther
-		return errEventIDForm
-	}
-	return nil
-}
-
-// followsForeignOpening reports whether an event shows that the first one, which was passed on, was foreign.
-// Another server's IDs may be of another form.
-func (g *streamSegment) followsForeignOpening(event streamEvent) bool {
-	s := g.stream
-	return g.hasIDs && s.last == s.first && changesToDecimal(s.last, event.id)
-}
-
-// hasSameForm reports whether two IDs are decimal numbers after the same prefix.
-func hasSameForm(a, b string) bool {
-	prefixA, numberA := cutNumber(a)
-	prefixB, numberB := cutNumber(b)
-	return prefixA == prefixB && numberA != "" && numberB != ""
-}
-
 // join decides what the first event of a continuation is.
 func (g *streamSegment) join(event streamEvent) (bool, error) {
 	if event.id == "" {
@@ -459,14 +287,6 @@
 	return order > 0 || !certain
 }
 
-func (s *eventStream) recordForm(id string) {
-	if hasSameForm(id, s.last) {
-		s.samePrefix++
-	} else {
-		s.samePrefix = 0
-	}
-}
-
 func (s *eventStream) recordStep(step uint64) {
 	if s.steps == 0 {
 		s.step = step
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -192,13 +192,13 @@
 switch_off same-run internal/forward/eventstream.go 'g.stream.passed && event.digest != g.stream.lastDigest, ' '' $forward
 switch_off no-missing-events internal/forward/eventstream.go 'if g.stream.lacksEventsBefore(event.id) {' 'if false {' $forward
 switch_off foreign-blocks internal/forward/eventstream.go 'if err := g.check(event); err != nil {' 'if err := g.check(event); false && err != nil {' $forward
-switch_off id-form internal/forward/eventstream.go 'case s.isFormKnown() && ' 'case false && ' $forward
-switch_off held-first-event internal/forward/eventstream.go 'return !known && len(g.held) == 0' 'return !known && false' $forward
-switch_off held-part-of-event internal/forward/eventstream.go 'return !event.hasData && !g.stream.hasDataless' 'return false' $forward
-switch_off unnumbered-pools internal/forward/eventstream.go 'if g.pool.always {' 'if false {' $forward
+switch_off id-form internal/forward/eventstream.go 'case g.isFormKnown() && !hasSameForm(event.id, s.last), ' 'case ' $forward
+switch_off held-first-event internal/forward/held_events.go 'return !known && len(g.held) == 0' 'return !known && false' $forward
+switch_off held-part-of-event internal/forward/held_events.go 'isPart := !event.hasData && !g.stream.hasDataless' 'isPart := false' $forward
+switch_off streams-without-ids internal/forward/eventstream.go 'if g.history.ids.required {' 'if false {' $forward
 switch_off partial-event-no-crash internal/forward/eventreader.go 'return errPartialEvent' 'return io.ErrUnexpectedEOF' $forward
 switch_off continuations-only internal/forward/attempt.go 'return !flow.continues(reply) ||' 'return' $forward
-switch_off last-id-only internal/forward/eventstream.go 'return !s.unnumbered && ' 'return ' $forward
+switch_off last-id-only internal/forward/eventstream.go 'return !s.endsWithoutID && ' 'return ' $forward
 switch_off other-incarnation internal/forward/unframed.go ', errors.Is(err, ErrOtherIncarnation):' ':' $forward ./platform
 switch_off refused-here internal/forward/unframed.go '&& refused.RefusedHere():' '&& refused.RefusedHere() && false:' $forward
 switch_off reserved-too-early internal/forward/attempt.go '(outcome != nil || !continuesStream(flow, next.server, nil, time.Now()))' 'outcome != nil' $forward
