Hold streams to what their route declares, instead of learning it from servers

What callers saw: garbage that begins a server's stream, or is all of it, as an event without an ID, and then a stream that ends as complete; on a streaming route, any success without the media type of event streams; a stream without any event as a whole answer.

Cause: a contract was inferred from the party that it binds. A stream without IDs was legal until 16 consecutive ones had IDs, one foreign stream made it legal for the next 128, and the response's media type chose whether anything was checked.

Change: a route of streams declares that a success is an event stream, with at least one event unless it resumes one, and an ID for each event; fleet.EventFormat declares the form of the IDs, set by platform/ (decimal numbers). Two new faults: no_stream and no_events. The head waits for the first event, so that no head or comment of a garbling server stays before another one's events. A response that began as no stream is continued by none.

Tests of foreign IDs that open a stream run on routes with a declared form, on a new node too, where the first and only foreign ID is told now; on routes without a declaration IDs of any form pass at once.

--- a/internal/fleet/route.go
+++ b/internal/fleet/route.go
@@ -19,8 +19,8 @@
 	KindRepeatable RequestKind = iota
 	// KindOnce requests run at most once for each attempt of a caller.
 	KindOnce
-	// KindStream requests are answered with events; they run at most once unless their route is
-	// resumable.
+	// KindStream requests are answered with server-sent events, at least one unless they resume a stream; they run at
+	// most once unless their route is resumable.
 	KindStream
 )
 
@@ -53,11 +53,20 @@
 	Priority int
 	// Resumable streams may be continued at another server.
 	Resumable bool
+	// Events declares the events of streams on routes of KindStream.
+	Events EventFormat
 	// Anonymous routes need no key, even where tenants are configured.
 	Anonymous bool
 	Targets   []Target
 }
 
+// EventFormat declares what servers may send as server-sent events. Each event has an ID, and IDs rise, whatever else
+// is declared.
+type EventFormat struct {
+	// DecimalIDs: the IDs are decimal numbers without a prefix. Otherwise they may have any form.
+	DecimalIDs bool
+}
+
 // Repeatable reports whether a request may be sent again after it may have run.
 func (r *Route) Repeatable() bool {
 	return r.Kind == KindRepeatable || (r.Kind == KindStream && r.Resumable)
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -89,11 +89,7 @@
 
 // isComment reports whether the field is a comment or a reconnection time, which are no part of an event.
 func (f eventField) isComment() bool {
-	if string(f.name) != "retry" {
-		return len(f.name) == 0
-	}
-	_, digits := cutNumber(string(f.value))
-	return digits != "" && len(digits) == len(f.value)
+	return len(f.name) == 0 || string(f.name) == "retry" && isDecimal(string(f.value))
 }
 
 // isPing reports whether the field names a ping. Clients dispatch no event without data, so that a ping alone is a
--- a/internal/forward/event_id_form.go
+++ b/internal/forward/event_id_form.go
@@ -6,23 +6,6 @@
 // are foreign. It exceeds the decimal digits that follow one another in hexadecimal numbers.
 const minSamePrefix = 16
 
-// idForm is the form of an event's ID.
-type idForm int
-
-const (
-	// formDecimal: a decimal number without a prefix.
-	formDecimal idForm = iota + 1
-	// formOther: any other ID.
-	formOther
-)
-
-func formOf(id string) idForm {
-	if isDecimal(id) {
-		return formDecimal
-	}
-	return formOther
-}
-
 // isFormKnown reports whether all IDs are certain to be decimal numbers after the prefix of the last one, which
 // the caller's ID alone doesn't show.
 func (g *streamSegment) isFormKnown() bool {
@@ -40,45 +23,23 @@
 }
 
 // differsFromCallersForm reports whether the ID of an event is not of the form of the caller's ID, and no server
-// has sent one that is.
+// has sent one that is, where the form is not declared.
 func (g *streamSegment) differsFromCallersForm(event streamEvent) bool {
 	s := g.stream
-	isCallers := s.last != "" && !s.passed && !g.formConfirmed
+	isCallers := s.last != "" && !s.passed && !g.formConfirmed && !s.format.DecimalIDs
 	return isCallers && event.id != "" && s.hasCertainForm() && !hasSameForm(event.id, s.last)
 }
 
 // isHeldFormForeign reports whether the held event differs from the caller's form alone: the next event is of
 // this form, or there is none.
 func (g *streamSegment) isHeldFormForeign() bool {
-	if !g.stream.streaming || !g.differsFromCallersForm(g.held[0].event) {
+	if len(g.held) == 0 || !g.stream.streaming || !g.differsFromCallersForm(g.held[0].event) {
 		return false
 	}
 	next := g.held[len(g.held)-1].event
 	return len(g.held) == 1 || hasSameForm(next.id, g.stream.last)
 }
 
-// opensWithOtherForm reports whether an event is the stream's first, and its ID no decimal number.
-func (g *streamSegment) opensWithOtherForm(event streamEvent) bool {
-	s := g.stream
-	return s.streaming && s.last == "" && !s.passed && event.fault == nil && event.id != "" && !isDecimal(event.id)
-}
-
-// checkHeldOpening reports a first event that is foreign: the next one has a decimal number, or all streams of the
-// route begin with one. A stream without any is evidence that the route's form has changed.
-func (g *streamSegment) checkHeldOpening() error {
-	first, next := g.held[0].event, g.held[len(g.held)-1].event
-	switch {
-	case !g.opensWithOtherForm(first), next.fault != nil, next.id == "":
-		return nil
-	case changesToDecimal(first.id, next.id):
-		return errEventIDForm
-	case g.history.decimals.required:
-		g.opening = formOther
-		return errEventIDForm
-	}
-	return nil
-}
-
 // followsForeignOpening reports whether an event shows that the first one, which was passed on, was foreign.
 // Another server's IDs may be of another form.
 func (g *streamSegment) followsForeignOpening(event streamEvent) bool {
--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 )
@@ -13,12 +12,13 @@
 
 // eventStream joins the events of several attempts into the one stream that a caller receives.
 type eventStream struct {
-	// streaming: on a streaming route all events of a stream have rising IDs, or none has an ID.
+	// streaming: the route is one of streams, all events of which have rising IDs, of the format.
 	streaming bool
+	format    fleet.EventFormat
 	// last is the ID of the last event that the caller has; empty if it has none.
 	last string
 	// passed: an event was passed on. endsWithoutID: one without an ID was passed on after the last ID, so
-	// that no server can continue the stream behind it.
+	// that no server can continue the stream behind it, which happens on other routes only.
 	passed, endsWithoutID bool
 	// first is the ID of the first event that was passed on, chain the digest of all events, and
 	// lastDigest that of the last one.
@@ -39,10 +39,12 @@
 }
 
 // newEventStream returns the stream of a request, of which its caller may have a part. Where a route's
-// streams can't be resumed, servers begin them at the start, whatever the caller has.
+// streams can't be resumed, servers begin them at the start, whatever the caller has. A caller's ID that
+// no event of the route can have is left to the servers.
 func newEventStream(request *Request, route *fleet.Route) eventStream {
-	stream := eventStream{streaming: route.Kind == fleet.KindStream}
-	if route.Repeatable() {
+	stream := eventStream{streaming: route.Kind == fleet.KindStream, format: route.Events}
+	mayBeEventID := !stream.streaming || !route.Events.DecimalIDs || isDecimal(request.ResumeAfter)
+	if route.Repeatable() && mayBeEventID {
 		stream.last = request.ResumeAfter
 	}
 	return stream
@@ -77,14 +79,10 @@
 	previous string
 	// formConfirmed: the server sent an ID of the form of the last one, which may be of the caller alone.
 	formConfirmed bool
-	// history is what is known of the streams of the route in the attempt's pool.
-	history streamIDHistory
-	// hasIDs: an event with an ID was passed on. lacksIDs: the response's events have none.
-	hasIDs, lacksIDs bool
-	// opening is the form of the stream's first ID, if this response has it.
-	opening idForm
-	// held are events that the next one shows to be a part of the stream or foreign, heldBytes long with the
-	// comments behind them.
+	// hasIDs: an event with an ID was passed on.
+	hasIDs bool
+	// held are comments before the stream's first event, and events that the next one shows to be a part of the
+	// stream or foreign, heldBytes long with the comments behind them.
 	held      []heldEvent
 	heldBytes int
 }
@@ -153,45 +151,20 @@
 		return event.fault
 	case event.isComment:
 		return nil
-	case s.last == "", g.mayLackIDs(event):
-		return g.checkFirst(event)
 	case event.id == "":
 		return errNoEventID
-	case g.isFormKnown() && !hasSameForm(event.id, s.last), g.followsForeignOpening(event):
+	case s.format.DecimalIDs && !isDecimal(event.id), g.isFormKnown() && !hasSameForm(event.id, s.last), g.followsForeignOpening(event):
 		return errEventIDForm
 	}
 	return nil
 }
 
-// checkFirst reports an event that no run has made, where no event before it has an ID.
-func (g *streamSegment) checkFirst(event streamEvent) error {
-	if event.id != "" {
-		if g.stream.passed {
-			return errLateEventID
-		}
-		return nil
-	}
-	g.lacksIDs = true
-	if g.history.ids.required {
-		return errNoEventID
-	}
-	return nil
-}
-
-// mayLackIDs reports whether the response may be a stream without IDs, although the caller sent one.
-func (g *streamSegment) mayLackIDs(event streamEvent) bool {
-	return event.id == "" && g.state == segmentJoining && !g.stream.passed && g.history.ids.optional()
-}
-
 // join decides what the first event of a continuation is.
 func (g *streamSegment) join(event streamEvent) (bool, error) {
 	if event.id == "" {
 		if g.stream.passed {
 			return false, errNotContinued
 		}
-		if g.stream.streaming {
-			g.stream.last = "" // the stream has no IDs
-		}
 		g.state = segmentFollowing
 		return true, g.follow(event)
 	}
@@ -241,9 +214,6 @@
 	s.hasDataless = s.hasDataless || !event.hasData
 	if event.id != "" {
 		g.hasIDs = true
-		if s.last == "" {
-			g.opening = formOf(event.id)
-		}
 		s.recordForm(event.id)
 		if s.passed {
 			s.recordStep(eventStep(s.last, event.id))
@@ -256,8 +226,11 @@
 	return nil
 }
 
-// end appends the held events at the end of a complete response, and checks this end.
-func (g *streamSegment) end(accepted []byte) ([]byte, error) {
+// end appends the held events at the end of a complete response, and checks this end. A success has events.
+func (g *streamSegment) end(accepted []byte, isSuccess bool) ([]byte, error) {
+	if isSuccess && g.lacksEvents() {
+		return accepted, errNoEvents
+	}
 	accepted, err := g.acceptHeld(accepted)
 	if err != nil {
 		return accepted, err
@@ -268,16 +241,17 @@
 	return accepted, nil
 }
 
+// lacksEvents reports whether the response is a stream from its beginning, and had no event.
+func (g *streamSegment) lacksEvents() bool {
+	return g.stream.streaming && g.stream.hasNoEvent() && !g.holdsEvent()
+}
+
+// hasNoEvent reports whether the caller has no event of the stream.
+func (s *eventStream) hasNoEvent() bool { return s.last == "" && !s.passed }
+
 // breakOff records the end of an incomplete response; withinEvent: it ended within an event.
-func (g *streamSegment) breakOff(err error, withinEvent bool) {
-	var fault *StreamError
-	if !errors.As(err, &fault) && len(g.held) > 0 {
-		g.lacksIDs = g.lacksIDs || g.holdsEventWithoutID()
-		if g.opensWithOtherForm(g.held[0].event) {
-			g.opening = formOther
-		}
-	}
-	g.stream.withinEvent = g.stream.withinEvent || withinEvent || len(g.held) > 0
+func (g *streamSegment) breakOff(withinEvent bool) {
+	g.stream.withinEvent = g.stream.withinEvent || withinEvent || g.holdsEvent()
 }
 
 // mayFollow reports whether an event may come after another one, as far as the order of their IDs is
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -34,6 +35,10 @@
 			Targets: []fleet.Target{{Pool: pool, Weight: 1}},
 		}
 	}
+	declared := func(route *fleet.Route) *fleet.Route {
+		route.Events = fleet.EventFormat{DecimalIDs: true}
+		return route
+	}
 	// The route whose requests may run at most once has two attempts as well, so that only
 	// its kind prevents a second run.
 	return []*fleet.Route{
@@ -41,9 +46,24 @@
 		route("patient", fleet.KindStream, true, 2, modelPool, 4*time.Second),
 		route("once", fleet.KindOnce, false, 2, plainPool, 100*time.Millisecond),
 		route("repeat", fleet.KindRepeatable, false, 2, plainPool, 100*time.Millisecond),
+		declared(route("declared", fleet.KindStream, false, 2, modelPool, 800*time.Millisecond)),
+		declared(route("declared-patient", fleet.KindStream, true, 2, modelPool, 4*time.Second)),
 	}
 }
 
+// streamRoutes are the test routes of streams: those with a declared format of events, and those without.
+var streamRoutes = []string{"stream", "patient", "declared", "declared-patient"}
+
+func testRoute(name string) *fleet.Route {
+	routes := testRoutes()
+	return routes[slices.IndexFunc(routes, func(route *fleet.Route) bool { return route.Name == name })]
+}
+
+// isPatient reports whether a route of streams may be resumed.
+func isPatient(route string) bool { return strings.HasSuffix(route, "patient") }
+
+func isDeclared(route string) bool { return strings.HasPrefix(route, "declared") }
+
 func testConfiguration() *fleet.Configuration {
 	engine := &fleet.Engine{Slots: 8, MemoryMB: 200, AdapterSlots: 2, LoadsPerSecond: 4, Models: map[string]*fleet.Model{
 		"m": {Name: "m", SizeMB: 70, LoadTime: 2 * time.Second},
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -38,18 +38,17 @@
 	attemptStarted time.Time
 	firstByte      time.Duration
 	server         string
-	// streamHistory is what was known of such streams at the first response; nil before. What one attempt adds is no
-	// proof for the next.
-	streamHistory *streamIDHistory
 	// latestServer is the server of the latest attempt, for other goroutines.
 	latestServer *atomic.Pointer[fleet.Server]
 	// cold: no server held the model when the request arrived.
 	cold     bool
 	decision Decision
-	// stream is what of an event stream was passed on; headSent: the response head was, with headStatus.
-	stream     eventStream
-	headSent   bool
-	headStatus int
+	// stream is what of an event stream was passed on; headSent: the response head was, with headStatus, and
+	// headOfStream: as that of an event stream.
+	stream       eventStream
+	headSent     bool
+	headStatus   int
+	headOfStream bool
 	// version is the software version of the server that began the stream; nil inside until an event
 	// is passed on. Copies of the flow share it.
 	version *atomic.Pointer[string]
@@ -84,11 +83,11 @@
 }
 
 // mayContinue reports whether another server's response can follow what was passed on.
-func (fl *flow) mayContinue() bool { return !fl.headSent || fl.stream.resumable() }
+func (fl *flow) mayContinue() bool { return !fl.headSent || fl.headOfStream && fl.stream.resumable() }
 
 // continues reports whether a response can follow the head that was sent.
 func (fl *flow) continues(reply *Reply) bool {
-	return !fl.headSent || reply.Events && reply.Status == fl.headStatus
+	return !fl.headSent || fl.headOfStream && reply.Events && reply.Status == fl.headStatus
 }
 
 // startBy is the time by which a server must begin with the request: in time for the latency
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -28,9 +30,12 @@
 func (f *Forwarder) relay(ctx context.Context, flow *flow, target *candidate, reply *Reply, responder Responder, sw *switchover, started time.Time) *Outcome {
 	var err error
 	headReceived := time.Now()
-	if reply.Events {
+	switch {
+	case flow.route.Kind == fleet.KindStream && lacksStream(reply):
+		err = errNoStream
+	case reply.Events:
 		err = f.relayEvents(flow, reply, responder, sw)
-	} else {
+	default:
 		err = f.relayBody(flow, reply, responder)
 	}
 	if err == nil {
@@ -44,6 +49,18 @@
 	return f.handleBrokenResponse(ctx, flow, target, err)
 }
 
+// lacksStream reports whether a response is a success without the body of an event stream. A 204 or 205 has no body, and
+// a 206 a part of one.
+func lacksStream(reply *Reply) bool {
+	switch reply.Status {
+	case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:
+		return true
+	}
+	return isSuccess(reply) && !reply.Events
+}
+
+func isSuccess(reply *Reply) bool { return reply.Status >= 200 && reply.Status < minRefusalStatus }
+
 // handleBrokenResponse decides what follows a response that broke off: nil to try another server,
 // otherwise the request's outcome.
 func (f *Forwarder) handleBrokenResponse(ctx context.Context, flow *flow, target *candidate, err error) *Outcome {
@@ -114,7 +131,7 @@
 	if fl.headSent {
 		return
 	}
-	fl.headSent, fl.headStatus = true, reply.Status
+	fl.headSent, fl.headStatus, fl.headOfStream = true, reply.Status, reply.Events
 	if reply.Events {
 		fl.beginStream(fl.latestServer.Load())
 	}
@@ -129,8 +146,6 @@
 		sw.after(first, errStreamStalled)
 	}
 	reader, segment := newEventReader(reply.Body), flow.stream.newSegment()
-	segment.history = f.streamHistory(flow)
-	defer func() { f.recordStreamIDs(flow, segment) }()
 	for {
 		blocks, err := reader.next()
 		if reply.Unframed && errors.Is(err, errPartialEvent) {
@@ -139,7 +154,7 @@
 		flow.gaps.record(len(blocks) > 0, time.Now())
 		events, orderErr := segment.acceptAll(blocks, flow.headSent)
 		if orderErr == nil && errors.Is(err, io.EOF) {
-			if events, orderErr = segment.end(events); orderErr == nil {
+			if events, orderErr = segment.end(events, isSuccess(reply)); orderErr == nil {
 				events = append(events, reader.rest()...)
 			}
 		}
@@ -151,37 +166,13 @@
 			return nil
 		}
 		if err != nil {
-			segment.breakOff(err, reader.withinEvent())
+			segment.breakOff(reader.withinEvent())
 			return err
 		}
-		f.limitGap(flow, segment, gap, sw)
+		f.limitGap(flow, gap, sw)
 	}
 }
 
-func (f *Forwarder) streamHistory(flow *flow) streamIDHistory {
-	if flow.streamHistory == nil {
-		history := f.streamIDs.of(flow.streamKey())
-		flow.streamHistory = &history
-	}
-	return *flow.streamHistory
-}
-
-// recordStreamIDs records whether the events of a response had IDs, and the form of the first.
-func (f *Forwarder) recordStreamIDs(flow *flow, segment *streamSegment) {
-	if !flow.stream.streaming {
-		return
-	}
-	key, server := flow.streamKey(), flow.latestServer.Load().ID
-	if segment.hasIDs || segment.lacksIDs {
-		f.streamIDs.record(key, server, segment.hasIDs)
-	}
-	if segment.opening != 0 {
-		f.streamIDs.recordForm(key, server, segment.opening == formDecimal)
-	}
-}
-
-func (fl *flow) streamKey() streamKey { return streamKey{route: fl.route.Name, pool: fl.pool} }
-
 // passOn sends events. The head is sent with the first ones, or at the stream's end: until then another
 // server's response can replace this one.
 func (fl *flow) passOn(responder Responder, reply *Reply, events []byte, ended bool) error {
@@ -198,10 +189,10 @@
 }
 
 // limitGap limits the time until the next event, if another server can continue the stream.
-func (f *Forwarder) limitGap(flow *flow, segment *streamSegment, gap time.Duration, sw *switchover) {
+func (f *Forwarder) limitGap(flow *flow, gap time.Duration, sw *switchover) {
 	switch {
 	case gap <= 0:
-	case flow.mayContinue() && !segment.holdsEventWithoutID():
+	case flow.mayContinue():
 		sw.after(gap, errStreamStalled)
 	default:
 		sw.pause()
--- a/internal/forward/streamerror.go
+++ b/internal/forward/streamerror.go
@@ -7,9 +7,13 @@
 const (
 	// FaultMalformed: bytes that are no event.
 	FaultMalformed StreamFault = "malformed"
-	// FaultNoID: an event without an ID in a stream whose events have IDs, or the reverse.
+	// FaultNoStream: a success on a streaming route that is no event stream.
+	FaultNoStream StreamFault = "no_stream"
+	// FaultNoEvents: a complete stream from its beginning, without any event.
+	FaultNoEvents StreamFault = "no_events"
+	// FaultNoID: an event without an ID.
 	FaultNoID StreamFault = "no_id"
-	// FaultIDForm: an ID that is empty, set twice, or of another form than those before.
+	// FaultIDForm: an ID that is empty, set twice, or not of the form that is declared or that those before have.
 	FaultIDForm StreamFault = "id_form"
 	// FaultIDOrder: IDs that don't rise.
 	FaultIDOrder StreamFault = "id_order"
@@ -34,10 +38,11 @@
 
 // Errors that break a stream.
 var (
+	errNoStream       = &StreamError{FaultNoStream, "a success on a streaming route is no event stream"}
+	errNoEvents       = &StreamError{FaultNoEvents, "the stream is complete without any event"}
 	errMalformedEvent = &StreamError{FaultMalformed, "bytes that are no event follow within the stream"}
-	errNoEventID      = &StreamError{FaultNoID, "an event has no ID in a stream whose events have IDs"}
-	errLateEventID    = &StreamError{FaultNoID, "an event has an ID in a stream whose events have none"}
-	errEventIDForm    = &StreamError{FaultIDForm, "the ID of an event is not of the form of those before"}
+	errNoEventID      = &StreamError{FaultNoID, "an event of the stream has no ID"}
+	errEventIDForm    = &StreamError{FaultIDForm, "the ID of an event is not of the form of the stream's IDs"}
 	errEventOrder     = &StreamError{FaultIDOrder, "the IDs of the stream's events do not rise"}
 	// errNotContinued: what a server sent does not follow the last event that was passed on.
 	errNotContinued = &StreamError{FaultNotContinued, "the response does not continue the stream"}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -192,10 +192,18 @@
 switch_off same-run internal/forward/eventstream.go 'g.stream.passed && event.digest != g.stream.lastDigest, ' '' $forward
 switch_off no-missing-events internal/forward/eventstream.go 'if g.stream.lacksEventsBefore(event.id) {' 'if false {' $forward
 switch_off foreign-blocks internal/forward/eventstream.go 'if err := g.check(event); err != nil {' 'if err := g.check(event); false && err != nil {' $forward
-switch_off id-form internal/forward/eventstream.go 'case g.isFormKnown() && !hasSameForm(event.id, s.last), ' 'case ' $forward
-switch_off held-first-event internal/forward/held_events.go 'return !known && len(g.held) == 0' 'return !known && false' $forward
-switch_off held-part-of-event internal/forward/held_events.go 'isPart := !event.hasData && !g.stream.hasDataless' 'isPart := false' $forward
-switch_off streams-without-ids internal/forward/eventstream.go 'if g.history.ids.required {' 'if false {' $forward
+switch_off id-form internal/forward/eventstream.go 'g.isFormKnown() && !hasSameForm(event.id, s.last), ' '' $forward
+switch_off streams-only internal/forward/relay.go 'return isSuccess(reply) && !reply.Events' 'return false' $forward ./platform
+switch_off no-body-statuses internal/forward/relay.go 'case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:' 'case 0:' $forward
+switch_off streams-have-events internal/forward/eventstream.go 'if isSuccess && g.lacksEvents() {' 'if false {' $forward ./platform
+switch_off declared-id-form internal/forward/eventstream.go 's.format.DecimalIDs && !isDecimal(event.id), ' '' $forward
+switch_off declared-by-routes platform/configuration.go 'route.Events = streamEvents' '' ./platform
+switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
+switch_off one-kind-of-body internal/forward/flow.go 'fl.headOfStream && reply.Events' 'reply.Events' $forward
+switch_off held-part-of-event internal/forward/held_events.go 'return !event.hasData && !g.stream.hasDataless ||' 'return' $forward
+switch_off events-have-ids internal/forward/eventstream.go 'case event.id == "":
+		return errNoEventID' 'case false:
+		return errNoEventID' $forward
 switch_off partial-event-no-crash internal/forward/eventreader.go 'return errPartialEvent' 'return io.ErrUnexpectedEOF' $forward
 switch_off continuations-only internal/forward/attempt.go 'return !flow.continues(reply) ||' 'return' $forward
 switch_off last-id-only internal/forward/eventstream.go 'return !s.endsWithoutID && ' 'return ' $forward
