poison: Try requests of which several identities are quarantined

Callers saw request_poisonous for up to ten minutes for requests that crash no server: a request whose own identity is quarantined provisionally, and a part of its prompt too, needed a trial of each, and trials of two identities are 2 s apart, so the second one was denied and the first given back, for ever. A part that is quarantined alone had the same fate where each request with it had run at a crash: any other suspect made the trial ambiguous.

A request asks once, as a trial of its narrowest quarantined identity, and names the others, which are on trial with it. An ambiguous trial is granted 2 s after trials are admitted; its crash counts as one of three, as before where others run beside a trial. TrialRequest has a further field, its encoding without it is kept among those of earlier builds; a node of an earlier build ignores it.

Evidence: TestRequestWithSeveralQuarantinedIdentitiesIsTried, TestPartIsTriedByARequestWithACrashOfItsOwn and TestPartThatCrashesServersIsProvedByTrialsOfItsRequests (no more than three further crashes, then the part is refused) fail on the code before, the first two since no node admits the request, and pass now.

--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -175,7 +175,9 @@
 	entries, unservedEntries := filled(poison.Entries{}).(poison.Entries), filled(poison.Entries{}).(poison.Entries)
 	unservedEntries.Entries[0].ServedBefore = false
 	entries.Entries[0].RefusedFor, entries.Entries[0].ServedBefore = 0, false
-	trial := filled(poison.TrialRequest{}).(poison.TrialRequest)
+	trialOfOne := filled(poison.TrialRequest{}).(poison.TrialRequest)
+	trialOfOne.Quarantined = nil
+	trial := trialOfOne
 	trial.Trial = 0
 	trialEnd := filled(poison.TrialEnded{}).(poison.TrialEnded)
 	trialEnd.Trial = 0
@@ -183,6 +185,7 @@
 	lookupReply.Versions, lookupReply.Complete = nil, false
 	expected := map[string]peer.Message{
 		"poison.TrialRequest": trial, "poison.TrialEnded": trialEnd, "poison.Report": crashes, "poison.Quarantined": quarantined, "poison.Entries": entries,
+		"poison.TrialRequest without quarantined":  trialOfOne,
 		"poison.Quarantined without served before": unservedQuarantined, "poison.Entries without served before": unservedEntries,
 		"mirror.Subscribe": subscription, "mirror.Update without packing": unpacked, "mirror.Update without software versions": unversioned,
 		"mirror.Update without rejected records": withoutRejected, "mirror.Update without odd fields": withoutOddFields,
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -116,6 +116,9 @@
 	For time.Duration
 	// Trial identifies the trial, also when it ends; 0 from nodes of an earlier build.
 	Trial uint64
+	// Quarantined are those of the others that are quarantined as well: the request is a trial of
+	// them, too. Earlier builds send none, and ask for each.
+	Quarantined []Identity
 }
 
 // TrialReply is the answer to a TrialRequest. Without Granted, a further request may be granted
--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -26,6 +26,9 @@
 	// trialSpacing is the time between the trials of two identities, unless the first is decided
 	// earlier. Two at one server would leave open which one crashed it.
 	trialSpacing = 2 * time.Second
+	// ambiguousTrialDelay is how long requests are preferred, once an identity admits trials, whose
+	// other identities can't be the cause of a crash.
+	ambiguousTrialDelay = 2 * time.Second
 	// maxTrialWait bounds the Retry-After of a request that is refused beside a trial.
 	maxTrialWait = time.Second
 )
@@ -85,6 +88,17 @@
 	return Refusal{}, false
 }
 
+// trialOf returns the identity that a request is mainly a trial of, its narrowest quarantined one; its
+// other identities; and the quarantined ones among these.
+func (r Request) trialOf(due []Identity) (identity Identity, others, quarantined []Identity) {
+	identity = due[len(due)-1]
+	if due[0] == r.Identity {
+		identity = r.Identity
+	}
+	isNarrowest := func(other Identity) bool { return other == identity }
+	return identity, slices.DeleteFunc(r.identities(), isNarrowest), slices.DeleteFunc(slices.Clone(due), isNarrowest)
+}
+
 // refusedFor is the time until a request may run again, as a trial at the earliest.
 func (e Entry) refusedFor(now time.Time) time.Duration { return max(e.Until.Sub(now), maxTrialWait) }
 
@@ -110,17 +124,13 @@
 	if len(due) == 0 {
 		return nil, nil
 	}
+	identity, others, quarantined := request.trialOf(due)
 	lasts := min(deadline.Sub(now)+trialMargin, maxTrialTime)
-	trial := &Trial{id: rand.Uint64(), sendBy: now.Add(lasts - trialMargin)}
-	for _, identity := range due {
-		others := slices.DeleteFunc(slices.Clone(all), func(other Identity) bool { return other == identity })
-		reply := g.askForTrial(ctx, TrialRequest{Identity: identity, Others: others, For: lasts, Trial: trial.id})
-		if !reply.Granted {
-			g.EndTrial(trial, false)
-			g.config.OnTrial(TrialDenied)
-			return nil, &Refusal{Part: request.partNamed(identity), RetryAfter: max(reply.Wait, minTrialWait)}
-		}
-		trial.tried = append(trial.tried, identity)
+	trial := &Trial{id: rand.Uint64(), tried: due, sendBy: now.Add(lasts - trialMargin)}
+	reply := g.askForTrial(ctx, TrialRequest{Identity: identity, Others: others, Quarantined: quarantined, For: lasts, Trial: trial.id})
+	if !reply.Granted {
+		g.config.OnTrial(TrialDenied)
+		return nil, &Refusal{Part: request.partNamed(identity), RetryAfter: max(reply.Wait, minTrialWait)}
 	}
 	g.config.OnTrial(TrialGranted)
 	g.config.Logger.Info().Strs("identities", loggedIdentities(trial.tried)).Msg("trial of a quarantined request granted")
@@ -199,17 +209,26 @@
 	reply(nil, nil)
 }
 
-// grantTrial grants a trial unless one is under way, or a crash would leave open which identity of
-// the request was its cause.
+// grantTrial grants a trial unless one is under way. A request whose crash would leave open which of
+// its identities was the cause is granted one after ambiguousTrialDelay: there may be no other.
 func (g *Guard) grantTrial(ask TrialRequest) TrialReply {
 	now := time.Now()
 	g.clearServed()
-	if g.crashes.IsAmbiguous(ask.Identity, ask.Others, g.quarantine.quarantinedAt(now)) {
-		return TrialReply{Wait: maxTrialWait}
+	entry, quarantined := g.quarantine.Lookup(ask.Identity, now)
+	early := now.Before(entry.Until.Add(ambiguousTrialDelay))
+	if early || !quarantined {
+		if g.crashes.IsAmbiguous(ask.Identity, ask.Others, g.quarantine.quarantinedAt(now)) {
+			return TrialReply{Wait: maxTrialWait}
+		}
 	}
 	return g.trials.grant(ask, now)
 }
 
+// identities returns those that the request is a trial of.
+func (r TrialRequest) identities() []Identity {
+	return append([]Identity{r.Identity}, r.Quarantined...)
+}
+
 // trials are the trials that this node has granted.
 type trials struct {
 	mutex   sync.Mutex
@@ -236,18 +255,22 @@
 func (t *trials) grant(ask TrialRequest, now time.Time) TrialReply {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	latest := t.granted[ask.Identity]
-	left := latest.until.Sub(now)
-	if ask.Identity != t.latest {
+	all, left := ask.identities(), time.Duration(0)
+	for _, identity := range all {
+		left = max(left, t.granted[identity].until.Sub(now))
+	}
+	if !slices.Contains(all, t.latest) {
 		left = max(left, t.spacedUntil.Sub(now))
 	}
 	if left > 0 {
 		return TrialReply{Wait: min(left, maxTrialWait)}
 	}
 	t.latest, t.spacedUntil = ask.Identity, now.Add(trialSpacing)
-	latest.id = ask.Trial
-	latest.until = now.Add(min(max(ask.For, trialMargin), maxTrialTime))
-	t.granted[ask.Identity] = latest
+	for _, identity := range all {
+		latest := t.granted[identity]
+		latest.id, latest.until = ask.Trial, now.Add(min(max(ask.For, trialMargin), maxTrialTime))
+		t.granted[identity] = latest
+	}
 	for len(t.granted) > maxEntries {
 		dropEarliest(t.granted, func(granted grantedTrial) time.Time { return granted.until })
 	}
--- a/internal/poison/trial_test.go
+++ b/internal/poison/trial_test.go
@@ -209,6 +209,83 @@
 	})
 }
 
+// crashWithPart crashes servers under requests with one part of their prompts, each at the given place
+// among them, and waits until the decision and the quarantine that follows are over.
+func (c *cluster) crashWithPart(requests []Request, places ...int) {
+	for i, place := range places {
+		server := c.server(fmt.Sprint("s", i))
+		c.refuse(server)
+		c.nodes[i%len(c.nodes)].guard.AttemptBroken(context.Background(), requests[place], server, time.Now())
+	}
+	time.Sleep(time.Second + provisionalQuarantine)
+}
+
+// withSharedPart returns requests with one part of their prompts, which servers have served.
+func (c *cluster) withSharedPart(count int) []Request {
+	requests := make([]Request, count)
+	for i, identity := range numbered(0, count) {
+		requests[i] = Request{Identity: identity, Parts: PartsOf("caller", "h", []string{"first"})}
+		c.nodes[0].guard.RequestServed(requests[i], time.Now())
+	}
+	time.Sleep(time.Second)
+	return requests
+}
+
+// Guards against requests that are refused until all entries are over: each of them is quarantined, and
+// so is the part of their prompts that they share, so that each would have needed two trials at once.
+func TestRequestWithSeveralQuarantinedIdentitiesIsTried(t *testing.T) {
+	runInCluster(t, 4, 4, func(c *cluster) {
+		requests := c.withSharedPart(2)
+		c.crashWithPart(requests, 0, 0, 0, 1, 1, 1)
+		Expect(c.nodes[0].guard.Entries()).To(HaveLen(3))
+		for i, request := range requests {
+			trial := c.trialOf(request)
+			time.Sleep(trialSpacing)
+			Expect(c.admittedAtOnce(requests[1-i])).To(HaveLen(4 * i))
+			trial.node.guard.RequestServed(trial.request, time.Now().Add(-time.Millisecond))
+			time.Sleep(messageTime)
+			Expect(c.admittedAtOnce(request)).To(HaveLen(4))
+		}
+	})
+}
+
+// Guards against further crashes under requests whose part crashes servers, where the requests are
+// quarantined themselves: each of them would be tried before the part.
+func TestPartThatCrashesServersIsProvedByTrialsOfItsRequests(t *testing.T) {
+	runInCluster(t, 4, 4, func(c *cluster) {
+		requests := c.withSharedPart(4)
+		c.crashWithPart(requests, 0, 0, 0, 1, 1, 1, 2, 2, 2, 3, 3, 3)
+		crashed := 0
+		for range 60 {
+			for _, request := range requests {
+				if admitted := c.admittedAtOnce(request); len(admitted) > 0 {
+					crashed += len(admitted)
+					c.crashTrial(fmt.Sprint("trial-", crashed), admitted[0])
+				}
+				time.Sleep(time.Second)
+			}
+		}
+		Expect(crashed).To(BeNumerically("<=", maxFurtherCrashes))
+		Expect(c.admittedAtOnce(Request{Identity: numbered(9, 10)[0], Parts: requests[0].Parts})).To(BeEmpty())
+	})
+}
+
+// Guards against a part that is refused until its entry is over: each request with it has had a crash of
+// its own, after which a trial of the part would prove nothing.
+func TestPartIsTriedByARequestWithACrashOfItsOwn(t *testing.T) {
+	runInCluster(t, 4, 4, func(c *cluster) {
+		requests := c.withSharedPart(5)
+		c.crashWithPart(requests, 0, 1, 2, 3, 4)
+		Expect(c.nodes[0].guard.Entries()).To(HaveLen(1))
+		Expect(c.admittedAtOnce(requests[0])).To(BeEmpty())
+		time.Sleep(ambiguousTrialDelay)
+		trial := c.trialOf(requests[0])
+		trial.node.guard.RequestServed(trial.request, time.Now().Add(-time.Millisecond))
+		time.Sleep(messageTime)
+		Expect(c.admittedAtOnce(requests[1])).To(HaveLen(4))
+	})
+}
+
 // Guards against a part that all requests share and that is quarantined for a crash in a trial, whose
 // request had another suspected part.
 func TestRequestWithAnotherSuspectIsNoTrial(t *testing.T) {
