poison: End trials that were granted to nobody

Callers saw request_poisonous for as long as a trial may take, up to 15 s, although no trial ran: the node that grants trials had granted one whose reply came after the asking node's 400 ms, or whose caller had left meanwhile, and the asking node never said so.

The node that asked ends a trial that it may have been granted and does not use: after a reply that did not come in time, and after one that comes once the caller has left.

Evidence: TestTrialThatNobodyAwaitsIsFollowedByAnother fails in both cases on the code before (no node admits the request 0.8 s later) and passes now.

--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -188,6 +188,7 @@
 		reply, ok := message.(TrialReply)
 		if err != nil || !ok {
 			reply = denied
+			g.endUnused(granter, ask)
 		}
 		replies <- reply
 	})
@@ -195,11 +196,22 @@
 	case reply := <-replies:
 		return reply
 	case <-ctx.Done():
-		// A trial that is granted now ends by its time.
+		go func() {
+			if reply := <-replies; reply.Granted {
+				g.endUnused(granter, ask)
+			}
+		}()
 		return denied
 	}
 }
 
+// endUnused ends a trial that may have been granted to a request that will not run.
+func (g *Guard) endUnused(granter string, ask TrialRequest) {
+	for _, identity := range ask.identities() {
+		g.config.Transport.Send(granter, TrialEnded{Identity: identity, Trial: ask.Trial})
+	}
+}
+
 func (g *Guard) serveTrialRequest(_ string, message peer.Message, reply func(peer.Message, error)) {
 	reply(g.grantTrial(message.(TrialRequest)), nil)
 }
--- a/internal/poison/trial_test.go
+++ b/internal/poison/trial_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -109,6 +110,34 @@
 	})
 }
 
+// Guards against a harmless request that is refused until the time of a trial is over that no node has:
+// the reply that granted it came too late, or its caller had left by then.
+func TestTrialThatNobodyAwaitsIsFollowedByAnother(t *testing.T) {
+	cases := map[string]struct{ delay, callerLeaves time.Duration }{
+		"the reply is late":           {trialAskTimeout * 3 / 4, time.Second},
+		"the caller leaves meanwhile": {trialAskTimeout / 4, trialAskTimeout / 8},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			runInCluster(t, 4, 3, func(c *cluster) {
+				all := numbered(0, 4)
+				c.suspect(all[0], all[1:]...)
+				granter := c.nodes[0].guard.trialGranter()
+				other := c.nodes[slices.IndexFunc(c.nodes, func(n *node) bool { return n.address != granter })]
+				c.network.SetSlow(granter, test.delay)
+				ctx, leave := context.WithTimeout(context.Background(), test.callerLeaves)
+				defer leave()
+				trial, refusal := other.guard.Admit(ctx, Request{Identity: all[0]}, time.Now().Add(5*time.Second))
+				Expect(trial).To(BeNil())
+				Expect(refusal).NotTo(BeNil())
+				time.Sleep(2 * trialAskTimeout)
+				c.network.SetSlow(granter, 0)
+				c.trialOf(Request{Identity: all[0]})
+			})
+		})
+	}
+}
+
 // Guards against a trial that is granted beside another one, after the end of an earlier one was told late.
 func TestLateEndOfATrialDoesNotEndTheNext(t *testing.T) {
 	for _, sent := range []bool{false, true} {
