Limit the bytes that a node holds for all requests and responses together

What callers could see: a node that ends with all their requests (LOST), because servers send responses without end, none of them above its own limit. One stream holds up to 1 MiB of an event that has not ended, one other response 256 KiB that are read ahead; nothing limited their number. Four servers of 64 slots fill a node of 284 MB. Only the bodies of requests had a limit for the node, of which the newest was refused.

Cause: a limit for each response, none for what they share.

Change: internal/bytebudget has one limit in bytes, a third of the memory of the settings, for events that are not passed on yet, responses that are read ahead, and bodies of requests (platform.BodyMemory is a part of it now, with a quarter of the memory as before). At the limit the largest unfinished event gives way: its attempt fails with the reason memory_short, and the request goes on at another server within its attempts and the retry budget; responses are passed on without being read ahead; a body is refused, unless events of 64 KiB and more can give way. Up to 8 KiB of each response and request are not counted and take no lock, so sound streams and short requests always have room. Buffers of events double (2 to 3 MB are allocated for an event of 1 MiB instead of 5 MB), and a long event leaves no large buffer behind. Metrics hatchplank_node_held_bytes and hatchplank_node_memory_short_total, both by kind.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/hatchplank/hatchplank/internal/bytebudget"
 	"github.com/hatchplank/hatchplank/internal/edge"
 	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/fleet"
@@ -52,8 +53,9 @@
 	// since memory costs more than processor time.
 	gcPercent = 40
 	// softLimitShare is the share of the memory limit from which the garbage collector works
-	// harder; bodyMemoryShare is the share that request bodies may occupy.
-	softLimitShare, bodyMemoryShare = 0.7, 0.25
+	// harder; heldShare is the share that may be held for requests and responses in flight, of which the bodies
+	// of requests may occupy bytebudget.RetainedShare.
+	softLimitShare, heldShare = 0.7, 1.0 / 3
 	// defaultMemoryMB is assumed as the memory limit if the settings give none.
 	defaultMemoryMB = 256
 	megabyte        = 1 << 20
@@ -109,9 +111,11 @@
 	observations *observation.Table
 	origins      *streamorigin.Origins
 	forwarder    *forward.Forwarder
-	metrics      *edge.Metrics
-	requests     *edge.RequestLog
-	process      *edge.Process
+	// memory limits what is held for requests and responses in flight.
+	memory   *bytebudget.Budget
+	metrics  *edge.Metrics
+	requests *edge.RequestLog
+	process  *edge.Process
 }
 
 // assemble creates the product's components and connects them to the platform.
@@ -136,6 +140,7 @@
 	n.transport = transport
 	n.metrics = edge.NewMetrics(n.gauges())
 	n.requests = edge.NewRequestLog(logger, n.metrics)
+	n.memory = bytebudget.New(bytebudget.Config{Limit: n.maxHeldBytes(), OnShort: n.metrics.MemoryShort})
 	storeClient.OnAnomaly = n.requests.ResponseAnomaly
 	n.notices = notice.NewRegistry(notice.Config{View: n.view, OnNotice: n.metrics.Notice, OnDisregarded: n.metrics.SentDespiteNotice, OnLimitedSend: n.metrics.SentToLimited, Logger: logger})
 	n.observations = observation.NewTable()
@@ -304,7 +309,7 @@
 		View: n.view, Origins: n.origins, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: func() bool { return n.mirror.Behind() }, Records: records{n}, OnRecordCheck: n.metrics.RecordCheck, Zone: n.settings.Node.Zone,
 		Connect: n.servers.Connect, CheckIncarnation: (&platform.IncarnationCheck{Client: n.servers, View: n.view, Notices: n.notices}).Check, Indirect: n.paths.Lost, OnSuspicionCheck: n.requests.SuspicionChecked,
 		Fleet: retrybudget.Count{Limiter: n.limiter}, OnRetry: n.requests.Retry,
-		Observations: n.observations, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning,
+		Observations: n.observations, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning, Memory: n.memory,
 		Budget: forward.BudgetLimits{
 			Ratio: n.settings.Retries.Ratio, Slack: n.settings.Retries.Slack, Window: n.settings.Retries.Window,
 		},
@@ -324,7 +329,7 @@
 	return edge.Components{
 		Callers: &platform.Ingress{
 			Forwarder: n.forwarder, View: n.view, Closing: n.process.Stopping, OnOutcome: n.requests.Ended,
-			BodyMemory: platform.NewBodyMemory(n.maxBodyBytes()),
+			Memory: n.memory,
 		},
 		Metrics:      n.metrics,
 		Status:       n.status(),
@@ -378,6 +383,7 @@
 		Carried:      func() float64 { return float64(n.carrier.Carried()) },
 		RecordsAge:   n.recordsAge,
 		Rejected:     func() float64 { return float64(n.feed.RejectedRecords()) },
+		HeldBytes:    func(kind bytebudget.Kind) float64 { return float64(n.memory.Used()[kind]) },
 		SharingNodes: func() float64 { return float64(n.forwarder.RetryBudget().Nodes(time.Now())) },
 	}
 }
@@ -407,13 +413,13 @@
 	return 0
 }
 
-// maxBodyBytes returns the memory limit for the bodies of requests in flight.
-func (n *node) maxBodyBytes() int64 {
+// maxHeldBytes returns the memory limit for the data of requests and responses in flight.
+func (n *node) maxHeldBytes() int64 {
 	limit := n.settings.Memory.LimitMB
 	if limit == 0 {
 		limit = defaultMemoryMB
 	}
-	return int64(bodyMemoryShare * float64(limit) * megabyte)
+	return int64(heldShare * float64(limit) * megabyte)
 }
 
 // servePeers serves messages of other nodes until ctx ends.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -23,6 +23,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/hatchplank/hatchplank/internal/bytebudget"
 	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
@@ -179,7 +180,7 @@
 
 func newTestMetrics() *Metrics {
 	none := func() float64 { return 0 }
-	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Era: none, Holder: none, Relayed: none, Quarantine: none, Limited: none, LostPaths: none, Carried: none, RecordsAge: none})
+	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Era: none, Holder: none, Relayed: none, Quarantine: none, Limited: none, LostPaths: none, Carried: none, RecordsAge: none, HeldBytes: func(bytebudget.Kind) float64 { return 0 }})
 }
 
 func TestRequestLogRecordsTheDecision(t *testing.T) {
@@ -261,6 +262,7 @@
 	metrics.CarrierAnswer(serverpath.Opened)
 	metrics.RecordCheck(forward.RecordAccepts)
 	metrics.StreamOrigin(streamorigin.Known, streamorigin.FromTable)
+	metrics.MemoryShort(bytebudget.Events)
 	answer := httptest.NewRecorder()
 	metrics.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/hatchplank/hatchplank/internal/bytebudget"
 	"github.com/hatchplank/hatchplank/internal/forward"
 	"github.com/hatchplank/hatchplank/internal/notice"
 	"github.com/hatchplank/hatchplank/internal/orders"
@@ -65,6 +66,8 @@
 	metricStreamOrigins     = "hatchplank_node_stream_origins_total"
 	metricAnomalies         = "hatchplank_node_response_anomalies_total"
 	metricStreamFaults      = "hatchplank_node_stream_faults_total"
+	metricHeldBytes         = "hatchplank_node_held_bytes"
+	metricMemoryShort       = "hatchplank_node_memory_short_total"
 )
 
 // MetricDescriptions lists the node's own metrics.
@@ -107,6 +110,8 @@
 	{metricStreamOrigins, "counter", "finding, basis", "Searches for the software version that began a stream which its caller resumes, by finding (known, irrelevant: the pool has had one version, at whose servers the stream goes on, unknown: the stream is refused) and by what it rests on (table: this node keeps it, keeper: another node does, record: the versions saved in the store, view: this node has seen all servers for a minute, reply: another node's record or view, none)."},
 	{metricAnomalies, "counter", "kind", "What servers and the store sent in place of one response for each request, by kind (foreign_response, unrequested_data, malformed_response, head_too_long, too_many_interim, body_too_long)."},
 	{metricStreamFaults, "counter", "fault", "Streams broken before what their server should not have sent, by fault (no_stream, no_events, malformed, no_id, id_form, id_order, not_continued, surplus_response, partial_event, event_too_long)."},
+	{metricHeldBytes, "gauge", "kind", "Bytes held for requests and responses in flight, which share a limit, by kind (requests: their bodies; read_ahead: responses that are read before they are passed on; events: of streams, not passed on yet)."},
+	{metricMemoryShort, "counter", "kind", "Times that this limit was reached, by the kind that had to do without: a request was refused, a response passed on without being read ahead, a stream broken."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
@@ -119,6 +124,8 @@
 // Gauges holds the functions that supply the gauges' values at each scrape.
 type Gauges struct {
 	Connections, Servers, Revision, Era, Holder, Relayed, Quarantine, Limited, Suspected, SharingNodes, LostPaths, Carried, RecordsAge, Rejected func() float64
+	// HeldBytes returns the bytes held of a kind.
+	HeldBytes func(bytebudget.Kind) float64
 }
 
 // NewMetrics registers the node's metrics.
@@ -138,6 +145,11 @@
 	set.NewGauge(metricCarried, gauges.Carried)
 	set.NewGauge(metricRecordsAge, gauges.RecordsAge)
 	set.NewGauge(metricRejectedRecords, gauges.Rejected)
+	if gauges.HeldBytes != nil {
+		for _, kind := range bytebudget.Kinds {
+			set.NewGauge(fmt.Sprintf("%s{kind=%q}", metricHeldBytes, string(kind)), func() float64 { return gauges.HeldBytes(kind) })
+		}
+	}
 	for _, kind := range []placement.Kind{placement.Load, placement.Unload} {
 		set.NewCounter(replicaOrdersCounter(kind.String(), placement.ReasonRelief))
 	}
@@ -180,6 +192,9 @@
 	m.count(metricStreamOrigins, "finding", string(finding), "basis", string(basis))
 }
 
+// MemoryShort counts a request or response for which there was no memory.
+func (m *Metrics) MemoryShort(kind bytebudget.Kind) { m.count(metricMemoryShort, "kind", string(kind)) }
+
 // StoreCall counts a call to the store.
 func (m *Metrics) StoreCall(call string) { m.count(metricStoreCalls, "call", call) }
 
--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -4,18 +4,26 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/hatchplank/hatchplank/internal/bytebudget"
 )
 
 const (
 	// maxEventBytes is the longest event of a stream; a longer one breaks the stream.
 	maxEventBytes    = 1 << 20
 	relayBufferBytes = 4 << 10
+	// maxKeptBytes is the largest buffer that is kept for the next event.
+	maxKeptBytes = 2 * relayBufferBytes
 )
 
 // eventReader splits a body into complete events. Lines end with LF, CRLF or CR.
 type eventReader struct {
 	body   io.Reader
 	buffer []byte
+	// account has the bytes of partial and of the events that are held after next has returned them; nil:
+	// they are not limited.
+	account *bytebudget.Account
+	held    int
 	// partial is the beginning of an event that is not complete yet, behind the events that next returned,
 	// which are taken bytes long.
 	partial []byte
@@ -29,11 +37,15 @@
 
 // next returns the events that the next reads complete. It returns io.EOF at the end of a complete
 // stream, and errPartialEvent if the body ends within an event; both may come with events. The events
-// are valid until the next call.
+// are valid until the next call. It returns errMemoryShort if there is no room for the event.
 func (r *eventReader) next() ([][]byte, error) {
-	r.partial, r.taken = append(r.partial[:0], r.partial[r.taken:]...), 0
+	r.removeTaken()
 	for {
+		if err := r.reserve(0); err != nil {
+			return nil, err
+		}
 		count, err := r.body.Read(r.buffer)
+		r.grow(count)
 		r.partial = append(r.partial, r.buffer[:count]...)
 		if events := r.takeComplete(err != nil); len(events) > 0 {
 			return events, r.checkEnd(err)
@@ -47,6 +59,34 @@
 	}
 }
 
+// removeTaken removes the events that were returned. A long one leaves no large buffer behind.
+func (r *eventReader) removeTaken() {
+	rest := r.partial[r.taken:]
+	if cap(r.partial) > maxKeptBytes && len(rest) <= maxKeptBytes/2 {
+		r.partial = nil
+	}
+	r.partial, r.taken = append(r.partial[:0], rest...), 0
+}
+
+// grow makes room for so many more bytes. The buffer doubles, so that a long event is not copied often, up to
+// what one event may have.
+func (r *eventReader) grow(count int) {
+	length := len(r.partial) + count
+	if length <= cap(r.partial) || length <= relayBufferBytes {
+		return
+	}
+	size := max(length, min(2*cap(r.partial), maxEventBytes+relayBufferBytes))
+	r.partial = append(make([]byte, 0, size), r.partial...)
+}
+
+// reserve adapts the account to what is held, and so many bytes more.
+func (r *eventReader) reserve(further int) error {
+	if !r.account.Resize(int64(cap(r.partial) + r.held + further)) {
+		return errMemoryShort
+	}
+	return nil
+}
+
 // takeComplete returns the complete events at the beginning of partial; ended: nothing follows it.
 func (r *eventReader) takeComplete(ended bool) [][]byte {
 	var events [][]byte
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/bytebudget"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/observation"
 	"github.com/hatchplank/hatchplank/internal/poison"
@@ -79,6 +80,8 @@
 	// LongRunning is called once for each request that is still in flight after a second; nil:
 	// not called.
 	LongRunning func(LongRunning)
+	// Memory limits the bytes of responses that are not passed on yet; nil: no limit.
+	Memory *bytebudget.Budget
 }
 
 // Observation describes an attempt that failed, for logs and metrics.
@@ -122,6 +125,7 @@
 	observe          func(Observation)
 	// longRunning is called for a request that takes long.
 	longRunning func(LongRunning)
+	memory      *bytebudget.Budget
 	// sequence is the number of requests so far, by which a route picks among its pools.
 	sequence atomic.Uint64
 	// started is the time of New.
@@ -187,7 +191,7 @@
 		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, records: config.Records, origins: config.Origins, onRecordCheck: config.OnRecordCheck, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, checkIncarnation: config.CheckIncarnation, indirect: config.Indirect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
 		tracker: newTracker(), demand: newDemandTable(), priorities: newPriorityMix(),
 		budgets: retrybudget.New(retrybudget.Config{Limits: config.Budget, Nodes: config.Nodes, Fleet: config.Fleet}), onRetry: config.OnRetry,
-		observe: config.Observe, longRunning: config.LongRunning, longestTimes: map[string]*longestTime{},
+		observe: config.Observe, longRunning: config.LongRunning, memory: config.Memory, longestTimes: map[string]*longestTime{},
 	}
 }
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/bytebudget"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
@@ -16,11 +17,17 @@
 	// maxBufferedBytes is how much of a response body is read before anything is passed on, so
 	// that a shorter response that breaks can be replaced by another server's.
 	maxBufferedBytes = 256 << 10
+	// initialBufferBytes is the first size of the buffer of such a response.
+	initialBufferBytes = 512
 	// gapFactor is the time without an event after which another server continues a stream,
 	// if one can, as a multiple of the route's gap objective.
 	gapFactor = 4
 )
 
+// errMemoryShort ends an attempt whose response held the most of the memory for responses that are not passed
+// on yet, when that was used up.
+var errMemoryShort = errors.New("no memory for a response that is not passed on yet")
+
 // errStreamStalled cancels an attempt whose stream had no event for too long while another server
 // can continue it.
 var errStreamStalled = errors.New("no event within the stream's gap limit")
@@ -38,6 +45,9 @@
 	default:
 		err = f.relayBody(flow, reply, responder)
 	}
+	if err != nil && errors.Is(context.Cause(ctx), errMemoryShort) {
+		err = errMemoryShort
+	}
 	if err == nil {
 		f.tracker.recordRunTime(flow.pool, target.load.atUsualSpeed(time.Since(headReceived), time.Now()))
 		f.reportServed(ctx, flow, target.server, reply, started)
@@ -66,10 +76,13 @@
 func (f *Forwarder) handleBrokenResponse(ctx context.Context, flow *flow, target *candidate, err error) *Outcome {
 	f.release(flow, target, &AttemptError{Reason: FailureStatus})
 	failure := &AttemptError{Reason: FailureBroken, Ran: result.RanYes, Cause: err}
+	if errors.Is(err, errMemoryShort) {
+		failure.Reason = FailureMemory
+	}
 	f.reportCrash(ctx, flow, target.server, failure)
 	flow.runs++
 	flow.ran = result.RanYes
-	cancelled := ctx.Err() != nil && !cancelledForSwitchover(ctx)
+	cancelled := ctx.Err() != nil && !cancelledForSwitchover(ctx) && !errors.Is(err, errMemoryShort)
 	willRetry := !cancelled && f.mayRepeat(flow, 0) && flow.mayContinue()
 	f.observe(Observation{Request: flow.request, Server: target.server.ID, Number: flow.attempts, Failure: failure, WillRetry: willRetry})
 	if cancelled {
@@ -92,9 +105,11 @@
 }
 
 // relayBody passes on a response that is no event stream. A response of less than maxBufferedBytes
-// is read completely first.
+// is read completely first, if there is memory for it.
 func (f *Forwarder) relayBody(flow *flow, reply *Reply, responder Responder) error {
-	buffered, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+	account := f.memory.Open(bytebudget.ReadAhead, nil)
+	defer account.Close()
+	buffered, complete, err := readAhead(reply.Body, account)
 	if err != nil {
 		return err
 	}
@@ -102,12 +117,36 @@
 	if err := responder.Write(buffered); err != nil {
 		return callerError{err}
 	}
-	if len(buffered) < maxBufferedBytes {
+	if complete {
 		return nil
 	}
+	account.Close()
 	return copyRest(responder, reply.Body)
 }
 
+// readAhead reads up to maxBufferedBytes, or what there is memory for. complete: the body has ended.
+func readAhead(body io.Reader, account *bytebudget.Account) (buffered []byte, complete bool, err error) {
+	buffered = make([]byte, 0, initialBufferBytes)
+	for len(buffered) < maxBufferedBytes {
+		if len(buffered) == cap(buffered) {
+			size := min(2*len(buffered), maxBufferedBytes)
+			if !account.Resize(int64(size)) {
+				break
+			}
+			buffered = append(make([]byte, 0, size), buffered...)
+		}
+		count, err := body.Read(buffered[len(buffered):cap(buffered)])
+		buffered = buffered[:len(buffered)+count]
+		if errors.Is(err, io.EOF) {
+			return buffered, true, nil
+		}
+		if err != nil {
+			return buffered, false, err
+		}
+	}
+	return buffered, false, nil
+}
+
 func copyRest(responder Responder, body io.Reader) error {
 	buffer := make([]byte, relayBufferBytes)
 	for {
@@ -146,6 +185,8 @@
 		sw.after(first, errStreamStalled)
 	}
 	reader, segment := newEventReader(reply.Body), flow.stream.newSegment()
+	reader.account = f.memory.Open(bytebudget.Events, func() { sw.cancel(errMemoryShort) })
+	defer reader.account.Close()
 	for {
 		blocks, err := reader.next()
 		if reply.Unframed && errors.Is(err, errPartialEvent) {
@@ -158,10 +199,13 @@
 				events = append(events, reader.rest()...)
 			}
 		}
-		err = cmp.Or(orderErr, err)
+		reader.held = segment.heldBytes
+		err = cmp.Or(orderErr, err, reader.reserve(cap(events)))
+		reader.account.Pin()
 		if err := flow.passOn(responder, reply, events, errors.Is(err, io.EOF)); err != nil {
 			return err
 		}
+		reader.account.Unpin()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -130,6 +130,8 @@
 	FailureOtherInstance FailureReason = "other_instance"
 	// FailureBroken: the connection broke, or the bytes were no valid response.
 	FailureBroken FailureReason = "broken"
+	// FailureMemory: the node had no memory for the part of the response that was not passed on yet.
+	FailureMemory FailureReason = "memory_short"
 	// FailureTimeout: no response came within the attempt's time limit.
 	FailureTimeout FailureReason = "timeout"
 	// FailureStatus: the server answered with a status of 500 or above.
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -181,10 +181,21 @@
 switch_off torn-answer-closes platform/ingress.go 'case outcome.HeadSent || outcome.Code == result.CallerGone:
 		// Only a closed connection tells the client that the response is incomplete.
 		panic(http.ErrAbortHandler)' 'case outcome.HeadSent || outcome.Code == result.CallerGone:' ./platform
-switch_off whole-short-answers internal/forward/relay.go 'buffered, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
-	if err != nil {' 'buffered, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+switch_off whole-short-answers internal/forward/relay.go 'buffered, complete, err := readAhead(reply.Body, account)
+	if err != nil {' 'buffered, complete, err := readAhead(reply.Body, account)
+	complete = complete || err != nil
 	if false && err != nil {' $forward ./platform
 switch_off honest-status platform/ingress.go 'if outcome.Ran == result.RanNo {' 'if true {' ./platform
+# Memory for what is held for others.
+switch_off events-counted internal/forward/eventreader.go 'if !r.account.Resize(int64(cap(r.partial) + r.held + further)) {' 'if false {' $forward
+switch_off held-events-counted internal/forward/relay.go 'reader.held = segment.heldBytes' '' $forward
+switch_off read-ahead-counted internal/forward/relay.go 'if !account.Resize(int64(size)) {' 'if false {' $forward
+switch_off bodies-counted platform/body_memory.go 'if !account.Resize(int64(size)) {' 'if false {' ./platform -run Memory
+switch_off largest-gives-way internal/bytebudget/budget.go 'account.reserved > largest.reserved' 'account.reserved < largest.reserved' ./internal/bytebudget $forward
+switch_off bodies-before-events internal/bytebudget/budget.go 'if account.kind == Events {' 'if true {' ./internal/bytebudget
+switch_off room-for-events internal/bytebudget/budget.go 'if float64(retained+bytes) > RetainedShare*float64(b.limit) {' 'if retained < 0 {' ./internal/bytebudget
+switch_off writing-does-not-yield internal/bytebudget/budget.go '!account.pinned && ' '' ./internal/bytebudget
+switch_off goes-on-without-memory internal/forward/relay.go ' && !errors.Is(err, errMemoryShort)' '' $forward
 # Streams.
 switch_off whole-events internal/forward/eventreader.go 'if errors.Is(err, io.EOF) && r.withinEvent() {' 'if errors.Is(err, io.EOF) && r.withinEvent() && false {' $forward
 switch_off no-repeated-events internal/forward/eventstream.go 'if order <= 0 {' 'if false && order <= 0 {' $forward
