Break streams before lines that no encoder of their events writes

Cause: the fields of an event were not declared, so any line that might be a field passed.

Change: fleet.EventFormat declares them (id, event, data, retry, comments, and a leading field with a number, in which the platform's servers tell the version of the weights). On streaming routes an event breaks that has another field, a second event or retry, a retry that is no number, data on lines with another field between, or its leading field elsewhere or without a number. Routes without a declaration keep other fields.

What still nothing tells is in TestMergedLinesThatNothingTells and docs/design/streams.md. TestCasesThatNothingTells loses the case that is told now.

--- a/internal/fleet/route.go
+++ b/internal/fleet/route.go
@@ -65,6 +65,10 @@
 type EventFormat struct {
 	// DecimalIDs: the IDs are decimal numbers without a prefix. Otherwise they may have any form.
 	DecimalIDs bool
+	// KnownFieldsOnly: events have no fields but id, event, data, retry and the LeadingField.
+	KnownFieldsOnly bool
+	// LeadingField is the name of a field that an event may begin with, whose value is a decimal number; empty: none.
+	LeadingField string
 }
 
 // Repeatable reports whether a request may be sent again after it may have run.
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -8,6 +8,8 @@
 	"strings"
 	"unicode"
 	"unicode/utf8"
+
+	"github.com/hatchplank/hatchplank/internal/fleet"
 )
 
 // byteOrderMark may precede the first event of a stream.
@@ -28,8 +30,8 @@
 }
 
 // parseEvent reads a complete event. Its error breaks streams of all kinds.
-func parseEvent(block []byte) (streamEvent, error) {
-	event := streamEvent{isComment: true}
+func parseEvent(block []byte, format fleet.EventFormat) (streamEvent, error) {
+	event, fields := streamEvent{isComment: true}, eventFields{format: format}
 	var digest maphash.Hash
 	digest.SetSeed(digestSeed)
 	block = bytes.TrimPrefix(block, byteOrderMark)
@@ -44,7 +46,9 @@
 			return streamEvent{}, errSurplusResponse
 		}
 		if len(line) > 0 {
-			event.add(parseField(line), &digest)
+			field := parseField(line)
+			event.fault = cmp.Or(event.fault, fields.check(field))
+			event.add(field, &digest)
 		}
 	}
 	event.digest = digest.Sum64()
@@ -66,7 +70,6 @@
 
 // add adds a field to the event and, if it doesn't depend on the server, to its digest.
 func (e *streamEvent) add(field eventField, digest *maphash.Hash) {
-	e.fault = cmp.Or(e.fault, field.check())
 	switch string(field.name) {
 	case "id":
 		if e.id != "" || len(bytes.TrimSpace(field.value)) == 0 {
--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -102,7 +102,7 @@
 func (g *streamSegment) acceptAll(blocks [][]byte, begun bool) ([]byte, error) {
 	var accepted []byte
 	for _, block := range blocks {
-		event, err := parseEvent(block)
+		event, err := parseEvent(block, g.stream.format)
 		if err != nil {
 			return accepted, err
 		}
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -36,7 +36,7 @@
 		}
 	}
 	declared := func(route *fleet.Route) *fleet.Route {
-		route.Events = fleet.EventFormat{DecimalIDs: true}
+		route.Events = fleet.EventFormat{DecimalIDs: true, KnownFieldsOnly: true, LeadingField: "weight-versions"}
 		return route
 	}
 	// The route whose requests may run at most once has two attempts as well, so that only
--- a/internal/forward/foreign_blocks_test.go
+++ b/internal/forward/foreign_blocks_test.go
@@ -270,7 +270,7 @@
 		"capital hexadecimals":   {event("0F"), event("10"), event("11")},
 		"UUIDs":                  {event("0190a3c2-7d1e-7000-8000-00000000000f"), event("0190a3c2-7d1e-7000-8000-000000000010")},
 		"comments":               {": hello\n\n", event("1"), ": ping\n\n", event("2"), "retry: 5\n\n", event("3"), ": bye\n\n"},
-		"a version of weights":   {event("1"), "hatchplank-weight-versions: 2\n" + event("2"), event("3")},
+		"a version of weights":   {event("1"), "weight-versions: 2\n" + event("2"), event("3")},
 		"names":                  {"event: token\n" + event("1"), "event: token\n" + event("2")},
 		"a terminal's output":    {"id: 1\ndata: \x1b[1mx\tÄ\n\n", event("2")},
 		"data of several lines":  {"id: 1\ndata: a\ndata: b\ndata\ndata:\n\n", event("2")},
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -198,6 +198,8 @@
 switch_off streams-have-events internal/forward/eventstream.go 'if isSuccess && g.lacksEvents() {' 'if false {' $forward ./platform
 switch_off declared-id-form internal/forward/eventstream.go 's.format.DecimalIDs && !isDecimal(event.id), ' '' $forward
 switch_off declared-by-routes platform/configuration.go 'route.Events = streamEvents' '' ./platform
+switch_off known-fields-only internal/forward/event_fields.go 'odd = e.format.KnownFieldsOnly' '' $forward ./platform
+switch_off fields-in-place internal/forward/event_fields.go 'if isOdd {' 'if false {' $forward
 switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
 switch_off one-kind-of-body internal/forward/flow.go 'fl.headOfStream && reply.Events' 'reply.Events' $forward
 switch_off held-part-of-event internal/forward/held_events.go 'return !event.hasData && !g.stream.hasDataless ||' 'return' $forward
