forward: Break an empty success that ends with its connection

Class: an end in order taken for a whole response.

An empty body of a 2xx that ends so is now broken without a check; it goes on at another server within attempts and budget. Exempt are replies to a Last-Event-Id, where nothing may be left, HEAD, 204 and 205. A read that brings bytes and an error no longer loses the error.

--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -55,7 +57,11 @@
 	check func(limited context.Context) serverState
 	// mayResume reports whether the caller, or another attempt, can ask for what may be missing.
 	mayResume func() bool
-	end       error
+	// mayBeEmpty: the response may have no body. Otherwise an empty one may be that of a head that broke off.
+	mayBeEmpty bool
+	received   bool
+	// sourceEnd is the error with which the connection ended, and end the one with which the body does.
+	sourceEnd, end error
 }
 
 // Read implements io.Reader.
@@ -63,12 +69,16 @@
 	if b.end != nil {
 		return 0, b.end
 	}
-	count, err := b.ReadCloser.Read(buffer)
-	if err == nil || count > 0 {
-		return count, nil
+	if b.sourceEnd == nil {
+		var count int
+		count, b.sourceEnd = b.ReadCloser.Read(buffer)
+		b.received = b.received || count > 0
+		if count > 0 || b.sourceEnd == nil {
+			return count, nil
+		}
 	}
-	b.end = err
-	if errors.Is(err, io.EOF) {
+	b.end = b.sourceEnd
+	if errors.Is(b.end, io.EOF) {
 		b.end = b.verifiedEnd()
 	}
 	return 0, b.end
@@ -76,6 +86,9 @@
 
 // verifiedEnd is the error with which a body ends that was closed in order.
 func (b *unframedBody) verifiedEnd() error {
+	if !b.received && !b.mayBeEmpty {
+		return io.ErrUnexpectedEOF
+	}
 	state := b.checkRepeatedly()
 	switch {
 	case state == serverEnded:
@@ -129,6 +142,11 @@
 	return stateOf(f.connect(ctx, server.Address), serverListens)
 }
 
+// hasContent reports whether a response of the status is a success that has a body, maybe an empty one.
+func hasContent(status int) bool {
+	return status/100 == 2 && status != http.StatusNoContent && status != http.StatusResetContent
+}
+
 // verifyEnd makes the body of an unframed response report whether its server has crashed.
 func (f *Forwarder) verifyEnd(ctx context.Context, flow *flow, target *candidate, reply *Reply) {
 	if !reply.Unframed || f.connect == nil {
@@ -138,5 +156,7 @@
 		ReadCloser: reply.Body, ctx: ctx,
 		check:     func(limited context.Context) serverState { return f.checkServer(ctx, limited, target.server) },
 		mayResume: func() bool { return reply.Events && flow.route.Repeatable() && flow.stream.resumable() },
+		// Nothing may follow the last event of a stream that is resumed.
+		mayBeEmpty: !hasContent(reply.Status) || cmp.Or(flow.stream.last, flow.request.ResumeAfter) != "",
 	}
 }
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -237,3 +237,34 @@
 		Expect(outcome.Code).NotTo(Equal(result.OK))
 	})
 }
+
+// Guards against a head that broke off behind an early blank line being given to its caller as a whole response
+// without a body. Behind a caller's last event nothing may be left.
+func TestEmptyUnframedSuccessIsBroken(t *testing.T) {
+	for name, test := range map[string]struct {
+		route, model, last string
+		answer             func(context.Context, Attempt) (*Reply, error)
+		code               result.Code
+	}{
+		"no stream":       {"once", "", "", answers(200, ""), result.OutcomeUnknown},
+		"a stream":        {"stream", "m", "", streams(nil, time.Millisecond, io.EOF), result.OutcomeUnknown},
+		"a rest":          {"patient", "m", "3", streams(nil, time.Millisecond, io.EOF), result.OK},
+		"another status":  {"once", "", "", answers(404, ""), result.OK},
+		"without content": {"once", "", "", answers(205, ""), result.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				for id := range b.backend.answer {
+					b.backend.answer[id] = unframed(test.answer)
+				}
+				b.forwarder.connect = func(context.Context, string) error { return nil }
+				request := request(test.route, test.model, 5*time.Second)
+				request.ResumeAfter = test.last
+				seen := &recorder{}
+				outcome := b.forwarder.Serve(context.Background(), request, seen)
+				Expect(outcome.Code).To(Equal(test.code))
+				Expect(seen.begun > 0).To(Equal(test.code == result.OK))
+			})
+		})
+	}
+}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -202,6 +202,8 @@
 switch_off other-incarnation internal/forward/unframed.go ', errors.Is(err, ErrOtherIncarnation):' ':' $forward ./platform
 switch_off refused-here internal/forward/unframed.go '&& refused.RefusedHere():' '&& refused.RefusedHere() && false:' $forward
 switch_off reserved-too-early internal/forward/attempt.go '(outcome != nil || !continuesStream(flow, next.server, nil, time.Now()))' 'outcome != nil' $forward
+switch_off empty-ends internal/forward/unframed.go 'if !b.received && !b.mayBeEmpty {' 'if false {' $forward
+switch_off empty-rests internal/forward/unframed.go 'flow.request.ResumeAfter) != "",' 'flow.request.ResumeAfter) != "" && false,' $forward
 switch_off unconfirmed-ends internal/forward/unframed.go 'case state == serverUnknown && b.mayResume():' 'case false:' $forward
 switch_off resume-after platform/backend.go 'if attempt.ResumeAfter != "" {' 'if false {' ./platform
 switch_off silent-stream internal/forward/relay.go 'func() { cancel(errSilent) }' 'func() {}' $forward
