--- a/internal/poison/trial_test.go
+++ b/internal/poison/trial_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -109,6 +110,34 @@
 	})
 }
 
+// Guards against a harmless request that is refused until the time of a trial is over that no node has:
+// the reply that granted it came too late, or its caller had left by then.
+func TestTrialThatNobodyAwaitsIsFollowedByAnother(t *testing.T) {
+	cases := map[string]struct{ delay, callerLeaves time.Duration }{
+		"the reply is late":           {trialAskTimeout * 3 / 4, time.Second},
+		"the caller leaves meanwhile": {trialAskTimeout / 4, trialAskTimeout / 8},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			runInCluster(t, 4, 3, func(c *cluster) {
+				all := numbered(0, 4)
+				c.suspect(all[0], all[1:]...)
+				granter := c.nodes[0].guard.trialGranter()
+				other := c.nodes[slices.IndexFunc(c.nodes, func(n *node) bool { return n.address != granter })]
+				c.network.SetSlow(granter, test.delay)
+				ctx, leave := context.WithTimeout(context.Background(), test.callerLeaves)
+				defer leave()
+				trial, refusal := other.guard.Admit(ctx, Request{Identity: all[0]}, time.Now().Add(5*time.Second))
+				Expect(trial).To(BeNil())
+				Expect(refusal).NotTo(BeNil())
+				time.Sleep(2 * trialAskTimeout)
+				c.network.SetSlow(granter, 0)
+				c.trialOf(Request{Identity: all[0]})
+			})
+		})
+	}
+}
+
 // Guards against a trial that is granted beside another one, after the end of an earlier one was told late.
 func TestLateEndOfATrialDoesNotEndTheNext(t *testing.T) {
 	for _, sent := range []bool{false, true} {
@@ -209,6 +238,83 @@
 	})
 }
 
+// crashWithPart crashes servers under requests with one part of their prompts, each at the given place
+// among them, and waits until the decision and the quarantine that follows are over.
+func (c *cluster) crashWithPart(requests []Request, places ...int) {
+	for i, place := range places {
+		server := c.server(fmt.Sprint("s", i))
+		c.refuse(server)
+		c.nodes[i%len(c.nodes)].guard.AttemptBroken(context.Background(), requests[place], server, time.Now())
+	}
+	time.Sleep(time.Second + provisionalQuarantine)
+}
+
+// withSharedPart returns requests with one part of their prompts, which servers have served.
+func (c *cluster) withSharedPart(count int) []Request {
+	requests := make([]Request, count)
+	for i, identity := range numbered(0, count) {
+		requests[i] = Request{Identity: identity, Parts: PartsOf("caller", "h", []string{"first"})}
+		c.nodes[0].guard.RequestServed(requests[i], time.Now())
+	}
+	time.Sleep(time.Second)
+	return requests
+}
+
+// Guards against requests that are refused until all entries are over: each of them is quarantined, and
+// so is the part of their prompts that they share, so that each would have needed two trials at once.
+func TestRequestWithSeveralQuarantinedIdentitiesIsTried(t *testing.T) {
+	runInCluster(t, 4, 4, func(c *cluster) {
+		requests := c.withSharedPart(2)
+		c.crashWithPart(requests, 0, 0, 0, 1, 1, 1)
+		Expect(c.nodes[0].guard.Entries()).To(HaveLen(3))
+		for i, request := range requests {
+			trial := c.trialOf(request)
+			time.Sleep(trialSpacing)
+			Expect(c.admittedAtOnce(requests[1-i])).To(HaveLen(4 * i))
+			trial.node.guard.RequestServed(trial.request, time.Now().Add(-time.Millisecond))
+			time.Sleep(messageTime)
+			Expect(c.admittedAtOnce(request)).To(HaveLen(4))
+		}
+	})
+}
+
+// Guards against further crashes under requests whose part crashes servers, where the requests are
+// quarantined themselves: each of them would be tried before the part.
+func TestPartThatCrashesServersIsProvedByTrialsOfItsRequests(t *testing.T) {
+	runInCluster(t, 4, 4, func(c *cluster) {
+		requests := c.withSharedPart(4)
+		c.crashWithPart(requests, 0, 0, 0, 1, 1, 1, 2, 2, 2, 3, 3, 3)
+		crashed := 0
+		for range 60 {
+			for _, request := range requests {
+				if admitted := c.admittedAtOnce(request); len(admitted) > 0 {
+					crashed += len(admitted)
+					c.crashTrial(fmt.Sprint("trial-", crashed), admitted[0])
+				}
+				time.Sleep(time.Second)
+			}
+		}
+		Expect(crashed).To(BeNumerically("<=", maxFurtherCrashes))
+		Expect(c.admittedAtOnce(Request{Identity: numbered(9, 10)[0], Parts: requests[0].Parts})).To(BeEmpty())
+	})
+}
+
+// Guards against a part that is refused until its entry is over: each request with it has had a crash of
+// its own, after which a trial of the part would prove nothing.
+func TestPartIsTriedByARequestWithACrashOfItsOwn(t *testing.T) {
+	runInCluster(t, 4, 4, func(c *cluster) {
+		requests := c.withSharedPart(5)
+		c.crashWithPart(requests, 0, 1, 2, 3, 4)
+		Expect(c.nodes[0].guard.Entries()).To(HaveLen(1))
+		Expect(c.admittedAtOnce(requests[0])).To(BeEmpty())
+		time.Sleep(ambiguousTrialDelay)
+		trial := c.trialOf(requests[0])
+		trial.node.guard.RequestServed(trial.request, time.Now().Add(-time.Millisecond))
+		time.Sleep(messageTime)
+		Expect(c.admittedAtOnce(requests[1])).To(HaveLen(4))
+	})
+}
+
 // Guards against a part that all requests share and that is quarantined for a crash in a trial, whose
 // request had another suspected part.
 func TestRequestWithAnotherSuspectIsNoTrial(t *testing.T) {
