--- a/internal/edge/client_connection.go
+++ b/internal/edge/client_connection.go
@@ -59,6 +59,15 @@
 	return c.Conn.Close()
 }
 
+// SetLinger sets what Close does with bytes that were not sent; with 0 seconds it discards them and resets the
+// connection.
+func (c *clientConnection) SetLinger(seconds int) error {
+	if socket, isTCP := c.Conn.(interface{ SetLinger(seconds int) error }); isTCP {
+		return socket.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
 // extendDeadline allows a last read if the connection is to be closed.
 func (c *clientConnection) extendDeadline() bool {
 	c.mutex.Lock()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -498,3 +498,37 @@
 	Expect(syscall.Kill(syscall.Getpid(), syscall.SIGHUP)).To(Succeed())
 	Eventually(hangUps, "10s").Should(Receive())
 }
+
+// Guards against a connection of a client that is closed in order where a handler resets it, since its wrapper hid
+// the socket's means to do so.
+func TestHandlerCanResetAClientsConnection(t *testing.T) {
+	RegisterTestingT(t)
+	received := make(chan struct{})
+	process, stop, done := startProcess(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(writer, "half")
+		control := http.NewResponseController(writer)
+		_ = control.Flush()
+		<-received
+		conn, _, err := control.Hijack()
+		if err != nil {
+			return
+		}
+		_ = conn.(interface{ SetLinger(seconds int) error }).SetLinger(0)
+		_ = conn.Close()
+	}), func() string { return "" })
+	conn, err := net.Dial("tcp", process.Address(Callers))
+	Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	Expect(err).NotTo(HaveOccurred())
+	half := make([]byte, 4)
+	_, err = io.ReadFull(response.Body, half)
+	Expect(err).NotTo(HaveOccurred())
+	close(received)
+	_, err = response.Body.Read(half)
+	Expect(err).To(MatchError(syscall.ECONNRESET))
+	stop()
+	Eventually(done, "20s").Should(Receive(BeNil()))
+}
