--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -167,7 +167,17 @@
 switch_off deadline-at-server platform/backend.go 'writeHeader(&head, headerDeadline, strconv.FormatInt(remaining, 10))' '_ = remaining' ./platform
 switch_off caller-gone internal/exchange/client.go 'stop := context.AfterFunc(ctx, func() { _ = conn.Close() })' 'stop := context.AfterFunc(context.Background(), func() { _ = conn.Close() })' ./internal/exchange ./platform
 # Answers.
-switch_off answer-identity platform/backend.go 'return response.Header.Get(headerRequestID) == attempt.Request.ID' 'return true' ./platform
+switch_off answer-identity platform/backend.go 'return len(ids) > 0 && !slices' 'return true || !slices' ./platform
+switch_off reset-for-1.0 platform/ingress.go '_ = socket.SetLinger(0)' '_ = socket' ./platform -run TestCutResponseNeverReachesAClientOfHTTP10AsWhole
+switch_off reset-of-clients internal/edge/client_connection.go 'return socket.SetLinger(seconds)' 'return socket.SetLinger(seconds + 1)' ./internal/edge -run TestHandlerCanResetAClientsConnection
+switch_off two-identities platform/backend.go '!slices.ContainsFunc(ids,' '!slices.ContainsFunc(ids[:1],' ./platform -run TestSpoiledHeadNeverReachesItsClientAsWhole
+spoiled="./platform -run TestSpoiledHeadNeverReachesItsClientAsWhole"
+switch_off version-of-heads internal/exchange/head_check.go 'response.ProtoMajor != 1' 'false' $spoiled
+switch_off status-of-heads internal/exchange/head_check.go 'response.StatusCode < http.StatusContinue ||' '' $spoiled
+switch_off no-upgrade internal/exchange/head_check.go '|| response.StatusCode == http.StatusSwitchingProtocols' '' $spoiled
+switch_off chunks-of-1.0 internal/exchange/head_check.go 'response.ProtoMinor == 0 && encoded' 'false' $spoiled
+switch_off spaces-in-names internal/exchange/head_check.go 'strings.Contains(name, " ")' 'name == ""' $spoiled
+switch_off joined-heads internal/exchange/head_check.go 'return err == nil && reason != ""' 'return err == nil && reason == "x"' $spoiled
 switch_off foreign-costs-connection internal/exchange/client.go 'clean = false' 'clean = true' ./internal/exchange
 switch_off unwritten-costs-connection internal/exchange/client.go '|| !b.write.finished()' '' ./internal/exchange
 switch_off one-sending-a-connection internal/exchange/client.go 'if taken.sent.containsAny(notAfter) {' 'if false {' ./internal/exchange ./platform
@@ -209,6 +219,8 @@
 switch_off streams-have-events internal/forward/eventstream.go 'if isSuccess && g.lacksEvents() {' 'if false {' $forward ./platform
 switch_off declared-id-form internal/forward/eventstream.go 's.format.DecimalIDs && !isDecimal(event.id), ' '' $forward
 switch_off declared-by-routes platform/configuration.go 'route.Events = streamEvents' '' ./platform
+switch_off known-fields-only internal/forward/event_fields.go 'odd = e.format.KnownFieldsOnly' '' $forward ./platform
+switch_off fields-in-place internal/forward/event_fields.go 'if isOdd {' 'if false {' $forward
 switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
 switch_off one-kind-of-body internal/forward/flow.go 'fl.headOfStream && reply.Events' 'reply.Events' $forward
 switch_off held-part-of-event internal/forward/held_events.go 'return !event.hasData && !g.stream.hasDataless ||' 'return' $forward
@@ -221,6 +233,8 @@
 switch_off other-incarnation internal/forward/unframed.go ', errors.Is(err, ErrOtherIncarnation):' ':' $forward ./platform
 switch_off refused-here internal/forward/unframed.go '&& refused.RefusedHere():' '&& refused.RefusedHere() && false:' $forward
 switch_off reserved-too-early internal/forward/attempt.go '(outcome != nil || !continuesStream(flow, next.server, nil, time.Now()))' 'outcome != nil' $forward
+switch_off empty-ends internal/forward/unframed.go 'if !b.received && !b.mayBeEmpty {' 'if false {' $forward
+switch_off empty-rests internal/forward/unframed.go 'flow.request.ResumeAfter) != "",' 'flow.request.ResumeAfter) != "" && false,' $forward
 switch_off unconfirmed-ends internal/forward/unframed.go 'case state == serverUnknown && b.mayResume():' 'case false:' $forward
 switch_off resume-after platform/backend.go 'if attempt.ResumeAfter != "" {' 'if false {' ./platform
 switch_off silent-stream internal/forward/relay.go 'func() { cancel(errSilent) }' 'func() {}' $forward
