peer/tcp: Count the bytes of frames within the node's memory

A frame of another node has up to 4 MiB, and each of up to 4,096 connections may hold one, complete or not, for any time; its buffer was released only when the next frame came, and the gob decoder keeps one as large as the largest frame.

Change: both buffers count as frames in the node's budget. Frames may use all of it: events without end give way to them, bodies leave them a quarter, and a connection whose frame finds no room is closed. The buffer of a long frame is released once it is decoded.

readFrame takes a further argument; its test passes one that allows all.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -130,9 +130,11 @@
 		store:   platform.NewStore(settings.Store.Address, storeClient, settings.Store.Contact, logger),
 		process: edge.NewProcess(settings, logger),
 	}
+	// The metrics are made from the other components.
+	n.memory = bytebudget.New(bytebudget.Config{Limit: n.maxHeldBytes(), OnShort: func(kind bytebudget.Kind) { n.metrics.MemoryShort(kind) }})
 	transport, err := tcp.New(tcp.Config{
 		Address: settings.Listen.Peers, AdvertisedAddress: settings.Listen.PeersAdvertised, Secret: []byte(settings.Cluster.Secret), Logger: logger, MaxBackoff: maxPeerBackoff,
-		MaxHandshakes: maxPeerHandshakes, QueueLength: peerQueueLength, MaxPendingCalls: peerQueueLength, StreamDialer: exchange.NewDialer(serverDialSettings.AckTimeout),
+		MaxHandshakes: maxPeerHandshakes, QueueLength: peerQueueLength, MaxPendingCalls: peerQueueLength, Memory: n.memory, StreamDialer: exchange.NewDialer(serverDialSettings.AckTimeout),
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for other nodes")
@@ -140,7 +142,6 @@
 	n.transport = transport
 	n.metrics = edge.NewMetrics(n.gauges())
 	n.requests = edge.NewRequestLog(logger, n.metrics)
-	n.memory = bytebudget.New(bytebudget.Config{Limit: n.maxHeldBytes(), OnShort: n.metrics.MemoryShort})
 	storeClient.OnAnomaly = n.requests.ResponseAnomaly
 	n.notices = notice.NewRegistry(notice.Config{View: n.view, OnNotice: n.metrics.Notice, OnDisregarded: n.metrics.SentDespiteNotice, OnLimitedSend: n.metrics.SentToLimited, Logger: logger})
 	n.observations = observation.NewTable()
--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -17,10 +17,12 @@
 	ReadAhead Kind = "read_ahead"
 	// Events: events of streams that are not complete or not passed on yet. The largest gives way to others.
 	Events Kind = "events"
+	// Frames: of other nodes. One without room ends its connection.
+	Frames Kind = "frames"
 )
 
 // Kinds are all kinds.
-var Kinds = []Kind{Requests, ReadAhead, Events}
+var Kinds = []Kind{Requests, ReadAhead, Events, Frames}
 
 const (
 	// maxStepBytes is the granularity of reservations. An account up to this size is not counted, so that
@@ -34,7 +36,8 @@
 
 // Shares of the limit.
 const (
-	// RetainedShare is the share that kinds which do not give way may use together.
+	// RetainedShare is the share up to which requests and responses that do not give way, and frames, are held.
+	// Frames may use the rest as well.
 	RetainedShare = 0.75
 	// eventExcess and bodyExcess are the shares by which the limit may be exceeded until what gives way is
 	// released. What has no end is broken before a body is refused.
@@ -195,7 +198,7 @@
 
 // mayGrow reports whether the share of a kind has room.
 func (b *Budget) mayGrow(kind Kind, bytes int64) bool {
-	if kind == Events {
+	if kind == Events || kind == Frames {
 		return true
 	}
 	retained := b.used - b.byKind[Events]
@@ -225,7 +228,7 @@
 }
 
 // mustYieldTo reports whether the victim is to give way so that the account gets its new size. A body of a
-// request has a length that its caller is held to; an event has none.
+// request, and a frame, have a length that their sender is held to; an event has none.
 func mustYieldTo(victim, account *Account, size, step int64) bool {
 	if account.kind == Events {
 		return victim.reserved >= size
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -110,8 +110,8 @@
 	{metricStreamOrigins, "counter", "finding, basis", "Searches for the software version that began a stream which its caller resumes, by finding (known, irrelevant: the pool has had one version, at whose servers the stream goes on, unknown: the stream is refused) and by what it rests on (table: this node keeps it, keeper: another node does, record: the versions saved in the store, view: this node has seen all servers for a minute, reply: another node's record or view, none)."},
 	{metricAnomalies, "counter", "kind", "What servers and the store sent in place of one response for each request, by kind (foreign_response, unrequested_data, malformed_response, head_too_long, too_many_interim, body_too_long)."},
 	{metricStreamFaults, "counter", "fault", "Streams broken before what their server should not have sent, by fault (no_stream, no_events, malformed, no_id, id_form, id_order, not_continued, surplus_response, partial_event, event_too_long)."},
-	{metricHeldBytes, "gauge", "kind", "Bytes held for requests and responses in flight, which share a limit, by kind (requests: their bodies; read_ahead: responses that are read before they are passed on; events: of streams, not passed on yet)."},
-	{metricMemoryShort, "counter", "kind", "Times that this limit was reached, by the kind that had to do without: a request was refused, a response passed on without being read ahead, a stream broken."},
+	{metricHeldBytes, "gauge", "kind", "Bytes held for requests, responses and messages in flight, which share a limit, by kind (requests: their bodies; read_ahead: responses that are read before they are passed on; events: of streams, not passed on yet; frames: messages of other nodes)."},
+	{metricMemoryShort, "counter", "kind", "Times that this limit was reached, by the kind that had to do without: a request was refused, a response passed on without being read ahead, a stream broken, a connection of another node closed."},
 	{metricRelayed, "gauge", "", "1 while another node tells this one what the store holds; 0 while it reads the store itself."},
 }
 
--- a/internal/peer/tcp/bad_peer_test.go
+++ b/internal/peer/tcp/bad_peer_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/onsi/gomega/gbytes"
 	"github.com/rs/zerolog"
+
+	"github.com/hatchplank/hatchplank/internal/bytebudget"
 )
 
 // frameOf returns a frame with the given content.
@@ -97,8 +99,32 @@
 	It("can't make a buffer grow beyond the bytes that it sends", func() {
 		var buffer bytes.Buffer
 		claim := binary.BigEndian.AppendUint32(nil, DefaultMaxFrameBytes)
-		err := readFrame(bytes.NewReader(append(claim, "short"...)), &buffer, DefaultMaxFrameBytes)
+		err := readFrame(bytes.NewReader(append(claim, "short"...)), &buffer, DefaultMaxFrameBytes, func(int) bool { return true })
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 		Expect(buffer.Cap()).To(BeNumerically("<=", 4096))
 	})
+
+	It("is cut off with its long frame where there is no memory for it, while the others are served", func() {
+		config := testConfig()
+		short := make(chan bytebudget.Kind, 100)
+		const limit = 8 << 20
+		config.Memory = bytebudget.New(bytebudget.Config{Limit: limit, OnShort: func(kind bytebudget.Kind) { short <- kind }})
+		server := startTransport(config, echo)
+		client := startTransport(testConfig(), nil)
+		Eventually(startCall(client, server.Address(), testRequest{Number: 1}, longTimeout), longTimeout).Should(Receive(Equal(callResult{message: testReply{Number: 1}})))
+		// The frames lack their last byte.
+		frame := frameOf(make([]byte, 3<<20))
+		for range 8 {
+			conn, err := net.Dial("tcp", server.Address())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			Expect(dialHandshake(conn, []byte(testSecret), "peer")).To(Succeed())
+			_, _ = conn.Write(frame[:len(frame)-1])
+		}
+		Eventually(short, longTimeout).Should(Receive(Equal(bytebudget.Frames)))
+		Consistently(func() int64 { return config.Memory.Used()[bytebudget.Frames] }, "200ms", "1ms").Should(And(BeNumerically(">", 0), BeNumerically("<=", limit)))
+		Eventually(startCall(client, server.Address(), testRequest{Number: 2}, longTimeout), longTimeout).Should(Receive(Equal(callResult{message: testReply{Number: 2}})))
+		server.Close()
+		Eventually(func() int64 { return config.Memory.Used()[bytebudget.Frames] }, longTimeout).Should(BeZero())
+	})
 })
--- a/internal/peer/tcp/codec.go
+++ b/internal/peer/tcp/codec.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 
+	"github.com/hatchplank/hatchplank/internal/bytebudget"
 	"github.com/hatchplank/hatchplank/internal/peer"
 )
 
@@ -86,6 +87,10 @@
 	buffer bytes.Buffer
 	gob    *gob.Decoder
 	limit  int
+	// account has the bytes of buffer and of the gob decoder's buffer, which is as
+	// large as the largest frame so far; nil: they are not limited.
+	account *bytebudget.Account
+	largest int
 }
 
 func newDecoder(source io.Reader, limit int) *decoder {
@@ -97,10 +102,15 @@
 // decode reads one envelope and returns the size of its frame in bytes. Errors
 // match errBadFrame unless reading from the connection failed.
 func (d *decoder) decode() (message envelope, size int, err error) {
-	if err := readFrame(d.source, &d.buffer, d.limit); err != nil {
+	if err := readFrame(d.source, &d.buffer, d.limit, d.reserve); err != nil {
 		return envelope{}, 0, err
 	}
 	size = lengthPrefixBytes + d.buffer.Len()
+	d.largest = max(d.largest, d.buffer.Len())
+	if !d.reserve(d.buffer.Cap()) {
+		return envelope{}, 0, errMemoryShort
+	}
+	defer d.releaseBuffer()
 	if err := d.decodeGob(&message); err != nil {
 		return envelope{}, size, fmt.Errorf("%w: %w", errBadFrame, err)
 	}
@@ -110,6 +120,17 @@
 	return message, size, message.validate()
 }
 
+// reserve reserves memory for a buffer of the capacity.
+func (d *decoder) reserve(capacity int) bool { return d.account.Resize(int64(capacity + d.largest)) }
+
+// releaseBuffer releases the buffer of a long frame.
+func (d *decoder) releaseBuffer() {
+	if d.buffer.Cap() > maxRetainedBufferBytes {
+		d.buffer = bytes.Buffer{}
+	}
+	d.reserve(d.buffer.Cap())
+}
+
 // decodeGob decodes one gob value, and returns a panic of the gob decoder on
 // malformed input as an error.
 func (d *decoder) decodeGob(message *envelope) (err error) {
--- a/internal/peer/tcp/config.go
+++ b/internal/peer/tcp/config.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/hatchplank/hatchplank/internal/bytebudget"
 	"github.com/hatchplank/hatchplank/internal/clock"
 	"github.com/hatchplank/hatchplank/internal/defaults"
 )
@@ -57,6 +58,9 @@
 
 	// MaxFrameBytes limits the encoded size of one message.
 	MaxFrameBytes int
+	// Memory limits the bytes of frames from all peers; nil: each frame is limited
+	// alone.
+	Memory *bytebudget.Budget
 	// QueueLength limits the messages queued for one peer, and the replies
 	// queued on one accepted connection.
 	QueueLength int
--- a/internal/peer/tcp/session.go
+++ b/internal/peer/tcp/session.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/bytebudget"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -26,13 +27,15 @@
 func newSession(transport *Transport, conn net.Conn) *session {
 	limit := transport.config.MaxFrameBytes
 	reader := bufio.NewReaderSize(conn, connectionBufferBytes)
+	decoder := newDecoder(reader, limit)
+	decoder.account = transport.config.Memory.Open(bytebudget.Frames, nil)
 	return &session{
 		transport: transport,
 		conn:      conn,
 		reader:    reader,
 		writer:    bufio.NewWriterSize(conn, connectionBufferBytes),
 		encoder:   newEncoder(limit),
-		decoder:   newDecoder(reader, limit),
+		decoder:   decoder,
 	}
 }
 
@@ -66,6 +69,7 @@
 // readLoop passes each message to receive until the connection is closed or becomes
 // a stream. It closes the connection after an invalid message.
 func (s *session) readLoop(receive func(envelope) error) {
+	defer s.decoder.account.Close()
 	for {
 		message, size, err := s.decoder.decode()
 		if err == nil {
