Try servers less whose streams break, and learn no speed from garbage

What callers saw: on routes whose requests run at most once, each stream that a garbling server gets is a failed request.

Cause: a response counted as a success, and the time to its head as the server's and the pool's speed, before its body showed garbage; the failure that followed was forgotten with a half-life of 2 s.

Change: a response counts once a part of its body is accepted. Each further fault of a server's streams doubles the half-life of its failure rate, up to 16 s, and each sound response takes half a fault back. A success that is no stream is no_stream also where it doesn't continue the response that was begun.

Controls, green before and after: a server gets at least three quarters of its requests after one odd block, and again once it is sound (TestServerIsTriedAgainAfterFaultsOfItsStreams); where all servers garble, callers get a final failure within a second that promises nothing (TestCallerGetsAFailureAtOnceWhereAllServersGarble).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
@@ -80,6 +81,9 @@
 		flow.firstByte = time.Since(flow.request.Accepted)
 	}
 	f.recordResponse(flow, target, reply, time.Since(started))
+	if flow.route.Kind == fleet.KindStream && lacksStream(reply) {
+		return f.handleBrokenResponse(ctx, flow, target, errNoStream)
+	}
 	if f.isRetryableFailure(flow, reply) {
 		return f.handleFailure(ctx, flow, target, &AttemptError{Reason: FailureStatus, Ran: result.RanYes})
 	}
@@ -112,7 +116,8 @@
 	return !flow.continues(reply) || reply.Status >= minFailureStatus && f.mayRepeat(flow, 1)
 }
 
-// recordResponse updates the server's load, failure rate and latency from a response head.
+// recordResponse updates the server's load from a response head that took so long, and its failure rate if the head
+// tells a failure. Otherwise the response counts once a part of its body is accepted.
 func (f *Forwarder) recordResponse(flow *flow, target *candidate, reply *Reply, took time.Duration) {
 	target.load.mutex.Lock()
 	target.load.ownPrefill -= flow.request.PromptTokens
@@ -121,12 +126,26 @@
 		target.load.speed = target.load.speed.with(reply.Load.Slowdown, time.Now())
 	}
 	target.load.setReported(reply.Load, time.Now())
-	target.load.recordResult(reply.Status >= minFailureStatus, time.Now())
+	if reply.Status >= minFailureStatus {
+		target.load.recordResult(true, time.Now())
+	}
 	target.load.mutex.Unlock()
 	f.recordAnswer(target, reply.Load, time.Now())
-	if reply.Status < minFailureStatus {
+	flow.onAccepted = f.acceptanceRecorder(flow, target, reply, took)
+}
+
+// acceptanceRecorder returns what is called when a part of the body is accepted, for the first time or again: the
+// response counts as the server's success, and the time until its head as the server's speed. Garbage comes soon.
+func (f *Forwarder) acceptanceRecorder(flow *flow, target *candidate, reply *Reply, took time.Duration) func() {
+	return sync.OnceFunc(func() {
+		if reply.Status >= minFailureStatus {
+			return
+		}
+		target.load.mutex.Lock()
+		target.load.recordResult(false, time.Now())
+		target.load.mutex.Unlock()
 		f.tracker.recordFirstByte(flow.pool, target.load, flow.request.PromptTokens, took)
-	}
+	})
 }
 
 // handleFailure decides what follows an attempt without a response to pass on: nil to try
@@ -211,6 +230,6 @@
 	case FailureBackoff:
 		// The backoff applies to all requests and is kept by Backoffs.
 	case FailureStatus:
-		// recordResponse counted it when the response head arrived.
+		// It was counted by the response's head or body.
 	}
 }
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -52,6 +52,8 @@
 	// version is the software version of the server that began the stream; nil inside until an event
 	// is passed on. Copies of the flow share it.
 	version *atomic.Pointer[string]
+	// onAccepted is called with each part of the latest response that is accepted; nil before the first.
+	onAccepted func()
 	// onBegin is called with the server at which a stream that may be resumed begins; nil for others.
 	onBegin func(server *fleet.Server)
 	// begunAt is the server at which onBegin was called. Copies of the flow share it.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -30,12 +29,9 @@
 func (f *Forwarder) relay(ctx context.Context, flow *flow, target *candidate, reply *Reply, responder Responder, sw *switchover, started time.Time) *Outcome {
 	var err error
 	headReceived := time.Now()
-	switch {
-	case flow.route.Kind == fleet.KindStream && lacksStream(reply):
-		err = errNoStream
-	case reply.Events:
+	if reply.Events {
 		err = f.relayEvents(flow, reply, responder, sw)
-	default:
+	} else {
 		err = f.relayBody(flow, reply, responder)
 	}
 	if err == nil {
@@ -76,7 +72,7 @@
 		return f.cancellationOutcome(ctx, flow)
 	}
 	target.load.mutex.Lock()
-	target.load.recordResult(true, time.Now())
+	target.load.recordBroken(err, time.Now())
 	target.load.mutex.Unlock()
 	if willRetry {
 		return nil
@@ -126,8 +122,11 @@
 	}
 }
 
-// begin sends the response head, once per request.
+// begin accepts the response, and sends its head, once per request.
 func (fl *flow) begin(responder Responder, reply *Reply) {
+	if fl.onAccepted != nil {
+		fl.onAccepted()
+	}
 	if fl.headSent {
 		return
 	}
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"maps"
 	"math"
 	"slices"
@@ -13,8 +14,12 @@
 const (
 	// reportedLoadTTL is how long a load that a server reported is used.
 	reportedLoadTTL = time.Second
-	// failureHalfLife of a server's failure rate.
+	// failureHalfLife of a server's failure rate. It doubles with each consecutive fault of a stream after the first,
+	// up to maxFaultLevel: what a server sends shows that it is faulty, whatever the network does.
 	failureHalfLife = 2 * time.Second
+	// faultWeight is by how much a fault raises the fault level, of which a sound response takes 1.
+	faultWeight   = 2
+	maxFaultLevel = 4 * faultWeight
 	// latencyHalfLife of the deviation of a server's latency factor from 1.
 	latencyHalfLife = 4 * time.Second
 	// Bounds of the pause after a failed connection; it doubles with each failure.
@@ -54,6 +59,8 @@
 	// failures is a rate from 0 to 1 as of failuresAt.
 	failures   float64
 	failuresAt time.Time
+	// faultLevel rises with each response that broke by a fault of its stream, and falls with each sound one.
+	faultLevel int
 	// pausedUntil is the time until which nothing is sent, since connections failed; pause
 	// is the length of that pause.
 	pausedUntil time.Time
@@ -113,8 +120,8 @@
 	if s.failures == 0 {
 		return 0
 	}
-	age := now.Sub(s.failuresAt).Seconds() / failureHalfLife.Seconds()
-	return s.failures * math.Exp2(-age)
+	halfLife := failureHalfLife << (max(s.faultLevel-1, 0) / faultWeight)
+	return s.failures * math.Exp2(-now.Sub(s.failuresAt).Seconds()/halfLife.Seconds())
 }
 
 // latencyNow is the latency factor, which decays to 1 with time, so that a server that was slow is
@@ -139,10 +146,21 @@
 	rate -= rate * weight
 	if failed {
 		rate += weight
+	} else {
+		s.faultLevel = max(s.faultLevel-1, 0)
 	}
 	s.failures, s.failuresAt = rate, now
 }
 
+// recordBroken counts a response that broke by the error.
+func (s *serverLoad) recordBroken(err error, now time.Time) {
+	s.recordResult(true, now)
+	var fault *StreamError
+	if errors.As(err, &fault) {
+		s.faultLevel = min(s.faultLevel+faultWeight, maxFaultLevel)
+	}
+}
+
 // recordReachable ends the pause after failed connections.
 func (s *serverLoad) recordReachable() { s.pause, s.pausedUntil = 0, time.Time{} }
 
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -200,6 +200,9 @@
 switch_off declared-by-routes platform/configuration.go 'route.Events = streamEvents' '' ./platform
 switch_off known-fields-only internal/forward/event_fields.go 'odd = e.format.KnownFieldsOnly' '' $forward ./platform
 switch_off fields-in-place internal/forward/event_fields.go 'if isOdd {' 'if false {' $forward
+switch_off no-speed-of-garbage internal/forward/relay.go 'segment.acceptAll(blocks, flow.headSent)' 'segment.acceptAll(blocks, flow.headSent); flow.onAccepted()' $forward
+switch_off faults-are-remembered internal/forward/tracker.go 'halfLife := failureHalfLife << (max(s.faultLevel-1, 0) / faultWeight)' 'halfLife := failureHalfLife' $forward
+switch_off faults-are-forgiven internal/forward/tracker.go 's.faultLevel = max(s.faultLevel-1, 0)' '' $forward
 switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
 switch_off one-kind-of-body internal/forward/flow.go 'fl.headOfStream && reply.Events' 'reply.Events' $forward
 switch_off held-part-of-event internal/forward/held_events.go 'return !event.hasData && !g.stream.hasDataless ||' 'return' $forward
