--- a/internal/poison/prompt_part_test.go
+++ b/internal/poison/prompt_part_test.go
@@ -234,6 +234,7 @@
 		"a node restarts":                     vary(func(c *partCase) { c.disturbLater = func(c *cluster) { c.restart(1) } }),
 		"all nodes restart":                   vary(func(c *partCase) { c.disturbLater = restartAll }),
 		"the store is restored from a backup": vary(func(c *partCase) { c.disturbLater = func(c *cluster) { c.store.restore(nil) } }),
+		"all nodes restart before the entry":  vary(func(c *partCase) { c.disturb = restartAll }),
 		"a node restarts before the entry":    vary(func(c *partCase) { c.disturb = func(c *cluster) { c.restart(1) } }),
 		"a node is cut off from the others": vary(func(c *partCase) {
 			c.disturb = func(c *cluster) { c.network.SetCut(c.nodes[1].address, true) }
