poison: Count only unexplained crashes for a part that most requests share

The part was at six crashes; a request that crashes servers, proved by then, explains three of them, and no more than three were left, of two other causes. With more crashes than its threshold an identity is refused after a single unexplained one, since the others may be explained by a false positive. A part that most requests share has crashes of all causes.

Evidence: TestPartIsNotSuspectedForExplainedCrashes fails on the parent after one unexplained crash and passes now.

--- a/internal/poison/attribution.go
+++ b/internal/poison/attribution.go
@@ -100,20 +100,23 @@
 	all, unexplained, fresh int
 	// threshold is the number of crashes at which the identity is quarantined.
 	threshold int
+	// frequent: it is a part that may be in most requests, and so at most crashes of others.
+	frequent bool
 }
 
 // exceedsThreshold reports whether an identity with these crashes is to be quarantined. With
 // more crashes than the threshold, or after an earlier quarantine, a single fresh one is
-// enough: the others may have been explained by a false positive.
+// enough: the others may have been explained by a false positive. Not so for a part that most
+// requests share: it is at the crashes that others explain whatever causes them.
 func (c crashCount) exceedsThreshold(quarantinedBefore bool) bool {
-	return c.fresh >= c.threshold || c.fresh > 0 && (quarantinedBefore || c.all > c.threshold)
+	return c.fresh >= c.threshold || c.fresh > 0 && (quarantinedBefore || !c.frequent && c.all > c.threshold)
 }
 
 // count returns the number of crashes of an identity.
 func (a *attribution) count(identity Identity) crashCount {
 	count := crashCount{threshold: crashThreshold}
 	if a.isPart(identity) && !a.aloneProves(identity) {
-		count.threshold = servedPartThreshold
+		count.threshold, count.frequent = servedPartThreshold, true
 	}
 	for _, crash := range a.crashesOf[identity] {
 		count.all++
--- a/internal/poison/prompt_part_test.go
+++ b/internal/poison/prompt_part_test.go
@@ -264,6 +264,35 @@
 	}
 }
 
+// Guards against a part that most requests share and that is refused after one unrelated crash, since it
+// was in the requests at the crashes of poison requests as well.
+func TestPartIsNotSuspectedForExplainedCrashes(t *testing.T) {
+	RegisterTestingT(t)
+	now := time.Now()
+	shared := PartsOf("caller", "h", []string{"first"})[0].Identity
+	poison := numbered(0, 1)[0]
+	log := NewCrashLog()
+	crash := func(server int, identity Identity) {
+		log.Add([]Crash{{Server: fmt.Sprint("s", server), Suspects: []Identity{identity}, Parts: [][]Identity{{shared}}, Served: []Identity{shared}, Remembered: minRemembered}}, now)
+	}
+	isPoison := func(identity Identity) bool { return identity == poison }
+	for server := range 2 * crashThreshold {
+		crash(server, poison)
+	}
+	entries, _ := log.Decide(func(Identity) bool { return false }, now)
+	Expect(entries).To(HaveLen(1))
+	Expect(entries[0].Identity).To(Equal(poison))
+	others := numbered(1, 1+servedPartThreshold)
+	for i, other := range others {
+		entries, _ = log.Decide(isPoison, now)
+		Expect(entries).To(BeEmpty(), "%d unexplained crashes", i)
+		crash(100+i, other)
+	}
+	entries, _ = log.Decide(isPoison, now)
+	Expect(entries).To(HaveLen(1))
+	Expect(entries[0].Identity).To(Equal(shared))
+}
+
 // replaceHolder makes another node the holder of the lease for orders.
 func replaceHolder(c *cluster) {
 	c.network.SetCut(c.holder, true)
