--- a/internal/poison/prompt_part_test.go
+++ b/internal/poison/prompt_part_test.go
@@ -234,6 +234,7 @@
 		"a node restarts":                     vary(func(c *partCase) { c.disturbLater = func(c *cluster) { c.restart(1) } }),
 		"all nodes restart":                   vary(func(c *partCase) { c.disturbLater = restartAll }),
 		"the store is restored from a backup": vary(func(c *partCase) { c.disturbLater = func(c *cluster) { c.store.restore(nil) } }),
+		"all nodes restart before the entry":  vary(func(c *partCase) { c.disturb = restartAll }),
 		"a node restarts before the entry":    vary(func(c *partCase) { c.disturb = func(c *cluster) { c.restart(1) } }),
 		"a node is cut off from the others": vary(func(c *partCase) {
 			c.disturb = func(c *cluster) { c.network.SetCut(c.nodes[1].address, true) }
@@ -263,6 +264,35 @@
 	}
 }
 
+// Guards against a part that most requests share and that is refused after one unrelated crash, since it
+// was in the requests at the crashes of poison requests as well.
+func TestPartIsNotSuspectedForExplainedCrashes(t *testing.T) {
+	RegisterTestingT(t)
+	now := time.Now()
+	shared := PartsOf("caller", "h", []string{"first"})[0].Identity
+	poison := numbered(0, 1)[0]
+	log := NewCrashLog()
+	crash := func(server int, identity Identity) {
+		log.Add([]Crash{{Server: fmt.Sprint("s", server), Suspects: []Identity{identity}, Parts: [][]Identity{{shared}}, Served: []Identity{shared}, Remembered: minRemembered}}, now)
+	}
+	isPoison := func(identity Identity) bool { return identity == poison }
+	for server := range 2 * crashThreshold {
+		crash(server, poison)
+	}
+	entries, _ := log.Decide(func(Identity) bool { return false }, now)
+	Expect(entries).To(HaveLen(1))
+	Expect(entries[0].Identity).To(Equal(poison))
+	others := numbered(1, 1+servedPartThreshold)
+	for i, other := range others {
+		entries, _ = log.Decide(isPoison, now)
+		Expect(entries).To(BeEmpty(), "%d unexplained crashes", i)
+		crash(100+i, other)
+	}
+	entries, _ = log.Decide(isPoison, now)
+	Expect(entries).To(HaveLen(1))
+	Expect(entries[0].Identity).To(Equal(shared))
+}
+
 // replaceHolder makes another node the holder of the lease for orders.
 func replaceHolder(c *cluster) {
 	c.network.SetCut(c.holder, true)
