--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -223,6 +223,9 @@
 switch_off declared-by-routes platform/configuration.go 'route.Events = streamEvents' '' ./platform
 switch_off known-fields-only internal/forward/event_fields.go 'odd = e.format.KnownFieldsOnly' '' $forward ./platform
 switch_off fields-in-place internal/forward/event_fields.go 'if isOdd {' 'if false {' $forward
+switch_off no-speed-of-garbage internal/forward/relay.go 'segment.acceptAll(blocks, flow.headSent)' 'segment.acceptAll(blocks, flow.headSent); flow.onAccepted()' $forward
+switch_off faults-are-remembered internal/forward/tracker.go 'halfLife := failureHalfLife << (max(s.faultLevel-1, 0) / faultWeight)' 'halfLife := failureHalfLife' $forward
+switch_off faults-are-forgiven internal/forward/tracker.go 's.faultLevel = max(s.faultLevel-1, 0)' '' $forward
 switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
 switch_off one-kind-of-body internal/forward/flow.go 'fl.headOfStream && reply.Events' 'reply.Events' $forward
 switch_off held-part-of-event internal/forward/held_events.go 'return !event.hasData && !g.stream.hasDataless ||' 'return' $forward
@@ -380,6 +383,9 @@
 switch_off poison-settled internal/poison/crash_log.go 'crash.settled = true' '' $poison
 switch_off ends-keep-their-time internal/poison/crash_log.go 'at := now.Add(-reported.Age)' 'at := now' $poison
 switch_off trial-of-its-id internal/poison/trial.go 'latest.id != ended.Trial' 'false' $poison
+switch_off part-of-explained internal/poison/attribution.go '!c.frequent && c.all' 'c.all' $poison
+switch_off poison-unseen-by-whom internal/poison/attribution.go 'return crash.remembered >= minRemembered' 'return true' $poison
+switch_off poison-refused-unserved internal/poison/attribution.go '|| a.isProvisional(identity) && a.log.past[identity].byTrial' '' $poison
 switch_off unused-trial-ends internal/poison/trial.go 'g.config.Transport.Send(granter, TrialEnded{Identity: identity, Trial: ask.Trial})' '' $poison
 switch_off trial-of-several internal/poison/trial.go 'append([]Identity{r.Identity}, r.Quarantined...)' '[]Identity{r.Identity}' $poison
 switch_off trial-though-ambiguous internal/poison/trial.go 'if early || !quarantined {' 'if true || early || !quarantined {' $poison
