bytebudget: Read responses ahead beside many bodies of requests

Cause: by the first form of the budget, responses were read ahead only while all kinds together used less than a quarter of it. On a node with a quarter of sound bodies in flight, a response beyond 8 KiB that breaks could not be replaced by another server's any more.

Change: responses that are read ahead have a quarter of their own, while what does not give way uses less than a half, and unfinished events don't count against them.

Measured: TestResponsesAreReadAheadBesideBodies failed before (no room).

--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -42,8 +42,9 @@
 	// eventExcess and bodyExcess are the shares by which the limit may be exceeded until what gives way is
 	// released. What has no end is broken before a body is refused.
 	eventExcess, bodyExcess = 0.125, 0.25
-	// readAheadShare is the used share up to which responses are read ahead.
-	readAheadShare = 0.25
+	// readAheadShare is the share that responses may use that are read ahead, while all that does not give way
+	// uses no more than readAheadUpTo.
+	readAheadShare, readAheadUpTo = 0.25, 0.5
 )
 
 // Config of a Budget.
@@ -205,7 +206,11 @@
 	if float64(retained+bytes) > RetainedShare*float64(b.limit) {
 		return false
 	}
-	return kind != ReadAhead || float64(b.used+bytes) <= readAheadShare*float64(b.limit)
+	if kind != ReadAhead {
+		return true
+	}
+	return float64(b.byKind[ReadAhead]+bytes) <= readAheadShare*float64(b.limit) &&
+		float64(retained+bytes) <= readAheadUpTo*float64(b.limit) && b.used+bytes <= b.limit
 }
 
 // excess returns the share by which a kind may exceed the limit for a moment.
--- a/internal/bytebudget/budget_test.go
+++ b/internal/bytebudget/budget_test.go
@@ -114,6 +114,18 @@
 	Expect(ignored).To(BeZero())
 }
 
+// A node with many bodies of requests still reads responses ahead, which lets another server's replace them.
+func TestResponsesAreReadAheadBesideBodies(t *testing.T) {
+	RegisterTestingT(t)
+	b := New(Config{Limit: testLimit})
+	ignored := 0
+	Expect(held(b, Requests, testLimit*3/8, &ignored)).NotTo(BeNil())
+	Expect(held(b, Events, testLimit/4, &ignored)).NotTo(BeNil())
+	Expect(held(b, ReadAhead, testLimit/8, &ignored)).NotTo(BeNil())
+	Expect(held(b, ReadAhead, 64<<10, &ignored)).To(BeNil())
+	Expect(ignored).To(BeZero())
+}
+
 // Accounts of all kinds are used by many goroutines: the limit is kept, and all bytes are released.
 func TestManyUsersKeepTheLimit(t *testing.T) {
 	RegisterTestingT(t)
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -206,6 +206,7 @@
 switch_off largest-gives-way internal/bytebudget/budget.go 'account.reserved > largest.reserved' 'account.reserved < largest.reserved' ./internal/bytebudget $forward
 switch_off bodies-before-events internal/bytebudget/budget.go 'if account.kind == Events {' 'if true {' ./internal/bytebudget
 switch_off room-for-events internal/bytebudget/budget.go 'if float64(retained+bytes) > RetainedShare*float64(b.limit) {' 'if retained < 0 {' ./internal/bytebudget
+switch_off room-for-bodies internal/bytebudget/budget.go 'return float64(b.byKind[ReadAhead]+bytes) <= readAheadShare*float64(b.limit) &&' 'return readAheadShare*float64(b.limit) > 0 &&' ./internal/bytebudget
 switch_off writing-does-not-yield internal/bytebudget/budget.go '!account.pinned && ' '' ./internal/bytebudget
 switch_off goes-on-without-memory internal/forward/relay.go ' && !errors.Is(err, errMemoryShort)' '' $forward
 # Streams.
