httpapi: Report back ends' responses that end with their connection

BackEnds took a response without length or chunks for whole when its connection ended in order, which is also how a crash or a head that broke off behind an early blank line looks: a caller got an empty or short body as a whole one. Nothing tells the two apart there, so the outcome of such a response is unknown now. Class: an end in order taken for a whole response.

Generated streams (done marker and count), JSON replies and etcd's messages are complete by their content.

--- a/internal/outside/httpapi/backend.go
+++ b/internal/outside/httpapi/backend.go
@@ -86,6 +86,12 @@
 	setHeader(header, HeaderTimeLeft, FormatTimeLeft(time.Until(request.Deadline)))
 }
 
+// endsWithConnection reports whether only the end of the connection ends the body. Then a whole response can't be
+// told from one that broke off, since a server's connections are also closed in order when it crashes.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+}
+
 // read returns the complete response. A response with an error status is returned too, unless
 // it is a problem document, which reports a failed attempt.
 func (b *BackEnds) read(ctx context.Context, current *attempt, response *http.Response) (outside.BackEndResponse, *outside.AttemptError) {
@@ -97,7 +103,7 @@
 		return none, current.statusFailure(response)
 	}
 	body, err := readLimited(response, b.options.MaxResponseBytes)
-	if err != nil {
+	if err != nil || endsWithConnection(response) {
 		return none, current.unknownFailure(reasonOf(ctx, reasonTruncated))
 	}
 	return outside.BackEndResponse{
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -374,6 +374,7 @@
 switch_off longest-backoff internal/notice/notice.go 'if until.After(current.until) || incarnation.Follows(current.incarnation) {' 'if true {' ./internal/notice
 switch_off asked-before-sending internal/forward/attempt.go 'if !f.stillTakes(place.server) {' 'if false {' $forward
 switch_off word-of-other-instance platform/notices.go 'instance != "" && instance != server.ID' 'false && instance != server.ID' ./platform
+switch_off framed-back-ends internal/outside/httpapi/backend.go '|| endsWithConnection(response)' '|| endsWithConnection(response) && false' ./internal/outside/httpapi
 switch_off refusals-only platform/store.go 'if r.status/100 == 4 &&' 'if r.status/100 >= 2 &&' ./platform -run TestOnlyARefusalOfTheStoreIsNotApplied
 # A store that comes back from a backup.
 restores="./platform -run Restore|Backup|Revisions|Election|Holder -skip TestTokensRise"
