--- a/internal/poison/attribution.go
+++ b/internal/poison/attribution.go
@@ -100,20 +100,23 @@
 	all, unexplained, fresh int
 	// threshold is the number of crashes at which the identity is quarantined.
 	threshold int
+	// frequent: it is a part that may be in most requests, and so at most crashes of others.
+	frequent bool
 }
 
 // exceedsThreshold reports whether an identity with these crashes is to be quarantined. With
 // more crashes than the threshold, or after an earlier quarantine, a single fresh one is
-// enough: the others may have been explained by a false positive.
+// enough: the others may have been explained by a false positive. Not so for a part that most
+// requests share: it is at the crashes that others explain whatever causes them.
 func (c crashCount) exceedsThreshold(quarantinedBefore bool) bool {
-	return c.fresh >= c.threshold || c.fresh > 0 && (quarantinedBefore || c.all > c.threshold)
+	return c.fresh >= c.threshold || c.fresh > 0 && (quarantinedBefore || !c.frequent && c.all > c.threshold)
 }
 
 // count returns the number of crashes of an identity.
 func (a *attribution) count(identity Identity) crashCount {
 	count := crashCount{threshold: crashThreshold}
-	if a.isPart(identity) && a.served[identity] {
-		count.threshold = servedPartThreshold
+	if a.isPart(identity) && !a.aloneProves(identity) {
+		count.threshold, count.frequent = servedPartThreshold, true
 	}
 	for _, crash := range a.crashesOf[identity] {
 		count.all++
@@ -184,7 +187,7 @@
 // proved by now.
 func (a *attribution) exceeds(identity Identity, count crashCount) bool {
 	if a.isProvisional(identity) {
-		return a.wasAlone(identity) && !a.served[identity]
+		return a.wasAlone(identity) && a.aloneProves(identity)
 	}
 	return !a.isProved(identity) && count.exceedsThreshold(a.log.past[identity].times > 0) && !a.isSubsumed(identity)
 }
@@ -208,6 +211,17 @@
 	})
 }
 
+// aloneProves reports whether being the only suspect of a crash proves an identity the cause. It does
+// not where the identity may be frequent, and alone at crashes by chance: where some node had seen it
+// served before, or where none remembers enough requests of the servers' pool to tell. Nor does it for
+// one that is quarantined for this reason, since it is not served meanwhile.
+func (a *attribution) aloneProves(identity Identity) bool {
+	if a.served[identity] || a.isProvisional(identity) && a.log.past[identity].byTrial {
+		return false
+	}
+	return slices.ContainsFunc(a.crashesOf[identity], func(crash *crashRecord) bool { return crash.remembered >= minRemembered })
+}
+
 // wasAlone reports whether an identity was the only suspect of an unexplained crash.
 func (a *attribution) wasAlone(identity Identity) bool {
 	return slices.ContainsFunc(a.crashesOf[identity], func(crash *crashRecord) bool {
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -27,8 +27,8 @@
 	// Rivals were running at the same crashes; this identity is only the likeliest cause among
 	// them. Without rivals, nothing else explains the crashes.
 	Rivals []Identity
-	// ServedBefore: some node had seen the identity served before. Then being alone at a crash is no
-	// proof, and only a trial confirms the entry.
+	// ServedBefore: some node had seen the identity served before, or none remembers enough requests to
+	// tell. Then being alone at a crash is no proof, and only a trial confirms the entry.
 	ServedBefore bool
 }
 
@@ -116,6 +116,9 @@
 	For time.Duration
 	// Trial identifies the trial, also when it ends; 0 from nodes of an earlier build.
 	Trial uint64
+	// Quarantined are those of the others that are quarantined as well: the request is a trial of
+	// them, too. Earlier builds send none, and ask for each.
+	Quarantined []Identity
 }
 
 // TrialReply is the answer to a TrialRequest. Without Granted, a further request may be granted
