--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -170,6 +170,7 @@
 switch_off answer-identity platform/backend.go 'return len(ids) > 0 && !slices' 'return true || !slices' ./platform
 switch_off reset-for-1.0 platform/ingress.go '_ = socket.SetLinger(0)' '_ = socket' ./platform -run TestCutResponseNeverReachesAClientOfHTTP10AsWhole
 switch_off reset-of-clients internal/edge/client_connection.go 'return socket.SetLinger(seconds)' 'return socket.SetLinger(seconds + 1)' ./internal/edge -run TestHandlerCanResetAClientsConnection
+switch_off own-fields-stay platform/responder.go '(!connection[name] || reserved(name))' '(!connection[name] || reserved(name) && false)' ./platform -run TestConnectionFieldTakesNoFieldOfThePlatformAway
 switch_off two-identities platform/backend.go '!slices.ContainsFunc(ids,' '!slices.ContainsFunc(ids[:1],' ./platform -run TestSpoiledHeadNeverReachesItsClientAsWhole
 spoiled="./platform -run TestSpoiledHeadNeverReachesItsClientAsWhole"
 switch_off version-of-heads internal/exchange/head_check.go 'response.ProtoMajor != 1' 'false' $spoiled
