--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -170,6 +170,7 @@
 switch_off answer-identity platform/backend.go 'return len(ids) > 0 && !slices' 'return true || !slices' ./platform
 switch_off reset-for-1.0 platform/ingress.go '_ = socket.SetLinger(0)' '_ = socket' ./platform -run TestCutResponseNeverReachesAClientOfHTTP10AsWhole
 switch_off reset-of-clients internal/edge/client_connection.go 'return socket.SetLinger(seconds)' 'return socket.SetLinger(seconds + 1)' ./internal/edge -run TestHandlerCanResetAClientsConnection
+switch_off own-fields-stay platform/responder.go '(!connection[name] || reserved(name))' '(!connection[name] || reserved(name) && false)' ./platform -run TestConnectionFieldTakesNoFieldOfThePlatformAway
 switch_off two-identities platform/backend.go '!slices.ContainsFunc(ids,' '!slices.ContainsFunc(ids[:1],' ./platform -run TestSpoiledHeadNeverReachesItsClientAsWhole
 spoiled="./platform -run TestSpoiledHeadNeverReachesItsClientAsWhole"
 switch_off version-of-heads internal/exchange/head_check.go 'response.ProtoMajor != 1' 'false' $spoiled
@@ -406,6 +407,8 @@
 switch_off longest-backoff internal/notice/notice.go 'if until.After(current.until) || incarnation.Follows(current.incarnation) {' 'if true {' ./internal/notice
 switch_off asked-before-sending internal/forward/attempt.go 'if !f.stillTakes(place.server) {' 'if false {' $forward
 switch_off word-of-other-instance platform/notices.go 'instance != "" && instance != server.ID' 'false && instance != server.ID' ./platform
+switch_off framed-back-ends internal/outside/httpapi/backend.go '|| endsWithConnection(response)' '|| endsWithConnection(response) && false' ./internal/outside/httpapi
+switch_off refusals-only platform/store.go 'if r.status/100 == 4 &&' 'if r.status/100 >= 2 &&' ./platform -run TestOnlyARefusalOfTheStoreIsNotApplied
 # A store that comes back from a backup.
 restores="./platform -run Restore|Backup|Revisions|Election|Holder -skip TestTokensRise"
 switch_off era-of-revisions platform/era.go 'return max(era-t.first, 0)' 'return 0' $restores
