--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -191,10 +191,21 @@
 switch_off torn-answer-closes platform/ingress.go 'case outcome.HeadSent || outcome.Code == result.CallerGone:
 		// Only a closed connection tells the client that the response is incomplete.
 		panic(http.ErrAbortHandler)' 'case outcome.HeadSent || outcome.Code == result.CallerGone:' ./platform
-switch_off whole-short-answers internal/forward/relay.go 'buffered, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
-	if err != nil {' 'buffered, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+switch_off whole-short-answers internal/forward/relay.go 'buffered, complete, err := readAhead(reply.Body, account)
+	if err != nil {' 'buffered, complete, err := readAhead(reply.Body, account)
+	complete = complete || err != nil
 	if false && err != nil {' $forward ./platform
 switch_off honest-status platform/ingress.go 'if outcome.Ran == result.RanNo {' 'if true {' ./platform
+# Memory for what is held for others.
+switch_off events-counted internal/forward/eventreader.go 'if !r.account.Resize(int64(cap(r.partial) + r.held + further)) {' 'if false {' $forward
+switch_off held-events-counted internal/forward/relay.go 'reader.held = segment.heldBytes' '' $forward
+switch_off read-ahead-counted internal/forward/relay.go 'if !account.Resize(int64(size)) {' 'if false {' $forward
+switch_off bodies-counted platform/body_memory.go 'if !account.Resize(int64(size)) {' 'if false {' ./platform -run Memory
+switch_off largest-gives-way internal/bytebudget/budget.go 'account.reserved > largest.reserved' 'account.reserved < largest.reserved' ./internal/bytebudget $forward
+switch_off bodies-before-events internal/bytebudget/budget.go 'if account.kind == Events {' 'if true {' ./internal/bytebudget
+switch_off room-for-events internal/bytebudget/budget.go 'if float64(retained+bytes) > RetainedShare*float64(b.limit) {' 'if retained < 0 {' ./internal/bytebudget
+switch_off writing-does-not-yield internal/bytebudget/budget.go '!account.pinned && ' '' ./internal/bytebudget
+switch_off goes-on-without-memory internal/forward/relay.go ' && !errors.Is(err, errMemoryShort)' '' $forward
 # Streams.
 switch_off whole-events internal/forward/eventreader.go 'if errors.Is(err, io.EOF) && r.withinEvent() {' 'if errors.Is(err, io.EOF) && r.withinEvent() && false {' $forward
 switch_off no-repeated-events internal/forward/eventstream.go 'if order <= 0 {' 'if false && order <= 0 {' $forward
@@ -210,6 +221,9 @@
 switch_off declared-by-routes platform/configuration.go 'route.Events = streamEvents' '' ./platform
 switch_off known-fields-only internal/forward/event_fields.go 'odd = e.format.KnownFieldsOnly' '' $forward ./platform
 switch_off fields-in-place internal/forward/event_fields.go 'if isOdd {' 'if false {' $forward
+switch_off no-speed-of-garbage internal/forward/relay.go 'segment.acceptAll(blocks, flow.headSent)' 'segment.acceptAll(blocks, flow.headSent); flow.onAccepted()' $forward
+switch_off faults-are-remembered internal/forward/tracker.go 'halfLife := failureHalfLife << (max(s.faultLevel-1, 0) / faultWeight)' 'halfLife := failureHalfLife' $forward
+switch_off faults-are-forgiven internal/forward/tracker.go 's.faultLevel = max(s.faultLevel-1, 0)' '' $forward
 switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
 switch_off one-kind-of-body internal/forward/flow.go 'fl.headOfStream && reply.Events' 'reply.Events' $forward
 switch_off held-part-of-event internal/forward/held_events.go 'return !event.hasData && !g.stream.hasDataless ||' 'return' $forward
@@ -367,6 +381,9 @@
 switch_off poison-settled internal/poison/crash_log.go 'crash.settled = true' '' $poison
 switch_off ends-keep-their-time internal/poison/crash_log.go 'at := now.Add(-reported.Age)' 'at := now' $poison
 switch_off trial-of-its-id internal/poison/trial.go 'latest.id != ended.Trial' 'false' $poison
+switch_off part-of-explained internal/poison/attribution.go '!c.frequent && c.all' 'c.all' $poison
+switch_off poison-unseen-by-whom internal/poison/attribution.go 'return crash.remembered >= minRemembered' 'return true' $poison
+switch_off poison-refused-unserved internal/poison/attribution.go '|| a.isProvisional(identity) && a.log.past[identity].byTrial' '' $poison
 switch_off unused-trial-ends internal/poison/trial.go 'g.config.Transport.Send(granter, TrialEnded{Identity: identity, Trial: ask.Trial})' '' $poison
 switch_off trial-of-several internal/poison/trial.go 'append([]Identity{r.Identity}, r.Quarantined...)' '[]Identity{r.Identity}' $poison
 switch_off trial-though-ambiguous internal/poison/trial.go 'if early || !quarantined {' 'if true || early || !quarantined {' $poison
