--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -170,6 +170,7 @@
 switch_off answer-identity platform/backend.go 'return len(ids) > 0 && !slices' 'return true || !slices' ./platform
 switch_off reset-for-1.0 platform/ingress.go '_ = socket.SetLinger(0)' '_ = socket' ./platform -run TestCutResponseNeverReachesAClientOfHTTP10AsWhole
 switch_off reset-of-clients internal/edge/client_connection.go 'return socket.SetLinger(seconds)' 'return socket.SetLinger(seconds + 1)' ./internal/edge -run TestHandlerCanResetAClientsConnection
+switch_off own-fields-stay platform/responder.go '(!connection[name] || reserved(name))' '(!connection[name] || reserved(name) && false)' ./platform -run TestConnectionFieldTakesNoFieldOfThePlatformAway
 switch_off two-identities platform/backend.go '!slices.ContainsFunc(ids,' '!slices.ContainsFunc(ids[:1],' ./platform -run TestSpoiledHeadNeverReachesItsClientAsWhole
 spoiled="./platform -run TestSpoiledHeadNeverReachesItsClientAsWhole"
 switch_off version-of-heads internal/exchange/head_check.go 'response.ProtoMajor != 1' 'false' $spoiled
@@ -385,6 +386,7 @@
 switch_off ends-keep-their-time internal/poison/crash_log.go 'at := now.Add(-reported.Age)' 'at := now' $poison
 switch_off trial-of-its-id internal/poison/trial.go 'latest.id != ended.Trial' 'false' $poison
 switch_off part-of-explained internal/poison/attribution.go '!c.frequent && c.all' 'c.all' $poison
+switch_off control-leaves-slots internal/serverlimit/serverlimit.go 'if wait := l.controlWait(server.ID, need); wait > 0 {' 'if wait := l.controlWait(server.ID, need); wait > time.Hour {' ./internal/serverlimit
 switch_off poison-unseen-by-whom internal/poison/attribution.go 'return crash.remembered >= minRemembered' 'return true' $poison
 switch_off poison-refused-unserved internal/poison/attribution.go '|| a.isProvisional(identity) && a.log.past[identity].byTrial' '' $poison
 switch_off unused-trial-ends internal/poison/trial.go 'g.config.Transport.Send(granter, TrialEnded{Identity: identity, Trial: ask.Trial})' '' $poison
@@ -407,6 +409,8 @@
 switch_off longest-backoff internal/notice/notice.go 'if until.After(current.until) || incarnation.Follows(current.incarnation) {' 'if true {' ./internal/notice
 switch_off asked-before-sending internal/forward/attempt.go 'if !f.stillTakes(place.server) {' 'if false {' $forward
 switch_off word-of-other-instance platform/notices.go 'instance != "" && instance != server.ID' 'false && instance != server.ID' ./platform
+switch_off framed-back-ends internal/outside/httpapi/backend.go '|| endsWithConnection(response)' '|| endsWithConnection(response) && false' ./internal/outside/httpapi
+switch_off refusals-only platform/store.go 'if r.status/100 == 4 &&' 'if r.status/100 >= 2 &&' ./platform -run TestOnlyARefusalOfTheStoreIsNotApplied
 # A store that comes back from a backup.
 restores="./platform -run Restore|Backup|Revisions|Election|Holder -skip TestTokensRise"
 switch_off era-of-revisions platform/era.go 'return max(era-t.first, 0)' 'return 0' $restores
