--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -198,6 +198,8 @@
 	if false && err != nil {' $forward ./platform
 switch_off honest-status platform/ingress.go 'if outcome.Ran == result.RanNo {' 'if true {' ./platform
 # Memory for what is held for others.
+switch_off frames-counted internal/peer/tcp/codec.go 'return d.account.Resize(int64(capacity + d.largest))' 'return true' ./internal/peer/tcp
+switch_off head-lines internal/exchange/head_limit.go ' || r.lines > maxHeadLines' '' ./internal/exchange
 switch_off events-counted internal/forward/eventreader.go 'if !r.account.Resize(int64(cap(r.partial) + r.held + further)) {' 'if false {' $forward
 switch_off held-events-counted internal/forward/relay.go 'reader.held = segment.heldBytes' '' $forward
 switch_off read-ahead-counted internal/forward/relay.go 'if !account.Resize(int64(size)) {' 'if false {' $forward
@@ -383,6 +385,7 @@
 switch_off ends-keep-their-time internal/poison/crash_log.go 'at := now.Add(-reported.Age)' 'at := now' $poison
 switch_off trial-of-its-id internal/poison/trial.go 'latest.id != ended.Trial' 'false' $poison
 switch_off part-of-explained internal/poison/attribution.go '!c.frequent && c.all' 'c.all' $poison
+switch_off control-leaves-slots internal/serverlimit/serverlimit.go 'if wait := l.controlWait(server.ID, need); wait > 0 {' 'if wait := l.controlWait(server.ID, need); wait > time.Hour {' ./internal/serverlimit
 switch_off poison-unseen-by-whom internal/poison/attribution.go 'return crash.remembered >= minRemembered' 'return true' $poison
 switch_off poison-refused-unserved internal/poison/attribution.go '|| a.isProvisional(identity) && a.log.past[identity].byTrial' '' $poison
 switch_off unused-trial-ends internal/poison/trial.go 'g.config.Transport.Send(granter, TrialEnded{Identity: identity, Trial: ask.Trial})' '' $poison
