poison: Delete a released entry's key without the node that released it

A node that starts reads entries from the store, and refused a request that all others had released, until the entry was over: only the node that releases an entry deletes its key, at its next tick. Where it stops before, the key stays, unless the others see it written after the release.

A node that a release reaches deletes the key as well, a second later and in the order of the collectors, if it is still there. Usually the deletion has been observed by then, and no call is made.

--- a/internal/poison/entry_store_test.go
+++ b/internal/poison/entry_store_test.go
@@ -60,3 +60,31 @@
 		Expect(c.store.entries()).To(HaveLen(1))
 	})
 }
+
+// Guards against a key that stays in the store, and is in force at nodes that start later, since the node
+// that released its entry stopped before it deleted the key, or while another one was writing it.
+func TestKeyOfAReleasedEntryIsDeletedWithoutTheReleasingNode(t *testing.T) {
+	for _, explained := range []bool{false, true} {
+		for offset := 2 * decisionDelay; offset < decisionDelay+3*saveInterval; offset += storeDelay {
+			runInCluster(t, 4, 3, func(c *cluster) {
+				identity := numbered(0, 1)[0]
+				for i := range crashThreshold {
+					c.crash(c.server(fmt.Sprint("s", i)), map[*node][]Identity{c.nodes[i]: {identity}})
+				}
+				time.Sleep(offset)
+				if explained {
+					c.sendFromOutside(c.nodes[0], Released{Identity: identity, Explained: true, Ends: []string{"s0", "s1", "s2"}})
+				} else {
+					releasing := c.nodes[3]
+					releasing.guard.RequestServed(Request{Identity: identity}, time.Now())
+					releasing.stop()
+					c.store.watch(releasing, false)
+				}
+				time.Sleep(5 * time.Second)
+				Expect(c.store.entries()).To(BeEmpty(), "%v after the crashes", offset)
+				restartAll(c)
+				Expect(c.refusedBy(identity)).To(BeZero(), "%v after the crashes", offset)
+			})
+		}
+	}
+}
--- a/internal/poison/propagation.go
+++ b/internal/poison/propagation.go
@@ -361,8 +361,13 @@
 	if !released.Explained || len(released.Ends) == 0 {
 		servers = mergeServers(released.Ends, g.knownCrashes(released.Identity))
 	}
-	if removed, grew := g.release(released.Identity, servers, reason+", reported by "+from); removed || grew && released.Explained {
+	removed, grew := g.release(released.Identity, servers, reason+", reported by "+from)
+	if removed || grew && released.Explained {
 		g.broadcast(released, false)
 	}
+	if removed {
+		// The node that sent it deletes the key, unless it stops before.
+		g.entryStore.remove(released.Identity, time.Now().Add(2*saveInterval+g.entryStore.delay(released.Identity)))
+	}
 	reply(nil, nil)
 }
