forward: Learn no speed from failures

Seen: a server that answers everything with a failure at once looked fast and was preferred to sound ones, whose callers got the failure, after which clients don't try again. Cause: the time to the head of a 3xx or 4xx counted as the speed of server and pool, and the time to the end of a response of any status as the time of a run, by which waits at all servers of the pool are estimated. A refusal does no work. What teaches speed is now a success that is accepted; had the same for garbage.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -135,7 +135,8 @@
 }
 
 // acceptanceRecorder returns what is called when a part of the body is accepted, for the first time or again: the
-// response counts as the server's success, and the time until its head as the server's speed. Garbage comes soon.
+// response counts as the server's success, and the time until the head of a result as the server's speed. Garbage and
+// refusals come soon.
 func (f *Forwarder) acceptanceRecorder(flow *flow, target *candidate, reply *Reply, took time.Duration) func() {
 	return sync.OnceFunc(func() {
 		if reply.Status >= minFailureStatus {
@@ -144,7 +145,9 @@
 		target.load.mutex.Lock()
 		target.load.recordResult(false, time.Now())
 		target.load.mutex.Unlock()
-		f.tracker.recordFirstByte(flow.pool, target.load, flow.request.PromptTokens, took)
+		if isSuccess(reply) {
+			f.tracker.recordFirstByte(flow.pool, target.load, flow.request.PromptTokens, took)
+		}
 	})
 }
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -45,7 +45,9 @@
 		err = errMemoryShort
 	}
 	if err == nil {
-		f.tracker.recordRunTime(flow.pool, target.load.atUsualSpeed(time.Since(headReceived), time.Now()))
+		if isSuccess(reply) {
+			f.tracker.recordRunTime(flow.pool, target.load.atUsualSpeed(time.Since(headReceived), time.Now()))
+		}
 		f.reportServed(ctx, flow, target.server, reply, started)
 		f.release(flow, target, &AttemptError{Reason: FailureStatus, Load: reply.Load})
 		outcome := flow.outcome(result.OK, "")
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -222,6 +222,12 @@
 switch_off known-fields-only internal/forward/event_fields.go 'odd = e.format.KnownFieldsOnly' '' $forward ./platform
 switch_off fields-in-place internal/forward/event_fields.go 'if isOdd {' 'if false {' $forward
 switch_off no-speed-of-garbage internal/forward/relay.go 'segment.acceptAll(blocks, flow.headSent)' 'segment.acceptAll(blocks, flow.headSent); flow.onAccepted()' $forward
+switch_off no-speed-of-refusals internal/forward/attempt.go 'if isSuccess(reply) {
+			f.tracker' 'if true {
+			f.tracker' $forward
+switch_off no-run-time-of-refusals internal/forward/relay.go 'if isSuccess(reply) {
+			f.tracker' 'if true {
+			f.tracker' $forward
 switch_off faults-are-remembered internal/forward/tracker.go 'halfLife := failureHalfLife << (max(s.faultLevel-1, 0) / faultWeight)' 'halfLife := failureHalfLife' $forward
 switch_off faults-are-forgiven internal/forward/tracker.go 's.faultLevel = max(s.faultLevel-1, 0)' '' $forward
 switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
