forward: Don't choose first a server that rejects all as full and reports to be idle

Seen: beside one server that answers 503 with Hatchplank-Not-Executed and a reported load with a free slot, callers of a pool without models were refused, though a sound server of the pool was idle. Cause: after a rejection as full the reported load alone decided, which said that the server was the least busy, so each request went there first, on all nodes, since they share loads; the rejections used up the retries of the pool. For requests with a model such a rejection already counts for 0.3 s.

A load that doesn't explain the rejection now counts as none: the server is full for a second, as after a rejection without a load, and the load isn't told to other nodes. Any later load, of a response or of other nodes, ends that.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -225,7 +225,7 @@
 		// is replaced.
 		load.pausedUntil = now.Add(maxPause)
 	case FailureFull:
-		if !failure.Load.Reported {
+		if !failure.Load.explainsFull() {
 			load.markFull(flow.request, server, now)
 		}
 	case FailureBroken, FailureTimeout:
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -90,6 +90,10 @@
 	Slowdown float64
 }
 
+// explainsFull reports whether a server with the load may reject requests as full. One that rejects them with a free
+// slot would look idle, and be chosen first each time.
+func (l Load) explainsFull() bool { return l.Reported && l.Running+l.Waiting >= l.Slots }
+
 // Reply is a server's response: its head, and its body to be read.
 type Reply struct {
 	Status int
--- a/internal/forward/shared_load.go
+++ b/internal/forward/shared_load.go
@@ -179,7 +179,13 @@
 		}
 	case FailureOtherInstance:
 		f.observations.RecordUnreachable(target.server.Incarnation(), now)
-	case FailureFull, FailureNotHeld, FailureRefused, FailureBackoff:
+	case FailureFull:
+		reported := failure.Load
+		if !reported.explainsFull() {
+			reported = Load{}
+		}
+		f.recordAnswer(target, reported, now)
+	case FailureNotHeld, FailureRefused, FailureBackoff:
 		f.recordAnswer(target, failure.Load, now)
 	case FailureBroken, FailureTimeout:
 		// Neither shows whether the server is reachable.
