platform: Pass on responses to HEAD on routes of streams

Seen: HEAD on a streaming route got a 502, and servers that answered it were held faulty and tried less for requests with a body. Cause: since streams are held to their route, a success of such a route has events; a response to HEAD has no body by the method, whatever its head says. It is told so now (forward.Reply.HeadOnly), as it was for unframed bodies before.

Test: TestResponseToHeadOfAStreamIsPassedOn, 9 cases. On the code before the 6 of streaming routes are red, with status 502 instead of 200.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -60,6 +60,9 @@
 // lacksStream reports whether a response is a success without the body of an event stream. A 204 or 205 has no body, and
 // a 206 a part of one.
 func lacksStream(reply *Reply) bool {
+	if reply.HeadOnly {
+		return false
+	}
 	switch reply.Status {
 	case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:
 		return true
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -100,6 +100,8 @@
 	// ReadsAsNotRun: callers take the status for a promise that the request has not run, which the
 	// server did not prove.
 	ReadsAsNotRun bool
+	// HeadOnly: the caller asked for the head alone, so that there is no body, of whatever type.
+	HeadOnly bool
 	// Events: the body is a stream of server-sent events.
 	Events bool
 	// Body ends with io.EOF only if the response is complete, as far as that can be known; see
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -215,6 +215,8 @@
 switch_off foreign-blocks internal/forward/eventstream.go 'if err := g.check(event); err != nil {' 'if err := g.check(event); false && err != nil {' $forward
 switch_off id-form internal/forward/eventstream.go 'g.isFormKnown() && !hasSameForm(event.id, s.last), ' '' $forward
 switch_off streams-only internal/forward/relay.go 'return isSuccess(reply) && !reply.Events' 'return false' $forward ./platform
+switch_off heads-of-streams internal/forward/relay.go 'if reply.HeadOnly {' 'if false {' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
+switch_off heads-without-events platform/backend.go 'Events: !headOnly && ' 'Events: ' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
 switch_off no-body-statuses internal/forward/relay.go 'case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:' 'case 0:' $forward
 switch_off streams-have-events internal/forward/eventstream.go 'if isSuccess && g.lacksEvents() {' 'if false {' $forward ./platform
 switch_off declared-id-form internal/forward/eventstream.go 's.format.DecimalIDs && !isDecimal(event.id), ' '' $forward
