--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -207,6 +207,7 @@
 switch_off largest-gives-way internal/bytebudget/budget.go 'account.reserved > largest.reserved' 'account.reserved < largest.reserved' ./internal/bytebudget $forward
 switch_off bodies-before-events internal/bytebudget/budget.go 'if account.kind == Events {' 'if true {' ./internal/bytebudget
 switch_off room-for-events internal/bytebudget/budget.go 'if float64(retained+bytes) > RetainedShare*float64(b.limit) {' 'if retained < 0 {' ./internal/bytebudget
+switch_off room-for-bodies internal/bytebudget/budget.go 'return float64(b.byKind[ReadAhead]+bytes) <= readAheadShare*float64(b.limit) &&' 'return readAheadShare*float64(b.limit) > 0 &&' ./internal/bytebudget
 switch_off writing-does-not-yield internal/bytebudget/budget.go '!account.pinned && ' '' ./internal/bytebudget
 switch_off goes-on-without-memory internal/forward/relay.go ' && !errors.Is(err, errMemoryShort)' '' $forward
 # Streams.
@@ -218,6 +219,8 @@
 switch_off foreign-blocks internal/forward/eventstream.go 'if err := g.check(event); err != nil {' 'if err := g.check(event); false && err != nil {' $forward
 switch_off id-form internal/forward/eventstream.go 'g.isFormKnown() && !hasSameForm(event.id, s.last), ' '' $forward
 switch_off streams-only internal/forward/relay.go 'return isSuccess(reply) && !reply.Events' 'return false' $forward ./platform
+switch_off heads-of-streams internal/forward/relay.go 'if reply.HeadOnly {' 'if false {' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
+switch_off heads-without-events platform/backend.go 'Events: !headOnly && ' 'Events: ' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
 switch_off no-body-statuses internal/forward/relay.go 'case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:' 'case 0:' $forward
 switch_off streams-have-events internal/forward/eventstream.go 'if isSuccess && g.lacksEvents() {' 'if false {' $forward ./platform
 switch_off declared-id-form internal/forward/eventstream.go 's.format.DecimalIDs && !isDecimal(event.id), ' '' $forward
@@ -225,6 +228,14 @@
 switch_off known-fields-only internal/forward/event_fields.go 'odd = e.format.KnownFieldsOnly' '' $forward ./platform
 switch_off fields-in-place internal/forward/event_fields.go 'if isOdd {' 'if false {' $forward
 switch_off no-speed-of-garbage internal/forward/relay.go 'segment.acceptAll(blocks, flow.headSent)' 'segment.acceptAll(blocks, flow.headSent); flow.onAccepted()' $forward
+switch_off no-speed-of-refusals internal/forward/attempt.go 'if isSuccess(reply) {
+			f.tracker' 'if true {
+			f.tracker' $forward
+switch_off no-run-time-of-refusals internal/forward/relay.go 'if isSuccess(reply) {
+			f.tracker' 'if true {
+			f.tracker' $forward
+switch_off full-though-idle internal/forward/attempt.go 'if !failure.Load.explainsFull() {' 'if !failure.Load.Reported {' $forward
+switch_off idle-load-not-shared internal/forward/shared_load.go 'if !reported.explainsFull() {' 'if false {' $forward
 switch_off faults-are-remembered internal/forward/tracker.go 'halfLife := failureHalfLife << (max(s.faultLevel-1, 0) / faultWeight)' 'halfLife := failureHalfLife' $forward
 switch_off faults-are-forgiven internal/forward/tracker.go 's.faultLevel = max(s.faultLevel-1, 0)' '' $forward
 switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
@@ -386,6 +397,7 @@
 switch_off trial-of-its-id internal/poison/trial.go 'latest.id != ended.Trial' 'false' $poison
 switch_off part-of-explained internal/poison/attribution.go '!c.frequent && c.all' 'c.all' $poison
 switch_off control-leaves-slots internal/serverlimit/serverlimit.go 'if wait := l.controlWait(server.ID, need); wait > 0 {' 'if wait := l.controlWait(server.ID, need); wait > time.Hour {' ./internal/serverlimit
+switch_off released-key-deleted internal/poison/propagation.go 'g.entryStore.remove(released.Identity, time.Now().Add(2*saveInterval+g.entryStore.delay(released.Identity)))' '' $poison
 switch_off poison-unseen-by-whom internal/poison/attribution.go 'return crash.remembered >= minRemembered' 'return true' $poison
 switch_off poison-refused-unserved internal/poison/attribution.go '|| a.isProvisional(identity) && a.log.past[identity].byTrial' '' $poison
 switch_off unused-trial-ends internal/poison/trial.go 'g.config.Transport.Send(granter, TrialEnded{Identity: identity, Trial: ask.Trial})' '' $poison
