forward: Pass failures on as they are, also those that are written as events

Seen: a server's 400 on a streaming route with the media type of events, such as "event: error" and data without an ID, came to the caller as a 502, and its server was held faulty, so that a caller's bad requests could make all sound servers look so. Cause: the events of a failure were held to what the route declares of a success. The media type of a failure now doesn't matter: its body is read ahead and passed on as any other, and no other response continues it.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -76,6 +76,8 @@
 	}
 	flow.trialSent = true
 	defer reply.Body.Close()
+	// Nothing is declared of the bodies of failures, and nothing continues one.
+	reply.Events = reply.Events && isSuccess(reply)
 	f.verifyEnd(ctx, flow, target, reply)
 	if flow.firstByte == 0 {
 		flow.firstByte = time.Since(flow.request.Accepted)
--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -226,9 +226,9 @@
 	return nil
 }
 
-// end appends the held events at the end of a complete response, and checks this end. A success has events.
-func (g *streamSegment) end(accepted []byte, isSuccess bool) ([]byte, error) {
-	if isSuccess && g.lacksEvents() {
+// end appends the held events at the end of a complete response, and checks this end.
+func (g *streamSegment) end(accepted []byte) ([]byte, error) {
+	if g.lacksEvents() {
 		return accepted, errNoEvents
 	}
 	accepted, err := g.acceptHeld(accepted)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -199,7 +199,7 @@
 		flow.gaps.record(len(blocks) > 0, time.Now())
 		events, orderErr := segment.acceptAll(blocks, flow.headSent)
 		if orderErr == nil && errors.Is(err, io.EOF) {
-			if events, orderErr = segment.end(events, isSuccess(reply)); orderErr == nil {
+			if events, orderErr = segment.end(events); orderErr == nil {
 				events = append(events, reader.rest()...)
 			}
 		}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -220,8 +220,9 @@
 switch_off streams-only internal/forward/relay.go 'return isSuccess(reply) && !reply.Events' 'return false' $forward ./platform
 switch_off heads-of-streams internal/forward/relay.go 'if reply.HeadOnly {' 'if false {' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
 switch_off heads-without-events platform/backend.go 'Events: !headOnly && ' 'Events: ' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
+switch_off failures-are-no-streams internal/forward/attempt.go 'reply.Events = reply.Events && isSuccess(reply)' '' $forward
 switch_off no-body-statuses internal/forward/relay.go 'case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:' 'case 0:' $forward
-switch_off streams-have-events internal/forward/eventstream.go 'if isSuccess && g.lacksEvents() {' 'if false {' $forward ./platform
+switch_off streams-have-events internal/forward/eventstream.go 'if g.lacksEvents() {' 'if false {' $forward ./platform
 switch_off declared-id-form internal/forward/eventstream.go 's.format.DecimalIDs && !isDecimal(event.id), ' '' $forward
 switch_off declared-by-routes platform/configuration.go 'route.Events = streamEvents' '' ./platform
 switch_off known-fields-only internal/forward/event_fields.go 'odd = e.format.KnownFieldsOnly' '' $forward ./platform
