--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -237,6 +237,7 @@
 			f.tracker' $forward
 switch_off full-though-idle internal/forward/attempt.go 'if !failure.Load.explainsFull() {' 'if !failure.Load.Reported {' $forward
 switch_off idle-load-not-shared internal/forward/shared_load.go 'if !reported.explainsFull() {' 'if false {' $forward
+switch_off counts-in-range platform/server_load.go 'min(count, maxLoadCount)' 'count' ./platform -run TestLoadOfAnySizeIsNotTakenForAnIdleServer
 switch_off faults-are-remembered internal/forward/tracker.go 'halfLife := failureHalfLife << (max(s.faultLevel-1, 0) / faultWeight)' 'halfLife := failureHalfLife' $forward
 switch_off faults-are-forgiven internal/forward/tracker.go 's.faultLevel = max(s.faultLevel-1, 0)' '' $forward
 switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
