--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -221,8 +221,9 @@
 switch_off streams-only internal/forward/relay.go 'return isSuccess(reply) && !reply.Events' 'return false' $forward ./platform
 switch_off heads-of-streams internal/forward/relay.go 'if reply.HeadOnly {' 'if false {' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
 switch_off heads-without-events platform/backend.go 'Events: !headOnly && ' 'Events: ' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
+switch_off failures-are-no-streams internal/forward/attempt.go 'reply.Events = reply.Events && isSuccess(reply)' '' $forward
 switch_off no-body-statuses internal/forward/relay.go 'case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:' 'case 0:' $forward
-switch_off streams-have-events internal/forward/eventstream.go 'if isSuccess && g.lacksEvents() {' 'if false {' $forward ./platform
+switch_off streams-have-events internal/forward/eventstream.go 'if g.lacksEvents() {' 'if false {' $forward ./platform
 switch_off declared-id-form internal/forward/eventstream.go 's.format.DecimalIDs && !isDecimal(event.id), ' '' $forward
 switch_off declared-by-routes platform/configuration.go 'route.Events = streamEvents' '' ./platform
 switch_off known-fields-only internal/forward/event_fields.go 'odd = e.format.KnownFieldsOnly' '' $forward ./platform
@@ -236,6 +237,7 @@
 			f.tracker' $forward
 switch_off full-though-idle internal/forward/attempt.go 'if !failure.Load.explainsFull() {' 'if !failure.Load.Reported {' $forward
 switch_off idle-load-not-shared internal/forward/shared_load.go 'if !reported.explainsFull() {' 'if false {' $forward
+switch_off counts-in-range platform/server_load.go 'min(count, maxLoadCount)' 'count' ./platform -run TestLoadOfAnySizeIsNotTakenForAnIdleServer
 switch_off faults-are-remembered internal/forward/tracker.go 'halfLife := failureHalfLife << (max(s.faultLevel-1, 0) / faultWeight)' 'halfLife := failureHalfLife' $forward
 switch_off faults-are-forgiven internal/forward/tracker.go 's.faultLevel = max(s.faultLevel-1, 0)' '' $forward
 switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
