platform: End responses that their client does not read at the request's deadline

What others saw: nothing; found by reading, then shown by a test. A client that sends a request and reads nothing holds what the node has of its response, up to some MiB, for as long as its connection lasts, and its events can't give way when memory is short, since a write can't be interrupted.

Cause: the request's context ends at its deadline, but a write to the client's connection does not end with it.

TestClientThatReadsNothingIsLeftAtItsDeadline failed before: the request still ran after 30 s, with a limit of 3 s.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -173,6 +173,7 @@
 	if reply.Events {
 		fl.beginStream(fl.latestServer.Load())
 	}
+	reply.Until = fl.deadline.Add(deadlineMargin)
 	responder.Begin(reply)
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -105,6 +105,9 @@
 	// Unframed: only the end of the connection marks the end of the body, so that the response
 	// of a server that crashed looks complete unless the server is probed.
 	Unframed bool
+	// Until is the time after which what the caller gets of the response is of no use. The Forwarder sets it
+	// before Begin.
+	Until time.Time
 	// Opaque is for the protocol binding that made the reply.
 	Opaque any
 }
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -198,6 +198,7 @@
 	if false && err != nil {' $forward ./platform
 switch_off honest-status platform/ingress.go 'if outcome.Ran == result.RanNo {' 'if true {' ./platform
 # Memory for what is held for others.
+switch_off unread-response-ends platform/responder.go 'SetWriteDeadline(r.until)' 'SetWriteDeadline(time.Time{})' ./platform -run ClientThatReads
 switch_off frames-counted internal/peer/tcp/codec.go 'return d.account.Resize(int64(capacity + d.largest))' 'return true' ./internal/peer/tcp
 switch_off head-lines internal/exchange/head_limit.go ' || r.lines > maxHeadLines' '' ./internal/exchange
 switch_off events-counted internal/forward/eventreader.go 'if !r.account.Resize(int64(cap(r.partial) + r.held + further)) {' 'if false {' $forward
