--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -45,7 +45,9 @@
 		err = errMemoryShort
 	}
 	if err == nil {
-		f.tracker.recordRunTime(flow.pool, target.load.atUsualSpeed(time.Since(headReceived), time.Now()))
+		if isSuccess(reply) {
+			f.tracker.recordRunTime(flow.pool, target.load.atUsualSpeed(time.Since(headReceived), time.Now()))
+		}
 		f.reportServed(ctx, flow, target.server, reply, started)
 		f.release(flow, target, &AttemptError{Reason: FailureStatus, Load: reply.Load})
 		outcome := flow.outcome(result.OK, "")
@@ -58,6 +60,9 @@
 // lacksStream reports whether a response is a success without the body of an event stream. A 204 or 205 has no body, and
 // a 206 a part of one.
 func lacksStream(reply *Reply) bool {
+	if reply.HeadOnly {
+		return false
+	}
 	switch reply.Status {
 	case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:
 		return true
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -90,12 +90,18 @@
 	Slowdown float64
 }
 
+// explainsFull reports whether a server with the load may reject requests as full. One that rejects them with a free
+// slot would look idle, and be chosen first each time.
+func (l Load) explainsFull() bool { return l.Reported && l.Running+l.Waiting >= l.Slots }
+
 // Reply is a server's response: its head, and its body to be read.
 type Reply struct {
 	Status int
 	// ReadsAsNotRun: callers take the status for a promise that the request has not run, which the
 	// server did not prove.
 	ReadsAsNotRun bool
+	// HeadOnly: the caller asked for the head alone, so that there is no body, of whatever type.
+	HeadOnly bool
 	// Events: the body is a stream of server-sent events.
 	Events bool
 	// Body ends with io.EOF only if the response is complete, as far as that can be known; see
