--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -23,6 +23,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/hatchplank/hatchplank/internal/bytebudget"
 	"github.com/hatchplank/hatchplank/internal/exchange"
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/forward"
@@ -179,7 +180,7 @@
 
 func newTestMetrics() *Metrics {
 	none := func() float64 { return 0 }
-	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Era: none, Holder: none, Relayed: none, Quarantine: none, Limited: none, LostPaths: none, Carried: none, RecordsAge: none})
+	return NewMetrics(Gauges{Connections: none, Servers: none, Revision: none, Era: none, Holder: none, Relayed: none, Quarantine: none, Limited: none, LostPaths: none, Carried: none, RecordsAge: none, HeldBytes: func(bytebudget.Kind) float64 { return 0 }})
 }
 
 func TestRequestLogRecordsTheDecision(t *testing.T) {
@@ -261,6 +262,7 @@
 	metrics.CarrierAnswer(serverpath.Opened)
 	metrics.RecordCheck(forward.RecordAccepts)
 	metrics.StreamOrigin(streamorigin.Known, streamorigin.FromTable)
+	metrics.MemoryShort(bytebudget.Events)
 	answer := httptest.NewRecorder()
 	metrics.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
@@ -498,3 +500,37 @@
 	Expect(syscall.Kill(syscall.Getpid(), syscall.SIGHUP)).To(Succeed())
 	Eventually(hangUps, "10s").Should(Receive())
 }
+
+// Guards against a connection of a client that is closed in order where a handler resets it, since its wrapper hid
+// the socket's means to do so.
+func TestHandlerCanResetAClientsConnection(t *testing.T) {
+	RegisterTestingT(t)
+	received := make(chan struct{})
+	process, stop, done := startProcess(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(writer, "half")
+		control := http.NewResponseController(writer)
+		_ = control.Flush()
+		<-received
+		conn, _, err := control.Hijack()
+		if err != nil {
+			return
+		}
+		_ = conn.(interface{ SetLinger(seconds int) error }).SetLinger(0)
+		_ = conn.Close()
+	}), func() string { return "" })
+	conn, err := net.Dial("tcp", process.Address(Callers))
+	Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	Expect(err).NotTo(HaveOccurred())
+	half := make([]byte, 4)
+	_, err = io.ReadFull(response.Body, half)
+	Expect(err).NotTo(HaveOccurred())
+	close(received)
+	_, err = response.Body.Read(half)
+	Expect(err).To(MatchError(syscall.ECONNRESET))
+	stop()
+	Eventually(done, "20s").Should(Receive(BeNil()))
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/bytebudget"
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
@@ -14,11 +16,17 @@
 	// maxBufferedBytes is how much of a response body is read before anything is passed on, so
 	// that a shorter response that breaks can be replaced by another server's.
 	maxBufferedBytes = 256 << 10
+	// initialBufferBytes is the first size of the buffer of such a response.
+	initialBufferBytes = 512
 	// gapFactor is the time without an event after which another server continues a stream,
 	// if one can, as a multiple of the route's gap objective.
 	gapFactor = 4
 )
 
+// errMemoryShort ends an attempt whose response held the most of the memory for responses that are not passed
+// on yet, when that was used up.
+var errMemoryShort = errors.New("no memory for a response that is not passed on yet")
+
 // errStreamStalled cancels an attempt whose stream had no event for too long while another server
 // can continue it.
 var errStreamStalled = errors.New("no event within the stream's gap limit")
@@ -33,8 +41,13 @@
 	} else {
 		err = f.relayBody(flow, reply, responder)
 	}
+	if err != nil && errors.Is(context.Cause(ctx), errMemoryShort) {
+		err = errMemoryShort
+	}
 	if err == nil {
-		f.tracker.recordRunTime(flow.pool, target.load.atUsualSpeed(time.Since(headReceived), time.Now()))
+		if isSuccess(reply) {
+			f.tracker.recordRunTime(flow.pool, target.load.atUsualSpeed(time.Since(headReceived), time.Now()))
+		}
 		f.reportServed(ctx, flow, target.server, reply, started)
 		f.release(flow, target, &AttemptError{Reason: FailureStatus, Load: reply.Load})
 		outcome := flow.outcome(result.OK, "")
@@ -44,22 +57,40 @@
 	return f.handleBrokenResponse(ctx, flow, target, err)
 }
 
+// lacksStream reports whether a response is a success without the body of an event stream. A 204 or 205 has no body, and
+// a 206 a part of one.
+func lacksStream(reply *Reply) bool {
+	if reply.HeadOnly {
+		return false
+	}
+	switch reply.Status {
+	case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:
+		return true
+	}
+	return isSuccess(reply) && !reply.Events
+}
+
+func isSuccess(reply *Reply) bool { return reply.Status >= 200 && reply.Status < minRefusalStatus }
+
 // handleBrokenResponse decides what follows a response that broke off: nil to try another server,
 // otherwise the request's outcome.
 func (f *Forwarder) handleBrokenResponse(ctx context.Context, flow *flow, target *candidate, err error) *Outcome {
 	f.release(flow, target, &AttemptError{Reason: FailureStatus})
 	failure := &AttemptError{Reason: FailureBroken, Ran: result.RanYes, Cause: err}
+	if errors.Is(err, errMemoryShort) {
+		failure.Reason = FailureMemory
+	}
 	f.reportCrash(ctx, flow, target.server, failure)
 	flow.runs++
 	flow.ran = result.RanYes
-	cancelled := ctx.Err() != nil && !cancelledForSwitchover(ctx)
+	cancelled := ctx.Err() != nil && !cancelledForSwitchover(ctx) && !errors.Is(err, errMemoryShort)
 	willRetry := !cancelled && f.mayRepeat(flow, 0) && flow.mayContinue()
 	f.observe(Observation{Request: flow.request, Server: target.server.ID, Number: flow.attempts, Failure: failure, WillRetry: willRetry})
 	if cancelled {
 		return f.cancellationOutcome(ctx, flow)
 	}
 	target.load.mutex.Lock()
-	target.load.recordResult(true, time.Now())
+	target.load.recordBroken(err, time.Now())
 	target.load.mutex.Unlock()
 	if willRetry {
 		return nil
@@ -75,9 +106,11 @@
 }
 
 // relayBody passes on a response that is no event stream. A response of less than maxBufferedBytes
-// is read completely first.
+// is read completely first, if there is memory for it.
 func (f *Forwarder) relayBody(flow *flow, reply *Reply, responder Responder) error {
-	buffered, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+	account := f.memory.Open(bytebudget.ReadAhead, nil)
+	defer account.Close()
+	buffered, complete, err := readAhead(reply.Body, account)
 	if err != nil {
 		return err
 	}
@@ -85,12 +118,36 @@
 	if err := responder.Write(buffered); err != nil {
 		return callerError{err}
 	}
-	if len(buffered) < maxBufferedBytes {
+	if complete {
 		return nil
 	}
+	account.Close()
 	return copyRest(responder, reply.Body)
 }
 
+// readAhead reads up to maxBufferedBytes, or what there is memory for. complete: the body has ended.
+func readAhead(body io.Reader, account *bytebudget.Account) (buffered []byte, complete bool, err error) {
+	buffered = make([]byte, 0, initialBufferBytes)
+	for len(buffered) < maxBufferedBytes {
+		if len(buffered) == cap(buffered) {
+			size := min(2*len(buffered), maxBufferedBytes)
+			if !account.Resize(int64(size)) {
+				break
+			}
+			buffered = append(make([]byte, 0, size), buffered...)
+		}
+		count, err := body.Read(buffered[len(buffered):cap(buffered)])
+		buffered = buffered[:len(buffered)+count]
+		if errors.Is(err, io.EOF) {
+			return buffered, true, nil
+		}
+		if err != nil {
+			return buffered, false, err
+		}
+	}
+	return buffered, false, nil
+}
+
 func copyRest(responder Responder, body io.Reader) error {
 	buffer := make([]byte, relayBufferBytes)
 	for {
@@ -109,12 +166,15 @@
 	}
 }
 
-// begin sends the response head, once per request.
+// begin accepts the response, and sends its head, once per request.
 func (fl *flow) begin(responder Responder, reply *Reply) {
+	if fl.onAccepted != nil {
+		fl.onAccepted()
+	}
 	if fl.headSent {
 		return
 	}
-	fl.headSent, fl.headStatus = true, reply.Status
+	fl.headSent, fl.headStatus, fl.headOfStream = true, reply.Status, reply.Events
 	if reply.Events {
 		fl.beginStream(fl.latestServer.Load())
 	}
@@ -129,8 +189,8 @@
 		sw.after(first, errStreamStalled)
 	}
 	reader, segment := newEventReader(reply.Body), flow.stream.newSegment()
-	segment.history = f.streamHistory(flow)
-	defer func() { f.recordStreamIDs(flow, segment) }()
+	reader.account = f.memory.Open(bytebudget.Events, func() { sw.cancel(errMemoryShort) })
+	defer reader.account.Close()
 	for {
 		blocks, err := reader.next()
 		if reply.Unframed && errors.Is(err, errPartialEvent) {
@@ -139,49 +199,28 @@
 		flow.gaps.record(len(blocks) > 0, time.Now())
 		events, orderErr := segment.acceptAll(blocks, flow.headSent)
 		if orderErr == nil && errors.Is(err, io.EOF) {
-			if events, orderErr = segment.end(events); orderErr == nil {
+			if events, orderErr = segment.end(events, isSuccess(reply)); orderErr == nil {
 				events = append(events, reader.rest()...)
 			}
 		}
-		err = cmp.Or(orderErr, err)
+		reader.held = segment.heldBytes
+		err = cmp.Or(orderErr, err, reader.reserve(cap(events)))
+		reader.account.Pin()
 		if err := flow.passOn(responder, reply, events, errors.Is(err, io.EOF)); err != nil {
 			return err
 		}
+		reader.account.Unpin()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			segment.breakOff(err, reader.withinEvent())
+			segment.breakOff(reader.withinEvent())
 			return err
 		}
-		f.limitGap(flow, segment, gap, sw)
-	}
-}
-
-func (f *Forwarder) streamHistory(flow *flow) streamIDHistory {
-	if flow.streamHistory == nil {
-		history := f.streamIDs.of(flow.streamKey())
-		flow.streamHistory = &history
+		f.limitGap(flow, gap, sw)
 	}
-	return *flow.streamHistory
 }
 
-// recordStreamIDs records whether the events of a response had IDs, and the form of the first.
-func (f *Forwarder) recordStreamIDs(flow *flow, segment *streamSegment) {
-	if !flow.stream.streaming {
-		return
-	}
-	key, server := flow.streamKey(), flow.latestServer.Load().ID
-	if segment.hasIDs || segment.lacksIDs {
-		f.streamIDs.record(key, server, segment.hasIDs)
-	}
-	if segment.opening != 0 {
-		f.streamIDs.recordForm(key, server, segment.opening == formDecimal)
-	}
-}
-
-func (fl *flow) streamKey() streamKey { return streamKey{route: fl.route.Name, pool: fl.pool} }
-
 // passOn sends events. The head is sent with the first ones, or at the stream's end: until then another
 // server's response can replace this one.
 func (fl *flow) passOn(responder Responder, reply *Reply, events []byte, ended bool) error {
@@ -198,10 +237,10 @@
 }
 
 // limitGap limits the time until the next event, if another server can continue the stream.
-func (f *Forwarder) limitGap(flow *flow, segment *streamSegment, gap time.Duration, sw *switchover) {
+func (f *Forwarder) limitGap(flow *flow, gap time.Duration, sw *switchover) {
 	switch {
 	case gap <= 0:
-	case flow.mayContinue() && !segment.holdsEventWithoutID():
+	case flow.mayContinue():
 		sw.after(gap, errStreamStalled)
 	default:
 		sw.pause()
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -167,7 +167,18 @@
 switch_off deadline-at-server platform/backend.go 'writeHeader(&head, headerDeadline, strconv.FormatInt(remaining, 10))' '_ = remaining' ./platform
 switch_off caller-gone internal/exchange/client.go 'stop := context.AfterFunc(ctx, func() { _ = conn.Close() })' 'stop := context.AfterFunc(context.Background(), func() { _ = conn.Close() })' ./internal/exchange ./platform
 # Answers.
-switch_off answer-identity platform/backend.go 'return response.Header.Get(headerRequestID) == attempt.Request.ID' 'return true' ./platform
+switch_off answer-identity platform/backend.go 'return len(ids) > 0 && !slices' 'return true || !slices' ./platform
+switch_off reset-for-1.0 platform/ingress.go '_ = socket.SetLinger(0)' '_ = socket' ./platform -run TestCutResponseNeverReachesAClientOfHTTP10AsWhole
+switch_off reset-of-clients internal/edge/client_connection.go 'return socket.SetLinger(seconds)' 'return socket.SetLinger(seconds + 1)' ./internal/edge -run TestHandlerCanResetAClientsConnection
+switch_off own-fields-stay platform/responder.go '(!connection[name] || reserved(name))' '(!connection[name] || reserved(name) && false)' ./platform -run TestConnectionFieldTakesNoFieldOfThePlatformAway
+switch_off two-identities platform/backend.go '!slices.ContainsFunc(ids,' '!slices.ContainsFunc(ids[:1],' ./platform -run TestSpoiledHeadNeverReachesItsClientAsWhole
+spoiled="./platform -run TestSpoiledHeadNeverReachesItsClientAsWhole"
+switch_off version-of-heads internal/exchange/head_check.go 'response.ProtoMajor != 1' 'false' $spoiled
+switch_off status-of-heads internal/exchange/head_check.go 'response.StatusCode < http.StatusContinue ||' '' $spoiled
+switch_off no-upgrade internal/exchange/head_check.go '|| response.StatusCode == http.StatusSwitchingProtocols' '' $spoiled
+switch_off chunks-of-1.0 internal/exchange/head_check.go 'response.ProtoMinor == 0 && encoded' 'false' $spoiled
+switch_off spaces-in-names internal/exchange/head_check.go 'strings.Contains(name, " ")' 'name == ""' $spoiled
+switch_off joined-heads internal/exchange/head_check.go 'return err == nil && reason != ""' 'return err == nil && reason == "x"' $spoiled
 switch_off foreign-costs-connection internal/exchange/client.go 'clean = false' 'clean = true' ./internal/exchange
 switch_off unwritten-costs-connection internal/exchange/client.go '|| !b.write.finished()' '' ./internal/exchange
 switch_off one-sending-a-connection internal/exchange/client.go 'if taken.sent.containsAny(notAfter) {' 'if false {' ./internal/exchange ./platform
@@ -181,10 +192,24 @@
 switch_off torn-answer-closes platform/ingress.go 'case outcome.HeadSent || outcome.Code == result.CallerGone:
 		// Only a closed connection tells the client that the response is incomplete.
 		panic(http.ErrAbortHandler)' 'case outcome.HeadSent || outcome.Code == result.CallerGone:' ./platform
-switch_off whole-short-answers internal/forward/relay.go 'buffered, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
-	if err != nil {' 'buffered, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+switch_off whole-short-answers internal/forward/relay.go 'buffered, complete, err := readAhead(reply.Body, account)
+	if err != nil {' 'buffered, complete, err := readAhead(reply.Body, account)
+	complete = complete || err != nil
 	if false && err != nil {' $forward ./platform
 switch_off honest-status platform/ingress.go 'if outcome.Ran == result.RanNo {' 'if true {' ./platform
+# Memory for what is held for others.
+switch_off frames-counted internal/peer/tcp/codec.go 'return d.account.Resize(int64(capacity + d.largest))' 'return true' ./internal/peer/tcp
+switch_off head-lines internal/exchange/head_limit.go ' || r.lines > maxHeadLines' '' ./internal/exchange
+switch_off events-counted internal/forward/eventreader.go 'if !r.account.Resize(int64(cap(r.partial) + r.held + further)) {' 'if false {' $forward
+switch_off held-events-counted internal/forward/relay.go 'reader.held = segment.heldBytes' '' $forward
+switch_off read-ahead-counted internal/forward/relay.go 'if !account.Resize(int64(size)) {' 'if false {' $forward
+switch_off bodies-counted platform/body_memory.go 'if !account.Resize(int64(size)) {' 'if false {' ./platform -run Memory
+switch_off largest-gives-way internal/bytebudget/budget.go 'account.reserved > largest.reserved' 'account.reserved < largest.reserved' ./internal/bytebudget $forward
+switch_off bodies-before-events internal/bytebudget/budget.go 'if account.kind == Events {' 'if true {' ./internal/bytebudget
+switch_off room-for-events internal/bytebudget/budget.go 'if float64(retained+bytes) > RetainedShare*float64(b.limit) {' 'if retained < 0 {' ./internal/bytebudget
+switch_off room-for-bodies internal/bytebudget/budget.go 'return float64(b.byKind[ReadAhead]+bytes) <= readAheadShare*float64(b.limit) &&' 'return readAheadShare*float64(b.limit) > 0 &&' ./internal/bytebudget
+switch_off writing-does-not-yield internal/bytebudget/budget.go '!account.pinned && ' '' ./internal/bytebudget
+switch_off goes-on-without-memory internal/forward/relay.go ' && !errors.Is(err, errMemoryShort)' '' $forward
 # Streams.
 switch_off whole-events internal/forward/eventreader.go 'if errors.Is(err, io.EOF) && r.withinEvent() {' 'if errors.Is(err, io.EOF) && r.withinEvent() && false {' $forward
 switch_off no-repeated-events internal/forward/eventstream.go 'if order <= 0 {' 'if false && order <= 0 {' $forward
@@ -192,16 +217,41 @@
 switch_off same-run internal/forward/eventstream.go 'g.stream.passed && event.digest != g.stream.lastDigest, ' '' $forward
 switch_off no-missing-events internal/forward/eventstream.go 'if g.stream.lacksEventsBefore(event.id) {' 'if false {' $forward
 switch_off foreign-blocks internal/forward/eventstream.go 'if err := g.check(event); err != nil {' 'if err := g.check(event); false && err != nil {' $forward
-switch_off id-form internal/forward/eventstream.go 'case g.isFormKnown() && !hasSameForm(event.id, s.last), ' 'case ' $forward
-switch_off held-first-event internal/forward/held_events.go 'return !known && len(g.held) == 0' 'return !known && false' $forward
-switch_off held-part-of-event internal/forward/held_events.go 'isPart := !event.hasData && !g.stream.hasDataless' 'isPart := false' $forward
-switch_off streams-without-ids internal/forward/eventstream.go 'if g.history.ids.required {' 'if false {' $forward
+switch_off id-form internal/forward/eventstream.go 'g.isFormKnown() && !hasSameForm(event.id, s.last), ' '' $forward
+switch_off streams-only internal/forward/relay.go 'return isSuccess(reply) && !reply.Events' 'return false' $forward ./platform
+switch_off heads-of-streams internal/forward/relay.go 'if reply.HeadOnly {' 'if false {' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
+switch_off heads-without-events platform/backend.go 'Events: !headOnly && ' 'Events: ' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
+switch_off no-body-statuses internal/forward/relay.go 'case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:' 'case 0:' $forward
+switch_off streams-have-events internal/forward/eventstream.go 'if isSuccess && g.lacksEvents() {' 'if false {' $forward ./platform
+switch_off declared-id-form internal/forward/eventstream.go 's.format.DecimalIDs && !isDecimal(event.id), ' '' $forward
+switch_off declared-by-routes platform/configuration.go 'route.Events = streamEvents' '' ./platform
+switch_off known-fields-only internal/forward/event_fields.go 'odd = e.format.KnownFieldsOnly' '' $forward ./platform
+switch_off fields-in-place internal/forward/event_fields.go 'if isOdd {' 'if false {' $forward
+switch_off no-speed-of-garbage internal/forward/relay.go 'segment.acceptAll(blocks, flow.headSent)' 'segment.acceptAll(blocks, flow.headSent); flow.onAccepted()' $forward
+switch_off no-speed-of-refusals internal/forward/attempt.go 'if isSuccess(reply) {
+			f.tracker' 'if true {
+			f.tracker' $forward
+switch_off no-run-time-of-refusals internal/forward/relay.go 'if isSuccess(reply) {
+			f.tracker' 'if true {
+			f.tracker' $forward
+switch_off full-though-idle internal/forward/attempt.go 'if !failure.Load.explainsFull() {' 'if !failure.Load.Reported {' $forward
+switch_off idle-load-not-shared internal/forward/shared_load.go 'if !reported.explainsFull() {' 'if false {' $forward
+switch_off faults-are-remembered internal/forward/tracker.go 'halfLife := failureHalfLife << (max(s.faultLevel-1, 0) / faultWeight)' 'halfLife := failureHalfLife' $forward
+switch_off faults-are-forgiven internal/forward/tracker.go 's.faultLevel = max(s.faultLevel-1, 0)' '' $forward
+switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
+switch_off one-kind-of-body internal/forward/flow.go 'fl.headOfStream && reply.Events' 'reply.Events' $forward
+switch_off held-part-of-event internal/forward/held_events.go 'return !event.hasData && !g.stream.hasDataless ||' 'return' $forward
+switch_off events-have-ids internal/forward/eventstream.go 'case event.id == "":
+		return errNoEventID' 'case false:
+		return errNoEventID' $forward
 switch_off partial-event-no-crash internal/forward/eventreader.go 'return errPartialEvent' 'return io.ErrUnexpectedEOF' $forward
 switch_off continuations-only internal/forward/attempt.go 'return !flow.continues(reply) ||' 'return' $forward
 switch_off last-id-only internal/forward/eventstream.go 'return !s.endsWithoutID && ' 'return ' $forward
 switch_off other-incarnation internal/forward/unframed.go ', errors.Is(err, ErrOtherIncarnation):' ':' $forward ./platform
 switch_off refused-here internal/forward/unframed.go '&& refused.RefusedHere():' '&& refused.RefusedHere() && false:' $forward
 switch_off reserved-too-early internal/forward/attempt.go '(outcome != nil || !continuesStream(flow, next.server, nil, time.Now()))' 'outcome != nil' $forward
+switch_off empty-ends internal/forward/unframed.go 'if !b.received && !b.mayBeEmpty {' 'if false {' $forward
+switch_off empty-rests internal/forward/unframed.go 'flow.request.ResumeAfter) != "",' 'flow.request.ResumeAfter) != "" && false,' $forward
 switch_off unconfirmed-ends internal/forward/unframed.go 'case state == serverUnknown && b.mayResume():' 'case false:' $forward
 switch_off resume-after platform/backend.go 'if attempt.ResumeAfter != "" {' 'if false {' ./platform
 switch_off silent-stream internal/forward/relay.go 'func() { cancel(errSilent) }' 'func() {}' $forward
@@ -372,6 +422,8 @@
 switch_off longest-backoff internal/notice/notice.go 'if until.After(current.until) || incarnation.Follows(current.incarnation) {' 'if true {' ./internal/notice
 switch_off asked-before-sending internal/forward/attempt.go 'if !f.stillTakes(place.server) {' 'if false {' $forward
 switch_off word-of-other-instance platform/notices.go 'instance != "" && instance != server.ID' 'false && instance != server.ID' ./platform
+switch_off framed-back-ends internal/outside/httpapi/backend.go '|| endsWithConnection(response)' '|| endsWithConnection(response) && false' ./internal/outside/httpapi
+switch_off refusals-only platform/store.go 'if r.status/100 == 4 &&' 'if r.status/100 >= 2 &&' ./platform -run TestOnlyARefusalOfTheStoreIsNotApplied
 # A store that comes back from a backup.
 restores="./platform -run Restore|Backup|Revisions|Election|Holder -skip TestTokensRise"
 switch_off era-of-revisions platform/era.go 'return max(era-t.first, 0)' 'return 0' $restores
