--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -81,6 +81,7 @@
 switch_off proof-of-not-run platform/backend.go 'return nil, &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanUnknown' 'return nil, &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanNo' ./platform
 switch_off route-attempts internal/forward/attempt.go 'flow.runs+further < flow.route.MaxAttempts' 'flow.runs+further < 100' $forward
 # Choice under stale load.
+switch_off sealed-success platform/backend.go 'if lacksSeal(response) {' 'if lacksSeal(response) && false {' ./platform -run Unsealed
 switch_off load-figures platform/server_load.go 'if len(figures) < loadFigures {' 'if len(figures) != loadFigures {' ./platform
 switch_off loads-of-nodes internal/forward/shared_load.go 'return s.shared.inForce &&' 'return false &&' $forward
 switch_off own-requests-since internal/forward/shared_load.go '+s.own-s.ownAt(s.shared.at)' '+s.own' $forward
