platform: Pass on no success without its server's signature, or encoded

What callers saw: a 2xx that counts for nobody. Clients count a success only with the server's signature, take a body with a Content-Encoding for no server's body, and repeat no request after a 2xx, so a request that another server could have answered was lost.

Cause: fields of the response chose whether it is an answer, and nobody checked them.

Change: forward.Reply.Invalid says why a response is no server's answer. It is a failed attempt: another server is tried where the request may run again, and otherwise the client gets 502, which promises nothing. It counts as a fault of the server, as garbage in a stream does. Other statuses pass as they are.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -81,8 +81,8 @@
 		flow.firstByte = time.Since(flow.request.Accepted)
 	}
 	f.recordResponse(flow, target, reply, time.Since(started))
-	if flow.route.Kind == fleet.KindStream && lacksStream(reply) {
-		return f.handleBrokenResponse(ctx, flow, target, errNoStream)
+	if err := checkHead(flow.route, reply); err != nil {
+		return f.handleBrokenResponse(ctx, flow, target, err)
 	}
 	if f.isRetryableFailure(flow, reply) {
 		return f.handleFailure(ctx, flow, target, &AttemptError{Reason: FailureStatus, Ran: result.RanYes})
@@ -93,6 +93,23 @@
 	return f.relay(ctx, flow, target, reply, responder, sw, started)
 }
 
+// checkHead reports a response that is no answer of the route.
+func checkHead(route *fleet.Route, reply *Reply) error {
+	if reply.Invalid != nil {
+		return invalidResponse{reply.Invalid}
+	}
+	if route.Kind == fleet.KindStream && lacksStream(reply) {
+		return errNoStream
+	}
+	return nil
+}
+
+// invalidResponse breaks a response that is no answer of a server.
+type invalidResponse struct{ error }
+
+// Unwrap returns the cause.
+func (e invalidResponse) Unwrap() error { return e.error }
+
 // limitAttemptTime sets the time limit of an attempt if the request may run again at
 // another server.
 func (f *Forwarder) limitAttemptTime(flow *flow, sw *switchover) {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -96,6 +96,8 @@
 	// ReadsAsNotRun: callers take the status for a promise that the request has not run, which the
 	// server did not prove.
 	ReadsAsNotRun bool
+	// Invalid says why the response is no answer of a server, so that it is not passed on; nil if it may be one.
+	Invalid error
 	// Events: the body is a stream of server-sent events.
 	Events bool
 	// Body ends with io.EOF only if the response is complete, as far as that can be known; see
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -14,7 +14,7 @@
 const (
 	// reportedLoadTTL is how long a load that a server reported is used.
 	reportedLoadTTL = time.Second
-	// failureHalfLife of a server's failure rate. It doubles with each consecutive fault of a stream after the first,
+	// failureHalfLife of a server's failure rate. It doubles with each consecutive fault of a response after the first,
 	// up to maxFaultLevel: what a server sends shows that it is faulty, whatever the network does.
 	failureHalfLife = 2 * time.Second
 	// faultWeight is by how much a fault raises the fault level, of which a sound response takes 1.
@@ -59,7 +59,7 @@
 	// failures is a rate from 0 to 1 as of failuresAt.
 	failures   float64
 	failuresAt time.Time
-	// faultLevel rises with each response that broke by a fault of its stream, and falls with each sound one.
+	// faultLevel rises with each response whose bytes show a fault of the server, and falls with each sound one.
 	faultLevel int
 	// pausedUntil is the time until which nothing is sent, since connections failed; pause
 	// is the length of that pause.
@@ -156,7 +156,8 @@
 func (s *serverLoad) recordBroken(err error, now time.Time) {
 	s.recordResult(true, now)
 	var fault *StreamError
-	if errors.As(err, &fault) {
+	var invalid invalidResponse
+	if errors.As(err, &fault) || errors.As(err, &invalid) {
 		s.faultLevel = min(s.faultLevel+faultWeight, maxFaultLevel)
 	}
 }
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -227,6 +227,9 @@
 switch_off no-speed-of-garbage internal/forward/relay.go 'segment.acceptAll(blocks, flow.headSent)' 'segment.acceptAll(blocks, flow.headSent); flow.onAccepted()' $forward
 switch_off faults-are-remembered internal/forward/tracker.go 'halfLife := failureHalfLife << (max(s.faultLevel-1, 0) / faultWeight)' 'halfLife := failureHalfLife' $forward
 switch_off faults-are-forgiven internal/forward/tracker.go 's.faultLevel = max(s.faultLevel-1, 0)' '' $forward
+switch_off signed-successes platform/backend.go 'case response.Header.Get(headerSignature) == "":' 'case false:' ./platform
+switch_off plain-bodies platform/backend.go 'case slices.ContainsFunc(response.Header.Values("Content-Encoding"), isEncoding):' 'case false && isEncoding("x"):' ./platform
+switch_off invalid-responses internal/forward/attempt.go 'if reply.Invalid != nil {' 'if false {' ./platform
 switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
 switch_off one-kind-of-body internal/forward/flow.go 'fl.headOfStream && reply.Events' 'reply.Events' $forward
 switch_off held-part-of-event internal/forward/held_events.go 'return !event.hasData && !g.stream.hasDataless ||' 'return' $forward
