forward: Continue a stream elsewhere whose server sends only comments

Seen: on routes whose streams may be resumed, a server that sent comments, pings or reconnection times in place of events kept the request until its deadline, though another server could go on with it. Cause: each of them began the limit of the time without an event anew, as they were counted as events; clients count none of them. Only events do now, also for the lateness in logs.

Test: TestStreamGoesOnAtAnotherServerWhereOnlyCommentsCome, 24 cases, 18 red on the code before (deadline_passed). internal/forward is green.

--- a/internal/forward/eventstream.go
+++ b/internal/forward/eventstream.go
@@ -85,6 +85,8 @@
 	// stream or foreign, heldBytes long with the comments behind them.
 	held      []heldEvent
 	heldBytes int
+	// events is the number of events that the server sent, without comments.
+	events int
 }
 
 // newSegment begins the events of an attempt that was asked to continue after the last event.
@@ -106,6 +108,9 @@
 		if err != nil {
 			return accepted, err
 		}
+		if !event.isComment {
+			g.events++
+		}
 		if begun || len(accepted)+len(g.held) > 0 {
 			block = bytes.TrimPrefix(block, byteOrderMark)
 		}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -196,8 +196,10 @@
 		if reply.Unframed && errors.Is(err, errPartialEvent) {
 			err = io.ErrUnexpectedEOF // the server may have crashed
 		}
-		flow.gaps.record(len(blocks) > 0, time.Now())
+		before := segment.events
 		events, orderErr := segment.acceptAll(blocks, flow.headSent)
+		hasEvents := segment.events > before
+		flow.gaps.record(hasEvents, time.Now())
 		if orderErr == nil && errors.Is(err, io.EOF) {
 			if events, orderErr = segment.end(events); orderErr == nil {
 				events = append(events, reader.rest()...)
@@ -217,7 +219,9 @@
 			segment.breakOff(reader.withinEvent())
 			return err
 		}
-		f.limitGap(flow, gap, sw)
+		if hasEvents {
+			f.limitGap(flow, gap, sw)
+		}
 	}
 }
 
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -221,6 +221,9 @@
 switch_off streams-only internal/forward/relay.go 'return isSuccess(reply) && !reply.Events' 'return false' $forward ./platform
 switch_off heads-of-streams internal/forward/relay.go 'if reply.HeadOnly {' 'if false {' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
 switch_off heads-without-events platform/backend.go 'Events: !headOnly && ' 'Events: ' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
+switch_off comments-are-no-events internal/forward/eventstream.go 'if !event.isComment {
+			g.events++' 'if true {
+			g.events++' $forward
 switch_off failures-are-no-streams internal/forward/attempt.go 'reply.Events = reply.Events && isSuccess(reply)' '' $forward
 switch_off no-body-statuses internal/forward/relay.go 'case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:' 'case 0:' $forward
 switch_off streams-have-events internal/forward/eventstream.go 'if g.lacksEvents() {' 'if false {' $forward ./platform
