--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -81,6 +81,7 @@
 switch_off proof-of-not-run platform/backend.go 'return nil, &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanUnknown' 'return nil, &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanNo' ./platform
 switch_off route-attempts internal/forward/attempt.go 'flow.runs+further < flow.route.MaxAttempts' 'flow.runs+further < 100' $forward
 # Choice under stale load.
+switch_off sealed-success platform/backend.go 'if lacksSeal(response) {' 'if lacksSeal(response) && false {' ./platform -run Unsealed
 switch_off load-figures platform/server_load.go 'if len(figures) < loadFigures {' 'if len(figures) != loadFigures {' ./platform
 switch_off loads-of-nodes internal/forward/shared_load.go 'return s.shared.inForce &&' 'return false &&' $forward
 switch_off own-requests-since internal/forward/shared_load.go '+s.own-s.ownAt(s.shared.at)' '+s.own' $forward
@@ -198,6 +199,7 @@
 	if false && err != nil {' $forward ./platform
 switch_off honest-status platform/ingress.go 'if outcome.Ran == result.RanNo {' 'if true {' ./platform
 # Memory for what is held for others.
+switch_off unread-response-ends platform/responder.go 'SetWriteDeadline(r.until)' 'SetWriteDeadline(time.Time{})' ./platform -run ClientThatReads
 switch_off frames-counted internal/peer/tcp/codec.go 'return d.account.Resize(int64(capacity + d.largest))' 'return true' ./internal/peer/tcp
 switch_off head-lines internal/exchange/head_limit.go ' || r.lines > maxHeadLines' '' ./internal/exchange
 switch_off events-counted internal/forward/eventreader.go 'if !r.account.Resize(int64(cap(r.partial) + r.held + further)) {' 'if false {' $forward
@@ -403,6 +405,8 @@
 switch_off part-of-explained internal/poison/attribution.go '!c.frequent && c.all' 'c.all' $poison
 switch_off control-leaves-slots internal/serverlimit/serverlimit.go 'if wait := l.controlWait(server.ID, need); wait > 0 {' 'if wait := l.controlWait(server.ID, need); wait > time.Hour {' ./internal/serverlimit
 switch_off released-key-deleted internal/poison/propagation.go 'g.entryStore.remove(released.Identity, time.Now().Add(2*saveInterval+g.entryStore.delay(released.Identity)))' '' $poison
+switch_off reporters-do-not-decide internal/poison/propagation.go 'if len(collectors) == 0 || slices.Contains(collectors, g.config.Address) {' 'if true {' $poison
+switch_off latest-report-awaited internal/poison/propagation.go 'if wait := time.Until(g.decisionDue); wait > 0 {' 'if wait := time.Until(g.decisionDue); wait > time.Hour {' $poison
 switch_off poison-unseen-by-whom internal/poison/attribution.go 'return crash.remembered >= minRemembered' 'return true' $poison
 switch_off poison-refused-unserved internal/poison/attribution.go '|| a.isProvisional(identity) && a.log.past[identity].byTrial' '' $poison
 switch_off unused-trial-ends internal/poison/trial.go 'g.config.Transport.Send(granter, TrialEnded{Identity: identity, Trial: ask.Trial})' '' $poison
