--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -102,6 +102,8 @@
 	ReadsAsNotRun bool
 	// HeadOnly: the caller asked for the head alone, so that there is no body, of whatever type.
 	HeadOnly bool
+	// Invalid says why the response is no answer of a server, so that it is not passed on; nil if it may be one.
+	Invalid error
 	// Events: the body is a stream of server-sent events.
 	Events bool
 	// Body ends with io.EOF only if the response is complete, as far as that can be known; see
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -81,7 +81,6 @@
 switch_off proof-of-not-run platform/backend.go 'return nil, &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanUnknown' 'return nil, &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanNo' ./platform
 switch_off route-attempts internal/forward/attempt.go 'flow.runs+further < flow.route.MaxAttempts' 'flow.runs+further < 100' $forward
 # Choice under stale load.
-switch_off sealed-success platform/backend.go 'if lacksSeal(response) {' 'if lacksSeal(response) && false {' ./platform -run Unsealed
 switch_off load-figures platform/server_load.go 'if len(figures) < loadFigures {' 'if len(figures) != loadFigures {' ./platform
 switch_off loads-of-nodes internal/forward/shared_load.go 'return s.shared.inForce &&' 'return false &&' $forward
 switch_off own-requests-since internal/forward/shared_load.go '+s.own-s.ownAt(s.shared.at)' '+s.own' $forward
@@ -245,6 +244,9 @@
 switch_off counts-in-range platform/server_load.go 'min(count, maxLoadCount)' 'count' ./platform -run TestLoadOfAnySizeIsNotTakenForAnIdleServer
 switch_off faults-are-remembered internal/forward/tracker.go 'halfLife := failureHalfLife << (max(s.faultLevel-1, 0) / faultWeight)' 'halfLife := failureHalfLife' $forward
 switch_off faults-are-forgiven internal/forward/tracker.go 's.faultLevel = max(s.faultLevel-1, 0)' '' $forward
+switch_off signed-successes platform/backend.go 'case response.Header.Get(headerSignature) == "":' 'case false:' ./platform
+switch_off plain-bodies platform/backend.go 'case slices.ContainsFunc(response.Header.Values("Content-Encoding"), isEncoding):' 'case false && isEncoding("x"):' ./platform
+switch_off invalid-responses internal/forward/attempt.go 'if reply.Invalid != nil {' 'if false {' ./platform
 switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
 switch_off one-kind-of-body internal/forward/flow.go 'fl.headOfStream && reply.Events' 'reply.Events' $forward
 switch_off held-part-of-event internal/forward/held_events.go 'return !event.hasData && !g.stream.hasDataless ||' 'return' $forward
