poison: Try suspects in the order in which they were first asked for

Callers saw request_poisonous for 5 s for a request that crashes no server, though trials were due after one: trials of two identities are 2 s apart, and whoever asked first after that got the next one.

The node that grants trials keeps the turn of an identity that was denied for this reason, for 1.5 s after each ask, longer than the Retry-After of its callers.

Evidence: TestSuspectsAreTriedInTheOrderInWhichTheyAskedFirst, two identities asked for every 20 ms and a third every 0.7 s: no trial of the third within 6 s before, one now.

--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -29,6 +30,9 @@
 	// ambiguousTrialDelay is how long requests are preferred, once an identity admits trials, whose
 	// other identities can't be the cause of a crash.
 	ambiguousTrialDelay = 2 * time.Second
+	// trialTurnTime is how long the turn of an identity is kept that had to wait for the trial of another
+	// one: longer than the Retry-After of its callers.
+	trialTurnTime = 1500 * time.Millisecond
 	// maxTrialWait bounds the Retry-After of a request that is refused beside a trial.
 	maxTrialWait = time.Second
 )
@@ -249,8 +253,13 @@
 	// one may follow.
 	latest      Identity
 	spacedUntil time.Time
+	// waiting are the identities that were denied a trial because of another one's.
+	waiting map[Identity]waitingTrial
 }
 
+// waitingTrial is since when an identity waits for its turn, and when it was last asked for.
+type waitingTrial struct{ since, asked time.Time }
+
 // grantedTrial is the latest trial of an identity.
 type grantedTrial struct {
 	// id as in TrialRequest.
@@ -261,22 +270,27 @@
 	undecided int
 }
 
-func newTrials() *trials { return &trials{granted: map[Identity]grantedTrial{}} }
+func newTrials() *trials {
+	return &trials{granted: map[Identity]grantedTrial{}, waiting: map[Identity]waitingTrial{}}
+}
 
 // grant grants a trial if the latest one is over.
 func (t *trials) grant(ask TrialRequest, now time.Time) TrialReply {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	all, left := ask.identities(), time.Duration(0)
-	for _, identity := range all {
-		left = max(left, t.granted[identity].until.Sub(now))
+	all := ask.identities()
+	left := t.ownWait(all, now)
+	if left > 0 {
+		return TrialReply{Wait: min(left, maxTrialWait)}
 	}
 	if !slices.Contains(all, t.latest) {
-		left = max(left, t.spacedUntil.Sub(now))
+		left = t.spacedUntil.Sub(now)
 	}
-	if left > 0 {
-		return TrialReply{Wait: min(left, maxTrialWait)}
+	if left > 0 || t.isBehindAnother(ask.Identity, now) {
+		t.await(ask.Identity, now)
+		return TrialReply{Wait: min(max(left, minTrialWait), maxTrialWait)}
 	}
+	delete(t.waiting, ask.Identity)
 	t.latest, t.spacedUntil = ask.Identity, now.Add(trialSpacing)
 	for _, identity := range all {
 		latest := t.granted[identity]
@@ -289,6 +303,44 @@
 	return TrialReply{Granted: true}
 }
 
+// ownWait is the time until the latest trials of the identities are over. The lock must be held.
+func (t *trials) ownWait(identities []Identity, now time.Time) time.Duration {
+	left := time.Duration(0)
+	for _, identity := range identities {
+		left = max(left, t.granted[identity].until.Sub(now))
+	}
+	return left
+}
+
+// await records that an identity waits for its turn. The lock must be held.
+func (t *trials) await(identity Identity, now time.Time) {
+	waiting, known := t.waiting[identity]
+	if !known {
+		waiting.since = now
+	}
+	waiting.asked = now
+	t.waiting[identity] = waiting
+	for len(t.waiting) > maxEntries {
+		dropEarliest(t.waiting, func(waiting waitingTrial) time.Time { return waiting.asked })
+	}
+}
+
+// isBehindAnother reports whether another identity has waited for longer, and will be asked for again.
+// The lock must be held.
+func (t *trials) isBehindAnother(identity Identity, now time.Time) bool {
+	maps.DeleteFunc(t.waiting, func(_ Identity, waiting waitingTrial) bool { return now.Sub(waiting.asked) > trialTurnTime })
+	own, known := t.waiting[identity]
+	for other, waiting := range t.waiting {
+		if other == identity || known && !waiting.since.Before(own.since) {
+			continue
+		}
+		if t.ownWait([]Identity{other}, now) <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // end ends a trial that decided nothing, unless a later one has followed. The next one may follow at once if no server ran it.
 func (t *trials) end(ended TrialEnded, now time.Time) {
 	t.mutex.Lock()
@@ -311,6 +363,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	delete(t.granted, identity)
+	delete(t.waiting, identity)
 	t.endSpacing(identity)
 }
 
--- a/internal/poison/trial_test.go
+++ b/internal/poison/trial_test.go
@@ -170,6 +170,34 @@
 	})
 }
 
+// Guards against a harmless request that stays refused since the trials of others that are sent more
+// often take each turn.
+func TestSuspectsAreTriedInTheOrderInWhichTheyAskedFirst(t *testing.T) {
+	runInCluster(t, 4, 3, func(c *cluster) {
+		all := numbered(0, 12)
+		for i, identity := range all[:3] {
+			c.suspect(identity, all[3+3*i:6+3*i]...)
+		}
+		harmless, often := all[0], all[1:3]
+		const pause, seldom = 20 * time.Millisecond, 700 * time.Millisecond
+		next := time.Now().Add(seldom)
+		for began := time.Now(); time.Since(began) < maxRefusal; time.Sleep(pause) {
+			for _, identity := range often {
+				// Their trials end without a word.
+				c.nodes[1].admit(Request{Identity: identity})
+			}
+			if time.Now().Before(next) {
+				continue
+			}
+			next = time.Now().Add(seldom)
+			if trial, _ := c.nodes[2].admit(Request{Identity: harmless}); trial != nil {
+				return
+			}
+		}
+		t.Error("no trial of the harmless request")
+	})
+}
+
 // Guards against a poison request that is tried for ever: after the third quarantine only an operator
 // releases it.
 func TestTrialsEndWithTheThirdQuarantine(t *testing.T) {
