--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint ci demo soak soak-short soak-short-all soak-short-responses soak-short-releases soak-short-garbage soak-short-partitions mechanisms
+.PHONY: build test lint ci demo soak soak-short soak-short-all soak-short-responses soak-short-releases soak-short-garbage soak-short-partitions soak-short-memory mechanisms
 
 build:
 	go build -o bin/hatchplank ./cmd/hatchplank
@@ -24,7 +24,7 @@
 # All with a seed that is always alike, for CI: under two minutes, two at a time. What KNOWN-RED.txt lists by
 # this seed is printed and left out.
 soak-short:
-	$(MAKE) -j2 --output-sync soak-short-all soak-short-responses soak-short-releases soak-short-garbage soak-short-partitions
+	$(MAKE) -j2 --output-sync soak-short-all soak-short-responses soak-short-releases soak-short-garbage soak-short-partitions soak-short-memory
 
 soak-short-all:
 	grep '^TestSoak/5040 ' KNOWN-RED.txt || \
@@ -45,6 +45,9 @@
 soak-short-partitions:
 	go test -tags soak ./cmd/hatchplank-node -run 'TestRandomPartitions' -count=1 -timeout 5m -partitions.seed 4 -partitions.for 15s
 
+soak-short-memory:
+	go test -tags soak ./cmd/hatchplank-node -run 'TestNodeServesWithinItsMemory' -count=1 -timeout 2m
+
 # Switches off each mechanism in a copy and runs the tests that should notice.
 mechanisms:
 	scripts/mechanisms.sh
