cmd: Let the servers of the memory test sign their responses

Without the server's signature their responses broke at once since, so that the test passed without anything to hold: 205 MB with the signature, 671 attempts gave way. It asks for such an attempt now.

--- a/cmd/hatchplank-node/memory_soak_test.go
+++ b/cmd/hatchplank-node/memory_soak_test.go
@@ -76,7 +76,7 @@
 	}
 	_, _ = io.Copy(io.Discard, request.Body)
 	s.accepted.Add(1)
-	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nHatchplank-Request-Id: %s\r\n%s\r\n", request.Header.Get("Hatchplank-Request-Id"), s.head); err != nil {
+	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nHatchplank-Request-Id: %s\r\nHatchplank-Server-Seal: seal\r\n%s\r\n", request.Header.Get("Hatchplank-Request-Id"), s.head); err != nil {
 		return
 	}
 	if _, err := io.WriteString(conn, s.beginning); err != nil {
@@ -218,6 +218,7 @@
 	}
 	Expect(most).To(And(BeNumerically(">", 0), BeNumerically("<=", processMemoryMB)))
 	Expect(served).To(Equal(sent))
+	Expect(page).To(ContainSubstring(`attempts_total{outcome="memory_short"}`), "no response had to give way")
 	Expect(events.accepted.Load()).To(BeNumerically(">=", floodCallers))
 	Expect(bodies.accepted.Load()).To(BeNumerically(">=", floodCallers))
 }
