--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -81,7 +81,6 @@
 switch_off proof-of-not-run platform/backend.go 'return nil, &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanUnknown' 'return nil, &forward.AttemptError{Reason: forward.FailureBroken, Ran: result.RanNo' ./platform
 switch_off route-attempts internal/forward/attempt.go 'flow.runs+further < flow.route.MaxAttempts' 'flow.runs+further < 100' $forward
 # Choice under stale load.
-switch_off sealed-success platform/backend.go 'if lacksSeal(response) {' 'if lacksSeal(response) && false {' ./platform -run Unsealed
 switch_off load-figures platform/server_load.go 'if len(figures) < loadFigures {' 'if len(figures) != loadFigures {' ./platform
 switch_off loads-of-nodes internal/forward/shared_load.go 'return s.shared.inForce &&' 'return false &&' $forward
 switch_off own-requests-since internal/forward/shared_load.go '+s.own-s.ownAt(s.shared.at)' '+s.own' $forward
@@ -223,6 +222,9 @@
 switch_off streams-only internal/forward/relay.go 'return isSuccess(reply) && !reply.Events' 'return false' $forward ./platform
 switch_off heads-of-streams internal/forward/relay.go 'if reply.HeadOnly {' 'if false {' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
 switch_off heads-without-events platform/backend.go 'Events: !headOnly && ' 'Events: ' ./platform -run TestResponseToHeadOfAStreamIsPassedOn
+switch_off comments-are-no-events internal/forward/eventstream.go 'if !event.isComment {
+			g.events++' 'if true {
+			g.events++' $forward
 switch_off failures-are-no-streams internal/forward/attempt.go 'reply.Events = reply.Events && isSuccess(reply)' '' $forward
 switch_off no-body-statuses internal/forward/relay.go 'case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:' 'case 0:' $forward
 switch_off streams-have-events internal/forward/eventstream.go 'if g.lacksEvents() {' 'if false {' $forward ./platform
@@ -242,6 +244,9 @@
 switch_off counts-in-range platform/server_load.go 'min(count, maxLoadCount)' 'count' ./platform -run TestLoadOfAnySizeIsNotTakenForAnIdleServer
 switch_off faults-are-remembered internal/forward/tracker.go 'halfLife := failureHalfLife << (max(s.faultLevel-1, 0) / faultWeight)' 'halfLife := failureHalfLife' $forward
 switch_off faults-are-forgiven internal/forward/tracker.go 's.faultLevel = max(s.faultLevel-1, 0)' '' $forward
+switch_off signed-successes platform/backend.go 'case response.Header.Get(headerSignature) == "":' 'case false:' ./platform
+switch_off plain-bodies platform/backend.go 'case slices.ContainsFunc(response.Header.Values("Content-Encoding"), isEncoding):' 'case false && isEncoding("x"):' ./platform
+switch_off invalid-responses internal/forward/attempt.go 'if reply.Invalid != nil {' 'if false {' ./platform
 switch_off head-with-first-event internal/forward/held_events.go ' || g.stream.hasNoEvent()' '' $forward
 switch_off one-kind-of-body internal/forward/flow.go 'fl.headOfStream && reply.Events' 'reply.Events' $forward
 switch_off held-part-of-event internal/forward/held_events.go 'return !event.hasData && !g.stream.hasDataless ||' 'return' $forward
@@ -404,6 +409,7 @@
 switch_off released-key-deleted internal/poison/propagation.go 'g.entryStore.remove(released.Identity, time.Now().Add(2*saveInterval+g.entryStore.delay(released.Identity)))' '' $poison
 switch_off reporters-do-not-decide internal/poison/propagation.go 'if len(collectors) == 0 || slices.Contains(collectors, g.config.Address) {' 'if true {' $poison
 switch_off latest-report-awaited internal/poison/propagation.go 'if wait := time.Until(g.decisionDue); wait > 0 {' 'if wait := time.Until(g.decisionDue); wait > time.Hour {' $poison
+switch_off trials-in-order internal/poison/trial.go '|| t.isBehindAnother(ask.Identity, now) {' '{' $poison
 switch_off poison-unseen-by-whom internal/poison/attribution.go 'return crash.remembered >= minRemembered' 'return true' $poison
 switch_off poison-refused-unserved internal/poison/attribution.go '|| a.isProvisional(identity) && a.log.past[identity].byTrial' '' $poison
 switch_off unused-trial-ends internal/poison/trial.go 'g.config.Transport.Send(granter, TrialEnded{Identity: identity, Trial: ask.Trial})' '' $poison
