--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -412,7 +412,7 @@
 switch_off trials-in-order internal/poison/trial.go '|| t.isBehindAnother(ask.Identity, now) {' '{' $poison
 switch_off poison-unseen-by-whom internal/poison/attribution.go 'return crash.remembered >= minRemembered' 'return true' $poison
 switch_off poison-refused-unserved internal/poison/attribution.go '|| a.isProvisional(identity) && a.log.past[identity].byTrial' '' $poison
-switch_off unused-trial-ends internal/poison/trial.go 'g.config.Transport.Send(granter, TrialEnded{Identity: identity, Trial: ask.Trial})' '' $poison
+switch_off unused-trial-ends internal/poison/trial.go 'for _, identity := range ask.identities() {' 'for _, identity := range ask.identities()[:0] {' $poison
 switch_off trial-of-several internal/poison/trial.go 'append([]Identity{r.Identity}, r.Quarantined...)' '[]Identity{r.Identity}' $poison
 switch_off trial-though-ambiguous internal/poison/trial.go 'if early || !quarantined {' 'if true || early || !quarantined {' $poison
 switch_off released-ends-unshared internal/poison/propagation.go 'g.shared.clear(identity, servers)' '' $poison
