Revert "poison: Decide on crashes only with what other nodes have seen served"

The later decision lets a poison request reach a further server.

The test of the commit goes with it, since it asks for that delay.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -25,9 +25,9 @@
 	firstProbeDelay, secondProbeDelay = 20 * time.Millisecond, 300 * time.Millisecond
 	// reportBatchDelay combines the crashes of servers that fail together into one report.
 	reportBatchDelay = 10 * time.Millisecond
-	// decisionDelay passes between the latest report and the decision, so that the other nodes that had
-	// requests at the server can report as well, and maxDecisionDelay at most since the first.
-	decisionDelay, maxDecisionDelay = 150 * time.Millisecond, 450 * time.Millisecond
+	// decisionDelay passes between a report and the decision, so that the other nodes that had
+	// requests at the server can report as well.
+	decisionDelay = 150 * time.Millisecond
 	// tickInterval is the period of Run's checks: unacknowledged reports, records of servers,
 	// expired quarantines, pending writes to the store.
 	tickInterval = 500 * time.Millisecond
@@ -88,9 +88,8 @@
 	// reports that some collector has not answered.
 	pending        []timedCrash
 	unacknowledged []*unacknowledgedReport
-	// decisionDue is the time of the next decision, zero if none is scheduled, and decisionLimit the
-	// latest one to which further reports postpone it.
-	decisionDue, decisionLimit time.Time
+	// decisionScheduled is set while a decision is due.
+	decisionScheduled bool
 	// recentViews are the snapshots of the last ticks. Servers that shut down as planned
 	// continue to serve for longer than the age of these snapshots.
 	recentViews [2]*fleet.Snapshot
@@ -101,8 +100,8 @@
 	collector string
 	crashes   []timedCrash
 	since     time.Time
-	// sending is set while a call is in flight, counted once this node counts the crashes itself.
-	sending, counted bool
+	// sending is set while a call is in flight.
+	sending bool
 }
 
 // NewGuard returns a guard and registers its message handlers with the transport.
--- a/internal/poison/propagation.go
+++ b/internal/poison/propagation.go
@@ -36,19 +36,13 @@
 		g.shared.add(crashes, now)
 	}
 	g.sendReports(now)
-	if len(collectors) == 0 || slices.Contains(collectors, g.config.Address) {
-		g.recordCrashes(withAges(crashes, now))
-		return
-	}
-	// The collectors decide: this node lacks what the others have seen served.
-	g.crashes.Add(withAges(crashes, now), now)
+	g.recordCrashes(withAges(crashes, now))
 }
 
 // sendReports sends the unacknowledged reports, until reportRetryWindow has passed.
 func (g *Guard) sendReports(now time.Time) {
 	g.mutex.Lock()
 	var kept, due []*unacknowledgedReport
-	var unanswered []timedCrash
 	for _, report := range g.unacknowledged {
 		if now.Sub(report.since) > reportRetryWindow {
 			continue
@@ -56,10 +50,6 @@
 		kept = append(kept, report)
 		if now.Sub(report.since) >= storeFallbackDelay {
 			g.shared.add(report.crashes, now)
-			if !report.counted {
-				report.counted = true
-				unanswered = append(unanswered, report.crashes...)
-			}
 		}
 		if !report.sending {
 			report.sending = true
@@ -68,9 +58,6 @@
 	}
 	g.unacknowledged = kept
 	g.mutex.Unlock()
-	if len(unanswered) > 0 {
-		g.recordCrashes(withAges(unanswered, now))
-	}
 	for _, report := range due {
 		g.config.Transport.Call(report.collector, Report{Ends: withAges(report.crashes, now)}, reportTimeout, func(message peer.Message, err error) {
 			g.reportAnswered(report, message, err)
@@ -128,32 +115,10 @@
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.decisionDue.IsZero() {
-		g.decisionDue, g.decisionLimit = now, now.Add(maxDecisionDelay)
-		time.AfterFunc(decisionDelay, g.decideWhenDue)
-	}
-	g.decisionDue = earlier(now.Add(decisionDelay), g.decisionLimit)
-}
-
-// decideWhenDue decides unless a report has come meanwhile that other nodes may add to.
-func (g *Guard) decideWhenDue() {
-	g.mutex.Lock()
-	if wait := time.Until(g.decisionDue); wait > 0 {
-		time.AfterFunc(wait, g.decideWhenDue)
-		g.mutex.Unlock()
-		return
+	if !g.decisionScheduled {
+		g.decisionScheduled = true
+		time.AfterFunc(decisionDelay, g.decide)
 	}
-	g.decisionDue = time.Time{}
-	g.mutex.Unlock()
-	g.decide()
-}
-
-// earlier returns the earlier of two times.
-func earlier(one, other time.Time) time.Time {
-	if other.Before(one) {
-		return other
-	}
-	return one
 }
 
 // crashesWithServed returns the crashes with only those suspects that this node has seen served
@@ -186,6 +151,9 @@
 }
 
 func (g *Guard) decide() {
+	g.mutex.Lock()
+	g.decisionScheduled = false
+	g.mutex.Unlock()
 	g.clearServed()
 	now := time.Now()
 	entries, explained := g.crashes.Decide(g.quarantine.quarantinedAt(now), now)
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -407,8 +407,6 @@
 switch_off part-of-explained internal/poison/attribution.go '!c.frequent && c.all' 'c.all' $poison
 switch_off control-leaves-slots internal/serverlimit/serverlimit.go 'if wait := l.controlWait(server.ID, need); wait > 0 {' 'if wait := l.controlWait(server.ID, need); wait > time.Hour {' ./internal/serverlimit
 switch_off released-key-deleted internal/poison/propagation.go 'g.entryStore.remove(released.Identity, time.Now().Add(2*saveInterval+g.entryStore.delay(released.Identity)))' '' $poison
-switch_off reporters-do-not-decide internal/poison/propagation.go 'if len(collectors) == 0 || slices.Contains(collectors, g.config.Address) {' 'if true {' $poison
-switch_off latest-report-awaited internal/poison/propagation.go 'if wait := time.Until(g.decisionDue); wait > 0 {' 'if wait := time.Until(g.decisionDue); wait > time.Hour {' $poison
 switch_off trials-in-order internal/poison/trial.go '|| t.isBehindAnother(ask.Identity, now) {' '{' $poison
 switch_off poison-unseen-by-whom internal/poison/attribution.go 'return crash.remembered >= minRemembered' 'return true' $poison
 switch_off poison-refused-unserved internal/poison/attribution.go '|| a.isProvisional(identity) && a.log.past[identity].byTrial' '' $poison
