--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -118,7 +118,7 @@
 
 // poisonRequest returns what crashes of servers are counted by.
 func (fl *flow) poisonRequest() poison.Request {
-	return poison.Request{Identity: fl.request.Identity, Parts: fl.request.SharedParts, Pool: fl.pool, Trial: fl.trial}
+	return poison.Request{Identity: fl.request.Identity, Parts: fl.request.SharedParts, Trial: fl.trial}
 }
 
 // minRefusalStatus is the lowest HTTP status of a response without a result.
--- a/internal/poison/attribution.go
+++ b/internal/poison/attribution.go
@@ -115,7 +115,7 @@
 // count returns the number of crashes of an identity.
 func (a *attribution) count(identity Identity) crashCount {
 	count := crashCount{threshold: crashThreshold}
-	if a.isPart(identity) && !a.aloneProves(identity) {
+	if a.isPart(identity) && a.served[identity] {
 		count.threshold, count.frequent = servedPartThreshold, true
 	}
 	for _, crash := range a.crashesOf[identity] {
@@ -187,7 +187,7 @@
 // proved by now.
 func (a *attribution) exceeds(identity Identity, count crashCount) bool {
 	if a.isProvisional(identity) {
-		return a.wasAlone(identity) && a.aloneProves(identity)
+		return a.wasAlone(identity) && !a.served[identity]
 	}
 	return !a.isProved(identity) && count.exceedsThreshold(a.log.past[identity].times > 0) && !a.isSubsumed(identity)
 }
@@ -211,17 +211,6 @@
 	})
 }
 
-// aloneProves reports whether being the only suspect of a crash proves an identity the cause. It does
-// not where the identity may be frequent, and alone at crashes by chance: where some node had seen it
-// served before, or where none remembers enough requests of the servers' pool to tell. Nor does it for
-// one that is quarantined for this reason, since it is not served meanwhile.
-func (a *attribution) aloneProves(identity Identity) bool {
-	if a.served[identity] || a.isProvisional(identity) && a.log.past[identity].byTrial {
-		return false
-	}
-	return slices.ContainsFunc(a.crashesOf[identity], func(crash *crashRecord) bool { return crash.remembered >= minRemembered })
-}
-
 // wasAlone reports whether an identity was the only suspect of an unexplained crash.
 func (a *attribution) wasAlone(identity Identity) bool {
 	return slices.ContainsFunc(a.crashesOf[identity], func(crash *crashRecord) bool {
--- a/internal/poison/crash.go
+++ b/internal/poison/crash.go
@@ -23,17 +23,13 @@
 	Parts [][]Identity
 	// Trials are, for each suspect, the identities that it was a trial of.
 	Trials [][]Identity
-	// Pool is that of the server, and Remembered the number of requests there that the reporting node
-	// remembers as served. Earlier builds send neither.
-	Pool       string
-	Remembered int
 }
 
 // withAges returns the crashes in the form in which they are sent at the given time.
 func withAges(crashes []timedCrash, now time.Time) []Crash {
 	reported := make([]Crash, len(crashes))
 	for i, crash := range crashes {
-		reported[i] = Crash{Server: crash.server, Suspects: identitiesOf(crash.suspects), Served: crash.served, Age: now.Sub(crash.at), Pool: crash.pool, Remembered: crash.remembered}
+		reported[i] = Crash{Server: crash.server, Suspects: identitiesOf(crash.suspects), Served: crash.served, Age: now.Sub(crash.at)}
 		for _, suspect := range crash.suspects {
 			reported[i].Elapsed = append(reported[i].Elapsed, suspect.elapsed)
 			reported[i].Parts = append(reported[i].Parts, suspect.partIdentities())
@@ -77,9 +73,6 @@
 	suspects []suspect
 	served   []Identity
 	at       time.Time
-	// pool and remembered as in Crash.
-	pool       string
-	remembered int
 }
 
 // identities returns those of all suspects and of their parts.
@@ -112,8 +105,6 @@
 	trials map[Identity][]Identity
 	// served are those of the suspects that some node reports as served before.
 	served map[Identity]bool
-	// remembered is the largest number of served requests of the server's pool that a node remembers.
-	remembered int
 	// settled is set once an identity was quarantined for this crash, not provisionally, and the
 	// quarantine is over.
 	settled bool
--- a/internal/poison/crash_log.go
+++ b/internal/poison/crash_log.go
@@ -60,8 +60,6 @@
 	until time.Time
 	// provisional: the last quarantine was provisional.
 	provisional bool
-	// byTrial: only a trial was to confirm it.
-	byTrial bool
 	// servers are the crashes that the last quarantine is for, and refusedUntil the time from which
 	// it admitted trials.
 	servers      []string
@@ -90,7 +88,6 @@
 		if at.Before(crash.at) {
 			crash.at = at
 		}
-		crash.remembered = max(crash.remembered, reported.Remembered)
 		for i, identity := range reported.Suspects {
 			crash.addRequest(identity, reported.elapsedOf(i), reported.partsOf(i), reported.trialsOf(i), func(identity Identity) bool {
 				return l.isReleasedFrom(identity, reported.Server)
@@ -118,7 +115,7 @@
 	}
 	for candidates := attribution.candidates(); len(candidates) > 0; candidates = attribution.candidates() {
 		identity := attribution.likeliestCause(candidates)
-		entry := l.newEntry(Entry{Identity: identity, Rivals: attribution.rivals(identity), ServedBefore: !attribution.aloneProves(identity)}, now)
+		entry := l.newEntry(Entry{Identity: identity, Rivals: attribution.rivals(identity), ServedBefore: attribution.served[identity]}, now)
 		entries = append(entries, entry)
 		attribution.add(entry)
 	}
@@ -209,7 +206,7 @@
 	times := max(entry.Times, l.past[entry.Identity].times)
 	l.past[entry.Identity] = pastQuarantine{
 		times: times, until: entry.expires().Add(pastQuarantineRetention),
-		provisional: entry.provisional(), byTrial: entry.ServedBefore, servers: entry.Servers, refusedUntil: entry.Until,
+		provisional: entry.provisional(), servers: entry.Servers, refusedUntil: entry.Until,
 	}
 	for len(l.past) > maxPastQuarantines {
 		dropEarliest(l.past, func(past pastQuarantine) time.Time { return past.until })
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -211,7 +211,6 @@
 		g.queueCrash(timedCrash{
 			server: server.ID, suspects: []suspect{{Request: request, elapsed: now.Sub(began)}},
 			served: g.served.among(request.identities()), at: now,
-			pool: request.Pool, remembered: g.served.remembered(request.Pool),
 		})
 	case probe:
 		go g.probe(context.WithoutCancel(ctx), server)
@@ -279,8 +278,7 @@
 	identities := identitiesOf(suspects)
 	g.config.Logger.Warn().Str("server", server).Str("proof", proof).Int("requests", len(identities)).
 		Strs("identities", loggedIdentities(identities)).Strs("parts", loggedParts(suspects)).Msg("server ended under requests")
-	pool := suspects[0].Pool
-	crash := timedCrash{server: server, suspects: suspects, at: brokeAt, pool: pool, remembered: g.served.remembered(pool)}
+	crash := timedCrash{server: server, suspects: suspects, at: brokeAt}
 	crash.served = g.served.among(crash.identities())
 	for _, suspect := range suspects {
 		if suspect.Trial != nil {
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -27,8 +27,8 @@
 	// Rivals were running at the same crashes; this identity is only the likeliest cause among
 	// them. Without rivals, nothing else explains the crashes.
 	Rivals []Identity
-	// ServedBefore: some node had seen the identity served before, or none remembers enough requests to
-	// tell. Then being alone at a crash is no proof, and only a trial confirms the entry.
+	// ServedBefore: some node had seen the identity served before. Then being alone at a crash is no
+	// proof, and only a trial confirms the entry.
 	ServedBefore bool
 }
 
--- a/internal/poison/propagation.go
+++ b/internal/poison/propagation.go
@@ -122,17 +122,14 @@
 }
 
 // crashesWithServed returns the crashes with only those suspects that this node has seen served
-// and the reporting node has not, and those of which this node remembers enough requests and the
-// reporting one does not. It is needed since a node that had nothing running at a server sends no
-// report of its own.
+// and the reporting node has not. It is needed since a node that had nothing running at a
+// server sends no report of its own.
 func (g *Guard) crashesWithServed(crashes []Crash) []Crash {
 	var found []Crash
 	for _, crash := range crashes {
 		isReported := func(identity Identity) bool { return slices.Contains(crash.Served, identity) }
-		served := slices.DeleteFunc(g.served.among(crash.identities()), isReported)
-		remembered := g.served.remembered(crash.Pool)
-		if len(served) > 0 || len(crash.Suspects) > 0 && crash.Remembered < minRemembered && remembered >= minRemembered {
-			found = append(found, Crash{Server: crash.Server, Served: served, Age: crash.Age, Pool: crash.Pool, Remembered: remembered})
+		if served := slices.DeleteFunc(g.served.among(crash.identities()), isReported); len(served) > 0 {
+			found = append(found, Crash{Server: crash.Server, Served: served, Age: crash.Age})
 		}
 	}
 	return found
--- a/internal/poison/request.go
+++ b/internal/poison/request.go
@@ -20,8 +20,6 @@
 type Request struct {
 	Identity Identity
 	Parts    []Part
-	// Pool is that of the servers that run it.
-	Pool string
 	// Trial is set where the request may run only as a trial.
 	Trial *Trial
 }
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -408,8 +408,6 @@
 switch_off control-leaves-slots internal/serverlimit/serverlimit.go 'if wait := l.controlWait(server.ID, need); wait > 0 {' 'if wait := l.controlWait(server.ID, need); wait > time.Hour {' ./internal/serverlimit
 switch_off released-key-deleted internal/poison/propagation.go 'g.entryStore.remove(released.Identity, time.Now().Add(2*saveInterval+g.entryStore.delay(released.Identity)))' '' $poison
 switch_off trials-in-order internal/poison/trial.go '|| t.isBehindAnother(ask.Identity, now) {' '{' $poison
-switch_off poison-unseen-by-whom internal/poison/attribution.go 'return crash.remembered >= minRemembered' 'return true' $poison
-switch_off poison-refused-unserved internal/poison/attribution.go '|| a.isProvisional(identity) && a.log.past[identity].byTrial' '' $poison
 switch_off unused-trial-ends internal/poison/trial.go 'for _, identity := range ask.identities() {' 'for _, identity := range ask.identities()[:0] {' $poison
 switch_off trial-of-several internal/poison/trial.go 'append([]Identity{r.Identity}, r.Quarantined...)' '[]Identity{r.Identity}' $poison
 switch_off trial-though-ambiguous internal/poison/trial.go 'if early || !quarantined {' 'if true || early || !quarantined {' $poison
