--- a/cmd/hatchplank-node/memory_soak_test.go
+++ b/cmd/hatchplank-node/memory_soak_test.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -127,24 +126,6 @@
 	return "http://" + addresses[0], "http://" + addresses[3] + "/metrics", command.Process.Pid
 }
 
-// highestMemoryMB returns the highest resident memory that a process had; 0 if it has ended.
-func highestMemoryMB(process int) int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process))
-	if err != nil {
-		return 0
-	}
-	_, after, _ := strings.Cut(string(status), "VmHWM:")
-	fields := strings.Fields(after)
-	if len(fields) == 0 {
-		return 0
-	}
-	kilobytes, err := strconv.Atoi(fields[0])
-	if err != nil {
-		return 0
-	}
-	return kilobytes >> 10
-}
-
 // flood sends requests to a path, so many at a time, until the context ends.
 func flood(ctx context.Context, flows *sync.WaitGroup, url string, body string) {
 	transport := &http.Transport{MaxIdleConnsPerHost: floodCallers}
@@ -188,7 +169,7 @@
 	url, metrics, process := d.runProcess(t)
 	Eventually(func() int { return standin.Post(url, "/p/x", "") }, "30s").Should(Equal(http.StatusOK))
 	Eventually(func() int { return standin.Post(url, "/s/x", "a") }, "30s").Should(Equal(http.StatusOK))
-	calm := highestMemoryMB(process)
+	calm := standin.PeakResidentMB(process)
 
 	ctx, cancel := context.WithTimeout(context.Background(), floodFor)
 	defer cancel()
@@ -209,7 +190,7 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	flows.Wait()
-	most := highestMemoryMB(process)
+	most := standin.PeakResidentMB(process)
 	t.Logf("highest memory: %d MB, %d before; %d of %d sound requests served, the slowest in %v; responses without end: %d streams, %d bodies", most, calm, served, sent, longest.Round(time.Millisecond), events.accepted.Load(), bodies.accepted.Load())
 	for _, line := range strings.Split(page, "\n") {
 		if strings.Contains(line, "_held_bytes") || strings.Contains(line, "_memory_short") || strings.Contains(line, "_attempts_total") {
