forward: Expect an unplanned or overdue load to take as long again

Callers of a model whose load nobody had planned waited, once it was overdue by the servers' records, as if it ended in 150 ms, again and again until their deadline: the estimate fell with the time that a request had waited and then stayed at its lower bound. The same held for a planned load that was overdue.

A load that is not planned has not begun, so it takes all of its time from now on, and the longer nobody plans it, the later it is expected to be planned. An overdue load is expected to take as long again, as the order holder does for overdue orders. The time without a plan counts from the moment at which the request began to wait for its model, not from its arrival: a request that lost its server has reported no demand before.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		if found.eligible == 0 && !waiting && flow.request.Model != "" {
-			waiting, flow.cold = true, true
+			waiting, flow.cold, flow.waitingSince = true, true, now
 			f.demand.addWaiting(flow.demandKey(), flow.priority)
 		}
 		if flow.reservation == nil {
@@ -109,7 +109,7 @@
 // past its deadline.
 func (f *Forwarder) waitForChange(ctx context.Context, flow *flow, changed, freed, check <-chan struct{}) error {
 	period := pollPeriod
-	if time.Since(flow.request.Accepted) < planWaitLimit {
+	if time.Since(flow.waitingSince) < planWaitLimit {
 		period = planPollPeriod
 	}
 	fullPeriod := period == pollPeriod
--- a/internal/forward/delay.go
+++ b/internal/forward/delay.go
@@ -10,30 +10,30 @@
 const retryGrace = 500 * time.Millisecond
 
 // expectedDelay is the expected time until some server holds what the request needs: by the
-// plan of the order holder or, if it has none yet, by the load time that the servers'
-// records give, counted from the request's arrival, when the demand for the load was reported.
+// plan of the order holder or, if it has none yet, by the load time that the servers' records
+// give. What is overdue is expected to take as long again: the longer nothing has come, the less
+// likely it is to come soon.
 func (f *Forwarder) expectedDelay(flow *flow, snapshot *fleet.Snapshot, now time.Time) time.Duration {
 	if f.orders == nil {
 		return takeoverDelay
 	}
 	if ready, planned := f.orders.ReadyAt(flow.demandKey()); planned {
-		return max(ready.Sub(now), 0) + baseDelay
+		return ready.Sub(now).Abs() + baseDelay
 	}
-	held := now.Sub(flow.request.Accepted)
+	waited := now.Sub(flow.waitingSince)
 	ordersIn, known := f.orders.OrdersIn()
 	if !known {
 		ordersIn = takeoverDelay
 	}
-	if ordersIn == 0 && held < planWaitLimit {
+	if ordersIn == 0 && waited < planWaitLimit {
 		return baseDelay
 	}
-	// A load begins only once orders are given, so the time for which the request was held
-	// is subtracted only where they are given now.
+	// The demand was reported when the request began to wait. A load that is not planned yet has not begun.
 	load := loadOverhead + minLoadTime(snapshot, flow.pool, flow.request.Model)
 	if ordersIn > 0 {
 		return ordersIn + load
 	}
-	return max(load-held, baseDelay)
+	return waited + load
 }
 
 // minLoadTime is the shortest time in which a server of the pool could load the model; zero if
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -32,6 +32,8 @@
 	// maySend: the next attempt needs no retry from the budget. It is the first one to reach a
 	// server, or a retry was taken for one that did not.
 	maySend bool
+	// waitingSince is when the request last began to wait for its model or adapter, which no server held.
+	waitingSince time.Time
 	// held is the time from acceptance to the first attempt.
 	held time.Duration
 	// attemptStarted is when the latest attempt was sent.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -175,6 +175,7 @@
 			b.view.ReplaceServers(map[string]*fleet.Server{})
 			return nil, &AttemptError{Reason: FailureBroken, Ran: result.RanUnknown}
 		}
+		b.orders.set("m", time.Now().Add(4500*time.Millisecond))
 		time.AfterFunc(4500*time.Millisecond, func() {
 			b.view.ReplaceServers(map[string]*fleet.Server{"m2": {ID: "m2", Pool: modelPool, Slots: 8, Models: holds("m")}})
 		})
