forward: Hold requests by the time of their callers and the work that is left

Callers were refused although their work ended in the time that they had: with 6 s left and a load that ended at 1.5 s, a request of a route with an objective of 0.8 s was refused at once, one with 2 s was answered. A request that came after another caller of its route with more time was taken for a retry and held instead, since a retry was guessed from the longest time to the deadline that the route had seen.

Cause: waits and refusals were set at shares of the route's latency objective (a quarter, all of it) and of the caller's time (0.45), and a guess chose between them.

Now every request asks the same: it is held while a server is expected to begin with it by latestStart, and refused at once, with the time at which it can be served, once none is. latestStart leaves the time to the first event before the caller stops waiting for it, and the time of the whole response, by its longest possible answer, before the deadline; together at most half of the request's time, so that long responses to others shut out nobody, and a request that need not wait is always tried. Queues, slots of rate limits, loads, backoffs and unreachable servers are weighed against the same time. A slot that is overdue is expected to take as long again, like a load.

caller_time_test.go: of eight situations on two routes with four objectives, 30 of 64 cases failed before, as did 4 of 16 beside another caller with more time; all pass. TestQueueLeavesTimeForTheResponse and TestOverdueSlotIsNotAwaitedToTheEnd failed before as well.

Tests that stated the shares state the caller's time instead: where a test needs a request that can't wait, its route now has a time limit that is too short, and what it expects is as before. Three tests of the guess, and two of what was done with a retry, guarded a mechanism that is gone; the new tests state what holds for every request. TestRetryBudgetBoundsRetries sends its requests within one window of the budget, which it compares with.

--- a/internal/edge/requestlog.go
+++ b/internal/edge/requestlog.go
@@ -128,9 +128,6 @@
 		event = event.Bool("cold", true)
 	}
 	event = addText(event, "late", string(outcome.Late))
-	if outcome.ClientRetry {
-		event = event.Bool("came_back", true)
-	}
 	if outcome.LongestGap > 0 {
 		event = event.Dur("longest_pause_ms", outcome.LongestGap)
 	}
--- a/internal/explain/day.go
+++ b/internal/explain/day.go
@@ -94,9 +94,6 @@
 	if entry.boolField("cold") {
 		text += ", cold"
 	}
-	if entry.boolField("came_back") {
-		text += ", had come back"
-	}
 	return text
 }
 
--- /dev/null
+++ b/internal/forward/caller_time.go
@@ -0,0 +1,64 @@
+package forward
+
+import "time"
+
+// maxWorkShare bounds the expected time of an attempt, as a share of the time that the request had when
+// it arrived: long responses to others must not shut out those whose callers have less time.
+const maxWorkShare = 0.5
+
+// respondBy is the time by which the response must begin before the caller leaves.
+func (fl *flow) respondBy() time.Time {
+	if fl.route.CallerWaitLimit <= 0 {
+		return fl.deadline
+	}
+	return earlier(fl.deadline, fl.request.Accepted.Add(fl.route.CallerWaitLimit-deadlineMargin))
+}
+
+// latestStart is the latest time at which a server can begin with the request and still serve it: the
+// response has to begin while the caller waits for it, and to end before the deadline. Every request is
+// held for as long as a server is expected to begin by then, and refused once none is.
+func (f *Forwarder) latestStart(flow *flow) time.Time {
+	firstByte := time.Duration(flow.request.PromptTokens+baseTokens) * f.tracker.averageTokenTime(flow.pool)
+	whole := firstByte + f.tracker.expectedRunTime(flow.pool, flow.request.AnswerTokens)
+	return earlier(flow.leaveFor(firstByte, flow.respondBy()), flow.leaveFor(whole, flow.deadline))
+}
+
+// leaveFor is the time at which work has to begin to be done by another time.
+func (fl *flow) leaveFor(work time.Duration, by time.Time) time.Time {
+	total := by.Sub(fl.request.Accepted)
+	return by.Add(-min(work, time.Duration(maxWorkShare*float64(total))))
+}
+
+// maxQueueWait is the longest queue at a server that the request may join. One that need not wait is
+// always tried while its caller waits, so that an estimate can't shut out requests for good.
+func (f *Forwarder) maxQueueWait(flow *flow, now time.Time) time.Duration {
+	left := f.latestStart(flow).Sub(now)
+	if left < 0 && now.Before(flow.respondBy()) {
+		return 0
+	}
+	return left
+}
+
+// expectCapacity records when a server is expected to take the request, unless one was expected before.
+func (fl *flow) expectCapacity(at time.Time) {
+	if fl.capacityExpected.IsZero() {
+		fl.capacityExpected = at
+	}
+}
+
+// overdue is for how long a server was expected to have taken the request; zero before that. What is
+// overdue is expected to take as long again, whatever the loads that servers report say: they may be the
+// reason why nothing came.
+func (fl *flow) overdue(now time.Time) time.Duration {
+	if fl.capacityExpected.IsZero() {
+		return 0
+	}
+	return max(now.Sub(fl.capacityExpected), 0)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -105,7 +105,7 @@
 	candidates := slices.Grow((*scratch)[:0], len(holders))
 	shortestWait := time.Duration(math.MaxInt64)
 	flow.runTime, flow.aheadShare = f.tracker.averageRunTime(flow.pool), f.aheadShare(flow)
-	maxWait, maxQueueWait := f.maxSlotWait(flow, now), flow.startBy(now).Sub(now)
+	maxWait, maxQueueWait := f.maxSlotWait(flow, now), f.maxQueueWait(flow, now)
 	loads := f.tracker.ofServers(holders)
 	settled := f.settledVersions(flow)
 	for i, server := range holders {
@@ -129,7 +129,7 @@
 			}
 			shortestWait = min(shortestWait, max(backoff, slot.in, queueWait))
 		}
-		// The queue must be short enough for the request to begin while that is useful to the caller.
+		// The queue must be short enough for the request to be served while its caller waits.
 		if fits && queueWait <= maxQueueWait && backoff <= 0 && slot.mayRequest(flow, maxWait) {
 			candidates = append(candidates, candidate{server: server, load: load, slotIn: slot.in, indirect: f.indirect(server.Address)})
 		}
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -18,8 +18,6 @@
 	priority int
 	deadline time.Time
 	prefixes []prefix
-	// clientRetry: the caller probably retries a request that was refused.
-	clientRetry bool
 	// tried are the IDs of servers that are not tried again for now.
 	tried map[string]bool
 	// slotsAt are the times at which servers whose rate limits refused a slot have capacity
@@ -34,6 +32,8 @@
 	maySend bool
 	// waitingSince is when the request last began to wait for its model or adapter, which no server held.
 	waitingSince time.Time
+	// capacityExpected is when a server was first expected to take the request, since it began to wait for one.
+	capacityExpected time.Time
 	// held is the time from acceptance to the first attempt.
 	held time.Duration
 	// attemptStarted is when the latest attempt was sent.
@@ -74,18 +74,6 @@
 	aheadShare float64
 }
 
-// respondBy is the time by which the response must begin before the caller leaves.
-func (fl *flow) respondBy() time.Time {
-	if fl.route.CallerWaitLimit <= 0 {
-		return fl.deadline
-	}
-	leavesAt := fl.request.Accepted.Add(fl.route.CallerWaitLimit - deadlineMargin)
-	if leavesAt.Before(fl.deadline) {
-		return leavesAt
-	}
-	return fl.deadline
-}
-
 // mayContinue reports whether another server's response can follow what was passed on.
 func (fl *flow) mayContinue() bool { return !fl.headSent || fl.headOfStream && fl.stream.resumable() }
 
@@ -94,17 +82,6 @@
 	return !fl.headSent || fl.headOfStream && reply.Events && reply.Status == fl.headStatus
 }
 
-// startBy is the time by which a server must begin with the request: in time for the latency
-// objective or, where a late response is better than a refusal, before the caller leaves.
-func (fl *flow) startBy(now time.Time) time.Time {
-	objective := fl.request.Accepted.Add(fl.route.LatencyObjective)
-	early := fl.request.Accepted.Add(time.Duration(refusalShare * float64(fl.route.LatencyObjective)))
-	if fl.clientRetry || fl.ran != result.RanNo || now.After(early) {
-		return fl.respondBy()
-	}
-	return objective
-}
-
 // modelAndAdapter identifies the model and adapter that the request needs.
 func (fl *flow) modelAndAdapter() string { return fl.request.Model + "/" + fl.request.Adapter }
 
@@ -121,8 +98,7 @@
 	return &Outcome{
 		Code: code, Reason: reason, Ran: fl.ran, HeadSent: fl.headSent, Attempts: fl.attempts, Server: fl.server,
 		Route: fl.route.Name, Pool: fl.pool, Held: fl.held, FirstByte: fl.firstByte,
-		Cold: fl.cold, Decision: fl.decision, LongestGap: fl.gaps.longest, ClientRetry: fl.clientRetry,
-		Late: fl.lateness(),
+		Cold: fl.cold, Decision: fl.decision, LongestGap: fl.gaps.longest, Late: fl.lateness(),
 	}
 }
 
@@ -152,7 +128,7 @@
 	flow := &flow{
 		maySend: true,
 		request: request, route: route, pool: route.Pick(f.sequence.Add(1)), deadline: deadline,
-		prefixes: sharedPrefixes(request), clientRetry: f.isClientRetry(request, route), tried: map[string]bool{}, slotsAt: map[string]time.Time{},
+		prefixes: sharedPrefixes(request), tried: map[string]bool{}, slotsAt: map[string]time.Time{},
 		stream: newEventStream(request, route), latestServer: new(atomic.Pointer[fleet.Server]), version: new(atomic.Pointer[string]),
 		begunAt: new(atomic.Pointer[fleet.Server]), hasVersion: f.hasVersion,
 	}
@@ -161,48 +137,3 @@
 	}
 	return flow
 }
-
-// maxRouteTimes is the number of routes whose times are kept. It bounds the map, since routes
-// come and go with the configurations.
-const maxRouteTimes = 4096
-
-// routeTimeWindow is the time after which a caller's time to the deadline no longer counts for the
-// other callers of its route.
-const routeTimeWindow = time.Minute
-
-// longestTime is the longest time to the deadline among a route's requests of the current window and
-// of the one before.
-type longestTime struct {
-	since           time.Time
-	current, before time.Duration
-}
-
-// observe adds a request's time, and returns the longest one.
-func (l *longestTime) observe(left time.Duration, now time.Time) time.Duration {
-	if elapsed := now.Sub(l.since); elapsed >= routeTimeWindow {
-		before := l.current
-		if elapsed >= 2*routeTimeWindow {
-			before = 0
-		}
-		*l = longestTime{since: now, before: before}
-	}
-	l.current = max(l.current, left)
-	return max(l.current, l.before)
-}
-
-// isClientRetry reports whether the request is probably the retry of a refused one: its caller
-// leaves it less time than other callers of the route did lately.
-func (f *Forwarder) isClientRetry(request *Request, route *fleet.Route) bool {
-	left := request.Deadline.Sub(request.Accepted)
-	f.timesMutex.Lock()
-	defer f.timesMutex.Unlock()
-	longest := f.longestTimes[route.Prefix]
-	if longest == nil {
-		if len(f.longestTimes) >= maxRouteTimes {
-			clear(f.longestTimes)
-		}
-		longest = &longestTime{}
-		f.longestTimes[route.Prefix] = longest
-	}
-	return float64(left) < clientRetryShare*float64(longest.observe(left, time.Now()))
-}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -137,11 +136,6 @@
 	// lifetime ends with Close.
 	lifetime context.Context
 	cancel   context.CancelFunc
-
-	timesMutex sync.Mutex
-	// longestTimes are the longest times to the deadline that requests had lately, by the
-	// route's prefix.
-	longestTimes map[string]*longestTime
 }
 
 // New returns a forwarder with the configuration.
@@ -191,7 +185,7 @@
 		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, records: config.Records, origins: config.Origins, onRecordCheck: config.OnRecordCheck, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, checkIncarnation: config.CheckIncarnation, indirect: config.Indirect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
 		tracker: newTracker(), demand: newDemandTable(), priorities: newPriorityMix(),
 		budgets: retrybudget.New(retrybudget.Config{Limits: config.Budget, Nodes: config.Nodes, Fleet: config.Fleet}), onRetry: config.OnRetry,
-		observe: config.Observe, longRunning: config.LongRunning, memory: config.Memory, longestTimes: map[string]*longestTime{},
+		observe: config.Observe, longRunning: config.LongRunning, memory: config.Memory,
 	}
 }
 
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -134,24 +134,13 @@
 
 // maxSlotWait is how long the flow may wait for a slot at a server: as long as a request is held.
 func (f *Forwarder) maxSlotWait(flow *flow, now time.Time) time.Duration {
-	until := flow.startBy(now)
-	if flow.clientRetry {
-		total := flow.request.Deadline.Sub(flow.request.Accepted)
-		until = earlier(until, flow.request.Accepted.Add(time.Duration(maxHoldShare*float64(total))))
-	}
+	until := f.latestStart(flow)
 	if drain := f.drainUntil.Load(); drain != nil {
 		until = earlier(until, *drain)
 	}
 	return max(until.Sub(now), 0)
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // limitPenalty makes servers with a rate limit the last choice, so that their capacity is left
 // for requests that no other server can serve in time. With it a server that takes 1 request a
 // second, beside one without a limit, gets none of 1,000 requests in 20 s; without it, 9 (virtual
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -46,7 +46,7 @@
 	}
 	if err == nil {
 		if isSuccess(reply) {
-			f.tracker.recordRunTime(flow.pool, target.load.atUsualSpeed(time.Since(headReceived), time.Now()))
+			f.tracker.recordRun(flow.pool, flow.request.AnswerTokens, target.load.atUsualSpeed(time.Since(headReceived), time.Now()))
 		}
 		f.reportServed(ctx, flow, target.server, reply, started)
 		f.release(flow, target, &AttemptError{Reason: FailureStatus, Load: reply.Load})
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -221,8 +221,6 @@
 	FirstByte time.Duration
 	// Cold: no server held what the request needs when it arrived.
 	Cold bool
-	// ClientRetry: the request is probably the retry of a refused one.
-	ClientRetry bool
 	// Late says which objective the response missed.
 	Late Lateness
 	// LongestGap is the longest time between two events of the response.
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -220,10 +220,12 @@
 	// runTime is the average time from a response's beginning to its end at the usual speed of
 	// the servers, in nanoseconds, by pool. queueWait multiplies it by a server's slowdown.
 	runTime map[string]float64
+	// answerTokens is the average of the longest possible answers of those responses, in tokens, by pool.
+	answerTokens map[string]float64
 }
 
 func newTracker() *tracker {
-	return &tracker{servers: map[string]*serverLoad{}, freed: make(chan struct{}), tokenTime: map[string]float64{}, runTime: map[string]float64{}}
+	return &tracker{servers: map[string]*serverLoad{}, freed: make(chan struct{}), tokenTime: map[string]float64{}, runTime: map[string]float64{}, answerTokens: map[string]float64{}}
 }
 
 // of returns the load of the server with the ID.
@@ -310,6 +312,31 @@
 	return defaultTokenTime
 }
 
+// recordRun adds a response to the pool's averages: its longest possible answer in tokens, and the time from
+// its beginning to its end at the usual speed of its server.
+func (t *tracker) recordRun(pool string, answerTokens int, took time.Duration) {
+	t.recordRunTime(pool, took)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	average, known := t.answerTokens[pool]
+	if !known {
+		average = float64(answerTokens)
+	}
+	t.answerTokens[pool] = average + latencyWeight/4*(float64(answerTokens)-average)
+}
+
+// expectedRunTime is the expected time from a response's beginning to its end at the usual speed of the
+// servers, in proportion to its longest possible answer in tokens; zero until the first response has ended.
+func (t *tracker) expectedRunTime(pool string, answerTokens int) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	run := t.runTime[pool]
+	if average := t.answerTokens[pool]; average > 0 && answerTokens > 0 {
+		run *= float64(answerTokens) / average
+	}
+	return time.Duration(run)
+}
+
 // recordRunTime adds the time from a response's beginning to its end, at the usual speed of its
 // server, to the pool's average.
 func (t *tracker) recordRunTime(pool string, took time.Duration) {
