forward: Count a stream's patience from the last event that its caller got

Streams broke although another server could continue them and their callers still waited: a stream that broke or stalled later than the caller's wait limit after its arrival was given up at once, or left where it stalled until the caller had gone.

Cause: respondBy counted CallerWaitLimit from the arrival of the request.

TestStreamIsContinuedWhileItsCallerWaitsForTheNextEvent failed before, for a stream that breaks and for one that stalls after 4 s, with a limit of 2 s.

--- a/internal/forward/caller_time.go
+++ b/internal/forward/caller_time.go
@@ -6,12 +6,17 @@
 // it arrived: long responses to others must not shut out those whose callers have less time.
 const maxWorkShare = 0.5
 
-// respondBy is the time by which the response must begin before the caller leaves.
+// respondBy is the time by which the response must begin, or go on, before the caller leaves. A caller who
+// has got events waits as long for the next one as for the first.
 func (fl *flow) respondBy() time.Time {
 	if fl.route.CallerWaitLimit <= 0 {
 		return fl.deadline
 	}
-	return earlier(fl.deadline, fl.request.Accepted.Add(fl.route.CallerWaitLimit-deadlineMargin))
+	since := fl.request.Accepted
+	if last := fl.lastPassedOn.Load(); last != nil {
+		since = *last
+	}
+	return earlier(fl.deadline, since.Add(fl.route.CallerWaitLimit-deadlineMargin))
 }
 
 // latestStart is the latest time at which a server can begin with the request and still serve it: the
--- a/internal/forward/caller_time_test.go
+++ b/internal/forward/caller_time_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -171,3 +173,30 @@
 		Expect(time.Since(started)).To(BeNumerically("~", 2*time.Second, 300*time.Millisecond))
 	})
 }
+
+// Guards against streams that break although another server could continue them: their callers wait from the last event
+// that they got, not from the beginning.
+func TestStreamIsContinuedWhileItsCallerWaitsForTheNextEvent(t *testing.T) {
+	const callerWait, runs = 2 * time.Second, 20
+	for name, ends := range map[string]func(context.Context, Attempt) (*Reply, error){
+		"breaks": streams(events(1, runs), 200*time.Millisecond, io.ErrUnexpectedEOF),
+		"stalls": stallsAfterPauses(events(1, runs), 200*time.Millisecond),
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(b *testbed) {
+				route := *testRoute("patient")
+				route.CallerWaitLimit = callerWait
+				b.configure(route, 0)
+				b.backend.answer["m1"] = ends
+				b.backend.answer["m2"] = streams(events(runs+1, runs+3), time.Millisecond, io.EOF)
+				answer := &recorder{}
+				started := time.Now()
+				outcome := b.forwarder.Serve(context.Background(), request("patient", "m", 20*time.Second), answer)
+				Expect(outcome.Code).To(Equal(result.OK))
+				Expect(answer.body.String()).To(Equal(strings.Join(events(1, runs+3), "")))
+				Expect(time.Since(started)).To(BeNumerically("<", runs*200*time.Millisecond+callerWait))
+				Expect(b.backend.servers()).To(Equal([]string{"m1", "m2"}))
+			})
+		})
+	}
+}
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -316,8 +316,13 @@
 
 // stallsAfter answers with events after which the stream stalls.
 func stallsAfter(parts []string) func(context.Context, Attempt) (*Reply, error) {
+	return stallsAfterPauses(parts, 0)
+}
+
+// stallsAfterPauses answers with events, each after a pause, after which the stream stalls.
+func stallsAfterPauses(parts []string, pause time.Duration) func(context.Context, Attempt) (*Reply, error) {
 	return func(ctx context.Context, _ Attempt) (*Reply, error) {
-		return &Reply{Status: 200, Events: true, Body: &stalledBody{scriptedBody: scriptedBody{ctx: ctx, parts: parts}}}, nil
+		return &Reply{Status: 200, Events: true, Body: &stalledBody{scriptedBody: scriptedBody{ctx: ctx, parts: parts, pause: pause}}}, nil
 	}
 }
 
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -58,6 +58,8 @@
 	onAccepted func()
 	// onBegin is called with the server at which a stream that may be resumed begins; nil for others.
 	onBegin func(server *fleet.Server)
+	// lastPassedOn is when the caller last got events; nil inside until then. Copies of the flow share it.
+	lastPassedOn *atomic.Pointer[time.Time]
 	// begunAt is the server at which onBegin was called. Copies of the flow share it.
 	begunAt *atomic.Pointer[fleet.Server]
 	// hasVersion reports whether a server's record still names the version that it was chosen by.
@@ -130,7 +132,7 @@
 		request: request, route: route, pool: route.Pick(f.sequence.Add(1)), deadline: deadline,
 		prefixes: sharedPrefixes(request), tried: map[string]bool{}, slotsAt: map[string]time.Time{},
 		stream: newEventStream(request, route), latestServer: new(atomic.Pointer[fleet.Server]), version: new(atomic.Pointer[string]),
-		begunAt: new(atomic.Pointer[fleet.Server]), hasVersion: f.hasVersion,
+		begunAt: new(atomic.Pointer[fleet.Server]), lastPassedOn: new(atomic.Pointer[time.Time]), hasVersion: f.hasVersion,
 	}
 	if route.Kind == fleet.KindStream && route.Resumable {
 		flow.onBegin = func(server *fleet.Server) { f.recordOrigin(flow, server) }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -221,6 +221,7 @@
 			return err
 		}
 		if hasEvents {
+			flow.recordPassedOn(events, time.Now())
 			f.limitGap(flow, gap, sw)
 		}
 	}
@@ -241,6 +242,13 @@
 	return nil
 }
 
+// recordPassedOn notes that the caller got events. Comments alone don't keep it waiting.
+func (fl *flow) recordPassedOn(events []byte, now time.Time) {
+	if len(events) > 0 {
+		fl.lastPassedOn.Store(&now)
+	}
+}
+
 // limitGap limits the time until the next event, if another server can continue the stream.
 func (f *Forwarder) limitGap(flow *flow, gap time.Duration, sw *switchover) {
 	switch {
