forward: Leave a slow server by the time of the caller

A request that may run again left a slow server after 0.45 of its time or 2.5 of its route's objective, whichever came first, and a stream without an event after four times the gap objective, or the objective for the first one. So of two callers with 3 s of patience one was taken to another server after 0.25 s, to the cost of a second run and a retry, the other after 4 s, when it had gone.

Cause: objectives decided, which say how good a response is and not how long its caller waits.

Now the caller's time, that until the next event for a stream, is divided evenly among the attempts that the route still allows. A head alone no longer gives a stream as long again.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -11,16 +11,8 @@
 	"github.com/hatchplank/hatchplank/internal/result"
 )
 
-const (
-	// attemptTimeShare is the time limit of an attempt that may be repeated, as a share of
-	// the time left until the request's deadline.
-	attemptTimeShare = 0.45
-	// attemptObjectiveFactor is the longest time limit of such an attempt, as a multiple of
-	// the latency objective.
-	attemptObjectiveFactor = 2.5
-	// minFailureStatus is the lowest HTTP status that counts as a failure of the server.
-	minFailureStatus = 500
-)
+// minFailureStatus is the lowest HTTP status that counts as a failure of the server.
+const minFailureStatus = 500
 
 // errAttemptTimeout cancels an attempt that exceeded its time limit while another server
 // can take the request.
@@ -115,12 +107,17 @@
 // limitAttemptTime sets the time limit of an attempt if the request may run again at
 // another server.
 func (f *Forwarder) limitAttemptTime(flow *flow, sw *switchover) {
-	if !f.mayRepeat(flow, 1) {
-		return
+	if f.mayRepeat(flow, 1) {
+		sw.after(flow.attemptShare(time.Now()), errAttemptTimeout)
 	}
-	limit := time.Duration(attemptTimeShare * float64(time.Until(flow.deadline)))
-	limit = min(limit, time.Duration(attemptObjectiveFactor*float64(flow.route.LatencyObjective)))
-	sw.after(limit, errAttemptTimeout)
+}
+
+// attemptShare is how long the current attempt may leave the caller without a response, or without the next event
+// of it, before another server takes the request over: the caller's time is divided evenly among the attempts
+// that the route still allows.
+func (fl *flow) attemptShare(now time.Time) time.Duration {
+	attempts := max(fl.route.MaxAttempts-fl.runs, 1)
+	return max(fl.respondBy().Sub(now), 0) / time.Duration(attempts)
 }
 
 // mayRepeat reports whether the request may run again after the given number of
--- a/internal/forward/caller_time_test.go
+++ b/internal/forward/caller_time_test.go
@@ -200,3 +200,31 @@
 		})
 	}
 }
+
+// Guards against leaving a slow server at a time that has nothing to do with how long the caller waits: too early for a
+// server that would have answered, or too late for another one.
+func TestSlowServerIsLeftByTheTimeOfTheCaller(t *testing.T) {
+	const callerWait = 3 * time.Second
+	for name, first := range map[string]func(context.Context, Attempt) (*Reply, error){
+		"no response":    hangs,
+		"no first event": stallsAfter(nil),
+		"no next event":  stallsAfter(events(1, 1)),
+	} {
+		for _, objective := range []time.Duration{100 * time.Millisecond, 4 * time.Second} {
+			t.Run(fmt.Sprint(name, "/objectives of ", objective), func(t *testing.T) {
+				inVirtualTime(t, func(b *testbed) {
+					route := *testRoute("patient")
+					route.CallerWaitLimit, route.LatencyObjective, route.GapObjective = callerWait, objective, objective
+					b.configure(route, 0)
+					b.backend.answer["m1"] = first
+					b.backend.answer["m2"] = streams(events(2, 3), time.Millisecond, io.EOF)
+					started := time.Now()
+					outcome := b.forwarder.Serve(context.Background(), request("patient", "m", 20*time.Second), &recorder{})
+					Expect(outcome.Code).To(Equal(result.OK))
+					Expect(b.backend.servers()).To(Equal([]string{"m1", "m2"}))
+					Expect(time.Since(started)).To(BeNumerically("~", callerWait/2, 100*time.Millisecond), "two attempts share the caller's time")
+				})
+			})
+		}
+	}
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -18,9 +18,6 @@
 	maxBufferedBytes = 256 << 10
 	// initialBufferBytes is the first size of the buffer of such a response.
 	initialBufferBytes = 512
-	// gapFactor is the time without an event after which another server continues a stream,
-	// if one can, as a multiple of the route's gap objective.
-	gapFactor = 4
 )
 
 // errMemoryShort ends an attempt whose response held the most of the memory for responses that are not passed
@@ -185,10 +182,7 @@
 // relayEvents passes on the events of a stream as they come, complete events only, and only those that
 // follow the ones that the caller has.
 func (f *Forwarder) relayEvents(flow *flow, reply *Reply, responder Responder, sw *switchover) error {
-	first, gap := f.gapLimits(flow)
-	if gap > 0 && flow.mayContinue() {
-		sw.after(first, errStreamStalled)
-	}
+	f.limitGap(flow, sw)
 	reader, segment := newEventReader(reply.Body), flow.stream.newSegment()
 	reader.account = f.memory.Open(bytebudget.Events, func() { sw.cancel(errMemoryShort) })
 	defer reader.account.Close()
@@ -222,7 +216,7 @@
 		}
 		if hasEvents {
 			flow.recordPassedOn(events, time.Now())
-			f.limitGap(flow, gap, sw)
+			f.limitGap(flow, sw)
 		}
 	}
 }
@@ -249,23 +243,11 @@
 	}
 }
 
-// limitGap limits the time until the next event, if another server can continue the stream.
-func (f *Forwarder) limitGap(flow *flow, gap time.Duration, sw *switchover) {
-	switch {
-	case gap <= 0:
-	case flow.mayContinue():
-		sw.after(gap, errStreamStalled)
-	default:
-		sw.pause()
-	}
-}
-
-// gapLimits are how long the first event and each later one may take before the stream is
-// continued at another server; zero if it may not be.
-func (f *Forwarder) gapLimits(flow *flow) (first, gap time.Duration) {
-	if !f.mayRepeat(flow, 1) || flow.route.GapObjective <= 0 {
-		return 0, 0
+// limitGap limits the time until the first or next event, if another server can continue the stream.
+func (f *Forwarder) limitGap(flow *flow, sw *switchover) {
+	if f.mayRepeat(flow, 1) && flow.mayContinue() {
+		sw.after(flow.attemptShare(time.Now()), errStreamStalled)
+		return
 	}
-	gap = gapFactor * flow.route.GapObjective
-	return max(gap, flow.route.LatencyObjective), gap
+	sw.pause()
 }
