forward: Weigh failures and slots by the time that they cost callers

Which server a request went to depended on its route's objective: a failed attempt counted as twice the objective, a slot of a rate limit as half of it at most. With an objective of 0.1 s, callers with seconds to lose were sent to a server of which half of the attempts failed for 0.1 s of queue elsewhere, and the slots of a server that takes one request in 20 s were spent for 0.05 s.

Now a failure costs the time that the caller loses by it: the attempt's share where another one may follow, all that is left where none may. A slot costs the interval by which the next request at that server waits longer.

TestScoreFollowsTheTimeThatFailuresAndSlotsCost failed before: with an objective of 0.1 s, a failure rate of a half cost 0.1 s of 4 s that the caller had, where it costs 1.99 s.

--- a/internal/forward/choose_test.go
+++ b/internal/forward/choose_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/result"
+	"github.com/hatchplank/hatchplank/internal/serverlimit"
 )
 
 func TestPrefersTheServerInItsZone(t *testing.T) {
@@ -152,3 +153,30 @@
 		}
 	})
 }
+
+// Guards against a choice that depends on the route's objective: a failure costs the caller the time of the attempt, and
+// a slot of a rate limit costs the next request an interval.
+func TestScoreFollowsTheTimeThatFailuresAndSlotsCost(t *testing.T) {
+	score := func(name string, objective time.Duration, failures float64, limited bool) (found time.Duration) {
+		withLimits(t, func(b *testbed, limits *fakeLimits) {
+			if limited {
+				limits.announce(serverlimit.Grant{}, "m1")
+			}
+			b.view.UpdateServers(map[string]*fleet.Server{"m2": nil})
+			load := b.forwarder.tracker.of("m1")
+			load.failures, load.failuresAt = failures, time.Now()
+			route := *testRoute(name)
+			route.LatencyObjective = objective
+			flow := b.forwarder.newFlow(request(name, "m", 4*time.Second), &route)
+			found = b.forwarder.choose(flow, b.view.Load(), time.Now()).best.score
+		})
+		return found
+	}
+	for _, objective := range []time.Duration{100 * time.Millisecond, 4 * time.Second} {
+		g := NewWithT(t)
+		sound := score("stream", objective, 0, false)
+		g.Expect(score("stream", objective, 0.5, false)-sound).To(Equal(1990*time.Millisecond), "half of the attempts lose the caller's time")
+		g.Expect(score("patient", objective, 0.5, false)-sound).To(Equal(995*time.Millisecond), "another attempt may follow after half of it")
+		g.Expect(score("stream", objective, 0, true) - sound).To(Equal(time.Second))
+	}
+}
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -8,13 +8,8 @@
 	"github.com/hatchplank/hatchplank/internal/serverlimit"
 )
 
-const (
-	// lowestPriority is the number of the least urgent priority; higher numbers count as it.
-	lowestPriority = 9
-	// limitPenaltyShare is the highest penalty in the score of a server with a rate limit, as a
-	// share of the request's latency objective.
-	limitPenaltyShare = 0.5
-)
+// lowestPriority is the number of the least urgent priority; higher numbers count as it.
+const lowestPriority = 9
 
 // Limits keeps what all nodes together send to servers within the rate limits that the servers
 // announced.
@@ -141,15 +136,6 @@
 	return max(until.Sub(now), 0)
 }
 
-// limitPenalty makes servers with a rate limit the last choice, so that their capacity is left
-// for requests that no other server can serve in time. With it a server that takes 1 request a
-// second, beside one without a limit, gets none of 1,000 requests in 20 s; without it, 9 (virtual
-// time).
-func (f *Forwarder) limitPenalty(flow *flow, server *fleet.Server) time.Duration {
-	maxPenalty := time.Duration(limitPenaltyShare * float64(flow.route.LatencyObjective))
-	return min(f.limits.Interval(server), maxPenalty)
-}
-
 // newlyLimited reports whether the server announced a limit after it was chosen.
 func (f *Forwarder) newlyLimited(target *candidate) bool {
 	return !target.grant.Limited && f.limits.Limited(target.server)
--- a/internal/forward/score.go
+++ b/internal/forward/score.go
@@ -53,8 +53,9 @@
 	return value ^ value>>33
 }
 
-// score sets the candidate's score: the expected time until the response begins, with
-// penalties for other zones, indirect paths, rate limits and recent failures.
+// score sets the candidate's score: the expected time until the response begins, with what a
+// slot of a rate limit and recent failures cost in time, and penalties for other zones and
+// indirect paths.
 func (f *Forwarder) score(flow *flow, c *candidate, preferred bool, tokenTime time.Duration, now time.Time) {
 	c.load.mutex.Lock()
 	defer c.load.mutex.Unlock()
@@ -70,8 +71,10 @@
 	c.slowdown = slowdown
 	c.sharedAge, c.shared = now.Sub(c.load.shared.at), c.load.usesSharedFor(flow.request)
 	c.score += c.load.queueWait(c.server.Slots, flow, now)
-	c.score += c.slotIn + f.limitPenalty(flow, c.server)
-	c.score += time.Duration(2 * c.load.failureRate(now) * float64(flow.route.LatencyObjective))
+	// The request takes a slot of the server's rate limit, for which the next one waits an interval longer. So a
+	// server with a limit is left to requests that no other one can serve in time.
+	c.score += c.slotIn + f.limits.Interval(c.server)
+	c.score += time.Duration(c.load.failureRate(now) * float64(flow.failureCost(now)))
 	if c.server.Zone != f.zone {
 		c.score += otherZonePenalty
 	}
@@ -80,6 +83,15 @@
 	}
 }
 
+// failureCost is the time that a failed attempt costs the caller: the attempt's share of the time left where
+// another attempt may follow, otherwise all of it.
+func (fl *flow) failureCost(now time.Time) time.Duration {
+	if fl.route.Repeatable() {
+		return fl.attemptShare(now)
+	}
+	return max(fl.respondBy().Sub(now), 0)
+}
+
 // cachedTokens is the number of prompt tokens that the server is expected to have cached:
 // the longest prefix that this node sent there, or a share of it at the preferred server.
 func cachedTokens(flow *flow, load *serverLoad, preferred bool) int {
