forward: Tell refused callers the time at which they can be served

A refusal whose request could be served in 6 s told a caller with 5 s left to come back in 1.7 s, at which it was refused again: the core cut each Retry-After to a third of the time left, since callers of the users' platform follow no longer one. Callers on other platforms, and the operators who read the log, were told a time at which nothing would be ready, and the demand that is kept until the retry ended before the load did.

Retry-After is now the expected time, whatever the caller has left. The platform's page bounds what its callers make of it: they come back after a third of their time at the latest, so nothing changes for them.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -30,9 +30,6 @@
 	planPollPeriod = 20 * time.Millisecond
 	// pollPeriod is the longest time between two evaluations of a held request.
 	pollPeriod = 100 * time.Millisecond
-	// retryAfterShare limits a Retry-After, as a share of the time left until the request's
-	// deadline: callers follow no longer one.
-	retryAfterShare = 1.0 / 3
 	// deadlineMargin is left before a deadline for the refusal to reach the caller.
 	deadlineMargin = 20 * time.Millisecond
 )
@@ -160,7 +157,7 @@
 		code = result.QueueFull
 	}
 	outcome := flow.refuse(code, reason)
-	outcome.RetryAfter = flow.retryAfter(f.withJitter(flow, delay, now), now)
+	outcome.RetryAfter = f.withJitter(flow, delay, now)
 	if !eligible {
 		f.demand.expectRetry(flow.demandKey(), flow.priority, now.Add(outcome.RetryAfter+retryGrace))
 	}
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -113,12 +113,6 @@
 	return outcome
 }
 
-// retryAfter is the delay, limited to the longest Retry-After that callers follow.
-func (fl *flow) retryAfter(delay time.Duration, now time.Time) time.Duration {
-	left := fl.request.Deadline.Sub(now)
-	return min(delay, time.Duration(retryAfterShare*float64(left)))
-}
-
 func (f *Forwarder) newFlow(request *Request, route *fleet.Route) *flow {
 	deadline := request.Accepted.Add(route.Timeout)
 	if request.Deadline.IsZero() {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -227,7 +227,7 @@
 func (f *Forwarder) Serve(ctx context.Context, request *Request, responder Responder) Outcome {
 	snapshot := f.view.Load()
 	if snapshot.Configuration == nil {
-		return Outcome{Code: result.NodeNotReady, Reason: "no configuration yet", RetryAfter: f.readyDelay(request, time.Now())}
+		return Outcome{Code: result.NodeNotReady, Reason: "no configuration yet", RetryAfter: f.readyDelay(time.Now())}
 	}
 	route := snapshot.Configuration.Match(request.Host, request.Path)
 	if route == nil {
@@ -276,12 +276,8 @@
 
 // readyDelay is the Retry-After of a node without a configuration: as long as the node has waited
 // for one. Nothing shows when it will come, but a long wait so far makes a further long one likely.
-func (f *Forwarder) readyDelay(request *Request, now time.Time) time.Duration {
-	delay := max(now.Sub(f.started), minReadyDelay)
-	if request.Deadline.IsZero() {
-		return delay
-	}
-	return min(delay, time.Duration(retryAfterShare*float64(request.Deadline.Sub(now))))
+func (f *Forwarder) readyDelay(now time.Time) time.Duration {
+	return max(now.Sub(f.started), minReadyDelay)
 }
 
 // run sends attempts until one of them determines the outcome.
@@ -332,8 +328,7 @@
 	}
 	outcome := flow.refuse(code, reason)
 	if flow.ran == result.RanNo {
-		now := time.Now()
-		outcome.RetryAfter = flow.retryAfter(max(baseDelay, f.remainingBackoff(flow, now)), now)
+		outcome.RetryAfter = max(baseDelay, f.remainingBackoff(flow, time.Now()))
 	}
 	return outcome
 }
