forward: Give a request up at once whose retry the budget does not allow

After a failed attempt callers waited for another server, some for seconds, and then got the final answer that had been certain all along: the retry budget was asked only once a server was found, and it was spent.

A request that can't be sent now and needs a retry asks the node's budget before it waits. IsSpent answers from what the node knows without asking others, and takes nothing; who decides by which allowance is stated once for it and for taking a retry.

TestSpentBudgetEndsARequestBeforeItWaits failed before: its caller waited for 3.4 s of 5 s.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -67,6 +67,9 @@
 		if refusal := f.refuseWithoutVersion(flow, found); refusal != nil {
 			return nil, refusal
 		}
+		if refusal := f.refuseWithoutRetry(flow, now); refusal != nil {
+			return nil, refusal
+		}
 		if found.check != nil {
 			check = found.check
 		}
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 )
 
@@ -19,3 +20,12 @@
 	}
 	return decision.Allowed
 }
+
+// refuseWithoutRetry ends a request that can't be sent now and will need a retry that the budget does not allow;
+// nil if it may wait for a server.
+func (f *Forwarder) refuseWithoutRetry(flow *flow, now time.Time) *Outcome {
+	if flow.maySend || !f.budgets.IsSpent(retrybudget.Retry{Pool: flow.pool, Rank: flow.rank()}, now) {
+		return nil
+	}
+	return f.giveUp(flow, "retry budget is spent", result.RetryBudgetSpent)
+}
--- a/internal/forward/budget_test.go
+++ b/internal/forward/budget_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/result"
 	"github.com/hatchplank/hatchplank/internal/retrybudget"
 )
@@ -133,3 +134,19 @@
 		})
 	}
 }
+
+// Guards against callers who wait for a server that their request will not be sent to, since its retry is not allowed.
+func TestSpentBudgetEndsARequestBeforeItWaits(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		b.forwarder.budgets = newBudgets(BudgetLimits{Window: 10 * time.Second}, 1)
+		b.orders.set("m", time.Now().Add(2*time.Second))
+		b.backend.answer["m1"] = func(context.Context, Attempt) (*Reply, error) {
+			b.view.ReplaceServers(map[string]*fleet.Server{})
+			return nil, &AttemptError{Reason: FailureBroken, Ran: result.RanUnknown}
+		}
+		started := time.Now()
+		outcome := b.forwarder.Serve(context.Background(), request("patient", "m", 5*time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OutcomeUnknown))
+		Expect(time.Since(started)).To(BeZero())
+	})
+}
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -248,32 +248,47 @@
 	return b.apply(retry, answer, now)
 }
 
+// IsSpent reports whether this node would refuse a retry now, as far as it knows without asking others. It
+// takes nothing.
+func (b *Budget) IsSpent(retry Retry, now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	counts := b.of(retry.Pool, now)
+	_, allowed, decided := b.ownAllowance(counts, retry, now)
+	return decided && !counts.mayTake(allowed, now)
+}
+
 // takeOwn decides on a retry without the fleet; decided is false if the fleet has to be asked.
 func (b *Budget) takeOwn(retry Retry, now time.Time) (decision Decision, decided bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	counts := b.of(retry.Pool, now)
-	allowed := b.allowances(counts, now)
-	if b.closed {
-		return Decision{Retry: retry, By: ByNode, Used: counts.used(now)}, true
-	}
-	if now.Before(b.resumeAt) {
-		return counts.take(retry, ByNode, allowed.withoutQuorum, now), true
-	}
-	if !b.isShared() {
-		return counts.take(retry, ByNode, allowed.withEvenShare, now), true
-	}
-	if decision = counts.take(retry, ByNode, allowed.byRequests, now); decision.Allowed {
-		return decision, true
+	by, allowed, decided := b.ownAllowance(counts, retry, now)
+	if !decided {
+		return Decision{}, false
 	}
+	return counts.take(retry, by, allowed, now), true
+}
+
+// ownAllowance returns what a retry may be taken from without asking the fleet, and who decides so; decided is
+// false if the fleet has to be asked. The lock must be held.
+func (b *Budget) ownAllowance(counts *pool, retry Retry, now time.Time) (by Decider, allowed allowance, decided bool) {
+	all := b.allowances(counts, now)
 	switch {
+	case b.closed:
+		return ByNode, allowance{}, true
+	case now.Before(b.resumeAt):
+		return ByNode, all.withoutQuorum, true
+	case !b.isShared():
+		return ByNode, all.withEvenShare, true
+	case counts.mayTake(all.byRequests, now):
+		return ByNode, all.byRequests, true
 	case now.Before(counts.cutOffUntil):
-		return counts.take(retry, ByShare, allowed.withoutQuorum, now), true
+		return ByShare, all.withoutQuorum, true
 	case now.Before(counts.refusedUntil) && retry.Rank >= counts.refusedRank:
-		decision.By = ByFleet
-		return decision, true
+		return ByFleet, all.byRequests, true
 	}
-	return Decision{}, false
+	return "", allowance{}, false
 }
 
 // apply decides on a retry after the fleet's answer.
@@ -310,17 +325,27 @@
 // the slack.
 func (p *pool) take(retry Retry, by Decider, allowed allowance, now time.Time) Decision {
 	decision := Decision{Retry: retry, By: by, Used: p.used(now), Own: allowed.total()}
-	byRequests := min(max(allowed.byRequests-p.byRequests.Total(now), 0), 1)
-	bySlack := 1 - byRequests
-	if bySlack > 0 && p.bySlack.Total(now)+bySlack > allowed.slack {
+	if !p.mayTake(allowed, now) {
 		return decision
 	}
+	byRequests := p.leftByRequests(allowed, now)
 	p.byRequests.Add(byRequests, now)
-	p.bySlack.Add(bySlack, now)
+	p.bySlack.Add(1-byRequests, now)
 	decision.Allowed = true
 	return decision
 }
 
+// mayTake reports whether the allowance has capacity for a retry.
+func (p *pool) mayTake(allowed allowance, now time.Time) bool {
+	bySlack := 1 - p.leftByRequests(allowed, now)
+	return bySlack <= 0 || p.bySlack.Total(now)+bySlack <= allowed.slack
+}
+
+// leftByRequests is the part of a retry that the requests still allow, from 0 to 1.
+func (p *pool) leftByRequests(allowed allowance, now time.Time) float64 {
+	return min(max(allowed.byRequests-p.byRequests.Total(now), 0), 1)
+}
+
 // used is the number of retries that count against an allowance.
 func (p *pool) used(now time.Time) float64 { return p.byRequests.Total(now) + p.bySlack.Total(now) }
 
