serverlimit: Grant slots ahead by the time of the caller

Requests were refused although a slot of the server's rate limit came while their callers waited: no slot was granted further ahead than 4 s, 0.4 s for the least urgent requests, whatever time their callers had. The 4 s were the window over which the users' platform compares a server's limit with what it gets.

A request is now granted a slot in the time in which it can still be served, the least urgent ones in a tenth of it, so that urgent requests which arrive later find one. A limit is averaged over a second, as servers announce it. The 4 s also bounded how long slots of an earlier limit were used; so a slot is given back when its limit has changed since it was granted, and the request asks anew. Orders wait as long as the intent of their plan holds.

TestSlotsAreGrantedAheadByTheTimeOfTheCaller and, for a lower limit, TestSlotOfAChangedLimitIsGivenBack failed before. The tests that compare arrivals with a limit keep their window of 4 s, which now stands in them.

--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -54,6 +54,8 @@
 type reservation struct {
 	target    *candidate
 	notBefore time.Time
+	// interval of the limit that granted the slot.
+	interval time.Duration
 }
 
 // takeSlot takes a slot from the rate limit of the target, if it has one, and reports whether
@@ -68,19 +70,20 @@
 		f.release(flow, target, nil)
 		return false
 	case target.grant.Delay > 0:
-		flow.reservation = &reservation{target: target, notBefore: now.Add(target.grant.Delay)}
+		flow.reservation = &reservation{target: target, notBefore: now.Add(target.grant.Delay), interval: f.limits.Interval(target.server)}
 		return false
 	}
 	return true
 }
 
 // dueReservation takes the reserved target once its slot has come; nil before that, or without
-// a reservation.
+// a reservation. A slot of a limit that has changed since is given back.
 func (f *Forwarder) dueReservation(flow *flow, now time.Time) *candidate {
 	if flow.reservation == nil {
 		return nil
 	}
-	if !f.stillAccepts(flow.reservation.target.server) {
+	server := flow.reservation.target.server
+	if !f.stillAccepts(server) || f.limits.Interval(server) != flow.reservation.interval {
 		f.dropReservation(flow)
 		return nil
 	}
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"sync"
@@ -22,6 +23,8 @@
 	// taken and returned count slots; maxWait is the longest wait that was allowed.
 	taken, returned int
 	maxWait         time.Duration
+	// interval of the limits; zero: a second.
+	interval time.Duration
 }
 
 func (l *fakeLimits) Take(_ context.Context, server *fleet.Server, need serverlimit.Request) serverlimit.Grant {
@@ -60,7 +63,7 @@
 
 func (l *fakeLimits) Interval(server *fleet.Server) time.Duration {
 	if l.Limited(server) {
-		return time.Second
+		return cmp.Or(l.interval, time.Second)
 	}
 	return 0
 }
@@ -228,3 +231,28 @@
 		Expect(target.server.ID).To(Equal("m1"))
 	})
 }
+
+// Guards against requests that are sent at the rate of an earlier limit, since their slots were granted before the
+// server changed it, and against waiting for a slot of a limit that has ended.
+func TestSlotOfAChangedLimitIsGivenBack(t *testing.T) {
+	for name, change := range map[string]func(limits *fakeLimits){
+		"lower": func(limits *fakeLimits) { limits.interval = 10 * time.Second },
+		"ended": func(limits *fakeLimits) { limits.withdraw("m1", "m2") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withLimits(t, func(b *testbed, limits *fakeLimits) {
+				limits.announce(serverlimit.Grant{Delay: 3 * time.Second}, "m1", "m2")
+				time.AfterFunc(time.Second, func() {
+					limits.mutex.Lock()
+					limits.grants["m1"], limits.grants["m2"] = serverlimit.Grant{}, serverlimit.Grant{}
+					limits.mutex.Unlock()
+					change(limits)
+				})
+				outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
+				Expect(outcome.Code).To(Equal(result.OK))
+				Expect(outcome.Held).To(BeNumerically("~", time.Second, pollPeriod))
+				Expect(limits.returned).To(Equal(1))
+			})
+		})
+	}
+}
--- a/internal/orders/capacity.go
+++ b/internal/orders/capacity.go
@@ -14,13 +14,17 @@
 // limit is used up.
 var errNoCapacity = errors.New("the server asked this node to back off, or its rate limit is used up")
 
+// maxCapacityWait is how long an order or a call for a report waits for capacity of a server's rate limit: no
+// longer than the plan's intent for the server holds. After it, the next plan orders anew.
+const maxCapacityWait = intentLifetime
+
 // remainingBackoff returns for how long a server still asks this node to back off.
 func (h *Holder) remainingBackoff(server *fleet.Server, now time.Time) time.Duration {
 	return max(h.config.Notices.BackoffUntil(server).Sub(now), 0)
 }
 
 // awaitCapacity waits until a server's rate limit has capacity, and takes it. It returns false
-// if the server asked for a backoff, its rate limit has no capacity within serverlimit.Window,
+// if the server asked for a backoff, its rate limit has no capacity within maxCapacityWait,
 // or ctx has ended.
 //
 // Orders and calls for reports count against a server's limit like requests. A load is
@@ -30,7 +34,7 @@
 	if h.remainingBackoff(server, time.Now()) > 0 {
 		return serverlimit.Grant{}, false
 	}
-	deadline := time.Now().Add(serverlimit.Window)
+	deadline := time.Now().Add(maxCapacityWait)
 	grant := h.takeCapacity(ctx, server, deadline)
 	for !grant.Allowed {
 		if ctx.Err() != nil || grant.RetryAfter <= 0 || !time.Now().Add(grant.RetryAfter).Before(deadline) {
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -18,18 +18,15 @@
 )
 
 const (
-	// Window over which a server's limit is enforced: the one over which the users' platform
-	// checks it. No slot is granted further ahead than that.
-	Window = 4 * time.Second
+	// window over which a server's limit is enforced: servers announce requests a second.
+	window = time.Second
 	// minRate is the lowest rate in requests a second. A server that accepts less, or nothing,
 	// still gets one request in 20 s, since the response shows whether its limit still holds.
 	minRate = 0.05
-	// minHorizonShare is the share of a window that the least urgent requests wait at most for
-	// their slot, which leaves earlier slots to more urgent requests that arrive later. With
-	// the same horizon for all, 1 of 42 urgent requests was served beside 14 times as many
-	// others at a server that accepts 2 a second; with this share, all 42 were (virtual time,
-	// 30 s).
-	minHorizonShare = 0.1
+	// minLookaheadShare is the share of the time for which the least urgent requests would wait
+	// in which they are granted a slot, which leaves later slots to more urgent requests that
+	// arrive until then. The most urgent ones are granted any slot in their time.
+	minLookaheadShare = 0.1
 	// controlIntervals is the number of average intervals between two control calls to a server with a
 	// limit: at most half of what the limit allows is for them.
 	controlIntervals = 2
@@ -110,8 +107,8 @@
 		return Grant{Limited: true, RetryAfter: wait}
 	}
 	request := ratelimit.Request{
-		Name: keyPrefix + server.ID, Cost: 1, Rank: need.Rank, MaxWait: min(need.MaxWait, horizon(need.Rank)),
-		Limit: ratelimit.Limit{Rate: max(limit.PerSecond, minRate), Window: Window, Paced: true},
+		Name: keyPrefix + server.ID, Cost: 1, Rank: need.Rank, MaxWait: lookahead(need),
+		Limit: ratelimit.Limit{Rate: max(limit.PerSecond, minRate), Window: window, Paced: true},
 	}
 	verdict := l.limiter.Take(ctx, request)
 	next := verdict.NextSlotIn
@@ -129,9 +126,9 @@
 	return grant
 }
 
-// horizon is how far ahead a request of the rank may be granted a slot.
-func horizon(rank float64) time.Duration {
-	return time.Duration((1 - (1-minHorizonShare)*rank) * float64(Window))
+// lookahead is how far ahead the request is granted a slot.
+func lookahead(need Request) time.Duration {
+	return time.Duration((1 - (1-minLookaheadShare)*need.Rank) * float64(need.MaxWait))
 }
 
 // Return gives back a grant for something that was not sent.
--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -19,6 +19,9 @@
 	"github.com/hatchplank/hatchplank/internal/standin/peers"
 )
 
+// limitWindow is the time over which a server compares what it gets with its limit.
+const limitWindow = 4 * time.Second
+
 // limitedServer is a server whose limit all nodes know until a response to a request lacks it.
 type limitedServer struct {
 	*fleet.Server
@@ -65,7 +68,7 @@
 	defer s.mutex.Unlock()
 	most, first := 0, 0
 	for last, at := range s.sends {
-		for at.Sub(s.sends[first]) >= serverlimit.Window {
+		for at.Sub(s.sends[first]) >= limitWindow {
 			first++
 		}
 		most = max(most, last-first+1)
@@ -135,7 +138,7 @@
 			server.receive(!need.Control)
 		}
 	}
-	go every(ctx, pollPause, func() { send(all[0], serverlimit.Request{MaxWait: serverlimit.Window, Control: true}) })
+	go every(ctx, pollPause, func() { send(all[0], serverlimit.Request{MaxWait: limitWindow, Control: true}) })
 	for i, limits := range all {
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
 		go every(ctx, requestPause, func() {
@@ -145,9 +148,34 @@
 	time.Sleep(10 * time.Second)
 	server.endLimit()
 	interval := time.Duration(float64(time.Second) / perSecond)
-	time.Sleep(2*interval + serverlimit.Window)
+	time.Sleep(2*interval + limitWindow)
 	Expect(server.Limit(nil).Named).To(BeFalse())
 	server.announce(perSecond)
 	time.Sleep(20 * time.Second)
-	Expect(float64(server.mostInWindow())).To(BeNumerically("<=", 1.5*perSecond*serverlimit.Window.Seconds()+5))
+	Expect(float64(server.mostInWindow())).To(BeNumerically("<=", 1.5*perSecond*limitWindow.Seconds()+5))
+}
+
+// countingLimiter keeps the longest wait that was asked for.
+type countingLimiter struct{ maxWait time.Duration }
+
+func (l *countingLimiter) Take(_ context.Context, request ratelimit.Request) ratelimit.Verdict {
+	l.maxWait = request.MaxWait
+	return ratelimit.Verdict{Allowed: true}
+}
+
+func (l *countingLimiter) Return(ratelimit.Request, ratelimit.Verdict) {}
+
+// Guards against refusing requests whose slot comes while their callers wait, and against requests of little urgency that
+// take all slots ahead of urgent ones.
+func TestSlotsAreGrantedAheadByTheTimeOfTheCaller(t *testing.T) {
+	server := &limitedServer{Server: &fleet.Server{ID: "s"}, limit: notice.Limit{Named: true, PerSecond: 1}}
+	limiter := &countingLimiter{}
+	limits := serverlimit.New(server, limiter, nil)
+	for _, wait := range []time.Duration{time.Second, 5 * time.Second, 15 * time.Second} {
+		for rank, ahead := range map[float64]time.Duration{0: wait, 0.5: wait * 55 / 100, 1: wait / 10} {
+			g := NewWithT(t)
+			limits.Take(context.Background(), server.Server, serverlimit.Request{Rank: rank, MaxWait: wait})
+			g.Expect(limiter.maxWait).To(BeNumerically("~", ahead, time.Millisecond), "wait %v, rank %v", wait, rank)
+		}
+	}
 }
