ratelimit: Spread the return of refused callers over the time that they have

Callers who were refused for a limit were told to come back within its window, a tenant's 8 s or a server's second, whatever time they had. Where more were refused than the limit frees in that time, all of them came back at its end; and each of them kept a time for itself, also those who had left by then, so that a short flood pushed the times of later callers to that end.

A request now tells the counter node how long its caller has. The times to come back are spaced as the limit frees capacity, in that time; who finds none in it is told its end and keeps none. An earlier build tells no time and is answered as before.

--- a/internal/forward/tenant.go
+++ b/internal/forward/tenant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hatchplank/hatchplank/internal/fleet"
 	"github.com/hatchplank/hatchplank/internal/ratelimit"
@@ -47,7 +48,9 @@
 	if f.quota == nil {
 		return nil
 	}
-	request.quota = f.quota.Take(ctx, request.Tenant, tenants.Request{Tokens: request.tokens(), Rank: configuration.RouteRank(route)})
+	request.quota = f.quota.Take(ctx, request.Tenant, tenants.Request{
+		Tokens: request.tokens(), Rank: configuration.RouteRank(route), TimeLeft: max(time.Until(f.deadlineOf(request, route)), 0),
+	})
 	if request.quota.Allowed {
 		return nil
 	}
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -48,6 +48,8 @@
 	Rank float64
 	// MaxWait is how long the caller would wait for a slot of a paced limit.
 	MaxWait time.Duration
+	// TimeLeft is the time that the caller has, in which it may come back after a refusal; zero: a window.
+	TimeLeft time.Duration
 }
 
 // Verdict is the decision on a Request.
--- a/internal/ratelimit/messages.go
+++ b/internal/ratelimit/messages.go
@@ -19,6 +19,8 @@
 	Rank float64
 	// MaxWait as in Request.
 	MaxWait time.Duration
+	// TimeLeft as in Request; zero from an earlier build.
+	TimeLeft time.Duration
 	// Silent: the receiver's last reply reached the sender too late or not at all, so the
 	// receiver must not count this message as contact.
 	Silent bool
--- a/internal/ratelimit/meter.go
+++ b/internal/ratelimit/meter.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/window"
@@ -118,8 +119,9 @@
 }
 
 // take takes the cost if the limit has capacity for it now, or within the time that the
-// requesting node waits. Otherwise it returns when to retry: a different time within the
-// window for each refused caller, so that they do not retry together.
+// requesting node waits. Otherwise it returns when to retry: a different time for each refused
+// caller, as the limit frees capacity, so that they do not retry together. Times that come
+// after a caller has left are not kept for it.
 func (m *meter) take(limit Limit, request TakeRequest, now time.Time) Verdict {
 	wait := m.wait(limit, request, now)
 	if wait <= request.MaxWait {
@@ -131,8 +133,12 @@
 	if retryAt.Before(m.nextRetryAt) {
 		retryAt = m.nextRetryAt
 	}
+	latest := now.Add(max(cmp.Or(request.TimeLeft, m.window), wait))
+	if retryAt.After(latest) {
+		return Verdict{RetryAfter: latest.Sub(now), NextSlotIn: wait}
+	}
 	m.nextRetryAt = retryAt.Add(timeFor(request.Cost, limit.Rate))
-	return Verdict{RetryAfter: min(retryAt.Sub(now), max(m.window, wait)), NextSlotIn: wait}
+	return Verdict{RetryAfter: retryAt.Sub(now), NextSlotIn: wait}
 }
 
 // wait is the time until the limit has capacity for the request; zero if it has now.
--- a/internal/ratelimit/take.go
+++ b/internal/ratelimit/take.go
@@ -43,8 +43,8 @@
 // takeAt asks one counter node, which may be this one.
 func (l *Limiter) takeAt(ctx context.Context, address string, request Request) (TakeReply, bool) {
 	message := TakeRequest{
-		Tenant: request.Name, Cost: request.Cost, Rank: request.Rank, MaxWait: request.MaxWait, Heard: l.remoteCounts.except(request.Name, address, time.Now()),
-		List: l.counters.list(),
+		Tenant: request.Name, Cost: request.Cost, Rank: request.Rank, MaxWait: request.MaxWait, TimeLeft: request.TimeLeft,
+		Heard: l.remoteCounts.except(request.Name, address, time.Now()), List: l.counters.list(),
 	}
 	if !l.isConfigured(request.Name) {
 		message.Limit = request.Limit
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -107,7 +107,7 @@
 		return Grant{Limited: true, RetryAfter: wait}
 	}
 	request := ratelimit.Request{
-		Name: keyPrefix + server.ID, Cost: 1, Rank: need.Rank, MaxWait: lookahead(need),
+		Name: keyPrefix + server.ID, Cost: 1, Rank: need.Rank, MaxWait: lookahead(need), TimeLeft: need.MaxWait,
 		Limit: ratelimit.Limit{Rate: max(limit.PerSecond, minRate), Window: window, Paced: true},
 	}
 	verdict := l.limiter.Take(ctx, request)
--- a/internal/tenants/quota.go
+++ b/internal/tenants/quota.go
@@ -23,6 +23,8 @@
 	Tokens int
 	// Rank is the urgency among the tenant's requests, from 0 (most urgent) to 1.
 	Rank float64
+	// TimeLeft is the time that the caller has, in which it may come back after a refusal.
+	TimeLeft time.Duration
 }
 
 // Take asks whether a request is within its tenant's limit, and counts it if it is. A tenant
@@ -45,7 +47,7 @@
 
 func (q *Quota) request(tenant *Tenant, need Request) ratelimit.Request {
 	return ratelimit.Request{
-		Name: tenant.Name, Limit: tenant.Limit.over(q.Window), Cost: tenant.Limit.Cost(need.Tokens), Rank: need.Rank,
+		Name: tenant.Name, Limit: tenant.Limit.over(q.Window), Cost: tenant.Limit.Cost(need.Tokens), Rank: need.Rank, TimeLeft: need.TimeLeft,
 	}
 }
 
