placement: Price places in memory by the time that callers lose

A request that waits now loses the share of its caller's time for which it waits. The time is the mean over the routes that lead to the pool, each the lower of its time limit and its callers' wait limit, as the configuration has them. What waits at a server is the mean number of requests without a slot, which is also the time for which requests wait there, so that the run time and the rate drop out. A load from the weight store costs the request for a cold model that waits for it the time of that load.

--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -94,6 +94,8 @@
 	ranking    ranking
 	routes     routeTable
 	routeCount int
+	// callerTimes is the mean time that callers wait, by pool.
+	callerTimes map[string]time.Duration
 }
 
 // WithTenants sets the tenants and returns the configuration. It must be called before the
@@ -107,7 +109,7 @@
 func NewConfiguration(version, revision int64, routes []*Route, pools []*Pool, limits Limits) *Configuration {
 	configuration := &Configuration{
 		Version: version, Revision: revision, Limits: limits,
-		Pools: make(map[string]*Pool, len(pools)), routes: newRouteTable(routes), routeCount: len(routes),
+		Pools: make(map[string]*Pool, len(pools)), routes: newRouteTable(routes), routeCount: len(routes), callerTimes: callerTimes(routes),
 	}
 	for _, pool := range pools {
 		configuration.Pools[pool.Name] = pool
@@ -118,6 +120,25 @@
 // Match returns the route with the longest prefix of the path, or nil.
 func (c *Configuration) Match(host, path string) *Route { return c.routes.match(host, path) }
 
+// callerTimes returns the mean of the routes' CallerTime, by pool.
+func callerTimes(routes []*Route) map[string]time.Duration {
+	sums, counts := map[string]time.Duration{}, map[string]int{}
+	for _, route := range routes {
+		for _, target := range route.Targets {
+			sums[target.Pool] += route.CallerTime()
+			counts[target.Pool]++
+		}
+	}
+	for pool, count := range counts {
+		sums[pool] /= time.Duration(count)
+	}
+	return sums
+}
+
+// CallerTime returns how long callers wait for a response of a pool, on average over the routes that lead to
+// it; zero if none does.
+func (c *Configuration) CallerTime(pool string) time.Duration { return c.callerTimes[pool] }
+
 // RouteCount returns the number of routes.
 func (c *Configuration) RouteCount() int { return c.routeCount }
 
--- a/internal/fleet/route.go
+++ b/internal/fleet/route.go
@@ -76,6 +76,14 @@
 	return r.Kind == KindRepeatable || (r.Kind == KindStream && r.Resumable)
 }
 
+// CallerTime returns how long callers wait for the beginning of a response.
+func (r *Route) CallerTime() time.Duration {
+	if r.CallerWaitLimit > 0 {
+		return min(r.Timeout, r.CallerWaitLimit)
+	}
+	return r.Timeout
+}
+
 // LeadsTo reports whether the route's requests may go to a pool.
 func (r *Route) LeadsTo(pool string) bool {
 	return slices.ContainsFunc(r.Targets, func(target Target) bool { return target.Pool == pool && target.Weight > 0 })
--- a/internal/orders/holder.go
+++ b/internal/orders/holder.go
@@ -235,7 +235,7 @@
 	sample := h.servers.sample(pool, demand, now)
 	input := placement.Input{
 		Now: now, Engine: engine, Servers: sample.servers, ReplicasElsewhere: sample.elsewhere, ServersElsewhere: sample.leftOut,
-		Demand: demand, LoadAhead: h.config.LoadAhead, StoreLoads: h.loadLimiter.available(engine.LoadsPerSecond, inProgress, now),
+		Demand: demand, CallerTime: h.config.View.Load().Configuration.CallerTime(pool), LoadAhead: h.config.LoadAhead, StoreLoads: h.loadLimiter.available(engine.LoadsPerSecond, inProgress, now),
 		NextStoreLoadIn: h.loadLimiter.nextIn(engine.LoadsPerSecond, inProgress),
 		CountedSince:    h.termStart, RecentLosses: h.recentLosses(pool).At(now),
 	}
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -27,6 +27,8 @@
 	ServersElsewhere  int
 	// Demand by model.
 	Demand map[string]*Demand
+	// CallerTime is how long the pool's callers wait for a response; zero if not known.
+	CallerTime time.Duration
 	// LoadAhead allows loading models that no server holds before they are requested.
 	LoadAhead bool
 	// StoreLoads is how many loads from the weight store may begin now.
--- a/internal/placement/value.go
+++ b/internal/placement/value.go
@@ -25,9 +25,6 @@
 	settleTime = 6 * time.Second
 	// maxCostShare is the share of a replica's gain that it may cost others.
 	maxCostShare = 2.0 / 3
-	// storeLoadLoss is the number of requests that are lost when a load from the weight store
-	// delays the load of a cold model: those that wait for it.
-	storeLoadLoss = 1.0
 	// slowServerCost in seconds is added for a server that takes twice the usual time for its
 	// work, and in proportion for other speeds.
 	slowServerCost = 0.5
@@ -122,7 +119,7 @@
 func (p *plan) group(model string) *modelGroup {
 	found := p.groups[model]
 	if found == nil {
-		found = &modelGroup{}
+		found = &modelGroup{Group: placevalue.Group{CallerTime: p.CallerTime}}
 		p.groups[model] = found
 	}
 	return found
@@ -275,7 +272,8 @@
 		return nil
 	}
 	if source == FromStore && p.storeContended() {
-		found.cost = storeLoadLoss / valueHorizon.Seconds()
+		// The request that waits for the cold model waits for this load as well.
+		found.cost = placevalue.WaitLoss(load, p.CallerTime) / valueHorizon.Seconds()
 	}
 	if missing := wanted.model.SizeMB - p.freeMemory(server); missing > 0 {
 		victim, loss, exists := p.cheapestPlace(server, missing)
@@ -341,7 +339,7 @@
 		idle = p.Now.Sub(since)
 	}
 	source, reload := SourceOf(server, model)
-	return placevalue.LastReplica{Idle: idle, Rate: demand.Rate, Reload: reload, StoreContended: source == FromStore && p.storeContended()}
+	return placevalue.LastReplica{Idle: idle, Rate: demand.Rate, Reload: reload, CallerTime: p.CallerTime, StoreContended: source == FromStore && p.storeContended()}
 }
 
 // loadTimeOf returns the time of a load of the model from the weight store without contention.
--- a/internal/placevalue/placevalue.go
+++ b/internal/placevalue/placevalue.go
@@ -2,8 +2,9 @@
 // replica of one model can be compared with the replica of another that it would evict. Its
 // functions are pure.
 //
-// The unit is lost requests per second: requests that are refused or answered late. A late request
-// counts lateLoss, a refused one 1. Requests whose priority is known are weighted by it.
+// The unit is lost requests per second. A request that waits loses the share of its caller's time that it
+// waits for: all of it from the moment at which the caller leaves. Requests whose priority is known are
+// weighted by it.
 package placevalue
 
 import (
@@ -12,12 +13,6 @@
 )
 
 const (
-	// lateLoss is what a late answer counts, as a share of a refusal. Callers still use many
-	// late answers.
-	lateLoss = 0.5
-	// refusedAfter is the duration of a load from which a request that waits for it counts
-	// as refused: few callers wait longer.
-	refusedAfter = 5 * time.Second
 	// minGapSeconds is the expected time until the next request for a model that was just
 	// requested, whose rate is not known.
 	minGapSeconds = 8.0
@@ -55,17 +50,29 @@
 	Own float64
 	// Rate is the model's arrival rate in requests per second.
 	Rate float64
+	// CallerTime is how long callers wait for a response; zero if not known.
+	CallerTime time.Duration
 }
 
-// LateShare returns the probability that a request finds no free slot at a server with this
-// mean load. The load is assumed to vary as a Poisson distribution does, in its normal
-// approximation.
-func LateShare(load, capacity float64) float64 {
-	if capacity <= 0 {
+// Waiting returns the mean number of requests that wait for a slot at a server with this mean load, which is also
+// the time for which requests wait there, in seconds per second. The load is assumed to vary as a Poisson
+// distribution does, in its normal approximation.
+func Waiting(load, capacity float64) float64 {
+	deviation := math.Sqrt(max(load, 1))
+	free := (max(capacity, 0) - load) / deviation
+	density := math.Exp(-free*free/2) / math.Sqrt(2*math.Pi)
+	return deviation * max(density-free*math.Erfc(free/math.Sqrt2)/2, 0)
+}
+
+// WaitLoss returns what a request loses that waits so long: the share of its caller's time, up to 1.
+func WaitLoss(wait, callerTime time.Duration) float64 {
+	if wait <= 0 {
+		return 0
+	}
+	if callerTime <= 0 {
 		return 1
 	}
-	deviation := math.Sqrt(max(load, 1))
-	return math.Erfc((capacity-load)/deviation/math.Sqrt2) / 2
+	return min(wait.Seconds()/callerTime.Seconds(), 1)
 }
 
 // Full reports whether more than half of the group's slots are taken, by whichever models.
@@ -79,9 +86,10 @@
 	return g.Full() && (g.Own > half || g.Load-g.Own < half)
 }
 
-// lateShare is the LateShare of the group's average server.
-func (g Group) lateShare() float64 {
-	return LateShare(g.Load/float64(g.Servers), g.Capacity/float64(g.Servers))
+// waiting is the number of requests that wait at the group's servers, all of which are taken for average ones.
+func (g Group) waiting() float64 {
+	count := float64(g.Servers)
+	return count * Waiting(g.Load/count, g.Capacity/count)
 }
 
 // Gain returns the lost requests per second that another replica, on a server outside the group,
@@ -108,9 +116,9 @@
 	relieved := g
 	relieved.Load -= moved
 	loadThere := server.Load + moved/added
-	lateBefore := g.Load*g.lateShare() + added*server.Load*LateShare(server.Load, server.Capacity)
-	lateAfter := relieved.Load*relieved.lateShare() + added*loadThere*LateShare(loadThere, server.Capacity)
-	return lateLoss * g.Rate / g.Own * (lateBefore - lateAfter)
+	before := g.waiting() + added*Waiting(server.Load, server.Capacity)
+	after := relieved.waiting() + added*Waiting(loadThere, server.Capacity)
+	return (before - after) * WaitLoss(time.Second, g.CallerTime)
 }
 
 // RemovalLoss returns the lost requests per second that the group has if it loses one of its
@@ -137,6 +145,8 @@
 	Rate float64
 	// Reload is the duration of a load.
 	Reload time.Duration
+	// CallerTime is how long callers wait for a response; zero if not known.
+	CallerTime time.Duration
 	// StoreContended is set if the reload is from the weight store and other models wait for
 	// loads from there: it then delays one of them.
 	StoreContended bool
@@ -147,20 +157,13 @@
 // place is worth the requests that arrive, whether they find this model or the next one cold.
 func (r LastReplica) Loss() float64 {
 	rate := max(r.Rate, RecentUse(r.Idle.Seconds(), minGapSeconds)/minGapSeconds)
-	loss := rate * ColdLoss(r.Reload)
+	loss := rate * WaitLoss(r.Reload, r.CallerTime)
 	if r.StoreContended {
 		loss *= 2
 	}
 	return loss
 }
 
-// ColdLoss returns what a request counts that waits through a load: from lateLoss, for a short
-// one, to a refusal.
-func ColdLoss(load time.Duration) float64 {
-	waited := min(max(load.Seconds()/refusedAfter.Seconds(), 0), 1)
-	return lateLoss + (1-lateLoss)*waited
-}
-
 // RecentUse returns the probability that a model which was last used some time ago is used
 // within the horizon. Both are in the same unit. It assumes no known rate: a model unused for as
 // long as the horizon is used within it in half of the cases. Package planner uses it too.
