forward: Let the most urgent of the waiting requests choose first

Which of the requests that waited for a place got the one that became free was chance: all of them are woken at once, and the first to run took it. With longer waits more requests wait, so an urgent one, or one whose caller was about to leave, lost its place to others that had time.

Woken requests now choose one after the other, by the priority of their route and then by the time that their callers have to spare (latestStart). Requests that no server is expected to serve in time leave at their own turn, as before. A turn waits for nothing, so the order costs a lock and, on a node with one core, is exact; on several, a request may choose before another one has woken.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -39,6 +39,8 @@
 func (f *Forwarder) acquire(ctx context.Context, flow *flow) (*candidate, *Outcome) {
 	waiting := false
 	flow.capacityExpected = time.Time{}
+	// woken: the request has waited, like others that choose now.
+	woken := false
 	// check is the check of a suspected server that the request waits for.
 	var check <-chan struct{}
 	defer f.dropReservation(flow)
@@ -57,7 +59,7 @@
 		if target := f.dueReservation(flow, now); target != nil {
 			return target, nil
 		}
-		found := f.choose(flow, snapshot, now)
+		found := f.chooseInTurn(flow, woken, snapshot, now)
 		if found.best != nil {
 			if f.takeSlot(ctx, flow, found.best, f.maxSlotWait(flow, now)) {
 				return found.best, nil
@@ -80,6 +82,7 @@
 			if hasEnded(check) {
 				check = nil
 			}
+			woken = true
 			continue
 		}
 		if found.eligible == 0 && !waiting && flow.request.Model != "" {
@@ -94,9 +97,18 @@
 		if f.waitForChange(ctx, flow, changed, freed, nil) != nil {
 			return nil, f.cancellationOutcome(ctx, flow)
 		}
+		woken = true
 	}
 }
 
+// chooseInTurn chooses a server for the request. If it was woken with others, those that come before it choose first.
+func (f *Forwarder) chooseInTurn(flow *flow, woken bool, snapshot *fleet.Snapshot, now time.Time) choice {
+	if woken {
+		defer f.turns.await(flow.pool, flow.priority, f.latestStart(flow))()
+	}
+	return f.choose(flow, snapshot, now)
+}
+
 // waitForChange waits until the view changes, a slot becomes free, a check ends or the poll period
 // is over; a nil check never ends. It returns the context's error once the request is cancelled or
 // past its deadline.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -117,6 +117,7 @@
 	onSuspicionCheck func(SuspicionCheck)
 	zone             string
 	tracker          *tracker
+	turns            *turns
 	budgets          *retrybudget.Budget
 	onRetry          func(*Request, retrybudget.Decision)
 	demand           *demandTable
@@ -183,7 +184,7 @@
 	return &Forwarder{
 		lifetime: lifetime, cancel: cancel, started: time.Now(),
 		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, records: config.Records, origins: config.Origins, onRecordCheck: config.OnRecordCheck, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, checkIncarnation: config.CheckIncarnation, indirect: config.Indirect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
-		tracker: newTracker(), demand: newDemandTable(), priorities: newPriorityMix(),
+		tracker: newTracker(), turns: newTurns(), demand: newDemandTable(), priorities: newPriorityMix(),
 		budgets: retrybudget.New(retrybudget.Config{Limits: config.Budget, Nodes: config.Nodes, Fleet: config.Fleet}), onRetry: config.OnRetry,
 		observe: config.Observe, longRunning: config.LongRunning, memory: config.Memory,
 	}
