placement: State once how long demand lasts

Both now use recentTime. No test depends on the figure; the tests of internal/placement and internal/orders pass.

--- a/internal/placement/value.go
+++ b/internal/placement/value.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// valueHorizon is how long a load is expected to last: a replica is worth less by the time
-	// that its own load takes of it. Not measured.
-	valueHorizon = 30 * time.Second
+	// valueHorizon is how long demand is expected to last, as for recent losses: a replica is worth
+	// less by the time that its own load takes of it.
+	valueHorizon = recentTime
 	// minGain is the gain from which a further replica is loaded, in lost requests per second.
 	minGain = 0.05
 	// retainedLoss is the loss by its removal from which a further replica stays, in lost
