--- a/internal/placement/load_ahead.go
+++ b/internal/placement/load_ahead.go
@@ -16,15 +16,14 @@
 	// ahead begins: a loading server takes no other order, not even for an adapter.
 	maxLoadAheadShare = 1.0 / 8
 	// minFreeServersPerModel is how many servers must have free memory for each model that no
-	// server holds. With fewer, most models loaded ahead are never requested and take the
-	// memory of those that are: a day of 13 servers without capacity for all models lost
-	// 0.10 of its worth by it.
+	// server holds. With fewer, models that are loaded ahead and never requested take the memory
+	// of those that callers wait for.
 	minFreeServersPerModel = 2
 )
 
 // loadAhead loads models that no server holds into free memory, before they are requested.
-// The first request for a model without a replica misses its objective, since a load takes
-// longer than that; a load into free memory costs no other model anything. On a deployment
+// The first caller of a model without a replica waits for its load, or is refused if it has
+// less time than that; a load into free memory costs no other model anything. On a deployment
 // of 13 servers and 23 nodes with free memory, 17 of 39 of the most urgent requests were
 // refused because their models were cold.
 //
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// takeTimeout bounds the wait for a counter node's reply: some tens of round trips, and
-	// below the shortest latency objective of the users' routes (150 ms).
+	// takeTimeout bounds the wait for a counter node's reply, in which a caller waits: some tens
+	// of round trips.
 	takeTimeout = 100 * time.Millisecond
 	// probePeriod is the time between probes of other counter nodes.
 	probePeriod = 200 * time.Millisecond
