--- a/internal/forward/caller_time_test.go
+++ b/internal/forward/caller_time_test.go
@@ -144,6 +144,17 @@
 	})
 }
 
+// Guards against giving up a request that was refused late by one server while another one is free.
+func TestFreeServerIsTriedAfterTheLatestStart(t *testing.T) {
+	inVirtualTime(t, func(b *testbed) {
+		b.forwarder.tracker.recordRun(plainPool, 0, time.Second)
+		b.backend.answer["p1"] = after(700*time.Millisecond, fails(FailureFull, result.RanNo))
+		outcome := b.forwarder.Serve(context.Background(), request("once", "", time.Second), &recorder{})
+		Expect(outcome.Code).To(Equal(result.OK))
+		Expect(b.backend.servers()).To(Equal([]string{"p1", "p2"}))
+	})
+}
+
 // Guards against sending a request to a server whose queue leaves no time for its response.
 func TestQueueLeavesTimeForTheResponse(t *testing.T) {
 	for answerTokens, code := range map[int]result.Code{50: result.OK, 200: result.QueueFull} {
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -39,21 +39,21 @@
 
 sites=("$@")
 play all "all mechanisms"
-switch_off plan-times internal/forward/admission.go '; coming {' '; false && coming {'
+switch_off plan-times internal/forward/delay.go '; planned {' '; planned && false {'
 switch_off wait-for-server internal/placement/plan.go 'return w.cold || !server.Busy' 'return !server.Busy'
 switch_off wait-for-idle internal/placement/victims.go 'if may && (w.cold || found.wait == 0)' 'if may && found.wait == 0'
 switch_off overdue-orders internal/orders/server_table.go 'return e.busyUntil.Sub(now).Abs()' 'return max(e.busyUntil.Sub(now), 0)'
-switch_off hold-on internal/forward/admission.go 'return held > ' 'return held < 0 && held > '
-switch_off hold-who-came-back internal/forward/admission.go 'return f.coming(flow) || f.withinHold(flow, now)' 'return false'
 switch_off queue-wait internal/forward/tracker.go 'if ahead <= 0 {' 'if ahead <= 1<<30 {'
-switch_off caller-patience internal/forward/forwarder.go 'if fl.route.CallerPatience <= 0 {' 'if true {'
+switch_off caller-wait-limit internal/forward/caller_time.go 'if fl.route.CallerWaitLimit <= 0 {' 'if true {'
+switch_off overdue-estimates internal/forward/delay.go 'return waited + load' 'return max(load-waited, baseDelay)'
+switch_off most-urgent-chooses internal/forward/admission.go 'defer f.turns.await(flow.pool, flow.priority, f.latestStart(flow))()' '_ = f.turns.await'
 switch_off loads-at-once internal/orders/load_limiter.go 'min(int(l.tokens), l.maxConcurrent-inProgress.count)' 'min(int(l.tokens), max(int(1.75*rate), 1)-inProgress.count)'
 switch_off adapters-first internal/placement/plan.go '	p.loadAdapters()
 	p.loadModels()' '	p.loadModels()
 	p.loadAdapters()'
 switch_off prefix-affinity internal/forward/choose.go 'if _, sent := load.prefixes[flow.prefixes[i].hash]; sent {' 'if false {'
 switch_off first-choice internal/forward/choose.go 'if preferred && len(flow.prefixes) > 0 {' 'if false {'
-switch_off failure-scores internal/forward/choose.go 'time.Duration(2 * c.load.failureRate' 'time.Duration(0 * c.load.failureRate'
+switch_off failure-scores internal/forward/score.go 'c.load.failureRate(now) * float64(flow.failureCost(now))' '0 * float64(flow.failureCost(now))'
 switch_off latency-scores internal/forward/choose.go 'maxLatencyFactor)' 'maxLatencyFactor) * 0 + 1'
 switch_off replicas-by-value internal/placement/plan.go '	p.relieveServers()' ''
 switch_off recent-worth internal/placement/recent.go 'if loss := peak.decayed(now); loss >= minRecentLoss {' 'if loss := peak.decayed(now); loss >= 1e9 {'
@@ -62,7 +62,7 @@
 switch_off crowding-cost internal/placement/victims.go 'crowdCost = 0.25' 'crowdCost = 0.0'
 switch_off zone-cost internal/placement/victims.go 'zoneCost = 0.1' 'zoneCost = 0.0'
 switch_off lapsed-records internal/mirror/grace.go 'if server == nil && granted && m.graceEligible(id) {' 'if server == nil && granted && id == "" {'
-switch_off orders-in internal/forward/admission.go 'if ordersIn > 0 {' 'if ordersIn < 0 {'
+switch_off orders-in internal/forward/delay.go 'if ordersIn > 0 {' 'if ordersIn < 0 {'
 switch_off doubtful-loads internal/placement/plan.go 'have += p.unconfirmed[name]' ''
 switch_off pause-after-failure internal/mirror/reading.go 'min(max(2*m.failurePause, minFailurePause), maxPause)' 'min(minFailurePause, maxPause)'
 switch_off few-campaigns internal/orders/election.go 'if _, vacancy = e.vacancy(); vacancy == nil {' 'if false {'
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -147,12 +147,13 @@
 switch_off limit-told-in-replies internal/orders/holder.go 'update.Limits, update.LimitsVersion =' '_, update.LimitsVersion =' ./platform
 switch_off limit-newest-word internal/notice/limits.go 'current.observedAt.After(observedAt) &&' 'false &&' ./internal/notice
 switch_off limit-ended-by-later internal/notice/limits.go 'call.SentAt.After(e.observedAt)' 'true' ./internal/notice
-switch_off limit-of-orders internal/orders/capacity.go 'grant := h.config.Limits.Take(ctx, server, serverlimit.Request{MaxWait: serverlimit.Window})' 'grant := serverlimit.Grant{Allowed: true}' ./platform
+switch_off limit-of-orders internal/orders/capacity.go 'return h.config.Limits.Take(ctx, server, serverlimit.Request{MaxWait: time.Until(deadline), Control: true})' 'return serverlimit.Grant{Allowed: true}' ./platform -run Limit
+switch_off limit-changed internal/forward/limit.go '|| f.limits.Interval(server) != flow.reservation.interval' '' $forward
 switch_off limit-given-back internal/forward/attempt.go 'f.limits.Return(target.grant)' '_ = target.grant' ./internal/forward
 switch_off limit-after-choice internal/forward/attempt.go '|| f.newlyLimited(target)' '' ./internal/forward
 switch_off limit-refused-at-once internal/forward/admission.go 'noSlot := eligible &&' 'noSlot := false && eligible &&' ./internal/forward
-switch_off limit-urgent-first internal/serverlimit/serverlimit.go 'min(need.MaxWait, horizon(need.Rank))' 'need.MaxWait' ./platform
-switch_off limit-last-choice internal/forward/choose.go '+ f.limitPenalty(flow, c.server)' '' ./internal/forward ./platform
+switch_off limit-urgent-first internal/serverlimit/serverlimit.go 'MaxWait: lookahead(need),' 'MaxWait: need.MaxWait,' ./internal/serverlimit ./platform -run 'Slots|Urgent'
+switch_off limit-last-choice internal/forward/score.go '+ f.limits.Interval(c.server)' '' ./internal/forward
 switch_off limit-little-use internal/placement/plan.go '+ p.saturatedReplicas(model, demand)' '' ./platform
 switch_off limit-refusal-ends internal/forward/limit.go 'if !f.limits.Limited(server) {' 'if false {' ./internal/forward
 switch_off counters-of-most internal/orders/counters.go 'if majorityReports(earlier.Addresses, live) {' 'if true {' ./platform
@@ -263,8 +264,6 @@
 switch_off empty-rests internal/forward/unframed.go 'flow.request.ResumeAfter) != "",' 'flow.request.ResumeAfter) != "" && false,' $forward
 switch_off unconfirmed-ends internal/forward/unframed.go 'case state == serverUnknown && b.mayResume():' 'case false:' $forward
 switch_off resume-after platform/backend.go 'if attempt.ResumeAfter != "" {' 'if false {' ./platform
-switch_off silent-stream internal/forward/relay.go 'func() { cancel(errSilent) }' 'func() {}' $forward
-switch_off impatience internal/forward/attempt.go 'func() { cancel(errImpatient) }' 'func() {}' $forward
 # Configuration and listing.
 switch_off newer-only internal/fleet/view.go 'configuration.Revision <= current.Revision' 'configuration.Revision < 0' ./internal/fleet
 switch_off history-gone internal/mirror/reading.go 'm.revision = 0' '' ./internal/mirror
@@ -309,10 +308,21 @@
 # Choice and admission.
 switch_off pause-of-unreached internal/forward/choose.go 'return !now.Before(load.backoffUntil)' 'return true' $forward
 switch_off queue-wait internal/forward/tracker.go 'if ahead <= 0 {' 'if ahead <= 1<<30 {' $forward
-switch_off caller-patience internal/forward/forwarder.go 'if fl.route.CallerPatience <= 0 {' 'if true {' $forward
-switch_off plan-times internal/forward/admission.go '; coming {' '; coming && false {' $forward
-switch_off word-of-the-plan internal/forward/admission.go 'if active && held < planPatience {' 'if false {' $forward
-switch_off hold-on internal/forward/admission.go 'return held > ' 'return held < 0 && held > ' $forward
+switch_off caller-wait-limit internal/forward/caller_time.go 'if fl.route.CallerWaitLimit <= 0 {' 'if true {' $forward
+switch_off wait-from-last-event internal/forward/caller_time.go 'if last := fl.lastPassedOn.Load(); last != nil {' 'if last := fl.lastPassedOn.Load(); false && last != nil {' $forward
+switch_off response-takes-time internal/forward/caller_time.go 'flow.leaveFor(whole, flow.deadline)' 'flow.leaveFor(0*whole, flow.deadline)' $forward
+switch_off always-tried internal/forward/caller_time.go 'if left < 0 && now.Before(flow.respondBy()) {' 'if false {' $forward
+switch_off plan-times internal/forward/delay.go '; planned {' '; planned && false {' $forward
+switch_off overdue-load internal/forward/delay.go 'return ready.Sub(now).Abs() + baseDelay' 'return max(ready.Sub(now), 0) + baseDelay' $forward
+switch_off unplanned-load internal/forward/delay.go 'return waited + load' 'return max(load-waited, baseDelay)' $forward
+switch_off overdue-slot internal/forward/admission.go ', flow.overdue(now))' ')' $forward
+switch_off plan-awaited internal/forward/delay.go 'if ordersIn == 0 && waited < planWaitLimit {' 'if false {' $forward
+switch_off slow-server-left internal/forward/attempt.go 'sw.after(flow.attemptShare(time.Now()), errAttemptTimeout)' '' $forward
+switch_off silent-stream-left internal/forward/relay.go 'sw.after(flow.attemptShare(time.Now()), errStreamStalled)' '' $forward
+switch_off cost-of-failures internal/forward/score.go 'c.load.failureRate(now) * float64(flow.failureCost(now))' '0 * float64(flow.failureCost(now))' $forward
+switch_off budget-before-waiting internal/forward/admission.go 'if refusal := f.refuseWithoutRetry(flow, now); refusal != nil {' 'if refusal := f.refuseWithoutRetry(flow, now); false {' $forward
+switch_off most-urgent-chooses internal/forward/admission.go 'defer f.turns.await(flow.pool, flow.priority, f.latestStart(flow))()' '_ = f.turns.await' $forward
+switch_off return-times-kept internal/ratelimit/meter.go 'if retryAt.After(latest) {' 'if false {' ./internal/ratelimit -run TestRefusedCallers
 switch_off place-before-switchover internal/forward/switchover.go 'if s.target == nil {' 'if false {' $forward
 switch_off budget-before-switchover internal/forward/switchover.go 'if ctx.Err() != nil || !f.takeRetry(ctx, flow) {' 'if false {' $forward
 switch_off missing-model internal/forward/choose.go '!load.notHeld[flow.modelAndAdapter()].covers(flow.request, notHeldTTL, now)' 'true' $forward
