forward: Give back slots that come after a stopping node has to be gone

A planned stop lasted until the end of the grace period: requests that had been granted a slot of a server's rate limit waited for it, although it came after the time at which the node sends nothing any more. Their callers got the node's last answer 0.7 s before its end instead of being sent elsewhere at once. Since slots are granted in all of the caller's time, such slots are common.

A reserved slot that comes after that time is given back, and the request is decided on like any other.

TestStoppingNodeDoesNotWaitForALaterSlot failed before.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -109,6 +109,12 @@
 	return f.choose(flow, snapshot, now)
 }
 
+// stopsBefore reports whether the node is stopping and sends no requests at the time any more.
+func (f *Forwarder) stopsBefore(at time.Time) bool {
+	until := f.drainUntil.Load()
+	return until != nil && at.After(*until)
+}
+
 // waitForChange waits until the view changes, a slot becomes free, a check ends or the poll period
 // is over; a nil check never ends. It returns the context's error once the request is cancelled or
 // past its deadline.
@@ -156,7 +162,7 @@
 	}
 	flow.decision.Delay = delay
 	flow.expectCapacity(now.Add(delay))
-	if until := f.drainUntil.Load(); until != nil && now.Add(delay).After(*until) {
+	if f.stopsBefore(now.Add(delay)) {
 		return f.giveUp(flow, "the node is stopping", result.NodeDraining)
 	}
 	// No server can serve the request in time if none has a rate-limit slot for it.
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -77,13 +77,14 @@
 }
 
 // dueReservation takes the reserved target once its slot has come; nil before that, or without
-// a reservation. A slot of a limit that has changed since is given back.
+// a reservation. A slot of a limit that has changed since is given back, as is one that comes after
+// the node has stopped sending.
 func (f *Forwarder) dueReservation(flow *flow, now time.Time) *candidate {
 	if flow.reservation == nil {
 		return nil
 	}
 	server := flow.reservation.target.server
-	if !f.stillAccepts(server) || f.limits.Interval(server) != flow.reservation.interval {
+	if !f.stillAccepts(server) || f.limits.Interval(server) != flow.reservation.interval || f.stopsBefore(flow.reservation.notBefore) {
 		f.dropReservation(flow)
 		return nil
 	}
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -256,3 +256,18 @@
 		})
 	}
 }
+
+// Guards against a planned stop that lasts as long as a request waits for its slot, which comes after the node has to be
+// gone.
+func TestStoppingNodeDoesNotWaitForALaterSlot(t *testing.T) {
+	withLimits(t, func(b *testbed, limits *fakeLimits) {
+		limits.announce(serverlimit.Grant{Delay: 4 * time.Second}, "m1", "m2")
+		started := time.Now()
+		time.AfterFunc(time.Second, func() { b.forwarder.Drain(time.Now().Add(time.Second)) })
+		outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
+		Expect(outcome.Code).To(Or(Equal(result.NodeDraining), Equal(result.QueueFull)))
+		Expect(outcome.Ran).To(Equal(result.RanNo))
+		Expect(time.Since(started)).To(BeNumerically("<=", time.Second+pollPeriod))
+		Expect(limits.returned).To(Equal(limits.taken))
+	})
+}
