forward: Name the latest time to begin work by what it is

startFor returns when work has to begin to be done by a time; the comment of overdue says why reports of free slots don't count.

--- a/internal/forward/caller_time.go
+++ b/internal/forward/caller_time.go
@@ -25,13 +25,13 @@
 func (f *Forwarder) latestStart(flow *flow) time.Time {
 	firstByte := time.Duration(flow.request.PromptTokens+baseTokens) * f.tracker.averageTokenTime(flow.pool)
 	whole := firstByte + f.tracker.expectedRunTime(flow.pool, flow.request.AnswerTokens)
-	return earlier(flow.leaveFor(firstByte, flow.respondBy()), flow.leaveFor(whole, flow.deadline))
+	return earlier(flow.startFor(firstByte, flow.respondBy()), flow.startFor(whole, flow.deadline))
 }
 
-// leaveFor is the time at which work has to begin to be done by another time.
-func (fl *flow) leaveFor(work time.Duration, by time.Time) time.Time {
-	total := by.Sub(fl.request.Accepted)
-	return by.Add(-min(work, time.Duration(maxWorkShare*float64(total))))
+// startFor is the latest time to begin work that has to be done by the given one.
+func (fl *flow) startFor(work time.Duration, doneBy time.Time) time.Time {
+	total := doneBy.Sub(fl.request.Accepted)
+	return doneBy.Add(-min(work, time.Duration(maxWorkShare*float64(total))))
 }
 
 // maxQueueWait is the longest queue at a server that the request may join. One that need not wait is
@@ -51,9 +51,8 @@
 	}
 }
 
-// overdue is for how long a server was expected to have taken the request; zero before that. What is
-// overdue is expected to take as long again, whatever the loads that servers report say: they may be the
-// reason why nothing came.
+// overdue is the time since a server was first expected to take the request; zero before that. What is
+// overdue is expected to take as long again, even if servers report free slots: they may reject all the same.
 func (fl *flow) overdue(now time.Time) time.Duration {
 	if fl.capacityExpected.IsZero() {
 		return 0
