scripts: Quote the retry budget as it is

Two switches of scripts/mechanisms.sh quoted lines that were split when a node was made to tell whether its budget is spent. retry-budget is noticed.

--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -91,13 +91,13 @@
 switch_off urgent-first internal/forward/tracker.go 'ahead = 1 + (ahead-1)*flow.aheadShare' 'ahead += 0 * flow.aheadShare' $forward
 switch_off suspected-avoided internal/forward/suspicion.go 'if !isSuspected {' 'if true || !isSuspected {' $forward
 switch_off suspicion-checked-once internal/forward/suspicion.go '!since.Equal(checkedSince) &&' 'true &&' $forward
-switch_off retry-budget internal/retrybudget/budget.go 'if bySlack > 0 && p.bySlack.Total(now)+bySlack > allowed.slack {' 'if false {' ./internal/retrybudget -skip RandomFaults
+switch_off retry-budget internal/retrybudget/budget.go 'return bySlack <= 0 ||' 'return true ||' ./internal/retrybudget -skip RandomFaults
 switch_off budget-spans internal/retrybudget/allowance.go 'return l.Window / requestSpans' 'return l.Window' ./internal/retrybudget -run MoveBetween
 switch_off budget-share internal/retrybudget/allowance.go 'return b.limits.Slack / float64(nodes)' 'return b.limits.Slack' ./internal/retrybudget -skip RandomFaults
 switch_off budget-of-a-start internal/retrybudget/allowance.go 'if !b.isComplete(now) {' 'if false {' ./internal/retrybudget -skip RandomFaults
 switch_off budget-earned internal/retrybudget/allowance.go 'max(now.Sub(b.started).Seconds()/b.limits.Window.Seconds(), 0)' '1' ./internal/retrybudget -skip RandomFaults
 switch_off budget-share-expires internal/retrybudget/allowance.go 'if !b.nodesUntil.IsZero() && now.After(b.nodesUntil) {' 'if false {' ./internal/retrybudget -skip RandomFaults
-switch_off budget-closed internal/retrybudget/budget.go 'if b.closed {' 'if false {' ./platform -run PassesNoneOn\|StoppedAsPlanned
+switch_off budget-closed internal/retrybudget/budget.go 'case b.closed:' 'case false:' ./platform -run PassesNoneOn\|StoppedAsPlanned
 switch_off usage-once internal/retrybudget/usage_store.go 'used := deleted &&' 'used :=' ./platform -run Restored\|StoppedAsPlanned
 switch_off usage-of-this-era internal/retrybudget/usage_store.go 'record.Era == s.Era() &&' '' ./platform -run RestoredRecord
 switch_off usage-complete internal/retrybudget/usage_store.go '!complete ||' '!complete && false ||' ./platform -run PassesNoneOn
