--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -162,7 +162,8 @@
 	answerWithoutList.List, answerWithoutList.Counters = ratelimit.ListVersion{}, ratelimit.Counters{}
 	answer := answerWithoutList
 	answer.Voted = false
-	askWithoutList := filled(ratelimit.TakeRequest{}).(ratelimit.TakeRequest)
+	askWithoutTimeLeft := filled(ratelimit.TakeRequest{}, "TimeLeft").(ratelimit.TakeRequest)
+	askWithoutList := askWithoutTimeLeft
 	askWithoutList.List = ratelimit.ListVersion{}
 	giveBack := filled(ratelimit.ReturnMessage{}).(ratelimit.ReturnMessage)
 	giveBack.Vote = 0
@@ -196,6 +197,7 @@
 		"streamorigin.LookupReply":        lookupReply,
 		"tenants.Answer":                  answer, "tenants.GiveBack": giveBack,
 		"tenants.Answer without list": answerWithoutList, "tenants.Ask without list": askWithoutList,
+		"tenants.Ask without time left": askWithoutTimeLeft,
 		"tenants.Ask": ratelimit.TakeRequest{
 			Tenant: "text 2", Limit: ratelimit.Limit{Rate: 4.5, Burst: 5.5, Window: 6, Paced: true}, Cost: 8.5, Rank: 9.5, MaxWait: 10,
 			Silent: true, Relayed: true, Heard: ratelimit.Count{Known: true, Level: 15.5, Used: 16.5, Age: 17},
