forward: Set the interval of the tests' limits under their lock

TestSlotOfAChangedLimitIsGivenBack raced with the forwarder under -race. The whole package but TestReportsLongRunningRequests, which races as before, ran under -race without another report; the tests of limits pass under it now.

--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -62,12 +62,20 @@
 func (l *fakeLimits) NextSlotIn(*fleet.Server, time.Time) time.Duration { return 0 }
 
 func (l *fakeLimits) Interval(server *fleet.Server) time.Duration {
-	if l.Limited(server) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if _, limited := l.grants[server.ID]; limited {
 		return cmp.Or(l.interval, time.Second)
 	}
 	return 0
 }
 
+func (l *fakeLimits) setInterval(interval time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.interval = interval
+}
+
 // announce makes servers announce a limit, with the grant for each request.
 func (l *fakeLimits) announce(grant serverlimit.Grant, servers ...string) {
 	l.mutex.Lock()
@@ -236,16 +244,14 @@
 // server changed it, and against waiting for a slot of a limit that has ended.
 func TestSlotOfAChangedLimitIsGivenBack(t *testing.T) {
 	for name, change := range map[string]func(limits *fakeLimits){
-		"lower": func(limits *fakeLimits) { limits.interval = 10 * time.Second },
+		"lower": func(limits *fakeLimits) { limits.setInterval(10 * time.Second) },
 		"ended": func(limits *fakeLimits) { limits.withdraw("m1", "m2") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			withLimits(t, func(b *testbed, limits *fakeLimits) {
 				limits.announce(serverlimit.Grant{Delay: 3 * time.Second}, "m1", "m2")
 				time.AfterFunc(time.Second, func() {
-					limits.mutex.Lock()
-					limits.grants["m1"], limits.grants["m2"] = serverlimit.Grant{}, serverlimit.Grant{}
-					limits.mutex.Unlock()
+					limits.announce(serverlimit.Grant{}, "m1", "m2")
 					change(limits)
 				})
 				outcome := b.forwarder.Serve(context.Background(), request("stream", "m", 5*time.Second), &recorder{})
