forward: Work out the latest start once per choice; one moving average

A choice asked twice for the latest start of its request, once for slots and once for queues, with four locks of the tracker; it asks once now. The averages of run times and of answers' lengths repeated the same lines, which addSample states once.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -61,7 +61,7 @@
 		}
 		found := f.chooseInTurn(flow, woken, snapshot, now)
 		if found.best != nil {
-			if f.takeSlot(ctx, flow, found.best, f.maxSlotWait(flow, now)) {
+			if f.takeSlot(ctx, flow, found.best, f.maxSlotWait(f.latestStart(flow), now)) {
 				return found.best, nil
 			}
 			continue
--- a/internal/forward/caller_time.go
+++ b/internal/forward/caller_time.go
@@ -36,9 +36,9 @@
 
 // maxQueueWait is the longest queue at a server that the request may join. One that need not wait is
 // always tried while its caller waits, so that an estimate can't shut out requests for good.
-func (f *Forwarder) maxQueueWait(flow *flow, now time.Time) time.Duration {
-	left := f.latestStart(flow).Sub(now)
-	if left < 0 && now.Before(flow.respondBy()) {
+func (fl *flow) maxQueueWait(latestStart, now time.Time) time.Duration {
+	left := latestStart.Sub(now)
+	if left < 0 && now.Before(fl.respondBy()) {
 		return 0
 	}
 	return left
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -131,9 +131,10 @@
 	return !s.limited || !s.refused && s.in <= maxWait && flow.reservation == nil
 }
 
-// maxSlotWait is how long the flow may wait for a slot at a server: as long as a request is held.
-func (f *Forwarder) maxSlotWait(flow *flow, now time.Time) time.Duration {
-	until := f.latestStart(flow)
+// maxSlotWait is how long a request may wait for a slot at a server: until its latest start, or as long as the
+// node sends requests.
+func (f *Forwarder) maxSlotWait(latestStart, now time.Time) time.Duration {
+	until := latestStart
 	if drain := f.drainUntil.Load(); drain != nil {
 		until = earlier(until, *drain)
 	}
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -318,11 +318,7 @@
 	t.recordRunTime(pool, took)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	average, known := t.answerTokens[pool]
-	if !known {
-		average = float64(answerTokens)
-	}
-	t.answerTokens[pool] = average + latencyWeight/4*(float64(answerTokens)-average)
+	addSample(t.answerTokens, pool, float64(answerTokens))
 }
 
 // expectedRunTime is the expected time from a response's beginning to its end at the usual speed of the
@@ -342,11 +338,16 @@
 func (t *tracker) recordRunTime(pool string, took time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	average, known := t.runTime[pool]
+	addSample(t.runTime, pool, float64(took))
+}
+
+// addSample adds a sample to a pool's moving average.
+func addSample(averages map[string]float64, pool string, sample float64) {
+	average, known := averages[pool]
 	if !known {
-		average = float64(took)
+		average = sample
 	}
-	t.runTime[pool] = average + latencyWeight/4*(float64(took)-average)
+	averages[pool] = average + latencyWeight/4*(sample-average)
 }
 
 // averageRunTime is the pool's average time from a response's beginning to its end at the usual speed
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -311,7 +311,7 @@
 switch_off caller-wait-limit internal/forward/caller_time.go 'if fl.route.CallerWaitLimit <= 0 {' 'if true {' $forward
 switch_off wait-from-last-event internal/forward/caller_time.go 'if last := fl.lastPassedOn.Load(); last != nil {' 'if last := fl.lastPassedOn.Load(); false && last != nil {' $forward
 switch_off response-takes-time internal/forward/caller_time.go 'flow.startFor(whole, flow.deadline)' 'flow.startFor(0*whole, flow.deadline)' $forward
-switch_off always-tried internal/forward/caller_time.go 'if left < 0 && now.Before(flow.respondBy()) {' 'if false {' $forward
+switch_off always-tried internal/forward/caller_time.go 'if left < 0 && now.Before(fl.respondBy()) {' 'if false {' $forward
 switch_off plan-times internal/forward/delay.go '; planned {' '; planned && false {' $forward
 switch_off overdue-load internal/forward/delay.go 'return ready.Sub(now).Abs() + baseDelay' 'return max(ready.Sub(now), 0) + baseDelay' $forward
 switch_off unplanned-load internal/forward/delay.go 'return waited + load' 'return max(load-waited, baseDelay)' $forward
