--- /dev/null
+++ b/review/probe/client.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// sealHeader is the header with the signature of a server.
+const sealHeader = "Hatchplank-Server-Seal"
+
+// answer is what a client got.
+type answer struct {
+	status int
+	sealed bool
+	length int
+	// whole is set if the answer ended as complete.
+	whole bool
+	err   error
+}
+
+// call is a request of a client.
+type call struct {
+	node, path, id, model string
+	deadline              time.Duration
+	// bytesPerSecond is the speed of the client's link; zero: unlimited.
+	bytesPerSecond int
+	// maxPause is the time without an event after which a client gives a stream up; zero: it waits.
+	maxPause time.Duration
+}
+
+// receiveBuffer is the size of the receive buffer of a client with a slow link.
+const receiveBuffer = 64 << 10
+
+// send sends a request on a new connection, and reads the answer.
+func (c call) send() answer {
+	dialer := net.Dialer{Timeout: time.Second}
+	conn, err := dialer.Dial("tcp", c.node)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer conn.Close()
+	if c.bytesPerSecond > 0 {
+		_ = conn.(*net.TCPConn).SetReadBuffer(receiveBuffer)
+	}
+	_ = conn.SetDeadline(time.Now().Add(c.deadline + time.Second))
+	head := "POST " + c.path + " HTTP/1.1\r\nHost: h.example\r\nHatchplank-Request-Id: " + c.id + "\r\n" +
+		"Hatchplank-Deadline-Ms: " + strconv.FormatInt(c.deadline.Milliseconds(), 10) + "\r\nContent-Length: 4\r\n"
+	if c.model != "" {
+		head += "Hatchplank-Model: " + c.model + "\r\nHatchplank-Token-Usage: 100,100\r\nHatchplank-Prompt-Prefix: aa:50," + c.id + ":50\r\n"
+	}
+	if _, err := io.WriteString(conn, head+"\r\nbody"); err != nil {
+		return answer{err: err}
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	got := answer{status: response.StatusCode, sealed: response.Header.Get(sealHeader) != ""}
+	got.length, got.err = c.read(conn, response.Body)
+	got.whole = got.err == nil
+	return got
+}
+
+// read reads a body to its end at the speed of the client's link.
+func (c call) read(conn net.Conn, body io.Reader) (int, error) {
+	length, began, buffer := 0, time.Now(), make([]byte, 16<<10)
+	for {
+		if c.maxPause > 0 {
+			_ = conn.SetReadDeadline(time.Now().Add(c.maxPause))
+		}
+		count, err := body.Read(buffer)
+		length += count
+		if errors.Is(err, io.EOF) {
+			return length, nil
+		}
+		if err != nil {
+			return length, err
+		}
+		if c.bytesPerSecond > 0 {
+			time.Sleep(time.Until(began.Add(time.Duration(length) * time.Second / time.Duration(c.bytesPerSecond))))
+		}
+	}
+}
+
+// String implements fmt.Stringer.
+func (a answer) String() string {
+	return fmt.Sprintf("status %d, sealed %t, %d bytes, ends as complete %t, error %v", a.status, a.sealed, a.length, a.whole, a.err)
+}
