--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
 for program in target/hatchplank-node target/review-probe; do
   [[ -x $program ]] || exit 2
 done
-exec target/review-probe adapter-slots target/hatchplank-node review/6/record.txt
+exec target/review-probe ended-server target/hatchplank-node review/6/record.txt
--- a/review/probe/client.go
+++ b/review/probe/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -30,6 +31,12 @@
 	deadline              time.Duration
 	// bytesPerSecond is the speed of the client's link; zero: unlimited.
 	bytesPerSecond int
+	// lastEvent is the last event that the client has of a stream that it takes up, and resumes the request that
+	// brought its first one.
+	lastEvent int
+	resumes   string
+	// resetAfter is the number of events after which the client's connection is reset; zero: it is not.
+	resetAfter int
 	// maxPause is the time without an event after which a client gives a stream up; zero: it waits.
 	maxPause time.Duration
 }
@@ -54,6 +61,9 @@
 	if c.model != "" {
 		head += "Hatchplank-Model: " + c.model + "\r\nHatchplank-Token-Usage: 100,100\r\nHatchplank-Prompt-Prefix: aa:50," + c.id + ":50\r\n"
 	}
+	if c.resumes != "" {
+		head += "Last-Event-Id: " + strconv.Itoa(c.lastEvent) + "\r\nResumes: " + c.resumes + "\r\n"
+	}
 	if _, err := io.WriteString(conn, head+"\r\nbody"); err != nil {
 		return answer{err: err}
 	}
@@ -63,6 +73,10 @@
 	}
 	defer response.Body.Close()
 	got := answer{status: response.StatusCode, sealed: response.Header.Get(sealHeader) != ""}
+	if c.resetAfter > 0 {
+		got.err = c.resetAfterEvents(conn, response.Body)
+		return got
+	}
 	got.length, got.err = c.read(conn, response.Body)
 	got.whole = got.err == nil
 	return got
@@ -93,3 +107,17 @@
 func (a answer) String() string {
 	return fmt.Sprintf("status %d, sealed %t, %d bytes, ends as complete %t, error %v", a.status, a.sealed, a.length, a.whole, a.err)
 }
+
+// resetAfterEvents reads events, and resets the connection.
+func (c call) resetAfterEvents(conn net.Conn, body io.Reader) error {
+	lines := bufio.NewScanner(body)
+	for events := 0; events < c.resetAfter; {
+		if !lines.Scan() {
+			return errors.Join(errors.New("the stream ended early"), lines.Err())
+		}
+		if strings.HasPrefix(lines.Text(), "id:") {
+			events++
+		}
+	}
+	return conn.(*net.TCPConn).SetLinger(0)
+}
--- a/review/probe/cut_link.go
+++ b/review/probe/cut_link.go
@@ -15,6 +15,8 @@
 	mutex sync.Mutex
 	// whole is closed while the link is not cut.
 	whole chan struct{}
+	// silent are closed for the connections that have gone silent.
+	silent chan struct{}
 }
 
 // newLink returns a link to the target, which is reached at the link's address.
@@ -23,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{address: listener.Addr().String(), target: target, whole: make(chan struct{})}
+	l := &link{address: listener.Addr().String(), target: target, whole: make(chan struct{}), silent: make(chan struct{})}
 	close(l.whole)
 	go func() {
 		for {
@@ -51,6 +53,15 @@
 	close(l.whole)
 }
 
+// silence makes the open connections go silent for good: what either side sends is not read any more, and
+// the other one is told nothing. New connections work.
+func (l *link) silence() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	close(l.silent)
+	l.silent = make(chan struct{})
+}
+
 // awaitWhole waits until the link is not cut.
 func (l *link) awaitWhole() {
 	l.mutex.Lock()
@@ -67,17 +78,26 @@
 		return
 	}
 	defer far.Close()
-	go l.copy(near, far)
-	l.copy(far, near)
+	l.mutex.Lock()
+	silent := l.silent
+	l.mutex.Unlock()
+	go l.copy(near, far, silent)
+	l.copy(far, near, silent)
 }
 
 // copy copies bytes until either side ends, and then ends the other one.
-func (l *link) copy(target, source net.Conn) {
+func (l *link) copy(target, source net.Conn, silent <-chan struct{}) {
 	defer target.Close()
 	buffer := make([]byte, 32<<10)
 	for {
 		count, err := source.Read(buffer)
 		l.awaitWhole()
+		select {
+		case <-silent:
+			// Until the program ends.
+			select {}
+		default:
+		}
 		if count > 0 {
 			if _, writeErr := target.Write(buffer[:count]); writeErr != nil {
 				return
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -26,11 +26,11 @@
 
 // cases by the name of their folder.
 var cases = map[string]func(*world) error{
-	"cut-answer":    playCutAnswer,
-	"adapter-slots": playAdapterSlots,
-	"short-lease":   playShortLease,
-	"ended-server":  playEndedServer,
-	"brittle":       playBrittle,
+	"cut-answer":   playCutAnswer,
+	"short-lease":  playShortLease,
+	"ended-server": playEndedServer,
+	"brittle":      playBrittle,
+	"silent-links": playSilentLinks,
 }
 
 func main() {
--- /dev/null
+++ b/review/probe/silent_links.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// The case silent-links: the open connections between nodes go silent for good, while new ones work. Later,
+// clients whose connections are reset take their streams up at another node.
+const (
+	// silentBefore is the time from then on until the streams begin: more than contact-ms.
+	silentBefore = 6 * time.Second
+	// silentStreams is the number of streams, and silentEvents that of events of each.
+	silentStreams, silentEvents = 16, 60
+	silentConfiguration         = `{"version":1,"routes":[
+ {"name":"s","host":"h.example","path-prefix":"/s/","kind":"streaming","timeout-ms":15000,"target-latency-ms":4000,"priority":1,"service":"llm","max-attempts":2,"session-affinity":true,"resumable":true,"gap-target-ms":400}],
+ "services":[{"name":"llm","health-path":"/health","max-connections":360,"engine":{"slots":64,"kv-tokens":244881,"weights-mb":200000,"adapter-slots":8,"loads-per-s":4,
+ "models":[{"name":"m1","weights-mb":72700,"load-time-s":2.1,"adapters":0,"adapter-mb":66,"warm-s":0.63,"disk-load-s":0.84}]}}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":5000,"idle-timeout-ms":15000}}`
+)
+
+func playSilentLinks(w *world) error {
+	w.peersThrough = true
+	if err := w.put("op/config", silentConfiguration); err != nil {
+		return err
+	}
+	for number := range 4 {
+		server := &modelServer{
+			id: fmt.Sprintf("i-llm%d", number+1), service: "llm", software: fmt.Sprintf("v%d", number%2+1),
+			adapterSlots: 8, maxModels: 2, loadTime: 2100 * time.Millisecond, eventPause: 100 * time.Millisecond,
+		}
+		if err := w.startModelServer(server, "m1"); err != nil {
+			return err
+		}
+	}
+	for _, name := range []string{"edge-1", "edge-2", "edge-3"} {
+		if _, err := w.startNode(name, w.storeAddress); err != nil {
+			return err
+		}
+	}
+	time.Sleep(8 * time.Second)
+	if w.trouble {
+		w.record("the open connections between nodes go silent")
+		for _, node := range w.nodes {
+			node.peers.silence()
+		}
+	}
+	time.Sleep(silentBefore)
+	begun, wentOn := w.takeUpStreams(w.nodes[0], w.nodes[1])
+	w.record("%d of %d new streams began, and %d were taken up again", begun, silentStreams, wentOn)
+	if begun < 12 {
+		return errors.New("too few streams began")
+	}
+	if 2*wentOn < begun {
+		return fmt.Errorf("%w: %d of %d streams went on, while %d of %d new ones began", errBroken, wentOn, begun, begun, silentStreams)
+	}
+	return nil
+}
+
+// takeUpStreams begins streams at a node, whose clients' connections are reset, and takes them up at another one.
+func (w *world) takeUpStreams(from, to *node) (begun, wentOn int) {
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	path := fmt.Sprintf("/s/%d", silentEvents)
+	for number := range silentStreams {
+		group.Go(func() {
+			id := fmt.Sprintf("s%d", number)
+			first := call{node: from.callers, path: path, id: id, model: "m1", deadline: 10 * time.Second, resetAfter: 10}.send()
+			w.record("client of stream %s at node %s: %s; its connection is reset", id, from.name, first)
+			if first.err != nil || first.status != http.StatusOK {
+				return
+			}
+			again := call{node: to.callers, path: path, id: id + "-again", model: "m1", deadline: 10 * time.Second, lastEvent: 10, resumes: id}.send()
+			w.record("client takes stream %s up at node %s: %s", id, to.name, again)
+			mutex.Lock()
+			defer mutex.Unlock()
+			begun++
+			if again.whole && again.status == http.StatusOK {
+				wentOn++
+			}
+		})
+	}
+	group.Wait()
+	return begun, wentOn
+}
--- a/review/probe/world.go
+++ b/review/probe/world.go
@@ -30,6 +30,8 @@
 	store   *keyvalue.Store
 	// storeAddress is where the store listens.
 	storeAddress string
+	// peersThrough makes nodes reach each other through links.
+	peersThrough bool
 	// leaseTTL is the time to live that the store applies to leases; zero: the one asked for.
 	leaseTTL time.Duration
 	// renewedAt is when the last renewal of a lease arrived, in Unix nanoseconds.
@@ -45,6 +47,8 @@
 type node struct {
 	name, callers, health string
 	command               *exec.Cmd
+	// peers carries the connections of other nodes to this one; nil: they connect to it.
+	peers *link
 }
 
 func newWorld(program, recordFile string) (*world, error) {
@@ -145,7 +149,7 @@
 
 // settings are those of the template in deploy/, with the figures of the users' small deployments.
 const settings = `node: {name: %q, zone: "z1"}
-listen: {callers: %q, health: %q, peers: %q, metrics: ""}
+listen: {callers: %q, health: %q, peers: %q, peers_advertised: %q, metrics: ""}
 cluster: {secret: hatchplank-nodes}
 store: {address: %q, contact: 3000ms, changes: 2000ms, drains: 2000ms, minimum_lease: 1000ms, reads_per_second: 2000, writes_per_second: 400}
 retries: {ratio: 0.2, slack: 54, window: 10s}
@@ -169,7 +173,15 @@
 	}
 	started := &node{name: name, callers: addresses[0], health: addresses[1]}
 	file := filepath.Join(w.folder, name+".yaml")
-	content := fmt.Sprintf(settings, name, addresses[0], addresses[1], addresses[2], store)
+	advertised := ""
+	if w.peersThrough {
+		var err error
+		if started.peers, err = newLink(addresses[2]); err != nil {
+			return nil, err
+		}
+		advertised = started.peers.address
+	}
+	content := fmt.Sprintf(settings, name, addresses[0], addresses[1], addresses[2], advertised, store)
 	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
 		return nil, err
 	}
