--- a/review/probe/cut_answer.go
+++ b/review/probe/cut_answer.go
@@ -16,8 +16,8 @@
 // under its ID before the node has read the end.
 const (
 	// answerBytes is the length of the server's whole answer, and clientSpeed the client's link in bytes a second.
-	answerBytes = 24 << 20
-	clientSpeed = 900 << 10
+	answerBytes = 16 << 20
+	clientSpeed = 500 << 10
 	// crashAfter is the time from the request to the crash, downTime that until the server is back.
 	crashAfter, downTime = time.Second, 2 * time.Second
 	// plainServers is the number of servers, one of which crashes.
