--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 for program in target/hatchplank-node target/review-probe; do
   [[ -x $program ]] || exit 2
 done
-exec target/review-probe brittle target/hatchplank-node review/7/record.txt
+exec target/review-probe lost-origins target/hatchplank-node review/7/record.txt
--- a/review/probe/client.go
+++ b/review/probe/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -20,6 +21,8 @@
 	status int
 	sealed bool
 	length int
+	// events is the number of events of a stream.
+	events int
 	// whole is set if the answer ended as complete.
 	whole bool
 	err   error
@@ -74,28 +77,30 @@
 	defer response.Body.Close()
 	got := answer{status: response.StatusCode, sealed: response.Header.Get(sealHeader) != ""}
 	if c.resetAfter > 0 {
-		got.err = c.resetAfterEvents(conn, response.Body)
+		got.events, got.err = c.resetAfterEvents(conn, response.Body)
 		return got
 	}
-	got.length, got.err = c.read(conn, response.Body)
+	got.length, got.events, got.err = c.read(conn, response.Body)
 	got.whole = got.err == nil
 	return got
 }
 
-// read reads a body to its end at the speed of the client's link.
-func (c call) read(conn net.Conn, body io.Reader) (int, error) {
-	length, began, buffer := 0, time.Now(), make([]byte, 16<<10)
+// read reads a body to its end at the speed of the client's link, and counts the events of a stream.
+func (c call) read(conn net.Conn, body io.Reader) (length, events int, err error) {
+	began, buffer := time.Now(), make([]byte, 16<<10)
 	for {
 		if c.maxPause > 0 {
 			_ = conn.SetReadDeadline(time.Now().Add(c.maxPause))
 		}
 		count, err := body.Read(buffer)
 		length += count
+		// Of each event, one line begins with its ID.
+		events += bytes.Count(buffer[:count], []byte("id:"))
 		if errors.Is(err, io.EOF) {
-			return length, nil
+			return length, events, nil
 		}
 		if err != nil {
-			return length, err
+			return length, events, err
 		}
 		if c.bytesPerSecond > 0 {
 			time.Sleep(time.Until(began.Add(time.Duration(length) * time.Second / time.Duration(c.bytesPerSecond))))
@@ -109,15 +114,15 @@
 }
 
 // resetAfterEvents reads events, and resets the connection.
-func (c call) resetAfterEvents(conn net.Conn, body io.Reader) error {
+func (c call) resetAfterEvents(conn net.Conn, body io.Reader) (events int, err error) {
 	lines := bufio.NewScanner(body)
-	for events := 0; events < c.resetAfter; {
+	for events < c.resetAfter {
 		if !lines.Scan() {
-			return errors.Join(errors.New("the stream ended early"), lines.Err())
+			return events, errors.Join(errors.New("the stream ended early"), lines.Err())
 		}
 		if strings.HasPrefix(lines.Text(), "id:") {
 			events++
 		}
 	}
-	return conn.(*net.TCPConn).SetLinger(0)
+	return events, conn.(*net.TCPConn).SetLinger(0)
 }
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -29,7 +29,7 @@
 	"cut-answer":   playCutAnswer,
 	"short-lease":  playShortLease,
 	"ended-server": playEndedServer,
-	"brittle":      playBrittle,
+	"lost-origins": playLostOrigins,
 	"silent-links": playSilentLinks,
 }
 
--- a/review/probe/silent_links.go
+++ b/review/probe/silent_links.go
@@ -27,14 +27,8 @@
 	if err := w.put("op/config", silentConfiguration); err != nil {
 		return err
 	}
-	for number := range 4 {
-		server := &modelServer{
-			id: fmt.Sprintf("i-llm%d", number+1), service: "llm", software: fmt.Sprintf("v%d", number%2+1),
-			adapterSlots: 8, maxModels: 2, loadTime: 2100 * time.Millisecond, eventPause: 100 * time.Millisecond,
-		}
-		if err := w.startModelServer(server, "m1"); err != nil {
-			return err
-		}
+	if err := w.startTwoVersions(); err != nil {
+		return err
 	}
 	for _, name := range []string{"edge-1", "edge-2", "edge-3"} {
 		if _, err := w.startNode(name, w.storeAddress); err != nil {
