--- a/review/probe/cut_answer.go
+++ b/review/probe/cut_answer.go
@@ -19,7 +19,7 @@
 	answerBytes = 16 << 20
 	clientSpeed = 500 << 10
 	// crashAfter is the time from the request to the crash, downTime that until the server is back.
-	crashAfter, downTime = time.Second, 2 * time.Second
+	crashAfter, downTime = time.Second, 1900 * time.Millisecond
 	// plainServers is the number of servers, one of which crashes.
 	plainServers       = 4
 	plainConfiguration = `{"version":1,"routes":[
@@ -32,6 +32,15 @@
 type plainServer struct {
 	id, address string
 	command     *exec.Cmd
+	// born of the process, and whether there is none.
+	born int64
+	down atomic.Bool
+}
+
+// beat writes the server's record.
+func (s *plainServer) beat(w *world) error {
+	return w.put("servers/"+s.id, fmt.Sprintf(
+		`{"service":"plain","address":%q,"zone":"z1","version":"v1","slots":6,"state":"ready","cold-remaining-ms":0,"call-seq":0,"born":%d}`, s.address, s.born))
 }
 
 func playCutAnswer(w *world) error {
@@ -49,15 +58,20 @@
 			return err
 		}
 		servers = append(servers, server)
+		go func() {
+			for range time.Tick(heartbeat) {
+				if !server.down.Load() {
+					_ = server.beat(w)
+				}
+			}
+		}()
 	}
 	node, err := w.startNode("edge-1", w.storeAddress)
 	if err != nil {
 		return err
 	}
-	time.Sleep(3 * time.Second)
-	if w.trouble {
-		go w.crashBusy(servers)
-	}
+	time.Sleep(settleTime)
+	go w.crashBusy(servers)
 	w.record("client sends request r1 for an answer of %d bytes", answerBytes)
 	got := call{node: node.callers, path: "/p/x", id: "r1", deadline: 40 * time.Second, bytesPerSecond: clientSpeed}.send()
 	w.record("client got: %s", got)
@@ -70,14 +84,20 @@
 	return nil
 }
 
-// crashBusy kills the server that runs the request, and starts it again under its ID.
+// crashBusy finds the server that runs the request. With the disruption it kills it, and starts it again under its
+// ID.
 func (w *world) crashBusy(servers []*plainServer) {
 	time.Sleep(crashAfter)
 	for _, server := range servers {
 		if !server.isBusy() {
 			continue
 		}
+		w.record("server %s runs request r1", server.id)
+		if !w.trouble {
+			return
+		}
 		w.record("server %s crashes (SIGKILL)", server.id)
+		server.down.Store(true)
 		_ = server.command.Process.Kill()
 		_ = server.command.Wait()
 		time.Sleep(downTime)
@@ -117,8 +137,9 @@
 		return err
 	}
 	w.record("server %s started at %s: process %d, born %d", server.id, server.address, server.command.Process.Pid, born)
-	return w.put("servers/"+server.id, fmt.Sprintf(
-		`{"service":"plain","address":%q,"zone":"z1","version":"v1","slots":6,"state":"ready","cold-remaining-ms":0,"call-seq":0,"born":%d}`, server.address, born))
+	server.born = born
+	server.down.Store(false)
+	return server.beat(w)
 }
 
 // servePlain is the process of the server: it answers each request by a long body without a length.
--- a/review/probe/short_lease.go
+++ b/review/probe/short_lease.go
@@ -15,23 +15,27 @@
 	// appliedTTL is the time to live that the store applies; ttl-min-ms allows it.
 	appliedTTL = time.Second
 	// cutTime is how long the node is partitioned from the store.
-	cutTime = 6 * time.Second
+	cutTime = 5900 * time.Millisecond
 	// The cut comes between these times after a renewal of the lease, and after the server wrote its record. At
 	// other moments the other node may see the end of the lease a second later.
 	minSinceRenewal, maxSinceRenewal = 380 * time.Millisecond, 480 * time.Millisecond
 	minSinceBeat, maxSinceBeat       = 250 * time.Millisecond, 500 * time.Millisecond
+	// thawTime is thaw-ms, for which orders don't count after a link has healed.
+	thawTime = 300 * time.Millisecond
 	// turn is lease-ms, the minimum time between orders of two holders to one server.
 	turn               = 3 * time.Second
 	leaseConfiguration = `{"version":1,"routes":[
  {"name":"s","host":"h.example","path-prefix":"/s/","kind":"streaming","timeout-ms":15000,"target-latency-ms":500,"priority":0,"service":"llm","max-attempts":1,"session-affinity":true,"resumable":false,"gap-target-ms":400}],
- "services":[{"name":"llm","health-path":"/health","max-connections":360,"engine":{"slots":64,"kv-tokens":244881,"weights-mb":200000,"adapter-slots":8,"loads-per-s":40,
- "models":[{"name":"m1","weights-mb":72700,"load-time-s":0.1,"adapters":46,"adapter-mb":66,"warm-s":0.1,"disk-load-s":0.1}]}}],
+ "services":[{"name":"llm","health-path":"/health","max-connections":360,"engine":{"slots":64,"kv-tokens":244881,"weights-mb":200000,"adapter-slots":8,"loads-per-s":4,
+ "models":[{"name":"m1","weights-mb":72700,"load-time-s":2.1,"adapters":46,"adapter-mb":66,"warm-s":0.63,"disk-load-s":0.84}]}}],
  "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":5000,"idle-timeout-ms":15000}}`
 )
 
 // orderLog keeps the holders of the orders to a server.
 type orderLog struct {
-	mutex  sync.Mutex
+	mutex sync.Mutex
+	// healed is when the cut ended; zero before. Orders don't count for thawTime from then on.
+	healed time.Time
 	holder string
 	at     time.Time
 	// shortest is the shortest time between orders of two holders, described by text.
@@ -42,6 +46,9 @@
 func (l *orderLog) add(received order, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if !l.healed.IsZero() && now.Sub(l.healed) < thawTime {
+		return
+	}
 	if gap := now.Sub(l.at); l.holder != "" && l.holder != received.Holder && (l.text == "" || gap < l.shortest) {
 		l.shortest, l.text = gap, fmt.Sprintf("%s after an order of %s: %s", gap.Round(time.Millisecond), l.holder, received)
 	}
@@ -63,9 +70,8 @@
 		return err
 	}
 	orders := &orderLog{}
-	// The server has room for more than the configuration says, so that only the turns matter.
 	server := &modelServer{
-		id: "i-llm1", service: "llm", adapterSlots: 1000, maxModels: 2, loadTime: 100 * time.Millisecond,
+		id: "i-llm1", service: "llm", adapterSlots: 8, maxModels: 2, loadTime: 2100 * time.Millisecond,
 		eventPause: 10 * time.Millisecond, onOrder: orders.add,
 	}
 	if err := w.startModelServer(server, "m1"); err != nil {
@@ -85,7 +91,7 @@
 	if err := await(10*time.Second, "there is no holder", func() bool { return w.holder() != nil }); err != nil {
 		return err
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(settleTime)
 	for _, node := range w.nodes {
 		for client := range 3 {
 			go w.askForAdapters(node, client)
@@ -107,6 +113,9 @@
 	time.Sleep(cutTime)
 	if w.trouble {
 		w.record("the path is whole again")
+		orders.mutex.Lock()
+		orders.healed = time.Now()
+		orders.mutex.Unlock()
 		links[holder.name].heal()
 	}
 	time.Sleep(2 * time.Second)
--- a/review/probe/world.go
+++ b/review/probe/world.go
@@ -32,13 +32,17 @@
 	storeAddress string
 	// peersThrough makes nodes reach each other through links.
 	peersThrough bool
+	// backAt is when the nodes were last started again; zero: they were not.
+	backAt time.Time
 	// leaseTTL is the time to live that the store applies to leases; zero: the one asked for.
 	leaseTTL time.Duration
 	// renewedAt is when the last renewal of a lease arrived, in Unix nanoseconds.
 	renewedAt atomic.Int64
 
-	mutex     sync.Mutex
-	file      *os.File
+	mutex sync.Mutex
+	file  *os.File
+	// judged is set once the result is recorded; nothing is recorded after it.
+	judged    bool
 	processes []*exec.Cmd
 	nodes     []*node
 }
@@ -76,6 +80,10 @@
 func (w *world) record(format string, arguments ...any) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.judged {
+		return
+	}
+	w.judged = strings.HasPrefix(format, "RESULT")
 	line := fmt.Sprintf("%8.3f ", time.Since(w.started).Seconds()) + fmt.Sprintf(format, arguments...)
 	_, _ = fmt.Fprintln(w.file, line)
 }
@@ -147,6 +155,21 @@
 	return err
 }
 
+// remove removes a key of the store.
+func (w *world) remove(key string) error {
+	_, err := w.store.Transact(outside.Transaction{Operations: []outside.Operation{{Kind: outside.OperationDelete, Key: key}}})
+	return err
+}
+
+const (
+	// heartbeat is the time between two writes of a server's record.
+	heartbeat = 1200 * time.Millisecond
+	// contact is contact-ms.
+	contact = 3 * time.Second
+	// settleTime is the time after the start of the nodes from which they are in touch.
+	settleTime = contact + time.Second
+)
+
 // settings are those of the template in deploy/, with the figures of the users' small deployments.
 const settings = `node: {name: %q, zone: "z1"}
 listen: {callers: %q, health: %q, peers: %q, peers_advertised: %q, metrics: ""}
