--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"runtime/debug"
 	"slices"
@@ -67,6 +68,9 @@
 	// holderLease is the time after which an order holder that does not renew its lease is
 	// replaced.
 	holderLease = 2 * time.Second
+	// defaultHeartbeat is assumed as the time between two writes of a server's record if the settings give none. A
+	// shorter time than the actual one ends the wait for a planned shutdown sooner.
+	defaultHeartbeat = time.Second
 	// maxPeerBackoff is the maximum backoff between connection attempts to another node.
 	maxPeerBackoff = 200 * time.Millisecond
 	// maxPeerHandshakes is the maximum number of handshakes with other nodes in progress. All nodes
@@ -285,7 +289,10 @@
 
 // mirrorTimes returns the bounds of the replica's staleness.
 func (n *node) mirrorTimes() mirror.Times {
-	return mirror.Times{Contact: n.settings.Store.Contact, Changes: min(n.settings.Store.Changes, n.settings.Store.Drains)}
+	return mirror.Times{
+		Contact: n.settings.Store.Contact, Changes: min(n.settings.Store.Changes, n.settings.Store.Drains),
+		Heartbeat: cmp.Or(n.settings.Store.Heartbeat, defaultHeartbeat),
+	}
 }
 
 // handoverPeriod returns the minimum time between the orders of two holders to the same server;
@@ -307,7 +314,7 @@
 		OnFind: n.metrics.StreamOrigin, Logger: n.logger,
 	})
 	n.forwarder = forward.New(forward.Config{
-		View: n.view, Origins: n.origins, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: func() bool { return n.mirror.Behind() }, Records: records{n}, OnRecordCheck: n.metrics.RecordCheck, Zone: n.settings.Node.Zone,
+		View: n.view, Origins: n.origins, Backend: &platform.Backend{Client: n.servers, Notices: n.notices}, Orders: n.link, Quota: n.quota, Backoffs: n.notices, Limits: n.limits, Poison: n.poison, MayBeStale: func() bool { return n.mirror.Behind() }, Records: records{n}, OnRecordCheck: n.metrics.RecordCheck, OnUnframedEnd: n.metrics.UnframedEnd, Zone: n.settings.Node.Zone,
 		Connect: n.servers.Connect, CheckIncarnation: (&platform.IncarnationCheck{Client: n.servers, View: n.view, Notices: n.notices}).Check, Indirect: n.paths.Lost, OnSuspicionCheck: n.requests.SuspicionChecked,
 		Fleet: retrybudget.Count{Limiter: n.limiter}, OnRetry: n.requests.Retry,
 		Observations: n.observations, Observe: n.requests.AttemptFailed, LongRunning: n.requests.LongRunning, Memory: n.memory,
@@ -406,6 +413,10 @@
 	return r.node.mirror.ReadRecord(ctx, server)
 }
 
+func (r records) AwaitDeparture(ctx context.Context, server fleet.Incarnation, seenRunning time.Time) bool {
+	return r.node.mirror.AwaitDeparture(ctx, server, seenRunning)
+}
+
 // boolGauge returns the value of a gauge for a condition.
 func boolGauge(value bool) float64 {
 	if value {
--- a/cmd/hatchplank-node/node_test.go
+++ b/cmd/hatchplank-node/node_test.go
@@ -28,7 +28,7 @@
 node: {name: %s, zone: z}
 listen: {callers: "127.0.0.1:0", health: "127.0.0.1:0", peers: "127.0.0.1:0", metrics: "127.0.0.1:0"}
 cluster: {secret: s}
-store: {address: "%s", contact: 3000ms, changes: 500ms, drains: 500ms, minimum_lease: 1000ms}
+store: {address: "%s", contact: 3000ms, changes: 500ms, drains: 500ms, heartbeat: 3s, minimum_lease: 1000ms}
 retries: {ratio: 0.2, slack: 54, window: 10s}
 orders: {turn: 100ms, fenced: false, load_window: 5s, load_overage: 1.1}
 stop: {grace: 2s}
@@ -154,18 +154,21 @@
 	}, "30s").Should(Equal(http.StatusOK))
 }
 
+// statusPage returns the status page of a node.
+func statusPage(process *edge.Process) inspect.Page {
+	var page inspect.Page
+	answer, err := http.Get("http://" + process.Address(edge.MetricsPage) + "/status")
+	Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	Expect(json.NewDecoder(answer.Body).Decode(&page)).To(Succeed())
+	return page
+}
+
 func TestStatusPageShowsTheNodesState(t *testing.T) {
 	RegisterTestingT(t)
 	d := newDeployment(t)
 	process, _ := d.run(t, "x")
-	page := func() inspect.Page {
-		var page inspect.Page
-		answer, err := http.Get("http://" + process.Address(edge.MetricsPage) + "/status")
-		Expect(err).NotTo(HaveOccurred())
-		defer answer.Body.Close()
-		Expect(json.NewDecoder(answer.Body).Decode(&page)).To(Succeed())
-		return page
-	}
+	page := func() inspect.Page { return statusPage(process) }
 	Eventually(func() bool { return page().IsHolder }, "30s").Should(BeTrue())
 	Eventually(func() int { return standin.Post("http://"+process.Address(edge.Callers), "/s/x", "b") }, "30s").Should(Equal(http.StatusOK))
 	shown := page()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -100,7 +100,7 @@
 	for gap, value := range map[string]string{
 		"{{node|json}}": `"n"`, "{{zone|json}}": `"z"`, "{{listen.front|json}}": `"10.0.0.1:1"`, "{{listen.ready|json}}": `"10.0.0.1:2"`,
 		"{{ip}}": "10.0.0.1", "{{internal-ports.0}}": "3", "{{platform.address|json}}": `"10.0.0.2:1"`,
-		"{{bounds.contact-ms}}": "3000", "{{bounds.config-apply-ms}}": "2000", "{{bounds.drain-ms}}": "2000", "{{platform.ttl-min-ms}}": "1000", "{{bounds.budget-ratio}}": "0.2",
+		"{{bounds.contact-ms}}": "3000", "{{bounds.config-apply-ms}}": "2000", "{{bounds.drain-ms}}": "2000", "{{heartbeat-ms}}": "1200", "{{platform.ttl-min-ms}}": "1000", "{{bounds.budget-ratio}}": "0.2",
 		"{{bounds.budget-slack}}": "54", "{{bounds.budget-window-s}}": "10", "{{bounds.lease-ms}}": "3000", "{{bounds.quota-window-s}}": "6",
 		"{{bounds.require-fence}}": "false", "{{bounds.ceiling-window-s}}": "5", "{{bounds.ceiling-overage}}": "1.1",
 		"{{bounds.grace-s}}": "8", "{{limits.memory-mb}}": "284",
@@ -261,6 +261,7 @@
 	metrics.CarryRequest(serverpath.Opened)
 	metrics.CarrierAnswer(serverpath.Opened)
 	metrics.RecordCheck(forward.RecordAccepts)
+	metrics.UnframedEnd(forward.ServerLeft)
 	metrics.StreamOrigin(streamorigin.Known, streamorigin.FromTable)
 	metrics.MemoryShort(bytebudget.Events)
 	answer := httptest.NewRecorder()
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -63,6 +63,7 @@
 	metricRecordsAge        = "hatchplank_node_server_records_age_seconds"
 	metricRejectedRecords   = "hatchplank_node_rejected_records_total"
 	metricRecordChecks      = "hatchplank_node_record_checks_total"
+	metricUnframedEnds      = "hatchplank_node_unframed_ends_total"
 	metricStreamOrigins     = "hatchplank_node_stream_origins_total"
 	metricAnomalies         = "hatchplank_node_response_anomalies_total"
 	metricStreamFaults      = "hatchplank_node_stream_faults_total"
@@ -107,6 +108,7 @@
 	{metricRecordsAge, "gauge", "", "Seconds since the store is known to have held the servers' records that this node has; -1 if it never had all of them."},
 	{metricRejectedRecords, "counter", "", "Server records from the store that could not be used, each revision once; the last usable one holds for a while."},
 	{metricRecordChecks, "counter", "outcome", "Reads of one server's record before a request was sent there, since the known one was too old, by outcome (accepts, leaves, unread: the store did not answer)."},
+	{metricUnframedEnds, "counter", "server", "Responses without a length or chunks that have ended, by what was found out of their server (runs, listens, left: shut down as planned, ended: the response is broken, unknown)."},
 	{metricStreamOrigins, "counter", "finding, basis", "Searches for the software version that began a stream which its caller resumes, by finding (known, irrelevant: the pool has had one version, at whose servers the stream goes on, unknown: the stream is refused) and by what it rests on (table: this node keeps it, keeper: another node does, record: the versions saved in the store, view: this node has seen all servers for a minute, reply: another node's record or view, none)."},
 	{metricAnomalies, "counter", "kind", "What servers and the store sent in place of one response for each request, by kind (foreign_response, unrequested_data, malformed_response, head_too_long, too_many_interim, body_too_long)."},
 	{metricStreamFaults, "counter", "fault", "Streams broken before what their server should not have sent, by fault (no_stream, no_events, malformed, no_id, id_form, id_order, not_continued, surplus_response, partial_event, event_too_long)."},
@@ -187,6 +189,11 @@
 	m.count(metricRecordChecks, "outcome", string(outcome))
 }
 
+// UnframedEnd counts an unframed response that has ended, by what was found out of its server.
+func (m *Metrics) UnframedEnd(state forward.ServerState) {
+	m.count(metricUnframedEnds, "server", string(state))
+}
+
 // StreamOrigin counts a search for the origin of a stream that its caller resumes.
 func (m *Metrics) StreamOrigin(finding streamorigin.Finding, basis streamorigin.Basis) {
 	m.count(metricStreamOrigins, "finding", string(finding), "basis", string(basis))
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -47,6 +47,8 @@
 		// configuration and on the drain of a server.
 		Changes time.Duration `yaml:"changes"`
 		Drains  time.Duration `yaml:"drains"`
+		// Heartbeat is the time between two writes of a server's record.
+		Heartbeat time.Duration `yaml:"heartbeat"`
 		// MinimumLease is the shortest lease duration that the store grants.
 		MinimumLease time.Duration `yaml:"minimum_lease"`
 		// ReadsPerSecond and WritesPerSecond are the store's rate limits for all nodes
@@ -147,6 +149,7 @@
 	require(s.Store.Contact > 0, "store.contact must be above 0")
 	require(s.Store.Changes > 0, "store.changes must be above 0")
 	require(s.Store.Drains > 0, "store.drains must be above 0")
+	require(s.Store.Heartbeat >= 0, "store.heartbeat must not be below 0")
 	require(s.Store.MinimumLease > 0, "store.minimum_lease must be above 0")
 	require(s.Store.ReadsPerSecond >= 0 && s.Store.WritesPerSecond >= 0, "store.reads_per_second and store.writes_per_second must not be below 0")
 	require(s.Retries.Ratio >= 0 && s.Retries.Slack >= 0, "retries.ratio and retries.slack must not be below 0")
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -22,6 +22,8 @@
 	Born int64
 	// Draining servers get no new work.
 	Draining bool
+	// Preempted servers are removed at a fixed time, whatever they are running then.
+	Preempted bool
 	// ReportedLeaving is set on a server that drains since it sent a leaving notice in an
 	// answer, whatever its record says.
 	ReportedLeaving bool
--- a/internal/forward/close_test.go
+++ b/internal/forward/close_test.go
@@ -17,7 +17,10 @@
 )
 
 // silentNodes are other nodes that do not answer; a call ends with its context.
-type silentNodes struct{ fakeGuard }
+type silentNodes struct {
+	fakeGuard
+	currentRecords
+}
 
 func (s *silentNodes) Admit(ctx context.Context, _ poison.Request, _ time.Time) (*poison.Trial, *poison.Refusal) {
 	<-ctx.Done()
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -62,6 +62,8 @@
 	Records Records
 	// OnRecordCheck is called with the outcome of each check of an outdated record; nil: not called.
 	OnRecordCheck func(RecordCheck)
+	// OnUnframedEnd is called with the state of its server when an unframed response has ended; nil: not called.
+	OnUnframedEnd func(ServerState)
 	// MayBeStale reports whether a newer configuration than the one in force may exist; nil:
 	// never.
 	MayBeStale func() bool
@@ -108,6 +110,7 @@
 	mayBeStale func() bool
 	// onRecordCheck is called for each check of an outdated record.
 	onRecordCheck func(RecordCheck)
+	onUnframedEnd func(ServerState)
 	// observations is nil without a table.
 	observations     *observation.Table
 	random           func() float64
@@ -162,6 +165,9 @@
 	if config.Records == nil {
 		config.Records = currentRecords{}
 	}
+	if config.OnUnframedEnd == nil {
+		config.OnUnframedEnd = func(ServerState) {}
+	}
 	if config.OnRecordCheck == nil {
 		config.OnRecordCheck = func(RecordCheck) {}
 	}
@@ -183,7 +189,7 @@
 	lifetime, cancel := context.WithCancel(context.Background())
 	return &Forwarder{
 		lifetime: lifetime, cancel: cancel, started: time.Now(),
-		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, records: config.Records, origins: config.Origins, onRecordCheck: config.OnRecordCheck, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, checkIncarnation: config.CheckIncarnation, indirect: config.Indirect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
+		view: config.View, backend: config.Backend, orders: config.Orders, quota: config.Quota, backoffs: config.Backoffs, limits: config.Limits, poison: config.Poison, records: config.Records, origins: config.Origins, onRecordCheck: config.OnRecordCheck, onUnframedEnd: config.OnUnframedEnd, mayBeStale: config.MayBeStale, observations: config.Observations, random: config.Random, connect: config.Connect, checkIncarnation: config.CheckIncarnation, indirect: config.Indirect, onSuspicionCheck: config.OnSuspicionCheck, zone: config.Zone,
 		tracker: newTracker(), turns: newTurns(), demand: newDemandTable(), priorities: newPriorityMix(),
 		budgets: retrybudget.New(retrybudget.Config{Limits: config.Budget, Nodes: config.Nodes, Fleet: config.Fleet}), onRetry: config.OnRetry,
 		observe: config.Observe, longRunning: config.LongRunning, memory: config.Memory,
--- a/internal/forward/record_check.go
+++ b/internal/forward/record_check.go
@@ -14,6 +14,9 @@
 	Outdated(server string) bool
 	// ReadRecord reads the record of one server from the store and applies it to the view.
 	ReadRecord(ctx context.Context, server string) error
+	// AwaitDeparture waits until a server, which was seen running at the time, is known to have ended its process
+	// as planned. It returns false once that can't be known any more, or when ctx ends.
+	AwaitDeparture(ctx context.Context, server fleet.Incarnation, seenRunning time.Time) bool
 }
 
 // currentRecords are records that are never outdated.
@@ -23,6 +26,10 @@
 
 func (currentRecords) ReadRecord(context.Context, string) error { return nil }
 
+func (currentRecords) AwaitDeparture(context.Context, fleet.Incarnation, time.Time) bool {
+	return false
+}
+
 // RecordCheck is the outcome of the read of an outdated record.
 type RecordCheck string
 
--- a/internal/forward/record_check_test.go
+++ b/internal/forward/record_check_test.go
@@ -22,6 +22,7 @@
 
 // fakeRecords are records that are outdated, with the result of reading each of them again.
 type fakeRecords struct {
+	currentRecords
 	read  func(ctx context.Context, server string) error
 	reads int
 }
--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -21,6 +21,9 @@
 // response waits.
 const incarnationCheckTimeout = 200 * time.Millisecond
 
+// minReadWait is how long a read takes at least that waited for data.
+const minReadWait = time.Millisecond
+
 // Errors of Config.CheckIncarnation.
 var (
 	// ErrOtherIncarnation: another incarnation answers at the server's address.
@@ -33,30 +36,40 @@
 // by this node or by the caller.
 var errEndUnconfirmed = errors.New("the response ended with its connection, and its server could not be checked")
 
-// serverState is what checks show of a server after an unframed response of it has ended.
-type serverState int
+// ServerState is what is found out of a server after an unframed response of it has ended.
+type ServerState string
 
+// The states of servers after unframed responses.
 const (
-	// serverUnknown: it was not reached, in another way than by a refused connection.
-	serverUnknown serverState = iota + 1
-	// serverListens: something accepts connections at its address.
-	serverListens
-	// serverRuns: it is the incarnation that sent the response.
-	serverRuns
-	// serverEnded: nothing, or another incarnation, listens at its address.
-	serverEnded
+	// ServerUnknown: it was not reached, in another way than by a refused connection.
+	ServerUnknown ServerState = "unknown"
+	// ServerListens: something accepts connections at its address.
+	ServerListens ServerState = "listens"
+	// ServerRuns: it is the incarnation that sent the response.
+	ServerRuns ServerState = "runs"
+	// ServerEnded: nothing, or another incarnation, listens at its address, and no planned shutdown is known.
+	ServerEnded ServerState = "ended"
+	// ServerLeft: likewise, after a planned shutdown.
+	ServerLeft ServerState = "left"
 )
 
 // unframedBody is a body that ends with its connection. It reports the end as io.ErrUnexpectedEOF if the
-// server has crashed: the system closes its connections in order, also in the middle of a response.
+// server has ended, unless that was a planned shutdown: the system closes the connections of a process that
+// crashes in order, also in the middle of a response.
 type unframedBody struct {
 	io.ReadCloser
 	// ctx of the attempt.
 	ctx context.Context
 	// check tests the server, and its incarnation within the context's time.
-	check func(limited context.Context) serverState
+	check func(limited context.Context) ServerState
 	// mayResume reports whether the caller, or another attempt, can ask for what may be missing.
 	mayResume func() bool
+	// left waits until the server, which was running at the time, is known to have ended as planned, or can't be.
+	left func(limited context.Context, running time.Time) bool
+	// onEnd is called with the state of the server once it is found out.
+	onEnd func(ServerState)
+	// running is the latest time at which the server is known to have run.
+	running time.Time
 	// mayBeEmpty: the response may have no body. Otherwise an empty one may be that of a head that broke off.
 	mayBeEmpty bool
 	received   bool
@@ -71,7 +84,12 @@
 	}
 	if b.sourceEnd == nil {
 		var count int
+		began := time.Now()
 		count, b.sourceEnd = b.ReadCloser.Read(buffer)
+		if time.Since(began) >= minReadWait {
+			// Nothing more had arrived when the read began, so the connection was still open.
+			b.running = began
+		}
 		b.received = b.received || count > 0
 		if count > 0 || b.sourceEnd == nil {
 			return count, nil
@@ -90,23 +108,39 @@
 		return io.ErrUnexpectedEOF
 	}
 	state := b.checkRepeatedly()
+	if state == ServerEnded && b.hasLeft() {
+		state = ServerLeft
+	}
+	b.onEnd(state)
 	switch {
-	case state == serverEnded:
+	case state == ServerEnded:
 		return io.ErrUnexpectedEOF
-	case state == serverUnknown && b.mayResume():
+	case state == ServerUnknown && b.mayResume():
 		return errEndUnconfirmed
 	}
 	return io.EOF
 }
 
-func (b *unframedBody) checkRepeatedly() serverState {
-	began, state := time.Now(), serverUnknown
+// hasLeft reports whether the server, which no longer runs, has ended as planned, that is, after its last response.
+// A stream that another attempt may continue waits only for as long as for other checks.
+func (b *unframedBody) hasLeft() bool {
+	ctx := b.ctx
+	if b.mayResume() {
+		limited, cancel := context.WithTimeout(ctx, incarnationCheckTimeout)
+		defer cancel()
+		ctx = limited
+	}
+	return b.left(ctx, b.running)
+}
+
+func (b *unframedBody) checkRepeatedly() ServerState {
+	began, state := time.Now(), ServerUnknown
 	limited, cancel := context.WithDeadline(b.ctx, began.Add(incarnationCheckTimeout))
 	defer cancel()
 	for _, delay := range unframedCheckDelays {
 		time.Sleep(time.Until(began.Add(delay)))
 		state = b.check(limited)
-		if state != serverUnknown {
+		if state != ServerUnknown {
 			break
 		}
 	}
@@ -118,28 +152,28 @@
 type refusedHere interface{ RefusedHere() bool }
 
 // stateOf returns what the error of a check shows; nil: the server answered.
-func stateOf(err error, answered serverState) serverState {
+func stateOf(err error, answered ServerState) ServerState {
 	var refused refusedHere
 	switch {
 	case err == nil:
 		return answered
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrOtherIncarnation):
-		return serverEnded
+		return ServerEnded
 	case errors.As(err, &refused) && refused.RefusedHere():
-		return serverEnded
+		return ServerEnded
 	}
-	return serverUnknown
+	return ServerUnknown
 }
 
 // checkServer finds out whether a server still runs: by its incarnation, where it tells that in time,
 // otherwise by a connection.
-func (f *Forwarder) checkServer(ctx, limited context.Context, server *fleet.Server) serverState {
+func (f *Forwarder) checkServer(ctx, limited context.Context, server *fleet.Server) ServerState {
 	if f.checkIncarnation != nil && limited.Err() == nil {
-		if state := stateOf(f.checkIncarnation(limited, server), serverRuns); state != serverUnknown {
+		if state := stateOf(f.checkIncarnation(limited, server), ServerRuns); state != ServerUnknown {
 			return state
 		}
 	}
-	return stateOf(f.connect(ctx, server.Address), serverListens)
+	return stateOf(f.connect(ctx, server.Address), ServerListens)
 }
 
 // hasContent reports whether a response of the status is a success that has a body, maybe an empty one.
@@ -154,7 +188,12 @@
 	}
 	reply.Body = &unframedBody{
 		ReadCloser: reply.Body, ctx: ctx,
-		check:     func(limited context.Context) serverState { return f.checkServer(ctx, limited, target.server) },
+		check: func(limited context.Context) ServerState { return f.checkServer(ctx, limited, target.server) },
+		left: func(limited context.Context, running time.Time) bool {
+			return f.records.AwaitDeparture(limited, target.server.Incarnation(), running)
+		},
+		onEnd:     f.onUnframedEnd,
+		running:   flow.attemptStarted,
 		mayResume: func() bool { return reply.Events && flow.route.Repeatable() && flow.stream.resumable() },
 		// Nothing may follow the last event of a stream that is resumed.
 		mayBeEmpty: !hasContent(reply.Status) || cmp.Or(flow.stream.last, flow.request.ResumeAfter) != "",
--- a/internal/mirror/fakes_test.go
+++ b/internal/mirror/fakes_test.go
@@ -574,7 +574,7 @@
 	relay string
 }
 
-var testTimes = Times{Contact: 3 * time.Second, Changes: 2 * time.Second}
+var testTimes = Times{Contact: 3 * time.Second, Changes: 2 * time.Second, Heartbeat: 1200 * time.Millisecond}
 
 func addressOf(number int) string { return string(rune('a'+number)) + ":1" }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -132,6 +132,8 @@
 	Contact time.Duration
 	// Changes is the time within which the node must act on a change in the store.
 	Changes time.Duration
+	// Heartbeat is the time between two writes of a server's record.
+	Heartbeat time.Duration
 }
 
 // Config configures a Mirror.
@@ -254,6 +256,8 @@
 	removedBefore   map[string]int64
 	reappeared      map[string]*fleet.Server
 	reappearedUntil time.Time
+	// departures are the planned shutdowns of servers that this node learned of.
+	departures departures
 	// ages is as of when the servers' records are known.
 	ages recordAges
 	// rereadAt is when this node last read the whole state again because another node reported a
@@ -271,7 +275,7 @@
 	m := &Mirror{
 		config: config, wakeup: make(chan struct{}, 1), resubscribe: make(chan struct{}, 1),
 		state: newState(0), subscribers: map[string]subscriber{}, inGrace: map[string]time.Time{}, holds: map[string]*hold{},
-		confirmations: newConfirmations(), ages: newRecordAges(),
+		confirmations: newConfirmations(), ages: newRecordAges(), departures: departures{},
 	}
 	if config.Relay == nil {
 		m.config.Relay = func() string { return "" }
--- a/internal/mirror/records_age.go
+++ b/internal/mirror/records_age.go
@@ -72,6 +72,7 @@
 		delete(m.ages.single, id)
 	}
 	m.releaseHolds(changes)
+	m.recordDepartures(changes)
 	m.config.View.UpdateServers(changes)
 }
 
@@ -79,6 +80,12 @@
 func (m *Mirror) showAllRecords(servers map[string]*fleet.Server) {
 	clear(m.ages.single)
 	m.releaseHolds(servers)
+	known := m.config.View.Load().Servers
+	changes := make(map[string]*fleet.Server, len(known))
+	for id := range known {
+		changes[id] = servers[id]
+	}
+	m.recordDepartures(changes)
 	m.config.View.ReplaceServers(servers)
 }
 
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -219,6 +219,8 @@
 	Born int64
 	// SoftwareVersion of the incarnation. It is not part of the digest either.
 	SoftwareVersion string
+	// Preempted as in fleet.Server. It is not part of the digest either.
+	Preempted bool
 	// Created is the store's revision at which the record was created. Without it, a record that
 	// expired and was written again unchanged would not count as a change.
 	Created int64
@@ -242,7 +244,7 @@
 	record := ServerRecord{
 		ID: server.ID, Pool: server.Pool, Address: server.Address, Zone: server.Zone, Slots: server.Slots, Draining: server.Draining,
 		Born: server.Born, SoftwareVersion: server.SoftwareVersion, Created: server.Created, Undecoded: server.Undecoded,
-		Held: server.Held,
+		Held: server.Held, Preempted: server.Preempted,
 	}
 	for name, held := range server.Recorded() {
 		record.Models = append(record.Models, ModelRecord{Name: name, Adapters: held.AdapterNames()})
@@ -253,7 +255,7 @@
 
 func (r ServerRecord) equal(other ServerRecord) bool {
 	return r.ID == other.ID && r.Pool == other.Pool && r.Address == other.Address && r.Zone == other.Zone &&
-		r.Slots == other.Slots && r.Draining == other.Draining && r.Born == other.Born && r.SoftwareVersion == other.SoftwareVersion && r.Created == other.Created && r.Undecoded == other.Undecoded && r.Held == other.Held &&
+		r.Slots == other.Slots && r.Draining == other.Draining && r.Born == other.Born && r.SoftwareVersion == other.SoftwareVersion && r.Created == other.Created && r.Undecoded == other.Undecoded && r.Held == other.Held && r.Preempted == other.Preempted &&
 		slices.EqualFunc(r.Models, other.Models, ModelRecord.equal)
 }
 
@@ -269,6 +271,6 @@
 	return &fleet.Server{
 		ID: r.ID, Pool: r.Pool, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Draining: r.Draining,
 		Born: r.Born, SoftwareVersion: r.SoftwareVersion, Created: r.Created, Models: sets.of(r.Models), SeenAt: seenAt,
-		Undecoded: r.Undecoded, Held: r.Held,
+		Undecoded: r.Undecoded, Held: r.Held, Preempted: r.Preempted,
 	}
 }
--- a/internal/peer/wirenames_test.go
+++ b/internal/peer/wirenames_test.go
@@ -137,10 +137,11 @@
 	released.Ends = nil
 	subscription := filled(mirror.Subscribe{}).(mirror.Subscribe)
 	subscription.Unpacks = false
-	withoutOddFields := filled(mirror.Update{}, "Undecoded", "Held").(mirror.Update)
+	withoutPreempted := filled(mirror.Update{}, "Preempted").(mirror.Update)
+	withoutOddFields := filled(mirror.Update{}, "Preempted", "Undecoded", "Held").(mirror.Update)
 	withoutRejected := withoutOddFields
 	withoutRejected.Rejected = nil
-	unversioned := filled(mirror.Update{}, "SoftwareVersion", "Undecoded", "Held").(mirror.Update)
+	unversioned := filled(mirror.Update{}, "SoftwareVersion", "Preempted", "Undecoded", "Held").(mirror.Update)
 	unversioned.Rejected = nil
 	unpacked := unversioned
 	unpacked.Packed = nil
@@ -190,7 +191,8 @@
 		"poison.Quarantined without served before": unservedQuarantined, "poison.Entries without served before": unservedEntries,
 		"mirror.Subscribe": subscription, "mirror.Update without packing": unpacked, "mirror.Update without software versions": unversioned,
 		"mirror.Update without rejected records": withoutRejected, "mirror.Update without odd fields": withoutOddFields,
-		"mirror.Update": confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
+		"mirror.Update without preempted": withoutPreempted,
+		"mirror.Update":                   confirmed, "poison.Released": released, "orders.DemandReport": report, "orders.Update": update,
 		"orders.DemandReport without model servers": reportWithoutModels,
 		"orders.DemandReport without paths":         reportWithoutPaths, "orders.Update without paths": updateWithoutPaths,
 		"orders.Update without reporting": updateWithoutReporting,
