--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -76,6 +76,9 @@
 	// maxPeerHandshakes is the maximum number of handshakes with other nodes in progress. All nodes
 	// of a fleet connect to a new holder at the same time, and those it rejects connect again.
 	maxPeerHandshakes = 2048
+	// probesPerContact is how often a quiet connection to another node is probed within the time in which nodes must
+	// be in touch again: one that goes silent is closed within four probe intervals.
+	probesPerContact = 5
 	// peerQueueLength is the maximum number of messages queued for another node. A node has one
 	// report in flight, and an update that was lost is included in the next one.
 	peerQueueLength = 32
@@ -138,7 +141,7 @@
 	n.memory = bytebudget.New(bytebudget.Config{Limit: n.maxHeldBytes(), OnShort: func(kind bytebudget.Kind) { n.metrics.MemoryShort(kind) }})
 	transport, err := tcp.New(tcp.Config{
 		Address: settings.Listen.Peers, AdvertisedAddress: settings.Listen.PeersAdvertised, Secret: []byte(settings.Cluster.Secret), Logger: logger, MaxBackoff: maxPeerBackoff,
-		MaxHandshakes: maxPeerHandshakes, QueueLength: peerQueueLength, MaxPendingCalls: peerQueueLength, Memory: n.memory, StreamDialer: exchange.NewDialer(serverDialSettings.AckTimeout),
+		MaxHandshakes: maxPeerHandshakes, QueueLength: peerQueueLength, MaxPendingCalls: peerQueueLength, ProbeInterval: settings.Store.Contact / probesPerContact, Memory: n.memory, StreamDialer: exchange.NewDialer(serverDialSettings.AckTimeout),
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for other nodes")
--- a/internal/peer/tcp/codec.go
+++ b/internal/peer/tcp/codec.go
@@ -19,7 +19,11 @@
 const (
 	envelopeCall envelopeKind = iota + 1
 	envelopeOneWay
+	// envelopeReply with ID 0 is no reply to a call: it announces that the sender answers probes, or
+	// answers one.
 	envelopeReply
+	// envelopeProbe asks for a reply with ID 0.
+	envelopeProbe
 )
 
 // envelope is the content of a frame.
@@ -39,7 +43,7 @@
 			return fmt.Errorf("%w: message is missing", errBadFrame)
 		}
 		return nil
-	case envelopeReply:
+	case envelopeReply, envelopeProbe:
 		return nil
 	default:
 		return fmt.Errorf("%w: unknown envelope kind %d", errBadFrame, e.Kind)
--- a/internal/peer/tcp/config.go
+++ b/internal/peer/tcp/config.go
@@ -30,6 +30,7 @@
 	DefaultHandshakeTimeout = 5 * time.Second
 	DefaultWriteTimeout     = 10 * time.Second
 	DefaultIdleTimeout      = 2 * time.Minute
+	DefaultProbeInterval    = time.Second
 	DefaultMinBackoff       = 50 * time.Millisecond
 	DefaultMaxBackoff       = 2 * time.Second
 )
@@ -76,6 +77,9 @@
 	// IdleTimeout is how long a connection to a peer may be unused before it is
 	// closed.
 	IdleTimeout time.Duration
+	// ProbeInterval is the time between two probes of a connection on which nothing is
+	// received. One that goes silent is closed within four intervals.
+	ProbeInterval time.Duration
 	// MinBackoff and MaxBackoff limit the delay before the next connection
 	// attempt, which doubles with each failure and has jitter.
 	MinBackoff time.Duration
@@ -107,6 +111,7 @@
 	defaults.Set(&c.HandshakeTimeout, DefaultHandshakeTimeout)
 	defaults.Set(&c.WriteTimeout, DefaultWriteTimeout)
 	defaults.Set(&c.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&c.ProbeInterval, DefaultProbeInterval)
 	defaults.Set(&c.MinBackoff, DefaultMinBackoff)
 	defaults.Set(&c.MaxBackoff, DefaultMaxBackoff)
 	return c
--- a/internal/peer/tcp/inbound.go
+++ b/internal/peer/tcp/inbound.go
@@ -123,6 +123,8 @@
 	replies   chan outgoing
 	// received counts the messages.
 	received int
+	// watch is set once the peer has sent a probe.
+	watch *silenceWatch
 	// stream is set once the connection becomes a stream.
 	stream *streamRequest
 }
@@ -139,6 +141,9 @@
 	i.session.readLoop(i.receive)
 	close(readEnded)
 	<-written
+	if i.watch != nil {
+		i.watch.stop()
+	}
 	if i.stream != nil {
 		i.serveStream()
 	}
@@ -178,6 +183,10 @@
 		return errBadFrame
 	}
 	i.received++
+	if message.Kind == envelopeProbe {
+		i.answerProbe()
+		return nil
+	}
 	if handler, known := i.transport.streamHandlerOf(message.Message); known {
 		return i.beginStream(message, handler)
 	}
@@ -190,10 +199,22 @@
 		reply(nil, errNoHandler)
 		return nil
 	}
+	if i.received == 1 {
+		// Not after a message without a handler: it may request a stream, whose dialer expects one reply.
+		i.enqueueReply(envelope{Kind: envelopeReply})
+	}
 	handler(i.from, message.Message, reply)
 	return nil
 }
 
+// answerProbe answers a probe. The peer sends further ones while the connection is quiet.
+func (i *inbound) answerProbe() {
+	if i.watch == nil {
+		i.watch = watchSilence(i.session, maxUnprobedIntervals, nil)
+	}
+	i.enqueueReply(envelope{Kind: envelopeReply})
+}
+
 // replyOnce returns the reply function of a call, of which only the first call
 // has an effect. It may be called from any goroutine, also after the connection
 // has been closed.
--- a/internal/peer/tcp/session.go
+++ b/internal/peer/tcp/session.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hatchplank/hatchplank/internal/bytebudget"
@@ -22,21 +23,22 @@
 	writer    *bufio.Writer
 	encoder   *encoder
 	decoder   *decoder
+	// received and sent are the bytes since the handshake.
+	received, sent atomic.Uint64
 }
 
 func newSession(transport *Transport, conn net.Conn) *session {
 	limit := transport.config.MaxFrameBytes
-	reader := bufio.NewReaderSize(conn, connectionBufferBytes)
-	decoder := newDecoder(reader, limit)
-	decoder.account = transport.config.Memory.Open(bytebudget.Frames, nil)
-	return &session{
+	created := &session{
 		transport: transport,
 		conn:      conn,
-		reader:    reader,
 		writer:    bufio.NewWriterSize(conn, connectionBufferBytes),
 		encoder:   newEncoder(limit),
-		decoder:   decoder,
 	}
+	created.reader = bufio.NewReaderSize(countingReader{conn, &created.received}, connectionBufferBytes)
+	created.decoder = newDecoder(created.reader, limit)
+	created.decoder.account = transport.config.Memory.Open(bytebudget.Frames, nil)
+	return created
 }
 
 func (s *session) close() { _ = s.conn.Close() }
@@ -51,6 +53,7 @@
 	}
 	s.transport.statistics.messagesSent.Add(1)
 	s.transport.statistics.bytesSent.Add(uint64(len(frame)))
+	s.sent.Add(uint64(len(frame)))
 	s.setWriteDeadline()
 	_, err = s.writer.Write(frame)
 	return err
--- a/internal/peer/tcp/statistics.go
+++ b/internal/peer/tcp/statistics.go
@@ -17,12 +17,15 @@
 	// RejectedConnections counts connections that exceeded MaxConnections or
 	// MaxHandshakes.
 	RejectedConnections uint64
+	// SilentConnections counts connections closed because the peer was silent.
+	SilentConnections uint64
 }
 
 type statistics struct {
 	messagesSent, messagesReceived                   atomic.Uint64
 	bytesSent, bytesReceived                         atomic.Uint64
 	dropped, protocolViolations, rejectedConnections atomic.Uint64
+	silentConnections                                atomic.Uint64
 }
 
 // Statistics returns the current counters.
@@ -35,5 +38,6 @@
 		Dropped:             t.statistics.dropped.Load(),
 		ProtocolViolations:  t.statistics.protocolViolations.Load(),
 		RejectedConnections: t.statistics.rejectedConnections.Load(),
+		SilentConnections:   t.statistics.silentConnections.Load(),
 	}
 }
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -38,6 +38,7 @@
 		{"hatchplank_retries_total", "Attempts made again.", true, func() float64 { return float64(n.Gateway.Stats().Retried) }},
 		{"hatchplank_peer_sent_bytes_total", "Bytes sent to other nodes.", true, func() float64 { return float64(transport.Statistics().BytesSent) }},
 		{"hatchplank_peer_received_bytes_total", "Bytes received from other nodes.", true, func() float64 { return float64(transport.Statistics().BytesReceived) }},
+		{"hatchplank_peer_silent_connections_total", "Connections to other nodes closed since nothing was received, probes unanswered.", true, func() float64 { return float64(transport.Statistics().SilentConnections) }},
 		{"hatchplank_peer_bad_connections_total", "Connections to the peer port closed for breaking the protocol.", true, func() float64 { return float64(transport.Statistics().ProtocolViolations) }},
 	}
 }
