--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -50,6 +50,9 @@
 	crashesPrefix = ownPrefix + "server-ends/"
 	// versionsKey holds the software versions that the pools had lately.
 	versionsKey = ownPrefix + "software-versions"
+	// streamsPrefix is the prefix of the keys of saved origins of streams. They are not among the product's
+	// own keys, which all nodes keep.
+	streamsPrefix = "hatchplank-streams/"
 	// gcPercent is the garbage collector's target percentage: lower than Go's default of 100,
 	// since memory costs more than processor time.
 	gcPercent = 40
@@ -313,7 +316,7 @@
 		View: n.view, Transport: n.transport, Address: n.transport.Address(),
 		Nodes:      func() []string { return n.limiter.Counters().Addresses },
 		RecordsAge: func() (time.Duration, bool) { return n.mirror.RecordsAge() }, MaxRecordsAge: mirror.MaxRecordAge(n.mirrorTimes()),
-		Store: n.store, VersionsKey: versionsKey, Era: n.store.RevisionEra,
+		Store: n.store, VersionsKey: versionsKey, OriginsPrefix: streamsPrefix, Era: n.store.RevisionEra,
 		OnFind: n.metrics.StreamOrigin, Logger: n.logger,
 	})
 	n.forwarder = forward.New(forward.Config{
--- a/internal/streamorigin/evidence.go
+++ b/internal/streamorigin/evidence.go
@@ -16,6 +16,8 @@
 	FromTable Basis = "table"
 	// FromKeeper: another node told the origin.
 	FromKeeper Basis = "keeper"
+	// FromStore: the origin is saved in the store.
+	FromStore Basis = "store"
 	// FromRecord: the record of versions in the store shows which versions the pool had.
 	FromRecord Basis = "record"
 	// FromView: this node's view has covered the retention.
--- a/internal/streamorigin/origins.go
+++ b/internal/streamorigin/origins.go
@@ -6,7 +6,9 @@
 // versions, it also sends it to two of the counter nodes (see package ratelimit), which all nodes know;
 // a node that does not know a stream asks them. As long as a pool has one version, no origin is sent.
 //
-// A stream that no node knows goes on only if the pool is shown to have had one version: by a record in
+// The nodes that keep origins for others also save them in the store, for the loss of all nodes.
+//
+// A stream that no node knows, and that is not saved, goes on only if the pool is shown to have had one version: by a record in
 // the store of the versions that the pools had lately, or by a node whose view had no gap.
 package streamorigin
 
@@ -41,6 +43,8 @@
 	// recordsTimeout limits the wait for current records where no node answers, which are looked at
 	// every recordsCheckPeriod.
 	recordsTimeout, recordsCheckPeriod = 500 * time.Millisecond, 10 * time.Millisecond
+	// searchTimeout limits a search, with a read of the origins in the store.
+	searchTimeout = askTimeout + recordsTimeout
 	// linesPerSecond bounds the log lines about each finding: after the loss of a node, all its callers
 	// resume their streams.
 	linesPerSecond = 10
@@ -76,7 +80,10 @@
 	Store       outside.KeyValueService
 	VersionsKey string
 	Era         func() int64
-	Logger      zerolog.Logger
+	// OriginsPrefix precedes the keys under which origins are saved in Store; empty: they are not. It must
+	// not precede keys that all nodes keep.
+	OriginsPrefix string
+	Logger        zerolog.Logger
 	// OnFind is called with each finding and what it rests on; nil: not called.
 	OnFind func(Finding, Basis)
 }
@@ -87,7 +94,9 @@
 	table    table
 	versions versions
 	saved    *versionStore
-	limiter  *logging.Limiter
+	// savedOrigins are those in the store.
+	savedOrigins *originStore
+	limiter      *logging.Limiter
 	// configuration is the one that was observed last.
 	configuration *fleet.Configuration
 
@@ -104,7 +113,7 @@
 	if config.RecordsAge == nil {
 		config.RecordsAge = func() (time.Duration, bool) { return 0, true }
 	}
-	o := &Origins{config: config, saved: newVersionStore(config), limiter: logging.NewLimiter(linesPerSecond), queued: map[Key]Origin{}}
+	o := &Origins{config: config, saved: newVersionStore(config), savedOrigins: newOriginStore(config), limiter: logging.NewLimiter(linesPerSecond), queued: map[Key]Origin{}}
 	o.versions.settleTime = config.MaxRecordsAge
 	config.Transport.Handle(Began{}, o.handleBegan)
 	config.Transport.Handle(Lookup{}, o.handleLookup)
@@ -122,8 +131,10 @@
 			return
 		case <-observe.C:
 			o.observe(time.Now())
+			o.savedOrigins.forgetRead(time.Now())
 		case <-send.C:
 			o.send()
+			o.savedOrigins.save(time.Now())
 		}
 	}
 }
@@ -195,7 +206,9 @@
 // severalPools, the stream may have begun in another one: what versions the pool had tells nothing. The
 // wait is limited.
 func (o *Origins) Find(ctx context.Context, request, pool string, severalPools bool) (Origin, Finding) {
-	found := o.search(ctx, keyOf(request), pool, severalPools)
+	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+	defer cancel()
+	found := o.orSaved(ctx, keyOf(request), o.search(ctx, keyOf(request), pool, severalPools))
 	o.config.OnFind(found.finding, found.basis)
 	o.logSearch(request, pool, severalPools, found)
 	return found.origin, found.finding
@@ -225,6 +238,10 @@
 	began := time.Now()
 	replies := o.ask(ctx, nodes, Lookup{Stream: stream, Pool: pool}, found)
 	result := search{finding: Unknown, basis: NoBasis, versions: found.versions}
+	if len(replies) == 0 {
+		// Whether the stream is saved is found out while the records are awaited.
+		o.savedOrigins.beginRead()
+	}
 	switch {
 	case len(replies) > 0:
 		result = combine(found, replies, pool)
@@ -237,6 +254,20 @@
 	return result
 }
 
+// orSaved returns the result of a search, or the origin that is saved in the store if no node knows it.
+func (o *Origins) orSaved(ctx context.Context, stream Key, result search) search {
+	if result.finding != Unknown {
+		return result
+	}
+	origin, saved := o.savedOrigins.find(ctx, stream)
+	if !saved {
+		return result
+	}
+	o.table.put(stream, origin, time.Now())
+	result.origin, result.finding, result.basis = origin, Known, FromStore
+	return result
+}
+
 // awaitRecords waits until the servers' records are known as of a time, and reports whether they are. Then
 // they have every version at whose servers a stream began before, also where no other node answers.
 func (o *Origins) awaitRecords(ctx context.Context, asOf time.Time) bool {
@@ -352,10 +383,12 @@
 
 func (o *Origins) handleBegan(_ string, message peer.Message, _ func(peer.Message, error)) {
 	began := message.(Began)
-	now := time.Now()
+	now, streams := time.Now(), map[Key]Origin{}
 	for _, stream := range began.Streams {
-		o.table.put(stream, Origin{Pool: began.Pool, SoftwareVersion: began.SoftwareVersion}, now)
+		streams[stream] = Origin{Pool: began.Pool, SoftwareVersion: began.SoftwareVersion}
+		o.table.put(stream, streams[stream], now)
 	}
+	o.savedOrigins.add(streams, now)
 }
 
 // enqueue queues origins for other nodes.
@@ -384,14 +417,17 @@
 		node   string
 		origin Origin
 	}
-	streams := map[target][]Key{}
+	streams, kept := map[target][]Key{}, map[Key]Origin{}
 	for stream, origin := range queued {
 		for _, node := range keepers(stream, nodes) {
-			if node != o.config.Address {
-				streams[target{node, origin}] = append(streams[target{node, origin}], stream)
+			if node == o.config.Address {
+				kept[stream] = origin
+				continue
 			}
+			streams[target{node, origin}] = append(streams[target{node, origin}], stream)
 		}
 	}
+	o.savedOrigins.add(kept, time.Now())
 	for to, keys := range streams {
 		for part := range slices.Chunk(keys, maxPerMessage) {
 			o.config.Transport.Send(to.node, Began{Pool: to.origin.Pool, SoftwareVersion: to.origin.SoftwareVersion, Streams: part})
