exchange: Don't read a part of a response as whole when an upload is reset

Cause: the system reports a reset once. The write took it, and reads then ended as if in order. A node that carried the connection for another one turned the reset into an end in order in the same way.

Change: a body that ends with its connection is whole if the request is written, or if the socket shows an end of the other side only (after a reset, poll reports POLLHUP). Where the system doesn't tell, the end waits for the write's. The carrier resets the connection to the other node.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -118,7 +118,7 @@
 	}
 	conn.begin(request.Identity)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	write := &requestWrite{}
+	write := &requestWrite{ended: make(chan struct{})}
 	if err := write.start(conn, request); err != nil {
 		stop()
 		_ = conn.Close()
@@ -132,6 +132,7 @@
 	}
 	response.Body = &responseBody{
 		ReadCloser: response.Body, client: c, conn: conn, stop: stop, write: write,
+		unframed: response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 		reusable: clean && !response.Close && !conn.isUsedUp(), idleTimeout: idleTimeoutFrom(response.Header.Get("Keep-Alive"), c.dial.IdleTimeout),
 	}
 	return response, nil
@@ -321,53 +322,63 @@
 // requestWrite writes a request to a connection. A long body is written in the background, while the
 // response is read.
 type requestWrite struct {
-	mutex sync.Mutex
-	// done is set once the whole request has been written.
-	done bool
+	// ended is closed when the write has ended, with err.
+	ended chan struct{}
+	err   error
 }
 
 // start writes the request, or its head if the body is long. The error is ErrNotSent if nothing was
 // written, which only a socket tells: over TLS, a record may have been sent in part.
 func (w *requestWrite) start(conn *connection, request Request) error {
-	if len(request.Body) <= maxInlineBody {
-		count, err := conn.Write(append(request.Head[:len(request.Head):len(request.Head)], request.Body...))
-		if err != nil && count == 0 && conn.socket != nil {
-			return errors.Join(ErrNotSent, err)
-		}
-		w.done = err == nil
-		return err
+	inline := len(request.Body) <= maxInlineBody
+	first := request.Head
+	if inline {
+		first = append(request.Head[:len(request.Head):len(request.Head)], request.Body...)
 	}
-	count, err := conn.Write(request.Head)
+	count, err := conn.Write(first)
 	if err != nil && count == 0 && conn.socket != nil {
 		return errors.Join(ErrNotSent, err)
 	}
 	if err != nil {
 		return err
 	}
+	if inline {
+		close(w.ended)
+		return nil
+	}
 	go func() {
-		_, err := conn.Write(request.Body)
-		w.mutex.Lock()
-		defer w.mutex.Unlock()
-		w.done = err == nil
+		defer close(w.ended)
+		_, w.err = conn.Write(request.Body)
 	}()
 	return nil
 }
 
 // finished reports whether the whole request has been written.
 func (w *requestWrite) finished() bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.done
+	select {
+	case <-w.ended:
+		return w.err == nil
+	default:
+		return false
+	}
+}
+
+// wait waits until the write has ended, and returns its error.
+func (w *requestWrite) wait() error {
+	<-w.ended
+	return w.err
 }
 
 // responseBody is the body of a response. Its connection is kept for reuse once the body has been
 // read completely.
 type responseBody struct {
 	io.ReadCloser
-	client      *Client
-	conn        *connection
-	stop        func() bool
-	write       *requestWrite
+	client *Client
+	conn   *connection
+	stop   func() bool
+	write  *requestWrite
+	// unframed: the body ends with the connection.
+	unframed    bool
 	reusable    bool
 	idleTimeout time.Duration
 	closed      bool
@@ -379,7 +390,10 @@
 		return 0, io.EOF
 	}
 	count, err := b.ReadCloser.Read(buffer)
-	if errors.Is(err, io.EOF) {
+	if err == io.EOF && b.unframed {
+		err = b.checkEnd()
+	}
+	if err == io.EOF {
 		b.finish()
 	}
 	return count, err
--- a/internal/serverpath/carrier.go
+++ b/internal/serverpath/carrier.go
@@ -175,7 +175,7 @@
 		}
 	}()
 	_, err := copyBytes(c.node, c.server, func() { c.answeredAfter.Store(int64(max(time.Since(c.opened), 1))) })
-	if !errors.Is(err, io.EOF) {
+	if inOrder, known := exchange.ClosedInOrder(c.server); !errors.Is(err, io.EOF) || known && !inOrder {
 		reset(c.node)
 		<-nodeEnded
 		return
--- a/internal/serverpath/carrier_test.go
+++ b/internal/serverpath/carrier_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/hatchplank/hatchplank/internal/exchange"
 )
 
 // connectionPair returns both ends of a connection over loopback TCP.
@@ -80,6 +82,49 @@
 	}
 }
 
+// Guards against the same where the node still sends a long request: writing it takes the reset, after which reads from
+// the server end as if in order.
+func TestResetOfACarriedUploadReachesTheNode(t *testing.T) {
+	endings := map[string]struct {
+		end   func(server *net.TCPConn)
+		whole bool
+	}{
+		"reset": {func(server *net.TCPConn) { _, _ = server.SetLinger(0), server.Close() }, false},
+		"reset later": {func(server *net.TCPConn) {
+			time.Sleep(20 * time.Millisecond)
+			_, _ = server.SetLinger(0), server.Close()
+		}, false},
+		"reads on": {func(server *net.TCPConn) {
+			_ = server.CloseWrite()
+			_, _ = io.Copy(io.Discard, server)
+		}, true},
+	}
+	for name, test := range endings {
+		t.Run(name, func(t *testing.T) {
+			RegisterTestingT(t)
+			for range 10 {
+				node, towardsNode := connectionPair(t)
+				server, towardsServer := connectionPair(t)
+				carried := &carriedConnection{node: towardsNode, server: towardsServer, opened: time.Now()}
+				done := make(chan struct{})
+				go func() { defer close(done); carried.carry() }()
+				go func() { _, _ = node.Write(make([]byte, 32<<20)) }()
+				_, err := io.ReadFull(server, make([]byte, 512))
+				Expect(err).NotTo(HaveOccurred())
+				_, err = server.Write([]byte("five events"))
+				Expect(err).NotTo(HaveOccurred())
+				go test.end(server)
+				_, err = io.ReadAll(node)
+				inOrder, known := exchange.ClosedInOrder(node)
+				Expect(known).To(BeTrue())
+				Expect(err == nil && inOrder).To(Equal(test.whole), "%v", err)
+				_ = node.Close()
+				Eventually(done, "30s").Should(BeClosed())
+			}
+		})
+	}
+}
+
 // Guards against the same after the crash of the node that carries the connection: its system closes
 // the connection in order.
 func TestConnectionThroughACrashedNodeDoesNotEndInOrder(t *testing.T) {
