exchange: Refuse heads of responses in which a field's name begins with a blank

Cause: net/http takes a line that begins with a blank for the rest of the field before it, so that a length or an encoding in it is lost and the body is what follows until the connection ends.

Change: what is read of a head is kept until its lines are checked. One that begins with a blank and looks like a field makes the head malformed, and so does a control byte in the status line. Folded values stay.

--- a/internal/exchange/head_check.go
+++ b/internal/exchange/head_check.go
@@ -58,35 +58,46 @@
 	return err == nil && reason != "" && reason == http.StatusText(number)
 }
 
-// version10 begins a response of HTTP/1.0, for which net/http ignores Transfer-Encoding.
-const version10 = "HTTP/1.0"
-
-// record keeps what is read of a head that may be one of HTTP/1.0.
+// record begins to keep what is read of the next head.
 func (c *connection) record() error {
 	if _, err := c.reader.Peek(1); err != nil {
 		return err
 	}
 	// What is buffered can be peeked at without an error.
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	if !strings.HasPrefix(version10, string(buffered[:min(len(buffered), len(version10))])) {
-		c.head.recording = nil
-		return nil
-	}
-	c.head.recording = append(make([]byte, 0, readBuffer), buffered...)
+	c.head.recording = append(c.head.recording[:0], buffered...)
 	return nil
 }
 
-// recordedEncoding reports whether the head that was recorded has a Transfer-Encoding.
-func (c *connection) recordedEncoding() bool {
-	head := bytes.ToLower(c.head.recording)
-	c.head.recording = nil
-	for line := range bytes.Lines(head) {
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return false
-		}
-		if bytes.HasPrefix(line, []byte("transfer-encoding")) {
-			return true
+// checkLines checks the lines of the head that was recorded, and forgets it. encoded reports whether one is a
+// Transfer-Encoding, which net/http ignores in HTTP/1.0.
+func (c *connection) checkLines() (encoded bool, err error) {
+	defer c.head.forget()
+	status := true
+	for line := range bytes.Lines(c.head.recording) {
+		line = bytes.TrimRight(line, "\r\n")
+		switch {
+		case len(line) == 0:
+			return encoded, nil
+		case status && bytes.ContainsFunc(line, isControl):
+			return false, malformedHead("status", string(line))
+		case hidesField(line):
+			return false, malformedHead("field", string(line))
 		}
+		status = false
+		encoded = encoded || len(line) >= len(transferEncoding) && bytes.EqualFold(line[:len(transferEncoding)], transferEncoding)
 	}
-	return false
+	return encoded, nil
 }
+
+// hidesField reports whether a line that begins with a blank or a tab holds a field. net/http takes it for the rest of
+// the field before it (RFC 9112, 5.2), so that a length or an encoding is lost. Other such lines are read so, too.
+func hidesField(line []byte) bool {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	return found && (line[0] == ' ' || line[0] == '\t') && !bytes.ContainsAny(bytes.TrimSpace(name), " \t")
+}
+
+var transferEncoding = []byte("transfer-encoding")
+
+// isControl reports whether a character may not be part of a status line.
+func isControl(char rune) bool { return char < ' ' && char != '\t' || char == 0x7f }
--- a/internal/exchange/head_limit.go
+++ b/internal/exchange/head_limit.go
@@ -22,6 +22,8 @@
 	// maxHeadLines is the maximum number of lines of these heads. A header that is parsed takes some 100 bytes
 	// beside its text.
 	maxHeadLines = 512
+	// maxKeptRecording is the capacity in bytes up to which the buffer for heads stays with a connection.
+	maxKeptRecording = 1 << 10
 	// maxInterimResponses is the maximum number of interim responses before a final one.
 	maxInterimResponses = 32
 )
@@ -37,10 +39,18 @@
 	exceeded  bool
 	// lines is the number of line ends that were read while limited.
 	lines int
-	// recording is what was read of a head of HTTP/1.0; nil: it is none.
+	// recording is what was read since a head began.
 	recording []byte
 }
 
+// forget forgets the recording, and keeps its buffer unless that is large.
+func (r *headReader) forget() {
+	r.recording = r.recording[:0]
+	if cap(r.recording) > maxKeptRecording {
+		r.recording = nil
+	}
+}
+
 // Read implements io.Reader.
 func (r *headReader) Read(buffer []byte) (int, error) {
 	if !r.limited {
@@ -53,9 +63,7 @@
 	count, err := r.source.Read(buffer[:min(len(buffer), r.remaining)])
 	r.remaining -= count
 	r.lines += bytes.Count(buffer[:count], []byte{'\n'})
-	if r.recording != nil {
-		r.recording = append(r.recording, buffer[:count]...)
-	}
+	r.recording = append(r.recording, buffer[:count]...)
 	return count, err
 }
 
@@ -80,13 +88,15 @@
 		return nil, err
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	encoded := c.recordedEncoding()
+	encoded, malformed := c.checkLines()
 	switch {
 	case c.head.exceeded:
 		// net/http may report the line that was cut instead.
 		return nil, ErrHeadTooLong
 	case err != nil:
 		return nil, err
+	case malformed != nil:
+		return nil, malformed
 	}
 	if err := checkHead(response, encoded); err != nil {
 		return nil, err
