--- a/internal/streamorigin/origin_store.go
+++ b/internal/streamorigin/origin_store.go
@@ -19,7 +19,7 @@
 	// gatherPeriod is how long origins are gathered before a write. Writes that follow each other are
 	// limited to saveBurst at once and savesPerSecond.
 	gatherPeriod   = 100 * time.Millisecond
-	savesPerSecond = 1
+	savesPerSecond = 2
 	saveBurst      = 4
 	// maxPerRecord is the maximum number of streams in a record: some 90 KB.
 	maxPerRecord = 4096
