--- a/internal/membership/lease_holder.go
+++ b/internal/membership/lease_holder.go
@@ -156,9 +156,9 @@
 
 func (h *leaseHolder) grantLocked() {
 	h.busy = true
-	h.service.GrantLease(h.options.TimeToLive, h.options.Timeout, func(lease outside.LeaseID, err error) {
+	h.service.GrantLease(h.options.TimeToLive, h.options.Timeout, func(lease outside.Lease, err error) {
 		h.completeCall(err, func() {
-			h.lease = lease
+			h.lease = lease.ID
 			h.extendedAt = h.clock.Now()
 		})
 	})
--- a/internal/membership/meter.go
+++ b/internal/membership/meter.go
@@ -53,7 +53,7 @@
 }
 
 // GrantLease implements outside.KeyValueService.
-func (m *Meter) GrantLease(timeToLive, timeout time.Duration, done func(outside.LeaseID, error)) {
+func (m *Meter) GrantLease(timeToLive, timeout time.Duration, done func(outside.Lease, error)) {
 	m.leaseGrants.Add(1)
 	m.service.GrantLease(timeToLive, timeout, done)
 }
--- a/internal/orders/campaign.go
+++ b/internal/orders/campaign.go
@@ -94,7 +94,7 @@
 			{Key: e.holderKey(), ModRevision: at.holderRevision},
 			{Key: e.lastKey(), ModRevision: at.lastRevision},
 		},
-		Operations: []outside.Operation{{Kind: outside.OperationPut, Key: e.holderKey(), Value: value, Lease: lease}},
+		Operations: []outside.Operation{{Kind: outside.OperationPut, Key: e.holderKey(), Value: value, Lease: lease.ID}},
 	}
 	if at.activates {
 		active, err := json.Marshal(e.activeRecord(history, sent))
@@ -111,7 +111,8 @@
 		// The restored store may have granted the same lease to another node.
 		return nil, eris.Errorf("the store was restored meanwhile: era %d, before %d", outside.EraOf(reply.Revision), era)
 	}
-	term := newTerm(reply.Revision, at.notBefore, leaseFrom.Add(e.config.Lease-leaseMargin), at.activates)
+	term := newTerm(reply.Revision, at.notBefore, leaseFrom.Add(lease.TimeToLive-leaseMargin), at.activates)
+	term.lease = lease.TimeToLive
 	term.history = history
 	if at.first && e.config.HandoverPeriod > 0 {
 		term.firstUntil = sent.Add(e.config.Lease + e.config.HandoverPeriod + leaseMargin)
@@ -121,9 +122,9 @@
 	if e.resigned {
 		return nil, errors.New("the node is stopping")
 	}
-	e.term, e.lease = term, lease
+	e.term, e.lease = term, lease.ID
 	record := own
-	record.Revision, record.lease, record.receivedAt = reply.Revision, lease, time.Now()
+	record.Revision, record.lease, record.receivedAt = reply.Revision, lease.ID, time.Now()
 	e.holder = &record
 	if at.activates {
 		e.lastHolder = &record
@@ -158,8 +159,8 @@
 }
 
 // grantLease obtains a new lease from the store.
-func (e *Election) grantLease() (outside.LeaseID, error) {
-	return outside.Await(func(done func(outside.LeaseID, error)) {
+func (e *Election) grantLease() (outside.Lease, error) {
+	return outside.Await(func(done func(outside.Lease, error)) {
 		e.config.Store.GrantLease(e.config.Lease, storeTimeout, done)
 	})
 }
--- a/internal/orders/election.go
+++ b/internal/orders/election.go
@@ -17,7 +17,8 @@
 	// leaseMargin is the last part of the lease, in which no orders are sent. It allows for
 	// clocks that run at different rates and for orders still on their way.
 	leaseMargin = 250 * time.Millisecond
-	// renewalsPerLease is the number of renewals within one lease.
+	// renewalsPerLease is the number of renewals within one lease of the time asked for. A shorter one is
+	// renewed at its half at the latest.
 	renewalsPerLease = 4
 	// maxCampaignWait is the longest random wait of a node before it campaigns, and
 	// campaignNodes the number of nodes up to which few of them wait equally short; see
--- a/internal/orders/renewal.go
+++ b/internal/orders/renewal.go
@@ -12,7 +12,7 @@
 // keepLease renews the lease until it is lost, the term ends or ctx ends. It activates the term
 // when its time to order has come.
 func (e *Election) keepLease(ctx context.Context, term *Term) {
-	period := e.config.Lease / renewalsPerLease
+	period := min(e.config.Lease/renewalsPerLease, term.lease/2)
 	for ctx.Err() == nil {
 		if term.needsActivation(time.Now()) {
 			e.activate(term)
@@ -28,7 +28,7 @@
 		err := e.renewOnce()
 		switch {
 		case err == nil && !e.restoredSince(term):
-			term.renew(sent.Add(e.config.Lease - leaseMargin))
+			term.renew(sent.Add(term.lease - leaseMargin))
 		case errors.Is(err, outside.ErrLeaseNotFound):
 			e.config.Logger.Warn().Int64("token", term.Token).Msg("lease lost")
 			e.endTerm(term)
--- a/internal/orders/term.go
+++ b/internal/orders/term.go
@@ -18,6 +18,8 @@
 	// revision is the revision of this node's record as holder in the store. It equals the
 	// token until the store is restored. The election's lock guards it.
 	revision int64
+	// lease is the time to live of the lease.
+	lease time.Duration
 	// NotBefore is when the predecessor's handover period ends.
 	NotBefore time.Time
 
--- a/internal/orders/term_test.go
+++ b/internal/orders/term_test.go
@@ -65,6 +65,7 @@
 		store := &slowStore{delay: 800 * time.Millisecond, answers: 3}
 		election := NewElection(ElectionConfig{Store: store, Prefix: "p/", Lease: lease, Logger: zerolog.Nop()})
 		term := newTerm(1, time.Now(), time.Now().Add(lease-leaseMargin), true)
+		term.lease = lease
 		ctx, cancel := context.WithCancel(context.Background())
 		go election.keepLease(ctx, term)
 		var last time.Time
--- a/internal/outside/contract/keyvalue_calls_test.go
+++ b/internal/outside/contract/keyvalue_calls_test.go
@@ -65,9 +65,9 @@
 }
 
 func (h *keyValueHarness) grant(timeToLive time.Duration) outside.LeaseID {
-	lease, err := await(h, func(done func(outside.LeaseID, error)) { h.service.GrantLease(timeToLive, longTimeout, done) })
+	lease, err := await(h, func(done func(outside.Lease, error)) { h.service.GrantLease(timeToLive, longTimeout, done) })
 	Expect(err).NotTo(HaveOccurred())
-	return lease
+	return lease.ID
 }
 
 func (h *keyValueHarness) keepAlive(lease outside.LeaseID) error {
--- a/internal/outside/contract/keyvalue_faults_test.go
+++ b/internal/outside/contract/keyvalue_faults_test.go
@@ -27,7 +27,7 @@
 	},
 	"grant": {
 		run: func(h *keyValueHarness, _ outside.LeaseID, done func(error)) {
-			h.service.GrantLease(faultLease, h.shortTimeout, func(_ outside.LeaseID, err error) { done(err) })
+			h.service.GrantLease(faultLease, h.shortTimeout, func(_ outside.Lease, err error) { done(err) })
 		},
 		applied: func(h *keyValueHarness) bool { return h.store.Leases() == 2 },
 	},
--- a/internal/outside/etcd/service.go
+++ b/internal/outside/etcd/service.go
@@ -41,18 +41,18 @@
 
 // GrantLease implements outside.KeyValueService. The time to live is rounded up to whole
 // seconds, the resolution of the protocol.
-func (c *Client) GrantLease(timeToLive, timeout time.Duration, done func(outside.LeaseID, error)) {
+func (c *Client) GrantLease(timeToLive, timeout time.Duration, done func(outside.Lease, error)) {
 	seconds := (timeToLive + time.Second - 1) / time.Second
 	request := wire.LeaseGrantRequest{TimeToLive: wire.Int64(seconds)}
-	run(c, timeout, done, func(ctx context.Context) (outside.LeaseID, error) {
+	run(c, timeout, done, func(ctx context.Context) (outside.Lease, error) {
 		var response wire.LeaseResponse
 		if err := c.post(ctx, wire.PathLeaseGrant, request, &response); err != nil {
-			return 0, err
+			return outside.Lease{}, err
 		}
 		if response.ID == 0 {
-			return 0, fmt.Errorf("%w: lease granted without an ID", outside.ErrAmbiguous)
+			return outside.Lease{}, fmt.Errorf("%w: lease granted without an ID", outside.ErrAmbiguous)
 		}
-		return outside.LeaseID(response.ID), nil
+		return outside.Lease{ID: outside.LeaseID(response.ID), TimeToLive: time.Duration(response.TimeToLive) * time.Second}, nil
 	})
 }
 
--- a/internal/outside/etcd/wire_test.go
+++ b/internal/outside/etcd/wire_test.go
@@ -73,7 +73,7 @@
 		Entry("range of all", func(c *etcd.Client) { c.Range("", longTimeout, func(outside.RangeResult, error) {}) },
 			`{}`, "/v3/kv/range", `{"key":"AA==","range_end":"AA=="}`),
 		Entry("grant, rounded up", func(c *etcd.Client) {
-			c.GrantLease(1500*time.Millisecond, longTimeout, func(outside.LeaseID, error) {})
+			c.GrantLease(1500*time.Millisecond, longTimeout, func(outside.Lease, error) {})
 		}, `{"ID":"7","TTL":"2"}`, "/v3/lease/grant", `{"TTL":"2"}`),
 		Entry("keep alive", func(c *etcd.Client) { c.KeepAlive(7, longTimeout, func(error) {}) },
 			`{"result":{"ID":"7","TTL":"2"}}`, "/v3/lease/keepalive", `{"ID":"7"}`),
--- a/internal/outside/keyvalue.go
+++ b/internal/outside/keyvalue.go
@@ -8,6 +8,13 @@
 // LeaseID identifies a lease; 0 is no lease.
 type LeaseID int64
 
+// Lease is a lease that was granted.
+type Lease struct {
+	ID LeaseID
+	// TimeToLive that applies, from each renewal on.
+	TimeToLive time.Duration
+}
+
 // KeyValue is one key of the key-value service.
 type KeyValue struct {
 	Key   string
@@ -101,9 +108,9 @@
 	Transact(transaction Transaction, timeout time.Duration, done func(TransactionResult, error))
 	// Range reads all keys with the prefix, linearizably.
 	Range(prefix string, timeout time.Duration, done func(RangeResult, error))
-	// GrantLease creates a lease. After ErrAmbiguous a lease may exist; as nothing renews
+	// GrantLease creates a lease. The service may apply another time to live. After ErrAmbiguous a lease may exist; as nothing renews
 	// it, it expires.
-	GrantLease(timeToLive, timeout time.Duration, done func(LeaseID, error))
+	GrantLease(timeToLive, timeout time.Duration, done func(Lease, error))
 	// KeepAlive renews a lease for its time to live. Errors: ErrLeaseNotFound,
 	// ErrNotApplied, ErrAmbiguous.
 	KeepAlive(lease LeaseID, timeout time.Duration, done func(error))
--- a/internal/retrybudget/usage_store.go
+++ b/internal/retrybudget/usage_store.go
@@ -60,11 +60,11 @@
 	if !complete || !s.Budget.mayRetry(time.Now()) {
 		return
 	}
-	lease, err := outside.Await(func(done func(outside.LeaseID, error)) {
+	lease, err := outside.Await(func(done func(outside.Lease, error)) {
 		s.Store.GrantLease(max(s.Budget.limits.Window+usageMargin, s.MinimumLease), usageTimeout, done)
 	})
 	if err == nil {
-		err = s.write(usageRecord{Era: s.Era(), StoppedMillis: time.Now().UnixMilli(), Usage: usage}, lease)
+		err = s.write(usageRecord{Era: s.Era(), StoppedMillis: time.Now().UnixMilli(), Usage: usage}, lease.ID)
 	}
 	s.Logger.Info().Err(err).Bool("saved", err == nil).Msg("retry budget passed on")
 }
--- a/internal/standin/keyvalue/simulated.go
+++ b/internal/standin/keyvalue/simulated.go
@@ -39,8 +39,11 @@
 }
 
 // GrantLease implements outside.KeyValueService.
-func (s *Simulated) GrantLease(timeToLive, timeout time.Duration, done func(outside.LeaseID, error)) {
-	run := func() (outside.LeaseID, error) { return s.store.GrantLease(timeToLive) }
+func (s *Simulated) GrantLease(timeToLive, timeout time.Duration, done func(outside.Lease, error)) {
+	run := func() (outside.Lease, error) {
+		id, err := s.store.GrantLease(timeToLive)
+		return outside.Lease{ID: id, TimeToLive: timeToLive}, err
+	}
 	call(s, KindGrantLease, timeout, run, done)
 }
 
--- a/internal/streamorigin/fakes_test.go
+++ b/internal/streamorigin/fakes_test.go
@@ -120,9 +120,9 @@
 func (s *fakeStore) leaseHolds(lease outside.LeaseID) bool { return time.Now().Before(s.leases[lease]) }
 
 // GrantLease grants a lease.
-func (s *fakeStore) GrantLease(timeToLive, timeout time.Duration, done func(outside.LeaseID, error)) {
+func (s *fakeStore) GrantLease(timeToLive, timeout time.Duration, done func(outside.Lease, error)) {
 	if s.isUnavailable() {
-		time.AfterFunc(timeout, func() { done(0, outside.ErrAmbiguous) })
+		time.AfterFunc(timeout, func() { done(outside.Lease{}, outside.ErrAmbiguous) })
 		return
 	}
 	s.mutex.Lock()
@@ -130,7 +130,7 @@
 	s.originWrites++
 	lease := outside.LeaseID(len(s.leases) + 1)
 	s.leases[lease] = time.Now().Add(timeToLive)
-	time.AfterFunc(2*storeDelay, func() { done(lease, nil) })
+	time.AfterFunc(2*storeDelay, func() { done(outside.Lease{ID: lease, TimeToLive: timeToLive}, nil) })
 }
 
 // Range reads the keys with the prefix.
--- a/internal/streamorigin/origin_store.go
+++ b/internal/streamorigin/origin_store.go
@@ -26,8 +26,7 @@
 	// maxPerLease is the maximum number of streams that are saved under one lease; further ones are not
 	// saved until the next lease.
 	maxPerLease = 4 * maxPerRecord
-	// leaseTime is the time to live of a lease. Records are written under it until no more than the
-	// retention is left.
+	// leaseTime is the time to live of a lease. Records are written under it in its first half.
 	leaseTime = 2 * retention
 	// maxOriginPause bounds the pause after a write that failed, which doubles.
 	maxOriginPause = 4 * time.Second
@@ -152,7 +151,7 @@
 	}
 	if now.After(s.leaseEnd) {
 		s.saving = true
-		go s.store.GrantLease(leaseTime, storeTimeout, func(lease outside.LeaseID, err error) { s.leaseGranted(now, lease, err) })
+		go s.store.GrantLease(leaseTime, storeTimeout, func(lease outside.Lease, err error) { s.leaseGranted(now, lease, err) })
 		return
 	}
 	if streams := s.takeUnsaved(); len(streams) > 0 {
@@ -183,7 +182,7 @@
 }
 
 // leaseGranted handles the result of asking for the lease of the next records.
-func (s *originStore) leaseGranted(asked time.Time, lease outside.LeaseID, err error) {
+func (s *originStore) leaseGranted(asked time.Time, lease outside.Lease, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.saving = false
@@ -191,7 +190,7 @@
 		s.failed(err)
 		return
 	}
-	s.lease, s.leaseEnd, s.leased, s.pause = lease, asked.Add(leaseTime-retention), 0, 0
+	s.lease, s.leaseEnd, s.leased, s.pause = lease.ID, asked.Add(lease.TimeToLive/2), 0, 0
 }
 
 // write writes the next record. It must be called with the lock held.
