--- a/internal/exchange/connection_end.go
+++ b/internal/exchange/connection_end.go
@@ -28,8 +28,8 @@
 	return inOrder && known, known && err == nil
 }
 
-// checkEnd returns io.EOF if a response that ends with its connection is complete. The request may still be being
-// written: the server may respond before it has read all of it.
+// checkEnd returns io.EOF if a response that ends with its connection is complete. The server may have
+// responded while the request was still being written.
 func (b *responseBody) checkEnd() error {
 	if b.write.finished() {
 		return io.EOF
--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -64,12 +64,13 @@
 	check func(limited context.Context) ServerState
 	// mayResume reports whether the caller, or another attempt, can ask for what may be missing.
 	mayResume func() bool
-	// left waits until the server, which was running at the time, is known to have ended as planned, or can't be.
-	left func(limited context.Context, running time.Time) bool
+	// awaitDeparture waits until the server, which was seen running at the time, is known to have ended as planned, or
+	// can't be.
+	awaitDeparture func(limited context.Context, seenRunning time.Time) bool
 	// onEnd is called with the state of the server once it is found out.
 	onEnd func(ServerState)
-	// running is the latest time at which the server is known to have run.
-	running time.Time
+	// seenRunning is the latest time at which the server is known to have run.
+	seenRunning time.Time
 	// mayBeEmpty: the response may have no body. Otherwise an empty one may be that of a head that broke off.
 	mayBeEmpty bool
 	received   bool
@@ -88,7 +89,7 @@
 		count, b.sourceEnd = b.ReadCloser.Read(buffer)
 		if time.Since(began) >= minReadWait {
 			// Nothing more had arrived when the read began, so the connection was still open.
-			b.running = began
+			b.seenRunning = began
 		}
 		b.received = b.received || count > 0
 		if count > 0 || b.sourceEnd == nil {
@@ -130,7 +131,7 @@
 		defer cancel()
 		ctx = limited
 	}
-	return b.left(ctx, b.running)
+	return b.awaitDeparture(ctx, b.seenRunning)
 }
 
 func (b *unframedBody) checkRepeatedly() ServerState {
@@ -189,12 +190,12 @@
 	reply.Body = &unframedBody{
 		ReadCloser: reply.Body, ctx: ctx,
 		check: func(limited context.Context) ServerState { return f.checkServer(ctx, limited, target.server) },
-		left: func(limited context.Context, running time.Time) bool {
-			return f.records.AwaitDeparture(limited, target.server.Incarnation(), running)
+		awaitDeparture: func(limited context.Context, seenRunning time.Time) bool {
+			return f.records.AwaitDeparture(limited, target.server.Incarnation(), seenRunning)
 		},
-		onEnd:     f.onUnframedEnd,
-		running:   flow.attemptStarted,
-		mayResume: func() bool { return reply.Events && flow.route.Repeatable() && flow.stream.resumable() },
+		onEnd:       f.onUnframedEnd,
+		seenRunning: flow.attemptStarted,
+		mayResume:   func() bool { return reply.Events && flow.route.Repeatable() && flow.stream.resumable() },
 		// Nothing may follow the last event of a stream that is resumed.
 		mayBeEmpty: !hasContent(reply.Status) || cmp.Or(flow.stream.last, flow.request.ResumeAfter) != "",
 	}
--- a/scripts/mechanisms.sh
+++ b/scripts/mechanisms.sh
@@ -461,6 +461,20 @@
 switch_off entries-outlast-restores internal/poison/guard.go 'g.entryStore.restored(keyValues)' 'g.entryStore.replace(keyValues)' ./internal/poison -run Restore
 switch_off counters-saved-again internal/orders/counters_store.go 's.revision, s.saved = 0, ratelimit.Counters{}' '' ./platform
 switch_off rollback-noticed internal/outside/etcd/rollback.go 'if revision >= floor {' 'if true {' ./internal/outside/etcd
+# Ends of responses, silent connections, and the loss of all nodes.
+switch_off departure-awaited internal/forward/unframed.go 'state == ServerEnded && b.hasLeft()' 'state == ServerEnded && false' ./cmd/hatchplank-node -run ServersThatShutDown
+switch_off departure-is-no-expiry internal/mirror/departure.go '&& at.Before(limit)' '' ./internal/mirror
+switch_off departure-announced internal/mirror/departure.go 'record.Draining && !record.Preempted' 'true' ./internal/mirror
+switch_off birth-compared platform/incarnation.go 'born != server.Born' 'false' ./platform
+switch_off reset-of-uploads internal/exchange/client.go 'if err == io.EOF && b.unframed {' 'if false {' ./internal/exchange
+switch_off reset-of-carried-uploads internal/serverpath/carrier.go '|| known && !inOrder' '|| false && known && !inOrder' ./internal/serverpath
+switch_off hidden-fields internal/exchange/head_check.go 'case hidesField(line):' 'case false:' ./internal/exchange
+switch_off status-controls internal/exchange/head_check.go 'case status && bytes.ContainsFunc(line, isControl):' 'case false && status:' ./internal/exchange
+switch_off peers-probed internal/peer/tcp/outbound.go 'if c.watch == nil {' 'if false {' ./internal/peer/tcp
+switch_off slow-links-awaited internal/peer/tcp/probe.go 'w.maxQuiet+w.transferIntervals(w.sent-w.answered)' 'w.maxQuiet' ./internal/peer/tcp
+switch_off origins-saved internal/streamorigin/origin_store.go 'if !s.enabled() || len(streams) == 0 {' 'if true {' ./internal/streamorigin
+switch_off saves-limited internal/streamorigin/origin_store.go '!s.writes.AllowN(now, 1)' 'false' ./internal/streamorigin
+switch_off applied-lease platform/store.go 'return time.Duration(d.TTLMS * float64(time.Millisecond))' 'return asked' ./platform -run Lease
 # Life of a process.
 switch_off not-ready-when-stopping internal/edge/process.go 'if p.Stopping() {' 'if false {' ./internal/edge
 switch_off stop-takes-what-arrives internal/edge/stop.go 'time.Sleep(time.Until(started.Add(min(acceptAfterStop, p.settings.Stop.Grace/2))))' '' ./internal/edge
