--- a/internal/mirror/departure_test.go
+++ b/internal/mirror/departure_test.go
@@ -66,6 +66,20 @@
 	})
 }
 
+// Guards against an expired record that proves a planned shutdown, since the caller read slowly and the end of the
+// response came after the expiry.
+func TestRemovalLongAfterTheServerRanIsNoDeparture(t *testing.T) {
+	withNodes(t, 2, func(d *deployment) {
+		d.store.put("s", true, "m")
+		time.Sleep(settled)
+		server, seenRunning := d.nodes[1].view.Record("s").Incarnation(), time.Now()
+		time.Sleep(3 * testTimes.Heartbeat)
+		d.store.remove("s")
+		time.Sleep(settled)
+		Expect(d.nodes[1].mirror.AwaitDeparture(context.Background(), server, seenRunning)).To(BeFalse())
+	})
+}
+
 // Guards against the wait for a planned shutdown where none was announced: the response of a server that crashed is
 // broken at once.
 func TestDepartureIsAwaitedOnlyAfterAnAnnouncedShutdown(t *testing.T) {
