edge: Start where the platform names no heartbeat

Nodes did not start where the settings template was filled without a heartbeat: a missing value is filled with nothing, and "heartbeat: ms" is no duration.

Change: the setting is a number of milliseconds, as the quota's window is one of seconds; nothing means that it is not known. TestSettingsWithoutAHeartbeatAreValid guards against it.

--- a/cmd/hatchplank-node/assemble.go
+++ b/cmd/hatchplank-node/assemble.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"cmp"
 	"context"
 	"runtime/debug"
 	"slices"
@@ -71,9 +70,6 @@
 	// holderLease is the time after which an order holder that does not renew its lease is
 	// replaced.
 	holderLease = 2 * time.Second
-	// defaultHeartbeat is assumed as the time between two writes of a server's record if the settings give none. A
-	// shorter time than the actual one ends the wait for a planned shutdown sooner.
-	defaultHeartbeat = time.Second
 	// maxPeerBackoff is the maximum backoff between connection attempts to another node.
 	maxPeerBackoff = 200 * time.Millisecond
 	// maxPeerHandshakes is the maximum number of handshakes with other nodes in progress. All nodes
@@ -297,7 +293,7 @@
 func (n *node) mirrorTimes() mirror.Times {
 	return mirror.Times{
 		Contact: n.settings.Store.Contact, Changes: min(n.settings.Store.Changes, n.settings.Store.Drains),
-		Heartbeat: cmp.Or(n.settings.Store.Heartbeat, defaultHeartbeat),
+		Heartbeat: n.settings.Heartbeat(),
 	}
 }
 
--- a/cmd/hatchplank-node/node_test.go
+++ b/cmd/hatchplank-node/node_test.go
@@ -28,7 +28,7 @@
 node: {name: %s, zone: z}
 listen: {callers: "127.0.0.1:0", health: "127.0.0.1:0", peers: "127.0.0.1:0", metrics: "127.0.0.1:0"}
 cluster: {secret: s}
-store: {address: "%s", contact: 3000ms, changes: 500ms, drains: 500ms, heartbeat: 3s, minimum_lease: 1000ms}
+store: {address: "%s", contact: 3000ms, changes: 500ms, drains: 500ms, heartbeat_ms: 3000, minimum_lease: 1000ms}
 retries: {ratio: 0.2, slack: 54, window: 10s}
 orders: {turn: 100ms, fenced: false, load_window: 5s, load_overage: 1.1}
 stop: {grace: 2s}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -116,11 +116,24 @@
 	Expect(settings.Listen.Peers).To(Equal("10.0.0.1:3"))
 	Expect(settings.Orders.HandoverPeriod).To(Equal(3 * time.Second))
 	Expect(settings.QuotaWindow()).To(Equal(6 * time.Second))
+	Expect(settings.Heartbeat()).To(Equal(1200 * time.Millisecond))
 	Expect(settings.Store.ReadsPerSecond).To(BeEquivalentTo(2000))
 	Expect(settings.Store.WritesPerSecond).To(BeEquivalentTo(400))
 	Expect(settings.Machine).To(Equal(Machine{ProcessorShare: 0.4, LinkMbps: 1000, Descriptors: 4100}))
 }
 
+// Guards against a node that does not start where the platform names no heartbeat: a gap of the template without a value is
+// filled with nothing.
+func TestSettingsWithoutAHeartbeatAreValid(t *testing.T) {
+	RegisterTestingT(t)
+	template, err := os.ReadFile(filepath.Join("..", "..", "deploy", "settings.yaml.template"))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(template)).To(MatchRegexp(`heartbeat_ms: \{\{heartbeat-ms\}\}\n`))
+	settings, err := LoadSettings([]byte(strings.Replace(validSettings, "drains: 2000ms,", "drains: 2000ms, heartbeat_ms: ,", 1)))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(settings.Heartbeat()).To(Equal(defaultHeartbeat))
+}
+
 // In a fleet of large and small machines, large ones campaign first in spite of the random part
 // of each node's wait, and idle connections leave most descriptors to other connections.
 func TestMachineSizeDecidesCampaignDelayAndIdleConnections(t *testing.T) {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -47,8 +47,9 @@
 		// configuration and on the drain of a server.
 		Changes time.Duration `yaml:"changes"`
 		Drains  time.Duration `yaml:"drains"`
-		// Heartbeat is the time between two writes of a server's record.
-		Heartbeat time.Duration `yaml:"heartbeat"`
+		// HeartbeatMilliseconds is the time between two writes of a server's record; 0 if it is
+		// not known.
+		HeartbeatMilliseconds float64 `yaml:"heartbeat_ms"`
 		// MinimumLease is the shortest lease duration that the store grants.
 		MinimumLease time.Duration `yaml:"minimum_lease"`
 		// ReadsPerSecond and WritesPerSecond are the store's rate limits for all nodes
@@ -105,6 +106,18 @@
 	return time.Duration(s.Quotas.WindowSeconds * float64(time.Second))
 }
 
+// defaultHeartbeat is assumed where the settings give none. A shorter time than the actual one ends the wait for a
+// planned shutdown sooner.
+const defaultHeartbeat = time.Second
+
+// Heartbeat returns the time between two writes of a server's record.
+func (s *Settings) Heartbeat() time.Duration {
+	if s.Store.HeartbeatMilliseconds == 0 {
+		return defaultHeartbeat
+	}
+	return time.Duration(s.Store.HeartbeatMilliseconds * float64(time.Millisecond))
+}
+
 // LoadSettings parses and validates settings. Unknown keys are an error, since they are probably
 // misspelt.
 func LoadSettings(content []byte) (Settings, error) {
@@ -149,7 +162,7 @@
 	require(s.Store.Contact > 0, "store.contact must be above 0")
 	require(s.Store.Changes > 0, "store.changes must be above 0")
 	require(s.Store.Drains > 0, "store.drains must be above 0")
-	require(s.Store.Heartbeat >= 0, "store.heartbeat must not be below 0")
+	require(s.Store.HeartbeatMilliseconds >= 0, "store.heartbeat_ms must not be below 0")
 	require(s.Store.MinimumLease > 0, "store.minimum_lease must be above 0")
 	require(s.Store.ReadsPerSecond >= 0 && s.Store.WritesPerSecond >= 0, "store.reads_per_second and store.writes_per_second must not be below 0")
 	require(s.Retries.Ratio >= 0 && s.Retries.Slack >= 0, "retries.ratio and retries.slack must not be below 0")
