--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -132,7 +132,7 @@
 	}
 	response.Body = &responseBody{
 		ReadCloser: response.Body, client: c, conn: conn, stop: stop, write: write,
-		unframed: response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		unframed: response.Body != http.NoBody && IsUnframed(response),
 		reusable: clean && !response.Close && !conn.isUsedUp(), idleTimeout: idleTimeoutFrom(response.Header.Get("Keep-Alive"), c.dial.IdleTimeout),
 	}
 	return response, nil
@@ -160,7 +160,7 @@
 		c.report(conn, AnomalyForeignResponse, request.Identity, response.StatusCode, nil)
 		clean = false
 		skipped++
-		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if response.Close || IsUnframed(response) {
 			return nil, false, ErrResponseMismatch
 		}
 		if err := skipBody(response); err != nil {
--- a/internal/exchange/connection_end.go
+++ b/internal/exchange/connection_end.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 
 	"golang.org/x/sys/unix"
 )
@@ -28,6 +29,12 @@
 	return inOrder && known, known && err == nil
 }
 
+// IsUnframed reports whether a response has neither a length nor chunks, so that its body, if it has one, ends with the
+// connection.
+func IsUnframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // checkEnd returns io.EOF if a response that ends with its connection is complete. The server may have
 // responded while the request was still being written.
 func (b *responseBody) checkEnd() error {
--- a/internal/exchange/discard.go
+++ b/internal/exchange/discard.go
@@ -23,11 +23,10 @@
 		return
 	}
 	length := response.ContentLength
-	unframed := length < 0 && len(response.TransferEncoding) == 0
 	switch {
 	case body.ReadCloser == http.NoBody || length >= 0 && length <= int64(body.conn.reader.Buffered()):
 		body.drain()
-	case unframed || !body.reusable || length > maxDiscardedBody || !body.stop():
+	case IsUnframed(response) || !body.reusable || length > maxDiscardedBody || !body.stop():
 		_ = body.Close()
 	default:
 		body.stop = time.AfterFunc(discardTimeout, func() { _ = body.conn.Close() }).Stop
--- a/internal/outside/httpapi/backend.go
+++ b/internal/outside/httpapi/backend.go
@@ -89,7 +89,7 @@
 // endsWithConnection reports whether only the end of the connection ends the body. Then a whole response can't be
 // told from one that broke off, since a server's connections are also closed in order when it crashes.
 func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+	return exchange.IsUnframed(response) && response.Request.Method != http.MethodHead
 }
 
 // read returns the complete response. A response with an error status is returned too, unless
